--- /dev/null
+++ b/src/base/hash.h
@@ -0,0 +1,22 @@
+#pragma once
+/// @file Hash functions (XXH3, SHA-256). Source: xxHash library and OpenSSL.
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace crankspur {
+
+/// @return the 64-bit XXH3 hash of `bytes` with `seed`. Not for security.
+std::uint64_t hashBytes(std::string_view bytes, std::uint64_t seed = 0);
+
+/// @return a hash of an ordered pair of hashes.
+std::uint64_t combineHashes(std::uint64_t first, std::uint64_t second);
+
+/// @return the SHA-256 digest of `bytes` as 64 lower-case hexadecimal digits.
+std::string sha256Hex(std::string_view bytes);
+
+/// @return `value` as 16 lower-case hexadecimal digits.
+std::string toHex(std::uint64_t value);
+
+}  // namespace crankspur
--- /dev/null
+++ b/src/base/time.h
@@ -0,0 +1,39 @@
+#pragma once
+/// @file Time types shared by processes and the simulation.
+/// Decision code never reads a clock: every call that depends on time takes `now`.
+
+#include <chrono>
+
+namespace crankspur {
+
+/// Resolution of every duration in the project: one microsecond.
+using Duration = std::chrono::microseconds;
+
+/// A monotonic instant. Its epoch is arbitrary; instants of different processes are not comparable.
+using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+
+/// Source of the current instant: the machine's clock in processes, a virtual one in the simulation.
+class Clock {
+ public:
+  virtual ~Clock() = default;
+  /// @return the current monotonic instant.
+  virtual TimePoint now() const = 0;
+};
+
+/// The machine's monotonic clock.
+class SteadyClock : public Clock {
+ public:
+  TimePoint now() const override {
+    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+  }
+};
+
+/// @return `duration` in seconds.
+inline double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+
+/// @return `duration` in milliseconds.
+inline double toMilliseconds(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+}  // namespace crankspur
