--- /dev/null
+++ b/src/admission/admission.h
@@ -0,0 +1,48 @@
+#pragma once
+/// @file Admission: tenant limits, weighted fairness, priorities, deadline feasibility and retry budgets.
+/// A request that cannot be served in time is refused at once, truthfully "not run", with when to come back.
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "bundle/bundle.h"
+
+namespace crankspur {
+
+/// What admission needs to know of a request.
+struct AdmissionRequest {
+  std::string tenant;
+  std::uint32_t priority = 1;
+  std::uint32_t cost_tokens = 0;     ///< Uncached prompt tokens plus the answer's maximum.
+  Duration deadline{0};              ///< Time left.
+  Duration expected_first_token{0};  ///< Estimate of the best placement.
+  double fleet_utilization = 0;      ///< Share of the serving pools' capacity in use, 0 to 1 and above.
+  bool retry = false;
+};
+
+/// Outcome of admission.
+struct AdmissionDecision {
+  bool admitted = false;
+  ErrorCode code = ErrorCode::Ok;  ///< RateLimited, Overloaded or DeadlineExceeded when refused.
+  Duration retry_after{0};         ///< When a further try may succeed.
+  std::string reason;              ///< For logs and explain.
+};
+
+/// Admission of one traffic shard. Limits are fleet-wide: each router holds its share (1/router_count) of a
+/// tenant's limit, adjusted by the shares peers use. Not thread-safe.
+class Admission {
+public:
+  virtual ~Admission() = default;
+  /// Takes the tenants and limits of a bundle and the number of live routers.
+  virtual void configure(std::shared_ptr<const Bundle> bundle, std::uint32_t router_count, TimePoint now) = 0;
+  /// Decides; an admitted request counts as in flight until finished() is called.
+  virtual AdmissionDecision admit(const AdmissionRequest& request, TimePoint now) = 0;
+  /// Ends an admitted request and settles its cost.
+  /// @param used_tokens tokens really computed.
+  virtual void finished(const AdmissionRequest& request, std::uint32_t used_tokens, TimePoint now) = 0;
+};
+
+std::unique_ptr<Admission> makeAdmission();
+
+}  // namespace crankspur
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -44,7 +44,9 @@
 const std::error_category& errorCategory();
 
 /// Makes ErrorCode convertible to std::error_code.
-inline std::error_code make_error_code(ErrorCode code) { return {static_cast<int>(code), errorCategory()}; }
+inline std::error_code make_error_code(ErrorCode code) {
+  return {static_cast<int>(code), errorCategory()};
+}
 
 }  // namespace crankspur
 
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -12,10 +12,14 @@
 
 const char* levelName(LogLevel level) {
   switch (level) {
-    case LogLevel::Debug: return "debug";
-    case LogLevel::Info: return "info";
-    case LogLevel::Warning: return "warning";
-    case LogLevel::Error: return "error";
+    case LogLevel::Debug:
+      return "debug";
+    case LogLevel::Info:
+      return "info";
+    case LogLevel::Warning:
+      return "warning";
+    case LogLevel::Error:
+      return "error";
   }
   return "error";
 }
@@ -47,7 +51,9 @@
 
 const EventDescription& describe(EventId event) {
   const auto& catalogue = eventCatalogue();
-  const auto matches = [event](const EventDescription& entry) { return entry.number == static_cast<int>(event); };
+  const auto matches = [event](const EventDescription& entry) {
+    return entry.number == static_cast<int>(event);
+  };
   return *std::find_if(catalogue.begin(), catalogue.end(), matches);
 }
 
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -44,7 +44,7 @@
 
 /// Receiver of log events. Implementations are thread-safe.
 class EventLog {
- public:
+public:
   virtual ~EventLog() = default;
   /// Writes one event. Values are escaped, so that no value can forge a line or a field.
   virtual void write(EventId event, const std::vector<LogField>& fields) = 0;
@@ -52,13 +52,13 @@
 
 /// Writes to standard error with a UTC time stamp, the process name, number, name, level and fields.
 class StderrEventLog : public EventLog {
- public:
+public:
   /// @param process the name that every line carries.
   /// @param minimum events below this level are dropped.
   StderrEventLog(std::string process, LogFormat format, LogLevel minimum);
   void write(EventId event, const std::vector<LogField>& fields) override;
 
- private:
+private:
   std::string process_;
   LogFormat format_;
   LogLevel minimum_;
@@ -66,7 +66,7 @@
 
 /// Drops every event; for tests and benchmarks.
 class NullEventLog : public EventLog {
- public:
+public:
   void write(EventId, const std::vector<LogField>&) override {}
 };
 
--- a/src/base/hash.cc
+++ b/src/base/hash.cc
@@ -22,6 +22,8 @@
   return text;
 }
 
-std::string toHex(std::uint64_t value) { return fmt::format("{:016x}", value); }
+std::string toHex(std::uint64_t value) {
+  return fmt::format("{:016x}", value);
+}
 
 }  // namespace crankspur
--- a/src/base/random.h
+++ b/src/base/random.h
@@ -13,7 +13,7 @@
 
 /// A seeded generator. Not thread-safe: each thread and each decision object owns one.
 class RandomSource {
- public:
+public:
   explicit RandomSource(std::uint64_t seed) : engine_(seed) {}
 
   /// @return a uniform integer in [low, high].
@@ -23,7 +23,9 @@
   /// @return a uniform real in [0, 1).
   double unit() { return boost::random::uniform_real_distribution<double>(0.0, 1.0)(engine_); }
   /// @return true with the given probability.
-  bool chance(double probability) { return boost::random::bernoulli_distribution<double>(probability)(engine_); }
+  bool chance(double probability) {
+    return boost::random::bernoulli_distribution<double>(probability)(engine_);
+  }
   /// @return an exponentially distributed real with the given mean.
   double exponential(double mean) {
     return boost::random::exponential_distribution<double>(1.0 / mean)(engine_);
@@ -31,7 +33,7 @@
   /// @return 64 random bits.
   std::uint64_t bits() { return engine_(); }
 
- private:
+private:
   boost::random::mt19937_64 engine_;
 };
 
--- a/src/base/time.h
+++ b/src/base/time.h
@@ -14,7 +14,7 @@
 
 /// Source of the current instant: the machine's clock in processes, a virtual one in the simulation.
 class Clock {
- public:
+public:
   virtual ~Clock() = default;
   /// @return the current monotonic instant.
   virtual TimePoint now() const = 0;
@@ -22,14 +22,16 @@
 
 /// The machine's monotonic clock.
 class SteadyClock : public Clock {
- public:
+public:
   TimePoint now() const override {
     return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
   }
 };
 
 /// @return `duration` in seconds.
-inline double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+inline double toSeconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
 
 /// @return `duration` in milliseconds.
 inline double toMilliseconds(Duration duration) {
--- /dev/null
+++ b/src/bundle/bundle.h
@@ -0,0 +1,120 @@
+#pragma once
+/// @file The operators' bundle: one versioned, signed document that determines the fleet's behaviour.
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/time.h"
+#include "internal_protocol/messages.h"
+#include "settings/toml_reader.h"
+
+namespace crankspur {
+
+/// A tenant and its limits.
+struct TenantPolicy {
+  std::string name;
+  std::vector<std::string> api_key_sha256;  ///< Lower-case hexadecimal SHA-256 of each accepted API key.
+  double weight = 1.0;                      ///< Share of contended engine time.
+  std::uint32_t default_priority = 1;       ///< 0 is the most urgent.
+  std::uint32_t tokens_per_second = 0;      ///< Prompt plus answer tokens over the whole fleet; 0: no limit.
+  std::uint32_t max_in_flight = 0;          ///< Requests over the whole fleet; 0: no limit.
+  double retry_budget = 0.1;                ///< Retries allowed per first attempt.
+  std::vector<std::string> models;          ///< Models the tenant may use.
+  std::vector<std::string> operations;      ///< Application operations the tenant may use.
+};
+
+/// A model or an application, and the pools of back ends that serve it.
+struct ModelPolicy {
+  std::string name;
+  std::string weights_version;
+  std::vector<std::string> adapters;
+  std::vector<std::string> pools;  ///< Pools of engines, by the pool name the machine list gives.
+  std::uint32_t max_prompt_tokens = 32768;
+  std::uint32_t max_answer_tokens = 4096;
+};
+
+/// An operation of application runners.
+struct OperationPolicy {
+  std::string name;
+  std::vector<std::string> pools;
+  bool repeatable = false;
+  Duration timeout = std::chrono::seconds(10);
+};
+
+/// Tunables. Defaults are those that docs/MEASUREMENTS.md names the run for.
+struct Knobs {
+  double decision_cached_token_value = 1.0;  ///< Weight of saved prefill in placement, against queue time.
+  Duration first_token_target = std::chrono::milliseconds(330);
+  std::uint32_t random_candidates = 2;    ///< Engines drawn at random beside prefix holders.
+  std::uint32_t hot_prefix_replicas = 2;  ///< Engines a hot prefix is spread over at least.
+  double hot_prefix_rate = 20.0;          ///< Requests a second from which a prefix counts as hot.
+  Duration suspicion_timeout = std::chrono::seconds(3);
+  Duration gossip_interval = std::chrono::milliseconds(500);
+  Duration load_report_interval = std::chrono::milliseconds(200);
+  std::uint32_t max_attempts = 3;
+  std::uint32_t parallel_weight_loads = 3;  ///< Engines that may load weights at once.
+  Duration claim_lifetime = std::chrono::hours(24);
+};
+
+/// A checked bundle. Immutable once built.
+struct Bundle {
+  std::uint64_t version = 0;
+  std::string site;
+  std::vector<TenantPolicy> tenants;
+  std::vector<ModelPolicy> models;
+  std::vector<OperationPolicy> operations;
+  Knobs knobs;
+
+  /// @return the entry, or nullptr.
+  const TenantPolicy* findTenant(std::string_view name) const;
+  const ModelPolicy* findModel(std::string_view name) const;
+  const OperationPolicy* findOperation(std::string_view name) const;
+  /// @return the tenant that owns the API key, or nullptr.
+  const TenantPolicy* findTenantByKey(std::string_view api_key) const;
+};
+
+/// Parses and checks a bundle document.
+/// @return the bundle, or empty with every problem listed.
+std::shared_ptr<const Bundle> parseBundle(std::string_view document, const std::string& file,
+                                          std::vector<SettingsProblem>& problems);
+
+/// Public keys (Ed25519, base64 of 32 bytes) whose holders may author or approve a bundle. They come from
+/// each process's settings file. Author and approver of one bundle must be different keys.
+struct TrustedKeys {
+  std::vector<std::string> authors;
+  std::vector<std::string> approvers;
+};
+
+/// A verified bundle beside the signed form that peers can verify again.
+struct SignedBundle {
+  BundleBody body;
+  std::shared_ptr<const Bundle> bundle;
+};
+
+/// Verifies both signatures over the document and that its version equals body.version, then parses it.
+/// @param error SignatureInvalid or InvalidRequest when empty is returned.
+std::shared_ptr<const SignedBundle> verifyBundle(const BundleBody& body, const TrustedKeys& keys,
+                                                 std::error_code& error);
+
+/// The newest bundle a process has accepted. Versions only grow, so an accepted bundle never reverts.
+class BundleHolder {
+public:
+  explicit BundleHolder(TrustedKeys keys) : keys_(std::move(keys)) {}
+  /// Takes a body if it verifies and is newer than the held one.
+  /// @return Ok, Stale (not newer: no change), SignatureInvalid or InvalidRequest.
+  std::error_code offer(const BundleBody& body);
+  /// @return the held bundle, or nullptr.
+  std::shared_ptr<const SignedBundle> current() const { return current_; }
+  /// @return the held version; 0 when none.
+  std::uint64_t version() const { return current_ ? current_->body.version : 0; }
+
+private:
+  TrustedKeys keys_;
+  std::shared_ptr<const SignedBundle> current_;
+};
+
+}  // namespace crankspur
--- /dev/null
+++ b/src/claim/claim.h
@@ -0,0 +1,70 @@
+#pragma once
+/// @file At-most-once claims for work that may not be repeated. Pure decision code.
+/// A claim row is inserted in the table service before dispatch, keyed by tenant and idempotency key. The
+/// attempt token tells one's own lost answer from another's claim.
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/error.h"
+#include "base/time.h"
+
+namespace crankspur {
+
+/// Content of a claim row.
+struct ClaimRow {
+  enum class Phase { Claimed, Done, Released } phase = Phase::Claimed;
+  std::string token;              ///< Attempt token of the claimant.
+  std::string result;             ///< The recorded answer when Done.
+  std::uint64_t row_version = 0;  ///< 0 when the row is absent.
+};
+
+/// What a claim wants done with the table.
+struct ClaimAction {
+  enum class Kind { Read, CompareAndSet } kind = Kind::Read;
+  std::string key;
+  ClaimRow write;
+  std::uint64_t expected_version = 0;  ///< 0: the row must be absent.
+};
+
+/// How a claim attempt ended.
+struct ClaimOutcome {
+  enum class Kind {
+    Granted,      ///< Dispatch may begin, once.
+    AlreadyDone,  ///< The work was done; `result` holds the recorded answer.
+    HeldByOther,  ///< Another attempt holds the claim; whether it ran is unknown to this one.
+    Unavailable,  ///< The table did not decide in time; nothing was dispatched.
+  } kind = Kind::Unavailable;
+  std::string result;
+};
+
+/// One claim attempt: claim, then after the work complete or release (release only when truly not run).
+class Claim {
+public:
+  virtual ~Claim() = default;
+  /// @return the table action due now, if any; one is outstanding at a time.
+  virtual std::optional<ClaimAction> poll(TimePoint now) = 0;
+  virtual void onRead(const ClaimRow& row, TimePoint now) = 0;
+  virtual void onWritten(bool committed, TimePoint now) = 0;
+  /// No answer: the write may have taken effect; the row is read back before anything else.
+  virtual void onFailed(TimePoint now) = 0;
+  /// @return the outcome once decided.
+  virtual std::optional<ClaimOutcome> outcome() const = 0;
+  /// The work ran; records its answer.
+  virtual void complete(std::string result, TimePoint now) = 0;
+  /// The work surely did not run; lets a later attempt claim again.
+  virtual void release(TimePoint now) = 0;
+  /// @return true when nothing is left to write.
+  virtual bool settled() const = 0;
+  virtual TimePoint nextTimer() const = 0;
+};
+
+/// @param key tenant and idempotency key, joined by the caller.
+/// @param deadline instant after which the claim is Unavailable.
+std::unique_ptr<Claim> makeClaim(std::string key, std::string token, TimePoint deadline,
+                                 std::uint64_t random_seed);
+
+}  // namespace crankspur
--- /dev/null
+++ b/src/http/client.h
@@ -0,0 +1,74 @@
+#pragma once
+/// @file HTTP/1.1 client on Boost.Beast with a pool of kept-alive connections to each address.
+
+#include <boost/asio/any_io_executor.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+
+#include "base/time.h"
+#include "http/message.h"
+
+namespace crankspur::http {
+
+/// How far a failed exchange had come; decides whether "not run" may be said.
+enum class SendState {
+  NotSent,      ///< No byte of the request was written: the connect failed.
+  SentUnknown,  ///< Bytes were written; the server may have acted.
+};
+
+/// Callbacks of one exchange, on the client's executor thread.
+struct ExchangeCallbacks {
+  /// Status line and headers arrived. Optional.
+  std::function<void(int status, const Headers&)> on_headers;
+  /// A piece of the body arrived, at its arrival. When unset the body is collected for on_done.
+  std::function<void(std::string_view)> on_data;
+  /// The exchange ended: `error` is empty when the response was complete.
+  std::function<void(std::error_code error, SendState state, Response response)> on_done;
+};
+
+/// A running exchange.
+class Exchange {
+public:
+  virtual ~Exchange() = default;
+  /// Closes the connection; on_done is not called any more.
+  virtual void cancel() = 0;
+};
+
+/// Options of one exchange.
+struct ExchangeOptions {
+  Duration connect_timeout = std::chrono::seconds(1);
+  /// Time without any byte from the server after which the exchange fails.
+  Duration idle_timeout = std::chrono::seconds(10);
+  std::size_t body_bytes = 16 * 1024 * 1024;  ///< Limit of a collected body.
+};
+
+/// Client with pooled connections. A kept-alive connection that the server closed before the first byte of
+/// the response is never silently retried unless the method is GET.
+class Client {
+public:
+  virtual ~Client() = default;
+  /// Starts an exchange with the server at "IP:port".
+  virtual std::shared_ptr<Exchange> start(const std::string& address, Request request,
+                                          ExchangeCallbacks callbacks, ExchangeOptions options = {}) = 0;
+};
+
+/// @return a client whose work and callbacks run on `executor`.
+std::unique_ptr<Client> makeClient(boost::asio::any_io_executor executor);
+
+/// Splits a server-sent event stream into the values of its "data:" lines, at any chunk boundary.
+class EventStreamParser {
+public:
+  /// @param limit bytes of one event; a longer one makes the parser report failure.
+  explicit EventStreamParser(std::size_t limit = 1024 * 1024) : limit_(limit) {}
+  /// Feeds bytes; calls `on_event` for each complete event.
+  /// @return false when an event exceeds the limit; the stream is then unusable.
+  bool feed(std::string_view bytes, const std::function<void(std::string_view)>& on_event);
+
+private:
+  std::size_t limit_;
+  std::string buffer_;
+};
+
+}  // namespace crankspur::http
--- /dev/null
+++ b/src/http/message.h
@@ -0,0 +1,42 @@
+#pragma once
+/// @file HTTP request and response values, free of Boost.Beast, so that callers compile fast.
+
+#include <map>
+#include <string>
+
+namespace crankspur::http {
+
+/// Case-insensitive comparison of header names.
+struct HeaderLess {
+  bool operator()(const std::string& left, const std::string& right) const;
+};
+
+/// Header fields; a later duplicate replaces an earlier one.
+using Headers = std::map<std::string, std::string, HeaderLess>;
+
+/// A request as received or to be sent.
+struct Request {
+  std::string method = "GET";
+  std::string target = "/";  ///< Path with query.
+  Headers headers;
+  std::string body;
+
+  /// @return the target without its query.
+  std::string path() const;
+  /// @return the decoded value of a query parameter, or an empty string.
+  std::string query(const std::string& name) const;
+  /// @return a header's value, or an empty string.
+  std::string header(const std::string& name) const;
+};
+
+/// A complete response.
+struct Response {
+  int status = 200;
+  Headers headers;
+  std::string body;
+};
+
+/// @return a response with content type application/json.
+Response jsonResponse(int status, std::string body);
+
+}  // namespace crankspur::http
--- /dev/null
+++ b/src/internal_protocol/connection.h
@@ -0,0 +1,68 @@
+#pragma once
+/// @file Frame connections over TCP with Asio. One multiplexed connection serves each pair of processes.
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+
+#include "internal_protocol/messages.h"
+
+namespace crankspur {
+
+/// One frame connection. All calls and callbacks happen on the executor's thread. Both sides send Hello
+/// first; no other message is delivered before the peer's Hello was accepted.
+class FrameConnection : public std::enable_shared_from_this<FrameConnection> {
+public:
+  struct Callbacks {
+    std::function<void(const Hello&)> on_hello;  ///< The peer's Hello; versions already agreed.
+    std::function<void(Message)> on_message;
+    std::function<void(std::error_code)> on_closed;  ///< Called once, however the connection ends.
+  };
+  virtual ~FrameConnection() = default;
+  /// Queues a message. Drops the connection (TooLarge) when more than the write limit is waiting.
+  virtual void send(const Message& message) = 0;
+  /// Closes after queued messages were written, or at once.
+  virtual void close(bool flush) = 0;
+  /// @return the peer's "IP:port".
+  virtual std::string remoteAddress() const = 0;
+};
+
+/// Limits of a connection.
+struct ConnectionLimits {
+  std::size_t write_queue_bytes = 32 * 1024 * 1024;
+  Duration connect_timeout = std::chrono::seconds(1);
+  Duration hello_timeout = std::chrono::seconds(3);
+};
+
+/// Opens a connection. `on_closed` reports a failed connect as well.
+/// @param address "IP:port".
+std::shared_ptr<FrameConnection> connectFrames(boost::asio::any_io_executor executor,
+                                               const std::string& address, Hello hello,
+                                               FrameConnection::Callbacks callbacks,
+                                               ConnectionLimits limits = {});
+
+/// Accepts frame connections.
+class FrameListener {
+public:
+  /// Returns the callbacks for one accepted connection, which is passed in.
+  using AcceptHandler = std::function<FrameConnection::Callbacks(std::shared_ptr<FrameConnection>)>;
+  virtual ~FrameListener() = default;
+  /// @return the port that was bound (useful when port 0 was asked for).
+  virtual std::uint16_t port() const = 0;
+  /// Takes no further connection; open ones go on.
+  virtual void stop() = 0;
+};
+
+/// Listens on "IP:port"; port 0 lets the system choose.
+/// @param hello makes the Hello to send, so that it carries current values.
+/// @return the listener, or empty with `error` set.
+std::unique_ptr<FrameListener> listenFrames(boost::asio::any_io_executor executor, const std::string& address,
+                                            std::function<Hello()> hello,
+                                            FrameListener::AcceptHandler on_accept, std::error_code& error,
+                                            ConnectionLimits limits = {});
+
+}  // namespace crankspur
--- /dev/null
+++ b/src/internal_protocol/messages.h
@@ -0,0 +1,224 @@
+#pragma once
+/// @file Typed messages between the system's own processes (sidecar to router, router to router).
+/// Pure data: decision code uses these types; codec.h gives their nanopb wire form.
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/error.h"
+#include "base/time.h"
+
+namespace crankspur {
+
+/// Whether the work of a request was done, as told to the caller.
+enum class RunState {
+  NotRun = 0,   ///< No engine or runner has begun it, and none will.
+  Unknown = 1,  ///< It may have run.
+  Ran = 2,      ///< It ran at least partly.
+};
+
+/// What a request asks for.
+enum class RequestKind {
+  Completion = 0,   ///< Text from a model engine; may be repeated.
+  Application = 1,  ///< An operation of an application runner, such as an order or a booking.
+};
+
+/// Role of a process in the fleet.
+enum class NodeRole { Router = 0, Sidecar = 1 };
+
+/// First message on each connection, both ways. Peers use the highest version both speak.
+struct Hello {
+  std::uint32_t lowest_version = 1;
+  std::uint32_t highest_version = 1;
+  std::string node_name;
+  std::uint64_t incarnation = 0;  ///< Differs at each start of the process.
+  NodeRole role = NodeRole::Router;
+  std::string zone;
+  std::string region;
+  std::uint64_t bundle_version = 0;  ///< Highest bundle version the node holds; 0 when none.
+  std::string address;               ///< "IP:port" where the node listens for peers; empty for sidecars.
+};
+
+/// Sidecar to router: run one attempt of a request.
+struct SubmitRequest {
+  std::string request_id;     ///< Unique over all callers; chosen by the sidecar.
+  std::uint32_t attempt = 1;  ///< Grows by one with each resubmission of the same request.
+  RequestKind kind = RequestKind::Completion;
+  std::string tenant;
+  std::string model;
+  std::string adapter;          ///< Empty for the base model.
+  std::string operation;        ///< Application requests: the operation's name.
+  std::string idempotency_key;  ///< Empty when the caller gave none.
+  bool repeatable = true;       ///< False: at most one execution, claimed by idempotency_key.
+  std::uint32_t priority = 1;   ///< 0 is the most urgent.
+  Duration deadline{0};         ///< Time left until the caller gives up.
+  std::uint64_t bundle_version =
+      0;               ///< The version the sidecar decided under; an older router must catch up.
+  std::string prompt;  ///< Canonical prompt text, or the body of an application request.
+  std::uint32_t max_tokens = 0;
+  std::uint64_t resume_offset = 0;  ///< Tokens the caller already has; 0 at first.
+  std::string resume_text;          ///< The text of those tokens.
+  std::string resume_engine;        ///< Engine that streamed them; empty when none did.
+  std::uint64_t resume_incarnation = 0;
+  std::string resume_weights;  ///< Weights version that produced them; a resumption must use the same.
+};
+
+/// Router to sidecar: an engine has taken the attempt.
+struct Accepted {
+  std::string request_id;
+  std::uint32_t attempt = 0;
+  std::string engine;
+  std::uint64_t engine_incarnation = 0;
+  std::string weights_version;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t cached_tokens = 0;
+};
+
+/// Router to sidecar: a piece of the answer.
+struct StreamPiece {
+  std::string request_id;
+  std::uint32_t attempt = 0;
+  std::uint64_t offset = 0;  ///< Index of the piece's first token in the whole answer.
+  std::uint32_t token_count = 0;
+  std::string text;
+};
+
+/// Router to sidecar: the answer is complete.
+struct StreamEnd {
+  std::string request_id;
+  std::uint32_t attempt = 0;
+  std::uint64_t token_count = 0;  ///< Tokens of the whole answer, from offset 0.
+  std::uint64_t checksum = 0;     ///< hashBytes over the whole answer's text, from offset 0.
+  std::string finish_reason;      ///< "stop", "length" or, for application requests, "done".
+  std::string engine;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t cached_tokens = 0;
+};
+
+/// Router to sidecar: the attempt ends without a whole answer.
+struct Refusal {
+  std::string request_id;
+  std::uint32_t attempt = 0;
+  ErrorCode code = ErrorCode::Internal;
+  RunState run_state = RunState::Unknown;
+  Duration retry_after{0};  ///< When the caller may come back; 0 means no advice.
+  std::string message;
+};
+
+/// Sidecar to router: the caller has gone; stop the attempt.
+struct Cancel {
+  std::string request_id;
+  std::uint32_t attempt = 0;
+};
+
+/// State of a member in the gossip protocol, ordered by precedence at equal incarnation.
+enum class MemberState { Alive = 0, Suspect = 1, Leaving = 2, Dead = 3 };
+
+/// One member as known to the sender.
+struct MemberRecord {
+  std::string name;
+  std::string address;  ///< "IP:port" for peers.
+  std::string zone;
+  std::string region;
+  std::uint64_t incarnation = 0;
+  MemberState state = MemberState::Alive;
+  std::uint64_t bundle_version = 0;
+};
+
+/// An engine's state as known to the sender; spreads leaving marks and crashes.
+struct EngineRecord {
+  std::string name;
+  std::uint64_t incarnation = 0;
+  bool leaving = false;
+  bool dead = false;
+};
+
+/// Probe of a member; also carries recent membership changes.
+struct Ping {
+  std::uint64_t sequence = 0;
+  std::string sender;
+  std::string target;  ///< Whom to probe; differs from the receiver in an indirect probe.
+  std::uint64_t bundle_version = 0;
+  std::vector<MemberRecord> members;
+  std::vector<EngineRecord> engines;
+};
+
+/// Answer to a Ping.
+struct PingAck {
+  std::uint64_t sequence = 0;
+  std::string sender;
+  std::uint64_t bundle_version = 0;
+  std::vector<MemberRecord> members;
+  std::vector<EngineRecord> engines;
+};
+
+/// Asks a peer for a bundle newer than the one held.
+struct BundleRequest {
+  std::uint64_t held_version = 0;
+};
+
+/// A signed bundle. `document` and the two signatures verify together or the bundle is ignored.
+struct BundleBody {
+  std::uint64_t version = 0;
+  std::string document;
+  std::string author_signature;    ///< Ed25519, base64.
+  std::string approver_signature;  ///< Ed25519, base64.
+};
+
+/// Blocks that more than one request shares, told by the owner of an engine's event stream.
+struct CacheSummary {
+  std::string engine;
+  std::uint64_t engine_incarnation = 0;
+  std::uint64_t sequence = 0;  ///< Grows by one with each summary of the same incarnation.
+  std::vector<std::uint64_t> stored;
+  std::vector<std::uint64_t> removed;
+};
+
+/// One engine's load as seen by the sender.
+struct EngineLoad {
+  std::string engine;
+  std::uint64_t engine_incarnation = 0;
+  std::uint32_t queued_tokens = 0;
+  std::uint32_t running = 0;
+  std::uint32_t age_milliseconds = 0;  ///< Age of the report when sent.
+};
+
+/// Loads of engines told to peers of the same zone.
+struct LoadDigest {
+  std::string sender;
+  std::vector<EngineLoad> loads;
+};
+
+/// Asks a member of a claim group to grant a claim; see docs/design on claims.
+struct ClaimPrepare {
+  std::uint64_t epoch = 0;
+  std::string key;
+  std::string token;  ///< The claimant's attempt token.
+};
+
+/// Answer to ClaimPrepare.
+struct ClaimReply {
+  std::uint64_t epoch = 0;
+  std::string key;
+  std::string token;
+  bool granted = false;
+  std::string holder;  ///< Token of the present holder when not granted.
+  std::string voter;
+  std::uint64_t voter_incarnation = 0;
+};
+
+/// A peer's request could not be served; the connection stays open unless the code is Malformed,
+/// TooLarge or VersionMismatch.
+struct ProtocolError {
+  ErrorCode code = ErrorCode::Internal;
+  std::string message;
+};
+
+/// Every message that a frame can carry.
+using Message = std::variant<Hello, SubmitRequest, Accepted, StreamPiece, StreamEnd, Refusal, Cancel, Ping,
+                             PingAck, BundleRequest, BundleBody, CacheSummary, LoadDigest, ClaimPrepare,
+                             ClaimReply, ProtocolError>;
+
+}  // namespace crankspur
--- /dev/null
+++ b/src/membership/membership.h
@@ -0,0 +1,73 @@
+#pragma once
+/// @file Gossip membership with incarnations and suspicion, seeded by the machine list. Pure decision code.
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "base/random.h"
+#include "internal_protocol/messages.h"
+
+namespace crankspur {
+
+/// Tunables of the gossip protocol.
+struct MembershipOptions {
+  Duration probe_interval = std::chrono::milliseconds(500);
+  Duration probe_timeout = std::chrono::milliseconds(200);  ///< Until indirect probes are asked for.
+  Duration suspicion_timeout = std::chrono::seconds(3);
+  std::uint32_t indirect_probes = 2;
+  std::uint32_t records_per_message = 8;
+  std::uint32_t spread_factor = 3;  ///< A change rides on spread_factor * log2(members) messages.
+  Duration dead_retention = std::chrono::minutes(10);
+};
+
+/// Messages the membership wants sent to a peer's address.
+struct OutgoingGossip {
+  std::string address;
+  std::string member;
+  std::variant<Ping, PingAck> message;
+};
+
+/// A change that the owner should act on.
+struct MembershipChange {
+  MemberRecord record;
+  MemberState previous = MemberState::Dead;
+};
+
+/// The membership of one node.
+class Membership {
+public:
+  virtual ~Membership() = default;
+  /// Names from the machine list, which lags: new names are probed, marks of leaving are spread; an absent
+  /// name is not dead by that alone.
+  virtual void seed(const std::vector<MemberRecord>& machines, TimePoint now) = 0;
+  virtual void onPing(const Ping& ping, const std::string& from_address, TimePoint now) = 0;
+  virtual void onAck(const PingAck& ack, TimePoint now) = 0;
+  /// Advances timers; to be called at nextTimer().
+  virtual void onTimer(TimePoint now) = 0;
+  virtual TimePoint nextTimer() const = 0;
+  /// Marks this node as leaving and spreads it.
+  virtual void leave(TimePoint now) = 0;
+  /// Announces a bundle version held by this node.
+  virtual void setBundleVersion(std::uint64_t version) = 0;
+  /// Spreads a fact about an engine (crash, new incarnation, leaving).
+  virtual void announceEngine(const EngineRecord& record, TimePoint now) = 0;
+  /// @return messages to send, taken once.
+  virtual std::vector<OutgoingGossip> takeOutgoing() = 0;
+  /// @return changes since the last call.
+  virtual std::vector<MembershipChange> takeChanges() = 0;
+  /// @return engine facts that became known since the last call.
+  virtual std::vector<EngineRecord> takeEngineChanges() = 0;
+  /// @return every member that is not Dead, this node included, sorted by name.
+  virtual std::vector<MemberRecord> liveMembers() const = 0;
+  /// @return the member that reports the highest bundle version, or an empty record.
+  virtual MemberRecord newestBundleHolder() const = 0;
+};
+
+std::unique_ptr<Membership> makeMembership(MemberRecord self, MembershipOptions options,
+                                           std::uint64_t random_seed, TimePoint now);
+
+}  // namespace crankspur
--- /dev/null
+++ b/src/placement/engine_view.h
@@ -0,0 +1,76 @@
+#pragma once
+/// @file Immutable view of the fleet's back ends that the control thread publishes to traffic shards.
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "bundle/bundle.h"
+#include "prefix_index/prefix_index.h"
+
+namespace crankspur {
+
+/// Whether a back end may get new work.
+enum class EngineState {
+  Live,
+  Leaving,  ///< Finishes its work; gets nothing new.
+  Ejected,  ///< Slow or failing; gets a probe now and then only.
+  Dead,
+};
+
+/// What an engine is used for.
+enum class EngineRole { Mixed, Prefill, Decode };
+
+/// A model that an engine has loaded.
+struct LoadedModel {
+  std::string model;
+  std::string weights_version;
+  std::vector<std::string> adapters;
+};
+
+/// The engine's own load report, lagging.
+struct LoadReport {
+  TimePoint measured_at{};          ///< When the router received it, less the age the engine stated.
+  std::uint32_t queued_tokens = 0;  ///< Prompt tokens waiting for prefill.
+  std::uint32_t queued_requests = 0;
+  std::uint32_t running_requests = 0;
+  std::uint32_t batch_limit = 0;  ///< Requests that run at once.
+  std::uint32_t cache_blocks_total = 0;
+  std::uint32_t cache_blocks_used = 0;
+  double prefill_tokens_per_second = 8000;  ///< Measured by the engine.
+};
+
+/// One model engine or application runner.
+struct EngineView {
+  EngineSlot slot = 0;
+  std::string name;
+  std::string address;  ///< "IP:port".
+  std::string zone;
+  std::string region;
+  std::string pool;
+  std::uint64_t incarnation = 0;  ///< 0 until the engine was first reached.
+  EngineState state = EngineState::Live;
+  EngineRole role = EngineRole::Mixed;
+  std::vector<LoadedModel> models;
+  LoadReport load;
+
+  /// @return the weights version loaded for `model`, or an empty string.
+  std::string weightsOf(std::string_view model) const;
+};
+
+/// Everything a traffic shard needs to decide. Published whole, never changed.
+struct RoutingSnapshot {
+  std::shared_ptr<const Bundle> bundle;  ///< Null until the first bundle is held.
+  std::vector<EngineView> engines;       ///< Sorted by slot; model engines.
+  std::vector<EngineView> runners;       ///< Application runners.
+  std::string own_zone;
+  std::string own_region;
+  std::uint32_t router_count = 1;  ///< Live routers, this one included.
+
+  /// @return the engine in the slot, or nullptr.
+  const EngineView* engine(EngineSlot slot) const;
+};
+
+}  // namespace crankspur
--- a/tests/unit/base/event_log_test.cc
+++ b/tests/unit/base/event_log_test.cc
@@ -11,7 +11,8 @@
   const EventDescription event{1001, "ProcessStarted", LogLevel::Info, "meaning"};
   const std::string line =
       formatLogLine(LogFormat::KeyValue, "t", "p", event, {{"user", "a\nevent=9 level=error"}});
-  CHECK(line == R"(time=t process=p event=1001 name=ProcessStarted level=info user="a\u000aevent=9 level=error")");
+  CHECK(line ==
+        R"(time=t process=p event=1001 name=ProcessStarted level=info user="a\u000aevent=9 level=error")");
 }
 
 TEST_CASE("event numbers are unique and docs/EVENTS.md lists each with its name", "[base]") {
