--- a/src/bundle/bundle.h
+++ b/src/bundle/bundle.h
@@ -1,6 +1,8 @@
 #pragma once
 /// @file The operators' bundle: one versioned, signed document that determines the fleet's behaviour.
 
+#include <absl/container/flat_hash_map.h>
+
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -60,6 +62,19 @@
   Duration claim_lifetime = std::chrono::hours(24);
 };
 
+/// Limits that a bundle document is held to.
+constexpr std::size_t kMaximumBundleBytes = 4 * 1024 * 1024;
+constexpr std::size_t kMaximumNameBytes = 64;
+
+/// Positions of a bundle's entries by name.
+struct BundleIndex {
+  using Positions = absl::flat_hash_map<std::string, std::size_t>;
+  Positions tenants;
+  Positions tenants_by_key;  ///< By the SHA-256 of an API key.
+  Positions models;
+  Positions operations;
+};
+
 /// A checked bundle. Immutable once built.
 struct Bundle {
   std::uint64_t version = 0;
@@ -68,7 +83,10 @@
   std::vector<ModelPolicy> models;
   std::vector<OperationPolicy> operations;
   Knobs knobs;
+  BundleIndex index;  ///< Filled by parseBundle(); without it lookups scan the entries.
 
+  /// Fills `index` from the entries.
+  void buildIndex();
   /// @return the entry, or nullptr.
   const TenantPolicy* findTenant(std::string_view name) const;
   const ModelPolicy* findModel(std::string_view name) const;
