--- /dev/null
+++ b/standins/engine/engine_model.h
@@ -0,0 +1,228 @@
+#pragma once
+/// @file Model of a language-model engine: continuous batching, a bounded prefix cache, priorities, resume
+/// and cancel, KV import, late cache events, lagging load, fenced orders, crash and freeze. Pure state
+/// holder: it takes (event, now) and returns outputs; the stand-in process and the simulation drive it. While
+/// frozen() a driver holds back every call and passes it on after thaw(), as a stopped process's socket
+/// buffers would.
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "standins/engine/answer_text.h"
+#include "standins/engine/block_cache.h"
+#include "standins/engine/change_log.h"
+#include "standins/engine/engine_types.h"
+#include "standins/engine/load_history.h"
+
+namespace crankspur::standin {
+
+/// One engine.
+class EngineModel {
+public:
+  EngineModel(EngineOptions options, EngineTimings timings, std::uint64_t seed, TimePoint now);
+
+  /// Calls that answer through takeOutputs(), by stream.
+  void submit(StreamId stream, const CompletionRequest& request, TimePoint now);
+  void resume(StreamId stream, const ResumeRequest& request, TimePoint now);
+  /// Stops a request. Ignored unless `attempt` is the newest that reads it.
+  void cancel(const std::string& request_id, std::uint32_t attempt, TimePoint now);
+  /// The reader went away; the request runs on for EngineTimings::orphan_kept.
+  void streamClosed(StreamId stream, TimePoint now);
+  /// Answers an ImportQuery. @param held leading blocks the source can send; 0 when it could not be asked.
+  void importAnswered(const std::string& request_id, std::uint32_t attempt, std::uint32_t held,
+                      std::uint64_t source_incarnation, TimePoint now);
+  /// Answers a WeightsQuery. @param load_time empty when the weight store gave no answer.
+  void weightsAnswered(const std::string& model, const std::string& weights_version,
+                       std::optional<Duration> load_time, TimePoint now);
+
+  /// @return Ok, Stale (a higher token was seen), IncarnationMismatch, UnknownModel or InvalidRequest.
+  ErrorCode order(const EngineOrder& order, TimePoint now);
+  /// Takes no new request from now on; those taken go on.
+  void startLeaving(TimePoint now);
+
+  /// The process dies and comes back at once: cache, requests and order token are gone, the incarnation is
+  /// new, models are loaded as at the start. Streams are cut.
+  void crash(TimePoint now);
+  void freeze(TimePoint now);
+  /// Progress goes on as if no time had passed.
+  void thaw(TimePoint now);
+  bool frozen() const { return frozen_since_.has_value(); }
+
+  void onTimer(TimePoint now);
+  /// @return when onTimer() has something to do; empty while frozen or idle.
+  std::optional<TimePoint> nextTimer() const;
+  /// @return outputs in order, taken once.
+  std::vector<EngineOutput> takeOutputs();
+
+  EngineInfo info() const;
+  EngineLoadReport load(TimePoint now) const { return load_history_.report(now); }
+  CacheChanges cacheChanges(std::uint64_t after, TimePoint now) const;
+  /// @return when a reader of cacheChanges(after) sees something newer, if anything is on its way.
+  std::optional<TimePoint> nextCacheChange(std::uint64_t after) const;
+  CacheDigest cacheDigest(TimePoint now);
+  /// @return how many leading blocks can be exported.
+  std::uint32_t heldPrefix(std::span<const BlockHash> blocks) const { return cache_->heldPrefix(blocks); }
+  std::uint64_t incarnation() const { return incarnation_; }
+  /// @return requests waiting or running.
+  std::size_t inFlight() const { return runs_.size(); }
+
+  /// @return records of accepted requests, oldest first, crashes included.
+  const std::deque<RequestRecord>& records() const { return records_; }
+  const std::vector<OrderRecord>& orders() const { return orders_; }
+  const EngineTotals& totals() const { return totals_; }
+
+private:
+  enum class Phase { Waiting, Importing, Prefilling, Decoding };
+
+  /// A request that waits or runs.
+  struct Run {
+    CompletionRequest request;
+    std::shared_ptr<const CacheScope> scope;
+    std::vector<BlockHash> blocks;  ///< Of prompt and resumed text.
+    AnswerSeed answer = 0;
+    std::uint64_t answer_tokens = 0;  ///< Of the whole answer.
+    std::uint64_t produced = 0;       ///< Next token offset.
+    std::uint64_t arrival = 0;        ///< Order of arrival.
+    Phase phase = Phase::Waiting;
+    std::uint32_t context_tokens = 0;   ///< Prompt and resumed text.
+    std::uint32_t computed_tokens = 0;  ///< Of the context: cached, imported or prefilled.
+    std::uint32_t stored_blocks = 0;    ///< Leading blocks in use in the cache.
+    std::uint32_t reserved_blocks = 0;
+    TimePoint import_ends{};
+    std::uint32_t import_blocks = 0;
+    std::uint64_t import_incarnation = 0;
+    std::optional<StreamId> stream;
+    std::optional<TimePoint> orphaned_at;
+    RequestRecord record;
+  };
+
+  /// A finished answer that can still be resumed.
+  struct Finished {
+    std::uint32_t attempt = 0;
+    AnswerSeed answer = 0;
+    std::uint64_t answer_tokens = 0;
+    std::uint64_t max_tokens = 0;
+    std::uint32_t prompt_tokens = 0;
+    std::uint32_t cached_tokens = 0;
+    std::string weights_version;
+    TimePoint ended{};
+  };
+
+  struct ModelState {
+    ServedModel served;
+    bool ready = true;
+    std::string wanted_weights;             ///< Set while not ready.
+    bool asked = false;                     ///< A WeightsQuery is outstanding or its load runs.
+    std::optional<TimePoint> loaded_at;     ///< End of the running load.
+    std::optional<TimePoint> ask_again_at;  ///< After the weight store gave no answer.
+  };
+
+  struct AdapterLoad {
+    std::string model;
+    std::string adapter;
+    TimePoint loaded_at;
+  };
+
+  using RunKey = std::string;
+  /// Order in which requests get prefill: priority, then arrival.
+  struct Rank {
+    std::uint32_t priority;
+    std::uint64_t arrival;
+    auto operator<=>(const Rank&) const = default;
+  };
+  static Rank rankOf(const Run& run) { return {run.request.priority, run.arrival}; }
+
+  // Requests (engine_model_requests.cc).
+  std::optional<StreamRefused> reasonToRefuse(const CompletionRequest& request) const;
+  std::optional<StreamRefused> reasonOfIdentity(const CompletionRequest& request) const;
+  std::optional<StreamRefused> reasonOfLoad(const CompletionRequest& request) const;
+  StreamRefused overloaded(const std::string& message) const;
+  Run makeRun(const CompletionRequest& request, TimePoint now);
+  void attach(Run& run, StreamId stream);
+  void refuse(StreamId stream, StreamRefused refusal);
+  void resumeRunning(StreamId stream, const ResumeRequest& request, Run& run);
+  void resumeFinished(StreamId stream, const ResumeRequest& request, const Finished& finished);
+  void sendTokens(const Run& run, std::uint64_t offset, std::uint64_t count);
+  void finish(Run& run, TimePoint now);
+  void endRun(const RunKey& key, RunOutcome outcome, TimePoint now);
+  void forgetFinished(TimePoint now);
+
+  // Batching (engine_model_batch.cc).
+  void schedule(TimePoint now);
+  void startPrefill(TimePoint now);
+  Run* nextForPrefill();
+  bool fits(const Run& run) const;
+  void beginRun(Run& run, TimePoint now);
+  void takeCached(Run& run);
+  void endImport(Run& run, TimePoint now);
+  void endPrefillChunk(TimePoint now);
+  void storeComputed(Run& run, const BlockWriter& writer);
+  void noteOrigin(Run& run, const BlockWriter& writer, std::uint32_t blocks);
+  void startDecodeStep(TimePoint now);
+  void endDecodeStep(TimePoint now);
+  void produce(Run& run, std::uint64_t count, TimePoint now);
+  std::uint32_t blocksNeeded(const Run& run) const;
+  std::uint32_t runningCount() const;
+  void publishChanges(TimePoint now);
+
+  // Orders (engine_model_orders.cc).
+  ErrorCode orderWeights(const EngineOrder& order);
+  ErrorCode orderAdapter(const EngineOrder& order, TimePoint now);
+  void advanceLoads(TimePoint now);
+  void advanceLoad(ModelState& state, TimePoint now);
+  void refuseWaiting(const std::string& model, TimePoint now);
+  bool modelInUse(const std::string& model) const;
+  ModelState* findModel(const std::string& model);
+  const ModelState* findModel(const std::string& model) const;
+
+  void comeUp(TimePoint now);
+  void afterChange(TimePoint now);
+  void shiftTimes(Duration by);
+
+  EngineOptions options_;
+  EngineTimings timings_;
+  RandomSource random_;
+
+  std::uint64_t incarnation_ = 0;
+  bool leaving_ = false;
+  ServingRole role_ = ServingRole::Mixed;
+  std::uint64_t order_token_ = 0;
+  std::optional<TimePoint> frozen_since_;
+  std::vector<ModelState> models_;
+  std::vector<AdapterLoad> adapter_loads_;
+
+  std::unique_ptr<BlockCache> cache_;
+  std::unique_ptr<ChangeLog> changes_;
+  LoadHistory load_history_;
+  std::optional<TimePoint> last_digest_;
+
+  std::map<RunKey, Run> runs_;
+  std::map<Rank, RunKey> waiting_;
+  std::map<Rank, RunKey> prefilling_;
+  std::set<RunKey> importing_;
+  std::map<Rank, RunKey> decoding_;
+  std::map<StreamId, RunKey> streams_;
+  std::map<RunKey, Finished> finished_;
+  std::uint32_t queued_tokens_ = 0;
+  std::uint64_t arrivals_ = 0;
+
+  std::optional<RunKey> prefill_run_;  ///< Run whose chunk is being computed.
+  std::uint32_t prefill_chunk_ = 0;
+  TimePoint prefill_ends_{};
+  std::optional<TimePoint> decode_ends_;
+
+  std::vector<EngineOutput> outputs_;
+  std::deque<RequestRecord> records_;
+  std::vector<OrderRecord> orders_;
+  EngineTotals totals_;
+};
+
+}  // namespace crankspur::standin
