--- a/src/attempt/attempt.h
+++ b/src/attempt/attempt.h
@@ -1,6 +1,6 @@
 #pragma once
 /// @file Life cycle of one attempt at one back end, a Boost.MSM state machine behind a plain interface.
-/// "Not run" may be told only in NotSent, or when the back end itself said that it ran nothing.
+/// "Not run" may be told only while no byte has left, or when the back end itself said that it ran nothing.
 
 #include <cstdint>
 #include <memory>
@@ -17,7 +17,9 @@
   Streaming,      ///< Parts of the answer have arrived.
   Done,           ///< The whole answer has arrived.
   RefusedNotRun,  ///< The back end said that it ran nothing and will not.
-  Lost,           ///< The connection ended or timed out in Sent, Accepted or Streaming.
+  NeverSent,      ///< The connect failed; no byte left and none will.
+  Lost,           ///< The connection ended or timed out in Sent or Accepted.
+  LostStreaming,  ///< The connection ended or timed out in Streaming.
 };
 
 /// Events of an attempt.
--- /dev/null
+++ b/src/claim/claim.cc
@@ -0,0 +1,243 @@
+#include "claim/claim.h"
+
+#include <algorithm>
+
+#include "base/random.h"
+
+namespace crankspur {
+
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// First pause after a call without an answer; doubles up to the maximum.
+constexpr Duration kFirstBackoff = milliseconds(50);
+constexpr Duration kMaximumBackoff = seconds(5);
+/// Pause between reads while another attempt holds the claim.
+constexpr Duration kHolderPoll = milliseconds(250);
+/// How long a holder's answer is waited for before HeldByOther is told.
+constexpr Duration kHolderWait = seconds(2);
+/// How long a record or a release is tried before it is given up.
+constexpr Duration kSettleLimit = hours(2);
+
+/// Claim over one row. `goal_` is what it works towards; each step either reads the row or writes it on the
+/// condition of a version. A write without an answer is never assumed either way: the row is read.
+class TableClaim : public Claim {
+public:
+  TableClaim(std::string key, std::string token, TimePoint deadline, std::uint64_t seed,
+             std::string body_hash)
+      : key_(std::move(key)),
+        token_(std::move(token)),
+        body_hash_(std::move(body_hash)),
+        deadline_(deadline),
+        random_(seed) {}
+
+  std::optional<ClaimAction> poll(TimePoint now) override {
+    expire(now);
+    if (goal_ == Goal::None || outstanding_ || now < next_step_) return std::nullopt;
+    ClaimAction action;
+    action.key = key_;
+    if (!must_read_) {
+      action.kind = ClaimAction::Kind::CompareAndSet;
+      action.write = rowToWrite();
+      action.expected_version = row_version_;
+      written_phase_ = action.write.phase;
+      if (written_phase_ == ClaimRow::Phase::Claimed) claim_may_stand_ = true;
+    }
+    outstanding_ = action.kind;
+    return action;
+  }
+
+  void onRead(const ClaimRow& row, TimePoint now) override {
+    if (outstanding_ != ClaimAction::Kind::Read) return;
+    outstanding_.reset();
+    backoff_ = kFirstBackoff;
+    switch (goal_) {
+      case Goal::Acquire:
+        return readWhileAcquiring(row, now);
+      case Goal::Complete:
+        return readWhileCompleting(row);
+      case Goal::Release:
+        return readWhileReleasing(row);
+      case Goal::None:
+        return;
+    }
+  }
+
+  void onWritten(bool committed, TimePoint now, std::uint64_t row_version) override {
+    if (outstanding_ != ClaimAction::Kind::CompareAndSet) return;
+    outstanding_.reset();
+    backoff_ = kFirstBackoff;
+    if (!committed) {
+      must_read_ = true;
+      return;
+    }
+    if (written_phase_ != ClaimRow::Phase::Claimed) {
+      settle();
+      return;
+    }
+    row_version_ = row_version;
+    must_read_ = row_version == 0;
+    if (goal_ == Goal::Acquire) grantUnlessLate(now);
+  }
+
+  void onFailed(TimePoint now) override {
+    if (!outstanding_) return;
+    outstanding_.reset();
+    must_read_ = true;
+    next_step_ =
+        now +
+        Duration(static_cast<Duration::rep>(random_.uniform(static_cast<std::uint64_t>(backoff_.count() / 2),
+                                                            static_cast<std::uint64_t>(backoff_.count()))));
+    backoff_ = std::min(backoff_ * 2, kMaximumBackoff);
+    expire(now);
+  }
+
+  std::optional<ClaimOutcome> outcome() const override { return outcome_; }
+
+  void complete(std::string result, TimePoint now) override {
+    if (!outcome_ || outcome_->kind != ClaimOutcome::Kind::Granted || closed_) return;
+    result_ = std::move(result);
+    pursue(Goal::Complete, now);
+  }
+
+  void release(TimePoint now) override {
+    if (closed_) return;
+    if (!outcome_) outcome_ = ClaimOutcome{ClaimOutcome::Kind::Unavailable, {}};
+    if (!claim_may_stand_) {
+      closed_ = true;
+      settle();
+      return;
+    }
+    pursue(Goal::Release, now);
+  }
+
+  bool settled() const override { return goal_ == Goal::None && !outstanding_; }
+
+  TimePoint nextTimer() const override {
+    if (goal_ == Goal::None) return TimePoint::max();
+    const TimePoint limit = goal_ == Goal::Acquire ? deadline_ : settle_by_;
+    return outstanding_ ? limit : std::min(next_step_, limit);
+  }
+
+private:
+  enum class Goal { Acquire, None, Complete, Release };
+
+  ClaimRow rowToWrite() const {
+    ClaimRow row;
+    row.token = token_;
+    row.body_hash = body_hash_;
+    row.phase = ClaimRow::Phase::Claimed;
+    if (goal_ == Goal::Release) row.phase = ClaimRow::Phase::Released;
+    if (goal_ == Goal::Complete) {
+      row.phase = ClaimRow::Phase::Done;
+      row.result = result_;
+    }
+    return row;
+  }
+
+  bool isOwnClaim(const ClaimRow& row) const {
+    return row.row_version != 0 && row.phase == ClaimRow::Phase::Claimed && row.token == token_;
+  }
+
+  void writeNext(std::uint64_t expected_version) {
+    row_version_ = expected_version;
+    must_read_ = false;
+  }
+
+  void readWhileAcquiring(const ClaimRow& row, TimePoint now) {
+    if (row.row_version == 0 || row.phase == ClaimRow::Phase::Released) return writeNext(row.row_version);
+    if (isOwnClaim(row)) {
+      writeNext(row.row_version);
+      return grantUnlessLate(now);
+    }
+    // Any row beyond the versions this claim wrote against makes its unanswered writes void for good.
+    claim_may_stand_ = false;
+    if (row.body_hash != body_hash_) return decide(ClaimOutcome::Kind::KeyReused);
+    if (row.phase == ClaimRow::Phase::Done) return decide(ClaimOutcome::Kind::AlreadyDone, row.result);
+    waitForHolder(now);
+  }
+
+  void waitForHolder(TimePoint now) {
+    if (!holder_wait_until_) holder_wait_until_ = std::min(deadline_, now + kHolderWait);
+    if (now + kHolderPoll >= *holder_wait_until_) return decide(ClaimOutcome::Kind::HeldByOther);
+    must_read_ = true;
+    next_step_ = now + kHolderPoll;
+  }
+
+  void readWhileCompleting(const ClaimRow& row) {
+    if (isOwnClaim(row) || row.row_version == 0) return writeNext(row.row_version);
+    settle();
+  }
+
+  void readWhileReleasing(const ClaimRow& row) {
+    // An absent row is written as Released too: a claim write still on its way then fails its condition.
+    if (isOwnClaim(row) || row.row_version == 0 || mayStillTurnIntoOwnClaim(row)) {
+      return writeNext(row.row_version);
+    }
+    settle();
+  }
+
+  /// A released row of an earlier attempt, over which this claim's write may still be on its way.
+  bool mayStillTurnIntoOwnClaim(const ClaimRow& row) const {
+    return row.phase == ClaimRow::Phase::Released && row.token != token_ && claim_may_stand_;
+  }
+
+  /// A holder that was paused past its deadline must not dispatch; the caller was told otherwise.
+  void grantUnlessLate(TimePoint now) {
+    decide(now < deadline_ ? ClaimOutcome::Kind::Granted : ClaimOutcome::Kind::Unavailable);
+  }
+
+  void decide(ClaimOutcome::Kind kind, std::string result = {}) {
+    outcome_ = ClaimOutcome{kind, std::move(result)};
+    goal_ = Goal::None;
+  }
+
+  void pursue(Goal goal, TimePoint now) {
+    closed_ = true;
+    goal_ = goal;
+    next_step_ = now;
+    settle_by_ = now + kSettleLimit;
+  }
+
+  void settle() { goal_ = Goal::None; }
+
+  void expire(TimePoint now) {
+    if (goal_ == Goal::Acquire && now >= deadline_) decide(ClaimOutcome::Kind::Unavailable);
+    if ((goal_ == Goal::Complete || goal_ == Goal::Release) && now >= settle_by_) {
+      outstanding_.reset();
+      settle();
+    }
+  }
+
+  std::string key_;
+  std::string token_;
+  std::string body_hash_;
+  std::string result_;
+  TimePoint deadline_;
+  TimePoint next_step_{};
+  TimePoint settle_by_ = TimePoint::max();
+  std::optional<TimePoint> holder_wait_until_;
+  Duration backoff_ = kFirstBackoff;
+  RandomSource random_;
+  Goal goal_ = Goal::Acquire;
+  std::optional<ClaimOutcome> outcome_;
+  std::optional<ClaimAction::Kind> outstanding_;
+  ClaimRow::Phase written_phase_ = ClaimRow::Phase::Claimed;
+  std::uint64_t row_version_ = 0;  ///< The version that the next write demands.
+  bool must_read_ = false;         ///< The row's version is unknown; read before writing.
+  bool claim_may_stand_ = false;   ///< A claim write of this object took effect or may yet.
+  bool closed_ = false;            ///< complete() or release() was called.
+};
+
+}  // namespace
+
+std::unique_ptr<Claim> makeClaim(std::string key, std::string token, TimePoint deadline,
+                                 std::uint64_t random_seed, std::string body_hash) {
+  return std::make_unique<TableClaim>(std::move(key), std::move(token), deadline, random_seed,
+                                      std::move(body_hash));
+}
+
+}  // namespace crankspur
--- a/src/claim/claim.h
+++ b/src/claim/claim.h
@@ -18,6 +18,7 @@
 struct ClaimRow {
   enum class Phase { Claimed, Done, Released } phase = Phase::Claimed;
   std::string token;              ///< Attempt token of the claimant.
+  std::string body_hash;          ///< Tells the request's content from another one under the same key.
   std::string result;             ///< The recorded answer when Done.
   std::uint64_t row_version = 0;  ///< 0 when the row is absent.
 };
@@ -36,6 +37,7 @@
     Granted,      ///< Dispatch may begin, once.
     AlreadyDone,  ///< The work was done; `result` holds the recorded answer.
     HeldByOther,  ///< Another attempt holds the claim; whether it ran is unknown to this one.
+    KeyReused,    ///< The key belongs to a request with other content; this one was not dispatched.
     Unavailable,  ///< The table did not decide in time; nothing was dispatched.
   } kind = Kind::Unavailable;
   std::string result;
@@ -48,23 +50,29 @@
   /// @return the table action due now, if any; one is outstanding at a time.
   virtual std::optional<ClaimAction> poll(TimePoint now) = 0;
   virtual void onRead(const ClaimRow& row, TimePoint now) = 0;
-  virtual void onWritten(bool committed, TimePoint now) = 0;
+  /// @param row_version the row's version after a committed write; 0 when the driver does not know it.
+  virtual void onWritten(bool committed, TimePoint now, std::uint64_t row_version = 0) = 0;
   /// No answer: the write may have taken effect; the row is read back before anything else.
   virtual void onFailed(TimePoint now) = 0;
   /// @return the outcome once decided.
   virtual std::optional<ClaimOutcome> outcome() const = 0;
   /// The work ran; records its answer.
   virtual void complete(std::string result, TimePoint now) = 0;
-  /// The work surely did not run; lets a later attempt claim again.
+  /// The work surely did not run and never will under this claim; lets a later attempt claim again. Also to
+  /// be called after Unavailable, since a write without an answer may have taken effect or may do so later.
   virtual void release(TimePoint now) = 0;
   /// @return true when nothing is left to write.
   virtual bool settled() const = 0;
+  /// @return when poll() may have something to do; TimePoint::max() while an answer is awaited or none is
+  /// due.
   virtual TimePoint nextTimer() const = 0;
 };
 
 /// @param key tenant and idempotency key, joined by the caller.
+/// @param token unique to this claim object over all routers and all their restarts.
 /// @param deadline instant after which the claim is Unavailable.
+/// @param body_hash hash of the request's content; a row with another one gives KeyReused.
 std::unique_ptr<Claim> makeClaim(std::string key, std::string token, TimePoint deadline,
-                                 std::uint64_t random_seed);
+                                 std::uint64_t random_seed, std::string body_hash = {});
 
 }  // namespace crankspur
