Implement the engine stand-in's model

Cause: simulation, experiments and the engine stand-in drive one model of an engine. Change: continuous batching, bounded cache, priorities, resume, cancel, import, late events with gaps, lagging load, fenced orders, crash and freeze.

--- a/standins/engine/engine_model.h
+++ b/standins/engine/engine_model.h
@@ -27,6 +27,8 @@
 /// One engine.
 class EngineModel {
 public:
+  static constexpr std::size_t kRecordsKept = 100'000;
+
   EngineModel(EngineOptions options, EngineTimings timings, std::uint64_t seed, TimePoint now);
 
   /// Calls that answer through takeOutputs(), by stream.
@@ -74,10 +76,13 @@
   /// @return requests waiting or running.
   std::size_t inFlight() const { return runs_.size(); }
 
-  /// @return records of accepted requests, oldest first, crashes included.
+  /// @return records of accepted requests that ended, oldest first, crashes included; the newest
+  /// kRecordsKept.
   const std::deque<RequestRecord>& records() const { return records_; }
+  /// @return records of requests that wait or run.
+  std::vector<RequestRecord> runningRecords() const;
   const std::vector<OrderRecord>& orders() const { return orders_; }
-  const EngineTotals& totals() const { return totals_; }
+  EngineTotals totals() const;
 
 private:
   enum class Phase { Waiting, Importing, Prefilling, Decoding };
@@ -86,7 +91,8 @@
   struct Run {
     CompletionRequest request;
     std::shared_ptr<const CacheScope> scope;
-    std::vector<BlockHash> blocks;  ///< Of prompt and resumed text.
+    std::string weights_version;
+    std::vector<BlockHash> blocks;  ///< Of prompt and resumed text; at the end of the answer too.
     AnswerSeed answer = 0;
     std::uint64_t answer_tokens = 0;  ///< Of the whole answer.
     std::uint64_t produced = 0;       ///< Next token offset.
@@ -96,25 +102,28 @@
     std::uint32_t computed_tokens = 0;  ///< Of the context: cached, imported or prefilled.
     std::uint32_t stored_blocks = 0;    ///< Leading blocks in use in the cache.
     std::uint32_t reserved_blocks = 0;
-    TimePoint import_ends{};
-    std::uint32_t import_blocks = 0;
+    std::uint32_t import_blocks = 0;  ///< Leading blocks held once the import ends.
     std::uint64_t import_incarnation = 0;
+    TimePoint import_ends{};
+    TimePoint decode_from{};
     std::optional<StreamId> stream;
-    std::optional<TimePoint> orphaned_at;
+    TimePoint orphaned_at{};
     RequestRecord record;
   };
 
   /// A finished answer that can still be resumed.
   struct Finished {
     std::uint32_t attempt = 0;
-    AnswerSeed answer = 0;
-    std::uint64_t answer_tokens = 0;
-    std::uint64_t max_tokens = 0;
+    std::string text;
+    std::string finish_reason;
+    std::string weights_version;
     std::uint32_t prompt_tokens = 0;
     std::uint32_t cached_tokens = 0;
-    std::string weights_version;
     TimePoint ended{};
   };
+  static StreamFinished endOf(const Finished& finished);
+  static std::string finishReason(const Run& run);
+  static std::string answerSoFar(const Run& run);
 
   struct ModelState {
     ServedModel served;
@@ -131,7 +140,6 @@
     TimePoint loaded_at;
   };
 
-  using RunKey = std::string;
   /// Order in which requests get prefill: priority, then arrival.
   struct Rank {
     std::uint32_t priority;
@@ -142,49 +150,60 @@
 
   // Requests (engine_model_requests.cc).
   std::optional<StreamRefused> reasonToRefuse(const CompletionRequest& request) const;
+  std::optional<StreamRefused> reasonOfForm(const CompletionRequest& request) const;
   std::optional<StreamRefused> reasonOfIdentity(const CompletionRequest& request) const;
   std::optional<StreamRefused> reasonOfLoad(const CompletionRequest& request) const;
-  StreamRefused overloaded(const std::string& message) const;
+  bool supersede(StreamId stream, const CompletionRequest& request, TimePoint now);
   Run makeRun(const CompletionRequest& request, TimePoint now);
+  void addRun(StreamId stream, Run run);
   void attach(Run& run, StreamId stream);
+  void detach(Run& run);
+  void send(StreamId stream, StreamEvent event);
   void refuse(StreamId stream, StreamRefused refusal);
   void resumeRunning(StreamId stream, const ResumeRequest& request, Run& run);
   void resumeFinished(StreamId stream, const ResumeRequest& request, const Finished& finished);
-  void sendTokens(const Run& run, std::uint64_t offset, std::uint64_t count);
   void finish(Run& run, TimePoint now);
-  void endRun(const RunKey& key, RunOutcome outcome, TimePoint now);
+  void endRun(Run& run, RunOutcome outcome, TimePoint now);
+  void keepRecord(const RequestRecord& record);
   void forgetFinished(TimePoint now);
 
   // Batching (engine_model_batch.cc).
-  void schedule(TimePoint now);
   void startPrefill(TimePoint now);
   Run* nextForPrefill();
   bool fits(const Run& run) const;
   void beginRun(Run& run, TimePoint now);
-  void takeCached(Run& run);
+  void beginImport(Run& run, TimePoint now);
   void endImport(Run& run, TimePoint now);
   void endPrefillChunk(TimePoint now);
+  void beginDecode(Run& run, TimePoint now);
   void storeComputed(Run& run, const BlockWriter& writer);
-  void noteOrigin(Run& run, const BlockWriter& writer, std::uint32_t blocks);
+  void noteOrigin(Run& run, BlockHash block);
   void startDecodeStep(TimePoint now);
   void endDecodeStep(TimePoint now);
   void produce(Run& run, std::uint64_t count, TimePoint now);
+  void storeAnswer(Run& run);
+  void leaveBatch(Run& run);
+  std::uint32_t usableBlocks(const Run& run) const;
   std::uint32_t blocksNeeded(const Run& run) const;
   std::uint32_t runningCount() const;
-  void publishChanges(TimePoint now);
+  Duration decodeStep() const;
 
   // Orders (engine_model_orders.cc).
   ErrorCode orderWeights(const EngineOrder& order);
   ErrorCode orderAdapter(const EngineOrder& order, TimePoint now);
   void advanceLoads(TimePoint now);
   void advanceLoad(ModelState& state, TimePoint now);
-  void refuseWaiting(const std::string& model, TimePoint now);
+  void advanceAdapters(TimePoint now);
+  std::optional<TimePoint> nextLoad() const;
   bool modelInUse(const std::string& model) const;
   ModelState* findModel(const std::string& model);
   const ModelState* findModel(const std::string& model) const;
 
   void comeUp(TimePoint now);
+  void runDue(TimePoint now);
   void afterChange(TimePoint now);
+  void publishChanges(TimePoint now);
+  void noteLoad(TimePoint now);
   void shiftTimes(Duration by);
 
   EngineOptions options_;
@@ -204,19 +223,22 @@
   LoadHistory load_history_;
   std::optional<TimePoint> last_digest_;
 
-  std::map<RunKey, Run> runs_;
-  std::map<Rank, RunKey> waiting_;
-  std::map<Rank, RunKey> prefilling_;
-  std::set<RunKey> importing_;
-  std::map<Rank, RunKey> decoding_;
-  std::map<StreamId, RunKey> streams_;
-  std::map<RunKey, Finished> finished_;
+  std::map<std::string, Run> runs_;  ///< By request id; the maps below point into it.
+  std::map<Rank, Run*> waiting_;
+  std::map<Rank, Run*> prefilling_;
+  std::map<Rank, Run*> decoding_;
+  std::map<std::uint64_t, Run*> importing_;  ///< By arrival.
+  std::map<std::uint64_t, Run*> orphans_;    ///< By arrival.
+  std::map<StreamId, Run*> streams_;
+  std::map<std::string, Finished> finished_;  ///< By request id.
+  std::deque<std::string> finished_order_;    ///< Oldest first.
   std::uint32_t queued_tokens_ = 0;
   std::uint64_t arrivals_ = 0;
 
-  std::optional<RunKey> prefill_run_;  ///< Run whose chunk is being computed.
+  Run* prefill_run_ = nullptr;  ///< Run whose chunk is being computed.
   std::uint32_t prefill_chunk_ = 0;
   TimePoint prefill_ends_{};
+  TimePoint decode_started_{};
   std::optional<TimePoint> decode_ends_;
 
   std::vector<EngineOutput> outputs_;
--- a/standins/engine/engine_types.h
+++ b/standins/engine/engine_types.h
@@ -40,13 +40,15 @@
 struct EngineTimings {
   double prefill_tokens_per_second = 8000;
   std::uint32_t prefill_chunk_tokens = 512;  ///< A more urgent request waits for one chunk at most.
+  Duration prefill_chunk_base = std::chrono::milliseconds(5);  ///< Fixed cost of a chunk.
   Duration decode_step_base = std::chrono::milliseconds(20);
   Duration decode_step_per_request = std::chrono::microseconds(400);
   double decode_slowdown_while_prefilling = 1.5;
   std::uint32_t tokens_per_step = 1;  ///< Tokens a request gains in one step; more makes fewer events.
   double import_tokens_per_second = 100'000;
   Duration import_latency = std::chrono::milliseconds(5);
-  std::uint32_t batch_limit = 32;       ///< Requests that run at once.
+  Duration import_timeout = std::chrono::milliseconds(500);  ///< Longest wait for the source's answer.
+  std::uint32_t batch_limit = 32;                            ///< Requests that run at once.
   std::uint32_t cache_blocks = 6000;    ///< Memory for running requests and cached prefixes, in blocks.
   std::uint32_t queue_tokens = 40'000;  ///< Prompt tokens that may wait; more is refused as overloaded.
   std::uint32_t queue_requests = 256;   ///< Requests that may wait.
