--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -15,7 +15,7 @@
   std::string tenant;
   std::uint32_t priority = 1;
   std::uint32_t cost_tokens = 0;     ///< Uncached prompt tokens plus the answer's maximum.
-  Duration deadline{0};              ///< Time left.
+  Duration deadline{0};              ///< Time left; 0: none stated; negative: passed.
   Duration expected_first_token{0};  ///< Estimate of the best placement.
   double fleet_utilization = 0;      ///< Share of the serving pools' capacity in use, 0 to 1 and above.
   bool retry = false;
@@ -24,9 +24,10 @@
 /// Outcome of admission.
 struct AdmissionDecision {
   bool admitted = false;
-  ErrorCode code = ErrorCode::Ok;  ///< RateLimited, Overloaded or DeadlineExceeded when refused.
-  Duration retry_after{0};         ///< When a further try may succeed.
-  std::string reason;              ///< For logs and explain.
+  ErrorCode code = ErrorCode::Ok;  ///< RateLimited, Overloaded, DeadlineExceeded or Unauthorized.
+  Duration retry_after{0};     ///< When a further try may succeed; above 0 in each refusal but Unauthorized.
+  std::uint32_t priority = 1;  ///< Priority to dispatch with: lowered while the tenant exceeds its share.
+  std::string reason;          ///< For logs and explain.
 };
 
 /// Admission of one traffic shard. Limits are fleet-wide: each router holds its share (1/router_count) of a
--- a/src/prefix_index/prefix_index.h
+++ b/src/prefix_index/prefix_index.h
@@ -14,6 +14,9 @@
 
 namespace crankspur {
 
+/// How long a placed block counts as cached without a confirmation by an event, a digest or an answer.
+inline constexpr Duration kOptimisticLifetime = std::chrono::seconds(5);
+
 /// Small dense number of an engine within one process; slots are given out by the engine table.
 using EngineSlot = std::uint16_t;
 
@@ -61,7 +64,8 @@
   virtual std::size_t memoryBytes() const = 0;
 };
 
-/// @param maximum_entries when reached, the entries least recently confirmed go first.
+/// @param maximum_entries when reached, entries of forgotten incarnations go first, then those least recently
+/// confirmed within a sample of the table.
 std::unique_ptr<PrefixIndex> makePrefixIndex(std::size_t maximum_entries);
 
 }  // namespace crankspur
