Serve and call HTTP on Beast

The http package had headers only. It now has the server (keep-alive, limits with JSON errors, chunked streams, notice of clients that go away), the client (pooled connections, pieces at their arrival) and the event stream parser. errorResponse() builds the common error form; base/endpoint reads "IP:port".

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <system_error>
 
 #include "base/time.h"
@@ -57,7 +58,8 @@
 /// @return a client whose work and callbacks run on `executor`.
 std::unique_ptr<Client> makeClient(boost::asio::any_io_executor executor);
 
-/// Splits a server-sent event stream into the values of its "data:" lines, at any chunk boundary.
+/// Splits a server-sent event stream into the values of its "data:" lines, at any chunk boundary. Several
+/// "data:" lines of one event are joined by a line feed. Lines end with LF or CR LF.
 class EventStreamParser {
 public:
   /// @param limit bytes of one event; a longer one makes the parser report failure.
@@ -68,7 +70,11 @@
 
 private:
   std::size_t limit_;
-  std::string buffer_;
+  std::string buffer_;     ///< Bytes of the line not yet complete.
+  std::string data_;       ///< Joined "data:" values of the event not yet complete.
+  bool has_data_ = false;  ///< Whether the event has a "data:" line.
+
+  bool takeLine(std::string_view line, const std::function<void(std::string_view)>& on_event);
 };
 
 }  // namespace crankspur::http
--- /dev/null
+++ b/src/http/message.cc
@@ -0,0 +1,83 @@
+#include "http/message.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace crankspur::http {
+
+namespace {
+
+char lowerCase(char character) {
+  return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
+}
+
+int hexDigit(char character) {
+  if (character >= '0' && character <= '9') return character - '0';
+  const char lower = lowerCase(character);
+  return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+}
+
+/// Decodes percent escapes and "+"; a broken escape is kept as it is.
+std::string decodeQueryText(std::string_view text) {
+  std::string decoded;
+  for (std::size_t index = 0; index < text.size(); ++index) {
+    const char character = text[index];
+    const bool escape = character == '%' && index + 2 < text.size() && hexDigit(text[index + 1]) >= 0 &&
+                        hexDigit(text[index + 2]) >= 0;
+    if (escape) {
+      decoded += static_cast<char>(hexDigit(text[index + 1]) * 16 + hexDigit(text[index + 2]));
+      index += 2;
+    } else {
+      decoded += character == '+' ? ' ' : character;
+    }
+  }
+  return decoded;
+}
+
+}  // namespace
+
+bool HeaderLess::operator()(const std::string& left, const std::string& right) const {
+  const auto less = [](char first, char second) { return lowerCase(first) < lowerCase(second); };
+  return std::lexicographical_compare(left.begin(), left.end(), right.begin(), right.end(), less);
+}
+
+std::string Request::path() const {
+  return target.substr(0, target.find('?'));
+}
+
+std::string Request::query(const std::string& name) const {
+  const std::size_t mark = target.find('?');
+  if (mark == std::string::npos) return {};
+  std::string_view rest = std::string_view(target).substr(mark + 1);
+  while (!rest.empty()) {
+    const std::string_view part = rest.substr(0, rest.find('&'));
+    rest.remove_prefix(std::min(rest.size(), part.size() + 1));
+    const std::size_t equals = std::min(part.find('='), part.size());
+    if (decodeQueryText(part.substr(0, equals)) != name) continue;
+    return decodeQueryText(part.substr(std::min(part.size(), equals + 1)));
+  }
+  return {};
+}
+
+std::string Request::header(const std::string& name) const {
+  const auto found = headers.find(name);
+  return found == headers.end() ? std::string() : found->second;
+}
+
+Response jsonResponse(int status, std::string body) {
+  Response response;
+  response.status = status;
+  response.headers["Content-Type"] = "application/json";
+  response.body = std::move(body);
+  return response;
+}
+
+Response errorResponse(int status, std::string_view code, std::string_view message, std::string_view ran) {
+  boost::json::object error;
+  error["code"] = code;
+  error["message"] = message;
+  error["ran"] = ran;
+  return jsonResponse(status, boost::json::serialize(boost::json::object{{"error", error}}));
+}
+
+}  // namespace crankspur::http
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <string_view>
 
 namespace crankspur::http {
 
@@ -39,4 +40,9 @@
 /// @return a response with content type application/json.
 Response jsonResponse(int status, std::string body);
 
+/// @return the project's error form {"error":{"code","message","ran"}}.
+/// @param code a stable name, see errorName().
+/// @param ran "not_run", "unknown" or "ran".
+Response errorResponse(int status, std::string_view code, std::string_view message, std::string_view ran);
+
 }  // namespace crankspur::http
--- /dev/null
+++ b/src/http/server.cc
@@ -0,0 +1,124 @@
+#include "http/server.h"
+
+#include <vector>
+
+#include "base/endpoint.h"
+#include "http/server_session.h"
+
+namespace crankspur::http {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr Duration kAcceptRetry = std::chrono::milliseconds(100);
+/// Refused connections kept at the same time while their clients read the refusal.
+constexpr std::size_t kRefusedConnections = 64;
+
+/// Accepts connections; shared with the pending accept, so that the server may be destroyed at any time.
+class Acceptor : public std::enable_shared_from_this<Acceptor> {
+public:
+  Acceptor(asio::any_io_executor executor, std::shared_ptr<ServerState> state)
+      : acceptor_(executor), retry_(executor), state_(std::move(state)) {}
+
+  void open(const tcp::endpoint& endpoint, boost::system::error_code& error) {
+    acceptor_.open(endpoint.protocol(), error);
+    if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+    if (!error) acceptor_.bind(endpoint, error);
+    if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
+    if (!error) port_ = acceptor_.local_endpoint(error).port();
+  }
+
+  std::uint16_t port() const { return port_; }
+
+  void close() {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+    retry_.cancel();
+  }
+
+  void accept() {
+    acceptor_.async_accept([self = shared_from_this()](boost::system::error_code error, tcp::socket socket) {
+      if (!self->acceptor_.is_open()) return;
+      if (error) return self->acceptLater();
+      self->take(std::move(socket));
+      self->accept();
+    });
+  }
+
+private:
+  void acceptLater() {
+    retry_.expires_after(kAcceptRetry);
+    retry_.async_wait([self = shared_from_this()](boost::system::error_code error) {
+      if (!error && self->acceptor_.is_open()) self->accept();
+    });
+  }
+
+  void take(tcp::socket socket) {
+    const std::size_t open = state_->sessions.size();
+    if (open >= state_->limits.connections + kRefusedConnections) return;
+    const auto session = std::make_shared<ServerSession>(std::move(socket), state_);
+    state_->sessions.insert(session);
+    if (open >= state_->limits.connections) {
+      session->refuse();
+    } else {
+      session->start();
+    }
+  }
+
+  tcp::acceptor acceptor_;
+  asio::steady_timer retry_;
+  std::shared_ptr<ServerState> state_;
+  std::uint16_t port_ = 0;
+};
+
+class BeastServer : public Server {
+public:
+  BeastServer(std::shared_ptr<ServerState> state, std::shared_ptr<Acceptor> acceptor)
+      : state_(std::move(state)), acceptor_(std::move(acceptor)) {}
+
+  ~BeastServer() override {
+    acceptor_->close();
+    state_->stopping = true;
+    state_->handler = nullptr;
+    for (const auto& session : openSessions()) session->close();
+  }
+
+  std::uint16_t port() const override { return acceptor_->port(); }
+
+  void stopAccepting() override {
+    acceptor_->close();
+    state_->stopping = true;
+    for (const auto& session : openSessions()) session->closeIfIdle();
+  }
+
+  std::size_t openRequests() const override { return state_->open_requests; }
+
+private:
+  std::vector<std::shared_ptr<ServerSession>> openSessions() const {
+    return {state_->sessions.begin(), state_->sessions.end()};
+  }
+
+  std::shared_ptr<ServerState> state_;
+  std::shared_ptr<Acceptor> acceptor_;
+};
+
+}  // namespace
+
+std::unique_ptr<Server> listen(asio::any_io_executor executor, const std::string& address,
+                               RequestHandler handler, std::error_code& error, ServerLimits limits) {
+  boost::system::error_code failure;
+  const tcp::endpoint endpoint = parseEndpoint(address, failure);
+  const auto state = std::make_shared<ServerState>();
+  state->handler = std::make_shared<const RequestHandler>(std::move(handler));
+  state->limits = limits;
+  const auto acceptor = std::make_shared<Acceptor>(executor, state);
+  if (!failure) acceptor->open(endpoint, failure);
+  error = failure;
+  if (failure) return nullptr;
+  acceptor->accept();
+  return std::make_unique<BeastServer>(state, acceptor);
+}
+
+}  // namespace crankspur::http
--- /dev/null
+++ b/tests/unit/http/http_test.cc
@@ -0,0 +1,89 @@
+#include <catch2/catch.hpp>
+#include <optional>
+#include <vector>
+
+#include "http/client.h"
+#include "http/server.h"
+#include "http_fixture.h"
+
+using namespace crankspur;
+using namespace crankspur::http;
+
+TEST_CASE("a request with a body is answered and its connection is used again", "[http]") {
+  HttpFixture fixture([](Request request, std::shared_ptr<ResponseWriter> writer) {
+    const std::string echo = request.method + " " + request.path() + " " + request.query("a") + request.body;
+    writer->respond({201, {{"X-Seen", request.header("x-sent")}}, echo});
+  });
+  for (int round = 0; round < 3; ++round) {
+    Outcome outcome = fixture.run({"POST", "/path?a=1%20b", {{"X-Sent", "yes"}}, "body"});
+    CHECK_FALSE(outcome.error);
+    CHECK(outcome.response.status == 201);
+    CHECK(outcome.response.headers["x-seen"] == "yes");
+    CHECK(outcome.response.body == "POST /path 1 bbody");
+  }
+}
+
+TEST_CASE("chunks reach the client one by one, as they are written", "[http]") {
+  std::shared_ptr<ResponseWriter> stream;
+  HttpFixture fixture([&](Request, std::shared_ptr<ResponseWriter> writer) {
+    stream = writer;
+    writer->begin(200, {{"Content-Type", "text/event-stream"}});
+    writer->write("first");
+  });
+  std::vector<std::string> pieces;
+  std::optional<std::error_code> ended;
+  ExchangeCallbacks callbacks;
+  callbacks.on_data = [&](std::string_view piece) {
+    pieces.emplace_back(piece);
+    if (pieces.size() == 1) stream->write("second");
+    if (pieces.size() == 2) stream->end();
+  };
+  callbacks.on_done = [&](std::error_code error, SendState, Response) { ended = error; };
+  fixture.client->start(fixture.address(), {"GET", "/", {}, {}}, callbacks);
+  fixture.runUntil([&] { return ended.has_value(); });
+  CHECK_FALSE(*ended);
+  CHECK(pieces == std::vector<std::string>{"first", "second"});
+  CHECK(fixture.server->openRequests() == 0);
+}
+
+TEST_CASE("a handler is told that its client has gone, and later writes are ignored", "[http]") {
+  std::shared_ptr<ResponseWriter> stream;
+  bool gone = false;
+  HttpFixture fixture([&](Request, std::shared_ptr<ResponseWriter> writer) {
+    stream = writer;
+    writer->onClientGone([&] { gone = true; });
+    writer->begin(200, {});
+    writer->write("piece");
+  });
+  std::shared_ptr<Exchange> exchange;
+  ExchangeCallbacks callbacks;
+  bool done = false;
+  callbacks.on_data = [&](std::string_view) { exchange->cancel(); };
+  callbacks.on_done = [&](std::error_code, SendState, Response) { done = true; };
+  exchange = fixture.client->start(fixture.address(), {"GET", "/", {}, {}}, callbacks);
+  fixture.runUntil([&] { return gone; });
+  CHECK_FALSE(done);
+  stream->write("more");
+  stream->end();
+  CHECK(fixture.server->openRequests() == 0);
+}
+
+TEST_CASE("a stream that the server aborts is an error after the request was sent", "[http]") {
+  HttpFixture fixture([](Request, std::shared_ptr<ResponseWriter> writer) {
+    writer->begin(200, {});
+    writer->write("piece");
+    writer->abort();
+  });
+  const Outcome outcome = fixture.run({"POST", "/", {}, "body"});
+  CHECK(outcome.error);
+  CHECK(outcome.state == SendState::SentUnknown);
+}
+
+TEST_CASE("a refused connection says that nothing was sent", "[http]") {
+  HttpFixture fixture([](Request, std::shared_ptr<ResponseWriter>) {});
+  const std::string address = fixture.address();
+  fixture.server.reset();
+  const Outcome outcome = fixture.run({"POST", "/", {}, "body"}, address);
+  CHECK(outcome.error);
+  CHECK(outcome.state == SendState::NotSent);
+}
