Stand in for the platform: table, objects, weights and machine list

Cause: tests and the simulation need the platform's services with their limits and faults. Change: PlatformModel takes (call, now) and gives the reply with its delay and whether it is lost; the program serves it over HTTP with POST /control; strict JSON codecs of rows, transactions and machines, shared with the clients to come.

--- /dev/null
+++ b/src/table_service/table_codec.h
@@ -0,0 +1,25 @@
+#pragma once
+/// @file JSON form of the table service's rows and transactions. Decoding is strict: what does not have the
+/// exact form is empty.
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "table_service/table_types.h"
+
+namespace crankspur {
+
+std::string encodeRow(const TableRow& row);
+std::optional<TableRow> decodeRow(std::string_view text);
+
+std::string encodeTransaction(const TableTransaction& transaction);
+std::optional<TableTransaction> decodeTransaction(std::string_view text);
+
+std::string encodeCommitted(const TransactionCommitted& committed);
+std::optional<TransactionCommitted> decodeCommitted(std::string_view text);
+
+std::string encodeConflict(const TransactionConflict& conflict);
+std::optional<TransactionConflict> decodeConflict(std::string_view text);
+
+}  // namespace crankspur
--- /dev/null
+++ b/standins/platform/platform_server.h
@@ -0,0 +1,36 @@
+#pragma once
+/// @file Serves a PlatformModel over HTTP.
+
+#include <boost/asio/any_io_executor.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "base/time.h"
+#include "http/server.h"
+#include "standins/platform/platform_model.h"
+
+namespace crankspur::standin {
+
+/// A listening platform. Model, clock and server belong to one executor thread.
+class PlatformServer {
+public:
+  PlatformServer(boost::asio::any_io_executor executor, PlatformModel& model, const Clock& clock)
+      : executor_(std::move(executor)), model_(model), clock_(clock) {}
+
+  /// Listens on "IP:port".
+  std::error_code start(const std::string& address);
+  std::uint16_t port() const { return server_->port(); }
+
+private:
+  void handle(const http::Request& request, const std::shared_ptr<http::ResponseWriter>& writer);
+  /// Answers after the reply's delay.
+  void answerLater(const PlatformReply& reply, const std::shared_ptr<http::ResponseWriter>& writer);
+
+  boost::asio::any_io_executor executor_;
+  PlatformModel& model_;
+  const Clock& clock_;
+  std::unique_ptr<http::Server> server_;
+};
+
+}  // namespace crankspur::standin
