Test the engine stand-in's model

Cause: others build on the model's behaviour. Change: tests of text, cache scopes, eviction, priorities, refusals, resume, crash, freeze, import, orders, events. Conclusion: the model does what ARCHITECTURE.md says of engines.

--- /dev/null
+++ b/tests/unit/standin_engine/engine_model_test.cc
@@ -0,0 +1,309 @@
+#include <catch2/catch.hpp>
+
+#include "base/hash.h"
+#include "engine_driver.h"
+
+namespace crankspur::standin {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TEST_CASE("a completion gives the expected answer in order", "[standin_engine]") {
+  EngineDriver engine;
+  const CompletionRequest request = EngineDriver::request("r1", 1000, 20);
+  const StreamId stream = engine.submit(request);
+  engine.pass(seconds(5));
+  const StreamLog& log = engine.streams[stream];
+  const ExpectedAnswer expected = expectedAnswer("small", "w1", "", request.prompt, 20);
+  REQUIRE(log.accepted.size() == 1);
+  REQUIRE(log.finished.size() == 1);
+  CHECK(log.contiguous);
+  CHECK(log.text == expected.text);
+  CHECK(log.finished[0].checksum == expected.checksum);
+  CHECK(log.finished[0].token_count == expected.token_count);
+  CHECK(log.finished[0].finish_reason == expected.finish_reason);
+  CHECK(engine.model.inFlight() == 0);
+}
+
+TEST_CASE("the answer depends on model, weights, adapter and prompt", "[standin_engine]") {
+  const std::string text = expectedAnswer("m", "w", "a", "prompt", 20).text;
+  CHECK(expectedAnswer("n", "w", "a", "prompt", 20).text != text);
+  CHECK(expectedAnswer("m", "v", "a", "prompt", 20).text != text);
+  CHECK(expectedAnswer("m", "w", "", "prompt", 20).text != text);
+  CHECK(expectedAnswer("m", "w", "a", "prompts", 20).text != text);
+  CHECK(expectedAnswer("m", "w", "a", "prompt", 10).text == text.substr(0, 40));
+}
+
+TEST_CASE("a second request with the prefix recomputes the rest only", "[standin_engine]") {
+  EngineDriver engine;
+  CompletionRequest first = EngineDriver::request("r1", 1600);
+  engine.submit(first);
+  engine.pass(seconds(5));
+  CompletionRequest second = first;
+  second.request_id = "r2";
+  second.prompt += std::string(64 * kBytesPerToken, 'q');
+  const StreamId stream = engine.submit(second);
+  engine.pass(seconds(5));
+  CHECK(engine.streams[stream].accepted[0].cached_tokens == 1600);
+  CHECK(engine.record("r2").cached_tokens == 1600);
+  CHECK(engine.record("r2").recomputed_tokens == 64);
+  CHECK(engine.record("r1").recomputed_tokens == 1600);
+  REQUIRE(engine.record("r2").used_blocks.size() == 1);
+  CHECK(engine.record("r2").used_blocks[0].incarnation == engine.model.incarnation());
+  CHECK(engine.record("r2").used_blocks[0].blocks == 100);
+}
+
+TEST_CASE("a prompt that goes on from an answer finds the answer cached", "[standin_engine]") {
+  EngineDriver engine;
+  CompletionRequest first = EngineDriver::request("r1", 160, 32);
+  const StreamId stream = engine.submit(first);
+  engine.pass(seconds(5));
+  CompletionRequest second = first;
+  second.request_id = "r2";
+  second.prompt += engine.streams[stream].text + "and then?";
+  engine.submit(second);
+  engine.pass(seconds(5));
+  CHECK(engine.record("r2").cached_tokens == 192);
+}
+
+TEST_CASE("no entry serves another tenant, adapter or weights", "[standin_engine]") {
+  EngineDriver engine;
+  engine.submit(EngineDriver::request("r1", 1600));
+  engine.pass(seconds(5));
+  CompletionRequest other_tenant = EngineDriver::request("r2", 1600);
+  other_tenant.tenant = "camp";
+  CompletionRequest other_adapter = EngineDriver::request("r3", 1600);
+  other_adapter.adapter = "franchise";
+  engine.submit(other_tenant);
+  engine.submit(other_adapter);
+  engine.pass(seconds(5));
+  CHECK(engine.record("r2").cached_tokens == 0);
+  CHECK(engine.record("r3").cached_tokens == 0);
+}
+
+TEST_CASE("a cache without scopes shows up in the record", "[standin_engine]") {
+  EngineOptions options = EngineDriver::oneModel();
+  options.scope_cache_entries = false;
+  EngineDriver engine({}, options);
+  engine.submit(EngineDriver::request("r1", 1600));
+  engine.pass(seconds(5));
+  CompletionRequest other_tenant = EngineDriver::request("r2", 1600);
+  other_tenant.tenant = "camp";
+  engine.submit(other_tenant);
+  engine.pass(seconds(5));
+  const RequestRecord& record = engine.record("r2");
+  REQUIRE(record.used_blocks.size() == 1);
+  CHECK(record.used_blocks[0].scope->tenant == "parts");
+  CHECK(record.scope->tenant == "camp");
+}
+
+TEST_CASE("requests beyond memory are evicted, never those in use", "[standin_engine]") {
+  EngineTimings timings;
+  timings.cache_blocks = 150;
+  EngineDriver engine(timings);
+  CompletionRequest first = EngineDriver::request("r1", 1600);
+  engine.submit(first);
+  engine.pass(seconds(5));
+  CompletionRequest other = EngineDriver::request("r2", 1600);
+  other.tenant = "camp";
+  engine.submit(other);
+  engine.pass(seconds(5));
+  CHECK(engine.model.totals().evicted_blocks >= 50);
+  CompletionRequest again = first;
+  again.request_id = "r3";
+  engine.submit(again);
+  engine.pass(seconds(5));
+  CHECK(engine.record("r3").cached_tokens < 1600 - 16);
+  CHECK(engine.record("r3").outcome == RunOutcome::Finished);
+  CHECK(engine.model.load(engine.now).cache_blocks_used <= 150);
+}
+
+TEST_CASE("more urgent requests are prefilled first", "[standin_engine]") {
+  EngineDriver engine;
+  const auto submit = [&engine](const std::string& id, std::uint32_t priority) {
+    CompletionRequest request = EngineDriver::request(id, 4000);
+    request.tenant = id;
+    request.priority = priority;
+    engine.submit(request);
+  };
+  submit("running", 1);
+  submit("late", 2);
+  submit("urgent", 0);
+  engine.pass(seconds(10));
+  CHECK(engine.record("urgent").first_token < engine.record("running").first_token);
+  CHECK(engine.record("running").first_token < engine.record("late").first_token);
+}
+
+TEST_CASE("decode steps take longer in a larger batch and the batch is bounded", "[standin_engine]") {
+  EngineTimings timings;
+  timings.batch_limit = 4;
+  EngineDriver engine(timings);
+  for (int index = 0; index < 6; ++index) {
+    CompletionRequest request = EngineDriver::request("r" + std::to_string(index), 16, 30);
+    request.prompt[0] = static_cast<char>('a' + index);
+    engine.submit(request);
+  }
+  engine.pass(milliseconds(300));
+  CHECK(engine.model.load(engine.now).running_requests == 4);
+  CHECK(engine.model.load(engine.now).queued_requests == 2);
+  engine.pass(seconds(5));
+  CHECK(engine.model.records().size() == 6);
+}
+
+TEST_CASE("a full queue refuses with not_run and when to come back", "[standin_engine]") {
+  EngineTimings timings;
+  timings.queue_tokens = 5000;
+  EngineDriver engine(timings);
+  for (int index = 0; index < 3; ++index) engine.submit(EngineDriver::request(std::to_string(index), 4000));
+  const StreamId stream = engine.submit(EngineDriver::request("r9", 4000));
+  const StreamLog& log = engine.streams[stream];
+  REQUIRE(log.refused.size() == 1);
+  CHECK(log.refused[0].code == ErrorCode::Overloaded);
+  CHECK(log.refused[0].ran == RanState::NotRun);
+  CHECK(log.refused[0].retry_after > Duration{0});
+}
+
+TEST_CASE("expectations that do not hold are refused with not_run", "[standin_engine]") {
+  EngineDriver engine;
+  CompletionRequest request = EngineDriver::request("r1", 100);
+  request.expect_incarnation = engine.model.incarnation() + 1;
+  CHECK(engine.streams[engine.submit(request)].refused.at(0).code == ErrorCode::IncarnationMismatch);
+  request.expect_incarnation = engine.model.incarnation();
+  request.expect_weights = "w0";
+  CHECK(engine.streams[engine.submit(request)].refused.at(0).code == ErrorCode::WeightsMismatch);
+  request.expect_weights = "w1";
+  request.resume_text = "abc";
+  CHECK(engine.streams[engine.submit(request)].refused.at(0).code == ErrorCode::InvalidRequest);
+  request.resume_text.clear();
+  request.model = "other";
+  CHECK(engine.streams[engine.submit(request)].refused.at(0).code == ErrorCode::UnknownModel);
+  request.model = "small";
+  request.max_tokens = 10'000'000;
+  CHECK(engine.streams[engine.submit(request)].refused.at(0).code == ErrorCode::TooLarge);
+  CHECK(engine.model.records().empty());
+}
+
+TEST_CASE("a cut stream is resumed at an offset with the same text", "[standin_engine]") {
+  EngineDriver engine;
+  const CompletionRequest request = EngineDriver::request("r1", 160, 30);
+  const ExpectedAnswer expected = expectedAnswer("small", "w1", "", request.prompt, 30);
+  const StreamId first = engine.submit(request);
+  engine.pass(milliseconds(200));
+  const std::uint64_t got = engine.streams[first].next_offset;
+  REQUIRE(got > 2);
+  engine.model.streamClosed(first, engine.now);
+  SECTION("while it runs") {
+    engine.pass(milliseconds(100));
+  }
+  SECTION("after it finished") {
+    engine.pass(seconds(4));
+  }
+  const StreamId second = engine.resume({"r1", 2, engine.model.incarnation(), got - 1});
+  engine.pass(seconds(4));
+  const StreamLog& log = engine.streams[second];
+  CHECK(log.contiguous);
+  CHECK(log.text == expected.text.substr((got - 1) * kBytesPerToken));
+  REQUIRE(log.finished.size() == 1);
+  CHECK(log.finished[0].checksum == expected.checksum);
+}
+
+TEST_CASE("a continuation at another engine gives the same text", "[standin_engine]") {
+  EngineDriver engine;
+  CompletionRequest request = EngineDriver::request("r1", 160, 30);
+  const ExpectedAnswer expected = expectedAnswer("small", "w1", "", request.prompt, 30);
+  request.resume_offset = 12;
+  request.resume_text = expected.text.substr(0, 48);
+  const StreamId stream = engine.submit(request);
+  engine.pass(seconds(4));
+  CHECK(engine.streams[stream].text == expected.text.substr(48));
+  CHECK(engine.streams[stream].finished.at(0).checksum == expected.checksum);
+  CHECK(engine.streams[stream].finished.at(0).token_count == 30);
+}
+
+TEST_CASE("a request without a reader ends after a while and is then unknown", "[standin_engine]") {
+  EngineTimings timings;
+  timings.orphan_kept = seconds(1);
+  EngineDriver engine(timings);
+  const StreamId stream = engine.submit(EngineDriver::request("r1", 160, 4000));
+  engine.pass(milliseconds(300));
+  engine.model.streamClosed(stream, engine.now);
+  engine.pass(seconds(2));
+  CHECK(engine.record("r1").outcome == RunOutcome::Orphaned);
+  const StreamId again = engine.resume({"r1", 2, 0, 0});
+  CHECK(engine.streams[again].refused.at(0).ran == RanState::Unknown);
+}
+
+TEST_CASE("a cancel stops the newest attempt only", "[standin_engine]") {
+  EngineDriver engine;
+  const StreamId first = engine.submit(EngineDriver::request("r1", 160, 1000));
+  engine.pass(milliseconds(200));
+  engine.resume({"r1", 2, 0, 0});
+  CHECK(engine.streams[first].cut);
+  engine.model.cancel("r1", 1, engine.now);
+  CHECK(engine.model.inFlight() == 1);
+  engine.model.cancel("r1", 2, engine.now);
+  CHECK(engine.model.inFlight() == 0);
+  CHECK(engine.record("r1").outcome == RunOutcome::Cancelled);
+}
+
+TEST_CASE("a crash cuts streams, empties the cache and changes the incarnation", "[standin_engine]") {
+  EngineDriver engine;
+  const std::uint64_t before = engine.model.incarnation();
+  engine.submit(EngineDriver::request("r1", 1600));
+  engine.pass(seconds(5));
+  const StreamId stream = engine.submit(EngineDriver::request("r2", 1600, 1000));
+  engine.pass(milliseconds(100));
+  engine.model.crash(engine.now);
+  engine.take();
+  CHECK(engine.streams[stream].cut);
+  CHECK(engine.record("r2").outcome == RunOutcome::Crashed);
+  CHECK(engine.model.incarnation() != before);
+  CHECK(engine.model.cacheDigest(engine.now).blocks.empty());
+  CHECK(engine.resume({"r2", 2, 0, 0}) != 0);
+  engine.submit(EngineDriver::request("r3", 1600));
+  engine.pass(seconds(5));
+  CHECK(engine.record("r3").cached_tokens == 0);
+}
+
+TEST_CASE("a frozen engine makes no progress until it thaws", "[standin_engine]") {
+  EngineDriver engine;
+  const StreamId stream = engine.submit(EngineDriver::request("r1", 160, 30));
+  engine.pass(milliseconds(200));
+  const std::uint64_t got = engine.streams[stream].next_offset;
+  engine.model.freeze(engine.now);
+  engine.pass(seconds(30));
+  CHECK(engine.streams[stream].next_offset == got);
+  engine.model.thaw(engine.now);
+  engine.pass(milliseconds(50));
+  CHECK(engine.streams[stream].next_offset <= got + 3);
+  engine.pass(seconds(3));
+  CHECK(engine.streams[stream].finished.size() == 1);
+}
+
+TEST_CASE("an import saves the prefill of what the source holds", "[standin_engine]") {
+  EngineDriver engine;
+  CompletionRequest request = EngineDriver::request("r1", 1600);
+  request.import_from = "127.0.0.1:1";
+  request.import_blocks = 90;
+  engine.submit(request);
+  REQUIRE(engine.import_queries.size() == 1);
+  CHECK(engine.import_queries[0].blocks.size() == 90);
+  SECTION("it holds a part") {
+    engine.model.importAnswered("r1", 1, 50, 99, engine.now);
+    engine.pass(seconds(3));
+    CHECK(engine.record("r1").imported_tokens == 800);
+    CHECK(engine.record("r1").recomputed_tokens == 800);
+    REQUIRE(engine.record("r1").used_blocks.size() == 1);
+    CHECK(engine.record("r1").used_blocks[0].incarnation == 99);
+    CHECK(engine.record("r1").used_blocks[0].imported);
+  }
+  SECTION("it never answers") {
+    engine.pass(seconds(3));
+    CHECK(engine.record("r1").recomputed_tokens == 1600);
+  }
+  CHECK(engine.record("r1").outcome == RunOutcome::Finished);
+}
+
+}  // namespace
+}  // namespace crankspur::standin
