Decide over requests in the router

Cause: the router process and the simulation need one decision object for the life of a request. DispatchCompletion gains `resume`, RequestRouterOptions gains the parts for tests, and a committed claim write may report the row's version.

--- a/src/claim/claim.cc
+++ b/src/claim/claim.cc
@@ -234,6 +234,20 @@
 
 }  // namespace
 
+std::string claimKey(const std::string& tenant, const std::string& idempotency_key) {
+  std::string key = "crankspur/claim/";
+  for (const char character : tenant) {
+    if (character == '/') {
+      key += "%2F";
+    } else if (character == '%') {
+      key += "%25";
+    } else {
+      key += character;
+    }
+  }
+  return key + '/' + idempotency_key;
+}
+
 std::unique_ptr<Claim> makeClaim(std::string key, std::string token, TimePoint deadline,
                                  std::uint64_t random_seed, std::string body_hash) {
   return std::make_unique<TableClaim>(std::move(key), std::move(token), deadline, random_seed,
--- a/src/claim/claim.h
+++ b/src/claim/claim.h
@@ -26,7 +26,7 @@
 /// What a claim wants done with the table.
 struct ClaimAction {
   enum class Kind { Read, CompareAndSet } kind = Kind::Read;
-  std::string key;
+  std::string key;  ///< Key of the table row.
   ClaimRow write;
   std::uint64_t expected_version = 0;  ///< 0: the row must be absent.
 };
@@ -68,7 +68,10 @@
   virtual TimePoint nextTimer() const = 0;
 };
 
-/// @param key tenant and idempotency key, joined by the caller.
+/// @return the key of the table row for a tenant's idempotency key; different pairs give different keys.
+std::string claimKey(const std::string& tenant, const std::string& idempotency_key);
+
+/// @param key key of the table row; see claimKey().
 /// @param token unique to this claim object over all routers and all their restarts.
 /// @param deadline instant after which the claim is Unavailable.
 /// @param body_hash hash of the request's content; a row with another one gives KeyReused.
--- /dev/null
+++ b/src/router/completion_flow.cc
@@ -0,0 +1,182 @@
+/// @file The regular course of a completion: placement, dispatch, streaming, end.
+
+#include <algorithm>
+
+#include "base/hash.h"
+#include "prefix_index/block_hash.h"
+#include "router/request_router_impl.h"
+
+namespace crankspur {
+
+namespace {
+
+/// Tokens the engine has to read: the prompt and the part of the answer it goes on from.
+std::uint32_t inputTokens(const RequestEntry& entry) {
+  return countTokens(entry.request.prompt) + countTokens(entry.text);
+}
+
+std::uint32_t uncachedTokens(const RequestEntry& entry, const PlacementDecision& decision) {
+  const auto cached = static_cast<std::uint32_t>(decision.cached_blocks * kTokensPerBlock);
+  const std::uint32_t input = inputTokens(entry);
+  return input > cached ? input - cached : 0;
+}
+
+}  // namespace
+
+void RequestRouterImpl::startCompletion(RequestEntry& entry, TimePoint now) {
+  SubmitRequest& request = entry.request;
+  entry.tokens = request.resume_offset;
+  entry.text = request.resume_text;
+  if (request.max_tokens == 0) request.max_tokens = bundle()->findModel(request.model)->max_answer_tokens;
+  if (entry.tokens > 0) entry.answer_weights = request.resume_weights;
+  if (!request.resume_engine.empty() &&
+      resumeAt(entry, request.resume_engine, request.resume_incarnation, now)) {
+    return;
+  }
+  placeCompletion(entry, now);
+}
+
+void RequestRouterImpl::placeCompletion(RequestEntry& entry, TimePoint now) {
+  const SubmitRequest& request = entry.request;
+  const ModelPolicy* model = bundle()->findModel(request.model);
+  if (model == nullptr) {
+    return refuse(entry, ErrorCode::UnknownModel, Duration{0}, "the model left the bundle", now);
+  }
+  const std::string& weights = entry.answer_weights.empty() ? model->weights_version : entry.answer_weights;
+  if (entry.blocks_weights != weights) {
+    entry.blocks = hashBlocks(CacheScope{request.tenant, request.model, request.adapter, weights}.seed(),
+                              request.prompt);
+    entry.blocks_weights = weights;
+  }
+  PlacementRequest wanted;
+  wanted.tenant = request.tenant;
+  wanted.model = request.model;
+  wanted.adapter = request.adapter;
+  wanted.weights_version = weights;
+  wanted.blocks = entry.blocks;
+  wanted.prompt_tokens = inputTokens(entry);
+  wanted.max_tokens = request.max_tokens;
+  wanted.priority = request.priority;
+  wanted.deadline = entry.deadline - now;
+  wanted.excluded = entry.excluded;
+  const PlacementDecision decision =
+      options_.placement->choose(wanted, *snapshot_, *options_.index, sent_work_, random_, now);
+  entry.record.decision = decision;
+  if (!decision.found) return giveUpCompletion(entry, now);
+
+  AdmissionRequest admission;
+  admission.tenant = request.tenant;
+  admission.priority = request.priority;
+  admission.cost_tokens = uncachedTokens(entry, decision) + request.max_tokens;
+  admission.deadline = entry.deadline - now;
+  admission.expected_first_token = decision.expected_first_token;
+  admission.fleet_utilization = utilization(request.model);
+  admission.retry = request.attempt > 1 || entry.dispatches > 0;
+  if (admit(entry, admission, now)) dispatchCompletion(entry, decision, now);
+}
+
+void RequestRouterImpl::dispatchCompletion(RequestEntry& entry, const PlacementDecision& decision,
+                                           TimePoint now) {
+  const EngineView* engine = snapshot_->engine(decision.engine);
+  CurrentDispatch& dispatch = openDispatch(entry, engine->name, now);
+  dispatch.engine = decision.engine;
+  dispatch.incarnation = decision.incarnation;
+  dispatch.weights_version = entry.blocks_weights;
+  ++entry.dispatches;
+  sent_work_.add(decision.engine, dispatch.id, uncachedTokens(entry, decision), now);
+  options_.index->notePlaced(decision.engine, decision.incarnation, entry.blocks, now);
+  if (entry.dispatches > 1) {
+    log(EventId::AttemptMoved, entry,
+        {{"backend", engine->name}, {"offset", entry.tokens}, {"resume", false}});
+  }
+
+  DispatchCompletion action;
+  action.dispatch = dispatch.id;
+  action.engine = decision.engine;
+  action.engine_name = engine->name;
+  action.address = engine->address;
+  action.expected_incarnation = decision.incarnation;
+  action.expected_weights = dispatch.weights_version;
+  action.request = entry.request;
+  action.request.resume_offset = entry.tokens;
+  action.request.resume_text = entry.text;
+  action.request.deadline = entry.deadline - now;
+  action.import_from = decision.import_from;
+  action.import_blocks = decision.import_blocks;
+  actions_.push_back(std::move(action));
+}
+
+void RequestRouterImpl::completionEvent(RequestEntry& entry, const BackendEvent& event, TimePoint now) {
+  if (const auto* accepted = std::get_if<BackendAccepted>(&event)) {
+    return completionAccepted(entry, *accepted, now);
+  }
+  if (const auto* piece = std::get_if<BackendPiece>(&event)) return completionPiece(entry, *piece, now);
+  if (const auto* end = std::get_if<BackendEnd>(&event)) return completionEnd(entry, *end, now);
+  if (const auto* refused = std::get_if<BackendRefused>(&event))
+    return completionRefused(entry, *refused, now);
+  completionLost(entry, now);
+}
+
+void RequestRouterImpl::completionAccepted(RequestEntry& entry, const BackendAccepted& accepted,
+                                           TimePoint now) {
+  CurrentDispatch& dispatch = *entry.dispatch;
+  if (!dispatch.attempt->apply(AttemptEvent::BackendAccepted)) return;
+  if (accepted.incarnation != dispatch.incarnation || accepted.weights_version != dispatch.weights_version) {
+    return abandonDispatch(entry, "accepted with another incarnation or weights version", now);
+  }
+  entry.prompt_tokens = accepted.prompt_tokens;
+  entry.cached_tokens = accepted.cached_tokens;
+  entry.record.prompt_tokens = accepted.prompt_tokens;
+  entry.record.cached_tokens = accepted.cached_tokens;
+  if (!dispatch.resume) {
+    dispatch.computed_prompt_tokens =
+        accepted.prompt_tokens - std::min(accepted.prompt_tokens, accepted.cached_tokens);
+    options_.index->correct(dispatch.engine, dispatch.incarnation, entry.blocks,
+                            static_cast<std::uint32_t>(accepted.cached_tokens / kTokensPerBlock), now);
+  }
+  send(entry, acceptedMessage(entry));
+  schedule(entry);
+}
+
+void RequestRouterImpl::completionPiece(RequestEntry& entry, const BackendPiece& piece, TimePoint now) {
+  CurrentDispatch& dispatch = *entry.dispatch;
+  if (piece.offset + piece.token_count <= entry.tokens && piece.token_count > 0) return schedule(entry);
+  if (piece.offset != entry.tokens || piece.token_count == 0) {
+    return abandonDispatch(entry, "a piece does not follow the one before", now);
+  }
+  dispatch.attempt->apply(AttemptEvent::PieceArrived);
+  sent_work_.prefillDone(dispatch.engine, dispatch.id);
+  if (!entry.first_token_seen) {
+    entry.first_token_seen = true;
+    entry.record.time_to_first_token = now - entry.submitted_at;
+  }
+  entry.answer_weights = dispatch.weights_version;
+  entry.tokens += piece.token_count;
+  entry.text += piece.text;
+  send(entry, StreamPiece{entry.request.request_id, entry.request.attempt, piece.offset, piece.token_count,
+                          piece.text});
+  schedule(entry);
+}
+
+void RequestRouterImpl::completionEnd(RequestEntry& entry, const BackendEnd& end, TimePoint now) {
+  if (end.token_count != entry.tokens || end.checksum != hashBytes(entry.text)) {
+    log(EventId::BackendProtocolBroken, entry,
+        {{"backend", entry.dispatch->backend}, {"reason", "count or checksum of the answer differ"}});
+    cancelDispatch(entry, now);
+    return refuse(entry, ErrorCode::EngineLost, Duration{0}, "the answer's checksum does not agree", now);
+  }
+  entry.dispatch->attempt->apply(AttemptEvent::AnswerComplete);
+  StreamEnd message;
+  message.request_id = entry.request.request_id;
+  message.attempt = entry.request.attempt;
+  message.token_count = end.token_count;
+  message.checksum = end.checksum;
+  message.finish_reason = end.finish_reason;
+  message.engine = entry.dispatch->backend;
+  message.prompt_tokens = entry.prompt_tokens;
+  message.cached_tokens = entry.cached_tokens;
+  send(entry, std::move(message));
+  finish(entry, "done", now);
+}
+
+}  // namespace crankspur
--- a/src/router/request_router.h
+++ b/src/router/request_router.h
@@ -10,6 +10,7 @@
 #include <variant>
 #include <vector>
 
+#include "admission/admission.h"
 #include "base/event_log.h"
 #include "claim/claim.h"
 #include "internal_protocol/messages.h"
@@ -37,9 +38,12 @@
   std::string address;
   std::uint64_t expected_incarnation = 0;
   std::string expected_weights;
-  SubmitRequest request;
+  SubmitRequest request;  ///< resume_offset and resume_text say where the answer goes on.
   std::string import_from;
   std::uint32_t import_blocks = 0;
+  /// True: do not start the work; take up the stream of a request that this engine already runs, from
+  /// request.resume_offset (the engine's resume call). BackendRefused then says only that it cannot.
+  bool resume = false;
 };
 
 /// Action: run an operation at an application runner.
@@ -93,6 +97,7 @@
   Duration retry_after{0};
 };
 /// The exchange failed. `bytes_sent` false: the connect failed and nothing ran.
+/// For an operation, BackendPiece carries the whole result and BackendEnd follows; its fields may stay empty.
 struct BackendLost {
   bool bytes_sent = true;
 };
@@ -127,7 +132,9 @@
   virtual void onDispatchSent(DispatchId dispatch, TimePoint now) = 0;
   virtual void onBackend(DispatchId dispatch, const BackendEvent& event, TimePoint now) = 0;
   virtual void onClaimRead(std::uint64_t claim, const ClaimRow& row, TimePoint now) = 0;
-  virtual void onClaimWritten(std::uint64_t claim, bool committed, TimePoint now) = 0;
+  /// @param row_version the row's version after a committed write; 0 when unknown (it is then read).
+  virtual void onClaimWritten(std::uint64_t claim, bool committed, TimePoint now,
+                              std::uint64_t row_version = 0) = 0;
   virtual void onClaimFailed(std::uint64_t claim, TimePoint now) = 0;
   /// Applies an engine's cache event. @return false when a gap was found.
   virtual bool onCacheEvent(EngineSlot engine, std::uint64_t incarnation, const CacheEvent& event,
@@ -140,7 +147,7 @@
   virtual std::optional<TimePoint> nextTimer() const = 0;
   /// @return actions to carry out, in order, taken once.
   virtual std::vector<RouterAction> takeActions() = 0;
-  /// @return requests not yet ended.
+  /// @return requests not yet ended, and claims whose record or release is not yet written.
   virtual std::size_t inFlight() const = 0;
   /// @return the newest record of the request, if still kept.
   virtual std::optional<DecisionRecord> explain(const std::string& request_id) const = 0;
@@ -153,8 +160,13 @@
   std::size_t index_entries = 1'000'000;
   std::size_t explain_records = 4096;
   std::unique_ptr<PlacementPolicy> placement;
+  std::unique_ptr<Admission> admission;
+  std::unique_ptr<PrefixIndex> index;
 };
 
 std::unique_ptr<RequestRouter> makeRequestRouter(RequestRouterOptions options);
 
+/// The same with every part given; for tests that bring parts of their own.
+std::unique_ptr<RequestRouter> makeRequestRouterFromParts(RequestRouterOptions options);
+
 }  // namespace crankspur
--- /dev/null
+++ b/src/router/request_router_defaults.cc
@@ -0,0 +1,14 @@
+/// @file The product's own parts of a RequestRouter.
+
+#include "router/request_router.h"
+
+namespace crankspur {
+
+std::unique_ptr<RequestRouter> makeRequestRouter(RequestRouterOptions options) {
+  if (!options.placement) options.placement = makeCostPlacement();
+  if (!options.admission) options.admission = makeAdmission();
+  if (!options.index) options.index = makePrefixIndex(options.index_entries);
+  return makeRequestRouterFromParts(std::move(options));
+}
+
+}  // namespace crankspur
