Add gossip membership

Cause: routers need to know each other, who is leaving, who holds the newest bundle and which engines failed, without a node set aside for it and within 18 KB/s for control.

Change: SWIM with incarnations, indirect probes, suspicion and refutation; probes prefer the own zone; records ride on probes, a bounded number each; whole state is exchanged only at join, in bounded and rate-limited messages; dead members are kept for six hours and probed at a low jittered rate, so that parted regions rejoin by refutation. A node that was paused concludes nothing from the answers it missed. Facts about engines spread the same way.

Tests: 7 cases on a virtual network pass (join of 40, kill and restart, a parted hour and rejoin, refutation, leaving, bundle version, bounded messages, hostile records).

--- /dev/null
+++ b/src/membership/member_table.cc
@@ -0,0 +1,98 @@
+#include "membership/member_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crankspur {
+
+bool supersedes(const MemberRecord& news, const MemberRecord& held) {
+  if (news.incarnation != held.incarnation) return news.incarnation > held.incarnation;
+  return news.state > held.state;
+}
+
+bool MemberTable::insert(const MemberRecord& news, Duration suspicion_timeout, TimePoint now) {
+  if (news.state == MemberState::Dead || members_.size() >= maximum_) return false;
+  Member member{news, now, std::nullopt};
+  if (news.state == MemberState::Suspect) member.suspicion_deadline = now + suspicion_timeout;
+  members_.emplace(news.name, std::move(member));
+  changes_.push_back({news, MemberState::Dead});
+  return true;
+}
+
+bool MemberTable::apply(const MemberRecord& news, Duration suspicion_timeout, TimePoint now) {
+  const auto found = members_.find(news.name);
+  if (found == members_.end()) return insert(news, suspicion_timeout, now);
+  Member& member = found->second;
+  if (!supersedes(news, member.record)) return false;
+  const MemberState previous = member.record.state;
+  const bool same_process = news.incarnation == member.record.incarnation;
+  const std::uint64_t known_version = member.record.bundle_version;
+  member.record = news;
+  if (same_process) member.record.bundle_version = std::max(known_version, news.bundle_version);
+  member.changed_at = now;
+  if (news.state == MemberState::Suspect) {
+    member.suspicion_deadline = now + suspicion_timeout;
+  } else {
+    member.suspicion_deadline.reset();
+  }
+  changes_.push_back({member.record, previous});
+  return true;
+}
+
+void MemberTable::noteBundleVersion(const std::string& name, std::uint64_t version) {
+  const auto found = members_.find(name);
+  if (found != members_.end()) found->second.record.bundle_version = version;
+}
+
+void MemberTable::startSuspicion(const std::string& name, Duration suspicion_timeout, TimePoint now) {
+  const auto found = members_.find(name);
+  if (found == members_.end() || found->second.suspicion_deadline) return;
+  found->second.suspicion_deadline = now + suspicion_timeout;
+}
+
+void MemberTable::delaySuspicions(Duration by) {
+  for (auto& [name, member] : members_) {
+    if (member.suspicion_deadline) *member.suspicion_deadline += by;
+  }
+}
+
+std::vector<std::string> MemberTable::expiredSuspicions(TimePoint now) const {
+  std::vector<std::string> names;
+  for (const auto& [name, member] : members_) {
+    if (member.suspicion_deadline && *member.suspicion_deadline <= now) names.push_back(name);
+  }
+  return names;
+}
+
+std::optional<TimePoint> MemberTable::nextSuspicionDeadline() const {
+  std::optional<TimePoint> earliest;
+  for (const auto& [name, member] : members_) {
+    if (!member.suspicion_deadline) continue;
+    if (!earliest || *member.suspicion_deadline < *earliest) earliest = member.suspicion_deadline;
+  }
+  return earliest;
+}
+
+void MemberTable::forgetDead(Duration retention, TimePoint now) {
+  std::erase_if(members_, [&](const auto& entry) {
+    const Member& member = entry.second;
+    return member.record.state == MemberState::Dead && now - member.changed_at > retention;
+  });
+}
+
+const Member* MemberTable::find(const std::string& name) const {
+  const auto found = members_.find(name);
+  return found == members_.end() ? nullptr : &found->second;
+}
+
+std::size_t MemberTable::liveCount() const {
+  return static_cast<std::size_t>(std::count_if(members_.begin(), members_.end(), [](const auto& entry) {
+    return entry.second.record.state != MemberState::Dead;
+  }));
+}
+
+std::vector<MembershipChange> MemberTable::takeChanges() {
+  return std::exchange(changes_, {});
+}
+
+}  // namespace crankspur
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -21,9 +21,16 @@
   std::uint32_t indirect_probes = 2;
   std::uint32_t records_per_message = 8;
   std::uint32_t spread_factor = 3;  ///< A change rides on spread_factor * log2(members) messages.
-  Duration dead_retention = std::chrono::minutes(10);
+  double own_zone_share = 0.75;     ///< Share of probes that go to members of the own zone.
+  Duration dead_probe_interval = std::chrono::seconds(20);  ///< Mean time between probes of dead members.
+  Duration dead_retention = std::chrono::hours(6);          ///< Longer than regions stay parted.
 };
 
+/// A Ping whose target is empty asks the receiver for everything it knows. It is sent only at join; the
+/// answer is one PingAck with the Ping's sequence and further ones with sequence 0, each of at most this many
+/// records.
+inline constexpr std::size_t kRecordsPerStateMessage = 64;
+
 /// Messages the membership wants sent to a peer's address.
 struct OutgoingGossip {
   std::string address;
--- /dev/null
+++ b/tests/unit/membership/membership_test.cc
@@ -0,0 +1,262 @@
+#include "membership/membership.h"
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <optional>
+#include <queue>
+
+using namespace crankspur;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Delivers gossip between nodes on a virtual clock.
+class VirtualNetwork {
+public:
+  explicit VirtualNetwork(MembershipOptions options = {}) : options_(options) {}
+
+  void start(const std::string& name, const std::string& zone, const std::vector<std::string>& seeds) {
+    MemberRecord self{name, name, zone, "region", 1000 + ++starts_, MemberState::Alive, 0};
+    nodes_[name] = makeMembership(self, options_, starts_, now_);
+    std::vector<MemberRecord> machines;
+    for (const std::string& seed : seeds) machines.push_back({seed, seed, zoneOf(seed), "region"});
+    nodes_[name]->seed(machines, now_);
+    timers_[name] = now_;
+    zones_[name] = zone;
+  }
+  void stop(const std::string& name) {
+    nodes_.erase(name);
+    timers_.erase(name);
+  }
+  Membership& node(const std::string& name) { return *nodes_.at(name); }
+  TimePoint now() const { return now_; }
+
+  /// Runs until the condition holds or `limit` has passed. @return the time it took.
+  std::optional<Duration> runUntil(Duration limit, const std::function<bool()>& condition) {
+    const TimePoint start = now_;
+    while (now_ - start < limit) {
+      if (condition()) return now_ - start;
+      step();
+    }
+    return std::nullopt;
+  }
+  void run(Duration time) {
+    runUntil(time, [] { return false; });
+  }
+  bool allSee(const std::function<bool(const MemberRecord&)>& counts, std::size_t wanted) const {
+    for (const auto& [name, node] : nodes_) {
+      std::size_t seen = 0;
+      for (const MemberRecord& member : node->liveMembers()) seen += counts(member) ? 1 : 0;
+      if (seen != wanted) return false;
+    }
+    return true;
+  }
+  bool allSeeLive(std::size_t wanted) const {
+    return allSee([](const MemberRecord& member) { return member.state == MemberState::Alive; }, wanted);
+  }
+
+  std::function<bool(const std::string& from, const std::string& to)> cut = [](auto&, auto&) {
+    return false;
+  };
+  std::size_t messages = 0;
+  std::size_t bytes = 0;
+  std::size_t largest_records = 0;
+
+private:
+  struct Delivery {
+    TimePoint at;
+    std::uint64_t order;
+    std::string from;
+    OutgoingGossip gossip;
+    bool operator<(const Delivery& other) const {
+      return std::tie(other.at, other.order) < std::tie(at, order);
+    }
+  };
+
+  std::string zoneOf(const std::string& name) const {
+    const auto found = zones_.find(name);
+    return found == zones_.end() ? "" : found->second;
+  }
+  static std::size_t estimateBytes(const std::vector<MemberRecord>& members, std::size_t engines) {
+    std::size_t total = 24 + engines * 24;
+    for (const MemberRecord& member : members) {
+      total += member.name.size() + member.address.size() + member.zone.size() + member.region.size() + 24;
+    }
+    return total;
+  }
+  void collect(const std::string& from) {
+    timers_[from] = nodes_.at(from)->nextTimer();
+    for (OutgoingGossip& gossip : nodes_.at(from)->takeOutgoing()) {
+      const auto measure = [this](const auto& message) {
+        largest_records = std::max(largest_records, message.members.size());
+        bytes += estimateBytes(message.members, message.engines.size());
+      };
+      std::visit(measure, gossip.message);
+      ++messages;
+      if (!cut(from, gossip.member)) deliveries_.push({now_ + 2ms, ++order_, from, std::move(gossip)});
+    }
+  }
+  void step() {
+    TimePoint next = deliveries_.empty() ? now_ + 50ms : deliveries_.top().at;
+    for (const auto& [name, timer] : timers_) next = std::min(next, timer);
+    now_ = std::max(now_, next);
+    while (!deliveries_.empty() && deliveries_.top().at <= now_) {
+      const Delivery delivery = deliveries_.top();
+      deliveries_.pop();
+      deliver(delivery);
+    }
+    for (const auto& [name, node] : nodes_) {
+      if (timers_.at(name) > now_) continue;
+      node->onTimer(now_);
+      collect(name);
+    }
+  }
+  void deliver(const Delivery& delivery) {
+    const auto found = nodes_.find(delivery.gossip.member);
+    if (found == nodes_.end()) return;
+    if (const auto* ping = std::get_if<Ping>(&delivery.gossip.message)) {
+      found->second->onPing(*ping, delivery.from, now_);
+    } else {
+      found->second->onAck(std::get<PingAck>(delivery.gossip.message), now_);
+    }
+    collect(delivery.gossip.member);
+  }
+
+  MembershipOptions options_;
+  TimePoint now_{1h};
+  std::uint64_t starts_ = 0;
+  std::uint64_t order_ = 0;
+  std::map<std::string, std::unique_ptr<Membership>> nodes_;
+  std::map<std::string, std::string> zones_;
+  std::map<std::string, TimePoint> timers_;
+  std::priority_queue<Delivery> deliveries_;
+};
+
+std::string nameOf(int index) {
+  return "router-" + std::to_string(index);
+}
+std::string zoneOf(int index) {
+  return "zone-" + std::to_string(index % 4);
+}
+
+void startAll(VirtualNetwork& network, int count) {
+  for (int index = 0; index < count; ++index) network.start(nameOf(index), zoneOf(index), {nameOf(0)});
+}
+
+}  // namespace
+
+TEST_CASE("forty nodes that know one seed find each other", "[membership]") {
+  VirtualNetwork network;
+  startAll(network, 40);
+  CHECK(network.runUntil(30s, [&] { return network.allSeeLive(40); }).has_value());
+}
+
+TEST_CASE("a killed node becomes dead to all and its restart is taken as new", "[membership]") {
+  VirtualNetwork network;
+  startAll(network, 20);
+  REQUIRE(network.runUntil(30s, [&] { return network.allSeeLive(20); }));
+  network.stop(nameOf(7));
+  const auto time = network.runUntil(30s, [&] { return network.allSeeLive(19); });
+  REQUIRE(time.has_value());
+  CHECK(*time < 10s);
+  network.run(5s);
+  CHECK(network.allSeeLive(19));
+  network.start(nameOf(7), zoneOf(7), {nameOf(1)});
+  CHECK(network.runUntil(30s, [&] { return network.allSeeLive(20); }).has_value());
+}
+
+TEST_CASE("parted halves take each other for dead and rejoin after an hour without a storm", "[membership]") {
+  VirtualNetwork network;
+  startAll(network, 24);
+  REQUIRE(network.runUntil(30s, [&] { return network.allSeeLive(24); }));
+  const auto half = [](const std::string& name) { return std::stoi(name.substr(7)) % 2; };
+  network.cut = [&](const std::string& from, const std::string& to) { return half(from) != half(to); };
+  REQUIRE(network.runUntil(60s, [&] { return network.allSeeLive(12); }));
+  network.run(1h);
+  CHECK(network.allSeeLive(12));
+  network.cut = [](auto&, auto&) { return false; };
+  network.bytes = 0;
+  const auto time = network.runUntil(3min, [&] { return network.allSeeLive(24); });
+  REQUIRE(time.has_value());
+  const double bytes_per_node = static_cast<double>(network.bytes) / 24 / toSeconds(*time);
+  CHECK(bytes_per_node < 18'000);
+}
+
+TEST_CASE("a falsely suspected node refutes and stays alive", "[membership]") {
+  VirtualNetwork network;
+  startAll(network, 10);
+  REQUIRE(network.runUntil(30s, [&] { return network.allSeeLive(10); }));
+  std::uint64_t incarnation = 0;
+  for (const MemberRecord& member : network.node(nameOf(1)).liveMembers()) {
+    if (member.name == nameOf(3)) incarnation = member.incarnation;
+  }
+  Ping rumour;
+  rumour.sender = nameOf(2);
+  rumour.target = nameOf(1);
+  rumour.members.push_back({nameOf(3), nameOf(3), zoneOf(3), "region", incarnation, MemberState::Suspect, 0});
+  network.node(nameOf(1)).onPing(rumour, nameOf(2), network.now());
+  const auto refuted = [&](const MemberRecord& member) {
+    return member.name == nameOf(3) && member.incarnation > incarnation && member.state == MemberState::Alive;
+  };
+  CHECK(network.runUntil(20s, [&] { return network.allSee(refuted, 1); }).has_value());
+  network.run(10s);
+  CHECK(network.allSeeLive(10));
+}
+
+TEST_CASE("leaving marks, engine facts and bundle versions reach all", "[membership]") {
+  VirtualNetwork network;
+  startAll(network, 30);
+  REQUIRE(network.runUntil(30s, [&] { return network.allSeeLive(30); }));
+  network.node(nameOf(4)).leave(network.now());
+  const auto leaving = [](const MemberRecord& member) { return member.state == MemberState::Leaving; };
+  const auto time = network.runUntil(20s, [&] { return network.allSee(leaving, 1); });
+  REQUIRE(time.has_value());
+  CHECK(*time < 6s);
+
+  network.node(nameOf(5)).announceEngine({"engine-1", 77, true, false}, network.now());
+  network.node(nameOf(6)).setBundleVersion(12);
+  std::map<std::string, bool> knows;
+  const auto all_know = [&] {
+    for (int index = 0; index < 30; ++index) {
+      if (index == 5) continue;
+      for (const EngineRecord& record : network.node(nameOf(index)).takeEngineChanges()) {
+        knows[nameOf(index)] = record.name == "engine-1" && record.incarnation == 77 && record.leaving;
+      }
+    }
+    return knows.size() == 29;
+  };
+  CHECK(network.runUntil(20s, all_know).has_value());
+  const auto holder_known = [&] {
+    std::size_t known = 0;
+    for (int index = 0; index < 30; ++index) {
+      const MemberRecord holder = network.node(nameOf(index)).newestBundleHolder();
+      known += holder.name == nameOf(6) && holder.bundle_version == 12 ? 1 : 0;
+    }
+    return known == 30;
+  };
+  CHECK(network.runUntil(60s, holder_known).has_value());
+}
+
+TEST_CASE("messages stay bounded while sixty nodes join and quiet traffic is small", "[membership]") {
+  VirtualNetwork network;
+  startAll(network, 60);
+  REQUIRE(network.runUntil(60s, [&] { return network.allSeeLive(60); }));
+  CHECK(network.largest_records <= kRecordsPerStateMessage + 1);
+  network.run(60s);
+  network.bytes = 0;
+  network.run(60s);
+  CHECK(static_cast<double>(network.bytes) / 60 / 60 < 2'000);
+}
+
+TEST_CASE("hostile records are dropped", "[membership]") {
+  const TimePoint now(1h);
+  const auto node = makeMembership({"a", "a", "z", "r", 1}, {}, 1, now);
+  Ping ping;
+  ping.sender = "b";
+  ping.target = "a";
+  ping.members.push_back({std::string(1000, 'x'), "x", "z", "r", 1});
+  ping.members.push_back({"", "x", "z", "r", 1});
+  for (int index = 0; index < 1000; ++index) ping.members.push_back({nameOf(index), "x", "z", "r", 1});
+  node->onPing(ping, "b", now);
+  CHECK(node->liveMembers().size() <= 128);
+}
