Merge what is known of back ends in one engine table

Cause: the machine list lags, engines restart empty, freeze or slow down, and leaving is said by several sources; traffic shards need one view with stable slots.

Change: EngineTable merges list, answers, loads, gossip and outcomes of traffic. Leaving counts from the first source; a new incarnation forgets models and load and is published at once; a peer's word of a death makes the table ask; failing or slow engines are ejected for doubling times; polls are bounded in rate whatever the number of engines; other regions' engines appear only for pools the own region cannot serve.

--- /dev/null
+++ b/src/router/engine_table.cc
@@ -0,0 +1,355 @@
+#include "router/engine_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace crankspur {
+
+namespace {
+
+/// Machine lists in a row that must leave a name out before it counts as gone.
+constexpr std::uint32_t kListsUntilGone = 2;
+/// Time before a slot is given to another engine.
+constexpr Duration kSlotRest = std::chrono::minutes(10);
+/// An engine is slow when its lateness exceeds both this and kSlowFactor times its pool's median.
+constexpr double kSlowSeconds = 1.0;
+constexpr double kSlowFactor = 4.0;
+/// At most this share of a pool is ejected for slowness.
+constexpr double kMaximumEjectedShare = 0.34;
+/// Back ends outside the own region are asked this many times less often.
+constexpr int kOtherRegionFactor = 5;
+/// Longest time between two looks at the table.
+constexpr Duration kLongestWait = std::chrono::seconds(1);
+
+}  // namespace
+
+EngineTable::EngineTable(EngineTableOptions options, std::uint64_t random_seed)
+    : options_(std::move(options)), random_(random_seed) {}
+
+void EngineTable::onMachineList(const MachineList& list, TimePoint now) {
+  std::set<std::string> listed;
+  for (const Machine& machine : list.machines) {
+    const bool backend = machine.role == MachineRole::Engine || machine.role == MachineRole::Runner;
+    if (!backend) continue;
+    listed.insert(machine.name);
+    listMachine(machine, now);
+  }
+  dropUnlisted(listed, now);
+}
+
+void EngineTable::listMachine(const Machine& machine, TimePoint now) {
+  Entry* known = find(machine.name);
+  if (known == nullptr) {
+    Entry entry;
+    entry.runner = machine.role == MachineRole::Runner;
+    entry.view.name = machine.name;
+    entry.view.slot = takeSlot(now);
+    known = &entries_.emplace(machine.name, std::move(entry)).first->second;
+    urgent_ = true;
+  }
+  Entry& entry = *known;
+  entry.lists_without = 0;
+  const bool leaving = machine.state == MachineState::Leaving;
+  const bool moved = entry.view.address != machine.address;
+  const bool changed = moved || entry.listed_leaving != leaving || entry.view.pool != machine.pool;
+  if (moved) {
+    entry.health.reset();
+    entry.next_info_at = now;
+  }
+  entry.view.address = machine.address;
+  entry.view.zone = machine.zone;
+  entry.view.region = machine.region;
+  entry.view.pool = machine.pool;
+  entry.listed_leaving = leaving;
+  if (changed) {
+    urgent_ = true;
+    if (leaving) announce(entry, false);
+  }
+}
+
+void EngineTable::dropUnlisted(const std::set<std::string>& listed, TimePoint now) {
+  for (auto place = entries_.begin(); place != entries_.end();) {
+    Entry& entry = place->second;
+    if (listed.contains(place->first)) {
+      ++place;
+      continue;
+    }
+    if (++entry.lists_without == kListsUntilGone) urgent_ = true;
+    const bool gone = entry.lists_without >= kListsUntilGone;
+    const HealthState health = entry.health.state(now);
+    if (gone && (health == HealthState::Dead || health == HealthState::Untried)) {
+      freed_slots_.push_back({entry.view.slot, now + kSlotRest});
+      place = entries_.erase(place);
+      urgent_ = true;
+      continue;
+    }
+    ++place;
+  }
+}
+
+void EngineTable::onReport(const std::string& name, const BackendReport& report, TimePoint now) {
+  Entry* entry = find(name);
+  if (entry == nullptr) return;
+  entry->info_running = false;
+  const bool dead_before = entry->health.state(now) == HealthState::Dead;
+  entry->health.onPollAnswered(now);
+  takeIncarnation(*entry, report.incarnation, now);
+  const bool newly_leaving = report.leaving && !entry->told_leaving;
+  urgent_ = urgent_ || dead_before || newly_leaving || entry->view.role != report.role;
+  const auto same = [](const LoadedModel& left, const LoadedModel& right) {
+    return left.model == right.model && left.weights_version == right.weights_version &&
+           left.adapters == right.adapters;
+  };
+  const bool same_models = std::equal(entry->view.models.begin(), entry->view.models.end(),
+                                      report.models.begin(), report.models.end(), same);
+  urgent_ = urgent_ || !same_models;
+  entry->view.role = report.role;
+  entry->view.models = report.models;
+  entry->told_leaving = entry->told_leaving || report.leaving;
+  if (newly_leaving) announce(*entry, false);
+}
+
+void EngineTable::takeIncarnation(Entry& entry, std::uint64_t incarnation, TimePoint now) {
+  if (entry.view.incarnation == incarnation) return;
+  const bool restarted = entry.view.incarnation != 0;
+  entry.view.incarnation = incarnation;
+  entry.view.models.clear();
+  entry.view.load = LoadReport();
+  entry.view.load.measured_at = now;
+  entry.told_leaving = false;
+  entry.next_load_at = now;
+  urgent_ = true;
+  if (!restarted) return;
+  entry.health.reset();
+  entry.health.onPollAnswered(now);
+  announce(entry, false);
+}
+
+void EngineTable::onLoad(const std::string& name, std::uint64_t incarnation, const LoadReport& load,
+                         TimePoint now) {
+  Entry* entry = find(name);
+  if (entry == nullptr) return;
+  entry->load_running = false;
+  if (incarnation != entry->view.incarnation) {
+    entry->next_info_at = now;
+    return;
+  }
+  if (load.measured_at < entry->view.load.measured_at) return;
+  const LoadReport previous = entry->view.load;
+  entry->view.load = load;
+  // A peer's digest carries only the queue; the rest stays as last reported.
+  if (load.batch_limit == 0) {
+    entry->view.load.batch_limit = previous.batch_limit;
+    entry->view.load.cache_blocks_total = previous.cache_blocks_total;
+    entry->view.load.cache_blocks_used = previous.cache_blocks_used;
+    entry->view.load.prefill_tokens_per_second = previous.prefill_tokens_per_second;
+  }
+  loads_changed_ = true;
+}
+
+void EngineTable::onPollFailed(const std::string& name, PollFailure failure, TimePoint now) {
+  Entry* entry = find(name);
+  if (entry == nullptr) return;
+  entry->info_running = false;
+  entry->load_running = false;
+  const bool dead_before = entry->health.state(now) == HealthState::Dead;
+  entry->health.onPollFailed(failure, now);
+  const bool dead_now = entry->health.state(now) == HealthState::Dead;
+  if (dead_now && !dead_before && entry->view.incarnation != 0) announce(*entry, true);
+}
+
+void EngineTable::onGossip(const EngineRecord& record, TimePoint now) {
+  Entry* entry = find(record.name);
+  if (entry == nullptr) return;
+  if (record.incarnation != entry->view.incarnation) {
+    // Whether it is newer cannot be told from a number that the engine chose: ask the engine.
+    entry->next_info_at = now;
+    return;
+  }
+  if (record.leaving && !entry->told_leaving) {
+    entry->told_leaving = true;
+    urgent_ = true;
+  }
+  if (record.dead && entry->health.state(now) == HealthState::Healthy) {
+    // The sender may be cut off itself: the own poll decides, and comes at once.
+    entry->next_info_at = now;
+  }
+}
+
+void EngineTable::onOutcome(const EngineOutcome& outcome, TimePoint now) {
+  Entry* entry = findSlot(outcome.slot);
+  if (entry == nullptr || entry->view.incarnation != outcome.incarnation) return;
+  entry->health.onOutcome(outcome.kind, outcome.lateness, now);
+  if (outcome.kind == OutcomeKind::Answered) {
+    ejectIfSlow(*entry, now);
+  } else {
+    entry->next_info_at = now;
+  }
+}
+
+void EngineTable::ejectIfSlow(Entry& entry, TimePoint now) {
+  if (!entry.health.latenessKnown() || entry.health.lateness() < kSlowSeconds) return;
+  std::vector<double> others;
+  std::size_t pool_size = 0;
+  std::size_t ejected = 0;
+  for (const auto& [name, other] : entries_) {
+    if (other.runner || other.view.pool != entry.view.pool) continue;
+    ++pool_size;
+    if (other.health.state(now) == HealthState::Ejected) ++ejected;
+    if (&other != &entry && other.health.latenessKnown()) others.push_back(other.health.lateness());
+  }
+  const bool too_many =
+      static_cast<double>(ejected + 1) > kMaximumEjectedShare * static_cast<double>(pool_size);
+  if (others.empty() || too_many) return;
+  const auto middle = others.begin() + static_cast<std::ptrdiff_t>(others.size() / 2);
+  std::nth_element(others.begin(), middle, others.end());
+  if (entry.health.lateness() > kSlowFactor * *middle) entry.health.eject(now);
+}
+
+Duration EngineTable::interval(Duration wanted, double polls_per_second, std::size_t polled) {
+  const double bounded = static_cast<double>(polled) / polls_per_second;
+  const double seconds = std::max(toSeconds(wanted), bounded) * (0.8 + 0.4 * random_.unit());
+  return Duration(static_cast<Duration::rep>(seconds * 1e6));
+}
+
+std::vector<BackendPoll> EngineTable::duePolls(TimePoint now) {
+  std::vector<BackendPoll> polls;
+  const std::size_t load_polled = entries_.size() - std::min(entries_.size(), polled_elsewhere_.size());
+  for (auto& [name, entry] : entries_) {
+    const int factor = inOwnRegion(entry) ? 1 : kOtherRegionFactor;
+    if (!entry.info_running && now >= entry.next_info_at) {
+      entry.info_running = true;
+      entry.next_info_at =
+          now + interval(options_.info_interval, options_.info_polls_per_second, entries_.size()) * factor;
+      const auto kind = entry.runner ? BackendPoll::Kind::RunnerInfo : BackendPoll::Kind::EngineInfo;
+      polls.push_back({kind, name, entry.view.address});
+    }
+    const bool load_wanted = !entry.runner && entry.view.incarnation != 0 &&
+                             !polled_elsewhere_.contains(name) &&
+                             entry.health.state(now) != HealthState::Dead;
+    if (load_wanted && !entry.load_running && now >= entry.next_load_at) {
+      entry.load_running = true;
+      entry.next_load_at =
+          now + interval(options_.load_interval, options_.load_polls_per_second, load_polled) * factor;
+      polls.push_back({BackendPoll::Kind::EngineLoad, name, entry.view.address});
+    }
+  }
+  return polls;
+}
+
+TimePoint EngineTable::nextTimer(TimePoint now) const {
+  TimePoint next = now + kLongestWait;
+  for (const auto& [name, entry] : entries_) {
+    if (!entry.info_running) next = std::min(next, entry.next_info_at);
+    const bool load_wanted = !entry.runner && entry.view.incarnation != 0 && !entry.load_running &&
+                             !polled_elsewhere_.contains(name);
+    if (load_wanted && entry.health.state(now) != HealthState::Dead)
+      next = std::min(next, entry.next_load_at);
+    const TimePoint ejection_end = entry.health.ejectedUntil();
+    if (ejection_end > now) next = std::min(next, ejection_end);
+  }
+  return next;
+}
+
+EngineState EngineTable::stateOf(const Entry& entry, TimePoint now) const {
+  const HealthState health = entry.health.state(now);
+  if (health == HealthState::Dead || health == HealthState::Untried) return EngineState::Dead;
+  const bool unlisted = entry.lists_without >= kListsUntilGone;
+  if (entry.listed_leaving || entry.told_leaving || unlisted) return EngineState::Leaving;
+  return health == HealthState::Ejected ? EngineState::Ejected : EngineState::Live;
+}
+
+EngineView EngineTable::viewOf(const Entry& entry, TimePoint now) const {
+  EngineView view = entry.view;
+  view.state = stateOf(entry, now);
+  return view;
+}
+
+std::set<std::string> EngineTable::servedPools(TimePoint now) const {
+  std::set<std::string> pools;
+  for (const auto& [name, entry] : entries_) {
+    const EngineState state = stateOf(entry, now);
+    const bool usable = state == EngineState::Live || state == EngineState::Ejected;
+    if (usable && inOwnRegion(entry)) pools.insert(entry.view.pool);
+  }
+  return pools;
+}
+
+std::vector<EngineView> EngineTable::engines(TimePoint now) const {
+  const std::set<std::string> served = servedPools(now);
+  std::vector<EngineView> views;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.runner) continue;
+    if (inOwnRegion(entry) || !served.contains(entry.view.pool)) views.push_back(viewOf(entry, now));
+  }
+  std::sort(views.begin(), views.end(),
+            [](const EngineView& left, const EngineView& right) { return left.slot < right.slot; });
+  return views;
+}
+
+std::vector<EngineView> EngineTable::runners(TimePoint now) const {
+  std::vector<EngineView> views;
+  for (const auto& [name, entry] : entries_) {
+    if (entry.runner) views.push_back(viewOf(entry, now));
+  }
+  return views;
+}
+
+std::string EngineTable::nameOf(EngineSlot slot) const {
+  for (const auto& [name, entry] : entries_) {
+    if (entry.view.slot == slot) return name;
+  }
+  return {};
+}
+
+bool EngineTable::takeUrgent(TimePoint now) {
+  for (auto& [name, entry] : entries_) {
+    const EngineState state = stateOf(entry, now);
+    if (state == entry.last_state) continue;
+    changes_.push_back({name, entry.last_state, state, entry.view.incarnation});
+    entry.last_state = state;
+    urgent_ = true;
+  }
+  return std::exchange(urgent_, false);
+}
+
+bool EngineTable::takeLoadsChanged() {
+  return std::exchange(loads_changed_, false);
+}
+
+std::vector<EngineRecord> EngineTable::takeAnnouncements() {
+  return std::exchange(announcements_, {});
+}
+
+std::vector<BackendChange> EngineTable::takeChanges(TimePoint) {
+  return std::exchange(changes_, {});
+}
+
+void EngineTable::announce(const Entry& entry, bool dead) {
+  if (entry.view.incarnation == 0) return;
+  const bool leaving = entry.listed_leaving || entry.told_leaving;
+  announcements_.push_back({entry.view.name, entry.view.incarnation, leaving, dead});
+}
+
+EngineTable::Entry* EngineTable::find(const std::string& name) {
+  const auto place = entries_.find(name);
+  return place == entries_.end() ? nullptr : &place->second;
+}
+
+EngineTable::Entry* EngineTable::findSlot(EngineSlot slot) {
+  for (auto& [name, entry] : entries_) {
+    if (entry.view.slot == slot) return &entry;
+  }
+  return nullptr;
+}
+
+EngineSlot EngineTable::takeSlot(TimePoint now) {
+  if (!freed_slots_.empty() && freed_slots_.front().usable_at <= now) {
+    const EngineSlot slot = freed_slots_.front().slot;
+    freed_slots_.pop_front();
+    return slot;
+  }
+  return next_slot_++;
+}
+
+}  // namespace crankspur
--- /dev/null
+++ b/tests/unit/router/engine_table_test.cc
@@ -0,0 +1,200 @@
+#include "router/engine_table.h"
+
+#include <catch2/catch.hpp>
+
+using namespace crankspur;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart(1h);
+
+Machine engineMachine(const std::string& name, MachineState state = MachineState::Live,
+                      const std::string& region = "east") {
+  return {name, MachineRole::Engine, "pool", name + ":1", "zone", region, state};
+}
+
+BackendReport report(std::uint64_t incarnation, bool leaving = false) {
+  BackendReport report;
+  report.incarnation = incarnation;
+  report.leaving = leaving;
+  report.models = {{"m", "w1", {}}};
+  return report;
+}
+
+/// Three engines that have answered with incarnation 5.
+class Fleet {
+public:
+  Fleet() : table({"east"}, 1) {
+    list({engineMachine("a"), engineMachine("b"), engineMachine("c")});
+    for (const char* name : {"a", "b", "c"}) table.onReport(name, report(5), kStart);
+    table.takeUrgent(kStart);
+    table.takeAnnouncements();
+  }
+  void list(std::vector<Machine> machines) { table.onMachineList({1, std::move(machines)}, kStart); }
+  EngineView view(const std::string& name, TimePoint now = kStart) {
+    for (const EngineView& engine : table.engines(now)) {
+      if (engine.name == name) return engine;
+    }
+    return {};
+  }
+  EngineTable table;
+};
+
+}  // namespace
+
+TEST_CASE("an engine is used only after it has answered, and slots stay dense and ordered",
+          "[engine_table]") {
+  EngineTable table({"east"}, 1);
+  table.onMachineList({1, {engineMachine("a"), engineMachine("b")}}, kStart);
+  CHECK(table.engines(kStart)[0].state == EngineState::Dead);
+  CHECK(table.duePolls(kStart).size() == 2);
+  CHECK(table.duePolls(kStart).empty());
+  table.onReport("a", report(5), kStart);
+  const auto engines = table.engines(kStart);
+  CHECK(engines[0].state == EngineState::Live);
+  CHECK(engines[0].slot == 0);
+  CHECK(engines[1].slot == 1);
+}
+
+TEST_CASE("leaving counts from whichever source says so first", "[engine_table]") {
+  Fleet fleet;
+  SECTION("machine list") {
+    fleet.list({engineMachine("a", MachineState::Leaving), engineMachine("b"), engineMachine("c")});
+  }
+  SECTION("the engine") {
+    fleet.table.onReport("a", report(5, true), kStart);
+  }
+  SECTION("gossip") {
+    fleet.table.onGossip({"a", 5, true, false}, kStart);
+  }
+  CHECK(fleet.table.takeUrgent(kStart));
+  CHECK(fleet.view("a").state == EngineState::Leaving);
+  CHECK(fleet.view("b").state == EngineState::Live);
+}
+
+TEST_CASE("a machine that two lists in a row leave out gets nothing new", "[engine_table]") {
+  Fleet fleet;
+  fleet.list({engineMachine("b"), engineMachine("c")});
+  CHECK(fleet.view("a").state == EngineState::Live);
+  fleet.list({engineMachine("b"), engineMachine("c")});
+  CHECK(fleet.view("a").state == EngineState::Leaving);
+  fleet.table.onPollFailed("a", PollFailure::Refused, kStart);
+  fleet.list({engineMachine("b"), engineMachine("c")});
+  CHECK(fleet.table.engines(kStart).size() == 2);
+}
+
+TEST_CASE("a new incarnation is published at once, without the old models, and spread", "[engine_table]") {
+  Fleet fleet;
+  fleet.table.onGossip({"a", 5, true, false}, kStart);
+  fleet.table.takeUrgent(kStart);
+  LoadReport load;
+  load.measured_at = kStart;
+  load.queued_tokens = 900;
+  fleet.table.onLoad("a", 6, load, kStart);
+  CHECK(fleet.view("a").load.queued_tokens == 0);
+  BackendReport restarted = report(6);
+  restarted.models.clear();
+  fleet.table.onReport("a", restarted, kStart);
+  CHECK(fleet.table.takeUrgent(kStart));
+  CHECK(fleet.view("a").incarnation == 6);
+  CHECK(fleet.view("a").models.empty());
+  CHECK(fleet.view("a").state == EngineState::Live);
+  const auto announcements = fleet.table.takeAnnouncements();
+  REQUIRE(announcements.size() == 1);
+  CHECK(announcements[0].incarnation == 6);
+}
+
+TEST_CASE("a peer's word that an engine is dead makes the table ask, not believe", "[engine_table]") {
+  Fleet fleet;
+  fleet.table.duePolls(kStart);
+  for (const char* name : {"a", "b", "c"}) fleet.table.onReport(name, report(5), kStart);
+  fleet.table.onGossip({"b", 5, false, true}, kStart);
+  CHECK(fleet.view("b").state == EngineState::Live);
+  const auto polls = fleet.table.duePolls(kStart);
+  REQUIRE(polls.size() == 1);
+  CHECK(polls[0].name == "b");
+  fleet.table.onPollFailed("b", PollFailure::Refused, kStart);
+  CHECK(fleet.view("b").state == EngineState::Dead);
+}
+
+TEST_CASE("a frozen engine is ejected at its first missed answer and dead after three", "[engine_table]") {
+  Fleet fleet;
+  fleet.table.onPollFailed("a", PollFailure::TimedOut, kStart);
+  CHECK(fleet.view("a").state == EngineState::Ejected);
+  fleet.table.onPollFailed("a", PollFailure::TimedOut, kStart);
+  fleet.table.onPollFailed("a", PollFailure::TimedOut, kStart);
+  CHECK(fleet.view("a").state == EngineState::Dead);
+  fleet.table.onReport("a", report(5), kStart + 10s);
+  CHECK(fleet.view("a", kStart + 10s).state == EngineState::Live);
+}
+
+TEST_CASE("an engine that breaks dispatches is ejected, for longer when it fails on probation",
+          "[engine_table]") {
+  Fleet fleet;
+  const EngineSlot slot = fleet.view("a").slot;
+  const EngineOutcome lost{slot, 5, OutcomeKind::Lost, Duration(0)};
+  fleet.table.onOutcome(lost, kStart);
+  CHECK(fleet.view("a").state == EngineState::Live);
+  fleet.table.onOutcome(lost, kStart);
+  fleet.table.onOutcome(lost, kStart);
+  CHECK(fleet.view("a").state == EngineState::Ejected);
+  const TimePoint back = kStart + 3s;
+  CHECK(fleet.view("a", back).state == EngineState::Live);
+  fleet.table.onOutcome(lost, back);
+  CHECK(fleet.view("a", back + 3s).state == EngineState::Ejected);
+  const EngineOutcome earlier{slot, 4, OutcomeKind::Lost, Duration(0)};
+  for (int count = 0; count < 5; ++count) fleet.table.onOutcome(earlier, back + 5s);
+  CHECK(fleet.view("a", back + 5s).state == EngineState::Live);
+}
+
+TEST_CASE("one slow engine of a pool is ejected; a pool slow as a whole is not", "[engine_table]") {
+  Fleet fleet;
+  const auto answer = [&](const std::string& name, Duration lateness) {
+    for (int count = 0; count < 10; ++count) {
+      fleet.table.onOutcome({fleet.view(name).slot, 5, OutcomeKind::Answered, lateness}, kStart);
+    }
+  };
+  answer("b", 3s);
+  answer("c", 3s);
+  answer("a", 3s);
+  CHECK(fleet.view("a").state == EngineState::Live);
+  fleet.list({engineMachine("a"), engineMachine("b"), engineMachine("c"), engineMachine("d")});
+  fleet.table.onReport("d", report(5), kStart);
+  answer("d", 20s);
+  CHECK(fleet.view("d").state == EngineState::Ejected);
+}
+
+TEST_CASE("engines of other regions are offered only for pools that the own region cannot serve",
+          "[engine_table]") {
+  Fleet fleet;
+  fleet.list({engineMachine("a"), engineMachine("b"), engineMachine("c"),
+              engineMachine("far", MachineState::Live, "west")});
+  fleet.table.onReport("far", report(9), kStart);
+  CHECK(fleet.table.engines(kStart).size() == 3);
+  for (const char* name : {"a", "b", "c"}) fleet.table.onPollFailed(name, PollFailure::Refused, kStart);
+  CHECK(fleet.view("far").state == EngineState::Live);
+}
+
+TEST_CASE("polling two thousand engines stays within its rate", "[engine_table]") {
+  EngineTable table({"east"}, 1);
+  std::vector<Machine> machines;
+  for (int index = 0; index < 2000; ++index) machines.push_back(engineMachine("e" + std::to_string(index)));
+  table.onMachineList({1, machines}, kStart);
+  for (const Machine& machine : machines) table.onReport(machine.name, report(5), kStart);
+  std::size_t polls = 0;
+  for (TimePoint now = kStart; now < kStart + 400s; now += 100ms) {
+    for (const BackendPoll& poll : table.duePolls(now)) {
+      if (now < kStart + 200s) continue;
+      ++polls;
+      if (poll.kind == BackendPoll::Kind::EngineInfo) table.onReport(poll.name, report(5), now);
+    }
+    for (const Machine& machine : machines) {
+      LoadReport load;
+      load.measured_at = now;
+      if (now < kStart + 200s) table.onReport(machine.name, report(5), now);
+      table.onLoad(machine.name, 5, load, now);
+    }
+  }
+  CHECK(polls < 200 * (25 + 8) * 1.2);
+}
