--- a/src/membership/swim_membership.cc
+++ b/src/membership/swim_membership.cc
@@ -10,7 +10,7 @@
 
 constexpr std::size_t kMaximumMembers = 4096;
 constexpr std::size_t kMaximumEngines = 8192;
-constexpr std::size_t kMaximumNameBytes = 128;
+constexpr std::size_t kMaximumMemberNameBytes = 128;
 /// Records of one incoming message that are looked at.
 constexpr std::size_t kAcceptedRecords = kRecordsPerStateMessage + 32;
 /// Whole-state answers that a node gives within kJoinAnswerPeriod.
@@ -22,7 +22,7 @@
 constexpr int kProbeTimeoutsUntilFailure = 3;
 
 bool acceptable(const std::string& name) {
-  return !name.empty() && name.size() <= kMaximumNameBytes;
+  return !name.empty() && name.size() <= kMaximumMemberNameBytes;
 }
 
 }  // namespace
