Encode messages with nanopb and carry them over frame connections

Each message maps its fields once; three archives walk the mapping to encode and decode, with bounds on records, hashes and times, and unknown enumeration values refused.

--- a/src/base/error.h
+++ b/src/base/error.h
@@ -37,6 +37,9 @@
   Internal,             ///< A broken assumption inside the project.
 };
 
+/// The last code; a number beyond it is none.
+inline constexpr ErrorCode kLastErrorCode = ErrorCode::Internal;
+
 /// @return the stable snake_case name of a code, for example "engine_lost".
 const char* errorName(ErrorCode code);
 
--- a/src/internal_protocol/connection.h
+++ b/src/internal_protocol/connection.h
@@ -14,13 +14,15 @@
 namespace crankspur {
 
 /// One frame connection. All calls and callbacks happen on the executor's thread. Both sides send Hello
-/// first; no other message is delivered before the peer's Hello was accepted.
+/// first; no other message is delivered before the peer's Hello was accepted. A connection lives until it
+/// ends; dropping the pointer does not close it. on_closed never runs inside send() or close().
 class FrameConnection : public std::enable_shared_from_this<FrameConnection> {
 public:
   struct Callbacks {
     std::function<void(const Hello&)> on_hello;  ///< The peer's Hello; versions already agreed.
     std::function<void(Message)> on_message;
-    std::function<void(std::error_code)> on_closed;  ///< Called once, however the connection ends.
+    /// Called once, however the connection ends; the error is empty after the own close().
+    std::function<void(std::error_code)> on_closed;
   };
   virtual ~FrameConnection() = default;
   /// Queues a message. Drops the connection (TooLarge) when more than the write limit is waiting.
--- /dev/null
+++ b/src/internal_protocol/field_mapping.h
@@ -0,0 +1,222 @@
+#pragma once
+/// @file Internal to this package: which field of each plain message is which field of proto/crankspur.proto.
+
+#include <crankspur.pb.h>
+
+#include "internal_protocol/field_archive.h"
+#include "internal_protocol/messages.h"
+
+namespace crankspur::wire {
+
+#define CRANKSPUR_WIRE_FORM(name)                                                      \
+  template <>                                                                          \
+  struct WireForm<name> {                                                              \
+    using Type = crankspur_wire_##name;                                                \
+    static const pb_msgdesc_t* descriptor() { return crankspur_wire_##name##_fields; } \
+  };
+
+CRANKSPUR_WIRE_FORM(Hello)
+CRANKSPUR_WIRE_FORM(SubmitRequest)
+CRANKSPUR_WIRE_FORM(Accepted)
+CRANKSPUR_WIRE_FORM(StreamPiece)
+CRANKSPUR_WIRE_FORM(StreamEnd)
+CRANKSPUR_WIRE_FORM(Refusal)
+CRANKSPUR_WIRE_FORM(Cancel)
+CRANKSPUR_WIRE_FORM(MemberRecord)
+CRANKSPUR_WIRE_FORM(EngineRecord)
+CRANKSPUR_WIRE_FORM(Ping)
+CRANKSPUR_WIRE_FORM(PingAck)
+CRANKSPUR_WIRE_FORM(BundleRequest)
+CRANKSPUR_WIRE_FORM(BundleBody)
+CRANKSPUR_WIRE_FORM(CacheSummary)
+CRANKSPUR_WIRE_FORM(EngineLoad)
+CRANKSPUR_WIRE_FORM(LoadDigest)
+CRANKSPUR_WIRE_FORM(ClaimPrepare)
+CRANKSPUR_WIRE_FORM(ClaimReply)
+CRANKSPUR_WIRE_FORM(ProtocolError)
+#undef CRANKSPUR_WIRE_FORM
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_Hello& wire, Plain& plain) {
+  archive.number(wire.lowest_version, plain.lowest_version);
+  archive.number(wire.highest_version, plain.highest_version);
+  archive.text(wire.node_name, plain.node_name);
+  archive.number(wire.incarnation, plain.incarnation);
+  archive.enumeration(wire.role, plain.role, NodeRole::Sidecar);
+  archive.text(wire.zone, plain.zone);
+  archive.text(wire.region, plain.region);
+  archive.number(wire.bundle_version, plain.bundle_version);
+  archive.text(wire.address, plain.address);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_SubmitRequest& wire, Plain& plain) {
+  archive.text(wire.request_id, plain.request_id);
+  archive.number(wire.attempt, plain.attempt);
+  archive.enumeration(wire.kind, plain.kind, RequestKind::Application);
+  archive.text(wire.tenant, plain.tenant);
+  archive.text(wire.model, plain.model);
+  archive.text(wire.adapter, plain.adapter);
+  archive.text(wire.operation, plain.operation);
+  archive.text(wire.idempotency_key, plain.idempotency_key);
+  archive.number(wire.repeatable, plain.repeatable);
+  archive.number(wire.priority, plain.priority);
+  archive.duration(wire.deadline, plain.deadline);
+  archive.number(wire.bundle_version, plain.bundle_version);
+  archive.text(wire.prompt, plain.prompt);
+  archive.number(wire.max_tokens, plain.max_tokens);
+  archive.number(wire.resume_offset, plain.resume_offset);
+  archive.text(wire.resume_text, plain.resume_text);
+  archive.text(wire.resume_engine, plain.resume_engine);
+  archive.number(wire.resume_incarnation, plain.resume_incarnation);
+  archive.text(wire.resume_weights, plain.resume_weights);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_Accepted& wire, Plain& plain) {
+  archive.text(wire.request_id, plain.request_id);
+  archive.number(wire.attempt, plain.attempt);
+  archive.text(wire.engine, plain.engine);
+  archive.number(wire.engine_incarnation, plain.engine_incarnation);
+  archive.text(wire.weights_version, plain.weights_version);
+  archive.number(wire.prompt_tokens, plain.prompt_tokens);
+  archive.number(wire.cached_tokens, plain.cached_tokens);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_StreamPiece& wire, Plain& plain) {
+  archive.text(wire.request_id, plain.request_id);
+  archive.number(wire.attempt, plain.attempt);
+  archive.number(wire.offset, plain.offset);
+  archive.number(wire.token_count, plain.token_count);
+  archive.text(wire.text, plain.text);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_StreamEnd& wire, Plain& plain) {
+  archive.text(wire.request_id, plain.request_id);
+  archive.number(wire.attempt, plain.attempt);
+  archive.number(wire.token_count, plain.token_count);
+  archive.number(wire.checksum, plain.checksum);
+  archive.text(wire.finish_reason, plain.finish_reason);
+  archive.text(wire.engine, plain.engine);
+  archive.number(wire.prompt_tokens, plain.prompt_tokens);
+  archive.number(wire.cached_tokens, plain.cached_tokens);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_Refusal& wire, Plain& plain) {
+  archive.text(wire.request_id, plain.request_id);
+  archive.number(wire.attempt, plain.attempt);
+  archive.enumeration(wire.code, plain.code, kLastErrorCode);
+  archive.enumeration(wire.run_state, plain.run_state, RunState::Ran);
+  archive.duration(wire.retry_after, plain.retry_after);
+  archive.text(wire.message, plain.message);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_Cancel& wire, Plain& plain) {
+  archive.text(wire.request_id, plain.request_id);
+  archive.number(wire.attempt, plain.attempt);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_MemberRecord& wire, Plain& plain) {
+  archive.text(wire.name, plain.name);
+  archive.text(wire.address, plain.address);
+  archive.text(wire.zone, plain.zone);
+  archive.text(wire.region, plain.region);
+  archive.number(wire.incarnation, plain.incarnation);
+  archive.enumeration(wire.state, plain.state, MemberState::Dead);
+  archive.number(wire.bundle_version, plain.bundle_version);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_EngineRecord& wire, Plain& plain) {
+  archive.text(wire.name, plain.name);
+  archive.number(wire.incarnation, plain.incarnation);
+  archive.number(wire.leaving, plain.leaving);
+  archive.number(wire.dead, plain.dead);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_Ping& wire, Plain& plain) {
+  archive.number(wire.sequence, plain.sequence);
+  archive.text(wire.sender, plain.sender);
+  archive.text(wire.target, plain.target);
+  archive.number(wire.bundle_version, plain.bundle_version);
+  archive.records(wire.members, plain.members);
+  archive.records(wire.engines, plain.engines);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_PingAck& wire, Plain& plain) {
+  archive.number(wire.sequence, plain.sequence);
+  archive.text(wire.sender, plain.sender);
+  archive.number(wire.bundle_version, plain.bundle_version);
+  archive.records(wire.members, plain.members);
+  archive.records(wire.engines, plain.engines);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_BundleRequest& wire, Plain& plain) {
+  archive.number(wire.held_version, plain.held_version);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_BundleBody& wire, Plain& plain) {
+  archive.number(wire.version, plain.version);
+  archive.text(wire.document, plain.document);
+  archive.text(wire.author_signature, plain.author_signature);
+  archive.text(wire.approver_signature, plain.approver_signature);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_CacheSummary& wire, Plain& plain) {
+  archive.text(wire.engine, plain.engine);
+  archive.number(wire.engine_incarnation, plain.engine_incarnation);
+  archive.number(wire.sequence, plain.sequence);
+  archive.hashes(wire.stored, plain.stored);
+  archive.hashes(wire.removed, plain.removed);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_EngineLoad& wire, Plain& plain) {
+  archive.text(wire.engine, plain.engine);
+  archive.number(wire.engine_incarnation, plain.engine_incarnation);
+  archive.number(wire.queued_tokens, plain.queued_tokens);
+  archive.number(wire.running, plain.running);
+  archive.number(wire.age_milliseconds, plain.age_milliseconds);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_LoadDigest& wire, Plain& plain) {
+  archive.text(wire.sender, plain.sender);
+  archive.records(wire.loads, plain.loads);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_ClaimPrepare& wire, Plain& plain) {
+  archive.number(wire.epoch, plain.epoch);
+  archive.text(wire.key, plain.key);
+  archive.text(wire.token, plain.token);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_ClaimReply& wire, Plain& plain) {
+  archive.number(wire.epoch, plain.epoch);
+  archive.text(wire.key, plain.key);
+  archive.text(wire.token, plain.token);
+  archive.number(wire.granted, plain.granted);
+  archive.text(wire.holder, plain.holder);
+  archive.text(wire.voter, plain.voter);
+  archive.number(wire.voter_incarnation, plain.voter_incarnation);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_ProtocolError& wire, Plain& plain) {
+  archive.enumeration(wire.code, plain.code, kLastErrorCode);
+  archive.text(wire.message, plain.message);
+}
+
+}  // namespace crankspur::wire
--- /dev/null
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -0,0 +1,348 @@
+#include "example_messages.h"
+
+#include <fmt/format.h>
+
+namespace crankspur {
+
+namespace {
+
+std::string describeFields(const Hello& value);
+std::string describeFields(const SubmitRequest& value);
+std::string describeFields(const Accepted& value);
+std::string describeFields(const StreamPiece& value);
+std::string describeFields(const StreamEnd& value);
+std::string describeFields(const Refusal& value);
+std::string describeFields(const Cancel& value);
+std::string describeFields(const MemberRecord& value);
+std::string describeFields(const EngineRecord& value);
+std::string describeFields(const Ping& value);
+std::string describeFields(const PingAck& value);
+std::string describeFields(const BundleRequest& value);
+std::string describeFields(const BundleBody& value);
+std::string describeFields(const CacheSummary& value);
+std::string describeFields(const EngineLoad& value);
+std::string describeFields(const LoadDigest& value);
+std::string describeFields(const ClaimPrepare& value);
+std::string describeFields(const ClaimReply& value);
+std::string describeFields(const ProtocolError& value);
+
+template <typename Record>
+std::string describeAll(const std::vector<Record>& records) {
+  std::string text = fmt::format("{}[", records.size());
+  for (const Record& record : records) text += describeFields(record) + ";";
+  return text + "]";
+}
+
+std::string describeFields(const Hello& value) {
+  return fmt::format("Hello {} {} {} {} {} {} {} {} {}", value.lowest_version, value.highest_version,
+                     value.node_name, value.incarnation, static_cast<int>(value.role), value.zone,
+                     value.region, value.bundle_version, value.address);
+}
+
+std::string describeFields(const SubmitRequest& value) {
+  return fmt::format("SubmitRequest {} {} {} {} {} {} {} {} {} {} {} {} {} {} {} {} {} {} {}",
+                     value.request_id, value.attempt, static_cast<int>(value.kind), value.tenant, value.model,
+                     value.adapter, value.operation, value.idempotency_key, value.repeatable, value.priority,
+                     value.deadline.count(), value.bundle_version, value.prompt, value.max_tokens,
+                     value.resume_offset, value.resume_text, value.resume_engine, value.resume_incarnation,
+                     value.resume_weights);
+}
+
+std::string describeFields(const Accepted& value) {
+  return fmt::format("Accepted {} {} {} {} {} {} {}", value.request_id, value.attempt, value.engine,
+                     value.engine_incarnation, value.weights_version, value.prompt_tokens,
+                     value.cached_tokens);
+}
+
+std::string describeFields(const StreamPiece& value) {
+  return fmt::format("StreamPiece {} {} {} {} {}", value.request_id, value.attempt, value.offset,
+                     value.token_count, value.text);
+}
+
+std::string describeFields(const StreamEnd& value) {
+  return fmt::format("StreamEnd {} {} {} {} {} {} {} {}", value.request_id, value.attempt, value.token_count,
+                     value.checksum, value.finish_reason, value.engine, value.prompt_tokens,
+                     value.cached_tokens);
+}
+
+std::string describeFields(const Refusal& value) {
+  return fmt::format("Refusal {} {} {} {} {} {}", value.request_id, value.attempt,
+                     static_cast<int>(value.code), static_cast<int>(value.run_state),
+                     value.retry_after.count(), value.message);
+}
+
+std::string describeFields(const Cancel& value) {
+  return fmt::format("Cancel {} {}", value.request_id, value.attempt);
+}
+
+std::string describeFields(const MemberRecord& value) {
+  return fmt::format("MemberRecord {} {} {} {} {} {} {}", value.name, value.address, value.zone, value.region,
+                     value.incarnation, static_cast<int>(value.state), value.bundle_version);
+}
+
+std::string describeFields(const EngineRecord& value) {
+  return fmt::format("EngineRecord {} {} {} {}", value.name, value.incarnation, value.leaving, value.dead);
+}
+
+std::string describeFields(const Ping& value) {
+  return fmt::format("Ping {} {} {} {} {} {}", value.sequence, value.sender, value.target,
+                     value.bundle_version, describeAll(value.members), describeAll(value.engines));
+}
+
+std::string describeFields(const PingAck& value) {
+  return fmt::format("PingAck {} {} {} {} {}", value.sequence, value.sender, value.bundle_version,
+                     describeAll(value.members), describeAll(value.engines));
+}
+
+std::string describeFields(const BundleRequest& value) {
+  return fmt::format("BundleRequest {}", value.held_version);
+}
+
+std::string describeFields(const BundleBody& value) {
+  return fmt::format("BundleBody {} {} {} {}", value.version, value.document, value.author_signature,
+                     value.approver_signature);
+}
+
+std::string describeFields(const CacheSummary& value) {
+  return fmt::format("CacheSummary {} {} {} {} {}", value.engine, value.engine_incarnation, value.sequence,
+                     fmt::join(value.stored, " "), fmt::join(value.removed, " "));
+}
+
+std::string describeFields(const EngineLoad& value) {
+  return fmt::format("EngineLoad {} {} {} {} {}", value.engine, value.engine_incarnation, value.queued_tokens,
+                     value.running, value.age_milliseconds);
+}
+
+std::string describeFields(const LoadDigest& value) {
+  return fmt::format("LoadDigest {} {}", value.sender, describeAll(value.loads));
+}
+
+std::string describeFields(const ClaimPrepare& value) {
+  return fmt::format("ClaimPrepare {} {} {}", value.epoch, value.key, value.token);
+}
+
+std::string describeFields(const ClaimReply& value) {
+  return fmt::format("ClaimReply {} {} {} {} {} {} {}", value.epoch, value.key, value.token, value.granted,
+                     value.holder, value.voter, value.voter_incarnation);
+}
+
+std::string describeFields(const ProtocolError& value) {
+  return fmt::format("ProtocolError {} {}", static_cast<int>(value.code), value.message);
+}
+
+Hello exampleHello() {
+  Hello value;
+  value.lowest_version = ~0u - 2;
+  value.highest_version = ~0u - 3;
+  value.node_name = "node name";
+  value.incarnation = ~0ull - 5;
+  value.role = NodeRole::Sidecar;
+  value.zone = "zone";
+  value.region = "region";
+  value.bundle_version = ~0ull - 9;
+  value.address = "address";
+  return value;
+}
+
+SubmitRequest exampleSubmitRequest() {
+  SubmitRequest value;
+  value.request_id = "request id";
+  value.attempt = ~0u - 12;
+  value.kind = RequestKind::Application;
+  value.tenant = "tenant";
+  value.model = "model";
+  value.adapter = "adapter";
+  value.operation = "operation";
+  value.idempotency_key = "idempotency key";
+  value.repeatable = false;
+  value.priority = ~0u - 20;
+  value.deadline = std::chrono::milliseconds(21);
+  value.bundle_version = ~0ull - 22;
+  value.prompt = std::string("prompt\0\n\xff", 9);
+  value.max_tokens = ~0u - 24;
+  value.resume_offset = ~0ull - 25;
+  value.resume_text = std::string("resume_text\0\n\xff", 14);
+  value.resume_engine = "resume engine";
+  value.resume_incarnation = ~0ull - 28;
+  value.resume_weights = "resume weights";
+  return value;
+}
+
+Accepted exampleAccepted() {
+  Accepted value;
+  value.request_id = "request id";
+  value.attempt = ~0u - 31;
+  value.engine = "engine";
+  value.engine_incarnation = ~0ull - 33;
+  value.weights_version = "weights version";
+  value.prompt_tokens = ~0u - 35;
+  value.cached_tokens = ~0u - 36;
+  return value;
+}
+
+StreamPiece exampleStreamPiece() {
+  StreamPiece value;
+  value.request_id = "request id";
+  value.attempt = ~0u - 38;
+  value.offset = ~0ull - 39;
+  value.token_count = ~0u - 40;
+  value.text = std::string("text\0\n\xff", 7);
+  return value;
+}
+
+StreamEnd exampleStreamEnd() {
+  StreamEnd value;
+  value.request_id = "request id";
+  value.attempt = ~0u - 43;
+  value.token_count = ~0ull - 44;
+  value.checksum = ~0ull - 45;
+  value.finish_reason = "finish reason";
+  value.engine = "engine";
+  value.prompt_tokens = ~0u - 48;
+  value.cached_tokens = ~0u - 49;
+  return value;
+}
+
+Refusal exampleRefusal() {
+  Refusal value;
+  value.request_id = "request id";
+  value.attempt = ~0u - 51;
+  value.code = kLastErrorCode;
+  value.run_state = RunState::Ran;
+  value.retry_after = std::chrono::milliseconds(54);
+  value.message = "message";
+  return value;
+}
+
+Cancel exampleCancel() {
+  Cancel value;
+  value.request_id = "request id";
+  value.attempt = ~0u - 57;
+  return value;
+}
+
+MemberRecord exampleMemberRecord() {
+  MemberRecord value;
+  value.name = "name";
+  value.address = "address";
+  value.zone = "zone";
+  value.region = "region";
+  value.incarnation = ~0ull - 62;
+  value.state = MemberState::Dead;
+  value.bundle_version = ~0ull - 64;
+  return value;
+}
+
+EngineRecord exampleEngineRecord() {
+  EngineRecord value;
+  value.name = "name";
+  value.incarnation = ~0ull - 66;
+  value.leaving = true;
+  value.dead = true;
+  return value;
+}
+
+Ping examplePing() {
+  Ping value;
+  value.sequence = ~0ull - 69;
+  value.sender = "sender";
+  value.target = "target";
+  value.bundle_version = ~0ull - 72;
+  value.members = {exampleMemberRecord(), MemberRecord{}};
+  value.engines = {exampleEngineRecord(), EngineRecord{}};
+  return value;
+}
+
+PingAck examplePingAck() {
+  PingAck value;
+  value.sequence = ~0ull - 75;
+  value.sender = "sender";
+  value.bundle_version = ~0ull - 77;
+  value.members = {exampleMemberRecord(), MemberRecord{}};
+  value.engines = {exampleEngineRecord(), EngineRecord{}};
+  return value;
+}
+
+BundleRequest exampleBundleRequest() {
+  BundleRequest value;
+  value.held_version = ~0ull - 80;
+  return value;
+}
+
+BundleBody exampleBundleBody() {
+  BundleBody value;
+  value.version = ~0ull - 81;
+  value.document = std::string("document\0\n\xff", 11);
+  value.author_signature = "author signature";
+  value.approver_signature = "approver signature";
+  return value;
+}
+
+CacheSummary exampleCacheSummary() {
+  CacheSummary value;
+  value.engine = "engine";
+  value.engine_incarnation = ~0ull - 86;
+  value.sequence = ~0ull - 87;
+  value.stored = {0, 1, ~0ull};
+  value.removed = {0, 1, ~0ull};
+  return value;
+}
+
+EngineLoad exampleEngineLoad() {
+  EngineLoad value;
+  value.engine = "engine";
+  value.engine_incarnation = ~0ull - 91;
+  value.queued_tokens = ~0u - 92;
+  value.running = ~0u - 93;
+  value.age_milliseconds = ~0u - 94;
+  return value;
+}
+
+LoadDigest exampleLoadDigest() {
+  LoadDigest value;
+  value.sender = "sender";
+  value.loads = {exampleEngineLoad(), EngineLoad{}};
+  return value;
+}
+
+ClaimPrepare exampleClaimPrepare() {
+  ClaimPrepare value;
+  value.epoch = ~0ull - 97;
+  value.key = "key";
+  value.token = "token";
+  return value;
+}
+
+ClaimReply exampleClaimReply() {
+  ClaimReply value;
+  value.epoch = ~0ull - 100;
+  value.key = "key";
+  value.token = "token";
+  value.granted = true;
+  value.holder = "holder";
+  value.voter = "voter";
+  value.voter_incarnation = ~0ull - 106;
+  return value;
+}
+
+ProtocolError exampleProtocolError() {
+  ProtocolError value;
+  value.code = kLastErrorCode;
+  value.message = "message";
+  return value;
+}
+
+}  // namespace
+
+std::vector<Message> exampleMessages() {
+  return {exampleHello(),      exampleSubmitRequest(), exampleAccepted(),   exampleStreamPiece(),
+          exampleStreamEnd(),  exampleRefusal(),       exampleCancel(),     examplePing(),
+          examplePingAck(),    exampleBundleRequest(), exampleBundleBody(), exampleCacheSummary(),
+          exampleLoadDigest(), exampleClaimPrepare(),  exampleClaimReply(), exampleProtocolError()};
+}
+
+std::string describe(const Message& message) {
+  return std::visit([](const auto& value) { return describeFields(value); }, message);
+}
+
+}  // namespace crankspur
