--- a/src/internal_protocol/connection.cc
+++ b/src/internal_protocol/connection.cc
@@ -111,9 +111,7 @@
   while (!isEnding()) {
     DecodedFrame frame = decodeFrame(std::string_view(buffer_).substr(begin_, end_ - begin_));
     if (frame.error != ErrorCode::Ok) {
-      send(ProtocolError{frame.error, "undecodable frame"});
-      close_reason_ = frame.error;
-      return close(true);
+      return refuse(frame.error, "undecodable frame");
     }
     if (!frame.message) return;
     begin_ += frame.consumed;
@@ -124,8 +122,7 @@
 void TcpFrameConnection::take(Message message) {
   if (phase_ == Phase::Greeting) return takeHello(message);
   if (std::holds_alternative<Hello>(message)) {
-    close_reason_ = ErrorCode::Malformed;
-    return close(true);
+    return refuse(ErrorCode::Malformed, "a second Hello");
   }
   if (callbacks_.on_message) callbacks_.on_message(std::move(message));
 }
@@ -133,20 +130,23 @@
 void TcpFrameConnection::takeHello(const Message& message) {
   const Hello* const peer = std::get_if<Hello>(&message);
   if (peer == nullptr) {
-    close_reason_ = ErrorCode::Malformed;
-    return close(true);
+    return refuse(ErrorCode::Malformed, "a message before Hello");
   }
   const std::uint32_t agreed = std::min(hello_.highest_version, peer->highest_version);
   if (agreed < std::max(hello_.lowest_version, peer->lowest_version)) {
-    send(ProtocolError{ErrorCode::VersionMismatch, "no common protocol version"});
-    close_reason_ = ErrorCode::VersionMismatch;
-    return close(true);
+    return refuse(ErrorCode::VersionMismatch, "no common protocol version");
   }
   phase_ = Phase::Open;
   timer_.cancel();
   if (callbacks_.on_hello) callbacks_.on_hello(*peer);
 }
 
+void TcpFrameConnection::refuse(ErrorCode code, const std::string& reason) {
+  send(ProtocolError{code, reason});
+  close_reason_ = code;
+  close(true);
+}
+
 // Writing.
 
 void TcpFrameConnection::send(const Message& message) {
@@ -172,7 +172,7 @@
 void TcpFrameConnection::write() {
   if (phase_ == Phase::Closed || !writing_.empty()) return;
   if (pending_.empty()) {
-    if (phase_ == Phase::Closing) end(close_reason_);
+    if (phase_ == Phase::Closing) finishSending();
     return;
   }
   std::swap(writing_, pending_);
@@ -181,6 +181,13 @@
       [self = self()](boost::system::error_code error, std::size_t) { self->onWritten(error); });
 }
 
+/// Leaves the socket open for the peer to read the last frames; its end of stream, or the timer, ends it. An
+/// immediate close with unread input would reset the connection and lose them.
+void TcpFrameConnection::finishSending() {
+  boost::system::error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+}
+
 void TcpFrameConnection::onWritten(boost::system::error_code error) {
   if (phase_ == Phase::Closed) return;
   if (error) return end(phase_ == Phase::Closing ? close_reason_ : std::error_code(error));
--- a/src/internal_protocol/tcp_frame_connection.h
+++ b/src/internal_protocol/tcp_frame_connection.h
@@ -27,7 +27,7 @@
     Connecting,  ///< Not connected yet.
     Greeting,    ///< Waits for the peer's Hello.
     Open,        ///< Both Hellos were exchanged.
-    Closing,     ///< Writes what is queued, then ends.
+    Closing,     ///< Writes what is queued, then waits for the peer to close.
     Closed,
   };
 
@@ -40,8 +40,10 @@
   void takeFrames();
   void take(Message message);
   void takeHello(const Message& message);
+  void refuse(ErrorCode code, const std::string& reason);
   void scheduleWrite();
   void write();
+  void finishSending();
   void onWritten(boost::system::error_code error);
   void setTimer(Duration delay);
   void end(std::error_code error);
--- a/tests/unit/internal_protocol/connection_test.cc
+++ b/tests/unit/internal_protocol/connection_test.cc
@@ -1,5 +1,6 @@
 #include "internal_protocol/connection.h"
 
+#include <array>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 #include <optional>
@@ -21,6 +22,21 @@
   return hello;
 }
 
+/// A peer that speaks no protocol of its own: it writes given bytes and collects what comes back.
+struct RawPeer {
+  explicit RawPeer(asio::ip::tcp::socket connected) : socket(std::move(connected)) { read(); }
+  void read() {
+    socket.async_read_some(asio::buffer(chunk), [this](boost::system::error_code error, std::size_t bytes) {
+      received.append(chunk.data(), bytes);
+      if (!error) return read();
+      socket.close();
+    });
+  }
+  asio::ip::tcp::socket socket;
+  std::array<char, 1024> chunk{};
+  std::string received;
+};
+
 /// What one side of a connection saw.
 struct Side {
   std::shared_ptr<FrameConnection> connection;
@@ -136,13 +152,18 @@
   fixture.runUntil([&] { return fixture.server.hello && fixture.client.hello; });
   Side good = std::move(fixture.server);
   const bool garbage = GENERATE(true, false);
-  asio::ip::tcp::socket raw = fixture.connectRaw();
-  asio::write(raw, asio::buffer(garbage ? std::string(64, '\xff') : encodeFrame(Cancel{"r", 1})));
+  RawPeer raw(fixture.connectRaw());
+  asio::write(raw.socket, asio::buffer(garbage ? std::string(64, '\xff') : encodeFrame(Cancel{"r", 1})));
   fixture.server = Side{};
   fixture.runUntil([&] { return fixture.server.closes > 0; });
   CHECK(fixture.server.messages.empty());
   CHECK(fixture.server.reason == make_error_code(garbage ? ErrorCode::TooLarge : ErrorCode::Malformed));
   CHECK(fixture.client.closes == 0);
+  const DecodedFrame first = decodeFrame(raw.received);
+  const DecodedFrame second = decodeFrame(std::string_view(raw.received).substr(first.consumed));
+  REQUIRE(second.message);
+  CHECK(std::get<ProtocolError>(*second.message).code ==
+        (garbage ? ErrorCode::TooLarge : ErrorCode::Malformed));
 }
 
 TEST_CASE("a peer that never says Hello is given up", "[internal_protocol]") {
