--- a/src/http/server.h
+++ b/src/http/server.h
@@ -30,7 +30,8 @@
   virtual void abort() = 0;
   /// @return bytes queued but not yet handed to the socket.
   virtual std::size_t queuedBytes() const = 0;
-  /// Sets the function called once if the client goes away before the response ended.
+  /// Sets the function called once if the client goes away before the response ended. Set it before the
+  /// request handler returns: a client that went away earlier is not reported later.
   virtual void onClientGone(std::function<void()> handler) = 0;
 };
 
--- /dev/null
+++ b/tests/unit/http/bad_input_test.cc
@@ -0,0 +1,162 @@
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+
+#include "http_fixture.h"
+
+using namespace crankspur;
+using namespace crankspur::http;
+namespace asio = boost::asio;
+
+namespace {
+
+/// A client that writes given bytes and collects the answer until the server closes.
+struct RawClient {
+  RawClient(HttpFixture& fixture, const std::string& bytes) : socket(fixture.context) {
+    socket.connect({asio::ip::make_address("127.0.0.1"), fixture.server->port()});
+    asio::async_write(socket, asio::buffer(bytes), [](boost::system::error_code, std::size_t) {});
+    read();
+  }
+  void read() {
+    socket.async_read_some(asio::buffer(chunk), [this](boost::system::error_code error, std::size_t bytes) {
+      received.append(chunk.data(), bytes);
+      ended = static_cast<bool>(error);
+      if (!error) read();
+    });
+  }
+  asio::ip::tcp::socket socket;
+  std::array<char, 4096> chunk{};
+  std::string received;
+  bool ended = false;
+};
+
+void echoBody(Request request, std::shared_ptr<ResponseWriter> writer) {
+  writer->respond({200, {}, request.body});
+}
+
+ServerLimits smallLimits() {
+  ServerLimits limits;
+  limits.header_bytes = 1024;
+  limits.body_bytes = 2048;
+  return limits;
+}
+
+struct BadInput {
+  std::string name;
+  std::string bytes;
+  std::string status;
+  std::string code;
+};
+
+}  // namespace
+
+TEST_CASE("a request beyond a limit or no HTTP gets a JSON error; others are not affected", "[http]") {
+  const BadInput input = GENERATE(values<BadInput>({
+      {"long header", "GET / HTTP/1.1\r\nX: " + std::string(2000, 'x') + "\r\n\r\n", "431", "too_large"},
+      {"long target", "GET /" + std::string(5000, 'x') + " HTTP/1.1\r\n\r\n", "431", "too_large"},
+      {"long body", "POST / HTTP/1.1\r\nContent-Length: 2049\r\n\r\n" + std::string(2049, 'x'), "413",
+       "too_large"},
+      {"huge length", "POST / HTTP/1.1\r\nContent-Length: 18446744073709551615\r\n\r\n", "413", "too_large"},
+      {"long chunks",
+       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n801\r\n" + std::string(2049, 'x') + "\r\n",
+       "413", "too_large"},
+      {"bad chunk", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "400", "invalid_request"},
+      {"two lengths", "POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400",
+       "invalid_request"},
+      {"length and chunks",
+       "POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", "400",
+       "invalid_request"},
+      {"bad version", "GET / HTTP/9.9\r\n\r\n", "400", "invalid_request"},
+      {"TLS", std::string("\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", 11), "400", "invalid_request"},
+  }));
+  INFO(input.name);
+  HttpFixture fixture(&echoBody, smallLimits());
+  CHECK(fixture.run({"POST", "/", {}, "before"}).response.body == "before");
+  RawClient client(fixture, input.bytes);
+  fixture.runUntil([&] { return client.ended; });
+  CHECK(client.received.substr(0, 13) == "HTTP/1.1 " + input.status + " ");
+  const std::size_t body = client.received.find("\r\n\r\n");
+  REQUIRE(body != std::string::npos);
+  const auto error = boost::json::parse(client.received.substr(body + 4)).at("error");
+  CHECK(error.at("code").as_string() == input.code);
+  CHECK(error.at("ran").as_string() == "not_run");
+  CHECK(fixture.run({"POST", "/", {}, "after"}).response.body == "after");
+}
+
+TEST_CASE("a request that trickles in too slowly gets 408", "[http]") {
+  ServerLimits limits;
+  limits.header_timeout = std::chrono::milliseconds(50);
+  HttpFixture fixture(&echoBody, limits);
+  RawClient client(fixture, "GET / HTT");
+  fixture.runUntil([&] { return client.ended; });
+  CHECK(client.received.substr(0, 13) == "HTTP/1.1 408 ");
+}
+
+TEST_CASE("a silent connection is closed after the idle time", "[http]") {
+  ServerLimits limits;
+  limits.idle_timeout = std::chrono::milliseconds(50);
+  HttpFixture fixture(&echoBody, limits);
+  RawClient client(fixture, "");
+  fixture.runUntil([&] { return client.ended; });
+  CHECK(client.received.empty());
+}
+
+TEST_CASE("a client that stops reading is given up and its handler told", "[http]") {
+  ServerLimits limits;
+  limits.idle_timeout = std::chrono::milliseconds(100);
+  bool gone = false;
+  std::shared_ptr<ResponseWriter> kept;
+  HttpFixture fixture(
+      [&](Request, std::shared_ptr<ResponseWriter> writer) {
+        kept = writer;
+        writer->onClientGone([&] { gone = true; });
+        writer->begin(200, {});
+        for (int count = 0; count < 64; ++count) writer->write(std::string(1024 * 1024, 'x'));
+        CHECK(writer->queuedBytes() > 32 * 1024 * 1024);
+      },
+      limits);
+  asio::ip::tcp::socket socket(fixture.context);
+  socket.connect({asio::ip::make_address("127.0.0.1"), fixture.server->port()});
+  asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  fixture.runUntil([&] { return gone; });
+  CHECK(fixture.server->openRequests() == 0);
+}
+
+TEST_CASE("connections beyond the limit get 503 with Retry-After", "[http]") {
+  ServerLimits limits;
+  limits.connections = 1;
+  HttpFixture fixture(&echoBody, limits);
+  CHECK(fixture.run({"POST", "/", {}, "first"}).response.body == "first");
+  RawClient client(fixture, "GET / HTTP/1.1\r\n\r\n");
+  fixture.runUntil([&] { return client.ended; });
+  CHECK(client.received.substr(0, 13) == "HTTP/1.1 503 ");
+  CHECK(client.received.find("Retry-After: 1") != std::string::npos);
+  CHECK(fixture.run({"POST", "/", {}, "again"}).response.body == "again");
+}
+
+TEST_CASE("requests sent ahead are answered in order; 100-continue and HTTP/1.0 are served", "[http]") {
+  HttpFixture fixture(&echoBody);
+  const std::string first = "POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\na";
+  const std::string second = "POST / HTTP/1.1\r\nContent-Length: 1\r\nExpect: 100-continue\r\n\r\nb";
+  const std::string last = "POST / HTTP/1.0\r\nContent-Length: 1\r\n\r\nc";
+  RawClient client(fixture, first + second + last);
+  fixture.runUntil([&] { return client.ended; });
+  const std::size_t a = client.received.find("\r\n\r\na");
+  const std::size_t b = client.received.find("\r\n\r\nb");
+  const std::size_t c = client.received.find("\r\n\r\nc");
+  CHECK(a < b);
+  CHECK(b < c);
+  CHECK(c != std::string::npos);
+}
+
+TEST_CASE("a header value cannot forge a field, and a dropped writer answers 500", "[http]") {
+  HttpFixture fixture([](Request request, std::shared_ptr<ResponseWriter> writer) {
+    if (request.path() == "/drop") return;
+    writer->respond({200, {{"X-A", "1\r\nX-B: 2"}}, ""});
+  });
+  const Response response = fixture.run({"GET", "/", {}, {}}).response;
+  CHECK(response.headers.count("X-B") == 0);
+  CHECK(fixture.run({"GET", "/drop", {}, {}}).response.status == 500);
+}
