--- a/src/bundle/bundle_parser.cc
+++ b/src/bundle/bundle_parser.cc
@@ -33,7 +33,7 @@
 
 /// Names become parts of table keys and of log lines.
 bool isName(const std::string& text) {
-  return !text.empty() && text.size() <= kMaximumNameBytes &&
+  return !text.empty() && text.size() <= kMaximumBundleNameBytes &&
          std::all_of(text.begin(), text.end(), isNameCharacter);
 }
 
@@ -45,7 +45,7 @@
 }
 
 const std::string kNameRule =
-    fmt::format("must be 1 to {} letters, digits, '.', '_' or '-'", kMaximumNameBytes);
+    fmt::format("must be 1 to {} letters, digits, '.', '_' or '-'", kMaximumBundleNameBytes);
 
 std::string requireName(TomlTable& table, const std::string& key) {
   const bool present = table.has(key);
