--- a/src/base/error.cc
+++ b/src/base/error.cc
@@ -60,6 +60,14 @@
   return "internal";
 }
 
+std::optional<ErrorCode> errorFromName(std::string_view name) {
+  for (int value = 0; value <= static_cast<int>(ErrorCode::Internal); ++value) {
+    const auto code = static_cast<ErrorCode>(value);
+    if (name == errorName(code)) return code;
+  }
+  return std::nullopt;
+}
+
 namespace {
 
 class Category : public std::error_category {
--- a/src/base/error.h
+++ b/src/base/error.h
@@ -2,7 +2,9 @@
 /// @file Error codes of the project as std::error_code values.
 /// Outcomes are values; only a broken invariant stops a process.
 
+#include <optional>
 #include <string>
+#include <string_view>
 #include <system_error>
 
 namespace crankspur {
@@ -40,6 +42,9 @@
 /// @return the stable snake_case name of a code, for example "engine_lost".
 const char* errorName(ErrorCode code);
 
+/// @return the code with that name, or empty.
+std::optional<ErrorCode> errorFromName(std::string_view name);
+
 /// @return the project's error category.
 const std::error_category& errorCategory();
 
--- /dev/null
+++ b/src/engine/engine_client.cc
@@ -0,0 +1,256 @@
+#include "engine/engine_client.h"
+
+#include <utility>
+
+#include "engine/completion_decoder.h"
+
+namespace crankspur {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kTooManyRequests = 429;
+constexpr std::size_t kErrorBodyBytes = 64 * 1024;
+
+http::Request postRequest(std::string target, std::string body) {
+  http::Request request;
+  request.method = "POST";
+  request.target = std::move(target);
+  request.headers["content-type"] = "application/json";
+  request.body = std::move(body);
+  return request;
+}
+
+http::Request getRequest(std::string target) {
+  http::Request request;
+  request.target = std::move(target);
+  return request;
+}
+
+Duration retryAfterOf(const http::Headers& headers) {
+  const auto found = headers.find("retry-after");
+  return found == headers.end() ? Duration{0} : decodeRetryAfter(found->second);
+}
+
+/// What an answer other than 200 means for a dispatch.
+BackendEvent refusalOrLoss(std::string_view body, Duration retry_after) {
+  const EngineErrorAnswer answer = decodeError(body);
+  if (answer.ran == RunState::NotRun) return BackendRefused{answer.code, retry_after};
+  return BackendLost{true};
+}
+
+/// State of one stream; shared by the exchange's callbacks and the caller's handle.
+class StreamState : public std::enable_shared_from_this<StreamState> {
+public:
+  explicit StreamState(BackendHandler handler) : handler_(std::move(handler)) {}
+
+  http::ExchangeCallbacks callbacks() {
+    http::ExchangeCallbacks callbacks;
+    const std::shared_ptr<StreamState> self = shared_from_this();
+    callbacks.on_headers = [self](int status, const http::Headers& headers) {
+      self->status_ = status;
+      self->retry_after_ = retryAfterOf(headers);
+    };
+    callbacks.on_data = [self](std::string_view bytes) {
+      const std::shared_ptr<StreamState> kept = self;
+      kept->onData(bytes);
+    };
+    callbacks.on_done = [self](std::error_code error, http::SendState state, const http::Response&) {
+      const std::shared_ptr<StreamState> kept = self;
+      kept->onDone(error, state);
+    };
+    return callbacks;
+  }
+
+  void setExchange(std::shared_ptr<http::Exchange> exchange) { exchange_ = std::move(exchange); }
+
+  void close() {
+    over_ = true;
+    const std::shared_ptr<http::Exchange> exchange = std::exchange(exchange_, nullptr);
+    if (exchange) exchange->cancel();
+  }
+
+private:
+  void onData(std::string_view bytes) {
+    if (over_) return;
+    if (status_ != kOk) {
+      const std::size_t room = kErrorBodyBytes - error_body_.size();
+      error_body_ += bytes.substr(0, room);
+      return;
+    }
+    const std::error_code error = decoder_.feed(bytes, [this](const BackendEvent& event) { deliver(event); });
+    if (!error || over_) return;
+    finish(BackendLost{true});
+    close();
+  }
+
+  void onDone(std::error_code error, http::SendState state) {
+    exchange_.reset();
+    if (over_) return;
+    if (error) {
+      finish(BackendLost{state == http::SendState::SentUnknown});
+    } else if (status_ == kOk) {
+      finish(BackendLost{true});
+    } else {
+      finish(refusalOrLoss(error_body_, retry_after_));
+    }
+  }
+
+  void deliver(const BackendEvent& event) {
+    if (over_) return;
+    if (std::holds_alternative<BackendEnd>(event)) {
+      finish(event);
+    } else {
+      handler_(event);
+    }
+  }
+
+  void finish(const BackendEvent& event) {
+    over_ = true;
+    handler_(event);
+  }
+
+  BackendHandler handler_;
+  std::shared_ptr<http::Exchange> exchange_;
+  CompletionDecoder decoder_;
+  std::string error_body_;
+  int status_ = 0;
+  Duration retry_after_{0};
+  bool over_ = false;  ///< The last event was delivered or the caller closed the stream.
+};
+
+class HttpEngineStream : public EngineStream {
+public:
+  explicit HttpEngineStream(std::shared_ptr<StreamState> state) : state_(std::move(state)) {}
+  ~HttpEngineStream() override { state_->close(); }
+  void close() override { state_->close(); }
+
+private:
+  std::shared_ptr<StreamState> state_;
+};
+
+/// @return the error of a short call, empty when a body with status 200 arrived.
+std::error_code errorOf(std::error_code error, const http::Response& response) {
+  if (error) return ErrorCode::Unavailable;
+  if (response.status == kOk) return {};
+  const EngineErrorAnswer answer = decodeError(response.body);
+  if (response.status == kTooManyRequests && answer.code == ErrorCode::Malformed)
+    return ErrorCode::RateLimited;
+  return answer.code;
+}
+
+class HttpEngineClient : public EngineClient {
+public:
+  HttpEngineClient(http::Client& client, const Clock& clock, EngineClientOptions options)
+      : client_(client), clock_(clock), options_(options) {}
+
+  std::shared_ptr<EngineStream> complete(const DispatchCompletion& dispatch,
+                                         BackendHandler handler) override {
+    return stream(dispatch.address, postRequest("/v1/completions", encodeCompletion(dispatch)),
+                  std::move(handler));
+  }
+
+  std::shared_ptr<EngineStream> resume(const std::string& address, const EngineResume& resume,
+                                       BackendHandler handler) override {
+    return stream(address, postRequest("/v1/resume", encodeResume(resume)), std::move(handler));
+  }
+
+  void cancel(const std::string& address, const std::string& request_id, std::uint32_t attempt,
+              std::function<void(std::error_code)> done) override {
+    call(address, postRequest("/v1/cancel", encodeCancel(request_id, attempt)), Duration{0},
+         [done = std::move(done)](std::error_code error, const http::Response&) {
+           if (done) done(error);
+         });
+  }
+
+  void fetchInfo(const std::string& address,
+                 std::function<void(std::error_code, const EngineDescription&)> done) override {
+    call(address, getRequest("/v1/engine"), Duration{0},
+         [done = std::move(done)](std::error_code error, const http::Response& response) {
+           EngineDescription description;
+           if (!error) error = decodeDescription(response.body, description);
+           done(error, error ? EngineDescription{} : description);
+         });
+  }
+
+  void fetchLoad(const std::string& address,
+                 std::function<void(std::error_code, const EngineLoadAnswer&)> done) override {
+    call(address, getRequest("/v1/load"), Duration{0},
+         [&clock = clock_, done = std::move(done)](std::error_code error, const http::Response& response) {
+           EngineLoadAnswer load;
+           if (!error) error = decodeLoad(response.body, clock.now(), load);
+           done(error, error ? EngineLoadAnswer{} : load);
+         });
+  }
+
+  void pollCacheEvents(const std::string& address, std::uint64_t after, Duration wait,
+                       std::function<void(std::error_code, const CacheEventsAnswer&)> done) override {
+    const auto wait_ms = std::chrono::duration_cast<std::chrono::milliseconds>(wait).count();
+    const std::string target =
+        "/v1/cache_events?after=" + std::to_string(after) + "&wait_ms=" + std::to_string(wait_ms);
+    call(address, getRequest(target), wait,
+         [done = std::move(done)](std::error_code error, const http::Response& response) {
+           CacheEventsAnswer events;
+           if (!error) error = decodeCacheEvents(response.body, events);
+           done(error, error ? CacheEventsAnswer{} : events);
+         });
+  }
+
+  void fetchDigest(const std::string& address,
+                   std::function<void(std::error_code, const CacheDigestAnswer&)> done) override {
+    call(address, getRequest("/v1/cache_digest"), Duration{0},
+         [done = std::move(done)](std::error_code error, const http::Response& response) {
+           CacheDigestAnswer digest;
+           if (!error) error = decodeCacheDigest(response.body, digest);
+           if (error) digest = CacheDigestAnswer{};
+           digest.retry_after = retryAfterOf(response.headers);
+           done(error, digest);
+         });
+  }
+
+  void sendOrder(const std::string& address, const EngineOrderCall& order,
+                 std::function<void(std::error_code)> done) override {
+    call(address, postRequest("/v1/orders", encodeOrder(order)), Duration{0},
+         [done = std::move(done)](std::error_code error, const http::Response&) { done(error); });
+  }
+
+private:
+  using CallHandler = std::function<void(std::error_code, const http::Response&)>;
+
+  std::shared_ptr<EngineStream> stream(const std::string& address, http::Request request,
+                                       BackendHandler handler) {
+    http::ExchangeOptions options;
+    options.connect_timeout = options_.connect_timeout;
+    options.idle_timeout = options_.stream_idle_timeout;
+    const auto state = std::make_shared<StreamState>(std::move(handler));
+    state->setExchange(client_.start(address, std::move(request), state->callbacks(), options));
+    return std::make_shared<HttpEngineStream>(state);
+  }
+
+  /// @param wait time for which the engine may hold the answer back on purpose.
+  void call(const std::string& address, http::Request request, Duration wait, CallHandler handler) {
+    http::ExchangeOptions options;
+    options.connect_timeout = options_.connect_timeout;
+    options.idle_timeout = options_.call_timeout + wait;
+    options.body_bytes = options_.body_bytes;
+    http::ExchangeCallbacks callbacks;
+    callbacks.on_done = [handler = std::move(handler)](std::error_code error, http::SendState,
+                                                       const http::Response& response) {
+      handler(errorOf(error, response), response);
+    };
+    client_.start(address, std::move(request), std::move(callbacks), options);
+  }
+
+  http::Client& client_;
+  const Clock& clock_;
+  EngineClientOptions options_;
+};
+
+}  // namespace
+
+std::unique_ptr<EngineClient> makeEngineClient(http::Client& client, const Clock& clock,
+                                               EngineClientOptions options) {
+  return std::make_unique<HttpEngineClient>(client, clock, options);
+}
+
+}  // namespace crankspur
