Prove the router's decisions step by step, and serve during a weights rollout

Cause: run states, claims and resumption need a test at each step of the life cycle; while engines load new weights in waves no or few engines have the bundle's version, and a fresh request must still be served. Fresh answers use any weights version that live engines hold, spread by hash in proportion to the engines; text is never continued with another version. Admission learns that a request continues a stream, so that only deadline and retry budget may end it.

--- a/src/admission/admission.cc
+++ b/src/admission/admission.cc
@@ -111,10 +111,11 @@
   AdmissionDecision admitted;
   admitted.admitted = true;
   admitted.priority = request.priority;
-  if (tenant.in_flight_limit != 0 && tenant.in_flight >= tenant.in_flight_limit) {
+  const bool limited = !request.continuation;
+  if (limited && tenant.in_flight_limit != 0 && tenant.in_flight >= tenant.in_flight_limit) {
     return refuse(ErrorCode::RateLimited, kSlotRetryAfter, "requests in flight at the tenant's limit");
   }
-  if (!tenant.bucket.available(now)) {
+  if (limited && !tenant.bucket.available(now)) {
     return refuse(ErrorCode::RateLimited, tenant.bucket.timeUntilAvailable(now),
                   "token rate at the tenant's limit");
   }
@@ -171,7 +172,7 @@
   if (!request.retry) tenant.retries = std::min(tenant.retries + tenant.policy.retry_budget, kRetryReserve);
   AdmissionDecision decision = checkDeadline(request);
   if (decision.admitted) decision = checkLimits(tenant, request, now);
-  if (decision.admitted) decision = checkFairness(tenant, request, now);
+  if (decision.admitted && !request.continuation) decision = checkFairness(tenant, request, now);
   if (!decision.admitted) return decision;
   if (request.retry) tenant.retries -= 1;
   tenant.bucket.take(request.cost_tokens, now);
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -19,6 +19,8 @@
   Duration expected_first_token{0};  ///< Estimate of the best placement.
   double fleet_utilization = 0;      ///< Share of the serving pools' capacity in use, 0 to 1 and above.
   bool retry = false;
+  /// Part of the answer has reached the caller: only the deadline and the retry budget may refuse it.
+  bool continuation = false;
 };
 
 /// Outcome of admission.
--- a/src/router/admission_flow.cc
+++ b/src/router/admission_flow.cc
@@ -9,6 +9,7 @@
   const AdmissionDecision decision = options_.admission->admit(request, now);
   if (decision.admitted) {
     entry.admitted = request;
+    entry.priority = decision.priority;
     return true;
   }
   refuse(entry, decision.code, decision.retry_after, decision.reason, now);
@@ -21,17 +22,9 @@
   entry.admitted.reset();
 }
 
-double RequestRouterImpl::utilization(const std::string& model) {
-  const auto [cached, added] = utilization_.try_emplace(model, 0.0);
-  if (!added) return cached->second;
-  std::uint64_t busy = 0;
-  std::uint64_t limit = 0;
-  for (const EngineView& engine : snapshot_->engines) {
-    if (engine.state != EngineState::Live || engine.weightsOf(model).empty()) continue;
-    busy += engine.load.running_requests + engine.load.queued_requests;
-    limit += engine.load.batch_limit;
-  }
-  if (limit > 0) cached->second = static_cast<double>(busy) / static_cast<double>(limit);
+const ModelCapacity& RequestRouterImpl::capacityOf(const ModelPolicy& model) {
+  const auto [cached, added] = capacity_.try_emplace(model.name);
+  if (added) cached->second = measureCapacity(*snapshot_, model);
   return cached->second;
 }
 
--- a/src/router/completion_failure.cc
+++ b/src/router/completion_failure.cc
@@ -22,15 +22,13 @@
 }  // namespace
 
 bool RequestRouterImpl::resumeAt(RequestEntry& entry, const std::string& engine_name,
-                                 std::uint64_t incarnation, TimePoint now) {
+                                 std::uint64_t incarnation, const std::string& weights, TimePoint now) {
   if (entry.resumes >= maxAttempts()) return false;
   const auto& engines = snapshot_->engines;
   const auto found = std::find_if(engines.begin(), engines.end(), [&](const EngineView& engine) {
     return engine.name == engine_name && engine.incarnation == incarnation;
   });
   if (found == engines.end() || found->state == EngineState::Dead) return false;
-  const std::string weights =
-      entry.answer_weights.empty() ? entry.request.resume_weights : entry.answer_weights;
   CurrentDispatch& dispatch = openDispatch(entry, found->name, now);
   dispatch.engine = found->slot;
   dispatch.incarnation = incarnation;
@@ -61,7 +59,7 @@
     return abandonDispatch(entry, "refused after it had accepted", now);
   }
   const bool resume = entry.dispatch->resume;
-  entry.excluded.push_back(entry.dispatch->engine);
+  entry.excluded.push_back({entry.dispatch->engine, entry.dispatch->incarnation});
   closeDispatch(entry, now);
   if (resume) return moveCompletion(entry, now);
   entry.last_error = refused.code;
@@ -84,10 +82,10 @@
   const bool may_resume = !never_sent && (!dispatch.resume || state == AttemptState::LostStreaming);
   log(EventId::AttemptLost, entry, {{"backend", engine}, {"state", static_cast<int>(state)}});
   entry.last_error = never_sent ? ErrorCode::EngineUnavailable : ErrorCode::EngineLost;
-  if (entry.request.resume_weights.empty()) entry.request.resume_weights = dispatch.weights_version;
+  const std::string weights = dispatch.weights_version;
   closeDispatch(entry, now);
-  if (may_resume && resumeAt(entry, engine, incarnation, now)) return;
-  entry.excluded.push_back(slot);
+  if (may_resume && resumeAt(entry, engine, incarnation, weights, now)) return;
+  entry.excluded.push_back({slot, incarnation});
   moveCompletion(entry, now);
 }
 
@@ -95,7 +93,7 @@
   log(EventId::BackendProtocolBroken, entry, {{"backend", entry.dispatch->backend}, {"reason", reason}});
   entry.dispatch->attempt->apply(AttemptEvent::ConnectionFailed);
   entry.last_error = ErrorCode::EngineLost;
-  entry.excluded.push_back(entry.dispatch->engine);
+  entry.excluded.push_back({entry.dispatch->engine, entry.dispatch->incarnation});
   cancelDispatch(entry, now);
   moveCompletion(entry, now);
 }
@@ -126,7 +124,7 @@
     RequestEntry& entry = *findEntry(serial);
     log(EventId::AttemptLost, entry, {{"backend", entry.dispatch->backend}, {"state", "restarted"}});
     entry.last_error = ErrorCode::EngineLost;
-    entry.excluded.push_back(entry.dispatch->engine);
+    entry.excluded.push_back({entry.dispatch->engine, entry.dispatch->incarnation});
     if (entry.dispatch->attempt->state() != AttemptState::NotSent) {
       entry.dispatch->attempt->apply(AttemptEvent::ConnectionFailed);
     }
--- a/src/router/completion_flow.cc
+++ b/src/router/completion_flow.cc
@@ -29,23 +29,28 @@
   entry.text = request.resume_text;
   if (request.max_tokens == 0) request.max_tokens = bundle()->findModel(request.model)->max_answer_tokens;
   if (entry.tokens > 0) entry.answer_weights = request.resume_weights;
-  if (!request.resume_engine.empty() &&
-      resumeAt(entry, request.resume_engine, request.resume_incarnation, now)) {
+  const bool may_resume = !request.resume_engine.empty() && !request.resume_weights.empty();
+  if (may_resume &&
+      resumeAt(entry, request.resume_engine, request.resume_incarnation, request.resume_weights, now)) {
     return;
   }
   placeCompletion(entry, now);
 }
 
-void RequestRouterImpl::placeCompletion(RequestEntry& entry, TimePoint now) {
+std::vector<std::string> RequestRouterImpl::usableWeights(const RequestEntry& entry,
+                                                          const ModelPolicy& model) {
+  if (!entry.answer_weights.empty()) return {entry.answer_weights};
+  const std::string_view head = std::string_view(entry.request.prompt).substr(0, kBytesPerBlock);
+  return capacityOf(model).weightsInOrder(model.weights_version,
+                                          hashBytes(head, hashBytes(entry.request.tenant)));
+}
+
+PlacementDecision RequestRouterImpl::choosePlacement(RequestEntry& entry, const std::string& weights,
+                                                     TimePoint now) {
   const SubmitRequest& request = entry.request;
-  const ModelPolicy* model = bundle()->findModel(request.model);
-  if (model == nullptr) {
-    return refuse(entry, ErrorCode::UnknownModel, Duration{0}, "the model left the bundle", now);
-  }
-  const std::string& weights = entry.answer_weights.empty() ? model->weights_version : entry.answer_weights;
   if (entry.blocks_weights != weights) {
-    entry.blocks = hashBlocks(CacheScope{request.tenant, request.model, request.adapter, weights}.seed(),
-                              request.prompt);
+    const CacheScope scope{request.tenant, request.model, request.adapter, weights};
+    entry.blocks = hashBlocks(scope.seed(), request.prompt);
     entry.blocks_weights = weights;
   }
   PlacementRequest wanted;
@@ -58,9 +63,25 @@
   wanted.max_tokens = request.max_tokens;
   wanted.priority = request.priority;
   wanted.deadline = entry.deadline - now;
-  wanted.excluded = entry.excluded;
-  const PlacementDecision decision =
-      options_.placement->choose(wanted, *snapshot_, *options_.index, sent_work_, random_, now);
+  for (const ExcludedEngine& excluded : entry.excluded) {
+    const EngineView* engine = snapshot_->engine(excluded.slot);
+    const bool same = engine != nullptr && engine->incarnation == excluded.incarnation;
+    if (same) wanted.excluded.push_back(excluded.slot);
+  }
+  return options_.placement->choose(wanted, *snapshot_, *options_.index, sent_work_, random_, now);
+}
+
+void RequestRouterImpl::placeCompletion(RequestEntry& entry, TimePoint now) {
+  const SubmitRequest& request = entry.request;
+  const ModelPolicy* model = bundle()->findModel(request.model);
+  if (model == nullptr) {
+    return refuse(entry, ErrorCode::UnknownModel, Duration{0}, "the model left the bundle", now);
+  }
+  PlacementDecision decision;
+  for (const std::string& weights : usableWeights(entry, *model)) {
+    decision = choosePlacement(entry, weights, now);
+    if (decision.found) break;
+  }
   entry.record.decision = decision;
   if (!decision.found) return giveUpCompletion(entry, now);
 
@@ -70,8 +91,9 @@
   admission.cost_tokens = uncachedTokens(entry, decision) + request.max_tokens;
   admission.deadline = entry.deadline - now;
   admission.expected_first_token = decision.expected_first_token;
-  admission.fleet_utilization = utilization(request.model);
+  admission.fleet_utilization = capacityOf(*model).utilization();
   admission.retry = request.attempt > 1 || entry.dispatches > 0;
+  admission.continuation = entry.tokens > 0;
   if (admit(entry, admission, now)) dispatchCompletion(entry, decision, now);
 }
 
@@ -101,6 +123,7 @@
   action.request.resume_offset = entry.tokens;
   action.request.resume_text = entry.text;
   action.request.deadline = entry.deadline - now;
+  action.request.priority = entry.priority;
   action.import_from = decision.import_from;
   action.import_blocks = decision.import_blocks;
   actions_.push_back(std::move(action));
--- a/src/router/request_entry.h
+++ b/src/router/request_entry.h
@@ -26,6 +26,12 @@
   TimePoint last_heard_at{};                 ///< When it was sent, or the back end was last heard of.
 };
 
+/// An engine that failed a request, until it comes back under another incarnation.
+struct ExcludedEngine {
+  EngineSlot slot = 0;
+  std::uint64_t incarnation = 0;
+};
+
 /// State of one request.
 struct RequestEntry {
   enum class Phase {
@@ -47,7 +53,7 @@
   std::uint32_t dispatches = 0;           ///< Dispatches that asked a back end to begin work.
   std::uint32_t resumes = 0;              ///< Dispatches that asked an engine to go on.
   RunState run_state = RunState::NotRun;  ///< Highest over the dispatches that ended.
-  std::vector<EngineSlot> excluded;       ///< Engines that failed this request.
+  std::vector<ExcludedEngine> excluded;   ///< Engines that failed this request.
   std::vector<std::string> excluded_runners;
   ErrorCode last_error = ErrorCode::EngineUnavailable;
   Duration last_retry_after{0};
@@ -60,6 +66,7 @@
   std::uint32_t prompt_tokens = 0;  ///< As the engine counted; 0 until accepted.
   std::uint32_t cached_tokens = 0;
 
+  std::uint32_t priority = 1;                ///< As admission set it.
   std::optional<AdmissionRequest> admitted;  ///< Set while the request counts as in flight.
   std::optional<std::uint64_t> claim;        ///< Names the claim of an operation.
   bool claim_granted = false;
--- a/src/router/request_router_impl.h
+++ b/src/router/request_router_impl.h
@@ -17,6 +17,7 @@
 #include "router/claim_table_health.h"
 #include "router/decision_records.h"
 #include "router/ended_attempts.h"
+#include "router/model_capacity.h"
 #include "router/request_entry.h"
 #include "router/request_router.h"
 #include "router/sent_work.h"
@@ -94,7 +95,7 @@
   // Admission (admission_flow.cc).
   bool admit(RequestEntry& entry, const AdmissionRequest& request, TimePoint now);  ///< May end the request.
   void settleAdmission(RequestEntry& entry, std::uint32_t used_tokens, TimePoint now);
-  double utilization(const std::string& model);
+  const ModelCapacity& capacityOf(const ModelPolicy& model);
 
   // Dispatches common to both kinds (request_router.cc).
   CurrentDispatch& openDispatch(RequestEntry& entry, const std::string& backend, TimePoint now);
@@ -105,6 +106,9 @@
 
   // Completions (completion_flow.cc). All may end the request.
   void startCompletion(RequestEntry& entry, TimePoint now);
+  /// @return weights versions the answer may be computed with, the preferred one first.
+  std::vector<std::string> usableWeights(const RequestEntry& entry, const ModelPolicy& model);
+  PlacementDecision choosePlacement(RequestEntry& entry, const std::string& weights, TimePoint now);
   void placeCompletion(RequestEntry& entry, TimePoint now);
   void dispatchCompletion(RequestEntry& entry, const PlacementDecision& decision, TimePoint now);
   void completionEvent(RequestEntry& entry, const BackendEvent& event, TimePoint now);
@@ -113,7 +117,9 @@
   void completionEnd(RequestEntry& entry, const BackendEnd& end, TimePoint now);
 
   // Failure of completions (completion_failure.cc). All may end the request.
-  bool resumeAt(RequestEntry& entry, const std::string& engine, std::uint64_t incarnation, TimePoint now);
+  /// Asks the engine for the stream of work it already runs; false when the fleet has no such incarnation.
+  bool resumeAt(RequestEntry& entry, const std::string& engine, std::uint64_t incarnation,
+                const std::string& weights, TimePoint now);
   void completionRefused(RequestEntry& entry, const BackendRefused& refused, TimePoint now);
   void completionLost(RequestEntry& entry, TimePoint now);
   /// The engine broke its protocol or fell silent: its dispatch is stopped and never resumed.
@@ -157,7 +163,7 @@
   absl::flat_hash_map<DispatchId, Serial> by_dispatch_;
   SentWork sent_work_;
   absl::flat_hash_map<std::string, std::uint32_t> runner_load_;  ///< Dispatches in flight by runner.
-  absl::flat_hash_map<std::string, double> utilization_;         ///< By model; cleared with each snapshot.
+  absl::flat_hash_map<std::string, ModelCapacity> capacity_;     ///< By model; cleared with each snapshot.
 
   std::uint64_t next_claim_ = 1;
   std::map<std::uint64_t, ClaimWork> claims_;
--- a/src/router/snapshot_flow.cc
+++ b/src/router/snapshot_flow.cc
@@ -6,7 +6,7 @@
 
 void RequestRouterImpl::onSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot, TimePoint now) {
   const std::shared_ptr<const RoutingSnapshot> previous = std::exchange(snapshot_, std::move(snapshot));
-  utilization_.clear();
+  capacity_.clear();
   sent_work_.onSnapshot(*snapshot_);
   takeIncarnations();
   const bool configured =
--- /dev/null
+++ b/tests/unit/router/completion_failure_test.cc
@@ -0,0 +1,250 @@
+#include "router_fixture.h"
+
+using namespace crankspur;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// Asserts that nothing goes on and the refusal tells `run_state`.
+void checkRefused(RouterFixture& fixture, ErrorCode code, RunState run_state) {
+  const auto refusal = fixture.takeMessage<Refusal>();
+  REQUIRE(refusal);
+  CHECK(refusal->code == code);
+  CHECK(refusal->run_state == run_state);
+  CHECK(fixture.router->inFlight() == 0);
+  CHECK(fixture.admission->in_flight == 0);
+}
+
+}  // namespace
+
+TEST_CASE("the run state told at the deadline is true at each step", "[router]") {
+  RouterFixture fixture;
+  const DispatchCompletion dispatch = fixture.dispatched();
+  RunState expected = RunState::NotRun;
+  SECTION("before any byte left") {}
+  SECTION("bytes left, and the acceptance may be lost") {
+    fixture.router->onDispatchSent(dispatch.dispatch, fixture.now);
+    expected = RunState::Unknown;
+  }
+  SECTION("accepted") {
+    fixture.accept(dispatch);
+    expected = RunState::Unknown;
+  }
+  SECTION("text arrived") {
+    fixture.now += seconds(29);
+    fixture.piece(dispatch.dispatch, 0, "abcd");
+    expected = RunState::Ran;
+  }
+  fixture.now = TimePoint{seconds(1000)};
+  fixture.advance(seconds(30));
+  CHECK(fixture.take<CancelDispatch>()->dispatch == dispatch.dispatch);
+  checkRefused(fixture, ErrorCode::DeadlineExceeded, expected);
+}
+
+TEST_CASE("an engine's refusal moves the request on, up to the limit of attempts", "[router]") {
+  RouterFixture fixture;
+  DispatchCompletion dispatch = fixture.dispatched();
+  for (const char* next : {"e1", "e2"}) {
+    fixture.backend(dispatch.dispatch, BackendRefused{ErrorCode::IncarnationMismatch, Duration{0}});
+    dispatch = *fixture.take<DispatchCompletion>();
+    CHECK(dispatch.engine_name == next);
+  }
+  fixture.backend(dispatch.dispatch, BackendRefused{ErrorCode::Overloaded, seconds(4)});
+  CHECK_FALSE(fixture.take<DispatchCompletion>());
+  const auto refusal = fixture.takeMessage<Refusal>();
+  CHECK(refusal->code == ErrorCode::Overloaded);
+  CHECK(refusal->run_state == RunState::NotRun);
+  CHECK(refusal->retry_after == seconds(4));
+}
+
+TEST_CASE("what no engine would take is refused at once", "[router]") {
+  RouterFixture fixture;
+  fixture.backend(fixture.dispatched().dispatch, BackendRefused{ErrorCode::TooLarge, Duration{0}});
+  checkRefused(fixture, ErrorCode::TooLarge, RunState::NotRun);
+}
+
+TEST_CASE("without retry budget a failed attempt ends at once with advice", "[router]") {
+  RouterFixture fixture;
+  fixture.admission->retries_left = 0;
+  const DispatchCompletion dispatch = fixture.dispatched();
+  SECTION("not run") {
+    fixture.backend(dispatch.dispatch, BackendLost{false});
+    checkRefused(fixture, ErrorCode::Overloaded, RunState::NotRun);
+  }
+  SECTION("perhaps run") {
+    fixture.backend(dispatch.dispatch, BackendLost{true});
+    const auto resume = fixture.take<DispatchCompletion>();  // Taking up a stream costs no engine anything.
+    REQUIRE(resume->resume);
+    fixture.backend(resume->dispatch, BackendLost{true});
+    checkRefused(fixture, ErrorCode::Overloaded, RunState::Unknown);
+  }
+}
+
+TEST_CASE("a stream that is cut is taken up at the same engine, then elsewhere", "[router]") {
+  RouterFixture fixture;
+  const DispatchCompletion first = fixture.dispatched();
+  fixture.accept(first);
+  fixture.piece(first.dispatch, 0, "abcdefgh");
+  fixture.backend(first.dispatch, BackendLost{true});
+
+  const auto resume = fixture.take<DispatchCompletion>();
+  REQUIRE(resume);
+  CHECK(resume->resume);
+  CHECK(resume->engine_name == "e0");
+  CHECK(resume->request.resume_offset == 2);
+  fixture.piece(first.dispatch, 2, "stale");  // Of the dispatch that is over.
+  fixture.accept(*resume);
+  fixture.piece(resume->dispatch, 2, "ijkl");
+
+  SECTION("the engine ends it") {
+    fixture.end(resume->dispatch, "abcdefghijkl");
+    CHECK(fixture.takeMessage<StreamEnd>()->token_count == 3);
+  }
+  SECTION("the engine restarts") {
+    fixture.fleet.engines[0].incarnation = 11;
+    fixture.publish();
+    CHECK(fixture.take<CancelDispatch>()->dispatch == resume->dispatch);
+    const auto moved = fixture.take<DispatchCompletion>();
+    REQUIRE(moved);
+    CHECK_FALSE(moved->resume);
+    CHECK(moved->expected_weights == "w1");
+    CHECK(moved->request.resume_offset == 3);
+    CHECK(moved->request.resume_text == "abcdefghijkl");
+    fixture.accept(*moved);
+    fixture.end(resume->dispatch, "abcdefghijkl");  // Stale.
+    CHECK_FALSE(fixture.takeMessage<StreamEnd>());
+    fixture.piece(moved->dispatch, 3, "mnop");
+    fixture.end(moved->dispatch, "abcdefghijklmnop");
+    CHECK(fixture.takeMessage<StreamEnd>()->token_count == 4);
+  }
+  std::string text;
+  while (const auto piece = fixture.takeMessage<StreamPiece>()) text += piece->text;
+  CHECK(text.substr(0, 12) == "abcdefghijkl");
+  CHECK(text.find("stale") == std::string::npos);
+}
+
+TEST_CASE("an engine that does not answer a resume call is left after a second", "[router]") {
+  RouterFixture fixture;
+  const DispatchCompletion first = fixture.dispatched();
+  fixture.accept(first);
+  fixture.piece(first.dispatch, 0, "abcd");
+  fixture.backend(first.dispatch, BackendLost{true});
+  REQUIRE(fixture.take<DispatchCompletion>()->resume);
+  fixture.advance(seconds(1));
+  const auto moved = fixture.take<DispatchCompletion>();
+  REQUIRE(moved);
+  CHECK(moved->engine_name == "e1");
+  CHECK(moved->request.resume_text == "abcd");
+}
+
+TEST_CASE("a stream that falls silent moves on", "[router]") {
+  RouterFixture fixture;
+  const DispatchCompletion first = fixture.dispatched();
+  fixture.accept(first);
+  fixture.piece(first.dispatch, 0, "abcd");
+  fixture.advance(seconds(3));
+  CHECK_FALSE(fixture.take<CancelDispatch>());
+  fixture.advance(seconds(1));
+  CHECK(fixture.take<CancelDispatch>()->dispatch == first.dispatch);
+  CHECK(fixture.take<DispatchCompletion>()->engine_name == "e1");
+}
+
+TEST_CASE("text of rolled weights is never continued with others", "[router]") {
+  RouterFixture fixture;
+  const DispatchCompletion first = fixture.dispatched();
+  fixture.accept(first);
+  const bool streamed = GENERATE(true, false);
+  if (streamed) fixture.piece(first.dispatch, 0, "abcd");
+  for (EngineView& engine : fixture.fleet.engines) engine.models[0].weights_version = "w2";
+  fixture.fleet.engines[0].incarnation = 11;
+  fixture.publish();
+  if (streamed) {
+    checkRefused(fixture, ErrorCode::WeightsMismatch, RunState::Ran);
+  } else {
+    CHECK(fixture.take<DispatchCompletion>()->expected_weights == "w2");
+  }
+}
+
+TEST_CASE("an engine that breaks its word is left and nothing of it is passed on", "[router]") {
+  RouterFixture fixture;
+  const DispatchCompletion first = fixture.dispatched();
+  SECTION("another incarnation accepts") {
+    fixture.backend(first.dispatch, BackendAccepted{99, "w1", 50, 0});
+  }
+  SECTION("other weights accept") {
+    fixture.backend(first.dispatch, BackendAccepted{10, "w0", 50, 0});
+  }
+  SECTION("a piece leaves a gap") {
+    fixture.piece(first.dispatch, 1, "abcd");
+  }
+  CHECK(fixture.take<CancelDispatch>()->dispatch == first.dispatch);
+  CHECK(fixture.take<DispatchCompletion>()->engine_name == "e1");
+  CHECK_FALSE(fixture.takeMessage<StreamPiece>());
+  CHECK_FALSE(fixture.takeMessage<Accepted>());
+}
+
+TEST_CASE("a resubmitted request goes on from what the caller has", "[router]") {
+  RouterFixture fixture;
+  SubmitRequest request = RouterFixture::completion(2);
+  request.resume_offset = 2;
+  request.resume_text = "abcdefgh";
+  request.resume_engine = "e1";
+  request.resume_incarnation = 10;
+  request.resume_weights = "w1";
+  SECTION("at the engine that still runs it") {
+    const DispatchCompletion resume = fixture.dispatched(request);
+    CHECK(resume.resume);
+    CHECK(resume.engine_name == "e1");
+    fixture.backend(resume.dispatch, BackendRefused{ErrorCode::EngineLost, Duration{0}});
+    CHECK(fixture.take<DispatchCompletion>()->request.resume_offset == 2);
+  }
+  SECTION("elsewhere when that engine restarted") {
+    request.resume_incarnation = 9;
+    const DispatchCompletion moved = fixture.dispatched(request);
+    CHECK_FALSE(moved.resume);
+    CHECK(moved.request.resume_text == "abcdefgh");
+  }
+  SECTION("with an explicit error when its weights are gone") {
+    request.resume_weights = "w0";
+    request.resume_incarnation = 9;
+    fixture.submit(request);
+    checkRefused(fixture, ErrorCode::WeightsMismatch, RunState::Ran);
+  }
+}
+
+TEST_CASE("a newer attempt takes over what the router already has", "[router]") {
+  RouterFixture fixture;
+  const DispatchCompletion first = fixture.dispatched();
+  fixture.accept(first);
+  fixture.piece(first.dispatch, 0, "abcdefgh");
+  while (fixture.takeMessage<StreamPiece>()) {
+  }
+  SubmitRequest again = RouterFixture::completion(2);
+  again.resume_offset = 1;
+  again.resume_text = "abcd";
+  again.resume_weights = "w1";
+  SECTION("same text so far: only the rest is sent, under the new attempt") {
+    fixture.submit(again, 7);
+    CHECK_FALSE(fixture.take<CancelDispatch>());
+    const auto piece = fixture.takeMessage<StreamPiece>();
+    CHECK(piece->attempt == 2);
+    CHECK(piece->offset == 1);
+    CHECK(piece->text == "efgh");
+    fixture.router->onSidecarLost(1, fixture.now);  // The older connection no longer matters.
+    fixture.end(first.dispatch, "abcdefgh");
+    CHECK(fixture.takeMessage<StreamEnd>()->attempt == 2);
+  }
+  SECTION("other text so far: the old work is stopped") {
+    again.resume_text = "wxyz";
+    fixture.submit(again, 7);
+    CHECK(fixture.take<CancelDispatch>()->dispatch == first.dispatch);
+    CHECK(fixture.take<DispatchCompletion>()->request.resume_text == "wxyz");
+  }
+  SECTION("an older attempt is ignored") {
+    fixture.submit(again, 7);
+    fixture.submit(RouterFixture::completion(1), 8);
+    CHECK_FALSE(fixture.take<CancelDispatch>());
+    CHECK_FALSE(fixture.take<DispatchCompletion>());
+  }
+}
