Add the placement experiment and weigh KV import, learnt reuse and eviction

The cost policy now learns which share of prompt tokens engines compute, imports blocks where that is cheaper than recomputing, and charges for newly stored blocks.

--- /dev/null
+++ b/sim/experiment/experiment_router.cc
@@ -0,0 +1,316 @@
+#include "sim/experiment/experiment_router.h"
+
+#include <fmt/format.h>
+
+#include "base/hash.h"
+#include "placement/utilization.h"
+
+namespace crankspur::experiment {
+namespace {
+
+constexpr std::size_t kIndexEntries = 500'000;
+constexpr Duration kEventPollInterval = std::chrono::milliseconds(100);
+
+}  // namespace
+
+ExperimentRouter::ExperimentRouter(sim::EventQueue& queue, Fleet& fleet, std::shared_ptr<const Bundle> bundle,
+                                   std::uint32_t number, std::uint32_t router_count,
+                                   std::unique_ptr<PlacementPolicy> policy, std::uint64_t seed,
+                                   Duration client_delay)
+    : queue_(queue),
+      fleet_(fleet),
+      number_(number),
+      router_count_(router_count),
+      zone_(number % fleet.site().zones),
+      client_delay_(client_delay),
+      random_(combineHashes(seed, number)),
+      policy_(std::move(policy)),
+      index_(makePrefixIndex(kIndexEntries)),
+      admission_(makeAdmission()),
+      event_sequence_(fleet.engines().size()),
+      digest_wanted_(fleet.engines().size()) {
+  admission_->configure(bundle, router_count, queue.now());
+  snapshot_.bundle = std::move(bundle);
+  snapshot_.own_zone = std::to_string(zone_);
+  snapshot_.router_count = router_count;
+  for (const auto& engine : fleet.engines()) {
+    EngineView view;
+    view.slot = engine->slot();
+    view.name = engine->address();
+    view.address = engine->address();
+    view.zone = std::to_string(engine->zone());
+    view.pool = "gpu";
+    view.models.push_back({kModel, kWeights, {}});
+    snapshot_.engines.push_back(std::move(view));
+  }
+}
+
+void ExperimentRouter::start() {
+  for (const auto& engine : fleet_.engines()) {
+    onLoad(engine->slot(), engine->model().load(queue_.now()));
+    pollLoad(engine->slot());
+    pollEvents(engine->slot());
+  }
+}
+
+void ExperimentRouter::pollLoad(EngineSlot slot) {
+  const Duration interval = snapshot_.bundle->knobs.load_report_interval;
+  const Duration jittered(random_.uniform(interval.count() * 3 / 4, interval.count() * 5 / 4));
+  queue_.after(jittered, [this, slot] {
+    const Duration one_way = fleet_.delay(zone_, fleet_.engine(slot).zone());
+    queue_.after(one_way, [this, slot, one_way] {
+      EngineHost& engine = fleet_.engine(slot);
+      if (!engine.up() || engine.frozen()) {
+        queue_.after(one_way, [this, slot] { onPollFailed(slot); });
+        return;
+      }
+      const standin::EngineLoadReport report = engine.model().load(queue_.now());
+      queue_.after(one_way, [this, slot, report] { onLoad(slot, report); });
+    });
+    pollLoad(slot);
+  });
+}
+
+void ExperimentRouter::onPollFailed(EngineSlot slot) {
+  snapshot_.engines[slot].state = EngineState::Dead;
+}
+
+void ExperimentRouter::onLoad(EngineSlot slot, const standin::EngineLoadReport& report) {
+  EngineView& view = snapshot_.engines[slot];
+  if (view.incarnation != report.incarnation) {
+    view.incarnation = report.incarnation;
+    index_->setIncarnation(slot, report.incarnation);
+    event_sequence_[slot] = 0;
+  }
+  view.state = EngineState::Live;
+  view.load.measured_at = queue_.now() - report.age;
+  view.load.queued_tokens = report.queued_tokens;
+  view.load.queued_requests = report.queued_requests;
+  view.load.running_requests = report.running_requests;
+  view.load.batch_limit = report.batch_limit;
+  view.load.cache_blocks_total = report.cache_blocks_total;
+  view.load.cache_blocks_used = report.cache_blocks_used;
+  view.load.prefill_tokens_per_second = report.prefill_tokens_per_second;
+  sent_.loadMeasured(slot, view.load.measured_at);
+}
+
+bool ExperimentRouter::owns(EngineSlot slot) const {
+  return slot % router_count_ == number_;
+}
+
+void ExperimentRouter::pollEvents(EngineSlot slot) {
+  const Duration jittered(
+      random_.uniform(kEventPollInterval.count() * 3 / 4, kEventPollInterval.count() * 5 / 4));
+  queue_.after(jittered, [this, slot] {
+    EngineHost& engine = fleet_.engine(slot);
+    const Duration one_way = fleet_.delay(zone_, engine.zone());
+    const Duration arrives = owns(slot) ? one_way : one_way + kSharingDelay;
+    if (engine.up() && !engine.frozen() &&
+        engine.model().incarnation() == snapshot_.engines[slot].incarnation) {
+      standin::CacheChanges changes = engine.model().cacheChanges(event_sequence_[slot], queue_.now());
+      event_sequence_[slot] = std::max(event_sequence_[slot], changes.last_sequence);
+      if (!changes.events.empty()) {
+        queue_.after(arrives, [this, slot, changes = std::move(changes)] { onEvents(slot, changes); });
+      }
+    }
+    if (digest_wanted_[slot]) fetchDigest(slot);
+    pollEvents(slot);
+  });
+}
+
+void ExperimentRouter::onEvents(EngineSlot slot, const standin::CacheChanges& changes) {
+  for (const standin::CacheChange& change : changes.events) {
+    const CacheEvent event{change.sequence, change.stored, change.removed};
+    if (!index_->applyEvent(slot, changes.incarnation, event, queue_.now())) digest_wanted_[slot] = true;
+  }
+}
+
+void ExperimentRouter::fetchDigest(EngineSlot slot) {
+  EngineHost& engine = fleet_.engine(slot);
+  if (!engine.up() || engine.frozen()) return;
+  const standin::CacheDigest digest = engine.model().cacheDigest(queue_.now());
+  if (digest.refused) return;
+  digest_wanted_[slot] = false;
+  const Duration one_way = fleet_.delay(zone_, engine.zone());
+  queue_.after(one_way, [this, slot, digest] {
+    index_->applyDigest(slot, digest.incarnation, digest.sequence, digest.blocks, queue_.now());
+  });
+}
+
+void ExperimentRouter::submit(std::shared_ptr<ActiveRequest> request) {
+  place(request);
+}
+
+void ExperimentRouter::place(const Request& request) {
+  const std::uint32_t limit = snapshot_.bundle->knobs.max_attempts;
+  if (request->attempt >= limit) {
+    end(request, true);
+    return;
+  }
+  ++request->attempt;
+  const PlacementDecision decision =
+      policy_->choose(request->placement, snapshot_, *index_, sent_, random_, queue_.now());
+  if (!decision.found || !admit(request, decision)) {
+    end(request, true);
+    return;
+  }
+  dispatch(request, decision);
+}
+
+bool ExperimentRouter::admit(const Request& request, const PlacementDecision& decision) {
+  if (request->has_first_token) return true;
+  AdmissionRequest& admission = request->admission;
+  if (request->admitted) admission_->finished(admission, 0, queue_.now());
+  request->admitted = false;
+  const auto cached = static_cast<std::uint32_t>(decision.cached_blocks * kTokensPerBlock);
+  admission.cost_tokens = request->placement.prompt_tokens -
+                          std::min(cached, request->placement.prompt_tokens) + request->placement.max_tokens;
+  admission.deadline = fleet_.site().deadline - (queue_.now() - request->arrived);
+  admission.expected_first_token = decision.expected_first_token;
+  admission.fleet_utilization = utilization();
+  admission.retry = request->attempt > 1;
+  const AdmissionDecision admitted = admission_->admit(admission, queue_.now());
+  request->admitted = admitted.admitted;
+  request->priority = admitted.priority;
+  return admitted.admitted;
+}
+
+double ExperimentRouter::utilization() const {
+  return estimateUtilization(snapshot_);
+}
+
+void ExperimentRouter::dispatch(const Request& request, const PlacementDecision& decision) {
+  request->dispatch = next_dispatch_++ * 64 + number_;
+  request->engine = decision.engine;
+  request->incarnation = decision.incarnation;
+  request->dispatched = queue_.now();
+  request->expected_first_token = decision.expected_first_token;
+  const std::uint32_t reused_blocks = std::max(decision.cached_blocks, decision.import_blocks);
+  const auto cached = static_cast<std::uint32_t>(reused_blocks * kTokensPerBlock);
+  const std::uint32_t uncached =
+      request->placement.prompt_tokens - std::min(cached, request->placement.prompt_tokens);
+  index_->notePlaced(decision.engine, decision.incarnation, request->blocks, queue_.now());
+  sent_.add(decision.engine, request->dispatch, uncached, queue_.now());
+  WorkLedger& ledger = fleet_.ledger(decision.engine);
+  const std::uint32_t planned = ledger.plannedPrefix(
+      request->blocks, fleet_.engine(decision.engine).model().heldPrefix(request->blocks));
+  const std::uint32_t reused = std::max(planned, decision.import_blocks);
+  const std::uint32_t left =
+      request->placement.prompt_tokens -
+      std::min<std::uint32_t>(reused * kTokensPerBlock, request->placement.prompt_tokens - 1);
+  ledger.add(request->dispatch, request->blocks, left, fleet_.site().timings, queue_.now());
+
+  standin::CompletionRequest completion;
+  completion.request_id = request->id;
+  completion.attempt = request->attempt;
+  completion.tenant = request->placement.tenant;
+  completion.model = kModel;
+  completion.prompt = request->prompt;
+  completion.max_tokens = request->placement.max_tokens;
+  completion.priority = request->priority;
+  completion.expect_incarnation = decision.incarnation;
+  completion.expect_weights = decision.weights_version;
+  completion.resume_offset = request->delivered.size() / kBytesPerToken;
+  completion.resume_text = request->delivered;
+  completion.import_from = decision.import_from;
+  completion.import_blocks = decision.import_blocks;
+  const Duration one_way = fleet_.delay(zone_, fleet_.engine(decision.engine).zone());
+  queue_.after(one_way,
+               [this, request, completion = std::move(completion)] { arriveAtEngine(request, completion); });
+}
+
+void ExperimentRouter::arriveAtEngine(const Request& request, const standin::CompletionRequest& completion) {
+  EngineHost& engine = fleet_.engine(request->engine);
+  request->best_elsewhere_tokens =
+      static_cast<std::uint32_t>(fleet_.longestHeldPrefix(request->blocks) * kTokensPerBlock);
+  const Duration one_way = fleet_.delay(zone_, engine.zone());
+  const std::uint64_t dispatch = request->dispatch;
+  engine.submit(completion, [this, request, one_way, dispatch](const standin::StreamEvent& event) {
+    if (request->dispatch != dispatch) return;
+    const bool first = std::holds_alternative<standin::StreamTokens>(event);
+    if (first) fleet_.ledger(request->engine).remove(dispatch);
+    if (std::holds_alternative<standin::StreamFinished>(event)) recordRun(request);
+    queue_.after(one_way, [this, request, dispatch, event] { onStream(request, dispatch, event); });
+  });
+}
+
+void ExperimentRouter::recordRun(const Request& request) {
+  const auto& records = fleet_.engine(request->engine).model().records();
+  for (auto record = records.rbegin(); record != records.rend(); ++record) {
+    if (record->request_id != request->id) continue;
+    RequestOutcome& outcome = *request->outcome;
+    outcome.prompt_tokens += record->prompt_tokens;
+    outcome.cached_tokens += record->cached_tokens;
+    outcome.imported_tokens += record->imported_tokens;
+    outcome.recomputed_tokens += record->recomputed_tokens;
+    const std::uint32_t reused = record->cached_tokens + record->imported_tokens;
+    const std::uint32_t missed = std::max(request->best_elsewhere_tokens, reused) - reused;
+    outcome.wasted_tokens += std::min(missed, record->recomputed_tokens);
+    return;
+  }
+}
+
+void ExperimentRouter::onStream(const Request& request, std::uint64_t dispatch,
+                                const standin::StreamEvent& event) {
+  if (request->dispatch != dispatch) return;
+  if (const auto* accepted = std::get_if<standin::StreamAccepted>(&event))
+    return onAccepted(request, *accepted);
+  if (const auto* tokens = std::get_if<standin::StreamTokens>(&event)) return onTokens(request, *tokens);
+  if (std::holds_alternative<standin::StreamFinished>(event)) return onFinished(request);
+  onLost(request, std::holds_alternative<standin::StreamRefused>(event));
+}
+
+void ExperimentRouter::onAccepted(const Request& request, const standin::StreamAccepted& accepted) {
+  request->cached_tokens = accepted.cached_tokens;
+  index_->correct(request->engine, accepted.incarnation, request->blocks,
+                  static_cast<std::uint32_t>(accepted.cached_tokens / kTokensPerBlock), queue_.now());
+}
+
+void ExperimentRouter::onTokens(const Request& request, const standin::StreamTokens& tokens) {
+  if (request->delivered.empty()) {
+    policy_->observe({request->engine, request->placement.prompt_tokens, request->cached_tokens,
+                      request->expected_first_token, queue_.now() - request->dispatched},
+                     queue_.now());
+  }
+  sent_.started(request->engine, request->dispatch);
+  request->delivered += tokens.text;
+  if (request->has_first_token) return;
+  request->has_first_token = true;
+  request->outcome->first_token = queue_.now() + client_delay_ - request->arrived;
+}
+
+void ExperimentRouter::onFinished(const Request& request) {
+  leaveEngine(request);
+  request->outcome->finished = true;
+  end(request, false);
+}
+
+void ExperimentRouter::leaveEngine(const Request& request) {
+  sent_.remove(request->engine, request->dispatch);
+  fleet_.ledger(request->engine).remove(request->dispatch);
+}
+
+void ExperimentRouter::onLost(const Request& request, bool engine_alive) {
+  leaveEngine(request);
+  if (!engine_alive) {
+    snapshot_.engines[request->engine].state = EngineState::Dead;
+    index_->forgetEngine(request->engine);
+    snapshot_.engines[request->engine].incarnation = 0;
+  }
+  request->placement.excluded.push_back(request->engine);
+  place(request);
+}
+
+void ExperimentRouter::end(const Request& request, bool refused) {
+  request->outcome->refused = refused;
+  request->outcome->attempts = request->attempt;
+  if (request->admitted) {
+    const std::uint32_t used = request->outcome->recomputed_tokens +
+                               static_cast<std::uint32_t>(request->delivered.size() / kBytesPerToken);
+    admission_->finished(request->admission, used, queue_.now());
+  }
+  request->dispatch = 0;
+  if (request->on_done) request->on_done();
+}
+
+}  // namespace crankspur::experiment
--- /dev/null
+++ b/sim/experiment/measures.cc
@@ -0,0 +1,108 @@
+#include "sim/experiment/measures.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace crankspur::experiment {
+namespace {
+
+/// Window over which recovery after a shift is judged.
+constexpr double kRecoveryWindowSeconds = 2.0;
+/// Recovered: reuse within this share of the steady state before the shift.
+constexpr double kRecoveryTolerance = 0.05;
+
+double firstTokenMilliseconds(const RequestOutcome& outcome, Duration deadline) {
+  const bool none = outcome.refused || outcome.first_token.count() == 0;
+  return toMilliseconds(none ? 2 * deadline : outcome.first_token);
+}
+
+/// @return reuse rate of the requests that arrived in [from, to), seconds; negative when there are none.
+double reuseBetween(const std::vector<RequestOutcome>& outcomes, double from, double to) {
+  double reused = 0;
+  double prompt = 0;
+  for (const RequestOutcome& outcome : outcomes) {
+    const double at = toSeconds(outcome.at);
+    if (at < from || at >= to) continue;
+    reused += outcome.cached_tokens + outcome.imported_tokens;
+    prompt += outcome.prompt_tokens;
+  }
+  return prompt == 0 ? -1 : reused / prompt;
+}
+
+std::optional<double> recoveryTime(const RunOptions& options, const std::vector<RequestOutcome>& outcomes) {
+  const double shift = toSeconds(shiftTime(options));
+  const double steady = reuseBetween(outcomes, toSeconds(options.warm_up), shift);
+  const double end = toSeconds(options.length);
+  for (double from = shift; from + kRecoveryWindowSeconds <= end; from += 0.5) {
+    const double reuse = reuseBetween(outcomes, from, from + kRecoveryWindowSeconds);
+    if (reuse >= steady * (1 - kRecoveryTolerance)) return from - shift;
+  }
+  return std::nullopt;
+}
+
+void measureTenants(const RunOptions& options, const std::vector<const RequestOutcome*>& counted,
+                    Measures& measures) {
+  const std::uint32_t tenants = options.site.shape.tenants;
+  std::vector<std::vector<double>> first_tokens(tenants);
+  std::vector<double> refused(tenants);
+  for (const RequestOutcome* outcome : counted) {
+    if (outcome->tenant >= tenants) continue;
+    first_tokens[outcome->tenant].push_back(firstTokenMilliseconds(*outcome, options.site.deadline));
+    refused[outcome->tenant] += outcome->refused ? 1 : 0;
+  }
+  for (std::uint32_t tenant = 0; tenant < tenants; ++tenant) {
+    const double requests = std::max<double>(1, static_cast<double>(first_tokens[tenant].size()));
+    measures.tenant_refused.push_back(refused[tenant] / requests);
+    measures.tenant_p95_ms.push_back(quantileOf(std::move(first_tokens[tenant]), 0.95));
+  }
+}
+
+}  // namespace
+
+double quantileOf(std::vector<double> values, double quantile) {
+  if (values.empty()) return 0;
+  const auto rank = static_cast<std::size_t>(std::ceil(quantile * static_cast<double>(values.size())));
+  const std::size_t index = std::min(values.size() - 1, rank == 0 ? 0 : rank - 1);
+  std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(index), values.end());
+  return values[index];
+}
+
+Measures measure(const RunOptions& options, const std::vector<RequestOutcome>& outcomes) {
+  std::vector<const RequestOutcome*> counted;
+  for (const RequestOutcome& outcome : outcomes) {
+    if (outcome.at >= options.warm_up) counted.push_back(&outcome);
+  }
+  Measures measures;
+  measures.requests = counted.size();
+  if (counted.empty()) return measures;
+  double prompt = 0;
+  double cached = 0;
+  double imported = 0;
+  std::vector<double> first_tokens;
+  for (const RequestOutcome* outcome : counted) {
+    prompt += outcome->prompt_tokens;
+    cached += outcome->cached_tokens;
+    imported += outcome->imported_tokens;
+    measures.wasted_per_request += outcome->wasted_tokens;
+    measures.recomputed_per_request += outcome->recomputed_tokens;
+    measures.refused_share += outcome->refused || !outcome->finished ? 1 : 0;
+    const bool late = outcome->first_token > options.site.deadline || outcome->first_token.count() == 0;
+    measures.missed_share += outcome->refused || late ? 1 : 0;
+    first_tokens.push_back(firstTokenMilliseconds(*outcome, options.site.deadline));
+  }
+  const auto requests = static_cast<double>(counted.size());
+  measures.hit_rate = prompt == 0 ? 0 : cached / prompt;
+  measures.reuse_rate = prompt == 0 ? 0 : (cached + imported) / prompt;
+  measures.wasted_per_request /= requests;
+  measures.recomputed_per_request /= requests;
+  measures.refused_share /= requests;
+  measures.missed_share /= requests;
+  measures.p50_ms = quantileOf(first_tokens, 0.50);
+  measures.p95_ms = quantileOf(first_tokens, 0.95);
+  measures.p99_ms = quantileOf(first_tokens, 0.99);
+  measureTenants(options, counted, measures);
+  if (options.faults.shift) measures.recovery_seconds = recoveryTime(options, outcomes);
+  return measures;
+}
+
+}  // namespace crankspur::experiment
--- /dev/null
+++ b/sim/experiment/previous_placement.cc
@@ -0,0 +1,131 @@
+/// @file Yardstick: the cost policy as it was first merged, kept unchanged.
+
+#include <algorithm>
+
+#include "placement/eligibility.h"
+#include "sim/experiment/yardsticks.h"
+
+namespace crankspur::experiment {
+namespace {
+
+/// Engines weighed for one request when there are more than this many.
+constexpr std::size_t kWeighAllBelow = 32;
+/// Holders of the longest prefixes that are weighed.
+constexpr std::size_t kPrefixCandidates = 16;
+/// Candidates kept in the decision record.
+constexpr std::size_t kRecordedCandidates = 8;
+/// Prefill rate assumed when a report states none, tokens per second.
+constexpr double kAssumedPrefillRate = 8000;
+
+Duration toDuration(double seconds) {
+  return Duration(static_cast<std::int64_t>(seconds * 1e6));
+}
+
+/// Inputs of one decision.
+struct Inputs {
+  const PlacementRequest& request;
+  const Knobs& knobs;
+  const OutstandingWork& work;
+  TimePoint now;
+};
+
+double prefillRate(const EngineView& engine) {
+  const double rate = engine.load.prefill_tokens_per_second;
+  return rate > 0 ? rate : kAssumedPrefillRate;
+}
+
+/// @return tokens before this request at the engine: the report, drained since it was measured, plus own work
+/// that the report cannot show.
+double tokensAhead(const EngineView& engine, const Inputs& inputs) {
+  const double age = std::max(0.0, toSeconds(inputs.now - engine.load.measured_at));
+  const double drained = age * prefillRate(engine);
+  const double reported = std::max(0.0, engine.load.queued_tokens - drained);
+  return reported + inputs.work.pendingTokens(engine.slot);
+}
+
+CandidateEstimate estimate(const EngineView& engine, std::uint32_t cached_blocks, const Inputs& inputs) {
+  CandidateEstimate result;
+  result.engine = engine.slot;
+  result.cached_blocks = cached_blocks;
+  const double cached_tokens = static_cast<double>(cached_blocks) * kTokensPerBlock;
+  const double uncached = std::max(0.0, inputs.request.prompt_tokens - cached_tokens);
+  const double queue = tokensAhead(engine, inputs) / prefillRate(engine);
+  const double prefill = uncached / prefillRate(engine);
+  result.queue = toDuration(queue);
+  result.prefill = toDuration(prefill);
+  result.cost = queue + prefill * inputs.knobs.decision_cached_token_value;
+  return result;
+}
+
+class PreviousPlacement : public PlacementPolicy {
+public:
+  std::string name() const override { return "previous"; }
+
+  PlacementDecision choose(const PlacementRequest& request, const RoutingSnapshot& snapshot,
+                           const PrefixIndex& index, const OutstandingWork& work, RandomSource& random,
+                           TimePoint now) override {
+    const std::vector<EligibleEngine> eligible = findEligible(request, snapshot);
+    if (eligible.empty()) return {};
+    const Inputs inputs{request, snapshot.bundle->knobs, work, now};
+    std::vector<CandidateEstimate> candidates = weigh(eligible, snapshot, index, inputs, random);
+    std::sort(candidates.begin(), candidates.end(),
+              [](const CandidateEstimate& left, const CandidateEstimate& right) {
+                return left.cost != right.cost ? left.cost < right.cost : left.engine < right.engine;
+              });
+    const CandidateEstimate& best = candidates.front();
+    const EngineView& engine = *snapshot.engine(best.engine);
+    PlacementDecision decision;
+    decision.found = true;
+    decision.engine = engine.slot;
+    decision.incarnation = engine.incarnation;
+    decision.weights_version = engine.weightsOf(request.model);
+    decision.cached_blocks = best.cached_blocks;
+    decision.expected_first_token = best.queue + best.prefill;
+    candidates.resize(std::min(candidates.size(), kRecordedCandidates));
+    decision.candidates = std::move(candidates);
+    return decision;
+  }
+
+private:
+  /// Estimates the holders of the longest prefixes and some engines at random; all when they are few.
+  static std::vector<CandidateEstimate> weigh(const std::vector<EligibleEngine>& eligible,
+                                              const RoutingSnapshot& snapshot, const PrefixIndex& index,
+                                              const Inputs& inputs, RandomSource& random) {
+    std::vector<CandidateEstimate> candidates;
+    std::vector<EngineSlot> weighed;
+    const auto add = [&](const EngineView& engine, std::uint32_t blocks) {
+      if (std::find(weighed.begin(), weighed.end(), engine.slot) != weighed.end()) return;
+      weighed.push_back(engine.slot);
+      candidates.push_back(estimate(engine, blocks, inputs));
+    };
+    for (const PrefixMatch& match : index.match(inputs.request.blocks, inputs.now)) {
+      if (candidates.size() >= kPrefixCandidates) break;
+      const EngineView* engine = snapshot.engine(match.engine);
+      if (engine != nullptr && isEligible(eligible, match.engine)) add(*engine, match.blocks);
+    }
+    if (eligible.size() <= kWeighAllBelow) {
+      for (const EligibleEngine& engine : eligible) add(*engine.view, 0);
+      return candidates;
+    }
+    const std::size_t draws = std::max<std::size_t>(inputs.knobs.random_candidates, 1);
+    for (std::size_t draw = 0; draw < draws; ++draw) {
+      add(*eligible[random.uniform(0, eligible.size() - 1)].view, 0);
+    }
+    return candidates;
+  }
+
+  static bool isEligible(const std::vector<EligibleEngine>& eligible, EngineSlot slot) {
+    const auto place = std::lower_bound(
+        eligible.begin(), eligible.end(), slot,
+        [](const EligibleEngine& engine, EngineSlot wanted) { return engine.view->slot < wanted; });
+    return place != eligible.end() && place->view->slot == slot;
+  }
+};
+
+}  // namespace
+
+std::unique_ptr<PlacementPolicy> makePreviousPlacement() {
+  return std::make_unique<PreviousPlacement>();
+}
+
+}  // namespace crankspur::experiment
--- a/src/admission/admission.cc
+++ b/src/admission/admission.cc
@@ -21,13 +21,13 @@
 /// How often fair shares are computed anew.
 constexpr Duration kShareInterval = std::chrono::milliseconds(100);
 /// Utilization from which tenants above their share are dispatched with a lower priority.
-constexpr double kDemoteUtilization = 0.5;
+constexpr double kDemoteUtilization = 0.7;
 /// Utilization from which requests of tenants above their share are refused.
-constexpr double kRefuseUtilization = 0.85;
+constexpr double kRefuseUtilization = 1.0;
 /// Utilization that fair shares add up to.
-constexpr double kTargetUtilization = 0.8;
+constexpr double kTargetUtilization = 0.9;
 /// Utilization from which work of priority 2 and lower urgency is refused.
-constexpr double kBackgroundUtilization = 1.0;
+constexpr double kBackgroundUtilization = 1.1;
 constexpr std::uint32_t kBackgroundPriority = 2;
 /// Retries a tenant may save up.
 constexpr double kRetryReserve = 10;
--- a/src/placement/cost_placement.cc
+++ b/src/placement/cost_placement.cc
@@ -1,125 +1,184 @@
-/// @file The product's placement: the engine with the least estimated time to the first token.
+/// @file The product's placement: the engine with the least estimated time to the first token, plus what the
+/// choice costs later requests by eviction.
 
 #include <algorithm>
+#include <optional>
 
+#include "base/hash.h"
 #include "placement/eligibility.h"
+#include "placement/queue_estimator.h"
 
 namespace crankspur {
 namespace {
 
-/// Engines weighed for one request when there are more than this many.
+/// All engines are weighed when there are at most this many.
 constexpr std::size_t kWeighAllBelow = 32;
-/// Holders of the longest prefixes that are weighed.
+/// Holders of the longest prefixes that are weighed otherwise.
 constexpr std::size_t kPrefixCandidates = 16;
 /// Candidates kept in the decision record.
 constexpr std::size_t kRecordedCandidates = 8;
-/// Prefill rate assumed when a report states none, tokens per second.
-constexpr double kAssumedPrefillRate = 8000;
+/// Fixed cost of a prefill, seconds.
+constexpr double kPrefillBase = 0.005;
+/// Fixed cost of an import, seconds, and its speed in tokens per second.
+constexpr double kImportBase = 0.008;
+constexpr double kImportRate = 100'000;
+/// Least time that an import must save, seconds.
+constexpr double kImportGain = 0.010;
 
 Duration toDuration(double seconds) {
   return Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
+/// The engine whose blocks others may import.
+struct ImportSource {
+  const EngineView* engine = nullptr;
+  std::uint32_t blocks = 0;
+};
+
 /// Inputs of one decision.
 struct Inputs {
   const PlacementRequest& request;
+  const RoutingSnapshot& snapshot;
   const Knobs& knobs;
   const OutstandingWork& work;
   TimePoint now;
+  std::vector<EligibleEngine> eligible;
+  std::vector<PrefixMatch> matches;
+  ImportSource source;
 };
 
-double prefillRate(const EngineView& engine) {
-  const double rate = engine.load.prefill_tokens_per_second;
-  return rate > 0 ? rate : kAssumedPrefillRate;
-}
+/// A candidate with what the decision needs of it.
+struct Candidate {
+  CandidateEstimate estimate;
+  const EngineView* engine = nullptr;
+  std::uint32_t import_blocks = 0;  ///< Leading blocks held after the import; 0: none.
+};
 
-/// @return tokens before this request at the engine: the report, drained since it was measured, plus own work
-/// that the report cannot show.
-double tokensAhead(const EngineView& engine, const Inputs& inputs) {
-  const double age = std::max(0.0, toSeconds(inputs.now - engine.load.measured_at));
-  const double drained = age * prefillRate(engine);
-  const double reported = std::max(0.0, engine.load.queued_tokens - drained);
-  return reported + inputs.work.pendingTokens(engine.slot);
+bool isEligible(const std::vector<EligibleEngine>& eligible, EngineSlot slot) {
+  const auto place = std::lower_bound(
+      eligible.begin(), eligible.end(), slot,
+      [](const EligibleEngine& engine, EngineSlot wanted) { return engine.view->slot < wanted; });
+  return place != eligible.end() && place->view->slot == slot;
 }
 
-CandidateEstimate estimate(const EngineView& engine, std::uint32_t cached_blocks, const Inputs& inputs) {
-  CandidateEstimate result;
-  result.engine = engine.slot;
-  result.cached_blocks = cached_blocks;
-  const double cached_tokens = static_cast<double>(cached_blocks) * kTokensPerBlock;
-  const double uncached = std::max(0.0, inputs.request.prompt_tokens - cached_tokens);
-  const double queue = tokensAhead(engine, inputs) / prefillRate(engine);
-  const double prefill = uncached / prefillRate(engine);
-  result.queue = toDuration(queue);
-  result.prefill = toDuration(prefill);
-  result.cost = queue + prefill * inputs.knobs.decision_cached_token_value;
-  return result;
+/// @return the first holder of the longest prefix that can send its blocks.
+ImportSource findSource(const std::vector<PrefixMatch>& matches, const RoutingSnapshot& snapshot) {
+  for (const PrefixMatch& match : matches) {
+    const EngineView* engine = snapshot.engine(match.engine);
+    if (engine == nullptr || engine->address.empty()) continue;
+    if (engine->state == EngineState::Live || engine->state == EngineState::Leaving) {
+      return {engine, match.blocks};
+    }
+  }
+  return {};
 }
 
 class CostPlacement : public PlacementPolicy {
 public:
   std::string name() const override { return "cost"; }
-
   PlacementDecision choose(const PlacementRequest& request, const RoutingSnapshot& snapshot,
                            const PrefixIndex& index, const OutstandingWork& work, RandomSource& random,
-                           TimePoint now) override {
-    const std::vector<EligibleEngine> eligible = findEligible(request, snapshot);
-    if (eligible.empty()) return {};
-    const Inputs inputs{request, snapshot.bundle->knobs, work, now};
-    std::vector<CandidateEstimate> candidates = weigh(eligible, snapshot, index, inputs, random);
-    std::sort(candidates.begin(), candidates.end(),
-              [](const CandidateEstimate& left, const CandidateEstimate& right) {
-                return left.cost != right.cost ? left.cost < right.cost : left.engine < right.engine;
-              });
-    const CandidateEstimate& best = candidates.front();
-    const EngineView& engine = *snapshot.engine(best.engine);
-    PlacementDecision decision;
-    decision.found = true;
-    decision.engine = engine.slot;
-    decision.incarnation = engine.incarnation;
-    decision.weights_version = engine.weightsOf(request.model);
-    decision.cached_blocks = best.cached_blocks;
-    decision.expected_first_token = best.queue + best.prefill;
-    candidates.resize(std::min(candidates.size(), kRecordedCandidates));
-    decision.candidates = std::move(candidates);
-    return decision;
-  }
+                           TimePoint now) override;
+  void observe(const PlacementFeedback& feedback, TimePoint) override { queues_.observe(feedback); }
 
 private:
-  /// Estimates the holders of the longest prefixes and some engines at random; all when they are few.
-  static std::vector<CandidateEstimate> weigh(const std::vector<EligibleEngine>& eligible,
-                                              const RoutingSnapshot& snapshot, const PrefixIndex& index,
-                                              const Inputs& inputs, RandomSource& random) {
-    std::vector<CandidateEstimate> candidates;
-    std::vector<EngineSlot> weighed;
-    const auto add = [&](const EngineView& engine, std::uint32_t blocks) {
-      if (std::find(weighed.begin(), weighed.end(), engine.slot) != weighed.end()) return;
-      weighed.push_back(engine.slot);
-      candidates.push_back(estimate(engine, blocks, inputs));
-    };
-    for (const PrefixMatch& match : index.match(inputs.request.blocks, inputs.now)) {
-      if (candidates.size() >= kPrefixCandidates) break;
-      const EngineView* engine = snapshot.engine(match.engine);
-      if (engine != nullptr && isEligible(eligible, match.engine)) add(*engine, match.blocks);
-    }
-    if (eligible.size() <= kWeighAllBelow) {
-      for (const EligibleEngine& engine : eligible) add(*engine.view, 0);
-      return candidates;
-    }
-    const std::size_t draws = std::max<std::size_t>(inputs.knobs.random_candidates, 1);
-    for (std::size_t draw = 0; draw < draws; ++draw) {
-      add(*eligible[random.uniform(0, eligible.size() - 1)].view, 0);
-    }
+  std::vector<Candidate> weigh(const Inputs& inputs, RandomSource& random) const;
+  Candidate weighOne(const EngineView& engine, std::uint32_t cached_blocks, const Inputs& inputs) const;
+  static PlacementDecision decide(const std::vector<Candidate>& candidates, const Inputs& inputs);
+
+  QueueEstimator queues_;
+};
+
+PlacementDecision CostPlacement::choose(const PlacementRequest& request, const RoutingSnapshot& snapshot,
+                                        const PrefixIndex& index, const OutstandingWork& work,
+                                        RandomSource& random, TimePoint now) {
+  Inputs inputs{request, snapshot, snapshot.bundle ? snapshot.bundle->knobs : Knobs{}, work, now, {}, {}, {}};
+  inputs.eligible = findEligible(request, snapshot);
+  if (inputs.eligible.empty()) return {};
+  inputs.matches = index.match(request.blocks, now);
+  inputs.source = findSource(inputs.matches, snapshot);
+  std::vector<Candidate> candidates = weigh(inputs, random);
+  std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
+    const bool differ = left.estimate.cost != right.estimate.cost;
+    return differ ? left.estimate.cost < right.estimate.cost : left.estimate.engine < right.estimate.engine;
+  });
+  return decide(candidates, inputs);
+}
+
+std::vector<Candidate> CostPlacement::weigh(const Inputs& inputs, RandomSource& random) const {
+  std::vector<Candidate> candidates;
+  std::vector<EngineSlot> weighed;
+  const auto add = [&](const EngineView& engine, std::uint32_t blocks) {
+    if (std::find(weighed.begin(), weighed.end(), engine.slot) != weighed.end()) return;
+    weighed.push_back(engine.slot);
+    candidates.push_back(weighOne(engine, blocks, inputs));
+  };
+  const bool weigh_all = inputs.eligible.size() <= kWeighAllBelow;
+  for (const PrefixMatch& match : inputs.matches) {
+    if (!weigh_all && candidates.size() >= kPrefixCandidates) break;
+    if (isEligible(inputs.eligible, match.engine)) add(*inputs.snapshot.engine(match.engine), match.blocks);
+  }
+  if (weigh_all) {
+    for (const EligibleEngine& engine : inputs.eligible) add(*engine.view, 0);
     return candidates;
   }
+  const std::size_t draws = std::max<std::size_t>(inputs.knobs.random_candidates, 1);
+  for (std::size_t draw = 0; draw < draws; ++draw) {
+    add(*inputs.eligible[random.uniform(0, inputs.eligible.size() - 1)].view, 0);
+  }
+  return candidates;
+}
 
-  static bool isEligible(const std::vector<EligibleEngine>& eligible, EngineSlot slot) {
-    const auto place = std::lower_bound(
-        eligible.begin(), eligible.end(), slot,
-        [](const EligibleEngine& engine, EngineSlot wanted) { return engine.view->slot < wanted; });
-    return place != eligible.end() && place->view->slot == slot;
+Candidate CostPlacement::weighOne(const EngineView& engine, std::uint32_t cached_blocks,
+                                  const Inputs& inputs) const {
+  Candidate candidate;
+  candidate.engine = &engine;
+  candidate.estimate.engine = engine.slot;
+  candidate.estimate.cached_blocks = cached_blocks;
+  const double rate = prefillRate(engine);
+  const double cached = static_cast<double>(cached_blocks) * kTokensPerBlock;
+  double uncached = std::max(1.0, inputs.request.prompt_tokens - cached);
+  double import = 0;
+  const ImportSource& source = inputs.source;
+  if (source.engine != nullptr && source.engine != &engine && source.blocks > cached_blocks) {
+    const double tokens = static_cast<double>(source.blocks - cached_blocks) * kTokensPerBlock;
+    const double time = kImportBase + tokens / kImportRate;
+    if (tokens / rate > time + kImportGain) {
+      import = time;
+      uncached = std::max(1.0, uncached - tokens);
+      candidate.import_blocks = source.blocks;
+    }
   }
-};
+  const double prefill = kPrefillBase + uncached / rate;
+  candidate.estimate.queue = queues_.wait(engine, inputs.work, inputs.now);
+  candidate.estimate.prefill = toDuration(prefill);
+  candidate.estimate.import = toDuration(import);
+  const double new_blocks = (inputs.request.prompt_tokens - cached) / kTokensPerBlock;
+  candidate.estimate.cost = toSeconds(candidate.estimate.queue) + import +
+                            prefill * inputs.knobs.decision_cached_token_value +
+                            std::max(0.0, new_blocks) * inputs.knobs.eviction_seconds_per_block;
+  return candidate;
+}
+
+PlacementDecision CostPlacement::decide(const std::vector<Candidate>& candidates, const Inputs& inputs) {
+  const Candidate& best = candidates.front();
+  PlacementDecision decision;
+  decision.found = true;
+  decision.engine = best.engine->slot;
+  decision.incarnation = best.engine->incarnation;
+  decision.weights_version = best.engine->weightsOf(inputs.request.model);
+  decision.cached_blocks = best.estimate.cached_blocks;
+  decision.expected_first_token = best.estimate.queue + best.estimate.import + best.estimate.prefill;
+  if (best.import_blocks > 0) {
+    decision.import_from = inputs.source.engine->address;
+    decision.import_blocks = best.import_blocks;
+  }
+  const std::size_t recorded = std::min(candidates.size(), kRecordedCandidates);
+  for (std::size_t index = 0; index < recorded; ++index) {
+    decision.candidates.push_back(candidates[index].estimate);
+  }
+  return decision;
+}
 
 }  // namespace
 
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -60,6 +60,15 @@
   std::vector<CandidateEstimate> candidates;  ///< Those weighed, the chosen one included; bounded.
 };
 
+/// What became of a placed request, told to the policy once its first token came.
+struct PlacementFeedback {
+  EngineSlot engine = 0;
+  std::uint32_t prompt_tokens = 0;
+  std::uint32_t cached_tokens = 0;   ///< Found in the engine's cache on arrival.
+  Duration expected_first_token{0};  ///< As the decision stated it.
+  Duration first_token{0};           ///< From dispatch to the first token.
+};
+
 /// A placement policy. Holds state across calls; not thread-safe.
 class PlacementPolicy {
 public:
@@ -70,6 +79,8 @@
   virtual PlacementDecision choose(const PlacementRequest& request, const RoutingSnapshot& snapshot,
                                    const PrefixIndex& index, const OutstandingWork& work,
                                    RandomSource& random, TimePoint now) = 0;
+  /// Learns from an outcome. Policies that learn nothing ignore it.
+  virtual void observe(const PlacementFeedback& /*feedback*/, TimePoint /*now*/) {}
 };
 
 /// The product's policy: least estimated time to first token, weighing queue, uncached prefill and import.
--- /dev/null
+++ b/src/placement/queue_estimator.cc
@@ -0,0 +1,44 @@
+#include "placement/queue_estimator.h"
+
+#include <algorithm>
+
+namespace crankspur {
+namespace {
+
+/// Weight of one answer in the learnt share.
+constexpr double kShareGain = 0.02;
+/// Wait for a place in a full batch, per request above the limit, seconds.
+constexpr double kFullBatchWait = 0.1;
+
+double batchWait(const EngineView& engine, const OutstandingWork& work) {
+  if (engine.load.batch_limit == 0) return 0;
+  const std::uint32_t held =
+      std::max(engine.load.running_requests + engine.load.queued_requests, work.inFlight(engine.slot));
+  const double above = static_cast<double>(held) + 1 - engine.load.batch_limit;
+  return std::max(0.0, above) * kFullBatchWait;
+}
+
+}  // namespace
+
+double prefillRate(const EngineView& engine) {
+  const double rate = engine.load.prefill_tokens_per_second;
+  return rate > 0 ? rate : kAssumedPrefillRate;
+}
+
+Duration QueueEstimator::wait(const EngineView& engine, const OutstandingWork& work, TimePoint now) const {
+  const double rate = prefillRate(engine);
+  const double age = std::max(0.0, toSeconds(now - engine.load.measured_at));
+  const double reported = std::max(0.0, engine.load.queued_tokens * uncached_share_ / rate - age);
+  const double own = work.pendingTokens(engine.slot) / rate;
+  const double seconds = reported + own + batchWait(engine, work);
+  return Duration(static_cast<std::int64_t>(seconds * 1e6));
+}
+
+void QueueEstimator::observe(const PlacementFeedback& feedback) {
+  if (feedback.prompt_tokens == 0) return;
+  const std::uint32_t cached = std::min(feedback.cached_tokens, feedback.prompt_tokens);
+  const double uncached = static_cast<double>(feedback.prompt_tokens - cached) / feedback.prompt_tokens;
+  uncached_share_ += kShareGain * (uncached - uncached_share_);
+}
+
+}  // namespace crankspur
--- /dev/null
+++ b/src/placement/queue_estimator.h
@@ -0,0 +1,29 @@
+#pragma once
+/// @file How long a new request waits at an engine, from lagging reports and own outstanding work.
+
+#include "placement/placement.h"
+
+namespace crankspur {
+
+/// Prefill rate assumed when a report states none, tokens per second.
+inline constexpr double kAssumedPrefillRate = 8000;
+
+/// @return prompt tokens per second that the engine computes.
+double prefillRate(const EngineView& engine);
+
+/// Estimates queues. Reports count all prompt tokens that wait, cached or not, so the estimator learns from
+/// answers which share of them engines really compute.
+class QueueEstimator {
+public:
+  /// @return time until the engine begins with a new request: the report, drained since it was measured, plus
+  /// own work that it cannot show.
+  Duration wait(const EngineView& engine, const OutstandingWork& work, TimePoint now) const;
+  void observe(const PlacementFeedback& feedback);
+  /// @return mean share of prompt tokens that engines compute, 0 to 1.
+  double uncachedShare() const { return uncached_share_; }
+
+private:
+  double uncached_share_ = 0.5;
+};
+
+}  // namespace crankspur
