Give operators their commands: keys, check, sign, approve, diff, roll, status, explain

Cause: behaviour changes only by a bundle that two operators sign and one rolls, and both must see what holds where. A roll writes the document, then tries one compare-and-set until its fate is known by the row's roll token; the version must be the accepted one plus one, so a loser of a race cannot overwrite what it did not see.

--- /dev/null
+++ b/src/operator/bundle_diff.cc
@@ -0,0 +1,124 @@
+#include "operator/bundle_diff.h"
+
+#include <fmt/format.h>
+
+#include <map>
+
+namespace crankspur {
+
+namespace {
+
+/// One field of an entry as text.
+struct FieldText {
+  std::string name;
+  std::string value;
+};
+
+/// One entry of a bundle as text.
+struct EntryText {
+  std::vector<FieldText> fields;
+};
+
+/// Entries by kind and name, for example "tenant harbour".
+using BundleText = std::map<std::string, EntryText>;
+
+std::string joined(const std::vector<std::string>& values) {
+  return fmt::format("[{}]", fmt::join(values, ", "));
+}
+
+std::string milliseconds(Duration duration) {
+  return fmt::format("{} ms", toMilliseconds(duration));
+}
+
+EntryText describe(const TenantPolicy& tenant) {
+  return {{{"api_key_sha256", joined(tenant.api_key_sha256)},
+           {"weight", fmt::to_string(tenant.weight)},
+           {"default_priority", fmt::to_string(tenant.default_priority)},
+           {"tokens_per_second", fmt::to_string(tenant.tokens_per_second)},
+           {"max_in_flight", fmt::to_string(tenant.max_in_flight)},
+           {"retry_budget", fmt::to_string(tenant.retry_budget)},
+           {"models", joined(tenant.models)},
+           {"operations", joined(tenant.operations)}}};
+}
+
+EntryText describe(const ModelPolicy& model) {
+  return {{{"weights_version", model.weights_version},
+           {"adapters", joined(model.adapters)},
+           {"pools", joined(model.pools)},
+           {"max_prompt_tokens", fmt::to_string(model.max_prompt_tokens)},
+           {"max_answer_tokens", fmt::to_string(model.max_answer_tokens)}}};
+}
+
+EntryText describe(const OperationPolicy& operation) {
+  return {{{"pools", joined(operation.pools)},
+           {"repeatable", fmt::to_string(operation.repeatable)},
+           {"timeout", milliseconds(operation.timeout)}}};
+}
+
+EntryText describe(const Knobs& knobs) {
+  return {{{"decision_cached_token_value", fmt::to_string(knobs.decision_cached_token_value)},
+           {"first_token_target", milliseconds(knobs.first_token_target)},
+           {"random_candidates", fmt::to_string(knobs.random_candidates)},
+           {"hot_prefix_replicas", fmt::to_string(knobs.hot_prefix_replicas)},
+           {"hot_prefix_rate", fmt::to_string(knobs.hot_prefix_rate)},
+           {"suspicion_timeout", milliseconds(knobs.suspicion_timeout)},
+           {"gossip_interval", milliseconds(knobs.gossip_interval)},
+           {"load_report_interval", milliseconds(knobs.load_report_interval)},
+           {"max_attempts", fmt::to_string(knobs.max_attempts)},
+           {"parallel_weight_loads", fmt::to_string(knobs.parallel_weight_loads)},
+           {"claim_lifetime", milliseconds(knobs.claim_lifetime)}}};
+}
+
+template <typename Entry>
+void addEntries(BundleText& text, const char* kind, const std::vector<Entry>& entries) {
+  for (const Entry& entry : entries) {
+    text[fmt::format("{} {}", kind, entry.name)] = describe(entry);
+  }
+}
+
+BundleText describe(const Bundle& bundle) {
+  BundleText text;
+  text["site"] = {{{"name", bundle.site}}};
+  text["knobs"] = describe(bundle.knobs);
+  addEntries(text, "tenant", bundle.tenants);
+  addEntries(text, "model", bundle.models);
+  addEntries(text, "operation", bundle.operations);
+  return text;
+}
+
+/// Entries of one kind have the same fields in the same order.
+void diffFields(const std::string& entry, const EntryText& before, const EntryText& after,
+                std::vector<std::string>& lines) {
+  for (std::size_t index = 0; index < before.fields.size(); ++index) {
+    const FieldText& old_field = before.fields[index];
+    const FieldText& new_field = after.fields[index];
+    if (old_field.value != new_field.value) {
+      lines.push_back(
+          fmt::format("~ {} {}: {} -> {}", entry, old_field.name, old_field.value, new_field.value));
+    }
+  }
+}
+
+}  // namespace
+
+std::vector<std::string> diffBundles(const Bundle& before, const Bundle& after) {
+  const BundleText old_text = describe(before);
+  const BundleText new_text = describe(after);
+  std::vector<std::string> lines;
+  for (const auto& [entry, fields] : old_text) {
+    const auto found = new_text.find(entry);
+    if (found == new_text.end()) {
+      lines.push_back("- " + entry);
+    } else {
+      diffFields(entry, fields, found->second, lines);
+    }
+  }
+  for (const auto& [entry, fields] : new_text) {
+    if (old_text.count(entry) == 0) {
+      lines.push_back("+ " + entry);
+    }
+  }
+  return lines;
+}
+
+}  // namespace crankspur
--- /dev/null
+++ b/tests/unit/operator/operator_fixture.h
@@ -0,0 +1,77 @@
+#pragma once
+/// @file Operators' commands against a PlatformModel on a virtual clock, with files in a folder of its own.
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <fstream>
+
+#include "operator/bundle_commands.h"
+#include "operator/key_files.h"
+#include "operator/roll.h"
+#include "standins/platform/platform_model.h"
+
+namespace crankspur {
+
+/// The platform as commands see it.
+class ModelPort : public PlatformPort {
+public:
+  ReadResult readRow(const std::string& key) override {
+    return convert<ReadResult, TableRow>(model.call(standin::ReadRow{key}, now));
+  }
+
+  TransactionResult compareAndSet(const std::string& key, std::uint64_t version,
+                                  const std::string& value) override {
+    const TableTransaction transaction{{{key, version}}, {{key, value}}};
+    const standin::PlatformReply reply = model.call(transaction, now);
+    if (after_write) {
+      after_write();
+    }
+    return convert<TransactionResult, TransactionCommitted, TransactionConflict>(reply);
+  }
+
+  PutObjectResult putObject(const std::string& key, const std::string& body) override {
+    const standin::PlatformReply reply = model.call(standin::PutObject{key, body}, now);
+    if (!reply.lost && std::holds_alternative<standin::ObjectStored>(reply.answer)) {
+      return ObjectWritten{};
+    }
+    return ServiceUnavailable{reply.lost, Duration{0}};
+  }
+
+  void pause(Duration duration) override { now += duration; }
+
+  standin::PlatformModel model{{}, 1};
+  TimePoint now{std::chrono::seconds(1)};
+  std::function<void()> after_write;  ///< Runs after each compare-and-set, before its answer is seen.
+
+private:
+  template <typename Result, typename... Answers>
+  static Result convert(const standin::PlatformReply& reply) {
+    Result result = ServiceUnavailable{reply.lost, Duration{0}};
+    if (reply.lost) {
+      return result;
+    }
+    (assign<Result, Answers>(reply, result), ...);
+    return result;
+  }
+
+  template <typename Result, typename Answer>
+  static void assign(const standin::PlatformReply& reply, Result& result) {
+    if (const auto* answer = std::get_if<Answer>(&reply.answer)) {
+      result = *answer;
+    }
+  }
+};
+
+/// A folder that goes when the test ends.
+struct TemporaryFolder {
+  TemporaryFolder() {
+    std::string pattern = (std::filesystem::temp_directory_path() / "crankspur_operator_XXXXXX").string();
+    REQUIRE(::mkdtemp(pattern.data()) != nullptr);
+    path = pattern;
+  }
+  ~TemporaryFolder() { std::filesystem::remove_all(path); }
+  std::string file(const std::string& name) const { return (path / name).string(); }
+  std::filesystem::path path;
+};
+
+}  // namespace crankspur
