Make verified deltas between bundle versions

Change: line deltas (Myers) bound to their base by a hash, and a bounded history that gives a peer the chain from the version it holds. A delta carries no trust: its result is offered and verified like any body.

--- /dev/null
+++ b/tests/unit/bundle/bundle_delta_test.cc
@@ -0,0 +1,155 @@
+#include "bundle/bundle_delta.h"
+
+#include <fmt/format.h>
+
+#include <catch2/catch.hpp>
+
+#include "base/random.h"
+#include "bundle/bundle.h"
+#include "bundle/bundle_history.h"
+#include "bundle/line_diff.h"
+#include "bundle/signing.h"
+
+using namespace crankspur;
+
+namespace {
+
+std::string randomText(RandomSource& random, std::size_t lines) {
+  std::string text;
+  for (std::size_t line = 0; line < lines; ++line) {
+    text += fmt::format("{}\n", random.uniform(0, 9));
+  }
+  return text;
+}
+
+std::string editedText(RandomSource& random, const std::string& text) {
+  std::string edited;
+  for (const std::string_view line : splitLines(text)) {
+    if (!random.chance(0.1)) {
+      edited += line;
+    }
+    if (random.chance(0.1)) {
+      edited += fmt::format("new {}\n", random.uniform(0, 3));
+    }
+  }
+  return random.chance(0.2) ? edited + "no line feed" : edited;
+}
+
+/// A document with comments enough that a few deltas are smaller than the whole.
+std::string documentOf(std::uint64_t version) {
+  std::string comments;
+  for (int line = 0; line < 50; ++line) {
+    comments += fmt::format("# comment {}\n", line);
+  }
+  return comments + fmt::format(
+                        "version = {}\nsite = \"s\"\n[[models]]\nname = \"m\"\nweights_version = "
+                        "\"w{}\"\npools = [\"p\"]\n"
+                        "[[tenants]]\nname = \"t\"\napi_key_sha256 = [\"{}\"]\nmodels = [\"m\"]\n",
+                        version, version, std::string(64, '0'));
+}
+
+struct Signers {
+  SigningKeyPair author = generateSigningKeyPair();
+  SigningKeyPair approver = generateSigningKeyPair();
+
+  BundleBody sign(std::uint64_t version) const {
+    const std::string document = documentOf(version);
+    return {version, document,
+            signBundle(author.private_key, SignatureRole::Author, version, document).value(),
+            signBundle(approver.private_key, SignatureRole::Approver, version, document).value()};
+  }
+};
+
+}  // namespace
+
+TEST_CASE("a delta yields the exact document, whatever the change", "[bundle]") {
+  RandomSource random(7);
+  for (int round = 0; round < 300; ++round) {
+    const std::string before = randomText(random, random.uniform(0, 60));
+    const std::string after = round % 3 == 0 ? randomText(random, 40) : editedText(random, before);
+    const auto delta = makeDocumentDelta(before, after);
+    REQUIRE(delta);
+    CHECK(applyDocumentDelta(before, *delta) == after);
+  }
+}
+
+TEST_CASE("the edit script is the shortest one", "[bundle]") {
+  const std::string before = "a\nb\nc\na\nb\nb\na\n";
+  const std::string after = "c\nb\na\nb\na\nc\n";
+  const auto within = [&](std::size_t edits) {
+    return diffLines(splitLines(before), splitLines(after), edits).has_value();
+  };
+  CHECK(within(5));  // The example of Myers' paper.
+  CHECK_FALSE(within(4));
+}
+
+TEST_CASE("documents that differ too much get no delta", "[bundle]") {
+  std::string before;
+  std::string after;
+  for (std::size_t line = 0; line < kMaximumDeltaEdits; ++line) {
+    before += fmt::format("old {}\n", line);
+    after += fmt::format("new {}\n", line);
+  }
+  CHECK_FALSE(makeDocumentDelta(before, after));
+  CHECK(makeDocumentDelta("", after));
+}
+
+TEST_CASE("a delta for another document, or damaged anywhere, never crashes and never yields by chance",
+          "[bundle]") {
+  const std::string before = documentOf(1);
+  const std::string after = documentOf(2);
+  const std::string delta = makeDocumentDelta(before, after).value();
+  CHECK_FALSE(applyDocumentDelta(after, delta));
+  CHECK_FALSE(applyDocumentDelta(before, ""));
+  RandomSource random(3);
+  for (std::size_t position = 0; position < delta.size(); ++position) {
+    CHECK(applyDocumentDelta(before, delta.substr(0, position)) != after);
+    std::string damaged = delta;
+    damaged[position] = static_cast<char>(damaged[position] ^ static_cast<char>(random.uniform(1, 255)));
+    CHECK(applyDocumentDelta(before, damaged) != after);
+  }
+  const std::string endless = delta.substr(0, 8) + std::string(40, '\xff');
+  CHECK_FALSE(applyDocumentDelta(before, endless));
+}
+
+TEST_CASE("a peer behind by some versions is brought up to date by verified steps", "[bundle]") {
+  const Signers signers;
+  const TrustedKeys keys{{signers.author.public_key}, {signers.approver.public_key}};
+  BundleHistory history(100'000);
+  for (std::uint64_t version = 1; version < 6; ++version) {
+    history.add(signers.sign(version), signers.sign(version + 1));
+  }
+  const BundleBody current = signers.sign(6);
+  const auto update = history.updateFrom(2, current);
+  REQUIRE(update);
+  CHECK(update->steps.size() == 4);
+  BundleHolder holder(keys);
+  REQUIRE_FALSE(holder.offer(signers.sign(2)));
+  const auto body = applyBundleUpdate(holder.current()->body, *update);
+  REQUIRE(body);
+  CHECK_FALSE(holder.offer(*body));
+  CHECK(holder.version() == 6);
+
+  BundleUpdate lie = *update;
+  lie.steps.pop_back();
+  CHECK(holder.offer(applyBundleUpdate(signers.sign(2), lie).value()) == ErrorCode::Stale);
+  lie.steps.back().to_version = 7;
+  CHECK(holder.offer(applyBundleUpdate(signers.sign(2), lie).value()) == ErrorCode::SignatureInvalid);
+  CHECK_FALSE(applyBundleUpdate(signers.sign(3), *update));
+  CHECK_FALSE(history.updateFrom(0, current));
+  CHECK_FALSE(history.updateFrom(2, signers.sign(7)));
+}
+
+TEST_CASE("the history is bounded and forgets a chain that broke", "[bundle]") {
+  const Signers signers;
+  BundleHistory history(150);
+  for (std::uint64_t version = 1; version < 30; ++version) {
+    history.add(signers.sign(version), signers.sign(version + 1));
+    CHECK(history.bytes() <= 150);
+  }
+  CHECK(history.updateFrom(29, signers.sign(30)));
+  CHECK_FALSE(history.updateFrom(1, signers.sign(30)));
+  history.add(signers.sign(40), signers.sign(41));
+  CHECK_FALSE(history.updateFrom(29, signers.sign(41)));
+  CHECK(history.updateFrom(40, signers.sign(41)));
+}
