--- a/src/caller/chat_request.cc
+++ b/src/caller/chat_request.cc
@@ -54,8 +54,8 @@
   const json::value* value = object.if_contains("model");
   if (value == nullptr || !value->is_string()) return problem.set("model must be a string");
   const std::string name(value->get_string());
-  if (name.empty() || name.size() > kMaximumNameBytes) {
-    return problem.set(fmt::format("model must have 1 to {} bytes", kMaximumNameBytes));
+  if (name.empty() || name.size() > kMaximumModelNameBytes) {
+    return problem.set(fmt::format("model must have 1 to {} bytes", kMaximumModelNameBytes));
   }
   const std::size_t colon = name.find(':');
   request.model = name.substr(0, colon);
--- a/src/caller/chat_request.h
+++ b/src/caller/chat_request.h
@@ -13,7 +13,7 @@
 /// Bounds of a chat request beyond the size of its body.
 inline constexpr std::size_t kMaximumMessages = 4096;
 inline constexpr std::size_t kMaximumJsonDepth = 32;
-inline constexpr std::size_t kMaximumNameBytes = 256;
+inline constexpr std::size_t kMaximumModelNameBytes = 256;
 
 /// A chat-completions request as the project needs it. Sampling fields and others unknown are not kept.
 struct ChatRequest {
