--- a/src/sidecar/caller_service.cc
+++ b/src/sidecar/caller_service.cc
@@ -144,7 +144,7 @@
 
 void CallerService::refuse(const CallerError& error, const std::shared_ptr<http::ResponseWriter>& writer) {
   metrics_.countRequest(errorName(error.code));
-  log_.write(EventId::RequestRefused, {{"code", errorName(error.code)}, {"reason", error.message}});
+  log_.write(EventId::CallerRefused, {{"code", errorName(error.code)}, {"reason", error.message}});
   writer->respond(errorResponseOf(error));
 }
 
@@ -263,7 +263,7 @@
   selector_.noteStarted(router);
   metrics_.countSubmit(request.attempt > 1);
   if (request.attempt > 1) {
-    log_.write(EventId::RequestResubmitted, {{"request_id", request.request_id},
+    log_.write(EventId::CallerResubmitted, {{"request_id", request.request_id},
                                              {"attempt", request.attempt},
                                              {"router", router},
                                              {"resume_offset", request.resume_offset}});
@@ -284,7 +284,7 @@
   metrics_.countRequest(errorName(outcome.code));
   if (outcome.first_token > Duration::zero()) metrics_.observeFirstToken(outcome.first_token);
   if (good) metrics_.countTokens(outcome.answer_tokens, outcome.prompt_tokens, outcome.cached_tokens);
-  const EventId event = good ? EventId::RequestFinished : EventId::RequestFailed;
+  const EventId event = good ? EventId::CallerAnswered : EventId::CallerFailed;
   log_.write(event, {{"request_id", request_id},
                      {"code", errorName(outcome.code)},
                      {"ran", runStateName(outcome.run_state)},
