Serve the engine model as a process

Cause: integration tests and the README's commands need an engine over HTTP. Change: standins/engine_server drives EngineModel with Beast and timers; standin_engine takes every figure of the timing model as a flag; POST /control crashes, freezes and thaws; GET /v1/stats tells records and totals. Conclusion: the engine protocol of ARCHITECTURE.md is served.

--- a/standins/engine/engine_model.h
+++ b/standins/engine/engine_model.h
@@ -69,6 +69,8 @@
   CacheChanges cacheChanges(std::uint64_t after, TimePoint now) const;
   /// @return when a reader of cacheChanges(after) sees something newer, if anything is on its way.
   std::optional<TimePoint> nextCacheChange(std::uint64_t after) const;
+  /// @return number of the newest cache change of this incarnation, whether readers see it or not.
+  std::uint64_t newestCacheChange() const { return changes_->lastSequence(); }
   CacheDigest cacheDigest(TimePoint now);
   /// @return how many leading blocks can be exported.
   std::uint32_t heldPrefix(std::span<const BlockHash> blocks) const { return cache_->heldPrefix(blocks); }
--- a/standins/engine/engine_model_batch.cc
+++ b/standins/engine/engine_model_batch.cc
@@ -157,6 +157,7 @@
   prefilling_.erase(rankOf(run));
   run.phase = Phase::Decoding;
   run.decode_from = now;
+  if (options_.publish_blocks && !run.blocks.empty()) outputs_.push_back(BlocksComputed{run.blocks});
   decoding_.emplace(rankOf(run), &run);
   produce(run, 1, now);
 }
--- a/standins/engine/engine_types.h
+++ b/standins/engine/engine_types.h
@@ -34,6 +34,7 @@
   /// False lets entries of any tenant, adapter or weights serve any request: only to show that a checker
   /// finds such use.
   bool scope_cache_entries = true;
+  bool publish_blocks = false;  ///< Give out BlocksComputed for each prefilled prompt.
 };
 
 /// Figures of the timing model. They are assumptions; docs/STANDINS.md gives the reason for each.
@@ -143,7 +144,12 @@
   std::string weights_version;
 };
 
-using EngineOutput = std::variant<StreamOutput, ImportQuery, WeightsQuery>;
+/// Output: the blocks of a prompt are all in the cache; a driver may put them into a KV store.
+struct BlocksComputed {
+  std::vector<BlockHash> blocks;
+};
+
+using EngineOutput = std::variant<StreamOutput, ImportQuery, WeightsQuery, BlocksComputed>;
 
 /// Kinds of fenced orders.
 enum class OrderKind { LoadWeights, LoadAdapter, SetRole, Drain };
--- /dev/null
+++ b/standins/engine_server/engine_codec.h
@@ -0,0 +1,50 @@
+#pragma once
+/// @file JSON forms of the engine protocol on the engine's side; see docs/ARCHITECTURE.md "Model engine".
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "http/message.h"
+#include "json/json_reader.h"
+#include "standins/engine/engine_model.h"
+
+namespace crankspur::standin {
+
+/// Arguments of POST /v1/cancel.
+struct CancelRequest {
+  std::string request_id;
+  std::uint32_t attempt = 0;
+};
+
+/// Decoders of request bodies; what is wrong goes to `problem`.
+CompletionRequest decodeCompletionRequest(std::string_view body, JsonProblem& problem);
+ResumeRequest decodeResumeRequest(std::string_view body, JsonProblem& problem);
+CancelRequest decodeCancelRequest(std::string_view body, JsonProblem& problem);
+EngineOrder decodeOrder(std::string_view body, JsonProblem& problem);
+std::vector<BlockHash> decodeBlocks(std::string_view body, JsonProblem& problem);
+
+std::string encodeInfo(const EngineInfo& info);
+std::string encodeLoad(const EngineLoadReport& load);
+std::string encodeChanges(const CacheChanges& changes);
+std::string encodeDigest(const CacheDigest& digest);
+/// @return one server-sent event with its line ends.
+std::string encodeEvent(const StreamAccepted& accepted);
+std::string encodeEvent(const StreamTokens& tokens);
+std::string encodeEvent(const StreamFinished& finished);
+http::Response encodeRefusal(const StreamRefused& refusal);
+/// Records, totals and load for tests. @param start instant that record times count from. @param limit newest
+/// records to include.
+std::string encodeStats(const EngineModel& model, TimePoint start, TimePoint now, std::size_t limit);
+
+/// Parses "model:weights[:adapter,...];...".
+/// @return the models, or empty with `problem` set.
+std::vector<ServedModel> parseServedModels(std::string_view text, JsonProblem& problem);
+
+/// Notes figures that the model cannot work with, such as speeds that are not above 0.
+void checkTimings(const EngineTimings& timings, JsonProblem& problem);
+
+/// @return the role of that name, or empty.
+std::optional<ServingRole> parseRole(std::string_view name);
+
+}  // namespace crankspur::standin
--- /dev/null
+++ b/standins/engine_server/engine_server.h
@@ -0,0 +1,105 @@
+#pragma once
+/// @file Serves an EngineModel over HTTP: drives its timers, streams its outputs, asks the weight store and
+/// sources of KV blocks. Everything runs on one executor thread.
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/event_log.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "standins/engine/engine_model.h"
+
+namespace crankspur::standin {
+
+/// Addresses of what the engine calls; empty ones are not called.
+struct EngineServerOptions {
+  std::string weight_store;
+  std::string kv_store;                                     ///< Gets the blocks of each computed prompt.
+  Duration default_weights_load = std::chrono::seconds(8);  ///< Without a weight store.
+};
+
+/// A listening engine.
+class EngineServer {
+public:
+  EngineServer(boost::asio::any_io_executor executor, EngineModel& model, const Clock& clock, EventLog& log,
+               EngineServerOptions options);
+
+  /// Listens on "IP:port".
+  std::error_code start(const std::string& address);
+  std::uint16_t port() const { return server_->port(); }
+  /// Takes no new request; calls `on_idle` once the last one has been answered.
+  void stop(std::function<void()> on_idle);
+
+private:
+  using Writer = std::shared_ptr<http::ResponseWriter>;
+
+  /// A reader that waits for cache events.
+  struct Waiter {
+    std::uint64_t after = 0;
+    std::uint64_t incarnation = 0;
+    TimePoint deadline;
+    Writer writer;
+  };
+  struct Stream {
+    Writer writer;
+    bool begun = false;
+  };
+  struct HeldCall {
+    http::Request request;
+    Writer writer;
+  };
+
+  void handle(const http::Request& request, const Writer& writer);
+  void dispatch(const http::Request& request, const Writer& writer);
+  void dispatchGet(const http::Request& request, const Writer& writer);
+  void dispatchPost(const http::Request& request, const Writer& writer);
+  void control(const http::Request& request, const Writer& writer);
+  bool applyControl(const std::string& action);
+  void completions(const http::Request& request, const Writer& writer);
+  void resume(const http::Request& request, const Writer& writer);
+  void cancel(const http::Request& request, const Writer& writer);
+  void order(const http::Request& request, const Writer& writer);
+  void exportBlocks(const http::Request& request, const Writer& writer);
+  void cacheEvents(const http::Request& request, const Writer& writer);
+  void cacheDigest(const Writer& writer);
+  StreamId open(const Writer& writer);
+
+  /// Carries out what the model wants and sets the timers.
+  void settle();
+  void carryOut(const StreamOutput& output);
+  void carryOut(const ImportQuery& query);
+  void carryOut(const WeightsQuery& query);
+  void carryOut(const BlocksComputed& computed);
+  void writeEvent(StreamId id, Stream& stream, std::string text);
+  void endStream(StreamId id);
+  void answerWaiters();
+  void armTimers();
+  void checkIdle();
+
+  boost::asio::any_io_executor executor_;
+  EngineModel& model_;
+  const Clock& clock_;
+  EventLog& log_;
+  EngineServerOptions options_;
+  TimePoint started_;
+  std::unique_ptr<http::Client> client_;
+  std::unique_ptr<http::Server> server_;
+  boost::asio::steady_timer model_timer_;
+  boost::asio::steady_timer waiter_timer_;
+  boost::asio::steady_timer idle_timer_;
+  std::map<StreamId, Stream> streams_;
+  std::list<Waiter> waiters_;
+  std::vector<HeldCall> held_;  ///< Calls that came while the engine was frozen.
+  StreamId last_stream_ = 0;
+  std::function<void()> on_idle_;
+};
+
+}  // namespace crankspur::standin
--- /dev/null
+++ b/standins/engine_server/engine_server_outputs.cc
@@ -0,0 +1,179 @@
+// Outputs and timers of EngineServer.
+
+#include <boost/json/serialize.hpp>
+#include <utility>
+
+#include "standins/engine_server/engine_codec.h"
+#include "standins/engine_server/engine_server.h"
+
+namespace crankspur::standin {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr std::size_t kQueuedBytesLimit = 4 * 1024 * 1024;
+constexpr Duration kIdleCheck = std::chrono::milliseconds(20);
+
+http::Request blocksRequest(const std::string& path, const std::vector<BlockHash>& blocks) {
+  boost::json::object body;
+  body["blocks"] = hashArray(blocks);
+  http::Request request;
+  request.method = "POST";
+  request.target = path;
+  request.headers["Content-Type"] = "application/json";
+  request.body = boost::json::serialize(body);
+  return request;
+}
+
+/// What a source of blocks said.
+struct SourceAnswer {
+  std::uint32_t held = 0;
+  std::uint64_t incarnation = 0;
+};
+
+SourceAnswer decodeSource(std::error_code error, const http::Response& response) {
+  JsonProblem problem;
+  if (error || response.status != kOk) return {};
+  const auto object = parseJsonObject(response.body, problem);
+  if (!object) return {};
+  const JsonReader reader(*object, problem);
+  const SourceAnswer answer{reader.requireUnsigned32("held"), reader.getUnsigned("incarnation", 0)};
+  return problem.found() ? SourceAnswer{} : answer;
+}
+
+std::optional<Duration> decodeLoadTime(std::error_code error, const http::Response& response) {
+  constexpr double kLongestLoadSeconds = 3600;
+  JsonProblem problem;
+  if (error || response.status != kOk) return std::nullopt;
+  const auto object = parseJsonObject(response.body, problem);
+  if (!object) return std::nullopt;
+  const double seconds = JsonReader(*object, problem).requireNumber("seconds", 0, kLongestLoadSeconds);
+  if (problem.found()) return std::nullopt;
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+}  // namespace
+
+void EngineServer::settle() {
+  model_.onTimer(clock_.now());
+  for (auto outputs = model_.takeOutputs(); !outputs.empty(); outputs = model_.takeOutputs()) {
+    for (const EngineOutput& output : outputs) {
+      std::visit([this](const auto& one) { carryOut(one); }, output);
+    }
+  }
+  answerWaiters();
+  armTimers();
+  checkIdle();
+}
+
+void EngineServer::carryOut(const StreamOutput& output) {
+  const auto found = streams_.find(output.stream);
+  if (found == streams_.end()) return;
+  Stream& stream = found->second;
+  if (const auto* refused = std::get_if<StreamRefused>(&output.event)) {
+    stream.writer->respond(encodeRefusal(*refused));
+    endStream(output.stream);
+  } else if (const auto* accepted = std::get_if<StreamAccepted>(&output.event)) {
+    stream.writer->begin(kOk, {{"Content-Type", "text/event-stream"}});
+    writeEvent(output.stream, stream, encodeEvent(*accepted));
+  } else if (const auto* tokens = std::get_if<StreamTokens>(&output.event)) {
+    writeEvent(output.stream, stream, encodeEvent(*tokens));
+  } else if (const auto* finished = std::get_if<StreamFinished>(&output.event)) {
+    stream.writer->write(encodeEvent(*finished));
+    stream.writer->end();
+    endStream(output.stream);
+  } else {
+    stream.writer->abort();
+    endStream(output.stream);
+  }
+}
+
+/// Writes an event; a reader that does not take its bytes is cut off.
+void EngineServer::writeEvent(StreamId id, Stream& stream, std::string text) {
+  if (stream.writer->queuedBytes() <= kQueuedBytesLimit) return stream.writer->write(std::move(text));
+  stream.writer->abort();
+  model_.streamClosed(id, clock_.now());
+  endStream(id);
+}
+
+void EngineServer::endStream(StreamId id) {
+  const auto found = streams_.find(id);
+  if (found == streams_.end()) return;
+  found->second.writer->onClientGone({});
+  streams_.erase(found);
+}
+
+void EngineServer::carryOut(const ImportQuery& query) {
+  http::ExchangeCallbacks callbacks;
+  callbacks.on_done = [this, query](std::error_code error, http::SendState, const http::Response& response) {
+    const SourceAnswer answer = decodeSource(error, response);
+    model_.importAnswered(query.request_id, query.attempt, answer.held, answer.incarnation, clock_.now());
+    settle();
+  };
+  client_->start(query.address, blocksRequest("/v1/kv/export", query.blocks), std::move(callbacks));
+}
+
+void EngineServer::carryOut(const WeightsQuery& query) {
+  if (options_.weight_store.empty()) {
+    model_.weightsAnswered(query.model, query.weights_version, options_.default_weights_load, clock_.now());
+    return;
+  }
+  http::Request request;
+  request.target = "/v1/weights/" + query.model + "/" + query.weights_version;
+  http::ExchangeCallbacks callbacks;
+  callbacks.on_done = [this, query](std::error_code error, http::SendState, const http::Response& response) {
+    model_.weightsAnswered(query.model, query.weights_version, decodeLoadTime(error, response), clock_.now());
+    settle();
+  };
+  client_->start(options_.weight_store, std::move(request), std::move(callbacks));
+}
+
+void EngineServer::carryOut(const BlocksComputed& computed) {
+  if (options_.kv_store.empty()) return;
+  client_->start(options_.kv_store, blocksRequest("/v1/kv/put", computed.blocks), {});
+}
+
+void EngineServer::answerWaiters() {
+  const TimePoint now = clock_.now();
+  for (auto waiter = waiters_.begin(); waiter != waiters_.end();) {
+    const CacheChanges changes = model_.cacheChanges(waiter->after, now);
+    const bool other_incarnation = waiter->incarnation != changes.incarnation;
+    const bool from_earlier = waiter->after > model_.newestCacheChange();
+    const bool due = changes.last_sequence > waiter->after || now >= waiter->deadline || other_incarnation ||
+                     from_earlier || on_idle_;
+    if (due) waiter->writer->respond(http::jsonResponse(kOk, encodeChanges(changes)));
+    waiter = due ? waiters_.erase(waiter) : std::next(waiter);
+  }
+}
+
+void EngineServer::armTimers() {
+  model_timer_.cancel();
+  if (const auto due = model_.nextTimer()) {
+    model_timer_.expires_at(*due);
+    model_timer_.async_wait([this](const boost::system::error_code& error) {
+      if (!error) settle();
+    });
+  }
+  waiter_timer_.cancel();
+  if (waiters_.empty()) return;
+  TimePoint earliest = TimePoint::max();
+  for (const Waiter& waiter : waiters_) {
+    earliest = std::min(earliest, waiter.deadline);
+    if (const auto visible = model_.nextCacheChange(waiter.after)) earliest = std::min(earliest, *visible);
+  }
+  waiter_timer_.expires_at(earliest);
+  waiter_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) settle();
+  });
+}
+
+void EngineServer::checkIdle() {
+  if (!on_idle_ || model_.inFlight() > 0) return;
+  if (server_->openRequests() == 0) return on_idle_();
+  idle_timer_.expires_after(kIdleCheck);
+  idle_timer_.async_wait([this](const boost::system::error_code& error) {
+    if (!error) checkIdle();
+  });
+}
+
+}  // namespace crankspur::standin
