--- /dev/null
+++ b/standins/kv_store/kv_store_server.h
@@ -0,0 +1,22 @@
+#pragma once
+/// @file Serves a KvStoreModel over HTTP; see docs/ARCHITECTURE.md "KV-cache store". POST /v1/kv/export is
+/// the same as /v1/kv/get, so that engines import from stores and from engines alike.
+
+#include <boost/asio/any_io_executor.hpp>
+#include <memory>
+#include <string>
+
+#include "http/server.h"
+#include "standins/kv_store/kv_store_model.h"
+
+namespace crankspur::standin {
+
+/// @return the answer to one request.
+http::Response answerKvStore(const http::Request& request, KvStoreModel& model);
+
+/// Listens on "IP:port"; `model` must outlive the server.
+/// @return the server, or empty with `error` set.
+std::unique_ptr<http::Server> serveKvStore(boost::asio::any_io_executor executor, const std::string& address,
+                                           KvStoreModel& model, std::error_code& error);
+
+}  // namespace crankspur::standin
