Bound silence, and let only costly retries use the retry budget

Cause: an engine that is stopped neither answers nor closes its connection, so a request waited for its deadline; and refusals that cost an engine nothing (leaving, restarted, connect failed) used up the budget that is meant to keep retries from adding load. Change: a dispatch without acceptance for 2 s, a stream without a piece for 4 s, a resume call without answer for 1 s, and one at an engine counted as dead for 1 s of silence move on. A move after a costless attempt keeps the request's admission. Checked: all unit tests pass, among them the loss of every engine under 300 requests: dispatches stay within the requests plus a tenth plus what a tenant may save up.

--- a/src/router/completion_failure.cc
+++ b/src/router/completion_failure.cc
@@ -12,6 +12,21 @@
 /// Advice to callers when no engine can take the request now.
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 
+/// Silence of an engine that the fleet counts as dead, after which its streams move on.
+constexpr Duration kDeadSilence = std::chrono::seconds(1);
+
+/// Refusals that the engine gave for want of room; asking another engine adds load.
+bool isLoadRefusal(ErrorCode code) {
+  return code == ErrorCode::Overloaded || code == ErrorCode::RateLimited;
+}
+
+/// @return whether the engine is surely not able to go on with the dispatch.
+bool isGone(const EngineView* engine, const CurrentDispatch& dispatch, TimePoint now) {
+  const bool silent = now - dispatch.last_heard_at >= kDeadSilence;
+  if (engine == nullptr || engine->state == EngineState::Dead) return silent;
+  return engine->incarnation != dispatch.incarnation;
+}
+
 /// Refusals that another engine would give as well.
 bool isFinalRefusal(ErrorCode code) {
   return code == ErrorCode::InvalidRequest || code == ErrorCode::TooLarge ||
@@ -59,6 +74,7 @@
     return abandonDispatch(entry, "refused after it had accepted", now);
   }
   const bool resume = entry.dispatch->resume;
+  entry.dispatch->costless = !isLoadRefusal(refused.code);
   entry.excluded.push_back({entry.dispatch->engine, entry.dispatch->incarnation});
   closeDispatch(entry, now);
   if (resume) return moveCompletion(entry, now);
@@ -71,10 +87,11 @@
 }
 
 void RequestRouterImpl::completionLost(RequestEntry& entry, TimePoint now) {
-  const CurrentDispatch& dispatch = *entry.dispatch;
+  CurrentDispatch& dispatch = *entry.dispatch;
   dispatch.attempt->apply(AttemptEvent::ConnectionFailed);
   const AttemptState state = dispatch.attempt->state();
   const bool never_sent = state == AttemptState::NeverSent;
+  dispatch.costless = never_sent;
   const std::string engine = dispatch.backend;
   const EngineSlot slot = dispatch.engine;
   const std::uint64_t incarnation = dispatch.incarnation;
@@ -92,7 +109,8 @@
 void RequestRouterImpl::abandonDispatch(RequestEntry& entry, const char* reason, TimePoint now) {
   log(EventId::BackendProtocolBroken, entry, {{"backend", entry.dispatch->backend}, {"reason", reason}});
   entry.dispatch->attempt->apply(AttemptEvent::ConnectionFailed);
-  entry.last_error = ErrorCode::EngineLost;
+  entry.dispatch->costless = entry.dispatch->attempt->state() == AttemptState::NeverSent;
+  entry.last_error = entry.dispatch->costless ? ErrorCode::EngineUnavailable : ErrorCode::EngineLost;
   entry.excluded.push_back({entry.dispatch->engine, entry.dispatch->incarnation});
   cancelDispatch(entry, now);
   moveCompletion(entry, now);
@@ -113,21 +131,19 @@
   refuse(entry, entry.last_error, retry_after, "no engine can take the request now", now);
 }
 
-void RequestRouterImpl::dropRestartedEngines(TimePoint now) {
-  std::vector<Serial> restarted;
+void RequestRouterImpl::dropGoneEngines(TimePoint now) {
+  std::vector<Serial> gone;
   for (const auto& [serial, entry] : entries_) {
     if (!entry->dispatch || entry->request.kind != RequestKind::Completion) continue;
     const EngineView* engine = snapshot_->engine(entry->dispatch->engine);
-    if (engine == nullptr || engine->incarnation != entry->dispatch->incarnation) restarted.push_back(serial);
+    if (isGone(engine, *entry->dispatch, now)) gone.push_back(serial);
   }
-  for (const Serial serial : restarted) {
+  for (const Serial serial : gone) {
     RequestEntry& entry = *findEntry(serial);
-    log(EventId::AttemptLost, entry, {{"backend", entry.dispatch->backend}, {"state", "restarted"}});
+    log(EventId::AttemptLost, entry, {{"backend", entry.dispatch->backend}, {"state", "gone"}});
     entry.last_error = ErrorCode::EngineLost;
     entry.excluded.push_back({entry.dispatch->engine, entry.dispatch->incarnation});
-    if (entry.dispatch->attempt->state() != AttemptState::NotSent) {
-      entry.dispatch->attempt->apply(AttemptEvent::ConnectionFailed);
-    }
+    entry.dispatch->attempt->apply(AttemptEvent::ConnectionFailed);
     cancelDispatch(entry, now);
     moveCompletion(entry, now);
   }
--- a/src/router/completion_flow.cc
+++ b/src/router/completion_flow.cc
@@ -85,6 +85,8 @@
   entry.record.decision = decision;
   if (!decision.found) return giveUpCompletion(entry, now);
 
+  // An attempt that cost no engine anything leaves the admission standing and needs no retry budget.
+  if (entry.admitted) return dispatchCompletion(entry, decision, now);
   AdmissionRequest admission;
   admission.tenant = request.tenant;
   admission.priority = request.priority;
@@ -92,7 +94,7 @@
   admission.deadline = entry.deadline - now;
   admission.expected_first_token = decision.expected_first_token;
   admission.fleet_utilization = capacityOf(*model).utilization();
-  admission.retry = request.attempt > 1 || entry.dispatches > 0;
+  admission.retry = entry.dispatches > 0 || !request.resume_engine.empty();
   admission.continuation = entry.tokens > 0;
   if (admit(entry, admission, now)) dispatchCompletion(entry, decision, now);
 }
--- a/src/router/operation_flow.cc
+++ b/src/router/operation_flow.cc
@@ -19,16 +19,19 @@
   return std::find(names.begin(), names.end(), name) != names.end();
 }
 
-}  // namespace
-
-void RequestRouterImpl::startOperation(RequestEntry& entry, TimePoint now) {
+AdmissionRequest admissionOf(const RequestEntry& entry, TimePoint now) {
   AdmissionRequest admission;
   admission.tenant = entry.request.tenant;
   admission.priority = entry.request.priority;
   admission.cost_tokens = countTokens(entry.request.prompt);
   admission.deadline = entry.deadline - now;
-  admission.retry = entry.request.attempt > 1;
-  if (!admit(entry, admission, now)) return;
+  return admission;
+}
+
+}  // namespace
+
+void RequestRouterImpl::startOperation(RequestEntry& entry, TimePoint now) {
+  if (!admit(entry, admissionOf(entry, now), now)) return;
   if (needsClaim(entry.request, *bundle())) return startClaim(entry, now);
   dispatchOperation(entry, now);
 }
@@ -109,6 +112,9 @@
       {{"backend", entry.dispatch->backend}, {"state", static_cast<int>(entry.dispatch->attempt->state())}});
   entry.excluded_runners.push_back(entry.dispatch->backend);
   entry.text.clear();
+  const bool load_refusal =
+      entry.last_error == ErrorCode::Overloaded || entry.last_error == ErrorCode::RateLimited;
+  entry.dispatch->costless = entry.dispatch->attempt->runState() == RunState::NotRun && !load_refusal;
   closeDispatch(entry, now);
   const bool may_have_run = entry.run_state != RunState::NotRun;
   if (entry.claim && may_have_run) {
@@ -123,11 +129,8 @@
     return refuse(entry, entry.last_error, entry.last_retry_after, "the runner refused the operation", now);
   }
   if (entry.answered || now >= entry.deadline) return deadlinePassed(entry, now);
-  AdmissionRequest admission;
-  admission.tenant = entry.request.tenant;
-  admission.priority = entry.request.priority;
-  admission.cost_tokens = countTokens(entry.request.prompt);
-  admission.deadline = entry.deadline - now;
+  if (entry.admitted) return dispatchOperation(entry, now);
+  AdmissionRequest admission = admissionOf(entry, now);
   admission.retry = true;
   if (admit(entry, admission, now)) dispatchOperation(entry, now);
 }
--- a/src/router/request_router.cc
+++ b/src/router/request_router.cc
@@ -13,15 +13,33 @@
 constexpr Duration kBundleWait = std::chrono::seconds(1);
 /// Advice to callers when the bundle did not come.
 constexpr Duration kBundleRetryAfter = std::chrono::seconds(1);
+/// Silence, connect included, before an engine's acceptance, which needs no computation, after which it
+/// counts as lost.
+constexpr Duration kAcceptSilence = std::chrono::seconds(2);
 /// Silence in the middle of a stream after which its engine counts as lost.
 constexpr Duration kStreamSilence = std::chrono::seconds(4);
 /// Silence after which a resume call counts as failed.
 constexpr Duration kResumeSilence = std::chrono::seconds(1);
+constexpr Duration kUnboundedSilence = std::chrono::hours(24);
 /// How long an operation's answer is waited for, to be recorded, after the caller has its refusal.
 constexpr Duration kRecordWait = std::chrono::minutes(10);
 /// Requests whose ended attempts are remembered.
 constexpr std::size_t kRememberedRequests = 8192;
 
+/// @return how long the engine may be silent now.
+Duration allowedSilence(const CurrentDispatch& dispatch) {
+  switch (dispatch.attempt->state()) {
+    case AttemptState::NotSent:
+    case AttemptState::Sent:
+      return dispatch.resume ? kResumeSilence : kAcceptSilence;
+    case AttemptState::Streaming:
+      return kStreamSilence;
+    default:
+      // A queue at the engine is bounded by the deadline.
+      return kUnboundedSilence;
+  }
+}
+
 }  // namespace
 
 RequestRouterImpl::RequestRouterImpl(RequestRouterOptions options)
@@ -216,7 +234,9 @@
   const CurrentDispatch& dispatch = *entry.dispatch;
   entry.run_state = std::max(entry.run_state, dispatch.attempt->runState());
   const std::uint64_t answer_tokens = entry.tokens - dispatch.first_token;
-  settleAdmission(entry, dispatch.computed_prompt_tokens + static_cast<std::uint32_t>(answer_tokens), now);
+  if (!dispatch.costless) {
+    settleAdmission(entry, dispatch.computed_prompt_tokens + static_cast<std::uint32_t>(answer_tokens), now);
+  }
   if (entry.request.kind == RequestKind::Completion) {
     sent_work_.remove(dispatch.engine, dispatch.id);
   } else if (--runner_load_[dispatch.backend] == 0) {
@@ -282,11 +302,7 @@
   TimePoint due = entry.deadline;
   if (entry.phase == RequestEntry::Phase::WaitingForBundle) due = std::min(due, entry.hold_until);
   if (!entry.dispatch || entry.request.kind != RequestKind::Completion) return due;
-  const CurrentDispatch& dispatch = *entry.dispatch;
-  const bool streaming = dispatch.attempt->state() == AttemptState::Streaming;
-  if (streaming) return std::min(due, dispatch.last_heard_at + kStreamSilence);
-  const bool resume_unanswered = dispatch.resume && dispatch.attempt->state() != AttemptState::Accepted;
-  return resume_unanswered ? std::min(due, dispatch.last_heard_at + kResumeSilence) : due;
+  return std::min(due, entry.dispatch->last_heard_at + allowedSilence(*entry.dispatch));
 }
 
 void RequestRouterImpl::schedule(RequestEntry& entry) {
--- a/src/router/request_router_impl.h
+++ b/src/router/request_router_impl.h
@@ -126,7 +126,7 @@
   void abandonDispatch(RequestEntry& entry, const char* reason, TimePoint now);
   void moveCompletion(RequestEntry& entry, TimePoint now);
   void giveUpCompletion(RequestEntry& entry, TimePoint now);
-  void dropRestartedEngines(TimePoint now);
+  void dropGoneEngines(TimePoint now);
 
   // Operations (operation_flow.cc). All may end the request.
   void startOperation(RequestEntry& entry, TimePoint now);
--- a/src/router/snapshot_flow.cc
+++ b/src/router/snapshot_flow.cc
@@ -15,7 +15,7 @@
     options_.admission->configure(snapshot_->bundle, snapshot_->router_count, now);
   }
   if (!snapshot_->bundle) return;
-  dropRestartedEngines(now);
+  dropGoneEngines(now);
   if (!previous || previous->bundle != snapshot_->bundle) takeHeldRequests(now);
 }
 
