--- a/src/table_service/row_codec.cc
+++ b/src/table_service/row_codec.cc
@@ -37,10 +37,6 @@
 
 }  // namespace
 
-std::string claimRowKey(std::string_view tenant, std::string_view idempotency_key) {
-  return fmt::format("crankspur/claim/{}/{}", tenant, idempotency_key);
-}
-
 std::string leaseRowKey(std::string_view lease_name) {
   return fmt::format("crankspur/lease/{}", lease_name);
 }
--- a/src/table_service/row_codec.h
+++ b/src/table_service/row_codec.h
@@ -11,8 +11,6 @@
 
 namespace crankspur {
 
-/// @return the key of a claim row.
-std::string claimRowKey(std::string_view tenant, std::string_view idempotency_key);
 /// @return the key of a lease row.
 std::string leaseRowKey(std::string_view lease_name);
 
