--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -5,6 +5,20 @@
 
 namespace crankspur {
 
+const char* memberStateName(MemberState state) {
+  switch (state) {
+    case MemberState::Alive:
+      return "alive";
+    case MemberState::Suspect:
+      return "suspect";
+    case MemberState::Leaving:
+      return "leaving";
+    case MemberState::Dead:
+      return "dead";
+  }
+  return "dead";
+}
+
 bool supersedes(const MemberRecord& news, const MemberRecord& held) {
   if (news.incarnation != held.incarnation) return news.incarnation > held.incarnation;
   return news.state > held.state;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -44,6 +44,9 @@
   MemberState previous = MemberState::Dead;
 };
 
+/// @return the state's name in logs and status: "alive", "suspect", "leaving" or "dead".
+const char* memberStateName(MemberState state);
+
 /// The membership of one node.
 class Membership {
 public:
--- a/src/router/engine_table.cc
+++ b/src/router/engine_table.cc
@@ -23,6 +23,20 @@
 
 }  // namespace
 
+const char* engineStateName(EngineState state) {
+  switch (state) {
+    case EngineState::Live:
+      return "live";
+    case EngineState::Leaving:
+      return "leaving";
+    case EngineState::Ejected:
+      return "ejected";
+    case EngineState::Dead:
+      return "dead";
+  }
+  return "dead";
+}
+
 EngineTable::EngineTable(EngineTableOptions options, std::uint64_t random_seed)
     : options_(std::move(options)), random_(random_seed) {}
 
@@ -321,7 +335,7 @@
   return std::exchange(announcements_, {});
 }
 
-std::vector<BackendChange> EngineTable::takeChanges(TimePoint) {
+std::vector<BackendChange> EngineTable::takeChanges() {
   return std::exchange(changes_, {});
 }
 
--- a/src/router/engine_table.h
+++ b/src/router/engine_table.h
@@ -42,6 +42,9 @@
   std::string address;
 };
 
+/// @return the state's name in logs and status: "live", "leaving", "ejected" or "dead".
+const char* engineStateName(EngineState state);
+
 /// A change of a back end's state, for the log.
 struct BackendChange {
   std::string name;
@@ -100,7 +103,7 @@
   /// @return facts that peers should hear, taken once.
   std::vector<EngineRecord> takeAnnouncements();
   /// @return state changes since the last call, for the log.
-  std::vector<BackendChange> takeChanges(TimePoint now);
+  std::vector<BackendChange> takeChanges();
 
 private:
   struct Entry {
--- /dev/null
+++ b/src/router_peer/peer_front.cc
@@ -0,0 +1,235 @@
+#include "router_peer/peer_front.h"
+
+#include <algorithm>
+
+#include "internal_protocol/codec.h"
+
+namespace crankspur {
+
+namespace {
+
+/// Routers named in one answer to a sidecar; the rest follow in later answers.
+constexpr std::size_t kRoutersPerAnswer = 16;
+/// A pull of a bundle that brought no body is given up after this.
+constexpr Duration kPullTimeout = std::chrono::seconds(1);
+/// Connections to routers that were not used for this long are closed.
+constexpr Duration kIdleLimit = std::chrono::minutes(2);
+constexpr Duration kIdleCheckInterval = std::chrono::seconds(15);
+/// Bytes of gossip that may wait for one router: what is late is useless.
+constexpr std::size_t kRouterQueueBytes = 16 * 1024 * 1024;
+
+}  // namespace
+
+/// One connection.
+struct PeerFront::Peer {
+  std::uint64_t id = 0;
+  std::shared_ptr<FrameConnection> connection;
+  bool greeted = false;
+  NodeRole role = NodeRole::Router;
+  std::string name;
+  std::string address;  ///< Where a router listens.
+  TimePoint used_at{};
+};
+
+PeerFront::PeerFront(boost::asio::any_io_executor executor, Hello self, PeerFrontCallbacks callbacks)
+    : executor_(executor), idle_timer_(executor), self_(std::move(self)), callbacks_(std::move(callbacks)) {}
+
+PeerFront::~PeerFront() = default;
+
+std::error_code PeerFront::listen(const std::string& address) {
+  std::error_code error;
+  const auto hello = [this] {
+    Hello current = self_;
+    current.bundle_version = heldVersion();
+    return current;
+  };
+  const auto accept = [this](std::shared_ptr<FrameConnection> connection) {
+    auto peer = std::make_shared<Peer>();
+    peer->id = next_id_++;
+    peer->connection = std::move(connection);
+    peer->used_at = clock_.now();
+    peers_[peer->id] = peer;
+    return callbacksFor(peer);
+  };
+  listener_ = listenFrames(executor_, address, hello, accept, error);
+  if (!error) closeIdle();
+  return error;
+}
+
+FrameConnection::Callbacks PeerFront::callbacksFor(const std::shared_ptr<Peer>& peer) {
+  FrameConnection::Callbacks callbacks;
+  callbacks.on_hello = [this, peer](const Hello& hello) { onHello(peer, hello); };
+  callbacks.on_message = [this, peer](Message message) { onMessage(peer, std::move(message)); };
+  callbacks.on_closed = [this, peer](std::error_code) { onClosed(peer); };
+  return callbacks;
+}
+
+std::shared_ptr<PeerFront::Peer> PeerFront::connectTo(const std::string& address) {
+  const auto known = routers_by_address_.find(address);
+  if (known != routers_by_address_.end()) return known->second;
+  auto peer = std::make_shared<Peer>();
+  peer->id = next_id_++;
+  peer->address = address;
+  Hello hello = self_;
+  hello.bundle_version = heldVersion();
+  ConnectionLimits limits;
+  limits.write_queue_bytes = kRouterQueueBytes;
+  peer->connection = connectFrames(executor_, address, hello, callbacksFor(peer), limits);
+  peers_[peer->id] = peer;
+  routers_by_address_[address] = peer;
+  return peer;
+}
+
+void PeerFront::onHello(const std::shared_ptr<Peer>& peer, const Hello& hello) {
+  peer->greeted = true;
+  peer->role = hello.role;
+  peer->name = hello.node_name;
+  if (hello.role == NodeRole::Router && !hello.address.empty()) {
+    peer->address = hello.address;
+    routers_by_address_.try_emplace(hello.address, peer);
+    callbacks_.on_router(hello);
+  }
+  pullIfNewer(*peer, hello.bundle_version);
+  if (hello.role == NodeRole::Sidecar) tellSidecar(*peer, 0);
+}
+
+void PeerFront::onMessage(const std::shared_ptr<Peer>& peer, Message message) {
+  peer->used_at = clock_.now();
+  if (auto* submit = std::get_if<SubmitRequest>(&message)) {
+    // A sidecar that holds a newer bundle has it for this router, too.
+    pullIfNewer(*peer, submit->bundle_version);
+    callbacks_.on_submit(peer->id, std::move(*submit));
+  } else if (auto* cancel = std::get_if<Cancel>(&message)) {
+    callbacks_.on_cancel(peer->id, std::move(*cancel));
+  } else {
+    onControlMessage(*peer, std::move(message));
+  }
+}
+
+void PeerFront::onControlMessage(Peer& peer, Message message) {
+  if (peer.role == NodeRole::Router) counts_.control_bytes_received += encodeFrame(message).size();
+  if (auto* ping = std::get_if<Ping>(&message)) {
+    pullIfNewer(peer, ping->bundle_version);
+    if (peer.role == NodeRole::Sidecar) return answerSidecarPing(peer, *ping);
+    callbacks_.on_ping(std::move(*ping), peer.address);
+  } else if (auto* ack = std::get_if<PingAck>(&message)) {
+    pullIfNewer(peer, ack->bundle_version);
+    if (peer.role == NodeRole::Router) callbacks_.on_ack(std::move(*ack));
+  } else if (const auto* request = std::get_if<BundleRequest>(&message)) {
+    answerBundleRequest(peer, *request);
+  } else if (auto* body = std::get_if<BundleBody>(&message)) {
+    if (pulling_from_ == peer.id) pulling_from_ = 0;
+    if (body->version > heldVersion()) callbacks_.on_bundle(std::move(*body));
+  } else if (peer.role != NodeRole::Router) {
+    return;
+  } else if (auto* digest = std::get_if<LoadDigest>(&message)) {
+    callbacks_.on_load_digest(std::move(*digest));
+  } else if (auto* summary = std::get_if<CacheSummary>(&message)) {
+    callbacks_.on_cache_summary(std::move(*summary));
+  }
+}
+
+void PeerFront::onClosed(const std::shared_ptr<Peer>& peer) {
+  peers_.erase(peer->id);
+  if (pulling_from_ == peer->id) pulling_from_ = 0;
+  const auto known = routers_by_address_.find(peer->address);
+  if (known != routers_by_address_.end() && known->second == peer) routers_by_address_.erase(known);
+  if (peer->greeted && peer->role == NodeRole::Sidecar) callbacks_.on_sidecar_lost(peer->id);
+}
+
+void PeerFront::sendToSidecars(const std::vector<SendToSidecar>& messages) {
+  for (const SendToSidecar& item : messages) {
+    const auto peer = peers_.find(item.sidecar);
+    if (peer != peers_.end()) peer->second->connection->send(item.message);
+  }
+}
+
+void PeerFront::sendToRouter(const std::string& address, const Message& message) {
+  if (stopped_ || address.empty()) return;
+  const std::shared_ptr<Peer> peer = connectTo(address);
+  peer->used_at = clock_.now();
+  counts_.control_bytes_sent += encodeFrame(message).size();
+  peer->connection->send(message);
+}
+
+void PeerFront::setBundle(std::shared_ptr<const SignedBundle> bundle) {
+  bundle_ = std::move(bundle);
+  for (const auto& [id, peer] : peers_) {
+    if (peer->greeted && peer->role == NodeRole::Sidecar) tellSidecar(*peer, 0);
+  }
+}
+
+void PeerFront::announceLeaving(const MemberRecord& self) {
+  leaving_ = true;
+  leaving_record_ = self;
+  for (const auto& [id, peer] : peers_) {
+    if (peer->greeted && peer->role == NodeRole::Sidecar) tellSidecar(*peer, 0);
+  }
+}
+
+void PeerFront::answerSidecarPing(Peer& peer, const Ping& ping) {
+  tellSidecar(peer, ping.sequence);
+}
+
+void PeerFront::tellSidecar(Peer& peer, std::uint64_t sequence) {
+  PingAck ack;
+  ack.sequence = sequence;
+  ack.sender = self_.node_name;
+  ack.bundle_version = heldVersion();
+  if (leaving_) ack.members.push_back(leaving_record_);
+  const std::size_t told = std::min(kRoutersPerAnswer, routers_.size());
+  for (std::size_t count = 0; count < told; ++count) {
+    const MemberRecord& router = routers_[next_router_told_++ % routers_.size()];
+    if (!leaving_ || router.name != leaving_record_.name) ack.members.push_back(router);
+  }
+  peer.connection->send(ack);
+}
+
+void PeerFront::answerBundleRequest(Peer& peer, const BundleRequest& request) {
+  if (bundle_ && bundle_->body.version > request.held_version) peer.connection->send(bundle_->body);
+}
+
+void PeerFront::pullIfNewer(Peer& peer, std::uint64_t version) {
+  const std::uint64_t held = heldVersion();
+  if (version <= held) return;
+  const TimePoint now = clock_.now();
+  const bool pulling = pulling_from_ != 0 && now < pull_ends_ && version <= pulling_version_;
+  if (pulling) return;
+  pulling_from_ = peer.id;
+  pulling_version_ = version;
+  pull_ends_ = now + kPullTimeout;
+  peer.connection->send(BundleRequest{held});
+}
+
+void PeerFront::closeIdle() {
+  const TimePoint now = clock_.now();
+  std::vector<std::shared_ptr<Peer>> idle;
+  for (const auto& [id, peer] : peers_) {
+    const bool unused = now - peer->used_at > kIdleLimit;
+    if (peer->greeted && peer->role == NodeRole::Router && unused) idle.push_back(peer);
+  }
+  for (const std::shared_ptr<Peer>& peer : idle) peer->connection->close(true);
+  idle_timer_.expires_after(kIdleCheckInterval);
+  idle_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error && !stopped_) closeIdle();
+  });
+}
+
+void PeerFront::stop() {
+  stopped_ = true;
+  idle_timer_.cancel();
+  listener_->stop();
+  const auto peers = peers_;
+  for (const auto& [id, peer] : peers) peer->connection->close(true);
+}
+
+PeerFrontCounts PeerFront::counts() const {
+  PeerFrontCounts counts = counts_;
+  for (const auto& [id, peer] : peers_) {
+    if (!peer->greeted) continue;
+    ++(peer->role == NodeRole::Sidecar ? counts.sidecars : counts.routers);
+  }
+  return counts;
+}
+
+}  // namespace crankspur
--- /dev/null
+++ b/src/router_process/control_thread.cc
@@ -0,0 +1,249 @@
+#include "router_process/control_thread.h"
+
+#include <random>
+#include <utility>
+
+namespace crankspur {
+
+namespace {
+
+/// Snapshots that only bring newer loads are published at most this often.
+constexpr Duration kLoadPublishInterval = std::chrono::milliseconds(50);
+
+std::uint64_t freshSeed() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+PlatformWatcherOptions watcherOptions(const RouterSettings& settings) {
+  return {settings.platform, settings.machine_list_interval, settings.bundle_row_interval};
+}
+
+std::vector<MemberRecord> routersOf(const MachineList& list) {
+  std::vector<MemberRecord> routers;
+  for (const Machine& machine : list.machines) {
+    if (machine.role != MachineRole::Router) continue;
+    const bool leaving = machine.state == MachineState::Leaving;
+    routers.push_back({machine.name, machine.address, machine.zone, machine.region, 0,
+                       leaving ? MemberState::Leaving : MemberState::Alive, 0});
+  }
+  return routers;
+}
+
+}  // namespace
+
+ControlThread::ControlThread(boost::asio::io_context& context, const RouterSettings& settings,
+                             MemberRecord self, FrontThread& front, Shards& shards, EventLog& log,
+                             RouterMetrics& metrics)
+    : settings_(settings),
+      self_(std::move(self)),
+      front_(front),
+      shards_(shards),
+      log_(log),
+      metrics_(metrics),
+      bundle_(settings.trusted_keys),
+      membership_(makeMembership(self_, {}, freshSeed(), now())),
+      table_({settings.region}, freshSeed()),
+      poller_(context.get_executor(), table_, [this] { onTableEvent(); }),
+      cache_feed_(
+          context.get_executor(),
+          [this](const std::shared_ptr<const CacheNews>& news) {
+            for (const auto& shard : shards_) shard->postCacheNews(news);
+          },
+          metrics, freshSeed()),
+      platform_(context.get_executor(), watcherOptions(settings),
+                {[this](const MachineList& list) { onMachines(list); },
+                 [this](const BundleBody& body) { onBundle(body); }, [this] { return bundle_.version(); },
+                 [this] { return membership_->liveMembers().size(); }},
+                log, freshSeed()),
+      membership_timer_(context),
+      table_timer_(context),
+      publish_timer_(context) {}
+
+void ControlThread::start() {
+  publish();
+  platform_.start();
+  front_.thread.post([this] {
+    for (const std::string& peer : settings_.peers) front_.front->connectToRouter(peer);
+  });
+  onMembershipEvent();
+  runTable();
+}
+
+void ControlThread::leave() {
+  leaving_ = true;
+  membership_->leave(now());
+  MemberRecord record = self_;
+  for (const MemberRecord& member : membership_->liveMembers()) {
+    if (member.name == self_.name) record = member;
+  }
+  front_.thread.post([this, record] { front_.front->announceLeaving(record); });
+  onMembershipEvent();
+}
+
+ControlStatus ControlThread::status() const {
+  ControlStatus status;
+  status.bundle_version = bundle_.version();
+  if (bundle_.current()) status.site = bundle_.current()->bundle->site;
+  status.platform_reachable = platform_.reachable();
+  status.leaving = leaving_;
+  status.engines = table_.engines(now());
+  status.runners = table_.runners(now());
+  status.members = membership_->liveMembers();
+  return status;
+}
+
+void ControlThread::onPing(const Ping& ping, const std::string& address) {
+  membership_->onPing(ping, address, now());
+  onMembershipEvent();
+}
+
+void ControlThread::onAck(const PingAck& ack) {
+  membership_->onAck(ack, now());
+  onMembershipEvent();
+}
+
+void ControlThread::onRouter(const Hello& hello) {
+  membership_->seed({{hello.node_name, hello.address, hello.zone, hello.region, 0, MemberState::Alive, 0}},
+                    now());
+  onMembershipEvent();
+}
+
+void ControlThread::onMachines(const MachineList& list) {
+  membership_->seed(routersOf(list), now());
+  table_.onMachineList(list, now());
+  onMembershipEvent();
+  onTableEvent();
+  runTable();
+}
+
+void ControlThread::onBundle(const BundleBody& body) {
+  const std::error_code error = bundle_.offer(body);
+  if (error == ErrorCode::Stale) return;
+  if (error) {
+    ++metrics_.bundles_refused;
+    log_.write(EventId::RouterBundleRefused, {{"version", body.version}, {"reason", error.message()}});
+    return;
+  }
+  ++metrics_.bundles_taken;
+  log_.write(EventId::RouterBundleTaken, {{"version", body.version}});
+  membership_->setBundleVersion(body.version);
+  table_.setLoadInterval(bundle_.current()->bundle->knobs.load_report_interval);
+  front_.thread.post([this, held = bundle_.current()] { front_.front->setBundle(held); });
+  publish();
+}
+
+void ControlThread::onOutcome(const EngineOutcome& outcome) {
+  table_.onOutcome(outcome, now());
+  onTableEvent();
+  if (outcome.kind != OutcomeKind::Answered) runTable();
+}
+
+void ControlThread::onCacheGap(EngineSlot slot, std::uint64_t incarnation) {
+  cache_feed_.onGap(slot, incarnation);
+}
+
+void ControlThread::onMembershipEvent() {
+  for (const EngineRecord& record : membership_->takeEngineChanges()) table_.onGossip(record, now());
+  logMembers();
+  sendGossip();
+  armMembershipTimer();
+  onTableEvent();
+}
+
+void ControlThread::sendGossip() {
+  std::vector<OutgoingGossip> outgoing = membership_->takeOutgoing();
+  if (outgoing.empty()) return;
+  front_.thread.post([this, outgoing = std::move(outgoing)] {
+    for (const OutgoingGossip& gossip : outgoing) {
+      std::visit([&](const auto& message) { front_.front->sendToRouter(gossip.address, message); },
+                 gossip.message);
+    }
+  });
+}
+
+void ControlThread::logMembers() {
+  const std::vector<MembershipChange> changes = membership_->takeChanges();
+  if (changes.empty()) return;
+  for (const MembershipChange& change : changes) {
+    if (change.previous == change.record.state) continue;
+    log_.write(EventId::MemberChanged, {{"name", change.record.name},
+                                        {"incarnation", change.record.incarnation},
+                                        {"from", memberStateName(change.previous)},
+                                        {"to", memberStateName(change.record.state)}});
+  }
+  front_.thread.post([this, members = membership_->liveMembers()] { front_.front->setRouters(members); });
+  publishSoon();
+}
+
+void ControlThread::armMembershipTimer() {
+  membership_timer_.expires_at(membership_->nextTimer());
+  membership_timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    membership_->onTimer(now());
+    onMembershipEvent();
+  });
+}
+
+void ControlThread::runTable() {
+  poller_.start(table_.duePolls(now()));
+  onTableEvent();
+  armTableTimer();
+}
+
+void ControlThread::armTableTimer() {
+  table_timer_.expires_at(table_.nextTimer(now()));
+  table_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) runTable();
+  });
+}
+
+void ControlThread::onTableEvent() {
+  const bool urgent = table_.takeUrgent(now());
+  logBackends();
+  for (const EngineRecord& record : table_.takeAnnouncements()) membership_->announceEngine(record, now());
+  if (urgent) {
+    publish();
+  } else if (table_.takeLoadsChanged()) {
+    publishSoon();
+  }
+}
+
+void ControlThread::logBackends() {
+  for (const BackendChange& change : table_.takeChanges()) {
+    log_.write(EventId::BackendStateChanged, {{"name", change.name},
+                                              {"incarnation", change.incarnation},
+                                              {"from", engineStateName(change.previous)},
+                                              {"to", engineStateName(change.state)}});
+  }
+}
+
+void ControlThread::publishSoon() {
+  if (publish_waiting_) return;
+  publish_waiting_ = true;
+  publish_timer_.expires_after(kLoadPublishInterval);
+  publish_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error && publish_waiting_) publish();
+  });
+}
+
+void ControlThread::publish() {
+  publish_waiting_ = false;
+  publish_timer_.cancel();
+  ++metrics_.snapshots;
+  auto snapshot = std::make_shared<RoutingSnapshot>();
+  if (bundle_.current()) snapshot->bundle = bundle_.current()->bundle;
+  snapshot->engines = table_.engines(now());
+  snapshot->runners = table_.runners(now());
+  snapshot->own_zone = settings_.zone;
+  snapshot->own_region = settings_.region;
+  std::uint32_t routers = 0;
+  for (const MemberRecord& member : membership_->liveMembers()) {
+    if (member.state != MemberState::Leaving) ++routers;
+  }
+  snapshot->router_count = std::max<std::uint32_t>(routers, 1);
+  cache_feed_.follow(snapshot->engines);
+  for (const auto& shard : shards_) shard->postSnapshot(snapshot);
+}
+
+}  // namespace crankspur
--- /dev/null
+++ b/src/router_process/control_thread.h
@@ -0,0 +1,96 @@
+#pragma once
+/// @file The router's control state: membership, engine table, bundle, platform. Publishes snapshots to the
+/// traffic shards. Everything runs on one thread.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bundle/bundle.h"
+#include "membership/membership.h"
+#include "router/engine_table.h"
+#include "router_peer/peer_front.h"
+#include "router_process/backend_poller.h"
+#include "router_process/cache_event_feed.h"
+#include "router_process/platform_watcher.h"
+#include "router_process/router_settings.h"
+#include "router_process/traffic_shard.h"
+
+namespace crankspur {
+
+/// The front with the thread that it lives on.
+struct FrontThread {
+  EventLoopThread thread;
+  std::unique_ptr<PeerFront> front;
+};
+
+/// What /status shows of the control state.
+struct ControlStatus {
+  std::uint64_t bundle_version = 0;
+  std::string site;
+  bool platform_reachable = true;
+  bool leaving = false;
+  std::vector<EngineView> engines;
+  std::vector<EngineView> runners;
+  std::vector<MemberRecord> members;
+};
+
+/// The control state. Use from its executor's thread only.
+class ControlThread {
+public:
+  using Shards = std::vector<std::unique_ptr<TrafficShard>>;
+
+  /// @param self this router's record; its address is what peers connect to.
+  ControlThread(boost::asio::io_context& context, const RouterSettings& settings, MemberRecord self,
+                FrontThread& front, Shards& shards, EventLog& log, RouterMetrics& metrics);
+
+  /// Begins polling and gossip.
+  void start();
+  /// Planned stop: tells peers and sidecars.
+  void leave();
+  ControlStatus status() const;
+
+  void onPing(const Ping& ping, const std::string& address);
+  void onAck(const PingAck& ack);
+  void onRouter(const Hello& hello);
+  void onBundle(const BundleBody& body);
+  void onOutcome(const EngineOutcome& outcome);
+  void onCacheGap(EngineSlot slot, std::uint64_t incarnation);
+
+private:
+  TimePoint now() const { return clock_.now(); }
+  void onMachines(const MachineList& list);
+  void onMembershipEvent();
+  void sendGossip();
+  void logMembers();
+  void armMembershipTimer();
+  void onTableEvent();
+  void runTable();
+  void armTableTimer();
+  void logBackends();
+  void publish();
+  void publishSoon();
+
+  const RouterSettings& settings_;
+  MemberRecord self_;
+  FrontThread& front_;
+  Shards& shards_;
+  EventLog& log_;
+  RouterMetrics& metrics_;
+  SteadyClock clock_;
+  BundleHolder bundle_;
+  std::unique_ptr<Membership> membership_;
+  EngineTable table_;
+  BackendPoller poller_;
+  CacheEventFeed cache_feed_;
+  PlatformWatcher platform_;
+  boost::asio::steady_timer membership_timer_;
+  boost::asio::steady_timer table_timer_;
+  boost::asio::steady_timer publish_timer_;
+  bool publish_waiting_ = false;
+  bool leaving_ = false;
+};
+
+}  // namespace crankspur
--- /dev/null
+++ b/src/router_process/platform_watcher.cc
@@ -0,0 +1,105 @@
+#include "router_process/platform_watcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "router_process/bundle_row.h"
+
+namespace crankspur {
+
+namespace {
+
+/// The fleet together makes about this many calls of each kind a second, however many routers there are.
+constexpr double kFleetCallsPerSecond = 10;
+/// Peers get this long to bring a body before it is fetched from the object store; jittered.
+constexpr Duration kPeersFirst = std::chrono::milliseconds(500);
+/// A router without any bundle does not wait for peers longer than this.
+constexpr Duration kPeersFirstAtStart = std::chrono::milliseconds(50);
+
+}  // namespace
+
+PlatformWatcher::PlatformWatcher(boost::asio::any_io_executor executor, PlatformWatcherOptions options,
+                                 PlatformWatcherCallbacks callbacks, EventLog& log, std::uint64_t random_seed)
+    : options_(std::move(options)),
+      callbacks_(std::move(callbacks)),
+      log_(log),
+      random_(random_seed),
+      http_(http::makeClient(executor)),
+      machines_timer_(executor),
+      bundle_timer_(executor),
+      document_timer_(executor) {
+  ServiceOptions service;
+  service.address = options_.address;
+  machines_ = makeMachineListClient(executor, *http_, clock_, service);
+  table_ = makeTableClient(executor, *http_, clock_, service);
+  objects_ = makeObjectClient(executor, *http_, clock_, service);
+}
+
+PlatformWatcher::~PlatformWatcher() = default;
+
+void PlatformWatcher::start() {
+  if (options_.address.empty()) return;
+  fetchMachines();
+  fetchBundleRow();
+}
+
+Duration PlatformWatcher::pause(Duration interval) {
+  const double shared = static_cast<double>(callbacks_.router_count()) / kFleetCallsPerSecond;
+  const double seconds = std::max(toSeconds(interval), shared) * (0.7 + 0.6 * random_.unit());
+  return Duration(static_cast<Duration::rep>(seconds * 1e6));
+}
+
+void PlatformWatcher::noteReachable(bool reachable) {
+  if (reachable == reachable_) return;
+  reachable_ = reachable;
+  log_.write(reachable ? EventId::PlatformReachable : EventId::PlatformUnreachable,
+             {{"address", options_.address}});
+}
+
+void PlatformWatcher::fetchMachines() {
+  machines_->fetch([this](const MachineListResult& result) {
+    const auto* list = std::get_if<MachineList>(&result);
+    noteReachable(list != nullptr || std::holds_alternative<ServiceRateLimited>(result));
+    if (list != nullptr) callbacks_.on_machines(*list);
+    machines_timer_.expires_after(pause(options_.machine_list_interval));
+    machines_timer_.async_wait([this](boost::system::error_code error) {
+      if (!error) fetchMachines();
+    });
+  });
+}
+
+void PlatformWatcher::fetchBundleRow() {
+  table_->read(kBundleRowKey, [this](const ReadResult& result) {
+    if (const auto* row = std::get_if<TableRow>(&result)) onBundleRow(*row);
+    bundle_timer_.expires_after(pause(options_.bundle_row_interval));
+    bundle_timer_.async_wait([this](boost::system::error_code error) {
+      if (!error) fetchBundleRow();
+    });
+  });
+}
+
+void PlatformWatcher::onBundleRow(const TableRow& row) {
+  const std::optional<AcceptedBundle> accepted = decodeBundleRow(row.value);
+  if (!accepted || accepted->body.version <= callbacks_.held_version()) return;
+  const bool first = callbacks_.held_version() == 0;
+  const Duration limit = first ? kPeersFirstAtStart : kPeersFirst;
+  const double share = random_.unit();
+  document_timer_.expires_after(
+      Duration(static_cast<Duration::rep>(static_cast<double>(limit.count()) * share)));
+  document_timer_.async_wait([this, accepted](boost::system::error_code error) {
+    if (error || accepted->body.version <= callbacks_.held_version()) return;
+    fetchDocument(accepted->body, accepted->object_key);
+  });
+}
+
+void PlatformWatcher::fetchDocument(BundleBody body, const std::string& key) {
+  objects_->get(key, [this, body = std::move(body)](const GetObjectResult& result) {
+    const auto* object = std::get_if<ObjectBody>(&result);
+    if (object == nullptr) return;
+    BundleBody whole = body;
+    whole.document = object->bytes;
+    callbacks_.on_bundle(whole);
+  });
+}
+
+}  // namespace crankspur
--- /dev/null
+++ b/src/router_process/router_admin.h
@@ -0,0 +1,41 @@
+#pragma once
+/// @file Admin endpoints of the router: /healthz, /metrics, /status, /explain. Lives on the control thread.
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+
+#include "http/server.h"
+#include "router_process/control_thread.h"
+
+namespace crankspur {
+
+/// Serves the admin port.
+class RouterAdmin {
+public:
+  RouterAdmin(boost::asio::io_context& context, const RouterSettings& settings, ControlThread& control,
+              FrontThread& front, ControlThread::Shards& shards, RouterMetrics& metrics);
+  /// @return an error when the port cannot be bound.
+  std::error_code listen(const std::string& address);
+  std::uint16_t port() const { return server_->port(); }
+
+private:
+  using Writer = std::shared_ptr<http::ResponseWriter>;
+  void handle(const http::Request& request, const Writer& writer);
+  void respondHealth(const Writer& writer);
+  void respondStatus(const Writer& writer);
+  void respondMetrics(const Writer& writer);
+  void explain(const std::string& request_id, std::size_t shard, const Writer& writer);
+  std::string metricsText(const PeerFrontCounts& counts) const;
+  std::size_t inFlight() const;
+
+  boost::asio::io_context& context_;
+  const RouterSettings& settings_;
+  ControlThread& control_;
+  FrontThread& front_;
+  ControlThread::Shards& shards_;
+  RouterMetrics& metrics_;
+  std::unique_ptr<http::Server> server_;
+};
+
+}  // namespace crankspur
--- /dev/null
+++ b/src/router_process/router_process.cc
@@ -0,0 +1,233 @@
+#include "router_process/router_process.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <random>
+#include <utility>
+
+#include "base/hash.h"
+#include "router_process/control_thread.h"
+#include "router_process/router_admin.h"
+
+namespace crankspur {
+
+namespace {
+
+/// Time that sidecars get to hear that this router leaves, before new work is refused.
+constexpr Duration kLeaveNotice = std::chrono::milliseconds(300);
+/// Time for the last messages to leave after the last request has ended.
+constexpr Duration kFlushTime = std::chrono::milliseconds(200);
+constexpr Duration kDrainPoll = std::chrono::milliseconds(20);
+
+/// @return milliseconds of the wall clock, so that a later start has a higher number.
+std::uint64_t startIncarnation() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+std::uint64_t freshSeed() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::string withPort(const std::string& address, std::uint16_t port) {
+  return fmt::format("{}:{}", address.substr(0, address.rfind(':')), port);
+}
+
+class RouterProcessImpl : public RouterProcess {
+public:
+  RouterProcessImpl(RouterSettings settings, EventLog& log)
+      : settings_(std::move(settings)), log_(log), context_(1), signals_(context_), stop_timer_(context_) {}
+
+  int run() override {
+    buildShards();
+    if (!listenForPeers()) return kRouterExitCannotListen;
+    MemberRecord self{settings_.name,
+                      settings_.advertise,
+                      settings_.zone,
+                      settings_.region,
+                      incarnation_,
+                      MemberState::Alive,
+                      0};
+    control_ = std::make_unique<ControlThread>(context_, settings_, self, front_, shards_, log_, metrics_);
+    admin_ = std::make_unique<RouterAdmin>(context_, settings_, *control_, front_, shards_, metrics_);
+    if (const std::error_code error = admin_->listen(settings_.admin)) {
+      refuseAddress("admin", settings_.admin, error);
+      return kRouterExitCannotListen;
+    }
+    signals_.add(SIGTERM);
+    signals_.add(SIGINT);
+    awaitSignal();
+    for (const auto& shard : shards_) shard->start();
+    front_.thread.start();
+    control_->start();
+    fmt::print("listening {} admin {}\n", front_.front->port(), admin_->port());
+    std::fflush(stdout);
+    log_.write(EventId::ProcessStarted,
+               {{"address", settings_.advertise}, {"zone", settings_.zone}, {"version", CRANKSPUR_VERSION}});
+    context_.run();
+    front_.thread.stop();
+    for (const auto& shard : shards_) shard->stop();
+    log_.write(EventId::ProcessStopped, {});
+    return kRouterExitOk;
+  }
+
+private:
+  void buildShards() {
+    for (std::uint32_t index = 0; index < settings_.traffic_threads; ++index) {
+      TrafficShardOptions options;
+      options.router_name = settings_.name;
+      options.random_seed = freshSeed();
+      options.index_entries = settings_.index_entries / settings_.traffic_threads;
+      options.table_address = settings_.platform;
+      shards_.push_back(std::make_unique<TrafficShard>(std::move(options), shardCallbacks(), log_, metrics_));
+    }
+  }
+
+  TrafficShardCallbacks shardCallbacks() {
+    TrafficShardCallbacks callbacks;
+    callbacks.on_messages = [this](std::vector<SendToSidecar> messages) {
+      front_.thread.post([this, messages = std::move(messages)] { front_.front->sendToSidecars(messages); });
+    };
+    callbacks.on_outcome = [this](const EngineOutcome& outcome) {
+      boost::asio::post(context_, [this, outcome] { control_->onOutcome(outcome); });
+    };
+    callbacks.on_cache_gap = [this](EngineSlot slot, std::uint64_t incarnation) {
+      boost::asio::post(context_, [this, slot, incarnation] { control_->onCacheGap(slot, incarnation); });
+    };
+    return callbacks;
+  }
+
+  bool listenForPeers() {
+    Hello hello;
+    hello.node_name = settings_.name;
+    hello.incarnation = incarnation_;
+    hello.role = NodeRole::Router;
+    hello.zone = settings_.zone;
+    hello.region = settings_.region;
+    front_.front = std::make_unique<PeerFront>(front_.thread.executor(), hello, frontCallbacks());
+    if (const std::error_code error = front_.front->listen(settings_.listen)) {
+      refuseAddress("listen", settings_.listen, error);
+      return false;
+    }
+    if (settings_.advertise.empty()) {
+      settings_.advertise = withPort(settings_.listen, front_.front->port());
+    }
+    front_.front->setAdvertised(settings_.advertise);
+    return true;
+  }
+
+  PeerFrontCallbacks frontCallbacks() {
+    PeerFrontCallbacks callbacks;
+    callbacks.on_submit = [this](SidecarId sidecar, SubmitRequest request) {
+      shardOf(request).postSubmit(sidecar, std::move(request));
+    };
+    callbacks.on_cancel = [this](SidecarId sidecar, const Cancel& cancel) {
+      for (const auto& shard : shards_) shard->postCancel(sidecar, cancel);
+    };
+    callbacks.on_sidecar_lost = [this](SidecarId sidecar) {
+      for (const auto& shard : shards_) shard->postSidecarLost(sidecar);
+    };
+    callbacks.on_ping = [this](Ping ping, std::string address) {
+      boost::asio::post(context_, [this, ping = std::move(ping), address = std::move(address)] {
+        control_->onPing(ping, address);
+      });
+    };
+    callbacks.on_ack = [this](PingAck ack) {
+      boost::asio::post(context_, [this, ack = std::move(ack)] { control_->onAck(ack); });
+    };
+    callbacks.on_router = [this](const Hello& hello) {
+      boost::asio::post(context_, [this, hello] { control_->onRouter(hello); });
+    };
+    callbacks.on_bundle = [this](BundleBody body) {
+      boost::asio::post(context_, [this, body = std::move(body)] { control_->onBundle(body); });
+    };
+    callbacks.on_load_digest = [](const LoadDigest&) {};
+    callbacks.on_cache_summary = [](const CacheSummary&) {};
+    return callbacks;
+  }
+
+  /// Requests of one (tenant, model) always meet one shard.
+  TrafficShard& shardOf(const SubmitRequest& request) {
+    const std::string& target = request.kind == RequestKind::Application ? request.operation : request.model;
+    const std::uint64_t hash = combineHashes(hashBytes(request.tenant), hashBytes(target));
+    return *shards_[hash % shards_.size()];
+  }
+
+  void refuseAddress(const char* key, const std::string& address, std::error_code error) {
+    log_.write(EventId::SettingsRefused, {{"key", key}, {"value", address}, {"reason", error.message()}});
+  }
+
+  void awaitSignal() {
+    signals_.async_wait([this](boost::system::error_code error, int) {
+      if (error) return;
+      if (stopping_) {
+        context_.stop();
+        return;
+      }
+      stopping_ = true;
+      awaitSignal();
+      beginStop();
+    });
+  }
+
+  void beginStop() {
+    log_.write(EventId::ProcessStopping, {{"in_flight", inFlight()}});
+    drain_ends_ = clock_.now() + settings_.drain_limit;
+    control_->leave();
+    after(kLeaveNotice, [this] {
+      for (const auto& shard : shards_) shard->postDrain();
+      awaitDrained();
+    });
+  }
+
+  void awaitDrained() {
+    if (inFlight() == 0 || clock_.now() >= drain_ends_) {
+      front_.thread.post([this] { front_.front->stop(); });
+      after(kFlushTime, [this] { context_.stop(); });
+      return;
+    }
+    after(kDrainPoll, [this] { awaitDrained(); });
+  }
+
+  void after(Duration delay, std::function<void()> action) {
+    stop_timer_.expires_after(delay);
+    stop_timer_.async_wait([action = std::move(action)](boost::system::error_code error) {
+      if (!error) action();
+    });
+  }
+
+  std::size_t inFlight() const {
+    std::size_t total = 0;
+    for (const auto& shard : shards_) total += shard->inFlight();
+    return total;
+  }
+
+  RouterSettings settings_;
+  EventLog& log_;
+  SteadyClock clock_;
+  RouterMetrics metrics_;
+  std::uint64_t incarnation_ = startIncarnation();
+  boost::asio::io_context context_;
+  boost::asio::signal_set signals_;
+  boost::asio::steady_timer stop_timer_;
+  FrontThread front_;
+  ControlThread::Shards shards_;
+  std::unique_ptr<ControlThread> control_;
+  std::unique_ptr<RouterAdmin> admin_;
+  bool stopping_ = false;
+  TimePoint drain_ends_{};
+};
+
+}  // namespace
+
+std::unique_ptr<RouterProcess> makeRouterProcess(RouterSettings settings, EventLog& log) {
+  return std::make_unique<RouterProcessImpl>(std::move(settings), log);
+}
+
+}  // namespace crankspur
--- /dev/null
+++ b/src/router_process/traffic_shard.h
@@ -0,0 +1,121 @@
+#pragma once
+/// @file One traffic thread: drives one RequestRouter with real sockets, a clock and timers.
+
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "app_runner/app_runner_client.h"
+#include "engine/engine_client.h"
+#include "http/client.h"
+#include "router/engine_table.h"
+#include "router_process/event_loop_thread.h"
+#include "router_process/router_metrics.h"
+#include "table_service/table_client.h"
+
+namespace crankspur {
+
+/// Cache events or a digest of one engine on their way to the shards.
+struct CacheNews {
+  EngineSlot slot = 0;
+  std::uint64_t incarnation = 0;
+  std::vector<CacheEvent> events;
+  bool is_digest = false;
+  std::uint64_t digest_sequence = 0;
+  std::vector<BlockHash> digest_blocks;
+};
+
+/// What a shard reports. Called on the shard's thread.
+struct TrafficShardCallbacks {
+  std::function<void(std::vector<SendToSidecar>)> on_messages;
+  std::function<void(const EngineOutcome&)> on_outcome;
+  /// An engine's event stream has a gap.
+  std::function<void(EngineSlot, std::uint64_t incarnation)> on_cache_gap;
+};
+
+/// Parts of a shard's construction.
+struct TrafficShardOptions {
+  std::string router_name;
+  std::uint64_t random_seed = 1;
+  std::size_t index_entries = 500'000;
+  std::string table_address;  ///< Empty: no table service; claims fail.
+};
+
+/// One shard with its thread. Functions named post* may be called from any thread.
+class TrafficShard {
+public:
+  TrafficShard(TrafficShardOptions options, TrafficShardCallbacks callbacks, EventLog& log,
+               RouterMetrics& metrics);
+  ~TrafficShard();
+
+  void start() { thread_.start(); }
+  /// Ends the thread; what is in flight is dropped.
+  void stop() { thread_.stop(); }
+  void postSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot);
+  void postSubmit(SidecarId sidecar, SubmitRequest request);
+  void postCancel(SidecarId sidecar, const Cancel& cancel);
+  void postSidecarLost(SidecarId sidecar);
+  void postCacheNews(std::shared_ptr<const CacheNews> news);
+  void postDrain();
+  /// @param done runs on the shard's thread.
+  void postExplain(const std::string& request_id, std::function<void(std::optional<DecisionRecord>)> done);
+  /// @return requests not yet ended; counts posted submits from the moment they were posted.
+  std::size_t inFlight() const { return in_flight_.load() + submits_posted_.load(); }
+
+private:
+  /// A dispatch that has not ended.
+  struct Running {
+    std::shared_ptr<EngineStream> stream;
+    std::shared_ptr<RunnerCall> call;
+    std::string address;
+    std::string request_id;
+    std::uint32_t attempt = 0;
+    EngineSlot slot = 0;
+    std::uint64_t incarnation = 0;
+    bool engine = false;
+    bool answered = false;
+    TimePoint started_at{};
+    Duration expected{0};
+  };
+
+  TimePoint now() const { return clock_.now(); }
+  void pump();
+  void carryOut(RouterAction action);
+  void dispatchCompletion(const DispatchCompletion& dispatch);
+  void dispatchOperation(const DispatchOperation& dispatch);
+  void cancelDispatch(DispatchId dispatch);
+  void onBackend(DispatchId dispatch, const BackendEvent& event);
+  void reportOutcome(Running& running, const BackendEvent& event);
+  void tellSent(const std::string& request_id);
+  void tellAllSent();
+  void noLongerUntold(const std::string& request_id, DispatchId dispatch);
+  void callTable(const ClaimTableCall& call);
+  void onClaimRead(std::uint64_t claim, const ReadResult& result);
+  void onClaimWritten(std::uint64_t claim, const TransactionResult& result);
+  void armTimer();
+
+  TrafficShardOptions options_;
+  TrafficShardCallbacks callbacks_;
+  EventLog& log_;
+  RouterMetrics& metrics_;
+  SteadyClock clock_;
+  EventLoopThread thread_;
+  std::unique_ptr<http::Client> http_;
+  std::unique_ptr<EngineClient> engines_;
+  std::unique_ptr<AppRunnerClient> runners_;
+  std::unique_ptr<TableClient> table_;
+  std::unique_ptr<RequestRouter> router_;
+  boost::asio::steady_timer timer_;
+  TimePoint timer_at_ = TimePoint::max();
+  std::map<DispatchId, Running> running_;
+  std::multimap<std::string, DispatchId> untold_;  ///< Dispatches not yet said to be sent, by request.
+  std::vector<SendToSidecar> messages_;
+  std::atomic<std::size_t> in_flight_ = 0;
+  std::atomic<std::size_t> submits_posted_ = 0;
+};
+
+}  // namespace crankspur
