--- a/src/app_runner/app_runner_client.cc
+++ b/src/app_runner/app_runner_client.cc
@@ -5,7 +5,7 @@
 
 #include "base/hash.h"
 #include "engine/engine_messages.h"
-#include "json/object_reader.h"
+#include "json/json_reader.h"
 
 namespace crankspur {
 
@@ -128,10 +128,10 @@
 }  // namespace
 
 std::error_code decodeRunnerDescription(std::string_view json, RunnerDescription& out) {
-  json::Problem problem;
-  const auto object = json::parseObject(json, problem);
+  JsonProblem problem;
+  const auto object = parseJsonObject(json, problem);
   if (!object) return ErrorCode::Malformed;
-  const json::ObjectReader reader(*object, problem);
+  const JsonReader reader(*object, problem);
   out.name = reader.requireString("name");
   out.incarnation = reader.requireUnsigned("incarnation");
   out.leaving = reader.requireBool("leaving");
@@ -141,10 +141,10 @@
 }
 
 std::error_code decodeExecution(std::string_view json, std::string& result) {
-  json::Problem problem;
-  const auto object = json::parseObject(json, problem);
+  JsonProblem problem;
+  const auto object = parseJsonObject(json, problem);
   if (!object) return ErrorCode::Malformed;
-  const json::ObjectReader reader(*object, problem);
+  const JsonReader reader(*object, problem);
   result = reader.requireString("result");
   reader.requireUnsigned("execution");
   if (problem.found()) return ErrorCode::Malformed;
--- a/src/engine/engine_messages.cc
+++ b/src/engine/engine_messages.cc
@@ -6,20 +6,17 @@
 #include <cmath>
 
 #include "base/hash.h"
-#include "json/object_reader.h"
+#include "json/json_reader.h"
 
 namespace crankspur {
 
 namespace {
 
-using json::ObjectReader;
-using json::Problem;
-
 constexpr std::uint64_t kLongestAgeMilliseconds = 3'600'000;
 constexpr double kFastestPrefill = 1e9;
 constexpr double kLongestRetryAfterSeconds = 3600;
 
-std::error_code outcomeOf(const Problem& problem) {
+std::error_code outcomeOf(const JsonProblem& problem) {
   if (problem.found()) return ErrorCode::Malformed;
   return {};
 }
@@ -36,7 +33,7 @@
   return "mixed";
 }
 
-EngineRole readRole(const ObjectReader& reader) {
+EngineRole readRole(const JsonReader& reader) {
   const std::string name = reader.requireString("role");
   for (const EngineRole role : {EngineRole::Mixed, EngineRole::Prefill, EngineRole::Decode}) {
     if (name == roleName(role)) return role;
@@ -59,7 +56,7 @@
   return "drain";
 }
 
-BackendAccepted readAccepted(const ObjectReader& reader) {
+BackendAccepted readAccepted(const JsonReader& reader) {
   BackendAccepted accepted;
   accepted.incarnation = reader.requireUnsigned("incarnation");
   accepted.weights_version = reader.requireString("weights_version");
@@ -71,7 +68,7 @@
   return accepted;
 }
 
-BackendPiece readPiece(const ObjectReader& reader) {
+BackendPiece readPiece(const JsonReader& reader) {
   BackendPiece piece;
   piece.offset = reader.requireUnsigned("offset");
   piece.token_count = reader.requireUnsigned32("count");
@@ -79,7 +76,7 @@
   return piece;
 }
 
-BackendEnd readEnd(const ObjectReader& reader) {
+BackendEnd readEnd(const JsonReader& reader) {
   BackendEnd end;
   end.token_count = reader.requireUnsigned("token_count");
   end.checksum = reader.requireHash("checksum");
@@ -87,7 +84,7 @@
   return end;
 }
 
-RunState readRunState(const ObjectReader& reader) {
+RunState readRunState(const JsonReader& reader) {
   const std::string name = reader.getString("ran");
   if (name == "not_run") return RunState::NotRun;
   if (name == "ran") return RunState::Ran;
@@ -145,16 +142,16 @@
 }
 
 std::error_code decodeDescription(std::string_view json, EngineDescription& out) {
-  Problem problem;
-  const auto object = json::parseObject(json, problem);
+  JsonProblem problem;
+  const auto object = parseJsonObject(json, problem);
   if (!object) return ErrorCode::Malformed;
-  const ObjectReader reader(*object, problem);
+  const JsonReader reader(*object, problem);
   out.name = reader.requireString("name");
   out.incarnation = reader.requireUnsigned("incarnation");
   out.role = readRole(reader);
   out.leaving = reader.requireBool("leaving");
   out.models.clear();
-  for (const ObjectReader& model : reader.requireObjects("models")) {
+  for (const JsonReader& model : reader.requireObjects("models")) {
     out.models.push_back(
         {model.requireString("model"), model.requireString("weights_version"), model.getStrings("adapters")});
   }
@@ -164,10 +161,10 @@
 }
 
 std::error_code decodeLoad(std::string_view json, TimePoint now, EngineLoadAnswer& out) {
-  Problem problem;
-  const auto object = json::parseObject(json, problem);
+  JsonProblem problem;
+  const auto object = parseJsonObject(json, problem);
   if (!object) return ErrorCode::Malformed;
-  const ObjectReader reader(*object, problem);
+  const JsonReader reader(*object, problem);
   LoadReport& report = out.report;
   out.incarnation = reader.requireUnsigned("incarnation");
   report.measured_at =
@@ -183,15 +180,15 @@
 }
 
 std::error_code decodeCacheEvents(std::string_view json, CacheEventsAnswer& out) {
-  Problem problem;
-  const auto object = json::parseObject(json, problem);
+  JsonProblem problem;
+  const auto object = parseJsonObject(json, problem);
   if (!object) return ErrorCode::Malformed;
-  const ObjectReader reader(*object, problem);
+  const JsonReader reader(*object, problem);
   out.incarnation = reader.requireUnsigned("incarnation");
   out.last_sequence = reader.requireUnsigned("last_sequence");
   out.events.clear();
   std::uint64_t previous = 0;
-  for (const ObjectReader& event : reader.requireObjects("events")) {
+  for (const JsonReader& event : reader.requireObjects("events")) {
     const std::uint64_t sequence = event.requireUnsigned("sequence");
     if (sequence <= previous) reader.report("events", "must have growing sequences from 1");
     previous = sequence;
@@ -201,10 +198,10 @@
 }
 
 std::error_code decodeCacheDigest(std::string_view json, CacheDigestAnswer& out) {
-  Problem problem;
-  const auto object = json::parseObject(json, problem);
+  JsonProblem problem;
+  const auto object = parseJsonObject(json, problem);
   if (!object) return ErrorCode::Malformed;
-  const ObjectReader reader(*object, problem);
+  const JsonReader reader(*object, problem);
   out.incarnation = reader.requireUnsigned("incarnation");
   out.sequence = reader.requireUnsigned("sequence");
   out.blocks = reader.requireHashes("blocks");
@@ -212,10 +209,10 @@
 }
 
 std::error_code decodeStreamEvent(std::string_view json, BackendEvent& out) {
-  Problem problem;
-  const auto object = json::parseObject(json, problem);
+  JsonProblem problem;
+  const auto object = parseJsonObject(json, problem);
   if (!object) return ErrorCode::Malformed;
-  const ObjectReader reader(*object, problem);
+  const JsonReader reader(*object, problem);
   const std::string type = reader.requireString("type");
   if (type == "accepted") {
     out = readAccepted(reader);
@@ -232,10 +229,10 @@
 EngineErrorAnswer decodeError(std::string_view json) {
   EngineErrorAnswer answer;
   answer.code = ErrorCode::Malformed;
-  Problem problem;
-  const auto object = json::parseObject(json, problem);
+  JsonProblem problem;
+  const auto object = parseJsonObject(json, problem);
   if (!object) return answer;
-  const ObjectReader reader = ObjectReader(*object, problem).requireObject("error");
+  const JsonReader reader = JsonReader(*object, problem).requireObject("error");
   const std::string code = reader.requireString("code");
   answer.message = reader.getString("message");
   if (problem.found()) return answer;
--- a/src/json/object_reader.h
+++ b/src/json/json_reader.h
@@ -4,7 +4,6 @@
 
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/value.hpp>
 #include <cstdint>
 #include <limits>
 #include <optional>
@@ -12,10 +11,10 @@
 #include <string_view>
 #include <vector>
 
-namespace crankspur::json {
+namespace crankspur {
 
 /// The first thing wrong with a document.
-class Problem {
+class JsonProblem {
 public:
   /// Records "key: reason" unless a problem was recorded before.
   void note(std::string_view key, std::string_view reason);
@@ -31,9 +30,9 @@
 inline constexpr std::uint64_t kAnyUnsigned = std::numeric_limits<std::uint64_t>::max();
 
 /// Reads members of one object, which must outlive the reader.
-class ObjectReader {
+class JsonReader {
 public:
-  ObjectReader(const boost::json::object& object, Problem& problem) : object_(object), problem_(problem) {}
+  JsonReader(const boost::json::object& object, JsonProblem& problem) : object_(object), problem_(problem) {}
 
   bool has(std::string_view key) const;
   std::string requireString(std::string_view key) const;
@@ -53,23 +52,24 @@
   std::vector<std::uint64_t> requireHashes(std::string_view key) const;
   std::vector<std::string> getStrings(std::string_view key) const;  ///< Empty when absent.
   /// @return readers of an array of objects.
-  std::vector<ObjectReader> requireObjects(std::string_view key) const;
-  ObjectReader requireObject(std::string_view key) const;
+  std::vector<JsonReader> requireObjects(std::string_view key) const;
+  JsonReader requireObject(std::string_view key) const;
   /// Records a problem of the caller's own finding.
   void report(std::string_view key, std::string_view reason) const { problem_.note(key, reason); }
 
 private:
-  const boost::json::value* find(std::string_view key) const;
-  const boost::json::value* require(std::string_view key) const;
+  /// Notes a problem when `value` is empty.
+  template <typename Value>
+  Value valueOr(std::string_view key, std::optional<Value> value, std::string_view reason) const;
   const boost::json::array* requireArray(std::string_view key) const;
 
   const boost::json::object& object_;
-  Problem& problem_;
+  JsonProblem& problem_;
 };
 
 /// @return the object in `text`, or empty (with the problem noted) when it is no JSON object or nests deeper
 /// than a handful of levels.
-std::optional<boost::json::object> parseObject(std::string_view text, Problem& problem);
+std::optional<boost::json::object> parseJsonObject(std::string_view text, JsonProblem& problem);
 
 /// @return the value of 16 lower-case hexadecimal digits, or empty.
 std::optional<std::uint64_t> parseHash(std::string_view digits);
@@ -77,4 +77,4 @@
 /// @return an array of hashes as 16 hexadecimal digits each.
 boost::json::array hashArray(const std::vector<std::uint64_t>& hashes);
 
-}  // namespace crankspur::json
+}  // namespace crankspur
