--- a/src/router_process/cache_event_feed.cc
+++ b/src/router_process/cache_event_feed.cc
@@ -92,7 +92,7 @@
                           if (answer.incarnation != follower->incarnation) {
                             return later(follower, kRetryPause, &CacheEventFeed::fetchDigest);
                           }
-                          ++metrics_.cache_digests;
+                          metrics_.cache_digests.Increment();
                           follower->after = std::max(follower->after, answer.sequence);
                           auto news = std::make_shared<CacheNews>();
                           news->slot = follower->slot;
@@ -122,7 +122,7 @@
 
 void CacheEventFeed::onEvents(const std::shared_ptr<Follower>& follower, const CacheEventsAnswer& answer) {
   if (answer.events.empty()) return;
-  metrics_.cache_events += answer.events.size();
+  metrics_.cache_events.Increment(static_cast<double>(answer.events.size()));
   for (const CacheEvent& event : answer.events) follower->after = std::max(follower->after, event.sequence);
   auto news = std::make_shared<CacheNews>();
   news->slot = follower->slot;
@@ -134,7 +134,7 @@
 void CacheEventFeed::onGap(EngineSlot slot, std::uint64_t incarnation) {
   for (const auto& [name, follower] : followers_) {
     if (follower->slot != slot || follower->incarnation != incarnation) continue;
-    if (!follower->digest_wanted) ++metrics_.cache_gaps;
+    if (!follower->digest_wanted) metrics_.cache_gaps.Increment();
     follower->digest_wanted = true;
   }
 }
--- a/src/router_process/control_thread.cc
+++ b/src/router_process/control_thread.cc
@@ -121,11 +121,11 @@
   const std::error_code error = bundle_.offer(body);
   if (error == ErrorCode::Stale) return;
   if (error) {
-    ++metrics_.bundles_refused;
+    metrics_.bundles_refused.Increment();
     log_.write(EventId::RouterBundleRefused, {{"version", body.version}, {"reason", error.message()}});
     return;
   }
-  ++metrics_.bundles_taken;
+  metrics_.bundles_taken.Increment();
   log_.write(EventId::RouterBundleTaken, {{"version", body.version}});
   membership_->setBundleVersion(body.version);
   table_.setLoadInterval(bundle_.current()->bundle->knobs.load_report_interval);
@@ -230,7 +230,7 @@
 void ControlThread::publish() {
   publish_waiting_ = false;
   publish_timer_.cancel();
-  ++metrics_.snapshots;
+  metrics_.snapshots.Increment();
   auto snapshot = std::make_shared<RoutingSnapshot>();
   if (bundle_.current()) snapshot->bundle = bundle_.current()->bundle;
   snapshot->engines = table_.engines(now());
--- a/src/router_process/router_admin.cc
+++ b/src/router_process/router_admin.cc
@@ -12,6 +12,8 @@
 
 namespace json = boost::json;
 
+constexpr Duration kGaugeInterval = std::chrono::seconds(1);
+
 json::object describeEngine(const EngineView& engine) {
   json::array models;
   for (const LoadedModel& model : engine.models) {
@@ -88,11 +90,6 @@
                             json::serialize(json::object{{"error", {{"code", code}, {"message", message}}}}));
 }
 
-void addMetric(std::string& text, const char* name, const char* type, const char* help, double value) {
-  text += fmt::format("# HELP crankspur_router_{0} {1}\n# TYPE crankspur_router_{0} {2}\n", name, help, type);
-  text += fmt::format("crankspur_router_{} {}\n", name, value);
-}
-
 }  // namespace
 
 RouterAdmin::RouterAdmin(boost::asio::io_context& context, const RouterSettings& settings,
@@ -103,43 +100,26 @@
       control_(control),
       front_(front),
       shards_(shards),
-      metrics_(metrics) {}
+      metrics_(metrics),
+      gauge_timer_(context) {}
 
 std::error_code RouterAdmin::listen(const std::string& address) {
+  endpoints_ =
+      std::make_shared<http::AdminEndpoints>(metrics_.registry(), [this] { return unhealthyReason(); });
+  endpoints_->add("/status", [this](const http::Request&, const Writer& writer) { respondStatus(writer); });
+  endpoints_->add("/explain", [this](const http::Request& request, const Writer& writer) {
+    explain(request.query("request_id"), 0, writer);
+  });
   std::error_code error;
-  server_ = http::listen(
-      context_.get_executor(), address,
-      [this](const http::Request& request, const Writer& writer) { handle(request, writer); }, error);
+  server_ = http::listenAdmin(context_.get_executor(), address, endpoints_, error);
+  if (!error) refreshGauges();
   return error;
 }
 
-void RouterAdmin::handle(const http::Request& request, const Writer& writer) {
-  const std::string path = request.path();
-  if (request.method != "GET") {
-    writer->respond(errorResponse(405, "invalid_request", "only GET is served here"));
-  } else if (path == "/healthz") {
-    respondHealth(writer);
-  } else if (path == "/status") {
-    respondStatus(writer);
-  } else if (path == "/metrics") {
-    respondMetrics(writer);
-  } else if (path == "/explain") {
-    explain(request.query("request_id"), 0, writer);
-  } else {
-    writer->respond(errorResponse(404, "invalid_request", "no such page"));
-  }
-}
-
-void RouterAdmin::respondHealth(const Writer& writer) {
+std::string RouterAdmin::unhealthyReason() const {
   const ControlStatus status = control_.status();
-  std::string reason;
-  if (status.leaving) {
-    reason = "stopping";
-  } else if (status.bundle_version == 0) {
-    reason = "no bundle";
-  }
-  const auto body = json::object{{"status", reason.empty() ? "ok" : reason}};
-  writer->respond(http::jsonResponse(reason.empty() ? 200 : 503, json::serialize(body)));
+  if (status.leaving) return "stopping";
+  return status.bundle_version == 0 ? "no bundle" : "";
 }
 
 void RouterAdmin::respondStatus(const Writer& writer) {
@@ -166,50 +146,26 @@
   return total;
 }
 
-void RouterAdmin::respondMetrics(const Writer& writer) {
-  front_.thread.post([this, writer] {
-    boost::asio::post(context_, [this, writer, counts = front_.front->counts()] {
-      http::Response response;
-      response.headers["content-type"] = "text/plain; version=0.0.4";
-      response.body = metricsText(counts);
-      writer->respond(std::move(response));
-    });
+void RouterAdmin::refreshGauges() {
+  front_.thread.post([this] {
+    boost::asio::post(context_, [this, counts = front_.front->counts()] { setGauges(counts); });
+  });
+  gauge_timer_.expires_after(kGaugeInterval);
+  gauge_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) refreshGauges();
   });
 }
 
-std::string RouterAdmin::metricsText(const PeerFrontCounts& counts) const {
-  std::string text;
-  const auto counter = [&text](const char* name, const char* help, std::uint64_t value) {
-    addMetric(text, name, "counter", help, static_cast<double>(value));
-  };
-  const auto gauge = [&text](const char* name, const char* help, double value) {
-    addMetric(text, name, "gauge", help, value);
-  };
-  counter("requests_total", "Attempts submitted by sidecars.", metrics_.requests);
-  counter("answers_total", "Attempts that ended with a whole answer.", metrics_.answers);
-  counter("refusals_total", "Attempts that ended with a refusal.", metrics_.refusals);
-  counter("dispatches_total", "Dispatches to back ends.", metrics_.dispatches);
-  counter("dispatches_lost_total", "Dispatches whose exchange broke.", metrics_.dispatches_lost);
-  counter("dispatches_refused_total", "Dispatches that the back end refused.", metrics_.dispatches_refused);
-  counter("prompt_tokens_total", "Prompt tokens of accepted dispatches.", metrics_.prompt_tokens);
-  counter("cached_tokens_total", "Prompt tokens served from caches.", metrics_.cached_tokens);
-  counter("cache_events_total", "Cache events received from engines.", metrics_.cache_events);
-  counter("cache_gaps_total", "Gaps found in cache event streams.", metrics_.cache_gaps);
-  counter("cache_digests_total", "Cache digests fetched.", metrics_.cache_digests);
-  counter("snapshots_total", "Snapshots published to traffic threads.", metrics_.snapshots);
-  counter("bundles_taken_total", "Bundles accepted as newer.", metrics_.bundles_taken);
-  counter("bundles_refused_total", "Bundles that did not verify.", metrics_.bundles_refused);
-  counter("control_sent_bytes_total", "Bytes of control messages to routers.", counts.control_bytes_sent);
-  counter("control_received_bytes_total", "Bytes of control messages from routers.",
-          counts.control_bytes_received);
+void RouterAdmin::setGauges(const PeerFrontCounts& counts) {
   const ControlStatus status = control_.status();
-  gauge("bundle_version", "Version of the bundle in force.", static_cast<double>(status.bundle_version));
-  gauge("requests_in_flight", "Attempts not yet ended.", static_cast<double>(inFlight()));
-  gauge("sidecars", "Connected sidecars.", static_cast<double>(counts.sidecars));
-  gauge("router_connections", "Connections with routers.", static_cast<double>(counts.routers));
-  gauge("members", "Routers not dead, this one included.", static_cast<double>(status.members.size()));
-  gauge("engines", "Engines in view.", static_cast<double>(status.engines.size()));
-  return text;
+  metrics_.control_bytes_sent.Set(static_cast<double>(counts.control_bytes_sent));
+  metrics_.control_bytes_received.Set(static_cast<double>(counts.control_bytes_received));
+  metrics_.bundle_version.Set(static_cast<double>(status.bundle_version));
+  metrics_.in_flight.Set(static_cast<double>(inFlight()));
+  metrics_.sidecars.Set(static_cast<double>(counts.sidecars));
+  metrics_.router_connections.Set(static_cast<double>(counts.routers));
+  metrics_.members.Set(static_cast<double>(status.members.size()));
+  metrics_.engines.Set(static_cast<double>(status.engines.size()));
 }
 
 void RouterAdmin::explain(const std::string& request_id, std::size_t shard, const Writer& writer) {
--- a/src/router_process/router_admin.h
+++ b/src/router_process/router_admin.h
@@ -2,10 +2,11 @@
 /// @file Admin endpoints of the router: /healthz, /metrics, /status, /explain. Lives on the control thread.
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <string>
 
-#include "http/server.h"
+#include "http/admin.h"
 #include "router_process/control_thread.h"
 
 namespace crankspur {
@@ -21,12 +22,11 @@
 
 private:
   using Writer = std::shared_ptr<http::ResponseWriter>;
-  void handle(const http::Request& request, const Writer& writer);
-  void respondHealth(const Writer& writer);
+  std::string unhealthyReason() const;
   void respondStatus(const Writer& writer);
-  void respondMetrics(const Writer& writer);
   void explain(const std::string& request_id, std::size_t shard, const Writer& writer);
-  std::string metricsText(const PeerFrontCounts& counts) const;
+  void refreshGauges();
+  void setGauges(const PeerFrontCounts& counts);
   std::size_t inFlight() const;
 
   boost::asio::io_context& context_;
@@ -35,6 +35,8 @@
   FrontThread& front_;
   ControlThread::Shards& shards_;
   RouterMetrics& metrics_;
+  boost::asio::steady_timer gauge_timer_;
+  std::shared_ptr<http::AdminEndpoints> endpoints_;
   std::unique_ptr<http::Server> server_;
 };
 
--- a/src/router_process/router_metrics.h
+++ b/src/router_process/router_metrics.h
@@ -1,27 +1,48 @@
 #pragma once
-/// @file Counters of the router process; threads add, the admin endpoint reads.
+/// @file Metrics of the router process. Counters may be raised from any thread; /metrics shows the registry.
 
-#include <atomic>
-#include <cstdint>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <string>
 
 namespace crankspur {
 
-/// Counters since the start. Each is independent; a reader may see one before another.
-struct RouterMetrics {
-  std::atomic<std::uint64_t> requests{0};
-  std::atomic<std::uint64_t> answers{0};
-  std::atomic<std::uint64_t> refusals{0};
-  std::atomic<std::uint64_t> dispatches{0};
-  std::atomic<std::uint64_t> dispatches_lost{0};
-  std::atomic<std::uint64_t> dispatches_refused{0};
-  std::atomic<std::uint64_t> prompt_tokens{0};
-  std::atomic<std::uint64_t> cached_tokens{0};
-  std::atomic<std::uint64_t> cache_events{0};
-  std::atomic<std::uint64_t> cache_gaps{0};
-  std::atomic<std::uint64_t> cache_digests{0};
-  std::atomic<std::uint64_t> snapshots{0};
-  std::atomic<std::uint64_t> bundles_taken{0};
-  std::atomic<std::uint64_t> bundles_refused{0};
+/// The router's metrics; each is registered as crankspur_router_NAME.
+class RouterMetrics {
+private:
+  std::shared_ptr<prometheus::Registry> registry_;
+  prometheus::Counter& counter(const std::string& name, const std::string& help);
+  prometheus::Gauge& gauge(const std::string& name, const std::string& help);
+
+public:
+  RouterMetrics();
+  std::shared_ptr<prometheus::Registry> registry() const { return registry_; }
+
+  prometheus::Counter& requests;
+  prometheus::Counter& answers;
+  prometheus::Counter& refusals;
+  prometheus::Counter& dispatches;
+  prometheus::Counter& dispatches_lost;
+  prometheus::Counter& dispatches_refused;
+  prometheus::Counter& prompt_tokens;
+  prometheus::Counter& cached_tokens;
+  prometheus::Counter& cache_events;
+  prometheus::Counter& cache_gaps;
+  prometheus::Counter& cache_digests;
+  prometheus::Counter& snapshots;
+  prometheus::Counter& bundles_taken;
+  prometheus::Counter& bundles_refused;
+  prometheus::Gauge& control_bytes_sent;
+  prometheus::Gauge& control_bytes_received;
+  prometheus::Gauge& bundle_version;
+  prometheus::Gauge& in_flight;
+  prometheus::Gauge& sidecars;
+  prometheus::Gauge& router_connections;
+  prometheus::Gauge& members;
+  prometheus::Gauge& engines;
 };
 
 }  // namespace crankspur
--- a/src/router_process/traffic_shard.cc
+++ b/src/router_process/traffic_shard.cc
@@ -53,7 +53,7 @@
 void TrafficShard::postSubmit(SidecarId sidecar, SubmitRequest request) {
   ++submits_posted_;
   thread_.post([this, sidecar, request = std::move(request)] {
-    ++metrics_.requests;
+    metrics_.requests.Increment();
     tellSent(request.request_id);
     router_->onSubmit(sidecar, request, now());
     pump();
@@ -117,8 +117,8 @@
 
 void TrafficShard::carryOut(RouterAction action) {
   if (auto* send = std::get_if<SendToSidecar>(&action)) {
-    if (std::holds_alternative<StreamEnd>(send->message)) ++metrics_.answers;
-    if (std::holds_alternative<Refusal>(send->message)) ++metrics_.refusals;
+    if (std::holds_alternative<StreamEnd>(send->message)) metrics_.answers.Increment();
+    if (std::holds_alternative<Refusal>(send->message)) metrics_.refusals.Increment();
     messages_.push_back(std::move(*send));
   } else if (const auto* completion = std::get_if<DispatchCompletion>(&action)) {
     dispatchCompletion(*completion);
@@ -134,7 +134,7 @@
 }
 
 void TrafficShard::dispatchCompletion(const DispatchCompletion& dispatch) {
-  ++metrics_.dispatches;
+  metrics_.dispatches.Increment();
   Running& running = running_[dispatch.dispatch];
   running.address = dispatch.address;
   running.request_id = dispatch.request.request_id;
@@ -162,7 +162,7 @@
 }
 
 void TrafficShard::dispatchOperation(const DispatchOperation& dispatch) {
-  ++metrics_.dispatches;
+  metrics_.dispatches.Increment();
   Running& running = running_[dispatch.dispatch];
   running.address = dispatch.address;
   running.request_id = dispatch.request.request_id;
@@ -202,12 +202,12 @@
 
 void TrafficShard::reportOutcome(Running& running, const BackendEvent& event) {
   if (const auto* accepted = std::get_if<BackendAccepted>(&event)) {
-    metrics_.prompt_tokens += accepted->prompt_tokens;
-    metrics_.cached_tokens += accepted->cached_tokens;
+    metrics_.prompt_tokens.Increment(static_cast<double>(accepted->prompt_tokens));
+    metrics_.cached_tokens.Increment(static_cast<double>(accepted->cached_tokens));
   }
-  if (std::holds_alternative<BackendRefused>(event)) ++metrics_.dispatches_refused;
+  if (std::holds_alternative<BackendRefused>(event)) metrics_.dispatches_refused.Increment();
   const auto* lost = std::get_if<BackendLost>(&event);
-  if (lost != nullptr) ++metrics_.dispatches_lost;
+  if (lost != nullptr) metrics_.dispatches_lost.Increment();
   if (!running.engine) return;
   EngineOutcome outcome{running.slot, running.incarnation, OutcomeKind::Answered, Duration(0)};
   if (lost != nullptr) {
