Run the sidecar as a process

Cause: callers need a process beside them that speaks HTTP and finds routers. No router exists yet to run a request through.

--- /dev/null
+++ b/src/sidecar/caller_service.cc
@@ -0,0 +1,304 @@
+#include "sidecar/caller_service.h"
+
+#include <fmt/format.h>
+
+#include <chrono>
+#include <utility>
+
+#include "base/hash.h"
+#include "caller/caller_error.h"
+#include "caller/chat_request.h"
+
+namespace crankspur {
+
+namespace {
+
+constexpr Duration kBusyRetryAfter = std::chrono::seconds(1);
+constexpr std::string_view kOperationsPath = "/v1/operations/";
+
+CallerError refusal(ErrorCode code, std::string message, Duration retry_after = Duration::zero()) {
+  return {code, RunState::NotRun, retry_after, std::move(message)};
+}
+
+std::int64_t unixSeconds() {
+  const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::seconds>(since_epoch).count();
+}
+
+/// @return the request id that a router's message is about, or an empty string.
+const std::string& requestIdOf(const Message& message) {
+  static const std::string none;
+  if (const auto* accepted = std::get_if<Accepted>(&message)) return accepted->request_id;
+  if (const auto* piece = std::get_if<StreamPiece>(&message)) return piece->request_id;
+  if (const auto* end = std::get_if<StreamEnd>(&message)) return end->request_id;
+  if (const auto* refused = std::get_if<Refusal>(&message)) return refused->request_id;
+  return none;
+}
+
+http::Response methodNotAllowed(const std::string& allowed) {
+  http::Response response = errorResponseOf(refusal(ErrorCode::InvalidRequest, "use " + allowed));
+  response.status = 405;
+  response.headers["Allow"] = allowed;
+  return response;
+}
+
+http::Response notFound() {
+  http::Response response = errorResponseOf(refusal(ErrorCode::InvalidRequest, "no such path"));
+  response.status = 404;
+  return response;
+}
+
+}  // namespace
+
+CallerService::CallerService(boost::asio::any_io_executor executor, const SidecarSettings& settings,
+                             std::uint64_t incarnation, EventLog& log, SidecarMetrics& metrics,
+                             std::function<void(BundleBody)> on_bundle_body)
+    : executor_(executor),
+      settings_(settings),
+      incarnation_(incarnation),
+      log_(log),
+      metrics_(metrics),
+      random_(incarnation),
+      selector_(settings.zone, settings.region),
+      directory_(settings.name, settings.zone, settings.region, incarnation),
+      on_bundle_body_(std::move(on_bundle_body)) {
+  for (const std::string& address : settings.routers) directory_.addSeed(address);
+}
+
+std::error_code CallerService::start() {
+  RouterLinks::Callbacks callbacks;
+  callbacks.on_routers_changed = [this] { onRoutersChanged(); };
+  callbacks.on_lost = [this](const std::string& router) { onRouterLost(router); };
+  callbacks.on_message = [this](const std::string& router, Message message) {
+    onRouterMessage(router, std::move(message));
+  };
+  callbacks.on_bundle_version = [this](const std::string& router, std::uint64_t version) {
+    const std::uint64_t held = bundle_ ? bundle_->body.version : 0;
+    if (bundles_.onVersion(router, version, held, clock_.now())) links_->send(router, BundleRequest{held});
+  };
+  links_ = std::make_unique<RouterLinks>(
+      executor_, directory_, [this] { return hello(); }, std::move(callbacks), log_);
+  http::ServerLimits limits;
+  limits.body_bytes = settings_.request_bytes;
+  limits.connections = settings_.connections;
+  std::error_code error;
+  server_ = http::listen(
+      executor_, settings_.listen,
+      [this](http::Request request, std::shared_ptr<http::ResponseWriter> writer) {
+        onRequest(request, writer);
+      },
+      error, limits);
+  if (!error) links_->start();
+  return error;
+}
+
+Hello CallerService::hello() const {
+  Hello message;
+  message.node_name = settings_.name;
+  message.incarnation = incarnation_;
+  message.role = NodeRole::Sidecar;
+  message.zone = settings_.zone;
+  message.region = settings_.region;
+  message.bundle_version = bundle_ ? bundle_->body.version : 0;
+  return message;
+}
+
+void CallerService::setBundle(std::shared_ptr<const SignedBundle> bundle) {
+  const bool newer = bundle != nullptr && (!bundle_ || bundle->body.version > bundle_->body.version);
+  if (!newer) return;
+  bundle_ = std::move(bundle);
+  metrics_.setBundleVersion(bundle_->body.version);
+}
+
+void CallerService::learnRouters(const std::vector<MemberRecord>& records) {
+  for (const MemberRecord& record : records) directory_.learn(record);
+  onRoutersChanged();
+}
+
+void CallerService::drain(std::function<void()> on_drained) {
+  stopping_ = true;
+  on_drained_ = std::move(on_drained);
+  if (server_) server_->stopAccepting();
+  finishDrain();
+}
+
+void CallerService::finishDrain() {
+  if (!stopping_ || !exchanges_.empty() || !on_drained_) return;
+  std::exchange(on_drained_, nullptr)();
+}
+
+void CallerService::stop() {
+  if (links_) links_->stop(true);
+  server_.reset();
+}
+
+CallerServiceStatus CallerService::status() const {
+  CallerServiceStatus status;
+  status.in_flight = exchanges_.size();
+  status.known_routers = directory_.size();
+  status.bundle_version = bundle_ ? bundle_->body.version : 0;
+  status.stopping = stopping_;
+  if (links_) status.routers = links_->status();
+  return status;
+}
+
+void CallerService::refuse(const CallerError& error, const std::shared_ptr<http::ResponseWriter>& writer) {
+  metrics_.countRequest(errorName(error.code));
+  log_.write(EventId::CallerRefused, {{"code", errorName(error.code)}, {"reason", error.message}});
+  writer->respond(errorResponseOf(error));
+}
+
+void CallerService::onRequest(const http::Request& request,
+                              const std::shared_ptr<http::ResponseWriter>& writer) {
+  if (stopping_) {
+    refuse(refusal(ErrorCode::Stopping, "the sidecar is stopping", kBusyRetryAfter), writer);
+  } else if (!bundle_) {
+    refuse(refusal(ErrorCode::NotReady, "the sidecar holds no bundle yet", kBusyRetryAfter), writer);
+  } else if (exchanges_.size() >= settings_.max_requests) {
+    refuse(refusal(ErrorCode::Overloaded, "the sidecar has too many requests in flight", kBusyRetryAfter),
+           writer);
+  } else {
+    route(request, writer);
+  }
+}
+
+void CallerService::route(const http::Request& request, const std::shared_ptr<http::ResponseWriter>& writer) {
+  const std::string path = request.path();
+  const bool chat = path == "/v1/chat/completions";
+  const bool models = path == "/v1/models";
+  const bool operation = path.starts_with(kOperationsPath);
+  if (!chat && !models && !operation) return writer->respond(notFound());
+  const std::string method = models ? "GET" : "POST";
+  if (request.method != method) return writer->respond(methodNotAllowed(method));
+  CallerError error;
+  const std::optional<CallerHeaders> headers = parseCallerHeaders(request, error);
+  if (!headers) return refuse(error, writer);
+  const Bundle& bundle = *bundle_->bundle;
+  const TenantPolicy* tenant = headers->api_key.empty() ? nullptr : bundle.findTenantByKey(headers->api_key);
+  if (tenant == nullptr)
+    return refuse(refusal(ErrorCode::Unauthorized, "unknown or missing API key"), writer);
+  if (models) return writer->respond(http::jsonResponse(200, modelListBody(bundle, *tenant)));
+  if (chat) return startChat(request, *headers, *tenant, writer);
+  startOperation(request, *headers, *tenant, writer);
+}
+
+void CallerService::startChat(const http::Request& request, const CallerHeaders& headers,
+                              const TenantPolicy& tenant,
+                              const std::shared_ptr<http::ResponseWriter>& writer) {
+  CallerError error;
+  const std::optional<ChatRequest> chat = parseChatRequest(request.body, error);
+  if (!chat) return refuse(error, writer);
+  std::optional<SubmitRequest> submit = admitChat(*chat, headers, *bundle_->bundle, tenant, error);
+  if (!submit) return refuse(error, writer);
+  AnswerForm form;
+  form.kind = chat->stream ? AnswerForm::Kind::Stream : AnswerForm::Kind::Whole;
+  form.include_usage = chat->include_usage;
+  form.model_name = chat->adapter.empty() ? chat->model : chat->model + ":" + chat->adapter;
+  startExchange(std::move(*submit), std::move(form), headers, writer);
+}
+
+void CallerService::startOperation(const http::Request& request, const CallerHeaders& headers,
+                                   const TenantPolicy& tenant,
+                                   const std::shared_ptr<http::ResponseWriter>& writer) {
+  const std::string name = request.path().substr(kOperationsPath.size());
+  CallerError error;
+  std::optional<SubmitRequest> submit =
+      admitOperation(name, request.body, headers, *bundle_->bundle, tenant, error);
+  if (!submit) return refuse(error, writer);
+  AnswerForm form;
+  form.kind = AnswerForm::Kind::Operation;
+  form.operation = name;
+  startExchange(std::move(*submit), std::move(form), headers, writer);
+}
+
+void CallerService::startExchange(SubmitRequest submit, AnswerForm form, const CallerHeaders& headers,
+                                  const std::shared_ptr<http::ResponseWriter>& writer) {
+  submit.request_id = fmt::format("{}-{}-{}", settings_.name, toHex(incarnation_), ++next_request_);
+  submit.deadline = headers.deadline.value_or(settings_.default_deadline);
+  form.caller_id = headers.request_id;
+  form.created = unixSeconds();
+  const std::string id = submit.request_id;
+  const auto exchange = std::make_shared<CallerExchange>(executor_, *this, id, std::move(form), writer,
+                                                         settings_.slow_caller_bytes);
+  exchanges_[id] = exchange;
+  metrics_.setInFlight(exchanges_.size());
+  exchange->start(std::move(submit), selector_, bundle_->bundle->knobs.max_attempts, random_.bits());
+}
+
+void CallerService::onRouterMessage(const std::string& router, Message message) {
+  if (const auto* wanted = std::get_if<BundleRequest>(&message)) {
+    const bool newer = bundle_ && bundle_->body.version > wanted->held_version;
+    if (newer) links_->send(router, bundle_->body);
+    return;
+  }
+  if (auto* body = std::get_if<BundleBody>(&message)) {
+    bundles_.onBody();
+    on_bundle_body_(std::move(*body));
+    return;
+  }
+  // Answers to requests that ended are expected: a caller gave up, or another attempt was faster.
+  const auto found = exchanges_.find(requestIdOf(message));
+  if (found == exchanges_.end()) return;
+  const std::shared_ptr<CallerExchange> exchange = found->second;
+  exchange->onMessage(message);
+}
+
+void CallerService::onRouterLost(const std::string& router) {
+  bundles_.onRouterLost(router);
+  // A copy, because exchanges may end and leave the map meanwhile.
+  std::vector<std::shared_ptr<CallerExchange>> open;
+  open.reserve(exchanges_.size());
+  for (const auto& [id, exchange] : exchanges_) open.push_back(exchange);
+  for (const auto& exchange : open) exchange->onRouterLost(router);
+}
+
+void CallerService::onRoutersChanged() {
+  std::vector<RouterCandidate> usable = directory_.usable();
+  metrics_.setRouters(usable.size());
+  selector_.setRouters(std::move(usable));
+}
+
+bool CallerService::submit(const std::string& router, const SubmitRequest& request) {
+  if (!links_->send(router, request)) return false;
+  selector_.noteStarted(router);
+  metrics_.countSubmit(request.attempt > 1);
+  if (request.attempt > 1) {
+    log_.write(EventId::CallerResubmitted, {{"request_id", request.request_id},
+                                             {"attempt", request.attempt},
+                                             {"router", router},
+                                             {"resume_offset", request.resume_offset}});
+  }
+  return true;
+}
+
+void CallerService::cancel(const std::string& router, const Cancel& cancel) {
+  links_->send(router, cancel);
+}
+
+void CallerService::released(const std::string& router) {
+  selector_.noteFinished(router);
+}
+
+void CallerService::ended(const std::string& request_id, const ExchangeOutcome& outcome) {
+  const bool good = outcome.code == ErrorCode::Ok;
+  metrics_.countRequest(errorName(outcome.code));
+  if (outcome.first_token > Duration::zero()) metrics_.observeFirstToken(outcome.first_token);
+  if (good) metrics_.countTokens(outcome.answer_tokens, outcome.prompt_tokens, outcome.cached_tokens);
+  const EventId event = good ? EventId::CallerAnswered : EventId::CallerFailed;
+  log_.write(event, {{"request_id", request_id},
+                     {"code", errorName(outcome.code)},
+                     {"ran", runStateName(outcome.run_state)},
+                     {"reason", outcome.message},
+                     {"engine", outcome.engine},
+                     {"attempts", outcome.attempts},
+                     {"prompt_tokens", outcome.prompt_tokens},
+                     {"cached_tokens", outcome.cached_tokens},
+                     {"answer_tokens", outcome.answer_tokens},
+                     {"first_token_ms", toMilliseconds(outcome.first_token)},
+                     {"total_ms", toMilliseconds(outcome.total)}});
+  exchanges_.erase(request_id);
+  metrics_.setInFlight(exchanges_.size());
+  finishDrain();
+}
+
+}  // namespace crankspur
--- /dev/null
+++ b/src/sidecar/sidecar_process.cc
@@ -0,0 +1,207 @@
+#include "sidecar/sidecar_process.h"
+
+#include <fmt/format.h>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <csignal>
+#include <cstdio>
+#include <random>
+#include <thread>
+#include <utility>
+
+#include "http/client.h"
+#include "sidecar/caller_service.h"
+
+namespace crankspur {
+
+namespace {
+
+namespace asio = boost::asio;
+
+/// How often a drained process looks whether the last bytes have left.
+constexpr auto kDrainPoll = std::chrono::milliseconds(10);
+
+std::uint64_t freshIncarnation() {
+  std::random_device device;
+  return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+std::string statusBody(const SidecarSettings& settings, const CallerServiceStatus& status) {
+  boost::json::array routers;
+  for (const RouterStatus& router : status.routers) {
+    routers.push_back(boost::json::object{{"name", router.name},
+                                          {"address", router.address},
+                                          {"zone", router.zone},
+                                          {"bundle_version", router.bundle_version}});
+  }
+  return boost::json::serialize(boost::json::object{{"role", "sidecar"},
+                                                    {"name", settings.name},
+                                                    {"zone", settings.zone},
+                                                    {"region", settings.region},
+                                                    {"version", CRANKSPUR_VERSION},
+                                                    {"bundle_version", status.bundle_version},
+                                                    {"stopping", status.stopping},
+                                                    {"requests_in_flight", status.in_flight},
+                                                    {"routers_known", status.known_routers},
+                                                    {"routers", std::move(routers)}});
+}
+
+/// @return why the sidecar cannot serve, or an empty string.
+std::string unhealthyReason(const CallerServiceStatus& status) {
+  if (status.stopping) return "stopping";
+  if (status.bundle_version == 0) return "no bundle";
+  return status.routers.empty() ? "no router" : "";
+}
+
+class SidecarProcessImpl : public SidecarProcess {
+public:
+  SidecarProcessImpl(SidecarSettings settings, EventLog& log)
+      : settings_(std::move(settings)),
+        log_(log),
+        holder_(settings_.trusted_keys),
+        signals_(control_),
+        drain_timer_(traffic_),
+        service_(traffic_.get_executor(), settings_, freshIncarnation(), log, metrics_,
+                 [this](BundleBody body) { onBundleBody(std::move(body)); }) {}
+
+  int run() override {
+    if (!listen()) return kExitCannotListen;
+    signals_.add(SIGTERM);
+    signals_.add(SIGINT);
+    awaitSignal();
+    fmt::print("listening {} admin {}\n", service_.port(), admin_->port());
+    std::fflush(stdout);
+    log_.write(EventId::ProcessStarted, {{"address", fmt::format("port {}", service_.port())},
+                                         {"zone", settings_.zone},
+                                         {"version", CRANKSPUR_VERSION}});
+    std::thread traffic([this] { traffic_.run(); });
+    control_.run();
+    traffic.join();
+    log_.write(EventId::ProcessStopped, {});
+    return kExitOk;
+  }
+
+private:
+  /// Before the threads start.
+  bool listen() {
+    std::error_code error;
+    const auto handler = [this](const http::Request& request, std::shared_ptr<http::ResponseWriter> writer) {
+      onAdmin(request, std::move(writer));
+    };
+    admin_ = http::listen(control_.get_executor(), settings_.admin, handler, error);
+    if (error) return refuseAddress("admin", settings_.admin, error);
+    error = service_.start();
+    return !error || refuseAddress("listen", settings_.listen, error);
+  }
+
+  bool refuseAddress(const char* key, const std::string& address, std::error_code error) {
+    log_.write(EventId::SettingsRefused, {{"key", key}, {"value", address}, {"reason", error.message()}});
+    return false;
+  }
+
+  void awaitSignal() {
+    signals_.async_wait([this](boost::system::error_code error, int) {
+      if (error) return;
+      if (stopping_) {
+        endThreads();
+        return;
+      }
+      stopping_ = true;
+      awaitSignal();
+      asio::post(traffic_, [this] { drain(); });
+    });
+  }
+
+  /// On the traffic thread.
+  void drain() {
+    log_.write(EventId::ProcessStopping, {{"in_flight", service_.status().in_flight}});
+    service_.drain([this] { endWhenWritten(); });
+  }
+
+  /// On the traffic thread: the last answers are complete but their bytes may still be on their way out.
+  void endWhenWritten() {
+    if (service_.openResponses() == 0) {
+      service_.stop();
+      asio::post(control_, [this] { endThreads(); });
+      return;
+    }
+    drain_timer_.expires_after(kDrainPoll);
+    drain_timer_.async_wait([this](boost::system::error_code error) {
+      if (!error) endWhenWritten();
+    });
+  }
+
+  /// On the control thread.
+  void endThreads() {
+    traffic_work_.reset();
+    traffic_.stop();
+    control_.stop();
+  }
+
+  /// On the traffic thread; verification is the control thread's.
+  void onBundleBody(BundleBody body) {
+    asio::post(control_, [this, body = std::move(body)] { offerBundle(body); });
+  }
+
+  void offerBundle(const BundleBody& body) {
+    const std::error_code error = holder_.offer(body);
+    if (!error) {
+      log_.write(EventId::SidecarBundleTaken, {{"version", body.version}});
+      asio::post(traffic_, [this, bundle = holder_.current()] { service_.setBundle(bundle); });
+    } else if (error != make_error_code(ErrorCode::Stale)) {
+      log_.write(EventId::SidecarBundleRefused, {{"version", body.version}, {"reason", error.message()}});
+    }
+  }
+
+  void onAdmin(const http::Request& request, std::shared_ptr<http::ResponseWriter> writer) {
+    const std::string path = request.path();
+    if (path == "/metrics") {
+      http::Response response;
+      response.headers["Content-Type"] = "text/plain; version=0.0.4";
+      response.body = metrics_.text();
+      writer->respond(std::move(response));
+    } else if (path == "/healthz" || path == "/status") {
+      asio::post(traffic_, [this, path, writer = std::move(writer)] {
+        asio::post(control_, [this, path, writer, status = service_.status()] {
+          writer->respond(path == "/status" ? http::jsonResponse(200, statusBody(settings_, status))
+                                            : healthResponse(status));
+        });
+      });
+    } else {
+      writer->respond(http::errorResponse(404, "invalid_request", "no such path", "not_run"));
+    }
+  }
+
+  static http::Response healthResponse(const CallerServiceStatus& status) {
+    const std::string reason = unhealthyReason(status);
+    if (reason.empty()) return http::jsonResponse(200, R"({"healthy":true})");
+    return http::jsonResponse(
+        503, boost::json::serialize(boost::json::object{{"healthy", false}, {"reason", reason}}));
+  }
+
+  const SidecarSettings settings_;
+  EventLog& log_;
+  asio::io_context control_{1};
+  asio::io_context traffic_{1};
+  asio::executor_work_guard<asio::io_context::executor_type> traffic_work_{traffic_.get_executor()};
+  BundleHolder holder_;  ///< Control thread only.
+  asio::signal_set signals_;
+  asio::steady_timer drain_timer_;
+  SidecarMetrics metrics_;
+  CallerService service_;  ///< Traffic thread only, once the threads run.
+  std::unique_ptr<http::Server> admin_;
+  bool stopping_ = false;
+};
+
+}  // namespace
+
+std::unique_ptr<SidecarProcess> makeSidecarProcess(SidecarSettings settings, EventLog& log) {
+  return std::make_unique<SidecarProcessImpl>(std::move(settings), log);
+}
+
+}  // namespace crankspur
--- /dev/null
+++ b/src/sidecar/sidecar_settings.h
@@ -0,0 +1,44 @@
+#pragma once
+/// @file Settings of the sidecar process: a TOML file, overridden by flags.
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/event_log.h"
+#include "base/time.h"
+#include "bundle/bundle.h"
+#include "settings/toml_reader.h"
+
+namespace crankspur {
+
+/// Settings of one sidecar.
+struct SidecarSettings {
+  std::string name;
+  std::string zone;
+  std::string region;
+  std::string listen = "127.0.0.1:8080";  ///< Where callers connect.
+  std::string admin = "127.0.0.1:0";      ///< Health, metrics and status.
+  std::vector<std::string> routers;       ///< Seeds, "IP:port".
+  std::string platform;                   ///< Address of the machine list; empty: none.
+  TrustedKeys trusted_keys;
+  LogFormat log_format = LogFormat::KeyValue;
+  LogLevel log_level = LogLevel::Info;
+  Duration default_deadline = std::chrono::seconds(60);
+  Duration machine_list_interval = std::chrono::seconds(10);
+  std::size_t max_requests = 4096;                  ///< Requests in flight; further ones are refused.
+  std::size_t slow_caller_bytes = 4 * 1024 * 1024;  ///< Unread bytes after which a caller is dropped.
+  std::size_t request_bytes = 4 * 1024 * 1024;      ///< Longest request body.
+  std::size_t connections = 4096;
+};
+
+/// Reads the settings file.
+/// @param problems receives everything wrong with it.
+SidecarSettings readSidecarSettings(std::string_view text, const std::string& file,
+                                    std::vector<SettingsProblem>& problems);
+
+/// Checks what must hold once flags were applied.
+/// @return what is wrong, or an empty string.
+std::string checkSidecarSettings(const SidecarSettings& settings);
+
+}  // namespace crankspur
