--- a/src/sidecar/caller_service.cc
+++ b/src/sidecar/caller_service.cc
@@ -254,6 +254,7 @@
 
 void CallerService::onRoutersChanged() {
   std::vector<RouterCandidate> usable = directory_.usable();
+  usable_routers_ = usable.size();
   metrics_.setRouters(usable.size());
   selector_.setRouters(std::move(usable));
 }
@@ -264,9 +265,9 @@
   metrics_.countSubmit(request.attempt > 1);
   if (request.attempt > 1) {
     log_.write(EventId::CallerResubmitted, {{"request_id", request.request_id},
-                                             {"attempt", request.attempt},
-                                             {"router", router},
-                                             {"resume_offset", request.resume_offset}});
+                                            {"attempt", request.attempt},
+                                            {"router", router},
+                                            {"resume_offset", request.resume_offset}});
   }
   return true;
 }
--- a/src/sidecar/caller_service.h
+++ b/src/sidecar/caller_service.h
@@ -4,6 +4,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <atomic>
 #include <boost/asio/any_io_executor.hpp>
 #include <functional>
 #include <memory>
@@ -54,6 +55,8 @@
   /// @return responses whose bytes have not all left.
   std::size_t openResponses() const { return server_ ? server_->openRequests() : 0; }
   CallerServiceStatus status() const;
+  /// @return routers that may get work now; the one call that any thread may make.
+  std::size_t usableRouters() const { return usable_routers_; }
 
 private:
   void onRequest(const http::Request& request, const std::shared_ptr<http::ResponseWriter>& writer);
@@ -93,6 +96,7 @@
   absl::flat_hash_map<std::string, std::shared_ptr<CallerExchange>> exchanges_;
   std::uint64_t next_request_ = 0;
   bool stopping_ = false;
+  std::atomic<std::size_t> usable_routers_ = 0;
   std::function<void()> on_drained_;
 };
 
--- a/src/sidecar/sidecar_metrics.cc
+++ b/src/sidecar/sidecar_metrics.cc
@@ -1,7 +1,5 @@
 #include "sidecar/sidecar_metrics.h"
 
-#include <prometheus/text_serializer.h>
-
 namespace crankspur {
 
 namespace {
@@ -32,21 +30,22 @@
 }  // namespace
 
 SidecarMetrics::SidecarMetrics()
-    : requests_(
-          counterFamily(registry_, "crankspur_sidecar_requests_total", "Caller requests ended, by outcome")),
-      first_token_(firstTokenHistogram(registry_)),
-      submits_(counter(registry_, "crankspur_sidecar_submits_total", "Attempts submitted to routers")),
-      resubmissions_(counter(registry_, "crankspur_sidecar_resubmissions_total",
+    : registry_(std::make_shared<prometheus::Registry>()),
+      requests_(
+          counterFamily(*registry_, "crankspur_sidecar_requests_total", "Caller requests ended, by outcome")),
+      first_token_(firstTokenHistogram(*registry_)),
+      submits_(counter(*registry_, "crankspur_sidecar_submits_total", "Attempts submitted to routers")),
+      resubmissions_(counter(*registry_, "crankspur_sidecar_resubmissions_total",
                              "Attempts submitted after an earlier one of the same request")),
-      answer_tokens_(counter(registry_, "crankspur_sidecar_answer_tokens_total", "Tokens of whole answers")),
+      answer_tokens_(counter(*registry_, "crankspur_sidecar_answer_tokens_total", "Tokens of whole answers")),
       prompt_tokens_(
-          counter(registry_, "crankspur_sidecar_prompt_tokens_total", "Tokens of prompts answered")),
-      cached_tokens_(counter(registry_, "crankspur_sidecar_cached_tokens_total",
+          counter(*registry_, "crankspur_sidecar_prompt_tokens_total", "Tokens of prompts answered")),
+      cached_tokens_(counter(*registry_, "crankspur_sidecar_cached_tokens_total",
                              "Prompt tokens that an engine's prefix cache served")),
-      in_flight_(gauge(registry_, "crankspur_sidecar_requests_in_flight", "Caller requests not yet ended")),
-      routers_(gauge(registry_, "crankspur_sidecar_routers", "Routers connected and usable")),
+      in_flight_(gauge(*registry_, "crankspur_sidecar_requests_in_flight", "Caller requests not yet ended")),
+      routers_(gauge(*registry_, "crankspur_sidecar_routers", "Routers connected and usable")),
       bundle_version_(
-          gauge(registry_, "crankspur_sidecar_bundle_version", "Version of the bundle in force")) {}
+          gauge(*registry_, "crankspur_sidecar_bundle_version", "Version of the bundle in force")) {}
 
 void SidecarMetrics::countRequest(const std::string& outcome) {
   requests_.Add({{"outcome", outcome}}).Increment();
@@ -79,8 +78,4 @@
   bundle_version_.Set(static_cast<double>(version));
 }
 
-std::string SidecarMetrics::text() const {
-  return prometheus::TextSerializer().Serialize(registry_.Collect());
-}
-
 }  // namespace crankspur
--- a/src/sidecar/sidecar_metrics.h
+++ b/src/sidecar/sidecar_metrics.h
@@ -6,6 +6,8 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include <cstdint>
+#include <memory>
 #include <string>
 
 #include "base/error.h"
@@ -25,11 +27,11 @@
   void setInFlight(std::size_t requests);
   void setRouters(std::size_t routers);
   void setBundleVersion(std::uint64_t version);
-  /// @return Prometheus text format.
-  std::string text() const;
+  /// @return the registry that /metrics shows.
+  std::shared_ptr<prometheus::Registry> registry() const { return registry_; }
 
 private:
-  prometheus::Registry registry_;
+  std::shared_ptr<prometheus::Registry> registry_;
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Histogram& first_token_;
   prometheus::Counter& submits_;
--- a/src/sidecar/sidecar_process.cc
+++ b/src/sidecar/sidecar_process.cc
@@ -14,8 +14,9 @@
 #include <thread>
 #include <utility>
 
-#include "http/client.h"
+#include "http/admin.h"
 #include "sidecar/caller_service.h"
+#include "sidecar/router_discovery.h"
 
 namespace crankspur {
 
@@ -51,13 +52,6 @@
                                                     {"routers", std::move(routers)}});
 }
 
-/// @return why the sidecar cannot serve, or an empty string.
-std::string unhealthyReason(const CallerServiceStatus& status) {
-  if (status.stopping) return "stopping";
-  if (status.bundle_version == 0) return "no bundle";
-  return status.routers.empty() ? "no router" : "";
-}
-
 class SidecarProcessImpl : public SidecarProcess {
 public:
   SidecarProcessImpl(SidecarSettings settings, EventLog& log)
@@ -66,8 +60,10 @@
         holder_(settings_.trusted_keys),
         signals_(control_),
         drain_timer_(traffic_),
-        service_(traffic_.get_executor(), settings_, freshIncarnation(), log, metrics_,
-                 [this](BundleBody body) { onBundleBody(std::move(body)); }) {}
+        service_(traffic_.get_executor(), settings_, incarnation_, log, metrics_,
+                 [this](BundleBody body) { onBundleBody(std::move(body)); }),
+        endpoints_(std::make_shared<http::AdminEndpoints>(metrics_.registry(),
+                                                          [this] { return unhealthyReason(); })) {}
 
   int run() override {
     if (!listen()) return kExitCannotListen;
@@ -79,6 +75,7 @@
     log_.write(EventId::ProcessStarted, {{"address", fmt::format("port {}", service_.port())},
                                          {"zone", settings_.zone},
                                          {"version", CRANKSPUR_VERSION}});
+    startDiscovery();
     std::thread traffic([this] { traffic_.run(); });
     control_.run();
     traffic.join();
@@ -90,10 +87,8 @@
   /// Before the threads start.
   bool listen() {
     std::error_code error;
-    const auto handler = [this](const http::Request& request, std::shared_ptr<http::ResponseWriter> writer) {
-      onAdmin(request, std::move(writer));
-    };
-    admin_ = http::listen(control_.get_executor(), settings_.admin, handler, error);
+    addAdminPaths();
+    admin_ = http::listenAdmin(control_.get_executor(), settings_.admin, endpoints_, error);
     if (error) return refuseAddress("admin", settings_.admin, error);
     error = service_.start();
     return !error || refuseAddress("listen", settings_.listen, error);
@@ -158,34 +153,36 @@
     }
   }
 
-  void onAdmin(const http::Request& request, std::shared_ptr<http::ResponseWriter> writer) {
-    const std::string path = request.path();
-    if (path == "/metrics") {
-      http::Response response;
-      response.headers["Content-Type"] = "text/plain; version=0.0.4";
-      response.body = metrics_.text();
-      writer->respond(std::move(response));
-    } else if (path == "/healthz" || path == "/status") {
-      asio::post(traffic_, [this, path, writer = std::move(writer)] {
-        asio::post(control_, [this, path, writer, status = service_.status()] {
-          writer->respond(path == "/status" ? http::jsonResponse(200, statusBody(settings_, status))
-                                            : healthResponse(status));
+  /// @return why the sidecar cannot serve, or an empty string. On the control thread.
+  std::string unhealthyReason() const {
+    if (stopping_) return "stopping";
+    if (holder_.version() == 0) return "no bundle";
+    return service_.usableRouters() == 0 ? "no router" : "";
+  }
+
+  void addAdminPaths() {
+    endpoints_->add("/status", [this](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
+      asio::post(traffic_, [this, writer = std::move(writer)] {
+        asio::post(control_, [this, writer, status = service_.status()] {
+          writer->respond(http::jsonResponse(200, statusBody(settings_, status)));
         });
       });
-    } else {
-      writer->respond(http::errorResponse(404, "invalid_request", "no such path", "not_run"));
-    }
+    });
   }
 
-  static http::Response healthResponse(const CallerServiceStatus& status) {
-    const std::string reason = unhealthyReason(status);
-    if (reason.empty()) return http::jsonResponse(200, R"({"healthy":true})");
-    return http::jsonResponse(
-        503, boost::json::serialize(boost::json::object{{"healthy", false}, {"reason", reason}}));
+  void startDiscovery() {
+    if (settings_.platform.empty()) return;
+    discovery_ = std::make_unique<RouterDiscovery>(
+        control_.get_executor(), settings_.platform, settings_.machine_list_interval, incarnation_, log_,
+        [this](std::vector<MemberRecord> routers) {
+          asio::post(traffic_, [this, routers = std::move(routers)] { service_.learnRouters(routers); });
+        });
+    discovery_->start();
   }
 
   const SidecarSettings settings_;
   EventLog& log_;
+  const std::uint64_t incarnation_ = freshIncarnation();
   asio::io_context control_{1};
   asio::io_context traffic_{1};
   asio::executor_work_guard<asio::io_context::executor_type> traffic_work_{traffic_.get_executor()};
@@ -194,7 +191,9 @@
   asio::steady_timer drain_timer_;
   SidecarMetrics metrics_;
   CallerService service_;  ///< Traffic thread only, once the threads run.
+  std::shared_ptr<http::AdminEndpoints> endpoints_;
   std::unique_ptr<http::Server> admin_;
+  std::unique_ptr<RouterDiscovery> discovery_;
   bool stopping_ = false;
 };
 
