--- /dev/null
+++ b/sim/world/mechanism.cc
@@ -0,0 +1,35 @@
+#include "sim/world/mechanism.h"
+
+namespace crankspur::sim {
+
+const std::vector<MechanismName>& mechanismNames() {
+  static const std::vector<MechanismName> names = {
+      {Mechanism::IncarnationCheck, "incarnation_check"},
+      {Mechanism::TenantSalt, "tenant_salt"},
+      {Mechanism::WeightsCheck, "weights_check"},
+      {Mechanism::ContiguousDelivery, "contiguous_delivery"},
+      {Mechanism::EndCheck, "end_check"},
+      {Mechanism::AttemptCheck, "attempt_check"},
+      {Mechanism::RequestCheck, "request_check"},
+      {Mechanism::Claim, "claim"},
+      {Mechanism::ClaimReadBack, "claim_read_back"},
+      {Mechanism::Fencing, "fencing"},
+      {Mechanism::LeavingMarks, "leaving_marks"},
+      {Mechanism::Drain, "drain"},
+      {Mechanism::BundleMonotonicity, "bundle_monotonicity"},
+      {Mechanism::BundleCompareAndSet, "bundle_compare_and_set"},
+      {Mechanism::BundleFromPeers, "bundle_from_peers"},
+      {Mechanism::CallerVersion, "caller_version"},
+      {Mechanism::RunStateTruth, "run_state_truth"},
+  };
+  return names;
+}
+
+std::optional<Mechanism> findMechanism(std::string_view name) {
+  for (const MechanismName& entry : mechanismNames()) {
+    if (name == entry.name) return entry.mechanism;
+  }
+  return std::nullopt;
+}
+
+}  // namespace crankspur::sim
--- /dev/null
+++ b/sim/world/site.h
@@ -0,0 +1,39 @@
+#pragma once
+/// @file Sizes and places of the simulated sites.
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "sim/kernel/host.h"
+#include "sim/kernel/network.h"
+
+namespace crankspur::sim {
+
+/// One machine of a site.
+struct Machine {
+  std::string name;
+  Place place;
+  std::string pool;  ///< Engines and runners only.
+};
+
+/// What stands at a site and how callers use it.
+struct Site {
+  std::string name;
+  std::vector<Place> zones;
+  std::vector<Machine> routers;
+  std::vector<Machine> sidecars;
+  std::vector<Machine> engines;
+  std::vector<Machine> runners;
+  std::vector<std::string> tenants;
+  NetworkDelays delays;
+  double requests_per_second = 12;  ///< Over the whole site.
+  double operation_share = 0.3;     ///< Share of requests that are operations.
+  Duration load = std::chrono::seconds(24);  ///< How long callers send.
+  Duration settle = std::chrono::seconds(16);  ///< Time after the load for last answers.
+};
+
+/// @return the site "parts_desk", "tallow_creek" or "large".
+Site makeSite(std::string_view name);
+
+}  // namespace crankspur::sim
