--- /dev/null
+++ b/sim/world/table_rows.h
@@ -0,0 +1,32 @@
+#pragma once
+/// @file Values of the rows that the simulated processes keep in the table.
+
+#include <string>
+
+#include "claim/claim.h"
+#include "lease/lease.h"
+#include "sim/world/platform_node.h"
+
+namespace crankspur::sim {
+
+std::string encodeClaimRow(const ClaimRow& row);
+ClaimRow decodeClaimRow(const TableRow& row);
+std::string encodeLeaseRow(const LeaseRow& row);
+LeaseRow decodeLeaseRow(const TableRow& row);
+
+/// What the bundle row says.
+struct BundleRow {
+  std::uint64_t version = 0;
+  std::string digest;
+};
+inline constexpr const char* kBundleRowKey = "crankspur/bundle";
+inline constexpr const char* kOrderLeaseKey = "crankspur/lease/orders";
+
+std::string encodeBundleRow(const BundleRow& row);
+BundleRow decodeBundleRow(const TableRow& row);
+/// @return the key of the object that holds a bundle's signed form.
+std::string bundleObjectKey(const BundleRow& row);
+std::string encodeBundleBody(const BundleBody& body);
+BundleBody decodeBundleBody(const std::string& text);
+
+}  // namespace crankspur::sim
