--- /dev/null
+++ b/sim/check/checkers.h
@@ -0,0 +1,44 @@
+#pragma once
+/// @file Checkers of what must always hold, one for each line. They judge by what was seen from outside.
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sim/check/fault.h"
+#include "sim/world/world.h"
+
+namespace crankspur::sim {
+
+/// One thing that must not be.
+struct Violation {
+  std::string checker;  ///< Stable name, as in docs/PROOFS.md.
+  std::string what;
+};
+
+/// What checkers are given of a run.
+struct CheckInput {
+  World& world;
+  const std::set<FaultKind>& faults;
+  TimePoint load_begins;
+  TimePoint faults_end;  ///< From here on nothing is wrong any more.
+};
+
+using Violations = std::vector<Violation>;
+
+/// Each checker adds what it finds.
+void checkCacheUse(const CheckInput& input, Violations& violations);       ///< Line 1.
+void checkStreams(const CheckInput& input, Violations& violations);        ///< Lines 2 and 4.
+void checkRestarts(const CheckInput& input, Violations& violations);       ///< Line 3.
+void checkNotRun(const CheckInput& input, Violations& violations);         ///< Line 5.
+void checkAtMostOnce(const CheckInput& input, Violations& violations);     ///< Line 6.
+void checkLeaving(const CheckInput& input, Violations& violations);        ///< Line 7.
+void checkPlannedStops(const CheckInput& input, Violations& violations);   ///< Line 8.
+void checkBundles(const CheckInput& input, Violations& violations);        ///< Line 9.
+void checkFencing(const CheckInput& input, Violations& violations);
+void checkLiveness(const CheckInput& input, Violations& violations);
+
+/// Runs every checker.
+Violations checkAll(const CheckInput& input);
+
+}  // namespace crankspur::sim
--- /dev/null
+++ b/sim/check/checkers_requests.cc
@@ -0,0 +1,157 @@
+/// @file Checkers of requests: cache use, streams, "not run", at most once, liveness.
+
+#include <fmt/format.h>
+
+#include <map>
+#include <set>
+#include <tuple>
+
+#include "sim/check/checkers.h"
+#include "sim/world/bundle_maker.h"
+#include "standins/engine/answer_text.h"
+
+namespace crankspur::sim {
+
+namespace {
+
+constexpr std::uint64_t kWeightsTried = 12;
+/// Time beyond a request's deadline until its final answer must be there.
+constexpr Duration kAnswerSlack = std::chrono::seconds(2);
+
+/// Names one run at an engine.
+using RunName = std::tuple<std::string, std::string, std::uint64_t>;  // engine, request, incarnation
+
+void checkUsedBlocks(const std::string& engine, const standin::RequestRecord& record, Violations& violations) {
+  for (const standin::BlockOrigin& origin : record.used_blocks) {
+    const bool same_scope = origin.scope->tenant == record.scope->tenant &&
+                            origin.scope->model == record.scope->model &&
+                            origin.scope->adapter == record.scope->adapter &&
+                            origin.scope->weights_version == record.scope->weights_version;
+    if (!same_scope) {
+      violations.push_back({"cache_use", fmt::format("{} at {} ran on blocks of {}/{}/{} as {}/{}/{}",
+                                                     record.request_id, engine, origin.scope->tenant,
+                                                     origin.scope->adapter, origin.scope->weights_version,
+                                                     record.scope->tenant, record.scope->adapter,
+                                                     record.scope->weights_version)});
+    }
+    if (!origin.imported && origin.incarnation != record.incarnation) {
+      violations.push_back(
+          {"cache_use", fmt::format("{} at {} ran on blocks of a dead process", record.request_id, engine)});
+    }
+  }
+}
+
+bool agrees(const CallerRecord& caller, const std::string& weights) {
+  const SubmitRequest& request = caller.request;
+  const standin::ExpectedAnswer expected = standin::expectedAnswer(request.model, weights, request.adapter,
+                                                                   request.prompt, request.max_tokens);
+  if (caller.end) {
+    return caller.text == expected.text && caller.tokens == expected.token_count &&
+           caller.end->token_count == expected.token_count;
+  }
+  return expected.text.compare(0, caller.text.size(), caller.text) == 0;
+}
+
+bool agreesWithAnyWeights(const CallerRecord& caller) {
+  for (std::uint64_t number = 1; number <= kWeightsTried; ++number) {
+    if (agrees(caller, fmt::format("w{}", number))) return true;
+  }
+  return false;
+}
+
+bool rightResult(const CallerRecord& caller) {
+  return caller.text == fmt::format("done:{}:{}", caller.request.tenant, caller.request.prompt);
+}
+
+}  // namespace
+
+void checkCacheUse(const CheckInput& input, Violations& violations) {
+  std::map<RunName, const standin::RequestRecord*> runs;
+  for (std::size_t index = 0; index < input.world.engineCount(); ++index) {
+    EngineNode& engine = input.world.engineAt(index);
+    for (const standin::RequestRecord& record : engine.model().records()) {
+      checkUsedBlocks(engine.host().name(), record, violations);
+      runs[{engine.host().name(), record.request_id, record.incarnation}] = &record;
+    }
+  }
+  for (const ArrivalRecord& arrival : input.world.context().records.arrivals) {
+    const auto run = runs.find({arrival.engine, arrival.request_id, arrival.incarnation});
+    if (run == runs.end()) continue;
+    if (arrival.counted_on_incarnation != 0 && arrival.counted_on_incarnation != arrival.incarnation) {
+      violations.push_back({"cache_use", fmt::format("{} ran at {} though it counted on a dead process",
+                                                     arrival.request_id, arrival.engine)});
+    }
+    const std::string& weights = run->second->scope->weights_version;
+    const bool this_attempt = run->second->attempt == arrival.attempt;
+    if (this_attempt && !arrival.counted_on_weights.empty() && arrival.counted_on_weights != weights) {
+      violations.push_back(
+          {"cache_use", fmt::format("{} ran at {} under {} though it counted on {}", arrival.request_id,
+                                    arrival.engine, weights, arrival.counted_on_weights)});
+    }
+  }
+}
+
+void checkStreams(const CheckInput& input, Violations& violations) {
+  for (const CallerRecord& caller : input.world.context().records.callers) {
+    const std::string& id = caller.request.request_id;
+    if (caller.out_of_order) violations.push_back({"stream_order", id + " got text out of order"});
+    if (caller.late_text) violations.push_back({"stream_order", id + " got text after its end"});
+    if (caller.finals > 1) violations.push_back({"stream_order", id + " got more than one final answer"});
+    const bool completion = caller.request.kind == RequestKind::Completion;
+    const bool right = completion ? agreesWithAnyWeights(caller) : !caller.end || rightResult(caller);
+    if (!right) {
+      violations.push_back({"whole_answer", fmt::format("{} got {} tokens that are not {} its answer", id,
+                                                        caller.tokens, caller.end ? "" : "the beginning of")});
+    }
+  }
+}
+
+void checkNotRun(const CheckInput& input, Violations& violations) {
+  std::set<std::string> ran;
+  for (std::size_t index = 0; index < input.world.engineCount(); ++index) {
+    for (const standin::RequestRecord& record : input.world.engineAt(index).model().records()) {
+      if (record.started != TimePoint{} || record.answer_tokens > 0) ran.insert(record.request_id);
+    }
+  }
+  for (const ExecutionRecord& execution : input.world.context().records.executions) {
+    ran.insert(execution.request_id);
+  }
+  for (const CallerRecord& caller : input.world.context().records.callers) {
+    const bool told_not_run = caller.error && caller.error->run_state == RunState::NotRun;
+    if (told_not_run && ran.contains(caller.request.request_id)) {
+      violations.push_back({"not_run", fmt::format("{} was told \"not run\" ({}) but it ran",
+                                                   caller.request.request_id, errorName(caller.error->code))});
+    }
+  }
+}
+
+void checkAtMostOnce(const CheckInput& input, Violations& violations) {
+  std::map<std::pair<std::string, std::string>, std::uint32_t> counts;
+  for (const ExecutionRecord& execution : input.world.context().records.executions) {
+    if (execution.idempotency_key.empty()) continue;
+    ++counts[{execution.tenant, execution.idempotency_key}];
+  }
+  for (const auto& [key, count] : counts) {
+    if (count > 1) {
+      violations.push_back(
+          {"at_most_once", fmt::format("{} of {} ran {} times", key.second, key.first, count)});
+    }
+  }
+}
+
+void checkLiveness(const CheckInput& input, Violations& violations) {
+  const TimePoint now = input.world.context().queue.now();
+  for (const CallerRecord& caller : input.world.context().records.callers) {
+    const std::string& id = caller.request.request_id;
+    const TimePoint due = caller.submitted_at + caller.request.deadline + kAnswerSlack;
+    const bool late = caller.finished() ? !caller.abandoned && caller.finished_at > due : now > due;
+    if (late) violations.push_back({"liveness", id + " had no final answer in time"});
+    const bool quiet = input.faults.empty();
+    if (quiet && caller.error && caller.error->code != ErrorCode::DuplicateRequest) {
+      violations.push_back({"liveness", fmt::format("{} failed in a quiet fleet: {} {}", id,
+                                                    errorName(caller.error->code), caller.error->message)});
+    }
+  }
+}
+
+}  // namespace crankspur::sim
--- /dev/null
+++ b/sim/check/fault.h
@@ -0,0 +1,89 @@
+#pragma once
+/// @file Faults that a run brings about, each with a seeded time and target.
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "sim/world/workload.h"
+#include "sim/world/world.h"
+
+namespace crankspur::sim {
+
+/// Kinds of faults and of planned events.
+enum class FaultKind {
+  EngineCrash,          ///< Engines die and come back empty.
+  EngineFreeze,         ///< Engines stop for a while and go on.
+  RunnerCrash,          ///< Application runners die and come back.
+  RouterRestart,        ///< A router dies and comes back empty.
+  HerdRestart,          ///< All routers die together, sometimes while the store is down.
+  RouterPause,          ///< A router stops past its lease and wakes.
+  SidecarRestart,       ///< A sidecar dies and comes back empty.
+  ConnectionCuts,       ///< Connections break.
+  Disturbance,          ///< Messages are delayed, so that connections overtake each other.
+  Partition,            ///< One zone (or region) is cut off for a while.
+  StoreDown,            ///< Table and objects refuse everything.
+  StoreSlow,            ///< Table and objects answer late.
+  LostAnswers,          ///< Answers of the store are lost after the effect.
+  LostPieces,           ///< Engines lose pieces of their answers.
+  WeightsRoll,          ///< Bundles with other weights are rolled.
+  OperatorRace,         ///< Two operators roll at once.
+  PrefixShift,          ///< The hot prefixes change.
+  LeavingEngine,        ///< Back ends leave; the list lags.
+  LeavingUnseen,        ///< Back ends leave by the list, which one zone cannot read.
+  PlannedStops,         ///< Routers stop as planned, one by one.
+  ZoneStop,             ///< All routers of a zone stop as planned at once.
+  StoreDownAfterRoll,   ///< A bundle is rolled, the store goes down, routers restart.
+};
+
+/// A kind with its name.
+struct FaultName {
+  FaultKind kind;
+  const char* name;
+};
+
+/// @return every kind.
+const std::vector<FaultName>& faultNames();
+/// @return the kind of that name, if any.
+std::optional<FaultKind> findFault(std::string_view name);
+
+/// Brings faults about in one run.
+class FaultDriver {
+public:
+  FaultDriver(World& world, Workload& workload, std::uint64_t seed)
+      : world_(world), workload_(workload), random_(seed) {}
+  /// Plans a fault of the kind; it begins and ends within the load time.
+  void plan(FaultKind kind);
+  /// Sets a clock of its own for every host.
+  void skewClocks();
+
+private:
+  void planBackends(FaultKind kind);
+  void planRouters(FaultKind kind);
+  void planNetwork(FaultKind kind);
+  void planStore(FaultKind kind);
+  void planBundles(FaultKind kind);
+  void planLeaving(FaultKind kind);
+
+  void at(Duration after_start, Task task);
+  /// @return an instant early enough for the fault to end within the load time.
+  Duration beginning();
+  Duration between(Duration shortest, Duration longest);
+  std::size_t pick(std::size_t count) { return random_.uniform(0, count - 1); }
+  void crashEngine(std::size_t index, Duration when);
+  void herdRestart(Duration when);
+  void setStore(Duration from, Duration to, const standin::ServiceBehaviour& behaviour);
+  void partition(Duration from, Duration to);
+  void stopAndRestart(std::size_t router, Duration when);
+  void leave(bool by_list, bool by_itself, Duration when);
+
+  World& world_;
+  Workload& workload_;
+  RandomSource random_;
+  std::uint64_t next_cut_ = 1;
+  std::uint64_t next_weights_ = 2;
+};
+
+}  // namespace crankspur::sim
--- a/sim/world/engine_node.cc
+++ b/sim/world/engine_node.cc
@@ -152,10 +152,12 @@
 }
 
 void EngineNode::askWeightStore(const standin::WeightsQuery& query) {
-  context_.directory.platform().loadWeights(host_, [this, query](std::optional<Duration> time) {
-    model_.weightsAnswered(query.model, query.weights_version, time, context_.queue.now());
-    pump();
-  });
+  context_.directory.platform().loadWeights(
+      host_, query.model, query.weights_version, [this, query](std::optional<WeightsTransfer> transfer) {
+        const auto time = transfer ? std::optional(transfer->duration) : std::nullopt;
+        model_.weightsAnswered(query.model, query.weights_version, time, context_.queue.now());
+        pump();
+      });
 }
 
 void EngineNode::armTimer() {
--- a/sim/world/platform_node.cc
+++ b/sim/world/platform_node.cc
@@ -1,115 +1,119 @@
 #include "sim/world/platform_node.h"
 
+#include <utility>
+
 namespace crankspur::sim {
 
 namespace {
+
 constexpr Duration kCallTimeout = std::chrono::seconds(1);
 constexpr Duration kServiceTime = std::chrono::milliseconds(3);
-/// Loads of weights that run at full speed side by side.
-constexpr std::uint32_t kFullSpeedLoads = 3;
-constexpr Duration kLoadTime = std::chrono::seconds(2);
+/// Transfer of one model's weights alone: 2 s, so that roll-outs fit into a run.
+constexpr std::uint64_t kWeightsBytes = 4'000'000'000;
+
+standin::PlatformOptions options() {
+  standin::PlatformOptions platform;
+  platform.machine_list_lag = std::chrono::seconds(1);
+  platform.weights_bytes = kWeightsBytes;
+  return platform;
+}
+
 }  // namespace
 
-template <typename Reply>
-void PlatformNode::serve(Host& client, std::function<std::optional<Reply>()> act,
-                         std::function<void(std::optional<Reply>)> done) {
-  call<Reply>(
+PlatformNode::PlatformNode(Context& context, Host& host, std::uint64_t seed)
+    : context_(context), host_(host), model_(options(), seed) {
+  host_.start();
+}
+
+void PlatformNode::serve(Host& client, const standin::PlatformCall& platform_call,
+                         std::function<void(std::optional<standin::PlatformAnswer>)> done) {
+  call<standin::PlatformAnswer>(
       context_, client, host_, kCallTimeout,
-      [this, act = std::move(act)](std::function<void(Reply)> answer) {
-        host_.post(kServiceTime + slow_, [this, act, answer] {
-          if (down_) return;
-          std::optional<Reply> reply = act();
-          const bool lost = lost_answer_share_ > 0 && context_.random.chance(lost_answer_share_);
-          if (reply && !lost) answer(std::move(*reply));
-        });
+      [this, platform_call](std::function<void(standin::PlatformAnswer)> answer) {
+        standin::PlatformReply reply = model_.call(platform_call, context_.queue.now());
+        const auto* transaction = std::get_if<TableTransaction>(&platform_call);
+        const bool committed = std::holds_alternative<TransactionCommitted>(reply.answer);
+        if (transaction != nullptr && committed && write_observer_) {
+          for (const RowWrite& write : transaction->writes) write_observer_(model_.row(write.key));
+        }
+        if (reply.lost) return;
+        host_.post(kServiceTime + reply.delay, [answer, reply] { answer(reply.answer); });
       },
       std::move(done));
 }
 
-void PlatformNode::readRow(Host& client, const std::string& key,
-                           std::function<void(std::optional<TableRow>)> done) {
-  serve<TableRow>(
-      client, [this, key] { return std::optional(rows_[key]); }, std::move(done));
+template <typename Answer>
+void PlatformNode::serveFor(Host& client, const standin::PlatformCall& platform_call, Done<Answer> done) {
+  serve(client, platform_call, [done = std::move(done)](std::optional<standin::PlatformAnswer> answer) {
+    Answer* good = answer ? std::get_if<Answer>(&*answer) : nullptr;
+    done(good ? std::optional<Answer>(std::move(*good)) : std::nullopt);
+  });
 }
 
-void PlatformNode::writeRow(Host& client, const std::string& key, std::uint64_t expected_version,
-                            std::string value, std::function<void(std::optional<WriteAnswer>)> done) {
-  serve<WriteAnswer>(
-      client, [this, key, expected_version, value] { return std::optional(write(key, expected_version, value)); },
-      std::move(done));
+void PlatformNode::readRow(Host& client, const std::string& key, Done<TableRow> done) {
+  serveFor<TableRow>(client, standin::ReadRow{key}, std::move(done));
 }
 
-WriteAnswer PlatformNode::write(const std::string& key, std::uint64_t expected_version,
-                                const std::string& value) {
-  TableRow& row = rows_[key];
-  if (row.version != expected_version) return {false, row};
-  row.version = next_version_++;
-  row.value = value;
-  if (write_observer_) write_observer_(key, row);
-  return {true, row};
+void PlatformNode::writeRow(Host& client, const std::string& key, std::uint64_t expected_version,
+                            std::string value, Done<WriteAnswer> done) {
+  TableTransaction transaction;
+  transaction.conditions.push_back({key, expected_version});
+  transaction.writes.push_back({key, value});
+  const bool unconditional = context_.without(Mechanism::BundleCompareAndSet) && key == "crankspur/bundle";
+  if (unconditional) transaction.conditions.clear();
+  serve(client, transaction,
+        [key, value, done = std::move(done)](std::optional<standin::PlatformAnswer> answer) {
+          if (!answer) return done(std::nullopt);
+          if (const auto* committed = std::get_if<TransactionCommitted>(&*answer)) {
+            return done(WriteAnswer{true, {key, committed->versions.front().version, value}});
+          }
+          if (const auto* conflict = std::get_if<TransactionConflict>(&*answer)) {
+            return done(WriteAnswer{false, conflict->rows.front()});
+          }
+          done(std::nullopt);
+        });
 }
 
 void PlatformNode::putObject(Host& client, const std::string& key, std::string value,
-                             std::function<void(std::optional<bool>)> done) {
-  serve<bool>(
-      client,
-      [this, key, value] {
-        objects_[key] = value;
-        return std::optional(true);
-      },
-      std::move(done));
+                             Done<standin::ObjectStored> done) {
+  serveFor<standin::ObjectStored>(client, standin::PutObject{key, std::move(value)}, std::move(done));
 }
 
-void PlatformNode::getObject(Host& client, const std::string& key,
-                             std::function<void(std::optional<std::string>)> done) {
-  serve<std::string>(
-      client,
-      [this, key]() -> std::optional<std::string> {
-        const auto found = objects_.find(key);
-        if (found == objects_.end()) return std::nullopt;
-        return found->second;
-      },
-      std::move(done));
+void PlatformNode::getObject(Host& client, const std::string& key, Done<standin::ObjectFound> done) {
+  serveFor<standin::ObjectFound>(client, standin::GetObject{key}, std::move(done));
 }
 
-void PlatformNode::listMachines(Host& client, std::function<void(std::optional<MachineList>)> done) {
-  serve<MachineList>(
-      client,
-      [this] {
-        const TimePoint seen = context_.queue.now() - list_lag_;
-        const MachineList* list = &lists_.front().machines;
-        for (const ListedAt& entry : lists_) {
-          if (entry.at <= seen) list = &entry.machines;
-        }
-        return std::optional(*list);
-      },
-      std::move(done));
+void PlatformNode::listMachines(Host& client, Done<MachineList> done) {
+  serveFor<MachineList>(client, standin::ListMachines{}, std::move(done));
 }
 
-void PlatformNode::loadWeights(Host& client, std::function<void(std::optional<Duration>)> done) {
-  serve<Duration>(
-      client,
-      [this] {
-        ++loads_running_;
-        const std::uint32_t factor = (loads_running_ + kFullSpeedLoads - 1) / kFullSpeedLoads;
-        const Duration time = kLoadTime * factor;
-        host_.post(time, [this] { --loads_running_; });
-        return std::optional(time);
-      },
-      std::move(done));
-}
-
-void PlatformNode::setMachines(MachineList machines) {
-  lists_.push_back({context_.queue.now(), std::move(machines)});
+void PlatformNode::loadWeights(Host& client, const std::string& model, const std::string& weights,
+                               Done<WeightsTransfer> done) {
+  serveFor<WeightsTransfer>(client, standin::LoadWeights{model, weights}, std::move(done));
 }
 
 TimePoint PlatformNode::markLeaving(const std::string& machine) {
-  MachineList machines = newestMachines();
-  for (ListedMachine& entry : machines) {
-    if (entry.name == machine) entry.leaving = true;
+  for (Machine& entry : machines_) {
+    if (entry.name != machine) continue;
+    entry.state = MachineState::Leaving;
+    model_.putMachine(entry, context_.queue.now());
   }
-  setMachines(std::move(machines));
   return context_.queue.now() + list_lag_;
 }
 
+void PlatformNode::setMachines(std::vector<Machine> machines) {
+  machines_ = machines;
+  model_.setInitialMachines(std::move(machines));
+}
+
+void PlatformNode::setListLag(Duration lag) {
+  list_lag_ = lag;
+  model_.setMachineListLag(lag);
+}
+
+void PlatformNode::setStoreBehaviour(const standin::ServiceBehaviour& behaviour) {
+  model_.setBehaviour(standin::PlatformService::Table, behaviour);
+  model_.setBehaviour(standin::PlatformService::Objects, behaviour);
+}
+
 }  // namespace crankspur::sim
--- a/sim/world/router_control.cc
+++ b/sim/world/router_control.cc
@@ -11,6 +11,38 @@
 namespace {
 
 constexpr Duration kPollTimeout = std::chrono::milliseconds(600);
+constexpr Duration kShortestTimer = std::chrono::milliseconds(1);
+
+/// Answer of one poll of an engine.
+struct EnginePoll {
+  standin::EngineInfo info;
+  standin::EngineLoadReport load;
+};
+
+BackendReport toReport(const standin::EngineInfo& info) {
+  BackendReport report;
+  report.incarnation = info.incarnation;
+  report.leaving = info.leaving;
+  report.batch_limit = info.batch_limit;
+  report.cache_blocks_total = info.cache_blocks_total;
+  for (const standin::ServedModel& model : info.models) {
+    report.models.push_back({model.model, model.weights_version, model.adapters});
+  }
+  return report;
+}
+
+LoadReport toLoad(const standin::EngineLoadReport& load, TimePoint now) {
+  LoadReport report;
+  report.measured_at = now - load.age;
+  report.queued_tokens = load.queued_tokens;
+  report.queued_requests = load.queued_requests;
+  report.running_requests = load.running_requests;
+  report.batch_limit = load.batch_limit;
+  report.cache_blocks_total = load.cache_blocks_total;
+  report.cache_blocks_used = load.cache_blocks_used;
+  report.prefill_tokens_per_second = load.prefill_tokens_per_second;
+  return report;
+}
 
 CacheEvent toCacheEvent(const standin::CacheChange& change) {
   return {change.sequence, change.stored, change.removed};
@@ -21,53 +53,108 @@
 void RouterNode::listMachines() {
   context_.directory.platform().listMachines(host_, [this](std::optional<MachineList> machines) {
     if (!machines) return;
-    process_->fleet.onMachines(*machines);
+    process_->engines->onMachineList(*machines, now());
     std::vector<MemberRecord> routers;
-    for (const ListedMachine& machine : *machines) {
+    for (const Machine& machine : machines->machines) {
       if (machine.role != MachineRole::Router) continue;
       MemberRecord record;
       record.name = machine.name;
-      record.address = machine.name;
-      record.zone = machine.place.zone;
-      record.region = machine.place.region;
-      record.state = machine.leaving ? MemberState::Leaving : MemberState::Alive;
+      record.address = machine.address;
+      record.zone = machine.zone;
+      record.region = machine.region;
+      record.state = machine.state == MachineState::Leaving ? MemberState::Leaving : MemberState::Alive;
       routers.push_back(std::move(record));
     }
     process_->membership->seed(routers, now());
     pumpMembership();
+    pumpEngineTable();
   });
 }
 
-void RouterNode::pollBackends() {
-  for (const EngineView& view : process_->fleet.engines()) {
-    if (view.region == host_.place().region) pollEngine(view.name);
+void RouterNode::pumpEngineTable() {
+  for (const BackendPoll& poll : process_->engines->duePolls(now())) {
+    if (poll.kind == BackendPoll::Kind::RunnerInfo) {
+      pollRunner(poll.name);
+    } else {
+      pollEngine(poll.name, poll.kind);
+    }
+  }
+  for (const EngineRecord& record : process_->engines->takeAnnouncements()) {
+    process_->membership->announceEngine(record, now());
   }
-  for (const EngineView& view : process_->fleet.runners()) pollRunner(view.name);
+  if (process_->engines->takeUrgent(now())) publish();
+  armEngineTimer();
+}
+
+void RouterNode::armEngineTimer() {
+  const TimePoint next = process_->engines->nextTimer(now());
+  if (next == process_->engine_timer) return;
+  process_->engine_timer = next;
+  const std::uint64_t generation = ++process_->engine_timer_generation;
+  host_.postAt(std::max(next, now() + kShortestTimer), [this, generation] {
+    if (generation != process_->engine_timer_generation) return;
+    process_->engine_timer = TimePoint::max();
+    pumpEngineTable();
+  });
 }
 
-void RouterNode::pollEngine(const std::string& name) {
+void RouterNode::pollEngine(const std::string& name, BackendPoll::Kind kind) {
   EngineNode* engine = context_.directory.engine(name);
-  if (engine == nullptr || !process_->polls_running.insert(name).second) return;
-  const EngineKnowledge known = process_->engine_knowledge[name];
   call<EnginePoll>(
       context_, host_, engine->host(), kPollTimeout,
-      [this, engine, known](std::function<void(EnginePoll)> answer) {
-        const TimePoint at = context_.queue.now();
-        const standin::EngineModel& model = engine->model();
-        const std::uint64_t after = model.incarnation() == known.incarnation ? known.sequence : 0;
-        answer({model.info(), model.load(at), model.cacheChanges(after, at)});
+      [this, engine](std::function<void(EnginePoll)> answer) {
+        answer({engine->model().info(), engine->model().load(context_.queue.now())});
       },
-      [this, name](std::optional<EnginePoll> poll) {
-        process_->polls_running.erase(name);
+      [this, name, kind](std::optional<EnginePoll> poll) {
         if (!poll) {
-          process_->fleet.onPollFailed(name);
-          return;
+          process_->engines->onPollFailed(name, PollFailure::TimedOut, now());
+        } else if (kind == BackendPoll::Kind::EngineInfo) {
+          process_->engines->onReport(name, toReport(poll->info), now());
+        } else {
+          process_->engines->onLoad(name, poll->load.incarnation, toLoad(poll->load, now()), now());
         }
-        process_->fleet.onEnginePoll(name, *poll, now());
-        if (process_->engine_knowledge[name].incarnation != poll->info.incarnation) publish();
-        for (const EngineView& view : process_->fleet.engines()) {
-          if (view.name == name) takeCacheChanges(view, poll->changes);
+        pumpEngineTable();
+      });
+}
+
+void RouterNode::pollRunner(const std::string& name) {
+  RunnerNode* runner = context_.directory.runner(name);
+  call<BackendReport>(
+      context_, host_, runner->host(), kPollTimeout,
+      [runner](std::function<void(BackendReport)> answer) {
+        BackendReport report;
+        report.incarnation = runner->incarnation();
+        report.leaving = runner->leaving();
+        answer(report);
+      },
+      [this, name](std::optional<BackendReport> report) {
+        if (report) {
+          process_->engines->onReport(name, *report, now());
+        } else {
+          process_->engines->onPollFailed(name, PollFailure::TimedOut, now());
         }
+        pumpEngineTable();
+      });
+}
+
+void RouterNode::pollCacheEvents() {
+  for (const EngineView& view : process_->snapshot ? process_->snapshot->engines : std::vector<EngineView>{}) {
+    if (view.incarnation != 0 && view.state == EngineState::Live) fetchCacheEvents(view);
+  }
+}
+
+void RouterNode::fetchCacheEvents(const EngineView& view) {
+  EngineNode* engine = context_.directory.engine(view.name);
+  const EngineKnowledge known = process_->engine_knowledge[view.name];
+  call<standin::CacheChanges>(
+      context_, host_, engine->host(), kPollTimeout,
+      [this, engine, known](std::function<void(standin::CacheChanges)> answer) {
+        const standin::EngineModel& model = engine->model();
+        const std::uint64_t after = model.incarnation() == known.incarnation ? known.sequence : 0;
+        answer(model.cacheChanges(after, context_.queue.now()));
+      },
+      [this, view](std::optional<standin::CacheChanges> changes) {
+        if (changes) takeCacheChanges(view, *changes);
       });
 }
 
@@ -98,35 +185,23 @@
       });
 }
 
-void RouterNode::pollRunner(const std::string& name) {
-  RunnerNode* runner = context_.directory.runner(name);
-  if (runner == nullptr || !process_->polls_running.insert(name).second) return;
-  call<RunnerPoll>(
-      context_, host_, runner->host(), kPollTimeout,
-      [runner](std::function<void(RunnerPoll)> answer) { answer({runner->incarnation(), runner->leaving()}); },
-      [this, name](std::optional<RunnerPoll> poll) {
-        process_->polls_running.erase(name);
-        if (poll) {
-          process_->fleet.onRunnerPoll(name, *poll);
-        } else {
-          process_->fleet.onPollFailed(name);
-        }
-      });
-}
-
 void RouterNode::publish() {
-  for (const EngineRecord& record : process_->fleet.takeAnnouncements()) {
-    process_->membership->announceEngine(record, now());
-  }
   const auto current = process_->bundles->current();
-  const auto routers = static_cast<std::uint32_t>(process_->membership->liveMembers().size());
-  process_->requests->onSnapshot(
-      process_->fleet.makeSnapshot(current ? current->bundle : nullptr, host_.place(), routers), now());
+  auto snapshot = std::make_shared<RoutingSnapshot>();
+  snapshot->bundle = current ? current->bundle : nullptr;
+  snapshot->engines = process_->engines->engines(now());
+  snapshot->runners = process_->engines->runners(now());
+  snapshot->own_zone = host_.place().zone;
+  snapshot->own_region = host_.place().region;
+  snapshot->router_count =
+      std::max<std::uint32_t>(static_cast<std::uint32_t>(process_->membership->liveMembers().size()), 1);
+  process_->snapshot = snapshot;
+  process_->requests->onSnapshot(std::move(snapshot), now());
   pump();
 }
 
-void RouterNode::publishIfChanged() {
-  if (process_->fleet.changed()) publish();
+void RouterNode::publishLoads() {
+  if (process_->engines->takeLoadsChanged()) publish();
 }
 
 void RouterNode::pumpMembership() {
@@ -141,8 +216,9 @@
   }
   process_->membership->takeChanges();
   for (const EngineRecord& record : process_->membership->takeEngineChanges()) {
-    process_->fleet.onEngineRecord(record);
+    process_->engines->onGossip(record, now());
   }
+  pumpEngineTable();
   armMembershipTimer();
 }
 
@@ -195,9 +271,9 @@
     if (!row) return;
     const BundleRow bundle = decodeBundleRow(*row);
     if (bundle.version <= bundleVersion()) return;
-    platform.getObject(host_, bundleObjectKey(bundle), [this, bundle](std::optional<std::string> object) {
+    platform.getObject(host_, bundleObjectKey(bundle), [this, bundle](std::optional<standin::ObjectFound> object) {
       if (!object) return;
-      const BundleBody body = decodeBundleBody(*object);
+      const BundleBody body = decodeBundleBody(object->body);
       if (body.version == bundle.version && sha256Hex(body.document) == bundle.digest) offerBundle(body);
     });
   });
--- a/sim/world/router_dispatch.cc
+++ b/sim/world/router_dispatch.cc
@@ -47,7 +47,6 @@
           return;
         }
         found->second.channel = channel;
-        found->second.sent = true;
         channel->onClosed(Side::Client, [this, dispatch] { backendEvent(dispatch, BackendLost{true}); });
         process_->requests->onDispatchSent(dispatch, now());
         send(channel);
@@ -65,8 +64,11 @@
                       action.request.request_id, action.request.attempt, action.engine_name,
                       action.expected_incarnation, action.expected_weights, action.request.resume_offset,
                       action.resume ? " (resume)" : "");
-  process_->dispatches[action.dispatch].request_id = action.request.request_id;
-  process_->dispatches[action.dispatch].attempt = action.request.attempt;
+  Dispatch& entry = process_->dispatches[action.dispatch];
+  entry.request_id = action.request.request_id;
+  entry.attempt = action.request.attempt;
+  entry.engine = action.engine;
+  entry.incarnation = action.expected_incarnation;
   const SenderView view{host_.name(), action.expected_incarnation, action.expected_weights};
   const DispatchId dispatch = action.dispatch;
   openBackend(dispatch, engine->host(), [this, engine, action, view, dispatch](const ChannelPointer& channel) {
@@ -133,6 +135,7 @@
   const auto found = process_->dispatches.find(dispatch);
   if (found == process_->dispatches.end()) return;
   ++found->second.activity;
+  reportOutcome(found->second, event);
   const bool last = std::holds_alternative<BackendEnd>(event) ||
                     std::holds_alternative<BackendRefused>(event) ||
                     std::holds_alternative<BackendLost>(event);
@@ -144,6 +147,17 @@
   pump();
 }
 
+void RouterNode::reportOutcome(const Dispatch& entry, const BackendEvent& event) {
+  if (!entry.engine) return;
+  EngineOutcome outcome{*entry.engine, entry.incarnation, OutcomeKind::Answered, Duration(0)};
+  if (const auto* lost = std::get_if<BackendLost>(&event)) {
+    outcome.kind = lost->bytes_sent ? OutcomeKind::Lost : OutcomeKind::ConnectFailed;
+  } else if (!std::holds_alternative<BackendAccepted>(event)) {
+    return;
+  }
+  process_->engines->onOutcome(outcome, now());
+}
+
 void RouterNode::watchIdle(DispatchId dispatch, std::uint64_t activity) {
   host_.post(kIdleTimeout, [this, dispatch, activity] {
     const auto found = process_->dispatches.find(dispatch);
--- a/sim/world/router_node.cc
+++ b/sim/world/router_node.cc
@@ -10,10 +10,10 @@
 using std::chrono::seconds;
 
 constexpr Duration kMachineListInterval = seconds(1);
-constexpr Duration kPollInterval = milliseconds(250);
+constexpr Duration kCacheEventInterval = milliseconds(500);
 constexpr Duration kBundleRowInterval = seconds(4);
 constexpr Duration kBundlePullInterval = milliseconds(200);
-constexpr Duration kPublishInterval = milliseconds(50);
+constexpr Duration kPublishInterval = milliseconds(100);
 constexpr Duration kLeaseInterval = milliseconds(200);
 constexpr Duration kOrderInterval = milliseconds(500);
 constexpr Duration kDrainCheckInterval = milliseconds(100);
@@ -47,14 +47,16 @@
   self.incarnation = host_.epoch();
   process.membership = makeMembership(self, {}, context_.random.bits(), now());
   process.membership->seed(seeds_, now());
+  process.engines =
+      std::make_unique<EngineTable>(EngineTableOptions{host_.place().region}, context_.random.bits());
   process.bundles = std::make_unique<BundleHolder>(keys_);
   process.lease = makeLease(host_.name() + "#" + std::to_string(host_.epoch()), kLeaseLifetime,
                             context_.random.bits());
   every(kMachineListInterval, [this] { listMachines(); });
-  every(kPollInterval, [this] { pollBackends(); });
+  every(kCacheEventInterval, [this] { pollCacheEvents(); });
   every(kBundleRowInterval, [this] { pollBundleRow(); });
   every(kBundlePullInterval, [this] { pullBundle(); });
-  every(kPublishInterval, [this] { publishIfChanged(); });
+  every(kPublishInterval, [this] { publishLoads(); });
   every(kLeaseInterval, [this] { pumpLease(); });
   every(kOrderInterval, [this] { sendOrders(); });
   pumpMembership();
--- a/sim/world/router_node.h
+++ b/sim/world/router_node.h
@@ -12,9 +12,10 @@
 #include "bundle/bundle.h"
 #include "lease/lease.h"
 #include "membership/membership.h"
+#include "router/engine_table.h"
 #include "router/request_router.h"
 #include "sim/world/context.h"
-#include "sim/world/fleet_view.h"
+#include "sim/world/platform_node.h"
 #include "standins/engine/engine_types.h"
 
 namespace crankspur::sim {
@@ -54,7 +55,8 @@
     std::string backend;
     std::string request_id;
     std::uint32_t attempt = 0;
-    bool sent = false;
+    std::optional<EngineSlot> engine;  ///< Completions only.
+    std::uint64_t incarnation = 0;
     std::uint64_t activity = 0;  ///< Grows with each event, for the idle time-out.
   };
   /// One connection of a sidecar.
@@ -96,18 +98,22 @@
   void openBackend(DispatchId dispatch, Host& backend, std::function<void(const ChannelPointer&)> send);
   void onStreamEvent(DispatchId dispatch, const standin::StreamEvent& event);
   void backendEvent(DispatchId dispatch, const BackendEvent& event);
+  void reportOutcome(const Dispatch& entry, const BackendEvent& event);
   void watchIdle(DispatchId dispatch, std::uint64_t activity);
   void recordDecision(const SubmitRequest& request);
 
   // Control (router_control.cc).
   void listMachines();
-  void pollBackends();
-  void pollEngine(const std::string& name);
+  void pumpEngineTable();
+  void armEngineTimer();
+  void pollEngine(const std::string& name, BackendPoll::Kind kind);
   void pollRunner(const std::string& name);
+  void pollCacheEvents();
+  void fetchCacheEvents(const EngineView& view);
   void takeCacheChanges(const EngineView& view, const standin::CacheChanges& changes);
   void fetchDigest(const std::string& engine, EngineSlot slot);
   void publish();
-  void publishIfChanged();
+  void publishLoads();
   void pumpMembership();
   void armMembershipTimer();
   void pullBundle();
@@ -134,18 +140,20 @@
   std::unique_ptr<Membership> membership;
   std::unique_ptr<BundleHolder> bundles;
   std::unique_ptr<Lease> lease;
-  FleetView fleet;
+  std::unique_ptr<EngineTable> engines;
+  std::shared_ptr<const RoutingSnapshot> snapshot;
   std::map<SidecarId, SidecarLink> sidecars;
   std::map<const Channel*, SidecarId> sidecar_ids;
   SidecarId next_sidecar = 1;
   std::map<DispatchId, Dispatch> dispatches;
   std::map<std::string, EngineKnowledge> engine_knowledge;
-  std::set<std::string> polls_running;
   std::set<std::string> digests_running;
   std::set<std::string> orders_running;
   TimePoint started_at{};  ///< True time.
   TimePoint request_timer = TimePoint::max();
   std::uint64_t request_timer_generation = 0;
+  TimePoint engine_timer = TimePoint::max();
+  std::uint64_t engine_timer_generation = 0;
   TimePoint membership_timer = TimePoint::max();
   std::uint64_t membership_timer_generation = 0;
   bool bundle_pull_running = false;
--- a/sim/world/router_orders.cc
+++ b/sim/world/router_orders.cc
@@ -45,13 +45,13 @@
 void RouterNode::sendOrders() {
   const std::optional<std::uint64_t> token = process_->lease->heldToken(now());
   const auto current = process_->bundles->current();
-  if (!token || !current) return;
+  if (!token || !current || !process_->snapshot) return;
   const ModelPolicy* model = current->bundle->findModel(kModel);
   std::size_t loading = 0;
-  for (const EngineView& view : process_->fleet.engines()) {
+  for (const EngineView& view : process_->snapshot->engines) {
     if (view.state == EngineState::Live && view.weightsOf(kModel).empty()) ++loading;
   }
-  for (const EngineView& view : process_->fleet.engines()) {
+  for (const EngineView& view : process_->snapshot->engines) {
     if (loading + process_->orders_running.size() >= current->bundle->knobs.parallel_weight_loads) return;
     const std::string weights = view.weightsOf(kModel);
     if (view.state != EngineState::Live || weights.empty() || weights == model->weights_version) continue;
--- /dev/null
+++ b/sim/world/sidecar_node.cc
@@ -0,0 +1,194 @@
+#include "sim/world/sidecar_node.h"
+
+#include "base/hash.h"
+#include "sim/world/router_node.h"
+
+namespace crankspur::sim {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration kUpkeepInterval = milliseconds(100);
+constexpr Duration kPingInterval = seconds(1);
+constexpr Duration kSilenceLimit = seconds(3);
+constexpr Duration kConnectTimeout = seconds(1);
+
+}  // namespace
+
+SidecarNode::SidecarNode(Context& context, Host& host, std::vector<std::string> seeds, TrustedKeys keys)
+    : context_(context), host_(host), seeds_(std::move(seeds)), keys_(std::move(keys)) {}
+
+SidecarNode::~SidecarNode() = default;
+
+void SidecarNode::start() {
+  if (host_.up()) return;
+  host_.start();
+  context_.trace.note(host_.name(), "start, process {}", host_.epoch());
+  process_ = std::make_unique<Process>();
+  const Place& place = host_.place();
+  process_->directory = std::make_unique<RouterDirectory>(host_.name(), place.zone, place.region,
+                                                          context_.random.bits());
+  for (const std::string& seed : seeds_) process_->directory->addSeed(seed);
+  process_->selector = std::make_unique<RendezvousRouterSelector>(place.zone, place.region);
+  process_->bundles = std::make_unique<BundleHolder>(keys_);
+  upkeep();
+}
+
+void SidecarNode::crash(bool silent) {
+  if (!host_.up()) return;
+  context_.trace.note(host_.name(), "crash");
+  for (auto& [id, open] : process_->open) open.record->abandoned = true;
+  context_.network.crash(host_, silent);
+  process_.reset();
+}
+
+void SidecarNode::upkeep() {
+  for (const std::string& address : process_->directory->wanted(now())) {
+    if (!process_->links.contains(address)) open(address);
+  }
+  std::vector<ChannelPointer> silent;
+  for (auto& [address, link] : process_->links) {
+    if (!link.channel || link.name.empty()) continue;
+    if (now() - link.last_heard > kSilenceLimit) {
+      silent.push_back(link.channel);
+    } else if (now() - link.last_ping >= kPingInterval) {
+      link.last_ping = now();
+      Ping ping;
+      ping.sequence = ++link.ping_sequence;
+      ping.sender = host_.name();
+      ping.target = link.name;
+      ping.bundle_version = bundleVersion();
+      sendOn(link.channel, ping);
+    }
+  }
+  for (const ChannelPointer& channel : silent) {
+    // The channel stays half open, so that late answers on it must be recognized by what they say.
+    linkClosed(channel);
+  }
+  host_.post(kUpkeepInterval, [this] { upkeep(); });
+}
+
+void SidecarNode::open(const std::string& address) {
+  process_->links[address].address = address;
+  RouterNode* router = context_.directory.router(address);
+  context_.network.connect(
+      host_, router->host(), kConnectTimeout,
+      [this, router](const ChannelPointer& channel) { router->acceptSidecar(channel, *this); },
+      [this, address](const ChannelPointer& channel) {
+        Link& link = process_->links[address];
+        link.address = address;
+        link.channel = channel;
+        link.last_heard = now();
+        channel->onClosed(Side::Client, [this, channel] { linkClosed(channel); });
+      },
+      [this, address] {
+        process_->links.erase(address);
+        process_->directory->onClosed(address, now());
+      });
+}
+
+SidecarNode::Link* SidecarNode::findLink(const ChannelPointer& channel) {
+  for (auto& [address, link] : process_->links) {
+    if (link.channel == channel) return &link;
+  }
+  return nullptr;
+}
+
+void SidecarNode::linkClosed(const ChannelPointer& channel) {
+  const Link* link = findLink(channel);
+  if (link == nullptr) return;
+  const std::string name = link->name;
+  const std::string address = link->address;
+  process_->links.erase(address);
+  process_->directory->onClosed(address, now());
+  routersChanged();
+  if (!name.empty()) lose(name);
+}
+
+void SidecarNode::lose(const std::string& router) {
+  std::vector<std::string> ids;
+  for (const auto& [id, open] : process_->open) {
+    if (open.router == router) ids.push_back(id);
+  }
+  for (const std::string& id : ids) {
+    const auto found = process_->open.find(id);
+    if (found == process_->open.end()) continue;
+    found->second.request->onRouterLost(router, true, now());
+    pump(id);
+  }
+}
+
+void SidecarNode::routersChanged() {
+  process_->selector->setRouters(process_->directory->usable());
+}
+
+bool SidecarNode::send(const std::string& router, const Message& message) {
+  for (auto& [address, link] : process_->links) {
+    if (link.name != router || !link.channel || !link.channel->open()) continue;
+    sendOn(link.channel, message);
+    return true;
+  }
+  return false;
+}
+
+void SidecarNode::sendOn(const ChannelPointer& channel, const Message& message) {
+  RouterNode* router = context_.directory.router(channel->host(Side::Server).name());
+  channel->send(Side::Client, [router, channel, message] { router->onSidecarMessage(channel, message); });
+}
+
+void SidecarNode::onRouterMessage(const ChannelPointer& channel, const Message& message) {
+  Link* link = findLink(channel);
+  if (link != nullptr) {
+    link->last_heard = now();
+    if (const auto* hello = std::get_if<Hello>(&message)) return onHello(*link, *hello);
+    if (const auto* ack = std::get_if<PingAck>(&message)) return onPingAck(*link, *ack);
+    if (std::holds_alternative<BundleRequest>(message)) {
+      const auto current = process_->bundles->current();
+      if (current) sendOn(channel, current->body);
+      return;
+    }
+    if (const auto* body = std::get_if<BundleBody>(&message)) return offerBundle(*body);
+  }
+  if (const auto* accepted = std::get_if<Accepted>(&message)) return onAnswer(accepted->request_id, message);
+  if (const auto* piece = std::get_if<StreamPiece>(&message)) return onAnswer(piece->request_id, message);
+  if (const auto* end = std::get_if<StreamEnd>(&message)) return onAnswer(end->request_id, message);
+  if (const auto* refusal = std::get_if<Refusal>(&message)) return onAnswer(refusal->request_id, message);
+}
+
+void SidecarNode::onHello(Link& link, const Hello& hello) {
+  if (!process_->directory->onHello(link.address, hello)) return;
+  link.name = hello.node_name;
+  routersChanged();
+  compareBundle(link, hello.bundle_version);
+}
+
+void SidecarNode::onPingAck(Link& link, const PingAck& ack) {
+  for (const MemberRecord& member : ack.members) process_->directory->learn(member);
+  routersChanged();
+  compareBundle(link, ack.bundle_version);
+}
+
+/// Gives the bundle to a router that is behind and takes it from one that is ahead.
+void SidecarNode::compareBundle(Link& link, std::uint64_t version) {
+  const auto current = process_->bundles->current();
+  if (current && version < bundleVersion()) sendOn(link.channel, current->body);
+  if (version > bundleVersion()) sendOn(link.channel, BundleRequest{bundleVersion()});
+}
+
+void SidecarNode::offerBundle(const BundleBody& body) {
+  if (context_.without(Mechanism::BundleMonotonicity) && body.version != bundleVersion()) {
+    process_->bundles = std::make_unique<BundleHolder>(keys_);
+  }
+  if (process_->bundles->offer(body)) return;
+  context_.trace.note(host_.name(), "uses bundle {}", body.version);
+  context_.records.bundle_uses.push_back(
+      {host_.name(), host_.epoch(), body.version, sha256Hex(body.document), context_.queue.now()});
+}
+
+std::uint64_t SidecarNode::bundleVersion() const {
+  return process_ ? process_->bundles->version() : 0;
+}
+
+}  // namespace crankspur::sim
--- a/sim/world/site.cc
+++ b/sim/world/site.cc
@@ -19,9 +19,9 @@
   std::size_t tenants = 0;
 };
 
-std::vector<Machine> spread(const Site& site, const std::string& kind, const std::string& pool,
+std::vector<SiteMachine> spread(const Site& site, const std::string& kind, const std::string& pool,
                             std::size_t count) {
-  std::vector<Machine> machines;
+  std::vector<SiteMachine> machines;
   for (std::size_t index = 0; index < count; ++index) {
     machines.push_back({fmt::format("{}-{:02}", kind, index), site.zones[index % site.zones.size()], pool});
   }
--- a/sim/world/site.h
+++ b/sim/world/site.h
@@ -11,7 +11,7 @@
 namespace crankspur::sim {
 
 /// One machine of a site.
-struct Machine {
+struct SiteMachine {
   std::string name;
   Place place;
   std::string pool;  ///< Engines and runners only.
@@ -21,10 +21,10 @@
 struct Site {
   std::string name;
   std::vector<Place> zones;
-  std::vector<Machine> routers;
-  std::vector<Machine> sidecars;
-  std::vector<Machine> engines;
-  std::vector<Machine> runners;
+  std::vector<SiteMachine> routers;
+  std::vector<SiteMachine> sidecars;
+  std::vector<SiteMachine> engines;
+  std::vector<SiteMachine> runners;
   std::vector<std::string> tenants;
   NetworkDelays delays;
   double requests_per_second = 12;  ///< Over the whole site.
