--- a/apps/crankspur_router/main.cc
+++ b/apps/crankspur_router/main.cc
@@ -17,9 +17,11 @@
 ABSL_FLAG(std::string, admin, "", "IP:port for /healthz, /metrics, /status and /explain");
 ABSL_FLAG(std::string, platform, "", "IP:port of table service, object store and machine list");
 ABSL_FLAG(std::vector<std::string>, peers, {}, "routers to connect to at start, IP:port, comma-separated");
-ABSL_FLAG(std::vector<std::string>, authors, {}, "public keys of bundle authors, base64, comma-separated");
-ABSL_FLAG(std::vector<std::string>, approvers, {},
+ABSL_FLAG(std::vector<std::string>, author_keys, {},
+          "public keys of bundle authors, base64, comma-separated");
+ABSL_FLAG(std::vector<std::string>, approver_keys, {},
           "public keys of bundle approvers, base64, comma-separated");
+ABSL_FLAG(std::string, log_format, "", "key_value or json; overrides the file's log_format");
 ABSL_FLAG(int, traffic_threads, 0, "traffic threads; 0 keeps the file's number");
 
 namespace {
@@ -43,8 +45,10 @@
   override(settings.admin, absl::GetFlag(FLAGS_admin));
   override(settings.platform, absl::GetFlag(FLAGS_platform));
   overrideList(settings.peers, absl::GetFlag(FLAGS_peers));
-  overrideList(settings.trusted_keys.authors, absl::GetFlag(FLAGS_authors));
-  overrideList(settings.trusted_keys.approvers, absl::GetFlag(FLAGS_approvers));
+  overrideList(settings.trusted_keys.authors, absl::GetFlag(FLAGS_author_keys));
+  overrideList(settings.trusted_keys.approvers, absl::GetFlag(FLAGS_approver_keys));
+  const std::string format = absl::GetFlag(FLAGS_log_format);
+  if (!format.empty()) settings.log_format = format == "json" ? LogFormat::Json : LogFormat::KeyValue;
   const int threads = absl::GetFlag(FLAGS_traffic_threads);
   if (threads > 0) settings.traffic_threads = static_cast<std::uint32_t>(threads);
 }
--- a/src/router_peer/peer_front.cc
+++ b/src/router_peer/peer_front.cc
@@ -12,6 +12,8 @@
 constexpr std::size_t kRoutersPerAnswer = 16;
 /// A pull of a bundle that brought no body is given up after this.
 constexpr Duration kPullTimeout = std::chrono::seconds(1);
+/// A peer whose body did not verify is not asked again for this long.
+constexpr Duration kRefusedPullPause = std::chrono::seconds(30);
 /// Connections to routers that were not used for this long are closed.
 constexpr Duration kIdleLimit = std::chrono::minutes(2);
 constexpr Duration kIdleCheckInterval = std::chrono::seconds(15);
@@ -29,6 +31,7 @@
   std::string name;
   std::string address;  ///< Where a router listens.
   TimePoint used_at{};
+  TimePoint pull_allowed_at{};
 };
 
 PeerFront::PeerFront(boost::asio::any_io_executor executor, Hello self, PeerFrontCallbacks callbacks)
@@ -119,7 +122,7 @@
     answerBundleRequest(peer, *request);
   } else if (auto* body = std::get_if<BundleBody>(&message)) {
     if (pulling_from_ == peer.id) pulling_from_ = 0;
-    if (body->version > heldVersion()) callbacks_.on_bundle(std::move(*body));
+    if (body->version > heldVersion()) callbacks_.on_bundle(std::move(*body), peer.id);
   } else if (peer.role != NodeRole::Router) {
     return;
   } else if (auto* digest = std::get_if<LoadDigest>(&message)) {
@@ -191,8 +194,8 @@
 
 void PeerFront::pullIfNewer(Peer& peer, std::uint64_t version) {
   const std::uint64_t held = heldVersion();
-  if (version <= held) return;
   const TimePoint now = clock_.now();
+  if (version <= held || now < peer.pull_allowed_at) return;
   const bool pulling = pulling_from_ != 0 && now < pull_ends_ && version <= pulling_version_;
   if (pulling) return;
   pulling_from_ = peer.id;
@@ -201,6 +204,11 @@
   peer.connection->send(BundleRequest{held});
 }
 
+void PeerFront::refuseBundle(std::uint64_t peer) {
+  const auto found = peers_.find(peer);
+  if (found != peers_.end()) found->second->pull_allowed_at = clock_.now() + kRefusedPullPause;
+}
+
 void PeerFront::closeIdle() {
   const TimePoint now = clock_.now();
   std::vector<std::shared_ptr<Peer>> idle;
--- a/src/router_peer/peer_front.h
+++ b/src/router_peer/peer_front.h
@@ -24,7 +24,8 @@
   std::function<void(Ping, std::string address)> on_ping;  ///< Of a router.
   std::function<void(PingAck)> on_ack;                     ///< Of a router.
   std::function<void(const Hello&)> on_router;             ///< A router introduced itself.
-  std::function<void(BundleBody)> on_bundle;
+  /// A body that is newer by its own word. `peer` names the sender in refuseBundle().
+  std::function<void(BundleBody, std::uint64_t peer)> on_bundle;
   std::function<void(LoadDigest)> on_load_digest;
   std::function<void(CacheSummary)> on_cache_summary;
 };
@@ -60,6 +61,8 @@
   void sendToRouter(const std::string& address, const Message& message);
   /// Sets the bundle that requests are answered with, and tells its version to sidecars at once.
   void setBundle(std::shared_ptr<const SignedBundle> bundle);
+  /// The body that the peer sent does not verify: it is not asked again for a while.
+  void refuseBundle(std::uint64_t peer);
   /// Sets the routers that sidecars hear of.
   void setRouters(std::vector<MemberRecord> routers) { routers_ = std::move(routers); }
   /// Tells every sidecar that this router is leaving. Later connections hear it at once too.
--- a/src/router_process/control_thread.cc
+++ b/src/router_process/control_thread.cc
@@ -53,8 +53,8 @@
           metrics, freshSeed()),
       platform_(context.get_executor(), watcherOptions(settings),
                 {[this](const MachineList& list) { onMachines(list); },
-                 [this](const BundleBody& body) { onBundle(body); }, [this] { return bundle_.version(); },
-                 [this] { return membership_->liveMembers().size(); }},
+                 [this](const BundleBody& body) { return onBundle(body); },
+                 [this] { return bundle_.version(); }, [this] { return membership_->liveMembers().size(); }},
                 log, freshSeed()),
       membership_timer_(context),
       table_timer_(context),
@@ -117,13 +117,13 @@
   runTable();
 }
 
-void ControlThread::onBundle(const BundleBody& body) {
+bool ControlThread::onBundle(const BundleBody& body) {
   const std::error_code error = bundle_.offer(body);
-  if (error == ErrorCode::Stale) return;
+  if (error == ErrorCode::Stale) return false;
   if (error) {
     metrics_.bundles_refused.Increment();
     log_.write(EventId::RouterBundleRefused, {{"version", body.version}, {"reason", error.message()}});
-    return;
+    return true;
   }
   metrics_.bundles_taken.Increment();
   log_.write(EventId::RouterBundleTaken, {{"version", body.version}});
@@ -131,6 +131,12 @@
   table_.setLoadInterval(bundle_.current()->bundle->knobs.load_report_interval);
   front_.thread.post([this, held = bundle_.current()] { front_.front->setBundle(held); });
   publish();
+  return false;
+}
+
+void ControlThread::onPeerBundle(const BundleBody& body, std::uint64_t peer) {
+  if (!onBundle(body)) return;
+  front_.thread.post([this, peer] { front_.front->refuseBundle(peer); });
 }
 
 void ControlThread::onOutcome(const EngineOutcome& outcome) {
--- a/src/router_process/control_thread.h
+++ b/src/router_process/control_thread.h
@@ -55,7 +55,9 @@
   void onPing(const Ping& ping, const std::string& address);
   void onAck(const PingAck& ack);
   void onRouter(const Hello& hello);
-  void onBundle(const BundleBody& body);
+  /// @return whether the body was refused for what it is.
+  bool onBundle(const BundleBody& body);
+  void onPeerBundle(const BundleBody& body, std::uint64_t peer);
   void onOutcome(const EngineOutcome& outcome);
   void onCacheGap(EngineSlot slot, std::uint64_t incarnation);
 
--- a/src/router_process/platform_watcher.cc
+++ b/src/router_process/platform_watcher.cc
@@ -81,6 +81,7 @@
 void PlatformWatcher::onBundleRow(const TableRow& row) {
   const std::optional<AcceptedBundle> accepted = decodeBundleRow(row.value);
   if (!accepted || accepted->body.version <= callbacks_.held_version()) return;
+  if (accepted->object_key == refused_key_) return;
   const bool first = callbacks_.held_version() == 0;
   const Duration limit = first ? kPeersFirstAtStart : kPeersFirst;
   const double share = random_.unit();
@@ -93,12 +94,12 @@
 }
 
 void PlatformWatcher::fetchDocument(BundleBody body, const std::string& key) {
-  objects_->get(key, [this, body = std::move(body)](const GetObjectResult& result) {
+  objects_->get(key, [this, key, body = std::move(body)](const GetObjectResult& result) {
     const auto* object = std::get_if<ObjectBody>(&result);
     if (object == nullptr) return;
     BundleBody whole = body;
     whole.document = object->bytes;
-    callbacks_.on_bundle(whole);
+    if (callbacks_.on_bundle(whole)) refused_key_ = key;
   });
 }
 
--- a/src/router_process/platform_watcher.h
+++ b/src/router_process/platform_watcher.h
@@ -28,7 +28,8 @@
 /// What the watcher hands on.
 struct PlatformWatcherCallbacks {
   std::function<void(const MachineList&)> on_machines;
-  std::function<void(const BundleBody&)> on_bundle;
+  /// @return whether the body was refused for what it is; it is then not fetched again.
+  std::function<bool(const BundleBody&)> on_bundle;
   std::function<std::uint64_t()> held_version;  ///< Of the bundle.
   std::function<std::size_t()> router_count;    ///< Live routers.
 };
@@ -64,6 +65,7 @@
   boost::asio::steady_timer machines_timer_;
   boost::asio::steady_timer bundle_timer_;
   boost::asio::steady_timer document_timer_;
+  std::string refused_key_;  ///< Object whose document was refused last.
   bool reachable_ = true;
 };
 
