Add crankspur_load: open-loop load with every byte checked

Cause: hit rate, tail time to first token and added time must be measured from outside, and wrong bytes must be found.

--- /dev/null
+++ b/tools/load/main.cc
@@ -0,0 +1,132 @@
+/// @file Open-loop load against sidecars, with a check of every byte of every answer.
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "bundle/bundle.h"
+#include "settings/toml_reader.h"
+#include "tools/load/added_time.h"
+#include "tools/load/load_run.h"
+#include "tools/load/report.h"
+
+ABSL_FLAG(std::vector<std::string>, sidecars, {}, "comma-separated IP:port of sidecars");
+ABSL_FLAG(std::string, bundle, "",
+          "the bundle in force: tenants in the order of their popularity, and models");
+ABSL_FLAG(std::string, key_prefix, "demo-key-", "the API key of a tenant is this and its name");
+ABSL_FLAG(double, rate, 20, "requests a second over all tenants");
+ABSL_FLAG(double, duration_s, 10, "how long requests are sent");
+ABSL_FLAG(std::uint32_t, threads, 2, "threads that send");
+ABSL_FLAG(std::uint32_t, maximum_outstanding, 10'000,
+          "requests without an answer; further ones are not sent");
+ABSL_FLAG(std::uint64_t, seed, 1, "seed of the workload");
+ABSL_FLAG(double, tenant_skew, 1.0, "Zipf exponent over tenants");
+ABSL_FLAG(double, middle_skew, 0.8, "Zipf exponent over middles (franchises, families)");
+ABSL_FLAG(std::uint32_t, head_tokens, 2000, "tokens of the head that a tenant's requests to a model share");
+ABSL_FLAG(std::uint32_t, middles, 20, "middles for each tenant and model");
+ABSL_FLAG(std::uint32_t, middle_tokens, 600, "tokens of a middle");
+ABSL_FLAG(std::uint32_t, tail_tokens, 40, "tokens of a request's own tail");
+ABSL_FLAG(std::uint32_t, answer_tokens, 32, "max_tokens of each request");
+ABSL_FLAG(std::string, csv, "", "file for the report as comma-separated values");
+ABSL_FLAG(std::string, added_time, "",
+          "IP:port of the only engine behind the sidecars: measures the time that sidecar "
+          "and router add, against requests straight to the engine");
+
+namespace {
+
+using namespace crankspur;
+using namespace crankspur::load;
+
+constexpr int kExitOk = 0;
+constexpr int kExitBadAnswers = 1;
+constexpr int kExitUsage = 2;
+
+int refuse(const std::string& reason) {
+  fmt::print(stderr, "crankspur_load: {}\n", reason);
+  return kExitUsage;
+}
+
+std::shared_ptr<const Bundle> readBundle(const std::string& path) {
+  const std::optional<std::string> text = readFile(path);
+  if (!text) {
+    refuse("cannot read the bundle " + path);
+    return nullptr;
+  }
+  std::vector<SettingsProblem> problems;
+  auto bundle = parseBundle(*text, path, problems);
+  for (const SettingsProblem& problem : problems) refuse(problem.toString());
+  return bundle;
+}
+
+LoadRunOptions optionsFromFlags() {
+  LoadRunOptions options;
+  for (const std::string& address : absl::GetFlag(FLAGS_sidecars)) {
+    options.targets.push_back({TargetKind::Sidecar, address});
+  }
+  options.requests_per_second = absl::GetFlag(FLAGS_rate);
+  options.duration = Duration(static_cast<Duration::rep>(absl::GetFlag(FLAGS_duration_s) * 1e6));
+  options.threads = absl::GetFlag(FLAGS_threads);
+  options.maximum_outstanding = absl::GetFlag(FLAGS_maximum_outstanding);
+  options.key_prefix = absl::GetFlag(FLAGS_key_prefix);
+  options.workload.seed = absl::GetFlag(FLAGS_seed);
+  options.workload.tenant_skew = absl::GetFlag(FLAGS_tenant_skew);
+  options.workload.middle_skew = absl::GetFlag(FLAGS_middle_skew);
+  options.workload.head_tokens = absl::GetFlag(FLAGS_head_tokens);
+  options.workload.middles = absl::GetFlag(FLAGS_middles);
+  options.workload.middle_tokens = absl::GetFlag(FLAGS_middle_tokens);
+  options.workload.tail_tokens = absl::GetFlag(FLAGS_tail_tokens);
+  options.workload.answer_tokens = absl::GetFlag(FLAGS_answer_tokens);
+  return options;
+}
+
+/// @return what is wrong with the options, or an empty string.
+std::string checkOptions(const LoadRunOptions& options) {
+  if (options.targets.empty()) return "--sidecars is missing";
+  if (options.requests_per_second <= 0 || options.duration <= Duration::zero()) {
+    return "--rate and --duration_s must be above 0";
+  }
+  if (options.threads == 0 || options.threads > 64) return "--threads must be 1 to 64";
+  return options.workload.middles == 0 ? "--middles must be above 0" : "";
+}
+
+int runPlainLoad(const Bundle& bundle, const LoadRunOptions& options) {
+  const LoadRunResult result = runLoad(bundle, options);
+  const std::vector<LoadSummary> summaries = summarize(result);
+  fmt::print("{}", textReport(result, summaries));
+  if (const std::string path = absl::GetFlag(FLAGS_csv); !path.empty())
+    std::ofstream(path) << csvReport(summaries);
+  const LoadSummary& all = summaries.front();
+  return all.wrong + all.cut + all.no_answer == 0 && all.whole > 0 ? kExitOk : kExitBadAnswers;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::FlagsUsageConfig usage;
+  usage.version_string = [] { return std::string("crankspur_load ") + CRANKSPUR_VERSION + "\n"; };
+  absl::SetFlagsUsageConfig(usage);
+  absl::SetProgramUsageMessage(
+      "Sends requests at a given rate, whether or not earlier ones were answered, and checks every byte of "
+      "each "
+      "answer against the engine stand-in's text.\n"
+      "Exit status: 0 no wrong, cut or missing answer; 1 otherwise; 2 flags wrong.");
+  absl::ParseCommandLine(argc, argv);
+  const std::shared_ptr<const Bundle> bundle = readBundle(absl::GetFlag(FLAGS_bundle));
+  if (!bundle) return kExitUsage;
+  const LoadRunOptions options = optionsFromFlags();
+  const std::string reason = checkOptions(options);
+  if (!reason.empty()) return refuse(reason);
+  const std::string engine = absl::GetFlag(FLAGS_added_time);
+  if (engine.empty()) return runPlainLoad(*bundle, options);
+  const AddedTime measured = measureAddedTime(*bundle, options, engine);
+  fmt::print("{}", addedTimeReport(measured));
+  return measured.bad_answers == 0 ? kExitOk : kExitBadAnswers;
+}
