--- /dev/null
+++ b/tests/integration/sidecar/sidecar_process_test.cc
@@ -0,0 +1,220 @@
+#include <fmt/format.h>
+
+#include <boost/json.hpp>
+#include <catch2/catch.hpp>
+#include <csignal>
+
+#include "caller/chat_request.h"
+#include "http/client.h"
+#include "integration/http_call.h"
+#include "integration/router/router_site.h"
+#include "prefix_index/block_hash.h"
+#include "standins/engine/answer_text.h"
+
+using namespace crankspur;
+using namespace crankspur::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr char kKey[] = "demo-key-harbour-fittings";
+
+/// A site whose sidecar can answer.
+class SidecarSite {
+public:
+  explicit SidecarSite(int routers) : site(2) {
+    site.roll(site.signBundle(1));
+    site.startRouter(0);
+    for (int index = 1; index < routers; ++index) {
+      site.startRouter(index, {"--peers=" + site.routerAddress(0)});
+    }
+    sidecar = &site.startSidecar();
+    address = fmt::format("127.0.0.1:{}", sidecar->port("listening"));
+    admin = fmt::format("127.0.0.1:{}", sidecar->port("admin"));
+    const auto knowsAll = [&] {
+      return boost::json::parse(get(admin, "/status").body).at("routers").as_array().size() ==
+             static_cast<std::size_t>(routers);
+    };
+    REQUIRE(eventually([&] { return get(admin, "/healthz").status == 200 && knowsAll(); }));
+    REQUIRE(eventually([&] { return call(address, chat("ready?", 1, false)).status == 200; }));
+  }
+
+  static http::Request chat(const std::string& prompt, int max_tokens, bool stream = true) {
+    http::Request request;
+    request.method = "POST";
+    request.target = "/v1/chat/completions";
+    request.headers["Authorization"] = std::string("Bearer ") + kKey;
+    const boost::json::object message{{"role", "user"}, {"content", prompt}};
+    request.body = boost::json::serialize(boost::json::object{{"model", "m"},
+                                                              {"stream", stream},
+                                                              {"max_tokens", max_tokens},
+                                                              {"messages", boost::json::array{message}}});
+    return request;
+  }
+
+  RouterSite site;
+  Process* sidecar = nullptr;
+  std::string address;
+  std::string admin;
+};
+
+std::string expectedText(const std::string& prompt, int max_tokens) {
+  const std::string text = canonicalMessage("user", prompt) + std::string(kAssistantTurn);
+  return standin::expectedAnswer("m", "w1", "", text, static_cast<std::uint64_t>(max_tokens)).text;
+}
+
+/// Text of a stream of chunks, and whether it ended with [DONE].
+struct StreamText {
+  std::string text;
+  bool whole = false;
+};
+
+StreamText streamText(const std::string& body) {
+  StreamText stream;
+  http::EventStreamParser().feed(body, [&stream](std::string_view event) {
+    if (event == "[DONE]") {
+      stream.whole = true;
+      return;
+    }
+    const auto chunk = boost::json::parse(boost::json::string_view(event.data(), event.size()));
+    if (!chunk.as_object().contains("choices")) return;
+    const auto& delta = chunk.at("choices").at(0).at("delta").as_object();
+    if (delta.contains("content")) stream.text += delta.at("content").as_string();
+  });
+  return stream;
+}
+
+std::int64_t runningRequests(const std::string& engine) {
+  return boost::json::parse(get(engine, "/v1/load").body).at("running_requests").to_number<std::int64_t>();
+}
+
+/// @return an answer length at which the engine's text does not stop by itself before `least` tokens.
+std::string promptWithLongAnswer(int least) {
+  for (int number = 0;; ++number) {
+    std::string prompt = fmt::format("review {}", number);
+    if (expectedText(prompt, least).size() == static_cast<std::size_t>(least) * kBytesPerToken) return prompt;
+  }
+}
+
+}  // namespace
+
+TEST_CASE("a router killed in the middle of a stream costs the caller no byte", "[sidecar]") {
+  SidecarSite site(2);
+  const std::string prompt = promptWithLongAnswer(120);
+  BackgroundCall running(site.address, SidecarSite::chat(prompt, 120));
+  REQUIRE(eventually([&] { return streamText(running.bodySoFar()).text.size() > 40; }));
+  site.site.router(0).kill();
+  const CallResult result = running.result();
+  const StreamText stream = streamText(result.body);
+  CHECK(stream.whole);
+  CHECK(stream.text == expectedText(prompt, 120));
+  CHECK(get(site.admin, "/metrics").body.find("resubmissions_total 1") != std::string::npos);
+}
+
+TEST_CASE("a router that freezes in the middle of a stream is replaced", "[sidecar]") {
+  SidecarSite site(2);
+  const std::string prompt = promptWithLongAnswer(120);
+  BackgroundCall running(site.address, SidecarSite::chat(prompt, 120));
+  REQUIRE(eventually([&] { return streamText(running.bodySoFar()).text.size() > 40; }));
+  site.site.router(0).signal(SIGSTOP);
+  const CallResult result = running.result();
+  CHECK(streamText(result.body).whole);
+  CHECK(streamText(result.body).text == expectedText(prompt, 120));
+  site.site.router(0).signal(SIGCONT);
+}
+
+TEST_CASE("whole and streamed answers tell the same text, and the engine and its cache", "[sidecar]") {
+  SidecarSite site(1);
+  const std::string prompt = "which cleat? " + std::string(2000, 'c');
+  const CallResult streamed = call(site.address, SidecarSite::chat(prompt, 16));
+  const CallResult whole = call(site.address, SidecarSite::chat(prompt, 16, false));
+  REQUIRE(whole.status == 200);
+  const auto body = boost::json::parse(whole.body);
+  const std::string content(body.at("choices").at(0).at("message").at("content").as_string());
+  CHECK(content == expectedText(prompt, 16));
+  CHECK(streamText(streamed.body).text == expectedText(prompt, 16));
+  CHECK(body.at("usage").at("prompt_tokens_details").at("cached_tokens").to_number<int>() > 400);
+  CHECK(whole.headers.at("x-crankspur-engine").starts_with("engine-"));
+  CHECK_FALSE(whole.headers.at("x-request-id").empty());
+}
+
+TEST_CASE("a planned stop of the sidecar cuts nothing in flight", "[sidecar]") {
+  SidecarSite site(1);
+  const std::string prompt = promptWithLongAnswer(60);
+  BackgroundCall running(site.address, SidecarSite::chat(prompt, 60));
+  REQUIRE(eventually([&] { return streamText(running.bodySoFar()).text.size() > 20; }));
+  site.sidecar->signal(SIGTERM);
+  const CallResult result = running.result();
+  CHECK(streamText(result.body).whole);
+  CHECK(streamText(result.body).text == expectedText(prompt, 60));
+  CHECK(site.sidecar->wait(10s) == 0);
+}
+
+TEST_CASE("a caller that hangs up stops the engine's work", "[sidecar]") {
+  SidecarSite site(1);
+  const std::string prompt = promptWithLongAnswer(1000);
+  BackgroundCall running(site.address, SidecarSite::chat(prompt, 1000));
+  REQUIRE(eventually([&] { return streamText(running.bodySoFar()).text.size() > 20; }));
+  const auto total = [&] {
+    return runningRequests(site.site.engineAddress(0)) + runningRequests(site.site.engineAddress(1));
+  };
+  REQUIRE(eventually([&] { return total() == 1; }));
+  running.abandon();
+  CHECK(eventually([&] { return total() == 0; }, 5s));
+  CHECK(call(site.address, SidecarSite::chat("next", 4)).status == 200);
+}
+
+TEST_CASE("bad requests get a clear error that says not run, and nobody else notices", "[sidecar]") {
+  SidecarSite site(1);
+  const auto with = [](auto change) {
+    http::Request request = SidecarSite::chat("hello", 4);
+    change(request);
+    return request;
+  };
+  struct Case {
+    http::Request request;
+    int status;
+    std::string code;
+  };
+  const std::vector<Case> cases = {
+      {with([](auto& r) { r.body = "{\"model\":"; }), 400, "invalid_request"},
+      {with([](auto& r) { r.headers.erase("Authorization"); }), 401, "unauthorized"},
+      {with([](auto& r) { r.headers["Authorization"] = "Bearer wrong"; }), 401, "unauthorized"},
+      {with([](auto& r) { r.target = "/v1/nothing"; }), 404, "invalid_request"},
+      {with([](auto& r) { r.method = "DELETE"; }), 405, "invalid_request"},
+      {with([](auto& r) { r.headers["X-Deadline-Ms"] = "soon"; }), 400, "invalid_request"},
+      {with([](auto& r) { r.target = "/v1/operations/order"; }), 404, "unknown_model"},
+      {with([](auto& r) { r.body.replace(r.body.find("\"m\""), 3, "\"x\""); }), 404, "unknown_model"},
+      {with([](auto& r) { r.body = std::string(5U << 20U, ' '); }), 413, "too_large"},
+      {with([](auto& r) { r.headers["X-Filler"] = std::string(20'000, 'f'); }), 431, "too_large"},
+  };
+  for (const Case& entry : cases) {
+    const CallResult result = call(site.address, entry.request);
+    INFO(entry.code << " " << entry.request.target);
+    REQUIRE(result.status == entry.status);
+    const auto detail = boost::json::parse(result.body).at("error");
+    CHECK(std::string(detail.at("code").as_string()) == entry.code);
+    CHECK(detail.at("ran") == "not_run");
+  }
+  CHECK(call(site.address, SidecarSite::chat("hello", 4)).status == 200);
+}
+
+TEST_CASE("without a router the sidecar says not run and when to come back", "[sidecar]") {
+  SidecarSite site(1);
+  site.site.router(0).kill();
+  const CallResult result = call(site.address, SidecarSite::chat("hello", 4));
+  CHECK(result.status == 503);
+  const auto detail = boost::json::parse(result.body).at("error");
+  CHECK(detail.at("code") == "router_unavailable");
+  CHECK(detail.at("ran") == "not_run");
+  CHECK(result.headers.contains("Retry-After"));
+}
+
+TEST_CASE("wrong settings of a sidecar end it with code 2 and the place", "[sidecar]") {
+  const std::string folder = makeScratchFolder();
+  writeText(folder + "/sidecar.toml", "name = \"s\"\nzone = \"z\"\nregion = \"r\"\nspeed = 3\n");
+  std::string output;
+  CHECK(runProgram("crankspur_sidecar", {"--settings=" + folder + "/sidecar.toml"}, output) == 2);
+  CHECK(runProgram("crankspur_sidecar", {"--settings=" + folder + "/absent.toml"}, output) == 2);
+  CHECK(runProgram("crankspur_sidecar", {}, output) == 2);
+}
--- a/tools/load/measure.sh
+++ b/tools/load/measure.sh
@@ -16,7 +16,7 @@
   start "engine-$number" standin_engine --name="engine-$number" --models=bench-chat:w1 \
     --prefill_tokens_per_second=100000000 --prefill_chunk_tokens=100000 --prefill_chunk_base_ms=0 \
     --decode_step_ms=1 --decode_step_per_request_ms=0 --decode_slowdown_while_prefilling=1 \
-    --batch_limit=4096 --cache_blocks=1000000 --queue_tokens=100000000 --queue_requests=100000
+    --batch_limit=64 --cache_blocks=1000000 --queue_tokens=100000000 --queue_requests=100000
   machine bench "engine-$number" engine bench z1 r1
 done
 start platform standin_platform --machines="$work/bench.machines.toml"
@@ -42,4 +42,10 @@
   [ "$engines" -eq 1 ] || { echo "added_time needs exactly one engine"; exit 2; }
   arguments+=(--added_time="127.0.0.1:$(port engine-1)")
 fi
-"$bin/crankspur_load" "${arguments[@]}"
+status=0
+"$bin/crankspur_load" "${arguments[@]}" || status=$?
+ticks=$(getconf CLK_TCK)
+for pid in "${pids[@]}"; do
+  awk -v ticks="$ticks" '{ printf "cpu %-20s %6.2f s\n", $2, ($14 + $15) / ticks }' "/proc/$pid/stat"
+done
+exit "$status"
