Make prompts and stream beginnings cheaper, and follow the linter

Cause: a profile of the sidecar under load showed a tenth of its time in the byte-wise copy of prompts; clang-tidy had findings in sidecar, caller and load. Change: prompts are copied by whole runs; headers and first text of a stream leave together; findings mended.

--- a/src/caller/chat_request.cc
+++ b/src/caller/chat_request.cc
@@ -148,10 +148,13 @@
 std::string canonicalMessage(std::string_view role, std::string_view content) {
   std::string text = fmt::format("<|{}|>\n", role);
   text.reserve(text.size() + content.size() + 1);
-  for (std::size_t index = 0; index < content.size(); ++index) {
-    text += content[index];
-    if (content[index] == '<' && index + 1 < content.size() && content[index + 1] == '|') text += ' ';
+  for (std::size_t marker = content.find("<|"); marker != std::string_view::npos;
+       marker = content.find("<|")) {
+    text += content.substr(0, marker);
+    text += "< ";
+    content.remove_prefix(marker + 1);
   }
+  text += content;
   text += '\n';
   return text;
 }
--- a/src/caller/chat_response.cc
+++ b/src/caller/chat_response.cc
@@ -1,5 +1,7 @@
 #include "caller/chat_response.h"
 
+#include <fmt/format.h>
+
 #include <boost/json.hpp>
 
 namespace crankspur {
@@ -80,7 +82,8 @@
     const ModelPolicy* model = bundle.findModel(name);
     if (model == nullptr) continue;
     entries.push_back(modelEntry(name));
-    for (const std::string& adapter : model->adapters) entries.push_back(modelEntry(name + ":" + adapter));
+    for (const std::string& adapter : model->adapters)
+      entries.push_back(modelEntry(fmt::format("{}:{}", name, adapter)));
   }
   return json::serialize(json::object{{"object", "list"}, {"data", std::move(entries)}});
 }
--- a/src/sidecar/caller_exchange.cc
+++ b/src/sidecar/caller_exchange.cc
@@ -8,7 +8,7 @@
 
 namespace crankspur {
 
-CallerExchange::CallerExchange(boost::asio::any_io_executor executor, ExchangeHost& host,
+CallerExchange::CallerExchange(const boost::asio::any_io_executor& executor, ExchangeHost& host,
                                std::string request_id, AnswerForm form,
                                std::shared_ptr<http::ResponseWriter> writer, std::size_t slow_caller_bytes)
     : timer_(executor),
@@ -96,8 +96,9 @@
     text_ += action.text;
     return;
   }
-  beginStream();
-  writer_->write(textChunk(identity(), action.text));
+  std::string chunk = beginStream();
+  chunk += textChunk(identity(), action.text);
+  writer_->write(std::move(chunk));
   if (writer_->queuedBytes() > slow_caller_bytes_) {
     writer_->abort();
     dropCaller(ErrorCode::TooLarge, "the caller reads too slowly");
@@ -112,8 +113,8 @@
   outcome.answer_tokens = end.token_count;
   const TokenUsage usage{end.prompt_tokens, end.token_count, end.cached_tokens};
   if (form_.kind == AnswerForm::Kind::Stream) {
-    beginStream();
-    std::string last = finishChunk(identity(), end.finish_reason);
+    std::string last = beginStream();
+    last += finishChunk(identity(), end.finish_reason);
     if (form_.include_usage) last += usageChunk(identity(), usage);
     last += kDoneEvent;
     writer_->write(std::move(last));
@@ -148,13 +149,13 @@
   finish(std::move(outcome));
 }
 
-void CallerExchange::beginStream() {
-  if (stream_begun_) return;
+std::string CallerExchange::beginStream() {
+  if (stream_begun_) return {};
   stream_begun_ = true;
   http::Headers headers = answerHeaders("text/event-stream");
   headers["Cache-Control"] = "no-cache";
   writer_->begin(200, std::move(headers));
-  writer_->write(roleChunk(identity()));
+  return roleChunk(identity());
 }
 
 void CallerExchange::dropCaller(ErrorCode code, const std::string& message) {
--- a/src/sidecar/caller_exchange.h
+++ b/src/sidecar/caller_exchange.h
@@ -56,7 +56,7 @@
 class CallerExchange : public std::enable_shared_from_this<CallerExchange> {
 public:
   /// @param slow_caller_bytes unread bytes after which the caller is dropped.
-  CallerExchange(boost::asio::any_io_executor executor, ExchangeHost& host, std::string request_id,
+  CallerExchange(const boost::asio::any_io_executor& executor, ExchangeHost& host, std::string request_id,
                  AnswerForm form, std::shared_ptr<http::ResponseWriter> writer,
                  std::size_t slow_caller_bytes);
   /// Begins. `selector` must outlive the exchange.
@@ -74,7 +74,8 @@
   void performError(const Refusal& refusal);
   void pump();
   void armTimer();
-  void beginStream();
+  /// Sends the headers, once. @return the chunk that must come first; empty when the stream had begun.
+  std::string beginStream();
   void dropCaller(ErrorCode code, const std::string& message);
   void finish(ExchangeOutcome outcome);
   void releaseRouter();
--- a/src/sidecar/caller_request.cc
+++ b/src/sidecar/caller_request.cc
@@ -98,7 +98,7 @@
     std::vector<AnswerChunk> chunks;
     const bool fits = answer_.add(piece.offset, piece.token_count, piece.text, chunks);
     for (AnswerChunk& chunk : chunks) {
-      actions_.push_back(DeliverText{chunk.offset, chunk.token_count, std::move(chunk.text)});
+      actions_.emplace_back(DeliverText{chunk.offset, chunk.token_count, std::move(chunk.text)});
     }
     if (!fits) abandonBrokenAttempt("a piece does not fit the answer", now);
   }
@@ -109,7 +109,7 @@
       case EndCheck::Complete:
         router_.clear();
         finished_ = true;
-        actions_.push_back(DeliverEnd{end});
+        actions_.emplace_back(DeliverEnd{end});
         return;
       case EndCheck::Missing:
         abandonBrokenAttempt("the answer ended with a part missing", now);
@@ -210,7 +210,7 @@
     ++request_.attempt;
     request_.deadline = std::chrono::duration_cast<Duration>(deadline_ - now);
     fillResumption();
-    actions_.push_back(SubmitToRouter{router_, request_});
+    actions_.emplace_back(SubmitToRouter{router_, request_});
   }
 
   /// The request got somewhere: waits for a router are counted afresh.
@@ -296,7 +296,7 @@
 
   void cancelCurrent() {
     if (router_.empty()) return;
-    actions_.push_back(CancelAtRouter{router_, {request_.request_id, request_.attempt}});
+    actions_.emplace_back(CancelAtRouter{router_, {request_.request_id, request_.attempt}});
     recordRunState(RunState::Unknown);
     router_.clear();
   }
@@ -320,7 +320,7 @@
     if (refusal.retry_after <= Duration::zero() && mayComeBack(code)) {
       refusal.retry_after = kDefaultRetryAfter;
     }
-    actions_.push_back(DeliverError{std::move(refusal)});
+    actions_.emplace_back(DeliverError{std::move(refusal)});
   }
 
   SubmitRequest request_;  ///< The attempt submitted last; `attempt` is 0 before the first.
--- a/src/sidecar/caller_service.cc
+++ b/src/sidecar/caller_service.cc
@@ -53,7 +53,7 @@
 CallerService::CallerService(boost::asio::any_io_executor executor, const SidecarSettings& settings,
                              std::uint64_t incarnation, EventLog& log, SidecarMetrics& metrics,
                              std::function<void(BundleBody)> on_bundle_body)
-    : executor_(executor),
+    : executor_(std::move(executor)),
       settings_(settings),
       incarnation_(incarnation),
       log_(log),
@@ -84,7 +84,7 @@
   std::error_code error;
   server_ = http::listen(
       executor_, settings_.listen,
-      [this](http::Request request, std::shared_ptr<http::ResponseWriter> writer) {
+      [this](const http::Request& request, const std::shared_ptr<http::ResponseWriter>& writer) {
         onRequest(request, writer);
       },
       error, limits);
--- a/src/sidecar/router_discovery.cc
+++ b/src/sidecar/router_discovery.cc
@@ -4,7 +4,7 @@
 
 namespace crankspur {
 
-RouterDiscovery::RouterDiscovery(boost::asio::any_io_executor executor, const std::string& address,
+RouterDiscovery::RouterDiscovery(const boost::asio::any_io_executor& executor, const std::string& address,
                                  Duration interval, std::uint64_t random_seed, EventLog& log, Handler handler)
     : timer_(executor),
       interval_(interval),
--- a/src/sidecar/router_discovery.h
+++ b/src/sidecar/router_discovery.h
@@ -21,7 +21,7 @@
 public:
   using Handler = std::function<void(std::vector<MemberRecord>)>;
   /// @param interval mean time between two reads; each wait is drawn around it.
-  RouterDiscovery(boost::asio::any_io_executor executor, const std::string& address, Duration interval,
+  RouterDiscovery(const boost::asio::any_io_executor& executor, const std::string& address, Duration interval,
                   std::uint64_t random_seed, EventLog& log, Handler handler);
   /// Reads now and from then on.
   void start();
--- a/src/sidecar/router_links.cc
+++ b/src/sidecar/router_links.cc
@@ -16,7 +16,7 @@
   std::uint64_t ping_sequence = 0;
 };
 
-RouterLinks::RouterLinks(boost::asio::any_io_executor executor, RouterDirectory& directory,
+RouterLinks::RouterLinks(const boost::asio::any_io_executor& executor, RouterDirectory& directory,
                          std::function<Hello()> hello, Callbacks callbacks, EventLog& log,
                          RouterLinkOptions options)
     : executor_(executor),
--- a/src/sidecar/router_links.h
+++ b/src/sidecar/router_links.h
@@ -47,8 +47,9 @@
   };
 
   /// @param hello makes the Hello to send, with current values.
-  RouterLinks(boost::asio::any_io_executor executor, RouterDirectory& directory, std::function<Hello()> hello,
-              Callbacks callbacks, EventLog& log, RouterLinkOptions options = {});
+  RouterLinks(const boost::asio::any_io_executor& executor, RouterDirectory& directory,
+              std::function<Hello()> hello, Callbacks callbacks, EventLog& log,
+              RouterLinkOptions options = {});
   ~RouterLinks();
   /// Begins to connect.
   void start();
--- a/src/sidecar/router_selector.cc
+++ b/src/sidecar/router_selector.cc
@@ -74,6 +74,7 @@
   const std::array<std::uint32_t, 3> bounds = {bound(Distance::OwnZone), bound(Distance::OwnRegion),
                                                bound(Distance::OtherRegion)};
   std::vector<Ranked> ranked;
+  ranked.reserve(routers_.size());
   for (const RouterCandidate& router : routers_) {
     const Distance distance = distanceOf(router);
     const bool over_bound = inFlight(router.name) + 1 > bounds[static_cast<std::size_t>(distance)];
@@ -84,6 +85,7 @@
            std::tie(right.distance, right.over_bound, left.score, right.name);
   });
   std::vector<std::string> names;
+  names.reserve(ranked.size());
   for (Ranked& entry : ranked) names.push_back(std::move(entry.name));
   return names;
 }
--- a/src/sidecar/sidecar_settings.cc
+++ b/src/sidecar/sidecar_settings.cc
@@ -4,7 +4,7 @@
 
 namespace {
 
-constexpr std::int64_t kMegabyte = 1024 * 1024;
+constexpr std::int64_t kMegabyte = std::int64_t{1} << 20U;
 
 void readLog(TomlTable& root, SidecarSettings& settings) {
   const std::string format = root.getString("log_format", "key_value");
--- a/tools/load/load_run.cc
+++ b/tools/load/load_run.cc
@@ -99,6 +99,7 @@
     workers.push_back(std::make_unique<LoadThread>(bundle, options, index, start));
   }
   std::vector<std::thread> threads;
+  threads.reserve(workers.size());
   for (const auto& worker : workers) threads.emplace_back([&worker] { worker->run(); });
   for (std::thread& thread : threads) thread.join();
   LoadRunResult result;
