Show status and explain at the end of the demo

Cause: the demo should show what operators see, not only callers. Change: the demo prints crankspurctl status of a site and explains its last request; a slow caller may leave 1 MB unread, not 4.

--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -27,7 +27,7 @@
   Duration default_deadline = std::chrono::seconds(60);
   Duration machine_list_interval = std::chrono::seconds(10);
   std::size_t max_requests = 4096;                        ///< Requests in flight; further ones are refused.
-  std::size_t slow_caller_bytes = std::size_t{4} << 20U;  ///< Unread bytes after which a caller is dropped.
+  std::size_t slow_caller_bytes = std::size_t{1} << 20U;  ///< Unread bytes after which a caller is dropped.
   std::size_t request_bytes = std::size_t{4} << 20U;      ///< Longest request body.
   std::size_t connections = 4096;
 };
--- a/tools/demo/demo_requests.py
+++ b/tools/demo/demo_requests.py
@@ -13,6 +13,8 @@
 CATALOGUE = "Parts catalogue 2026, section A: cleats, fairleads, rudder bearings, keel bolts, sheaves. "
 POLICY = "Park policy for Tallow Creek: pets on a leash, fires in rings only, hookups at pads 1 to 40. "
 
+last_request_id = None  # Of the newest answer, for `crankspurctl explain`.
+
 
 def connect(address):
     host, port = address.rsplit(":", 1)
@@ -57,6 +59,8 @@
     if response.status != 200:
         print(f"  {model}: status {response.status}: {response.read().decode()}")
         return False
+    global last_request_id
+    last_request_id = response.getheader("x-crankspur-request-id")
     text, usage, whole = read_stream(response)
     cached = usage.get("prompt_tokens_details", {}).get("cached_tokens", 0)
     prompt = usage.get("prompt_tokens", 0)
@@ -136,11 +140,14 @@
     parser.add_argument("--parts-desk", required=True, help="IP:port of the sidecar")
     parser.add_argument("--tallow-creek", required=True, help="IP:port of the sidecar")
     parser.add_argument("--runners", required=True, help="IP:port,... of the parts desk's application runners")
+    parser.add_argument("--id-file", required=True, help="file that gets the id of the last chat request")
     arguments = parser.parse_args()
     print(" parts desk:")
     good = parts_desk(arguments.parts_desk, arguments.runners.split(","))
     print(" Tallow Creek:")
     good = tallow_creek(arguments.tallow_creek) and good
+    with open(arguments.id_file, "w", encoding="ascii") as file:
+        file.write(last_request_id or "")
     sys.exit(0 if good else 1)
 
 
--- a/tools/demo/run_demo.sh
+++ b/tools/demo/run_demo.sh
@@ -45,5 +45,10 @@
 echo "== requests"
 python3 tools/demo/demo_requests.py --parts-desk="127.0.0.1:$(port sidecar-parts_desk)" \
   --runners="127.0.0.1:$(port runner-recife),127.0.0.1:$(port runner-natal),127.0.0.1:$(port runner-fortaleza)" \
-  --tallow-creek="127.0.0.1:$(port sidecar-tallow_creek)"
+  --tallow-creek="127.0.0.1:$(port sidecar-tallow_creek)" --id-file="$work/last_id"
+echo "== what operators see of Tallow Creek, and why the last request ran where it did"
+admins=()
+for zone in pumphouse annex dam-office; do admins+=("127.0.0.1:$(admin_port "router-$zone")"); done
+"$bin/crankspurctl" status --nodes="$(join "${admins[@]}" "127.0.0.1:$(admin_port sidecar-tallow_creek)")"
+"$bin/crankspurctl" explain "$(cat "$work/last_id")" --routers="$(join "${admins[@]}")"
 echo "== done: every answer was complete"
