--- /dev/null
+++ b/tests/unit/standin_engine_server/engine_client_test.cc
@@ -0,0 +1,182 @@
+#include "engine/engine_client.h"
+
+#include <catch2/catch.hpp>
+
+#include "engine_fixture.h"
+
+namespace crankspur::standin {
+namespace {
+
+TEST_CASE("a completion streams the expected answer", "[engine]") {
+  EngineFixture fixture;
+  const DispatchCompletion dispatch = fixture.dispatch("r1");
+  Told told;
+  const auto stream = fixture.client->complete(dispatch, told.handler());
+  fixture.runUntil([&] { return told.over(); });
+  const ExpectedAnswer expected = expectedAnswer("small", "w1", "", dispatch.request.prompt, 20);
+  CHECK(told.text == expected.text);
+  CHECK(std::get<BackendAccepted>(told.events.front()).incarnation == fixture.model.incarnation());
+  CHECK(std::get<BackendEnd>(told.events.back()).checksum == expected.checksum);
+}
+
+TEST_CASE("refusals say not run, unknown requests do not", "[engine]") {
+  EngineFixture fixture;
+  DispatchCompletion dispatch = fixture.dispatch("r1");
+  dispatch.expected_incarnation = 1;
+  Told refused;
+  const auto stream = fixture.client->complete(dispatch, refused.handler());
+  fixture.runUntil([&] { return refused.over(); });
+  CHECK(std::get<BackendRefused>(refused.events.at(0)).code == ErrorCode::IncarnationMismatch);
+  Told unknown;
+  const auto resumed = fixture.client->resume(fixture.address(), {"r9", 1, 0, 0}, unknown.handler());
+  fixture.runUntil([&] { return unknown.over(); });
+  CHECK(std::get<BackendLost>(unknown.events.at(0)).bytes_sent);
+}
+
+TEST_CASE("an overloaded engine tells when to come back", "[engine]") {
+  EngineTimings timings;
+  timings.queue_tokens = 0;
+  EngineFixture fixture(timings);
+  Told first, second, third;
+  const auto a = fixture.client->complete(fixture.dispatch("r1", 1000), first.handler());
+  const auto b = fixture.client->complete(fixture.dispatch("r2", 1000), second.handler());
+  const auto c = fixture.client->complete(fixture.dispatch("r3", 1000), third.handler());
+  const auto refused = [](const Told& told) {
+    return !told.events.empty() && std::holds_alternative<BackendRefused>(told.events[0]);
+  };
+  fixture.runUntil([&] { return refused(first) || refused(second) || refused(third); });
+  for (const Told* told : {&first, &second, &third}) {
+    if (!refused(*told)) continue;
+    CHECK(std::get<BackendRefused>(told->events[0]).code == ErrorCode::Overloaded);
+    CHECK(std::get<BackendRefused>(told->events[0]).retry_after > Duration{0});
+  }
+}
+
+TEST_CASE("a failed connect is lost without bytes sent", "[engine]") {
+  EngineFixture fixture;
+  DispatchCompletion dispatch = fixture.dispatch("r1");
+  dispatch.address = "127.0.0.1:1";
+  Told told;
+  const auto stream = fixture.client->complete(dispatch, told.handler());
+  fixture.runUntil([&] { return told.over(); });
+  CHECK_FALSE(std::get<BackendLost>(told.events.at(0)).bytes_sent);
+}
+
+TEST_CASE("a crash in mid-stream is a loss with bytes sent", "[engine]") {
+  EngineFixture fixture;
+  Told told;
+  const auto stream = fixture.client->complete(fixture.dispatch("r1", 4000), told.handler());
+  fixture.runUntil([&] { return told.events.size() > 5; });
+  bool controlled = false;
+  http::Request request;
+  request.method = "POST";
+  request.target = "/control";
+  request.body = R"({"action":"crash"})";
+  http::ExchangeCallbacks callbacks;
+  callbacks.on_done = [&](std::error_code, http::SendState, const http::Response&) { controlled = true; };
+  fixture.http_client->start(fixture.address(), request, callbacks);
+  fixture.runUntil([&] { return told.over() && controlled; });
+  CHECK(std::get<BackendLost>(told.events.back()).bytes_sent);
+  CHECK(fixture.model.records().back().outcome == RunOutcome::Crashed);
+}
+
+TEST_CASE("a closed stream is quiet, goes on at the engine and is resumed", "[engine]") {
+  EngineFixture fixture;
+  const DispatchCompletion dispatch = fixture.dispatch("r1", 100);
+  Told first;
+  auto stream = fixture.client->complete(dispatch, first.handler());
+  fixture.runUntil([&] { return first.events.size() > 3; });
+  stream.reset();
+  const std::size_t events = first.events.size();
+  const std::string got = first.text;
+  Told second;
+  const auto resumed = fixture.client->resume(
+      fixture.address(), {"r1", 2, fixture.model.incarnation(), got.size() / kBytesPerToken},
+      second.handler());
+  fixture.runUntil([&] { return second.over(); });
+  CHECK(first.events.size() == events);
+  CHECK(got + second.text == expectedAnswer("small", "w1", "", dispatch.request.prompt, 100).text);
+}
+
+TEST_CASE("a cancel ends the run at the engine", "[engine]") {
+  EngineFixture fixture;
+  Told told;
+  const auto stream = fixture.client->complete(fixture.dispatch("r1", 4000), told.handler());
+  fixture.runUntil([&] { return told.events.size() > 2; });
+  fixture.client->cancel(fixture.address(), "r1", 1);
+  fixture.runUntil([&] { return fixture.model.inFlight() == 0; });
+  CHECK(fixture.model.records().back().outcome == RunOutcome::Cancelled);
+}
+
+TEST_CASE("description, load, digest and orders are told in typed form", "[engine]") {
+  EngineFixture fixture;
+  int answers = 0;
+  fixture.client->fetchInfo(fixture.address(), [&](std::error_code error, const EngineDescription& info) {
+    CHECK_FALSE(error);
+    CHECK(info.incarnation == fixture.model.incarnation());
+    CHECK(info.models.at(0).adapters == std::vector<std::string>{"holiday"});
+    ++answers;
+  });
+  fixture.client->fetchLoad(fixture.address(), [&](std::error_code error, const EngineLoadAnswer& load) {
+    CHECK_FALSE(error);
+    CHECK(load.report.batch_limit == 32);
+    ++answers;
+  });
+  fixture.runUntil([&] { return answers == 2; });
+  std::vector<std::error_code> digests;
+  const auto on_digest = [&](std::error_code error, const CacheDigestAnswer& answer) {
+    if (error) CHECK(answer.retry_after > Duration{0});
+    digests.push_back(error);
+  };
+  fixture.client->fetchDigest(fixture.address(), on_digest);
+  fixture.runUntil([&] { return digests.size() == 1; });
+  fixture.client->fetchDigest(fixture.address(), on_digest);
+  fixture.runUntil([&] { return digests.size() == 2; });
+  CHECK_FALSE(digests[0]);
+  CHECK(digests[1] == ErrorCode::RateLimited);
+  std::vector<std::error_code> orders;
+  EngineOrderCall order;
+  order.kind = EngineOrderKind::SetRole;
+  order.role = EngineRole::Decode;
+  for (const std::uint64_t token : {5, 4}) {
+    order.token = token;
+    fixture.client->sendOrder(fixture.address(), order,
+                              [&](std::error_code error) { orders.push_back(error); });
+    fixture.runUntil([&] { return orders.size() == 6 - token; });
+  }
+  CHECK_FALSE(orders[0]);
+  CHECK(orders[1] == ErrorCode::Stale);
+  CHECK(fixture.model.info().role == ServingRole::Decode);
+}
+
+TEST_CASE("a long poll returns cache events once they are visible", "[engine]") {
+  EngineFixture fixture;
+  CacheEventsAnswer events;
+  bool answered = false;
+  fixture.client->pollCacheEvents(fixture.address(), 0, std::chrono::seconds(10),
+                                  [&](std::error_code error, const CacheEventsAnswer& answer) {
+                                    CHECK_FALSE(error);
+                                    events = answer;
+                                    answered = true;
+                                  });
+  Told told;
+  const auto stream = fixture.client->complete(fixture.dispatch("r1"), told.handler());
+  fixture.runUntil([&] { return answered; });
+  REQUIRE_FALSE(events.events.empty());
+  CHECK(events.events[0].sequence == 1);
+  CHECK_FALSE(events.events[0].stored.empty());
+}
+
+TEST_CASE("a leaving server finishes its streams", "[engine]") {
+  EngineFixture fixture;
+  Told told;
+  const auto stream = fixture.client->complete(fixture.dispatch("r1", 30), told.handler());
+  fixture.runUntil([&] { return told.events.size() > 1; });
+  bool idle = false;
+  fixture.server.stop([&] { idle = true; });
+  fixture.runUntil([&] { return idle && told.over(); });
+  CHECK(std::holds_alternative<BackendEnd>(told.events.back()));
+}
+
+}  // namespace
+}  // namespace crankspur::standin
