Mend what the linter finds in the clients and stand-ins

Cause: clang-tidy named copies, widening products and comparisons it cannot read. Change: streams keep themselves alive while a handler runs; products are of std::size_t; orderings are written out.

--- a/src/app_runner/app_runner_client.cc
+++ b/src/app_runner/app_runner_client.cc
@@ -14,7 +14,7 @@
 constexpr int kOk = 200;
 
 /// Delivers the outcome of one call unless the caller closed it.
-class CallState {
+class CallState : public std::enable_shared_from_this<CallState> {
 public:
   explicit CallState(std::function<void(const BackendEvent&)> handler) : handler_(std::move(handler)) {}
 
@@ -27,6 +27,7 @@
   void setExchange(std::shared_ptr<http::Exchange> exchange) { exchange_ = std::move(exchange); }
 
   void onDone(std::error_code error, http::SendState state, const http::Response& response) {
+    const std::shared_ptr<CallState> kept = shared_from_this();  // The handler may let the call go.
     exchange_.reset();
     if (error) return deliver(BackendLost{state == http::SendState::SentUnknown});
     if (response.status != kOk) return deliver(failureOf(response));
@@ -89,8 +90,7 @@
     const auto state = std::make_shared<CallState>(std::move(handler));
     http::ExchangeCallbacks callbacks;
     callbacks.on_done = [state](std::error_code error, http::SendState sent, const http::Response& response) {
-      const std::shared_ptr<CallState> kept = state;
-      kept->onDone(error, sent, response);
+      state->onDone(error, sent, response);
     };
     state->setExchange(
         client_.start(dispatch.address, std::move(request), std::move(callbacks), exchangeOptions()));
--- a/src/app_runner/app_runner_client.h
+++ b/src/app_runner/app_runner_client.h
@@ -41,7 +41,7 @@
 struct AppRunnerClientOptions {
   Duration connect_timeout = std::chrono::seconds(1);
   Duration call_timeout = std::chrono::seconds(10);
-  std::size_t body_bytes = 4 * 1024 * 1024;
+  std::size_t body_bytes = std::size_t{4} * 1024 * 1024;
 };
 
 /// Calls application runners by address ("IP:port"). Not thread-safe.
--- a/src/engine/engine_client.cc
+++ b/src/engine/engine_client.cc
@@ -10,7 +10,7 @@
 
 constexpr int kOk = 200;
 constexpr int kTooManyRequests = 429;
-constexpr std::size_t kErrorBodyBytes = 64 * 1024;
+constexpr std::size_t kErrorBodyBytes = 65'536;
 
 http::Request postRequest(std::string target, std::string body) {
   http::Request request;
@@ -51,13 +51,9 @@
       self->status_ = status;
       self->retry_after_ = retryAfterOf(headers);
     };
-    callbacks.on_data = [self](std::string_view bytes) {
-      const std::shared_ptr<StreamState> kept = self;
-      kept->onData(bytes);
-    };
+    callbacks.on_data = [self](std::string_view bytes) { self->onData(bytes); };
     callbacks.on_done = [self](std::error_code error, http::SendState state, const http::Response&) {
-      const std::shared_ptr<StreamState> kept = self;
-      kept->onDone(error, state);
+      self->onDone(error, state);
     };
     return callbacks;
   }
@@ -72,6 +68,7 @@
 
 private:
   void onData(std::string_view bytes) {
+    const std::shared_ptr<StreamState> kept = shared_from_this();  // The handler may let the stream go.
     if (over_) return;
     if (status_ != kOk) {
       const std::size_t room = kErrorBodyBytes - error_body_.size();
@@ -85,6 +82,7 @@
   }
 
   void onDone(std::error_code error, http::SendState state) {
+    const std::shared_ptr<StreamState> kept = shared_from_this();
     exchange_.reset();
     if (over_) return;
     if (error) {
--- a/src/engine/engine_client.h
+++ b/src/engine/engine_client.h
@@ -35,8 +35,8 @@
   Duration connect_timeout = std::chrono::seconds(1);
   /// Time without a byte after which a completion is lost. Queueing at the engine counts.
   Duration stream_idle_timeout = std::chrono::seconds(10);
-  Duration call_timeout = std::chrono::seconds(2);  ///< Idle time of short calls.
-  std::size_t body_bytes = 4 * 1024 * 1024;         ///< Longest answer of a short call.
+  Duration call_timeout = std::chrono::seconds(2);        ///< Idle time of short calls.
+  std::size_t body_bytes = std::size_t{4} * 1024 * 1024;  ///< Longest answer of a short call.
 };
 
 /// Calls engines by address ("IP:port"). Not thread-safe: use from its executor's thread.
--- a/standins/app_runner/app_runner_model.h
+++ b/standins/app_runner/app_runner_model.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -61,7 +62,9 @@
 struct ExecutionKey {
   std::string tenant;
   std::string idempotency_key;
-  auto operator<=>(const ExecutionKey&) const = default;
+  bool operator<(const ExecutionKey& other) const {
+    return std::tie(tenant, idempotency_key) < std::tie(other.tenant, other.idempotency_key);
+  }
 };
 
 /// @return the result text of an operation: a function of the request's content alone.
--- a/standins/app_runner/app_runner_server.h
+++ b/standins/app_runner/app_runner_server.h
@@ -18,7 +18,7 @@
 /// A listening runner; everything runs on one executor thread.
 class AppRunnerServer {
 public:
-  AppRunnerServer(boost::asio::any_io_executor executor, AppRunnerModel& model, const Clock& clock)
+  AppRunnerServer(const boost::asio::any_io_executor& executor, AppRunnerModel& model, const Clock& clock)
       : executor_(executor), model_(model), clock_(clock), timer_(executor), idle_timer_(executor) {}
 
   /// Listens on "IP:port".
--- a/standins/engine/engine_model.h
+++ b/standins/engine/engine_model.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/random.h"
@@ -146,7 +147,9 @@
   struct Rank {
     std::uint32_t priority;
     std::uint64_t arrival;
-    auto operator<=>(const Rank&) const = default;
+    bool operator<(const Rank& other) const {
+      return std::tie(priority, arrival) < std::tie(other.priority, other.arrival);
+    }
   };
   static Rank rankOf(const Run& run) { return {run.request.priority, run.arrival}; }
 
--- a/standins/engine/engine_model_batch.cc
+++ b/standins/engine/engine_model_batch.cc
@@ -88,8 +88,8 @@
   importing_.emplace(run.arrival, &run);
   const std::uint32_t wanted = std::min(run.request.import_blocks, usableBlocks(run));
   const auto begin = run.blocks.begin();
-  outputs_.push_back(ImportQuery{run.request.request_id, run.request.attempt, run.request.import_from,
-                                 std::vector<BlockHash>(begin, begin + wanted)});
+  outputs_.emplace_back(ImportQuery{run.request.request_id, run.request.attempt, run.request.import_from,
+                                    std::vector<BlockHash>(begin, begin + wanted)});
 }
 
 void EngineModel::importAnswered(const std::string& request_id, std::uint32_t attempt, std::uint32_t held,
@@ -157,7 +157,7 @@
   prefilling_.erase(rankOf(run));
   run.phase = Phase::Decoding;
   run.decode_from = now;
-  if (options_.publish_blocks && !run.blocks.empty()) outputs_.push_back(BlocksComputed{run.blocks});
+  if (options_.publish_blocks && !run.blocks.empty()) outputs_.emplace_back(BlocksComputed{run.blocks});
   decoding_.emplace(rankOf(run), &run);
   produce(run, 1, now);
 }
--- a/standins/engine/engine_model_orders.cc
+++ b/standins/engine/engine_model_orders.cc
@@ -107,7 +107,7 @@
   cache_->dropModel(state.served.model);
   state.asked = true;
   state.ask_again_at.reset();
-  outputs_.push_back(WeightsQuery{state.served.model, state.wanted_weights});
+  outputs_.emplace_back(WeightsQuery{state.served.model, state.wanted_weights});
 }
 
 void EngineModel::advanceAdapters(TimePoint now) {
--- a/standins/engine/engine_model_requests.cc
+++ b/standins/engine/engine_model_requests.cc
@@ -156,7 +156,7 @@
 }
 
 void EngineModel::send(StreamId stream, StreamEvent event) {
-  outputs_.push_back(StreamOutput{stream, std::move(event)});
+  outputs_.emplace_back(StreamOutput{stream, std::move(event)});
 }
 
 void EngineModel::refuse(StreamId stream, StreamRefused refusal) {
--- a/standins/engine_server/engine_server.cc
+++ b/standins/engine_server/engine_server.cc
@@ -16,7 +16,7 @@
 constexpr int kNotFound = 404;
 constexpr std::size_t kStatsRecords = 1000;
 constexpr std::uint64_t kLongestWaitMilliseconds = 30'000;
-constexpr std::size_t kRequestBytes = 8 * 1024 * 1024;
+constexpr std::size_t kRequestBytes = std::size_t{8} * 1024 * 1024;
 const char* const kEmptyObject = "{}";
 
 http::Response badRequest(const std::string& message) {
@@ -39,8 +39,8 @@
 
 }  // namespace
 
-EngineServer::EngineServer(boost::asio::any_io_executor executor, EngineModel& model, const Clock& clock,
-                           EventLog& log, EngineServerOptions options)
+EngineServer::EngineServer(const boost::asio::any_io_executor& executor, EngineModel& model,
+                           const Clock& clock, EventLog& log, EngineServerOptions options)
     : executor_(executor),
       model_(model),
       clock_(clock),
--- a/standins/engine_server/engine_server.h
+++ b/standins/engine_server/engine_server.h
@@ -29,8 +29,8 @@
 /// A listening engine.
 class EngineServer {
 public:
-  EngineServer(boost::asio::any_io_executor executor, EngineModel& model, const Clock& clock, EventLog& log,
-               EngineServerOptions options);
+  EngineServer(const boost::asio::any_io_executor& executor, EngineModel& model, const Clock& clock,
+               EventLog& log, EngineServerOptions options);
 
   /// Listens on "IP:port".
   std::error_code start(const std::string& address);
--- a/standins/engine_server/engine_server_outputs.cc
+++ b/standins/engine_server/engine_server_outputs.cc
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr int kOk = 200;
-constexpr std::size_t kQueuedBytesLimit = 4 * 1024 * 1024;
+constexpr std::size_t kQueuedBytesLimit = std::size_t{4} * 1024 * 1024;
 constexpr Duration kIdleCheck = std::chrono::milliseconds(20);
 
 http::Request blocksRequest(const std::string& path, const std::vector<BlockHash>& blocks) {
--- a/standins/kv_store/kv_store_server.cc
+++ b/standins/kv_store/kv_store_server.cc
@@ -1,5 +1,7 @@
 #include "standins/kv_store/kv_store_server.h"
 
+#include <utility>
+
 #include "json/json_reader.h"
 
 namespace crankspur::standin {
@@ -34,7 +36,7 @@
 std::unique_ptr<http::Server> serveKvStore(boost::asio::any_io_executor executor, const std::string& address,
                                            KvStoreModel& model, std::error_code& error) {
   return http::listen(
-      executor, address,
+      std::move(executor), address,
       [&model](const http::Request& request, const std::shared_ptr<http::ResponseWriter>& writer) {
         writer->respond(answerKvStore(request, model));
       },
