--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -195,7 +195,7 @@
 }
 
 void ServerSession::deliver() {
-  timer_.cancel();
+  deadline_.reset();
   auto message = parser_->release();
   Request request;
   request.method = std::string(message.method_string());
@@ -340,7 +340,7 @@
   writing_.clear();
   written_ = 0;
   if (!pending_.empty()) return flush();
-  timer_.cancel();
+  deadline_.reset();
   if (phase_ == Phase::Flushing) onFlushed();
 }
 
@@ -369,11 +369,23 @@
   if (!watching_) watch();
 }
 
+/// Moves the deadline. The timer itself is armed again only when it would fire too late, since a deadline is
+/// moved with each chunk of a stream.
 void ServerSession::setTimer(Duration delay) {
-  timer_.expires_after(delay);
+  deadline_ = std::chrono::steady_clock::now() + delay;
+  if (!timer_armed_ || timer_.expiry() > *deadline_) armTimer();
+}
+
+void ServerSession::armTimer() {
+  timer_armed_ = true;
+  timer_.expires_at(*deadline_);
   timer_.async_wait([self = shared_from_this()](boost::system::error_code error) {
-    const bool due = !error && self->timer_.expiry() <= std::chrono::steady_clock::now();
-    if (due) self->onTimer();
+    if (error) return;
+    self->timer_armed_ = false;
+    if (!self->deadline_) return;
+    if (std::chrono::steady_clock::now() < *self->deadline_) return self->armTimer();
+    self->deadline_.reset();
+    self->onTimer();
   });
 }
 
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -80,11 +80,14 @@
   void clientGone();
   void drain();
   void setTimer(Duration delay);
+  void armTimer();
   void onTimer();
   void releaseRequest();
 
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
+  bool timer_armed_ = false;
+  std::optional<std::chrono::steady_clock::time_point> deadline_;
   std::shared_ptr<ServerState> state_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
--- /dev/null
+++ b/tests/fuzz/http_server_fuzzer.cc
@@ -0,0 +1,58 @@
+/// @file Fuzz target of the HTTP server: any bytes of a client end in an answer or a closed connection.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+
+#include "fuzz_input.h"
+#include "http/server.h"
+
+using namespace crankspur;
+namespace asio = boost::asio;
+
+namespace {
+
+void answer(const http::Request& request, const std::shared_ptr<http::ResponseWriter>& writer) {
+  if (request.path() != "/stream") return writer->respond({200, request.headers, request.query("value")});
+  writer->begin(200, request.headers);
+  writer->write(request.body);
+  writer->end();
+}
+
+/// One server that lives for the whole run.
+struct Fixture {
+  Fixture() {
+    std::error_code error;
+    http::ServerLimits limits;
+    limits.header_bytes = 1024;
+    limits.body_bytes = 1024;
+    server = http::listen(context.get_executor(), "127.0.0.1:0", &answer, error, limits);
+    fuzz::check(!error);
+  }
+  asio::io_context context{1};
+  std::unique_ptr<http::Server> server;
+};
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  static Fixture fixture;
+  asio::ip::tcp::socket socket(fixture.context);
+  socket.connect({asio::ip::address_v4::loopback(), fixture.server->port()});
+  boost::system::error_code ignored;
+  socket.non_blocking(true);
+  socket.write_some(asio::buffer(data, size), ignored);
+  socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  bool ended = false;
+  std::array<char, 4096> chunk{};
+  std::function<void()> read = [&] {
+    socket.async_read_some(asio::buffer(chunk), [&](boost::system::error_code error, std::size_t) {
+      ended = static_cast<bool>(error);
+      if (!ended) read();
+    });
+  };
+  read();
+  while (!ended) fixture.context.run_one();
+  fuzz::check(fixture.server->openRequests() == 0);
+  return 0;
+}
