Spread bundles between nodes as verified deltas

Change: BundleUpdate, a chain of deltas with the last version's signatures, answers a peer that holds a recent version; routers and sidecars decide by one object, BundleSharing. A useless update is followed by one request for the whole body; a refused whole body by a pause of 30 s. The bundle row has one codec: the router's own is gone, and a stored document that is not the row's is refused and logged.

--- a/proto/crankspur.pb.c
+++ b/proto/crankspur.pb.c
@@ -45,6 +45,12 @@
 PB_BIND(crankspur_wire_BundleBody, crankspur_wire_BundleBody, AUTO)
 
 
+PB_BIND(crankspur_wire_BundleStep, crankspur_wire_BundleStep, AUTO)
+
+
+PB_BIND(crankspur_wire_BundleUpdate, crankspur_wire_BundleUpdate, AUTO)
+
+
 PB_BIND(crankspur_wire_CacheSummary, crankspur_wire_CacheSummary, AUTO)
 
 
--- a/src/bundle/bundle_history.h
+++ b/src/bundle/bundle_history.h
@@ -11,20 +11,6 @@
 
 namespace crankspur {
 
-/// A delta between two versions.
-struct BundleStep {
-  std::uint64_t from_version = 0;
-  std::uint64_t to_version = 0;
-  std::string delta;  ///< As makeDocumentDelta() gives it.
-};
-
-/// A chain of steps to a signed body; each step begins at the version that the one before ends at.
-struct BundleUpdate {
-  std::vector<BundleStep> steps;
-  std::string author_signature;    ///< Of the last version.
-  std::string approver_signature;  ///< Of the last version.
-};
-
 /// The latest steps, bounded in bytes.
 class BundleHistory {
 public:
--- a/src/internal_protocol/field_mapping.h
+++ b/src/internal_protocol/field_mapping.h
@@ -28,6 +28,8 @@
 CRANKSPUR_WIRE_FORM(PingAck)
 CRANKSPUR_WIRE_FORM(BundleRequest)
 CRANKSPUR_WIRE_FORM(BundleBody)
+CRANKSPUR_WIRE_FORM(BundleStep)
+CRANKSPUR_WIRE_FORM(BundleUpdate)
 CRANKSPUR_WIRE_FORM(CacheSummary)
 CRANKSPUR_WIRE_FORM(EngineLoad)
 CRANKSPUR_WIRE_FORM(LoadDigest)
@@ -171,6 +173,20 @@
   archive.text(wire.approver_signature, plain.approver_signature);
 }
 
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_BundleStep& wire, Plain& plain) {
+  archive.number(wire.from_version, plain.from_version);
+  archive.number(wire.to_version, plain.to_version);
+  archive.text(wire.delta, plain.delta);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_BundleUpdate& wire, Plain& plain) {
+  archive.records(wire.steps, plain.steps);
+  archive.text(wire.author_signature, plain.author_signature);
+  archive.text(wire.approver_signature, plain.approver_signature);
+}
+
 template <typename Archive, typename Plain>
 void mapFields(Archive& archive, crankspur_wire_CacheSummary& wire, Plain& plain) {
   archive.text(wire.engine, plain.engine);
--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -167,6 +167,21 @@
   std::string approver_signature;  ///< Ed25519, base64.
 };
 
+/// A delta between two versions.
+struct BundleStep {
+  std::uint64_t from_version = 0;
+  std::uint64_t to_version = 0;
+  std::string delta;  ///< See bundle/bundle_delta.h.
+};
+
+/// Answer to a BundleRequest of a peer that holds a version from a short while ago: a chain of steps to a
+/// signed body; each step begins at the version that the one before ends at.
+struct BundleUpdate {
+  std::vector<BundleStep> steps;
+  std::string author_signature;    ///< Of the last version.
+  std::string approver_signature;  ///< Of the last version.
+};
+
 /// Blocks that more than one request shares, told by the owner of an engine's event stream.
 struct CacheSummary {
   std::string engine;
@@ -219,6 +234,6 @@
 /// Every message that a frame can carry.
 using Message = std::variant<Hello, SubmitRequest, Accepted, StreamPiece, StreamEnd, Refusal, Cancel, Ping,
                              PingAck, BundleRequest, BundleBody, CacheSummary, LoadDigest, ClaimPrepare,
-                             ClaimReply, ProtocolError>;
+                             ClaimReply, ProtocolError, BundleUpdate>;
 
 }  // namespace crankspur
--- a/src/router_peer/peer_front.cc
+++ b/src/router_peer/peer_front.cc
@@ -120,6 +120,8 @@
   } else if (auto* body = std::get_if<BundleBody>(&message)) {
     if (pulling_from_ == peer.id) pulling_from_ = 0;
     if (body->version > heldVersion()) callbacks_.on_bundle(std::move(*body));
+  } else if (const auto* update = std::get_if<BundleUpdate>(&message)) {
+    takeBundleUpdate(peer, *update);
   } else if (peer.role != NodeRole::Router) {
     return;
   } else if (auto* digest = std::get_if<LoadDigest>(&message)) {
@@ -153,7 +155,7 @@
 }
 
 void PeerFront::setBundle(std::shared_ptr<const SignedBundle> bundle) {
-  bundle_ = std::move(bundle);
+  bundles_.setBundle(std::move(bundle));
   for (const auto& [id, peer] : peers_) {
     if (peer->greeted && peer->role == NodeRole::Sidecar) tellSidecar(*peer, 0);
   }
@@ -186,19 +188,28 @@
 }
 
 void PeerFront::answerBundleRequest(Peer& peer, const BundleRequest& request) {
-  if (bundle_ && bundle_->body.version > request.held_version) peer.connection->send(bundle_->body);
+  if (const std::optional<Message> answer = bundles_.answer(request)) peer.connection->send(*answer);
+}
+
+void PeerFront::takeBundleUpdate(Peer& peer, const BundleUpdate& update) {
+  std::optional<BundleBody> body = bundles_.take(update);
+  if (!body && bundles_.needsWholeBody()) {
+    peer.connection->send(bundles_.request());
+    return;
+  }
+  if (pulling_from_ == peer.id) pulling_from_ = 0;
+  if (body) callbacks_.on_bundle(std::move(*body));
 }
 
 void PeerFront::pullIfNewer(Peer& peer, std::uint64_t version) {
-  const std::uint64_t held = heldVersion();
-  if (version <= held) return;
   const TimePoint now = clock_.now();
+  if (!bundles_.wants(version, now)) return;
   const bool pulling = pulling_from_ != 0 && now < pull_ends_ && version <= pulling_version_;
   if (pulling) return;
   pulling_from_ = peer.id;
   pulling_version_ = version;
   pull_ends_ = now + kPullTimeout;
-  peer.connection->send(BundleRequest{held});
+  peer.connection->send(bundles_.request());
 }
 
 void PeerFront::closeIdle() {
--- a/src/router_peer/peer_front.h
+++ b/src/router_peer/peer_front.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "bundle/bundle.h"
+#include "bundle/bundle_sharing.h"
 #include "internal_protocol/connection.h"
 #include "router/request_router.h"
 
@@ -60,6 +60,8 @@
   void sendToRouter(const std::string& address, const Message& message);
   /// Sets the bundle that requests are answered with, and tells its version to sidecars at once.
   void setBundle(std::shared_ptr<const SignedBundle> bundle);
+  /// A bundle that came from peers or the platform did not verify.
+  void onBundleRefused(std::uint64_t version) { bundles_.onRefused(version, clock_.now()); }
   /// Sets the routers that sidecars hear of.
   void setRouters(std::vector<MemberRecord> routers) { routers_ = std::move(routers); }
   /// Tells every sidecar that this router is leaving. Later connections hear it at once too.
@@ -78,11 +80,12 @@
   void onControlMessage(Peer& peer, Message message);
   void answerSidecarPing(Peer& peer, const Ping& ping);
   void answerBundleRequest(Peer& peer, const BundleRequest& request);
+  void takeBundleUpdate(Peer& peer, const BundleUpdate& update);
   void pullIfNewer(Peer& peer, std::uint64_t version);
   void tellSidecar(Peer& peer, std::uint64_t sequence);
   std::shared_ptr<Peer> connectTo(const std::string& address);
   void closeIdle();
-  std::uint64_t heldVersion() const { return bundle_ ? bundle_->body.version : 0; }
+  std::uint64_t heldVersion() const { return bundles_.version(); }
 
   boost::asio::any_io_executor executor_;
   boost::asio::steady_timer idle_timer_;
@@ -93,7 +96,7 @@
   std::uint64_t next_id_ = 1;
   std::map<std::uint64_t, std::shared_ptr<Peer>> peers_;
   std::map<std::string, std::shared_ptr<Peer>> routers_by_address_;
-  std::shared_ptr<const SignedBundle> bundle_;
+  BundleSharing bundles_;
   std::uint64_t pulling_version_ = 0;
   std::uint64_t pulling_from_ = 0;
   TimePoint pull_ends_{};
--- a/src/router_process/control_thread.cc
+++ b/src/router_process/control_thread.cc
@@ -123,6 +123,7 @@
   if (error) {
     metrics_.bundles_refused.Increment();
     log_.write(EventId::RouterBundleRefused, {{"version", body.version}, {"reason", error.message()}});
+    front_.thread.post([this, version = body.version] { front_.front->onBundleRefused(version); });
     return;
   }
   metrics_.bundles_taken.Increment();
--- a/src/router_process/platform_watcher.h
+++ b/src/router_process/platform_watcher.h
@@ -10,6 +10,7 @@
 
 #include "base/event_log.h"
 #include "base/random.h"
+#include "bundle/bundle_row.h"
 #include "http/client.h"
 #include "internal_protocol/messages.h"
 #include "machine_list/machine_list_client.h"
@@ -48,7 +49,7 @@
   void fetchMachines();
   void fetchBundleRow();
   void onBundleRow(const TableRow& row);
-  void fetchDocument(BundleBody body, const std::string& key);
+  void fetchDocument(const BundleRow& row);
   Duration pause(Duration interval);
   void noteReachable(bool reachable);
 
--- a/src/sidecar/caller_service.cc
+++ b/src/sidecar/caller_service.cc
@@ -73,8 +73,11 @@
     onRouterMessage(router, std::move(message));
   };
   callbacks.on_bundle_version = [this](const std::string& router, std::uint64_t version) {
-    const std::uint64_t held = bundle_ ? bundle_->body.version : 0;
-    if (bundles_.onVersion(router, version, held, clock_.now())) links_->send(router, BundleRequest{held});
+    const TimePoint now = clock_.now();
+    if (!sharing_.wants(version, now)) return;
+    if (bundles_.onVersion(router, version, sharing_.version(), now)) {
+      links_->send(router, sharing_.request());
+    }
   };
   links_ = std::make_unique<RouterLinks>(
       executor_, directory_, [this] { return hello(); }, std::move(callbacks), log_);
@@ -107,6 +110,7 @@
   const bool newer = bundle != nullptr && (!bundle_ || bundle->body.version > bundle_->body.version);
   if (!newer) return;
   bundle_ = std::move(bundle);
+  sharing_.setBundle(bundle_);
   metrics_.setBundleVersion(bundle_->body.version);
 }
 
@@ -227,8 +231,7 @@
 
 void CallerService::onRouterMessage(const std::string& router, Message message) {
   if (const auto* wanted = std::get_if<BundleRequest>(&message)) {
-    const bool newer = bundle_ && bundle_->body.version > wanted->held_version;
-    if (newer) links_->send(router, bundle_->body);
+    if (const std::optional<Message> answer = sharing_.answer(*wanted)) links_->send(router, *answer);
     return;
   }
   if (auto* body = std::get_if<BundleBody>(&message)) {
@@ -236,6 +239,10 @@
     on_bundle_body_(std::move(*body));
     return;
   }
+  if (const auto* update = std::get_if<BundleUpdate>(&message)) {
+    takeBundleUpdate(router, *update);
+    return;
+  }
   // Answers to requests that ended are expected: a caller gave up, or another attempt was faster.
   const auto found = exchanges_.find(requestIdOf(message));
   if (found == exchanges_.end()) return;
@@ -243,6 +250,16 @@
   exchange->onMessage(message);
 }
 
+void CallerService::takeBundleUpdate(const std::string& router, const BundleUpdate& update) {
+  std::optional<BundleBody> body = sharing_.take(update);
+  if (!body && sharing_.needsWholeBody()) {
+    links_->send(router, sharing_.request());
+    return;
+  }
+  bundles_.onBody();
+  if (body) on_bundle_body_(std::move(*body));
+}
+
 void CallerService::onRouterLost(const std::string& router) {
   bundles_.onRouterLost(router);
   // A copy, because exchanges may end and leave the map meanwhile.
--- a/src/sidecar/caller_service.h
+++ b/src/sidecar/caller_service.h
@@ -12,7 +12,7 @@
 
 #include "base/event_log.h"
 #include "base/random.h"
-#include "bundle/bundle.h"
+#include "bundle/bundle_sharing.h"
 #include "caller/request_headers.h"
 #include "http/server.h"
 #include "sidecar/bundle_exchange.h"
@@ -46,6 +46,8 @@
   std::uint16_t port() const { return server_->port(); }
   /// Puts a verified bundle in force.
   void setBundle(std::shared_ptr<const SignedBundle> bundle);
+  /// A bundle that came from a router did not verify.
+  void onBundleRefused(std::uint64_t version) { sharing_.onRefused(version, clock_.now()); }
   /// Takes routers from the machine list.
   void learnRouters(const std::vector<MemberRecord>& records);
   /// Takes no new work; `on_drained` is called once nothing is in flight.
@@ -69,6 +71,7 @@
                      const std::shared_ptr<http::ResponseWriter>& writer);
   void refuse(const CallerError& error, const std::shared_ptr<http::ResponseWriter>& writer);
   void onRouterMessage(const std::string& router, Message message);
+  void takeBundleUpdate(const std::string& router, const BundleUpdate& update);
   void onRouterLost(const std::string& router);
   void onRoutersChanged();
   void finishDrain();
@@ -93,6 +96,7 @@
   BundleExchange bundles_;
   std::unique_ptr<http::Server> server_;
   std::shared_ptr<const SignedBundle> bundle_;
+  BundleSharing sharing_;
   absl::flat_hash_map<std::string, std::shared_ptr<CallerExchange>> exchanges_;
   std::uint64_t next_request_ = 0;
   bool stopping_ = false;
--- a/src/sidecar/sidecar_process.cc
+++ b/src/sidecar/sidecar_process.cc
@@ -150,6 +150,7 @@
       asio::post(traffic_, [this, bundle = holder_.current()] { service_.setBundle(bundle); });
     } else if (error != make_error_code(ErrorCode::Stale)) {
       log_.write(EventId::SidecarBundleRefused, {{"version", body.version}, {"reason", error.message()}});
+      asio::post(traffic_, [this, version = body.version] { service_.onBundleRefused(version); });
     }
   }
 
--- a/tests/unit/bundle/bundle_delta_test.cc
+++ b/tests/unit/bundle/bundle_delta_test.cc
@@ -7,6 +7,7 @@
 #include "base/random.h"
 #include "bundle/bundle.h"
 #include "bundle/bundle_history.h"
+#include "bundle/bundle_sharing.h"
 #include "bundle/line_diff.h"
 #include "bundle/signing.h"
 
@@ -153,3 +154,72 @@
   CHECK_FALSE(history.updateFrom(29, signers.sign(41)));
   CHECK(history.updateFrom(40, signers.sign(41)));
 }
+
+namespace {
+
+/// A node that shares bundles with peers.
+struct SharingNode {
+  explicit SharingNode(const Signers& signers)
+      : holder({{signers.author.public_key}, {signers.approver.public_key}}) {}
+
+  std::error_code offer(const BundleBody& body) {
+    const std::error_code error = holder.offer(body);
+    if (!error) {
+      sharing.setBundle(holder.current());
+    }
+    return error;
+  }
+
+  BundleHolder holder;
+  BundleSharing sharing;
+};
+
+}  // namespace
+
+TEST_CASE("a peer that follows gets updates, a new one or one far behind whole bodies", "[bundle]") {
+  const Signers signers;
+  SharingNode ahead(signers);
+  SharingNode behind(signers);
+  const TimePoint now{};
+  for (std::uint64_t version = 3; version < 7; ++version) {
+    REQUIRE_FALSE(ahead.offer(signers.sign(version)));
+    REQUIRE(behind.sharing.wants(version, now));
+    const std::optional<Message> answer = ahead.sharing.answer(behind.sharing.request());
+    REQUIRE(answer);
+    const auto* update = std::get_if<BundleUpdate>(&*answer);
+    CHECK((update == nullptr) == (version == 3));
+    const BundleBody body = update == nullptr ? std::get<BundleBody>(*answer) : *behind.sharing.take(*update);
+    REQUIRE_FALSE(behind.offer(body));
+  }
+  CHECK(behind.holder.version() == 6);
+  CHECK_FALSE(ahead.sharing.answer(behind.sharing.request()));
+  CHECK(std::holds_alternative<BundleBody>(*ahead.sharing.answer(BundleRequest{1})));
+}
+
+TEST_CASE("an update that is of no use is followed by a request for the whole body, then by a pause",
+          "[bundle]") {
+  const Signers signers;
+  SharingNode node(signers);
+  REQUIRE_FALSE(node.offer(signers.sign(1)));
+  const TimePoint now{};
+  CHECK_FALSE(node.sharing.take({{{9, 10, "late"}}, "", ""}));
+  CHECK_FALSE(node.sharing.needsWholeBody());
+  CHECK_FALSE(node.sharing.take({{{1, 2, "rubbish"}}, "", ""}));
+  CHECK(node.sharing.needsWholeBody());
+  CHECK(node.sharing.request().held_version == 0);
+
+  node.sharing.onRefused(2, now);
+  CHECK_FALSE(node.sharing.wants(2, now));
+  CHECK(node.sharing.wants(3, now));
+  CHECK(node.sharing.wants(2, now + BundleSharing::kRefusedPause));
+  REQUIRE_FALSE(node.offer(signers.sign(2)));
+  CHECK(node.sharing.request().held_version == 2);
+
+  const std::string forged = makeDocumentDelta(documentOf(2), documentOf(4)).value();
+  const auto body = node.sharing.take({{{2, 3, forged}}, "a", "b"});
+  REQUIRE(body);
+  CHECK(node.offer(*body) == ErrorCode::SignatureInvalid);
+  node.sharing.onRefused(3, now);
+  CHECK(node.sharing.wants(3, now));
+  CHECK(node.sharing.request().held_version == 0);
+}
--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -19,6 +19,8 @@
 std::string describeFields(const PingAck& value);
 std::string describeFields(const BundleRequest& value);
 std::string describeFields(const BundleBody& value);
+std::string describeFields(const BundleStep& value);
+std::string describeFields(const BundleUpdate& value);
 std::string describeFields(const CacheSummary& value);
 std::string describeFields(const EngineLoad& value);
 std::string describeFields(const LoadDigest& value);
@@ -103,6 +105,15 @@
                      value.approver_signature);
 }
 
+std::string describeFields(const BundleStep& value) {
+  return fmt::format("BundleStep {} {} {}", value.from_version, value.to_version, value.delta);
+}
+
+std::string describeFields(const BundleUpdate& value) {
+  return fmt::format("BundleUpdate {} {} {}", describeAll(value.steps), value.author_signature,
+                     value.approver_signature);
+}
+
 std::string describeFields(const CacheSummary& value) {
   return fmt::format("CacheSummary {} {} {} {} {}", value.engine, value.engine_incarnation, value.sequence,
                      fmt::join(value.stored, " "), fmt::join(value.removed, " "));
@@ -278,6 +289,14 @@
   return value;
 }
 
+BundleUpdate exampleBundleUpdate() {
+  BundleUpdate value;
+  value.steps = {{~0ull - 82, ~0ull - 83, std::string("delta\0\n\xff", 8)}, {1, 2, "second delta"}};
+  value.author_signature = "author signature";
+  value.approver_signature = "approver signature";
+  return value;
+}
+
 CacheSummary exampleCacheSummary() {
   CacheSummary value;
   value.engine = "engine";
@@ -335,10 +354,11 @@
 }  // namespace
 
 std::vector<Message> exampleMessages() {
-  return {exampleHello(),      exampleSubmitRequest(), exampleAccepted(),   exampleStreamPiece(),
-          exampleStreamEnd(),  exampleRefusal(),       exampleCancel(),     examplePing(),
-          examplePingAck(),    exampleBundleRequest(), exampleBundleBody(), exampleCacheSummary(),
-          exampleLoadDigest(), exampleClaimPrepare(),  exampleClaimReply(), exampleProtocolError()};
+  return {exampleHello(),       exampleSubmitRequest(), exampleAccepted(),   exampleStreamPiece(),
+          exampleStreamEnd(),   exampleRefusal(),       exampleCancel(),     examplePing(),
+          examplePingAck(),     exampleBundleRequest(), exampleBundleBody(), exampleCacheSummary(),
+          exampleLoadDigest(),  exampleClaimPrepare(),  exampleClaimReply(), exampleProtocolError(),
+          exampleBundleUpdate()};
 }
 
 std::string describe(const Message& message) {
