Place by complete own knowledge: one router per model, FIFO backlog of own work

Change: OutstandingLedger keeps a first-in first-out estimate of the prefill backlog that the cost policy uses beside the aged report; the experiment can choose routers by zone and head, region and head, or region and model.

--- a/sim/experiment/command.cc
+++ b/sim/experiment/command.cc
@@ -13,14 +13,16 @@
 
 ABSL_FLAG(std::string, site, "parts_desk", "experiment: parts_desk, tallow_creek or two_year");
 ABSL_FLAG(std::vector<std::string>, policies,
-          std::vector<std::string>({"cost", "clairvoyant", "previous", "prompt_head", "least_load",
-                                    "round_robin"}),
+          std::vector<std::string>({"cost", "clairvoyant", "clairvoyant_import", "previous", "prompt_head",
+                                    "least_load", "round_robin"}),
           "experiment: policies to compare");
 ABSL_FLAG(std::uint32_t, seeds, 20, "experiment: how many seeds");
 ABSL_FLAG(std::uint64_t, first_seed, 1, "experiment: the first seed");
 ABSL_FLAG(std::string, faults, "none", "experiment: none, crash, shift, gaps or all");
 ABSL_FLAG(double, load, 1.0, "experiment: factor on the site's request rate");
 ABSL_FLAG(double, noisy, 1.0, "experiment: factor on one tenant's rate; above 1 also runs without it");
+ABSL_FLAG(std::string, routing, "region_model",
+          "experiment: how sidecars choose routers: zone_head, region_head or region_model");
 ABSL_FLAG(std::uint32_t, length, 40, "experiment: length of a run in seconds");
 ABSL_FLAG(std::uint32_t, threads, 4, "experiment: runs at a time");
 ABSL_FLAG(std::string, workload, "", "experiment: replay the requests in this file");
@@ -45,9 +47,16 @@
   return plan;
 }
 
+std::optional<RouterChoice> parseRouting(const std::string& name) {
+  if (name == "zone_head") return RouterChoice::ZoneHead;
+  if (name == "region_head") return RouterChoice::RegionHead;
+  if (name == "region_model") return RouterChoice::RegionModel;
+  return std::nullopt;
+}
+
 bool isPolicy(const std::string& name) {
-  static const std::vector<std::string> known = {"cost",        "clairvoyant", "previous",
-                                                 "prompt_head", "least_load",  "round_robin"};
+  static const std::vector<std::string> known = {
+      "cost", "clairvoyant", "clairvoyant_import", "previous", "prompt_head", "least_load", "round_robin"};
   return std::find(known.begin(), known.end(), name) != known.end();
 }
 
@@ -129,7 +138,10 @@
   for (const std::string& policy : absl::GetFlag(FLAGS_policies)) {
     if (!isPolicy(policy)) return fail("unknown policy " + policy);
   }
+  const std::optional<RouterChoice> routing = parseRouting(absl::GetFlag(FLAGS_routing));
+  if (!routing) return fail("unknown routing " + absl::GetFlag(FLAGS_routing));
   RunOptions base;
+  base.router_choice = *routing;
   base.site = *site;
   base.faults = *faults;
   base.load = absl::GetFlag(FLAGS_load);
--- a/sim/experiment/run.h
+++ b/sim/experiment/run.h
@@ -17,12 +17,20 @@
   bool gaps = false;   ///< Cache events are lost and late.
 };
 
+/// How sidecars choose a router.
+enum class RouterChoice {
+  ZoneHead,     ///< By the prompt's head over the routers of the own zone.
+  RegionHead,   ///< By the prompt's head over all routers.
+  RegionModel,  ///< By the model over all routers: one router places a model's requests up to a bound.
+};
+
 /// What to run.
 struct RunOptions {
   Site site;
   std::string policy;
   FaultPlan faults;
   std::uint64_t seed = 1;
+  RouterChoice router_choice = RouterChoice::RegionModel;
   double load = 1.0;
   double noisy_factor = 1.0;
   Duration length = std::chrono::seconds(40);
--- a/src/bundle/bundle.h
+++ b/src/bundle/bundle.h
@@ -50,7 +50,7 @@
 /// Tunables. Defaults are those that docs/MEASUREMENTS.md names the run for.
 struct Knobs {
   double decision_cached_token_value = 1.0;    ///< Weight of saved prefill in placement, against queue time.
-  double eviction_seconds_per_block = 0.0002;  ///< Cost of a block that a placement newly stores, for others.
+  double eviction_seconds_per_block = 0.001;  ///< Cost of a block that a placement newly stores, for others.
   Duration first_token_target = std::chrono::milliseconds(330);
   std::uint32_t random_candidates = 2;    ///< Engines drawn at random beside prefix holders.
   std::uint32_t hot_prefix_replicas = 2;  ///< Engines a hot prefix is spread over at least.
--- a/src/placement/cost_placement.cc
+++ b/src/placement/cost_placement.cc
@@ -17,11 +17,11 @@
 constexpr std::size_t kPrefixCandidates = 16;
 /// Candidates kept in the decision record.
 constexpr std::size_t kRecordedCandidates = 8;
-/// Fixed cost of a prefill, seconds.
-constexpr double kPrefillBase = 0.005;
 /// Fixed cost of an import, seconds, and its speed in tokens per second.
 constexpr double kImportBase = 0.008;
 constexpr double kImportRate = 100'000;
+/// Least first-token target that utilization is measured by, seconds.
+constexpr double kLeastTarget = 0.001;
 /// Least time that an import must save, seconds.
 constexpr double kImportGain = 0.010;
 
@@ -149,7 +149,7 @@
       candidate.import_blocks = source.blocks;
     }
   }
-  const double prefill = kPrefillBase + uncached / rate;
+  const double prefill = toSeconds(prefillTime(uncached, rate));
   candidate.estimate.queue = queues_.wait(engine, inputs.work, inputs.now);
   candidate.estimate.prefill = toDuration(prefill);
   candidate.estimate.import = toDuration(import);
@@ -173,6 +173,10 @@
     decision.import_from = inputs.source.engine->address;
     decision.import_blocks = best.import_blocks;
   }
+  double wait = 0;
+  for (const Candidate& candidate : candidates) wait += toSeconds(candidate.estimate.queue);
+  decision.queue_utilization = wait / static_cast<double>(candidates.size()) /
+                               std::max(toSeconds(inputs.knobs.first_token_target), kLeastTarget);
   const std::size_t recorded = std::min(candidates.size(), kRecordedCandidates);
   for (std::size_t index = 0; index < recorded; ++index) {
     decision.candidates.push_back(candidates[index].estimate);
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -35,6 +35,10 @@
   virtual std::uint32_t pendingTokens(EngineSlot engine) const = 0;
   /// @return requests of this router that the engine runs or holds now.
   virtual std::uint32_t inFlight(EngineSlot engine) const = 0;
+  /// @return time until the engine has prefilled all that this router sent it, first in, first out.
+  virtual Duration backlog(EngineSlot /*engine*/, double /*tokens_per_second*/, TimePoint /*now*/) const {
+    return Duration(0);
+  }
 };
 
 /// Estimate for one candidate; kept for `crankspurctl explain`.
@@ -57,6 +61,7 @@
   Duration expected_first_token{0};
   std::string import_from;  ///< Address of an engine or KV store to import blocks from; empty: none.
   std::uint32_t import_blocks = 0;
+  double queue_utilization = 0;  ///< Mean wait at the engines weighed, as a share of the first-token target.
   std::vector<CandidateEstimate> candidates;  ///< Those weighed, the chosen one included; bounded.
 };
 
--- a/src/placement/queue_estimator.cc
+++ b/src/placement/queue_estimator.cc
@@ -1,10 +1,14 @@
 #include "placement/queue_estimator.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace crankspur {
 namespace {
 
+/// Prompt tokens that engines commonly prefill in one chunk, and the fixed cost of a chunk, seconds.
+constexpr double kChunkTokens = 512;
+constexpr double kChunkBase = 0.005;
 /// Weight of one answer in the learnt share.
 constexpr double kShareGain = 0.02;
 /// Wait for a place in a full batch, per request above the limit, seconds.
@@ -25,12 +29,18 @@
   return rate > 0 ? rate : kAssumedPrefillRate;
 }
 
+Duration prefillTime(double tokens, double tokens_per_second) {
+  const double seconds = tokens / tokens_per_second + std::ceil(tokens / kChunkTokens) * kChunkBase;
+  return Duration(static_cast<std::int64_t>(seconds * 1e6));
+}
+
 Duration QueueEstimator::wait(const EngineView& engine, const OutstandingWork& work, TimePoint now) const {
   const double rate = prefillRate(engine);
   const double age = std::max(0.0, toSeconds(now - engine.load.measured_at));
   const double reported = std::max(0.0, engine.load.queued_tokens * uncached_share_ / rate - age);
   const double own = work.pendingTokens(engine.slot) / rate;
-  const double seconds = reported + own + batchWait(engine, work);
+  const double backlog = toSeconds(work.backlog(engine.slot, rate, now));
+  const double seconds = std::max(reported + own, backlog) + batchWait(engine, work);
   return Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
--- a/src/placement/queue_estimator.h
+++ b/src/placement/queue_estimator.h
@@ -11,12 +11,15 @@
 /// @return prompt tokens per second that the engine computes.
 double prefillRate(const EngineView& engine);
 
+/// @return time to prefill `tokens` prompt tokens, the fixed cost of each chunk included.
+Duration prefillTime(double tokens, double tokens_per_second);
+
 /// Estimates queues. Reports count all prompt tokens that wait, cached or not, so the estimator learns from
 /// answers which share of them engines really compute.
 class QueueEstimator {
 public:
-  /// @return time until the engine begins with a new request: the report, drained since it was measured, plus
-  /// own work that it cannot show.
+  /// @return time until the engine begins with a new request: the later of two estimates, one by the report,
+  /// drained since it was measured, plus own work that it cannot show, the other by own work alone.
   Duration wait(const EngineView& engine, const OutstandingWork& work, TimePoint now) const;
   void observe(const PlacementFeedback& feedback);
   /// @return mean share of prompt tokens that engines compute, 0 to 1.
