--- a/src/router/completion_failure.cc
+++ b/src/router/completion_failure.cc
@@ -12,6 +12,21 @@
 /// Advice to callers when no engine can take the request now.
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 
+/// Silence of an engine that the fleet counts as dead, after which its streams move on.
+constexpr Duration kDeadSilence = std::chrono::seconds(1);
+
+/// Refusals that the engine gave for want of room; asking another engine adds load.
+bool isLoadRefusal(ErrorCode code) {
+  return code == ErrorCode::Overloaded || code == ErrorCode::RateLimited;
+}
+
+/// @return whether the engine is surely not able to go on with the dispatch.
+bool isGone(const EngineView* engine, const CurrentDispatch& dispatch, TimePoint now) {
+  const bool silent = now - dispatch.last_heard_at >= kDeadSilence;
+  if (engine == nullptr || engine->state == EngineState::Dead) return silent;
+  return engine->incarnation != dispatch.incarnation;
+}
+
 /// Refusals that another engine would give as well.
 bool isFinalRefusal(ErrorCode code) {
   return code == ErrorCode::InvalidRequest || code == ErrorCode::TooLarge ||
@@ -22,15 +37,13 @@
 }  // namespace
 
 bool RequestRouterImpl::resumeAt(RequestEntry& entry, const std::string& engine_name,
-                                 std::uint64_t incarnation, TimePoint now) {
+                                 std::uint64_t incarnation, const std::string& weights, TimePoint now) {
   if (entry.resumes >= maxAttempts()) return false;
   const auto& engines = snapshot_->engines;
   const auto found = std::find_if(engines.begin(), engines.end(), [&](const EngineView& engine) {
     return engine.name == engine_name && engine.incarnation == incarnation;
   });
   if (found == engines.end() || found->state == EngineState::Dead) return false;
-  const std::string weights =
-      entry.answer_weights.empty() ? entry.request.resume_weights : entry.answer_weights;
   CurrentDispatch& dispatch = openDispatch(entry, found->name, now);
   dispatch.engine = found->slot;
   dispatch.incarnation = incarnation;
@@ -61,7 +74,8 @@
     return abandonDispatch(entry, "refused after it had accepted", now);
   }
   const bool resume = entry.dispatch->resume;
-  entry.excluded.push_back(entry.dispatch->engine);
+  entry.dispatch->costless = !isLoadRefusal(refused.code);
+  entry.excluded.push_back({entry.dispatch->engine, entry.dispatch->incarnation});
   closeDispatch(entry, now);
   if (resume) return moveCompletion(entry, now);
   entry.last_error = refused.code;
@@ -73,10 +87,11 @@
 }
 
 void RequestRouterImpl::completionLost(RequestEntry& entry, TimePoint now) {
-  const CurrentDispatch& dispatch = *entry.dispatch;
+  CurrentDispatch& dispatch = *entry.dispatch;
   dispatch.attempt->apply(AttemptEvent::ConnectionFailed);
   const AttemptState state = dispatch.attempt->state();
   const bool never_sent = state == AttemptState::NeverSent;
+  dispatch.costless = never_sent;
   const std::string engine = dispatch.backend;
   const EngineSlot slot = dispatch.engine;
   const std::uint64_t incarnation = dispatch.incarnation;
@@ -84,18 +99,19 @@
   const bool may_resume = !never_sent && (!dispatch.resume || state == AttemptState::LostStreaming);
   log(EventId::AttemptLost, entry, {{"backend", engine}, {"state", static_cast<int>(state)}});
   entry.last_error = never_sent ? ErrorCode::EngineUnavailable : ErrorCode::EngineLost;
-  if (entry.request.resume_weights.empty()) entry.request.resume_weights = dispatch.weights_version;
+  const std::string weights = dispatch.weights_version;
   closeDispatch(entry, now);
-  if (may_resume && resumeAt(entry, engine, incarnation, now)) return;
-  entry.excluded.push_back(slot);
+  if (may_resume && resumeAt(entry, engine, incarnation, weights, now)) return;
+  entry.excluded.push_back({slot, incarnation});
   moveCompletion(entry, now);
 }
 
 void RequestRouterImpl::abandonDispatch(RequestEntry& entry, const char* reason, TimePoint now) {
   log(EventId::BackendProtocolBroken, entry, {{"backend", entry.dispatch->backend}, {"reason", reason}});
   entry.dispatch->attempt->apply(AttemptEvent::ConnectionFailed);
-  entry.last_error = ErrorCode::EngineLost;
-  entry.excluded.push_back(entry.dispatch->engine);
+  entry.dispatch->costless = entry.dispatch->attempt->state() == AttemptState::NeverSent;
+  entry.last_error = entry.dispatch->costless ? ErrorCode::EngineUnavailable : ErrorCode::EngineLost;
+  entry.excluded.push_back({entry.dispatch->engine, entry.dispatch->incarnation});
   cancelDispatch(entry, now);
   moveCompletion(entry, now);
 }
@@ -115,21 +131,19 @@
   refuse(entry, entry.last_error, retry_after, "no engine can take the request now", now);
 }
 
-void RequestRouterImpl::dropRestartedEngines(TimePoint now) {
-  std::vector<Serial> restarted;
+void RequestRouterImpl::dropGoneEngines(TimePoint now) {
+  std::vector<Serial> gone;
   for (const auto& [serial, entry] : entries_) {
     if (!entry->dispatch || entry->request.kind != RequestKind::Completion) continue;
     const EngineView* engine = snapshot_->engine(entry->dispatch->engine);
-    if (engine == nullptr || engine->incarnation != entry->dispatch->incarnation) restarted.push_back(serial);
+    if (isGone(engine, *entry->dispatch, now)) gone.push_back(serial);
   }
-  for (const Serial serial : restarted) {
+  for (const Serial serial : gone) {
     RequestEntry& entry = *findEntry(serial);
-    log(EventId::AttemptLost, entry, {{"backend", entry.dispatch->backend}, {"state", "restarted"}});
+    log(EventId::AttemptLost, entry, {{"backend", entry.dispatch->backend}, {"state", "gone"}});
     entry.last_error = ErrorCode::EngineLost;
-    entry.excluded.push_back(entry.dispatch->engine);
-    if (entry.dispatch->attempt->state() != AttemptState::NotSent) {
-      entry.dispatch->attempt->apply(AttemptEvent::ConnectionFailed);
-    }
+    entry.excluded.push_back({entry.dispatch->engine, entry.dispatch->incarnation});
+    entry.dispatch->attempt->apply(AttemptEvent::ConnectionFailed);
     cancelDispatch(entry, now);
     moveCompletion(entry, now);
   }
