Keep the holders of a block side by side and check eligibility on demand

Cause: linear probing over one slot per (block, engine) pair clustered when 64 engines held a catalogue: a decision among 2,000 engines took 858 us of CPU, 677 us of it in match(), and 2,000 eligibility checks took most of the rest. Change: one slot per block; several holders lie in a pooled array. Candidates are checked for eligibility when they are weighed.

--- a/sim/experiment/previous_placement.cc
+++ b/sim/experiment/previous_placement.cc
@@ -64,7 +64,7 @@
   PlacementDecision choose(const PlacementRequest& request, const RoutingSnapshot& snapshot,
                            const PrefixIndex& index, const OutstandingWork& work, RandomSource& random,
                            TimePoint now) override {
-    const std::vector<EligibleEngine> eligible = findEligible(request, snapshot);
+    const std::vector<const EngineView*> eligible = findEligible(request, snapshot);
     if (eligible.empty()) return {};
     const Inputs inputs{request, snapshot.bundle->knobs, work, now};
     std::vector<CandidateEstimate> candidates = weigh(eligible, snapshot, index, inputs, random);
@@ -88,7 +88,7 @@
 
 private:
   /// Estimates the holders of the longest prefixes and some engines at random; all when they are few.
-  static std::vector<CandidateEstimate> weigh(const std::vector<EligibleEngine>& eligible,
+  static std::vector<CandidateEstimate> weigh(const std::vector<const EngineView*>& eligible,
                                               const RoutingSnapshot& snapshot, const PrefixIndex& index,
                                               const Inputs& inputs, RandomSource& random) {
     std::vector<CandidateEstimate> candidates;
@@ -104,21 +104,21 @@
       if (engine != nullptr && isEligible(eligible, match.engine)) add(*engine, match.blocks);
     }
     if (eligible.size() <= kWeighAllBelow) {
-      for (const EligibleEngine& engine : eligible) add(*engine.view, 0);
+      for (const EngineView* engine : eligible) add(*engine, 0);
       return candidates;
     }
     const std::size_t draws = std::max<std::size_t>(inputs.knobs.random_candidates, 1);
     for (std::size_t draw = 0; draw < draws; ++draw) {
-      add(*eligible[random.uniform(0, eligible.size() - 1)].view, 0);
+      add(*eligible[random.uniform(0, eligible.size() - 1)], 0);
     }
     return candidates;
   }
 
-  static bool isEligible(const std::vector<EligibleEngine>& eligible, EngineSlot slot) {
-    const auto place = std::lower_bound(
-        eligible.begin(), eligible.end(), slot,
-        [](const EligibleEngine& engine, EngineSlot wanted) { return engine.view->slot < wanted; });
-    return place != eligible.end() && place->view->slot == slot;
+  static bool isEligible(const std::vector<const EngineView*>& eligible, EngineSlot slot) {
+    const auto place =
+        std::lower_bound(eligible.begin(), eligible.end(), slot,
+                         [](const EngineView* engine, EngineSlot wanted) { return engine->slot < wanted; });
+    return place != eligible.end() && (*place)->slot == slot;
   }
 };
 
--- a/src/placement/cost_placement.cc
+++ b/src/placement/cost_placement.cc
@@ -15,6 +15,8 @@
 constexpr std::size_t kWeighAllBelow = 32;
 /// Holders of the longest prefixes that are weighed otherwise.
 constexpr std::size_t kPrefixCandidates = 16;
+/// Engines drawn at random for each one wanted, since some may not serve the request.
+constexpr std::size_t kDrawsPerCandidate = 4;
 /// Candidates kept in the decision record.
 constexpr std::size_t kRecordedCandidates = 8;
 /// Fixed cost of an import, seconds, and its speed in tokens per second.
@@ -42,7 +44,7 @@
   const Knobs& knobs;
   const OutstandingWork& work;
   TimePoint now;
-  std::vector<EligibleEngine> eligible;
+  Eligibility eligibility;
   std::vector<PrefixMatch> matches;
   ImportSource source;
 };
@@ -54,13 +56,6 @@
   std::uint32_t import_blocks = 0;  ///< Leading blocks held after the import; 0: none.
 };
 
-bool isEligible(const std::vector<EligibleEngine>& eligible, EngineSlot slot) {
-  const auto place = std::lower_bound(
-      eligible.begin(), eligible.end(), slot,
-      [](const EligibleEngine& engine, EngineSlot wanted) { return engine.view->slot < wanted; });
-  return place != eligible.end() && place->view->slot == slot;
-}
-
 /// @return the first holder of the longest prefix that can send its blocks.
 ImportSource findSource(const std::vector<PrefixMatch>& matches, const RoutingSnapshot& snapshot) {
   for (const PrefixMatch& match : matches) {
@@ -92,12 +87,14 @@
 PlacementDecision CostPlacement::choose(const PlacementRequest& request, const RoutingSnapshot& snapshot,
                                         const PrefixIndex& index, const OutstandingWork& work,
                                         RandomSource& random, TimePoint now) {
-  Inputs inputs{request, snapshot, snapshot.bundle ? snapshot.bundle->knobs : Knobs{}, work, now, {}, {}, {}};
-  inputs.eligible = findEligible(request, snapshot);
-  if (inputs.eligible.empty()) return {};
+  Inputs inputs{request, snapshot, snapshot.bundle ? snapshot.bundle->knobs : Knobs{},
+                work,    now,      Eligibility(request, snapshot),
+                {},      {}};
+  if (!inputs.eligibility.allowed()) return {};
   inputs.matches = index.match(request.blocks, now);
   inputs.source = findSource(inputs.matches, snapshot);
   std::vector<Candidate> candidates = weigh(inputs, random);
+  if (candidates.empty()) return {};
   std::sort(candidates.begin(), candidates.end(), [](const Candidate& left, const Candidate& right) {
     const bool differ = left.estimate.cost != right.estimate.cost;
     return differ ? left.estimate.cost < right.estimate.cost : left.estimate.engine < right.estimate.engine;
@@ -113,18 +110,21 @@
     weighed.push_back(engine.slot);
     candidates.push_back(weighOne(engine, blocks, inputs));
   };
-  const bool weigh_all = inputs.eligible.size() <= kWeighAllBelow;
+  const std::vector<EngineView>& engines = inputs.snapshot.engines;
+  const bool weigh_all = engines.size() <= kWeighAllBelow;
   for (const PrefixMatch& match : inputs.matches) {
     if (!weigh_all && candidates.size() >= kPrefixCandidates) break;
-    if (isEligible(inputs.eligible, match.engine)) add(*inputs.snapshot.engine(match.engine), match.blocks);
+    const EngineView* engine = inputs.snapshot.engine(match.engine);
+    if (engine != nullptr && inputs.eligibility.isEligible(*engine)) add(*engine, match.blocks);
   }
-  if (weigh_all) {
-    for (const EligibleEngine& engine : inputs.eligible) add(*engine.view, 0);
-    return candidates;
+  const std::size_t wanted = candidates.size() + std::max<std::size_t>(inputs.knobs.random_candidates, 1);
+  for (std::size_t draw = 0; !weigh_all && draw < kDrawsPerCandidate * wanted; ++draw) {
+    const EngineView& engine = engines[random.uniform(0, engines.size() - 1)];
+    if (candidates.size() < wanted && inputs.eligibility.isEligible(engine)) add(engine, 0);
   }
-  const std::size_t draws = std::max<std::size_t>(inputs.knobs.random_candidates, 1);
-  for (std::size_t draw = 0; draw < draws; ++draw) {
-    add(*inputs.eligible[random.uniform(0, inputs.eligible.size() - 1)].view, 0);
+  if (!weigh_all && !candidates.empty()) return candidates;
+  for (const EngineView& engine : engines) {
+    if (inputs.eligibility.isEligible(engine)) add(engine, 0);
   }
   return candidates;
 }
--- a/src/placement/eligibility.h
+++ b/src/placement/eligibility.h
@@ -9,18 +9,25 @@
 
 namespace crankspur {
 
-/// An engine that may serve a request.
-struct EligibleEngine {
-  const EngineView* view = nullptr;
-  bool adapter_loaded = true;
+/// What engines must match to serve one request.
+class Eligibility {
+public:
+  Eligibility(const PlacementRequest& request, const RoutingSnapshot& snapshot);
+
+  /// @return whether the bundle lets the tenant use the model at all.
+  bool allowed() const { return model_ != nullptr; }
+  /// @return whether the engine is Live, in a pool of the model, holds it at the required weights with the
+  /// adapter, and has not already failed the request.
+  bool isEligible(const EngineView& engine) const;
+
+private:
+  const PlacementRequest& request_;
+  const ModelPolicy* model_ = nullptr;  ///< Null when the tenant may not use it.
+  std::string weights_;
 };
 
-/// @return the weights version the request must run under: its own, or else the bundle's; empty: unknown.
-std::string requiredWeights(const PlacementRequest& request, const RoutingSnapshot& snapshot);
-
-/// @return Live engines that hold the model at the required weights and serve it to the tenant, in slot
-/// order. Empty when the bundle does not let the tenant use the model.
-std::vector<EligibleEngine> findEligible(const PlacementRequest& request, const RoutingSnapshot& snapshot);
+/// @return eligible engines in slot order.
+std::vector<const EngineView*> findEligible(const PlacementRequest& request, const RoutingSnapshot& snapshot);
 
 /// @return a decision for `engine` with what each policy states alike; `found` is true.
 PlacementDecision decideFor(const EngineView& engine, const PlacementRequest& request,
--- a/src/placement/least_load_placement.cc
+++ b/src/placement/least_load_placement.cc
@@ -14,8 +14,8 @@
     const EngineView* best = nullptr;
     std::uint64_t best_load = 0;
     std::uint64_t ties = 0;
-    for (const EligibleEngine& candidate : findEligible(request, snapshot)) {
-      const EngineView& engine = *candidate.view;
+    for (const EngineView* candidate : findEligible(request, snapshot)) {
+      const EngineView& engine = *candidate;
       const std::uint64_t load = std::uint64_t{engine.load.queued_tokens} + work.pendingTokens(engine.slot);
       if (best != nullptr && load > best_load) continue;
       ties = best == nullptr || load < best_load ? 1 : ties + 1;
--- a/src/placement/prompt_head_hash_placement.cc
+++ b/src/placement/prompt_head_hash_placement.cc
@@ -21,10 +21,10 @@
     const std::uint64_t head = head_size == 0 ? hashBytes(request.tenant) : request.blocks[head_size - 1];
     const EngineView* best = nullptr;
     std::uint64_t best_score = 0;
-    for (const EligibleEngine& candidate : findEligible(request, snapshot)) {
-      const std::uint64_t score = combineHashes(hashBytes(candidate.view->name), head);
+    for (const EngineView* candidate : findEligible(request, snapshot)) {
+      const std::uint64_t score = combineHashes(hashBytes(candidate->name), head);
       if (best != nullptr && score <= best_score) continue;
-      best = candidate.view;
+      best = candidate;
       best_score = score;
     }
     return best == nullptr ? PlacementDecision{} : decideFor(*best, request, index, now);
--- a/src/placement/round_robin_placement.cc
+++ b/src/placement/round_robin_placement.cc
@@ -11,9 +11,9 @@
   PlacementDecision choose(const PlacementRequest& request, const RoutingSnapshot& snapshot,
                            const PrefixIndex& index, const OutstandingWork&, RandomSource&,
                            TimePoint now) override {
-    const std::vector<EligibleEngine> eligible = findEligible(request, snapshot);
+    const std::vector<const EngineView*> eligible = findEligible(request, snapshot);
     if (eligible.empty()) return {};
-    return decideFor(*eligible[turn_++ % eligible.size()].view, request, index, now);
+    return decideFor(*eligible[turn_++ % eligible.size()], request, index, now);
   }
 
 private:
--- /dev/null
+++ b/src/prefix_index/block_table.h
@@ -0,0 +1,126 @@
+#pragma once
+/// @file Compact table from block to the engines that hold it: open addressing with linear probing, one slot
+/// of 16 bytes for each block. A block of one holder keeps it in the slot; several lie side by side in a
+/// pool.
+
+#include <bit>
+#include <cstdint>
+#include <vector>
+
+#include "prefix_index/holder_pool.h"
+
+namespace crankspur {
+
+/// Table of fixed capacity. Knows nothing of generations beyond a caller's predicate.
+class BlockTable {
+public:
+  /// @param maximum_entries (block, engine) pairs that the table must be able to hold.
+  explicit BlockTable(std::size_t maximum_entries);
+
+  /// @return the holder, or nullptr. Valid until the table changes.
+  Holder* find(BlockHash hash, EngineSlot engine);
+  /// Adds a holder that find() does not know. When a block has too many, its oldest gives way.
+  /// @return the holder that gave way; its engine is kNoEngine when none did.
+  Holder insert(BlockHash hash, const Holder& holder);
+  /// Removes a holder if it is there.
+  void erase(BlockHash hash, EngineSlot engine);
+  /// Removes one holder: the first dead one, or else the least recently confirmed, among those of the next
+  /// kEvictionSample blocks after the previous eviction. Calls `on_evict(holder)` before.
+  template <typename IsDead, typename OnEvict>
+  void evictOne(IsDead is_dead, OnEvict on_evict);
+  /// Removes every holder of an engine.
+  void eraseEngine(EngineSlot engine);
+  /// Calls `visit(holder)` for each holder of a block.
+  template <typename Visit>
+  void forEachHolder(BlockHash hash, Visit visit) const;
+  /// Loads the cache line of a block ahead of its use.
+  void prefetch(BlockHash hash) const { __builtin_prefetch(&slots_[home(normalize(hash))]); }
+
+  std::size_t size() const { return size_; }
+  std::size_t maximumEntries() const { return maximum_entries_; }
+  std::size_t memoryBytes() const { return slots_.capacity() * sizeof(Slot) + pool_.memoryBytes(); }
+
+  /// Never the number of an engine.
+  static constexpr EngineSlot kNoEngine = 0xffff;
+
+private:
+  static constexpr std::size_t kEvictionSample = 32;
+
+  /// One block. `single.engine` is kNoEngine when the pool keeps the holders: then `single.generation` is
+  /// their count and `pooled` the number of their array.
+  struct Slot {
+    BlockHash hash = 0;  ///< 0: empty.
+    Holder single;
+    bool isPooled() const { return single.engine == kNoEngine; }
+    std::uint32_t count() const { return isPooled() ? single.generation : 1; }
+    std::uint32_t capacity() const { return std::bit_ceil(std::uint32_t{single.generation}); }
+    std::uint32_t pooled() const { return single.confirmed_tick; }
+  };
+  static_assert(sizeof(Slot) == 16);
+
+  /// @return `hash`, with the reserved value 0 moved to 1.
+  static BlockHash normalize(BlockHash hash) { return hash == 0 ? 1 : hash; }
+  /// Maps a hash's upper half to its first slot; the number of slots is below 2^32.
+  std::size_t home(BlockHash hash) const {
+    return static_cast<std::size_t>(((hash >> 32) * slots_.size()) >> 32);
+  }
+  std::size_t next(std::size_t slot) const { return slot + 1 == slots_.size() ? 0 : slot + 1; }
+  /// @return the slot of the block, or the empty one where it belongs.
+  std::size_t locate(BlockHash hash) const;
+  Holder* holders(Slot& slot) { return slot.isPooled() ? pool_.at(slot.pooled()) : &slot.single; }
+  const Holder* holders(const Slot& slot) const {
+    return slot.isPooled() ? pool_.at(slot.pooled()) : &slot.single;
+  }
+  void setPooled(Slot& slot, std::uint32_t number, std::uint32_t count);
+  void append(Slot& slot, const Holder& holder);
+  /// Removes a holder of a slot; an empty slot is closed.
+  void removeHolder(std::size_t slot, std::uint32_t position);
+  void closeGap(std::size_t hole);
+
+  std::size_t maximum_entries_;
+  std::size_t size_ = 0;
+  std::size_t eviction_hand_ = 0;
+  std::vector<Slot> slots_;
+  HolderPool pool_;
+};
+
+template <typename Visit>
+void BlockTable::forEachHolder(BlockHash hash, Visit visit) const {
+  const Slot& slot = slots_[locate(normalize(hash))];
+  if (slot.hash == 0) return;
+  const Holder* first = holders(slot);
+  const std::uint32_t count = slot.count();
+  for (std::uint32_t position = 0; position < count; ++position) visit(first[position]);
+}
+
+template <typename IsDead, typename OnEvict>
+void BlockTable::evictOne(IsDead is_dead, OnEvict on_evict) {
+  if (size_ == 0) return;
+  std::size_t victim_slot = slots_.size();
+  std::uint32_t victim_position = 0;
+  Holder victim;
+  std::size_t seen = 0;
+  for (std::size_t step = 0; step < slots_.size() && seen < kEvictionSample; ++step) {
+    const std::size_t place = eviction_hand_;
+    eviction_hand_ = next(eviction_hand_);
+    Slot& slot = slots_[place];
+    if (slot.hash == 0) continue;
+    ++seen;
+    const Holder* first = holders(slot);
+    for (std::uint32_t position = 0; position < slot.count(); ++position) {
+      const Holder& holder = first[position];
+      const bool dead = is_dead(holder);
+      const bool better = victim_slot == slots_.size() || holder.confirmed_tick < victim.confirmed_tick;
+      if (!dead && !better) continue;
+      victim_slot = place;
+      victim_position = position;
+      victim = holder;
+      if (dead) seen = kEvictionSample;
+      if (dead) break;
+    }
+  }
+  on_evict(victim);
+  removeHolder(victim_slot, victim_position);
+}
+
+}  // namespace crankspur
--- a/src/prefix_index/prefix_index.cc
+++ b/src/prefix_index/prefix_index.cc
@@ -2,13 +2,14 @@
 
 #include <algorithm>
 
-#include "prefix_index/entry_table.h"
+#include "prefix_index/block_table.h"
 
 namespace crankspur {
 namespace {
 
 /// Resolution of confirmation times; 31 bits of it last 6.8 years.
 constexpr Duration kTick = std::chrono::milliseconds(100);
+constexpr std::uint32_t kTickMask = 0x7fffffff;
 constexpr std::uint32_t kOptimisticTicks = kOptimisticLifetime / kTick;
 /// Blocks whose table slots are loaded ahead while matching.
 constexpr std::size_t kPrefetchDistance = 8;
@@ -44,15 +45,17 @@
   /// @return the slot's state, or nullptr when `incarnation` is not the present one.
   SlotState* present(EngineSlot engine, std::uint64_t incarnation);
   std::uint32_t tick(TimePoint now) const;
-  bool isLive(const IndexEntry& entry) const { return entry.generation == slots_[entry.engine].generation; }
-  bool counts(const IndexEntry& entry, std::uint32_t now_tick) const;
+  bool isLive(const Holder& entry) const { return entry.generation == slots_[entry.engine].generation; }
+  bool counts(const Holder& entry, std::uint32_t now_tick) const;
   /// Makes every entry of the slot dead at once.
   void retireEntries(EngineSlot engine);
   void store(EngineSlot engine, BlockHash hash, bool optimistic, std::uint32_t now_tick);
   void remove(EngineSlot engine, BlockHash hash, std::uint32_t now_tick);
   void makeRoom();
+  /// Counts an entry that leaves the table.
+  void noteRemoved(const Holder& entry);
 
-  EntryTable table_;
+  BlockTable table_;
   std::vector<SlotState> slots_;
   std::size_t live_entries_ = 0;
   TimePoint epoch_ = TimePoint::min();
@@ -74,7 +77,7 @@
   return now <= epoch_ ? 0 : static_cast<std::uint32_t>((now - epoch_) / kTick);
 }
 
-bool TablePrefixIndex::counts(const IndexEntry& entry, std::uint32_t now_tick) const {
+bool TablePrefixIndex::counts(const Holder& entry, std::uint32_t now_tick) const {
   if (!isLive(entry)) return false;
   return entry.optimistic == 0 || entry.confirmed_tick + kOptimisticTicks > now_tick;
 }
@@ -86,8 +89,7 @@
   state.last_sequence = 0;
   ++state.generation;
   // Generation numbers begin anew: no entry of an earlier round may come back to life.
-  if (state.generation == 0)
-    table_.eraseIf([engine](const IndexEntry& entry) { return entry.engine == engine; });
+  if (state.generation == 0) table_.eraseEngine(engine);
 }
 
 void TablePrefixIndex::setIncarnation(EngineSlot engine, std::uint64_t incarnation) {
@@ -104,44 +106,44 @@
 
 void TablePrefixIndex::makeRoom() {
   if (table_.size() < table_.maximumEntries()) return;
-  table_.evictOne([this](const IndexEntry& entry) { return !isLive(entry); },
-                  [this](const IndexEntry& entry) {
-                    if (!isLive(entry)) return;
-                    --slots_[entry.engine].entries;
-                    --live_entries_;
-                  });
+  table_.evictOne([this](const Holder& entry) { return !isLive(entry); },
+                  [this](const Holder& entry) { noteRemoved(entry); });
+}
+
+void TablePrefixIndex::noteRemoved(const Holder& entry) {
+  if (entry.engine == BlockTable::kNoEngine || !isLive(entry)) return;
+  --slots_[entry.engine].entries;
+  --live_entries_;
 }
 
 void TablePrefixIndex::store(EngineSlot engine, BlockHash hash, bool optimistic, std::uint32_t now_tick) {
   SlotState& state = slots_[engine];
-  IndexEntry* entry = table_.find(hash, engine);
+  Holder* entry = table_.find(hash, engine);
   const bool known = entry != nullptr && isLive(*entry);
-  if (entry == nullptr) {
-    makeRoom();
-    entry = &table_.insert({hash, engine, state.generation, 0, 0});
-  }
   if (!known) {
     ++state.entries;
     ++live_entries_;
-    entry->generation = state.generation;
   }
+  if (entry == nullptr) {
+    makeRoom();
+    noteRemoved(table_.insert(hash, {engine, state.generation, optimistic, now_tick & kTickMask}));
+    return;
+  }
+  entry->generation = state.generation;
   // A placement renews what is confirmed but never turns it back into a guess.
   const bool stays_confirmed = known && entry->optimistic == 0;
   entry->optimistic = optimistic && !stays_confirmed ? 1 : 0;
-  entry->confirmed_tick = now_tick & 0x7fffffffU;
+  entry->confirmed_tick = now_tick & kTickMask;
 }
 
 void TablePrefixIndex::remove(EngineSlot engine, BlockHash hash, std::uint32_t now_tick) {
-  IndexEntry* entry = table_.find(hash, engine);
+  Holder* entry = table_.find(hash, engine);
   if (entry == nullptr) return;
   // Events are late: this removal may tell of a copy older than the one a fresh placement is creating.
   const bool being_created = entry->optimistic == 1 && counts(*entry, now_tick);
   if (being_created) return;
-  if (isLive(*entry)) {
-    --slots_[engine].entries;
-    --live_entries_;
-  }
-  table_.erase(entry);
+  noteRemoved(*entry);
+  table_.erase(hash, engine);
 }
 
 void TablePrefixIndex::notePlaced(EngineSlot engine, std::uint64_t incarnation,
@@ -193,7 +195,7 @@
   for (std::uint32_t position = 0; position < blocks.size(); ++position) {
     if (position + kPrefetchDistance < blocks.size()) table_.prefetch(blocks[position + kPrefetchDistance]);
     bool extended = false;
-    table_.forEachHolder(blocks[position], [&](const IndexEntry& entry) {
+    table_.forEachHolder(blocks[position], [&](const Holder& entry) {
       if (depth_[entry.engine] != position || !counts(entry, now_tick)) return;
       if (position == 0) matches.push_back({entry.engine, 0});
       depth_[entry.engine] = position + 1;
--- a/tests/unit/prefix_index/prefix_index_test.cc
+++ b/tests/unit/prefix_index/prefix_index_test.cc
@@ -198,7 +198,32 @@
   }
 }
 
+TEST_CASE("many engines may hold one block, come and go", "[prefix_index]") {
+  auto index = makePrefixIndex(1000);
+  const auto blocks = promptOf(kScope, 3);
+  for (EngineSlot engine = 0; engine < 100; ++engine) {
+    index->setIncarnation(engine, 1);
+    index->correct(engine, 1, blocks, 0, kStart);
+  }
+  CHECK(index->match(blocks, kStart).size() == 100);
+  CHECK(index->size() == 300);
+  for (EngineSlot engine = 0; engine < 99; ++engine) {
+    index->applyEvent(engine, 1, {1, {}, {blocks[0]}}, kStart);
+  }
+  REQUIRE(index->match(blocks, kStart).size() == 1);
+  CHECK(index->match(blocks, kStart)[0].engine == 99);
+  CHECK(index->size() == 201);
+}
+
 TEST_CASE("618,000 blocks fit into 20 MB", "[prefix_index]") {
   auto index = makePrefixIndex(618'000);
+  RandomSource random(3);
+  for (EngineSlot engine = 0; engine < 16; ++engine) index->setIncarnation(engine, 1);
+  while (index->size() < 617'000) {
+    std::vector<BlockHash> prompt;
+    for (int block = 0; block < 100; ++block) prompt.push_back(random.bits());
+    const std::uint64_t holders = random.chance(0.2) ? random.uniform(2, 16) : 1;
+    for (EngineSlot engine = 0; engine < holders; ++engine) index->correct(engine, 1, prompt, 0, kStart);
+  }
   CHECK(index->memoryBytes() < 20'000'000);
 }
