Route completions of a model to one router; use the ledger in the router

Change: the sidecar's selector ranks completions by model over the routers of the region, with a bound of 64 in flight or 1.25 times the mean; operations go to the own zone first as before. RequestRouter uses OutstandingLedger in place of SentWork, tells the policy of first tokens, and admission sees the estimated queues.

--- a/sim/experiment/command.cc
+++ b/sim/experiment/command.cc
@@ -65,16 +65,6 @@
   return kUsageError;
 }
 
-/// Highest ratio over the tenants, the noisy one left out, of p95 with and without the noisy tenant.
-double worstTenantRatio(const Measures& noisy, const Measures& quiet) {
-  double worst = 0;
-  for (std::uint32_t tenant = 0; tenant < quiet.tenant_p95_ms.size(); ++tenant) {
-    if (tenant == kNoisyTenant || quiet.tenant_p95_ms[tenant] <= 0) continue;
-    worst = std::max(worst, noisy.tenant_p95_ms[tenant] / quiet.tenant_p95_ms[tenant]);
-  }
-  return worst;
-}
-
 ResultRow runOne(const RunOptions& options) {
   ResultRow row;
   row.site = options.site.name;
@@ -86,7 +76,7 @@
   if (options.noisy_factor <= 1) return row;
   RunOptions quiet = options;
   quiet.noisy_factor = 1;
-  row.worst_tenant_ratio = worstTenantRatio(row.measures, measure(quiet, run(quiet)));
+  row.quiet_first_token_ms = measure(quiet, run(quiet)).tenant_first_token_ms;
   return row;
 }
 
--- a/sim/experiment/measures.cc
+++ b/sim/experiment/measures.cc
@@ -53,7 +53,7 @@
   for (std::uint32_t tenant = 0; tenant < tenants; ++tenant) {
     const double requests = std::max<double>(1, static_cast<double>(first_tokens[tenant].size()));
     measures.tenant_refused.push_back(refused[tenant] / requests);
-    measures.tenant_p95_ms.push_back(quantileOf(std::move(first_tokens[tenant]), 0.95));
+    measures.tenant_first_token_ms.push_back(std::move(first_tokens[tenant]));
   }
 }
 
--- a/sim/experiment/measures.h
+++ b/sim/experiment/measures.h
@@ -19,11 +19,11 @@
       0;  ///< Time to first token at the client; a request without one counts as twice its deadline.
   double p95_ms = 0;
   double p99_ms = 0;
-  double refused_share = 0;                ///< Requests refused or without an answer.
-  double missed_share = 0;                 ///< Requests refused or with a first token after the deadline.
-  std::vector<double> tenant_p95_ms;       ///< By tenant.
-  std::vector<double> tenant_refused;      ///< By tenant: share refused.
-  std::optional<double> recovery_seconds;  ///< After a shift; empty: not within the run.
+  double refused_share = 0;  ///< Requests refused or without an answer.
+  double missed_share = 0;   ///< Requests refused or with a first token after the deadline.
+  std::vector<std::vector<double>> tenant_first_token_ms;  ///< By tenant.
+  std::vector<double> tenant_refused;                      ///< By tenant: share refused.
+  std::optional<double> recovery_seconds;                  ///< After a shift; empty: not within the run.
 };
 
 /// @return the figures of a run; `recovery_seconds` only when it had a hot-prefix shift.
--- a/sim/experiment/report.cc
+++ b/sim/experiment/report.cc
@@ -32,7 +32,6 @@
   summary.p99_ms += measures.p99_ms;
   summary.refused += measures.refused_share;
   summary.missed += measures.missed_share;
-  summary.worst_tenant_ratio = std::max(summary.worst_tenant_ratio, row.worst_tenant_ratio);
   const double recovery = measures.recovery_seconds.value_or(kNotRecoveredSeconds);
   summary.recovery_seconds += recovery;
   summary.worst_recovery_seconds = std::max(summary.worst_recovery_seconds, recovery);
@@ -55,6 +54,26 @@
   }
 }
 
+double worstTenantRatio(const std::vector<ResultRow>& rows, const std::string& policy) {
+  std::map<std::size_t, std::vector<double>> noisy;
+  std::map<std::size_t, std::vector<double>> quiet;
+  for (const ResultRow& row : rows) {
+    if (row.policy != policy) continue;
+    for (std::size_t tenant = 0; tenant < row.quiet_first_token_ms.size(); ++tenant) {
+      const std::vector<double>& with = row.measures.tenant_first_token_ms[tenant];
+      const std::vector<double>& without = row.quiet_first_token_ms[tenant];
+      noisy[tenant].insert(noisy[tenant].end(), with.begin(), with.end());
+      quiet[tenant].insert(quiet[tenant].end(), without.begin(), without.end());
+    }
+  }
+  double worst = 0;
+  for (const auto& [tenant, values] : quiet) {
+    if (tenant == kNoisyTenant || values.empty()) continue;
+    worst = std::max(worst, quantileOf(noisy[tenant], 0.95) / quantileOf(values, 0.95));
+  }
+  return worst;
+}
+
 /// One row of bars of the plot.
 struct Panel {
   std::string title;
@@ -96,7 +115,10 @@
     addRow(row, *place);
     countWins(rows, row, *place);
   }
-  for (PolicySummary& summary : summaries) divide(summary);
+  for (PolicySummary& summary : summaries) {
+    divide(summary);
+    summary.worst_tenant_ratio = worstTenantRatio(rows, summary.policy);
+  }
   return summaries;
 }
 
@@ -118,15 +140,14 @@
 void writeCsv(std::ostream& out, const std::vector<ResultRow>& rows) {
   out << "site,faults,policy,seed,load,requests,hit_rate,reuse_rate,wasted_per_request,recomputed_per_"
          "request,"
-         "p50_ms,p95_ms,p99_ms,refused,missed,worst_tenant_ratio,recovery_seconds\n";
+         "p50_ms,p95_ms,p99_ms,refused,missed,recovery_seconds\n";
   for (const ResultRow& row : rows) {
     const Measures& measures = row.measures;
     out << fmt::format(
-        "{},{},{},{},{},{},{:.6f},{:.6f},{:.3f},{:.3f},{:.3f},{:.3f},{:.3f},{:.6f},{:.6f},{:.3f},{}\n",
-        row.site, row.faults, row.policy, row.seed, row.load, measures.requests, measures.hit_rate,
-        measures.reuse_rate, measures.wasted_per_request, measures.recomputed_per_request, measures.p50_ms,
-        measures.p95_ms, measures.p99_ms, measures.refused_share, measures.missed_share,
-        row.worst_tenant_ratio,
+        "{},{},{},{},{},{},{:.6f},{:.6f},{:.3f},{:.3f},{:.3f},{:.3f},{:.3f},{:.6f},{:.6f},{}\n", row.site,
+        row.faults, row.policy, row.seed, row.load, measures.requests, measures.hit_rate, measures.reuse_rate,
+        measures.wasted_per_request, measures.recomputed_per_request, measures.p50_ms, measures.p95_ms,
+        measures.p99_ms, measures.refused_share, measures.missed_share,
         measures.recovery_seconds ? fmt::format("{:.1f}", *measures.recovery_seconds) : "");
   }
 }
--- a/sim/experiment/report.h
+++ b/sim/experiment/report.h
@@ -17,7 +17,8 @@
   std::uint64_t seed = 0;
   double load = 1;
   Measures measures;
-  double worst_tenant_ratio = 0;  ///< Highest p95 of a tenant over its p95 without the noisy one; 0: not run.
+  std::vector<std::vector<double>>
+      quiet_first_token_ms;  ///< By tenant, without the noisy one; empty: not run.
 };
 
 /// A policy's figures over all seeds, beside those of the clairvoyant policy.
@@ -32,6 +33,7 @@
   double p99_ms = 0;
   double refused = 0;
   double missed = 0;
+  /// Highest p95 of a tenant over its p95 without the noisy one, all seeds pooled, the noisy one left out.
   double worst_tenant_ratio = 0;
   double recovery_seconds = 0;  ///< Mean; a run that does not recover counts as its remaining length.
   double worst_recovery_seconds = 0;
--- a/sim/experiment/workload.cc
+++ b/sim/experiment/workload.cc
@@ -72,6 +72,8 @@
     const double first_share = 1.0 / (1.0 + (1 - shape_.short_chance) * shape_.follow_up_chance);
     double rate = rate_ * tenants_.share(tenant) * first_share;
     if (tenant == kNoisyTenant) rate *= options_.noisy_factor;
+    // Each tenant has its own source, so that its requests do not depend on what others send.
+    random_ = RandomSource(combineHashes(options_.seed, tenant));
     double seconds = 0;
     while (true) {
       const double factor = shifted(tenant, Duration(static_cast<std::int64_t>(seconds * 1e6))) ? 2.0 : 1.0;
--- a/src/prefix_index/block_table.h
+++ b/src/prefix_index/block_table.h
@@ -36,6 +36,12 @@
   /// Loads the cache line of a block ahead of its use.
   void prefetch(BlockHash hash) const { __builtin_prefetch(&slots_[home(normalize(hash))]); }
 
+  /// Loads the pooled holders of a block ahead of their use, once its slot is in the cache.
+  void prefetchHolders(BlockHash hash) const {
+    const Slot& slot = slots_[home(normalize(hash))];
+    if (slot.hash != 0 && slot.isPooled()) __builtin_prefetch(pool_.at(slot.pooled()));
+  }
+
   std::size_t size() const { return size_; }
   std::size_t maximumEntries() const { return maximum_entries_; }
   std::size_t memoryBytes() const { return slots_.capacity() * sizeof(Slot) + pool_.memoryBytes(); }
--- a/src/prefix_index/prefix_index.cc
+++ b/src/prefix_index/prefix_index.cc
@@ -18,8 +18,7 @@
 struct SlotState {
   std::uint64_t incarnation = 0;
   std::uint64_t last_sequence = 0;
-  std::uint32_t entries = 0;     ///< Entries of the present generation.
-  std::uint16_t generation = 0;  ///< Entries of other generations are dead.
+  std::uint32_t entries = 0;  ///< Entries of the present generation.
 };
 
 class TablePrefixIndex : public PrefixIndex {
@@ -45,25 +44,31 @@
   /// @return the slot's state, or nullptr when `incarnation` is not the present one.
   SlotState* present(EngineSlot engine, std::uint64_t incarnation);
   std::uint32_t tick(TimePoint now) const;
-  bool isLive(const Holder& entry) const { return entry.generation == slots_[entry.engine].generation; }
+  bool isLive(const Holder& entry) const { return entry.generation == generations_[entry.engine]; }
   bool counts(const Holder& entry, std::uint32_t now_tick) const;
   /// Makes every entry of the slot dead at once.
   void retireEntries(EngineSlot engine);
   void store(EngineSlot engine, BlockHash hash, bool optimistic, std::uint32_t now_tick);
   void remove(EngineSlot engine, BlockHash hash, std::uint32_t now_tick);
+  /// Loads what match() needs a few blocks later.
+  void prefetchAhead(std::span<const BlockHash> blocks, std::size_t position) const;
   void makeRoom();
   /// Counts an entry that leaves the table.
   void noteRemoved(const Holder& entry);
 
   BlockTable table_;
   std::vector<SlotState> slots_;
+  std::vector<std::uint16_t> generations_;  ///< By engine slot; entries of other generations are dead.
   std::size_t live_entries_ = 0;
   TimePoint epoch_ = TimePoint::min();
   mutable std::vector<std::uint32_t> depth_;  ///< Scratch of match(): leading blocks by engine slot.
 };
 
 SlotState& TablePrefixIndex::slotState(EngineSlot engine) {
-  if (engine >= slots_.size()) slots_.resize(engine + 1U);
+  if (engine >= slots_.size()) {
+    slots_.resize(engine + 1U);
+    generations_.resize(engine + 1U);
+  }
   return slots_[engine];
 }
 
@@ -87,9 +92,9 @@
   live_entries_ -= state.entries;
   state.entries = 0;
   state.last_sequence = 0;
-  ++state.generation;
+  ++generations_[engine];
   // Generation numbers begin anew: no entry of an earlier round may come back to life.
-  if (state.generation == 0) table_.eraseEngine(engine);
+  if (generations_[engine] == 0) table_.eraseEngine(engine);
 }
 
 void TablePrefixIndex::setIncarnation(EngineSlot engine, std::uint64_t incarnation) {
@@ -126,10 +131,10 @@
   }
   if (entry == nullptr) {
     makeRoom();
-    noteRemoved(table_.insert(hash, {engine, state.generation, optimistic, now_tick & kTickMask}));
+    noteRemoved(table_.insert(hash, {engine, generations_[engine], optimistic, now_tick & kTickMask}));
     return;
   }
-  entry->generation = state.generation;
+  entry->generation = generations_[engine];
   // A placement renews what is confirmed but never turns it back into a guess.
   const bool stays_confirmed = known && entry->optimistic == 0;
   entry->optimistic = optimistic && !stays_confirmed ? 1 : 0;
@@ -185,6 +190,13 @@
   for (const BlockHash hash : blocks) store(engine, hash, false, tick(now));
 }
 
+void TablePrefixIndex::prefetchAhead(std::span<const BlockHash> blocks, std::size_t position) const {
+  const std::size_t slot_ahead = position + kPrefetchDistance;
+  const std::size_t holders_ahead = position + kPrefetchDistance / 2;
+  if (slot_ahead < blocks.size()) table_.prefetch(blocks[slot_ahead]);
+  if (holders_ahead < blocks.size()) table_.prefetchHolders(blocks[holders_ahead]);
+}
+
 std::vector<PrefixMatch> TablePrefixIndex::match(std::span<const BlockHash> blocks, TimePoint now) const {
   depth_.assign(slots_.size(), 0);
   std::vector<PrefixMatch> matches;
@@ -193,7 +205,7 @@
     table_.prefetch(blocks[ahead]);
   }
   for (std::uint32_t position = 0; position < blocks.size(); ++position) {
-    if (position + kPrefetchDistance < blocks.size()) table_.prefetch(blocks[position + kPrefetchDistance]);
+    prefetchAhead(blocks, position);
     bool extended = false;
     table_.forEachHolder(blocks[position], [&](const Holder& entry) {
       if (depth_[entry.engine] != position || !counts(entry, now_tick)) return;
@@ -211,7 +223,7 @@
 }
 
 std::size_t TablePrefixIndex::memoryBytes() const {
-  return table_.memoryBytes() + slots_.capacity() * sizeof(SlotState) +
+  return table_.memoryBytes() + slots_.capacity() * (sizeof(SlotState) + sizeof(std::uint16_t)) +
          depth_.capacity() * sizeof(std::uint32_t);
 }
 
--- a/src/router/completion_flow.cc
+++ b/src/router/completion_flow.cc
@@ -16,7 +16,8 @@
 }
 
 std::uint32_t uncachedTokens(const RequestEntry& entry, const PlacementDecision& decision) {
-  const auto cached = static_cast<std::uint32_t>(decision.cached_blocks * kTokensPerBlock);
+  const std::uint32_t reused = std::max(decision.cached_blocks, decision.import_blocks);
+  const auto cached = static_cast<std::uint32_t>(reused * kTokensPerBlock);
   const std::uint32_t input = inputTokens(entry);
   return input > cached ? input - cached : 0;
 }
@@ -93,7 +94,7 @@
   admission.cost_tokens = uncachedTokens(entry, decision) + request.max_tokens;
   admission.deadline = entry.deadline - now;
   admission.expected_first_token = decision.expected_first_token;
-  admission.fleet_utilization = capacityOf(*model).utilization();
+  admission.fleet_utilization = std::max(capacityOf(*model).utilization(), decision.queue_utilization);
   admission.retry = entry.dispatches > 0 || !request.resume_engine.empty();
   admission.continuation = entry.tokens > 0;
   if (admit(entry, admission, now)) dispatchCompletion(entry, decision, now);
@@ -106,6 +107,8 @@
   dispatch.engine = decision.engine;
   dispatch.incarnation = decision.incarnation;
   dispatch.weights_version = entry.blocks_weights;
+  dispatch.importing = decision.import_blocks > 0;
+  dispatch.dispatched_at = now;
   ++entry.dispatches;
   sent_work_.add(decision.engine, dispatch.id, uncachedTokens(entry, decision), now);
   options_.index->notePlaced(decision.engine, decision.incarnation, entry.blocks, now);
@@ -156,6 +159,9 @@
   if (!dispatch.resume) {
     dispatch.computed_prompt_tokens =
         accepted.prompt_tokens - std::min(accepted.prompt_tokens, accepted.cached_tokens);
+    if (!dispatch.importing) {
+      sent_work_.correct(dispatch.engine, dispatch.id, dispatch.computed_prompt_tokens);
+    }
     options_.index->correct(dispatch.engine, dispatch.incarnation, entry.blocks,
                             static_cast<std::uint32_t>(accepted.cached_tokens / kTokensPerBlock), now);
   }
@@ -163,6 +169,17 @@
   schedule(entry);
 }
 
+void RequestRouterImpl::notePrefillDone(RequestEntry& entry, TimePoint now) {
+  CurrentDispatch& dispatch = *entry.dispatch;
+  if (dispatch.prefill_done) return;
+  dispatch.prefill_done = true;
+  if (dispatch.resume) return;
+  sent_work_.prefillDone(dispatch.engine, dispatch.id, now);
+  const PlacementFeedback feedback{dispatch.engine, entry.prompt_tokens, entry.cached_tokens,
+                                   entry.record.decision.expected_first_token, now - dispatch.dispatched_at};
+  options_.placement->observe(feedback, now);
+}
+
 void RequestRouterImpl::completionPiece(RequestEntry& entry, const BackendPiece& piece, TimePoint now) {
   CurrentDispatch& dispatch = *entry.dispatch;
   if (piece.offset + piece.token_count <= entry.tokens && piece.token_count > 0) return schedule(entry);
@@ -170,7 +187,7 @@
     return abandonDispatch(entry, "a piece does not follow the one before", now);
   }
   dispatch.attempt->apply(AttemptEvent::PieceArrived);
-  sent_work_.prefillDone(dispatch.engine, dispatch.id);
+  notePrefillDone(entry, now);
   if (!entry.first_token_seen) {
     entry.first_token_seen = true;
     entry.record.time_to_first_token = now - entry.submitted_at;
--- a/src/router/request_entry.h
+++ b/src/router/request_entry.h
@@ -22,9 +22,12 @@
   std::string weights_version;
   std::uint64_t first_token = 0;             ///< Offset of the first token it gives.
   std::uint32_t computed_prompt_tokens = 0;  ///< Prompt tokens the engine did not find cached.
-  bool resume = false;                       ///< Takes up work that already runs.
-  bool costless = false;                     ///< It ended without any work or load at the back end.
-  TimePoint last_heard_at{};                 ///< When it was sent, or the back end was last heard of.
+  bool importing = false;                    ///< The engine imports blocks before it prefills.
+  bool prefill_done = false;                 ///< A token came.
+  TimePoint dispatched_at{};
+  bool resume = false;        ///< Takes up work that already runs.
+  bool costless = false;      ///< It ended without any work or load at the back end.
+  TimePoint last_heard_at{};  ///< When it was sent, or the back end was last heard of.
 };
 
 /// An engine that failed a request, until it comes back under another incarnation.
--- a/src/router/request_router_impl.h
+++ b/src/router/request_router_impl.h
@@ -14,13 +14,13 @@
 #include <utility>
 #include <vector>
 
+#include "placement/outstanding_ledger.h"
 #include "router/claim_table_health.h"
 #include "router/decision_records.h"
 #include "router/ended_attempts.h"
 #include "router/model_capacity.h"
 #include "router/request_entry.h"
 #include "router/request_router.h"
-#include "router/sent_work.h"
 
 namespace crankspur {
 
@@ -113,6 +113,8 @@
   void dispatchCompletion(RequestEntry& entry, const PlacementDecision& decision, TimePoint now);
   void completionEvent(RequestEntry& entry, const BackendEvent& event, TimePoint now);
   void completionAccepted(RequestEntry& entry, const BackendAccepted& accepted, TimePoint now);
+  /// Tells the ledger and the policy that the first token of a dispatch came.
+  void notePrefillDone(RequestEntry& entry, TimePoint now);
   void completionPiece(RequestEntry& entry, const BackendPiece& piece, TimePoint now);
   void completionEnd(RequestEntry& entry, const BackendEnd& end, TimePoint now);
 
@@ -161,7 +163,7 @@
 
   DispatchId next_dispatch_ = 1;
   absl::flat_hash_map<DispatchId, Serial> by_dispatch_;
-  SentWork sent_work_;
+  OutstandingLedger sent_work_;
   absl::flat_hash_map<std::string, std::uint32_t> runner_load_;  ///< Dispatches in flight by runner.
   absl::flat_hash_map<std::string, ModelCapacity> capacity_;     ///< By model; cleared with each snapshot.
 
--- a/src/sidecar/router_selector.cc
+++ b/src/sidecar/router_selector.cc
@@ -20,14 +20,9 @@
 }  // namespace
 
 std::uint64_t routingKey(const SubmitRequest& request) {
-  std::uint64_t hash = hashBytes(request.tenant);
-  if (request.kind == RequestKind::Application) {
-    hash = appendHash(hash, request.operation);
-    return appendHash(hash, request.idempotency_key);
-  }
-  hash = appendHash(hash, request.model);
-  hash = appendHash(hash, request.adapter);
-  return appendHash(hash, std::string_view(request.prompt).substr(0, kPromptHeadBytes));
+  if (request.kind == RequestKind::Completion) return hashBytes(request.model);
+  const std::uint64_t hash = appendHash(hashBytes(request.tenant), request.operation);
+  return appendHash(hash, request.idempotency_key);
 }
 
 RendezvousRouterSelector::RendezvousRouterSelector(std::string own_zone, std::string own_region)
@@ -52,30 +47,34 @@
   return found == in_flight_.end() ? 0 : found->second;
 }
 
-RendezvousRouterSelector::Distance RendezvousRouterSelector::distanceOf(const RouterCandidate& router) const {
+RendezvousRouterSelector::Distance RendezvousRouterSelector::distanceOf(const RouterCandidate& router,
+                                                                        RequestKind kind) const {
   if (router.region != own_region_) return Distance::OtherRegion;
+  if (kind == RequestKind::Completion) return Distance::OwnRegion;
   return router.zone == own_zone_ ? Distance::OwnZone : Distance::OwnRegion;
 }
 
-std::uint32_t RendezvousRouterSelector::bound(Distance distance) const {
+std::uint32_t RendezvousRouterSelector::bound(Distance distance, RequestKind kind) const {
   std::uint32_t routers = 0;
   std::uint32_t requests = 1;
   for (const RouterCandidate& router : routers_) {
-    if (distanceOf(router) != distance) continue;
+    if (distanceOf(router, kind) != distance) continue;
     ++routers;
     requests += inFlight(router.name);
   }
   if (routers == 0) return 0;
-  return static_cast<std::uint32_t>(std::ceil(kLoadBound * requests / routers));
+  const auto share = static_cast<std::uint32_t>(std::ceil(kLoadBound * requests / routers));
+  return kind == RequestKind::Completion ? std::max(share, kUnboundedInFlight) : share;
 }
 
 std::vector<std::string> RendezvousRouterSelector::rank(const SubmitRequest& request) {
   const std::uint64_t key = routingKey(request);
-  const std::array<std::uint32_t, 3> bounds = {bound(Distance::OwnZone), bound(Distance::OwnRegion),
-                                               bound(Distance::OtherRegion)};
+  const std::array<std::uint32_t, 3> bounds = {bound(Distance::OwnZone, request.kind),
+                                               bound(Distance::OwnRegion, request.kind),
+                                               bound(Distance::OtherRegion, request.kind)};
   std::vector<Ranked> ranked;
   for (const RouterCandidate& router : routers_) {
-    const Distance distance = distanceOf(router);
+    const Distance distance = distanceOf(router, request.kind);
     const bool over_bound = inFlight(router.name) + 1 > bounds[static_cast<std::size_t>(distance)];
     ranked.push_back({distance, over_bound, hashBytes(router.name, key), router.name});
   }
--- a/src/sidecar/router_selector.h
+++ b/src/sidecar/router_selector.h
@@ -1,6 +1,8 @@
 #pragma once
-/// @file Choice of routers by rendezvous hashing with bounded load: requests whose prompts begin alike meet
-/// the same router, and no router gets much more than its share.
+/// @file Choice of routers by rendezvous hashing with bounded load. Completions of one model meet one router
+/// of the region while its load allows, so that it knows all work it sent to the model's engines; what
+/// exceeds the bound goes to the next router in an order that all sidecars share. See
+/// docs/design/0006-placement.md.
 
 #include <cstdint>
 #include <map>
@@ -18,13 +20,13 @@
   std::string region;
 };
 
-/// Bytes at the start of a prompt that choose the router.
-inline constexpr std::size_t kPromptHeadBytes = 1024;
-/// A router holds at most this many times the mean of its zone's requests in flight.
+/// A router holds at most this many times the mean of its group's requests in flight.
 inline constexpr double kLoadBound = 1.25;
+/// Completions of this sidecar that a router may hold whatever the others hold.
+inline constexpr std::uint32_t kUnboundedInFlight = 64;
 
-/// @return the hash that decides which routers a request prefers: tenant, model, adapter and prompt head, or
-/// for operations tenant, operation and idempotency key.
+/// @return the hash that decides which routers a request prefers: of the model, or for operations of tenant,
+/// operation and idempotency key.
 std::uint64_t routingKey(const SubmitRequest& request);
 
 /// The product's selector. Not thread-safe.
@@ -51,9 +53,11 @@
     std::uint64_t score = 0;
     std::string name;
   };
-  Distance distanceOf(const RouterCandidate& router) const;
+  /// @return how far the router is; completions take all routers of the own region for equally near, since a
+  /// hop between zones is short against what complete knowledge of the engines saves.
+  Distance distanceOf(const RouterCandidate& router, RequestKind kind) const;
   /// @return requests that one router of a group may hold, one more request included.
-  std::uint32_t bound(Distance distance) const;
+  std::uint32_t bound(Distance distance, RequestKind kind) const;
 
   std::string own_zone_;
   std::string own_region_;
