Look at every fourth block of prefixes that many engines hold

Cause: matching a catalogue that 64 and more engines hold took most of a decision. Change: match() strides while more than 16 engines are in the running and goes back where one falls out; slots and pooled holders are loaded ahead.

--- a/src/prefix_index/prefix_index.cc
+++ b/src/prefix_index/prefix_index.cc
@@ -12,7 +12,12 @@
 constexpr std::uint32_t kTickMask = 0x7fffffff;
 constexpr std::uint32_t kOptimisticTicks = kOptimisticLifetime / kTick;
 /// Blocks whose table slots are loaded ahead while matching.
-constexpr std::size_t kPrefetchDistance = 8;
+constexpr std::size_t kPrefetchDistance = 16;
+
+/// While more engines than this hold a prefix, match() looks at one block in kStride: engines evict the ends
+/// of prefixes first, so that a hole in a prefix that many hold is rare, and answers correct it.
+constexpr std::size_t kStrideHolders = 16;
+constexpr std::uint32_t kStride = 4;
 
 /// What the index knows of an engine slot.
 struct SlotState {
@@ -50,6 +55,10 @@
   void retireEntries(EngineSlot engine);
   void store(EngineSlot engine, BlockHash hash, bool optimistic, std::uint32_t now_tick);
   void remove(EngineSlot engine, BlockHash hash, std::uint32_t now_tick);
+  /// Finds the engines that hold `known` leading blocks and this one too, at `position`; notes their depth.
+  /// @return how many there are.
+  std::size_t extend(BlockHash block, std::uint32_t known, std::uint32_t position, std::uint32_t now_tick,
+                     std::vector<PrefixMatch>& matches) const;
   /// Loads what match() needs a few blocks later.
   void prefetchAhead(std::span<const BlockHash> blocks, std::size_t position) const;
   void makeRoom();
@@ -197,6 +206,18 @@
   if (holders_ahead < blocks.size()) table_.prefetchHolders(blocks[holders_ahead]);
 }
 
+std::size_t TablePrefixIndex::extend(BlockHash block, std::uint32_t known, std::uint32_t position,
+                                     std::uint32_t now_tick, std::vector<PrefixMatch>& matches) const {
+  std::size_t extended = 0;
+  table_.forEachHolder(block, [&](const Holder& entry) {
+    if (depth_[entry.engine] != known || !counts(entry, now_tick)) return;
+    if (position == 0) matches.push_back({entry.engine, 0});
+    depth_[entry.engine] = position + 1;
+    ++extended;
+  });
+  return extended;
+}
+
 std::vector<PrefixMatch> TablePrefixIndex::match(std::span<const BlockHash> blocks, TimePoint now) const {
   depth_.assign(slots_.size(), 0);
   std::vector<PrefixMatch> matches;
@@ -204,16 +225,21 @@
   for (std::size_t ahead = 0; ahead < kPrefetchDistance && ahead < blocks.size(); ++ahead) {
     table_.prefetch(blocks[ahead]);
   }
-  for (std::uint32_t position = 0; position < blocks.size(); ++position) {
+  std::uint32_t known = 0;  // Leading blocks that the engines still in the running hold.
+  std::size_t running = 0;
+  std::uint32_t position = 0;
+  while (known < blocks.size()) {
     prefetchAhead(blocks, position);
-    bool extended = false;
-    table_.forEachHolder(blocks[position], [&](const Holder& entry) {
-      if (depth_[entry.engine] != position || !counts(entry, now_tick)) return;
-      if (position == 0) matches.push_back({entry.engine, 0});
-      depth_[entry.engine] = position + 1;
-      extended = true;
-    });
-    if (!extended) break;
+    const std::size_t extended = extend(blocks[position], known, position, now_tick, matches);
+    // Some fell out within a stride: see how far each of them reaches.
+    for (std::uint32_t back = known; extended < running && back < position; ++back) {
+      extend(blocks[back], back, back, now_tick, matches);
+    }
+    if (extended == 0) break;
+    running = extended;
+    known = position + 1;
+    const std::uint32_t step = running > kStrideHolders ? kStride : 1;
+    position = std::min(position + step, static_cast<std::uint32_t>(blocks.size() - 1));
   }
   for (PrefixMatch& found : matches) found.blocks = depth_[found.engine];
   std::sort(matches.begin(), matches.end(), [](const PrefixMatch& left, const PrefixMatch& right) {
--- a/tests/unit/prefix_index/prefix_index_test.cc
+++ b/tests/unit/prefix_index/prefix_index_test.cc
@@ -215,6 +215,19 @@
   CHECK(index->size() == 201);
 }
 
+TEST_CASE("prefixes that many engines hold end where they end", "[prefix_index]") {
+  auto index = makePrefixIndex(10'000);
+  const auto blocks = promptOf(kScope, 60);
+  for (EngineSlot engine = 0; engine < 60; ++engine) {
+    index->setIncarnation(engine, 1);
+    index->correct(engine, 1, std::span(blocks).first(engine + 1U), 0, kStart);
+  }
+  for (EngineSlot engine = 0; engine < 60; ++engine) {
+    CHECK(blocksAt(*index, blocks, engine, kStart) == engine + 1U);
+  }
+  CHECK(blocksAt(*index, std::span(blocks).first(7), 59, kStart) == 7);
+}
+
 TEST_CASE("618,000 blocks fit into 20 MB", "[prefix_index]") {
   auto index = makePrefixIndex(618'000);
   RandomSource random(3);
