--- a/sim/experiment/command.cc
+++ b/sim/experiment/command.cc
@@ -13,14 +13,16 @@
 
 ABSL_FLAG(std::string, site, "parts_desk", "experiment: parts_desk, tallow_creek or two_year");
 ABSL_FLAG(std::vector<std::string>, policies,
-          std::vector<std::string>({"cost", "clairvoyant", "previous", "prompt_head", "least_load",
-                                    "round_robin"}),
+          std::vector<std::string>({"cost", "clairvoyant", "clairvoyant_import", "previous", "prompt_head",
+                                    "least_load", "round_robin"}),
           "experiment: policies to compare");
 ABSL_FLAG(std::uint32_t, seeds, 20, "experiment: how many seeds");
 ABSL_FLAG(std::uint64_t, first_seed, 1, "experiment: the first seed");
 ABSL_FLAG(std::string, faults, "none", "experiment: none, crash, shift, gaps or all");
 ABSL_FLAG(double, load, 1.0, "experiment: factor on the site's request rate");
 ABSL_FLAG(double, noisy, 1.0, "experiment: factor on one tenant's rate; above 1 also runs without it");
+ABSL_FLAG(std::string, routing, "region_model",
+          "experiment: how sidecars choose routers: zone_head, region_head or region_model");
 ABSL_FLAG(std::uint32_t, length, 40, "experiment: length of a run in seconds");
 ABSL_FLAG(std::uint32_t, threads, 4, "experiment: runs at a time");
 ABSL_FLAG(std::string, workload, "", "experiment: replay the requests in this file");
@@ -45,9 +47,16 @@
   return plan;
 }
 
+std::optional<RouterChoice> parseRouting(const std::string& name) {
+  if (name == "zone_head") return RouterChoice::ZoneHead;
+  if (name == "region_head") return RouterChoice::RegionHead;
+  if (name == "region_model") return RouterChoice::RegionModel;
+  return std::nullopt;
+}
+
 bool isPolicy(const std::string& name) {
-  static const std::vector<std::string> known = {"cost",        "clairvoyant", "previous",
-                                                 "prompt_head", "least_load",  "round_robin"};
+  static const std::vector<std::string> known = {
+      "cost", "clairvoyant", "clairvoyant_import", "previous", "prompt_head", "least_load", "round_robin"};
   return std::find(known.begin(), known.end(), name) != known.end();
 }
 
@@ -56,16 +65,6 @@
   return kUsageError;
 }
 
-/// Highest ratio over the tenants, the noisy one left out, of p95 with and without the noisy tenant.
-double worstTenantRatio(const Measures& noisy, const Measures& quiet) {
-  double worst = 0;
-  for (std::uint32_t tenant = 0; tenant < quiet.tenant_p95_ms.size(); ++tenant) {
-    if (tenant == kNoisyTenant || quiet.tenant_p95_ms[tenant] <= 0) continue;
-    worst = std::max(worst, noisy.tenant_p95_ms[tenant] / quiet.tenant_p95_ms[tenant]);
-  }
-  return worst;
-}
-
 ResultRow runOne(const RunOptions& options) {
   ResultRow row;
   row.site = options.site.name;
@@ -77,7 +76,7 @@
   if (options.noisy_factor <= 1) return row;
   RunOptions quiet = options;
   quiet.noisy_factor = 1;
-  row.worst_tenant_ratio = worstTenantRatio(row.measures, measure(quiet, run(quiet)));
+  row.quiet_first_token_ms = measure(quiet, run(quiet)).tenant_first_token_ms;
   return row;
 }
 
@@ -129,7 +128,10 @@
   for (const std::string& policy : absl::GetFlag(FLAGS_policies)) {
     if (!isPolicy(policy)) return fail("unknown policy " + policy);
   }
+  const std::optional<RouterChoice> routing = parseRouting(absl::GetFlag(FLAGS_routing));
+  if (!routing) return fail("unknown routing " + absl::GetFlag(FLAGS_routing));
   RunOptions base;
+  base.router_choice = *routing;
   base.site = *site;
   base.faults = *faults;
   base.load = absl::GetFlag(FLAGS_load);
