--- a/src/sidecar/router_selector.cc
+++ b/src/sidecar/router_selector.cc
@@ -73,6 +73,7 @@
                                                bound(Distance::OwnRegion, request.kind),
                                                bound(Distance::OtherRegion, request.kind)};
   std::vector<Ranked> ranked;
+  ranked.reserve(routers_.size());
   for (const RouterCandidate& router : routers_) {
     const Distance distance = distanceOf(router, request.kind);
     const bool over_bound = inFlight(router.name) + 1 > bounds[static_cast<std::size_t>(distance)];
@@ -83,6 +84,7 @@
            std::tie(right.distance, right.over_bound, left.score, right.name);
   });
   std::vector<std::string> names;
+  names.reserve(ranked.size());
   for (Ranked& entry : ranked) names.push_back(std::move(entry.name));
   return names;
 }
