Share engine knowledge within a zone, hold leases, give fleet orders

Cause: 340 routers can neither each ask 2,000 engines for their load nor each read 990,000 cache events a second within 18 KB/s; new weights must go out in waves by one order giver that a pause cannot make harmful.

Change: beyond 8 engines each engine has one owner in the zone by rendezvous hashing, which asks it and tells the others in digests; beyond 32 the owner alone reads its cache events and tells blocks stored more than once. An owner that falls silent is covered by asking directly. The lease is a Boost.MSM machine whose validity counts from when the last renewal was sent; two routers contend for it. Fleet orders load weights in waves of parallel_weight_loads and never take more than half of a model's engines. CacheSummary::sequence is now the engine's own sequence, so that summaries and direct events mix.

--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -171,7 +171,7 @@
 struct CacheSummary {
   std::string engine;
   std::uint64_t engine_incarnation = 0;
-  std::uint64_t sequence = 0;  ///< Grows by one with each summary of the same incarnation.
+  std::uint64_t sequence = 0;  ///< The engine's own event sequence that the summary reaches up to.
   std::vector<std::uint64_t> stored;
   std::vector<std::uint64_t> removed;
 };
--- /dev/null
+++ b/src/lease/lease.cc
@@ -0,0 +1,182 @@
+#include "lease/lease.h"
+
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+#include "base/random.h"
+
+namespace crankspur {
+
+namespace {
+
+namespace front = boost::msm::front;
+
+/// A holder renews, and a watcher looks, this many times within a lifetime.
+constexpr int kLooksPerLifetime = 3;
+/// After a call without answer the row is read back this soon, in parts of the lifetime.
+constexpr int kRetriesPerLifetime = 10;
+
+struct CallStarted {};
+struct SeenFree {};
+struct SeenOwn {};
+struct SeenOther {};
+struct CallFailed {};
+
+/// Life cycle of a contender. `Watching` looks at the row from time to time; `Claiming` and `Holding` write
+/// it when due; `Unsure` reads it back before anything else.
+struct LeaseTable : front::state_machine_def<LeaseTable> {
+  struct Watching : front::state<> {};
+  struct Claiming : front::state<> {};
+  struct Holding : front::state<> {};
+  struct Unsure : front::state<> {};
+  using initial_state = Watching;
+
+  template <typename Source, typename Event, typename Target>
+  using Row = front::Row<Source, Event, Target>;
+
+  // clang-format off
+  struct transition_table : boost::mpl::vector<
+      Row<Watching, SeenFree,   Claiming>,
+      Row<Watching, SeenOwn,    Holding>,
+      Row<Watching, SeenOther,  Watching>,
+      Row<Watching, CallFailed, Watching>,
+      Row<Claiming, SeenFree,   Claiming>,
+      Row<Claiming, SeenOwn,    Holding>,
+      Row<Claiming, SeenOther,  Watching>,
+      Row<Claiming, CallFailed, Unsure>,
+      Row<Holding,  SeenFree,   Holding>,
+      Row<Holding,  SeenOwn,    Holding>,
+      Row<Holding,  SeenOther,  Watching>,
+      Row<Holding,  CallFailed, Unsure>,
+      Row<Unsure,   SeenFree,   Claiming>,
+      Row<Unsure,   SeenOwn,    Holding>,
+      Row<Unsure,   SeenOther,  Watching>,
+      Row<Unsure,   CallFailed, Unsure>
+  > {};
+  // clang-format on
+};
+
+using Machine = boost::msm::back::state_machine<LeaseTable>;
+
+class TableLease : public Lease {
+public:
+  TableLease(std::string holder, Duration lifetime, std::uint64_t random_seed)
+      : holder_(std::move(holder)), lifetime_(lifetime), random_(random_seed) {
+    machine_.start();
+  }
+
+  std::optional<LeaseAction> poll(TimePoint now) override {
+    if (outstanding_ || now < next_at_) return std::nullopt;
+    outstanding_ = true;
+    LeaseAction action;
+    const bool writes = is<LeaseTable::Claiming>() || is<LeaseTable::Holding>();
+    if (!writes) return action;
+    action.kind = LeaseAction::Kind::CompareAndSet;
+    action.expected_version = row_.row_version;
+    action.write = is<LeaseTable::Holding>() ? renewal() : claim();
+    proposed_ = action.write;
+    sent_at_ = now;
+    return action;
+  }
+
+  void onRead(const LeaseRow& row, TimePoint now) override {
+    outstanding_ = false;
+    observe(row, now);
+  }
+
+  void onWritten(bool committed, const LeaseRow& row, TimePoint now) override {
+    outstanding_ = false;
+    if (!committed) return observe(row, now);
+    row_ = row;
+    becomeHolder(now);
+  }
+
+  void onFailed(TimePoint now) override {
+    outstanding_ = false;
+    machine_.process_event(CallFailed{});
+    next_at_ = now + part(kRetriesPerLifetime);
+  }
+
+  std::optional<std::uint64_t> heldToken(TimePoint now) const override {
+    if (token_ == 0 || now >= valid_until_) return std::nullopt;
+    return token_;
+  }
+
+  TimePoint nextTimer() const override { return outstanding_ ? TimePoint::max() : next_at_; }
+
+private:
+  template <typename State>
+  bool is() const {
+    return machine_.current_state()[0] == boost::msm::back::get_state_id<Machine::stt, State>::value;
+  }
+
+  LeaseRow claim() const { return {holder_, row_.token + 1, row_.renewal + 1, 0}; }
+  LeaseRow renewal() const { return {holder_, row_.token, row_.renewal + 1, 0}; }
+
+  /// Judges a row as it is in the table.
+  void observe(const LeaseRow& row, TimePoint now) {
+    const bool own = row.row_version != 0 && row.holder == holder_ && row.token == proposed_.token;
+    const bool changed = row.row_version != row_.row_version || !seen_;
+    if (changed) unchanged_since_ = now;
+    seen_ = true;
+    row_ = row;
+    if (own) {
+      // The write whose answer was lost did take effect, at the earliest when it was sent.
+      const bool newest = row.renewal == proposed_.renewal;
+      if (newest) return becomeHolder(now);
+      machine_.process_event(SeenOwn{});
+      next_at_ = now;
+      return;
+    }
+    token_ = 0;
+    const bool free = row.row_version == 0 || row.holder.empty() || now - unchanged_since_ >= lifetime_;
+    if (free) {
+      machine_.process_event(SeenFree{});
+      next_at_ =
+          now + Duration(static_cast<Duration::rep>(random_.unit() * 0.02 * toMicroseconds(lifetime_)));
+    } else {
+      machine_.process_event(SeenOther{});
+      next_at_ = now + part(kLooksPerLifetime);
+    }
+  }
+
+  void becomeHolder(TimePoint now) {
+    machine_.process_event(SeenOwn{});
+    token_ = row_.token;
+    valid_until_ = sent_at_ + lifetime_;
+    unchanged_since_ = now;
+    seen_ = true;
+    next_at_ = sent_at_ + part(kLooksPerLifetime);
+  }
+
+  static double toMicroseconds(Duration duration) { return static_cast<double>(duration.count()); }
+
+  /// @return a jittered part of the lifetime.
+  Duration part(int parts) {
+    const double factor = (0.8 + 0.4 * random_.unit()) / parts;
+    return Duration(static_cast<Duration::rep>(toMicroseconds(lifetime_) * factor));
+  }
+
+  std::string holder_;
+  Duration lifetime_;
+  RandomSource random_;
+  Machine machine_;
+  LeaseRow row_;
+  LeaseRow proposed_;
+  bool seen_ = false;
+  bool outstanding_ = false;
+  std::uint64_t token_ = 0;
+  TimePoint sent_at_{};
+  TimePoint valid_until_{};
+  TimePoint unchanged_since_{};
+  TimePoint next_at_{};
+};
+
+}  // namespace
+
+std::unique_ptr<Lease> makeLease(std::string holder, Duration lifetime, std::uint64_t random_seed) {
+  return std::make_unique<TableLease>(std::move(holder), lifetime, random_seed);
+}
+
+}  // namespace crankspur
--- a/src/router/engine_table.cc
+++ b/src/router/engine_table.cc
@@ -18,6 +18,10 @@
 constexpr double kMaximumEjectedShare = 0.34;
 /// Back ends outside the own region are asked this many times less often.
 constexpr int kOtherRegionFactor = 5;
+/// Engines whose load another router tells are asked this many times less often.
+constexpr int kElsewhereFactor = 50;
+/// An engine whose owner has told nothing for this long is asked directly.
+constexpr Duration kDigestPatience = std::chrono::seconds(6);
 /// Longest time between two looks at the table.
 constexpr Duration kLongestWait = std::chrono::seconds(1);
 
@@ -120,6 +124,10 @@
   entry->view.role = report.role;
   entry->view.models = report.models;
   entry->told_leaving = entry->told_leaving || report.leaving;
+  if (entry->view.load.batch_limit == 0) {
+    entry->view.load.batch_limit = report.batch_limit;
+    entry->view.load.cache_blocks_total = report.cache_blocks_total;
+  }
   if (newly_leaving) announce(*entry, false);
 }
 
@@ -144,19 +152,29 @@
   Entry* entry = find(name);
   if (entry == nullptr) return;
   entry->load_running = false;
-  if (incarnation != entry->view.incarnation) {
-    entry->next_info_at = now;
+  takeLoad(*entry, incarnation, load, now);
+}
+
+void EngineTable::onToldLoad(const std::string& name, std::uint64_t incarnation, const LoadReport& load,
+                             TimePoint now) {
+  Entry* entry = find(name);
+  if (entry != nullptr && polled_elsewhere_.contains(name)) takeLoad(*entry, incarnation, load, now);
+}
+
+void EngineTable::takeLoad(Entry& entry, std::uint64_t incarnation, const LoadReport& load, TimePoint now) {
+  if (incarnation != entry.view.incarnation) {
+    entry.next_info_at = now;
     return;
   }
-  if (load.measured_at < entry->view.load.measured_at) return;
-  const LoadReport previous = entry->view.load;
-  entry->view.load = load;
+  if (load.measured_at < entry.view.load.measured_at) return;
+  const LoadReport previous = entry.view.load;
+  entry.view.load = load;
   // A peer's digest carries only the queue; the rest stays as last reported.
   if (load.batch_limit == 0) {
-    entry->view.load.batch_limit = previous.batch_limit;
-    entry->view.load.cache_blocks_total = previous.cache_blocks_total;
-    entry->view.load.cache_blocks_used = previous.cache_blocks_used;
-    entry->view.load.prefill_tokens_per_second = previous.prefill_tokens_per_second;
+    entry.view.load.batch_limit = previous.batch_limit;
+    entry.view.load.cache_blocks_total = previous.cache_blocks_total;
+    entry.view.load.cache_blocks_used = previous.cache_blocks_used;
+    entry.view.load.prefill_tokens_per_second = previous.prefill_tokens_per_second;
   }
   loads_changed_ = true;
 }
@@ -226,9 +244,21 @@
   return Duration(static_cast<Duration::rep>(seconds * 1e6));
 }
 
+bool EngineTable::polledElsewhere(const Entry& entry, TimePoint now) const {
+  // An owner that went silent is not waited for.
+  return polled_elsewhere_.contains(entry.view.name) && now - entry.view.load.measured_at < kDigestPatience;
+}
+
+bool EngineTable::wantsLoad(const Entry& entry, TimePoint now) const {
+  const bool reachable = entry.view.incarnation != 0 && entry.health.state(now) != HealthState::Dead;
+  if (entry.runner || !reachable || entry.load_running) return false;
+  return now >= entry.next_load_at || (entry.load_early && !polledElsewhere(entry, now));
+}
+
 std::vector<BackendPoll> EngineTable::duePolls(TimePoint now) {
   std::vector<BackendPoll> polls;
-  const std::size_t load_polled = entries_.size() - std::min(entries_.size(), polled_elsewhere_.size());
+  const std::size_t told = std::min(entries_.size(), polled_elsewhere_.size());
+  const std::size_t load_polled = entries_.size() - told + told / kElsewhereFactor;
   for (auto& [name, entry] : entries_) {
     const int factor = inOwnRegion(entry) ? 1 : kOtherRegionFactor;
     if (!entry.info_running && now >= entry.next_info_at) {
@@ -238,15 +268,15 @@
       const auto kind = entry.runner ? BackendPoll::Kind::RunnerInfo : BackendPoll::Kind::EngineInfo;
       polls.push_back({kind, name, entry.view.address});
     }
-    const bool load_wanted = !entry.runner && entry.view.incarnation != 0 &&
-                             !polled_elsewhere_.contains(name) &&
-                             entry.health.state(now) != HealthState::Dead;
-    if (load_wanted && !entry.load_running && now >= entry.next_load_at) {
-      entry.load_running = true;
-      entry.next_load_at =
-          now + interval(options_.load_interval, options_.load_polls_per_second, load_polled) * factor;
-      polls.push_back({BackendPoll::Kind::EngineLoad, name, entry.view.address});
-    }
+    if (!wantsLoad(entry, now)) continue;
+    entry.load_running = true;
+    // An engine that another router asks is asked now and then, for what digests leave out.
+    const bool elsewhere = polled_elsewhere_.contains(name);
+    entry.load_early = elsewhere;
+    const int load_factor = elsewhere ? kElsewhereFactor : factor;
+    entry.next_load_at =
+        now + interval(options_.load_interval, options_.load_polls_per_second, load_polled) * load_factor;
+    polls.push_back({BackendPoll::Kind::EngineLoad, name, entry.view.address});
   }
   return polls;
 }
@@ -255,10 +285,8 @@
   TimePoint next = now + kLongestWait;
   for (const auto& [name, entry] : entries_) {
     if (!entry.info_running) next = std::min(next, entry.next_info_at);
-    const bool load_wanted = !entry.runner && entry.view.incarnation != 0 && !entry.load_running &&
-                             !polled_elsewhere_.contains(name);
-    if (load_wanted && entry.health.state(now) != HealthState::Dead)
-      next = std::min(next, entry.next_load_at);
+    const bool reachable = entry.view.incarnation != 0 && entry.health.state(now) != HealthState::Dead;
+    if (!entry.runner && reachable && !entry.load_running) next = std::min(next, entry.next_load_at);
     const TimePoint ejection_end = entry.health.ejectedUntil();
     if (ejection_end > now) next = std::min(next, ejection_end);
   }
@@ -301,6 +329,14 @@
   return views;
 }
 
+std::vector<EngineView> EngineTable::allEngines(TimePoint now) const {
+  std::vector<EngineView> views;
+  for (const auto& [name, entry] : entries_) {
+    if (!entry.runner) views.push_back(viewOf(entry, now));
+  }
+  return views;
+}
+
 std::vector<EngineView> EngineTable::runners(TimePoint now) const {
   std::vector<EngineView> views;
   for (const auto& [name, entry] : entries_) {
--- a/src/router/engine_table.h
+++ b/src/router/engine_table.h
@@ -72,8 +72,10 @@
   void onMachineList(const MachineList& list, TimePoint now);
   /// A back end answered what it is.
   void onReport(const std::string& name, const BackendReport& report, TimePoint now);
-  /// An engine answered its load, or a peer told it. An unknown incarnation makes the table ask anew.
+  /// An engine answered its load. An unknown incarnation makes the table ask anew.
   void onLoad(const std::string& name, std::uint64_t incarnation, const LoadReport& load, TimePoint now);
+  /// A peer told an engine's load; unknown engines and incarnations are ignored.
+  void onToldLoad(const std::string& name, std::uint64_t incarnation, const LoadReport& load, TimePoint now);
   /// A poll failed.
   void onPollFailed(const std::string& name, PollFailure failure, TimePoint now);
   /// A peer's fact about an engine.
@@ -92,6 +94,8 @@
 
   /// @return engines of the own region, and others for pools that the own region cannot serve; by slot.
   std::vector<EngineView> engines(TimePoint now) const;
+  /// @return engines of every region, by name; for fleet orders.
+  std::vector<EngineView> allEngines(TimePoint now) const;
   /// @return application runners.
   std::vector<EngineView> runners(TimePoint now) const;
   /// @return the engine's name in a slot, or an empty string.
@@ -118,13 +122,17 @@
     TimePoint next_load_at{};
     bool info_running = false;
     bool load_running = false;
+    bool load_early = false;  ///< Asked directly before its time if the owner goes silent.
   };
 
+  void takeLoad(Entry& entry, std::uint64_t incarnation, const LoadReport& load, TimePoint now);
   void listMachine(const Machine& machine, TimePoint now);
   void dropUnlisted(const std::set<std::string>& listed, TimePoint now);
   void takeIncarnation(Entry& entry, std::uint64_t incarnation, TimePoint now);
   void announce(const Entry& entry, bool dead);
   void ejectIfSlow(Entry& entry, TimePoint now);
+  bool polledElsewhere(const Entry& entry, TimePoint now) const;
+  bool wantsLoad(const Entry& entry, TimePoint now) const;
   EngineState stateOf(const Entry& entry, TimePoint now) const;
   EngineView viewOf(const Entry& entry, TimePoint now) const;
   Entry* find(const std::string& name);
--- /dev/null
+++ b/src/router/zone_sharing.cc
@@ -0,0 +1,145 @@
+#include "router/zone_sharing.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+
+namespace crankspur {
+
+namespace {
+
+/// Estimated bytes on the wire: a frame with its TCP and IP headers, one engine's load, one block.
+constexpr double kFrameBytes = 100;
+constexpr double kLoadBytes = 34;
+constexpr double kBlockBytes = 10;
+constexpr Duration kShortestDigestInterval = std::chrono::milliseconds(200);
+constexpr Duration kLongestDigestInterval = std::chrono::seconds(5);
+/// Places of the table that counts how often a block was stored.
+constexpr std::size_t kSeenPlaces = 1 << 16;
+/// Blocks waiting to be told, and remembered as told, for each engine.
+constexpr std::size_t kMaximumWaiting = 1024;
+constexpr std::size_t kMaximumTold = 8192;
+constexpr Duration kSummaryInterval = std::chrono::seconds(1);
+/// Unused allowance is kept for this many seconds.
+constexpr double kAllowanceSeconds = 5;
+
+}  // namespace
+
+std::string ownerOf(const std::string& engine, const std::vector<std::string>& routers) {
+  std::string owner;
+  std::uint64_t best = 0;
+  const std::uint64_t engine_hash = hashBytes(engine);
+  for (const std::string& router : routers) {
+    const std::uint64_t score = combineHashes(engine_hash, hashBytes(router));
+    const bool better = owner.empty() || score > best || (score == best && router < owner);
+    if (!better) continue;
+    best = score;
+    owner = router;
+  }
+  return owner;
+}
+
+std::optional<LoadDigest> LoadSharing::due(const std::vector<EngineView>& owned, std::size_t receivers,
+                                           TimePoint now) {
+  if (now < next_at_ || owned.empty() || receivers == 0) return std::nullopt;
+  const double bytes = kFrameBytes + kLoadBytes * static_cast<double>(owned.size());
+  const double seconds = bytes * static_cast<double>(receivers) / bytes_per_second_;
+  const Duration wanted(static_cast<Duration::rep>(seconds * 1e6));
+  next_at_ = now + std::clamp(wanted, kShortestDigestInterval, kLongestDigestInterval);
+  LoadDigest digest;
+  digest.sender = self_;
+  for (const EngineView& engine : owned) {
+    EngineLoad load;
+    load.engine = engine.name;
+    load.engine_incarnation = engine.incarnation;
+    load.queued_tokens = engine.load.queued_tokens;
+    load.running = engine.load.running_requests;
+    const auto age = std::max(Duration(0), now - engine.load.measured_at);
+    load.age_milliseconds = static_cast<std::uint32_t>(age / std::chrono::milliseconds(1));
+    digest.loads.push_back(std::move(load));
+  }
+  return digest;
+}
+
+CacheSharing::CacheSharing(double bytes_per_second)
+    : bytes_per_second_(bytes_per_second), seen_(kSeenPlaces) {}
+
+bool CacheSharing::isShared(BlockHash hash) {
+  Seen& seen = seen_[hash % kSeenPlaces];
+  const auto mark = static_cast<std::uint32_t>(hash >> 32U);
+  if (seen.mark == mark) return ++seen.count >= 2;
+  // A block that was seen often defends its place against newcomers for a while.
+  if (seen.count > 1) {
+    seen.count /= 2;
+    return false;
+  }
+  seen = {mark, 1};
+  return false;
+}
+
+void CacheSharing::onEvents(const std::string& engine, std::uint64_t incarnation,
+                            const std::vector<CacheEvent>& events) {
+  Stream& stream = streams_[engine];
+  if (stream.incarnation != incarnation) {
+    stream = Stream();
+    stream.incarnation = incarnation;
+  }
+  for (const CacheEvent& event : events) {
+    stream.sequence = std::max(stream.sequence, event.sequence);
+    for (const BlockHash hash : event.stored) onStored(stream, hash);
+    for (const BlockHash hash : event.removed) onRemoved(stream, hash);
+  }
+}
+
+void CacheSharing::onStored(Stream& stream, BlockHash hash) {
+  if (!isShared(hash) || stream.told.contains(hash)) return;
+  const bool full = stream.stored.size() >= kMaximumWaiting || stream.told.size() >= kMaximumTold;
+  if (full) return;
+  stream.told.insert(hash);
+  stream.stored.push_back(hash);
+}
+
+void CacheSharing::onRemoved(Stream& stream, BlockHash hash) {
+  if (stream.told.erase(hash) == 0) return;
+  const auto waiting = std::find(stream.stored.begin(), stream.stored.end(), hash);
+  if (waiting != stream.stored.end()) {
+    stream.stored.erase(waiting);
+  } else {
+    stream.removed.push_back(hash);
+  }
+}
+
+std::vector<CacheSummary> CacheSharing::due(std::size_t receivers, TimePoint now) {
+  std::vector<CacheSummary> summaries;
+  if (now - last_due_ < kSummaryInterval || receivers == 0) return summaries;
+  const double elapsed = std::min(toSeconds(now - last_due_), kAllowanceSeconds);
+  last_due_ = now;
+  allowance_ = std::min(allowance_ + elapsed * bytes_per_second_, kAllowanceSeconds * bytes_per_second_);
+  const double per_block = kBlockBytes * static_cast<double>(receivers);
+  for (auto& [engine, stream] : streams_) {
+    const double after_frame = allowance_ - kFrameBytes * static_cast<double>(receivers);
+    const bool empty = stream.stored.empty() && stream.removed.empty();
+    if (empty || after_frame < per_block) continue;
+    auto room = static_cast<std::size_t>(after_frame / per_block);
+    CacheSummary summary{engine, stream.incarnation, stream.sequence, {}, {}};
+    const auto take = [&room](std::vector<BlockHash>& from, std::vector<std::uint64_t>& to) {
+      const auto count = static_cast<std::ptrdiff_t>(std::min(room, from.size()));
+      to.assign(from.begin(), from.begin() + count);
+      from.erase(from.begin(), from.begin() + count);
+      room -= static_cast<std::size_t>(count);
+    };
+    // A wrong belief costs more than a missing one: removals go first.
+    take(stream.removed, summary.removed);
+    take(stream.stored, summary.stored);
+    const auto blocks = static_cast<double>(summary.stored.size() + summary.removed.size());
+    allowance_ -= (kFrameBytes * static_cast<double>(receivers)) + per_block * blocks;
+    summaries.push_back(std::move(summary));
+  }
+  return summaries;
+}
+
+void CacheSharing::keepOnly(const std::set<std::string>& engines) {
+  std::erase_if(streams_, [&engines](const auto& item) { return !engines.contains(item.first); });
+}
+
+}  // namespace crankspur
--- a/src/router_process/control_thread.cc
+++ b/src/router_process/control_thread.cc
@@ -1,5 +1,7 @@
 #include "router_process/control_thread.h"
 
+#include <fmt/format.h>
+
 #include <random>
 #include <utility>
 
@@ -10,6 +12,11 @@
 /// Snapshots that only bring newer loads are published at most this often.
 constexpr Duration kLoadPublishInterval = std::chrono::milliseconds(50);
 
+constexpr Duration kExchangeTick = std::chrono::milliseconds(100);
+/// Routers that contend for the lease on fleet orders; the others leave the table service alone.
+constexpr std::size_t kOrderContenders = 2;
+constexpr char kOrderGroup[] = "fleet_orders";
+
 std::uint64_t freshSeed() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
@@ -46,19 +53,29 @@
       table_({settings.region}, freshSeed()),
       poller_(context.get_executor(), table_, [this] { onTableEvent(); }),
       cache_feed_(
-          context.get_executor(),
-          [this](const std::shared_ptr<const CacheNews>& news) {
-            for (const auto& shard : shards_) shard->postCacheNews(news);
-          },
+          context.get_executor(), [this](const std::shared_ptr<const CacheNews>& news) { onCacheNews(news); },
           metrics, freshSeed()),
       platform_(context.get_executor(), watcherOptions(settings),
                 {[this](const MachineList& list) { onMachines(list); },
                  [this](const BundleBody& body) { return onBundle(body); },
                  [this] { return bundle_.version(); }, [this] { return membership_->liveMembers().size(); }},
                 log, freshSeed()),
+      exchange_(self_, table_,
+                {[this](std::vector<std::string> addresses, Message message) {
+                   sendToRouters(std::move(addresses), std::move(message));
+                 },
+                 [this](const std::shared_ptr<const CacheNews>& news) {
+                   for (const auto& shard : shards_) shard->postCacheNews(news);
+                 }}),
+      orders_(context.get_executor(), fmt::format("{}:{}", self_.name, self_.incarnation), settings.platform,
+              poller_.engines(),
+              {[this] { return bundle_.current() ? bundle_.current()->bundle : nullptr; },
+               [this] { return table_.allEngines(now()); }, [this] { return mayContendForOrders(); }},
+              log, freshSeed()),
       membership_timer_(context),
       table_timer_(context),
-      publish_timer_(context) {}
+      publish_timer_(context),
+      exchange_timer_(context) {}
 
 void ControlThread::start() {
   publish();
@@ -68,6 +85,8 @@
   });
   onMembershipEvent();
   runTable();
+  orders_.start();
+  tickExchange();
 }
 
 void ControlThread::leave() {
@@ -87,6 +106,7 @@
   if (bundle_.current()) status.site = bundle_.current()->bundle->site;
   status.platform_reachable = platform_.reachable();
   status.leaving = leaving_;
+  status.gives_orders = orders_.holds();
   status.engines = table_.engines(now());
   status.runners = table_.runners(now());
   status.members = membership_->liveMembers();
@@ -149,6 +169,47 @@
   cache_feed_.onGap(slot, incarnation);
 }
 
+void ControlThread::onCacheNews(const std::shared_ptr<const CacheNews>& news) {
+  exchange_.onOwnNews(*news);
+  for (const auto& shard : shards_) shard->postCacheNews(news);
+}
+
+void ControlThread::onLoadDigest(const LoadDigest& digest) {
+  exchange_.onLoadDigest(digest, now());
+  onTableEvent();
+}
+
+void ControlThread::onCacheSummary(const CacheSummary& summary) {
+  exchange_.onCacheSummary(summary);
+}
+
+void ControlThread::sendToRouters(std::vector<std::string> addresses, Message message) {
+  front_.thread.post([this, addresses = std::move(addresses), message = std::move(message)] {
+    for (const std::string& address : addresses) front_.front->sendToRouter(address, message);
+  });
+}
+
+void ControlThread::tickExchange() {
+  exchange_.tick(now());
+  exchange_timer_.expires_after(kExchangeTick);
+  exchange_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) tickExchange();
+  });
+}
+
+bool ControlThread::mayContendForOrders() const {
+  std::vector<std::string> routers;
+  for (const MemberRecord& member : membership_->liveMembers()) {
+    if (member.state == MemberState::Alive) routers.push_back(member.name);
+  }
+  for (std::size_t rank = 0; rank < kOrderContenders && !routers.empty(); ++rank) {
+    const std::string first = ownerOf(kOrderGroup, routers);
+    if (first == self_.name) return !leaving_;
+    std::erase(routers, first);
+  }
+  return false;
+}
+
 void ControlThread::onMembershipEvent() {
   for (const EngineRecord& record : membership_->takeEngineChanges()) table_.onGossip(record, now());
   logMembers();
@@ -248,7 +309,8 @@
     if (member.state != MemberState::Leaving) ++routers;
   }
   snapshot->router_count = std::max<std::uint32_t>(routers, 1);
-  cache_feed_.follow(snapshot->engines);
+  exchange_.update(membership_->liveMembers(), snapshot->engines);
+  cache_feed_.follow(exchange_.followed(snapshot->engines));
   for (const auto& shard : shards_) shard->postSnapshot(snapshot);
 }
 
--- a/src/router_process/control_thread.h
+++ b/src/router_process/control_thread.h
@@ -14,9 +14,11 @@
 #include "router_peer/peer_front.h"
 #include "router_process/backend_poller.h"
 #include "router_process/cache_event_feed.h"
+#include "router_process/order_dispatcher.h"
 #include "router_process/platform_watcher.h"
 #include "router_process/router_settings.h"
 #include "router_process/traffic_shard.h"
+#include "router_process/zone_exchange.h"
 
 namespace crankspur {
 
@@ -32,6 +34,7 @@
   std::string site;
   bool platform_reachable = true;
   bool leaving = false;
+  bool gives_orders = false;
   std::vector<EngineView> engines;
   std::vector<EngineView> runners;
   std::vector<MemberRecord> members;
@@ -59,6 +62,8 @@
   bool onBundle(const BundleBody& body);
   void onPeerBundle(const BundleBody& body, std::uint64_t peer);
   void onOutcome(const EngineOutcome& outcome);
+  void onLoadDigest(const LoadDigest& digest);
+  void onCacheSummary(const CacheSummary& summary);
   void onCacheGap(EngineSlot slot, std::uint64_t incarnation);
 
 private:
@@ -74,6 +79,10 @@
   void logBackends();
   void publish();
   void publishSoon();
+  void onCacheNews(const std::shared_ptr<const CacheNews>& news);
+  void sendToRouters(std::vector<std::string> addresses, Message message);
+  void tickExchange();
+  bool mayContendForOrders() const;
 
   const RouterSettings& settings_;
   MemberRecord self_;
@@ -88,9 +97,12 @@
   BackendPoller poller_;
   CacheEventFeed cache_feed_;
   PlatformWatcher platform_;
+  ZoneExchange exchange_;
+  OrderDispatcher orders_;
   boost::asio::steady_timer membership_timer_;
   boost::asio::steady_timer table_timer_;
   boost::asio::steady_timer publish_timer_;
+  boost::asio::steady_timer exchange_timer_;
   bool publish_waiting_ = false;
   bool leaving_ = false;
 };
--- a/src/router_process/router_admin.cc
+++ b/src/router_process/router_admin.cc
@@ -132,6 +132,7 @@
                                  {"bundle_version", status.bundle_version},
                                  {"site", status.site},
                                  {"stopping", status.leaving},
+                                 {"gives_orders", status.gives_orders},
                                  {"platform_reachable", status.platform_reachable},
                                  {"requests_in_flight", inFlight()},
                                  {"members", describeMembers(status.members)},
--- a/src/router_process/router_process.cc
+++ b/src/router_process/router_process.cc
@@ -148,8 +148,13 @@
       boost::asio::post(context_,
                         [this, peer, body = std::move(body)] { control_->onPeerBundle(body, peer); });
     };
-    callbacks.on_load_digest = [](const LoadDigest&) {};
-    callbacks.on_cache_summary = [](const CacheSummary&) {};
+    callbacks.on_load_digest = [this](LoadDigest digest) {
+      boost::asio::post(context_, [this, digest = std::move(digest)] { control_->onLoadDigest(digest); });
+    };
+    callbacks.on_cache_summary = [this](CacheSummary summary) {
+      boost::asio::post(context_,
+                        [this, summary = std::move(summary)] { control_->onCacheSummary(summary); });
+    };
     return callbacks;
   }
 
--- /dev/null
+++ b/tests/unit/lease/lease_test.cc
@@ -0,0 +1,141 @@
+#include "lease/lease.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+#include <vector>
+
+#include "base/random.h"
+
+using namespace crankspur;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Duration kLifetime = 3s;
+
+/// One row with compare-and-set.
+struct Table {
+  LeaseRow row;
+  bool write(const LeaseAction& action) {
+    if (row.row_version != action.expected_version) return false;
+    const std::uint64_t version = row.row_version + 1;
+    row = action.write;
+    row.row_version = version;
+    return true;
+  }
+};
+
+enum class Fate { Answered, AnswerLost, NeverArrived };
+
+/// Carries out what the lease wants now, at once.
+void step(Lease& lease, Table& table, TimePoint now, Fate fate = Fate::Answered) {
+  const auto action = lease.poll(now);
+  if (!action) return;
+  const bool read = action->kind == LeaseAction::Kind::Read;
+  const bool committed = !read && fate != Fate::NeverArrived && table.write(*action);
+  if (fate != Fate::Answered) {
+    lease.onFailed(now);
+  } else if (read) {
+    lease.onRead(table.row, now);
+  } else {
+    lease.onWritten(committed, table.row, now);
+  }
+}
+
+/// Steps until the lease is held or `limit` has passed.
+TimePoint acquire(Lease& lease, Table& table, TimePoint now, Duration limit = 10s) {
+  const TimePoint end = now + limit;
+  while (now < end && !lease.heldToken(now)) {
+    step(lease, table, now);
+    now += 50ms;
+  }
+  return now;
+}
+
+const TimePoint kStart(1h);
+
+}  // namespace
+
+TEST_CASE("a free lease is taken and held by renewals", "[lease]") {
+  Table table;
+  const auto lease = makeLease("a", kLifetime, 1);
+  TimePoint now = acquire(*lease, table, kStart, 1s);
+  REQUIRE(lease->heldToken(now) == 1);
+  for (int count = 0; count < 400; ++count, now += 50ms) {
+    step(*lease, table, now);
+    CHECK(lease->heldToken(now) == 1);
+  }
+  CHECK(table.row.renewal > 10);
+}
+
+TEST_CASE("a paused holder loses the lease to another with a higher token and knows it at once", "[lease]") {
+  Table table;
+  const auto paused = makeLease("a", kLifetime, 1);
+  const auto other = makeLease("b", kLifetime, 2);
+  TimePoint now = acquire(*paused, table, kStart);
+  REQUIRE(paused->heldToken(now) == 1);
+  now = acquire(*other, table, now);
+  CHECK(other->heldToken(now) == 2);
+  CHECK_FALSE(paused->heldToken(now));
+  step(*paused, table, now);
+  CHECK_FALSE(paused->heldToken(now));
+  CHECK(table.row.holder == "b");
+}
+
+TEST_CASE("a claim whose answer is lost is found by reading back, with the same token", "[lease]") {
+  Table table;
+  const auto lease = makeLease("a", kLifetime, 1);
+  TimePoint now = kStart;
+  step(*lease, table, now);
+  while (table.row.row_version == 0) {
+    now += 20ms;
+    step(*lease, table, now, Fate::AnswerLost);
+  }
+  CHECK_FALSE(lease->heldToken(now));
+  now = acquire(*lease, table, now, 2s);
+  CHECK(lease->heldToken(now) == 1);
+}
+
+TEST_CASE("while the table is silent the holder's time runs out by when it last sent", "[lease]") {
+  Table table;
+  const auto lease = makeLease("a", kLifetime, 1);
+  TimePoint now = acquire(*lease, table, kStart);
+  const TimePoint silent_from = now;
+  for (; now < silent_from + 2 * kLifetime; now += 50ms) step(*lease, table, now, Fate::NeverArrived);
+  CHECK_FALSE(lease->heldToken(now));
+  now = acquire(*lease, table, now);
+  CHECK(lease->heldToken(now).has_value());
+}
+
+TEST_CASE("under lost answers and pauses never two hold at once and tokens only grow", "[lease]") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    RandomSource random(seed);
+    Table table;
+    std::vector<std::unique_ptr<Lease>> contenders;
+    for (std::uint64_t index = 0; index < 3; ++index) {
+      contenders.push_back(makeLease("c" + std::to_string(index), kLifetime, seed * 10 + index));
+    }
+    std::vector<TimePoint> paused_until(3, kStart);
+    std::uint64_t highest = 0;
+    std::set<std::size_t> holders;
+    for (TimePoint now = kStart; now < kStart + 300s; now += 37ms) {
+      std::size_t holding = 0;
+      for (std::size_t index = 0; index < 3; ++index) {
+        const auto token = contenders[index]->heldToken(now);
+        if (token) {
+          ++holding;
+          holders.insert(index);
+          CHECK(*token >= highest);
+          highest = *token;
+        }
+        if (random.chance(0.002)) paused_until[index] = now + std::chrono::seconds(random.uniform(1, 9));
+        if (now < paused_until[index]) continue;
+        const double draw = random.unit();
+        const Fate fate = draw < 0.1 ? Fate::AnswerLost : draw < 0.2 ? Fate::NeverArrived : Fate::Answered;
+        step(*contenders[index], table, now, fate);
+      }
+      CHECK(holding <= 1);
+    }
+    CHECK(holders.size() >= 2);
+  }
+}
