--- a/apps/crankspur_sim/main.cc
+++ b/apps/crankspur_sim/main.cc
@@ -3,10 +3,10 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/reflection.h>
 #include <absl/flags/usage.h>
+#include <absl/strings/string_view.h>
 
 #include <iostream>
 #include <string>
-#include <string_view>
 #include <vector>
 
 #include "sim/check/command.h"
@@ -19,18 +19,18 @@
 /// The flag library ends the process with status 1 for a wrong flag, which here means "violations found": so
 /// flags of the form --name=value are checked before it reads them.
 /// @return what is wrong with the argument, or an empty string.
-std::string flagProblem(std::string_view argument) {
+std::string flagProblem(absl::string_view argument) {
   if (argument.substr(0, 2) != "--" || argument.size() == 2) return "";
-  const std::string_view body = argument.substr(2);
+  const absl::string_view body = argument.substr(2);
   const std::size_t equals = body.find('=');
-  const std::string_view name = body.substr(0, equals);
+  const absl::string_view name = body.substr(0, equals);
   absl::CommandLineFlag* flag = absl::FindCommandLineFlag(name);
   if (flag == nullptr) {
     const bool negated = name.substr(0, 2) == "no" && absl::FindCommandLineFlag(name.substr(2)) != nullptr;
     return negated ? "" : "unknown flag --" + std::string(name);
   }
   std::string error;
-  if (equals == std::string_view::npos || flag->ParseFrom(body.substr(equals + 1), &error)) return "";
+  if (equals == absl::string_view::npos || flag->ParseFrom(body.substr(equals + 1), &error)) return "";
   return "bad value of --" + std::string(name) + ": " + error;
 }
 
--- a/sim/check/checkers.h
+++ b/sim/check/checkers.h
@@ -27,14 +27,14 @@
 using Violations = std::vector<Violation>;
 
 /// Each checker adds what it finds.
-void checkCacheUse(const CheckInput& input, Violations& violations);       ///< Line 1.
-void checkStreams(const CheckInput& input, Violations& violations);        ///< Lines 2 and 4.
-void checkRestarts(const CheckInput& input, Violations& violations);       ///< Line 3.
-void checkNotRun(const CheckInput& input, Violations& violations);         ///< Line 5.
-void checkAtMostOnce(const CheckInput& input, Violations& violations);     ///< Line 6.
-void checkLeaving(const CheckInput& input, Violations& violations);        ///< Line 7.
-void checkPlannedStops(const CheckInput& input, Violations& violations);   ///< Line 8.
-void checkBundles(const CheckInput& input, Violations& violations);        ///< Line 9.
+void checkCacheUse(const CheckInput& input, Violations& violations);      ///< Line 1.
+void checkStreams(const CheckInput& input, Violations& violations);       ///< Lines 2 and 4.
+void checkRestarts(const CheckInput& input, Violations& violations);      ///< Line 3.
+void checkNotRun(const CheckInput& input, Violations& violations);        ///< Line 5.
+void checkAtMostOnce(const CheckInput& input, Violations& violations);    ///< Line 6.
+void checkLeaving(const CheckInput& input, Violations& violations);       ///< Line 7.
+void checkPlannedStops(const CheckInput& input, Violations& violations);  ///< Line 8.
+void checkBundles(const CheckInput& input, Violations& violations);       ///< Line 9.
 void checkFencing(const CheckInput& input, Violations& violations);
 void checkLiveness(const CheckInput& input, Violations& violations);
 
--- a/sim/check/checkers_fleet.cc
+++ b/sim/check/checkers_fleet.cc
@@ -39,7 +39,8 @@
 void checkRestarts(const CheckInput& input, Violations& violations) {
   if (hasAny(input, kDeafness)) return;
   for (const RouterRefusal& refusal : input.world.context().records.refusals) {
-    const bool unready = refusal.code == ErrorCode::NotReady || refusal.code == ErrorCode::EngineUnavailable ||
+    const bool unready = refusal.code == ErrorCode::NotReady ||
+                         refusal.code == ErrorCode::EngineUnavailable ||
                          refusal.code == ErrorCode::UnknownModel;
     const bool restarted = refusal.epoch > 1;
     if (unready && restarted && refusal.at - refusal.router_started_at > kServesWithin &&
@@ -47,9 +48,9 @@
         onlyFaults(input, {FaultKind::RouterRestart, FaultKind::HerdRestart, FaultKind::StoreDown,
                            FaultKind::StoreSlow, FaultKind::LostAnswers, FaultKind::PlannedStops,
                            FaultKind::ZoneStop, FaultKind::PrefixShift})) {
-      violations.push_back(
-          {"restart", fmt::format("{} refused with {} {:.3f} s after its start", refusal.router,
-                                  errorName(refusal.code), toSeconds(refusal.at - refusal.router_started_at))});
+      violations.push_back({"restart", fmt::format("{} refused with {} {:.3f} s after its start",
+                                                   refusal.router, errorName(refusal.code),
+                                                   toSeconds(refusal.at - refusal.router_started_at))});
     }
   }
 }
@@ -61,30 +62,29 @@
     const TimePoint limit = leaving.at + kLeavingWithin;
     for (const ArrivalRecord& arrival : records.arrivals) {
       if (arrival.engine != leaving.machine || arrival.at <= limit) continue;
-      violations.push_back({"leaving", fmt::format("{} got {} from {} {:.1f} s after it began to leave",
-                                                   leaving.machine, arrival.request_id, arrival.router,
-                                                   toSeconds(arrival.at - leaving.at))});
+      violations.push_back(
+          {"leaving", fmt::format("{} got {} from {} {:.1f} s after it began to leave", leaving.machine,
+                                  arrival.request_id, arrival.router, toSeconds(arrival.at - leaving.at))});
     }
     for (const ExecutionRecord& execution : records.executions) {
       if (execution.runner != leaving.machine || execution.at <= limit) continue;
-      violations.push_back({"leaving", fmt::format("{} got {} {:.1f} s after it began to leave", leaving.machine,
-                                                   execution.request_id, toSeconds(execution.at - leaving.at))});
+      violations.push_back(
+          {"leaving", fmt::format("{} got {} {:.1f} s after it began to leave", leaving.machine,
+                                  execution.request_id, toSeconds(execution.at - leaving.at))});
     }
   }
 }
 
 void checkPlannedStops(const CheckInput& input, Violations& violations) {
   const bool planned_only =
-      !input.faults.empty() &&
-      onlyFaults(input, {FaultKind::PlannedStops, FaultKind::ZoneStop, FaultKind::LeavingEngine,
-                         FaultKind::PrefixShift});
+      !input.faults.empty() && onlyFaults(input, {FaultKind::PlannedStops, FaultKind::ZoneStop,
+                                                  FaultKind::LeavingEngine, FaultKind::PrefixShift});
   if (!planned_only) return;
   for (const CallerRecord& caller : input.world.context().records.callers) {
     if (!caller.error || caller.error->code == ErrorCode::DuplicateRequest) continue;
-    violations.push_back(
-        {"planned_stop", fmt::format("{} failed though every stop was planned: {} {}",
-                                     caller.request.request_id, errorName(caller.error->code),
-                                     caller.error->message)});
+    violations.push_back({"planned_stop", fmt::format("{} failed though every stop was planned: {} {}",
+                                                      caller.request.request_id,
+                                                      errorName(caller.error->code), caller.error->message)});
   }
 }
 
@@ -121,9 +121,9 @@
   }
   for (const DecisionUse& decision : records.decisions) {
     if (decision.version >= named[decision.request_id]) continue;
-    violations.push_back({"bundle", fmt::format("{} decided {} under bundle {} though its caller had {}",
-                                                decision.router, decision.request_id, decision.version,
-                                                named[decision.request_id])});
+    violations.push_back(
+        {"bundle", fmt::format("{} decided {} under bundle {} though its caller had {}", decision.router,
+                               decision.request_id, decision.version, named[decision.request_id])});
   }
 }
 
--- a/sim/check/checkers_requests.cc
+++ b/sim/check/checkers_requests.cc
@@ -21,18 +21,19 @@
 /// Names one run at an engine.
 using RunName = std::tuple<std::string, std::string, std::uint64_t>;  // engine, request, incarnation
 
-void checkUsedBlocks(const std::string& engine, const standin::RequestRecord& record, Violations& violations) {
+void checkUsedBlocks(const std::string& engine, const standin::RequestRecord& record,
+                     Violations& violations) {
   for (const standin::BlockOrigin& origin : record.used_blocks) {
     const bool same_scope = origin.scope->tenant == record.scope->tenant &&
                             origin.scope->model == record.scope->model &&
                             origin.scope->adapter == record.scope->adapter &&
                             origin.scope->weights_version == record.scope->weights_version;
     if (!same_scope) {
-      violations.push_back({"cache_use", fmt::format("{} at {} ran on blocks of {}/{}/{} as {}/{}/{}",
-                                                     record.request_id, engine, origin.scope->tenant,
-                                                     origin.scope->adapter, origin.scope->weights_version,
-                                                     record.scope->tenant, record.scope->adapter,
-                                                     record.scope->weights_version)});
+      violations.push_back(
+          {"cache_use",
+           fmt::format("{} at {} ran on blocks of {}/{}/{} as {}/{}/{}", record.request_id, engine,
+                       origin.scope->tenant, origin.scope->adapter, origin.scope->weights_version,
+                       record.scope->tenant, record.scope->adapter, record.scope->weights_version)});
     }
     if (!origin.imported && origin.incarnation != record.incarnation) {
       violations.push_back(
@@ -43,8 +44,8 @@
 
 bool agrees(const CallerRecord& caller, const std::string& weights) {
   const SubmitRequest& request = caller.request;
-  const standin::ExpectedAnswer expected = standin::expectedAnswer(request.model, weights, request.adapter,
-                                                                   request.prompt, request.max_tokens);
+  const standin::ExpectedAnswer expected =
+      standin::expectedAnswer(request.model, weights, request.adapter, request.prompt, request.max_tokens);
   if (caller.end) {
     return caller.text == expected.text && caller.tokens == expected.token_count &&
            caller.end->token_count == expected.token_count;
@@ -100,8 +101,9 @@
     const bool completion = caller.request.kind == RequestKind::Completion;
     const bool right = completion ? agreesWithAnyWeights(caller) : !caller.end || rightResult(caller);
     if (!right) {
-      violations.push_back({"whole_answer", fmt::format("{} got {} tokens that are not {} its answer", id,
-                                                        caller.tokens, caller.end ? "" : "the beginning of")});
+      violations.push_back(
+          {"whole_answer", fmt::format("{} got {} tokens that are not {} its answer", id, caller.tokens,
+                                       caller.end ? "" : "the beginning of")});
     }
   }
 }
@@ -119,8 +121,9 @@
   for (const CallerRecord& caller : input.world.context().records.callers) {
     const bool told_not_run = caller.error && caller.error->run_state == RunState::NotRun;
     if (told_not_run && ran.contains(caller.request.request_id)) {
-      violations.push_back({"not_run", fmt::format("{} was told \"not run\" ({}) but it ran",
-                                                   caller.request.request_id, errorName(caller.error->code))});
+      violations.push_back(
+          {"not_run", fmt::format("{} was told \"not run\" ({}) but it ran", caller.request.request_id,
+                                  errorName(caller.error->code))});
     }
   }
 }
--- a/sim/check/command.cc
+++ b/sim/check/command.cc
@@ -68,8 +68,9 @@
 }
 
 void printRun(const RunResult& result) {
-  fmt::print("seed {} scenario {} site {}: {} of {} requests answered, {} events, trace {:016x}\n", result.seed,
-             result.scenario, result.site, result.answered, result.requests, result.events, result.trace_hash);
+  fmt::print("seed {} scenario {} site {}: {} of {} requests answered, {} events, trace {:016x}\n",
+             result.seed, result.scenario, result.site, result.answered, result.requests, result.events,
+             result.trace_hash);
   for (const std::string& line : result.trace_lines) fmt::print("{}\n", line);
   for (std::size_t index = 0; index < std::min(result.violations.size(), kPrintedPerRun); ++index) {
     fmt::print("  violation of {}: {}\n", result.violations[index].checker, result.violations[index].what);
--- a/sim/check/fault.cc
+++ b/sim/check/fault.cc
@@ -156,7 +156,8 @@
     }
   } else if (kind == FaultKind::HerdRestart) {
     const Duration when = beginning();
-    if (random_.chance(0.6)) setStore(when - milliseconds(500), when + seconds(10), {standin::ServiceMode::Down});
+    if (random_.chance(0.6))
+      setStore(when - milliseconds(500), when + seconds(10), {standin::ServiceMode::Down});
     herdRestart(when);
   } else if (kind == FaultKind::RouterPause) {
     const Duration when = beginning();
@@ -290,7 +291,8 @@
       seen = world_.context().queue.now();
     }
     if (by_list) seen = std::min(seen, world_.platform().markLeaving(host.name()));
-    world_.trace().note(host.name(), "leaves{}{}", by_list ? " by the list" : "", by_itself ? " by itself" : "");
+    world_.trace().note(host.name(), "leaves{}{}", by_list ? " by the list" : "",
+                        by_itself ? " by itself" : "");
     world_.context().records.leaving.push_back({host.name(), seen});
   });
 }
--- a/sim/check/fault.h
+++ b/sim/check/fault.h
@@ -14,28 +14,28 @@
 
 /// Kinds of faults and of planned events.
 enum class FaultKind {
-  EngineCrash,          ///< Engines die and come back empty.
-  EngineFreeze,         ///< Engines stop for a while and go on.
-  RunnerCrash,          ///< Application runners die and come back.
-  RouterRestart,        ///< A router dies and comes back empty.
-  HerdRestart,          ///< All routers die together, sometimes while the store is down.
-  RouterPause,          ///< A router stops past its lease and wakes.
-  SidecarRestart,       ///< A sidecar dies and comes back empty.
-  ConnectionCuts,       ///< Connections break.
-  Disturbance,          ///< Messages are delayed, so that connections overtake each other.
-  Partition,            ///< One zone (or region) is cut off for a while.
-  StoreDown,            ///< Table and objects refuse everything.
-  StoreSlow,            ///< Table and objects answer late.
-  LostAnswers,          ///< Answers of the store are lost after the effect.
-  LostPieces,           ///< Engines lose pieces of their answers.
-  WeightsRoll,          ///< Bundles with other weights are rolled.
-  OperatorRace,         ///< Two operators roll at once.
-  PrefixShift,          ///< The hot prefixes change.
-  LeavingEngine,        ///< Back ends leave; the list lags.
-  LeavingUnseen,        ///< Back ends leave by the list, which one zone cannot read.
-  PlannedStops,         ///< Routers stop as planned, one by one.
-  ZoneStop,             ///< All routers of a zone stop as planned at once.
-  StoreDownAfterRoll,   ///< A bundle is rolled, the store goes down, routers restart.
+  EngineCrash,         ///< Engines die and come back empty.
+  EngineFreeze,        ///< Engines stop for a while and go on.
+  RunnerCrash,         ///< Application runners die and come back.
+  RouterRestart,       ///< A router dies and comes back empty.
+  HerdRestart,         ///< All routers die together, sometimes while the store is down.
+  RouterPause,         ///< A router stops past its lease and wakes.
+  SidecarRestart,      ///< A sidecar dies and comes back empty.
+  ConnectionCuts,      ///< Connections break.
+  Disturbance,         ///< Messages are delayed, so that connections overtake each other.
+  Partition,           ///< One zone (or region) is cut off for a while.
+  StoreDown,           ///< Table and objects refuse everything.
+  StoreSlow,           ///< Table and objects answer late.
+  LostAnswers,         ///< Answers of the store are lost after the effect.
+  LostPieces,          ///< Engines lose pieces of their answers.
+  WeightsRoll,         ///< Bundles with other weights are rolled.
+  OperatorRace,        ///< Two operators roll at once.
+  PrefixShift,         ///< The hot prefixes change.
+  LeavingEngine,       ///< Back ends leave; the list lags.
+  LeavingUnseen,       ///< Back ends leave by the list, which one zone cannot read.
+  PlannedStops,        ///< Routers stop as planned, one by one.
+  ZoneStop,            ///< All routers of a zone stop as planned at once.
+  StoreDownAfterRoll,  ///< A bundle is rolled, the store goes down, routers restart.
 };
 
 /// A kind with its name.
--- a/sim/kernel/network.cc
+++ b/sim/kernel/network.cc
@@ -111,8 +111,8 @@
       channels_since_sweep_ = 0;
       channels_.remove_if([](const std::weak_ptr<Channel>& entry) { return entry.expired(); });
     }
-    server.run(server.epoch(), [accepted, channel] { accepted(channel); });
-    answer([settled, opened, channel] {
+    // The handshake travels on the channel, so that nothing the server says overtakes it.
+    channel->transmit(Side::Client, [settled, opened, channel] {
       if (*settled) {
         channel->close(Side::Client);
         return;
@@ -120,6 +120,7 @@
       *settled = true;
       opened(channel);
     });
+    server.run(server.epoch(), [accepted, channel] { accepted(channel); });
   });
 }
 
--- a/sim/world/bundle_maker.cc
+++ b/sim/world/bundle_maker.cc
@@ -14,8 +14,8 @@
 const std::string kApproverKey = encodeBase64("simulation approver key,32 bytes");
 
 std::string makeDocument(const Site& site, const BundleContent& content) {
-  std::string document = fmt::format("# {}\nversion = {}\nsite = \"{}\"\n", content.remark, content.version,
-                                     site.name);
+  std::string document =
+      fmt::format("# {}\nversion = {}\nsite = \"{}\"\n", content.remark, content.version, site.name);
   document += fmt::format(
       "[[models]]\nname = \"{}\"\nweights_version = \"{}\"\npools = [\"language\"]\n"
       "adapters = [\"reviews\"]\n",
@@ -42,8 +42,7 @@
   BundleBody body;
   body.version = content.version;
   body.document = makeDocument(site, content);
-  body.author_signature =
-      signBundle(kAuthorKey, SignatureRole::Author, body.version, body.document).value();
+  body.author_signature = signBundle(kAuthorKey, SignatureRole::Author, body.version, body.document).value();
   body.approver_signature =
       signBundle(kApproverKey, SignatureRole::Approver, body.version, body.document).value();
   return body;
--- a/sim/world/engine_node.cc
+++ b/sim/world/engine_node.cc
@@ -6,9 +6,7 @@
 
 EngineNode::EngineNode(Context& context, Host& host, standin::EngineOptions options,
                        standin::EngineTimings timings, std::uint64_t seed)
-    : context_(context),
-      host_(host),
-      model_(std::move(options), timings, seed, context.queue.now()) {
+    : context_(context), host_(host), model_(std::move(options), timings, seed, context.queue.now()) {
   host_.start();
 }
 
@@ -49,6 +47,8 @@
   record.counted_on_weights = sender.weights;
   record.incarnation = model_.incarnation();
   record.at = context_.queue.now();
+  context_.trace.note(host_.name(), "gets {} attempt {} from {}", record.request_id, record.attempt,
+                      sender.router);
   context_.records.arrivals.push_back(std::move(record));
 }
 
@@ -145,6 +145,11 @@
   if (!cut) {
     stream.channel->send(Side::Server, [handler = stream.handler, event = output.event] { handler(event); });
   }
+  if (last) {
+    const auto* refused = std::get_if<standin::StreamRefused>(&output.event);
+    context_.trace.note(host_.name(), "ends stream {}{}", output.stream,
+                        refused ? ", refused: " + refused->message : "");
+  }
   if (last || cut) {
     streams_.erase(found);
     stream.channel->close(Side::Server);
--- a/sim/world/operator_node.cc
+++ b/sim/world/operator_node.cc
@@ -16,14 +16,15 @@
 }
 
 void OperatorNode::readThenWrite(Roll roll) {
-  context_.directory.platform().readRow(host_, kBundleRowKey, [this, roll](std::optional<TableRow> row) mutable {
-    if (!row) return tryAgain(std::move(roll));
-    const BundleRow present = decodeBundleRow(*row);
-    roll.row_version = row->version;
-    roll.body = makeBundle(site_, {present.version + 1, roll.weights, host_.name()});
-    roll.row = {roll.body.version, sha256Hex(roll.body.document)};
-    store(std::move(roll));
-  });
+  context_.directory.platform().readRow(
+      host_, kBundleRowKey, [this, roll](std::optional<TableRow> row) mutable {
+        if (!row) return tryAgain(std::move(roll));
+        const BundleRow present = decodeBundleRow(*row);
+        roll.row_version = row->version;
+        roll.body = makeBundle(site_, {present.version + 1, roll.weights, host_.name()});
+        roll.row = {roll.body.version, sha256Hex(roll.body.document)};
+        store(std::move(roll));
+      });
 }
 
 void OperatorNode::store(Roll roll) {
@@ -49,19 +50,22 @@
 }
 
 void OperatorNode::readBack(Roll roll) {
-  context_.directory.platform().readRow(
-      host_, kBundleRowKey, [this, roll = std::move(roll)](std::optional<TableRow> row) mutable {
-        if (!row) {
-          if (++roll.tries >= kMaximumTries) return told(roll, "unknown");
-          host_.post(kRetryWait, [this, roll] { readBack(roll); });
-          return;
-        }
-        const BundleRow present = decodeBundleRow(*row);
-        if (present.digest == roll.row.digest) return told(roll, "accepted");
-        // The write may still be on its way while the row is unchanged: write again on the same condition.
-        if (row->version == roll.row_version) return accept(std::move(roll));
-        told(roll, "beaten by another roll");
-      });
+  context_.directory.platform().readRow(host_, kBundleRowKey,
+                                        [this, roll = std::move(roll)](std::optional<TableRow> row) mutable {
+                                          if (!row) {
+                                            if (++roll.tries >= kMaximumTries) return told(roll, "unknown");
+                                            host_.post(kRetryWait, [this, roll] { readBack(roll); });
+                                            return;
+                                          }
+                                          const BundleRow present = decodeBundleRow(*row);
+                                          if (present.digest == roll.row.digest)
+                                            return told(roll, "accepted");
+                                          // The write may still be on its way while the row is unchanged:
+                                          // write again on the same condition.
+                                          if (row->version == roll.row_version)
+                                            return accept(std::move(roll));
+                                          told(roll, "beaten by another roll");
+                                        });
 }
 
 void OperatorNode::tryAgain(Roll roll) {
--- a/sim/world/platform_node.h
+++ b/sim/world/platform_node.h
@@ -29,8 +29,7 @@
   /// Writes the row if it has `expected_version` (0: absent).
   void writeRow(Host& client, const std::string& key, std::uint64_t expected_version, std::string value,
                 Done<WriteAnswer> done);
-  void putObject(Host& client, const std::string& key, std::string value,
-                 Done<standin::ObjectStored> done);
+  void putObject(Host& client, const std::string& key, std::string value, Done<standin::ObjectStored> done);
   void getObject(Host& client, const std::string& key, Done<standin::ObjectFound> done);
   void listMachines(Host& client, Done<MachineList> done);
   /// Asks the weight store how long a load takes now.
@@ -45,7 +44,9 @@
   /// Sets how table and object store fare.
   void setStoreBehaviour(const standin::ServiceBehaviour& behaviour);
   /// Called with each row at each write that took effect.
-  void setWriteObserver(std::function<void(const TableRow&)> observer) { write_observer_ = std::move(observer); }
+  void setWriteObserver(std::function<void(const TableRow&)> observer) {
+    write_observer_ = std::move(observer);
+  }
   /// @return a row as it is, beside all limits, for checkers.
   TableRow row(const std::string& key) const { return model_.row(key); }
   Host& host() { return host_; }
--- a/sim/world/records.h
+++ b/sim/world/records.h
@@ -18,11 +18,11 @@
   SubmitRequest request;
   std::string sidecar;
   TimePoint submitted_at{};
-  std::string text;            ///< Everything delivered, in the order of delivery.
-  std::uint64_t tokens = 0;    ///< Tokens delivered.
-  bool out_of_order = false;   ///< A piece did not begin where the one before ended.
-  std::uint32_t finals = 0;    ///< Ends and errors delivered.
-  bool late_text = false;      ///< Text came after the final answer.
+  std::string text;           ///< Everything delivered, in the order of delivery.
+  std::uint64_t tokens = 0;   ///< Tokens delivered.
+  bool out_of_order = false;  ///< A piece did not begin where the one before ended.
+  std::uint32_t finals = 0;   ///< Ends and errors delivered.
+  bool late_text = false;     ///< Text came after the final answer.
   std::optional<StreamEnd> end;
   std::optional<Refusal> error;
   TimePoint finished_at{};
--- a/sim/world/router_control.cc
+++ b/sim/world/router_control.cc
@@ -138,7 +138,8 @@
 }
 
 void RouterNode::pollCacheEvents() {
-  for (const EngineView& view : process_->snapshot ? process_->snapshot->engines : std::vector<EngineView>{}) {
+  for (const EngineView& view :
+       process_->snapshot ? process_->snapshot->engines : std::vector<EngineView>{}) {
     if (view.incarnation != 0 && view.state == EngineState::Live) fetchCacheEvents(view);
   }
 }
@@ -271,11 +272,13 @@
     if (!row) return;
     const BundleRow bundle = decodeBundleRow(*row);
     if (bundle.version <= bundleVersion()) return;
-    platform.getObject(host_, bundleObjectKey(bundle), [this, bundle](std::optional<standin::ObjectFound> object) {
-      if (!object) return;
-      const BundleBody body = decodeBundleBody(object->body);
-      if (body.version == bundle.version && sha256Hex(body.document) == bundle.digest) offerBundle(body);
-    });
+    platform.getObject(host_, bundleObjectKey(bundle),
+                       [this, bundle](std::optional<standin::ObjectFound> object) {
+                         if (!object) return;
+                         const BundleBody body = decodeBundleBody(object->body);
+                         if (body.version == bundle.version && sha256Hex(body.document) == bundle.digest)
+                           offerBundle(body);
+                       });
   });
 }
 
--- a/sim/world/router_dispatch.cc
+++ b/sim/world/router_dispatch.cc
@@ -71,18 +71,21 @@
   entry.incarnation = action.expected_incarnation;
   const SenderView view{host_.name(), action.expected_incarnation, action.expected_weights};
   const DispatchId dispatch = action.dispatch;
-  openBackend(dispatch, engine->host(), [this, engine, action, view, dispatch](const ChannelPointer& channel) {
-    const auto handler = [this, dispatch](const standin::StreamEvent& event) { onStreamEvent(dispatch, event); };
-    channel->send(Side::Client, [engine, channel, action, view, handler] {
-      if (action.resume) {
-        const standin::ResumeRequest resume{action.request.request_id, action.request.attempt,
-                                            action.expected_incarnation, action.request.resume_offset};
-        engine->resume(channel, resume, handler);
-      } else {
-        engine->submit(channel, toEngineRequest(action), view, handler);
-      }
-    });
-  });
+  openBackend(
+      dispatch, engine->host(), [this, engine, action, view, dispatch](const ChannelPointer& channel) {
+        const auto handler = [this, dispatch](const standin::StreamEvent& event) {
+          onStreamEvent(dispatch, event);
+        };
+        channel->send(Side::Client, [engine, channel, action, view, handler] {
+          if (action.resume) {
+            const standin::ResumeRequest resume{action.request.request_id, action.request.attempt,
+                                                action.expected_incarnation, action.request.resume_offset};
+            engine->resume(channel, resume, handler);
+          } else {
+            engine->submit(channel, toEngineRequest(action), view, handler);
+          }
+        });
+      });
 }
 
 void RouterNode::recordDecision(const SubmitRequest& request) {
--- a/sim/world/router_node.cc
+++ b/sim/world/router_node.cc
@@ -50,8 +50,8 @@
   process.engines =
       std::make_unique<EngineTable>(EngineTableOptions{host_.place().region}, context_.random.bits());
   process.bundles = std::make_unique<BundleHolder>(keys_);
-  process.lease = makeLease(host_.name() + "#" + std::to_string(host_.epoch()), kLeaseLifetime,
-                            context_.random.bits());
+  process.lease =
+      makeLease(host_.name() + "#" + std::to_string(host_.epoch()), kLeaseLifetime, context_.random.bits());
   every(kMachineListInterval, [this] { listMachines(); });
   every(kCacheEventInterval, [this] { pollCacheEvents(); });
   every(kBundleRowInterval, [this] { pollBundleRow(); });
@@ -67,7 +67,8 @@
   const auto jittered = Duration(static_cast<std::int64_t>(static_cast<double>(interval.count()) *
                                                            (0.75 + 0.5 * context_.random.unit())));
   task();
-  host_.post(jittered, [this, interval, task = std::move(task)]() mutable { every(interval, std::move(task)); });
+  host_.post(jittered,
+             [this, interval, task = std::move(task)]() mutable { every(interval, std::move(task)); });
 }
 
 void RouterNode::crash(bool silent) {
@@ -164,9 +165,8 @@
   if (found == process_->sidecars.end()) return;
   const ChannelPointer channel = found->second.channel;
   SidecarNode* node = found->second.node;
-  channel->send(Side::Server, [node, channel, message = std::move(message)] {
-    node->onRouterMessage(channel, message);
-  });
+  channel->send(Side::Server,
+                [node, channel, message = std::move(message)] { node->onRouterMessage(channel, message); });
 }
 
 void RouterNode::onSidecarMessage(const ChannelPointer& channel, const Message& message) {
--- a/sim/world/router_orders.cc
+++ b/sim/world/router_orders.cc
@@ -61,8 +61,7 @@
     order.kind = standin::OrderKind::LoadWeights;
     order.model = kModel;
     order.weights_version = model->weights_version;
-    const auto preparation =
-        Duration(static_cast<std::int64_t>(context_.random.unit() * kOrderPreparation));
+    const auto preparation = Duration(static_cast<std::int64_t>(context_.random.unit() * kOrderPreparation));
     host_.post(preparation, [this, name = view.name, order] { sendOrder(name, order); });
   }
 }
--- a/sim/world/router_requests.cc
+++ b/sim/world/router_requests.cc
@@ -92,8 +92,7 @@
   } else if (written) {
     process_->requests->onClaimWritten(claim, written->committed, now(),
                                        written->committed ? written->row.version : 0);
-  } else if (context_.without(Mechanism::ClaimReadBack) &&
-             action.kind == ClaimAction::Kind::CompareAndSet) {
+  } else if (context_.without(Mechanism::ClaimReadBack) && action.kind == ClaimAction::Kind::CompareAndSet) {
     process_->requests->onClaimWritten(claim, true, now(), 0);
   } else if (context_.without(Mechanism::ClaimReadBack)) {
     process_->requests->onClaimRead(claim, ClaimRow{}, now());
--- a/sim/world/sidecar_node.cc
+++ b/sim/world/sidecar_node.cc
@@ -28,8 +28,8 @@
   context_.trace.note(host_.name(), "start, process {}", host_.epoch());
   process_ = std::make_unique<Process>();
   const Place& place = host_.place();
-  process_->directory = std::make_unique<RouterDirectory>(host_.name(), place.zone, place.region,
-                                                          context_.random.bits());
+  process_->directory =
+      std::make_unique<RouterDirectory>(host_.name(), place.zone, place.region, context_.random.bits());
   for (const std::string& seed : seeds_) process_->directory->addSeed(seed);
   process_->selector = std::make_unique<RendezvousRouterSelector>(place.zone, place.region);
   process_->bundles = std::make_unique<BundleHolder>(keys_);
--- a/sim/world/sidecar_node.h
+++ b/sim/world/sidecar_node.h
@@ -1,6 +1,6 @@
 #pragma once
-/// @file A sidecar of the simulation: drives CallerRequest, RouterDirectory and BundleHolder over the simulated
-/// network and records what its callers get.
+/// @file A sidecar of the simulation: drives CallerRequest, RouterDirectory and BundleHolder over the
+/// simulated network and records what its callers get.
 
 #include <map>
 #include <memory>
--- a/sim/world/sidecar_requests.cc
+++ b/sim/world/sidecar_requests.cc
@@ -17,8 +17,8 @@
                       record.request.idempotency_key);
   Open& open = process_->open[id];
   open.record = &record;
-  open.request = makeCallerRequest(record.request, *process_->selector, kMaximumAttempts,
-                                   context_.random.bits(), now());
+  open.request =
+      makeCallerRequest(record.request, *process_->selector, kMaximumAttempts, context_.random.bits(), now());
   process_->newest_request = id;
   pump(id);
 }
--- a/sim/world/site.cc
+++ b/sim/world/site.cc
@@ -20,7 +20,7 @@
 };
 
 std::vector<SiteMachine> spread(const Site& site, const std::string& kind, const std::string& pool,
-                            std::size_t count) {
+                                std::size_t count) {
   std::vector<SiteMachine> machines;
   for (std::size_t index = 0; index < count; ++index) {
     machines.push_back({fmt::format("{}-{:02}", kind, index), site.zones[index % site.zones.size()], pool});
--- a/sim/world/site.h
+++ b/sim/world/site.h
@@ -27,9 +27,9 @@
   std::vector<SiteMachine> runners;
   std::vector<std::string> tenants;
   NetworkDelays delays;
-  double requests_per_second = 12;  ///< Over the whole site.
-  double operation_share = 0.3;     ///< Share of requests that are operations.
-  Duration load = std::chrono::seconds(24);  ///< How long callers send.
+  double requests_per_second = 12;             ///< Over the whole site.
+  double operation_share = 0.3;                ///< Share of requests that are operations.
+  Duration load = std::chrono::seconds(24);    ///< How long callers send.
   Duration settle = std::chrono::seconds(16);  ///< Time after the load for last answers.
 };
 
--- a/sim/world/table_rows.cc
+++ b/sim/world/table_rows.cc
@@ -26,8 +26,8 @@
 }  // namespace
 
 std::string encodeClaimRow(const ClaimRow& row) {
-  return fmt::format("{1}{0}{2}{0}{3}{0}{4}", kSeparator, static_cast<int>(row.phase), row.token, row.body_hash,
-                     row.result);
+  return fmt::format("{1}{0}{2}{0}{3}{0}{4}", kSeparator, static_cast<int>(row.phase), row.token,
+                     row.body_hash, row.result);
 }
 
 ClaimRow decodeClaimRow(const TableRow& row) {
--- a/sim/world/workload.cc
+++ b/sim/world/workload.cc
@@ -45,7 +45,8 @@
 void Workload::send() {
   const std::vector<std::string>& tenants = world_.site().tenants;
   // A few tenants are large.
-  const auto index = static_cast<std::size_t>(random_.unit() * random_.unit() * static_cast<double>(tenants.size()));
+  const auto index =
+      static_cast<std::size_t>(random_.unit() * random_.unit() * static_cast<double>(tenants.size()));
   const bool operation = random_.chance(world_.site().operation_share);
   SubmitRequest request = operation ? makeOperation(tenants[index]) : makeCompletion(tenants[index]);
   request.request_id = fmt::format("request-{}", next_request_++);
@@ -57,8 +58,8 @@
 std::string Workload::catalogue() const {
   std::string text;
   for (std::size_t entry = 0; entry < kCatalogueEntries; ++entry) {
-    text += fmt::format("catalogue {:04} page {:03}: hull fitting, plank, rudder pin, price on asking.\n", catalogue_,
-                        entry);
+    text += fmt::format("catalogue {:04} page {:03}: hull fitting, plank, rudder pin, price on asking.\n",
+                        catalogue_, entry);
   }
   return text;
 }
--- a/sim/world/world.cc
+++ b/sim/world/world.cc
@@ -15,14 +15,12 @@
 constexpr std::size_t kOperators = 2;
 /// Tokens a request gains in one step; more makes fewer events.
 constexpr std::uint32_t kTokensPerStep = 6;
-constexpr Duration kDecodeStep = milliseconds(80);
-constexpr std::uint32_t kCacheBlocks = 600;
+constexpr std::uint32_t kCacheBlocks = 4000;
 constexpr std::size_t kSeedRouters = 3;
 
 standin::EngineTimings engineTimings() {
   standin::EngineTimings timings;
   timings.tokens_per_step = kTokensPerStep;
-  timings.decode_step_base = kDecodeStep;
   timings.cache_blocks = kCacheBlocks;
   timings.event_gap_probability = 0.02;
   return timings;
