--- a/sim/check/checkers_fleet.cc
+++ b/sim/check/checkers_fleet.cc
@@ -55,6 +55,24 @@
   }
 }
 
+/// After a herd restart with nothing else wrong, callers are served at once, whatever the store does.
+void checkHerd(const CheckInput& input, Violations& violations) {
+  if (!input.faults.contains(FaultKind::HerdRestart) || input.faults.size() > 1) return;
+  TimePoint last_start{};
+  for (std::size_t index = 0; index < input.world.routerCount(); ++index) {
+    last_start = std::max(last_start, input.world.routerAt(index).startedAt());
+  }
+  const std::set<ErrorCode> excused = {ErrorCode::ClaimUnavailable, ErrorCode::DuplicateRequest};
+  for (const CallerRecord& caller : input.world.context().records.callers) {
+    if (!caller.error || caller.submitted_at < last_start + kServesWithin) continue;
+    if (excused.contains(caller.error->code)) continue;
+    violations.push_back({"restart", fmt::format("{} failed {:.1f} s after a herd restart: {} {}",
+                                                 caller.request.request_id,
+                                                 toSeconds(caller.submitted_at - last_start),
+                                                 errorName(caller.error->code), caller.error->message)});
+  }
+}
+
 void checkLeaving(const CheckInput& input, Violations& violations) {
   if (hasAny(input, kDeafness)) return;
   const Records& records = input.world.context().records;
@@ -80,8 +98,15 @@
       !input.faults.empty() && onlyFaults(input, {FaultKind::PlannedStops, FaultKind::ZoneStop,
                                                   FaultKind::LeavingEngine, FaultKind::PrefixShift});
   if (!planned_only) return;
-  for (const CallerRecord& caller : input.world.context().records.callers) {
-    if (!caller.error || caller.error->code == ErrorCode::DuplicateRequest) continue;
+  const std::deque<CallerRecord>& callers = input.world.context().records.callers;
+  std::map<std::string, std::uint32_t> uses_of_key;
+  for (const CallerRecord& caller : callers) ++uses_of_key[caller.request.idempotency_key];
+  for (const CallerRecord& caller : callers) {
+    if (!caller.error) continue;
+    // A caller that repeats an order before its answer came may be told so.
+    const bool repeated =
+        !caller.request.idempotency_key.empty() && uses_of_key[caller.request.idempotency_key] > 1;
+    if (repeated && caller.error->code == ErrorCode::DuplicateRequest) continue;
     violations.push_back({"planned_stop", fmt::format("{} failed though every stop was planned: {} {}",
                                                       caller.request.request_id,
                                                       errorName(caller.error->code), caller.error->message)});
@@ -169,6 +194,7 @@
   checkCacheUse(input, violations);
   checkStreams(input, violations);
   checkRestarts(input, violations);
+  checkHerd(input, violations);
   checkNotRun(input, violations);
   checkAtMostOnce(input, violations);
   checkLeaving(input, violations);
--- a/sim/check/fault.cc
+++ b/sim/check/fault.cc
@@ -41,6 +41,7 @@
       {FaultKind::PlannedStops, "planned_stops"},
       {FaultKind::ZoneStop, "zone_stop"},
       {FaultKind::StoreDownAfterRoll, "store_down_after_roll"},
+      {FaultKind::CrossedAnswers, "crossed_answers"},
   };
   return names;
 }
@@ -84,14 +85,14 @@
 
 void FaultDriver::crashEngine(std::size_t index, Duration when) {
   const bool silent = random_.chance(0.5);
-  const Duration down = between(milliseconds(5), seconds(4));
+  const Duration down = random_.chance(0.6) ? between(milliseconds(5), milliseconds(200)) : between(milliseconds(200), seconds(4));
   at(when, [this, index, silent] { world_.engineAt(index).crash(silent); });
   at(when + down, [this, index] { world_.engineAt(index).restart(); });
 }
 
 void FaultDriver::planBackends(FaultKind kind) {
   if (kind == FaultKind::EngineCrash) {
-    const std::uint64_t crashes = random_.uniform(2, 8);
+    const std::uint64_t crashes = random_.uniform(4, 14);
     for (std::uint64_t count = 0; count < crashes; ++count) {
       crashEngine(pick(world_.engineCount()), beginning());
     }
@@ -176,7 +177,7 @@
     const Duration when = beginning();
     at(when, [this, index] { world_.sidecarAt(index).crash(false); });
     at(when + between(milliseconds(100), seconds(2)), [this, index] { world_.sidecarAt(index).start(); });
-  } else if (kind == FaultKind::PlannedStops) {
+  } else if (kind == FaultKind::PlannedStops || kind == FaultKind::CrossedAnswers) {
     Duration when = kFirstFault;
     for (std::size_t index = 0; index < world_.routerCount() && when < world_.site().load; ++index) {
       stopAndRestart(index, when);
@@ -226,6 +227,10 @@
     const double share = 0.05 + 0.3 * random_.unit();
     at(from, [&network, extra, share] { network.setDisturbance(extra, share); });
     at(from + between(seconds(2), seconds(9)), [&network] { network.setDisturbance(Duration(0), 0); });
+  } else if (kind == FaultKind::CrossedAnswers) {
+    for (std::size_t index = 0; index < world_.sidecarCount(); ++index) {
+      world_.sidecarAt(index).setRepeatedAnswers(0.4);
+    }
   } else if (kind == FaultKind::Partition) {
     const Duration from = beginning();
     partition(from, from + between(milliseconds(500), seconds(9)));
--- a/sim/check/fault.h
+++ b/sim/check/fault.h
@@ -36,6 +36,7 @@
   PlannedStops,        ///< Routers stop as planned, one by one.
   ZoneStop,            ///< All routers of a zone stop as planned at once.
   StoreDownAfterRoll,  ///< A bundle is rolled, the store goes down, routers restart.
+  CrossedAnswers,      ///< Answers come a second time, late, while routers stop as planned.
 };
 
 /// A kind with its name.
--- a/sim/world/router_node.cc
+++ b/sim/world/router_node.cc
@@ -207,6 +207,10 @@
   return process_ && host_.up() && process_->lease->heldToken(now()).has_value();
 }
 
+TimePoint RouterNode::startedAt() const {
+  return process_ ? process_->started_at : TimePoint{};
+}
+
 std::size_t RouterNode::inFlight() const {
   return process_ ? process_->requests->inFlight() : 0;
 }
--- a/sim/world/router_node.h
+++ b/sim/world/router_node.h
@@ -48,6 +48,8 @@
   /// @return whether this process holds the order lease now.
   bool holdsLease() const;
   std::size_t inFlight() const;
+  /// @return the true time of the present process's start.
+  TimePoint startedAt() const;
 
 private:
   struct Dispatch {
--- a/sim/world/sidecar_node.h
+++ b/sim/world/sidecar_node.h
@@ -29,6 +29,8 @@
   /// Calls at this host.
   void onRouterMessage(const ChannelPointer& channel, const Message& message);
   std::uint64_t bundleVersion() const;
+  /// Makes a share of the routers' answers come a second time, late.
+  void setRepeatedAnswers(double share) { repeated_answer_share_ = share; }
   /// Takes a bundle, as if it had been held since before the run.
   void offerBundle(const BundleBody& body);
 
@@ -65,6 +67,7 @@
   void onPingAck(Link& link, const PingAck& ack);
   void compareBundle(Link& link, std::uint64_t version);
   void onAnswer(const std::string& request_id, Message message);
+  void takeAnswer(const std::string& request_id, Message message);
   void tamper(Open& open, Message& message);
   void pump(const std::string& request_id);
   void perform(Open& open, const CallerAction& action);
@@ -76,6 +79,7 @@
   Host& host_;
   std::vector<std::string> seeds_;
   TrustedKeys keys_;
+  double repeated_answer_share_ = 0;
   std::unique_ptr<Process> process_;
 };
 
--- a/sim/world/sidecar_requests.cc
+++ b/sim/world/sidecar_requests.cc
@@ -6,6 +6,8 @@
 
 namespace {
 constexpr std::uint32_t kMaximumAttempts = 4;
+/// A repeated answer comes this much later at most.
+constexpr double kLongestRepeat = 1'500'000;
 }  // namespace
 
 void SidecarNode::submit(CallerRecord& record) {
@@ -24,6 +26,14 @@
 }
 
 void SidecarNode::onAnswer(const std::string& request_id, Message message) {
+  if (repeated_answer_share_ > 0 && context_.random.chance(repeated_answer_share_)) {
+    const auto later = Duration(static_cast<std::int64_t>(context_.random.unit() * kLongestRepeat));
+    host_.post(later, [this, request_id, message] { takeAnswer(request_id, message); });
+  }
+  takeAnswer(request_id, std::move(message));
+}
+
+void SidecarNode::takeAnswer(const std::string& request_id, Message message) {
   auto found = process_->open.find(request_id);
   if (context_.without(Mechanism::RequestCheck)) {
     found = process_->open.find(process_->newest_request);
