--- a/src/router_peer/peer_front.cc
+++ b/src/router_peer/peer_front.cc
@@ -12,8 +12,6 @@
 constexpr std::size_t kRoutersPerAnswer = 16;
 /// A pull of a bundle that brought no body is given up after this.
 constexpr Duration kPullTimeout = std::chrono::seconds(1);
-/// A peer whose body did not verify is not asked again for this long.
-constexpr Duration kRefusedPullPause = std::chrono::seconds(30);
 /// Connections to routers that were not used for this long are closed.
 constexpr Duration kIdleLimit = std::chrono::minutes(2);
 constexpr Duration kIdleCheckInterval = std::chrono::seconds(15);
@@ -31,7 +29,6 @@
   std::string name;
   std::string address;  ///< Where a router listens.
   TimePoint used_at{};
-  TimePoint pull_allowed_at{};
 };
 
 PeerFront::PeerFront(boost::asio::any_io_executor executor, Hello self, PeerFrontCallbacks callbacks)
@@ -122,7 +119,9 @@
     answerBundleRequest(peer, *request);
   } else if (auto* body = std::get_if<BundleBody>(&message)) {
     if (pulling_from_ == peer.id) pulling_from_ = 0;
-    if (body->version > heldVersion()) callbacks_.on_bundle(std::move(*body), peer.id);
+    if (body->version > heldVersion()) callbacks_.on_bundle(std::move(*body));
+  } else if (const auto* update = std::get_if<BundleUpdate>(&message)) {
+    takeBundleUpdate(peer, *update);
   } else if (peer.role != NodeRole::Router) {
     return;
   } else if (auto* digest = std::get_if<LoadDigest>(&message)) {
@@ -156,7 +155,7 @@
 }
 
 void PeerFront::setBundle(std::shared_ptr<const SignedBundle> bundle) {
-  bundle_ = std::move(bundle);
+  bundles_.setBundle(std::move(bundle));
   for (const auto& [id, peer] : peers_) {
     if (peer->greeted && peer->role == NodeRole::Sidecar) tellSidecar(*peer, 0);
   }
@@ -189,24 +188,28 @@
 }
 
 void PeerFront::answerBundleRequest(Peer& peer, const BundleRequest& request) {
-  if (bundle_ && bundle_->body.version > request.held_version) peer.connection->send(bundle_->body);
+  if (const std::optional<Message> answer = bundles_.answer(request)) peer.connection->send(*answer);
+}
+
+void PeerFront::takeBundleUpdate(Peer& peer, const BundleUpdate& update) {
+  std::optional<BundleBody> body = bundles_.take(update);
+  if (!body && bundles_.needsWholeBody()) {
+    peer.connection->send(bundles_.request());
+    return;
+  }
+  if (pulling_from_ == peer.id) pulling_from_ = 0;
+  if (body) callbacks_.on_bundle(std::move(*body));
 }
 
 void PeerFront::pullIfNewer(Peer& peer, std::uint64_t version) {
-  const std::uint64_t held = heldVersion();
   const TimePoint now = clock_.now();
-  if (version <= held || now < peer.pull_allowed_at) return;
+  if (!bundles_.wants(version, now)) return;
   const bool pulling = pulling_from_ != 0 && now < pull_ends_ && version <= pulling_version_;
   if (pulling) return;
   pulling_from_ = peer.id;
   pulling_version_ = version;
   pull_ends_ = now + kPullTimeout;
-  peer.connection->send(BundleRequest{held});
-}
-
-void PeerFront::refuseBundle(std::uint64_t peer) {
-  const auto found = peers_.find(peer);
-  if (found != peers_.end()) found->second->pull_allowed_at = clock_.now() + kRefusedPullPause;
+  peer.connection->send(bundles_.request());
 }
 
 void PeerFront::closeIdle() {
