--- a/src/router_process/control_thread.h
+++ b/src/router_process/control_thread.h
@@ -58,9 +58,7 @@
   void onPing(const Ping& ping, const std::string& address);
   void onAck(const PingAck& ack);
   void onRouter(const Hello& hello);
-  /// @return whether the body was refused for what it is.
-  bool onBundle(const BundleBody& body);
-  void onPeerBundle(const BundleBody& body, std::uint64_t peer);
+  void onBundle(const BundleBody& body);
   void onOutcome(const EngineOutcome& outcome);
   void onLoadDigest(const LoadDigest& digest);
   void onCacheSummary(const CacheSummary& summary);
--- a/src/router_process/router_process.cc
+++ b/src/router_process/router_process.cc
@@ -144,9 +144,8 @@
     callbacks.on_router = [this](const Hello& hello) {
       boost::asio::post(context_, [this, hello] { control_->onRouter(hello); });
     };
-    callbacks.on_bundle = [this](BundleBody body, std::uint64_t peer) {
-      boost::asio::post(context_,
-                        [this, peer, body = std::move(body)] { control_->onPeerBundle(body, peer); });
+    callbacks.on_bundle = [this](BundleBody body) {
+      boost::asio::post(context_, [this, body = std::move(body)] { control_->onBundle(body); });
     };
     callbacks.on_load_digest = [this](LoadDigest digest) {
       boost::asio::post(context_, [this, digest = std::move(digest)] { control_->onLoadDigest(digest); });
--- /dev/null
+++ b/tools/scale/main.cc
@@ -0,0 +1,105 @@
+/// @file crankspur_scale: grows a fleet of hollow nodes and prints what control costs each of them.
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <fmt/format.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <ctime>
+#include <fstream>
+#include <string>
+#include <vector>
+
+#include "tools/scale/hollow_fleet.h"
+
+ABSL_FLAG(std::vector<std::string>, nodes, (std::vector<std::string>{"10", "40", "120", "340"}),
+          "fleet sizes to run, smallest first");
+ABSL_FLAG(double, loss, 0.05, "probability that a message between nodes is lost, 0 to 0.9");
+ABSL_FLAG(std::uint32_t, bundle_bytes, 4096, "bytes of one bundle update as a node pulls it");
+ABSL_FLAG(std::uint32_t, seconds, 60, "virtual seconds of steady state to measure");
+ABSL_FLAG(std::uint64_t, seed, 1, "seed of every random choice");
+
+namespace {
+
+using crankspur::Duration;
+using crankspur::toSeconds;
+using crankspur::scale::FleetOptions;
+using crankspur::scale::HollowFleet;
+using crankspur::scale::Traffic;
+
+constexpr int kUsageError = 2;
+constexpr std::uint32_t kMostNodes = 2000;
+constexpr Duration kLimit = std::chrono::minutes(5);
+constexpr int kBundles = 5;
+
+double processorSeconds() {
+  timespec time{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+  return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+}
+
+std::size_t residentBytes() {
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  std::ifstream("/proc/self/statm") >> total >> resident;
+  return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
+}
+
+void measure(const FleetOptions& options, std::uint32_t seconds) {
+  const std::size_t resident_before = residentBytes();
+  HollowFleet fleet(options);
+  const Duration join = fleet.runUntil([&fleet] { return fleet.everyoneAgrees(); }, kLimit);
+  const std::size_t resident = residentBytes() - std::min(resident_before, residentBytes());
+  fleet.run(std::chrono::seconds(30));
+  fleet.takeTraffic();
+  const double processor_before = processorSeconds();
+  fleet.run(std::chrono::seconds(seconds));
+  const double node_seconds = static_cast<double>(options.nodes) * seconds;
+  const double processor = (processorSeconds() - processor_before) / node_seconds;
+  const Traffic steady = fleet.takeTraffic();
+  Duration slowest_bundle{0};
+  for (std::uint64_t version = 1; version <= kBundles; ++version) {
+    fleet.rollBundle(static_cast<std::uint32_t>(version % options.nodes), version);
+    const auto held = [&fleet, version] { return fleet.allHold(version); };
+    slowest_bundle = std::max(slowest_bundle, fleet.runUntil(held, kLimit));
+  }
+  fleet.kill(options.nodes - 1);
+  const Duration death = fleet.runUntil([&fleet] { return fleet.everyoneAgrees(); }, kLimit);
+  fmt::print("{},{:.2f},{:.1f},{:.0f},{:.4f},{},{:.2f},{:.2f}\n", options.nodes, toSeconds(join),
+             static_cast<double>(steady.gossip_messages) / node_seconds,
+             static_cast<double>(steady.gossip_bytes) / node_seconds, processor * 100,
+             resident / options.nodes, toSeconds(slowest_bundle), toSeconds(death));
+  std::fflush(stdout);
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  absl::SetProgramUsageMessage(
+      "Runs fleets of hollow nodes (product membership and codec, virtual clock, no sockets) and prints one "
+      "CSV row "
+      "a size.");
+  absl::ParseCommandLine(argc, argv);
+  FleetOptions options;
+  options.message_loss = absl::GetFlag(FLAGS_loss);
+  options.bundle_bytes = absl::GetFlag(FLAGS_bundle_bytes);
+  options.seed = absl::GetFlag(FLAGS_seed);
+  if (options.message_loss < 0 || options.message_loss > 0.9) {
+    fmt::print(stderr, "--loss must be 0 to 0.9\n");
+    return kUsageError;
+  }
+  fmt::print(
+      "nodes,join_s,messages_per_node_s,bytes_per_node_s,processor_percent,resident_bytes_per_node,"
+      "slowest_bundle_s,death_known_s\n");
+  for (const std::string& text : absl::GetFlag(FLAGS_nodes)) {
+    options.nodes = static_cast<std::uint32_t>(std::strtoul(text.c_str(), nullptr, 10));
+    if (options.nodes < 2 || options.nodes > kMostNodes) {
+      fmt::print(stderr, "--nodes takes numbers from 2 to {}, not '{}'\n", kMostNodes, text);
+      return kUsageError;
+    }
+    measure(options, absl::GetFlag(FLAGS_seconds));
+  }
+  return 0;
+}
