--- a/src/operator/command.cc
+++ b/src/operator/command.cc
@@ -1,5 +1,8 @@
 #include "operator/command.h"
 
+#include <algorithm>
+
+#include "base/endpoint.h"
 #include "operator/admin_fetch.h"
 #include "operator/bundle_commands.h"
 #include "operator/explain.h"
@@ -15,6 +18,21 @@
   return report.fail(ExitCode::Usage, "{}; see crankspurctl --help", reason);
 }
 
+bool isAddress(const std::string& address) {
+  boost::system::error_code error;
+  parseEndpoint(address, error);
+  return !error;
+}
+
+/// @return an address that is no IP:port, or an empty string.
+std::string findBadAddress(const OperatorCommand& command) {
+  if (!command.platform.empty() && !isAddress(command.platform)) {
+    return "'" + command.platform + "'";
+  }
+  const auto bad = std::find_if_not(command.nodes.begin(), command.nodes.end(), isAddress);
+  return bad == command.nodes.end() ? "" : "'" + *bad + "'";
+}
+
 /// One command with its words after the command's name.
 struct Invocation {
   const OperatorCommand& command;
@@ -133,6 +151,10 @@
 }  // namespace
 
 ExitCode runOperatorCommand(const OperatorCommand& command, Report& report) {
+  const std::string bad_address = findBadAddress(command);
+  if (!bad_address.empty()) {
+    return usageError(report, fmt::format("{} is no IP:port", bad_address));
+  }
   for (const CommandEntry& entry : commandEntries()) {
     if (!startsWith(command.words, entry.name)) {
       continue;
--- a/tests/unit/operator/commands_test.cc
+++ b/tests/unit/operator/commands_test.cc
@@ -134,6 +134,12 @@
     CHECK(runOperatorCommand(command, report) == ExitCode::Usage);
     CHECK(report.errors.find("see crankspurctl --help") != std::string::npos);
   }
+  OperatorCommand bad_address;
+  bad_address.words = {"status"};
+  bad_address.nodes = {"127.0.0.1:1", "127.0.0.1:"};
+  Report address_report;
+  CHECK(runOperatorCommand(bad_address, address_report) == ExitCode::Usage);
+  CHECK(address_report.errors.find("'127.0.0.1:' is no IP:port") != std::string::npos);
   OperatorCommand missing_file;
   missing_file.words = {"bundle", "check", "/nonexistent/bundle.toml"};
   Report report;
