Let tests slow an engine and change its event loss

Cause: a slow engine is a fault of its own, and a control call with one bad member took effect in part. Change: slowdown and event_gap_probability in POST /control; the control bodies of engine and runner are decoded whole before anything changes. Conclusion: a refused control changes nothing.

--- a/standins/app_runner/app_runner_server.cc
+++ b/standins/app_runner/app_runner_server.cc
@@ -3,6 +3,8 @@
 #include <boost/json/serialize.hpp>
 #include <utility>
 
+#include "json/json_reader.h"
+
 namespace crankspur::standin {
 
 namespace {
@@ -33,6 +35,38 @@
   return request;
 }
 
+/// Body of POST /control; empty members change nothing.
+struct RunnerControl {
+  std::optional<Duration> delay;
+  std::optional<std::uint32_t> lose_answers;
+  std::optional<std::uint32_t> lose_requests;
+  RunnerAction action = RunnerAction::None;
+};
+
+RunnerAction readAction(const JsonReader& reader) {
+  const std::string name = reader.getString("action");
+  if (name == "crash") return RunnerAction::Crash;
+  if (name == "freeze") return RunnerAction::Freeze;
+  if (name == "thaw") return RunnerAction::Thaw;
+  if (name == "leave") return RunnerAction::Leave;
+  if (reader.has("action")) reader.report("action", "must be crash, freeze, thaw or leave");
+  return RunnerAction::None;
+}
+
+RunnerControl decodeControl(std::string_view body, JsonProblem& problem) {
+  RunnerControl control;
+  const auto object = parseJsonObject(body, problem);
+  if (!object) return control;
+  const JsonReader reader(*object, problem);
+  if (reader.has("delay_ms")) {
+    control.delay = std::chrono::milliseconds(reader.requireUnsigned("delay_ms", kLongestDelayMilliseconds));
+  }
+  if (reader.has("lose_answers")) control.lose_answers = reader.requireUnsigned32("lose_answers");
+  if (reader.has("lose_requests")) control.lose_requests = reader.requireUnsigned32("lose_requests");
+  control.action = readAction(reader);
+  return control;
+}
+
 http::Response refusalResponse(const ExecutionRefused& refused) {
   const int status = refused.code == ErrorCode::Stopping ? kUnavailable : kBadRequest;
   http::Response response = http::errorResponse(status, errorName(refused.code), refused.message, "not_run");
@@ -94,35 +128,33 @@
 
 void AppRunnerServer::control(const http::Request& request, const Writer& writer) {
   JsonProblem problem;
-  const auto object = parseJsonObject(request.body, problem);
-  if (object) applyControl(JsonReader(*object, problem));
+  const RunnerControl wanted = decodeControl(request.body, problem);
   if (problem.found()) return writer->respond(badRequest(problem.text()));
+  if (wanted.delay) model_.setDelay(*wanted.delay);
+  if (wanted.lose_answers) model_.loseAnswers(*wanted.lose_answers);
+  if (wanted.lose_requests) model_.loseRequests(*wanted.lose_requests);
+  apply(wanted.action);
   writer->respond(http::jsonResponse(kOk, kEmptyObject));
 }
 
-void AppRunnerServer::applyControl(const JsonReader& reader) {
-  if (reader.has("delay_ms")) {
-    const std::uint64_t delay = reader.requireUnsigned("delay_ms", kLongestDelayMilliseconds);
-    model_.setDelay(std::chrono::milliseconds(delay));
-  }
-  if (reader.has("lose_answers")) model_.loseAnswers(reader.requireUnsigned32("lose_answers"));
-  if (reader.has("lose_requests")) model_.loseRequests(reader.requireUnsigned32("lose_requests"));
-  if (reader.has("action")) applyAction(reader.requireString("action"), reader);
-}
-
-void AppRunnerServer::applyAction(const std::string& action, const JsonReader& reader) {
-  if (action == "crash") {
-    model_.crash();
-    for (const HeldCall& call : std::exchange(held_, {})) call.writer->abort();
-  } else if (action == "freeze") {
-    model_.freeze(clock_.now());
-  } else if (action == "thaw") {
-    model_.thaw(clock_.now());
-    for (const HeldCall& call : std::exchange(held_, {})) dispatch(call.request, call.writer);
-  } else if (action == "leave") {
-    model_.startLeaving();
-  } else {
-    reader.report("action", "must be crash, freeze, thaw or leave");
+void AppRunnerServer::apply(RunnerAction action) {
+  switch (action) {
+    case RunnerAction::None:
+      break;
+    case RunnerAction::Crash:
+      model_.crash();
+      for (const HeldCall& call : std::exchange(held_, {})) call.writer->abort();
+      break;
+    case RunnerAction::Freeze:
+      model_.freeze(clock_.now());
+      break;
+    case RunnerAction::Thaw:
+      model_.thaw(clock_.now());
+      for (const HeldCall& call : std::exchange(held_, {})) dispatch(call.request, call.writer);
+      break;
+    case RunnerAction::Leave:
+      model_.startLeaving();
+      break;
   }
 }
 
--- a/standins/app_runner/app_runner_server.h
+++ b/standins/app_runner/app_runner_server.h
@@ -10,11 +10,13 @@
 #include <vector>
 
 #include "http/server.h"
-#include "json/json_reader.h"
 #include "standins/app_runner/app_runner_model.h"
 
 namespace crankspur::standin {
 
+/// Faults that tests bring about.
+enum class RunnerAction { None, Crash, Freeze, Thaw, Leave };
+
 /// A listening runner; everything runs on one executor thread.
 class AppRunnerServer {
 public:
@@ -38,8 +40,7 @@
   void dispatch(const http::Request& request, const Writer& writer);
   void execute(const http::Request& request, const Writer& writer);
   void control(const http::Request& request, const Writer& writer);
-  void applyControl(const JsonReader& reader);
-  void applyAction(const std::string& action, const JsonReader& reader);
+  void apply(RunnerAction action);
   std::string encodeRunner() const;
   std::string encodeExecutions() const;
   void settle();
--- a/standins/engine/change_log.h
+++ b/standins/engine/change_log.h
@@ -16,6 +16,7 @@
   ChangeLog(Duration delay, double gap_probability, std::uint32_t length)
       : delay_(delay), gap_probability_(gap_probability), length_(length) {}
 
+  void setGapProbability(double probability) { gap_probability_ = probability; }
   /// Numbers and keeps a change, or loses it by chance.
   void append(std::vector<BlockHash> stored, std::vector<BlockHash> removed, RandomSource& random,
               TimePoint now);
--- a/standins/engine/engine_model.cc
+++ b/standins/engine/engine_model.cc
@@ -84,6 +84,11 @@
   for (AdapterLoad& load : adapter_loads_) load.loaded_at += by;
 }
 
+void EngineModel::setEventGapProbability(double probability) {
+  timings_.event_gap_probability = probability;
+  changes_->setGapProbability(probability);
+}
+
 void EngineModel::startLeaving(TimePoint now) {
   leaving_ = true;
   afterChange(now);
--- a/standins/engine/engine_model.h
+++ b/standins/engine/engine_model.h
@@ -58,6 +58,11 @@
   /// Progress goes on as if no time had passed.
   void thaw(TimePoint now);
   bool frozen() const { return frozen_since_.has_value(); }
+  /// Makes prefill and decode take `factor` times as long from the next chunk and step on, as a throttled
+  /// accelerator does. The load report goes on telling the nominal speed. @param factor at least 1.
+  void setSlowdown(double factor) { slowdown_ = factor; }
+  /// Changes how many cache events are lost from now on.
+  void setEventGapProbability(double probability);
 
   void onTimer(TimePoint now);
   /// @return when onTimer() has something to do; empty while frozen or idle.
@@ -192,6 +197,7 @@
   std::uint32_t blocksNeeded(const Run& run) const;
   std::uint32_t runningCount() const;
   Duration decodeStep() const;
+  Duration chunkTime() const;
 
   // Orders (engine_model_orders.cc).
   ErrorCode orderWeights(const EngineOrder& order);
@@ -220,6 +226,7 @@
   ServingRole role_ = ServingRole::Mixed;
   std::uint64_t order_token_ = 0;
   std::optional<TimePoint> frozen_since_;
+  double slowdown_ = 1;
   std::vector<ModelState> models_;
   std::vector<AdapterLoad> adapter_loads_;
 
--- a/standins/engine/engine_model_batch.cc
+++ b/standins/engine/engine_model_batch.cc
@@ -46,6 +46,12 @@
   return fits(*head) ? head : begun;
 }
 
+Duration EngineModel::chunkTime() const {
+  const Duration time =
+      timings_.prefill_chunk_base + timeOf(prefill_chunk_, timings_.prefill_tokens_per_second);
+  return std::chrono::duration_cast<Duration>(time * slowdown_);
+}
+
 void EngineModel::startPrefill(TimePoint now) {
   while (prefill_run_ == nullptr) {
     Run* const run = nextForPrefill();
@@ -54,8 +60,7 @@
     if (run->phase != Phase::Prefilling) continue;
     prefill_run_ = run;
     prefill_chunk_ = std::min(timings_.prefill_chunk_tokens, run->context_tokens - run->computed_tokens);
-    prefill_ends_ =
-        now + timings_.prefill_chunk_base + timeOf(prefill_chunk_, timings_.prefill_tokens_per_second);
+    prefill_ends_ = now + chunkTime();
   }
 }
 
@@ -165,10 +170,9 @@
 Duration EngineModel::decodeStep() const {
   const auto batch = static_cast<std::int64_t>(decoding_.size());
   const Duration step = timings_.decode_step_base + timings_.decode_step_per_request * batch;
-  const double slowdown = prefill_run_ == nullptr ? 1.0 : timings_.decode_slowdown_while_prefilling;
+  const double beside_prefill = prefill_run_ == nullptr ? 1.0 : timings_.decode_slowdown_while_prefilling;
   const double tokens = timings_.tokens_per_step;
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(toSeconds(step) * slowdown) *
-                                              tokens);
+  return std::chrono::duration_cast<Duration>(step * (beside_prefill * slowdown_ * tokens));
 }
 
 void EngineModel::startDecodeStep(TimePoint now) {
--- a/standins/engine_server/engine_codec.cc
+++ b/standins/engine_server/engine_codec.cc
@@ -66,6 +66,16 @@
   return role.value_or(ServingRole::Mixed);
 }
 
+EngineAction readAction(const JsonReader& reader) {
+  const std::string name = reader.getString("action");
+  if (name == "crash") return EngineAction::Crash;
+  if (name == "freeze") return EngineAction::Freeze;
+  if (name == "thaw") return EngineAction::Thaw;
+  if (name == "leave") return EngineAction::Leave;
+  if (reader.has("action")) reader.report("action", "must be crash, freeze, thaw or leave");
+  return EngineAction::None;
+}
+
 std::string eventLine(const boost::json::object& event) {
   return "data: " + boost::json::serialize(event) + "\n\n";
 }
@@ -120,6 +130,20 @@
   return {reader.requireString("request_id"), reader.requireUnsigned32("attempt")};
 }
 
+EngineControl decodeControl(std::string_view body, JsonProblem& problem) {
+  constexpr double kHighestSlowdown = 1000;
+  EngineControl control;
+  const auto object = parseJsonObject(body, problem);
+  if (!object) return control;
+  const JsonReader reader(*object, problem);
+  if (reader.has("slowdown")) control.slowdown = reader.requireNumber("slowdown", 1, kHighestSlowdown);
+  if (reader.has("event_gap_probability")) {
+    control.event_gap_probability = reader.requireNumber("event_gap_probability", 0, 1);
+  }
+  control.action = readAction(reader);
+  return control;
+}
+
 EngineOrder decodeOrder(std::string_view body, JsonProblem& problem) {
   EngineOrder order;
   const auto object = parseJsonObject(body, problem);
--- a/standins/engine_server/engine_codec.h
+++ b/standins/engine_server/engine_codec.h
@@ -1,6 +1,7 @@
 #pragma once
 /// @file JSON forms of the engine protocol on the engine's side; see docs/ARCHITECTURE.md "Model engine".
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,10 +18,21 @@
   std::uint32_t attempt = 0;
 };
 
+/// Faults that tests bring about.
+enum class EngineAction { None, Crash, Freeze, Thaw, Leave };
+
+/// Body of POST /control; empty members change nothing.
+struct EngineControl {
+  std::optional<double> slowdown;
+  std::optional<double> event_gap_probability;
+  EngineAction action = EngineAction::None;
+};
+
 /// Decoders of request bodies; what is wrong goes to `problem`.
 CompletionRequest decodeCompletionRequest(std::string_view body, JsonProblem& problem);
 ResumeRequest decodeResumeRequest(std::string_view body, JsonProblem& problem);
 CancelRequest decodeCancelRequest(std::string_view body, JsonProblem& problem);
+EngineControl decodeControl(std::string_view body, JsonProblem& problem);
 EngineOrder decodeOrder(std::string_view body, JsonProblem& problem);
 std::vector<BlockHash> decodeBlocks(std::string_view body, JsonProblem& problem);
 
--- a/standins/engine_server/engine_server.cc
+++ b/standins/engine_server/engine_server.cc
@@ -184,32 +184,36 @@
 
 void EngineServer::control(const http::Request& request, const Writer& writer) {
   JsonProblem problem;
-  const auto object = parseJsonObject(request.body, problem);
-  const std::string action = object ? JsonReader(*object, problem).requireString("action") : std::string();
+  const EngineControl wanted = decodeControl(request.body, problem);
   if (problem.found()) return writer->respond(badRequest(problem.text()));
-  if (!applyControl(action))
-    return writer->respond(badRequest("action must be crash, freeze, thaw or leave"));
-  log_.write(EventId::StandinControlled, {{"action", action}});
+  log_.write(EventId::StandinControlled, {{"action", request.body}});
+  if (wanted.slowdown) model_.setSlowdown(*wanted.slowdown);
+  if (wanted.event_gap_probability) model_.setEventGapProbability(*wanted.event_gap_probability);
+  apply(wanted.action);
   writer->respond(http::jsonResponse(kOk, kEmptyObject));
   settle();
 }
 
-bool EngineServer::applyControl(const std::string& action) {
+void EngineServer::apply(EngineAction action) {
   const TimePoint now = clock_.now();
-  if (action == "crash") {
-    model_.crash(now);
-    for (const HeldCall& call : std::exchange(held_, {})) call.writer->abort();
-  } else if (action == "freeze") {
-    model_.freeze(now);
-  } else if (action == "thaw") {
-    model_.thaw(now);
-    for (const HeldCall& call : std::exchange(held_, {})) dispatch(call.request, call.writer);
-  } else if (action == "leave") {
-    model_.startLeaving(now);
-  } else {
-    return false;
+  switch (action) {
+    case EngineAction::None:
+      break;
+    case EngineAction::Crash:
+      model_.crash(now);
+      for (const HeldCall& call : std::exchange(held_, {})) call.writer->abort();
+      break;
+    case EngineAction::Freeze:
+      model_.freeze(now);
+      break;
+    case EngineAction::Thaw:
+      model_.thaw(now);
+      for (const HeldCall& call : std::exchange(held_, {})) dispatch(call.request, call.writer);
+      break;
+    case EngineAction::Leave:
+      model_.startLeaving(now);
+      break;
   }
-  return true;
 }
 
 }  // namespace crankspur::standin
--- a/standins/engine_server/engine_server.h
+++ b/standins/engine_server/engine_server.h
@@ -16,6 +16,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "standins/engine/engine_model.h"
+#include "standins/engine_server/engine_codec.h"
 
 namespace crankspur::standin {
 
@@ -62,7 +63,7 @@
   void dispatchGet(const http::Request& request, const Writer& writer);
   void dispatchPost(const http::Request& request, const Writer& writer);
   void control(const http::Request& request, const Writer& writer);
-  bool applyControl(const std::string& action);
+  void apply(EngineAction action);
   void completions(const http::Request& request, const Writer& writer);
   void resume(const http::Request& request, const Writer& writer);
   void cancel(const http::Request& request, const Writer& writer);
--- a/tests/integration/standin_processes_test.cc
+++ b/tests/integration/standin_processes_test.cc
@@ -104,6 +104,20 @@
   }
 }
 
+TEST_CASE("a bad control of an engine is refused whole", "[integration]") {
+  const std::string folder = makeScratchFolder();
+  Process engine("standin_engine", {}, folder + "/engine.log");
+  const std::string address = addressOf(engine);
+  const std::string before = get(address, "/v1/engine").body;
+  for (const char* body : {"", "[]", R"({"action":"dance"})", R"({"action":"crash","slowdown":0})",
+                           R"({"action":"crash","event_gap_probability":"0"})"}) {
+    CHECK(testing::post(address, "/control", body).status == 400);
+  }
+  CHECK(get(address, "/v1/engine").body == before);
+  CHECK(testing::post(address, "/control", R"({"action":"crash","slowdown":2})").status == 200);
+  CHECK(get(address, "/v1/engine").body != before);
+}
+
 TEST_CASE("bad flags of the stand-ins are refused with the reason", "[integration]") {
   const std::string folder = makeScratchFolder();
   std::string output;
--- a/tests/unit/standin_engine/engine_model_test.cc
+++ b/tests/unit/standin_engine/engine_model_test.cc
@@ -281,6 +281,17 @@
   CHECK(engine.streams[stream].finished.size() == 1);
 }
 
+TEST_CASE("a slowed engine takes longer for prefill and decode", "[standin_engine]") {
+  const auto timeOf = [](double slowdown) {
+    EngineDriver engine;
+    engine.model.setSlowdown(slowdown);
+    engine.submit(EngineDriver::request("r1", 1600, 20));
+    engine.pass(seconds(60));
+    return engine.record("r1").ended - engine.record("r1").arrived;
+  };
+  CHECK(toSeconds(timeOf(4)) == Approx(4 * toSeconds(timeOf(1))));
+}
+
 TEST_CASE("an import saves the prefill of what the source holds", "[standin_engine]") {
   EngineDriver engine;
   CompletionRequest request = EngineDriver::request("r1", 1600);
