--- a/sim/check/checkers_fleet.cc
+++ b/sim/check/checkers_fleet.cc
@@ -39,7 +39,8 @@
 void checkRestarts(const CheckInput& input, Violations& violations) {
   if (hasAny(input, kDeafness)) return;
   for (const RouterRefusal& refusal : input.world.context().records.refusals) {
-    const bool unready = refusal.code == ErrorCode::NotReady || refusal.code == ErrorCode::EngineUnavailable ||
+    const bool unready = refusal.code == ErrorCode::NotReady ||
+                         refusal.code == ErrorCode::EngineUnavailable ||
                          refusal.code == ErrorCode::UnknownModel;
     const bool restarted = refusal.epoch > 1;
     if (unready && restarted && refusal.at - refusal.router_started_at > kServesWithin &&
@@ -47,13 +48,31 @@
         onlyFaults(input, {FaultKind::RouterRestart, FaultKind::HerdRestart, FaultKind::StoreDown,
                            FaultKind::StoreSlow, FaultKind::LostAnswers, FaultKind::PlannedStops,
                            FaultKind::ZoneStop, FaultKind::PrefixShift})) {
-      violations.push_back(
-          {"restart", fmt::format("{} refused with {} {:.3f} s after its start", refusal.router,
-                                  errorName(refusal.code), toSeconds(refusal.at - refusal.router_started_at))});
+      violations.push_back({"restart", fmt::format("{} refused with {} {:.3f} s after its start",
+                                                   refusal.router, errorName(refusal.code),
+                                                   toSeconds(refusal.at - refusal.router_started_at))});
     }
   }
 }
 
+/// After a herd restart with nothing else wrong, callers are served at once, whatever the store does.
+void checkHerd(const CheckInput& input, Violations& violations) {
+  if (!input.faults.contains(FaultKind::HerdRestart) || input.faults.size() > 1) return;
+  TimePoint last_start{};
+  for (std::size_t index = 0; index < input.world.routerCount(); ++index) {
+    last_start = std::max(last_start, input.world.routerAt(index).startedAt());
+  }
+  const std::set<ErrorCode> excused = {ErrorCode::ClaimUnavailable, ErrorCode::DuplicateRequest};
+  for (const CallerRecord& caller : input.world.context().records.callers) {
+    if (!caller.error || caller.submitted_at < last_start + kServesWithin) continue;
+    if (excused.contains(caller.error->code)) continue;
+    violations.push_back({"restart", fmt::format("{} failed {:.1f} s after a herd restart: {} {}",
+                                                 caller.request.request_id,
+                                                 toSeconds(caller.submitted_at - last_start),
+                                                 errorName(caller.error->code), caller.error->message)});
+  }
+}
+
 void checkLeaving(const CheckInput& input, Violations& violations) {
   if (hasAny(input, kDeafness)) return;
   const Records& records = input.world.context().records;
@@ -61,30 +80,36 @@
     const TimePoint limit = leaving.at + kLeavingWithin;
     for (const ArrivalRecord& arrival : records.arrivals) {
       if (arrival.engine != leaving.machine || arrival.at <= limit) continue;
-      violations.push_back({"leaving", fmt::format("{} got {} from {} {:.1f} s after it began to leave",
-                                                   leaving.machine, arrival.request_id, arrival.router,
-                                                   toSeconds(arrival.at - leaving.at))});
+      violations.push_back(
+          {"leaving", fmt::format("{} got {} from {} {:.1f} s after it began to leave", leaving.machine,
+                                  arrival.request_id, arrival.router, toSeconds(arrival.at - leaving.at))});
     }
     for (const ExecutionRecord& execution : records.executions) {
       if (execution.runner != leaving.machine || execution.at <= limit) continue;
-      violations.push_back({"leaving", fmt::format("{} got {} {:.1f} s after it began to leave", leaving.machine,
-                                                   execution.request_id, toSeconds(execution.at - leaving.at))});
+      violations.push_back(
+          {"leaving", fmt::format("{} got {} {:.1f} s after it began to leave", leaving.machine,
+                                  execution.request_id, toSeconds(execution.at - leaving.at))});
     }
   }
 }
 
 void checkPlannedStops(const CheckInput& input, Violations& violations) {
   const bool planned_only =
-      !input.faults.empty() &&
-      onlyFaults(input, {FaultKind::PlannedStops, FaultKind::ZoneStop, FaultKind::LeavingEngine,
-                         FaultKind::PrefixShift});
+      !input.faults.empty() && onlyFaults(input, {FaultKind::PlannedStops, FaultKind::ZoneStop,
+                                                  FaultKind::LeavingEngine, FaultKind::PrefixShift});
   if (!planned_only) return;
-  for (const CallerRecord& caller : input.world.context().records.callers) {
-    if (!caller.error || caller.error->code == ErrorCode::DuplicateRequest) continue;
-    violations.push_back(
-        {"planned_stop", fmt::format("{} failed though every stop was planned: {} {}",
-                                     caller.request.request_id, errorName(caller.error->code),
-                                     caller.error->message)});
+  const std::deque<CallerRecord>& callers = input.world.context().records.callers;
+  std::map<std::string, std::uint32_t> uses_of_key;
+  for (const CallerRecord& caller : callers) ++uses_of_key[caller.request.idempotency_key];
+  for (const CallerRecord& caller : callers) {
+    if (!caller.error) continue;
+    // A caller that repeats an order before its answer came may be told so.
+    const bool repeated =
+        !caller.request.idempotency_key.empty() && uses_of_key[caller.request.idempotency_key] > 1;
+    if (repeated && caller.error->code == ErrorCode::DuplicateRequest) continue;
+    violations.push_back({"planned_stop", fmt::format("{} failed though every stop was planned: {} {}",
+                                                      caller.request.request_id,
+                                                      errorName(caller.error->code), caller.error->message)});
   }
 }
 
@@ -121,9 +146,9 @@
   }
   for (const DecisionUse& decision : records.decisions) {
     if (decision.version >= named[decision.request_id]) continue;
-    violations.push_back({"bundle", fmt::format("{} decided {} under bundle {} though its caller had {}",
-                                                decision.router, decision.request_id, decision.version,
-                                                named[decision.request_id])});
+    violations.push_back(
+        {"bundle", fmt::format("{} decided {} under bundle {} though its caller had {}", decision.router,
+                               decision.request_id, decision.version, named[decision.request_id])});
   }
 }
 
@@ -169,6 +194,7 @@
   checkCacheUse(input, violations);
   checkStreams(input, violations);
   checkRestarts(input, violations);
+  checkHerd(input, violations);
   checkNotRun(input, violations);
   checkAtMostOnce(input, violations);
   checkLeaving(input, violations);
