Let a majority of a small group of routers grant claims (decision code)

Cause: while the table service is down every order and booking is refused; claims by a majority of routers can go on if no interleaving of losses, restarts and changes of members grants a key twice. Not wired into the processes yet.

--- /dev/null
+++ b/src/claim/claim_epoch_change.cc
@@ -0,0 +1,109 @@
+#include "claim/claim_epoch_change.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+
+namespace crankspur {
+
+ClaimEpochChange::ClaimEpochChange(ClaimGroupRow row, std::vector<ClaimGroupMember> members,
+                                   std::string installer, Duration key_lifetime)
+    : row_(std::move(row)), key_lifetime_(key_lifetime) {
+  new_row_.epoch = row_.epoch + 1;
+  new_row_.members = std::move(members);
+  new_row_.installer = std::move(installer);
+  // A group that has not begun has no votes to seal: claims until now stand in the table.
+  if (row_.epoch == 0) step_ = EpochStep::WriteClaims;
+}
+
+void ClaimEpochChange::onSealed(const ClaimSealed& sealed) {
+  const auto& members = row_.members;
+  const bool member = std::find(members.begin(), members.end(), sealed.voter) != members.end();
+  if (step_ != EpochStep::Seal || sealed.epoch != row_.epoch || !member) return;
+  sealed_[sealed.voter.address] = sealed;
+  collectIfEnough();
+}
+
+void ClaimEpochChange::onMemberGone(const ClaimGroupMember& member) {
+  const auto& members = row_.members;
+  const bool known = std::find(members.begin(), members.end(), member) != members.end();
+  if (step_ != EpochStep::Seal || !known) return;
+  gone_[member.address] = member;
+  collectIfEnough();
+}
+
+void ClaimEpochChange::collectIfEnough() {
+  const bool sealed_majority = sealed_.size() >= row_.majority();
+  // Once no majority is left to be sealed, claims may be lost; the quarantine outlasts the keys they were
+  // for.
+  const bool majority_lost = row_.members.size() - gone_.size() < row_.majority();
+  if (!sealed_majority && !majority_lost) return;
+  install_.row = new_row_;
+  install_.carried = collect();
+  if (!sealed_majority) install_.quarantine = key_lifetime_;
+  std::optional<Duration> covered;
+  for (const auto& [address, sealed] : sealed_) {
+    if (sealed.installed) covered = std::min(covered.value_or(sealed.covered), sealed.covered);
+  }
+  // Without any voter that took part, what older epochs carried is known to the table only.
+  install_.covered = sealed_majority ? covered.value_or(Duration{0}) : Duration{0};
+  step_ = EpochStep::WriteClaims;
+}
+
+std::vector<ClaimVote> ClaimEpochChange::collect() const {
+  std::set<std::string> keys;
+  for (const auto& [address, sealed] : sealed_) {
+    for (const ClaimVote& vote : sealed.votes) keys.insert(vote.key);
+  }
+  std::vector<ClaimVote> carried;
+  for (const std::string& key : keys) {
+    const std::vector<std::string> winners = possibleWinners(key);
+    if (winners.empty()) continue;
+    // With several no single claimant may give the key back.
+    const std::string token = winners.size() == 1 ? winners.front() : std::string();
+    carried.push_back(ClaimVote{key, token, false, true});
+  }
+  return carried;
+}
+
+std::vector<std::string> ClaimEpochChange::possibleWinners(const std::string& key) const {
+  struct Count {
+    std::size_t votes = 0;
+    bool carried = false;
+    bool released = false;
+  };
+  std::map<std::string, Count> counts;
+  for (const auto& [address, sealed] : sealed_) {
+    for (const ClaimVote& vote : sealed.votes) {
+      if (vote.key != key) continue;
+      Count& count = counts[vote.token];
+      ++count.votes;
+      count.carried = count.carried || vote.carried;
+      count.released = count.released || vote.released;
+    }
+  }
+  const std::size_t unheard = row_.members.size() - sealed_.size();
+  std::vector<std::string> winners;
+  for (const auto& [token, count] : counts) {
+    const bool may_have_won = count.carried || count.votes + unheard >= row_.majority();
+    if (may_have_won && !count.released) winners.push_back(token);
+  }
+  return winners;
+}
+
+void ClaimEpochChange::claimsWritten() {
+  if (step_ == EpochStep::WriteClaims) step_ = EpochStep::SwapRow;
+}
+
+void ClaimEpochChange::rowSwapped(bool committed) {
+  if (step_ != EpochStep::SwapRow) return;
+  step_ = committed ? EpochStep::Install : EpochStep::Lost;
+}
+
+void ClaimEpochChange::onRow(const ClaimGroupRow& row) {
+  if (step_ != EpochStep::SwapRow || row.row_version == row_.row_version) return;
+  const bool own = row.epoch == new_row_.epoch && row.installer == new_row_.installer;
+  step_ = own ? EpochStep::Install : EpochStep::Lost;
+}
+
+}  // namespace crankspur
--- /dev/null
+++ b/src/claim/claim_epoch_change.h
@@ -0,0 +1,63 @@
+#pragma once
+/// @file Change of a claim group's members. A majority of the old epoch is sealed, the claims that may have
+/// been won are collected and written to the table, then a compare-and-set of the group's row begins the new
+/// epoch, and its members are told. Pure decision code; the driver carries out one step at a time.
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "claim/claim_group_types.h"
+
+namespace crankspur {
+
+/// What the driver has to do next.
+enum class EpochStep {
+  Seal,         ///< Send seal() to the members of row(); report answers and members proved to be gone.
+  WriteClaims,  ///< Insert a claim row for each of carried() where none is; then claimsWritten().
+  SwapRow,      ///< Compare-and-set newRow() against row().row_version; then rowSwapped() or rowUnknown().
+  Install,      ///< Send install() to the members of newRow(); repeated sending does no harm.
+  Lost,         ///< Another epoch change was first: nothing to do; begin again from the new row if needed.
+};
+
+/// One try to begin a new epoch.
+class ClaimEpochChange {
+public:
+  /// @param row the group's row as read from the table.
+  /// @param installer unique to this object over all processes and their restarts.
+  /// @param key_lifetime how long callers may use a key after its first use.
+  ClaimEpochChange(ClaimGroupRow row, std::vector<ClaimGroupMember> members, std::string installer,
+                   Duration key_lifetime);
+
+  EpochStep step() const { return step_; }
+  const ClaimGroupRow& row() const { return row_; }
+  const ClaimGroupRow& newRow() const { return new_row_; }
+  const std::vector<ClaimVote>& carried() const { return install_.carried; }
+  ClaimSeal seal() const { return ClaimSeal{row_.epoch}; }
+  const ClaimInstall& install() const { return install_; }
+
+  void onSealed(const ClaimSealed& sealed);
+  /// The member's process surely ended: its address runs another incarnation. A suspicion is no proof, since
+  /// the member might vote on beyond a cut.
+  void onMemberGone(const ClaimGroupMember& member);
+  void claimsWritten();
+  void rowSwapped(bool committed);
+  /// The answer to the compare-and-set was lost: the row read afterwards tells.
+  void onRow(const ClaimGroupRow& row);
+
+private:
+  void collectIfEnough();
+  std::vector<ClaimVote> collect() const;
+  std::vector<std::string> possibleWinners(const std::string& key) const;
+
+  ClaimGroupRow row_;
+  ClaimGroupRow new_row_;
+  Duration key_lifetime_;
+  EpochStep step_ = EpochStep::Seal;
+  std::map<std::string, ClaimSealed> sealed_;  ///< By address.
+  std::map<std::string, ClaimGroupMember> gone_;
+  ClaimInstall install_;
+};
+
+}  // namespace crankspur
--- /dev/null
+++ b/src/claim/group_claim.cc
@@ -0,0 +1,73 @@
+#include "claim/group_claim.h"
+
+#include <algorithm>
+
+namespace crankspur {
+
+GroupClaim::GroupClaim(std::string key, std::string token, ClaimGroupRow row, Duration key_lifetime,
+                       TimePoint deadline)
+    : key_(std::move(key)),
+      token_(std::move(token)),
+      row_(std::move(row)),
+      key_lifetime_(key_lifetime),
+      deadline_(deadline) {
+  if (row_.epoch == 0 || row_.members.empty()) outcome_ = GroupClaimOutcome::Unavailable;
+}
+
+ClaimPrepare GroupClaim::prepare() const {
+  return ClaimPrepare{row_.epoch, key_, token_};
+}
+
+std::vector<ClaimGroupMember> GroupClaim::unanswered() const {
+  std::vector<ClaimGroupMember> members;
+  if (outcome_) return members;
+  for (const ClaimGroupMember& member : row_.members) {
+    if (!granted_.contains(member.address) && !denied_.contains(member.address)) members.push_back(member);
+  }
+  return members;
+}
+
+void GroupClaim::onBallot(const ClaimBallot& ballot, TimePoint now) {
+  const ClaimReply& reply = ballot.reply;
+  if (outcome_ || reply.key != key_ || reply.token != token_) return;
+  const ClaimGroupMember voter{reply.voter, reply.voter_incarnation};
+  const auto place =
+      std::find_if(row_.members.begin(), row_.members.end(),
+                   [&](const ClaimGroupMember& member) { return member.address == voter.address; });
+  if (place == row_.members.end()) return;
+  // A member that restarted has forgotten its votes: whatever it says, it is no voter of this epoch.
+  const bool counts = *place == voter && reply.epoch == row_.epoch;
+  if (counts && reply.granted) {
+    granted_.insert(voter.address);
+    covered_ = covered_ && ballot.covered >= key_lifetime_;
+  } else {
+    denied_.insert(voter.address);
+    holder_seen_ = holder_seen_ || counts;
+  }
+  decideIfClear(now);
+}
+
+void GroupClaim::decideIfClear(TimePoint now) {
+  if (now >= deadline_) return onTimer(now);
+  if (granted_.size() >= row_.majority()) {
+    outcome_ = covered_ ? GroupClaimOutcome::Granted : GroupClaimOutcome::GrantedForTable;
+    return;
+  }
+  const std::size_t possible = row_.members.size() - denied_.size();
+  if (possible < row_.majority()) abandon();
+}
+
+void GroupClaim::onTimer(TimePoint now) {
+  if (now >= deadline_) abandon();
+}
+
+void GroupClaim::abandon() {
+  if (outcome_) return;
+  outcome_ = holder_seen_ ? GroupClaimOutcome::HeldByOther : GroupClaimOutcome::Unavailable;
+}
+
+ClaimRelease GroupClaim::release() const {
+  return ClaimRelease{row_.epoch, key_, token_};
+}
+
+}  // namespace crankspur
