--- a/standins/engine/engine_model.h
+++ b/standins/engine/engine_model.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/random.h"
@@ -69,6 +70,8 @@
   CacheChanges cacheChanges(std::uint64_t after, TimePoint now) const;
   /// @return when a reader of cacheChanges(after) sees something newer, if anything is on its way.
   std::optional<TimePoint> nextCacheChange(std::uint64_t after) const;
+  /// @return number of the newest cache change of this incarnation, whether readers see it or not.
+  std::uint64_t newestCacheChange() const { return changes_->lastSequence(); }
   CacheDigest cacheDigest(TimePoint now);
   /// @return how many leading blocks can be exported.
   std::uint32_t heldPrefix(std::span<const BlockHash> blocks) const { return cache_->heldPrefix(blocks); }
@@ -144,7 +147,9 @@
   struct Rank {
     std::uint32_t priority;
     std::uint64_t arrival;
-    auto operator<=>(const Rank&) const = default;
+    bool operator<(const Rank& other) const {
+      return std::tie(priority, arrival) < std::tie(other.priority, other.arrival);
+    }
   };
   static Rank rankOf(const Run& run) { return {run.request.priority, run.arrival}; }
 
