--- a/src/router/completion_failure.cc
+++ b/src/router/completion_failure.cc
@@ -71,7 +71,7 @@
 
 void RequestRouterImpl::completionRefused(RequestEntry& entry, const BackendRefused& refused, TimePoint now) {
   if (!entry.dispatch->attempt->apply(AttemptEvent::BackendRefusedNotRun)) {
-    return abandonDispatch(entry, "refused after it had accepted", now);
+    return abandonDispatch(entry, EventId::BackendProtocolBroken, "refused after it had accepted", now);
   }
   const bool resume = entry.dispatch->resume;
   entry.dispatch->costless = !isLoadRefusal(refused.code);
@@ -97,7 +97,8 @@
   const std::uint64_t incarnation = dispatch.incarnation;
   // A resume call that itself was lost is repeated only if it had brought something.
   const bool may_resume = !never_sent && (!dispatch.resume || state == AttemptState::LostStreaming);
-  log(EventId::AttemptLost, entry, {{"backend", engine}, {"state", static_cast<int>(state)}});
+  log(EventId::AttemptLost, entry,
+      {{"backend", engine}, {"reason", never_sent ? "the connect failed" : "the connection ended"}});
   entry.last_error = never_sent ? ErrorCode::EngineUnavailable : ErrorCode::EngineLost;
   const std::string weights = dispatch.weights_version;
   closeDispatch(entry, now);
@@ -106,12 +107,14 @@
   moveCompletion(entry, now);
 }
 
-void RequestRouterImpl::abandonDispatch(RequestEntry& entry, const char* reason, TimePoint now) {
-  log(EventId::BackendProtocolBroken, entry, {{"backend", entry.dispatch->backend}, {"reason", reason}});
-  entry.dispatch->attempt->apply(AttemptEvent::ConnectionFailed);
-  entry.dispatch->costless = entry.dispatch->attempt->state() == AttemptState::NeverSent;
-  entry.last_error = entry.dispatch->costless ? ErrorCode::EngineUnavailable : ErrorCode::EngineLost;
-  entry.excluded.push_back({entry.dispatch->engine, entry.dispatch->incarnation});
+void RequestRouterImpl::abandonDispatch(RequestEntry& entry, EventId event, const char* reason,
+                                        TimePoint now) {
+  CurrentDispatch& dispatch = *entry.dispatch;
+  log(event, entry, {{"backend", dispatch.backend}, {"reason", reason}});
+  dispatch.attempt->apply(AttemptEvent::ConnectionFailed);
+  dispatch.costless = dispatch.attempt->state() == AttemptState::NeverSent;
+  entry.last_error = dispatch.costless ? ErrorCode::EngineUnavailable : ErrorCode::EngineLost;
+  entry.excluded.push_back({dispatch.engine, dispatch.incarnation});
   cancelDispatch(entry, now);
   moveCompletion(entry, now);
 }
@@ -139,13 +142,7 @@
     if (isGone(engine, *entry->dispatch, now)) gone.push_back(serial);
   }
   for (const Serial serial : gone) {
-    RequestEntry& entry = *findEntry(serial);
-    log(EventId::AttemptLost, entry, {{"backend", entry.dispatch->backend}, {"state", "gone"}});
-    entry.last_error = ErrorCode::EngineLost;
-    entry.excluded.push_back({entry.dispatch->engine, entry.dispatch->incarnation});
-    entry.dispatch->attempt->apply(AttemptEvent::ConnectionFailed);
-    cancelDispatch(entry, now);
-    moveCompletion(entry, now);
+    abandonDispatch(*findEntry(serial), EventId::AttemptLost, "the engine is gone or restarted", now);
   }
 }
 
--- a/src/router/completion_flow.cc
+++ b/src/router/completion_flow.cc
@@ -150,7 +150,8 @@
   CurrentDispatch& dispatch = *entry.dispatch;
   if (!dispatch.attempt->apply(AttemptEvent::BackendAccepted)) return;
   if (accepted.incarnation != dispatch.incarnation || accepted.weights_version != dispatch.weights_version) {
-    return abandonDispatch(entry, "accepted with another incarnation or weights version", now);
+    return abandonDispatch(entry, EventId::BackendProtocolBroken,
+                           "accepted with another incarnation or weights version", now);
   }
   entry.prompt_tokens = accepted.prompt_tokens;
   entry.cached_tokens = accepted.cached_tokens;
@@ -184,7 +185,8 @@
   CurrentDispatch& dispatch = *entry.dispatch;
   if (piece.offset + piece.token_count <= entry.tokens && piece.token_count > 0) return schedule(entry);
   if (piece.offset != entry.tokens || piece.token_count == 0) {
-    return abandonDispatch(entry, "a piece does not follow the one before", now);
+    return abandonDispatch(entry, EventId::BackendProtocolBroken, "a piece does not follow the one before",
+                           now);
   }
   dispatch.attempt->apply(AttemptEvent::PieceArrived);
   notePrefillDone(entry, now);
--- a/src/router/operation_flow.cc
+++ b/src/router/operation_flow.cc
@@ -109,7 +109,7 @@
 
 void RequestRouterImpl::operationFailed(RequestEntry& entry, TimePoint now) {
   log(EventId::AttemptLost, entry,
-      {{"backend", entry.dispatch->backend}, {"state", static_cast<int>(entry.dispatch->attempt->state())}});
+      {{"backend", entry.dispatch->backend}, {"reason", errorName(entry.last_error)}});
   entry.excluded_runners.push_back(entry.dispatch->backend);
   entry.text.clear();
   const bool load_refusal =
--- a/src/router/request_router.cc
+++ b/src/router/request_router.cc
@@ -323,7 +323,7 @@
     const ErrorCode code = bundle() == nullptr ? ErrorCode::NotReady : ErrorCode::StaleBundle;
     return refuse(entry, code, kBundleRetryAfter, "the router's bundle is older than the caller's", now);
   }
-  abandonDispatch(entry, "silent", now);
+  abandonDispatch(entry, EventId::AttemptLost, "the engine is silent", now);
 }
 
 void RequestRouterImpl::deadlinePassed(RequestEntry& entry, TimePoint now) {
--- a/src/router/request_router_impl.h
+++ b/src/router/request_router_impl.h
@@ -125,7 +125,7 @@
   void completionRefused(RequestEntry& entry, const BackendRefused& refused, TimePoint now);
   void completionLost(RequestEntry& entry, TimePoint now);
   /// The engine broke its protocol or fell silent: its dispatch is stopped and never resumed.
-  void abandonDispatch(RequestEntry& entry, const char* reason, TimePoint now);
+  void abandonDispatch(RequestEntry& entry, EventId event, const char* reason, TimePoint now);
   void moveCompletion(RequestEntry& entry, TimePoint now);
   void giveUpCompletion(RequestEntry& entry, TimePoint now);
   void dropGoneEngines(TimePoint now);
