Do not call "not run" what may have left for an engine that restarted

A completion whose only attempt had left then was refused as "not run". The header says before which calls the driver has to report bytes. Checked: the new test fails without the change (run state 0, not run) and passes with it; router, claim and attempt tests pass (49 cases).

--- a/src/router/completion_failure.cc
+++ b/src/router/completion_failure.cc
@@ -142,6 +142,8 @@
     if (isGone(engine, *entry->dispatch, now)) gone.push_back(serial);
   }
   for (const Serial serial : gone) {
+    // The driver reports bytes late; an engine that restarted meanwhile may have run what had left.
+    findEntry(serial)->dispatch->attempt->apply(AttemptEvent::BytesSent);
     abandonDispatch(*findEntry(serial), EventId::AttemptLost, "the engine is gone or restarted", now);
   }
 }
--- a/src/router/request_router.h
+++ b/src/router/request_router.h
@@ -128,7 +128,9 @@
   virtual void onCancel(SidecarId sidecar, const Cancel& cancel, TimePoint now) = 0;
   /// The sidecar's connection ended: repeatable work is cancelled; claimed work goes on to its record.
   virtual void onSidecarLost(SidecarId sidecar, TimePoint now) = 0;
-  /// The first bytes of the dispatch have left.
+  /// The first bytes of the dispatch have left, or may have. To be called no later than any other call that
+  /// may end the dispatch or its request (onTimer, onSubmit, onCancel, onSidecarLost), except onSnapshot,
+  /// which takes every open dispatch as sent, and onBackend.
   virtual void onDispatchSent(DispatchId dispatch, TimePoint now) = 0;
   virtual void onBackend(DispatchId dispatch, const BackendEvent& event, TimePoint now) = 0;
   virtual void onClaimRead(std::uint64_t claim, const ClaimRow& row, TimePoint now) = 0;
--- a/tests/unit/router/completion_failure_test.cc
+++ b/tests/unit/router/completion_failure_test.cc
@@ -270,6 +270,15 @@
   CHECK(fixture.take<CancelDispatch>()->dispatch == first.dispatch);
 }
 
+TEST_CASE("what may have left for an engine that restarted is not called not run", "[router]") {
+  RouterFixture fixture;
+  fixture.bundle->knobs.max_attempts = 1;
+  fixture.dispatched();  // The driver has not reported yet whether bytes left.
+  fixture.fleet.engines[0].incarnation = 11;
+  fixture.publish();
+  checkRefused(fixture, ErrorCode::EngineLost, RunState::Unknown);
+}
+
 TEST_CASE("moves that cost no engine anything need no retry budget", "[router]") {
   RouterFixture fixture;
   fixture.admission->retries_left = 0;
