Let a router that restarts without the platform learn back ends from a peer

Cause: a restarted router got the bundle from peers, but engines only from the machine list, so that it could not serve while the platform was down. The bundle's gossip timings had no effect on running routers.

Change: a router without any machine list since its start asks the first router that connects for its list of engines and runners (BackendListRequest, BackendList, added at the end of the messages) and then asks them itself. Gossip timings follow the bundle. The bundle row is read by bundle/bundle_row. Ownership of engines is recomputed only when members or engines change. explain names the engine of each candidate.

The whole unit and integration programs were not yet rebuilt at this commit.

--- a/apps/crankspur_router/main.cc
+++ b/apps/crankspur_router/main.cc
@@ -22,6 +22,8 @@
 ABSL_FLAG(std::vector<std::string>, approver_keys, {},
           "public keys of bundle approvers, base64, comma-separated");
 ABSL_FLAG(std::string, log_format, "", "key_value or json; overrides the file's log_format");
+ABSL_FLAG(int, machine_list_interval_ms, 0, "time between machine lists; 0 keeps the file's");
+ABSL_FLAG(int, bundle_row_interval_ms, 0, "time between looks at the accepted bundle; 0 keeps the file's");
 ABSL_FLAG(int, traffic_threads, 0, "traffic threads; 0 keeps the file's number");
 
 namespace {
@@ -37,6 +39,10 @@
   if (!flag.empty()) value = flag;
 }
 
+void overrideInterval(Duration& value, int milliseconds) {
+  if (milliseconds > 0) value = std::chrono::milliseconds(milliseconds);
+}
+
 void applyFlags(RouterSettings& settings) {
   override(settings.name, absl::GetFlag(FLAGS_name));
   override(settings.zone, absl::GetFlag(FLAGS_zone));
@@ -49,6 +55,8 @@
   overrideList(settings.trusted_keys.approvers, absl::GetFlag(FLAGS_approver_keys));
   const std::string format = absl::GetFlag(FLAGS_log_format);
   if (!format.empty()) settings.log_format = format == "json" ? LogFormat::Json : LogFormat::KeyValue;
+  overrideInterval(settings.machine_list_interval, absl::GetFlag(FLAGS_machine_list_interval_ms));
+  overrideInterval(settings.bundle_row_interval, absl::GetFlag(FLAGS_bundle_row_interval_ms));
   const int threads = absl::GetFlag(FLAGS_traffic_threads);
   if (threads > 0) settings.traffic_threads = static_cast<std::uint32_t>(threads);
 }
--- a/proto/crankspur.pb.c
+++ b/proto/crankspur.pb.c
@@ -63,4 +63,13 @@
 PB_BIND(crankspur_wire_ProtocolError, crankspur_wire_ProtocolError, AUTO)
 
 
+PB_BIND(crankspur_wire_BackendRecord, crankspur_wire_BackendRecord, AUTO)
+
+
+PB_BIND(crankspur_wire_BackendListRequest, crankspur_wire_BackendListRequest, AUTO)
+
+
+PB_BIND(crankspur_wire_BackendList, crankspur_wire_BackendList, AUTO)
+
+
 
--- a/src/internal_protocol/field_mapping.h
+++ b/src/internal_protocol/field_mapping.h
@@ -34,6 +34,9 @@
 CRANKSPUR_WIRE_FORM(ClaimPrepare)
 CRANKSPUR_WIRE_FORM(ClaimReply)
 CRANKSPUR_WIRE_FORM(ProtocolError)
+CRANKSPUR_WIRE_FORM(BackendRecord)
+CRANKSPUR_WIRE_FORM(BackendListRequest)
+CRANKSPUR_WIRE_FORM(BackendList)
 #undef CRANKSPUR_WIRE_FORM
 
 template <typename Archive, typename Plain>
@@ -219,4 +222,26 @@
   archive.text(wire.message, plain.message);
 }
 
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_BackendRecord& wire, Plain& plain) {
+  archive.text(wire.name, plain.name);
+  archive.text(wire.address, plain.address);
+  archive.text(wire.zone, plain.zone);
+  archive.text(wire.region, plain.region);
+  archive.text(wire.pool, plain.pool);
+  archive.number(wire.runner, plain.runner);
+  archive.number(wire.leaving, plain.leaving);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_BackendListRequest& wire, Plain& plain) {
+  archive.text(wire.requester, plain.requester);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_BackendList& wire, Plain& plain) {
+  archive.text(wire.sender, plain.sender);
+  archive.records(wire.backends, plain.backends);
+}
+
 }  // namespace crankspur::wire
--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -216,9 +216,31 @@
   std::string message;
 };
 
+/// One engine or application runner of the machine list, as the sender last knew it.
+struct BackendRecord {
+  std::string name;
+  std::string address;  ///< "IP:port".
+  std::string zone;
+  std::string region;
+  std::string pool;
+  bool runner = false;  ///< False: a model engine.
+  bool leaving = false;
+};
+
+/// A router that has had no machine list since its start asks a peer for the peer's.
+struct BackendListRequest {
+  std::string requester;
+};
+
+/// Answer to BackendListRequest.
+struct BackendList {
+  std::string sender;
+  std::vector<BackendRecord> backends;
+};
+
 /// Every message that a frame can carry.
 using Message = std::variant<Hello, SubmitRequest, Accepted, StreamPiece, StreamEnd, Refusal, Cancel, Ping,
                              PingAck, BundleRequest, BundleBody, CacheSummary, LoadDigest, ClaimPrepare,
-                             ClaimReply, ProtocolError>;
+                             ClaimReply, ProtocolError, BackendListRequest, BackendList>;
 
 }  // namespace crankspur
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -59,6 +59,8 @@
   /// Advances timers; to be called at nextTimer().
   virtual void onTimer(TimePoint now) = 0;
   virtual TimePoint nextTimer() const = 0;
+  /// Changes the timings that the bundle sets; running timers keep theirs.
+  virtual void setTimings(Duration probe_interval, Duration suspicion_timeout) = 0;
   /// Marks this node as leaving and spreads it.
   virtual void leave(TimePoint now) = 0;
   /// Announces a bundle version held by this node.
--- a/src/membership/swim_membership.cc
+++ b/src/membership/swim_membership.cc
@@ -259,6 +259,11 @@
   }
 }
 
+void SwimMembership::setTimings(Duration probe_interval, Duration suspicion_timeout) {
+  options_.probe_interval = probe_interval;
+  options_.suspicion_timeout = suspicion_timeout;
+}
+
 void SwimMembership::leave(TimePoint) {
   if (self_.state == MemberState::Leaving) return;
   const MemberState previous = self_.state;
--- a/src/membership/swim_membership.h
+++ b/src/membership/swim_membership.h
@@ -21,6 +21,7 @@
   void onAck(const PingAck& ack, TimePoint now) override;
   void onTimer(TimePoint now) override;
   TimePoint nextTimer() const override;
+  void setTimings(Duration probe_interval, Duration suspicion_timeout) override;
   void leave(TimePoint now) override;
   void setBundleVersion(std::uint64_t version) override;
   void announceEngine(const EngineRecord& record, TimePoint now) override;
--- a/src/router/engine_table.cc
+++ b/src/router/engine_table.cc
@@ -45,6 +45,7 @@
     : options_(std::move(options)), random_(random_seed) {}
 
 void EngineTable::onMachineList(const MachineList& list, TimePoint now) {
+  listed_once_ = true;
   std::set<std::string> listed;
   for (const Machine& machine : list.machines) {
     const bool backend = machine.role == MachineRole::Engine || machine.role == MachineRole::Runner;
@@ -105,6 +106,32 @@
   }
 }
 
+void EngineTable::onPeerBackends(const std::vector<BackendRecord>& backends, TimePoint now) {
+  if (listed_once_) return;
+  for (const BackendRecord& backend : backends) {
+    if (find(backend.name) != nullptr) continue;
+    Machine machine;
+    machine.name = backend.name;
+    machine.role = backend.runner ? MachineRole::Runner : MachineRole::Engine;
+    machine.pool = backend.pool;
+    machine.address = backend.address;
+    machine.zone = backend.zone;
+    machine.region = backend.region;
+    machine.state = backend.leaving ? MachineState::Leaving : MachineState::Live;
+    listMachine(machine, now);
+  }
+}
+
+std::vector<BackendRecord> EngineTable::backends() const {
+  std::vector<BackendRecord> records;
+  for (const auto& [name, entry] : entries_) {
+    const EngineView& view = entry.view;
+    const bool leaving = entry.listed_leaving || entry.told_leaving;
+    records.push_back({name, view.address, view.zone, view.region, view.pool, entry.runner, leaving});
+  }
+  return records;
+}
+
 void EngineTable::onReport(const std::string& name, const BackendReport& report, TimePoint now) {
   Entry* entry = find(name);
   if (entry == nullptr) return;
--- a/src/router/engine_table.h
+++ b/src/router/engine_table.h
@@ -70,6 +70,10 @@
   /// Takes the machine list; routers and KV stores in it are ignored. A name that two lists in a row leave
   /// out counts as leaving, and is dropped once it is dead.
   void onMachineList(const MachineList& list, TimePoint now);
+  /// Takes what a peer knows of back ends, as long as no machine list has come since the start.
+  void onPeerBackends(const std::vector<BackendRecord>& backends, TimePoint now);
+  /// @return what this table would tell a peer that has no machine list.
+  std::vector<BackendRecord> backends() const;
   /// A back end answered what it is.
   void onReport(const std::string& name, const BackendReport& report, TimePoint now);
   /// An engine answered its load. An unknown incarnation makes the table ask anew.
@@ -153,6 +157,7 @@
   std::set<std::string> polled_elsewhere_;
   std::deque<FreedSlot> freed_slots_;
   EngineSlot next_slot_ = 0;
+  bool listed_once_ = false;
   bool urgent_ = false;
   bool loads_changed_ = false;
   std::vector<EngineRecord> announcements_;
--- a/src/router/zone_sharing.h
+++ b/src/router/zone_sharing.h
@@ -23,6 +23,8 @@
   /// @param bytes_per_second sent at most, over all receivers.
   LoadSharing(std::string self, double bytes_per_second)
       : self_(std::move(self)), bytes_per_second_(bytes_per_second) {}
+  /// @return whether due() may give a digest now.
+  bool isDue(TimePoint now) const { return now >= next_at_; }
   /// @return the digest to send to every receiver now, if one is due.
   std::optional<LoadDigest> due(const std::vector<EngineView>& owned, std::size_t receivers, TimePoint now);
 
--- a/src/router_peer/peer_front.h
+++ b/src/router_peer/peer_front.h
@@ -26,6 +26,7 @@
   std::function<void(const Hello&)> on_router;             ///< A router introduced itself.
   /// A body that is newer by its own word. `peer` names the sender in refuseBundle().
   std::function<void(BundleBody, std::uint64_t peer)> on_bundle;
+  std::function<void(BackendList)> on_backends;  ///< Answer to the own request.
   std::function<void(LoadDigest)> on_load_digest;
   std::function<void(CacheSummary)> on_cache_summary;
 };
@@ -63,6 +64,8 @@
   void setBundle(std::shared_ptr<const SignedBundle> bundle);
   /// The body that the peer sent does not verify: it is not asked again for a while.
   void refuseBundle(std::uint64_t peer);
+  /// Sets what routers without a machine list are told; until then routers that connect are asked for theirs.
+  void setBackends(std::vector<BackendRecord> backends) { backends_ = std::move(backends); }
   /// Sets the routers that sidecars hear of.
   void setRouters(std::vector<MemberRecord> routers) { routers_ = std::move(routers); }
   /// Tells every sidecar that this router is leaving. Later connections hear it at once too.
@@ -100,6 +103,7 @@
   std::uint64_t pulling_version_ = 0;
   std::uint64_t pulling_from_ = 0;
   TimePoint pull_ends_{};
+  std::vector<BackendRecord> backends_;
   std::vector<MemberRecord> routers_;
   std::size_t next_router_told_ = 0;
   bool leaving_ = false;
--- a/src/router_process/control_thread.cc
+++ b/src/router_process/control_thread.cc
@@ -10,7 +10,7 @@
 namespace {
 
 /// Snapshots that only bring newer loads are published at most this often.
-constexpr Duration kLoadPublishInterval = std::chrono::milliseconds(50);
+constexpr Duration kLoadPublishInterval = std::chrono::milliseconds(100);
 
 constexpr Duration kExchangeTick = std::chrono::milliseconds(100);
 /// Routers that contend for the lease on fleet orders; the others leave the table service alone.
@@ -132,6 +132,7 @@
 void ControlThread::onMachines(const MachineList& list) {
   membership_->seed(routersOf(list), now());
   table_.onMachineList(list, now());
+  tellBackends();
   onMembershipEvent();
   onTableEvent();
   runTable();
@@ -148,7 +149,9 @@
   metrics_.bundles_taken.Increment();
   log_.write(EventId::RouterBundleTaken, {{"version", body.version}});
   membership_->setBundleVersion(body.version);
-  table_.setLoadInterval(bundle_.current()->bundle->knobs.load_report_interval);
+  const Knobs& knobs = bundle_.current()->bundle->knobs;
+  membership_->setTimings(knobs.gossip_interval, knobs.suspicion_timeout);
+  table_.setLoadInterval(knobs.load_report_interval);
   front_.thread.post([this, held = bundle_.current()] { front_.front->setBundle(held); });
   publish();
   return false;
@@ -174,12 +177,26 @@
   for (const auto& shard : shards_) shard->postCacheNews(news);
 }
 
+void ControlThread::onBackends(const BackendList& list) {
+  table_.onPeerBackends(list.backends, now());
+  tellBackends();
+  onTableEvent();
+  runTable();
+}
+
+void ControlThread::tellBackends() {
+  front_.thread.post([this, backends = table_.backends()] { front_.front->setBackends(backends); });
+}
+
 void ControlThread::onLoadDigest(const LoadDigest& digest) {
+  metrics_.load_digests.Increment();
   exchange_.onLoadDigest(digest, now());
   onTableEvent();
 }
 
 void ControlThread::onCacheSummary(const CacheSummary& summary) {
+  metrics_.cache_summaries.Increment();
+
   exchange_.onCacheSummary(summary);
 }
 
@@ -232,6 +249,7 @@
 void ControlThread::logMembers() {
   const std::vector<MembershipChange> changes = membership_->takeChanges();
   if (changes.empty()) return;
+  fleet_changed_ = true;
   for (const MembershipChange& change : changes) {
     if (change.previous == change.record.state) continue;
     log_.write(EventId::MemberChanged, {{"name", change.record.name},
@@ -270,6 +288,7 @@
   logBackends();
   for (const EngineRecord& record : table_.takeAnnouncements()) membership_->announceEngine(record, now());
   if (urgent) {
+    fleet_changed_ = true;
     publish();
   } else if (table_.takeLoadsChanged()) {
     publishSoon();
@@ -309,8 +328,10 @@
     if (member.state != MemberState::Leaving) ++routers;
   }
   snapshot->router_count = std::max<std::uint32_t>(routers, 1);
-  exchange_.update(membership_->liveMembers(), snapshot->engines);
-  cache_feed_.follow(exchange_.followed(snapshot->engines));
+  if (std::exchange(fleet_changed_, false)) {
+    exchange_.update(membership_->liveMembers(), snapshot->engines);
+    cache_feed_.follow(exchange_.followed(snapshot->engines));
+  }
   for (const auto& shard : shards_) shard->postSnapshot(snapshot);
 }
 
--- a/src/router_process/control_thread.h
+++ b/src/router_process/control_thread.h
@@ -54,6 +54,8 @@
   /// Planned stop: tells peers and sidecars.
   void leave();
   ControlStatus status() const;
+  /// @return the name of the engine in a slot, or an empty string.
+  std::string engineName(EngineSlot slot) const { return table_.nameOf(slot); }
 
   void onPing(const Ping& ping, const std::string& address);
   void onAck(const PingAck& ack);
@@ -62,6 +64,7 @@
   bool onBundle(const BundleBody& body);
   void onPeerBundle(const BundleBody& body, std::uint64_t peer);
   void onOutcome(const EngineOutcome& outcome);
+  void onBackends(const BackendList& list);
   void onLoadDigest(const LoadDigest& digest);
   void onCacheSummary(const CacheSummary& summary);
   void onCacheGap(EngineSlot slot, std::uint64_t incarnation);
@@ -69,6 +72,7 @@
 private:
   TimePoint now() const { return clock_.now(); }
   void onMachines(const MachineList& list);
+  void tellBackends();
   void onMembershipEvent();
   void sendGossip();
   void logMembers();
@@ -104,6 +108,7 @@
   boost::asio::steady_timer publish_timer_;
   boost::asio::steady_timer exchange_timer_;
   bool publish_waiting_ = false;
+  bool fleet_changed_ = true;  ///< Members or engines changed since the exchange heard of them.
   bool leaving_ = false;
 };
 
--- a/src/router_process/platform_watcher.cc
+++ b/src/router_process/platform_watcher.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "router_process/bundle_row.h"
-
 namespace crankspur {
 
 namespace {
@@ -69,7 +67,7 @@
 }
 
 void PlatformWatcher::fetchBundleRow() {
-  table_->read(kBundleRowKey, [this](const ReadResult& result) {
+  table_->read(bundleRowKey(), [this](const ReadResult& result) {
     if (const auto* row = std::get_if<TableRow>(&result)) onBundleRow(*row);
     bundle_timer_.expires_after(pause(options_.bundle_row_interval));
     bundle_timer_.async_wait([this](boost::system::error_code error) {
@@ -79,27 +77,26 @@
 }
 
 void PlatformWatcher::onBundleRow(const TableRow& row) {
-  const std::optional<AcceptedBundle> accepted = decodeBundleRow(row.value);
-  if (!accepted || accepted->body.version <= callbacks_.held_version()) return;
-  if (accepted->object_key == refused_key_) return;
+  const std::optional<BundleRow> accepted = parseBundleRow(row.value);
+  if (!accepted || accepted->version <= callbacks_.held_version()) return;
+  if (accepted->document_sha256 == refused_sha256_) return;
   const bool first = callbacks_.held_version() == 0;
   const Duration limit = first ? kPeersFirstAtStart : kPeersFirst;
   const double share = random_.unit();
   document_timer_.expires_after(
       Duration(static_cast<Duration::rep>(static_cast<double>(limit.count()) * share)));
   document_timer_.async_wait([this, accepted](boost::system::error_code error) {
-    if (error || accepted->body.version <= callbacks_.held_version()) return;
-    fetchDocument(accepted->body, accepted->object_key);
+    if (!error && accepted->version > callbacks_.held_version()) fetchDocument(*accepted);
   });
 }
 
-void PlatformWatcher::fetchDocument(BundleBody body, const std::string& key) {
-  objects_->get(key, [this, key, body = std::move(body)](const GetObjectResult& result) {
+void PlatformWatcher::fetchDocument(const BundleRow& row) {
+  const std::string key = bundleObjectKey(row.version, row.document_sha256);
+  objects_->get(key, [this, row](const GetObjectResult& result) {
     const auto* object = std::get_if<ObjectBody>(&result);
     if (object == nullptr) return;
-    BundleBody whole = body;
-    whole.document = object->bytes;
-    if (callbacks_.on_bundle(whole)) refused_key_ = key;
+    const std::optional<BundleBody> body = bundleBodyFromRow(row, object->bytes);
+    if (body && callbacks_.on_bundle(*body)) refused_sha256_ = row.document_sha256;
   });
 }
 
--- a/src/router_process/platform_watcher.h
+++ b/src/router_process/platform_watcher.h
@@ -10,6 +10,7 @@
 
 #include "base/event_log.h"
 #include "base/random.h"
+#include "bundle/bundle_row.h"
 #include "http/client.h"
 #include "internal_protocol/messages.h"
 #include "machine_list/machine_list_client.h"
@@ -49,7 +50,7 @@
   void fetchMachines();
   void fetchBundleRow();
   void onBundleRow(const TableRow& row);
-  void fetchDocument(BundleBody body, const std::string& key);
+  void fetchDocument(const BundleRow& row);
   Duration pause(Duration interval);
   void noteReachable(bool reachable);
 
@@ -65,7 +66,7 @@
   boost::asio::steady_timer machines_timer_;
   boost::asio::steady_timer bundle_timer_;
   boost::asio::steady_timer document_timer_;
-  std::string refused_key_;  ///< Object whose document was refused last.
+  std::string refused_sha256_;  ///< Of the document that was refused last.
   bool reachable_ = true;
 };
 
--- a/src/router_process/router_admin.cc
+++ b/src/router_process/router_admin.cc
@@ -50,8 +50,9 @@
   return list;
 }
 
-json::object describeCandidate(const CandidateEstimate& candidate) {
+json::object describeCandidate(const CandidateEstimate& candidate, const std::string& engine) {
   return {{"engine_slot", candidate.engine},
+          {"engine", engine},
           {"cached_blocks", candidate.cached_blocks},
           {"queue_ms", toMilliseconds(candidate.queue)},
           {"prefill_ms", toMilliseconds(candidate.prefill)},
@@ -59,10 +60,11 @@
           {"cost", candidate.cost}};
 }
 
-std::string describeDecision(const DecisionRecord& record, const std::string& router) {
+std::string describeDecision(const DecisionRecord& record, const std::string& router,
+                             const ControlThread& control) {
   json::array candidates;
   for (const CandidateEstimate& candidate : record.decision.candidates) {
-    candidates.push_back(describeCandidate(candidate));
+    candidates.push_back(describeCandidate(candidate, control.engineName(candidate.engine)));
   }
   return json::serialize(
       json::object{{"request_id", record.request_id},
@@ -177,7 +179,7 @@
   const auto answer = [this, request_id, shard, writer](const std::optional<DecisionRecord>& record) {
     boost::asio::post(context_, [this, request_id, shard, writer, record] {
       if (!record) return explain(request_id, shard + 1, writer);
-      writer->respond(http::jsonResponse(200, describeDecision(*record, settings_.name)));
+      writer->respond(http::jsonResponse(200, describeDecision(*record, settings_.name, control_)));
     });
   };
   shards_[shard]->postExplain(request_id, answer);
--- a/src/router_process/router_metrics.cc
+++ b/src/router_process/router_metrics.cc
@@ -15,6 +15,8 @@
       cache_events(counter("cache_events_total", "Cache events received from engines.")),
       cache_gaps(counter("cache_gaps_total", "Gaps found in cache event streams.")),
       cache_digests(counter("cache_digests_total", "Cache digests fetched.")),
+      load_digests(counter("load_digests_total", "Load digests received from routers.")),
+      cache_summaries(counter("cache_summaries_total", "Cache summaries received from routers.")),
       snapshots(counter("snapshots_total", "Snapshots published to traffic threads.")),
       bundles_taken(counter("bundles_taken_total", "Bundles accepted as newer.")),
       bundles_refused(counter("bundles_refused_total", "Bundles that did not verify or parse.")),
--- a/src/router_process/router_metrics.h
+++ b/src/router_process/router_metrics.h
@@ -32,6 +32,8 @@
   prometheus::Counter& cache_events;
   prometheus::Counter& cache_gaps;
   prometheus::Counter& cache_digests;
+  prometheus::Counter& load_digests;
+  prometheus::Counter& cache_summaries;
   prometheus::Counter& snapshots;
   prometheus::Counter& bundles_taken;
   prometheus::Counter& bundles_refused;
--- a/src/router_process/router_process.cc
+++ b/src/router_process/router_process.cc
@@ -148,6 +148,9 @@
       boost::asio::post(context_,
                         [this, peer, body = std::move(body)] { control_->onPeerBundle(body, peer); });
     };
+    callbacks.on_backends = [this](BackendList list) {
+      boost::asio::post(context_, [this, list = std::move(list)] { control_->onBackends(list); });
+    };
     callbacks.on_load_digest = [this](LoadDigest digest) {
       boost::asio::post(context_, [this, digest = std::move(digest)] { control_->onLoadDigest(digest); });
     };
--- a/src/router_process/zone_exchange.cc
+++ b/src/router_process/zone_exchange.cc
@@ -85,7 +85,7 @@
 }
 
 void ZoneExchange::tick(TimePoint now) {
-  if (share_loads_) {
+  if (share_loads_ && loads_.isDue(now)) {
     std::vector<EngineView> owned;
     for (EngineView& engine : table_.engines(now)) {
       const bool tellable = engine.incarnation != 0 && engine.state != EngineState::Dead;
--- a/tests/integration/router/router_process_test.cc
+++ b/tests/integration/router/router_process_test.cc
@@ -19,6 +19,11 @@
   return received.end.has_value() && received.end->checksum == hashBytes(received.text);
 }
 
+std::string nextId() {
+  static int count = 0;
+  return std::to_string(++count);
+}
+
 std::string longPrompt(const std::string& tail) {
   std::string prompt;
   for (int line = 0; line < 80; ++line)
@@ -87,11 +92,19 @@
   REQUIRE(eventually([&] { return contains(site.status(0), "\"state\":\"live\",\"queued"); }));
   REQUIRE(eventually([&] { return get(site.adminAddress(0), "/healthz").status == 200; }));
   TestSidecar sidecar(site.routerAddress(0));
-  sidecar.submit(completion("long", longPrompt("x"), 100));
+  sidecar.submit(completion("long", longPrompt("x"), 200));
   REQUIRE(eventually([&] { return contains(site.status(0), "\"requests_in_flight\":1"); }));
   site.router(0).signal(SIGTERM);
   REQUIRE(eventually([&] { return sidecar.toldLeaving(); }));
   CHECK(get(site.adminAddress(0), "/healthz").status == 503);
+  int late = 0;
+  Received refused;
+  REQUIRE(eventually([&] {
+    refused = sidecar.run(completion("late-" + std::to_string(++late), "hello", 1));
+    return refused.refusal.has_value();
+  }));
+  CHECK(refused.refusal->code == ErrorCode::Stopping);
+  CHECK(refused.refusal->run_state == RunState::NotRun);
   CHECK(isWhole(sidecar.await("long")));
   CHECK(site.router(0).wait(10s) == 0);
 }
@@ -121,6 +134,21 @@
   CHECK(eventually([&] { return members(0) == 2 && members(2) == 2; }, 30s));
 }
 
+TEST_CASE("a router that restarts while the platform is down serves again from what its peers know",
+          "[router]") {
+  RouterSite site(2);
+  site.roll(site.signBundle(1));
+  site.startRouter(0);
+  site.startRouter(1, {"--peers=" + site.routerAddress(0)});
+  REQUIRE(eventually([&] { return get(site.adminAddress(0), "/healthz").status == 200; }));
+  REQUIRE(eventually([&] { return contains(site.status(0), "\"state\":\"live\",\"queued"); }));
+  site.stopPlatform();
+  site.router(1).kill();
+  site.startRouter(1, {"--peers=" + site.routerAddress(0)});
+  TestSidecar sidecar(site.routerAddress(1));
+  CHECK(eventually([&] { return isWhole(sidecar.run(completion("r-" + nextId(), "hello"))); }));
+}
+
 TEST_CASE("an engine that was killed gets nothing more, and the request goes to another", "[router]") {
   RouterSite site(2);
   site.roll(site.signBundle(1));
@@ -137,6 +165,42 @@
   CHECK(eventually([&] { return contains(site.status(0), "\"state\":\"dead\""); }));
 }
 
+TEST_CASE("new weights are loaded by the orders of one router, and requests then run on them", "[router]") {
+  RouterSite site(2);
+  site.roll(site.signBundle(1));
+  site.startRouter(0, {"--machine_list_interval_ms=200", "--bundle_row_interval_ms=200"});
+  site.startRouter(1, {"--peers=" + site.routerAddress(0)});
+  TestSidecar sidecar(site.routerAddress(0));
+  REQUIRE(eventually([&] { return isWhole(sidecar.run(completion("r1-" + nextId(), "hello"))); }));
+  site.roll(site.signBundle(2, "w2"));
+  REQUIRE(eventually(
+      [&] {
+        const std::string status = site.status(0);
+        return contains(status, "w2") && !contains(status, "w1") && !contains(status, "\"models\":[]");
+      },
+      60s));
+  const bool first = contains(site.status(0), "\"gives_orders\":true");
+  const bool second = contains(site.status(1), "\"gives_orders\":true");
+  CHECK(first != second);
+  const Received received = sidecar.run(completion("r2", "hello"));
+  CHECK(isWhole(received));
+  CHECK(received.weights_version == "w2");
+}
+
+TEST_CASE("beyond a few engines routers of a zone tell each other loads", "[router]") {
+  RouterSite site(10);
+  site.roll(site.signBundle(1));
+  site.startRouter(0);
+  site.startRouter(1, {"--zone=zone-0", "--peers=" + site.routerAddress(0)});
+  const auto hears = [&](int index) {
+    const std::string metrics = get(site.adminAddress(index), "/metrics").body;
+    return contains(metrics, "load_digests_total ") && !contains(metrics, "load_digests_total 0");
+  };
+  REQUIRE(eventually([&] { return hears(0) && hears(1); }, 30s));
+  TestSidecar sidecar(site.routerAddress(1));
+  CHECK(eventually([&] { return isWhole(sidecar.run(completion("r-" + nextId(), "hello"))); }));
+}
+
 TEST_CASE("wrong settings end the process with code 2", "[router]") {
   const std::string folder = makeScratchFolder();
   writeText(folder + "/router.toml",
@@ -168,3 +232,18 @@
   CHECK(result.complete);
   CHECK(contains(result.body, "data: [DONE]"));
 }
+
+TEST_CASE("time from listening to the first whole answer after a restart", "[.restart_time]") {
+  RouterSite site(2);
+  site.roll(site.signBundle(1));
+  site.startRouter(0);
+  for (int round = 0; round < 10; ++round) {
+    site.router(0).kill();
+    site.startRouter(0);
+    const auto listening = std::chrono::steady_clock::now();
+    TestSidecar sidecar(site.routerAddress(0), site.signBundle(1));
+    REQUIRE(eventually([&] { return isWhole(sidecar.run(completion("r-" + nextId(), "hello", 1))); }));
+    const auto elapsed = std::chrono::steady_clock::now() - listening;
+    WARN(std::chrono::duration_cast<std::chrono::milliseconds>(elapsed).count() << " ms");
+  }
+}
--- a/tests/integration/router/router_site.cc
+++ b/tests/integration/router/router_site.cc
@@ -18,7 +18,7 @@
 
 [[models]]
 name = "m"
-weights_version = "w1"
+weights_version = "{}"
 pools = ["general"]
 
 [[tenants]]
@@ -36,9 +36,11 @@
 RouterSite::RouterSite(int engines) : folder_(makeScratchFolder()) {
   for (int index = 0; index < engines; ++index) {
     const std::string name = fmt::format("engine-{}", index);
-    engines_.push_back(std::make_unique<Process>(
-        "standin_engine", std::vector<std::string>{"--name=" + name, "--models=m:w1", "--listen=127.0.0.1:0"},
-        folder_ + "/" + name + ".log"));
+    engines_.push_back(
+        std::make_unique<Process>("standin_engine",
+                                  std::vector<std::string>{"--name=" + name, "--models=m:w1",
+                                                           "--listen=127.0.0.1:0", "--weights_load_ms=300"},
+                                  folder_ + "/" + name + ".log"));
     engine_addresses_.push_back(loopback(engines_.back()->port("listening")));
   }
   writeMachines(engines);
@@ -91,10 +93,10 @@
   return *sidecar_;
 }
 
-BundleBody RouterSite::signBundle(std::uint64_t version) const {
+BundleBody RouterSite::signBundle(std::uint64_t version, const std::string& weights) const {
   BundleBody body;
   body.version = version;
-  body.document = fmt::format(kBundleText, version);
+  body.document = fmt::format(kBundleText, version, weights);
   const auto sign = [&body](const SigningKeyPair& key, SignatureRole role) {
     return *crankspur::signBundle(key.private_key, role, body.version, body.document);
   };
@@ -185,6 +187,7 @@
     Received& received = received_[accepted->request_id];
     received.accepted = true;
     received.engine = accepted->engine;
+    received.weights_version = accepted->weights_version;
     received.cached_tokens = accepted->cached_tokens;
   } else if (const auto* piece = std::get_if<StreamPiece>(&message)) {
     Received& received = received_[piece->request_id];
--- a/tests/integration/router/router_site.h
+++ b/tests/integration/router/router_site.h
@@ -28,7 +28,7 @@
   /// Starts a sidecar that knows router 0.
   Process& startSidecar();
   /// Signs the site's bundle as `version`.
-  BundleBody signBundle(std::uint64_t version) const;
+  BundleBody signBundle(std::uint64_t version, const std::string& weights = "w1") const;
   /// Writes the object and the row, as an operator does.
   void roll(const BundleBody& body) const;
   void stopPlatform() { platform_->kill(); }
@@ -60,6 +60,7 @@
 struct Received {
   bool accepted = false;
   std::string engine;
+  std::string weights_version;
   std::string text;
   std::uint32_t cached_tokens = 0;
   std::optional<StreamEnd> end;
--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -22,6 +22,7 @@
 std::string describeFields(const CacheSummary& value);
 std::string describeFields(const EngineLoad& value);
 std::string describeFields(const LoadDigest& value);
+std::string describeFields(const BackendRecord& value);
 std::string describeFields(const ClaimPrepare& value);
 std::string describeFields(const ClaimReply& value);
 std::string describeFields(const ProtocolError& value);
@@ -113,6 +114,19 @@
                      value.running, value.age_milliseconds);
 }
 
+std::string describeFields(const BackendRecord& value) {
+  return fmt::format("BackendRecord {} {} {} {} {} {} {}", value.name, value.address, value.zone,
+                     value.region, value.pool, value.runner, value.leaving);
+}
+
+std::string describeFields(const BackendListRequest& value) {
+  return fmt::format("BackendListRequest {}", value.requester);
+}
+
+std::string describeFields(const BackendList& value) {
+  return fmt::format("BackendList {} {}", value.sender, describeAll(value.backends));
+}
+
 std::string describeFields(const LoadDigest& value) {
   return fmt::format("LoadDigest {} {}", value.sender, describeAll(value.loads));
 }
@@ -332,13 +346,48 @@
   return value;
 }
 
+BackendListRequest exampleBackendListRequest() {
+  BackendListRequest value;
+  value.requester = "requester";
+  return value;
+}
+
+BackendList exampleBackendList() {
+  BackendRecord record;
+  record.name = "name";
+  record.address = "address";
+  record.zone = "zone";
+  record.region = "region";
+  record.pool = "pool";
+  record.runner = true;
+  record.leaving = true;
+  BackendList value;
+  value.sender = "sender";
+  value.backends = {record, BackendRecord{}};
+  return value;
+}
+
 }  // namespace
 
 std::vector<Message> exampleMessages() {
-  return {exampleHello(),      exampleSubmitRequest(), exampleAccepted(),   exampleStreamPiece(),
-          exampleStreamEnd(),  exampleRefusal(),       exampleCancel(),     examplePing(),
-          examplePingAck(),    exampleBundleRequest(), exampleBundleBody(), exampleCacheSummary(),
-          exampleLoadDigest(), exampleClaimPrepare(),  exampleClaimReply(), exampleProtocolError()};
+  return {exampleHello(),
+          exampleSubmitRequest(),
+          exampleAccepted(),
+          exampleStreamPiece(),
+          exampleStreamEnd(),
+          exampleRefusal(),
+          exampleCancel(),
+          examplePing(),
+          examplePingAck(),
+          exampleBundleRequest(),
+          exampleBundleBody(),
+          exampleCacheSummary(),
+          exampleLoadDigest(),
+          exampleClaimPrepare(),
+          exampleClaimReply(),
+          exampleProtocolError(),
+          exampleBackendListRequest(),
+          exampleBackendList()};
 }
 
 std::string describe(const Message& message) {
--- a/tests/unit/router/engine_table_test.cc
+++ b/tests/unit/router/engine_table_test.cc
@@ -176,6 +176,21 @@
   CHECK(fleet.view("far").state == EngineState::Live);
 }
 
+TEST_CASE("without a machine list a peer's back ends are used, with one they are not", "[engine_table]") {
+  Fleet fleet;
+  fleet.table.onGossip({"b", 5, true, false}, kStart);
+  EngineTable restarted({"east"}, 2);
+  restarted.onPeerBackends(fleet.table.backends(), kStart);
+  restarted.onReport("a", report(5), kStart);
+  restarted.onReport("b", report(5), kStart);
+  CHECK(restarted.engines(kStart).size() == 3);
+  CHECK(restarted.engines(kStart)[0].state == EngineState::Live);
+  CHECK(restarted.engines(kStart)[1].state == EngineState::Leaving);
+  restarted.onMachineList({1, {engineMachine("a")}}, kStart);
+  restarted.onPeerBackends({{"z", "z:1", "zone", "east", "pool", false, false}}, kStart);
+  CHECK(restarted.engines(kStart).size() == 3);
+}
+
 TEST_CASE("polling two thousand engines stays within its rate", "[engine_table]") {
   EngineTable table({"east"}, 1);
   std::vector<Machine> machines;
