--- a/src/router_peer/peer_front.h
+++ b/src/router_peer/peer_front.h
@@ -25,6 +25,7 @@
   std::function<void(PingAck)> on_ack;                     ///< Of a router.
   std::function<void(const Hello&)> on_router;             ///< A router introduced itself.
   std::function<void(BundleBody)> on_bundle;
+  std::function<void(BackendList)> on_backends;  ///< Answer to the own request.
   std::function<void(LoadDigest)> on_load_digest;
   std::function<void(CacheSummary)> on_cache_summary;
 };
@@ -62,6 +63,7 @@
   void setBundle(std::shared_ptr<const SignedBundle> bundle);
   /// A bundle that came from peers or the platform did not verify.
   void onBundleRefused(std::uint64_t version) { bundles_.onRefused(version, clock_.now()); }
+  void setBackends(std::vector<BackendRecord> backends) { backends_ = std::move(backends); }
   /// Sets the routers that sidecars hear of.
   void setRouters(std::vector<MemberRecord> routers) { routers_ = std::move(routers); }
   /// Tells every sidecar that this router is leaving. Later connections hear it at once too.
@@ -100,6 +102,7 @@
   std::uint64_t pulling_version_ = 0;
   std::uint64_t pulling_from_ = 0;
   TimePoint pull_ends_{};
+  std::vector<BackendRecord> backends_;
   std::vector<MemberRecord> routers_;
   std::size_t next_router_told_ = 0;
   bool leaving_ = false;
--- a/src/router_process/control_thread.h
+++ b/src/router_process/control_thread.h
@@ -54,12 +54,16 @@
   /// Planned stop: tells peers and sidecars.
   void leave();
   ControlStatus status() const;
+  /// @return the name of the engine in a slot, or an empty string.
+  std::string engineName(EngineSlot slot) const { return table_.nameOf(slot); }
 
   void onPing(const Ping& ping, const std::string& address);
   void onAck(const PingAck& ack);
   void onRouter(const Hello& hello);
-  void onBundle(const BundleBody& body);
+  /// @return whether the body was refused for what it is.
+  bool onBundle(const BundleBody& body);
   void onOutcome(const EngineOutcome& outcome);
+  void onBackends(const BackendList& list);
   void onLoadDigest(const LoadDigest& digest);
   void onCacheSummary(const CacheSummary& summary);
   void onCacheGap(EngineSlot slot, std::uint64_t incarnation);
@@ -67,6 +71,7 @@
 private:
   TimePoint now() const { return clock_.now(); }
   void onMachines(const MachineList& list);
+  void tellBackends();
   void onMembershipEvent();
   void sendGossip();
   void logMembers();
@@ -102,6 +107,7 @@
   boost::asio::steady_timer publish_timer_;
   boost::asio::steady_timer exchange_timer_;
   bool publish_waiting_ = false;
+  bool fleet_changed_ = true;  ///< Members or engines changed since the exchange heard of them.
   bool leaving_ = false;
 };
 
--- a/src/router_process/router_process.cc
+++ b/src/router_process/router_process.cc
@@ -147,6 +147,9 @@
     callbacks.on_bundle = [this](BundleBody body) {
       boost::asio::post(context_, [this, body = std::move(body)] { control_->onBundle(body); });
     };
+    callbacks.on_backends = [this](BackendList list) {
+      boost::asio::post(context_, [this, list = std::move(list)] { control_->onBackends(list); });
+    };
     callbacks.on_load_digest = [this](LoadDigest digest) {
       boost::asio::post(context_, [this, digest = std::move(digest)] { control_->onLoadDigest(digest); });
     };
