--- a/sim/world/router_node.h
+++ b/sim/world/router_node.h
@@ -13,6 +13,7 @@
 #include "lease/lease.h"
 #include "membership/membership.h"
 #include "router/engine_table.h"
+#include "router/fleet_orders.h"
 #include "router/request_router.h"
 #include "sim/world/context.h"
 #include "sim/world/platform_node.h"
@@ -127,7 +128,7 @@
   void leaseAnswered(const LeaseAction& action, const std::optional<TableRow>& read,
                      const std::optional<WriteAnswer>& written);
   void sendOrders();
-  void sendOrder(const std::string& engine_name, const standin::EngineOrder& order);
+  void sendOrder(const FleetOrder& fleet_order, std::uint64_t token);
 
   Context& context_;
   Host& host_;
@@ -150,7 +151,7 @@
   std::map<DispatchId, Dispatch> dispatches;
   std::map<std::string, EngineKnowledge> engine_knowledge;
   std::set<std::string> digests_running;
-  std::set<std::string> orders_running;
+  FleetOrders orders;
   TimePoint started_at{};  ///< True time.
   TimePoint request_timer = TimePoint::max();
   std::uint64_t request_timer_generation = 0;
--- a/sim/world/router_orders.cc
+++ b/sim/world/router_orders.cc
@@ -1,6 +1,5 @@
 /// @file The order lease of a simulated router, and the orders its holder gives to engines.
 
-#include "sim/world/bundle_maker.h"
 #include "sim/world/engine_node.h"
 #include "sim/world/router_node.h"
 #include "sim/world/table_rows.h"
@@ -41,39 +40,40 @@
   pumpLease();
 }
 
-/// Gives the order to load the bundle's weights to engines that have others, a few at a time.
 void RouterNode::sendOrders() {
   const std::optional<std::uint64_t> token = process_->lease->heldToken(now());
   const auto current = process_->bundles->current();
-  if (!token || !current || !process_->snapshot) return;
-  const ModelPolicy* model = current->bundle->findModel(kModel);
-  std::size_t loading = 0;
-  for (const EngineView& view : process_->snapshot->engines) {
-    if (view.state == EngineState::Live && view.weightsOf(kModel).empty()) ++loading;
+  if (!token || !current || !process_->snapshot) {
+    process_->orders.reset();
+    return;
   }
-  for (const EngineView& view : process_->snapshot->engines) {
-    if (loading + process_->orders_running.size() >= current->bundle->knobs.parallel_weight_loads) return;
-    const std::string weights = view.weightsOf(kModel);
-    if (view.state != EngineState::Live || weights.empty() || weights == model->weights_version) continue;
-    if (!process_->orders_running.insert(view.name).second) continue;
-    standin::EngineOrder order;
-    order.token = *token;
-    order.kind = standin::OrderKind::LoadWeights;
-    order.model = kModel;
-    order.weights_version = model->weights_version;
-    const auto preparation = Duration(static_cast<std::int64_t>(context_.random.unit() * kOrderPreparation));
-    host_.post(preparation, [this, name = view.name, order] { sendOrder(name, order); });
+  for (const FleetOrder& order :
+       process_->orders.due(*current->bundle, process_->snapshot->engines, now())) {
+    // A process may be stopped between its decision and its sending.
+    const auto preparation =
+        Duration(static_cast<std::int64_t>(context_.random.unit() * kOrderPreparation));
+    host_.post(preparation, [this, order, token = *token] { sendOrder(order, token); });
   }
 }
 
-void RouterNode::sendOrder(const std::string& engine_name, const standin::EngineOrder& order) {
-  EngineNode* engine = context_.directory.engine(engine_name);
-  context_.trace.note(host_.name(), "orders {} to load {} with token {}", engine_name, order.weights_version,
-                      order.token);
+void RouterNode::sendOrder(const FleetOrder& fleet_order, std::uint64_t token) {
+  EngineNode* engine = context_.directory.engine(fleet_order.engine);
+  context_.trace.note(host_.name(), "orders {} to load {}{} with token {}", fleet_order.engine,
+                      fleet_order.weights_version, fleet_order.adapter, token);
+  standin::EngineOrder order;
+  order.token = token;
+  order.kind = fleet_order.kind == FleetOrderKind::LoadWeights ? standin::OrderKind::LoadWeights
+                                                               : standin::OrderKind::LoadAdapter;
+  order.model = fleet_order.model;
+  order.weights_version = fleet_order.weights_version;
+  order.adapter = fleet_order.adapter;
+  order.expect_incarnation = fleet_order.incarnation;
   call<ErrorCode>(
       context_, host_, engine->host(), kOrderTimeout,
       [engine, order](std::function<void(ErrorCode)> answer) { answer(engine->order(order)); },
-      [this, engine_name](std::optional<ErrorCode>) { process_->orders_running.erase(engine_name); });
+      [this, fleet_order](std::optional<ErrorCode> code) {
+        if (!code || *code != ErrorCode::Ok) process_->orders.onFailed(fleet_order);
+      });
 }
 
 }  // namespace crankspur::sim
