--- a/src/router_process/control_thread.cc
+++ b/src/router_process/control_thread.cc
@@ -57,8 +57,8 @@
           metrics, freshSeed()),
       platform_(context.get_executor(), watcherOptions(settings),
                 {[this](const MachineList& list) { onMachines(list); },
-                 [this](const BundleBody& body) { return onBundle(body); },
-                 [this] { return bundle_.version(); }, [this] { return membership_->liveMembers().size(); }},
+                 [this](const BundleBody& body) { onBundle(body); }, [this] { return bundle_.version(); },
+                 [this] { return membership_->liveMembers().size(); }},
                 log, freshSeed()),
       exchange_(self_, table_,
                 {[this](std::vector<std::string> addresses, Message message) {
@@ -137,13 +137,14 @@
   runTable();
 }
 
-bool ControlThread::onBundle(const BundleBody& body) {
+void ControlThread::onBundle(const BundleBody& body) {
   const std::error_code error = bundle_.offer(body);
-  if (error == ErrorCode::Stale) return false;
+  if (error == ErrorCode::Stale) return;
   if (error) {
     metrics_.bundles_refused.Increment();
     log_.write(EventId::RouterBundleRefused, {{"version", body.version}, {"reason", error.message()}});
-    return true;
+    front_.thread.post([this, version = body.version] { front_.front->onBundleRefused(version); });
+    return;
   }
   metrics_.bundles_taken.Increment();
   log_.write(EventId::RouterBundleTaken, {{"version", body.version}});
@@ -151,12 +152,6 @@
   table_.setLoadInterval(bundle_.current()->bundle->knobs.load_report_interval);
   front_.thread.post([this, held = bundle_.current()] { front_.front->setBundle(held); });
   publish();
-  return false;
-}
-
-void ControlThread::onPeerBundle(const BundleBody& body, std::uint64_t peer) {
-  if (!onBundle(body)) return;
-  front_.thread.post([this, peer] { front_.front->refuseBundle(peer); });
 }
 
 void ControlThread::onOutcome(const EngineOutcome& outcome) {
