--- a/sim/check/checkers.h
+++ b/sim/check/checkers.h
@@ -30,7 +30,7 @@
 void checkCacheUse(const CheckInput& input, Violations& violations);      ///< Line 1.
 void checkStreams(const CheckInput& input, Violations& violations);       ///< Lines 2 and 4.
 void checkRestarts(const CheckInput& input, Violations& violations);      ///< Line 3.
-void checkHerd(const CheckInput& input, Violations& violations);           ///< Line 3.
+void checkHerd(const CheckInput& input, Violations& violations);          ///< Line 3.
 void checkNotRun(const CheckInput& input, Violations& violations);        ///< Line 5.
 void checkAtMostOnce(const CheckInput& input, Violations& violations);    ///< Line 6.
 void checkLeaving(const CheckInput& input, Violations& violations);       ///< Line 7.
--- a/sim/check/checkers_fleet.cc
+++ b/sim/check/checkers_fleet.cc
@@ -31,8 +31,9 @@
 }
 
 /// Faults that keep a router from hearing of anything, so that its ignorance proves nothing.
-const std::set<FaultKind> kDeafness = {FaultKind::Partition, FaultKind::RouterPause, FaultKind::Disturbance,
-                                       FaultKind::ConnectionCuts};
+const std::set<FaultKind> kDeafness = {FaultKind::Partition,      FaultKind::RouterPause,
+                                       FaultKind::Disturbance,    FaultKind::ConnectionCuts,
+                                       FaultKind::CrossedAnswers, FaultKind::StalledOrders};
 
 }  // namespace
 
@@ -66,10 +67,10 @@
   for (const CallerRecord& caller : input.world.context().records.callers) {
     if (!caller.error || caller.submitted_at < last_start + kServesWithin) continue;
     if (excused.contains(caller.error->code)) continue;
-    violations.push_back({"restart", fmt::format("{} failed {:.1f} s after a herd restart: {} {}",
-                                                 caller.request.request_id,
-                                                 toSeconds(caller.submitted_at - last_start),
-                                                 errorName(caller.error->code), caller.error->message)});
+    violations.push_back(
+        {"restart", fmt::format("{} failed {:.1f} s after a herd restart: {} {}", caller.request.request_id,
+                                toSeconds(caller.submitted_at - last_start), errorName(caller.error->code),
+                                caller.error->message)});
   }
 }
 
--- a/sim/world/context.h
+++ b/sim/world/context.h
@@ -41,6 +41,8 @@
   RandomSource& random;
   const RemovedMechanisms& removed;
   Directory& directory;
+  /// Share of bundle bodies that come a second time, much later.
+  double repeated_bundle_share = 0;
 
   bool without(Mechanism mechanism) const { return removed.contains(mechanism); }
 };
--- a/sim/world/router_control.cc
+++ b/sim/world/router_control.cc
@@ -48,6 +48,9 @@
   return {change.sequence, change.stored, change.removed};
 }
 
+/// A repeated bundle comes this much later at most.
+constexpr double kLongestBundleRepeat = 12'000'000;
+
 }  // namespace
 
 void RouterNode::listMachines() {
@@ -283,6 +286,14 @@
 }
 
 void RouterNode::offerBundle(const BundleBody& body) {
+  if (context_.repeated_bundle_share > 0 && context_.random.chance(context_.repeated_bundle_share)) {
+    const auto later = Duration(static_cast<std::int64_t>(context_.random.unit() * kLongestBundleRepeat));
+    host_.post(later, [this, body] { takeBundle(body); });
+  }
+  takeBundle(body);
+}
+
+void RouterNode::takeBundle(const BundleBody& body) {
   if (context_.without(Mechanism::BundleMonotonicity) && body.version != bundleVersion()) {
     process_->bundles = std::make_unique<BundleHolder>(keys_);
   }
--- a/sim/world/router_node.cc
+++ b/sim/world/router_node.cc
@@ -207,6 +207,10 @@
   return process_ && host_.up() && process_->lease->heldToken(now()).has_value();
 }
 
+std::size_t RouterNode::unsentOrders() const {
+  return process_ ? process_->unsent_orders : 0;
+}
+
 TimePoint RouterNode::startedAt() const {
   return process_ ? process_->started_at : TimePoint{};
 }
--- a/sim/world/router_node.h
+++ b/sim/world/router_node.h
@@ -49,6 +49,8 @@
   /// @return whether this process holds the order lease now.
   bool holdsLease() const;
   std::size_t inFlight() const;
+  /// @return orders decided on but not yet sent.
+  std::size_t unsentOrders() const;
   /// @return the true time of the present process's start.
   TimePoint startedAt() const;
 
@@ -122,6 +124,7 @@
   void pullBundle();
   void pollBundleRow();
   void offerBundle(const BundleBody& body);
+  void takeBundle(const BundleBody& body);
 
   // Orders (router_orders.cc).
   void pumpLease();
@@ -152,6 +155,7 @@
   std::map<std::string, EngineKnowledge> engine_knowledge;
   std::set<std::string> digests_running;
   FleetOrders orders;
+  std::size_t unsent_orders = 0;
   TimePoint started_at{};  ///< True time.
   TimePoint request_timer = TimePoint::max();
   std::uint64_t request_timer_generation = 0;
--- a/sim/world/sidecar_node.cc
+++ b/sim/world/sidecar_node.cc
@@ -15,6 +15,9 @@
 constexpr Duration kSilenceLimit = seconds(3);
 constexpr Duration kConnectTimeout = seconds(1);
 
+/// A repeated bundle comes this much later at most.
+constexpr double kLongestBundleRepeat = 12'000'000;
+
 }  // namespace
 
 SidecarNode::SidecarNode(Context& context, Host& host, std::vector<std::string> seeds, TrustedKeys keys)
@@ -178,6 +181,14 @@
 }
 
 void SidecarNode::offerBundle(const BundleBody& body) {
+  if (context_.repeated_bundle_share > 0 && context_.random.chance(context_.repeated_bundle_share)) {
+    const auto later = Duration(static_cast<std::int64_t>(context_.random.unit() * kLongestBundleRepeat));
+    host_.post(later, [this, body] { takeBundle(body); });
+  }
+  takeBundle(body);
+}
+
+void SidecarNode::takeBundle(const BundleBody& body) {
   if (context_.without(Mechanism::BundleMonotonicity) && body.version != bundleVersion()) {
     process_->bundles = std::make_unique<BundleHolder>(keys_);
   }
--- a/sim/world/sidecar_node.h
+++ b/sim/world/sidecar_node.h
@@ -55,6 +55,7 @@
   struct Process;
 
   TimePoint now() const { return host_.now(); }
+  void takeBundle(const BundleBody& body);
   void upkeep();
   void open(const std::string& address);
   void linkClosed(const ChannelPointer& channel);
--- a/sim/world/world.cc
+++ b/sim/world/world.cc
@@ -40,7 +40,7 @@
       network_(queue_, options_.site.delays, random_.bits()),
       trace_(queue_, options_.keep_trace_lines) {
   context_ = std::make_unique<Context>(
-      Context{queue_, network_, trace_, records_, random_, options_.removed, *this});
+      Context{queue_, network_, trace_, records_, random_, options_.removed, *this, 0});
   addPlatform();
   addBackends();
   addProcesses();
--- /dev/null
+++ b/tests/sim/main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
