Do not subtract the prefix index's unset epoch

Cause: a match before the first entry subtracted TimePoint::min(), a signed overflow; the undefined behaviour sanitizer reported it under the router's retry storm test (prefix_index.cc:91). Change: without an epoch the tick is 0. Checked: router, claim and attempt tests under address and undefined behaviour sanitizers: 49 cases pass, no report.

--- a/src/prefix_index/prefix_index.cc
+++ b/src/prefix_index/prefix_index.cc
@@ -88,6 +88,8 @@
 }
 
 std::uint32_t TablePrefixIndex::tick(TimePoint now) const {
+  // Before the first entry there is no epoch to count from.
+  if (epoch_ == TimePoint::min()) return 0;
   return now <= epoch_ ? 0 : static_cast<std::uint32_t>((now - epoch_) / kTick);
 }
 
