Let sidecars keep the list of back ends for routers that all restart at once

Cause: when every router restarts while the platform is down, no router is left that knows the engines, so nothing is served although sidecars still hold the bundle. Change: a sidecar asks a router for its back ends once a minute and answers routers that have none.

--- a/src/router_peer/peer_front.cc
+++ b/src/router_peer/peer_front.cc
@@ -88,8 +88,9 @@
     peer->address = hello.address;
     routers_by_address_.try_emplace(hello.address, peer);
     callbacks_.on_router(hello);
-    if (backends_.empty()) peer->connection->send(BackendListRequest{self_.node_name});
   }
+  // Sidecars are asked as well: when every router restarts while the platform is down, only they still know.
+  if (backends_.empty()) peer->connection->send(BackendListRequest{self_.node_name});
   pullIfNewer(*peer, hello.bundle_version);
   if (hello.role == NodeRole::Sidecar) tellSidecar(*peer, 0);
 }
@@ -123,12 +124,12 @@
     if (body->version > heldVersion()) callbacks_.on_bundle(std::move(*body));
   } else if (const auto* update = std::get_if<BundleUpdate>(&message)) {
     takeBundleUpdate(peer, *update);
-  } else if (peer.role != NodeRole::Router) {
-    return;
   } else if (std::holds_alternative<BackendListRequest>(message)) {
     if (!backends_.empty()) peer.connection->send(BackendList{self_.node_name, backends_});
   } else if (auto* list = std::get_if<BackendList>(&message)) {
     if (backends_.empty()) callbacks_.on_backends(std::move(*list));
+  } else if (peer.role != NodeRole::Router) {
+    return;
   } else if (auto* digest = std::get_if<LoadDigest>(&message)) {
     callbacks_.on_load_digest(std::move(*digest));
   } else if (auto* summary = std::get_if<CacheSummary>(&message)) {
--- a/src/sidecar/caller_service.cc
+++ b/src/sidecar/caller_service.cc
@@ -14,6 +14,9 @@
 namespace {
 
 constexpr Duration kBusyRetryAfter = std::chrono::seconds(1);
+/// How often the list of back ends is refreshed, and how often it is asked for until the first one came.
+constexpr Duration kBackendsInterval = std::chrono::seconds(60);
+constexpr Duration kFirstBackendsInterval = std::chrono::seconds(1);
 constexpr std::string_view kOperationsPath = "/v1/operations/";
 
 CallerError refusal(ErrorCode code, std::string message, Duration retry_after = Duration::zero()) {
@@ -73,6 +76,7 @@
     onRouterMessage(router, std::move(message));
   };
   callbacks.on_bundle_version = [this](const std::string& router, std::uint64_t version) {
+    refreshBackends(router);
     const TimePoint now = clock_.now();
     if (!sharing_.wants(version, now)) return;
     if (bundles_.onVersion(router, version, sharing_.version(), now)) {
@@ -243,6 +247,14 @@
     takeBundleUpdate(router, *update);
     return;
   }
+  if (std::holds_alternative<BackendListRequest>(message)) {
+    if (!backends_.empty()) links_->send(router, BackendList{settings_.name, backends_});
+    return;
+  }
+  if (auto* list = std::get_if<BackendList>(&message)) {
+    if (!list->backends.empty()) backends_ = std::move(list->backends);
+    return;
+  }
   // Answers to requests that ended are expected: a caller gave up, or another attempt was faster.
   const auto found = exchanges_.find(requestIdOf(message));
   if (found == exchanges_.end()) return;
@@ -250,6 +262,13 @@
   exchange->onMessage(message);
 }
 
+void CallerService::refreshBackends(const std::string& router) {
+  const TimePoint now = clock_.now();
+  if (now < backends_wanted_at_) return;
+  backends_wanted_at_ = now + (backends_.empty() ? kFirstBackendsInterval : kBackendsInterval);
+  links_->send(router, BackendListRequest{settings_.name});
+}
+
 void CallerService::takeBundleUpdate(const std::string& router, const BundleUpdate& update) {
   std::optional<BundleBody> body = sharing_.take(update);
   if (!body && sharing_.needsWholeBody()) {
--- a/src/sidecar/caller_service.h
+++ b/src/sidecar/caller_service.h
@@ -72,6 +72,7 @@
   void refuse(const CallerError& error, const std::shared_ptr<http::ResponseWriter>& writer);
   void onRouterMessage(const std::string& router, Message message);
   void takeBundleUpdate(const std::string& router, const BundleUpdate& update);
+  void refreshBackends(const std::string& router);
   void onRouterLost(const std::string& router);
   void onRoutersChanged();
   void finishDrain();
@@ -97,6 +98,9 @@
   std::unique_ptr<http::Server> server_;
   std::shared_ptr<const SignedBundle> bundle_;
   BundleSharing sharing_;
+  /// Kept for routers that restart without the platform; the sidecar itself does not use it.
+  std::vector<BackendRecord> backends_;
+  TimePoint backends_wanted_at_{};
   absl::flat_hash_map<std::string, std::shared_ptr<CallerExchange>> exchanges_;
   std::uint64_t next_request_ = 0;
   bool stopping_ = false;
--- a/tests/integration/router/router_site.cc
+++ b/tests/integration/router/router_site.cc
@@ -25,6 +25,12 @@
 name = "t"
 api_key_sha256 = ["544f26a6294e0c83a2bdc53abced220a6466c095df722bbaf621498536da9c1d"]
 models = ["m"]
+operations = ["place_order"]
+
+[[operations]]
+name = "place_order"
+pools = ["orders"]
+repeatable = false
 )";
 
 std::string loopback(std::uint16_t port) {
@@ -43,6 +49,11 @@
                                   folder_ + "/" + name + ".log"));
     engine_addresses_.push_back(loopback(engines_.back()->port("listening")));
   }
+  runner_ = std::make_unique<Process>(
+      "standin_app_runner",
+      std::vector<std::string>{"--name=runner-0", "--operations=place_order", "--listen=127.0.0.1:0"},
+      folder_ + "/runner.log");
+  runner_address_ = loopback(runner_->port("listening"));
   writeMachines(engines);
   platform_ = std::make_unique<Process>(
       "standin_platform",
@@ -60,6 +71,10 @@
         "zone = \"zone-0\"\nregion = \"region\"\n",
         index, engine_addresses_[static_cast<std::size_t>(index)]);
   }
+  text += fmt::format(
+      "[[machines]]\nname = \"runner-0\"\nrole = \"runner\"\npool = \"orders\"\naddress = \"{}\"\n"
+      "zone = \"zone-0\"\nregion = \"region\"\n",
+      runner_address_);
   writeText(folder_ + "/machines.toml", text);
 }
 
@@ -80,17 +95,18 @@
   return *routers_[index];
 }
 
-Process& RouterSite::startSidecar() {
-  const std::vector<std::string> flags{"--name=sidecar",
+Process& RouterSite::startSidecar(int router) {
+  const std::string name = fmt::format("sidecar-{}", sidecars_.size());
+  const std::vector<std::string> flags{"--name=" + name,
                                        "--zone=zone-0",
                                        "--region=region",
                                        "--listen=127.0.0.1:0",
                                        "--admin=127.0.0.1:0",
-                                       "--routers=" + routerAddress(0),
+                                       "--routers=" + routerAddress(router),
                                        "--author_keys=" + author_.public_key,
                                        "--approver_keys=" + approver_.public_key};
-  sidecar_ = std::make_unique<Process>("crankspur_sidecar", flags, folder_ + "/sidecar.log");
-  return *sidecar_;
+  sidecars_.push_back(std::make_unique<Process>("crankspur_sidecar", flags, folder_ + "/" + name + ".log"));
+  return *sidecars_.back();
 }
 
 BundleBody RouterSite::signBundle(std::uint64_t version, const std::string& weights) const {
--- a/tests/integration/router/router_site.h
+++ b/tests/integration/router/router_site.h
@@ -25,13 +25,15 @@
   explicit RouterSite(int engines);
   /// Starts a router; "router-INDEX" in "zone-INDEX".
   Process& startRouter(int index, const std::vector<std::string>& extra_flags = {});
-  /// Starts a sidecar that knows router 0.
-  Process& startSidecar();
+  /// Starts a further sidecar that knows one router.
+  Process& startSidecar(int router = 0);
   /// Signs the site's bundle as `version`.
   BundleBody signBundle(std::uint64_t version, const std::string& weights = "w1") const;
   /// Writes the object and the row, as an operator does.
   void roll(const BundleBody& body) const;
   void stopPlatform() { platform_->kill(); }
+  const std::string& platformAddress() const { return platform_address_; }
+  const std::string& runnerAddress() const { return runner_address_; }
   Process& engine(int index) { return *engines_.at(static_cast<std::size_t>(index)); }
   std::string engineAddress(int index) const { return engine_addresses_.at(static_cast<std::size_t>(index)); }
   std::string routerAddress(int index) const { return router_addresses_.at(index); }
@@ -49,7 +51,9 @@
   std::vector<std::unique_ptr<Process>> engines_;
   std::vector<std::string> engine_addresses_;
   std::unique_ptr<Process> platform_;
-  std::unique_ptr<Process> sidecar_;
+  std::vector<std::unique_ptr<Process>> sidecars_;
+  std::unique_ptr<Process> runner_;
+  std::string runner_address_;
   std::string platform_address_;
   std::map<int, std::unique_ptr<Process>> routers_;
   std::map<int, std::string> router_addresses_;
