--- a/standins/platform/platform_control.cc
+++ b/standins/platform/platform_control.cc
@@ -128,7 +128,7 @@
     if (behaviour.lose_probability > 1.0) {
       problem_ = "'probability' must be at most 1";
     }
-    changes_.push_back([this, services, behaviour] {
+    changes_.emplace_back([this, services, behaviour] {
       for (const PlatformService service : services) {
         model_.setBehaviour(service, behaviour);
       }
@@ -141,7 +141,7 @@
     if (!(rate > 0)) {
       problem_ = "'rate_per_second' must be above 0";
     }
-    changes_.push_back([this, services, limit] {
+    changes_.emplace_back([this, services, limit] {
       for (const PlatformService service : services) {
         model_.setRateLimit(service, limit);
       }
@@ -159,7 +159,7 @@
       problem_ = "'machine' is no machine";
       return;
     }
-    changes_.push_back([this, machine] { model_.putMachine(*machine, now_); });
+    changes_.emplace_back([this, machine] { model_.putMachine(*machine, now_); });
   }
 
   void readRemoval() {
@@ -171,7 +171,7 @@
       problem_ = "'remove_machine' must be a string";
       return;
     }
-    changes_.push_back([this, name] { model_.removeMachine(*name, now_); });
+    changes_.emplace_back([this, name] { model_.removeMachine(*name, now_); });
   }
 
   void readLag() {
@@ -179,7 +179,7 @@
       return;
     }
     const Duration lag(static_cast<std::int64_t>(readNumber("machine_list_lag_ms", 0) * 1000));
-    changes_.push_back([this, lag] { model_.setMachineListLag(lag); });
+    changes_.emplace_back([this, lag] { model_.setMachineListLag(lag); });
   }
 
   const json::object& object_;
