--- a/src/router_process/platform_watcher.cc
+++ b/src/router_process/platform_watcher.cc
@@ -79,6 +79,7 @@
 void PlatformWatcher::onBundleRow(const TableRow& row) {
   const std::optional<BundleRow> accepted = parseBundleRow(row.value);
   if (!accepted || accepted->version <= callbacks_.held_version()) return;
+  if (accepted->document_sha256 == refused_sha256_) return;
   const bool first = callbacks_.held_version() == 0;
   const Duration limit = first ? kPeersFirstAtStart : kPeersFirst;
   const double share = random_.unit();
@@ -91,11 +92,14 @@
 }
 
 void PlatformWatcher::fetchDocument(const BundleRow& row) {
-  objects_->get(bundleObjectKey(row.version, row.document_sha256), [this,
-                                                                    row](const GetObjectResult& result) {
+  const std::string key = bundleObjectKey(row.version, row.document_sha256);
+  objects_->get(key, [this, row](const GetObjectResult& result) {
     const auto* object = std::get_if<ObjectBody>(&result);
     if (object == nullptr) return;
-    if (const auto body = bundleBodyFromRow(row, object->bytes)) return callbacks_.on_bundle(*body);
+    if (const auto body = bundleBodyFromRow(row, object->bytes)) {
+      if (callbacks_.on_bundle(*body)) refused_sha256_ = row.document_sha256;
+      return;
+    }
     log_.write(EventId::RouterBundleRefused,
                {{"version", row.version}, {"reason", "the object is not the document that the row names"}});
   });
