--- a/sim/check/fault.cc
+++ b/sim/check/fault.cc
@@ -126,6 +126,9 @@
       at(from, [this, engine] { world_.engineAt(engine).setLostPieces(0.1); });
       at(from + seconds(6), [this, engine] { world_.engineAt(engine).setLostPieces(0); });
     }
+    const std::size_t sidecar = pick(world_.sidecarCount());
+    at(from, [this, sidecar] { world_.sidecarAt(sidecar).setLostPieces(0.05); });
+    at(from + seconds(6), [this, sidecar] { world_.sidecarAt(sidecar).setLostPieces(0); });
   } else if (kind == FaultKind::PrefixShift) {
     for (std::uint64_t count = random_.uniform(1, 3); count > 0; --count) {
       at(beginning(), [this] { workload_.shiftPrefixes(); });
--- a/sim/check/fault.h
+++ b/sim/check/fault.h
@@ -27,7 +27,7 @@
   StoreDown,           ///< Table and objects refuse everything.
   StoreSlow,           ///< Table and objects answer late.
   LostAnswers,         ///< Answers of the store are lost after the effect.
-  LostPieces,          ///< Engines lose pieces of their answers.
+  LostPieces,          ///< Engines and routers lose pieces of answers.
   WeightsRoll,         ///< Bundles with other weights are rolled.
   OperatorRace,        ///< Two operators roll at once.
   PrefixShift,         ///< The hot prefixes change.
--- a/sim/world/sidecar_node.h
+++ b/sim/world/sidecar_node.h
@@ -29,6 +29,8 @@
   /// Calls at this host.
   void onRouterMessage(const ChannelPointer& channel, const Message& message);
   std::uint64_t bundleVersion() const;
+  /// Loses a share of the pieces that routers send, as a faulty peer would.
+  void setLostPieces(double share) { lost_piece_share_ = share; }
   /// Makes a share of the routers' answers come a second time, late.
   void setRepeatedAnswers(double share) { repeated_answer_share_ = share; }
   /// Takes a bundle, as if it had been held since before the run.
@@ -81,6 +83,7 @@
   std::vector<std::string> seeds_;
   TrustedKeys keys_;
   double repeated_answer_share_ = 0;
+  double lost_piece_share_ = 0;
   std::unique_ptr<Process> process_;
 };
 
--- a/sim/world/sidecar_requests.cc
+++ b/sim/world/sidecar_requests.cc
@@ -26,6 +26,11 @@
 }
 
 void SidecarNode::onAnswer(const std::string& request_id, Message message) {
+  const bool piece = std::holds_alternative<StreamPiece>(message);
+  if (piece && lost_piece_share_ > 0 && context_.random.chance(lost_piece_share_)) {
+    context_.trace.note(host_.name(), "a piece of {} is lost", request_id);
+    return;
+  }
   if (repeated_answer_share_ > 0 && context_.random.chance(repeated_answer_share_)) {
     const auto later = Duration(static_cast<std::int64_t>(context_.random.unit() * kLongestRepeat));
     host_.post(later, [this, request_id, message] { takeAnswer(request_id, message); });
--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -65,3 +65,42 @@
   INFO(describe(result));
   CHECK(result.violations.empty());
 }
+
+TEST_CASE("each checker finds the absence of its mechanism", "[sim]") {
+  struct Removal {
+    Mechanism mechanism;
+    const char* scenario;
+    const char* checker;
+  };
+  const std::vector<Removal> removals = {
+      {Mechanism::IncarnationCheck, "engine_crash", "cache_use"},
+      {Mechanism::TenantSalt, "quiet", "cache_use"},
+      {Mechanism::WeightsCheck, "weights_roll", "cache_use"},
+      {Mechanism::ContiguousDelivery, "lost_pieces", "stream_order"},
+      {Mechanism::EndCheck, "lost_pieces", "whole_answer"},
+      {Mechanism::AttemptCheck, "crossed_answers", "not_run"},
+      {Mechanism::RequestCheck, "quiet", "whole_answer"},
+      {Mechanism::Claim, "quiet", "at_most_once"},
+      {Mechanism::ClaimReadBack, "lost_answers", "at_most_once"},
+      {Mechanism::Fencing, "stalled_orders", "fencing"},
+      {Mechanism::LeavingMarks, "leaving_unseen", "leaving"},
+      {Mechanism::Drain, "planned_stops", "planned_stop"},
+      {Mechanism::BundleMonotonicity, "weights_roll", "bundle"},
+      {Mechanism::BundleCompareAndSet, "operator_race", "bundle"},
+      {Mechanism::BundleFromPeers, "herd_restart", "restart"},
+      {Mechanism::CallerVersion, "store_down_after_roll", "bundle"},
+      {Mechanism::RunStateTruth, "connection_cuts", "not_run"},
+  };
+  REQUIRE(removals.size() == mechanismNames().size());
+  constexpr std::uint64_t kSeeds = 200;
+  for (const Removal& removal : removals) {
+    bool found = false;
+    for (std::uint64_t seed = 1; seed <= kSeeds && !found; ++seed) {
+      for (const Violation& violation : runOne(seed, removal.scenario, {removal.mechanism}).violations) {
+        found = found || violation.checker == removal.checker;
+      }
+    }
+    INFO(removal.scenario << " must violate " << removal.checker);
+    CHECK(found);
+  }
+}
