--- a/src/router_peer/peer_front.cc
+++ b/src/router_peer/peer_front.cc
@@ -89,6 +89,8 @@
     routers_by_address_.try_emplace(hello.address, peer);
     callbacks_.on_router(hello);
   }
+  // Sidecars are asked as well: when every router restarts while the platform is down, only they still know.
+  if (backends_.empty()) peer->connection->send(BackendListRequest{self_.node_name});
   pullIfNewer(*peer, hello.bundle_version);
   if (hello.role == NodeRole::Sidecar) tellSidecar(*peer, 0);
 }
@@ -122,6 +124,10 @@
     if (body->version > heldVersion()) callbacks_.on_bundle(std::move(*body));
   } else if (const auto* update = std::get_if<BundleUpdate>(&message)) {
     takeBundleUpdate(peer, *update);
+  } else if (std::holds_alternative<BackendListRequest>(message)) {
+    if (!backends_.empty()) peer.connection->send(BackendList{self_.node_name, backends_});
+  } else if (auto* list = std::get_if<BackendList>(&message)) {
+    if (backends_.empty()) callbacks_.on_backends(std::move(*list));
   } else if (peer.role != NodeRole::Router) {
     return;
   } else if (auto* digest = std::get_if<LoadDigest>(&message)) {
