--- a/src/admission/admission.cc
+++ b/src/admission/admission.cc
@@ -49,6 +49,14 @@
   DecayingRate admitted{kUseMemory};  ///< Tokens admitted.
 };
 
+/// @return routers that a tenant's work meets: sidecars send completions of one model to one router, and
+/// operations to all routers alike.
+std::uint32_t routersInUse(const TenantPolicy& policy, std::uint32_t router_count) {
+  const std::uint32_t routers = std::max<std::uint32_t>(router_count, 1);
+  if (policy.models.empty()) return routers;
+  return std::min(routers, static_cast<std::uint32_t>(policy.models.size()));
+}
+
 AdmissionDecision refuse(ErrorCode code, Duration retry_after, std::string reason) {
   AdmissionDecision decision;
   decision.code = code;
@@ -76,13 +84,13 @@
 
 void TenantAdmission::configure(std::shared_ptr<const Bundle> bundle, std::uint32_t router_count,
                                 TimePoint now) {
-  const double share = 1.0 / std::max<std::uint32_t>(router_count, 1);
   absl::flat_hash_map<std::string, TenantState> tenants;
   if (bundle != nullptr) {
     for (const TenantPolicy& policy : bundle->tenants) {
       const auto known = tenants_.find(policy.name);
       TenantState state = known == tenants_.end() ? TenantState{} : known->second;
       state.policy = policy;
+      const double share = 1.0 / routersInUse(policy, router_count);
       const double rate = policy.tokens_per_second * share;
       state.bucket.configure(rate, rate * kBurstSeconds, now);
       state.in_flight_limit = static_cast<std::uint32_t>(std::ceil(policy.max_in_flight * share));
--- a/src/admission/admission.h
+++ b/src/admission/admission.h
@@ -32,8 +32,10 @@
   std::string reason;          ///< For logs and explain.
 };
 
-/// Admission of one traffic shard. Limits are fleet-wide: each router holds its share (1/router_count) of a
-/// tenant's limit, adjusted by the shares peers use. Not thread-safe.
+/// Admission of one traffic shard. Limits are fleet-wide: each router holds its share of a tenant's
+/// limit. Completions of one model meet one router, so the share is one over the tenant's models, at most one
+/// over the routers; while a model's load overflows to a second router the fleet may admit more than the
+/// limit. Not thread-safe.
 class Admission {
 public:
   virtual ~Admission() = default;
--- a/src/bundle/bundle.h
+++ b/src/bundle/bundle.h
@@ -49,12 +49,10 @@
 
 /// Tunables. Defaults are those that docs/MEASUREMENTS.md names the run for.
 struct Knobs {
-  double decision_cached_token_value = 1.0;    ///< Weight of saved prefill in placement, against queue time.
+  double decision_cached_token_value = 1.0;   ///< Weight of saved prefill in placement, against queue time.
   double eviction_seconds_per_block = 0.001;  ///< Cost of a block that a placement newly stores, for others.
   Duration first_token_target = std::chrono::milliseconds(330);
-  std::uint32_t random_candidates = 2;    ///< Engines drawn at random beside prefix holders.
-  std::uint32_t hot_prefix_replicas = 2;  ///< Engines a hot prefix is spread over at least.
-  double hot_prefix_rate = 20.0;          ///< Requests a second from which a prefix counts as hot.
+  std::uint32_t random_candidates = 2;  ///< Engines drawn at random beside prefix holders.
   Duration suspicion_timeout = std::chrono::seconds(3);
   Duration gossip_interval = std::chrono::milliseconds(500);
   Duration load_report_interval = std::chrono::milliseconds(200);
--- a/src/bundle/bundle_parser.cc
+++ b/src/bundle/bundle_parser.cc
@@ -22,7 +22,7 @@
 constexpr Range<double> kWeightRange{0.001, 1000.0};
 constexpr Range<double> kRetryBudgetRange{0.0, 10.0};
 constexpr Range<double> kCachedValueRange{0.0, 1000.0};
-constexpr Range<double> kRateRange{0.001, 1e6};
+constexpr Range<double> kEvictionRange{0.0, 1.0};
 constexpr std::size_t kSha256Digits = 64;
 
 bool isNameCharacter(char character) {
@@ -202,12 +202,11 @@
     Knobs& knobs = bundle_.knobs;
     knobs.decision_cached_token_value =
         table->getNumber("decision_cached_token_value", knobs.decision_cached_token_value, kCachedValueRange);
+    knobs.eviction_seconds_per_block =
+        table->getNumber("eviction_seconds_per_block", knobs.eviction_seconds_per_block, kEvictionRange);
     knobs.first_token_target = getMilliseconds(*table, "first_token_target_ms", knobs.first_token_target);
     knobs.random_candidates =
         getCount(*table, "random_candidates", knobs.random_candidates, kSmallCountRange);
-    knobs.hot_prefix_replicas =
-        getCount(*table, "hot_prefix_replicas", knobs.hot_prefix_replicas, kSmallCountRange);
-    knobs.hot_prefix_rate = table->getNumber("hot_prefix_rate", knobs.hot_prefix_rate, kRateRange);
     knobs.suspicion_timeout = getMilliseconds(*table, "suspicion_timeout_ms", knobs.suspicion_timeout);
     knobs.gossip_interval = getMilliseconds(*table, "gossip_interval_ms", knobs.gossip_interval);
     knobs.load_report_interval =
--- a/src/operator/bundle_diff.cc
+++ b/src/operator/bundle_diff.cc
@@ -57,10 +57,9 @@
 
 EntryText describe(const Knobs& knobs) {
   return {{{"decision_cached_token_value", fmt::to_string(knobs.decision_cached_token_value)},
+           {"eviction_seconds_per_block", fmt::to_string(knobs.eviction_seconds_per_block)},
            {"first_token_target", milliseconds(knobs.first_token_target)},
            {"random_candidates", fmt::to_string(knobs.random_candidates)},
-           {"hot_prefix_replicas", fmt::to_string(knobs.hot_prefix_replicas)},
-           {"hot_prefix_rate", fmt::to_string(knobs.hot_prefix_rate)},
            {"suspicion_timeout", milliseconds(knobs.suspicion_timeout)},
            {"gossip_interval", milliseconds(knobs.gossip_interval)},
            {"load_report_interval", milliseconds(knobs.load_report_interval)},
--- a/src/sidecar/caller_request.h
+++ b/src/sidecar/caller_request.h
@@ -44,8 +44,8 @@
 class RouterSelector {
 public:
   virtual ~RouterSelector() = default;
-  /// @return names of usable routers, best first: rendezvous hashing of (tenant, model, prompt head) over
-  /// live routers of the own zone with bounded load, then other zones, then other regions.
+  /// @return names of usable routers, best first: rendezvous hashing with bounded load, of the model over the
+  /// region's routers, or of an operation's key over the own zone's, then the region's; then other regions.
   virtual std::vector<std::string> rank(const SubmitRequest& request) = 0;
 };
 
--- a/tests/unit/admission/admission_test.cc
+++ b/tests/unit/admission/admission_test.cc
@@ -51,6 +51,23 @@
   CHECK(admitted == Approx(22'000).epsilon(0.02));
 }
 
+TEST_CASE("a tenant's share follows the routers that its models meet", "[admission]") {
+  const auto admittedAtOnce = [](std::vector<std::string> models) {
+    TenantPolicy tenant = tenantOf("yard");
+    tenant.max_in_flight = 8;
+    tenant.models = std::move(models);
+    auto admission = makeAdmission();
+    admission->configure(bundleOf({tenant}), 4, kStart);
+    int admitted = 0;
+    while (admission->admit(requestOf("yard", 1), kStart).admitted) ++admitted;
+    return admitted;
+  };
+  CHECK(admittedAtOnce({"large"}) == 8);
+  CHECK(admittedAtOnce({"large", "small"}) == 4);
+  CHECK(admittedAtOnce({"a", "b", "c", "d", "e", "f"}) == 2);
+  CHECK(admittedAtOnce({}) == 2);
+}
+
 TEST_CASE("a refusal says when to come back, and coming back then succeeds", "[admission]") {
   TenantPolicy tenant = tenantOf("yard");
   tenant.tokens_per_second = 1000;
--- a/tests/unit/placement/placement_test.cc
+++ b/tests/unit/placement/placement_test.cc
@@ -155,3 +155,43 @@
   CHECK(decision.expected_first_token >= 1100ms);
   CHECK(decision.expected_first_token <= 1400ms);
 }
+
+TEST_CASE("blocks are imported where that is faster than computing them", "[placement]") {
+  Fleet fleet(3);
+  const auto policy = makeCostPlacement();
+  fleet.index->correct(1, 101, fleet.blocks, 0, kStart);
+  fleet.work.pending[1] = 100'000;
+  const PlacementDecision decision = fleet.choose(*policy);
+  REQUIRE(decision.engine != 1);
+  CHECK(decision.import_from == fleet.snapshot.engines[1].address);
+  CHECK(decision.import_blocks == 100);
+  CHECK(decision.cached_blocks == 0);
+
+  SECTION("never from an engine that is dead") {
+    fleet.snapshot.engines[1].state = EngineState::Dead;
+    CHECK(fleet.choose(*policy).import_from.empty());
+  }
+  SECTION("not a few blocks") {
+    fleet.index->setIncarnation(1, 102);
+    fleet.index->correct(1, 102, std::span(fleet.blocks).first(2), 0, kStart);
+    CHECK(fleet.choose(*policy).import_from.empty());
+  }
+}
+
+TEST_CASE("a large fleet is sampled, and its only eligible engine is still found", "[placement]") {
+  Fleet fleet(200);
+  for (EngineView& engine : fleet.snapshot.engines) {
+    if (engine.slot != 150) engine.state = EngineState::Leaving;
+  }
+  CHECK(fleet.choose(*makeCostPlacement()).engine == 150);
+}
+
+TEST_CASE("reports are read by the share of prompt tokens that engines really compute", "[placement]") {
+  Fleet fleet(2);
+  fleet.snapshot.engines[0].load.queued_tokens = 8000;
+  fleet.snapshot.engines[1].load.queued_tokens = 8000;
+  const auto policy = makeCostPlacement();
+  const Duration before = fleet.choose(*policy).expected_first_token;
+  for (int answer = 0; answer < 300; ++answer) policy->observe({0, 1000, 950, 0ms, 0ms}, kStart);
+  CHECK(fleet.choose(*policy).expected_first_token < before - 300ms);
+}
