--- a/proto/crankspur.pb.c
+++ b/proto/crankspur.pb.c
@@ -45,6 +45,12 @@
 PB_BIND(crankspur_wire_BundleBody, crankspur_wire_BundleBody, AUTO)
 
 
+PB_BIND(crankspur_wire_BundleStep, crankspur_wire_BundleStep, AUTO)
+
+
+PB_BIND(crankspur_wire_BundleUpdate, crankspur_wire_BundleUpdate, AUTO)
+
+
 PB_BIND(crankspur_wire_CacheSummary, crankspur_wire_CacheSummary, AUTO)
 
 
@@ -63,4 +69,13 @@
 PB_BIND(crankspur_wire_ProtocolError, crankspur_wire_ProtocolError, AUTO)
 
 
+PB_BIND(crankspur_wire_BackendRecord, crankspur_wire_BackendRecord, AUTO)
+
+
+PB_BIND(crankspur_wire_BackendListRequest, crankspur_wire_BackendListRequest, AUTO)
+
+
+PB_BIND(crankspur_wire_BackendList, crankspur_wire_BackendList, AUTO)
+
+
 
--- a/sim/world/router_control.cc
+++ b/sim/world/router_control.cc
@@ -48,6 +48,9 @@
   return {change.sequence, change.stored, change.removed};
 }
 
+/// A repeated bundle comes this much later at most.
+constexpr double kLongestBundleRepeat = 12'000'000;
+
 }  // namespace
 
 void RouterNode::listMachines() {
@@ -138,7 +141,8 @@
 }
 
 void RouterNode::pollCacheEvents() {
-  for (const EngineView& view : process_->snapshot ? process_->snapshot->engines : std::vector<EngineView>{}) {
+  for (const EngineView& view :
+       process_->snapshot ? process_->snapshot->engines : std::vector<EngineView>{}) {
     if (view.incarnation != 0 && view.state == EngineState::Live) fetchCacheEvents(view);
   }
 }
@@ -271,15 +275,25 @@
     if (!row) return;
     const BundleRow bundle = decodeBundleRow(*row);
     if (bundle.version <= bundleVersion()) return;
-    platform.getObject(host_, bundleObjectKey(bundle), [this, bundle](std::optional<standin::ObjectFound> object) {
-      if (!object) return;
-      const BundleBody body = decodeBundleBody(object->body);
-      if (body.version == bundle.version && sha256Hex(body.document) == bundle.digest) offerBundle(body);
-    });
+    platform.getObject(host_, bundleObjectKey(bundle),
+                       [this, bundle](std::optional<standin::ObjectFound> object) {
+                         if (!object) return;
+                         const BundleBody body = decodeBundleBody(object->body);
+                         if (body.version == bundle.version && sha256Hex(body.document) == bundle.digest)
+                           offerBundle(body);
+                       });
   });
 }
 
 void RouterNode::offerBundle(const BundleBody& body) {
+  if (context_.repeated_bundle_share > 0 && context_.random.chance(context_.repeated_bundle_share)) {
+    const auto later = Duration(static_cast<std::int64_t>(context_.random.unit() * kLongestBundleRepeat));
+    host_.post(later, [this, body] { takeBundle(body); });
+  }
+  takeBundle(body);
+}
+
+void RouterNode::takeBundle(const BundleBody& body) {
   if (context_.without(Mechanism::BundleMonotonicity) && body.version != bundleVersion()) {
     process_->bundles = std::make_unique<BundleHolder>(keys_);
   }
--- a/sim/world/router_node.h
+++ b/sim/world/router_node.h
@@ -13,6 +13,7 @@
 #include "lease/lease.h"
 #include "membership/membership.h"
 #include "router/engine_table.h"
+#include "router/fleet_orders.h"
 #include "router/request_router.h"
 #include "sim/world/context.h"
 #include "sim/world/platform_node.h"
@@ -48,6 +49,10 @@
   /// @return whether this process holds the order lease now.
   bool holdsLease() const;
   std::size_t inFlight() const;
+  /// @return orders decided on but not yet sent.
+  std::size_t unsentOrders() const;
+  /// @return the true time of the present process's start.
+  TimePoint startedAt() const;
 
 private:
   struct Dispatch {
@@ -119,13 +124,14 @@
   void pullBundle();
   void pollBundleRow();
   void offerBundle(const BundleBody& body);
+  void takeBundle(const BundleBody& body);
 
   // Orders (router_orders.cc).
   void pumpLease();
   void leaseAnswered(const LeaseAction& action, const std::optional<TableRow>& read,
                      const std::optional<WriteAnswer>& written);
   void sendOrders();
-  void sendOrder(const std::string& engine_name, const standin::EngineOrder& order);
+  void sendOrder(const FleetOrder& fleet_order, std::uint64_t token);
 
   Context& context_;
   Host& host_;
@@ -148,7 +154,8 @@
   std::map<DispatchId, Dispatch> dispatches;
   std::map<std::string, EngineKnowledge> engine_knowledge;
   std::set<std::string> digests_running;
-  std::set<std::string> orders_running;
+  FleetOrders orders;
+  std::size_t unsent_orders = 0;
   TimePoint started_at{};  ///< True time.
   TimePoint request_timer = TimePoint::max();
   std::uint64_t request_timer_generation = 0;
--- a/sim/world/sidecar_node.h
+++ b/sim/world/sidecar_node.h
@@ -1,6 +1,6 @@
 #pragma once
-/// @file A sidecar of the simulation: drives CallerRequest, RouterDirectory and BundleHolder over the simulated
-/// network and records what its callers get.
+/// @file A sidecar of the simulation: drives CallerRequest, RouterDirectory and BundleHolder over the
+/// simulated network and records what its callers get.
 
 #include <map>
 #include <memory>
@@ -29,6 +29,10 @@
   /// Calls at this host.
   void onRouterMessage(const ChannelPointer& channel, const Message& message);
   std::uint64_t bundleVersion() const;
+  /// Loses a share of the pieces that routers send, as a faulty peer would.
+  void setLostPieces(double share) { lost_piece_share_ = share; }
+  /// Makes a share of the routers' answers come a second time, late.
+  void setRepeatedAnswers(double share) { repeated_answer_share_ = share; }
   /// Takes a bundle, as if it had been held since before the run.
   void offerBundle(const BundleBody& body);
 
@@ -53,6 +57,7 @@
   struct Process;
 
   TimePoint now() const { return host_.now(); }
+  void takeBundle(const BundleBody& body);
   void upkeep();
   void open(const std::string& address);
   void linkClosed(const ChannelPointer& channel);
@@ -65,6 +70,7 @@
   void onPingAck(Link& link, const PingAck& ack);
   void compareBundle(Link& link, std::uint64_t version);
   void onAnswer(const std::string& request_id, Message message);
+  void takeAnswer(const std::string& request_id, Message message);
   void tamper(Open& open, Message& message);
   void pump(const std::string& request_id);
   void perform(Open& open, const CallerAction& action);
@@ -76,6 +82,8 @@
   Host& host_;
   std::vector<std::string> seeds_;
   TrustedKeys keys_;
+  double repeated_answer_share_ = 0;
+  double lost_piece_share_ = 0;
   std::unique_ptr<Process> process_;
 };
 
--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -13,8 +13,8 @@
 
 namespace {
 
-constexpr std::size_t kReadBytes = 8 * 1024;
-constexpr std::size_t kReadAheadBytes = 64 * 1024;  ///< Bytes taken beyond a request under way.
+constexpr std::size_t kReadBytes = std::size_t{8} * 1024;
+constexpr std::size_t kReadAheadBytes = std::size_t{64} * 1024;  ///< Bytes taken beyond a request under way.
 constexpr Duration kDrainTime = std::chrono::seconds(1);
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
@@ -29,7 +29,7 @@
     if (const auto session = session_.lock()) session->abandon(number_);
   }
   void respond(Response response) override {
-    if (const auto session = session_.lock()) session->respond(number_, std::move(response));
+    if (const auto session = session_.lock()) session->respond(number_, response);
   }
   void begin(int status, Headers headers) override {
     if (const auto session = session_.lock()) session->begin(number_, status, headers);
@@ -195,7 +195,7 @@
 }
 
 void ServerSession::deliver() {
-  timer_.cancel();
+  deadline_.reset();
   auto message = parser_->release();
   Request request;
   request.method = std::string(message.method_string());
@@ -253,7 +253,7 @@
   pending_ += headerText(message);
 }
 
-void ServerSession::respond(std::uint64_t number, Response response) {
+void ServerSession::respond(std::uint64_t number, const Response& response) {
   if (!isOpen(number) || begun_) return;
   queueHeader(response.status, response.headers, response.body.size());
   if (!head_only_) pending_ += response.body;
@@ -340,7 +340,7 @@
   writing_.clear();
   written_ = 0;
   if (!pending_.empty()) return flush();
-  timer_.cancel();
+  deadline_.reset();
   if (phase_ == Phase::Flushing) onFlushed();
 }
 
@@ -369,11 +369,23 @@
   if (!watching_) watch();
 }
 
+/// Moves the deadline. The timer itself is armed again only when it would fire too late, since a deadline is
+/// moved with each chunk of a stream.
 void ServerSession::setTimer(Duration delay) {
-  timer_.expires_after(delay);
+  deadline_ = std::chrono::steady_clock::now() + delay;
+  if (!timer_armed_ || timer_.expiry() > *deadline_) armTimer();
+}
+
+void ServerSession::armTimer() {
+  timer_armed_ = true;
+  timer_.expires_at(*deadline_);
   timer_.async_wait([self = shared_from_this()](boost::system::error_code error) {
-    const bool due = !error && self->timer_.expiry() <= std::chrono::steady_clock::now();
-    if (due) self->onTimer();
+    if (error) return;
+    self->timer_armed_ = false;
+    if (!self->deadline_) return;
+    if (std::chrono::steady_clock::now() < *self->deadline_) return self->armTimer();
+    self->deadline_.reset();
+    self->onTimer();
   });
 }
 
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -40,7 +40,7 @@
   void close();
 
   // Called by the writer of request `number`; ignored when that request has ended.
-  void respond(std::uint64_t number, Response response);
+  void respond(std::uint64_t number, const Response& response);
   void begin(std::uint64_t number, int status, const Headers& headers);
   void write(std::uint64_t number, std::string_view chunk);
   void end(std::uint64_t number);
@@ -80,11 +80,14 @@
   void clientGone();
   void drain();
   void setTimer(Duration delay);
+  void armTimer();
   void onTimer();
   void releaseRequest();
 
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
+  bool timer_armed_ = false;
+  std::optional<std::chrono::steady_clock::time_point> deadline_;
   std::shared_ptr<ServerState> state_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
--- a/src/internal_protocol/field_mapping.h
+++ b/src/internal_protocol/field_mapping.h
@@ -28,12 +28,17 @@
 CRANKSPUR_WIRE_FORM(PingAck)
 CRANKSPUR_WIRE_FORM(BundleRequest)
 CRANKSPUR_WIRE_FORM(BundleBody)
+CRANKSPUR_WIRE_FORM(BundleStep)
+CRANKSPUR_WIRE_FORM(BundleUpdate)
 CRANKSPUR_WIRE_FORM(CacheSummary)
 CRANKSPUR_WIRE_FORM(EngineLoad)
 CRANKSPUR_WIRE_FORM(LoadDigest)
 CRANKSPUR_WIRE_FORM(ClaimPrepare)
 CRANKSPUR_WIRE_FORM(ClaimReply)
 CRANKSPUR_WIRE_FORM(ProtocolError)
+CRANKSPUR_WIRE_FORM(BackendRecord)
+CRANKSPUR_WIRE_FORM(BackendListRequest)
+CRANKSPUR_WIRE_FORM(BackendList)
 #undef CRANKSPUR_WIRE_FORM
 
 template <typename Archive, typename Plain>
@@ -171,6 +176,20 @@
   archive.text(wire.approver_signature, plain.approver_signature);
 }
 
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_BundleStep& wire, Plain& plain) {
+  archive.number(wire.from_version, plain.from_version);
+  archive.number(wire.to_version, plain.to_version);
+  archive.text(wire.delta, plain.delta);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_BundleUpdate& wire, Plain& plain) {
+  archive.records(wire.steps, plain.steps);
+  archive.text(wire.author_signature, plain.author_signature);
+  archive.text(wire.approver_signature, plain.approver_signature);
+}
+
 template <typename Archive, typename Plain>
 void mapFields(Archive& archive, crankspur_wire_CacheSummary& wire, Plain& plain) {
   archive.text(wire.engine, plain.engine);
@@ -219,4 +238,26 @@
   archive.text(wire.message, plain.message);
 }
 
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_BackendRecord& wire, Plain& plain) {
+  archive.text(wire.name, plain.name);
+  archive.text(wire.address, plain.address);
+  archive.text(wire.zone, plain.zone);
+  archive.text(wire.region, plain.region);
+  archive.text(wire.pool, plain.pool);
+  archive.number(wire.runner, plain.runner);
+  archive.number(wire.leaving, plain.leaving);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_BackendListRequest& wire, Plain& plain) {
+  archive.text(wire.requester, plain.requester);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_BackendList& wire, Plain& plain) {
+  archive.text(wire.sender, plain.sender);
+  archive.records(wire.backends, plain.backends);
+}
+
 }  // namespace crankspur::wire
--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -167,11 +167,26 @@
   std::string approver_signature;  ///< Ed25519, base64.
 };
 
+/// A delta between two versions.
+struct BundleStep {
+  std::uint64_t from_version = 0;
+  std::uint64_t to_version = 0;
+  std::string delta;  ///< See bundle/bundle_delta.h.
+};
+
+/// Answer to a BundleRequest of a peer that holds a version from a short while ago: a chain of steps to a
+/// signed body; each step begins at the version that the one before ends at.
+struct BundleUpdate {
+  std::vector<BundleStep> steps;
+  std::string author_signature;    ///< Of the last version.
+  std::string approver_signature;  ///< Of the last version.
+};
+
 /// Blocks that more than one request shares, told by the owner of an engine's event stream.
 struct CacheSummary {
   std::string engine;
   std::uint64_t engine_incarnation = 0;
-  std::uint64_t sequence = 0;  ///< Grows by one with each summary of the same incarnation.
+  std::uint64_t sequence = 0;  ///< The engine's own event sequence that the summary reaches up to.
   std::vector<std::uint64_t> stored;
   std::vector<std::uint64_t> removed;
 };
@@ -216,9 +231,31 @@
   std::string message;
 };
 
+/// One engine or application runner of the machine list, as the sender last knew it.
+struct BackendRecord {
+  std::string name;
+  std::string address;  ///< "IP:port".
+  std::string zone;
+  std::string region;
+  std::string pool;
+  bool runner = false;  ///< False: a model engine.
+  bool leaving = false;
+};
+
+/// A router that has had no machine list since its start asks a peer for the peer's.
+struct BackendListRequest {
+  std::string requester;
+};
+
+/// Answer to BackendListRequest.
+struct BackendList {
+  std::string sender;
+  std::vector<BackendRecord> backends;
+};
+
 /// Every message that a frame can carry.
 using Message = std::variant<Hello, SubmitRequest, Accepted, StreamPiece, StreamEnd, Refusal, Cancel, Ping,
                              PingAck, BundleRequest, BundleBody, CacheSummary, LoadDigest, ClaimPrepare,
-                             ClaimReply, ProtocolError>;
+                             ClaimReply, ProtocolError, BundleUpdate, BackendListRequest, BackendList>;
 
 }  // namespace crankspur
--- a/src/router/engine_table.h
+++ b/src/router/engine_table.h
@@ -70,10 +70,16 @@
   /// Takes the machine list; routers and KV stores in it are ignored. A name that two lists in a row leave
   /// out counts as leaving, and is dropped once it is dead.
   void onMachineList(const MachineList& list, TimePoint now);
+  /// Takes what a peer knows of back ends, as long as no machine list has come since the start.
+  void onPeerBackends(const std::vector<BackendRecord>& backends, TimePoint now);
+  /// @return what this table would tell a peer that has no machine list.
+  std::vector<BackendRecord> backends() const;
   /// A back end answered what it is.
   void onReport(const std::string& name, const BackendReport& report, TimePoint now);
-  /// An engine answered its load, or a peer told it. An unknown incarnation makes the table ask anew.
+  /// An engine answered its load. An unknown incarnation makes the table ask anew.
   void onLoad(const std::string& name, std::uint64_t incarnation, const LoadReport& load, TimePoint now);
+  /// A peer told an engine's load; unknown engines and incarnations are ignored.
+  void onToldLoad(const std::string& name, std::uint64_t incarnation, const LoadReport& load, TimePoint now);
   /// A poll failed.
   void onPollFailed(const std::string& name, PollFailure failure, TimePoint now);
   /// A peer's fact about an engine.
@@ -92,6 +98,8 @@
 
   /// @return engines of the own region, and others for pools that the own region cannot serve; by slot.
   std::vector<EngineView> engines(TimePoint now) const;
+  /// @return engines of every region, by name; for fleet orders.
+  std::vector<EngineView> allEngines(TimePoint now) const;
   /// @return application runners.
   std::vector<EngineView> runners(TimePoint now) const;
   /// @return the engine's name in a slot, or an empty string.
@@ -118,13 +126,17 @@
     TimePoint next_load_at{};
     bool info_running = false;
     bool load_running = false;
+    bool load_early = false;  ///< Asked directly before its time if the owner goes silent.
   };
 
+  void takeLoad(Entry& entry, std::uint64_t incarnation, const LoadReport& load, TimePoint now);
   void listMachine(const Machine& machine, TimePoint now);
   void dropUnlisted(const std::set<std::string>& listed, TimePoint now);
   void takeIncarnation(Entry& entry, std::uint64_t incarnation, TimePoint now);
   void announce(const Entry& entry, bool dead);
   void ejectIfSlow(Entry& entry, TimePoint now);
+  bool polledElsewhere(const Entry& entry, TimePoint now) const;
+  bool wantsLoad(const Entry& entry, TimePoint now) const;
   EngineState stateOf(const Entry& entry, TimePoint now) const;
   EngineView viewOf(const Entry& entry, TimePoint now) const;
   Entry* find(const std::string& name);
@@ -145,6 +157,7 @@
   std::set<std::string> polled_elsewhere_;
   std::deque<FreedSlot> freed_slots_;
   EngineSlot next_slot_ = 0;
+  bool listed_once_ = false;
   bool urgent_ = false;
   bool loads_changed_ = false;
   std::vector<EngineRecord> announcements_;
--- a/src/router_peer/peer_front.cc
+++ b/src/router_peer/peer_front.cc
@@ -89,6 +89,8 @@
     routers_by_address_.try_emplace(hello.address, peer);
     callbacks_.on_router(hello);
   }
+  // Sidecars are asked as well: when every router restarts while the platform is down, only they still know.
+  if (backends_.empty()) peer->connection->send(BackendListRequest{self_.node_name});
   pullIfNewer(*peer, hello.bundle_version);
   if (hello.role == NodeRole::Sidecar) tellSidecar(*peer, 0);
 }
@@ -120,6 +122,12 @@
   } else if (auto* body = std::get_if<BundleBody>(&message)) {
     if (pulling_from_ == peer.id) pulling_from_ = 0;
     if (body->version > heldVersion()) callbacks_.on_bundle(std::move(*body));
+  } else if (const auto* update = std::get_if<BundleUpdate>(&message)) {
+    takeBundleUpdate(peer, *update);
+  } else if (std::holds_alternative<BackendListRequest>(message)) {
+    if (!backends_.empty()) peer.connection->send(BackendList{self_.node_name, backends_});
+  } else if (auto* list = std::get_if<BackendList>(&message)) {
+    if (backends_.empty()) callbacks_.on_backends(std::move(*list));
   } else if (peer.role != NodeRole::Router) {
     return;
   } else if (auto* digest = std::get_if<LoadDigest>(&message)) {
@@ -153,7 +161,7 @@
 }
 
 void PeerFront::setBundle(std::shared_ptr<const SignedBundle> bundle) {
-  bundle_ = std::move(bundle);
+  bundles_.setBundle(std::move(bundle));
   for (const auto& [id, peer] : peers_) {
     if (peer->greeted && peer->role == NodeRole::Sidecar) tellSidecar(*peer, 0);
   }
@@ -186,19 +194,28 @@
 }
 
 void PeerFront::answerBundleRequest(Peer& peer, const BundleRequest& request) {
-  if (bundle_ && bundle_->body.version > request.held_version) peer.connection->send(bundle_->body);
+  if (const std::optional<Message> answer = bundles_.answer(request)) peer.connection->send(*answer);
+}
+
+void PeerFront::takeBundleUpdate(Peer& peer, const BundleUpdate& update) {
+  std::optional<BundleBody> body = bundles_.take(update);
+  if (!body && bundles_.needsWholeBody()) {
+    peer.connection->send(bundles_.request());
+    return;
+  }
+  if (pulling_from_ == peer.id) pulling_from_ = 0;
+  if (body) callbacks_.on_bundle(std::move(*body));
 }
 
 void PeerFront::pullIfNewer(Peer& peer, std::uint64_t version) {
-  const std::uint64_t held = heldVersion();
-  if (version <= held) return;
   const TimePoint now = clock_.now();
+  if (!bundles_.wants(version, now)) return;
   const bool pulling = pulling_from_ != 0 && now < pull_ends_ && version <= pulling_version_;
   if (pulling) return;
   pulling_from_ = peer.id;
   pulling_version_ = version;
   pull_ends_ = now + kPullTimeout;
-  peer.connection->send(BundleRequest{held});
+  peer.connection->send(bundles_.request());
 }
 
 void PeerFront::closeIdle() {
--- a/src/router_process/platform_watcher.h
+++ b/src/router_process/platform_watcher.h
@@ -10,6 +10,7 @@
 
 #include "base/event_log.h"
 #include "base/random.h"
+#include "bundle/bundle_row.h"
 #include "http/client.h"
 #include "internal_protocol/messages.h"
 #include "machine_list/machine_list_client.h"
@@ -28,7 +29,8 @@
 /// What the watcher hands on.
 struct PlatformWatcherCallbacks {
   std::function<void(const MachineList&)> on_machines;
-  std::function<void(const BundleBody&)> on_bundle;
+  /// Returns whether the body was refused for what it is; it is then not fetched again.
+  std::function<bool(const BundleBody&)> on_bundle;
   std::function<std::uint64_t()> held_version;  ///< Of the bundle.
   std::function<std::size_t()> router_count;    ///< Live routers.
 };
@@ -48,7 +50,7 @@
   void fetchMachines();
   void fetchBundleRow();
   void onBundleRow(const TableRow& row);
-  void fetchDocument(BundleBody body, const std::string& key);
+  void fetchDocument(const BundleRow& row);
   Duration pause(Duration interval);
   void noteReachable(bool reachable);
 
@@ -64,6 +66,7 @@
   boost::asio::steady_timer machines_timer_;
   boost::asio::steady_timer bundle_timer_;
   boost::asio::steady_timer document_timer_;
+  std::string refused_sha256_;  ///< Of the document that was refused last.
   bool reachable_ = true;
 };
 
--- a/src/router_process/router_process.cc
+++ b/src/router_process/router_process.cc
@@ -147,8 +147,16 @@
     callbacks.on_bundle = [this](BundleBody body) {
       boost::asio::post(context_, [this, body = std::move(body)] { control_->onBundle(body); });
     };
-    callbacks.on_load_digest = [](const LoadDigest&) {};
-    callbacks.on_cache_summary = [](const CacheSummary&) {};
+    callbacks.on_backends = [this](BackendList list) {
+      boost::asio::post(context_, [this, list = std::move(list)] { control_->onBackends(list); });
+    };
+    callbacks.on_load_digest = [this](LoadDigest digest) {
+      boost::asio::post(context_, [this, digest = std::move(digest)] { control_->onLoadDigest(digest); });
+    };
+    callbacks.on_cache_summary = [this](CacheSummary summary) {
+      boost::asio::post(context_,
+                        [this, summary = std::move(summary)] { control_->onCacheSummary(summary); });
+    };
     return callbacks;
   }
 
--- a/standins/engine/engine_model.h
+++ b/standins/engine/engine_model.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "base/random.h"
@@ -57,6 +58,11 @@
   /// Progress goes on as if no time had passed.
   void thaw(TimePoint now);
   bool frozen() const { return frozen_since_.has_value(); }
+  /// Makes prefill and decode take `factor` times as long from the next chunk and step on, as a throttled
+  /// accelerator does. The load report goes on telling the nominal speed. @param factor at least 1.
+  void setSlowdown(double factor) { slowdown_ = factor; }
+  /// Changes how many cache events are lost from now on.
+  void setEventGapProbability(double probability);
 
   void onTimer(TimePoint now);
   /// @return when onTimer() has something to do; empty while frozen or idle.
@@ -146,7 +152,9 @@
   struct Rank {
     std::uint32_t priority;
     std::uint64_t arrival;
-    auto operator<=>(const Rank&) const = default;
+    bool operator<(const Rank& other) const {
+      return std::tie(priority, arrival) < std::tie(other.priority, other.arrival);
+    }
   };
   static Rank rankOf(const Run& run) { return {run.request.priority, run.arrival}; }
 
@@ -189,6 +197,7 @@
   std::uint32_t blocksNeeded(const Run& run) const;
   std::uint32_t runningCount() const;
   Duration decodeStep() const;
+  Duration chunkTime() const;
 
   // Orders (engine_model_orders.cc).
   ErrorCode orderWeights(const EngineOrder& order);
@@ -217,6 +226,7 @@
   ServingRole role_ = ServingRole::Mixed;
   std::uint64_t order_token_ = 0;
   std::optional<TimePoint> frozen_since_;
+  double slowdown_ = 1;
   std::vector<ModelState> models_;
   std::vector<AdapterLoad> adapter_loads_;
 
--- a/standins/engine/engine_model_batch.cc
+++ b/standins/engine/engine_model_batch.cc
@@ -46,6 +46,12 @@
   return fits(*head) ? head : begun;
 }
 
+Duration EngineModel::chunkTime() const {
+  const Duration time =
+      timings_.prefill_chunk_base + timeOf(prefill_chunk_, timings_.prefill_tokens_per_second);
+  return std::chrono::duration_cast<Duration>(time * slowdown_);
+}
+
 void EngineModel::startPrefill(TimePoint now) {
   while (prefill_run_ == nullptr) {
     Run* const run = nextForPrefill();
@@ -54,8 +60,7 @@
     if (run->phase != Phase::Prefilling) continue;
     prefill_run_ = run;
     prefill_chunk_ = std::min(timings_.prefill_chunk_tokens, run->context_tokens - run->computed_tokens);
-    prefill_ends_ =
-        now + timings_.prefill_chunk_base + timeOf(prefill_chunk_, timings_.prefill_tokens_per_second);
+    prefill_ends_ = now + chunkTime();
   }
 }
 
@@ -88,8 +93,8 @@
   importing_.emplace(run.arrival, &run);
   const std::uint32_t wanted = std::min(run.request.import_blocks, usableBlocks(run));
   const auto begin = run.blocks.begin();
-  outputs_.push_back(ImportQuery{run.request.request_id, run.request.attempt, run.request.import_from,
-                                 std::vector<BlockHash>(begin, begin + wanted)});
+  outputs_.emplace_back(ImportQuery{run.request.request_id, run.request.attempt, run.request.import_from,
+                                    std::vector<BlockHash>(begin, begin + wanted)});
 }
 
 void EngineModel::importAnswered(const std::string& request_id, std::uint32_t attempt, std::uint32_t held,
@@ -157,7 +162,7 @@
   prefilling_.erase(rankOf(run));
   run.phase = Phase::Decoding;
   run.decode_from = now;
-  if (options_.publish_blocks && !run.blocks.empty()) outputs_.push_back(BlocksComputed{run.blocks});
+  if (options_.publish_blocks && !run.blocks.empty()) outputs_.emplace_back(BlocksComputed{run.blocks});
   decoding_.emplace(rankOf(run), &run);
   produce(run, 1, now);
 }
@@ -165,10 +170,9 @@
 Duration EngineModel::decodeStep() const {
   const auto batch = static_cast<std::int64_t>(decoding_.size());
   const Duration step = timings_.decode_step_base + timings_.decode_step_per_request * batch;
-  const double slowdown = prefill_run_ == nullptr ? 1.0 : timings_.decode_slowdown_while_prefilling;
+  const double beside_prefill = prefill_run_ == nullptr ? 1.0 : timings_.decode_slowdown_while_prefilling;
   const double tokens = timings_.tokens_per_step;
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(toSeconds(step) * slowdown) *
-                                              tokens);
+  return std::chrono::duration_cast<Duration>(step * (beside_prefill * slowdown_ * tokens));
 }
 
 void EngineModel::startDecodeStep(TimePoint now) {
--- a/standins/engine_server/engine_server.h
+++ b/standins/engine_server/engine_server.h
@@ -16,6 +16,7 @@
 #include "http/client.h"
 #include "http/server.h"
 #include "standins/engine/engine_model.h"
+#include "standins/engine_server/engine_codec.h"
 
 namespace crankspur::standin {
 
@@ -29,8 +30,8 @@
 /// A listening engine.
 class EngineServer {
 public:
-  EngineServer(boost::asio::any_io_executor executor, EngineModel& model, const Clock& clock, EventLog& log,
-               EngineServerOptions options);
+  EngineServer(const boost::asio::any_io_executor& executor, EngineModel& model, const Clock& clock,
+               EventLog& log, EngineServerOptions options);
 
   /// Listens on "IP:port".
   std::error_code start(const std::string& address);
@@ -62,7 +63,7 @@
   void dispatchGet(const http::Request& request, const Writer& writer);
   void dispatchPost(const http::Request& request, const Writer& writer);
   void control(const http::Request& request, const Writer& writer);
-  bool applyControl(const std::string& action);
+  void apply(EngineAction action);
   void completions(const http::Request& request, const Writer& writer);
   void resume(const http::Request& request, const Writer& writer);
   void cancel(const http::Request& request, const Writer& writer);
--- /dev/null
+++ b/tests/sim/check_test.cc
@@ -0,0 +1,106 @@
+/// @file The simulation itself: a fixed set of seeds is clean, a seed replays exactly, and each checker is
+/// able to fail when the mechanism it watches is taken away.
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "sim/check/run.h"
+
+using namespace crankspur::sim;
+
+namespace {
+
+RunResult runOne(std::uint64_t seed, const std::string& scenario, const RemovedMechanisms& removed = {}) {
+  RunOptions options;
+  options.seed = seed;
+  options.scenario = scenario;
+  options.removed = removed;
+  return run(options);
+}
+
+std::string describe(const RunResult& result) {
+  std::string text = result.scenario + " seed " + std::to_string(result.seed);
+  for (const Violation& violation : result.violations)
+    text += "\n" + violation.checker + ": " + violation.what;
+  return text;
+}
+
+}  // namespace
+
+TEST_CASE("a seed gives the same trace twice and another seed gives another", "[sim]") {
+  const RunResult first = runOne(7, "pair");
+  const RunResult again = runOne(7, "pair");
+  const RunResult other = runOne(8, "pair");
+  REQUIRE(first.requests > 0);
+  CHECK(first.trace_hash == again.trace_hash);
+  CHECK(first.events == again.events);
+  CHECK(first.trace_hash != other.trace_hash);
+}
+
+TEST_CASE("keeping the trace's lines does not change the run", "[sim]") {
+  RunOptions options;
+  options.seed = 3;
+  options.scenario = "router_restart";
+  const RunResult without_lines = run(options);
+  options.keep_trace_lines = true;
+  const RunResult with_lines = run(options);
+  CHECK(without_lines.trace_hash == with_lines.trace_hash);
+  CHECK(without_lines.trace_lines.empty());
+  CHECK_FALSE(with_lines.trace_lines.empty());
+}
+
+TEST_CASE("each scenario at today's sites is clean on a fixed seed", "[sim]") {
+  for (const std::string& scenario : scenarioNames()) {
+    if (scenario == "large") continue;
+    const RunResult result = runOne(11, scenario);
+    INFO(describe(result));
+    CHECK(result.violations.empty());
+    CHECK(result.answered > 0);
+  }
+}
+
+TEST_CASE("a quiet fleet serves everything", "[sim]") {
+  const RunResult result = runOne(21, "quiet");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
+TEST_CASE("each checker finds the absence of its mechanism", "[sim]") {
+  struct Removal {
+    Mechanism mechanism;
+    const char* scenario;
+    const char* checker;
+  };
+  const std::vector<Removal> removals = {
+      {Mechanism::IncarnationCheck, "engine_crash", "cache_use"},
+      {Mechanism::TenantSalt, "quiet", "cache_use"},
+      {Mechanism::WeightsCheck, "weights_roll", "cache_use"},
+      {Mechanism::ContiguousDelivery, "lost_pieces", "stream_order"},
+      {Mechanism::EndCheck, "lost_pieces", "whole_answer"},
+      {Mechanism::AttemptCheck, "crossed_answers", "not_run"},
+      {Mechanism::RequestCheck, "quiet", "whole_answer"},
+      {Mechanism::Claim, "quiet", "at_most_once"},
+      {Mechanism::ClaimReadBack, "lost_answers", "at_most_once"},
+      {Mechanism::Fencing, "stalled_orders", "fencing"},
+      {Mechanism::LeavingMarks, "leaving_unseen", "leaving"},
+      {Mechanism::Drain, "planned_stops", "planned_stop"},
+      {Mechanism::BundleMonotonicity, "weights_roll", "bundle"},
+      {Mechanism::BundleCompareAndSet, "operator_race", "bundle"},
+      {Mechanism::BundleFromPeers, "herd_restart", "restart"},
+      {Mechanism::CallerVersion, "store_down_after_roll", "bundle"},
+      {Mechanism::RunStateTruth, "connection_cuts", "not_run"},
+  };
+  REQUIRE(removals.size() == mechanismNames().size());
+  constexpr std::uint64_t kSeeds = 200;
+  for (const Removal& removal : removals) {
+    bool found = false;
+    for (std::uint64_t seed = 1; seed <= kSeeds && !found; ++seed) {
+      for (const Violation& violation : runOne(seed, removal.scenario, {removal.mechanism}).violations) {
+        found = found || violation.checker == removal.checker;
+      }
+    }
+    INFO(removal.scenario << " must violate " << removal.checker);
+    CHECK(found);
+  }
+}
--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -19,9 +19,12 @@
 std::string describeFields(const PingAck& value);
 std::string describeFields(const BundleRequest& value);
 std::string describeFields(const BundleBody& value);
+std::string describeFields(const BundleStep& value);
+std::string describeFields(const BundleUpdate& value);
 std::string describeFields(const CacheSummary& value);
 std::string describeFields(const EngineLoad& value);
 std::string describeFields(const LoadDigest& value);
+std::string describeFields(const BackendRecord& value);
 std::string describeFields(const ClaimPrepare& value);
 std::string describeFields(const ClaimReply& value);
 std::string describeFields(const ProtocolError& value);
@@ -103,6 +106,15 @@
                      value.approver_signature);
 }
 
+std::string describeFields(const BundleStep& value) {
+  return fmt::format("BundleStep {} {} {}", value.from_version, value.to_version, value.delta);
+}
+
+std::string describeFields(const BundleUpdate& value) {
+  return fmt::format("BundleUpdate {} {} {}", describeAll(value.steps), value.author_signature,
+                     value.approver_signature);
+}
+
 std::string describeFields(const CacheSummary& value) {
   return fmt::format("CacheSummary {} {} {} {} {}", value.engine, value.engine_incarnation, value.sequence,
                      fmt::join(value.stored, " "), fmt::join(value.removed, " "));
@@ -113,6 +125,19 @@
                      value.running, value.age_milliseconds);
 }
 
+std::string describeFields(const BackendRecord& value) {
+  return fmt::format("BackendRecord {} {} {} {} {} {} {}", value.name, value.address, value.zone,
+                     value.region, value.pool, value.runner, value.leaving);
+}
+
+std::string describeFields(const BackendListRequest& value) {
+  return fmt::format("BackendListRequest {}", value.requester);
+}
+
+std::string describeFields(const BackendList& value) {
+  return fmt::format("BackendList {} {}", value.sender, describeAll(value.backends));
+}
+
 std::string describeFields(const LoadDigest& value) {
   return fmt::format("LoadDigest {} {}", value.sender, describeAll(value.loads));
 }
@@ -278,6 +303,14 @@
   return value;
 }
 
+BundleUpdate exampleBundleUpdate() {
+  BundleUpdate value;
+  value.steps = {{~0ull - 82, ~0ull - 83, std::string("delta\0\n\xff", 8)}, {1, 2, "second delta"}};
+  value.author_signature = "author signature";
+  value.approver_signature = "approver signature";
+  return value;
+}
+
 CacheSummary exampleCacheSummary() {
   CacheSummary value;
   value.engine = "engine";
@@ -332,13 +365,37 @@
   return value;
 }
 
+BackendListRequest exampleBackendListRequest() {
+  BackendListRequest value;
+  value.requester = "requester";
+  return value;
+}
+
+BackendList exampleBackendList() {
+  BackendRecord record;
+  record.name = "name";
+  record.address = "address";
+  record.zone = "zone";
+  record.region = "region";
+  record.pool = "pool";
+  record.runner = true;
+  record.leaving = true;
+  BackendList value;
+  value.sender = "sender";
+  value.backends = {record, BackendRecord{}};
+  return value;
+}
+
 }  // namespace
 
 std::vector<Message> exampleMessages() {
-  return {exampleHello(),      exampleSubmitRequest(), exampleAccepted(),   exampleStreamPiece(),
-          exampleStreamEnd(),  exampleRefusal(),       exampleCancel(),     examplePing(),
-          examplePingAck(),    exampleBundleRequest(), exampleBundleBody(), exampleCacheSummary(),
-          exampleLoadDigest(), exampleClaimPrepare(),  exampleClaimReply(), exampleProtocolError()};
+  return {exampleHello(),         exampleSubmitRequest(), exampleAccepted(),
+          exampleStreamPiece(),   exampleStreamEnd(),     exampleRefusal(),
+          exampleCancel(),        examplePing(),          examplePingAck(),
+          exampleBundleRequest(), exampleBundleBody(),    exampleCacheSummary(),
+          exampleLoadDigest(),    exampleClaimPrepare(),  exampleClaimReply(),
+          exampleProtocolError(), exampleBundleUpdate(),  exampleBackendListRequest(),
+          exampleBackendList()};
 }
 
 std::string describe(const Message& message) {
