Let gossip carry facts of every incarnation of an engine

Engines choose their incarnations freely, but EngineFacts took a higher number for the newer one and dropped facts of a lower, so the leaving mark of an engine that had restarted reached no router, and one went on sending it work for 12.5 s.

--- a/src/membership/swim_membership.cc
+++ b/src/membership/swim_membership.cc
@@ -79,8 +79,8 @@
   for (std::size_t index = 0; index < std::min(engines.size(), kAcceptedRecords); ++index) {
     const EngineRecord& record = engines[index];
     if (!acceptable(record.name) || !engines_.apply(record)) continue;
-    engine_queue_.add(record.name);
-    engine_changes_.push_back(*engines_.find(record.name));
+    engine_queue_.add(EngineFacts::keyOf(record));
+    engine_changes_.push_back(*engines_.find(EngineFacts::keyOf(record)));
   }
 }
 
@@ -279,7 +279,7 @@
 }
 
 void SwimMembership::announceEngine(const EngineRecord& record, TimePoint) {
-  if (engines_.apply(record)) engine_queue_.add(record.name);
+  if (engines_.apply(record)) engine_queue_.add(EngineFacts::keyOf(record));
 }
 
 template <typename GossipMessage>
@@ -294,8 +294,9 @@
     const Member* spread = table_.find(name);
     if (spread != nullptr && name != receiver) message.members.push_back(spread->record);
   }
-  for (const std::string& name : engine_queue_.take(options_.records_per_message, spreadLimit())) {
-    message.engines.push_back(*engines_.find(name));
+  for (const std::string& key : engine_queue_.take(options_.records_per_message, spreadLimit())) {
+    const EngineRecord* fact = engines_.find(key);
+    if (fact != nullptr) message.engines.push_back(*fact);
   }
 }
 
--- a/src/router/claim_flow.cc
+++ b/src/router/claim_flow.cc
@@ -47,7 +47,7 @@
   const auto found = claims_.find(id);
   if (found == claims_.end()) return;
   ClaimWork& work = found->second;
-  while (const auto action = work.claim->poll(now)) actions_.push_back(ClaimTableCall{id, *action});
+  while (const auto action = work.claim->poll(now)) actions_.emplace_back(ClaimTableCall{id, *action});
   RequestEntry* entry = findEntry(work.entry);
   const auto outcome = work.claim->outcome();
   if (entry != nullptr && entry->phase == RequestEntry::Phase::Claiming && outcome) {
--- a/src/router/completion_failure.cc
+++ b/src/router/completion_failure.cc
@@ -65,7 +65,7 @@
   action.request.resume_text = entry.text;
   action.request.deadline = entry.deadline - now;
   action.resume = true;
-  actions_.push_back(std::move(action));
+  actions_.emplace_back(std::move(action));
   return true;
 }
 
--- a/src/router/completion_flow.cc
+++ b/src/router/completion_flow.cc
@@ -131,7 +131,7 @@
   action.request.priority = entry.priority;
   action.import_from = decision.import_from;
   action.import_blocks = decision.import_blocks;
-  actions_.push_back(std::move(action));
+  actions_.emplace_back(std::move(action));
 }
 
 void RequestRouterImpl::completionEvent(RequestEntry& entry, const BackendEvent& event, TimePoint now) {
--- a/src/router/operation_flow.cc
+++ b/src/router/operation_flow.cc
@@ -70,7 +70,7 @@
   action.address = runner->address;
   action.request = entry.request;
   action.request.deadline = entry.deadline - now;
-  actions_.push_back(std::move(action));
+  actions_.emplace_back(std::move(action));
 }
 
 void RequestRouterImpl::operationEvent(RequestEntry& entry, const BackendEvent& event, TimePoint now) {
--- a/src/router/request_router.cc
+++ b/src/router/request_router.cc
@@ -248,7 +248,7 @@
 
 void RequestRouterImpl::cancelDispatch(RequestEntry& entry, TimePoint now) {
   if (!entry.dispatch) return;
-  actions_.push_back(CancelDispatch{entry.dispatch->id});
+  actions_.emplace_back(CancelDispatch{entry.dispatch->id});
   closeDispatch(entry, now);
 }
 
@@ -360,7 +360,7 @@
 void RequestRouterImpl::drain(TimePoint) {
   if (draining_) return;
   draining_ = true;
-  actions_.push_back(LogEvent{EventId::RouterDraining, {{"in_flight", inFlight()}}});
+  actions_.emplace_back(LogEvent{EventId::RouterDraining, {{"in_flight", inFlight()}}});
 }
 
 std::vector<RouterAction> RequestRouterImpl::takeActions() {
@@ -380,14 +380,14 @@
 
 void RequestRouterImpl::send(const RequestEntry& entry, Message message) {
   if (entry.answered) return;
-  actions_.push_back(SendToSidecar{entry.sidecar, std::move(message)});
+  actions_.emplace_back(SendToSidecar{entry.sidecar, std::move(message)});
 }
 
 void RequestRouterImpl::log(EventId event, const RequestEntry& entry, std::vector<LogField> fields) {
   fields.insert(fields.begin(), {{"request_id", entry.request.request_id},
                                  {"attempt", entry.request.attempt},
                                  {"tenant", entry.request.tenant}});
-  actions_.push_back(LogEvent{event, std::move(fields)});
+  actions_.emplace_back(LogEvent{event, std::move(fields)});
 }
 
 Accepted RequestRouterImpl::acceptedMessage(const RequestEntry& entry) {
--- a/src/router_peer/peer_front.cc
+++ b/src/router_peer/peer_front.cc
@@ -16,7 +16,7 @@
 constexpr Duration kIdleLimit = std::chrono::minutes(2);
 constexpr Duration kIdleCheckInterval = std::chrono::seconds(15);
 /// Bytes of gossip that may wait for one router: what is late is useless.
-constexpr std::size_t kRouterQueueBytes = 16 * 1024 * 1024;
+constexpr std::size_t kRouterQueueBytes = std::size_t{16} * 1024 * 1024;
 
 }  // namespace
 
--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -66,6 +66,12 @@
   CHECK(result.violations.empty());
 }
 
+TEST_CASE("a leaving mark counts for an engine that restarted with a lower incarnation", "[sim]") {
+  const RunResult result = runOne(368, "pair");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
 TEST_CASE("each checker finds the absence of its mechanism", "[sim]") {
   struct Removal {
     Mechanism mechanism;
--- a/tests/unit/membership/membership_test.cc
+++ b/tests/unit/membership/membership_test.cc
@@ -5,6 +5,8 @@
 #include <optional>
 #include <queue>
 
+#include "membership/engine_facts.h"
+
 using namespace crankspur;
 using namespace std::chrono_literals;
 
@@ -237,6 +239,22 @@
   CHECK(network.runUntil(60s, holder_known).has_value());
 }
 
+TEST_CASE("a fact about an engine counts although the incarnation before it was a higher number",
+          "[membership]") {
+  EngineFacts facts(2);
+  CHECK(facts.apply({"engine-1", 900, false, true}));
+  CHECK(facts.apply({"engine-1", 77, true, false}));
+  CHECK_FALSE(facts.apply({"engine-1", 77, true, false}));
+  REQUIRE(facts.find(EngineFacts::keyOf({"engine-1", 77, false, false})) != nullptr);
+  CHECK(facts.find(EngineFacts::keyOf({"engine-1", 77, false, false}))->leaving);
+  for (std::uint64_t incarnation = 1; incarnation <= 100; ++incarnation) {
+    facts.apply({"engine-1", incarnation, false, false});
+  }
+  CHECK(facts.all().size() <= 4);
+  CHECK(facts.apply({"engine-2", 1, false, false}));
+  CHECK_FALSE(facts.apply({"engine-3", 1, false, false}));
+}
+
 TEST_CASE("messages stay bounded while sixty nodes join and quiet traffic is small", "[membership]") {
   VirtualNetwork network;
   startAll(network, 60);
