--- a/sim/experiment/engine_host.cc
+++ b/sim/experiment/engine_host.cc
@@ -27,7 +27,7 @@
     return;
   }
   const standin::StreamId stream = next_stream_++;
-  handlers_.emplace(stream, std::move(handler));
+  handlers_.emplace(stream, handler);
   model_.submit(stream, request, queue_.now());
   pump();
 }
--- a/src/router_peer/peer_front.cc
+++ b/src/router_peer/peer_front.cc
@@ -31,7 +31,7 @@
   TimePoint used_at{};
 };
 
-PeerFront::PeerFront(boost::asio::any_io_executor executor, Hello self, PeerFrontCallbacks callbacks)
+PeerFront::PeerFront(const boost::asio::any_io_executor& executor, Hello self, PeerFrontCallbacks callbacks)
     : executor_(executor), idle_timer_(executor), self_(std::move(self)), callbacks_(std::move(callbacks)) {}
 
 PeerFront::~PeerFront() = default;
--- a/src/router_peer/peer_front.h
+++ b/src/router_peer/peer_front.h
@@ -41,7 +41,7 @@
 /// The connections.
 class PeerFront {
 public:
-  PeerFront(boost::asio::any_io_executor executor, Hello self, PeerFrontCallbacks callbacks);
+  PeerFront(const boost::asio::any_io_executor& executor, Hello self, PeerFrontCallbacks callbacks);
   ~PeerFront();
 
   /// Binds the port. @return an error when it cannot be bound.
--- a/src/router_process/backend_poller.cc
+++ b/src/router_process/backend_poller.cc
@@ -4,7 +4,7 @@
 
 namespace crankspur {
 
-BackendPoller::BackendPoller(boost::asio::any_io_executor executor, EngineTable& table,
+BackendPoller::BackendPoller(const boost::asio::any_io_executor& executor, EngineTable& table,
                              std::function<void()> on_change)
     : table_(table),
       on_change_(std::move(on_change)),
--- a/src/router_process/backend_poller.h
+++ b/src/router_process/backend_poller.h
@@ -17,7 +17,8 @@
 public:
   /// @param table must outlive the poller.
   /// @param on_change called after each answer or failure.
-  BackendPoller(boost::asio::any_io_executor executor, EngineTable& table, std::function<void()> on_change);
+  BackendPoller(const boost::asio::any_io_executor& executor, EngineTable& table,
+                std::function<void()> on_change);
   /// Starts the polls.
   void start(const std::vector<BackendPoll>& polls);
   /// @return the client for other calls to engines on this thread.
--- a/src/router_process/cache_event_feed.cc
+++ b/src/router_process/cache_event_feed.cc
@@ -31,7 +31,7 @@
   boost::asio::steady_timer timer;
 };
 
-CacheEventFeed::CacheEventFeed(boost::asio::any_io_executor executor, NewsHandler on_news,
+CacheEventFeed::CacheEventFeed(const boost::asio::any_io_executor& executor, NewsHandler on_news,
                                RouterMetrics& metrics, std::uint64_t random_seed)
     : executor_(executor),
       on_news_(std::move(on_news)),
--- a/src/router_process/cache_event_feed.h
+++ b/src/router_process/cache_event_feed.h
@@ -21,7 +21,7 @@
 class CacheEventFeed {
 public:
   using NewsHandler = std::function<void(std::shared_ptr<const CacheNews>)>;
-  CacheEventFeed(boost::asio::any_io_executor executor, NewsHandler on_news, RouterMetrics& metrics,
+  CacheEventFeed(const boost::asio::any_io_executor& executor, NewsHandler on_news, RouterMetrics& metrics,
                  std::uint64_t random_seed);
   ~CacheEventFeed();
   /// Follows exactly these engines from now on.
--- a/src/router_process/order_dispatcher.cc
+++ b/src/router_process/order_dispatcher.cc
@@ -26,7 +26,7 @@
 
 }  // namespace
 
-OrderDispatcher::OrderDispatcher(boost::asio::any_io_executor executor, std::string holder,
+OrderDispatcher::OrderDispatcher(const boost::asio::any_io_executor& executor, std::string holder,
                                  const std::string& table_address, EngineClient& engines,
                                  OrderDispatcherCallbacks callbacks, EventLog& log, std::uint64_t random_seed)
     : engines_(engines),
--- a/src/router_process/order_dispatcher.h
+++ b/src/router_process/order_dispatcher.h
@@ -29,9 +29,9 @@
 public:
   /// @param holder unique over all processes and their restarts.
   /// @param table_address empty: there is no table service and no orders are sent.
-  OrderDispatcher(boost::asio::any_io_executor executor, std::string holder, const std::string& table_address,
-                  EngineClient& engines, OrderDispatcherCallbacks callbacks, EventLog& log,
-                  std::uint64_t random_seed);
+  OrderDispatcher(const boost::asio::any_io_executor& executor, std::string holder,
+                  const std::string& table_address, EngineClient& engines, OrderDispatcherCallbacks callbacks,
+                  EventLog& log, std::uint64_t random_seed);
   ~OrderDispatcher();
   void start();
   /// @return whether the lease is held now.
--- a/src/router_process/platform_watcher.cc
+++ b/src/router_process/platform_watcher.cc
@@ -16,7 +16,7 @@
 
 }  // namespace
 
-PlatformWatcher::PlatformWatcher(boost::asio::any_io_executor executor, PlatformWatcherOptions options,
+PlatformWatcher::PlatformWatcher(const boost::asio::any_io_executor& executor, PlatformWatcherOptions options,
                                  PlatformWatcherCallbacks callbacks, EventLog& log, std::uint64_t random_seed)
     : options_(std::move(options)),
       callbacks_(std::move(callbacks)),
--- a/src/router_process/platform_watcher.h
+++ b/src/router_process/platform_watcher.h
@@ -38,7 +38,7 @@
 /// The watcher.
 class PlatformWatcher {
 public:
-  PlatformWatcher(boost::asio::any_io_executor executor, PlatformWatcherOptions options,
+  PlatformWatcher(const boost::asio::any_io_executor& executor, PlatformWatcherOptions options,
                   PlatformWatcherCallbacks callbacks, EventLog& log, std::uint64_t random_seed);
   ~PlatformWatcher();
   /// Begins at once.
--- a/src/router_process/router_process.cc
+++ b/src/router_process/router_process.cc
@@ -125,7 +125,8 @@
   PeerFrontCallbacks frontCallbacks() {
     PeerFrontCallbacks callbacks;
     callbacks.on_submit = [this](SidecarId sidecar, SubmitRequest request) {
-      shardOf(request).postSubmit(sidecar, std::move(request));
+      TrafficShard& shard = shardOf(request);
+      shard.postSubmit(sidecar, std::move(request));
     };
     callbacks.on_cancel = [this](SidecarId sidecar, const Cancel& cancel) {
       for (const auto& shard : shards_) shard->postCancel(sidecar, cancel);
--- a/src/router_process/traffic_shard.cc
+++ b/src/router_process/traffic_shard.cc
@@ -253,11 +253,11 @@
   }
   const ClaimAction& action = call.action;
   if (action.kind == ClaimAction::Kind::Read) {
-    table_->read(action.key, [this, claim](ReadResult result) { onClaimRead(claim, result); });
+    table_->read(action.key, [this, claim](const ReadResult& result) { onClaimRead(claim, result); });
     return;
   }
   table_->compareAndSet(action.key, action.expected_version, encodeClaimRow(action.write),
-                        [this, claim](TransactionResult result) { onClaimWritten(claim, result); });
+                        [this, claim](const TransactionResult& result) { onClaimWritten(claim, result); });
 }
 
 void TrafficShard::onClaimRead(std::uint64_t claim, const ReadResult& result) {
--- a/standins/kv_store/kv_store_server.cc
+++ b/standins/kv_store/kv_store_server.cc
@@ -33,10 +33,11 @@
                                      ",\"incarnation\":" + std::to_string(model.incarnation()) + "}");
 }
 
-std::unique_ptr<http::Server> serveKvStore(boost::asio::any_io_executor executor, const std::string& address,
-                                           KvStoreModel& model, std::error_code& error) {
+std::unique_ptr<http::Server> serveKvStore(const boost::asio::any_io_executor& executor,
+                                           const std::string& address, KvStoreModel& model,
+                                           std::error_code& error) {
   return http::listen(
-      std::move(executor), address,
+      executor, address,
       [&model](const http::Request& request, const std::shared_ptr<http::ResponseWriter>& writer) {
         writer->respond(answerKvStore(request, model));
       },
--- a/standins/kv_store/kv_store_server.h
+++ b/standins/kv_store/kv_store_server.h
@@ -16,7 +16,8 @@
 
 /// Listens on "IP:port"; `model` must outlive the server.
 /// @return the server, or empty with `error` set.
-std::unique_ptr<http::Server> serveKvStore(boost::asio::any_io_executor executor, const std::string& address,
-                                           KvStoreModel& model, std::error_code& error);
+std::unique_ptr<http::Server> serveKvStore(const boost::asio::any_io_executor& executor,
+                                           const std::string& address, KvStoreModel& model,
+                                           std::error_code& error);
 
 }  // namespace crankspur::standin
--- a/standins/platform/platform_server.cc
+++ b/standins/platform/platform_server.cc
@@ -9,7 +9,7 @@
 
 namespace {
 
-constexpr std::size_t kObjectBytes = 16 * 1024 * 1024;
+constexpr std::size_t kObjectBytes = std::size_t{16} * 1024 * 1024;
 
 void answer(const PlatformReply& reply, const std::shared_ptr<http::ResponseWriter>& writer) {
   if (reply.lost) {
