Connect without blocking in the HTTP server's fuzz target

Ruled out: the server, which was not reached; the input, which passes when run alone.

Change: the target connects through the reactor, which a signal does not end. It still stops the run on any real error.

Conclusion: the verdict no longer depends on when the timer fires.

--- a/tests/fuzz/http_server_fuzzer.cc
+++ b/tests/fuzz/http_server_fuzzer.cc
@@ -33,12 +33,23 @@
   std::unique_ptr<http::Server> server;
 };
 
+/// Connects without blocking: the fuzzer's own timer signal interrupts a blocking connect().
+void connect(asio::ip::tcp::socket& socket, Fixture& fixture) {
+  bool connected = false;
+  socket.async_connect({asio::ip::address_v4::loopback(), fixture.server->port()},
+                       [&](boost::system::error_code error) {
+                         fuzz::check(!error);
+                         connected = true;
+                       });
+  while (!connected) fixture.context.run_one();
+}
+
 }  // namespace
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   static Fixture fixture;
   asio::ip::tcp::socket socket(fixture.context);
-  socket.connect({asio::ip::address_v4::loopback(), fixture.server->port()});
+  connect(socket, fixture);
   boost::system::error_code ignored;
   socket.non_blocking(true);
   socket.write_some(asio::buffer(data, size), ignored);
