Let a planned stop of a router cut no last message

Cause, found by reading the shards and the stop against each other: a shard set its count of requests in flight before it handed over the last messages, so that a stopping router could see 0, close its connections and drop them; the count was the sum of two atomics, and a reader between the two could miss a request that was just moving from posted to running; and the process ended 200 ms after closing, whether or not a slow sidecar had read everything.

Change: one atomic counts posted and running requests and goes down after the messages were handed over. PeerFront::stop reports when every connection has ended (a peer that does not read ends its own by the connection's timer), and the router ends then.

--- a/src/router_peer/peer_front.cc
+++ b/src/router_peer/peer_front.cc
@@ -1,6 +1,7 @@
 #include "router_peer/peer_front.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "internal_protocol/codec.h"
 
@@ -143,6 +144,7 @@
   const auto known = routers_by_address_.find(peer->address);
   if (known != routers_by_address_.end() && known->second == peer) routers_by_address_.erase(known);
   if (peer->greeted && peer->role == NodeRole::Sidecar) callbacks_.on_sidecar_lost(peer->id);
+  reportWhenClosed();
 }
 
 void PeerFront::sendToSidecars(const std::vector<SendToSidecar>& messages) {
@@ -232,12 +234,17 @@
   });
 }
 
-void PeerFront::stop() {
+void PeerFront::stop(std::function<void()> on_closed) {
   stopped_ = true;
+  on_closed_ = std::move(on_closed);
   idle_timer_.cancel();
   listener_->stop();
-  const auto peers = peers_;
-  for (const auto& [id, peer] : peers) peer->connection->close(true);
+  for (const auto& [id, peer] : peers_) peer->connection->close(true);
+  reportWhenClosed();
+}
+
+void PeerFront::reportWhenClosed() {
+  if (peers_.empty() && on_closed_) std::exchange(on_closed_, nullptr)();
 }
 
 PeerFrontCounts PeerFront::counts() const {
--- a/src/router_peer/peer_front.h
+++ b/src/router_peer/peer_front.h
@@ -69,7 +69,9 @@
   /// Tells every sidecar that this router is leaving. Later connections hear it at once too.
   void announceLeaving(const MemberRecord& self);
   /// Takes no further connection and closes all after what is queued has left.
-  void stop();
+  /// @param on_closed called once, when every connection has ended. A peer that does not read ends its own
+  /// after ConnectionLimits::hello_timeout.
+  void stop(std::function<void()> on_closed);
   /// @return counts as of now.
   PeerFrontCounts counts() const;
 
@@ -87,6 +89,7 @@
   void tellSidecar(Peer& peer, std::uint64_t sequence);
   std::shared_ptr<Peer> connectTo(const std::string& address);
   void closeIdle();
+  void reportWhenClosed();
   std::uint64_t heldVersion() const { return bundles_.version(); }
 
   boost::asio::any_io_executor executor_;
@@ -108,6 +111,7 @@
   bool leaving_ = false;
   MemberRecord leaving_record_;
   bool stopped_ = false;
+  std::function<void()> on_closed_;  ///< Set while stop() waits for connections to end.
   PeerFrontCounts counts_;
 };
 
--- a/src/router_process/router_process.cc
+++ b/src/router_process/router_process.cc
@@ -20,8 +20,6 @@
 
 /// Time that sidecars get to hear that this router leaves, before new work is refused.
 constexpr Duration kLeaveNotice = std::chrono::milliseconds(300);
-/// Time for the last messages to leave after the last request has ended.
-constexpr Duration kFlushTime = std::chrono::milliseconds(200);
 constexpr Duration kDrainPoll = std::chrono::milliseconds(20);
 
 /// @return milliseconds of the wall clock, so that a later start has a higher number.
@@ -197,13 +195,18 @@
 
   void awaitDrained() {
     if (inFlight() == 0 || clock_.now() >= drain_ends_) {
-      front_.thread.post([this] { front_.front->stop(); });
-      after(kFlushTime, [this] { context_.stop(); });
+      closeFront();
       return;
     }
     after(kDrainPoll, [this] { awaitDrained(); });
   }
 
+  /// Ends the process once the last messages have left and every peer has closed its side.
+  void closeFront() {
+    front_.thread.post(
+        [this] { front_.front->stop([this] { boost::asio::post(context_, [this] { context_.stop(); }); }); });
+  }
+
   void after(Duration delay, std::function<void()> action) {
     stop_timer_.expires_after(delay);
     stop_timer_.async_wait([action = std::move(action)](boost::system::error_code error) {
--- a/src/router_process/traffic_shard.cc
+++ b/src/router_process/traffic_shard.cc
@@ -51,13 +51,13 @@
 }
 
 void TrafficShard::postSubmit(SidecarId sidecar, SubmitRequest request) {
-  ++submits_posted_;
+  ++in_flight_;
   thread_.post([this, sidecar, request = std::move(request)] {
+    ++counted_;
     metrics_.requests.Increment();
     tellSent(request.request_id);
     router_->onSubmit(sidecar, request, now());
     pump();
-    --submits_posted_;
   });
 }
 
@@ -110,11 +110,18 @@
     for (RouterAction& action : actions) carryOut(std::move(action));
     actions = router_->takeActions();
   }
-  in_flight_ = router_->inFlight();
   if (!messages_.empty()) callbacks_.on_messages(std::exchange(messages_, {}));
+  updateInFlight();
   armTimer();
 }
 
+/// After the messages were handed over: a planned stop closes the connections once nothing is in flight.
+void TrafficShard::updateInFlight() {
+  const std::size_t running = router_->inFlight();
+  in_flight_ += running - counted_;
+  counted_ = running;
+}
+
 void TrafficShard::carryOut(RouterAction action) {
   if (auto* send = std::get_if<SendToSidecar>(&action)) {
     if (std::holds_alternative<StreamEnd>(send->message)) metrics_.answers.Increment();
--- a/src/router_process/traffic_shard.h
+++ b/src/router_process/traffic_shard.h
@@ -63,8 +63,9 @@
   void postDrain();
   /// @param done runs on the shard's thread.
   void postExplain(const std::string& request_id, std::function<void(std::optional<DecisionRecord>)> done);
-  /// @return requests not yet ended; counts posted submits from the moment they were posted.
-  std::size_t inFlight() const { return in_flight_.load() + submits_posted_.load(); }
+  /// @return requests not yet ended: from the moment a submit was posted until the request's last message was
+  /// handed to on_messages.
+  std::size_t inFlight() const { return in_flight_.load(); }
 
 private:
   /// A dispatch that has not ended.
@@ -84,6 +85,7 @@
 
   TimePoint now() const { return clock_.now(); }
   void pump();
+  void updateInFlight();
   void carryOut(RouterAction action);
   void dispatchCompletion(const DispatchCompletion& dispatch);
   void dispatchOperation(const DispatchOperation& dispatch);
@@ -114,8 +116,9 @@
   std::map<DispatchId, Running> running_;
   std::multimap<std::string, DispatchId> untold_;  ///< Dispatches not yet said to be sent, by request.
   std::vector<SendToSidecar> messages_;
+  /// One number for posted and running requests, so that no reader meets a request between the two.
   std::atomic<std::size_t> in_flight_ = 0;
-  std::atomic<std::size_t> submits_posted_ = 0;
+  std::size_t counted_ = 0;  ///< What the shard's thread has put into in_flight_.
 };
 
 }  // namespace crankspur
--- /dev/null
+++ b/tests/unit/router_peer/peer_front_test.cc
@@ -0,0 +1,99 @@
+#include "router_peer/peer_front.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "internal_protocol/codec.h"
+
+using namespace crankspur;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::seconds kPatience{20};
+
+Hello makeHello(const std::string& name, NodeRole role) {
+  Hello hello;
+  hello.node_name = name;
+  hello.role = role;
+  hello.lowest_version = 1;
+  hello.highest_version = 1;
+  return hello;
+}
+
+PeerFrontCallbacks silentCallbacks() {
+  PeerFrontCallbacks callbacks;
+  callbacks.on_submit = [](SidecarId, const SubmitRequest&) {};
+  callbacks.on_cancel = [](SidecarId, const Cancel&) {};
+  callbacks.on_sidecar_lost = [](SidecarId) {};
+  return callbacks;
+}
+
+/// A front and the bare socket of one sidecar, which reads only when told to.
+struct Fixture {
+  Fixture() {
+    REQUIRE_FALSE(front.listen("127.0.0.1:0"));
+    socket.open(asio::ip::tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(65536));
+    socket.connect({asio::ip::make_address("127.0.0.1"), front.port()});
+    asio::write(socket, asio::buffer(encodeFrame(makeHello("sidecar", NodeRole::Sidecar))));
+    runUntil([this] { return front.counts().sidecars == 1; });
+  }
+
+  void runUntil(const std::function<bool()>& condition) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+      if (context.stopped()) context.restart();
+      context.run_one_for(std::chrono::milliseconds(50));
+    }
+    REQUIRE(condition());
+  }
+
+  void readToEnd() {
+    socket.async_read_some(asio::buffer(chunk), [this](boost::system::error_code error, std::size_t bytes) {
+      received += bytes;
+      if (!error) return readToEnd();
+      socket.close();
+    });
+  }
+
+  asio::io_context context{1};
+  PeerFront front{context.get_executor(), makeHello("router", NodeRole::Router), silentCallbacks()};
+  asio::ip::tcp::socket socket{context};
+  std::array<char, 65536> chunk{};
+  std::size_t received = 0;
+};
+
+}  // namespace
+
+TEST_CASE("a stopped front reports its end only when a slow sidecar has read its last message",
+          "[router_peer]") {
+  Fixture fixture;
+  // More than the kernel's buffers hold, so that the last bytes can leave only while the sidecar reads.
+  constexpr int kPieces = 8;
+  const std::string text(std::size_t{1} << 20U, 'x');
+  const SidecarId sidecar = 1;
+  for (std::uint64_t piece = 0; piece < kPieces; ++piece) {
+    fixture.front.sendToSidecars({{sidecar, StreamPiece{"r", 1, piece * text.size(), 1, text}}});
+  }
+  int ends = 0;
+  fixture.front.stop([&ends] { ++ends; });
+  // Everything that can be done without the sidecar is done.
+  while (fixture.context.poll() > 0) {
+  }
+  CHECK(ends == 0);
+  fixture.readToEnd();
+  fixture.runUntil([&] { return ends > 0; });
+  CHECK(ends == 1);
+  CHECK(fixture.received > kPieces * text.size());
+}
+
+TEST_CASE("a stopped front without connections reports its end at once", "[router_peer]") {
+  asio::io_context context{1};
+  PeerFront front(context.get_executor(), makeHello("router", NodeRole::Router), silentCallbacks());
+  REQUIRE_FALSE(front.listen("127.0.0.1:0"));
+  int ends = 0;
+  front.stop([&ends] { ++ends; });
+  CHECK(ends == 1);
+}
