--- a/apps/fault_proxy/main.cc
+++ b/apps/fault_proxy/main.cc
@@ -1,9 +1,6 @@
 /// @file TCP proxy that delays, freezes and cuts connections in tests.
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
 #include <fmt/format.h>
 
 #include <boost/asio/io_context.hpp>
@@ -12,6 +9,7 @@
 #include <cstdio>
 
 #include "base/event_log.h"
+#include "command_line/command_line.h"
 #include "standins/fault_proxy/fault_proxy.h"
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "IP:port of the route named \"default\"");
@@ -49,16 +47,14 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  absl::FlagsUsageConfig usage;
-  usage.version_string = [] { return std::string("fault_proxy ") + CRANKSPUR_VERSION + "\n"; };
-  absl::SetFlagsUsageConfig(usage);
-  absl::SetProgramUsageMessage(
+  parseCommandLine(
+      "fault_proxy",
       "Passes TCP connections on and puts faults on them. Prints \"listening PORT control PORT "
       "NAME=PORT...\". "
       "POST /control on the control port takes JSON: route, cut_now, reset, delay_to_server_ms, "
       "delay_to_client_ms, refuse, freeze, swallow_answers, cut_after_bytes_to_client, bytes_per_second, "
-      "cut_chance. GET /status shows the routes.");
-  absl::ParseCommandLine(argc, argv);
+      "cut_chance. GET /status shows the routes.",
+      argc, argv);
 
   StderrEventLog log("fault_proxy", LogFormat::KeyValue, LogLevel::Info);
   const std::vector<RouteOptions> routes = routesFromFlags();
--- a/apps/standin_app_runner/main.cc
+++ b/apps/standin_app_runner/main.cc
@@ -1,9 +1,6 @@
 /// @file Stand-in for an application runner. Prints "listening PORT"; SIGTERM finishes its work and ends it.
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
 #include <fmt/format.h>
 #include <unistd.h>
 
@@ -14,6 +11,7 @@
 
 #include "base/event_log.h"
 #include "base/hash.h"
+#include "command_line/command_line.h"
 #include "standins/app_runner/app_runner_server.h"
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "IP:port to listen on; port 0 lets the system choose");
@@ -60,13 +58,11 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  absl::FlagsUsageConfig usage;
-  usage.version_string = [] { return std::string("standin_app_runner ") + CRANKSPUR_VERSION + "\n"; };
-  absl::SetFlagsUsageConfig(usage);
-  absl::SetProgramUsageMessage(
+  parseCommandLine(
+      "standin_app_runner",
       "Takes the place of an application runner in tests; never deduplicates. Prints \"listening PORT\". GET "
-      "/v1/executions counts; POST /control sets delay_ms, lose_answers, lose_requests and action.");
-  absl::ParseCommandLine(argc, argv);
+      "/v1/executions counts; POST /control sets delay_ms, lose_answers, lose_requests and action.",
+      argc, argv);
 
   StderrEventLog log("standin_app_runner", LogFormat::KeyValue, LogLevel::Info);
   const AppRunnerOptions options = optionsFromFlags();
--- a/apps/standin_engine/main.cc
+++ b/apps/standin_engine/main.cc
@@ -1,9 +1,6 @@
 /// @file Stand-in for a model engine. Prints "listening PORT"; SIGTERM finishes its work and ends it.
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
 #include <fmt/format.h>
 #include <unistd.h>
 
@@ -15,6 +12,7 @@
 
 #include "base/event_log.h"
 #include "base/hash.h"
+#include "command_line/command_line.h"
 #include "json/json_reader.h"
 #include "standins/engine_server/engine_codec.h"
 #include "standins/engine_server/engine_server.h"
@@ -97,20 +95,14 @@
   return combineHashes(static_cast<std::uint64_t>(now), static_cast<std::uint64_t>(::getpid()));
 }
 
-void setUpUsage() {
-  absl::FlagsUsageConfig usage;
-  usage.version_string = [] { return std::string("standin_engine ") + CRANKSPUR_VERSION + "\n"; };
-  absl::SetFlagsUsageConfig(usage);
-  absl::SetProgramUsageMessage(
-      "Takes the place of a model engine in tests; docs/STANDINS.md states its model. Prints \"listening "
-      "PORT\". POST /control {\"action\":\"crash|freeze|thaw|leave\"} and GET /v1/stats are for tests.");
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
-  setUpUsage();
-  absl::ParseCommandLine(argc, argv);
+  parseCommandLine(
+      "standin_engine",
+      "Takes the place of a model engine in tests; docs/STANDINS.md states its model. Prints \"listening "
+      "PORT\". POST /control {\"action\":\"crash|freeze|thaw|leave\"} and GET /v1/stats are for tests.",
+      argc, argv);
   StderrEventLog log("standin_engine", LogFormat::KeyValue, LogLevel::Info);
   JsonProblem problem;
   const EngineOptions options = optionsFromFlags(problem);
--- a/apps/standin_kv_store/main.cc
+++ b/apps/standin_kv_store/main.cc
@@ -1,9 +1,6 @@
 /// @file Stand-in for the KV-cache store. Prints "listening PORT".
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
 #include <fmt/format.h>
 #include <unistd.h>
 
@@ -13,6 +10,7 @@
 #include <cstdio>
 
 #include "base/event_log.h"
+#include "command_line/command_line.h"
 #include "standins/kv_store/kv_store_server.h"
 
 ABSL_FLAG(std::string, listen, "127.0.0.1:0", "IP:port to listen on; port 0 lets the system choose");
@@ -29,13 +27,11 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  absl::FlagsUsageConfig usage;
-  usage.version_string = [] { return std::string("standin_kv_store ") + CRANKSPUR_VERSION + "\n"; };
-  absl::SetFlagsUsageConfig(usage);
-  absl::SetProgramUsageMessage(
+  parseCommandLine(
+      "standin_kv_store",
       "Takes the place of a KV-cache store in tests: POST /v1/kv/put and /v1/kv/get. Prints \"listening "
-      "PORT\".");
-  absl::ParseCommandLine(argc, argv);
+      "PORT\".",
+      argc, argv);
 
   StderrEventLog log("standin_kv_store", LogFormat::KeyValue, LogLevel::Info);
   const std::uint32_t capacity = absl::GetFlag(FLAGS_capacity_blocks);
--- a/apps/standin_platform/main.cc
+++ b/apps/standin_platform/main.cc
@@ -1,9 +1,6 @@
 /// @file Stand-in for the platform: table service, object store, weight store and machine list on one port.
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
 #include <fmt/format.h>
 
 #include <boost/asio/io_context.hpp>
@@ -13,6 +10,8 @@
 #include <optional>
 
 #include "base/event_log.h"
+#include "command_line/command_line.h"
+#include "node_settings/node_settings.h"
 #include "standins/platform/machine_file.h"
 #include "standins/platform/platform_server.h"
 
@@ -74,11 +73,7 @@
   }
   std::vector<SettingsProblem> problems;
   std::vector<Machine> machines = parseMachineFile(*text, path, problems);
-  for (const SettingsProblem& problem : problems) {
-    log.write(
-        EventId::SettingsRefused,
-        {{"file", problem.file}, {"line", problem.line}, {"key", problem.key}, {"reason", problem.reason}});
-  }
+  logProblems(problems, log);
   if (!problems.empty()) {
     return std::nullopt;
   }
@@ -88,13 +83,11 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  absl::FlagsUsageConfig usage;
-  usage.version_string = [] { return std::string("standin_platform ") + CRANKSPUR_VERSION + "\n"; };
-  absl::SetFlagsUsageConfig(usage);
-  absl::SetProgramUsageMessage(
+  parseCommandLine(
+      "standin_platform",
       "Takes the place of the platform in tests: transactional table, objects, weights and machine list over "
-      "HTTP. Prints \"listening PORT\". POST /control sets modes, rates and machines.");
-  absl::ParseCommandLine(argc, argv);
+      "HTTP. Prints \"listening PORT\". POST /control sets modes, rates and machines.",
+      argc, argv);
 
   StderrEventLog log("standin_platform", LogFormat::KeyValue, LogLevel::Info);
   const PlatformOptions options = optionsFromFlags();
--- /dev/null
+++ b/src/command_line/command_line.h
@@ -0,0 +1,12 @@
+#pragma once
+/// @file The command line of a program: flags, --help and --version.
+
+#include <string>
+
+namespace crankspur {
+
+/// Parses the flags. `--version` prints the program's name and version; `--help` prints `message` and every
+/// flag of the program, those of shared source files included. A wrong flag ends the process.
+void parseCommandLine(const std::string& program, const std::string& message, int argc, char** argv);
+
+}  // namespace crankspur
--- a/src/sidecar/sidecar_settings.h
+++ b/src/sidecar/sidecar_settings.h
@@ -5,25 +5,14 @@
 #include <string_view>
 #include <vector>
 
-#include "base/event_log.h"
-#include "base/time.h"
-#include "bundle/bundle.h"
-#include "settings/toml_reader.h"
+#include "node_settings/node_settings.h"
 
 namespace crankspur {
 
-/// Settings of one sidecar.
-struct SidecarSettings {
-  std::string name;
-  std::string zone;
-  std::string region;
-  std::string listen = "127.0.0.1:8080";  ///< Where callers connect.
-  std::string admin = "127.0.0.1:0";      ///< Health, metrics and status.
-  std::vector<std::string> routers;       ///< Seeds, "IP:port".
-  std::string platform;                   ///< Address of the machine list; empty: none.
-  TrustedKeys trusted_keys;
-  LogFormat log_format = LogFormat::KeyValue;
-  LogLevel log_level = LogLevel::Info;
+/// Settings of one sidecar. Its clients are callers.
+struct SidecarSettings : NodeSettings {
+  SidecarSettings() { listen = "127.0.0.1:8080"; }
+  std::vector<std::string> routers;  ///< Seeds, "IP:port".
   Duration default_deadline = std::chrono::seconds(60);
   Duration machine_list_interval = std::chrono::seconds(10);
   std::size_t max_requests = 4096;                        ///< Requests in flight; further ones are refused.
