Let no other thread let go of an admin page's writer

Change: the writer is moved on its way, so that only the control thread lets go of it.

The new test asks the admin pages of both from several callers at once while requests run.

--- a/src/sidecar/sidecar_process.cc
+++ b/src/sidecar/sidecar_process.cc
@@ -163,8 +163,10 @@
 
   void addAdminPaths() {
     endpoints_->add("/status", [this](const http::Request&, std::shared_ptr<http::ResponseWriter> writer) {
-      asio::post(traffic_, [this, writer = std::move(writer)] {
-        asio::post(control_, [this, writer, status = service_.status()] {
+      // Moved, not copied: the traffic thread must not be the last to let go of a writer of the control
+      // thread.
+      asio::post(traffic_, [this, writer = std::move(writer)]() mutable {
+        asio::post(control_, [this, writer = std::move(writer), status = service_.status()] {
           writer->respond(http::jsonResponse(200, statusBody(settings_, status)));
         });
       });
--- a/tests/integration/router/router_process_test.cc
+++ b/tests/integration/router/router_process_test.cc
@@ -56,6 +56,34 @@
   CHECK(contains(get(site.adminAddress(0), "/metrics").body, "crankspur_router_answers_total 2"));
 }
 
+TEST_CASE("admin pages answer many callers at once while requests run", "[router]") {
+  RouterSite site(1);
+  site.roll(site.signBundle(1));
+  site.startRouter(0);
+  REQUIRE(eventually([&] { return get(site.adminAddress(0), "/healthz").status == 200; }));
+  const std::string sidecar = "127.0.0.1:" + std::to_string(site.startSidecar().port("admin"));
+  TestSidecar caller(site.routerAddress(0));
+  REQUIRE(eventually([&] { return isWhole(caller.run(completion("r-" + nextId(), "hello"))); }));
+  const auto page = [](const std::string& target) {
+    http::Request request;
+    request.target = target;
+    return request;
+  };
+  for (int round = 0; round < 25; ++round) {
+    const std::string id = "admin-" + std::to_string(round);
+    caller.submit(completion(id, "hello", 2));
+    BackgroundCall status(site.adminAddress(0), page("/status"));
+    BackgroundCall explained(site.adminAddress(0), page("/explain?request_id=unknown"));
+    BackgroundCall metrics(site.adminAddress(0), page("/metrics"));
+    BackgroundCall sidecar_status(sidecar, page("/status"));
+    CHECK(status.result().status == 200);
+    CHECK(explained.result().status == 404);
+    CHECK(metrics.result().status == 200);
+    CHECK(sidecar_status.result().status == 200);
+    CHECK(isWhole(caller.await(id)));
+  }
+}
+
 TEST_CASE("a router without a bundle refuses truthfully, and takes one from the first sidecar that has it",
           "[router]") {
   RouterSite site(1);
