Name a second holder for import in case the chosen engine has lost its prefix

Change: when nothing is to be imported the decision names the next holder that could serve the request, for the blocks the chosen engine is believed to hold. An engine imports only what it lacks when it begins, so this costs nothing while the belief is right. Own work is corrected by the answer's cached tokens also when blocks are imported, since nearly every decision now names a source.

--- a/sim/experiment/experiment_router.cc
+++ b/sim/experiment/experiment_router.cc
@@ -188,7 +188,7 @@
   request->engine = decision.engine;
   request->incarnation = decision.incarnation;
   request->dispatched = queue_.now();
-  request->importing = decision.import_blocks > 0;
+  request->import_tokens = static_cast<std::uint32_t>(decision.import_blocks * kTokensPerBlock);
   request->expected_first_token = decision.expected_first_token;
   const std::uint32_t reused_blocks = std::max(decision.cached_blocks, decision.import_blocks);
   const auto cached = static_cast<std::uint32_t>(reused_blocks * kTokensPerBlock);
@@ -267,10 +267,9 @@
 
 void ExperimentRouter::onAccepted(const Request& request, const standin::StreamAccepted& accepted) {
   request->cached_tokens = accepted.cached_tokens;
-  if (!request->importing) {
-    sent_.correct(request->engine, request->dispatch,
-                  accepted.prompt_tokens - std::min(accepted.prompt_tokens, accepted.cached_tokens));
-  }
+  const std::uint32_t reused = std::max(accepted.cached_tokens, request->import_tokens);
+  sent_.correct(request->engine, request->dispatch,
+                accepted.prompt_tokens - std::min(accepted.prompt_tokens, reused));
   index_->correct(request->engine, accepted.incarnation, request->blocks,
                   static_cast<std::uint32_t>(accepted.cached_tokens / kTokensPerBlock), queue_.now());
 }
--- a/src/placement/cost_placement.cc
+++ b/src/placement/cost_placement.cc
@@ -68,6 +68,21 @@
   return {};
 }
 
+/// @return the first holder of the longest prefix that could serve the request itself and is not `chosen`.
+ImportSource findSecondHolder(const Inputs& inputs, const EngineView& chosen) {
+  for (const PrefixMatch& match : inputs.matches) {
+    const EngineView* engine = inputs.snapshot.engine(match.engine);
+    if (engine == nullptr || engine == &chosen || engine->address.empty()) continue;
+    if (inputs.eligibility.isEligible(*engine)) return {engine, match.blocks};
+  }
+  return {};
+}
+
+/// @return whether importing `tokens` tokens is worth it, against computing them.
+bool importGains(double tokens, double tokens_per_second) {
+  return tokens / tokens_per_second > kImportBase + tokens / kImportRate + kImportGain;
+}
+
 class CostPlacement : public PlacementPolicy {
 public:
   std::string name() const override { return "cost"; }
@@ -79,6 +94,7 @@
 private:
   std::vector<Candidate> weigh(const Inputs& inputs, RandomSource& random) const;
   Candidate weighOne(const EngineView& engine, std::uint32_t cached_blocks, const Inputs& inputs) const;
+  static void chooseImport(const Candidate& best, const Inputs& inputs, PlacementDecision& decision);
   static PlacementDecision decide(const std::vector<Candidate>& candidates, const Inputs& inputs);
 
   QueueEstimator queues_;
@@ -143,9 +159,8 @@
   const ImportSource& source = inputs.source;
   if (source.engine != nullptr && source.engine != &engine && source.blocks > cached_blocks) {
     const double tokens = static_cast<double>(source.blocks - cached_blocks) * kTokensPerBlock;
-    const double time = kImportBase + tokens / kImportRate;
-    if (tokens / rate > time + kImportGain) {
-      import = time;
+    if (importGains(tokens, rate)) {
+      import = kImportBase + tokens / kImportRate;
       uncached = std::max(1.0, uncached - tokens);
       candidate.import_blocks = source.blocks;
     }
@@ -161,6 +176,21 @@
   return candidate;
 }
 
+void CostPlacement::chooseImport(const Candidate& best, const Inputs& inputs, PlacementDecision& decision) {
+  if (best.import_blocks > 0) {
+    decision.import_from = inputs.source.engine->address;
+    decision.import_blocks = best.import_blocks;
+    return;
+  }
+  // What the engine is believed to hold it may have evicted, or be about to import for another request. It
+  // imports only what it lacks when it begins, so a second holder costs nothing while the belief is right.
+  const ImportSource source = findSecondHolder(inputs, *best.engine);
+  const std::uint32_t blocks = std::min(source.blocks, best.estimate.cached_blocks);
+  if (!importGains(static_cast<double>(blocks) * kTokensPerBlock, prefillRate(*best.engine))) return;
+  decision.import_from = source.engine->address;
+  decision.import_blocks = blocks;
+}
+
 PlacementDecision CostPlacement::decide(const std::vector<Candidate>& candidates, const Inputs& inputs) {
   const Candidate& best = candidates.front();
   PlacementDecision decision;
@@ -170,10 +200,7 @@
   decision.weights_version = best.engine->weightsOf(inputs.request.model);
   decision.cached_blocks = best.estimate.cached_blocks;
   decision.expected_first_token = best.estimate.queue + best.estimate.import + best.estimate.prefill;
-  if (best.import_blocks > 0) {
-    decision.import_from = inputs.source.engine->address;
-    decision.import_blocks = best.import_blocks;
-  }
+  chooseImport(best, inputs, decision);
   double wait = 0;
   for (const Candidate& candidate : candidates) wait += toSeconds(candidate.estimate.queue);
   decision.queue_utilization = wait / static_cast<double>(candidates.size()) /
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -59,8 +59,10 @@
   std::string weights_version;
   std::uint32_t cached_blocks = 0;  ///< Leading blocks believed to be cached there.
   Duration expected_first_token{0};
-  std::string import_from;  ///< Address of an engine or KV store to import blocks from; empty: none.
-  std::uint32_t import_blocks = 0;
+  /// Address of an engine or KV store that holds blocks, from which the engine imports what it lacks when it
+  /// begins; empty: none.
+  std::string import_from;
+  std::uint32_t import_blocks = 0;  ///< Leading blocks that the engine shall hold then; 0: none.
   double queue_utilization = 0;  ///< Mean wait at the engines weighed, as a share of the first-token target.
   std::vector<CandidateEstimate> candidates;  ///< Those weighed, the chosen one included; bounded.
 };
--- a/src/router/completion_flow.cc
+++ b/src/router/completion_flow.cc
@@ -107,7 +107,7 @@
   dispatch.engine = decision.engine;
   dispatch.incarnation = decision.incarnation;
   dispatch.weights_version = entry.blocks_weights;
-  dispatch.importing = decision.import_blocks > 0;
+  dispatch.import_tokens = static_cast<std::uint32_t>(decision.import_blocks * kTokensPerBlock);
   dispatch.dispatched_at = now;
   ++entry.dispatches;
   sent_work_.add(decision.engine, dispatch.id, uncachedTokens(entry, decision), now);
@@ -160,9 +160,9 @@
   if (!dispatch.resume) {
     dispatch.computed_prompt_tokens =
         accepted.prompt_tokens - std::min(accepted.prompt_tokens, accepted.cached_tokens);
-    if (!dispatch.importing) {
-      sent_work_.correct(dispatch.engine, dispatch.id, dispatch.computed_prompt_tokens);
-    }
+    const std::uint32_t reused = std::max(accepted.cached_tokens, dispatch.import_tokens);
+    sent_work_.correct(dispatch.engine, dispatch.id,
+                       accepted.prompt_tokens - std::min(accepted.prompt_tokens, reused));
     options_.index->correct(dispatch.engine, dispatch.incarnation, entry.blocks,
                             static_cast<std::uint32_t>(accepted.cached_tokens / kTokensPerBlock), now);
   }
--- a/src/router/request_entry.h
+++ b/src/router/request_entry.h
@@ -22,7 +22,7 @@
   std::string weights_version;
   std::uint64_t first_token = 0;             ///< Offset of the first token it gives.
   std::uint32_t computed_prompt_tokens = 0;  ///< Prompt tokens the engine did not find cached.
-  bool importing = false;                    ///< The engine imports blocks before it prefills.
+  std::uint32_t import_tokens = 0;           ///< Leading tokens that an import leaves it with; 0: none.
   bool prefill_done = false;                 ///< A token came.
   TimePoint dispatched_at{};
   bool resume = false;        ///< Takes up work that already runs.
--- a/tests/unit/placement/placement_test.cc
+++ b/tests/unit/placement/placement_test.cc
@@ -178,6 +178,38 @@
   }
 }
 
+TEST_CASE("a second holder is named in case the chosen engine has lost its prefix", "[placement]") {
+  Fleet fleet(3);
+  const auto policy = makeCostPlacement();
+  fleet.index->correct(0, 100, fleet.blocks, 0, kStart);
+  fleet.work.pending[2] = 100'000;
+
+  SECTION("for what both hold") {
+    fleet.index->correct(2, 102, std::span(fleet.blocks).first(80), 0, kStart);
+    const PlacementDecision decision = fleet.choose(*policy);
+    REQUIRE(decision.engine == 0);
+    CHECK(decision.import_from == fleet.snapshot.engines[2].address);
+    CHECK(decision.import_blocks == 80);
+  }
+  SECTION("never more than the engine is believed to hold") {
+    fleet.index->setIncarnation(0, 200);
+    fleet.snapshot.engines[0].incarnation = 200;
+    fleet.index->correct(0, 200, std::span(fleet.blocks).first(98), 0, kStart);
+    fleet.index->correct(2, 102, fleet.blocks, 0, kStart);
+    const PlacementDecision decision = fleet.choose(*policy);
+    REQUIRE(decision.engine == 0);
+    CHECK(decision.import_from == fleet.snapshot.engines[2].address);
+    CHECK(decision.import_blocks == 98);
+  }
+  SECTION("not when it holds too little") {
+    fleet.index->correct(2, 102, std::span(fleet.blocks).first(4), 0, kStart);
+    CHECK(fleet.choose(*policy).import_from.empty());
+  }
+  SECTION("not when nobody else holds it") {
+    CHECK(fleet.choose(*policy).import_from.empty());
+  }
+}
+
 TEST_CASE("a large fleet is sampled, and its only eligible engine is still found", "[placement]") {
   Fleet fleet(200);
   for (EngineView& engine : fleet.snapshot.engines) {
