Let members pull what differs from each other, so that a herd learns of all in seconds

Cause: when all start at once every record spread on 27 messages of every node, 8 to a message and 5.3 messages a second: 340 records need over 200 s, and the three seeds answered two joins a second each. Change: joiners get a few members to ask further; members pull from random ones the records whose fingerprints differ, within a budget of 120 records/s; what a pull brings is not spread again. A member that is dead here and alive to a peer at the same incarnation is asked itself, which ends a cut in both directions.

--- a/src/internal_protocol/field_mapping.h
+++ b/src/internal_protocol/field_mapping.h
@@ -152,6 +152,7 @@
   archive.number(wire.bundle_version, plain.bundle_version);
   archive.records(wire.members, plain.members);
   archive.records(wire.engines, plain.engines);
+  archive.hashes(wire.fingerprints, plain.fingerprints);
 }
 
 template <typename Archive, typename Plain>
--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -143,6 +143,7 @@
   std::uint64_t bundle_version = 0;
   std::vector<MemberRecord> members;
   std::vector<EngineRecord> engines;
+  std::vector<std::uint64_t> fingerprints;  ///< Of the sender's members, when it asks for what differs.
 };
 
 /// Answer to a Ping.
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -22,13 +22,16 @@
   std::uint32_t records_per_message = 8;
   std::uint32_t spread_factor = 3;  ///< A change rides on spread_factor * log2(members) messages.
   double own_zone_share = 0.75;     ///< Share of probes that go to members of the own zone.
+  Duration pull_interval = std::chrono::seconds(10);  ///< Mean time between pulls from members that agree.
   Duration dead_probe_interval = std::chrono::seconds(20);  ///< Mean time between probes of dead members.
   Duration dead_retention = std::chrono::hours(6);          ///< Longer than regions stay parted.
 };
 
-/// A Ping whose target is empty asks the receiver for everything it knows. It is sent only at join; the
-/// answer is one PingAck with the Ping's sequence and further ones with sequence 0, each of at most this many
-/// records.
+/// A Ping whose target is empty asks for state. With fingerprints it asks for members whose records differ
+/// and gets one PingAck. Without them the sender joins: it gets members to ask further and every fact about
+/// engines, in one PingAck with the Ping's sequence and further ones with sequence 0; or, from a member that
+/// has answered much of late, members alone with sequence 0, which does not end the join. A message carries
+/// at most this many records.
 inline constexpr std::size_t kRecordsPerStateMessage = 64;
 
 /// Messages the membership wants sent to a peer's address.
--- a/src/membership/swim_membership.cc
+++ b/src/membership/swim_membership.cc
@@ -13,9 +13,6 @@
 constexpr std::size_t kMaximumMemberNameBytes = 128;
 /// Records of one incoming message that are looked at.
 constexpr std::size_t kAcceptedRecords = kRecordsPerStateMessage + 32;
-/// Whole-state answers that a node gives within kJoinAnswerPeriod.
-constexpr std::uint32_t kJoinAnswersPerPeriod = 4;
-constexpr Duration kJoinAnswerPeriod = std::chrono::seconds(2);
 /// Members told at once when this node leaves.
 constexpr std::size_t kLeaveFanOut = 6;
 /// An own probe fails after this many probe timeouts, indirect probes included.
@@ -37,7 +34,7 @@
       order_(self_.zone, options.own_zone_share),
       next_probe_at_(now),
       next_dead_probe_at_(now),
-      join_answers_counted_from_(now) {
+      next_pull_at_(now) {
   self_.state = MemberState::Alive;
   member_queue_.add(self_.name);
   next_dead_probe_at_ = now + jittered(options_.dead_probe_interval);
@@ -61,7 +58,7 @@
   } else if (leaving && !listed_as_leaving_.contains(machine.name)) {
     MemberRecord record = known->record;
     record.state = MemberState::Leaving;
-    absorbMember(record, now);
+    absorbMember(record, Source::Gossip, now);
   }
   // The list lags: only the change to leaving counts, or it would mark a restarted process again.
   if (leaving) {
@@ -72,9 +69,9 @@
 }
 
 void SwimMembership::absorb(const std::vector<MemberRecord>& members,
-                            const std::vector<EngineRecord>& engines, TimePoint now) {
+                            const std::vector<EngineRecord>& engines, Source source, TimePoint now) {
   for (std::size_t index = 0; index < std::min(members.size(), kAcceptedRecords); ++index) {
-    absorbMember(members[index], now);
+    absorbMember(members[index], source, now);
   }
   for (std::size_t index = 0; index < std::min(engines.size(), kAcceptedRecords); ++index) {
     const EngineRecord& record = engines[index];
@@ -84,13 +81,21 @@
   }
 }
 
-void SwimMembership::absorbMember(const MemberRecord& record, TimePoint now) {
+void SwimMembership::absorbMember(const MemberRecord& record, Source source, TimePoint now) {
   if (!acceptable(record.name)) return;
   if (record.name == self_.name) {
     absorbAboutSelf(record);
     return;
   }
-  if (table_.apply(record, options_.suspicion_timeout, now)) member_queue_.add(record.name);
+  const Member* held = table_.find(record.name);
+  const bool appears =
+      record.state != MemberState::Dead && (held == nullptr || held->record.state == MemberState::Dead);
+  const bool news = table_.apply(record, options_.suspicion_timeout, now);
+  // What whole tables bring is on its way by them; spreading it once more would fill every message for
+  // minutes.
+  if (news && source == Source::Gossip) member_queue_.add(record.name);
+  if (news && (appears || source == Source::State)) noteBehind();
+  if (!news && appears && source == Source::State) noteContested(record);
 }
 
 void SwimMembership::absorbAboutSelf(const MemberRecord& record) {
@@ -112,13 +117,13 @@
 
 void SwimMembership::onPing(const Ping& ping, const std::string& from_address, TimePoint now) {
   if (ping.sender == self_.name) return;
-  absorb(ping.members, ping.engines, now);
+  absorb(ping.members, ping.engines, Source::Gossip, now);
   table_.noteBundleVersion(ping.sender, ping.bundle_version);
   const Member* sender = table_.find(ping.sender);
   const bool has_address = sender != nullptr && !sender->record.address.empty();
   const std::string address = has_address ? sender->record.address : from_address;
   if (ping.target.empty()) {
-    if (mayAnswerJoin(now)) sendState(ping.sender, address, ping.sequence);
+    answerStateRequest(ping, address, now);
   } else if (ping.target == self_.name) {
     sendAck(ping.sender, address, ping.sequence);
   } else {
@@ -126,25 +131,22 @@
   }
 }
 
-bool SwimMembership::mayAnswerJoin(TimePoint now) {
-  if (now - join_answers_counted_from_ >= kJoinAnswerPeriod) {
-    join_answers_counted_from_ = now;
-    join_answers_ = 0;
-  }
-  if (join_answers_ >= kJoinAnswersPerPeriod) return false;
-  ++join_answers_;
-  return true;
-}
-
 void SwimMembership::onAck(const PingAck& ack, TimePoint now) {
-  absorb(ack.members, ack.engines, now);
-  table_.noteBundleVersion(ack.sender, ack.bundle_version);
   const auto found = probes_.find(ack.sequence);
-  if (found == probes_.end() || found->second.target != ack.sender) return;
-  const Probe probe = found->second;
+  const bool awaited = found != probes_.end() && found->second.target == ack.sender;
+  const Probe probe = awaited ? found->second : Probe{};
+  const bool state = ack.sequence == 0 || probe.purpose != Purpose::Liveness;
+  const Member* sender = table_.find(ack.sender);
+  const bool was_dead = sender != nullptr && sender->record.state == MemberState::Dead;
+  absorb(ack.members, ack.engines, state ? Source::State : Source::Gossip, now);
+  table_.noteBundleVersion(ack.sender, ack.bundle_version);
+  if (!awaited) return;
   probes_.erase(found);
-  if (probe.join) joined_ = true;
+  if (probe.purpose == Purpose::Join) joined_ = true;
+  if (probe.purpose == Purpose::Pull) onPullAnswered();
   if (!probe.requester.empty()) relayAck(probe, ack);
+  // The other side of a cut: what it knows is asked for at once.
+  if (was_dead && probe.requester.empty()) startProbe(ack.sender, Purpose::Pull, now);
 }
 
 void SwimMembership::onTimer(TimePoint now) {
@@ -153,8 +155,10 @@
   checkSuspicions(now);
   if (now >= next_probe_at_) {
     probeNext(now);
+    probeContested(now);
     next_probe_at_ = now + jittered(options_.probe_interval);
   }
+  if (now >= next_pull_at_) pullState(now);
   if (now >= next_dead_probe_at_) {
     probeDead(now);
     next_dead_probe_at_ = now + jittered(options_.dead_probe_interval);
@@ -163,7 +167,7 @@
 }
 
 TimePoint SwimMembership::nextTimer() const {
-  TimePoint next = std::min(next_probe_at_, next_dead_probe_at_);
+  TimePoint next = std::min({next_probe_at_, next_dead_probe_at_, next_pull_at_});
   for (const auto& [sequence, probe] : probes_) {
     next = std::min(next, probe.asked_others ? probe.fails_at : probe.ask_others_at);
   }
@@ -181,24 +185,24 @@
 
 void SwimMembership::probeNext(TimePoint now) {
   const std::optional<std::string> target = order_.next(table_, random_);
-  if (target) startProbe(*target, !joined_, now);
+  if (target) startProbe(*target, joined_ ? Purpose::Liveness : Purpose::Join, now);
 }
 
 void SwimMembership::probeDead(TimePoint now) {
   const std::optional<std::string> target = ProbeOrder::drawDead(table_, random_);
-  if (target) startProbe(*target, false, now);
+  if (target) startProbe(*target, Purpose::Liveness, now);
 }
 
-void SwimMembership::startProbe(const std::string& target, bool join, TimePoint now) {
+void SwimMembership::startProbe(const std::string& target, Purpose purpose, TimePoint now) {
   const std::uint64_t sequence = next_sequence_++;
   Probe probe;
   probe.target = target;
-  probe.join = join;
-  probe.asked_others = join;
+  probe.purpose = purpose;
+  probe.asked_others = purpose != Purpose::Liveness;
   probe.ask_others_at = now + options_.probe_timeout;
   probe.fails_at = now + options_.probe_timeout * kProbeTimeoutsUntilFailure;
   probes_[sequence] = probe;
-  sendPing(target, join ? std::string() : target, sequence);
+  sendPing(target, purpose == Purpose::Liveness ? target : std::string(), sequence, purpose == Purpose::Pull);
 }
 
 void SwimMembership::relayProbe(const Ping& ping, const std::string& from_address, TimePoint now) {
@@ -239,13 +243,13 @@
 }
 
 void SwimMembership::failProbe(const Probe& probe, TimePoint now) {
-  if (!probe.requester.empty() || probe.join) return;
+  if (!probe.requester.empty() || probe.purpose != Purpose::Liveness) return;
   const Member* target = table_.find(probe.target);
   if (target == nullptr) return;
   if (target->record.state == MemberState::Alive) {
     MemberRecord suspected = target->record;
     suspected.state = MemberState::Suspect;
-    absorbMember(suspected, now);
+    absorbMember(suspected, Source::Gossip, now);
   } else if (target->record.state == MemberState::Leaving) {
     table_.startSuspicion(probe.target, options_.suspicion_timeout, now);
   }
@@ -255,7 +259,7 @@
   for (const std::string& name : table_.expiredSuspicions(now)) {
     MemberRecord dead = table_.find(name)->record;
     dead.state = MemberState::Dead;
-    absorbMember(dead, now);
+    absorbMember(dead, Source::Gossip, now);
   }
 }
 
@@ -300,11 +304,12 @@
   }
 }
 
-void SwimMembership::sendPing(const std::string& receiver, const std::string& target,
-                              std::uint64_t sequence) {
+void SwimMembership::sendPing(const std::string& receiver, const std::string& target, std::uint64_t sequence,
+                              bool with_fingerprints) {
   Ping ping;
   ping.sequence = sequence;
   ping.target = target;
+  if (with_fingerprints) ping.fingerprints = liveFingerprints(table_, self_);
   attachRecords(ping, receiver);
   const Member* member = table_.find(receiver);
   send(receiver, member->record.address, std::move(ping));
@@ -324,35 +329,6 @@
   send(probe.requester, probe.requester_address, std::move(relayed));
 }
 
-void SwimMembership::sendState(const std::string& receiver, const std::string& address,
-                               std::uint64_t sequence) {
-  std::vector<MemberRecord> members;
-  for (const auto& [name, member] : table_.members()) {
-    if (member.record.state != MemberState::Dead || name == receiver) members.push_back(member.record);
-  }
-  std::vector<EngineRecord> engines;
-  for (const auto& [name, record] : engines_.all()) {
-    if (record.leaving || record.dead) engines.push_back(record);
-  }
-  std::size_t sent = 0;
-  do {
-    PingAck ack;
-    ack.sequence = sent == 0 ? sequence : 0;
-    ack.sender = self_.name;
-    ack.bundle_version = self_.bundle_version;
-    ack.members.push_back(self_);
-    const std::size_t end = sent + kRecordsPerStateMessage;
-    for (std::size_t index = sent; index < std::min(end, members.size()); ++index) {
-      ack.members.push_back(members[index]);
-    }
-    for (std::size_t index = sent; index < std::min(end, engines.size()); ++index) {
-      ack.engines.push_back(engines[index]);
-    }
-    send(receiver, address, std::move(ack));
-    sent = end;
-  } while (sent < std::max(members.size(), engines.size()));
-}
-
 void SwimMembership::send(const std::string& member, const std::string& address,
                           std::variant<Ping, PingAck> message) {
   outgoing_.push_back({address, member, std::move(message)});
--- a/src/membership/swim_membership.h
+++ b/src/membership/swim_membership.h
@@ -9,6 +9,7 @@
 #include "membership/membership.h"
 #include "membership/probe_order.h"
 #include "membership/spread_queue.h"
+#include "membership/state_exchange.h"
 
 namespace crankspur {
 
@@ -32,10 +33,23 @@
   MemberRecord newestBundleHolder() const override;
 
 private:
+  /// Pulled answers in a row that must bring nothing new before pulls become rare.
+  static constexpr int kPullsWithoutNews = 3;
+
+  /// What the answer to a Ping is for.
+  enum class Purpose {
+    Liveness,
+    Join,  ///< Asks for the whole state.
+    Pull,  ///< Asks for the records that differ.
+  };
+
+  /// Where a record came from.
+  enum class Source { Gossip, State };
+
   /// A Ping that waits for its answer.
   struct Probe {
     std::string target;
-    bool join = false;
+    Purpose purpose = Purpose::Liveness;
     bool asked_others = false;
     TimePoint ask_others_at{};
     TimePoint fails_at{};
@@ -45,26 +59,33 @@
   };
 
   void absorb(const std::vector<MemberRecord>& members, const std::vector<EngineRecord>& engines,
-              TimePoint now);
-  void absorbMember(const MemberRecord& record, TimePoint now);
+              Source source, TimePoint now);
+  void absorbMember(const MemberRecord& record, Source source, TimePoint now);
+  void noteContested(const MemberRecord& record);
   void absorbAboutSelf(const MemberRecord& record);
   void raiseIncarnation(std::uint64_t above);
   void seedOne(const MemberRecord& machine, TimePoint now);
 
-  void startProbe(const std::string& target, bool join, TimePoint now);
-  void sendPing(const std::string& receiver, const std::string& target, std::uint64_t sequence);
+  void startProbe(const std::string& target, Purpose purpose, TimePoint now);
+  void sendPing(const std::string& receiver, const std::string& target, std::uint64_t sequence,
+                bool with_fingerprints = false);
   void sendAck(const std::string& receiver, const std::string& address, std::uint64_t sequence);
-  void sendState(const std::string& receiver, const std::string& address, std::uint64_t sequence);
+  void answerStateRequest(const Ping& ping, const std::string& address, TimePoint now);
+  void sendState(const std::string& receiver, const std::string& address, std::uint64_t sequence,
+                 const std::vector<MemberRecord>& members, const std::vector<EngineRecord>& engines);
+  void pullState(TimePoint now);
+  void noteBehind();
+  void onPullAnswered();
   void relayAck(const Probe& probe, const PingAck& ack);
   void relayProbe(const Ping& ping, const std::string& from_address, TimePoint now);
   void askOthers(std::uint64_t sequence, Probe& probe);
   void failProbe(const Probe& probe, TimePoint now);
   void probeNext(TimePoint now);
   void probeDead(TimePoint now);
+  void probeContested(TimePoint now);
   void checkProbes(TimePoint now);
   void checkSuspicions(TimePoint now);
   void forgivePause(TimePoint now);
-  bool mayAnswerJoin(TimePoint now);
 
   template <typename GossipMessage>
   void attachRecords(GossipMessage& message, const std::string& receiver);
@@ -86,8 +107,11 @@
   bool joined_ = false;
   TimePoint next_probe_at_;
   TimePoint next_dead_probe_at_;
-  TimePoint join_answers_counted_from_;
-  std::uint32_t join_answers_ = 0;
+  StateAnswerBudget answer_budget_;
+  TimePoint next_pull_at_;
+  int pulls_until_caught_up_ = kPullsWithoutNews;  ///< Answers without news after which pulls become rare.
+  bool news_since_pull_ = false;
+  std::set<std::string> contested_;  ///< Dead here, alive to a peer, at the same incarnation.
   std::vector<OutgoingGossip> outgoing_;
   std::vector<MembershipChange> self_changes_;
   std::vector<EngineRecord> engine_changes_;
--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -88,8 +88,9 @@
 }
 
 std::string describeFields(const Ping& value) {
-  return fmt::format("Ping {} {} {} {} {} {}", value.sequence, value.sender, value.target,
-                     value.bundle_version, describeAll(value.members), describeAll(value.engines));
+  return fmt::format("Ping {} {} {} {} {} {} {}", value.sequence, value.sender, value.target,
+                     value.bundle_version, describeAll(value.members), describeAll(value.engines),
+                     fmt::join(value.fingerprints, " "));
 }
 
 std::string describeFields(const PingAck& value) {
@@ -275,6 +276,7 @@
   value.bundle_version = ~0ull - 72;
   value.members = {exampleMemberRecord(), MemberRecord{}};
   value.engines = {exampleEngineRecord(), EngineRecord{}};
+  value.fingerprints = {0, 1, ~0ull};
   return value;
 }
 
--- a/tests/unit/membership/membership_test.cc
+++ b/tests/unit/membership/membership_test.cc
@@ -1,11 +1,13 @@
 #include "membership/membership.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <optional>
 #include <queue>
 
 #include "membership/engine_facts.h"
+#include "membership/state_exchange.h"
 
 using namespace crankspur;
 using namespace std::chrono_literals;
@@ -266,6 +268,74 @@
   CHECK(static_cast<double>(network.bytes) / 60 / 60 < 2'000);
 }
 
+TEST_CASE("a herd learns of all in bounded messages, no faster than the budget of answers lets it",
+          "[membership]") {
+  VirtualNetwork network;
+  for (int index = 0; index < 150; ++index) {
+    network.start(nameOf(index), zoneOf(index), {nameOf(0), nameOf(1), nameOf(2)});
+  }
+  const auto time = network.runUntil(60s, [&] { return network.allSeeLive(150); });
+  REQUIRE(time.has_value());
+  CHECK(*time < 15s);
+  CHECK(network.largest_records <= kRecordsPerStateMessage + 2);
+  CHECK(static_cast<double>(network.bytes) / 150 / toSeconds(*time) < 18'000);
+}
+
+TEST_CASE("a region of a quarter that rejoins after an hour is known to all within a minute",
+          "[membership]") {
+  VirtualNetwork network;
+  startAll(network, 40);
+  REQUIRE(network.runUntil(60s, [&] { return network.allSeeLive(40); }));
+  const auto side = [](const std::string& name) { return std::stoi(name.substr(7)) % 4 == 0; };
+  network.cut = [&](const std::string& from, const std::string& to) { return side(from) != side(to); };
+  network.run(1h);
+  network.cut = [](auto&, auto&) { return false; };
+  network.bytes = 0;
+  const auto time = network.runUntil(60s, [&] { return network.allSeeLive(40); });
+  REQUIRE(time.has_value());
+  CHECK(static_cast<double>(network.bytes) / 40 / toSeconds(*time) < 18'000);
+}
+
+TEST_CASE("one member sends no more than its budget whoever asks", "[membership]") {
+  const TimePoint now(1h);
+  const auto node = makeMembership({"a", "a", "z", "r", 1}, {}, 1, now);
+  for (int index = 0; index < 300; ++index) {
+    node->seed({{nameOf(index), nameOf(index), "z", "r", 0, MemberState::Alive, 0}}, now);
+  }
+  node->takeOutgoing();
+  std::size_t records = 0;
+  for (int index = 0; index < 300; ++index) {
+    Ping ping;
+    ping.sender = nameOf(index);
+    ping.sequence = 7;
+    if (index % 2 == 0) ping.fingerprints.assign(kFingerprintBuckets, 1);
+    node->onPing(ping, nameOf(index), now);
+    for (const OutgoingGossip& gossip : node->takeOutgoing()) {
+      records += std::get<PingAck>(gossip.message).members.size();
+    }
+  }
+  CHECK(records > 32);
+  CHECK(records < 256);
+}
+
+TEST_CASE("fingerprints name just the buckets that differ", "[membership]") {
+  RandomSource random(1);
+  MemberTable table(4096);
+  const MemberRecord self{"a", "a", "z", "r", 1};
+  for (int index = 0; index < 340; ++index) table.apply({nameOf(index), "x", "z", "r", 5}, 3s, TimePoint(1h));
+  const auto before = liveFingerprints(table, self);
+  CHECK(differingRecords(table, self, before, random).empty());
+  table.noteBundleVersion(nameOf(7), 9);
+  table.apply({nameOf(8), "x", "z", "r", 5, MemberState::Suspect, 0}, 3s, TimePoint(1h));
+  CHECK(differingRecords(table, self, before, random).empty());
+  table.apply({nameOf(7), "x", "z", "r", 6}, 3s, TimePoint(1h));
+  const auto differing = differingRecords(table, self, before, random);
+  CHECK(differing.size() < 30);
+  CHECK(std::any_of(differing.begin(), differing.end(),
+                    [](const MemberRecord& record) { return record.name == nameOf(7); }));
+  CHECK(differingRecords(table, self, {1, 2, 3}, random).size() == 340);
+}
+
 TEST_CASE("hostile records are dropped", "[membership]") {
   const TimePoint now(1h);
   const auto node = makeMembership({"a", "a", "z", "r", 1}, {}, 1, now);
--- a/tools/scale/hollow_fleet.cc
+++ b/tools/scale/hollow_fleet.cc
@@ -32,9 +32,11 @@
   MemberRecord record;
   record.name = fmt::format("router-{:03}", index);
   record.address = fmt::format("127.0.0.1:{}", index);
-  const std::uint32_t zone = index % options.zones;
-  record.zone = fmt::format("zone-{}", zone);
-  record.region = fmt::format("region-{}", zone % options.regions);
+  const std::uint32_t region = index % options.regions;
+  const bool has_extra_zone = region < options.zones % options.regions;
+  const std::uint32_t zones = std::max(options.zones / options.regions + (has_extra_zone ? 1 : 0), 1U);
+  record.zone = fmt::format("zone-{}-{}", region, index / options.regions % zones);
+  record.region = fmt::format("region-{}", region);
   record.incarnation = 1;
   return record;
 }
@@ -102,6 +104,33 @@
                      [version](const Node& node) { return !node.alive || node.held_version >= version; });
 }
 
+std::uint32_t HollowFleet::regionSize() const {
+  return (options_.nodes + options_.regions - 1) / options_.regions;
+}
+
+bool HollowFleet::sidesAgree() const {
+  return std::all_of(nodes_.begin(), nodes_.end(), [this](const Node& node) {
+    const bool inside = node.record.region == nodes_.front().record.region;
+    const std::size_t side = inside ? regionSize() : options_.nodes - regionSize();
+    return node.membership->liveMembers().size() == side;
+  });
+}
+
+bool HollowFleet::lost(std::uint32_t from, std::uint32_t to) {
+  const std::string& cut_off = nodes_.front().record.region;
+  const bool crosses = (nodes_[from].record.region == cut_off) != (nodes_[to].record.region == cut_off);
+  return (parted_ && crosses) || random_.chance(options_.message_loss);
+}
+
+void HollowFleet::count(Node& node, std::size_t bytes) {
+  const std::int64_t second = static_cast<std::int64_t>(toSeconds(now_.time_since_epoch()));
+  if (second != std::exchange(node.sent_second, second)) node.sent_bytes = 0;
+  node.sent_bytes += bytes;
+  traffic_.most_sent_by_node = std::max(traffic_.most_sent_by_node, node.sent_bytes);
+  ++traffic_.gossip_messages;
+  traffic_.gossip_bytes += bytes;
+}
+
 Traffic HollowFleet::takeTraffic() {
   return std::exchange(traffic_, Traffic{});
 }
@@ -130,10 +159,9 @@
 void HollowFleet::send(std::uint32_t from, const OutgoingGossip& gossip) {
   const Message message = std::visit([](const auto& body) -> Message { return body; }, gossip.message);
   std::string frame = encodeFrame(message);
-  ++traffic_.gossip_messages;
-  traffic_.gossip_bytes += frame.size();
-  if (random_.chance(options_.message_loss)) return;
+  count(nodes_[from], frame.size());
   const std::uint32_t to = indexOf(gossip.address);
+  if (lost(from, to)) return;
   schedule(now_ + delay(from, to),
            [this, to, from, frame = std::move(frame)] { receive(to, frame, nodes_[from].record.address); });
 }
@@ -157,7 +185,7 @@
   if (holder.bundle_version <= node.held_version) return;
   node.pull_ends = now_ + kPullTimeout;
   const std::uint32_t from = indexOf(holder.address);
-  if (!nodes_[from].alive || random_.chance(options_.message_loss)) return;
+  if (!nodes_[from].alive || lost(index, from)) return;
   traffic_.bundle_bytes += options_.bundle_bytes;
   const std::uint64_t version = nodes_[from].held_version;
   schedule(now_ + 2 * delay(index, from), [this, index, version] {
--- a/tools/scale/hollow_fleet.h
+++ b/tools/scale/hollow_fleet.h
@@ -30,6 +30,8 @@
   std::uint64_t gossip_messages = 0;
   std::uint64_t gossip_bytes = 0;  ///< Whole frames, as encoded; TCP and IP headers not counted.
   std::uint64_t bundle_bytes = 0;
+  /// Most gossip bytes that one node sent in one second of the virtual clock.
+  std::uint64_t most_sent_by_node = 0;
 };
 
 /// The fleet. Every node starts with a seed list of three nodes and learns the others by gossip.
@@ -43,6 +45,12 @@
   Duration runUntil(const std::function<bool()>& condition, Duration limit);
   /// Stops a node without notice.
   void kill(std::uint32_t index);
+  /// Loses every message between region 0 and the others, or heals the cut.
+  void partRegion(bool parted) { parted_ = parted; }
+  /// @return nodes in region 0.
+  std::uint32_t regionSize() const;
+  /// @return whether every node lists exactly the living nodes of its side of the cut.
+  bool sidesAgree() const;
   /// Gives a node a bundle version to spread.
   void rollBundle(std::uint32_t index, std::uint64_t version);
   /// @return whether every living node lists exactly the living nodes.
@@ -59,6 +67,8 @@
     TimePoint pull_ends{};
     TimePoint timer{};
     bool alive = true;
+    std::int64_t sent_second = 0;  ///< The second that `sent_bytes` counts.
+    std::uint64_t sent_bytes = 0;
   };
   struct Event {
     TimePoint at;
@@ -75,6 +85,8 @@
   void pullBundle(std::uint32_t index);
   void scheduleTimer(std::uint32_t index);
   Duration delay(std::uint32_t from, std::uint32_t to) const;
+  bool lost(std::uint32_t from, std::uint32_t to);
+  void count(Node& node, std::size_t bytes);
 
   FleetOptions options_;
   RandomSource random_;
@@ -82,6 +94,7 @@
   std::uint64_t order_ = 0;
   std::vector<Node> nodes_;
   std::uint32_t living_ = 0;
+  bool parted_ = false;
   Traffic traffic_;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
 };
--- a/tools/scale/main.cc
+++ b/tools/scale/main.cc
@@ -19,6 +19,8 @@
 ABSL_FLAG(double, loss, 0.05, "probability that a message between nodes is lost, 0 to 0.9");
 ABSL_FLAG(std::uint32_t, bundle_bytes, 4096, "bytes of one bundle update as a node pulls it");
 ABSL_FLAG(std::uint32_t, seconds, 60, "virtual seconds of steady state to measure");
+ABSL_FLAG(std::uint32_t, part_seconds, 0,
+          "virtual seconds for which the first of four regions is cut off at the end; 0: not");
 ABSL_FLAG(std::uint64_t, seed, 1, "seed of every random choice");
 
 namespace {
@@ -47,10 +49,26 @@
   return resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE));
 }
 
-void measure(const FleetOptions& options, std::uint32_t seconds) {
+/// Cuts a region off, heals the cut, and prints how long it takes until all know all again.
+void measureCut(HollowFleet& fleet, std::uint32_t nodes, std::uint32_t part_seconds) {
+  fleet.partRegion(true);
+  const Duration noticed = fleet.runUntil([&fleet] { return fleet.sidesAgree(); }, kLimit);
+  fleet.run(std::chrono::seconds(part_seconds) - noticed);
+  fleet.takeTraffic();
+  fleet.partRegion(false);
+  const Duration rejoined = fleet.runUntil([&fleet] { return fleet.everyoneAgrees(); }, kLimit);
+  const Traffic traffic = fleet.takeTraffic();
+  fmt::print("cut,{},{},{},{:.2f},{:.2f},{:.0f},{}\n", nodes, fleet.regionSize(), part_seconds,
+             toSeconds(noticed), toSeconds(rejoined),
+             static_cast<double>(traffic.gossip_bytes) / nodes / toSeconds(rejoined),
+             traffic.most_sent_by_node);
+}
+
+void measure(const FleetOptions& options, std::uint32_t seconds, std::uint32_t part_seconds) {
   const std::size_t resident_before = residentBytes();
   HollowFleet fleet(options);
   const Duration join = fleet.runUntil([&fleet] { return fleet.everyoneAgrees(); }, kLimit);
+  const Traffic joining = fleet.takeTraffic();
   const std::size_t resident = residentBytes() - std::min(resident_before, residentBytes());
   fleet.run(std::chrono::seconds(30));
   fleet.takeTraffic();
@@ -65,12 +83,18 @@
     const auto held = [&fleet, version] { return fleet.allHold(version); };
     slowest_bundle = std::max(slowest_bundle, fleet.runUntil(held, kLimit));
   }
+  if (part_seconds > 0) {
+    measureCut(fleet, options.nodes, part_seconds);
+    return;
+  }
   fleet.kill(options.nodes - 1);
   const Duration death = fleet.runUntil([&fleet] { return fleet.everyoneAgrees(); }, kLimit);
-  fmt::print("{},{:.2f},{:.1f},{:.0f},{:.4f},{},{:.2f},{:.2f}\n", options.nodes, toSeconds(join),
+  fmt::print("{},{:.2f},{:.1f},{:.0f},{:.4f},{},{:.2f},{:.2f},{:.0f},{}\n", options.nodes, toSeconds(join),
              static_cast<double>(steady.gossip_messages) / node_seconds,
              static_cast<double>(steady.gossip_bytes) / node_seconds, processor * 100,
-             resident / options.nodes, toSeconds(slowest_bundle), toSeconds(death));
+             resident / options.nodes, toSeconds(slowest_bundle), toSeconds(death),
+             static_cast<double>(joining.gossip_bytes) / options.nodes / toSeconds(join),
+             joining.most_sent_by_node);
   std::fflush(stdout);
 }
 
@@ -92,14 +116,19 @@
   }
   fmt::print(
       "nodes,join_s,messages_per_node_s,bytes_per_node_s,processor_percent,resident_bytes_per_node,"
-      "slowest_bundle_s,death_known_s\n");
+      "slowest_bundle_s,death_known_s,"
+      "join_bytes_per_node_s,join_most_bytes_in_a_second\n");
+  const std::uint32_t part_seconds = absl::GetFlag(FLAGS_part_seconds);
+  if (part_seconds > 0) {
+    fmt::print("cut,nodes,cut_off,parted_s,noticed_s,rejoined_s,bytes_per_node_s,most_bytes_in_a_second\n");
+  }
   for (const std::string& text : absl::GetFlag(FLAGS_nodes)) {
     options.nodes = static_cast<std::uint32_t>(std::strtoul(text.c_str(), nullptr, 10));
     if (options.nodes < 2 || options.nodes > kMostNodes) {
       fmt::print(stderr, "--nodes takes numbers from 2 to {}, not '{}'\n", kMostNodes, text);
       return kUsageError;
     }
-    measure(options, absl::GetFlag(FLAGS_seconds));
+    measure(options, absl::GetFlag(FLAGS_seconds), part_seconds);
   }
   return 0;
 }
