--- a/src/membership/swim_membership.cc
+++ b/src/membership/swim_membership.cc
@@ -373,11 +373,12 @@
 }
 
 MemberRecord SwimMembership::newestBundleHolder() const {
-  MemberRecord newest;
-  for (const MemberRecord& member : liveMembers()) {
-    if (member.bundle_version > newest.bundle_version) newest = member;
+  const MemberRecord* newest = &self_;
+  for (const auto& [name, member] : table_.members()) {
+    const bool live = member.record.state != MemberState::Dead;
+    if (live && member.record.bundle_version > newest->bundle_version) newest = &member.record;
   }
-  return newest;
+  return newest->bundle_version > 0 ? *newest : MemberRecord{};
 }
 
 std::unique_ptr<Membership> makeMembership(MemberRecord self, MembershipOptions options,
--- a/src/router_process/control_thread.h
+++ b/src/router_process/control_thread.h
@@ -111,4 +111,9 @@
   bool leaving_ = false;
 };
 
+/// Makes a front hand every control message to the control state, on the control state's loop.
+/// @param control filled before the first message; must outlive the front.
+void connectControl(PeerFrontCallbacks& callbacks, boost::asio::io_context& context,
+                    const std::unique_ptr<ControlThread>& control);
+
 }  // namespace crankspur
--- a/src/router_process/router_process.cc
+++ b/src/router_process/router_process.cc
@@ -134,30 +134,7 @@
     callbacks.on_sidecar_lost = [this](SidecarId sidecar) {
       for (const auto& shard : shards_) shard->postSidecarLost(sidecar);
     };
-    callbacks.on_ping = [this](Ping ping, std::string address) {
-      boost::asio::post(context_, [this, ping = std::move(ping), address = std::move(address)] {
-        control_->onPing(ping, address);
-      });
-    };
-    callbacks.on_ack = [this](PingAck ack) {
-      boost::asio::post(context_, [this, ack = std::move(ack)] { control_->onAck(ack); });
-    };
-    callbacks.on_router = [this](const Hello& hello) {
-      boost::asio::post(context_, [this, hello] { control_->onRouter(hello); });
-    };
-    callbacks.on_bundle = [this](BundleBody body) {
-      boost::asio::post(context_, [this, body = std::move(body)] { control_->onBundle(body); });
-    };
-    callbacks.on_backends = [this](BackendList list) {
-      boost::asio::post(context_, [this, list = std::move(list)] { control_->onBackends(list); });
-    };
-    callbacks.on_load_digest = [this](LoadDigest digest) {
-      boost::asio::post(context_, [this, digest = std::move(digest)] { control_->onLoadDigest(digest); });
-    };
-    callbacks.on_cache_summary = [this](CacheSummary summary) {
-      boost::asio::post(context_,
-                        [this, summary = std::move(summary)] { control_->onCacheSummary(summary); });
-    };
+    connectControl(callbacks, context_, control_);
     return callbacks;
   }
 
