--- a/src/bundle/bundle_sharing.cc
+++ b/src/bundle/bundle_sharing.cc
@@ -23,8 +23,11 @@
 }
 
 bool BundleSharing::wants(std::uint64_t peer_version, TimePoint now) const {
-  const bool refused = peer_version <= refused_version_ && now < refused_until_;
-  return peer_version > version() && !refused;
+  if (peer_version <= version()) return false;
+  // Only the very version counts: a peer that offers a forged high one must not keep out those below.
+  return std::none_of(refused_.begin(), refused_.end(), [&](const Refused& refused) {
+    return refused.version == peer_version && now < refused.until;
+  });
 }
 
 BundleRequest BundleSharing::request() const {
@@ -45,8 +48,8 @@
 
 void BundleSharing::onRefused(std::uint64_t refused_version, TimePoint now) {
   if (whole_only_) {
-    refused_version_ = std::max(refused_version_, refused_version);
-    refused_until_ = now + kRefusedPause;
+    refused_.push_back({refused_version, now + kRefusedPause});
+    if (refused_.size() > kRefusedVersions) refused_.pop_front();
   }
   whole_only_ = true;
 }
--- a/src/bundle/bundle_sharing.h
+++ b/src/bundle/bundle_sharing.h
@@ -4,6 +4,7 @@
 /// be offered to a BundleHolder, and refusals told to onRefused().
 
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <optional>
 
@@ -21,6 +22,8 @@
   static constexpr std::size_t kHistoryBytes = std::size_t{256} * 1024;
   /// Time for which a version whose whole body was refused is not asked for again.
   static constexpr Duration kRefusedPause = std::chrono::seconds(30);
+  /// Refused versions that are remembered; beyond, the one refused first is forgotten.
+  static constexpr std::size_t kRefusedVersions = 64;
 
   /// The node has a newer bundle in force.
   void setBundle(std::shared_ptr<const SignedBundle> bundle);
@@ -45,8 +48,12 @@
   std::shared_ptr<const SignedBundle> bundle_;
   BundleHistory history_{kHistoryBytes};
   bool whole_only_ = false;
-  std::uint64_t refused_version_ = 0;
-  TimePoint refused_until_{};
+  /// A version that was refused, and until when it is not asked for.
+  struct Refused {
+    std::uint64_t version = 0;
+    TimePoint until{};
+  };
+  std::deque<Refused> refused_;  ///< In the order of their times.
 };
 
 }  // namespace crankspur
--- a/src/router_process/router_admin.cc
+++ b/src/router_process/router_admin.cc
@@ -177,7 +177,8 @@
     return;
   }
   // Moved, not copied: the shard's thread must not be the last to let go of a writer of the control thread.
-  auto answer = [this, request_id, shard, writer](const std::optional<DecisionRecord>& record) mutable {
+  auto answer = [this, request_id, shard,
+                 writer = Writer(writer)](const std::optional<DecisionRecord>& record) mutable {
     boost::asio::post(context_, [this, request_id, shard, writer = std::move(writer), record] {
       if (!record) return explain(request_id, shard + 1, writer);
       writer->respond(http::jsonResponse(200, describeDecision(*record, settings_.name, control_)));
--- a/tests/unit/bundle/bundle_delta_test.cc
+++ b/tests/unit/bundle/bundle_delta_test.cc
@@ -223,3 +223,23 @@
   CHECK(node.sharing.wants(3, now));
   CHECK(node.sharing.request().held_version == 0);
 }
+
+TEST_CASE("a forged high version keeps out no other", "[bundle]") {
+  const Signers signers;
+  SharingNode node(signers);
+  REQUIRE_FALSE(node.offer(signers.sign(1)));
+  const TimePoint now{};
+  constexpr std::uint64_t kForged = 1'000'000;
+  // The first refusal asks for the whole body, the second pauses the version.
+  node.sharing.onRefused(kForged, now);
+  node.sharing.onRefused(kForged, now);
+  CHECK_FALSE(node.sharing.wants(kForged, now));
+  CHECK(node.sharing.wants(2, now));
+  CHECK(node.sharing.wants(kForged + 1, now));
+  for (std::uint64_t more = 0; more < BundleSharing::kRefusedVersions; ++more) {
+    node.sharing.onRefused(kForged + 1 + more, now);
+  }
+  CHECK(node.sharing.wants(2, now));
+  CHECK(node.sharing.wants(kForged, now));
+  CHECK_FALSE(node.sharing.wants(kForged + BundleSharing::kRefusedVersions, now));
+}
