Let the integration tests break answers off at any speed of the machine

Cause, found by reading: four tests break something in the middle of an answer that lasts 1.2 to 4 s at the engines' nominal speed. On a machine that stalls for longer the answer would end first; the tests of killed and frozen routers would then fail, and that of the sidecar's planned stop would pass without a request in flight.

The sidecar's test now also asks that it is stopping while the answer runs.

--- a/tests/integration/router/router_process_test.cc
+++ b/tests/integration/router/router_process_test.cc
@@ -122,6 +122,7 @@
   REQUIRE(eventually([&] { return contains(site.status(0), "\"state\":\"live\",\"queued"); }));
   REQUIRE(eventually([&] { return get(site.adminAddress(0), "/healthz").status == 200; }));
   TestSidecar sidecar(site.routerAddress(0));
+  site.slowEngines(8);
   sidecar.submit(completion("long", longPrompt("x"), 200));
   REQUIRE(eventually([&] { return contains(site.status(0), "\"requests_in_flight\":1"); }));
   site.router(0).signal(SIGTERM);
@@ -135,6 +136,7 @@
   }));
   CHECK(refused.refusal->code == ErrorCode::Stopping);
   CHECK(refused.refusal->run_state == RunState::NotRun);
+  site.slowEngines(1);
   CHECK(isWhole(sidecar.await("long")));
   CHECK(site.router(0).wait(10s) == 0);
 }
--- a/tests/integration/router/router_site.cc
+++ b/tests/integration/router/router_site.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/post.hpp>
 #include <boost/json.hpp>
+#include <stdexcept>
 
 #include "base/hash.h"
 #include "integration/http_call.h"
@@ -143,6 +144,13 @@
   post(platform_address_, "/v1/transactions", boost::json::serialize(transaction));
 }
 
+void RouterSite::slowEngines(double factor) const {
+  const std::string body = fmt::format(R"({{"slowdown":{}}})", factor);
+  for (const std::string& engine : engine_addresses_) {
+    if (post(engine, "/control", body).status != 200) throw std::runtime_error("cannot slow " + engine);
+  }
+}
+
 std::string RouterSite::status(int index) const {
   return get(admin_addresses_.at(index), "/status").body;
 }
--- a/tests/integration/router/router_site.h
+++ b/tests/integration/router/router_site.h
@@ -31,6 +31,9 @@
   BundleBody signBundle(std::uint64_t version, const std::string& weights = "w1") const;
   /// Writes the object and the row, as an operator does.
   void roll(const BundleBody& body) const;
+  /// Makes every engine take `factor` times as long. Tests that break something in the middle of an answer
+  /// slow it down first, so that the middle lasts however slow the machine is; 1 is the nominal speed.
+  void slowEngines(double factor) const;
   void stopPlatform() { platform_->kill(); }
   const std::string& platformAddress() const { return platform_address_; }
   const std::string& runnerAddress() const { return runner_address_; }
--- a/tests/integration/sidecar/sidecar_process_test.cc
+++ b/tests/integration/sidecar/sidecar_process_test.cc
@@ -18,6 +18,8 @@
 namespace {
 
 constexpr char kKey[] = "demo-key-harbour-fittings";
+/// Makes a token take 0.16 s, so that an answer to be broken off in its middle lasts 10 s and more.
+constexpr double kSlow = 8;
 
 /// A site whose sidecar can answer.
 class SidecarSite {
@@ -111,9 +113,11 @@
 TEST_CASE("a router killed in the middle of a stream costs the caller no byte", "[sidecar]") {
   SidecarSite site(2);
   const std::string prompt = promptWithLongAnswer(120);
+  site.site.slowEngines(kSlow);
   BackgroundCall running(site.address, SidecarSite::chat(prompt, 120));
   REQUIRE(eventually([&] { return streamText(running.bodySoFar()).text.size() > 40; }));
   site.site.router(servingRouter(site.site, 2)).kill();
+  site.site.slowEngines(1);
   const CallResult result = running.result();
   const StreamText stream = streamText(result.body);
   CHECK(stream.whole);
@@ -124,10 +128,12 @@
 TEST_CASE("a router that freezes in the middle of a stream is replaced", "[sidecar]") {
   SidecarSite site(2);
   const std::string prompt = promptWithLongAnswer(120);
+  site.site.slowEngines(kSlow);
   BackgroundCall running(site.address, SidecarSite::chat(prompt, 120));
   REQUIRE(eventually([&] { return streamText(running.bodySoFar()).text.size() > 40; }));
   const int serving = servingRouter(site.site, 2);
   site.site.router(serving).signal(SIGSTOP);
+  site.site.slowEngines(1);
   const CallResult result = running.result();
   CHECK(streamText(result.body).whole);
   CHECK(streamText(result.body).text == expectedText(prompt, 120));
@@ -153,9 +159,13 @@
 TEST_CASE("a planned stop of the sidecar cuts nothing in flight", "[sidecar]") {
   SidecarSite site(1);
   const std::string prompt = promptWithLongAnswer(60);
+  site.site.slowEngines(kSlow);
   BackgroundCall running(site.address, SidecarSite::chat(prompt, 60));
   REQUIRE(eventually([&] { return streamText(running.bodySoFar()).text.size() > 20; }));
   site.sidecar->signal(SIGTERM);
+  REQUIRE(eventually([&] { return get(site.admin, "/healthz").status == 503; }));
+  CHECK_FALSE(running.done());
+  site.site.slowEngines(1);
   const CallResult result = running.result();
   CHECK(streamText(result.body).whole);
   CHECK(streamText(result.body).text == expectedText(prompt, 60));
