--- a/tools/build.sh
+++ b/tools/build.sh
@@ -1,9 +1,12 @@
 #!/usr/bin/env bash
 # Configures and builds into the folder named by the first argument; further arguments go to cmake.
+# CRANKSPUR_TARGET names the one target to build; default: all.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
 shift || true
 cmake -S . -B "$build" -G Ninja "$@" >"$build.configure.log" 2>&1 || { cat "$build.configure.log"; exit 1; }
 rm -f "$build.configure.log"
-ninja -C "$build" | tail -n 3
+log="$build/build.log"
+ninja -C "$build" "${CRANKSPUR_TARGET:-all}" >"$log" 2>&1 || { tail -n 100 "$log"; exit 1; }
+tail -n 1 "$log"
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -5,13 +5,19 @@
 cd "$(dirname "$0")/.."
 build=${1:-build}
 mapfile -t files < <(git ls-files '*.h' '*.cc')
-clang-format-14 --dry-run --Werror "${files[@]}"
 mapfile -t sources < <(git ls-files 'src/*.cc' 'apps/*.cc' 'standins/*.cc' 'sim/*.cc' 'tools/*.cc')
-# clang-tidy's own status ends xargs with an error; the findings in its log decide.
+if [ "${#sources[@]}" -eq 0 ] || [ ! -s "$build/compile_commands.json" ]; then
+  echo "nothing to lint: no checkout of git, or no build in $build"
+  exit 1
+fi
+clang-format-14 --dry-run --Werror "${files[@]}"
+status=0
 printf '%s\n' "${sources[@]}" | xargs -P "$(nproc)" -n 4 clang-tidy-14 --quiet -p "$build" \
-    --extra-arg=-Wno-unknown-warning-option >"$build/lint.log" 2>/dev/null || true
-if grep -E 'warning:|error:' "$build/lint.log"; then
-  echo "clang-tidy found the places above"
+    --extra-arg=-Wno-unknown-warning-option >"$build/lint.log" 2>"$build/lint.errors.log" || status=$?
+# A linter that is absent, crashes or cannot read its settings has no findings, but a status.
+if grep -E 'warning:|error:' "$build/lint.log" || [ "$status" -ne 0 ]; then
+  grep -v 'warnings generated' "$build/lint.errors.log" | tail -n 20 || true
+  echo "clang-tidy: status $status, findings above"
   exit 1
 fi
 echo "format and lint clean: ${#files[@]} files"
