--- a/sim/check/checkers.h
+++ b/sim/check/checkers.h
@@ -37,6 +37,12 @@
 void checkPlannedStops(const CheckInput& input, Violations& violations);  ///< Line 8.
 void checkBundles(const CheckInput& input, Violations& violations);       ///< Line 9.
 void checkFencing(const CheckInput& input, Violations& violations);
+/// Few engines load weights at once.
+void checkWaves(const CheckInput& input, Violations& violations);
+/// Nobody is told that a deadline passed before it did, whatever clocks show.
+void checkDeadlines(const CheckInput& input, Violations& violations);
+/// Lost engines do not multiply the load on the rest.
+void checkRetryStorm(const CheckInput& input, Violations& violations);
 void checkLiveness(const CheckInput& input, Violations& violations);
 
 /// Runs every checker.
--- a/sim/check/checkers_requests.cc
+++ b/sim/check/checkers_requests.cc
@@ -17,6 +17,11 @@
 constexpr std::uint64_t kWeightsTried = 12;
 /// Time beyond a request's deadline until its final answer must be there.
 constexpr Duration kAnswerSlack = std::chrono::seconds(2);
+/// Part of a time span that has passed when the fastest clock shows all of it, with some slack.
+constexpr double kFastestClock = 0.9;
+/// A tenth of a tenant's requests may be retries, besides those that it saved up at each router.
+constexpr std::size_t kRequestsPerRetry = 10;
+constexpr std::size_t kRetriesSavedUp = 10;
 
 /// Names the run of one dispatch: engine and stream. A request may be dispatched to one engine several times,
 /// and only some of them run.
@@ -142,6 +147,35 @@
   }
 }
 
+void checkDeadlines(const CheckInput& input, Violations& violations) {
+  for (const CallerRecord& caller : input.world.context().records.callers) {
+    if (!caller.error || caller.error->code != ErrorCode::DeadlineExceeded) continue;
+    const Duration waited = caller.finished_at - caller.submitted_at;
+    if (toSeconds(waited) >= kFastestClock * toSeconds(caller.request.deadline)) continue;
+    violations.push_back({"deadline", fmt::format("{} was told after {:.3f} s that its {:.0f} s had passed",
+                                                  caller.request.request_id, toSeconds(waited),
+                                                  toSeconds(caller.request.deadline))});
+  }
+}
+
+void checkRetryStorm(const CheckInput& input, Violations& violations) {
+  if (input.faults != std::set<FaultKind>{FaultKind::RackLoss}) return;
+  std::set<std::string> requests;
+  std::size_t runs = 0;
+  for (std::size_t index = 0; index < input.world.engineCount(); ++index) {
+    for (const standin::RequestRecord& record : input.world.engineAt(index).model().records()) {
+      requests.insert(record.request_id);
+      ++runs;
+    }
+  }
+  const Site& site = input.world.site();
+  const std::size_t saved_up = kRetriesSavedUp * site.tenants.size() * site.routers.size();
+  const std::size_t allowed = requests.size() + requests.size() / kRequestsPerRetry + saved_up;
+  if (runs <= allowed) return;
+  violations.push_back({"retry_storm", fmt::format("{} requests ran {} times, {} are allowed",
+                                                   requests.size(), runs, allowed)});
+}
+
 void checkLiveness(const CheckInput& input, Violations& violations) {
   const TimePoint now = input.world.context().queue.now();
   for (const CallerRecord& caller : input.world.context().records.callers) {
--- a/sim/check/run.h
+++ b/sim/check/run.h
@@ -31,7 +31,8 @@
   Violations violations;
 };
 
-/// @return names of all scenarios: "quiet", each fault, "pair" (two faults by the seed) and "large".
+/// @return names of all scenarios: "quiet", each fault, "pair" and "wider_pair" (two faults by the
+/// seed, see kFirstWiderKind) and "large".
 std::vector<std::string> scenarioNames();
 /// Runs one seed.
 RunResult run(const RunOptions& options);
--- a/sim/world/engine_node.cc
+++ b/sim/world/engine_node.cc
@@ -68,7 +68,9 @@
   const ErrorCode code = model_.order(order, context_.queue.now());
   if (code == ErrorCode::Ok) {
     context_.trace.note(host_.name(), "order token {} {} {}", token, order.model, order.weights_version);
-    context_.records.orders.push_back({host_.name(), model_.incarnation(), token, context_.queue.now()});
+    if (order.kind == standin::OrderKind::LoadWeights) context_.records.loading_weights.insert(host_.name());
+    context_.records.orders.push_back({host_.name(), model_.incarnation(), token,
+                                       context_.records.loading_weights.size(), context_.queue.now()});
   }
   pump();
   return code;
@@ -84,6 +86,7 @@
   context_.trace.note(host_.name(), "crash");
   context_.network.crash(host_, silent);
   model_.crash(context_.queue.now());
+  context_.records.loading_weights.erase(host_.name());
   model_.takeOutputs();
   streams_.clear();
   highest_order_token_ = 0;
@@ -118,6 +121,7 @@
 }
 
 void EngineNode::pump() {
+  noteLoadedWeights();
   for (const standin::EngineOutput& output : model_.takeOutputs()) {
     if (const auto* stream = std::get_if<standin::StreamOutput>(&output)) handle(*stream);
     if (const auto* query = std::get_if<standin::WeightsQuery>(&output)) askWeightStore(*query);
@@ -132,6 +136,12 @@
   armTimer();
 }
 
+void EngineNode::noteLoadedWeights() {
+  std::set<std::string>& loading = context_.records.loading_weights;
+  // A model that loads weights is missing from what the engine tells.
+  if (loading.contains(host_.name()) && !model_.info().models.empty()) loading.erase(host_.name());
+}
+
 void EngineNode::handle(const standin::StreamOutput& output) {
   const auto found = streams_.find(output.stream);
   if (found == streams_.end()) return;
--- a/sim/world/engine_node.h
+++ b/sim/world/engine_node.h
@@ -54,6 +54,7 @@
     StreamHandler handler;
   };
   void pump();
+  void noteLoadedWeights();
   void handle(const standin::StreamOutput& output);
   void askWeightStore(const standin::WeightsQuery& query);
   void armTimer();
--- a/sim/world/mechanism.cc
+++ b/sim/world/mechanism.cc
@@ -21,6 +21,9 @@
       {Mechanism::BundleFromPeers, "bundle_from_peers"},
       {Mechanism::CallerVersion, "caller_version"},
       {Mechanism::RunStateTruth, "run_state_truth"},
+      {Mechanism::RelativeDeadlines, "relative_deadlines"},
+      {Mechanism::RetryBudget, "retry_budget"},
+      {Mechanism::WeightWaves, "weight_waves"},
   };
   return names;
 }
--- a/sim/world/mechanism.h
+++ b/sim/world/mechanism.h
@@ -29,6 +29,9 @@
   BundleFromPeers,      ///< Sidecars and routers give each other the bundle.
   CallerVersion,        ///< A router behind the caller's bundle version catches up first.
   RunStateTruth,        ///< "Not run" is told only when it is true.
+  RelativeDeadlines,    ///< Deadlines travel as time left, not as instants of a machine's clock.
+  RetryBudget,          ///< A tenant's retries are bounded.
+  WeightWaves,          ///< Few engines load weights at once.
 };
 
 /// A mechanism with the name that --without takes.
--- a/sim/world/platform_node.cc
+++ b/sim/world/platform_node.cc
@@ -116,4 +116,9 @@
   model_.setBehaviour(standin::PlatformService::Objects, behaviour);
 }
 
+void PlatformNode::setStoreRateLimit(RateLimit limit) {
+  model_.setRateLimit(standin::PlatformService::Table, limit);
+  model_.setRateLimit(standin::PlatformService::Objects, limit);
+}
+
 }  // namespace crankspur::sim
--- a/sim/world/platform_node.h
+++ b/sim/world/platform_node.h
@@ -43,6 +43,10 @@
   void setListLag(Duration lag);
   /// Sets how table and object store fare.
   void setStoreBehaviour(const standin::ServiceBehaviour& behaviour);
+  /// Limits calls of table and object store.
+  void setStoreRateLimit(RateLimit limit);
+  /// Limit that keeps nobody waiting.
+  static constexpr RateLimit kUsualStoreCalls{500.0, 500.0};
   /// Called with each row at each write that took effect.
   void setWriteObserver(std::function<void(const TableRow&)> observer) {
     write_observer_ = std::move(observer);
--- a/sim/world/records.h
+++ b/sim/world/records.h
@@ -6,6 +6,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -80,7 +81,8 @@
 struct OrderUse {
   std::string engine;
   std::uint64_t incarnation = 0;
-  std::uint64_t token = 0;  ///< As its sender gave it.
+  std::uint64_t token = 0;          ///< As its sender gave it.
+  std::size_t loading_weights = 0;  ///< Engines that loaded weights from then on, this one counted.
   TimePoint at{};
 };
 
@@ -114,6 +116,7 @@
   std::vector<ExecutionRecord> executions;
   std::vector<ArrivalRecord> arrivals;
   std::vector<LeavingRecord> leaving;
+  std::set<std::string> loading_weights;  ///< Engines that load weights now.
   std::vector<AcceptedBundle> accepted_bundles;
   std::vector<BundleUse> bundle_uses;
   std::vector<OrderUse> orders;
--- a/sim/world/router_requests.cc
+++ b/sim/world/router_requests.cc
@@ -1,6 +1,7 @@
 /// @file Requests at a simulated router: what RequestRouter is told and what it wants done.
 
 #include "sim/world/router_node.h"
+#include "sim/world/sidecar_node.h"
 #include "sim/world/table_rows.h"
 
 namespace crankspur::sim {
@@ -8,6 +9,9 @@
 void RouterNode::submit(SidecarId sidecar, SubmitRequest request) {
   if (request.bundle_version > bundleVersion()) sendToSidecar(sidecar, BundleRequest{bundleVersion()});
   if (context_.without(Mechanism::CallerVersion)) request.bundle_version = 0;
+  if (context_.without(Mechanism::RelativeDeadlines)) {
+    request.deadline += process_->sidecars[sidecar].node->host().now() - now();
+  }
   context_.trace.note(host_.name(), "submit {} attempt {}", request.request_id, request.attempt);
   process_->requests->onSubmit(sidecar, request, now());
   pump();
--- a/sim/world/site.cc
+++ b/sim/world/site.cc
@@ -8,6 +8,7 @@
 
 using std::chrono::microseconds;
 using std::chrono::milliseconds;
+using std::chrono::minutes;
 using std::chrono::seconds;
 
 /// How many of each kind a site has.
@@ -57,6 +58,17 @@
   return site;
 }
 
+/// Two small regions over a long time with few requests.
+Site makeTwoRegions() {
+  Site site;
+  site.name = "two_regions";
+  site.zones = {{"north-a", "north"}, {"south-a", "south"}, {"north-b", "north"}, {"south-b", "south"}};
+  site.requests_per_second = 0.05;
+  site.load = minutes(61);
+  fill(site, {4, 4, 4, 2, 4});
+  return site;
+}
+
 Site makeLarge() {
   constexpr std::size_t kZones = 11;
   constexpr std::size_t kRegions = 4;
@@ -75,6 +87,7 @@
 
 Site makeSite(std::string_view name) {
   if (name == "tallow_creek") return makeTallowCreek();
+  if (name == "two_regions") return makeTwoRegions();
   if (name == "large") return makeLarge();
   return makePartsDesk();
 }
--- a/sim/world/site.h
+++ b/sim/world/site.h
@@ -28,12 +28,13 @@
   std::vector<std::string> tenants;
   NetworkDelays delays;
   double requests_per_second = 12;             ///< Over the whole site.
+  double retry_budget = 10;                    ///< Of each tenant, in retries for each first attempt.
   double operation_share = 0.3;                ///< Share of requests that are operations.
   Duration load = std::chrono::seconds(24);    ///< How long callers send.
   Duration settle = std::chrono::seconds(16);  ///< Time after the load for last answers.
 };
 
-/// @return the site "parts_desk", "tallow_creek" or "large".
+/// @return the site "parts_desk", "tallow_creek", "two_regions" or "large".
 Site makeSite(std::string_view name);
 
 }  // namespace crankspur::sim
--- a/sim/world/workload.cc
+++ b/sim/world/workload.cc
@@ -52,6 +52,12 @@
   request.request_id = fmt::format("request-{}", next_request_++);
   request.tenant = tenants[index];
   request.deadline = kDeadline;
+  if (same_prompts_ && !operation) {
+    SubmitRequest same = request;
+    same.request_id = fmt::format("request-{}", next_request_++);
+    same.tenant = tenants[(index + 1) % tenants.size()];
+    sendAt(random_.uniform(0, world_.sidecarCount() - 1), std::move(same), 1);
+  }
   sendAt(random_.uniform(0, world_.sidecarCount() - 1), std::move(request), 1);
 }
 
--- a/sim/world/workload.h
+++ b/sim/world/workload.h
@@ -18,6 +18,8 @@
   void start();
   /// Exchanges the hot prefixes, as when a new catalogue goes out.
   void shiftPrefixes() { ++catalogue_; }
+  /// From now on each completion is sent by two tenants at once, word for word.
+  void sendSamePrompts() { same_prompts_ = true; }
 
 private:
   void next();
@@ -35,6 +37,7 @@
   std::uint64_t catalogue_ = 0;
   std::uint64_t next_request_ = 0;
   std::uint64_t next_key_ = 0;
+  bool same_prompts_ = false;
 };
 
 }  // namespace crankspur::sim
