--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -53,7 +53,7 @@
 
 TEST_CASE("each scenario at today's sites is clean on a fixed seed", "[sim]") {
   for (const std::string& scenario : scenarioNames()) {
-    if (scenario == "large" || scenario == "hour_partition") continue;
+    if (scenario == "large") continue;
     const RunResult result = runOne(11, scenario);
     INFO(describe(result));
     CHECK(result.violations.empty());
