Import from engines that have the blocks, not from those that are to compute them

Change: on acceptance only the leading blocks that the engine found cached are confirmed, the rest with the first token. match() also tells how many leading blocks are confirmed, and the import source is the holder of the longest confirmed prefix; the longest one of all only when none is confirmed.

--- a/sim/experiment/experiment_router.cc
+++ b/sim/experiment/experiment_router.cc
@@ -188,6 +188,7 @@
   request->engine = decision.engine;
   request->incarnation = decision.incarnation;
   request->dispatched = queue_.now();
+  request->prefill_done = false;
   request->import_tokens = static_cast<std::uint32_t>(decision.import_blocks * kTokensPerBlock);
   request->expected_first_token = decision.expected_first_token;
   const std::uint32_t reused_blocks = std::max(decision.cached_blocks, decision.import_blocks);
@@ -270,8 +271,10 @@
   const std::uint32_t reused = std::max(accepted.cached_tokens, request->import_tokens);
   sent_.correct(request->engine, request->dispatch,
                 accepted.prompt_tokens - std::min(accepted.prompt_tokens, reused));
-  index_->correct(request->engine, accepted.incarnation, request->blocks,
-                  static_cast<std::uint32_t>(accepted.cached_tokens / kTokensPerBlock), queue_.now());
+  const std::size_t held =
+      std::min<std::size_t>(accepted.cached_tokens / kTokensPerBlock, request->blocks.size());
+  index_->correct(request->engine, accepted.incarnation, std::span(request->blocks).first(held),
+                  static_cast<std::uint32_t>(held), queue_.now());
 }
 
 void ExperimentRouter::onTokens(const Request& request, const standin::StreamTokens& tokens) {
@@ -281,6 +284,10 @@
                      queue_.now());
   }
   sent_.prefillDone(request->engine, request->dispatch, queue_.now());
+  if (!request->prefill_done) {
+    index_->correct(request->engine, request->incarnation, request->blocks, 0, queue_.now());
+  }
+  request->prefill_done = true;
   request->delivered += tokens.text;
   if (request->has_first_token) return;
   request->has_first_token = true;
--- a/sim/experiment/experiment_router.h
+++ b/sim/experiment/experiment_router.h
@@ -46,6 +46,7 @@
   EngineSlot engine = 0;
   std::uint64_t incarnation = 0;
   TimePoint dispatched{};
+  bool prefill_done = false;        ///< A token of this dispatch came.
   std::uint32_t import_tokens = 0;  ///< Leading tokens that an import leaves the engine with; 0: none.
   Duration expected_first_token{0};
   std::uint32_t cached_tokens = 0;  ///< As the engine said on accepting.
--- a/src/placement/cost_placement.cc
+++ b/src/placement/cost_placement.cc
@@ -56,26 +56,37 @@
   std::uint32_t import_blocks = 0;  ///< Leading blocks held after the import; 0: none.
 };
 
-/// @return the first holder of the longest prefix that can send its blocks.
+bool canSend(const EngineView& engine) {
+  const bool up = engine.state == EngineState::Live || engine.state == EngineState::Leaving;
+  return up && !engine.address.empty();
+}
+
+/// @return the first holder of the longest confirmed prefix that can send its blocks, or of the longest one
+/// when none is confirmed: what an engine is yet to compute it may not have when it is asked.
 ImportSource findSource(const std::vector<PrefixMatch>& matches, const RoutingSnapshot& snapshot) {
+  ImportSource confirmed;
+  ImportSource longest;
   for (const PrefixMatch& match : matches) {
+    if (longest.engine != nullptr && match.confirmed_blocks <= confirmed.blocks) continue;
     const EngineView* engine = snapshot.engine(match.engine);
-    if (engine == nullptr || engine->address.empty()) continue;
-    if (engine->state == EngineState::Live || engine->state == EngineState::Leaving) {
-      return {engine, match.blocks};
-    }
+    if (engine == nullptr || !canSend(*engine)) continue;
+    if (longest.engine == nullptr) longest = {engine, match.blocks};
+    if (match.confirmed_blocks > confirmed.blocks) confirmed = {engine, match.confirmed_blocks};
   }
-  return {};
+  return confirmed.engine != nullptr ? confirmed : longest;
 }
 
-/// @return the first holder of the longest prefix that could serve the request itself and is not `chosen`.
+/// @return the first holder of the longest confirmed prefix that could serve the request itself and is not
+/// `chosen`.
 ImportSource findSecondHolder(const Inputs& inputs, const EngineView& chosen) {
+  ImportSource source;
   for (const PrefixMatch& match : inputs.matches) {
+    if (match.confirmed_blocks <= source.blocks) continue;
     const EngineView* engine = inputs.snapshot.engine(match.engine);
     if (engine == nullptr || engine == &chosen || engine->address.empty()) continue;
-    if (inputs.eligibility.isEligible(*engine)) return {engine, match.blocks};
+    if (inputs.eligibility.isEligible(*engine)) source = {engine, match.confirmed_blocks};
   }
-  return {};
+  return source;
 }
 
 /// @return whether importing `tokens` tokens is worth it, against computing them.
--- a/src/prefix_index/prefix_index.cc
+++ b/src/prefix_index/prefix_index.cc
@@ -73,6 +73,7 @@
   TimePoint epoch_ = TimePoint::min();
   // Scratch of match(). A walk reads all holders of one block.
   mutable std::vector<std::uint32_t> last_walk_;       ///< Last walk that an engine was in, by engine slot.
+  mutable std::vector<std::uint32_t> first_guess_;     ///< First walk that found it unconfirmed; 0: none.
   mutable std::vector<std::uint32_t> walk_positions_;  ///< Position of the block, by walk.
 };
 
@@ -216,7 +217,12 @@
   for (const Holder& entry : holders) {
     std::uint32_t& last_walk = last_walk_[entry.engine];
     if (last_walk != walk - 1 || !counts(entry, now_tick)) continue;
-    if (walk == 1) matches.push_back({entry.engine, 0});
+    std::uint32_t& first_guess = first_guess_[entry.engine];
+    if (walk == 1) {
+      matches.push_back({entry.engine, 0, 0});
+      first_guess = 0;
+    }
+    if (entry.optimistic == 1 && first_guess == 0) first_guess = walk;
     last_walk = walk;
     any = true;
   }
@@ -225,6 +231,7 @@
 
 std::vector<PrefixMatch> TablePrefixIndex::match(std::span<const BlockHash> blocks, TimePoint now) const {
   last_walk_.assign(slots_.size(), 0);
+  first_guess_.resize(slots_.size());
   walk_positions_.assign(1, 0);
   std::vector<PrefixMatch> matches;
   const std::uint32_t now_tick = tick(now);
@@ -245,7 +252,11 @@
   }
   // An engine's prefix ends where the walk after its last one found it missing.
   walk_positions_.push_back(position);
-  for (PrefixMatch& found : matches) found.blocks = walk_positions_[last_walk_[found.engine] + 1];
+  for (PrefixMatch& found : matches) {
+    found.blocks = walk_positions_[last_walk_[found.engine] + 1];
+    const std::uint32_t guess = first_guess_[found.engine];
+    found.confirmed_blocks = guess == 0 ? found.blocks : walk_positions_[guess];
+  }
   std::sort(matches.begin(), matches.end(),
             [](const PrefixMatch& left, const PrefixMatch& right) { return rankOf(left) < rankOf(right); });
   return matches;
@@ -253,7 +264,8 @@
 
 std::size_t TablePrefixIndex::memoryBytes() const {
   return table_.memoryBytes() + slots_.capacity() * (sizeof(SlotState) + sizeof(std::uint16_t)) +
-         (last_walk_.capacity() + walk_positions_.capacity()) * sizeof(std::uint32_t);
+         (last_walk_.capacity() + first_guess_.capacity() + walk_positions_.capacity()) *
+             sizeof(std::uint32_t);
 }
 
 }  // namespace
--- a/src/prefix_index/prefix_index.h
+++ b/src/prefix_index/prefix_index.h
@@ -24,6 +24,7 @@
 struct PrefixMatch {
   EngineSlot engine = 0;
   std::uint32_t blocks = 0;
+  std::uint32_t confirmed_blocks = 0;  ///< Leading blocks that it is known to hold; others it may yet compute.
 };
 
 /// One engine cache event, in the engine's order.
@@ -53,7 +54,7 @@
   virtual void applyDigest(EngineSlot engine, std::uint64_t incarnation, std::uint64_t sequence,
                            std::span<const BlockHash> blocks, TimePoint now) = 0;
   /// Corrects the index by what an answer reported: the engine held `cached_blocks` leading blocks at its
-  /// start and holds all `blocks` now.
+  /// start and holds all `blocks` now. What it is yet to compute is left out until it has.
   virtual void correct(EngineSlot engine, std::uint64_t incarnation, std::span<const BlockHash> blocks,
                        std::uint32_t cached_blocks, TimePoint now) = 0;
   /// @return engines that hold at least one leading block, longest prefix first.
--- a/src/router/completion_flow.cc
+++ b/src/router/completion_flow.cc
@@ -163,8 +163,11 @@
     const std::uint32_t reused = std::max(accepted.cached_tokens, dispatch.import_tokens);
     sent_work_.correct(dispatch.engine, dispatch.id,
                        accepted.prompt_tokens - std::min(accepted.prompt_tokens, reused));
-    options_.index->correct(dispatch.engine, dispatch.incarnation, entry.blocks,
-                            static_cast<std::uint32_t>(accepted.cached_tokens / kTokensPerBlock), now);
+    // The rest counts as held when the first token tells that the prompt is computed.
+    const std::size_t held =
+        std::min<std::size_t>(accepted.cached_tokens / kTokensPerBlock, entry.blocks.size());
+    options_.index->correct(dispatch.engine, dispatch.incarnation, std::span(entry.blocks).first(held),
+                            static_cast<std::uint32_t>(held), now);
   }
   send(entry, acceptedMessage(entry));
   schedule(entry);
@@ -176,6 +179,8 @@
   dispatch.prefill_done = true;
   if (dispatch.resume) return;
   sent_work_.prefillDone(dispatch.engine, dispatch.id, now);
+  options_.index->correct(dispatch.engine, dispatch.incarnation, entry.blocks,
+                          static_cast<std::uint32_t>(entry.cached_tokens / kTokensPerBlock), now);
   const PlacementFeedback feedback{dispatch.engine, entry.prompt_tokens, entry.cached_tokens,
                                    entry.record.decision.expected_first_token, now - dispatch.dispatched_at};
   options_.placement->observe(feedback, now);
--- a/tests/unit/placement/placement_test.cc
+++ b/tests/unit/placement/placement_test.cc
@@ -178,6 +178,26 @@
   }
 }
 
+TEST_CASE("blocks are imported from an engine that has them, not from one that is to compute them",
+          "[placement]") {
+  Fleet fleet(4);
+  const auto policy = makeCostPlacement();
+  fleet.index->notePlaced(0, 100, fleet.blocks, kStart);
+  fleet.work.pending[0] = 100'000;
+  SECTION("though it holds less") {
+    fleet.index->correct(2, 102, std::span(fleet.blocks).first(90), 0, kStart);
+    fleet.work.pending[2] = 100'000;
+    const PlacementDecision decision = fleet.choose(*policy);
+    CHECK(decision.import_from == fleet.snapshot.engines[2].address);
+    CHECK(decision.import_blocks == 90);
+  }
+  SECTION("unless there is no other") {
+    const PlacementDecision decision = fleet.choose(*policy);
+    CHECK(decision.import_from == fleet.snapshot.engines[0].address);
+    CHECK(decision.import_blocks == 100);
+  }
+}
+
 TEST_CASE("a second holder is named in case the chosen engine has lost its prefix", "[placement]") {
   Fleet fleet(3);
   const auto policy = makeCostPlacement();
--- a/tests/unit/prefix_index/prefix_match_test.cc
+++ b/tests/unit/prefix_index/prefix_match_test.cc
@@ -29,13 +29,16 @@
     if (known == held_[engine].end()) return;
     if (!known->second.guess || !counts(known->second, now)) held_[engine].erase(known);
   }
-  std::uint32_t prefix(EngineSlot engine, std::span<const BlockHash> blocks, TimePoint now) const {
-    std::uint32_t depth = 0;
-    const auto& held = held_[engine];
-    while (depth < blocks.size() && held.contains(blocks[depth]) && counts(held.at(blocks[depth]), now)) {
-      ++depth;
+  PrefixMatch prefix(EngineSlot engine, std::span<const BlockHash> blocks, TimePoint now) const {
+    PrefixMatch found{engine, 0, 0};
+    for (const BlockHash block : blocks) {
+      const auto held = held_[engine].find(block);
+      if (held == held_[engine].end() || !counts(held->second, now)) break;
+      const bool confirmed = found.confirmed_blocks == found.blocks && !held->second.guess;
+      found.confirmed_blocks += confirmed ? 1 : 0;
+      ++found.blocks;
     }
-    return depth;
+    return found;
   }
 
 private:
@@ -79,8 +82,8 @@
     for (const std::vector<BlockHash>& prompt : prompts_) {
       std::vector<PrefixMatch> expected;
       for (EngineSlot engine = 0; engine < kEngines; ++engine) {
-        const std::uint32_t depth = plain_.prefix(engine, prompt, now_);
-        if (depth > 0) expected.push_back({engine, depth});
+        const PrefixMatch match = plain_.prefix(engine, prompt, now_);
+        if (match.blocks > 0) expected.push_back(match);
       }
       std::stable_sort(
           expected.begin(), expected.end(),
@@ -90,6 +93,7 @@
       for (std::size_t rank = 0; rank < found.size(); ++rank) {
         REQUIRE(found[rank].engine == expected[rank].engine);
         REQUIRE(found[rank].blocks == expected[rank].blocks);
+        REQUIRE(found[rank].confirmed_blocks == expected[rank].confirmed_blocks);
       }
     }
   }
