Share the table service's rate by the number of routers

Cause: every table client of every process kept to 20 calls/s of its own; 340 routers with two traffic threads could make 13,600 calls/s. Change: claims take their part of nine tenths of table_calls_per_second, which the whole fleet is granted. Before the machine list is known the part is least; a smaller number of routers counts after an hour. Callers start with a random debt below one call.

--- a/src/base/call_rate_limiter.h
+++ b/src/base/call_rate_limiter.h
@@ -19,6 +19,16 @@
 public:
   explicit CallRateLimiter(RateLimit limit) : limit_(limit), level_(limit.burst) {}
 
+  /// Puts another limit in force. What was saved up beyond the new burst is lost, nothing is given.
+  void setLimit(RateLimit limit, TimePoint now) {
+    refill(now);
+    limit_ = limit;
+    level_ = std::min(level_, limit.burst);
+  }
+  /// Takes away what was saved up.
+  /// @param debt calls that must be earned before the first is free; at least 0.
+  void empty(double debt) { level_ = std::min(level_, -debt); }
+
   /// Takes one token if there is one.
   bool tryTake(TimePoint now) {
     refill(now);
--- a/src/platform_service/service_caller.cc
+++ b/src/platform_service/service_caller.cc
@@ -64,7 +64,9 @@
         client_(client),
         clock_(clock),
         options_(std::move(options)),
-        limiter_(options_.limit) {}
+        limiter_(options_.limit) {
+    if (options_.starting_debt) limiter_.empty(*options_.starting_debt);
+  }
 
   void call(http::Request request, Done done) {
     const TimePoint now = clock_.now();
@@ -81,6 +83,8 @@
              });
   }
 
+  void setLimit(RateLimit limit) { limiter_.setLimit(limit, clock_.now()); }
+
   void close() {
     closed_ = true;
     for (const auto& timer : std::exchange(timers_, {})) {
@@ -159,6 +163,10 @@
   state_->close();
 }
 
+void ServiceCaller::setLimit(RateLimit limit) {
+  state_->setLimit(limit);
+}
+
 void ServiceCaller::call(http::Request request, Done done) {
   state_->call(std::move(request), std::move(done));
 }
--- a/src/platform_service/service_caller.h
+++ b/src/platform_service/service_caller.h
@@ -5,6 +5,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -29,6 +30,8 @@
 struct ServiceOptions {
   std::string address;          ///< "IP:port".
   RateLimit limit{20.0, 20.0};  ///< This process's share of the service's limit.
+  /// Calls to be earned before the first is free; unset: a burst is free at the start.
+  std::optional<double> starting_debt;
   Duration connect_timeout = std::chrono::seconds(1);
   Duration call_timeout = std::chrono::seconds(3);  ///< Without a byte of the answer.
   /// A call that would wait longer for its turn is refused at once as rate-limited.
@@ -51,6 +54,8 @@
   ServiceCaller(const ServiceCaller&) = delete;
   ServiceCaller& operator=(const ServiceCaller&) = delete;
 
+  /// Puts another rate limit in force.
+  void setLimit(RateLimit limit);
   /// Makes a call when the rate limit lets it. `done` never runs inside this function.
   void call(http::Request request, Done done);
 
--- a/src/router_process/router_process.cc
+++ b/src/router_process/router_process.cc
@@ -85,6 +85,9 @@
       options.random_seed = freshSeed();
       options.index_entries = settings_.index_entries / settings_.traffic_threads;
       options.table_address = settings_.platform;
+      options.table_rate = {static_cast<double>(settings_.table_calls_per_second),
+                            static_cast<double>(settings_.table_calls_per_second)};
+      options.shards = settings_.traffic_threads;
       shards_.push_back(std::make_unique<TrafficShard>(std::move(options), shardCallbacks(), log_, metrics_));
     }
   }
--- a/src/router_process/router_settings.cc
+++ b/src/router_process/router_settings.cc
@@ -9,6 +9,7 @@
 constexpr Range<std::int64_t> kIntervalRange{50, 3'600'000};
 constexpr std::int64_t kMaximumIndexEntries = 100'000'000;
 constexpr std::int64_t kMaximumTrafficThreads = 64;
+constexpr std::int64_t kMaximumTableCalls = 1'000'000;
 
 void readLog(TomlTable& root, RouterSettings& settings) {
   const std::string format = root.getString("log_format", "key_value");
@@ -67,6 +68,8 @@
       static_cast<std::uint32_t>(root->getInteger("traffic_threads", 2, {1, kMaximumTrafficThreads}));
   settings.index_entries =
       static_cast<std::size_t>(root->getInteger("index_entries", 1'000'000, {1'000, kMaximumIndexEntries}));
+  settings.table_calls_per_second =
+      static_cast<std::uint32_t>(root->getInteger("table_calls_per_second", 400, {1, kMaximumTableCalls}));
   readInterval(*root, "machine_list_interval_ms", settings.machine_list_interval);
   readInterval(*root, "bundle_row_interval_ms", settings.bundle_row_interval);
   readInterval(*root, "drain_limit_ms", settings.drain_limit);
--- a/src/router_process/router_settings.h
+++ b/src/router_process/router_settings.h
@@ -29,6 +29,8 @@
   LogLevel log_level = LogLevel::Info;
   Duration machine_list_interval = std::chrono::seconds(2);
   Duration bundle_row_interval = std::chrono::seconds(5);
+  /// Calls a second that the table service grants all routers together.
+  std::uint32_t table_calls_per_second = 400;
   Duration drain_limit = std::chrono::minutes(5);  ///< A planned stop waits no longer for work in flight.
 };
 
--- a/src/router_process/traffic_shard.cc
+++ b/src/router_process/traffic_shard.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "base/random.h"
 #include "table_service/row_codec.h"
 
 namespace crankspur {
@@ -18,6 +19,7 @@
 TrafficShard::TrafficShard(TrafficShardOptions options, TrafficShardCallbacks callbacks, EventLog& log,
                            RouterMetrics& metrics)
     : options_(std::move(options)),
+      table_share_(options_.table_rate, options_.shards),
       callbacks_(std::move(callbacks)),
       log_(log),
       metrics_(metrics),
@@ -30,6 +32,9 @@
   if (!options_.table_address.empty()) {
     ServiceOptions service;
     service.address = options_.table_address;
+    service.limit = table_share_.callerLimit();
+    // Processes that start together must not make their calls in step for ever after.
+    service.starting_debt = RandomSource(options_.random_seed).unit();
     table_ = makeTableClient(thread_.executor(), *http_, clock_, service);
   }
   RequestRouterOptions router_options;
@@ -45,11 +50,20 @@
 
 void TrafficShard::postSnapshot(std::shared_ptr<const RoutingSnapshot> snapshot) {
   thread_.post([this, snapshot = std::move(snapshot)] {
+    shareTableRate(*snapshot);
     router_->onSnapshot(snapshot, now());
     pump();
   });
 }
 
+void TrafficShard::shareTableRate(const RoutingSnapshot& snapshot) {
+  // Back ends come by the list that names the routers, too; before it this router only knows itself.
+  const bool fleet_known = !snapshot.engines.empty() || !snapshot.runners.empty();
+  if (!table_ || !fleet_known) return;
+  table_share_.noteRouters(snapshot.router_count, now());
+  table_->setLimit(table_share_.callerLimit());
+}
+
 void TrafficShard::postSubmit(SidecarId sidecar, SubmitRequest request) {
   ++submits_posted_;
   thread_.post([this, sidecar, request = std::move(request)] {
--- a/src/router_process/traffic_shard.h
+++ b/src/router_process/traffic_shard.h
@@ -16,6 +16,7 @@
 #include "router_process/event_loop_thread.h"
 #include "router_process/router_metrics.h"
 #include "table_service/table_client.h"
+#include "table_service/table_share.h"
 
 namespace crankspur {
 
@@ -43,6 +44,8 @@
   std::uint64_t random_seed = 1;
   std::size_t index_entries = 500'000;
   std::string table_address;  ///< Empty: no table service; claims fail.
+  RateLimit table_rate;       ///< What the table service grants all routers together.
+  std::uint32_t shards = 1;   ///< Shards of this router, which divide its share.
 };
 
 /// One shard with its thread. Functions named post* may be called from any thread.
@@ -67,6 +70,7 @@
   std::size_t inFlight() const { return in_flight_.load() + submits_posted_.load(); }
 
 private:
+  void shareTableRate(const RoutingSnapshot& snapshot);
   /// A dispatch that has not ended.
   struct Running {
     std::shared_ptr<EngineStream> stream;
@@ -99,6 +103,7 @@
   void armTimer();
 
   TrafficShardOptions options_;
+  TableShare table_share_;
   TrafficShardCallbacks callbacks_;
   EventLog& log_;
   RouterMetrics& metrics_;
--- a/src/table_service/table_client.cc
+++ b/src/table_service/table_client.cc
@@ -56,6 +56,8 @@
                   ServiceOptions options)
       : caller_(std::move(executor), client, clock, std::move(options)) {}
 
+  void setLimit(RateLimit limit) override { caller_.setLimit(limit); }
+
   void read(const std::string& key, std::function<void(ReadResult)> done) override {
     http::Request request;
     request.target = "/v1/rows?key=" + percentEncode(key);
--- a/src/table_service/table_client.h
+++ b/src/table_service/table_client.h
@@ -23,6 +23,8 @@
 class TableClient {
 public:
   virtual ~TableClient() = default;
+  /// Puts another rate limit in force.
+  virtual void setLimit(RateLimit limit) = 0;
   virtual void read(const std::string& key, std::function<void(ReadResult)> done) = 0;
   virtual void commit(const TableTransaction& transaction, std::function<void(TransactionResult)> done) = 0;
 
