--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -1,6 +1,6 @@
 #pragma once
-/// @file How one platform spells requests and answers. The gateway decides in its own terms; a dialect translates
-/// between them and HTTP heads. Implementations live outside the product's packages.
+/// @file How one platform spells requests and answers. The gateway decides in its own terms; a dialect
+/// translates between them and HTTP heads. Implementations live outside the product's packages.
 
 #include <cstdint>
 #include <optional>
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "base/time.h"
-#include "http/message.h"
 #include "gateway/gateway_snapshot.h"
+#include "http/message.h"
 
 namespace crankspur::gateway {
 
@@ -38,19 +38,19 @@
   std::string tenant;
   std::optional<std::uint64_t> expected_weights;
   Duration deadline{0};
-  std::uint32_t priority = 5;    ///< 0 to 9, 0 first.
-  std::string cache_scope;       ///< Prefixes are shared only under equal scopes.
-  std::string import_from;       ///< "IP:port" of a back end or store to fetch cached parts from; empty: none.
-  std::string save_to;           ///< "IP:port" of a store to send parts to; empty: none.
+  std::uint32_t priority = 5;  ///< 0 to 9, 0 first.
+  std::string cache_scope;     ///< Prefixes are shared only under equal scopes.
+  std::string import_from;     ///< "IP:port" of a back end or store to fetch cached parts from; empty: none.
+  std::string save_to;         ///< "IP:port" of a store to send parts to; empty: none.
   std::optional<std::uint64_t> resume_after;
 };
 
 /// What a back end's head means.
 struct BackendAnswer {
-  bool not_run = false;          ///< The back end says that it ran nothing and will not.
-  bool wrong_backend = false;    ///< Another incarnation, or other weights, than expected.
-  bool other_request = false;    ///< The answer belongs to a request other than the one asked: discard it.
-  bool genuine = false;          ///< Bears the marks of a back end's own answer.
+  bool not_run = false;        ///< The back end says that it ran nothing and will not.
+  bool wrong_backend = false;  ///< Another incarnation, or other weights, than expected.
+  bool other_request = false;  ///< The answer belongs to a request other than the one asked: discard it.
+  bool genuine = false;        ///< Bears the marks of a back end's own answer.
   std::optional<std::uint64_t> weights_version;
 };
 
--- /dev/null
+++ b/src/gateway/gateway_settings.h
@@ -0,0 +1,26 @@
+#pragma once
+/// @file Settings of a gateway's decisions that hold for the life of the process.
+
+#include <cstddef>
+
+#include "base/time.h"
+
+namespace crankspur::gateway {
+
+/// How many repeats (dispatches beyond the first of a request) the gateways together may make to one pool:
+/// `ratio` of the requests for it in `window`, plus `slack`.
+struct RetryBudgetSettings {
+  double ratio = 0.2;
+  Duration window = std::chrono::seconds(10);
+  double slack = 20;
+};
+
+/// Settings of one Gateway.
+struct GatewaySettings {
+  RetryBudgetSettings retry_budget;
+  std::size_t index_entries = 250'000;  ///< Cached blocks remembered, over all back ends.
+  /// Taken off a deadline handed to a back end, so that its own refusal comes back in time.
+  Duration answer_margin = std::chrono::milliseconds(5);
+};
+
+}  // namespace crankspur::gateway
--- a/src/gateway/gateway_snapshot.h
+++ b/src/gateway/gateway_snapshot.h
@@ -1,6 +1,6 @@
 #pragma once
-/// @file What a gateway knows when it decides: the accepted configuration and the live back ends. A gateway takes
-/// requests straight from clients and passes their answers on unread. Published whole, never changed.
+/// @file What a gateway knows when it decides: the accepted configuration and the live back ends. A gateway
+/// takes requests straight from clients and passes their answers on unread. Published whole, never changed.
 
 #include <cstdint>
 #include <memory>
@@ -33,10 +33,10 @@
   std::string host;
   std::string path_prefix;  ///< Begins and ends with '/'.
   Repeatability repeatability = Repeatability::AtMostOnce;
-  bool streaming = false;     ///< The answer is a series of events.
-  bool needs_tenant = true;   ///< False: served without an API key.
-  bool uses_prefixes = false; ///< Requests name prompt parts; place them by cached prefixes.
-  Duration timeout{0};        ///< Longest time a client attempt is held.
+  bool streaming = false;         ///< The answer is a series of events.
+  bool needs_tenant = true;       ///< False: served without an API key.
+  bool uses_prefixes = false;     ///< Requests name prompt parts; place them by cached prefixes.
+  Duration timeout{0};            ///< Longest time a client attempt is held.
   Duration first_byte_target{0};  ///< Time within which an answer (a stream's first event) counts as in time.
   Duration event_gap_target{0};   ///< Longest pause between events of a stream.
   std::uint32_t priority = 0;     ///< 0 is the most urgent.
@@ -75,9 +75,9 @@
 
 /// One back end that the platform lists.
 struct Backend {
-  EngineView view;                ///< Slot, id (`name`), address, zone, pool, state, models, load.
-  std::uint32_t slots = 0;        ///< Requests it works on at once.
-  TimePoint cold_until{};         ///< Slow after its start until then.
+  EngineView view;          ///< Slot, id (`name`), address, zone, pool, state, models, load.
+  std::uint32_t slots = 0;  ///< Requests it works on at once.
+  TimePoint cold_until{};   ///< Slow after its start until then.
 };
 
 /// Bounds on what a client may send.
