Let eligibility name pools without a bundle, and begin the decisions of a gateway

The eligibility of engines rested on the bundle alone; a gateway knows the pools by its configuration. Parts that a gateway needs: shares of a route, the budget of repeats, the cursor of an event stream, blocks of prompts named by parts, what is learnt of back ends, the choice of one. Not yet built or tested.

--- /dev/null
+++ b/src/gateway/backend_table.cc
@@ -0,0 +1,128 @@
+#include "gateway/backend_table.h"
+
+#include <algorithm>
+
+namespace crankspur::gateway {
+namespace {
+
+/// Weight of one outcome in the smoothed share of failures, and the share at which a back end is ejected.
+constexpr double kFailureSmoothing = 0.15;
+constexpr double kFailedShareLimit = 0.45;
+constexpr std::uint32_t kOutcomesUntilJudged = 4;
+constexpr double kAnswerSmoothing = 0.2;
+/// Time for which a back end that had no room is passed over.
+constexpr Duration kFullPause = std::chrono::milliseconds(60);
+/// A learnt limit rises by one in each of these periods.
+constexpr Duration kLimitRecovery = std::chrono::milliseconds(100);
+/// Connections of a back end left to the control side of all gateways: one for events, one for reports.
+constexpr std::uint32_t kControlConnections = 2;
+
+}  // namespace
+
+void BackendTable::onSnapshot(const GatewaySnapshot& snapshot, TimePoint now) {
+  for (const Backend& backend : snapshot.backends) {
+    State& state = states_[backend.view.slot];
+    if (state.incarnation == backend.view.incarnation) continue;
+    // Requests to the incarnation before still count until they end.
+    const std::uint32_t in_flight = state.in_flight;
+    state = State();
+    state.in_flight = in_flight;
+    state.incarnation = backend.view.incarnation;
+    state.health.onPollAnswered(now);  // The platform lists it.
+  }
+}
+
+const BackendTable::State* BackendTable::find(EngineSlot slot) const {
+  const auto found = states_.find(slot);
+  return found == states_.end() ? nullptr : &found->second;
+}
+
+void BackendTable::onDispatch(EngineSlot slot) {
+  ++states_[slot].in_flight;
+}
+
+void BackendTable::onOutcome(EngineSlot slot, std::uint64_t incarnation, DispatchOutcome outcome, TimePoint now) {
+  State& state = states_[slot];
+  const std::uint32_t held = state.in_flight;
+  if (state.in_flight > 0) --state.in_flight;
+  if (state.incarnation != incarnation) return;
+  switch (outcome) {
+    case DispatchOutcome::Answered:
+      return noteFailure(state, false, now);
+    case DispatchOutcome::Failed:
+      state.health.onOutcome(OutcomeKind::Lost, Duration(0), now);
+      return noteFailure(state, true, now);
+    case DispatchOutcome::ConnectFailed:
+      return state.health.onOutcome(OutcomeKind::ConnectFailed, Duration(0), now);
+    case DispatchOutcome::Full:
+      state.limit = std::max(held, 2U) - 1;
+      state.limited_at = now;
+      state.full_until = now + kFullPause;
+      return;
+    case DispatchOutcome::Ended:
+      return;
+  }
+}
+
+void BackendTable::noteFailure(State& state, bool failed, TimePoint now) {
+  state.failed_share += kFailureSmoothing * ((failed ? 1.0 : 0.0) - state.failed_share);
+  ++state.outcomes;
+  if (!failed || state.outcomes < kOutcomesUntilJudged || state.failed_share < kFailedShareLimit) return;
+  state.health.eject(now);
+  state.failed_share = 0;
+  state.outcomes = 0;
+}
+
+void BackendTable::onFirstByte(EngineSlot slot, std::uint64_t incarnation, Duration taken, Duration expected,
+                               TimePoint now) {
+  State& state = states_[slot];
+  if (state.incarnation != incarnation) return;
+  state.health.onOutcome(OutcomeKind::Answered, taken - expected, now);
+  const double seconds = toSeconds(taken);
+  const bool first = state.answer_seconds == 0;
+  state.answer_seconds = first ? seconds : state.answer_seconds + kAnswerSmoothing * (seconds - state.answer_seconds);
+}
+
+bool BackendTable::hasRoom(const Backend& backend, const Pool& pool, std::uint32_t gateway_count,
+                           TimePoint now) const {
+  const State* state = find(backend.view.slot);
+  if (state == nullptr) return true;
+  if (now < state->full_until) return false;
+  if (state->limit > 0) {
+    const auto recovered = static_cast<std::uint32_t>((now - state->limited_at) / kLimitRecovery);
+    if (state->in_flight >= state->limit + recovered) return false;
+  }
+  if (pool.maximum_connections > 0) {
+    const std::uint32_t share = pool.maximum_connections / std::max(gateway_count, 1U);
+    const std::uint32_t usable = share > kControlConnections ? share - kControlConnections : 1;
+    if (state->in_flight >= usable) return false;
+  }
+  return backend.slots == 0 || state->in_flight < backend.slots;
+}
+
+bool BackendTable::isHealthy(EngineSlot slot, TimePoint now) const {
+  const State* state = find(slot);
+  return state == nullptr || state->health.state(now) == HealthState::Healthy;
+}
+
+std::uint32_t BackendTable::inFlight(EngineSlot slot) const {
+  const State* state = find(slot);
+  return state == nullptr ? 0 : state->in_flight;
+}
+
+double BackendTable::lateness(EngineSlot slot) const {
+  const State* state = find(slot);
+  return state != nullptr && state->health.latenessKnown() ? state->health.lateness() : 0;
+}
+
+double BackendTable::answerTime(EngineSlot slot) const {
+  const State* state = find(slot);
+  return state == nullptr ? 0 : state->answer_seconds;
+}
+
+TimePoint BackendTable::fullUntil(EngineSlot slot) const {
+  const State* state = find(slot);
+  return state == nullptr ? TimePoint{} : state->full_until;
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway/engine_choice.cc
@@ -0,0 +1,263 @@
+#include "gateway/engine_choice.h"
+
+#include <algorithm>
+#include <charconv>
+
+#include "base/hash.h"
+#include "gateway/prompt_blocks.h"
+
+namespace crankspur::gateway {
+namespace {
+
+/// Cost of a request that leaves the zone, seconds: its way there and back.
+constexpr double kOtherZoneCost = 0.004;
+constexpr double kOtherRegionCost = 0.050;
+/// Share of a runner's load that a request to another zone is worth.
+constexpr double kOtherZoneLoad = 0.15;
+/// Engines equal otherwise are told apart by up to this many seconds, alike in all gateways for one prefix, so that
+/// requests with a common prefix meet at one engine.
+constexpr double kAffinityCost = 0.015;
+/// What filling a cache block costs later requests by eviction, seconds.
+constexpr double kEvictionCost = 0.0001;
+/// Import of cached blocks: fixed time, least time saved, and what moved time counts against computed time.
+constexpr double kImportBase = 0.004;
+constexpr double kImportGain = 0.020;
+constexpr double kImportWeight = 2.0;
+constexpr double kOtherZoneSlowdown = 2.0;
+constexpr double kOtherRegionSlowdown = 10.0;
+/// Lateness counts up to this many seconds.
+constexpr double kLatenessLimit = 0.5;
+/// Factor of load while a runner is slow after its start.
+constexpr double kColdFactor = 2.0;
+constexpr double kBitsPerByte = 8;
+
+Duration toDuration(double seconds) {
+  return Duration(static_cast<std::int64_t>(seconds * 1e6));
+}
+
+std::optional<std::uint64_t> parseVersion(const std::string& text) {
+  std::uint64_t version = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), version);
+  if (error != std::errc() || end != text.data() + text.size() || text.empty()) return std::nullopt;
+  return version;
+}
+
+/// @return the hash by which prompts that share their longest shared part meet: of the part before the last.
+std::uint64_t affinityKey(const std::vector<PromptPart>& prompt) {
+  if (prompt.empty()) return 0;
+  return prompt.size() == 1 ? prompt.front().id : prompt[prompt.size() - 2].id;
+}
+
+/// @return a number in [0, 1) that is the same in every gateway.
+double affinity(std::uint64_t key, const std::string& engine) {
+  return static_cast<double>(hashBytes(engine, key) >> 11) / 9007199254740992.0;
+}
+
+double zoneFactor(const EngineView& from, const EngineView& to) {
+  if (from.region != to.region) return kOtherRegionSlowdown;
+  return from.zone != to.zone ? kOtherZoneSlowdown : 1.0;
+}
+
+double distanceCost(const EngineView& engine, const GatewaySnapshot& snapshot) {
+  if (engine.region != snapshot.own_region) return kOtherRegionCost;
+  return engine.zone != snapshot.own_zone ? kOtherZoneCost : 0;
+}
+
+}  // namespace
+
+EngineChoice::EngineChoice(std::size_t index_entries, RandomSource& random)
+    : random_(random), index_(makePrefixIndex(index_entries)) {}
+
+void EngineChoice::onSnapshot(const GatewaySnapshot& snapshot) {
+  for (const Backend& backend : snapshot.backends) {
+    const EngineSlot slot = backend.view.slot;
+    ledger_.onLoadMeasured(slot, backend.view.load.measured_at);
+    std::uint64_t& known = incarnations_[slot];
+    if (known == backend.view.incarnation) continue;
+    known = backend.view.incarnation;
+    index_->setIncarnation(slot, known);
+    sequences_.erase(slot);
+    held_.erase(slot);
+    learnt_.erase(slot);
+  }
+}
+
+void EngineChoice::onWeights(EngineSlot slot, std::uint64_t incarnation, const std::string& model,
+                             std::uint64_t version) {
+  learnt_[slot] = {incarnation, model, version};
+}
+
+// Cached parts.
+
+void EngineChoice::applyPart(const CachedPartsNews& news, const CachedPart& part, CacheEvent& event) {
+  const std::uint64_t key = combineHashes(hashBytes(part.model, hashBytes(part.scope)), part.part);
+  std::uint32_t& held = held_[news.slot][key];
+  const std::uint32_t before = blocksOf(held);
+  const std::uint32_t after = blocksOf(part.tokens);
+  appendPartBlocks(part.scope, part.model, part.part, 0, after, event.stored);
+  appendPartBlocks(part.scope, part.model, part.part, after, std::max(before, after), event.removed);
+  held = part.tokens;
+  if (part.tokens == 0) held_[news.slot].erase(key);
+}
+
+void EngineChoice::onCachedParts(const CachedPartsNews& news, TimePoint now) {
+  if (!news.store_address.empty()) return;
+  const auto known = incarnations_.find(news.slot);
+  if (known == incarnations_.end() || known->second != news.incarnation) return;
+  if (news.complete) held_.erase(news.slot);
+  CacheEvent event;
+  event.sequence = ++sequences_[news.slot];
+  for (const CachedPart& part : news.parts) applyPart(news, part, event);
+  if (news.complete) {
+    index_->applyDigest(news.slot, news.incarnation, event.sequence, event.stored, now);
+  } else {
+    index_->applyEvent(news.slot, news.incarnation, event, now);
+  }
+}
+
+// The choice.
+
+std::optional<std::uint64_t> EngineChoice::weightsOf(const Backend& backend, const std::string& model) const {
+  const std::optional<std::uint64_t> listed = parseVersion(backend.view.weightsOf(model));
+  const auto learnt = learnt_.find(backend.view.slot);
+  if (learnt == learnt_.end() || learnt->second.incarnation != backend.view.incarnation) return listed;
+  if (learnt->second.model != model) return listed;
+  return std::max(listed.value_or(0), learnt->second.version);
+}
+
+std::vector<const Backend*> EngineChoice::findUsable(const ChoiceRequest& request, const GatewaySnapshot& snapshot,
+                                                     const BackendTable& table, TimePoint now,
+                                                     bool& lacks_room) const {
+  PlacementRequest placement;
+  if (request.uses_prefixes) placement.model = request.client->model;
+  placement.excluded = request.excluded;
+  const std::vector<std::string> pools = {request.pool->name};
+  const Eligibility eligibility(placement, pools);
+  std::vector<const Backend*> healthy;
+  std::vector<const Backend*> doubtful;
+  for (const Backend& backend : snapshot.backends) {
+    if (!eligibility.isEligible(backend.view)) continue;
+    if (request.least_weights && weightsOf(backend, request.client->model).value_or(0) < *request.least_weights) {
+      continue;
+    }
+    if (!table.hasRoom(backend, *request.pool, snapshot.gateway_count, now)) {
+      lacks_room = true;
+      continue;
+    }
+    (table.isHealthy(backend.view.slot, now) ? healthy : doubtful).push_back(&backend);
+  }
+  return healthy.empty() && !lacks_room ? doubtful : healthy;
+}
+
+std::size_t EngineChoice::scopedPrompt(std::vector<ScopedPrompt>& prompts, std::optional<std::uint64_t> weights,
+                                       const ChoiceRequest& request, TimePoint now) const {
+  for (std::size_t index = 0; index < prompts.size(); ++index) {
+    if (prompts[index].weights == weights) return index;
+  }
+  ScopedPrompt prompt;
+  prompt.weights = weights;
+  prompt.scope = cacheScope(weights ? std::to_string(*weights) : std::string(), request.isolated_tenant);
+  prompt.blocks = promptBlocks(prompt.scope, request.client->model, request.client->prompt);
+  prompt.matches = index_->match(prompt.blocks, now);
+  prompts.push_back(std::move(prompt));
+  return prompts.size() - 1;
+}
+
+EngineChoice::Candidate EngineChoice::weighEngine(const Backend& backend, const ScopedPrompt& prompt,
+                                                  const ChoiceRequest& request, const GatewaySnapshot& snapshot,
+                                                  const BackendTable& table, TimePoint now) const {
+  Candidate candidate;
+  candidate.backend = &backend;
+  const EngineView& engine = backend.view;
+  const std::vector<PromptPart>& parts = request.client->prompt;
+  const auto own = std::find_if(prompt.matches.begin(), prompt.matches.end(),
+                                [&](const PrefixMatch& match) { return match.engine == engine.slot; });
+  const std::uint32_t blocks = own == prompt.matches.end() ? 0 : own->blocks;
+  const std::uint32_t total = std::max(request.client->prompt_tokens, 1U);
+  std::uint32_t cached = std::min(tokensIn(parts, blocks), total);
+  const double rate = prefillRate(engine);
+  double import = 0;
+  for (const PrefixMatch& match : prompt.matches) {
+    if (match.blocks <= blocks) break;
+    const Backend* source = snapshot.backend(match.engine);
+    if (source == nullptr || source->view.state != EngineState::Live) continue;
+    if (!table.isHealthy(match.engine, now) || request.pool->link_bits_per_second <= 0) continue;
+    const std::uint32_t there = std::min(tokensIn(parts, match.blocks), total);
+    const double bits = static_cast<double>(there - cached) * static_cast<double>(request.pool->token_bytes) *
+                        kBitsPerByte;
+    const double time = kImportBase + bits / request.pool->link_bits_per_second * zoneFactor(source->view, engine);
+    if ((there - cached) / rate < time * kImportWeight + kImportGain) break;
+    import = time;
+    cached = there;
+    candidate.import_from = source->view.address;
+    break;
+  }
+  candidate.uncached_tokens = total - std::min(cached, total - 1);
+  const double prefill = candidate.uncached_tokens / rate;
+  const double queue = toSeconds(queues_.wait(engine, ledger_, now));
+  const double late = std::min(table.lateness(engine.slot), kLatenessLimit);
+  const double new_blocks = blocksOf(total) - std::min(blocks, blocksOf(total));
+  candidate.first_byte = queue + import + prefill + distanceCost(engine, snapshot);
+  candidate.cost = candidate.first_byte + import * (kImportWeight - 1) + late + new_blocks * kEvictionCost +
+                   kAffinityCost * affinity(affinityKey(parts), engine.name);
+  return candidate;
+}
+
+double EngineChoice::weighRunner(const Backend& backend, const GatewaySnapshot& snapshot,
+                                 const BackendTable& table) const {
+  const double slots = std::max(backend.slots, 1U);
+  double load = (table.inFlight(backend.view.slot) + 1) / slots;
+  const double time = std::max(table.answerTime(backend.view.slot), 0.001);
+  load *= 1 + time;
+  if (backend.view.zone != snapshot.own_zone) load += kOtherZoneLoad;
+  return load + random_.unit() / slots / 4;
+}
+
+Choice EngineChoice::choose(const ChoiceRequest& request, const GatewaySnapshot& snapshot,
+                            const BackendTable& table, TimePoint now) const {
+  Choice choice;
+  std::vector<ScopedPrompt> prompts;
+  Candidate best;
+  for (const Backend* backend : findUsable(request, snapshot, table, now, choice.lacks_room)) {
+    Candidate candidate;
+    candidate.backend = backend;
+    if (request.uses_prefixes) {
+      const std::size_t prompt =
+          scopedPrompt(prompts, weightsOf(*backend, request.client->model), request, now);
+      candidate = weighEngine(*backend, prompts[prompt], request, snapshot, table, now);
+      candidate.prompt = prompt;
+    } else {
+      candidate.cost = weighRunner(*backend, snapshot, table);
+      candidate.first_byte = table.answerTime(backend->view.slot);
+    }
+    if (now < backend->cold_until) candidate.cost *= kColdFactor;
+    if (best.backend == nullptr || candidate.cost < best.cost) best = std::move(candidate);
+  }
+  choice.backend = best.backend;
+  if (best.backend == nullptr) return choice;
+  choice.expected_first_byte = toDuration(best.first_byte);
+  if (!request.uses_prefixes) return choice;
+  ScopedPrompt& prompt = prompts[best.prompt];
+  choice.weights = prompt.weights;
+  choice.cache_scope = prompt.scope;
+  choice.blocks = std::move(prompt.blocks);
+  choice.import_from = best.import_from;
+  choice.uncached_tokens = best.uncached_tokens;
+  return choice;
+}
+
+void EngineChoice::onDispatch(const Choice& choice, std::uint64_t dispatch, TimePoint now) {
+  const EngineView& engine = choice.backend->view;
+  ledger_.add(engine.slot, dispatch, choice.uncached_tokens, now);
+  if (!choice.blocks.empty()) index_->notePlaced(engine.slot, engine.incarnation, choice.blocks, now);
+}
+
+void EngineChoice::onFirstByte(EngineSlot slot, std::uint64_t dispatch, TimePoint now) {
+  ledger_.prefillDone(slot, dispatch, now);
+}
+
+void EngineChoice::onEnd(EngineSlot slot, std::uint64_t dispatch) {
+  ledger_.remove(slot, dispatch);
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway/engine_choice.h
@@ -0,0 +1,107 @@
+#pragma once
+/// @file Which back end of a pool gets a request: by cached prefixes and queue for model engines, by load otherwise.
+
+#include <absl/container/flat_hash_map.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "gateway/backend_table.h"
+#include "gateway/cached_parts.h"
+#include "gateway/dialect.h"
+#include "gateway/gateway_snapshot.h"
+#include "placement/eligibility.h"
+#include "placement/outstanding_ledger.h"
+#include "placement/queue_estimator.h"
+#include "prefix_index/prefix_index.h"
+
+namespace crankspur::gateway {
+
+/// What a choice rests on.
+struct ChoiceRequest {
+  const Pool* pool = nullptr;
+  const ClientRequest* client = nullptr;
+  bool uses_prefixes = false;
+  std::string isolated_tenant;              ///< Empty: shares cached prefixes with all others.
+  std::optional<std::uint64_t> least_weights;  ///< Engines with older weights may not run it.
+  std::vector<EngineSlot> excluded;
+};
+
+/// The back end chosen.
+struct Choice {
+  const Backend* backend = nullptr;  ///< Null: none may get the request now.
+  bool lacks_room = false;           ///< None: some would do but have no room.
+  std::optional<std::uint64_t> weights;
+  std::string cache_scope;
+  std::string import_from;
+  std::vector<BlockHash> blocks;
+  std::uint32_t uncached_tokens = 0;
+  Duration expected_first_byte{0};
+};
+
+/// Holds the prefix index and the work in flight. Not thread-safe.
+class EngineChoice {
+public:
+  EngineChoice(std::size_t index_entries, RandomSource& random);
+
+  void onSnapshot(const GatewaySnapshot& snapshot);
+  void onCachedParts(const CachedPartsNews& news, TimePoint now);
+  /// An answer stated the weights that a back end has.
+  void onWeights(EngineSlot slot, std::uint64_t incarnation, const std::string& model, std::uint64_t version);
+
+  Choice choose(const ChoiceRequest& request, const GatewaySnapshot& snapshot, const BackendTable& table,
+                TimePoint now) const;
+
+  /// Notes a dispatch by `choice`.
+  void onDispatch(const Choice& choice, std::uint64_t dispatch, TimePoint now);
+  void onFirstByte(EngineSlot slot, std::uint64_t dispatch, TimePoint now);
+  void onEnd(EngineSlot slot, std::uint64_t dispatch);
+
+private:
+  struct LearntWeights {
+    std::uint64_t incarnation = 0;
+    std::string model;
+    std::uint64_t version = 0;
+  };
+  /// The prompt under one weights version: what it hashes to and who holds it.
+  struct ScopedPrompt {
+    std::optional<std::uint64_t> weights;
+    std::string scope;
+    std::vector<BlockHash> blocks;
+    std::vector<PrefixMatch> matches;
+  };
+  struct Candidate {
+    const Backend* backend = nullptr;
+    double cost = 0;
+    double first_byte = 0;
+    std::size_t prompt = 0;  ///< Index of its ScopedPrompt.
+    std::uint32_t uncached_tokens = 0;
+    std::string import_from;
+  };
+  using PartKey = std::uint64_t;
+
+  std::optional<std::uint64_t> weightsOf(const Backend& backend, const std::string& model) const;
+  std::vector<const Backend*> findUsable(const ChoiceRequest& request, const GatewaySnapshot& snapshot,
+                                         const BackendTable& table, TimePoint now, bool& lacks_room) const;
+  std::size_t scopedPrompt(std::vector<ScopedPrompt>& prompts, std::optional<std::uint64_t> weights,
+                           const ChoiceRequest& request, TimePoint now) const;
+  Candidate weighEngine(const Backend& backend, const ScopedPrompt& prompt, const ChoiceRequest& request,
+                        const GatewaySnapshot& snapshot, const BackendTable& table, TimePoint now) const;
+  double weighRunner(const Backend& backend, const GatewaySnapshot& snapshot, const BackendTable& table) const;
+  void applyPart(const CachedPartsNews& news, const CachedPart& part, CacheEvent& event);
+
+  RandomSource& random_;
+  std::unique_ptr<PrefixIndex> index_;
+  OutstandingLedger ledger_;
+  QueueEstimator queues_;
+  absl::flat_hash_map<EngineSlot, LearntWeights> learnt_;
+  absl::flat_hash_map<EngineSlot, std::uint64_t> incarnations_;
+  absl::flat_hash_map<EngineSlot, std::uint64_t> sequences_;
+  /// Tokens of each part that events last told, by engine.
+  absl::flat_hash_map<EngineSlot, absl::flat_hash_map<PartKey, std::uint32_t>> held_;
+};
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway/gateway_snapshot.cc
@@ -0,0 +1,36 @@
+#include "gateway/gateway_snapshot.h"
+
+#include <algorithm>
+
+namespace crankspur::gateway {
+
+const Route* Configuration::findRoute(std::string_view host, std::string_view path) const {
+  const Route* best = nullptr;
+  for (const Route& route : routes) {
+    if (route.host != host || !path.starts_with(route.path_prefix)) continue;
+    if (best == nullptr || route.path_prefix.size() > best->path_prefix.size()) best = &route;
+  }
+  return best;
+}
+
+const Pool* Configuration::findPool(std::string_view name) const {
+  const auto found = std::find_if(pools.begin(), pools.end(), [&](const Pool& pool) { return pool.name == name; });
+  return found == pools.end() ? nullptr : &*found;
+}
+
+const GatewayTenant* Configuration::findTenantByKey(std::string_view api_key) const {
+  if (api_key.empty()) return nullptr;
+  for (const GatewayTenant& tenant : tenants) {
+    const auto& keys = tenant.api_keys;
+    if (std::find(keys.begin(), keys.end(), api_key) != keys.end()) return &tenant;
+  }
+  return nullptr;
+}
+
+const Backend* GatewaySnapshot::backend(EngineSlot slot) const {
+  const auto found = std::lower_bound(backends.begin(), backends.end(), slot,
+                                      [](const Backend& one, EngineSlot wanted) { return one.view.slot < wanted; });
+  return found != backends.end() && found->view.slot == slot ? &*found : nullptr;
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway/repeat_budget.cc
@@ -0,0 +1,38 @@
+#include "gateway/repeat_budget.h"
+
+#include <algorithm>
+
+namespace crankspur::gateway {
+
+std::int64_t RepeatBudget::numberOf(TimePoint now) const {
+  const auto length = std::max<std::int64_t>(settings_.window.count() / static_cast<std::int64_t>(kSlices), 1);
+  return now.time_since_epoch().count() / length;
+}
+
+RepeatBudget::Slice& RepeatBudget::slice(TimePoint now) {
+  const std::int64_t number = numberOf(now);
+  Slice& found = slices_[static_cast<std::size_t>(number) % slices_.size()];
+  if (found.number != number) found = {number, 0, 0};
+  return found;
+}
+
+void RepeatBudget::onRequest(TimePoint now) {
+  ++slice(now).requests;
+}
+
+bool RepeatBudget::tryRepeat(std::uint32_t gateway_count, TimePoint now) {
+  const std::int64_t current = numberOf(now);
+  const auto window = static_cast<std::int64_t>(kSlices);
+  double requests = 0;
+  double repeats = 0;
+  for (const Slice& one : slices_) {
+    if (one.number > current - window) requests += one.requests;
+    if (one.number >= current - window) repeats += one.repeats;
+  }
+  const double allowed = settings_.ratio * requests + settings_.slack / std::max(gateway_count, 1U);
+  if (repeats + 1 > allowed) return false;
+  ++slice(now).repeats;
+  return true;
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway/stream_cursor.cc
@@ -0,0 +1,56 @@
+#include "gateway/stream_cursor.h"
+
+#include <charconv>
+
+namespace crankspur::gateway {
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+std::optional<std::uint64_t> parseId(std::string_view value) {
+  while (value.starts_with(' ')) value.remove_prefix(1);
+  std::uint64_t id = 0;
+  const auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), id);
+  if (error != std::errc() || end != value.data() + value.size()) return std::nullopt;
+  return id;
+}
+
+}  // namespace
+
+std::string StreamCursor::feed(std::string_view bytes) {
+  std::string passed;
+  while (!bytes.empty()) {
+    const std::size_t feed_at = bytes.find('\n');
+    if (feed_at == std::string_view::npos) {
+      event_ += bytes;
+      break;
+    }
+    event_ += bytes.substr(0, feed_at + 1);
+    bytes.remove_prefix(feed_at + 1);
+    std::string_view line = std::string_view(event_).substr(line_start_);
+    line.remove_suffix(1);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    takeLine(line, passed);
+  }
+  return passed;
+}
+
+void StreamCursor::takeLine(std::string_view line, std::string& passed) {
+  if (!line.empty()) {
+    if (line.starts_with(kIdField)) event_id_ = parseId(line.substr(kIdField.size()));
+    line_start_ = event_.size();
+    return;
+  }
+  const bool known = event_id_ && last_event_ && *event_id_ <= *last_event_;
+  if (!known) passed += event_;
+  if (event_id_ && !known) last_event_ = event_id_;
+  restart();
+}
+
+void StreamCursor::restart() {
+  event_.clear();
+  line_start_ = 0;
+  event_id_.reset();
+}
+
+}  // namespace crankspur::gateway
--- a/src/placement/eligibility.cc
+++ b/src/placement/eligibility.cc
@@ -23,18 +23,28 @@
   if (snapshot.bundle == nullptr) return;
   const TenantPolicy* tenant = snapshot.bundle->findTenant(request.tenant);
   if (tenant == nullptr || !contains(tenant->models, request.model)) return;
-  model_ = snapshot.bundle->findModel(request.model);
-  if (model_ == nullptr) return;
-  weights_ = request.weights_version.empty() ? model_->weights_version : request.weights_version;
+  const ModelPolicy* model = snapshot.bundle->findModel(request.model);
+  if (model == nullptr) return;
+  pools_ = &model->pools;
+  weights_ = request.weights_version.empty() ? model->weights_version : request.weights_version;
+}
+
+Eligibility::Eligibility(const PlacementRequest& request, const std::vector<std::string>& pools)
+    : request_(request), pools_(&pools) {
+  if (!request.weights_version.empty()) weights_ = request.weights_version;
+}
+
+bool Eligibility::isLoaded(const EngineView& engine) const {
+  const LoadedModel* loaded = findLoaded(engine, request_.model);
+  if (loaded == nullptr || (weights_ && loaded->weights_version != *weights_)) return false;
+  return request_.adapter.empty() || contains(loaded->adapters, request_.adapter);
 }
 
 bool Eligibility::isEligible(const EngineView& engine) const {
-  if (model_ == nullptr) return false;
+  if (pools_ == nullptr) return false;
   if (engine.state != EngineState::Live || engine.role == EngineRole::Decode) return false;
-  if (engine.incarnation == 0 || !contains(model_->pools, engine.pool)) return false;
-  const LoadedModel* loaded = findLoaded(engine, request_.model);
-  if (loaded == nullptr || loaded->weights_version != weights_) return false;
-  if (!request_.adapter.empty() && !contains(loaded->adapters, request_.adapter)) return false;
+  if (engine.incarnation == 0 || !contains(*pools_, engine.pool)) return false;
+  if (!request_.model.empty() && !isLoaded(engine)) return false;
   const auto& excluded = request_.excluded;
   return std::find(excluded.begin(), excluded.end(), engine.slot) == excluded.end();
 }
--- a/src/placement/outstanding_ledger.cc
+++ b/src/placement/outstanding_ledger.cc
@@ -7,9 +7,7 @@
 namespace crankspur {
 
 void OutstandingLedger::onSnapshot(const RoutingSnapshot& snapshot) {
-  for (const EngineView& engine : snapshot.engines) {
-    engines_[engine.slot].load_measured_at = engine.load.measured_at;
-  }
+  for (const EngineView& engine : snapshot.engines) onLoadMeasured(engine.slot, engine.load.measured_at);
 }
 
 void OutstandingLedger::add(EngineSlot engine, std::uint64_t dispatch, std::uint32_t uncached_tokens,
--- a/src/placement/outstanding_ledger.h
+++ b/src/placement/outstanding_ledger.h
@@ -14,6 +14,9 @@
 public:
   /// Takes the time at which each engine's load was measured.
   void onSnapshot(const RoutingSnapshot& snapshot);
+  void onLoadMeasured(EngineSlot engine, TimePoint measured_at) {
+    engines_[engine].load_measured_at = measured_at;
+  }
   /// Notes a dispatch.
   /// @param uncached_tokens prompt tokens that the engine has to compute.
   void add(EngineSlot engine, std::uint64_t dispatch, std::uint32_t uncached_tokens, TimePoint now);
