--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -41,7 +41,8 @@
   ++states_[slot].in_flight;
 }
 
-void BackendTable::onOutcome(EngineSlot slot, std::uint64_t incarnation, DispatchOutcome outcome, TimePoint now) {
+void BackendTable::onOutcome(EngineSlot slot, std::uint64_t incarnation, DispatchOutcome outcome,
+                             TimePoint now) {
   State& state = states_[slot];
   const std::uint32_t held = state.in_flight;
   if (state.in_flight > 0) --state.in_flight;
@@ -49,6 +50,8 @@
   switch (outcome) {
     case DispatchOutcome::Answered:
       return noteFailure(state, false, now);
+    case DispatchOutcome::ErrorAnswer:
+      return noteFailure(state, true, now);
     case DispatchOutcome::Failed:
       state.health.onOutcome(OutcomeKind::Lost, Duration(0), now);
       return noteFailure(state, true, now);
@@ -80,7 +83,8 @@
   state.health.onOutcome(OutcomeKind::Answered, taken - expected, now);
   const double seconds = toSeconds(taken);
   const bool first = state.answer_seconds == 0;
-  state.answer_seconds = first ? seconds : state.answer_seconds + kAnswerSmoothing * (seconds - state.answer_seconds);
+  state.answer_seconds =
+      first ? seconds : state.answer_seconds + kAnswerSmoothing * (seconds - state.answer_seconds);
 }
 
 bool BackendTable::hasRoom(const Backend& backend, const Pool& pool, std::uint32_t gateway_count,
@@ -120,9 +124,9 @@
   return state == nullptr ? 0 : state->answer_seconds;
 }
 
-TimePoint BackendTable::fullUntil(EngineSlot slot) const {
+TimePoint BackendTable::heardAt(EngineSlot slot) const {
   const State* state = find(slot);
-  return state == nullptr ? TimePoint{} : state->full_until;
+  return state == nullptr ? TimePoint{} : state->heard_at;
 }
 
 }  // namespace crankspur::gateway
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -1,5 +1,6 @@
 #pragma once
-/// @file What a gateway has learnt about each back end by its own traffic: health, requests in flight, refusals.
+/// @file What a gateway has learnt about each back end by its own traffic: health, requests in flight,
+/// refusals.
 
 #include <absl/container/flat_hash_map.h>
 
@@ -14,7 +15,8 @@
 /// How one dispatch at a back end ended.
 enum class DispatchOutcome {
   Answered,       ///< Its own answer came whole.
-  Failed,         ///< It answered that it failed, or with bytes that are no answer of its own, or broke off.
+  ErrorAnswer,    ///< It answered that it failed.
+  Failed,         ///< It sent bytes that are no answer of its own, or broke off.
   ConnectFailed,  ///< No connection could be made.
   Full,           ///< It ran nothing for want of room.
   Ended,          ///< Cancelled by us, or says nothing about the back end.
@@ -29,8 +31,11 @@
   void onDispatch(EngineSlot slot);
   /// @param incarnation that the dispatch was sent to; of another than the present one nothing is learnt.
   void onOutcome(EngineSlot slot, std::uint64_t incarnation, DispatchOutcome outcome, TimePoint now);
+  /// Any byte of an answer came.
+  void onHeard(EngineSlot slot, TimePoint now) { states_[slot].heard_at = now; }
   /// Notes how long an answer took to begin, against what was expected.
-  void onFirstByte(EngineSlot slot, std::uint64_t incarnation, Duration taken, Duration expected, TimePoint now);
+  void onFirstByte(EngineSlot slot, std::uint64_t incarnation, Duration taken, Duration expected,
+                   TimePoint now);
 
   /// @return whether the back end may be sent one more request now, as far as places and connections go.
   bool hasRoom(const Backend& backend, const Pool& pool, std::uint32_t gateway_count, TimePoint now) const;
@@ -41,18 +46,19 @@
   double lateness(EngineSlot slot) const;
   /// @return seconds until it begins to answer, smoothed; 0 when unknown.
   double answerTime(EngineSlot slot) const;
-  /// @return when a back end that has just refused for want of room may be asked again.
-  TimePoint fullUntil(EngineSlot slot) const;
+  /// @return when any byte of an answer last came.
+  TimePoint heardAt(EngineSlot slot) const;
 
 private:
   struct State {
     std::uint64_t incarnation = 0;
     EngineHealth health;
     std::uint32_t in_flight = 0;
-    std::uint32_t limit = 0;     ///< Requests in flight at which it last refused; 0: it did not.
+    std::uint32_t limit = 0;  ///< Requests in flight at which it last refused; 0: it did not.
     TimePoint limited_at{};
     TimePoint full_until{};
-    double failed_share = 0;     ///< Smoothed share of dispatches that failed.
+    TimePoint heard_at{};
+    double failed_share = 0;  ///< Smoothed share of dispatches that failed.
     std::uint32_t outcomes = 0;
     double answer_seconds = 0;
   };
--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -14,8 +14,8 @@
 constexpr double kOtherRegionCost = 0.050;
 /// Share of a runner's load that a request to another zone is worth.
 constexpr double kOtherZoneLoad = 0.15;
-/// Engines equal otherwise are told apart by up to this many seconds, alike in all gateways for one prefix, so that
-/// requests with a common prefix meet at one engine.
+/// Engines equal otherwise are told apart by up to this many seconds, alike in all gateways for one prefix,
+/// so that requests with a common prefix meet at one engine.
 constexpr double kAffinityCost = 0.015;
 /// What filling a cache block costs later requests by eviction, seconds.
 constexpr double kEvictionCost = 0.0001;
@@ -125,7 +125,8 @@
   return std::max(listed.value_or(0), learnt->second.version);
 }
 
-std::vector<const Backend*> EngineChoice::findUsable(const ChoiceRequest& request, const GatewaySnapshot& snapshot,
+std::vector<const Backend*> EngineChoice::findUsable(const ChoiceRequest& request,
+                                                     const GatewaySnapshot& snapshot,
                                                      const BackendTable& table, TimePoint now,
                                                      bool& lacks_room) const {
   PlacementRequest placement;
@@ -137,7 +138,8 @@
   std::vector<const Backend*> doubtful;
   for (const Backend& backend : snapshot.backends) {
     if (!eligibility.isEligible(backend.view)) continue;
-    if (request.least_weights && weightsOf(backend, request.client->model).value_or(0) < *request.least_weights) {
+    if (request.least_weights &&
+        weightsOf(backend, request.client->model).value_or(0) < *request.least_weights) {
       continue;
     }
     if (!table.hasRoom(backend, *request.pool, snapshot.gateway_count, now)) {
@@ -149,8 +151,9 @@
   return healthy.empty() && !lacks_room ? doubtful : healthy;
 }
 
-std::size_t EngineChoice::scopedPrompt(std::vector<ScopedPrompt>& prompts, std::optional<std::uint64_t> weights,
-                                       const ChoiceRequest& request, TimePoint now) const {
+std::size_t EngineChoice::scopedPrompt(std::vector<ScopedPrompt>& prompts,
+                                       std::optional<std::uint64_t> weights, const ChoiceRequest& request,
+                                       TimePoint now) const {
   for (std::size_t index = 0; index < prompts.size(); ++index) {
     if (prompts[index].weights == weights) return index;
   }
@@ -164,8 +167,9 @@
 }
 
 EngineChoice::Candidate EngineChoice::weighEngine(const Backend& backend, const ScopedPrompt& prompt,
-                                                  const ChoiceRequest& request, const GatewaySnapshot& snapshot,
-                                                  const BackendTable& table, TimePoint now) const {
+                                                  const ChoiceRequest& request,
+                                                  const GatewaySnapshot& snapshot, const BackendTable& table,
+                                                  TimePoint now) const {
   Candidate candidate;
   candidate.backend = &backend;
   const EngineView& engine = backend.view;
@@ -183,9 +187,10 @@
     if (source == nullptr || source->view.state != EngineState::Live) continue;
     if (!table.isHealthy(match.engine, now) || request.pool->link_bits_per_second <= 0) continue;
     const std::uint32_t there = std::min(tokensIn(parts, match.blocks), total);
-    const double bits = static_cast<double>(there - cached) * static_cast<double>(request.pool->token_bytes) *
-                        kBitsPerByte;
-    const double time = kImportBase + bits / request.pool->link_bits_per_second * zoneFactor(source->view, engine);
+    const double bits =
+        static_cast<double>(there - cached) * static_cast<double>(request.pool->token_bytes) * kBitsPerByte;
+    const double time =
+        kImportBase + bits / request.pool->link_bits_per_second * zoneFactor(source->view, engine);
     if ((there - cached) / rate < time * kImportWeight + kImportGain) break;
     import = time;
     cached = there;
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -1,5 +1,6 @@
 #pragma once
-/// @file Which back end of a pool gets a request: by cached prefixes and queue for model engines, by load otherwise.
+/// @file Which back end of a pool gets a request: by cached prefixes and queue for model engines, by load
+/// otherwise.
 
 #include <absl/container/flat_hash_map.h>
 
@@ -25,7 +26,7 @@
   const Pool* pool = nullptr;
   const ClientRequest* client = nullptr;
   bool uses_prefixes = false;
-  std::string isolated_tenant;              ///< Empty: shares cached prefixes with all others.
+  std::string isolated_tenant;                 ///< Empty: shares cached prefixes with all others.
   std::optional<std::uint64_t> least_weights;  ///< Engines with older weights may not run it.
   std::vector<EngineSlot> excluded;
 };
@@ -90,7 +91,8 @@
                            const ChoiceRequest& request, TimePoint now) const;
   Candidate weighEngine(const Backend& backend, const ScopedPrompt& prompt, const ChoiceRequest& request,
                         const GatewaySnapshot& snapshot, const BackendTable& table, TimePoint now) const;
-  double weighRunner(const Backend& backend, const GatewaySnapshot& snapshot, const BackendTable& table) const;
+  double weighRunner(const Backend& backend, const GatewaySnapshot& snapshot,
+                     const BackendTable& table) const;
   void applyPart(const CachedPartsNews& news, const CachedPart& part, CacheEvent& event);
 
   RandomSource& random_;
--- /dev/null
+++ b/src/gateway/gateway.cc
@@ -0,0 +1,262 @@
+#include "gateway/gateway.h"
+
+#include <algorithm>
+
+namespace crankspur::gateway {
+namespace {
+
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+/// Share of the first-byte target that a request may wait for a place.
+constexpr int kQueueShare = 4;
+/// Time that a request which was dispatched before may wait for a further back end.
+constexpr Duration kMoveWait = std::chrono::milliseconds(400);
+/// Pause after which a waiting request looks for a place again, besides when one becomes free.
+constexpr Duration kQueueLook = std::chrono::milliseconds(30);
+/// Least time left with which a request is still sent.
+constexpr Duration kLeastDeadline = std::chrono::milliseconds(20);
+constexpr std::uint32_t kLeastUrgent = 9;
+/// Longest time that a request is held on a route that states none.
+constexpr Duration kTimeoutUnstated = std::chrono::seconds(60);
+constexpr Duration kLeastRetryAfter = std::chrono::milliseconds(100);
+constexpr Duration kMostRetryAfter = std::chrono::seconds(1);
+
+}  // namespace
+
+Gateway::Gateway(const GatewaySettings& settings, std::uint64_t random_seed)
+    : settings_(settings),
+      random_(random_seed),
+      choice_(settings.index_entries, random_),
+      shares_(random_),
+      weights_(settings.older_weights_grace) {}
+
+void Gateway::onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot, TimePoint now) {
+  snapshot_ = std::move(snapshot);
+  table_.onSnapshot(*snapshot_, now);
+  choice_.onSnapshot(*snapshot_);
+  weights_.onSnapshot(*snapshot_, now);
+  if (snapshot_->configuration) shares_.configure(*snapshot_->configuration);
+  serveQueue(now);
+}
+
+Gateway::Entry* Gateway::findClient(ClientId client) {
+  const auto found = entries_.find(client);
+  return found == entries_.end() ? nullptr : found->second.get();
+}
+
+RepeatBudget& Gateway::budgetOf(const std::string& pool) {
+  return budgets_.try_emplace(pool, settings_.retry_budget).first->second;
+}
+
+// A new request.
+
+void Gateway::onRequest(ClientId client, IncomingRequest request, TimePoint now) {
+  ++counters_.requests;
+  const CheckedRequest checked = checkRequest(request, snapshot_.get());
+  if (checked.refusal != 0) {
+    const bool comes_back = checked.refusal == kUnavailable;
+    return refuse(client, checked.refusal, comes_back ? kMostRetryAfter : Duration(0));
+  }
+  auto owned = std::make_unique<Entry>();
+  Entry& entry = *owned;
+  entry.id = client;
+  entry.client = std::move(*request.client);
+  entries_.emplace(client, std::move(owned));
+  admit(entry, checked, now);
+  if (entry.pool == nullptr || entry.ends_at - now < kLeastDeadline) return giveUp(entry, now);
+  budgetOf(entry.pool->name).onRequest(now);
+  place(entry, now);
+}
+
+void Gateway::admit(Entry& entry, const CheckedRequest& checked, TimePoint now) {
+  const Route& route = *checked.route;
+  entry.configuration = snapshot_->configuration;
+  entry.route = &route;
+  entry.pool = entry.configuration->findPool(route.pools[shares_.next(route)].pool);
+  entry.priority = route.priority;
+  if (checked.tenant != nullptr) {
+    entry.tenant = checked.tenant->name;
+    entry.priority = checked.tenant->priority.value_or(route.priority);
+    if (checked.tenant->isolated) entry.isolated_tenant = checked.tenant->name;
+  }
+  entry.arrived_at = now;
+  entry.ends_at = now + (route.timeout > Duration(0) ? route.timeout : kTimeoutUnstated);
+  if (entry.client.deadline) entry.ends_at = std::min(entry.ends_at, now + *entry.client.deadline);
+  if (route.repeatability == Repeatability::ResumableStream) entry.cursor.emplace(entry.client.resume_after);
+}
+
+ChoiceRequest Gateway::choiceRequest(const Entry& entry, const Pool& pool, TimePoint now) const {
+  ChoiceRequest request;
+  request.pool = &pool;
+  request.client = &entry.client;
+  request.uses_prefixes = entry.route->uses_prefixes;
+  request.isolated_tenant = entry.isolated_tenant;
+  request.excluded = entry.failed;
+  if (request.uses_prefixes) request.least_weights = weights_.leastWeights(entry.client.model, now);
+  return request;
+}
+
+/// Looks in the pool whose turn it was, then in the others of the route.
+Choice Gateway::choose(Entry& entry, TimePoint now) {
+  Choice choice = choice_.choose(choiceRequest(entry, *entry.pool, now), *snapshot_, table_, now);
+  if (choice.backend != nullptr || choice.lacks_room) return choice;
+  for (const PoolShare& share : entry.route->pools) {
+    const Pool* other = entry.configuration->findPool(share.pool);
+    if (other == nullptr || other == entry.pool || share.weight == 0) continue;
+    Choice second = choice_.choose(choiceRequest(entry, *other, now), *snapshot_, table_, now);
+    if (second.backend == nullptr) continue;
+    entry.pool = other;
+    return second;
+  }
+  return choice;
+}
+
+void Gateway::place(Entry& entry, TimePoint now) {
+  const Choice choice = choose(entry, now);
+  if (choice.backend == nullptr) return wait(entry, now);
+  const bool in_time =
+      now + choice.expected_first_byte < entry.ends_at && entry.ends_at - now >= kLeastDeadline;
+  if (!in_time) return giveUp(entry, now);
+  dispatch(entry, choice, now);
+}
+
+// The queue.
+
+void Gateway::wait(Entry& entry, TimePoint now) {
+  if (!entry.waiting) {
+    entry.waiting = true;
+    queue_.insert({entry.priority, entry.id});
+    const TimePoint first = entry.arrived_at + entry.route->first_byte_target / kQueueShare;
+    const TimePoint until = entry.dispatches > 0 ? now + kMoveWait : std::max(now, first);
+    entry.queued_until = std::min(until, entry.ends_at);
+  }
+  if (now >= entry.queued_until) return giveUp(entry, now);
+  wakeAt(entry, std::min(entry.queued_until, now + kQueueLook));
+}
+
+void Gateway::serveQueue(TimePoint now) {
+  if (queue_.empty()) return;
+  const std::vector<std::pair<std::uint32_t, ClientId>> waiting(queue_.begin(), queue_.end());
+  std::vector<const Pool*> full;
+  for (const auto& [priority, client] : waiting) {
+    Entry* entry = findClient(client);
+    if (entry == nullptr || std::find(full.begin(), full.end(), entry->pool) != full.end()) continue;
+    const Pool* pool = entry->pool;
+    place(*entry, now);
+    entry = findClient(client);
+    if (entry != nullptr && entry->waiting) full.push_back(pool);
+  }
+}
+
+// Dispatch.
+
+ForwardTerms Gateway::forwardTerms(const Entry& entry, const Choice& choice, TimePoint now) const {
+  ForwardTerms terms;
+  terms.expected_backend = choice.backend->view.name;
+  terms.tenant = entry.tenant;
+  terms.expected_weights = choice.weights;
+  terms.deadline = entry.ends_at - now - settings_.answer_margin;
+  terms.priority = std::min(entry.priority, kLeastUrgent);
+  terms.cache_scope = choice.cache_scope;
+  terms.import_from = choice.import_from;
+  terms.resume_after = entry.cursor ? entry.cursor->lastEvent() : entry.client.resume_after;
+  return terms;
+}
+
+void Gateway::dispatch(Entry& entry, const Choice& choice, TimePoint now) {
+  if (entry.waiting) queue_.erase({entry.priority, entry.id});
+  entry.waiting = false;
+  const EngineView& backend = choice.backend->view;
+  Running running;
+  running.exchange = next_exchange_++;
+  running.slot = backend.slot;
+  running.incarnation = backend.incarnation;
+  running.sent_at = now;
+  running.heard_at = now;
+  running.expected = choice.expected_first_byte;
+  entry.running = running;
+  ++entry.sends;
+  ++entry.dispatches;
+  ++counters_.dispatches;
+  if (entry.arrived_before) ++counters_.repeats;
+  exchanges_[running.exchange] = entry.id;
+  table_.onDispatch(backend.slot);
+  choice_.onDispatch(choice, running.exchange, now);
+  wakeAt(entry, std::min(entry.ends_at, now + settings_.silence_limit));
+  actions_.push_back(Dispatch{running.exchange, entry.id, backend.address, forwardTerms(entry, choice, now)});
+}
+
+// Ends.
+
+void Gateway::refuse(ClientId client, int status, Duration retry_after) {
+  ++counters_.refused;
+  actions_.push_back(Refuse{client, status, retry_after});
+}
+
+/// Spread, so that those refused together do not come back together.
+Duration Gateway::retryAfter(const Entry& entry) {
+  const Duration base = entry.route->first_byte_target / 2;
+  const Duration bounded = std::clamp(base, kLeastRetryAfter, kMostRetryAfter);
+  return Duration(static_cast<std::int64_t>(static_cast<double>(bounded.count()) * (0.5 + random_.unit())));
+}
+
+void Gateway::finish(Entry& entry) {
+  if (entry.waiting) queue_.erase({entry.priority, entry.id});
+  timers_.erase({entry.wakes_at, entry.id});
+  const ClientId id = entry.id;  // The entry is gone after the next line.
+  entries_.erase(id);
+}
+
+void Gateway::onClientGone(ClientId client, TimePoint now) {
+  Entry* entry = findClient(client);
+  if (entry == nullptr) return;
+  ++counters_.abandoned;
+  cancelExchange(*entry, DispatchOutcome::Ended, now);
+  finish(*entry);
+  serveQueue(now);
+}
+
+/// Neither the client nor the route waits any longer.
+void Gateway::expire(Entry& entry, TimePoint now) {
+  if (entry.running.exchange != 0) entry.may_have_run = true;
+  cancelExchange(entry, DispatchOutcome::Ended, now);
+  if (!entry.head_passed && entry.may_have_run) {
+    ++counters_.failed;
+    actions_.push_back(Refuse{entry.id, kGatewayTimeout, Duration(0)});
+    return finish(entry);
+  }
+  giveUp(entry, now);
+}
+
+// Timers.
+
+void Gateway::wakeAt(Entry& entry, TimePoint when) {
+  timers_.erase({entry.wakes_at, entry.id});
+  entry.wakes_at = when;
+  timers_.insert({when, entry.id});
+}
+
+std::optional<TimePoint> Gateway::nextTimer() const {
+  if (timers_.empty()) return std::nullopt;
+  return timers_.begin()->first;
+}
+
+void Gateway::onTimer(TimePoint now) {
+  while (!timers_.empty() && timers_.begin()->first <= now) {
+    const ClientId client = timers_.begin()->second;
+    Entry* entry = findClient(client);
+    timers_.erase(timers_.begin());
+    if (entry == nullptr) continue;
+    entry->wakes_at = TimePoint::max();
+    onWake(*entry, now);
+  }
+}
+
+void Gateway::onWake(Entry& entry, TimePoint now) {
+  if (now >= entry.ends_at) return expire(entry, now);
+  if (entry.waiting) return place(entry, now);
+  if (entry.running.exchange != 0) return checkSilence(entry, now);
+  wakeAt(entry, entry.ends_at);
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway/gateway.h
@@ -0,0 +1,162 @@
+#pragma once
+/// @file The decisions of a gateway over the life of client requests: checks, placement, dispatch, answers,
+/// failure. Pure decision code: it takes (event, now) and returns actions. One instance per traffic thread;
+/// not thread-safe.
+
+#include <absl/container/flat_hash_map.h>
+
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "base/random.h"
+#include "gateway/backend_table.h"
+#include "gateway/engine_choice.h"
+#include "gateway/gateway_actions.h"
+#include "gateway/gateway_settings.h"
+#include "gateway/named_weights.h"
+#include "gateway/repeat_budget.h"
+#include "gateway/request_check.h"
+#include "gateway/route_shares.h"
+#include "gateway/stream_cursor.h"
+
+namespace crankspur::gateway {
+
+/// Counts since the start.
+struct GatewayCounters {
+  std::uint64_t requests = 0;    ///< Read from clients.
+  std::uint64_t dispatches = 0;  ///< Sent to back ends.
+  std::uint64_t repeats = 0;     ///< Of these, beyond the first of a request.
+  std::uint64_t refused = 0;     ///< Answered as not run.
+  std::uint64_t failed = 0;      ///< Answered by the gateway as possibly run, or cut.
+  std::uint64_t abandoned = 0;   ///< Clients that left before the end.
+};
+
+/// See the file comment. Events change the state and add to the actions that takeActions() hands out.
+class Gateway {
+public:
+  Gateway(const GatewaySettings& settings, std::uint64_t random_seed);
+  Gateway(const Gateway&) = delete;  // Its parts share its random source.
+  Gateway& operator=(const Gateway&) = delete;
+
+  void onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot, TimePoint now);
+  void onCachedParts(const CachedPartsNews& news, TimePoint now) { choice_.onCachedParts(news, now); }
+
+  void onRequest(ClientId client, IncomingRequest request, TimePoint now);
+  void onClientGone(ClientId client, TimePoint now);
+
+  /// The head of an answer came. Until PassHead the driver keeps what comes of the body.
+  void onHead(ExchangeId exchange, int status, const BackendAnswer& answer, TimePoint now);
+  /// Bytes came of an answer for which passesBytes() holds.
+  void onBytes(ExchangeId exchange, std::string_view bytes, TimePoint now);
+  /// @return whether the driver gives the body's bytes to onBytes(); otherwise it keeps them.
+  bool passesBytes(ExchangeId exchange) const;
+  /// The body has become larger than the driver keeps.
+  void onLargeBody(ExchangeId exchange, TimePoint now);
+  /// The answer is complete.
+  void onEnd(ExchangeId exchange, TimePoint now);
+  /// The exchange broke.
+  /// @param sent whether the back end may have got any byte of the request.
+  void onLost(ExchangeId exchange, bool sent, TimePoint now);
+
+  void onTimer(TimePoint now);
+  /// @return when onTimer() has work; empty: not until another event.
+  std::optional<TimePoint> nextTimer() const;
+  /// @return actions since the last call.
+  std::vector<GatewayAction> takeActions() { return std::exchange(actions_, {}); }
+  const GatewayCounters& counters() const { return counters_; }
+
+private:
+  /// The exchange that a request has under way; exchange 0: none.
+  struct Running {
+    ExchangeId exchange = 0;
+    EngineSlot slot = 0;
+    std::uint64_t incarnation = 0;
+    TimePoint sent_at{};
+    TimePoint heard_at{};
+    Duration expected{0};
+    bool first_byte = false;
+    bool passes_bytes = false;  ///< Bytes go on as they come.
+    bool error_answer = false;
+  };
+  struct Entry {
+    ClientId id = 0;
+    ClientRequest client;
+    std::shared_ptr<const Configuration> configuration;  ///< Keeps `route` alive.
+    const Route* route = nullptr;
+    const Pool* pool = nullptr;
+    std::string tenant;
+    std::string isolated_tenant;
+    std::uint32_t priority = 0;
+    TimePoint arrived_at{};
+    TimePoint ends_at{};       ///< When the client or the route waits no longer.
+    TimePoint queued_until{};  ///< Set while it waits for a place.
+    TimePoint wakes_at = TimePoint::max();
+    std::vector<EngineSlot> failed;  ///< Back ends that failed it.
+    std::uint32_t sends = 0;         ///< Back ends that it reached.
+    std::uint32_t dispatches = 0;
+    bool waiting = false;
+    bool may_have_run = false;
+    bool arrived_before = false;  ///< Some back end may have got it: a further dispatch is a repeat.
+    bool head_passed = false;
+    std::optional<StreamCursor> cursor;  ///< Of a resumable stream.
+    Running running;
+  };
+
+  // Requests and the queue (gateway.cc).
+  void admit(Entry& entry, const CheckedRequest& checked, TimePoint now);
+  void place(Entry& entry, TimePoint now);
+  Choice choose(Entry& entry, TimePoint now);
+  ChoiceRequest choiceRequest(const Entry& entry, const Pool& pool, TimePoint now) const;
+  void wait(Entry& entry, TimePoint now);
+  void serveQueue(TimePoint now);
+  void dispatch(Entry& entry, const Choice& choice, TimePoint now);
+  ForwardTerms forwardTerms(const Entry& entry, const Choice& choice, TimePoint now) const;
+  void refuse(ClientId client, int status, Duration retry_after);
+  Duration retryAfter(const Entry& entry);
+  void finish(Entry& entry);
+  void wakeAt(Entry& entry, TimePoint when);
+  void onWake(Entry& entry, TimePoint now);
+  void expire(Entry& entry, TimePoint now);
+  Entry* findClient(ClientId client);
+  RepeatBudget& budgetOf(const std::string& pool);
+
+  // Answers and failures (gateway_answers.cc).
+  Entry* findExchange(ExchangeId exchange);
+  const Entry* findExchange(ExchangeId exchange) const;
+  void onNotRun(Entry& entry, const BackendAnswer& answer, TimePoint now);
+  void onWrongBackend(Entry& entry, const BackendAnswer& answer, TimePoint now);
+  void onErrorAnswer(Entry& entry, int status, TimePoint now);
+  void onBrokenAnswer(Entry& entry, TimePoint now);
+  void endExchange(Entry& entry, DispatchOutcome outcome, TimePoint now);
+  void cancelExchange(Entry& entry, DispatchOutcome outcome, TimePoint now);
+  void discardAnswer(Entry& entry, DispatchOutcome outcome, TimePoint now);
+  bool mayRepeat(const Entry& entry) const;
+  bool takeRepeat(Entry& entry, TimePoint now);
+  void goOn(Entry& entry, TimePoint now);
+  void moveOn(Entry& entry, TimePoint now);
+  void giveUp(Entry& entry, TimePoint now);
+  void noteFirstByte(Entry& entry, TimePoint now);
+  void checkSilence(Entry& entry, TimePoint now);
+
+  GatewaySettings settings_;
+  RandomSource random_;
+  std::shared_ptr<const GatewaySnapshot> snapshot_;
+  BackendTable table_;
+  EngineChoice choice_;
+  RouteShares shares_;
+  WeightsClock weights_;
+  absl::flat_hash_map<std::string, RepeatBudget> budgets_;
+  absl::flat_hash_map<ClientId, std::unique_ptr<Entry>> entries_;
+  absl::flat_hash_map<ExchangeId, ClientId> exchanges_;
+  std::set<std::pair<TimePoint, ClientId>> timers_;
+  std::set<std::pair<std::uint32_t, ClientId>> queue_;  ///< Those that wait, the most urgent first.
+  ExchangeId next_exchange_ = 1;
+  std::vector<GatewayAction> actions_;
+  GatewayCounters counters_;
+};
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway/gateway_actions.h
@@ -0,0 +1,89 @@
+#pragma once
+/// @file What a Gateway decides. The traffic thread carries the actions out in their order.
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "gateway/dialect.h"
+#include "prefix_index/prefix_index.h"
+
+namespace crankspur::gateway {
+
+/// Names one client request; chosen by the driver, never used again.
+using ClientId = std::uint64_t;
+/// Names one request to a back end; chosen by Gateway, never used again.
+using ExchangeId = std::uint64_t;
+
+/// Answers with a status of the gateway's own. No answer was begun before.
+struct Refuse {
+  ClientId client = 0;
+  int status = 503;
+  Duration retry_after{0};  ///< 0: none is stated.
+};
+
+/// Sends the client's request to a back end.
+struct Dispatch {
+  ExchangeId exchange = 0;
+  ClientId client = 0;
+  std::string address;
+  ForwardTerms terms;
+};
+
+/// Closes the connection of an exchange; nothing of it is heard any more.
+struct CancelExchange {
+  ExchangeId exchange = 0;
+};
+
+/// Nothing more of the exchange is wanted, but its answer is short: the connection may be used again after
+/// it.
+struct DiscardAnswer {
+  ExchangeId exchange = 0;
+};
+
+/// Passes the whole answer on: the head and the body kept until now.
+struct PassWhole {
+  ClientId client = 0;
+  ExchangeId exchange = 0;
+};
+
+/// Begins the answer with the head of an exchange, and what of its body was kept until now.
+struct PassHead {
+  ClientId client = 0;
+  ExchangeId exchange = 0;
+};
+
+/// Passes bytes of the body on.
+struct PassBytes {
+  ClientId client = 0;
+  std::string bytes;
+};
+
+/// Ends an answer that was begun, as complete.
+struct EndAnswer {
+  ClientId client = 0;
+};
+
+/// Cuts an answer that was begun, so that it looks incomplete.
+struct AbortAnswer {
+  ClientId client = 0;
+};
+
+/// Tells the control side that a back end cannot be reached.
+struct ReportUnreachable {
+  EngineSlot slot = 0;
+  std::uint64_t incarnation = 0;
+};
+
+/// Tells the control side that a back end is not what it was taken for.
+struct ReportWrongBackend {
+  EngineSlot slot = 0;
+  std::uint64_t incarnation = 0;
+  std::optional<std::uint64_t> weights_version;
+};
+
+using GatewayAction = std::variant<Refuse, Dispatch, CancelExchange, DiscardAnswer, PassWhole, PassHead,
+                                   PassBytes, EndAnswer, AbortAnswer, ReportUnreachable, ReportWrongBackend>;
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway/gateway_answers.cc
@@ -0,0 +1,259 @@
+/// @file What a gateway does with the answers of back ends, and when they fail.
+
+#include <algorithm>
+
+#include "gateway/gateway.h"
+
+namespace crankspur::gateway {
+namespace {
+
+constexpr int kRequestTimeout = 408;
+constexpr int kMisdirected = 421;
+constexpr int kTooManyRequests = 429;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+/// Dispatches of one request, those that reached nobody included.
+constexpr std::uint32_t kMaximumDispatches = 6;
+
+bool isSuccess(int status) {
+  return status / 100 == 2;
+}
+
+bool isServerError(int status) {
+  return status / 100 == 5;
+}
+
+/// @return whether clients take the status as a promise that nothing ran.
+bool promisesNotRun(int status) {
+  return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
+         status == kUnavailable;
+}
+
+}  // namespace
+
+const Gateway::Entry* Gateway::findExchange(ExchangeId exchange) const {
+  const auto found = exchanges_.find(exchange);
+  if (found == exchanges_.end()) return nullptr;
+  const auto entry = entries_.find(found->second);
+  return entry == entries_.end() ? nullptr : entry->second.get();
+}
+
+Gateway::Entry* Gateway::findExchange(ExchangeId exchange) {
+  return const_cast<Entry*>(std::as_const(*this).findExchange(exchange));
+}
+
+bool Gateway::passesBytes(ExchangeId exchange) const {
+  const Entry* entry = findExchange(exchange);
+  return entry != nullptr && entry->running.passes_bytes;
+}
+
+// Answers.
+
+void Gateway::onHead(ExchangeId exchange, int status, const BackendAnswer& answer, TimePoint now) {
+  Entry* entry = findExchange(exchange);
+  if (entry == nullptr) return;
+  Running& running = entry->running;
+  running.heard_at = now;
+  table_.onHeard(running.slot, now);
+  if (answer.not_run || answer.wrong_backend) return onNotRun(*entry, answer, now);
+  if (answer.weights_version) {
+    choice_.onWeights(running.slot, running.incarnation, entry->client.model, *answer.weights_version);
+  }
+  entry->may_have_run = true;
+  if (!answer.genuine) return onBrokenAnswer(*entry, now);
+  if (!isSuccess(status)) return onErrorAnswer(*entry, status, now);
+  if (!entry->route->streaming) return noteFirstByte(*entry, now);
+  running.passes_bytes = true;
+  if (entry->head_passed) return;
+  entry->head_passed = true;
+  actions_.push_back(PassHead{entry->id, exchange});
+}
+
+void Gateway::onLargeBody(ExchangeId exchange, TimePoint now) {
+  Entry* entry = findExchange(exchange);
+  if (entry == nullptr || entry->running.passes_bytes) return;
+  entry->running.heard_at = now;
+  entry->running.passes_bytes = true;
+  entry->head_passed = true;
+  entry->cursor.reset();
+  actions_.push_back(PassHead{entry->id, exchange});
+}
+
+void Gateway::onBytes(ExchangeId exchange, std::string_view bytes, TimePoint now) {
+  Entry* entry = findExchange(exchange);
+  if (entry == nullptr) return;
+  entry->running.heard_at = now;
+  table_.onHeard(entry->running.slot, now);
+  if (!entry->running.passes_bytes) return;
+  noteFirstByte(*entry, now);
+  std::string passed = entry->cursor ? entry->cursor->feed(bytes) : std::string(bytes);
+  if (!passed.empty()) actions_.push_back(PassBytes{entry->id, std::move(passed)});
+}
+
+void Gateway::onEnd(ExchangeId exchange, TimePoint now) {
+  Entry* entry = findExchange(exchange);
+  if (entry == nullptr) return;
+  if (entry->cursor && entry->cursor->insideEvent()) return onLost(exchange, true, now);
+  const bool error = entry->running.error_answer;
+  const bool begun = entry->head_passed;
+  endExchange(*entry, error ? DispatchOutcome::ErrorAnswer : DispatchOutcome::Answered, now);
+  if (begun) {
+    actions_.push_back(EndAnswer{entry->id});
+  } else {
+    actions_.push_back(PassWhole{entry->id, exchange});
+  }
+  finish(*entry);
+  serveQueue(now);
+}
+
+void Gateway::noteFirstByte(Entry& entry, TimePoint now) {
+  Running& running = entry.running;
+  if (running.first_byte) return;
+  running.first_byte = true;
+  choice_.onFirstByte(running.slot, running.exchange, now);
+  table_.onFirstByte(running.slot, running.incarnation, now - running.sent_at, running.expected, now);
+}
+
+// Failures.
+
+void Gateway::onNotRun(Entry& entry, const BackendAnswer& answer, TimePoint now) {
+  entry.arrived_before = true;
+  if (answer.wrong_backend) return onWrongBackend(entry, answer, now);
+  entry.failed.push_back(entry.running.slot);
+  discardAnswer(entry, DispatchOutcome::Full, now);
+  goOn(entry, now);
+}
+
+/// The back end is not what the snapshot says. A new attempt that counts with what it really is does not
+/// count as one at a further back end.
+void Gateway::onWrongBackend(Entry& entry, const BackendAnswer& answer, TimePoint now) {
+  const Running running = entry.running;
+  const Backend* backend = snapshot_->backend(running.slot);
+  const bool other_weights = answer.weights_version.has_value();
+  actions_.push_back(ReportWrongBackend{running.slot, running.incarnation, answer.weights_version});
+  if (entry.sends > 0) --entry.sends;
+  if (other_weights) {
+    choice_.onWeights(running.slot, running.incarnation, entry.client.model, *answer.weights_version);
+  }
+  const bool same = backend != nullptr && backend->view.incarnation == running.incarnation;
+  if (!other_weights && same) entry.failed.push_back(running.slot);
+  discardAnswer(entry, other_weights ? DispatchOutcome::Ended : DispatchOutcome::ConnectFailed, now);
+  goOn(entry, now);
+}
+
+/// The back end answered that it failed.
+void Gateway::onErrorAnswer(Entry& entry, int status, TimePoint now) {
+  entry.running.error_answer = isServerError(status);
+  entry.arrived_before = true;
+  entry.failed.push_back(entry.running.slot);
+  const bool repeats = isServerError(status) && mayRepeat(entry) && takeRepeat(entry, now);
+  if (repeats) {
+    discardAnswer(entry, DispatchOutcome::ErrorAnswer, now);
+    return moveOn(entry, now);
+  }
+  const bool once = entry.route->repeatability == Repeatability::AtMostOnce;
+  const bool passes = !entry.head_passed && !(once && promisesNotRun(status));
+  if (passes) return;  // Whole, once it is here.
+  discardAnswer(entry, DispatchOutcome::ErrorAnswer, now);
+  giveUp(entry, now);
+}
+
+/// Bytes that are no answer of the back end's own.
+void Gateway::onBrokenAnswer(Entry& entry, TimePoint now) {
+  entry.arrived_before = true;
+  entry.failed.push_back(entry.running.slot);
+  cancelExchange(entry, DispatchOutcome::Failed, now);
+  goOn(entry, now);
+}
+
+void Gateway::onLost(ExchangeId exchange, bool sent, TimePoint now) {
+  Entry* entry = findExchange(exchange);
+  if (entry == nullptr) return;
+  const Running running = entry->running;
+  entry->failed.push_back(running.slot);
+  if (sent) {
+    entry->arrived_before = true;
+    entry->may_have_run = true;
+  } else {
+    --entry->sends;
+    actions_.push_back(ReportUnreachable{running.slot, running.incarnation});
+  }
+  endExchange(*entry, sent ? DispatchOutcome::Failed : DispatchOutcome::ConnectFailed, now);
+  goOn(*entry, now);
+  serveQueue(now);
+}
+
+/// Nothing at all has come from the back end for a while: those that may be repeated go elsewhere.
+void Gateway::checkSilence(Entry& entry, TimePoint now) {
+  const Running& running = entry.running;
+  const TimePoint heard = std::max(running.heard_at, table_.heardAt(running.slot));
+  const TimePoint due = std::max(heard, running.sent_at) + settings_.silence_limit;
+  const bool elsewhere = snapshot_->backends.size() > 1;
+  if (now < due) return wakeAt(entry, std::min(entry.ends_at, due));
+  entry.arrived_before = true;
+  entry.may_have_run = true;
+  if (!elsewhere || !mayRepeat(entry) || !takeRepeat(entry, now)) return wakeAt(entry, entry.ends_at);
+  entry.failed.push_back(running.slot);
+  cancelExchange(entry, DispatchOutcome::Failed, now);
+  moveOn(entry, now);
+}
+
+// Going on.
+
+void Gateway::endExchange(Entry& entry, DispatchOutcome outcome, TimePoint now) {
+  const Running running = std::exchange(entry.running, Running());
+  if (running.exchange == 0) return;
+  exchanges_.erase(running.exchange);
+  choice_.onEnd(running.slot, running.exchange);
+  table_.onOutcome(running.slot, running.incarnation, outcome, now);
+}
+
+void Gateway::cancelExchange(Entry& entry, DispatchOutcome outcome, TimePoint now) {
+  if (entry.running.exchange == 0) return;
+  actions_.push_back(CancelExchange{entry.running.exchange});
+  endExchange(entry, outcome, now);
+}
+
+void Gateway::discardAnswer(Entry& entry, DispatchOutcome outcome, TimePoint now) {
+  actions_.push_back(DiscardAnswer{entry.running.exchange});
+  endExchange(entry, outcome, now);
+}
+
+bool Gateway::mayRepeat(const Entry& entry) const {
+  if (entry.may_have_run && entry.route->repeatability == Repeatability::AtMostOnce) return false;
+  if (entry.head_passed && !entry.cursor) return false;
+  return entry.sends < entry.route->maximum_attempts && entry.dispatches < kMaximumDispatches;
+}
+
+/// A repeat is paid for out of the budget, unless no back end got the request.
+bool Gateway::takeRepeat(Entry& entry, TimePoint now) {
+  if (!entry.arrived_before) return true;
+  return budgetOf(entry.pool->name).tryRepeat(snapshot_->gateway_count, now);
+}
+
+void Gateway::goOn(Entry& entry, TimePoint now) {
+  if (!mayRepeat(entry) || !takeRepeat(entry, now)) return giveUp(entry, now);
+  moveOn(entry, now);
+}
+
+void Gateway::moveOn(Entry& entry, TimePoint now) {
+  if (entry.cursor) entry.cursor->restart();
+  place(entry, now);
+}
+
+/// The final answer, at once. Only a request that has not run is refused as such.
+void Gateway::giveUp(Entry& entry, TimePoint now) {
+  cancelExchange(entry, DispatchOutcome::Ended, now);
+  if (entry.head_passed) {
+    ++counters_.failed;
+    actions_.push_back(AbortAnswer{entry.id});
+  } else if (entry.may_have_run) {
+    ++counters_.failed;
+    actions_.push_back(Refuse{entry.id, kBadGateway, Duration(0)});
+  } else {
+    refuse(entry.id, kUnavailable, retryAfter(entry));
+  }
+  finish(entry);
+}
+
+}  // namespace crankspur::gateway
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -18,6 +18,10 @@
 /// Settings of one Gateway.
 struct GatewaySettings {
   RetryBudgetSettings retry_budget;
+  /// Time after a newer version was named for which back ends with older weights may begin requests.
+  Duration older_weights_grace = std::chrono::seconds(6);
+  /// Silence of a back end, towards all that wait for it, after which requests that may be repeated move on.
+  Duration silence_limit = std::chrono::milliseconds(1500);
   std::size_t index_entries = 250'000;  ///< Cached blocks remembered, over all back ends.
   /// Taken off a deadline handed to a back end, so that its own refusal comes back in time.
   Duration answer_margin = std::chrono::milliseconds(5);
--- a/src/gateway/gateway_snapshot.cc
+++ b/src/gateway/gateway_snapshot.cc
@@ -14,7 +14,8 @@
 }
 
 const Pool* Configuration::findPool(std::string_view name) const {
-  const auto found = std::find_if(pools.begin(), pools.end(), [&](const Pool& pool) { return pool.name == name; });
+  const auto found =
+      std::find_if(pools.begin(), pools.end(), [&](const Pool& pool) { return pool.name == name; });
   return found == pools.end() ? nullptr : &*found;
 }
 
@@ -28,8 +29,9 @@
 }
 
 const Backend* GatewaySnapshot::backend(EngineSlot slot) const {
-  const auto found = std::lower_bound(backends.begin(), backends.end(), slot,
-                                      [](const Backend& one, EngineSlot wanted) { return one.view.slot < wanted; });
+  const auto found =
+      std::lower_bound(backends.begin(), backends.end(), slot,
+                       [](const Backend& one, EngineSlot wanted) { return one.view.slot < wanted; });
   return found != backends.end() && found->view.slot == slot ? &*found : nullptr;
 }
 
--- a/src/gateway/prompt_blocks.cc
+++ b/src/gateway/prompt_blocks.cc
@@ -10,8 +10,8 @@
   return static_cast<std::uint32_t>((tokens + kTokensPerBlock - 1) / kTokensPerBlock);
 }
 
-void appendPartBlocks(const std::string& scope, const std::string& model, std::uint64_t part, std::uint32_t first,
-                      std::uint32_t last, std::vector<BlockHash>& blocks) {
+void appendPartBlocks(const std::string& scope, const std::string& model, std::uint64_t part,
+                      std::uint32_t first, std::uint32_t last, std::vector<BlockHash>& blocks) {
   const std::uint64_t seed = combineHashes(hashBytes(model, hashBytes(scope)), part);
   for (std::uint32_t index = first; index < last; ++index) blocks.push_back(combineHashes(seed, index));
 }
@@ -19,7 +19,8 @@
 std::vector<BlockHash> promptBlocks(const std::string& scope, const std::string& model,
                                     const std::vector<PromptPart>& prompt) {
   std::vector<BlockHash> blocks;
-  for (const PromptPart& part : prompt) appendPartBlocks(scope, model, part.id, 0, blocksOf(part.tokens), blocks);
+  for (const PromptPart& part : prompt)
+    appendPartBlocks(scope, model, part.id, 0, blocksOf(part.tokens), blocks);
   return blocks;
 }
 
--- a/src/gateway/repeat_budget.cc
+++ b/src/gateway/repeat_budget.cc
@@ -5,7 +5,8 @@
 namespace crankspur::gateway {
 
 std::int64_t RepeatBudget::numberOf(TimePoint now) const {
-  const auto length = std::max<std::int64_t>(settings_.window.count() / static_cast<std::int64_t>(kSlices), 1);
+  const auto length =
+      std::max<std::int64_t>(settings_.window.count() / static_cast<std::int64_t>(kSlices), 1);
   return now.time_since_epoch().count() / length;
 }
 
--- a/src/gateway/repeat_budget.h
+++ b/src/gateway/repeat_budget.h
@@ -9,8 +9,8 @@
 
 namespace crankspur::gateway {
 
-/// Counts requests and repeats of one pool over a sliding window, in slices. Repeats are counted over a slice more
-/// than the window, and requests over a slice less, so that any window keeps to the budget.
+/// Counts requests and repeats of one pool over a sliding window, in slices. Repeats are counted over a slice
+/// more than the window, and requests over a slice less, so that any window keeps to the budget.
 class RepeatBudget {
 public:
   explicit RepeatBudget(const RetryBudgetSettings& settings) : settings_(settings) {}
--- /dev/null
+++ b/src/gateway/request_check.h
@@ -0,0 +1,29 @@
+#pragma once
+/// @file Whether a client's request may be served at all, by the accepted configuration.
+
+#include <optional>
+#include <string>
+
+#include "gateway/dialect.h"
+#include "gateway/gateway_snapshot.h"
+
+namespace crankspur::gateway {
+
+/// A request as it came from a client.
+struct IncomingRequest {
+  std::string host;
+  std::string path;
+  std::optional<ClientRequest> client;  ///< Empty: the head is malformed.
+};
+
+/// Outcome of the check.
+struct CheckedRequest {
+  int refusal = 0;  ///< Status to refuse with; 0: it may be served.
+  const Route* route = nullptr;
+  const GatewayTenant* tenant = nullptr;  ///< Null: the route needs none.
+};
+
+/// Checks route and key. Pointers are into the snapshot's configuration.
+CheckedRequest checkRequest(const IncomingRequest& request, const GatewaySnapshot* snapshot);
+
+}  // namespace crankspur::gateway
--- a/src/gateway/route_shares.h
+++ b/src/gateway/route_shares.h
@@ -1,5 +1,6 @@
 #pragma once
-/// @file Which pool of a route gets the next request, so that each gets its share at any time, not just on average.
+/// @file Which pool of a route gets the next request, so that each gets its share at any time, not just on
+/// average.
 
 #include <absl/container/flat_hash_map.h>
 
@@ -11,8 +12,9 @@
 
 namespace crankspur::gateway {
 
-/// Smooth weighted round robin for each route: after any number of requests each pool is less than one request
-/// away from its share. Each gateway begins at a point of its own, so that the sum over gateways is smooth too.
+/// Smooth weighted round robin for each route: after any number of requests each pool is less than one
+/// request away from its share. Each gateway begins at a point of its own, so that the sum over gateways is
+/// smooth too.
 class RouteShares {
 public:
   explicit RouteShares(RandomSource& random) : random_(random) {}
--- a/src/gateway/stream_cursor.h
+++ b/src/gateway/stream_cursor.h
@@ -1,5 +1,6 @@
 #pragma once
-/// @file Follows a server-sent event stream on its way to the client, so that another back end can go on with it.
+/// @file Follows a server-sent event stream on its way to the client, so that another back end can go on with
+/// it.
 
 #include <cstdint>
 #include <optional>
@@ -8,8 +9,8 @@
 
 namespace crankspur::gateway {
 
-/// Gives out whole events only; remembers the id of the last one. Events whose id does not rise are dropped, so
-/// that a back end that repeats one after a resumption adds nothing to the answer.
+/// Gives out whole events only; remembers the id of the last one. Events whose id does not rise are dropped,
+/// so that a back end that repeats one after a resumption adds nothing to the answer.
 class StreamCursor {
 public:
   /// @param last_event what the client already has.
--- /dev/null
+++ b/src/gateway_process/gateway_process.cc
@@ -0,0 +1,69 @@
+#include "gateway_process/gateway_process.h"
+
+#include "gateway_process/traffic_loop.h"
+#include "router_process/event_loop_thread.h"
+
+namespace crankspur::gateway {
+
+struct GatewayProcess::Implementation {
+  Implementation(const GatewayProcessSettings& settings, std::shared_ptr<const Dialect> dialect,
+                 GatewayFacts facts, EventLog& log)
+      : loop(settings, std::move(dialect), std::move(facts), log, thread.executor()) {}
+  ~Implementation() { thread.stop(); }
+
+  EventLoopThread thread;
+  TrafficLoop loop;
+  std::atomic<bool> configured = false;
+  std::atomic<bool> draining = false;
+};
+
+GatewayProcess::GatewayProcess(GatewayProcessSettings settings, std::shared_ptr<const Dialect> dialect,
+                               GatewayFacts facts, EventLog& log)
+    : implementation_(std::make_unique<Implementation>(settings, std::move(dialect), std::move(facts), log)) {
+}
+
+GatewayProcess::~GatewayProcess() = default;
+
+std::error_code GatewayProcess::start() {
+  const std::error_code error = implementation_->loop.listen();
+  if (!error) implementation_->thread.start();
+  return error;
+}
+
+std::uint16_t GatewayProcess::port() const {
+  return implementation_->loop.port();
+}
+
+void GatewayProcess::publish(std::shared_ptr<const GatewaySnapshot> snapshot) {
+  if (snapshot->configuration != nullptr) implementation_->configured = true;
+  implementation_->thread.post(
+      [this, shared = std::move(snapshot)] { implementation_->loop.onSnapshot(shared); });
+}
+
+void GatewayProcess::onCachedParts(CachedPartsNews news) {
+  implementation_->thread.post(
+      [this, owned = std::move(news)] { implementation_->loop.onCachedParts(owned); });
+}
+
+void GatewayProcess::drain() {
+  implementation_->draining = true;
+  implementation_->thread.post([this] { implementation_->loop.drain(); });
+}
+
+bool GatewayProcess::ready() const {
+  return implementation_->configured && !implementation_->draining;
+}
+
+std::size_t GatewayProcess::inFlight() const {
+  return implementation_->loop.inFlight();
+}
+
+void GatewayProcess::closeIdleConnections() {
+  implementation_->thread.post([this] { implementation_->loop.closeIdleConnections(); });
+}
+
+GatewayCounters GatewayProcess::counters() const {
+  return implementation_->loop.counters();
+}
+
+}  // namespace crankspur::gateway
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -14,6 +14,7 @@
 #include "base/time.h"
 #include "gateway/cached_parts.h"
 #include "gateway/dialect.h"
+#include "gateway/gateway.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_snapshot.h"
 
@@ -37,16 +38,6 @@
       on_wrong_backend;
 };
 
-/// Counts since the start, for metrics.
-struct GatewayCounters {
-  std::uint64_t requests = 0;    ///< Read from clients.
-  std::uint64_t dispatches = 0;  ///< Sent to back ends.
-  std::uint64_t repeats = 0;     ///< Of these, beyond the first of a request.
-  std::uint64_t refused = 0;     ///< Answered as not run.
-  std::uint64_t failed = 0;      ///< Answered by the gateway as possibly run, or cut.
-  std::uint64_t abandoned = 0;   ///< Clients that left before the end.
-};
-
 /// One gateway. Functions may be called from any thread unless they say otherwise.
 class GatewayProcess {
 public:
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -15,12 +15,15 @@
 
 /// How far a failed exchange had come; decides whether "not run" may be said.
 enum class SendState {
-  NotSent,      ///< No byte of the request was written: the connect failed.
+  NotSent,      ///< No byte of the request was written: the connect failed, or the first write did.
   SentUnknown,  ///< Bytes were written; the server may have acted.
 };
 
 /// Callbacks of one exchange, on the client's executor thread.
 struct ExchangeCallbacks {
+  /// Whether a head belongs to the request; one that does not is an answer left over from an earlier
+  /// exchange, which is discarded whole. Optional; without it every answer is taken.
+  std::function<bool(int status, const Headers&)> is_own;
   /// Status line and headers arrived. Optional.
   std::function<void(int status, const Headers&)> on_headers;
   /// A piece of the body arrived, at its arrival. When unset the body is collected for on_done.
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -1,5 +1,10 @@
 #include "http/client_connection.h"
 
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <charconv>
+
 #include "base/endpoint.h"
 #include "base/error.h"
 #include "http/serialize.h"
@@ -16,6 +21,18 @@
 /// Shorter than the server's idle timeout, so that the client is first to give a connection up.
 constexpr Duration kIdleLifetime = std::chrono::seconds(20);
 
+/// Lets the kernel notice within seconds that the other machine is gone; it would say nothing.
+void probeWhenIdle(asio::ip::tcp::socket& socket) {
+  constexpr int kSeconds = 1;
+  constexpr int kProbes = 2;
+  const int handle = socket.native_handle();
+  boost::system::error_code ignored;
+  socket.set_option(asio::socket_base::keep_alive(true), ignored);
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &kSeconds, sizeof(kSeconds));
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &kSeconds, sizeof(kSeconds));
+  ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+}
+
 std::string requestText(const Request& request, const std::string& address) {
   beast::http::request<beast::http::empty_body> message;
   message.method_string(request.method);
@@ -31,7 +48,11 @@
 }  // namespace
 
 ClientConnection::ClientConnection(const asio::any_io_executor& executor, std::string address, Owner owner)
-    : socket_(executor), timer_(executor), address_(std::move(address)), owner_(std::move(owner)) {}
+    : socket_(executor),
+      timer_(executor),
+      address_(std::move(address)),
+      owner_(std::move(owner)),
+      idle_lifetime_(kIdleLifetime) {}
 
 void ClientConnection::run(std::shared_ptr<ExchangeState> exchange) {
   exchange_ = std::move(exchange);
@@ -66,6 +87,7 @@
   if (error) return fail(error);
   boost::system::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  probeWhenIdle(socket_);
   read();
   sendRequest();
 }
@@ -75,10 +97,11 @@
   resetParser();
   last_byte_ = std::chrono::steady_clock::now();
   armTimer(exchange_->options.idle_timeout);
+  byte_sent_ = true;  // The server may have it before the write is reported.
   const auto on_written = [self = shared_from_this(), exchange = exchange_](boost::system::error_code error,
                                                                             std::size_t bytes) {
     if (self->exchange_ != exchange) return;
-    if (bytes > 0) self->byte_sent_ = true;
+    if (error && bytes == 0) self->byte_sent_ = false;
     self->request_written_ = !error;
     // A failed write is left to the pending read: the server may have answered before it closed.
   };
@@ -87,6 +110,7 @@
 
 void ClientConnection::resetParser() {
   headers_announced_ = false;
+  discarding_ = false;
   parser_.emplace();
   parser_->header_limit(kHeaderBytes);
   parser_->body_limit(boost::none);
@@ -105,7 +129,7 @@
   if (phase_ == Phase::Closed) return;
   buffer_.commit(bytes);
   if (phase_ == Phase::Idle) return shut();  // Closed by the server, or bytes that nobody asked for.
-  if (error == asio::error::eof && headers_announced_) {
+  if (error == asio::error::eof && headers_announced_ && !discarding_) {
     boost::system::error_code incomplete;
     parser_->put_eof(incomplete);
     return incomplete ? fail(incomplete) : complete(false);
@@ -132,13 +156,18 @@
       announceHeaders();
       if (exchange->ended) return;
     }
+    if (parser_->is_done() && discarding_) {
+      if (!parser_->get().keep_alive()) return fail(asio::error::make_error_code(asio::error::eof));
+      resetParser();
+      continue;
+    }
     if (parser_->is_done()) return complete(parser_->get().keep_alive() && request_written_);
     if (error || used == 0) return;
   }
 }
 
 bool ClientConnection::consumeBody(std::string_view piece) {
-  if (!exchange_ || exchange_->ended) return true;
+  if (!exchange_ || exchange_->ended || discarding_) return true;
   if (exchange_->callbacks.on_data) {
     exchange_->callbacks.on_data(piece);
     return true;
@@ -155,16 +184,35 @@
   if (status / 100 == 1) return resetParser();  // An interim response; the real one follows.
   headers_announced_ = true;
   parser_->eager(true);
+  Headers headers = readHeaders(parser_->get().base());
+  keepAliveFor(headers);
+  discarding_ = exchange->callbacks.is_own && !exchange->callbacks.is_own(status, headers);
+  if (discarding_) return;
   exchange->response.status = status;
-  exchange->response.headers = readHeaders(parser_->get().base());
+  exchange->response.headers = std::move(headers);
   if (exchange->callbacks.on_headers) exchange->callbacks.on_headers(status, exchange->response.headers);
 }
 
+/// Gives an idle connection up before the server does, as far as it says when.
+void ClientConnection::keepAliveFor(const Headers& headers) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const auto found = headers.find("Keep-Alive");
+  if (found == headers.end()) return;
+  const std::size_t start = found->second.find(kTimeout);
+  if (start == std::string::npos) return;
+  const char* const digits = found->second.data() + start + kTimeout.size();
+  std::int64_t seconds = 0;
+  const auto result = std::from_chars(digits, found->second.data() + found->second.size(), seconds);
+  if (result.ec != std::errc() || seconds < 0) return;
+  idle_lifetime_ =
+      std::min(kIdleLifetime, std::chrono::duration_cast<Duration>(std::chrono::seconds(seconds)) * 4 / 5);
+}
+
 void ClientConnection::complete(bool reusable) {
   const auto exchange = std::exchange(exchange_, nullptr);
   if (reusable && buffer_.size() == 0) {
     phase_ = Phase::Idle;
-    armTimer(kIdleLifetime);
+    armTimer(idle_lifetime_);
     owner_.on_idle(shared_from_this());
   } else {
     shut();
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -88,6 +88,7 @@
   void parse();
   bool consumeBody(std::string_view piece);
   void announceHeaders();
+  void keepAliveFor(const Headers& headers);
   void complete(bool reusable);
   void fail(std::error_code error);
   void shut();
@@ -108,6 +109,8 @@
   bool byte_sent_ = false;
   bool byte_received_ = false;
   bool headers_announced_ = false;
+  bool discarding_ = false;  ///< The answer under way belongs to an earlier request.
+  Duration idle_lifetime_;   ///< As the server states it.
   std::chrono::steady_clock::time_point last_byte_;
 };
 
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <vector>
 
 namespace crankspur::http {
 
@@ -64,6 +65,26 @@
   return found == headers.end() ? std::string() : found->second;
 }
 
+void removeConnectionHeaders(Headers& headers) {
+  static const char* const kConnectionFields[] = {"Connection", "Keep-Alive",        "Proxy-Connection",
+                                                  "TE",         "Transfer-Encoding", "Trailer",
+                                                  "Upgrade",    "Content-Length",    "Expect"};
+  const auto connection = headers.find("Connection");
+  if (connection != headers.end()) {
+    std::string_view rest = connection->second;
+    std::vector<std::string> named;
+    while (!rest.empty()) {
+      std::string_view name = rest.substr(0, rest.find(','));
+      rest.remove_prefix(std::min(rest.size(), name.size() + 1));
+      while (name.starts_with(' ')) name.remove_prefix(1);
+      while (name.ends_with(' ')) name.remove_suffix(1);
+      named.emplace_back(name);
+    }
+    for (const std::string& name : named) headers.erase(name);
+  }
+  for (const char* const name : kConnectionFields) headers.erase(name);
+}
+
 Response jsonResponse(int status, std::string body) {
   Response response;
   response.status = status;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -12,7 +12,7 @@
   bool operator()(const std::string& left, const std::string& right) const;
 };
 
-/// Header fields; a later duplicate replaces an earlier one.
+/// Header fields. Values of a name received more than once are joined by ", ".
 using Headers = std::map<std::string, std::string, HeaderLess>;
 
 /// A request as received or to be sent.
@@ -30,6 +30,10 @@
   std::string header(const std::string& name) const;
 };
 
+/// Takes out the fields that pertain to one connection only: those of RFC 9110, section 7.6.1, the ones that
+/// Connection names, and the framing of the body.
+void removeConnectionHeaders(Headers& headers);
+
 /// A complete response.
 struct Response {
   int status = 200;
--- a/src/http/serialize.h
+++ b/src/http/serialize.h
@@ -25,7 +25,12 @@
 template <typename Fields>
 Headers readHeaders(const Fields& fields) {
   Headers headers;
-  for (const auto& field : fields) headers[std::string(field.name_string())] = std::string(field.value());
+  for (const auto& field : fields) {
+    const auto [place, fresh] = headers.try_emplace(std::string(field.name_string()), field.value());
+    if (fresh) continue;
+    place->second += ", ";
+    place->second += std::string_view(field.value().data(), field.value().size());
+  }
   return headers;
 }
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,5 +1,6 @@
 #include "http/server.h"
 
+#include <algorithm>
 #include <vector>
 
 #include "base/endpoint.h"
@@ -90,11 +91,25 @@
   void stopAccepting() override {
     acceptor_->close();
     state_->stopping = true;
+    closeIdle();
+  }
+
+  void closeAfterAnswers() override { state_->close_after_answers = true; }
+
+  void closeIdle() override {
     for (const auto& session : openSessions()) session->closeIfIdle();
   }
 
+  void setLimits(const ServerLimits& limits) override { state_->limits = limits; }
+
   std::size_t openRequests() const override { return state_->open_requests; }
 
+  std::size_t requestsBeingRead() const override {
+    const auto& sessions = state_->sessions;
+    return static_cast<std::size_t>(std::count_if(sessions.begin(), sessions.end(),
+                                                  [](const auto& session) { return session->isReading(); }));
+  }
+
 private:
   std::vector<std::shared_ptr<ServerSession>> openSessions() const {
     return {state_->sessions.begin(), state_->sessions.end()};
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -56,8 +56,16 @@
   virtual std::uint16_t port() const = 0;
   /// Takes no further connection; idle ones close, open requests go on.
   virtual void stopAccepting() = 0;
+  /// From now on each answer closes its connection. Connections are still taken.
+  virtual void closeAfterAnswers() = 0;
+  /// Closes the connections on which no request is being read or answered.
+  virtual void closeIdle() = 0;
+  /// Changes the limits, for requests that begin later.
+  virtual void setLimits(const ServerLimits& limits) = 0;
   /// @return requests whose response has not ended.
   virtual std::size_t openRequests() const = 0;
+  /// @return requests that are being read.
+  virtual std::size_t requestsBeingRead() const = 0;
 };
 
 /// Listens on "IP:port"; port 0 lets the system choose.
--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -238,7 +238,7 @@
 }
 
 void ServerSession::queueHeader(int status, const Headers& headers, std::optional<std::size_t> body_bytes) {
-  if (state_->stopping) keep_alive_ = false;
+  if (state_->stopping || state_->close_after_answers) keep_alive_ = false;
   if (!body_bytes && version_ == kHttp10) keep_alive_ = false;
   beast::http::response<beast::http::empty_body> message;
   message.result(static_cast<unsigned>(status));
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -20,6 +20,7 @@
   std::shared_ptr<const RequestHandler> handler;  ///< Empty once the server is destroyed.
   ServerLimits limits;
   bool stopping = false;
+  bool close_after_answers = false;
   std::size_t open_requests = 0;
   std::unordered_set<std::shared_ptr<ServerSession>> sessions;  ///< Keeps open connections alive.
 };
@@ -36,6 +37,7 @@
   void refuse();
   /// Closes if no request is under way.
   void closeIfIdle();
+  bool isReading() const { return phase_ == Phase::Reading; }
   /// Closes at once, without telling the request's handler.
   void close();
 
