Test the decisions of a gateway, rule by rule

36 cases drive the decisions by hand: refusals, dispatch terms, queue, shares, budgets, what may run once, answers that are not the back end's own, streams that go on elsewhere, weights and cache scopes.

--- /dev/null
+++ b/tests/unit/gateway/gateway_failure_test.cc
@@ -0,0 +1,186 @@
+#include "unit/gateway/gateway_fixture.h"
+
+namespace crankspur::gateway {
+
+TEST_CASE("what may run once only is never sent again once a byte was sent", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("order");
+  SECTION("the connection broke") {
+    fixture.lose(true);
+  }
+  SECTION("the answer is not the back end's own") {
+    fixture.head(200, {});
+  }
+  SECTION("the back end claims no promise but answers with the status of one") {
+    fixture.head(503);
+  }
+  CHECK_FALSE(fixture.has<Dispatch>());
+  CHECK(fixture.only<Refuse>().status == 502);
+}
+
+TEST_CASE("a request that reached nobody goes to another back end without cost", "[gateway]") {
+  GatewaySettings settings;
+  settings.retry_budget = {0, seconds(10), 0};
+  GatewayFixture fixture(settings);
+  fixture.configuration.routes[0].maximum_attempts = 1;
+  fixture.publish();
+  fixture.send("order");
+  const std::string first = fixture.last.address;
+  fixture.lose(false);
+  CHECK(fixture.only<Dispatch>().address != first);
+  CHECK(fixture.has<ReportUnreachable>());
+  fixture.lose(false);
+  fixture.pass(seconds(1));
+  CHECK(fixture.only<Refuse>().status == 503);
+}
+
+TEST_CASE("a request that a full back end did not run goes elsewhere or is refused", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("order");
+  const std::string first = fixture.last.address;
+  fixture.notRun();
+  CHECK(fixture.only<Dispatch>().address != first);
+  CHECK(fixture.has<DiscardAnswer>());
+  fixture.notRun();
+  CHECK(fixture.only<Refuse>().status == 503);
+  CHECK(fixture.only<Refuse>().retry_after > Duration(0));
+}
+
+TEST_CASE("no request reaches more back ends than its route allows", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("look");
+  fixture.lose(true);
+  CHECK(fixture.has<Dispatch>());
+  fixture.lose(true);
+  CHECK_FALSE(fixture.has<Dispatch>());
+  CHECK(fixture.only<Refuse>().status == 502);
+}
+
+TEST_CASE("a repeat gets the time that is left", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("look");
+  fixture.pass(seconds(1));
+  fixture.lose(true);
+  CHECK(fixture.only<Dispatch>().terms.deadline <= seconds(2));
+}
+
+TEST_CASE("repeats keep to the budget of their pool", "[gateway]") {
+  GatewaySettings settings;
+  settings.retry_budget = {0.1, seconds(10), 1};
+  GatewayFixture fixture(settings);
+  for (Backend& backend : fixture.backends) backend.slots = 100;
+  fixture.publish();
+  int repeats = 0;
+  for (int count = 0; count < 20; ++count) {
+    fixture.send("look");
+    fixture.head(500);
+    repeats += fixture.has<Dispatch>() ? 1 : 0;
+    if (fixture.has<Dispatch>()) fixture.head(200);
+    fixture.end();
+    CHECK(fixture.has<PassWhole>());
+  }
+  CHECK(repeats >= 1);
+  CHECK(repeats <= 3);
+}
+
+TEST_CASE("the budget is shared by the gateways and comes back with time", "[gateway]") {
+  RepeatBudget budget({0.2, seconds(10), 8});
+  const TimePoint start{seconds(50)};
+  for (int count = 0; count < 10; ++count) budget.onRequest(start);
+  int taken = 0;
+  while (budget.tryRepeat(4, start)) ++taken;
+  CHECK(taken == 4);
+  CHECK_FALSE(budget.tryRepeat(4, start + seconds(9)));
+  CHECK(budget.tryRepeat(4, start + seconds(12)));
+}
+
+TEST_CASE("the back end's own failure is passed on as it is when it is not repeated", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("order");
+  fixture.head(500);
+  CHECK(fixture.actions.empty());
+  fixture.end();
+  CHECK(fixture.only<PassWhole>().exchange == fixture.last.exchange);
+}
+
+TEST_CASE("an answer without the back end's marks is never passed on", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("look");
+  const std::string first = fixture.last.address;
+  fixture.head(200, {});
+  CHECK(fixture.has<CancelExchange>());
+  CHECK(fixture.only<Dispatch>().address != first);
+}
+
+TEST_CASE("an answer is passed on only once it is whole", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("look");
+  fixture.head(200);
+  CHECK(fixture.actions.empty());
+  fixture.lose(true);
+  CHECK(fixture.has<Dispatch>());
+  fixture.head(200);
+  fixture.end();
+  CHECK(fixture.has<PassWhole>());
+}
+
+TEST_CASE("a back end with other weights is asked once more with those it has", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.configuration.routes[3].maximum_attempts = 1;
+  fixture.backends.pop_back();
+  fixture.publish();
+  fixture.send("answer");
+  CHECK(fixture.only<Dispatch>().terms.expected_weights == 1);
+  const std::string old_scope = fixture.last.terms.cache_scope;
+  fixture.head(421, wrongBackend(2));
+  CHECK(fixture.only<ReportWrongBackend>().weights_version == 2);
+  CHECK(fixture.only<Dispatch>().terms.expected_weights == 2);
+  CHECK(fixture.last.terms.cache_scope != old_scope);
+}
+
+TEST_CASE("a back end that is another than expected gets nothing more for a while", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("order");
+  const std::string first = fixture.last.address;
+  fixture.head(421, wrongBackend(std::nullopt));
+  CHECK(fixture.only<Dispatch>().address != first);
+  fixture.send("order");
+  CHECK(fixture.only<Dispatch>().address != first);
+}
+
+TEST_CASE("a back end that keeps failing is left out while others do", "[gateway]") {
+  GatewayFixture fixture;
+  for (Backend& backend : fixture.backends) backend.slots = 100;
+  fixture.publish();
+  int to_first = 0;
+  for (int count = 0; count < 60; ++count) {
+    fixture.send("order");
+    const bool first = fixture.last.address == "10.0.0.1:80";
+    if (count >= 30 && first) ++to_first;
+    fixture.head(first ? 500 : 200);
+    fixture.end();
+  }
+  CHECK(to_first == 0);
+}
+
+TEST_CASE("what may be repeated leaves a back end that has gone silent", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("look");
+  const std::string first = fixture.last.address;
+  const ClientId once = fixture.send("order");
+  fixture.pass(milliseconds(1600));
+  CHECK(fixture.only<Dispatch>().address != first);
+  CHECK(fixture.only<Dispatch>().client != once);
+  CHECK(fixture.has<CancelExchange>());
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/tests/unit/gateway/gateway_fixture.h
@@ -0,0 +1,199 @@
+#pragma once
+/// @file A gateway with a small configuration and two back ends in each pool, driven by hand.
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway/gateway.h"
+
+namespace crankspur::gateway {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline constexpr const char* kHost = "desk.example";
+inline constexpr const char* kKey = "key-of-harbour";
+
+inline Route makeRoute(const std::string& name, Repeatability repeatability, const std::string& pool) {
+  Route route;
+  route.name = name;
+  route.host = kHost;
+  route.path_prefix = "/" + name + "/";
+  route.repeatability = repeatability;
+  route.timeout = seconds(4);
+  route.first_byte_target = milliseconds(400);
+  route.maximum_attempts = 2;
+  route.pools = {{pool, 1}};
+  return route;
+}
+
+inline Configuration makeConfiguration() {
+  Configuration configuration;
+  configuration.routes = {makeRoute("order", Repeatability::AtMostOnce, "app"),
+                          makeRoute("look", Repeatability::Repeatable, "app"),
+                          makeRoute("review", Repeatability::ResumableStream, "lm"),
+                          makeRoute("answer", Repeatability::AtMostOnce, "lm")};
+  for (std::size_t index : {2U, 3U}) {
+    configuration.routes[index].streaming = true;
+    configuration.routes[index].uses_prefixes = true;
+  }
+  Pool app;
+  app.name = "app";
+  Pool lm;
+  lm.name = "lm";
+  lm.token_bytes = 1000;
+  configuration.pools = {app, lm};
+  configuration.tenants = {{"harbour", {kKey}, std::nullopt, false}, {"island", {"key-of-island"}, 7, true}};
+  return configuration;
+}
+
+inline Backend makeBackend(EngineSlot slot, const std::string& pool) {
+  Backend backend;
+  backend.view.slot = slot;
+  backend.view.name = "b" + std::to_string(slot);
+  backend.view.address = "10.0.0." + std::to_string(slot) + ":80";
+  backend.view.zone = "here";
+  backend.view.region = "coast";
+  backend.view.pool = pool;
+  backend.view.incarnation = 1000U + slot;
+  backend.view.load.prefill_tokens_per_second = 10'000;
+  if (pool == "lm") backend.view.models = {{"m", "1", {}}};
+  backend.slots = 2;
+  return backend;
+}
+
+inline BackendAnswer genuineAnswer() {
+  BackendAnswer answer;
+  answer.genuine = true;
+  return answer;
+}
+
+inline BackendAnswer wrongBackend(std::optional<std::uint64_t> weights) {
+  BackendAnswer answer;
+  answer.wrong_backend = true;
+  answer.weights_version = weights;
+  return answer;
+}
+
+class GatewayFixture {
+public:
+  explicit GatewayFixture(GatewaySettings settings = {})
+      : configuration(makeConfiguration()),
+        backends{makeBackend(1, "app"), makeBackend(2, "app"), makeBackend(3, "lm"), makeBackend(4, "lm")},
+        gateway(settings, 7) {}
+
+  void publish() {
+    auto snapshot = std::make_shared<GatewaySnapshot>();
+    snapshot->configuration = std::make_shared<const Configuration>(configuration);
+    snapshot->backends = backends;
+    snapshot->weights = weights;
+    snapshot->own_zone = "here";
+    snapshot->own_region = "coast";
+    snapshot->keys_current = keys_current;
+    gateway.onSnapshot(snapshot, now);
+  }
+
+  static IncomingRequest request(const std::string& route) {
+    IncomingRequest incoming;
+    incoming.host = kHost;
+    incoming.path = "/" + route + "/1";
+    incoming.client.emplace();
+    incoming.client->request_id = "id";
+    incoming.client->api_key = kKey;
+    incoming.client->deadline = seconds(3);
+    if (route == "review" || route == "answer") {
+      incoming.client->model = "m";
+      incoming.client->prompt = {{11, 1600}, {12, 100}};
+      incoming.client->prompt_tokens = 1700;
+    }
+    return incoming;
+  }
+
+  /// Sends a request in; its actions are in `actions`.
+  ClientId send(const std::string& route) { return send(request(route)); }
+  ClientId send(IncomingRequest incoming) {
+    const ClientId client = ++last_client;
+    gateway.onRequest(client, std::move(incoming), now);
+    take();
+    return client;
+  }
+
+  /// @return what the gateway decided since the last call, also in `actions`.
+  const std::vector<GatewayAction>& take() {
+    actions = gateway.takeActions();
+    for (const GatewayAction& action : actions) {
+      if (const auto* dispatch = std::get_if<Dispatch>(&action)) last = *dispatch;
+    }
+    return actions;
+  }
+
+  template <typename Action>
+  std::vector<Action> all() const {
+    std::vector<Action> found;
+    for (const GatewayAction& action : actions) {
+      if (const auto* one = std::get_if<Action>(&action)) found.push_back(*one);
+    }
+    return found;
+  }
+  template <typename Action>
+  bool has() const {
+    return !all<Action>().empty();
+  }
+  /// @return the one action of the kind.
+  template <typename Action>
+  Action only() const {
+    const std::vector<Action> found = all<Action>();
+    REQUIRE(found.size() == 1);
+    return found.front();
+  }
+
+  void head(int status, BackendAnswer answer = genuineAnswer()) {
+    gateway.onHead(last.exchange, status, answer, now);
+    take();
+  }
+  void bytes(const std::string& text) {
+    gateway.onBytes(last.exchange, text, now);
+    take();
+  }
+  void end() {
+    gateway.onEnd(last.exchange, now);
+    take();
+  }
+  void lose(bool sent) {
+    gateway.onLost(last.exchange, sent, now);
+    take();
+  }
+  void notRun() {
+    BackendAnswer answer;
+    answer.not_run = true;
+    head(503, answer);
+  }
+
+  /// Moves time on, with the gateway's timers.
+  void pass(Duration time) {
+    const TimePoint until = now + time;
+    std::vector<GatewayAction> all_actions;
+    while (gateway.nextTimer() && *gateway.nextTimer() <= until) {
+      now = std::max(now, *gateway.nextTimer());
+      gateway.onTimer(now);
+      take();
+      all_actions.insert(all_actions.end(), actions.begin(), actions.end());
+    }
+    now = until;
+    actions = std::move(all_actions);
+  }
+
+  Configuration configuration;
+  std::vector<Backend> backends;
+  std::vector<NamedWeights> weights;
+  bool keys_current = true;
+  TimePoint now{seconds(1000)};
+  Gateway gateway;
+  std::vector<GatewayAction> actions;
+  Dispatch last;
+  ClientId last_client = 0;
+};
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/tests/unit/gateway/gateway_request_test.cc
@@ -0,0 +1,199 @@
+#include "unit/gateway/gateway_fixture.h"
+
+namespace crankspur::gateway {
+
+TEST_CASE("a gateway without a configuration refuses as not run and says when to come back", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.send("order");
+  CHECK(fixture.only<Refuse>().status == 503);
+  CHECK(fixture.only<Refuse>().retry_after > Duration(0));
+}
+
+TEST_CASE("a gateway answers what no configuration allows with its own status", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  IncomingRequest malformed = GatewayFixture::request("order");
+  malformed.client.reset();
+  fixture.send(malformed);
+  CHECK(fixture.only<Refuse>().status == 400);
+  fixture.send("nowhere");
+  CHECK(fixture.only<Refuse>().status == 404);
+  IncomingRequest stranger = GatewayFixture::request("order");
+  stranger.client->api_key = "other";
+  fixture.send(stranger);
+  CHECK(fixture.only<Refuse>().status == 401);
+}
+
+TEST_CASE("keys are not trusted once they may have been taken away", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.keys_current = false;
+  fixture.publish();
+  fixture.send("order");
+  CHECK(fixture.only<Refuse>().status == 503);
+  fixture.configuration.routes[0].needs_tenant = false;
+  fixture.publish();
+  fixture.send("order");
+  CHECK(fixture.has<Dispatch>());
+}
+
+TEST_CASE("the longest prefix of the host picks the route", "[gateway]") {
+  Configuration configuration = makeConfiguration();
+  configuration.routes.push_back(makeRoute("order/1", Repeatability::Repeatable, "app"));
+  CHECK(configuration.findRoute(kHost, "/order/1/x")->name == "order/1");
+  CHECK(configuration.findRoute(kHost, "/order/2")->name == "order");
+  CHECK(configuration.findRoute("other.example", "/order/2") == nullptr);
+}
+
+TEST_CASE("a dispatch names its back end, tenant, urgency and the time left", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  IncomingRequest incoming = GatewayFixture::request("order");
+  incoming.client->api_key = "key-of-island";
+  fixture.send(incoming);
+  const Dispatch dispatch = fixture.only<Dispatch>();
+  CHECK((dispatch.address == "10.0.0.1:80" || dispatch.address == "10.0.0.2:80"));
+  CHECK(dispatch.terms.expected_backend == "b" + dispatch.address.substr(7, 1));
+  CHECK(dispatch.terms.tenant == "island");
+  CHECK(dispatch.terms.priority == 7);
+  CHECK(dispatch.terms.deadline <= seconds(3));
+  CHECK(dispatch.terms.deadline > milliseconds(2900));
+}
+
+TEST_CASE("nothing is sent to a back end that leaves or is gone", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.backends[0].view.state = EngineState::Leaving;
+  fixture.publish();
+  for (int count = 0; count < 2; ++count) {
+    fixture.send("order");
+    CHECK(fixture.only<Dispatch>().terms.expected_backend == "b2");
+  }
+  fixture.backends.erase(fixture.backends.begin(), fixture.backends.begin() + 2);
+  fixture.publish();
+  fixture.send("order");
+  CHECK_FALSE(fixture.has<Dispatch>());
+  fixture.pass(seconds(1));
+  CHECK(fixture.only<Refuse>().status == 503);
+}
+
+TEST_CASE("requests wait for a place for a part of their target and are then refused", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  for (int count = 0; count < 4; ++count) {
+    fixture.send("order");
+    CHECK(fixture.has<Dispatch>());
+  }
+  const ClientId waiting = fixture.send("order");
+  CHECK(fixture.actions.empty());
+  fixture.pass(milliseconds(50));
+  CHECK(fixture.actions.empty());
+
+  SECTION("a place becomes free") {
+    fixture.head(200);
+    fixture.end();
+    CHECK(fixture.only<Dispatch>().client == waiting);
+  }
+  SECTION("none does") {
+    fixture.pass(milliseconds(51));
+    CHECK(fixture.only<Refuse>().client == waiting);
+    CHECK(fixture.only<Refuse>().status == 503);
+    CHECK(fixture.only<Refuse>().retry_after > Duration(0));
+  }
+}
+
+TEST_CASE("the most urgent of those that wait gets the next place", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  for (int count = 0; count < 4; ++count) fixture.send("order");
+  IncomingRequest low = GatewayFixture::request("order");
+  low.client->api_key = "key-of-island";
+  fixture.send(low);
+  const ClientId urgent = fixture.send("order");
+  fixture.head(200);
+  fixture.end();
+  CHECK(fixture.only<Dispatch>().client == urgent);
+}
+
+TEST_CASE("the connections of a back end are shared by all gateways", "[gateway]") {
+  BackendTable table;
+  Pool pool;
+  pool.maximum_connections = 50;
+  Backend backend = makeBackend(1, "app");
+  backend.slots = 0;
+  for (int count = 0; count < 8; ++count) {
+    CHECK(table.hasRoom(backend, pool, 5, TimePoint{}));
+    table.onDispatch(1);
+  }
+  CHECK_FALSE(table.hasRoom(backend, pool, 5, TimePoint{}));
+}
+
+TEST_CASE("a request that cannot begin before its deadline is refused at once", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  IncomingRequest large = GatewayFixture::request("review");
+  large.client->prompt = {{1, 50'000}};
+  large.client->prompt_tokens = 50'000;
+  fixture.send(large);
+  CHECK(fixture.only<Refuse>().status == 503);
+}
+
+TEST_CASE("a client that leaves ends its exchange at once", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  const ClientId client = fixture.send("look");
+  fixture.gateway.onClientGone(client, fixture.now);
+  fixture.take();
+  CHECK(fixture.only<CancelExchange>().exchange == fixture.last.exchange);
+  fixture.end();
+  CHECK(fixture.actions.empty());
+  fixture.pass(seconds(10));
+  CHECK(fixture.actions.empty());
+}
+
+TEST_CASE("the final answer comes when the route waits no longer", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.configuration.routes[0].timeout = seconds(1);
+  fixture.publish();
+  SECTION("it may have run") {
+    fixture.send("order");
+    fixture.pass(milliseconds(999));
+    CHECK(fixture.actions.empty());
+    fixture.pass(milliseconds(1));
+    CHECK(fixture.has<CancelExchange>());
+    CHECK(fixture.only<Refuse>().status == 504);
+  }
+  SECTION("it has not run") {
+    fixture.configuration.routes[0].first_byte_target = seconds(40);
+    fixture.backends.clear();
+    fixture.publish();
+    fixture.send("order");
+    fixture.pass(seconds(1));
+    CHECK(fixture.only<Refuse>().status == 503);
+  }
+  SECTION("its answer has begun") {
+    fixture.configuration.routes[3].timeout = seconds(1);
+    fixture.publish();
+    fixture.send("answer");
+    fixture.head(200);
+    fixture.pass(seconds(1));
+    CHECK(fixture.has<CancelExchange>());
+    CHECK(fixture.has<AbortAnswer>());
+    CHECK_FALSE(fixture.has<Refuse>());
+  }
+}
+
+TEST_CASE("pools get their share of a route's requests at any time", "[gateway]") {
+  RandomSource random(5);
+  RouteShares shares(random);
+  Route route;
+  route.name = "split";
+  route.pools = {{"a", 3}, {"b", 1}, {"c", 1}};
+  std::vector<int> counts(3);
+  for (int number = 1; number <= 200; ++number) {
+    ++counts[shares.next(route)];
+    if (number < 20) continue;
+    CHECK(std::abs(counts[0] - 0.6 * number) < 2);
+    CHECK(std::abs(counts[1] - 0.2 * number) < 2);
+  }
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/tests/unit/gateway/gateway_stream_test.cc
@@ -0,0 +1,164 @@
+#include "gateway/prompt_blocks.h"
+#include "unit/gateway/gateway_fixture.h"
+
+namespace crankspur::gateway {
+
+TEST_CASE("events are passed on as they come, and the end only once complete", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("answer");
+  fixture.head(200);
+  CHECK(fixture.only<PassHead>().exchange == fixture.last.exchange);
+  fixture.bytes("id: 1\nda");
+  CHECK(fixture.only<PassBytes>().bytes == "id: 1\nda");
+  SECTION("it ends") {
+    fixture.end();
+    CHECK(fixture.has<EndAnswer>());
+  }
+  SECTION("it breaks") {
+    fixture.lose(true);
+    CHECK(fixture.has<AbortAnswer>());
+    CHECK_FALSE(fixture.has<Dispatch>());
+  }
+}
+
+TEST_CASE("a resumable stream goes on elsewhere after the last whole event", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("review");
+  const std::string first = fixture.last.address;
+  fixture.head(200);
+  CHECK(fixture.has<PassHead>());
+  fixture.bytes("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+  CHECK(fixture.only<PassBytes>().bytes == "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  SECTION("it breaks") {
+    fixture.lose(true);
+  }
+  SECTION("it ends within an event") {
+    fixture.end();
+  }
+  CHECK(fixture.only<Dispatch>().terms.resume_after == 2);
+  CHECK(fixture.last.address != first);
+  fixture.head(200);
+  CHECK_FALSE(fixture.has<PassHead>());
+  fixture.bytes("id: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+  CHECK(fixture.only<PassBytes>().bytes == "id: 3\ndata: c\n\n");
+  fixture.end();
+  CHECK(fixture.has<EndAnswer>());
+}
+
+TEST_CASE("a resumption that fails cuts the stream", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("review");
+  fixture.head(200);
+  fixture.bytes("id: 1\ndata: a\n\n");
+  fixture.lose(true);
+  SECTION("with an error of the back end") {
+    fixture.head(500);
+  }
+  SECTION("by a break") {
+    fixture.lose(true);
+  }
+  SECTION("as not run") {
+    fixture.notRun();
+  }
+  CHECK(fixture.has<AbortAnswer>());
+  CHECK_FALSE(fixture.has<Refuse>());
+}
+
+TEST_CASE("a client that resumes a stream is served from there", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  IncomingRequest incoming = GatewayFixture::request("review");
+  incoming.client->resume_after = 12;
+  fixture.send(incoming);
+  CHECK(fixture.only<Dispatch>().terms.resume_after == 12);
+}
+
+TEST_CASE("the cursor finds whole events at any cut", "[gateway]") {
+  const std::string text = "weights: 2\nid: 5\r\ndata: a\r\n\r\n: note\n\nid: 6\ndata: b\n\n";
+  for (std::size_t step = 1; step < text.size(); ++step) {
+    StreamCursor cursor(4);
+    std::string passed;
+    for (std::size_t start = 0; start < text.size(); start += step)
+      passed += cursor.feed(text.substr(start, step));
+    CHECK(passed == text);
+    CHECK(cursor.lastEvent() == 6);
+    CHECK_FALSE(cursor.insideEvent());
+  }
+}
+
+TEST_CASE("a request goes to the engine that holds its prefix", "[gateway]") {
+  for (const EngineSlot holder : {EngineSlot{3}, EngineSlot{4}}) {
+    GatewayFixture fixture;
+    fixture.publish();
+    CachedPartsNews news;
+    news.slot = holder;
+    news.incarnation = 1000U + holder;
+    news.parts = {{cacheScope("1", ""), "m", 11, 1600}};
+    fixture.gateway.onCachedParts(news, fixture.now);
+    fixture.send("review");
+    CHECK(fixture.only<Dispatch>().terms.expected_backend == "b" + std::to_string(holder));
+  }
+}
+
+TEST_CASE("what was evicted no longer draws requests", "[gateway]") {
+  RandomSource random(1);
+  EngineChoice choice(10'000, random);
+  GatewaySnapshot snapshot;
+  snapshot.backends = {makeBackend(3, "lm"), makeBackend(4, "lm")};
+  choice.onSnapshot(snapshot);
+  const Configuration configuration = makeConfiguration();
+  ClientRequest client;
+  client.model = "m";
+  client.prompt = {{11, 1600}};
+  client.prompt_tokens = 1600;
+  ChoiceRequest request;
+  request.pool = configuration.findPool("lm");
+  request.client = &client;
+  request.uses_prefixes = true;
+  const TimePoint now{seconds(9)};
+  const auto uncached = [&] { return choice.choose(request, snapshot, BackendTable(), now).uncached_tokens; };
+  CHECK(uncached() == 1600);
+  choice.onCachedParts({4, 1004, "", false, {{cacheScope("1", ""), "m", 11, 1600}}}, now);
+  CHECK(uncached() == 1);
+  choice.onCachedParts({4, 1004, "", false, {{cacheScope("1", ""), "m", 11, 800}}}, now);
+  CHECK(uncached() == 800);
+  choice.onCachedParts({4, 1004, "", true, {}}, now);
+  CHECK(uncached() == 1600);
+}
+
+TEST_CASE("cached parts are shared only under equal weights and never with an isolated tenant", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("review");
+  const std::string common = fixture.last.terms.cache_scope;
+  IncomingRequest island = GatewayFixture::request("review");
+  island.client->api_key = "key-of-island";
+  fixture.send(island);
+  CHECK(fixture.last.terms.cache_scope != common);
+  for (Backend& backend : fixture.backends) {
+    if (backend.view.pool == "lm") backend.view.models[0].weights_version = "2";
+  }
+  fixture.publish();
+  fixture.send("review");
+  CHECK(fixture.last.terms.cache_scope != common);
+  CHECK(fixture.last.terms.expected_weights == 2);
+}
+
+TEST_CASE("older weights begin no request once the newer ones were named long enough ago", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.weights = {{"m", 2}};
+  fixture.backends[3].view.models[0].weights_version = "2";
+  fixture.backends[3].slots = 1;
+  fixture.publish();
+  fixture.now += seconds(7);
+  fixture.publish();
+  fixture.send("review");
+  CHECK(fixture.only<Dispatch>().terms.expected_weights == 2);
+  fixture.send("review");
+  CHECK_FALSE(fixture.has<Dispatch>());
+}
+
+}  // namespace crankspur::gateway
