--- /dev/null
+++ b/src/gateway_control/cache_watch.cc
@@ -0,0 +1,117 @@
+#include "gateway_control/cache_watch.h"
+
+#include <set>
+#include <utility>
+
+namespace crankspur::gateway {
+
+namespace {
+
+/// Between two questions to one cache: news are gathered meanwhile.
+constexpr Duration kPause = std::chrono::milliseconds(400);
+constexpr Duration kPauseAfterFailure = std::chrono::seconds(1);
+
+}  // namespace
+
+CacheWatch::CacheWatch(const boost::asio::any_io_executor& executor, PlatformLink& platform,
+                       std::function<void(CachedPartsNews)> on_news)
+    : executor_(executor), platform_(platform), on_news_(std::move(on_news)) {}
+
+void CacheWatch::update(const Configuration& configuration, const std::vector<Backend>& backends) {
+  std::set<std::string> wanted;
+  for (const Backend& backend : backends) {
+    const Pool* pool = configuration.findPool(backend.view.pool);
+    const bool caches = pool != nullptr && pool->cache_tokens > 0;
+    if (!caches || backend.view.state == EngineState::Dead) continue;
+    wanted.insert(backend.view.name);
+    follow(backend.view.name, backend.view.address, &backend);
+  }
+  for (const Pool& pool : configuration.pools) {
+    if (pool.kv_store_address.empty()) continue;
+    wanted.insert(pool.kv_store_address);
+    follow(pool.kv_store_address, pool.kv_store_address, nullptr);
+  }
+  std::erase_if(followed_, [&wanted](const auto& item) {
+    if (wanted.contains(item.first)) return false;
+    item.second->dropped = true;
+    item.second->timer.cancel();
+    return true;
+  });
+}
+
+void CacheWatch::follow(const std::string& id, const std::string& address, const Backend* backend) {
+  if (followed_.contains(id)) return;
+  const auto followed = std::make_shared<Followed>(executor_);
+  followed->address = address;
+  if (backend == nullptr) {
+    followed->store_address = address;
+  } else {
+    followed->slot = backend->view.slot;
+    followed->incarnation = backend->view.incarnation;
+  }
+  followed_[id] = followed;
+  ask(followed);
+}
+
+void CacheWatch::ask(const FollowedPointer& followed) {
+  if (followed->dropped) return;
+  if (followed->want_content) {
+    platform_.readCacheContent(followed->address, [this, followed](CachedPartsPage page) {
+      onContent(followed, std::move(page));
+    });
+    return;
+  }
+  platform_.readCacheEvents(followed->address, followed->position, [this, followed](CachedPartsPage page) {
+    onEvents(followed, std::move(page));
+  });
+}
+
+void CacheWatch::askLater(const FollowedPointer& followed, Duration delay) {
+  followed->timer.expires_after(delay);
+  followed->timer.async_wait([this, followed](boost::system::error_code error) {
+    if (!error) ask(followed);
+  });
+}
+
+void CacheWatch::onEvents(const FollowedPointer& followed, CachedPartsPage page) {
+  if (followed->dropped) return;
+  if (!page.answered) return askLater(followed, kPauseAfterFailure);
+  const bool restarted = followed->known && followed->epoch != page.epoch;
+  followed->known = true;
+  followed->epoch = page.epoch;
+  if (restarted) {
+    // Another life of the cache: it began empty, and its events are told from the first.
+    followed->position = 0;
+    tell(*followed, {}, true);
+    return askLater(followed, kPause);
+  }
+  followed->position = page.position;
+  if (page.gap) {
+    followed->want_content = true;
+    return ask(followed);
+  }
+  if (!page.parts.empty()) tell(*followed, std::move(page.parts), false);
+  askLater(followed, kPause);
+}
+
+void CacheWatch::onContent(const FollowedPointer& followed, CachedPartsPage page) {
+  if (followed->dropped) return;
+  if (!page.answered) return askLater(followed, kPauseAfterFailure);
+  followed->want_content = false;
+  followed->epoch = page.epoch;
+  followed->position = page.position;
+  tell(*followed, std::move(page.parts), true);
+  askLater(followed, kPause);
+}
+
+void CacheWatch::tell(const Followed& followed, std::vector<CachedPart> parts, bool complete) {
+  CachedPartsNews news;
+  news.slot = followed.slot;
+  news.incarnation = followed.incarnation;
+  news.store_address = followed.store_address;
+  news.complete = complete;
+  news.parts = std::move(parts);
+  on_news_(std::move(news));
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway_control/fleet_view.cc
@@ -0,0 +1,185 @@
+#include "gateway_control/fleet_view.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace crankspur::gateway {
+
+namespace {
+
+/// After trouble of the platform an entry that vanished is believed to be gone only this much later, so that
+/// a sound back end has written it again.
+constexpr Duration kTroubleRest = std::chrono::milliseconds(2'800);
+/// A back end that is gone is forgotten this much later; its runs may still go on.
+constexpr Duration kForgetAfter = std::chrono::seconds(30);
+constexpr Duration kFirstAvoidance = std::chrono::milliseconds(500);
+constexpr Duration kLongestAvoidance = std::chrono::seconds(4);
+/// A failure this long after the one before starts the count anew.
+constexpr Duration kFailuresInARow = std::chrono::seconds(10);
+/// Lists lag: an older version in one within this time of a learned version is not believed.
+constexpr Duration kListLag = std::chrono::seconds(3);
+
+}  // namespace
+
+std::uint64_t weightsNumber(const std::string& version) {
+  std::uint64_t number = 0;
+  const auto result = std::from_chars(version.data(), version.data() + version.size(), number);
+  return result.ec == std::errc() && result.ptr == version.data() + version.size() ? number : 0;
+}
+
+void FleetView::onListed(const ListedBackend& listed, TimePoint now) {
+  const auto [place, added] = entries_.try_emplace(listed.id);
+  Entry& entry = place->second;
+  EngineView& view = entry.backend.view;
+  if (added) {
+    view.slot = next_slot_++;
+    view.name = listed.id;
+    view.incarnation = std::max<std::uint64_t>(1, hashBytes(listed.id));
+  }
+  if (added || view.address != listed.address) newest_at_address_[listed.address] = listed.id;
+  view.address = listed.address;
+  view.zone = listed.zone;
+  view.pool = listed.pool;
+  entry.backend.slots = listed.slots;
+  view.load.batch_limit = listed.slots;
+  entry.backend.cold_until = listed.cold_left > Duration(0) ? now + listed.cold_left : TimePoint{};
+  entry.listed = true;
+  entry.draining = listed.draining;
+  const std::vector<LoadedModel> held = std::exchange(view.models, listed.models);
+  if (now - entry.weights_learned_at >= kListLag || added) return;
+  for (const LoadedModel& model : held) raiseWeights(entry, model.model, model.weights_version);
+}
+
+void FleetView::raiseWeights(Entry& entry, const std::string& model, const std::string& version) {
+  for (LoadedModel& loaded : entry.backend.view.models) {
+    const bool newer = weightsNumber(version) > weightsNumber(loaded.weights_version);
+    if (loaded.model == model && newer) loaded.weights_version = version;
+  }
+}
+
+void FleetView::onGone(const std::string& id, TimePoint now) {
+  const auto place = entries_.find(id);
+  if (place == entries_.end() || !place->second.listed) return;
+  Entry& entry = place->second;
+  entry.listed = false;
+  entry.unlisted_at = now;
+  const bool doubtful = had_trouble_ && now - trouble_at_ < kTroubleRest && !entry.draining;
+  entry.gone_from = doubtful ? trouble_at_ + kTroubleRest : now;
+}
+
+void FleetView::onWholeList(const std::vector<std::string>& ids, TimePoint now) {
+  const std::set<std::string> listed(ids.begin(), ids.end());
+  std::vector<std::string> gone;
+  for (const auto& [id, entry] : entries_) {
+    if (entry.listed && !listed.contains(id)) gone.push_back(id);
+  }
+  for (const std::string& id : gone) onGone(id, now);
+}
+
+void FleetView::onPlatformTrouble(TimePoint now) {
+  had_trouble_ = true;
+  trouble_at_ = now;
+  for (auto& [id, entry] : entries_) {
+    if (!entry.listed && now < entry.gone_from) entry.gone_from = now + kTroubleRest;
+  }
+}
+
+void FleetView::onUnreachable(EngineSlot slot, std::uint64_t incarnation, TimePoint now) {
+  Entry* entry = findSlot(slot, incarnation);
+  if (entry == nullptr || now < entry->avoided_until) return;
+  entry->failures = now - entry->last_failure < kFailuresInARow ? entry->failures + 1 : 1;
+  entry->last_failure = now;
+  const std::uint32_t doublings = std::min<std::uint32_t>(entry->failures - 1, 8);
+  entry->avoided_until = now + std::min(kLongestAvoidance, kFirstAvoidance * (1U << doublings));
+}
+
+void FleetView::onWeights(const std::string& id, const std::string& model, const std::string& version,
+                          TimePoint now) {
+  const auto place = entries_.find(id);
+  if (place == entries_.end()) return;
+  raiseWeights(place->second, model, version);
+  place->second.weights_learned_at = now;
+}
+
+void FleetView::onWeightsOfSlot(EngineSlot slot, std::uint64_t incarnation, const std::string& version,
+                                TimePoint now) {
+  Entry* entry = findSlot(slot, incarnation);
+  if (entry == nullptr || entry->backend.view.models.size() != 1) return;
+  onWeights(entry->backend.view.name, entry->backend.view.models.front().model, version, now);
+}
+
+void FleetView::onLoading(const std::string& id, TimePoint until) {
+  const auto place = entries_.find(id);
+  if (place != entries_.end()) place->second.loading_until = until;
+}
+
+void FleetView::onLoadReport(const std::string& id, const LoadReport& load, TimePoint now) {
+  const auto place = entries_.find(id);
+  if (place == entries_.end()) return;
+  LoadReport& held = place->second.backend.view.load;
+  const std::uint32_t limit = held.batch_limit;
+  held = load;
+  held.batch_limit = limit;
+  held.measured_at = now;
+}
+
+FleetView::Entry* FleetView::findSlot(EngineSlot slot, std::uint64_t incarnation) {
+  for (auto& [id, entry] : entries_) {
+    const EngineView& view = entry.backend.view;
+    if (view.slot == slot && view.incarnation == incarnation) return &entry;
+  }
+  return nullptr;
+}
+
+bool FleetView::superseded(const Entry& entry) const {
+  const auto place = newest_at_address_.find(entry.backend.view.address);
+  return place != newest_at_address_.end() && place->second != entry.backend.view.name;
+}
+
+EngineState FleetView::stateOf(const Entry& entry, TimePoint now) const {
+  if (superseded(entry)) return EngineState::Dead;
+  const bool gone = !entry.listed && now >= entry.gone_from;
+  if (gone || entry.draining) return EngineState::Leaving;
+  if (now < entry.avoided_until || now < entry.loading_until) return EngineState::Ejected;
+  return EngineState::Live;
+}
+
+std::vector<Backend> FleetView::backends(TimePoint now) {
+  std::erase_if(entries_, [now](const auto& item) {
+    return !item.second.listed && now - std::max(item.second.gone_from, item.second.unlisted_at) >= kForgetAfter;
+  });
+  std::vector<Backend> backends;
+  backends.reserve(entries_.size());
+  for (auto& [id, entry] : entries_) {
+    const EngineState state = stateOf(entry, now);
+    if (state != entry.last_state) {
+      changes_.push_back({id, entry.backend.view.pool, entry.last_state, state});
+      entry.last_state = state;
+    }
+    entry.backend.view.state = state;
+    backends.push_back(entry.backend);
+  }
+  std::sort(backends.begin(), backends.end(),
+            [](const Backend& left, const Backend& right) { return left.view.slot < right.view.slot; });
+  return backends;
+}
+
+TimePoint FleetView::nextChange(TimePoint now) const {
+  TimePoint next = TimePoint::max();
+  for (const auto& [id, entry] : entries_) {
+    for (const TimePoint at : {entry.avoided_until, entry.loading_until}) {
+      if (at > now) next = std::min(next, at);
+    }
+    if (!entry.listed && entry.gone_from > now) next = std::min(next, entry.gone_from);
+  }
+  return next;
+}
+
+std::vector<FleetChange> FleetView::takeChanges() {
+  return std::exchange(changes_, {});
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway_control/gateway_control.cc
@@ -0,0 +1,266 @@
+#include "gateway_control/gateway_control.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "base/endpoint.h"
+#include "base/hash.h"
+
+namespace crankspur::gateway {
+
+namespace {
+
+/// Changes within this time are published together.
+constexpr Duration kPublishDelay = std::chrono::milliseconds(5);
+/// A back end that got an order takes no new request for about as long as a load lasts.
+constexpr Duration kLoadingTime = std::chrono::milliseconds(1'500);
+/// Longest time between two publications that check what time alone changes.
+constexpr Duration kLongestPause = std::chrono::seconds(5);
+
+/// @return "IP" of "IP:port".
+std::string hostOf(const std::string& address) {
+  return address.substr(0, address.rfind(':'));
+}
+
+std::string portOf(const std::string& address) {
+  return address.substr(address.rfind(':') + 1);
+}
+
+std::vector<std::string> gossipAddresses(const NodeSettings& settings) {
+  std::vector<std::string> addresses;
+  for (const std::string& seed : settings.seeds) {
+    addresses.push_back(hostOf(seed) + ":" + portOf(settings.gossip));
+  }
+  return addresses;
+}
+
+GossipOptions gossipOptions(const NodeSettings& settings, std::uint64_t incarnation) {
+  GossipOptions options;
+  options.address = settings.gossip;
+  options.zone = settings.zone;
+  options.region = settings.region;
+  options.incarnation = incarnation;
+  options.seeds = gossipAddresses(settings);
+  options.random_seed = combineHashes(hashBytes(settings.name), incarnation);
+  return options;
+}
+
+OrderGiverOptions orderOptions(const NodeSettings& settings, std::uint64_t incarnation) {
+  OrderGiverOptions options;
+  options.holder = settings.gossip;
+  options.rest = settings.order_rest;
+  options.rollout.limit = settings.weights_limit;
+  options.rollout.parallel = settings.parallel_weight_loads;
+  options.random_seed = combineHashes(hashBytes(settings.name, 1), incarnation);
+  return options;
+}
+
+}  // namespace
+
+GatewayControl::GatewayControl(const boost::asio::any_io_executor& executor, const NodeSettings& settings,
+                               std::uint64_t incarnation, PlatformLink& platform,
+                               GatewayControlOutputs outputs, EventLog& log)
+    : settings_(settings),
+      platform_(platform),
+      outputs_(std::move(outputs)),
+      log_(log),
+      gossip_(executor, gossipOptions(settings, incarnation), [this] { publishSoon(); }),
+      orders_(executor, orderOptions(settings, incarnation), platform, orderCallbacks(), log),
+      cache_watch_(executor, platform, [this](CachedPartsNews news) { outputs_.on_cached_parts(std::move(news)); }),
+      publish_timer_(executor),
+      change_timer_(executor) {}
+
+std::error_code GatewayControl::start() {
+  contact_at_ = now();
+  if (const std::error_code error = gossip_.start()) return error;
+  platform_.start(platformNews());
+  return {};
+}
+
+PlatformNews GatewayControl::platformNews() {
+  PlatformNews news;
+  news.on_configuration = [this](std::shared_ptr<const Configuration> configuration) {
+    onConfiguration(std::move(configuration));
+  };
+  news.on_weights = [this](const NamedWeights& named) {
+    if (orders_.onNamed(named)) publishSoon();
+  };
+  news.on_backend = [this](const ListedBackend& listed) {
+    fleet_.onListed(listed, now());
+    publishSoon();
+  };
+  news.on_backend_gone = [this](const std::string& id) {
+    fleet_.onGone(id, now());
+    publishSoon();
+  };
+  news.on_whole_list = [this](const std::vector<std::string>& ids) {
+    fleet_.onWholeList(ids, now());
+    publishSoon();
+  };
+  news.on_contact = [this](TimePoint as_of) { onContact(as_of); };
+  news.on_trouble = [this] { onTrouble(); };
+  return news;
+}
+
+OrderGiverCallbacks GatewayControl::orderCallbacks() {
+  OrderGiverCallbacks callbacks;
+  callbacks.backends = [this] { return backends_; };
+  callbacks.rank = [this] { return rank(); };
+  callbacks.holder_alive = [this](const std::string& holder) { return memberLives(holder); };
+  callbacks.on_report = [this](const std::string& backend, const WeightsReport& report) {
+    onReport(backend, report);
+  };
+  callbacks.on_loading = [this](const std::string& backend) {
+    fleet_.onLoading(backend, now() + kLoadingTime);
+    publishSoon();
+  };
+  return callbacks;
+}
+
+void GatewayControl::onConfiguration(std::shared_ptr<const Configuration> configuration) {
+  if (configuration_ != nullptr && configuration->version <= configuration_->version) return;
+  log_.write(EventId::GatewayConfigurationTaken, {{"version", configuration->version},
+                                                  {"routes", configuration->routes.size()},
+                                                  {"pools", configuration->pools.size()},
+                                                  {"tenants", configuration->tenants.size()}});
+  configuration_ = std::move(configuration);
+  gossip_.setConfigurationVersion(configuration_->version);
+  // At once: every bound of a configuration counts from its acceptance.
+  publish();
+}
+
+void GatewayControl::onContact(TimePoint as_of) {
+  contact_at_ = std::max(contact_at_, as_of);
+  if (!std::exchange(reachable_, true)) log_.write(EventId::PlatformReachable, {});
+  if (keysCurrent() != keys_current_) publish();
+}
+
+void GatewayControl::onTrouble() {
+  fleet_.onPlatformTrouble(now());
+  if (std::exchange(reachable_, false)) {
+    log_.write(EventId::PlatformUnreachable, {{"service", "store"}, {"reason", "no answer"}});
+  }
+}
+
+void GatewayControl::onReport(const std::string& backend, const WeightsReport& report) {
+  for (const LoadedModel& loaded : report.models) {
+    fleet_.onWeights(backend, loaded.model, loaded.weights_version, now());
+  }
+  if (!report.order_running) fleet_.onLoading(backend, TimePoint{});
+  publish();
+}
+
+void GatewayControl::onUnreachable(EngineSlot slot, std::uint64_t incarnation) {
+  fleet_.onUnreachable(slot, incarnation, now());
+  publishSoon();
+}
+
+void GatewayControl::onWrongBackend(EngineSlot slot, std::uint64_t incarnation,
+                                    std::optional<std::uint64_t> weights_version) {
+  if (!weights_version) return;
+  fleet_.onWeightsOfSlot(slot, incarnation, std::to_string(*weights_version), now());
+  publishSoon();
+}
+
+std::size_t GatewayControl::rank() const {
+  const std::vector<MemberRecord> members = gossip_.members();
+  const auto key = [](const MemberRecord& member) { return std::pair(member.incarnation, member.name); };
+  const auto self = std::find_if(members.begin(), members.end(), [this](const MemberRecord& member) {
+    return member.name == gossip_.ownName();
+  });
+  if (self == members.end()) return 0;
+  return static_cast<std::size_t>(
+      std::count_if(members.begin(), members.end(), [&](const MemberRecord& member) {
+        return member.state == MemberState::Alive && member.incarnation != 0 && key(member) < key(*self);
+      }));
+}
+
+bool GatewayControl::memberLives(const std::string& name) const {
+  const std::vector<MemberRecord> members = gossip_.members();
+  return std::any_of(members.begin(), members.end(), [&name](const MemberRecord& member) {
+    return member.name == name && member.state == MemberState::Alive;
+  });
+}
+
+std::vector<std::string> GatewayControl::clientAddresses() const {
+  const std::string port = portOf(settings_.front);
+  std::vector<std::string> addresses;
+  std::vector<std::string> unready;
+  for (const MemberRecord& member : gossip_.members()) {
+    const bool own = member.name == gossip_.ownName();
+    const bool leaves = member.state == MemberState::Leaving || (own && leaving_);
+    if (leaves || (member.incarnation == 0 && !own)) continue;
+    auto& list = member.bundle_version > 0 || own ? addresses : unready;
+    list.push_back(hostOf(member.address) + ":" + port);
+  }
+  return addresses.empty() ? unready : addresses;
+}
+
+bool GatewayControl::keysCurrent() const {
+  return !settings_.key_validity || now() - contact_at_ < *settings_.key_validity;
+}
+
+void GatewayControl::onSettings(const NodeSettings& settings) {
+  settings_.key_validity = settings.key_validity;
+  settings_.directory_lifetime = settings.directory_lifetime;
+  settings_.drain_limit = settings.drain_limit;
+  settings_.seeds = settings.seeds;
+  gossip_.seed(gossipAddresses(settings_));
+  publishSoon();
+}
+
+void GatewayControl::leave() {
+  leaving_ = true;
+  orders_.stop();
+  gossip_.leave();
+}
+
+void GatewayControl::publishSoon() {
+  if (std::exchange(publish_waiting_, true)) return;
+  publish_timer_.expires_after(kPublishDelay);
+  publish_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) publish();
+  });
+}
+
+void GatewayControl::publish() {
+  publish_waiting_ = false;
+  backends_ = fleet_.backends(now());
+  logFleet();
+  if (std::exchange(keys_current_, keysCurrent()) != keysCurrent()) {
+    log_.write(EventId::GatewayKeysOutdated, {{"current", keys_current_}});
+  }
+  auto snapshot = std::make_shared<GatewaySnapshot>();
+  snapshot->configuration = configuration_;
+  snapshot->backends = backends_;
+  snapshot->weights = orders_.named();
+  snapshot->own_zone = settings_.zone;
+  snapshot->own_region = settings_.region;
+  snapshot->gateway_count = static_cast<std::uint32_t>(std::max<std::size_t>(1, clientAddresses().size()));
+  snapshot->keys_current = keys_current_;
+  outputs_.publish(std::move(snapshot));
+  if (configuration_ != nullptr) cache_watch_.update(*configuration_, backends_);
+  orders_.wake();
+  armPublishTimer();
+}
+
+void GatewayControl::armPublishTimer() {
+  TimePoint next = std::min(now() + kLongestPause, fleet_.nextChange(now()));
+  if (settings_.key_validity && keys_current_) next = std::min(next, contact_at_ + *settings_.key_validity);
+  change_timer_.expires_at(next);
+  change_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) publish();
+  });
+}
+
+void GatewayControl::logFleet() {
+  for (const FleetChange& change : fleet_.takeChanges()) {
+    log_.write(EventId::BackendStateChanged, {{"backend", change.id},
+                                              {"pool", change.pool},
+                                              {"from", static_cast<int>(change.previous)},
+                                              {"to", static_cast<int>(change.state)}});
+  }
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway_control/gateway_control.h
@@ -0,0 +1,83 @@
+#pragma once
+/// @file The control state of one gateway: what the platform tells, the back ends, the other gateways and the
+/// roll-out of weights. Publishes snapshots to traffic. Everything runs on one thread.
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/event_log.h"
+#include "gateway_control/cache_watch.h"
+#include "gateway_control/fleet_view.h"
+#include "gateway_control/gossip_socket.h"
+#include "gateway_control/node_settings.h"
+#include "gateway_control/order_giver.h"
+#include "gateway_control/platform_link.h"
+
+namespace crankspur::gateway {
+
+/// Where the control state puts what it decides.
+struct GatewayControlOutputs {
+  std::function<void(std::shared_ptr<const GatewaySnapshot>)> publish;
+  std::function<void(CachedPartsNews)> on_cached_parts;
+};
+
+/// The control state. Use from its executor's thread only.
+class GatewayControl {
+public:
+  GatewayControl(const boost::asio::any_io_executor& executor, const NodeSettings& settings,
+                 std::uint64_t incarnation, PlatformLink& platform, GatewayControlOutputs outputs,
+                 EventLog& log);
+
+  /// Begins; an error means that the gossip address cannot be bound.
+  std::error_code start();
+  /// Planned stop: tells the other gateways and gives no further orders.
+  void leave();
+  /// Takes changed settings into account. Addresses stay as they were at the start.
+  void onSettings(const NodeSettings& settings);
+  /// @return "IP:port" of the gateways that clients should use, this one among them unless it leaves.
+  std::vector<std::string> clientAddresses() const;
+
+  void onUnreachable(EngineSlot slot, std::uint64_t incarnation);
+  void onWrongBackend(EngineSlot slot, std::uint64_t incarnation, std::optional<std::uint64_t> weights_version);
+
+private:
+  TimePoint now() const { return clock_.now(); }
+  PlatformNews platformNews();
+  OrderGiverCallbacks orderCallbacks();
+  void onConfiguration(std::shared_ptr<const Configuration> configuration);
+  void onContact(TimePoint as_of);
+  void onTrouble();
+  void onReport(const std::string& backend, const WeightsReport& report);
+  std::size_t rank() const;
+  bool memberLives(const std::string& name) const;
+  bool keysCurrent() const;
+  void publishSoon();
+  void publish();
+  void armPublishTimer();
+  void logFleet();
+
+  NodeSettings settings_;
+  PlatformLink& platform_;
+  GatewayControlOutputs outputs_;
+  EventLog& log_;
+  SteadyClock clock_;
+  GossipSocket gossip_;
+  FleetView fleet_;
+  std::vector<Backend> backends_;  ///< As published last.
+  OrderGiver orders_;
+  CacheWatch cache_watch_;
+  std::shared_ptr<const Configuration> configuration_;
+  TimePoint contact_at_{};
+  bool reachable_ = true;
+  bool leaving_ = false;
+  bool publish_waiting_ = false;
+  bool keys_current_ = true;
+  boost::asio::steady_timer publish_timer_;
+  boost::asio::steady_timer change_timer_;
+};
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway_control/gossip_socket.cc
@@ -0,0 +1,126 @@
+#include "gateway_control/gossip_socket.h"
+
+#include <boost/asio/buffer.hpp>
+#include <utility>
+
+#include "base/endpoint.h"
+#include "internal_protocol/codec.h"
+
+namespace crankspur::gateway {
+
+namespace asio = boost::asio;
+
+namespace {
+
+MembershipOptions membershipOptions() {
+  MembershipOptions options;
+  options.suspicion_timeout = std::chrono::milliseconds(1'500);
+  options.dead_probe_interval = std::chrono::seconds(2);
+  options.own_zone_share = 0.5;
+  return options;
+}
+
+asio::ip::udp::endpoint udpEndpoint(const std::string& address, boost::system::error_code& error) {
+  const asio::ip::tcp::endpoint parsed = parseEndpoint(address, error);
+  return {parsed.address(), parsed.port()};
+}
+
+MemberRecord record(const GossipOptions& options) {
+  MemberRecord self;
+  self.name = options.address;
+  self.address = options.address;
+  self.zone = options.zone;
+  self.region = options.region;
+  self.incarnation = options.incarnation;
+  return self;
+}
+
+}  // namespace
+
+GossipSocket::GossipSocket(const asio::any_io_executor& executor, GossipOptions options,
+                           std::function<void()> on_change)
+    : options_(std::move(options)),
+      on_change_(std::move(on_change)),
+      socket_(executor),
+      timer_(executor),
+      membership_(
+          makeMembership(record(options_), membershipOptions(), options_.random_seed, clock_.now())) {}
+
+std::error_code GossipSocket::start() {
+  boost::system::error_code error;
+  const asio::ip::udp::endpoint endpoint = udpEndpoint(options_.address, error);
+  if (!error) socket_.open(endpoint.protocol(), error);
+  if (!error) socket_.bind(endpoint, error);
+  if (!error) socket_.non_blocking(true, error);
+  if (error) return error;
+  receive();
+  seed(options_.seeds);
+  return {};
+}
+
+void GossipSocket::seed(const std::vector<std::string>& addresses) {
+  std::vector<MemberRecord> records;
+  for (const std::string& address : addresses) {
+    MemberRecord entry;
+    entry.name = address;
+    entry.address = address;
+    records.push_back(std::move(entry));
+  }
+  membership_->seed(records, clock_.now());
+  afterEvent();
+}
+
+void GossipSocket::leave() {
+  membership_->leave(clock_.now());
+  afterEvent();
+}
+
+void GossipSocket::setConfigurationVersion(std::uint64_t version) {
+  membership_->setBundleVersion(version);
+}
+
+void GossipSocket::receive() {
+  socket_.async_receive_from(asio::buffer(buffer_), sender_,
+                             [this](boost::system::error_code error, std::size_t bytes) {
+                               if (error == asio::error::operation_aborted) return;
+                               if (!error) onDatagram(bytes);
+                               receive();
+                             });
+}
+
+void GossipSocket::onDatagram(std::size_t bytes) {
+  const DecodedFrame frame = decodeFrame(std::string_view(buffer_.data(), bytes));
+  if (!frame.message) return;
+  const std::string from = sender_.address().to_string() + ":" + std::to_string(sender_.port());
+  if (const auto* ping = std::get_if<Ping>(&*frame.message)) {
+    membership_->onPing(*ping, from, clock_.now());
+  } else if (const auto* ack = std::get_if<PingAck>(&*frame.message)) {
+    membership_->onAck(*ack, clock_.now());
+  }
+  afterEvent();
+}
+
+void GossipSocket::afterEvent() {
+  for (OutgoingGossip& outgoing : membership_->takeOutgoing()) {
+    boost::system::error_code error;
+    const asio::ip::udp::endpoint receiver = udpEndpoint(outgoing.address, error);
+    if (error) continue;
+    const std::string frame =
+        std::visit([](auto& message) { return encodeFrame(std::move(message)); }, outgoing.message);
+    // A datagram that cannot be sent now is as one that was lost on the way.
+    socket_.send_to(asio::buffer(frame), receiver, 0, error);
+  }
+  if (!membership_->takeChanges().empty()) on_change_();
+  armTimer();
+}
+
+void GossipSocket::armTimer() {
+  timer_.expires_at(membership_->nextTimer());
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    membership_->onTimer(clock_.now());
+    afterEvent();
+  });
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway_control/gossip_socket.h
@@ -0,0 +1,60 @@
+#pragma once
+/// @file Membership of the gateways over UDP: each datagram is one frame of the internal protocol. A gateway's
+/// member name is its gossip address, since seeds are known by address only.
+
+#include <array>
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <system_error>
+#include <vector>
+
+#include "membership/membership.h"
+
+namespace crankspur::gateway {
+
+/// Options of the socket.
+struct GossipOptions {
+  std::string address;  ///< "IP:port" of this node.
+  std::string zone;
+  std::string region;
+  std::uint64_t incarnation = 0;   ///< Above that of the node's earlier starts.
+  std::vector<std::string> seeds;  ///< "IP:port" of other nodes.
+  std::uint64_t random_seed = 1;
+};
+
+/// The socket with the membership that it serves. Use from the executor's thread only.
+class GossipSocket {
+public:
+  /// @param on_change members changed, or engine facts came.
+  GossipSocket(const boost::asio::any_io_executor& executor, GossipOptions options,
+               std::function<void()> on_change);
+  /// Binds and begins.
+  std::error_code start();
+  void seed(const std::vector<std::string>& addresses);
+  void leave();
+  void setConfigurationVersion(std::uint64_t version);
+  /// @return live members, this node included; their bundle_version is the configuration they hold.
+  std::vector<MemberRecord> members() const { return membership_->liveMembers(); }
+  const std::string& ownName() const { return options_.address; }
+
+private:
+  void receive();
+  void onDatagram(std::size_t bytes);
+  void afterEvent();
+  void armTimer();
+
+  GossipOptions options_;
+  std::function<void()> on_change_;
+  SteadyClock clock_;
+  boost::asio::ip::udp::socket socket_;
+  boost::asio::steady_timer timer_;
+  boost::asio::ip::udp::endpoint sender_;
+  std::array<char, 65536> buffer_{};
+  std::unique_ptr<Membership> membership_;
+};
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway_control/node_settings.cc
@@ -0,0 +1,84 @@
+#include "gateway_control/node_settings.h"
+
+#include "base/endpoint.h"
+
+namespace crankspur::gateway {
+
+namespace {
+
+constexpr Range<std::int64_t> kMilliseconds{1, 3'600'000};
+constexpr Range<double> kRatio{0.0, 100.0};
+constexpr Range<double> kSlack{0.0, 1e9};
+
+void readAddress(TomlTable& root, const std::string& key, bool required, std::string& value) {
+  value = required ? root.requireString(key) : root.getString(key, value);
+  if (value.empty()) return;
+  boost::system::error_code error;
+  parseEndpoint(value, error);
+  if (error) root.report(key, "must be IP:port");
+}
+
+void readDuration(TomlTable& root, const std::string& key, Duration& value) {
+  const auto fallback = std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+  value = std::chrono::milliseconds(root.getInteger(key, fallback, kMilliseconds));
+}
+
+void readLogLevel(TomlTable& root, LogLevel& value) {
+  const std::string level = root.getString("log_level", "info");
+  if (level == "debug") {
+    value = LogLevel::Debug;
+  } else if (level == "warning") {
+    value = LogLevel::Warning;
+  } else if (level == "error") {
+    value = LogLevel::Error;
+  } else if (level != "info") {
+    root.report("log_level", "must be debug, info, warning or error");
+  }
+}
+
+void readSeeds(TomlTable& root, std::vector<std::string>& seeds) {
+  seeds = root.getStrings("seeds");
+  for (const std::string& seed : seeds) {
+    boost::system::error_code error;
+    parseEndpoint(seed, error);
+    if (error) root.report("seeds", "must be a list of IP:port");
+  }
+}
+
+}  // namespace
+
+NodeSettings readNodeSettings(std::string_view text, const std::string& file,
+                              std::vector<SettingsProblem>& problems) {
+  NodeSettings settings;
+  const std::shared_ptr<TomlTable> root = parseToml(text, file, problems);
+  if (root == nullptr) return settings;
+  settings.name = root->requireString("name");
+  settings.zone = root->requireString("zone");
+  settings.region = root->getString("region", "");
+  readAddress(*root, "front", true, settings.front);
+  readAddress(*root, "readiness", false, settings.readiness);
+  readAddress(*root, "directory", false, settings.directory);
+  readAddress(*root, "gossip", true, settings.gossip);
+  readAddress(*root, "platform", true, settings.platform);
+  readSeeds(*root, settings.seeds);
+  settings.retry_budget.ratio =
+      root->getNumber("retry_budget_ratio", settings.retry_budget.ratio, kRatio);
+  settings.retry_budget.slack = root->getNumber("retry_budget_slack", settings.retry_budget.slack, kSlack);
+  readDuration(*root, "retry_budget_window_ms", settings.retry_budget.window);
+  if (root->has("key_validity_ms")) {
+    Duration validity{0};
+    readDuration(*root, "key_validity_ms", validity);
+    settings.key_validity = validity;
+  }
+  readDuration(*root, "weights_limit_ms", settings.weights_limit);
+  readDuration(*root, "order_rest_ms", settings.order_rest);
+  settings.parallel_weight_loads =
+      static_cast<std::uint32_t>(root->getInteger("parallel_weight_loads", 2, {1, 1000}));
+  readDuration(*root, "drain_limit_ms", settings.drain_limit);
+  readDuration(*root, "directory_lifetime_ms", settings.directory_lifetime);
+  readLogLevel(*root, settings.log_level);
+  root->finish();
+  return settings;
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway_control/order_giver.cc
@@ -0,0 +1,144 @@
+#include "gateway_control/order_giver.h"
+
+#include <utility>
+
+namespace crankspur::gateway {
+
+namespace {
+
+constexpr char kLeaseName[] = "weights";
+constexpr Duration kLeaseLifetime = std::chrono::milliseconds(1'500);
+/// A gateway contends this much later for each one that goes before it.
+constexpr Duration kRankDelay = std::chrono::milliseconds(1'200);
+
+}  // namespace
+
+OrderGiver::OrderGiver(const boost::asio::any_io_executor& executor, OrderGiverOptions options,
+                       PlatformLink& platform, OrderGiverCallbacks callbacks, EventLog& log)
+    : options_(std::move(options)),
+      platform_(platform),
+      callbacks_(std::move(callbacks)),
+      log_(log),
+      timer_(executor),
+      lease_(makeLease(options_.holder, kLeaseLifetime, options_.random_seed)),
+      rollout_(options_.rollout) {}
+
+bool OrderGiver::onNamed(const NamedWeights& named) {
+  const bool news = rollout_.onNamed(named, clock_.now());
+  if (news) wake();
+  return news;
+}
+
+void OrderGiver::wake() {
+  if (ticking_ || stopped_ || !rollout_.pending(callbacks_.backends())) return;
+  ticking_ = true;
+  tick();
+}
+
+void OrderGiver::stop() {
+  stopped_ = true;
+  timer_.cancel();
+}
+
+bool OrderGiver::contends(TimePoint now) const {
+  if (holding_) return true;
+  const std::optional<TimePoint> since = rollout_.pendingSince(callbacks_.backends());
+  return since && now - *since >= kRankDelay * static_cast<Duration::rep>(callbacks_.rank());
+}
+
+void OrderGiver::tick() {
+  const TimePoint now = clock_.now();
+  if (!rollout_.pending(callbacks_.backends()) && rollout_.loading().empty()) {
+    ticking_ = false;
+    return;
+  }
+  if (contends(now)) pollLease(now);
+  noteHolding(now);
+  giveOrders(now);
+  timer_.expires_after(kRolloutTick);
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (!error && !stopped_) tick();
+  });
+}
+
+void OrderGiver::pollLease(TimePoint now) {
+  const std::optional<LeaseAction> action = lease_->poll(now);
+  if (!action) return;
+  if (action->kind == LeaseAction::Kind::Read) {
+    platform_.readLease(kLeaseName, [this](const std::optional<LeaseRow>& row) { onLeaseRead(row); });
+    return;
+  }
+  platform_.writeLease(
+      kLeaseName, action->write, action->expected_version,
+      [this](bool written, const std::optional<LeaseRow>& row) { onLeaseWritten(written, row); });
+}
+
+void OrderGiver::onLeaseRead(const std::optional<LeaseRow>& row) {
+  const TimePoint now = clock_.now();
+  if (!row) return lease_->onFailed(now);
+  noteOthers(*row, now);
+  lease_->onRead(*row, now);
+}
+
+void OrderGiver::onLeaseWritten(bool written, const std::optional<LeaseRow>& row) {
+  const TimePoint now = clock_.now();
+  if (!row) return lease_->onFailed(now);
+  noteOthers(*row, now);
+  lease_->onWritten(written, *row, now);
+}
+
+void OrderGiver::noteOthers(const LeaseRow& row, TimePoint now) {
+  const bool other = !row.holder.empty() && row.holder != options_.holder;
+  if (!other) return;
+  // The other holder may give orders until its lease runs out; a dead one gives none.
+  const Duration rest = callbacks_.holder_alive(row.holder) ? kLeaseLifetime + options_.rest : Duration(0);
+  orders_from_ = std::max(orders_from_, now + rest);
+}
+
+void OrderGiver::noteHolding(TimePoint now) {
+  const std::optional<std::uint64_t> token = lease_->heldToken(now);
+  if (token.has_value() == holding_) return;
+  holding_ = token.has_value();
+  rollout_.reset();
+  log_.write(holding_ ? EventId::OrderLeaseTaken : EventId::OrderLeaseLost, {{"token", token.value_or(0)}});
+}
+
+void OrderGiver::giveOrders(TimePoint now) {
+  const std::optional<std::uint64_t> token = lease_->heldToken(now);
+  if (!token || now < orders_from_) return;
+  for (const RolloutAction& action : rollout_.due(callbacks_.backends(), now)) perform(action, *token);
+}
+
+void OrderGiver::perform(const RolloutAction& action, std::uint64_t token) {
+  const std::string backend = action.backend;
+  if (action.kind == RolloutAction::Kind::Report) {
+    platform_.readWeights(action.address, [this, backend](const std::optional<WeightsReport>& report) {
+      if (report) callbacks_.on_report(backend, *report);
+      rollout_.onReport(backend, report, clock_.now());
+    });
+    return;
+  }
+  WeightsOrder order;
+  order.address = action.address;
+  order.backend = backend;
+  order.model = action.model;
+  order.version = action.version;
+  order.expected_orders_taken = action.expected_orders_taken;
+  order.holder = options_.holder;
+  order.fencing_token = token;
+  log_.write(EventId::OrderSent, {{"engine", backend},
+                                  {"model", order.model},
+                                  {"weights_version", order.version},
+                                  {"adapter", ""},
+                                  {"token", token}});
+  callbacks_.on_loading(backend);
+  platform_.sendOrder(order, [this, backend](OrderAnswer answer) {
+    if (answer == OrderAnswer::Refused || answer == OrderAnswer::Fenced) {
+      log_.write(EventId::OrderFailed,
+                 {{"engine", backend}, {"reason", answer == OrderAnswer::Fenced ? "fenced" : "refused"}});
+    }
+    rollout_.onAnswer(backend, answer, clock_.now());
+  });
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway_control/order_giver.h
@@ -0,0 +1,74 @@
+#pragma once
+/// @file Contends for the order lease while weights have to be rolled out and, while it holds the lease, gives
+/// the orders with its fencing token. Lives on the control thread.
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/event_log.h"
+#include "gateway_control/platform_link.h"
+#include "gateway_control/weight_rollout.h"
+
+namespace crankspur::gateway {
+
+/// What the giver asks its owner, and tells it.
+struct OrderGiverCallbacks {
+  std::function<std::vector<Backend>()> backends;
+  /// @return how many live gateways go before this one in giving orders.
+  std::function<std::size_t()> rank;
+  std::function<bool(const std::string& holder)> holder_alive;  ///< Whether another holder may still live.
+  std::function<void(const std::string& backend, const WeightsReport&)> on_report;
+  std::function<void(const std::string& backend)> on_loading;  ///< An order was sent to the back end.
+};
+
+/// Options of the giver.
+struct OrderGiverOptions {
+  std::string holder;  ///< The same at each start of one machine.
+  Duration rest = std::chrono::seconds(3);
+  RolloutOptions rollout;
+  std::uint64_t random_seed = 1;
+};
+
+/// The giver.
+class OrderGiver {
+public:
+  OrderGiver(const boost::asio::any_io_executor& executor, OrderGiverOptions options, PlatformLink& platform,
+             OrderGiverCallbacks callbacks, EventLog& log);
+  /// @return whether the version is new.
+  bool onNamed(const NamedWeights& named);
+  std::vector<NamedWeights> named() const { return rollout_.named(); }
+  /// The back ends changed: there may be work.
+  void wake();
+  /// Gives no further order and leaves the lease to others.
+  void stop();
+
+private:
+  void tick();
+  bool contends(TimePoint now) const;
+  void pollLease(TimePoint now);
+  void onLeaseRead(const std::optional<LeaseRow>& row);
+  void onLeaseWritten(bool written, const std::optional<LeaseRow>& row);
+  void noteOthers(const LeaseRow& row, TimePoint now);
+  void noteHolding(TimePoint now);
+  void giveOrders(TimePoint now);
+  void perform(const RolloutAction& action, std::uint64_t token);
+
+  OrderGiverOptions options_;
+  PlatformLink& platform_;
+  OrderGiverCallbacks callbacks_;
+  EventLog& log_;
+  SteadyClock clock_;
+  boost::asio::steady_timer timer_;
+  std::unique_ptr<Lease> lease_;
+  WeightRollout rollout_;
+  bool ticking_ = false;
+  bool stopped_ = false;
+  bool holding_ = false;
+  TimePoint orders_from_{};   ///< No order before, as another holder may just have given one.
+};
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway_control/platform_link.h
@@ -0,0 +1,107 @@
+#pragma once
+/// @file What a gateway's control state needs of the platform it runs on, in the product's terms. Translators
+/// implement it; everything happens on the control thread.
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/time.h"
+#include "gateway/cached_parts.h"
+#include "gateway/gateway_snapshot.h"
+#include "lease/lease.h"
+
+namespace crankspur::gateway {
+
+/// A back end as the platform lists it.
+struct ListedBackend {
+  std::string id;  ///< Differs at each start of a back end.
+  std::string pool;
+  std::string address;  ///< "IP:port".
+  std::string zone;
+  std::uint32_t slots = 0;
+  bool draining = false;
+  Duration cold_left{0};
+  std::vector<LoadedModel> models;
+};
+
+/// What the platform tells unasked. Listed back ends come before the contact that vouches for them.
+struct PlatformNews {
+  /// A configuration that the operator had accepted; versions may repeat but never mean different things.
+  std::function<void(std::shared_ptr<const Configuration>)> on_configuration;
+  std::function<void(const NamedWeights&)> on_weights;
+  std::function<void(const ListedBackend&)> on_backend;
+  /// The platform lists the back end no longer.
+  std::function<void(const std::string& id)> on_backend_gone;
+  /// A whole list has been told: back ends that it left out are listed no longer.
+  std::function<void(const std::vector<std::string>& ids)> on_whole_list;
+  /// Everything that the operator had accepted by `as_of` has been told.
+  std::function<void(TimePoint as_of)> on_contact;
+  /// The platform did not answer or turned a call away.
+  std::function<void()> on_trouble;
+};
+
+/// What a back end says of the weights that it holds.
+struct WeightsReport {
+  std::uint64_t orders_taken = 0;  ///< Grows with each order; forgotten at a restart.
+  bool order_running = false;
+  std::vector<LoadedModel> models;
+  LoadReport load;  ///< measured_at is left to the receiver.
+};
+
+/// An order to load weights.
+struct WeightsOrder {
+  std::string address;
+  std::string backend;  ///< Incarnation that the order is meant for.
+  std::string model;
+  std::uint64_t version = 0;
+  std::uint64_t expected_orders_taken = 0;
+  std::string holder;
+  std::uint64_t fencing_token = 0;
+};
+
+/// How a back end answered an order.
+enum class OrderAnswer {
+  Begun,      ///< It is loading.
+  InEffect,   ///< It has these weights.
+  Conflict,   ///< Another order runs, or others were taken since the report.
+  Fenced,     ///< It saw a higher token.
+  Refused,    ///< It does not know the order, or is another back end.
+  Unknown,    ///< No answer: it may have been taken, or be taken later.
+};
+
+/// One answer about the cached parts of a back end or store.
+struct CachedPartsPage {
+  bool answered = false;
+  std::uint64_t epoch = 0;     ///< Differs after each restart of the cache.
+  std::uint64_t position = 0;  ///< Where the next question begins.
+  bool gap = false;            ///< Events were lost: ask for the whole.
+  std::vector<CachedPart> parts;
+};
+
+/// The platform and the back ends behind it.
+class PlatformLink {
+public:
+  virtual ~PlatformLink() = default;
+  /// Begins to tell news.
+  virtual void start(PlatformNews news) = 0;
+  /// @param done gets the row, or empty when the platform did not answer.
+  virtual void readLease(const std::string& name, std::function<void(std::optional<LeaseRow>)> done) = 0;
+  /// Writes the row if it still has `expected_version`.
+  /// @param done gets whether it was written and the present row; empty when the outcome is unknown.
+  virtual void writeLease(const std::string& name, const LeaseRow& row, std::uint64_t expected_version,
+                          std::function<void(bool written, std::optional<LeaseRow>)> done) = 0;
+  virtual void readWeights(const std::string& address,
+                           std::function<void(std::optional<WeightsReport>)> done) = 0;
+  virtual void sendOrder(const WeightsOrder& order, std::function<void(OrderAnswer)> done) = 0;
+  /// Asks for changes after `position`, waiting up to a second for the first.
+  virtual void readCacheEvents(const std::string& address, std::uint64_t position,
+                               std::function<void(CachedPartsPage)> done) = 0;
+  /// Asks for everything that is cached now.
+  virtual void readCacheContent(const std::string& address, std::function<void(CachedPartsPage)> done) = 0;
+};
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway_control/weight_rollout.cc
@@ -0,0 +1,247 @@
+#include "gateway_control/weight_rollout.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include "gateway_control/fleet_view.h"
+
+namespace crankspur::gateway {
+
+namespace {
+
+/// Reports of one back end come this far apart.
+constexpr Duration kReportInterval = std::chrono::milliseconds(250);
+/// Reports lag: one this soon after an order may be from before it.
+constexpr Duration kReportLag = std::chrono::milliseconds(700);
+/// An order that shows no effect by then is given again.
+constexpr Duration kOrderTimeout = std::chrono::seconds(8);
+/// A back end that failed is left alone for this long.
+constexpr Duration kRest = std::chrono::milliseconds(400);
+/// Part of the limit that is left for the last back ends.
+constexpr double kUsableShare = 0.75;
+/// At most this many times the usual number load at once.
+constexpr std::uint32_t kHurryFactor = 3;
+
+/// @return the model of the back end whose weights are older than named, with its version; or nullptr.
+template <typename NamedMap>
+const LoadedModel* outdated(const NamedMap& named, const Backend& backend) {
+  for (const LoadedModel& loaded : backend.view.models) {
+    const auto place = named.find(loaded.model);
+    if (place == named.end()) continue;
+    if (weightsNumber(loaded.weights_version) < place->second.version) return &loaded;
+  }
+  return nullptr;
+}
+
+template <typename NamedMap>
+void raiseToNamed(EngineView& engine, const NamedMap& named) {
+  for (LoadedModel& loaded : engine.models) {
+    const auto place = named.find(loaded.model);
+    if (place != named.end()) loaded.weights_version = std::to_string(place->second.version);
+  }
+}
+
+bool takesRequests(const Backend& backend) {
+  return backend.view.state == EngineState::Live || backend.view.state == EngineState::Ejected;
+}
+
+}  // namespace
+
+WeightRollout::WeightRollout(RolloutOptions options) : options_(options), orders_(FleetOrderOptions{kOrderTimeout}) {}
+
+bool WeightRollout::onNamed(const NamedWeights& named, TimePoint now) {
+  Named& held = named_[named.model];
+  if (named.version <= held.version) return false;
+  held = {named.version, now};
+  return true;
+}
+
+std::vector<NamedWeights> WeightRollout::named() const {
+  std::vector<NamedWeights> all;
+  for (const auto& [model, held] : named_) all.push_back({model, held.version});
+  return all;
+}
+
+bool WeightRollout::pending(const std::vector<Backend>& backends) const {
+  return pendingSince(backends).has_value();
+}
+
+std::optional<TimePoint> WeightRollout::pendingSince(const std::vector<Backend>& backends) const {
+  std::optional<TimePoint> since;
+  for (const Backend& backend : backends) {
+    if (!takesRequests(backend)) continue;
+    const LoadedModel* loaded = outdated(named_, backend);
+    if (loaded == nullptr) continue;
+    const TimePoint named_at = named_.find(loaded->model)->second.named_at;
+    since = since ? std::min(*since, named_at) : named_at;
+  }
+  return since;
+}
+
+std::uint32_t WeightRollout::parallelNow(std::size_t remaining, TimePoint now) const {
+  TimePoint oldest = now;
+  for (const auto& [model, held] : named_) oldest = std::min(oldest, held.named_at);
+  const double total = toSeconds(options_.limit) * kUsableShare;
+  const double left = std::max(total / 4, total - toSeconds(now - oldest));
+  const double wanted = std::ceil(static_cast<double>(remaining) * load_seconds_ / left);
+  const double highest = static_cast<double>(options_.parallel) * kHurryFactor;
+  return static_cast<std::uint32_t>(std::clamp(wanted, static_cast<double>(options_.parallel), highest));
+}
+
+Bundle WeightRollout::policy(const std::vector<Backend>& backends, std::uint32_t parallel) const {
+  Bundle bundle;
+  bundle.knobs.parallel_weight_loads = parallel;
+  for (const auto& [model, held] : named_) {
+    ModelPolicy entry;
+    entry.name = model;
+    entry.weights_version = std::to_string(held.version);
+    std::set<std::string> pools;
+    for (const Backend& backend : backends) {
+      if (!backend.view.weightsOf(model).empty()) pools.insert(backend.view.pool);
+    }
+    entry.pools.assign(pools.begin(), pools.end());
+    bundle.models.push_back(std::move(entry));
+  }
+  return bundle;
+}
+
+void WeightRollout::startRuns(const std::vector<Backend>& backends, TimePoint now) {
+  std::vector<EngineView> engines;
+  std::size_t remaining = 0;
+  for (const Backend& backend : backends) {
+    if (!takesRequests(backend)) continue;
+    const auto rest = resting_.find(backend.view.name);
+    if (rest != resting_.end() && now < rest->second) continue;
+    const bool old = outdated(named_, backend) != nullptr;
+    remaining += old ? 1 : 0;
+    engines.push_back(backend.view);
+    engines.back().state = EngineState::Live;
+    // Newer weights than this node knows of are never replaced by older ones.
+    if (!old) raiseToNamed(engines.back(), named_);
+  }
+  // Those furthest behind come first, or a new version every few seconds would starve the last ones.
+  const auto version = [](const EngineView& engine) {
+    return engine.models.empty() ? 0 : weightsNumber(engine.models.front().weights_version);
+  };
+  std::stable_sort(engines.begin(), engines.end(), [&](const EngineView& left, const EngineView& right) {
+    return version(left) < version(right);
+  });
+  const Bundle bundle = policy(backends, parallelNow(remaining, now));
+  for (const FleetOrder& order : orders_.due(bundle, engines, now)) {
+    Run run;
+    run.order = order;
+    run.began_at = now;
+    run.next_report_at = now;
+    runs_[order.engine] = run;
+  }
+}
+
+std::vector<RolloutAction> WeightRollout::due(const std::vector<Backend>& backends, TimePoint now) {
+  std::erase_if(runs_, [&](const auto& item) {
+    const bool listed = std::any_of(backends.begin(), backends.end(), [&](const Backend& backend) {
+      return backend.view.name == item.first && takesRequests(backend);
+    });
+    const bool late = now - item.second.began_at >= kOrderTimeout;
+    if (!listed || late) orders_.onFailed(item.second.order);
+    return !listed || late;
+  });
+  startRuns(backends, now);
+  std::vector<RolloutAction> actions;
+  for (auto& [id, run] : runs_) {
+    if (run.call_running) continue;
+    RolloutAction action;
+    action.backend = id;
+    action.address = run.order.address;
+    if (run.step == Step::ToSend) {
+      action.kind = RolloutAction::Kind::Order;
+      action.model = run.order.model;
+      action.version = weightsNumber(run.order.weights_version);
+      action.expected_orders_taken = run.orders_taken;
+      run.step = Step::Sending;
+      run.sent_at = now;
+    } else if (now < run.next_report_at) {
+      continue;
+    }
+    run.call_running = true;
+    actions.push_back(std::move(action));
+  }
+  return actions;
+}
+
+void WeightRollout::onReport(const std::string& backend, const std::optional<WeightsReport>& report,
+                             TimePoint now) {
+  const auto place = runs_.find(backend);
+  if (place == runs_.end()) return;
+  Run& run = place->second;
+  run.call_running = false;
+  run.next_report_at = now + kReportInterval;
+  if (!report) {
+    if (run.step == Step::Asking) fail(backend, now);
+    return;
+  }
+  for (const LoadedModel& loaded : report->models) {
+    const bool reached = weightsNumber(loaded.weights_version) >= weightsNumber(run.order.weights_version);
+    if (loaded.model != run.order.model || !reached) continue;
+    if (run.step == Step::Watching) {
+      load_seconds_ += 0.3 * (toSeconds(now - run.began_at) - load_seconds_);
+    }
+    orders_.onFailed(run.order);
+    runs_.erase(place);
+    return;
+  }
+  if (report->order_running) return;
+  const bool from_before = run.step == Step::Watching && now - run.sent_at < kReportLag;
+  if (from_before) return;
+  run.orders_taken = report->orders_taken;
+  run.step = Step::ToSend;
+}
+
+void WeightRollout::onAnswer(const std::string& backend, OrderAnswer answer, TimePoint now) {
+  const auto place = runs_.find(backend);
+  if (place == runs_.end()) return;
+  Run& run = place->second;
+  run.call_running = false;
+  run.step = Step::Watching;
+  run.next_report_at = now + kReportInterval;
+  switch (answer) {
+    case OrderAnswer::Begun:
+    case OrderAnswer::Unknown:
+      return;
+    case OrderAnswer::InEffect:
+      orders_.onFailed(run.order);
+      runs_.erase(place);
+      return;
+    case OrderAnswer::Conflict:
+      run.step = Step::Asking;
+      return;
+    case OrderAnswer::Fenced:
+    case OrderAnswer::Refused:
+      fail(backend, now);
+      return;
+  }
+}
+
+void WeightRollout::fail(const std::string& backend, TimePoint now) {
+  const auto place = runs_.find(backend);
+  if (place == runs_.end()) return;
+  orders_.onFailed(place->second.order);
+  runs_.erase(place);
+  resting_[backend] = now + kRest;
+}
+
+std::vector<std::string> WeightRollout::loading() const {
+  std::vector<std::string> ids;
+  for (const auto& [id, run] : runs_) {
+    if (run.step == Step::Sending || run.step == Step::Watching) ids.push_back(id);
+  }
+  return ids;
+}
+
+void WeightRollout::reset() {
+  runs_.clear();
+  resting_.clear();
+  orders_.reset();
+}
+
+}  // namespace crankspur::gateway
--- a/src/router/fleet_orders.cc
+++ b/src/router/fleet_orders.cc
@@ -7,8 +7,7 @@
 
 namespace {
 
-/// An order that has shown no effect by then is given again.
-constexpr Duration kWeightsTimeout = std::chrono::minutes(5);
+/// An order for an adapter that has shown no effect by then is given again.
 constexpr Duration kAdapterTimeout = std::chrono::seconds(30);
 /// At most this share of the engines that serve a model loads at the same time.
 constexpr double kMaximumLoadingShare = 0.5;
@@ -98,7 +97,7 @@
           FleetOrderKind::LoadWeights, engine.name, engine.address, engine.incarnation, model.name,
           model.weights_version,       {}};
       Running running{engine.incarnation, model.name, model.weights_version, FleetOrderKind::LoadWeights,
-                      now + kWeightsTimeout};
+                      now + options_.weights_timeout};
       if (wantsWeights(model, engine)) {
         const bool wave_full = loading() >= bundle.knobs.parallel_weight_loads;
         if (wave_full || !mayLoad(model, engine, engines)) continue;
--- a/src/router/fleet_orders.h
+++ b/src/router/fleet_orders.h
@@ -27,9 +27,15 @@
   std::string adapter;  ///< For LoadAdapter.
 };
 
+/// Tunables of the roll-out.
+struct FleetOrderOptions {
+  Duration weights_timeout = std::chrono::minutes(5);  ///< An order without effect by then is given again.
+};
+
 /// The roll-out. Holds which orders are under way; a new holder begins with none and learns from the engines.
 class FleetOrders {
 public:
+  explicit FleetOrders(FleetOrderOptions options = {}) : options_(options) {}
   /// @param engines every engine of the fleet.
   /// @return orders to send now.
   std::vector<FleetOrder> due(const Bundle& bundle, const std::vector<EngineView>& engines, TimePoint now);
@@ -53,6 +59,7 @@
                const std::vector<EngineView>& engines) const;
   std::size_t loading() const;
 
+  FleetOrderOptions options_;
   std::map<std::string, Running> running_;  ///< By engine: one order at a time.
 };
 
