--- a/src/gateway_control/cache_watch.cc
+++ b/src/gateway_control/cache_watch.cc
@@ -56,14 +56,12 @@
 void CacheWatch::ask(const FollowedPointer& followed) {
   if (followed->dropped) return;
   if (followed->want_content) {
-    platform_.readCacheContent(followed->address, [this, followed](CachedPartsPage page) {
-      onContent(followed, std::move(page));
-    });
+    platform_.readCacheContent(
+        followed->address, [this, followed](CachedPartsPage page) { onContent(followed, std::move(page)); });
     return;
   }
-  platform_.readCacheEvents(followed->address, followed->position, [this, followed](CachedPartsPage page) {
-    onEvents(followed, std::move(page));
-  });
+  platform_.readCacheEvents(followed->address, followed->position,
+                            [this, followed](CachedPartsPage page) { onEvents(followed, std::move(page)); });
 }
 
 void CacheWatch::askLater(const FollowedPointer& followed, Duration delay) {
--- a/src/gateway_control/fleet_view.cc
+++ b/src/gateway_control/fleet_view.cc
@@ -149,7 +149,8 @@
 
 std::vector<Backend> FleetView::backends(TimePoint now) {
   std::erase_if(entries_, [now](const auto& item) {
-    return !item.second.listed && now - std::max(item.second.gone_from, item.second.unlisted_at) >= kForgetAfter;
+    return !item.second.listed &&
+           now - std::max(item.second.gone_from, item.second.unlisted_at) >= kForgetAfter;
   });
   std::vector<Backend> backends;
   backends.reserve(entries_.size());
--- a/src/gateway_control/fleet_view.h
+++ b/src/gateway_control/fleet_view.h
@@ -53,9 +53,9 @@
     bool listed = true;
     bool draining = false;
     TimePoint unlisted_at{};
-    TimePoint gone_from{};         ///< When an unlisted back end counts as leaving.
-    TimePoint avoided_until{};     ///< Traffic failed to reach it.
-    std::uint32_t failures = 0;    ///< In a row.
+    TimePoint gone_from{};       ///< When an unlisted back end counts as leaving.
+    TimePoint avoided_until{};   ///< Traffic failed to reach it.
+    std::uint32_t failures = 0;  ///< In a row.
     TimePoint last_failure{};
     TimePoint loading_until{};
     TimePoint weights_learned_at{};
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -67,7 +67,8 @@
       log_(log),
       gossip_(executor, gossipOptions(settings, incarnation), [this] { publishSoon(); }),
       orders_(executor, orderOptions(settings, incarnation), platform, orderCallbacks(), log),
-      cache_watch_(executor, platform, [this](CachedPartsNews news) { outputs_.on_cached_parts(std::move(news)); }),
+      cache_watch_(executor, platform,
+                   [this](CachedPartsNews news) { outputs_.on_cached_parts(std::move(news)); }),
       publish_timer_(executor),
       change_timer_(executor) {}
 
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -42,7 +42,8 @@
   std::vector<std::string> clientAddresses() const;
 
   void onUnreachable(EngineSlot slot, std::uint64_t incarnation);
-  void onWrongBackend(EngineSlot slot, std::uint64_t incarnation, std::optional<std::uint64_t> weights_version);
+  void onWrongBackend(EngineSlot slot, std::uint64_t incarnation,
+                      std::optional<std::uint64_t> weights_version);
 
 private:
   TimePoint now() const { return clock_.now(); }
--- a/src/gateway_control/gossip_socket.cc
+++ b/src/gateway_control/gossip_socket.cc
@@ -43,8 +43,8 @@
       on_change_(std::move(on_change)),
       socket_(executor),
       timer_(executor),
-      membership_(
-          makeMembership(record(options_), membershipOptions(), options_.random_seed, clock_.now())) {}
+      membership_(makeMembership(record(options_), membershipOptions(), options_.random_seed, clock_.now())) {
+}
 
 std::error_code GossipSocket::start() {
   boost::system::error_code error;
--- a/src/gateway_control/gossip_socket.h
+++ b/src/gateway_control/gossip_socket.h
@@ -1,6 +1,6 @@
 #pragma once
-/// @file Membership of the gateways over UDP: each datagram is one frame of the internal protocol. A gateway's
-/// member name is its gossip address, since seeds are known by address only.
+/// @file Membership of the gateways over UDP: each datagram is one frame of the internal protocol. A
+/// gateway's member name is its gossip address, since seeds are known by address only.
 
 #include <array>
 #include <boost/asio/any_io_executor.hpp>
--- a/src/gateway_control/node_settings.cc
+++ b/src/gateway_control/node_settings.cc
@@ -61,8 +61,7 @@
   readAddress(*root, "gossip", true, settings.gossip);
   readAddress(*root, "platform", true, settings.platform);
   readSeeds(*root, settings.seeds);
-  settings.retry_budget.ratio =
-      root->getNumber("retry_budget_ratio", settings.retry_budget.ratio, kRatio);
+  settings.retry_budget.ratio = root->getNumber("retry_budget_ratio", settings.retry_budget.ratio, kRatio);
   settings.retry_budget.slack = root->getNumber("retry_budget_slack", settings.retry_budget.slack, kSlack);
   readDuration(*root, "retry_budget_window_ms", settings.retry_budget.window);
   if (root->has("key_validity_ms")) {
--- a/src/gateway_control/order_giver.h
+++ b/src/gateway_control/order_giver.h
@@ -1,6 +1,6 @@
 #pragma once
-/// @file Contends for the order lease while weights have to be rolled out and, while it holds the lease, gives
-/// the orders with its fencing token. Lives on the control thread.
+/// @file Contends for the order lease while weights have to be rolled out and, while it holds the lease,
+/// gives the orders with its fencing token. Lives on the control thread.
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -68,7 +68,7 @@
   bool ticking_ = false;
   bool stopped_ = false;
   bool holding_ = false;
-  TimePoint orders_from_{};   ///< No order before, as another holder may just have given one.
+  TimePoint orders_from_{};  ///< No order before, as another holder may just have given one.
 };
 
 }  // namespace crankspur::gateway
--- a/src/gateway_control/platform_link.h
+++ b/src/gateway_control/platform_link.h
@@ -65,12 +65,12 @@
 
 /// How a back end answered an order.
 enum class OrderAnswer {
-  Begun,      ///< It is loading.
-  InEffect,   ///< It has these weights.
-  Conflict,   ///< Another order runs, or others were taken since the report.
-  Fenced,     ///< It saw a higher token.
-  Refused,    ///< It does not know the order, or is another back end.
-  Unknown,    ///< No answer: it may have been taken, or be taken later.
+  Begun,     ///< It is loading.
+  InEffect,  ///< It has these weights.
+  Conflict,  ///< Another order runs, or others were taken since the report.
+  Fenced,    ///< It saw a higher token.
+  Refused,   ///< It does not know the order, or is another back end.
+  Unknown,   ///< No answer: it may have been taken, or be taken later.
 };
 
 /// One answer about the cached parts of a back end or store.
--- a/src/gateway_control/weight_rollout.cc
+++ b/src/gateway_control/weight_rollout.cc
@@ -48,7 +48,8 @@
 
 }  // namespace
 
-WeightRollout::WeightRollout(RolloutOptions options) : options_(options), orders_(FleetOrderOptions{kOrderTimeout}) {}
+WeightRollout::WeightRollout(RolloutOptions options)
+    : options_(options), orders_(FleetOrderOptions{kOrderTimeout}) {}
 
 bool WeightRollout::onNamed(const NamedWeights& named, TimePoint now) {
   Named& held = named_[named.model];
--- a/src/gateway_control/weight_rollout.h
+++ b/src/gateway_control/weight_rollout.h
@@ -1,6 +1,6 @@
 #pragma once
-/// @file Brings the back ends to the weights that the operator named, a few at a time and in the time allowed.
-/// Pure decision code; the holder of the order lease runs it.
+/// @file Brings the back ends to the weights that the operator named, a few at a time and in the time
+/// allowed. Pure decision code; the holder of the order lease runs it.
 
 #include <cstdint>
 #include <map>
@@ -17,8 +17,8 @@
   enum class Kind { Report, Order } kind = Kind::Report;
   std::string backend;
   std::string address;
-  std::string model;          ///< For Order.
-  std::uint64_t version = 0;  ///< For Order.
+  std::string model;                        ///< For Order.
+  std::uint64_t version = 0;                ///< For Order.
   std::uint64_t expected_orders_taken = 0;  ///< For Order: a late copy of an older order then fails.
 };
 
