--- a/proto/crankspur.pb.c
+++ b/proto/crankspur.pb.c
@@ -78,4 +78,10 @@
 PB_BIND(crankspur_wire_BackendList, crankspur_wire_BackendList, AUTO)
 
 
+PB_BIND(crankspur_wire_BackendNote, crankspur_wire_BackendNote, AUTO)
+
+
+PB_BIND(crankspur_wire_BackendNotes, crankspur_wire_BackendNotes, AUTO)
+
+
 
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -23,6 +23,10 @@
   return address.substr(0, address.rfind(':'));
 }
 
+std::uint32_t milliseconds(Duration duration) {
+  return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 std::string portOf(const std::string& address) {
   return address.substr(address.rfind(':') + 1);
 }
@@ -65,7 +69,9 @@
       platform_(platform),
       outputs_(std::move(outputs)),
       log_(log),
-      gossip_(executor, gossipOptions(settings, incarnation), [this] { publishSoon(); }),
+      gossip_(
+          executor, gossipOptions(settings, incarnation), [this] { publishSoon(); },
+          [this](const BackendNote& note) { onNote(note); }),
       orders_(executor, orderOptions(settings, incarnation), platform, orderCallbacks(), log),
       cache_watch_(executor, platform,
                    [this](CachedPartsNews news) { outputs_.on_cached_parts(std::move(news)); }),
@@ -109,13 +115,10 @@
   callbacks.backends = [this] { return backends_; };
   callbacks.rank = [this] { return rank(); };
   callbacks.holder_alive = [this](const std::string& holder) { return memberLives(holder); };
-  callbacks.on_report = [this](const std::string& backend, const WeightsReport& report) {
-    onReport(backend, report);
-  };
-  callbacks.on_loading = [this](const std::string& backend) {
-    fleet_.onLoading(backend, now() + kLoadingTime);
-    publishSoon();
+  callbacks.on_report = [this](const std::string& backend, const WeightsReport& report, bool loading) {
+    onReport(backend, report, loading);
   };
+  callbacks.on_loading = [this](const std::string& backend) { onLoading(backend); };
   return callbacks;
 }
 
@@ -144,12 +147,28 @@
   }
 }
 
-void GatewayControl::onReport(const std::string& backend, const WeightsReport& report) {
+void GatewayControl::onLoading(const std::string& backend) {
+  fleet_.onLoading(backend, now() + kLoadingTime);
+  publish();
+  gossip_.tellAll({{BackendNote{backend, milliseconds(kLoadingTime), "", ""}}});
+}
+
+void GatewayControl::onReport(const std::string& backend, const WeightsReport& report, bool is_loading) {
+  const Duration loading = is_loading ? kLoadingTime : Duration(0);
+  BackendNotes notes;
   for (const LoadedModel& loaded : report.models) {
-    fleet_.onWeights(backend, loaded.model, loaded.weights_version, now());
+    const BackendNote note{backend, milliseconds(loading), loaded.model, loaded.weights_version};
+    onNote(note);
+    notes.notes.push_back(note);
   }
-  if (!report.order_running) fleet_.onLoading(backend, TimePoint{});
-  publish();
+  gossip_.tellAll(notes);
+}
+
+void GatewayControl::onNote(const BackendNote& note) {
+  const Duration loading = std::chrono::milliseconds(note.loading_milliseconds);
+  fleet_.onLoading(note.name, now() + std::min(loading, kLoadingTime));
+  if (!note.model.empty()) fleet_.onWeights(note.name, note.model, note.weights_version, now());
+  publishSoon();
 }
 
 void GatewayControl::onUnreachable(EngineSlot slot, std::uint64_t incarnation) {
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -52,7 +52,9 @@
   void onConfiguration(std::shared_ptr<const Configuration> configuration);
   void onContact(TimePoint as_of);
   void onTrouble();
-  void onReport(const std::string& backend, const WeightsReport& report);
+  void onLoading(const std::string& backend);
+  void onReport(const std::string& backend, const WeightsReport& report, bool is_loading);
+  void onNote(const BackendNote& note);
   std::size_t rank() const;
   bool memberLives(const std::string& name) const;
   bool keysCurrent() const;
--- a/src/gateway_control/gossip_socket.cc
+++ b/src/gateway_control/gossip_socket.cc
@@ -38,9 +38,10 @@
 }  // namespace
 
 GossipSocket::GossipSocket(const asio::any_io_executor& executor, GossipOptions options,
-                           std::function<void()> on_change)
+                           std::function<void()> on_change, std::function<void(const BackendNote&)> on_note)
     : options_(std::move(options)),
       on_change_(std::move(on_change)),
+      on_note_(std::move(on_note)),
       socket_(executor),
       timer_(executor),
       membership_(makeMembership(record(options_), membershipOptions(), options_.random_seed, clock_.now())) {
@@ -96,19 +97,30 @@
     membership_->onPing(*ping, from, clock_.now());
   } else if (const auto* ack = std::get_if<PingAck>(&*frame.message)) {
     membership_->onAck(*ack, clock_.now());
+  } else if (const auto* notes = std::get_if<BackendNotes>(&*frame.message)) {
+    for (const BackendNote& note : notes->notes) on_note_(note);
+    return;
   }
   afterEvent();
 }
 
+void GossipSocket::tellAll(const BackendNotes& notes) {
+  for (const MemberRecord& member : membership_->liveMembers()) {
+    if (member.name != options_.address) send(member.address, notes);
+  }
+}
+
+void GossipSocket::send(const std::string& address, const Message& message) {
+  boost::system::error_code error;
+  const asio::ip::udp::endpoint receiver = udpEndpoint(address, error);
+  if (error) return;
+  // A datagram that cannot be sent now is as one that was lost on the way.
+  socket_.send_to(asio::buffer(encodeFrame(message)), receiver, 0, error);
+}
+
 void GossipSocket::afterEvent() {
   for (OutgoingGossip& outgoing : membership_->takeOutgoing()) {
-    boost::system::error_code error;
-    const asio::ip::udp::endpoint receiver = udpEndpoint(outgoing.address, error);
-    if (error) continue;
-    const std::string frame =
-        std::visit([](auto& message) { return encodeFrame(std::move(message)); }, outgoing.message);
-    // A datagram that cannot be sent now is as one that was lost on the way.
-    socket_.send_to(asio::buffer(frame), receiver, 0, error);
+    std::visit([&](auto& message) { send(outgoing.address, std::move(message)); }, outgoing.message);
   }
   if (!membership_->takeChanges().empty()) on_change_();
   armTimer();
--- a/src/gateway_control/gossip_socket.h
+++ b/src/gateway_control/gossip_socket.h
@@ -29,14 +29,17 @@
 /// The socket with the membership that it serves. Use from the executor's thread only.
 class GossipSocket {
 public:
-  /// @param on_change members changed, or engine facts came.
+  /// @param on_change members changed.
+  /// @param on_note another gateway told of a back end.
   GossipSocket(const boost::asio::any_io_executor& executor, GossipOptions options,
-               std::function<void()> on_change);
+               std::function<void()> on_change, std::function<void(const BackendNote&)> on_note);
   /// Binds and begins.
   std::error_code start();
   void seed(const std::vector<std::string>& addresses);
   void leave();
   void setConfigurationVersion(std::uint64_t version);
+  /// Tells every live member; a datagram may be lost.
+  void tellAll(const BackendNotes& notes);
   /// @return live members, this node included; their bundle_version is the configuration they hold.
   std::vector<MemberRecord> members() const { return membership_->liveMembers(); }
   const std::string& ownName() const { return options_.address; }
@@ -45,10 +48,12 @@
   void receive();
   void onDatagram(std::size_t bytes);
   void afterEvent();
+  void send(const std::string& address, const Message& message);
   void armTimer();
 
   GossipOptions options_;
   std::function<void()> on_change_;
+  std::function<void(const BackendNote&)> on_note_;
   SteadyClock clock_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::steady_timer timer_;
--- a/src/gateway_control/order_giver.cc
+++ b/src/gateway_control/order_giver.cc
@@ -48,7 +48,7 @@
 
 void OrderGiver::tick() {
   const TimePoint now = clock_.now();
-  if (!rollout_.pending(callbacks_.backends()) && rollout_.loading().empty()) {
+  if (!rollout_.pending(callbacks_.backends()) && !rollout_.busy()) {
     ticking_ = false;
     return;
   }
@@ -113,8 +113,8 @@
   const std::string backend = action.backend;
   if (action.kind == RolloutAction::Kind::Report) {
     platform_.readWeights(action.address, [this, backend](const std::optional<WeightsReport>& report) {
-      if (report) callbacks_.on_report(backend, *report);
       rollout_.onReport(backend, report, clock_.now());
+      if (report) callbacks_.on_report(backend, *report, rollout_.isLoading(backend));
     });
     return;
   }
--- a/src/gateway_control/order_giver.h
+++ b/src/gateway_control/order_giver.h
@@ -21,7 +21,8 @@
   /// @return how many live gateways go before this one in giving orders.
   std::function<std::size_t()> rank;
   std::function<bool(const std::string& holder)> holder_alive;  ///< Whether another holder may still live.
-  std::function<void(const std::string& backend, const WeightsReport&)> on_report;
+  /// A back end reported. `loading`: an order of this gateway is under way there.
+  std::function<void(const std::string& backend, const WeightsReport&, bool loading)> on_report;
   std::function<void(const std::string& backend)> on_loading;  ///< An order was sent to the back end.
 };
 
--- a/src/gateway_control/weight_rollout.cc
+++ b/src/gateway_control/weight_rollout.cc
@@ -231,12 +231,10 @@
   resting_[backend] = now + kRest;
 }
 
-std::vector<std::string> WeightRollout::loading() const {
-  std::vector<std::string> ids;
-  for (const auto& [id, run] : runs_) {
-    if (run.step == Step::Sending || run.step == Step::Watching) ids.push_back(id);
-  }
-  return ids;
+bool WeightRollout::isLoading(const std::string& backend) const {
+  const auto place = runs_.find(backend);
+  if (place == runs_.end()) return false;
+  return place->second.step == Step::Sending || place->second.step == Step::Watching;
 }
 
 void WeightRollout::reset() {
--- a/src/gateway_control/weight_rollout.h
+++ b/src/gateway_control/weight_rollout.h
@@ -46,8 +46,10 @@
   /// @param report empty: the back end did not answer.
   void onReport(const std::string& backend, const std::optional<WeightsReport>& report, TimePoint now);
   void onAnswer(const std::string& backend, OrderAnswer answer, TimePoint now);
-  /// @return back ends that have an order under way.
-  std::vector<std::string> loading() const;
+  /// @return whether an order of this roll-out is under way at some back end.
+  bool busy() const { return !runs_.empty(); }
+  /// @return whether an order of this roll-out was sent to the back end and has not shown its effect.
+  bool isLoading(const std::string& backend) const;
   /// Forgets what is under way: the lease was lost.
   void reset();
 
--- a/src/internal_protocol/field_mapping.h
+++ b/src/internal_protocol/field_mapping.h
@@ -39,6 +39,8 @@
 CRANKSPUR_WIRE_FORM(BackendRecord)
 CRANKSPUR_WIRE_FORM(BackendListRequest)
 CRANKSPUR_WIRE_FORM(BackendList)
+CRANKSPUR_WIRE_FORM(BackendNote)
+CRANKSPUR_WIRE_FORM(BackendNotes)
 #undef CRANKSPUR_WIRE_FORM
 
 template <typename Archive, typename Plain>
@@ -260,4 +262,17 @@
   archive.records(wire.backends, plain.backends);
 }
 
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_BackendNote& wire, Plain& plain) {
+  archive.text(wire.name, plain.name);
+  archive.number(wire.loading_milliseconds, plain.loading_milliseconds);
+  archive.text(wire.model, plain.model);
+  archive.text(wire.weights_version, plain.weights_version);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_BackendNotes& wire, Plain& plain) {
+  archive.records(wire.notes, plain.notes);
+}
+
 }  // namespace crankspur::wire
--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -253,9 +253,23 @@
   std::vector<BackendRecord> backends;
 };
 
+/// What the giver of an order to load weights knows of a back end, told to the other gateways at once.
+struct BackendNote {
+  std::string name;                        ///< Differs at each start of the back end.
+  std::uint32_t loading_milliseconds = 0;  ///< Takes no new request for about this long; 0: it does.
+  std::string model;
+  std::string weights_version;  ///< As its own report stated it; empty: not known.
+};
+
+/// Notes about some back ends.
+struct BackendNotes {
+  std::vector<BackendNote> notes;
+};
+
 /// Every message that a frame can carry.
-using Message = std::variant<Hello, SubmitRequest, Accepted, StreamPiece, StreamEnd, Refusal, Cancel, Ping,
-                             PingAck, BundleRequest, BundleBody, CacheSummary, LoadDigest, ClaimPrepare,
-                             ClaimReply, ProtocolError, BundleUpdate, BackendListRequest, BackendList>;
+using Message =
+    std::variant<Hello, SubmitRequest, Accepted, StreamPiece, StreamEnd, Refusal, Cancel, Ping, PingAck,
+                 BundleRequest, BundleBody, CacheSummary, LoadDigest, ClaimPrepare, ClaimReply, ProtocolError,
+                 BundleUpdate, BackendListRequest, BackendList, BackendNotes>;
 
 }  // namespace crankspur
--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -138,6 +138,15 @@
   return fmt::format("BackendList {} {}", value.sender, describeAll(value.backends));
 }
 
+std::string describeFields(const BackendNote& value) {
+  return fmt::format("BackendNote {} {} {} {}", value.name, value.loading_milliseconds, value.model,
+                     value.weights_version);
+}
+
+std::string describeFields(const BackendNotes& value) {
+  return fmt::format("BackendNotes {}", describeAll(value.notes));
+}
+
 std::string describeFields(const LoadDigest& value) {
   return fmt::format("LoadDigest {} {}", value.sender, describeAll(value.loads));
 }
@@ -386,6 +395,10 @@
   return value;
 }
 
+BackendNotes exampleBackendNotes() {
+  return {{BackendNote{"name", 1500, "model", "2"}, BackendNote{}}};
+}
+
 }  // namespace
 
 std::vector<Message> exampleMessages() {
@@ -395,7 +408,7 @@
           exampleBundleRequest(), exampleBundleBody(),    exampleCacheSummary(),
           exampleLoadDigest(),    exampleClaimPrepare(),  exampleClaimReply(),
           exampleProtocolError(), exampleBundleUpdate(),  exampleBackendListRequest(),
-          exampleBackendList()};
+          exampleBackendList(),   exampleBackendNotes()};
 }
 
 std::string describe(const Message& message) {
