--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -19,10 +19,8 @@
 constexpr double kAffinityCost = 0.015;
 /// What filling a cache block costs later requests by eviction, seconds.
 constexpr double kEvictionCost = 0.0001;
-/// Import of cached blocks: fixed time, least time saved, and what moved time counts against computed time.
-constexpr double kImportBase = 0.004;
-constexpr double kImportGain = 0.020;
-constexpr double kImportWeight = 2.0;
+/// Fixed time of an import of cached blocks, seconds.
+constexpr double kImportBase = 0.002;
 constexpr double kOtherZoneSlowdown = 2.0;
 constexpr double kOtherRegionSlowdown = 10.0;
 /// Lateness counts up to this many seconds.
@@ -191,7 +189,7 @@
         static_cast<double>(there - cached) * static_cast<double>(request.pool->token_bytes) * kBitsPerByte;
     const double time =
         kImportBase + bits / request.pool->link_bits_per_second * zoneFactor(source->view, engine);
-    if ((there - cached) / rate < time * kImportWeight + kImportGain) break;
+    if ((there - cached) / rate < time) break;
     import = time;
     cached = there;
     candidate.import_from = source->view.address;
@@ -203,7 +201,7 @@
   const double late = std::min(table.lateness(engine.slot), kLatenessLimit);
   const double new_blocks = blocksOf(total) - std::min(blocks, blocksOf(total));
   candidate.first_byte = queue + import + prefill + distanceCost(engine, snapshot);
-  candidate.cost = candidate.first_byte + import * (kImportWeight - 1) + late + new_blocks * kEvictionCost +
+  candidate.cost = candidate.first_byte + late + new_blocks * kEvictionCost +
                    kAffinityCost * affinity(affinityKey(parts), engine.name);
   return candidate;
 }
