--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -177,7 +177,7 @@
   const std::uint32_t blocks = own == prompt.matches.end() ? 0 : own->blocks;
   const std::uint32_t total = std::max(request.client->prompt_tokens, 1U);
   std::uint32_t cached = std::min(tokensIn(parts, blocks), total);
-  const double rate = prefillRate(engine);
+  const double rate = rates_.rate(request.pool->name);
   double import = 0;
   for (const PrefixMatch& match : prompt.matches) {
     if (match.blocks <= blocks) break;
@@ -197,7 +197,7 @@
   }
   candidate.uncached_tokens = total - std::min(cached, total - 1);
   const double prefill = candidate.uncached_tokens / rate;
-  const double queue = toSeconds(queues_.wait(engine, ledger_, now));
+  const double queue = toSeconds(queues_.wait(engine, rate, ledger_, now));
   const double late = std::min(table.lateness(engine.slot), kLatenessLimit);
   const double new_blocks = blocksOf(total) - std::min(blocks, blocksOf(total));
   candidate.first_byte = queue + import + prefill + distanceCost(engine, snapshot);
@@ -255,7 +255,9 @@
   if (!choice.blocks.empty()) index_->notePlaced(engine.slot, engine.incarnation, choice.blocks, now);
 }
 
-void EngineChoice::onFirstByte(EngineSlot slot, std::uint64_t dispatch, TimePoint now) {
+void EngineChoice::onFirstByte(const Pool& pool, EngineSlot slot, std::uint64_t dispatch,
+                               std::uint32_t uncached_tokens, Duration taken, TimePoint now) {
+  rates_.observe(pool.name, uncached_tokens, taken);
   ledger_.prefillDone(slot, dispatch, now);
 }
 
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -14,6 +14,7 @@
 #include "gateway/cached_parts.h"
 #include "gateway/dialect.h"
 #include "gateway/gateway_snapshot.h"
+#include "gateway/prefill_rate.h"
 #include "placement/eligibility.h"
 #include "placement/outstanding_ledger.h"
 #include "placement/queue_estimator.h"
@@ -58,7 +59,10 @@
 
   /// Notes a dispatch by `choice`.
   void onDispatch(const Choice& choice, std::uint64_t dispatch, TimePoint now);
-  void onFirstByte(EngineSlot slot, std::uint64_t dispatch, TimePoint now);
+  /// @param uncached_tokens of the choice.
+  /// @param taken from dispatch to the first byte.
+  void onFirstByte(const Pool& pool, EngineSlot slot, std::uint64_t dispatch, std::uint32_t uncached_tokens,
+                   Duration taken, TimePoint now);
   void onEnd(EngineSlot slot, std::uint64_t dispatch);
 
 private:
@@ -99,6 +103,7 @@
   std::unique_ptr<PrefixIndex> index_;
   OutstandingLedger ledger_;
   QueueEstimator queues_;
+  PrefillRates rates_;
   absl::flat_hash_map<EngineSlot, LearntWeights> learnt_;
   absl::flat_hash_map<EngineSlot, std::uint64_t> incarnations_;
   absl::flat_hash_map<EngineSlot, std::uint64_t> sequences_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -174,6 +174,7 @@
   running.sent_at = now;
   running.heard_at = now;
   running.expected = choice.expected_first_byte;
+  running.uncached_tokens = choice.uncached_tokens;
   entry.running = running;
   ++entry.sends;
   ++entry.dispatches;
--- a/src/gateway/gateway_answers.cc
+++ b/src/gateway/gateway_answers.cc
@@ -110,8 +110,9 @@
   Running& running = entry.running;
   if (running.first_byte) return;
   running.first_byte = true;
-  choice_.onFirstByte(running.slot, running.exchange, now);
-  table_.onFirstByte(running.slot, running.incarnation, now - running.sent_at, running.expected, now);
+  const Duration taken = now - running.sent_at;
+  choice_.onFirstByte(*entry.pool, running.slot, running.exchange, running.uncached_tokens, taken, now);
+  table_.onFirstByte(running.slot, running.incarnation, taken, running.expected, now);
 }
 
 // Failures.
--- a/src/placement/queue_estimator.cc
+++ b/src/placement/queue_estimator.cc
@@ -34,8 +34,8 @@
   return Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
 
-Duration QueueEstimator::wait(const EngineView& engine, const OutstandingWork& work, TimePoint now) const {
-  const double rate = prefillRate(engine);
+Duration QueueEstimator::wait(const EngineView& engine, double rate, const OutstandingWork& work,
+                              TimePoint now) const {
   const double age = std::max(0.0, toSeconds(now - engine.load.measured_at));
   const double reported = std::max(0.0, engine.load.queued_tokens * uncached_share_ / rate - age);
   const double own = work.pendingTokens(engine.slot) / rate;
--- a/src/placement/queue_estimator.h
+++ b/src/placement/queue_estimator.h
@@ -20,7 +20,11 @@
 public:
   /// @return time until the engine begins with a new request: the later of two estimates, one by the report,
   /// drained since it was measured, plus own work that it cannot show, the other by own work alone.
-  Duration wait(const EngineView& engine, const OutstandingWork& work, TimePoint now) const;
+  Duration wait(const EngineView& engine, const OutstandingWork& work, TimePoint now) const {
+    return wait(engine, prefillRate(engine), work, now);
+  }
+  /// The same for a caller that knows the engine's rate better than its report, in tokens per second.
+  Duration wait(const EngineView& engine, double rate, const OutstandingWork& work, TimePoint now) const;
   void observe(const PlacementFeedback& feedback);
   /// @return mean share of prompt tokens that engines compute, 0 to 1.
   double uncachedShare() const { return uncached_share_; }
--- a/tests/unit/gateway/gateway_stream_test.cc
+++ b/tests/unit/gateway/gateway_stream_test.cc
@@ -129,6 +129,17 @@
   CHECK(uncached() == 1600);
 }
 
+TEST_CASE("the rate at which engines read prompts is learnt from their first bytes", "[gateway]") {
+  PrefillRates rates;
+  for (int count = 0; count < 40; ++count) {
+    rates.observe("lm", 100, milliseconds(100));  // Too small to say anything.
+    rates.observe("lm", 4000, milliseconds(count % 4 == 0 ? 100 : 300));
+  }
+  CHECK(rates.rate("lm") > 30'000);
+  CHECK(rates.rate("lm") < 41'000);
+  CHECK(rates.rate("other") == kAssumedPrefillRate);
+}
+
 TEST_CASE("cached parts are shared only under equal weights and never with an isolated tenant", "[gateway]") {
   GatewayFixture fixture;
   fixture.publish();
