--- a/src/gateway/gateway_snapshot.h
+++ b/src/gateway/gateway_snapshot.h
@@ -71,6 +71,9 @@
 struct NamedWeights {
   std::string model;
   std::uint64_t version = 0;
+  /// When it was named at the latest, as far as this gateway knows: one that it found at its start was named
+  /// some time before.
+  TimePoint named_at{};
 };
 
 /// One back end that the platform lists.
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -71,7 +71,10 @@
       log_(log),
       gossip_(
           executor, gossipOptions(settings, incarnation), [this] { publishSoon(); },
-          [this](const BackendNote& note) { onNote(note); }),
+          [this](const BackendNote& note) {
+            orders_.onOthersActive();
+            onNote(note);
+          }),
       orders_(executor, orderOptions(settings, incarnation), platform, orderCallbacks(), log),
       cache_watch_(executor, platform,
                    [this](CachedPartsNews news) { outputs_.on_cached_parts(std::move(news)); }),
--- a/src/gateway_control/order_giver.cc
+++ b/src/gateway_control/order_giver.cc
@@ -1,5 +1,6 @@
 #include "gateway_control/order_giver.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace crankspur::gateway {
@@ -38,12 +39,17 @@
 void OrderGiver::stop() {
   stopped_ = true;
   timer_.cancel();
+  if (!holding_) return;
+  const LeaseRow released{"", row_.token, row_.renewal + 1, 0};
+  platform_.writeLease(kLeaseName, released, row_.row_version, [](bool, const std::optional<LeaseRow>&) {});
 }
 
 bool OrderGiver::contends(TimePoint now) const {
   if (holding_) return true;
   const std::optional<TimePoint> since = rollout_.pendingSince(callbacks_.backends());
-  return since && now - *since >= kRankDelay * static_cast<Duration::rep>(callbacks_.rank());
+  if (!since) return false;
+  const TimePoint idle_since = std::max(*since, others_active_at_);
+  return now - idle_since >= kRankDelay * static_cast<Duration::rep>(callbacks_.rank());
 }
 
 void OrderGiver::tick() {
@@ -76,23 +82,30 @@
 void OrderGiver::onLeaseRead(const std::optional<LeaseRow>& row) {
   const TimePoint now = clock_.now();
   if (!row) return lease_->onFailed(now);
-  noteOthers(*row, now);
+  noteRow(*row, now);
   lease_->onRead(*row, now);
 }
 
 void OrderGiver::onLeaseWritten(bool written, const std::optional<LeaseRow>& row) {
   const TimePoint now = clock_.now();
   if (!row) return lease_->onFailed(now);
-  noteOthers(*row, now);
+  noteRow(*row, now);
   lease_->onWritten(written, *row, now);
 }
 
-void OrderGiver::noteOthers(const LeaseRow& row, TimePoint now) {
+void OrderGiver::noteRow(const LeaseRow& row, TimePoint now) {
+  const bool renewed = row.row_version != row_.row_version;
+  row_ = row;
   const bool other = !row.holder.empty() && row.holder != options_.holder;
-  if (!other) return;
-  // The other holder may give orders until its lease runs out; a dead one gives none.
-  const Duration rest = callbacks_.holder_alive(row.holder) ? kLeaseLifetime + options_.rest : Duration(0);
-  orders_from_ = std::max(orders_from_, now + rest);
+  if (!other || !renewed) return;
+  other_holder_ = row.holder;
+  other_renewed_at_ = now;
+}
+
+/// A holder may give orders until its lease runs out; one that is known to be gone gives none.
+bool OrderGiver::othersMayOrder(TimePoint now) const {
+  if (other_holder_.empty() || !callbacks_.holder_alive(other_holder_)) return false;
+  return now < other_renewed_at_ + kLeaseLifetime + options_.rest;
 }
 
 void OrderGiver::noteHolding(TimePoint now) {
@@ -105,7 +118,7 @@
 
 void OrderGiver::giveOrders(TimePoint now) {
   const std::optional<std::uint64_t> token = lease_->heldToken(now);
-  if (!token || now < orders_from_) return;
+  if (!token || othersMayOrder(now)) return;
   for (const RolloutAction& action : rollout_.due(callbacks_.backends(), now)) perform(action, *token);
 }
 
--- a/src/gateway_control/order_giver.h
+++ b/src/gateway_control/order_giver.h
@@ -42,6 +42,8 @@
   /// @return whether the version is new.
   bool onNamed(const NamedWeights& named);
   std::vector<NamedWeights> named() const { return rollout_.named(); }
+  /// Another gateway gives orders at present.
+  void onOthersActive() { others_active_at_ = clock_.now(); }
   /// The back ends changed: there may be work.
   void wake();
   /// Gives no further order and leaves the lease to others.
@@ -53,7 +55,8 @@
   void pollLease(TimePoint now);
   void onLeaseRead(const std::optional<LeaseRow>& row);
   void onLeaseWritten(bool written, const std::optional<LeaseRow>& row);
-  void noteOthers(const LeaseRow& row, TimePoint now);
+  void noteRow(const LeaseRow& row, TimePoint now);
+  bool othersMayOrder(TimePoint now) const;
   void noteHolding(TimePoint now);
   void giveOrders(TimePoint now);
   void perform(const RolloutAction& action, std::uint64_t token);
@@ -69,7 +72,10 @@
   bool ticking_ = false;
   bool stopped_ = false;
   bool holding_ = false;
-  TimePoint orders_from_{};  ///< No order before, as another holder may just have given one.
+  LeaseRow row_;                  ///< As last seen.
+  std::string other_holder_;      ///< The last one seen that is not this gateway.
+  TimePoint other_renewed_at_{};  ///< When its last renewal was seen.
+  TimePoint others_active_at_{};  ///< When another gateway last told of orders.
 };
 
 }  // namespace crankspur::gateway
