--- a/src/gateway/named_weights.cc
+++ b/src/gateway/named_weights.cc
@@ -5,7 +5,8 @@
 void WeightsClock::onSnapshot(const GatewaySnapshot& snapshot, TimePoint now) {
   for (const NamedWeights& named : snapshot.weights) {
     std::vector<Named>& known = models_[named.model];
-    if (known.empty() || named.version > known.back().version) known.push_back({named.version, now});
+    const TimePoint named_at = named.named_at == TimePoint{} ? now : named.named_at;
+    if (known.empty() || named.version > known.back().version) known.push_back({named.version, named_at});
     // Of those whose grace is over only the newest matters.
     while (known.size() > 1 && known[1].heard_at + grace_ <= now) known.erase(known.begin());
   }
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -15,6 +15,8 @@
 constexpr Duration kPublishDelay = std::chrono::milliseconds(5);
 /// A back end that got an order takes no new request for about as long as a load lasts.
 constexpr Duration kLoadingTime = std::chrono::milliseconds(1'500);
+/// Weights found at the start have to be in use this much later at the latest.
+constexpr Duration kWeightsFoundMargin = std::chrono::milliseconds(4'500);
 /// Longest time between two publications that check what time alone changes.
 constexpr Duration kLongestPause = std::chrono::seconds(5);
 
@@ -93,7 +95,10 @@
   news.on_configuration = [this](std::shared_ptr<const Configuration> configuration) {
     onConfiguration(std::move(configuration));
   };
-  news.on_weights = [this](const NamedWeights& named) {
+  news.on_weights = [this](NamedWeights named) {
+    named.named_at = now();
+    // What was found at the start was named an unknown time before.
+    if (!told_once_) named.named_at -= settings_.weights_limit - kWeightsFoundMargin;
     if (orders_.onNamed(named)) publishSoon();
   };
   news.on_backend = [this](const ListedBackend& listed) {
@@ -139,6 +144,7 @@
 
 void GatewayControl::onContact(TimePoint as_of) {
   contact_at_ = std::max(contact_at_, as_of);
+  told_once_ = true;
   if (!std::exchange(reachable_, true)) log_.write(EventId::PlatformReachable, {});
   if (keysCurrent() != keys_current_) publish();
 }
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -75,6 +75,7 @@
   CacheWatch cache_watch_;
   std::shared_ptr<const Configuration> configuration_;
   TimePoint contact_at_{};
+  bool told_once_ = false;  ///< The platform has told everything once.
   bool reachable_ = true;
   bool leaving_ = false;
   bool publish_waiting_ = false;
--- a/src/gateway_control/platform_link.h
+++ b/src/gateway_control/platform_link.h
@@ -32,7 +32,7 @@
 struct PlatformNews {
   /// A configuration that the operator had accepted; versions may repeat but never mean different things.
   std::function<void(std::shared_ptr<const Configuration>)> on_configuration;
-  std::function<void(const NamedWeights&)> on_weights;
+  std::function<void(NamedWeights)> on_weights;
   std::function<void(const ListedBackend&)> on_backend;
   /// The platform lists the back end no longer.
   std::function<void(const std::string& id)> on_backend_gone;
--- a/src/gateway_control/weight_rollout.cc
+++ b/src/gateway_control/weight_rollout.cc
@@ -54,13 +54,13 @@
 bool WeightRollout::onNamed(const NamedWeights& named, TimePoint now) {
   Named& held = named_[named.model];
   if (named.version <= held.version) return false;
-  held = {named.version, now};
+  held = {named.version, named.named_at == TimePoint{} ? now : named.named_at};
   return true;
 }
 
 std::vector<NamedWeights> WeightRollout::named() const {
   std::vector<NamedWeights> all;
-  for (const auto& [model, held] : named_) all.push_back({model, held.version});
+  for (const auto& [model, held] : named_) all.push_back({model, held.version, held.named_at});
   return all;
 }
 
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -62,6 +62,10 @@
   implementation_->thread.post([this] { implementation_->loop.closeIdleConnections(); });
 }
 
+void GatewayProcess::stopAccepting() {
+  implementation_->thread.post([this] { implementation_->loop.stopAccepting(); });
+}
+
 GatewayCounters GatewayProcess::counters() const {
   return implementation_->loop.counters();
 }
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -62,6 +62,8 @@
   void drain();
   /// @return whether a snapshot with a configuration came and drain() was not called.
   bool ready() const;
+  /// Takes no further connection and closes those without a request; requests in flight go on.
+  void stopAccepting();
   /// @return requests whose answer has not ended, those being read included.
   std::size_t inFlight() const;
   /// Closes connections without a request. To be called when the process is about to end.
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -28,6 +28,7 @@
   void onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot);
   void onCachedParts(const CachedPartsNews& news);
   void drain();
+  void stopAccepting() { server_->stopAccepting(); }
   void closeIdleConnections() { server_->closeIdle(); }
 
   /// From any thread.
