--- a/src/gateway_control/cache_watch.cc
+++ b/src/gateway_control/cache_watch.cc
@@ -8,7 +8,7 @@
 namespace {
 
 /// Between two questions to one cache: news are gathered meanwhile.
-constexpr Duration kPause = std::chrono::milliseconds(100);
+constexpr Duration kPause = std::chrono::milliseconds(30);
 constexpr Duration kPauseAfterFailure = std::chrono::seconds(1);
 
 }  // namespace
