Read cold shared parts at one engine, and import only what has been read

Parts were taken for held from their dispatch on, so that imports missed, and gateways that saw a cold part at the same time sent it to different engines. Change: a part counts as held from the first byte on; shared parts that nobody holds have a home engine by hash, alike in all gateways; reading them elsewhere costs; own work in a queue stands for that of up to three gateways.

--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -17,6 +17,13 @@
 /// Engines equal otherwise are told apart by up to this many seconds, alike in all gateways for one prefix,
 /// so that requests with a common prefix meet at one engine.
 constexpr double kAffinityCost = 0.015;
+/// Reading shared parts that another engine has read, or is about to read, counts this many times the time it
+/// takes, up to a limit in seconds: it takes time and memory from all others.
+constexpr double kReadAgainFactor = 6;
+constexpr double kReadAgainLimit = 1.5;
+/// Other gateways send alike and are not seen: own work in an engine's queue stands for up to this many
+/// gateways'.
+constexpr double kUnseenGateways = 3;
 /// What filling a cache block costs later requests by eviction, seconds.
 constexpr double kEvictionCost = 0.0001;
 /// Fixed time of an import of cached blocks, seconds.
@@ -123,10 +130,9 @@
   return std::max(listed.value_or(0), learnt->second.version);
 }
 
-std::vector<const Backend*> EngineChoice::findUsable(const ChoiceRequest& request,
-                                                     const GatewaySnapshot& snapshot,
-                                                     const BackendTable& table, TimePoint now,
-                                                     bool& lacks_room) const {
+EngineChoice::Usable EngineChoice::findUsable(const ChoiceRequest& request, const GatewaySnapshot& snapshot,
+                                              const BackendTable& table, TimePoint now,
+                                              bool& lacks_room) const {
   PlacementRequest placement;
   if (request.uses_prefixes) placement.model = request.client->model;
   placement.excluded = request.excluded;
@@ -151,7 +157,7 @@
 
 std::size_t EngineChoice::scopedPrompt(std::vector<ScopedPrompt>& prompts,
                                        std::optional<std::uint64_t> weights, const ChoiceRequest& request,
-                                       TimePoint now) const {
+                                       const Usable& usable, TimePoint now) const {
   for (std::size_t index = 0; index < prompts.size(); ++index) {
     if (prompts[index].weights == weights) return index;
   }
@@ -160,10 +166,47 @@
   prompt.scope = cacheScope(weights ? std::to_string(*weights) : std::string(), request.isolated_tenant);
   prompt.blocks = promptBlocks(prompt.scope, request.client->model, request.client->prompt);
   prompt.matches = index_->match(prompt.blocks, now);
+  const std::vector<PromptPart>& parts = request.client->prompt;
+  for (std::size_t index = 0; index + 1 < parts.size(); ++index) prompt.shared_tokens += parts[index].tokens;
+  const std::uint32_t held = prompt.matches.empty() ? 0 : tokensIn(parts, prompt.matches.front().blocks);
+  prompt.held_shared_tokens = std::min(held, prompt.shared_tokens);
+  prompt.home = findHome(prompt, request, usable);
   prompts.push_back(std::move(prompt));
   return prompts.size() - 1;
 }
 
+/// @return the engine that every gateway sends prompts to whose first unread part is the same.
+EngineSlot EngineChoice::findHome(const ScopedPrompt& prompt, const ChoiceRequest& request,
+                                  const Usable& usable) const {
+  std::uint32_t held = prompt.held_shared_tokens;
+  std::uint64_t key = 0;
+  for (const PromptPart& part : request.client->prompt) {
+    key = part.id;
+    if (held < part.tokens) break;
+    held -= part.tokens;
+  }
+  EngineSlot home = 0;
+  double least = 2;
+  for (const Backend* backend : usable) {
+    if (weightsOf(*backend, request.client->model) != prompt.weights) continue;
+    const double value = affinity(key, backend->view.name);
+    if (value >= least) continue;
+    least = value;
+    home = backend->view.slot;
+  }
+  return home;
+}
+
+/// @param cached tokens that the engine holds, what it imports included.
+double EngineChoice::readAgainCost(const ScopedPrompt& prompt, EngineSlot engine, std::uint32_t cached,
+                                   double rate) {
+  const std::uint32_t here = std::min(cached, prompt.shared_tokens);
+  const std::uint32_t known = std::max(prompt.held_shared_tokens, here);
+  std::uint32_t again = known - here;
+  if (engine != prompt.home) again += prompt.shared_tokens - known;
+  return std::min(again / rate * kReadAgainFactor, kReadAgainLimit);
+}
+
 EngineChoice::Candidate EngineChoice::weighEngine(const Backend& backend, const ScopedPrompt& prompt,
                                                   const ChoiceRequest& request,
                                                   const GatewaySnapshot& snapshot, const BackendTable& table,
@@ -189,7 +232,6 @@
         static_cast<double>(there - cached) * static_cast<double>(request.pool->token_bytes) * kBitsPerByte;
     const double time =
         kImportBase + bits / request.pool->link_bits_per_second * zoneFactor(source->view, engine);
-    if ((there - cached) / rate < time) break;
     import = time;
     cached = there;
     candidate.import_from = source->view.address;
@@ -201,7 +243,9 @@
   const double late = std::min(table.lateness(engine.slot), kLatenessLimit);
   const double new_blocks = blocksOf(total) - std::min(blocks, blocksOf(total));
   candidate.first_byte = queue + import + prefill + distanceCost(engine, snapshot);
-  candidate.cost = candidate.first_byte + late + new_blocks * kEvictionCost +
+  const double unseen = std::min<double>(snapshot.gateway_count, kUnseenGateways) - 1;
+  candidate.cost = candidate.first_byte + queue * std::max(unseen, 0.0) + late + new_blocks * kEvictionCost +
+                   readAgainCost(prompt, engine.slot, cached, rate) +
                    kAffinityCost * affinity(affinityKey(parts), engine.name);
   return candidate;
 }
@@ -221,12 +265,13 @@
   Choice choice;
   std::vector<ScopedPrompt> prompts;
   Candidate best;
-  for (const Backend* backend : findUsable(request, snapshot, table, now, choice.lacks_room)) {
+  const Usable usable = findUsable(request, snapshot, table, now, choice.lacks_room);
+  for (const Backend* backend : usable) {
     Candidate candidate;
     candidate.backend = backend;
     if (request.uses_prefixes) {
       const std::size_t prompt =
-          scopedPrompt(prompts, weightsOf(*backend, request.client->model), request, now);
+          scopedPrompt(prompts, weightsOf(*backend, request.client->model), request, usable, now);
       candidate = weighEngine(*backend, prompts[prompt], request, snapshot, table, now);
       candidate.prompt = prompt;
     } else {
@@ -249,16 +294,18 @@
   return choice;
 }
 
-void EngineChoice::onDispatch(const Choice& choice, std::uint64_t dispatch, TimePoint now) {
+DispatchedPrompt EngineChoice::onDispatch(const Choice& choice, std::uint64_t dispatch, TimePoint now) {
   const EngineView& engine = choice.backend->view;
   ledger_.add(engine.slot, dispatch, choice.uncached_tokens, now);
-  if (!choice.blocks.empty()) index_->notePlaced(engine.slot, engine.incarnation, choice.blocks, now);
+  return {engine.slot, engine.incarnation, choice.uncached_tokens, choice.blocks};
 }
 
-void EngineChoice::onFirstByte(const Pool& pool, EngineSlot slot, std::uint64_t dispatch,
-                               std::uint32_t uncached_tokens, Duration taken, TimePoint now) {
-  rates_.observe(pool.name, uncached_tokens, taken);
-  ledger_.prefillDone(slot, dispatch, now);
+/// Only now do others find the parts there: until it has read them an engine has nothing to give.
+void EngineChoice::onFirstByte(const Pool& pool, const DispatchedPrompt& prompt, std::uint64_t dispatch,
+                               Duration taken, TimePoint now) {
+  rates_.observe(pool.name, prompt.uncached_tokens, taken);
+  ledger_.prefillDone(prompt.slot, dispatch, now);
+  if (!prompt.blocks.empty()) index_->correct(prompt.slot, prompt.incarnation, prompt.blocks, 0, now);
 }
 
 void EngineChoice::onEnd(EngineSlot slot, std::uint64_t dispatch) {
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -44,6 +44,14 @@
   Duration expected_first_byte{0};
 };
 
+/// What is remembered of a dispatch until its first byte.
+struct DispatchedPrompt {
+  EngineSlot slot = 0;
+  std::uint64_t incarnation = 0;
+  std::uint32_t uncached_tokens = 0;
+  std::vector<BlockHash> blocks;
+};
+
 /// Holds the prefix index and the work in flight. Not thread-safe.
 class EngineChoice {
 public:
@@ -58,11 +66,11 @@
                 TimePoint now) const;
 
   /// Notes a dispatch by `choice`.
-  void onDispatch(const Choice& choice, std::uint64_t dispatch, TimePoint now);
-  /// @param uncached_tokens of the choice.
+  DispatchedPrompt onDispatch(const Choice& choice, std::uint64_t dispatch, TimePoint now);
+  /// The engine has read the prompt.
   /// @param taken from dispatch to the first byte.
-  void onFirstByte(const Pool& pool, EngineSlot slot, std::uint64_t dispatch, std::uint32_t uncached_tokens,
-                   Duration taken, TimePoint now);
+  void onFirstByte(const Pool& pool, const DispatchedPrompt& prompt, std::uint64_t dispatch, Duration taken,
+                   TimePoint now);
   void onEnd(EngineSlot slot, std::uint64_t dispatch);
 
 private:
@@ -77,7 +85,11 @@
     std::string scope;
     std::vector<BlockHash> blocks;
     std::vector<PrefixMatch> matches;
+    std::uint32_t shared_tokens = 0;       ///< Of the parts that other prompts may have too.
+    std::uint32_t held_shared_tokens = 0;  ///< Of these, held by some engine.
+    EngineSlot home = 0;                   ///< Engine that first reads the shared parts which none holds.
   };
+  using Usable = std::vector<const Backend*>;
   struct Candidate {
     const Backend* backend = nullptr;
     double cost = 0;
@@ -89,10 +101,13 @@
   using PartKey = std::uint64_t;
 
   std::optional<std::uint64_t> weightsOf(const Backend& backend, const std::string& model) const;
-  std::vector<const Backend*> findUsable(const ChoiceRequest& request, const GatewaySnapshot& snapshot,
-                                         const BackendTable& table, TimePoint now, bool& lacks_room) const;
+  Usable findUsable(const ChoiceRequest& request, const GatewaySnapshot& snapshot, const BackendTable& table,
+                    TimePoint now, bool& lacks_room) const;
   std::size_t scopedPrompt(std::vector<ScopedPrompt>& prompts, std::optional<std::uint64_t> weights,
-                           const ChoiceRequest& request, TimePoint now) const;
+                           const ChoiceRequest& request, const Usable& usable, TimePoint now) const;
+  EngineSlot findHome(const ScopedPrompt& prompt, const ChoiceRequest& request, const Usable& usable) const;
+  static double readAgainCost(const ScopedPrompt& prompt, EngineSlot engine, std::uint32_t cached,
+                              double rate);
   Candidate weighEngine(const Backend& backend, const ScopedPrompt& prompt, const ChoiceRequest& request,
                         const GatewaySnapshot& snapshot, const BackendTable& table, TimePoint now) const;
   double weighRunner(const Backend& backend, const GatewaySnapshot& snapshot,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -174,24 +174,23 @@
   running.sent_at = now;
   running.heard_at = now;
   running.expected = choice.expected_first_byte;
-  running.uncached_tokens = choice.uncached_tokens;
-  entry.running = running;
+  running.prompt = choice_.onDispatch(choice, running.exchange, now);
   ++entry.sends;
   ++entry.dispatches;
   ++counters_.dispatches;
   if (entry.arrived_before) ++counters_.repeats;
   exchanges_[running.exchange] = entry.id;
   table_.onDispatch(backend.slot);
-  choice_.onDispatch(choice, running.exchange, now);
   wakeAt(entry, std::min(entry.ends_at, now + settings_.silence_limit));
-  actions_.push_back(Dispatch{running.exchange, entry.id, backend.address, forwardTerms(entry, choice, now)});
+  actions_.emplace_back(Dispatch{running.exchange, entry.id, backend.address, forwardTerms(entry, choice, now)});
+  entry.running = std::move(running);
 }
 
 // Ends.
 
 void Gateway::refuse(ClientId client, int status, Duration retry_after) {
   ++counters_.refused;
-  actions_.push_back(Refuse{client, status, retry_after});
+  actions_.emplace_back(Refuse{client, status, retry_after});
 }
 
 /// Spread, so that those refused together do not come back together.
@@ -223,7 +222,7 @@
   cancelExchange(entry, DispatchOutcome::Ended, now);
   if (!entry.head_passed && entry.may_have_run) {
     ++counters_.failed;
-    actions_.push_back(Refuse{entry.id, kGatewayTimeout, Duration(0)});
+    actions_.emplace_back(Refuse{entry.id, kGatewayTimeout, Duration(0)});
     return finish(entry);
   }
   giveUp(entry, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -78,7 +78,7 @@
     TimePoint sent_at{};
     TimePoint heard_at{};
     Duration expected{0};
-    std::uint32_t uncached_tokens = 0;
+    DispatchedPrompt prompt;
     bool first_byte = false;
     bool passes_bytes = false;  ///< Bytes go on as they come.
     bool error_answer = false;
--- a/src/gateway/gateway_answers.cc
+++ b/src/gateway/gateway_answers.cc
@@ -66,7 +66,7 @@
   running.passes_bytes = true;
   if (entry->head_passed) return;
   entry->head_passed = true;
-  actions_.push_back(PassHead{entry->id, exchange});
+  actions_.emplace_back(PassHead{entry->id, exchange});
 }
 
 void Gateway::onLargeBody(ExchangeId exchange, TimePoint now) {
@@ -76,7 +76,7 @@
   entry->running.passes_bytes = true;
   entry->head_passed = true;
   entry->cursor.reset();
-  actions_.push_back(PassHead{entry->id, exchange});
+  actions_.emplace_back(PassHead{entry->id, exchange});
 }
 
 void Gateway::onBytes(ExchangeId exchange, std::string_view bytes, TimePoint now) {
@@ -87,7 +87,7 @@
   if (!entry->running.passes_bytes) return;
   noteFirstByte(*entry, now);
   std::string passed = entry->cursor ? entry->cursor->feed(bytes) : std::string(bytes);
-  if (!passed.empty()) actions_.push_back(PassBytes{entry->id, std::move(passed)});
+  if (!passed.empty()) actions_.emplace_back(PassBytes{entry->id, std::move(passed)});
 }
 
 void Gateway::onEnd(ExchangeId exchange, TimePoint now) {
@@ -98,9 +98,9 @@
   const bool begun = entry->head_passed;
   endExchange(*entry, error ? DispatchOutcome::ErrorAnswer : DispatchOutcome::Answered, now);
   if (begun) {
-    actions_.push_back(EndAnswer{entry->id});
+    actions_.emplace_back(EndAnswer{entry->id});
   } else {
-    actions_.push_back(PassWhole{entry->id, exchange});
+    actions_.emplace_back(PassWhole{entry->id, exchange});
   }
   finish(*entry);
   serveQueue(now);
@@ -111,7 +111,7 @@
   if (running.first_byte) return;
   running.first_byte = true;
   const Duration taken = now - running.sent_at;
-  choice_.onFirstByte(*entry.pool, running.slot, running.exchange, running.uncached_tokens, taken, now);
+  choice_.onFirstByte(*entry.pool, running.prompt, running.exchange, taken, now);
   table_.onFirstByte(running.slot, running.incarnation, taken, running.expected, now);
 }
 
@@ -131,7 +131,7 @@
   const Running running = entry.running;
   const Backend* backend = snapshot_->backend(running.slot);
   const bool other_weights = answer.weights_version.has_value();
-  actions_.push_back(ReportWrongBackend{running.slot, running.incarnation, answer.weights_version});
+  actions_.emplace_back(ReportWrongBackend{running.slot, running.incarnation, answer.weights_version});
   if (entry.sends > 0) --entry.sends;
   if (other_weights) {
     choice_.onWeights(running.slot, running.incarnation, entry.client.model, *answer.weights_version);
@@ -170,14 +170,15 @@
 void Gateway::onLost(ExchangeId exchange, bool sent, TimePoint now) {
   Entry* entry = findExchange(exchange);
   if (entry == nullptr) return;
-  const Running running = entry->running;
-  entry->failed.push_back(running.slot);
+  const EngineSlot slot = entry->running.slot;
+  const std::uint64_t incarnation = entry->running.incarnation;
+  entry->failed.push_back(slot);
   if (sent) {
     entry->arrived_before = true;
     entry->may_have_run = true;
   } else {
     --entry->sends;
-    actions_.push_back(ReportUnreachable{running.slot, running.incarnation});
+    actions_.emplace_back(ReportUnreachable{slot, incarnation});
   }
   endExchange(*entry, sent ? DispatchOutcome::Failed : DispatchOutcome::ConnectFailed, now);
   goOn(*entry, now);
@@ -211,12 +212,12 @@
 
 void Gateway::cancelExchange(Entry& entry, DispatchOutcome outcome, TimePoint now) {
   if (entry.running.exchange == 0) return;
-  actions_.push_back(CancelExchange{entry.running.exchange});
+  actions_.emplace_back(CancelExchange{entry.running.exchange});
   endExchange(entry, outcome, now);
 }
 
 void Gateway::discardAnswer(Entry& entry, DispatchOutcome outcome, TimePoint now) {
-  actions_.push_back(DiscardAnswer{entry.running.exchange});
+  actions_.emplace_back(DiscardAnswer{entry.running.exchange});
   endExchange(entry, outcome, now);
 }
 
@@ -247,10 +248,10 @@
   cancelExchange(entry, DispatchOutcome::Ended, now);
   if (entry.head_passed) {
     ++counters_.failed;
-    actions_.push_back(AbortAnswer{entry.id});
+    actions_.emplace_back(AbortAnswer{entry.id});
   } else if (entry.may_have_run) {
     ++counters_.failed;
-    actions_.push_back(Refuse{entry.id, kBadGateway, Duration(0)});
+    actions_.emplace_back(Refuse{entry.id, kBadGateway, Duration(0)});
   } else {
     refuse(entry.id, kUnavailable, retryAfter(entry));
   }
--- a/src/gateway/gateway_snapshot.h
+++ b/src/gateway/gateway_snapshot.h
@@ -85,7 +85,7 @@
 
 /// Bounds on what a client may send.
 struct ClientLimits {
-  std::size_t header_bytes = 16 * 1024;
+  std::size_t header_bytes = std::size_t{16} * 1024;
   std::size_t body_bytes = std::size_t{4} * 1024 * 1024;
   Duration header_timeout = std::chrono::seconds(3);
   Duration idle_timeout = std::chrono::seconds(15);
--- a/tests/unit/gateway/gateway_stream_test.cc
+++ b/tests/unit/gateway/gateway_stream_test.cc
@@ -129,6 +129,61 @@
   CHECK(uncached() == 1600);
 }
 
+TEST_CASE("shared parts that no engine holds are read first at one engine, alike for all gateways",
+          "[gateway]") {
+  std::string home;
+  for (std::uint64_t seed = 1; seed <= 6; ++seed) {
+    RandomSource random(seed);
+    EngineChoice choice(10'000, random);
+    GatewaySnapshot snapshot;
+    snapshot.backends = {makeBackend(3, "lm"), makeBackend(4, "lm"), makeBackend(5, "lm")};
+    choice.onSnapshot(snapshot);
+    const Configuration configuration = makeConfiguration();
+    ClientRequest client;
+    client.model = "m";
+    client.prompt = {{77, 1600}, {seed, 100}};
+    client.prompt_tokens = 1700;
+    ChoiceRequest request;
+    request.pool = configuration.findPool("lm");
+    request.client = &client;
+    request.uses_prefixes = true;
+    const Choice first = choice.choose(request, snapshot, BackendTable(), TimePoint{});
+    choice.onDispatch(first, 1, TimePoint{});
+    // Not read yet, so nobody could import it; its home still is the place, busy as it is.
+    const Choice second = choice.choose(request, snapshot, BackendTable(), TimePoint{});
+    CHECK(second.backend == first.backend);
+    CHECK(second.import_from.empty());
+    if (home.empty()) home = first.backend->view.name;
+    CHECK(first.backend->view.name == home);
+  }
+}
+
+TEST_CASE("parts that an engine has read are imported and not read again", "[gateway]") {
+  RandomSource random(1);
+  EngineChoice choice(10'000, random);
+  GatewaySnapshot snapshot;
+  snapshot.backends = {makeBackend(3, "lm"), makeBackend(4, "lm")};
+  choice.onSnapshot(snapshot);
+  Configuration configuration = makeConfiguration();
+  configuration.pools[1].link_bits_per_second = 1e12;
+  ClientRequest client;
+  client.model = "m";
+  client.prompt = {{77, 3200}, {78, 100}};
+  client.prompt_tokens = 3300;
+  ChoiceRequest request;
+  request.pool = configuration.findPool("lm");
+  request.client = &client;
+  request.uses_prefixes = true;
+  const Choice first = choice.choose(request, snapshot, BackendTable(), TimePoint{});
+  const DispatchedPrompt prompt = choice.onDispatch(first, 1, TimePoint{});
+  choice.onFirstByte(*request.pool, prompt, 1, milliseconds(300), TimePoint{milliseconds(300)});
+  request.excluded = {first.backend->view.slot};
+  const Choice other = choice.choose(request, snapshot, BackendTable(), TimePoint{milliseconds(300)});
+  REQUIRE(other.backend != nullptr);
+  CHECK(other.import_from == first.backend->view.address);
+  CHECK(other.uncached_tokens == 1);
+}
+
 TEST_CASE("the rate at which engines read prompts is learnt from their first bytes", "[gateway]") {
   PrefillRates rates;
   for (int count = 0; count < 40; ++count) {
