Keep long prompts and short ones on engines of their own

Change: the engines of a pool are divided by the time that reading long and short prompts takes, alike in all gateways; the other kind costs 0.25 s.

--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -21,6 +21,10 @@
 /// takes, up to a limit in seconds: it takes time and memory from all others.
 constexpr double kReadAgainFactor = 6;
 constexpr double kReadAgainLimit = 1.5;
+/// A prompt that takes longer to read than this many seconds holds up the streams beside it; what it costs to
+/// send it to an engine of short ones, or the reverse, in seconds.
+constexpr double kLongPrompt = 0.06;
+constexpr double kOtherLaneCost = 0.25;
 /// Other gateways send alike and are not seen: own work in an engine's queue stands for up to this many
 /// gateways'.
 constexpr double kUnseenGateways = 3;
@@ -74,6 +78,7 @@
     : random_(random), index_(makePrefixIndex(index_entries)) {}
 
 void EngineChoice::onSnapshot(const GatewaySnapshot& snapshot) {
+  lanes_.onSnapshot(snapshot);
   for (const Backend& backend : snapshot.backends) {
     const EngineSlot slot = backend.view.slot;
     ledger_.onLoadMeasured(slot, backend.view.load.measured_at);
@@ -175,6 +180,10 @@
   return prompts.size() - 1;
 }
 
+bool EngineChoice::isLong(const ChoiceRequest& request) const {
+  return request.client->prompt_tokens > kLongPrompt * rates_.rate(request.pool->name);
+}
+
 /// @return the engine that every gateway sends prompts to whose first unread part is the same.
 EngineSlot EngineChoice::findHome(const ScopedPrompt& prompt, const ChoiceRequest& request,
                                   const Usable& usable) const {
@@ -186,10 +195,12 @@
     held -= part.tokens;
   }
   EngineSlot home = 0;
-  double least = 2;
+  double least = 4;
+  const bool is_long = isLong(request);
   for (const Backend* backend : usable) {
     if (weightsOf(*backend, request.client->model) != prompt.weights) continue;
-    const double value = affinity(key, backend->view.name);
+    const double other_lane = lanes_.suits(backend->view, is_long) ? 0 : 2;
+    const double value = affinity(key, backend->view.name) + other_lane;
     if (value >= least) continue;
     least = value;
     home = backend->view.slot;
@@ -246,6 +257,7 @@
   const double unseen = std::min<double>(snapshot.gateway_count, kUnseenGateways) - 1;
   candidate.cost = candidate.first_byte + queue * std::max(unseen, 0.0) + late + new_blocks * kEvictionCost +
                    readAgainCost(prompt, engine.slot, cached, rate) +
+                   (lanes_.suits(engine, isLong(request)) ? 0 : kOtherLaneCost) +
                    kAffinityCost * affinity(affinityKey(parts), engine.name);
   return candidate;
 }
@@ -291,12 +303,17 @@
   choice.blocks = std::move(prompt.blocks);
   choice.import_from = best.import_from;
   choice.uncached_tokens = best.uncached_tokens;
+  choice.long_prompt = isLong(request);
   return choice;
 }
 
 DispatchedPrompt EngineChoice::onDispatch(const Choice& choice, std::uint64_t dispatch, TimePoint now) {
   const EngineView& engine = choice.backend->view;
   ledger_.add(engine.slot, dispatch, choice.uncached_tokens, now);
+  if (!choice.blocks.empty()) {
+    const double seconds = choice.uncached_tokens / rates_.rate(engine.pool);
+    lanes_.observe(engine.pool, choice.long_prompt, seconds, now);
+  }
   return {engine.slot, engine.incarnation, choice.uncached_tokens, choice.blocks};
 }
 
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -15,6 +15,7 @@
 #include "gateway/dialect.h"
 #include "gateway/gateway_snapshot.h"
 #include "gateway/prefill_rate.h"
+#include "gateway/prompt_lanes.h"
 #include "placement/eligibility.h"
 #include "placement/outstanding_ledger.h"
 #include "placement/queue_estimator.h"
@@ -41,6 +42,7 @@
   std::string import_from;
   std::vector<BlockHash> blocks;
   std::uint32_t uncached_tokens = 0;
+  bool long_prompt = false;
   Duration expected_first_byte{0};
 };
 
@@ -106,6 +108,7 @@
   std::size_t scopedPrompt(std::vector<ScopedPrompt>& prompts, std::optional<std::uint64_t> weights,
                            const ChoiceRequest& request, const Usable& usable, TimePoint now) const;
   EngineSlot findHome(const ScopedPrompt& prompt, const ChoiceRequest& request, const Usable& usable) const;
+  bool isLong(const ChoiceRequest& request) const;
   static double readAgainCost(const ScopedPrompt& prompt, EngineSlot engine, std::uint32_t cached,
                               double rate);
   Candidate weighEngine(const Backend& backend, const ScopedPrompt& prompt, const ChoiceRequest& request,
@@ -119,6 +122,7 @@
   OutstandingLedger ledger_;
   QueueEstimator queues_;
   PrefillRates rates_;
+  PromptLanes lanes_;
   absl::flat_hash_map<EngineSlot, LearntWeights> learnt_;
   absl::flat_hash_map<EngineSlot, std::uint64_t> incarnations_;
   absl::flat_hash_map<EngineSlot, std::uint64_t> sequences_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -182,7 +182,8 @@
   exchanges_[running.exchange] = entry.id;
   table_.onDispatch(backend.slot);
   wakeAt(entry, std::min(entry.ends_at, now + settings_.silence_limit));
-  actions_.emplace_back(Dispatch{running.exchange, entry.id, backend.address, forwardTerms(entry, choice, now)});
+  actions_.emplace_back(
+      Dispatch{running.exchange, entry.id, backend.address, forwardTerms(entry, choice, now)});
   entry.running = std::move(running);
 }
 
--- /dev/null
+++ b/src/gateway/prompt_lanes.cc
@@ -0,0 +1,50 @@
+#include "gateway/prompt_lanes.h"
+
+#include <algorithm>
+#include <cmath>
+#include <vector>
+
+#include "base/hash.h"
+
+namespace crankspur::gateway {
+namespace {
+
+/// A kind of prompts with less than this share of the reading gets no engines of its own.
+constexpr double kLeastShare = 0.05;
+
+}  // namespace
+
+void PromptLanes::onSnapshot(const GatewaySnapshot& snapshot) {
+  absl::flat_hash_map<std::string, std::vector<std::pair<std::uint64_t, EngineSlot>>> ordered;
+  for (const Backend& backend : snapshot.backends) {
+    const EngineView& engine = backend.view;
+    const bool stays = engine.state == EngineState::Live || engine.state == EngineState::Ejected;
+    if (stays) ordered[engine.pool].emplace_back(hashBytes(engine.name), engine.slot);
+  }
+  ranks_.clear();
+  for (auto& [pool, engines] : ordered) {
+    std::sort(engines.begin(), engines.end());
+    pools_[pool].engines = engines.size();
+    for (std::size_t rank = 0; rank < engines.size(); ++rank) ranks_[engines[rank].second] = rank;
+  }
+}
+
+void PromptLanes::observe(const std::string& pool, bool is_long, double seconds, TimePoint now) {
+  Pool& lanes = pools_[pool];
+  (is_long ? lanes.long_prompts : lanes.short_prompts).add(seconds, now);
+  const double long_rate = lanes.long_prompts.perSecond(now);
+  lanes.long_share = long_rate / std::max(long_rate + lanes.short_prompts.perSecond(now), 1e-9);
+}
+
+bool PromptLanes::suits(const EngineView& engine, bool is_long) const {
+  const auto pool = pools_.find(engine.pool);
+  const auto rank = ranks_.find(engine.slot);
+  if (pool == pools_.end() || rank == ranks_.end() || pool->second.engines < 2) return true;
+  const double share = pool->second.long_share;
+  if (share < kLeastShare || share > 1 - kLeastShare) return true;
+  const auto engines = static_cast<double>(pool->second.engines);
+  const double for_long = std::clamp(std::round(share * engines), 1.0, engines - 1);
+  return (static_cast<double>(rank->second) < for_long) == is_long;
+}
+
+}  // namespace crankspur::gateway
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -7,8 +7,8 @@
 
 struct GatewayProcess::Implementation {
   Implementation(const GatewayProcessSettings& settings, std::shared_ptr<const Dialect> dialect,
-                 GatewayFacts facts, EventLog& log)
-      : loop(settings, std::move(dialect), std::move(facts), log, thread.executor()) {}
+                 GatewayFacts facts)
+      : loop(settings, std::move(dialect), std::move(facts), thread.executor()) {}
   ~Implementation() { thread.stop(); }
 
   EventLoopThread thread;
@@ -18,9 +18,8 @@
 };
 
 GatewayProcess::GatewayProcess(GatewayProcessSettings settings, std::shared_ptr<const Dialect> dialect,
-                               GatewayFacts facts, EventLog& log)
-    : implementation_(std::make_unique<Implementation>(settings, std::move(dialect), std::move(facts), log)) {
-}
+                               GatewayFacts facts, EventLog& /*log*/)
+    : implementation_(std::make_unique<Implementation>(settings, std::move(dialect), std::move(facts))) {}
 
 GatewayProcess::~GatewayProcess() = default;
 
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -60,11 +60,10 @@
 }  // namespace
 
 TrafficLoop::TrafficLoop(const GatewayProcessSettings& settings, std::shared_ptr<const Dialect> dialect,
-                         GatewayFacts facts, EventLog& log, boost::asio::any_io_executor executor)
+                         GatewayFacts facts, boost::asio::any_io_executor executor)
     : settings_(settings),
       dialect_(std::move(dialect)),
       facts_(std::move(facts)),
-      log_(log),
       executor_(std::move(executor)),
       gateway_(settings.decisions, settings.random_seed),
       http_(http::makeClient(executor_)),
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -19,7 +19,7 @@
 class TrafficLoop {
 public:
   TrafficLoop(const GatewayProcessSettings& settings, std::shared_ptr<const Dialect> dialect,
-              GatewayFacts facts, EventLog& log, boost::asio::any_io_executor executor);
+              GatewayFacts facts, boost::asio::any_io_executor executor);
 
   /// To be called before the thread starts.
   std::error_code listen();
@@ -81,7 +81,6 @@
   GatewayProcessSettings settings_;
   std::shared_ptr<const Dialect> dialect_;
   GatewayFacts facts_;
-  EventLog& log_;
   SteadyClock clock_;
   boost::asio::any_io_executor executor_;
   Gateway gateway_;
--- a/tests/unit/gateway/gateway_stream_test.cc
+++ b/tests/unit/gateway/gateway_stream_test.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "gateway/prompt_blocks.h"
 #include "unit/gateway/gateway_fixture.h"
 
@@ -184,6 +186,24 @@
   CHECK(other.uncached_tokens == 1);
 }
 
+TEST_CASE("engines are divided between long and short prompts by the time they take", "[gateway]") {
+  GatewaySnapshot snapshot;
+  for (EngineSlot slot = 1; slot <= 12; ++slot) snapshot.backends.push_back(makeBackend(slot, "lm"));
+  PromptLanes lanes;
+  lanes.onSnapshot(snapshot);
+  const auto suiting = [&](bool is_long) {
+    return std::count_if(snapshot.backends.begin(), snapshot.backends.end(),
+                         [&](const Backend& backend) { return lanes.suits(backend.view, is_long); });
+  };
+  const TimePoint now{seconds(5)};
+  lanes.observe("lm", true, 2.0, now);
+  CHECK(suiting(true) == 12);
+  CHECK(suiting(false) == 12);
+  lanes.observe("lm", false, 1.0, now);
+  CHECK(suiting(true) == 8);
+  CHECK(suiting(false) == 4);
+}
+
 TEST_CASE("the rate at which engines read prompts is learnt from their first bytes", "[gateway]") {
   PrefillRates rates;
   for (int count = 0; count < 40; ++count) {
