--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -232,8 +232,6 @@
 
 void GatewayControl::onSettings(const NodeSettings& settings) {
   settings_.key_validity = settings.key_validity;
-  settings_.directory_lifetime = settings.directory_lifetime;
-  settings_.drain_limit = settings.drain_limit;
   settings_.seeds = settings.seeds;
   gossip_.seed(gossipAddresses(settings_));
   publishSoon();
