--- /dev/null
+++ b/tests/unit/gateway_control/fleet_view_test.cc
@@ -0,0 +1,100 @@
+#include "gateway_control/fleet_view.h"
+
+#include <catch2/catch.hpp>
+
+using namespace crankspur;
+using namespace crankspur::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart(1h);
+
+ListedBackend listed(const std::string& id, const std::string& address = "10.0.0.1:80") {
+  ListedBackend backend;
+  backend.id = id;
+  backend.pool = "pool";
+  backend.address = address;
+  backend.slots = 4;
+  backend.models = {{"m", "1", {}}};
+  return backend;
+}
+
+Backend only(FleetView& fleet, const std::string& id, TimePoint now) {
+  for (const Backend& backend : fleet.backends(now)) {
+    if (backend.view.name == id) return backend;
+  }
+  FAIL("no back end " << id);
+  return {};
+}
+
+EngineState stateOf(FleetView& fleet, const std::string& id, TimePoint now) {
+  return only(fleet, id, now).view.state;
+}
+
+}  // namespace
+
+TEST_CASE("a back end that drains or vanishes from a sound list gets nothing new at once", "[fleet_view]") {
+  FleetView fleet;
+  fleet.onListed(listed("a"), kStart);
+  fleet.onListed(listed("b", "10.0.0.2:80"), kStart);
+  CHECK(stateOf(fleet, "a", kStart) == EngineState::Live);
+  ListedBackend draining = listed("a");
+  draining.draining = true;
+  fleet.onListed(draining, kStart + 1s);
+  CHECK(stateOf(fleet, "a", kStart + 1s) == EngineState::Leaving);
+  fleet.onWholeList({"a"}, kStart + 2s);
+  CHECK(stateOf(fleet, "b", kStart + 2s) == EngineState::Leaving);
+}
+
+TEST_CASE("a back end whose entry vanishes around trouble of the platform is not gone", "[fleet_view]") {
+  FleetView fleet;
+  fleet.onListed(listed("a"), kStart);
+  fleet.onListed(listed("b", "10.0.0.2:80"), kStart);
+  fleet.onPlatformTrouble(kStart + 5s);
+  fleet.onWholeList({}, kStart + 6s);
+  CHECK(stateOf(fleet, "a", kStart + 6s) == EngineState::Live);
+  fleet.onListed(listed("a"), kStart + 7s);
+  CHECK(fleet.nextChange(kStart + 7s) < kStart + 9s);
+  CHECK(stateOf(fleet, "a", kStart + 9s) == EngineState::Live);
+  CHECK(stateOf(fleet, "b", kStart + 9s) == EngineState::Leaving);
+}
+
+TEST_CASE("another back end at the same address ends the one before", "[fleet_view]") {
+  FleetView fleet;
+  fleet.onListed(listed("old"), kStart);
+  fleet.onListed(listed("new"), kStart + 1s);
+  CHECK(stateOf(fleet, "old", kStart + 1s) == EngineState::Dead);
+  CHECK(stateOf(fleet, "new", kStart + 1s) == EngineState::Live);
+  fleet.onListed(listed("old"), kStart + 2s);
+  CHECK(stateOf(fleet, "new", kStart + 2s) == EngineState::Live);
+}
+
+TEST_CASE("learned weights outlast a list that lags behind them", "[fleet_view]") {
+  FleetView fleet;
+  fleet.onListed(listed("a"), kStart);
+  fleet.onWeights("a", "m", "3", kStart + 1s);
+  fleet.onListed(listed("a"), kStart + 2s);
+  CHECK(only(fleet, "a", kStart + 2s).view.weightsOf("m") == "3");
+  fleet.onListed(listed("a"), kStart + 10s);
+  CHECK(only(fleet, "a", kStart + 10s).view.weightsOf("m") == "1");
+}
+
+TEST_CASE("a back end that cannot be reached is avoided for longer each time", "[fleet_view]") {
+  FleetView fleet;
+  fleet.onListed(listed("a"), kStart);
+  const EngineView view = only(fleet, "a", kStart).view;
+  TimePoint now = kStart;
+  Duration avoided{0};
+  for (int failure = 0; failure < 3; ++failure) {
+    fleet.onUnreachable(view.slot, view.incarnation, now);
+    CHECK(stateOf(fleet, "a", now) == EngineState::Ejected);
+    const TimePoint back = fleet.nextChange(now);
+    CHECK(back - now > avoided);
+    avoided = back - now;
+    now = back;
+    CHECK(stateOf(fleet, "a", now) == EngineState::Live);
+  }
+  fleet.onUnreachable(view.slot, view.incarnation + 1, now);
+  CHECK(stateOf(fleet, "a", now) == EngineState::Live);
+}
--- /dev/null
+++ b/tests/unit/gateway_control/node_settings_test.cc
@@ -0,0 +1,48 @@
+#include "gateway_control/node_settings.h"
+
+#include <catch2/catch.hpp>
+
+using namespace crankspur;
+using namespace crankspur::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr char kSound[] = R"(
+name = "n1"
+zone = "z1"
+front = "10.0.0.1:8000"
+gossip = "10.0.0.1:7000"
+platform = "10.9.0.1:80"
+seeds = ["10.0.0.2:8003"]
+key_validity_ms = 5000
+weights_limit_ms = 9000
+)";
+
+}  // namespace
+
+TEST_CASE("node settings are read, with defaults for what is left out", "[node_settings]") {
+  std::vector<SettingsProblem> problems;
+  const NodeSettings settings = readNodeSettings(kSound, "node.toml", problems);
+  CHECK(problems.empty());
+  CHECK(settings.front == "10.0.0.1:8000");
+  CHECK(settings.seeds == std::vector<std::string>{"10.0.0.2:8003"});
+  CHECK(settings.key_validity == Duration(5s));
+  CHECK(settings.weights_limit == Duration(9s));
+  CHECK(settings.directory.empty());
+}
+
+TEST_CASE("wrong node settings are named with their line", "[node_settings]") {
+  const auto problemsOf = [](const std::string& added) {
+    std::vector<SettingsProblem> problems;
+    readNodeSettings(kSound + added, "node.toml", problems);
+    return problems;
+  };
+  CHECK(problemsOf("log_level = \"loud\"").at(0).key == "log_level");
+  CHECK(problemsOf("directory = \"nowhere\"").at(0).key == "directory");
+  CHECK(problemsOf("retry_budget_ratio = -1").at(0).line == 10);
+  CHECK(problemsOf("colour = 1").at(0).key == "colour");
+  std::vector<SettingsProblem> problems;
+  readNodeSettings("name = \"n1\"", "node.toml", problems);
+  CHECK(problems.size() == 4);
+}
--- /dev/null
+++ b/tests/unit/gateway_control/weight_rollout_test.cc
@@ -0,0 +1,153 @@
+#include "gateway_control/weight_rollout.h"
+
+#include <catch2/catch.hpp>
+
+#include "base/random.h"
+#include "gateway_control/fleet_view.h"
+
+using namespace crankspur;
+using namespace crankspur::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart(1h);
+
+/// A back end that loses some answers and carries some orders out late.
+struct Runner {
+  std::string id;
+  std::uint64_t version = 1;
+  std::uint64_t orders_taken = 0;
+  std::uint64_t loading = 0;  ///< Version that it loads.
+  TimePoint loaded_at{};
+};
+
+/// Back ends with a roll-out, in steps of its tick.
+class Fleet {
+public:
+  explicit Fleet(int count, double lost) : lost_(lost) {
+    for (int index = 0; index < count; ++index) runners_.push_back({"r" + std::to_string(index)});
+  }
+
+  std::vector<Backend> backends() const {
+    std::vector<Backend> all;
+    for (const Runner& runner : runners_) {
+      Backend backend;
+      backend.view.name = runner.id;
+      backend.view.address = runner.id;
+      backend.view.pool = "pool";
+      backend.view.incarnation = 1;
+      backend.view.models = {{"m", std::to_string(runner.version), {}}};
+      all.push_back(backend);
+    }
+    return all;
+  }
+
+  void step(WeightRollout& rollout, TimePoint now) {
+    std::size_t loading = 0;
+    for (Runner& runner : runners_) {
+      if (runner.loading != 0 && now >= runner.loaded_at) {
+        runner.version = std::exchange(runner.loading, 0);
+      }
+      loading += runner.loading != 0 ? 1 : 0;
+    }
+    most_loading = std::max(most_loading, loading);
+    for (const RolloutAction& action : rollout.due(backends(), now)) perform(rollout, action, now);
+  }
+
+  bool all(std::uint64_t version) const {
+    return std::all_of(runners_.begin(), runners_.end(),
+                       [version](const Runner& runner) { return runner.version == version; });
+  }
+  std::vector<Runner>& runners() { return runners_; }
+
+  std::size_t most_loading = 0;
+  std::size_t orders = 0;
+
+private:
+  Runner& find(const std::string& id) {
+    return *std::find_if(runners_.begin(), runners_.end(),
+                         [&id](const Runner& runner) { return runner.id == id; });
+  }
+
+  void perform(WeightRollout& rollout, const RolloutAction& action, TimePoint now) {
+    Runner& runner = find(action.backend);
+    if (action.kind == RolloutAction::Kind::Report) {
+      WeightsReport report;
+      report.orders_taken = runner.orders_taken;
+      report.order_running = runner.loading != 0;
+      report.models = {{"m", std::to_string(runner.version), {}}};
+      return rollout.onReport(runner.id, report, now);
+    }
+    ++orders;
+    CHECK(action.version > runner.version);
+    const bool lost = random_.chance(lost_);
+    const bool taken = runner.loading == 0 && action.expected_orders_taken == runner.orders_taken;
+    const bool carried_out = taken && (!lost || random_.chance(0.5));
+    if (carried_out) {
+      ++runner.orders_taken;
+      runner.loading = action.version;
+      runner.loaded_at = now + 600ms;
+    }
+    const OrderAnswer answer = taken ? OrderAnswer::Begun : OrderAnswer::Conflict;
+    rollout.onAnswer(runner.id, lost ? OrderAnswer::Unknown : answer, now);
+  }
+
+  double lost_;
+  RandomSource random_{7};
+  std::vector<Runner> runners_;
+};
+
+}  // namespace
+
+TEST_CASE("new weights reach all back ends in time, a few at once", "[weight_rollout]") {
+  WeightRollout rollout({8s, 2});
+  Fleet fleet(12, 0);
+  CHECK(rollout.onNamed({"m", 2, {}}, kStart));
+  CHECK_FALSE(rollout.onNamed({"m", 2, {}}, kStart));
+  TimePoint now = kStart;
+  for (; now < kStart + 8s && !fleet.all(2); now += kRolloutTick) fleet.step(rollout, now);
+  CHECK(fleet.all(2));
+  CHECK(fleet.orders == 12);
+  CHECK(fleet.most_loading <= 6);
+  CHECK_FALSE(rollout.pending(fleet.backends()));
+}
+
+TEST_CASE("orders whose answers are lost are given again until they show their effect", "[weight_rollout]") {
+  WeightRollout rollout({8s, 2});
+  Fleet fleet(12, 0.5);
+  rollout.onNamed({"m", 2, {}}, kStart);
+  TimePoint now = kStart;
+  for (; now < kStart + 20s && !fleet.all(2); now += kRolloutTick) fleet.step(rollout, now);
+  CHECK(fleet.all(2));
+  CHECK(fleet.orders >= 12);
+}
+
+TEST_CASE("versions that follow one another leave no back end behind", "[weight_rollout]") {
+  WeightRollout rollout({8s, 2});
+  Fleet fleet(12, 0);
+  TimePoint now = kStart;
+  for (std::uint64_t version = 2; version <= 5; ++version) {
+    rollout.onNamed({"m", version, {}}, now);
+    for (const TimePoint until = now + 3s; now < until; now += kRolloutTick) fleet.step(rollout, now);
+    for (const Runner& runner : fleet.runners()) CHECK(runner.version + 2 >= version);
+  }
+  for (const TimePoint until = now + 8s; now < until; now += kRolloutTick) fleet.step(rollout, now);
+  CHECK(fleet.all(5));
+  CHECK(fleet.orders < 48);
+}
+
+TEST_CASE("newer weights than named are never replaced, and one that vanished is not waited for",
+          "[weight_rollout]") {
+  WeightRollout rollout({8s, 1});
+  Fleet fleet(2, 0);
+  fleet.runners()[0].version = 9;
+  rollout.onNamed({"m", 2, {}}, kStart);
+  fleet.step(rollout, kStart);
+  CHECK(rollout.busy());
+  fleet.runners().pop_back();
+  for (TimePoint now = kStart; now < kStart + 2s; now += kRolloutTick) fleet.step(rollout, now);
+  CHECK(fleet.runners()[0].version == 9);
+  CHECK(fleet.orders == 0);
+  CHECK_FALSE(rollout.busy());
+}
--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -23,6 +23,7 @@
 std::string describeFields(const BundleUpdate& value);
 std::string describeFields(const CacheSummary& value);
 std::string describeFields(const EngineLoad& value);
+std::string describeFields(const BackendNote& value);
 std::string describeFields(const LoadDigest& value);
 std::string describeFields(const BackendRecord& value);
 std::string describeFields(const ClaimPrepare& value);
--- /dev/null
+++ b/tests/unit/platform/header_dialect_test.cc
@@ -0,0 +1,102 @@
+#include "platform/header_dialect.h"
+
+#include <catch2/catch.hpp>
+
+using namespace crankspur;
+using namespace crankspur::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+http::Request clientRequest() {
+  http::Request request;
+  request.headers = {{"Host", "h"},
+                     {"Attempt-Id", "r1"},
+                     {"Model", "m"},
+                     {"Token-Usage", "1460,80"},
+                     {"Prefix-Hash", "5c1e07a2:800, 0a:410"},
+                     {"Deadline-Ms", "2500"},
+                     {"Authorization", "Bearer key"},
+                     {"Tenant", "forged"},
+                     {"Cache-Salt", "forged"},
+                     {"Kv-Fetch", "10.0.0.1:1"},
+                     {"X-Own", "kept"},
+                     {"X-Hop", "dropped"},
+                     {"Connection", "keep-alive, X-Hop, Attempt-Id"}};
+  return request;
+}
+
+}  // namespace
+
+TEST_CASE("a client's head is read in the gateway's terms", "[header_dialect]") {
+  const HeaderDialect dialect;
+  const auto read = dialect.readRequest(clientRequest());
+  REQUIRE(read);
+  CHECK(read->request_id == "r1");
+  CHECK(read->api_key == "key");
+  CHECK(read->prompt_tokens == 1460);
+  CHECK(read->maximum_answer_tokens == 80);
+  REQUIRE(read->prompt.size() == 2);
+  CHECK(read->prompt[1].id == 10);
+  CHECK(read->prompt[1].tokens == 410);
+  CHECK(read->deadline == Duration(2500ms));
+  CHECK_FALSE(read->resume_after);
+}
+
+TEST_CASE("a head without an id is malformed; odd hints only hide the prompt", "[header_dialect]") {
+  const HeaderDialect dialect;
+  http::Request request = clientRequest();
+  request.headers["Prefix-Hash"] = "5c1e07a2:800,zz:1";
+  request.headers["Token-Usage"] = "many";
+  request.headers["Deadline-Ms"] = "-1";
+  const auto read = dialect.readRequest(request);
+  REQUIRE(read);
+  CHECK(read->prompt.empty());
+  CHECK(read->prompt_tokens == 0);
+  CHECK_FALSE(read->deadline);
+  request.headers.erase("Attempt-Id");
+  CHECK_FALSE(dialect.readRequest(request));
+}
+
+TEST_CASE("what a client may not set, the key and headers of one connection are not sent on",
+          "[header_dialect]") {
+  const HeaderDialect dialect;
+  gateway::ForwardTerms terms;
+  terms.expected_backend = "i-1";
+  terms.tenant = "t";
+  terms.deadline = 900ms;
+  terms.expected_weights = 3;
+  terms.cache_scope = "w3";
+  terms.resume_after = 12;
+  const http::Headers sent = dialect.forwardHeaders(clientRequest(), terms);
+  const http::Headers expected = {{"Host", "h"},
+                                  {"Attempt-Id", "r1"},
+                                  {"Model", "m"},
+                                  {"Token-Usage", "1460,80"},
+                                  {"Prefix-Hash", "5c1e07a2:800, 0a:410"},
+                                  {"X-Own", "kept"},
+                                  {"Deadline-Ms", "900"},
+                                  {"Expect-Instance", "i-1"},
+                                  {"Expect-Version", "3"},
+                                  {"Tenant", "t"},
+                                  {"Cache-Salt", "w3"},
+                                  {"Last-Event-Id", "12"}};
+  CHECK(sent == expected);
+}
+
+TEST_CASE("a runner's head tells what became of the request", "[header_dialect]") {
+  const HeaderDialect dialect;
+  http::Response answer;
+  answer.status = 503;
+  CHECK_FALSE(dialect.readAnswer(answer, "r1").not_run);
+  answer.headers["Not-Executed"] = "1";
+  CHECK(dialect.readAnswer(answer, "r1").not_run);
+  answer = {421, {}, ""};
+  CHECK(dialect.readAnswer(answer, "r1").wrong_backend);
+  answer = {200, {{"Attempt-Id", "r2"}, {"Server-Seal", "s"}, {"Weight-Versions", "4"}}, ""};
+  CHECK(dialect.readAnswer(answer, "r1").other_request);
+  CHECK(dialect.readAnswer(answer, "r2").genuine);
+  CHECK(dialect.readAnswer(answer, "r2").weights_version == 4);
+  answer.headers["Content-Encoding"] = "gzip";
+  CHECK_FALSE(dialect.readAnswer(answer, "r2").genuine);
+}
