--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -29,7 +29,7 @@
 /// gateways'.
 constexpr double kUnseenGateways = 3;
 /// What filling a cache block costs later requests by eviction, seconds.
-constexpr double kEvictionCost = 0.0001;
+constexpr double kEvictionCost = 0.0003;
 /// Fixed time of an import of cached blocks, seconds.
 constexpr double kImportBase = 0.002;
 constexpr double kOtherZoneSlowdown = 2.0;
--- a/src/gateway/prompt_lanes.cc
+++ b/src/gateway/prompt_lanes.cc
@@ -11,6 +11,8 @@
 
 /// A kind of prompts with less than this share of the reading gets no engines of its own.
 constexpr double kLeastShare = 0.05;
+/// Either kind has at least this part of the engines, so that none drowns and the loss of one is borne.
+constexpr double kLeastEngines = 0.25;
 
 }  // namespace
 
@@ -43,7 +45,8 @@
   const double share = pool->second.long_share;
   if (share < kLeastShare || share > 1 - kLeastShare) return true;
   const auto engines = static_cast<double>(pool->second.engines);
-  const double for_long = std::clamp(std::round(share * engines), 1.0, engines - 1);
+  const double least = std::max(std::floor(kLeastEngines * engines), 1.0);
+  const double for_long = std::clamp(std::round(share * engines), least, engines - least);
   return (static_cast<double>(rank->second) < for_long) == is_long;
 }
 
--- a/tests/unit/gateway/gateway_stream_test.cc
+++ b/tests/unit/gateway/gateway_stream_test.cc
@@ -202,6 +202,9 @@
   lanes.observe("lm", false, 1.0, now);
   CHECK(suiting(true) == 8);
   CHECK(suiting(false) == 4);
+  lanes.observe("lm", true, 17.0, now);
+  CHECK(suiting(true) == 9);
+  CHECK(suiting(false) == 3);
 }
 
 TEST_CASE("the rate at which engines read prompts is learnt from their first bytes", "[gateway]") {
