--- /dev/null
+++ b/src/gateway_control/order_giver.h
@@ -0,0 +1,81 @@
+#pragma once
+/// @file Contends for the order lease while weights have to be rolled out and, while it holds the lease,
+/// gives the orders with its fencing token. Lives on the control thread.
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/event_log.h"
+#include "gateway_control/platform_link.h"
+#include "gateway_control/weight_rollout.h"
+
+namespace crankspur::gateway {
+
+/// What the giver asks its owner, and tells it.
+struct OrderGiverCallbacks {
+  std::function<std::vector<Backend>()> backends;
+  /// @return how many live gateways go before this one in giving orders.
+  std::function<std::size_t()> rank;
+  std::function<bool(const std::string& holder)> holder_alive;  ///< Whether another holder may still live.
+  /// A back end reported. `loading`: an order of this gateway is under way there.
+  std::function<void(const std::string& backend, const WeightsReport&, bool loading)> on_report;
+  std::function<void(const std::string& backend)> on_loading;  ///< An order was sent to the back end.
+};
+
+/// Options of the giver.
+struct OrderGiverOptions {
+  std::string holder;  ///< The same at each start of one machine.
+  Duration rest = std::chrono::seconds(3);
+  RolloutOptions rollout;
+  std::uint64_t random_seed = 1;
+};
+
+/// The giver.
+class OrderGiver {
+public:
+  OrderGiver(const boost::asio::any_io_executor& executor, OrderGiverOptions options, PlatformLink& platform,
+             OrderGiverCallbacks callbacks, EventLog& log);
+  /// @return whether the version is new.
+  bool onNamed(const NamedWeights& named);
+  std::vector<NamedWeights> named() const { return rollout_.named(); }
+  /// Another gateway gives orders at present.
+  void onOthersActive() { others_active_at_ = clock_.now(); }
+  /// The back ends changed: there may be work.
+  void wake();
+  /// Gives no further order and leaves the lease to others.
+  void stop();
+
+private:
+  void tick();
+  bool contends(TimePoint now) const;
+  void pollLease(TimePoint now);
+  void onLeaseRead(const std::optional<LeaseRow>& row);
+  void onLeaseWritten(bool written, const std::optional<LeaseRow>& row);
+  void noteRow(const LeaseRow& row, TimePoint now);
+  bool othersMayOrder(TimePoint now) const;
+  void noteHolding(TimePoint now);
+  void giveOrders(TimePoint now);
+  void perform(const RolloutAction& action, std::uint64_t token);
+
+  OrderGiverOptions options_;
+  PlatformLink& platform_;
+  OrderGiverCallbacks callbacks_;
+  EventLog& log_;
+  SteadyClock clock_;
+  boost::asio::steady_timer timer_;
+  std::unique_ptr<Lease> lease_;
+  WeightRollout rollout_;
+  bool ticking_ = false;
+  bool stopped_ = false;
+  bool holding_ = false;
+  LeaseRow row_;                  ///< As last seen.
+  std::string other_holder_;      ///< The last one seen that is not this gateway.
+  TimePoint other_renewed_at_{};  ///< When its last renewal was seen.
+  TimePoint others_active_at_{};  ///< When another gateway last told of orders.
+};
+
+}  // namespace crankspur::gateway
--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -23,6 +23,7 @@
 std::string describeFields(const BundleUpdate& value);
 std::string describeFields(const CacheSummary& value);
 std::string describeFields(const EngineLoad& value);
+std::string describeFields(const BackendNote& value);
 std::string describeFields(const LoadDigest& value);
 std::string describeFields(const BackendRecord& value);
 std::string describeFields(const ClaimPrepare& value);
@@ -139,6 +140,15 @@
   return fmt::format("BackendList {} {}", value.sender, describeAll(value.backends));
 }
 
+std::string describeFields(const BackendNote& value) {
+  return fmt::format("BackendNote {} {} {} {}", value.name, value.loading_milliseconds, value.model,
+                     value.weights_version);
+}
+
+std::string describeFields(const BackendNotes& value) {
+  return fmt::format("BackendNotes {}", describeAll(value.notes));
+}
+
 std::string describeFields(const LoadDigest& value) {
   return fmt::format("LoadDigest {} {}", value.sender, describeAll(value.loads));
 }
@@ -388,6 +398,10 @@
   return value;
 }
 
+BackendNotes exampleBackendNotes() {
+  return {{BackendNote{"name", 1500, "model", "2"}, BackendNote{}}};
+}
+
 }  // namespace
 
 std::vector<Message> exampleMessages() {
@@ -397,7 +411,7 @@
           exampleBundleRequest(), exampleBundleBody(),    exampleCacheSummary(),
           exampleLoadDigest(),    exampleClaimPrepare(),  exampleClaimReply(),
           exampleProtocolError(), exampleBundleUpdate(),  exampleBackendListRequest(),
-          exampleBackendList()};
+          exampleBackendList(),   exampleBackendNotes()};
 }
 
 std::string describe(const Message& message) {
