--- a/src/prefix_index/prefix_index.h
+++ b/src/prefix_index/prefix_index.h
@@ -24,7 +24,7 @@
 struct PrefixMatch {
   EngineSlot engine = 0;
   std::uint32_t blocks = 0;
-  std::uint32_t confirmed_blocks = 0;  ///< Leading blocks that it is known to hold; others it may yet compute.
+  std::uint32_t confirmed_blocks = 0;  ///< Leading blocks known to be held; others may be yet to compute.
 };
 
 /// One engine cache event, in the engine's order.
