--- a/tests/unit/app_runner/app_runner_client_test.cc
+++ b/tests/unit/app_runner/app_runner_client_test.cc
@@ -6,6 +6,7 @@
 
 #include "base/hash.h"
 #include "standins/app_runner/app_runner_server.h"
+#include "unit/run_until.h"
 
 namespace crankspur {
 namespace {
@@ -15,8 +16,6 @@
 using standin::AppRunnerServer;
 
 struct RunnerFixture {
-  static constexpr std::chrono::seconds kPatience{20};
-
   RunnerFixture()
       : model(options(), 3),
         server(context.get_executor(), model, clock),
@@ -50,14 +49,7 @@
     return events;
   }
 
-  void runUntil(const std::function<bool()>& condition) {
-    const auto end = std::chrono::steady_clock::now() + kPatience;
-    while (!condition() && std::chrono::steady_clock::now() < end) {
-      if (context.stopped()) context.restart();
-      context.run_one_for(std::chrono::milliseconds(50));
-    }
-    REQUIRE(condition());
-  }
+  void runUntil(const std::function<bool()>& condition) { crankspur::runUntil(context, condition); }
 
   boost::asio::io_context context{1};
   SteadyClock clock;
--- a/tests/unit/http/http_fixture.h
+++ b/tests/unit/http/http_fixture.h
@@ -9,6 +9,7 @@
 
 #include "http/client.h"
 #include "http/server.h"
+#include "unit/run_until.h"
 
 namespace crankspur::http {
 
@@ -19,8 +20,6 @@
 };
 
 struct HttpFixture {
-  static constexpr std::chrono::seconds kPatience{20};
-
   explicit HttpFixture(RequestHandler handler, ServerLimits limits = {}) {
     std::error_code error;
     server = listen(context.get_executor(), "127.0.0.1:0", std::move(handler), error, limits);
@@ -30,14 +29,7 @@
 
   std::string address() const { return "127.0.0.1:" + std::to_string(server->port()); }
 
-  void runUntil(const std::function<bool()>& condition) {
-    const auto end = std::chrono::steady_clock::now() + kPatience;
-    while (!condition() && std::chrono::steady_clock::now() < end) {
-      if (context.stopped()) context.restart();
-      context.run_one_for(std::chrono::milliseconds(50));
-    }
-    REQUIRE(condition());
-  }
+  void runUntil(const std::function<bool()>& condition) { crankspur::runUntil(context, condition); }
 
   Outcome run(Request request) { return run(std::move(request), address()); }
 
--- a/tests/unit/internal_protocol/connection_test.cc
+++ b/tests/unit/internal_protocol/connection_test.cc
@@ -6,14 +6,13 @@
 #include <optional>
 
 #include "internal_protocol/codec.h"
+#include "unit/run_until.h"
 
 using namespace crankspur;
 namespace asio = boost::asio;
 
 namespace {
 
-constexpr std::chrono::seconds kPatience{20};
-
 Hello makeHello(const std::string& name, std::uint32_t lowest = 1, std::uint32_t highest = 1) {
   Hello hello;
   hello.node_name = name;
@@ -82,14 +81,7 @@
     return socket;
   }
 
-  void runUntil(const std::function<bool()>& condition) {
-    const auto end = std::chrono::steady_clock::now() + kPatience;
-    while (!condition() && std::chrono::steady_clock::now() < end) {
-      if (context.stopped()) context.restart();
-      context.run_one_for(std::chrono::milliseconds(50));
-    }
-    REQUIRE(condition());
-  }
+  void runUntil(const std::function<bool()>& condition) { crankspur::runUntil(context, condition); }
 
   asio::io_context context{1};
   Side server;
--- a/tests/unit/router_peer/peer_front_test.cc
+++ b/tests/unit/router_peer/peer_front_test.cc
@@ -5,14 +5,13 @@
 #include <catch2/catch.hpp>
 
 #include "internal_protocol/codec.h"
+#include "unit/run_until.h"
 
 using namespace crankspur;
 namespace asio = boost::asio;
 
 namespace {
 
-constexpr std::chrono::seconds kPatience{20};
-
 Hello makeHello(const std::string& name, NodeRole role) {
   Hello hello;
   hello.node_name = name;
@@ -41,14 +40,7 @@
     runUntil([this] { return front.counts().sidecars == 1; });
   }
 
-  void runUntil(const std::function<bool()>& condition) {
-    const auto end = std::chrono::steady_clock::now() + kPatience;
-    while (!condition() && std::chrono::steady_clock::now() < end) {
-      if (context.stopped()) context.restart();
-      context.run_one_for(std::chrono::milliseconds(50));
-    }
-    REQUIRE(condition());
-  }
+  void runUntil(const std::function<bool()>& condition) { crankspur::runUntil(context, condition); }
 
   void readToEnd() {
     socket.async_read_some(asio::buffer(chunk), [this](boost::system::error_code error, std::size_t bytes) {
--- a/tests/unit/standin_engine_server/engine_fixture.h
+++ b/tests/unit/standin_engine_server/engine_fixture.h
@@ -10,12 +10,11 @@
 
 #include "engine/engine_client.h"
 #include "standins/engine_server/engine_server.h"
+#include "unit/run_until.h"
 
 namespace crankspur::standin {
 
 struct EngineFixture {
-  static constexpr std::chrono::seconds kPatience{20};
-
   explicit EngineFixture(EngineTimings timings = fastTimings(), EngineServerOptions server_options = {})
       : model(options(), timings, 5, clock.now()),
         server(context.get_executor(), model, clock, log, std::move(server_options)),
@@ -54,14 +53,7 @@
     return dispatch;
   }
 
-  void runUntil(const std::function<bool()>& condition) {
-    const auto end = std::chrono::steady_clock::now() + kPatience;
-    while (!condition() && std::chrono::steady_clock::now() < end) {
-      if (context.stopped()) context.restart();
-      context.run_one_for(std::chrono::milliseconds(50));
-    }
-    REQUIRE(condition());
-  }
+  void runUntil(const std::function<bool()>& condition) { crankspur::runUntil(context, condition); }
 
   boost::asio::io_context context{1};
   SteadyClock clock;
