--- a/sim/kernel/network.cc
+++ b/sim/kernel/network.cc
@@ -1,6 +1,7 @@
 #include "sim/kernel/network.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace crankspur::sim {
 
@@ -75,7 +76,23 @@
   open_ = false;
   if (told.told_closed) return;
   told.told_closed = true;
-  if (told.closed) told.closed();
+  // Handlers often hold the channel: to keep one after its only call would keep the channel for ever.
+  const Task closed = std::exchange(told.closed, {});
+  if (closed) closed();
+}
+
+void Channel::release() {
+  for (End* const end : {&client_end_, &server_end_}) {
+    // Moved out first, since what is destroyed may let go of this channel.
+    const Task closed = std::exchange(end->closed, {});
+    const std::vector<Task> held = std::exchange(end->held, {});
+  }
+}
+
+Network::~Network() {
+  for (const auto& entry : channels_) {
+    if (const ChannelPointer channel = entry.lock()) channel->release();
+  }
 }
 
 void Network::connect(Host& client, Host& server, Duration timeout,
--- a/sim/kernel/network.h
+++ b/sim/kernel/network.h
@@ -48,6 +48,8 @@
   End& end(Side side) { return side == Side::Client ? client_end_ : server_end_; }
   void transmit(Side to, Task task);
   void tellClosed(Side side);
+  /// Drops handlers and held messages, which may hold this channel.
+  void release();
 
   Network& network_;
   Host& client_;
@@ -78,6 +80,10 @@
 public:
   Network(EventQueue& queue, NetworkDelays delays, std::uint64_t seed)
       : queue_(queue), delays_(delays), random_(seed) {}
+  Network(const Network&) = delete;
+  Network& operator=(const Network&) = delete;
+  /// Connections that are still open would otherwise hold themselves.
+  ~Network();
 
   /// Opens a connection. `accepted` runs at the server and then `opened` at the client; or `failed` at the
   /// client when nobody listens or no answer comes within `timeout`.
