Let a mark that a process gave itself end with the process, in the checker

A back end says itself that it leaves, crashes, and comes back as a process that does not leave; it may get work again. The checker counted the mark for the new process.

Change: the records say whether only the process itself gave the mark, and when that process ended. Marks in the machine list hold as before, across restarts, and every arrival at the process that leaves is judged as before.

--- a/sim/check/checkers_fleet.cc
+++ b/sim/check/checkers_fleet.cc
@@ -82,13 +82,14 @@
   for (const LeavingRecord& leaving : records.leaving) {
     const TimePoint limit = leaving.at + kLeavingWithin;
     for (const ArrivalRecord& arrival : records.arrivals) {
-      if (arrival.engine != leaving.machine || arrival.at <= limit) continue;
+      if (arrival.engine != leaving.machine || arrival.at <= limit || arrival.at >= leaving.ended) continue;
       violations.push_back(
           {"leaving", fmt::format("{} got {} from {} {:.1f} s after it began to leave", leaving.machine,
                                   arrival.request_id, arrival.router, toSeconds(arrival.at - leaving.at))});
     }
     for (const ExecutionRecord& execution : records.executions) {
-      if (execution.runner != leaving.machine || execution.at <= limit) continue;
+      if (execution.runner != leaving.machine || execution.at <= limit || execution.at >= leaving.ended)
+        continue;
       violations.push_back(
           {"leaving", fmt::format("{} got {} {:.1f} s after it began to leave", leaving.machine,
                                   execution.request_id, toSeconds(execution.at - leaving.at))});
--- a/sim/check/fault.cc
+++ b/sim/check/fault.cc
@@ -352,7 +352,7 @@
     if (by_list) seen = std::min(seen, world_.platform().markLeaving(host.name()));
     world_.trace().note(host.name(), "leaves{}{}", by_list ? " by the list" : "",
                         by_itself ? " by itself" : "");
-    world_.context().records.leaving.push_back({host.name(), seen});
+    world_.context().records.leaving.push_back({host.name(), seen, !by_list});
   });
 }
 
--- a/sim/world/engine_node.cc
+++ b/sim/world/engine_node.cc
@@ -85,6 +85,7 @@
 void EngineNode::crash(bool silent) {
   context_.trace.note(host_.name(), "crash");
   context_.network.crash(host_, silent);
+  context_.records.endProcess(host_.name(), context_.queue.now());
   model_.crash(context_.queue.now());
   context_.records.loading_weights.erase(host_.name());
   model_.takeOutputs();
--- a/sim/world/records.h
+++ b/sim/world/records.h
@@ -2,6 +2,7 @@
 /// @file What can be seen from outside: what callers got, what engines and runners did, which bundles were
 /// accepted and used. Checkers judge by these alone.
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -58,7 +59,9 @@
 /// A back end that began to leave.
 struct LeavingRecord {
   std::string machine;
-  TimePoint at{};  ///< First instant at which anyone could read it.
+  TimePoint at{};                      ///< First instant at which anyone could read it.
+  bool of_process = false;             ///< Only the process itself said so: its next start does not leave.
+  TimePoint ended = TimePoint::max();  ///< End of the process that leaves; far future for a machine.
 };
 
 /// A bundle whose acceptance took effect in the table.
@@ -112,6 +115,13 @@
 
 /// All observations of a run.
 struct Records {
+  /// A back end's process died: what it alone said of itself does not hold for the next one.
+  void endProcess(const std::string& machine, TimePoint now) {
+    for (LeavingRecord& record : leaving) {
+      if (record.machine == machine && record.of_process) record.ended = std::min(record.ended, now);
+    }
+  }
+
   std::deque<CallerRecord> callers;  ///< Addresses stay valid as it grows.
   std::vector<ExecutionRecord> executions;
   std::vector<ArrivalRecord> arrivals;
--- a/sim/world/runner_node.cc
+++ b/sim/world/runner_node.cc
@@ -22,6 +22,7 @@
 void RunnerNode::crash(bool silent) {
   context_.trace.note(host_.name(), "crash");
   context_.network.crash(host_, silent);
+  context_.records.endProcess(host_.name(), context_.queue.now());
   leaving_ = false;
 }
 
--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -80,6 +80,13 @@
   CHECK(result.violations.empty());
 }
 
+TEST_CASE("a mark that a back end gave itself does not hold for its next process", "[sim]") {
+  for (const RunResult& result : {runOne(937, "pair"), runOne(168, "wider_pair")}) {
+    INFO(describe(result));
+    CHECK(result.violations.empty());
+  }
+}
+
 TEST_CASE("a refused dispatch is not taken for a later one of the same request that ran", "[sim]") {
   const RunResult result = runOne(987, "engine_crash");
   INFO(describe(result));
