Keep counts of live and suspected members instead of walking the table at each event

Change: the table keeps the names with a suspicion and the live count; the control thread keeps its list of members from change to change.

--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -24,11 +24,20 @@
   return news.state > held.state;
 }
 
+void MemberTable::setDeadline(Member& member, std::optional<TimePoint> deadline) {
+  member.suspicion_deadline = deadline;
+  if (deadline) {
+    suspected_.insert(member.record.name);
+  } else {
+    suspected_.erase(member.record.name);
+  }
+}
+
 bool MemberTable::insert(const MemberRecord& news, Duration suspicion_timeout, TimePoint now) {
   if (news.state == MemberState::Dead || members_.size() >= maximum_) return false;
-  Member member{news, now, std::nullopt};
-  if (news.state == MemberState::Suspect) member.suspicion_deadline = now + suspicion_timeout;
-  members_.emplace(news.name, std::move(member));
+  Member& member = members_.emplace(news.name, Member{news, now, std::nullopt}).first->second;
+  if (news.state == MemberState::Suspect) setDeadline(member, now + suspicion_timeout);
+  ++live_count_;
   changes_.push_back({news, MemberState::Dead});
   return true;
 }
@@ -45,10 +54,12 @@
   if (same_process) member.record.bundle_version = std::max(known_version, news.bundle_version);
   member.changed_at = now;
   if (news.state == MemberState::Suspect) {
-    member.suspicion_deadline = now + suspicion_timeout;
+    setDeadline(member, now + suspicion_timeout);
   } else {
-    member.suspicion_deadline.reset();
+    setDeadline(member, std::nullopt);
   }
+  if (previous == MemberState::Dead && news.state != MemberState::Dead) ++live_count_;
+  if (previous != MemberState::Dead && news.state == MemberState::Dead) --live_count_;
   changes_.push_back({member.record, previous});
   return true;
 }
@@ -61,27 +72,25 @@
 void MemberTable::startSuspicion(const std::string& name, Duration suspicion_timeout, TimePoint now) {
   const auto found = members_.find(name);
   if (found == members_.end() || found->second.suspicion_deadline) return;
-  found->second.suspicion_deadline = now + suspicion_timeout;
+  setDeadline(found->second, now + suspicion_timeout);
 }
 
 void MemberTable::delaySuspicions(Duration by) {
-  for (auto& [name, member] : members_) {
-    if (member.suspicion_deadline) *member.suspicion_deadline += by;
-  }
+  for (const std::string& name : suspected_) *members_.at(name).suspicion_deadline += by;
 }
 
 std::vector<std::string> MemberTable::expiredSuspicions(TimePoint now) const {
   std::vector<std::string> names;
-  for (const auto& [name, member] : members_) {
-    if (member.suspicion_deadline && *member.suspicion_deadline <= now) names.push_back(name);
+  for (const std::string& name : suspected_) {
+    if (*members_.at(name).suspicion_deadline <= now) names.push_back(name);
   }
   return names;
 }
 
 std::optional<TimePoint> MemberTable::nextSuspicionDeadline() const {
   std::optional<TimePoint> earliest;
-  for (const auto& [name, member] : members_) {
-    if (!member.suspicion_deadline) continue;
+  for (const std::string& name : suspected_) {
+    const Member& member = members_.at(name);
     if (!earliest || *member.suspicion_deadline < *earliest) earliest = member.suspicion_deadline;
   }
   return earliest;
@@ -99,12 +108,6 @@
   return found == members_.end() ? nullptr : &found->second;
 }
 
-std::size_t MemberTable::liveCount() const {
-  return static_cast<std::size_t>(std::count_if(members_.begin(), members_.end(), [](const auto& entry) {
-    return entry.second.record.state != MemberState::Dead;
-  }));
-}
-
 std::vector<MembershipChange> MemberTable::takeChanges() {
   return std::exchange(changes_, {});
 }
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -49,15 +50,18 @@
   /// @return every member by name.
   const std::map<std::string, Member>& members() const { return members_; }
   /// @return members that are not dead.
-  std::size_t liveCount() const;
+  std::size_t liveCount() const { return live_count_; }
   /// @return changes since the last call.
   std::vector<MembershipChange> takeChanges();
 
 private:
+  void setDeadline(Member& member, std::optional<TimePoint> deadline);
   bool insert(const MemberRecord& news, Duration suspicion_timeout, TimePoint now);
 
   std::size_t maximum_;
   std::map<std::string, Member> members_;
+  std::set<std::string> suspected_;  ///< Members with a suspicion deadline.
+  std::size_t live_count_ = 0;
   std::vector<MembershipChange> changes_;
 };
 
--- a/src/membership/swim_membership.cc
+++ b/src/membership/swim_membership.cc
@@ -362,6 +362,7 @@
 
 std::vector<MemberRecord> SwimMembership::liveMembers() const {
   std::vector<MemberRecord> members;
+  members.reserve(table_.liveCount() + 1);
   for (const auto& [name, member] : table_.members()) {
     if (member.record.state != MemberState::Dead) members.push_back(member.record);
   }
--- a/src/router_process/control_thread.cc
+++ b/src/router_process/control_thread.cc
@@ -78,6 +78,7 @@
       exchange_timer_(context) {}
 
 void ControlThread::start() {
+  live_members_ = membership_->liveMembers();
   publish();
   platform_.start();
   front_.thread.post([this] {
@@ -212,7 +213,7 @@
 
 bool ControlThread::mayContendForOrders() const {
   std::vector<std::string> routers;
-  for (const MemberRecord& member : membership_->liveMembers()) {
+  for (const MemberRecord& member : live_members_) {
     if (member.state == MemberState::Alive) routers.push_back(member.name);
   }
   for (std::size_t rank = 0; rank < kOrderContenders && !routers.empty(); ++rank) {
@@ -253,7 +254,8 @@
                                         {"from", memberStateName(change.previous)},
                                         {"to", memberStateName(change.record.state)}});
   }
-  front_.thread.post([this, members = membership_->liveMembers()] { front_.front->setRouters(members); });
+  live_members_ = membership_->liveMembers();
+  front_.thread.post([this, members = live_members_] { front_.front->setRouters(members); });
   publishSoon();
 }
 
@@ -320,12 +322,12 @@
   snapshot->own_zone = settings_.zone;
   snapshot->own_region = settings_.region;
   std::uint32_t routers = 0;
-  for (const MemberRecord& member : membership_->liveMembers()) {
+  for (const MemberRecord& member : live_members_) {
     if (member.state != MemberState::Leaving) ++routers;
   }
   snapshot->router_count = std::max<std::uint32_t>(routers, 1);
   if (std::exchange(fleet_changed_, false)) {
-    exchange_.update(membership_->liveMembers(), snapshot->engines);
+    exchange_.update(live_members_, snapshot->engines);
     cache_feed_.follow(exchange_.followed(snapshot->engines));
   }
   for (const auto& shard : shards_) shard->postSnapshot(snapshot);
--- a/src/router_process/control_thread.h
+++ b/src/router_process/control_thread.h
@@ -106,6 +106,7 @@
   boost::asio::steady_timer table_timer_;
   boost::asio::steady_timer publish_timer_;
   boost::asio::steady_timer exchange_timer_;
+  std::vector<MemberRecord> live_members_;  ///< As of the last change; bundle versions may be older.
   bool publish_waiting_ = false;
   bool fleet_changed_ = true;  ///< Members or engines changed since the exchange heard of them.
   bool leaving_ = false;
