--- a/src/membership/swim_state_exchange.cc
+++ b/src/membership/swim_state_exchange.cc
@@ -91,8 +91,7 @@
   if (contested_.empty()) return;
   const auto chosen =
       std::next(contested_.begin(), static_cast<std::ptrdiff_t>(random_.uniform(0, contested_.size() - 1)));
-  const std::string name = *chosen;
-  contested_.erase(chosen);
+  const std::string name = std::move(contested_.extract(chosen).value());
   const Member* member = table_.find(name);
   if (member != nullptr && member->record.state == MemberState::Dead) {
     startProbe(name, Purpose::Liveness, now);
