--- a/src/router_process/control_connection.cc
+++ b/src/router_process/control_connection.cc
@@ -5,6 +5,16 @@
 
 namespace crankspur {
 
+Hello routerHello(const RouterSettings& settings, std::uint64_t incarnation) {
+  Hello hello;
+  hello.node_name = settings.name;
+  hello.incarnation = incarnation;
+  hello.role = NodeRole::Router;
+  hello.zone = settings.zone;
+  hello.region = settings.region;
+  return hello;
+}
+
 void connectControl(PeerFrontCallbacks& callbacks, boost::asio::io_context& context,
                     const std::unique_ptr<ControlThread>& control) {
   const auto hand_on = [&context, &control](auto handler) {
--- a/src/router_process/control_thread.h
+++ b/src/router_process/control_thread.h
@@ -112,6 +112,9 @@
   bool leaving_ = false;
 };
 
+/// @return what a router says of itself to peers; its address is set once it listens.
+Hello routerHello(const RouterSettings& settings, std::uint64_t incarnation);
+
 /// Makes a front hand every control message to the control state, on the control state's loop.
 /// @param control filled before the first message; must outlive the front.
 void connectControl(PeerFrontCallbacks& callbacks, boost::asio::io_context& context,
--- a/src/router_process/router_process.cc
+++ b/src/router_process/router_process.cc
@@ -107,13 +107,8 @@
   }
 
   bool listenForPeers() {
-    Hello hello;
-    hello.node_name = settings_.name;
-    hello.incarnation = incarnation_;
-    hello.role = NodeRole::Router;
-    hello.zone = settings_.zone;
-    hello.region = settings_.region;
-    front_.front = std::make_unique<PeerFront>(front_.thread.executor(), hello, frontCallbacks());
+    front_.front = std::make_unique<PeerFront>(front_.thread.executor(), routerHello(settings_, incarnation_),
+                                               frontCallbacks());
     if (const std::error_code error = front_.front->listen(settings_.listen)) {
       refuseAddress("listen", settings_.listen, error);
       return false;
--- a/tools/hollow/hollow_node.cc
+++ b/tools/hollow/hollow_node.cc
@@ -45,18 +45,13 @@
       front_{EventLoopThread(context), nullptr} {}
 
 std::error_code HollowNode::listen() {
-  Hello hello;
-  hello.node_name = settings_.name;
-  hello.incarnation = incarnation_;
-  hello.role = NodeRole::Router;
-  hello.zone = settings_.zone;
-  hello.region = settings_.region;
   PeerFrontCallbacks callbacks;
   callbacks.on_submit = [](SidecarId, const SubmitRequest&) {};
   callbacks.on_cancel = [](SidecarId, const Cancel&) {};
   callbacks.on_sidecar_lost = [](SidecarId) {};
   connectControl(callbacks, context_, control_);
-  front_.front = std::make_unique<PeerFront>(front_.thread.executor(), hello, std::move(callbacks));
+  front_.front = std::make_unique<PeerFront>(front_.thread.executor(), routerHello(settings_, incarnation_),
+                                             std::move(callbacks));
   if (const std::error_code error = front_.front->listen(settings_.listen)) return error;
   settings_.advertise = fmt::format("127.0.0.1:{}", front_.front->port());
   front_.front->setAdvertised(settings_.advertise);
--- a/tools/scale/measure.sh
+++ b/tools/scale/measure.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
 # Grows a fleet of 3 real routers and hollow ones on loopback, and measures what control costs each node.
 # Usage: tools/scale/measure.sh BUILD_FOLDER OUTPUT_FOLDER [NODES...]; default 10 40 120 340.
-# Writes OUTPUT_FOLDER/scale.csv and, where gnuplot is installed, scale.svg. Ends by itself. At most 48 hollow routers
+# Writes OUTPUT_FOLDER/scale.csv and, where gnuplot is installed, scale.svg. Ends by itself. At most 24 hollow routers
 # share a process (each holds a connection to most others, and a process may open 20,000 files), so 340 nodes are
-# 3 + 8 processes beside 4 engines and the platform. A network namespace, where one can be made, keeps other traffic
+# 3 + 15 processes beside 4 engines and the platform. A network namespace, where one can be made, keeps other traffic
 # of the machine out of the byte counts.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
