--- a/src/router_process/control_thread.h
+++ b/src/router_process/control_thread.h
@@ -107,11 +107,15 @@
   boost::asio::steady_timer table_timer_;
   boost::asio::steady_timer publish_timer_;
   boost::asio::steady_timer exchange_timer_;
+  std::vector<MemberRecord> live_members_;  ///< As of the last change; bundle versions may be older.
   bool publish_waiting_ = false;
   bool fleet_changed_ = true;  ///< Members or engines changed since the exchange heard of them.
   bool leaving_ = false;
 };
 
+/// @return what a router says of itself to peers; its address is set once it listens.
+Hello routerHello(const RouterSettings& settings, std::uint64_t incarnation);
+
 /// Makes a front hand every control message to the control state, on the control state's loop.
 /// @param control filled before the first message; must outlive the front.
 void connectControl(PeerFrontCallbacks& callbacks, boost::asio::io_context& context,
