Carry the claim group's messages between router processes

Change: ClaimGroupDriver on the control thread drives ClaimGroupService over PeerFront and the table client; the traffic shards ask it and tell it what became of a claim.

--- a/sim/check/fault.h
+++ b/sim/check/fault.h
@@ -75,6 +75,7 @@
   void planBundles(FaultKind kind);
   void planLeaving(FaultKind kind);
   void planTableOutage();  // table_outage.cc
+  void openTableAtTimes(Duration from, Duration to);
   void replaceRouters(Duration from, Duration to, std::uint64_t times, bool minority_only);
   void disturbOutage(Duration from, Duration to);
 
--- a/sim/check/table_outage.cc
+++ b/sim/check/table_outage.cc
@@ -16,6 +16,8 @@
 constexpr double kMajorityLivesShare = 0.5;
 constexpr Duration kLostAnswersBefore = seconds(12);
 constexpr Duration kLostAnswersAfter = seconds(10);
+constexpr std::uint64_t kMostOpenings = 20;
+constexpr Duration kLongestOpening = seconds(20);
 constexpr Duration kLongestFreeze = seconds(9);
 
 }  // namespace
@@ -40,11 +42,23 @@
     at(when + between(milliseconds(50), seconds(3)), [this, index] { world_.runnerAt(index).restart(); });
   }
   if (outage.majority_lives) return;
+  openTableAtTimes(kBeforeOutage + seconds(60), end - seconds(60));
   disturbOutage(kBeforeOutage - seconds(20), end + seconds(30));
   // While claims made without the table are still on their way into it.
   replaceRouters(end - seconds(5), end + seconds(20), random_.uniform(0, 6), false);
 }
 
+/// The table comes back for moments, long enough for a new epoch, with a router lost shortly before.
+void FaultDriver::openTableAtTimes(Duration from, Duration to) {
+  for (std::uint64_t count = random_.uniform(4, kMostOpenings); count > 0; --count) {
+    const Duration when = between(from, to);
+    replaceRouter(pick(world_.routerCount()), when - between(Duration(0), seconds(8)));
+    at(when, [this] { world_.platform().setStoreBehaviour({}); });
+    at(when + between(seconds(4), kLongestOpening),
+       [this] { world_.platform().setStoreBehaviour({standin::ServiceMode::Down}); });
+  }
+}
+
 void FaultDriver::replaceRouter(std::size_t index, Duration when) {
   const bool silent = random_.chance(0.5);
   const Duration down = between(milliseconds(50), seconds(8));
--- a/src/claim/claim_group_service.cc
+++ b/src/claim/claim_group_service.cc
@@ -297,9 +297,10 @@
 void ClaimGroupService::askForRow(TimePoint now) {
   if (now < next_question_) return;
   const bool missing = row_.epoch == 0 && (settings_.size > 0 || look_for_row_);
-  next_question_ = now + kQuestionPause;
   if (!missing && claimants_.empty()) return;
-  if (look_for_row_ && row_.epoch == 0) actions_.emplace_back(ReadGroupRow{});
+  next_question_ = now + kQuestionPause / 2 +
+                   Duration(static_cast<Duration::rep>(random_.uniform(0, kQuestionPause.count())));
+  if (missing && !row_absent_) actions_.emplace_back(ReadGroupRow{});
   for (std::size_t asked = 0; asked < kRoutersAsked && !routers_.empty(); ++asked) {
     const std::string& address = routers_[random_.uniform(0, routers_.size() - 1)].address;
     if (address != self_.address) send(address, ClaimGroupRequest{row_.epoch});
--- a/src/claim/claim_group_service.h
+++ b/src/claim/claim_group_service.h
@@ -141,7 +141,7 @@
   std::map<std::uint64_t, Claimant> claimants_;
   std::deque<Notice> notices_;
   std::deque<Message> own_messages_;  ///< To this router's own voter and claimants.
-  bool look_for_row_ = true;
+  bool look_for_row_ = false;
   bool row_absent_ = false;  ///< The table said so.
   TimePoint next_question_{};
   TimePoint next_expiry_{};
--- a/src/operator/node_status.cc
+++ b/src/operator/node_status.cc
@@ -37,7 +37,7 @@
 
 TableLine statusLine(const AdminAnswer& answer, const std::optional<NodeStatus>& status) {
   if (!status) {
-    return {answer.address, "-", "-", "-", "-", "-", "-", "-", "-", "no answer"};
+    return {answer.address, "-", "-", "-", "-", "-", "-", "-", "-", "-", "no answer"};
   }
   return {status->name,
           status->role,
@@ -48,6 +48,7 @@
           countText(status->members),
           countText(status->engines),
           platformText(status->platform_reachable),
+          status->claim_mode.empty() ? "-" : status->claim_mode,
           status->stopping ? "stopping" : "serving"};
 }
 
@@ -109,12 +110,16 @@
   status.platform_reachable = boolField(*object, "platform_reachable");
   status.members = arraySize(*object, "members");
   status.engines = arraySize(*object, "engines");
+  const boost::json::value* claims = object->if_contains("claims");
+  if (claims != nullptr && claims->is_object()) {
+    status.claim_mode = stringField(claims->get_object(), "mode").value_or("");
+  }
   return status;
 }
 
 ExitCode printNodeStatus(const std::vector<AdminAnswer>& answers, Report& report) {
-  std::vector<TableLine> lines = {
-      {"NODE", "ROLE", "ZONE", "REGION", "BUNDLE", "IN_FLIGHT", "MEMBERS", "ENGINES", "PLATFORM", "STATE"}};
+  std::vector<TableLine> lines = {{"NODE", "ROLE", "ZONE", "REGION", "BUNDLE", "IN_FLIGHT", "MEMBERS",
+                                   "ENGINES", "PLATFORM", "CLAIMS", "STATE"}};
   ExitCode code = ExitCode::Ok;
   for (const AdminAnswer& answer : answers) {
     const std::optional<NodeStatus> status = statusOf(answer);
--- a/src/operator/node_status.h
+++ b/src/operator/node_status.h
@@ -24,8 +24,9 @@
   std::uint64_t requests_in_flight = 0;
   bool stopping = false;
   std::optional<bool> platform_reachable;  ///< Routers only.
-  std::optional<std::size_t> members;      ///< Routers only.
-  std::optional<std::size_t> engines;      ///< Routers only.
+  std::string claim_mode;  ///< Who decides on claims: "table", "group_and_table" or "group"; routers only.
+  std::optional<std::size_t> members;  ///< Routers only.
+  std::optional<std::size_t> engines;  ///< Routers only.
 };
 
 /// @return the status, or empty when the text is none.
--- a/src/router_peer/peer_front.cc
+++ b/src/router_peer/peer_front.cc
@@ -18,6 +18,15 @@
 /// Bytes of gossip that may wait for one router: what is late is useless.
 constexpr std::size_t kRouterQueueBytes = std::size_t{16} * 1024 * 1024;
 
+bool isClaimMessage(const Message& message) {
+  return std::holds_alternative<ClaimPrepare>(message) || std::holds_alternative<ClaimReply>(message) ||
+         std::holds_alternative<ClaimRelease>(message) || std::holds_alternative<ClaimRecord>(message) ||
+         std::holds_alternative<ClaimSeal>(message) || std::holds_alternative<ClaimSealed>(message) ||
+         std::holds_alternative<ClaimInstall>(message) ||
+         std::holds_alternative<ClaimGroupRequest>(message) ||
+         std::holds_alternative<ClaimGroupInfo>(message);
+}
+
 }  // namespace
 
 /// One connection.
@@ -134,6 +143,8 @@
     callbacks_.on_load_digest(std::move(*digest));
   } else if (auto* summary = std::get_if<CacheSummary>(&message)) {
     callbacks_.on_cache_summary(std::move(*summary));
+  } else if (isClaimMessage(message) && !peer.address.empty()) {
+    callbacks_.on_claim_message(std::move(message), peer.address);
   }
 }
 
--- a/src/router_peer/peer_front.h
+++ b/src/router_peer/peer_front.h
@@ -28,6 +28,7 @@
   std::function<void(BackendList)> on_backends;  ///< Answer to the own request.
   std::function<void(LoadDigest)> on_load_digest;
   std::function<void(CacheSummary)> on_cache_summary;
+  std::function<void(Message, std::string address)> on_claim_message;  ///< Of a router's claim group.
 };
 
 /// Counts of the front, for metrics.
--- a/src/router_process/control_thread.cc
+++ b/src/router_process/control_thread.cc
@@ -72,6 +72,14 @@
               {[this] { return bundle_.current() ? bundle_.current()->bundle : nullptr; },
                [this] { return table_.allEngines(now()); }, [this] { return mayContendForOrders(); }},
               log, freshSeed()),
+      claim_group_(
+          context.get_executor(), self_, settings.platform,
+          {[this](const std::string& address, const Message& message) { sendToRouters({address}, message); },
+           [this](std::size_t shard, std::uint64_t claim, const GroupClaimDecision& decision) {
+             shards_.at(shard)->postGroupClaim(claim, decision);
+           },
+           [this] { return membership_->liveMembers(); }, [this] { publish(); }},
+          log, freshSeed()),
       membership_timer_(context),
       table_timer_(context),
       publish_timer_(context),
@@ -86,6 +94,7 @@
   onMembershipEvent();
   runTable();
   orders_.start();
+  claim_group_.start();
   tickExchange();
 }
 
@@ -110,6 +119,8 @@
   status.engines = table_.engines(now());
   status.runners = table_.runners(now());
   status.members = membership_->liveMembers();
+  status.claim_group = claim_group_.status();
+  status.table_answers = platform_.tableAnswers();
   return status;
 }
 
@@ -153,6 +164,7 @@
   const Knobs& knobs = bundle_.current()->bundle->knobs;
   membership_->setTimings(knobs.gossip_interval, knobs.suspicion_timeout);
   table_.setLoadInterval(knobs.load_report_interval);
+  claim_group_.configure({knobs.claim_group_size, knobs.claim_lifetime});
   front_.thread.post([this, held = bundle_.current()] { front_.front->setBundle(held); });
   publish();
   return false;
@@ -317,6 +329,7 @@
   if (bundle_.current()) snapshot->bundle = bundle_.current()->bundle;
   snapshot->engines = table_.engines(now());
   snapshot->runners = table_.runners(now());
+  snapshot->claims_by_group = claim_group_.inForce();
   snapshot->own_zone = settings_.zone;
   snapshot->own_region = settings_.region;
   std::uint32_t routers = 0;
--- a/src/router_process/control_thread.h
+++ b/src/router_process/control_thread.h
@@ -14,6 +14,7 @@
 #include "router_peer/peer_front.h"
 #include "router_process/backend_poller.h"
 #include "router_process/cache_event_feed.h"
+#include "router_process/claim_group_driver.h"
 #include "router_process/order_dispatcher.h"
 #include "router_process/platform_watcher.h"
 #include "router_process/router_settings.h"
@@ -38,6 +39,8 @@
   std::vector<EngineView> engines;
   std::vector<EngineView> runners;
   std::vector<MemberRecord> members;
+  ClaimGroupStatus claim_group;
+  bool table_answers = true;
 };
 
 /// The control state. Use from its executor's thread only.
@@ -67,6 +70,15 @@
   void onLoadDigest(const LoadDigest& digest);
   void onCacheSummary(const CacheSummary& summary);
   void onCacheGap(EngineSlot slot, std::uint64_t incarnation);
+  /// @param shard the traffic shard that asks.
+  void onGroupClaim(std::size_t shard, const GroupClaimRequest& request) {
+    claim_group_.begin(shard, request);
+  }
+  void onGroupNotice(const GroupClaimNotice& notice) { claim_group_.notice(notice); }
+  void onGroupFound() { claim_group_.onGroupFound(); }
+  void onClaimMessage(const Message& message, const std::string& address) {
+    claim_group_.onMessage(message, address);
+  }
 
 private:
   TimePoint now() const { return clock_.now(); }
@@ -102,6 +114,7 @@
   PlatformWatcher platform_;
   ZoneExchange exchange_;
   OrderDispatcher orders_;
+  ClaimGroupDriver claim_group_;
   boost::asio::steady_timer membership_timer_;
   boost::asio::steady_timer table_timer_;
   boost::asio::steady_timer publish_timer_;
--- a/src/router_process/platform_watcher.cc
+++ b/src/router_process/platform_watcher.cc
@@ -68,6 +68,7 @@
 
 void PlatformWatcher::fetchBundleRow() {
   table_->read(bundleRowKey(), [this](const ReadResult& result) {
+    table_answers_ = !std::holds_alternative<ServiceUnavailable>(result);
     if (const auto* row = std::get_if<TableRow>(&result)) onBundleRow(*row);
     bundle_timer_.expires_after(pause(options_.bundle_row_interval));
     bundle_timer_.async_wait([this](boost::system::error_code error) {
--- a/src/router_process/platform_watcher.h
+++ b/src/router_process/platform_watcher.h
@@ -45,6 +45,8 @@
   void start();
   /// @return whether the last machine list call was answered.
   bool reachable() const { return reachable_; }
+  /// @return whether the last read of the bundle's row was answered.
+  bool tableAnswers() const { return table_answers_; }
 
 private:
   void fetchMachines();
@@ -68,6 +70,7 @@
   boost::asio::steady_timer document_timer_;
   std::string refused_sha256_;  ///< Of the document that was refused last.
   bool reachable_ = true;
+  bool table_answers_ = true;
 };
 
 }  // namespace crankspur
--- a/src/router_process/router_admin.cc
+++ b/src/router_process/router_admin.cc
@@ -50,6 +50,24 @@
   return list;
 }
 
+/// Who decides on claims now.
+const char* claimMode(const ControlStatus& status) {
+  if (status.claim_group.row.epoch == 0) return "table";
+  return status.table_answers ? "group_and_table" : "group";
+}
+
+json::object describeClaims(const ControlStatus& status) {
+  json::array members;
+  for (const ClaimGroupMember& member : status.claim_group.row.members) members.emplace_back(member.address);
+  return {{"mode", claimMode(status)},
+          {"epoch", status.claim_group.row.epoch},
+          {"members", std::move(members)},
+          {"voting", status.claim_group.voting},
+          {"claims_held", status.claim_group.votes},
+          {"covered_seconds", toSeconds(status.claim_group.covered)},
+          {"epochs_begun", status.claim_group.epochs_begun}};
+}
+
 json::object describeCandidate(const CandidateEstimate& candidate, const std::string& engine) {
   return {{"engine_slot", candidate.engine},
           {"engine", engine},
@@ -136,6 +154,7 @@
                                  {"stopping", status.leaving},
                                  {"gives_orders", status.gives_orders},
                                  {"platform_reachable", status.platform_reachable},
+                                 {"claims", describeClaims(status)},
                                  {"requests_in_flight", inFlight()},
                                  {"members", describeMembers(status.members)},
                                  {"engines", describeEngines(status.engines)},
@@ -169,6 +188,8 @@
   metrics_.router_connections.Set(static_cast<double>(counts.routers));
   metrics_.members.Set(static_cast<double>(status.members.size()));
   metrics_.engines.Set(static_cast<double>(status.engines.size()));
+  metrics_.claim_epoch.Set(static_cast<double>(status.claim_group.row.epoch));
+  metrics_.claim_votes.Set(static_cast<double>(status.claim_group.votes));
 }
 
 void RouterAdmin::explain(const std::string& request_id, std::size_t shard, const Writer& writer) {
--- a/src/router_process/router_metrics.cc
+++ b/src/router_process/router_metrics.cc
@@ -20,6 +20,9 @@
       snapshots(counter("snapshots_total", "Snapshots published to traffic threads.")),
       bundles_taken(counter("bundles_taken_total", "Bundles accepted as newer.")),
       bundles_refused(counter("bundles_refused_total", "Bundles that did not verify or parse.")),
+      group_claims(counter("group_claims_total", "Claims asked of the claim group.")),
+      claims_without_table(counter("claims_without_table_total",
+                                   "Claims that the claim group granted while the table gave no answer.")),
       control_bytes_sent(gauge("control_sent_bytes", "Bytes of control messages sent to routers.")),
       control_bytes_received(gauge("control_received_bytes", "Bytes of control messages from routers.")),
       bundle_version(gauge("bundle_version", "Version of the bundle in force.")),
@@ -27,7 +30,9 @@
       sidecars(gauge("sidecars", "Connected sidecars.")),
       router_connections(gauge("router_connections", "Open connections with routers.")),
       members(gauge("members", "Routers that are not dead, this one included.")),
-      engines(gauge("engines", "Engines in view.")) {}
+      engines(gauge("engines", "Engines in view.")),
+      claim_epoch(gauge("claim_epoch", "Epoch of the claim group as known here; 0 without a group.")),
+      claim_votes(gauge("claim_votes", "Claims held here as a member of the claim group.")) {}
 
 prometheus::Counter& RouterMetrics::counter(const std::string& name, const std::string& help) {
   return prometheus::BuildCounter().Name("crankspur_router_" + name).Help(help).Register(*registry_).Add({});
--- a/src/router_process/router_metrics.h
+++ b/src/router_process/router_metrics.h
@@ -37,6 +37,8 @@
   prometheus::Counter& snapshots;
   prometheus::Counter& bundles_taken;
   prometheus::Counter& bundles_refused;
+  prometheus::Counter& group_claims;
+  prometheus::Counter& claims_without_table;
   prometheus::Gauge& control_bytes_sent;
   prometheus::Gauge& control_bytes_received;
   prometheus::Gauge& bundle_version;
@@ -45,6 +47,8 @@
   prometheus::Gauge& router_connections;
   prometheus::Gauge& members;
   prometheus::Gauge& engines;
+  prometheus::Gauge& claim_epoch;
+  prometheus::Gauge& claim_votes;
 };
 
 }  // namespace crankspur
--- a/src/router_process/router_process.cc
+++ b/src/router_process/router_process.cc
@@ -85,11 +85,12 @@
       options.random_seed = freshSeed();
       options.index_entries = settings_.index_entries / settings_.traffic_threads;
       options.table_address = settings_.platform;
-      shards_.push_back(std::make_unique<TrafficShard>(std::move(options), shardCallbacks(), log_, metrics_));
+      shards_.push_back(
+          std::make_unique<TrafficShard>(std::move(options), shardCallbacks(index), log_, metrics_));
     }
   }
 
-  TrafficShardCallbacks shardCallbacks() {
+  TrafficShardCallbacks shardCallbacks(std::size_t shard) {
     TrafficShardCallbacks callbacks;
     callbacks.on_messages = [this](std::vector<SendToSidecar> messages) {
       front_.thread.post([this, messages = std::move(messages)] { front_.front->sendToSidecars(messages); });
@@ -100,6 +101,13 @@
     callbacks.on_cache_gap = [this](EngineSlot slot, std::uint64_t incarnation) {
       boost::asio::post(context_, [this, slot, incarnation] { control_->onCacheGap(slot, incarnation); });
     };
+    callbacks.on_group_claim = [this, shard](const GroupClaimRequest& request) {
+      boost::asio::post(context_, [this, shard, request] { control_->onGroupClaim(shard, request); });
+    };
+    callbacks.on_group_notice = [this](const GroupClaimNotice& notice) {
+      boost::asio::post(context_, [this, notice] { control_->onGroupNotice(notice); });
+    };
+    callbacks.on_group_found = [this] { boost::asio::post(context_, [this] { control_->onGroupFound(); }); };
     return callbacks;
   }
 
@@ -154,6 +162,11 @@
     callbacks.on_load_digest = [this](LoadDigest digest) {
       boost::asio::post(context_, [this, digest = std::move(digest)] { control_->onLoadDigest(digest); });
     };
+    callbacks.on_claim_message = [this](Message message, std::string address) {
+      boost::asio::post(context_, [this, message = std::move(message), address = std::move(address)] {
+        control_->onClaimMessage(message, address);
+      });
+    };
     callbacks.on_cache_summary = [this](CacheSummary summary) {
       boost::asio::post(context_,
                         [this, summary = std::move(summary)] { control_->onCacheSummary(summary); });
--- a/src/router_process/traffic_shard.cc
+++ b/src/router_process/traffic_shard.cc
@@ -92,6 +92,13 @@
   });
 }
 
+void TrafficShard::postGroupClaim(std::uint64_t claim, const GroupClaimDecision& decision) {
+  thread_.post([this, claim, decision] {
+    router_->onGroupClaim(claim, decision, now());
+    pump();
+  });
+}
+
 void TrafficShard::postDrain() {
   thread_.post([this] {
     router_->drain(now());
@@ -128,7 +135,13 @@
     cancelDispatch(cancel->dispatch);
   } else if (const auto* call = std::get_if<ClaimTableCall>(&action)) {
     callTable(*call);
+  } else if (const auto* asked = std::get_if<GroupClaimCall>(&action)) {
+    metrics_.group_claims.Increment();
+    callbacks_.on_group_claim(asked->request);
+  } else if (const auto* notice = std::get_if<GroupClaimNotice>(&action)) {
+    callbacks_.on_group_notice(*notice);
   } else if (const auto* event = std::get_if<LogEvent>(&action)) {
+    if (event->event == EventId::ClaimGrantedByGroup) metrics_.claims_without_table.Increment();
     log_.write(event->event, event->fields);
   }
 }
@@ -256,8 +269,11 @@
     table_->read(action.key, [this, claim](const ReadResult& result) { onClaimRead(claim, result); });
     return;
   }
-  table_->compareAndSet(action.key, action.expected_version, encodeClaimRow(action.write),
-                        [this, claim](const TransactionResult& result) { onClaimWritten(claim, result); });
+  TableTransaction transaction{{{action.key, action.expected_version}},
+                               {{action.key, encodeClaimRow(action.write)}}};
+  if (call.only_without_group) transaction.conditions.push_back({kClaimGroupRowKey, 0});
+  table_->commit(transaction,
+                 [this, claim](const TransactionResult& result) { onClaimWritten(claim, result); });
 }
 
 void TrafficShard::onClaimRead(std::uint64_t claim, const ReadResult& result) {
@@ -275,8 +291,16 @@
   if (const auto* committed = std::get_if<TransactionCommitted>(&result)) {
     const std::uint64_t version = committed->versions.empty() ? 0 : committed->versions.front().version;
     router_->onClaimWritten(claim, true, now(), version);
-  } else if (std::holds_alternative<TransactionConflict>(result)) {
-    router_->onClaimWritten(claim, false, now());
+  } else if (const auto* conflict = std::get_if<TransactionConflict>(&result)) {
+    const bool fenced = std::any_of(conflict->rows.begin(), conflict->rows.end(), [](const TableRow& row) {
+      return row.key == kClaimGroupRowKey && row.version != 0;
+    });
+    if (fenced) {
+      callbacks_.on_group_found();
+      router_->onClaimFenced(claim, now());
+    } else {
+      router_->onClaimWritten(claim, false, now());
+    }
   } else {
     router_->onClaimFailed(claim, now());
   }
--- a/src/router_process/traffic_shard.h
+++ b/src/router_process/traffic_shard.h
@@ -35,6 +35,9 @@
   std::function<void(const EngineOutcome&)> on_outcome;
   /// An engine's event stream has a gap.
   std::function<void(EngineSlot, std::uint64_t incarnation)> on_cache_gap;
+  std::function<void(const GroupClaimRequest&)> on_group_claim;
+  std::function<void(const GroupClaimNotice&)> on_group_notice;
+  std::function<void()> on_group_found;  ///< A claim write found the claim group's row.
 };
 
 /// Parts of a shard's construction.
@@ -60,6 +63,7 @@
   void postCancel(SidecarId sidecar, const Cancel& cancel);
   void postSidecarLost(SidecarId sidecar);
   void postCacheNews(std::shared_ptr<const CacheNews> news);
+  void postGroupClaim(std::uint64_t claim, const GroupClaimDecision& decision);
   void postDrain();
   /// @param done runs on the shard's thread.
   void postExplain(const std::string& request_id, std::function<void(std::optional<DecisionRecord>)> done);
--- a/src/table_service/row_codec.cc
+++ b/src/table_service/row_codec.cc
@@ -66,6 +66,45 @@
   return ClaimRow{*phase, *token, *body_hash, *result, row.version};
 }
 
+std::string encodeClaimGroupRow(const ClaimGroupRow& row) {
+  json::array members;
+  for (const ClaimGroupMember& member : row.members) {
+    members.push_back(json::object{{"address", member.address}, {"incarnation", member.incarnation}});
+  }
+  return json::serialize(
+      json::object{{"epoch", row.epoch}, {"installer", row.installer}, {"members", std::move(members)}});
+}
+
+std::optional<ClaimGroupRow> decodeClaimGroupRow(const TableRow& row) {
+  ClaimGroupRow group;
+  group.row_version = row.version;
+  if (row.version == 0) {
+    return group;
+  }
+  const std::optional<json::object> object = parseJsonObject(row.value);
+  if (!object) {
+    return std::nullopt;
+  }
+  const auto epoch = unsignedField(*object, "epoch");
+  const auto installer = stringField(*object, "installer");
+  const json::array* members = arrayField(*object, "members");
+  if (!epoch || *epoch == 0 || !installer || members == nullptr || members->empty()) {
+    return std::nullopt;
+  }
+  group.epoch = *epoch;
+  group.installer = *installer;
+  for (const json::value& value : *members) {
+    const json::object* member = value.if_object();
+    const auto address = member == nullptr ? std::nullopt : stringField(*member, "address");
+    const auto incarnation = member == nullptr ? std::nullopt : unsignedField(*member, "incarnation");
+    if (!address || !incarnation) {
+      return std::nullopt;
+    }
+    group.members.push_back({*address, *incarnation});
+  }
+  return group;
+}
+
 std::string encodeLeaseRow(const LeaseRow& row) {
   return json::serialize(
       json::object{{"holder", row.holder}, {"token", row.token}, {"renewal", row.renewal}});
--- a/src/table_service/row_codec.h
+++ b/src/table_service/row_codec.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "claim/claim.h"
+#include "internal_protocol/claim_messages.h"
 #include "lease/lease.h"
 #include "table_service/table_types.h"
 
@@ -20,6 +21,11 @@
 /// row.
 std::optional<ClaimRow> decodeClaimRow(const TableRow& row);
 
+/// The text form of the claim group's row. `row_version` is not part of it.
+std::string encodeClaimGroupRow(const ClaimGroupRow& row);
+/// @return the row; one of epoch 0 for an absent row; empty when the text is no such row.
+std::optional<ClaimGroupRow> decodeClaimGroupRow(const TableRow& row);
+
 /// The text form of a lease row. `row_version` is not part of it.
 std::string encodeLeaseRow(const LeaseRow& row);
 /// @return the lease row; a default one with version 0 for an absent row; empty when the text is no lease
--- a/tests/fuzz/platform_answer_fuzzer.cc
+++ b/tests/fuzz/platform_answer_fuzzer.cc
@@ -15,6 +15,8 @@
   row.value = std::string(text);
   const auto claim = decodeClaimRow(row);
   if (claim) fuzz::check(decodeClaimRow({row.key, 1, encodeClaimRow(*claim)}).has_value());
+  const auto group = decodeClaimGroupRow(row);
+  if (group) fuzz::check(decodeClaimGroupRow({row.key, 1, encodeClaimGroupRow(*group)}).has_value());
   const auto lease = decodeLeaseRow(row);
   if (lease) fuzz::check(decodeLeaseRow({row.key, 1, encodeLeaseRow(*lease)}).has_value());
 }
--- a/tests/integration/router/router_site.cc
+++ b/tests/integration/router/router_site.cc
@@ -113,6 +113,7 @@
   BundleBody body;
   body.version = version;
   body.document = fmt::format(kBundleText, version, weights);
+  if (!knobs_.empty()) body.document += "[knobs]\n" + knobs_;
   const auto sign = [&body](const SigningKeyPair& key, SignatureRole role) {
     return *crankspur::signBundle(key.private_key, role, body.version, body.document);
   };
--- a/tests/integration/router/router_site.h
+++ b/tests/integration/router/router_site.h
@@ -27,6 +27,8 @@
   Process& startRouter(int index, const std::vector<std::string>& extra_flags = {});
   /// Starts a further sidecar that knows one router.
   Process& startSidecar(int router = 0);
+  /// Lines of the [knobs] table of bundles signed from now on.
+  void setKnobs(const std::string& lines) { knobs_ = lines; }
   /// Signs the site's bundle as `version`.
   BundleBody signBundle(std::uint64_t version, const std::string& weights = "w1") const;
   /// Writes the object and the row, as an operator does.
@@ -46,6 +48,7 @@
   void writeMachines(int engines) const;
 
   std::string folder_;
+  std::string knobs_;
   SigningKeyPair author_ = generateSigningKeyPair();
   SigningKeyPair approver_ = generateSigningKeyPair();
   std::vector<std::unique_ptr<Process>> engines_;
--- a/tests/unit/platform_service/platform_clients_test.cc
+++ b/tests/unit/platform_service/platform_clients_test.cc
@@ -141,6 +141,20 @@
   REQUIRE(lease);
   CHECK(lease->token == 7);
   CHECK(lease->row_version == 9);
+  const ClaimGroupRow group{7, {{"10.0.0.1:80", ~0ull}, {"10.0.0.2:80", 2}}, "installer", 5};
+  const auto same = decodeClaimGroupRow({"k", 5, encodeClaimGroupRow(group)});
+  REQUIRE(same);
+  CHECK(same->epoch == 7);
+  CHECK(same->members == group.members);
+  CHECK(same->installer == group.installer);
+  CHECK(same->row_version == 5);
+  CHECK(decodeClaimGroupRow({"k", 0, ""})->epoch == 0);
+  for (const std::string bad :
+       {"", "{}", R"({"epoch":0,"installer":"","members":[{"address":"a","incarnation":1}]})",
+        R"({"epoch":1,"installer":"","members":[]})",
+        R"({"epoch":1,"installer":"","members":[{"address":1,"incarnation":1}]})"}) {
+    CHECK_FALSE(decodeClaimGroupRow({"k", 1, bad}));
+  }
   for (const std::string bad : {"", "{}", "[]", "null", R"({"holder":"a","token":-1,"renewal":1})",
                                 R"({"phase":"held","token":"","body_hash":"","result":""})"}) {
     CHECK_FALSE(decodeClaimRow({"k", 1, bad}));
