--- a/tests/integration/router/claim_group_test.cc
+++ b/tests/integration/router/claim_group_test.cc
@@ -89,12 +89,12 @@
   group.setTable("down");
   group.orderOnceAndAgain("during");
   group.site.router(0).kill();
-  group.orderOnceAndAgain("with two routers");
+  group.orderOnceAndAgain("with-two-routers");
   // Its replacement has no vote; it learns of the group from its peers.
   group.site.startRouter(0, {"--peers=" + group.site.routerAddress(1)});
   REQUIRE(eventually([&] { return group.claims(0).at("epoch").to_number<int>() > 0; }));
   CHECK_FALSE(group.claims(0).at("voting").as_bool());
-  group.orderOnceAndAgain("with a replaced router");
+  group.orderOnceAndAgain("with-a-replaced-router");
   CHECK(group.order(1, "during").status == 200);
   CHECK(group.executions("during") == 1);
   group.setTable("up");
@@ -102,7 +102,7 @@
   const auto votes_again = [&] { return group.claims(0).at("voting").as_bool(); };
   REQUIRE(eventually(votes_again, std::chrono::seconds(60)));
   group.orderOnceAndAgain("after");
-  for (const char* key : {"before", "during", "with two routers", "with a replaced router"}) {
+  for (const char* key : {"before", "during", "with-two-routers", "with-a-replaced-router"}) {
     CHECK(group.order(0, key).status == 200);
     CHECK(group.executions(key) == 1);
   }
--- a/tests/unit/bundle/bundle_test.cc
+++ b/tests/unit/bundle/bundle_test.cc
@@ -94,6 +94,10 @@
        "b.toml:15:10: tenants[0].weight: must be from 0.001 to 1000"},
       {"[knobs]", "[knob]", "b.toml:16:2: knob: is not a known key"},
       {"max_attempts = 2", "max_attempts = 65", "b.toml:17:16: knobs.max_attempts: must be from 1 to 64"},
+      {"max_attempts = 2", "claim_group_size = 10",
+       "b.toml:17:20: knobs.claim_group_size: must be from 0 to 9"},
+      {"max_attempts = 2", "claim_group_size = 3\nclaim_lifetime_s = 1209601",
+       "b.toml:17:20: knobs.claim_group_size: needs a claim_lifetime_s of at most 1209600"},
       {"max_attempts = 2", "max_attempt = 2", "b.toml:17:1: knobs.max_attempt: is not a known key"},
   };
   for (const BadField& bad : cases) {
