--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -88,6 +88,8 @@
       {Mechanism::RequestCheck, "quiet", "whole_answer"},
       {Mechanism::Claim, "quiet", "at_most_once"},
       {Mechanism::ClaimReadBack, "lost_answers", "at_most_once"},
+      {Mechanism::ClaimGroup, "table_down_hour", "outage_progress"},
+      {Mechanism::ClaimMajority, "table_down_hour", "at_most_once"},
       {Mechanism::Fencing, "stalled_orders", "fencing"},
       {Mechanism::LeavingMarks, "leaving_unseen", "leaving"},
       {Mechanism::Drain, "planned_stops", "planned_stop"},
