--- a/sim/check/fault.cc
+++ b/sim/check/fault.cc
@@ -92,6 +92,7 @@
   planBundles(kind);
   planLeaving(kind);
   planFleet(kind);
+  if (kind == FaultKind::TableDownHour) planTableOutage();
 }
 
 void FaultDriver::crashEngine(std::size_t index, Duration when) {
--- a/sim/check/fault.h
+++ b/sim/check/fault.h
@@ -45,6 +45,7 @@
   WeightsWaves,        ///< Weights are rolled again while an earlier roll-out is under way.
   Rollback,            ///< Weights are rolled and then rolled back as a new version.
   HourPartition,       ///< A region is cut off for an hour, in which bundles are rolled.
+  TableDownHour,       ///< The table is down for an hour, routers are replaced; not part of pairs.
 };
 
 /// A kind with its name.
@@ -57,7 +58,12 @@
 /// of "pair" stay what they were.
 inline constexpr FaultKind kFirstWiderKind = FaultKind::SamePrompts;
 
-/// @return every kind, in the order of the enumeration.
+/// Length of the table outage and the times before and after it, in FaultKind::TableDownHour.
+inline constexpr Duration kBeforeOutage = std::chrono::seconds(90);
+inline constexpr Duration kTableOutage = std::chrono::hours(1);
+inline constexpr Duration kAfterOutage = std::chrono::seconds(200);
+
+/// @return every kind that a scenario of one fault or a pair is made of.
 const std::vector<FaultName>& faultNames();
 /// @return the kind of that name, if any.
 std::optional<FaultKind> findFault(std::string_view name);
@@ -84,6 +90,10 @@
   void loseRack();
   void herdWithRateLimits();
   void partForAnHour();
+  void planTableOutage();  // table_outage.cc
+  void openTableAtTimes(Duration from, Duration to);
+  void replaceRouters(Duration from, Duration to, std::uint64_t times, bool minority_only);
+  void disturbOutage(Duration from, Duration to);
 
   void at(Duration after_start, Task task);
   /// @return an instant early enough for the fault to end within the load time.
@@ -96,6 +106,7 @@
   void partition(Duration from, Duration to);
   void pauseHolderWithOrders(TimePoint until, Duration pause);
   void pauseAllButOne(Duration when);
+  void replaceRouter(std::size_t index, Duration when);
   void roll(std::size_t operator_index, Duration when);
   void rollBack(std::size_t operator_index, Duration when);
   void stopAndRestart(std::size_t router, Duration when);
--- a/sim/check/run.cc
+++ b/sim/check/run.cc
@@ -10,6 +10,8 @@
 constexpr const char* kPair = "pair";
 constexpr const char* kWiderPair = "wider_pair";
 constexpr const char* kLarge = "large";
+/// Long runs, which take no turn among the scenarios.
+constexpr const char* kTableDownHour = "table_down_hour";
 /// Pairs get this many turns among the scenarios, since there are many of them.
 constexpr int kPairTurns = 8;
 constexpr int kWiderPairTurns = 4;
@@ -26,10 +28,15 @@
 constexpr std::size_t kStormTenants = 2;
 constexpr double kStormRetryBudget = 0.1;
 constexpr double kNoRetryBudget = 10;
+/// What a run with an hour's outage of the table is made of.
+constexpr double kOutageRequestsPerSecond = 1.5;
+constexpr double kOutageOperationShare = 0.9;
+constexpr std::uint32_t kOutageClaimGroup = 3;
 
 /// Scenarios in the order in which seeds take turns.
 std::vector<std::string> turns() {
   std::vector<std::string> names = scenarioNames();
+  std::erase(names, kTableDownHour);
   for (int turn = 1; turn < kPairTurns; ++turn) names.emplace_back(kPair);
   for (int turn = 1; turn < kWiderPairTurns; ++turn) names.emplace_back(kWiderPair);
   return names;
@@ -43,6 +50,7 @@
 
 std::set<FaultKind> faultsOf(const std::string& scenario, RandomSource& random) {
   if (scenario == kQuiet) return {};
+  if (scenario == kTableDownHour) return {FaultKind::TableDownHour};
   if (const auto kind = findFault(scenario)) return {*kind};
   const std::size_t wanted = scenario == kPair || scenario == kWiderPair ? 2 : 1;
   const auto first_wider = static_cast<std::size_t>(kFirstWiderKind);
@@ -52,10 +60,22 @@
   return kinds;
 }
 
+/// @return the site of a long outage of the table: many orders, so that some are repeated just when an epoch
+/// changes.
+Site outageSite(Site site, const RemovedMechanisms& removed) {
+  site.load = kBeforeOutage + kTableOutage + kAfterOutage;
+  site.requests_per_second = kOutageRequestsPerSecond;
+  site.operation_share = kOutageOperationShare;
+  site.claim_group_size = removed.contains(Mechanism::ClaimGroup) ? 0 : kOutageClaimGroup;
+  site.claim_lifetime = std::chrono::minutes(1);
+  return site;
+}
+
 /// Fits the site to faults that need callers or machines of a certain kind.
 Site siteFor(const std::string& name, const std::set<FaultKind>& faults, const RemovedMechanisms& removed) {
   if (faults.contains(FaultKind::HourPartition)) return makeSite("two_regions");
   Site site = makeSite(name);
+  if (faults.contains(FaultKind::TableDownHour)) return outageSite(std::move(site), removed);
   if (!faults.contains(FaultKind::RackLoss)) return site;
   site.requests_per_second = kStormRequestsPerSecond;
   site.tenants.resize(kStormTenants);
@@ -71,6 +91,7 @@
   names.emplace_back(kPair);
   names.emplace_back(kWiderPair);
   names.emplace_back(kLarge);
+  names.emplace_back(kTableDownHour);
   return names;
 }
 
--- a/sim/world/mechanism.cc
+++ b/sim/world/mechanism.cc
@@ -13,6 +13,8 @@
       {Mechanism::RequestCheck, "request_check"},
       {Mechanism::Claim, "claim"},
       {Mechanism::ClaimReadBack, "claim_read_back"},
+      {Mechanism::ClaimGroup, "claim_group"},
+      {Mechanism::ClaimMajority, "claim_majority"},
       {Mechanism::Fencing, "fencing"},
       {Mechanism::LeavingMarks, "leaving_marks"},
       {Mechanism::Drain, "drain"},
--- a/sim/world/records.h
+++ b/sim/world/records.h
@@ -113,6 +113,12 @@
   TimePoint to{};
 };
 
+/// The table service was down for long.
+struct TableOutage {
+  Span span;
+  bool majority_lives = false;  ///< No fault of the run took a majority of the claim group away.
+};
+
 /// All observations of a run.
 struct Records {
   /// A back end's process died: what it alone said of itself does not hold for the next one.
@@ -132,6 +138,7 @@
   std::vector<OrderUse> orders;
   std::vector<RouterRefusal> refusals;
   std::vector<DecisionUse> decisions;
+  std::optional<TableOutage> table_outage;
   std::uint64_t rolls_told_accepted = 0;  ///< Operators told that their roll was accepted.
 };
 
--- a/src/router_process/control_connection.cc
+++ b/src/router_process/control_connection.cc
@@ -36,6 +36,11 @@
       hand_on([](ControlThread& state, const BackendList& list) { state.onBackends(list); });
   callbacks.on_load_digest =
       hand_on([](ControlThread& state, const LoadDigest& digest) { state.onLoadDigest(digest); });
+  callbacks.on_claim_message = [&context, &control](Message message, std::string address) {
+    boost::asio::post(context, [&control, message = std::move(message), address = std::move(address)] {
+      control->onClaimMessage(message, address);
+    });
+  };
   callbacks.on_cache_summary =
       hand_on([](ControlThread& state, const CacheSummary& summary) { state.onCacheSummary(summary); });
 }
--- a/src/router_process/router_process.cc
+++ b/src/router_process/router_process.cc
@@ -86,11 +86,12 @@
       options.table_rate = {static_cast<double>(settings_.table_calls_per_second),
                             static_cast<double>(settings_.table_calls_per_second)};
       options.shards = settings_.traffic_threads;
-      shards_.push_back(std::make_unique<TrafficShard>(std::move(options), shardCallbacks(), log_, metrics_));
+      shards_.push_back(
+          std::make_unique<TrafficShard>(std::move(options), shardCallbacks(index), log_, metrics_));
     }
   }
 
-  TrafficShardCallbacks shardCallbacks() {
+  TrafficShardCallbacks shardCallbacks(std::size_t shard) {
     TrafficShardCallbacks callbacks;
     callbacks.on_messages = [this](std::vector<SendToSidecar> messages) {
       front_.thread.post([this, messages = std::move(messages)] { front_.front->sendToSidecars(messages); });
@@ -101,6 +102,13 @@
     callbacks.on_cache_gap = [this](EngineSlot slot, std::uint64_t incarnation) {
       boost::asio::post(context_, [this, slot, incarnation] { control_->onCacheGap(slot, incarnation); });
     };
+    callbacks.on_group_claim = [this, shard](const GroupClaimRequest& request) {
+      boost::asio::post(context_, [this, shard, request] { control_->onGroupClaim(shard, request); });
+    };
+    callbacks.on_group_notice = [this](const GroupClaimNotice& notice) {
+      boost::asio::post(context_, [this, notice] { control_->onGroupNotice(notice); });
+    };
+    callbacks.on_group_found = [this] { boost::asio::post(context_, [this] { control_->onGroupFound(); }); };
     return callbacks;
   }
 
