--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -17,8 +17,8 @@
   std::atomic<bool> draining = false;
 };
 
-GatewayProcess::GatewayProcess(GatewayProcessSettings settings, std::shared_ptr<const Dialect> dialect,
-                               GatewayFacts facts, EventLog& /*log*/)
+GatewayProcess::GatewayProcess(const GatewayProcessSettings& settings, std::shared_ptr<const Dialect> dialect,
+                               GatewayFacts facts)
     : implementation_(std::make_unique<Implementation>(settings, std::move(dialect), std::move(facts))) {}
 
 GatewayProcess::~GatewayProcess() = default;
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -10,7 +10,6 @@
 #include <string>
 #include <system_error>
 
-#include "base/event_log.h"
 #include "base/time.h"
 #include "gateway/cached_parts.h"
 #include "gateway/dialect.h"
@@ -41,8 +40,8 @@
 /// One gateway. Functions may be called from any thread unless they say otherwise.
 class GatewayProcess {
 public:
-  GatewayProcess(GatewayProcessSettings settings, std::shared_ptr<const Dialect> dialect, GatewayFacts facts,
-                 EventLog& log);
+  GatewayProcess(const GatewayProcessSettings& settings, std::shared_ptr<const Dialect> dialect,
+                 GatewayFacts facts);
   /// Ends the traffic thread; what is in flight is dropped.
   ~GatewayProcess();
   GatewayProcess(const GatewayProcess&) = delete;
--- a/tests/integration/gateway/gateway_process_test.cc
+++ b/tests/integration/gateway/gateway_process_test.cc
@@ -65,8 +65,7 @@
     for (std::size_t index = 0; index < 2; ++index) startBackend();
     GatewayProcessSettings settings;
     settings.listen_address = "127.0.0.1:0";
-    process =
-        std::make_unique<GatewayProcess>(settings, std::make_shared<TestDialect>(), GatewayFacts{}, log);
+    process = std::make_unique<GatewayProcess>(settings, std::make_shared<TestDialect>(), GatewayFacts{});
     REQUIRE_FALSE(process->start());
     client = http::makeClient(context.get_executor());
     process->publish(snapshot(repeatability, streaming));
@@ -150,7 +149,6 @@
     return asked[number - 1];
   }
 
-  NullEventLog log;
   boost::asio::io_context context{1};
   std::vector<std::unique_ptr<http::Server>> backends;
   std::vector<Asked> asked;
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -5,7 +5,7 @@
 cd "$(dirname "$0")/.."
 build=${1:-build}
 mapfile -t files < <(git ls-files '*.h' '*.cc')
-mapfile -t sources < <(git ls-files 'src/*.cc' 'apps/*.cc' 'standins/*.cc' 'sim/*.cc' 'tools/*.cc')
+mapfile -t sources < <(git ls-files 'src/*.cc' 'platform/*.cc' 'apps/*.cc' 'standins/*.cc' 'sim/*.cc' 'tools/*.cc')
 if [ "${#sources[@]}" -eq 0 ] || [ ! -s "$build/compile_commands.json" ]; then
   echo "nothing to lint: no checkout of git, or no build in $build"
   exit 1
