Split the weighing of an engine from the search for what it imports

Cause: weighEngine had 50 lines and two jobs. Change: findImport has the second; the estimates are the same expressions.

--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -218,47 +218,57 @@
   return std::min(again / rate * kReadAgainFactor, kReadAgainLimit);
 }
 
+EngineChoice::Import EngineChoice::findImport(const EngineView& engine, std::uint32_t held_blocks,
+                                              const ScopedPrompt& prompt, const ChoiceRequest& request,
+                                              const GatewaySnapshot& snapshot, const BackendTable& table,
+                                              TimePoint now) const {
+  const std::vector<PromptPart>& parts = request.client->prompt;
+  const std::uint32_t total = std::max(request.client->prompt_tokens, 1U);
+  Import import;
+  import.cached = std::min(tokensIn(parts, held_blocks), total);
+  if (request.pool->link_bits_per_second <= 0) return import;
+  for (const PrefixMatch& match : prompt.matches) {
+    if (match.blocks <= held_blocks) break;
+    const Backend* source = snapshot.backend(match.engine);
+    if (source == nullptr || source->view.state != EngineState::Live) continue;
+    if (!table.isHealthy(match.engine, now)) continue;
+    const std::uint32_t there = std::min(tokensIn(parts, match.blocks), total);
+    const double bits = static_cast<double>(there - import.cached) *
+                        static_cast<double>(request.pool->token_bytes) * kBitsPerByte;
+    import.seconds =
+        kImportBase + bits / request.pool->link_bits_per_second * zoneFactor(source->view, engine);
+    import.cached = there;
+    import.from = source->view.address;
+    break;
+  }
+  return import;
+}
+
 EngineChoice::Candidate EngineChoice::weighEngine(const Backend& backend, const ScopedPrompt& prompt,
                                                   const ChoiceRequest& request,
                                                   const GatewaySnapshot& snapshot, const BackendTable& table,
                                                   TimePoint now) const {
-  Candidate candidate;
-  candidate.backend = &backend;
   const EngineView& engine = backend.view;
-  const std::vector<PromptPart>& parts = request.client->prompt;
   const auto own = std::find_if(prompt.matches.begin(), prompt.matches.end(),
                                 [&](const PrefixMatch& match) { return match.engine == engine.slot; });
   const std::uint32_t blocks = own == prompt.matches.end() ? 0 : own->blocks;
+  const Import import = findImport(engine, blocks, prompt, request, snapshot, table, now);
   const std::uint32_t total = std::max(request.client->prompt_tokens, 1U);
-  std::uint32_t cached = std::min(tokensIn(parts, blocks), total);
   const double rate = rates_.rate(request.pool->name);
-  double import = 0;
-  for (const PrefixMatch& match : prompt.matches) {
-    if (match.blocks <= blocks) break;
-    const Backend* source = snapshot.backend(match.engine);
-    if (source == nullptr || source->view.state != EngineState::Live) continue;
-    if (!table.isHealthy(match.engine, now) || request.pool->link_bits_per_second <= 0) continue;
-    const std::uint32_t there = std::min(tokensIn(parts, match.blocks), total);
-    const double bits =
-        static_cast<double>(there - cached) * static_cast<double>(request.pool->token_bytes) * kBitsPerByte;
-    const double time =
-        kImportBase + bits / request.pool->link_bits_per_second * zoneFactor(source->view, engine);
-    import = time;
-    cached = there;
-    candidate.import_from = source->view.address;
-    break;
-  }
-  candidate.uncached_tokens = total - std::min(cached, total - 1);
+  Candidate candidate;
+  candidate.backend = &backend;
+  candidate.import_from = import.from;
+  candidate.uncached_tokens = total - std::min(import.cached, total - 1);
   const double prefill = candidate.uncached_tokens / rate;
   const double queue = toSeconds(queues_.wait(engine, rate, ledger_, now));
+  candidate.first_byte = queue + import.seconds + prefill + distanceCost(engine, snapshot);
+  const double unseen = std::min<double>(snapshot.gateway_count, kUnseenGateways) - 1;
   const double late = std::min(table.lateness(engine.slot), kLatenessLimit);
   const double new_blocks = blocksOf(total) - std::min(blocks, blocksOf(total));
-  candidate.first_byte = queue + import + prefill + distanceCost(engine, snapshot);
-  const double unseen = std::min<double>(snapshot.gateway_count, kUnseenGateways) - 1;
   candidate.cost = candidate.first_byte + queue * std::max(unseen, 0.0) + late + new_blocks * kEvictionCost +
-                   readAgainCost(prompt, engine.slot, cached, rate) +
+                   readAgainCost(prompt, engine.slot, import.cached, rate) +
                    (lanes_.suits(engine, isLong(request)) ? 0 : kOtherLaneCost) +
-                   kAffinityCost * affinity(affinityKey(parts), engine.name);
+                   kAffinityCost * affinity(affinityKey(request.client->prompt), engine.name);
   return candidate;
 }
 
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -100,6 +100,12 @@
     std::uint32_t uncached_tokens = 0;
     std::string import_from;
   };
+  /// What a candidate imports: from the healthy engine that holds the longest prefix, if longer than its own.
+  struct Import {
+    std::string from;          ///< "IP:port"; empty: nothing to import.
+    std::uint32_t cached = 0;  ///< Tokens that the candidate holds once it is done.
+    double seconds = 0;
+  };
   using PartKey = std::uint64_t;
 
   std::optional<std::uint64_t> weightsOf(const Backend& backend, const std::string& model) const;
@@ -111,6 +117,9 @@
   bool isLong(const ChoiceRequest& request) const;
   static double readAgainCost(const ScopedPrompt& prompt, EngineSlot engine, std::uint32_t cached,
                               double rate);
+  Import findImport(const EngineView& engine, std::uint32_t held_blocks, const ScopedPrompt& prompt,
+                    const ChoiceRequest& request, const GatewaySnapshot& snapshot, const BackendTable& table,
+                    TimePoint now) const;
   Candidate weighEngine(const Backend& backend, const ScopedPrompt& prompt, const ChoiceRequest& request,
                         const GatewaySnapshot& snapshot, const BackendTable& table, TimePoint now) const;
   double weighRunner(const Backend& backend, const GatewaySnapshot& snapshot,
