--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -49,7 +49,18 @@
   return value.empty() || !std::all_of(value.begin(), value.end(), plain);
 }
 
-const EventDescription& describe(EventId event) {
+}  // namespace
+
+const std::vector<EventDescription>& eventCatalogue() {
+  static const std::vector<EventDescription> catalogue = {
+#define CRANKSPUR_EVENT(number, name, level, meaning) {number, #name, LogLevel::level, meaning},
+#include "base/events.def"
+#undef CRANKSPUR_EVENT
+  };
+  return catalogue;
+}
+
+const EventDescription& describeEvent(EventId event) {
   const auto& catalogue = eventCatalogue();
   const auto matches = [event](const EventDescription& entry) {
     return entry.number == static_cast<int>(event);
@@ -57,24 +68,13 @@
   return *std::find_if(catalogue.begin(), catalogue.end(), matches);
 }
 
-std::string currentTime() {
+std::string currentLogTime() {
   const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
   const auto milliseconds = now.time_since_epoch().count() % 1000;
   return fmt::format("{:%Y-%m-%dT%H:%M:%S}.{:03}Z", fmt::gmtime(std::chrono::system_clock::to_time_t(now)),
                      milliseconds);
 }
 
-}  // namespace
-
-const std::vector<EventDescription>& eventCatalogue() {
-  static const std::vector<EventDescription> catalogue = {
-#define CRANKSPUR_EVENT(number, name, level, meaning) {number, #name, LogLevel::level, meaning},
-#include "base/events.def"
-#undef CRANKSPUR_EVENT
-  };
-  return catalogue;
-}
-
 std::string formatLogLine(LogFormat format, std::string_view time, std::string_view process,
                           const EventDescription& event, const std::vector<LogField>& fields) {
   std::string line;
@@ -96,9 +96,9 @@
     : process_(std::move(process)), format_(format), minimum_(minimum) {}
 
 void StderrEventLog::write(EventId event, const std::vector<LogField>& fields) {
-  const EventDescription& description = describe(event);
+  const EventDescription& description = describeEvent(event);
   if (description.level < minimum_) return;
-  const std::string line = formatLogLine(format_, currentTime(), process_, description, fields) + "\n";
+  const std::string line = formatLogLine(format_, currentLogTime(), process_, description, fields) + "\n";
   std::fwrite(line.data(), 1, line.size(), stderr);
 }
 
--- a/src/base/event_log.h
+++ b/src/base/event_log.h
@@ -70,6 +70,12 @@
   void write(EventId, const std::vector<LogField>&) override {}
 };
 
+/// @return what events.def says of the event.
+const EventDescription& describeEvent(EventId event);
+
+/// @return the time of day as log lines state it: UTC, ISO 8601, milliseconds.
+std::string currentLogTime();
+
 /// @return one log line without its line end.
 std::string formatLogLine(LogFormat format, std::string_view time, std::string_view process,
                           const EventDescription& event, const std::vector<LogField>& fields);
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -109,6 +109,11 @@
   return state == nullptr || state->health.state(now) == HealthState::Healthy;
 }
 
+Duration BackendTable::distrustedFor(EngineSlot slot, TimePoint now) const {
+  const State* state = find(slot);
+  return state == nullptr ? Duration(0) : std::max(Duration(0), state->health.ejectedUntil() - now);
+}
+
 std::uint32_t BackendTable::inFlight(EngineSlot slot) const {
   const State* state = find(slot);
   return state == nullptr ? 0 : state->in_flight;
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -41,6 +41,8 @@
   bool hasRoom(const Backend& backend, const Pool& pool, std::uint32_t gateway_count, TimePoint now) const;
   /// @return whether its traffic shows no fault.
   bool isHealthy(EngineSlot slot, TimePoint now) const;
+  /// @return time for which its failures keep it out of use; 0: none.
+  Duration distrustedFor(EngineSlot slot, TimePoint now) const;
   std::uint32_t inFlight(EngineSlot slot) const;
   /// @return seconds that it begins its answers later than expected.
   double lateness(EngineSlot slot) const;
--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <utility>
 
 #include "base/hash.h"
 #include "gateway/prompt_blocks.h"
@@ -87,6 +88,7 @@
     known = backend.view.incarnation;
     index_->setIncarnation(slot, known);
     sequences_.erase(slot);
+    news_at_.erase(slot);
     held_.erase(slot);
     learnt_.erase(slot);
   }
@@ -114,6 +116,7 @@
   if (!news.store_address.empty()) return;
   const auto known = incarnations_.find(news.slot);
   if (known == incarnations_.end() || known->second != news.incarnation) return;
+  news_at_[news.slot] = now;
   if (news.complete) held_.erase(news.slot);
   CacheEvent event;
   event.sequence = ++sequences_[news.slot];
@@ -209,11 +212,16 @@
 }
 
 /// @param cached tokens that the engine holds, what it imports included.
+/// @return shared tokens that the engine would read although another one holds them.
+std::uint32_t EngineChoice::readAgainTokens(const ScopedPrompt& prompt, std::uint32_t cached) {
+  const std::uint32_t here = std::min(cached, prompt.shared_tokens);
+  return std::max(prompt.held_shared_tokens, here) - here;
+}
+
 double EngineChoice::readAgainCost(const ScopedPrompt& prompt, EngineSlot engine, std::uint32_t cached,
                                    double rate) {
-  const std::uint32_t here = std::min(cached, prompt.shared_tokens);
-  const std::uint32_t known = std::max(prompt.held_shared_tokens, here);
-  std::uint32_t again = known - here;
+  const std::uint32_t known = std::max(prompt.held_shared_tokens, std::min(cached, prompt.shared_tokens));
+  std::uint32_t again = readAgainTokens(prompt, cached);
   if (engine != prompt.home) again += prompt.shared_tokens - known;
   return std::min(again / rate * kReadAgainFactor, kReadAgainLimit);
 }
@@ -259,6 +267,7 @@
   candidate.backend = &backend;
   candidate.import_from = import.from;
   candidate.uncached_tokens = total - std::min(import.cached, total - 1);
+  candidate.shared_tokens_again = readAgainTokens(prompt, import.cached);
   const double prefill = candidate.uncached_tokens / rate;
   const double queue = toSeconds(queues_.wait(engine, rate, ledger_, now));
   candidate.first_byte = queue + import.seconds + prefill + distanceCost(engine, snapshot);
@@ -287,6 +296,7 @@
   Choice choice;
   std::vector<ScopedPrompt> prompts;
   Candidate best;
+  Candidate second;
   const Usable usable = findUsable(request, snapshot, table, now, choice.lacks_room);
   for (const Backend* backend : usable) {
     Candidate candidate;
@@ -301,10 +311,16 @@
       candidate.first_byte = table.answerTime(backend->view.slot);
     }
     if (now < backend->cold_until) candidate.cost *= kColdFactor;
-    if (best.backend == nullptr || candidate.cost < best.cost) best = std::move(candidate);
+    if (best.backend == nullptr || candidate.cost < best.cost) {
+      second = std::exchange(best, std::move(candidate));
+    } else if (second.backend == nullptr || candidate.cost < second.cost) {
+      second = std::move(candidate);
+    }
   }
   choice.backend = best.backend;
+  choice.candidates = usable.size();
   if (best.backend == nullptr) return choice;
+  explain(choice, best, second);
   choice.expected_first_byte = toDuration(best.first_byte);
   if (!request.uses_prefixes) return choice;
   ScopedPrompt& prompt = prompts[best.prompt];
@@ -317,6 +333,19 @@
   return choice;
 }
 
+void EngineChoice::explain(Choice& choice, const Candidate& best, const Candidate& second) {
+  choice.cost = best.cost;
+  choice.runner_up = second.backend;
+  choice.runner_up_cost = second.cost;
+  choice.shared_tokens_again = best.shared_tokens_again;
+}
+
+std::optional<Duration> EngineChoice::cacheAge(EngineSlot slot, TimePoint now) const {
+  const auto found = news_at_.find(slot);
+  if (found == news_at_.end()) return std::nullopt;
+  return now - found->second;
+}
+
 DispatchedPrompt EngineChoice::onDispatch(const Choice& choice, std::uint64_t dispatch, TimePoint now) {
   const EngineView& engine = choice.backend->view;
   ledger_.add(engine.slot, dispatch, choice.uncached_tokens, now);
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -44,6 +44,12 @@
   std::uint32_t uncached_tokens = 0;
   bool long_prompt = false;
   Duration expected_first_byte{0};
+  // What explains the choice.
+  std::size_t candidates = 0;          ///< Back ends that were compared.
+  double cost = 0;                     ///< Seconds for engines, load for runners.
+  const Backend* runner_up = nullptr;  ///< The next best; null: there was none.
+  double runner_up_cost = 0;
+  std::uint32_t shared_tokens_again = 0;  ///< Held by some engine and yet read again.
 };
 
 /// What is remembered of a dispatch until its first byte.
@@ -74,6 +80,8 @@
   void onFirstByte(const Pool& pool, const DispatchedPrompt& prompt, std::uint64_t dispatch, Duration taken,
                    TimePoint now);
   void onEnd(EngineSlot slot, std::uint64_t dispatch);
+  /// @return time since news of the back end's cache came; empty: none came.
+  std::optional<Duration> cacheAge(EngineSlot slot, TimePoint now) const;
 
 private:
   struct LearntWeights {
@@ -98,6 +106,7 @@
     double first_byte = 0;
     std::size_t prompt = 0;  ///< Index of its ScopedPrompt.
     std::uint32_t uncached_tokens = 0;
+    std::uint32_t shared_tokens_again = 0;
     std::string import_from;
   };
   /// What a candidate imports: from the healthy engine that holds the longest prefix, if longer than its own.
@@ -115,8 +124,10 @@
                            const ChoiceRequest& request, const Usable& usable, TimePoint now) const;
   EngineSlot findHome(const ScopedPrompt& prompt, const ChoiceRequest& request, const Usable& usable) const;
   bool isLong(const ChoiceRequest& request) const;
+  static std::uint32_t readAgainTokens(const ScopedPrompt& prompt, std::uint32_t cached);
   static double readAgainCost(const ScopedPrompt& prompt, EngineSlot engine, std::uint32_t cached,
                               double rate);
+  static void explain(Choice& choice, const Candidate& best, const Candidate& second);
   Import findImport(const EngineView& engine, std::uint32_t held_blocks, const ScopedPrompt& prompt,
                     const ChoiceRequest& request, const GatewaySnapshot& snapshot, const BackendTable& table,
                     TimePoint now) const;
@@ -135,6 +146,7 @@
   absl::flat_hash_map<EngineSlot, LearntWeights> learnt_;
   absl::flat_hash_map<EngineSlot, std::uint64_t> incarnations_;
   absl::flat_hash_map<EngineSlot, std::uint64_t> sequences_;
+  absl::flat_hash_map<EngineSlot, TimePoint> news_at_;
   /// Tokens of each part that events last told, by engine.
   absl::flat_hash_map<EngineSlot, absl::flat_hash_map<PartKey, std::uint32_t>> held_;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -23,9 +23,10 @@
 
 }  // namespace
 
-Gateway::Gateway(const GatewaySettings& settings, std::uint64_t random_seed)
+Gateway::Gateway(const GatewaySettings& settings, std::uint64_t random_seed, request_observer& observer)
     : settings_(settings),
       random_(random_seed),
+      observer_(observer),
       choice_(settings.index_entries, random_),
       shares_(random_),
       weights_(settings.older_weights_grace) {}
@@ -52,18 +53,17 @@
 
 void Gateway::onRequest(ClientId client, IncomingRequest request, TimePoint now) {
   ++counters_.requests;
-  const CheckedRequest checked = checkRequest(request, snapshot_.get());
-  if (checked.refusal != 0) {
-    const bool comes_back = checked.refusal == kUnavailable;
-    return refuse(client, checked.refusal, comes_back ? kMostRetryAfter : Duration(0));
-  }
+  const CheckedRequest checked = checkRequest(request, snapshot_.get(), now);
+  if (checked.refusal != 0) return refuseUnchecked(client, request, checked, now);
   auto owned = std::make_unique<Entry>();
   Entry& entry = *owned;
   entry.id = client;
   entry.client = std::move(*request.client);
   entries_.emplace(client, std::move(owned));
   admit(entry, checked, now);
-  if (entry.pool == nullptr || entry.ends_at - now < kLeastDeadline) return giveUp(entry, now);
+  if (entry.pool == nullptr) return giveUpFor(entry, request_cause::route_without_pool, now);
+  tellAdmitted(entry, now);
+  if (entry.ends_at - now < kLeastDeadline) return giveUpFor(entry, request_cause::no_time_left, now);
   budgetOf(entry.pool->name).onRequest(now);
   place(entry, now);
 }
@@ -113,10 +113,14 @@
 
 void Gateway::place(Entry& entry, TimePoint now) {
   const Choice choice = choose(entry, now);
-  if (choice.backend == nullptr) return wait(entry, now);
-  const bool in_time =
-      now + choice.expected_first_byte < entry.ends_at && entry.ends_at - now >= kLeastDeadline;
-  if (!in_time) return giveUp(entry, now);
+  if (choice.backend == nullptr) {
+    entry.cause = choice.lacks_room ? request_cause::back_ends_full : request_cause::no_back_end;
+    return wait(entry, now);
+  }
+  if (entry.ends_at - now < kLeastDeadline) return giveUpFor(entry, request_cause::no_time_left, now);
+  if (now + choice.expected_first_byte >= entry.ends_at) {
+    return giveUpFor(entry, request_cause::expected_too_late, now);
+  }
   dispatch(entry, choice, now);
 }
 
@@ -129,6 +133,7 @@
     const TimePoint first = entry.arrived_at + entry.route->first_byte_target / kQueueShare;
     const TimePoint until = entry.dispatches > 0 ? now + kMoveWait : std::max(now, first);
     entry.queued_until = std::min(until, entry.ends_at);
+    if (now < entry.queued_until) tellWaiting(entry, now);
   }
   if (now >= entry.queued_until) return giveUp(entry, now);
   wakeAt(entry, std::min(entry.queued_until, now + kQueueLook));
@@ -180,6 +185,8 @@
   ++counters_.dispatches;
   if (entry.arrived_before) ++counters_.repeats;
   exchanges_[running.exchange] = entry.id;
+  entry.last_backend = backend.name;
+  tellPlaced(entry, choice, now);
   table_.onDispatch(backend.slot);
   wakeAt(entry, std::min(entry.ends_at, now + settings_.silence_limit));
   actions_.emplace_back(
@@ -189,9 +196,35 @@
 
 // Ends.
 
-void Gateway::refuse(ClientId client, int status, Duration retry_after) {
+/// Answers as not run, with a time to come back.
+void Gateway::refuse(Entry& entry, TimePoint now) {
+  ++counters_.refused;
+  const Duration retry_after = retryAfter(entry);
+  actions_.emplace_back(Refuse{entry.id, kUnavailable, retry_after});
+  tellEnded(entry, request_outcome::refused, kUnavailable, retry_after, now);
+}
+
+/// Refuses a request that may not be served at all.
+void Gateway::refuseUnchecked(ClientId client, const IncomingRequest& request, const CheckedRequest& checked,
+                              TimePoint now) {
   ++counters_.refused;
-  actions_.emplace_back(Refuse{client, status, retry_after});
+  const bool comes_back = checked.refusal == kUnavailable;
+  const Duration retry_after = comes_back ? kMostRetryAfter : Duration(0);
+  actions_.emplace_back(Refuse{client, checked.refusal, retry_after});
+  Entry entry;
+  entry.id = client;
+  if (request.client) entry.client.request_id = request.client->request_id;
+  entry.route = checked.route;
+  entry.configuration = snapshot_ == nullptr ? nullptr : snapshot_->configuration;
+  entry.cause = checked.cause;
+  entry.arrived_at = now;
+  const request_outcome outcome = comes_back ? request_outcome::refused : request_outcome::rejected;
+  tellEnded(entry, outcome, checked.refusal, retry_after, now);
+}
+
+void Gateway::giveUpFor(Entry& entry, request_cause cause, TimePoint now) {
+  entry.cause = cause;
+  giveUp(entry, now);
 }
 
 /// Spread, so that those refused together do not come back together.
@@ -212,6 +245,9 @@
   Entry* entry = findClient(client);
   if (entry == nullptr) return;
   ++counters_.abandoned;
+  entry->cause = request_cause::client_left;
+  tellEnded(*entry, request_outcome::abandoned, entry->head_passed ? entry->running.status : 0, Duration(0),
+            now);
   cancelExchange(*entry, DispatchOutcome::Ended, now);
   finish(*entry);
   serveQueue(now);
@@ -219,11 +255,15 @@
 
 /// Neither the client nor the route waits any longer.
 void Gateway::expire(Entry& entry, TimePoint now) {
-  if (entry.running.exchange != 0) entry.may_have_run = true;
+  if (entry.running.exchange != 0) {
+    entry.may_have_run = true;
+    entry.cause = request_cause::time_ran_out;
+  }
   cancelExchange(entry, DispatchOutcome::Ended, now);
   if (!entry.head_passed && entry.may_have_run) {
     ++counters_.failed;
     actions_.emplace_back(Refuse{entry.id, kGatewayTimeout, Duration(0)});
+    tellEnded(entry, request_outcome::failed, kGatewayTimeout, Duration(0), now);
     return finish(entry);
   }
   giveUp(entry, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "gateway/named_weights.h"
 #include "gateway/repeat_budget.h"
 #include "gateway/request_check.h"
+#include "gateway/request_observer.h"
 #include "gateway/route_shares.h"
 #include "gateway/stream_cursor.h"
 
@@ -38,7 +39,9 @@
 /// See the file comment. Events change the state and add to the actions that takeActions() hands out.
 class Gateway {
 public:
-  Gateway(const GatewaySettings& settings, std::uint64_t random_seed);
+  /// @param observer hears of each decision; it must outlive the gateway.
+  Gateway(const GatewaySettings& settings, std::uint64_t random_seed,
+          request_observer& observer = noObserver());
   Gateway(const Gateway&) = delete;  // Its parts share its random source.
   Gateway& operator=(const Gateway&) = delete;
 
@@ -82,6 +85,7 @@
     bool first_byte = false;
     bool passes_bytes = false;  ///< Bytes go on as they come.
     bool error_answer = false;
+    int status = 0;  ///< Of the answer; 0: none came yet.
   };
   struct Entry {
     ClientId id = 0;
@@ -105,6 +109,9 @@
     bool head_passed = false;
     std::optional<StreamCursor> cursor;  ///< Of a resumable stream.
     Running running;
+    std::string last_backend;                   ///< Id of the one that it was sent to last.
+    request_cause cause = request_cause::none;  ///< Of the last thing that went wrong.
+    std::optional<TimePoint> first_byte_at;     ///< Set once a back end's answer began.
   };
 
   // Requests and the queue (gateway.cc).
@@ -116,35 +123,47 @@
   void serveQueue(TimePoint now);
   void dispatch(Entry& entry, const Choice& choice, TimePoint now);
   ForwardTerms forwardTerms(const Entry& entry, const Choice& choice, TimePoint now) const;
-  void refuse(ClientId client, int status, Duration retry_after);
+  void refuse(Entry& entry, TimePoint now);
+  void refuseUnchecked(ClientId client, const IncomingRequest& request, const CheckedRequest& checked,
+                       TimePoint now);
   Duration retryAfter(const Entry& entry);
   void finish(Entry& entry);
+  void giveUpFor(Entry& entry, request_cause cause, TimePoint now);
   void wakeAt(Entry& entry, TimePoint when);
   void onWake(Entry& entry, TimePoint now);
   void expire(Entry& entry, TimePoint now);
   Entry* findClient(ClientId client);
   RepeatBudget& budgetOf(const std::string& pool);
 
+  // Records for the observer (gateway_records.cc).
+  void tellAdmitted(const Entry& entry, TimePoint now);
+  void tellPlaced(const Entry& entry, const Choice& choice, TimePoint now);
+  void tellWaiting(const Entry& entry, TimePoint now);
+  void tellMoved(const Entry& entry, const Running& running, int status, bool goes_on, TimePoint now);
+  void tellEnded(const Entry& entry, request_outcome outcome, int status, Duration retry_after,
+                 TimePoint now);
+
   // Answers and failures (gateway_answers.cc).
   Entry* findExchange(ExchangeId exchange);
   const Entry* findExchange(ExchangeId exchange) const;
-  void onNotRun(Entry& entry, const BackendAnswer& answer, TimePoint now);
-  void onWrongBackend(Entry& entry, const BackendAnswer& answer, TimePoint now);
+  void onNotRun(Entry& entry, int status, const BackendAnswer& answer, TimePoint now);
+  void onWrongBackend(Entry& entry, int status, const BackendAnswer& answer, TimePoint now);
   void onErrorAnswer(Entry& entry, int status, TimePoint now);
-  void onBrokenAnswer(Entry& entry, TimePoint now);
+  void onBrokenAnswer(Entry& entry, int status, TimePoint now);
   void endExchange(Entry& entry, DispatchOutcome outcome, TimePoint now);
   void cancelExchange(Entry& entry, DispatchOutcome outcome, TimePoint now);
   void discardAnswer(Entry& entry, DispatchOutcome outcome, TimePoint now);
   bool mayRepeat(const Entry& entry) const;
   bool takeRepeat(Entry& entry, TimePoint now);
-  void goOn(Entry& entry, TimePoint now);
-  void moveOn(Entry& entry, TimePoint now);
+  void goOn(Entry& entry, const Running& failed, int status, TimePoint now);
+  void moveOn(Entry& entry, const Running& failed, int status, TimePoint now);
   void giveUp(Entry& entry, TimePoint now);
   void noteFirstByte(Entry& entry, TimePoint now);
   void checkSilence(Entry& entry, TimePoint now);
 
   GatewaySettings settings_;
   RandomSource random_;
+  request_observer& observer_;
   std::shared_ptr<const GatewaySnapshot> snapshot_;
   BackendTable table_;
   EngineChoice choice_;
--- a/src/gateway/gateway_answers.cc
+++ b/src/gateway/gateway_answers.cc
@@ -54,13 +54,14 @@
   if (entry == nullptr) return;
   Running& running = entry->running;
   running.heard_at = now;
+  running.status = status;
   table_.onHeard(running.slot, now);
-  if (answer.not_run || answer.wrong_backend) return onNotRun(*entry, answer, now);
+  if (answer.not_run || answer.wrong_backend) return onNotRun(*entry, status, answer, now);
   if (answer.weights_version) {
     choice_.onWeights(running.slot, running.incarnation, entry->client.model, *answer.weights_version);
   }
   entry->may_have_run = true;
-  if (!answer.genuine) return onBrokenAnswer(*entry, now);
+  if (!answer.genuine) return onBrokenAnswer(*entry, status, now);
   if (!isSuccess(status)) return onErrorAnswer(*entry, status, now);
   if (!entry->route->streaming) return noteFirstByte(*entry, now);
   running.passes_bytes = true;
@@ -96,6 +97,10 @@
   if (entry->cursor && entry->cursor->insideEvent()) return onLost(exchange, true, now);
   const bool error = entry->running.error_answer;
   const bool begun = entry->head_passed;
+  const int status = entry->running.status;
+  const request_outcome outcome =
+      isSuccess(status) ? request_outcome::answered : request_outcome::error_passed;
+  tellEnded(*entry, outcome, status, Duration(0), now);
   endExchange(*entry, error ? DispatchOutcome::ErrorAnswer : DispatchOutcome::Answered, now);
   if (begun) {
     actions_.emplace_back(EndAnswer{entry->id});
@@ -110,6 +115,7 @@
   Running& running = entry.running;
   if (running.first_byte) return;
   running.first_byte = true;
+  if (!entry.first_byte_at) entry.first_byte_at = now;
   const Duration taken = now - running.sent_at;
   choice_.onFirstByte(*entry.pool, running.prompt, running.exchange, taken, now);
   table_.onFirstByte(running.slot, running.incarnation, taken, running.expected, now);
@@ -117,20 +123,23 @@
 
 // Failures.
 
-void Gateway::onNotRun(Entry& entry, const BackendAnswer& answer, TimePoint now) {
+void Gateway::onNotRun(Entry& entry, int status, const BackendAnswer& answer, TimePoint now) {
   entry.arrived_before = true;
-  if (answer.wrong_backend) return onWrongBackend(entry, answer, now);
-  entry.failed.push_back(entry.running.slot);
+  if (answer.wrong_backend) return onWrongBackend(entry, status, answer, now);
+  const Running running = entry.running;
+  entry.cause = request_cause::back_end_full;
+  entry.failed.push_back(running.slot);
   discardAnswer(entry, DispatchOutcome::Full, now);
-  goOn(entry, now);
+  goOn(entry, running, status, now);
 }
 
 /// The back end is not what the snapshot says. A new attempt that counts with what it really is does not
 /// count as one at a further back end.
-void Gateway::onWrongBackend(Entry& entry, const BackendAnswer& answer, TimePoint now) {
+void Gateway::onWrongBackend(Entry& entry, int status, const BackendAnswer& answer, TimePoint now) {
   const Running running = entry.running;
   const Backend* backend = snapshot_->backend(running.slot);
   const bool other_weights = answer.weights_version.has_value();
+  entry.cause = other_weights ? request_cause::other_weights : request_cause::back_end_replaced;
   actions_.emplace_back(ReportWrongBackend{running.slot, running.incarnation, answer.weights_version});
   if (entry.sends > 0) --entry.sends;
   if (other_weights) {
@@ -139,55 +148,60 @@
   const bool same = backend != nullptr && backend->view.incarnation == running.incarnation;
   if (!other_weights && same) entry.failed.push_back(running.slot);
   discardAnswer(entry, other_weights ? DispatchOutcome::Ended : DispatchOutcome::ConnectFailed, now);
-  goOn(entry, now);
+  goOn(entry, running, status, now);
 }
 
 /// The back end answered that it failed.
 void Gateway::onErrorAnswer(Entry& entry, int status, TimePoint now) {
+  const Running running = entry.running;
   entry.running.error_answer = isServerError(status);
   entry.arrived_before = true;
+  entry.cause = request_cause::error_answer;
   entry.failed.push_back(entry.running.slot);
   const bool repeats = isServerError(status) && mayRepeat(entry) && takeRepeat(entry, now);
   if (repeats) {
     discardAnswer(entry, DispatchOutcome::ErrorAnswer, now);
-    return moveOn(entry, now);
+    return moveOn(entry, running, status, now);
   }
   const bool once = entry.route->repeatability == Repeatability::AtMostOnce;
   const bool passes = !entry.head_passed && !(once && promisesNotRun(status));
   if (passes) return;  // Whole, once it is here.
   discardAnswer(entry, DispatchOutcome::ErrorAnswer, now);
+  tellMoved(entry, running, status, false, now);
   giveUp(entry, now);
 }
 
 /// Bytes that are no answer of the back end's own.
-void Gateway::onBrokenAnswer(Entry& entry, TimePoint now) {
+void Gateway::onBrokenAnswer(Entry& entry, int status, TimePoint now) {
+  const Running running = entry.running;
   entry.arrived_before = true;
-  entry.failed.push_back(entry.running.slot);
+  entry.cause = request_cause::answer_not_genuine;
+  entry.failed.push_back(running.slot);
   cancelExchange(entry, DispatchOutcome::Failed, now);
-  goOn(entry, now);
+  goOn(entry, running, status, now);
 }
 
 void Gateway::onLost(ExchangeId exchange, bool sent, TimePoint now) {
   Entry* entry = findExchange(exchange);
   if (entry == nullptr) return;
-  const EngineSlot slot = entry->running.slot;
-  const std::uint64_t incarnation = entry->running.incarnation;
-  entry->failed.push_back(slot);
+  const Running running = entry->running;
+  entry->cause = sent ? request_cause::answer_broke_off : request_cause::back_end_unreachable;
+  entry->failed.push_back(running.slot);
   if (sent) {
     entry->arrived_before = true;
     entry->may_have_run = true;
   } else {
     --entry->sends;
-    actions_.emplace_back(ReportUnreachable{slot, incarnation});
+    actions_.emplace_back(ReportUnreachable{running.slot, running.incarnation});
   }
   endExchange(*entry, sent ? DispatchOutcome::Failed : DispatchOutcome::ConnectFailed, now);
-  goOn(*entry, now);
+  goOn(*entry, running, running.status, now);
   serveQueue(now);
 }
 
 /// Nothing at all has come from the back end for a while: those that may be repeated go elsewhere.
 void Gateway::checkSilence(Entry& entry, TimePoint now) {
-  const Running& running = entry.running;
+  const Running running = entry.running;
   const TimePoint heard = std::max(running.heard_at, table_.heardAt(running.slot));
   const TimePoint due = std::max(heard, running.sent_at) + settings_.silence_limit;
   const bool elsewhere = snapshot_->backends.size() > 1;
@@ -195,9 +209,10 @@
   entry.arrived_before = true;
   entry.may_have_run = true;
   if (!elsewhere || !mayRepeat(entry) || !takeRepeat(entry, now)) return wakeAt(entry, entry.ends_at);
+  entry.cause = request_cause::silence;
   entry.failed.push_back(running.slot);
   cancelExchange(entry, DispatchOutcome::Failed, now);
-  moveOn(entry, now);
+  moveOn(entry, running, running.status, now);
 }
 
 // Going on.
@@ -207,7 +222,10 @@
   if (running.exchange == 0) return;
   exchanges_.erase(running.exchange);
   choice_.onEnd(running.slot, running.exchange);
+  const bool trusted = table_.isHealthy(running.slot, now);
   table_.onOutcome(running.slot, running.incarnation, outcome, now);
+  if (!trusted || table_.isHealthy(running.slot, now)) return;
+  observer_.onDistrusted({entry.last_backend, entry.cause, table_.distrustedFor(running.slot, now)});
 }
 
 void Gateway::cancelExchange(Entry& entry, DispatchOutcome outcome, TimePoint now) {
@@ -233,12 +251,14 @@
   return budgetOf(entry.pool->name).tryRepeat(snapshot_->gateway_count, now);
 }
 
-void Gateway::goOn(Entry& entry, TimePoint now) {
-  if (!mayRepeat(entry) || !takeRepeat(entry, now)) return giveUp(entry, now);
-  moveOn(entry, now);
+void Gateway::goOn(Entry& entry, const Running& failed, int status, TimePoint now) {
+  if (mayRepeat(entry) && takeRepeat(entry, now)) return moveOn(entry, failed, status, now);
+  tellMoved(entry, failed, status, false, now);
+  giveUp(entry, now);
 }
 
-void Gateway::moveOn(Entry& entry, TimePoint now) {
+void Gateway::moveOn(Entry& entry, const Running& failed, int status, TimePoint now) {
+  tellMoved(entry, failed, status, true, now);
   if (entry.cursor) entry.cursor->restart();
   place(entry, now);
 }
@@ -249,11 +269,13 @@
   if (entry.head_passed) {
     ++counters_.failed;
     actions_.emplace_back(AbortAnswer{entry.id});
+    tellEnded(entry, request_outcome::cut, 0, Duration(0), now);
   } else if (entry.may_have_run) {
     ++counters_.failed;
     actions_.emplace_back(Refuse{entry.id, kBadGateway, Duration(0)});
+    tellEnded(entry, request_outcome::failed, kBadGateway, Duration(0), now);
   } else {
-    refuse(entry.id, kUnavailable, retryAfter(entry));
+    refuse(entry, now);
   }
   finish(entry);
 }
--- /dev/null
+++ b/src/gateway/gateway_records.cc
@@ -0,0 +1,108 @@
+/// @file The records of its decisions that a gateway tells its observer.
+
+#include "gateway/gateway.h"
+
+namespace crankspur::gateway {
+namespace {
+
+std::uint64_t versionOf(const std::shared_ptr<const Configuration>& configuration) {
+  return configuration == nullptr ? 0 : configuration->version;
+}
+
+std::string_view nameOrNone(const Route* route) {
+  return route == nullptr ? std::string_view() : std::string_view(route->name);
+}
+
+}  // namespace
+
+void Gateway::tellAdmitted(const Entry& entry, TimePoint now) {
+  request_admitted record;
+  record.request_id = entry.client.request_id;
+  record.route = entry.route->name;
+  record.pool = entry.pool->name;
+  record.tenant = entry.tenant;
+  record.model = entry.client.model;
+  record.configuration_version = versionOf(entry.configuration);
+  if (entry.route->needs_tenant) record.keys_age = snapshot_->keysAge(now);
+  record.priority = entry.priority;
+  record.prompt_tokens = entry.client.prompt_tokens;
+  record.time_left = entry.ends_at - now;
+  observer_.onAdmitted(record);
+}
+
+void Gateway::tellPlaced(const Entry& entry, const Choice& choice, TimePoint now) {
+  const EngineView& backend = choice.backend->view;
+  request_placed record;
+  record.request_id = entry.client.request_id;
+  record.dispatch = entry.dispatches;
+  record.pool = backend.pool;
+  record.backend = backend.name;
+  record.zone = backend.zone;
+  record.weights = choice.weights;
+  record.candidates = choice.candidates;
+  record.cost = choice.cost;
+  if (choice.runner_up != nullptr) record.runner_up = choice.runner_up->view.name;
+  record.runner_up_cost = choice.runner_up_cost;
+  record.in_flight = table_.inFlight(backend.slot);
+  record.prompt_tokens = entry.client.prompt_tokens;
+  record.uncached_tokens = choice.uncached_tokens;
+  record.shared_tokens_again = choice.shared_tokens_again;
+  record.import_from = choice.import_from;
+  if (entry.route->uses_prefixes) record.cache_age = choice_.cacheAge(backend.slot, now);
+  record.list_age = snapshot_->knowledgeAge(now);
+  record.configuration_version = versionOf(entry.configuration);
+  record.expected_first_byte = choice.expected_first_byte;
+  record.time_left = entry.ends_at - now;
+  observer_.onPlaced(record);
+}
+
+void Gateway::tellWaiting(const Entry& entry, TimePoint now) {
+  request_waiting record;
+  record.request_id = entry.client.request_id;
+  record.route = entry.route->name;
+  record.pool = entry.pool->name;
+  record.cause = entry.cause;
+  record.longest = entry.queued_until - now;
+  observer_.onWaiting(record);
+}
+
+void Gateway::tellMoved(const Entry& entry, const Running& running, int status, bool goes_on, TimePoint now) {
+  request_moved record;
+  record.request_id = entry.client.request_id;
+  record.backend = entry.last_backend;
+  record.cause = entry.cause;
+  record.status = status;
+  record.after = now - running.sent_at;
+  record.goes_on = goes_on;
+  record.resumes = goes_on && entry.head_passed;
+  record.back_ends = entry.sends;
+  const auto budget = budgets_.find(entry.pool->name);
+  if (budget != budgets_.end()) record.budget_left = budget->second.left(snapshot_->gateway_count, now);
+  observer_.onMoved(record);
+}
+
+void Gateway::tellEnded(const Entry& entry, request_outcome outcome, int status, Duration retry_after,
+                        TimePoint now) {
+  request_ended record;
+  record.request_id = entry.client.request_id;
+  record.route = nameOrNone(entry.route);
+  record.tenant = entry.tenant;
+  record.backend = entry.last_backend;
+  record.outcome = outcome;
+  const bool whole = outcome == request_outcome::answered;
+  record.cause = whole ? request_cause::none : entry.cause;
+  record.status = status;
+  record.may_have_run = entry.may_have_run;
+  record.dispatches = entry.dispatches;
+  record.configuration_version = versionOf(entry.configuration);
+  if (snapshot_ != nullptr) {
+    if (entry.route != nullptr && entry.route->needs_tenant) record.keys_age = snapshot_->keysAge(now);
+    record.list_age = snapshot_->knowledgeAge(now);
+  }
+  record.retry_after = retry_after;
+  if (entry.first_byte_at) record.first_byte = *entry.first_byte_at - entry.arrived_at;
+  record.total = now - entry.arrived_at;
+  observer_.onEnded(record);
+}
+
+}  // namespace crankspur::gateway
--- a/src/gateway/gateway_snapshot.h
+++ b/src/gateway/gateway_snapshot.h
@@ -2,6 +2,8 @@
 /// @file What a gateway knows when it decides: the accepted configuration and the live back ends. A gateway
 /// takes requests straight from clients and passes their answers on unread. Published whole, never changed.
 
+#include <algorithm>
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -106,6 +108,21 @@
   const GatewayTenant* findTenantByKey(std::string_view api_key) const;
 };
 
+/// When the platform last vouched for what a gateway knows. Written by the control thread, read by traffic at
+/// each decision, so that a gateway that wakes from a freeze does not decide by what held before.
+class platform_contact {
+public:
+  /// Everything that the operator had accepted by `as_of` is known. Earlier times than told before change
+  /// nothing.
+  void vouch(TimePoint as_of) {
+    vouched_at_ = std::max(vouched_at_.load(), as_of.time_since_epoch().count());
+  }
+  TimePoint vouchedAt() const { return TimePoint(Duration(vouched_at_.load())); }
+
+private:
+  std::atomic<Duration::rep> vouched_at_ = 0;
+};
+
 /// Everything a traffic shard decides by.
 struct GatewaySnapshot {
   std::shared_ptr<const Configuration> configuration;  ///< Null until the first is known: refuse as not run.
@@ -113,12 +130,19 @@
   std::vector<NamedWeights> weights;
   std::string own_zone;
   std::string own_region;
-  std::uint32_t gateway_count = 1;  ///< Live gateways, this one included.
-  /// False: so long out of touch with the platform that keys may have been taken away; requests that need a
-  /// key are refused as not run.
-  bool keys_current = true;
+  std::uint32_t gateway_count = 1;                  ///< Live gateways, this one included.
+  std::shared_ptr<const platform_contact> contact;  ///< Null: the platform is never out of touch.
+  /// Longest time without contact for which keys count as valid; empty: for ever.
+  std::optional<Duration> key_validity;
 
   const Backend* backend(EngineSlot slot) const;
+  /// @return time since the platform vouched for the configuration and the list of back ends.
+  Duration knowledgeAge(TimePoint now) const;
+  /// @return knowledgeAge() if keys expire by it.
+  std::optional<Duration> keysAge(TimePoint now) const;
+  /// False: so long out of touch with the platform that keys may have been taken away; requests that need a
+  /// key are refused as not run.
+  bool keysCurrent(TimePoint now) const;
 };
 
 }  // namespace crankspur::gateway
--- a/src/gateway/repeat_budget.cc
+++ b/src/gateway/repeat_budget.cc
@@ -21,7 +21,7 @@
   ++slice(now).requests;
 }
 
-bool RepeatBudget::tryRepeat(std::uint32_t gateway_count, TimePoint now) {
+double RepeatBudget::left(std::uint32_t gateway_count, TimePoint now) const {
   const std::int64_t current = numberOf(now);
   const auto window = static_cast<std::int64_t>(kSlices);
   double requests = 0;
@@ -30,8 +30,11 @@
     if (one.number > current - window) requests += one.requests;
     if (one.number >= current - window) repeats += one.repeats;
   }
-  const double allowed = settings_.ratio * requests + settings_.slack / std::max(gateway_count, 1U);
-  if (repeats + 1 > allowed) return false;
+  return settings_.ratio * requests + settings_.slack / std::max(gateway_count, 1U) - repeats;
+}
+
+bool RepeatBudget::tryRepeat(std::uint32_t gateway_count, TimePoint now) {
+  if (left(gateway_count, now) < 1) return false;
   ++slice(now).repeats;
   return true;
 }
--- a/src/gateway/request_check.h
+++ b/src/gateway/request_check.h
@@ -6,6 +6,7 @@
 
 #include "gateway/dialect.h"
 #include "gateway/gateway_snapshot.h"
+#include "gateway/request_observer.h"
 
 namespace crankspur::gateway {
 
@@ -20,10 +21,11 @@
 struct CheckedRequest {
   int refusal = 0;  ///< Status to refuse with; 0: it may be served.
   const Route* route = nullptr;
-  const GatewayTenant* tenant = nullptr;  ///< Null: the route needs none.
+  const GatewayTenant* tenant = nullptr;      ///< Null: the route needs none.
+  request_cause cause = request_cause::none;  ///< Of the refusal.
 };
 
 /// Checks route and key. Pointers are into the snapshot's configuration.
-CheckedRequest checkRequest(const IncomingRequest& request, const GatewaySnapshot* snapshot);
+CheckedRequest checkRequest(const IncomingRequest& request, const GatewaySnapshot* snapshot, TimePoint now);
 
 }  // namespace crankspur::gateway
--- a/src/gateway_control/fleet_view.cc
+++ b/src/gateway_control/fleet_view.cc
@@ -22,8 +22,32 @@
 /// Lists lag: an older version in one within this time of a learned version is not believed.
 constexpr Duration kListLag = std::chrono::seconds(3);
 
+/// Raises a listed version to the one that was learned before the list.
+void keepNewer(LoadedModel& loaded, const std::vector<LoadedModel>& held) {
+  for (const LoadedModel& before : held) {
+    const bool newer = weightsNumber(before.weights_version) > weightsNumber(loaded.weights_version);
+    if (before.model == loaded.model && newer) loaded.weights_version = before.weights_version;
+  }
+}
+
 }  // namespace
 
+std::string_view nameOf(belief_source source) {
+  switch (source) {
+    case belief_source::list:
+      return "list";
+    case belief_source::own_traffic:
+      return "own_traffic";
+    case belief_source::report:
+      return "report";
+    case belief_source::order:
+      return "order";
+    case belief_source::elapsed_time:
+      return "elapsed_time";
+  }
+  return "list";
+}
+
 std::uint64_t weightsNumber(const std::string& version) {
   std::uint64_t number = 0;
   const auto result = std::from_chars(version.data(), version.data() + version.size(), number);
@@ -49,17 +73,37 @@
   entry.listed = true;
   entry.draining = listed.draining;
   const std::vector<LoadedModel> held = std::exchange(view.models, listed.models);
-  if (now - entry.weights_learned_at >= kListLag || added) return;
-  for (const LoadedModel& model : held) raiseWeights(entry, model.model, model.weights_version);
+  const bool list_lags = now - entry.weights_learned_at < kListLag && !added;
+  if (list_lags) {
+    for (LoadedModel& loaded : view.models) keepNewer(loaded, held);
+  }
+  noteListedWeights(entry, held);
 }
 
-void FleetView::raiseWeights(Entry& entry, const std::string& model, const std::string& version) {
+void FleetView::raiseWeights(Entry& entry, const std::string& model, const std::string& version,
+                             belief_source source) {
   for (LoadedModel& loaded : entry.backend.view.models) {
     const bool newer = weightsNumber(version) > weightsNumber(loaded.weights_version);
-    if (loaded.model == model && newer) loaded.weights_version = version;
+    if (loaded.model != model || !newer) continue;
+    weights_changes_.push_back({entry.backend.view.name, model, loaded.weights_version, version, source});
+    loaded.weights_version = version;
   }
 }
 
+void FleetView::noteListedWeights(const Entry& entry, const std::vector<LoadedModel>& held) {
+  const EngineView& view = entry.backend.view;
+  for (const LoadedModel& before : held) {
+    const std::string version = view.weightsOf(before.model);
+    if (version == before.weights_version) continue;
+    weights_changes_.push_back(
+        {view.name, before.model, before.weights_version, version, belief_source::list});
+  }
+}
+
+std::vector<weights_change> FleetView::takeWeightsChanges() {
+  return std::exchange(weights_changes_, {});
+}
+
 void FleetView::onGone(const std::string& id, TimePoint now) {
   const auto place = entries_.find(id);
   if (place == entries_.end() || !place->second.listed) return;
@@ -97,10 +141,10 @@
 }
 
 void FleetView::onWeights(const std::string& id, const std::string& model, const std::string& version,
-                          TimePoint now) {
+                          TimePoint now, belief_source source) {
   const auto place = entries_.find(id);
   if (place == entries_.end()) return;
-  raiseWeights(place->second, model, version);
+  raiseWeights(place->second, model, version, source);
   place->second.weights_learned_at = now;
 }
 
@@ -108,7 +152,8 @@
                                 TimePoint now) {
   Entry* entry = findSlot(slot, incarnation);
   if (entry == nullptr || entry->backend.view.models.size() != 1) return;
-  onWeights(entry->backend.view.name, entry->backend.view.models.front().model, version, now);
+  const std::string model = entry->backend.view.models.front().model;
+  onWeights(entry->backend.view.name, model, version, now, belief_source::own_traffic);
 }
 
 void FleetView::onLoading(const std::string& id, TimePoint until) {
@@ -139,12 +184,16 @@
   return place != newest_at_address_.end() && place->second != entry.backend.view.name;
 }
 
-EngineState FleetView::stateOf(const Entry& entry, TimePoint now) const {
-  if (superseded(entry)) return EngineState::Dead;
-  const bool gone = !entry.listed && now >= entry.gone_from;
-  if (gone || entry.draining) return EngineState::Leaving;
-  if (now < entry.avoided_until || now < entry.loading_until) return EngineState::Ejected;
-  return EngineState::Live;
+FleetView::judged_state FleetView::judge(const Entry& entry, TimePoint now) const {
+  if (superseded(entry)) return {EngineState::Dead, "address_taken_over", belief_source::list};
+  if (entry.draining) return {EngineState::Leaving, "draining", belief_source::list};
+  if (!entry.listed && now >= entry.gone_from) return {EngineState::Leaving, "unlisted", belief_source::list};
+  if (now < entry.loading_until) return {EngineState::Ejected, "loading_weights", belief_source::order};
+  if (now < entry.avoided_until) return {EngineState::Ejected, "unreachable", belief_source::own_traffic};
+  if (entry.last_state == EngineState::Ejected) {
+    return {EngineState::Live, "tried_again", belief_source::elapsed_time};
+  }
+  return {EngineState::Live, "listed", belief_source::list};
 }
 
 std::vector<Backend> FleetView::backends(TimePoint now) {
@@ -155,9 +204,9 @@
   std::vector<Backend> backends;
   backends.reserve(entries_.size());
   for (auto& [id, entry] : entries_) {
-    const EngineState state = stateOf(entry, now);
+    const auto [state, cause, source] = judge(entry, now);
     if (state != entry.last_state) {
-      changes_.push_back({id, entry.backend.view.pool, entry.last_state, state});
+      changes_.push_back({id, entry.backend.view.pool, entry.last_state, state, cause, source});
       entry.last_state = state;
     }
     entry.backend.view.state = state;
--- a/src/gateway_control/fleet_view.h
+++ b/src/gateway_control/fleet_view.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "gateway/gateway_snapshot.h"
@@ -13,12 +14,35 @@
 
 namespace crankspur::gateway {
 
+/// What a belief about a back end rests on.
+enum class belief_source {
+  list,          ///< The platform's list.
+  own_traffic,   ///< Requests that this gateway sent.
+  report,        ///< The back end's report, to this gateway or to another one that told it on.
+  order,         ///< An order to load weights, by this gateway or another one.
+  elapsed_time,  ///< What held before has run out.
+};
+
+/// @return the source as it stands in logs.
+std::string_view nameOf(belief_source source);
+
 /// A change of a back end's state, for the log.
 struct FleetChange {
   std::string id;
   std::string pool;
   EngineState previous = EngineState::Dead;
   EngineState state = EngineState::Dead;
+  std::string_view cause;  ///< For example "draining" or "unreachable".
+  belief_source source = belief_source::list;
+};
+
+/// A change of the weights that a back end is believed to hold, for the log.
+struct weights_change {
+  std::string id;
+  std::string model;
+  std::string previous;
+  std::string version;
+  belief_source source = belief_source::list;
 };
 
 /// The view. Not thread-safe.
@@ -33,7 +57,8 @@
   /// Traffic could not reach the back end.
   void onUnreachable(EngineSlot slot, std::uint64_t incarnation, TimePoint now);
   /// The back end itself, or an answer of it, stated the version of weights that it holds.
-  void onWeights(const std::string& id, const std::string& model, const std::string& version, TimePoint now);
+  void onWeights(const std::string& id, const std::string& model, const std::string& version, TimePoint now,
+                 belief_source source = belief_source::report);
   /// As above, for a back end that holds one model.
   void onWeightsOfSlot(EngineSlot slot, std::uint64_t incarnation, const std::string& version, TimePoint now);
   /// An order to load weights is running at the back end until `until`; it takes no new request meanwhile.
@@ -46,6 +71,8 @@
   TimePoint nextChange(TimePoint now) const;
   /// @return state changes since the last call.
   std::vector<FleetChange> takeChanges();
+  /// @return changes of weights since the last call.
+  std::vector<weights_change> takeWeightsChanges();
 
 private:
   struct Entry {
@@ -63,9 +90,16 @@
   };
 
   Entry* findSlot(EngineSlot slot, std::uint64_t incarnation);
-  EngineState stateOf(const Entry& entry, TimePoint now) const;
+  /// A state with what it rests on.
+  struct judged_state {
+    EngineState state = EngineState::Live;
+    std::string_view cause;
+    belief_source source = belief_source::list;
+  };
+  judged_state judge(const Entry& entry, TimePoint now) const;
   bool superseded(const Entry& entry) const;
-  static void raiseWeights(Entry& entry, const std::string& model, const std::string& version);
+  void raiseWeights(Entry& entry, const std::string& model, const std::string& version, belief_source source);
+  void noteListedWeights(const Entry& entry, const std::vector<LoadedModel>& held);
 
   std::map<std::string, Entry> entries_;
   std::map<std::string, std::string> newest_at_address_;  ///< Address to the id listed there last.
@@ -73,6 +107,7 @@
   bool had_trouble_ = false;
   EngineSlot next_slot_ = 0;
   std::vector<FleetChange> changes_;
+  std::vector<weights_change> weights_changes_;
 };
 
 /// @return the version as a number; 0 when it is none.
--- /dev/null
+++ b/src/gateway_control/gateway_admin.cc
@@ -0,0 +1,123 @@
+#include "gateway_control/gateway_admin.h"
+
+#include <boost/json.hpp>
+#include <map>
+
+#include "base/error.h"
+#include "router/engine_table.h"
+
+namespace crankspur::gateway {
+namespace {
+
+namespace json = boost::json;
+
+constexpr int kNotFound = 404;
+constexpr int kOk = 200;
+
+json::object describe(const MemberRecord& member) {
+  return {{"name", member.name},
+          {"state", memberStateName(member.state)},
+          {"incarnation", member.incarnation},
+          {"bundle_version", member.bundle_version}};
+}
+
+json::object describe(const Backend& backend) {
+  json::object models;
+  for (const LoadedModel& loaded : backend.view.models) models[loaded.model] = loaded.weights_version;
+  return {{"name", backend.view.name},
+          {"pool", backend.view.pool},
+          {"zone", backend.view.zone},
+          {"state", engineStateName(backend.view.state)},
+          {"weights", std::move(models)}};
+}
+
+template <typename Items>
+json::array describeAll(const Items& items) {
+  json::array all;
+  for (const auto& item : items) all.push_back(describe(item));
+  return all;
+}
+
+}  // namespace
+
+gateway_admin::gateway_admin(const NodeSettings& settings, const GatewayProcess& process,
+                             const GatewayControl& control, gateway_metrics& metrics,
+                             const bounded_event_log& log)
+    : settings_(settings), process_(process), control_(control), metrics_(metrics), log_(log) {}
+
+std::error_code gateway_admin::listen(const boost::asio::any_io_executor& executor,
+                                      const std::string& address) {
+  std::error_code error;
+  if (address.empty()) return error;
+  endpoints_ =
+      std::make_shared<http::AdminEndpoints>(metrics_.registry(), [this] { return whyNotServing(); });
+  endpoints_->beforeMetrics([this] { refreshGauges(); });
+  endpoints_->add("/status",
+                  [this](const http::Request&, const writer_pointer& writer) { writer->respond(status()); });
+  endpoints_->add("/explain", [this](const http::Request& request, const writer_pointer& writer) {
+    writer->respond(explain(request.query("request_id")));
+  });
+  server_ = http::listenAdmin(executor, address, endpoints_, error);
+  return error;
+}
+
+std::string gateway_admin::whyNotServing() const {
+  if (process_.ready()) return "";
+  return control_.status().leaving ? "stopping" : "no configuration";
+}
+
+http::Response gateway_admin::status() const {
+  const control_status held = control_.status();
+  const json::object body = {{"name", settings_.name},
+                             {"role", "gateway"},
+                             {"zone", settings_.zone},
+                             {"region", settings_.region},
+                             {"version", CRANKSPUR_VERSION},
+                             {"bundle_version", held.configuration_version},
+                             {"requests_in_flight", process_.inFlight()},
+                             {"stopping", held.leaving},
+                             {"platform_reachable", held.platform_reachable},
+                             {"knowledge_age_ms", toSeconds(held.knowledge_age) * 1000},
+                             {"holds_order_lease", held.holds_order_lease},
+                             {"members", describeAll(held.members)},
+                             {"engines", describeAll(held.backends)}};
+  return http::jsonResponse(kOk, json::serialize(body));
+}
+
+/// The lines that name the request, as far back as they are kept.
+http::Response gateway_admin::explain(const std::string& request_id) const {
+  json::array lines;
+  const std::string wanted = "request_id=" + request_id + " ";
+  if (!request_id.empty()) {
+    for (const std::string& line : log_.recentLines(wanted)) {
+      lines.emplace_back(std::string_view(line).substr(0, line.size() - 1));
+    }
+  }
+  if (lines.empty()) {
+    return http::errorResponse(kNotFound, errorName(ErrorCode::InvalidRequest),
+                               "no line of late names this request", "not_run");
+  }
+  const json::object body = {
+      {"request_id", request_id}, {"gateway", settings_.name}, {"lines", std::move(lines)}};
+  return http::jsonResponse(kOk, json::serialize(body));
+}
+
+void gateway_admin::refreshGauges() {
+  const control_status held = control_.status();
+  std::map<std::string_view, std::size_t> states = {{"live", 0}, {"leaving", 0}, {"ejected", 0}, {"dead", 0}};
+  for (const Backend& backend : held.backends) ++states[engineStateName(backend.view.state)];
+  for (const auto& [state, count] : states) metrics_.setBackends(state, count);
+  metrics_.in_flight.Set(static_cast<double>(process_.inFlight()));
+  metrics_.configuration_version.Set(static_cast<double>(held.configuration_version));
+  metrics_.members.Set(static_cast<double>(held.members.size()));
+  metrics_.knowledge_age.Set(toSeconds(held.knowledge_age));
+  metrics_.platform_reachable.Set(held.platform_reachable ? 1 : 0);
+  metrics_.holds_order_lease.Set(held.holds_order_lease ? 1 : 0);
+  metrics_.orders.Set(static_cast<double>(held.orders_sent));
+  const dropped_lines dropped = log_.dropped();
+  metrics_.log_lines.Set(static_cast<double>(log_.linesAccepted()));
+  metrics_.log_routine_dropped.Set(static_cast<double>(dropped.routine));
+  metrics_.log_notable_dropped.Set(static_cast<double>(dropped.notable));
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway_control/gateway_admin.h
@@ -0,0 +1,44 @@
+#pragma once
+/// @file What one gateway tells operators: /healthz, /metrics, /status and /explain at its own address. Lives
+/// on the control thread.
+
+#include <boost/asio/any_io_executor.hpp>
+#include <memory>
+#include <string>
+#include <system_error>
+
+#include "base/bounded_event_log.h"
+#include "gateway_control/gateway_control.h"
+#include "gateway_process/gateway_metrics.h"
+#include "gateway_process/gateway_process.h"
+#include "http/admin.h"
+
+namespace crankspur::gateway {
+
+/// Serves the address. Its parts must outlive it.
+class gateway_admin {
+public:
+  gateway_admin(const NodeSettings& settings, const GatewayProcess& process, const GatewayControl& control,
+                gateway_metrics& metrics, const bounded_event_log& log);
+  /// @param address "IP:port"; empty: nothing is served.
+  std::error_code listen(const boost::asio::any_io_executor& executor, const std::string& address);
+  /// @return the port that was bound; 0: none.
+  std::uint16_t port() const { return server_ == nullptr ? 0 : server_->port(); }
+
+private:
+  using writer_pointer = std::shared_ptr<http::ResponseWriter>;
+  std::string whyNotServing() const;
+  http::Response status() const;
+  http::Response explain(const std::string& request_id) const;
+  void refreshGauges();
+
+  const NodeSettings& settings_;
+  const GatewayProcess& process_;
+  const GatewayControl& control_;
+  gateway_metrics& metrics_;
+  const bounded_event_log& log_;
+  std::shared_ptr<http::AdminEndpoints> endpoints_;
+  std::unique_ptr<http::Server> server_;
+};
+
+}  // namespace crankspur::gateway
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -1,11 +1,13 @@
 #include "gateway_control/gateway_control.h"
 
 #include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
 #include "base/endpoint.h"
 #include "base/hash.h"
+#include "router/engine_table.h"
 
 namespace crankspur::gateway {
 
@@ -72,7 +74,7 @@
       outputs_(std::move(outputs)),
       log_(log),
       gossip_(
-          executor, gossipOptions(settings, incarnation), [this] { publishSoon(); },
+          executor, gossipOptions(settings, incarnation), [this] { onMembers(); },
           [this](const BackendNote& note) {
             orders_.onOthersActive();
             onNote(note);
@@ -84,7 +86,7 @@
       change_timer_(executor) {}
 
 std::error_code GatewayControl::start() {
-  contact_at_ = now();
+  contact_->vouch(now());
   if (const std::error_code error = gossip_.start()) return error;
   platform_.start(platformNews());
   return {};
@@ -99,7 +101,11 @@
     named.named_at = now();
     // What was found at the start was named an unknown time before.
     if (!told_once_) named.named_at -= settings_.weights_limit - kWeightsFoundMargin;
-    if (orders_.onNamed(named)) publishSoon();
+    if (!orders_.onNamed(named)) return;
+    log_.write(EventId::WeightsNamed, {{"model", named.model},
+                                       {"version", named.version},
+                                       {"age_ms", milliseconds(now() - named.named_at)}});
+    publishSoon();
   };
   news.on_backend = [this](const ListedBackend& listed) {
     fleet_.onListed(listed, now());
@@ -130,6 +136,32 @@
   return callbacks;
 }
 
+void GatewayControl::onMembers() {
+  std::map<std::string, MemberRecord> present;
+  for (const MemberRecord& member : gossip_.members()) present[member.name] = member;
+  for (const auto& [name, member] : present) {
+    const auto known = members_.find(name);
+    const bool same = known != members_.end() && known->second.state == member.state &&
+                      known->second.incarnation == member.incarnation;
+    if (!same)
+      logMember(member, known == members_.end() ? "unknown" : memberStateName(known->second.state),
+                memberStateName(member.state));
+  }
+  for (const auto& [name, member] : members_) {
+    if (!present.contains(name)) logMember(member, memberStateName(member.state), "dead");
+  }
+  members_ = std::move(present);
+  publishSoon();
+}
+
+void GatewayControl::logMember(const MemberRecord& member, std::string_view from, std::string_view to) {
+  log_.write(EventId::MemberChanged, {{"name", member.name},
+                                      {"incarnation", member.incarnation},
+                                      {"from", from},
+                                      {"to", to},
+                                      {"configuration", member.bundle_version}});
+}
+
 void GatewayControl::onConfiguration(std::shared_ptr<const Configuration> configuration) {
   if (configuration_ != nullptr && configuration->version <= configuration_->version) return;
   log_.write(EventId::GatewayConfigurationTaken, {{"version", configuration->version},
@@ -143,16 +175,23 @@
 }
 
 void GatewayControl::onContact(TimePoint as_of) {
-  contact_at_ = std::max(contact_at_, as_of);
+  contact_->vouch(as_of);
   told_once_ = true;
-  if (!std::exchange(reachable_, true)) log_.write(EventId::PlatformReachable, {});
+  if (!std::exchange(reachable_, true)) {
+    log_.write(EventId::PlatformReachable,
+               {{"service", "store"}, {"unreachable_ms", milliseconds(now() - lost_at_)}});
+  }
   if (keysCurrent() != keys_current_) publish();
 }
 
 void GatewayControl::onTrouble() {
   fleet_.onPlatformTrouble(now());
   if (std::exchange(reachable_, false)) {
-    log_.write(EventId::PlatformUnreachable, {{"service", "store"}, {"reason", "no answer"}});
+    lost_at_ = now();
+    log_.write(EventId::PlatformUnreachable,
+               {{"service", "store"},
+                {"reason", "no answer"},
+                {"last_contact_ms", milliseconds(now() - contact_->vouchedAt())}});
   }
 }
 
@@ -226,8 +265,21 @@
   return addresses.empty() ? unready : addresses;
 }
 
+control_status GatewayControl::status() const {
+  control_status status;
+  status.configuration_version = configuration_ == nullptr ? 0 : configuration_->version;
+  status.knowledge_age = now() - contact_->vouchedAt();
+  status.platform_reachable = reachable_;
+  status.leaving = leaving_;
+  status.holds_order_lease = orders_.holding();
+  status.orders_sent = orders_.ordersSent();
+  status.members = gossip_.members();
+  status.backends = backends_;
+  return status;
+}
+
 bool GatewayControl::keysCurrent() const {
-  return !settings_.key_validity || now() - contact_at_ < *settings_.key_validity;
+  return !settings_.key_validity || now() - contact_->vouchedAt() < *settings_.key_validity;
 }
 
 void GatewayControl::onSettings(const NodeSettings& settings) {
@@ -256,7 +308,8 @@
   backends_ = fleet_.backends(now());
   logFleet();
   if (std::exchange(keys_current_, keysCurrent()) != keysCurrent()) {
-    log_.write(EventId::GatewayKeysOutdated, {{"current", keys_current_}});
+    log_.write(EventId::GatewayKeysOutdated,
+               {{"current", keys_current_}, {"age_ms", milliseconds(now() - contact_->vouchedAt())}});
   }
   auto snapshot = std::make_shared<GatewaySnapshot>();
   snapshot->configuration = configuration_;
@@ -265,7 +318,8 @@
   snapshot->own_zone = settings_.zone;
   snapshot->own_region = settings_.region;
   snapshot->gateway_count = static_cast<std::uint32_t>(std::max<std::size_t>(1, clientAddresses().size()));
-  snapshot->keys_current = keys_current_;
+  snapshot->contact = contact_;
+  snapshot->key_validity = settings_.key_validity;
   outputs_.publish(std::move(snapshot));
   if (configuration_ != nullptr) cache_watch_.update(*configuration_, backends_);
   orders_.wake();
@@ -274,7 +328,9 @@
 
 void GatewayControl::armPublishTimer() {
   TimePoint next = std::min(now() + kLongestPause, fleet_.nextChange(now()));
-  if (settings_.key_validity && keys_current_) next = std::min(next, contact_at_ + *settings_.key_validity);
+  if (settings_.key_validity && keys_current_) {
+    next = std::min(next, contact_->vouchedAt() + *settings_.key_validity);
+  }
   change_timer_.expires_at(next);
   change_timer_.async_wait([this](boost::system::error_code error) {
     if (!error) publish();
@@ -285,8 +341,17 @@
   for (const FleetChange& change : fleet_.takeChanges()) {
     log_.write(EventId::BackendStateChanged, {{"backend", change.id},
                                               {"pool", change.pool},
-                                              {"from", static_cast<int>(change.previous)},
-                                              {"to", static_cast<int>(change.state)}});
+                                              {"from", engineStateName(change.previous)},
+                                              {"to", engineStateName(change.state)},
+                                              {"cause", change.cause},
+                                              {"source", nameOf(change.source)}});
+  }
+  for (const weights_change& change : fleet_.takeWeightsChanges()) {
+    log_.write(EventId::BackendWeightsChanged, {{"backend", change.id},
+                                                {"model", change.model},
+                                                {"from", change.previous},
+                                                {"to", change.version},
+                                                {"source", nameOf(change.source)}});
   }
 }
 
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -5,6 +5,7 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -25,6 +26,18 @@
   std::function<void(CachedPartsNews)> on_cached_parts;
 };
 
+/// What the control state holds, for operators.
+struct control_status {
+  std::uint64_t configuration_version = 0;  ///< 0: none is known.
+  Duration knowledge_age{0};                ///< Since the platform vouched for all that is known.
+  bool platform_reachable = false;
+  bool leaving = false;
+  bool holds_order_lease = false;
+  std::uint64_t orders_sent = 0;  ///< Since the start.
+  std::vector<MemberRecord> members;
+  std::vector<Backend> backends;
+};
+
 /// The control state. Use from its executor's thread only.
 class GatewayControl {
 public:
@@ -40,6 +53,7 @@
   void onSettings(const NodeSettings& settings);
   /// @return "IP:port" of the gateways that clients should use, this one among them unless it leaves.
   std::vector<std::string> clientAddresses() const;
+  control_status status() const;
 
   void onUnreachable(EngineSlot slot, std::uint64_t incarnation);
   void onWrongBackend(EngineSlot slot, std::uint64_t incarnation,
@@ -49,6 +63,8 @@
   TimePoint now() const { return clock_.now(); }
   PlatformNews platformNews();
   OrderGiverCallbacks orderCallbacks();
+  void onMembers();
+  void logMember(const MemberRecord& member, std::string_view from, std::string_view to);
   void onConfiguration(std::shared_ptr<const Configuration> configuration);
   void onContact(TimePoint as_of);
   void onTrouble();
@@ -74,9 +90,11 @@
   OrderGiver orders_;
   CacheWatch cache_watch_;
   std::shared_ptr<const Configuration> configuration_;
-  TimePoint contact_at_{};
+  std::shared_ptr<platform_contact> contact_ = std::make_shared<platform_contact>();
   bool told_once_ = false;  ///< The platform has told everything once.
   bool reachable_ = true;
+  TimePoint lost_at_{};                          ///< When the platform was last lost.
+  std::map<std::string, MemberRecord> members_;  ///< As logged last, by name.
   bool leaving_ = false;
   bool publish_waiting_ = false;
   bool keys_current_ = true;
--- a/src/gateway_control/node_settings.cc
+++ b/src/gateway_control/node_settings.cc
@@ -58,6 +58,7 @@
   readAddress(*root, "front", true, settings.front);
   readAddress(*root, "readiness", false, settings.readiness);
   readAddress(*root, "directory", false, settings.directory);
+  readAddress(*root, "metrics", false, settings.metrics);
   readAddress(*root, "gossip", true, settings.gossip);
   readAddress(*root, "platform", true, settings.platform);
   readSeeds(*root, settings.seeds);
--- a/src/gateway_control/node_settings.h
+++ b/src/gateway_control/node_settings.h
@@ -19,11 +19,12 @@
   std::string name;
   std::string zone;
   std::string region;
-  std::string front;               ///< "IP:port" for clients.
-  std::string readiness;           ///< "IP:port" of the platform's readiness check; empty: not served.
-  std::string directory;           ///< "IP:port" where clients ask for gateways; empty: not served.
-  std::string gossip;              ///< "IP:port" (UDP) for other gateways; all gateways use the same port.
-  std::string platform;            ///< "IP:port" of the platform's store.
+  std::string front;      ///< "IP:port" for clients.
+  std::string readiness;  ///< "IP:port" of the platform's readiness check; empty: not served.
+  std::string directory;  ///< "IP:port" where clients ask for gateways; empty: not served.
+  std::string metrics;    ///< "IP:port" of /metrics, /healthz, /status and /explain; empty: not served.
+  std::string gossip;     ///< "IP:port" (UDP) for other gateways; all gateways use the same port.
+  std::string platform;   ///< "IP:port" of the platform's store.
   std::vector<std::string> seeds;  ///< IP addresses of other gateways, perhaps stale.
   RetryBudgetSettings retry_budget;
   /// How long keys count as current without word from the platform; empty: for ever.
--- a/src/gateway_control/order_giver.cc
+++ b/src/gateway_control/order_giver.cc
@@ -7,6 +7,24 @@
 
 namespace {
 
+std::string_view nameOf(OrderAnswer answer) {
+  switch (answer) {
+    case OrderAnswer::Begun:
+      return "begun";
+    case OrderAnswer::InEffect:
+      return "in_effect";
+    case OrderAnswer::Conflict:
+      return "conflict";
+    case OrderAnswer::Fenced:
+      return "fenced";
+    case OrderAnswer::Refused:
+      return "refused";
+    case OrderAnswer::Unknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
 constexpr char kLeaseName[] = "weights";
 constexpr Duration kLeaseLifetime = std::chrono::milliseconds(1'500);
 /// A gateway contends this much later for each one that goes before it.
@@ -144,11 +162,14 @@
                                   {"weights_version", order.version},
                                   {"adapter", ""},
                                   {"token", token}});
+  ++orders_sent_;
   callbacks_.on_loading(backend);
   platform_.sendOrder(order, [this, backend](OrderAnswer answer) {
-    if (answer == OrderAnswer::Refused || answer == OrderAnswer::Fenced) {
-      log_.write(EventId::OrderFailed,
-                 {{"engine", backend}, {"reason", answer == OrderAnswer::Fenced ? "fenced" : "refused"}});
+    const bool failed = answer == OrderAnswer::Refused || answer == OrderAnswer::Fenced;
+    if (failed) {
+      log_.write(EventId::OrderFailed, {{"engine", backend}, {"reason", nameOf(answer)}});
+    } else {
+      log_.write(EventId::OrderAnswered, {{"engine", backend}, {"answer", nameOf(answer)}});
     }
     rollout_.onAnswer(backend, answer, clock_.now());
   });
--- a/src/gateway_control/order_giver.h
+++ b/src/gateway_control/order_giver.h
@@ -46,6 +46,10 @@
   void onOthersActive() { others_active_at_ = clock_.now(); }
   /// The back ends changed: there may be work.
   void wake();
+  /// @return whether this gateway held the order lease when last looked at.
+  bool holding() const { return holding_; }
+  /// @return orders sent since the start.
+  std::uint64_t ordersSent() const { return orders_sent_; }
   /// Gives no further order and leaves the lease to others.
   void stop();
 
@@ -72,6 +76,7 @@
   bool ticking_ = false;
   bool stopped_ = false;
   bool holding_ = false;
+  std::uint64_t orders_sent_ = 0;
   LeaseRow row_;                  ///< As last seen.
   std::string other_holder_;      ///< The last one seen that is not this gateway.
   TimePoint other_renewed_at_{};  ///< When its last renewal was seen.
--- /dev/null
+++ b/src/gateway_process/gateway_metrics.cc
@@ -0,0 +1,127 @@
+#include "gateway_process/gateway_metrics.h"
+
+namespace crankspur::gateway {
+namespace {
+
+constexpr char kPrefix[] = "crankspur_gateway_";
+/// Routes beyond so many are counted together: a configuration may hold thousands.
+constexpr std::size_t kLabelledRoutes = 32;
+
+prometheus::Histogram::BucketBoundaries secondsBuckets() {
+  return {0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 1.5, 2, 3, 5, 10, 20};
+}
+
+prometheus::Family<prometheus::Counter>& counters(prometheus::Registry& registry, const std::string& name,
+                                                  const std::string& help) {
+  return prometheus::BuildCounter().Name(kPrefix + name).Help(help).Register(registry);
+}
+
+prometheus::Histogram& histogram(prometheus::Registry& registry, const std::string& name,
+                                 const std::string& help) {
+  return prometheus::BuildHistogram()
+      .Name(kPrefix + name)
+      .Help(help)
+      .Register(registry)
+      .Add({}, secondsBuckets());
+}
+
+}  // namespace
+
+gateway_metrics::gateway_metrics()
+    : requests_(counters(*registry_, "requests_total", "Requests that ended, by route, outcome and cause.")),
+      refusals_(counters(*registry_, "refusals_total", "Requests answered as not run, by cause.")),
+      moves_(counters(*registry_, "moves_total", "Back ends that did not serve a request, by cause.")),
+      backends_(prometheus::BuildGauge()
+                    .Name(std::string(kPrefix) + "backends")
+                    .Help("Back ends in view, by state.")
+                    .Register(*registry_)),
+      admitted_(counter("admitted_total", "Requests with a route and a valid key.")),
+      dispatches_(counter("dispatches_total", "Requests sent to back ends.")),
+      repeats_(counter("repeats_total", "Of these, beyond the first of a request.")),
+      waits_(counter("waits_total", "Requests that waited for a place.")),
+      distrusts_(counter("backends_distrusted_total", "Times that failures took a back end out of use.")),
+      prompt_tokens_(counter("prompt_tokens_total", "Prompt tokens of dispatches.")),
+      uncached_tokens_(counter("uncached_tokens_total", "Of these, expected to be read by the engine.")),
+      shared_tokens_again_(counter("shared_tokens_again_total",
+                                   "Shared tokens expected to be read though an engine holds them.")),
+      imports_(counter("imports_total", "Dispatches that import cached parts from another engine.")),
+      first_byte_(histogram(*registry_, "first_byte_seconds", "From the request read to its first byte.")),
+      total_(histogram(*registry_, "answer_seconds", "From the request read to the end of a whole answer.")),
+      refused_after_(histogram(*registry_, "refused_after_seconds", "From the request read to its refusal.")),
+      cache_age_(
+          histogram(*registry_, "cache_age_seconds", "Age of the cache news that a placement rests on.")),
+      in_flight(gauge("requests_in_flight", "Requests whose answer has not ended.")),
+      repeat_budget_left(
+          gauge("repeat_budget_left", "Repeats still allowed, as of the last back end that failed.")),
+      configuration_version(gauge("configuration_version", "Version of the configuration in force.")),
+      members(gauge("members", "Gateways that are not dead, this one included.")),
+      knowledge_age(
+          gauge("knowledge_age_seconds", "Since the platform vouched for configuration, keys and list.")),
+      platform_reachable(gauge("platform_reachable", "1 while the platform's store answers.")),
+      holds_order_lease(gauge("holds_order_lease", "1 while this gateway gives the orders.")),
+      orders(gauge("orders", "Orders sent since the start.")),
+      log_lines(gauge("log_lines", "Log lines accepted since the start.")),
+      log_routine_dropped(gauge("log_routine_lines_dropped", "Lines on requests that went well, dropped.")),
+      log_notable_dropped(gauge("log_notable_lines_dropped", "Lines on failures and changes, dropped.")) {}
+
+prometheus::Counter& gateway_metrics::counter(const std::string& name, const std::string& help) {
+  return counters(*registry_, name, help).Add({});
+}
+
+prometheus::Gauge& gateway_metrics::gauge(const std::string& name, const std::string& help) {
+  return prometheus::BuildGauge().Name(kPrefix + name).Help(help).Register(*registry_).Add({});
+}
+
+std::string gateway_metrics::routeLabel(std::string_view route) {
+  if (route.empty()) return "none";
+  if (known_routes_.contains(route)) return std::string(route);
+  if (known_routes_.size() >= kLabelledRoutes) return "other";
+  return *known_routes_.emplace(route).first;
+}
+
+void gateway_metrics::onAdmitted(const request_admitted&) {
+  admitted_.Increment();
+}
+
+void gateway_metrics::onPlaced(const request_placed& record) {
+  dispatches_.Increment();
+  if (record.dispatch > 1) repeats_.Increment();
+  prompt_tokens_.Increment(record.prompt_tokens);
+  uncached_tokens_.Increment(record.uncached_tokens);
+  shared_tokens_again_.Increment(record.shared_tokens_again);
+  if (!record.import_from.empty()) imports_.Increment();
+  if (record.cache_age) cache_age_.Observe(toSeconds(*record.cache_age));
+}
+
+void gateway_metrics::onWaiting(const request_waiting&) {
+  waits_.Increment();
+}
+
+void gateway_metrics::onMoved(const request_moved& record) {
+  moves_.Add({{"cause", std::string(nameOf(record.cause))}}).Increment();
+  repeat_budget_left.Set(record.budget_left);
+}
+
+void gateway_metrics::onEnded(const request_ended& record) {
+  requests_
+      .Add({{"route", routeLabel(record.route)},
+            {"outcome", std::string(nameOf(record.outcome))},
+            {"cause", std::string(nameOf(record.cause))}})
+      .Increment();
+  if (record.outcome == request_outcome::refused) {
+    refusals_.Add({{"cause", std::string(nameOf(record.cause))}}).Increment();
+    refused_after_.Observe(toSeconds(record.total));
+  }
+  if (record.first_byte) first_byte_.Observe(toSeconds(*record.first_byte));
+  if (record.outcome == request_outcome::answered) total_.Observe(toSeconds(record.total));
+}
+
+void gateway_metrics::onDistrusted(const backend_distrusted&) {
+  distrusts_.Increment();
+}
+
+void gateway_metrics::setBackends(std::string_view state, std::size_t count) {
+  backends_.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway_process/gateway_metrics.h
@@ -0,0 +1,78 @@
+#pragma once
+/// @file Counters, gauges and histograms of one gateway. The observer functions run on the traffic thread;
+/// gauges may be set from any thread.
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+
+#include "gateway/request_observer.h"
+
+namespace crankspur::gateway {
+
+/// The metrics; each is registered as crankspur_gateway_NAME.
+class gateway_metrics : public request_observer {
+private:
+  // Before the metrics, which are registered there.
+  std::shared_ptr<prometheus::Registry> registry_ = std::make_shared<prometheus::Registry>();
+  prometheus::Counter& counter(const std::string& name, const std::string& help);
+  prometheus::Gauge& gauge(const std::string& name, const std::string& help);
+
+public:
+  gateway_metrics();
+  std::shared_ptr<prometheus::Registry> registry() const { return registry_; }
+
+  void onAdmitted(const request_admitted& record) override;
+  void onPlaced(const request_placed& record) override;
+  void onWaiting(const request_waiting& record) override;
+  void onMoved(const request_moved& record) override;
+  void onEnded(const request_ended& record) override;
+  void onDistrusted(const backend_distrusted& record) override;
+
+  /// Sets how many back ends of the state the last published list holds.
+  void setBackends(std::string_view state, std::size_t count);
+
+private:
+  std::string routeLabel(std::string_view route);
+
+  prometheus::Family<prometheus::Counter>& requests_;
+  prometheus::Family<prometheus::Counter>& refusals_;
+  prometheus::Family<prometheus::Counter>& moves_;
+  prometheus::Family<prometheus::Gauge>& backends_;
+  prometheus::Counter& admitted_;
+  prometheus::Counter& dispatches_;
+  prometheus::Counter& repeats_;
+  prometheus::Counter& waits_;
+  prometheus::Counter& distrusts_;
+  prometheus::Counter& prompt_tokens_;
+  prometheus::Counter& uncached_tokens_;
+  prometheus::Counter& shared_tokens_again_;
+  prometheus::Counter& imports_;
+  prometheus::Histogram& first_byte_;
+  prometheus::Histogram& total_;
+  prometheus::Histogram& refused_after_;
+  prometheus::Histogram& cache_age_;
+  std::set<std::string, std::less<>> known_routes_;
+
+public:
+  prometheus::Gauge& in_flight;
+  prometheus::Gauge& repeat_budget_left;
+  prometheus::Gauge& configuration_version;
+  prometheus::Gauge& members;
+  prometheus::Gauge& knowledge_age;
+  prometheus::Gauge& platform_reachable;
+  prometheus::Gauge& holds_order_lease;
+  prometheus::Gauge& orders;
+  prometheus::Gauge& log_lines;
+  prometheus::Gauge& log_routine_dropped;
+  prometheus::Gauge& log_notable_dropped;
+};
+
+}  // namespace crankspur::gateway
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -7,8 +7,8 @@
 
 struct GatewayProcess::Implementation {
   Implementation(const GatewayProcessSettings& settings, std::shared_ptr<const Dialect> dialect,
-                 GatewayFacts facts)
-      : loop(settings, std::move(dialect), std::move(facts), thread.executor()) {}
+                 GatewayFacts facts, request_observer& observer)
+      : loop(settings, std::move(dialect), std::move(facts), observer, thread.executor()) {}
   ~Implementation() { thread.stop(); }
 
   EventLoopThread thread;
@@ -18,8 +18,9 @@
 };
 
 GatewayProcess::GatewayProcess(const GatewayProcessSettings& settings, std::shared_ptr<const Dialect> dialect,
-                               GatewayFacts facts)
-    : implementation_(std::make_unique<Implementation>(settings, std::move(dialect), std::move(facts))) {}
+                               GatewayFacts facts, request_observer& observer)
+    : implementation_(
+          std::make_unique<Implementation>(settings, std::move(dialect), std::move(facts), observer)) {}
 
 GatewayProcess::~GatewayProcess() = default;
 
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -40,8 +40,9 @@
 /// One gateway. Functions may be called from any thread unless they say otherwise.
 class GatewayProcess {
 public:
+  /// @param observer hears of each decision on the traffic thread; it must outlive the process.
   GatewayProcess(const GatewayProcessSettings& settings, std::shared_ptr<const Dialect> dialect,
-                 GatewayFacts facts);
+                 GatewayFacts facts, request_observer& observer = noObserver());
   /// Ends the traffic thread; what is in flight is dropped.
   ~GatewayProcess();
   GatewayProcess(const GatewayProcess&) = delete;
--- /dev/null
+++ b/src/gateway_process/request_log.cc
@@ -0,0 +1,122 @@
+#include "gateway_process/request_log.h"
+
+#include <fmt/format.h>
+
+#include <optional>
+#include <string>
+
+namespace crankspur::gateway {
+namespace {
+
+std::int64_t milliseconds(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::string millisecondsOrNone(const std::optional<Duration>& duration) {
+  return duration ? std::to_string(milliseconds(*duration)) : "none";
+}
+
+std::string numberOrNone(const std::optional<std::uint64_t>& number) {
+  return number ? std::to_string(*number) : "none";
+}
+
+EventId eventOf(request_outcome outcome) {
+  switch (outcome) {
+    case request_outcome::answered:
+      return EventId::GatewayRequestAnswered;
+    case request_outcome::refused:
+    case request_outcome::rejected:
+      return EventId::GatewayRequestRefused;
+    case request_outcome::abandoned:
+      return EventId::GatewayRequestAbandoned;
+    case request_outcome::error_passed:
+    case request_outcome::failed:
+    case request_outcome::cut:
+      return EventId::GatewayRequestFailed;
+  }
+  return EventId::GatewayRequestFailed;
+}
+
+}  // namespace
+
+void request_log::onAdmitted(const request_admitted& record) {
+  log_.write(EventId::GatewayRequestAdmitted, {{"request_id", record.request_id},
+                                               {"route", record.route},
+                                               {"pool", record.pool},
+                                               {"tenant", record.tenant},
+                                               {"model", record.model},
+                                               {"configuration", record.configuration_version},
+                                               {"keys_age_ms", millisecondsOrNone(record.keys_age)},
+                                               {"priority", record.priority},
+                                               {"prompt_tokens", record.prompt_tokens},
+                                               {"time_left_ms", milliseconds(record.time_left)}});
+}
+
+void request_log::onPlaced(const request_placed& record) {
+  log_.write(EventId::GatewayRequestPlaced,
+             {{"request_id", record.request_id},
+              {"dispatch", record.dispatch},
+              {"pool", record.pool},
+              {"backend", record.backend},
+              {"zone", record.zone},
+              {"weights", numberOrNone(record.weights)},
+              {"candidates", record.candidates},
+              {"cost", fmt::format("{:.4f}", record.cost)},
+              {"runner_up", record.runner_up},
+              {"runner_up_cost", fmt::format("{:.4f}", record.runner_up_cost)},
+              {"in_flight", record.in_flight},
+              {"uncached_tokens", record.uncached_tokens},
+              {"shared_tokens_again", record.shared_tokens_again},
+              {"import_from", record.import_from},
+              {"cache_age_ms", millisecondsOrNone(record.cache_age)},
+              {"list_age_ms", milliseconds(record.list_age)},
+              {"configuration", record.configuration_version},
+              {"expected_first_byte_ms", milliseconds(record.expected_first_byte)},
+              {"time_left_ms", milliseconds(record.time_left)}});
+}
+
+void request_log::onWaiting(const request_waiting& record) {
+  log_.write(EventId::GatewayRequestWaiting, {{"request_id", record.request_id},
+                                              {"route", record.route},
+                                              {"pool", record.pool},
+                                              {"cause", nameOf(record.cause)},
+                                              {"longest_ms", milliseconds(record.longest)}});
+}
+
+void request_log::onMoved(const request_moved& record) {
+  log_.write(EventId::GatewayRequestMoved, {{"request_id", record.request_id},
+                                            {"backend", record.backend},
+                                            {"cause", nameOf(record.cause)},
+                                            {"status", record.status},
+                                            {"after_ms", milliseconds(record.after)},
+                                            {"goes_on", record.goes_on},
+                                            {"resumes", record.resumes},
+                                            {"back_ends", record.back_ends},
+                                            {"budget_left", fmt::format("{:.1f}", record.budget_left)}});
+}
+
+void request_log::onEnded(const request_ended& record) {
+  log_.write(eventOf(record.outcome), {{"request_id", record.request_id},
+                                       {"route", record.route},
+                                       {"tenant", record.tenant},
+                                       {"outcome", nameOf(record.outcome)},
+                                       {"status", record.status},
+                                       {"cause", nameOf(record.cause)},
+                                       {"backend", record.backend},
+                                       {"may_have_run", record.may_have_run},
+                                       {"dispatches", record.dispatches},
+                                       {"configuration", record.configuration_version},
+                                       {"keys_age_ms", millisecondsOrNone(record.keys_age)},
+                                       {"list_age_ms", milliseconds(record.list_age)},
+                                       {"retry_after_ms", milliseconds(record.retry_after)},
+                                       {"first_byte_ms", millisecondsOrNone(record.first_byte)},
+                                       {"total_ms", milliseconds(record.total)}});
+}
+
+void request_log::onDistrusted(const backend_distrusted& record) {
+  log_.write(EventId::GatewayBackendDistrusted, {{"backend", record.backend},
+                                                 {"cause", nameOf(record.cause)},
+                                                 {"for_ms", milliseconds(record.for_time)}});
+}
+
+}  // namespace crankspur::gateway
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -60,12 +60,13 @@
 }  // namespace
 
 TrafficLoop::TrafficLoop(const GatewayProcessSettings& settings, std::shared_ptr<const Dialect> dialect,
-                         GatewayFacts facts, boost::asio::any_io_executor executor)
+                         GatewayFacts facts, request_observer& observer,
+                         boost::asio::any_io_executor executor)
     : settings_(settings),
       dialect_(std::move(dialect)),
       facts_(std::move(facts)),
       executor_(std::move(executor)),
-      gateway_(settings.decisions, settings.random_seed),
+      gateway_(settings.decisions, settings.random_seed, observer),
       http_(http::makeClient(executor_)),
       timer_(executor_),
       drain_timer_(executor_) {}
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -19,7 +19,7 @@
 class TrafficLoop {
 public:
   TrafficLoop(const GatewayProcessSettings& settings, std::shared_ptr<const Dialect> dialect,
-              GatewayFacts facts, boost::asio::any_io_executor executor);
+              GatewayFacts facts, request_observer& observer, boost::asio::any_io_executor executor);
 
   /// To be called before the thread starts.
   std::error_code listen();
--- a/src/http/admin.cc
+++ b/src/http/admin.cc
@@ -50,6 +50,7 @@
 }
 
 Response AdminEndpoints::metrics() const {
+  if (refresh_) refresh_();
   Response response;
   response.headers["Content-Type"] = "text/plain; version=0.0.4; charset=utf-8";
   response.body = prometheus::TextSerializer().Serialize(registry_->Collect());
--- a/src/http/admin.h
+++ b/src/http/admin.h
@@ -29,6 +29,9 @@
   /// Adds a path such as "/status". The handler may answer at once or keep the writer.
   void add(const std::string& path, RequestHandler handler);
 
+  /// Sets a function called before /metrics reads the registry, for gauges that are read when asked for.
+  void beforeMetrics(std::function<void()> refresh) { refresh_ = std::move(refresh); }
+
   /// Answers one request: 404 for an unknown path, 405 for other methods than GET and HEAD.
   void handle(Request request, std::shared_ptr<ResponseWriter> writer) const;
 
@@ -38,6 +41,7 @@
 
   std::shared_ptr<prometheus::Registry> registry_;
   HealthCheck health_;
+  std::function<void()> refresh_;
   std::map<std::string, RequestHandler> handlers_;
 };
 
--- a/src/operator/explain.cc
+++ b/src/operator/explain.cc
@@ -65,6 +65,14 @@
   printCandidates(record, report);
 }
 
+/// A gateway keeps the lines of its log that name the request.
+void printLines(const json::object& record, const json::array& lines, Report& report) {
+  report.print("request {} at gateway {}", text(record, "request_id"), text(record, "gateway"));
+  for (const json::value& line : lines) {
+    if (line.is_string()) report.print("  {}", std::string_view(line.get_string()));
+  }
+}
+
 }  // namespace
 
 std::string explainTarget(const std::string& request_id) {
@@ -80,7 +88,12 @@
     const std::optional<json::object> record =
         status == kOk ? parseJsonObject(answer.response->body) : std::nullopt;
     if (record) {
-      printRecord(*record, report);
+      const json::array* lines = arrayField(*record, "lines");
+      if (lines != nullptr) {
+        printLines(*record, *lines, report);
+      } else {
+        printRecord(*record, report);
+      }
       found = true;
     } else if (status != kNotFound) {
       report.fail(ExitCode::Unavailable, "{}: no answer", answer.address);
--- a/tests/unit/gateway/gateway_fixture.h
+++ b/tests/unit/gateway/gateway_fixture.h
@@ -77,12 +77,41 @@
   return answer;
 }
 
+/// Keeps the records of what a gateway decided.
+class recording_observer : public request_observer {
+public:
+  void onAdmitted(const request_admitted& record) override { admitted.emplace_back(record.request_id); }
+  void onPlaced(const request_placed& record) override {
+    placed.push_back(record);
+    placed_at.emplace_back(record.backend);
+  }
+  void onWaiting(const request_waiting& record) override { waiting.push_back(record); }
+  void onMoved(const request_moved& record) override { moved.push_back(record); }
+  void onEnded(const request_ended& record) override {
+    ended.push_back(record);
+    ended_ids.emplace_back(record.request_id);
+    ended_at.emplace_back(record.backend);
+  }
+  void onDistrusted(const backend_distrusted& record) override { distrusted.emplace_back(record.backend); }
+
+  // Views in the records are void after the call; what tests compare of them is kept beside.
+  std::vector<std::string> admitted;
+  std::vector<request_placed> placed;
+  std::vector<std::string> placed_at;
+  std::vector<request_waiting> waiting;
+  std::vector<request_moved> moved;
+  std::vector<request_ended> ended;
+  std::vector<std::string> ended_ids;
+  std::vector<std::string> ended_at;
+  std::vector<std::string> distrusted;
+};
+
 class GatewayFixture {
 public:
   explicit GatewayFixture(GatewaySettings settings = {})
       : configuration(makeConfiguration()),
         backends{makeBackend(1, "app"), makeBackend(2, "app"), makeBackend(3, "lm"), makeBackend(4, "lm")},
-        gateway(settings, 7) {}
+        gateway(settings, 7, observer) {}
 
   void publish() {
     auto snapshot = std::make_shared<GatewaySnapshot>();
@@ -91,7 +120,8 @@
     snapshot->weights = weights;
     snapshot->own_zone = "here";
     snapshot->own_region = "coast";
-    snapshot->keys_current = keys_current;
+    snapshot->contact = contact;
+    snapshot->key_validity = key_validity;
     gateway.onSnapshot(snapshot, now);
   }
 
@@ -188,8 +218,10 @@
   Configuration configuration;
   std::vector<Backend> backends;
   std::vector<NamedWeights> weights;
-  bool keys_current = true;
+  std::shared_ptr<platform_contact> contact = std::make_shared<platform_contact>();
+  std::optional<Duration> key_validity;
   TimePoint now{seconds(1000)};
+  recording_observer observer;
   Gateway gateway;
   std::vector<GatewayAction> actions;
   Dispatch last;
--- /dev/null
+++ b/tests/unit/gateway/gateway_records_test.cc
@@ -0,0 +1,151 @@
+/// @file What a gateway tells its observer: each request that ends has one last record, with the cause.
+
+#include "gateway_fixture.h"
+
+using namespace crankspur;
+using namespace crankspur::gateway;
+
+namespace {
+
+/// @return the one record of an end, with the id of the fixture's requests.
+request_ended onlyEnd(const GatewayFixture& fixture) {
+  REQUIRE(fixture.observer.ended.size() == 1);
+  CHECK(fixture.observer.ended_ids.front() == "id");
+  return fixture.observer.ended.front();
+}
+
+}  // namespace
+
+TEST_CASE("an answered request is told as admitted, placed and answered", "[gateway][records]") {
+  GatewayFixture fixture;
+  fixture.key_validity = seconds(5);
+  fixture.contact->vouch(fixture.now);
+  fixture.publish();
+  fixture.send("review");
+  REQUIRE(fixture.observer.admitted.size() == 1);
+  REQUIRE(fixture.observer.placed.size() == 1);
+  const request_placed& placed = fixture.observer.placed.front();
+  CHECK(placed.dispatch == 1);
+  CHECK(placed.candidates == 2);
+  CHECK(placed.cost > 0);
+  CHECK(placed.runner_up_cost >= placed.cost);
+  CHECK(placed.uncached_tokens == 1700);
+  CHECK(placed.weights == 1U);
+  CHECK_FALSE(placed.cache_age);
+  fixture.now += milliseconds(40);
+  fixture.head(200);
+  fixture.bytes("id: 1\ndata: a\n\n");
+  fixture.end();
+  const request_ended ended = onlyEnd(fixture);
+  CHECK(ended.outcome == request_outcome::answered);
+  CHECK(ended.cause == request_cause::none);
+  CHECK(ended.status == 200);
+  CHECK(ended.first_byte == milliseconds(40));
+  CHECK(ended.keys_age == milliseconds(40));
+}
+
+TEST_CASE("a refusal tells its cause and when the client may come back", "[gateway][records]") {
+  GatewayFixture fixture;
+  fixture.backends.clear();
+  fixture.publish();
+  fixture.send("order");
+  fixture.pass(seconds(1));
+  REQUIRE(fixture.observer.waiting.size() == 1);
+  CHECK(fixture.observer.waiting.front().cause == request_cause::no_back_end);
+  const request_ended ended = onlyEnd(fixture);
+  CHECK(ended.outcome == request_outcome::refused);
+  CHECK(ended.cause == request_cause::no_back_end);
+  CHECK(ended.status == 503);
+  CHECK(ended.retry_after > Duration(0));
+  CHECK_FALSE(ended.may_have_run);
+}
+
+TEST_CASE("requests that may not be served at all are told with the cause", "[gateway][records]") {
+  GatewayFixture fixture;
+  fixture.send("order");
+  CHECK(onlyEnd(fixture).cause == request_cause::no_configuration);
+  fixture.publish();
+  fixture.send("nowhere");
+  IncomingRequest stranger = GatewayFixture::request("order");
+  stranger.client->api_key = "other";
+  fixture.send(stranger);
+  IncomingRequest malformed = GatewayFixture::request("order");
+  malformed.client.reset();
+  fixture.send(malformed);
+  REQUIRE(fixture.observer.ended.size() == 4);
+  CHECK(fixture.observer.ended[1].cause == request_cause::no_route);
+  CHECK(fixture.observer.ended[2].cause == request_cause::unknown_key);
+  CHECK(fixture.observer.ended[2].outcome == request_outcome::rejected);
+  CHECK(fixture.observer.ended[3].cause == request_cause::malformed_head);
+}
+
+TEST_CASE("a back end that breaks off is told, and where the request ends", "[gateway][records]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("order");
+  const std::string first = fixture.observer.placed_at.front();
+  fixture.lose(true);
+  REQUIRE(fixture.observer.moved.size() == 1);
+  CHECK(fixture.observer.moved.front().cause == request_cause::answer_broke_off);
+  CHECK_FALSE(fixture.observer.moved.front().goes_on);
+  const request_ended ended = onlyEnd(fixture);
+  CHECK(ended.outcome == request_outcome::failed);
+  CHECK(ended.status == 502);
+  CHECK(ended.may_have_run);
+  CHECK(fixture.observer.ended_at.front() == first);
+}
+
+TEST_CASE("a request that is sent again tells the cause and the budget that is left", "[gateway][records]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("look");
+  fixture.head(500);
+  REQUIRE(fixture.observer.moved.size() == 1);
+  const request_moved& moved = fixture.observer.moved.front();
+  CHECK(moved.cause == request_cause::error_answer);
+  CHECK(moved.status == 500);
+  CHECK(moved.goes_on);
+  CHECK(moved.budget_left > 0);
+  REQUIRE(fixture.observer.placed.size() == 2);
+  CHECK(fixture.observer.placed.back().dispatch == 2);
+  CHECK(fixture.observer.placed_at[0] != fixture.observer.placed_at[1]);
+}
+
+TEST_CASE("a stream that is cut and one that its client leaves are told apart", "[gateway][records]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("answer");
+  fixture.head(200);
+  fixture.bytes("id: 1\ndata: a\n\n");
+  fixture.lose(true);
+  const ClientId leaving = fixture.send("answer");
+  fixture.gateway.onClientGone(leaving, fixture.now);
+  REQUIRE(fixture.observer.ended.size() == 2);
+  CHECK(fixture.observer.ended[0].outcome == request_outcome::cut);
+  CHECK(fixture.observer.ended[0].cause == request_cause::answer_broke_off);
+  CHECK(fixture.observer.ended[1].outcome == request_outcome::abandoned);
+  CHECK(fixture.observer.ended[1].cause == request_cause::client_left);
+}
+
+TEST_CASE("a request that outlasts its time is told as such", "[gateway][records]") {
+  GatewayFixture fixture;
+  fixture.backends = {makeBackend(1, "app")};
+  fixture.publish();
+  fixture.send("order");
+  fixture.pass(seconds(5));
+  const request_ended ended = onlyEnd(fixture);
+  CHECK(ended.status == 504);
+  CHECK(ended.cause == request_cause::time_ran_out);
+}
+
+TEST_CASE("a back end that keeps failing is told as distrusted, once", "[gateway][records]") {
+  GatewayFixture fixture;
+  fixture.backends = {makeBackend(1, "app")};
+  fixture.publish();
+  for (int request = 0; request < 12 && fixture.observer.distrusted.empty(); ++request) {
+    fixture.send("order");
+    if (fixture.has<Dispatch>()) fixture.lose(true);
+  }
+  REQUIRE(fixture.observer.distrusted.size() == 1);
+  CHECK(fixture.observer.distrusted.front() == "b1");
+}
--- a/tests/unit/gateway/gateway_request_test.cc
+++ b/tests/unit/gateway/gateway_request_test.cc
@@ -26,7 +26,8 @@
 
 TEST_CASE("keys are not trusted once they may have been taken away", "[gateway]") {
   GatewayFixture fixture;
-  fixture.keys_current = false;
+  fixture.key_validity = seconds(5);
+  fixture.contact->vouch(fixture.now - seconds(5));
   fixture.publish();
   fixture.send("order");
   CHECK(fixture.only<Refuse>().status == 503);
@@ -36,6 +37,22 @@
   CHECK(fixture.has<Dispatch>());
 }
 
+TEST_CASE("a gateway that wakes from a freeze trusts no key before the platform vouches again", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.key_validity = seconds(5);
+  fixture.contact->vouch(fixture.now);
+  fixture.publish();
+  fixture.send("order");
+  CHECK(fixture.has<Dispatch>());
+  // The control thread has not run yet: the snapshot is still the one from before.
+  fixture.now += seconds(5);
+  fixture.send("order");
+  CHECK(fixture.only<Refuse>().status == 503);
+  fixture.contact->vouch(fixture.now);
+  fixture.send("order");
+  CHECK(fixture.has<Dispatch>());
+}
+
 TEST_CASE("the longest prefix of the host picks the route", "[gateway]") {
   Configuration configuration = makeConfiguration();
   configuration.routes.push_back(makeRoute("order/1", Repeatability::Repeatable, "app"));
--- /dev/null
+++ b/tests/unit/gateway_control/gateway_admin_test.cc
@@ -0,0 +1,205 @@
+#include "gateway_control/gateway_admin.h"
+
+#include <fcntl.h>
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+
+#include "gateway_process/observer_pair.h"
+#include "gateway_process/request_log.h"
+#include "http/client.h"
+#include "operator/explain.h"
+#include "operator/node_status.h"
+
+using namespace crankspur;
+using namespace crankspur::gateway;
+
+namespace {
+
+/// A platform that answers nothing; tests tell its news by hand.
+class silent_platform : public PlatformLink {
+public:
+  void start(PlatformNews told) override { news = std::move(told); }
+  void readLease(const std::string&, std::function<void(std::optional<LeaseRow>)>) override {}
+  void writeLease(const std::string&, const LeaseRow&, std::uint64_t,
+                  std::function<void(bool, std::optional<LeaseRow>)>) override {}
+  void readWeights(const std::string&, std::function<void(std::optional<WeightsReport>)>) override {}
+  void sendOrder(const WeightsOrder&, std::function<void(OrderAnswer)>) override {}
+  void readCacheEvents(const std::string&, std::uint64_t, std::function<void(CachedPartsPage)>) override {}
+  void readCacheContent(const std::string&, std::function<void(CachedPartsPage)>) override {}
+
+  PlatformNews news;
+};
+
+/// Understands no request: every one is malformed.
+class deaf_dialect : public Dialect {
+public:
+  std::optional<ClientRequest> readRequest(const http::Request&) const override { return std::nullopt; }
+  http::Headers forwardHeaders(const http::Request& head, const ForwardTerms&) const override {
+    return head.headers;
+  }
+  BackendAnswer readAnswer(const http::Response&, const std::string&) const override { return {}; }
+};
+
+bounded_log_settings quietLog() {
+  bounded_log_settings settings;
+  settings.descriptor = ::open("/dev/null", O_WRONLY);
+  return settings;
+}
+
+NodeSettings nodeSettings() {
+  NodeSettings settings;
+  settings.name = "gateway-1";
+  settings.zone = "hall";
+  settings.gossip = "127.0.0.1:0";
+  settings.front = "127.0.0.1:0";
+  return settings;
+}
+
+/// A gateway without traffic, whose admin address is asked over loopback.
+class admin_fixture {
+public:
+  admin_fixture() {
+    REQUIRE_FALSE(process.start());
+    REQUIRE_FALSE(control.start());
+    REQUIRE_FALSE(admin.listen(context.get_executor(), "127.0.0.1:0"));
+  }
+
+  GatewayControlOutputs outputs() {
+    GatewayControlOutputs outputs;
+    outputs.publish = [this](std::shared_ptr<const GatewaySnapshot> snapshot) {
+      process.publish(std::move(snapshot));
+    };
+    outputs.on_cached_parts = [](CachedPartsNews) {};
+    return outputs;
+  }
+
+  http::Response get(const std::string& target) {
+    const std::unique_ptr<http::Client> client = http::makeClient(context.get_executor());
+    http::Request request;
+    request.target = target;
+    http::Response answer;
+    bool done = false;
+    http::ExchangeCallbacks callbacks;
+    callbacks.on_done = [&](std::error_code error, http::SendState, const http::Response& response) {
+      CHECK_FALSE(error);
+      answer = response;
+      done = true;
+    };
+    client->start("127.0.0.1:" + std::to_string(admin.port()), std::move(request), std::move(callbacks), {});
+    while (!done) context.run_one_for(std::chrono::milliseconds(100));
+    return answer;
+  }
+
+  boost::asio::io_context context{1};
+  NodeSettings settings = nodeSettings();
+  bounded_event_log log{quietLog()};
+  gateway_metrics metrics;
+  request_log lines{log};
+  observer_pair observers{lines, metrics};
+  GatewayProcess process{processSettings(), std::make_shared<deaf_dialect>(), GatewayFacts{}, observers};
+  silent_platform platform;
+  GatewayControl control{context.get_executor(), settings, 7, platform, outputs(), log};
+  gateway_admin admin{settings, process, control, metrics, log};
+
+private:
+  static GatewayProcessSettings processSettings() {
+    GatewayProcessSettings settings;
+    settings.listen_address = "127.0.0.1:0";
+    return settings;
+  }
+};
+
+bool holds(const http::Response& response, const std::string& text) {
+  return response.body.find(text) != std::string::npos;
+}
+
+}  // namespace
+
+TEST_CASE("a gateway's metrics count requests by route, outcome and cause", "[gateway][admin]") {
+  admin_fixture fixture;
+  request_ended ended;
+  ended.request_id = "q1";
+  ended.route = "review";
+  ended.outcome = request_outcome::refused;
+  ended.cause = request_cause::back_ends_full;
+  ended.status = 503;
+  ended.total = std::chrono::milliseconds(30);
+  fixture.observers.onEnded(ended);
+  const http::Response metrics = fixture.get("/metrics");
+  CHECK(metrics.status == 200);
+  CHECK(holds(
+      metrics,
+      R"(crankspur_gateway_requests_total{cause="back_ends_full",outcome="refused",route="review"} 1)"));
+  CHECK(holds(metrics, R"(crankspur_gateway_refusals_total{cause="back_ends_full"} 1)"));
+  CHECK(holds(metrics, "crankspur_gateway_refused_after_seconds_count 1"));
+  CHECK(holds(metrics, R"(crankspur_gateway_backends{state="live"} 0)"));
+  CHECK(holds(metrics, "crankspur_gateway_log_notable_lines_dropped 0"));
+  CHECK(holds(metrics, "crankspur_gateway_members 1"));
+}
+
+TEST_CASE("metrics label a bounded number of routes", "[gateway][admin]") {
+  admin_fixture fixture;
+  for (int route = 0; route < 200; ++route) {
+    const std::string name = "route-" + std::to_string(route);
+    request_ended ended;
+    ended.route = name;
+    fixture.observers.onEnded(ended);
+  }
+  const http::Response metrics = fixture.get("/metrics");
+  CHECK(holds(metrics, R"(route="route-31"})"));
+  CHECK_FALSE(holds(metrics, R"(route="route-32"})"));
+  CHECK(holds(metrics,
+              R"(crankspur_gateway_requests_total{cause="none",outcome="answered",route="other"} 168)"));
+}
+
+TEST_CASE("a gateway explains a request by its lines, and says when it has none", "[gateway][admin]") {
+  admin_fixture fixture;
+  request_ended ended;
+  ended.request_id = "q1";
+  ended.outcome = request_outcome::failed;
+  ended.cause = request_cause::answer_broke_off;
+  ended.backend = "b7";
+  ended.status = 502;
+  fixture.observers.onEnded(ended);
+  CHECK(fixture.get(explainTarget("q2")).status == 404);
+  CHECK(fixture.get(explainTarget("")).status == 404);
+  const http::Response answer = fixture.get(explainTarget("q1"));
+  CHECK(answer.status == 200);
+  CHECK(holds(answer, "event=1226 name=GatewayRequestFailed"));
+  CHECK(holds(answer, "cause=answer_broke_off backend=b7"));
+}
+
+TEST_CASE("a gateway's status names its members and its part of the fleet", "[gateway][admin]") {
+  admin_fixture fixture;
+  CHECK(fixture.get("/healthz").status == 503);
+  fixture.platform.news.on_configuration([] {
+    auto configuration = std::make_shared<Configuration>();
+    configuration->version = 12;
+    return configuration;
+  }());
+  ListedBackend listed;
+  listed.id = "b1";
+  listed.pool = "lm";
+  listed.address = "127.0.0.1:9";
+  fixture.platform.news.on_backend(listed);
+  fixture.platform.news.on_contact(SteadyClock().now());
+  while (!fixture.process.ready() || fixture.control.status().backends.empty()) {
+    fixture.context.run_one_for(std::chrono::milliseconds(10));
+  }
+  CHECK(fixture.get("/healthz").status == 200);
+  const http::Response status = fixture.get("/status");
+  const auto parsed = parseNodeStatus(status.body);
+  REQUIRE(parsed);
+  CHECK(parsed->name == "gateway-1");
+  CHECK(parsed->role == "gateway");
+  CHECK(parsed->bundle_version == 12);
+  CHECK(parsed->members == 1U);
+  CHECK(parsed->engines == 1U);
+  CHECK(parsed->platform_reachable == true);
+  fixture.control.leave();
+  fixture.process.drain();
+  CHECK(holds(fixture.get("/healthz"), "stopping"));
+}
--- a/tests/unit/operator/commands_test.cc
+++ b/tests/unit/operator/commands_test.cc
@@ -114,6 +114,10 @@
       answerOf(R"({"request_id":"q1","engine":"e7","engine_incarnation":6233178731342956})");
   CHECK(printExplanation("q1", {exact}, report) == ExitCode::Ok);
   CHECK(report.output.find("incarnation 6233178731342956") != std::string::npos);
+  const AdminAnswer gateway = answerOf(
+      R"({"request_id":"q1","gateway":"g1","lines":["event=1220 request_id=q1","event=1225 request_id=q1"]})");
+  CHECK(printExplanation("q1", {unknown, gateway}, report) == ExitCode::Ok);
+  CHECK(report.output.find("request q1 at gateway g1\n  event=1220 request_id=q1\n") != std::string::npos);
   CHECK(printExplanation("q1", {unknown}, report) == ExitCode::Refused);
   CHECK(printExplanation("q1", {unknown, {"127.0.0.1:9", std::nullopt}}, report) == ExitCode::Unavailable);
   CHECK(explainTarget("a b&c") == "/explain?request_id=a%20b%26c");
