--- a/sim/check/fault.cc
+++ b/sim/check/fault.cc
@@ -339,11 +339,24 @@
   }
 }
 
+/// An operator does not take the last one away: nothing could serve then, whatever routers do.
+bool FaultDriver::isLastOfItsKind(const std::string& name, bool runner) {
+  std::set<std::string> leaving = {name};
+  for (const LeavingRecord& record : world_.context().records.leaving) leaving.insert(record.machine);
+  const std::size_t count = runner ? world_.runnerCount() : world_.engineCount();
+  for (std::size_t index = 0; index < count; ++index) {
+    const Host& host = runner ? world_.runnerAt(index).host() : world_.engineAt(index).host();
+    if (!leaving.contains(host.name())) return false;
+  }
+  return true;
+}
+
 void FaultDriver::leave(bool by_list, bool by_itself, Duration when) {
   const bool runner = random_.chance(0.3);
   const std::size_t index = pick(runner ? world_.runnerCount() : world_.engineCount());
   at(when, [this, runner, index, by_list, by_itself] {
     Host& host = runner ? world_.runnerAt(index).host() : world_.engineAt(index).host();
+    if (isLastOfItsKind(host.name(), runner)) return;
     TimePoint seen = TimePoint::max();
     if (by_itself) {
       if (runner) world_.runnerAt(index).startLeaving();
--- a/sim/check/fault.h
+++ b/sim/check/fault.h
@@ -110,6 +110,7 @@
   void roll(std::size_t operator_index, Duration when);
   void rollBack(std::size_t operator_index, Duration when);
   void stopAndRestart(std::size_t router, Duration when);
+  bool isLastOfItsKind(const std::string& name, bool runner);
   void leave(bool by_list, bool by_itself, Duration when);
 
   World& world_;
--- a/src/membership/swim_membership.cc
+++ b/src/membership/swim_membership.cc
@@ -284,7 +284,9 @@
 }
 
 void SwimMembership::announceEngine(const EngineRecord& record, TimePoint) {
-  if (engines_.apply(record)) engine_queue_.add(EngineFacts::keyOf(record));
+  // Also when it was announced before: the messages that carried it may all have been lost.
+  engines_.apply(record);
+  engine_queue_.add(EngineFacts::keyOf(record));
 }
 
 void SwimMembership::announceEngineAtOnce(const EngineRecord& record, TimePoint now) {
--- a/src/router/engine_table.cc
+++ b/src/router/engine_table.cc
@@ -73,10 +73,9 @@
   entry.view.region = machine.region;
   entry.view.pool = machine.pool;
   entry.listed_leaving = leaving;
-  if (changed) {
-    urgent_ = true;
-    if (leaving) announce(entry, false);
-  }
+  urgent_ = urgent_ || changed;
+  // With each list: routers that cannot read it know of the mark by gossip only, and gossip may be lost.
+  if (leaving) announce(entry, false);
 }
 
 void EngineTable::dropUnlisted(const std::set<std::string>& listed, TimePoint now) {
--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -87,6 +87,36 @@
   }
 }
 
+TEST_CASE("a leaving mark reaches routers beside the list although messages are lost", "[sim]") {
+  const RunResult result = runOne(1881, "pair");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
+TEST_CASE("planned work takes no service its last application runner", "[sim]") {
+  const RunResult result = runOne(3933, "leaving_engine");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
+TEST_CASE("a leaving engine that crashes over and over gets no new work, seed 1933", "[sim]") {
+  const RunResult result = runOne(1933, "wider_pair");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
+TEST_CASE("a leaving engine that crashes over and over gets no new work, seed 2148", "[sim]") {
+  const RunResult result = runOne(2148, "wider_pair");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
+TEST_CASE("a leaving engine that crashes over and over gets no new work, seed 5354", "[sim]") {
+  const RunResult result = runOne(5354, "wider_pair");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
 TEST_CASE("a refused dispatch is not taken for a later one of the same request that ran", "[sim]") {
   const RunResult result = runOne(987, "engine_crash");
   INFO(describe(result));
--- a/tests/unit/router/engine_table_test.cc
+++ b/tests/unit/router/engine_table_test.cc
@@ -115,6 +115,20 @@
   CHECK(announcements[0].incarnation == 6);
 }
 
+TEST_CASE("a leaving mark of the list is announced with each list: an announcement may reach nobody",
+          "[engine_table]") {
+  Fleet fleet;
+  Machine leaving = engineMachine("b");
+  leaving.state = MachineState::Leaving;
+  for (int list = 0; list < 3; ++list) {
+    fleet.list({engineMachine("a"), leaving, engineMachine("c")});
+    const auto announcements = fleet.table.takeAnnouncements();
+    REQUIRE(announcements.size() == 1);
+    CHECK(announcements[0].name == "b");
+    CHECK(announcements[0].leaving);
+  }
+}
+
 TEST_CASE("a peer's word that an engine is dead makes the table ask, not believe", "[engine_table]") {
   Fleet fleet;
   fleet.table.duePolls(kStart);
