--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -47,6 +47,11 @@
   record.prompt_tokens = entry.client.prompt_tokens;
   record.uncached_tokens = choice.uncached_tokens;
   record.shared_tokens_again = choice.shared_tokens_again;
+  const std::vector<PromptPart>& parts = entry.client.prompt;
+  for (std::size_t index = 0; index + 1 < parts.size(); ++index) {
+    record.shared_part = parts[index].id;
+    record.shared_tokens += parts[index].tokens;
+  }
   record.import_from = choice.import_from;
   if (entry.route->uses_prefixes) record.cache_age = choice_.cacheAge(backend.slot, now);
   record.list_age = snapshot_->knowledgeAge(now);
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -82,9 +82,11 @@
   std::uint32_t prompt_tokens = 0;
   std::uint32_t uncached_tokens = 0;      ///< Expected to be read, imports taken off.
   std::uint32_t shared_tokens_again = 0;  ///< Expected to be read although some back end holds them.
-  std::string_view import_from;           ///< Empty: nothing is imported.
-  std::optional<Duration> cache_age;      ///< Since news of the back end's cache came; empty: none came.
-  Duration list_age{0};                   ///< Since the list of back ends was known to be current.
+  std::uint64_t shared_part = 0;      ///< Id of the last part of the prompt that others may share; 0: none.
+  std::uint32_t shared_tokens = 0;    ///< Of all such parts.
+  std::string_view import_from;       ///< Empty: nothing is imported.
+  std::optional<Duration> cache_age;  ///< Since news of the back end's cache came; empty: none came.
+  Duration list_age{0};               ///< Since the list of back ends was known to be current.
   std::uint64_t configuration_version = 0;
   Duration expected_first_byte{0};
   Duration time_left{0};
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -66,6 +66,8 @@
               {"runner_up_cost", fmt::format("{:.4f}", record.runner_up_cost)},
               {"in_flight", record.in_flight},
               {"uncached_tokens", record.uncached_tokens},
+              {"shared_part", fmt::format("{:x}", record.shared_part)},
+              {"shared_tokens", record.shared_tokens},
               {"shared_tokens_again", record.shared_tokens_again},
               {"import_from", record.import_from},
               {"cache_age_ms", millisecondsOrNone(record.cache_age)},
