--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -19,6 +19,10 @@
 constexpr Duration kLoadingTime = std::chrono::milliseconds(1'500);
 /// Weights found at the start have to be in use this much later at the latest.
 constexpr Duration kWeightsFoundMargin = std::chrono::milliseconds(4'500);
+/// Each gateway asks for the list of back ends at each of its changes; in a larger fleet changes are gathered
+/// longer, so that the calls of all gateways together grow less than the fleet.
+constexpr Duration kListPausePerGateway = std::chrono::milliseconds(15);
+constexpr Duration kLongestListPause = std::chrono::milliseconds(900);
 /// Longest time between two publications that check what time alone changes.
 constexpr Duration kLongestPause = std::chrono::seconds(5);
 
@@ -151,6 +155,8 @@
     if (!present.contains(name)) logMember(member, memberStateName(member.state), "dead");
   }
   members_ = std::move(present);
+  platform_.setListPause(
+      std::min(kLongestListPause, kListPausePerGateway * static_cast<Duration::rep>(members_.size())));
   publishSoon();
 }
 
--- a/src/gateway_control/platform_link.h
+++ b/src/gateway_control/platform_link.h
@@ -88,6 +88,8 @@
   virtual ~PlatformLink() = default;
   /// Begins to tell news.
   virtual void start(PlatformNews news) = 0;
+  /// Changes of the list of back ends may be gathered for so long before they are told.
+  virtual void setListPause(Duration pause) = 0;
   /// @param done gets the row, or empty when the platform did not answer.
   virtual void readLease(const std::string& name, std::function<void(std::optional<LeaseRow>)> done) = 0;
   /// Writes the row if it still has `expected_version`.
--- a/tests/unit/gateway_control/gateway_admin_test.cc
+++ b/tests/unit/gateway_control/gateway_admin_test.cc
@@ -22,6 +22,7 @@
 class silent_platform : public PlatformLink {
 public:
   void start(PlatformNews told) override { news = std::move(told); }
+  void setListPause(Duration pause) override { list_pause = pause; }
   void readLease(const std::string&, std::function<void(std::optional<LeaseRow>)>) override {}
   void writeLease(const std::string&, const LeaseRow&, std::uint64_t,
                   std::function<void(bool, std::optional<LeaseRow>)>) override {}
@@ -31,6 +32,7 @@
   void readCacheContent(const std::string&, std::function<void(CachedPartsPage)>) override {}
 
   PlatformNews news;
+  Duration list_pause{0};
 };
 
 /// Understands no request: every one is malformed.
--- a/tests/unit/platform/table_feed_test.cc
+++ b/tests/unit/platform/table_feed_test.cc
@@ -220,3 +220,41 @@
   question.target = "/other";
   CHECK(service.answer(question).status == 404);
 }
+
+TEST_CASE("a paced feed gathers changes that come together into one call", "[table_feed]") {
+  Fixture fixture;
+  fixture.feed.setPause(300ms);
+  fixture.feed.start();
+  fixture.runUntil([&] { return fixture.wholes == 1; });
+  fixture.store.put("a", "1");
+  fixture.runUntil([&] { return fixture.told.contains("a"); });
+  const int calls = fixture.store.calls;
+  // Each of these would be a call of its own without the pause.
+  for (int change = 0; change < 5; ++change) {
+    fixture.store.put("b", std::to_string(change));
+    fixture.context.run_for(20ms);
+  }
+  fixture.runUntil([&] { return fixture.told["b"] == "4"; });
+  CHECK(fixture.store.calls <= calls + 2);
+}
+
+TEST_CASE("a feed that hangs is asked anew at once when the store is known to answer again", "[table_feed]") {
+  Fixture fixture;
+  fixture.feed.start();
+  fixture.runUntil([&] { return fixture.wholes == 1; });
+  fixture.store.mode = Store::Mode::Silent;
+  fixture.store.kept.clear();
+  fixture.runUntil([&] { return !fixture.store.kept.empty(); });
+  fixture.store.mode = Store::Mode::Sound;
+  fixture.store.put("a", "1");
+  fixture.feed.askAnew();
+  const auto began = std::chrono::steady_clock::now();
+  fixture.runUntil([&] { return fixture.told.contains("a"); });
+  // The hanging call would be given up after 1.2 s only.
+  CHECK(std::chrono::steady_clock::now() - began < 1s);
+  // Its end, which comes later, changes nothing.
+  const int troubles = fixture.troubles;
+  fixture.store.kept.clear();
+  fixture.context.run_for(1500ms);
+  CHECK(fixture.troubles == troubles);
+}
