Date the order lease by the store's clock, and let newer weights not put off the next giver of orders

By the lines: the contender's wait began anew with each version named; a lease that nobody renews had to be watched for its whole lifetime; the rest between two holders counted from the first look at the row.

Change: the row tells when its holder sent it, by the store's clock at the latest, so that a reader knows its age at the first look; order_contention counts work that has been there without a break; a lost lease table is logged (1650, 1651).

--- a/src/gateway_control/order_giver.cc
+++ b/src/gateway_control/order_giver.cc
@@ -27,8 +27,6 @@
 
 constexpr char kLeaseName[] = "weights";
 constexpr Duration kLeaseLifetime = std::chrono::milliseconds(1'500);
-/// A gateway contends this much later for each one that goes before it.
-constexpr Duration kRankDelay = std::chrono::milliseconds(1'200);
 
 }  // namespace
 
@@ -58,25 +56,18 @@
   stopped_ = true;
   timer_.cancel();
   if (!holding_) return;
-  const LeaseRow released{"", row_.token, row_.renewal + 1, 0};
+  const LeaseRow released{"", row_.token, row_.renewal + 1};
   platform_.writeLease(kLeaseName, released, row_.row_version, [](bool, const std::optional<LeaseRow>&) {});
 }
 
-bool OrderGiver::contends(TimePoint now) const {
-  if (holding_) return true;
-  const std::optional<TimePoint> since = rollout_.pendingSince(callbacks_.backends());
-  if (!since) return false;
-  const TimePoint idle_since = std::max(*since, others_active_at_);
-  return now - idle_since >= kRankDelay * static_cast<Duration::rep>(callbacks_.rank());
-}
-
 void OrderGiver::tick() {
   const TimePoint now = clock_.now();
+  contention_.onWork(rollout_.pendingSince(callbacks_.backends()), now);
   if (!rollout_.pending(callbacks_.backends()) && !rollout_.busy()) {
     ticking_ = false;
     return;
   }
-  if (contends(now)) pollLease(now);
+  if (holding_ || contention_.contends(callbacks_.rank(), now)) pollLease(now);
   noteHolding(now);
   giveOrders(now);
   timer_.expires_after(kRolloutTick);
@@ -97,8 +88,22 @@
       [this](bool written, const std::optional<LeaseRow>& row) { onLeaseWritten(written, row); });
 }
 
+/// The table of leases can be lost while the platform's feeds are answered.
+void OrderGiver::noteLeaseAnswer(bool answered, TimePoint now) {
+  if (answered == lease_answers_) return;
+  lease_answers_ = answered;
+  if (!answered) {
+    lease_lost_at_ = now;
+    log_.write(EventId::PlatformUnreachable, {{"service", "lease"}, {"reason", "no answer, or turned away"}});
+    return;
+  }
+  const auto lost_for = std::chrono::duration_cast<std::chrono::milliseconds>(now - lease_lost_at_);
+  log_.write(EventId::PlatformReachable, {{"service", "lease"}, {"unreachable_ms", lost_for.count()}});
+}
+
 void OrderGiver::onLeaseRead(const std::optional<LeaseRow>& row) {
   const TimePoint now = clock_.now();
+  noteLeaseAnswer(row.has_value(), now);
   if (!row) return lease_->onFailed(now);
   noteRow(*row, now);
   lease_->onRead(*row, now);
@@ -106,6 +111,7 @@
 
 void OrderGiver::onLeaseWritten(bool written, const std::optional<LeaseRow>& row) {
   const TimePoint now = clock_.now();
+  noteLeaseAnswer(row.has_value(), now);
   if (!row) return lease_->onFailed(now);
   noteRow(*row, now);
   lease_->onWritten(written, *row, now);
@@ -117,7 +123,8 @@
   const bool other = !row.holder.empty() && row.holder != options_.holder;
   if (!other || !renewed) return;
   other_holder_ = row.holder;
-  other_renewed_at_ = now;
+  // Without an age the renewal may be as young as this look at it.
+  other_renewed_at_ = now - row.age.value_or(Duration(0));
 }
 
 /// A holder may give orders until its lease runs out; one that is known to be gone gives none.
--- a/src/gateway_control/order_giver.h
+++ b/src/gateway_control/order_giver.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "base/event_log.h"
+#include "gateway_control/order_contention.h"
 #include "gateway_control/platform_link.h"
 #include "gateway_control/weight_rollout.h"
 
@@ -43,7 +44,7 @@
   bool onNamed(const NamedWeights& named);
   std::vector<NamedWeights> named() const { return rollout_.named(); }
   /// Another gateway gives orders at present.
-  void onOthersActive() { others_active_at_ = clock_.now(); }
+  void onOthersActive() { contention_.onOthersActive(clock_.now()); }
   /// The back ends changed: there may be work.
   void wake();
   /// @return whether this gateway held the order lease when last looked at.
@@ -55,10 +56,10 @@
 
 private:
   void tick();
-  bool contends(TimePoint now) const;
   void pollLease(TimePoint now);
   void onLeaseRead(const std::optional<LeaseRow>& row);
   void onLeaseWritten(bool written, const std::optional<LeaseRow>& row);
+  void noteLeaseAnswer(bool answered, TimePoint now);
   void noteRow(const LeaseRow& row, TimePoint now);
   bool othersMayOrder(TimePoint now) const;
   void noteHolding(TimePoint now);
@@ -76,11 +77,13 @@
   bool ticking_ = false;
   bool stopped_ = false;
   bool holding_ = false;
+  bool lease_answers_ = true;
+  TimePoint lease_lost_at_{};
   std::uint64_t orders_sent_ = 0;
   LeaseRow row_;                  ///< As last seen.
   std::string other_holder_;      ///< The last one seen that is not this gateway.
   TimePoint other_renewed_at_{};  ///< When its last renewal was seen.
-  TimePoint others_active_at_{};  ///< When another gateway last told of orders.
+  order_contention contention_;
 };
 
 }  // namespace crankspur::gateway
--- a/src/lease/lease.cc
+++ b/src/lease/lease.cc
@@ -111,8 +111,8 @@
     return machine_.current_state()[0] == boost::msm::back::get_state_id<Machine::stt, State>::value;
   }
 
-  LeaseRow claim() const { return {holder_, row_.token + 1, row_.renewal + 1, 0}; }
-  LeaseRow renewal() const { return {holder_, row_.token, row_.renewal + 1, 0}; }
+  LeaseRow claim() const { return {holder_, row_.token + 1, row_.renewal + 1}; }
+  LeaseRow renewal() const { return {holder_, row_.token, row_.renewal + 1}; }
 
   /// Judges a row as it is in the table.
   void observe(const LeaseRow& row, TimePoint now) {
@@ -130,7 +130,10 @@
       return;
     }
     token_ = 0;
-    const bool free = row.row_version == 0 || row.holder.empty() || now - unchanged_since_ >= lifetime_;
+    // The holder counts its lease from when it sent the row, so that one of such an age is over.
+    const bool over =
+        row.age.value_or(now - unchanged_since_) >= lifetime_ || now - unchanged_since_ >= lifetime_;
+    const bool free = row.row_version == 0 || row.holder.empty() || over;
     if (free) {
       machine_.process_event(SeenFree{});
       next_at_ =
--- a/src/lease/lease.h
+++ b/src/lease/lease.h
@@ -19,6 +19,11 @@
   std::uint64_t renewal =
       0;  ///< Grows with each renewal, so that observers see life without comparing clocks.
   std::uint64_t row_version = 0;  ///< The table's version of the row; 0 when absent.
+  /// The table service's clock when the holder sent this row, at the latest; 0: its clock is not known.
+  std::uint64_t sent_ms = 0;
+  /// Time since the holder sent this row, at least, as of the answer that brought it; empty: unknown. Not
+  /// stored.
+  std::optional<Duration> age = std::nullopt;
 };
 
 /// What the lease wants done with the table.
--- a/src/table_service/row_codec.cc
+++ b/src/table_service/row_codec.cc
@@ -106,8 +106,8 @@
 }
 
 std::string encodeLeaseRow(const LeaseRow& row) {
-  return json::serialize(
-      json::object{{"holder", row.holder}, {"token", row.token}, {"renewal", row.renewal}});
+  return json::serialize(json::object{
+      {"holder", row.holder}, {"token", row.token}, {"renewal", row.renewal}, {"sent_ms", row.sent_ms}});
 }
 
 std::optional<LeaseRow> decodeLeaseRow(const TableRow& row) {
@@ -124,7 +124,8 @@
   if (!holder || !token || !renewal) {
     return std::nullopt;
   }
-  return LeaseRow{*holder, *token, *renewal, row.version};
+  const std::uint64_t sent_ms = unsignedField(*object, "sent_ms").value_or(0);
+  return LeaseRow{*holder, *token, *renewal, row.version, sent_ms};
 }
 
 }  // namespace crankspur
--- a/tests/unit/lease/lease_test.cc
+++ b/tests/unit/lease/lease_test.cc
@@ -56,6 +56,27 @@
 
 }  // namespace
 
+TEST_CASE("a lease whose age shows that it is over is taken at the first look", "[lease]") {
+  Table table;
+  table.row = {"gone", 4, 9, 17};
+  table.row.age = kLifetime;
+  const auto lease = makeLease("taker", kLifetime, 1);
+  const TimePoint taken = acquire(*lease, table, kStart);
+  CHECK(taken - kStart < kLifetime / 2);
+  CHECK(table.row.token == 5);
+}
+
+TEST_CASE("a lease that is younger than its lifetime is left alone", "[lease]") {
+  Table table;
+  table.row = {"alive", 4, 9, 17};
+  table.row.age = kLifetime - 1ms;
+  const auto lease = makeLease("taker", kLifetime, 1);
+  step(*lease, table, kStart);
+  CHECK(table.row.holder == "alive");
+  step(*lease, table, kStart + 1s);
+  CHECK(table.row.holder == "alive");
+}
+
 TEST_CASE("a free lease is taken and held by renewals", "[lease]") {
   Table table;
   const auto lease = makeLease("a", kLifetime, 1);
