Follow each engine's cache from one gateway a zone, which tells the others

Change: from five gateways in a zone on, a rendezvous hash over the live members names the follower of each cache; it tells the others by numbered datagrams (cache_exchange, pure; nanopb messages CacheNotes and CacheWanted). First sites have smaller zones and stay as they were. Stores of KV cache are followed no more: their news were thrown away.

--- a/proto/crankspur.pb.c
+++ b/proto/crankspur.pb.c
@@ -111,4 +111,16 @@
 PB_BIND(crankspur_wire_BackendNotes, crankspur_wire_BackendNotes, AUTO)
 
 
+PB_BIND(crankspur_wire_CacheNotePart, crankspur_wire_CacheNotePart, AUTO)
+
+
+PB_BIND(crankspur_wire_CacheNote, crankspur_wire_CacheNote, AUTO)
+
+
+PB_BIND(crankspur_wire_CacheNotes, crankspur_wire_CacheNotes, AUTO)
+
+
+PB_BIND(crankspur_wire_CacheWanted, crankspur_wire_CacheWanted, AUTO)
+
+
 
--- a/src/gateway/cached_parts.h
+++ b/src/gateway/cached_parts.h
@@ -1,6 +1,5 @@
 #pragma once
-/// @file Which parts of prompts a back end or a store of KV cache holds, on the way from the control side to
-/// traffic.
+/// @file Which parts of prompts a back end holds, on the way from the control side to traffic.
 
 #include <cstdint>
 #include <string>
@@ -20,9 +19,8 @@
 
 /// News of one cache, in its order.
 struct CachedPartsNews {
-  EngineSlot slot = 0;            ///< Of the back end; ignored when `store_address` is set.
+  EngineSlot slot = 0;            ///< Of the back end.
   std::uint64_t incarnation = 0;  ///< Ignored by the index unless it is the snapshot's.
-  std::string store_address;      ///< Set: the cache is this store (Pool::kv_store_address).
   bool complete = false;          ///< True: replaces all that was known (after a gap or a restart).
   std::vector<CachedPart> parts;
 };
--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -113,7 +113,6 @@
 }
 
 void EngineChoice::onCachedParts(const CachedPartsNews& news, TimePoint now) {
-  if (!news.store_address.empty()) return;
   const auto known = incarnations_.find(news.slot);
   if (known == incarnations_.end() || known->second != news.incarnation) return;
   news_at_[news.slot] = now;
--- /dev/null
+++ b/src/gateway_control/cache_exchange.cc
@@ -0,0 +1,158 @@
+#include "gateway_control/cache_exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/hash.h"
+
+namespace crankspur::gateway {
+namespace {
+
+/// Parts in one datagram: some 60 bytes each, far below the largest one.
+constexpr std::size_t kPartsInDatagram = 400;
+/// The whole of one cache is asked for at most once in this time.
+constexpr Duration kAskInterval = std::chrono::seconds(1);
+
+/// Gathers notes into datagrams of bounded size.
+class note_packer {
+public:
+  void add(const std::string& backend, std::uint64_t sequence, bool complete, const CacheNotePart* part) {
+    const bool full = !datagrams_.empty() && parts_ >= kPartsInDatagram;
+    if (datagrams_.empty() || full) {
+      datagrams_.emplace_back();
+      parts_ = 0;
+    }
+    std::vector<CacheNote>& notes = datagrams_.back().notes;
+    const bool same = !notes.empty() && notes.back().backend == backend && notes.back().sequence == sequence;
+    if (!same) notes.push_back({backend, sequence, complete, {}});
+    ++parts_;
+    if (part != nullptr) notes.back().parts.push_back(*part);
+  }
+  /// @return whether the next part begins a datagram of its own.
+  bool isFull() const { return !datagrams_.empty() && parts_ >= kPartsInDatagram; }
+  std::vector<CacheNotes> take() { return std::move(datagrams_); }
+
+private:
+  std::vector<CacheNotes> datagrams_;
+  std::size_t parts_ = 0;
+};
+
+}  // namespace
+
+// Caches that this gateway follows.
+
+void cache_exchange::onOwnNews(const std::string& backend, const std::vector<CachedPart>& parts,
+                               bool complete) {
+  own_cache& own = own_[backend];
+  told_.erase(backend);
+  if (complete) {
+    own.tokens.clear();
+    own.pending.clear();
+    own.pending_complete = true;
+  }
+  for (const CachedPart& part : parts) {
+    const part_key key{part.scope, part.model, part.part};
+    if (part.tokens == 0) {
+      own.tokens.erase(key);
+    } else {
+      own.tokens[key] = part.tokens;
+    }
+    own.pending.push_back({part.scope, part.model, part.part, part.tokens});
+  }
+}
+
+void cache_exchange::forgetOwn(const std::string& backend) {
+  own_.erase(backend);
+}
+
+bool cache_exchange::hasNotes() const {
+  return std::any_of(own_.begin(), own_.end(), [](const auto& item) {
+    return !item.second.pending.empty() || item.second.pending_complete;
+  });
+}
+
+std::vector<CacheNotes> cache_exchange::takeNotes() {
+  note_packer packer;
+  for (auto& [backend, own] : own_) {
+    if (own.pending.empty() && !own.pending_complete) continue;
+    ++own.sequence;
+    bool complete = std::exchange(own.pending_complete, false);
+    if (own.pending.empty()) packer.add(backend, own.sequence, complete, nullptr);
+    for (const CacheNotePart& part : std::exchange(own.pending, {})) {
+      // Each datagram has a number of its own, so that the loss of any is seen.
+      if (packer.isFull()) ++own.sequence;
+      packer.add(backend, own.sequence, complete, &part);
+      complete = complete && !packer.isFull();
+    }
+  }
+  return packer.take();
+}
+
+std::vector<CacheNotes> cache_exchange::onWanted(const CacheWanted& wanted) const {
+  note_packer packer;
+  const auto found = own_.find(wanted.backend);
+  if (found == own_.end()) return {};
+  const own_cache& own = found->second;
+  bool complete = true;
+  if (own.tokens.empty()) packer.add(wanted.backend, own.sequence, complete, nullptr);
+  for (const auto& [key, tokens] : own.tokens) {
+    const auto& [scope, model, part] = key;
+    const CacheNotePart told{scope, model, part, tokens};
+    packer.add(wanted.backend, own.sequence, complete, &told);
+    complete = complete && !packer.isFull();
+  }
+  return packer.take();
+}
+
+// Caches that others follow.
+
+bool cache_exchange::misses(told_cache& known, const std::string& teller, const CacheNote& note,
+                            TimePoint now) {
+  const bool follows = known.teller == teller && note.sequence <= known.sequence + 1;
+  known.teller = teller;
+  known.sequence = std::max(note.sequence, follows ? known.sequence : note.sequence);
+  if (follows || note.complete) return false;
+  const bool asked = known.asked_at != TimePoint{} && now - known.asked_at < kAskInterval;
+  if (!asked) known.asked_at = now;
+  return !asked;
+}
+
+received_cache_notes cache_exchange::onNotes(const std::string& teller, const CacheNotes& notes,
+                                             TimePoint now) {
+  received_cache_notes received;
+  for (const CacheNote& note : notes.notes) {
+    if (own_.contains(note.backend)) continue;  // What this gateway sees itself is newer.
+    told_cache& known = told_[note.backend];
+    const bool outdated = known.teller == teller && note.sequence < known.sequence && !note.complete;
+    if (outdated) continue;
+    if (misses(known, teller, note, now)) received.wanted.push_back({note.backend});
+    told_cache_news news;
+    news.backend = note.backend;
+    news.complete = note.complete;
+    for (const CacheNotePart& part : note.parts) {
+      news.parts.push_back({part.scope, part.model, part.part, part.tokens});
+    }
+    received.news.push_back(std::move(news));
+  }
+  return received;
+}
+
+void cache_exchange::forgetBackend(const std::string& backend) {
+  own_.erase(backend);
+  told_.erase(backend);
+}
+
+std::string followerOf(const std::string& backend, const std::vector<std::string>& members) {
+  std::string best;
+  std::uint64_t highest = 0;
+  for (const std::string& member : members) {
+    const std::uint64_t weight = hashBytes(backend, hashBytes(member));
+    const bool better = best.empty() || weight > highest || (weight == highest && member < best);
+    if (!better) continue;
+    best = member;
+    highest = weight;
+  }
+  return best;
+}
+
+}  // namespace crankspur::gateway
--- a/src/gateway_control/cache_watch.cc
+++ b/src/gateway_control/cache_watch.cc
@@ -17,19 +17,15 @@
                        std::function<void(CachedPartsNews)> on_news)
     : executor_(executor), platform_(platform), on_news_(std::move(on_news)) {}
 
-void CacheWatch::update(const Configuration& configuration, const std::vector<Backend>& backends) {
+void CacheWatch::update(const Configuration& configuration, const std::vector<Backend>& backends,
+                        const std::function<bool(const Backend&)>& follows) {
   std::set<std::string> wanted;
   for (const Backend& backend : backends) {
     const Pool* pool = configuration.findPool(backend.view.pool);
     const bool caches = pool != nullptr && pool->cache_tokens > 0;
-    if (!caches || backend.view.state == EngineState::Dead) continue;
+    if (!caches || backend.view.state == EngineState::Dead || !follows(backend)) continue;
     wanted.insert(backend.view.name);
-    follow(backend.view.name, backend.view.address, &backend);
-  }
-  for (const Pool& pool : configuration.pools) {
-    if (pool.kv_store_address.empty()) continue;
-    wanted.insert(pool.kv_store_address);
-    follow(pool.kv_store_address, pool.kv_store_address, nullptr);
+    follow(backend);
   }
   std::erase_if(followed_, [&wanted](const auto& item) {
     if (wanted.contains(item.first)) return false;
@@ -39,17 +35,13 @@
   });
 }
 
-void CacheWatch::follow(const std::string& id, const std::string& address, const Backend* backend) {
-  if (followed_.contains(id)) return;
+void CacheWatch::follow(const Backend& backend) {
+  if (followed_.contains(backend.view.name)) return;
   const auto followed = std::make_shared<Followed>(executor_);
-  followed->address = address;
-  if (backend == nullptr) {
-    followed->store_address = address;
-  } else {
-    followed->slot = backend->view.slot;
-    followed->incarnation = backend->view.incarnation;
-  }
-  followed_[id] = followed;
+  followed->address = backend.view.address;
+  followed->slot = backend.view.slot;
+  followed->incarnation = backend.view.incarnation;
+  followed_[backend.view.name] = followed;
   ask(followed);
 }
 
@@ -106,7 +98,6 @@
   CachedPartsNews news;
   news.slot = followed.slot;
   news.incarnation = followed.incarnation;
-  news.store_address = followed.store_address;
   news.complete = complete;
   news.parts = std::move(parts);
   on_news_(std::move(news));
--- a/src/gateway_control/cache_watch.h
+++ b/src/gateway_control/cache_watch.h
@@ -1,5 +1,5 @@
 #pragma once
-/// @file Follows what the caches of back ends and KV stores hold. Lives on the control thread.
+/// @file Follows what the caches of back ends hold. Lives on the control thread.
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -19,14 +19,15 @@
   CacheWatch(const boost::asio::any_io_executor& executor, PlatformLink& platform,
              std::function<void(CachedPartsNews)> on_news);
   /// Begins to follow caches that are new and drops those that are gone.
-  void update(const Configuration& configuration, const std::vector<Backend>& backends);
+  /// @param follows whether this gateway follows the back end's cache itself.
+  void update(const Configuration& configuration, const std::vector<Backend>& backends,
+              const std::function<bool(const Backend&)>& follows);
 
 private:
   /// One cache that is followed.
   struct Followed {
     explicit Followed(const boost::asio::any_io_executor& executor) : timer(executor) {}
     std::string address;
-    std::string store_address;  ///< Set for a store.
     EngineSlot slot = 0;
     std::uint64_t incarnation = 0;
     bool known = false;  ///< An epoch and a position are held.
@@ -38,7 +39,7 @@
   };
   using FollowedPointer = std::shared_ptr<Followed>;
 
-  void follow(const std::string& id, const std::string& address, const Backend* backend);
+  void follow(const Backend& backend);
   void ask(const FollowedPointer& followed);
   void askLater(const FollowedPointer& followed, Duration delay);
   void onEvents(const FollowedPointer& followed, CachedPartsPage page);
@@ -48,7 +49,7 @@
   boost::asio::any_io_executor executor_;
   PlatformLink& platform_;
   std::function<void(CachedPartsNews)> on_news_;
-  std::map<std::string, FollowedPointer> followed_;  ///< By back end id or store address.
+  std::map<std::string, FollowedPointer> followed_;  ///< By back end id.
 };
 
 }  // namespace crankspur::gateway
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -77,17 +77,12 @@
       platform_(platform),
       outputs_(std::move(outputs)),
       log_(log),
-      gossip_(
-          executor, gossipOptions(settings, incarnation), [this] { onMembers(); },
-          [this](const BackendNote& note) {
-            orders_.onOthersActive();
-            onNote(note);
-          }),
+      gossip_(executor, gossipOptions(settings, incarnation), *this),
       orders_(executor, orderOptions(settings, incarnation), platform, orderCallbacks(), log),
-      cache_watch_(executor, platform,
-                   [this](CachedPartsNews news) { outputs_.on_cached_parts(std::move(news)); }),
+      cache_watch_(executor, platform, [this](CachedPartsNews news) { onOwnCacheNews(std::move(news)); }),
       publish_timer_(executor),
-      change_timer_(executor) {}
+      change_timer_(executor),
+      tell_timer_(executor) {}
 
 std::error_code GatewayControl::start() {
   contact_->vouch(now());
@@ -140,7 +135,12 @@
   return callbacks;
 }
 
-void GatewayControl::onMembers() {
+void GatewayControl::onBackendNote(const BackendNote& note) {
+  orders_.onOthersActive();
+  onNote(note);
+}
+
+void GatewayControl::onMembersChanged() {
   std::map<std::string, MemberRecord> present;
   for (const MemberRecord& member : gossip_.members()) present[member.name] = member;
   for (const auto& [name, member] : present) {
@@ -327,7 +327,7 @@
   snapshot->contact = contact_;
   snapshot->key_validity = settings_.key_validity;
   outputs_.publish(std::move(snapshot));
-  if (configuration_ != nullptr) cache_watch_.update(*configuration_, backends_);
+  updateCacheWatch();
   orders_.wake();
   armPublishTimer();
 }
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/event_log.h"
+#include "gateway_control/cache_exchange.h"
 #include "gateway_control/cache_watch.h"
 #include "gateway_control/fleet_view.h"
 #include "gateway_control/gossip_socket.h"
@@ -39,7 +40,7 @@
 };
 
 /// The control state. Use from its executor's thread only.
-class GatewayControl {
+class GatewayControl : private gossip_receiver {
 public:
   GatewayControl(const boost::asio::any_io_executor& executor, const NodeSettings& settings,
                  std::uint64_t incarnation, PlatformLink& platform, GatewayControlOutputs outputs,
@@ -63,7 +64,17 @@
   TimePoint now() const { return clock_.now(); }
   PlatformNews platformNews();
   OrderGiverCallbacks orderCallbacks();
-  void onMembers();
+  void onMembersChanged() override;
+  void onBackendNote(const BackendNote& note) override;
+  void onCacheNotes(const std::string& teller, const CacheNotes& notes) override;
+  void onCacheWanted(const std::string& asker, const CacheWanted& wanted) override;
+  void onOwnCacheNews(CachedPartsNews news);
+  void tellCachesSoon();
+  void tellCaches();
+  std::vector<std::string> zoneMembers() const;
+  void updateCacheWatch();
+  const Backend* findBackend(const std::string& id) const;
+  const Backend* findBackend(EngineSlot slot, std::uint64_t incarnation) const;
   void logMember(const MemberRecord& member, std::string_view from, std::string_view to);
   void onConfiguration(std::shared_ptr<const Configuration> configuration);
   void onContact(TimePoint as_of);
@@ -89,6 +100,10 @@
   std::vector<Backend> backends_;  ///< As published last.
   OrderGiver orders_;
   CacheWatch cache_watch_;
+  cache_exchange caches_;
+  bool tell_waiting_ = false;
+  std::vector<std::string>
+      sharing_;  ///< Gateways of the zone that share the caches; empty: each follows all.
   std::shared_ptr<const Configuration> configuration_;
   std::shared_ptr<platform_contact> contact_ = std::make_shared<platform_contact>();
   bool told_once_ = false;  ///< The platform has told everything once.
@@ -100,6 +115,7 @@
   bool keys_current_ = true;
   boost::asio::steady_timer publish_timer_;
   boost::asio::steady_timer change_timer_;
+  boost::asio::steady_timer tell_timer_;
 };
 
 }  // namespace crankspur::gateway
--- a/src/gateway_control/gossip_socket.cc
+++ b/src/gateway_control/gossip_socket.cc
@@ -38,10 +38,9 @@
 }  // namespace
 
 GossipSocket::GossipSocket(const asio::any_io_executor& executor, GossipOptions options,
-                           std::function<void()> on_change, std::function<void(const BackendNote&)> on_note)
+                           gossip_receiver& receiver)
     : options_(std::move(options)),
-      on_change_(std::move(on_change)),
-      on_note_(std::move(on_note)),
+      receiver_(receiver),
       socket_(executor),
       timer_(executor),
       membership_(makeMembership(record(options_), membershipOptions(), options_.random_seed, clock_.now())) {
@@ -98,8 +97,12 @@
   } else if (const auto* ack = std::get_if<PingAck>(&*frame.message)) {
     membership_->onAck(*ack, clock_.now());
   } else if (const auto* notes = std::get_if<BackendNotes>(&*frame.message)) {
-    for (const BackendNote& note : notes->notes) on_note_(note);
+    for (const BackendNote& note : notes->notes) receiver_.onBackendNote(note);
     return;
+  } else if (const auto* caches = std::get_if<CacheNotes>(&*frame.message)) {
+    return receiver_.onCacheNotes(from, *caches);
+  } else if (const auto* wanted = std::get_if<CacheWanted>(&*frame.message)) {
+    return receiver_.onCacheWanted(from, *wanted);
   }
   afterEvent();
 }
@@ -122,7 +125,7 @@
   for (OutgoingGossip& outgoing : membership_->takeOutgoing()) {
     std::visit([&](auto& message) { send(outgoing.address, std::move(message)); }, outgoing.message);
   }
-  if (!membership_->takeChanges().empty()) on_change_();
+  if (!membership_->takeChanges().empty()) receiver_.onMembersChanged();
   armTimer();
 }
 
--- a/src/gateway_control/gossip_socket.h
+++ b/src/gateway_control/gossip_socket.h
@@ -6,7 +6,6 @@
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <functional>
 #include <memory>
 #include <string>
 #include <system_error>
@@ -26,13 +25,21 @@
   std::uint64_t random_seed = 1;
 };
 
+/// Hears what other gateways tell. Names are member names.
+class gossip_receiver {
+public:
+  virtual ~gossip_receiver() = default;
+  virtual void onMembersChanged() = 0;
+  virtual void onBackendNote(const BackendNote& note) = 0;
+  virtual void onCacheNotes(const std::string& teller, const CacheNotes& notes) = 0;
+  virtual void onCacheWanted(const std::string& asker, const CacheWanted& wanted) = 0;
+};
+
 /// The socket with the membership that it serves. Use from the executor's thread only.
 class GossipSocket {
 public:
-  /// @param on_change members changed.
-  /// @param on_note another gateway told of a back end.
   GossipSocket(const boost::asio::any_io_executor& executor, GossipOptions options,
-               std::function<void()> on_change, std::function<void(const BackendNote&)> on_note);
+               gossip_receiver& receiver);
   /// Binds and begins.
   std::error_code start();
   void seed(const std::vector<std::string>& addresses);
@@ -40,6 +47,8 @@
   void setConfigurationVersion(std::uint64_t version);
   /// Tells every live member; a datagram may be lost.
   void tellAll(const BackendNotes& notes);
+  /// Tells one member; the datagram may be lost.
+  void tell(const std::string& member, const Message& message) { send(member, message); }
   /// @return live members, this node included; their bundle_version is the configuration they hold.
   std::vector<MemberRecord> members() const { return membership_->liveMembers(); }
   const std::string& ownName() const { return options_.address; }
@@ -52,8 +61,7 @@
   void armTimer();
 
   GossipOptions options_;
-  std::function<void()> on_change_;
-  std::function<void(const BackendNote&)> on_note_;
+  gossip_receiver& receiver_;
   SteadyClock clock_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::steady_timer timer_;
--- /dev/null
+++ b/src/gateway_control/shared_caches.cc
@@ -0,0 +1,104 @@
+/// @file How a gateway shares the following of caches with the others of its zone.
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway_control/gateway_control.h"
+
+namespace crankspur::gateway {
+namespace {
+
+/// From so many gateways in a zone on, each cache is followed by one of them.
+constexpr std::size_t kLeastSharing = 5;
+/// News are gathered for so long for each gateway of the zone before they are told, within bounds: each
+/// gateway hears all the others, so that their datagrams would grow with the square of the zone.
+constexpr Duration kGatherPerGateway = std::chrono::milliseconds(8);
+constexpr Duration kLeastGather = std::chrono::milliseconds(40);
+constexpr Duration kLongestGather = std::chrono::milliseconds(200);
+
+}  // namespace
+
+std::vector<std::string> GatewayControl::zoneMembers() const {
+  std::vector<std::string> names;
+  for (const MemberRecord& member : gossip_.members()) {
+    const bool own = member.name == gossip_.ownName();
+    const bool shares = member.state == MemberState::Alive && member.incarnation != 0;
+    if (member.zone == settings_.zone && (own || shares)) names.push_back(member.name);
+  }
+  return names;
+}
+
+void GatewayControl::updateCacheWatch() {
+  if (configuration_ == nullptr) return;
+  sharing_ = zoneMembers();
+  if (sharing_.size() < kLeastSharing) sharing_.clear();
+  const auto follows = [this](const Backend& backend) {
+    return sharing_.empty() || followerOf(backend.view.name, sharing_) == gossip_.ownName();
+  };
+  for (const Backend& backend : backends_) {
+    if (!follows(backend)) caches_.forgetOwn(backend.view.name);
+    if (backend.view.state == EngineState::Dead) caches_.forgetBackend(backend.view.name);
+  }
+  cache_watch_.update(*configuration_, backends_, follows);
+}
+
+const Backend* GatewayControl::findBackend(const std::string& id) const {
+  const auto found = std::find_if(backends_.begin(), backends_.end(),
+                                  [&](const Backend& backend) { return backend.view.name == id; });
+  return found == backends_.end() ? nullptr : &*found;
+}
+
+const Backend* GatewayControl::findBackend(EngineSlot slot, std::uint64_t incarnation) const {
+  const auto found = std::find_if(backends_.begin(), backends_.end(), [&](const Backend& backend) {
+    return backend.view.slot == slot && backend.view.incarnation == incarnation;
+  });
+  return found == backends_.end() ? nullptr : &*found;
+}
+
+void GatewayControl::onOwnCacheNews(CachedPartsNews news) {
+  const Backend* backend = findBackend(news.slot, news.incarnation);
+  if (!sharing_.empty() && backend != nullptr) {
+    caches_.onOwnNews(backend->view.name, news.parts, news.complete);
+    tellCachesSoon();
+  }
+  outputs_.on_cached_parts(std::move(news));
+}
+
+void GatewayControl::tellCachesSoon() {
+  if (!caches_.hasNotes() || std::exchange(tell_waiting_, true)) return;
+  const Duration wanted = kGatherPerGateway * static_cast<Duration::rep>(sharing_.size());
+  tell_timer_.expires_after(std::clamp(wanted, kLeastGather, kLongestGather));
+  tell_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) tellCaches();
+  });
+}
+
+void GatewayControl::tellCaches() {
+  tell_waiting_ = false;
+  for (const CacheNotes& notes : caches_.takeNotes()) {
+    for (const std::string& member : sharing_) {
+      if (member != gossip_.ownName()) gossip_.tell(member, notes);
+    }
+  }
+}
+
+void GatewayControl::onCacheNotes(const std::string& teller, const CacheNotes& notes) {
+  received_cache_notes received = caches_.onNotes(teller, notes, now());
+  for (const CacheWanted& wanted : received.wanted) gossip_.tell(teller, wanted);
+  for (told_cache_news& told : received.news) {
+    const Backend* backend = findBackend(told.backend);
+    if (backend == nullptr) continue;
+    CachedPartsNews news;
+    news.slot = backend->view.slot;
+    news.incarnation = backend->view.incarnation;
+    news.complete = told.complete;
+    news.parts = std::move(told.parts);
+    outputs_.on_cached_parts(std::move(news));
+  }
+}
+
+void GatewayControl::onCacheWanted(const std::string& asker, const CacheWanted& wanted) {
+  for (const CacheNotes& notes : caches_.onWanted(wanted)) gossip_.tell(asker, notes);
+}
+
+}  // namespace crankspur::gateway
--- a/src/internal_protocol/field_mapping.h
+++ b/src/internal_protocol/field_mapping.h
@@ -50,6 +50,10 @@
 CRANKSPUR_WIRE_FORM(BackendList)
 CRANKSPUR_WIRE_FORM(BackendNote)
 CRANKSPUR_WIRE_FORM(BackendNotes)
+CRANKSPUR_WIRE_FORM(CacheNotePart)
+CRANKSPUR_WIRE_FORM(CacheNote)
+CRANKSPUR_WIRE_FORM(CacheNotes)
+CRANKSPUR_WIRE_FORM(CacheWanted)
 #undef CRANKSPUR_WIRE_FORM
 
 template <typename Archive, typename Plain>
@@ -369,4 +373,30 @@
   archive.records(wire.notes, plain.notes);
 }
 
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_CacheNotePart& wire, Plain& plain) {
+  archive.text(wire.scope, plain.scope);
+  archive.text(wire.model, plain.model);
+  archive.number(wire.part, plain.part);
+  archive.number(wire.tokens, plain.tokens);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_CacheNote& wire, Plain& plain) {
+  archive.text(wire.backend, plain.backend);
+  archive.number(wire.sequence, plain.sequence);
+  archive.number(wire.complete, plain.complete);
+  archive.records(wire.parts, plain.parts);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_CacheNotes& wire, Plain& plain) {
+  archive.records(wire.notes, plain.notes);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_CacheWanted& wire, Plain& plain) {
+  archive.text(wire.backend, plain.backend);
+}
+
 }  // namespace crankspur::wire
--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -250,11 +250,37 @@
   std::vector<BackendNote> notes;
 };
 
+/// A part of a prompt as a cache holds it now.
+struct CacheNotePart {
+  std::string scope;  ///< Parts are shared only under equal scopes.
+  std::string model;
+  std::uint64_t part = 0;
+  std::uint32_t tokens = 0;  ///< Leading tokens kept now; 0: none any more.
+};
+
+/// News of one back end's cache, told by the gateway that follows it.
+struct CacheNote {
+  std::string backend;         ///< Differs at each start of the back end.
+  std::uint64_t sequence = 0;  ///< Grows by one with each note of one teller about one back end.
+  bool complete = false;       ///< Replaces all that was told before.
+  std::vector<CacheNotePart> parts;
+};
+
+/// News of some back ends' caches.
+struct CacheNotes {
+  std::vector<CacheNote> notes;
+};
+
+/// Asks the gateway that follows a back end's cache for all that the cache holds.
+struct CacheWanted {
+  std::string backend;
+};
+
 /// Every message that a frame can carry.
-using Message =
-    std::variant<Hello, SubmitRequest, Accepted, StreamPiece, StreamEnd, Refusal, Cancel, Ping, PingAck,
-                 BundleRequest, BundleBody, CacheSummary, LoadDigest, ClaimPrepare, ClaimReply, ProtocolError,
-                 BundleUpdate, BackendListRequest, BackendList, ClaimRelease, ClaimRecord, ClaimSeal,
-                 ClaimSealed, ClaimInstall, ClaimGroupRequest, ClaimGroupInfo, BackendNotes>;
+using Message = std::variant<Hello, SubmitRequest, Accepted, StreamPiece, StreamEnd, Refusal, Cancel, Ping,
+                             PingAck, BundleRequest, BundleBody, CacheSummary, LoadDigest, ClaimPrepare,
+                             ClaimReply, ProtocolError, BundleUpdate, BackendListRequest, BackendList,
+                             ClaimRelease, ClaimRecord, ClaimSeal, ClaimSealed, ClaimInstall,
+                             ClaimGroupRequest, ClaimGroupInfo, BackendNotes, CacheNotes, CacheWanted>;
 
 }  // namespace crankspur
--- a/tests/unit/gateway/gateway_stream_test.cc
+++ b/tests/unit/gateway/gateway_stream_test.cc
@@ -123,11 +123,11 @@
   const TimePoint now{seconds(9)};
   const auto uncached = [&] { return choice.choose(request, snapshot, BackendTable(), now).uncached_tokens; };
   CHECK(uncached() == 1600);
-  choice.onCachedParts({4, 1004, "", false, {{cacheScope("1", ""), "m", 11, 1600}}}, now);
+  choice.onCachedParts({4, 1004, false, {{cacheScope("1", ""), "m", 11, 1600}}}, now);
   CHECK(uncached() == 1);
-  choice.onCachedParts({4, 1004, "", false, {{cacheScope("1", ""), "m", 11, 800}}}, now);
+  choice.onCachedParts({4, 1004, false, {{cacheScope("1", ""), "m", 11, 800}}}, now);
   CHECK(uncached() == 800);
-  choice.onCachedParts({4, 1004, "", true, {}}, now);
+  choice.onCachedParts({4, 1004, true, {}}, now);
   CHECK(uncached() == 1600);
 }
 
--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -24,6 +24,8 @@
 std::string describeFields(const CacheSummary& value);
 std::string describeFields(const EngineLoad& value);
 std::string describeFields(const BackendNote& value);
+std::string describeFields(const CacheNote& value);
+std::string describeFields(const CacheNotePart& value);
 std::string describeFields(const LoadDigest& value);
 std::string describeFields(const BackendRecord& value);
 std::string describeFields(const ClaimPrepare& value);
@@ -154,6 +156,23 @@
                      value.weights_version);
 }
 
+std::string describeFields(const CacheNotePart& value) {
+  return fmt::format("CacheNotePart {} {} {} {}", value.scope, value.model, value.part, value.tokens);
+}
+
+std::string describeFields(const CacheNote& value) {
+  return fmt::format("CacheNote {} {} {} {}", value.backend, value.sequence, value.complete,
+                     describeAll(value.parts));
+}
+
+std::string describeFields(const CacheNotes& value) {
+  return fmt::format("CacheNotes {}", describeAll(value.notes));
+}
+
+std::string describeFields(const CacheWanted& value) {
+  return fmt::format("CacheWanted {}", value.backend);
+}
+
 std::string describeFields(const BackendNotes& value) {
   return fmt::format("BackendNotes {}", describeAll(value.notes));
 }
@@ -485,6 +504,12 @@
   return value;
 }
 
+CacheNotes exampleCacheNotes() {
+  CacheNote note{"backend", ~0ull - 125, true, {}};
+  note.parts = {CacheNotePart{"scope", "model", ~0ull - 126, 1600}, CacheNotePart{}};
+  return {{note, CacheNote{}}};
+}
+
 BackendNotes exampleBackendNotes() {
   return {{BackendNote{"name", 1500, "model", "2"}, BackendNote{}}};
 }
@@ -518,7 +543,9 @@
           exampleClaimInstall(),
           ClaimGroupRequest{~0ull - 124},
           exampleClaimGroupInfo(),
-          exampleBackendNotes()};
+          exampleBackendNotes(),
+          exampleCacheNotes(),
+          CacheWanted{"backend"}};
 }
 
 std::string describe(const Message& message) {
