Let a fifth of a large fleet load weights at once

Ruled out: late naming (all gateways know a version within 0.15 s) and lost orders (none refused).

Change: loads at once are a share of the fleet (a fifth) where that is more than the setting.

--- a/src/gateway_control/weight_rollout.cc
+++ b/src/gateway_control/weight_rollout.cc
@@ -80,14 +80,16 @@
   return since;
 }
 
-std::uint32_t WeightRollout::parallelNow(std::size_t remaining, TimePoint now) const {
+std::uint32_t WeightRollout::parallelNow(std::size_t remaining, std::size_t serving, TimePoint now) const {
   TimePoint oldest = now;
   for (const auto& [model, held] : named_) oldest = std::min(oldest, held.named_at);
   const double total = toSeconds(options_.limit) * kUsableShare;
   const double left = std::max(total / 4, total - toSeconds(now - oldest));
   const double wanted = std::ceil(static_cast<double>(remaining) * load_seconds_ / left);
-  const double highest = static_cast<double>(options_.parallel) * kHurryFactor;
-  return static_cast<std::uint32_t>(std::clamp(wanted, static_cast<double>(options_.parallel), highest));
+  const double share = std::floor(options_.parallel_share * static_cast<double>(serving));
+  const double usual = std::max(static_cast<double>(options_.parallel), share);
+  const double highest = std::max(static_cast<double>(options_.parallel) * kHurryFactor, usual);
+  return static_cast<std::uint32_t>(std::clamp(wanted, usual, highest));
 }
 
 Bundle WeightRollout::policy(const std::vector<Backend>& backends, std::uint32_t parallel) const {
@@ -110,8 +112,10 @@
 void WeightRollout::startRuns(const std::vector<Backend>& backends, TimePoint now) {
   std::vector<EngineView> engines;
   std::size_t remaining = 0;
+  std::size_t serving = 0;
   for (const Backend& backend : backends) {
     if (!takesRequests(backend)) continue;
+    ++serving;
     const auto rest = resting_.find(backend.view.name);
     if (rest != resting_.end() && now < rest->second) continue;
     const bool old = outdated(named_, backend) != nullptr;
@@ -128,7 +132,7 @@
   std::stable_sort(engines.begin(), engines.end(), [&](const EngineView& left, const EngineView& right) {
     return version(left) < version(right);
   });
-  const Bundle bundle = policy(backends, parallelNow(remaining, now));
+  const Bundle bundle = policy(backends, parallelNow(remaining, serving, now));
   for (const FleetOrder& order : orders_.due(bundle, engines, now)) {
     Run run;
     run.order = order;
--- a/src/gateway_control/weight_rollout.h
+++ b/src/gateway_control/weight_rollout.h
@@ -26,6 +26,9 @@
 struct RolloutOptions {
   Duration limit = std::chrono::seconds(8);  ///< From the naming to the use everywhere.
   std::uint32_t parallel = 2;                ///< Loads at once while time allows; more when it does not.
+  /// Share of the back ends that may load at once in any case: the others carry the traffic, whatever their
+  /// number.
+  double parallel_share = 0.2;
 };
 
 /// The roll-out. Not thread-safe.
@@ -70,7 +73,7 @@
   };
 
   void startRuns(const std::vector<Backend>& backends, TimePoint now);
-  std::uint32_t parallelNow(std::size_t remaining, TimePoint now) const;
+  std::uint32_t parallelNow(std::size_t remaining, std::size_t serving, TimePoint now) const;
   Bundle policy(const std::vector<Backend>& backends, std::uint32_t parallel) const;
   void fail(const std::string& backend, TimePoint now);
 
--- a/tests/unit/gateway_control/weight_rollout_test.cc
+++ b/tests/unit/gateway_control/weight_rollout_test.cc
@@ -113,6 +113,18 @@
   CHECK_FALSE(rollout.pending(fleet.backends()));
 }
 
+TEST_CASE("a larger fleet loads a share of itself at once, so that its size does not make new weights late",
+          "[weight_rollout]") {
+  WeightRollout rollout({10s, 2});
+  Fleet fleet(90, 0);
+  rollout.onNamed({"m", 2, {}}, kStart);
+  TimePoint now = kStart;
+  for (; now < kStart + 6s && !fleet.all(2); now += kRolloutTick) fleet.step(rollout, now);
+  CHECK(fleet.all(2));
+  CHECK(fleet.most_loading >= 18);
+  CHECK(fleet.most_loading <= 30);
+}
+
 TEST_CASE("orders whose answers are lost are given again until they show their effect", "[weight_rollout]") {
   WeightRollout rollout({8s, 2});
   Fleet fleet(12, 0.5);
