Send nothing to an engine with older weights whose queue would make it begin too late

Change: an engine is judged by the weights that may begin at the time when its queue (2.5 times its usual time to the first byte) is worked off.

--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -35,6 +35,8 @@
 constexpr double kImportBase = 0.002;
 constexpr double kOtherZoneSlowdown = 2.0;
 constexpr double kOtherRegionSlowdown = 10.0;
+/// An engine's queue is taken to last this many times its usual time to the first byte.
+constexpr double kQueueSafety = 2.5;
 /// Lateness counts up to this many seconds.
 constexpr double kLatenessLimit = 0.5;
 /// Factor of load while a runner is slow after its start.
@@ -149,10 +151,7 @@
   std::vector<const Backend*> doubtful;
   for (const Backend& backend : snapshot.backends) {
     if (!eligibility.isEligible(backend.view)) continue;
-    if (request.least_weights &&
-        weightsOf(backend, request.client->model).value_or(0) < *request.least_weights) {
-      continue;
-    }
+    if (!hasFreshWeights(backend, request, table, now)) continue;
     if (!table.hasRoom(backend, *request.pool, snapshot.gateway_count, now)) {
       lacks_room = true;
       continue;
@@ -162,6 +161,18 @@
   return healthy.empty() && !lacks_room ? doubtful : healthy;
 }
 
+/// A request begins once the engine's queue is worked off. What counts is the weights of that moment, so that
+/// an engine that has answered late is judged as of later.
+bool EngineChoice::hasFreshWeights(const Backend& backend, const ChoiceRequest& request,
+                                   const BackendTable& table, TimePoint now) const {
+  if (request.weights_clock == nullptr) return true;
+  const Duration queue = toDuration(table.answerTime(backend.view.slot) * kQueueSafety);
+  const TimePoint begins = now + std::max(Duration(0), queue - request.weights_margin);
+  const std::optional<std::uint64_t> least =
+      request.weights_clock->leastWeights(request.client->model, begins);
+  return !least || weightsOf(backend, request.client->model).value_or(0) >= *least;
+}
+
 std::size_t EngineChoice::scopedPrompt(std::vector<ScopedPrompt>& prompts,
                                        std::optional<std::uint64_t> weights, const ChoiceRequest& request,
                                        const Usable& usable, TimePoint now) const {
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -14,6 +14,7 @@
 #include "gateway/cached_parts.h"
 #include "gateway/dialect.h"
 #include "gateway/gateway_snapshot.h"
+#include "gateway/named_weights.h"
 #include "gateway/prefill_rate.h"
 #include "gateway/prompt_lanes.h"
 #include "placement/eligibility.h"
@@ -28,8 +29,9 @@
   const Pool* pool = nullptr;
   const ClientRequest* client = nullptr;
   bool uses_prefixes = false;
-  std::string isolated_tenant;                 ///< Empty: shares cached prefixes with all others.
-  std::optional<std::uint64_t> least_weights;  ///< Engines with older weights may not run it.
+  std::string isolated_tenant;                  ///< Empty: shares cached prefixes with all others.
+  const WeightsClock* weights_clock = nullptr;  ///< Which weights are too old to begin with; null: none are.
+  Duration weights_margin{0};                   ///< Between the clock's grace and the latest begin.
   std::vector<EngineSlot> excluded;
 };
 
@@ -133,6 +135,8 @@
                     TimePoint now) const;
   Candidate weighEngine(const Backend& backend, const ScopedPrompt& prompt, const ChoiceRequest& request,
                         const GatewaySnapshot& snapshot, const BackendTable& table, TimePoint now) const;
+  bool hasFreshWeights(const Backend& backend, const ChoiceRequest& request, const BackendTable& table,
+                       TimePoint now) const;
   double weighRunner(const Backend& backend, const GatewaySnapshot& snapshot,
                      const BackendTable& table) const;
   void applyPart(const CachedPartsNews& news, const CachedPart& part, CacheEvent& event);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -85,25 +85,28 @@
   if (route.repeatability == Repeatability::ResumableStream) entry.cursor.emplace(entry.client.resume_after);
 }
 
-ChoiceRequest Gateway::choiceRequest(const Entry& entry, const Pool& pool, TimePoint now) const {
+ChoiceRequest Gateway::choiceRequest(const Entry& entry, const Pool& pool) const {
   ChoiceRequest request;
   request.pool = &pool;
   request.client = &entry.client;
   request.uses_prefixes = entry.route->uses_prefixes;
   request.isolated_tenant = entry.isolated_tenant;
   request.excluded = entry.failed;
-  if (request.uses_prefixes) request.least_weights = weights_.leastWeights(entry.client.model, now);
+  if (request.uses_prefixes) {
+    request.weights_clock = &weights_;
+    request.weights_margin = settings_.older_weights_margin;
+  }
   return request;
 }
 
 /// Looks in the pool whose turn it was, then in the others of the route.
 Choice Gateway::choose(Entry& entry, TimePoint now) {
-  Choice choice = choice_.choose(choiceRequest(entry, *entry.pool, now), *snapshot_, table_, now);
+  Choice choice = choice_.choose(choiceRequest(entry, *entry.pool), *snapshot_, table_, now);
   if (choice.backend != nullptr || choice.lacks_room) return choice;
   for (const PoolShare& share : entry.route->pools) {
     const Pool* other = entry.configuration->findPool(share.pool);
     if (other == nullptr || other == entry.pool || share.weight == 0) continue;
-    Choice second = choice_.choose(choiceRequest(entry, *other, now), *snapshot_, table_, now);
+    Choice second = choice_.choose(choiceRequest(entry, *other), *snapshot_, table_, now);
     if (second.backend == nullptr) continue;
     entry.pool = other;
     return second;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -118,7 +118,7 @@
   void admit(Entry& entry, const CheckedRequest& checked, TimePoint now);
   void place(Entry& entry, TimePoint now);
   Choice choose(Entry& entry, TimePoint now);
-  ChoiceRequest choiceRequest(const Entry& entry, const Pool& pool, TimePoint now) const;
+  ChoiceRequest choiceRequest(const Entry& entry, const Pool& pool) const;
   void wait(Entry& entry, TimePoint now);
   void serveQueue(TimePoint now);
   void dispatch(Entry& entry, const Choice& choice, TimePoint now);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -20,6 +20,9 @@
   RetryBudgetSettings retry_budget;
   /// Time after a newer version was named for which back ends with older weights may begin requests.
   Duration older_weights_grace = std::chrono::seconds(6);
+  /// From the end of that grace until nothing may begin on older weights any more; a back end whose queue is
+  /// longer gets no request for older weights this much earlier.
+  Duration older_weights_margin = std::chrono::seconds(2);
   /// Silence of a back end, towards all that wait for it, after which requests that may be repeated move on.
   Duration silence_limit = std::chrono::milliseconds(1500);
   std::size_t index_entries = 250'000;  ///< Cached blocks remembered, over all back ends.
--- a/tests/unit/gateway/gateway_stream_test.cc
+++ b/tests/unit/gateway/gateway_stream_test.cc
@@ -250,4 +250,36 @@
   CHECK_FALSE(fixture.has<Dispatch>());
 }
 
+TEST_CASE("an engine with older weights that answers late gets no request that would begin too late",
+          "[gateway]") {
+  RandomSource random(1);
+  EngineChoice choice(1000, random);
+  GatewaySnapshot snapshot;
+  snapshot.backends = {makeBackend(3, "lm")};
+  const Configuration configuration = makeConfiguration();
+  const TimePoint named_at{seconds(100)};
+  snapshot.weights = {{"m", 2, named_at}};
+  choice.onSnapshot(snapshot);
+  WeightsClock clock(seconds(6));
+  clock.onSnapshot(snapshot, named_at);
+  BackendTable table;
+  table.onSnapshot(snapshot, named_at);
+  const IncomingRequest incoming = GatewayFixture::request("answer");
+  ChoiceRequest request;
+  request.pool = configuration.findPool("lm");
+  request.client = &*incoming.client;
+  request.uses_prefixes = true;
+  request.weights_clock = &clock;
+  request.weights_margin = seconds(2);
+  const auto chosen = [&](Duration after) {
+    return choice.choose(request, snapshot, table, named_at + after).backend != nullptr;
+  };
+  CHECK(chosen(milliseconds(5900)));
+  CHECK_FALSE(chosen(seconds(6)));
+  // Its queue lasts three seconds: what is sent at 5 s would begin at 8 s and later.
+  table.onFirstByte(3, snapshot.backends[0].view.incarnation, seconds(3), seconds(3), named_at);
+  CHECK_FALSE(chosen(seconds(5)));
+  CHECK(chosen(milliseconds(400)));
+}
+
 }  // namespace crankspur::gateway
