Publish and hand over less often in a larger fleet

Change: publications gather changes for 0.3 ms a back end (5 ms at least, as before on the first sites); news told by other gateways go to the traffic thread every 30 ms; who follows a cache is remembered.

--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -13,8 +13,10 @@
 
 namespace {
 
-/// Changes within this time are published together.
-constexpr Duration kPublishDelay = std::chrono::milliseconds(5);
+/// Changes within this time are published together: a publication copies the list of back ends, so that the
+/// time grows with the list.
+constexpr Duration kLeastPublishDelay = std::chrono::milliseconds(5);
+constexpr Duration kPublishDelayPerBackend = std::chrono::microseconds(300);
 /// A back end that got an order takes no new request for about as long as a load lasts.
 constexpr Duration kLoadingTime = std::chrono::milliseconds(1'500);
 /// Weights found at the start have to be in use this much later at the latest.
@@ -82,7 +84,8 @@
       cache_watch_(executor, platform, [this](CachedPartsNews news) { onOwnCacheNews(std::move(news)); }),
       publish_timer_(executor),
       change_timer_(executor),
-      tell_timer_(executor) {}
+      tell_timer_(executor),
+      told_timer_(executor) {}
 
 std::error_code GatewayControl::start() {
   contact_->vouch(now());
@@ -303,7 +306,8 @@
 
 void GatewayControl::publishSoon() {
   if (std::exchange(publish_waiting_, true)) return;
-  publish_timer_.expires_after(kPublishDelay);
+  const Duration wanted = kPublishDelayPerBackend * static_cast<Duration::rep>(backends_.size());
+  publish_timer_.expires_after(std::max(kLeastPublishDelay, wanted));
   publish_timer_.async_wait([this](boost::system::error_code error) {
     if (!error) publish();
   });
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -71,6 +71,8 @@
   void onOwnCacheNews(CachedPartsNews news);
   void tellCachesSoon();
   void tellCaches();
+  void passToldNews();
+  bool followsCache(const std::string& backend);
   std::vector<std::string> zoneMembers() const;
   void updateCacheWatch();
   const Backend* findBackend(const std::string& id) const;
@@ -102,8 +104,10 @@
   CacheWatch cache_watch_;
   cache_exchange caches_;
   bool tell_waiting_ = false;
-  std::vector<std::string>
-      sharing_;  ///< Gateways of the zone that share the caches; empty: each follows all.
+  std::vector<CachedPartsNews> told_;    ///< By other gateways, not yet passed on to traffic.
+  std::map<std::string, bool> follows_;  ///< Whether this gateway follows a back end's cache, among sharing_.
+  /// Gateways of the zone that share the caches; empty: each follows all.
+  std::vector<std::string> sharing_;
   std::shared_ptr<const Configuration> configuration_;
   std::shared_ptr<platform_contact> contact_ = std::make_shared<platform_contact>();
   bool told_once_ = false;  ///< The platform has told everything once.
@@ -116,6 +120,7 @@
   boost::asio::steady_timer publish_timer_;
   boost::asio::steady_timer change_timer_;
   boost::asio::steady_timer tell_timer_;
+  boost::asio::steady_timer told_timer_;
 };
 
 }  // namespace crankspur::gateway
--- a/src/gateway_control/shared_caches.cc
+++ b/src/gateway_control/shared_caches.cc
@@ -15,6 +15,8 @@
 constexpr Duration kGatherPerGateway = std::chrono::milliseconds(8);
 constexpr Duration kLeastGather = std::chrono::milliseconds(40);
 constexpr Duration kLongestGather = std::chrono::milliseconds(200);
+/// What others tell is passed on to the traffic thread in such steps.
+constexpr Duration kPassInterval = std::chrono::milliseconds(30);
 
 }  // namespace
 
@@ -30,18 +32,27 @@
 
 void GatewayControl::updateCacheWatch() {
   if (configuration_ == nullptr) return;
-  sharing_ = zoneMembers();
-  if (sharing_.size() < kLeastSharing) sharing_.clear();
-  const auto follows = [this](const Backend& backend) {
-    return sharing_.empty() || followerOf(backend.view.name, sharing_) == gossip_.ownName();
-  };
+  std::vector<std::string> sharing = zoneMembers();
+  if (sharing.size() < kLeastSharing) sharing.clear();
+  if (sharing != sharing_) follows_.clear();
+  sharing_ = std::move(sharing);
+  const auto follows = [this](const Backend& backend) { return followsCache(backend.view.name); };
   for (const Backend& backend : backends_) {
     if (!follows(backend)) caches_.forgetOwn(backend.view.name);
-    if (backend.view.state == EngineState::Dead) caches_.forgetBackend(backend.view.name);
+    if (backend.view.state != EngineState::Dead) continue;
+    caches_.forgetBackend(backend.view.name);
+    follows_.erase(backend.view.name);
   }
   cache_watch_.update(*configuration_, backends_, follows);
 }
 
+bool GatewayControl::followsCache(const std::string& backend) {
+  if (sharing_.empty()) return true;
+  const auto [place, is_new] = follows_.try_emplace(backend, false);
+  if (is_new) place->second = followerOf(backend, sharing_) == gossip_.ownName();
+  return place->second;
+}
+
 const Backend* GatewayControl::findBackend(const std::string& id) const {
   const auto found = std::find_if(backends_.begin(), backends_.end(),
                                   [&](const Backend& backend) { return backend.view.name == id; });
@@ -93,10 +104,21 @@
     news.incarnation = backend->view.incarnation;
     news.complete = told.complete;
     news.parts = std::move(told.parts);
-    outputs_.on_cached_parts(std::move(news));
+    const bool waiting = !told_.empty();
+    told_.push_back(std::move(news));
+    if (waiting) continue;
+    told_timer_.expires_after(kPassInterval);
+    told_timer_.async_wait([this](boost::system::error_code error) {
+      if (!error) passToldNews();
+    });
   }
 }
 
+/// Together, since each hand-over wakes the traffic thread.
+void GatewayControl::passToldNews() {
+  for (CachedPartsNews& news : std::exchange(told_, {})) outputs_.on_cached_parts(std::move(news));
+}
+
 void GatewayControl::onCacheWanted(const std::string& asker, const CacheWanted& wanted) {
   for (const CacheNotes& notes : caches_.onWanted(wanted)) gossip_.tell(asker, notes);
 }
