Let a leaving mark of the machine list hold for each process of the machine

Cause: marks of leaving spread by name and incarnation. Ruled out: lost gossip (the mark arrived, for the process before) and late announcements (they are made with each list).

Change: a record with incarnation 0 tells what the list shows of the machine, dated by the list. It outlasts the machine's processes in the gossiped facts, the newest list counts, and a mark that the list takes back is taken back everywhere. A process's own mark still holds for that process only.

--- a/src/internal_protocol/field_mapping.h
+++ b/src/internal_protocol/field_mapping.h
@@ -157,6 +157,7 @@
   archive.number(wire.incarnation, plain.incarnation);
   archive.number(wire.leaving, plain.leaving);
   archive.number(wire.dead, plain.dead);
+  archive.number(wire.listed_at_ms, plain.listed_at_ms);
 }
 
 template <typename Archive, typename Plain>
--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -128,14 +128,20 @@
   std::uint64_t bundle_version = 0;
 };
 
-/// An engine's state as known to the sender; spreads leaving marks and crashes.
+/// An engine's state as known to the sender; spreads leaving marks and crashes. With incarnation
+/// kWholeMachine it tells what the machine list shows, which holds for each process of the machine, also for
+/// those that start later.
 struct EngineRecord {
   std::string name;
   std::uint64_t incarnation = 0;
   bool leaving = false;
   bool dead = false;
+  std::uint64_t listed_at_ms = 0;  ///< For kWholeMachine: age mark of the list; the newest record counts.
 };
 
+/// Incarnation of a record that speaks of the machine, not of one of its processes.
+inline constexpr std::uint64_t kWholeMachine = 0;
+
 /// Probe of a member; also carries recent membership changes.
 struct Ping {
   std::uint64_t sequence = 0;
--- a/src/membership/engine_facts.cc
+++ b/src/membership/engine_facts.cc
@@ -19,6 +19,11 @@
   const auto found = facts_.find(key);
   if (found != facts_.end()) {
     EngineRecord& held = found->second;
+    if (news.incarnation == kWholeMachine) {
+      if (news.listed_at_ms <= held.listed_at_ms) return false;
+      held = news;
+      return true;
+    }
     const bool adds_leaving = news.leaving && !held.leaving;
     const bool adds_dead = news.dead && !held.dead;
     held.leaving = held.leaving || news.leaving;
@@ -29,6 +34,7 @@
   if (!known && keys_by_engine_.size() >= maximum_) return false;
   facts_.emplace(key, news);
   std::deque<std::string>& keys = keys_by_engine_[news.name];
+  if (news.incarnation == kWholeMachine) return true;
   keys.push_back(key);
   if (keys.size() > kIncarnationsPerEngine) {
     facts_.erase(keys.front());
--- a/src/membership/engine_facts.h
+++ b/src/membership/engine_facts.h
@@ -17,7 +17,8 @@
   explicit EngineFacts(std::size_t maximum) : maximum_(maximum) {}
   /// @return the key of the fact that the record speaks of.
   static std::string keyOf(const EngineRecord& record);
-  /// Takes a record. Beyond four incarnations of one engine the one heard of first is forgotten.
+  /// Takes a record. Beyond four incarnations of one engine the one heard of first is forgotten; what is
+  /// known of the whole machine stays, by the newest machine list.
   /// @return whether the record says something new.
   bool apply(const EngineRecord& news);
   /// @return the fact, or nullptr.
--- a/src/router/engine_table.cc
+++ b/src/router/engine_table.cc
@@ -38,18 +38,19 @@
 
 void EngineTable::onMachineList(const MachineList& list, TimePoint now) {
   listed_once_ = true;
+  last_list_ms_ = list.as_of_ms;
   std::set<std::string> listed;
   for (const Machine& machine : list.machines) {
     const bool backend = machine.role == MachineRole::Engine || machine.role == MachineRole::Runner;
     if (!backend) continue;
     listed.insert(machine.name);
-    listMachine(machine, now);
+    listMachine(machine, list.as_of_ms, now);
   }
   dropUnlisted(listed, now);
   countForInfoPolls();
 }
 
-void EngineTable::listMachine(const Machine& machine, TimePoint now) {
+void EngineTable::listMachine(const Machine& machine, std::uint64_t as_of_ms, TimePoint now) {
   Entry* known = find(machine.name);
   if (known == nullptr) {
     Entry entry;
@@ -72,10 +73,13 @@
   entry.view.zone = machine.zone;
   entry.view.region = machine.region;
   entry.view.pool = machine.pool;
+  const bool mark_changed = entry.listed_leaving != leaving;
   entry.listed_leaving = leaving;
+  if (mark_changed || entry.listed_at_ms == 0) entry.listed_at_ms = as_of_ms;
+  if (as_of_ms > entry.machine_told_at_ms) entry.machine_told_leaving = false;
   urgent_ = urgent_ || changed;
   // With each list: routers that cannot read it know of the mark by gossip only, and gossip may be lost.
-  if (leaving) announce(entry, false);
+  if (leaving || mark_changed) announceMachine(entry);
 }
 
 void EngineTable::dropUnlisted(const std::set<std::string>& listed, TimePoint now) {
@@ -110,7 +114,7 @@
     machine.zone = backend.zone;
     machine.region = backend.region;
     machine.state = backend.leaving ? MachineState::Leaving : MachineState::Live;
-    listMachine(machine, now);
+    listMachine(machine, 0, now);
   }
   countForInfoPolls();
 }
@@ -119,8 +123,8 @@
   std::vector<BackendRecord> records;
   for (const auto& [name, entry] : entries_) {
     const EngineView& view = entry.view;
-    const bool leaving = entry.listed_leaving || entry.told_leaving;
-    records.push_back({name, view.address, view.zone, view.region, view.pool, entry.runner, leaving});
+    records.push_back(
+        {name, view.address, view.zone, view.region, view.pool, entry.runner, entry.markedLeaving()});
   }
   return records;
 }
@@ -215,6 +219,10 @@
 void EngineTable::onGossip(const EngineRecord& record, TimePoint now) {
   Entry* entry = find(record.name);
   if (entry == nullptr) return;
+  if (record.incarnation == kWholeMachine) {
+    onMachineGossip(*entry, record);
+    return;
+  }
   if (record.incarnation != entry->view.incarnation) {
     // Whether it is newer cannot be told from a number that the engine chose: ask the engine. A leaving mark
     // is kept until that incarnation is seen, since the engine itself may not know of it.
@@ -232,6 +240,16 @@
   }
 }
 
+/// Takes what a peer's machine list shows. It holds for each process of the machine: a router that cannot
+/// read the list itself may meet several new ones before any mark of their own reaches it.
+void EngineTable::onMachineGossip(Entry& entry, const EngineRecord& record) {
+  const bool own_list_is_newer = last_list_ms_ > record.listed_at_ms;
+  if (own_list_is_newer || record.listed_at_ms < entry.machine_told_at_ms) return;
+  urgent_ = urgent_ || entry.machine_told_leaving != record.leaving;
+  entry.machine_told_leaving = record.leaving;
+  entry.machine_told_at_ms = record.listed_at_ms;
+}
+
 void EngineTable::onOutcome(const EngineOutcome& outcome, TimePoint now) {
   Entry* entry = findSlot(outcome.slot);
   if (entry == nullptr || entry->view.incarnation != outcome.incarnation) return;
@@ -266,7 +284,7 @@
   const HealthState health = entry.health.state(now);
   if (health == HealthState::Dead || health == HealthState::Untried) return EngineState::Dead;
   const bool unlisted = entry.lists_without >= kListsUntilGone;
-  if (entry.listed_leaving || entry.told_leaving || unlisted) return EngineState::Leaving;
+  if (entry.markedLeaving() || unlisted) return EngineState::Leaving;
   return health == HealthState::Ejected ? EngineState::Ejected : EngineState::Live;
 }
 
@@ -352,9 +370,13 @@
   if (entry.view.incarnation != 0) announcements_.push_back(recordOf(entry, dead));
 }
 
+void EngineTable::announceMachine(const Entry& entry) {
+  if (entry.listed_at_ms == 0) return;  // Told by a peer, not read from a list.
+  announcements_.push_back({entry.view.name, kWholeMachine, entry.listed_leaving, false, entry.listed_at_ms});
+}
+
 EngineRecord EngineTable::recordOf(const Entry& entry, bool dead) {
-  const bool leaving = entry.listed_leaving || entry.told_leaving;
-  return {entry.view.name, entry.view.incarnation, leaving, dead};
+  return {entry.view.name, entry.view.incarnation, entry.told_leaving, dead};
 }
 
 EngineTable::Entry* EngineTable::find(const std::string& name) {
--- a/src/router/engine_table.h
+++ b/src/router/engine_table.h
@@ -129,6 +129,12 @@
     bool listed_leaving = false;
     bool told_leaving = false;
     std::uint64_t leaving_incarnation = 0;  ///< Told as leaving before it was seen here; 0: none.
+    std::uint64_t listed_at_ms = 0;  ///< Age mark of the first own list that shows listed_leaving as it is.
+    bool machine_told_leaving = false;     ///< A peer's list shows the machine as leaving.
+    std::uint64_t machine_told_at_ms = 0;  ///< Age mark of that list.
+
+    /// @return whether any source says that the back end leaves, the list's silence apart.
+    bool markedLeaving() const { return listed_leaving || told_leaving || machine_told_leaving; }
     std::uint32_t lists_without = 0;
     EngineHealth health;
     EngineState last_state = EngineState::Dead;
@@ -141,10 +147,12 @@
   };
 
   void takeLoad(Entry& entry, std::uint64_t incarnation, const LoadReport& load, TimePoint now);
-  void listMachine(const Machine& machine, TimePoint now);
+  void listMachine(const Machine& machine, std::uint64_t as_of_ms, TimePoint now);
+  void onMachineGossip(Entry& entry, const EngineRecord& record);
   void dropUnlisted(const std::set<std::string>& listed, TimePoint now);
   void takeIncarnation(Entry& entry, std::uint64_t incarnation, TimePoint now);
   void announce(const Entry& entry, bool dead);
+  void announceMachine(const Entry& entry);
   static EngineRecord recordOf(const Entry& entry, bool dead);
   void ejectIfSlow(Entry& entry, TimePoint now);
   bool polledElsewhere(const Entry& entry, TimePoint now) const;
@@ -179,6 +187,7 @@
   std::deque<FreedSlot> freed_slots_;
   EngineSlot next_slot_ = 0;
   bool listed_once_ = false;
+  std::uint64_t last_list_ms_ = 0;  ///< Age mark of the newest own machine list.
   bool urgent_ = false;
   bool loads_changed_ = false;
   std::vector<EngineRecord> announcements_;
--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -96,7 +96,8 @@
 }
 
 std::string describeFields(const EngineRecord& value) {
-  return fmt::format("EngineRecord {} {} {} {}", value.name, value.incarnation, value.leaving, value.dead);
+  return fmt::format("EngineRecord {} {} {} {} {}", value.name, value.incarnation, value.leaving, value.dead,
+                     value.listed_at_ms);
 }
 
 std::string describeFields(const Ping& value) {
--- a/tests/unit/membership/membership_test.cc
+++ b/tests/unit/membership/membership_test.cc
@@ -276,6 +276,23 @@
   CHECK_FALSE(facts.apply({"engine-3", 1, false, false}));
 }
 
+TEST_CASE("a fact about a whole machine outlasts any number of its processes, by the newest list",
+          "[membership]") {
+  EngineFacts facts(2);
+  const EngineRecord mark{"engine-1", kWholeMachine, true, false, 10};
+  CHECK(facts.apply(mark));
+  for (std::uint64_t incarnation = 1; incarnation <= 100; ++incarnation) {
+    facts.apply({"engine-1", incarnation, false, false});
+  }
+  REQUIRE(facts.find(EngineFacts::keyOf(mark)) != nullptr);
+  CHECK(facts.find(EngineFacts::keyOf(mark))->leaving);
+  CHECK(facts.all().size() <= 5);
+  CHECK_FALSE(facts.apply({"engine-1", kWholeMachine, false, false, 10}));
+  CHECK(facts.apply({"engine-1", kWholeMachine, false, false, 11}));
+  CHECK_FALSE(facts.apply(mark));
+  CHECK_FALSE(facts.find(EngineFacts::keyOf(mark))->leaving);
+}
+
 TEST_CASE("messages stay bounded while sixty nodes join and quiet traffic is small", "[membership]") {
   VirtualNetwork network;
   startAll(network, 60);
