Index cached prompts by part, not by block

Change: clients name prompts by parts and engines tell their caches by parts, so the index holds parts (part_index). Also, an engine's weights are read once a choice, not three times.

--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include "base/hash.h"
-#include "gateway/prompt_blocks.h"
 
 namespace crankspur::gateway {
 namespace {
@@ -54,15 +53,27 @@
   return version;
 }
 
+/// @return the version of the model's weights that the engine is listed with; empty: none or no number.
+std::optional<std::uint64_t> listedWeights(const EngineView& engine, const std::string& model) {
+  for (const LoadedModel& loaded : engine.models) {
+    if (loaded.model == model) return parseVersion(loaded.weights_version);
+  }
+  return std::nullopt;
+}
+
 /// @return the hash by which prompts that share their longest shared part meet: of the part before the last.
 std::uint64_t affinityKey(const std::vector<PromptPart>& prompt) {
   if (prompt.empty()) return 0;
   return prompt.size() == 1 ? prompt.front().id : prompt[prompt.size() - 2].id;
 }
 
-/// @return a number in [0, 1) that is the same in every gateway.
-double affinity(std::uint64_t key, const std::string& engine) {
-  return static_cast<double>(hashBytes(engine, key) >> 11) / 9007199254740992.0;
+/// @return a number in [0, 1) that is the same in every gateway, since an engine's incarnation is.
+double affinity(std::uint64_t key, const EngineView& engine) {
+  return static_cast<double>(combineHashes(engine.incarnation, key) >> 11) / 9007199254740992.0;
+}
+
+bool bySlot(const HeldPrefix& left, const HeldPrefix& right) {
+  return left.engine < right.engine;
 }
 
 double zoneFactor(const EngineView& from, const EngineView& to) {
@@ -78,7 +89,7 @@
 }  // namespace
 
 EngineChoice::EngineChoice(std::size_t index_entries, RandomSource& random)
-    : random_(random), index_(makePrefixIndex(index_entries)) {}
+    : random_(random), index_(index_entries) {}
 
 void EngineChoice::onSnapshot(const GatewaySnapshot& snapshot) {
   partition_.onSnapshot(snapshot);
@@ -88,10 +99,8 @@
     std::uint64_t& known = incarnations_[slot];
     if (known == backend.view.incarnation) continue;
     known = backend.view.incarnation;
-    index_->setIncarnation(slot, known);
-    sequences_.erase(slot);
+    index_.setIncarnation(slot, known);
     news_at_.erase(slot);
-    held_.erase(slot);
     learnt_.erase(slot);
   }
 }
@@ -103,36 +112,21 @@
 
 // Cached parts.
 
-void EngineChoice::applyPart(const CachedPartsNews& news, const CachedPart& part, CacheEvent& event) {
-  const std::uint64_t key = combineHashes(hashBytes(part.model, hashBytes(part.scope)), part.part);
-  std::uint32_t& held = held_[news.slot][key];
-  const std::uint32_t before = blocksOf(held);
-  const std::uint32_t after = blocksOf(part.tokens);
-  appendPartBlocks(part.scope, part.model, part.part, 0, after, event.stored);
-  appendPartBlocks(part.scope, part.model, part.part, after, std::max(before, after), event.removed);
-  held = part.tokens;
-  if (part.tokens == 0) held_[news.slot].erase(key);
-}
-
 void EngineChoice::onCachedParts(const CachedPartsNews& news, TimePoint now) {
   const auto known = incarnations_.find(news.slot);
   if (known == incarnations_.end() || known->second != news.incarnation) return;
   news_at_[news.slot] = now;
-  if (news.complete) held_.erase(news.slot);
-  CacheEvent event;
-  event.sequence = ++sequences_[news.slot];
-  for (const CachedPart& part : news.parts) applyPart(news, part, event);
-  if (news.complete) {
-    index_->applyDigest(news.slot, news.incarnation, event.sequence, event.stored, now);
-  } else {
-    index_->applyEvent(news.slot, news.incarnation, event, now);
+  if (news.complete) index_.clear(news.slot, news.incarnation);
+  for (const CachedPart& part : news.parts) {
+    const std::uint64_t key = partKey(part.scope, part.model, part.part);
+    index_.set(news.slot, news.incarnation, {key, part.tokens});
   }
 }
 
 // The choice.
 
 std::optional<std::uint64_t> EngineChoice::weightsOf(const Backend& backend, const std::string& model) const {
-  const std::optional<std::uint64_t> listed = parseVersion(backend.view.weightsOf(model));
+  const std::optional<std::uint64_t> listed = listedWeights(backend.view, model);
   const auto learnt = learnt_.find(backend.view.slot);
   if (learnt == learnt_.end() || learnt->second.incarnation != backend.view.incarnation) return listed;
   if (learnt->second.model != model) return listed;
@@ -147,46 +141,50 @@
   placement.excluded = request.excluded;
   const std::vector<std::string> pools = {request.pool->name};
   const Eligibility eligibility(placement, pools);
-  std::vector<const Backend*> healthy;
-  std::vector<const Backend*> doubtful;
+  Usable healthy;
+  Usable doubtful;
   for (const Backend& backend : snapshot.backends) {
     if (!eligibility.isEligible(backend.view)) continue;
-    if (!hasFreshWeights(backend, request, table, now)) continue;
+    UsableBackend usable{&backend, std::nullopt};
+    if (request.uses_prefixes) usable.weights = weightsOf(backend, request.client->model);
+    if (!hasFreshWeights(usable, request, table, now)) continue;
     if (!table.hasRoom(backend, *request.pool, snapshot.gateway_count, now)) {
       lacks_room = true;
       continue;
     }
-    (table.isHealthy(backend.view.slot, now) ? healthy : doubtful).push_back(&backend);
+    (table.isHealthy(backend.view.slot, now) ? healthy : doubtful).push_back(usable);
   }
   return healthy.empty() && !lacks_room ? doubtful : healthy;
 }
 
 /// A request begins once the engine's queue is worked off. What counts is the weights of that moment, so that
 /// an engine that has answered late is judged as of later.
-bool EngineChoice::hasFreshWeights(const Backend& backend, const ChoiceRequest& request,
+bool EngineChoice::hasFreshWeights(const UsableBackend& usable, const ChoiceRequest& request,
                                    const BackendTable& table, TimePoint now) const {
   if (request.weights_clock == nullptr) return true;
-  const Duration queue = toDuration(table.answerTime(backend.view.slot) * kQueueSafety);
+  const Duration queue = toDuration(table.answerTime(usable.backend->view.slot) * kQueueSafety);
   const TimePoint begins = now + std::max(Duration(0), queue - request.weights_margin);
   const std::optional<std::uint64_t> least =
       request.weights_clock->leastWeights(request.client->model, begins);
-  return !least || weightsOf(backend, request.client->model).value_or(0) >= *least;
+  return !least || usable.weights.value_or(0) >= *least;
 }
 
 std::size_t EngineChoice::scopedPrompt(std::vector<ScopedPrompt>& prompts,
                                        std::optional<std::uint64_t> weights, const ChoiceRequest& request,
-                                       const Usable& usable, TimePoint now) const {
+                                       const Usable& usable) const {
   for (std::size_t index = 0; index < prompts.size(); ++index) {
     if (prompts[index].weights == weights) return index;
   }
   ScopedPrompt prompt;
   prompt.weights = weights;
   prompt.scope = cacheScope(weights ? std::to_string(*weights) : std::string(), request.isolated_tenant);
-  prompt.blocks = promptBlocks(prompt.scope, request.client->model, request.client->prompt);
-  prompt.matches = index_->match(prompt.blocks, now);
+  prompt.parts = keyedParts(prompt.scope, request.client->model, request.client->prompt);
+  prompt.matches = index_.match(prompt.parts);
+  prompt.by_engine = prompt.matches;
+  std::sort(prompt.by_engine.begin(), prompt.by_engine.end(), bySlot);
   const std::vector<PromptPart>& parts = request.client->prompt;
   for (std::size_t index = 0; index + 1 < parts.size(); ++index) prompt.shared_tokens += parts[index].tokens;
-  const std::uint32_t held = prompt.matches.empty() ? 0 : tokensIn(parts, prompt.matches.front().blocks);
+  const std::uint32_t held = prompt.matches.empty() ? 0 : prompt.matches.front().tokens;
   prompt.held_shared_tokens = std::min(held, prompt.shared_tokens);
   prompt.first_reader = findFirstReader(prompt, request, usable);
   prompts.push_back(std::move(prompt));
@@ -210,13 +208,14 @@
   EngineSlot first_reader = 0;
   double least = 4;
   const bool is_long = isLong(request);
-  for (const Backend* backend : usable) {
-    if (weightsOf(*backend, request.client->model) != prompt.weights) continue;
-    const double other_partition = partition_.suits(backend->view, is_long) ? 0 : 2;
-    const double value = affinity(key, backend->view.name) + other_partition;
+  for (const UsableBackend& candidate : usable) {
+    if (candidate.weights != prompt.weights) continue;
+    const EngineView& engine = candidate.backend->view;
+    const double other_partition = partition_.suits(engine, is_long) ? 0 : 2;
+    const double value = affinity(key, engine) + other_partition;
     if (value >= least) continue;
     least = value;
-    first_reader = backend->view.slot;
+    first_reader = engine.slot;
   }
   return first_reader;
 }
@@ -236,21 +235,27 @@
   return std::min(again / rate * kReadAgainFactor, kReadAgainLimit);
 }
 
-EngineChoice::Import EngineChoice::findImport(const EngineView& engine, std::uint32_t held_blocks,
+/// @return leading tokens of the prompt that the engine holds.
+std::uint32_t EngineChoice::heldTokens(const ScopedPrompt& prompt, EngineSlot engine) {
+  const auto place =
+      std::lower_bound(prompt.by_engine.begin(), prompt.by_engine.end(), HeldPrefix{engine, 0}, bySlot);
+  return place == prompt.by_engine.end() || place->engine != engine ? 0 : place->tokens;
+}
+
+EngineChoice::Import EngineChoice::findImport(const EngineView& engine, std::uint32_t held_tokens,
                                               const ScopedPrompt& prompt, const ChoiceRequest& request,
                                               const GatewaySnapshot& snapshot, const BackendTable& table,
                                               TimePoint now) const {
-  const std::vector<PromptPart>& parts = request.client->prompt;
   const std::uint32_t total = std::max(request.client->prompt_tokens, 1U);
   Import import;
-  import.cached = std::min(tokensIn(parts, held_blocks), total);
+  import.cached = std::min(held_tokens, total);
   if (request.pool->link_bits_per_second <= 0) return import;
-  for (const PrefixMatch& match : prompt.matches) {
-    if (match.blocks <= held_blocks) break;
+  for (const HeldPrefix& match : prompt.matches) {
+    if (match.tokens <= held_tokens) break;
     const Backend* source = snapshot.backend(match.engine);
     if (source == nullptr || source->view.state != EngineState::Live) continue;
     if (!table.isHealthy(match.engine, now)) continue;
-    const std::uint32_t there = std::min(tokensIn(parts, match.blocks), total);
+    const std::uint32_t there = std::min(match.tokens, total);
     const double bits = static_cast<double>(there - import.cached) *
                         static_cast<double>(request.pool->token_bytes) * kBitsPerByte;
     import.seconds =
@@ -267,10 +272,8 @@
                                                   const GatewaySnapshot& snapshot, const BackendTable& table,
                                                   TimePoint now) const {
   const EngineView& engine = backend.view;
-  const auto own = std::find_if(prompt.matches.begin(), prompt.matches.end(),
-                                [&](const PrefixMatch& match) { return match.engine == engine.slot; });
-  const std::uint32_t blocks = own == prompt.matches.end() ? 0 : own->blocks;
-  const Import import = findImport(engine, blocks, prompt, request, snapshot, table, now);
+  const std::uint32_t held = heldTokens(prompt, engine.slot);
+  const Import import = findImport(engine, held, prompt, request, snapshot, table, now);
   const std::uint32_t total = std::max(request.client->prompt_tokens, 1U);
   const double rate = rates_.rate(request.pool->name);
   Candidate candidate;
@@ -283,11 +286,11 @@
   candidate.first_byte = queue + import.seconds + prefill + distanceCost(engine, snapshot);
   const double unseen = std::min<double>(snapshot.gateway_count, kUnseenGateways) - 1;
   const double late = std::min(table.lateness(engine.slot), kLatenessLimit);
-  const double new_blocks = blocksOf(total) - std::min(blocks, blocksOf(total));
+  const double new_blocks = blocksOf(total) - std::min(blocksOf(held), blocksOf(total));
   candidate.cost = candidate.first_byte + queue * std::max(unseen, 0.0) + late + new_blocks * kEvictionCost +
                    readAgainCost(prompt, engine.slot, import.cached, rate) +
                    (partition_.suits(engine, isLong(request)) ? 0 : kOtherPartitionCost) +
-                   kAffinityCost * affinity(affinityKey(request.client->prompt), engine.name);
+                   kAffinityCost * affinity(affinityKey(request.client->prompt), engine);
   return candidate;
 }
 
@@ -308,12 +311,11 @@
   Candidate best;
   Candidate second;
   const Usable usable = findUsable(request, snapshot, table, now, choice.lacks_room);
-  for (const Backend* backend : usable) {
+  for (const auto& [backend, weights] : usable) {
     Candidate candidate;
     candidate.backend = backend;
     if (request.uses_prefixes) {
-      const std::size_t prompt =
-          scopedPrompt(prompts, weightsOf(*backend, request.client->model), request, usable, now);
+      const std::size_t prompt = scopedPrompt(prompts, weights, request, usable);
       candidate = weighEngine(*backend, prompts[prompt], request, snapshot, table, now);
       candidate.prompt = prompt;
     } else {
@@ -336,7 +338,7 @@
   ScopedPrompt& prompt = prompts[best.prompt];
   choice.weights = prompt.weights;
   choice.cache_scope = prompt.scope;
-  choice.blocks = std::move(prompt.blocks);
+  choice.parts = std::move(prompt.parts);
   choice.import_from = best.import_from;
   choice.uncached_tokens = best.uncached_tokens;
   choice.long_prompt = isLong(request);
@@ -359,11 +361,11 @@
 DispatchedPrompt EngineChoice::onDispatch(const Choice& choice, std::uint64_t dispatch, TimePoint now) {
   const EngineView& engine = choice.backend->view;
   ledger_.add(engine.slot, dispatch, choice.uncached_tokens, now);
-  if (!choice.blocks.empty()) {
+  if (!choice.parts.empty()) {
     const double seconds = choice.uncached_tokens / rates_.rate(engine.pool);
     partition_.observe(engine.pool, choice.long_prompt, seconds, now);
   }
-  return {engine.slot, engine.incarnation, choice.uncached_tokens, choice.blocks};
+  return {engine.slot, engine.incarnation, choice.uncached_tokens, choice.parts};
 }
 
 /// Only now do others find the parts there: until it has read them an engine has nothing to give.
@@ -371,7 +373,7 @@
                                Duration taken, TimePoint now) {
   rates_.observe(pool.name, prompt.uncached_tokens, taken);
   ledger_.prefillDone(prompt.slot, dispatch, now);
-  if (!prompt.blocks.empty()) index_->correct(prompt.slot, prompt.incarnation, prompt.blocks, 0, now);
+  for (const KeyedPart& part : prompt.parts) index_.set(prompt.slot, prompt.incarnation, part);
 }
 
 void EngineChoice::onEnd(EngineSlot slot, std::uint64_t dispatch) {
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -4,7 +4,6 @@
 
 #include <absl/container/flat_hash_map.h>
 
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -15,12 +14,12 @@
 #include "gateway/dialect.h"
 #include "gateway/gateway_snapshot.h"
 #include "gateway/named_weights.h"
+#include "gateway/part_index.h"
 #include "gateway/prefill_rate.h"
 #include "gateway/prompt_size_partition.h"
 #include "placement/eligibility.h"
 #include "placement/outstanding_ledger.h"
 #include "placement/queue_estimator.h"
-#include "prefix_index/prefix_index.h"
 
 namespace crankspur::gateway {
 
@@ -42,7 +41,7 @@
   std::optional<std::uint64_t> weights;
   std::string cache_scope;
   std::string import_from;
-  std::vector<BlockHash> blocks;
+  std::vector<KeyedPart> parts;
   std::uint32_t uncached_tokens = 0;
   bool long_prompt = false;
   Duration expected_first_byte{0};
@@ -59,12 +58,13 @@
   EngineSlot slot = 0;
   std::uint64_t incarnation = 0;
   std::uint32_t uncached_tokens = 0;
-  std::vector<BlockHash> blocks;
+  std::vector<KeyedPart> parts;
 };
 
-/// Holds the prefix index and the work in flight. Not thread-safe.
+/// Holds the index of cached parts and the work in flight. Not thread-safe.
 class EngineChoice {
 public:
+  /// @param index_entries parts remembered, over all engines.
   EngineChoice(std::size_t index_entries, RandomSource& random);
 
   void onSnapshot(const GatewaySnapshot& snapshot);
@@ -95,13 +95,19 @@
   struct ScopedPrompt {
     std::optional<std::uint64_t> weights;
     std::string scope;
-    std::vector<BlockHash> blocks;
-    std::vector<PrefixMatch> matches;
+    std::vector<KeyedPart> parts;
+    std::vector<HeldPrefix> matches;       ///< The longest first.
+    std::vector<HeldPrefix> by_engine;     ///< The same by slot.
     std::uint32_t shared_tokens = 0;       ///< Of the parts that other prompts may have too.
     std::uint32_t held_shared_tokens = 0;  ///< Of these, held by some engine.
     EngineSlot first_reader = 0;           ///< Engine that first reads the shared parts which none holds.
   };
-  using Usable = std::vector<const Backend*>;
+  /// A back end that may get the request.
+  struct UsableBackend {
+    const Backend* backend = nullptr;
+    std::optional<std::uint64_t> weights;  ///< Of the model asked for; empty: none is known.
+  };
+  using Usable = std::vector<UsableBackend>;
   struct Candidate {
     const Backend* backend = nullptr;
     double cost = 0;
@@ -117,13 +123,11 @@
     std::uint32_t cached = 0;  ///< Tokens that the candidate holds once it is done.
     double seconds = 0;
   };
-  using PartKey = std::uint64_t;
-
   std::optional<std::uint64_t> weightsOf(const Backend& backend, const std::string& model) const;
   Usable findUsable(const ChoiceRequest& request, const GatewaySnapshot& snapshot, const BackendTable& table,
                     TimePoint now, bool& lacks_room) const;
   std::size_t scopedPrompt(std::vector<ScopedPrompt>& prompts, std::optional<std::uint64_t> weights,
-                           const ChoiceRequest& request, const Usable& usable, TimePoint now) const;
+                           const ChoiceRequest& request, const Usable& usable) const;
   EngineSlot findFirstReader(const ScopedPrompt& prompt, const ChoiceRequest& request,
                              const Usable& usable) const;
   bool isLong(const ChoiceRequest& request) const;
@@ -131,29 +135,25 @@
   static double readAgainCost(const ScopedPrompt& prompt, EngineSlot engine, std::uint32_t cached,
                               double rate);
   static void explain(Choice& choice, const Candidate& best, const Candidate& second);
-  Import findImport(const EngineView& engine, std::uint32_t held_blocks, const ScopedPrompt& prompt,
+  static std::uint32_t heldTokens(const ScopedPrompt& prompt, EngineSlot engine);
+  Import findImport(const EngineView& engine, std::uint32_t held_tokens, const ScopedPrompt& prompt,
                     const ChoiceRequest& request, const GatewaySnapshot& snapshot, const BackendTable& table,
                     TimePoint now) const;
   Candidate weighEngine(const Backend& backend, const ScopedPrompt& prompt, const ChoiceRequest& request,
                         const GatewaySnapshot& snapshot, const BackendTable& table, TimePoint now) const;
-  bool hasFreshWeights(const Backend& backend, const ChoiceRequest& request, const BackendTable& table,
+  bool hasFreshWeights(const UsableBackend& usable, const ChoiceRequest& request, const BackendTable& table,
                        TimePoint now) const;
   double weighRunner(const Backend& backend, const GatewaySnapshot& snapshot,
                      const BackendTable& table) const;
-  void applyPart(const CachedPartsNews& news, const CachedPart& part, CacheEvent& event);
-
   RandomSource& random_;
-  std::unique_ptr<PrefixIndex> index_;
+  PartIndex index_;
   OutstandingLedger ledger_;
   QueueEstimator queues_;
   PrefillRates rates_;
   PromptSizePartition partition_;
   absl::flat_hash_map<EngineSlot, LearntWeights> learnt_;
   absl::flat_hash_map<EngineSlot, std::uint64_t> incarnations_;
-  absl::flat_hash_map<EngineSlot, std::uint64_t> sequences_;
   absl::flat_hash_map<EngineSlot, TimePoint> news_at_;
-  /// Tokens of each part that events last told, by engine.
-  absl::flat_hash_map<EngineSlot, absl::flat_hash_map<PartKey, std::uint32_t>> held_;
 };
 
 }  // namespace crankspur::gateway
--- a/tests/unit/gateway/gateway_stream_test.cc
+++ b/tests/unit/gateway/gateway_stream_test.cc
@@ -1,6 +1,5 @@
 #include <algorithm>
 
-#include "gateway/prompt_blocks.h"
 #include "unit/gateway/gateway_fixture.h"
 
 namespace crankspur::gateway {
