Give the slots of back ends long gone out again in gateways too

Cause, found on reading: a gateway numbered back ends upwards for ever, in 16 bits, one number a start of a back end.

Change: the pool of freed slots that the router's engine table had serves both (placement/slot_pool.h).

Measured: the new test of the fleet view fails without it (slot 2 instead of 0); 458 unit test cases green.

--- a/src/gateway_control/fleet_view.cc
+++ b/src/gateway_control/fleet_view.cc
@@ -59,7 +59,7 @@
   Entry& entry = place->second;
   EngineView& view = entry.backend.view;
   if (added) {
-    view.slot = next_slot_++;
+    view.slot = slots_.take(now);
     view.name = listed.id;
     view.incarnation = std::max<std::uint64_t>(1, hashBytes(listed.id));
   }
@@ -197,9 +197,12 @@
 }
 
 std::vector<Backend> FleetView::backends(TimePoint now) {
-  std::erase_if(entries_, [now](const auto& item) {
-    return !item.second.listed &&
-           now - std::max(item.second.gone_from, item.second.unlisted_at) >= kForgetAfter;
+  std::erase_if(entries_, [this, now](const auto& item) {
+    const Entry& entry = item.second;
+    const bool forgotten =
+        !entry.listed && now - std::max(entry.gone_from, entry.unlisted_at) >= kForgetAfter;
+    if (forgotten) slots_.free(entry.backend.view.slot, now);
+    return forgotten;
   });
   std::vector<Backend> backends;
   backends.reserve(entries_.size());
--- a/src/gateway_control/fleet_view.h
+++ b/src/gateway_control/fleet_view.h
@@ -11,6 +11,7 @@
 
 #include "gateway/gateway_snapshot.h"
 #include "gateway_control/platform_link.h"
+#include "placement/slot_pool.h"
 
 namespace crankspur::gateway {
 
@@ -105,7 +106,7 @@
   std::map<std::string, std::string> newest_at_address_;  ///< Address to the id listed there last.
   TimePoint trouble_at_{};
   bool had_trouble_ = false;
-  EngineSlot next_slot_ = 0;
+  SlotPool slots_;
   std::vector<FleetChange> changes_;
   std::vector<WeightsChange> weights_changes_;
 };
--- a/src/router/engine_table.cc
+++ b/src/router/engine_table.cc
@@ -9,8 +9,6 @@
 
 /// Machine lists in a row that must leave a name out before it counts as gone.
 constexpr std::uint32_t kListsUntilGone = 2;
-/// Time before a slot is given to another engine.
-constexpr Duration kSlotRest = std::chrono::minutes(10);
 /// An engine is slow when its lateness exceeds both this and kSlowFactor times its pool's median.
 constexpr double kSlowSeconds = 1.0;
 constexpr double kSlowFactor = 4.0;
@@ -56,7 +54,7 @@
     Entry entry;
     entry.runner = machine.role == MachineRole::Runner;
     entry.view.name = machine.name;
-    entry.view.slot = takeSlot(now);
+    entry.view.slot = slots_.take(now);
     known = &entries_.emplace(machine.name, std::move(entry)).first->second;
     urgent_ = true;
   }
@@ -93,7 +91,7 @@
     const bool gone = entry.lists_without >= kListsUntilGone;
     const HealthState health = entry.health.state(now);
     if (gone && (health == HealthState::Dead || health == HealthState::Untried)) {
-      freed_slots_.push_back({entry.view.slot, now + kSlotRest});
+      slots_.free(entry.view.slot, now);
       place = entries_.erase(place);
       urgent_ = true;
       continue;
@@ -391,13 +389,4 @@
   return nullptr;
 }
 
-EngineSlot EngineTable::takeSlot(TimePoint now) {
-  if (!freed_slots_.empty() && freed_slots_.front().usable_at <= now) {
-    const EngineSlot slot = freed_slots_.front().slot;
-    freed_slots_.pop_front();
-    return slot;
-  }
-  return next_slot_++;
-}
-
 }  // namespace crankspur
--- a/src/router/engine_table.h
+++ b/src/router/engine_table.h
@@ -2,7 +2,6 @@
 /// @file The control thread's view of all back ends, merged from the machine list, their own answers, gossip
 /// and what traffic met. Pure decision code.
 
-#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -14,6 +13,7 @@
 #include "internal_protocol/messages.h"
 #include "machine_list/machine_types.h"
 #include "placement/engine_view.h"
+#include "placement/slot_pool.h"
 #include "router/engine_health.h"
 #include "router/info_polls.h"
 
@@ -161,7 +161,6 @@
   EngineView viewOf(const Entry& entry, TimePoint now) const;
   Entry* find(const std::string& name);
   Entry* findSlot(EngineSlot slot);
-  EngineSlot takeSlot(TimePoint now);
   std::set<std::string> servedPools(TimePoint now) const;
   bool inOwnRegion(const Entry& entry) const { return entry.view.region == options_.own_region; }
 
@@ -172,11 +171,6 @@
   Duration loadInterval(std::size_t polled);
   Duration jittered(Duration mean);
 
-  struct FreedSlot {
-    EngineSlot slot = 0;
-    TimePoint usable_at{};
-  };
-
   EngineTableOptions options_;
   RandomSource random_;
   std::map<std::string, Entry> entries_;
@@ -184,8 +178,7 @@
   std::string self_;
   std::vector<std::string> routers_;
   InfoPollCounts info_counts_;
-  std::deque<FreedSlot> freed_slots_;
-  EngineSlot next_slot_ = 0;
+  SlotPool slots_;
   bool listed_once_ = false;
   std::uint64_t last_list_ms_ = 0;  ///< Age mark of the newest own machine list.
   bool urgent_ = false;
--- a/tests/unit/gateway_control/fleet_view_test.cc
+++ b/tests/unit/gateway_control/fleet_view_test.cc
@@ -98,3 +98,15 @@
   fleet.onUnreachable(view.slot, view.incarnation + 1, now);
   CHECK(stateOf(fleet, "a", now) == EngineState::Live);
 }
+
+TEST_CASE("the slot of a back end long gone is given out again, after a rest", "[fleet_view]") {
+  FleetView fleet;
+  fleet.onListed(listed("a"), kStart);
+  const EngineSlot slot = only(fleet, "a", kStart).view.slot;
+  fleet.onGone("a", kStart);
+  CHECK(fleet.backends(kStart + 31s).empty());
+  fleet.onListed(listed("b"), kStart + 32s);
+  CHECK(only(fleet, "b", kStart + 32s).view.slot != slot);
+  fleet.onListed(listed("c", "10.0.0.3:80"), kStart + 11min);
+  CHECK(only(fleet, "c", kStart + 11min).view.slot == slot);
+}
