--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -25,12 +25,6 @@
 /// send it to an engine of short ones, or the reverse, in seconds.
 constexpr double kLongPrompt = 0.06;
 constexpr double kOtherPartitionCost = 0.25;
-/// What it costs to begin on weights older than the newest named, seconds: the answer is worth less, and the
-/// engine is about to load others. It takes no new request until its runs have ended, so that each token of
-/// the answer expected costs more, up to a limit.
-constexpr double kOlderWeightsCost = 0.1;
-constexpr double kOlderWeightsCostPerToken = 0.002;
-constexpr double kOlderWeightsLimit = 1.0;
 /// Other gateways send alike and are not seen: own work in an engine's queue stands for up to this many
 /// gateways'.
 constexpr double kUnseenGateways = 3;
@@ -273,14 +267,6 @@
   return import;
 }
 
-double EngineChoice::olderWeightsCost(const ScopedPrompt& prompt, const ChoiceRequest& request) {
-  if (request.weights_clock == nullptr) return 0;
-  const std::optional<std::uint64_t> newest = request.weights_clock->newestWeights(request.client->model);
-  if (!newest || prompt.weights.value_or(0) >= *newest) return 0;
-  const double answer = request.client->estimated_answer_tokens;
-  return std::min(kOlderWeightsCost + answer * kOlderWeightsCostPerToken, kOlderWeightsLimit);
-}
-
 EngineChoice::Candidate EngineChoice::weighEngine(const Backend& backend, const ScopedPrompt& prompt,
                                                   const ChoiceRequest& request,
                                                   const GatewaySnapshot& snapshot, const BackendTable& table,
@@ -303,7 +289,6 @@
   const double new_blocks = blocksOf(total) - std::min(blocksOf(held), blocksOf(total));
   candidate.cost = candidate.first_byte + queue * std::max(unseen, 0.0) + late + new_blocks * kEvictionCost +
                    readAgainCost(prompt, engine.slot, import.cached, rate) +
-                   olderWeightsCost(prompt, request) +
                    (partition_.suits(engine, isLong(request)) ? 0 : kOtherPartitionCost) +
                    kAffinityCost * affinity(affinityKey(request.client->prompt), engine);
   return candidate;
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -134,7 +134,6 @@
   static std::uint32_t readAgainTokens(const ScopedPrompt& prompt, std::uint32_t cached);
   static double readAgainCost(const ScopedPrompt& prompt, EngineSlot engine, std::uint32_t cached,
                               double rate);
-  static double olderWeightsCost(const ScopedPrompt& prompt, const ChoiceRequest& request);
   static void explain(Choice& choice, const Candidate& best, const Candidate& second);
   static std::uint32_t heldTokens(const ScopedPrompt& prompt, EngineSlot engine);
   Import findImport(const EngineView& engine, std::uint32_t held_tokens, const ScopedPrompt& prompt,
--- a/src/gateway/named_weights.cc
+++ b/src/gateway/named_weights.cc
@@ -12,12 +12,6 @@
   }
 }
 
-std::optional<std::uint64_t> WeightsClock::newestWeights(const std::string& model) const {
-  const auto found = models_.find(model);
-  if (found == models_.end() || found->second.empty()) return std::nullopt;
-  return found->second.back().version;
-}
-
 std::optional<std::uint64_t> WeightsClock::leastWeights(const std::string& model, TimePoint now) const {
   const auto found = models_.find(model);
   if (found == models_.end()) return std::nullopt;
