Tell the other gateways what this one has at each engine, and place by it

Each gateway saw its own seventh of the queue.

Change: while it has work a gateway tells the others, in steps of 40 ms and more, the prompt tokens that wait and the requests in flight at each engine (the existing LoadDigest); in fleets of more than 12 only its zone, and those that do not tell are taken to be like those that do. The guess of three unseen gateways stays for the time before any digest.

--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -25,9 +25,11 @@
 /// send it to an engine of short ones, or the reverse, in seconds.
 constexpr double kLongPrompt = 0.06;
 constexpr double kOtherPartitionCost = 0.25;
-/// Other gateways send alike and are not seen: own work in an engine's queue stands for up to this many
+/// Of gateways that do not tell their work: own work in an engine's queue stands for up to this many
 /// gateways'.
 constexpr double kUnseenGateways = 3;
+/// Wait for a place among the requests that an engine runs at once, for each request above, seconds.
+constexpr double kFullBatchWait = 0.1;
 /// What filling a cache block costs later requests by eviction, seconds.
 constexpr double kEvictionCost = 0.0003;
 /// Fixed time of an import of cached blocks, seconds.
@@ -267,6 +269,41 @@
   return import;
 }
 
+LoadDigest EngineChoice::ownWork() const {
+  LoadDigest digest;
+  for (const EngineOutstanding& own : ledger_.outstanding()) {
+    const auto incarnation = incarnations_.find(own.engine);
+    if (incarnation == incarnations_.end()) continue;
+    EngineLoad load;
+    load.engine_incarnation = incarnation->second;
+    load.queued_tokens = own.waiting_tokens;
+    load.running = own.in_flight;
+    digest.loads.push_back(std::move(load));
+  }
+  return digest;
+}
+
+/// What the other gateways have there counts as if it were own work. Those that do not tell theirs are taken
+/// to be like those that do.
+EngineChoice::Queue EngineChoice::queueOf(const EngineView& engine, const GatewaySnapshot& snapshot,
+                                          double rate, TimePoint now) const {
+  Queue queue;
+  queue.seconds = toSeconds(queues_.wait(engine, rate, ledger_, now));
+  const double others = std::max<double>(snapshot.gateway_count, 1) - 1;
+  const auto tellers = static_cast<double>(peers_.tellers(now));
+  if (tellers == 0) {
+    queue.unseen = queue.seconds * std::min(others, kUnseenGateways - 1);
+    return queue;
+  }
+  const double scale = std::max(others / tellers, 1.0);
+  const EngineWork work = peers_.at(engine.incarnation, now);
+  queue.seconds += work.waiting_tokens * scale / rate;
+  if (engine.load.batch_limit == 0) return queue;
+  const double above = ledger_.inFlight(engine.slot) + work.in_flight * scale + 1 - engine.load.batch_limit;
+  queue.seconds += std::max(above, 0.0) * kFullBatchWait;
+  return queue;
+}
+
 EngineChoice::Candidate EngineChoice::weighEngine(const Backend& backend, const ScopedPrompt& prompt,
                                                   const ChoiceRequest& request,
                                                   const GatewaySnapshot& snapshot, const BackendTable& table,
@@ -282,12 +319,11 @@
   candidate.uncached_tokens = total - std::min(import.cached, total - 1);
   candidate.shared_tokens_again = readAgainTokens(prompt, import.cached);
   const double prefill = candidate.uncached_tokens / rate;
-  const double queue = toSeconds(queues_.wait(engine, rate, ledger_, now));
-  candidate.first_byte = queue + import.seconds + prefill + distanceCost(engine, snapshot);
-  const double unseen = std::min<double>(snapshot.gateway_count, kUnseenGateways) - 1;
+  const Queue queue = queueOf(engine, snapshot, rate, now);
+  candidate.first_byte = queue.seconds + import.seconds + prefill + distanceCost(engine, snapshot);
   const double late = std::min(table.lateness(engine.slot), kLatenessLimit);
   const double new_blocks = blocksOf(total) - std::min(blocksOf(held), blocksOf(total));
-  candidate.cost = candidate.first_byte + queue * std::max(unseen, 0.0) + late + new_blocks * kEvictionCost +
+  candidate.cost = candidate.first_byte + queue.unseen + late + new_blocks * kEvictionCost +
                    readAgainCost(prompt, engine.slot, import.cached, rate) +
                    (partition_.suits(engine, isLong(request)) ? 0 : kOtherPartitionCost) +
                    kAffinityCost * affinity(affinityKey(request.client->prompt), engine);
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -15,6 +15,7 @@
 #include "gateway/gateway_snapshot.h"
 #include "gateway/named_weights.h"
 #include "gateway/part_index.h"
+#include "gateway/peer_work.h"
 #include "gateway/prefill_rate.h"
 #include "gateway/prompt_size_partition.h"
 #include "placement/eligibility.h"
@@ -72,6 +73,13 @@
   /// An answer stated the weights that a back end has.
   void onWeights(EngineSlot slot, std::uint64_t incarnation, const std::string& model, std::uint64_t version);
 
+  /// Another gateway told what it has at each engine.
+  void onPeerWork(const std::string& teller, const LoadDigest& digest, TimePoint now) {
+    peers_.onDigest(teller, digest, now);
+  }
+  /// @return what this gateway has at each engine, for the others.
+  LoadDigest ownWork() const;
+
   Choice choose(const ChoiceRequest& request, const GatewaySnapshot& snapshot, const BackendTable& table,
                 TimePoint now) const;
 
@@ -139,6 +147,12 @@
   Import findImport(const EngineView& engine, std::uint32_t held_tokens, const ScopedPrompt& prompt,
                     const ChoiceRequest& request, const GatewaySnapshot& snapshot, const BackendTable& table,
                     TimePoint now) const;
+  /// What waits at an engine before a new request.
+  struct Queue {
+    double seconds = 0;  ///< Until the engine begins with it.
+    double unseen = 0;   ///< Seconds that others may have added without being seen.
+  };
+  Queue queueOf(const EngineView& engine, const GatewaySnapshot& snapshot, double rate, TimePoint now) const;
   Candidate weighEngine(const Backend& backend, const ScopedPrompt& prompt, const ChoiceRequest& request,
                         const GatewaySnapshot& snapshot, const BackendTable& table, TimePoint now) const;
   bool hasFreshWeights(const UsableBackend& usable, const ChoiceRequest& request, const BackendTable& table,
@@ -148,6 +162,7 @@
   RandomSource& random_;
   PartIndex index_;
   OutstandingLedger ledger_;
+  PeerWork peers_;
   QueueEstimator queues_;
   PrefillRates rates_;
   PromptSizePartition partition_;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -48,6 +48,15 @@
   void onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot, TimePoint now);
   void onCachedParts(const CachedPartsNews& news, TimePoint now) { choice_.onCachedParts(news, now); }
 
+  /// Another gateway told what it has at each engine.
+  void onPeerWork(const std::string& teller, const LoadDigest& digest, TimePoint now) {
+    choice_.onPeerWork(teller, digest, now);
+  }
+  /// @return what this gateway has at each engine, for the others.
+  LoadDigest ownWork() const { return choice_.ownWork(); }
+  /// @return live gateways, this one included.
+  std::uint32_t gatewayCount() const { return snapshot_ == nullptr ? 1 : snapshot_->gateway_count; }
+
   void onRequest(ClientId client, IncomingRequest request, TimePoint now);
   /// The driver answered a request itself that could not be read whole, or had no connection left for it.
   /// @param request_id as far as it was read; may be empty.
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -85,7 +85,8 @@
       publish_timer_(executor),
       change_timer_(executor),
       tell_timer_(executor),
-      told_timer_(executor) {}
+      told_timer_(executor),
+      peer_work_timer_(executor) {}
 
 std::error_code GatewayControl::start() {
   contact_->vouch(now());
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -25,6 +25,7 @@
 struct GatewayControlOutputs {
   std::function<void(std::shared_ptr<const GatewaySnapshot>)> publish;
   std::function<void(CachedPartsNews)> on_cached_parts;
+  std::function<void(std::vector<LoadDigest>)> on_peer_work;
 };
 
 /// What the control state holds, for operators.
@@ -59,6 +60,8 @@
   void onUnreachable(EngineSlot slot, std::uint64_t incarnation);
   void onWrongBackend(EngineSlot slot, std::uint64_t incarnation,
                       std::optional<std::uint64_t> weights_version);
+  /// Tells the other gateways, in a large fleet those of the own zone, what this one has at each engine.
+  void onOwnWork(const LoadDigest& digest);
 
 private:
   TimePoint now() const { return clock_.now(); }
@@ -68,6 +71,8 @@
   void onBackendNote(const BackendNote& note) override;
   void onCacheNotes(const std::string& teller, const CacheNotes& notes) override;
   void onCacheWanted(const std::string& asker, const CacheWanted& wanted) override;
+  void onLoadDigest(const std::string& teller, const LoadDigest& digest) override;
+  void passPeerWork();
   void onOwnCacheNews(CachedPartsNews news);
   void tellCachesSoon();
   void tellCaches();
@@ -104,7 +109,8 @@
   CacheWatch cache_watch_;
   CacheExchange caches_;
   bool tell_waiting_ = false;
-  std::vector<CachedPartsNews> told_;    ///< By other gateways, not yet passed on to traffic.
+  std::vector<CachedPartsNews> told_;            ///< By other gateways, not yet passed on to traffic.
+  std::map<std::string, LoadDigest> peer_work_;  ///< By teller, not yet passed on to traffic.
   std::map<std::string, bool> follows_;  ///< Whether this gateway follows a back end's cache, among sharing_.
   /// Gateways of the zone that share the caches; empty: each follows all.
   std::vector<std::string> sharing_;
@@ -121,6 +127,7 @@
   boost::asio::steady_timer change_timer_;
   boost::asio::steady_timer tell_timer_;
   boost::asio::steady_timer told_timer_;
+  boost::asio::steady_timer peer_work_timer_;
 };
 
 }  // namespace crankspur::gateway
--- a/src/gateway_control/gossip_socket.cc
+++ b/src/gateway_control/gossip_socket.cc
@@ -103,6 +103,8 @@
     return receiver_.onCacheNotes(from, *caches);
   } else if (const auto* wanted = std::get_if<CacheWanted>(&*frame.message)) {
     return receiver_.onCacheWanted(from, *wanted);
+  } else if (const auto* digest = std::get_if<LoadDigest>(&*frame.message)) {
+    return receiver_.onLoadDigest(from, *digest);
   }
   afterEvent();
 }
--- a/src/gateway_control/gossip_socket.h
+++ b/src/gateway_control/gossip_socket.h
@@ -33,6 +33,7 @@
   virtual void onBackendNote(const BackendNote& note) = 0;
   virtual void onCacheNotes(const std::string& teller, const CacheNotes& notes) = 0;
   virtual void onCacheWanted(const std::string& asker, const CacheWanted& wanted) = 0;
+  virtual void onLoadDigest(const std::string& teller, const LoadDigest& digest) = 0;
 };
 
 /// The socket with the membership that it serves. Use from the executor's thread only.
--- /dev/null
+++ b/src/gateway_control/shared_work.cc
@@ -0,0 +1,46 @@
+/// @file How gateways tell each other what they have at each engine.
+
+#include <utility>
+
+#include "gateway_control/gateway_control.h"
+
+namespace crankspur::gateway {
+namespace {
+
+/// In a larger fleet only the gateways of the own zone are told: each hears all that tell, so that the
+/// datagrams of a fleet grow with the square of the group.
+constexpr std::size_t kMostToldEverywhere = 12;
+/// What others tell is passed on to the traffic thread in such steps, since each hand-over wakes it.
+constexpr Duration kPassInterval = std::chrono::milliseconds(20);
+
+}  // namespace
+
+void GatewayControl::onOwnWork(const LoadDigest& digest) {
+  const std::vector<MemberRecord> members = gossip_.members();
+  const bool everywhere = members.size() <= kMostToldEverywhere;
+  for (const MemberRecord& member : members) {
+    const bool lives = member.state == MemberState::Alive && member.incarnation != 0;
+    const bool told = everywhere || member.zone == settings_.zone;
+    if (lives && told && member.name != gossip_.ownName()) gossip_.tell(member.name, digest);
+  }
+}
+
+void GatewayControl::onLoadDigest(const std::string& teller, const LoadDigest& digest) {
+  const bool waiting = !peer_work_.empty();
+  LoadDigest& held = peer_work_[teller];
+  held = digest;
+  held.sender = teller;
+  if (waiting) return;
+  peer_work_timer_.expires_after(kPassInterval);
+  peer_work_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) passPeerWork();
+  });
+}
+
+void GatewayControl::passPeerWork() {
+  std::vector<LoadDigest> digests;
+  for (auto& [teller, digest] : std::exchange(peer_work_, {})) digests.push_back(std::move(digest));
+  if (outputs_.on_peer_work) outputs_.on_peer_work(std::move(digests));
+}
+
+}  // namespace crankspur::gateway
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -45,6 +45,11 @@
       [this, owned = std::move(news)] { implementation_->loop.onCachedParts(owned); });
 }
 
+void GatewayProcess::onPeerWork(std::vector<LoadDigest> digests) {
+  implementation_->thread.post(
+      [this, owned = std::move(digests)] { implementation_->loop.onPeerWork(owned); });
+}
+
 void GatewayProcess::drain() {
   implementation_->draining = true;
   implementation_->thread.post([this] { implementation_->loop.drain(); });
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -35,6 +35,8 @@
   /// @param weights_version as its answer stated it.
   std::function<void(EngineSlot, std::uint64_t incarnation, std::optional<std::uint64_t> weights_version)>
       on_wrong_backend;
+  /// What this gateway has at each engine, for the other gateways; several times a second while it has any.
+  std::function<void(LoadDigest)> on_own_work;
 };
 
 /// One gateway. Functions may be called from any thread unless they say otherwise.
@@ -56,6 +58,8 @@
   void publish(std::shared_ptr<const GatewaySnapshot> snapshot);
   /// Tells which parts of prompts a back end or a store of KV cache holds.
   void onCachedParts(CachedPartsNews news);
+  /// Tells what other gateways have at each engine.
+  void onPeerWork(std::vector<LoadDigest> digests);
 
   /// Begins the graceful stop: ready() turns false, open connections are still served and their answers close
   /// them. Nothing in flight is cut.
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -2,6 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <utility>
+
 #include "base/error.h"
 
 namespace crankspur::gateway {
@@ -16,6 +19,10 @@
 constexpr Duration kExchangeSlack = std::chrono::seconds(2);
 constexpr Duration kDrainLook = std::chrono::milliseconds(100);
 constexpr std::size_t kClientConnections = 2500;
+/// What this gateway has at the engines is told in steps that grow with the gateways that hear it.
+constexpr Duration kWorkStepPerGateway = std::chrono::milliseconds(6);
+constexpr Duration kLeastWorkStep = std::chrono::milliseconds(40);
+constexpr Duration kLongestWorkStep = std::chrono::milliseconds(250);
 
 std::string_view describe(int status) {
   switch (status) {
@@ -68,7 +75,8 @@
       gateway_(settings.decisions, settings.random_seed, observer),
       http_(http::makeClient(executor_)),
       timer_(executor_),
-      drain_timer_(executor_) {}
+      drain_timer_(executor_),
+      work_timer_(executor_) {}
 
 std::error_code TrafficLoop::listen() {
   std::error_code error;
@@ -113,6 +121,29 @@
   gateway_.onCachedParts(news, now());
 }
 
+void TrafficLoop::onPeerWork(const std::vector<LoadDigest>& digests) {
+  for (const LoadDigest& digest : digests) gateway_.onPeerWork(digest.sender, digest, now());
+}
+
+void TrafficLoop::tellWorkSoon() {
+  const bool news = !running_.empty() || told_work_;
+  if (!facts_.on_own_work || !news || std::exchange(work_waiting_, true)) return;
+  const Duration wanted = kWorkStepPerGateway * gateway_.gatewayCount();
+  work_timer_.expires_after(std::clamp(wanted, kLeastWorkStep, kLongestWorkStep));
+  work_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) tellWork();
+  });
+}
+
+/// The last digest before a pause is empty: nothing of this gateway's is left at any engine.
+void TrafficLoop::tellWork() {
+  work_waiting_ = false;
+  LoadDigest digest = gateway_.ownWork();
+  told_work_ = !digest.loads.empty();
+  facts_.on_own_work(std::move(digest));
+  tellWorkSoon();
+}
+
 void TrafficLoop::drain() {
   server_->closeAfterAnswers();
   countInFlight();
@@ -172,6 +203,7 @@
   }
   pumping_ = false;
   armTimer();
+  tellWorkSoon();
   countInFlight();
   const std::lock_guard lock(counters_mutex_);
   counters_ = gateway_.counters();
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -27,6 +27,7 @@
 
   void onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot);
   void onCachedParts(const CachedPartsNews& news);
+  void onPeerWork(const std::vector<LoadDigest>& digests);
   void drain();
   void stopAccepting() { server_->stopAccepting(); }
   void closeIdleConnections() { server_->closeIdle(); }
@@ -61,6 +62,8 @@
   void watchDrain();
 
   void onUnread(const http::UnreadRequest& unread);
+  void tellWorkSoon();
+  void tellWork();
 
   void carryOut(const Refuse& action);
   void carryOut(const Dispatch& action);
@@ -91,6 +94,9 @@
   boost::asio::steady_timer timer_;
   TimePoint timer_at_ = TimePoint::max();
   boost::asio::steady_timer drain_timer_;
+  boost::asio::steady_timer work_timer_;
+  bool work_waiting_ = false;  ///< work_timer_ is armed.
+  bool told_work_ = false;     ///< The last digest was not empty.
   ClientId next_client_ = 1;
   absl::flat_hash_map<ClientId, Client> clients_;
   absl::flat_hash_map<ExchangeId, Running> running_;
--- a/src/placement/outstanding_ledger.cc
+++ b/src/placement/outstanding_ledger.cc
@@ -42,6 +42,17 @@
   std::erase_if(work->second.items, [dispatch](const Item& item) { return item.dispatch == dispatch; });
 }
 
+std::vector<EngineOutstanding> OutstandingLedger::outstanding() const {
+  std::vector<EngineOutstanding> all;
+  for (const auto& [engine, work] : engines_) {
+    if (work.items.empty()) continue;
+    EngineOutstanding entry{engine, 0, static_cast<std::uint32_t>(work.items.size())};
+    for (const Item& item : work.items) entry.waiting_tokens += item.waiting ? item.tokens : 0;
+    all.push_back(entry);
+  }
+  return all;
+}
+
 std::uint32_t OutstandingLedger::pendingTokens(EngineSlot engine) const {
   const auto work = engines_.find(engine);
   if (work == engines_.end()) return 0;
--- a/src/placement/outstanding_ledger.h
+++ b/src/placement/outstanding_ledger.h
@@ -9,6 +9,13 @@
 
 namespace crankspur {
 
+/// Own work at one engine.
+struct EngineOutstanding {
+  EngineSlot engine = 0;
+  std::uint32_t waiting_tokens = 0;  ///< Of dispatches whose first token has not come.
+  std::uint32_t in_flight = 0;
+};
+
 /// Work in flight at each engine, by dispatch.
 class OutstandingLedger : public OutstandingWork {
 public:
@@ -27,6 +34,9 @@
   /// Forgets the dispatch.
   void remove(EngineSlot engine, std::uint64_t dispatch);
 
+  /// @return the engines with work in flight.
+  std::vector<EngineOutstanding> outstanding() const;
+
   std::uint32_t pendingTokens(EngineSlot engine) const override;
   std::uint32_t inFlight(EngineSlot engine) const override;
   Duration backlog(EngineSlot engine, double tokens_per_second, TimePoint now) const override;
--- /dev/null
+++ b/tests/unit/gateway/peer_work_test.cc
@@ -0,0 +1,110 @@
+#include "gateway/peer_work.h"
+
+#include "unit/gateway/gateway_fixture.h"
+
+using namespace crankspur;
+using namespace crankspur::gateway;
+
+namespace {
+
+const TimePoint kNow{seconds(9)};
+
+LoadDigest digestOf(std::vector<EngineLoad> loads) {
+  LoadDigest digest;
+  digest.loads = std::move(loads);
+  return digest;
+}
+
+EngineLoad load(std::uint64_t incarnation, std::uint32_t tokens, std::uint32_t running) {
+  return {"", incarnation, tokens, running, 0};
+}
+
+/// Two engines that look alike to this gateway, and a prompt that none of them holds.
+struct TwoEngines {
+  TwoEngines() {
+    snapshot.backends = {makeBackend(3, "lm"), makeBackend(4, "lm")};
+    snapshot.gateway_count = 3;
+    choice.onSnapshot(snapshot);
+    client.model = "m";
+    client.prompt = {{11, 400}};
+    client.prompt_tokens = 400;
+    request.pool = configuration.findPool("lm");
+    request.client = &client;
+    request.uses_prefixes = true;
+  }
+  Choice choose() const { return choice.choose(request, snapshot, BackendTable(), kNow); }
+
+  RandomSource random{1};
+  EngineChoice choice{1'000, random};
+  GatewaySnapshot snapshot;
+  Configuration configuration = makeConfiguration();
+  ClientRequest client;
+  ChoiceRequest request;
+};
+
+}  // namespace
+
+TEST_CASE("the newest digest of each teller counts, for a while", "[gateway][peer_work]") {
+  PeerWork peers;
+  CHECK(peers.tellers(kNow) == 0);
+  peers.onDigest("a", digestOf({load(1, 100, 2), load(2, 50, 1)}), kNow);
+  peers.onDigest("b", digestOf({load(1, 30, 1)}), kNow);
+  CHECK(peers.tellers(kNow) == 2);
+  CHECK(peers.at(1, kNow).waiting_tokens == 130);
+  CHECK(peers.at(1, kNow).in_flight == 3);
+  CHECK(peers.at(2, kNow).waiting_tokens == 50);
+  CHECK(peers.at(3, kNow).waiting_tokens == 0);
+  peers.onDigest("a", digestOf({load(2, 10, 1)}), kNow + milliseconds(100));
+  CHECK(peers.at(1, kNow + milliseconds(100)).waiting_tokens == 30);
+  CHECK(peers.at(2, kNow + milliseconds(100)).waiting_tokens == 10);
+  CHECK(peers.at(1, kNow + milliseconds(750)).waiting_tokens == 0);
+  CHECK(peers.at(2, kNow + milliseconds(750)).waiting_tokens == 10);
+  CHECK(peers.tellers(kNow + milliseconds(750)) == 2);
+  CHECK(peers.tellers(kNow + milliseconds(5'050)) == 1);
+}
+
+TEST_CASE("a digest that names an engine twice leaves nothing behind", "[gateway][peer_work]") {
+  PeerWork peers;
+  peers.onDigest("a", digestOf({load(1, 100, 2), load(1, 70, 1)}), kNow);
+  CHECK(peers.at(1, kNow).waiting_tokens == 70);
+  peers.onDigest("a", digestOf({}), kNow);
+  CHECK(peers.at(1, kNow).waiting_tokens == 0);
+  CHECK(peers.tellers(kNow) == 1);
+}
+
+TEST_CASE("a request goes where the other gateways have less", "[gateway][peer_work]") {
+  TwoEngines fleet;
+  const Choice first = fleet.choose();
+  const std::uint64_t busy = first.backend->view.incarnation;
+  fleet.choice.onPeerWork("a", digestOf({load(busy, 40'000, 3)}), kNow);
+  const Choice second = fleet.choose();
+  CHECK(second.backend->view.incarnation != busy);
+  CHECK(second.expected_first_byte < seconds(1));
+}
+
+TEST_CASE("gateways that do not tell are taken to be like those that do", "[gateway][peer_work]") {
+  const auto expected = [](std::uint32_t gateways) {
+    TwoEngines fleet;
+    fleet.snapshot.gateway_count = gateways;
+    fleet.choice.onPeerWork("a", digestOf({load(1003, 4'000, 1), load(1004, 4'000, 1)}), kNow);
+    return fleet.choose().expected_first_byte;
+  };
+  CHECK(expected(11) > expected(2));
+}
+
+TEST_CASE("a gateway tells what it has at each engine", "[gateway][peer_work]") {
+  TwoEngines fleet;
+  CHECK(fleet.choice.ownWork().loads.empty());
+  const Choice choice = fleet.choose();
+  const DispatchedPrompt prompt = fleet.choice.onDispatch(choice, 1, kNow);
+  REQUIRE(fleet.choice.ownWork().loads.size() == 1);
+  const EngineLoad waiting = fleet.choice.ownWork().loads.front();
+  CHECK(waiting.engine_incarnation == choice.backend->view.incarnation);
+  CHECK(waiting.queued_tokens == 400);
+  CHECK(waiting.running == 1);
+  fleet.choice.onFirstByte(*fleet.request.pool, prompt, 1, milliseconds(50), kNow);
+  REQUIRE(fleet.choice.ownWork().loads.size() == 1);
+  CHECK(fleet.choice.ownWork().loads.front().queued_tokens == 0);
+  fleet.choice.onEnd(choice.backend->view.slot, 1);
+  CHECK(fleet.choice.ownWork().loads.empty());
+}
