Choose application runners by what all gateways have there

Cause: as for engines, each gateway saw its own requests only; with 59 gateways before 3 runners of 6 places that says nothing. The digests already carry requests in flight for runners.

Change: they count in the load of a runner. New test, which fails without it.

--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -283,19 +283,25 @@
   return digest;
 }
 
-/// What the other gateways have there counts as if it were own work. Those that do not tell theirs are taken
-/// to be like those that do.
+/// @return how many times what the others told stands for what all others have: those that do not tell are
+/// taken to be like those that do. 0: nobody tells.
+double EngineChoice::peerScale(const GatewaySnapshot& snapshot, TimePoint now) const {
+  const auto tellers = static_cast<double>(peers_.tellers(now));
+  if (tellers == 0) return 0;
+  return std::max((std::max<double>(snapshot.gateway_count, 1) - 1) / tellers, 1.0);
+}
+
+/// What the other gateways have there counts as if it were own work.
 EngineChoice::Queue EngineChoice::queueOf(const EngineView& engine, const GatewaySnapshot& snapshot,
                                           double rate, TimePoint now) const {
   Queue queue;
   queue.seconds = toSeconds(queues_.wait(engine, rate, ledger_, now));
-  const double others = std::max<double>(snapshot.gateway_count, 1) - 1;
-  const auto tellers = static_cast<double>(peers_.tellers(now));
-  if (tellers == 0) {
+  const double scale = peerScale(snapshot, now);
+  if (scale == 0) {
+    const double others = std::max<double>(snapshot.gateway_count, 1) - 1;
     queue.unseen = queue.seconds * std::min(others, kUnseenGateways - 1);
     return queue;
   }
-  const double scale = std::max(others / tellers, 1.0);
   const EngineWork work = peers_.at(engine.incarnation, now);
   queue.seconds += work.waiting_tokens * scale / rate;
   if (engine.load.batch_limit == 0) return queue;
@@ -331,9 +337,10 @@
 }
 
 double EngineChoice::weighRunner(const Backend& backend, const GatewaySnapshot& snapshot,
-                                 const BackendTable& table) const {
+                                 const BackendTable& table, TimePoint now) const {
   const double slots = std::max(backend.slots, 1U);
-  double load = (table.inFlight(backend.view.slot) + 1) / slots;
+  const double others = peers_.at(backend.view.incarnation, now).in_flight * peerScale(snapshot, now);
+  double load = (table.inFlight(backend.view.slot) + others + 1) / slots;
   const double time = std::max(table.answerTime(backend.view.slot), 0.001);
   load *= 1 + time;
   if (backend.view.zone != snapshot.own_zone) load += kOtherZoneLoad;
@@ -355,7 +362,7 @@
       candidate = weighEngine(*backend, prompts[prompt], request, snapshot, table, now);
       candidate.prompt = prompt;
     } else {
-      candidate.cost = weighRunner(*backend, snapshot, table);
+      candidate.cost = weighRunner(*backend, snapshot, table, now);
       candidate.first_byte = table.answerTime(backend->view.slot);
     }
     if (now < backend->cold_until) candidate.cost *= kColdFactor;
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -157,8 +157,9 @@
                         const GatewaySnapshot& snapshot, const BackendTable& table, TimePoint now) const;
   bool hasFreshWeights(const UsableBackend& usable, const ChoiceRequest& request, const BackendTable& table,
                        TimePoint now) const;
-  double weighRunner(const Backend& backend, const GatewaySnapshot& snapshot,
-                     const BackendTable& table) const;
+  double weighRunner(const Backend& backend, const GatewaySnapshot& snapshot, const BackendTable& table,
+                     TimePoint now) const;
+  double peerScale(const GatewaySnapshot& snapshot, TimePoint now) const;
   RandomSource& random_;
   PartIndex index_;
   OutstandingLedger ledger_;
--- a/tests/unit/gateway/peer_work_test.cc
+++ b/tests/unit/gateway/peer_work_test.cc
@@ -92,6 +92,18 @@
   CHECK(expected(11) > expected(2));
 }
 
+TEST_CASE("application runners are chosen by what all gateways have there", "[gateway][peer_work]") {
+  TwoEngines fleet;
+  fleet.snapshot.backends = {makeBackend(1, "app"), makeBackend(2, "app")};
+  fleet.choice.onSnapshot(fleet.snapshot);
+  fleet.request.pool = fleet.configuration.findPool("app");
+  fleet.request.uses_prefixes = false;
+  for (const EngineSlot busy : {EngineSlot{1}, EngineSlot{2}}) {
+    fleet.choice.onPeerWork("a", digestOf({load(1000U + busy, 0, 2)}), kNow);
+    for (int round = 0; round < 20; ++round) CHECK(fleet.choose().backend->view.slot != busy);
+  }
+}
+
 TEST_CASE("a gateway tells what it has at each engine", "[gateway][peer_work]") {
   TwoEngines fleet;
   CHECK(fleet.choice.ownWork().loads.empty());
