Leave a long prompt with the back end that is still reading it

Change: a trusted back end may be silent for twice the time in which the first byte was expected, at least 1.5 s as before; one that is not trusted keeps the 1.5 s. New test, which fails without it (moved after 1.5 s).

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -171,6 +171,7 @@
   void moveOn(Entry& entry, const Running& failed, int status, TimePoint now);
   void giveUp(Entry& entry, TimePoint now);
   void noteFirstByte(Entry& entry, TimePoint now);
+  Duration silenceLimit(const Running& running, TimePoint now) const;
   void checkSilence(Entry& entry, TimePoint now);
 
   GatewaySettings settings_;
--- a/src/gateway/gateway_answers.cc
+++ b/src/gateway/gateway_answers.cc
@@ -198,11 +198,19 @@
   serveQueue(now);
 }
 
+/// @return how long the back end may be silent towards the request.
+Duration Gateway::silenceLimit(const Running& running, TimePoint now) const {
+  const bool reads_yet = !running.first_byte && table_.isHealthy(running.slot, now);
+  if (!reads_yet) return settings_.silence_limit;
+  const double expected = toSeconds(running.expected) * settings_.silence_per_expected;
+  return std::max(settings_.silence_limit, Duration(static_cast<std::int64_t>(expected * 1e6)));
+}
+
 /// Nothing at all has come from the back end for a while: those that may be repeated go elsewhere.
 void Gateway::checkSilence(Entry& entry, TimePoint now) {
   const Running running = entry.running;
   const TimePoint heard = std::max(running.heard_at, table_.heardAt(running.slot));
-  const TimePoint due = std::max(heard, running.sent_at) + settings_.silence_limit;
+  const TimePoint due = std::max(heard, running.sent_at) + silenceLimit(running, now);
   const bool elsewhere = snapshot_->backends.size() > 1;
   if (now < due) return wakeAt(entry, std::min(entry.ends_at, due));
   entry.arrived_before = true;
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -25,6 +25,9 @@
   Duration older_weights_margin = std::chrono::seconds(2);
   /// Silence of a back end, towards all that wait for it, after which requests that may be repeated move on.
   Duration silence_limit = std::chrono::milliseconds(1500);
+  /// A trusted back end may be silent for this many times the time in which the first byte was expected: it
+  /// may be reading a long prompt, which another one would read anew.
+  double silence_per_expected = 2.0;
   std::size_t index_entries = 100'000;  ///< Cached prompt parts remembered, over all back ends.
   /// Taken off a deadline handed to a back end, so that its own refusal comes back in time.
   Duration answer_margin = std::chrono::milliseconds(5);
--- a/tests/unit/gateway/gateway_failure_test.cc
+++ b/tests/unit/gateway/gateway_failure_test.cc
@@ -183,4 +183,21 @@
   CHECK(fixture.has<CancelExchange>());
 }
 
+TEST_CASE("a long prompt is not taken from the back end that is still reading it", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.configuration.routes[2].timeout = seconds(20);
+  fixture.publish();
+  IncomingRequest review = GatewayFixture::request("review");
+  review.client->prompt = {{11, 16'000}};
+  review.client->prompt_tokens = 16'000;
+  review.client->deadline = seconds(20);
+  fixture.send(std::move(review));
+  const std::string first = fixture.last.address;
+  fixture.pass(milliseconds(3'500));
+  CHECK_FALSE(fixture.has<CancelExchange>());
+  fixture.pass(milliseconds(800));
+  CHECK(fixture.has<CancelExchange>());
+  CHECK(fixture.only<Dispatch>().address != first);
+}
+
 }  // namespace crankspur::gateway
