Keep long shared parts in the stores of KV cache and fetch them from there

Change: the stores that the configuration names stand among the back ends; their caches are followed, told on and imported like an engine's. A prompt with 256 shared tokens and more that no store holds is sent with a store to save to, one for each part, alike in all gateways; the nearest of equal sources is fetched from. A store that does not answer is left alone, one that restarted is taken to be empty, one that turns a call away is not taken to be silent. The salt holds the weights and the wall, as ever.

--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -43,6 +43,8 @@
 /// Factor of load while a runner is slow after its start.
 constexpr double kColdFactor = 2.0;
 constexpr double kBitsPerByte = 8;
+/// Prompts with fewer shared tokens are not kept in a store: reading them takes no longer than moving them.
+constexpr std::uint32_t kLeastSavedTokens = 256;
 
 Duration toDuration(double seconds) {
   return Duration(static_cast<std::int64_t>(seconds * 1e6));
@@ -244,6 +246,23 @@
   return place == prompt.by_engine.end() || place->engine != engine ? 0 : place->tokens;
 }
 
+/// @return the address of the store that is to keep the prompt's shared parts: one for each part, alike in
+/// all gateways. Empty: no store answers, the parts are short or kept already.
+std::string EngineChoice::storeFor(const ScopedPrompt& prompt, const GatewaySnapshot& snapshot) const {
+  if (prompt.shared_tokens < kLeastSavedTokens) return {};
+  const Backend* best = nullptr;
+  double highest = 0;
+  for (const Backend& backend : snapshot.backends) {
+    if (!backend.is_kv_store || backend.view.state != EngineState::Live) continue;
+    if (heldTokens(prompt, backend.view.slot) >= prompt.shared_tokens) return {};
+    const double value = affinity(prompt.parts.front().key, backend.view);
+    if (best != nullptr && value <= highest) continue;
+    best = &backend;
+    highest = value;
+  }
+  return best == nullptr ? std::string() : best->view.address;
+}
+
 EngineChoice::Import EngineChoice::findImport(const EngineView& engine, std::uint32_t held_tokens,
                                               const ScopedPrompt& prompt, const ChoiceRequest& request,
                                               const GatewaySnapshot& snapshot, const BackendTable& table,
@@ -252,19 +271,23 @@
   Import import;
   import.cached = std::min(held_tokens, total);
   if (request.pool->link_bits_per_second <= 0) return import;
+  std::uint32_t most = 0;
+  double least_factor = 0;
   for (const HeldPrefix& match : prompt.matches) {
-    if (match.tokens <= held_tokens) break;
+    if (match.tokens <= held_tokens || match.tokens < most) break;
     const Backend* source = snapshot.backend(match.engine);
     if (source == nullptr || source->view.state != EngineState::Live) continue;
     if (!table.isHealthy(match.engine, now)) continue;
+    const double factor = zoneFactor(source->view, engine);
+    if (most > 0 && factor >= least_factor) continue;
+    most = match.tokens;
+    least_factor = factor;
     const std::uint32_t there = std::min(match.tokens, total);
-    const double bits = static_cast<double>(there - import.cached) *
+    const double bits = static_cast<double>(there - std::min(held_tokens, there)) *
                         static_cast<double>(request.pool->token_bytes) * kBitsPerByte;
-    import.seconds =
-        kImportBase + bits / request.pool->link_bits_per_second * zoneFactor(source->view, engine);
+    import.seconds = kImportBase + bits / request.pool->link_bits_per_second * factor;
     import.cached = there;
     import.from = source->view.address;
-    break;
   }
   return import;
 }
@@ -381,6 +404,7 @@
   ScopedPrompt& prompt = prompts[best.prompt];
   choice.weights = prompt.weights;
   choice.cache_scope = prompt.scope;
+  choice.save_to = storeFor(prompt, snapshot);
   choice.parts = std::move(prompt.parts);
   choice.import_from = best.import_from;
   choice.uncached_tokens = best.uncached_tokens;
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -42,6 +42,7 @@
   std::optional<std::uint64_t> weights;
   std::string cache_scope;
   std::string import_from;
+  std::string save_to;  ///< Address of the store that is to keep the shared parts; empty: none.
   std::vector<KeyedPart> parts;
   std::uint32_t uncached_tokens = 0;
   bool long_prompt = false;
@@ -125,7 +126,8 @@
     std::uint32_t shared_tokens_again = 0;
     std::string import_from;
   };
-  /// What a candidate imports: from the healthy engine that holds the longest prefix, if longer than its own.
+  /// What a candidate imports: from the nearest healthy engine or store that holds the longest prefix, if
+  /// longer than its own.
   struct Import {
     std::string from;          ///< "IP:port"; empty: nothing to import.
     std::uint32_t cached = 0;  ///< Tokens that the candidate holds once it is done.
@@ -144,6 +146,7 @@
                               double rate);
   static void explain(Choice& choice, const Candidate& best, const Candidate& second);
   static std::uint32_t heldTokens(const ScopedPrompt& prompt, EngineSlot engine);
+  std::string storeFor(const ScopedPrompt& prompt, const GatewaySnapshot& snapshot) const;
   Import findImport(const EngineView& engine, std::uint32_t held_tokens, const ScopedPrompt& prompt,
                     const ChoiceRequest& request, const GatewaySnapshot& snapshot, const BackendTable& table,
                     TimePoint now) const;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -167,6 +167,7 @@
   terms.priority = std::min(entry.priority, kLeastUrgent);
   terms.cache_scope = choice.cache_scope;
   terms.import_from = choice.import_from;
+  terms.save_to = choice.save_to;
   terms.resume_after = entry.cursor ? entry.cursor->lastEvent() : entry.client.resume_after;
   return terms;
 }
--- a/src/gateway/gateway_snapshot.h
+++ b/src/gateway/gateway_snapshot.h
@@ -80,9 +80,10 @@
 
 /// One back end that the platform lists.
 struct Backend {
-  EngineView view;          ///< Slot, id (`name`), address, zone, pool, state, models, load.
-  std::uint32_t slots = 0;  ///< Requests it works on at once.
-  TimePoint cold_until{};   ///< Slow after its start until then.
+  EngineView view;           ///< Slot, id (`name`), address, zone, pool, state, models, load.
+  std::uint32_t slots = 0;   ///< Requests it works on at once.
+  TimePoint cold_until{};    ///< Slow after its start until then.
+  bool is_kv_store = false;  ///< Keeps KV cache and runs nothing.
 };
 
 /// Bounds on what a client may send.
--- a/src/gateway_control/cache_watch.cc
+++ b/src/gateway_control/cache_watch.cc
@@ -14,8 +14,12 @@
 }  // namespace
 
 CacheWatch::CacheWatch(const boost::asio::any_io_executor& executor, PlatformLink& platform,
-                       std::function<void(CachedPartsNews)> on_news)
-    : executor_(executor), platform_(platform), on_news_(std::move(on_news)) {}
+                       std::function<void(CachedPartsNews)> on_news,
+                       std::function<void(EngineSlot, std::uint64_t)> on_silent)
+    : executor_(executor),
+      platform_(platform),
+      on_news_(std::move(on_news)),
+      on_silent_(std::move(on_silent)) {}
 
 void CacheWatch::update(const Configuration& configuration, const std::vector<Backend>& backends,
                         const std::function<bool(const Backend&)>& follows) {
@@ -65,7 +69,7 @@
 
 void CacheWatch::onEvents(const FollowedPointer& followed, CachedPartsPage page) {
   if (followed->dropped) return;
-  if (!page.answered) return askLater(followed, kPauseAfterFailure);
+  if (!page.answered) return onNoAnswer(followed, page.turned_away);
   const bool restarted = followed->known && followed->epoch != page.epoch;
   followed->known = true;
   followed->epoch = page.epoch;
@@ -86,7 +90,7 @@
 
 void CacheWatch::onContent(const FollowedPointer& followed, CachedPartsPage page) {
   if (followed->dropped) return;
-  if (!page.answered) return askLater(followed, kPauseAfterFailure);
+  if (!page.answered) return onNoAnswer(followed, page.turned_away);
   followed->want_content = false;
   followed->epoch = page.epoch;
   followed->position = page.position;
@@ -94,6 +98,11 @@
   askLater(followed, kPause);
 }
 
+void CacheWatch::onNoAnswer(const FollowedPointer& followed, bool turned_away) {
+  if (!turned_away) on_silent_(followed->slot, followed->incarnation);
+  askLater(followed, kPauseAfterFailure);
+}
+
 void CacheWatch::tell(const Followed& followed, std::vector<CachedPart> parts, bool complete) {
   CachedPartsNews news;
   news.slot = followed.slot;
--- a/src/gateway_control/cache_watch.h
+++ b/src/gateway_control/cache_watch.h
@@ -16,8 +16,10 @@
 /// The watch.
 class CacheWatch {
 public:
+  /// @param on_silent hears of a cache that does not answer.
   CacheWatch(const boost::asio::any_io_executor& executor, PlatformLink& platform,
-             std::function<void(CachedPartsNews)> on_news);
+             std::function<void(CachedPartsNews)> on_news,
+             std::function<void(EngineSlot, std::uint64_t incarnation)> on_silent);
   /// Begins to follow caches that are new and drops those that are gone.
   /// @param follows whether this gateway follows the back end's cache itself.
   void update(const Configuration& configuration, const std::vector<Backend>& backends,
@@ -45,10 +47,12 @@
   void onEvents(const FollowedPointer& followed, CachedPartsPage page);
   void onContent(const FollowedPointer& followed, CachedPartsPage page);
   void tell(const Followed& followed, std::vector<CachedPart> parts, bool complete);
+  void onNoAnswer(const FollowedPointer& followed, bool turned_away);
 
   boost::asio::any_io_executor executor_;
   PlatformLink& platform_;
   std::function<void(CachedPartsNews)> on_news_;
+  std::function<void(EngineSlot, std::uint64_t)> on_silent_;
   std::map<std::string, FollowedPointer> followed_;  ///< By back end id.
 };
 
--- a/src/gateway_control/fleet_view.cc
+++ b/src/gateway_control/fleet_view.cc
@@ -68,6 +68,7 @@
   view.zone = listed.zone;
   view.pool = listed.pool;
   entry.backend.slots = listed.slots;
+  entry.backend.is_kv_store = listed.is_kv_store;
   view.load.batch_limit = listed.slots;
   entry.backend.cold_until = listed.cold_left > Duration(0) ? now + listed.cold_left : TimePoint{};
   entry.listed = true;
@@ -118,7 +119,7 @@
   const std::set<std::string> listed(ids.begin(), ids.end());
   std::vector<std::string> gone;
   for (const auto& [id, entry] : entries_) {
-    if (entry.listed && !listed.contains(id)) gone.push_back(id);
+    if (entry.listed && !entry.backend.is_kv_store && !listed.contains(id)) gone.push_back(id);
   }
   for (const std::string& id : gone) onGone(id, now);
 }
@@ -188,6 +189,9 @@
   if (superseded(entry)) return {EngineState::Dead, "address_taken_over", BeliefSource::list};
   if (entry.draining) return {EngineState::Leaving, "draining", BeliefSource::list};
   if (!entry.listed && now >= entry.gone_from) return {EngineState::Leaving, "unlisted", BeliefSource::list};
+  if (now < entry.loading_until && entry.backend.is_kv_store) {
+    return {EngineState::Ejected, "silent", BeliefSource::report};
+  }
   if (now < entry.loading_until) return {EngineState::Ejected, "loading_weights", BeliefSource::order};
   if (now < entry.avoided_until) return {EngineState::Ejected, "unreachable", BeliefSource::own_traffic};
   if (entry.last_state == EngineState::Ejected) {
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -81,7 +81,9 @@
       log_(log),
       gossip_(executor, gossipOptions(settings, incarnation), *this),
       orders_(executor, orderOptions(settings, incarnation), platform, orderCallbacks(), log),
-      cache_watch_(executor, platform, [this](CachedPartsNews news) { onOwnCacheNews(std::move(news)); }),
+      cache_watch_(
+          executor, platform, [this](CachedPartsNews news) { onOwnCacheNews(std::move(news)); },
+          [this](EngineSlot slot, std::uint64_t cache) { onCacheSilent(slot, cache); }),
       publish_timer_(executor),
       change_timer_(executor),
       tell_timer_(executor),
@@ -179,6 +181,7 @@
                                                   {"pools", configuration->pools.size()},
                                                   {"tenants", configuration->tenants.size()}});
   configuration_ = std::move(configuration);
+  listKvStores();
   gossip_.setConfigurationVersion(configuration_->version);
   // At once: every bound of a configuration counts from its acceptance.
   publish();
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -74,6 +75,8 @@
   void onLoadDigest(const std::string& teller, const LoadDigest& digest) override;
   void passPeerWork();
   void onOwnCacheNews(CachedPartsNews news);
+  void onCacheSilent(EngineSlot slot, std::uint64_t incarnation);
+  void listKvStores();
   void tellCachesSoon();
   void tellCaches();
   void passToldNews();
@@ -110,6 +113,7 @@
   CacheExchange caches_;
   bool tell_waiting_ = false;
   std::vector<CachedPartsNews> told_;            ///< By other gateways, not yet passed on to traffic.
+  std::set<std::string> kv_stores_;              ///< Ids of those that the configuration names.
   std::map<std::string, LoadDigest> peer_work_;  ///< By teller, not yet passed on to traffic.
   std::map<std::string, bool> follows_;  ///< Whether this gateway follows a back end's cache, among sharing_.
   /// Gateways of the zone that share the caches; empty: each follows all.
--- a/src/gateway_control/platform_link.h
+++ b/src/gateway_control/platform_link.h
@@ -26,6 +26,7 @@
   bool draining = false;
   Duration cold_left{0};
   std::vector<LoadedModel> models;
+  bool is_kv_store = false;  ///< Named by the configuration, not by the list.
 };
 
 /// What the platform tells unasked. Listed back ends come before the contact that vouches for them.
@@ -76,6 +77,7 @@
 /// One answer about the cached parts of a back end or store.
 struct CachedPartsPage {
   bool answered = false;
+  bool turned_away = false;    ///< It answers, but holds as many such calls as it may.
   std::uint64_t epoch = 0;     ///< Differs after each restart of the cache.
   std::uint64_t position = 0;  ///< Where the next question begins.
   bool gap = false;            ///< Events were lost: ask for the whole.
--- /dev/null
+++ b/tests/unit/gateway/kv_store_test.cc
@@ -0,0 +1,112 @@
+#include "unit/gateway/gateway_fixture.h"
+
+using namespace crankspur;
+using namespace crankspur::gateway;
+
+namespace {
+
+const TimePoint kNow{seconds(9)};
+constexpr EngineSlot kStore = 9;
+
+Backend makeStore() {
+  Backend store = makeBackend(kStore, "kept");
+  store.is_kv_store = true;
+  store.slots = 0;
+  return store;
+}
+
+/// Two engines, a store and a prompt with a long shared part.
+struct FleetWithStore {
+  FleetWithStore() {
+    configuration.pools[1].link_bits_per_second = 1e12;
+    snapshot.backends = {makeBackend(3, "lm"), makeBackend(4, "lm"), makeStore()};
+    client.model = "m";
+    client.prompt = {{11, 3'200}, {12, 100}};
+    client.prompt_tokens = 3'300;
+    request.pool = configuration.findPool("lm");
+    request.client = &client;
+    request.uses_prefixes = true;
+    choice.onSnapshot(snapshot);
+  }
+  Choice choose() const { return choice.choose(request, snapshot, BackendTable(), kNow); }
+  /// The back end in a slot holds the shared part.
+  void holds(EngineSlot slot) {
+    choice.onCachedParts({slot, 1000U + slot, false, {{cacheScope("1", ""), "m", 11, 3'200}}}, kNow);
+  }
+
+  RandomSource random{1};
+  EngineChoice choice{1'000, random};
+  GatewaySnapshot snapshot;
+  Configuration configuration = makeConfiguration();
+  ClientRequest client;
+  ChoiceRequest request;
+};
+
+}  // namespace
+
+TEST_CASE("shared parts that no store holds are saved in one", "[gateway][kv_store]") {
+  FleetWithStore fleet;
+  const Choice first = fleet.choose();
+  CHECK(first.backend->view.slot != kStore);
+  CHECK(first.save_to == fleet.snapshot.backends[2].view.address);
+  CHECK(first.import_from.empty());
+  fleet.holds(kStore);
+  CHECK(fleet.choose().save_to.empty());
+}
+
+TEST_CASE("short shared parts and prompts without any are not saved", "[gateway][kv_store]") {
+  FleetWithStore fleet;
+  fleet.client.prompt = {{11, 90}, {12, 3'000}};
+  CHECK(fleet.choose().save_to.empty());
+  fleet.client.prompt = {{12, 3'300}};
+  CHECK(fleet.choose().save_to.empty());
+}
+
+TEST_CASE("what a store holds is fetched from it, unless the engine or a nearer one has it",
+          "[gateway][kv_store]") {
+  FleetWithStore fleet;
+  fleet.holds(kStore);
+  const Choice choice = fleet.choose();
+  CHECK(choice.import_from == fleet.snapshot.backends[2].view.address);
+  CHECK(choice.uncached_tokens == 100);
+  CHECK(choice.shared_tokens_again == 0);
+  fleet.holds(3);
+  CHECK(fleet.choose().backend->view.slot == 3);
+  CHECK(fleet.choose().import_from.empty());
+  // The engine that holds the part is excluded, the store lies in another zone.
+  fleet.request.excluded = {3};
+  fleet.snapshot.backends[2].view.zone = "there";
+  CHECK(fleet.choose().import_from == fleet.snapshot.backends[0].view.address);
+  fleet.snapshot.backends[2].view.zone = "here";
+  fleet.snapshot.backends[0].view.zone = "there";
+  CHECK(fleet.choose().import_from == fleet.snapshot.backends[2].view.address);
+}
+
+TEST_CASE("a store that does not answer is neither a source nor a place to save", "[gateway][kv_store]") {
+  FleetWithStore fleet;
+  fleet.snapshot.backends[2].view.state = EngineState::Ejected;
+  CHECK(fleet.choose().save_to.empty());
+  fleet.holds(kStore);
+  CHECK(fleet.choose().import_from.empty());
+}
+
+TEST_CASE("a store that restarted empty is not taken to hold what it held", "[gateway][kv_store]") {
+  FleetWithStore fleet;
+  fleet.holds(kStore);
+  fleet.choice.onCachedParts({kStore, 1000U + kStore, true, {}}, kNow);
+  CHECK(fleet.choose().import_from.empty());
+  CHECK_FALSE(fleet.choose().save_to.empty());
+}
+
+TEST_CASE("what was saved under older weights or behind a wall is not fetched", "[gateway][kv_store]") {
+  FleetWithStore fleet;
+  fleet.holds(kStore);
+  SECTION("weights") {
+    for (std::size_t index : {0U, 1U}) fleet.snapshot.backends[index].view.models = {{"m", "2", {}}};
+  }
+  SECTION("wall") {
+    fleet.request.isolated_tenant = "island";
+  }
+  CHECK(fleet.choose().import_from.empty());
+  CHECK_FALSE(fleet.choose().save_to.empty());
+}
--- a/tests/unit/gateway_control/fleet_view_test.cc
+++ b/tests/unit/gateway_control/fleet_view_test.cc
@@ -110,3 +110,17 @@
   fleet.onListed(listed("c", "10.0.0.3:80"), kStart + 11min);
   CHECK(only(fleet, "c", kStart + 11min).view.slot == slot);
 }
+
+TEST_CASE("a store that the configuration names stays although the platform does not list it",
+          "[fleet_view]") {
+  FleetView fleet;
+  ListedBackend store = listed("store", "10.0.0.9:80");
+  store.is_kv_store = true;
+  fleet.onListed(store, kStart);
+  fleet.onListed(listed("a"), kStart);
+  fleet.onWholeList({"a"}, kStart + 1s);
+  CHECK(stateOf(fleet, "store", kStart + 2s) == EngineState::Live);
+  CHECK(only(fleet, "store", kStart + 2s).is_kv_store);
+  fleet.onGone("store", kStart + 3s);
+  CHECK(stateOf(fleet, "store", kStart + 3s) == EngineState::Leaving);
+}
