--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -405,9 +405,6 @@
   choice.weights = prompt.weights;
   choice.cache_scope = prompt.scope;
   choice.save_to = storeFor(prompt, snapshot);
-  // Its news are late and some never come, and asking it for what it lacks takes a millisecond.
-  const bool lacks_shared = best.uncached_tokens + prompt.shared_tokens > request.client->prompt_tokens;
-  if (choice.import_from.empty() && lacks_shared) choice.import_from = choice.save_to;
   choice.parts = std::move(prompt.parts);
   choice.import_from = best.import_from;
   choice.uncached_tokens = best.uncached_tokens;
