--- /dev/null
+++ b/tools/soak/soak.py
@@ -0,0 +1,477 @@
+#!/usr/bin/env python3
+"""Fault soak: real gateway processes on loopback, faults from outside them, promises checked from what clients
+and runners saw.
+
+    tools/soak/soak.py --seconds 60 --seed 1 [--build build] [--keep FOLDER]
+
+Between the gateways and everything behind them stands the fault proxy. The schedule of faults comes from the seed and
+is printed as it happens. When a promise breaks, settings, schedule and all logs stay in the folder that the last line
+names. Ends only processes that it started. Exit status: 0 all promises held, 1 one broke, 2 it could not run.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "platform" / "standin"))
+
+from checks import broken_promises  # noqa: E402
+from client import Attempt, Kind, look_up, make_attempt  # noqa: E402
+from http_text import head_bytes, read_body, read_head  # noqa: E402
+from runner import Runner  # noqa: E402
+from store import Store  # noqa: E402
+
+GATEWAYS = 3
+ENGINES = 3
+APPLICATION_RUNNERS = 2
+REQUESTS_PER_S = 40
+REVOKED_SHARE = 0.15  # Of the requests, with keys that were taken away.
+DEADLINE_S = 3.0
+KEY_VALIDITY_S = 5.0
+QUIET_S = 6.0  # Without faults at the end, so that recovery can be judged.
+START_S = 10.0
+DRAIN_S = 8.0
+MODEL = "model"
+KINDS = [
+    Kind("/order/", streaming=False, repeatable=False),
+    Kind("/look/", streaming=False, repeatable=True),
+    Kind("/review/", streaming=True, repeatable=True, answer_events=20),
+    Kind("/answer/", streaming=True, repeatable=False, answer_events=12),
+]
+
+
+def free_ports(count):
+    """Returns ports that nothing listens on, on any loopback address."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+class Gateway:
+    """One gateway process."""
+
+    def __init__(self, number, ports, store_address, folder, program):
+        self.host = f"127.0.0.{11 + number}"
+        self.name = f"gateway-{number}"
+        self._program, self._folder = program, folder
+        self.ports = ports
+        self.process = None
+        self.expected_end = False
+        seeds = ", ".join(f'"127.0.0.{11 + other}:{ports["gossip"]}"' for other in range(GATEWAYS))
+        lines = [f'name = "{self.name}"', 'zone = "zone-a"', 'region = "r"', f'platform = "{store_address}"']
+        lines += [f'{key} = "{self.host}:{port}"' for key, port in ports.items()]
+        lines += [f"seeds = [{seeds}]", f"key_validity_ms = {int(KEY_VALIDITY_S * 1000)}", "drain_limit_ms = 8000"]
+        self._settings = folder / f"{self.name}.toml"
+        self._settings.write_text("\n".join(lines) + "\n")
+
+    async def start(self):
+        log = open(self._folder / f"{self.name}.log", "ab")
+        self.expected_end = False
+        self.process = await asyncio.create_subprocess_exec(
+            str(self._program), f"--settings={self._settings}", stdout=log, stderr=log)
+        log.close()
+
+    def send(self, number):
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+
+    async def end(self, number):
+        """Ends the process by a signal and waits for it."""
+        self.expected_end = True
+        self.send(number)
+        try:
+            return await asyncio.wait_for(self.process.wait(), DRAIN_S + 2)
+        except asyncio.TimeoutError:
+            self.send(signal.SIGKILL)
+            await self.process.wait()
+            return None
+
+    @property
+    def address(self):
+        return f"{self.host}:{self.ports['front']}"
+
+
+class Proxy:
+    """The fault proxy, with a route for the store and one for each runner."""
+
+    def __init__(self):
+        self.process = None
+        self.ports = {}
+        self._control = 0
+
+    async def start(self, program, targets, folder):
+        routes = ",".join(f"{name}=0:{target}" for name, target in targets.items())
+        log = open(folder / "proxy.log", "ab")
+        self.process = await asyncio.create_subprocess_exec(
+            str(program), f"--routes={routes}", stdout=asyncio.subprocess.PIPE, stderr=log)
+        log.close()
+        while len(self.ports) < len(targets) or not self._control:
+            line = (await asyncio.wait_for(self.process.stdout.readline(), START_S)).decode()
+            words = line.split()
+            if "control" in words:
+                self._control = int(words[words.index("control") + 1])
+            self.ports |= {word.split("=")[0]: int(word.split("=")[1]) for word in words if "=" in word}
+            if not line:
+                raise RuntimeError("the fault proxy ended")
+
+    async def set(self, **behaviour):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self._control)
+        body = json.dumps(behaviour).encode()
+        fields = {"Host": "p", "Content-Type": "application/json", "Content-Length": str(len(body))}
+        writer.write(head_bytes("POST /control HTTP/1.1", fields) + body)
+        head = await read_head(reader)
+        answer = await read_body(reader, head.headers)
+        writer.close()
+        if head.first[1] != "200":
+            raise RuntimeError(f"the fault proxy refused {behaviour}: {answer.decode()}")
+
+
+class Soak:
+    def __init__(self, options, folder):
+        self.options, self.folder = options, folder
+        self.random = random.Random(options.seed + 3)  # Of the traffic.
+        self.began_at = time.monotonic()
+        self.store = Store(random.Random(options.seed + 1))
+        self.proxy = Proxy()
+        self.gateways, self.engines, self.runners, self.runs, self.attempts = [], [], [], [], []
+        self.problems = []
+        self.keys = {"key-a": "tenant-a", "key-b": "tenant-b"}
+        self.revoked = {}  # Key to the time when its revocation was accepted.
+        self.configuration_version = 0
+        self.weights = 1
+        self.schedule = open(folder / "schedule.log", "w")
+
+    def note(self, text):
+        line = f"{time.monotonic() - self.began_at:8.3f} {text}"
+        print(line, flush=True)
+        self.schedule.write(line + "\n")
+        self.schedule.flush()
+
+    # The operator.
+
+    def configure(self, generator):
+        self.configuration_version += generator.randint(1, 3)
+        routes = []
+        for kind in KINDS:
+            route = {"name": kind.route.strip("/"), "host": "desk.example", "pathPrefix": kind.route}
+            route |= {"kind": "streaming" if kind.streaming else "safe" if kind.repeatable else "unsafe"}
+            route |= {"timeoutMs": 5000, "targetLatencyMs": 600, "priority": 1, "maxAttempts": 2, "public": False}
+            route |= {"service": "engines" if kind.streaming else "app", "sticky": kind.streaming}
+            routes.append(route | {"resumable": kind.streaming and kind.repeatable, "gapTargetMs": 500})
+        engine = {"slots": 16, "kvCapacity": 100000, "kvTokenBytes": 1000, "linkMbps": 1e5, "maxInFlight": 8}
+        engine["models"] = [{"name": MODEL}]
+        services = [{"name": "engines", "healthPath": "/healthz", "maxConnections": 200, "engine": engine},
+                    {"name": "app", "healthPath": "/healthz", "maxConnections": 200}]
+        tenants = [{"name": tenant, "apiKeys": [key]} for key, tenant in self.keys.items()]
+        document = {"version": self.configuration_version, "routes": routes, "services": services, "tenants": tenants}
+        document["limits"] = {"headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+        self.store.put("op", "config", json.dumps(document).encode())
+
+    def name_weights(self):
+        self.weights += 1
+        self.store.put("op", f"version/{MODEL}", json.dumps({"model": MODEL, "version": self.weights}).encode())
+
+    # Start and end.
+
+    async def start(self):
+        build = ROOT / self.options.build / "bin"
+        store_port = await self.store.start("127.0.0.1", 0)
+        generator = random.Random(self.options.seed + 2)
+        self.engines = [Runner(self.store, "engines", MODEL, 16, self.runs, generator) for _ in range(ENGINES)]
+        self.runners = [Runner(self.store, "app", "", 12, self.runs, generator) for _ in range(APPLICATION_RUNNERS)]
+        inner = free_ports(ENGINES + APPLICATION_RUNNERS)
+        targets = {"store": f"127.0.0.1:{store_port}"}
+        targets |= {f"runner{index}": f"127.0.0.1:{port}" for index, port in enumerate(inner)}
+        await self.proxy.start(build / "fault_proxy", targets, self.folder)
+        self.configure(self.random)
+        self.store.put("op", f"version/{MODEL}", json.dumps({"model": MODEL, "version": 1}).encode())
+        for index, runner in enumerate(self.engines + self.runners):
+            runner.route = f"runner{index}"
+            await runner.start("127.0.0.1", inner[index], f"127.0.0.1:{self.proxy.ports[runner.route]}")
+        names = ["front", "readiness", "directory", "metrics", "gossip"]
+        ports = dict(zip(names, free_ports(len(names))))
+        address = f"127.0.0.1:{self.proxy.ports['store']}"
+        program = build / "crankspur_gateway"
+        self.gateways = [Gateway(number, ports, address, self.folder, program) for number in range(GATEWAYS)]
+        for gateway in self.gateways:
+            await gateway.start()
+        await self.wait_until_served()
+
+    async def wait_until_served(self):
+        until = time.monotonic() + START_S
+        while time.monotonic() < until:
+            await asyncio.sleep(0.1)
+            attempt = await self.one_attempt(KINDS[1], "key-a")
+            if attempt.status == 200:
+                return
+        raise RuntimeError("no gateway serves after the start")
+
+    async def stop(self):
+        for gateway in self.gateways:
+            if gateway.process is not None:
+                gateway.send(signal.SIGCONT)
+                await gateway.end(signal.SIGTERM)
+        if self.proxy.process is not None:
+            self.proxy.process.terminate()
+            await self.proxy.process.wait()
+        for runner in self.engines + self.runners:
+            await runner.crash()
+        await self.store.stop()
+
+    # Clients.
+
+    async def find_gateway(self):
+        """Returns an address as a client finds it: from the directory of any gateway that answers."""
+        for gateway in self.random.sample(self.gateways, len(self.gateways)):
+            try:
+                addresses = await look_up(gateway.host, gateway.ports["directory"])
+            except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError, ValueError):
+                continue
+            if addresses:
+                return self.random.choice(addresses)
+        return self.random.choice(self.gateways).address
+
+    async def one_attempt(self, kind, key):
+        number = f"{self.random.getrandbits(64):016x}"
+        gateway = await self.find_gateway()
+        attempt = Attempt(number, kind, key, self.keys.get(key, ""), gateway, time.monotonic())
+        self.attempts.append(attempt)
+        prompt = [(self.random.randint(1, 6), 640), (self.random.getrandbits(40), 160)]
+        return await make_attempt(attempt, MODEL, prompt, DEADLINE_S)
+
+    async def traffic(self, until):
+        tasks = set()
+        while time.monotonic() < until:
+            stranger = self.revoked and self.random.random() < REVOKED_SHARE
+            key = self.random.choice(list(self.revoked if stranger else self.keys))
+            task = asyncio.create_task(self.one_attempt(self.random.choice(KINDS), key))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            await asyncio.sleep(self.random.expovariate(REQUESTS_PER_S))
+        await asyncio.gather(*list(tasks))
+
+    # Faults; each puts right what it broke.
+
+    async def kill_gateway(self, generator):
+        gateway = generator.choice(self.gateways)
+        self.note(f"SIGKILL {gateway.name}")
+        await gateway.end(signal.SIGKILL)
+        await asyncio.sleep(generator.uniform(0.2, 1.5))
+        await gateway.start()
+
+    async def kill_all(self, generator):
+        self.note("SIGKILL all gateways")
+        await asyncio.gather(*(gateway.end(signal.SIGKILL) for gateway in self.gateways))
+        await asyncio.sleep(generator.uniform(0.2, 1.0))
+        for gateway in self.gateways:
+            await gateway.start()
+
+    async def stop_gateway(self, generator):
+        gateway = generator.choice(self.gateways)
+        self.note(f"SIGTERM {gateway.name}")
+        status = await gateway.end(signal.SIGTERM)
+        if status != 0:
+            self.problems.append(f"planned stop: {gateway.name} ended with {status}")
+        await gateway.start()
+
+    async def freeze_gateway(self, generator):
+        gateway = generator.choice(self.gateways)
+        seconds = generator.uniform(0.5, 7.0)
+        self.note(f"SIGSTOP {gateway.name} for {seconds:.1f} s")
+        gateway.send(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        gateway.send(signal.SIGCONT)
+
+    async def crash_runner(self, generator):
+        runner = generator.choice(self.engines + self.runners)
+        self.note(f"crash of {runner.id} ({runner.route})")
+        await runner.crash()
+        await asyncio.sleep(generator.uniform(0.3, 2.0))
+        await runner.start("127.0.0.1", runner.port, runner.listed_address)
+
+    async def trouble_runner(self, generator):
+        runner = generator.choice(self.engines + self.runners)
+        trouble = generator.choice(["errors", "silent", "lost"])
+        self.note(f"{runner.id} ({runner.route}): {trouble}")
+        runner.trouble = trouble
+        await asyncio.sleep(generator.uniform(0.5, 3.0))
+        runner.trouble = ""
+
+    async def store_trouble(self, generator):
+        mode = generator.choice(["down", "reset", "silent"])
+        seconds = generator.uniform(0.5, 7.0)
+        self.note(f"store {mode} for {seconds:.1f} s")
+        self.store.mode = mode
+        await asyncio.sleep(seconds)
+        self.store.mode = "ok"
+
+    async def store_oddities(self, generator):
+        what = generator.choice(["slow", "loses answers", "forgets history"])
+        self.note(f"store {what}")
+        if what == "forgets history":
+            return self.store.forget_history()
+        self.store.delay_s, self.store.lose_share = (0.3, 0.0) if what == "slow" else (0.0, 0.4)
+        await asyncio.sleep(generator.uniform(1.0, 4.0))
+        self.store.delay_s, self.store.lose_share = 0.0, 0.0
+
+    async def network_trouble(self, generator):
+        route = generator.choice(list(self.proxy.ports))
+        fault, healed = generator.choice([
+            ({"delay_to_client_ms": 200}, {"delay_to_client_ms": 0}),
+            ({"delay_to_server_ms": 200}, {"delay_to_server_ms": 0}),
+            ({"swallow_answers": True}, {"swallow_answers": False, "reset": True}),
+            ({"freeze": True}, {"freeze": False, "reset": True}),
+            ({"reset": True}, {}),
+            ({"refuse": True}, {"refuse": False}),
+        ])
+        seconds = generator.uniform(0.3, 3.0)
+        self.note(f"proxy {route}: {fault} for {seconds:.1f} s")
+        await self.proxy.set(route=route, **fault)
+        await asyncio.sleep(seconds)
+        if healed:
+            await self.proxy.set(route=route, **healed)
+
+    async def new_configuration(self, generator):
+        self.configure(generator)
+        self.note(f"configuration {self.configuration_version}")
+
+    async def new_weights(self, generator):
+        self.name_weights()
+        self.note(f"weights {self.weights}")
+
+    async def revoke_key(self, generator):
+        if len(self.keys) < 2:
+            return
+        key = generator.choice(list(self.keys))
+        tenant = self.keys.pop(key)
+        self.keys[f"key-{generator.getrandbits(32):08x}"] = tenant
+        self.configure(generator)
+        self.revoked[key] = time.monotonic()
+        self.note(f"configuration {self.configuration_version} takes {key} away")
+
+    async def faults(self, until):
+        kinds = [self.kill_gateway, self.kill_all, self.stop_gateway, self.freeze_gateway, self.crash_runner,
+                 self.trouble_runner, self.store_trouble, self.store_oddities, self.network_trouble,
+                 self.network_trouble, self.new_configuration, self.new_weights, self.revoke_key]
+        tasks = set()
+        busy = asyncio.Lock()  # Signals to gateways come one after the other, or they would meet one that ended.
+        alone = {self.kill_gateway, self.kill_all, self.stop_gateway, self.freeze_gateway}
+        schedule = random.Random(self.options.seed)
+
+        async def play(kind, generator):
+            if kind in alone:
+                async with busy:
+                    return await kind(generator)
+            await kind(generator)
+
+        while time.monotonic() < until:
+            # A generator for each fault: what it does depends on the seed alone, not on what runs beside it.
+            generator = random.Random(schedule.getrandbits(64))
+            task = asyncio.create_task(play(schedule.choice(kinds), generator))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+            await asyncio.sleep(schedule.uniform(0.2, 2.5))
+        await asyncio.gather(*list(tasks))
+
+    async def watch_processes(self):
+        while True:
+            await asyncio.sleep(0.2)
+            for gateway in self.gateways:
+                if gateway.process.returncode is not None and not gateway.expected_end:
+                    self.problems.append(f"{gateway.name} ended by itself: {gateway.process.returncode}")
+                    self.note(self.problems[-1])
+                    gateway.expected_end = True
+
+    async def run(self):
+        await self.start()
+        watch = asyncio.create_task(self.watch_processes())
+        faults_end = time.monotonic() + self.options.seconds
+
+        async def faults_then_quiet():
+            await self.faults(faults_end)
+            self.note("quiet")
+            return time.monotonic()
+
+        faults = asyncio.create_task(faults_then_quiet())
+        traffic = asyncio.create_task(self.traffic_until_quiet(faults))
+        quiet_at = await faults
+        await traffic
+        watch.cancel()
+        await self.stop()
+        await asyncio.sleep(0.5)
+        judged = broken_promises(self.attempts, self.runs, self.revoked, KEY_VALIDITY_S, quiet_at + QUIET_S / 2)
+        return self.problems + judged
+
+    async def traffic_until_quiet(self, faults):
+        while not faults.done():
+            await self.traffic(time.monotonic() + 0.5)
+        await self.traffic(time.monotonic() + QUIET_S)
+
+
+def summarize(soak):
+    statuses = {}
+    for attempt in soak.attempts:
+        statuses[attempt.status] = statuses.get(attempt.status, 0) + 1
+    answered = sum(1 for attempt in soak.attempts if attempt.status == 200 and attempt.whole)
+    counts = ", ".join(f"{status}: {count}" for status, count in sorted(statuses.items()))
+    print(f"{len(soak.attempts)} attempts, {answered} answered whole, {len(soak.runs)} runs; by status: {counts}")
+
+
+async def play(options, folder):
+    soak = Soak(options, folder)
+    try:
+        problems = await soak.run()
+    except BaseException:
+        await soak.stop()
+        raise
+    summarize(soak)
+    (folder / "attempts.json").write_text("\n".join(json.dumps(vars(a), default=vars) for a in soak.attempts))
+    (folder / "runs.json").write_text("\n".join(json.dumps(vars(run)) for run in soak.runs))
+    return problems
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__.split("\n\n")[0])
+    parser.add_argument("--seconds", type=float, default=60, help="time with faults; some quiet seconds follow")
+    parser.add_argument("--seed", type=int, default=None, help="of the schedule; default: drawn and printed")
+    parser.add_argument("--build", default="build", help="build folder with the programs")
+    parser.add_argument("--keep", default="", help="keep logs there in any case")
+    options = parser.parse_args()
+    if options.seed is None:
+        options.seed = random.SystemRandom().randrange(1 << 31)
+    folder = Path(options.keep or tempfile.mkdtemp(prefix="crankspur-soak-"))
+    folder.mkdir(parents=True, exist_ok=True)
+    print(f"seed {options.seed}, {options.seconds:.0f} s of faults", flush=True)
+    signal.signal(signal.SIGTERM, lambda *_: os.kill(os.getpid(), signal.SIGINT))
+    try:
+        problems = asyncio.run(play(options, folder))
+    except (RuntimeError, KeyboardInterrupt) as failure:
+        print(f"could not run: {failure!r}; logs in {folder}")
+        return 2
+    for problem in problems[:40]:
+        print("BROKEN", problem)
+    if problems:
+        print(f"{len(problems)} broken; seed {options.seed}; logs in {folder}")
+        return 1
+    if not options.keep:
+        shutil.rmtree(folder)
+    print(f"all promises held; seed {options.seed}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
