End what the soak started also when it is interrupted, and keep signals off its own group

Cause: the shell that had started two soaks ended; the kernel then hung up its group, which held a stopped gateway, so that both soaks died and left six gateways and two proxies running (ended by id). SIGTERM did nothing either: a background job ignores SIGINT, which the handler passed it on as.

Change: gateways and proxy run in sessions of their own; SIGTERM, SIGHUP and SIGINT cancel the soak, which kills by id what it started.

--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -12,7 +12,6 @@
 import argparse
 import asyncio
 import json
-import os
 import random
 import shutil
 import signal
@@ -82,7 +81,7 @@
         log = open(self._folder / f"{self.name}.log", "ab")
         self.expected_end = False
         self.process = await asyncio.create_subprocess_exec(
-            str(self._program), f"--settings={self._settings}", stdout=log, stderr=log)
+            str(self._program), f"--settings={self._settings}", stdout=log, stderr=log, start_new_session=True)
         log.close()
 
     def send(self, number):
@@ -117,7 +116,7 @@
         routes = ",".join(f"{name}=0:{target}" for name, target in targets.items())
         log = open(folder / "proxy.log", "ab")
         self.process = await asyncio.create_subprocess_exec(
-            str(program), f"--routes={routes}", stdout=asyncio.subprocess.PIPE, stderr=log)
+            str(program), f"--routes={routes}", stdout=asyncio.subprocess.PIPE, stderr=log, start_new_session=True)
         log.close()
         while len(self.ports) < len(targets) or not self._control:
             line = (await asyncio.wait_for(self.process.stdout.readline(), START_S)).decode()
@@ -232,6 +231,16 @@
             await runner.crash()
         await self.store.stop()
 
+    async def abandon(self):
+        """Ends what was started at once."""
+        for task in asyncio.all_tasks() - {asyncio.current_task()}:
+            task.cancel()
+        started = [gateway.process for gateway in self.gateways] + [self.proxy.process]
+        for process in started:
+            if process is not None and process.returncode is None:
+                process.kill()
+                await process.wait()
+
     # Clients.
 
     async def find_gateway(self):
@@ -433,10 +442,12 @@
 
 async def play(options, folder):
     soak = Soak(options, folder)
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGINT):  # What was started is ended in any case.
+        asyncio.get_running_loop().add_signal_handler(number, asyncio.current_task().cancel)
     try:
         problems = await soak.run()
     except BaseException:
-        await soak.stop()
+        await soak.abandon()
         raise
     summarize(soak)
     (folder / "attempts.json").write_text("\n".join(json.dumps(vars(a), default=vars) for a in soak.attempts))
@@ -456,10 +467,9 @@
     folder = Path(options.keep or tempfile.mkdtemp(prefix="crankspur-soak-"))
     folder.mkdir(parents=True, exist_ok=True)
     print(f"seed {options.seed}, {options.seconds:.0f} s of faults", flush=True)
-    signal.signal(signal.SIGTERM, lambda *_: os.kill(os.getpid(), signal.SIGINT))
     try:
         problems = asyncio.run(play(options, folder))
-    except (RuntimeError, KeyboardInterrupt) as failure:
+    except (RuntimeError, asyncio.CancelledError) as failure:
         print(f"could not run: {failure!r}; logs in {folder}")
         return 2
     for problem in problems[:40]:
