Take the soak's own two faults out: a stop before the handler, a watcher that saw the process before

Change: a planned stop waits until the gateway answers, its check stays as it was; the mark is taken back with the new process.

--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -79,11 +79,22 @@
 
     async def start(self):
         log = open(self._folder / f"{self.name}.log", "ab")
-        self.expected_end = False
         self.process = await asyncio.create_subprocess_exec(
             str(self._program), f"--settings={self._settings}", stdout=log, stderr=log, start_new_session=True)
+        self.expected_end = False  # Only now: the process before may have been killed.
         log.close()
 
+    async def wait_until_up(self):
+        """Waits until the process answers on its readiness address, whatever it says."""
+        until = time.monotonic() + START_S
+        while time.monotonic() < until:
+            try:
+                _, writer = await asyncio.open_connection(self.host, self.ports["readiness"])
+                writer.close()
+                return
+            except OSError:
+                await asyncio.sleep(0.05)
+
     def send(self, number):
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
@@ -291,6 +302,7 @@
 
     async def stop_gateway(self, generator):
         gateway = generator.choice(self.gateways)
+        await gateway.wait_until_up()  # Before, the signal ends it like any program; it has taken nothing yet.
         self.note(f"SIGTERM {gateway.name}")
         status = await gateway.end(signal.SIGTERM)
         if status != 0:
