Notice engines that answer nobody by the call that waits there; import from where parts come soonest

Streams were held for 1.5 s.

Change: the gateway that follows an engine's cache says when the call held there is not answered while another cache answers; in zones that share the following it tells the others. Such an engine is used last, is no source, and streams that may be resumed leave it after 0.3 s. The held call waits 0.4 s instead of 1 s. A store's own link counts in the time of an import; of sources that hold the same the soonest is named. The lookups of prompts and imports leave engine_choice.cc for files of their own.

--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -109,6 +109,10 @@
   return state == nullptr || state->health.state(now) == HealthState::Healthy;
 }
 
+bool BackendTable::isSilent(const Backend& backend) const {
+  return backend.silent_since != TimePoint{} && heardAt(backend.view.slot) <= backend.silent_since;
+}
+
 Duration BackendTable::distrustedFor(EngineSlot slot, TimePoint now) const {
   const State* state = find(slot);
   return state == nullptr ? Duration(0) : std::max(Duration(0), state->health.ejectedUntil() - now);
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -41,6 +41,9 @@
   bool hasRoom(const Backend& backend, const Pool& pool, std::uint32_t gateway_count, TimePoint now) const;
   /// @return whether its traffic shows no fault.
   bool isHealthy(EngineSlot slot, TimePoint now) const;
+  /// @return whether it answers nobody: those who follow its cache get no answer, and its traffic has heard
+  /// nothing since.
+  bool isSilent(const Backend& backend) const;
   /// @return time for which its failures keep it out of use; 0: none.
   Duration distrustedFor(EngineSlot slot, TimePoint now) const;
   std::uint32_t inFlight(EngineSlot slot) const;
--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -4,7 +4,7 @@
 #include <charconv>
 #include <utility>
 
-#include "base/hash.h"
+#include "gateway/import_source.h"
 
 namespace crankspur::gateway {
 namespace {
@@ -32,20 +32,12 @@
 constexpr double kFullBatchWait = 0.1;
 /// What filling a cache block costs later requests by eviction, seconds.
 constexpr double kEvictionCost = 0.0003;
-/// Fixed time of an import of cached blocks, seconds.
-constexpr double kImportBase = 0.002;
-constexpr double kOtherZoneSlowdown = 2.0;
-constexpr double kOtherRegionSlowdown = 10.0;
 /// An engine's queue is taken to last this many times its usual time to the first byte.
 constexpr double kQueueSafety = 2.5;
 /// Lateness counts up to this many seconds.
 constexpr double kLatenessLimit = 0.5;
 /// Factor of load while a runner is slow after its start.
 constexpr double kColdFactor = 2.0;
-constexpr double kBitsPerByte = 8;
-/// Prompts with fewer shared tokens are not kept in a store: reading them takes no longer than moving them.
-constexpr std::uint32_t kLeastSavedTokens = 256;
-
 Duration toDuration(double seconds) {
   return Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
@@ -71,20 +63,6 @@
   return prompt.size() == 1 ? prompt.front().id : prompt[prompt.size() - 2].id;
 }
 
-/// @return a number in [0, 1) that is the same in every gateway, since an engine's incarnation is.
-double affinity(std::uint64_t key, const EngineView& engine) {
-  return static_cast<double>(combineHashes(engine.incarnation, key) >> 11) / 9007199254740992.0;
-}
-
-bool bySlot(const HeldPrefix& left, const HeldPrefix& right) {
-  return left.engine < right.engine;
-}
-
-double zoneFactor(const EngineView& from, const EngineView& to) {
-  if (from.region != to.region) return kOtherRegionSlowdown;
-  return from.zone != to.zone ? kOtherZoneSlowdown : 1.0;
-}
-
 double distanceCost(const EngineView& engine, const GatewaySnapshot& snapshot) {
   if (engine.region != snapshot.own_region) return kOtherRegionCost;
   return engine.zone != snapshot.own_zone ? kOtherZoneCost : 0;
@@ -156,7 +134,8 @@
       lacks_room = true;
       continue;
     }
-    (table.isHealthy(backend.view.slot, now) ? healthy : doubtful).push_back(usable);
+    const bool answers = table.isHealthy(backend.view.slot, now) && !table.isSilent(backend);
+    (answers ? healthy : doubtful).push_back(usable);
   }
   return healthy.empty() && !lacks_room ? doubtful : healthy;
 }
@@ -179,17 +158,8 @@
   for (std::size_t index = 0; index < prompts.size(); ++index) {
     if (prompts[index].weights == weights) return index;
   }
-  ScopedPrompt prompt;
-  prompt.weights = weights;
-  prompt.scope = cacheScope(weights ? std::to_string(*weights) : std::string(), request.isolated_tenant);
-  prompt.parts = keyedParts(prompt.scope, request.client->model, request.client->prompt);
-  prompt.matches = index_.match(prompt.parts);
-  prompt.by_engine = prompt.matches;
-  std::sort(prompt.by_engine.begin(), prompt.by_engine.end(), bySlot);
-  const std::vector<PromptPart>& parts = request.client->prompt;
-  for (std::size_t index = 0; index + 1 < parts.size(); ++index) prompt.shared_tokens += parts[index].tokens;
-  const std::uint32_t held = prompt.matches.empty() ? 0 : prompt.matches.front().tokens;
-  prompt.held_shared_tokens = std::min(held, prompt.shared_tokens);
+  ScopedPrompt prompt =
+      scopePrompt(index_, weights, request.isolated_tenant, request.client->model, request.client->prompt);
   prompt.first_reader = findFirstReader(prompt, request, usable);
   prompts.push_back(std::move(prompt));
   return prompts.size() - 1;
@@ -224,74 +194,14 @@
   return first_reader;
 }
 
-/// @param cached tokens that the engine holds, what it imports included.
-/// @return shared tokens that the engine would read although another one holds them.
-std::uint32_t EngineChoice::readAgainTokens(const ScopedPrompt& prompt, std::uint32_t cached) {
-  const std::uint32_t here = std::min(cached, prompt.shared_tokens);
-  return std::max(prompt.held_shared_tokens, here) - here;
-}
-
 double EngineChoice::readAgainCost(const ScopedPrompt& prompt, EngineSlot engine, std::uint32_t cached,
                                    double rate) {
   const std::uint32_t known = std::max(prompt.held_shared_tokens, std::min(cached, prompt.shared_tokens));
-  std::uint32_t again = readAgainTokens(prompt, cached);
+  std::uint32_t again = prompt.readAgainTokens(cached);
   if (engine != prompt.first_reader) again += prompt.shared_tokens - known;
   return std::min(again / rate * kReadAgainFactor, kReadAgainLimit);
 }
 
-/// @return leading tokens of the prompt that the engine holds.
-std::uint32_t EngineChoice::heldTokens(const ScopedPrompt& prompt, EngineSlot engine) {
-  const auto place =
-      std::lower_bound(prompt.by_engine.begin(), prompt.by_engine.end(), HeldPrefix{engine, 0}, bySlot);
-  return place == prompt.by_engine.end() || place->engine != engine ? 0 : place->tokens;
-}
-
-/// @return the address of the store that is to keep the prompt's shared parts: one for each part, alike in
-/// all gateways. Empty: no store answers, the parts are short or kept already.
-std::string EngineChoice::storeFor(const ScopedPrompt& prompt, const GatewaySnapshot& snapshot) const {
-  if (prompt.shared_tokens < kLeastSavedTokens) return {};
-  const Backend* best = nullptr;
-  double highest = 0;
-  for (const Backend& backend : snapshot.backends) {
-    if (!backend.is_kv_store || backend.view.state != EngineState::Live) continue;
-    if (heldTokens(prompt, backend.view.slot) >= prompt.shared_tokens) return {};
-    const double value = affinity(prompt.parts.front().key, backend.view);
-    if (best != nullptr && value <= highest) continue;
-    best = &backend;
-    highest = value;
-  }
-  return best == nullptr ? std::string() : best->view.address;
-}
-
-EngineChoice::Import EngineChoice::findImport(const EngineView& engine, std::uint32_t held_tokens,
-                                              const ScopedPrompt& prompt, const ChoiceRequest& request,
-                                              const GatewaySnapshot& snapshot, const BackendTable& table,
-                                              TimePoint now) const {
-  const std::uint32_t total = std::max(request.client->prompt_tokens, 1U);
-  Import import;
-  import.cached = std::min(held_tokens, total);
-  if (request.pool->link_bits_per_second <= 0) return import;
-  std::uint32_t most = 0;
-  double least_factor = 0;
-  for (const HeldPrefix& match : prompt.matches) {
-    if (match.tokens <= held_tokens || match.tokens < most) break;
-    const Backend* source = snapshot.backend(match.engine);
-    if (source == nullptr || source->view.state != EngineState::Live) continue;
-    if (!table.isHealthy(match.engine, now)) continue;
-    const double factor = zoneFactor(source->view, engine);
-    if (most > 0 && factor >= least_factor) continue;
-    most = match.tokens;
-    least_factor = factor;
-    const std::uint32_t there = std::min(match.tokens, total);
-    const double bits = static_cast<double>(there - std::min(held_tokens, there)) *
-                        static_cast<double>(request.pool->token_bytes) * kBitsPerByte;
-    import.seconds = kImportBase + bits / request.pool->link_bits_per_second * factor;
-    import.cached = there;
-    import.from = source->view.address;
-  }
-  return import;
-}
-
 LoadDigest EngineChoice::ownWork() const {
   LoadDigest digest;
   for (const EngineOutstanding& own : ledger_.outstanding()) {
@@ -338,15 +248,15 @@
                                                   const GatewaySnapshot& snapshot, const BackendTable& table,
                                                   TimePoint now) const {
   const EngineView& engine = backend.view;
-  const std::uint32_t held = heldTokens(prompt, engine.slot);
-  const Import import = findImport(engine, held, prompt, request, snapshot, table, now);
+  const std::uint32_t held = prompt.heldBy(engine.slot);
   const std::uint32_t total = std::max(request.client->prompt_tokens, 1U);
+  const Import import = findImport(engine, *request.pool, total, prompt, snapshot, table, now);
   const double rate = rates_.rate(request.pool->name);
   Candidate candidate;
   candidate.backend = &backend;
   candidate.import_from = import.from;
   candidate.uncached_tokens = total - std::min(import.cached, total - 1);
-  candidate.shared_tokens_again = readAgainTokens(prompt, import.cached);
+  candidate.shared_tokens_again = prompt.readAgainTokens(import.cached);
   const double prefill = candidate.uncached_tokens / rate;
   const Queue queue = queueOf(engine, snapshot, rate, now);
   candidate.first_byte = queue.seconds + import.seconds + prefill + distanceCost(engine, snapshot);
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -18,6 +18,7 @@
 #include "gateway/peer_work.h"
 #include "gateway/prefill_rate.h"
 #include "gateway/prompt_size_partition.h"
+#include "gateway/scoped_prompt.h"
 #include "placement/eligibility.h"
 #include "placement/outstanding_ledger.h"
 #include "placement/queue_estimator.h"
@@ -100,17 +101,6 @@
     std::string model;
     std::uint64_t version = 0;
   };
-  /// The prompt under one weights version: what it hashes to and who holds it.
-  struct ScopedPrompt {
-    std::optional<std::uint64_t> weights;
-    std::string scope;
-    std::vector<KeyedPart> parts;
-    std::vector<HeldPrefix> matches;       ///< The longest first.
-    std::vector<HeldPrefix> by_engine;     ///< The same by slot.
-    std::uint32_t shared_tokens = 0;       ///< Of the parts that other prompts may have too.
-    std::uint32_t held_shared_tokens = 0;  ///< Of these, held by some engine.
-    EngineSlot first_reader = 0;           ///< Engine that first reads the shared parts which none holds.
-  };
   /// A back end that may get the request.
   struct UsableBackend {
     const Backend* backend = nullptr;
@@ -126,13 +116,6 @@
     std::uint32_t shared_tokens_again = 0;
     std::string import_from;
   };
-  /// What a candidate imports: from the nearest healthy engine or store that holds the longest prefix, if
-  /// longer than its own.
-  struct Import {
-    std::string from;          ///< "IP:port"; empty: nothing to import.
-    std::uint32_t cached = 0;  ///< Tokens that the candidate holds once it is done.
-    double seconds = 0;
-  };
   std::optional<std::uint64_t> weightsOf(const Backend& backend, const std::string& model) const;
   Usable findUsable(const ChoiceRequest& request, const GatewaySnapshot& snapshot, const BackendTable& table,
                     TimePoint now, bool& lacks_room) const;
@@ -141,15 +124,9 @@
   EngineSlot findFirstReader(const ScopedPrompt& prompt, const ChoiceRequest& request,
                              const Usable& usable) const;
   bool isLong(const ChoiceRequest& request) const;
-  static std::uint32_t readAgainTokens(const ScopedPrompt& prompt, std::uint32_t cached);
   static double readAgainCost(const ScopedPrompt& prompt, EngineSlot engine, std::uint32_t cached,
                               double rate);
   static void explain(Choice& choice, const Candidate& best, const Candidate& second);
-  static std::uint32_t heldTokens(const ScopedPrompt& prompt, EngineSlot engine);
-  std::string storeFor(const ScopedPrompt& prompt, const GatewaySnapshot& snapshot) const;
-  Import findImport(const EngineView& engine, std::uint32_t held_tokens, const ScopedPrompt& prompt,
-                    const ChoiceRequest& request, const GatewaySnapshot& snapshot, const BackendTable& table,
-                    TimePoint now) const;
   /// What waits at an engine before a new request.
   struct Queue {
     double seconds = 0;  ///< Until the engine begins with it.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -37,9 +37,24 @@
   choice_.onSnapshot(*snapshot_);
   weights_.onSnapshot(*snapshot_, now);
   if (snapshot_->configuration) shares_.configure(*snapshot_->configuration);
+  lookAtSilent(now);
   serveQueue(now);
 }
 
+/// Requests at a back end that has fallen silent look soon whether they are to go elsewhere.
+void Gateway::lookAtSilent(TimePoint now) {
+  const auto is_silent = [this](const Backend& backend) { return table_.isSilent(backend); };
+  if (std::none_of(snapshot_->backends.begin(), snapshot_->backends.end(), is_silent)) return;
+  for (const auto& [exchange, client] : exchanges_) {
+    Entry* entry = findClient(client);
+    if (entry == nullptr || entry->running.exchange != exchange) continue;
+    const Backend* backend = snapshot_->backend(entry->running.slot);
+    if (backend == nullptr || !table_.isSilent(*backend)) continue;
+    wakeAt(*entry, std::min(entry->wakes_at,
+                            std::max(now, entry->running.sent_at + silenceLimit(entry->running, now))));
+  }
+}
+
 Gateway::Entry* Gateway::findClient(ClientId client) {
   const auto found = entries_.find(client);
   return found == entries_.end() ? nullptr : found->second.get();
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -173,6 +173,7 @@
   void noteFirstByte(Entry& entry, TimePoint now);
   Duration silenceLimit(const Running& running, TimePoint now) const;
   void checkSilence(Entry& entry, TimePoint now);
+  void lookAtSilent(TimePoint now);
 
   GatewaySettings settings_;
   RandomSource random_;
--- a/src/gateway/gateway_answers.cc
+++ b/src/gateway/gateway_answers.cc
@@ -200,6 +200,9 @@
 
 /// @return how long the back end may be silent towards the request.
 Duration Gateway::silenceLimit(const Running& running, TimePoint now) const {
+  const Backend* backend = snapshot_->backend(running.slot);
+  const bool present = backend != nullptr && backend->view.incarnation == running.incarnation;
+  if (present && table_.isSilent(*backend)) return settings_.silence_limit_of_silent;
   const bool reads_yet = !running.first_byte && table_.isHealthy(running.slot, now);
   if (!reads_yet) return settings_.silence_limit;
   const double expected = toSeconds(running.expected) * settings_.silence_per_expected;
--- a/src/gateway/gateway_snapshot.h
+++ b/src/gateway/gateway_snapshot.h
@@ -80,10 +80,14 @@
 
 /// One back end that the platform lists.
 struct Backend {
-  EngineView view;           ///< Slot, id (`name`), address, zone, pool, state, models, load.
-  std::uint32_t slots = 0;   ///< Requests it works on at once.
-  TimePoint cold_until{};    ///< Slow after its start until then.
+  EngineView view;          ///< Slot, id (`name`), address, zone, pool, state, models, load.
+  std::uint32_t slots = 0;  ///< Requests it works on at once.
+  TimePoint cold_until{};   ///< Slow after its start until then.
+  /// Since when it has answered nobody who follows its cache; TimePoint{}: it answers, or nobody follows it.
+  TimePoint silent_since{};
   bool is_kv_store = false;  ///< Keeps KV cache and runs nothing.
+  /// Rate at which it gives KV cache away; 0: as fast as an engine that asks can take it.
+  double link_bits_per_second = 0;
 };
 
 /// Bounds on what a client may send.
--- a/src/gateway_control/cache_watch.cc
+++ b/src/gateway_control/cache_watch.cc
@@ -1,5 +1,6 @@
 #include "gateway_control/cache_watch.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -9,17 +10,15 @@
 
 /// Between two questions to one cache: news are gathered meanwhile.
 constexpr Duration kPause = std::chrono::milliseconds(30);
-constexpr Duration kPauseAfterFailure = std::chrono::seconds(1);
+constexpr Duration kPauseAfterRefusal = std::chrono::seconds(1);
+/// A cache that did not answer is asked again soon, since requests keep away from its engine meanwhile.
+constexpr Duration kPauseAfterSilence = std::chrono::milliseconds(300);
 
 }  // namespace
 
 CacheWatch::CacheWatch(const boost::asio::any_io_executor& executor, PlatformLink& platform,
-                       std::function<void(CachedPartsNews)> on_news,
-                       std::function<void(EngineSlot, std::uint64_t)> on_silent)
-    : executor_(executor),
-      platform_(platform),
-      on_news_(std::move(on_news)),
-      on_silent_(std::move(on_silent)) {}
+                       CacheWatchCallbacks callbacks)
+    : executor_(executor), platform_(platform), callbacks_(std::move(callbacks)) {}
 
 void CacheWatch::update(const Configuration& configuration, const std::vector<Backend>& backends,
                         const std::function<bool(const Backend&)>& follows) {
@@ -51,6 +50,7 @@
 
 void CacheWatch::ask(const FollowedPointer& followed) {
   if (followed->dropped) return;
+  followed->asked_at = clock_.now();
   if (followed->want_content) {
     platform_.readCacheContent(
         followed->address, [this, followed](CachedPartsPage page) { onContent(followed, std::move(page)); });
@@ -70,6 +70,7 @@
 void CacheWatch::onEvents(const FollowedPointer& followed, CachedPartsPage page) {
   if (followed->dropped) return;
   if (!page.answered) return onNoAnswer(followed, page.turned_away);
+  onAnswer(*followed);
   const bool restarted = followed->known && followed->epoch != page.epoch;
   followed->known = true;
   followed->epoch = page.epoch;
@@ -91,6 +92,7 @@
 void CacheWatch::onContent(const FollowedPointer& followed, CachedPartsPage page) {
   if (followed->dropped) return;
   if (!page.answered) return onNoAnswer(followed, page.turned_away);
+  onAnswer(*followed);
   followed->want_content = false;
   followed->epoch = page.epoch;
   followed->position = page.position;
@@ -98,9 +100,25 @@
   askLater(followed, kPause);
 }
 
+void CacheWatch::onAnswer(Followed& followed) {
+  followed.heard_at = clock_.now();
+  if (std::exchange(followed.silent, false)) callbacks_.on_heard(followed.slot, followed.incarnation);
+}
+
+bool CacheWatch::othersAnswer(const Followed& followed) const {
+  return std::any_of(followed_.begin(), followed_.end(),
+                     [&followed](const auto& item) { return item.second->heard_at > followed.asked_at; });
+}
+
+/// One that turns calls away answers, if only with that.
 void CacheWatch::onNoAnswer(const FollowedPointer& followed, bool turned_away) {
-  if (!turned_away) on_silent_(followed->slot, followed->incarnation);
-  askLater(followed, kPauseAfterFailure);
+  if (turned_away) {
+    onAnswer(*followed);
+    return askLater(followed, kPauseAfterRefusal);
+  }
+  followed->silent = true;
+  callbacks_.on_silent({followed->slot, followed->incarnation, followed->asked_at, othersAnswer(*followed)});
+  askLater(followed, kPauseAfterSilence);
 }
 
 void CacheWatch::tell(const Followed& followed, std::vector<CachedPart> parts, bool complete) {
@@ -109,7 +127,7 @@
   news.incarnation = followed.incarnation;
   news.complete = complete;
   news.parts = std::move(parts);
-  on_news_(std::move(news));
+  callbacks_.on_news(std::move(news));
 }
 
 }  // namespace crankspur::gateway
--- a/src/gateway_control/cache_watch.h
+++ b/src/gateway_control/cache_watch.h
@@ -13,13 +13,27 @@
 
 namespace crankspur::gateway {
 
+/// A cache that did not answer.
+struct CacheSilence {
+  EngineSlot slot = 0;
+  std::uint64_t incarnation = 0;
+  TimePoint since{};           ///< When the call that it did not answer was sent.
+  bool others_answer = false;  ///< Another cache has answered since: the fault is not this gateway's own.
+};
+
+/// What the watch tells.
+struct CacheWatchCallbacks {
+  std::function<void(CachedPartsNews)> on_news;
+  std::function<void(const CacheSilence&)> on_silent;
+  /// A cache that was told to be silent answers again.
+  std::function<void(EngineSlot, std::uint64_t incarnation)> on_heard;
+};
+
 /// The watch.
 class CacheWatch {
 public:
-  /// @param on_silent hears of a cache that does not answer.
   CacheWatch(const boost::asio::any_io_executor& executor, PlatformLink& platform,
-             std::function<void(CachedPartsNews)> on_news,
-             std::function<void(EngineSlot, std::uint64_t incarnation)> on_silent);
+             CacheWatchCallbacks callbacks);
   /// Begins to follow caches that are new and drops those that are gone.
   /// @param follows whether this gateway follows the back end's cache itself.
   void update(const Configuration& configuration, const std::vector<Backend>& backends,
@@ -37,6 +51,9 @@
     std::uint64_t position = 0;
     bool want_content = false;
     bool dropped = false;
+    bool silent = false;   ///< The last call was not answered.
+    TimePoint asked_at{};  ///< When the last call was sent.
+    TimePoint heard_at{};  ///< When the last answer came.
     boost::asio::steady_timer timer;
   };
   using FollowedPointer = std::shared_ptr<Followed>;
@@ -47,12 +64,14 @@
   void onEvents(const FollowedPointer& followed, CachedPartsPage page);
   void onContent(const FollowedPointer& followed, CachedPartsPage page);
   void tell(const Followed& followed, std::vector<CachedPart> parts, bool complete);
+  void onAnswer(Followed& followed);
   void onNoAnswer(const FollowedPointer& followed, bool turned_away);
+  bool othersAnswer(const Followed& followed) const;
 
   boost::asio::any_io_executor executor_;
   PlatformLink& platform_;
-  std::function<void(CachedPartsNews)> on_news_;
-  std::function<void(EngineSlot, std::uint64_t)> on_silent_;
+  CacheWatchCallbacks callbacks_;
+  SteadyClock clock_;
   std::map<std::string, FollowedPointer> followed_;  ///< By back end id.
 };
 
--- /dev/null
+++ b/src/gateway_control/engine_silence.cc
@@ -0,0 +1,69 @@
+/// @file Engines that answer nobody. The gateway that follows an engine's cache always has a call waiting
+/// there, so that it notices within a second when the engine no longer answers, whatever traffic there is. In
+/// a zone whose gateways share the following it tells the others.
+
+#include <algorithm>
+
+#include "gateway_control/gateway_control.h"
+
+namespace crankspur::gateway {
+namespace {
+
+std::uint32_t wholeMilliseconds(Duration time) {
+  const auto count = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+  return static_cast<std::uint32_t>(std::max<std::int64_t>(1, count));
+}
+
+}  // namespace
+
+/// A gateway that nobody answers is itself cut off, or was frozen: it says nothing of engines then.
+void GatewayControl::onCacheSilent(const CacheSilence& silence) {
+  const Backend* backend = findBackend(silence.slot, silence.incarnation);
+  if (backend == nullptr) return;
+  if (backend->is_kv_store) return onStoreSilent(*backend);
+  if (!silence.others_answer) return;
+  const bool known = backend->silent_since != TimePoint{};
+  const Duration time = now() - silence.since;
+  if (!known) logSilence(backend->view.name, true, time, BeliefSource::report);
+  fleet_.onSilent(backend->view.name, silence.since, now());
+  BackendNote note;
+  note.name = backend->view.name;
+  note.silent_milliseconds = wholeMilliseconds(time);
+  tellZone(note);
+  publishSoon();
+}
+
+void GatewayControl::onCacheHeard(EngineSlot slot, std::uint64_t incarnation) {
+  const Backend* backend = findBackend(slot, incarnation);
+  if (backend == nullptr || !fleet_.onHeard(backend->view.name, now())) return;
+  logSilence(backend->view.name, false, now() - backend->silent_since, BeliefSource::report);
+  BackendNote note;
+  note.name = backend->view.name;
+  note.heard = true;
+  tellZone(note);
+  publishSoon();
+}
+
+void GatewayControl::onSilenceNote(const BackendNote& note) {
+  if (findBackend(note.name) == nullptr) return;
+  if (note.heard) {
+    if (fleet_.onHeard(note.name, now())) publishSoon();
+    return;
+  }
+  fleet_.onSilent(note.name, now() - std::chrono::milliseconds(note.silent_milliseconds), now());
+  publishSoon();
+}
+
+void GatewayControl::tellZone(const BackendNote& note) {
+  for (const std::string& member : sharing_) {
+    if (member != gossip_.ownName()) gossip_.tell(member, BackendNotes{{note}});
+  }
+}
+
+void GatewayControl::logSilence(const std::string& backend, bool silent, Duration time, BeliefSource source) {
+  const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
+  log_.write(EventId::BackendSilent,
+             {{"backend", backend}, {"silent", silent}, {"for_ms", ms}, {"source", nameOf(source)}});
+}
+
+}  // namespace crankspur::gateway
--- a/src/gateway_control/fleet_view.cc
+++ b/src/gateway_control/fleet_view.cc
@@ -19,6 +19,8 @@
 constexpr Duration kLongestAvoidance = std::chrono::seconds(4);
 /// A failure this long after the one before starts the count anew.
 constexpr Duration kFailuresInARow = std::chrono::seconds(10);
+/// Silence counts for so long after it was last told: the follower of the cache asks about every 0.9 s.
+constexpr Duration kSilenceLifetime = std::chrono::milliseconds(2'000);
 /// Lists lag: an older version in one within this time of a learned version is not believed.
 constexpr Duration kListLag = std::chrono::seconds(3);
 
@@ -69,6 +71,7 @@
   view.pool = listed.pool;
   entry.backend.slots = listed.slots;
   entry.backend.is_kv_store = listed.is_kv_store;
+  entry.backend.link_bits_per_second = listed.link_bits_per_second;
   view.load.batch_limit = listed.slots;
   entry.backend.cold_until = listed.cold_left > Duration(0) ? now + listed.cold_left : TimePoint{};
   entry.listed = true;
@@ -141,6 +144,21 @@
   entry->avoided_until = now + std::min(kLongestAvoidance, kFirstAvoidance * (1U << doublings));
 }
 
+void FleetView::onSilent(const std::string& id, TimePoint since, TimePoint now) {
+  const auto place = entries_.find(id);
+  if (place == entries_.end()) return;
+  Entry& entry = place->second;
+  if (now >= entry.silent_until) entry.silent_since = since;
+  entry.silent_until = now + kSilenceLifetime;
+}
+
+bool FleetView::onHeard(const std::string& id, TimePoint now) {
+  const auto place = entries_.find(id);
+  if (place == entries_.end() || now >= place->second.silent_until) return false;
+  place->second.silent_until = now;
+  return true;
+}
+
 void FleetView::onWeights(const std::string& id, const std::string& model, const std::string& version,
                           TimePoint now, BeliefSource source) {
   const auto place = entries_.find(id);
@@ -217,6 +235,7 @@
       entry.last_state = state;
     }
     entry.backend.view.state = state;
+    entry.backend.silent_since = now < entry.silent_until ? entry.silent_since : TimePoint{};
     backends.push_back(entry.backend);
   }
   std::sort(backends.begin(), backends.end(),
@@ -227,7 +246,7 @@
 TimePoint FleetView::nextChange(TimePoint now) const {
   TimePoint next = TimePoint::max();
   for (const auto& [id, entry] : entries_) {
-    for (const TimePoint at : {entry.avoided_until, entry.loading_until}) {
+    for (const TimePoint at : {entry.avoided_until, entry.loading_until, entry.silent_until}) {
       if (at > now) next = std::min(next, at);
     }
     if (!entry.listed && entry.gone_from > now) next = std::min(next, entry.gone_from);
--- a/src/gateway_control/fleet_view.h
+++ b/src/gateway_control/fleet_view.h
@@ -57,6 +57,11 @@
   void onPlatformTrouble(TimePoint now);
   /// Traffic could not reach the back end.
   void onUnreachable(EngineSlot slot, std::uint64_t incarnation, TimePoint now);
+  /// It has not answered those who follow its cache since `since`. Holds for a while unless it is told again.
+  void onSilent(const std::string& id, TimePoint since, TimePoint now);
+  /// It has answered one of them.
+  /// @return whether it was taken to be silent.
+  bool onHeard(const std::string& id, TimePoint now);
   /// The back end itself, or an answer of it, stated the version of weights that it holds.
   void onWeights(const std::string& id, const std::string& model, const std::string& version, TimePoint now,
                  BeliefSource source = BeliefSource::report);
@@ -86,6 +91,8 @@
     std::uint32_t failures = 0;  ///< In a row.
     TimePoint last_failure{};
     TimePoint loading_until{};
+    TimePoint silent_since{};
+    TimePoint silent_until{};  ///< When the last word of its silence is too old to count.
     TimePoint weights_learned_at{};
     EngineState last_state = EngineState::Dead;
   };
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -81,9 +81,7 @@
       log_(log),
       gossip_(executor, gossipOptions(settings, incarnation), *this),
       orders_(executor, orderOptions(settings, incarnation), platform, orderCallbacks(), log),
-      cache_watch_(
-          executor, platform, [this](CachedPartsNews news) { onOwnCacheNews(std::move(news)); },
-          [this](EngineSlot slot, std::uint64_t cache) { onCacheSilent(slot, cache); }),
+      cache_watch_(executor, platform, cacheCallbacks()),
       publish_timer_(executor),
       change_timer_(executor),
       tell_timer_(executor),
@@ -141,7 +139,16 @@
   return callbacks;
 }
 
+CacheWatchCallbacks GatewayControl::cacheCallbacks() {
+  CacheWatchCallbacks callbacks;
+  callbacks.on_news = [this](CachedPartsNews news) { onOwnCacheNews(std::move(news)); };
+  callbacks.on_silent = [this](const CacheSilence& silence) { onCacheSilent(silence); };
+  callbacks.on_heard = [this](EngineSlot slot, std::uint64_t cache) { onCacheHeard(slot, cache); };
+  return callbacks;
+}
+
 void GatewayControl::onBackendNote(const BackendNote& note) {
+  if (note.silent_milliseconds > 0 || note.heard) return onSilenceNote(note);
   orders_.onOthersActive();
   onNote(note);
 }
@@ -211,14 +218,14 @@
 void GatewayControl::onLoading(const std::string& backend) {
   fleet_.onLoading(backend, now() + kLoadingTime);
   publish();
-  gossip_.tellAll({{BackendNote{backend, milliseconds(kLoadingTime), "", ""}}});
+  gossip_.tellAll({{BackendNote{backend, milliseconds(kLoadingTime), "", "", 0, false}}});
 }
 
 void GatewayControl::onReport(const std::string& backend, const WeightsReport& report, bool is_loading) {
   const Duration loading = is_loading ? kLoadingTime : Duration(0);
   BackendNotes notes;
   for (const LoadedModel& loaded : report.models) {
-    const BackendNote note{backend, milliseconds(loading), loaded.model, loaded.weights_version};
+    const BackendNote note{backend, milliseconds(loading), loaded.model, loaded.weights_version, 0, false};
     onNote(note);
     notes.notes.push_back(note);
   }
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -75,7 +75,13 @@
   void onLoadDigest(const std::string& teller, const LoadDigest& digest) override;
   void passPeerWork();
   void onOwnCacheNews(CachedPartsNews news);
-  void onCacheSilent(EngineSlot slot, std::uint64_t incarnation);
+  CacheWatchCallbacks cacheCallbacks();
+  void onCacheSilent(const CacheSilence& silence);
+  void onCacheHeard(EngineSlot slot, std::uint64_t incarnation);
+  void onStoreSilent(const Backend& store);
+  void onSilenceNote(const BackendNote& note);
+  void tellZone(const BackendNote& note);
+  void logSilence(const std::string& backend, bool silent, Duration time, BeliefSource source);
   void listKvStores();
   void tellCachesSoon();
   void tellCaches();
--- a/src/gateway_control/kv_stores.cc
+++ b/src/gateway_control/kv_stores.cc
@@ -23,6 +23,7 @@
     store.address = pool.kv_store_address;
     store.zone = pool.kv_store_zone;
     store.is_kv_store = true;
+    store.link_bits_per_second = pool.link_bits_per_second;
     named.insert(store.id);
     fleet_.onListed(store, now());
   }
@@ -32,14 +33,12 @@
 }
 
 /// Requests that name a dead store as their source would wait for it.
-void GatewayControl::onCacheSilent(EngineSlot slot, std::uint64_t incarnation) {
-  const Backend* backend = findBackend(slot, incarnation);
-  if (backend == nullptr || !backend->is_kv_store) return;
-  const std::string id = backend->view.name;
-  fleet_.onUnreachable(slot, incarnation, now());
+void GatewayControl::onStoreSilent(const Backend& store) {
+  const std::string id = store.view.name;
+  fleet_.onUnreachable(store.view.slot, store.view.incarnation, now());
   const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(kSilentPause);
   if (!sharing_.empty())
-    gossip_.tellAll({{BackendNote{id, static_cast<std::uint32_t>(pause.count()), "", ""}}});
+    gossip_.tellAll({{BackendNote{id, static_cast<std::uint32_t>(pause.count()), "", "", 0, false}}});
   publishSoon();
 }
 
--- a/src/gateway_control/platform_link.h
+++ b/src/gateway_control/platform_link.h
@@ -26,7 +26,8 @@
   bool draining = false;
   Duration cold_left{0};
   std::vector<LoadedModel> models;
-  bool is_kv_store = false;  ///< Named by the configuration, not by the list.
+  bool is_kv_store = false;         ///< Named by the configuration, not by the list.
+  double link_bits_per_second = 0;  ///< Rate at which a store gives KV cache away; 0: not stated.
 };
 
 /// What the platform tells unasked. Listed back ends come before the contact that vouches for them.
@@ -101,7 +102,7 @@
   virtual void readWeights(const std::string& address,
                            std::function<void(std::optional<WeightsReport>)> done) = 0;
   virtual void sendOrder(const WeightsOrder& order, std::function<void(OrderAnswer)> done) = 0;
-  /// Asks for changes after `position`, waiting up to a second for the first.
+  /// Asks for changes after `position`, waiting some hundred milliseconds for the first.
   virtual void readCacheEvents(const std::string& address, std::uint64_t position,
                                std::function<void(CachedPartsPage)> done) = 0;
   /// Asks for everything that is cached now.
--- a/src/internal_protocol/field_mapping.h
+++ b/src/internal_protocol/field_mapping.h
@@ -229,6 +229,8 @@
 void mapFields(Archive& archive, crankspur_wire_LoadDigest& wire, Plain& plain) {
   archive.text(wire.sender, plain.sender);
   archive.records(wire.loads, plain.loads);
+  archive.text(wire.zone, plain.zone);
+  archive.number(wire.gateways, plain.gateways);
 }
 
 template <typename Archive, typename Plain>
@@ -367,6 +369,8 @@
   archive.number(wire.loading_milliseconds, plain.loading_milliseconds);
   archive.text(wire.model, plain.model);
   archive.text(wire.weights_version, plain.weights_version);
+  archive.number(wire.silent_milliseconds, plain.silent_milliseconds);
+  archive.number(wire.heard, plain.heard);
 }
 
 template <typename Archive, typename Plain>
--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -208,10 +208,12 @@
   std::uint32_t age_milliseconds = 0;  ///< Age of the report when sent.
 };
 
-/// Loads of engines told to peers of the same zone.
+/// Loads of engines told to peers.
 struct LoadDigest {
   std::string sender;
   std::vector<EngineLoad> loads;
+  std::string zone;            ///< The loads are the sum of this zone's; empty: the sender's own.
+  std::uint32_t gateways = 0;  ///< Gateways in the sum.
 };
 
 /// A peer's request could not be served; the connection stays open unless the code is Malformed,
@@ -243,12 +245,15 @@
   std::vector<BackendRecord> backends;
 };
 
-/// What the giver of an order to load weights knows of a back end, told to the other gateways at once.
+/// What one gateway learned of a back end, told to others at once: the giver of an order to load weights, or
+/// the one that follows the back end's cache.
 struct BackendNote {
   std::string name;                        ///< Differs at each start of the back end.
   std::uint32_t loading_milliseconds = 0;  ///< Takes no new request for about this long; 0: it does.
   std::string model;
-  std::string weights_version;  ///< As its own report stated it; empty: not known.
+  std::string weights_version;            ///< As its own report stated it; empty: not known.
+  std::uint32_t silent_milliseconds = 0;  ///< Has answered nothing for so long; 0: nothing is said of that.
+  bool heard = false;                     ///< Was silent and answers again.
 };
 
 /// Notes about some back ends.
--- a/tests/unit/gateway/kv_store_test.cc
+++ b/tests/unit/gateway/kv_store_test.cc
@@ -82,6 +82,30 @@
   CHECK(fleet.choose().import_from == fleet.snapshot.backends[2].view.address);
 }
 
+TEST_CASE("of sources that hold the same, the one that gives it away sooner is named",
+          "[gateway][kv_store]") {
+  FleetWithStore fleet;
+  fleet.snapshot.backends[2].link_bits_per_second = 1e9;
+  fleet.holds(kStore);
+  fleet.holds(3);
+  fleet.request.excluded = {3};
+  CHECK(fleet.choose().import_from == fleet.snapshot.backends[0].view.address);
+  // Its own link is what the other way makes slower than the engine in another zone.
+  fleet.snapshot.backends[0].view.zone = "there";
+  CHECK(fleet.choose().import_from == fleet.snapshot.backends[0].view.address);
+}
+
+TEST_CASE("a store's slow link makes the answer expected later", "[gateway][kv_store]") {
+  FleetWithStore fleet;
+  fleet.holds(kStore);
+  const Duration fast = fleet.choose().expected_first_byte;
+  // 3,200 tokens of 1,000 bytes are 25.6 Mbit.
+  fleet.snapshot.backends[2].link_bits_per_second = 2.56e8;
+  const Duration slow = fleet.choose().expected_first_byte;
+  CHECK(slow - fast > milliseconds(90));
+  CHECK(slow - fast < milliseconds(110));
+}
+
 TEST_CASE("a store that does not answer is neither a source nor a place to save", "[gateway][kv_store]") {
   FleetWithStore fleet;
   fleet.snapshot.backends[2].view.state = EngineState::Ejected;
--- /dev/null
+++ b/tests/unit/gateway_control/cache_watch_test.cc
@@ -0,0 +1,105 @@
+#include "gateway_control/cache_watch.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+
+#include "unit/gateway_control/platform_link_fake.h"
+
+using namespace crankspur;
+using namespace crankspur::gateway;
+
+namespace {
+
+/// A watch of the caches of two engines whose answers the test gives.
+class WatchedCaches {
+public:
+  WatchedCaches() : watch_(context_.get_executor(), platform, callbacks()) {
+    Pool pool;
+    pool.name = "lm";
+    pool.cache_tokens = 1000;
+    configuration_.pools = {pool};
+    watch_.update(configuration_, {engine(1), engine(2)}, [](const Backend&) { return true; });
+  }
+
+  /// Answers the call that waits at the engine.
+  void answer(const std::string& address, CachedPartsPage page) {
+    runUntil([&] { return platform.events_calls.contains(address); });
+    const auto call = platform.events_calls.extract(address);
+    call.mapped()(std::move(page));
+  }
+  void answerEmpty(const std::string& address) {
+    CachedPartsPage page;
+    page.answered = true;
+    page.epoch = 1;
+    answer(address, std::move(page));
+  }
+  void dontAnswer(const std::string& address) { answer(address, {}); }
+
+  FakePlatformLink platform;
+  std::vector<CacheSilence> silences;
+  std::vector<EngineSlot> heard;
+
+private:
+  static Backend engine(EngineSlot slot) {
+    Backend backend;
+    backend.view.slot = slot;
+    backend.view.name = "e" + std::to_string(slot);
+    backend.view.address = "a" + std::to_string(slot);
+    backend.view.pool = "lm";
+    backend.view.incarnation = 1000U + slot;
+    return backend;
+  }
+  CacheWatchCallbacks callbacks() {
+    CacheWatchCallbacks callbacks;
+    callbacks.on_news = [](CachedPartsNews) {};
+    callbacks.on_silent = [this](const CacheSilence& silence) { silences.push_back(silence); };
+    callbacks.on_heard = [this](EngineSlot slot, std::uint64_t) { heard.push_back(slot); };
+    return callbacks;
+  }
+  template <typename Condition>
+  void runUntil(Condition condition) {
+    while (!condition()) REQUIRE(context_.run_one() > 0);
+  }
+
+  boost::asio::io_context context_;
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_{context_.get_executor()};
+  Configuration configuration_;
+  CacheWatch watch_;
+};
+
+}  // namespace
+
+TEST_CASE(
+    "an engine that does not answer while another one does is told to be silent, once it answers to be heard",
+    "[cache_watch][silence]") {
+  WatchedCaches caches;
+  caches.answerEmpty("a2");
+  caches.dontAnswer("a1");
+  REQUIRE(caches.silences.size() == 1);
+  CHECK(caches.silences[0].slot == 1);
+  CHECK(caches.silences[0].others_answer);
+  CHECK(caches.heard.empty());
+  caches.answerEmpty("a1");
+  CHECK(caches.heard == std::vector<EngineSlot>{1});
+  caches.answerEmpty("a1");
+  CHECK(caches.heard.size() == 1);
+}
+
+TEST_CASE("when nobody answers the fault may be this gateway's own", "[cache_watch][silence]") {
+  WatchedCaches caches;
+  caches.dontAnswer("a1");
+  caches.dontAnswer("a2");
+  REQUIRE(caches.silences.size() == 2);
+  CHECK_FALSE(caches.silences[0].others_answer);
+  CHECK_FALSE(caches.silences[1].others_answer);
+}
+
+TEST_CASE("an engine that turns a call away answers", "[cache_watch][silence]") {
+  WatchedCaches caches;
+  caches.answerEmpty("a2");
+  CachedPartsPage page;
+  page.turned_away = true;
+  caches.answer("a1", page);
+  CHECK(caches.silences.empty());
+}
--- a/tests/unit/gateway_control/fleet_view_test.cc
+++ b/tests/unit/gateway_control/fleet_view_test.cc
@@ -47,6 +47,30 @@
   CHECK(stateOf(fleet, "b", kStart + 2s) == EngineState::Leaving);
 }
 
+TEST_CASE("a back end that is told to be silent counts as such until it is heard or nobody repeats it",
+          "[fleet_view][silence]") {
+  FleetView fleet;
+  fleet.onListed(listed("a"), kStart);
+  CHECK(only(fleet, "a", kStart).silent_since == TimePoint{});
+  fleet.onSilent("a", kStart + 1s, kStart + 2s);
+  CHECK(only(fleet, "a", kStart + 2s).silent_since == kStart + 1s);
+  CHECK(only(fleet, "a", kStart + 2s).view.state == EngineState::Live);
+  SECTION("heard") {
+    CHECK(fleet.onHeard("a", kStart + 3s));
+    CHECK_FALSE(fleet.onHeard("a", kStart + 3s));
+    CHECK(only(fleet, "a", kStart + 3s).silent_since == TimePoint{});
+  }
+  SECTION("repeated, with the first moment kept") {
+    fleet.onSilent("a", kStart + 3s, kStart + 3500ms);
+    CHECK(only(fleet, "a", kStart + 5s).silent_since == kStart + 1s);
+  }
+  SECTION("not repeated") {
+    const TimePoint over = fleet.nextChange(kStart + 2s);
+    REQUIRE(over < kStart + 10s);
+    CHECK(only(fleet, "a", over).silent_since == TimePoint{});
+  }
+}
+
 TEST_CASE("a back end whose entry vanishes around trouble of the platform is not gone", "[fleet_view]") {
   FleetView fleet;
   fleet.onListed(listed("a"), kStart);
--- a/tests/unit/gateway_control/gateway_admin_test.cc
+++ b/tests/unit/gateway_control/gateway_admin_test.cc
@@ -12,29 +12,13 @@
 #include "http/client.h"
 #include "operator/explain.h"
 #include "operator/node_status.h"
+#include "unit/gateway_control/platform_link_fake.h"
 
 using namespace crankspur;
 using namespace crankspur::gateway;
 
 namespace {
 
-/// A platform that answers nothing; tests tell its news by hand.
-class SilentPlatform : public PlatformLink {
-public:
-  void start(PlatformNews told) override { news = std::move(told); }
-  void setListPause(Duration pause) override { list_pause = pause; }
-  void readLease(const std::string&, std::function<void(std::optional<LeaseRow>)>) override {}
-  void writeLease(const std::string&, const LeaseRow&, std::uint64_t,
-                  std::function<void(bool, std::optional<LeaseRow>)>) override {}
-  void readWeights(const std::string&, std::function<void(std::optional<WeightsReport>)>) override {}
-  void sendOrder(const WeightsOrder&, std::function<void(OrderAnswer)>) override {}
-  void readCacheEvents(const std::string&, std::uint64_t, std::function<void(CachedPartsPage)>) override {}
-  void readCacheContent(const std::string&, std::function<void(CachedPartsPage)>) override {}
-
-  PlatformNews news;
-  Duration list_pause{0};
-};
-
 /// Understands no request: every one is malformed.
 class DeafDialect : public Dialect {
 public:
@@ -102,7 +86,7 @@
   RequestLog lines{log};
   ObserverPair observers{lines, metrics};
   GatewayProcess process{processSettings(), std::make_shared<DeafDialect>(), GatewayFacts{}, observers};
-  SilentPlatform platform;
+  FakePlatformLink platform;
   GatewayControl control{context.get_executor(), settings, 7, platform, outputs(), log};
   GatewayAdmin admin{settings, process, control, metrics, log};
 
--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -153,8 +153,8 @@
 }
 
 std::string describeFields(const BackendNote& value) {
-  return fmt::format("BackendNote {} {} {} {}", value.name, value.loading_milliseconds, value.model,
-                     value.weights_version);
+  return fmt::format("BackendNote {} {} {} {} {} {}", value.name, value.loading_milliseconds, value.model,
+                     value.weights_version, value.silent_milliseconds, value.heard);
 }
 
 std::string describeFields(const CacheNotePart& value) {
@@ -179,7 +179,8 @@
 }
 
 std::string describeFields(const LoadDigest& value) {
-  return fmt::format("LoadDigest {} {}", value.sender, describeAll(value.loads));
+  return fmt::format("LoadDigest {} {} {} {}", value.sender, describeAll(value.loads), value.zone,
+                     value.gateways);
 }
 
 std::string describeFields(const ClaimPrepare& value) {
@@ -422,6 +423,8 @@
   LoadDigest value;
   value.sender = "sender";
   value.loads = {exampleEngineLoad(), EngineLoad{}};
+  value.zone = "zone";
+  value.gateways = 17;
   return value;
 }
 
@@ -512,7 +515,7 @@
 }
 
 BackendNotes exampleBackendNotes() {
-  return {{BackendNote{"name", 1500, "model", "2"}, BackendNote{}}};
+  return {{BackendNote{"name", 1500, "model", "2", 0, false}, BackendNote{"other", 0, "", "", 400, true}}};
 }
 
 }  // namespace
