--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -21,6 +21,9 @@
 /// takes, up to a limit in seconds: it takes time and memory from all others.
 constexpr double kReadAgainFactor = 6;
 constexpr double kReadAgainLimit = 1.5;
+/// What an answer of superseded weights costs, seconds: about a quarter of the time that a first byte may
+/// take, so that engines with the named weights fill up first but are not waited for.
+constexpr double kSupersededCost = 0.15;
 /// A prompt that takes longer to read than this many seconds holds up the streams beside it; what it costs to
 /// send it to an engine of short ones, or the reverse, in seconds.
 constexpr double kLongPrompt = 0.06;
@@ -160,11 +163,18 @@
   }
   ScopedPrompt prompt =
       scopePrompt(index_, weights, request.isolated_tenant, request.client->model, request.client->prompt);
+  prompt.superseded = isSuperseded(weights, request);
   prompt.first_reader = findFirstReader(prompt, request, usable);
   prompts.push_back(std::move(prompt));
   return prompts.size() - 1;
 }
 
+bool EngineChoice::isSuperseded(std::optional<std::uint64_t> weights, const ChoiceRequest& request) {
+  if (request.weights_clock == nullptr) return false;
+  const std::optional<std::uint64_t> newest = request.weights_clock->newestWeights(request.client->model);
+  return newest && weights.value_or(0) < *newest;
+}
+
 bool EngineChoice::isLong(const ChoiceRequest& request) const {
   return request.client->prompt_tokens > kLongPrompt * rates_.rate(request.pool->name);
 }
@@ -198,7 +208,8 @@
                                    double rate) {
   const std::uint32_t known = std::max(prompt.held_shared_tokens, std::min(cached, prompt.shared_tokens));
   std::uint32_t again = prompt.readAgainTokens(cached);
-  if (engine != prompt.first_reader) again += prompt.shared_tokens - known;
+  // What is read under superseded weights is of no use to anyone once these are gone.
+  if (prompt.superseded || engine != prompt.first_reader) again += prompt.shared_tokens - known;
   return std::min(again / rate * kReadAgainFactor, kReadAgainLimit);
 }
 
@@ -264,6 +275,7 @@
   const double new_blocks = blocksOf(total) - std::min(blocksOf(held), blocksOf(total));
   candidate.cost = candidate.first_byte + queue.unseen + late + new_blocks * kEvictionCost +
                    readAgainCost(prompt, engine.slot, import.cached, rate) +
+                   (prompt.superseded ? kSupersededCost : 0) +
                    (partition_.suits(engine, isLong(request)) ? 0 : kOtherPartitionCost) +
                    kAffinityCost * affinity(affinityKey(request.client->prompt), engine);
   return candidate;
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -123,6 +123,7 @@
                            const ChoiceRequest& request, const Usable& usable) const;
   EngineSlot findFirstReader(const ScopedPrompt& prompt, const ChoiceRequest& request,
                              const Usable& usable) const;
+  static bool isSuperseded(std::optional<std::uint64_t> weights, const ChoiceRequest& request);
   bool isLong(const ChoiceRequest& request) const;
   static double readAgainCost(const ScopedPrompt& prompt, EngineSlot engine, std::uint32_t cached,
                               double rate);
--- a/src/gateway/named_weights.cc
+++ b/src/gateway/named_weights.cc
@@ -22,4 +22,10 @@
   return least;
 }
 
+std::optional<std::uint64_t> WeightsClock::newestWeights(const std::string& model) const {
+  const auto found = models_.find(model);
+  if (found == models_.end() || found->second.empty()) return std::nullopt;
+  return found->second.back().version;
+}
+
 }  // namespace crankspur::gateway
--- a/src/gateway/named_weights.h
+++ b/src/gateway/named_weights.h
@@ -19,6 +19,8 @@
   void onSnapshot(const GatewaySnapshot& snapshot, TimePoint now);
   /// @return the oldest version that may begin a request; empty: any.
   std::optional<std::uint64_t> leastWeights(const std::string& model, TimePoint now) const;
+  /// @return the newest version named for the model; empty: none was.
+  std::optional<std::uint64_t> newestWeights(const std::string& model) const;
 
 private:
   struct Named {
--- a/src/gateway/scoped_prompt.h
+++ b/src/gateway/scoped_prompt.h
@@ -19,6 +19,7 @@
   std::vector<HeldPrefix> by_engine;     ///< The same by slot.
   std::uint32_t shared_tokens = 0;       ///< Of the parts that other prompts may have too.
   std::uint32_t held_shared_tokens = 0;  ///< Of these, held by some engine.
+  bool superseded = false;               ///< Newer weights have been named.
   EngineSlot first_reader = 0;           ///< Engine that first reads the shared parts which none holds.
 
   /// @return leading tokens of the prompt that the engine holds.
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -7,6 +7,7 @@
 
 #include "base/endpoint.h"
 #include "base/hash.h"
+#include "gateway_control/list_pause.h"
 #include "router/engine_table.h"
 
 namespace crankspur::gateway {
@@ -21,10 +22,6 @@
 constexpr Duration kLoadingTime = std::chrono::milliseconds(1'500);
 /// Weights found at the start have to be in use this much later at the latest.
 constexpr Duration kWeightsFoundMargin = std::chrono::milliseconds(4'500);
-/// Each gateway asks for the list of back ends at each of its changes; in a larger fleet changes are gathered
-/// longer, so that the calls of all gateways together grow less than the fleet.
-constexpr Duration kListPausePerGateway = std::chrono::milliseconds(15);
-constexpr Duration kLongestListPause = std::chrono::milliseconds(900);
 /// Longest time between two publications that check what time alone changes.
 constexpr Duration kLongestPause = std::chrono::seconds(5);
 
@@ -86,7 +83,8 @@
       change_timer_(executor),
       tell_timer_(executor),
       told_timer_(executor),
-      peer_work_timer_(executor) {}
+      peer_work_timer_(executor),
+      zone_work_timer_(executor) {}
 
 std::error_code GatewayControl::start() {
   contact_->vouch(now());
@@ -168,8 +166,7 @@
     if (!present.contains(name)) logMember(member, memberStateName(member.state), "dead");
   }
   members_ = std::move(present);
-  platform_.setListPause(
-      std::min(kLongestListPause, kListPausePerGateway * static_cast<Duration::rep>(members_.size())));
+  platform_.setListPause(listPause(members_.size(), settings_.departure_limit));
   publishSoon();
 }
 
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -19,6 +19,7 @@
 #include "gateway_control/node_settings.h"
 #include "gateway_control/order_giver.h"
 #include "gateway_control/platform_link.h"
+#include "gateway_control/zone_work.h"
 
 namespace crankspur::gateway {
 
@@ -73,6 +74,8 @@
   void onCacheNotes(const std::string& teller, const CacheNotes& notes) override;
   void onCacheWanted(const std::string& asker, const CacheWanted& wanted) override;
   void onLoadDigest(const std::string& teller, const LoadDigest& digest) override;
+  void noteZoneWork(const std::string& teller, const LoadDigest& digest);
+  void tellZoneWork();
   void passPeerWork();
   void onOwnCacheNews(CachedPartsNews news);
   CacheWatchCallbacks cacheCallbacks();
@@ -120,7 +123,9 @@
   bool tell_waiting_ = false;
   std::vector<CachedPartsNews> told_;            ///< By other gateways, not yet passed on to traffic.
   std::set<std::string> kv_stores_;              ///< Ids of those that the configuration names.
-  std::map<std::string, LoadDigest> peer_work_;  ///< By teller, not yet passed on to traffic.
+  std::map<std::string, LoadDigest> peer_work_;  ///< By teller and zone, not yet passed on to traffic.
+  ZoneWork zone_work_;
+  bool zone_work_waiting_ = false;
   std::map<std::string, bool> follows_;  ///< Whether this gateway follows a back end's cache, among sharing_.
   /// Gateways of the zone that share the caches; empty: each follows all.
   std::vector<std::string> sharing_;
@@ -138,6 +143,7 @@
   boost::asio::steady_timer tell_timer_;
   boost::asio::steady_timer told_timer_;
   boost::asio::steady_timer peer_work_timer_;
+  boost::asio::steady_timer zone_work_timer_;
 };
 
 }  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway_control/list_pause.cc
@@ -0,0 +1,20 @@
+#include "gateway_control/list_pause.h"
+
+#include <algorithm>
+
+namespace crankspur::gateway {
+namespace {
+
+constexpr Duration kPausePerGateway = std::chrono::milliseconds(25);
+/// The rest of the limit is for the call, its repetition after a failure, and the publication.
+constexpr double kShareOfLimit = 0.5;
+
+}  // namespace
+
+Duration listPause(std::size_t gateways, Duration departure_limit) {
+  const Duration longest(
+      static_cast<Duration::rep>(static_cast<double>(departure_limit.count()) * kShareOfLimit));
+  return std::min(longest, kPausePerGateway * static_cast<Duration::rep>(gateways));
+}
+
+}  // namespace crankspur::gateway
--- a/src/gateway_control/node_settings.cc
+++ b/src/gateway_control/node_settings.cc
@@ -72,6 +72,7 @@
   }
   readDuration(*root, "weights_limit_ms", settings.weights_limit);
   readDuration(*root, "order_rest_ms", settings.order_rest);
+  readDuration(*root, "departure_limit_ms", settings.departure_limit);
   settings.parallel_weight_loads =
       static_cast<std::uint32_t>(root->getInteger("parallel_weight_loads", 2, {1, 1000}));
   readDuration(*root, "drain_limit_ms", settings.drain_limit);
--- a/src/gateway_control/node_settings.h
+++ b/src/gateway_control/node_settings.h
@@ -31,8 +31,10 @@
   std::optional<Duration> key_validity;
   Duration weights_limit = std::chrono::seconds(8);  ///< From the naming of weights to their use everywhere.
   Duration order_rest = std::chrono::seconds(3);     ///< Between orders of two holders of the order lease.
-  std::uint32_t parallel_weight_loads = 2;           ///< Back ends that load at once while time allows.
-  Duration drain_limit = std::chrono::seconds(8);    ///< From the signal to stop to the end at the latest.
+  /// From the listing of a back end as leaving to the last new request for it.
+  Duration departure_limit = std::chrono::seconds(2);
+  std::uint32_t parallel_weight_loads = 2;         ///< Back ends that load at once while time allows.
+  Duration drain_limit = std::chrono::seconds(8);  ///< From the signal to stop to the end at the latest.
   Duration directory_lifetime = std::chrono::seconds(1);  ///< How long clients keep a list of gateways.
   LogLevel log_level = LogLevel::Info;
 };
--- /dev/null
+++ b/tests/unit/gateway/superseded_weights_test.cc
@@ -0,0 +1,81 @@
+#include "unit/gateway/gateway_fixture.h"
+
+using namespace crankspur;
+using namespace crankspur::gateway;
+
+namespace {
+
+const TimePoint kNow{seconds(9)};
+constexpr EngineSlot kOld = 3;
+constexpr EngineSlot kNew = 4;
+
+/// Two engines, one of which has loaded the weights that were named last.
+struct HalfLoadedFleet {
+  HalfLoadedFleet() {
+    snapshot.backends = {makeBackend(kOld, "lm"), makeBackend(kNew, "lm")};
+    snapshot.backends[1].view.models = {{"m", "2", {}}};
+    snapshot.weights = {{"m", 2, kNow}};
+    choice.onSnapshot(snapshot);
+    clock.onSnapshot(snapshot, kNow);
+    client.model = "m";
+    request.pool = configuration.findPool("lm");
+    request.client = &client;
+    request.uses_prefixes = true;
+    request.weights_clock = &clock;
+  }
+  EngineSlot choose(std::uint64_t shared_part) {
+    client.prompt = {{shared_part, 800}, {shared_part + 1, 100}};
+    client.prompt_tokens = 900;
+    return choice.choose(request, snapshot, BackendTable(), kNow).backend->view.slot;
+  }
+  /// @return requests of 50 different prompts that go to the engine with the named weights.
+  int chosenNew() {
+    int count = 0;
+    for (std::uint64_t part = 0; part < 100; part += 2) count += choose(part) == kNew ? 1 : 0;
+    return count;
+  }
+  void holds(EngineSlot slot, const std::string& weights, std::uint64_t part) {
+    choice.onCachedParts({slot, 1000U + slot, false, {{cacheScope(weights, ""), "m", part, 800}}}, kNow);
+  }
+
+  RandomSource random{1};
+  EngineChoice choice{1'000, random};
+  WeightsClock clock{seconds(6)};
+  GatewaySnapshot snapshot;
+  Configuration configuration = makeConfiguration();
+  ClientRequest client;
+  ChoiceRequest request;
+};
+
+}  // namespace
+
+TEST_CASE("the clock tells the newest weights", "[gateway][superseded]") {
+  const HalfLoadedFleet fleet;
+  CHECK(fleet.clock.newestWeights("m") == 2);
+  CHECK_FALSE(fleet.clock.newestWeights("other"));
+}
+
+TEST_CASE("new prompts go to engines with the weights named last while these have room",
+          "[gateway][superseded]") {
+  HalfLoadedFleet fleet;
+  CHECK(fleet.chosenNew() == 50);
+}
+
+TEST_CASE("a long queue weighs more than newer weights", "[gateway][superseded]") {
+  HalfLoadedFleet fleet;
+  LoadDigest digest;
+  digest.loads = {{"", 1000U + kNew, 80'000, 1, 0}};
+  fleet.choice.onPeerWork("other", digest, kNow);
+  CHECK(fleet.chosenNew() == 0);
+}
+
+TEST_CASE("what is cached under superseded weights is still used when the newer ones are busy",
+          "[gateway][superseded]") {
+  HalfLoadedFleet fleet;
+  fleet.holds(kOld, "1", 10);
+  LoadDigest digest;
+  digest.loads = {{"", 1000U + kNew, 4'000, 1, 0}};
+  fleet.choice.onPeerWork("other", digest, kNow);
+  CHECK(fleet.choose(10) == kOld);
+  CHECK(fleet.choose(20) == kNew);
+}
--- /dev/null
+++ b/tests/unit/gateway_control/list_pause_test.cc
@@ -0,0 +1,15 @@
+#include "gateway_control/list_pause.h"
+
+#include <catch2/catch.hpp>
+
+using namespace crankspur;
+using namespace crankspur::gateway;
+using namespace std::chrono_literals;
+
+TEST_CASE("a larger fleet gathers changes of the list longer, within half of what a departure allows",
+          "[list_pause]") {
+  CHECK(listPause(1, 2s) == 25ms);
+  CHECK(listPause(8, 2s) == 200ms);
+  CHECK(listPause(69, 3s) == 1500ms);
+  CHECK(listPause(340, 2s) == 1s);
+}
--- a/tests/unit/gateway_control/node_settings_test.cc
+++ b/tests/unit/gateway_control/node_settings_test.cc
@@ -30,6 +30,9 @@
   CHECK(settings.key_validity == Duration(5s));
   CHECK(settings.weights_limit == Duration(9s));
   CHECK(settings.directory.empty());
+  CHECK(settings.departure_limit == Duration(2s));
+  const std::string text = std::string(kSound) + "departure_limit_ms = 3000";
+  CHECK(readNodeSettings(text, "node.toml", problems).departure_limit == Duration(3s));
 }
 
 TEST_CASE("wrong node settings are named with their line", "[node_settings]") {
