Weigh first reads under superseded weights at twice their time, not as reads again

Cause: counted like reading again (six times the time, up to 1.5 s), every new prompt went to the engines with the named weights however few these were yet; on the grown site they got more than they could read. Change: twice the time, on the engine that all gateways take for the first reader.

Its tests stay where they hold without it.

--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -24,6 +24,10 @@
 /// What an answer of superseded weights costs, seconds: about a quarter of the time that a first byte may
 /// take, so that engines with the named weights fill up first but are not waited for.
 constexpr double kSupersededCost = 0.15;
+/// Reading shared parts for the first time under superseded weights counts this many times the time it takes:
+/// it is of no use to anyone once these are gone. With the factor above, engines that have the named weights
+/// early in a roll-out got more than they could read.
+constexpr double kSupersededReadFactor = 2;
 /// A prompt that takes longer to read than this many seconds holds up the streams beside it; what it costs to
 /// send it to an engine of short ones, or the reverse, in seconds.
 constexpr double kLongPrompt = 0.06;
@@ -208,9 +212,13 @@
                                    double rate) {
   const std::uint32_t known = std::max(prompt.held_shared_tokens, std::min(cached, prompt.shared_tokens));
   std::uint32_t again = prompt.readAgainTokens(cached);
-  // What is read under superseded weights is of no use to anyone once these are gone.
-  if (prompt.superseded || engine != prompt.first_reader) again += prompt.shared_tokens - known;
-  return std::min(again / rate * kReadAgainFactor, kReadAgainLimit);
+  const std::uint32_t unread = prompt.shared_tokens - known;
+  if (engine != prompt.first_reader) {
+    again += unread;
+    return std::min(again / rate * kReadAgainFactor, kReadAgainLimit);
+  }
+  const double cost = std::min(again / rate * kReadAgainFactor, kReadAgainLimit);
+  return prompt.superseded ? cost + unread / rate * kSupersededReadFactor : cost;
 }
 
 LoadDigest EngineChoice::ownWork() const {
--- a/src/gateway/prefill_rate.cc
+++ b/src/gateway/prefill_rate.cc
@@ -11,8 +11,9 @@
 constexpr double kRiseGain = 0.3;
 constexpr double kFallGain = 0.03;
 constexpr double kLeastSeconds = 0.001;
-/// Taken until something is observed, tokens per second: the order of what an engine with several accelerators
-/// reads. Too low a rate makes every queue look long, and requests with little time are refused for nothing.
+/// Taken until something is observed, tokens per second: the order of what an engine with several
+/// accelerators reads. Too low a rate makes every queue look long, and requests with little time are refused
+/// for nothing.
 constexpr double kFirstRate = 30'000;
 
 }  // namespace
--- a/src/gateway_control/engine_silence.cc
+++ b/src/gateway_control/engine_silence.cc
@@ -24,7 +24,7 @@
   if (!silence.others_answer) return;
   const bool known = backend->silent_since != TimePoint{};
   const Duration time = now() - silence.since;
-  if (!known) logSilence(backend->view.name, true, time, BeliefSource::report);
+  if (!known) logSilence(backend->view.name, true, time);
   fleet_.onSilent(backend->view.name, silence.since, now());
   BackendNote note;
   note.name = backend->view.name;
@@ -36,7 +36,7 @@
 void GatewayControl::onCacheHeard(EngineSlot slot, std::uint64_t incarnation) {
   const Backend* backend = findBackend(slot, incarnation);
   if (backend == nullptr || !fleet_.onHeard(backend->view.name, now())) return;
-  logSilence(backend->view.name, false, now() - backend->silent_since, BeliefSource::report);
+  logSilence(backend->view.name, false, now() - backend->silent_since);
   BackendNote note;
   note.name = backend->view.name;
   note.heard = true;
@@ -60,10 +60,9 @@
   }
 }
 
-void GatewayControl::logSilence(const std::string& backend, bool silent, Duration time, BeliefSource source) {
+void GatewayControl::logSilence(const std::string& backend, bool silent, Duration time) {
   const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(time).count();
-  log_.write(EventId::BackendSilent,
-             {{"backend", backend}, {"silent", silent}, {"for_ms", ms}, {"source", nameOf(source)}});
+  log_.write(EventId::BackendSilent, {{"backend", backend}, {"silent", silent}, {"for_ms", ms}});
 }
 
 }  // namespace crankspur::gateway
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -84,7 +84,7 @@
   void onStoreSilent(const Backend& store);
   void onSilenceNote(const BackendNote& note);
   void tellZone(const BackendNote& note);
-  void logSilence(const std::string& backend, bool silent, Duration time, BeliefSource source);
+  void logSilence(const std::string& backend, bool silent, Duration time);
   void listKvStores();
   void tellCachesSoon();
   void tellCaches();
