--- a/src/gateway_control/shared_work.cc
+++ b/src/gateway_control/shared_work.cc
@@ -11,7 +11,7 @@
 /// tell, so that the datagrams of a fleet would grow with its square.
 constexpr std::size_t kMostToldEverywhere = 12;
 /// The sum of the zone is told on in such steps while there is work.
-constexpr Duration kZoneWorkStep = std::chrono::milliseconds(40);
+constexpr Duration kZoneWorkStep = std::chrono::milliseconds(150);
 /// What others tell is passed on to the traffic thread in such steps, since each hand-over wakes it.
 constexpr Duration kPassInterval = std::chrono::milliseconds(20);
 
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -22,7 +22,7 @@
 /// What this gateway has at the engines is told in steps that grow with the gateways that hear it.
 constexpr Duration kWorkStepPerGateway = std::chrono::milliseconds(6);
 constexpr Duration kLeastWorkStep = std::chrono::milliseconds(40);
-constexpr Duration kLongestWorkStep = std::chrono::milliseconds(80);
+constexpr Duration kLongestWorkStep = std::chrono::milliseconds(250);
 
 std::string_view describe(int status) {
   switch (status) {
