--- a/tests/unit/gateway_control/cache_watch_test.cc
+++ b/tests/unit/gateway_control/cache_watch_test.cc
@@ -13,6 +13,9 @@
 
 /// A watch of the caches of two engines whose answers the test gives.
 class WatchedCaches {
+  // Goes last: calls that wait in the platform hold timers of it.
+  boost::asio::io_context context_;
+
 public:
   WatchedCaches() : watch_(context_.get_executor(), platform, callbacks()) {
     Pool pool;
@@ -62,7 +65,6 @@
     while (!condition()) REQUIRE(context_.run_one() > 0);
   }
 
-  boost::asio::io_context context_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_{context_.get_executor()};
   Configuration configuration_;
   CacheWatch watch_;
