Send clients to a small set of strong gateways in each zone; share caches and work among these alone

Cause: the directory named the first 64 gateways by address, whatever their strength and zone, so that 64 gateways of 69 placed ten requests a second each before 90 engines. Each knew the work of its own zone from digests 250 ms old and that of the others from sums 150 ms old, and caches were followed once in each zone and told to all of its gateways.

Change: ServingSet works out from membership and notices which gateways serve: per zone the fewest strong ones that carry the traffic told, two at least. Machines state their capacity by processor share and link; those that serve tell all, each 0.4 s, their requests a second and whether they fall behind. Silence of 1.35 s, a leaving mark or gossip's word takes one out, a machine that falls behind alone is replaced, a zone whose gateways all do is widened. In fleets of more than 12 the directory names those of the client's zone, work is told to those that serve, each cache is followed by one of them, and what all may use together (repeats, connections) goes to them for seven tenths. Smaller fleets are as before.

--- a/bench/gateway/choice_bench.cc
+++ b/bench/gateway/choice_bench.cc
@@ -38,7 +38,8 @@
     for (std::size_t index = 0; index < engines; ++index) addEngine(static_cast<EngineSlot>(index));
     snapshot_.own_zone = "zone-0";
     snapshot_.own_region = "region";
-    snapshot_.gateway_count = 59;
+    snapshot_.peer_count = 58;
+    snapshot_.share_divisor = 59;
     choice_.onSnapshot(snapshot_);
     for (std::size_t index = 0; index < engines; ++index) choice_.onCachedParts(wholeCache(index), kNow);
   }
--- a/proto/crankspur.pb.c
+++ b/proto/crankspur.pb.c
@@ -123,4 +123,7 @@
 PB_BIND(crankspur_wire_CacheWanted, crankspur_wire_CacheWanted, AUTO)
 
 
+PB_BIND(crankspur_wire_ServingNotice, crankspur_wire_ServingNotice, AUTO)
+
+
 
--- a/src/base/endpoint.cc
+++ b/src/base/endpoint.cc
@@ -37,4 +37,12 @@
   return fmt::format("{}:{}", ip, endpoint.port());
 }
 
+std::string hostOf(std::string_view address) {
+  return std::string(address.substr(0, address.rfind(':')));
+}
+
+std::string portOf(std::string_view address) {
+  return std::string(address.substr(address.rfind(':') + 1));
+}
+
 }  // namespace crankspur
--- a/src/base/endpoint.h
+++ b/src/base/endpoint.h
@@ -13,4 +13,10 @@
 /// @return "IP:port".
 std::string formatEndpoint(const boost::asio::ip::tcp::endpoint& endpoint);
 
+/// @return "IP" of "IP:port".
+std::string hostOf(std::string_view address);
+
+/// @return "port" of "IP:port".
+std::string portOf(std::string_view address);
+
 }  // namespace crankspur
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -87,7 +87,7 @@
       first ? seconds : state.answer_seconds + kAnswerSmoothing * (seconds - state.answer_seconds);
 }
 
-bool BackendTable::hasRoom(const Backend& backend, const Pool& pool, std::uint32_t gateway_count,
+bool BackendTable::hasRoom(const Backend& backend, const Pool& pool, std::uint32_t share_divisor,
                            TimePoint now) const {
   const State* state = find(backend.view.slot);
   if (state == nullptr) return true;
@@ -97,7 +97,7 @@
     if (state->in_flight >= state->limit + recovered) return false;
   }
   if (pool.maximum_connections > 0) {
-    const std::uint32_t share = pool.maximum_connections / std::max(gateway_count, 1U);
+    const std::uint32_t share = pool.maximum_connections / std::max(share_divisor, 1U);
     const std::uint32_t usable = share > kControlConnections ? share - kControlConnections : 1;
     if (state->in_flight >= usable) return false;
   }
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -38,7 +38,7 @@
                    TimePoint now);
 
   /// @return whether the back end may be sent one more request now, as far as places and connections go.
-  bool hasRoom(const Backend& backend, const Pool& pool, std::uint32_t gateway_count, TimePoint now) const;
+  bool hasRoom(const Backend& backend, const Pool& pool, std::uint32_t share_divisor, TimePoint now) const;
   /// @return whether its traffic shows no fault.
   bool isHealthy(EngineSlot slot, TimePoint now) const;
   /// @return whether it answers nobody: those who follow its cache get no answer, and its traffic has heard
--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -137,7 +137,7 @@
     UsableBackend usable{&backend, std::nullopt};
     if (request.uses_prefixes) usable.weights = weightsOf(backend, request.client->model);
     if (!hasFreshWeights(usable, request, table, now)) continue;
-    if (!table.hasRoom(backend, *request.pool, snapshot.gateway_count, now)) {
+    if (!table.hasRoom(backend, *request.pool, snapshot.share_divisor, now)) {
       lacks_room = true;
       continue;
     }
@@ -240,7 +240,7 @@
 double EngineChoice::peerScale(const GatewaySnapshot& snapshot, TimePoint now) const {
   const auto tellers = static_cast<double>(peers_.tellers(now));
   if (tellers == 0) return 0;
-  return std::max((std::max<double>(snapshot.gateway_count, 1) - 1) / tellers, 1.0);
+  return std::max(snapshot.peer_count / tellers, 1.0);
 }
 
 /// What the other gateways have there counts as if it were own work.
@@ -250,8 +250,7 @@
   queue.seconds = toSeconds(queues_.wait(engine, rate, ledger_, now));
   const double scale = peerScale(snapshot, now);
   if (scale == 0) {
-    const double others = std::max<double>(snapshot.gateway_count, 1) - 1;
-    queue.unseen = queue.seconds * std::min(others, kUnseenGateways - 1);
+    queue.unseen = queue.seconds * std::min<double>(snapshot.peer_count, kUnseenGateways - 1);
     return queue;
   }
   const EngineWork work = peers_.at(engine.incarnation, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -54,8 +54,8 @@
   }
   /// @return what this gateway has at each engine, for the others.
   LoadDigest ownWork() const { return choice_.ownWork(); }
-  /// @return live gateways, this one included.
-  std::uint32_t gatewayCount() const { return snapshot_ == nullptr ? 1 : snapshot_->gateway_count; }
+  /// @return the other gateways that place requests too.
+  std::uint32_t peerCount() const { return snapshot_ == nullptr ? 0 : snapshot_->peer_count; }
 
   void onRequest(ClientId client, IncomingRequest request, TimePoint now);
   /// The driver answered a request itself that could not be read whole, or had no connection left for it.
--- a/src/gateway/gateway_answers.cc
+++ b/src/gateway/gateway_answers.cc
@@ -258,7 +258,7 @@
 /// A repeat is paid for out of the budget, unless no back end got the request.
 bool Gateway::takeRepeat(Entry& entry, TimePoint now) {
   if (!entry.arrived_before) return true;
-  return budgetOf(entry.pool->name).tryRepeat(snapshot_->gateway_count, now);
+  return budgetOf(entry.pool->name).tryRepeat(snapshot_->share_divisor, now);
 }
 
 void Gateway::goOn(Entry& entry, const Running& failed, int status, TimePoint now) {
--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -110,7 +110,7 @@
   record.resumes = goes_on && entry.head_passed;
   record.back_ends = entry.sends;
   const auto budget = budgets_.find(entry.pool->name);
-  if (budget != budgets_.end()) record.budget_left = budget->second.left(snapshot_->gateway_count, now);
+  if (budget != budgets_.end()) record.budget_left = budget->second.left(snapshot_->share_divisor, now);
   observer_.onMoved(record);
 }
 
--- a/src/gateway/gateway_snapshot.h
+++ b/src/gateway/gateway_snapshot.h
@@ -135,7 +135,9 @@
   std::vector<NamedWeights> weights;
   std::string own_zone;
   std::string own_region;
-  std::uint32_t gateway_count = 1;                 ///< Live gateways, this one included.
+  /// What all gateways may use together is divided by so much: this one's share is a part of it.
+  std::uint32_t share_divisor = 1;
+  std::uint32_t peer_count = 0;                    ///< Other gateways that place requests too.
   std::shared_ptr<const PlatformContact> contact;  ///< Null: the platform is never out of touch.
   /// Longest time without contact for which keys count as valid; empty: for ever.
   std::optional<Duration> key_validity;
--- a/src/gateway/repeat_budget.cc
+++ b/src/gateway/repeat_budget.cc
@@ -21,7 +21,7 @@
   ++slice(now).requests;
 }
 
-double RepeatBudget::left(std::uint32_t gateway_count, TimePoint now) const {
+double RepeatBudget::left(std::uint32_t share_divisor, TimePoint now) const {
   const std::int64_t current = numberOf(now);
   const auto window = static_cast<std::int64_t>(kSlices);
   double requests = 0;
@@ -30,11 +30,11 @@
     if (one.number > current - window) requests += one.requests;
     if (one.number >= current - window) repeats += one.repeats;
   }
-  return settings_.ratio * requests + settings_.slack / std::max(gateway_count, 1U) - repeats;
+  return settings_.ratio * requests + settings_.slack / std::max(share_divisor, 1U) - repeats;
 }
 
-bool RepeatBudget::tryRepeat(std::uint32_t gateway_count, TimePoint now) {
-  if (left(gateway_count, now) < 1) return false;
+bool RepeatBudget::tryRepeat(std::uint32_t share_divisor, TimePoint now) {
+  if (left(share_divisor, now) < 1) return false;
   ++slice(now).repeats;
   return true;
 }
--- a/src/gateway/repeat_budget.h
+++ b/src/gateway/repeat_budget.h
@@ -18,9 +18,9 @@
   void onRequest(TimePoint now);
   /// Takes one repeat out of this gateway's share.
   /// @return false when the share is used up; nothing is taken then.
-  bool tryRepeat(std::uint32_t gateway_count, TimePoint now);
+  bool tryRepeat(std::uint32_t share_divisor, TimePoint now);
   /// @return repeats that this gateway's share still allows; below 1: none.
-  double left(std::uint32_t gateway_count, TimePoint now) const;
+  double left(std::uint32_t share_divisor, TimePoint now) const;
 
 private:
   static constexpr std::size_t kSlices = 10;  ///< In one window.
--- a/src/gateway_control/engine_silence.cc
+++ b/src/gateway_control/engine_silence.cc
@@ -1,6 +1,6 @@
 /// @file Engines that answer nobody. The gateway that follows an engine's cache always has a call waiting
-/// there, so that it notices within a second when the engine no longer answers, whatever traffic there is. In
-/// a zone whose gateways share the following it tells the others.
+/// there, so that it notices within a second when the engine no longer answers, whatever traffic there is.
+/// Where gateways share the following it tells the others.
 
 #include <algorithm>
 
@@ -29,7 +29,7 @@
   BackendNote note;
   note.name = backend->view.name;
   note.silent_milliseconds = wholeMilliseconds(time);
-  tellZone(note);
+  tellSharing(note);
   publishSoon();
 }
 
@@ -40,7 +40,7 @@
   BackendNote note;
   note.name = backend->view.name;
   note.heard = true;
-  tellZone(note);
+  tellSharing(note);
   publishSoon();
 }
 
@@ -54,7 +54,7 @@
   publishSoon();
 }
 
-void GatewayControl::tellZone(const BackendNote& note) {
+void GatewayControl::tellSharing(const BackendNote& note) {
   for (const std::string& member : sharing_) {
     if (member != gossip_.ownName()) gossip_.tell(member, BackendNotes{{note}});
   }
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "base/endpoint.h"
@@ -25,19 +26,10 @@
 /// Longest time between two publications that check what time alone changes.
 constexpr Duration kLongestPause = std::chrono::seconds(5);
 
-/// @return "IP" of "IP:port".
-std::string hostOf(const std::string& address) {
-  return address.substr(0, address.rfind(':'));
-}
-
 std::uint32_t milliseconds(Duration duration) {
   return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
-std::string portOf(const std::string& address) {
-  return address.substr(address.rfind(':') + 1);
-}
-
 std::vector<std::string> gossipAddresses(const NodeSettings& settings) {
   std::vector<std::string> addresses;
   for (const std::string& seed : settings.seeds) {
@@ -46,12 +38,34 @@
   return addresses;
 }
 
+/// Processor time that a request takes, seconds: half of what 69 gateways spent a request on a standard day
+/// of voltpath-bc-grown when each of them followed caches and told its work (162 s for 40,166 requests).
+constexpr double kProcessorPerRequest = 0.002;
+/// Bits that a request moves over a machine's link in the heavier direction: its body of 10 KB goes in and
+/// out, its answer of some KB too.
+constexpr double kLinkBitsPerRequest = 200'000;
+
+/// @return requests a second that the machine can carry by its processor and its link.
+std::uint32_t capacityOf(const NodeSettings& settings) {
+  const double by_processor = settings.processor_share * settings.processor_speed / kProcessorPerRequest;
+  const double by_link = settings.link_megabits_per_second * 1e6 / kLinkBitsPerRequest;
+  return static_cast<std::uint32_t>(std::max(1.0, std::min(by_processor, by_link)));
+}
+
+ServingOptions servingOptions(const NodeSettings& settings) {
+  ServingOptions options;
+  options.least_in_zone = settings.serving_least_in_zone;
+  options.everyone_up_to = settings.serving_all_up_to;
+  return options;
+}
+
 GossipOptions gossipOptions(const NodeSettings& settings, std::uint64_t incarnation) {
   GossipOptions options;
   options.address = settings.gossip;
   options.zone = settings.zone;
   options.region = settings.region;
   options.incarnation = incarnation;
+  options.capacity = capacityOf(settings);
   options.seeds = gossipAddresses(settings);
   options.random_seed = combineHashes(hashBytes(settings.name), incarnation);
   return options;
@@ -77,6 +91,7 @@
       outputs_(std::move(outputs)),
       log_(log),
       gossip_(executor, gossipOptions(settings, incarnation), *this),
+      serving_(settings.gossip, servingOptions(settings)),
       orders_(executor, orderOptions(settings, incarnation), platform, orderCallbacks(), log),
       cache_watch_(executor, platform, cacheCallbacks()),
       publish_timer_(executor),
@@ -84,12 +99,13 @@
       tell_timer_(executor),
       told_timer_(executor),
       peer_work_timer_(executor),
-      zone_work_timer_(executor) {}
+      serving_timer_(executor) {}
 
 std::error_code GatewayControl::start() {
   contact_->vouch(now());
   if (const std::error_code error = gossip_.start()) return error;
   platform_.start(platformNews());
+  lookAtServing();
   return {};
 }
 
@@ -166,6 +182,8 @@
     if (!present.contains(name)) logMember(member, memberStateName(member.state), "dead");
   }
   members_ = std::move(present);
+  serving_.onMembers(gossip_.members(), now());
+  noteServing(true);
   platform_.setListPause(listPause(members_.size(), settings_.departure_limit));
   publishSoon();
 }
@@ -226,7 +244,7 @@
     onNote(note);
     notes.notes.push_back(note);
   }
-  gossip_.tellAll(notes);
+  tellPeers(notes);
 }
 
 void GatewayControl::onNote(const BackendNote& note) {
@@ -248,16 +266,21 @@
   publishSoon();
 }
 
+/// Those that serve go first: they hear what the giver of orders tells.
 std::size_t GatewayControl::rank() const {
   const std::vector<MemberRecord> members = gossip_.members();
-  const auto key = [](const MemberRecord& member) { return std::pair(member.incarnation, member.name); };
+  const auto key = [this](const MemberRecord& member) {
+    const bool stands_by = !serving_.everyoneServes() && !serving_.serves(member.name);
+    return std::tuple(stands_by, member.incarnation, member.name);
+  };
   const auto self = std::find_if(members.begin(), members.end(), [this](const MemberRecord& member) {
     return member.name == gossip_.ownName();
   });
   if (self == members.end()) return 0;
+  const auto own = key(*self);
   return static_cast<std::size_t>(
       std::count_if(members.begin(), members.end(), [&](const MemberRecord& member) {
-        return member.state == MemberState::Alive && member.incarnation != 0 && key(member) < key(*self);
+        return member.state == MemberState::Alive && member.incarnation != 0 && key(member) < own;
       }));
 }
 
@@ -268,20 +291,6 @@
   });
 }
 
-std::vector<std::string> GatewayControl::clientAddresses() const {
-  const std::string port = portOf(settings_.front);
-  std::vector<std::string> addresses;
-  std::vector<std::string> unready;
-  for (const MemberRecord& member : gossip_.members()) {
-    const bool own = member.name == gossip_.ownName();
-    const bool leaves = member.state == MemberState::Leaving || (own && leaving_);
-    if (leaves || (member.incarnation == 0 && !own)) continue;
-    auto& list = member.bundle_version > 0 || own ? addresses : unready;
-    list.push_back(hostOf(member.address) + ":" + port);
-  }
-  return addresses.empty() ? unready : addresses;
-}
-
 ControlStatus GatewayControl::status() const {
   ControlStatus status;
   status.configuration_version = configuration_ == nullptr ? 0 : configuration_->version;
@@ -291,6 +300,8 @@
   status.holds_order_lease = orders_.holding();
   status.orders_sent = orders_.ordersSent();
   status.members = gossip_.members();
+  status.serving = serving_.serving();
+  status.serves = serving_.everyoneServes() || serving_.serves(gossip_.ownName());
   status.backends = backends_;
   return status;
 }
@@ -310,6 +321,10 @@
   leaving_ = true;
   orders_.stop();
   gossip_.leave();
+  serving_.leave();
+  ServingNotice notice;
+  notice.leaving = true;
+  if (!serving_.everyoneServes()) tellNotice(notice, true);
 }
 
 void GatewayControl::publishSoon() {
@@ -335,7 +350,7 @@
   snapshot->weights = orders_.named();
   snapshot->own_zone = settings_.zone;
   snapshot->own_region = settings_.region;
-  snapshot->gateway_count = static_cast<std::uint32_t>(std::max<std::size_t>(1, clientAddresses().size()));
+  shareOut(*snapshot);
   snapshot->contact = contact_;
   snapshot->key_validity = settings_.key_validity;
   outputs_.publish(std::move(snapshot));
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/event_log.h"
+#include "gateway/load_meter.h"
 #include "gateway_control/cache_exchange.h"
 #include "gateway_control/cache_watch.h"
 #include "gateway_control/fleet_view.h"
@@ -19,7 +20,7 @@
 #include "gateway_control/node_settings.h"
 #include "gateway_control/order_giver.h"
 #include "gateway_control/platform_link.h"
-#include "gateway_control/zone_work.h"
+#include "gateway_control/serving_set.h"
 
 namespace crankspur::gateway {
 
@@ -39,6 +40,8 @@
   bool holds_order_lease = false;
   std::uint64_t orders_sent = 0;  ///< Since the start.
   std::vector<MemberRecord> members;
+  std::vector<std::string> serving;  ///< Member names of the gateways that clients are sent to.
+  bool serves = true;                ///< Whether this gateway is one of them.
   std::vector<Backend> backends;
 };
 
@@ -55,15 +58,17 @@
   void leave();
   /// Takes changed settings into account. Addresses stay as they were at the start.
   void onSettings(const NodeSettings& settings);
-  /// @return "IP:port" of the gateways that clients should use, this one among them unless it leaves.
-  std::vector<std::string> clientAddresses() const;
+  /// @param zone of the clients that ask; empty or unknown: any.
+  /// @return "IP:port" of the gateways that they should use.
+  std::vector<std::string> clientAddresses(const std::string& zone) const;
   ControlStatus status() const;
 
   void onUnreachable(EngineSlot slot, std::uint64_t incarnation);
   void onWrongBackend(EngineSlot slot, std::uint64_t incarnation,
                       std::optional<std::uint64_t> weights_version);
-  /// Tells the other gateways, in a large fleet those of the own zone, what this one has at each engine.
+  /// Tells the other gateways, in a large fleet those that serve, what this one has at each engine.
   void onOwnWork(const LoadDigest& digest);
+  void onOwnLoad(const OwnLoad& load) { own_load_ = load; }
 
 private:
   TimePoint now() const { return clock_.now(); }
@@ -74,8 +79,7 @@
   void onCacheNotes(const std::string& teller, const CacheNotes& notes) override;
   void onCacheWanted(const std::string& asker, const CacheWanted& wanted) override;
   void onLoadDigest(const std::string& teller, const LoadDigest& digest) override;
-  void noteZoneWork(const std::string& teller, const LoadDigest& digest);
-  void tellZoneWork();
+  void onServingNotice(const std::string& teller, const ServingNotice& notice) override;
   void passPeerWork();
   void onOwnCacheNews(CachedPartsNews news);
   CacheWatchCallbacks cacheCallbacks();
@@ -83,7 +87,16 @@
   void onCacheHeard(EngineSlot slot, std::uint64_t incarnation);
   void onStoreSilent(const Backend& store);
   void onSilenceNote(const BackendNote& note);
-  void tellZone(const BackendNote& note);
+  void tellSharing(const BackendNote& note);
+  std::vector<std::string> allClientAddresses() const;
+  std::vector<std::string> peers() const;
+  std::vector<std::string> sharingGateways() const;
+  void tellPeers(const BackendNotes& notes);
+  void lookAtServing();
+  void noteServing(bool changed);
+  void tellServing();
+  void tellNotice(const ServingNotice& notice, bool whole_fleet);
+  void shareOut(GatewaySnapshot& snapshot) const;
   void logSilence(const std::string& backend, bool silent, Duration time);
   void listKvStores();
   void tellCachesSoon();
@@ -115,6 +128,7 @@
   EventLog& log_;
   SteadyClock clock_;
   GossipSocket gossip_;
+  ServingSet serving_;
   FleetView fleet_;
   std::vector<Backend> backends_;  ///< As published last.
   OrderGiver orders_;
@@ -124,10 +138,10 @@
   std::vector<CachedPartsNews> told_;            ///< By other gateways, not yet passed on to traffic.
   std::set<std::string> kv_stores_;              ///< Ids of those that the configuration names.
   std::map<std::string, LoadDigest> peer_work_;  ///< By teller and zone, not yet passed on to traffic.
-  ZoneWork zone_work_;
-  bool zone_work_waiting_ = false;
+  OwnLoad own_load_;
+  int looks_at_serving_ = 0;             ///< Since the start.
   std::map<std::string, bool> follows_;  ///< Whether this gateway follows a back end's cache, among sharing_.
-  /// Gateways of the zone that share the caches; empty: each follows all.
+  /// Gateways that share the following of caches; empty: each follows all.
   std::vector<std::string> sharing_;
   std::shared_ptr<const Configuration> configuration_;
   std::shared_ptr<PlatformContact> contact_ = std::make_shared<PlatformContact>();
@@ -143,7 +157,7 @@
   boost::asio::steady_timer tell_timer_;
   boost::asio::steady_timer told_timer_;
   boost::asio::steady_timer peer_work_timer_;
-  boost::asio::steady_timer zone_work_timer_;
+  boost::asio::steady_timer serving_timer_;
 };
 
 }  // namespace crankspur::gateway
--- a/src/gateway_control/gossip_socket.cc
+++ b/src/gateway_control/gossip_socket.cc
@@ -32,6 +32,7 @@
   self.zone = options.zone;
   self.region = options.region;
   self.incarnation = options.incarnation;
+  self.capacity = options.capacity;
   return self;
 }
 
@@ -105,6 +106,8 @@
     return receiver_.onCacheWanted(from, *wanted);
   } else if (const auto* digest = std::get_if<LoadDigest>(&*frame.message)) {
     return receiver_.onLoadDigest(from, *digest);
+  } else if (const auto* notice = std::get_if<ServingNotice>(&*frame.message)) {
+    return receiver_.onServingNotice(from, *notice);
   }
   afterEvent();
 }
--- a/src/gateway_control/gossip_socket.h
+++ b/src/gateway_control/gossip_socket.h
@@ -21,6 +21,7 @@
   std::string zone;
   std::string region;
   std::uint64_t incarnation = 0;   ///< Above that of the node's earlier starts.
+  std::uint32_t capacity = 0;      ///< Requests a second that this machine can carry.
   std::vector<std::string> seeds;  ///< "IP:port" of other nodes.
   std::uint64_t random_seed = 1;
 };
@@ -34,6 +35,7 @@
   virtual void onCacheNotes(const std::string& teller, const CacheNotes& notes) = 0;
   virtual void onCacheWanted(const std::string& asker, const CacheWanted& wanted) = 0;
   virtual void onLoadDigest(const std::string& teller, const LoadDigest& digest) = 0;
+  virtual void onServingNotice(const std::string& teller, const ServingNotice& notice) = 0;
 };
 
 /// The socket with the membership that it serves. Use from the executor's thread only.
--- a/src/gateway_control/node_settings.cc
+++ b/src/gateway_control/node_settings.cc
@@ -9,6 +9,9 @@
 constexpr Range<std::int64_t> kMilliseconds{1, 3'600'000};
 constexpr Range<double> kRatio{0.0, 100.0};
 constexpr Range<double> kSlack{0.0, 1e9};
+constexpr Range<double> kProcessor{0.001, 1024.0};
+constexpr Range<double> kMegabits{0.1, 1e7};
+constexpr Range<std::int64_t> kGateways{1, 10'000};
 
 void readAddress(TomlTable& root, const std::string& key, bool required, std::string& value) {
   value = required ? root.requireString(key) : root.getString(key, value);
@@ -45,6 +48,17 @@
   }
 }
 
+void readMachine(TomlTable& root, NodeSettings& settings) {
+  settings.processor_share = root.getNumber("processor_share", settings.processor_share, kProcessor);
+  settings.processor_speed = root.getNumber("processor_speed", settings.processor_speed, kProcessor);
+  settings.link_megabits_per_second =
+      root.getNumber("link_megabits_per_second", settings.link_megabits_per_second, kMegabits);
+  settings.serving_least_in_zone = static_cast<std::uint32_t>(
+      root.getInteger("serving_least_in_zone", settings.serving_least_in_zone, kGateways));
+  settings.serving_all_up_to =
+      static_cast<std::uint32_t>(root.getInteger("serving_all_up_to", settings.serving_all_up_to, kGateways));
+}
+
 }  // namespace
 
 NodeSettings readNodeSettings(std::string_view text, const std::string& file,
@@ -77,6 +91,7 @@
       static_cast<std::uint32_t>(root->getInteger("parallel_weight_loads", 2, {1, 1000}));
   readDuration(*root, "drain_limit_ms", settings.drain_limit);
   readDuration(*root, "directory_lifetime_ms", settings.directory_lifetime);
+  readMachine(*root, settings);
   readLogLevel(*root, settings.log_level);
   root->finish();
   return settings;
--- a/src/gateway_control/node_settings.h
+++ b/src/gateway_control/node_settings.h
@@ -36,6 +36,11 @@
   std::uint32_t parallel_weight_loads = 2;         ///< Back ends that load at once while time allows.
   Duration drain_limit = std::chrono::seconds(8);  ///< From the signal to stop to the end at the latest.
   Duration directory_lifetime = std::chrono::seconds(1);  ///< How long clients keep a list of gateways.
+  double processor_share = 1;                             ///< Of one core that the machine may use.
+  double processor_speed = 1;                             ///< Of that core, in ordinary cores.
+  double link_megabits_per_second = 1000;                 ///< Of the machine's link.
+  std::uint32_t serving_least_in_zone = 2;  ///< Gateways of a zone that clients are sent to, at least.
+  std::uint32_t serving_all_up_to = 12;     ///< In a fleet of at most so many gateways all of them serve.
   LogLevel log_level = LogLevel::Info;
 };
 
--- a/src/gateway_control/shared_caches.cc
+++ b/src/gateway_control/shared_caches.cc
@@ -1,4 +1,5 @@
-/// @file How a gateway shares the following of caches with the others of its zone.
+/// @file How gateways share the following of caches: in a large fleet those that serve, in a smaller one
+/// those of a zone. A gateway that stands by follows none and is told nothing.
 
 #include <algorithm>
 #include <set>
@@ -9,10 +10,10 @@
 namespace crankspur::gateway {
 namespace {
 
-/// From so many gateways in a zone on, each cache is followed by one of them.
+/// From so many gateways on, each cache is followed by one of them.
 constexpr std::size_t kLeastSharing = 5;
-/// News are gathered for so long for each gateway of the zone before they are told, within bounds: each
-/// gateway hears all the others, so that their datagrams would grow with the square of the zone.
+/// News are gathered for so long for each gateway that shares before they are told, within bounds: each
+/// gateway hears all the others, so that their datagrams would grow with the square of their number.
 constexpr Duration kGatherPerGateway = std::chrono::milliseconds(8);
 constexpr Duration kLeastGather = std::chrono::milliseconds(40);
 constexpr Duration kLongestGather = std::chrono::milliseconds(200);
@@ -21,7 +22,8 @@
 
 }  // namespace
 
-std::vector<std::string> GatewayControl::zoneMembers() const {
+std::vector<std::string> GatewayControl::sharingGateways() const {
+  if (!serving_.everyoneServes()) return serving_.serving();
   std::vector<std::string> names;
   for (const MemberRecord& member : gossip_.members()) {
     const bool own = member.name == gossip_.ownName();
@@ -33,7 +35,7 @@
 
 void GatewayControl::updateCacheWatch() {
   if (configuration_ == nullptr) return;
-  std::vector<std::string> sharing = zoneMembers();
+  std::vector<std::string> sharing = sharingGateways();
   if (sharing.size() < kLeastSharing) sharing.clear();
   if (sharing != sharing_) follows_.clear();
   sharing_ = std::move(sharing);
@@ -50,6 +52,8 @@
 }
 
 bool GatewayControl::followsCache(const std::string& backend) {
+  const bool stands_by = !serving_.everyoneServes() && !serving_.serves(gossip_.ownName());
+  if (stands_by) return false;
   if (sharing_.empty()) return true;
   const auto [place, is_new] = follows_.try_emplace(backend, false);
   if (is_new) place->second = followerOf(backend, sharing_) == gossip_.ownName();
--- /dev/null
+++ b/src/gateway_control/shared_serving.cc
@@ -0,0 +1,131 @@
+/// @file How a gateway takes part in the set of those that serve clients: its notices, the addresses that
+/// clients get, and its share of what all gateways may use together.
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "base/endpoint.h"
+#include "gateway_control/gateway_control.h"
+#include "gateway_control/serving_timings.h"
+
+namespace crankspur::gateway {
+namespace {
+
+/// Of what all gateways may use together, connections to back ends and repeats, the part of those that serve;
+/// the rest is for the others, whom some clients still come to.
+constexpr double kServingPart = 0.7;
+
+/// @return by how much what all may use is divided for one of `gateways` that together may use `part` of it.
+std::uint32_t divisor(std::size_t gateways, double part) {
+  return static_cast<std::uint32_t>(
+      std::ceil(static_cast<double>(std::max<std::size_t>(gateways, 1)) / part));
+}
+
+}  // namespace
+
+void GatewayControl::lookAtServing() {
+  ++looks_at_serving_;
+  noteServing(serving_.refresh(now()));
+  if (looks_at_serving_ % (kNoticeInterval / kServingLook) == 0) tellServing();
+  serving_timer_.expires_after(kServingLook);
+  serving_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) lookAtServing();
+  });
+}
+
+void GatewayControl::noteServing(bool changed) {
+  if (!changed || serving_.everyoneServes()) return;
+  log_.write(EventId::ServingSetChanged,
+             {{"serves", serving_.serves(gossip_.ownName())},
+              {"gateways", serving_.serving().size()},
+              {"own_zone", fmt::format("{}", fmt::join(serving_.servingIn(settings_.zone), ","))}});
+  publishSoon();
+}
+
+/// One that serves tells so, and one that stands by and yet has clients.
+void GatewayControl::tellServing() {
+  if (serving_.everyoneServes() || leaving_) return;
+  const bool serves = serving_.serves(gossip_.ownName());
+  if (!serves && own_load_.requests_per_second < 1) return;
+  ServingNotice notice;
+  notice.requests_per_second = static_cast<std::uint32_t>(std::lround(own_load_.requests_per_second));
+  notice.pressed = own_load_.pressed;
+  serving_.onNotice(gossip_.ownName(), notice, now());
+  const int notices = looks_at_serving_ / static_cast<int>(kNoticeInterval / kServingLook);
+  tellNotice(notice, notices % kNoticesPerWideNotice == 0);
+}
+
+void GatewayControl::tellNotice(const ServingNotice& notice, bool whole_fleet) {
+  for (const MemberRecord& member : gossip_.members()) {
+    const bool lives = member.state != MemberState::Leaving && member.incarnation != 0;
+    const bool told = whole_fleet || member.zone == settings_.zone || serving_.serves(member.name);
+    if (lives && told && member.name != gossip_.ownName()) gossip_.tell(member.name, notice);
+  }
+}
+
+void GatewayControl::onServingNotice(const std::string& teller, const ServingNotice& notice) {
+  serving_.onNotice(teller, notice, now());
+  if (notice.leaving) noteServing(serving_.refresh(now()));
+}
+
+std::vector<std::string> GatewayControl::clientAddresses(const std::string& zone) const {
+  if (serving_.everyoneServes()) return allClientAddresses();
+  const std::string port = portOf(settings_.front);
+  std::vector<std::string> addresses;
+  for (const std::string& name : serving_.servingIn(zone)) addresses.push_back(hostOf(name) + ":" + port);
+  return addresses;
+}
+
+std::vector<std::string> GatewayControl::allClientAddresses() const {
+  const std::string port = portOf(settings_.front);
+  std::vector<std::string> addresses;
+  std::vector<std::string> unready;
+  for (const MemberRecord& member : gossip_.members()) {
+    const bool own = member.name == gossip_.ownName();
+    const bool leaves = member.state == MemberState::Leaving || (own && leaving_);
+    if (leaves || (member.incarnation == 0 && !own)) continue;
+    auto& list = member.bundle_version > 0 || own ? addresses : unready;
+    list.push_back(hostOf(member.address) + ":" + port);
+  }
+  return addresses.empty() ? unready : addresses;
+}
+
+/// @return the other gateways that place requests: what this one has at the engines counts for them.
+std::vector<std::string> GatewayControl::peers() const {
+  std::vector<std::string> names;
+  if (!serving_.everyoneServes()) {
+    names = serving_.serving();
+  } else {
+    for (const MemberRecord& member : gossip_.members()) {
+      const bool lives = member.state == MemberState::Alive && member.incarnation != 0;
+      if (lives) names.push_back(member.name);
+    }
+  }
+  std::erase(names, gossip_.ownName());
+  return names;
+}
+
+void GatewayControl::tellPeers(const BackendNotes& notes) {
+  for (const std::string& peer : peers()) gossip_.tell(peer, notes);
+}
+
+void GatewayControl::shareOut(GatewaySnapshot& snapshot) const {
+  if (serving_.everyoneServes()) {
+    snapshot.share_divisor =
+        static_cast<std::uint32_t>(std::max<std::size_t>(1, allClientAddresses().size()));
+    snapshot.peer_count = snapshot.share_divisor - 1;
+    return;
+  }
+  const std::size_t serving = serving_.serving().size();
+  const std::size_t live = std::max(gossip_.members().size(), serving);
+  const bool serves = serving_.serves(gossip_.ownName());
+  snapshot.peer_count = static_cast<std::uint32_t>(serves ? serving - 1 : serving);
+  snapshot.share_divisor =
+      serves ? divisor(serving, kServingPart) : divisor(live - serving, 1 - kServingPart);
+}
+
+}  // namespace crankspur::gateway
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -16,6 +16,7 @@
 #include "gateway/gateway.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_snapshot.h"
+#include "gateway/load_meter.h"
 
 namespace crankspur::gateway {
 
@@ -37,6 +38,8 @@
       on_wrong_backend;
   /// What this gateway has at each engine, for the other gateways; several times a second while it has any.
   std::function<void(LoadDigest)> on_own_work;
+  /// How busy the traffic thread is; some times a second while requests come.
+  std::function<void(OwnLoad)> on_own_load;
 };
 
 /// One gateway. Functions may be called from any thread unless they say otherwise.
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -76,7 +76,8 @@
       http_(http::makeClient(executor_)),
       timer_(executor_),
       drain_timer_(executor_),
-      work_timer_(executor_) {}
+      work_timer_(executor_),
+      meter_timer_(executor_) {}
 
 std::error_code TrafficLoop::listen() {
   std::error_code error;
@@ -128,7 +129,7 @@
 void TrafficLoop::tellWorkSoon() {
   const bool news = !running_.empty() || told_work_;
   if (!facts_.on_own_work || !news || std::exchange(work_waiting_, true)) return;
-  const Duration wanted = kWorkStepPerGateway * gateway_.gatewayCount();
+  const Duration wanted = kWorkStepPerGateway * (gateway_.peerCount() + 1);
   work_timer_.expires_after(std::clamp(wanted, kLeastWorkStep, kLongestWorkStep));
   work_timer_.async_wait([this](boost::system::error_code error) {
     if (!error) tellWork();
@@ -144,6 +145,24 @@
   tellWorkSoon();
 }
 
+void TrafficLoop::meterRequest() {
+  meter_.onRequest();
+  if (facts_.on_own_load && !std::exchange(metering_, true)) meterTick(now());
+}
+
+/// Ticks go on until requests have stayed out for a while; the last one tells that there is no load.
+void TrafficLoop::meterTick(TimePoint due) {
+  meter_.onTick(due, now());
+  facts_.on_own_load(meter_.load());
+  metering_ = !meter_.idle();
+  if (!metering_) return;
+  const TimePoint next = now() + LoadMeter::kTick;
+  meter_timer_.expires_at(next);
+  meter_timer_.async_wait([this, next](boost::system::error_code error) {
+    if (!error) meterTick(next);
+  });
+}
+
 void TrafficLoop::drain() {
   server_->closeAfterAnswers();
   countInFlight();
@@ -167,6 +186,7 @@
 // Clients.
 
 void TrafficLoop::onRequest(http::Request request, std::shared_ptr<http::ResponseWriter> writer) {
+  meterRequest();
   const ClientId id = next_client_++;
   IncomingRequest incoming;
   incoming.host = hostOf(request);
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -64,6 +64,8 @@
   void onUnread(const http::UnreadRequest& unread);
   void tellWorkSoon();
   void tellWork();
+  void meterRequest();
+  void meterTick(TimePoint due);
 
   void carryOut(const Refuse& action);
   void carryOut(const Dispatch& action);
@@ -97,6 +99,9 @@
   boost::asio::steady_timer work_timer_;
   bool work_waiting_ = false;  ///< work_timer_ is armed.
   bool told_work_ = false;     ///< The last digest was not empty.
+  LoadMeter meter_;
+  boost::asio::steady_timer meter_timer_;
+  bool metering_ = false;  ///< meter_timer_ is armed.
   ClientId next_client_ = 1;
   absl::flat_hash_map<ClientId, Client> clients_;
   absl::flat_hash_map<ExchangeId, Running> running_;
--- a/src/internal_protocol/field_mapping.h
+++ b/src/internal_protocol/field_mapping.h
@@ -54,6 +54,7 @@
 CRANKSPUR_WIRE_FORM(CacheNote)
 CRANKSPUR_WIRE_FORM(CacheNotes)
 CRANKSPUR_WIRE_FORM(CacheWanted)
+CRANKSPUR_WIRE_FORM(ServingNotice)
 #undef CRANKSPUR_WIRE_FORM
 
 template <typename Archive, typename Plain>
@@ -149,6 +150,7 @@
   archive.number(wire.incarnation, plain.incarnation);
   archive.enumeration(wire.state, plain.state, MemberState::Dead);
   archive.number(wire.bundle_version, plain.bundle_version);
+  archive.number(wire.capacity, plain.capacity);
 }
 
 template <typename Archive, typename Plain>
@@ -404,4 +406,11 @@
   archive.text(wire.backend, plain.backend);
 }
 
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_ServingNotice& wire, Plain& plain) {
+  archive.number(wire.requests_per_second, plain.requests_per_second);
+  archive.number(wire.pressed, plain.pressed);
+  archive.number(wire.leaving, plain.leaving);
+}
+
 }  // namespace crankspur::wire
--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -126,6 +126,7 @@
   std::uint64_t incarnation = 0;
   MemberState state = MemberState::Alive;
   std::uint64_t bundle_version = 0;
+  std::uint32_t capacity = 0;  ///< Requests a second that its machine can carry; 0: not stated.
 };
 
 /// An engine's state as known to the sender; spreads leaving marks and crashes. With incarnation
@@ -287,11 +288,20 @@
   std::string backend;
 };
 
+/// What a gateway that serves clients tells the others some times a second: that it lives, and how busy it
+/// is.
+struct ServingNotice {
+  std::uint32_t requests_per_second = 0;  ///< From clients, of late.
+  bool pressed = false;                   ///< Its machine falls behind with the work it has.
+  bool leaving = false;                   ///< It stops as planned: clients are to be sent elsewhere.
+};
+
 /// Every message that a frame can carry.
-using Message = std::variant<Hello, SubmitRequest, Accepted, StreamPiece, StreamEnd, Refusal, Cancel, Ping,
-                             PingAck, BundleRequest, BundleBody, CacheSummary, LoadDigest, ClaimPrepare,
-                             ClaimReply, ProtocolError, BundleUpdate, BackendListRequest, BackendList,
-                             ClaimRelease, ClaimRecord, ClaimSeal, ClaimSealed, ClaimInstall,
-                             ClaimGroupRequest, ClaimGroupInfo, BackendNotes, CacheNotes, CacheWanted>;
+using Message =
+    std::variant<Hello, SubmitRequest, Accepted, StreamPiece, StreamEnd, Refusal, Cancel, Ping, PingAck,
+                 BundleRequest, BundleBody, CacheSummary, LoadDigest, ClaimPrepare, ClaimReply, ProtocolError,
+                 BundleUpdate, BackendListRequest, BackendList, ClaimRelease, ClaimRecord, ClaimSeal,
+                 ClaimSealed, ClaimInstall, ClaimGroupRequest, ClaimGroupInfo, BackendNotes, CacheNotes,
+                 CacheWanted, ServingNotice>;
 
 }  // namespace crankspur
--- a/tests/unit/gateway/peer_work_test.cc
+++ b/tests/unit/gateway/peer_work_test.cc
@@ -23,7 +23,8 @@
 struct TwoEngines {
   TwoEngines() {
     snapshot.backends = {makeBackend(3, "lm"), makeBackend(4, "lm")};
-    snapshot.gateway_count = 3;
+    snapshot.peer_count = 2;
+    snapshot.share_divisor = 3;
     choice.onSnapshot(snapshot);
     client.model = "m";
     client.prompt = {{11, 400}};
@@ -98,13 +99,13 @@
 }
 
 TEST_CASE("gateways that do not tell are taken to be like those that do", "[gateway][peer_work]") {
-  const auto expected = [](std::uint32_t gateways) {
+  const auto expected = [](std::uint32_t peers) {
     TwoEngines fleet;
-    fleet.snapshot.gateway_count = gateways;
+    fleet.snapshot.peer_count = peers;
     fleet.choice.onPeerWork("a", digestOf({load(1003, 4'000, 1), load(1004, 4'000, 1)}), kNow);
     return fleet.choose().expected_first_byte;
   };
-  CHECK(expected(11) > expected(2));
+  CHECK(expected(10) > expected(1));
 }
 
 TEST_CASE("application runners are chosen by what all gateways have there", "[gateway][peer_work]") {
--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -91,8 +91,9 @@
 }
 
 std::string describeFields(const MemberRecord& value) {
-  return fmt::format("MemberRecord {} {} {} {} {} {} {}", value.name, value.address, value.zone, value.region,
-                     value.incarnation, static_cast<int>(value.state), value.bundle_version);
+  return fmt::format("MemberRecord {} {} {} {} {} {} {} {}", value.name, value.address, value.zone,
+                     value.region, value.incarnation, static_cast<int>(value.state), value.bundle_version,
+                     value.capacity);
 }
 
 std::string describeFields(const EngineRecord& value) {
@@ -174,6 +175,10 @@
   return fmt::format("CacheWanted {}", value.backend);
 }
 
+std::string describeFields(const ServingNotice& value) {
+  return fmt::format("ServingNotice {} {} {}", value.requests_per_second, value.pressed, value.leaving);
+}
+
 std::string describeFields(const BackendNotes& value) {
   return fmt::format("BackendNotes {}", describeAll(value.notes));
 }
@@ -342,6 +347,7 @@
   value.incarnation = ~0ull - 62;
   value.state = MemberState::Dead;
   value.bundle_version = ~0ull - 64;
+  value.capacity = ~0u - 65;
   return value;
 }
 
@@ -549,7 +555,8 @@
           exampleClaimGroupInfo(),
           exampleBackendNotes(),
           exampleCacheNotes(),
-          CacheWanted{"backend"}};
+          CacheWanted{"backend"},
+          ServingNotice{~0u - 127, true, true}};
 }
 
 std::string describe(const Message& message) {
--- a/tests/unit/platform/table_feed_test.cc
+++ b/tests/unit/platform/table_feed_test.cc
@@ -203,7 +203,11 @@
   std::vector<std::string> addresses;
   EntrySources sources;
   sources.ready = [&ready] { return ready; };
-  sources.client_addresses = [&addresses] { return addresses; };
+  std::string zone;
+  sources.client_addresses = [&](const std::string& asked) {
+    zone = asked;
+    return addresses;
+  };
   const EntryService service(context.get_executor(), sources);
   http::Request question;
   question.target = "/readyz";
@@ -217,6 +221,7 @@
   CHECK(answer.status == 200);
   CHECK(answer.body.find(R"("ttlS":2)") != std::string::npos);
   CHECK(std::count(answer.body.begin(), answer.body.end(), '1') == 64 * 3);
+  CHECK(zone == "z");
   question.target = "/other";
   CHECK(service.answer(question).status == 404);
 }
