Let gateways that stand by read the store's tables from those that serve

Change: those that serve read the store; the others ask them, over HTTP at the gossip address, for what changed after the version that they hold. Questions are held until the reader has news or a newer contact with the store. An answer tells how long it was held and how old the contact is, so that keys and lists keep their bounds by the store's time, not by the reader's. A reader in trouble says so at once to all that wait; two of other zones come next, then the store itself, each 1.5 to 4.5 s a gateway.

--- a/proto/crankspur.pb.c
+++ b/proto/crankspur.pb.c
@@ -123,6 +123,12 @@
 PB_BIND(crankspur_wire_CacheWanted, crankspur_wire_CacheWanted, AUTO)
 
 
+PB_BIND(crankspur_wire_RelayedRow, crankspur_wire_RelayedRow, AUTO)
+
+
+PB_BIND(crankspur_wire_RelayedRows, crankspur_wire_RelayedRows, AUTO)
+
+
 PB_BIND(crankspur_wire_ServingNotice, crankspur_wire_ServingNotice, AUTO)
 
 
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -8,7 +8,6 @@
 
 #include "base/endpoint.h"
 #include "base/hash.h"
-#include "gateway_control/list_pause.h"
 #include "router/engine_table.h"
 
 namespace crankspur::gateway {
@@ -184,7 +183,6 @@
   members_ = std::move(present);
   serving_.onMembers(gossip_.members(), now());
   noteServing(true);
-  platform_.setListPause(listPause(members_.size(), settings_.departure_limit));
   publishSoon();
 }
 
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -94,6 +94,7 @@
   void tellPeers(const BackendNotes& notes);
   void lookAtServing();
   void noteServing(bool changed);
+  void nameReaders();
   void tellServing();
   void tellNotice(const ServingNotice& notice, bool whole_fleet);
   void shareOut(GatewaySnapshot& snapshot) const;
--- a/src/gateway_control/platform_link.h
+++ b/src/gateway_control/platform_link.h
@@ -93,6 +93,9 @@
   virtual void start(PlatformNews news) = 0;
   /// Changes of the list of back ends may be gathered for so long before they are told.
   virtual void setListPause(Duration pause) = 0;
+  /// Names other gateways to ask for what the platform holds.
+  /// @param addresses "IP:port", the best first; empty: this gateway asks the platform itself.
+  virtual void setReaders(std::vector<std::string> addresses) = 0;
   /// @param done gets the row, or empty when the platform did not answer.
   virtual void readLease(const std::string& name, std::function<void(std::optional<LeaseRow>)> done) = 0;
   /// Writes the row if it still has `expected_version`.
--- /dev/null
+++ b/src/gateway_control/reader_choice.cc
@@ -0,0 +1,31 @@
+#include "gateway_control/reader_choice.h"
+
+namespace crankspur::gateway {
+namespace {
+
+/// A gateway that failed is not asked again for so long: as long as a restart takes.
+constexpr Duration kAvoided = std::chrono::seconds(2);
+/// While all readers fail a gateway asks the platform itself about this often. Readers fail together when the
+/// platform is down, and then hundreds of gateways would ask it at once.
+constexpr Duration kPlatformInterval = std::chrono::seconds(3);
+
+}  // namespace
+
+ReadFrom ReaderChoice::next(TimePoint now) {
+  if (readers_.empty()) return {ReadFrom::Kind::Platform, ""};
+  std::erase_if(avoided_until_, [now](const auto& item) { return item.second <= now; });
+  for (const std::string& reader : readers_) {
+    if (!avoided_until_.contains(reader)) return {ReadFrom::Kind::Gateway, reader};
+  }
+  if (now < platform_again_at_) return {ReadFrom::Kind::Nobody, ""};
+  const double share = 0.5 + random_.unit();
+  platform_again_at_ =
+      now + Duration(static_cast<Duration::rep>(static_cast<double>(kPlatformInterval.count()) * share));
+  return {ReadFrom::Kind::Platform, ""};
+}
+
+void ReaderChoice::onFailed(const std::string& address, TimePoint now) {
+  avoided_until_[address] = now + kAvoided;
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway_control/reader_choice.h
@@ -0,0 +1,43 @@
+#pragma once
+/// @file Whom a gateway asks for the platform's tables. Pure decision code.
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "base/random.h"
+#include "base/time.h"
+
+namespace crankspur::gateway {
+
+/// Where a call is to go.
+struct ReadFrom {
+  enum class Kind {
+    Platform,
+    Gateway,
+    Nobody,  ///< Not now: everyone failed of late, and the platform is not to be asked by all.
+  };
+  Kind kind = Kind::Platform;
+  std::string address;  ///< Of the gateway.
+};
+
+/// The choice. Not thread-safe.
+class ReaderChoice {
+public:
+  explicit ReaderChoice(std::uint64_t random_seed) : random_(random_seed) {}
+  /// @param readers addresses of gateways that read the platform, the best first; empty: this one reads it.
+  void setReaders(std::vector<std::string> readers) { readers_ = std::move(readers); }
+  /// @return whether this gateway reads the platform itself.
+  bool readsPlatform() const { return readers_.empty(); }
+  ReadFrom next(TimePoint now);
+  /// A gateway did not answer, or with nothing of use.
+  void onFailed(const std::string& address, TimePoint now);
+
+private:
+  RandomSource random_;
+  std::vector<std::string> readers_;
+  std::map<std::string, TimePoint> avoided_until_;
+  TimePoint platform_again_at_{};
+};
+
+}  // namespace crankspur::gateway
--- a/src/gateway_control/shared_serving.cc
+++ b/src/gateway_control/shared_serving.cc
@@ -9,7 +9,9 @@
 #include <utility>
 
 #include "base/endpoint.h"
+#include "base/hash.h"
 #include "gateway_control/gateway_control.h"
+#include "gateway_control/list_pause.h"
 #include "gateway_control/serving_timings.h"
 
 namespace crankspur::gateway {
@@ -18,6 +20,8 @@
 /// Of what all gateways may use together, connections to back ends and repeats, the part of those that serve;
 /// the rest is for the others, whom some clients still come to.
 constexpr double kServingPart = 0.7;
+/// Gateways of other zones that one that stands by asks when those of its own fail.
+constexpr std::size_t kReadersElsewhere = 2;
 
 /// @return by how much what all may use is divided for one of `gateways` that together may use `part` of it.
 std::uint32_t divisor(std::size_t gateways, double part) {
@@ -38,7 +42,9 @@
 }
 
 void GatewayControl::noteServing(bool changed) {
-  if (!changed || serving_.everyoneServes()) return;
+  if (!changed) return;
+  nameReaders();
+  if (serving_.everyoneServes()) return;
   log_.write(EventId::ServingSetChanged,
              {{"serves", serving_.serves(gossip_.ownName())},
               {"gateways", serving_.serving().size()},
@@ -46,6 +52,27 @@
   publishSoon();
 }
 
+/// Those that serve read the platform; one that stands by asks those of its zone, each a different one first,
+/// and then two of other zones.
+void GatewayControl::nameReaders() {
+  const bool reads = serving_.everyoneServes() || serving_.serves(gossip_.ownName());
+  const std::size_t readers = serving_.everyoneServes() ? members_.size() : serving_.serving().size();
+  platform_.setListPause(listPause(readers, settings_.departure_limit));
+  if (reads) return platform_.setReaders({});
+  const std::uint64_t own = hashBytes(gossip_.ownName());
+  std::vector<std::string> named = serving_.servingIn(settings_.zone);
+  if (named.empty()) return platform_.setReaders({});
+  std::rotate(named.begin(), named.begin() + static_cast<std::ptrdiff_t>(own % named.size()), named.end());
+  std::vector<std::string> others;
+  for (const std::string& name : serving_.serving()) {
+    if (std::find(named.begin(), named.end(), name) == named.end()) others.push_back(name);
+  }
+  for (std::size_t index = 0; index < std::min(others.size(), kReadersElsewhere); ++index) {
+    named.push_back(others[(own + index) % others.size()]);
+  }
+  platform_.setReaders(std::move(named));
+}
+
 /// One that serves tells so, and one that stands by and yet has clients.
 void GatewayControl::tellServing() {
   if (serving_.everyoneServes() || leaving_) return;
--- a/src/internal_protocol/field_mapping.h
+++ b/src/internal_protocol/field_mapping.h
@@ -55,6 +55,8 @@
 CRANKSPUR_WIRE_FORM(CacheNotes)
 CRANKSPUR_WIRE_FORM(CacheWanted)
 CRANKSPUR_WIRE_FORM(ServingNotice)
+CRANKSPUR_WIRE_FORM(RelayedRow)
+CRANKSPUR_WIRE_FORM(RelayedRows)
 #undef CRANKSPUR_WIRE_FORM
 
 template <typename Archive, typename Plain>
@@ -413,4 +415,21 @@
   archive.number(wire.leaving, plain.leaving);
 }
 
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_RelayedRow& wire, Plain& plain) {
+  archive.text(wire.key, plain.key);
+  archive.text(wire.value, plain.value);
+  archive.number(wire.version, plain.version);
+  archive.number(wire.gone, plain.gone);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_RelayedRows& wire, Plain& plain) {
+  archive.number(wire.version, plain.version);
+  archive.records(wire.rows, plain.rows);
+  archive.number(wire.contact_age_milliseconds, plain.contact_age_milliseconds);
+  archive.number(wire.held_milliseconds, plain.held_milliseconds);
+  archive.number(wire.in_trouble, plain.in_trouble);
+}
+
 }  // namespace crankspur::wire
--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -296,12 +296,29 @@
   bool leaving = false;                   ///< It stops as planned: clients are to be sent elsewhere.
 };
 
+/// One row of a table of the platform's store.
+struct RelayedRow {
+  std::string key;
+  std::string value;          ///< A document, as the platform holds it.
+  std::uint64_t version = 0;  ///< Of the store when it changed; 0: it is not there, or was removed.
+  bool gone = false;          ///< It was removed.
+};
+
+/// What a gateway that reads a table tells one that does not: the whole table, or what changed.
+struct RelayedRows {
+  std::uint64_t version = 0;  ///< All rows up to it have been told.
+  std::vector<RelayedRow> rows;
+  std::uint32_t contact_age_milliseconds = 0;  ///< Since the store vouched for them, when this was sent.
+  std::uint32_t held_milliseconds = 0;         ///< How long the question was held.
+  bool in_trouble = false;  ///< The store does not answer the teller; nothing else is told.
+};
+
 /// Every message that a frame can carry.
 using Message =
     std::variant<Hello, SubmitRequest, Accepted, StreamPiece, StreamEnd, Refusal, Cancel, Ping, PingAck,
                  BundleRequest, BundleBody, CacheSummary, LoadDigest, ClaimPrepare, ClaimReply, ProtocolError,
                  BundleUpdate, BackendListRequest, BackendList, ClaimRelease, ClaimRecord, ClaimSeal,
                  ClaimSealed, ClaimInstall, ClaimGroupRequest, ClaimGroupInfo, BackendNotes, CacheNotes,
-                 CacheWanted, ServingNotice>;
+                 CacheWanted, ServingNotice, RelayedRows>;
 
 }  // namespace crankspur
--- a/tests/unit/gateway_control/platform_link_fake.h
+++ b/tests/unit/gateway_control/platform_link_fake.h
@@ -13,6 +13,7 @@
 public:
   void start(PlatformNews told) override { news = std::move(told); }
   void setListPause(Duration pause) override { list_pause = pause; }
+  void setReaders(std::vector<std::string> addresses) override { readers = std::move(addresses); }
   void readLease(const std::string&, std::function<void(std::optional<LeaseRow>)>) override {}
   void writeLease(const std::string&, const LeaseRow&, std::uint64_t,
                   std::function<void(bool, std::optional<LeaseRow>)>) override {}
@@ -26,6 +27,7 @@
 
   PlatformNews news;
   Duration list_pause{0};
+  std::vector<std::string> readers;
   std::map<std::string, std::function<void(CachedPartsPage)>> events_calls;  ///< That wait, by address.
 };
 
--- /dev/null
+++ b/tests/unit/gateway_control/reader_choice_test.cc
@@ -0,0 +1,58 @@
+#include "gateway_control/reader_choice.h"
+
+#include <catch2/catch.hpp>
+#include <set>
+
+using namespace crankspur;
+using namespace crankspur::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+const TimePoint kNow(1h);
+}
+
+TEST_CASE("without readers a gateway asks the platform", "[reader_choice]") {
+  ReaderChoice choice(1);
+  CHECK(choice.readsPlatform());
+  CHECK(choice.next(kNow).kind == ReadFrom::Kind::Platform);
+}
+
+TEST_CASE("the first reader that has not failed of late is asked", "[reader_choice]") {
+  ReaderChoice choice(1);
+  choice.setReaders({"a", "b"});
+  CHECK_FALSE(choice.readsPlatform());
+  CHECK(choice.next(kNow).address == "a");
+  choice.onFailed("a", kNow);
+  CHECK(choice.next(kNow).address == "b");
+  CHECK(choice.next(kNow + 2'100ms).address == "a");
+}
+
+TEST_CASE("while all readers fail the platform is asked now and then", "[reader_choice]") {
+  ReaderChoice choice(1);
+  choice.setReaders({"a", "b"});
+  int asked = 0;
+  TimePoint now = kNow;
+  for (; now < kNow + 30s; now += 100ms) {
+    choice.onFailed("a", now);
+    choice.onFailed("b", now);
+    if (choice.next(now).kind == ReadFrom::Kind::Platform) ++asked;
+  }
+  CHECK(asked >= 7);
+  CHECK(asked <= 20);
+  CHECK(choice.next(now + 2s).kind == ReadFrom::Kind::Gateway);
+}
+
+TEST_CASE("gateways whose readers all fail do not ask the platform in step", "[reader_choice]") {
+  std::set<Duration> second_asks;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    ReaderChoice choice(seed);
+    choice.setReaders({"a"});
+    int asked = 0;
+    for (TimePoint now = kNow; asked < 2; now += 50ms) {
+      choice.onFailed("a", now);
+      if (choice.next(now).kind != ReadFrom::Kind::Platform) continue;
+      if (++asked == 2) second_asks.insert(now - kNow);
+    }
+  }
+  CHECK(second_asks.size() > 10);
+}
--- /dev/null
+++ b/tests/unit/gateway_control/table_relay_test.cc
@@ -0,0 +1,157 @@
+#include "gateway_control/table_relay.h"
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <memory>
+
+using namespace crankspur;
+using namespace crankspur::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A store that counts the calls and keeps the answers open.
+struct FakeStore : TableSource {
+  void read(const std::string&, const std::string&, TableCallback) override { ++calls; }
+  void waitForChanges(const std::string&, std::uint64_t, Duration, TableCallback) override { ++calls; }
+  int calls = 0;
+};
+
+/// Two gateways on one loop: one that reads the store, and one that asks it.
+struct TwoGateways {
+  TwoGateways() {
+    REQUIRE_FALSE(reader.listen("127.0.0.1:0"));
+    reader_address = "127.0.0.1:" + std::to_string(reader.port());
+    asking.setReaders({reader_address});
+    reader.onRow("op", {"config", "one", 5, false});
+    reader.onWhole("op", {"config"});
+    reader.onContact("op", 7, clock.now());
+  }
+
+  void wait(std::uint64_t after, Duration time) {
+    answer.reset();
+    asking.waitForChanges("op", after, time, [this](TableAnswer given) { answer = std::move(given); });
+  }
+
+  template <typename Condition>
+  void runUntil(Condition condition) {
+    const auto limit = std::chrono::steady_clock::now() + 20s;
+    while (!condition() && std::chrono::steady_clock::now() < limit) context.run_one_for(50ms);
+    REQUIRE(condition());
+  }
+  void runFor(Duration time) { context.run_for(std::chrono::microseconds(time)); }
+
+  boost::asio::io_context context;
+  SteadyClock clock;
+  std::unique_ptr<http::Client> client = http::makeClient(context.get_executor());
+  FakeStore store;
+  TableRelay reader{context.get_executor(), *client, store, 1};
+  TableRelay asking{context.get_executor(), *client, store, 2};
+  std::string reader_address;
+  std::optional<TableAnswer> answer;
+};
+
+}  // namespace
+
+TEST_CASE("a gateway that stands by reads the table from one that serves", "[table_relay]") {
+  TwoGateways pair;
+  pair.asking.read("op", "", [&pair](TableAnswer given) { pair.answer = std::move(given); });
+  pair.runUntil([&] { return pair.answer.has_value(); });
+  CHECK(pair.answer->outcome == TableOutcome::Done);
+  CHECK(pair.answer->version == 7);
+  REQUIRE(pair.answer->rows.size() == 1);
+  CHECK(pair.answer->rows[0].value == "one");
+  REQUIRE(pair.answer->as_of);
+  CHECK(*pair.answer->as_of <= pair.clock.now());
+  CHECK(pair.store.calls == 0);
+}
+
+TEST_CASE("a question is held until the reader has news or a newer contact", "[table_relay]") {
+  TwoGateways pair;
+  pair.wait(7, 5s);
+  pair.runFor(100ms);
+  CHECK_FALSE(pair.answer);
+  pair.reader.onRow("op", {"config", "two", 9, false});
+  pair.reader.onContact("op", 9, pair.clock.now());
+  pair.runUntil([&] { return pair.answer.has_value(); });
+  CHECK(pair.answer->version == 9);
+  CHECK(pair.answer->rows.at(0).value == "two");
+  pair.wait(9, 5s);
+  pair.runFor(100ms);
+  const TimePoint contact = pair.clock.now();
+  pair.reader.onContact("op", 9, contact);
+  pair.runUntil([&] { return pair.answer.has_value(); });
+  CHECK(pair.answer->rows.empty());
+  CHECK(*pair.answer->as_of <= contact);
+  CHECK(contact - *pair.answer->as_of < 1s);
+}
+
+TEST_CASE("a contact that is old at the reader is as old at those that ask it", "[table_relay]") {
+  TwoGateways pair;
+  const TimePoint contact = pair.clock.now() - 2s;
+  TableRelay old{pair.context.get_executor(), *pair.client, pair.store, 3};
+  REQUIRE_FALSE(old.listen("127.0.0.1:0"));
+  old.onWhole("op", {});
+  old.onContact("op", 8, contact);
+  pair.asking.setReaders({"127.0.0.1:" + std::to_string(old.port())});
+  pair.wait(8, 0s);
+  pair.runUntil([&] { return pair.answer.has_value(); });
+  CHECK(pair.answer->outcome == TableOutcome::Done);
+  CHECK(*pair.answer->as_of <= contact);
+}
+
+TEST_CASE("a reader whose contact is too old is left for the next one", "[table_relay]") {
+  TwoGateways pair;
+  TableRelay lost{pair.context.get_executor(), *pair.client, pair.store, 3};
+  REQUIRE_FALSE(lost.listen("127.0.0.1:0"));
+  lost.onWhole("op", {});
+  lost.onContact("op", 8, pair.clock.now() - 10s);
+  pair.asking.setReaders({"127.0.0.1:" + std::to_string(lost.port()), pair.reader_address});
+  pair.wait(6, 0s);
+  pair.runUntil([&] { return pair.answer.has_value(); });
+  CHECK(pair.answer->outcome != TableOutcome::Done);
+  pair.wait(6, 0s);
+  pair.runUntil([&] { return pair.answer.has_value(); });
+  CHECK(pair.answer->outcome == TableOutcome::HistoryGone);
+  CHECK(pair.store.calls == 0);
+}
+
+TEST_CASE("a reader in trouble tells so at once, and the platform is asked itself", "[table_relay]") {
+  TwoGateways pair;
+  pair.wait(7, 5s);
+  pair.runFor(100ms);
+  pair.reader.onTrouble("op");
+  pair.runUntil([&] { return pair.answer.has_value(); });
+  CHECK(pair.answer->outcome != TableOutcome::Done);
+  pair.wait(7, 5s);
+  CHECK(pair.store.calls == 1);
+  pair.wait(7, 5s);
+  REQUIRE(pair.answer);
+  CHECK(pair.answer->outcome == TableOutcome::NotDone);
+  CHECK(pair.store.calls == 1);
+}
+
+TEST_CASE("a gateway that does not read the store itself answers nobody", "[table_relay]") {
+  TwoGateways pair;
+  pair.reader.setReaders({"127.0.0.1:9"});
+  pair.wait(7, 0s);
+  pair.runUntil([&] { return pair.answer.has_value(); });
+  CHECK(pair.answer->outcome == TableOutcome::NotDone);
+}
+
+TEST_CASE("a question whose asker is gone is dropped", "[table_relay]") {
+  TwoGateways pair;
+  {
+    const std::unique_ptr<http::Client> passing = http::makeClient(pair.context.get_executor());
+    http::Request request;
+    request.target = "/table?name=op&after=7&wait_ms=5000";
+    const auto exchange = passing->start(pair.reader_address, request, {}, {});
+    pair.runFor(100ms);
+    exchange->cancel();
+    pair.runFor(100ms);
+  }
+  pair.reader.onContact("op", 7, pair.clock.now());
+  pair.wait(7, 0s);
+  pair.runUntil([&] { return pair.answer.has_value(); });
+  CHECK(pair.answer->outcome == TableOutcome::Done);
+}
--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -40,6 +40,7 @@
 std::string describeFields(const ClaimGroupRequest& value);
 std::string describeFields(const ClaimGroupInfo& value);
 std::string describeFields(const ProtocolError& value);
+std::string describeFields(const RelayedRow& value);
 
 template <typename Record>
 std::string describeAll(const std::vector<Record>& records) {
@@ -179,6 +180,15 @@
   return fmt::format("ServingNotice {} {} {}", value.requests_per_second, value.pressed, value.leaving);
 }
 
+std::string describeFields(const RelayedRow& value) {
+  return fmt::format("RelayedRow {} {} {} {}", value.key, value.value, value.version, value.gone);
+}
+
+std::string describeFields(const RelayedRows& value) {
+  return fmt::format("RelayedRows {} {} {} {} {}", value.version, describeAll(value.rows),
+                     value.contact_age_milliseconds, value.held_milliseconds, value.in_trouble);
+}
+
 std::string describeFields(const BackendNotes& value) {
   return fmt::format("BackendNotes {}", describeAll(value.notes));
 }
@@ -556,7 +566,12 @@
           exampleBackendNotes(),
           exampleCacheNotes(),
           CacheWanted{"backend"},
-          ServingNotice{~0u - 127, true, true}};
+          ServingNotice{~0u - 127, true, true},
+          RelayedRows{~0ull - 128,
+                    {RelayedRow{"key", std::string("va\0lue", 6), ~0ull - 129, true}, RelayedRow{}},
+                    ~0u - 130,
+                    ~0u - 131,
+                    true}};
 }
 
 std::string describe(const Message& message) {
--- a/tests/unit/platform/table_feed_test.cc
+++ b/tests/unit/platform/table_feed_test.cc
@@ -5,8 +5,10 @@
 #include <map>
 
 #include "bundle/signing.h"
+#include "http/client.h"
 #include "http/server.h"
 #include "platform/entry_service.h"
+#include "platform/store_client.h"
 
 using namespace crankspur;
 using namespace crankspur::platform;
@@ -79,7 +81,7 @@
 
   TableFeedCallbacks callbacks() {
     TableFeedCallbacks result;
-    result.on_row = [this](const StoreRow& row) {
+    result.on_row = [this](const RelayedRow& row) {
       if (row.gone) {
         told.erase(row.key);
       } else {
@@ -178,23 +180,23 @@
   const auto client = http::makeClient(context.get_executor());
   StoreClient store(*client, "127.0.0.1:" + std::to_string(server->port()));
   const auto write = [&] {
-    std::optional<StoreAnswer> answer;
-    store.write("t", "k", "value", 3, [&answer](StoreAnswer given) { answer = std::move(given); });
+    std::optional<gateway::TableAnswer> answer;
+    store.write("t", "k", "value", 3, [&answer](gateway::TableAnswer given) { answer = std::move(given); });
     while (!answer) context.run_one_for(100ms);
     return *answer;
   };
-  CHECK(write().outcome == StoreOutcome::Done);
+  CHECK(write().outcome == gateway::TableOutcome::Done);
   CHECK(seen.body.find(R"("ver":3)") != std::string::npos);
   status = 412;
   body = R"({"ver":8,"rows":[{"key":"k","value":"","ver":5}]})";
-  const StoreAnswer conflict = write();
-  CHECK(conflict.outcome == StoreOutcome::Conflict);
+  const gateway::TableAnswer conflict = write();
+  CHECK(conflict.outcome == gateway::TableOutcome::Conflict);
   CHECK(conflict.rows.at(0).version == 5);
   status = 503;
-  CHECK(write().outcome == StoreOutcome::NotDone);
+  CHECK(write().outcome == gateway::TableOutcome::NotDone);
   status = 200;
   body = "broken";
-  CHECK(write().outcome == StoreOutcome::Unknown);
+  CHECK(write().outcome == gateway::TableOutcome::Unknown);
 }
 
 TEST_CASE("the directory lists the gateways and readiness follows the process", "[entry_service]") {
