Tell first events of a cache as what they leave behind; follow caches once the fleet is known; keep the set steady

A gateway that starts asks each engine for all its events (thousands, some 200 KB an engine), and all of them did so at once, since each knew few others for the first moment: 18 MB for each gateway over links of 10 Mbit/s. Gossip was lost behind it, members were taken for dead (surrey-east-1 four times in 28 s, though it lived), the set of those that serve grew to 52 of 69 and changed some times a second, and with each change caches changed their follower and were told anew to all.

Change: caches are followed once no further gateway has become known for 0.4 s; events are reduced to the last of each part, and the first page stands for the whole cache without what has gone; a member whose notices come stays in the set whatever membership says; one taken out as unfit stays out for 3 s; traffic is smoothed over a second before it widens the set.

--- a/src/gateway_control/cache_watch.cc
+++ b/src/gateway_control/cache_watch.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <set>
+#include <tuple>
 #include <utility>
 
 namespace crankspur::gateway {
@@ -14,6 +15,17 @@
 /// A cache that did not answer is asked again soon, since requests keep away from its engine meanwhile.
 constexpr Duration kPauseAfterSilence = std::chrono::milliseconds(300);
 
+/// @return what the events leave behind: of each part the last one.
+std::vector<CachedPart> newestOfEach(std::vector<CachedPart> events) {
+  std::set<std::tuple<std::string, std::string, std::uint64_t>> seen;
+  std::vector<CachedPart> newest;
+  for (auto event = events.rbegin(); event != events.rend(); ++event) {
+    if (seen.emplace(event->scope, event->model, event->part).second) newest.push_back(std::move(*event));
+  }
+  std::reverse(newest.begin(), newest.end());
+  return newest;
+}
+
 }  // namespace
 
 CacheWatch::CacheWatch(const boost::asio::any_io_executor& executor, PlatformLink& platform,
@@ -72,7 +84,7 @@
   if (!page.answered) return onNoAnswer(followed, page.turned_away);
   onAnswer(*followed);
   const bool restarted = followed->known && followed->epoch != page.epoch;
-  followed->known = true;
+  const bool first = !std::exchange(followed->known, true);
   followed->epoch = page.epoch;
   if (restarted) {
     // Another life of the cache: it began empty, and its events are told from the first.
@@ -85,7 +97,10 @@
     followed->want_content = true;
     return ask(followed);
   }
-  if (!page.parts.empty()) tell(*followed, std::move(page.parts), false);
+  std::vector<CachedPart> parts = newestOfEach(std::move(page.parts));
+  // All events from the first on are thousands, most of them of parts that have gone since.
+  if (first) std::erase_if(parts, [](const CachedPart& part) { return part.tokens == 0; });
+  if (!parts.empty()) tell(*followed, std::move(parts), first);
   askLater(followed, kPause);
 }
 
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -24,6 +24,7 @@
 constexpr Duration kWeightsFoundMargin = std::chrono::milliseconds(4'500);
 /// Longest time between two publications that check what time alone changes.
 constexpr Duration kLongestPause = std::chrono::seconds(5);
+constexpr Duration kPauseUntilKnown = std::chrono::milliseconds(100);
 
 std::uint32_t milliseconds(Duration duration) {
   return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -102,6 +103,7 @@
 
 std::error_code GatewayControl::start() {
   contact_->vouch(now());
+  member_added_at_ = now();
   if (const std::error_code error = gossip_.start()) return error;
   platform_.start(platformNews());
   lookAtServing();
@@ -171,6 +173,7 @@
   for (const MemberRecord& member : gossip_.members()) present[member.name] = member;
   for (const auto& [name, member] : present) {
     const auto known = members_.find(name);
+    if (known == members_.end()) member_added_at_ = now();
     const bool same = known != members_.end() && known->second.state == member.state &&
                       known->second.incarnation == member.incarnation;
     if (!same)
@@ -181,8 +184,7 @@
     if (!present.contains(name)) logMember(member, memberStateName(member.state), "dead");
   }
   members_ = std::move(present);
-  serving_.onMembers(gossip_.members(), now());
-  noteServing(true);
+  noteServing(serving_.onMembers(gossip_.members(), now()));
   publishSoon();
 }
 
@@ -358,7 +360,7 @@
 }
 
 void GatewayControl::armPublishTimer() {
-  TimePoint next = std::min(now() + kLongestPause, fleet_.nextChange(now()));
+  TimePoint next = std::min(now() + (settled_ ? kLongestPause : kPauseUntilKnown), fleet_.nextChange(now()));
   if (settings_.key_validity && keys_current_) {
     next = std::min(next, contact_->vouchedAt() + *settings_.key_validity);
   }
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -104,6 +104,7 @@
   void tellCaches();
   void passToldNews();
   bool followsCache(const std::string& backend);
+  bool fleetIsKnown();
   std::vector<std::string> zoneMembers() const;
   void updateCacheWatch();
   const Backend* findBackend(const std::string& id) const;
@@ -136,6 +137,8 @@
   CacheWatch cache_watch_;
   CacheExchange caches_;
   bool tell_waiting_ = false;
+  TimePoint member_added_at_{};                  ///< When a gateway that was not known before became known.
+  bool settled_ = false;                         ///< The fleet is known: see fleetIsKnown().
   std::vector<CachedPartsNews> told_;            ///< By other gateways, not yet passed on to traffic.
   std::set<std::string> kv_stores_;              ///< Ids of those that the configuration names.
   std::map<std::string, LoadDigest> peer_work_;  ///< By teller and zone, not yet passed on to traffic.
--- a/src/gateway_control/serving_set.cc
+++ b/src/gateway_control/serving_set.cc
@@ -19,10 +19,15 @@
 /// times and more, for seconds.
 constexpr double kWeakShare = 1.0 / 8;
 constexpr Duration kWeakTime = std::chrono::seconds(5);
-/// The estimate of a zone's traffic rises at once and falls in such steps, so that a set that a burst has
-/// widened is still there for the next one.
+/// The estimate of a zone's traffic rises within seconds and falls in such steps, so that a set that a burst
+/// has widened is still there for the next one.
 constexpr Duration kDemandStep = std::chrono::seconds(5);
 constexpr double kDemandFall = 0.8;
+/// Weight of one look at the traffic told, five a second: a moment's stampede does not widen the set.
+constexpr double kDemandSmoothing = 0.2;
+/// One that was taken out as unfit comes back no sooner, so that doubt about it does not make it come and go:
+/// each change moves the following of caches.
+constexpr Duration kAbsence = std::chrono::seconds(3);
 /// While all serving gateways of a zone are in trouble, its traffic is taken to be so much heavier each
 /// second; the factor falls as slowly as the estimate.
 constexpr Duration kPressureStep = std::chrono::seconds(1);
@@ -34,20 +39,25 @@
 ServingSet::ServingSet(std::string own, const ServingOptions& options)
     : own_(std::move(own)), options_(options) {}
 
-void ServingSet::onMembers(const std::vector<MemberRecord>& members, TimePoint now) {
+/// One whose notices come is there, whatever the others have concluded.
+bool ServingSet::onMembers(const std::vector<MemberRecord>& members, TimePoint now) {
   std::map<std::string, Gateway> present;
   for (const MemberRecord& member : members) {
     const auto known = gateways_.find(member.name);
     Gateway gateway;
     if (known != gateways_.end()) gateway = std::move(known->second);
-    if (gateway.record.incarnation != member.incarnation) gateway = Gateway();
+    const bool restarted = gateway.record.incarnation != member.incarnation;
+    if (restarted && gateway.notice && gateway.notice->leaving) gateway.notice.reset();
     gateway.record = member;
     gateway.tie = hashBytes(member.name, hashBytes(member.zone));
     if (member.name == own_) own_zone_ = member.zone;
     present.emplace(member.name, std::move(gateway));
   }
+  for (auto& [name, gateway] : gateways_) {
+    if (!present.contains(name) && isFresh(gateway, now)) present.emplace(name, std::move(gateway));
+  }
   gateways_ = std::move(present);
-  refresh(now);
+  return refresh(now);
 }
 
 void ServingSet::onNotice(const std::string& teller, const ServingNotice& notice, TimePoint now) {
@@ -70,6 +80,7 @@
 
 bool ServingSet::isFit(const Gateway& gateway, TimePoint now) const {
   if (gateway.record.name == own_) return !leaving_;
+  if (now < gateway.absent_until) return false;
   const bool told_leaving = gateway.notice && gateway.notice->leaving;
   if (told_leaving || gateway.record.state == MemberState::Leaving) return false;
   // What it tells itself goes before what others suspect.
@@ -99,11 +110,11 @@
     if (gateway->notice->pressed) ++pressed;
   }
   if (told >= demand.requests_per_second) {
-    demand.requests_per_second = told;
-    demand.raised_at = now;
-  } else if (now - demand.raised_at >= kDemandStep) {
+    demand.requests_per_second += kDemandSmoothing * (told - demand.requests_per_second);
+    demand.lowered_at = now;
+  } else if (now - demand.lowered_at >= kDemandStep) {
     demand.requests_per_second = std::max(told, demand.requests_per_second * kDemandFall);
-    demand.raised_at = now;
+    demand.lowered_at = now;
   }
   if (serving > 0 && pressed == serving) {
     demand.pressed_at = now;
@@ -186,6 +197,8 @@
   std::sort(serving_.begin(), serving_.end());
   for (auto& [name, gateway] : gateways_) {
     if (!serves(name)) {
+      const bool unfit = gateway.serving_since != TimePoint{} && !isFit(gateway, now);
+      if (unfit) gateway.absent_until = now + kAbsence;
       gateway.serving_since = TimePoint{};
     } else if (gateway.serving_since == TimePoint{}) {
       gateway.serving_since = now;
@@ -198,6 +211,11 @@
   return std::binary_search(serving_.begin(), serving_.end(), name);
 }
 
+double ServingSet::demandOf(const std::string& zone) const {
+  const auto found = demands_.find(zone);
+  return found == demands_.end() ? 0 : found->second.requests_per_second * found->second.pressure;
+}
+
 std::vector<std::string> ServingSet::servingIn(const std::string& zone) const {
   const auto found = by_zone_.find(zone);
   return found == by_zone_.end() ? serving_ : found->second;
--- a/src/gateway_control/serving_set.h
+++ b/src/gateway_control/serving_set.h
@@ -21,7 +21,7 @@
 struct ServingOptions {
   std::size_t least_in_zone = 2;    ///< One may fail without the zone's clients going elsewhere.
   std::size_t everyone_up_to = 12;  ///< In a fleet of at most so many gateways all serve.
-  double most_use = 0.8;            ///< Share of its capacity that a serving gateway should use at most.
+  double most_use = 1.0;            ///< Share of its stated capacity that a serving gateway uses at most.
 };
 
 /// The set as one gateway sees it. Not thread-safe.
@@ -30,8 +30,9 @@
   /// @param own member name of this gateway.
   ServingSet(std::string own, const ServingOptions& options);
 
-  /// Takes the live members, this one included.
-  void onMembers(const std::vector<MemberRecord>& members, TimePoint now);
+  /// Takes the live members, this one included, and works the set out anew.
+  /// @return whether it differs from the one before.
+  bool onMembers(const std::vector<MemberRecord>& members, TimePoint now);
   /// Takes the notice of a gateway, this one included.
   void onNotice(const std::string& teller, const ServingNotice& notice, TimePoint now);
   /// This gateway stops as planned.
@@ -48,6 +49,8 @@
   bool serves(const std::string& name) const;
   /// @return those of the zone, the strongest first; of all zones if the zone has none.
   std::vector<std::string> servingIn(const std::string& zone) const;
+  /// @return the zone's traffic that the set was made for, requests a second, pressure included.
+  double demandOf(const std::string& zone) const;
 
 private:
   /// One gateway.
@@ -59,11 +62,12 @@
     TimePoint serving_since{};  ///< TimePoint{}: it is not in the set.
     bool silent = false;        ///< Was in the set and told nothing for too long.
     TimePoint weak_until{};     ///< Fell behind while others of its zone did not.
+    TimePoint absent_until{};   ///< Was taken out as unfit, and comes back no sooner.
   };
   /// What is remembered of a zone's traffic.
   struct Demand {
-    double requests_per_second = 0;  ///< The highest of late.
-    TimePoint raised_at{};
+    double requests_per_second = 0;  ///< Smoothed, and falling slowly.
+    TimePoint lowered_at{};
     double pressure = 1;  ///< Factor by which gateways in trouble say that the figures are too low.
     TimePoint pressed_at{};
     TimePoint changed_at{};  ///< When `pressure` changed last.
--- a/src/gateway_control/shared_caches.cc
+++ b/src/gateway_control/shared_caches.cc
@@ -17,6 +17,9 @@
 constexpr Duration kGatherPerGateway = std::chrono::milliseconds(8);
 constexpr Duration kLeastGather = std::chrono::milliseconds(40);
 constexpr Duration kLongestGather = std::chrono::milliseconds(200);
+/// When no further gateway became known for so long after the start, the fleet counts as known: answers to a
+/// gateway that joins come within some ten milliseconds of each other.
+constexpr Duration kUntilKnown = std::chrono::milliseconds(400);
 /// What others tell is passed on to the traffic thread in such steps.
 constexpr Duration kPassInterval = std::chrono::milliseconds(30);
 
@@ -33,8 +36,15 @@
   return names;
 }
 
+/// A gateway that starts knows few others for a moment. Until it knows them it follows no cache: hundreds
+/// that all read every cache at once fill their links and the engines' places for such calls.
+bool GatewayControl::fleetIsKnown() {
+  if (!settled_) settled_ = now() - member_added_at_ >= kUntilKnown;
+  return settled_;
+}
+
 void GatewayControl::updateCacheWatch() {
-  if (configuration_ == nullptr) return;
+  if (configuration_ == nullptr || !fleetIsKnown()) return;
   std::vector<std::string> sharing = sharingGateways();
   if (sharing.size() < kLeastSharing) sharing.clear();
   if (sharing != sharing_) follows_.clear();
--- a/src/gateway_control/shared_serving.cc
+++ b/src/gateway_control/shared_serving.cc
@@ -48,6 +48,7 @@
   log_.write(EventId::ServingSetChanged,
              {{"serves", serving_.serves(gossip_.ownName())},
               {"gateways", serving_.serving().size()},
+              {"zone_requests_per_second", std::lround(serving_.demandOf(settings_.zone))},
               {"own_zone", fmt::format("{}", fmt::join(serving_.servingIn(settings_.zone), ","))}});
   publishSoon();
 }
