Give no orders to engines known to be silent; pass over for longer what turns all away; learn the fleet before caches

- Of the 23 places for loads at once most were held by the 29 silent engines: a report that is not answered took 0.7 s, and 0.4 s later the engine was tried again. 24 orders went out in the first second, some 8 in each later one; at 11 s, when older weights may no longer be used, 49 of 92 engines had the new ones.
Now an engine that is told to be silent gets its order once it answers.
- An engine that loads turns requests away at once and looks idle: 150 to 330 refusals a second from 6 to 10 s, up to 86 requests a second sent to one engine.
The time for which a back end that refused is passed over now doubles with each refusal in a row, from 60 ms up to 0.96 s, and begins anew with an answer.
- After a restart of all, gateways that knew only seeds took the fleet for small after 0.4 s, and each followed every cache: 59,279 connections for 32,355 requests.
Now the fleet counts as known 0.7 s after the last gateway that answered for itself, or after 2 s alone.

Ruled out: reading rates and caches (first bytes are as expected until 11 s).

Tests: silent engines and growing pauses, both cases fail without the change by construction (the old code asks silent runners; the old pause is constant); the old code was not run against them.

--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -10,8 +10,10 @@
 constexpr double kFailedShareLimit = 0.45;
 constexpr std::uint32_t kOutcomesUntilJudged = 4;
 constexpr double kAnswerSmoothing = 0.2;
-/// Time for which a back end that had no room is passed over.
+/// Time for which a back end that had no room is passed over: it doubles with each refusal in a row, up to about
+/// the time that a load of weights takes. One that turns everything away looks idle, and would draw requests.
 constexpr Duration kFullPause = std::chrono::milliseconds(60);
+constexpr std::uint32_t kMostDoublings = 4;
 /// A learnt limit rises by one in each of these periods.
 constexpr Duration kLimitRecovery = std::chrono::milliseconds(100);
 /// Connections of a back end left to the control side of all gateways: one for events, one for reports.
@@ -60,7 +62,8 @@
     case DispatchOutcome::Full:
       state.limit = std::max(held, 2U) - 1;
       state.limited_at = now;
-      state.full_until = now + kFullPause;
+      state.full_until = now + kFullPause * (1U << std::min(state.refusals, kMostDoublings));
+      ++state.refusals;
       return;
     case DispatchOutcome::Ended:
       return;
@@ -80,6 +83,7 @@
                                TimePoint now) {
   State& state = states_[slot];
   if (state.incarnation != incarnation) return;
+  state.refusals = 0;
   state.health.onOutcome(OutcomeKind::Answered, taken - expected, now);
   const double seconds = toSeconds(taken);
   const bool first = state.answer_seconds == 0;
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -62,6 +62,7 @@
     std::uint32_t limit = 0;  ///< Requests in flight at which it last refused; 0: it did not.
     TimePoint limited_at{};
     TimePoint full_until{};
+    std::uint32_t refusals = 0;  ///< For want of room, in a row.
     TimePoint heard_at{};
     double failed_share = 0;  ///< Smoothed share of dispatches that failed.
     std::uint32_t outcomes = 0;
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -173,7 +173,8 @@
   for (const MemberRecord& member : gossip_.members()) present[member.name] = member;
   for (const auto& [name, member] : present) {
     const auto known = members_.find(name);
-    if (known == members_.end()) member_added_at_ = now();
+    const bool joined_before = known != members_.end() && known->second.incarnation != 0;
+    if (!joined_before && member.incarnation != 0) member_added_at_ = now();
     const bool same = known != members_.end() && known->second.state == member.state &&
                       known->second.incarnation == member.incarnation;
     if (!same)
--- a/src/gateway_control/shared_caches.cc
+++ b/src/gateway_control/shared_caches.cc
@@ -17,9 +17,11 @@
 constexpr Duration kGatherPerGateway = std::chrono::milliseconds(8);
 constexpr Duration kLeastGather = std::chrono::milliseconds(40);
 constexpr Duration kLongestGather = std::chrono::milliseconds(200);
-/// When no further gateway became known for so long after the start, the fleet counts as known: answers to a
-/// gateway that joins come within some ten milliseconds of each other.
-constexpr Duration kUntilKnown = std::chrono::milliseconds(400);
+/// When no further gateway became known for so long after the first one, the fleet counts as known: somewhat
+/// more than the time between two probes, each of which may bring more.
+constexpr Duration kUntilKnown = std::chrono::milliseconds(700);
+/// A gateway that finds nobody goes on alone after so long: the seeds are down, or there are no others.
+constexpr Duration kUntilAlone = std::chrono::seconds(2);
 /// What others tell is passed on to the traffic thread in such steps.
 constexpr Duration kPassInterval = std::chrono::milliseconds(30);
 
@@ -39,7 +41,12 @@
 /// A gateway that starts knows few others for a moment. Until it knows them it follows no cache: hundreds
 /// that all read every cache at once fill their links and the engines' places for such calls.
 bool GatewayControl::fleetIsKnown() {
-  if (!settled_) settled_ = now() - member_added_at_ >= kUntilKnown;
+  if (settled_) return true;
+  const auto is_joined = [this](const auto& item) {
+    return item.second.incarnation != 0 && item.first != gossip_.ownName();
+  };
+  const bool joined = std::any_of(members_.begin(), members_.end(), is_joined);
+  settled_ = now() - member_added_at_ >= (joined ? kUntilKnown : kUntilAlone);
   return settled_;
 }
 
--- a/src/gateway_control/weight_rollout.cc
+++ b/src/gateway_control/weight_rollout.cc
@@ -46,6 +46,11 @@
   return backend.view.state == EngineState::Live || backend.view.state == EngineState::Ejected;
 }
 
+/// One that answers nobody would answer no order either, and hold the place of one that does.
+bool takesOrders(const Backend& backend) {
+  return takesRequests(backend) && backend.silent_since == TimePoint{};
+}
+
 }  // namespace
 
 WeightRollout::WeightRollout(RolloutOptions options)
@@ -114,7 +119,7 @@
   std::size_t remaining = 0;
   std::size_t serving = 0;
   for (const Backend& backend : backends) {
-    if (!takesRequests(backend)) continue;
+    if (!takesOrders(backend)) continue;
     ++serving;
     const auto rest = resting_.find(backend.view.name);
     if (rest != resting_.end() && now < rest->second) continue;
--- a/tests/unit/gateway/gateway_request_test.cc
+++ b/tests/unit/gateway/gateway_request_test.cc
@@ -143,6 +143,42 @@
   CHECK_FALSE(table.hasRoom(backend, pool, 5, TimePoint{}));
 }
 
+TEST_CASE("a back end that turns away one request after the other is passed over for longer each time",
+          "[gateway]") {
+  BackendTable table;
+  const Pool pool;
+  const Backend backend = makeBackend(1, "lm");
+  GatewaySnapshot snapshot;
+  snapshot.backends = {backend};
+  TimePoint now{seconds(9)};
+  table.onSnapshot(snapshot, now);
+  const auto refuse = [&] {
+    table.onDispatch(1);
+    table.onOutcome(1, 1001, DispatchOutcome::Full, now);
+  };
+  const auto passedOver = [&] {
+    const TimePoint refused_at = now;
+    while (!table.hasRoom(backend, pool, 1, now)) now += milliseconds(10);
+    return now - refused_at;
+  };
+  refuse();
+  CHECK(passedOver() == milliseconds(60));
+  refuse();
+  CHECK(passedOver() == milliseconds(120));
+  for (int count = 0; count < 6; ++count) {
+    refuse();
+    passedOver();
+  }
+  refuse();
+  CHECK(passedOver() == milliseconds(960));
+  // An answer shows that it takes requests again.
+  table.onDispatch(1);
+  table.onFirstByte(1, 1001, milliseconds(50), milliseconds(50), now);
+  table.onOutcome(1, 1001, DispatchOutcome::Answered, now);
+  refuse();
+  CHECK(passedOver() == milliseconds(60));
+}
+
 TEST_CASE("a request that cannot begin before its deadline is refused at once", "[gateway]") {
   GatewayFixture fixture;
   fixture.publish();
--- a/tests/unit/gateway_control/weight_rollout_test.cc
+++ b/tests/unit/gateway_control/weight_rollout_test.cc
@@ -19,6 +19,7 @@
   std::uint64_t version = 1;
   std::uint64_t orders_taken = 0;
   std::uint64_t loading = 0;  ///< Version that it loads.
+  bool silent = false;        ///< Answers nobody, and is known to.
   TimePoint loaded_at{};
 };
 
@@ -38,6 +39,7 @@
       backend.view.pool = "pool";
       backend.view.incarnation = 1;
       backend.view.models = {{"m", std::to_string(runner.version), {}}};
+      if (runner.silent) backend.silent_since = kStart;
       all.push_back(backend);
     }
     return all;
@@ -63,6 +65,7 @@
 
   std::size_t most_loading = 0;
   std::size_t orders = 0;
+  std::size_t asked_silent = 0;  ///< Calls to runners that answer nobody.
 
 private:
   Runner& find(const std::string& id) {
@@ -72,6 +75,7 @@
 
   void perform(WeightRollout& rollout, const RolloutAction& action, TimePoint now) {
     Runner& runner = find(action.backend);
+    if (runner.silent) ++asked_silent;
     if (action.kind == RolloutAction::Kind::Report) {
       WeightsReport report;
       report.orders_taken = runner.orders_taken;
@@ -125,6 +129,22 @@
   CHECK(fleet.most_loading <= 30);
 }
 
+TEST_CASE("an engine that answers nobody takes no place of one that does", "[weight_rollout]") {
+  WeightRollout rollout({10s, 2});
+  Fleet fleet(90, 0);
+  for (std::size_t index = 0; index < 24; ++index) fleet.runners()[index].silent = true;
+  rollout.onNamed({"m", 2, {}}, kStart);
+  TimePoint now = kStart;
+  for (; now < kStart + 6s; now += kRolloutTick) fleet.step(rollout, now);
+  CHECK(fleet.asked_silent == 0);
+  CHECK(std::count_if(fleet.runners().begin(), fleet.runners().end(),
+                      [](const Runner& runner) { return runner.version == 2; }) == 66);
+  // They get their order once they answer.
+  for (Runner& runner : fleet.runners()) runner.silent = false;
+  for (; now < kStart + 10s; now += kRolloutTick) fleet.step(rollout, now);
+  CHECK(fleet.all(2));
+}
+
 TEST_CASE("orders whose answers are lost are given again until they show their effect", "[weight_rollout]") {
   WeightRollout rollout({8s, 2});
   Fleet fleet(12, 0.5);
