--- a/src/gateway/peer_work.cc
+++ b/src/gateway/peer_work.cc
@@ -7,16 +7,11 @@
 constexpr Duration kLifetime = std::chrono::milliseconds(700);
 /// A gateway without work tells nothing; for so long it counts as one that would tell.
 constexpr Duration kTellerMemory = std::chrono::seconds(5);
-/// Sums of zones have tellers of their own, which no member's name begins like.
-constexpr char kZonePrefix[] = "zone ";
 
 }  // namespace
 
-void PeerWork::onDigest(const std::string& sender, const LoadDigest& digest, TimePoint now) {
-  const bool whole_zone = !digest.zone.empty();
-  const std::string teller = whole_zone ? kZonePrefix + digest.zone : sender;
+void PeerWork::onDigest(const std::string& teller, const LoadDigest& digest, TimePoint now) {
   Teller& known = tellers_[teller];
-  known.gateways = whole_zone ? digest.gateways : 1;
   for (const std::uint64_t engine : known.engines) {
     const auto place = engines_.find(engine);
     place->second.erase(teller);
@@ -38,7 +33,7 @@
 std::size_t PeerWork::tellers(TimePoint now) const {
   std::size_t count = 0;
   for (const auto& [name, teller] : tellers_) {
-    count += now - teller.told_at <= kTellerMemory ? teller.gateways : 0;
+    count += now - teller.told_at <= kTellerMemory ? 1 : 0;
   }
   return count;
 }
--- a/src/gateway/peer_work.h
+++ b/src/gateway/peer_work.h
@@ -22,9 +22,8 @@
 /// The work of the gateways that tell theirs. Not thread-safe.
 class PeerWork {
 public:
-  /// Takes a digest in place of the teller's one before; the sum of a zone in place of that zone's, whoever
-  /// told it.
-  void onDigest(const std::string& sender, const LoadDigest& digest, TimePoint now);
+  /// Takes a digest in place of the teller's one before.
+  void onDigest(const std::string& teller, const LoadDigest& digest, TimePoint now);
   /// @return gateways whose work is told, those included that have had nothing to tell for some seconds.
   std::size_t tellers(TimePoint now) const;
   /// @return what they have at the engine together.
@@ -38,7 +37,6 @@
   };
   struct Teller {
     TimePoint told_at{};
-    std::uint32_t gateways = 1;          ///< More for the sum of a zone.
     std::vector<std::uint64_t> engines;  ///< With an entry of this teller.
   };
 
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -186,6 +186,7 @@
   }
   members_ = std::move(present);
   noteServing(serving_.onMembers(gossip_.members(), now()));
+  nameReaders();
   publishSoon();
 }
 
--- a/src/internal_protocol/field_mapping.h
+++ b/src/internal_protocol/field_mapping.h
@@ -233,8 +233,6 @@
 void mapFields(Archive& archive, crankspur_wire_LoadDigest& wire, Plain& plain) {
   archive.text(wire.sender, plain.sender);
   archive.records(wire.loads, plain.loads);
-  archive.text(wire.zone, plain.zone);
-  archive.number(wire.gateways, plain.gateways);
 }
 
 template <typename Archive, typename Plain>
--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -213,8 +213,6 @@
 struct LoadDigest {
   std::string sender;
   std::vector<EngineLoad> loads;
-  std::string zone;            ///< The loads are the sum of this zone's; empty: the sender's own.
-  std::uint32_t gateways = 0;  ///< Gateways in the sum.
 };
 
 /// A peer's request could not be served; the connection stays open unless the code is Malformed,
