--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -10,8 +10,9 @@
 constexpr double kFailedShareLimit = 0.45;
 constexpr std::uint32_t kOutcomesUntilJudged = 4;
 constexpr double kAnswerSmoothing = 0.2;
-/// Time for which a back end that had no room is passed over: it doubles with each refusal in a row, up to about
-/// the time that a load of weights takes. One that turns everything away looks idle, and would draw requests.
+/// Time for which a back end that had no room is passed over: it doubles with each refusal in a row, up to
+/// about the time that a load of weights takes. One that turns everything away looks idle, and would draw
+/// requests.
 constexpr Duration kFullPause = std::chrono::milliseconds(60);
 constexpr std::uint32_t kMostDoublings = 4;
 /// A learnt limit rises by one in each of these periods.
--- a/src/gateway_control/cache_watch.cc
+++ b/src/gateway_control/cache_watch.cc
@@ -14,6 +14,11 @@
 constexpr Duration kPauseAfterRefusal = std::chrono::seconds(1);
 /// A cache that did not answer is asked again soon, since requests keep away from its engine meanwhile.
 constexpr Duration kPauseAfterSilence = std::chrono::milliseconds(300);
+/// First calls under way at once: their answers tell whole caches, some 200 KB each, and a gateway of a large
+/// fleet that knows few others yet would read all caches at its start.
+constexpr std::size_t kFirstCalls = 4;
+/// A first call without news, or over a slow link, holds up the next one for at most this long.
+constexpr Duration kFirstCallTurn = std::chrono::milliseconds(200);
 
 /// @return what the events leave behind: of each part the last one.
 std::vector<CachedPart> newestOfEach(std::vector<CachedPart> events) {
@@ -42,12 +47,14 @@
     wanted.insert(backend.view.name);
     follow(backend);
   }
-  std::erase_if(followed_, [&wanted](const auto& item) {
+  std::erase_if(followed_, [this, &wanted](const auto& item) {
     if (wanted.contains(item.first)) return false;
     item.second->dropped = true;
     item.second->timer.cancel();
+    started(*item.second);
     return true;
   });
+  startNext();
 }
 
 void CacheWatch::follow(const Backend& backend) {
@@ -57,7 +64,29 @@
   followed->slot = backend.view.slot;
   followed->incarnation = backend.view.incarnation;
   followed_[backend.view.name] = followed;
-  ask(followed);
+  to_start_.push_back(followed);
+}
+
+void CacheWatch::startNext() {
+  while (starting_ < kFirstCalls && !to_start_.empty()) {
+    const FollowedPointer followed = to_start_.front();
+    to_start_.pop_front();
+    if (followed->dropped) continue;
+    followed->starting = true;
+    ++starting_;
+    followed->timer.expires_after(kFirstCallTurn);
+    followed->timer.async_wait([this, followed](boost::system::error_code error) {
+      if (error) return;
+      started(*followed);
+      startNext();
+    });
+    ask(followed);
+  }
+}
+
+/// The call is no longer counted among the first ones under way.
+void CacheWatch::started(Followed& followed) {
+  if (std::exchange(followed.starting, false)) --starting_;
 }
 
 void CacheWatch::ask(const FollowedPointer& followed) {
@@ -81,6 +110,8 @@
 
 void CacheWatch::onEvents(const FollowedPointer& followed, CachedPartsPage page) {
   if (followed->dropped) return;
+  started(*followed);
+  startNext();
   if (!page.answered) return onNoAnswer(followed, page.turned_away);
   onAnswer(*followed);
   const bool restarted = followed->known && followed->epoch != page.epoch;
--- a/src/gateway_control/cache_watch.h
+++ b/src/gateway_control/cache_watch.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -51,14 +52,17 @@
     std::uint64_t position = 0;
     bool want_content = false;
     bool dropped = false;
-    bool silent = false;   ///< The last call was not answered.
-    TimePoint asked_at{};  ///< When the last call was sent.
-    TimePoint heard_at{};  ///< When the last answer came.
+    bool starting = false;  ///< Its first call is under way and counts among those.
+    bool silent = false;    ///< The last call was not answered.
+    TimePoint asked_at{};   ///< When the last call was sent.
+    TimePoint heard_at{};   ///< When the last answer came.
     boost::asio::steady_timer timer;
   };
   using FollowedPointer = std::shared_ptr<Followed>;
 
   void follow(const Backend& backend);
+  void startNext();
+  void started(Followed& followed);
   void ask(const FollowedPointer& followed);
   void askLater(const FollowedPointer& followed, Duration delay);
   void onEvents(const FollowedPointer& followed, CachedPartsPage page);
@@ -73,6 +77,8 @@
   CacheWatchCallbacks callbacks_;
   SteadyClock clock_;
   std::map<std::string, FollowedPointer> followed_;  ///< By back end id.
+  std::deque<FollowedPointer> to_start_;             ///< Not asked yet.
+  std::size_t starting_ = 0;                         ///< First calls under way.
 };
 
 }  // namespace crankspur::gateway
--- a/src/gateway_control/gateway_admin.cc
+++ b/src/gateway_control/gateway_admin.cc
@@ -78,6 +78,8 @@
                              {"platform_reachable", held.platform_reachable},
                              {"knowledge_age_ms", toSeconds(held.knowledge_age) * 1000},
                              {"holds_order_lease", held.holds_order_lease},
+                             {"serves", held.serves},
+                             {"serving", json::array(held.serving.begin(), held.serving.end())},
                              {"members", describeAll(held.members)},
                              {"engines", describeAll(held.backends)}};
   return http::jsonResponse(kOk, json::serialize(body));
@@ -112,6 +114,8 @@
   metrics_.knowledge_age.Set(toSeconds(held.knowledge_age));
   metrics_.platform_reachable.Set(held.platform_reachable ? 1 : 0);
   metrics_.holds_order_lease.Set(held.holds_order_lease ? 1 : 0);
+  metrics_.serves.Set(held.serves ? 1 : 0);
+  metrics_.serving.Set(static_cast<double>(held.serving.size()));
   metrics_.orders.Set(static_cast<double>(held.orders_sent));
   const DroppedLines dropped = log_.dropped();
   metrics_.log_lines.Set(static_cast<double>(log_.linesAccepted()));
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -302,7 +302,11 @@
   status.holds_order_lease = orders_.holding();
   status.orders_sent = orders_.ordersSent();
   status.members = gossip_.members();
-  status.serving = serving_.serving();
+  if (serving_.everyoneServes()) {
+    for (const MemberRecord& member : status.members) status.serving.push_back(member.name);
+  } else {
+    status.serving = serving_.serving();
+  }
   status.serves = serving_.everyoneServes() || serving_.serves(gossip_.ownName());
   status.backends = backends_;
   return status;
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -138,7 +138,7 @@
   CacheExchange caches_;
   bool tell_waiting_ = false;
   TimePoint member_added_at_{};                  ///< When a gateway that was not known before became known.
-  bool settled_ = false;                         ///< The fleet is known: see fleetIsKnown().
+  bool settled_ = false;                         ///< A large fleet is known: see fleetIsKnown().
   std::vector<CachedPartsNews> told_;            ///< By other gateways, not yet passed on to traffic.
   std::set<std::string> kv_stores_;              ///< Ids of those that the configuration names.
   std::map<std::string, LoadDigest> peer_work_;  ///< By teller and zone, not yet passed on to traffic.
--- a/src/gateway_control/shared_caches.cc
+++ b/src/gateway_control/shared_caches.cc
@@ -17,11 +17,9 @@
 constexpr Duration kGatherPerGateway = std::chrono::milliseconds(8);
 constexpr Duration kLeastGather = std::chrono::milliseconds(40);
 constexpr Duration kLongestGather = std::chrono::milliseconds(200);
-/// When no further gateway became known for so long after the first one, the fleet counts as known: somewhat
-/// more than the time between two probes, each of which may bring more.
+/// When no further gateway became known for so long, a large fleet counts as known: somewhat more than the
+/// time between two probes, each of which may bring more.
 constexpr Duration kUntilKnown = std::chrono::milliseconds(700);
-/// A gateway that finds nobody goes on alone after so long: the seeds are down, or there are no others.
-constexpr Duration kUntilAlone = std::chrono::seconds(2);
 /// What others tell is passed on to the traffic thread in such steps.
 constexpr Duration kPassInterval = std::chrono::milliseconds(30);
 
@@ -38,21 +36,18 @@
   return names;
 }
 
-/// A gateway that starts knows few others for a moment. Until it knows them it follows no cache: hundreds
-/// that all read every cache at once fill their links and the engines' places for such calls.
+/// A gateway of a large fleet that starts does not know at once who serves. Until it does it follows no
+/// cache: hundreds that all read every cache fill their links and the engines' places for such calls. In a
+/// small fleet each follows caches from the first moment.
 bool GatewayControl::fleetIsKnown() {
-  if (settled_) return true;
-  const auto is_joined = [this](const auto& item) {
-    return item.second.incarnation != 0 && item.first != gossip_.ownName();
-  };
-  const bool joined = std::any_of(members_.begin(), members_.end(), is_joined);
-  settled_ = now() - member_added_at_ >= (joined ? kUntilKnown : kUntilAlone);
+  if (serving_.everyoneServes()) return true;
+  if (!settled_) settled_ = now() - member_added_at_ >= kUntilKnown;
   return settled_;
 }
 
 void GatewayControl::updateCacheWatch() {
-  if (configuration_ == nullptr || !fleetIsKnown()) return;
-  std::vector<std::string> sharing = sharingGateways();
+  if (configuration_ == nullptr) return;
+  std::vector<std::string> sharing = fleetIsKnown() ? sharingGateways() : std::vector<std::string>();
   if (sharing.size() < kLeastSharing) sharing.clear();
   if (sharing != sharing_) follows_.clear();
   sharing_ = std::move(sharing);
@@ -70,7 +65,7 @@
 
 bool GatewayControl::followsCache(const std::string& backend) {
   const bool stands_by = !serving_.everyoneServes() && !serving_.serves(gossip_.ownName());
-  if (stands_by) return false;
+  if (stands_by || !fleetIsKnown()) return false;
   if (sharing_.empty()) return true;
   const auto [place, is_new] = follows_.try_emplace(backend, false);
   if (is_new) place->second = followerOf(backend, sharing_) == gossip_.ownName();
--- a/src/gateway_process/gateway_metrics.cc
+++ b/src/gateway_process/gateway_metrics.cc
@@ -59,6 +59,8 @@
           gauge("knowledge_age_seconds", "Since the platform vouched for configuration, keys and list.")),
       platform_reachable(gauge("platform_reachable", "1 while the platform's store answers.")),
       holds_order_lease(gauge("holds_order_lease", "1 while this gateway gives the orders.")),
+      serves(gauge("serves", "1 while clients are sent to this gateway.")),
+      serving(gauge("serving_gateways", "Gateways that clients are sent to, as this one sees it.")),
       orders(gauge("orders", "Orders sent since the start.")),
       log_lines(gauge("log_lines", "Log lines accepted since the start.")),
       log_routine_dropped(gauge("log_routine_lines_dropped", "Lines on requests that went well, dropped.")),
--- a/src/gateway_process/gateway_metrics.h
+++ b/src/gateway_process/gateway_metrics.h
@@ -69,6 +69,8 @@
   prometheus::Gauge& knowledge_age;
   prometheus::Gauge& platform_reachable;
   prometheus::Gauge& holds_order_lease;
+  prometheus::Gauge& serves;
+  prometheus::Gauge& serving;
   prometheus::Gauge& orders;
   prometheus::Gauge& log_lines;
   prometheus::Gauge& log_routine_dropped;
--- a/tests/unit/gateway_control/cache_watch_test.cc
+++ b/tests/unit/gateway_control/cache_watch_test.cc
@@ -17,12 +17,14 @@
   boost::asio::io_context context_;
 
 public:
-  WatchedCaches() : watch_(context_.get_executor(), platform, callbacks()) {
+  explicit WatchedCaches(EngineSlot engines = 2) : watch_(context_.get_executor(), platform, callbacks()) {
     Pool pool;
     pool.name = "lm";
     pool.cache_tokens = 1000;
     configuration_.pools = {pool};
-    watch_.update(configuration_, {engine(1), engine(2)}, [](const Backend&) { return true; });
+    std::vector<Backend> backends;
+    for (EngineSlot slot = 1; slot <= engines; ++slot) backends.push_back(engine(slot));
+    watch_.update(configuration_, backends, [](const Backend&) { return true; });
   }
 
   /// Answers the call that waits at the engine.
@@ -39,6 +41,11 @@
   }
   void dontAnswer(const std::string& address) { answer(address, {}); }
 
+  template <typename Condition>
+  void runUntil(Condition condition) {
+    while (!condition()) REQUIRE(context_.run_one() > 0);
+  }
+
   FakePlatformLink platform;
   std::vector<CachedPartsNews> news;
   std::vector<CacheSilence> silences;
@@ -61,11 +68,6 @@
     callbacks.on_heard = [this](EngineSlot slot, std::uint64_t) { heard.push_back(slot); };
     return callbacks;
   }
-  template <typename Condition>
-  void runUntil(Condition condition) {
-    while (!condition()) REQUIRE(context_.run_one() > 0);
-  }
-
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> guard_{context_.get_executor()};
   Configuration configuration_;
   CacheWatch watch_;
@@ -129,3 +131,13 @@
   REQUIRE(watched.news[1].parts.size() == 1);
   CHECK(watched.news[1].parts[0].tokens == 0);
 }
+
+TEST_CASE("whole caches are asked for a few at a time", "[cache_watch]") {
+  WatchedCaches watched(12);
+  CHECK(watched.platform.events_calls.size() == 4);
+  // The next one is asked as soon as one has answered.
+  watched.answerEmpty("a1");
+  CHECK(watched.platform.events_calls.contains("a5"));
+  // Those that take long do not hold up the others for ever.
+  watched.runUntil([&] { return watched.platform.events_calls.size() == 12; });
+}
--- a/tests/unit/gateway_control/node_settings_test.cc
+++ b/tests/unit/gateway_control/node_settings_test.cc
@@ -35,6 +35,26 @@
   CHECK(readNodeSettings(text, "node.toml", problems).departure_limit == Duration(3s));
 }
 
+TEST_CASE("a machine's strength and the size of the serving set are settings", "[node_settings]") {
+  std::vector<SettingsProblem> problems;
+  const NodeSettings usual = readNodeSettings(kSound, "node.toml", problems);
+  CHECK(usual.processor_share == 1);
+  CHECK(usual.serving_least_in_zone == 2);
+  CHECK(usual.serving_all_up_to == 12);
+  const std::string text = std::string(kSound) +
+                           "processor_share = 0.12\nprocessor_speed = 2\nlink_megabits_per_second = 20\n"
+                           "serving_least_in_zone = 3\nserving_all_up_to = 5\n";
+  const NodeSettings stated = readNodeSettings(text, "node.toml", problems);
+  CHECK(problems.empty());
+  CHECK(stated.processor_share == 0.12);
+  CHECK(stated.processor_speed == 2);
+  CHECK(stated.link_megabits_per_second == 20);
+  CHECK(stated.serving_least_in_zone == 3);
+  CHECK(stated.serving_all_up_to == 5);
+  readNodeSettings(std::string(kSound) + "processor_share = 0", "node.toml", problems);
+  CHECK(problems.at(0).key == "processor_share");
+}
+
 TEST_CASE("wrong node settings are named with their line", "[node_settings]") {
   const auto problemsOf = [](const std::string& added) {
     std::vector<SettingsProblem> problems;
