--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -565,10 +565,10 @@
           CacheWanted{"backend"},
           ServingNotice{~0u - 127, true, true},
           RelayedRows{~0ull - 128,
-                    {RelayedRow{"key", std::string("va\0lue", 6), ~0ull - 129, true}, RelayedRow{}},
-                    ~0u - 130,
-                    ~0u - 131,
-                    true}};
+                      {RelayedRow{"key", std::string("va\0lue", 6), ~0ull - 129, true}, RelayedRow{}},
+                      ~0u - 130,
+                      ~0u - 131,
+                      true}};
 }
 
 std::string describe(const Message& message) {
