Ask for the members of the fleet each 0.1 s until one has answered

Change: MembershipOptions::join_interval, 0.1 s for gateways; routers keep theirs.

The new test fails to compile without the option.

--- a/src/gateway_control/gossip_socket.cc
+++ b/src/gateway_control/gossip_socket.cc
@@ -14,6 +14,8 @@
 
 MembershipOptions membershipOptions() {
   MembershipOptions options;
+  // When all gateways start together the first seed asked may not be up yet, and clients wait.
+  options.join_interval = std::chrono::milliseconds(100);
   options.suspicion_timeout = std::chrono::milliseconds(1'500);
   options.dead_probe_interval = std::chrono::seconds(2);
   options.own_zone_share = 0.5;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -16,6 +16,8 @@
 /// Tunables of the gossip protocol.
 struct MembershipOptions {
   Duration probe_interval = std::chrono::milliseconds(500);
+  /// Between the questions of a member that has not joined yet; longer than probe_interval: as often as that.
+  Duration join_interval = std::chrono::seconds(10);
   Duration probe_timeout = std::chrono::milliseconds(200);  ///< Until indirect probes are asked for.
   Duration suspicion_timeout = std::chrono::seconds(3);
   std::uint32_t indirect_probes = 2;
--- a/src/membership/swim_membership.cc
+++ b/src/membership/swim_membership.cc
@@ -157,7 +157,9 @@
   if (now >= next_probe_at_) {
     probeNext(now);
     probeContested(now);
-    next_probe_at_ = now + jittered(options_.probe_interval);
+    const Duration interval =
+        joined_ ? options_.probe_interval : std::min(options_.probe_interval, options_.join_interval);
+    next_probe_at_ = now + jittered(interval);
   }
   if (now >= next_pull_at_) pullState(now);
   if (now >= next_dead_probe_at_) {
--- a/tests/unit/membership/membership_test.cc
+++ b/tests/unit/membership/membership_test.cc
@@ -174,6 +174,22 @@
   CHECK(network.runUntil(30s, [&] { return network.allSeeLive(40); }).has_value());
 }
 
+TEST_CASE("a node that starts before its seed joins soon after the seed is there", "[membership]") {
+  MembershipOptions options;
+  options.join_interval = 100ms;
+  VirtualNetwork network(options);
+  network.start("b", "z1", {});
+  bool seed_is_up = false;
+  network.cut = [&seed_is_up](auto&, auto&) { return !seed_is_up; };
+  network.start("a", "z1", {"b"});
+  network.run(230ms);
+  seed_is_up = true;
+  const auto joined = [&network] { return network.node("b").liveMembers().size() == 2; };
+  const std::optional<Duration> time = network.runUntil(1s, joined);
+  REQUIRE(time);
+  CHECK(*time < 150ms);
+}
+
 TEST_CASE("a killed node becomes dead to all and its restart is taken as new", "[membership]") {
   VirtualNetwork network;
   startAll(network, 20);
