Say which calls of the control side got no answer, and on which connections

Cause: on the incident of silent connections the lines could not tell a call that went out on one more connection of before the silence from a store that answers late or turns calls away. No logic is changed.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -27,6 +27,10 @@
     connection->run(exchange);
   }
 
+  void setUnansweredHandler(std::function<void(const UnansweredExchange&)> handler) {
+    on_unanswered_ = std::move(handler);
+  }
+
   void cancel(const std::shared_ptr<ExchangeState>& exchange) {
     if (exchange->ended) return;
     exchange->ended = true;
@@ -96,6 +100,7 @@
   void onEnd(const std::shared_ptr<ExchangeState>& exchange, const ClientConnection::Outcome& outcome) {
     running_.erase(exchange.get());
     if (closed_ || exchange->ended) return;
+    if (outcome.unanswered) tellUnanswered(*outcome.unanswered);
     const bool nothing_sent = outcome.state == SendState::NotSent;
     if (outcome.stale && (nothing_sent || exchange->request.method == "GET")) return run(exchange, true);
     exchange->ended = true;
@@ -103,7 +108,15 @@
     if (callbacks.on_done) callbacks.on_done(outcome.error, outcome.state, std::move(exchange->response));
   }
 
+  void tellUnanswered(UnansweredExchange unanswered) const {
+    if (!on_unanswered_) return;
+    const auto found = idle_.find(unanswered.address);
+    unanswered.idle = found == idle_.end() ? 0 : found->second.size();
+    on_unanswered_(unanswered);
+  }
+
   asio::any_io_executor executor_;
+  std::function<void(const UnansweredExchange&)> on_unanswered_;
   bool closed_ = false;
   std::unordered_set<std::shared_ptr<ClientConnection>> open_;
   std::unordered_map<std::string, std::vector<std::shared_ptr<ClientConnection>>> idle_;
@@ -140,6 +153,10 @@
     return std::make_shared<PooledExchange>(pool_, state);
   }
 
+  void setUnansweredHandler(std::function<void(const UnansweredExchange&)> handler) override {
+    pool_->setUnansweredHandler(std::move(handler));
+  }
+
 private:
   std::shared_ptr<ConnectionPool> pool_;
 };
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -48,6 +48,15 @@
   std::size_t body_bytes = std::size_t{16} * 1024 * 1024;  ///< Limit of a collected body.
 };
 
+/// An exchange that the server left without any byte of an answer until the time for it had passed.
+struct UnansweredExchange {
+  std::string address;
+  bool reused = false;         ///< On a connection that had served an exchange before.
+  Duration waited{0};          ///< Since the request was written, or the connect began.
+  Duration connection_age{0};  ///< Since the connection was opened; 0: it was not.
+  std::size_t idle = 0;        ///< Other connections to the address that are kept for later exchanges.
+};
+
 /// Client with pooled connections. A kept-alive connection that the server closed before the first byte of
 /// the response is never silently retried unless the method is GET.
 class Client {
@@ -56,6 +65,8 @@
   /// Starts an exchange with the server at "IP:port".
   virtual std::shared_ptr<Exchange> start(const std::string& address, Request request,
                                           ExchangeCallbacks callbacks, ExchangeOptions options = {}) = 0;
+  /// @param handler hears of each exchange that was left unanswered, before its on_done.
+  virtual void setUnansweredHandler(std::function<void(const UnansweredExchange&)> handler) = 0;
 };
 
 /// @return a client whose work and callbacks run on `executor`.
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -60,6 +60,7 @@
   request_written_ = false;
   byte_sent_ = false;
   byte_received_ = false;
+  began_at_ = std::chrono::steady_clock::now();
   reused_ = phase_ == Phase::Idle;
   if (reused_) {
     sendRequest();
@@ -85,6 +86,7 @@
 void ClientConnection::onConnected(boost::system::error_code error) {
   if (phase_ != Phase::Connecting) return;
   if (error) return fail(error);
+  opened_at_ = std::chrono::steady_clock::now();
   boost::system::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   probeWhenIdle(socket_);
@@ -217,12 +219,24 @@
   } else {
     shut();
   }
-  owner_.on_end(exchange, {{}, SendState::SentUnknown, false});
+  owner_.on_end(exchange, {{}, SendState::SentUnknown, false, {}});
+}
+
+std::optional<UnansweredExchange> ClientConnection::unanswered(std::error_code error) const {
+  if (byte_received_ || error != make_error_code(ErrorCode::DeadlineExceeded)) return std::nullopt;
+  const auto now = std::chrono::steady_clock::now();
+  UnansweredExchange unanswered;
+  unanswered.address = address_;
+  unanswered.reused = reused_;
+  unanswered.waited = std::chrono::duration_cast<Duration>(now - began_at_);
+  const bool opened = opened_at_ != std::chrono::steady_clock::time_point{};
+  if (opened) unanswered.connection_age = std::chrono::duration_cast<Duration>(now - opened_at_);
+  return unanswered;
 }
 
 void ClientConnection::fail(std::error_code error) {
   const auto exchange = std::exchange(exchange_, nullptr);
-  Outcome outcome{error, byte_sent_ ? SendState::SentUnknown : SendState::NotSent, false};
+  Outcome outcome{error, byte_sent_ ? SendState::SentUnknown : SendState::NotSent, false, unanswered(error)};
   outcome.stale = reused_ && !byte_received_ && error != make_error_code(ErrorCode::DeadlineExceeded);
   shut();
   owner_.on_end(exchange, outcome);
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -59,6 +59,7 @@
     std::error_code error;
     SendState state = SendState::NotSent;
     bool stale = false;  ///< The server closed a reused connection before it answered.
+    std::optional<UnansweredExchange> unanswered;  ///< Set when the time for the first byte passed.
   };
   struct Owner {
     /// The exchange ended; a usable connection was made idle before.
@@ -91,6 +92,7 @@
   void keepAliveFor(const Headers& headers);
   void complete(bool reusable);
   void fail(std::error_code error);
+  std::optional<UnansweredExchange> unanswered(std::error_code error) const;
   void shut();
   void armTimer(Duration delay);
   void onTimer();
@@ -112,6 +114,8 @@
   bool discarding_ = false;  ///< The answer under way belongs to an earlier request.
   Duration idle_lifetime_;   ///< As the server states it.
   std::chrono::steady_clock::time_point last_byte_;
+  std::chrono::steady_clock::time_point opened_at_{};  ///< Set once connected.
+  std::chrono::steady_clock::time_point began_at_{};   ///< Of the exchange under way.
 };
 
 }  // namespace crankspur::http
