--- a/standins/fault_proxy/fault_proxy.cc
+++ b/standins/fault_proxy/fault_proxy.cc
@@ -77,14 +77,18 @@
   std::string problem;
   const std::optional<ControlCommand> command = parseControl(request.body, problem);
   if (!command) return badRequest(400, problem);
+  if (apply(*command) == 0) return badRequest(404, "no such route");
+  return status();
+}
+
+std::size_t FaultProxy::apply(const ControlCommand& command) {
   std::size_t applied = 0;
   for (const auto& route : routes_) {
-    if (!command->route.empty() && command->route != route->name()) continue;
-    route->apply(*command);
+    if (!command.route.empty() && command.route != route->name()) continue;
+    route->apply(command);
     ++applied;
   }
-  if (applied == 0) return badRequest(404, "no such route");
-  return status();
+  return applied;
 }
 
 http::Response FaultProxy::status() const {
--- a/standins/fault_proxy/fault_proxy.h
+++ b/standins/fault_proxy/fault_proxy.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "http/server.h"
+#include "standins/fault_proxy/fault_settings.h"
 
 namespace crankspur::standin {
 
@@ -37,6 +38,10 @@
   /// Opens the control port at "IP:port".
   std::error_code listenControl(const std::string& address);
 
+  /// Applies a command to the routes that it names.
+  /// @return how many these are.
+  std::size_t apply(const ControlCommand& command);
+
   /// @return the ports of the routes in the order they were added.
   std::vector<std::uint16_t> ports() const;
   std::uint16_t controlPort() const { return control_->port(); }
--- a/standins/fault_proxy/fault_settings.cc
+++ b/standins/fault_proxy/fault_settings.cc
@@ -32,6 +32,11 @@
   return value && *value >= 0 && *value <= 1;
 }
 
+bool storeShare(const std::optional<double>& value, double& target) {
+  target = value.value_or(0);
+  return target > 0 && target <= 1;
+}
+
 /// @return whether the field is known and its value usable.
 bool readField(const boost::json::object& object, std::string_view name, ControlCommand& command) {
   if (name == "route") {
@@ -39,6 +44,7 @@
     return !command.route.empty();
   }
   if (name == "cut_now") return storeFlag(boolField(object, name), command.cut_now);
+  if (name == "silence_open") return storeShare(numberField(object, name), command.silence_open);
   if (name == "reset") return storeFlag(boolField(object, name), command.reset);
   if (name == "delay_to_server_ms") return storeDelay(numberField(object, name), command.delay_to_server);
   if (name == "delay_to_client_ms") return storeDelay(numberField(object, name), command.delay_to_client);
--- a/standins/fault_proxy/fault_settings.h
+++ b/standins/fault_proxy/fault_settings.h
@@ -27,7 +27,8 @@
 struct ControlCommand {
   std::string route;  ///< Empty means every route.
   bool cut_now = false;
-  bool reset = false;  ///< Begin from no faults instead of those now set.
+  double silence_open = 0;  ///< Probability that an open connection goes silent for good; new ones work.
+  bool reset = false;       ///< Begin from no faults instead of those now set.
   // The fields that were given; others stay as they are.
   std::optional<Duration> delay_to_server;
   std::optional<Duration> delay_to_client;
@@ -42,7 +43,8 @@
   void applyTo(FaultSettings& settings) const;
 };
 
-/// Reads {"route","cut_now","reset","delay_to_server_ms","delay_to_client_ms","refuse","freeze",
+/// Reads
+/// {"route","cut_now","silence_open","reset","delay_to_server_ms","delay_to_client_ms","refuse","freeze",
 /// "swallow_answers","cut_after_bytes_to_client","bytes_per_second","cut_chance"}, each optional.
 /// @param problem says what is wrong when the result is empty.
 std::optional<ControlCommand> parseControl(std::string_view json, std::string& problem);
--- a/standins/fault_proxy/proxied_connection.cc
+++ b/standins/fault_proxy/proxied_connection.cc
@@ -39,6 +39,10 @@
   for (Flow& flow : flows_) pump(flow);
 }
 
+void ProxiedConnection::silence() {
+  silent_ = true;
+}
+
 void ProxiedConnection::cut() {
   if (closed_) return;
   ++route_->cuts;
@@ -60,7 +64,7 @@
 
 /// Starts whatever the flow may do now.
 void ProxiedConnection::pump(Flow& flow) {
-  if (closed_ || route_->settings.freeze) return;
+  if (closed_ || silent_ || route_->settings.freeze) return;
   if (!flow.reading && !flow.source_ended && flow.queued_bytes < kQueuedBytes) read(flow);
   if (!flow.writing && !flow.queue.empty()) write(flow);
   if (flow.source_ended && flow.queue.empty() && !flow.writing) passEnd(flow);
@@ -71,7 +75,7 @@
   const auto on_read = [self = shared_from_this(), &flow](boost::system::error_code error,
                                                           std::size_t bytes) {
     flow.reading = false;
-    if (!self->closed_) self->onRead(flow, error, bytes);
+    if (!self->closed_ && !self->silent_) self->onRead(flow, error, bytes);
   };
   flow.source.async_read_some(asio::buffer(flow.chunk), on_read);
 }
@@ -112,7 +116,7 @@
   }
   const auto on_written = [self = shared_from_this(), &flow](boost::system::error_code error,
                                                              std::size_t written) {
-    if (!self->closed_) self->onWritten(flow, error, written);
+    if (!self->closed_ && !self->silent_) self->onWritten(flow, error, written);
   };
   asio::async_write(flow.sink, asio::buffer(bytes), on_written);
 }
--- a/standins/fault_proxy/proxied_connection.h
+++ b/standins/fault_proxy/proxied_connection.h
@@ -38,6 +38,8 @@
   void start(const boost::asio::ip::tcp::endpoint& target);
   /// Takes changed settings into account.
   void settingsChanged();
+  /// Passes nothing any more, either way and for good; both sockets stay open and are told nothing.
+  void silence();
   /// Resets both sockets at once.
   void cut();
   /// Closes without counting a cut.
@@ -83,6 +85,7 @@
   std::optional<std::uint64_t> budget_;  ///< Bytes that may still go to the client before the cut.
   bool connected_ = false;
   bool closed_ = false;
+  bool silent_ = false;  ///< Passes nothing any more.
 };
 
 }  // namespace crankspur::standin
--- a/standins/fault_proxy/proxy_route.cc
+++ b/standins/fault_proxy/proxy_route.cc
@@ -66,6 +66,8 @@
 void ProxyRoute::apply(const ControlCommand& command) {
   command.applyTo(state_->settings);
   for (const auto& connection : openConnections()) {
+    const bool falls_silent = command.silence_open > 0 && state_->random.chance(command.silence_open);
+    if (falls_silent) connection->silence();
     if (command.cut_now) {
       connection->cut();
     } else {
