Leave connections of before a silence together, and ask by another way when a feed's answer is late

A feed's held call was given up after its wait and whole patience (3.7 s), and the next one took another kept connection, as silent. Where the kernel's probes ended the connection first (3 s), the HTTP client took that for a close that crossed the request and made the GET anew with its whole hold. Ruled out: a store that answers late or turns away (no 429 or 503, new connections answered at once). Class: the liveness of a connection taken for that of its peer.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -78,6 +78,10 @@
   /// @param sent whether the back end may have got any byte of the request.
   void onLost(ExchangeId exchange, bool sent, TimePoint now);
 
+  /// Open connections to several peers have gone silent for good, while new ones may work. Requests under way
+  /// that may be repeated move once they have heard nothing for a while after this.
+  void onConnectionsSilent(TimePoint now);
+
   void onTimer(TimePoint now);
   /// @return when onTimer() has work; empty: not until another event.
   std::optional<TimePoint> nextTimer() const;
@@ -163,7 +167,7 @@
   void onErrorAnswer(Entry& entry, int status, TimePoint now);
   void onBrokenAnswer(Entry& entry, int status, TimePoint now);
   void endExchange(Entry& entry, DispatchOutcome outcome, TimePoint now);
-  void cancelExchange(Entry& entry, DispatchOutcome outcome, TimePoint now);
+  void cancelExchange(Entry& entry, DispatchOutcome outcome, TimePoint now, bool unanswered = false);
   void discardAnswer(Entry& entry, DispatchOutcome outcome, TimePoint now);
   bool mayRepeat(const Entry& entry) const;
   bool takeRepeat(Entry& entry, TimePoint now);
@@ -171,6 +175,8 @@
   void moveOn(Entry& entry, const Running& failed, int status, TimePoint now);
   void giveUp(Entry& entry, TimePoint now);
   void noteFirstByte(Entry& entry, TimePoint now);
+  TimePoint silentFrom(const Running& running, TimePoint now) const;
+  bool mayBeCut(const Running& running) const;
   Duration silenceLimit(const Running& running, TimePoint now) const;
   void checkSilence(Entry& entry, TimePoint now);
   void lookAtSilent(TimePoint now);
@@ -191,6 +197,7 @@
   ExchangeId next_exchange_ = 1;
   std::vector<GatewayAction> actions_;
   GatewayCounters counters_;
+  TimePoint connections_silent_at_{};  ///< When that was noticed last.
 };
 
 }  // namespace crankspur::gateway
--- a/src/gateway/gateway_actions.h
+++ b/src/gateway/gateway_actions.h
@@ -34,6 +34,7 @@
 /// Closes the connection of an exchange; nothing of it is heard any more.
 struct CancelExchange {
   ExchangeId exchange = 0;
+  bool unanswered = false;  ///< No answer came in the time for it: the connection may have gone silent.
 };
 
 /// Nothing more of the exchange is wanted, but its answer is short: the connection may be used again after
--- a/src/gateway/gateway_answers.cc
+++ b/src/gateway/gateway_answers.cc
@@ -198,6 +198,31 @@
   serveQueue(now);
 }
 
+void Gateway::onConnectionsSilent(TimePoint now) {
+  connections_silent_at_ = now;
+  for (const auto& [exchange, client] : exchanges_) {
+    Entry* entry = findClient(client);
+    if (entry == nullptr || entry->running.exchange != exchange) continue;
+    wakeAt(*entry, std::min(entry->wakes_at, silentFrom(entry->running, now)));
+  }
+}
+
+/// @return whether the request runs on a connection of before the last silence and has heard nothing since.
+/// What the back end tells others says nothing of that connection.
+bool Gateway::mayBeCut(const Running& running) const {
+  return running.sent_at < connections_silent_at_ && running.heard_at <= connections_silent_at_;
+}
+
+/// @return when the request counts as left alone by its back end, if nothing more is heard. Where its
+/// connection may have gone silent it takes a fifth of the usual time: beyond the time in which the first
+/// byte was expected, since some connections may be sound and their back ends still read a prompt.
+TimePoint Gateway::silentFrom(const Running& running, TimePoint now) const {
+  const TimePoint heard = std::max(running.heard_at, running.sent_at);
+  if (!mayBeCut(running)) return std::max(heard, table_.heardAt(running.slot)) + silenceLimit(running, now);
+  const TimePoint expected = running.first_byte ? heard : running.sent_at + running.expected;
+  return std::max(connections_silent_at_, expected) + settings_.silence_limit_of_silent;
+}
+
 /// @return how long the back end may be silent towards the request.
 Duration Gateway::silenceLimit(const Running& running, TimePoint now) const {
   const Backend* backend = snapshot_->backend(running.slot);
@@ -212,16 +237,17 @@
 /// Nothing at all has come from the back end for a while: those that may be repeated go elsewhere.
 void Gateway::checkSilence(Entry& entry, TimePoint now) {
   const Running running = entry.running;
-  const TimePoint heard = std::max(running.heard_at, table_.heardAt(running.slot));
-  const TimePoint due = std::max(heard, running.sent_at) + silenceLimit(running, now);
+  const TimePoint due = silentFrom(running, now);
   const bool elsewhere = snapshot_->backends.size() > 1;
   if (now < due) return wakeAt(entry, std::min(entry.ends_at, due));
   entry.arrived_before = true;
   entry.may_have_run = true;
   if (!elsewhere || !mayRepeat(entry) || !takeRepeat(entry, now)) return wakeAt(entry, entry.ends_at);
   entry.cause = RequestCause::silence;
-  entry.failed.push_back(running.slot);
-  cancelExchange(entry, DispatchOutcome::Failed, now);
+  // A connection that went silent says nothing of its back end, which may hold the prompt by now.
+  const bool cut = mayBeCut(running);
+  if (!cut) entry.failed.push_back(running.slot);
+  cancelExchange(entry, cut ? DispatchOutcome::Ended : DispatchOutcome::Failed, now, true);
   moveOn(entry, running, running.status, now);
 }
 
@@ -238,9 +264,9 @@
   observer_.onDistrusted({entry.last_backend, entry.cause, table_.distrustedFor(running.slot, now)});
 }
 
-void Gateway::cancelExchange(Entry& entry, DispatchOutcome outcome, TimePoint now) {
+void Gateway::cancelExchange(Entry& entry, DispatchOutcome outcome, TimePoint now, bool unanswered) {
   if (entry.running.exchange == 0) return;
-  actions_.emplace_back(CancelExchange{entry.running.exchange});
+  actions_.emplace_back(CancelExchange{entry.running.exchange, unanswered});
   endExchange(entry, outcome, now);
 }
 
--- a/src/gateway_control/cache_watch.cc
+++ b/src/gateway_control/cache_watch.cc
@@ -12,7 +12,10 @@
 /// Between two questions to one cache: news are gathered meanwhile.
 constexpr Duration kPause = std::chrono::milliseconds(30);
 constexpr Duration kPauseAfterRefusal = std::chrono::seconds(1);
-/// A cache that did not answer is asked again soon, since requests keep away from its engine meanwhile.
+/// A call for events is held this long when nothing happens, so that an engine that no longer answers is
+/// noticed soon.
+constexpr Duration kEventsWait = std::chrono::milliseconds(400);
+/// A cache that did not answer twice is asked again soon, since requests keep away from its engine meanwhile.
 constexpr Duration kPauseAfterSilence = std::chrono::milliseconds(300);
 /// First calls under way at once: their answers tell whole caches, some 200 KB each, and a gateway of a large
 /// fleet that knows few others yet would read all caches at its start.
@@ -97,7 +100,10 @@
         followed->address, [this, followed](CachedPartsPage page) { onContent(followed, std::move(page)); });
     return;
   }
-  platform_.readCacheEvents(followed->address, followed->position,
+  // After silence an answer at once tells an engine that lives behind a silent connection: requests keep away
+  // from it for some milliseconds then, and not for the pause and another wait (0.7 s).
+  const Duration wait = followed->silent ? Duration(0) : kEventsWait;
+  platform_.readCacheEvents(followed->address, followed->position, wait,
                             [this, followed](CachedPartsPage page) { onEvents(followed, std::move(page)); });
 }
 
@@ -162,9 +168,9 @@
     onAnswer(*followed);
     return askLater(followed, kPauseAfterRefusal);
   }
-  followed->silent = true;
+  const bool again = std::exchange(followed->silent, true);
   callbacks_.on_silent({followed->slot, followed->incarnation, followed->asked_at, othersAnswer(*followed)});
-  askLater(followed, kPauseAfterSilence);
+  askLater(followed, again ? kPauseAfterSilence : Duration(0));
 }
 
 void CacheWatch::tell(const Followed& followed, std::vector<CachedPart> parts, bool complete) {
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -139,6 +139,7 @@
   };
   news.on_contact = [this](TimePoint as_of) { onContact(as_of); };
   news.on_trouble = [this] { onTrouble(); };
+  news.on_connections_silent = [this] { onConnectionsSilent(); };
   return news;
 }
 
@@ -232,6 +233,11 @@
   }
 }
 
+void GatewayControl::onConnectionsSilent() {
+  log_.write(EventId::ConnectionsSilent, {{"last_contact_ms", milliseconds(now() - contact_->vouchedAt())}});
+  outputs_.on_connections_silent();
+}
+
 void GatewayControl::onLoading(const std::string& backend) {
   fleet_.onLoading(backend, now() + kLoadingTime);
   publish();
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -29,6 +29,8 @@
   std::function<void(std::shared_ptr<const GatewaySnapshot>)> publish;
   std::function<void(CachedPartsNews)> on_cached_parts;
   std::function<void(std::vector<LoadDigest>)> on_peer_work;
+  /// Open connections have gone silent: those of traffic may have, too.
+  std::function<void()> on_connections_silent;
 };
 
 /// What the control state holds, for operators.
@@ -113,6 +115,7 @@
   void onConfiguration(std::shared_ptr<const Configuration> configuration);
   void onContact(TimePoint as_of);
   void onTrouble();
+  void onConnectionsSilent();
   void onLoading(const std::string& backend);
   void onReport(const std::string& backend, const WeightsReport& report, bool is_loading);
   void onNote(const BackendNote& note);
--- a/src/gateway_control/platform_link.h
+++ b/src/gateway_control/platform_link.h
@@ -44,6 +44,8 @@
   std::function<void(TimePoint as_of)> on_contact;
   /// The platform did not answer or turned a call away.
   std::function<void()> on_trouble;
+  /// Open connections to several peers have gone silent together, while new ones may work.
+  std::function<void()> on_connections_silent;
 };
 
 /// What a back end says of the weights that it holds.
@@ -105,8 +107,8 @@
   virtual void readWeights(const std::string& address,
                            std::function<void(std::optional<WeightsReport>)> done) = 0;
   virtual void sendOrder(const WeightsOrder& order, std::function<void(OrderAnswer)> done) = 0;
-  /// Asks for changes after `position`, waiting some hundred milliseconds for the first.
-  virtual void readCacheEvents(const std::string& address, std::uint64_t position,
+  /// Asks for changes after `position`, waiting up to `wait` for the first.
+  virtual void readCacheEvents(const std::string& address, std::uint64_t position, Duration wait,
                                std::function<void(CachedPartsPage)> done) = 0;
   /// Asks for everything that is cached now.
   virtual void readCacheContent(const std::string& address, std::function<void(CachedPartsPage)> done) = 0;
--- a/src/gateway_control/reader_choice.cc
+++ b/src/gateway_control/reader_choice.cc
@@ -1,16 +1,28 @@
 #include "gateway_control/reader_choice.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace crankspur::gateway {
 namespace {
 
 /// A gateway that failed is not asked again for so long: as long as a restart takes.
 constexpr Duration kAvoided = std::chrono::seconds(2);
+/// One whose answer is late: until another one has had time to answer on a new connection.
+constexpr Duration kAvoidedWhenLate = std::chrono::milliseconds(400);
 /// While all readers fail a gateway asks the platform itself about this often. Readers fail together when the
 /// platform is down, and then hundreds of gateways would ask it at once.
 constexpr Duration kPlatformInterval = std::chrono::seconds(3);
 
 }  // namespace
 
+void ReaderChoice::setReaders(std::vector<std::string> readers) {
+  readers_ = std::move(readers);
+  std::erase_if(late_at_, [this](const auto& item) {
+    return std::find(readers_.begin(), readers_.end(), item.first) == readers_.end();
+  });
+}
+
 ReadFrom ReaderChoice::next(TimePoint now) {
   if (readers_.empty()) return {ReadFrom::Kind::Platform, ""};
   std::erase_if(avoided_until_, [now](const auto& item) { return item.second <= now; });
@@ -28,4 +40,15 @@
   avoided_until_[address] = now + kAvoided;
 }
 
+void ReaderChoice::onLate(const std::string& address, TimePoint now) {
+  TimePoint& until = avoided_until_[address];
+  until = std::max(until, now + kAvoidedWhenLate);
+  late_at_[address] = now;
+}
+
+bool ReaderChoice::wasLateAfter(const std::string& address, TimePoint sent_at) const {
+  const auto late = late_at_.find(address);
+  return late != late_at_.end() && late->second > sent_at;
+}
+
 }  // namespace crankspur::gateway
--- a/src/gateway_control/reader_choice.h
+++ b/src/gateway_control/reader_choice.h
@@ -26,17 +26,22 @@
 public:
   explicit ReaderChoice(std::uint64_t random_seed) : random_(random_seed) {}
   /// @param readers addresses of gateways that read the platform, the best first; empty: this one reads it.
-  void setReaders(std::vector<std::string> readers) { readers_ = std::move(readers); }
+  void setReaders(std::vector<std::string> readers);
   /// @return whether this gateway reads the platform itself.
   bool readsPlatform() const { return readers_.empty(); }
   ReadFrom next(TimePoint now);
   /// A gateway did not answer, or with nothing of use.
   void onFailed(const std::string& address, TimePoint now);
+  /// The answer of a gateway is late: the connection to it may have gone silent while it is well.
+  void onLate(const std::string& address, TimePoint now);
+  /// @return whether the gateway was told to be late after `sent_at`: a call sent then tells nothing new.
+  bool wasLateAfter(const std::string& address, TimePoint sent_at) const;
 
 private:
   RandomSource random_;
   std::vector<std::string> readers_;
   std::map<std::string, TimePoint> avoided_until_;
+  std::map<std::string, TimePoint> late_at_;  ///< The last time, by address.
   TimePoint platform_again_at_{};
 };
 
--- a/src/gateway_control/table_relay.cc
+++ b/src/gateway_control/table_relay.cc
@@ -58,7 +58,7 @@
 // The side that asks.
 
 void TableRelay::read(const std::string& table, const std::string& from, TableCallback done) {
-  const ReadFrom source = choice_.next(now());
+  const ReadFrom source = nextSource(table);
   if (source.kind == ReadFrom::Kind::Platform) return store_.read(table, from, std::move(done));
   if (source.kind == ReadFrom::Kind::Nobody) return done({TableOutcome::NotDone, {}, false, 0, 0, {}});
   askGateway(source.address, std::string(kPath) + "?name=" + table, Duration(0), std::move(done));
@@ -66,7 +66,7 @@
 
 void TableRelay::waitForChanges(const std::string& table, std::uint64_t version, Duration wait,
                                 TableCallback done) {
-  const ReadFrom source = choice_.next(now());
+  const ReadFrom source = nextSource(table);
   if (source.kind == ReadFrom::Kind::Platform) {
     return store_.waitForChanges(table, version, wait, std::move(done));
   }
@@ -76,6 +76,25 @@
   askGateway(source.address, target, wait, std::move(done));
 }
 
+ReadFrom TableRelay::nextSource(const std::string& table) {
+  ReadFrom source = choice_.next(now());
+  asked_[table] = source;
+  // All readers fail or are late: connections to the store that are kept for other calls may be silent as
+  // well.
+  if (source.kind == ReadFrom::Kind::Platform && !readsPlatform()) store_.onLate(table);
+  return source;
+}
+
+void TableRelay::onLate(const std::string& table) {
+  const auto asked = asked_.find(table);
+  if (asked == asked_.end()) return;
+  if (asked->second.kind == ReadFrom::Kind::Platform) return store_.onLate(table);
+  if (asked->second.kind == ReadFrom::Kind::Nobody) return;
+  choice_.onLate(asked->second.address, now());
+  // The connection to the next one may be as silent.
+  client_.leaveKept("");
+}
+
 void TableRelay::askGateway(const std::string& address, const std::string& target, Duration wait,
                             TableCallback done) {
   http::Request request;
@@ -90,7 +109,7 @@
     TableAnswer answer;
     if (!error) answer = readAnswer(response, sent_at, wait);
     const bool usable = answer.outcome == TableOutcome::Done || answer.outcome == TableOutcome::HistoryGone;
-    if (!usable) choice_.onFailed(address, now());
+    if (!usable && !choice_.wasLateAfter(address, sent_at)) choice_.onFailed(address, now());
     done(std::move(answer));
   };
   client_.start(address, std::move(request), std::move(callbacks), options);
--- a/src/gateway_control/table_relay.h
+++ b/src/gateway_control/table_relay.h
@@ -39,6 +39,7 @@
   void read(const std::string& table, const std::string& from, TableCallback done) override;
   void waitForChanges(const std::string& table, std::uint64_t version, Duration wait,
                       TableCallback done) override;
+  void onLate(const std::string& table) override;
 
   // What this gateway learns of a table goes to its copy.
   void onRow(const std::string& table, const RelayedRow& row) { mirrors_[table].onRow(row); }
@@ -65,6 +66,7 @@
   void answer(const Waiting& waiting);
   void answerDue();
   void armTimer();
+  ReadFrom nextSource(const std::string& table);
   void askGateway(const std::string& address, const std::string& target, Duration wait, TableCallback done);
   TableAnswer readAnswer(const http::Response& response, TimePoint sent_at, Duration wait) const;
 
@@ -73,6 +75,7 @@
   SteadyClock clock_;
   ReaderChoice choice_;
   std::map<std::string, TableMirror> mirrors_;  ///< By table.
+  std::map<std::string, ReadFrom> asked_;       ///< Where the last call for each table went.
   std::list<std::shared_ptr<Waiting>> waiting_;
   boost::asio::any_io_executor executor_;
   boost::asio::steady_timer timer_;
--- a/src/gateway_control/table_source.h
+++ b/src/gateway_control/table_source.h
@@ -43,6 +43,9 @@
   /// Waits up to `wait` for changes after `version`.
   virtual void waitForChanges(const std::string& table, std::uint64_t version, Duration wait,
                               TableCallback done) = 0;
+  /// The answer to a call for the table is late: the next one takes another way, a new connection and, where
+  /// there are several, another gateway.
+  virtual void onLate(const std::string& table) = 0;
 };
 
 }  // namespace crankspur::gateway
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -50,6 +50,10 @@
       [this, owned = std::move(digests)] { implementation_->loop.onPeerWork(owned); });
 }
 
+void GatewayProcess::onConnectionsSilent() {
+  implementation_->thread.post([this] { implementation_->loop.onConnectionsSilent(); });
+}
+
 void GatewayProcess::drain() {
   implementation_->draining = true;
   implementation_->thread.post([this] { implementation_->loop.drain(); });
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -63,6 +63,8 @@
   void onCachedParts(CachedPartsNews news);
   /// Tells what other gateways have at each engine.
   void onPeerWork(std::vector<LoadDigest> digests);
+  /// Tells that open connections to several peers have gone silent, while new ones may work.
+  void onConnectionsSilent();
 
   /// Begins the graceful stop: ready() turns false, open connections are still served and their answers close
   /// them. Nothing in flight is cut.
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -77,7 +77,12 @@
       timer_(executor_),
       drain_timer_(executor_),
       work_timer_(executor_),
-      meter_timer_(executor_) {}
+      meter_timer_(executor_) {
+  http_->setSilenceHandler([this] {
+    gateway_.onConnectionsSilent(now());
+    pump();
+  });
+}
 
 std::error_code TrafficLoop::listen() {
   std::error_code error;
@@ -126,6 +131,12 @@
   for (const LoadDigest& digest : digests) gateway_.onPeerWork(digest.sender, digest, now());
 }
 
+void TrafficLoop::onConnectionsSilent() {
+  http_->leaveKept("");
+  gateway_.onConnectionsSilent(now());
+  pump();
+}
+
 void TrafficLoop::tellWorkSoon() {
   const bool news = !running_.empty() || told_work_;
   if (!facts_.on_own_work || !news || std::exchange(work_waiting_, true)) return;
@@ -283,7 +294,11 @@
   if (found == running_.end()) return;
   const auto exchange = found->second.exchange;
   running_.erase(found);
-  exchange->cancel();
+  if (action.unanswered) {
+    exchange->cancelUnanswered();
+  } else {
+    exchange->cancel();
+  }
 }
 
 void TrafficLoop::carryOut(const DiscardAnswer& action) {
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -28,6 +28,8 @@
   void onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot);
   void onCachedParts(const CachedPartsNews& news);
   void onPeerWork(const std::vector<LoadDigest>& digests);
+  /// Closes kept connections to back ends; requests on others that may be repeated move soon.
+  void onConnectionsSilent();
   void drain();
   void stopAccepting() { server_->stopAccepting(); }
   void closeIdleConnections() { server_->closeIdle(); }
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,10 +1,13 @@
 #include "http/client.h"
 
+#include <algorithm>
+#include <optional>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
 #include "http/client_connection.h"
+#include "http/connection_trust.h"
 
 namespace crankspur::http {
 
@@ -31,6 +34,31 @@
     on_unanswered_ = std::move(handler);
   }
 
+  void setSilenceHandler(std::function<void()> handler) { on_silence_ = std::move(handler); }
+
+  /// @param address whose connections; empty: all.
+  void leaveKept(const std::string& address, ConnectionTrust::Time heard_before) {
+    std::vector<std::shared_ptr<ClientConnection>> left;
+    for (const auto& [to, connections] : idle_) {
+      if (!address.empty() && to != address) continue;
+      for (const auto& connection : connections) {
+        if (connection->heardAt() < heard_before) left.push_back(connection);
+      }
+    }
+    for (const auto& connection : left) {
+      connection->close();
+      forget(connection.get());
+    }
+  }
+
+  void cancelUnanswered(const std::shared_ptr<ExchangeState>& exchange) {
+    const auto found = running_.find(exchange.get());
+    std::optional<UnansweredExchange> unanswered;
+    if (!exchange->ended && found != running_.end()) unanswered = found->second->unanswered();
+    cancel(exchange);
+    if (unanswered) onUnanswered(*unanswered);
+  }
+
   void cancel(const std::shared_ptr<ExchangeState>& exchange) {
     if (exchange->ended) return;
     exchange->ended = true;
@@ -73,6 +101,10 @@
     owner.on_closed = [weak](ClientConnection* connection) {
       if (const auto pool = weak.lock()) pool->forget(connection);
     };
+    owner.on_answered_again = [weak](ClientConnection* connection) {
+      const auto pool = weak.lock();
+      if (pool) pool->trust_.onAnswered(connection->address(), connection->heardAt());
+    };
     auto connection = std::make_shared<ClientConnection>(executor_, address, owner);
     open_.insert(connection);
     return connection;
@@ -100,7 +132,7 @@
   void onEnd(const std::shared_ptr<ExchangeState>& exchange, const ClientConnection::Outcome& outcome) {
     running_.erase(exchange.get());
     if (closed_ || exchange->ended) return;
-    if (outcome.unanswered) tellUnanswered(*outcome.unanswered);
+    if (outcome.unanswered) onUnanswered(*outcome.unanswered);
     const bool nothing_sent = outcome.state == SendState::NotSent;
     if (outcome.stale && (nothing_sent || exchange->request.method == "GET")) return run(exchange, true);
     exchange->ended = true;
@@ -108,15 +140,24 @@
     if (callbacks.on_done) callbacks.on_done(outcome.error, outcome.state, std::move(exchange->response));
   }
 
-  void tellUnanswered(UnansweredExchange unanswered) const {
-    if (!on_unanswered_) return;
+  /// Only what a connection that answered before left unanswered tells of other servers: on a new one the
+  /// server may be at fault.
+  void onUnanswered(UnansweredExchange unanswered) {
     const auto found = idle_.find(unanswered.address);
     unanswered.idle = found == idle_.end() ? 0 : found->second.size();
-    on_unanswered_(unanswered);
+    if (on_unanswered_) on_unanswered_(unanswered);
+    const auto now = std::chrono::steady_clock::now();
+    const auto began = now - unanswered.waited;
+    const bool all = unanswered.reused && trust_.onUnanswered(unanswered.address, began, now) ==
+                                              ConnectionTrust::Verdict::LeaveAll;
+    leaveKept(all ? "" : unanswered.address, std::max(began, now - ConnectionTrust::kRecently));
+    if (all && on_silence_) on_silence_();
   }
 
   asio::any_io_executor executor_;
   std::function<void(const UnansweredExchange&)> on_unanswered_;
+  std::function<void()> on_silence_;
+  ConnectionTrust trust_;
   bool closed_ = false;
   std::unordered_set<std::shared_ptr<ClientConnection>> open_;
   std::unordered_map<std::string, std::vector<std::shared_ptr<ClientConnection>>> idle_;
@@ -130,6 +171,9 @@
   void cancel() override {
     if (const auto pool = pool_.lock()) pool->cancel(state_);
   }
+  void cancelUnanswered() override {
+    if (const auto pool = pool_.lock()) pool->cancelUnanswered(state_);
+  }
 
 private:
   std::weak_ptr<ConnectionPool> pool_;
@@ -156,6 +200,12 @@
   void setUnansweredHandler(std::function<void(const UnansweredExchange&)> handler) override {
     pool_->setUnansweredHandler(std::move(handler));
   }
+  void setSilenceHandler(std::function<void()> handler) override {
+    pool_->setSilenceHandler(std::move(handler));
+  }
+  void leaveKept(const std::string& address) override {
+    pool_->leaveKept(address, std::chrono::steady_clock::now() - ConnectionTrust::kRecently);
+  }
 
 private:
   std::shared_ptr<ConnectionPool> pool_;
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -38,6 +38,8 @@
   virtual ~Exchange() = default;
   /// Closes the connection; on_done is not called any more.
   virtual void cancel() = 0;
+  /// The same, because no answer came in the time for it: kept connections may be at fault as well.
+  virtual void cancelUnanswered() = 0;
 };
 
 /// Options of one exchange.
@@ -57,8 +59,9 @@
   std::size_t idle = 0;        ///< Other connections to the address that are kept for later exchanges.
 };
 
-/// Client with pooled connections. A kept-alive connection that the server closed before the first byte of
-/// the response is never silently retried unless the method is GET.
+/// Client with pooled connections. When an exchange on a kept-alive connection gets no answer the others to
+/// the same server are closed, or all (connection_trust.h). A kept-alive connection that the server closed
+/// before the first byte of the response is never silently retried unless the method is GET.
 class Client {
 public:
   virtual ~Client() = default;
@@ -67,6 +70,12 @@
                                           ExchangeCallbacks callbacks, ExchangeOptions options = {}) = 0;
   /// @param handler hears of each exchange that was left unanswered, before its on_done.
   virtual void setUnansweredHandler(std::function<void(const UnansweredExchange&)> handler) = 0;
+  /// @param handler hears when connections to several servers have gone silent together, so that all kept
+  /// ones were closed.
+  virtual void setSilenceHandler(std::function<void()> handler) = 0;
+  /// Closes kept connections that have not been heard for 0.3 s: later exchanges open new ones.
+  /// @param address whose; empty: all.
+  virtual void leaveKept(const std::string& address) = 0;
 };
 
 /// @return a client whose work and callbacks run on `executor`.
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <charconv>
+#include <utility>
 
 #include "base/endpoint.h"
 #include "base/error.h"
@@ -20,6 +21,10 @@
 constexpr std::uint32_t kHeaderBytes = 64 * 1024;
 /// Shorter than the server's idle timeout, so that the client is first to give a connection up.
 constexpr Duration kIdleLifetime = std::chrono::seconds(20);
+/// A server's close of an idle connection and the next request on it cross on the way, for this long at most.
+constexpr Duration kCloseCrossesRequest = std::chrono::milliseconds(500);
+/// A timer that is this late finds bytes that came meanwhile; they are read before anything is given up.
+constexpr Duration kLateTimer = std::chrono::milliseconds(50);
 
 /// Lets the kernel notice within seconds that the other machine is gone; it would say nothing.
 void probeWhenIdle(asio::ip::tcp::socket& socket) {
@@ -60,6 +65,7 @@
   request_written_ = false;
   byte_sent_ = false;
   byte_received_ = false;
+  fired_late_ = false;
   began_at_ = std::chrono::steady_clock::now();
   reused_ = phase_ == Phase::Idle;
   if (reused_) {
@@ -87,6 +93,7 @@
   if (phase_ != Phase::Connecting) return;
   if (error) return fail(error);
   opened_at_ = std::chrono::steady_clock::now();
+  heard_at_ = opened_at_;
   boost::system::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
   probeWhenIdle(socket_);
@@ -138,7 +145,8 @@
   }
   if (error) return fail(error);
   last_byte_ = std::chrono::steady_clock::now();
-  byte_received_ = true;
+  heard_at_ = last_byte_;
+  if (!std::exchange(byte_received_, true) && reused_) owner_.on_answered_again(this);
   parse();
   if (phase_ == Phase::Busy || phase_ == Phase::Idle) read();
 }
@@ -222,8 +230,8 @@
   owner_.on_end(exchange, {{}, SendState::SentUnknown, false, {}});
 }
 
-std::optional<UnansweredExchange> ClientConnection::unanswered(std::error_code error) const {
-  if (byte_received_ || error != make_error_code(ErrorCode::DeadlineExceeded)) return std::nullopt;
+std::optional<UnansweredExchange> ClientConnection::unanswered() const {
+  if (byte_received_ || !exchange_) return std::nullopt;
   const auto now = std::chrono::steady_clock::now();
   UnansweredExchange unanswered;
   unanswered.address = address_;
@@ -235,9 +243,10 @@
 }
 
 void ClientConnection::fail(std::error_code error) {
+  Outcome outcome{error, byte_sent_ ? SendState::SentUnknown : SendState::NotSent, false, {}};
+  if (error == make_error_code(ErrorCode::DeadlineExceeded)) outcome.unanswered = unanswered();
   const auto exchange = std::exchange(exchange_, nullptr);
-  Outcome outcome{error, byte_sent_ ? SendState::SentUnknown : SendState::NotSent, false, unanswered(error)};
-  outcome.stale = reused_ && !byte_received_ && error != make_error_code(ErrorCode::DeadlineExceeded);
+  outcome.stale = closedAsItWasSent(error);
   shut();
   owner_.on_end(exchange, outcome);
 }
@@ -263,8 +272,23 @@
   });
 }
 
+/// Only a close that crossed the request is no failure of the exchange. One that comes later, such as the
+/// kernel's own notice of a silent connection after some 3 s, is the caller's to judge: a call that is held
+/// for 2.5 s was made anew with its whole hold, and the contact that it vouches for became 8 s old.
+bool ClientConnection::closedAsItWasSent(std::error_code error) const {
+  if (!reused_ || byte_received_ || error == make_error_code(ErrorCode::DeadlineExceeded)) return false;
+  return std::chrono::steady_clock::now() - began_at_ < kCloseCrossesRequest;
+}
+
+/// A timer that fires late says that this process was held up: the answer may lie in the socket, unread.
+bool ClientConnection::firesLate() {
+  if (std::chrono::steady_clock::now() - timer_.expiry() < kLateTimer) return false;
+  return !std::exchange(fired_late_, true);
+}
+
 void ClientConnection::onTimer() {
   if (phase_ == Phase::Idle) return shut();
+  if (firesLate()) return armTimer(kLateTimer);
   if (phase_ == Phase::Busy) {
     const auto quiet = std::chrono::steady_clock::now() - last_byte_;
     const Duration limit = exchange_->options.idle_timeout;
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -58,7 +58,7 @@
   struct Outcome {
     std::error_code error;
     SendState state = SendState::NotSent;
-    bool stale = false;  ///< The server closed a reused connection before it answered.
+    bool stale = false;  ///< The server closed a reused connection as the request was sent.
     std::optional<UnansweredExchange> unanswered;  ///< Set when the time for the first byte passed.
   };
   struct Owner {
@@ -66,6 +66,8 @@
     std::function<void(std::shared_ptr<ExchangeState>, Outcome)> on_end;
     std::function<void(std::shared_ptr<ClientConnection>)> on_idle;
     std::function<void(ClientConnection*)> on_closed;
+    /// A connection that had served an exchange before began to answer the next one.
+    std::function<void(ClientConnection*)> on_answered_again;
   };
 
   ClientConnection(const boost::asio::any_io_executor& executor, std::string address, Owner owner);
@@ -75,6 +77,9 @@
   void run(std::shared_ptr<ExchangeState> exchange);
   /// Closes without calling the owner.
   void close();
+  /// @return what is known of the exchange under way when no byte of its answer has come; empty: one has.
+  std::optional<UnansweredExchange> unanswered() const;
+  std::chrono::steady_clock::time_point heardAt() const { return heard_at_; }
 
 private:
   using Parser = boost::beast::http::response_parser<CallbackBody>;
@@ -92,10 +97,11 @@
   void keepAliveFor(const Headers& headers);
   void complete(bool reusable);
   void fail(std::error_code error);
-  std::optional<UnansweredExchange> unanswered(std::error_code error) const;
   void shut();
   void armTimer(Duration delay);
   void onTimer();
+  bool firesLate();
+  bool closedAsItWasSent(std::error_code error) const;
 
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
@@ -111,9 +117,11 @@
   bool byte_sent_ = false;
   bool byte_received_ = false;
   bool headers_announced_ = false;
+  bool fired_late_ = false;  ///< The timer did, in this exchange.
   bool discarding_ = false;  ///< The answer under way belongs to an earlier request.
   Duration idle_lifetime_;   ///< As the server states it.
   std::chrono::steady_clock::time_point last_byte_;
+  std::chrono::steady_clock::time_point heard_at_{};   ///< When bytes came last; set once connected.
   std::chrono::steady_clock::time_point opened_at_{};  ///< Set once connected.
   std::chrono::steady_clock::time_point began_at_{};   ///< Of the exchange under way.
 };
--- /dev/null
+++ b/tests/unit/gateway/gateway_silent_connections_test.cc
@@ -0,0 +1,84 @@
+/// @file Open connections to back ends go silent for good while new ones work. What a back end tells others
+/// on new connections kept requests on silent ones waiting until their deadline, and moves for silence took
+/// sound back ends out of use.
+
+#include "unit/gateway/gateway_fixture.h"
+
+namespace crankspur::gateway {
+
+TEST_CASE("a request that may be repeated moves soon after its connection may have gone silent",
+          "[gateway][silent_connections]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("look");
+  fixture.pass(milliseconds(100));
+  fixture.gateway.onConnectionsSilent(fixture.now);
+  fixture.pass(milliseconds(250));
+  CHECK_FALSE(fixture.has<Dispatch>());
+  fixture.pass(milliseconds(300));
+  CHECK(fixture.only<CancelExchange>().unanswered);
+  CHECK(fixture.has<Dispatch>());
+  CHECK(fixture.observer.distrusted.empty());
+}
+
+TEST_CASE("what the back end tells others is no sign of life of a connection that may be silent",
+          "[gateway][silent_connections]") {
+  GatewayFixture fixture;
+  fixture.backends.erase(fixture.backends.begin());
+  fixture.publish();
+  fixture.send("look");
+  const Dispatch silenced = fixture.last;
+  fixture.pass(milliseconds(50));
+  fixture.gateway.onConnectionsSilent(fixture.now);
+  bool moved = false;
+  for (int request = 0; request < 8 && !moved; ++request) {
+    fixture.send("look");
+    fixture.head(200);
+    fixture.end();
+    fixture.pass(milliseconds(100));
+    for (const CancelExchange& cancel : fixture.all<CancelExchange>())
+      moved |= cancel.exchange == silenced.exchange;
+  }
+  CHECK(moved);
+}
+
+TEST_CASE("a request that hears more after the silence stays where it is", "[gateway][silent_connections]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("review");
+  fixture.head(200);
+  fixture.bytes("id: 1\ndata: a\n\n");
+  fixture.gateway.onConnectionsSilent(fixture.now);
+  fixture.pass(milliseconds(100));
+  fixture.bytes("id: 2\ndata: b\n\n");
+  fixture.pass(milliseconds(1000));
+  CHECK_FALSE(fixture.has<CancelExchange>());
+}
+
+TEST_CASE("a request sent after the silence was noticed has the usual time",
+          "[gateway][silent_connections]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.gateway.onConnectionsSilent(fixture.now);
+  fixture.pass(milliseconds(1));
+  fixture.send("look");
+  fixture.pass(milliseconds(1000));
+  CHECK_FALSE(fixture.has<CancelExchange>());
+}
+
+TEST_CASE("what may run once is not sent again when its connection may have gone silent",
+          "[gateway][silent_connections]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("order");
+  fixture.gateway.onConnectionsSilent(fixture.now);
+  fixture.pass(milliseconds(2000));
+  CHECK_FALSE(fixture.has<Dispatch>());
+  CHECK_FALSE(fixture.has<Refuse>());
+  // An answer that comes after all is passed on.
+  fixture.head(200);
+  fixture.end();
+  CHECK(fixture.has<PassWhole>());
+}
+
+}  // namespace crankspur::gateway
--- a/tests/unit/gateway_control/cache_watch_test.cc
+++ b/tests/unit/gateway_control/cache_watch_test.cc
@@ -141,3 +141,22 @@
   // Those that take long do not hold up the others for ever.
   watched.runUntil([&] { return watched.platform.events_calls.size() == 12; });
 }
+
+TEST_CASE("an engine behind a silent connection is asked again at once, without a wait",
+          "[cache_watch][silence]") {
+  WatchedCaches caches;
+  caches.answerEmpty("a2");
+  REQUIRE(caches.platform.events_waits["a1"] == std::chrono::milliseconds(400));
+  caches.dontAnswer("a1");
+  const auto began = std::chrono::steady_clock::now();
+  caches.runUntil([&] { return caches.platform.events_calls.contains("a1"); });
+  CHECK(std::chrono::steady_clock::now() - began < std::chrono::milliseconds(200));
+  CHECK(caches.platform.events_waits["a1"] == Duration(0));
+  // One that does not answer a new connection either is asked in its turn.
+  caches.dontAnswer("a1");
+  caches.runUntil([&] { return caches.platform.events_calls.contains("a1"); });
+  CHECK(std::chrono::steady_clock::now() - began >= std::chrono::milliseconds(300));
+  caches.answerEmpty("a1");
+  caches.runUntil([&] { return caches.platform.events_calls.contains("a1"); });
+  CHECK(caches.platform.events_waits["a1"] == std::chrono::milliseconds(400));
+}
--- a/tests/unit/gateway_control/platform_link_fake.h
+++ b/tests/unit/gateway_control/platform_link_fake.h
@@ -19,9 +19,10 @@
                   std::function<void(bool, std::optional<LeaseRow>)>) override {}
   void readWeights(const std::string&, std::function<void(std::optional<WeightsReport>)>) override {}
   void sendOrder(const WeightsOrder&, std::function<void(OrderAnswer)>) override {}
-  void readCacheEvents(const std::string& address, std::uint64_t,
+  void readCacheEvents(const std::string& address, std::uint64_t, Duration wait,
                        std::function<void(CachedPartsPage)> done) override {
     events_calls[address] = std::move(done);
+    events_waits[address] = wait;
   }
   void readCacheContent(const std::string&, std::function<void(CachedPartsPage)>) override {}
 
@@ -29,6 +30,7 @@
   Duration list_pause{0};
   std::vector<std::string> readers;
   std::map<std::string, std::function<void(CachedPartsPage)>> events_calls;  ///< That wait, by address.
+  std::map<std::string, Duration> events_waits;                              ///< As asked for last.
 };
 
 }  // namespace crankspur::gateway
--- a/tests/unit/gateway_control/reader_choice_test.cc
+++ b/tests/unit/gateway_control/reader_choice_test.cc
@@ -56,3 +56,19 @@
   }
   CHECK(second_asks.size() > 10);
 }
+
+TEST_CASE("a reader whose answer is late is passed over for a moment, not for as long as one that failed",
+          "[reader_choice]") {
+  ReaderChoice choice(1);
+  choice.setReaders({"a", "b"});
+  choice.onLate("a", kNow);
+  CHECK(choice.next(kNow).address == "b");
+  CHECK(choice.next(kNow + 500ms).address == "a");
+  // The end of the late call itself tells nothing new.
+  CHECK(choice.wasLateAfter("a", kNow - 3s));
+  CHECK_FALSE(choice.wasLateAfter("a", kNow + 1ms));
+  // A failure in earnest is not shortened by lateness.
+  choice.onFailed("a", kNow);
+  choice.onLate("a", kNow);
+  CHECK(choice.next(kNow + 500ms).address == "b");
+}
--- a/tests/unit/gateway_control/table_relay_test.cc
+++ b/tests/unit/gateway_control/table_relay_test.cc
@@ -14,7 +14,9 @@
 struct FakeStore : TableSource {
   void read(const std::string&, const std::string&, TableCallback) override { ++calls; }
   void waitForChanges(const std::string&, std::uint64_t, Duration, TableCallback) override { ++calls; }
+  void onLate(const std::string&) override { ++late; }
   int calls = 0;
+  int late = 0;
 };
 
 /// Two gateways on one loop: one that reads the store, and one that asks it.
@@ -155,3 +157,29 @@
   pair.runUntil([&] { return pair.answer.has_value(); });
   CHECK(pair.answer->outcome == TableOutcome::Done);
 }
+
+TEST_CASE("after a late answer the next call goes to another reader, on a new connection", "[table_relay]") {
+  TwoGateways pair;
+  TableRelay other{pair.context.get_executor(), *pair.client, pair.store, 3};
+  REQUIRE_FALSE(other.listen("127.0.0.1:0"));
+  other.onWhole("op", {});
+  other.onContact("op", 7, pair.clock.now());
+  other.onContact("op", 9, pair.clock.now());
+  pair.asking.setReaders({pair.reader_address, "127.0.0.1:" + std::to_string(other.port())});
+  pair.wait(7, 5s);
+  pair.runFor(50ms);
+  CHECK_FALSE(pair.answer);
+  pair.asking.onLate("op");
+  pair.wait(7, 0s);
+  pair.runUntil([&] { return pair.answer.has_value(); });
+  CHECK(pair.answer->version == 9);
+  CHECK(pair.store.late == 0);
+}
+
+TEST_CASE("the store itself is asked on a new connection after a late answer", "[table_relay]") {
+  TwoGateways pair;
+  pair.reader.waitForChanges("op", 7, 5s, [](const TableAnswer&) {});
+  CHECK(pair.store.late == 0);
+  pair.reader.onLate("op");
+  CHECK(pair.store.late == 1);
+}
--- a/tests/unit/http/silent_connections_test.cc
+++ b/tests/unit/http/silent_connections_test.cc
@@ -27,15 +27,16 @@
     runUntil([&] { return done == kept; });
   }
 
-  void start(std::function<void(std::error_code)> done) {
+  void start(std::function<void(std::error_code)> done) { start(std::move(done), proxy.ports().front()); }
+
+  void start(std::function<void(std::error_code)> done, std::uint16_t port) {
     ExchangeOptions options;
     options.idle_timeout = 200ms;
     ExchangeCallbacks callbacks;
     callbacks.on_done = [done = std::move(done)](std::error_code error, SendState, const Response&) {
       done(error);
     };
-    client->start("127.0.0.1:" + std::to_string(proxy.ports().front()), {"POST", "/", {}, "x"}, callbacks,
-                  options);
+    client->start("127.0.0.1:" + std::to_string(port), {"POST", "/", {}, "x"}, callbacks, options);
   }
 
   std::error_code exchange() {
@@ -45,6 +46,15 @@
     return *outcome;
   }
 
+  /// Exchanges with one server of several behind the proxy.
+  std::error_code exchangeWith(std::size_t route) {
+    const std::uint16_t port = proxy.ports().at(route);
+    std::optional<std::error_code> outcome;
+    start([&outcome](std::error_code error) { outcome = error; }, port);
+    runUntil([&] { return outcome.has_value(); });
+    return *outcome;
+  }
+
   void silenceOpenConnections() {
     standin::ControlCommand command;
     command.silence_open = 1;
@@ -64,3 +74,53 @@
   CHECK_FALSE(kept.exchange());
   CHECK_FALSE(kept.exchange());
 }
+
+TEST_CASE("after two servers gave no answer the connections to a third one are not tried either",
+          "[http][silent_connections]") {
+  KeptConnections kept(1);
+  for (std::size_t route = 1; route < 3; ++route) {
+    REQUIRE_FALSE(kept.proxy.addRoute({"more", "127.0.0.1:0", kept.address()}));
+    REQUIRE_FALSE(kept.exchangeWith(route));
+  }
+  int silences = 0;
+  kept.client->setSilenceHandler([&silences] { ++silences; });
+  kept.silenceOpenConnections();
+  CHECK(kept.exchangeWith(0));
+  CHECK(silences == 0);
+  CHECK(kept.exchangeWith(1));
+  CHECK(silences == 1);
+  CHECK_FALSE(kept.exchangeWith(2));
+}
+
+TEST_CASE("an exchange that is given up for silence counts as one without an answer",
+          "[http][silent_connections]") {
+  KeptConnections kept(4);
+  kept.silenceOpenConnections();
+  const auto exchange = kept.client->start("127.0.0.1:" + std::to_string(kept.proxy.ports().front()),
+                                           {"POST", "/", {}, "x"}, {}, {});
+  kept.context.run_for(50ms);
+  exchange->cancelUnanswered();
+  CHECK_FALSE(kept.exchange());
+}
+
+TEST_CASE("a connection that is reset long after the request is the caller's to judge",
+          "[http][silent_connections]") {
+  // The server holds the second request.
+  std::vector<std::shared_ptr<ResponseWriter>> held;
+  int requests = 0;
+  HttpFixture fixture([&](const Request&, const std::shared_ptr<ResponseWriter>& writer) {
+    if (++requests == 1) return writer->respond({200, {}, "answer"});
+    held.push_back(writer);
+  });
+  REQUIRE_FALSE(fixture.run({"GET", "/", {}, ""}).error);
+  std::optional<std::error_code> outcome;
+  ExchangeCallbacks callbacks;
+  callbacks.on_done = [&outcome](std::error_code error, SendState, const Response&) { outcome = error; };
+  fixture.client->start(fixture.address(), {"GET", "/", {}, ""}, callbacks, {});
+  fixture.context.run_for(600ms);
+  REQUIRE(held.size() == 1);
+  held.front()->abort();
+  fixture.runUntil([&] { return outcome.has_value(); });
+  CHECK(*outcome);
+  CHECK(requests == 2);
+}
--- a/tests/unit/platform/silent_connections_test.cc
+++ b/tests/unit/platform/silent_connections_test.cc
@@ -43,6 +43,7 @@
     news.on_backend_gone = [](const auto&) {};
     news.on_whole_list = [](const auto&) {};
     news.on_trouble = [] {};
+    news.on_connections_silent = [] {};
     news.on_contact = [this](TimePoint as_of) {
       noteAge();
       contact_ = std::max(contact_, as_of);
@@ -96,6 +97,13 @@
 
   void silenceOpenConnections() { proxy_.apply(silence()); }
 
+  /// As the kernel does once it has probed connections in vain.
+  void resetOpenConnections() {
+    standin::ControlCommand command;
+    command.cut_now = true;
+    proxy_.apply(command);
+  }
+
   void runFor(Duration time) { context_.run_for(std::chrono::microseconds(time)); }
 
   Duration oldestContact() {
@@ -160,3 +168,19 @@
   site.runFor(5500ms);
   CHECK(site.oldestContact() < kKeyValidity);
 }
+
+// The kernel's probes ended the silent connections after 3 s, sooner than the patience of some held calls.
+// The client took that for a server that closes an idle connection as the request is sent, and made each call
+// anew with its whole hold.
+TEST_CASE("keys stay current when silent connections are reset in the end", "[silent_connections]") {
+  Site site;
+  for (int gateway = 0; gateway < 8; ++gateway) {
+    site.addGateway();
+    site.runFor(320ms);
+  }
+  site.silenceOpenConnections();
+  site.runFor(3s);
+  site.resetOpenConnections();
+  site.runFor(4s);
+  CHECK(site.oldestContact() < kKeyValidity);
+}
--- a/tests/unit/platform/table_feed_test.cc
+++ b/tests/unit/platform/table_feed_test.cc
@@ -265,3 +265,99 @@
   fixture.context.run_for(1500ms);
   CHECK(fixture.troubles == troubles);
 }
+
+namespace {
+
+/// A source whose answers the test gives, and a feed of it that has read the table.
+struct Calls : gateway::TableSource {
+  explicit Calls(boost::asio::io_context& context)
+      : feed(context.get_executor(), *this, "t", 100ms, news(), 1) {
+    feed.start();
+    gateway::TableAnswer whole = answerAt(10);
+    std::exchange(read_done, nullptr)(whole);
+  }
+
+  void read(const std::string&, const std::string&, gateway::TableCallback done) override {
+    read_done = std::move(done);
+  }
+  void waitForChanges(const std::string&, std::uint64_t, Duration wait,
+                      gateway::TableCallback done) override {
+    waits.push_back(wait);
+    calls.push_back(std::move(done));
+  }
+  void onLate(const std::string&) override { ++late; }
+
+  static gateway::TableAnswer answerAt(std::uint64_t version) {
+    gateway::TableAnswer answer;
+    answer.outcome = gateway::TableOutcome::Done;
+    answer.version = version;
+    return answer;
+  }
+  TableFeedCallbacks news() {
+    TableFeedCallbacks result;
+    result.on_row = [](const RelayedRow&) {};
+    result.on_whole = [](const std::vector<std::string>&) {};
+    result.on_contact = [this](TimePoint) { ++contacts; };
+    result.on_trouble = [this] { ++troubles; };
+    result.on_silent_connection = [this] { ++silent_connections; };
+    return result;
+  }
+
+  gateway::TableCallback read_done;
+  std::vector<gateway::TableCallback> calls;
+  std::vector<Duration> waits;
+  int late = 0;
+  int contacts = 0;
+  int troubles = 0;
+  int silent_connections = 0;
+  TableFeed feed;
+};
+
+}  // namespace
+
+TEST_CASE("a late answer is joined by one call by another way, without a wait",
+          "[table_feed][silent_connections]") {
+  boost::asio::io_context context;
+  Calls source(context);
+  REQUIRE(source.calls.size() == 1);
+  context.run_for(550ms);
+  CHECK(source.late == 0);
+  context.run_for(150ms);
+  CHECK(source.late == 1);
+  REQUIRE(source.calls.size() == 2);
+  CHECK(source.waits[1] == Duration(0));
+  context.run_for(1s);
+  CHECK(source.calls.size() == 2);
+
+  SECTION("the second call is answered: the connection of the first was silent") {
+    source.calls[1](Calls::answerAt(10));
+    CHECK(source.silent_connections == 1);
+    CHECK(source.calls.size() == 3);
+    CHECK(source.waits[2] == 100ms);
+    // What becomes of the first one changes nothing.
+    source.calls[0]({});
+    CHECK(source.troubles == 0);
+    CHECK(source.calls.size() == 3);
+  }
+  SECTION("the first call is answered after all: the store is slow") {
+    source.calls[0](Calls::answerAt(10));
+    CHECK(source.silent_connections == 0);
+    CHECK(source.contacts == 2);
+    CHECK(source.calls.size() == 3);
+  }
+  SECTION("one call fails: the other one may be answered yet") {
+    source.calls[0]({});
+    CHECK(source.troubles == 0);
+    source.calls[1](Calls::answerAt(10));
+    CHECK(source.contacts == 2);
+    CHECK(source.silent_connections == 0);
+  }
+  SECTION("both fail: the store is in trouble") {
+    source.calls[0]({});
+    source.calls[1]({});
+    CHECK(source.troubles == 1);
+    context.restart();
+    context.run_for(200ms);
+    CHECK(source.calls.size() == 3);
+  }
+}
