Play silent connections in the soak and on the traffic thread; one function says whether a gateway serves

Cause: no soak and no integration test had connections that go silent while new ones work, alone or in series. ServingSet::serves holds for small fleets too, so that four callers no longer ask everyoneServes() besides.

--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -278,7 +278,7 @@
 std::size_t GatewayControl::rank() const {
   const std::vector<MemberRecord> members = gossip_.members();
   const auto key = [this](const MemberRecord& member) {
-    const bool stands_by = !serving_.everyoneServes() && !serving_.serves(member.name);
+    const bool stands_by = !serving_.serves(member.name);
     return std::tuple(stands_by, member.incarnation, member.name);
   };
   const auto self = std::find_if(members.begin(), members.end(), [this](const MemberRecord& member) {
@@ -313,7 +313,7 @@
   } else {
     status.serving = serving_.serving();
   }
-  status.serves = serving_.everyoneServes() || serving_.serves(gossip_.ownName());
+  status.serves = serving_.serves(gossip_.ownName());
   status.backends = backends_;
   return status;
 }
--- a/src/gateway_control/serving_set.cc
+++ b/src/gateway_control/serving_set.cc
@@ -196,7 +196,7 @@
   }
   std::sort(serving_.begin(), serving_.end());
   for (auto& [name, gateway] : gateways_) {
-    if (!serves(name)) {
+    if (!isChosen(name)) {
       const bool unfit = gateway.serving_since != TimePoint{} && !isFit(gateway, now);
       if (unfit) gateway.absent_until = now + kAbsence;
       gateway.serving_since = TimePoint{};
@@ -208,6 +208,10 @@
 }
 
 bool ServingSet::serves(const std::string& name) const {
+  return everyone_serves_ || isChosen(name);
+}
+
+bool ServingSet::isChosen(const std::string& name) const {
   return std::binary_search(serving_.begin(), serving_.end(), name);
 }
 
--- a/src/gateway_control/serving_set.h
+++ b/src/gateway_control/serving_set.h
@@ -46,6 +46,7 @@
   bool everyoneServes() const { return everyone_serves_; }
   /// @return names of those that serve, sorted.
   const std::vector<std::string>& serving() const { return serving_; }
+  /// @return whether clients are sent to the gateway: in a small fleet to each.
   bool serves(const std::string& name) const;
   /// @return those of the zone, the strongest first; of all zones if the zone has none.
   std::vector<std::string> servingIn(const std::string& zone) const;
@@ -73,6 +74,7 @@
     TimePoint changed_at{};  ///< When `pressure` changed last.
   };
   using Candidates = std::vector<Gateway*>;
+  bool isChosen(const std::string& name) const;
 
   bool isFresh(const Gateway& gateway, TimePoint now) const;
   bool isFit(const Gateway& gateway, TimePoint now) const;
--- a/src/gateway_control/shared_caches.cc
+++ b/src/gateway_control/shared_caches.cc
@@ -64,7 +64,7 @@
 }
 
 bool GatewayControl::followsCache(const std::string& backend) {
-  const bool stands_by = !serving_.everyoneServes() && !serving_.serves(gossip_.ownName());
+  const bool stands_by = !serving_.serves(gossip_.ownName());
   if (stands_by || !fleetIsKnown()) return false;
   if (sharing_.empty()) return true;
   const auto [place, is_new] = follows_.try_emplace(backend, false);
--- a/src/gateway_control/shared_serving.cc
+++ b/src/gateway_control/shared_serving.cc
@@ -56,7 +56,7 @@
 /// Those that serve read the platform; one that stands by asks those of its zone, each a different one first,
 /// and then two of other zones.
 void GatewayControl::nameReaders() {
-  const bool reads = serving_.everyoneServes() || serving_.serves(gossip_.ownName());
+  const bool reads = serving_.serves(gossip_.ownName());
   const std::size_t readers = serving_.everyoneServes() ? members_.size() : serving_.serving().size();
   platform_.setListPause(listPause(readers, settings_.departure_limit));
   if (reads) return platform_.setReaders({});
--- /dev/null
+++ b/tests/integration/gateway/gateway_site.h
@@ -0,0 +1,170 @@
+#pragma once
+/// @file A gateway process between real sockets: a client on this side, back ends on the other, a dialect of
+/// its own.
+
+#include <boost/asio/io_context.hpp>
+#include <catch2/catch.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gateway_process/gateway_process.h"
+#include "http/client.h"
+#include "http/server.h"
+#include "standins/fault_proxy/fault_proxy.h"
+
+namespace crankspur::gateway {
+
+/// A dialect with names of its own.
+class TestDialect : public Dialect {
+public:
+  std::optional<ClientRequest> readRequest(const http::Request& head) const override {
+    ClientRequest request;
+    request.request_id = head.header("X-Id");
+    request.deadline = std::chrono::seconds(20);
+    if (request.request_id.empty()) return std::nullopt;
+    return request;
+  }
+  http::Headers forwardHeaders(const http::Request& head, const ForwardTerms& terms) const override {
+    http::Headers headers = head.headers;
+    headers["X-Expect"] = terms.expected_backend;
+    if (terms.resume_after) headers["X-After"] = std::to_string(*terms.resume_after);
+    return headers;
+  }
+  BackendAnswer readAnswer(const http::Response& head, const std::string& request_id) const override {
+    BackendAnswer answer;
+    const auto id = head.headers.find("X-Id");
+    answer.other_request = id != head.headers.end() && id->second != request_id;
+    answer.genuine = head.headers.contains("X-Seal");
+    answer.not_run = head.headers.contains("X-Not-Run");
+    return answer;
+  }
+};
+
+/// What a back end was asked, and how to answer it.
+struct Asked {
+  http::Request request;
+  std::shared_ptr<http::ResponseWriter> writer;
+};
+
+inline http::Headers sealed(const std::string& id) {
+  return {{"X-Id", id},
+          {"X-Seal", "s"},
+          {"Content-Type", "text/event-stream"},
+          {"Connection", "X-Hop"},
+          {"X-Hop", "h"}};
+}
+
+/// A gateway with two back ends behind a proxy and a client, all in one event loop but for the gateway's own
+/// thread.
+class Site {
+public:
+  static constexpr std::chrono::seconds kPatience{20};
+
+  explicit Site(Repeatability repeatability, bool streaming) {
+    for (std::size_t index = 0; index < 2; ++index) startBackend();
+    GatewayProcessSettings settings;
+    settings.listen_address = "127.0.0.1:0";
+    process = std::make_unique<GatewayProcess>(settings, std::make_shared<TestDialect>(), GatewayFacts{});
+    REQUIRE_FALSE(process->start());
+    client = http::makeClient(context.get_executor());
+    process->publish(snapshot(repeatability, streaming));
+    runUntil([&] { return process->ready(); });
+  }
+
+  void startBackend() {
+    std::error_code failure;
+    const auto handler = [this](http::Request request, std::shared_ptr<http::ResponseWriter> writer) {
+      asked.push_back({std::move(request), std::move(writer)});
+      asked.back().writer->onClientGone([this] { ++gone; });
+    };
+    backends.push_back(http::listen(context.get_executor(), "127.0.0.1:0", handler, failure));
+    REQUIRE_FALSE(failure);
+    REQUIRE_FALSE(
+        proxy.addRoute({"b", "127.0.0.1:0", "127.0.0.1:" + std::to_string(backends.back()->port())}));
+  }
+
+  std::shared_ptr<const GatewaySnapshot> snapshot(Repeatability repeatability, bool streaming) const {
+    auto configuration = std::make_shared<Configuration>();
+    Route route;
+    route.name = "r";
+    route.host = "desk.example";
+    route.path_prefix = "/r/";
+    route.repeatability = repeatability;
+    route.streaming = streaming;
+    route.needs_tenant = false;
+    route.timeout = std::chrono::seconds(30);
+    route.maximum_attempts = 2;
+    route.pools = {{"p", 1}};
+    configuration->routes = {route};
+    Pool pool;
+    pool.name = "p";
+    configuration->pools = {pool};
+    auto made = std::make_shared<GatewaySnapshot>();
+    made->configuration = configuration;
+    for (std::size_t index = 0; index < backends.size(); ++index) {
+      Backend backend;
+      backend.view.slot = static_cast<EngineSlot>(index);
+      backend.view.incarnation = index + 1;
+      backend.view.name = "b" + std::to_string(index);
+      backend.view.address = "127.0.0.1:" + std::to_string(proxy.ports()[index]);
+      backend.view.pool = "p";
+      backend.slots = 8;
+      made->backends.push_back(backend);
+    }
+    return made;
+  }
+
+  void runUntil(const std::function<bool()>& condition) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (!condition() && std::chrono::steady_clock::now() < end) {
+      if (context.stopped()) context.restart();
+      context.run_one_for(std::chrono::milliseconds(20));
+    }
+    REQUIRE(condition());
+  }
+
+  /// Sends a request; what comes of it is in `status`, `body`, `done` and `error`.
+  void send(const std::string& id, const std::string& request_body = "") {
+    http::Request request;
+    request.method = "POST";
+    request.target = "/r/1?q=a%20b";
+    request.headers = {{"Host", "desk.example"}, {"X-Id", id}, {"X-Kept", "k"}};
+    request.body = request_body;
+    http::ExchangeCallbacks callbacks;
+    callbacks.on_headers = [this](int code, const http::Headers& fields) {
+      status = code;
+      headers = fields;
+    };
+    callbacks.on_data = [this](std::string_view bytes) { body += bytes; };
+    callbacks.on_done = [this](std::error_code outcome, http::SendState, const http::Response&) {
+      error = outcome;
+      done = true;
+    };
+    done = false;
+    body.clear();
+    exchange = client->start("127.0.0.1:" + std::to_string(process->port()), std::move(request), callbacks);
+  }
+
+  Asked& nextAsked(std::size_t number) {
+    runUntil([&] { return asked.size() >= number; });
+    return asked[number - 1];
+  }
+
+  boost::asio::io_context context{1};
+  standin::FaultProxy proxy{context.get_executor(), 1};  ///< Before the back ends.
+  std::vector<std::unique_ptr<http::Server>> backends;
+  std::vector<Asked> asked;
+  int gone = 0;
+  std::unique_ptr<GatewayProcess> process;
+  std::unique_ptr<http::Client> client;
+  std::shared_ptr<http::Exchange> exchange;
+  int status = 0;
+  http::Headers headers;
+  std::string body;
+  std::error_code error;
+  bool done = false;
+};
+
+}  // namespace crankspur::gateway
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -8,7 +8,7 @@
 for folder in ("platform/standin", "tools/soak"):
     sys.path.insert(0, str(ROOT / folder))
 
-from checks import broken_promises  # noqa: E402
+from checks import broken_promises, refused_without_need  # noqa: E402
 from client import Attempt, Kind  # noqa: E402
 from runner import Run  # noqa: E402
 
@@ -55,6 +55,12 @@
         self.assert_broken("ran 2 times", [answered(ORDER)], [run(), run(runner="r2")])
         self.assertEqual(judge([answered(LOOK)], [run(), run(runner="r2")]), [])
 
+    def test_a_refusal_while_new_connections_work(self):
+        refused = answered(LOOK, status=503, sealed=False, retry_after="0.1", texts=[])
+        self.assertEqual(len(refused_without_need([refused])), 1)
+        # A runner's own refusal is not the gateway's, and what has no answer was not refused.
+        self.assertEqual(refused_without_need([answered(LOOK), answered(LOOK, status=0), answered(LOOK, status=503)]), [])
+
     def test_a_refusal_of_what_ran(self):
         refused = answered(ORDER, status=503, sealed=False, retry_after="0.1", texts=[])
         self.assert_broken("not run", [refused], [run()])
--- a/tests/unit/gateway_control/gateway_admin_test.cc
+++ b/tests/unit/gateway_control/gateway_admin_test.cc
@@ -59,6 +59,7 @@
       process.publish(std::move(snapshot));
     };
     outputs.on_cached_parts = [](CachedPartsNews) {};
+    outputs.on_connections_silent = [this] { ++silences; };
     return outputs;
   }
 
@@ -79,6 +80,7 @@
     return answer;
   }
 
+  int silences = 0;  ///< Told to traffic.
   boost::asio::io_context context{1};
   NodeSettings settings = nodeSettings();
   BoundedEventLog log{quietLog()};
@@ -189,3 +191,10 @@
   fixture.process.drain();
   CHECK(holds(fixture.get("/healthz"), "stopping"));
 }
+
+TEST_CASE("traffic hears from the control side that open connections have gone silent",
+          "[gateway][silent_connections]") {
+  AdminFixture fixture;
+  fixture.platform.news.on_connections_silent();
+  CHECK(fixture.silences == 1);
+}
--- a/tests/unit/gateway_control/serving_set_test.cc
+++ b/tests/unit/gateway_control/serving_set_test.cc
@@ -67,6 +67,7 @@
 TEST_CASE("in a small fleet all gateways serve", "[serving_set]") {
   Fleet fleet(2, 2);
   CHECK(fleet.set.everyoneServes());
+  for (const auto& [name, record] : fleet.members) CHECK(fleet.serves(name));
   Fleet larger(2, 3);
   CHECK_FALSE(larger.set.everyoneServes());
 }
--- a/tests/unit/platform/silent_connections_test.cc
+++ b/tests/unit/platform/silent_connections_test.cc
@@ -95,6 +95,14 @@
     return "127.0.0.1:" + std::to_string(proxy_.ports().back());
   }
 
+  /// Their calls are held since different moments when the connections go silent.
+  void addGatewaysApart(int count, Duration apart) {
+    for (int gateway = 0; gateway < count; ++gateway) {
+      addGateway();
+      runFor(apart);
+    }
+  }
+
   void silenceOpenConnections() { proxy_.apply(silence()); }
 
   /// As the kernel does once it has probed connections in vain.
@@ -137,11 +145,7 @@
 TEST_CASE("keys stay current while new connections reach the store, whatever becomes of open ones",
           "[silent_connections]") {
   Site site;
-  // Their calls are held since different moments when the connections go silent.
-  for (int gateway = 0; gateway < 8; ++gateway) {
-    site.addGateway();
-    site.runFor(320ms);
-  }
+  site.addGatewaysApart(8, 320ms);
   site.silenceOpenConnections();
   site.runFor(3s);
   site.silenceOpenConnections();
@@ -174,10 +178,7 @@
 // anew with its whole hold.
 TEST_CASE("keys stay current when silent connections are reset in the end", "[silent_connections]") {
   Site site;
-  for (int gateway = 0; gateway < 8; ++gateway) {
-    site.addGateway();
-    site.runFor(320ms);
-  }
+  site.addGatewaysApart(8, 320ms);
   site.silenceOpenConnections();
   site.runFor(3s);
   site.resetOpenConnections();
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -52,6 +52,12 @@
     return ""
 
 
+def refused_without_need(attempts):
+    """Returns a line for each refusal by a gateway, for schedules in which new connections always work."""
+    return [f"attempt {attempt.id} ({attempt.kind.route}) refused with {attempt.status} at {attempt.sent_at:.3f}"
+            for attempt in attempts if attempt.status in PROMISES_NOT_RUN and not attempt.sealed][:MOST_PROBLEMS]
+
+
 def broken_promises(attempts, runs, revoked, key_validity_s, quiet_from):
     """Returns a line for each promise that broke."""
     runs_of = defaultdict(list)
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -24,7 +24,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "platform" / "standin"))
 
-from checks import broken_promises  # noqa: E402
+from checks import broken_promises, refused_without_need  # noqa: E402
 from client import Attempt, Kind, look_up, make_attempt  # noqa: E402
 from http_text import head_bytes, read_body, read_head  # noqa: E402
 from runner import Runner  # noqa: E402
@@ -47,6 +47,7 @@
     Kind("/review/", streaming=True, repeatable=True, answer_events=20),
     Kind("/answer/", streaming=True, repeatable=False, answer_events=12),
 ]
+ALONE_FAULTS = ("silent_connections",)  # Kinds that can be played alone; refusals then break a promise.
 
 
 def free_ports(count):
@@ -366,6 +367,15 @@
         if healed:
             await self.proxy.set(route=route, **healed)
 
+    async def silent_connections(self, generator):
+        """Open connections go silent for good, up to three times in a row; new ones work."""
+        for _ in range(generator.randint(1, 3)):
+            share = generator.choice([1.0, 1.0, 0.6])
+            route = {} if generator.random() < 0.7 else {"route": generator.choice(list(self.proxy.ports))}
+            self.note(f"proxy {route.get('route', 'everywhere')}: {share} of the open connections go silent")
+            await self.proxy.set(silence_open=share, **route)
+            await asyncio.sleep(generator.uniform(0.5, 4.0))
+
     async def new_configuration(self, generator):
         self.configure(generator)
         self.note(f"configuration {self.configuration_version}")
@@ -387,7 +397,10 @@
     async def faults(self, until):
         kinds = [self.kill_gateway, self.kill_all, self.stop_gateway, self.freeze_gateway, self.crash_runner,
                  self.trouble_runner, self.store_trouble, self.store_oddities, self.network_trouble,
-                 self.network_trouble, self.new_configuration, self.new_weights, self.revoke_key]
+                 self.network_trouble, self.new_configuration, self.new_weights, self.revoke_key,
+                 self.silent_connections]
+        if self.options.only:
+            kinds = [getattr(self, self.options.only)]
         tasks = set()
         busy = asyncio.Lock()  # Signals to gateways come one after the other, or they would meet one that ended.
         alone = {self.kill_gateway, self.kill_all, self.stop_gateway, self.freeze_gateway}
@@ -435,6 +448,8 @@
         await self.stop()
         await asyncio.sleep(0.5)
         judged = broken_promises(self.attempts, self.runs, self.revoked, KEY_VALIDITY_S, quiet_at + QUIET_S / 2)
+        if self.options.only == "silent_connections":
+            judged += refused_without_need(self.attempts)
         return self.problems + judged
 
     async def traffic_until_quiet(self, faults):
@@ -471,6 +486,7 @@
     parser = argparse.ArgumentParser(description=__doc__.split("\n\n")[0])
     parser.add_argument("--seconds", type=float, default=60, help="time with faults; some quiet seconds follow")
     parser.add_argument("--seed", type=int, default=None, help="of the schedule; default: drawn and printed")
+    parser.add_argument("--only", default="", choices=["", *ALONE_FAULTS], help="the one kind of fault to play")
     parser.add_argument("--build", default="build", help="build folder with the programs")
     parser.add_argument("--keep", default="", help="keep logs there in any case")
     options = parser.parse_args()
