Forget what servers answered once it is old; make the tests of silent connections independent of load

Cause: ConnectionTrust kept an entry for every address that ever answered, as long as the process lives; four tests told two causes apart by some 0.2 s of real time. Change: old entries go with the next exchange without an answer, which leaves the verdicts as they were (they counted only entries of the last 0.3 s); the tests wait on conditions, run what is due, or stretch the other time (15 s instead of 1.5 s).

--- a/src/http/connection_trust.cc
+++ b/src/http/connection_trust.cc
@@ -1,7 +1,5 @@
 #include "http/connection_trust.h"
 
-#include <algorithm>
-
 namespace crankspur::http {
 namespace {
 
@@ -24,18 +22,18 @@
   if (began < all_left_at_) return Verdict::LeaveAddress;
   answered_at_.erase(address);
   unanswered_at_[address] = now;
-  std::erase_if(unanswered_at_, [now](const auto& item) { return now - item.second > kTogether; });
+  forgetOld(now);
   const bool several = unanswered_at_.size() >= kFewestAddresses;
-  if (!several || unanswered_at_.size() * 2 < answeredRecently(now)) return Verdict::LeaveAddress;
+  if (!several || unanswered_at_.size() * 2 < answered_at_.size()) return Verdict::LeaveAddress;
   unanswered_at_.clear();
   all_left_at_ = now;
   return Verdict::LeaveAll;
 }
 
-std::size_t ConnectionTrust::answeredRecently(Time now) const {
-  return static_cast<std::size_t>(
-      std::count_if(answered_at_.begin(), answered_at_.end(),
-                    [now](const auto& item) { return now - item.second < kRecently; }));
+/// Addresses come and go with the servers that are replaced.
+void ConnectionTrust::forgetOld(Time now) {
+  std::erase_if(unanswered_at_, [now](const auto& item) { return now - item.second > kTogether; });
+  std::erase_if(answered_at_, [now](const auto& item) { return now - item.second >= kRecently; });
 }
 
 }  // namespace crankspur::http
--- a/src/http/connection_trust.h
+++ b/src/http/connection_trust.h
@@ -34,9 +34,10 @@
   Verdict onUnanswered(const std::string& address, Time began, Time now);
 
 private:
-  std::size_t answeredRecently(Time now) const;
+  void forgetOld(Time now);
 
-  std::map<std::string, Time> answered_at_;    ///< The last time, by address.
+  std::map<std::string, Time>
+      answered_at_;  ///< The last time, by address; old ones go with the next silence.
   std::map<std::string, Time> unanswered_at_;  ///< The same.
   Time all_left_at_{};
 };
--- a/tests/integration/gateway/gateway_site.h
+++ b/tests/integration/gateway/gateway_site.h
@@ -62,10 +62,11 @@
 public:
   static constexpr std::chrono::seconds kPatience{20};
 
-  explicit Site(Repeatability repeatability, bool streaming) {
+  explicit Site(Repeatability repeatability, bool streaming, GatewaySettings decisions = {}) {
     for (std::size_t index = 0; index < 2; ++index) startBackend();
     GatewayProcessSettings settings;
     settings.listen_address = "127.0.0.1:0";
+    settings.decisions = decisions;
     process = std::make_unique<GatewayProcess>(settings, std::make_shared<TestDialect>(), GatewayFacts{});
     REQUIRE_FALSE(process->start());
     client = http::makeClient(context.get_executor());
--- a/tests/integration/gateway/silent_connections_test.cc
+++ b/tests/integration/gateway/silent_connections_test.cc
@@ -40,7 +40,9 @@
 
 TEST_CASE("a request under way moves off a silent connection in less than the usual time",
           "[gateway_process][silent_connections]") {
-  Site site(Repeatability::Repeatable, false);
+  GatewaySettings decisions;
+  decisions.silence_limit = 15s;
+  Site site(Repeatability::Repeatable, false, decisions);
   site.send("one");
   site.nextAsked(1);
   const auto began = std::chrono::steady_clock::now();
@@ -48,8 +50,8 @@
   site.nextAsked(2).writer->respond({200, sealed("one"), "answer"});
   site.runUntil([&] { return site.done; });
   CHECK(site.status == 200);
-  // 0.35 s until the gateway is told, 0.3 s of silence after that; 1.5 s without being told.
-  CHECK(std::chrono::steady_clock::now() - began < 1200ms);
+  // 0.35 s until the gateway is told, and 0.3 s of silence after that.
+  CHECK(std::chrono::steady_clock::now() - began < 10s);
 }
 
 }  // namespace crankspur::gateway
--- a/tests/unit/gateway_control/cache_watch_test.cc
+++ b/tests/unit/gateway_control/cache_watch_test.cc
@@ -46,6 +46,8 @@
     while (!condition()) REQUIRE(context_.run_one() > 0);
   }
 
+  void runWhatIsDue() { context_.poll(); }
+
   FakePlatformLink platform;
   std::vector<CachedPartsNews> news;
   std::vector<CacheSilence> silences;
@@ -148,11 +150,11 @@
   caches.answerEmpty("a2");
   REQUIRE(caches.platform.events_waits["a1"] == std::chrono::milliseconds(400));
   caches.dontAnswer("a1");
-  const auto began = std::chrono::steady_clock::now();
-  caches.runUntil([&] { return caches.platform.events_calls.contains("a1"); });
-  CHECK(std::chrono::steady_clock::now() - began < std::chrono::milliseconds(200));
+  caches.runWhatIsDue();
+  REQUIRE(caches.platform.events_calls.contains("a1"));
   CHECK(caches.platform.events_waits["a1"] == Duration(0));
   // One that does not answer a new connection either is asked in its turn.
+  const auto began = std::chrono::steady_clock::now();
   caches.dontAnswer("a1");
   caches.runUntil([&] { return caches.platform.events_calls.contains("a1"); });
   CHECK(std::chrono::steady_clock::now() - began >= std::chrono::milliseconds(300));
--- a/tests/unit/http/silent_connections_test.cc
+++ b/tests/unit/http/silent_connections_test.cc
@@ -31,7 +31,7 @@
 
   void start(std::function<void(std::error_code)> done, std::uint16_t port) {
     ExchangeOptions options;
-    options.idle_timeout = 200ms;
+    options.idle_timeout = 400ms;
     ExchangeCallbacks callbacks;
     callbacks.on_done = [done = std::move(done)](std::error_code error, SendState, const Response&) {
       done(error);
--- a/tests/unit/platform/table_feed_test.cc
+++ b/tests/unit/platform/table_feed_test.cc
@@ -9,6 +9,7 @@
 #include "http/server.h"
 #include "platform/entry_service.h"
 #include "platform/store_client.h"
+#include "unit/run_until.h"
 
 using namespace crankspur;
 using namespace crankspur::platform;
@@ -320,10 +321,10 @@
   boost::asio::io_context context;
   Calls source(context);
   REQUIRE(source.calls.size() == 1);
-  context.run_for(550ms);
+  // Late is 0.6 s after the sending: a wait of 0.1 s and 0.5 s more.
+  context.run_for(300ms);
   CHECK(source.late == 0);
-  context.run_for(150ms);
-  CHECK(source.late == 1);
+  crankspur::runUntil(context, [&] { return source.late == 1; });
   REQUIRE(source.calls.size() == 2);
   CHECK(source.waits[1] == Duration(0));
   context.run_for(1s);
