Go on asking a store that answers while all readers fail; a reader in trouble says so at once

Change: a store that answers is asked on while all readers fail (ReaderChoice::onPlatformAnswer); a reader that has lost its own source answers questions with that at once, in place of holding them.

--- a/src/gateway_control/reader_choice.cc
+++ b/src/gateway_control/reader_choice.cc
@@ -10,8 +10,8 @@
 constexpr Duration kAvoided = std::chrono::seconds(2);
 /// One whose answer is late: until another one has had time to answer on a new connection.
 constexpr Duration kAvoidedWhenLate = std::chrono::milliseconds(400);
-/// While all readers fail a gateway asks the platform itself about this often. Readers fail together when the
-/// platform is down, and then hundreds of gateways would ask it at once.
+/// While all readers fail, and the platform too, a gateway asks the platform itself about this often. Readers
+/// fail together when the platform is down, and then hundreds of gateways would ask it at once.
 constexpr Duration kPlatformInterval = std::chrono::seconds(3);
 
 }  // namespace
@@ -29,6 +29,7 @@
   for (const std::string& reader : readers_) {
     if (!avoided_until_.contains(reader)) return {ReadFrom::Kind::Gateway, reader};
   }
+  if (platform_answers_) return {ReadFrom::Kind::Platform, ""};
   if (now < platform_again_at_) return {ReadFrom::Kind::Nobody, ""};
   const double share = 0.5 + random_.unit();
   platform_again_at_ =
--- a/src/gateway_control/reader_choice.h
+++ b/src/gateway_control/reader_choice.h
@@ -30,6 +30,10 @@
   /// @return whether this gateway reads the platform itself.
   bool readsPlatform() const { return readers_.empty(); }
   ReadFrom next(TimePoint now);
+  /// How a call to the platform itself went. One that answers is asked on while all readers fail: on a day
+  /// with a third of the machines cut off from it, gateways whose readers were cut heard it once in 6 s, and
+  /// refused callers for outdated keys and by an old configuration.
+  void onPlatformAnswer(bool answered) { platform_answers_ = answered; }
   /// A gateway did not answer, or with nothing of use.
   void onFailed(const std::string& address, TimePoint now);
   /// The answer of a gateway is late: the connection to it may have gone silent while it is well.
@@ -43,6 +47,7 @@
   std::map<std::string, TimePoint> avoided_until_;
   std::map<std::string, TimePoint> late_at_;  ///< The last time, by address.
   TimePoint platform_again_at_{};
+  bool platform_answers_ = false;  ///< The last call to it was answered.
 };
 
 }  // namespace crankspur::gateway
--- a/src/gateway_control/table_relay.cc
+++ b/src/gateway_control/table_relay.cc
@@ -59,7 +59,7 @@
 
 void TableRelay::read(const std::string& table, const std::string& from, TableCallback done) {
   const ReadFrom source = nextSource(table);
-  if (source.kind == ReadFrom::Kind::Platform) return store_.read(table, from, std::move(done));
+  if (source.kind == ReadFrom::Kind::Platform) return store_.read(table, from, noteOutcome(std::move(done)));
   if (source.kind == ReadFrom::Kind::Nobody) return done({TableOutcome::NotDone, {}, false, 0, 0, {}});
   askGateway(source.address, std::string(kPath) + "?name=" + table, Duration(0), std::move(done));
 }
@@ -68,7 +68,7 @@
                                 TableCallback done) {
   const ReadFrom source = nextSource(table);
   if (source.kind == ReadFrom::Kind::Platform) {
-    return store_.waitForChanges(table, version, wait, std::move(done));
+    return store_.waitForChanges(table, version, wait, noteOutcome(std::move(done)));
   }
   if (source.kind == ReadFrom::Kind::Nobody) return done({TableOutcome::NotDone, {}, false, 0, 0, {}});
   const std::string target = std::string(kPath) + "?name=" + table + "&after=" + std::to_string(version) +
@@ -85,6 +85,14 @@
   return source;
 }
 
+TableCallback TableRelay::noteOutcome(TableCallback done) {
+  return [this, done = std::move(done)](TableAnswer answer) {
+    const bool answered = answer.outcome == TableOutcome::Done || answer.outcome == TableOutcome::HistoryGone;
+    choice_.onPlatformAnswer(answered);
+    done(std::move(answer));
+  };
+}
+
 void TableRelay::onLate(const std::string& table) {
   const auto asked = asked_.find(table);
   if (asked == asked_.end()) return;
@@ -140,6 +148,8 @@
   const auto mirror = mirrors_.find(request.query("name"));
   const bool known = request.path() == kPath && mirror != mirrors_.end() && mirror->second.known();
   if (!known || !readsPlatform()) return writer->respond({kUnavailable, {}, ""});
+  // One that waited here for a contact that may not come would learn of the trouble seconds later.
+  if (in_trouble_.contains(mirror->first)) return respondTrouble(*writer);
   Waiting question;
   question.table = mirror->first;
   question.after = number(request.query("after"));
@@ -177,6 +187,7 @@
 
 void TableRelay::onContact(const std::string& table, std::uint64_t version, TimePoint as_of) {
   mirrors_[table].onContact(version, as_of);
+  in_trouble_.erase(table);
   const auto is_due = [&table](const std::shared_ptr<Waiting>& one) { return one->table == table; };
   const auto rest = std::stable_partition(waiting_.begin(), waiting_.end(), std::not_fn(is_due));
   const std::vector<std::shared_ptr<Waiting>> due(rest, waiting_.end());
@@ -187,17 +198,21 @@
 }
 
 void TableRelay::onTrouble(const std::string& table) {
-  RelayedRows message;
-  message.in_trouble = true;
-  const std::string body = encodeFrame(message);
+  in_trouble_.insert(table);
   for (const auto& waiting : waiting_) {
     if (waiting->table != table || waiting->gone) continue;
-    waiting->writer->respond({kOk, {}, body});
+    respondTrouble(*waiting->writer);
     waiting->gone = true;
   }
   std::erase_if(waiting_, [](const auto& waiting) { return waiting->gone; });
 }
 
+void TableRelay::respondTrouble(http::ResponseWriter& writer) const {
+  RelayedRows message;
+  message.in_trouble = true;
+  writer.respond({kOk, {}, encodeFrame(message)});
+}
+
 /// Questions that have waited long enough are answered with what is known.
 void TableRelay::answerDue() {
   std::vector<std::shared_ptr<Waiting>> due;
--- a/src/gateway_control/table_relay.h
+++ b/src/gateway_control/table_relay.h
@@ -9,6 +9,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <system_error>
 #include <vector>
@@ -67,6 +68,8 @@
   void answerDue();
   void armTimer();
   ReadFrom nextSource(const std::string& table);
+  TableCallback noteOutcome(TableCallback done);
+  void respondTrouble(http::ResponseWriter& writer) const;
   void askGateway(const std::string& address, const std::string& target, Duration wait, TableCallback done);
   TableAnswer readAnswer(const http::Response& response, TimePoint sent_at, Duration wait) const;
 
@@ -76,6 +79,7 @@
   ReaderChoice choice_;
   std::map<std::string, TableMirror> mirrors_;  ///< By table.
   std::map<std::string, ReadFrom> asked_;       ///< Where the last call for each table went.
+  std::set<std::string> in_trouble_;            ///< Tables whose own source was lost since the last contact.
   std::list<std::shared_ptr<Waiting>> waiting_;
   boost::asio::any_io_executor executor_;
   boost::asio::steady_timer timer_;
--- a/tests/unit/gateway_control/reader_choice_test.cc
+++ b/tests/unit/gateway_control/reader_choice_test.cc
@@ -72,3 +72,20 @@
   choice.onLate("a", kNow);
   CHECK(choice.next(kNow + 500ms).address == "b");
 }
+
+TEST_CASE("while all readers fail a platform that answers is asked on", "[reader_choice]") {
+  ReaderChoice choice(1);
+  choice.setReaders({"a", "b"});
+  choice.onFailed("a", kNow);
+  choice.onFailed("b", kNow);
+  REQUIRE(choice.next(kNow).kind == ReadFrom::Kind::Platform);
+  // Not known to answer yet: others may be asking it, too.
+  CHECK(choice.next(kNow).kind == ReadFrom::Kind::Nobody);
+  choice.onPlatformAnswer(true);
+  CHECK(choice.next(kNow + 10ms).kind == ReadFrom::Kind::Platform);
+  CHECK(choice.next(kNow + 1s).kind == ReadFrom::Kind::Platform);
+  choice.onPlatformAnswer(false);
+  CHECK(choice.next(kNow + 1s).kind == ReadFrom::Kind::Nobody);
+  choice.onPlatformAnswer(true);
+  CHECK(choice.next(kNow + 2100ms).kind == ReadFrom::Kind::Gateway);
+}
--- a/tests/unit/gateway_control/table_relay_test.cc
+++ b/tests/unit/gateway_control/table_relay_test.cc
@@ -10,11 +10,15 @@
 
 namespace {
 
-/// A store that counts the calls and keeps the answers open.
+/// A store that counts the calls and keeps the answers open, or gives them.
 struct FakeStore : TableSource {
   void read(const std::string&, const std::string&, TableCallback) override { ++calls; }
-  void waitForChanges(const std::string&, std::uint64_t, Duration, TableCallback) override { ++calls; }
+  void waitForChanges(const std::string&, std::uint64_t version, Duration, TableCallback done) override {
+    ++calls;
+    if (answers_at_once) done({TableOutcome::Done, {}, false, version, 0, {}});
+  }
   void onLate(const std::string&) override { ++late; }
+  bool answers_at_once = false;
   int calls = 0;
   int late = 0;
 };
@@ -133,6 +137,38 @@
   CHECK(pair.store.calls == 1);
 }
 
+TEST_CASE("a reader in trouble holds no question until it has its own contact again", "[table_relay]") {
+  TwoGateways pair;
+  pair.reader.onTrouble("op");
+  pair.wait(7, 5s);
+  pair.runUntil([&] { return pair.answer.has_value(); });
+  CHECK(pair.answer->outcome != TableOutcome::Done);
+  TwoGateways sound;
+  sound.reader.onTrouble("op");
+  sound.reader.onContact("op", 7, sound.clock.now());
+  sound.wait(7, 0s);
+  sound.runUntil([&] { return sound.answer.has_value(); });
+  CHECK(sound.answer->outcome == TableOutcome::Done);
+}
+
+// A third of the machines were cut off from the store, the readers of a zone among them. Gateways of the zone
+// that could reach it themselves asked it once, were answered, and then neither of the two tables' feeds
+// asked again for seconds: 6 s without contact, callers refused by an old configuration (404) and for
+// outdated keys.
+TEST_CASE("gateways whose readers are cut off go on with a store that answers them", "[table_relay]") {
+  TwoGateways pair;
+  pair.reader.onTrouble("op");
+  pair.wait(7, 5s);
+  pair.runUntil([&] { return pair.answer.has_value(); });
+  pair.store.answers_at_once = true;
+  for (int call = 1; call <= 3; ++call) {
+    pair.wait(7, 5s);
+    REQUIRE(pair.answer);
+    CHECK(pair.answer->outcome == TableOutcome::Done);
+    CHECK(pair.store.calls == call);
+  }
+}
+
 TEST_CASE("a gateway that does not read the store itself answers nobody", "[table_relay]") {
   TwoGateways pair;
   pair.reader.setReaders({"127.0.0.1:9"});
