--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -96,6 +96,20 @@
             except OSError:
                 await asyncio.sleep(0.05)
 
+    async def wait_until_ready(self):
+        """Waits until the process says that it is ready: it has a configuration."""
+        await self.wait_until_up()
+        until = time.monotonic() + START_S
+        while time.monotonic() < until:
+            reader, writer = await asyncio.open_connection(self.host, self.ports["readiness"])
+            writer.write(head_bytes("GET /readyz HTTP/1.1", {"Host": "r"}))
+            head = await read_head(reader)
+            writer.close()
+            if head.first[1] == "200":
+                return
+            await asyncio.sleep(0.05)
+        raise RuntimeError(f"{self.name} is not ready after the start")
+
     def send(self, number):
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(number)
@@ -220,6 +234,8 @@
         self.gateways = [Gateway(number, ports, address, self.folder, program) for number in range(GATEWAYS)]
         for gateway in self.gateways:
             await gateway.start()
+        for gateway in self.gateways:  # One that has no configuration yet refuses, and may.
+            await gateway.wait_until_ready()
         await self.wait_until_served()
 
     async def wait_until_served(self):
