--- a/src/base/hash.h
+++ b/src/base/hash.h
@@ -2,6 +2,7 @@
 /// @file Hash functions (XXH3, SHA-256). Source: xxHash library and OpenSSL.
 
 #include <cstdint>
+#include <initializer_list>
 #include <string>
 #include <string_view>
 
@@ -25,6 +26,16 @@
 /// @return the SHA-256 digest of `bytes` as 64 lower-case hexadecimal digits.
 std::string sha256Hex(std::string_view bytes);
 
+/// The first 128 bits of a digest.
+struct Digest128 {
+  std::uint64_t high = 0;
+  std::uint64_t low = 0;
+};
+
+/// @return the first 128 bits of the SHA-256 digest of `fields`, each preceded by its length, so that no two
+/// lists of fields make the same bytes.
+Digest128 sha256Digest128(std::initializer_list<std::string_view> fields);
+
 /// @return `value` as 16 lower-case hexadecimal digits.
 std::string toHex(std::uint64_t value);
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -74,6 +74,8 @@
   Entry& entry = *owned;
   entry.id = client;
   entry.client = std::move(*request.client);
+  const std::string_view tenant = checked.tenant == nullptr ? std::string_view() : checked.tenant->name;
+  entry.fingerprint = fingerprintOf(request.host, request.path, tenant, request.body);
   entries_.emplace(client, std::move(owned));
   admit(entry, checked, now);
   if (entry.pool == nullptr) return giveUpFor(entry, RequestCause::route_without_pool, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "gateway/named_weights.h"
 #include "gateway/repeat_budget.h"
 #include "gateway/request_check.h"
+#include "gateway/request_fingerprint.h"
 #include "gateway/request_observer.h"
 #include "gateway/route_shares.h"
 #include "gateway/stream_cursor.h"
@@ -107,6 +108,7 @@
   struct Entry {
     ClientId id = 0;
     ClientRequest client;
+    RequestFingerprint fingerprint;
     std::shared_ptr<const Configuration> configuration;  ///< Keeps `route` alive.
     const Route* route = nullptr;
     const Pool* pool = nullptr;
--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -50,6 +50,7 @@
   record.pool = entry.pool->name;
   record.tenant = entry.tenant;
   record.model = entry.client.model;
+  record.fingerprint = entry.fingerprint;
   record.configuration_version = versionOf(entry.configuration);
   if (entry.route->needs_tenant) record.keys_age = snapshot_->keysAge(now);
   record.priority = entry.priority;
@@ -102,6 +103,7 @@
 void Gateway::tellMoved(const Entry& entry, const Running& running, int status, bool goes_on, TimePoint now) {
   RequestMoved record;
   record.request_id = entry.client.request_id;
+  record.fingerprint = entry.fingerprint;
   record.backend = entry.last_backend;
   record.cause = entry.cause;
   record.status = status;
--- a/src/gateway/request_check.h
+++ b/src/gateway/request_check.h
@@ -3,6 +3,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "gateway/dialect.h"
 #include "gateway/gateway_snapshot.h"
@@ -14,6 +15,7 @@
 struct IncomingRequest {
   std::string host;
   std::string path;
+  std::string_view body;                ///< Valid during the call that takes the request.
   std::optional<ClientRequest> client;  ///< Empty: the head is malformed.
 };
 
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "base/time.h"
+#include "gateway/request_fingerprint.h"
 
 namespace crankspur::gateway {
 
@@ -63,6 +64,7 @@
   std::string_view pool;
   std::string_view tenant;  ///< Empty: the route needs none.
   std::string_view model;   ///< Empty: none is named.
+  RequestFingerprint fingerprint;
   std::uint64_t configuration_version = 0;
   std::optional<Duration> keys_age;  ///< Since the platform vouched for the keys; empty: keys do not expire.
   std::uint32_t priority = 0;
@@ -108,6 +110,7 @@
 /// A back end did not serve a request, which goes on elsewhere if that may be.
 struct RequestMoved {
   std::string_view request_id;
+  RequestFingerprint fingerprint;
   std::string_view backend;
   RequestCause cause = RequestCause::none;
   int status = 0;     ///< Of the back end's answer; 0: none.
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -45,6 +45,7 @@
                                                {"pool", record.pool},
                                                {"tenant", record.tenant},
                                                {"model", record.model},
+                                               {"fingerprint", toHex(record.fingerprint)},
                                                {"configuration", record.configuration_version},
                                                {"keys_age_ms", millisecondsOrNone(record.keys_age)},
                                                {"priority", record.priority},
@@ -87,6 +88,7 @@
 
 void RequestLog::onMoved(const RequestMoved& record) {
   log_.write(EventId::GatewayRequestMoved, {{"request_id", record.request_id},
+                                            {"fingerprint", toHex(record.fingerprint)},
                                             {"backend", record.backend},
                                             {"cause", nameOf(record.cause)},
                                             {"status", record.status},
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -206,6 +206,7 @@
   Client client;
   if (incoming.client) client.request_id = incoming.client->request_id;
   client.request = std::make_shared<const http::Request>(std::move(request));
+  incoming.body = client.request->body;
   client.writer = std::move(writer);
   client.writer->onClientGone([this, id] {
     if (clients_.erase(id) == 0) return;
