--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -8,9 +8,9 @@
 for folder in ("platform/standin", "tools/soak"):
     sys.path.insert(0, str(ROOT / folder))
 
-from checks import broken_promises, refused_without_need  # noqa: E402
+from checks import broken_promises, refused_without_need, repeated_in_spite_of_ends  # noqa: E402
 from client import Attempt, Kind  # noqa: E402
-from runner import Run  # noqa: E402
+from runner import End, Run  # noqa: E402
 
 ORDER = Kind("/order/", streaming=False, repeatable=False)
 LOOK = Kind("/look/", streaming=False, repeatable=True)
@@ -55,6 +55,14 @@
         self.assert_broken("ran 2 times", [answered(ORDER)], [run(), run(runner="r2")])
         self.assertEqual(judge([answered(LOOK)], [run(), run(runner="r2")]), [])
 
+    def test_a_request_that_ends_runners_again_and_again(self):
+        known = [End(7, f"r{number}", float(number), number + 0.1) for number in range(3)]
+        repeats = [End(7, f"s{number}", 5.2 + number, 5.3 + number) for number in range(4)]
+        self.assertEqual(repeated_in_spite_of_ends(known + repeats[:3]), [])
+        self.assertEqual(len(repeated_in_spite_of_ends(known + repeats)), 1)
+        others = [End(8, "s", 9.0, 9.1) for _ in range(2)]
+        self.assertEqual(repeated_in_spite_of_ends(known + repeats[:3] + others), [])
+
     def test_a_refusal_while_new_connections_work(self):
         refused = answered(LOOK, status=503, sealed=False, retry_after="0.1", texts=[])
         self.assertEqual(len(refused_without_need([refused])), 1)
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -6,6 +6,9 @@
 MOST_PROBLEMS = 20
 LEAST_SERVED_WHEN_QUIET = 0.9
 MOST_BACK_ENDS = 2
+ENDS_UNTIL_KNOWN = 3  # Runners that a request ends before it counts as one that ends each.
+NEWS_S = 3.0  # From then on until every gateway knows.
+MOST_REPEATS = 3  # That reach runners later than that.
 
 
 def _stream_problem(attempt):
@@ -58,6 +61,24 @@
             for attempt in attempts if attempt.status in PROMISES_NOT_RUN and not attempt.sealed][:MOST_PROBLEMS]
 
 
+def repeated_in_spite_of_ends(ends):
+    """Returns a line for each request that ended runners again and again."""
+    ends_of = defaultdict(list)
+    for end in ends:
+        ends_of[end.part].append(end)
+    problems = []
+    for part, known in ends_of.items():
+        times = sorted(end.ended_at for end in known)
+        if len(times) < ENDS_UNTIL_KNOWN:
+            continue
+        known_at = times[ENDS_UNTIL_KNOWN - 1] + NEWS_S
+        repeats = sum(1 for end in known if end.began_at > known_at)
+        if repeats > MOST_REPEATS:
+            problems.append(f"request {part:x} ended {len(times)} runners, {repeats} of them by repeats later than "
+                            f"{NEWS_S:.0f} s after the third")
+    return problems
+
+
 def broken_promises(attempts, runs, revoked, key_validity_s, quiet_from):
     """Returns a line for each promise that broke."""
     runs_of = defaultdict(list)
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -24,7 +24,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "platform" / "standin"))
 
-from checks import broken_promises, refused_without_need  # noqa: E402
+from checks import broken_promises, refused_without_need, repeated_in_spite_of_ends  # noqa: E402
 from client import Attempt, Kind, look_up, make_attempt  # noqa: E402
 from http_text import head_bytes, read_body, read_head  # noqa: E402
 from runner import Runner  # noqa: E402
@@ -32,6 +32,8 @@
 
 GATEWAYS = 3
 ENGINES = 3
+ENGINES_THAT_END = 9  # Where requests that end engines are played alone.
+ENDING_REQUESTS = 2  # At most so many at once.
 APPLICATION_RUNNERS = 2
 REQUESTS_PER_S = 40
 REVOKED_SHARE = 0.15  # Of the requests, with keys that were taken away.
@@ -47,7 +49,7 @@
     Kind("/review/", streaming=True, repeatable=True, answer_events=20),
     Kind("/answer/", streaming=True, repeatable=False, answer_events=12),
 ]
-ALONE_FAULTS = ("silent_connections",)  # Kinds that can be played alone; refusals then break a promise.
+ALONE_FAULTS = ("silent_connections", "ending_requests")  # Kinds that can be played alone; refusals then break a promise.
 
 
 def free_ports(count):
@@ -173,7 +175,8 @@
         self.store = Store(random.Random(options.seed + 1))
         self.proxy = Proxy()
         self.gateways, self.engines, self.runners, self.runs, self.attempts = [], [], [], [], []
-        self.problems = []
+        self.problems, self.ends, self.ending_parts = [], [], set()
+        self.ending = asyncio.Semaphore(ENDING_REQUESTS)
         self.keys = {"key-a": "tenant-a", "key-b": "tenant-b"}
         self.revoked = {}  # Key to the time when its revocation was accepted.
         self.configuration_version = 0
@@ -216,9 +219,11 @@
         build = ROOT / self.options.build / "bin"
         store_port = await self.store.start("127.0.0.1", 0)
         generator = random.Random(self.options.seed + 2)
-        self.engines = [Runner(self.store, "engines", MODEL, 16, self.runs, generator) for _ in range(ENGINES)]
+        engines = ENGINES_THAT_END if self.options.only == "ending_requests" else ENGINES
+        ending = (self.ending_parts, self.ends)
+        self.engines = [Runner(self.store, "engines", MODEL, 16, self.runs, generator, *ending) for _ in range(engines)]
         self.runners = [Runner(self.store, "app", "", 12, self.runs, generator) for _ in range(APPLICATION_RUNNERS)]
-        inner = free_ports(ENGINES + APPLICATION_RUNNERS)
+        inner = free_ports(engines + APPLICATION_RUNNERS)
         targets = {"store": f"127.0.0.1:{store_port}"}
         targets |= {f"runner{index}": f"127.0.0.1:{port}" for index, port in enumerate(inner)}
         await self.proxy.start(build / "fault_proxy", targets, self.folder)
@@ -282,12 +287,13 @@
                 return self.random.choice(addresses)
         return self.random.choice(self.gateways).address
 
-    async def one_attempt(self, kind, key):
+    async def one_attempt(self, kind, key, prompt=None):
         number = f"{self.random.getrandbits(64):016x}"
         gateway = await self.find_gateway()
         attempt = Attempt(number, kind, key, self.keys.get(key, ""), gateway, time.monotonic())
         self.attempts.append(attempt)
-        prompt = [(self.random.randint(1, 6), 640), (self.random.getrandbits(40), 160)]
+        if prompt is None:
+            prompt = [(self.random.randint(1, 6), 640), (self.random.getrandbits(40), 160)]
         return await make_attempt(attempt, MODEL, prompt, DEADLINE_S)
 
     async def traffic(self, until):
@@ -392,6 +398,26 @@
             await self.proxy.set(silence_open=share, **route)
             await asyncio.sleep(generator.uniform(0.5, 4.0))
 
+    async def ending_requests(self, generator):
+        """A request that ends each engine which begins to run it comes again and again, at any gateway."""
+        async with self.ending:
+            part = generator.getrandbits(40) | 1 << 40
+            kind, key = generator.choice(KINDS[2:]), generator.choice(list(self.keys))
+            prompt = [(generator.randint(1, 6), 640), (part, 160)]
+            until = time.monotonic() + generator.uniform(4.0, 12.0)
+            self.note(f"request {part:x} ends each engine that runs it ({kind.route})")
+            self.ending_parts.add(part)
+            while time.monotonic() < until:
+                await self.one_attempt(kind, key, prompt)
+                await asyncio.sleep(generator.uniform(0.05, 0.7))
+
+    async def ending_requests_between(self, until):
+        """Such requests among the other faults, drawn apart so that a seed's schedule of those stays what it was."""
+        generator = random.Random(self.options.seed + 4)
+        while time.monotonic() < until:
+            await asyncio.sleep(generator.uniform(2.0, 12.0))
+            await self.ending_requests(generator)
+
     async def new_configuration(self, generator):
         self.configure(generator)
         self.note(f"configuration {self.configuration_version}")
@@ -428,6 +454,8 @@
                     return await kind(generator)
             await kind(generator)
 
+        if not self.options.only:
+            tasks.add(asyncio.create_task(self.ending_requests_between(until)))
         while time.monotonic() < until:
             # A generator for each fault: what it does depends on the seed alone, not on what runs beside it.
             generator = random.Random(schedule.getrandbits(64))
@@ -464,6 +492,7 @@
         await self.stop()
         await asyncio.sleep(0.5)
         judged = broken_promises(self.attempts, self.runs, self.revoked, KEY_VALIDITY_S, quiet_at + QUIET_S / 2)
+        judged += repeated_in_spite_of_ends(self.ends)
         if self.options.only == "silent_connections":
             judged += refused_without_need(self.attempts)
         return self.problems + judged
@@ -481,6 +510,9 @@
     answered = sum(1 for attempt in soak.attempts if attempt.status == 200 and attempt.whole)
     counts = ", ".join(f"{status}: {count}" for status, count in sorted(statuses.items()))
     print(f"{len(soak.attempts)} attempts, {answered} answered whole, {len(soak.runs)} runs; by status: {counts}")
+    if soak.ends:
+        parts = {end.part for end in soak.ends}
+        print(f"{len(parts)} requests ended {len(soak.ends)} engines")
 
 
 async def play(options, folder):
