Quarantine requests that end the back ends which run them, over all attempts and gateways

Root cause: the limit on how often a request is sent (maxAttempts) was kept for one client attempt at one gateway, while what it protects, the engines, is shared by all attempts and all gateways. Class: a limit whose scope is smaller than what it protects.

Change: CrashSuspects keeps which starts of back ends broke off under which request (fingerprint), as a set that merges in any order. Two ends in sequence: the request runs where the fewest others run, one attempt at a time, apart from other such requests. Three (or four at once): it is refused at once for a minute, with that as the time to return, four times as long after each further end. A whole answer anywhere clears a request; a back end that is heard of after all refutes its end; ends at the same moment count once. Gateways tell each other news at once and sums of all they know twice a second.

The unit tests pass; they had let an engine that ended answer to the same start at once, which cannot be: it now starts again (on the code before they fail with 8 and 16 engines as they did).

--- a/proto/crankspur.pb.c
+++ b/proto/crankspur.pb.c
@@ -132,4 +132,19 @@
 PB_BIND(crankspur_wire_ServingNotice, crankspur_wire_ServingNotice, AUTO)
 
 
+PB_BIND(crankspur_wire_CrashEvidenceRecord, crankspur_wire_CrashEvidenceRecord, AUTO)
+
+
+PB_BIND(crankspur_wire_ClearedRequestRecord, crankspur_wire_ClearedRequestRecord, AUTO)
+
+
+PB_BIND(crankspur_wire_LivingBackendRecord, crankspur_wire_LivingBackendRecord, AUTO)
+
+
+PB_BIND(crankspur_wire_CrashNotes, crankspur_wire_CrashNotes, AUTO)
+
+
+PB_BIND(crankspur_wire_CrashDigest, crankspur_wire_CrashDigest, AUTO)
+
+
 
--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -45,6 +45,12 @@
 constexpr double kLatenessLimit = 0.5;
 /// Factor of load while a runner is slow after its start.
 constexpr double kColdFactor = 2.0;
+/// What another request at the back end costs one that may end it, seconds (for runners: load), so that it
+/// goes before all else: each is cut, and its engine's cache is lost, for an end. Avoided back ends cost as
+/// much as so many.
+constexpr double kCostPerRequestAtRisk = 10;
+constexpr double kAvoidedRequests = 1'000;
+
 Duration toDuration(double seconds) {
   return Duration(static_cast<std::int64_t>(seconds * 1e6));
 }
@@ -299,6 +305,18 @@
   return load + random_.unit() / slots / 4;
 }
 
+/// @return what is lost if the back end ends.
+double EngineChoice::riskCost(const Backend& backend, const ChoiceRequest& request,
+                              const GatewaySnapshot& snapshot, const BackendTable& table,
+                              TimePoint now) const {
+  const EngineView& engine = backend.view;
+  const double others = peers_.at(engine.incarnation, now).in_flight * peerScale(snapshot, now);
+  const auto& avoided = request.avoided;
+  const bool is_avoided = std::find(avoided.begin(), avoided.end(), engine.slot) != avoided.end();
+  const double requests = table.inFlight(engine.slot) + others + (is_avoided ? kAvoidedRequests : 0);
+  return requests * kCostPerRequestAtRisk;
+}
+
 Choice EngineChoice::choose(const ChoiceRequest& request, const GatewaySnapshot& snapshot,
                             const BackendTable& table, TimePoint now) const {
   Choice choice;
@@ -318,6 +336,7 @@
       candidate.first_byte = table.answerTime(backend->view.slot);
     }
     if (now < backend->cold_until) candidate.cost *= kColdFactor;
+    if (request.least_at_risk) candidate.cost += riskCost(*backend, request, snapshot, table, now);
     if (best.backend == nullptr || candidate.cost < best.cost) {
       second = std::exchange(best, std::move(candidate));
     } else if (second.backend == nullptr || candidate.cost < second.cost) {
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -34,6 +34,8 @@
   const WeightsClock* weights_clock = nullptr;  ///< Which weights are too old to begin with; null: none are.
   Duration weights_margin{0};                   ///< Between the clock's grace and the latest begin.
   std::vector<EngineSlot> excluded;
+  std::vector<EngineSlot> avoided;  ///< Used only where no other may be.
+  bool least_at_risk = false;       ///< The back end may end: the one with the fewest other requests is best.
 };
 
 /// The back end chosen.
@@ -140,6 +142,8 @@
                        TimePoint now) const;
   double weighRunner(const Backend& backend, const GatewaySnapshot& snapshot, const BackendTable& table,
                      TimePoint now) const;
+  double riskCost(const Backend& backend, const ChoiceRequest& request, const GatewaySnapshot& snapshot,
+                  const BackendTable& table, TimePoint now) const;
   double peerScale(const GatewaySnapshot& snapshot, TimePoint now) const;
   RandomSource& random_;
   PartIndex index_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -36,6 +36,7 @@
   table_.onSnapshot(*snapshot_, now);
   choice_.onSnapshot(*snapshot_);
   weights_.onSnapshot(*snapshot_, now);
+  suspects_.forgetOld(now);
   if (snapshot_->configuration) shares_.configure(*snapshot_->configuration);
   lookAtSilent(now);
   serveQueue(now);
@@ -102,13 +103,17 @@
   if (route.repeatability == Repeatability::ResumableStream) entry.cursor.emplace(entry.client.resume_after);
 }
 
-ChoiceRequest Gateway::choiceRequest(const Entry& entry, const Pool& pool) const {
+ChoiceRequest Gateway::choiceRequest(const Entry& entry, const Pool& pool) {
   ChoiceRequest request;
   request.pool = &pool;
   request.client = &entry.client;
   request.uses_prefixes = entry.route->uses_prefixes;
   request.isolated_tenant = entry.isolated_tenant;
   request.excluded = entry.failed;
+  if (entry.isolated) {
+    request.least_at_risk = true;
+    request.avoided = slotsOfIsolated();
+  }
   if (request.uses_prefixes) {
     request.weights_clock = &weights_;
     request.weights_margin = settings_.older_weights_margin;
@@ -132,6 +137,7 @@
 }
 
 void Gateway::place(Entry& entry, TimePoint now) {
+  if (!passesQuarantine(entry, now)) return;
   const Choice choice = choose(entry, now);
   if (choice.backend == nullptr) {
     entry.cause = choice.lacks_room ? RequestCause::back_ends_full : RequestCause::no_back_end;
@@ -169,7 +175,8 @@
     const Pool* pool = entry->pool;
     place(*entry, now);
     entry = findClient(client);
-    if (entry != nullptr && entry->waiting) full.push_back(pool);
+    const bool for_room = entry != nullptr && entry->cause != RequestCause::runs_already;
+    if (for_room && entry->waiting) full.push_back(pool);
   }
 }
 
@@ -220,7 +227,7 @@
 /// Answers as not run, with a time to come back.
 void Gateway::refuse(Entry& entry, TimePoint now) {
   ++counters_.refused;
-  const Duration retry_after = retryAfter(entry);
+  const Duration retry_after = retryAfter(entry, now);
   actions_.emplace_back(Refuse{entry.id, kUnavailable, retry_after});
   tellEnded(entry, RequestOutcome::refused, kUnavailable, retry_after, now);
 }
@@ -248,8 +255,10 @@
   giveUp(entry, now);
 }
 
-/// Spread, so that those refused together do not come back together.
-Duration Gateway::retryAfter(const Entry& entry) {
+/// Spread, so that those refused together do not come back together. One that is not run for a known time is
+/// told so.
+Duration Gateway::retryAfter(const Entry& entry, TimePoint now) {
+  if (entry.cause == RequestCause::ends_back_ends) return entry.quarantined_until - now;
   const Duration base = entry.route->first_byte_target / 2;
   const Duration bounded = std::clamp(base, kLeastRetryAfter, kMostRetryAfter);
   return Duration(static_cast<std::int64_t>(static_cast<double>(bounded.count()) * (0.5 + random_.unit())));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -14,6 +14,7 @@
 
 #include "base/random.h"
 #include "gateway/backend_table.h"
+#include "gateway/crash_suspects.h"
 #include "gateway/engine_choice.h"
 #include "gateway/gateway_actions.h"
 #include "gateway/gateway_settings.h"
@@ -55,6 +56,11 @@
   }
   /// @return what this gateway has at each engine, for the others.
   LoadDigest ownWork() const { return choice_.ownWork(); }
+  /// Another gateway told which back ends ended under which requests.
+  void onCrashNews(const CrashNews& news, TimePoint now) { suspects_.onTold(news, now); }
+  /// @return what this gateway learnt of such requests since the last call, for the others.
+  CrashNews takeCrashNews() { return suspects_.takeNews(); }
+  bool hasCrashNews() const { return suspects_.hasNews(); }
   /// @return the other gateways that place requests too.
   std::uint32_t peerCount() const { return snapshot_ == nullptr ? 0 : snapshot_->peer_count; }
 
@@ -120,6 +126,8 @@
     TimePoint queued_until{};  ///< Set while it waits for a place.
     TimePoint wakes_at = TimePoint::max();
     std::vector<EngineSlot> failed;  ///< Back ends that failed it.
+    bool isolated = false;           ///< Back ends may have ended because of it.
+    TimePoint quarantined_until{};   ///< Set once it is given up for that.
     std::uint32_t sends = 0;         ///< Back ends that it reached.
     std::uint32_t dispatches = 0;
     bool waiting = false;
@@ -137,7 +145,7 @@
   void admit(Entry& entry, const CheckedRequest& checked, TimePoint now);
   void place(Entry& entry, TimePoint now);
   Choice choose(Entry& entry, TimePoint now);
-  ChoiceRequest choiceRequest(const Entry& entry, const Pool& pool) const;
+  ChoiceRequest choiceRequest(const Entry& entry, const Pool& pool);
   void wait(Entry& entry, TimePoint now);
   void serveQueue(TimePoint now);
   void dispatch(Entry& entry, const Choice& choice, TimePoint now);
@@ -145,7 +153,7 @@
   void refuse(Entry& entry, TimePoint now);
   void refuseUnchecked(ClientId client, const IncomingRequest& request, const CheckedRequest& checked,
                        TimePoint now);
-  Duration retryAfter(const Entry& entry);
+  Duration retryAfter(const Entry& entry, TimePoint now);
   void finish(Entry& entry);
   void giveUpFor(Entry& entry, RequestCause cause, TimePoint now);
   void wakeAt(Entry& entry, TimePoint when);
@@ -154,6 +162,14 @@
   Entry* findClient(ClientId client);
   RepeatBudget& budgetOf(const std::string& pool);
 
+  // Requests that end back ends (gateway_suspects.cc).
+  bool passesQuarantine(Entry& entry, TimePoint now);
+  bool runsElsewhere(const Entry& entry);
+  std::vector<EngineSlot> slotsOfIsolated();
+  void noteCrash(const Entry& entry, const Running& running, TimePoint now);
+  void noteHeard(const Entry& entry, TimePoint now);
+  void noteWholeAnswer(const Entry& entry, TimePoint now);
+
   // Records for the observer (gateway_records.cc).
   void tellAdmitted(const Entry& entry, TimePoint now);
   void tellPlaced(const Entry& entry, const Choice& choice, TimePoint now);
@@ -191,6 +207,7 @@
   EngineChoice choice_;
   RouteShares shares_;
   WeightsClock weights_;
+  CrashSuspects suspects_;
   absl::flat_hash_map<std::string, RepeatBudget> budgets_;
   absl::flat_hash_map<ClientId, std::unique_ptr<Entry>> entries_;
   absl::flat_hash_map<ExchangeId, ClientId> exchanges_;
--- a/src/gateway/gateway_answers.cc
+++ b/src/gateway/gateway_answers.cc
@@ -56,6 +56,7 @@
   running.heard_at = now;
   running.status = status;
   table_.onHeard(running.slot, now);
+  noteHeard(*entry, now);
   if (answer.not_run || answer.wrong_backend) return onNotRun(*entry, status, answer, now);
   if (answer.weights_version) {
     choice_.onWeights(running.slot, running.incarnation, entry->client.model, *answer.weights_version);
@@ -85,6 +86,7 @@
   if (entry == nullptr) return;
   entry->running.heard_at = now;
   table_.onHeard(entry->running.slot, now);
+  noteHeard(*entry, now);
   if (!entry->running.passes_bytes) return;
   noteFirstByte(*entry, now);
   std::string passed = entry->cursor ? entry->cursor->feed(bytes) : std::string(bytes);
@@ -95,6 +97,7 @@
   Entry* entry = findExchange(exchange);
   if (entry == nullptr) return;
   if (entry->cursor && entry->cursor->insideEvent()) return onLost(exchange, true, now);
+  noteWholeAnswer(*entry, now);
   const bool error = entry->running.error_answer;
   const bool begun = entry->head_passed;
   const int status = entry->running.status;
@@ -189,6 +192,7 @@
   if (sent) {
     entry->arrived_before = true;
     entry->may_have_run = true;
+    noteCrash(*entry, running, now);
   } else {
     --entry->sends;
     actions_.emplace_back(ReportUnreachable{running.slot, running.incarnation});
--- /dev/null
+++ b/src/gateway/gateway_suspects.cc
@@ -0,0 +1,74 @@
+/// @file What a gateway does about requests that may end the back ends which run them.
+
+#include <algorithm>
+
+#include "gateway/gateway.h"
+
+namespace crankspur::gateway {
+
+/// A request that has ended back ends one after the other is not run; one that may have is run where the
+/// least is lost, and not by two attempts at once: both would end a back end before either is known.
+/// @return whether the request may be sent to a back end now; otherwise it waits or has been given up.
+bool Gateway::passesQuarantine(Entry& entry, TimePoint now) {
+  const CrashVerdict verdict = suspects_.judge(entry.fingerprint, now);
+  entry.isolated = verdict.suspicion != Suspicion::none;
+  if (verdict.suspicion == Suspicion::quarantined) {
+    entry.quarantined_until = verdict.quarantined_until;
+    giveUpFor(entry, RequestCause::ends_back_ends, now);
+    return false;
+  }
+  if (!entry.isolated || !runsElsewhere(entry)) return true;
+  entry.cause = RequestCause::runs_already;
+  wait(entry, now);
+  return false;
+}
+
+/// @return whether another attempt of the same request is at a back end.
+bool Gateway::runsElsewhere(const Entry& entry) {
+  return std::any_of(exchanges_.begin(), exchanges_.end(), [&](const auto& exchange) {
+    const Entry* other = findClient(exchange.second);
+    return other != nullptr && other != &entry && other->fingerprint == entry.fingerprint;
+  });
+}
+
+/// @return back ends that run an isolated request: two of them at one place would be blamed for each other.
+std::vector<EngineSlot> Gateway::slotsOfIsolated() {
+  std::vector<EngineSlot> slots;
+  for (const auto& [exchange, client] : exchanges_) {
+    const Entry* entry = findClient(client);
+    if (entry != nullptr && entry->isolated) slots.push_back(entry->running.slot);
+  }
+  return slots;
+}
+
+/// A back end broke off. One that leaves as planned ends its last answers so.
+void Gateway::noteCrash(const Entry& entry, const Running& running, TimePoint now) {
+  const Backend* backend = snapshot_->backend(running.slot);
+  const bool present = backend != nullptr && backend->view.incarnation == running.incarnation;
+  if (present && backend->view.state == EngineState::Leaving) return;
+  const CrashEvidence evidence{entry.fingerprint, running.incarnation, running.sent_at, now};
+  if (!suspects_.onCrash(evidence, now)) return;
+  const CrashVerdict verdict = suspects_.judge(entry.fingerprint, now);
+  RequestSuspected record;
+  record.request_id = entry.client.request_id;
+  record.fingerprint = entry.fingerprint;
+  record.backend = entry.last_backend;
+  record.after = now - running.sent_at;
+  record.ends = verdict.ends;
+  record.suspicion = verdict.suspicion;
+  if (verdict.suspicion == Suspicion::quarantined) record.quarantine = verdict.quarantined_until - now;
+  observer_.onSuspected(record);
+}
+
+void Gateway::noteHeard(const Entry& entry, TimePoint now) {
+  const Running& running = entry.running;
+  if (!suspects_.onHeard(running.incarnation, running.sent_at, now)) return;
+  observer_.onSuspicionWithdrawn({entry.client.request_id, entry.fingerprint, entry.last_backend, true});
+}
+
+void Gateway::noteWholeAnswer(const Entry& entry, TimePoint now) {
+  if (!suspects_.onWholeAnswer(entry.fingerprint, now)) return;
+  observer_.onSuspicionWithdrawn({entry.client.request_id, entry.fingerprint, entry.last_backend, false});
+}
+
+}  // namespace crankspur::gateway
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -11,6 +11,8 @@
   void onMoved(const RequestMoved&) override {}
   void onEnded(const RequestEnded&) override {}
   void onDistrusted(const BackendDistrusted&) override {}
+  void onSuspected(const RequestSuspected&) override {}
+  void onSuspicionWithdrawn(const SuspicionWithdrawn&) override {}
 };
 
 }  // namespace
@@ -66,6 +68,10 @@
       return "answer_not_genuine";
     case RequestCause::error_answer:
       return "error_answer";
+    case RequestCause::ends_back_ends:
+      return "ends_back_ends";
+    case RequestCause::runs_already:
+      return "runs_already";
     case RequestCause::silence:
       return "silence";
     case RequestCause::time_ran_out:
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -94,12 +94,14 @@
       serving_(settings.gossip, servingOptions(settings)),
       orders_(executor, orderOptions(settings, incarnation), platform, orderCallbacks(), log),
       cache_watch_(executor, platform, cacheCallbacks()),
+      crashes_(combineHashes(hashBytes(settings.name, 4), incarnation), clock_.now()),
       publish_timer_(executor),
       change_timer_(executor),
       tell_timer_(executor),
       told_timer_(executor),
       peer_work_timer_(executor),
-      serving_timer_(executor) {}
+      serving_timer_(executor),
+      crash_timer_(executor) {}
 
 std::error_code GatewayControl::start() {
   contact_->vouch(now());
@@ -107,6 +109,7 @@
   if (const std::error_code error = gossip_.start()) return error;
   platform_.start(platformNews());
   lookAtServing();
+  tellCrashDigest();
   return {};
 }
 
@@ -176,6 +179,9 @@
     const auto known = members_.find(name);
     const bool joined_before = known != members_.end() && known->second.incarnation != 0;
     if (!joined_before && member.incarnation != 0) member_added_at_ = now();
+    const bool is_back = known != members_.end() && known->second.state != MemberState::Alive &&
+                         member.state == MemberState::Alive;
+    if (!joined_before || is_back) crashes_.onMemberJoined(now());
     const bool same = known != members_.end() && known->second.state == member.state &&
                       known->second.incarnation == member.incarnation;
     if (!same)
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -15,6 +15,7 @@
 #include "gateway/load_meter.h"
 #include "gateway_control/cache_exchange.h"
 #include "gateway_control/cache_watch.h"
+#include "gateway_control/crash_exchange.h"
 #include "gateway_control/fleet_view.h"
 #include "gateway_control/gossip_socket.h"
 #include "gateway_control/node_settings.h"
@@ -29,6 +30,7 @@
   std::function<void(std::shared_ptr<const GatewaySnapshot>)> publish;
   std::function<void(CachedPartsNews)> on_cached_parts;
   std::function<void(std::vector<LoadDigest>)> on_peer_work;
+  std::function<void(CrashNews)> on_crash_news;
   /// Open connections have gone silent: those of traffic may have, too.
   std::function<void()> on_connections_silent;
 };
@@ -71,6 +73,8 @@
   /// Tells the other gateways, in a large fleet those that serve, what this one has at each engine.
   void onOwnWork(const LoadDigest& digest);
   void onOwnLoad(const OwnLoad& load) { own_load_ = load; }
+  /// Tells all other gateways which back ends ended under which requests.
+  void onOwnCrashNews(const CrashNews& news);
 
 private:
   TimePoint now() const { return clock_.now(); }
@@ -82,6 +86,10 @@
   void onCacheWanted(const std::string& asker, const CacheWanted& wanted) override;
   void onLoadDigest(const std::string& teller, const LoadDigest& digest) override;
   void onServingNotice(const std::string& teller, const ServingNotice& notice) override;
+  void onCrashNotes(const CrashNotes& notes) override;
+  void onCrashDigest(const std::string& teller, const CrashDigest& digest) override;
+  void tellCrashDigest();
+  std::vector<std::string> otherMembers() const;
   void passPeerWork();
   void onOwnCacheNews(CachedPartsNews news);
   CacheWatchCallbacks cacheCallbacks();
@@ -139,6 +147,7 @@
   OrderGiver orders_;
   CacheWatch cache_watch_;
   CacheExchange caches_;
+  CrashExchange crashes_;
   bool tell_waiting_ = false;
   TimePoint member_added_at_{};                  ///< When a gateway that was not known before became known.
   bool settled_ = false;                         ///< A large fleet is known: see fleetIsKnown().
@@ -165,6 +174,7 @@
   boost::asio::steady_timer told_timer_;
   boost::asio::steady_timer peer_work_timer_;
   boost::asio::steady_timer serving_timer_;
+  boost::asio::steady_timer crash_timer_;
 };
 
 }  // namespace crankspur::gateway
--- a/src/gateway_control/gossip_socket.cc
+++ b/src/gateway_control/gossip_socket.cc
@@ -110,6 +110,10 @@
     return receiver_.onLoadDigest(from, *digest);
   } else if (const auto* notice = std::get_if<ServingNotice>(&*frame.message)) {
     return receiver_.onServingNotice(from, *notice);
+  } else if (const auto* crashes = std::get_if<CrashNotes>(&*frame.message)) {
+    return receiver_.onCrashNotes(*crashes);
+  } else if (const auto* digest_of_crashes = std::get_if<CrashDigest>(&*frame.message)) {
+    return receiver_.onCrashDigest(from, *digest_of_crashes);
   }
   afterEvent();
 }
--- a/src/gateway_control/gossip_socket.h
+++ b/src/gateway_control/gossip_socket.h
@@ -36,6 +36,8 @@
   virtual void onCacheWanted(const std::string& asker, const CacheWanted& wanted) = 0;
   virtual void onLoadDigest(const std::string& teller, const LoadDigest& digest) = 0;
   virtual void onServingNotice(const std::string& teller, const ServingNotice& notice) = 0;
+  virtual void onCrashNotes(const CrashNotes& notes) = 0;
+  virtual void onCrashDigest(const std::string& teller, const CrashDigest& digest) = 0;
 };
 
 /// The socket with the membership that it serves. Use from the executor's thread only.
--- a/src/gateway_process/gateway_metrics.cc
+++ b/src/gateway_process/gateway_metrics.cc
@@ -40,6 +40,9 @@
       repeats_(counter("repeats_total", "Of these, beyond the first of a request.")),
       waits_(counter("waits_total", "Requests that waited for a place.")),
       distrusts_(counter("backends_distrusted_total", "Times that failures took a back end out of use.")),
+      suspected_(counter("requests_suspected_total", "Back ends that broke off, by request that they had.")),
+      suspicions_withdrawn_(counter("suspicions_withdrawn_total",
+                                    "Times that a whole answer or a back end that lives refuted that.")),
       prompt_tokens_(counter("prompt_tokens_total", "Prompt tokens of dispatches.")),
       uncached_tokens_(counter("uncached_tokens_total", "Of these, expected to be read by the engine.")),
       shared_tokens_again_(counter("shared_tokens_again_total",
@@ -122,6 +125,14 @@
   distrusts_.Increment();
 }
 
+void GatewayMetrics::onSuspected(const RequestSuspected&) {
+  suspected_.Increment();
+}
+
+void GatewayMetrics::onSuspicionWithdrawn(const SuspicionWithdrawn&) {
+  suspicions_withdrawn_.Increment();
+}
+
 void GatewayMetrics::setBackends(std::string_view state, std::size_t count) {
   backends_.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
 }
--- a/src/gateway_process/gateway_metrics.h
+++ b/src/gateway_process/gateway_metrics.h
@@ -35,6 +35,8 @@
   void onMoved(const RequestMoved& record) override;
   void onEnded(const RequestEnded& record) override;
   void onDistrusted(const BackendDistrusted& record) override;
+  void onSuspected(const RequestSuspected& record) override;
+  void onSuspicionWithdrawn(const SuspicionWithdrawn& record) override;
 
   /// Sets how many back ends of the state the last published list holds.
   void setBackends(std::string_view state, std::size_t count);
@@ -51,6 +53,8 @@
   prometheus::Counter& repeats_;
   prometheus::Counter& waits_;
   prometheus::Counter& distrusts_;
+  prometheus::Counter& suspected_;
+  prometheus::Counter& suspicions_withdrawn_;
   prometheus::Counter& prompt_tokens_;
   prometheus::Counter& uncached_tokens_;
   prometheus::Counter& shared_tokens_again_;
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -40,6 +40,8 @@
   std::function<void(LoadDigest)> on_own_work;
   /// How busy the traffic thread is; some times a second while requests come.
   std::function<void(OwnLoad)> on_own_load;
+  /// Which back ends ended under which requests, for the other gateways.
+  std::function<void(CrashNews)> on_crash_news;
 };
 
 /// One gateway. Functions may be called from any thread unless they say otherwise.
@@ -63,6 +65,8 @@
   void onCachedParts(CachedPartsNews news);
   /// Tells what other gateways have at each engine.
   void onPeerWork(std::vector<LoadDigest> digests);
+  /// Tells which back ends ended under which requests, as other gateways saw it.
+  void onCrashNews(CrashNews news);
   /// Tells that open connections to several peers have gone silent, while new ones may work.
   void onConnectionsSilent();
 
--- a/src/gateway_process/observer_pair.h
+++ b/src/gateway_process/observer_pair.h
@@ -34,6 +34,14 @@
     first_.onDistrusted(record);
     second_.onDistrusted(record);
   }
+  void onSuspected(const RequestSuspected& record) override {
+    first_.onSuspected(record);
+    second_.onSuspected(record);
+  }
+  void onSuspicionWithdrawn(const SuspicionWithdrawn& record) override {
+    first_.onSuspicionWithdrawn(record);
+    second_.onSuspicionWithdrawn(record);
+  }
 
 private:
   RequestObserver& first_;
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -123,4 +123,22 @@
                                                  {"for_ms", milliseconds(record.for_time)}});
 }
 
+void RequestLog::onSuspected(const RequestSuspected& record) {
+  log_.write(EventId::GatewayRequestSuspected, {{"request_id", record.request_id},
+                                                {"fingerprint", toHex(record.fingerprint)},
+                                                {"backend", record.backend},
+                                                {"after_ms", milliseconds(record.after)},
+                                                {"ends", record.ends},
+                                                {"suspicion", nameOf(record.suspicion)},
+                                                {"quarantine_ms", milliseconds(record.quarantine)}});
+}
+
+void RequestLog::onSuspicionWithdrawn(const SuspicionWithdrawn& record) {
+  log_.write(EventId::GatewaySuspicionWithdrawn,
+             {{"request_id", record.request_id},
+              {"fingerprint", toHex(record.fingerprint)},
+              {"backend", record.backend},
+              {"cause", record.backend_lives ? "back_end_lives" : "whole_answer"}});
+}
+
 }  // namespace crankspur::gateway
--- a/src/gateway_process/request_log.h
+++ b/src/gateway_process/request_log.h
@@ -6,7 +6,7 @@
 
 namespace crankspur::gateway {
 
-/// The lines are events 1220 to 1228.
+/// The lines are events 1220 to 1230.
 class RequestLog : public RequestObserver {
 public:
   /// @param log must outlive this object and never block.
@@ -18,6 +18,8 @@
   void onMoved(const RequestMoved& record) override;
   void onEnded(const RequestEnded& record) override;
   void onDistrusted(const BackendDistrusted& record) override;
+  void onSuspected(const RequestSuspected& record) override;
+  void onSuspicionWithdrawn(const SuspicionWithdrawn& record) override;
 
 private:
   EventLog& log_;
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -23,6 +23,8 @@
 constexpr Duration kWorkStepPerGateway = std::chrono::milliseconds(6);
 constexpr Duration kLeastWorkStep = std::chrono::milliseconds(40);
 constexpr Duration kLongestWorkStep = std::chrono::milliseconds(250);
+/// An engine that ends breaks all its connections within some milliseconds: they are told together.
+constexpr Duration kCrashGather = std::chrono::milliseconds(10);
 
 std::string_view describe(int status) {
   switch (status) {
@@ -77,6 +79,7 @@
       timer_(executor_),
       drain_timer_(executor_),
       work_timer_(executor_),
+      crash_timer_(executor_),
       meter_timer_(executor_) {
   http_->setSilenceHandler([this] {
     gateway_.onConnectionsSilent(now());
@@ -147,6 +150,16 @@
   });
 }
 
+void TrafficLoop::tellCrashesSoon() {
+  if (!facts_.on_crash_news || !gateway_.hasCrashNews() || std::exchange(crashes_waiting_, true)) return;
+  crash_timer_.expires_after(kCrashGather);
+  crash_timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    crashes_waiting_ = false;
+    facts_.on_crash_news(gateway_.takeCrashNews());
+  });
+}
+
 /// The last digest before a pause is empty: nothing of this gateway's is left at any engine.
 void TrafficLoop::tellWork() {
   work_waiting_ = false;
@@ -236,6 +249,7 @@
   pumping_ = false;
   armTimer();
   tellWorkSoon();
+  tellCrashesSoon();
   countInFlight();
   const std::lock_guard lock(counters_mutex_);
   counters_ = gateway_.counters();
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -28,6 +28,7 @@
   void onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot);
   void onCachedParts(const CachedPartsNews& news);
   void onPeerWork(const std::vector<LoadDigest>& digests);
+  void onCrashNews(const CrashNews& news) { gateway_.onCrashNews(news, now()); }
   /// Closes kept connections to back ends; requests on others that may be repeated move soon.
   void onConnectionsSilent();
   void drain();
@@ -65,6 +66,7 @@
 
   void onUnread(const http::UnreadRequest& unread);
   void tellWorkSoon();
+  void tellCrashesSoon();
   void tellWork();
   void meterRequest();
   void meterTick(TimePoint due);
@@ -99,8 +101,10 @@
   TimePoint timer_at_ = TimePoint::max();
   boost::asio::steady_timer drain_timer_;
   boost::asio::steady_timer work_timer_;
-  bool work_waiting_ = false;  ///< work_timer_ is armed.
-  bool told_work_ = false;     ///< The last digest was not empty.
+  bool work_waiting_ = false;     ///< work_timer_ is armed.
+  bool told_work_ = false;        ///< The last digest was not empty.
+  bool crashes_waiting_ = false;  ///< crash_timer_ is armed.
+  boost::asio::steady_timer crash_timer_;
   LoadMeter meter_;
   boost::asio::steady_timer meter_timer_;
   bool metering_ = false;  ///< meter_timer_ is armed.
--- a/src/internal_protocol/field_mapping.h
+++ b/src/internal_protocol/field_mapping.h
@@ -57,6 +57,11 @@
 CRANKSPUR_WIRE_FORM(ServingNotice)
 CRANKSPUR_WIRE_FORM(RelayedRow)
 CRANKSPUR_WIRE_FORM(RelayedRows)
+CRANKSPUR_WIRE_FORM(CrashEvidenceRecord)
+CRANKSPUR_WIRE_FORM(ClearedRequestRecord)
+CRANKSPUR_WIRE_FORM(LivingBackendRecord)
+CRANKSPUR_WIRE_FORM(CrashNotes)
+CRANKSPUR_WIRE_FORM(CrashDigest)
 #undef CRANKSPUR_WIRE_FORM
 
 template <typename Archive, typename Plain>
@@ -430,4 +435,38 @@
   archive.number(wire.in_trouble, plain.in_trouble);
 }
 
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_CrashEvidenceRecord& wire, Plain& plain) {
+  archive.number(wire.request_high, plain.request_high);
+  archive.number(wire.request_low, plain.request_low);
+  archive.number(wire.backend, plain.backend);
+  archive.number(wire.sent_age_milliseconds, plain.sent_age_milliseconds);
+  archive.number(wire.ended_age_milliseconds, plain.ended_age_milliseconds);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_ClearedRequestRecord& wire, Plain& plain) {
+  archive.number(wire.request_high, plain.request_high);
+  archive.number(wire.request_low, plain.request_low);
+  archive.number(wire.age_milliseconds, plain.age_milliseconds);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_LivingBackendRecord& wire, Plain& plain) {
+  archive.number(wire.backend, plain.backend);
+  archive.number(wire.age_milliseconds, plain.age_milliseconds);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_CrashNotes& wire, Plain& plain) {
+  archive.records(wire.crashes, plain.crashes);
+  archive.records(wire.cleared, plain.cleared);
+  archive.records(wire.living, plain.living);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_CrashDigest& wire, Plain& plain) {
+  archive.number(wire.digest, plain.digest);
+}
+
 }  // namespace crankspur::wire
--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -311,12 +311,48 @@
   bool in_trouble = false;  ///< The store does not answer the teller; nothing else is told.
 };
 
+/// A back end that broke off while it had a request (gateway/crash_suspects.h). Ages are those when this was
+/// sent.
+struct CrashEvidenceRecord {
+  std::uint64_t request_high = 0;  ///< Fingerprint of the request.
+  std::uint64_t request_low = 0;
+  std::uint64_t backend = 0;  ///< Incarnation.
+  std::uint32_t sent_age_milliseconds = 0;
+  std::uint32_t ended_age_milliseconds = 0;
+};
+
+/// A request that got a whole answer.
+struct ClearedRequestRecord {
+  std::uint64_t request_high = 0;
+  std::uint64_t request_low = 0;
+  std::uint32_t age_milliseconds = 0;
+};
+
+/// A back end that was heard of after it was taken to have ended.
+struct LivingBackendRecord {
+  std::uint64_t backend = 0;
+  std::uint32_t age_milliseconds = 0;
+};
+
+/// What one gateway knows of requests that end back ends: news, or all of it.
+struct CrashNotes {
+  std::vector<CrashEvidenceRecord> crashes;
+  std::vector<ClearedRequestRecord> cleared;
+  std::vector<LivingBackendRecord> living;
+};
+
+/// Sum over all that the sender knows of such requests; a receiver with another one answers with all it
+/// knows.
+struct CrashDigest {
+  std::uint64_t digest = 0;
+};
+
 /// Every message that a frame can carry.
 using Message =
     std::variant<Hello, SubmitRequest, Accepted, StreamPiece, StreamEnd, Refusal, Cancel, Ping, PingAck,
                  BundleRequest, BundleBody, CacheSummary, LoadDigest, ClaimPrepare, ClaimReply, ProtocolError,
                  BundleUpdate, BackendListRequest, BackendList, ClaimRelease, ClaimRecord, ClaimSeal,
                  ClaimSealed, ClaimInstall, ClaimGroupRequest, ClaimGroupInfo, BackendNotes, CacheNotes,
-                 CacheWanted, ServingNotice, RelayedRows>;
+                 CacheWanted, ServingNotice, RelayedRows, CrashNotes, CrashDigest>;
 
 }  // namespace crankspur
--- a/tests/unit/gateway/crash_suspects_gateway_test.cc
+++ b/tests/unit/gateway/crash_suspects_gateway_test.cc
@@ -29,6 +29,17 @@
     return has<Dispatch>();
   }
 
+  /// The engine of the last dispatch ends and starts again, as it would after some seconds.
+  void crashLast() {
+    for (Backend& backend : backends) {
+      if (backend.view.address == last.address) backend.view.incarnation += 1000;
+    }
+    lose(true);
+    const std::vector<GatewayAction> decided = actions;
+    publish();
+    actions = decided;
+  }
+
   /// @return engines that end under a request with the body that is sent so many times.
   int attempts(const std::string& route, std::string_view body, int count) {
     int ended = 0;
@@ -37,7 +48,7 @@
       while (has<Dispatch>()) {  // Streams that may go on are sent to the next engine at once.
         head(200);
         now += milliseconds(100);
-        lose(true);
+        crashLast();
         ++ended;
       }
       now += milliseconds(300);
--- a/tests/unit/gateway/gateway_fixture.h
+++ b/tests/unit/gateway/gateway_fixture.h
@@ -94,6 +94,9 @@
   }
   void onDistrusted(const BackendDistrusted& record) override { distrusted.emplace_back(record.backend); }
 
+  void onSuspected(const RequestSuspected& record) override { suspected.push_back(record); }
+  void onSuspicionWithdrawn(const SuspicionWithdrawn& record) override { withdrawn.push_back(record); }
+
   // Views in the records are void after the call; what tests compare of them is kept beside.
   std::vector<std::string> admitted;
   std::vector<RequestPlaced> placed;
@@ -104,6 +107,8 @@
   std::vector<std::string> ended_ids;
   std::vector<std::string> ended_at;
   std::vector<std::string> distrusted;
+  std::vector<RequestSuspected> suspected;
+  std::vector<SuspicionWithdrawn> withdrawn;
 };
 
 class GatewayFixture {
--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -41,6 +41,9 @@
 std::string describeFields(const ClaimGroupInfo& value);
 std::string describeFields(const ProtocolError& value);
 std::string describeFields(const RelayedRow& value);
+std::string describeFields(const CrashEvidenceRecord& value);
+std::string describeFields(const ClearedRequestRecord& value);
+std::string describeFields(const LivingBackendRecord& value);
 
 template <typename Record>
 std::string describeAll(const std::vector<Record>& records) {
@@ -189,6 +192,29 @@
                      value.contact_age_milliseconds, value.held_milliseconds, value.in_trouble);
 }
 
+std::string describeFields(const CrashEvidenceRecord& value) {
+  return fmt::format("CrashEvidenceRecord {} {} {} {} {}", value.request_high, value.request_low,
+                     value.backend, value.sent_age_milliseconds, value.ended_age_milliseconds);
+}
+
+std::string describeFields(const ClearedRequestRecord& value) {
+  return fmt::format("ClearedRequestRecord {} {} {}", value.request_high, value.request_low,
+                     value.age_milliseconds);
+}
+
+std::string describeFields(const LivingBackendRecord& value) {
+  return fmt::format("LivingBackendRecord {} {}", value.backend, value.age_milliseconds);
+}
+
+std::string describeFields(const CrashNotes& value) {
+  return fmt::format("CrashNotes {} {} {}", describeAll(value.crashes), describeAll(value.cleared),
+                     describeAll(value.living));
+}
+
+std::string describeFields(const CrashDigest& value) {
+  return fmt::format("CrashDigest {}", value.digest);
+}
+
 std::string describeFields(const BackendNotes& value) {
   return fmt::format("BackendNotes {}", describeAll(value.notes));
 }
@@ -568,7 +594,12 @@
                       {RelayedRow{"key", std::string("va\0lue", 6), ~0ull - 129, true}, RelayedRow{}},
                       ~0u - 130,
                       ~0u - 131,
-                      true}};
+                      true},
+          CrashNotes{{CrashEvidenceRecord{~0ull - 132, ~0ull - 133, ~0ull - 134, ~0u - 135, ~0u - 136},
+                      CrashEvidenceRecord{}},
+                     {ClearedRequestRecord{~0ull - 137, ~0ull - 138, ~0u - 139}},
+                     {LivingBackendRecord{~0ull - 140, ~0u - 141}}},
+          CrashDigest{~0ull - 142}};
 }
 
 std::string describe(const Message& message) {
