Tests of the evidence against requests: merging, refutation, sequence, bounds, exchange between gateways

Ends count in sequence from 30 ms on instead of 100 ms: a test of engines that end together showed that runs of 0.1 s counted one after the other.

--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -23,7 +23,7 @@
 constexpr Duration kRefutationLifetime = std::chrono::minutes(1);
 /// A run that began up to this much before the end of another one counts as begun after it: the times of
 /// other gateways are off by the way of their datagrams.
-constexpr Duration kClockTolerance = std::chrono::milliseconds(100);
+constexpr Duration kClockTolerance = std::chrono::milliseconds(30);
 /// Bytes that a back end sent before its end are read within this time after it is noticed.
 constexpr Duration kReadingTime = std::chrono::milliseconds(300);
 /// No back end is back sooner after its end: it has to load its weights. What answers sooner did not end.
--- a/tests/unit/gateway/crash_suspects_gateway_test.cc
+++ b/tests/unit/gateway/crash_suspects_gateway_test.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "unit/gateway/gateway_fixture.h"
 
 // A request ended each engine that began to run it. Its caller sent it again and again, each time under a new
@@ -71,3 +73,123 @@
   CrashSite site;
   CHECK(site.attempts("review", kBody, 8) == 3);
 }
+
+TEST_CASE("three ends that several gateways saw count together", "[gateway][crash_suspects]") {
+  CrashSite site;
+  CHECK(site.attempts("answer", kBody, 1) == 1);
+  const CrashNews news = site.gateway.takeCrashNews();
+  REQUIRE(news.crashes.size() == 1);
+  CrashSite other;
+  other.now = site.now;
+  other.backends = site.backends;
+  other.publish();
+  other.gateway.onCrashNews(news, other.now);
+  CHECK(other.attempts("answer", kBody, 4) == 2);
+}
+
+TEST_CASE("a request that got a whole answer is free of suspicion", "[gateway][crash_suspects]") {
+  CrashSite site;
+  site.attempts("answer", kBody, 2);
+  REQUIRE(site.sendBody("answer", kBody));
+  site.head(200);
+  site.end();
+  CHECK(site.observer.withdrawn.size() == 1);
+  CHECK(site.attempts("answer", kBody, 8) == 3);
+}
+
+TEST_CASE("what ran beside a request that ends engines goes on and is not refused",
+          "[gateway][crash_suspects]") {
+  CrashSite site;
+  for (int round = 0; round < 8; ++round) {
+    site.sendBody("answer", kBody);
+    const Dispatch guilty = site.last;
+    const bool runs = site.has<Dispatch>();
+    REQUIRE(site.sendBody("review", "another prompt"));
+    site.head(200);
+    if (runs && site.last.address == guilty.address) site.crashLast();  // It goes on elsewhere.
+    site.head(200);
+    site.end();
+    site.last = guilty;
+    if (runs) site.crashLast();
+    site.now += seconds(1);
+  }
+  for (const RequestEnded& ended : site.observer.ended) {
+    if (ended.outcome == RequestOutcome::refused) CHECK(ended.cause == RequestCause::ends_back_ends);
+  }
+  CHECK(site.sendBody("review", "another prompt"));
+}
+
+TEST_CASE("a request under suspicion runs where the fewest others do", "[gateway][crash_suspects]") {
+  CrashSite site;
+  std::vector<std::string> busy;
+  site.attempts("answer", kBody, 2);
+  for (int count = 0; count < 9; ++count) {
+    REQUIRE(site.sendBody("answer", "prompt " + std::to_string(count)));
+    busy.push_back(site.last.address);
+  }
+  REQUIRE(site.sendBody("answer", kBody));
+  const auto others = std::count(busy.begin(), busy.end(), site.last.address);
+  CHECK(others == 0);
+}
+
+TEST_CASE("two attempts of a request under suspicion do not run at once", "[gateway][crash_suspects]") {
+  CrashSite site;
+  site.attempts("answer", kBody, 2);
+  REQUIRE(site.sendBody("answer", kBody));
+  const Dispatch first = site.last;
+  CHECK_FALSE(site.sendBody("answer", kBody));
+  site.last = first;
+  site.head(200);
+  site.end();
+  CHECK(site.has<Dispatch>());  // The answer frees the second one.
+}
+
+TEST_CASE("a connection that breaks at a back end which goes on ends nothing", "[gateway][crash_suspects]") {
+  CrashSite site;
+  site.backends.resize(3);  // One engine.
+  site.publish();
+  for (int round = 0; round < 6; ++round) {
+    REQUIRE(site.sendBody("answer", kBody));
+    const Dispatch broken = site.last;
+    site.head(200);
+    REQUIRE(site.sendBody("answer", "other " + std::to_string(round)));
+    site.head(200);
+    site.bytes("id: 1\ndata: x\n\n");
+    const Dispatch sound = site.last;
+    site.now += milliseconds(10);
+    site.last = broken;
+    site.lose(true);
+    site.now += seconds(1);
+    site.last = sound;
+    site.bytes("id: 2\ndata: x\n\n");
+    site.end();
+  }
+  CHECK(site.observer.suspected.size() == 6);
+  CHECK(site.observer.withdrawn.size() == 6);
+}
+
+TEST_CASE("a back end that leaves as planned cuts its last answers and blames nobody",
+          "[gateway][crash_suspects]") {
+  CrashSite site;
+  for (int round = 0; round < 5; ++round) {
+    REQUIRE(site.sendBody("answer", kBody));
+    site.head(200);
+    for (Backend& backend : site.backends) {
+      if (backend.view.address == site.last.address) backend.view.state = EngineState::Leaving;
+    }
+    site.publish();
+    site.take();
+    site.lose(true);
+    site.now += seconds(1);
+  }
+  CHECK(site.observer.suspected.empty());
+}
+
+TEST_CASE("a quarantined request is tried again after its time", "[gateway][crash_suspects]") {
+  CrashSite site;
+  site.attempts("answer", kBody, 8);
+  const Duration wait = site.only<Refuse>().retry_after;
+  site.now += wait + milliseconds(1);
+  CHECK(site.attempts("answer", kBody, 8) == 1);
+  CHECK(site.only<Refuse>().retry_after > 3 * wait);
+}
--- /dev/null
+++ b/tests/unit/gateway/crash_suspects_test.cc
@@ -0,0 +1,156 @@
+#include "gateway/crash_suspects.h"
+
+#include <catch2/catch.hpp>
+
+#include "base/random.h"
+
+using namespace crankspur;
+using namespace crankspur::gateway;
+using std::chrono::hours;
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+namespace {
+
+const RequestFingerprint kRequest{1, 2};
+const TimePoint kStart{seconds(1000)};
+
+/// The request was sent to the back end at `sent` and the back end broke off 0.1 s later.
+CrashEvidence crash(std::uint64_t backend, Duration sent, const RequestFingerprint& request = kRequest) {
+  return {request, backend, kStart + sent, kStart + sent + milliseconds(100)};
+}
+
+/// Back ends 1 to `count` ended under the request, one each second.
+CrashSuspects suspectsWith(int count) {
+  CrashSuspects suspects;
+  for (int end = 0; end < count; ++end)
+    suspects.onCrash(crash(1U + end, seconds(end)), kStart + seconds(end));
+  return suspects;
+}
+
+Suspicion suspicionOf(const CrashSuspects& suspects, Duration after,
+                      const RequestFingerprint& request = kRequest) {
+  return suspects.judge(request, kStart + after).suspicion;
+}
+
+}  // namespace
+
+TEST_CASE("suspicion grows with each end and is of one request alone", "[gateway][crash_suspects]") {
+  CHECK(suspicionOf(suspectsWith(0), seconds(5)) == Suspicion::none);
+  CHECK(suspicionOf(suspectsWith(1), seconds(5)) == Suspicion::none);
+  CHECK(suspicionOf(suspectsWith(2), seconds(5)) == Suspicion::isolated);
+  CHECK(suspicionOf(suspectsWith(3), seconds(5)) == Suspicion::quarantined);
+  CHECK(suspicionOf(suspectsWith(3), seconds(5), {1, 3}) == Suspicion::none);
+}
+
+TEST_CASE("one start of a back end ends once, whoever saw it", "[gateway][crash_suspects]") {
+  CrashSuspects suspects = suspectsWith(2);
+  CHECK_FALSE(suspects.onCrash(crash(2, milliseconds(1010)), kStart + seconds(2)));
+  CHECK(suspicionOf(suspects, seconds(2)) == Suspicion::isolated);
+}
+
+TEST_CASE("what is sent to a back end after it can be back ends its next start",
+          "[gateway][crash_suspects]") {
+  CrashSuspects suspects = suspectsWith(2);
+  CHECK(suspects.onCrash(crash(2, seconds(3)), kStart + seconds(4)));
+  CHECK(suspicionOf(suspects, seconds(4)) == Suspicion::quarantined);
+}
+
+TEST_CASE("back ends that end together count once", "[gateway][crash_suspects]") {
+  CrashSuspects suspects;
+  for (std::uint64_t backend = 1; backend <= 3; ++backend) {
+    suspects.onCrash(crash(backend, milliseconds(10 * backend)), kStart + seconds(1));
+  }
+  CHECK(suspicionOf(suspects, seconds(1)) == Suspicion::none);
+}
+
+TEST_CASE("attempts at once at several gateways are quarantined after two rounds",
+          "[gateway][crash_suspects]") {
+  CrashSuspects suspects;
+  for (std::uint64_t backend = 1; backend <= 4; ++backend) {
+    suspects.onCrash(crash(backend, seconds(backend > 2 ? 1 : 0)), kStart + seconds(2));
+  }
+  CHECK(suspicionOf(suspects, seconds(2)) == Suspicion::quarantined);
+}
+
+TEST_CASE("a whole answer clears a request, also of evidence that comes later", "[gateway][crash_suspects]") {
+  CrashSuspects suspects = suspectsWith(2);
+  CHECK(suspects.onWholeAnswer(kRequest, kStart + seconds(3)));
+  CHECK(suspicionOf(suspects, seconds(3)) == Suspicion::none);
+  CHECK_FALSE(suspects.onCrash(crash(9, seconds(2)), kStart + seconds(4)));
+  CHECK(suspects.onCrash(crash(9, seconds(3)), kStart + seconds(4)));
+  CHECK(suspects.digest() != 0);
+}
+
+TEST_CASE("a back end that lives clears all requests that it had", "[gateway][crash_suspects]") {
+  const RequestFingerprint other{5, 6};
+  CrashSuspects suspects = suspectsWith(2);
+  suspects.onCrash(crash(2, seconds(1), other), kStart + seconds(2));
+  SECTION("by bytes on a connection of before") {
+    CHECK_FALSE(suspects.onHeard(2, kStart, kStart + milliseconds(1200)));  // May have waited to be read.
+    CHECK(suspects.onHeard(2, kStart, kStart + seconds(8)));
+  }
+  SECTION("by an answer sooner than it could be back") {
+    CHECK_FALSE(suspects.onHeard(2, kStart + seconds(2), kStart + seconds(8)));
+    CHECK(suspects.onHeard(2, kStart + milliseconds(1200), kStart + milliseconds(1400)));
+  }
+  CHECK(suspicionOf(suspects, seconds(8)) == Suspicion::none);
+  CHECK(suspects.size() == 1);
+  CHECK_FALSE(suspects.onCrash(crash(2, seconds(1), other), kStart + seconds(8)));
+}
+
+TEST_CASE("a quarantine ends, grows with each further end, and is forgotten", "[gateway][crash_suspects]") {
+  CrashSuspects suspects = suspectsWith(3);
+  CHECK(suspicionOf(suspects, seconds(61)) == Suspicion::quarantined);
+  CHECK(suspicionOf(suspects, seconds(63)) == Suspicion::isolated);
+  suspects.onCrash(crash(4, seconds(70)), kStart + seconds(71));
+  CHECK(suspicionOf(suspects, seconds(70) + minutes(3)) == Suspicion::quarantined);
+  CHECK(suspicionOf(suspects, seconds(71) + minutes(4)) == Suspicion::isolated);
+  suspects.forgetOld(kStart + hours(2));
+  CHECK(suspects.size() == 0);
+  CHECK(suspects.digest() == 0);
+}
+
+TEST_CASE("what gateways know merges in any order to the same", "[gateway][crash_suspects]") {
+  RandomSource random(11);
+  for (int round = 0; round < 200; ++round) {
+    std::vector<CrashNews> told;
+    for (int event = 0; event < 12; ++event) {
+      const RequestFingerprint request{random.uniform(1, 3), 0};
+      const std::uint64_t backend = random.uniform(1, 5);
+      const Duration at = milliseconds(random.uniform(0, 5000));
+      CrashNews news;
+      const std::uint64_t kind = random.uniform(0, 9);
+      if (kind < 8) news.crashes.push_back(crash(backend, milliseconds(100 * backend), request));
+      if (kind == 8) news.cleared.push_back({request, kStart + at});
+      if (kind == 9) news.living.push_back({backend, kStart + at});
+      told.push_back(news);
+    }
+    CrashSuspects one;
+    CrashSuspects other;
+    const TimePoint now = kStart + seconds(10);
+    for (const CrashNews& news : told) one.onTold(news, now);
+    for (std::size_t left = told.size(); left > 0; --left) {
+      const std::size_t pick = random.uniform(0, left - 1);
+      other.onTold(told[pick], now);
+      std::swap(told[pick], told[left - 1]);
+    }
+    CHECK(one.digest() == other.digest());
+    CrashSuspects third;
+    third.onTold(one.everything(), now);
+    CHECK(third.digest() == one.digest());
+    CHECK_FALSE(one.onTold(third.everything(), now));
+  }
+}
+
+TEST_CASE("memory is bounded, and those with most ends are kept", "[gateway][crash_suspects]") {
+  CrashSuspects suspects = suspectsWith(3);
+  for (std::uint64_t request = 0; request < 9000; ++request) {
+    suspects.onCrash(crash(50, seconds(5), {request, 77}), kStart + seconds(6));
+  }
+  CHECK(suspects.size() <= 8192);
+  CHECK(suspicionOf(suspects, seconds(7)) == Suspicion::quarantined);
+  CHECK(suspects.everything().crashes.size() <= 600);
+  CHECK(suspects.everything().crashes.front().request == kRequest);
+}
