--- a/src/gateway_control/platform_link.h
+++ b/src/gateway_control/platform_link.h
@@ -18,7 +18,8 @@
 
 /// A back end as the platform lists it.
 struct ListedBackend {
-  std::string id;  ///< Differs at each start of a back end.
+  std::string id;             ///< Differs at each start of a back end.
+  std::uint64_t born_ms = 0;  ///< Unix time of the start, for those that read lists; 0: not stated.
   std::string pool;
   std::string address;  ///< "IP:port".
   std::string zone;
--- a/tests/unit/platform/runner_entries_test.cc
+++ b/tests/unit/platform/runner_entries_test.cc
@@ -188,3 +188,11 @@
   site.until([&] { return site.listed_at.size() == 3; });
   CHECK(site.at("10.0.0.1:1") == "r1");
 }
+
+TEST_CASE("a runner's name holds its id and tells its starts apart", "[runner_entries]") {
+  CHECK(runnerName("r-1", 0) == "r-1");
+  CHECK(runnerName("r-1", 5) != runnerName("r-1", 6));
+  for (const std::string id : {"r-1", "r#1", "", "#"}) {
+    for (const std::uint64_t born : {0ULL, 1700000000123ULL}) CHECK(runnerIdOf(runnerName(id, born)) == id);
+  }
+}
--- a/tests/unit/platform/store_documents_test.cc
+++ b/tests/unit/platform/store_documents_test.cc
@@ -67,10 +67,12 @@
 }
 
 TEST_CASE("a runner's entry, report and cache are read", "[store_documents]") {
-  const auto entry = readRunnerEntry("i-1", R"({"service":"s","address":"10.0.0.1:8","zone":"z","slots":4,
-    "state":"draining","coldRemainingMs":1500.5,"models":[{"name":"m","version":3,"adapters":["a"]}]})");
+  const auto entry =
+      readRunnerEntry("i-1", R"({"service":"s","address":"10.0.0.1:8","zone":"z","version":"v1",
+    "slots":4,"sequence":1,"born":1700000000123,"state":"draining","coldRemainingMs":1500.5,"models":[{"name":"m","version":3,"adapters":["a"]}]})");
   REQUIRE(entry.value);
   CHECK(entry.value->draining);
+  CHECK(entry.value->born_ms == 1700000000123);
   CHECK(entry.value->cold_left >= Duration(1500ms));
   CHECK(entry.value->models.at(0).weights_version == "3");
   const auto report = readReport(R"({"busy":true,"sequence":7,"queued":1,"running":2,"models":[]})");
