Keep quarantined requests in the platform's store over the end of all gateways

Cause: what gateways tell each other is forgotten when all of them end at once; a request that ends engines then had three more.

Change: one row of our own, written (compare and set, merged with what others wrote) when a request is quarantined, read once by each gateway at its start. A gateway serves nobody before it has read the row, or asked for it for a second. Costs one read a start and a read and a write a quarantined request.

--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -203,6 +203,22 @@
   return news;
 }
 
+CrashNews CrashSuspects::quarantined(TimePoint now) const {
+  CrashNews news = everything();
+  std::erase_if(news.crashes, [&](const CrashEvidence& evidence) {
+    return judge(evidence.request, now).suspicion != Suspicion::quarantined;
+  });
+  news.cleared.clear();
+  news.living.clear();
+  return news;
+}
+
+bool CrashSuspects::quarantines(const CrashNews& news, TimePoint now) const {
+  return std::any_of(news.crashes.begin(), news.crashes.end(), [&](const CrashEvidence& evidence) {
+    return judge(evidence.request, now).suspicion == Suspicion::quarantined;
+  });
+}
+
 void CrashSuspects::forgetOld(TimePoint now) {
   absl::erase_if(suspects_, [&](auto& item) {
     Suspect& suspect = item.second;
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -98,6 +98,10 @@
   /// @return what this gateway learnt itself since the last call.
   CrashNews takeNews() { return std::exchange(news_, {}); }
   bool hasNews() const { return !news_.empty(); }
+  /// @return the ends of all quarantined requests.
+  CrashNews quarantined(TimePoint now) const;
+  /// @return whether a request of the news is quarantined.
+  bool quarantines(const CrashNews& news, TimePoint now) const;
   /// @return all that is known.
   CrashNews everything() const;
   /// @return a sum over all evidence: gateways with equal digests know the same. 0: nothing is known.
--- a/src/gateway_control/crash_exchange.h
+++ b/src/gateway_control/crash_exchange.h
@@ -37,6 +37,9 @@
   /// @return whether that one is to be told everything().
   bool onDigest(std::uint64_t digest, TimePoint now);
   CrashNews everything() const { return suspects_.everything(); }
+  CrashNews quarantined(TimePoint now) const { return suspects_.quarantined(now); }
+  /// @return whether a request of the news is quarantined.
+  bool quarantines(const CrashNews& news, TimePoint now) const { return suspects_.quarantines(news, now); }
 
   /// To be called each kDigestInterval.
   /// @param members that live, without this one.
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -95,6 +95,7 @@
       orders_(executor, orderOptions(settings, incarnation), platform, orderCallbacks(), log),
       cache_watch_(executor, platform, cacheCallbacks()),
       crashes_(combineHashes(hashBytes(settings.name, 4), incarnation), clock_.now()),
+      crash_record_(executor, platform, recordCallbacks()),
       publish_timer_(executor),
       change_timer_(executor),
       tell_timer_(executor),
@@ -108,6 +109,7 @@
   member_added_at_ = now();
   if (const std::error_code error = gossip_.start()) return error;
   platform_.start(platformNews());
+  crash_record_.load();
   lookAtServing();
   tellCrashDigest();
   return {};
@@ -363,7 +365,9 @@
                {{"current", keys_current_}, {"age_ms", milliseconds(now() - contact_->vouchedAt())}});
   }
   auto snapshot = std::make_shared<GatewaySnapshot>();
-  snapshot->configuration = configuration_;
+  // Until the record of quarantined requests is known nothing is served: such a request may be the first that
+  // comes.
+  if (crash_record_.isSettled(now())) snapshot->configuration = configuration_;
   snapshot->backends = backends_;
   snapshot->weights = orders_.named();
   snapshot->own_zone = settings_.zone;
@@ -379,6 +383,7 @@
 
 void GatewayControl::armPublishTimer() {
   TimePoint next = std::min(now() + (settled_ ? kLongestPause : kPauseUntilKnown), fleet_.nextChange(now()));
+  if (!crash_record_.isSettled(now())) next = std::min(next, now() + kPauseUntilKnown);
   if (settings_.key_validity && keys_current_) {
     next = std::min(next, contact_->vouchedAt() + *settings_.key_validity);
   }
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -16,6 +16,7 @@
 #include "gateway_control/cache_exchange.h"
 #include "gateway_control/cache_watch.h"
 #include "gateway_control/crash_exchange.h"
+#include "gateway_control/crash_record.h"
 #include "gateway_control/fleet_view.h"
 #include "gateway_control/gossip_socket.h"
 #include "gateway_control/node_settings.h"
@@ -88,6 +89,8 @@
   void onServingNotice(const std::string& teller, const ServingNotice& notice) override;
   void onCrashNotes(const CrashNotes& notes) override;
   void onCrashDigest(const std::string& teller, const CrashDigest& digest) override;
+  CrashRecordCallbacks recordCallbacks();
+  void onCrashRecord(const CrashNews& news);
   void tellCrashDigest();
   std::vector<std::string> otherMembers() const;
   void passPeerWork();
@@ -148,6 +151,7 @@
   CacheWatch cache_watch_;
   CacheExchange caches_;
   CrashExchange crashes_;
+  CrashRecord crash_record_;
   bool tell_waiting_ = false;
   TimePoint member_added_at_{};                  ///< When a gateway that was not known before became known.
   bool settled_ = false;                         ///< A large fleet is known: see fleetIsKnown().
--- a/src/gateway_control/platform_link.h
+++ b/src/gateway_control/platform_link.h
@@ -88,6 +88,13 @@
   std::vector<CachedPart> parts;
 };
 
+/// A row of this program's own in the platform's store.
+struct StoredRecord {
+  std::string text;               ///< Empty: there is none.
+  std::uint64_t row_version = 0;  ///< 0: there is none.
+  Duration age{0};                ///< Since it was written, by the store's clock.
+};
+
 /// The platform and the back ends behind it.
 class PlatformLink {
 public:
@@ -105,6 +112,13 @@
   /// @param done gets whether it was written and the present row; empty when the outcome is unknown.
   virtual void writeLease(const std::string& name, const LeaseRow& row, std::uint64_t expected_version,
                           std::function<void(bool written, std::optional<LeaseRow>)> done) = 0;
+  /// @param done gets the record, or empty when the platform did not answer.
+  virtual void readRecord(const std::string& name,
+                          std::function<void(const std::optional<StoredRecord>&)> done) = 0;
+  /// Writes the record if its row still has `expected_version`.
+  /// @param done gets whether it was written; false also when that is unknown.
+  virtual void writeRecord(const std::string& name, const std::string& text, std::uint64_t expected_version,
+                           std::function<void(bool written)> done) = 0;
   virtual void readWeights(const std::string& address,
                            std::function<void(std::optional<WeightsReport>)> done) = 0;
   virtual void sendOrder(const WeightsOrder& order, std::function<void(OrderAnswer)> done) = 0;
--- a/src/gateway_control/shared_crashes.cc
+++ b/src/gateway_control/shared_crashes.cc
@@ -9,6 +9,20 @@
   crashes_.onOwnNews(news, now());
   const CrashNotes notes = toNotes(news, now());
   for (const std::string& member : otherMembers()) gossip_.tell(member, notes);
+  if (crashes_.quarantines(news, now())) crash_record_.save();
+}
+
+CrashRecordCallbacks GatewayControl::recordCallbacks() {
+  CrashRecordCallbacks callbacks;
+  callbacks.quarantined = [this] { return crashes_.quarantined(now()); };
+  callbacks.on_read = [this](const CrashNews& news) { onCrashRecord(news); };
+  return callbacks;
+}
+
+/// Traffic hears of it before it gets a configuration to serve by.
+void GatewayControl::onCrashRecord(const CrashNews& news) {
+  if (crashes_.onNews(news, now()) && outputs_.on_crash_news) outputs_.on_crash_news(news);
+  publishSoon();
 }
 
 void GatewayControl::onCrashNotes(const CrashNotes& notes) {
--- a/tests/unit/gateway_control/platform_link_fake.h
+++ b/tests/unit/gateway_control/platform_link_fake.h
@@ -17,6 +17,21 @@
   void readLease(const std::string&, std::function<void(std::optional<LeaseRow>)>) override {}
   void writeLease(const std::string&, const LeaseRow&, std::uint64_t,
                   std::function<void(bool, std::optional<LeaseRow>)>) override {}
+  void readRecord(const std::string&, std::function<void(const std::optional<StoredRecord>&)> done) override {
+    record_reads.push_back(std::move(done));
+  }
+  void writeRecord(const std::string&, const std::string& text, std::uint64_t expected_version,
+                   std::function<void(bool)> done) override {
+    const bool written = expected_version == record.row_version;
+    if (written) record = {text, expected_version + 1, Duration(0)};
+    record_writes.push_back(std::move(done));
+    record_writes.back()(written);
+  }
+  /// Answers reads of the record that wait, all with the same.
+  void answerRecordReads(bool reachable) {
+    const std::optional<StoredRecord> answer = reachable ? std::optional(record) : std::nullopt;
+    for (auto& done : std::exchange(record_reads, {})) done(answer);
+  }
   void readWeights(const std::string&, std::function<void(std::optional<WeightsReport>)>) override {}
   void sendOrder(const WeightsOrder&, std::function<void(OrderAnswer)>) override {}
   void readCacheEvents(const std::string& address, std::uint64_t, Duration wait,
@@ -27,6 +42,9 @@
   void readCacheContent(const std::string&, std::function<void(CachedPartsPage)>) override {}
 
   PlatformNews news;
+  StoredRecord record;
+  std::vector<std::function<void(const std::optional<StoredRecord>&)>> record_reads;
+  std::vector<std::function<void(bool)>> record_writes;
   Duration list_pause{0};
   std::vector<std::string> readers;
   std::map<std::string, std::function<void(CachedPartsPage)>> events_calls;  ///< That wait, by address.
--- a/tests/unit/platform/store_documents_test.cc
+++ b/tests/unit/platform/store_documents_test.cc
@@ -88,3 +88,15 @@
   CHECK(page.parts[1].tokens == 0);
   CHECK(readCacheContent(R"({"epoch":5,"nextPageToken":9,"held":[["w1","1",10,"m"]]})").parts.size() == 1);
 }
+
+TEST_CASE("a record of this program's own keeps its bytes and its age", "[store_documents]") {
+  const std::string text("a\0b", 3);
+  const RelayedRow row{"record/x", writeStoredRecord(text, 5000), 9, false};
+  const gateway::StoredRecord record = readStoredRecord(row, 7500);
+  CHECK(record.text == text);
+  CHECK(record.row_version == 9);
+  CHECK(record.age == Duration(2500ms));
+  CHECK(readStoredRecord(row, 0).age == Duration(0));
+  CHECK(readStoredRecord({"record/x", "{", 9, false}, 0).text.empty());
+  CHECK(readStoredRecord({"record/x", "", 0, false}, 0).row_version == 0);
+}
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -49,7 +49,8 @@
     Kind("/review/", streaming=True, repeatable=True, answer_events=20),
     Kind("/answer/", streaming=True, repeatable=False, answer_events=12),
 ]
-ALONE_FAULTS = ("silent_connections", "ending_requests")  # Kinds that can be played alone; refusals then break a promise.
+# Kinds that can be played alone; with silent connections alone refusals break a promise.
+ALONE_FAULTS = ("silent_connections", "ending_requests", "ending_requests_and_restarts")
 
 
 def free_ports(count):
@@ -219,7 +220,7 @@
         build = ROOT / self.options.build / "bin"
         store_port = await self.store.start("127.0.0.1", 0)
         generator = random.Random(self.options.seed + 2)
-        engines = ENGINES_THAT_END if self.options.only == "ending_requests" else ENGINES
+        engines = ENGINES_THAT_END if self.options.only.startswith("ending_requests") else ENGINES
         ending = (self.ending_parts, self.ends)
         self.engines = [Runner(self.store, "engines", MODEL, 16, self.runs, generator, *ending) for _ in range(engines)]
         self.runners = [Runner(self.store, "app", "", 12, self.runs, generator) for _ in range(APPLICATION_RUNNERS)]
@@ -441,7 +442,9 @@
                  self.trouble_runner, self.store_trouble, self.store_oddities, self.network_trouble,
                  self.network_trouble, self.new_configuration, self.new_weights, self.revoke_key,
                  self.silent_connections]
-        if self.options.only:
+        if self.options.only == "ending_requests_and_restarts":
+            kinds = [self.ending_requests, self.ending_requests, self.kill_gateway, self.kill_all, self.stop_gateway]
+        elif self.options.only:
             kinds = [getattr(self, self.options.only)]
         tasks = set()
         busy = asyncio.Lock()  # Signals to gateways come one after the other, or they would meet one that ended.
