Let the product's clock count suspended time; arm timers by the time left

Cause: all time was the steady clock's, which stands still while a machine is suspended: after it each lease, key, deadline and measured age looked younger than it was.

Change: SteadyClock reads CLOCK_BOOTTIME; its instants are not Asio's any more, so that timers are armed by the time left (expireAt). What guards a right to act is asked of the clock at the act as before.

--- a/src/base/time.h
+++ b/src/base/time.h
@@ -3,6 +3,7 @@
 /// Decision code never reads a clock: every call that depends on time takes `now`.
 
 #include <chrono>
+#include <ctime>
 
 namespace crankspur {
 
@@ -20,11 +21,15 @@
   virtual TimePoint now() const = 0;
 };
 
-/// The machine's monotonic clock.
+/// The machine's monotonic clock. It counts the time for which the machine was suspended, so that what has
+/// run out meanwhile (a lease, keys, a deadline) has run out for the process that wakes, too.
 class SteadyClock : public Clock {
 public:
   TimePoint now() const override {
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    const auto since_boot = std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    return TimePoint(std::chrono::duration_cast<Duration>(since_boot));
   }
 };
 
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -8,6 +8,7 @@
 
 #include "base/endpoint.h"
 #include "base/hash.h"
+#include "base/timer.h"
 #include "router/engine_table.h"
 
 namespace crankspur::gateway {
@@ -387,7 +388,7 @@
   if (settings_.key_validity && keys_current_) {
     next = std::min(next, contact_->vouchedAt() + *settings_.key_validity);
   }
-  change_timer_.expires_at(next);
+  expireAt(change_timer_, next, now());
   change_timer_.async_wait([this](boost::system::error_code error) {
     if (!error) publish();
   });
--- a/src/gateway_control/gossip_socket.cc
+++ b/src/gateway_control/gossip_socket.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/endpoint.h"
+#include "base/timer.h"
 #include "internal_protocol/codec.h"
 
 namespace crankspur::gateway {
@@ -141,7 +142,7 @@
 }
 
 void GossipSocket::armTimer() {
-  timer_.expires_at(membership_->nextTimer());
+  expireAt(timer_, membership_->nextTimer(), clock_.now());
   timer_.async_wait([this](boost::system::error_code error) {
     if (error) return;
     membership_->onTimer(clock_.now());
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "base/error.h"
+#include "base/timer.h"
 
 namespace crankspur::gateway {
 namespace {
@@ -181,7 +182,7 @@
   metering_ = !meter_.idle();
   if (!metering_) return;
   const TimePoint next = now() + LoadMeter::kTick;
-  meter_timer_.expires_at(next);
+  expireAt(meter_timer_, next, now());
   meter_timer_.async_wait([this, next](boost::system::error_code error) {
     if (!error) meterTick(next);
   });
@@ -261,7 +262,7 @@
   const std::optional<TimePoint> next = gateway_.nextTimer();
   if (!next || *next >= timer_at_) return;
   timer_at_ = *next;
-  timer_.expires_at(timer_at_);
+  expireAt(timer_, timer_at_, now());
   timer_.async_wait([this](boost::system::error_code error) {
     if (error) return;
     timer_at_ = TimePoint::max();
--- a/src/router_process/control_thread.cc
+++ b/src/router_process/control_thread.cc
@@ -5,6 +5,8 @@
 #include <random>
 #include <utility>
 
+#include "base/timer.h"
+
 namespace crankspur {
 
 namespace {
@@ -274,7 +276,7 @@
 }
 
 void ControlThread::armMembershipTimer() {
-  membership_timer_.expires_at(membership_->nextTimer());
+  expireAt(membership_timer_, membership_->nextTimer(), now());
   membership_timer_.async_wait([this](boost::system::error_code error) {
     if (error) return;
     membership_->onTimer(now());
@@ -289,7 +291,7 @@
 }
 
 void ControlThread::armTableTimer() {
-  table_timer_.expires_at(table_.nextTimer(now()));
+  expireAt(table_timer_, table_.nextTimer(now()), now());
   table_timer_.async_wait([this](boost::system::error_code error) {
     if (!error) runTable();
   });
--- a/src/router_process/traffic_shard.cc
+++ b/src/router_process/traffic_shard.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/random.h"
+#include "base/timer.h"
 #include "table_service/row_codec.h"
 
 namespace crankspur {
@@ -337,7 +338,7 @@
   }
   if (*next == timer_at_) return;
   timer_at_ = *next;
-  timer_.expires_at(*next);
+  expireAt(timer_, *next, now());
   timer_.async_wait([this](boost::system::error_code error) {
     if (error) return;
     timer_at_ = TimePoint::max();
--- a/src/sidecar/caller_exchange.cc
+++ b/src/sidecar/caller_exchange.cc
@@ -4,6 +4,7 @@
 
 #include <utility>
 
+#include "base/timer.h"
 #include "caller/caller_error.h"
 
 namespace crankspur {
@@ -192,7 +193,7 @@
   const std::optional<TimePoint> next = request_->nextTimer();
   if (next == timer_at_ || !next) return;
   timer_at_ = next;
-  timer_.expires_at(*next);
+  expireAt(timer_, *next, clock_.now());
   const std::weak_ptr<CallerExchange> weak = weak_from_this();
   timer_.async_wait([weak](boost::system::error_code error) {
     const auto held = weak.lock();
--- a/standins/app_runner/app_runner_server.cc
+++ b/standins/app_runner/app_runner_server.cc
@@ -3,6 +3,7 @@
 #include <boost/json/serialize.hpp>
 #include <utility>
 
+#include "base/timer.h"
 #include "json/json_reader.h"
 
 namespace crankspur::standin {
@@ -185,7 +186,7 @@
   for (const RunnerOutput& output : model_.takeOutputs()) carryOut(output);
   timer_.cancel();
   if (const auto due = model_.nextTimer()) {
-    timer_.expires_at(*due);
+    expireAt(timer_, *due, clock_.now());
     timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) settle();
     });
--- a/standins/engine_server/engine_server_outputs.cc
+++ b/standins/engine_server/engine_server_outputs.cc
@@ -3,6 +3,7 @@
 #include <boost/json/serialize.hpp>
 #include <utility>
 
+#include "base/timer.h"
 #include "standins/engine_server/engine_codec.h"
 #include "standins/engine_server/engine_server.h"
 
@@ -149,7 +150,7 @@
 void EngineServer::armTimers() {
   model_timer_.cancel();
   if (const auto due = model_.nextTimer()) {
-    model_timer_.expires_at(*due);
+    expireAt(model_timer_, *due, clock_.now());
     model_timer_.async_wait([this](const boost::system::error_code& error) {
       if (!error) settle();
     });
@@ -161,7 +162,7 @@
     earliest = std::min(earliest, waiter.deadline);
     if (const auto visible = model_.nextCacheChange(waiter.after)) earliest = std::min(earliest, *visible);
   }
-  waiter_timer_.expires_at(earliest);
+  expireAt(waiter_timer_, earliest, clock_.now());
   waiter_timer_.async_wait([this](const boost::system::error_code& error) {
     if (!error) settle();
   });
--- a/tools/load/load_run.cc
+++ b/tools/load/load_run.cc
@@ -7,6 +7,8 @@
 #include <memory>
 #include <thread>
 
+#include "base/timer.h"
+
 namespace crankspur::load {
 
 namespace {
@@ -47,7 +49,7 @@
 
   void armTimer() {
     if (next_start_ >= end_) return;
-    timer_.expires_at(next_start_);
+    expireAt(timer_, next_start_, clock_.now());
     timer_.async_wait([this](boost::system::error_code) {
       // Every request that is due leaves now, also those that a busy moment made late.
       while (next_start_ <= clock_.now() && next_start_ < end_) {
