--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "base/event_log.h"
+#include "base/suspension_watch.h"
 #include "gateway/load_meter.h"
 #include "gateway_control/cache_exchange.h"
 #include "gateway_control/cache_watch.h"
@@ -127,6 +128,7 @@
   void onContact(TimePoint as_of);
   void onTrouble();
   void onConnectionsSilent();
+  void watchForSuspension();
   void onLoading(const std::string& backend);
   void onReport(const std::string& backend, const WeightsReport& report, bool is_loading);
   void onNote(const BackendNote& note);
@@ -179,6 +181,8 @@
   boost::asio::steady_timer peer_work_timer_;
   boost::asio::steady_timer serving_timer_;
   boost::asio::steady_timer crash_timer_;
+  SuspensionWatch suspension_;
+  boost::asio::steady_timer suspension_timer_;
 };
 
 }  // namespace crankspur::gateway
--- a/src/gateway_control/platform_link.h
+++ b/src/gateway_control/platform_link.h
@@ -101,6 +101,9 @@
   virtual ~PlatformLink() = default;
   /// Begins to tell news.
   virtual void start(PlatformNews news) = 0;
+  /// The machine was suspended: connections of before are not trusted, and what the platform holds is asked
+  /// for anew.
+  virtual void onWake() = 0;
   /// Changes of the list of back ends may be gathered for so long before they are told.
   virtual void setListPause(Duration pause) = 0;
   /// Names other gateways to ask for what the platform holds.
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -137,6 +137,7 @@
 
 void TrafficLoop::onConnectionsSilent() {
   http_->leaveKept("");
+  gateway_.onTimer(now());  // After a suspension timers fire late.
   gateway_.onConnectionsSilent(now());
   pump();
 }
--- a/tests/unit/gateway_control/platform_link_fake.h
+++ b/tests/unit/gateway_control/platform_link_fake.h
@@ -12,6 +12,7 @@
 class FakePlatformLink : public PlatformLink {
 public:
   void start(PlatformNews told) override { news = std::move(told); }
+  void onWake() override { ++wakes; }
   void setListPause(Duration pause) override { list_pause = pause; }
   void setReaders(std::vector<std::string> addresses) override { readers = std::move(addresses); }
   void readLease(const std::string&, std::function<void(std::optional<LeaseRow>)>) override {}
@@ -42,6 +43,7 @@
   void readCacheContent(const std::string&, std::function<void(CachedPartsPage)>) override {}
 
   PlatformNews news;
+  int wakes = 0;
   StoredRecord record;
   std::vector<std::function<void(const std::optional<StoredRecord>&)>> record_reads;
   std::vector<std::function<void(bool)>> record_writes;
