--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -228,7 +228,7 @@
 void Gateway::refuse(Entry& entry, TimePoint now) {
   ++counters_.refused;
   const Duration retry_after = retryAfter(entry, now);
-  actions_.emplace_back(Refuse{entry.id, kUnavailable, retry_after});
+  actions_.emplace_back(Refuse{entry.id, kUnavailable, retry_after, entry.cause});
   tellEnded(entry, RequestOutcome::refused, kUnavailable, retry_after, now);
 }
 
@@ -238,7 +238,7 @@
   ++counters_.refused;
   const bool comes_back = checked.refusal == kUnavailable;
   const Duration retry_after = comes_back ? kMostRetryAfter : Duration(0);
-  actions_.emplace_back(Refuse{client, checked.refusal, retry_after});
+  actions_.emplace_back(Refuse{client, checked.refusal, retry_after, checked.cause});
   Entry entry;
   entry.id = client;
   if (request.client) entry.client.request_id = request.client->request_id;
@@ -292,7 +292,7 @@
   cancelExchange(entry, DispatchOutcome::Ended, now);
   if (!entry.head_passed && entry.may_have_run) {
     ++counters_.failed;
-    actions_.emplace_back(Refuse{entry.id, kGatewayTimeout, Duration(0)});
+    actions_.emplace_back(Refuse{entry.id, kGatewayTimeout, Duration(0), entry.cause});
     tellEnded(entry, RequestOutcome::failed, kGatewayTimeout, Duration(0), now);
     return finish(entry);
   }
--- a/src/gateway/gateway_actions.h
+++ b/src/gateway/gateway_actions.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "gateway/dialect.h"
+#include "gateway/request_observer.h"
 #include "prefix_index/prefix_index.h"
 
 namespace crankspur::gateway {
@@ -21,6 +22,7 @@
   ClientId client = 0;
   int status = 503;
   Duration retry_after{0};  ///< 0: none is stated.
+  RequestCause cause = RequestCause::none;
 };
 
 /// Sends the client's request to a back end.
--- a/src/gateway/gateway_answers.cc
+++ b/src/gateway/gateway_answers.cc
@@ -312,7 +312,7 @@
     tellEnded(entry, RequestOutcome::cut, 0, Duration(0), now);
   } else if (entry.may_have_run) {
     ++counters_.failed;
-    actions_.emplace_back(Refuse{entry.id, kBadGateway, Duration(0)});
+    actions_.emplace_back(Refuse{entry.id, kBadGateway, Duration(0), entry.cause});
     tellEnded(entry, RequestOutcome::failed, kBadGateway, Duration(0), now);
   } else {
     refuse(entry, now);
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -26,8 +26,6 @@
 /// Longest time between two publications that check what time alone changes.
 constexpr Duration kLongestPause = std::chrono::seconds(5);
 constexpr Duration kPauseUntilKnown = std::chrono::milliseconds(100);
-/// A wake is noticed within this time; until then only what the clock itself tells is known of it.
-constexpr Duration kSuspensionLook = std::chrono::milliseconds(250);
 
 std::uint32_t milliseconds(Duration duration) {
   return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -251,22 +249,6 @@
   outputs_.on_connections_silent();
 }
 
-/// What has run out during a suspension is judged by the clock at each act; this renews it. Traffic hears of
-/// it by way of the platform's word on silent connections.
-void GatewayControl::watchForSuspension() {
-  const auto not_counting = std::chrono::steady_clock::now().time_since_epoch();
-  const auto suspended =
-      suspension_.onTick(now().time_since_epoch(), std::chrono::duration_cast<Duration>(not_counting));
-  if (suspended) {
-    log_.write(EventId::MachineSuspended, {{"for_ms", milliseconds(*suspended)}});
-    platform_.onWake();
-  }
-  suspension_timer_.expires_after(kSuspensionLook);
-  suspension_timer_.async_wait([this](boost::system::error_code error) {
-    if (!error) watchForSuspension();
-  });
-}
-
 void GatewayControl::onLoading(const std::string& backend) {
   fleet_.onLoading(backend, now() + kLoadingTime);
   publish();
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -27,7 +27,11 @@
 /// An engine that ends breaks all its connections within some milliseconds: they are told together.
 constexpr Duration kCrashGather = std::chrono::milliseconds(10);
 
-std::string_view describe(int status) {
+/// @return what the caller is told, besides the status.
+std::string_view describe(int status, RequestCause cause) {
+  if (status == 503 && cause == RequestCause::ends_back_ends) {
+    return "back ends have ended under this request: it is not run for some time";
+  }
   switch (status) {
     case 400:
       return "the request is malformed";
@@ -280,8 +284,8 @@
   const auto writer = client->writer;
   clients_.erase(action.client);
   const std::string_view ran = isPossiblyRun(action.status) ? "unknown" : "not_run";
-  http::Response response =
-      http::errorResponse(action.status, errorName(codeOf(action.status)), describe(action.status), ran);
+  http::Response response = http::errorResponse(action.status, errorName(codeOf(action.status)),
+                                                describe(action.status, action.cause), ran);
   if (action.retry_after > Duration(0)) {
     response.headers["Retry-After"] = fmt::format("{:.3f}", toSeconds(action.retry_after));
   }
--- a/tests/unit/gateway/crash_suspects_gateway_test.cc
+++ b/tests/unit/gateway/crash_suspects_gateway_test.cc
@@ -67,6 +67,7 @@
   const Refuse refusal = site.only<Refuse>();
   CHECK(refusal.status == 503);
   CHECK(refusal.retry_after > seconds(1));
+  CHECK(refusal.cause == RequestCause::ends_back_ends);
 }
 
 TEST_CASE("a stream that may go on elsewhere ends no more engines than others", "[gateway][crash_suspects]") {
