--- a/src/gateway/request_fingerprint.h
+++ b/src/gateway/request_fingerprint.h
@@ -1,10 +1,10 @@
 #pragma once
 /// @file What tells that two client attempts are the same request: attempts have ids of their own.
 
-#include <compare>
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace crankspur::gateway {
 
@@ -15,7 +15,10 @@
   std::uint64_t high = 0;
   std::uint64_t low = 0;
 
-  friend auto operator<=>(const RequestFingerprint&, const RequestFingerprint&) = default;
+  friend bool operator==(const RequestFingerprint&, const RequestFingerprint&) = default;
+  friend bool operator<(const RequestFingerprint& left, const RequestFingerprint& right) {
+    return std::tie(left.high, left.low) < std::tie(right.high, right.low);
+  }
   template <typename H>
   friend H AbslHashValue(H state, const RequestFingerprint& value) {
     return H::combine(std::move(state), value.high, value.low);
