Count ends of two starts of a back end in whatever order they are told

Cause, found by reading: of two ends under one name the earlier one was refused when it was told later, so that gateways with the same news knew different things and told each other everything twice a second. The test fails without the change.

--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -112,8 +112,11 @@
   std::uint64_t ends_of_backend = 0;
   for (const End& end : ends) {
     if (end.backend != evidence.backend) continue;
-    // Of one start there is one end. What was sent later than it can be back went to its next start.
-    if (evidence.sent_at < end.ended_at + kLeastRestartTime) return false;
+    // Of one start there is one end. A run that began later than a back end can be back is of its next start,
+    // even where its birth is not known yet.
+    const bool is_later = evidence.sent_at >= end.ended_at + kLeastRestartTime;
+    const bool is_earlier = end.sent_at >= evidence.ended_at + kLeastRestartTime;
+    if (!is_later && !is_earlier) return false;
     ++ends_of_backend;
   }
   if (ends.size() >= kMostEnds) return false;
--- a/tests/unit/gateway/crash_suspects_test.cc
+++ b/tests/unit/gateway/crash_suspects_test.cc
@@ -57,6 +57,19 @@
   CHECK(suspicionOf(suspects, seconds(4)) == Suspicion::quarantined);
 }
 
+TEST_CASE("ends of two starts of a back end count in whatever order they are told",
+          "[gateway][crash_suspects]") {
+  const std::vector<CrashEvidence> told = {crash(7, seconds(0)), crash(7, seconds(4)), crash(7, seconds(8))};
+  CrashSuspects forwards;
+  CrashSuspects backwards;
+  for (std::size_t index = 0; index < told.size(); ++index) {
+    CHECK(forwards.onCrash(told[index], kStart + seconds(10)));
+    CHECK(backwards.onCrash(told[told.size() - 1 - index], kStart + seconds(10)));
+  }
+  CHECK(forwards.digest() == backwards.digest());
+  CHECK(suspicionOf(backwards, seconds(10)) == Suspicion::quarantined);
+}
+
 TEST_CASE("back ends that end together count once", "[gateway][crash_suspects]") {
   CrashSuspects suspects;
   for (std::uint64_t backend = 1; backend <= 3; ++backend) {
