Name the packages of the deployment's build as Debian does, and check them against the build

What users saw: on a machine that holds only the packages of deploy/system.toml the build failed with "E: Unable to locate package libboost-json-dev" and "libprometheus-cpp-dev".

Cause: the list named two packages that exist in no release (the right names are libboost-json1.81-dev and prometheus-cpp-dev) and a third, libboost-dev, that brings Boost 1.74, which find_package(Boost 1.81) refuses. The list stood twice: builds of ours ran where tools/install_packages.sh had installed its own, right one. Nothing read the copy that users install. Ruled out: package lists that are out of date (apt knows the right names here and neither of the two), a missing release component.

Evidence: apt, resolved against an empty package database with the old list, prints the two lines of the report.

Change: the right names; g++, cmake and make are listed, since a clean machine holds only what is listed. tools/install_packages.sh reads the deployment's list, so that a wrong name fails on every machine at once. tools/clean_build/check.py plays the build line of deploy/system.toml in a fresh clone, as an ordinary user without a home, and compares every file opened and program executed with the closure of the list, which apt resolves without looking at what is installed.

The check failed before: on the old list with the two lines of the report. Its 21 tests each plant one fault (unknown name, header, library, CMake file, launcher, generator, recommended package, another version, unused package, download).

--- /dev/null
+++ b/tests/clean_build/check_test.py
@@ -0,0 +1,165 @@
+"""A build that uses what a clean machine does not hold is found, one way after another.
+
+A landing failed to build on clean machines: two names under `packages` were unknown to apt and a third brought another
+version of a library than the build asked for. All builds before had run where other lists were installed already.
+Each case here builds a small project under trace against a list of packages of its own.
+"""
+
+import shutil
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parents[2]
+sys.path.insert(0, str(ROOT / "tools/clean_build"))
+
+from build_trace import give_to_unprivileged_user  # noqa: E402
+from check import check_checkout  # noqa: E402
+from debian_packages import PackageError, require_package_lists, resolve_closure  # noqa: E402
+from deployment import Deployment, DeploymentError, read_deployment  # noqa: E402
+
+TOOLCHAIN = ("g++", "cmake", "make")
+CMAKE_BUILD = "cmake -S . -B target && cmake --build target"
+HELLO = "int main() { return 0; }\n"
+
+
+class CheckTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        require_package_lists()
+
+    def setUp(self):
+        self.checkout = Path(tempfile.mkdtemp(prefix="clean-build-test-"))
+        self.addCleanup(shutil.rmtree, self.checkout, ignore_errors=True)
+
+    def write(self, name, text):
+        (self.checkout / name).write_text(text, encoding="utf-8")
+
+    def findings(self, packages, build, programs=(), templates=()):
+        give_to_unprivileged_user(self.checkout)
+        deployment = Deployment(build, tuple(packages), tuple(programs), tuple(templates))
+        return check_checkout(self.checkout, deployment, resolve_closure(packages))
+
+    def cmake_findings(self, packages, commands="", source=HELLO, build=CMAKE_BUILD):
+        self.write("CMakeLists.txt", "cmake_minimum_required(VERSION 3.25)\nproject(hello LANGUAGES CXX)\n"
+                   f"{commands}\nadd_executable(hello hello.cc)\n")
+        self.write("hello.cc", source)
+        return self.findings(packages, build)
+
+    def assert_only(self, findings, *parts):
+        self.assertEqual(len(findings), 1, findings)
+        for part in parts:
+            self.assertIn(part, findings[0])
+
+    def test_a_build_of_listed_packages_has_no_findings(self):
+        self.assertEqual(self.cmake_findings(TOOLCHAIN), [])
+
+    def test_a_name_that_apt_does_not_know(self):
+        with self.assertRaisesRegex(PackageError, "Unable to locate package libprometheus-cpp-dev"):
+            resolve_closure([*TOOLCHAIN, "libprometheus-cpp-dev"])
+
+    def test_a_header_of_a_package_that_is_not_listed(self):
+        self.assert_only(self.cmake_findings(TOOLCHAIN, source="#include <zlib.h>\n" + HELLO),
+                         "zlib1g-dev is used", "/usr/include/zlib.h")
+
+    def test_a_header_of_a_package_that_a_listed_one_brings(self):
+        found = self.cmake_findings([*TOOLCHAIN, "prometheus-cpp-dev"],
+                                    source="#include <prometheus/counter.h>\n#include <zlib.h>\n" + HELLO)
+        self.assertEqual(found, [])
+
+    def test_a_cmake_file_of_a_package_that_is_not_listed(self):
+        self.assert_only(self.cmake_findings(TOOLCHAIN, "find_package(fmt REQUIRED)"), "libfmt-dev is used")
+
+    def test_a_library_of_a_package_that_is_not_listed(self):
+        found = self.cmake_findings(TOOLCHAIN, "link_libraries(xxhash)",
+                                    "extern \"C\" unsigned XXH_versionNumber();\nint main() { return XXH_versionNumber() == 0; }\n")
+        self.assertTrue(any(finding.startswith("libxxhash-dev is used") for finding in found), found)
+
+    def test_a_library_found_in_another_version_than_the_listed_one(self):
+        found = self.cmake_findings([*TOOLCHAIN, "libboost-dev"], "find_package(Boost 1.81 REQUIRED)",
+                                    "#include <boost/version.hpp>\n" + HELLO)
+        self.assertTrue(any(finding.startswith("libboost1.81-dev is used") for finding in found), found)
+
+    def test_a_listed_package_that_nothing_uses(self):
+        self.assert_only(self.cmake_findings([*TOOLCHAIN, "libfmt-dev"]), "libfmt-dev is listed and not used")
+
+    def test_a_program_that_only_a_recommended_package_brings(self):
+        # cmake recommends make and does not depend on it.
+        self.assert_only(self.cmake_findings(["g++", "cmake"]), "make is used", "/usr/bin/gmake")
+
+    def test_a_compiler_launcher_of_the_machine(self):
+        found = self.cmake_findings(TOOLCHAIN, build=f"CCACHE_DIR=$PWD/target/cache CMAKE_CXX_COMPILER_LAUNCHER=ccache; "
+                                    "export CCACHE_DIR CMAKE_CXX_COMPILER_LAUNCHER; " + CMAKE_BUILD)
+        self.assertTrue(any(finding.startswith("ccache is used") for finding in found), found)
+
+    def test_a_code_generator_of_the_machine(self):
+        found = self.findings([], "curl --version > version.txt")
+        self.assertTrue(any(finding.startswith("curl is used") for finding in found), found)
+
+    def test_a_file_that_no_package_owns(self):
+        with tempfile.TemporaryDirectory() as folder:
+            header = Path(folder) / "local.h"
+            header.write_text("", encoding="utf-8")
+            give_to_unprivileged_user(Path(folder))
+            self.assert_only(self.findings([], f"cat {header}"), f"{header} is used and belongs to no package")
+
+    def test_a_download(self):
+        self.assert_only(self.findings([], "bash -c 'echo > /dev/tcp/127.0.0.1/9' || true"), "calls another host")
+
+    def test_a_home_that_can_be_written(self):
+        found = self.findings([], 'mkdir -p "$HOME/.cache"')
+        self.assert_only(found, "the build failed as an ordinary user without a home", "/nonexistent")
+
+    def test_a_program_that_the_build_does_not_leave(self):
+        self.assert_only(self.findings([], "true", programs=["target/hello"]), "target/hello: the build leaves no such program")
+
+    def test_a_program_that_cannot_start(self):
+        self.assert_only(self.findings([], "printf '#!/bin/sh\\nexit 3\\n' > hello; chmod +x hello", programs=["hello"]),
+                         "hello --version ends with status 3")
+
+    def test_a_settings_template_that_is_missing_or_too_large(self):
+        self.write("large.toml", "#" * 65536)
+        found = self.findings([], "true", templates=["large.toml", "missing.toml"])
+        self.assertEqual([finding.partition(":")[0] for finding in found], ["large.toml", "missing.toml"])
+
+    def test_a_machine_without_package_lists(self):
+        with tempfile.TemporaryDirectory() as lists:
+            # No source either, so that nothing can be fetched.
+            options = ["-o", f"Dir::State::lists={lists}", "-o", "Dir::Cache::srcpkgcache=",
+                       "-o", "Dir::Etc::sourcelist=/dev/null", "-o", "Dir::Etc::sourceparts=/dev/null"]
+            with self.assertRaisesRegex(PackageError, "apt has no package lists"):
+                require_package_lists(options)
+
+
+class DeploymentFileTest(unittest.TestCase):
+    def read(self, text):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "system.toml"
+            path.write_text(text, encoding="utf-8")
+            return read_deployment(path)
+
+    def test_a_whole_file(self):
+        deployment = self.read('build = "make"\npackages = ["g++"]\n[roles.a]\nrun = "target/a --x"\ntemplate = "a.toml"\n')
+        self.assertEqual(deployment, Deployment("make", ("g++",), ("target/a",), ("a.toml",)))
+
+    def test_bad_input_is_named(self):
+        for text, error in (
+            ("build = ", "cannot be read"),
+            ("packages = []", "build: a command line is required"),
+            ('build = "make"', "packages: a list of names is required"),
+            ('build = "make"\npackages = ["g++ make"]', "'g\\+\\+ make' is not the name of a Debian package"),
+            ('build = "make"\npackages = ["-o=x"]', "'-o=x' is not the name"),
+            ('build = "make"\npackages = []\nroles = 3', "roles: a table"),
+            ('build = "make"\npackages = []\n[roles.a]\nrun = ""', "roles.a.run: a program is required"),
+        ):
+            with self.subTest(text), self.assertRaisesRegex(DeploymentError, error):
+                self.read(text)
+
+    def test_a_missing_file(self):
+        with self.assertRaisesRegex(DeploymentError, "cannot be read"):
+            read_deployment(Path("/nonexistent/system.toml"))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -1,11 +1,17 @@
 #!/usr/bin/env bash
-# Installs the Debian 12 packages that building, testing and linting need. Run as root (or through sudo).
+# Installs the Debian 12 packages that building, testing and linting need: those of the deployment's build and the tools
+# of developers. Run as root (or through sudo).
 set -euo pipefail
-packages=(
-  g++ cmake ninja-build ccache pkg-config git python3
-  libboost1.81-dev libboost-json1.81-dev libabsl-dev libfmt-dev catch2 libnanopb-dev libtomlplusplus-dev
-  libxxhash-dev prometheus-cpp-dev libssl-dev libbenchmark-dev zlib1g-dev libcurl4-openssl-dev
-  curl clang-14 clang-format-14 clang-tidy-14 libclang-rt-14-dev gnuplot-nox
+cd "$(dirname "$0")/.."
+# What the gateway's build needs is listed once, for the platform too: a name that apt does not know fails here.
+mapfile -t packages < <(sed -n 's/^packages = \[\(.*\)\]$/\1/p' deploy/system.toml | grep -o '[a-z0-9][a-z0-9+.-]*')
+if [ "${#packages[@]}" -eq 0 ]; then
+  echo "deploy/system.toml: no line that begins with packages = ["
+  exit 1
+fi
+packages+=(
+  ninja-build ccache git python3 catch2 libbenchmark-dev curl strace
+  clang-14 clang-format-14 clang-tidy-14 libclang-rt-14-dev gnuplot-nox
 )
 missing=()
 for package in "${packages[@]}"; do
