--- a/src/gateway_control/node_settings.cc
+++ b/src/gateway_control/node_settings.cc
@@ -13,8 +13,15 @@
 constexpr Range<double> kMegabits{0.1, 1e7};
 constexpr Range<std::int64_t> kGateways{1, 10'000};
 
+/// A key that is there but empty, as a template leaves it for a field without a value, is a problem too.
+std::string requireText(TomlTable& root, const std::string& key) {
+  std::string value = root.requireString(key);
+  if (value.empty() && root.has(key)) root.report(key, "must not be empty");
+  return value;
+}
+
 void readAddress(TomlTable& root, const std::string& key, bool required, std::string& value) {
-  value = required ? root.requireString(key) : root.getString(key, value);
+  value = required ? requireText(root, key) : root.getString(key, value);
   if (value.empty()) return;
   boost::system::error_code error;
   parseEndpoint(value, error);
@@ -66,8 +73,8 @@
   NodeSettings settings;
   const std::shared_ptr<TomlTable> root = parseToml(text, file, problems);
   if (root == nullptr) return settings;
-  settings.name = root->requireString("name");
-  settings.zone = root->requireString("zone");
+  settings.name = requireText(*root, "name");
+  settings.zone = requireText(*root, "zone");
   settings.region = root->getString("region", "");
   readAddress(*root, "front", true, settings.front);
   readAddress(*root, "readiness", false, settings.readiness);
--- a/tests/unit/gateway_control/node_settings_test.cc
+++ b/tests/unit/gateway_control/node_settings_test.cc
@@ -69,3 +69,17 @@
   readNodeSettings("name = \"n1\"", "node.toml", problems);
   CHECK(problems.size() == 4);
 }
+
+TEST_CASE("node settings: a required key that is empty is refused", "[node_settings]") {
+  for (const std::string key : {"name", "zone", "front", "gossip", "platform"}) {
+    std::string text;
+    for (const std::string required : {"name", "zone", "front", "gossip", "platform"}) {
+      text += required + (required == key ? " = \"\"\n" : " = \"127.0.0.1:1\"\n");
+    }
+    std::vector<SettingsProblem> problems;
+    readNodeSettings(text, "node.toml", problems);
+    REQUIRE(problems.size() == 1);
+    CHECK(problems[0].key == key);
+    CHECK(problems[0].reason == "must not be empty");
+  }
+}
