--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -8,45 +8,26 @@
 namespace crankspur::gateway {
 namespace {
 
-/// Evidence counts for this long. Where a caller sends a request that ends engines again and again, this and
-/// the quarantine bound the ends at three at once and some two an hour from then on.
-constexpr Duration kEvidenceLifetime = std::chrono::hours(1);
-/// Evidence that is told is taken only while it is younger than the lifetime by this much, so that gateways
-/// whose clocks differ do not tell each other again what some have forgotten.
+/// Evidence of other gateways is taken only while it is younger than the lifetime by this much, so that
+/// gateways whose clocks differ do not tell each other again what some have forgotten.
 constexpr Duration kLifetimeMargin = std::chrono::seconds(10);
-/// How long a quarantined request is not run, from the last end on; four times as long after each further
-/// end, so that a caller whose request was mended, or who had bad luck three times, is served again.
-constexpr Duration kFirstQuarantine = std::chrono::minutes(1);
-constexpr int kQuarantineGrowth = 4;
-constexpr Duration kLongestQuarantine = std::chrono::minutes(30);
 /// Refutations are kept this long against evidence that arrives late.
 constexpr Duration kRefutationLifetime = std::chrono::minutes(1);
-/// A run that began up to this much before the end of another one counts as begun after it: the times of
-/// other gateways are off by the way of their datagrams.
-constexpr Duration kClockTolerance = std::chrono::milliseconds(30);
-/// Bytes that a back end sent before its end are read within this time after it is noticed.
-constexpr Duration kReadingTime = std::chrono::milliseconds(300);
-/// No back end is back sooner after its end: it has to load its weights. What answers sooner did not end.
-constexpr Duration kLeastRestartTime = std::chrono::milliseconds(500);
-/// Ends kept for one request; further ones say nothing new.
-constexpr std::size_t kMostEnds = 16;
-/// Requests kept, some 150 bytes each. An end leaves as many as the engine ran, some dozens, and most of
-/// these are cleared within seconds.
-constexpr std::size_t kMostSuspects = 8192;
-/// What everything() tells at most, so that it fits into a datagram: some 40 bytes each.
-constexpr std::size_t kMostTold = 600;
-
-/// @return how long a request is not run after so many ends.
-Duration quarantineAfter(std::uint32_t ends) {
-  Duration quarantine = kFirstQuarantine;
-  for (std::uint32_t count = CrashSuspects::kEndsUntilQuarantined; count < ends; ++count) {
-    quarantine = std::min(quarantine * kQuarantineGrowth, kLongestQuarantine);
+/// Crashes kept for one request; further ones say nothing new.
+constexpr std::size_t kMaxCrashesOfRequest = 16;
+/// Records of an update, some 40 bytes each, so that it fits into a datagram.
+constexpr std::size_t kMaxRecordsOfUpdate = 600;
+
+}  // namespace
+
+Duration CrashSuspects::quarantineAfter(std::uint32_t crashes) const {
+  Duration quarantine = policy_.first_quarantine;
+  for (std::uint32_t count = policy_.crashes_until_quarantined; count < crashes; ++count) {
+    quarantine = std::min(quarantine * policy_.quarantine_growth, policy_.max_quarantine);
   }
   return quarantine;
 }
 
-}  // namespace
-
 std::string_view nameOf(Suspicion suspicion) {
   switch (suspicion) {
     case Suspicion::none:
@@ -65,159 +46,162 @@
 
 bool CrashSuspects::onCrash(const CrashEvidence& evidence, TimePoint now) {
   if (!add(evidence, now)) return false;
-  news_.crashes.push_back(evidence);
+  update_.crashes.push_back(evidence);
   return true;
 }
 
 bool CrashSuspects::onWholeAnswer(const RequestFingerprint& request, TimePoint now) {
   const ClearedRequest cleared{request, now};
-  if (!suspects_.contains(request) || !clear(cleared)) return false;
-  news_.cleared.push_back(cleared);
+  if (!policy_.answers_clear || !suspects_.contains(request) || !clear(cleared)) return false;
+  update_.cleared.push_back(cleared);
   return true;
 }
 
-/// Bytes on a connection of before the end, or an answer sooner than any back end can be back.
-bool CrashSuspects::onHeard(std::uint64_t backend, TimePoint sent_at, TimePoint now) {
-  const auto found = ended_at_.find(backend);
-  if (found == ended_at_.end()) return false;
-  const TimePoint ended_at = found->second;
-  const bool same_connection = sent_at < ended_at && now > ended_at + kReadingTime;
-  const bool too_soon = sent_at >= ended_at && now < ended_at + kLeastRestartTime;
+/// Bytes on a connection of before the crash, or an answer sooner than any back end can be back.
+bool CrashSuspects::onSignOfLife(std::uint64_t backend, TimePoint sent_at, TimePoint now) {
+  const auto found = crashed_at_.find(backend);
+  if (found == crashed_at_.end()) return false;
+  const TimePoint crashed_at = found->second;
+  const bool same_connection = sent_at < crashed_at && now > crashed_at + policy_.read_delay;
+  const bool too_soon = sent_at >= crashed_at && now < crashed_at + policy_.min_restart_time;
   if (!same_connection && !too_soon) return false;
-  const LivingBackend living{backend, now};
-  withdraw(living);
-  news_.living.push_back(living);
+  const SignOfLife sign{backend, now};
+  withdraw(sign);
+  update_.alive.push_back(sign);
   return true;
 }
 
-bool CrashSuspects::onTold(const CrashNews& news, TimePoint now) {
+bool CrashSuspects::merge(const CrashUpdate& update, TimePoint now) {
   bool changed = false;
-  for (const ClearedRequest& cleared : news.cleared) changed |= clear(cleared);
-  for (const LivingBackend& living : news.living) changed |= withdraw(living);
-  for (const CrashEvidence& evidence : news.crashes) changed |= add(evidence, now);
+  for (const ClearedRequest& cleared : update.cleared) changed |= clear(cleared);
+  for (const SignOfLife& sign : update.alive) changed |= withdraw(sign);
+  for (const CrashEvidence& evidence : update.crashes) changed |= add(evidence, now);
   return changed;
 }
 
 bool CrashSuspects::isRefuted(const CrashEvidence& evidence) const {
   const auto cleared = cleared_.find(evidence.request);
-  if (cleared != cleared_.end() && evidence.ended_at <= cleared->second) return true;
-  const auto living = living_.find(evidence.backend);
-  return living != living_.end() && evidence.ended_at <= living->second;
+  if (cleared != cleared_.end() && evidence.crashed_at <= cleared->second) return true;
+  const auto alive = alive_.find(evidence.backend);
+  return alive != alive_.end() && evidence.crashed_at <= alive->second;
 }
 
 bool CrashSuspects::add(const CrashEvidence& evidence, TimePoint now) {
-  if (now - evidence.ended_at > kEvidenceLifetime - kLifetimeMargin || isRefuted(evidence)) return false;
+  if (now - evidence.crashed_at > policy_.evidence_lifetime - kLifetimeMargin || isRefuted(evidence))
+    return false;
   if (!suspects_.contains(evidence.request)) makeRoom();
-  std::vector<End>& ends = suspects_[evidence.request].ends;
-  std::uint64_t ends_of_backend = 0;
-  for (const End& end : ends) {
-    if (end.backend != evidence.backend) continue;
-    // Of one start there is one end. A run that began later than a back end can be back is of its next start,
-    // even where its birth is not known yet.
-    const bool is_later = evidence.sent_at >= end.ended_at + kLeastRestartTime;
-    const bool is_earlier = end.sent_at >= evidence.ended_at + kLeastRestartTime;
+  std::vector<Crash>& crashes = suspects_[evidence.request].crashes;
+  std::uint64_t crashes_of_backend = 0;
+  for (const Crash& crash : crashes) {
+    if (crash.backend != evidence.backend) continue;
+    // Of one start there is one crash. A run that began later than a back end can be back is of its next
+    // start, even where its birth is not known yet.
+    const bool is_later = evidence.sent_at >= crash.crashed_at + policy_.min_restart_time;
+    const bool is_earlier = crash.sent_at >= evidence.crashed_at + policy_.min_restart_time;
     if (!is_later && !is_earlier) return false;
-    ++ends_of_backend;
+    ++crashes_of_backend;
   }
-  if (ends.size() >= kMostEnds) return false;
-  const auto later = std::find_if(ends.begin(), ends.end(),
-                                  [&](const End& end) { return end.ended_at > evidence.ended_at; });
-  const std::uint64_t key = keyOf(evidence.request, evidence.backend + ends_of_backend);
-  ends.insert(later, End{evidence.backend, evidence.sent_at, evidence.ended_at, key});
+  if (crashes.size() >= kMaxCrashesOfRequest) return false;
+  const auto later = std::find_if(crashes.begin(), crashes.end(),
+                                  [&](const Crash& crash) { return crash.crashed_at > evidence.crashed_at; });
+  const std::uint64_t key = keyOf(evidence.request, evidence.backend + crashes_of_backend);
+  crashes.insert(later, Crash{evidence.backend, evidence.sent_at, evidence.crashed_at, key});
   digest_ += key;
-  TimePoint& ended_at = ended_at_[evidence.backend];
-  ended_at = std::max(ended_at, evidence.ended_at);
+  TimePoint& crashed_at = crashed_at_[evidence.backend];
+  crashed_at = std::max(crashed_at, evidence.crashed_at);
   return true;
 }
 
-void CrashSuspects::removeEnd(Suspect& suspect, std::size_t index) {
-  digest_ -= suspect.ends[index].key;
-  suspect.ends.erase(suspect.ends.begin() + static_cast<std::ptrdiff_t>(index));
+void CrashSuspects::removeCrash(Suspect& suspect, std::size_t index) {
+  digest_ -= suspect.crashes[index].key;
+  suspect.crashes.erase(suspect.crashes.begin() + static_cast<std::ptrdiff_t>(index));
 }
 
 bool CrashSuspects::clear(const ClearedRequest& cleared) {
   TimePoint& known = cleared_[cleared.request];
-  const bool news = cleared.at > known;
+  const bool is_new = cleared.at > known;
   known = std::max(known, cleared.at);
   const auto found = suspects_.find(cleared.request);
-  if (found == suspects_.end()) return news;
+  if (found == suspects_.end()) return is_new;
   Suspect& suspect = found->second;
-  while (!suspect.ends.empty() && suspect.ends.front().ended_at <= cleared.at) {
-    removeEnd(suspect, 0);
+  while (!suspect.crashes.empty() && suspect.crashes.front().crashed_at <= cleared.at) {
+    removeCrash(suspect, 0);
   }
-  if (suspect.ends.empty()) suspects_.erase(found);
-  return news;
+  if (suspect.crashes.empty()) suspects_.erase(found);
+  return is_new;
 }
 
-bool CrashSuspects::withdraw(const LivingBackend& living) {
-  TimePoint& known = living_[living.backend];
-  const bool news = living.at > known;
-  known = std::max(known, living.at);
-  ended_at_.erase(living.backend);
+bool CrashSuspects::withdraw(const SignOfLife& sign) {
+  TimePoint& known = alive_[sign.backend];
+  const bool is_new = sign.at > known;
+  known = std::max(known, sign.at);
+  crashed_at_.erase(sign.backend);
   absl::erase_if(suspects_, [&](auto& item) {
     Suspect& suspect = item.second;
-    for (std::size_t index = suspect.ends.size(); index-- > 0;) {
-      const End& end = suspect.ends[index];
-      if (end.backend == living.backend && end.ended_at <= living.at) removeEnd(suspect, index);
+    for (std::size_t index = suspect.crashes.size(); index-- > 0;) {
+      const Crash& crash = suspect.crashes[index];
+      if (crash.backend == sign.backend && crash.crashed_at <= sign.at) removeCrash(suspect, index);
     }
-    return suspect.ends.empty();
+    return suspect.crashes.empty();
   });
-  return news;
+  return is_new;
 }
 
 CrashVerdict CrashSuspects::judge(const RequestFingerprint& request, TimePoint now) const {
   CrashVerdict verdict;
   const auto found = suspects_.find(request);
   if (found == suspects_.end()) return verdict;
-  const std::vector<End>& ends = found->second.ends;
-  TimePoint last_end = TimePoint::min();
-  for (const End& end : ends) {
-    if (verdict.ends > 0 && end.sent_at + kClockTolerance < last_end) continue;
-    ++verdict.ends;
-    last_end = end.ended_at;
+  const std::vector<Crash>& crashes = found->second.crashes;
+  TimePoint last_crash = TimePoint::min();
+  for (const Crash& crash : crashes) {
+    if (verdict.crashes > 0 && crash.sent_at + policy_.sequence_tolerance < last_crash) continue;
+    ++verdict.crashes;
+    last_crash = crash.crashed_at;
   }
-  if (verdict.ends < kEndsUntilIsolated) return verdict;
+  if (verdict.crashes < policy_.crashes_until_isolated) return verdict;
   verdict.suspicion = Suspicion::isolated;
-  if (verdict.ends < kEndsUntilQuarantined && ends.size() < kEndsAtOnce) return verdict;
-  verdict.quarantined_until = ends.back().ended_at + quarantineAfter(verdict.ends);
+  if (verdict.crashes < policy_.crashes_until_quarantined &&
+      crashes.size() < policy_.concurrent_crashes_until_quarantined)
+    return verdict;
+  verdict.quarantined_until = crashes.back().crashed_at + quarantineAfter(verdict.crashes);
   if (now < verdict.quarantined_until) verdict.suspicion = Suspicion::quarantined;
   return verdict;
 }
 
-/// Those with the most ends first.
-CrashNews CrashSuspects::everything() const {
+/// Those with the most crashes first.
+CrashUpdate CrashSuspects::allEvidence() const {
   std::vector<std::pair<std::size_t, RequestFingerprint>> order;
   order.reserve(suspects_.size());
-  for (const auto& [request, suspect] : suspects_) order.emplace_back(suspect.ends.size(), request);
+  for (const auto& [request, suspect] : suspects_) order.emplace_back(suspect.crashes.size(), request);
   std::sort(order.begin(), order.end(), std::greater<>());
-  CrashNews news;
+  CrashUpdate update;
   for (const auto& [count, request] : order) {
-    if (news.crashes.size() + count > kMostTold) break;
-    for (const End& end : suspects_.at(request).ends) {
-      news.crashes.push_back({request, end.backend, end.sent_at, end.ended_at});
+    if (update.crashes.size() + count > kMaxRecordsOfUpdate) break;
+    for (const Crash& crash : suspects_.at(request).crashes) {
+      update.crashes.push_back({request, crash.backend, crash.sent_at, crash.crashed_at});
     }
   }
   for (const auto& [request, at] : cleared_) {
-    if (news.cleared.size() < kMostTold) news.cleared.push_back({request, at});
+    if (update.cleared.size() < kMaxRecordsOfUpdate) update.cleared.push_back({request, at});
   }
-  for (const auto& [backend, at] : living_) {
-    if (news.living.size() < kMostTold) news.living.push_back({backend, at});
+  for (const auto& [backend, at] : alive_) {
+    if (update.alive.size() < kMaxRecordsOfUpdate) update.alive.push_back({backend, at});
   }
-  return news;
+  return update;
 }
 
-CrashNews CrashSuspects::quarantined(TimePoint now) const {
-  CrashNews news = everything();
-  std::erase_if(news.crashes, [&](const CrashEvidence& evidence) {
+CrashUpdate CrashSuspects::quarantined(TimePoint now) const {
+  CrashUpdate update = allEvidence();
+  std::erase_if(update.crashes, [&](const CrashEvidence& evidence) {
     return judge(evidence.request, now).suspicion != Suspicion::quarantined;
   });
-  news.cleared.clear();
-  news.living.clear();
-  return news;
+  update.cleared.clear();
+  update.alive.clear();
+  return update;
 }
 
-bool CrashSuspects::quarantines(const CrashNews& news, TimePoint now) const {
-  return std::any_of(news.crashes.begin(), news.crashes.end(), [&](const CrashEvidence& evidence) {
+bool CrashSuspects::quarantines(const CrashUpdate& update, TimePoint now) const {
+  return std::any_of(update.crashes.begin(), update.crashes.end(), [&](const CrashEvidence& evidence) {
     return judge(evidence.request, now).suspicion == Suspicion::quarantined;
   });
 }
@@ -225,29 +209,30 @@
 void CrashSuspects::forgetOld(TimePoint now) {
   absl::erase_if(suspects_, [&](auto& item) {
     Suspect& suspect = item.second;
-    while (!suspect.ends.empty() && now - suspect.ends.front().ended_at > kEvidenceLifetime) {
-      removeEnd(suspect, 0);
+    while (!suspect.crashes.empty() && now - suspect.crashes.front().crashed_at > policy_.evidence_lifetime) {
+      removeCrash(suspect, 0);
     }
-    return suspect.ends.empty();
+    return suspect.crashes.empty();
   });
   const auto is_old = [now](const auto& item) { return now - item.second > kRefutationLifetime; };
   absl::erase_if(cleared_, is_old);
-  absl::erase_if(living_, is_old);
-  absl::erase_if(ended_at_, [now](const auto& item) { return now - item.second > kEvidenceLifetime; });
+  absl::erase_if(alive_, is_old);
+  absl::erase_if(crashed_at_, [&](const auto& item) { return now - item.second > policy_.evidence_lifetime; });
 }
 
-/// The one with the fewest ends goes, of these the one whose last end is the longest ago.
+/// The one with the fewest crashes goes, of these the one whose last crash is the longest ago.
 void CrashSuspects::makeRoom() {
-  if (suspects_.size() < kMostSuspects) return;
+  if (suspects_.size() < policy_.max_suspects) return;
   auto least = suspects_.begin();
   for (auto place = suspects_.begin(); place != suspects_.end(); ++place) {
-    const std::vector<End>& ends = place->second.ends;
-    const std::vector<End>& least_ends = least->second.ends;
-    const bool fewer = ends.size() < least_ends.size();
-    const bool older = ends.size() == least_ends.size() && ends.back().ended_at < least_ends.back().ended_at;
+    const std::vector<Crash>& crashes = place->second.crashes;
+    const std::vector<Crash>& least_crashes = least->second.crashes;
+    const bool fewer = crashes.size() < least_crashes.size();
+    const bool older =
+        crashes.size() == least_crashes.size() && crashes.back().crashed_at < least_crashes.back().crashed_at;
     if (fewer || older) least = place;
   }
-  for (std::size_t index = least->second.ends.size(); index-- > 0;) removeEnd(least->second, index);
+  for (std::size_t index = least->second.crashes.size(); index-- > 0;) removeCrash(least->second, index);
   suspects_.erase(least);
 }
 
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -1,14 +1,14 @@
 #pragma once
-/// @file Which requests end the back ends that run them. A request may end every back end that begins to run
-/// it (a "query of death") and come again under new ids at any gateway, so that no limit within one attempt
-/// protects the back ends. Each back end that ends takes its other requests with it: what is kept here bounds
-/// that to three ends for each such request, over all attempts and all gateways.
+/// @file Which requests crash the back ends that run them. Such a poison request (a query of death) may come
+/// again under new ids at any gateway, so that no limit within one attempt protects the back ends. Each crash
+/// takes the other requests of the back end with it; what is kept here bounds the crashes of one poison
+/// request to three, over all attempts and all gateways.
 ///
 /// Evidence is a set of (request, start of a back end): it merges in any order, and nothing is counted twice.
-/// All but one of the requests that ran where a back end ended are innocent. Three things keep them free of
-/// blame: a whole answer anywhere clears a request; ends count only in sequence (each must be of a run that
-/// began after the end before), so that back ends that end together count once; a back end that is heard of
-/// after all did not end, and what was noted of it is withdrawn.
+/// All but one of the requests that ran where a back end crashed are innocent. Three things keep them free of
+/// blame: a whole answer anywhere clears a request; crashes count only in sequence (each must be of a run
+/// that began after the crash before), so that back ends that crash together count once; a back end that
+/// shows a sign of life did not crash, and the evidence of its crash is withdrawn.
 ///
 /// Pure decision code; not thread-safe.
 
@@ -20,37 +20,38 @@
 #include <vector>
 
 #include "base/time.h"
+#include "gateway/crash_policy.h"
 #include "gateway/request_fingerprint.h"
 
 namespace crankspur::gateway {
 
-/// A back end broke off while it had a request, and has not been heard of since.
+/// A back end broke off while it had a request, and has shown no sign of life since.
 struct CrashEvidence {
   RequestFingerprint request;
-  std::uint64_t backend = 0;  ///< Incarnation: one start of a back end ends once.
+  std::uint64_t backend = 0;  ///< Incarnation: one start of a back end crashes once.
   TimePoint sent_at{};        ///< When the request was sent there.
-  TimePoint ended_at{};       ///< When the back end broke off.
+  TimePoint crashed_at{};     ///< When the back end broke off.
 };
 
-/// A request got a whole answer: what was noted against it before says nothing.
+/// A request got a whole answer: earlier evidence against it is void.
 struct ClearedRequest {
   RequestFingerprint request;
   TimePoint at{};
 };
 
-/// A back end has been heard of: what was noted of its end before is wrong.
-struct LivingBackend {
+/// A back end showed a sign of life: earlier evidence of its crash is void.
+struct SignOfLife {
   std::uint64_t backend = 0;  ///< Incarnation.
   TimePoint at{};
 };
 
 /// What one gateway tells the others.
-struct CrashNews {
+struct CrashUpdate {
   std::vector<CrashEvidence> crashes;
   std::vector<ClearedRequest> cleared;
-  std::vector<LivingBackend> living;
+  std::vector<SignOfLife> alive;
 
-  bool empty() const { return crashes.empty() && cleared.empty() && living.empty(); }
+  bool empty() const { return crashes.empty() && cleared.empty() && alive.empty(); }
 };
 
 /// What is to be done with a request.
@@ -66,44 +67,38 @@
 /// What is known of a request.
 struct CrashVerdict {
   Suspicion suspicion = Suspicion::none;
-  std::uint32_t ends = 0;         ///< Back ends that ended under it one after the other.
+  std::uint32_t crashes = 0;      ///< Back ends that crashed under it one after the other.
   TimePoint quarantined_until{};  ///< From then on it may be tried once more.
 };
 
 /// See the file comment.
 class CrashSuspects {
 public:
-  /// Ends in sequence from which on a request is isolated, and quarantined. The users allow three: a third
-  /// try costs an engine where the request is guilty, and serves the caller where it had bad luck twice.
-  static constexpr std::uint32_t kEndsUntilIsolated = 2;
-  static constexpr std::uint32_t kEndsUntilQuarantined = 3;
-  /// Ends, in sequence or not, that quarantine a request which is isolated already: of attempts at once at
-  /// several gateways each ends a back end before any is known.
-  static constexpr std::uint32_t kEndsAtOnce = 4;
+  explicit CrashSuspects(const CrashPolicy& policy = {}) : policy_(policy) {}
 
   /// This gateway saw a back end break off.
-  /// @return whether it was news.
+  /// @return whether it was new.
   bool onCrash(const CrashEvidence& evidence, TimePoint now);
-  /// @return whether anything was noted against the request.
+  /// @return whether there was evidence against the request.
   bool onWholeAnswer(const RequestFingerprint& request, TimePoint now);
   /// Bytes came from a back end.
   /// @param sent_at when the exchange that they belong to was sent.
-  /// @return whether they prove that an end was noted wrongly.
-  bool onHeard(std::uint64_t backend, TimePoint sent_at, TimePoint now);
-  /// Another gateway told what it knows.
-  /// @return whether anything was news.
-  bool onTold(const CrashNews& news, TimePoint now);
+  /// @return whether they prove that evidence of a crash was wrong.
+  bool onSignOfLife(std::uint64_t backend, TimePoint sent_at, TimePoint now);
+  /// Takes in what another gateway knows.
+  /// @return whether anything was new.
+  bool merge(const CrashUpdate& update, TimePoint now);
 
   CrashVerdict judge(const RequestFingerprint& request, TimePoint now) const;
   /// @return what this gateway learnt itself since the last call.
-  CrashNews takeNews() { return std::exchange(news_, {}); }
-  bool hasNews() const { return !news_.empty(); }
-  /// @return the ends of all quarantined requests.
-  CrashNews quarantined(TimePoint now) const;
-  /// @return whether a request of the news is quarantined.
-  bool quarantines(const CrashNews& news, TimePoint now) const;
-  /// @return all that is known.
-  CrashNews everything() const;
+  CrashUpdate takeUpdate() { return std::exchange(update_, {}); }
+  bool hasUpdate() const { return !update_.empty(); }
+  /// @return the evidence against all quarantined requests.
+  CrashUpdate quarantined(TimePoint now) const;
+  /// @return whether a request of the update is quarantined.
+  bool quarantines(const CrashUpdate& update, TimePoint now) const;
+  /// @return what is known, the most incriminated requests first, as much as fits into a datagram.
+  CrashUpdate allEvidence() const;
   /// @return a sum over all evidence: gateways with equal digests know the same. 0: nothing is known.
   std::uint64_t digest() const { return digest_; }
   std::size_t size() const { return suspects_.size(); }
@@ -111,30 +106,32 @@
   void forgetOld(TimePoint now);
 
 private:
-  struct End {
+  struct Crash {
     std::uint64_t backend = 0;
     TimePoint sent_at{};
-    TimePoint ended_at{};
+    TimePoint crashed_at{};
     std::uint64_t key = 0;  ///< Its part of the digest.
   };
   struct Suspect {
-    std::vector<End> ends;  ///< By ended_at.
+    std::vector<Crash> crashes;  ///< By crashed_at.
   };
 
   bool add(const CrashEvidence& evidence, TimePoint now);
   bool clear(const ClearedRequest& cleared);
-  bool withdraw(const LivingBackend& living);
+  bool withdraw(const SignOfLife& sign);
   bool isRefuted(const CrashEvidence& evidence) const;
-  void removeEnd(Suspect& suspect, std::size_t index);
+  void removeCrash(Suspect& suspect, std::size_t index);
   void makeRoom();
+  Duration quarantineAfter(std::uint32_t crashes) const;
   static std::uint64_t keyOf(const RequestFingerprint& request, std::uint64_t backend);
 
+  CrashPolicy policy_;
   absl::flat_hash_map<RequestFingerprint, Suspect> suspects_;
-  absl::flat_hash_map<std::uint64_t, TimePoint> ended_at_;  ///< Latest end noted, by back end.
+  absl::flat_hash_map<std::uint64_t, TimePoint> crashed_at_;  ///< Latest crash known, by back end.
   absl::flat_hash_map<RequestFingerprint, TimePoint> cleared_;
-  absl::flat_hash_map<std::uint64_t, TimePoint> living_;
+  absl::flat_hash_map<std::uint64_t, TimePoint> alive_;
   std::uint64_t digest_ = 0;
-  CrashNews news_;
+  CrashUpdate update_;
 };
 
 }  // namespace crankspur::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -29,7 +29,8 @@
       observer_(observer),
       choice_(settings.index_entries, random_),
       shares_(random_),
-      weights_(settings.older_weights_grace) {}
+      weights_(settings.older_weights_grace),
+      suspects_(settings.crash_policy) {}
 
 void Gateway::onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot, TimePoint now) {
   snapshot_ = std::move(snapshot);
@@ -258,7 +259,7 @@
 /// Spread, so that those refused together do not come back together. One that is not run for a known time is
 /// told so.
 Duration Gateway::retryAfter(const Entry& entry, TimePoint now) {
-  if (entry.cause == RequestCause::ends_back_ends) return entry.quarantined_until - now;
+  if (entry.cause == RequestCause::quarantined) return entry.quarantined_until - now;
   const Duration base = entry.route->first_byte_target / 2;
   const Duration bounded = std::clamp(base, kLeastRetryAfter, kMostRetryAfter);
   return Duration(static_cast<std::int64_t>(static_cast<double>(bounded.count()) * (0.5 + random_.unit())));
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -57,10 +57,10 @@
   /// @return what this gateway has at each engine, for the others.
   LoadDigest ownWork() const { return choice_.ownWork(); }
   /// Another gateway told which back ends ended under which requests.
-  void onCrashNews(const CrashNews& news, TimePoint now) { suspects_.onTold(news, now); }
+  void onCrashUpdate(const CrashUpdate& news, TimePoint now) { suspects_.merge(news, now); }
   /// @return what this gateway learnt of such requests since the last call, for the others.
-  CrashNews takeCrashNews() { return suspects_.takeNews(); }
-  bool hasCrashNews() const { return suspects_.hasNews(); }
+  CrashUpdate takeCrashUpdate() { return suspects_.takeUpdate(); }
+  bool hasCrashUpdate() const { return suspects_.hasUpdate(); }
   /// @return the other gateways that place requests too.
   std::uint32_t peerCount() const { return snapshot_ == nullptr ? 0 : snapshot_->peer_count; }
 
@@ -167,7 +167,7 @@
   bool runsElsewhere(const Entry& entry);
   std::vector<EngineSlot> slotsOfIsolated();
   void noteCrash(const Entry& entry, const Running& running, TimePoint now);
-  void noteHeard(const Entry& entry, TimePoint now);
+  void noteSignOfLife(const Entry& entry, TimePoint now);
   void noteWholeAnswer(const Entry& entry, TimePoint now);
 
   // Records for the observer (gateway_records.cc).
--- a/src/gateway/gateway_answers.cc
+++ b/src/gateway/gateway_answers.cc
@@ -56,7 +56,7 @@
   running.heard_at = now;
   running.status = status;
   table_.onHeard(running.slot, now);
-  noteHeard(*entry, now);
+  noteSignOfLife(*entry, now);
   if (answer.not_run || answer.wrong_backend) return onNotRun(*entry, status, answer, now);
   if (answer.weights_version) {
     choice_.onWeights(running.slot, running.incarnation, entry->client.model, *answer.weights_version);
@@ -86,7 +86,7 @@
   if (entry == nullptr) return;
   entry->running.heard_at = now;
   table_.onHeard(entry->running.slot, now);
-  noteHeard(*entry, now);
+  noteSignOfLife(*entry, now);
   if (!entry->running.passes_bytes) return;
   noteFirstByte(*entry, now);
   std::string passed = entry->cursor ? entry->cursor->feed(bytes) : std::string(bytes);
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "base/time.h"
+#include "gateway/crash_policy.h"
 
 namespace crankspur::gateway {
 
@@ -30,6 +31,7 @@
   /// A trusted back end may be silent for this many times the time in which the first byte was expected: it
   /// may be reading a long prompt, which another one would read anew.
   double silence_per_expected = 2.0;
+  CrashPolicy crash_policy;
   std::size_t index_entries = 100'000;  ///< Cached prompt parts remembered, over all back ends.
   /// Taken off a deadline handed to a back end, so that its own refusal comes back in time.
   Duration answer_margin = std::chrono::milliseconds(5);
--- a/src/gateway/gateway_suspects.cc
+++ b/src/gateway/gateway_suspects.cc
@@ -1,4 +1,4 @@
-/// @file What a gateway does about requests that may end the back ends which run them.
+/// @file What a gateway does about requests that may crash the back ends which run them.
 
 #include <algorithm>
 
@@ -6,15 +6,15 @@
 
 namespace crankspur::gateway {
 
-/// A request that has ended back ends one after the other is not run; one that may have is run where the
-/// least is lost, and not by two attempts at once: both would end a back end before either is known.
+/// A request that has crashed back ends one after the other is not run; one that may have is run where the
+/// least is lost, and not by two attempts at once: both would crash a back end before either crash is known.
 /// @return whether the request may be sent to a back end now; otherwise it waits or has been given up.
 bool Gateway::passesQuarantine(Entry& entry, TimePoint now) {
   const CrashVerdict verdict = suspects_.judge(entry.fingerprint, now);
   entry.isolated = verdict.suspicion != Suspicion::none;
   if (verdict.suspicion == Suspicion::quarantined) {
     entry.quarantined_until = verdict.quarantined_until;
-    giveUpFor(entry, RequestCause::ends_back_ends, now);
+    giveUpFor(entry, RequestCause::quarantined, now);
     return false;
   }
   if (!entry.isolated || !runsElsewhere(entry)) return true;
@@ -54,15 +54,15 @@
   record.fingerprint = entry.fingerprint;
   record.backend = entry.last_backend;
   record.after = now - running.sent_at;
-  record.ends = verdict.ends;
+  record.crashes = verdict.crashes;
   record.suspicion = verdict.suspicion;
   if (verdict.suspicion == Suspicion::quarantined) record.quarantine = verdict.quarantined_until - now;
   observer_.onSuspected(record);
 }
 
-void Gateway::noteHeard(const Entry& entry, TimePoint now) {
+void Gateway::noteSignOfLife(const Entry& entry, TimePoint now) {
   const Running& running = entry.running;
-  if (!suspects_.onHeard(running.incarnation, running.sent_at, now)) return;
+  if (!suspects_.onSignOfLife(running.incarnation, running.sent_at, now)) return;
   observer_.onSuspicionWithdrawn({entry.client.request_id, entry.fingerprint, entry.last_backend, true});
 }
 
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -68,8 +68,8 @@
       return "answer_not_genuine";
     case RequestCause::error_answer:
       return "error_answer";
-    case RequestCause::ends_back_ends:
-      return "ends_back_ends";
+    case RequestCause::quarantined:
+      return "quarantined";
     case RequestCause::runs_already:
       return "runs_already";
     case RequestCause::silence:
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -36,8 +36,8 @@
   answer_broke_off,      ///< The exchange broke after bytes were sent.
   answer_not_genuine,    ///< Bytes came that are no answer of the back end's own.
   error_answer,          ///< The back end answered that it failed.
-  ends_back_ends,        ///< Back ends have ended under the request: it is not run for some time.
-  runs_already,          ///< It may end back ends, and another attempt of it is at one.
+  quarantined,           ///< Back ends have crashed under the request: it is not run for some time.
+  runs_already,          ///< It may crash back ends, and another attempt of it is at one.
   silence,               ///< Nothing at all came from the back end for too long.
   time_ran_out,          ///< The client's time, or the route's, ended while a back end worked.
   client_left,           ///< The client closed its connection or cancelled the stream.
@@ -150,23 +150,24 @@
   Duration for_time{0};                     ///< It is tried again after this time.
 };
 
-/// A back end broke off while it had the request, and may have ended because of it.
+/// A back end broke off while it had the request, and may have crashed because of it.
 struct RequestSuspected {
   std::string_view request_id;
   RequestFingerprint fingerprint;
   std::string_view backend;
-  Duration after{0};       ///< Since it was sent there.
-  std::uint32_t ends = 0;  ///< Back ends that ended under it one after the other, as far as is known here.
+  Duration after{0};  ///< Since it was sent there.
+  std::uint32_t crashes =
+      0;  ///< Back ends that crashed under it one after the other, as far as is known here.
   Suspicion suspicion = Suspicion::none;
   Duration quarantine{0};  ///< For so long it is not run; 0: it is.
 };
 
-/// What was noted against requests was wrong.
+/// Evidence against requests was wrong.
 struct SuspicionWithdrawn {
   std::string_view request_id;  ///< Of the attempt that showed it.
   RequestFingerprint fingerprint;
   std::string_view backend;
-  bool backend_lives = false;  ///< True: the back end did not end. False: the request got a whole answer.
+  bool backend_lives = false;  ///< True: the back end did not crash. False: the request got a whole answer.
 };
 
 /// Hears of decisions, on the thread that makes them. Views are valid during the call only.
--- /dev/null
+++ b/src/gateway_control/crash_coordinator.cc
@@ -0,0 +1,63 @@
+#include "gateway_control/crash_coordinator.h"
+
+#include <algorithm>
+
+namespace crankspur::gateway {
+
+CrashCoordinator::CrashCoordinator(std::uint64_t random_seed, TimePoint now, const CrashPolicy& policy)
+    : exchange_(random_seed, now, policy), record_(now), digest_at_(now) {}
+
+/// To all gateways at once: clients come to any of them, also to one that stands by.
+void CrashCoordinator::onOwnUpdate(const CrashUpdate& update, const std::vector<std::string>& members,
+                                   TimePoint now) {
+  exchange_.onOwnUpdate(update, now);
+  const CrashNotes notes = toNotes(update, now);
+  for (const std::string& member : members) actions_.emplace_back(SendCrashMessage{member, notes});
+  if (!exchange_.quarantines(update, now)) return;
+  record_.save();
+  callStore(now);
+}
+
+void CrashCoordinator::onNotes(const CrashNotes& notes, TimePoint now) {
+  take(toUpdate(notes, now), now);
+}
+
+void CrashCoordinator::take(CrashUpdate update, TimePoint now) {
+  if (exchange_.onUpdate(update, now)) actions_.emplace_back(TellTraffic{std::move(update)});
+}
+
+void CrashCoordinator::onDigest(const std::string& teller, const CrashDigest& digest, TimePoint now) {
+  if (!exchange_.onDigest(digest.digest, now)) return;
+  actions_.emplace_back(SendCrashMessage{teller, toNotes(exchange_.allEvidence(), now)});
+}
+
+void CrashCoordinator::onRecordRead(const std::optional<StoredRecord>& record, TimePoint now) {
+  take(record_.onRead(record, now), now);
+  callStore(now);
+}
+
+void CrashCoordinator::onRecordWritten(bool written, TimePoint now) {
+  record_.onWritten(written, now);
+  callStore(now);
+}
+
+void CrashCoordinator::callStore(TimePoint now) {
+  if (now < record_.nextTimer()) return;
+  CrashRecordCall call = record_.nextCall(exchange_.quarantined(now), now);
+  if (call.kind != CrashRecordCall::Kind::none) actions_.emplace_back(CallStore{std::move(call)});
+}
+
+void CrashCoordinator::onTimer(const std::vector<std::string>& members, TimePoint now) {
+  callStore(now);
+  if (now < digest_at_) return;
+  digest_at_ = now + CrashExchange::kDigestInterval;
+  for (const std::string& member : exchange_.onTick(members, now)) {
+    actions_.emplace_back(SendCrashMessage{member, CrashDigest{exchange_.digest()}});
+  }
+}
+
+TimePoint CrashCoordinator::nextTimer() const {
+  return std::min(digest_at_, record_.nextTimer());
+}
+
+}  // namespace crankspur::gateway
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -96,7 +96,6 @@
       orders_(executor, orderOptions(settings, incarnation), platform, orderCallbacks(), log),
       cache_watch_(executor, platform, cacheCallbacks()),
       crashes_(combineHashes(hashBytes(settings.name, 4), incarnation), clock_.now()),
-      crash_record_(executor, platform, recordCallbacks()),
       publish_timer_(executor),
       change_timer_(executor),
       tell_timer_(executor),
@@ -111,9 +110,9 @@
   member_added_at_ = now();
   if (const std::error_code error = gossip_.start()) return error;
   platform_.start(platformNews());
-  crash_record_.load();
   lookAtServing();
-  tellCrashDigest();
+  crashes_.onTimer({}, now());
+  pumpCrashes();
   watchForSuspension();
   return {};
 }
@@ -370,7 +369,7 @@
   auto snapshot = std::make_shared<GatewaySnapshot>();
   // Until the record of quarantined requests is known nothing is served: such a request may be the first that
   // comes.
-  if (crash_record_.isSettled(now())) snapshot->configuration = configuration_;
+  if (crashes_.isSettled(now())) snapshot->configuration = configuration_;
   snapshot->backends = backends_;
   snapshot->weights = orders_.named();
   snapshot->own_zone = settings_.zone;
@@ -386,7 +385,7 @@
 
 void GatewayControl::armPublishTimer() {
   TimePoint next = std::min(now() + (settled_ ? kLongestPause : kPauseUntilKnown), fleet_.nextChange(now()));
-  if (!crash_record_.isSettled(now())) next = std::min(next, now() + kPauseUntilKnown);
+  if (!crashes_.isSettled(now())) next = std::min(next, now() + kPauseUntilKnown);
   if (settings_.key_validity && keys_current_) {
     next = std::min(next, contact_->vouchedAt() + *settings_.key_validity);
   }
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -16,8 +16,7 @@
 #include "gateway/load_meter.h"
 #include "gateway_control/cache_exchange.h"
 #include "gateway_control/cache_watch.h"
-#include "gateway_control/crash_exchange.h"
-#include "gateway_control/crash_record.h"
+#include "gateway_control/crash_coordinator.h"
 #include "gateway_control/fleet_view.h"
 #include "gateway_control/gossip_socket.h"
 #include "gateway_control/node_settings.h"
@@ -32,7 +31,7 @@
   std::function<void(std::shared_ptr<const GatewaySnapshot>)> publish;
   std::function<void(CachedPartsNews)> on_cached_parts;
   std::function<void(std::vector<LoadDigest>)> on_peer_work;
-  std::function<void(CrashNews)> on_crash_news;
+  std::function<void(CrashUpdate)> on_crash_update;
   /// Open connections have gone silent: those of traffic may have, too.
   std::function<void()> on_connections_silent;
 };
@@ -76,7 +75,7 @@
   void onOwnWork(const LoadDigest& digest);
   void onOwnLoad(const OwnLoad& load) { own_load_ = load; }
   /// Tells all other gateways which back ends ended under which requests.
-  void onOwnCrashNews(const CrashNews& news);
+  void onOwnCrashUpdate(const CrashUpdate& news);
 
 private:
   TimePoint now() const { return clock_.now(); }
@@ -90,9 +89,11 @@
   void onServingNotice(const std::string& teller, const ServingNotice& notice) override;
   void onCrashNotes(const CrashNotes& notes) override;
   void onCrashDigest(const std::string& teller, const CrashDigest& digest) override;
-  CrashRecordCallbacks recordCallbacks();
-  void onCrashRecord(const CrashNews& news);
-  void tellCrashDigest();
+  void onCrashRecord(const CrashUpdate& news);
+  void pumpCrashes();
+  void carryOut(const SendCrashMessage& action);
+  void carryOut(const TellTraffic& action);
+  void carryOut(const CallStore& action);
   std::vector<std::string> otherMembers() const;
   void passPeerWork();
   void onOwnCacheNews(CachedPartsNews news);
@@ -152,8 +153,7 @@
   OrderGiver orders_;
   CacheWatch cache_watch_;
   CacheExchange caches_;
-  CrashExchange crashes_;
-  CrashRecord crash_record_;
+  CrashCoordinator crashes_;
   bool tell_waiting_ = false;
   TimePoint member_added_at_{};                  ///< When a gateway that was not known before became known.
   bool settled_ = false;                         ///< A large fleet is known: see fleetIsKnown().
--- a/src/gateway_control/shared_crashes.cc
+++ b/src/gateway_control/shared_crashes.cc
@@ -1,46 +1,60 @@
-/// @file How gateways tell each other which requests end back ends.
+/// @file How gateways tell each other which requests crash engines: carries out what CrashCoordinator
+/// decides.
 
+#include <algorithm>
+
+#include "base/timer.h"
 #include "gateway_control/gateway_control.h"
 
 namespace crankspur::gateway {
 
-/// To the whole fleet, at once: clients come to any gateway, also to one that stands by.
-void GatewayControl::onOwnCrashNews(const CrashNews& news) {
-  crashes_.onOwnNews(news, now());
-  const CrashNotes notes = toNotes(news, now());
-  for (const std::string& member : otherMembers()) gossip_.tell(member, notes);
-  if (crashes_.quarantines(news, now())) crash_record_.save();
+void GatewayControl::onOwnCrashUpdate(const CrashUpdate& update) {
+  crashes_.onOwnUpdate(update, otherMembers(), now());
+  pumpCrashes();
 }
 
-CrashRecordCallbacks GatewayControl::recordCallbacks() {
-  CrashRecordCallbacks callbacks;
-  callbacks.quarantined = [this] { return crashes_.quarantined(now()); };
-  callbacks.on_read = [this](const CrashNews& news) { onCrashRecord(news); };
-  return callbacks;
+void GatewayControl::onCrashNotes(const CrashNotes& notes) {
+  crashes_.onNotes(notes, now());
+  pumpCrashes();
 }
 
-/// Traffic hears of it before it gets a configuration to serve by.
-void GatewayControl::onCrashRecord(const CrashNews& news) {
-  if (crashes_.onNews(news, now()) && outputs_.on_crash_news) outputs_.on_crash_news(news);
-  publishSoon();
+void GatewayControl::onCrashDigest(const std::string& teller, const CrashDigest& digest) {
+  crashes_.onDigest(teller, digest, now());
+  pumpCrashes();
 }
 
-void GatewayControl::onCrashNotes(const CrashNotes& notes) {
-  const CrashNews news = toNews(notes, now());
-  if (crashes_.onNews(news, now()) && outputs_.on_crash_news) outputs_.on_crash_news(news);
+void GatewayControl::pumpCrashes() {
+  for (const CrashAction& action : crashes_.takeActions()) {
+    std::visit([this](const auto& chosen) { carryOut(chosen); }, action);
+  }
+  expireAt(crash_timer_, crashes_.nextTimer(), now());
+  crash_timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    crashes_.onTimer(otherMembers(), now());
+    pumpCrashes();
+  });
 }
 
-void GatewayControl::onCrashDigest(const std::string& teller, const CrashDigest& digest) {
-  if (crashes_.onDigest(digest.digest, now())) gossip_.tell(teller, toNotes(crashes_.everything(), now()));
+void GatewayControl::carryOut(const SendCrashMessage& action) {
+  gossip_.tell(action.member, action.message);
 }
 
-void GatewayControl::tellCrashDigest() {
-  for (const std::string& member : crashes_.onTick(otherMembers(), now())) {
-    gossip_.tell(member, CrashDigest{crashes_.digest()});
+void GatewayControl::carryOut(const TellTraffic& action) {
+  if (outputs_.on_crash_update) outputs_.on_crash_update(action.update);
+}
+
+void GatewayControl::carryOut(const CallStore& action) {
+  const CrashRecordCall& call = action.call;
+  if (call.kind == CrashRecordCall::Kind::write) {
+    return platform_.writeRecord(CrashRecord::kName, call.text, call.expected_version, [this](bool written) {
+      crashes_.onRecordWritten(written, now());
+      pumpCrashes();
+    });
   }
-  crash_timer_.expires_after(CrashExchange::kDigestInterval);
-  crash_timer_.async_wait([this](boost::system::error_code error) {
-    if (!error) tellCrashDigest();
+  platform_.readRecord(CrashRecord::kName, [this](const std::optional<StoredRecord>& record) {
+    crashes_.onRecordRead(record, now());
+    pumpCrashes();
+    publishSoon();  // Nothing was served before the record was known.
   });
 }
 
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -50,8 +50,9 @@
       [this, owned = std::move(digests)] { implementation_->loop.onPeerWork(owned); });
 }
 
-void GatewayProcess::onCrashNews(CrashNews news) {
-  implementation_->thread.post([this, owned = std::move(news)] { implementation_->loop.onCrashNews(owned); });
+void GatewayProcess::onCrashUpdate(CrashUpdate news) {
+  implementation_->thread.post(
+      [this, owned = std::move(news)] { implementation_->loop.onCrashUpdate(owned); });
 }
 
 void GatewayProcess::onConnectionsSilent() {
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -41,7 +41,7 @@
   /// How busy the traffic thread is; some times a second while requests come.
   std::function<void(OwnLoad)> on_own_load;
   /// Which back ends ended under which requests, for the other gateways.
-  std::function<void(CrashNews)> on_crash_news;
+  std::function<void(CrashUpdate)> on_crash_update;
 };
 
 /// One gateway. Functions may be called from any thread unless they say otherwise.
@@ -66,7 +66,7 @@
   /// Tells what other gateways have at each engine.
   void onPeerWork(std::vector<LoadDigest> digests);
   /// Tells which back ends ended under which requests, as other gateways saw it.
-  void onCrashNews(CrashNews news);
+  void onCrashUpdate(CrashUpdate news);
   /// Tells that open connections to several peers have gone silent, while new ones may work.
   void onConnectionsSilent();
 
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -128,7 +128,7 @@
                                                 {"fingerprint", toHex(record.fingerprint)},
                                                 {"backend", record.backend},
                                                 {"after_ms", milliseconds(record.after)},
-                                                {"ends", record.ends},
+                                                {"crashes", record.crashes},
                                                 {"suspicion", nameOf(record.suspicion)},
                                                 {"quarantine_ms", milliseconds(record.quarantine)}});
 }
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -29,8 +29,8 @@
 
 /// @return what the caller is told, besides the status.
 std::string_view describe(int status, RequestCause cause) {
-  if (status == 503 && cause == RequestCause::ends_back_ends) {
-    return "back ends have ended under this request: it is not run for some time";
+  if (status == 503 && cause == RequestCause::quarantined) {
+    return "back ends have crashed under this request: it is not run for some time";
   }
   switch (status) {
     case 400:
@@ -157,12 +157,12 @@
 }
 
 void TrafficLoop::tellCrashesSoon() {
-  if (!facts_.on_crash_news || !gateway_.hasCrashNews() || std::exchange(crashes_waiting_, true)) return;
+  if (!facts_.on_crash_update || !gateway_.hasCrashUpdate() || std::exchange(crashes_waiting_, true)) return;
   crash_timer_.expires_after(kCrashGather);
   crash_timer_.async_wait([this](boost::system::error_code error) {
     if (error) return;
     crashes_waiting_ = false;
-    facts_.on_crash_news(gateway_.takeCrashNews());
+    facts_.on_crash_update(gateway_.takeCrashUpdate());
   });
 }
 
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -28,7 +28,7 @@
   void onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot);
   void onCachedParts(const CachedPartsNews& news);
   void onPeerWork(const std::vector<LoadDigest>& digests);
-  void onCrashNews(const CrashNews& news) { gateway_.onCrashNews(news, now()); }
+  void onCrashUpdate(const CrashUpdate& news) { gateway_.onCrashUpdate(news, now()); }
   /// Closes kept connections to back ends; requests on others that may be repeated move soon.
   void onConnectionsSilent();
   void drain();
--- a/tests/unit/gateway/crash_suspects_gateway_test.cc
+++ b/tests/unit/gateway/crash_suspects_gateway_test.cc
@@ -67,7 +67,7 @@
   const Refuse refusal = site.only<Refuse>();
   CHECK(refusal.status == 503);
   CHECK(refusal.retry_after > seconds(1));
-  CHECK(refusal.cause == RequestCause::ends_back_ends);
+  CHECK(refusal.cause == RequestCause::quarantined);
 }
 
 TEST_CASE("a stream that may go on elsewhere ends no more engines than others", "[gateway][crash_suspects]") {
@@ -78,13 +78,13 @@
 TEST_CASE("three ends that several gateways saw count together", "[gateway][crash_suspects]") {
   CrashSite site;
   CHECK(site.attempts("answer", kBody, 1) == 1);
-  const CrashNews news = site.gateway.takeCrashNews();
-  REQUIRE(news.crashes.size() == 1);
+  const CrashUpdate update = site.gateway.takeCrashUpdate();
+  REQUIRE(update.crashes.size() == 1);
   CrashSite other;
   other.now = site.now;
   other.backends = site.backends;
   other.publish();
-  other.gateway.onCrashNews(news, other.now);
+  other.gateway.onCrashUpdate(update, other.now);
   CHECK(other.attempts("answer", kBody, 4) == 2);
 }
 
@@ -115,7 +115,7 @@
     site.now += seconds(1);
   }
   for (const RequestEnded& ended : site.observer.ended) {
-    if (ended.outcome == RequestOutcome::refused) CHECK(ended.cause == RequestCause::ends_back_ends);
+    if (ended.outcome == RequestOutcome::refused) CHECK(ended.cause == RequestCause::quarantined);
   }
   CHECK(site.sendBody("review", "another prompt"));
 }
--- a/tests/unit/gateway/crash_suspects_test.cc
+++ b/tests/unit/gateway/crash_suspects_test.cc
@@ -101,12 +101,13 @@
   CrashSuspects suspects = suspectsWith(2);
   suspects.onCrash(crash(2, seconds(1), other), kStart + seconds(2));
   SECTION("by bytes on a connection of before") {
-    CHECK_FALSE(suspects.onHeard(2, kStart, kStart + milliseconds(1200)));  // May have waited to be read.
-    CHECK(suspects.onHeard(2, kStart, kStart + seconds(8)));
+    CHECK_FALSE(
+        suspects.onSignOfLife(2, kStart, kStart + milliseconds(1200)));  // May have waited to be read.
+    CHECK(suspects.onSignOfLife(2, kStart, kStart + seconds(8)));
   }
   SECTION("by an answer sooner than it could be back") {
-    CHECK_FALSE(suspects.onHeard(2, kStart + seconds(2), kStart + seconds(8)));
-    CHECK(suspects.onHeard(2, kStart + milliseconds(1200), kStart + milliseconds(1400)));
+    CHECK_FALSE(suspects.onSignOfLife(2, kStart + seconds(2), kStart + seconds(8)));
+    CHECK(suspects.onSignOfLife(2, kStart + milliseconds(1200), kStart + milliseconds(1400)));
   }
   CHECK(suspicionOf(suspects, seconds(8)) == Suspicion::none);
   CHECK(suspects.size() == 1);
@@ -128,32 +129,32 @@
 TEST_CASE("what gateways know merges in any order to the same", "[gateway][crash_suspects]") {
   RandomSource random(11);
   for (int round = 0; round < 200; ++round) {
-    std::vector<CrashNews> told;
+    std::vector<CrashUpdate> told;
     for (int event = 0; event < 12; ++event) {
       const RequestFingerprint request{random.uniform(1, 3), 0};
       const std::uint64_t backend = random.uniform(1, 5);
       const Duration at = milliseconds(random.uniform(0, 5000));
-      CrashNews news;
+      CrashUpdate update;
       const std::uint64_t kind = random.uniform(0, 9);
-      if (kind < 8) news.crashes.push_back(crash(backend, milliseconds(100 * backend), request));
-      if (kind == 8) news.cleared.push_back({request, kStart + at});
-      if (kind == 9) news.living.push_back({backend, kStart + at});
-      told.push_back(news);
+      if (kind < 8) update.crashes.push_back(crash(backend, milliseconds(100 * backend), request));
+      if (kind == 8) update.cleared.push_back({request, kStart + at});
+      if (kind == 9) update.alive.push_back({backend, kStart + at});
+      told.push_back(update);
     }
     CrashSuspects one;
     CrashSuspects other;
     const TimePoint now = kStart + seconds(10);
-    for (const CrashNews& news : told) one.onTold(news, now);
+    for (const CrashUpdate& update : told) one.merge(update, now);
     for (std::size_t left = told.size(); left > 0; --left) {
       const std::size_t pick = random.uniform(0, left - 1);
-      other.onTold(told[pick], now);
+      other.merge(told[pick], now);
       std::swap(told[pick], told[left - 1]);
     }
     CHECK(one.digest() == other.digest());
     CrashSuspects third;
-    third.onTold(one.everything(), now);
+    third.merge(one.allEvidence(), now);
     CHECK(third.digest() == one.digest());
-    CHECK_FALSE(one.onTold(third.everything(), now));
+    CHECK_FALSE(one.merge(third.allEvidence(), now));
   }
 }
 
@@ -164,6 +165,6 @@
   }
   CHECK(suspects.size() <= 8192);
   CHECK(suspicionOf(suspects, seconds(7)) == Suspicion::quarantined);
-  CHECK(suspects.everything().crashes.size() <= 600);
-  CHECK(suspects.everything().crashes.front().request == kRequest);
+  CHECK(suspects.allEvidence().crashes.size() <= 600);
+  CHECK(suspects.allEvidence().crashes.front().request == kRequest);
 }
--- a/tests/unit/gateway_control/crash_exchange_test.cc
+++ b/tests/unit/gateway_control/crash_exchange_test.cc
@@ -13,10 +13,10 @@
 
 const TimePoint kStart{seconds(1000)};
 
-CrashNews oneEnd(std::uint64_t request, std::uint64_t backend) {
-  CrashNews news;
-  news.crashes.push_back({{request, 1}, backend, kStart - milliseconds(100), kStart});
-  return news;
+CrashUpdate oneEnd(std::uint64_t request, std::uint64_t backend) {
+  CrashUpdate update;
+  update.crashes.push_back({{request, 1}, backend, kStart - milliseconds(100), kStart});
+  return update;
 }
 
 /// Gateways that lose some of the datagrams between them.
@@ -39,8 +39,8 @@
       if (cut_off.contains(name)) continue;
       for (const std::string& other : gateway.onTick(others, now)) {
         if (!gateways.at(other).onDigest(gateway.digest(), now)) continue;
-        const CrashNotes notes = toNotes(gateways.at(other).everything(), now);
-        gateway.onNews(toNews(notes, now), now);
+        const CrashNotes notes = toNotes(gateways.at(other).allEvidence(), now);
+        gateway.onUpdate(toUpdate(notes, now), now);
       }
     }
   }
@@ -64,22 +64,22 @@
 }  // namespace
 
 TEST_CASE("evidence keeps its instants on the wire", "[gateway_control][crash_suspects]") {
-  CrashNews news = oneEnd(7, 8);
-  news.cleared.push_back({{9, 1}, kStart});
-  news.living.push_back({10, kStart});
-  const CrashNews told = toNews(toNotes(news, kStart + seconds(1)), kStart + seconds(3));
+  CrashUpdate update = oneEnd(7, 8);
+  update.cleared.push_back({{9, 1}, kStart});
+  update.alive.push_back({10, kStart});
+  const CrashUpdate told = toUpdate(toNotes(update, kStart + seconds(1)), kStart + seconds(3));
   CHECK(told.crashes.front().request == RequestFingerprint{7, 1});
   CHECK(told.crashes.front().sent_at == kStart + milliseconds(1900));
-  CHECK(told.crashes.front().ended_at == kStart + seconds(2));
+  CHECK(told.crashes.front().crashed_at == kStart + seconds(2));
   CHECK(told.cleared.front().at == kStart + seconds(2));
-  CHECK(told.living.front().at == kStart + seconds(2));
+  CHECK(told.alive.front().at == kStart + seconds(2));
 }
 
 TEST_CASE("what one gateway alone knows is known to all within three seconds",
           "[gateway_control][crash_suspects]") {
   Fleet fleet(40);
-  fleet.gateways.at("g3").onOwnNews(oneEnd(1, 1), fleet.now);
-  fleet.gateways.at("g9").onOwnNews(oneEnd(1, 2), fleet.now);
+  fleet.gateways.at("g3").onOwnUpdate(oneEnd(1, 1), fleet.now);
+  fleet.gateways.at("g9").onOwnUpdate(oneEnd(1, 2), fleet.now);
   CHECK(fleet.ticksUntilEqual() * CrashExchange::kDigestInterval <= seconds(3));
 }
 
@@ -87,7 +87,7 @@
           "[gateway_control][crash_suspects]") {
   Fleet fleet(40);
   fleet.cut_off = {"g5"};
-  fleet.gateways.at("g3").onOwnNews(oneEnd(1, 1), fleet.now);
+  fleet.gateways.at("g3").onOwnUpdate(oneEnd(1, 1), fleet.now);
   for (int ticks = 0; ticks < 20; ++ticks) fleet.tick();
   CHECK(fleet.gateways.at("g5").digest() == 0);
   fleet.cut_off.clear();
--- a/tests/unit/gateway_control/crash_record_test.cc
+++ b/tests/unit/gateway_control/crash_record_test.cc
@@ -1,11 +1,8 @@
 #include "gateway_control/crash_record.h"
 
-#include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
 #include "gateway_control/crash_exchange.h"
-#include "unit/gateway_control/platform_link_fake.h"
-#include "unit/run_until.h"
 
 using namespace crankspur;
 using namespace crankspur::gateway;
@@ -14,32 +11,56 @@
 
 namespace {
 
+const TimePoint kStart{seconds(1000)};
+
+/// The store's row.
+struct Store {
+  std::optional<StoredRecord> read() const { return reachable ? std::optional(record) : std::nullopt; }
+  bool write(const CrashRecordCall& call) {
+    if (call.expected_version != record.row_version) return false;
+    record = {call.text, call.expected_version + 1, Duration(0)};
+    return true;
+  }
+
+  bool reachable = true;
+  StoredRecord record;
+};
+
 /// What one gateway knows, and the record as it keeps it.
 struct Keeper {
-  explicit Keeper(FakePlatformLink& link, boost::asio::io_context& context)
-      : exchange(1, clock.now()), record(context.get_executor(), link, callbacks()) {}
-
-  CrashRecordCallbacks callbacks() {
-    CrashRecordCallbacks made;
-    made.quarantined = [this] { return exchange.quarantined(clock.now()); };
-    made.on_read = [this](const CrashNews& news) {
-      ++reads;
-      exchange.onNews(news, clock.now());
-    };
-    return made;
+  explicit Keeper(Store& kept) : store(kept), exchange(1, kStart), record(kStart) {}
+
+  /// Makes the call that is asked for now.
+  /// @return whether there was one.
+  bool call() {
+    const CrashRecordCall asked = record.nextCall(exchange.quarantined(now), now);
+    if (asked.kind == CrashRecordCall::Kind::none) return false;
+    if (asked.kind == CrashRecordCall::Kind::write) {
+      record.onWritten(store.write(asked), now);
+      return true;
+    }
+    const std::optional<StoredRecord> row = store.read();
+    reads += row ? 1 : 0;
+    exchange.onUpdate(record.onRead(row, now), now);
+    return true;
+  }
+  void callAll() {
+    while (call()) {
+    }
   }
 
-  /// Back ends ended under the request, one after the other.
-  void endsOf(std::uint64_t request, std::uint64_t ends) {
-    CrashNews news;
-    for (std::uint64_t end = 0; end < ends; ++end) {
-      const TimePoint at = clock.now() - seconds(10) + seconds(end);
-      news.crashes.push_back({{request, 1}, 100 * request + end, at, at + milliseconds(100)});
+  /// Back ends crashed under the request, one after the other.
+  void crashesOf(std::uint64_t request, std::uint64_t crashes) {
+    CrashUpdate update;
+    for (std::uint64_t crash = 0; crash < crashes; ++crash) {
+      const TimePoint at = now - seconds(10) + seconds(crash);
+      update.crashes.push_back({{request, 1}, 100 * request + crash, at, at + milliseconds(100)});
     }
-    exchange.onOwnNews(news, clock.now());
+    exchange.onOwnUpdate(update, now);
   }
 
-  SteadyClock clock;
+  Store& store;
+  TimePoint now = kStart;
   CrashExchange exchange;
   CrashRecord record;
   int reads = 0;
@@ -49,66 +70,91 @@
 
 TEST_CASE("a gateway that starts after all have ended knows what was quarantined",
           "[gateway_control][crash_suspects]") {
-  boost::asio::io_context context;
-  FakePlatformLink link;
-  Keeper before(link, context);
-  before.endsOf(1, 3);
-  before.endsOf(2, 1);  // An end that says nothing yet is not worth a row.
+  Store store;
+  Keeper before(store);
+  before.callAll();
+  before.crashesOf(1, 3);
+  before.crashesOf(2, 1);  // A crash that says nothing yet is not worth a row.
   before.record.save();
-  link.answerRecordReads(true);
-  REQUIRE(link.record.row_version == 1);
-  Keeper after(link, context);
-  CHECK_FALSE(after.record.isSettled(after.clock.now()));
-  after.record.load();
-  link.answerRecordReads(true);
-  CHECK(after.record.isSettled(after.clock.now()));
-  CHECK(after.exchange.quarantined(after.clock.now()).crashes.size() == 3);
-  CHECK(after.exchange.everything().crashes.size() == 3);
+  before.callAll();
+  REQUIRE(store.record.row_version == 1);
+  Keeper after(store);
+  CHECK_FALSE(after.record.isSettled(after.now));
+  after.callAll();
+  CHECK(after.record.isSettled(after.now));
+  CHECK(after.exchange.quarantined(after.now).crashes.size() == 3);
+  CHECK(after.exchange.allEvidence().crashes.size() == 3);
 }
 
 TEST_CASE("what another gateway has written stays in the record", "[gateway_control][crash_suspects]") {
-  boost::asio::io_context context;
-  FakePlatformLink link;
-  Keeper one(link, context);
-  Keeper other(link, context);
-  one.endsOf(1, 3);
-  other.endsOf(2, 3);
+  Store store;
+  Keeper one(store);
+  Keeper other(store);
+  one.callAll();
+  other.callAll();
+  one.crashesOf(1, 3);
+  other.crashesOf(2, 3);
   one.record.save();
   other.record.save();
-  link.answerRecordReads(true);  // Both have read the absent row: the second write fails.
-  runUntil(context, [&] { return !link.record_reads.empty(); });
-  link.answerRecordReads(true);
-  Keeper after(link, context);
-  after.record.load();
-  link.answerRecordReads(true);
-  CHECK(after.exchange.quarantined(after.clock.now()).crashes.size() == 6);
+  CHECK(one.call());
+  CHECK(other.call());  // Both have read the absent row: the second write fails.
+  one.callAll();
+  other.callAll();
+  REQUIRE(store.record.row_version == 1);
+  CHECK(other.record.nextTimer() > other.now);
+  other.now = other.record.nextTimer();
+  other.callAll();
+  Keeper after(store);
+  after.callAll();
+  CHECK(after.exchange.quarantined(after.now).crashes.size() == 6);
+}
+
+TEST_CASE("what is quarantined while the record is written is written after it",
+          "[gateway_control][crash_suspects]") {
+  Store store;
+  Keeper keeper(store);
+  keeper.callAll();
+  keeper.crashesOf(1, 3);
+  keeper.record.save();
+  CHECK(keeper.call());
+  const CrashRecordCall write = keeper.record.nextCall(keeper.exchange.quarantined(keeper.now), keeper.now);
+  REQUIRE(write.kind == CrashRecordCall::Kind::write);
+  keeper.crashesOf(2, 3);
+  keeper.record.save();
+  CHECK_FALSE(keeper.call());
+  keeper.record.onWritten(store.write(write), keeper.now);
+  keeper.callAll();
+  Keeper after(store);
+  after.callAll();
+  CHECK(after.exchange.quarantined(after.now).crashes.size() == 6);
 }
 
 TEST_CASE("the record is asked for until the store answers; callers wait a second at most",
           "[gateway_control][crash_suspects]") {
-  boost::asio::io_context context;
-  FakePlatformLink link;
-  Keeper keeper(link, context);
-  keeper.record.load();
-  link.answerRecordReads(false);
+  Store store;
+  store.reachable = false;
+  Keeper keeper(store);
+  keeper.callAll();
   CHECK(keeper.reads == 0);
-  CHECK_FALSE(keeper.record.isSettled(keeper.clock.now()));
-  CHECK(keeper.record.isSettled(keeper.clock.now() + seconds(1)));
-  runUntil(context, [&] { return !link.record_reads.empty(); });
-  link.answerRecordReads(true);
+  CHECK_FALSE(keeper.record.isSettled(keeper.now));
+  CHECK(keeper.record.isSettled(keeper.now + seconds(1)));
+  store.reachable = true;
+  CHECK_FALSE(keeper.call());  // Not at once again.
+  keeper.now = keeper.record.nextTimer();
+  CHECK(keeper.now <= kStart + seconds(1));
+  keeper.callAll();
   CHECK(keeper.reads == 1);
+  CHECK(keeper.record.isSettled(keeper.now));
 }
 
 TEST_CASE("a record that is not readable counts as none", "[gateway_control][crash_suspects]") {
-  boost::asio::io_context context;
-  FakePlatformLink link;
-  link.record = {"not a frame", 7, Duration(0)};
-  Keeper keeper(link, context);
-  keeper.record.load();
-  link.answerRecordReads(true);
-  CHECK(keeper.record.isSettled(keeper.clock.now()));
-  keeper.endsOf(1, 3);
+  Store store;
+  store.record = {"not a frame", 7, Duration(0)};
+  Keeper keeper(store);
+  keeper.callAll();
+  CHECK(keeper.record.isSettled(keeper.now));
+  keeper.crashesOf(1, 3);
   keeper.record.save();
-  link.answerRecordReads(true);
-  CHECK(link.record.row_version == 8);
+  keeper.callAll();
+  CHECK(store.record.row_version == 8);
 }
