Do not take the refusal of an engine's next start for a sign of life of the start before

What callers saw: an engine that had crashed under a poison request was counted as alive again, at all gateways, and the request crashed one engine more.

Cause: any head of an answer on an exchange counted as a sign of life of the incarnation that the exchange was meant for, also a 421 by which the next start refuses what is meant for another.

Change: such a refusal counts as nothing. One that names other weights still counts: it is of the same start. The test failed before in both sections.

--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -217,7 +217,8 @@
   const auto is_old = [now](const auto& item) { return now - item.second > kRefutationLifetime; };
   absl::erase_if(cleared_, is_old);
   absl::erase_if(alive_, is_old);
-  absl::erase_if(crashed_at_, [&](const auto& item) { return now - item.second > policy_.evidence_lifetime; });
+  absl::erase_if(crashed_at_,
+                 [&](const auto& item) { return now - item.second > policy_.evidence_lifetime; });
 }
 
 /// The one with the fewest crashes goes, of these the one whose last crash is the longest ago.
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -45,6 +45,10 @@
   TimePoint at{};
 };
 
+/// A crash breaks all connections of a back end within some milliseconds: what they tell is gathered for so
+/// long.
+inline constexpr Duration kCrashUpdateDelay = std::chrono::milliseconds(10);
+
 /// What one gateway tells the others.
 struct CrashUpdate {
   std::vector<CrashEvidence> crashes;
--- a/src/gateway/gateway_answers.cc
+++ b/src/gateway/gateway_answers.cc
@@ -56,7 +56,9 @@
   running.heard_at = now;
   running.status = status;
   table_.onHeard(running.slot, now);
-  noteSignOfLife(*entry, now);
+  // A start of the back end that refuses what is meant for another says nothing of the one before it.
+  const bool is_other_start = answer.wrong_backend && !answer.weights_version;
+  if (!is_other_start) noteSignOfLife(*entry, now);
   if (answer.not_run || answer.wrong_backend) return onNotRun(*entry, status, answer, now);
   if (answer.weights_version) {
     choice_.onWeights(running.slot, running.incarnation, entry->client.model, *answer.weights_version);
--- a/src/gateway_control/gossip_socket.cc
+++ b/src/gateway_control/gossip_socket.cc
@@ -13,16 +13,6 @@
 
 namespace {
 
-MembershipOptions membershipOptions() {
-  MembershipOptions options;
-  // When all gateways start together the first seed asked may not be up yet, and clients wait.
-  options.join_interval = std::chrono::milliseconds(100);
-  options.suspicion_timeout = std::chrono::milliseconds(1'500);
-  options.dead_probe_interval = std::chrono::seconds(2);
-  options.own_zone_share = 0.5;
-  return options;
-}
-
 asio::ip::udp::endpoint udpEndpoint(const std::string& address, boost::system::error_code& error) {
   const asio::ip::tcp::endpoint parsed = parseEndpoint(address, error);
   return {parsed.address(), parsed.port()};
@@ -41,14 +31,24 @@
 
 }  // namespace
 
+MembershipOptions gossipMembershipOptions() {
+  MembershipOptions options;
+  // When all gateways start together the first seed asked may not be up yet, and clients wait.
+  options.join_interval = std::chrono::milliseconds(100);
+  options.suspicion_timeout = std::chrono::milliseconds(1'500);
+  options.dead_probe_interval = std::chrono::seconds(2);
+  options.own_zone_share = 0.5;
+  return options;
+}
+
 GossipSocket::GossipSocket(const asio::any_io_executor& executor, GossipOptions options,
                            GossipReceiver& receiver)
     : options_(std::move(options)),
       receiver_(receiver),
       socket_(executor),
       timer_(executor),
-      membership_(makeMembership(record(options_), membershipOptions(), options_.random_seed, clock_.now())) {
-}
+      membership_(
+          makeMembership(record(options_), gossipMembershipOptions(), options_.random_seed, clock_.now())) {}
 
 std::error_code GossipSocket::start() {
   boost::system::error_code error;
--- a/src/gateway_control/gossip_socket.h
+++ b/src/gateway_control/gossip_socket.h
@@ -26,6 +26,9 @@
   std::uint64_t random_seed = 1;
 };
 
+/// @return the membership's timings among gateways.
+MembershipOptions gossipMembershipOptions();
+
 /// Hears what other gateways tell. Names are member names.
 class GossipReceiver {
 public:
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -24,8 +24,6 @@
 constexpr Duration kWorkStepPerGateway = std::chrono::milliseconds(6);
 constexpr Duration kLeastWorkStep = std::chrono::milliseconds(40);
 constexpr Duration kLongestWorkStep = std::chrono::milliseconds(250);
-/// An engine that ends breaks all its connections within some milliseconds: they are told together.
-constexpr Duration kCrashGather = std::chrono::milliseconds(10);
 
 /// @return what the caller is told, besides the status.
 std::string_view describe(int status, RequestCause cause) {
@@ -158,7 +156,7 @@
 
 void TrafficLoop::tellCrashesSoon() {
   if (!facts_.on_crash_update || !gateway_.hasCrashUpdate() || std::exchange(crashes_waiting_, true)) return;
-  crash_timer_.expires_after(kCrashGather);
+  crash_timer_.expires_after(kCrashUpdateDelay);
   crash_timer_.async_wait([this](boost::system::error_code error) {
     if (error) return;
     crashes_waiting_ = false;
--- a/tests/unit/gateway/crash_suspects_gateway_test.cc
+++ b/tests/unit/gateway/crash_suspects_gateway_test.cc
@@ -194,3 +194,29 @@
   CHECK(site.attempts("answer", kBody, 8) == 1);
   CHECK(site.only<Refuse>().retry_after > 3 * wait);
 }
+
+// An engine crashed under a request and was back before the table of runners said so. The next request sent to it
+// was answered by its new start, which refused it as meant for another; that answer was taken to show that the
+// earlier start had not crashed, and all gateways withdrew the evidence.
+TEST_CASE("the refusal of an engine's next start does not show that the start before lives",
+          "[gateway][crash_suspects]") {
+  CrashSite site;
+  site.backends.resize(3);  // One engine.
+  site.publish();
+  REQUIRE(site.sendBody("answer", "sent before"));
+  const Dispatch before = site.last;
+  REQUIRE(site.sendBody("answer", kBody));
+  site.head(200);
+  site.now += milliseconds(10);
+  site.lose(true);
+  SECTION("answered soon") {
+    REQUIRE(site.sendBody("answer", "sent after"));
+    site.now += milliseconds(100);
+  }
+  SECTION("of a request that was sent before the crash") {
+    site.last = before;
+    site.now += seconds(2);
+  }
+  site.head(421, wrongBackend(std::nullopt));
+  CHECK(site.observer.withdrawn.empty());
+}
