Drop crash notes that waited while the gateway stood still, and ask for them anew

What callers saw: after a gateway had been stopped for some seconds, a quarantined request was run once more, or stayed refused for seconds longer than the gateway had said.

Cause: instants travel as ages at sending. A datagram that waited in the socket of a stopped process was read with its old age, so that a crash of seconds before looked as if it had just happened. An answer of the engine's next start then came "too soon" after it and withdrew true evidence at all gateways; and the quarantine counted from the wrong instant.

Change: the control loop tells CrashCoordinator ten times a second that it runs. After 0.3 s without that, notes read in the next 0.2 s are dropped, and the gateway asks for evidence as one that has just joined. The test fails with the drop taken out (seen).

--- a/src/gateway_control/crash_coordinator.cc
+++ b/src/gateway_control/crash_coordinator.cc
@@ -3,9 +3,21 @@
 #include <algorithm>
 
 namespace crankspur::gateway {
+namespace {
+
+/// A loop that has not run for so long has stalled: the process was stopped, or the machine suspended.
+constexpr Duration kStall = std::chrono::milliseconds(300);
+/// After a stall datagrams that came meanwhile are read within this time.
+constexpr Duration kReadBacklog = std::chrono::milliseconds(200);
+
+}  // namespace
 
 CrashCoordinator::CrashCoordinator(std::uint64_t random_seed, TimePoint now, const CrashPolicy& policy)
-    : exchange_(random_seed, now, policy), record_(now), digest_at_(now) {}
+    : exchange_(random_seed, now, policy),
+      record_(now),
+      digest_at_(now),
+      ran_at_(now),
+      reads_old_until_(now) {}
 
 /// To all gateways at once: clients come to any of them, also to one that stands by.
 void CrashCoordinator::onOwnUpdate(const CrashUpdate& update, const std::vector<std::string>& members,
@@ -18,7 +30,18 @@
   callStore(now);
 }
 
+/// After a stall it asks for what it dropped, as one that has just joined.
+void CrashCoordinator::onRunning(TimePoint now) {
+  if (now - ran_at_ > kStall) {
+    reads_old_until_ = now + kReadBacklog;
+    exchange_.onMemberJoined(now);
+  }
+  ran_at_ = now;
+}
+
 void CrashCoordinator::onNotes(const CrashNotes& notes, TimePoint now) {
+  onRunning(now);
+  if (now < reads_old_until_) return;
   take(toUpdate(notes, now), now);
 }
 
--- a/src/gateway_control/crash_coordinator.h
+++ b/src/gateway_control/crash_coordinator.h
@@ -39,6 +39,10 @@
   /// This gateway's traffic learnt something.
   /// @param members the other gateways that may have clients.
   void onOwnUpdate(const CrashUpdate& update, const std::vector<std::string>& members, TimePoint now);
+  /// The control loop is running; to be told ten times a second.
+  void onRunning(TimePoint now);
+  /// Notes that may have waited to be read while this process stood still are dropped: their ages are of when
+  /// they were sent. The digests bring them again.
   void onNotes(const CrashNotes& notes, TimePoint now);
   void onDigest(const std::string& teller, const CrashDigest& digest, TimePoint now);
   /// A gateway became known, or is back.
@@ -63,6 +67,8 @@
   CrashExchange exchange_;
   CrashRecord record_;
   TimePoint digest_at_;
+  TimePoint ran_at_;           ///< When the control loop was last known to run.
+  TimePoint reads_old_until_;  ///< After a stall: until what waited meanwhile has been read.
   std::vector<CrashAction> actions_;
 };
 
--- a/src/gateway_control/suspension.cc
+++ b/src/gateway_control/suspension.cc
@@ -22,6 +22,7 @@
     log_.write(EventId::MachineSuspended, {{"for_ms", *suspended / std::chrono::milliseconds(1)}});
     platform_.onWake();
   }
+  crashes_.onRunning(now());
   suspension_timer_.expires_after(kSuspensionLook);
   suspension_timer_.async_wait([this](boost::system::error_code error) {
     if (!error) watchForSuspension();
--- /dev/null
+++ b/tests/unit/gateway_control/crash_coordinator_test.cc
@@ -0,0 +1,82 @@
+#include "gateway_control/crash_coordinator.h"
+
+#include <catch2/catch.hpp>
+
+using namespace crankspur;
+using namespace crankspur::gateway;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+const TimePoint kStart{seconds(1000)};
+
+CrashUpdate crashesOf(std::uint64_t request, std::uint64_t count, TimePoint last) {
+  CrashUpdate update;
+  for (std::uint64_t number = 0; number < count; ++number) {
+    const TimePoint at = last - seconds(count - 1 - number);
+    update.crashes.push_back({{request, 1}, number + 1, at - milliseconds(100), at});
+  }
+  return update;
+}
+
+template <typename Action>
+std::vector<Action> only(const std::vector<CrashAction>& actions) {
+  std::vector<Action> found;
+  for (const CrashAction& action : actions) {
+    if (const auto* one = std::get_if<Action>(&action)) found.push_back(*one);
+  }
+  return found;
+}
+
+/// A gateway whose control loop runs ten times a second.
+struct Site {
+  Site() { pass(seconds(10)); }
+
+  void pass(Duration time) {
+    for (const TimePoint end = now + time; now < end; now += milliseconds(100)) {
+      coordinator.onRunning(now);
+      if (now >= coordinator.nextTimer()) coordinator.onTimer({"a", "b"}, now);
+    }
+    coordinator.takeActions();
+  }
+
+  TimePoint now = kStart;
+  CrashCoordinator coordinator{1, kStart};
+};
+
+}  // namespace
+
+TEST_CASE("own evidence goes to all gateways, and what is quarantined to the store",
+          "[gateway_control][crash_suspects]") {
+  Site site;
+  site.coordinator.onRecordRead(StoredRecord{}, site.now);
+  site.coordinator.takeActions();
+  site.coordinator.onOwnUpdate(crashesOf(1, 2, site.now), {"a", "b"}, site.now);
+  std::vector<CrashAction> actions = site.coordinator.takeActions();
+  CHECK(only<SendCrashMessage>(actions).size() == 2);
+  CHECK(only<CallStore>(actions).empty());
+  site.coordinator.onOwnUpdate(crashesOf(2, 3, site.now), {"a", "b"}, site.now);
+  actions = site.coordinator.takeActions();
+  CHECK(only<SendCrashMessage>(actions).size() == 2);
+  REQUIRE(only<CallStore>(actions).size() == 1);
+  CHECK(only<CallStore>(actions).front().call.kind == CrashRecordCall::Kind::read);
+}
+
+// What gateways tell each other says how long ago things happened when it was sent. A gateway that was
+// stopped for seconds read it with these ages when it went on: crashes looked as if they had just happened,
+// so that an answer of the engine's next start seemed to come too soon after them, and quarantines lasted
+// longer there.
+TEST_CASE("what waited to be read while the gateway stood still is asked for again",
+          "[gateway_control][crash_suspects]") {
+  Site site;
+  const CrashNotes waiting = toNotes(crashesOf(1, 3, site.now), site.now);
+  site.now += seconds(5);
+  site.coordinator.onNotes(waiting, site.now);
+  CHECK(only<TellTraffic>(site.coordinator.takeActions()).empty());
+  site.pass(milliseconds(600));
+  site.coordinator.onNotes(toNotes(crashesOf(1, 3, site.now - seconds(6)), site.now), site.now);
+  const auto told = only<TellTraffic>(site.coordinator.takeActions());
+  REQUIRE(told.size() == 1);
+  CHECK(told.front().update.crashes.back().crashed_at <= site.now - seconds(6));
+}
