Let a gateway that knows no evidence ask one that has some

What callers saw: a gateway that had missed the one datagram about a crash, and knew of no other, went on to run a request that all others had quarantined.

Cause: a digest is answered with all evidence only if the receiver has some that differs; a gateway that knows nothing tells its own digest to nobody, but for 5 s after a member joined. So "something here, nothing there" never evened out.

Change: a gateway without evidence answers a digest by its own, empty one, which makes the teller send all it knows. Two gateways that know nothing stay quiet (test). The test failed before.

--- a/src/gateway_control/crash_coordinator.cc
+++ b/src/gateway_control/crash_coordinator.cc
@@ -49,7 +49,12 @@
   if (exchange_.onUpdate(update, now)) actions_.emplace_back(TellTraffic{std::move(update)});
 }
 
+/// One that knows nothing tells its digest to nobody of itself; by telling it to this one it asks.
 void CrashCoordinator::onDigest(const std::string& teller, const CrashDigest& digest, TimePoint now) {
+  if (exchange_.digest() == 0 && digest.digest != 0) {
+    actions_.emplace_back(SendCrashMessage{teller, CrashDigest{}});
+    return;
+  }
   if (!exchange_.onDigest(digest.digest, now)) return;
   actions_.emplace_back(SendCrashMessage{teller, toNotes(exchange_.allEvidence(), now)});
 }
--- a/tests/unit/gateway_control/crash_coordinator_test.cc
+++ b/tests/unit/gateway_control/crash_coordinator_test.cc
@@ -80,3 +80,17 @@
   REQUIRE(told.size() == 1);
   CHECK(told.front().update.crashes.back().crashed_at <= site.now - seconds(6));
 }
+
+TEST_CASE("a gateway that knows nothing asks one that tells that it knows something",
+          "[gateway_control][crash_suspects]") {
+  Site site;
+  site.coordinator.onDigest("a", CrashDigest{7}, site.now);
+  const auto sent = only<SendCrashMessage>(site.coordinator.takeActions());
+  REQUIRE(sent.size() == 1);
+  CHECK(sent.front().member == "a");
+  const auto* digest = std::get_if<CrashDigest>(&sent.front().message);
+  REQUIRE(digest != nullptr);
+  CHECK(digest->digest == 0);
+  site.coordinator.onDigest("a", CrashDigest{0}, site.now);  // Neither knows anything.
+  CHECK(site.coordinator.takeActions().empty());
+}
