Count a crash once that is told with an inexact age

What callers saw: a request that had crashed three engines, and was to be tried again after a minute, stayed refused for four minutes and more.

Cause: two tellings of one crash counted as crashes of two starts of the engine if they were half a second apart. The record of quarantined requests says how old a crash is; read from a slow store it is off by the time of the call, up to 1.2 s, and each reading could double the crashes.

The unit test gave 6 crashes instead of 3.

--- a/src/gateway/crash_policy.h
+++ b/src/gateway/crash_policy.h
@@ -28,6 +28,10 @@
   /// No back end is back sooner after a crash, since it has to load its weights; one that answers sooner has
   /// not crashed.
   Duration min_restart_time = std::chrono::milliseconds(500);
+  /// Crashes of one incarnation count apart only if the later run began so long after the earlier crash, and
+  /// is of a next start whose birth is not known. What others tell is off by the time that a slow store or
+  /// message takes.
+  Duration min_time_between_crashes = std::chrono::milliseconds(1'800);
   /// How long a request is quarantined from its last crash on, and by what factor longer after each further
   /// one.
   Duration first_quarantine = std::chrono::minutes(1);
--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -94,10 +94,10 @@
   std::uint64_t crashes_of_backend = 0;
   for (const Crash& crash : crashes) {
     if (crash.backend != evidence.backend) continue;
-    // Of one start there is one crash. A run that began later than a back end can be back is of its next
-    // start, even where its birth is not known yet.
-    const bool is_later = evidence.sent_at >= crash.crashed_at + policy_.min_restart_time;
-    const bool is_earlier = crash.sent_at >= evidence.crashed_at + policy_.min_restart_time;
+    // Of one start there is one crash. A run that began much later is of its next start, even where its birth
+    // is not known yet.
+    const bool is_later = evidence.sent_at >= crash.crashed_at + policy_.min_time_between_crashes;
+    const bool is_earlier = crash.sent_at >= evidence.crashed_at + policy_.min_time_between_crashes;
     if (!is_later && !is_earlier) return false;
     ++crashes_of_backend;
   }
--- a/tests/unit/gateway/crash_suspects_test.cc
+++ b/tests/unit/gateway/crash_suspects_test.cc
@@ -57,6 +57,23 @@
   CHECK(suspicionOf(suspects, seconds(4)) == Suspicion::quarantined);
 }
 
+// The record of quarantined requests was read from a slow store: its crashes looked 1.2 s later than they
+// were, and each counted once more, as one of the back end's next start. The quarantine lasted four times as
+// long.
+TEST_CASE("a crash that is told with an inexact age counts once", "[gateway][crash_suspects]") {
+  const Duration error =
+      GENERATE(milliseconds(-1500), milliseconds(-700), milliseconds(700), milliseconds(1500));
+  CrashSuspects suspects = suspectsWith(3);
+  CrashUpdate told;
+  for (CrashEvidence evidence : suspects.allEvidence().crashes) {
+    evidence.sent_at += error;
+    evidence.crashed_at += error;
+    told.crashes.push_back(evidence);
+  }
+  CHECK_FALSE(suspects.merge(told, kStart + seconds(5)));
+  CHECK(suspects.judge(kRequest, kStart + seconds(5)).crashes == 3);
+}
+
 TEST_CASE("ends of two starts of a back end count in whatever order they are told",
           "[gateway][crash_suspects]") {
   const std::vector<CrashEvidence> told = {crash(7, seconds(0)), crash(7, seconds(4)), crash(7, seconds(8))};
