Take a cleared request off the store's record of quarantined ones

What callers saw: an innocent request that many send was refused for the rest of a minute after all gateways had been restarted, although it had been answered whole many times before.

Cause: the record was written when a request was quarantined and never when it was cleared. Here an attempt that was under way when its request was quarantined ended whole, which cleared it at all gateways; the row still held it, and a gateway that starts believes the row.

Change: the gateway that learns of a whole answer or a sign of life writes the record anew if that leaves fewer crashes in quarantine. The test failed before in both sections: no call of the store was made.

--- a/src/gateway_control/crash_coordinator.cc
+++ b/src/gateway_control/crash_coordinator.cc
@@ -22,10 +22,14 @@
 /// To all gateways at once: clients come to any of them, also to one that stands by.
 void CrashCoordinator::onOwnUpdate(const CrashUpdate& update, const std::vector<std::string>& members,
                                    TimePoint now) {
+  const bool withdraws = !update.cleared.empty() || !update.alive.empty();
+  const std::size_t recorded = withdraws ? exchange_.quarantined(now).crashes.size() : 0;
   exchange_.onOwnUpdate(update, now);
   const CrashNotes notes = toNotes(update, now);
   for (const std::string& member : members) actions_.emplace_back(SendCrashMessage{member, notes});
-  if (!exchange_.quarantines(update, now)) return;
+  // Gateways that start later must not refuse what has been cleared.
+  const bool is_cleared = withdraws && exchange_.quarantined(now).crashes.size() < recorded;
+  if (!is_cleared && !exchange_.quarantines(update, now)) return;
   record_.save();
   callStore(now);
 }
--- a/tests/unit/gateway_control/crash_coordinator_test.cc
+++ b/tests/unit/gateway_control/crash_coordinator_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include "internal_protocol/codec.h"
+
 using namespace crankspur;
 using namespace crankspur::gateway;
 using std::chrono::milliseconds;
@@ -94,3 +96,39 @@
   site.coordinator.onDigest("a", CrashDigest{0}, site.now);  // Neither knows anything.
   CHECK(site.coordinator.takeActions().empty());
 }
+
+// An innocent request had run beside a poison request three times and was quarantined; an attempt that was
+// under way then ended whole, which cleared it. The store's record still named it: after all gateways had
+// been killed, those that started refused it until its time was over.
+TEST_CASE("the record forgets a request that was cleared", "[gateway_control][crash_suspects]") {
+  Site site;
+  site.coordinator.onRecordRead(StoredRecord{}, site.now);
+  site.coordinator.takeActions();
+  site.coordinator.onOwnUpdate(crashesOf(1, 3, site.now), {}, site.now);
+  site.coordinator.onRecordRead(StoredRecord{}, site.now);
+  auto calls = only<CallStore>(site.coordinator.takeActions());
+  REQUIRE(calls.size() == 2);
+  const std::string recorded = calls.back().call.text;
+  site.coordinator.onRecordWritten(true, site.now);
+  site.coordinator.takeActions();
+
+  site.now += seconds(1);
+  CrashUpdate cleared;
+  SECTION("by a whole answer") {
+    cleared.cleared.push_back({{1, 1}, site.now});
+  }
+  SECTION("by signs of life of all its back ends") {
+    for (std::uint64_t backend = 1; backend <= 3; ++backend) cleared.alive.push_back({backend, site.now});
+  }
+  site.coordinator.onOwnUpdate(cleared, {}, site.now);
+  calls = only<CallStore>(site.coordinator.takeActions());
+  REQUIRE(calls.size() == 1);
+  CHECK(calls.front().call.kind == CrashRecordCall::Kind::read);
+  site.coordinator.onRecordRead(StoredRecord{recorded, 1, seconds(1)}, site.now);
+  calls = only<CallStore>(site.coordinator.takeActions());
+  REQUIRE(calls.size() == 1);
+  CHECK(calls.front().call.kind == CrashRecordCall::Kind::write);
+  const DecodedFrame frame = decodeFrame(calls.front().call.text);
+  REQUIRE(frame.message);
+  CHECK(std::get<CrashNotes>(*frame.message).crashes.empty());
+}
