Ask a back end that broke off for its health before a request is held responsible

What callers saw: an innocent request was refused for a minute. It had run beside a poison request twice, and then its connection to a living engine was reset.

Cause: a broken connection counts as a crash until the back end shows a sign of life. Where nothing else ran there in the next half second, nothing showed one.

Change: where a request has two crashes or more against it, the gateway asks the back end that broke off for its health (the pool's health path, 0.3 s at most). An answer of any kind within the time in which no engine can be back withdraws the evidence, at all gateways. Attempts of the request wait for the outcome: some milliseconds, since a crashed process refuses the connection.

The unit test did not compile before, since the action is new; by the rule as it was, its request is refused at once.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <map>
 #include <memory>
 #include <set>
 #include <string>
@@ -85,6 +86,9 @@
   /// @param sent whether the back end may have got any byte of the request.
   void onLost(ExchangeId exchange, bool sent, TimePoint now);
 
+  /// @param answered whether the back end answered, whatever it said.
+  void onProbed(std::uint64_t probe, bool answered, TimePoint now);
+
   /// Open connections to several peers have gone silent for good, while new ones may work. Requests under way
   /// that may be repeated move once they have heard nothing for a while after this.
   void onConnectionsSilent(TimePoint now);
@@ -167,6 +171,8 @@
   bool runsElsewhere(const Entry& entry);
   std::vector<EngineSlot> slotsOfIsolated();
   void noteCrash(const Entry& entry, const Running& running, TimePoint now);
+  void probe(const Entry& entry, const Running& running, TimePoint now);
+  bool isProbing(const RequestFingerprint& request, TimePoint now) const;
   void noteSignOfLife(const Entry& entry, TimePoint now);
   void noteWholeAnswer(const Entry& entry, TimePoint now);
 
@@ -208,6 +214,16 @@
   RouteShares shares_;
   WeightsClock weights_;
   CrashSuspects suspects_;
+  /// A question to a back end that broke off under a suspect.
+  struct Probe {
+    RequestFingerprint request;
+    std::string request_id;
+    std::string backend;
+    std::uint64_t incarnation = 0;
+    TimePoint sent_at{};
+  };
+  std::map<std::uint64_t, Probe> probes_;
+  std::uint64_t next_probe_ = 1;
   absl::flat_hash_map<std::string, RepeatBudget> budgets_;
   absl::flat_hash_map<ClientId, std::unique_ptr<Entry>> entries_;
   absl::flat_hash_map<ExchangeId, ClientId> exchanges_;
--- a/src/gateway/gateway_actions.h
+++ b/src/gateway/gateway_actions.h
@@ -86,7 +86,15 @@
   std::optional<std::uint64_t> weights_version;
 };
 
-using GatewayAction = std::variant<Refuse, Dispatch, CancelExchange, DiscardAnswer, PassWhole, PassHead,
-                                   PassBytes, EndAnswer, AbortAnswer, ReportUnreachable, ReportWrongBackend>;
+/// Asks a back end that broke off for its health; answered by Gateway::onProbed().
+struct ProbeBackend {
+  std::uint64_t probe = 0;  ///< Chosen by Gateway, never used again.
+  std::string address;
+  std::string path;
+};
+
+using GatewayAction =
+    std::variant<Refuse, Dispatch, CancelExchange, DiscardAnswer, PassWhole, PassHead, PassBytes, EndAnswer,
+                 AbortAnswer, ReportUnreachable, ReportWrongBackend, ProbeBackend>;
 
 }  // namespace crankspur::gateway
--- a/src/gateway/gateway_suspects.cc
+++ b/src/gateway/gateway_suspects.cc
@@ -5,6 +5,13 @@
 #include "gateway/gateway.h"
 
 namespace crankspur::gateway {
+namespace {
+
+/// A probe that is not answered in this time is given up: a back end that lives answers in some milliseconds,
+/// and one that crashed may be back later.
+constexpr Duration kProbeTime = std::chrono::milliseconds(300);
+
+}  // namespace
 
 /// A request that has crashed back ends one after the other is not run; one that may have is run where the
 /// least is lost, and not by two attempts at once: both would crash a back end before either crash is known.
@@ -14,6 +21,11 @@
   entry.isolated = verdict.suspicion != Suspicion::none;
   if (verdict.suspicion == Suspicion::quarantined) {
     entry.quarantined_until = verdict.quarantined_until;
+    if (isProbing(entry.fingerprint, now)) {
+      entry.cause = RequestCause::quarantined;
+      wait(entry, now);
+      return false;
+    }
     giveUpFor(entry, RequestCause::quarantined, now);
     return false;
   }
@@ -58,6 +70,34 @@
   record.suspicion = verdict.suspicion;
   if (verdict.suspicion == Suspicion::quarantined) record.quarantine = verdict.quarantined_until - now;
   observer_.onSuspected(record);
+  if (verdict.suspicion != Suspicion::none) probe(entry, running, now);
+}
+
+/// A connection also breaks where the back end goes on. Before a request is held responsible for several
+/// crashes it is worth a question.
+void Gateway::probe(const Entry& entry, const Running& running, TimePoint now) {
+  const Backend* backend = snapshot_->backend(running.slot);
+  if (backend == nullptr || entry.pool->health_path.empty()) return;
+  const std::uint64_t id = next_probe_++;
+  probes_[id] = {entry.fingerprint, entry.client.request_id, entry.last_backend, running.incarnation, now};
+  actions_.emplace_back(ProbeBackend{id, backend->view.address, entry.pool->health_path});
+}
+
+bool Gateway::isProbing(const RequestFingerprint& request, TimePoint now) const {
+  return std::any_of(probes_.begin(), probes_.end(), [&](const auto& item) {
+    return item.second.request == request && now < item.second.sent_at + kProbeTime;
+  });
+}
+
+void Gateway::onProbed(std::uint64_t probe, bool answered, TimePoint now) {
+  const auto found = probes_.find(probe);
+  if (found == probes_.end()) return;
+  const Probe asked = std::move(found->second);
+  probes_.erase(found);
+  if (answered && suspects_.onSignOfLife(asked.incarnation, asked.sent_at, now)) {
+    observer_.onSuspicionWithdrawn({asked.request_id, asked.request, asked.backend, true});
+  }
+  serveQueue(now);
 }
 
 void Gateway::noteSignOfLife(const Entry& entry, TimePoint now) {
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -18,6 +18,8 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
 /// Time after a back end's deadline until its exchange ends in any case.
 constexpr Duration kExchangeSlack = std::chrono::seconds(2);
+/// A back end that lives answers a probe in some milliseconds.
+constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
 constexpr Duration kDrainLook = std::chrono::milliseconds(100);
 constexpr std::size_t kClientConnections = 2500;
 /// What this gateway has at the engines is told in steps that grow with the gateways that hear it.
@@ -385,6 +387,28 @@
     facts_.on_wrong_backend(action.slot, action.incarnation, action.weights_version);
 }
 
+void TrafficLoop::carryOut(const ProbeBackend& action) {
+  http::Request request;
+  request.method = "GET";
+  request.target = action.path;
+  http::ExchangeOptions options;
+  options.connect_timeout = kProbeTimeout;
+  options.idle_timeout = kProbeTimeout;
+  http::ExchangeCallbacks callbacks;
+  callbacks.on_headers = [this, probe = action.probe](int, const http::Headers&) { onProbed(probe, true); };
+  callbacks.on_done = [this, probe = action.probe](std::error_code, http::SendState, const http::Response&) {
+    onProbed(probe, false);
+    probes_.erase(probe);
+  };
+  probes_[action.probe] = http_->start(action.address, std::move(request), callbacks, options);
+}
+
+/// The gateway hears of the first outcome only.
+void TrafficLoop::onProbed(std::uint64_t probe, bool answered) {
+  gateway_.onProbed(probe, answered, now());
+  pump();
+}
+
 // Back ends.
 
 http::ExchangeCallbacks TrafficLoop::callbacksOf(ExchangeId exchange, const std::string& request_id) {
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -82,6 +82,8 @@
   void carryOut(const AbortAnswer& action);
   void carryOut(const ReportUnreachable& action);
   void carryOut(const ReportWrongBackend& action);
+  void carryOut(const ProbeBackend& action);
+  void onProbed(std::uint64_t probe, bool answered);
 
   http::ExchangeCallbacks callbacksOf(ExchangeId exchange, const std::string& request_id);
   void onHead(ExchangeId exchange, const std::string& request_id, int status, const http::Headers& headers);
@@ -111,6 +113,7 @@
   ClientId next_client_ = 1;
   absl::flat_hash_map<ClientId, Client> clients_;
   absl::flat_hash_map<ExchangeId, Running> running_;
+  absl::flat_hash_map<std::uint64_t, std::shared_ptr<http::Exchange>> probes_;
   std::shared_ptr<const Configuration> configuration_;
   bool pumping_ = false;
   std::atomic<std::size_t> in_flight_ = 0;
--- a/tests/unit/gateway/crash_suspects_gateway_test.cc
+++ b/tests/unit/gateway/crash_suspects_gateway_test.cc
@@ -220,3 +220,45 @@
   site.head(421, wrongBackend(std::nullopt));
   CHECK(site.observer.withdrawn.empty());
 }
+
+// Connections to engines that lived were reset, one after the other, each while the same innocent request ran there.
+// Nothing else ran at these engines, so that nothing showed that they lived: the request was refused for a minute.
+TEST_CASE("an engine that answers a probe has not crashed", "[gateway][crash_suspects]") {
+  CrashSite site;
+  for (Pool& pool : site.configuration.pools) pool.health_path = "/healthz";
+  site.publish();
+  for (int round = 0; round < 2; ++round) {
+    REQUIRE(site.sendBody("answer", kBody));
+    site.head(200);
+    site.now += milliseconds(50);
+    site.lose(true);
+    site.now += seconds(2);
+  }
+  REQUIRE(site.has<ProbeBackend>());
+  REQUIRE(site.sendBody("review", "unrelated"));
+  REQUIRE(site.sendBody("answer", kBody));
+  site.head(200);
+  site.now += milliseconds(50);
+  site.lose(true);
+  const ProbeBackend probe = site.only<ProbeBackend>();
+  CHECK(probe.path == "/healthz");
+  CHECK(probe.address == site.last.address);
+  CHECK_FALSE(site.sendBody("answer", kBody));  // It waits for the probe.
+  CHECK_FALSE(site.has<Refuse>());
+  site.now += milliseconds(3);
+  SECTION("it lives: the request runs") {
+    site.gateway.onProbed(probe.probe, true, site.now);
+    site.take();
+    CHECK(site.has<Dispatch>());
+    CHECK(site.observer.withdrawn.size() == 1);
+  }
+  SECTION("it does not: the request is refused at once") {
+    site.gateway.onProbed(probe.probe, false, site.now);
+    site.take();
+    CHECK(site.only<Refuse>().cause == RequestCause::quarantined);
+  }
+  SECTION("no word of it: the request is refused soon") {
+    site.pass(milliseconds(500));
+    CHECK(site.only<Refuse>().cause == RequestCause::quarantined);
+  }
+}
