Probe a back end at the first crash already, once for all requests that it had

What callers saw: an innocent request was refused after two crashes under it; a third connection, broken before them, had been counted too.

Cause: the probe was made from the second crash on. A reset that came first was never looked into.

Change: each crash leads to one probe a back end and gateway, for all requests that were there.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -214,10 +214,10 @@
   RouteShares shares_;
   WeightsClock weights_;
   CrashSuspects suspects_;
-  /// A question to a back end that broke off under a suspect.
+  /// A question to a back end that broke off.
   struct Probe {
-    RequestFingerprint request;
-    std::string request_id;
+    std::vector<RequestFingerprint> requests;  ///< That it had.
+    std::string request_id;                    ///< Of one of them.
     std::string backend;
     std::uint64_t incarnation = 0;
     TimePoint sent_at{};
--- a/src/gateway/gateway_suspects.cc
+++ b/src/gateway/gateway_suspects.cc
@@ -70,22 +70,29 @@
   record.suspicion = verdict.suspicion;
   if (verdict.suspicion == Suspicion::quarantined) record.quarantine = verdict.quarantined_until - now;
   observer_.onSuspected(record);
-  if (verdict.suspicion != Suspicion::none) probe(entry, running, now);
+  probe(entry, running, now);
 }
 
-/// A connection also breaks where the back end goes on. Before a request is held responsible for several
-/// crashes it is worth a question.
+/// A connection also breaks where the back end goes on. One question is asked for all requests that it had.
 void Gateway::probe(const Entry& entry, const Running& running, TimePoint now) {
+  for (auto& [id, asked] : probes_) {
+    if (asked.incarnation != running.incarnation || now >= asked.sent_at + kProbeTime) continue;
+    asked.requests.push_back(entry.fingerprint);
+    return;
+  }
   const Backend* backend = snapshot_->backend(running.slot);
   if (backend == nullptr || entry.pool->health_path.empty()) return;
   const std::uint64_t id = next_probe_++;
-  probes_[id] = {entry.fingerprint, entry.client.request_id, entry.last_backend, running.incarnation, now};
+  probes_[id] = {{entry.fingerprint}, entry.client.request_id, entry.last_backend, running.incarnation, now};
   actions_.emplace_back(ProbeBackend{id, backend->view.address, entry.pool->health_path});
 }
 
 bool Gateway::isProbing(const RequestFingerprint& request, TimePoint now) const {
   return std::any_of(probes_.begin(), probes_.end(), [&](const auto& item) {
-    return item.second.request == request && now < item.second.sent_at + kProbeTime;
+    const Probe& asked = item.second;
+    const bool pending = now < asked.sent_at + kProbeTime;
+    return pending &&
+           std::find(asked.requests.begin(), asked.requests.end(), request) != asked.requests.end();
   });
 }
 
@@ -95,7 +102,7 @@
   const Probe asked = std::move(found->second);
   probes_.erase(found);
   if (answered && suspects_.onSignOfLife(asked.incarnation, asked.sent_at, now)) {
-    observer_.onSuspicionWithdrawn({asked.request_id, asked.request, asked.backend, true});
+    observer_.onSuspicionWithdrawn({asked.request_id, asked.requests.front(), asked.backend, true});
   }
   serveQueue(now);
 }
