Let a sign of life void evidence of its own time only

What callers saw: a poison request crashed one engine more after a gateway had stood still.

Cause: a gateway that notices a broken connection seconds late takes that instant for the crash. The engine's next start answers its probe, "too soon" after it; the sign of life then voided all evidence against that engine at all gateways, also what others had seen at the time of the crash.

Signs are kept as a set, so that what gateways know still merges in any order to the same.

--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -15,6 +15,10 @@
 constexpr Duration kRefutationLifetime = std::chrono::minutes(1);
 /// Crashes kept for one request; further ones say nothing new.
 constexpr std::size_t kMaxCrashesOfRequest = 16;
+/// Signs of life that differ by less are the same.
+constexpr Duration kSameSign = std::chrono::milliseconds(50);
+/// Signs of life kept for one back end.
+constexpr std::size_t kMaxSignsOfBackend = 8;
 /// Records of an update, some 40 bytes each, so that it fits into a datagram.
 constexpr std::size_t kMaxRecordsOfUpdate = 600;
 
@@ -65,7 +69,7 @@
   const bool same_connection = sent_at < crashed_at && now > crashed_at + policy_.read_delay;
   const bool too_soon = sent_at >= crashed_at && now < crashed_at + policy_.min_restart_time;
   if (!same_connection && !too_soon) return false;
-  const SignOfLife sign{backend, now};
+  const SignOfLife sign{backend, crashed_at};
   withdraw(sign);
   update_.alive.push_back(sign);
   return true;
@@ -82,8 +86,15 @@
 bool CrashSuspects::isRefuted(const CrashEvidence& evidence) const {
   const auto cleared = cleared_.find(evidence.request);
   if (cleared != cleared_.end() && evidence.crashed_at <= cleared->second) return true;
-  const auto alive = alive_.find(evidence.backend);
-  return alive != alive_.end() && evidence.crashed_at <= alive->second;
+  return isVoid(evidence);
+}
+
+/// What was noticed much earlier or later is of another crash: a process that stood still notices late.
+bool CrashSuspects::isVoid(const CrashEvidence& evidence) const {
+  const auto signs = alive_.find(evidence.backend);
+  if (signs == alive_.end()) return false;
+  const auto after = signs->second.upper_bound(evidence.crashed_at - policy_.min_restart_time);
+  return after != signs->second.end() && *after < evidence.crashed_at + policy_.min_restart_time;
 }
 
 bool CrashSuspects::add(const CrashEvidence& evidence, TimePoint now) {
@@ -132,19 +143,23 @@
 }
 
 bool CrashSuspects::withdraw(const SignOfLife& sign) {
-  TimePoint& known = alive_[sign.backend];
-  const bool is_new = sign.at > known;
-  known = std::max(known, sign.at);
+  std::set<TimePoint>& signs = alive_[sign.backend];
+  // Told again, an instant is off by the way of a datagram.
+  const auto near = signs.lower_bound(sign.at - kSameSign);
+  if (near != signs.end() && *near <= sign.at + kSameSign) return false;
+  signs.insert(sign.at);
+  if (signs.size() > kMaxSignsOfBackend) signs.erase(signs.begin());
   crashed_at_.erase(sign.backend);
   absl::erase_if(suspects_, [&](auto& item) {
     Suspect& suspect = item.second;
     for (std::size_t index = suspect.crashes.size(); index-- > 0;) {
       const Crash& crash = suspect.crashes[index];
-      if (crash.backend == sign.backend && crash.crashed_at <= sign.at) removeCrash(suspect, index);
+      const CrashEvidence evidence{item.first, crash.backend, crash.sent_at, crash.crashed_at};
+      if (crash.backend == sign.backend && isVoid(evidence)) removeCrash(suspect, index);
     }
     return suspect.crashes.empty();
   });
-  return is_new;
+  return true;
 }
 
 CrashVerdict CrashSuspects::judge(const RequestFingerprint& request, TimePoint now) const {
@@ -184,8 +199,10 @@
   for (const auto& [request, at] : cleared_) {
     if (update.cleared.size() < kMaxRecordsOfUpdate) update.cleared.push_back({request, at});
   }
-  for (const auto& [backend, at] : alive_) {
-    if (update.alive.size() < kMaxRecordsOfUpdate) update.alive.push_back({backend, at});
+  for (const auto& [backend, signs] : alive_) {
+    for (const TimePoint at : signs) {
+      if (update.alive.size() < kMaxRecordsOfUpdate) update.alive.push_back({backend, at});
+    }
   }
   return update;
 }
@@ -216,7 +233,10 @@
   });
   const auto is_old = [now](const auto& item) { return now - item.second > kRefutationLifetime; };
   absl::erase_if(cleared_, is_old);
-  absl::erase_if(alive_, is_old);
+  absl::erase_if(alive_, [now](auto& item) {
+    std::erase_if(item.second, [now](TimePoint at) { return now - at > kRefutationLifetime; });
+    return item.second.empty();
+  });
   absl::erase_if(crashed_at_,
                  [&](const auto& item) { return now - item.second > policy_.evidence_lifetime; });
 }
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -15,6 +15,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <cstdint>
+#include <set>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -39,10 +40,10 @@
   TimePoint at{};
 };
 
-/// A back end showed a sign of life: earlier evidence of its crash is void.
+/// A back end showed a sign of life: evidence of its crash at about that time is void.
 struct SignOfLife {
   std::uint64_t backend = 0;  ///< Incarnation.
-  TimePoint at{};
+  TimePoint at{};             ///< Of the crash that it did not have, as far as the teller knew.
 };
 
 /// A crash breaks all connections of a back end within some milliseconds: what they tell is gathered for so
@@ -126,6 +127,7 @@
   bool clear(const ClearedRequest& cleared);
   bool withdraw(const SignOfLife& sign);
   bool isRefuted(const CrashEvidence& evidence) const;
+  bool isVoid(const CrashEvidence& evidence) const;
   void removeCrash(Suspect& suspect, std::size_t index);
   void makeRoom();
   Duration quarantineAfter(std::uint32_t crashes) const;
@@ -135,7 +137,8 @@
   absl::flat_hash_map<RequestFingerprint, Suspect> suspects_;
   absl::flat_hash_map<std::uint64_t, TimePoint> crashed_at_;  ///< Latest crash known, by back end.
   absl::flat_hash_map<RequestFingerprint, TimePoint> cleared_;
-  absl::flat_hash_map<std::uint64_t, TimePoint> alive_;
+  /// Instants of crashes that a back end did not have, the latest kMaxSignsOfBackend of them.
+  absl::flat_hash_map<std::uint64_t, std::set<TimePoint>> alive_;
   std::uint64_t digest_ = 0;
   CrashUpdate update_;
 };
--- a/tests/unit/gateway/crash_suspects_test.cc
+++ b/tests/unit/gateway/crash_suspects_test.cc
@@ -185,3 +185,21 @@
   CHECK(suspects.allEvidence().crashes.size() <= 600);
   CHECK(suspects.allEvidence().crashes.front().request == kRequest);
 }
+
+// A gateway that had stood still for three seconds read that a connection was broken, asked the engine for
+// its health and was answered by its next start. What others had seen at the time of the crash stays.
+TEST_CASE("a sign of life after a late notice voids no evidence of the time of the crash",
+          "[gateway][crash_suspects]") {
+  CrashSuspects prompt;
+  prompt.onCrash(crash(1, seconds(0)), kStart + milliseconds(100));
+  CrashSuspects late;
+  CrashEvidence noticed = crash(1, seconds(0), {3, 4});
+  noticed.crashed_at = kStart + seconds(3);
+  late.onCrash(noticed, noticed.crashed_at);
+  CHECK(late.onSignOfLife(1, kStart + seconds(3), kStart + milliseconds(3010)));
+  CHECK(late.size() == 0);
+  prompt.merge(late.takeUpdate(), kStart + milliseconds(3020));
+  CHECK(prompt.size() == 1);
+  late.merge(prompt.allEvidence(), kStart + milliseconds(3030));
+  CHECK(late.size() == 1);
+}
