--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -89,11 +89,12 @@
   return isVoid(evidence);
 }
 
-/// What was noticed much earlier or later is of another crash: a process that stood still notices late.
+/// What was noticed much earlier is of another crash, which a process that stood still noticed late; what was
+/// noticed later came after the proof of life.
 bool CrashSuspects::isVoid(const CrashEvidence& evidence) const {
   const auto signs = alive_.find(evidence.backend);
   if (signs == alive_.end()) return false;
-  const auto after = signs->second.upper_bound(evidence.crashed_at - policy_.min_restart_time);
+  const auto after = signs->second.lower_bound(evidence.crashed_at - kSameSign);
   return after != signs->second.end() && *after < evidence.crashed_at + policy_.min_restart_time;
 }
 
--- a/tests/unit/gateway/crash_suspects_test.cc
+++ b/tests/unit/gateway/crash_suspects_test.cc
@@ -203,3 +203,11 @@
   late.merge(prompt.allEvidence(), kStart + milliseconds(3030));
   CHECK(late.size() == 1);
 }
+
+// A connection to an engine was reset, which its answer to a probe showed; a fifth of a second later it did crash.
+TEST_CASE("a crash after a sign of life counts", "[gateway][crash_suspects]") {
+  CrashSuspects suspects;
+  suspects.onCrash(crash(1, seconds(0)), kStart + milliseconds(100));
+  REQUIRE(suspects.onSignOfLife(1, kStart + milliseconds(100), kStart + milliseconds(105)));
+  CHECK(suspects.onCrash(crash(1, milliseconds(190)), kStart + milliseconds(290)));
+}
