Count ages of the quarantine record from when it was asked for

What callers saw: after a restart of all gateways a request stayed refused for seconds longer than it had been told.

Cause: the record says how old crashes were when the store read the row; a gateway that took the answer late (suspended meanwhile, or a slow store) counted that age from the moment it took it.

Change: ages count from 0.3 s after the question at the latest. The unit test failed before.

--- a/src/gateway_control/crash_record.cc
+++ b/src/gateway_control/crash_record.cc
@@ -1,5 +1,7 @@
 #include "gateway_control/crash_record.h"
 
+#include <algorithm>
+
 #include "gateway_control/crash_exchange.h"
 #include "internal_protocol/codec.h"
 
@@ -8,6 +10,9 @@
 
 /// Pause before a call to the store is repeated.
 constexpr Duration kRetryPause = std::chrono::milliseconds(700);
+/// The store reads the row within this time of the question; an answer that is taken later was long on its
+/// way.
+constexpr Duration kMaxAnswerTime = std::chrono::milliseconds(300);
 /// Callers wait for the record this long after the start at most: a store that answers does so in
 /// milliseconds, and a gateway that knows no configuration serves nobody anyway.
 constexpr Duration kMaxLoadTime = std::chrono::seconds(1);
@@ -35,7 +40,7 @@
   }
   loaded_ = true;
   if (save_wanted_) version_to_replace_ = record->row_version;
-  return decode(*record, now);
+  return decode(*record, std::min(now, asked_at_ + kMaxAnswerTime));
 }
 
 /// Written only if nobody has written since it was read, so that nothing of what others wrote is lost.
@@ -45,6 +50,7 @@
   calling_ = true;
   if (!version_to_replace_) {
     call.kind = CrashRecordCall::Kind::read;
+    asked_at_ = now;
     return call;
   }
   save_wanted_ = false;
--- a/src/gateway_control/crash_record.h
+++ b/src/gateway_control/crash_record.h
@@ -53,6 +53,7 @@
 private:
   TimePoint settles_at_;
   TimePoint not_before_{};  ///< Pause after a call that failed.
+  TimePoint asked_at_{};    ///< When the record was last asked for.
   bool loaded_ = false;
   bool save_wanted_ = false;
   bool calling_ = false;
--- a/tests/unit/gateway_control/crash_record_test.cc
+++ b/tests/unit/gateway_control/crash_record_test.cc
@@ -158,3 +158,19 @@
   keeper.callAll();
   CHECK(store.record.row_version == 8);
 }
+
+// A gateway was suspended while it read the record: the answer, with ages as of when the store read the row,
+// was taken ten seconds later, and the requests stayed in quarantine for ten seconds longer.
+TEST_CASE("ages of a record count from when it was asked for", "[gateway_control][crash_suspects]") {
+  Store store;
+  Keeper before(store);
+  before.callAll();
+  before.crashesOf(1, 3);
+  before.record.save();
+  before.callAll();
+  Keeper after(store);
+  REQUIRE(after.record.nextCall({}, after.now).kind == CrashRecordCall::Kind::read);
+  const CrashUpdate read = after.record.onRead(store.read(), after.now + seconds(10));
+  REQUIRE(read.crashes.size() == 3);
+  CHECK(read.crashes.back().crashed_at <= before.now - seconds(7));
+}
