--- a/sim/gateway_world/fleet_history.h
+++ b/sim/gateway_world/fleet_history.h
@@ -47,6 +47,8 @@
   /// @return engines that crashed between the instants.
   std::size_t crashedEngines(TimePoint from, TimePoint to) const;
 
+  bool crashedBetween(std::uint32_t engine, TimePoint from, TimePoint to) const;
+
 private:
   struct WholeAnswer {
     TimePoint at{};
