--- a/sim/gateway_world/fleet_checkers.cc
+++ b/sim/gateway_world/fleet_checkers.cc
@@ -124,7 +124,7 @@
       const bool arrived = other->arrived_at > other->sent_at;
       const bool lost = history.crashedBetween(other->engine, other->sent_at, run->sent_at);
       const bool overlaps = arrived && !lost && other->sent_at < run->sent_at &&
-                            (!other->ended_at || *other->ended_at > run->arrived_at);
+                            (!other->ended_at || *other->ended_at > run->sent_at);
       if (other == run || other->gateway != run->gateway || !overlaps) continue;
       const bool same_place = other->engine == run->engine && other->engine_start == run->engine_start;
       if (other->body != run->body && !same_place) continue;
