--- a/tests/unit/gateway/crash_suspects_test.cc
+++ b/tests/unit/gateway/crash_suspects_test.cc
@@ -204,7 +204,8 @@
   CHECK(late.size() == 1);
 }
 
-// A connection to an engine was reset, which its answer to a probe showed; a fifth of a second later it did crash.
+// A connection to an engine was reset, which its answer to a probe showed; a fifth of a second later it did
+// crash.
 TEST_CASE("a crash after a sign of life counts", "[gateway][crash_suspects]") {
   CrashSuspects suspects;
   suspects.onCrash(crash(1, seconds(0)), kStart + milliseconds(100));
