--- a/sim/gateway_world/callers.h
+++ b/sim/gateway_world/callers.h
@@ -35,6 +35,7 @@
   void send(const Send& what, GatewayNode& gateway);
   void talk(std::uint64_t attempt, const Send& what, GatewayNode& gateway,
             const sim::ChannelPointer& channel);
+  void comeBack(const Send& what, Duration after);
   void end(std::uint64_t attempt, AttemptEnd how);
   void onEvent(std::uint64_t attempt, const std::string& bytes);
   GatewayNode& anyGateway();
--- a/sim/gateway_world/fleet_faults.cc
+++ b/sim/gateway_world/fleet_faults.cc
@@ -37,6 +37,16 @@
   }
 }
 
+void FleetFaults::planOnly(FleetFault fault, Duration least, Duration most) {
+  const Duration end = context_.site.load_time - std::chrono::milliseconds(kQuietMilliseconds);
+  Duration at = std::chrono::milliseconds(kFirstMilliseconds);
+  while (at < end) {
+    context_.queue.after(at, [this, fault] { strike(fault); });
+    at += drawTime(static_cast<std::uint64_t>(least / std::chrono::milliseconds(1)),
+                   static_cast<std::uint64_t>(most / std::chrono::milliseconds(1)));
+  }
+}
+
 void FleetFaults::strike(FleetFault fault) {
   context_.trace.note("faults", "kind {}", static_cast<int>(fault));
   switch (fault) {
--- a/sim/gateway_world/fleet_faults.h
+++ b/sim/gateway_world/fleet_faults.h
@@ -33,6 +33,9 @@
 
   /// Draws faults for the time of load; the last seconds of it are free of new ones.
   void plan();
+  /// The same, of one kind that strikes again and again.
+  /// @param least, most pause between two strikes.
+  void planOnly(FleetFault fault, Duration least, Duration most);
 
 private:
   void strike(FleetFault fault);
--- a/sim/gateway_world/fleet_run.cc
+++ b/sim/gateway_world/fleet_run.cc
@@ -14,19 +14,39 @@
 /// After the last request, so that all of them end and gateways agree.
 constexpr Duration kWindDown = std::chrono::seconds(9);
 
+constexpr const char* kMixed = "gateway";
+constexpr const char* kResets = "gateway_resets";
+constexpr const char* kRestarts = "gateway_restarts";
+
+void planFaults(const std::string& scenario, FleetFaults& faults) {
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  if (scenario == kResets)
+    return faults.planOnly(FleetFault::connections_reset, milliseconds(600), seconds(12));
+  if (scenario == kRestarts)
+    return faults.planOnly(FleetFault::all_gateways_killed, seconds(10), seconds(20));
+  faults.plan();
+}
+
 }  // namespace
 
+const std::vector<std::string>& fleetScenarioNames() {
+  static const std::vector<std::string> names = {kMixed, kResets, kRestarts};
+  return names;
+}
+
 sim::RunResult runFleet(const sim::RunOptions& options) {
   RandomSource random(options.seed);
   FleetContext context(random.bits(), options.removed, options.keep_trace_lines);
   const TimePoint load_begins = context.queue.now() + kWarmUp;
   context.site = drawFleetSite(random, load_begins);
+  context.site.retries_after_breaks = options.scenario == kResets;
   FleetWorld world(context);
   FleetFaults faults(context, world, random.bits());
   world.start();
   context.queue.runUntil(load_begins);
   world.callers().start();
-  faults.plan();
+  planFaults(options.scenario, faults);
   context.queue.runUntil(load_begins + context.site.load_time + kWindDown);
 
   sim::RunResult result;
--- a/sim/gateway_world/fleet_run.h
+++ b/sim/gateway_world/fleet_run.h
@@ -5,7 +5,9 @@
 
 namespace crankspur::gateway_sim {
 
-/// Runs one seed of the scenario "gateway".
+/// @return names of the scenarios: "gateway" draws from all faults, the others play one kind again and again.
+const std::vector<std::string>& fleetScenarioNames();
+/// Runs one seed of such a scenario.
 sim::RunResult runFleet(const sim::RunOptions& options);
 
 }  // namespace crankspur::gateway_sim
--- a/sim/gateway_world/fleet_site.h
+++ b/sim/gateway_world/fleet_site.h
@@ -39,6 +39,7 @@
   Duration load_time{0};
   Duration key_validity = std::chrono::seconds(5);
   std::vector<PoisonRequest> poison;
+  bool retries_after_breaks = false;  ///< Callers come back also when an answer broke off.
 };
 
 /// @param start when load begins.
--- a/tests/unit/gateway_control/crash_coordinator_test.cc
+++ b/tests/unit/gateway_control/crash_coordinator_test.cc
@@ -153,3 +153,20 @@
   }
   CHECK(told);
 }
+
+// Of three crashes under a request one gateway saw one and another two. All of them refused it, and none
+// wrote it to the store's record: after all gateways had been killed it crashed three engines more.
+TEST_CASE("a quarantine that several gateways saw in part is recorded", "[gateway_control][crash_suspects]") {
+  Site site;
+  site.coordinator.onRecordRead(StoredRecord{}, site.now);
+  site.coordinator.takeActions();
+  const CrashUpdate all = crashesOf(1, 3, site.now);
+  CrashUpdate own;
+  own.crashes = {all.crashes[0]};
+  CrashUpdate told;
+  told.crashes = {all.crashes[1], all.crashes[2]};
+  site.coordinator.onOwnUpdate(own, {"a"}, site.now);
+  site.coordinator.takeActions();
+  site.coordinator.onNotes(toNotes(told, site.now), site.now);
+  CHECK(only<CallStore>(site.coordinator.takeActions()).size() == 1);
+}
