Record a quarantine that several gateways saw in part

Cause: only the gateway whose own update completes a quarantine wrote the store's record. If the crashes were observed by different gateways and the quarantine came from merged evidence, nobody wrote it, and the request crashed three more engines after a restart of all gateways.

Change: each observer of a crash remembers that it is one. When merged evidence quarantines a request, the observer of its first crash saves the record, those of later crashes 200 ms later each. A record that already holds the evidence is read but not written. Gateways that observed none of the crashes make no call.

--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -119,7 +119,8 @@
   const auto later = std::find_if(crashes.begin(), crashes.end(),
                                   [&](const Crash& crash) { return crash.crashed_at > evidence.crashed_at; });
   const std::uint64_t key = keyOf(evidence.request, evidence.backend + crashes_of_backend);
-  crashes.insert(later, Crash{evidence.backend, evidence.sent_at, evidence.crashed_at, key});
+  crashes.insert(later,
+                 Crash{evidence.backend, evidence.sent_at, evidence.crashed_at, key, evidence.observed_here});
   digest_ += key;
   TimePoint& crashed_at = crashed_at_[evidence.backend];
   crashed_at = std::max(crashed_at, evidence.crashed_at);
@@ -226,6 +227,20 @@
   });
 }
 
+std::optional<std::size_t> CrashSuspects::recorderRank(const CrashUpdate& update, TimePoint now) const {
+  std::optional<std::size_t> lowest;
+  for (const CrashEvidence& evidence : update.crashes) {
+    if (judge(evidence.request, now).suspicion != Suspicion::quarantined) continue;
+    const std::vector<Crash>& crashes = suspects_.at(evidence.request).crashes;
+    const auto own =
+        std::find_if(crashes.begin(), crashes.end(), [](const Crash& crash) { return crash.observed_here; });
+    if (own == crashes.end()) continue;
+    const auto rank = static_cast<std::size_t>(own - crashes.begin());
+    lowest = std::min(lowest.value_or(rank), rank);
+  }
+  return lowest;
+}
+
 void CrashSuspects::removeExpired(TimePoint now) {
   absl::erase_if(suspects_, [&](auto& item) {
     Suspect& suspect = item.second;
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -15,7 +15,9 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -31,9 +33,10 @@
 /// since.
 struct CrashEvidence {
   RequestFingerprint request;
-  std::uint64_t backend = 0;  ///< Incarnation, which crashes only once.
-  TimePoint sent_at{};        ///< When the request was sent there.
-  TimePoint crashed_at{};     ///< When the connection broke.
+  std::uint64_t backend = 0;   ///< Incarnation, which crashes only once.
+  TimePoint sent_at{};         ///< When the request was sent there.
+  TimePoint crashed_at{};      ///< When the connection broke.
+  bool observed_here = false;  ///< By this gateway; not part of the exchanged evidence.
 };
 
 /// A request got a complete response: earlier evidence against it is void.
@@ -104,6 +107,11 @@
   CrashUpdate quarantined(TimePoint now) const;
   /// @return whether a request of the update is quarantined.
   bool quarantines(const CrashUpdate& update, TimePoint now) const;
+  /// Ranks this gateway among the observers of the crashes of quarantined requests, which have to record
+  /// them: 0 for the observer of a request's first crash.
+  /// @return the lowest rank over all requests of the update; empty if this gateway observed no crash of a
+  /// quarantined one.
+  std::optional<std::size_t> recorderRank(const CrashUpdate& update, TimePoint now) const;
   /// @return as much of the state as fits into a datagram, with the requests with the most crashes first.
   CrashUpdate allEvidence() const;
   /// @return a sum over all evidence: gateways with equal digests have the same evidence. 0: there is none.
@@ -120,6 +128,7 @@
     TimePoint sent_at{};
     TimePoint crashed_at{};
     std::uint64_t key = 0;  ///< Its term in the digest.
+    bool observed_here = false;
   };
   struct Suspect {
     std::vector<Crash> crashes;  ///< Sorted by crashed_at.
--- a/src/gateway_control/crash_coordinator.cc
+++ b/src/gateway_control/crash_coordinator.cc
@@ -9,6 +9,8 @@
 constexpr Duration kStallThreshold = std::chrono::milliseconds(300);
 /// After a stall, datagrams that arrived meanwhile are read within this time.
 constexpr Duration kBacklogReadTime = std::chrono::milliseconds(200);
+/// Time that each observer of a quarantined request leaves to those of lower rank to record it.
+constexpr Duration kRecordDelayPerRank = std::chrono::milliseconds(200);
 
 }  // namespace
 
@@ -30,7 +32,7 @@
   // Gateways that start later must not reject a request that has been cleared.
   const bool is_cleared = withdraws && exchange_.quarantined(now).crashes.size() < recorded;
   if (!is_cleared && !exchange_.quarantines(update, now)) return;
-  record_.save();
+  record_.save(now);
   callStore(now);
 }
 
@@ -50,7 +52,13 @@
 }
 
 void CrashCoordinator::merge(CrashUpdate update, TimePoint now) {
-  if (exchange_.onUpdate(update, now)) actions_.emplace_back(NotifyTraffic{std::move(update)});
+  if (!exchange_.onUpdate(update, now)) return;
+  // The crashes may have been observed by several gateways, so that none of their own updates quarantines.
+  if (const auto rank = exchange_.recorderRank(update, now)) {
+    record_.save(now + kRecordDelayPerRank * static_cast<Duration::rep>(*rank));
+    callStore(now);
+  }
+  actions_.emplace_back(NotifyTraffic{std::move(update)});
 }
 
 /// A gateway without evidence does not send its digest on its own initiative; sending it to the sender of a
--- a/src/gateway_control/crash_exchange.cc
+++ b/src/gateway_control/crash_exchange.cc
@@ -59,6 +59,11 @@
 CrashExchange::CrashExchange(std::uint64_t random_seed, TimePoint now, const CrashPolicy& policy)
     : suspects_(policy), random_(random_seed), joined_at_(now) {}
 
+void CrashExchange::onOwnUpdate(CrashUpdate update, TimePoint now) {
+  for (CrashEvidence& crash : update.crashes) crash.observed_here = true;
+  suspects_.merge(update, now);
+}
+
 bool CrashExchange::onDigest(std::uint64_t digest, TimePoint now) {
   if (digest == suspects_.digest() || suspects_.isEmpty()) return false;
   if (now - full_update_at_ < kMinFullUpdateInterval) return false;
--- a/src/gateway_control/crash_exchange.h
+++ b/src/gateway_control/crash_exchange.h
@@ -6,6 +6,7 @@
 /// decision code.
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,7 +30,7 @@
   CrashExchange(std::uint64_t random_seed, TimePoint now, const CrashPolicy& policy = {});
 
   /// This gateway's traffic has new evidence.
-  void onOwnUpdate(const CrashUpdate& update, TimePoint now) { suspects_.merge(update, now); }
+  void onOwnUpdate(CrashUpdate update, TimePoint now);
   /// Another gateway, or the store's record, has provided evidence.
   /// @return whether anything was new.
   bool onUpdate(const CrashUpdate& update, TimePoint now) { return suspects_.merge(update, now); }
@@ -45,6 +46,11 @@
     return suspects_.quarantines(update, now);
   }
 
+  /// @return as CrashSuspects::recorderRank().
+  std::optional<std::size_t> recorderRank(const CrashUpdate& update, TimePoint now) const {
+    return suspects_.recorderRank(update, now);
+  }
+
   /// To be called every kDigestInterval.
   /// @param members live gateways, without this one.
   /// @return those to send the digest to.
--- a/src/gateway_control/crash_record.cc
+++ b/src/gateway_control/crash_record.cc
@@ -28,8 +28,16 @@
 
 CrashRecord::CrashRecord(TimePoint now) : ready_at_(now + kMaxLoadTime) {}
 
-void CrashRecord::save() {
-  save_wanted_ = true;
+void CrashRecord::save(TimePoint at) {
+  save_at_ = std::min(save_at_, at);
+}
+
+std::set<CrashRecord::RecordKey> CrashRecord::keysOf(const CrashUpdate& update) {
+  std::set<RecordKey> keys;
+  for (const CrashEvidence& crash : update.crashes) {
+    keys.insert({crash.request.high, crash.request.low, crash.backend});
+  }
+  return keys;
 }
 
 CrashUpdate CrashRecord::onRead(const std::optional<StoredRecord>& record, TimePoint now) {
@@ -39,21 +47,28 @@
     return {};
   }
   loaded_ = true;
-  if (save_wanted_) version_to_replace_ = record->row_version;
-  return decode(*record, std::min(now, read_requested_at_ + kMaxResponseTime));
+  if (now >= save_at_) version_to_replace_ = record->row_version;
+  CrashUpdate content = decode(*record, std::min(now, read_requested_at_ + kMaxResponseTime));
+  recorded_ = keysOf(content);
+  return content;
 }
 
 /// The write replaces only the row version that was read, so that nothing written by other gateways is lost.
 CrashRecordCall CrashRecord::nextCall(const CrashUpdate& quarantined, TimePoint now) {
   CrashRecordCall call;
-  if (calling_ || (loaded_ && !save_wanted_) || now < not_before_) return call;
+  if (now < nextTimer()) return call;
+  if (version_to_replace_ && keysOf(quarantined) == recorded_) {
+    version_to_replace_.reset();
+    save_at_ = TimePoint::max();
+    return call;
+  }
   calling_ = true;
   if (!version_to_replace_) {
     call.kind = CrashRecordCall::Kind::read;
     read_requested_at_ = now;
     return call;
   }
-  save_wanted_ = false;
+  save_at_ = TimePoint::max();
   call.kind = CrashRecordCall::Kind::write;
   call.text = encodeFrame(toNotes(quarantined, now));
   call.expected_version = *std::exchange(version_to_replace_, std::nullopt);
@@ -63,13 +78,13 @@
 void CrashRecord::onWritten(bool written, TimePoint now) {
   calling_ = false;
   if (written) return;
-  save_wanted_ = true;
+  save_at_ = now;
   not_before_ = now + kRetryDelay;
 }
 
 TimePoint CrashRecord::nextTimer() const {
-  if (calling_ || (loaded_ && !save_wanted_)) return TimePoint::max();
-  return not_before_;
+  if (calling_) return TimePoint::max();
+  return loaded_ ? std::max(not_before_, save_at_) : not_before_;
 }
 
 }  // namespace crankspur::gateway
--- a/src/gateway_control/crash_record.h
+++ b/src/gateway_control/crash_record.h
@@ -3,8 +3,10 @@
 /// it when all of them stop at once. What has to survive that is stored in this record: one row, written when
 /// a request is quarantined and read by each gateway when it starts. Pure decision code.
 
+#include <array>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -35,8 +37,10 @@
   /// @param now when the gateway started.
   explicit CrashRecord(TimePoint now);
 
-  /// Requests that the record be written, merged with what other gateways have written to it.
-  void save();
+  /// Requests that the record be written, merged with what other gateways have written to it. It is read
+  /// first, and not written if it already holds the same evidence.
+  /// @param at when to begin.
+  void save(TimePoint at);
   /// @param record empty: the store did not respond.
   /// @return the content of the record.
   CrashUpdate onRead(const std::optional<StoredRecord>& record, TimePoint now);
@@ -52,12 +56,17 @@
   bool isReady(TimePoint now) const { return loaded_ || now >= ready_at_; }
 
 private:
+  /// The request (both halves of its fingerprint) and the incarnation of the crashed back end.
+  using RecordKey = std::array<std::uint64_t, 3>;
+  static std::set<RecordKey> keysOf(const CrashUpdate& update);
+
   TimePoint ready_at_;
   TimePoint not_before_{};         ///< End of the delay after a failed call.
   TimePoint read_requested_at_{};  ///< When the record was last requested.
   bool loaded_ = false;
-  bool save_wanted_ = false;
+  TimePoint save_at_ = TimePoint::max();  ///< When a write is due; max: none is.
   bool calling_ = false;
+  std::set<RecordKey> recorded_;                     ///< Content of the record as last read.
   std::optional<std::uint64_t> version_to_replace_;  ///< Set between reading and writing.
 };
 
--- a/tests/unit/gateway_control/crash_coordinator_test.cc
+++ b/tests/unit/gateway_control/crash_coordinator_test.cc
@@ -174,3 +174,53 @@
   fixture.coordinator.onNotes(toNotes(received, fixture.now), fixture.now);
   CHECK(actionsOfType<CallStore>(fixture.coordinator.takeActions()).size() == 1);
 }
+
+// All observers of a quarantined request learn of the quarantine at about the same time. If each of them
+// wrote the record, the writes would conflict; if only the first of them did, nobody would record the request
+// after that gateway has crashed.
+TEST_CASE("observers of later crashes leave the record to the first one and check it after a delay",
+          "[gateway_control][crash_suspects]") {
+  CrashFixture fixture;
+  fixture.coordinator.onRecordRead(StoredRecord{}, fixture.now);
+  fixture.coordinator.takeActions();
+  const CrashUpdate all = crashesOf(1, 3, fixture.now);
+  CrashUpdate own;
+  own.crashes = {all.crashes[1]};
+  CrashUpdate received;
+  received.crashes = {all.crashes[0], all.crashes[2]};
+  fixture.coordinator.onOwnUpdate(own, {"a"}, fixture.now);
+  fixture.coordinator.takeActions();
+  fixture.coordinator.onNotes(toNotes(received, fixture.now), fixture.now);
+  CHECK(actionsOfType<CallStore>(fixture.coordinator.takeActions()).empty());
+
+  fixture.now += milliseconds(300);
+  fixture.coordinator.onTimer({"a"}, fixture.now);
+  auto calls = actionsOfType<CallStore>(fixture.coordinator.takeActions());
+  REQUIRE(calls.size() == 1);
+  CHECK(calls.front().call.kind == CrashRecordCall::Kind::read);
+  SECTION("the first observer has recorded the request") {
+    const std::string recorded = encodeFrame(toNotes(all, fixture.now));
+    fixture.coordinator.onRecordRead(StoredRecord{recorded, 1, Duration(0)}, fixture.now);
+    CHECK(actionsOfType<CallStore>(fixture.coordinator.takeActions()).empty());
+  }
+  SECTION("the first observer crashed before") {
+    fixture.coordinator.onRecordRead(StoredRecord{}, fixture.now);
+    calls = actionsOfType<CallStore>(fixture.coordinator.takeActions());
+    REQUIRE(calls.size() == 1);
+    CHECK(calls.front().call.kind == CrashRecordCall::Kind::write);
+  }
+}
+
+// Every gateway receives the evidence against a quarantined request. A call to the store by each of them
+// would be hundreds of calls at once in a large fleet.
+TEST_CASE("a gateway that observed none of the crashes makes no call to the store",
+          "[gateway_control][crash_suspects]") {
+  CrashFixture fixture;
+  fixture.coordinator.onRecordRead(StoredRecord{}, fixture.now);
+  fixture.coordinator.takeActions();
+  fixture.coordinator.onNotes(toNotes(crashesOf(1, 3, fixture.now), fixture.now), fixture.now);
+  CHECK(actionsOfType<CallStore>(fixture.coordinator.takeActions()).empty());
+  fixture.now += seconds(4);
+  fixture.coordinator.onTimer({"a"}, fixture.now);
+  CHECK(actionsOfType<CallStore>(fixture.coordinator.takeActions()).empty());
+}
--- a/tests/unit/gateway_control/crash_record_test.cc
+++ b/tests/unit/gateway_control/crash_record_test.cc
@@ -75,7 +75,7 @@
   before.callAll();
   before.crashesOf(1, 3);
   before.crashesOf(2, 1);  // A single crash does not quarantine the request and is not recorded.
-  before.record.save();
+  before.record.save(kStart);
   before.callAll();
   REQUIRE(store.record.row_version == 1);
   RecordFixture after(store);
@@ -95,8 +95,8 @@
   second.callAll();
   first.crashesOf(1, 3);
   second.crashesOf(2, 3);
-  first.record.save();
-  second.record.save();
+  first.record.save(kStart);
+  second.record.save(kStart);
   CHECK(first.call());
   CHECK(second.call());  // Both have read the absent row: the second write fails.
   first.callAll();
@@ -116,13 +116,13 @@
   RecordFixture gateway(store);
   gateway.callAll();
   gateway.crashesOf(1, 3);
-  gateway.record.save();
+  gateway.record.save(kStart);
   CHECK(gateway.call());
   const CrashRecordCall write =
       gateway.record.nextCall(gateway.exchange.quarantined(gateway.now), gateway.now);
   REQUIRE(write.kind == CrashRecordCall::Kind::write);
   gateway.crashesOf(2, 3);
-  gateway.record.save();
+  gateway.record.save(kStart);
   CHECK_FALSE(gateway.call());
   gateway.record.onWritten(store.write(write), gateway.now);
   gateway.callAll();
@@ -156,7 +156,7 @@
   gateway.callAll();
   CHECK(gateway.record.isReady(gateway.now));
   gateway.crashesOf(1, 3);
-  gateway.record.save();
+  gateway.record.save(kStart);
   gateway.callAll();
   CHECK(store.record.row_version == 8);
 }
@@ -169,7 +169,7 @@
   RecordFixture before(store);
   before.callAll();
   before.crashesOf(1, 3);
-  before.record.save();
+  before.record.save(kStart);
   before.callAll();
   RecordFixture after(store);
   REQUIRE(after.record.nextCall({}, after.now).kind == CrashRecordCall::Kind::read);
