Keep the quotas of tenants over all gateways

Cause: nothing in the gateway knew a quota.

Change: rate, burst, unit and the default number of tokens are read from the configuration; a document with a wrong unit or a negative figure is refused and the last one stays in force. Gateways add their use of quotas to the load digests that they exchange already. Each estimates what all have admitted, in a bucket of rate and burst and in the sliding window of the promise; below the limit nothing is rejected, beyond it requests are admitted with the probability at which all gateways together fill the window. Units of requests that did not run are given back. Gateways that fall silent keep a share for 15 s; one that has started assumes a used window. Beyond the quota: 429 with a time to return, event 1231, a counter for each tenant.

Ways: equal shares of all gateways (EqualShareQuota) against reported use (ReportedUseQuota), kept: the first rejects below the limit whenever clients are not spread evenly.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -5,6 +5,7 @@
 namespace crankspur::gateway {
 namespace {
 
+constexpr int kTooManyRequests = 429;
 constexpr int kUnavailable = 503;
 constexpr int kGatewayTimeout = 504;
 /// A request that was not dispatched yet is queued for at most its first-byte target divided by this.
@@ -30,6 +31,7 @@
       choice_(settings.index_entries, random_),
       shares_(random_),
       weights_(settings.older_weights_grace),
+      quotas_(settings.quota_tolerance, random_),
       suspects_(settings.crash_policy) {}
 
 void Gateway::onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot, TimePoint now) {
@@ -38,11 +40,26 @@
   choice_.onSnapshot(*snapshot_);
   weights_.onSnapshot(*snapshot_, now);
   suspects_.removeExpired(now);
-  if (snapshot_->configuration) shares_.configure(*snapshot_->configuration);
+  if (snapshot_->configuration) {
+    shares_.configure(*snapshot_->configuration);
+    setQuotas(*snapshot_->configuration, now);
+  }
   recheckUnresponsiveBackends(now);
   serveQueue(now);
 }
 
+void Gateway::setQuotas(const Configuration& configuration, TimePoint now) {
+  for (const GatewayTenant& tenant : configuration.tenants) quotas_.setLimit(tenant.name, tenant.quota, now);
+  quotas_.removeUnlisted();
+  quotas_.setGateways(snapshot_->peer_count + 1);
+}
+
+LoadDigest Gateway::ownLoadDigest(TimePoint now) {
+  LoadDigest digest = choice_.ownLoadDigest();
+  digest.tenants = quotas_.report(now);
+  return digest;
+}
+
 /// Moves the silence check of requests at unresponsive back ends to an earlier time, so that they are retried
 /// elsewhere soon.
 void Gateway::recheckUnresponsiveBackends(TimePoint now) {
@@ -83,6 +100,7 @@
   admit(entry, checked, now);
   if (entry.pool == nullptr) return giveUpFor(entry, RequestCause::route_without_pool, now);
   reportAdmitted(entry, now);
+  if (checked.tenant != nullptr && !checkQuota(entry, *checked.tenant, now)) return;
   if (entry.deadline - now < kMinTimeLeft) return giveUpFor(entry, RequestCause::no_time_left, now);
   budgetOf(entry.pool->name).onRequest(now);
   place(entry, now);
@@ -105,6 +123,26 @@
   if (route.repeatability == Repeatability::ResumableStream) entry.cursor.emplace(entry.client.resume_after);
 }
 
+/// @return false: the tenant's quota is used up, and the request was rejected.
+bool Gateway::checkQuota(Entry& entry, const GatewayTenant& tenant, TimePoint now) {
+  const double tokens = double(entry.client.prompt_tokens) + double(entry.client.max_completion_tokens);
+  entry.quota_units = !tenant.quota_in_tokens ? 1 : tokens > 0 ? tokens : tenant.default_tokens;
+  const QuotaDecision decision = quotas_.admit(tenant.name, entry.quota_units, now);
+  if (decision.admitted) return true;
+  ++counters_.refused;
+  entry.cause = RequestCause::over_quota;
+  observer_.onOverQuota({entry.client.request_id, tenant.name, entry.quota_units, decision.state});
+  actions_.emplace_back(Refuse{entry.id, kTooManyRequests, decision.retry_after, entry.cause});
+  reportEnded(entry, RequestOutcome::rejected, kTooManyRequests, decision.retry_after, now);
+  finish(entry);
+  return false;
+}
+
+/// To be called when the request ends without having been sent to a back end that may run it.
+void Gateway::refundQuota(const Entry& entry, TimePoint now) {
+  if (entry.quota_units > 0) quotas_.refund(entry.tenant, entry.quota_units, now);
+}
+
 ChoiceRequest Gateway::choiceRequest(const Entry& entry, const Pool& pool) {
   ChoiceRequest request;
   request.pool = &pool;
@@ -230,6 +268,7 @@
 /// Responds that the request was not run, with the time after which the client may retry.
 void Gateway::refuse(Entry& entry, TimePoint now) {
   ++counters_.refused;
+  refundQuota(entry, now);
   const Duration retry_after = retryAfter(entry, now);
   actions_.emplace_back(Refuse{entry.id, kUnavailable, retry_after, entry.cause});
   reportEnded(entry, RequestOutcome::refused, kUnavailable, retry_after, now);
@@ -279,6 +318,7 @@
   if (entry == nullptr) return;
   ++counters_.abandoned;
   entry->cause = RequestCause::client_left;
+  if (entry->dispatches == 0) refundQuota(*entry, now);
   reportEnded(*entry, RequestOutcome::abandoned, entry->head_forwarded ? entry->active.status : 0,
               Duration(0), now);
   cancelExchange(*entry, DispatchOutcome::Ended, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -13,6 +13,7 @@
 #include <utility>
 #include <vector>
 
+#include "admission/fleet_quotas.h"
 #include "base/random.h"
 #include "gateway/backend_table.h"
 #include "gateway/crash_suspects.h"
@@ -54,9 +55,11 @@
   /// Another gateway reported the requests that it has at each engine.
   void onPeerLoad(const std::string& sender, const LoadDigest& digest, TimePoint now) {
     choice_.onPeerLoad(sender, digest, now);
+    quotas_.onReport(sender, digest.tenants, now);
   }
-  /// @return the requests that this gateway has at each engine, to send to the other gateways.
-  LoadDigest ownLoadDigest() const { return choice_.ownLoadDigest(); }
+  /// @return the requests that this gateway has at each engine and its use of quotas, to send to the other
+  /// gateways.
+  LoadDigest ownLoadDigest(TimePoint now);
   /// Another gateway reported which back ends crashed while they ran which requests.
   void onCrashUpdate(const CrashUpdate& update, TimePoint now) { suspects_.merge(update, now); }
   /// @return what this gateway observed of such requests since the last call, to send to the other gateways.
@@ -133,6 +136,7 @@
     TimePoint queued_until{};               ///< Valid while waiting.
     TimePoint timer_at = TimePoint::max();  ///< Its key in timers_; max: none.
     std::vector<EngineSlot> failed;         ///< Back ends that failed the request.
+    double quota_units = 0;                 ///< Charged to the tenant's quota.
     bool isolated = false;                  ///< Back ends may have crashed because of it.
     TimePoint quarantined_until{};          ///< Set when a quarantine prevents its dispatch.
     std::uint32_t backends_reached = 0;     ///< Limited by the route's max_attempts.
@@ -149,7 +153,10 @@
   };
 
   // Requests and the queue (gateway.cc).
+  void setQuotas(const Configuration& configuration, TimePoint now);
   void admit(Entry& entry, const CheckedRequest& checked, TimePoint now);
+  bool checkQuota(Entry& entry, const GatewayTenant& tenant, TimePoint now);
+  void refundQuota(const Entry& entry, TimePoint now);
   void place(Entry& entry, TimePoint now);
   Choice choose(Entry& entry, TimePoint now);
   ChoiceRequest choiceRequest(const Entry& entry, const Pool& pool);
@@ -218,6 +225,7 @@
   EngineChoice choice_;
   RouteShares shares_;
   WeightsClock weights_;
+  FleetQuotas quotas_;
   CrashSuspects suspects_;
   /// A health request to a back end whose connection broke.
   struct Probe {
--- a/src/gateway/gateway_settings.h
+++ b/src/gateway/gateway_settings.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 
+#include "admission/fleet_quotas.h"
 #include "base/time.h"
 #include "gateway/crash_policy.h"
 
@@ -19,6 +20,7 @@
 /// Settings of one Gateway.
 struct GatewaySettings {
   RetryBudgetSettings retry_budget;
+  QuotaTolerance quota_tolerance;
   /// Time after a newer version was named during which back ends with older weights may start requests.
   Duration older_weights_grace = std::chrono::seconds(6);
   /// Time from the end of that grace period until no request may start on older weights. A back end with
--- a/src/gateway/gateway_snapshot.h
+++ b/src/gateway/gateway_snapshot.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "admission/tenant_quota.h"
 #include "base/time.h"
 #include "placement/engine_view.h"
 
@@ -68,6 +69,9 @@
   std::vector<std::string> api_keys;
   std::optional<std::uint32_t> priority;  ///< Overrides the route's.
   bool isolated = false;                  ///< Shares no cached prefix with any other tenant.
+  QuotaLimit quota{};                     ///< Over all gateways; in tokens or requests.
+  bool quota_in_tokens = false;
+  std::uint32_t default_tokens = 0;  ///< Charged for a request that states no number of tokens.
 };
 
 /// Weights that the operator named for a model.
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -10,6 +10,7 @@
   void onWaiting(const RequestWaiting&) override {}
   void onMoved(const RequestMoved&) override {}
   void onEnded(const RequestEnded&) override {}
+  void onOverQuota(const RequestOverQuota&) override {}
   void onDistrusted(const BackendDistrusted&) override {}
   void onSuspected(const RequestSuspected&) override {}
   void onSuspicionWithdrawn(const SuspicionWithdrawn&) override {}
@@ -42,6 +43,8 @@
       return "no_route";
     case RequestCause::unknown_key:
       return "unknown_key";
+    case RequestCause::over_quota:
+      return "over_quota";
     case RequestCause::keys_outdated:
       return "keys_outdated";
     case RequestCause::route_without_pool:
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string_view>
 
+#include "admission/tenant_quota.h"
 #include "base/time.h"
 #include "gateway/crash_suspects.h"
 #include "gateway/request_fingerprint.h"
@@ -23,6 +24,7 @@
   no_configuration,      ///< No configuration has been received yet.
   no_route,              ///< No route matches host and path.
   unknown_key,           ///< No tenant has the key.
+  over_quota,            ///< The tenant's quota is used up.
   keys_outdated,         ///< The platform has been unreachable so long that no key counts as valid.
   route_without_pool,    ///< The route names no pool, or one that the configuration does not define.
   no_time_left,          ///< Too little time is left until the deadline of client or route.
@@ -51,7 +53,7 @@
   answered,      ///< A complete, successful response of a back end was forwarded.
   error_passed,  ///< A complete response with another status was forwarded.
   refused,       ///< The gateway responded that it was not run; the client may retry.
-  rejected,      ///< The gateway responded with a client error: 4xx.
+  rejected,      ///< The gateway responded with a client error, or 429: 4xx.
   failed,        ///< The gateway responded that it may have run: 502 or 504.
   cut,           ///< A response that was started was aborted.
   abandoned,     ///< The client disconnected.
@@ -143,6 +145,14 @@
   Duration total{0};
 };
 
+/// A request was rejected because its tenant's quota is used up.
+struct RequestOverQuota {
+  std::string_view request_id;
+  std::string_view tenant;
+  double units = 0;  ///< Asked for: tokens, or 1 for a request.
+  QuotaState quota;
+};
+
 /// A back end failed requests: it receives more only if no other back end is eligible.
 struct BackendDistrusted {
   std::string_view backend;
@@ -178,6 +188,7 @@
   virtual void onWaiting(const RequestWaiting& record) = 0;
   virtual void onMoved(const RequestMoved& record) = 0;
   virtual void onEnded(const RequestEnded& record) = 0;
+  virtual void onOverQuota(const RequestOverQuota& record) = 0;
   virtual void onDistrusted(const BackendDistrusted& record) = 0;
   virtual void onSuspected(const RequestSuspected& record) = 0;
   virtual void onSuspicionWithdrawn(const SuspicionWithdrawn& record) = 0;
--- a/src/gateway_control/node_settings.cc
+++ b/src/gateway_control/node_settings.cc
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr Range<std::int64_t> kMilliseconds{1, 3'600'000};
+/// Milliseconds; shorter than the time between reports of use, a window would be empty.
+constexpr Range<std::int64_t> kQuotaWindow{1'000, 3'600'000};
 constexpr Range<double> kRatio{0.0, 100.0};
 constexpr Range<double> kSlack{0.0, 1e9};
 constexpr Range<double> kProcessor{0.001, 1024.0};
@@ -56,6 +58,13 @@
   }
 }
 
+void readQuotaTolerance(TomlTable& root, QuotaTolerance& tolerance) {
+  const auto window = std::chrono::duration_cast<std::chrono::milliseconds>(tolerance.window).count();
+  tolerance.window = std::chrono::milliseconds(root.getInteger("quota_window_ms", window, kQuotaWindow));
+  tolerance.overshoot = root.getNumber("quota_overshoot", tolerance.overshoot, kRatio);
+  tolerance.slack = root.getNumber("quota_slack", tolerance.slack, kSlack);
+}
+
 void readMachine(TomlTable& root, NodeSettings& settings) {
   settings.processor_share = root.getNumber("processor_share", settings.processor_share, kProcessor);
   settings.processor_speed = root.getNumber("processor_speed", settings.processor_speed, kProcessor);
@@ -87,6 +96,7 @@
   settings.retry_budget.ratio = root->getNumber("retry_budget_ratio", settings.retry_budget.ratio, kRatio);
   settings.retry_budget.slack = root->getNumber("retry_budget_slack", settings.retry_budget.slack, kSlack);
   readDuration(*root, "retry_budget_window_ms", settings.retry_budget.window);
+  readQuotaTolerance(*root, settings.quota_tolerance);
   if (root->has("key_validity_ms")) {
     Duration validity{0};
     readDuration(*root, "key_validity_ms", validity);
--- a/src/gateway_control/node_settings.h
+++ b/src/gateway_control/node_settings.h
@@ -26,6 +26,7 @@
   std::string platform;   ///< "IP:port" of the platform's store.
   std::vector<std::string> seeds;  ///< IP addresses of other gateways, possibly outdated.
   RetryBudgetSettings retry_budget;
+  QuotaTolerance quota_tolerance;
   /// How long keys stay valid without contact with the platform; empty: unlimited.
   std::optional<Duration> key_validity;
   /// Limit from the naming of weights to their use everywhere.
--- a/src/gateway_process/gateway_metrics.cc
+++ b/src/gateway_process/gateway_metrics.cc
@@ -6,7 +6,7 @@
 constexpr char kPrefix[] = "crankspur_gateway_";
 /// Number of routes with a label of their own. Further routes share the label "other", since a configuration
 /// may contain thousands.
-constexpr std::size_t kMaxLabeledRoutes = 32;
+constexpr std::size_t kMaxLabelValues = 32;
 
 prometheus::Histogram::BucketBoundaries secondsBuckets() {
   return {0.005, 0.01, 0.02, 0.05, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6, 0.8, 1, 1.5, 2, 3, 5, 10, 20};
@@ -31,6 +31,7 @@
 GatewayMetrics::GatewayMetrics()
     : requests_(counters(*registry_, "requests_total", "Requests that ended, by route, outcome and cause.")),
       refusals_(counters(*registry_, "refusals_total", "Requests answered as not run, by cause.")),
+      over_quota_(counters(*registry_, "over_quota_total", "Requests rejected over quota, by tenant.")),
       moves_(counters(*registry_, "moves_total", "Back ends that did not serve a request, by cause.")),
       backends_(prometheus::BuildGauge()
                     .Name(std::string(kPrefix) + "backends")
@@ -82,11 +83,11 @@
   return prometheus::BuildGauge().Name(kPrefix + name).Help(help).Register(*registry_).Add({});
 }
 
-std::string GatewayMetrics::routeLabel(std::string_view route) {
-  if (route.empty()) return "none";
-  if (labeled_routes_.contains(route)) return std::string(route);
-  if (labeled_routes_.size() >= kMaxLabeledRoutes) return "other";
-  return *labeled_routes_.emplace(route).first;
+std::string GatewayMetrics::label(LabelValues& known, std::string_view value) {
+  if (value.empty()) return "none";
+  if (known.contains(value)) return std::string(value);
+  if (known.size() >= kMaxLabelValues) return "other";
+  return *known.emplace(value).first;
 }
 
 void GatewayMetrics::onAdmitted(const RequestAdmitted&) {
@@ -114,7 +115,7 @@
 
 void GatewayMetrics::onEnded(const RequestEnded& record) {
   requests_
-      .Add({{"route", routeLabel(record.route)},
+      .Add({{"route", label(labeled_routes_, record.route)},
             {"outcome", std::string(nameOf(record.outcome))},
             {"cause", std::string(nameOf(record.cause))}})
       .Increment();
@@ -126,6 +127,10 @@
   if (record.outcome == RequestOutcome::answered) response_time_.Observe(toSeconds(record.total));
 }
 
+void GatewayMetrics::onOverQuota(const RequestOverQuota& record) {
+  over_quota_.Add({{"tenant", label(labeled_tenants_, record.tenant)}}).Increment();
+}
+
 void GatewayMetrics::onDistrusted(const BackendDistrusted&) {
   backends_distrusted_.Increment();
 }
--- a/src/gateway_process/gateway_metrics.h
+++ b/src/gateway_process/gateway_metrics.h
@@ -35,6 +35,7 @@
   void onWaiting(const RequestWaiting& record) override;
   void onMoved(const RequestMoved& record) override;
   void onEnded(const RequestEnded& record) override;
+  void onOverQuota(const RequestOverQuota& record) override;
   void onDistrusted(const BackendDistrusted& record) override;
   void onSuspected(const RequestSuspected& record) override;
   void onSuspicionWithdrawn(const SuspicionWithdrawn& record) override;
@@ -43,11 +44,13 @@
   void setBackends(std::string_view state, std::size_t count);
 
 private:
-  /// @return value of the label `route`: "other" for routes beyond kMaxLabeledRoutes.
-  std::string routeLabel(std::string_view route);
+  using LabelValues = std::set<std::string, std::less<>>;
+  /// @return value of a label: "other" for values beyond the first kMaxLabelValues.
+  static std::string label(LabelValues& known, std::string_view value);
 
   prometheus::Family<prometheus::Counter>& requests_;
   prometheus::Family<prometheus::Counter>& refusals_;
+  prometheus::Family<prometheus::Counter>& over_quota_;
   prometheus::Family<prometheus::Counter>& moves_;
   prometheus::Family<prometheus::Gauge>& backends_;
   prometheus::Counter& admitted_;
@@ -65,7 +68,8 @@
   prometheus::Histogram& response_time_;
   prometheus::Histogram& time_to_refusal_;
   prometheus::Histogram& cache_age_;
-  std::set<std::string, std::less<>> labeled_routes_;
+  LabelValues labeled_routes_;
+  LabelValues labeled_tenants_;
 
 public:
   prometheus::Gauge& in_flight;
--- a/src/gateway_process/observer_pair.h
+++ b/src/gateway_process/observer_pair.h
@@ -30,6 +30,10 @@
     first_.onEnded(record);
     second_.onEnded(record);
   }
+  void onOverQuota(const RequestOverQuota& record) override {
+    first_.onOverQuota(record);
+    second_.onOverQuota(record);
+  }
   void onDistrusted(const BackendDistrusted& record) override {
     first_.onDistrusted(record);
     second_.onDistrusted(record);
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -117,6 +117,19 @@
                                        {"total_ms", milliseconds(record.total)}});
 }
 
+void RequestLog::onOverQuota(const RequestOverQuota& record) {
+  log_.write(EventId::GatewayRequestOverQuota,
+             {{"request_id", record.request_id},
+              {"tenant", record.tenant},
+              {"units", fmt::format("{:.0f}", record.units)},
+              {"limit_per_second", fmt::format("{:.0f}", record.quota.limit.per_second)},
+              {"burst", fmt::format("{:.0f}", record.quota.limit.burst)},
+              {"left", fmt::format("{:.0f}", record.quota.left)},
+              {"asked_per_second", fmt::format("{:.0f}", record.quota.asked_per_second)},
+              {"reachable_share", fmt::format("{:.2f}", record.quota.reachable_share)},
+              {"oldest_report_ms", milliseconds(record.quota.oldest_report)}});
+}
+
 void RequestLog::onDistrusted(const BackendDistrusted& record) {
   log_.write(EventId::GatewayBackendDistrusted, {{"backend", record.backend},
                                                  {"cause", nameOf(record.cause)},
--- a/src/gateway_process/request_log.h
+++ b/src/gateway_process/request_log.h
@@ -17,6 +17,7 @@
   void onWaiting(const RequestWaiting& record) override;
   void onMoved(const RequestMoved& record) override;
   void onEnded(const RequestEnded& record) override;
+  void onOverQuota(const RequestOverQuota& record) override;
   void onDistrusted(const BackendDistrusted& record) override;
   void onSuspected(const RequestSuspected& record) override;
   void onSuspicionWithdrawn(const SuspicionWithdrawn& record) override;
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -40,6 +40,8 @@
       return "the key is unknown";
     case 404:
       return "no route serves the path";
+    case 429:
+      return "the tenant's quota is used up";
     case 503:
       return "no place for the request";
     default:
@@ -54,6 +56,7 @@
       return ErrorCode::InvalidRequest;
     case 401:
       return ErrorCode::Unauthorized;
+    case 429:
     case 503:
       return ErrorCode::Overloaded;
     case 504:
@@ -176,8 +179,8 @@
 /// there is load again.
 void TrafficLoop::sendLoadDigest() {
   load_digest_scheduled_ = false;
-  LoadDigest digest = gateway_.ownLoadDigest();
-  sent_load_ = !digest.loads.empty();
+  LoadDigest digest = gateway_.ownLoadDigest(now());
+  sent_load_ = !digest.loads.empty() || !digest.tenants.empty();
   callbacks_.on_own_load_digest(std::move(digest));
   scheduleLoadDigest();
 }
--- a/src/internal_protocol/field_mapping.h
+++ b/src/internal_protocol/field_mapping.h
@@ -33,6 +33,7 @@
 CRANKSPUR_WIRE_TRAITS(BundleUpdate)
 CRANKSPUR_WIRE_TRAITS(CacheSummary)
 CRANKSPUR_WIRE_TRAITS(EngineLoad)
+CRANKSPUR_WIRE_TRAITS(TenantUse)
 CRANKSPUR_WIRE_TRAITS(LoadDigest)
 CRANKSPUR_WIRE_TRAITS(ClaimPrepare)
 CRANKSPUR_WIRE_TRAITS(ClaimReply)
@@ -235,10 +236,19 @@
   archive.number(wire.age_milliseconds, plain.age_milliseconds);
 }
 
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_TenantUse& wire, Plain& plain) {
+  archive.number(wire.tenant, plain.tenant);
+  archive.number(wire.admitted, plain.admitted);
+  archive.number(wire.admitted_per_second, plain.admitted_per_second);
+  archive.number(wire.asked_per_second, plain.asked_per_second);
+}
+
 template <typename Archive, typename Plain>
 void mapFields(Archive& archive, crankspur_wire_LoadDigest& wire, Plain& plain) {
   archive.text(wire.sender, plain.sender);
   archive.records(wire.loads, plain.loads);
+  archive.records(wire.tenants, plain.tenants);
 }
 
 template <typename Archive, typename Plain>
--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -210,10 +210,19 @@
   std::uint32_t age_milliseconds = 0;  ///< Age of the observation when sent.
 };
 
-/// Loads of engines, broadcast to peers.
+/// Use of a tenant's quota by the sender (admission/tenant_quota.h).
+struct TenantUse {
+  std::uint64_t tenant = 0;               ///< Hash of its name.
+  std::uint64_t admitted = 0;             ///< Units since the sender started.
+  std::uint32_t admitted_per_second = 0;  ///< Recent rate.
+  std::uint32_t asked_per_second = 0;     ///< Recent rate, rejected requests included.
+};
+
+/// Loads of engines and use of quotas, broadcast to peers.
 struct LoadDigest {
   std::string sender;
   std::vector<EngineLoad> loads;
+  std::vector<TenantUse> tenants;
 };
 
 /// A peer's request could not be served; the connection stays open unless the code is Malformed,
--- a/tests/deploy/settings_template_test.py
+++ b/tests/deploy/settings_template_test.py
@@ -26,7 +26,8 @@
     "limits": {"cpuShare": 0.25, "cpuCores": 1, "linkMbps": 1000.0},
     "bounds": {
         "drainTimeoutMs": 2000, "gracePeriodS": 8, "failClosed": True, "revokeMs": 5000, "retryBudgetRatio": 0.2,
-        "budgetWindowS": 10, "retrySlack": 54, "leaseMs": 3000, "versionMs": 8000,
+        "budgetWindowS": 10, "retrySlack": 54, "leaseMs": 3000, "versionMs": 8000, "quotaWindowS": 8,
+        "quotaOvershoot": 0.1, "quotaSlack": 110000,
     },
     "platform": {"address": "10.200.1.7:8784"},
 }
--- a/tests/unit/gateway/gateway_fixture.h
+++ b/tests/unit/gateway/gateway_fixture.h
@@ -93,6 +93,7 @@
     ended_ids.emplace_back(record.request_id);
     ended_at.emplace_back(record.backend);
   }
+  void onOverQuota(const RequestOverQuota& record) override { over_quota.push_back(record); }
   void onDistrusted(const BackendDistrusted& record) override { distrusted.emplace_back(record.backend); }
 
   void onSuspected(const RequestSuspected& record) override { suspected.push_back(record); }
@@ -107,6 +108,7 @@
   std::vector<RequestEnded> ended;
   std::vector<std::string> ended_ids;
   std::vector<std::string> ended_at;
+  std::vector<RequestOverQuota> over_quota;
   std::vector<std::string> distrusted;
   std::vector<RequestSuspected> suspected;
   std::vector<SuspicionWithdrawn> withdrawn;
--- a/tests/unit/gateway/gateway_request_test.cc
+++ b/tests/unit/gateway/gateway_request_test.cc
@@ -250,4 +250,54 @@
   }
 }
 
+// One tenant that sends many times its usual would take the engines and the cached prompts of all others.
+TEST_CASE("a tenant over its quota gets 429 with a retry time, and other tenants are served",
+          "[gateway][quota]") {
+  GatewayFixture fixture;
+  fixture.configuration.tenants[0].quota = {100, 1'000};
+  fixture.configuration.tenants[0].quota_in_tokens = true;
+  fixture.configuration.tenants[0].default_tokens = 10;
+  fixture.publish();
+  fixture.now += seconds(20);
+  fixture.send("review");  // 1,700 tokens: the rate for 10 s and a part of the burst.
+  CHECK(fixture.has<Dispatch>());
+  fixture.now += milliseconds(1);
+  std::size_t rejected = 0;
+  for (int count = 0; count < 100; ++count) {
+    fixture.send("order");  // States no tokens: 10 each.
+    if (!fixture.has<Refuse>()) {
+      fixture.head(200);
+      fixture.end();
+      continue;
+    }
+    ++rejected;
+    CHECK(fixture.only<Refuse>().status == 429);
+    CHECK(fixture.only<Refuse>().cause == RequestCause::over_quota);
+    CHECK(fixture.only<Refuse>().retry_after > Duration(0));
+  }
+  CHECK(rejected >= 70);
+  REQUIRE(fixture.observer.over_quota.size() == rejected);
+  CHECK(fixture.observer.over_quota.front().units == 10);
+  CHECK(fixture.observer.over_quota.front().quota.limit.per_second == 100);
+  IncomingRequest other = GatewayFixture::request("order");
+  other.client->api_key = "key-of-island";
+  fixture.send(other);
+  CHECK(fixture.has<Dispatch>());
+}
+
+// A request that no back end has room for is refused as not run: its retry must find the quota unchanged.
+TEST_CASE("a request that is refused as not run does not use its tenant's quota", "[gateway][quota]") {
+  GatewayFixture fixture;
+  fixture.configuration.tenants[0].quota = {1, 10};
+  fixture.backends.clear();
+  fixture.publish();
+  fixture.now += seconds(20);
+  for (int count = 0; count < 50; ++count) {
+    fixture.send("order");
+    fixture.advance(seconds(1));
+  }
+  CHECK(fixture.observer.over_quota.empty());
+  CHECK(fixture.gateway.ownLoadDigest(fixture.now).tenants.front().admitted <= 1);
+}
+
 }  // namespace crankspur::gateway
--- a/tests/unit/gateway_control/node_settings_test.cc
+++ b/tests/unit/gateway_control/node_settings_test.cc
@@ -64,6 +64,9 @@
   CHECK(problemsOf("log_level = \"loud\"").at(0).key == "log_level");
   CHECK(problemsOf("directory = \"nowhere\"").at(0).key == "directory");
   CHECK(problemsOf("retry_budget_ratio = -1").at(0).line == 10);
+  CHECK(problemsOf("quota_window_ms = 0").at(0).key == "quota_window_ms");
+  CHECK(problemsOf("quota_overshoot = -0.1").at(0).key == "quota_overshoot");
+  CHECK(problemsOf("quota_slack = -1").at(0).key == "quota_slack");
   CHECK(problemsOf("colour = 1").at(0).key == "colour");
   std::vector<SettingsProblem> problems;
   readNodeSettings("name = \"n1\"", "node.toml", problems);
--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -26,6 +26,7 @@
 std::string describeFields(const BackendNote& value);
 std::string describeFields(const CacheNote& value);
 std::string describeFields(const CacheNotePart& value);
+std::string describeFields(const TenantUse& value);
 std::string describeFields(const LoadDigest& value);
 std::string describeFields(const BackendRecord& value);
 std::string describeFields(const ClaimPrepare& value);
@@ -219,8 +220,14 @@
   return fmt::format("BackendNotes {}", describeAll(value.notes));
 }
 
+std::string describeFields(const TenantUse& value) {
+  return fmt::format("TenantUse {} {} {} {}", value.tenant, value.admitted, value.admitted_per_second,
+                     value.asked_per_second);
+}
+
 std::string describeFields(const LoadDigest& value) {
-  return fmt::format("LoadDigest {} {}", value.sender, describeAll(value.loads));
+  return fmt::format("LoadDigest {} {} {}", value.sender, describeAll(value.loads),
+                     describeAll(value.tenants));
 }
 
 std::string describeFields(const ClaimPrepare& value) {
@@ -460,10 +467,20 @@
   return value;
 }
 
+TenantUse exampleTenantUse() {
+  TenantUse value;
+  value.tenant = ~0ull - 95;
+  value.admitted = ~0ull - 96;
+  value.admitted_per_second = ~0u - 97;
+  value.asked_per_second = ~0u - 98;
+  return value;
+}
+
 LoadDigest exampleLoadDigest() {
   LoadDigest value;
   value.sender = "sender";
   value.loads = {exampleEngineLoad(), EngineLoad{}};
+  value.tenants = {exampleTenantUse(), TenantUse{}};
   return value;
 }
 
--- a/tests/unit/platform/store_documents_test.cc
+++ b/tests/unit/platform/store_documents_test.cc
@@ -100,3 +100,32 @@
   CHECK(readStoredRecord({"record/x", "{", 9, false}, 0).text.empty());
   CHECK(readStoredRecord({"record/x", "", 0, false}, 0).row_version == 0);
 }
+
+TEST_CASE("a tenant's quota is read in tokens or requests, and no rate means no limit", "[store_documents]") {
+  const auto tenantWith = [](const std::string& members) {
+    const auto parsed = readConfiguration(
+        R"({"version":1,"routes":[],"services":[],"tenants":[{"name":"t","apiKeys":[])" + members + "}]}");
+    REQUIRE(parsed.value);
+    return parsed.value->tenants.at(0);
+  };
+  const gateway::GatewayTenant tokens =
+      tenantWith(R"(,"unit":"tokens","ratePerS":100.5,"burst":200,"uncachedTokens":7)");
+  CHECK(tokens.quota.per_second == 100.5);
+  CHECK(tokens.quota.burst == 200);
+  CHECK(tokens.quota_in_tokens);
+  CHECK(tokens.default_tokens == 7);
+  CHECK_FALSE(tenantWith(R"(,"ratePerS":5)").quota_in_tokens);
+  CHECK_FALSE(tenantWith("").quota.isLimited());
+  CHECK_FALSE(tenantWith(R"(,"ratePerS":0,"burst":9)").quota.isLimited());
+}
+
+// A quota that was read as "no limit" because of a wrong document would let one tenant take everything.
+TEST_CASE("a quota that cannot be read makes the configuration invalid", "[store_documents]") {
+  for (const std::string members :
+       {R"("unit":"bytes")", R"("unit":3)", R"("ratePerS":-1)", R"("ratePerS":"5")", R"("burst":-2)"}) {
+    const auto parsed = readConfiguration(
+        R"({"version":1,"routes":[],"services":[],"tenants":[{"name":"t","apiKeys":[],)" + members + "}]}");
+    CHECK_FALSE(parsed.value);
+    CHECK_FALSE(parsed.problem.empty());
+  }
+}
