Withdraw requests that would start on weights which are too old

Cause: under overload an engine's queue grew to 4 s while its smoothed response time was below 1.7 s. Requests sent there 5.8 s after newer weights were named began on the old ones 10.0 s after.

Change: the time that the oldest request has waited at an engine counts as its queue if it is longer than the response time. A request that has not started 300 ms before its weights become too old is withdrawn: it is retried elsewhere if it may be repeated, otherwise it fails.

--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -152,11 +152,14 @@
 }
 
 /// A request starts when the engine's queue is processed, and the weights have to be allowed at that time.
-/// The check therefore uses a later time for an engine with a long response time.
+/// The check therefore uses a later time for an engine with a long response time. Under overload, the
+/// response time lags behind the queue, and the requests that still wait there are the better evidence.
 bool EngineChoice::hasAllowedWeights(const UsableBackend& usable, const ChoiceRequest& request,
                                      const BackendTable& table, TimePoint now) const {
   if (request.weights_clock == nullptr) return true;
-  const Duration queue = toDuration(table.responseTime(usable.backend->view.slot) * kQueueSafety);
+  const EngineSlot slot = usable.backend->view.slot;
+  const double wait = std::max(table.responseTime(slot), toSeconds(ledger_.longestWait(slot, now)));
+  const Duration queue = toDuration(wait * kQueueSafety);
   const TimePoint starts_at = now + std::max(Duration(0), queue - request.weights_margin);
   const std::optional<std::uint64_t> min_version =
       request.weights_clock->minWeightsVersion(request.client->model, starts_at);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -45,6 +45,7 @@
     setQuotas(*snapshot_->configuration, now);
   }
   recheckUnresponsiveBackends(now);
+  limitStarts(now);
   serveQueue(now);
 }
 
@@ -248,6 +249,7 @@
   active.sent_at = now;
   active.last_received_at = now;
   active.expected = choice.expected_first_byte;
+  active.weights = choice.weights;
   active.prompt = choice_.onDispatch(choice, active.exchange, now);
   ++entry.backends_reached;
   ++entry.dispatches;
@@ -261,6 +263,7 @@
   actions_.emplace_back(
       Dispatch{active.exchange, entry.id, backend.address, forwardTerms(entry, choice, now)});
   entry.active = std::move(active);
+  limitStart(entry, now);
 }
 
 // End of requests.
@@ -369,6 +372,9 @@
 void Gateway::onRequestTimer(Entry& entry, TimePoint now) {
   if (now >= entry.deadline) return expire(entry, now);
   if (entry.waiting) return place(entry, now);
+  if (entry.active.exchange != 0 && now >= entry.active.start_by && !entry.active.first_byte) {
+    return withdraw(entry, now);
+  }
   if (entry.active.exchange != 0) return checkSilence(entry, now);
   scheduleTimer(entry, entry.deadline);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -114,6 +114,8 @@
     TimePoint sent_at{};
     TimePoint last_received_at{};
     Duration expected{0};
+    std::optional<std::uint64_t> weights;   ///< That the back end was expected to have.
+    TimePoint start_by = TimePoint::max();  ///< It may not start later, since its weights are superseded.
     DispatchedPrompt prompt;
     bool first_byte = false;
     bool streams_body = false;  ///< Body bytes are forwarded as they are received.
@@ -215,6 +217,9 @@
   bool mayBeOnSilentConnection(const ActiveExchange& active) const;
   Duration silenceLimit(const ActiveExchange& active, TimePoint now) const;
   void checkSilence(Entry& entry, TimePoint now);
+  void limitStart(Entry& entry, TimePoint now);
+  void limitStarts(TimePoint now);
+  void withdraw(Entry& entry, TimePoint now);
   void recheckUnresponsiveBackends(TimePoint now);
 
   GatewaySettings settings_;
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -14,6 +14,9 @@
 constexpr int kUnavailable = 503;
 /// Limit of dispatches of one request, including those that reached no back end.
 constexpr std::uint32_t kMaxDispatches = 6;
+/// A request is withdrawn this long before its weights become too old, so that the back end reads the close
+/// of the connection in time.
+constexpr Duration kWithdrawTime = std::chrono::milliseconds(300);
 
 bool isSuccess(int status) {
   return status / 100 == 2;
@@ -250,11 +253,12 @@
   const ActiveExchange active = entry.active;
   const TimePoint due = silenceDeadline(active, now);
   const bool has_alternative = snapshot_->backends.size() > 1;
-  if (now < due) return scheduleTimer(entry, std::min(entry.deadline, due));
+  const TimePoint start_by = active.first_byte ? TimePoint::max() : active.start_by;
+  if (now < due) return scheduleTimer(entry, std::min({entry.deadline, due, start_by}));
   entry.may_have_arrived = true;
   entry.may_have_run = true;
   if (!has_alternative || !mayRepeat(entry) || !consumeRetryBudget(entry, now))
-    return scheduleTimer(entry, entry.deadline);
+    return scheduleTimer(entry, std::min(entry.deadline, start_by));
   entry.cause = RequestCause::silence;
   // A silent connection says nothing about the back end, which may have the prompt in its cache: it stays
   // eligible.
@@ -264,6 +268,35 @@
   retryElsewhere(entry, active, active.status, now);
 }
 
+// Requests that wait at back ends with superseded weights.
+
+/// A request that has not started when its weights become too old must not start any more: it is withdrawn.
+void Gateway::limitStart(Entry& entry, TimePoint now) {
+  ActiveExchange& active = entry.active;
+  if (active.exchange == 0 || active.first_byte || !active.weights) return;
+  const TimePoint superseded = weights_.supersededFrom(entry.client.model, *active.weights);
+  if (superseded == TimePoint::max()) return;
+  active.start_by = std::min(active.start_by, superseded + settings_.older_weights_margin - kWithdrawTime);
+  scheduleTimer(entry, std::min(entry.timer_at, std::max(now, active.start_by)));
+}
+
+void Gateway::limitStarts(TimePoint now) {
+  for (const auto& [exchange, client] : exchanges_) {
+    Entry* entry = findClient(client);
+    if (entry != nullptr && entry->active.exchange == exchange) limitStart(*entry, now);
+  }
+}
+
+void Gateway::withdraw(Entry& entry, TimePoint now) {
+  const ActiveExchange active = entry.active;
+  entry.cause = RequestCause::other_weights;
+  entry.may_have_arrived = true;
+  entry.may_have_run = true;
+  entry.failed.push_back(active.slot);
+  cancelExchange(entry, DispatchOutcome::Ended, now);
+  retryOrGiveUp(entry, active, active.status, now);
+}
+
 // Retries and final responses.
 
 void Gateway::endExchange(Entry& entry, DispatchOutcome outcome, TimePoint now) {
--- a/src/gateway/named_weights.cc
+++ b/src/gateway/named_weights.cc
@@ -22,6 +22,15 @@
   return min_version;
 }
 
+TimePoint WeightsClock::supersededFrom(const std::string& model, std::uint64_t version) const {
+  const auto found = models_.find(model);
+  if (found == models_.end()) return TimePoint::max();
+  for (const Named& named : found->second) {
+    if (named.version > version) return named.named_at + grace_;
+  }
+  return TimePoint::max();
+}
+
 std::optional<std::uint64_t> WeightsClock::newestWeightsVersion(const std::string& model) const {
   const auto found = models_.find(model);
   if (found == models_.end() || found->second.empty()) return std::nullopt;
--- a/src/gateway/named_weights.h
+++ b/src/gateway/named_weights.h
@@ -20,6 +20,8 @@
   void onSnapshot(const GatewaySnapshot& snapshot, TimePoint now);
   /// @return the oldest version on which a request may start; empty: any.
   std::optional<std::uint64_t> minWeightsVersion(const std::string& model, TimePoint now) const;
+  /// @return when requests may no longer start on this version; TimePoint::max(): no newer one was named.
+  TimePoint supersededFrom(const std::string& model, std::uint64_t version) const;
   /// @return the newest version named for the model; empty: none was.
   std::optional<std::uint64_t> newestWeightsVersion(const std::string& model) const;
 
--- a/src/placement/outstanding_ledger.cc
+++ b/src/placement/outstanding_ledger.cc
@@ -36,6 +36,15 @@
   engines_[engine].prefill_done_at = now;
 }
 
+Duration OutstandingLedger::longestWait(EngineSlot engine, TimePoint now) const {
+  const auto work = engines_.find(engine);
+  if (work == engines_.end()) return Duration(0);
+  for (const Item& item : work->second.items) {
+    if (item.waiting) return now - item.sent_at;
+  }
+  return Duration(0);
+}
+
 void OutstandingLedger::remove(EngineSlot engine, std::uint64_t dispatch) {
   const auto work = engines_.find(engine);
   if (work == engines_.end()) return;
--- a/src/placement/outstanding_ledger.h
+++ b/src/placement/outstanding_ledger.h
@@ -35,6 +35,8 @@
   /// Removes the dispatch.
   void remove(EngineSlot engine, std::uint64_t dispatch);
 
+  /// @return how long the oldest dispatch without a first token has waited; 0: there is none.
+  Duration longestWait(EngineSlot engine, TimePoint now) const;
   /// @return the engines with work in flight.
   std::vector<EngineOutstanding> outstanding() const;
 
--- a/tests/unit/gateway/superseded_weights_test.cc
+++ b/tests/unit/gateway/superseded_weights_test.cc
@@ -79,3 +79,64 @@
   CHECK(fleet.choose(10) == kOld);
   CHECK(fleet.choose(20) == kNew);
 }
+
+// Under overload an engine's queue grows faster than its response times show: requests sent while the queue
+// seemed short began seconds later, on weights that were no longer allowed.
+TEST_CASE("an engine whose oldest request has waited long gets no request that would start on old weights",
+          "[gateway][superseded]") {
+  HalfLoadedFleet fleet;
+  fleet.snapshot.backends.pop_back();
+  fleet.client.prompt = {{10, 800}, {11, 100}};
+  fleet.client.prompt_tokens = 900;
+  const BackendTable table;
+  const Choice first = fleet.choice.choose(fleet.request, fleet.snapshot, table, kNow);
+  REQUIRE(first.backend != nullptr);
+  fleet.choice.onDispatch(first, 1, kNow);
+  CHECK(fleet.choice.choose(fleet.request, fleet.snapshot, table, kNow + seconds(1)).backend != nullptr);
+  // Waits for 4 s by now; these weights may be used for 2 s more.
+  CHECK(fleet.choice.choose(fleet.request, fleet.snapshot, table, kNow + seconds(4)).backend == nullptr);
+}
+
+// The queue may also grow after the request was sent. What has not started in time must not start at all.
+TEST_CASE("a request that has not started when its weights become too old is withdrawn",
+          "[gateway][superseded]") {
+  GatewayFixture fixture;
+  fixture.backends.pop_back();  // A single engine, with weights of version 1.
+  fixture.publish();
+  const std::string route = GENERATE("review", "answer");
+  IncomingRequest incoming = GatewayFixture::request(route);
+  incoming.client->deadline = seconds(60);
+  for (Route& configured : fixture.configuration.routes) configured.timeout = seconds(60);
+  fixture.publish();
+  fixture.send(incoming);
+  REQUIRE(fixture.has<Dispatch>());
+  fixture.weights = {{"m", 2, fixture.now}};
+  fixture.publish();
+  const TimePoint named_at = fixture.now;
+  const auto limit = GatewaySettings{}.older_weights_grace + GatewaySettings{}.older_weights_margin;
+  bool withdrawn = false;
+  while (!withdrawn && fixture.now < named_at + limit + seconds(1)) {
+    fixture.advance(milliseconds(50));
+    withdrawn = fixture.has<CancelExchange>();
+  }
+  REQUIRE(withdrawn);
+  CHECK(fixture.now < named_at + limit);
+}
+
+TEST_CASE("a request that has started goes on when its weights become too old", "[gateway][superseded]") {
+  GatewayFixture fixture;
+  fixture.backends.pop_back();
+  for (Route& configured : fixture.configuration.routes) configured.timeout = seconds(60);
+  fixture.publish();
+  IncomingRequest incoming = GatewayFixture::request("review");
+  incoming.client->deadline = seconds(60);
+  fixture.send(incoming);
+  fixture.head(200);
+  fixture.weights = {{"m", 2, fixture.now}};
+  fixture.publish();
+  for (int count = 0; count < 240; ++count) {
+    fixture.advance(milliseconds(50));
+    if (count % 10 == 0) fixture.bytes("id: " + std::to_string(count / 10 + 1) + "\ndata: x\n\n");
+    CHECK_FALSE(fixture.has<CancelExchange>());
+  }
+}
