Refuse at once what would start too late, and keep long streams off engines that are to load

Cause 1: under overload every request was accepted; queues at engines grew to seconds, and almost all responses were late. Change: a request that the best engine would start only after its first byte is due is refused at once, with the time until queues are expected to be short enough; a long prompt is not refused for its own length. The wait for a slot of a full batch is reckoned at 0.2 s a request instead of 0.1.

Cause 2: an engine loads new weights only when its last stream is complete, 0.95 s in the median and 5 s in the slowest twentieth after the order. Change: superseded weights cost a request 0.1 s more for each second that its stream is expected to take, as learnt from complete streams.

--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -24,6 +24,9 @@
 /// Cost of a response from superseded weights, seconds: about a quarter of the time allowed for a first byte,
 /// so that engines with the named weights fill up first, but requests do not wait for them.
 constexpr double kSupersededCost = 0.15;
+/// The same, for each second that the response is expected to take: an engine loads new weights only when its
+/// last response is complete, and until then it accepts no other request.
+constexpr double kSupersededStreamFactor = 0.1;
 /// Cost of the first prefill of shared parts under superseded weights, as a multiple of the prefill time: the
 /// cached parts become useless once these weights are unloaded. With kRecomputeFactor instead, the engines
 /// that have the named weights early in a roll-out receive more than they can prefill.
@@ -35,8 +38,9 @@
 /// While no gateway reports its load, each gateway is assumed to have as much queued at an engine as this
 /// one, up to this many gateways, this one included.
 constexpr double kMaxUnreportedGateways = 3;
-/// Estimated wait for a slot in an engine's full batch, seconds per request above the batch limit.
-constexpr double kFullBatchDelay = 0.1;
+/// Estimated wait for a slot in an engine's full batch, seconds per request above the batch limit: about the
+/// time of a stream divided by the slots.
+constexpr double kFullBatchDelay = 0.2;
 /// Cost of filling a cache block, seconds: the eviction that it causes slows down later requests.
 constexpr double kEvictionCost = 0.0003;
 /// An engine's queue is assumed to last this many times its smoothed time to the first byte.
@@ -77,6 +81,12 @@
   return prompt.size() == 1 ? prompt.front().id : prompt[prompt.size() - 2].id;
 }
 
+/// @return tokens that the response is expected to have.
+std::uint32_t expectedTokens(const ClientRequest& client) {
+  return client.estimated_completion_tokens > 0 ? client.estimated_completion_tokens
+                                                : client.max_completion_tokens;
+}
+
 double distanceCost(const EngineView& engine, const GatewaySnapshot& snapshot) {
   if (engine.region != snapshot.own_region) return kOtherRegionCost;
   return engine.zone != snapshot.own_zone ? kOtherZoneCost : 0;
@@ -289,14 +299,20 @@
   candidate.first_byte = queue.seconds + import.seconds + prefill + distanceCost(engine, snapshot);
   const double late = std::min(table.lateness(engine.slot), kLatenessLimit);
   const double new_blocks = blocksOf(total) - std::min(blocksOf(held), blocksOf(total));
+  candidate.wait = queue.seconds;
   candidate.cost = candidate.first_byte + queue.unreported + late + new_blocks * kEvictionCost +
-                   recomputeCost(prompt, engine.slot, import.cached, rate) +
-                   (prompt.superseded ? kSupersededCost : 0) +
+                   recomputeCost(prompt, engine.slot, import.cached, rate) + supersededCost(prompt, request) +
                    (partition_.suits(engine, isLong(request)) ? 0 : kOtherPartitionCost) +
                    kAffinityCost * affinity(affinityKey(request.client->prompt), engine);
   return candidate;
 }
 
+double EngineChoice::supersededCost(const ScopedPrompt& prompt, const ChoiceRequest& request) const {
+  if (!prompt.superseded) return 0;
+  const double stream = stream_times_.seconds(request.pool->name, expectedTokens(*request.client));
+  return kSupersededCost + stream * kSupersededStreamFactor;
+}
+
 double EngineChoice::scoreRunner(const Backend& backend, const GatewaySnapshot& snapshot,
                                  const BackendTable& table, TimePoint now) const {
   const double slots = std::max(backend.slots, 1U);
@@ -351,6 +367,7 @@
   if (best.backend == nullptr) return choice;
   explain(choice, best, second);
   choice.expected_first_byte = toDuration(best.first_byte);
+  choice.expected_wait = toDuration(best.wait);
   if (!request.uses_prefixes) return choice;
   ScopedPrompt& prompt = prompts[best.prompt];
   choice.weights = prompt.weights;
@@ -395,6 +412,10 @@
   for (const KeyedPart& part : prompt.parts) index_.set(prompt.slot, prompt.incarnation, part);
 }
 
+void EngineChoice::onComplete(const Pool& pool, const ClientRequest& client, Duration taken) {
+  stream_times_.observe(pool.name, expectedTokens(client), taken);
+}
+
 void EngineChoice::onEnd(EngineSlot slot, std::uint64_t dispatch) {
   ledger_.remove(slot, dispatch);
 }
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -19,6 +19,7 @@
 #include "gateway/prefill_rate.h"
 #include "gateway/prompt_size_partition.h"
 #include "gateway/scoped_prompt.h"
+#include "gateway/stream_time.h"
 #include "placement/eligibility.h"
 #include "placement/outstanding_ledger.h"
 #include "placement/queue_estimator.h"
@@ -50,6 +51,7 @@
   std::uint32_t uncached_tokens = 0;
   bool long_prompt = false;
   Duration expected_first_byte{0};
+  Duration expected_wait{0};  ///< The part of it before the engine starts to prefill the prompt.
   // Explanation of the choice for records and logs.
   std::size_t candidates = 0;          ///< Back ends that were compared.
   double cost = 0;                     ///< Seconds for engines, load for runners.
@@ -94,6 +96,9 @@
   void onFirstByte(const Pool& pool, const DispatchedPrompt& prompt, std::uint64_t dispatch, Duration taken,
                    TimePoint now);
   void onEnd(EngineSlot slot, std::uint64_t dispatch);
+  /// A response was complete.
+  /// @param taken from its first byte to its end.
+  void onComplete(const Pool& pool, const ClientRequest& client, Duration taken);
   /// @return time since the last update of the back end's cache; empty: none was received.
   std::optional<Duration> cacheAge(EngineSlot slot, TimePoint now) const;
 
@@ -113,6 +118,7 @@
     const Backend* backend = nullptr;
     double cost = 0;
     double first_byte = 0;
+    double wait = 0;
     std::size_t prompt = 0;  ///< Index of its ScopedPrompt.
     std::uint32_t uncached_tokens = 0;
     std::uint32_t shared_tokens_again = 0;
@@ -140,6 +146,7 @@
                         const GatewaySnapshot& snapshot, const BackendTable& table, TimePoint now) const;
   bool hasAllowedWeights(const UsableBackend& usable, const ChoiceRequest& request, const BackendTable& table,
                          TimePoint now) const;
+  double supersededCost(const ScopedPrompt& prompt, const ChoiceRequest& request) const;
   double scoreRunner(const Backend& backend, const GatewaySnapshot& snapshot, const BackendTable& table,
                      TimePoint now) const;
   double riskCost(const Backend& backend, const ChoiceRequest& request, const GatewaySnapshot& snapshot,
@@ -151,6 +158,7 @@
   PeerLoadTable peers_;
   QueueEstimator queues_;
   PrefillRates rates_;
+  StreamTimes stream_times_;
   PromptSizePartition partition_;
   absl::flat_hash_map<EngineSlot, ObservedWeights> observed_weights_;
   absl::flat_hash_map<EngineSlot, std::uint64_t> incarnations_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -189,9 +189,22 @@
   if (now + choice.expected_first_byte >= entry.deadline) {
     return giveUpFor(entry, RequestCause::expected_too_late, now);
   }
+  if (wouldStartTooLate(entry, choice, now)) {
+    entry.expected_wait = choice.expected_wait;
+    return giveUpFor(entry, RequestCause::queues_too_long, now);
+  }
   dispatch(entry, choice, now);
 }
 
+/// Under overload, queues would otherwise grow until every response is late. A request whose first byte is
+/// due before the best engine would start it is refused at once, so that the others stay in time. The time
+/// that its own prompt takes does not count, since a long prompt must not be refused for its length.
+bool Gateway::wouldStartTooLate(const Entry& entry, const Choice& choice, TimePoint now) const {
+  const Duration target = entry.route->first_byte_target;
+  if (!entry.route->uses_prefixes || target <= Duration(0) || entry.dispatches > 0) return false;
+  return now - entry.arrived_at + choice.expected_wait > target;
+}
+
 // The queue.
 
 void Gateway::wait(Entry& entry, TimePoint now) {
@@ -301,11 +314,13 @@
 }
 
 /// Random around half of the first-byte target, so that clients refused at the same time do not retry at the
-/// same time. For a quarantined request, the time left of the quarantine.
+/// same time. If queues are too long, also the time until they are expected to be short enough. For a
+/// quarantined request, the time left of the quarantine.
 Duration Gateway::retryAfter(const Entry& entry, TimePoint now) {
   if (entry.cause == RequestCause::quarantined) return entry.quarantined_until - now;
   const Duration base = entry.route->first_byte_target / 2;
-  const Duration bounded = std::clamp(base, kMinRetryAfter, kMaxRetryAfter);
+  const Duration excess = std::max(Duration(0), entry.expected_wait - entry.route->first_byte_target);
+  const Duration bounded = std::clamp(base, kMinRetryAfter, kMaxRetryAfter) + excess;
   return Duration(static_cast<std::int64_t>(static_cast<double>(bounded.count()) * (0.5 + random_.unit())));
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -141,6 +141,7 @@
     double quota_units = 0;                 ///< Charged to the tenant's quota.
     bool isolated = false;                  ///< Back ends may have crashed because of it.
     TimePoint quarantined_until{};          ///< Set when a quarantine prevents its dispatch.
+    Duration expected_wait{0};              ///< At the best back end, if that is why it was refused.
     std::uint32_t backends_reached = 0;     ///< Limited by the route's max_attempts.
     std::uint32_t dispatches = 0;
     bool waiting = false;  ///< Queued for a back end with capacity.
@@ -160,6 +161,7 @@
   bool checkQuota(Entry& entry, const GatewayTenant& tenant, TimePoint now);
   void refundQuota(const Entry& entry, TimePoint now);
   void place(Entry& entry, TimePoint now);
+  bool wouldStartTooLate(const Entry& entry, const Choice& choice, TimePoint now) const;
   Choice choose(Entry& entry, TimePoint now);
   ChoiceRequest choiceRequest(const Entry& entry, const Pool& pool);
   void wait(Entry& entry, TimePoint now);
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -104,6 +104,9 @@
   if (entry == nullptr) return;
   if (entry->cursor && entry->cursor->hasPartialEvent()) return onLost(exchange, true, now);
   recordCompleteResponse(*entry, now);
+  if (entry->active.streams_body && entry->dispatches == 1 && entry->first_byte_at) {
+    choice_.onComplete(*entry->pool, entry->client, now - *entry->first_byte_at);
+  }
   const bool error = entry->active.server_error;
   const bool started = entry->head_forwarded;
   const int status = entry->active.status;
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -53,6 +53,8 @@
       return "no_time_left";
     case RequestCause::expected_too_late:
       return "expected_too_late";
+    case RequestCause::queues_too_long:
+      return "queues_too_long";
     case RequestCause::no_back_end:
       return "no_back_end";
     case RequestCause::back_ends_full:
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -29,6 +29,7 @@
   route_without_pool,    ///< The route names no pool, or one that the configuration does not define.
   no_time_left,          ///< Too little time is left until the deadline of client or route.
   expected_too_late,     ///< The earliest first byte is expected after the deadline.
+  queues_too_long,       ///< The best back end would start it after its first byte is due.
   no_back_end,           ///< No back end of the pool is eligible for the request.
   back_ends_full,        ///< The eligible back ends are at capacity.
   back_end_full,         ///< The back end responded that it is at capacity and has not run the request.
--- a/tests/unit/gateway/superseded_weights_test.cc
+++ b/tests/unit/gateway/superseded_weights_test.cc
@@ -140,3 +140,24 @@
     CHECK_FALSE(fixture.has<CancelExchange>());
   }
 }
+
+// An engine that is to load new weights waits for its last response. If long streams keep starting on engines
+// with superseded weights, a roll-out takes the length of a stream for each group of engines.
+TEST_CASE("long streams avoid engines with superseded weights more than short ones",
+          "[gateway][superseded]") {
+  HalfLoadedFleet fleet;
+  const Pool& pool = *fleet.request.pool;
+  ClientRequest observed;
+  observed.max_completion_tokens = 100;
+  for (int count = 0; count < 200; ++count) fleet.choice.onComplete(pool, observed, seconds(1));
+  LoadDigest digest;  // Waiting for the engine with the named weights costs more than superseded weights.
+  digest.loads = {{"", 1000U + kNew, 7'500, 1, 0}};
+  fleet.choice.onPeerLoad("other", digest, kNow);
+  fleet.client.max_completion_tokens = 10;
+  CHECK(fleet.chosenNew() == 0);
+  fleet.client.max_completion_tokens = 900;
+  fleet.client.estimated_completion_tokens = 10;  // The client's estimate counts.
+  CHECK(fleet.chosenNew() == 0);
+  fleet.client.estimated_completion_tokens = 0;
+  CHECK(fleet.chosenNew() == 50);
+}
