Send load digests to standby gateways that have clients

Cause: digests go to the gateways that place requests. A gateway on standby whose clients kept an old list reports its use of quotas and learns nothing of that of the others, so that it would admit a tenant's whole window by itself. Change: whoever sent a digest within 3 s receives digests too.

--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -17,6 +17,7 @@
 #include "gateway_control/cache_exchange.h"
 #include "gateway_control/cache_watch.h"
 #include "gateway_control/crash_coordinator.h"
+#include "gateway_control/digest_recipients.h"
 #include "gateway_control/fleet_view.h"
 #include "gateway_control/gossip_socket.h"
 #include "gateway_control/node_settings.h"
@@ -162,6 +163,7 @@
   std::vector<CachedPartsUpdate> received_cache_updates_;  ///< From other gateways, not yet forwarded.
   std::set<std::string> kv_stores_;                        ///< Ids of the stores in the configuration.
   std::map<std::string, LoadDigest> peer_loads_;           ///< By sender; not yet forwarded to traffic.
+  DigestRecipients digest_recipients_;
   OwnLoad own_load_;
   int serving_refreshes_ = 0;  ///< Since the process started.
   std::map<std::string, bool>
--- a/src/gateway_control/gateway_control_load.cc
+++ b/src/gateway_control/gateway_control_load.cc
@@ -14,10 +14,11 @@
 }  // namespace
 
 void GatewayControl::onOwnLoadDigest(const LoadDigest& digest) {
-  for (const std::string& peer : peers()) gossip_.sendTo(peer, digest);
+  for (const std::string& name : digest_recipients_.select(peers(), now())) gossip_.sendTo(name, digest);
 }
 
 void GatewayControl::onLoadDigest(const std::string& sender, const LoadDigest& digest) {
+  digest_recipients_.onSender(sender, now());
   const bool waiting = !peer_loads_.empty();
   LoadDigest& latest = peer_loads_[sender];
   latest = digest;
