--- a/src/admission/equal_share_quota.h
+++ b/src/admission/equal_share_quota.h
@@ -1,7 +1,7 @@
 #pragma once
 /// @file Divides a tenant's quota into equal shares of all gateways. Needs no messages and never exceeds the
 /// quota, but rejects what a tenant asks of one gateway beyond its share while the others leave theirs
-/// unused.
+/// unused. The baseline that other ways are compared with.
 
 #include "admission/decaying_rate.h"
 #include "admission/tenant_quota.h"
