State the age of the list of back ends itself, and how long an unlisted back end was used

The lines and metrics of a placement gave the age of the operator's documents as that of the list, since only their feed confirmed the contact. A list that was more than 5 s old was logged with list_age_ms=2410.

The feed of the list now confirms its own contact. list_age_ms of events 1221 and 1224 to 1226 and of /status is that of the list; the histogram placement_list_age_seconds and the gauge list_age_seconds show the margin to the departure limit. Event 1350 adds list_age_ms and kept_ms, the time for which an unlisted back end stayed in use.

No decision changes.

--- a/sim/gateway_world/gateway_node_control.cc
+++ b/sim/gateway_world/gateway_node_control.cc
@@ -91,6 +91,7 @@
   snapshot->peer_count = static_cast<std::uint32_t>(otherMembers().size());
   snapshot->share_divisor = snapshot->peer_count + 1;
   snapshot->contact = process_->contact;
+  snapshot->list_contact = process_->contact;
   snapshot->key_validity = context_.site.key_validity;
   host_.post(kThreadDelay, [this, snapshot] {
     process_->traffic.onSnapshot(snapshot, now());
--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -83,7 +83,7 @@
   }
   record.import_from = choice.import_from;
   if (entry.route->uses_prefixes) record.cache_age = choice_.cacheAge(backend.slot, now);
-  record.list_age = snapshot_->platformContactAge(now);
+  record.list_age = snapshot_->listAge(now);
   record.configuration_version = versionOf(entry.configuration);
   record.expected_first_byte = choice.expected_first_byte;
   record.time_left = entry.deadline - now;
@@ -133,7 +133,7 @@
   record.configuration_version = versionOf(entry.configuration);
   if (snapshot_ != nullptr) {
     if (entry.route != nullptr && entry.route->needs_tenant) record.keys_age = snapshot_->keysAge(now);
-    record.list_age = snapshot_->platformContactAge(now);
+    record.list_age = snapshot_->listAge(now);
   }
   record.retry_after = retry_after;
   if (entry.first_byte_at) record.first_byte = *entry.first_byte_at - entry.arrived_at;
--- a/src/gateway/gateway_snapshot.cc
+++ b/src/gateway/gateway_snapshot.cc
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace crankspur::gateway {
+namespace {
+
+Duration ageOf(const PlatformContact* contact, TimePoint now) {
+  return contact == nullptr ? Duration(0) : std::max(Duration(0), now - contact->confirmedAt());
+}
+
+}  // namespace
 
 const Route* Configuration::findRoute(std::string_view host, std::string_view path) const {
   const Route* best = nullptr;
@@ -36,7 +43,11 @@
 }
 
 Duration GatewaySnapshot::platformContactAge(TimePoint now) const {
-  return contact == nullptr ? Duration(0) : std::max(Duration(0), now - contact->confirmedAt());
+  return ageOf(contact.get(), now);
+}
+
+Duration GatewaySnapshot::listAge(TimePoint now) const {
+  return ageOf(list_contact.get(), now);
 }
 
 std::optional<Duration> GatewaySnapshot::keysAge(TimePoint now) const {
--- a/src/gateway/gateway_snapshot.h
+++ b/src/gateway/gateway_snapshot.h
@@ -118,11 +118,12 @@
   const GatewayTenant* findTenantByKey(std::string_view api_key) const;
 };
 
-/// When the platform last confirmed the state of a gateway. Written by the control thread and read by traffic
-/// at each decision, so that a gateway that resumes after a suspension does not decide on outdated state.
+/// When the platform last confirmed a part of the state of a gateway. Written by the control thread and read
+/// by traffic at each decision, so that a gateway that resumes after a suspension does not decide on outdated
+/// state.
 class PlatformContact {
 public:
-  /// Everything that the operator had accepted by `as_of` is known. Times before the last confirmed one are
+  /// Everything that the platform had accepted by `as_of` is known. Times before the last confirmed one are
   /// ignored.
   void confirm(TimePoint as_of) {
     confirmed_at_ = std::max(confirmed_at_.load(), as_of.time_since_epoch().count());
@@ -144,12 +145,16 @@
   std::uint32_t share_divisor = 1;
   std::uint32_t peer_count = 0;                    ///< Other gateways that place requests.
   std::shared_ptr<const PlatformContact> contact;  ///< Null: the state always counts as confirmed.
+  /// When the list of back ends was last confirmed. Null: it always counts as confirmed.
+  std::shared_ptr<const PlatformContact> list_contact;
   /// Maximum time without platform contact for which keys stay valid; empty: no limit.
   std::optional<Duration> key_validity;
 
   const Backend* backend(EngineSlot slot) const;
-  /// @return time since the platform last confirmed the configuration and the list of back ends.
+  /// @return time since the platform last confirmed the configuration.
   Duration platformContactAge(TimePoint now) const;
+  /// @return time since the platform last confirmed the list of back ends.
+  Duration listAge(TimePoint now) const;
   /// @return platformContactAge() if `key_validity` is set; otherwise empty.
   std::optional<Duration> keysAge(TimePoint now) const;
   /// @return false if the platform has been unreachable for so long that keys may have been revoked. Requests
--- a/src/gateway_control/fleet_view.cc
+++ b/src/gateway_control/fleet_view.cc
@@ -233,7 +233,9 @@
   for (auto& [id, entry] : entries_) {
     const auto [state, cause, source] = evaluate(entry, now);
     if (state != entry.last_state) {
-      changes_.push_back({id, entry.backend.view.pool, entry.last_state, state, cause, source});
+      const bool unlisted = state == EngineState::Leaving && !entry.listed;
+      const Duration kept = unlisted ? now - entry.unlisted_at : Duration(0);
+      changes_.push_back({id, entry.backend.view.pool, entry.last_state, state, cause, source, kept});
       entry.last_state = state;
     }
     entry.backend.view.state = state;
--- a/src/gateway_control/fleet_view.h
+++ b/src/gateway_control/fleet_view.h
@@ -35,6 +35,7 @@
   EngineState state = EngineState::Dead;
   std::string_view cause;  ///< For example "draining" or "unreachable".
   StateSource source = StateSource::list;
+  Duration kept{0};  ///< Of a back end that leaves: how long it was used after its entry had disappeared.
 };
 
 /// A change of the weights that a back end is assumed to hold, for the log.
--- a/src/gateway_control/gateway_admin.cc
+++ b/src/gateway_control/gateway_admin.cc
@@ -77,6 +77,7 @@
                              {"stopping", current.leaving},
                              {"platform_reachable", current.platform_reachable},
                              {"knowledge_age_ms", toSeconds(current.knowledge_age) * 1000},
+                             {"list_age_ms", toSeconds(current.list_age) * 1000},
                              {"holds_order_lease", current.holds_order_lease},
                              {"serves", current.serves},
                              {"serving", json::array(current.serving.begin(), current.serving.end())},
@@ -112,6 +113,7 @@
   metrics_.configuration_version.Set(static_cast<double>(current.configuration_version));
   metrics_.members.Set(static_cast<double>(current.members.size()));
   metrics_.knowledge_age.Set(toSeconds(current.knowledge_age));
+  metrics_.list_age.Set(toSeconds(current.list_age));
   metrics_.platform_reachable.Set(current.platform_reachable ? 1 : 0);
   metrics_.holds_order_lease.Set(current.holds_order_lease ? 1 : 0);
   metrics_.serves.Set(current.serves ? 1 : 0);
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -108,6 +108,7 @@
 
 std::error_code GatewayControl::start() {
   contact_->confirm(now());
+  list_contact_->confirm(now());
   member_added_at_ = now();
   if (const std::error_code error = gossip_.start()) return error;
   platform_.start(platformCallbacks());
@@ -146,6 +147,7 @@
     schedulePublish();
   };
   callbacks.on_contact = [this](TimePoint as_of) { onContact(as_of); };
+  callbacks.on_list_contact = [this](TimePoint as_of) { list_contact_->confirm(as_of); };
   callbacks.on_failure = [this] { onPlatformFailure(); };
   callbacks.on_connections_silent = [this] { onConnectionsSilent(); };
   return callbacks;
@@ -318,6 +320,7 @@
   ControlStatus status;
   status.configuration_version = configuration_ == nullptr ? 0 : configuration_->version;
   status.knowledge_age = now() - contact_->confirmedAt();
+  status.list_age = now() - list_contact_->confirmedAt();
   status.platform_reachable = platform_reachable_;
   status.leaving = leaving_;
   status.holds_order_lease = orders_.holding();
@@ -381,6 +384,7 @@
   snapshot->own_region = settings_.region;
   assignShares(*snapshot);
   snapshot->contact = contact_;
+  snapshot->list_contact = list_contact_;
   snapshot->key_validity = settings_.key_validity;
   outputs_.publish(std::move(snapshot));
   updateCacheWatch();
@@ -403,12 +407,15 @@
 
 void GatewayControl::logFleetChanges() {
   for (const FleetChange& change : fleet_.takeChanges()) {
-    log_.write(EventId::BackendStateChanged, {{"backend", change.id},
-                                              {"pool", change.pool},
-                                              {"from", engineStateName(change.previous)},
-                                              {"to", engineStateName(change.state)},
-                                              {"cause", change.cause},
-                                              {"source", nameOf(change.source)}});
+    log_.write(EventId::BackendStateChanged,
+               {{"backend", change.id},
+                {"pool", change.pool},
+                {"from", engineStateName(change.previous)},
+                {"to", engineStateName(change.state)},
+                {"cause", change.cause},
+                {"source", nameOf(change.source)},
+                {"kept_ms", milliseconds(change.kept)},
+                {"list_age_ms", milliseconds(now() - list_contact_->confirmedAt())}});
   }
   for (const WeightsChange& change : fleet_.takeWeightsChanges()) {
     log_.write(EventId::BackendWeightsChanged, {{"backend", change.id},
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -40,7 +40,8 @@
 /// Summary of the control state for operators.
 struct ControlStatus {
   std::uint64_t configuration_version = 0;  ///< 0: none received yet.
-  Duration knowledge_age{0};                ///< Time since the platform last confirmed the known state.
+  Duration knowledge_age{0};                ///< Time since the platform confirmed the configuration.
+  Duration list_age{0};                     ///< Time since the platform confirmed the list of back ends.
   bool platform_reachable = false;
   bool leaving = false;
   bool holds_order_lease = false;
@@ -172,6 +173,7 @@
   std::vector<std::string> sharing_;
   std::shared_ptr<const Configuration> configuration_;
   std::shared_ptr<PlatformContact> contact_ = std::make_shared<PlatformContact>();
+  std::shared_ptr<PlatformContact> list_contact_ = std::make_shared<PlatformContact>();
   bool initial_state_received_ = false;  ///< The platform has sent its complete state once.
   bool platform_reachable_ = true;
   TimePoint unreachable_since_{};                ///< When the platform last became unreachable.
--- a/src/gateway_control/platform_link.h
+++ b/src/gateway_control/platform_link.h
@@ -44,6 +44,8 @@
   std::function<void(const std::vector<std::string>& ids)> on_full_list;
   /// Everything that the platform accepted from the operator by `as_of` has been delivered.
   std::function<void(TimePoint as_of)> on_contact;
+  /// Every change of the list of back ends that the platform accepted by `as_of` has been delivered.
+  std::function<void(TimePoint as_of)> on_list_contact;
   /// The platform did not respond, or rejected a call.
   std::function<void()> on_failure;
   /// Open connections to several peers went silent together; new connections may still work.
--- a/src/gateway_process/gateway_metrics.cc
+++ b/src/gateway_process/gateway_metrics.cc
@@ -59,13 +59,16 @@
           histogram(*registry_, "refused_after_seconds", "From the request read to its refusal.")),
       cache_age_(
           histogram(*registry_, "cache_age_seconds", "Age of the cache news that a placement rests on.")),
+      list_age_at_placement_(histogram(*registry_, "placement_list_age_seconds",
+                                       "Age of the list of back ends that a placement rests on.")),
       in_flight(gauge("requests_in_flight", "Requests whose answer has not ended.")),
       repeat_budget_left(
           gauge("repeat_budget_left", "Repeats still allowed, as of the last back end that failed.")),
       configuration_version(gauge("configuration_version", "Version of the configuration in force.")),
       members(gauge("members", "Gateways that are not dead, this one included.")),
       knowledge_age(
-          gauge("knowledge_age_seconds", "Since the platform vouched for configuration, keys and list.")),
+          gauge("knowledge_age_seconds", "Since the platform confirmed the configuration and the keys.")),
+      list_age(gauge("list_age_seconds", "Since the platform confirmed the list of back ends.")),
       platform_reachable(gauge("platform_reachable", "1 while the platform's store answers.")),
       holds_order_lease(gauge("holds_order_lease", "1 while this gateway gives the orders.")),
       serves(gauge("serves", "1 while clients are sent to this gateway.")),
@@ -102,6 +105,7 @@
   recomputed_shared_tokens_.Increment(record.shared_tokens_again);
   if (!record.import_from.empty()) imports_.Increment();
   if (record.cache_age) cache_age_.Observe(toSeconds(*record.cache_age));
+  list_age_at_placement_.Observe(toSeconds(record.list_age));
 }
 
 void GatewayMetrics::onWaiting(const RequestWaiting&) {
--- a/src/gateway_process/gateway_metrics.h
+++ b/src/gateway_process/gateway_metrics.h
@@ -68,6 +68,7 @@
   prometheus::Histogram& response_time_;
   prometheus::Histogram& time_to_refusal_;
   prometheus::Histogram& cache_age_;
+  prometheus::Histogram& list_age_at_placement_;
   LabelValues labeled_routes_;
   LabelValues labeled_tenants_;
 
@@ -77,6 +78,7 @@
   prometheus::Gauge& configuration_version;
   prometheus::Gauge& members;
   prometheus::Gauge& knowledge_age;
+  prometheus::Gauge& list_age;
   prometheus::Gauge& platform_reachable;
   prometheus::Gauge& holds_order_lease;
   prometheus::Gauge& serves;
--- a/tests/unit/gateway_control/fleet_view_test.cc
+++ b/tests/unit/gateway_control/fleet_view_test.cc
@@ -86,6 +86,24 @@
   CHECK(stateOf(fleet, "b", kStart + 9s) == EngineState::Leaving);
 }
 
+TEST_CASE("the change of an unlisted back end states how long it was kept in use", "[fleet_view]") {
+  FleetView fleet;
+  fleet.onListed(listed("a"), kStart);
+  fleet.onListed(listed("b", "10.0.0.2:80"), kStart);
+  fleet.backends(kStart);
+  fleet.takeChanges();
+  fleet.onRemoved("a", kStart + 1s);
+  fleet.backends(kStart + 1s);
+  REQUIRE(fleet.takeChanges().size() == 1);
+  fleet.onPlatformFailure(kStart + 5s);
+  fleet.onRemoved("b", kStart + 6s);
+  const TimePoint leaves_at = fleet.nextChange(kStart + 6s);
+  fleet.backends(leaves_at);
+  const std::vector<FleetChange> changes = fleet.takeChanges();
+  REQUIRE(changes.size() == 1);
+  CHECK(changes.front().kept == leaves_at - (kStart + 6s));
+}
+
 TEST_CASE("a new back end at the same address replaces the previous one", "[fleet_view]") {
   FleetView fleet;
   fleet.onListed(listed("old"), kStart);
--- a/tests/unit/gateway_control/gateway_admin_test.cc
+++ b/tests/unit/gateway_control/gateway_admin_test.cc
@@ -13,6 +13,7 @@
 #include "operator/explain.h"
 #include "operator/node_status.h"
 #include "unit/gateway_control/platform_link_fake.h"
+#include "unit/run_until.h"
 
 using namespace crankspur;
 using namespace crankspur::gateway;
@@ -56,6 +57,7 @@
   GatewayControlOutputs outputs() {
     GatewayControlOutputs outputs;
     outputs.publish = [this](std::shared_ptr<const GatewaySnapshot> snapshot) {
+      if (on_publish) on_publish(snapshot);
       process.publish(std::move(snapshot));
     };
     outputs.on_cached_parts = [](CachedPartsUpdate) {};
@@ -81,6 +83,7 @@
   }
 
   int silent_connection_notices = 0;  ///< Notifications to traffic.
+  std::function<void(const std::shared_ptr<const GatewaySnapshot>&)> on_publish;
   boost::asio::io_context context{1};
   NodeSettings settings = nodeSettings();
   BoundedEventLog log{quietLog()};
@@ -194,6 +197,29 @@
   CHECK(holds(fixture.get("/healthz"), "stopping"));
 }
 
+// The age of the list was reported as that of the operator's documents, which hid that a list was 5 s old.
+TEST_CASE("the age of the list of back ends is reported apart from that of the configuration",
+          "[gateway][admin]") {
+  AdminFixture fixture;
+  const TimePoint now = SteadyClock().now();
+  std::shared_ptr<const GatewaySnapshot> snapshot;
+  fixture.on_publish = [&snapshot](const auto& published) { snapshot = published; };
+  fixture.platform.platform_callbacks.on_contact(now + std::chrono::hours(1));
+  fixture.platform.platform_callbacks.on_list_contact(now + std::chrono::minutes(1));
+  fixture.platform.platform_callbacks.on_full_list({});
+  crankspur::runUntil(fixture.context, [&snapshot] { return snapshot != nullptr; });
+  CHECK(snapshot->listAge(now + std::chrono::minutes(3)) == std::chrono::minutes(2));
+  CHECK(snapshot->platformContactAge(now + std::chrono::hours(2)) == std::chrono::hours(1));
+  CHECK(holds(fixture.get("/status"), R"("list_age_ms":)"));
+  RequestPlaced placed;
+  placed.list_age = std::chrono::milliseconds(1'700);
+  fixture.observers.onPlaced(placed);
+  const http::Response metrics = fixture.get("/metrics");
+  CHECK(holds(metrics, R"(crankspur_gateway_placement_list_age_seconds_bucket{le="1.5"} 0)"));
+  CHECK(holds(metrics, R"(crankspur_gateway_placement_list_age_seconds_bucket{le="2"} 1)"));
+  CHECK(holds(metrics, "crankspur_gateway_list_age_seconds "));
+}
+
 TEST_CASE("the control side notifies traffic of silent connections", "[gateway][silent_connections]") {
   AdminFixture fixture;
   fixture.platform.platform_callbacks.on_connections_silent();
