--- a/tests/unit/gateway_control/fleet_view_test.cc
+++ b/tests/unit/gateway_control/fleet_view_test.cc
@@ -86,6 +86,19 @@
   CHECK(stateOf(fleet, "b", kStart + 9s) == EngineState::Leaving);
 }
 
+// Each further failure of a call, to the store or another gateway, started the grace period again: a back end
+// that had left without an announcement got requests for as long as calls failed.
+TEST_CASE("repeated platform failures do not prolong the use of a back end whose entry has disappeared",
+          "[fleet_view][departures]") {
+  constexpr Duration kDepartureLimit = 2s;
+  FleetView fleet;
+  fleet.onListed(listed("a"), kStart);
+  fleet.onPlatformFailure(kStart + 900ms);
+  fleet.onRemoved("a", kStart + 1s);
+  for (int failure = 1; failure <= 10; ++failure) fleet.onPlatformFailure(kStart + 1s + failure * 500ms);
+  CHECK(stateOf(fleet, "a", kStart + 1s + kDepartureLimit) == EngineState::Leaving);
+}
+
 TEST_CASE("the change of an unlisted back end states how long it was kept in use", "[fleet_view]") {
   FleetView fleet;
   fleet.onListed(listed("a"), kStart);
--- a/tests/unit/platform/fake_platform_store.h
+++ b/tests/unit/platform/fake_platform_store.h
@@ -1,6 +1,6 @@
 #pragma once
 /// @file Fake of the platform's store on the event loop of a test. The test writes the rows; feed requests
-/// are held until there is a change.
+/// are held until there is a change or their wait is over.
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -58,6 +58,7 @@
     std::string table;
     std::uint64_t after = 0;
     std::shared_ptr<http::ResponseWriter> writer;
+    std::shared_ptr<boost::asio::steady_timer> timer;  ///< Ends the wait.
   };
 
   void appendRow(Row row) {
@@ -82,15 +83,25 @@
       if (row.table == call.table && row.version > call.after) rows.push_back(toJson(row));
     }
     if (rows.empty()) return held_calls_.push_back(call);
+    call.timer->cancel();
     call.writer->respond(http::jsonResponse(200, body(rows)));
   }
 
+  void hold(const HeldCall& call) {
+    call.timer->async_wait([this, call](boost::system::error_code error) {
+      if (error) return;
+      held_calls_.remove_if([&call](const HeldCall& held) { return held.writer == call.writer; });
+      call.writer->respond(http::jsonResponse(200, body({})));
+    });
+    respondToFeed(call);
+  }
+
   void serve(const http::Request& request, const std::shared_ptr<http::ResponseWriter>& writer) {
     const std::string table = request.query("table");
     if (request.path() == "/rows-feed") {
-      const HeldCall call{table, std::stoull(request.query("after")), writer};
-      if (request.query("waitMs") != "0") return respondToFeed(call);
-      return writer->respond(http::jsonResponse(200, body({})));
+      const std::chrono::milliseconds wait(std::stoul(request.query("waitMs")));
+      const auto timer = std::make_shared<boost::asio::steady_timer>(context_, wait);
+      return hold({table, std::stoull(request.query("after")), writer, timer});
     }
     std::map<std::string, Row> current_rows;
     for (const Row& row : log_) {
--- a/tests/unit/platform/table_feed_test.cc
+++ b/tests/unit/platform/table_feed_test.cc
@@ -147,6 +147,17 @@
   CHECK(fixture.delivered == std::map<std::string, std::string>{{"b", "2"}});
 }
 
+// A compacted history counted as a failure of the platform. Back ends whose entries had disappeared by the
+// complete read that follows stayed in use for 2.8 s, as if the platform had been unreachable.
+TEST_CASE("a compacted history is not reported as a failure of the platform", "[table_feed][departures]") {
+  Fixture fixture;
+  fixture.feed.start();
+  fixture.runUntil([&] { return fixture.full_reads == 1; });
+  fixture.store.mode = FakeStore::Mode::HistoryCompacted;
+  fixture.runUntil([&] { return fixture.full_reads == 2; });
+  CHECK(fixture.failures == 0);
+}
+
 TEST_CASE("a feed recovers from rejected and unanswered calls and confirms nothing in the meantime",
           "[table_feed]") {
   Fixture fixture;
