--- a/src/gateway_control/gateway_control_serving.cc
+++ b/src/gateway_control/gateway_control_serving.cc
@@ -11,7 +11,7 @@
 #include "base/endpoint.h"
 #include "base/hash.h"
 #include "gateway_control/gateway_control.h"
-#include "gateway_control/list_batch_delay.h"
+#include "gateway_control/list_timing.h"
 #include "gateway_control/serving_timings.h"
 
 namespace crankspur::gateway {
