Do not let failures prolong the use of back ends whose entries have disappeared

A back end whose entry disappears around a failure of the platform stays in use for a grace period, since it may be healthy and write its entry again. Each later failure of any call started the 2.8 s anew for all of them, without a bound: a back end that left without an announcement got requests for as long as calls failed, also those of one gateway alone while the store was sound.

The period now ends at the departure limit less 0.2 s after the entry was seen to disappear, and later failures do not change it.

--- a/src/gateway_control/fleet_view.cc
+++ b/src/gateway_control/fleet_view.cc
@@ -13,6 +13,9 @@
 /// An entry that disappears around a platform failure counts as removed only after this time since the
 /// failure, so that a healthy back end can write it again.
 constexpr Duration kPlatformFailureGrace = std::chrono::milliseconds(2'800);
+/// The grace period ends this long before the departure limit, for the publication of the change and the way of
+/// the last requests to the back end.
+constexpr Duration kDepartureMargin = std::chrono::milliseconds(200);
 /// A removed back end is kept for this time because its runs may still continue.
 constexpr Duration kRetention = std::chrono::seconds(30);
 constexpr Duration kInitialAvoidance = std::chrono::milliseconds(500);
@@ -117,7 +120,9 @@
   entry.unlisted_at = now;
   const bool may_be_healthy =
       platform_has_failed_ && now - platform_failed_at_ < kPlatformFailureGrace && !entry.draining;
-  entry.leaving_from = may_be_healthy ? platform_failed_at_ + kPlatformFailureGrace : now;
+  const TimePoint grace_end =
+      std::min(platform_failed_at_ + kPlatformFailureGrace, now + departure_limit_ - kDepartureMargin);
+  entry.leaving_from = may_be_healthy ? std::max(grace_end, now) : now;
 }
 
 void FleetView::onFullList(const std::vector<std::string>& ids, TimePoint now) {
@@ -132,9 +137,6 @@
 void FleetView::onPlatformFailure(TimePoint now) {
   platform_has_failed_ = true;
   platform_failed_at_ = now;
-  for (auto& [id, entry] : entries_) {
-    if (!entry.listed && now < entry.leaving_from) entry.leaving_from = now + kPlatformFailureGrace;
-  }
 }
 
 void FleetView::onUnreachable(EngineSlot slot, std::uint64_t incarnation, TimePoint now) {
--- a/src/gateway_control/fleet_view.h
+++ b/src/gateway_control/fleet_view.h
@@ -50,11 +50,16 @@
 /// Assumed state of all back ends. Not thread-safe.
 class FleetView {
 public:
+  /// @param departure_limit maximum time from the listing of a back end as leaving to the last new request for
+  /// it.
+  explicit FleetView(Duration departure_limit = std::chrono::seconds(2)) : departure_limit_(departure_limit) {}
+
   void onListed(const ListedBackend& listed, TimePoint now);
   void onRemoved(const std::string& id, TimePoint now);
   /// The complete list was read: listed back ends that are not among `ids` are removed.
   void onFullList(const std::vector<std::string>& ids, TimePoint now);
-  /// The platform failed: entries that disappear soon after it may belong to healthy back ends.
+  /// The platform failed: entries that disappear soon after it may belong to healthy back ends. These stay in
+  /// use for a grace period within the departure limit, which later failures do not prolong.
   void onPlatformFailure(TimePoint now);
   /// Traffic could not reach the back end.
   void onUnreachable(EngineSlot slot, std::uint64_t incarnation, TimePoint now);
@@ -112,6 +117,7 @@
   void raiseWeights(Entry& entry, const std::string& model, const std::string& version, StateSource source);
   void recordListedWeights(const Entry& entry, const std::vector<LoadedModel>& previous_models);
 
+  Duration departure_limit_;
   std::map<std::string, Entry> entries_;
   std::map<std::string, std::string> newest_at_address_;  ///< By address: the id last listed there.
   TimePoint platform_failed_at_{};
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -94,6 +94,7 @@
       log_(log),
       gossip_(executor, gossipOptions(settings, incarnation), *this),
       serving_(settings.gossip, servingOptions(settings)),
+      fleet_(settings.departure_limit),
       orders_(executor, orderOptions(settings, incarnation), platform, orderCallbacks(), log),
       cache_watch_(executor, platform, cacheCallbacks()),
       crashes_(combineHashes(hashBytes(settings.name, 4), incarnation), clock_.now()),
