Take only repeated failures for an outage of the platform

A compacted history (410) and a single broken connection counted as failures of the platform, and started the grace period of back ends whose entries disappear: one that had left without an announcement stayed in use for up to 2.8 s more, although the store responded to the next call.

A compacted history is no failure. The feed of the list reports an outage when calls failed in succession or a call and its second one on another connection both failed; only that starts the grace period.

Two further tests say what counts as an outage.

--- a/sim/gateway_world/gateway_node_control.cc
+++ b/sim/gateway_world/gateway_node_control.cc
@@ -59,12 +59,14 @@
       });
 }
 
+/// A single call may fail because a message was lost.
 void GatewayNode::onStoreFailure() {
-  process_->fleet.onPlatformFailure(now());
+  if (++process_->failed_store_calls > 1) process_->fleet.onPlatformFailure(now());
 }
 
 void GatewayNode::onStoreResponse(const EngineTableUpdate& table_update, TimePoint requested_at,
                                   TimePoint requested_true_time) {
+  process_->failed_store_calls = 0;
   process_->table_version = table_update.version;
   for (const EngineRow& row : table_update.rows) {
     EngineProcess& engine = world_.engine(row.engine);
--- a/sim/gateway_world/gateway_process_state.h
+++ b/sim/gateway_world/gateway_process_state.h
@@ -31,6 +31,7 @@
   std::uint64_t table_version = 0;
   std::map<std::uint32_t, std::string> listed;  ///< Name of the listed process of each engine.
   bool has_configuration = false;
+  int failed_store_calls = 0;    ///< Since the last response.
   std::uint64_t store_call = 0;  ///< Number of the latest call; responses to earlier calls are ignored.
   Timer store_timer;
   Timer publish_timer;
--- a/src/gateway_control/fleet_view.h
+++ b/src/gateway_control/fleet_view.h
@@ -50,16 +50,17 @@
 /// Assumed state of all back ends. Not thread-safe.
 class FleetView {
 public:
-  /// @param departure_limit maximum time from the listing of a back end as leaving to the last new request for
-  /// it.
-  explicit FleetView(Duration departure_limit = std::chrono::seconds(2)) : departure_limit_(departure_limit) {}
+  /// @param departure_limit maximum time from the listing of a back end as leaving to the last new request
+  /// for it.
+  explicit FleetView(Duration departure_limit = std::chrono::seconds(2))
+      : departure_limit_(departure_limit) {}
 
   void onListed(const ListedBackend& listed, TimePoint now);
   void onRemoved(const std::string& id, TimePoint now);
   /// The complete list was read: listed back ends that are not among `ids` are removed.
   void onFullList(const std::vector<std::string>& ids, TimePoint now);
-  /// The platform failed: entries that disappear soon after it may belong to healthy back ends. These stay in
-  /// use for a grace period within the departure limit, which later failures do not prolong.
+  /// The platform was unavailable: entries that disappear soon after it may belong to healthy back ends.
+  /// These stay in use for a grace period within the departure limit, which later failures do not prolong.
   void onPlatformFailure(TimePoint now);
   /// Traffic could not reach the back end.
   void onUnreachable(EngineSlot slot, std::uint64_t incarnation, TimePoint now);
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -150,6 +150,7 @@
   callbacks.on_contact = [this](TimePoint as_of) { onContact(as_of); };
   callbacks.on_list_contact = [this](TimePoint as_of) { list_contact_->confirm(as_of); };
   callbacks.on_failure = [this] { onPlatformFailure(); };
+  callbacks.on_list_outage = [this] { fleet_.onPlatformFailure(now()); };
   callbacks.on_connections_silent = [this] { onConnectionsSilent(); };
   return callbacks;
 }
@@ -239,7 +240,6 @@
 }
 
 void GatewayControl::onPlatformFailure() {
-  fleet_.onPlatformFailure(now());
   if (std::exchange(platform_reachable_, false)) {
     unreachable_since_ = now();
     log_.write(EventId::PlatformUnreachable,
--- a/src/gateway_control/platform_link.h
+++ b/src/gateway_control/platform_link.h
@@ -48,6 +48,8 @@
   std::function<void(TimePoint as_of)> on_list_contact;
   /// The platform did not respond, or rejected a call.
   std::function<void()> on_failure;
+  /// Repeated calls for the list of back ends failed: back ends may have been unable to renew their entries.
+  std::function<void()> on_list_outage;
   /// Open connections to several peers went silent together; new connections may still work.
   std::function<void()> on_connections_silent;
 };
--- a/tests/unit/platform/departure_time_test.cc
+++ b/tests/unit/platform/departure_time_test.cc
@@ -57,6 +57,7 @@
     callbacks.on_connections_silent = [] {};
     callbacks.on_contact = [](TimePoint) {};
     callbacks.on_list_contact = [](TimePoint) {};
+    callbacks.on_list_outage = [] {};
     translator_.start(std::move(callbacks));
   }
 
--- a/tests/unit/platform/runner_entries_test.cc
+++ b/tests/unit/platform/runner_entries_test.cc
@@ -58,6 +58,7 @@
     callbacks.on_full_list = [this](const std::vector<std::string>& ids) { ++full_lists, full_list = ids; };
     callbacks.on_contact = [](TimePoint) {};
     callbacks.on_list_contact = [](TimePoint) {};
+    callbacks.on_list_outage = [] {};
     callbacks.on_failure = [this] { ++failures; };
     callbacks.on_connections_silent = [] {};
     translator.start(std::move(callbacks));
--- a/tests/unit/platform/silent_connections_test.cc
+++ b/tests/unit/platform/silent_connections_test.cc
@@ -45,6 +45,7 @@
     callbacks.on_failure = [] {};
     callbacks.on_connections_silent = [] {};
     callbacks.on_list_contact = [](TimePoint) {};
+    callbacks.on_list_outage = [] {};
     callbacks.on_contact = [this](TimePoint as_of) {
       recordAge();
       contact_ = std::max(contact_, as_of);
--- a/tests/unit/platform/table_feed_test.cc
+++ b/tests/unit/platform/table_feed_test.cc
@@ -314,6 +314,7 @@
     result.on_full_read = [](const std::vector<std::string>&) {};
     result.on_contact = [this](TimePoint) { ++contacts; };
     result.on_failure = [this] { ++failures; };
+    result.on_outage = [this] { ++outages; };
     result.on_silent_connection = [this] { ++silent_connections; };
     return result;
   }
@@ -324,6 +325,7 @@
   int late_calls = 0;
   int contacts = 0;
   int failures = 0;
+  int outages = 0;
   int silent_connections = 0;
   TableFeed feed;
 };
@@ -376,3 +378,42 @@
     CHECK(source.calls.size() == 3);
   }
 }
+
+// Each broken connection started the grace period of back ends whose entries disappear, so that those that
+// had left without an announcement stayed in use although the store responded to the next call.
+TEST_CASE("calls that fail in succession are an outage, a single one is not", "[table_feed][departures]") {
+  boost::asio::io_context context;
+  FakeSource source(context);
+  source.calls[0]({});
+  CHECK(source.failures == 1);
+  CHECK(source.outages == 0);
+  crankspur::runUntil(context, [&] { return source.calls.size() == 2; });
+
+  SECTION("the next call fails as well") {
+    source.calls[1]({});
+    CHECK(source.outages == 1);
+  }
+  SECTION("the next call gets a response, and a later one fails") {
+    source.calls[1](FakeSource::responseAt(10));
+    source.calls[2]({});
+    CHECK(source.failures == 2);
+    CHECK(source.outages == 0);
+  }
+  SECTION("the history is compacted") {
+    gateway::TableResponse compacted;
+    compacted.outcome = gateway::TableOutcome::HistoryCompacted;
+    source.calls[1](compacted);
+    CHECK(source.outages == 0);
+  }
+}
+
+TEST_CASE("a call and its second one on another connection that both fail are an outage",
+          "[table_feed][departures]") {
+  boost::asio::io_context context;
+  FakeSource source(context);
+  crankspur::runUntil(context, [&] { return source.calls.size() == 2; });
+  source.calls[0]({});
+  CHECK(source.outages == 0);
+  source.calls[1]({});
+  CHECK(source.outages == 1);
+}
