Read the limit that a back end names, and report its changes

No line and no metric mentioned the limit of requests per second that a back end in need names for all gateways together, so that a limit that is not read could not be told from one that is not kept.

The dialect reads it; events 1232 and 1233 and the metrics backend_limit_per_second and backend_limits_invalid_total report when it begins, changes, ends or is invalid. An invalid limit leaves the known one in force. A response to a request that was sent before the limit was last named does not end it. Placement does not use it yet.

--- a/sim/gateway_world/suspicion_trace.h
+++ b/sim/gateway_world/suspicion_trace.h
@@ -17,6 +17,8 @@
   void onMoved(const gateway::RequestMoved&) override {}
   void onEnded(const gateway::RequestEnded&) override {}
   void onOverQuota(const gateway::RequestOverQuota&) override {}
+  void onBackendLimitChanged(const gateway::BackendLimitChanged&) override {}
+  void onBackendLimitInvalid(const gateway::BackendLimitInvalid&) override {}
   void onDistrusted(const gateway::BackendDistrusted&) override {}
   void onSuspected(const gateway::RequestSuspected& record) override {
     context_.trace.note(host_.name(), "suspects {}: {} crashes, the last at {}, {} for {:.3f} s",
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -52,6 +52,9 @@
   bool other_request = false;  ///< The response belongs to another request: discard it.
   bool genuine = false;        ///< Has the headers of a response made by a back end itself.
   std::optional<std::uint64_t> weights_version;
+  /// Requests per second that the back end takes from all gateways together; empty: it names no limit.
+  std::optional<double> requests_per_second;
+  std::string invalid_limit;  ///< A limit that is no positive number; empty: none.
 };
 
 /// Translates heads. Stateless; safe to share between threads.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -38,6 +38,7 @@
   snapshot_ = std::move(snapshot);
   table_.onSnapshot(*snapshot_, now);
   choice_.onSnapshot(*snapshot_);
+  limits_.onSnapshot(*snapshot_);
   weights_.onSnapshot(*snapshot_, now);
   suspects_.removeExpired(now);
   if (snapshot_->configuration) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -15,6 +15,7 @@
 
 #include "admission/fleet_quotas.h"
 #include "base/random.h"
+#include "gateway/backend_limits.h"
 #include "gateway/backend_table.h"
 #include "gateway/crash_suspects.h"
 #include "gateway/engine_choice.h"
@@ -199,6 +200,9 @@
   void reportEnded(const Entry& entry, RequestOutcome outcome, int status, Duration retry_after,
                    TimePoint now);
 
+  // Limits that back ends name (gateway_limits.cc).
+  void recordLimit(const Entry& entry, const BackendResponse& response, TimePoint now);
+
   // Responses and failures (gateway_responses.cc).
   Entry* findExchange(ExchangeId exchange);
   const Entry* findExchange(ExchangeId exchange) const;
@@ -233,6 +237,7 @@
   RouteShares shares_;
   WeightsClock weights_;
   FleetQuotas quotas_;
+  BackendLimits limits_;
   CrashSuspects suspects_;
   /// A health request to a back end whose connection broke.
   struct Probe {
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -11,6 +11,8 @@
   void onMoved(const RequestMoved&) override {}
   void onEnded(const RequestEnded&) override {}
   void onOverQuota(const RequestOverQuota&) override {}
+  void onBackendLimitChanged(const BackendLimitChanged&) override {}
+  void onBackendLimitInvalid(const BackendLimitInvalid&) override {}
   void onDistrusted(const BackendDistrusted&) override {}
   void onSuspected(const RequestSuspected&) override {}
   void onSuspicionWithdrawn(const SuspicionWithdrawn&) override {}
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -180,6 +180,21 @@
   bool backend_live = false;  ///< True: the back end did not crash. False: the response was complete.
 };
 
+/// The limit of requests per second that a back end names for all gateways together has changed.
+struct BackendLimitChanged {
+  std::string_view backend;
+  double previous = 0;      ///< Requests per second; 0: there was no limit.
+  double limit = 0;         ///< Requests per second; 0: the limit has ended.
+  std::string_view source;  ///< "response", or the gateway that reported it.
+  Duration age{0};          ///< Since the back end named it.
+};
+
+/// A back end named a limit that is no positive number. The limit known before stays in force.
+struct BackendLimitInvalid {
+  std::string_view backend;
+  std::string_view text;
+};
+
 /// Is notified of decisions, on the thread that makes them. Views in records are valid only during the call.
 class RequestObserver {
 public:
@@ -193,6 +208,8 @@
   virtual void onDistrusted(const BackendDistrusted& record) = 0;
   virtual void onSuspected(const RequestSuspected& record) = 0;
   virtual void onSuspicionWithdrawn(const SuspicionWithdrawn& record) = 0;
+  virtual void onBackendLimitChanged(const BackendLimitChanged& record) = 0;
+  virtual void onBackendLimitInvalid(const BackendLimitInvalid& record) = 0;
 };
 
 /// @return an observer that does nothing.
--- a/src/gateway_process/gateway_metrics.cc
+++ b/src/gateway_process/gateway_metrics.cc
@@ -37,6 +37,10 @@
                     .Name(std::string(kPrefix) + "backends")
                     .Help("Back ends in view, by state.")
                     .Register(*registry_)),
+      backend_limits_(prometheus::BuildGauge()
+                          .Name(std::string(kPrefix) + "backend_limit_per_second")
+                          .Help("Requests per second that a back end named for all gateways together.")
+                          .Register(*registry_)),
       admitted_(counter("admitted_total", "Requests with a route and a valid key.")),
       dispatches_(counter("dispatches_total", "Requests sent to back ends.")),
       retries_(counter("repeats_total", "Of these, beyond the first of a request.")),
@@ -46,6 +50,8 @@
       suspected_(counter("requests_suspected_total", "Back ends that broke off, by request that they had.")),
       suspicions_withdrawn_(counter("suspicions_withdrawn_total",
                                     "Times that a whole answer or a back end that lives refuted that.")),
+      invalid_limits_(
+          counter("backend_limits_invalid_total", "Limits of back ends that are no positive number.")),
       prompt_tokens_(counter("prompt_tokens_total", "Prompt tokens of dispatches.")),
       uncached_tokens_(counter("uncached_tokens_total", "Of these, expected to be read by the engine.")),
       recomputed_shared_tokens_(counter("shared_tokens_again_total",
@@ -147,6 +153,17 @@
   suspicions_withdrawn_.Increment();
 }
 
+/// The series of a back end whose limit has ended is removed, since back ends come and go.
+void GatewayMetrics::onBackendLimitChanged(const BackendLimitChanged& record) {
+  prometheus::Gauge& limit = backend_limits_.Add({{"backend", std::string(record.backend)}});
+  limit.Set(record.limit);
+  if (record.limit == 0) backend_limits_.Remove(&limit);
+}
+
+void GatewayMetrics::onBackendLimitInvalid(const BackendLimitInvalid&) {
+  invalid_limits_.Increment();
+}
+
 void GatewayMetrics::setBackends(std::string_view state, std::size_t count) {
   backends_.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
 }
--- a/src/gateway_process/gateway_metrics.h
+++ b/src/gateway_process/gateway_metrics.h
@@ -39,6 +39,8 @@
   void onDistrusted(const BackendDistrusted& record) override;
   void onSuspected(const RequestSuspected& record) override;
   void onSuspicionWithdrawn(const SuspicionWithdrawn& record) override;
+  void onBackendLimitChanged(const BackendLimitChanged& record) override;
+  void onBackendLimitInvalid(const BackendLimitInvalid& record) override;
 
   /// Sets the number of back ends in `state` in the last published list.
   void setBackends(std::string_view state, std::size_t count);
@@ -53,6 +55,7 @@
   prometheus::Family<prometheus::Counter>& over_quota_;
   prometheus::Family<prometheus::Counter>& moves_;
   prometheus::Family<prometheus::Gauge>& backends_;
+  prometheus::Family<prometheus::Gauge>& backend_limits_;
   prometheus::Counter& admitted_;
   prometheus::Counter& dispatches_;
   prometheus::Counter& retries_;
@@ -60,6 +63,7 @@
   prometheus::Counter& backends_distrusted_;
   prometheus::Counter& suspected_;
   prometheus::Counter& suspicions_withdrawn_;
+  prometheus::Counter& invalid_limits_;
   prometheus::Counter& prompt_tokens_;
   prometheus::Counter& uncached_tokens_;
   prometheus::Counter& recomputed_shared_tokens_;
--- a/src/gateway_process/observer_pair.h
+++ b/src/gateway_process/observer_pair.h
@@ -46,6 +46,14 @@
     first_.onSuspicionWithdrawn(record);
     second_.onSuspicionWithdrawn(record);
   }
+  void onBackendLimitChanged(const BackendLimitChanged& record) override {
+    first_.onBackendLimitChanged(record);
+    second_.onBackendLimitChanged(record);
+  }
+  void onBackendLimitInvalid(const BackendLimitInvalid& record) override {
+    first_.onBackendLimitInvalid(record);
+    second_.onBackendLimitInvalid(record);
+  }
 
 private:
   RequestObserver& first_;
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -130,6 +130,19 @@
               {"oldest_report_ms", milliseconds(record.quota.oldest_report)}});
 }
 
+void RequestLog::onBackendLimitChanged(const BackendLimitChanged& record) {
+  log_.write(EventId::GatewayBackendLimitChanged,
+             {{"backend", record.backend},
+              {"from_per_second", fmt::format("{:.2f}", record.previous)},
+              {"to_per_second", fmt::format("{:.2f}", record.limit)},
+              {"source", record.source},
+              {"age_ms", milliseconds(record.age)}});
+}
+
+void RequestLog::onBackendLimitInvalid(const BackendLimitInvalid& record) {
+  log_.write(EventId::GatewayBackendLimitInvalid, {{"backend", record.backend}, {"limit", record.text}});
+}
+
 void RequestLog::onDistrusted(const BackendDistrusted& record) {
   log_.write(EventId::GatewayBackendDistrusted, {{"backend", record.backend},
                                                  {"cause", nameOf(record.cause)},
--- a/src/gateway_process/request_log.h
+++ b/src/gateway_process/request_log.h
@@ -21,6 +21,8 @@
   void onDistrusted(const BackendDistrusted& record) override;
   void onSuspected(const RequestSuspected& record) override;
   void onSuspicionWithdrawn(const SuspicionWithdrawn& record) override;
+  void onBackendLimitChanged(const BackendLimitChanged& record) override;
+  void onBackendLimitInvalid(const BackendLimitInvalid& record) override;
 
 private:
   EventLog& log_;
--- /dev/null
+++ b/tests/unit/gateway/backend_limits_test.cc
@@ -0,0 +1,62 @@
+/// @file Tests of the limits of requests per second that back ends name in their responses.
+
+#include "gateway/backend_limits.h"
+
+#include <catch2/catch.hpp>
+
+#include "unit/gateway/gateway_fixture.h"
+
+using namespace crankspur;
+using namespace crankspur::gateway;
+
+namespace {
+
+BackendResponse namedLimit(double per_second) {
+  BackendResponse response = genuineResponse();
+  response.requests_per_second = per_second;
+  return response;
+}
+
+}  // namespace
+
+TEST_CASE("a limit that a back end names is reported when it begins, changes and ends", "[backend_limits]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  const auto respond = [&fixture](const BackendResponse& response) {
+    // The other back end is at capacity, so that one back end gets all requests.
+    fixture.backends[1].view.state = EngineState::Leaving;
+    fixture.publish();
+    fixture.send("look");
+    fixture.advance(milliseconds(1'000));
+    fixture.head(200, response);
+    fixture.end();
+  };
+  respond(genuineResponse());
+  CHECK(fixture.observer.limits.empty());
+  respond(namedLimit(3));
+  respond(namedLimit(3));
+  REQUIRE(fixture.observer.limits.size() == 1);
+  CHECK(fixture.observer.limits[0].limit == 3);
+  respond(namedLimit(2.5));
+  REQUIRE(fixture.observer.limits.size() == 2);
+  CHECK(fixture.observer.limits[1].previous == 3);
+  BackendResponse invalid = genuineResponse();
+  invalid.invalid_limit = "-1";
+  respond(invalid);
+  CHECK(fixture.observer.invalid_limits == std::vector<std::string>{"-1"});
+  CHECK(fixture.observer.limits.size() == 2);
+  respond(genuineResponse());
+  REQUIRE(fixture.observer.limits.size() == 3);
+  CHECK(fixture.observer.limits[2].limit == 0);
+}
+
+TEST_CASE("a response to a request that was sent before the limit was named does not end it",
+          "[backend_limits]") {
+  BackendLimits limits;
+  const TimePoint start{seconds(100)};
+  REQUIRE(limits.onResponse(7, 3.0, start, start + seconds(1)));
+  CHECK_FALSE(limits.onResponse(7, std::nullopt, start + milliseconds(900), start + seconds(2)));
+  CHECK(limits.limitOf(7) == 3);
+  CHECK(limits.onResponse(7, std::nullopt, start + milliseconds(1'100), start + seconds(2)));
+  CHECK(limits.limitOf(7) == 0);
+}
--- a/tests/unit/gateway/gateway_fixture.h
+++ b/tests/unit/gateway/gateway_fixture.h
@@ -98,6 +98,10 @@
 
   void onSuspected(const RequestSuspected& record) override { suspected.push_back(record); }
   void onSuspicionWithdrawn(const SuspicionWithdrawn& record) override { withdrawn.push_back(record); }
+  void onBackendLimitChanged(const BackendLimitChanged& record) override { limits.push_back(record); }
+  void onBackendLimitInvalid(const BackendLimitInvalid& record) override {
+    invalid_limits.emplace_back(record.text);
+  }
 
   // Views in the records are invalid after the call; strings that tests compare are copied.
   std::vector<std::string> admitted;
@@ -112,6 +116,8 @@
   std::vector<std::string> distrusted;
   std::vector<RequestSuspected> suspected;
   std::vector<SuspicionWithdrawn> withdrawn;
+  std::vector<BackendLimitChanged> limits;
+  std::vector<std::string> invalid_limits;
 };
 
 class GatewayFixture {
--- a/tests/unit/platform/header_dialect_test.cc
+++ b/tests/unit/platform/header_dialect_test.cc
@@ -101,3 +101,23 @@
   response.headers["Content-Encoding"] = "gzip";
   CHECK_FALSE(dialect.readResponse(response, "r2").genuine);
 }
+
+TEST_CASE("a rate limit of a response is a positive decimal number, anything else is reported as invalid",
+          "[header_dialect][backend_limits]") {
+  const HeaderDialect dialect;
+  const auto read = [&dialect](const std::string& limit) {
+    http::Response head{200, {{"Attempt-Id", "r1"}, {"Server-Seal", "s"}}, ""};
+    if (!limit.empty()) head.headers["Server-Limit"] = limit;
+    return dialect.readResponse(head, "r1");
+  };
+  CHECK(read("3").requests_per_second == 3.0);
+  CHECK(read(" 2.9 ").requests_per_second == 2.9);
+  CHECK_FALSE(read("").requests_per_second);
+  CHECK(read("").invalid_limit.empty());
+  for (const std::string invalid :
+       {"0", "0.0", "-3", "many", "3 a second", "nan", "inf", "1e9", "99999999999", "3,2"}) {
+    INFO(invalid);
+    CHECK_FALSE(read(invalid).requests_per_second);
+    CHECK(read(invalid).invalid_limit == invalid);
+  }
+}
