Keep the limit that a back end names over all gateways together

Callers' requests drove back ends that were in need to several times the rate that they had asked for: 30 requests in 4 s at a limit of 2.9 a second, 22 allowed. No gateway used the limit.

A limit is enforced like a tenant's quota: the gateways report their use in the load digests, and each estimates what the whole fleet has sent in a sliding window of 4 s. They also report the limits themselves, with the time since the back end named them, so that a gateway that has received no response of the back end keeps to its limit as well and the newest word counts. A back end whose limit has no room is passed over and its requests go elsewhere; only if no other back end can take a request is it refused, at once, with about the time until there is room (cause back_ends_limited). Retries and resumptions count; requests that never reached the back end are refunded.

Further tests: all back ends limited, gateways restarted in turn, three of seven cut off, the end of a limit.

--- a/proto/crankspur.pb.c
+++ b/proto/crankspur.pb.c
@@ -60,6 +60,9 @@
 PB_BIND(crankspur_wire_TenantUse, crankspur_wire_TenantUse, AUTO)
 
 
+PB_BIND(crankspur_wire_BackendLimit, crankspur_wire_BackendLimit, AUTO)
+
+
 PB_BIND(crankspur_wire_LoadDigest, crankspur_wire_LoadDigest, AUTO)
 
 
--- a/src/admission/fleet_quotas.cc
+++ b/src/admission/fleet_quotas.cc
@@ -81,11 +81,23 @@
           known.quota->state(now)};
 }
 
+bool FleetQuotas::isExhausted(std::string_view tenant, TimePoint now) {
+  const auto found = tenants_.find(hashBytes(tenant));
+  if (found == tenants_.end()) return false;
+  const QuotaState state = found->second.quota->state(now);
+  return state.limit.isLimited() && state.left <= 0;
+}
+
 void FleetQuotas::refund(std::string_view tenant, double units, TimePoint now) {
   const auto found = tenants_.find(hashBytes(tenant));
   if (found != tenants_.end()) found->second.quota->refund(units, now);
 }
 
+Duration FleetQuotas::timeToRoom(std::string_view tenant, TimePoint now) {
+  const auto found = tenants_.find(hashBytes(tenant));
+  return found == tenants_.end() ? Duration(0) : found->second.quota->timeToRoom(now);
+}
+
 void FleetQuotas::onReport(std::string_view peer, const std::vector<TenantUse>& uses, TimePoint now) {
   const std::uint64_t id = hashBytes(peer);
   reporters_[id] = {now, !uses.empty()};
--- a/src/admission/fleet_quotas.h
+++ b/src/admission/fleet_quotas.h
@@ -44,7 +44,11 @@
   void setGateways(std::uint32_t gateways) { gateways_ = gateways; }
 
   QuotaDecision admit(std::string_view tenant, double units, TimePoint now);
+  /// @return whether nothing would be admitted now.
+  bool isExhausted(std::string_view tenant, TimePoint now);
   void refund(std::string_view tenant, double units, TimePoint now);
+  /// @return time until the quota is expected to have room; 0 without a limit.
+  Duration timeToRoom(std::string_view tenant, TimePoint now);
 
   /// Another gateway reported its use.
   void onReport(std::string_view peer, const std::vector<TenantUse>& uses, TimePoint now);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -32,13 +32,14 @@
       shares_(random_),
       weights_(settings.older_weights_grace),
       quotas_(settings.quota_tolerance, random_),
+      limits_(random_),
       suspects_(settings.crash_policy) {}
 
 void Gateway::onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot, TimePoint now) {
   snapshot_ = std::move(snapshot);
   table_.onSnapshot(*snapshot_, now);
   choice_.onSnapshot(*snapshot_);
-  limits_.onSnapshot(*snapshot_);
+  limits_.onSnapshot(*snapshot_, now);
   weights_.onSnapshot(*snapshot_, now);
   suspects_.removeExpired(now);
   if (snapshot_->configuration) {
@@ -59,6 +60,7 @@
 LoadDigest Gateway::ownLoadDigest(TimePoint now) {
   LoadDigest digest = choice_.ownLoadDigest();
   digest.tenants = quotas_.report(now);
+  limits_.report(digest, now);
   return digest;
 }
 
@@ -166,12 +168,13 @@
 /// Chooses from the pool selected by the route's shares. If no back end of it is eligible, tries the other
 /// pools of the route.
 Choice Gateway::choose(Entry& entry, TimePoint now) {
-  Choice choice = choice_.choose(choiceRequest(entry, *entry.pool), *snapshot_, table_, now);
+  entry.passed_over = 0;
+  Choice choice = chooseWithinLimits(entry, *entry.pool, now);
   if (choice.backend != nullptr || choice.at_capacity) return choice;
   for (const PoolShare& share : entry.route->pools) {
     const Pool* other = entry.configuration->findPool(share.pool);
     if (other == nullptr || other == entry.pool || share.weight == 0) continue;
-    Choice second = choice_.choose(choiceRequest(entry, *other), *snapshot_, table_, now);
+    Choice second = chooseWithinLimits(entry, *other, now);
     if (second.backend == nullptr) continue;
     entry.pool = other;
     return second;
@@ -183,20 +186,29 @@
   if (!checkQuarantine(entry, now)) return;
   const Choice choice = choose(entry, now);
   if (choice.backend == nullptr) {
+    if (entry.passed_over > 0 && !choice.at_capacity) {
+      return giveUpFor(entry, RequestCause::back_ends_limited, now);
+    }
     entry.cause = choice.at_capacity ? RequestCause::back_ends_full : RequestCause::no_back_end;
     return wait(entry, now);
   }
-  if (entry.deadline - now < kMinTimeLeft) return giveUpFor(entry, RequestCause::no_time_left, now);
-  if (now + choice.expected_first_byte >= entry.deadline) {
-    return giveUpFor(entry, RequestCause::expected_too_late, now);
-  }
-  if (wouldStartTooLate(entry, choice, now)) {
-    entry.expected_wait = choice.expected_wait;
-    return giveUpFor(entry, RequestCause::queues_too_long, now);
+  if (const std::optional<RequestCause> cause = reasonNotToDispatch(entry, choice, now)) {
+    limits_.refund(choice.backend->view.incarnation, now);
+    return giveUpFor(entry, *cause, now);
   }
   dispatch(entry, choice, now);
 }
 
+/// @return why the request cannot be served in time; empty: it can.
+std::optional<RequestCause> Gateway::reasonNotToDispatch(Entry& entry, const Choice& choice,
+                                                         TimePoint now) const {
+  if (entry.deadline - now < kMinTimeLeft) return RequestCause::no_time_left;
+  if (now + choice.expected_first_byte >= entry.deadline) return RequestCause::expected_too_late;
+  if (!wouldStartTooLate(entry, choice, now)) return std::nullopt;
+  entry.expected_wait = choice.expected_wait;
+  return RequestCause::queues_too_long;
+}
+
 /// Under overload, queues would otherwise grow until every response is late. A request whose first byte is
 /// due before the best engine would start it is refused at once, so that the others stay in time. The time
 /// that its own prompt takes does not count, since a long prompt must not be refused for its length.
@@ -316,9 +328,14 @@
 
 /// Random around half of the first-byte target, so that clients refused at the same time do not retry at the
 /// same time. If queues are too long, also the time until they are expected to be short enough. For a
-/// quarantined request, the time left of the quarantine.
+/// quarantined request, the time left of the quarantine. If limits of back ends are used up, around the time
+/// until one has room.
 Duration Gateway::retryAfter(const Entry& entry, TimePoint now) {
   if (entry.cause == RequestCause::quarantined) return entry.quarantined_until - now;
+  if (entry.cause == RequestCause::back_ends_limited) {
+    const Duration room = std::max(entry.time_to_room, kMinRetryAfter);
+    return Duration(static_cast<std::int64_t>(static_cast<double>(room.count()) * (0.5 + random_.unit())));
+  }
   const Duration base = entry.route->first_byte_target / 2;
   const Duration excess = std::max(Duration(0), entry.expected_wait - entry.route->first_byte_target);
   const Duration bounded = std::clamp(base, kMinRetryAfter, kMaxRetryAfter) + excess;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -57,6 +57,7 @@
   void onPeerLoad(const std::string& sender, const LoadDigest& digest, TimePoint now) {
     choice_.onPeerLoad(sender, digest, now);
     quotas_.onReport(sender, digest.tenants, now);
+    recordReportedLimits(digest, now);
   }
   /// @return the requests that this gateway has at each engine and its use of quotas, to send to the other
   /// gateways.
@@ -143,6 +144,8 @@
     bool isolated = false;                  ///< Back ends may have crashed because of it.
     TimePoint quarantined_until{};          ///< Set when a quarantine prevents its dispatch.
     Duration expected_wait{0};              ///< At the best back end, if that is why it was refused.
+    std::uint32_t passed_over = 0;          ///< Back ends whose limits had no room at the last placement.
+    Duration time_to_room{0};               ///< Until the first of these limits has room.
     std::uint32_t backends_reached = 0;     ///< Limited by the route's max_attempts.
     std::uint32_t dispatches = 0;
     bool waiting = false;  ///< Queued for a back end with capacity.
@@ -162,6 +165,7 @@
   bool checkQuota(Entry& entry, const GatewayTenant& tenant, TimePoint now);
   void refundQuota(const Entry& entry, TimePoint now);
   void place(Entry& entry, TimePoint now);
+  std::optional<RequestCause> reasonNotToDispatch(Entry& entry, const Choice& choice, TimePoint now) const;
   bool wouldStartTooLate(const Entry& entry, const Choice& choice, TimePoint now) const;
   Choice choose(Entry& entry, TimePoint now);
   ChoiceRequest choiceRequest(const Entry& entry, const Pool& pool);
@@ -202,6 +206,9 @@
 
   // Limits that back ends name (gateway_limits.cc).
   void recordLimit(const Entry& entry, const BackendResponse& response, TimePoint now);
+  void recordReportedLimits(const LoadDigest& digest, TimePoint now);
+  Choice chooseWithinLimits(Entry& entry, const Pool& pool, TimePoint now);
+  void passOver(Entry& entry, const Backend& backend, TimePoint now);
 
   // Responses and failures (gateway_responses.cc).
   Entry* findExchange(ExchangeId exchange);
--- a/src/gateway/gateway_limits.cc
+++ b/src/gateway/gateway_limits.cc
@@ -1,5 +1,7 @@
 /// @file Member functions of Gateway for the limits of requests per second that back ends name.
 
+#include <algorithm>
+
 #include "gateway/gateway.h"
 
 namespace crankspur::gateway {
@@ -18,4 +20,41 @@
   observer_.onBackendLimitChanged({entry.last_backend, change->previous, change->limit, "response"});
 }
 
+void Gateway::recordReportedLimits(const LoadDigest& digest, TimePoint now) {
+  const auto on_change = [&](std::uint64_t incarnation, const LimitChange& change) {
+    if (snapshot_ == nullptr) return;
+    for (const Backend& backend : snapshot_->backends) {
+      if (backend.view.incarnation != incarnation) continue;
+      observer_.onBackendLimitChanged(
+          {backend.view.name, change.previous, change.limit, digest.sender, limits_.age(incarnation, now)});
+    }
+  };
+  limits_.onReport(digest, on_change, now);
+}
+
+/// Chooses among the back ends whose limits have room. The request counts towards the limit of the chosen
+/// one.
+Choice Gateway::chooseWithinLimits(Entry& entry, const Pool& pool, TimePoint now) {
+  ChoiceRequest request = choiceRequest(entry, pool);
+  if (!limits_.any()) return choice_.choose(request, *snapshot_, table_, now);
+  for (const Backend& backend : snapshot_->backends) {
+    if (backend.view.pool != pool.name || !limits_.isExhausted(backend.view.incarnation, now)) continue;
+    request.excluded.push_back(backend.view.slot);
+    passOver(entry, backend, now);
+  }
+  Choice choice = choice_.choose(request, *snapshot_, table_, now);
+  while (choice.backend != nullptr && !limits_.admit(choice.backend->view.incarnation, now)) {
+    request.excluded.push_back(choice.backend->view.slot);
+    passOver(entry, *choice.backend, now);
+    choice = choice_.choose(request, *snapshot_, table_, now);
+  }
+  return choice;
+}
+
+void Gateway::passOver(Entry& entry, const Backend& backend, TimePoint now) {
+  const Duration room = limits_.timeToRoom(backend.view.incarnation, now);
+  entry.time_to_room = entry.passed_over == 0 ? room : std::min(entry.time_to_room, room);
+  ++entry.passed_over;
+}
+
 }  // namespace crankspur::gateway
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -59,6 +59,8 @@
       return "queues_too_long";
     case RequestCause::no_back_end:
       return "no_back_end";
+    case RequestCause::back_ends_limited:
+      return "back_ends_limited";
     case RequestCause::back_ends_full:
       return "back_ends_full";
     case RequestCause::back_end_full:
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -32,6 +32,7 @@
   queues_too_long,       ///< The best back end would start it after its first byte is due.
   no_back_end,           ///< No back end of the pool is eligible for the request.
   back_ends_full,        ///< The eligible back ends are at capacity.
+  back_ends_limited,     ///< The limits of requests per second that the back ends named are used up.
   back_end_full,         ///< The back end responded that it is at capacity and has not run the request.
   back_end_unreachable,  ///< No connection could be made, nothing was sent.
   back_end_replaced,     ///< Another incarnation responded at the address.
@@ -90,7 +91,8 @@
   double cost = 0;             ///< The quantity minimized: seconds for engines, load for runners.
   std::string_view runner_up;  ///< Id of the second best; empty: there was no other candidate.
   double runner_up_cost = 0;
-  std::uint32_t in_flight = 0;  ///< Requests of this gateway already at the back end.
+  std::uint32_t in_flight = 0;    ///< Requests of this gateway already at the back end.
+  std::uint32_t passed_over = 0;  ///< Back ends that were not compared because their limits had no room.
   std::uint32_t prompt_tokens = 0;
   std::uint32_t uncached_tokens = 0;      ///< Expected to be prefilled; imported tokens are not counted.
   std::uint32_t shared_tokens_again = 0;  ///< To be prefilled although cached at some back end.
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -66,6 +66,7 @@
               {"runner_up", record.runner_up},
               {"runner_up_cost", fmt::format("{:.4f}", record.runner_up_cost)},
               {"in_flight", record.in_flight},
+              {"passed_over", record.passed_over},
               {"uncached_tokens", record.uncached_tokens},
               {"shared_part", fmt::format("{:x}", record.shared_part)},
               {"shared_tokens", record.shared_tokens},
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -180,7 +180,7 @@
 void TrafficLoop::sendLoadDigest() {
   load_digest_scheduled_ = false;
   LoadDigest digest = gateway_.ownLoadDigest(now());
-  sent_load_ = !digest.loads.empty() || !digest.tenants.empty();
+  sent_load_ = !digest.loads.empty() || !digest.tenants.empty() || !digest.limits.empty();
   callbacks_.on_own_load_digest(std::move(digest));
   scheduleLoadDigest();
 }
--- a/src/internal_protocol/field_mapping.h
+++ b/src/internal_protocol/field_mapping.h
@@ -34,6 +34,7 @@
 CRANKSPUR_WIRE_TRAITS(CacheSummary)
 CRANKSPUR_WIRE_TRAITS(EngineLoad)
 CRANKSPUR_WIRE_TRAITS(TenantUse)
+CRANKSPUR_WIRE_TRAITS(BackendLimit)
 CRANKSPUR_WIRE_TRAITS(LoadDigest)
 CRANKSPUR_WIRE_TRAITS(ClaimPrepare)
 CRANKSPUR_WIRE_TRAITS(ClaimReply)
@@ -244,11 +245,19 @@
   archive.number(wire.asked_per_second, plain.asked_per_second);
 }
 
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_BackendLimit& wire, Plain& plain) {
+  archive.number(wire.backend, plain.backend);
+  archive.number(wire.milli_per_second, plain.milli_per_second);
+  archive.number(wire.age_milliseconds, plain.age_milliseconds);
+}
+
 template <typename Archive, typename Plain>
 void mapFields(Archive& archive, crankspur_wire_LoadDigest& wire, Plain& plain) {
   archive.text(wire.sender, plain.sender);
   archive.records(wire.loads, plain.loads);
   archive.records(wire.tenants, plain.tenants);
+  archive.records(wire.limits, plain.limits);
 }
 
 template <typename Archive, typename Plain>
--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -210,19 +210,28 @@
   std::uint32_t age_milliseconds = 0;  ///< Age of the observation when sent.
 };
 
-/// Use of a tenant's quota by the sender (admission/tenant_quota.h).
+/// Use by the sender of a tenant's quota (admission/tenant_quota.h), or of the limit of a back end in
+/// thousandths of a request (gateway/backend_limits.h).
 struct TenantUse {
-  std::uint64_t tenant = 0;               ///< Hash of its name.
+  std::uint64_t tenant = 0;               ///< Hash of the name of the tenant or back end.
   std::uint64_t admitted = 0;             ///< Units since the sender started.
   std::uint32_t admitted_per_second = 0;  ///< Recent rate.
   std::uint32_t asked_per_second = 0;     ///< Recent rate, rejected requests included.
 };
 
-/// Loads of engines and use of quotas, broadcast to peers.
+/// The limit that a back end named last in a response to the sender.
+struct BackendLimit {
+  std::uint64_t backend = 0;           ///< Incarnation.
+  std::uint32_t milli_per_second = 0;  ///< Thousandths of a request per second; 0: the limit has ended.
+  std::uint32_t age_milliseconds = 0;  ///< Since that response.
+};
+
+/// Loads of engines, use of quotas and limits of back ends, broadcast to peers.
 struct LoadDigest {
   std::string sender;
   std::vector<EngineLoad> loads;
   std::vector<TenantUse> tenants;
+  std::vector<BackendLimit> limits;
 };
 
 /// A peer's request could not be served; the connection stays open unless the code is Malformed,
--- a/tests/unit/gateway/backend_limits_fleet_test.cc
+++ b/tests/unit/gateway/backend_limits_fleet_test.cc
@@ -199,3 +199,69 @@
   INFO(gateways << " gateways");
   CHECK(fleet.mostInWindow(kLimitedSlot, named_at + kContactTime) <= kAllowed);
 }
+
+TEST_CASE("a limit that all back ends name refuses the rest at once and is kept through restarts and cuts",
+          "[backend_limits]") {
+  constexpr std::size_t kGateways = 7;
+  LimitedFleet fleet(kGateways);
+  fleet.run(seconds(2), 40);
+  fleet.limitAll();
+  fleet.setLimit("3");
+  const TimePoint named_at = fleet.now();
+  fleet.run(seconds(6), 40);
+  CHECK(fleet.refused() > 0);
+  const std::size_t before = fleet.received(kLimitedSlot);
+  SECTION("undisturbed, the limit is used") {
+    fleet.run(seconds(20), 40);
+    CHECK(static_cast<double>(fleet.received(kLimitedSlot) - before) > 0.6 * kLimit * 20);
+  }
+  SECTION("gateways restart one after the other") {
+    for (std::size_t index = 0; index < kGateways; ++index) {
+      fleet.restart(index);
+      fleet.run(seconds(1), 40);
+    }
+  }
+  SECTION("three gateways are cut off from the others") {
+    fleet.cut(0, 3);
+    fleet.run(seconds(20), 40);
+  }
+  CHECK(fleet.mostInWindow(kLimitedSlot, named_at + kContactTime) <= kAllowed);
+}
+
+TEST_CASE("a back end whose limit has ended gets as many requests as before", "[backend_limits]") {
+  LimitedFleet fleet(7);
+  fleet.setLimit("3");
+  fleet.run(seconds(6), 40);
+  fleet.setLimit(std::nullopt);
+  fleet.run(seconds(3), 40);
+  const std::size_t before = fleet.received(kLimitedSlot);
+  fleet.run(seconds(5), 40);
+  CHECK(fleet.received(kLimitedSlot) - before > 100);
+}
+
+TEST_CASE("a gateway keeps to a limit that only another one was told", "[backend_limits]") {
+  RandomSource random(1);
+  BackendLimits told(random);
+  BackendLimits other(random);
+  const TimePoint now{seconds(100)};
+  told.onResponse(7, 3.0, now, now);
+  LoadDigest digest;
+  digest.sender = "told";
+  told.report(digest, now + milliseconds(50));
+  REQUIRE(digest.limits.size() == 1);
+  std::vector<double> changes;
+  const auto on_change = [&changes](std::uint64_t, const LimitChange& change) {
+    changes.push_back(change.limit);
+  };
+  other.onReport(digest, on_change, now + milliseconds(100));
+  CHECK(other.limitOf(7) == 3);
+  // What it was told itself is newer than the report.
+  other.onResponse(7, std::nullopt, now + milliseconds(200), now + milliseconds(300));
+  other.onReport(digest, on_change, now + milliseconds(310));
+  CHECK(other.limitOf(7) == 0);
+  CHECK(changes == std::vector<double>{3});
+  LoadDigest ended;
+  other.report(ended, now + milliseconds(350));
+  told.onReport(ended, on_change, now + milliseconds(400));
+  CHECK(told.limitOf(7) == 0);
+}
--- a/tests/unit/gateway/backend_limits_test.cc
+++ b/tests/unit/gateway/backend_limits_test.cc
@@ -52,7 +52,8 @@
 
 TEST_CASE("a response to a request that was sent before the limit was named does not end it",
           "[backend_limits]") {
-  BackendLimits limits;
+  RandomSource random(1);
+  BackendLimits limits(random);
   const TimePoint start{seconds(100)};
   REQUIRE(limits.onResponse(7, 3.0, start, start + seconds(1)));
   CHECK_FALSE(limits.onResponse(7, std::nullopt, start + milliseconds(900), start + seconds(2)));
--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -27,6 +27,7 @@
 std::string describeFields(const CacheNote& value);
 std::string describeFields(const CacheNotePart& value);
 std::string describeFields(const TenantUse& value);
+std::string describeFields(const BackendLimit& value);
 std::string describeFields(const LoadDigest& value);
 std::string describeFields(const BackendRecord& value);
 std::string describeFields(const ClaimPrepare& value);
@@ -225,9 +226,13 @@
                      value.asked_per_second);
 }
 
+std::string describeFields(const BackendLimit& value) {
+  return fmt::format("BackendLimit {} {} {}", value.backend, value.milli_per_second, value.age_milliseconds);
+}
+
 std::string describeFields(const LoadDigest& value) {
-  return fmt::format("LoadDigest {} {} {}", value.sender, describeAll(value.loads),
-                     describeAll(value.tenants));
+  return fmt::format("LoadDigest {} {} {} {}", value.sender, describeAll(value.loads),
+                     describeAll(value.tenants), describeAll(value.limits));
 }
 
 std::string describeFields(const ClaimPrepare& value) {
@@ -476,11 +481,20 @@
   return value;
 }
 
+BackendLimit exampleBackendLimit() {
+  BackendLimit value;
+  value.backend = ~0ull - 99;
+  value.milli_per_second = ~0u - 99;
+  value.age_milliseconds = ~0u - 100;
+  return value;
+}
+
 LoadDigest exampleLoadDigest() {
   LoadDigest value;
   value.sender = "sender";
   value.loads = {exampleEngineLoad(), EngineLoad{}};
   value.tenants = {exampleTenantUse(), TenantUse{}};
+  value.limits = {exampleBackendLimit(), BackendLimit{}};
   return value;
 }
 
