Simulate engines that leave, and check what they get after their departure

No check compared a gateway's sends with the time at which the store took a departure: the fault in the grace period of vanished entries was found by reading.

The scenario gateway_departures lets engines leave besides the faults of gateway; half of them remove their row without an announcement. The checker "departure" reports a request that is sent more than 2 s after the store took the departure by a gateway that, like the store, was undisturbed for 3 s.

--- a/sim/gateway_world/engine_process.cc
+++ b/sim/gateway_world/engine_process.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <utility>
 
 #include "base/hash.h"
 
@@ -13,6 +14,10 @@
 constexpr std::size_t kQueuePerSlot = 3;
 constexpr std::uint64_t kMinRestartMilliseconds = 1'200;
 constexpr std::uint64_t kMaxRestartMilliseconds = 4'000;
+/// Bounds of the time for which a leaving engine still serves.
+constexpr std::uint64_t kMinLeavingMilliseconds = 3'000;
+constexpr std::uint64_t kMaxLeavingMilliseconds = 8'000;
+constexpr Duration kIdleCheckInterval = std::chrono::milliseconds(100);
 /// Maximum durations of the prefill of a stream, of the gap between events, and of a response without events.
 constexpr std::uint64_t kMaxPrefillMilliseconds = 250;
 constexpr std::uint64_t kMaxEventGapMilliseconds = 120;
@@ -52,15 +57,37 @@
   started_ms_ =
       static_cast<std::uint64_t>(context_.queue.now().time_since_epoch() / std::chrono::milliseconds(1));
   running_ = 0;
+  leaving_ = false;
   context_.trace.note(host_.name(), "starts");
   heartbeat();
 }
 
 void EngineProcess::heartbeat() {
-  store_.writeEngine(host_, number_, started_ms_);
+  if (leaving_) {
+    store_.writeDeparture(host_, number_, announces_departure_);
+  } else {
+    store_.writeEngine(host_, number_, started_ms_);
+  }
   host_.post(kHeartbeat, [this] { heartbeat(); });
 }
 
+void EngineProcess::leave(bool announced) {
+  if (!host_.up() || std::exchange(leaving_, true)) return;
+  context_.trace.note(host_.name(), "leaves, announced: {}", announced);
+  announces_departure_ = announced;
+  store_.writeDeparture(host_, number_, announced);
+  const auto time = context_.random.uniform(kMinLeavingMilliseconds, kMaxLeavingMilliseconds);
+  host_.post(std::chrono::milliseconds(time), [this] { endWhenIdle(); });
+}
+
+void EngineProcess::endWhenIdle() {
+  if (!runs_.empty() || !in_transit_.empty()) {
+    return host_.post(kIdleCheckInterval, [this] { endWhenIdle(); });
+  }
+  context_.network.crash(host_, false);
+  context_.queue.after(std::chrono::milliseconds(kMinRestartMilliseconds), [this] { start(); });
+}
+
 void EngineProcess::crash(bool silent, std::optional<BodyId> cause) {
   if (!host_.up()) return;
   EngineCrash record;
--- a/sim/gateway_world/engine_process.h
+++ b/sim/gateway_world/engine_process.h
@@ -52,6 +52,12 @@
   /// @param silent the connections are not closed, as at a power loss.
   void crash(bool silent, std::optional<BodyId> cause = std::nullopt);
 
+  /// Leaves as planned: the process serves on for some seconds after it has written its departure, completes
+  /// its requests and ends. A new one starts.
+  /// @param announced its row says that it leaves; otherwise the row is removed.
+  void leave(bool announced);
+  bool isLeaving() const { return leaving_; }
+
   sim::Host& host() { return host_; }
   std::uint32_t number() const { return number_; }
   /// @return "IP:port".
@@ -85,6 +91,7 @@
   using RunPointer = std::shared_ptr<Run>;
 
   void heartbeat();
+  void endWhenIdle();
   void startNext();
   void startRun(const RunPointer& run);
   void sendHead(const RunPointer& run);
@@ -100,6 +107,8 @@
   sim::Host host_;
   std::string address_;
   std::uint64_t started_ms_ = 0;
+  bool leaving_ = false;
+  bool announces_departure_ = false;
   std::set<std::size_t> in_transit_;  ///< EngineRuns of requests that were written and have not arrived.
   std::map<std::size_t, RunPointer> runs_;  ///< Running or queued, by EngineRun.
   std::deque<RunPointer> queue_;
--- a/sim/gateway_world/fleet_checkers.cc
+++ b/sim/gateway_world/fleet_checkers.cc
@@ -3,7 +3,9 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <map>
 #include <set>
+#include <utility>
 
 #include "sim/gateway_world/fleet_history.h"
 
@@ -23,6 +25,9 @@
 constexpr std::uint32_t kCrashesUntilIsolated = 2;
 constexpr std::uint32_t kConcurrentCrashesUntilQuarantined = 4;
 constexpr Duration kRestartTime = std::chrono::seconds(5);
+constexpr Duration kDepartureLimit = std::chrono::seconds(2);
+/// A gateway that was undisturbed for this long, as was the store, has read the list of engines.
+constexpr Duration kContactTime = std::chrono::seconds(3);
 
 double secondsOfRun(TimePoint instant) {
   return toSeconds(instant.time_since_epoch()) - 3600.0;
@@ -170,6 +175,30 @@
   }
 }
 
+/// No gateway sends a request to an engine process later than the departure limit after the store took its
+/// departure, unless the gateway or the store was disturbed so shortly before that it may not know of it.
+void checkDepartures(const FleetHistory& history, Violations& violations) {
+  std::map<std::pair<std::uint32_t, std::uint64_t>, TimePoint> listed_at;
+  for (const EngineDeparture& departure : history.records().departures) {
+    listed_at.try_emplace({departure.engine, departure.engine_start}, departure.listed_at);
+  }
+  for (const EngineRun& run : history.records().runs) {
+    const auto departed = listed_at.find({run.engine, run.engine_start});
+    if (departed == listed_at.end() || run.sent_at <= departed->second + kDepartureLimit) continue;
+    const TimePoint from = run.sent_at - kContactTime;
+    const bool undisturbed = history.isUndisturbed(run.gateway, run.sent_at, run.sent_at, kContactTime) &&
+                             history.isStoreUndisturbed(from, run.sent_at) &&
+                             history.areMessagesUndisturbed(from, run.sent_at);
+    if (!undisturbed) continue;
+    violations.push_back(
+        {"departure",
+         fmt::format("gateway-{} sent body {} at {:.3f} s to engine-{}, whose departure was listed "
+                     "at {:.3f} s",
+                     run.gateway, run.body, secondsOfRun(run.sent_at), run.engine,
+                     secondsOfRun(departed->second))});
+  }
+}
+
 void checkResponses(const FleetHistory& history, Violations& violations) {
   const Records& records = history.records();
   for (std::size_t index = 0; index < records.attempts.size(); ++index) {
@@ -197,6 +226,7 @@
   checkIsolation(history, violations);
   checkAgreement(history, context, world, violations);
   checkKeys(history, context, violations);
+  checkDepartures(history, violations);
   checkResponses(history, violations);
   return violations;
 }
--- a/sim/gateway_world/fleet_faults.cc
+++ b/sim/gateway_world/fleet_faults.cc
@@ -1,5 +1,6 @@
 #include "sim/gateway_world/fleet_faults.h"
 
+#include <algorithm>
 #include <set>
 
 namespace crankspur::gateway_sim {
@@ -13,6 +14,8 @@
 constexpr double kEngineShare = 0.3;
 constexpr double kResetShare = 0.5;
 constexpr double kGatewayShare = 0.4;
+constexpr std::size_t kEnginesPerLeaving = 4;
+constexpr double kAnnouncedShare = 0.5;
 
 }  // namespace
 
@@ -80,6 +83,8 @@
       return world_.store().loseRows(random_.unit());
     case FleetFault::datagrams_lost:
       return disturbDatagrams();
+    case FleetFault::engines_leave:
+      return letEngineLeave();
   }
 }
 
@@ -93,6 +98,15 @@
   }
 }
 
+/// At most a quarter of the engines leave at a time, so that the others can take the requests.
+void FleetFaults::letEngineLeave() {
+  const auto& engines = world_.engines();
+  const auto leaving =
+      std::count_if(engines.begin(), engines.end(), [](const auto& engine) { return engine->isLeaving(); });
+  if (static_cast<std::size_t>(leaving) * kEnginesPerLeaving >= engines.size()) return;
+  engines[random_.uniform(0, engines.size() - 1)]->leave(random_.chance(kAnnouncedShare));
+}
+
 void FleetFaults::resetConnections() {
   context_.network.resetRandomChannels(kResetShare * (1 + random_.unit()));
   context_.records.connections.push_back({context_.queue.now(), context_.queue.now()});
--- a/sim/gateway_world/fleet_faults.h
+++ b/sim/gateway_world/fleet_faults.h
@@ -23,6 +23,7 @@
   store_rows_lost,  ///< Rows of engines are removed until the engines write them again.
   datagrams_lost,   ///< Datagrams are lost and duplicated, and messages delayed.
   last = datagrams_lost,
+  engines_leave,  ///< An engine leaves as planned. Not among the faults that plan() draws from.
 };
 
 /// Schedules and injects faults.
@@ -40,6 +41,7 @@
 private:
   void inject(FleetFault fault);
   void crashEngines(bool silent);
+  void letEngineLeave();
   void resetConnections();
   void killGateways(double share);
   void partitionGateways();
--- a/sim/gateway_world/fleet_run.cc
+++ b/sim/gateway_world/fleet_run.cc
@@ -17,6 +17,7 @@
 constexpr const char* kMixed = "gateway";
 constexpr const char* kResets = "gateway_resets";
 constexpr const char* kRestarts = "gateway_restarts";
+constexpr const char* kDepartures = "gateway_departures";
 
 void planFaults(const std::string& scenario, FleetFaults& faults) {
   using std::chrono::milliseconds;
@@ -26,12 +27,13 @@
   if (scenario == kRestarts)
     return faults.planRepeated(FleetFault::all_gateways_killed, seconds(10), seconds(20));
   faults.plan();
+  if (scenario == kDepartures) faults.planRepeated(FleetFault::engines_leave, milliseconds(300), seconds(3));
 }
 
 }  // namespace
 
 const std::vector<std::string>& fleetScenarioNames() {
-  static const std::vector<std::string> names = {kMixed, kResets, kRestarts};
+  static const std::vector<std::string> names = {kMixed, kResets, kRestarts, kDepartures};
   return names;
 }
 
--- a/sim/gateway_world/fleet_run.h
+++ b/sim/gateway_world/fleet_run.h
@@ -5,7 +5,8 @@
 
 namespace crankspur::gateway_sim {
 
-/// @return names of the scenarios: "gateway" draws from all faults, the others repeat one kind.
+/// @return names of the scenarios: "gateway" draws from all faults, "gateway_departures" also lets
+/// engines leave, the others repeat one kind of fault.
 const std::vector<std::string>& fleetScenarioNames();
 /// Runs one of these scenarios with one seed.
 sim::RunResult runFleet(const sim::RunOptions& options);
--- a/sim/gateway_world/gateway_node_control.cc
+++ b/sim/gateway_world/gateway_node_control.cc
@@ -26,6 +26,7 @@
   listed.address = engine.address();
   listed.zone = fmt::format("zone-{}", engine.number() % 3);
   listed.slots = 0;
+  listed.draining = row.draining;
   listed.models = {{kFleetModel, "1", {}}};
   return listed;
 }
@@ -69,6 +70,7 @@
   process_->failed_store_calls = 0;
   process_->table_version = table_update.version;
   for (const EngineRow& row : table_update.rows) {
+    if (row.departed && !context_.has(sim::Mechanism::ListedDepartures)) continue;
     EngineProcess& engine = world_.engine(row.engine);
     const std::string name = fmt::format("i-{}#{}", row.engine, row.started_ms);
     std::string& listed = process_->listed[row.engine];
--- a/sim/gateway_world/records.h
+++ b/sim/gateway_world/records.h
@@ -42,6 +42,13 @@
   std::vector<std::size_t> interrupted_runs;  ///< Indexes of the runs that the engine held.
 };
 
+/// The planned departure of one engine process.
+struct EngineDeparture {
+  std::uint32_t engine = 0;
+  std::uint64_t engine_start = 0;  ///< Number of the engine's process start.
+  TimePoint listed_at{};           ///< When the store took it.
+};
+
 /// How an attempt ended for its caller.
 enum class AttemptOutcome {
   pending,       ///< Not ended yet.
@@ -80,6 +87,7 @@
   std::vector<Attempt> attempts;
   std::vector<EngineRun> runs;
   std::vector<EngineCrash> crashes;
+  std::vector<EngineDeparture> departures;
   /// By gateway: downtimes, pauses, suspensions, partitions.
   std::vector<std::vector<Disturbance>> gateways;
   /// Of the store: no responses, refusals, slow or lost responses, lost rows.
--- a/sim/gateway_world/store_node.cc
+++ b/sim/gateway_world/store_node.cc
@@ -1,5 +1,7 @@
 #include "sim/gateway_world/store_node.h"
 
+#include <utility>
+
 namespace crankspur::gateway_sim {
 namespace {
 
@@ -42,11 +44,27 @@
     row.engine = engine;
     row.started_ms = started_ms;
     row.present = true;
+    if (changed) row.draining = row.departed = false;
     row.written_at = context_.queue.now();
     if (changed) row.version = ++version_;
   });
 }
 
+void StoreNode::writeDeparture(sim::Host& from, std::uint32_t engine, bool announced) {
+  context_.network.datagram(from, host_, [this, &from, engine, announced, epoch = from.epoch()] {
+    const bool takes_calls = mode_ != StoreMode::unresponsive && mode_ != StoreMode::refuses;
+    EngineRow& row = rows_[engine];
+    if (!takes_calls || from.epoch() != epoch) return;
+    row.written_at = context_.queue.now();
+    if (std::exchange(row.departed, true)) return;
+    row.engine = engine;
+    row.present = announced;
+    row.draining = announced;
+    row.version = ++version_;
+    context_.records.departures.push_back({engine, epoch, context_.queue.now()});
+  });
+}
+
 void StoreNode::call(sim::Host& from, const sim::Task& operation,
                      const std::function<void(bool executed)>& reply) {
   context_.network.datagram(from, host_, [this, &from, epoch = from.epoch(), operation, reply] {
--- a/sim/gateway_world/store_node.h
+++ b/sim/gateway_world/store_node.h
@@ -28,6 +28,8 @@
   std::uint64_t started_ms = 0;
   std::uint64_t version = 0;  ///< Version of the table at the row's last change.
   bool present = true;
+  bool draining = false;
+  bool departed = false;  ///< The engine announced its departure, or removed the row before it leaves.
   TimePoint written_at{};
 };
 
@@ -51,6 +53,9 @@
   // Called by engines, over the network.
   void writeEngine(sim::Host& from, std::uint32_t engine, std::uint64_t started_ms);
 
+  /// @param announced the row remains and says so; otherwise it is removed.
+  void writeDeparture(sim::Host& from, std::uint32_t engine, bool announced);
+
   /// A call from a gateway: `operation` runs at the store unless the store is unresponsive or refuses;
   /// `reply` runs at the caller if the store responds, with whether `operation` was executed.
   void call(sim::Host& from, const sim::Task& operation, const std::function<void(bool executed)>& reply);
--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -178,6 +178,7 @@
       {Mechanism::SignsOfLife, "gateway_resets", "quarantine_truth"},
       {Mechanism::QuarantineRecord, "gateway_restarts", "crash_bound"},
       {Mechanism::SuspensionClock, "gateway", "keys"},
+      {Mechanism::ListedDepartures, "gateway_departures", "departure"},
       {Mechanism::TenantSalt, "same_prompts", "cache_use"},
       {Mechanism::BundleFromPeers, "herd_rate_limits", "restart"},
       {Mechanism::BundleMonotonicity, "rollback", "bundle"},
