--- a/tests/unit/platform/table_feed_test.cc
+++ b/tests/unit/platform/table_feed_test.cc
@@ -98,6 +98,7 @@
     };
     result.on_contact = [this](TimePoint as_of) { contact = as_of; };
     result.on_failure = [this] { ++failures; };
+    result.on_silent_connection = [] {};
     return result;
   }
 
@@ -419,6 +420,34 @@
   }
 }
 
+// The feed waited for the timeout of its last call and a backoff before the next call, up to 2 s. A gateway
+// that the store did not respond to for a while read the list that much later than the others once it was
+// back.
+TEST_CASE("while the store is silent a call is sent every 0.5 s, with three pending at most",
+          "[table_feed][departures]") {
+  constexpr Duration kCallTimeout = 1200ms;
+  boost::asio::io_context context;
+  FakeSource source(context);
+  std::vector<TimePoint> sent_at;
+  SteadyClock clock;
+  const TimePoint end = clock.now() + 4s;
+  std::size_t timed_out = 0;
+  while (clock.now() < end) {
+    context.restart();
+    context.run_for(10ms);
+    while (sent_at.size() < source.calls.size()) sent_at.push_back(clock.now());
+    const bool due = timed_out < sent_at.size() && clock.now() - sent_at[timed_out] > kCallTimeout;
+    if (due) source.calls[timed_out++]({});
+    CHECK(source.calls.size() - timed_out <= 3);
+  }
+  for (std::size_t index = 2; index < sent_at.size(); ++index) {
+    CHECK(sent_at[index] - sent_at[index - 1] < 700ms);
+  }
+  CHECK(source.outages > 0);
+  source.calls.back()(FakeSource::responseAt(10));
+  CHECK(source.contacts == 2);
+}
+
 TEST_CASE("a call and its second one on another connection that both fail are an outage",
           "[table_feed][departures]") {
   boost::asio::io_context context;
