--- a/src/gateway/backend_limits.cc
+++ b/src/gateway/backend_limits.cc
@@ -40,9 +40,10 @@
 
 void BackendLimits::onSnapshot(const GatewaySnapshot& snapshot, TimePoint now) {
   quotas_.setGateways(snapshot.peer_count + 1);
-  if (limits_.empty()) return;
+  if (limits_.empty() && invalid_.empty()) return;
   absl::flat_hash_set<std::uint64_t> listed;
   for (const Backend& backend : snapshot.backends) listed.insert(backend.view.incarnation);
+  absl::erase_if(invalid_, [&listed](const auto& item) { return !listed.contains(item.first); });
   absl::erase_if(limits_, [&](const auto& item) {
     const bool expired = item.second.per_second == 0 && now - item.second.named_at > kReportTime;
     return expired || !listed.contains(item.first);
@@ -55,6 +56,7 @@
 
 std::optional<LimitChange> BackendLimits::onResponse(std::uint64_t incarnation, std::optional<double> limit,
                                                      TimePoint sent_at, TimePoint now) {
+  if (!invalid_.empty()) invalid_.erase(incarnation);
   if (limit) return set(incarnation, {*limit, now, true}, now);
   const auto known = limits_.find(incarnation);
   const bool ends =
@@ -62,6 +64,10 @@
   return ends ? set(incarnation, {0, now, true}, now) : std::nullopt;
 }
 
+bool BackendLimits::onInvalidResponse(std::uint64_t incarnation, const std::string& text) {
+  return std::exchange(invalid_[incarnation], text) != text;
+}
+
 std::optional<LimitChange> BackendLimits::set(std::uint64_t incarnation, const Limit& limit, TimePoint now) {
   const double previous = std::exchange(limits_[incarnation], limit).per_second;
   if (limit.per_second == previous) return std::nullopt;
--- a/src/gateway/backend_limits.h
+++ b/src/gateway/backend_limits.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <string>
 
 #include "admission/fleet_quotas.h"
 #include "base/random.h"
@@ -37,6 +38,9 @@
   /// after the limit was last named.
   std::optional<LimitChange> onResponse(std::uint64_t incarnation, std::optional<double> limit,
                                         TimePoint sent_at, TimePoint now);
+  /// A back end named a limit that is no positive number.
+  /// @return whether it differs from the last invalid one of this back end.
+  bool onInvalidResponse(std::uint64_t incarnation, const std::string& text);
   /// Another gateway reported the limits that back ends named to it, and its use of them.
   /// @param on_change called with the incarnation of each back end whose limit changes.
   void onReport(const LoadDigest& digest,
@@ -69,6 +73,7 @@
   std::optional<LimitChange> set(std::uint64_t incarnation, const Limit& limit, TimePoint now);
 
   absl::flat_hash_map<std::uint64_t, Limit> limits_;
+  absl::flat_hash_map<std::uint64_t, std::string> invalid_;  ///< Last invalid limit of each back end.
   FleetQuotas quotas_;
 };
 
--- a/src/gateway/gateway_limits.cc
+++ b/src/gateway/gateway_limits.cc
@@ -12,7 +12,9 @@
   const bool own_response = response.genuine || response.not_run;
   if (!own_response || response.wrong_backend) return;
   if (!response.invalid_limit.empty()) {
-    return observer_.onBackendLimitInvalid({entry.last_backend, response.invalid_limit});
+    const bool is_new = limits_.onInvalidResponse(entry.active.incarnation, response.invalid_limit);
+    if (is_new) observer_.onBackendLimitInvalid({entry.last_backend, response.invalid_limit});
+    return;
   }
   const std::optional<LimitChange> change =
       limits_.onResponse(entry.active.incarnation, response.requests_per_second, entry.active.sent_at, now);
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -191,7 +191,8 @@
   Duration age{0};          ///< Since the back end named it.
 };
 
-/// A back end named a limit that is no positive number. The limit known before stays in force.
+/// A back end named a limit that is no positive number. The limit known before stays in force. Reported once
+/// for each text.
 struct BackendLimitInvalid {
   std::string_view backend;
   std::string_view text;
--- a/tests/unit/gateway/backend_limits_test.cc
+++ b/tests/unit/gateway/backend_limits_test.cc
@@ -43,6 +43,7 @@
   BackendResponse invalid = genuineResponse();
   invalid.invalid_limit = "-1";
   respond(invalid);
+  respond(invalid);
   CHECK(fixture.observer.invalid_limits == std::vector<std::string>{"-1"});
   CHECK(fixture.observer.limits.size() == 2);
   respond(genuineResponse());
