Recall unsent requests from back ends that leave

A request that waited for its connection, up to 0.5 s, was sent although the departure of its back end had been listed meanwhile: the age of the list and that time together could exceed the departure limit.

When a back end is seen to leave, the gateway recalls requests to it of which no byte was written; they go to another back end and cost no retry, since they cannot have arrived. Requests that were written continue.

New tests: what is recalled and what is not (gateway, HTTP client).

--- a/sim/gateway_world/gateway_node.h
+++ b/sim/gateway_world/gateway_node.h
@@ -99,6 +99,7 @@
   void execute(const gateway::Refuse& action);
   void execute(const gateway::Dispatch& action);
   void execute(const gateway::CancelExchange& action);
+  void execute(const gateway::RecallUnsent& action);
   void execute(const gateway::DiscardResponse& action);
   void execute(const gateway::ForwardResponse& action);
   void execute(const gateway::ForwardHead& action);
--- a/sim/gateway_world/gateway_node_traffic.cc
+++ b/sim/gateway_world/gateway_node_traffic.cc
@@ -184,6 +184,12 @@
   if (channel) channel->close(sim::Side::Client);
 }
 
+void GatewayNode::execute(const gateway::RecallUnsent& action) {
+  const auto found = process_->exchanges.find(action.exchange);
+  if (found == process_->exchanges.end() || found->second.channel) return;
+  onLost(action.exchange, false);
+}
+
 void GatewayNode::execute(const gateway::DiscardResponse& action) {
   process_->exchanges.erase(action.exchange);
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -47,6 +47,7 @@
     setQuotas(*snapshot_->configuration, now);
   }
   recheckUnresponsiveBackends(now);
+  recallFromLeavingBackends();
   limitStarts(now);
   serveQueue(now);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -122,6 +122,7 @@
     bool first_byte = false;
     bool streams_body = false;  ///< Body bytes are forwarded as they are received.
     bool server_error = false;  ///< The response has a 5xx status.
+    bool recalled = false;      ///< RecallUnsent was requested.
     int status = 0;             ///< Of the response; 0: none received yet.
   };
   /// A client request in progress.
@@ -234,6 +235,7 @@
   void limitStarts(TimePoint now);
   void withdraw(Entry& entry, TimePoint now);
   void recheckUnresponsiveBackends(TimePoint now);
+  void recallFromLeavingBackends();
 
   GatewaySettings settings_;
   RandomSource random_;
--- a/src/gateway/gateway_actions.h
+++ b/src/gateway/gateway_actions.h
@@ -39,6 +39,12 @@
   bool timed_out = false;  ///< No response within the time limit: the connection may have gone silent.
 };
 
+/// Cancels an exchange of which no byte was written yet, and reports it as lost without being sent. Any other
+/// exchange continues.
+struct RecallUnsent {
+  ExchangeId exchange = 0;
+};
+
 /// Ignores the rest of the response. It is short, so that the connection may be reused instead of closed.
 struct DiscardResponse {
   ExchangeId exchange = 0;
@@ -93,8 +99,8 @@
   std::string path;
 };
 
-using GatewayAction = std::variant<Refuse, Dispatch, CancelExchange, DiscardResponse, ForwardResponse,
-                                   ForwardHead, ForwardBytes, EndResponse, AbortResponse, ReportUnreachable,
-                                   ReportWrongBackend, ProbeBackend>;
+using GatewayAction = std::variant<Refuse, Dispatch, CancelExchange, RecallUnsent, DiscardResponse,
+                                   ForwardResponse, ForwardHead, ForwardBytes, EndResponse, AbortResponse,
+                                   ReportUnreachable, ReportWrongBackend, ProbeBackend>;
 
 }  // namespace crankspur::gateway
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -302,6 +302,22 @@
   retryOrGiveUp(entry, active, active.status, now);
 }
 
+/// A connection may take half a second to open. A request that waits for it is not sent to a back end that
+/// leaves meanwhile.
+void Gateway::recallFromLeavingBackends() {
+  for (const auto& [exchange, client] : exchanges_) {
+    Entry* entry = findClient(client);
+    if (entry == nullptr || entry->active.exchange != exchange) continue;
+    ActiveExchange& active = entry->active;
+    const Backend* backend = snapshot_->backend(active.slot);
+    const bool same_incarnation = backend != nullptr && backend->view.incarnation == active.incarnation;
+    const bool takes_requests = same_incarnation && backend->view.state != EngineState::Leaving &&
+                                backend->view.state != EngineState::Dead;
+    if (takes_requests || active.status != 0 || std::exchange(active.recalled, true)) continue;
+    actions_.emplace_back(RecallUnsent{exchange});
+  }
+}
+
 // Retries and final responses.
 
 void Gateway::endExchange(Entry& entry, DispatchOutcome outcome, TimePoint now) {
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -332,6 +332,13 @@
   }
 }
 
+void TrafficLoop::execute(const RecallUnsent& action) {
+  const auto found = exchanges_.find(action.exchange);
+  if (found == exchanges_.end() || !found->second.exchange->cancelIfNotSent()) return;
+  exchanges_.erase(found);
+  gateway_.onLost(action.exchange, false, now());
+}
+
 void TrafficLoop::execute(const DiscardResponse& action) {
   exchanges_.erase(action.exchange);
 }
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -75,6 +75,7 @@
   void execute(const Refuse& action);
   void execute(const Dispatch& action);
   void execute(const CancelExchange& action);
+  void execute(const RecallUnsent& action);
   void execute(const DiscardResponse& action);
   void execute(const ForwardResponse& action);
   void execute(const ForwardHead& action);
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -61,6 +61,13 @@
     if (timed_out) onTimeout(*timed_out);
   }
 
+  bool cancelIfNotSent(const std::shared_ptr<ExchangeState>& exchange) {
+    const auto found = running_.find(exchange.get());
+    if (exchange->ended || found == running_.end() || found->second->hasSent()) return false;
+    cancel(exchange);
+    return true;
+  }
+
   void cancel(const std::shared_ptr<ExchangeState>& exchange) {
     if (exchange->ended) return;
     exchange->ended = true;
@@ -177,6 +184,10 @@
   void cancelTimedOut() override {
     if (const auto pool = pool_.lock()) pool->cancelTimedOut(state_);
   }
+  bool cancelIfNotSent() override {
+    const auto pool = pool_.lock();
+    return pool && pool->cancelIfNotSent(state_);
+  }
 
 private:
   std::weak_ptr<ConnectionPool> pool_;
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -78,6 +78,8 @@
   void run(std::shared_ptr<ExchangeState> exchange);
   /// Closes without a callback.
   void close();
+  /// @return whether any byte of the current request was written.
+  bool hasSent() const { return byte_sent_; }
   /// @return the current exchange if no byte of its response was received; otherwise empty.
   std::optional<TimedOutExchange> exchangeWithoutResponse() const;
   std::chrono::steady_clock::time_point lastReceived() const { return last_received_; }
--- a/tests/unit/gateway/gateway_failure_test.cc
+++ b/tests/unit/gateway/gateway_failure_test.cc
@@ -203,4 +203,32 @@
   CHECK(fixture.only<Dispatch>().address != first);
 }
 
+// A request whose connection opened only after the departure of its back end was listed was sent all the
+// same.
+TEST_CASE("a request that is not written yet is recalled from a back end that leaves",
+          "[gateway][departures]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("order");
+  const Dispatch first = fixture.last;
+  const std::size_t chosen = first.address == fixture.backends[0].view.address ? 0 : 1;
+  fixture.backends[chosen].view.state = EngineState::Leaving;
+  fixture.publish();
+  fixture.takeActions();
+  CHECK(fixture.only<RecallUnsent>().exchange == first.exchange);
+  fixture.publish();
+  fixture.takeActions();
+  CHECK_FALSE(fixture.has<RecallUnsent>());
+
+  SECTION("it was not written: it is sent to another back end, also if it may run only once") {
+    fixture.breakExchange(false);
+    CHECK(fixture.only<Dispatch>().address != first.address);
+  }
+  SECTION("it was written: the back end's response counts") {
+    fixture.head(200);
+    fixture.end();
+    CHECK(fixture.has<ForwardResponse>());
+  }
+}
+
 }  // namespace crankspur::gateway
--- a/tests/unit/http/http_test.cc
+++ b/tests/unit/http/http_test.cc
@@ -87,3 +87,20 @@
   CHECK(outcome.error);
   CHECK(outcome.state == SendState::NotSent);
 }
+
+TEST_CASE("an exchange is cancelled as not sent only until its request is written", "[http][departures]") {
+  std::shared_ptr<ResponseWriter> response;
+  HttpFixture fixture([&](Request, std::shared_ptr<ResponseWriter> writer) { response = std::move(writer); });
+  bool done = false;
+  ExchangeCallbacks callbacks;
+  callbacks.on_done = [&](std::error_code, SendState, Response) { done = true; };
+  const auto connecting = fixture.client->start(fixture.address(), {"GET", "/", {}, {}}, callbacks);
+  CHECK(connecting->cancelIfNotSent());
+  CHECK_FALSE(connecting->cancelIfNotSent());
+  const auto sent = fixture.client->start(fixture.address(), {"GET", "/", {}, {}}, callbacks);
+  fixture.runUntil([&] { return response != nullptr; });
+  CHECK_FALSE(sent->cancelIfNotSent());
+  CHECK_FALSE(done);
+  response->respond({200, {}, ""});
+  fixture.runUntil([&] { return done; });
+}
