--- a/src/gateway_control/fleet_view.cc
+++ b/src/gateway_control/fleet_view.cc
@@ -13,8 +13,8 @@
 /// An entry that disappears around a platform failure counts as removed only after this time since the
 /// failure, so that a healthy back end can write it again.
 constexpr Duration kPlatformFailureGrace = std::chrono::milliseconds(2'800);
-/// The grace period ends this long before the departure limit, for the publication of the change and the way of
-/// the last requests to the back end.
+/// The grace period ends this long before the departure limit, for the publication of the change and the way
+/// of the last requests to the back end.
 constexpr Duration kDepartureMargin = std::chrono::milliseconds(200);
 /// A removed back end is kept for this time because its runs may still continue.
 constexpr Duration kRetention = std::chrono::seconds(30);
--- a/src/gateway_control/reader_selector.cc
+++ b/src/gateway_control/reader_selector.cc
@@ -8,8 +8,8 @@
 
 /// A gateway that failed is not used for this time, which is the duration of a restart.
 constexpr Duration kFailureBackoff = std::chrono::seconds(2);
-/// A gateway whose response is late is not used for this time, which lets others respond on new connections: a
-/// feed tries two more within a second.
+/// A gateway whose response is late is not used for this time, which lets others respond on new connections:
+/// a feed tries two more within a second.
 constexpr Duration kLateBackoff = std::chrono::milliseconds(1'200);
 /// Average interval at which a gateway reads the platform while all readers and the platform itself fail.
 /// Readers fail together when the platform is down; without the interval hundreds of gateways would call it
