Let the simulation's checkers allow that the crash of a leaving engine is unknown

Gateways do not count the crash of a back end that leaves as evidence against its requests, since a planned end breaks connections too.

The upper bound and scenarios without departures are unchanged.

--- a/sim/gateway_world/fleet_history.h
+++ b/sim/gateway_world/fleet_history.h
@@ -13,9 +13,10 @@
 struct BodyCrash {
   TimePoint at{};
   std::uint32_t engine = 0;
-  TimePoint first_sent_at{};  ///< When the first of these attempts was sent to the engine.
-  TimePoint last_sent_at{};   ///< When the last of them was sent.
-  std::uint32_t gateway = 0;  ///< A gateway that sent one of them.
+  std::uint64_t engine_start = 0;  ///< Number of the engine's process start.
+  TimePoint first_sent_at{};       ///< When the first of these attempts was sent to the engine.
+  TimePoint last_sent_at{};        ///< When the last of them was sent.
+  std::uint32_t gateway = 0;       ///< A gateway that sent one of them.
   bool silent = false;
 };
 
@@ -56,6 +57,7 @@
   };
 
   bool isKnownToAll(const Attempt& attempt) const;
+  bool hadDeparted(const BodyCrash& crash) const;
   bool isCleared(BodyId body, TimePoint crashed_at, TimePoint until, Bound bound) const;
 
   const FleetContext& context_;
