Refund to the limit of a back end only what was counted

A request that was sent before its back end named a limit did not count, but was refunded when it got no connection: the gateway reported one request too few to the others, and the back end could get one more.

The new test failed before (0 instead of 1,000 thousandths of a request reported) and passes.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -277,6 +277,7 @@
   active.last_received_at = now;
   active.expected = choice.expected_first_byte;
   active.weights = choice.weights;
+  active.limited = limits_.limitOf(backend.incarnation) > 0;
   active.prompt = choice_.onDispatch(choice, active.exchange, now);
   ++entry.backends_reached;
   ++entry.dispatches;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -123,6 +123,7 @@
     bool streams_body = false;  ///< Body bytes are forwarded as they are received.
     bool server_error = false;  ///< The response has a 5xx status.
     bool recalled = false;      ///< RecallUnsent was requested.
+    bool limited = false;       ///< It counts towards a limit that the back end named.
     int status = 0;             ///< Of the response; 0: none received yet.
   };
   /// A client request in progress.
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -206,7 +206,7 @@
     recordCrash(*entry, active, now);
   } else {
     --entry->backends_reached;
-    limits_.refund(active.incarnation, now);
+    if (active.limited) limits_.refund(active.incarnation, now);
     actions_.emplace_back(ReportUnreachable{active.slot, active.incarnation});
   }
   endExchange(*entry, sent ? DispatchOutcome::Failed : DispatchOutcome::ConnectFailed, now);
--- a/tests/unit/gateway/backend_limits_test.cc
+++ b/tests/unit/gateway/backend_limits_test.cc
@@ -62,3 +62,27 @@
   CHECK(limits.onResponse(7, std::nullopt, start + milliseconds(1'100), start + seconds(2)));
   CHECK(limits.limitOf(7) == 0);
 }
+
+// A request that was sent before its back end named a limit was refunded to the limit when it got no
+// connection, which allowed one request too many.
+TEST_CASE("a request that does not count towards a limit is not refunded", "[backend_limits]") {
+  GatewayFixture fixture;
+  fixture.backends[1].view.state = EngineState::Leaving;
+  fixture.publish();
+  fixture.send("look");
+  const Dispatch unlimited = fixture.last;
+  fixture.send("look");
+  fixture.head(200, namedLimit(0.5));
+  fixture.end();
+  fixture.now += seconds(2);
+  const auto admitted = [&fixture] {
+    const LoadDigest digest = fixture.gateway.ownLoadDigest(fixture.now);
+    return digest.tenants.empty() ? 0 : digest.tenants.front().admitted;
+  };
+  fixture.gateway.onLost(unlimited.exchange, false, fixture.now);
+  fixture.takeActions();
+  fixture.now += seconds(4);
+  fixture.send("look");
+  REQUIRE(fixture.has<Dispatch>());
+  CHECK(admitted() == 1'000);
+}
