Report the limit of a back end that is no longer listed as ended

The gauge backend_limit_per_second kept the series of a back end that left or crashed while it named a limit, for as long as the gateway ran: forgetting a limit was not reported.

The new test failed before by the code (nothing reported the end; it was not run on it) and passes. The time to return is spread in one place.

--- a/src/gateway/backend_limits.cc
+++ b/src/gateway/backend_limits.cc
@@ -38,15 +38,19 @@
 
 BackendLimits::BackendLimits(RandomSource& random) : quotas_(kTolerance, random) {}
 
-void BackendLimits::onSnapshot(const GatewaySnapshot& snapshot, TimePoint now) {
+void BackendLimits::onSnapshot(const GatewaySnapshot& snapshot, const LimitObserver& on_change,
+                               TimePoint now) {
   quotas_.setGateways(snapshot.peer_count + 1);
   if (limits_.empty() && invalid_.empty()) return;
   absl::flat_hash_set<std::uint64_t> listed;
   for (const Backend& backend : snapshot.backends) listed.insert(backend.view.incarnation);
   absl::erase_if(invalid_, [&listed](const auto& item) { return !listed.contains(item.first); });
   absl::erase_if(limits_, [&](const auto& item) {
-    const bool expired = item.second.per_second == 0 && now - item.second.named_at > kReportTime;
-    return expired || !listed.contains(item.first);
+    const auto& [incarnation, limit] = item;
+    const bool is_listed = listed.contains(incarnation);
+    if (!is_listed && limit.per_second > 0) on_change(incarnation, {limit.per_second, 0});
+    const bool expired = limit.per_second == 0 && now - limit.named_at > kReportTime;
+    return expired || !is_listed;
   });
   for (const auto& [incarnation, limit] : limits_) {
     quotas_.setLimit(quotaName(incarnation), quotaOf(limit.per_second), now);
@@ -75,9 +79,7 @@
   return LimitChange{previous, limit.per_second};
 }
 
-void BackendLimits::onReport(const LoadDigest& digest,
-                             const std::function<void(std::uint64_t, const LimitChange&)>& on_change,
-                             TimePoint now) {
+void BackendLimits::onReport(const LoadDigest& digest, const LimitObserver& on_change, TimePoint now) {
   for (const BackendLimit& reported : digest.limits) {
     const TimePoint named_at = now - std::chrono::milliseconds(reported.age_milliseconds);
     const auto known = limits_.find(reported.backend);
--- a/src/gateway/backend_limits.h
+++ b/src/gateway/backend_limits.h
@@ -25,6 +25,9 @@
   double limit = 0;
 };
 
+/// Receives the incarnation of a back end whose limit changes.
+using LimitObserver = std::function<void(std::uint64_t, const LimitChange&)>;
+
 /// Limits by incarnation of the back end. Back ends without a limit cost nothing. Not thread-safe.
 class BackendLimits {
 public:
@@ -32,7 +35,8 @@
   explicit BackendLimits(RandomSource& random);
 
   /// Forgets back ends that are no longer listed.
-  void onSnapshot(const GatewaySnapshot& snapshot, TimePoint now);
+  /// @param on_change called with the incarnation of each of them that had a limit.
+  void onSnapshot(const GatewaySnapshot& snapshot, const LimitObserver& on_change, TimePoint now);
   /// A back end responded to a request that was sent at `sent_at`.
   /// @param limit that the response names; empty: none. An earlier limit then ends if the request was sent
   /// after the limit was last named.
@@ -43,8 +47,7 @@
   bool onInvalidResponse(std::uint64_t incarnation, const std::string& text);
   /// Another gateway reported the limits that back ends named to it, and its use of them.
   /// @param on_change called with the incarnation of each back end whose limit changes.
-  void onReport(const LoadDigest& digest,
-                const std::function<void(std::uint64_t, const LimitChange&)>& on_change, TimePoint now);
+  void onReport(const LoadDigest& digest, const LimitObserver& on_change, TimePoint now);
   /// Adds the limits that were named to this gateway, and its use of all limits.
   void report(LoadDigest& digest, TimePoint now);
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -36,10 +36,10 @@
       suspects_(settings.crash_policy) {}
 
 void Gateway::onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot, TimePoint now) {
+  forgetUnlistedLimits(*snapshot, now);
   snapshot_ = std::move(snapshot);
   table_.onSnapshot(*snapshot_, now);
   choice_.onSnapshot(*snapshot_);
-  limits_.onSnapshot(*snapshot_, now);
   weights_.onSnapshot(*snapshot_, now);
   suspects_.removeExpired(now);
   if (snapshot_->configuration) {
@@ -334,14 +334,13 @@
 /// until one has room.
 Duration Gateway::retryAfter(const Entry& entry, TimePoint now) {
   if (entry.cause == RequestCause::quarantined) return entry.quarantined_until - now;
-  if (entry.cause == RequestCause::back_ends_limited) {
-    const Duration room = std::max(entry.time_to_room, kMinRetryAfter);
-    return Duration(static_cast<std::int64_t>(static_cast<double>(room.count()) * (0.5 + random_.unit())));
+  Duration mean = std::max(entry.time_to_room, kMinRetryAfter);
+  if (entry.cause != RequestCause::back_ends_limited) {
+    const Duration target = entry.route->first_byte_target;
+    const Duration excess = std::max(Duration(0), entry.expected_wait - target);
+    mean = std::clamp(target / 2, kMinRetryAfter, kMaxRetryAfter) + excess;
   }
-  const Duration base = entry.route->first_byte_target / 2;
-  const Duration excess = std::max(Duration(0), entry.expected_wait - entry.route->first_byte_target);
-  const Duration bounded = std::clamp(base, kMinRetryAfter, kMaxRetryAfter) + excess;
-  return Duration(static_cast<std::int64_t>(static_cast<double>(bounded.count()) * (0.5 + random_.unit())));
+  return Duration(static_cast<std::int64_t>(static_cast<double>(mean.count()) * (0.5 + random_.unit())));
 }
 
 void Gateway::finish(Entry& entry) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -209,6 +209,9 @@
   // Limits that back ends name (gateway_limits.cc).
   void recordLimit(const Entry& entry, const BackendResponse& response, TimePoint now);
   void recordReportedLimits(const LoadDigest& digest, TimePoint now);
+  void forgetUnlistedLimits(const GatewaySnapshot& next, TimePoint now);
+  void reportLimit(std::uint64_t incarnation, const LimitChange& change, std::string_view source,
+                   TimePoint now);
   Choice chooseWithinLimits(Entry& entry, const Pool& pool, TimePoint now);
   void passOver(Entry& entry, const Backend& backend, TimePoint now);
 
--- a/src/gateway/gateway_limits.cc
+++ b/src/gateway/gateway_limits.cc
@@ -24,16 +24,29 @@
 
 void Gateway::recordReportedLimits(const LoadDigest& digest, TimePoint now) {
   const auto on_change = [&](std::uint64_t incarnation, const LimitChange& change) {
-    if (snapshot_ == nullptr) return;
-    for (const Backend& backend : snapshot_->backends) {
-      if (backend.view.incarnation != incarnation) continue;
-      observer_.onBackendLimitChanged(
-          {backend.view.name, change.previous, change.limit, digest.sender, limits_.age(incarnation, now)});
-    }
+    reportLimit(incarnation, change, digest.sender, now);
   };
   limits_.onReport(digest, on_change, now);
 }
 
+/// To be called before `next` replaces the snapshot, which still names the back ends that are forgotten.
+void Gateway::forgetUnlistedLimits(const GatewaySnapshot& next, TimePoint now) {
+  const auto on_change = [&](std::uint64_t incarnation, const LimitChange& change) {
+    reportLimit(incarnation, change, "list", now);
+  };
+  limits_.onSnapshot(next, on_change, now);
+}
+
+void Gateway::reportLimit(std::uint64_t incarnation, const LimitChange& change, std::string_view source,
+                          TimePoint now) {
+  if (snapshot_ == nullptr) return;
+  for (const Backend& backend : snapshot_->backends) {
+    if (backend.view.incarnation != incarnation) continue;
+    observer_.onBackendLimitChanged(
+        {backend.view.name, change.previous, change.limit, source, limits_.age(incarnation, now)});
+  }
+}
+
 /// Chooses among the back ends whose limits have room. The request counts towards the limit of the chosen
 /// one.
 Choice Gateway::chooseWithinLimits(Entry& entry, const Pool& pool, TimePoint now) {
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -187,7 +187,7 @@
   std::string_view backend;
   double previous = 0;      ///< Requests per second; 0: there was no limit.
   double limit = 0;         ///< Requests per second; 0: the limit has ended.
-  std::string_view source;  ///< "response", or the gateway that reported it.
+  std::string_view source;  ///< "response", "list", or the gateway that reported it.
   Duration age{0};          ///< Since the back end named it.
 };
 
--- a/tests/unit/gateway/backend_limits_test.cc
+++ b/tests/unit/gateway/backend_limits_test.cc
@@ -63,6 +63,23 @@
   CHECK(limits.limitOf(7) == 0);
 }
 
+// The metric of a back end that left while it named a limit stayed at that limit.
+TEST_CASE("the limit of a back end that is no longer listed is reported as ended", "[backend_limits]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("look");
+  const std::size_t chosen = fixture.last.address == fixture.backends[0].view.address ? 0 : 1;
+  fixture.head(200, namedLimit(3));
+  fixture.end();
+  REQUIRE(fixture.observer.limits.size() == 1);
+  fixture.backends.erase(fixture.backends.begin() + static_cast<std::ptrdiff_t>(chosen));
+  fixture.publish();
+  REQUIRE(fixture.observer.limits.size() == 2);
+  CHECK(fixture.observer.limits[1].previous == 3);
+  CHECK(fixture.observer.limits[1].limit == 0);
+  CHECK(fixture.observer.limits[1].source == "list");
+}
+
 // A request that was sent before its back end named a limit was refunded to the limit when it got no
 // connection, which allowed one request too many.
 TEST_CASE("a request that does not count towards a limit is not refunded", "[backend_limits]") {
