Report how a back end framed its response, and whether it ended within an event

The hypotheses about truncated responses differ in the framing of the back end's response and in where a stream stopped. No line told either. The HTTP client reports the framing with the head, and EventBoundary follows the lines of an event stream without keeping its bytes. No decision changes.

--- a/src/engine/engine_client.cc
+++ b/src/engine/engine_client.cc
@@ -47,7 +47,7 @@
   http::ExchangeCallbacks callbacks() {
     http::ExchangeCallbacks callbacks;
     const std::shared_ptr<StreamState> self = shared_from_this();
-    callbacks.on_headers = [self](int status, const http::Headers& headers) {
+    callbacks.on_headers = [self](int status, const http::Headers& headers, http::BodyFraming) {
       self->status_ = status;
       self->retry_after_ = retryAfterOf(headers);
     };
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -55,6 +55,9 @@
   /// Requests per second that the back end takes from all gateways together; empty: it names no limit.
   std::optional<double> requests_per_second;
   std::string invalid_limit;  ///< A limit that is no positive number; empty: none.
+  /// Set by the driver, not by the dialect.
+  http::BodyFraming framing = http::BodyFraming::Chunked;
+  bool event_stream = false;  ///< The body is a stream of server-sent events. Set by the driver.
 };
 
 /// Translates heads. Stateless; safe to share between threads.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -19,6 +19,7 @@
 #include "gateway/backend_table.h"
 #include "gateway/crash_suspects.h"
 #include "gateway/engine_choice.h"
+#include "gateway/event_boundary.h"
 #include "gateway/gateway_actions.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/named_weights.h"
@@ -125,6 +126,14 @@
     bool recalled = false;      ///< RecallUnsent was requested.
     bool limited = false;       ///< It counts towards a limit that the back end named.
     int status = 0;             ///< Of the response; 0: none received yet.
+    http::BodyFraming framing = http::BodyFraming::Length;  ///< Of the response.
+    std::optional<EventBoundary> events;                    ///< Of a response that is an event stream.
+
+    bool isInsideEvent() const { return events && events->isInsideEvent(); }
+    ResponseBodyState bodyState() const {
+      if (status == 0) return {};
+      return {framing, isInsideEvent()};
+    }
   };
   /// A client request in progress.
   struct Entry {
--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -113,6 +113,7 @@
   record.will_retry = will_retry;
   record.resumes = will_retry && entry.head_forwarded;
   record.backends_reached = entry.backends_reached;
+  record.body = active.bodyState();
   const auto budget = budgets_.find(entry.pool->name);
   if (budget != budgets_.end()) record.budget_left = budget->second.left(snapshot_->share_divisor, now);
   observer_.onMoved(record);
@@ -138,6 +139,7 @@
   }
   record.retry_after = retry_after;
   if (entry.first_byte_at) record.first_byte = *entry.first_byte_at - entry.arrived_at;
+  record.body = entry.active.bodyState();
   record.total = now - entry.arrived_at;
   observer_.onEnded(record);
 }
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -58,6 +58,8 @@
   ActiveExchange& active = entry->active;
   active.last_received_at = now;
   active.status = status;
+  active.framing = response.framing;
+  if (response.event_stream) active.events.emplace();
   table_.onBytesReceived(active.slot, now);
   // A refusal as misdirected may come from a later incarnation of the back end. It does not show that the
   // incarnation to which the request was sent is live.
@@ -95,6 +97,7 @@
   table_.onBytesReceived(entry->active.slot, now);
   recordSignOfLife(*entry, now);
   if (!entry->active.streams_body) return;
+  if (entry->active.events) entry->active.events->feed(bytes);
   recordFirstByte(*entry, now);
   std::string forwarded = entry->cursor ? entry->cursor->feed(bytes) : std::string(bytes);
   if (!forwarded.empty()) actions_.emplace_back(ForwardBytes{entry->id, std::move(forwarded)});
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -10,6 +10,7 @@
 #include "base/time.h"
 #include "gateway/crash_suspects.h"
 #include "gateway/request_fingerprint.h"
+#include "http/message.h"
 
 namespace crankspur::gateway {
 
@@ -64,6 +65,12 @@
 /// @return the outcome as written in logs and metrics.
 std::string_view nameOf(RequestOutcome outcome);
 
+/// The body of a back end's response, as far as it was received.
+struct ResponseBodyState {
+  std::optional<http::BodyFraming> framing;  ///< Empty: no response is in progress.
+  bool inside_event = false;                 ///< The event stream stopped within an event.
+};
+
 /// A request was admitted: its route is known and its key is valid.
 struct RequestAdmitted {
   std::string_view request_id;
@@ -127,6 +134,7 @@
   bool resumes = false;                ///< A started stream continues after the last event delivered.
   std::uint32_t backends_reached = 0;  ///< Back ends that the request has reached so far.
   double budget_left = 0;              ///< Repeats that this gateway may still send to the pool.
+  ResponseBodyState body;
 };
 
 /// A request ended.
@@ -145,6 +153,7 @@
   Duration list_age{0};
   Duration retry_after{0};             ///< 0: none was stated.
   std::optional<Duration> first_byte;  ///< Since the request arrived; empty: no response began.
+  ResponseBodyState body;
   Duration total{0};
 };
 
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -16,6 +16,10 @@
   return duration ? std::to_string(milliseconds(*duration)) : "none";
 }
 
+std::string_view framingOrNone(const std::optional<http::BodyFraming>& framing) {
+  return framing ? http::nameOf(*framing) : "none";
+}
+
 std::string numberOrNone(const std::optional<std::uint64_t>& number) {
   return number ? std::to_string(*number) : "none";
 }
@@ -97,6 +101,8 @@
                                             {"goes_on", record.will_retry},
                                             {"resumes", record.resumes},
                                             {"back_ends", record.backends_reached},
+                                            {"framing", framingOrNone(record.body.framing)},
+                                            {"inside_event", record.body.inside_event},
                                             {"budget_left", fmt::format("{:.1f}", record.budget_left)}});
 }
 
@@ -115,6 +121,8 @@
                                        {"list_age_ms", milliseconds(record.list_age)},
                                        {"retry_after_ms", milliseconds(record.retry_after)},
                                        {"first_byte_ms", millisecondsOrNone(record.first_byte)},
+                                       {"framing", framingOrNone(record.body.framing)},
+                                       {"inside_event", record.body.inside_event},
                                        {"total_ms", milliseconds(record.total)}});
 }
 
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <boost/algorithm/string/predicate.hpp>
 #include <utility>
 
 #include "base/error.h"
@@ -70,6 +71,11 @@
   return status == 502 || status == 504;
 }
 
+bool isEventStream(const http::Headers& headers) {
+  const auto found = headers.find("Content-Type");
+  return found != headers.end() && boost::istarts_with(found->second, "text/event-stream");
+}
+
 std::string hostOf(const http::Request& request) {
   const std::string host = request.header("Host");
   return host.substr(0, host.rfind(':'));
@@ -412,7 +418,7 @@
   options.connect_timeout = kProbeTimeout;
   options.idle_timeout = kProbeTimeout;
   http::ExchangeCallbacks callbacks;
-  callbacks.on_headers = [this, probe = action.probe](int, const http::Headers&) {
+  callbacks.on_headers = [this, probe = action.probe](int, const http::Headers&, http::BodyFraming) {
     onProbeResult(probe, true);
   };
   callbacks.on_done = [this, probe = action.probe](std::error_code, http::SendState, const http::Response&) {
@@ -435,8 +441,9 @@
   callbacks.matches_request = [dialect = dialect_, request_id](int status, const http::Headers& headers) {
     return !dialect->readResponse({status, headers, {}}, request_id).other_request;
   };
-  callbacks.on_headers = [this, exchange, request_id](int status, const http::Headers& headers) {
-    onHead(exchange, request_id, status, headers);
+  callbacks.on_headers = [this, exchange, request_id](int status, const http::Headers& headers,
+                                                      http::BodyFraming framing) {
+    onHead(exchange, request_id, {status, headers, {}}, framing);
   };
   callbacks.on_data = [this, exchange](std::string_view bytes) { onData(exchange, bytes); };
   callbacks.on_done = [this, exchange](std::error_code error, http::SendState state, const http::Response&) {
@@ -445,13 +452,16 @@
   return callbacks;
 }
 
-void TrafficLoop::onHead(ExchangeId exchange, const std::string& request_id, int status,
-                         const http::Headers& headers) {
+void TrafficLoop::onHead(ExchangeId exchange, const std::string& request_id, const http::Response& head,
+                         http::BodyFraming framing) {
   const auto found = exchanges_.find(exchange);
   if (found == exchanges_.end()) return;
-  found->second.status = status;
-  found->second.headers = headers;
-  gateway_.onHead(exchange, status, dialect_->readResponse({status, headers, {}}, request_id), now());
+  found->second.status = head.status;
+  found->second.headers = head.headers;
+  BackendResponse response = dialect_->readResponse(head, request_id);
+  response.framing = framing;
+  response.event_stream = isEventStream(head.headers);
+  gateway_.onHead(exchange, head.status, response, now());
   executeActions();
 }
 
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -88,7 +88,8 @@
   void onProbeResult(std::uint64_t probe, bool answered);
 
   http::ExchangeCallbacks exchangeCallbacks(ExchangeId exchange, const std::string& request_id);
-  void onHead(ExchangeId exchange, const std::string& request_id, int status, const http::Headers& headers);
+  void onHead(ExchangeId exchange, const std::string& request_id, const http::Response& head,
+              http::BodyFraming framing);
   void onData(ExchangeId exchange, std::string_view bytes);
   void onDone(ExchangeId exchange, std::error_code error, http::SendState state);
   Client* findClient(ClientId client);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -25,7 +25,7 @@
   /// earlier exchange, and that response is discarded. Optional; without it every response is accepted.
   std::function<bool(int status, const Headers&)> matches_request;
   /// The status line and headers were received. Optional.
-  std::function<void(int status, const Headers&)> on_headers;
+  std::function<void(int status, const Headers&, BodyFraming)> on_headers;
   /// Part of the body was received. When unset, the body is collected for on_done.
   std::function<void(std::string_view)> on_data;
   /// The exchange ended. `error` is empty when the response was complete.
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -202,7 +202,13 @@
   if (discarding_) return;
   exchange->response.status = status;
   exchange->response.headers = std::move(headers);
-  if (exchange->callbacks.on_headers) exchange->callbacks.on_headers(status, exchange->response.headers);
+  if (exchange->callbacks.on_headers)
+    exchange->callbacks.on_headers(status, exchange->response.headers, bodyFraming());
+}
+
+BodyFraming ClientConnection::bodyFraming() const {
+  if (parser_->need_eof()) return BodyFraming::Close;
+  return parser_->chunked() ? BodyFraming::Chunked : BodyFraming::Length;
 }
 
 /// Closes an idle connection before the server does if the server announces its timeout.
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -97,6 +97,7 @@
   void parse();
   bool consumeBody(std::string_view piece);
   void deliverHeaders();
+  BodyFraming bodyFraming() const;
   void applyKeepAliveTimeout(const Headers& headers);
   void complete(bool reusable);
   void fail(std::error_code error);
--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -85,6 +85,18 @@
   for (const char* const name : kHopByHopFields) headers.erase(name);
 }
 
+std::string_view nameOf(BodyFraming framing) {
+  switch (framing) {
+    case BodyFraming::Length:
+      return "length";
+    case BodyFraming::Chunked:
+      return "chunked";
+    case BodyFraming::Close:
+      return "close";
+  }
+  return "close";
+}
+
 Response jsonResponse(int status, std::string body) {
   Response response;
   response.status = status;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -34,6 +34,16 @@
 /// the body.
 void removeConnectionHeaders(Headers& headers);
 
+/// How the end of a response's body is marked (RFC 9112, section 6.3).
+enum class BodyFraming {
+  Length,   ///< By a Content-Length, or there is no body.
+  Chunked,  ///< By the last chunk.
+  Close,    ///< By the end of the connection, which does not tell a complete body from a truncated one.
+};
+
+/// @return the framing as written in logs.
+std::string_view nameOf(BodyFraming framing);
+
 /// Complete HTTP response.
 struct Response {
   int status = 200;
--- a/tests/integration/gateway/gateway_site.h
+++ b/tests/integration/gateway/gateway_site.h
@@ -134,7 +134,7 @@
     request.headers = {{"Host", "desk.example"}, {"X-Id", id}, {"X-Kept", "k"}};
     request.body = request_body;
     http::ExchangeCallbacks callbacks;
-    callbacks.on_headers = [this](int code, const http::Headers& fields) {
+    callbacks.on_headers = [this](int code, const http::Headers& fields, http::BodyFraming) {
       status = code;
       headers = fields;
     };
--- a/tests/integration/http_call.cc
+++ b/tests/integration/http_call.cc
@@ -18,7 +18,7 @@
   const auto start_time = std::chrono::steady_clock::now();
   const auto client = http::makeClient(context_.get_executor());
   http::ExchangeCallbacks callbacks;
-  callbacks.on_headers = [this](int status, const http::Headers& headers) {
+  callbacks.on_headers = [this](int status, const http::Headers& headers, http::BodyFraming) {
     const std::lock_guard lock(mutex_);
     result_.status = status;
     result_.headers = headers;
--- a/tests/unit/gateway/gateway_records_test.cc
+++ b/tests/unit/gateway/gateway_records_test.cc
@@ -175,3 +175,26 @@
   REQUIRE(fixture.observer.distrusted.size() == 1);
   CHECK(fixture.observer.distrusted.front() == "b1");
 }
+
+// Without the framing, lines of a truncated response do not tell whether the back end or the gateway stated
+// that it was complete.
+TEST_CASE("the framing of a response and an end within an event are reported", "[gateway][records]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("review");
+  BackendResponse response = genuineResponse();
+  response.framing = http::BodyFraming::Close;
+  response.event_stream = true;
+  fixture.head(200, response);
+  fixture.bytes("id: 1\ndata: a\n\nid: 2\n");
+  fixture.breakExchange(true);
+  REQUIRE(fixture.observer.moved.size() == 1);
+  CHECK(fixture.observer.moved.front().body.framing == http::BodyFraming::Close);
+  CHECK(fixture.observer.moved.front().body.inside_event);
+  fixture.head(200);
+  fixture.bytes("id: 2\ndata: b\n\n");
+  fixture.end();
+  const RequestEnded ended = onlyEnd(fixture);
+  CHECK(ended.body.framing == http::BodyFraming::Chunked);
+  CHECK_FALSE(ended.body.inside_event);
+}
--- a/tools/load/load_call.cc
+++ b/tools/load/load_call.cc
@@ -42,7 +42,7 @@
   void start(http::Client& client, const std::string& address, http::Request request) {
     const auto self = shared_from_this();
     http::ExchangeCallbacks callbacks;
-    callbacks.on_headers = [self](int status, const http::Headers& headers) {
+    callbacks.on_headers = [self](int status, const http::Headers& headers, http::BodyFraming) {
       self->onHeaders(status, headers);
     };
     callbacks.on_data = [self](std::string_view bytes) { self->onData(bytes); };
