Forward the framing of responses that end with their connection, and reset truncated streams

Cause: a response with neither a length nor chunks ends with its connection, and the end of a connection tells nothing about completeness. The gateway turned it into a last chunk or a Content-Length, which do. Only resumable streams were parsed, so that a stream that stopped within an event was completed as well.

Change: the gateway forwards such a response with the same framing and closes the connection. It resets the connection if the response is aborted or the process ends before the end of the response: SO_LINGER is set while it is in progress. A stream that stops within an event, whatever its framing, counts as broken off. A stream that was begun with another framing and resumed by a response without one is aborted (cause end_unproven), so that the client resumes it. An end that proves nothing clears no request of the suspicion of crashing back ends.

Ruled out: an error of a framed response is not lost; the existing tests of streams that are aborted passed before.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -163,7 +163,8 @@
     bool may_have_run = false;
     bool may_have_arrived = false;  ///< A back end may have received it: a further dispatch is a repeat.
     bool head_forwarded = false;
-    std::optional<StreamCursor> cursor;  ///< Of a resumable stream.
+    http::BodyFraming head_framing = http::BodyFraming::Length;  ///< Of the forwarded head.
+    std::optional<StreamCursor> cursor;                          ///< Of a resumable stream.
     ActiveExchange active;
     std::string last_backend;                 ///< Id of the back end that it was sent to last.
     RequestCause cause = RequestCause::none;  ///< Of the last failure, wait or refusal.
@@ -230,6 +231,10 @@
   void onNotRun(Entry& entry, int status, const BackendResponse& response, TimePoint now);
   void onWrongBackend(Entry& entry, int status, const BackendResponse& response, TimePoint now);
   void onErrorResponse(Entry& entry, int status, TimePoint now);
+  void forwardHead(Entry& entry);
+  bool stopsWithinEvent(const Entry& entry) const;
+  bool canForwardEnd(const Entry& entry) const;
+  void onUnprovenEnd(Entry& entry, TimePoint now);
   void onInvalidResponse(Entry& entry, int status, TimePoint now);
   void endExchange(Entry& entry, DispatchOutcome outcome, TimePoint now);
   void cancelExchange(Entry& entry, DispatchOutcome outcome, TimePoint now, bool timed_out = false);
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -75,9 +75,13 @@
   if (!isSuccess(status)) return onErrorResponse(*entry, status, now);
   if (!entry->route->streaming) return recordFirstByte(*entry, now);
   active.streams_body = true;
-  if (entry->head_forwarded) return;
-  entry->head_forwarded = true;
-  actions_.emplace_back(ForwardHead{entry->id, exchange});
+  if (!entry->head_forwarded) forwardHead(*entry);
+}
+
+void Gateway::forwardHead(Entry& entry) {
+  entry.head_forwarded = true;
+  entry.head_framing = entry.active.framing;
+  actions_.emplace_back(ForwardHead{entry.id, entry.active.exchange});
 }
 
 void Gateway::onBodyBufferFull(ExchangeId exchange, TimePoint now) {
@@ -85,9 +89,8 @@
   if (entry == nullptr || entry->active.streams_body) return;
   entry->active.last_received_at = now;
   entry->active.streams_body = true;
-  entry->head_forwarded = true;
   entry->cursor.reset();
-  actions_.emplace_back(ForwardHead{entry->id, exchange});
+  forwardHead(*entry);
 }
 
 void Gateway::onBytes(ExchangeId exchange, std::string_view bytes, TimePoint now) {
@@ -106,8 +109,9 @@
 void Gateway::onEnd(ExchangeId exchange, TimePoint now) {
   Entry* entry = findExchange(exchange);
   if (entry == nullptr) return;
-  if (entry->cursor && entry->cursor->hasPartialEvent()) return onLost(exchange, true, now);
-  recordCompleteResponse(*entry, now);
+  if (stopsWithinEvent(*entry)) return onLost(exchange, true, now);
+  if (!canForwardEnd(*entry)) return onUnprovenEnd(*entry, now);
+  if (entry->active.framing != http::BodyFraming::Close) recordCompleteResponse(*entry, now);
   if (entry->active.streams_body && entry->dispatches == 1 && entry->first_byte_at) {
     choice_.onComplete(*entry->pool, entry->client, now - *entry->first_byte_at);
   }
@@ -126,6 +130,27 @@
   serveQueue(now);
 }
 
+/// A stream that stops within an event was truncated, whatever its framing states.
+bool Gateway::stopsWithinEvent(const Entry& entry) const {
+  if (entry.cursor) return entry.cursor->hasPartialEvent();
+  return entry.active.isInsideEvent();
+}
+
+/// A client with the head of a framed response takes its end as proof that the response is complete. The end
+/// of a connection proves nothing, so it can only be forwarded as the end of a connection.
+bool Gateway::canForwardEnd(const Entry& entry) const {
+  const bool proven = entry.active.framing != http::BodyFraming::Close;
+  return proven || !entry.head_forwarded || entry.head_framing == http::BodyFraming::Close;
+}
+
+/// The client can resume the stream after the last event that it received.
+void Gateway::onUnprovenEnd(Entry& entry, TimePoint now) {
+  entry.cause = RequestCause::end_unproven;
+  endExchange(entry, DispatchOutcome::Completed, now);
+  giveUp(entry, now);
+  serveQueue(now);
+}
+
 void Gateway::recordFirstByte(Entry& entry, TimePoint now) {
   ActiveExchange& active = entry.active;
   if (active.first_byte) return;
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -73,6 +73,8 @@
       return "other_weights";
     case RequestCause::answer_broke_off:
       return "answer_broke_off";
+    case RequestCause::end_unproven:
+      return "end_unproven";
     case RequestCause::answer_not_genuine:
       return "answer_not_genuine";
     case RequestCause::error_answer:
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -38,7 +38,8 @@
   back_end_unreachable,  ///< No connection could be made, nothing was sent.
   back_end_replaced,     ///< Another incarnation responded at the address.
   other_weights,         ///< The back end has other weights than expected.
-  answer_broke_off,      ///< The connection broke after bytes were sent.
+  answer_broke_off,      ///< The connection broke after bytes were sent, or a stream stopped within an event.
+  end_unproven,          ///< A resumed stream ended with its connection, after a head with other framing.
   answer_not_genuine,    ///< The response lacks the marks that the back end itself sets.
   error_answer,          ///< The back end responded with an error status.
   quarantined,           ///< Back ends crashed while they ran the request: it is not run for some time.
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -353,15 +353,16 @@
   const auto found = exchanges_.find(action.exchange);
   Client* client = findClient(action.client);
   if (found == exchanges_.end() || client == nullptr) return;
-  http::Response response;
-  response.status = found->second.status;
-  response.headers = std::move(found->second.headers);
-  response.body = std::move(found->second.body);
-  http::removeConnectionHeaders(response.headers);
+  const ActiveExchange exchange = std::move(found->second);
   exchanges_.erase(found);
   const auto writer = client->writer;
   clients_.erase(action.client);
-  writer->respond(std::move(response));
+  http::Response response{exchange.status, exchange.headers, exchange.body};
+  http::removeConnectionHeaders(response.headers);
+  if (exchange.framing != http::BodyFraming::Close) return writer->respond(std::move(response));
+  writer->beginUnframed(response.status, std::move(response.headers));
+  writer->write(std::move(response.body));
+  writer->end();
 }
 
 void TrafficLoop::execute(const ForwardHead& action) {
@@ -370,7 +371,11 @@
   if (found == exchanges_.end() || client == nullptr) return;
   http::Headers headers = std::move(found->second.headers);
   http::removeConnectionHeaders(headers);
-  client->writer->begin(found->second.status, std::move(headers));
+  if (found->second.framing == http::BodyFraming::Close) {
+    client->writer->beginUnframed(found->second.status, std::move(headers));
+  } else {
+    client->writer->begin(found->second.status, std::move(headers));
+  }
   if (!found->second.body.empty()) client->writer->write(std::exchange(found->second.body, {}));
 }
 
@@ -458,6 +463,7 @@
   if (found == exchanges_.end()) return;
   found->second.status = head.status;
   found->second.headers = head.headers;
+  found->second.framing = framing;
   BackendResponse response = dialect_->readResponse(head, request_id);
   response.framing = framing;
   response.event_stream = isEventStream(head.headers);
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -54,6 +54,7 @@
     std::shared_ptr<http::Exchange> exchange;
     int status = 0;
     http::Headers headers;
+    http::BodyFraming framing = http::BodyFraming::Length;
     std::string body;  ///< Buffered until the gateway decides what to do with it.
     bool large = false;
   };
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -13,8 +13,9 @@
 
 namespace crankspur::http {
 
-/// Writes the response to one request, either by respond() or by begin(), write() and end(). Calls after the
-/// client has disconnected are ignored. Must be called on the executor thread of the server.
+/// Writes the response to one request, either by respond() or by begin() or beginUnframed(), write() and
+/// end(). Calls after the client has disconnected are ignored. Must be called on the executor thread of the
+/// server.
 class ResponseWriter {
 public:
   virtual ~ResponseWriter() = default;
@@ -22,9 +23,12 @@
   virtual void respond(Response response) = 0;
   /// Starts a chunked response. For server-sent events set Content-Type to text/event-stream.
   virtual void begin(int status, Headers headers) = 0;
-  /// Sends one chunk. The queue is unbounded, see queuedBytes().
+  /// Starts a response with BodyFraming::Close. It ends with the connection, which is reset unless end() was
+  /// called, also if this process ends.
+  virtual void beginUnframed(int status, Headers headers) = 0;
+  /// Sends one chunk, or a part of an unframed body. The queue is unbounded, see queuedBytes().
   virtual void write(std::string chunk) = 0;
-  /// Ends a chunked response.
+  /// Ends a response that was started.
   virtual void end() = 0;
   /// Closes the connection without ending the response, so that the client sees a truncated stream.
   virtual void abort() = 0;
--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -33,7 +33,12 @@
     if (const auto session = session_.lock()) session->respond(request_number_, response);
   }
   void begin(int status, Headers headers) override {
-    if (const auto session = session_.lock()) session->begin(request_number_, status, headers);
+    if (const auto session = session_.lock())
+      session->begin(request_number_, status, headers, BodyFraming::Chunked);
+  }
+  void beginUnframed(int status, Headers headers) override {
+    if (const auto session = session_.lock())
+      session->begin(request_number_, status, headers, BodyFraming::Close);
   }
   void write(std::string chunk) override {
     if (const auto session = session_.lock()) session->write(request_number_, chunk);
@@ -208,6 +213,7 @@
   keep_alive_ = message.keep_alive();
   head_only_ = message.method() == beast::http::verb::head;
   response_begun_ = false;
+  ends_with_connection_ = false;
   ++request_number_;
   ++state_->open_requests;
   request_counted_ = true;
@@ -255,7 +261,7 @@
 
 void ServerSession::queueHeader(int status, const Headers& headers, std::optional<std::size_t> body_bytes) {
   if (state_->stopping || state_->keep_alive_disabled) keep_alive_ = false;
-  if (!body_bytes && version_ == kHttp10) keep_alive_ = false;
+  if (ends_with_connection_) keep_alive_ = false;
   beast::http::response<beast::http::empty_body> message;
   message.result(static_cast<unsigned>(status));
   message.version(version_);
@@ -264,7 +270,7 @@
   if (body_bytes) {
     message.content_length(*body_bytes);
   } else {
-    message.chunked(version_ != kHttp10);
+    message.chunked(!ends_with_connection_);
   }
   pending_ += headerText(message);
 }
@@ -276,16 +282,19 @@
   completeResponse();
 }
 
-void ServerSession::begin(std::uint64_t request_number, int status, const Headers& headers) {
+void ServerSession::begin(std::uint64_t request_number, int status, const Headers& headers,
+                          BodyFraming framing) {
   if (!isCurrent(request_number) || response_begun_) return;
   response_begun_ = true;
+  ends_with_connection_ = framing == BodyFraming::Close || version_ == kHttp10;
+  if (ends_with_connection_) resetOnClose(true);
   queueHeader(status, headers, std::nullopt);
   flush();
 }
 
 void ServerSession::write(std::uint64_t request_number, std::string_view chunk) {
   if (!isCurrent(request_number) || !response_begun_ || head_only_ || chunk.empty()) return;
-  if (version_ == kHttp10) {
+  if (ends_with_connection_) {
     pending_ += chunk;
   } else {
     char size_text[2 * sizeof(std::size_t) + 3];
@@ -299,16 +308,19 @@
 
 void ServerSession::end(std::uint64_t request_number) {
   if (!isCurrent(request_number) || !response_begun_) return;
-  if (version_ != kHttp10 && !head_only_) pending_ += kLastChunk;
+  if (!ends_with_connection_ && !head_only_) pending_ += kLastChunk;
   completeResponse();
 }
 
 void ServerSession::abort(std::uint64_t request_number) {
-  if (!isCurrent(request_number)) return;
+  if (isCurrent(request_number)) close();
+}
+
+/// A regular close would look like the end of a response that ends with its connection. The kernel also
+/// resets the connection if this process ends.
+void ServerSession::resetOnClose(bool enabled) {
   boost::system::error_code ignored;
-  // Without chunked encoding a regular close would look like the end of the response.
-  if (version_ == kHttp10) socket_.set_option(asio::socket_base::linger(true, 0), ignored);
-  close();
+  socket_.set_option(asio::socket_base::linger(enabled, 0), ignored);
 }
 
 void ServerSession::onWriterDropped(std::uint64_t request_number) {
@@ -364,6 +376,7 @@
 void ServerSession::onFlushed() {
   releaseRequest();
   parser_.reset();
+  if (ends_with_connection_) resetOnClose(false);
   if (peer_closed_) return close();
   if (keep_alive_ && !state_->stopping) return awaitRequest();
   drain();
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -44,7 +44,7 @@
 
   // Called by the writer of the given request; ignored if that request has ended.
   void respond(std::uint64_t request_number, const Response& response);
-  void begin(std::uint64_t request_number, int status, const Headers& headers);
+  void begin(std::uint64_t request_number, int status, const Headers& headers, BodyFraming framing);
   void write(std::uint64_t request_number, std::string_view chunk);
   void end(std::uint64_t request_number);
   void abort(std::uint64_t request_number);
@@ -76,6 +76,7 @@
   void sendError(const Response& response);
   void reportRejected(int status) const;
   void queueHeader(int status, const Headers& headers, std::optional<std::size_t> body_bytes);
+  void resetOnClose(bool enabled);
   void completeResponse();
   void flush();
   void writeSome();
@@ -106,6 +107,7 @@
   bool keep_alive_ = false;
   bool head_only_ = false;
   bool response_begun_ = false;
+  bool ends_with_connection_ = false;  ///< The response has BodyFraming::Close.
   std::function<void()> on_disconnect_;
   // Output: `writing_` from offset `written_` is being written to the socket, followed by `pending_`.
   std::string writing_;
