--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -62,6 +62,7 @@
       state.health.onOutcome(OutcomeKind::Lost, Duration(0), now);
       return recordOutcome(state, true, now);
     case DispatchOutcome::ConnectFailed:
+      state.out_of_reach = true;
       return state.health.onOutcome(OutcomeKind::ConnectFailed, Duration(0), now);
     case DispatchOutcome::Full:
       state.limit = std::max(in_flight_before, 2U) - 1;
@@ -122,6 +123,17 @@
          lastReceivedAt(backend.view.slot) <= backend.unresponsive_since;
 }
 
+void BackendTable::onBytesReceived(EngineSlot slot, TimePoint now) {
+  State& state = states_[slot];
+  state.last_received_at = now;
+  state.out_of_reach = false;
+}
+
+bool BackendTable::isOutOfReach(EngineSlot slot) const {
+  const State* state = find(slot);
+  return state != nullptr && state->out_of_reach;
+}
+
 Duration BackendTable::ejectedFor(EngineSlot slot, TimePoint now) const {
   const State* state = find(slot);
   return state == nullptr ? Duration(0) : std::max(Duration(0), state->health.ejectedUntil() - now);
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -32,7 +32,7 @@
   /// @param incarnation that the dispatch was sent to; the outcome counts only if it is the current one.
   void onOutcome(EngineSlot slot, std::uint64_t incarnation, DispatchOutcome outcome, TimePoint now);
   /// Some bytes of a response were received.
-  void onBytesReceived(EngineSlot slot, TimePoint now) { states_[slot].last_received_at = now; }
+  void onBytesReceived(EngineSlot slot, TimePoint now);
   /// Records the time to the first byte of a response.
   /// @param taken from dispatch to the first byte.
   /// @param expected the estimate made at the dispatch.
@@ -47,6 +47,9 @@
   /// @return whether the back end is unresponsive: the calls that follow its cache get no response, and the
   /// gateway's traffic has received nothing since then.
   bool isUnresponsive(const Backend& backend) const;
+  /// @return whether the last connection to the back end failed, and nothing was received from it since. The
+  /// back end may be gone, or this gateway may be partitioned from it.
+  bool isOutOfReach(EngineSlot slot) const;
   /// @return remaining time for which the back end is ejected because of failures; 0: not ejected.
   Duration ejectedFor(EngineSlot slot, TimePoint now) const;
   std::uint32_t inFlight(EngineSlot slot) const;
@@ -67,6 +70,7 @@
     TimePoint full_until{};
     std::uint32_t refusals = 0;  ///< Consecutive refusals because it was at capacity.
     TimePoint last_received_at{};
+    bool out_of_reach = false;
     double failed_share = 0;  ///< Smoothed share of dispatches that failed.
     std::uint32_t outcomes = 0;
     double response_seconds = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -183,6 +183,15 @@
   return choice;
 }
 
+PoolReach Gateway::reachOf(const Pool& pool) const {
+  PoolReach reach;
+  for (const Backend* backend : snapshot_->listedInPool(pool.name)) {
+    ++reach.listed;
+    if (table_.isOutOfReach(backend->view.slot)) ++reach.out_of_reach;
+  }
+  return reach;
+}
+
 void Gateway::place(Entry& entry, TimePoint now) {
   if (!checkQuarantine(entry, now)) return;
   const Choice choice = choose(entry, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -180,6 +180,7 @@
   std::optional<RequestCause> reasonNotToDispatch(Entry& entry, const Choice& choice, TimePoint now) const;
   bool wouldStartTooLate(const Entry& entry, const Choice& choice, TimePoint now) const;
   Choice choose(Entry& entry, TimePoint now);
+  PoolReach reachOf(const Pool& pool) const;
   ChoiceRequest choiceRequest(const Entry& entry, const Pool& pool);
   void wait(Entry& entry, TimePoint now);
   void serveQueue(TimePoint now);
--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -98,6 +98,7 @@
   record.pool = entry.pool->name;
   record.cause = entry.cause;
   record.max_wait = entry.queued_until - now;
+  record.reach = reachOf(*entry.pool);
   observer_.onWaiting(record);
 }
 
--- a/src/gateway/gateway_snapshot.cc
+++ b/src/gateway/gateway_snapshot.cc
@@ -42,6 +42,16 @@
   return found != backends.end() && found->view.slot == slot ? &*found : nullptr;
 }
 
+std::vector<const Backend*> GatewaySnapshot::listedInPool(std::string_view pool) const {
+  std::vector<const Backend*> listed;
+  for (const Backend& backend : backends) {
+    const EngineState state = backend.view.state;
+    const bool is_gone = state == EngineState::Leaving || state == EngineState::Dead;
+    if (backend.view.pool == pool && !is_gone) listed.push_back(&backend);
+  }
+  return listed;
+}
+
 Duration GatewaySnapshot::platformContactAge(TimePoint now) const {
   return ageOf(contact.get(), now);
 }
--- a/src/gateway/gateway_snapshot.h
+++ b/src/gateway/gateway_snapshot.h
@@ -118,6 +118,13 @@
   const GatewayTenant* findTenantByKey(std::string_view api_key) const;
 };
 
+/// Another gateway that clients are sent to.
+struct PeerGateway {
+  std::string name;
+  std::string address;  ///< "IP:port" for clients.
+  std::string zone;
+};
+
 /// When the platform last confirmed a part of the state of a gateway. Written by the control thread and read
 /// by traffic at each decision, so that a gateway that resumes after a suspension does not decide on outdated
 /// state.
@@ -144,6 +151,7 @@
   /// Divisor of limits that hold for all gateways together; the quotient is the share of this gateway.
   std::uint32_t share_divisor = 1;
   std::uint32_t peer_count = 0;                    ///< Other gateways that place requests.
+  std::vector<PeerGateway> peers;                  ///< The live ones among these.
   std::shared_ptr<const PlatformContact> contact;  ///< Null: the state always counts as confirmed.
   /// When the list of back ends was last confirmed. Null: it always counts as confirmed.
   std::shared_ptr<const PlatformContact> list_contact;
@@ -151,6 +159,8 @@
   std::optional<Duration> key_validity;
 
   const Backend* backend(EngineSlot slot) const;
+  /// @return the back ends of the pool that are listed and not about to leave.
+  std::vector<const Backend*> listedInPool(std::string_view pool) const;
   /// @return time since the platform last confirmed the configuration.
   Duration platformContactAge(TimePoint now) const;
   /// @return time since the platform last confirmed the list of back ends.
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -114,6 +114,12 @@
   Duration time_left{0};
 };
 
+/// How many back ends of a pool this gateway can connect to.
+struct PoolReach {
+  std::uint32_t listed = 0;
+  std::uint32_t out_of_reach = 0;  ///< The last connection failed, and nothing was received since.
+};
+
 /// A request is queued for a back end with capacity.
 struct RequestWaiting {
   std::string_view request_id;
@@ -121,6 +127,7 @@
   std::string_view pool;
   RequestCause cause = RequestCause::none;
   Duration max_wait{0};  ///< It is refused if none has capacity within this time.
+  PoolReach reach;
 };
 
 /// A back end did not serve a request, which is retried elsewhere if permitted.
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -384,6 +384,7 @@
   snapshot->own_zone = settings_.zone;
   snapshot->own_region = settings_.region;
   assignShares(*snapshot);
+  snapshot->peers = peerGateways();
   snapshot->contact = contact_;
   snapshot->list_contact = list_contact_;
   snapshot->key_validity = settings_.key_validity;
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -109,6 +109,7 @@
   void sendToSharingGateways(const BackendNote& note);
   std::vector<std::string> allClientAddresses() const;
   std::vector<std::string> peers() const;
+  std::vector<PeerGateway> peerGateways() const;
   std::vector<std::string> sharingGateways() const;
   void sendToPeers(const BackendNotes& notes);
   void refreshServing();
--- a/src/gateway_control/gateway_control_serving.cc
+++ b/src/gateway_control/gateway_control_serving.cc
@@ -139,6 +139,18 @@
   return names;
 }
 
+std::vector<PeerGateway> GatewayControl::peerGateways() const {
+  const std::vector<std::string> names = peers();
+  const std::string port = portOf(settings_.front);
+  std::vector<PeerGateway> gateways;
+  for (const MemberRecord& member : gossip_.members()) {
+    const bool live = member.state == MemberState::Alive && member.incarnation != 0;
+    if (!live || std::find(names.begin(), names.end(), member.name) == names.end()) continue;
+    gateways.push_back({member.name, hostOf(member.address) + ":" + port, member.zone});
+  }
+  return gateways;
+}
+
 void GatewayControl::sendToPeers(const BackendNotes& notes) {
   for (const std::string& peer : peers()) gossip_.sendTo(peer, notes);
 }
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -88,6 +88,8 @@
                                               {"route", record.route},
                                               {"pool", record.pool},
                                               {"cause", nameOf(record.cause)},
+                                              {"out_of_reach", record.reach.out_of_reach},
+                                              {"listed", record.reach.listed},
                                               {"longest_ms", milliseconds(record.max_wait)}});
 }
 
