Relay requests through other gateways while too few back ends are in reach

Cause: a request went from its gateway to a back end or nowhere. The gateways share loads, caches and evidence, but none could serve for another.

Change: while at least half of a pool's back ends are out of reach (the last connection failed, nothing received since), a request that no back end can have received, and that would have to wait, be refused, or be sent to such a back end, goes to another gateway, of the own zone if possible. The receiver serves it as if the client had sent it there: it alone checks key, quota and route and counts back ends, and its response, a refusal included, is forwarded as received. A relayed request is not relayed again; a refusal because the receiver reaches no back end either is marked, and up to three gateways are tried. A connection that breaks after the request was sent leaves the outcome unknown: 502, and the request goes nowhere else. One health request each 0.3 s and pool tells when back ends are in reach again.

Ruled out: late detection explains only the first second; the directory alone would lose the time for which clients keep its answer. Simulated gateways list no peers yet, so that the simulation does not relay.

--- a/sim/gateway_world/gateway_node.h
+++ b/sim/gateway_world/gateway_node.h
@@ -98,6 +98,7 @@
   void executeActions();
   void execute(const gateway::Refuse& action);
   void execute(const gateway::Dispatch& action);
+  void execute(const gateway::RelayToPeer& action);
   void execute(const gateway::CancelExchange& action);
   void execute(const gateway::RecallUnsent& action);
   void execute(const gateway::DiscardResponse& action);
--- a/sim/gateway_world/gateway_node_traffic.cc
+++ b/sim/gateway_world/gateway_node_traffic.cc
@@ -113,6 +113,11 @@
   connect(action.exchange, world_.engineAt(action.address), request);
 }
 
+/// Snapshots of simulated gateways list no peers, so that no request is relayed.
+void GatewayNode::execute(const gateway::RelayToPeer& action) {
+  onLost(action.exchange, false);
+}
+
 void GatewayNode::connect(gateway::ExchangeId id, EngineProcess& engine, const EngineRequest& request) {
   const EngineResponseHandlers response = responseHandlers(id);
   context_.network.connect(
--- a/sim/gateway_world/suspicion_trace.h
+++ b/sim/gateway_world/suspicion_trace.h
@@ -18,6 +18,7 @@
   void onEnded(const gateway::RequestEnded&) override {}
   void onOverQuota(const gateway::RequestOverQuota&) override {}
   void onBackendLimitChanged(const gateway::BackendLimitChanged&) override {}
+  void onRelayed(const gateway::RequestRelayed&) override {}
   void onBackendLimitInvalid(const gateway::BackendLimitInvalid&) override {}
   void onDistrusted(const gateway::BackendDistrusted&) override {}
   void onSuspected(const gateway::RequestSuspected& record) override {
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -50,6 +50,8 @@
   /// @return whether the last connection to the back end failed, and nothing was received from it since. The
   /// back end may be gone, or this gateway may be partitioned from it.
   bool isOutOfReach(EngineSlot slot) const;
+  /// Back ends near this one are in reach again, so that it may be as well.
+  void resetReach(EngineSlot slot) { states_[slot].out_of_reach = false; }
   /// @return remaining time for which the back end is ejected because of failures; 0: not ejected.
   Duration ejectedFor(EngineSlot slot, TimePoint now) const;
   std::uint32_t inFlight(EngineSlot slot) const;
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -57,6 +57,7 @@
   std::string invalid_limit;  ///< A limit that is no positive number; empty: none.
   /// Set by the driver, not by the dialect.
   http::BodyFraming framing = http::BodyFraming::Chunked;
+  bool out_of_reach = false;  ///< Another gateway refused it since it reaches no back end. Set by the driver.
   bool event_stream = false;  ///< The body is a stream of server-sent events. Set by the driver.
 };
 
@@ -69,6 +70,8 @@
   /// @return the headers to forward: the client's, without hop-by-hop headers and those that `terms`
   /// replaces, and the headers of `terms`.
   virtual http::Headers forwardHeaders(const http::Request& head, const ForwardTerms& terms) const = 0;
+  /// @return the headers to relay to another gateway: the client's, with its remaining time.
+  virtual http::Headers relayHeaders(const http::Request& head, Duration time_left) const = 0;
   virtual BackendResponse readResponse(const http::Response& head, const std::string& request_id) const = 0;
 };
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -40,6 +40,7 @@
   snapshot_ = std::move(snapshot);
   table_.onSnapshot(*snapshot_, now);
   choice_.onSnapshot(*snapshot_);
+  peers_.onSnapshot(*snapshot_);
   weights_.onSnapshot(*snapshot_, now);
   suspects_.removeExpired(now);
   if (snapshot_->configuration) {
@@ -99,6 +100,7 @@
   Entry& entry = *owned;
   entry.id = client;
   entry.client = std::move(*request.client);
+  entry.from_peer = request.from_peer;
   const std::string_view tenant = checked.tenant == nullptr ? std::string_view() : checked.tenant->name;
   entry.fingerprint = fingerprintOf(request.host, request.path, tenant, request.body);
   entries_.emplace(client, std::move(owned));
@@ -183,15 +185,6 @@
   return choice;
 }
 
-PoolReach Gateway::reachOf(const Pool& pool) const {
-  PoolReach reach;
-  for (const Backend* backend : snapshot_->listedInPool(pool.name)) {
-    ++reach.listed;
-    if (table_.isOutOfReach(backend->view.slot)) ++reach.out_of_reach;
-  }
-  return reach;
-}
-
 void Gateway::place(Entry& entry, TimePoint now) {
   if (!checkQuarantine(entry, now)) return;
   const Choice choice = choose(entry, now);
@@ -200,11 +193,19 @@
       return giveUpFor(entry, RequestCause::back_ends_limited, now);
     }
     entry.cause = choice.at_capacity ? RequestCause::back_ends_full : RequestCause::no_back_end;
-    return wait(entry, now);
+    if (!relay(entry, now)) wait(entry, now);
+    return;
+  }
+  std::optional<RequestCause> cause = reasonNotToDispatch(entry, choice, now);
+  if (!cause && table_.isOutOfReach(choice.backend->view.slot)) {
+    entry.cause = RequestCause::back_end_unreachable;
+    if (relay(entry, now)) return limits_.refund(choice.backend->view.incarnation, now);
   }
-  if (const std::optional<RequestCause> cause = reasonNotToDispatch(entry, choice, now)) {
+  if (cause) {
     limits_.refund(choice.backend->view.incarnation, now);
-    return giveUpFor(entry, *cause, now);
+    entry.cause = *cause;
+    if (!relay(entry, now)) giveUp(entry, now);
+    return;
   }
   dispatch(entry, choice, now);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -23,6 +23,7 @@
 #include "gateway/gateway_actions.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/named_weights.h"
+#include "gateway/peer_relay.h"
 #include "gateway/request_check.h"
 #include "gateway/request_fingerprint.h"
 #include "gateway/request_observer.h"
@@ -121,11 +122,13 @@
     TimePoint start_by = TimePoint::max();  ///< It may not start later, since its weights are superseded.
     DispatchedPrompt prompt;
     bool first_byte = false;
-    bool streams_body = false;  ///< Body bytes are forwarded as they are received.
-    bool server_error = false;  ///< The response has a 5xx status.
-    bool recalled = false;      ///< RecallUnsent was requested.
-    bool limited = false;       ///< It counts towards a limit that the back end named.
-    int status = 0;             ///< Of the response; 0: none received yet.
+    bool streams_body = false;     ///< Body bytes are forwarded as they are received.
+    bool server_error = false;     ///< The response has a 5xx status.
+    bool recalled = false;         ///< RecallUnsent was requested.
+    bool limited = false;          ///< It counts towards a limit that the back end named.
+    bool relayed = false;          ///< To another gateway; slot, incarnation and prompt have no meaning.
+    bool refused_by_peer = false;  ///< The other gateway responded that the request was not run.
+    int status = 0;                ///< Of the response; 0: none received yet.
     http::BodyFraming framing = http::BodyFraming::Length;  ///< Of the response.
     std::optional<EventBoundary> events;                    ///< Of a response that is an event stream.
 
@@ -167,6 +170,8 @@
     std::optional<StreamCursor> cursor;                          ///< Of a resumable stream.
     ActiveExchange active;
     std::string last_backend;                 ///< Id of the back end that it was sent to last.
+    bool from_peer = false;                   ///< Another gateway relayed it to this one.
+    std::vector<std::string> relayed_to;      ///< Names of the gateways that it was relayed to.
     RequestCause cause = RequestCause::none;  ///< Of the last failure, wait or refusal.
     std::optional<TimePoint> first_byte_at;   ///< When the first response byte was received.
   };
@@ -180,7 +185,6 @@
   std::optional<RequestCause> reasonNotToDispatch(Entry& entry, const Choice& choice, TimePoint now) const;
   bool wouldStartTooLate(const Entry& entry, const Choice& choice, TimePoint now) const;
   Choice choose(Entry& entry, TimePoint now);
-  PoolReach reachOf(const Pool& pool) const;
   ChoiceRequest choiceRequest(const Entry& entry, const Pool& pool);
   void wait(Entry& entry, TimePoint now);
   void serveQueue(TimePoint now);
@@ -208,6 +212,15 @@
   void recordSignOfLife(const Entry& entry, TimePoint now);
   void recordCompleteResponse(const Entry& entry, TimePoint now);
 
+  // Requests relayed through other gateways (gateway_relay.cc).
+  PoolReach reachOf(const Pool& pool) const;
+  bool relay(Entry& entry, TimePoint now);
+  void onRelayedHead(Entry& entry, int status, const BackendResponse& response, TimePoint now);
+  void onPeerOutOfReach(Entry& entry, TimePoint now);
+  void onRelayLost(Entry& entry, bool sent, TimePoint now);
+  void probeReach(const Pool& pool, TimePoint now);
+  bool onReachProbeResult(std::uint64_t probe, bool responded, TimePoint now);
+
   // Reports to the observer (gateway_records.cc).
   void reportAdmitted(const Entry& entry, TimePoint now);
   void reportPlaced(const Entry& entry, const Choice& choice, TimePoint now);
@@ -236,6 +249,7 @@
   bool stopsWithinEvent(const Entry& entry) const;
   bool canForwardEnd(const Entry& entry) const;
   void onUnprovenEnd(Entry& entry, TimePoint now);
+  static RequestOutcome outcomeOf(const ActiveExchange& active);
   void onInvalidResponse(Entry& entry, int status, TimePoint now);
   void endExchange(Entry& entry, DispatchOutcome outcome, TimePoint now);
   void cancelExchange(Entry& entry, DispatchOutcome outcome, TimePoint now, bool timed_out = false);
@@ -277,6 +291,14 @@
   };
   std::map<std::uint64_t, Probe> probes_;
   std::uint64_t next_probe_ = 1;
+  /// Health requests to the back ends of a pool that are out of reach.
+  struct ReachProbes {
+    TimePoint sent_at{};  ///< The last one.
+    std::size_t sent = 0;
+  };
+  absl::flat_hash_map<std::string, ReachProbes> reach_probes_;         ///< By pool.
+  absl::flat_hash_map<std::uint64_t, std::string> reach_probe_pools_;  ///< Pools of pending probes.
+  PeerRelay peers_{random_};
   absl::flat_hash_map<std::string, RetryBudget> budgets_;
   absl::flat_hash_map<ClientId, std::unique_ptr<Entry>> entries_;
   absl::flat_hash_map<ExchangeId, ClientId> exchanges_;
--- a/src/gateway/gateway_actions.h
+++ b/src/gateway/gateway_actions.h
@@ -12,6 +12,15 @@
 
 namespace crankspur::gateway {
 
+/// @return whether clients take the status to mean that the request was not run.
+inline bool impliesNotRun(int status) {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+inline bool isSuccess(int status) {
+  return status / 100 == 2;
+}
+
 /// Identifies a client request; assigned by the driver, never reused.
 using ClientId = std::uint64_t;
 /// Identifies a request to a back end; assigned by Gateway, never reused.
@@ -33,6 +42,14 @@
   ForwardTerms terms;
 };
 
+/// Sends the client's request to another gateway, which serves it as if the client had sent it there.
+struct RelayToPeer {
+  ExchangeId exchange = 0;
+  ClientId client = 0;
+  std::string address;
+  Duration time_left{0};
+};
+
 /// Closes the connection of an exchange; the driver reports no further events of it.
 struct CancelExchange {
   ExchangeId exchange = 0;
@@ -99,8 +116,8 @@
   std::string path;
 };
 
-using GatewayAction = std::variant<Refuse, Dispatch, CancelExchange, RecallUnsent, DiscardResponse,
-                                   ForwardResponse, ForwardHead, ForwardBytes, EndResponse, AbortResponse,
-                                   ReportUnreachable, ReportWrongBackend, ProbeBackend>;
+using GatewayAction = std::variant<Refuse, Dispatch, RelayToPeer, CancelExchange, RecallUnsent,
+                                   DiscardResponse, ForwardResponse, ForwardHead, ForwardBytes, EndResponse,
+                                   AbortResponse, ReportUnreachable, ReportWrongBackend, ProbeBackend>;
 
 }  // namespace crankspur::gateway
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -7,31 +7,17 @@
 namespace crankspur::gateway {
 namespace {
 
-constexpr int kRequestTimeout = 408;
-constexpr int kMisdirected = 421;
-constexpr int kTooManyRequests = 429;
 constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
 /// Limit of dispatches of one request, including those that reached no back end.
 constexpr std::uint32_t kMaxDispatches = 6;
 /// A request is withdrawn this long before its weights become too old, so that the back end reads the close
 /// of the connection in time.
 constexpr Duration kWithdrawTime = std::chrono::milliseconds(300);
 
-bool isSuccess(int status) {
-  return status / 100 == 2;
-}
-
 bool isServerError(int status) {
   return status / 100 == 5;
 }
 
-/// @return whether clients take the status to mean that the request was not run.
-bool impliesNotRun(int status) {
-  return status == kRequestTimeout || status == kMisdirected || status == kTooManyRequests ||
-         status == kUnavailable;
-}
-
 }  // namespace
 
 const Gateway::Entry* Gateway::findExchange(ExchangeId exchange) const {
@@ -60,6 +46,7 @@
   active.status = status;
   active.framing = response.framing;
   if (response.event_stream) active.events.emplace();
+  if (active.relayed) return onRelayedHead(*entry, status, response, now);
   table_.onBytesReceived(active.slot, now);
   // A refusal as misdirected may come from a later incarnation of the back end. It does not show that the
   // incarnation to which the request was sent is live.
@@ -97,8 +84,10 @@
   Entry* entry = findExchange(exchange);
   if (entry == nullptr) return;
   entry->active.last_received_at = now;
-  table_.onBytesReceived(entry->active.slot, now);
-  recordSignOfLife(*entry, now);
+  if (!entry->active.relayed) {
+    table_.onBytesReceived(entry->active.slot, now);
+    recordSignOfLife(*entry, now);
+  }
   if (!entry->active.streams_body) return;
   if (entry->active.events) entry->active.events->feed(bytes);
   recordFirstByte(*entry, now);
@@ -111,14 +100,16 @@
   if (entry == nullptr) return;
   if (stopsWithinEvent(*entry)) return onLost(exchange, true, now);
   if (!canForwardEnd(*entry)) return onUnprovenEnd(*entry, now);
-  if (entry->active.framing != http::BodyFraming::Close) recordCompleteResponse(*entry, now);
-  if (entry->active.streams_body && entry->dispatches == 1 && entry->first_byte_at) {
+  const bool relayed = entry->active.relayed;
+  if (!relayed && entry->active.framing != http::BodyFraming::Close) recordCompleteResponse(*entry, now);
+  if (!relayed && entry->active.streams_body && entry->dispatches == 1 && entry->first_byte_at) {
     choice_.onComplete(*entry->pool, entry->client, now - *entry->first_byte_at);
   }
   const bool error = entry->active.server_error;
   const bool started = entry->head_forwarded;
   const int status = entry->active.status;
-  const RequestOutcome outcome = isSuccess(status) ? RequestOutcome::answered : RequestOutcome::error_passed;
+  const RequestOutcome outcome = outcomeOf(entry->active);
+  if (outcome == RequestOutcome::refused) ++counters_.refused;
   reportEnded(*entry, outcome, status, Duration(0), now);
   endExchange(*entry, error ? DispatchOutcome::ErrorResponse : DispatchOutcome::Completed, now);
   if (started) {
@@ -151,11 +142,17 @@
   serveQueue(now);
 }
 
+RequestOutcome Gateway::outcomeOf(const ActiveExchange& active) {
+  if (active.refused_by_peer) return RequestOutcome::refused;
+  return isSuccess(active.status) ? RequestOutcome::answered : RequestOutcome::error_passed;
+}
+
 void Gateway::recordFirstByte(Entry& entry, TimePoint now) {
   ActiveExchange& active = entry.active;
   if (active.first_byte) return;
   active.first_byte = true;
   if (!entry.first_byte_at) entry.first_byte_at = now;
+  if (active.relayed) return;
   const Duration taken = now - active.sent_at;
   choice_.onFirstByte(*entry.pool, active.prompt, active.exchange, taken, now);
   table_.onFirstByte(active.slot, active.incarnation, taken, active.expected, now);
@@ -217,6 +214,7 @@
   const ActiveExchange active = entry.active;
   entry.may_have_arrived = true;
   entry.cause = RequestCause::answer_not_genuine;
+  if (active.relayed) return giveUp(entry, now);
   entry.failed.push_back(active.slot);
   cancelExchange(entry, DispatchOutcome::Failed, now);
   retryOrGiveUp(entry, active, status, now);
@@ -225,6 +223,7 @@
 void Gateway::onLost(ExchangeId exchange, bool sent, TimePoint now) {
   Entry* entry = findExchange(exchange);
   if (entry == nullptr) return;
+  if (entry->active.relayed) return onRelayLost(*entry, sent, now);
   const ActiveExchange active = entry->active;
   entry->cause = sent ? RequestCause::answer_broke_off : RequestCause::back_end_unreachable;
   entry->failed.push_back(active.slot);
@@ -283,6 +282,7 @@
 /// Retries a request elsewhere if nothing was received from the back end up to the silence deadline and the
 /// request may be repeated.
 void Gateway::checkSilence(Entry& entry, TimePoint now) {
+  if (entry.active.relayed) return scheduleTimer(entry, entry.deadline);
   const ActiveExchange active = entry.active;
   const TimePoint due = silenceDeadline(active, now);
   const bool has_alternative = snapshot_->backends.size() > 1;
@@ -341,7 +341,8 @@
     const bool same_incarnation = backend != nullptr && backend->view.incarnation == active.incarnation;
     const bool takes_requests = same_incarnation && backend->view.state != EngineState::Leaving &&
                                 backend->view.state != EngineState::Dead;
-    if (takes_requests || active.status != 0 || std::exchange(active.recalled, true)) continue;
+    if (takes_requests || active.relayed || active.status != 0 || std::exchange(active.recalled, true))
+      continue;
     actions_.emplace_back(RecallUnsent{exchange});
   }
 }
@@ -352,6 +353,7 @@
   const ActiveExchange active = std::exchange(entry.active, ActiveExchange());
   if (active.exchange == 0) return;
   exchanges_.erase(active.exchange);
+  if (active.relayed) return;
   choice_.onEnd(active.slot, active.exchange);
   const bool trusted = table_.isHealthy(active.slot, now);
   table_.onOutcome(active.slot, active.incarnation, outcome, now);
--- a/src/gateway/gateway_suspects.cc
+++ b/src/gateway/gateway_suspects.cc
@@ -50,7 +50,7 @@
   std::vector<EngineSlot> slots;
   for (const auto& [exchange, client] : exchanges_) {
     const Entry* entry = findClient(client);
-    if (entry != nullptr && entry->isolated) slots.push_back(entry->active.slot);
+    if (entry != nullptr && entry->isolated && !entry->active.relayed) slots.push_back(entry->active.slot);
   }
   return slots;
 }
@@ -101,6 +101,7 @@
 }
 
 void Gateway::onProbeResult(std::uint64_t probe, bool responded, TimePoint now) {
+  if (onReachProbeResult(probe, responded, now)) return;
   const auto found = probes_.find(probe);
   if (found == probes_.end()) return;
   const Probe sent_probe = std::move(found->second);
--- a/src/gateway/request_check.h
+++ b/src/gateway/request_check.h
@@ -17,6 +17,7 @@
   std::string path;
   std::string_view body;                ///< Valid during the call that takes the request.
   std::optional<ClientRequest> client;  ///< Empty: the head is malformed.
+  bool from_peer = false;               ///< Another gateway relays it.
 };
 
 /// Outcome of the check.
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -8,6 +8,7 @@
   void onAdmitted(const RequestAdmitted&) override {}
   void onPlaced(const RequestPlaced&) override {}
   void onWaiting(const RequestWaiting&) override {}
+  void onRelayed(const RequestRelayed&) override {}
   void onMoved(const RequestMoved&) override {}
   void onEnded(const RequestEnded&) override {}
   void onOverQuota(const RequestOverQuota&) override {}
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -130,6 +130,16 @@
   PoolReach reach;
 };
 
+/// A request was relayed to another gateway, since this one reaches too few back ends.
+struct RequestRelayed {
+  std::string_view request_id;
+  std::string_view pool;
+  std::string_view gateway;
+  RequestCause cause = RequestCause::none;
+  PoolReach reach;
+  Duration time_left{0};
+};
+
 /// A back end did not serve a request, which is retried elsewhere if permitted.
 struct RequestMoved {
   std::string_view request_id;
@@ -222,6 +232,7 @@
   virtual void onAdmitted(const RequestAdmitted& record) = 0;
   virtual void onPlaced(const RequestPlaced& record) = 0;
   virtual void onWaiting(const RequestWaiting& record) = 0;
+  virtual void onRelayed(const RequestRelayed& record) = 0;
   virtual void onMoved(const RequestMoved& record) = 0;
   virtual void onEnded(const RequestEnded& record) = 0;
   virtual void onOverQuota(const RequestOverQuota& record) = 0;
--- a/src/gateway_process/gateway_metrics.cc
+++ b/src/gateway_process/gateway_metrics.cc
@@ -52,6 +52,7 @@
                                     "Times that a whole answer or a back end that lives refuted that.")),
       invalid_limits_(
           counter("backend_limits_invalid_total", "Limits of back ends that are no positive number.")),
+      relayed_(counter("relayed_total", "Requests relayed to another gateway, by attempt.")),
       prompt_tokens_(counter("prompt_tokens_total", "Prompt tokens of dispatches.")),
       uncached_tokens_(counter("uncached_tokens_total", "Of these, expected to be read by the engine.")),
       recomputed_shared_tokens_(counter("shared_tokens_again_total",
@@ -164,6 +165,10 @@
   invalid_limits_.Increment();
 }
 
+void GatewayMetrics::onRelayed(const RequestRelayed&) {
+  relayed_.Increment();
+}
+
 void GatewayMetrics::setBackends(std::string_view state, std::size_t count) {
   backends_.Add({{"state", std::string(state)}}).Set(static_cast<double>(count));
 }
--- a/src/gateway_process/gateway_metrics.h
+++ b/src/gateway_process/gateway_metrics.h
@@ -41,6 +41,7 @@
   void onSuspicionWithdrawn(const SuspicionWithdrawn& record) override;
   void onBackendLimitChanged(const BackendLimitChanged& record) override;
   void onBackendLimitInvalid(const BackendLimitInvalid& record) override;
+  void onRelayed(const RequestRelayed& record) override;
 
   /// Sets the number of back ends in `state` in the last published list.
   void setBackends(std::string_view state, std::size_t count);
@@ -64,6 +65,7 @@
   prometheus::Counter& suspected_;
   prometheus::Counter& suspicions_withdrawn_;
   prometheus::Counter& invalid_limits_;
+  prometheus::Counter& relayed_;
   prometheus::Counter& prompt_tokens_;
   prometheus::Counter& uncached_tokens_;
   prometheus::Counter& recomputed_shared_tokens_;
--- a/src/gateway_process/observer_pair.h
+++ b/src/gateway_process/observer_pair.h
@@ -50,6 +50,10 @@
     first_.onBackendLimitChanged(record);
     second_.onBackendLimitChanged(record);
   }
+  void onRelayed(const RequestRelayed& record) override {
+    first_.onRelayed(record);
+    second_.onRelayed(record);
+  }
   void onBackendLimitInvalid(const BackendLimitInvalid& record) override {
     first_.onBackendLimitInvalid(record);
     second_.onBackendLimitInvalid(record);
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -93,6 +93,16 @@
                                               {"longest_ms", milliseconds(record.max_wait)}});
 }
 
+void RequestLog::onRelayed(const RequestRelayed& record) {
+  log_.write(EventId::GatewayRequestRelayed, {{"request_id", record.request_id},
+                                              {"pool", record.pool},
+                                              {"gateway", record.gateway},
+                                              {"cause", nameOf(record.cause)},
+                                              {"out_of_reach", record.reach.out_of_reach},
+                                              {"listed", record.reach.listed},
+                                              {"time_left_ms", milliseconds(record.time_left)}});
+}
+
 void RequestLog::onMoved(const RequestMoved& record) {
   log_.write(EventId::GatewayRequestMoved, {{"request_id", record.request_id},
                                             {"fingerprint", toHex(record.fingerprint)},
--- a/src/gateway_process/request_log.h
+++ b/src/gateway_process/request_log.h
@@ -22,6 +22,7 @@
   void onSuspected(const RequestSuspected& record) override;
   void onSuspicionWithdrawn(const SuspicionWithdrawn& record) override;
   void onBackendLimitChanged(const BackendLimitChanged& record) override;
+  void onRelayed(const RequestRelayed& record) override;
   void onBackendLimitInvalid(const BackendLimitInvalid& record) override;
 
 private:
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -17,6 +17,8 @@
 /// A client that does not read is disconnected once more than this many bytes are queued for it.
 constexpr std::size_t kMaxQueuedBytes = std::size_t{4} * 1024 * 1024;
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+/// A gateway that cannot be reached is one of several, and the client waits.
+constexpr Duration kPeerConnectTimeout = std::chrono::milliseconds(200);
 /// Time after a back end's deadline at which its exchange is ended unconditionally.
 constexpr Duration kExchangeSlack = std::chrono::seconds(2);
 /// A live back end responds to a probe within a few milliseconds.
@@ -71,6 +73,10 @@
   return status == 502 || status == 504;
 }
 
+bool isOutOfReach(RequestCause cause) {
+  return cause == RequestCause::no_back_end || cause == RequestCause::back_end_unreachable;
+}
+
 bool isEventStream(const http::Headers& headers) {
   const auto found = headers.find("Content-Type");
   return found != headers.end() && boost::istarts_with(found->second, "text/event-stream");
@@ -238,10 +244,12 @@
   incoming.host = hostOf(request);
   incoming.path = request.path();
   incoming.client = dialect_->readRequest(request);
+  incoming.from_peer = request.headers.erase(kRelayedByHeader) > 0;
   Client client;
   if (incoming.client) client.request_id = incoming.client->request_id;
   client.request = std::make_shared<const http::Request>(std::move(request));
   incoming.body = client.request->body;
+  client.from_peer = incoming.from_peer;
   client.writer = std::move(writer);
   client.writer->onClientDisconnected([this, id] {
     if (clients_.erase(id) == 0) return;
@@ -298,6 +306,7 @@
   Client* client = findClient(action.client);
   if (client == nullptr) return;
   const auto writer = client->writer;
+  const bool from_peer = client->from_peer;
   clients_.erase(action.client);
   const std::string_view ran = mayHaveRun(action.status) ? "unknown" : "not_run";
   http::Response response = http::errorResponse(action.status, errorName(errorCodeOf(action.status)),
@@ -305,9 +314,29 @@
   if (action.retry_after > Duration(0)) {
     response.headers["Retry-After"] = fmt::format("{:.3f}", toSeconds(action.retry_after));
   }
+  if (from_peer && isOutOfReach(action.cause)) response.headers[kOutOfReachHeader] = "1";
   writer->respond(std::move(response));
 }
 
+void TrafficLoop::execute(const RelayToPeer& action) {
+  const Client* client = findClient(action.client);
+  if (client == nullptr) return;
+  http::Request request;
+  request.method = client->request->method;
+  request.target = client->request->target;
+  request.headers = dialect_->relayHeaders(*client->request, action.time_left);
+  http::removeConnectionHeaders(request.headers);
+  request.headers[kRelayedByHeader] = settings_.node_name;
+  request.body = client->request->body;
+  http::ExchangeOptions options;
+  options.connect_timeout = kPeerConnectTimeout;
+  options.idle_timeout = action.time_left + kExchangeSlack;
+  ActiveExchange& active = exchanges_[action.exchange];
+  active.client = action.client;
+  const auto callbacks = exchangeCallbacks(action.exchange, client->request_id);
+  active.exchange = http_->start(action.address, std::move(request), callbacks, options);
+}
+
 void TrafficLoop::execute(const Dispatch& action) {
   const Client* client = findClient(action.client);
   if (client == nullptr) return;
@@ -467,6 +496,7 @@
   BackendResponse response = dialect_->readResponse(head, request_id);
   response.framing = framing;
   response.event_stream = isEventStream(head.headers);
+  response.out_of_reach = found->second.headers.erase(kOutOfReachHeader) > 0;
   gateway_.onHead(exchange, head.status, response, now());
   executeActions();
 }
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -46,6 +46,7 @@
   struct Client {
     std::shared_ptr<const http::Request> request;
     std::string request_id;
+    bool from_peer = false;  ///< Another gateway relays the request.
     std::shared_ptr<http::ResponseWriter> writer;
   };
   /// An exchange whose events are still forwarded to the gateway.
@@ -75,6 +76,7 @@
 
   void execute(const Refuse& action);
   void execute(const Dispatch& action);
+  void execute(const RelayToPeer& action);
   void execute(const CancelExchange& action);
   void execute(const RecallUnsent& action);
   void execute(const DiscardResponse& action);
--- a/tests/integration/gateway/gateway_site.h
+++ b/tests/integration/gateway/gateway_site.h
@@ -32,6 +32,7 @@
     if (terms.resume_after) headers["X-After"] = std::to_string(*terms.resume_after);
     return headers;
   }
+  http::Headers relayHeaders(const http::Request& head, Duration) const override { return head.headers; }
   BackendResponse readResponse(const http::Response& head, const std::string& request_id) const override {
     BackendResponse response;
     const auto id = head.headers.find("X-Id");
--- a/tests/unit/gateway/gateway_fixture.h
+++ b/tests/unit/gateway/gateway_fixture.h
@@ -87,6 +87,7 @@
     placed_at.emplace_back(record.backend);
   }
   void onWaiting(const RequestWaiting& record) override { waiting.push_back(record); }
+  void onRelayed(const RequestRelayed& record) override { relayed_to.emplace_back(record.gateway); }
   void onMoved(const RequestMoved& record) override { moved.push_back(record); }
   void onEnded(const RequestEnded& record) override {
     ended.push_back(record);
@@ -108,6 +109,7 @@
   std::vector<RequestPlaced> placed;
   std::vector<std::string> placed_at;
   std::vector<RequestWaiting> waiting;
+  std::vector<std::string> relayed_to;
   std::vector<RequestMoved> moved;
   std::vector<RequestEnded> ended;
   std::vector<std::string> ended_ids;
@@ -133,6 +135,7 @@
     snapshot->backends = backends;
     snapshot->weights = weights;
     snapshot->own_zone = "here";
+    snapshot->peers = peers;
     snapshot->own_region = "coast";
     snapshot->contact = contact;
     snapshot->key_validity = key_validity;
@@ -231,6 +234,7 @@
 
   Configuration configuration;
   std::vector<Backend> backends;
+  std::vector<PeerGateway> peers;
   std::vector<NamedWeights> weights;
   std::shared_ptr<PlatformContact> contact = std::make_shared<PlatformContact>();
   std::optional<Duration> key_validity;
--- a/tests/unit/gateway_control/gateway_admin_test.cc
+++ b/tests/unit/gateway_control/gateway_admin_test.cc
@@ -27,6 +27,7 @@
   http::Headers forwardHeaders(const http::Request& head, const ForwardTerms&) const override {
     return head.headers;
   }
+  http::Headers relayHeaders(const http::Request& head, Duration) const override { return head.headers; }
   BackendResponse readResponse(const http::Response&, const std::string&) const override { return {}; }
 };
 
