Forward comments between the events of a resumable stream as they are received

A keep-alive comment after the last event was kept as the start of an event. The complete stream then counted as broken off and was resumed at another back end, and comments reached the client only with the next event. The test failed before (a second dispatch instead of the end of the response) and passes now. Found while looking for the cause of the truncated responses elsewhere.

--- a/src/gateway/stream_cursor.cc
+++ b/src/gateway/stream_cursor.cc
@@ -36,6 +36,11 @@
 }
 
 void StreamCursor::processLine(std::string_view line, std::string& output) {
+  const bool between_events = line_start_ == 0;
+  if (between_events && line.starts_with(':')) {  // A comment, often sent to keep the connection alive.
+    output += event_;
+    return restart();
+  }
   if (!line.empty()) {
     if (line.starts_with(kIdField)) event_id_ = parseId(line.substr(kIdField.size()));
     line_start_ = event_.size();
--- a/src/gateway/stream_cursor.h
+++ b/src/gateway/stream_cursor.h
@@ -9,8 +9,9 @@
 
 namespace crankspur::gateway {
 
-/// Forwards only complete events and stores the id of the last one. Events whose id does not increase are
-/// dropped, so that an event that a back end repeats after a resumption is not duplicated in the response.
+/// Forwards only complete events, and comments between them, and stores the id of the last one. Events whose
+/// id does not increase are dropped, so that an event that a back end repeats after a resumption is not
+/// duplicated in the response.
 class StreamCursor {
 public:
   /// @param last_event id of the last event that the client already has.
--- a/tests/unit/gateway/gateway_stream_test.cc
+++ b/tests/unit/gateway/gateway_stream_test.cc
@@ -91,6 +91,20 @@
   }
 }
 
+// A keep-alive comment after the last event was kept as the start of an event: the complete stream counted as
+// broken off and was resumed.
+TEST_CASE("a resumable stream that ends with a comment is complete", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("review");
+  fixture.head(200);
+  fixture.bytes("id: 1\ndata: a\n\n: alive\n");
+  CHECK(fixture.only<ForwardBytes>().bytes == "id: 1\ndata: a\n\n: alive\n");
+  fixture.end();
+  CHECK(fixture.has<EndResponse>());
+  CHECK_FALSE(fixture.has<Dispatch>());
+}
+
 TEST_CASE("a request goes to the engine that holds its prefix", "[gateway]") {
   for (const EngineSlot holder : {EngineSlot{3}, EngineSlot{4}}) {
     GatewayFixture fixture;
