Count broken and silent connections as evidence that a back end is out of reach

Only connections that could not be opened counted. Requests on kept connections got no response for 3 s, and then less than half of the pool was known to be out of reach.

A request that was sent and whose connection breaks, or is silent for too long, now counts as well, until anything is received from the back end. A relayed request is refused as out of reach by the reach of the pool, not by the cause of the refusal: a gateway that still reaches one busy engine refused for its queue. The test of broken connections failed before and passes now.

--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -129,6 +129,11 @@
   state.out_of_reach = false;
 }
 
+void BackendTable::onConnectionLost(EngineSlot slot, std::uint64_t incarnation) {
+  State& state = states_[slot];
+  if (state.incarnation == incarnation) state.out_of_reach = true;
+}
+
 bool BackendTable::isOutOfReach(EngineSlot slot) const {
   const State* state = find(slot);
   return state != nullptr && state->out_of_reach;
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -47,8 +47,10 @@
   /// @return whether the back end is unresponsive: the calls that follow its cache get no response, and the
   /// gateway's traffic has received nothing since then.
   bool isUnresponsive(const Backend& backend) const;
-  /// @return whether the last connection to the back end failed, and nothing was received from it since. The
-  /// back end may be gone, or this gateway may be partitioned from it.
+  /// A request that was sent to the back end is without a response: its connection broke or is silent.
+  void onConnectionLost(EngineSlot slot, std::uint64_t incarnation);
+  /// @return whether the last connection to the back end failed, broke or fell silent, and nothing was
+  /// received from it since. The back end may be gone, or this gateway may be partitioned from it.
   bool isOutOfReach(EngineSlot slot) const;
   /// Back ends near this one are in reach again, so that it may be as well.
   void resetReach(EngineSlot slot) { states_[slot].out_of_reach = false; }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -311,7 +311,8 @@
   ++counters_.refused;
   refundQuota(entry, now);
   const Duration retry_after = retryAfter(entry, now);
-  actions_.emplace_back(Refuse{entry.id, kUnavailable, retry_after, entry.cause});
+  const bool out_of_reach = entry.from_peer && entry.pool != nullptr && isPartitioned(*entry.pool);
+  actions_.emplace_back(Refuse{entry.id, kUnavailable, retry_after, entry.cause, out_of_reach});
   reportEnded(entry, RequestOutcome::refused, kUnavailable, retry_after, now);
 }
 
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -214,6 +214,7 @@
 
   // Requests relayed through other gateways (gateway_relay.cc).
   PoolReach reachOf(const Pool& pool) const;
+  bool isPartitioned(const Pool& pool) const;
   bool relay(Entry& entry, TimePoint now);
   void onRelayedHead(Entry& entry, int status, const BackendResponse& response, TimePoint now);
   void onPeerOutOfReach(Entry& entry, TimePoint now);
--- a/src/gateway/gateway_actions.h
+++ b/src/gateway/gateway_actions.h
@@ -32,6 +32,8 @@
   int status = 503;
   Duration retry_after{0};  ///< 0: the response states none.
   RequestCause cause = RequestCause::none;
+  bool out_of_reach =
+      false;  ///< Another gateway relayed the request, and this one reaches too few back ends.
 };
 
 /// Sends the client's request to a back end.
--- a/src/gateway/gateway_relay.cc
+++ b/src/gateway/gateway_relay.cc
@@ -19,12 +19,6 @@
 /// Interval of health requests to the back ends of a pool that are out of reach.
 constexpr Duration kReachProbeInterval = std::chrono::milliseconds(300);
 
-/// @return whether at least half of the pool's back ends are out of reach. A few that crashed are not
-/// evidence of a partition.
-bool isPartitioned(const PoolReach& reach) {
-  return reach.listed > 0 && reach.out_of_reach * 2 >= reach.listed;
-}
-
 }  // namespace
 
 PoolReach Gateway::reachOf(const Pool& pool) const {
@@ -36,13 +30,19 @@
   return reach;
 }
 
+/// @return whether at least half of the pool's back ends are out of reach. A few that crashed are not
+/// evidence of a partition.
+bool Gateway::isPartitioned(const Pool& pool) const {
+  const PoolReach reach = reachOf(pool);
+  return reach.listed > 0 && reach.out_of_reach * 2 >= reach.listed;
+}
+
 /// @return whether the request was relayed to another gateway.
 bool Gateway::relay(Entry& entry, TimePoint now) {
   const bool unsent = !entry.may_have_arrived && !entry.may_have_run;
   if (entry.from_peer || !unsent || entry.relayed_to.size() >= kMaxRelays) return false;
   if (entry.deadline - now < kMinTimeToRelay) return false;
-  const PoolReach reach = reachOf(*entry.pool);
-  if (!isPartitioned(reach)) return false;
+  if (!isPartitioned(*entry.pool)) return false;
   const PeerGateway* peer = peers_.choose(entry.relayed_to, now);
   if (peer == nullptr) return false;
   probeReach(*entry.pool, now);
@@ -59,6 +59,7 @@
   active.last_received_at = now;
   exchanges_[active.exchange] = entry.id;
   const Duration time_left = entry.deadline - now;
+  const PoolReach reach = reachOf(*entry.pool);
   observer_.onRelayed({entry.client.request_id, entry.pool->name, peer->name, entry.cause, reach, time_left});
   scheduleTimer(entry, entry.deadline);
   actions_.emplace_back(
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -230,6 +230,7 @@
   if (sent) {
     entry->may_have_arrived = true;
     entry->may_have_run = true;
+    table_.onConnectionLost(active.slot, active.incarnation);
     recordCrash(*entry, active, now);
   } else {
     --entry->backends_reached;
@@ -290,6 +291,7 @@
   if (now < due) return scheduleTimer(entry, std::min({entry.deadline, due, start_by}));
   entry.may_have_arrived = true;
   entry.may_have_run = true;
+  table_.onConnectionLost(active.slot, active.incarnation);
   if (!has_alternative || !mayRepeat(entry) || !consumeRetryBudget(entry, now))
     return scheduleTimer(entry, std::min(entry.deadline, start_by));
   entry.cause = RequestCause::silence;
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -117,7 +117,7 @@
 /// How many back ends of a pool this gateway can connect to.
 struct PoolReach {
   std::uint32_t listed = 0;
-  std::uint32_t out_of_reach = 0;  ///< The last connection failed, and nothing was received since.
+  std::uint32_t out_of_reach = 0;  ///< The last connection failed or broke, and nothing was received since.
 };
 
 /// A request is queued for a back end with capacity.
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -73,10 +73,6 @@
   return status == 502 || status == 504;
 }
 
-bool isOutOfReach(RequestCause cause) {
-  return cause == RequestCause::no_back_end || cause == RequestCause::back_end_unreachable;
-}
-
 bool isEventStream(const http::Headers& headers) {
   const auto found = headers.find("Content-Type");
   return found != headers.end() && boost::istarts_with(found->second, "text/event-stream");
@@ -249,7 +245,6 @@
   if (incoming.client) client.request_id = incoming.client->request_id;
   client.request = std::make_shared<const http::Request>(std::move(request));
   incoming.body = client.request->body;
-  client.from_peer = incoming.from_peer;
   client.writer = std::move(writer);
   client.writer->onClientDisconnected([this, id] {
     if (clients_.erase(id) == 0) return;
@@ -306,7 +301,6 @@
   Client* client = findClient(action.client);
   if (client == nullptr) return;
   const auto writer = client->writer;
-  const bool from_peer = client->from_peer;
   clients_.erase(action.client);
   const std::string_view ran = mayHaveRun(action.status) ? "unknown" : "not_run";
   http::Response response = http::errorResponse(action.status, errorName(errorCodeOf(action.status)),
@@ -314,7 +308,7 @@
   if (action.retry_after > Duration(0)) {
     response.headers["Retry-After"] = fmt::format("{:.3f}", toSeconds(action.retry_after));
   }
-  if (from_peer && isOutOfReach(action.cause)) response.headers[kOutOfReachHeader] = "1";
+  if (action.out_of_reach) response.headers[kOutOfReachHeader] = "1";
   writer->respond(std::move(response));
 }
 
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -46,7 +46,6 @@
   struct Client {
     std::shared_ptr<const http::Request> request;
     std::string request_id;
-    bool from_peer = false;  ///< Another gateway relays the request.
     std::shared_ptr<http::ResponseWriter> writer;
   };
   /// An exchange whose events are still forwarded to the gateway.
--- a/tests/unit/gateway/gateway_relay_test.cc
+++ b/tests/unit/gateway/gateway_relay_test.cc
@@ -149,6 +149,40 @@
   CHECK(fixture.has<Dispatch>());
 }
 
+// A network that drops packets leaves connections open: requests on them get no response for seconds, and no
+// connection is refused.
+TEST_CASE("a request is relayed once the connections to the back ends have broken", "[gateway]") {
+  PartitionedFixture fixture;
+  fixture.send("order");
+  const ExchangeId first = fixture.last.exchange;
+  fixture.send("order");
+  CHECK(fixture.last.exchange != first);
+  fixture.gateway.onLost(first, true, fixture.now);
+  fixture.gateway.onLost(fixture.last.exchange, true, fixture.now);
+  fixture.takeActions();
+  fixture.send("order");
+  CHECK(fixture.has<RelayToPeer>());
+  CHECK_FALSE(fixture.has<Dispatch>());
+}
+
+TEST_CASE("a relayed request is refused as out of reach only while few back ends are in reach", "[gateway]") {
+  PartitionedFixture fixture;
+  IncomingRequest incoming = GatewayFixture::request("order");
+  incoming.from_peer = true;
+  fixture.send(incoming);
+  SECTION("none is in reach") {
+    while (fixture.has<Dispatch>()) fixture.breakExchange(false);
+    fixture.advance(seconds(1));
+    CHECK(fixture.only<Refuse>().out_of_reach);
+  }
+  SECTION("both are full") {
+    fixture.notRun();
+    if (fixture.has<Dispatch>()) fixture.notRun();
+    if (!fixture.has<Refuse>()) fixture.advance(seconds(1));
+    CHECK_FALSE(fixture.only<Refuse>().out_of_reach);
+  }
+}
+
 TEST_CASE("a request is not relayed because one of three back ends crashed", "[gateway]") {
   GatewayFixture fixture;
   fixture.peers = {{"near", "10.1.0.1:80", "here"}};
