Report the limit under which a request was placed, and the status that changed a limit

Three causes of too many requests to a back end with a limit look alike in the logs: the limit was in force and the sum over the gateways exceeded it, it had ended, or a gateway did not count the others. Event 1221 now has the limit in force, event 1232 the status of the response that changed it, and backend_limit_requests_total, summed over the gateways, tells what a back end got under its limit.

--- a/src/gateway/gateway_limits.cc
+++ b/src/gateway/gateway_limits.cc
@@ -19,7 +19,9 @@
   const std::optional<LimitChange> change =
       limits_.onResponse(entry.active.incarnation, response.requests_per_second, entry.active.sent_at, now);
   if (!change) return;
-  observer_.onBackendLimitChanged({entry.last_backend, change->previous, change->limit, "response"});
+  BackendLimitChanged record{entry.last_backend, change->previous, change->limit, "response"};
+  record.status = entry.active.status;
+  observer_.onBackendLimitChanged(record);
 }
 
 void Gateway::recordReportedLimits(const LoadDigest& digest, TimePoint now) {
--- a/src/gateway/gateway_snapshot.h
+++ b/src/gateway/gateway_snapshot.h
@@ -146,6 +146,7 @@
   std::shared_ptr<const Configuration> configuration;  ///< Null: none yet; refuse requests as not run.
   std::vector<Backend> backends;                       ///< Sorted by slot.
   std::vector<NamedWeights> weights;
+  std::string own_name;  ///< As the other gateways know this one.
   std::string own_zone;
   std::string own_region;
   /// Divisor of limits that hold for all gateways together; the quotient is the share of this gateway.
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -101,6 +101,7 @@
   double runner_up_cost = 0;
   std::uint32_t in_flight = 0;    ///< Requests of this gateway already at the back end.
   std::uint32_t passed_over = 0;  ///< Back ends that were not compared because their limits had no room.
+  double backend_limit = 0;       ///< Requests per second that the back end names; 0: no limit is in force.
   std::uint32_t prompt_tokens = 0;
   std::uint32_t uncached_tokens = 0;      ///< Expected to be prefilled; imported tokens are not counted.
   std::uint32_t shared_tokens_again = 0;  ///< To be prefilled although cached at some back end.
@@ -216,6 +217,7 @@
   double limit = 0;         ///< Requests per second; 0: the limit has ended.
   std::string_view source;  ///< "response", "list", or the gateway that reported it.
   Duration age{0};          ///< Since the back end named it.
+  int status = 0;           ///< Of the response that changed it; 0: no response to this gateway did.
 };
 
 /// A back end named a limit that is no positive number. The limit known before stays in force. Reported once
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -381,6 +381,7 @@
   if (crashes_.isReady(now())) snapshot->configuration = configuration_;
   snapshot->backends = backends_;
   snapshot->weights = orders_.named();
+  snapshot->own_name = gossip_.ownName();
   snapshot->own_zone = settings_.zone;
   snapshot->own_region = settings_.region;
   assignShares(*snapshot);
--- a/src/gateway_process/gateway_metrics.cc
+++ b/src/gateway_process/gateway_metrics.cc
@@ -41,6 +41,8 @@
                           .Name(std::string(kPrefix) + "backend_limit_per_second")
                           .Help("Requests per second that a back end named for all gateways together.")
                           .Register(*registry_)),
+      limited_requests_(
+          counters(*registry_, "backend_limit_requests_total", "Requests sent while a limit was in force.")),
       admitted_(counter("admitted_total", "Requests with a route and a valid key.")),
       dispatches_(counter("dispatches_total", "Requests sent to back ends.")),
       retries_(counter("repeats_total", "Of these, beyond the first of a request.")),
@@ -107,6 +109,9 @@
 void GatewayMetrics::onPlaced(const RequestPlaced& record) {
   dispatches_.Increment();
   if (record.dispatch > 1) retries_.Increment();
+  if (record.backend_limit > 0) {
+    limited_requests_.Add({{"backend", std::string(record.backend)}}).Increment();
+  }
   prompt_tokens_.Increment(record.prompt_tokens);
   uncached_tokens_.Increment(record.uncached_tokens);
   recomputed_shared_tokens_.Increment(record.shared_tokens_again);
@@ -158,7 +163,9 @@
 void GatewayMetrics::onBackendLimitChanged(const BackendLimitChanged& record) {
   prometheus::Gauge& limit = backend_limits_.Add({{"backend", std::string(record.backend)}});
   limit.Set(record.limit);
-  if (record.limit == 0) backend_limits_.Remove(&limit);
+  if (record.limit > 0) return;
+  backend_limits_.Remove(&limit);
+  limited_requests_.Remove(&limited_requests_.Add({{"backend", std::string(record.backend)}}));
 }
 
 void GatewayMetrics::onBackendLimitInvalid(const BackendLimitInvalid&) {
--- a/src/gateway_process/gateway_metrics.h
+++ b/src/gateway_process/gateway_metrics.h
@@ -57,6 +57,7 @@
   prometheus::Family<prometheus::Counter>& moves_;
   prometheus::Family<prometheus::Gauge>& backends_;
   prometheus::Family<prometheus::Gauge>& backend_limits_;
+  prometheus::Family<prometheus::Counter>& limited_requests_;
   prometheus::Counter& admitted_;
   prometheus::Counter& dispatches_;
   prometheus::Counter& retries_;
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -71,6 +71,7 @@
               {"runner_up_cost", fmt::format("{:.4f}", record.runner_up_cost)},
               {"in_flight", record.in_flight},
               {"passed_over", record.passed_over},
+              {"backend_limit", fmt::format("{:.2f}", record.backend_limit)},
               {"uncached_tokens", record.uncached_tokens},
               {"shared_part", fmt::format("{:x}", record.shared_part)},
               {"shared_tokens", record.shared_tokens},
@@ -157,7 +158,8 @@
               {"from_per_second", fmt::format("{:.2f}", record.previous)},
               {"to_per_second", fmt::format("{:.2f}", record.limit)},
               {"source", record.source},
-              {"age_ms", milliseconds(record.age)}});
+              {"age_ms", milliseconds(record.age)},
+              {"status", record.status}});
 }
 
 void RequestLog::onBackendLimitInvalid(const BackendLimitInvalid& record) {
