Report ends that may hide a crash, all crashes under a request, and what cleared it

Three causes of a poison request that runs after three crashes look alike in the logs: evidence that an error cleared, crashes that showed as another end, and crashes that did not add up. Event 1230 now has the status of the response, event 1229 all crashes beside those in sequence, and unobserved_ends_total counts, by cause, the ends that may hide a crash.

--- a/sim/gateway_world/suspicion_trace.h
+++ b/sim/gateway_world/suspicion_trace.h
@@ -17,6 +17,7 @@
   void onMoved(const gateway::RequestMoved&) override {}
   void onEnded(const gateway::RequestEnded&) override {}
   void onOverQuota(const gateway::RequestOverQuota&) override {}
+  void onEndUnobserved(const gateway::EndUnobserved&) override {}
   void onBackendLimitChanged(const gateway::BackendLimitChanged&) override {}
   void onRelayed(const gateway::RequestRelayed&) override {}
   void onBackendLimitInvalid(const gateway::BackendLimitInvalid&) override {}
--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -171,6 +171,7 @@
   const auto found = suspects_.find(request);
   if (found == suspects_.end()) return verdict;
   const std::vector<Crash>& crashes = found->second.crashes;
+  verdict.crashes_in_all = static_cast<std::uint32_t>(crashes.size());
   TimePoint last_crash = TimePoint::min();
   for (const Crash& crash : crashes) {
     if (verdict.crashes > 0 && crash.sent_at + policy_.sequence_tolerance < last_crash) continue;
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -77,8 +77,9 @@
 /// The assessment of a request.
 struct CrashVerdict {
   Suspicion suspicion = Suspicion::none;
-  std::uint32_t crashes = 0;      ///< Number of sequential crashes of back ends that ran it.
-  TimePoint quarantined_until{};  ///< From then on it may run once more.
+  std::uint32_t crashes = 0;         ///< Number of sequential crashes of back ends that ran it.
+  std::uint32_t crashes_in_all = 0;  ///< Also those at about the same time.
+  TimePoint quarantined_until{};     ///< From then on it may run once more.
 };
 
 /// The evidence against requests; see the file comment.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -210,6 +210,7 @@
   bool hasConcurrentAttempt(const Entry& entry);
   std::vector<EngineSlot> slotsOfIsolatedRequests();
   void recordCrash(const Entry& entry, const ActiveExchange& active, TimePoint now);
+  void recordUnobservedEnd(const Entry& entry, const ActiveExchange& active, RequestCause cause);
   void sendProbe(const Entry& entry, const ActiveExchange& active, TimePoint now);
   bool isProbing(const RequestFingerprint& request, TimePoint now) const;
   void recordSignOfLife(const Entry& entry, TimePoint now);
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -101,7 +101,9 @@
   if (stopsWithinEvent(*entry)) return onLost(exchange, true, now);
   if (!canForwardEnd(*entry)) return onUnprovenEnd(*entry, now);
   const bool relayed = entry->active.relayed;
-  if (!relayed && entry->active.framing != http::BodyFraming::Close) recordCompleteResponse(*entry, now);
+  const bool end_proven = entry->active.framing != http::BodyFraming::Close;
+  if (!relayed && end_proven) recordCompleteResponse(*entry, now);
+  if (!end_proven) recordUnobservedEnd(*entry, entry->active, RequestCause::end_unproven);
   if (!relayed && entry->active.streams_body && entry->dispatches == 1 && entry->first_byte_at) {
     choice_.onComplete(*entry->pool, entry->client, now - *entry->first_byte_at);
   }
@@ -137,6 +139,7 @@
 /// The client can resume the stream after the last event that it received.
 void Gateway::onUnprovenEnd(Entry& entry, TimePoint now) {
   entry.cause = RequestCause::end_unproven;
+  recordUnobservedEnd(entry, entry.active, entry.cause);
   endExchange(entry, DispatchOutcome::Completed, now);
   giveUp(entry, now);
   serveQueue(now);
@@ -365,6 +368,7 @@
 
 void Gateway::cancelExchange(Entry& entry, DispatchOutcome outcome, TimePoint now, bool timed_out) {
   if (entry.active.exchange == 0) return;
+  recordUnobservedEnd(entry, entry.active, entry.cause);
   actions_.emplace_back(CancelExchange{entry.active.exchange, timed_out});
   endExchange(entry, outcome, now);
 }
--- a/src/gateway/gateway_suspects.cc
+++ b/src/gateway/gateway_suspects.cc
@@ -60,7 +60,8 @@
 void Gateway::recordCrash(const Entry& entry, const ActiveExchange& active, TimePoint now) {
   const Backend* backend = snapshot_->backend(active.slot);
   const bool same_incarnation = backend != nullptr && backend->view.incarnation == active.incarnation;
-  if (same_incarnation && backend->view.state == EngineState::Leaving) return;
+  if (same_incarnation && backend->view.state == EngineState::Leaving)
+    return recordUnobservedEnd(entry, active, entry.cause);
   const CrashEvidence evidence{entry.fingerprint, active.incarnation, active.sent_at, now};
   if (!suspects_.onCrash(evidence, now)) return;
   const CrashVerdict verdict = suspects_.judge(entry.fingerprint, now);
@@ -70,12 +71,19 @@
   record.backend = entry.last_backend;
   record.after = now - active.sent_at;
   record.crashes = verdict.crashes;
+  record.crashes_in_all = verdict.crashes_in_all;
   record.suspicion = verdict.suspicion;
   if (verdict.suspicion == Suspicion::quarantined) record.quarantine = verdict.quarantined_until - now;
   observer_.onSuspected(record);
   sendProbe(entry, active, now);
 }
 
+/// To be called when an exchange ends in a way that may hide a crash of the back end.
+void Gateway::recordUnobservedEnd(const Entry& entry, const ActiveExchange& active, RequestCause cause) {
+  if (active.exchange == 0 || active.relayed) return;
+  observer_.onEndUnobserved({entry.client.request_id, entry.fingerprint, entry.last_backend, cause});
+}
+
 /// A connection may also break although the back end is live, so its health is probed. All requests that it
 /// ran share one probe.
 void Gateway::sendProbe(const Entry& entry, const ActiveExchange& active, TimePoint now) {
@@ -121,7 +129,8 @@
 
 void Gateway::recordCompleteResponse(const Entry& entry, TimePoint now) {
   if (!suspects_.onCompleteResponse(entry.fingerprint, now)) return;
-  observer_.onSuspicionWithdrawn({entry.client.request_id, entry.fingerprint, entry.last_backend, false});
+  observer_.onSuspicionWithdrawn(
+      {entry.client.request_id, entry.fingerprint, entry.last_backend, false, entry.active.status});
 }
 
 }  // namespace crankspur::gateway
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -17,6 +17,7 @@
   void onDistrusted(const BackendDistrusted&) override {}
   void onSuspected(const RequestSuspected&) override {}
   void onSuspicionWithdrawn(const SuspicionWithdrawn&) override {}
+  void onEndUnobserved(const EndUnobserved&) override {}
 };
 
 }  // namespace
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -198,6 +198,7 @@
   std::string_view backend;
   Duration after{0};          ///< Since it was sent there.
   std::uint32_t crashes = 0;  ///< Back ends that crashed in succession while running it, as known here.
+  std::uint32_t crashes_in_all = 0;  ///< Also those that crashed at about the same time.
   Suspicion suspicion = Suspicion::none;
   Duration quarantine{0};  ///< Time for which it is not run; 0: it may run.
 };
@@ -208,6 +209,16 @@
   RequestFingerprint fingerprint;
   std::string_view backend;
   bool backend_live = false;  ///< True: the back end did not crash. False: the response was complete.
+  int status = 0;             ///< Of the complete response.
+};
+
+/// An exchange with a back end ended without showing whether the back end crashed: the gateway gave it up, or
+/// its end may be that of the response or of the back end.
+struct EndUnobserved {
+  std::string_view request_id;
+  RequestFingerprint fingerprint;
+  std::string_view backend;
+  RequestCause cause = RequestCause::none;  ///< Of the end.
 };
 
 /// The limit of requests per second that a back end names for all gateways together has changed.
@@ -241,6 +252,7 @@
   virtual void onDistrusted(const BackendDistrusted& record) = 0;
   virtual void onSuspected(const RequestSuspected& record) = 0;
   virtual void onSuspicionWithdrawn(const SuspicionWithdrawn& record) = 0;
+  virtual void onEndUnobserved(const EndUnobserved& record) = 0;
   virtual void onBackendLimitChanged(const BackendLimitChanged& record) = 0;
   virtual void onBackendLimitInvalid(const BackendLimitInvalid& record) = 0;
 };
--- a/src/gateway_process/gateway_metrics.cc
+++ b/src/gateway_process/gateway_metrics.cc
@@ -52,6 +52,8 @@
       suspected_(counter("requests_suspected_total", "Back ends that broke off, by request that they had.")),
       suspicions_withdrawn_(counter("suspicions_withdrawn_total",
                                     "Times that a whole answer or a back end that lives refuted that.")),
+      unobserved_ends_(counters(*registry_, "unobserved_ends_total",
+                                "Ends that may hide a crash of the back end, by cause.")),
       invalid_limits_(
           counter("backend_limits_invalid_total", "Limits of back ends that are no positive number.")),
       relayed_(counter("relayed_total", "Requests relayed to another gateway, by attempt.")),
@@ -159,6 +161,10 @@
   suspicions_withdrawn_.Increment();
 }
 
+void GatewayMetrics::onEndUnobserved(const EndUnobserved& record) {
+  unobserved_ends_.Add({{"cause", std::string(nameOf(record.cause))}}).Increment();
+}
+
 /// The series of a back end whose limit has ended is removed, since back ends come and go.
 void GatewayMetrics::onBackendLimitChanged(const BackendLimitChanged& record) {
   prometheus::Gauge& limit = backend_limits_.Add({{"backend", std::string(record.backend)}});
--- a/src/gateway_process/gateway_metrics.h
+++ b/src/gateway_process/gateway_metrics.h
@@ -39,6 +39,7 @@
   void onDistrusted(const BackendDistrusted& record) override;
   void onSuspected(const RequestSuspected& record) override;
   void onSuspicionWithdrawn(const SuspicionWithdrawn& record) override;
+  void onEndUnobserved(const EndUnobserved& record) override;
   void onBackendLimitChanged(const BackendLimitChanged& record) override;
   void onBackendLimitInvalid(const BackendLimitInvalid& record) override;
   void onRelayed(const RequestRelayed& record) override;
@@ -65,6 +66,7 @@
   prometheus::Counter& backends_distrusted_;
   prometheus::Counter& suspected_;
   prometheus::Counter& suspicions_withdrawn_;
+  prometheus::Family<prometheus::Counter>& unobserved_ends_;
   prometheus::Counter& invalid_limits_;
   prometheus::Counter& relayed_;
   prometheus::Counter& prompt_tokens_;
--- a/src/gateway_process/observer_pair.h
+++ b/src/gateway_process/observer_pair.h
@@ -46,6 +46,10 @@
     first_.onSuspicionWithdrawn(record);
     second_.onSuspicionWithdrawn(record);
   }
+  void onEndUnobserved(const EndUnobserved& record) override {
+    first_.onEndUnobserved(record);
+    second_.onEndUnobserved(record);
+  }
   void onBackendLimitChanged(const BackendLimitChanged& record) override {
     first_.onBackendLimitChanged(record);
     second_.onBackendLimitChanged(record);
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -178,6 +178,7 @@
                                                 {"backend", record.backend},
                                                 {"after_ms", milliseconds(record.after)},
                                                 {"crashes", record.crashes},
+                                                {"crashes_in_all", record.crashes_in_all},
                                                 {"suspicion", nameOf(record.suspicion)},
                                                 {"quarantine_ms", milliseconds(record.quarantine)}});
 }
@@ -187,7 +188,8 @@
              {{"request_id", record.request_id},
               {"fingerprint", toHex(record.fingerprint)},
               {"backend", record.backend},
-              {"cause", record.backend_live ? "back_end_lives" : "whole_answer"}});
+              {"cause", record.backend_live ? "back_end_lives" : "whole_answer"},
+              {"status", record.status}});
 }
 
 }  // namespace crankspur::gateway
--- a/src/gateway_process/request_log.h
+++ b/src/gateway_process/request_log.h
@@ -21,6 +21,8 @@
   void onDistrusted(const BackendDistrusted& record) override;
   void onSuspected(const RequestSuspected& record) override;
   void onSuspicionWithdrawn(const SuspicionWithdrawn& record) override;
+  /// Writes nothing: the line of the request's move or end has its cause.
+  void onEndUnobserved(const EndUnobserved&) override {}
   void onBackendLimitChanged(const BackendLimitChanged& record) override;
   void onRelayed(const RequestRelayed& record) override;
   void onBackendLimitInvalid(const BackendLimitInvalid& record) override;
--- a/tests/unit/gateway/gateway_fixture.h
+++ b/tests/unit/gateway/gateway_fixture.h
@@ -99,6 +99,7 @@
 
   void onSuspected(const RequestSuspected& record) override { suspected.push_back(record); }
   void onSuspicionWithdrawn(const SuspicionWithdrawn& record) override { withdrawn.push_back(record); }
+  void onEndUnobserved(const EndUnobserved& record) override { unobserved.push_back(record.cause); }
   void onBackendLimitChanged(const BackendLimitChanged& record) override { limits.push_back(record); }
   void onBackendLimitInvalid(const BackendLimitInvalid& record) override {
     invalid_limits.emplace_back(record.text);
@@ -118,6 +119,7 @@
   std::vector<std::string> distrusted;
   std::vector<RequestSuspected> suspected;
   std::vector<SuspicionWithdrawn> withdrawn;
+  std::vector<RequestCause> unobserved;
   std::vector<BackendLimitChanged> limits;
   std::vector<std::string> invalid_limits;
 };
