Let only successful responses clear a request of the suspicion of crashing back ends

Users saw a request under which three back ends had crashed sent to more.

Cause: a complete response cleared the evidence whatever its status. A back end that fails a request, or rejects it before it runs, shows nothing about one that crashes those that run it. Class: evidence withdrawn by what proves nothing.

--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -6,10 +6,10 @@
 ///
 /// Evidence is a set of (request, incarnation of a back end): it can be merged in any order, and nothing is
 /// counted twice. All but one of the requests that ran on a crashed back end are harmless. Three rules
-/// prevent false positives: a complete response from any back end clears a request; only sequential crashes
-/// count (each run must have begun after the previous crash), so that back ends that crash at the same time
-/// count once; a back end that shows a sign of life has not crashed, and the evidence of its crash is
-/// withdrawn.
+/// prevent false positives: a complete successful response from any back end clears a request; only
+/// sequential crashes count (each run must have begun after the previous crash), so that back ends that crash
+/// at the same time count once; a back end that shows a sign of life has not crashed, and the evidence of its
+/// crash is withdrawn.
 ///
 /// No I/O and no clock of its own; not thread-safe.
 
@@ -39,7 +39,7 @@
   bool observed_here = false;  ///< By this gateway; not part of the exchanged evidence.
 };
 
-/// A request got a complete response: earlier evidence against it is void.
+/// A request got a complete successful response: earlier evidence against it is void.
 struct ClearedRequest {
   RequestFingerprint request;
   TimePoint at{};
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -102,7 +102,9 @@
   if (!canForwardEnd(*entry)) return onUnprovenEnd(*entry, now);
   const bool relayed = entry->active.relayed;
   const bool end_proven = entry->active.framing != http::BodyFraming::Close;
-  if (!relayed && end_proven) recordCompleteResponse(*entry, now);
+  // A back end that fails a request, or rejects it before it runs, shows nothing about one that crashes those
+  // that run it.
+  if (!relayed && end_proven && isSuccess(entry->active.status)) recordCompleteResponse(*entry, now);
   if (!end_proven) recordUnobservedEnd(*entry, entry->active, RequestCause::end_unproven);
   if (!relayed && entry->active.streams_body && entry->dispatches == 1 && entry->first_byte_at) {
     choice_.onComplete(*entry->pool, entry->client, now - *entry->first_byte_at);
