Record crashes that hide behind ends which do not show them

Cause: only a connection that broke while its exchange was followed was evidence. The end of a response without framing was neither a crash nor a success, and an exchange that was given up because of silence, its deadline or its client left nothing. Class: an observation that is missing is taken for one that says no.

Change: such an end is kept for 3 s. It becomes evidence when a crash of its back end is known from while the request was there, whichever exchange or gateway saw it. Where nothing else shows it, a refused connection or an earlier crash under the request has the back end probed, and a probe without response is evidence against the requests whose connections it closed.

--- a/sim/gateway_world/gateway_node_control.cc
+++ b/sim/gateway_world/gateway_node_control.cc
@@ -123,8 +123,10 @@
 }
 
 void GatewayNode::execute(const gateway::NotifyTraffic& action) {
-  host_.post(kThreadDelay,
-             [this, update = action.update] { process_->traffic.onCrashUpdate(update, now()); });
+  host_.post(kThreadDelay, [this, update = action.update] {
+    process_->traffic.onCrashUpdate(update, now());
+    executeActions();
+  });
 }
 
 void GatewayNode::execute(const gateway::CallStore& action) {
--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -19,6 +19,12 @@
 constexpr Duration kSignTolerance = std::chrono::milliseconds(50);
 /// Signs of life kept for one back end.
 constexpr std::size_t kMaxSignsOfBackend = 8;
+/// A crash closes the connections of a back end within this time, as seen by different gateways.
+constexpr Duration kCloseTolerance = std::chrono::milliseconds(50);
+/// Unobserved ends are kept for this long. The proof of the crash may come with the next connection.
+constexpr Duration kUnobservedLifetime = std::chrono::seconds(3);
+/// Unobserved ends kept, about 200 bytes each. The oldest go first.
+constexpr std::size_t kMaxUnobservedEnds = 2048;
 /// Records of each kind in an update, about 40 bytes each, so that it fits into a datagram.
 constexpr std::size_t kMaxRecordsOfUpdate = 600;
 
@@ -54,6 +60,43 @@
   return true;
 }
 
+/// A back end drops a request whose connection the gateway closed, so that one that crashes later does not
+/// crash because of it.
+bool CrashSuspects::wasThere(const UnobservedEnd& end, TimePoint crashed_at) {
+  const Duration tolerance = end.by_backend ? kCloseTolerance : Duration(0);
+  return end.sent_at <= crashed_at && crashed_at <= end.ended_at + tolerance;
+}
+
+void CrashSuspects::onUnobservedEnd(const UnobservedEnd& end, TimePoint now) {
+  if (unobserved_.size() >= kMaxUnobservedEnds) unobserved_.pop_front();
+  unobserved_.push_back(end);
+  const auto crashed_at = crashed_at_.find(end.backend);
+  if (crashed_at != crashed_at_.end()) confirmUnobservedEnds(end.backend, crashed_at->second, now);
+}
+
+std::vector<UnobservedEnd> CrashSuspects::possibleCrashes(std::uint64_t backend, TimePoint now) const {
+  std::vector<UnobservedEnd> ends;
+  if (crashed_at_.contains(backend)) return ends;
+  for (const UnobservedEnd& end : unobserved_) {
+    const bool is_recent = now - end.ended_at <= kUnobservedLifetime;
+    if (end.backend == backend && end.by_backend && is_recent) ends.push_back(end);
+  }
+  return ends;
+}
+
+/// The back end crashed.
+void CrashSuspects::confirmUnobservedEnds(std::uint64_t backend, TimePoint crashed_at, TimePoint now) {
+  std::vector<UnobservedEnd> confirmed;
+  std::erase_if(unobserved_, [&](const UnobservedEnd& end) {
+    const bool confirms = end.backend == backend && wasThere(end, crashed_at);
+    if (confirms) confirmed.push_back(end);
+    return confirms || now - end.ended_at > kUnobservedLifetime;
+  });
+  for (UnobservedEnd& end : confirmed) {
+    if (onCrash({end.request, backend, end.sent_at, crashed_at}, now)) confirmed_.push_back(std::move(end));
+  }
+}
+
 bool CrashSuspects::onCompleteResponse(const RequestFingerprint& request, TimePoint now) {
   const ClearedRequest cleared{request, now};
   if (!policy_.clear_on_response || !suspects_.contains(request) || !clear(cleared)) return false;
@@ -124,6 +167,7 @@
   digest_ += key;
   TimePoint& crashed_at = crashed_at_[evidence.backend];
   crashed_at = std::max(crashed_at, evidence.crashed_at);
+  confirmUnobservedEnds(evidence.backend, evidence.crashed_at, now);
   return true;
 }
 
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -17,8 +17,10 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <set>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -39,6 +41,18 @@
   bool observed_here = false;  ///< By this gateway; not part of the exchanged evidence.
 };
 
+/// An exchange ended without showing whether the back end crashed: the gateway gave it up, or its end may be
+/// that of the response or of the back end.
+struct UnobservedEnd {
+  RequestFingerprint request;
+  std::uint64_t backend = 0;  ///< Incarnation.
+  TimePoint sent_at{};        ///< When the request was sent there.
+  TimePoint ended_at{};       ///< When the exchange ended.
+  bool by_backend = false;    ///< The back end closed the connection, as it also does when it crashes.
+  std::string request_id;
+  std::string backend_name;
+};
+
 /// A request got a complete successful response: earlier evidence against it is void.
 struct ClearedRequest {
   RequestFingerprint request;
@@ -90,6 +104,14 @@
   /// This gateway's connection to a back end broke.
   /// @return whether the evidence was new.
   bool onCrash(const CrashEvidence& evidence, TimePoint now);
+  /// The end becomes evidence once a crash of the back end is known from when the request was there: from
+  /// another exchange of this gateway, or of another one.
+  void onUnobservedEnd(const UnobservedEnd& end, TimePoint now);
+  /// @return recent unobserved ends that would be explained by a crash of the back end which is not known:
+  /// the back end closed the connections.
+  std::vector<UnobservedEnd> possibleCrashes(std::uint64_t backend, TimePoint now) const;
+  /// @return unobserved ends that became evidence since the last call.
+  std::vector<UnobservedEnd> takeConfirmed() { return std::exchange(confirmed_, {}); }
   /// @return whether there was evidence against the request.
   bool onCompleteResponse(const RequestFingerprint& request, TimePoint now);
   /// Bytes were received from a back end.
@@ -136,6 +158,8 @@
   };
 
   bool add(const CrashEvidence& evidence, TimePoint now);
+  void confirmUnobservedEnds(std::uint64_t backend, TimePoint crashed_at, TimePoint now);
+  static bool wasThere(const UnobservedEnd& end, TimePoint crashed_at);
   bool clear(const ClearedRequest& cleared);
   bool withdrawCrashes(const SignOfLife& sign);
   bool isRefuted(const CrashEvidence& evidence) const;
@@ -153,6 +177,8 @@
   absl::flat_hash_map<std::uint64_t, std::set<TimePoint>> signs_of_life_;
   std::uint64_t digest_ = 0;
   CrashUpdate update_;
+  std::deque<UnobservedEnd> unobserved_;  ///< Oldest first.
+  std::vector<UnobservedEnd> confirmed_;
 };
 
 }  // namespace crankspur::gateway
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -68,7 +68,7 @@
   /// of the limits of back ends.
   bool hasBackendLimits() const { return limits_.any(); }
   /// Another gateway reported which back ends crashed while they ran which requests.
-  void onCrashUpdate(const CrashUpdate& update, TimePoint now) { suspects_.merge(update, now); }
+  void onCrashUpdate(const CrashUpdate& update, TimePoint now);
   /// @return what this gateway observed of such requests since the last call, to send to the other gateways.
   CrashUpdate takeCrashUpdate() { return suspects_.takeUpdate(); }
   bool hasCrashUpdate() const { return suspects_.hasUpdate(); }
@@ -179,6 +179,17 @@
     std::optional<TimePoint> first_byte_at;   ///< When the first response byte was received.
   };
 
+  /// A health request to a back end that may have crashed.
+  struct Probe {
+    std::vector<RequestFingerprint> requests;  ///< That ran at the back end when the connection broke.
+    std::vector<UnobservedEnd> unobserved;     ///< Ends that are evidence if it does not respond.
+    std::string request_id;                    ///< Of the first request.
+    std::string backend;
+    std::string pool;
+    std::uint64_t incarnation = 0;
+    TimePoint sent_at{};
+  };
+
   // Requests and the queue (gateway.cc).
   void setQuotas(const Configuration& configuration, TimePoint now);
   void admit(Entry& entry, const CheckedRequest& checked, TimePoint now);
@@ -210,8 +221,14 @@
   bool hasConcurrentAttempt(const Entry& entry);
   std::vector<EngineSlot> slotsOfIsolatedRequests();
   void recordCrash(const Entry& entry, const ActiveExchange& active, TimePoint now);
-  void recordUnobservedEnd(const Entry& entry, const ActiveExchange& active, RequestCause cause);
-  void sendProbe(const Entry& entry, const ActiveExchange& active, TimePoint now);
+  void recordUnobservedEnd(const Entry& entry, const ActiveExchange& active, RequestCause cause,
+                           TimePoint now);
+  void reportConfirmedEnds(TimePoint now);
+  void reportSuspected(std::string_view request_id, const CrashEvidence& evidence, std::string_view backend,
+                       TimePoint now);
+  void probeUnobservedEnds(const Entry& entry, const ActiveExchange& active, TimePoint now);
+  Probe* sendProbe(const Entry& entry, const ActiveExchange& active, TimePoint now);
+  void confirmByProbe(const Probe& probe, TimePoint now);
   bool isProbing(const RequestFingerprint& request, TimePoint now) const;
   void recordSignOfLife(const Entry& entry, TimePoint now);
   void recordCompleteResponse(const Entry& entry, TimePoint now);
@@ -286,14 +303,6 @@
   FleetQuotas quotas_;
   BackendLimits limits_;
   CrashSuspects suspects_;
-  /// A health request to a back end whose connection broke.
-  struct Probe {
-    std::vector<RequestFingerprint> requests;  ///< That ran at the back end when the connection broke.
-    std::string request_id;                    ///< Of the first of them.
-    std::string backend;
-    std::uint64_t incarnation = 0;
-    TimePoint sent_at{};
-  };
   std::map<std::uint64_t, Probe> probes_;
   std::uint64_t next_probe_ = 1;
   /// Health requests to the back ends of a pool that are out of reach.
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -105,7 +105,7 @@
   // A back end that fails a request, or rejects it before it runs, shows nothing about one that crashes those
   // that run it.
   if (!relayed && end_proven && isSuccess(entry->active.status)) recordCompleteResponse(*entry, now);
-  if (!end_proven) recordUnobservedEnd(*entry, entry->active, RequestCause::end_unproven);
+  if (!end_proven) recordUnobservedEnd(*entry, entry->active, RequestCause::end_unproven, now);
   if (!relayed && entry->active.streams_body && entry->dispatches == 1 && entry->first_byte_at) {
     choice_.onComplete(*entry->pool, entry->client, now - *entry->first_byte_at);
   }
@@ -141,7 +141,7 @@
 /// The client can resume the stream after the last event that it received.
 void Gateway::onUnprovenEnd(Entry& entry, TimePoint now) {
   entry.cause = RequestCause::end_unproven;
-  recordUnobservedEnd(entry, entry.active, entry.cause);
+  recordUnobservedEnd(entry, entry.active, entry.cause, now);
   endExchange(entry, DispatchOutcome::Completed, now);
   giveUp(entry, now);
   serveQueue(now);
@@ -241,6 +241,7 @@
     --entry->backends_reached;
     if (active.limited) limits_.refund(active.incarnation, now);
     actions_.emplace_back(ReportUnreachable{active.slot, active.incarnation});
+    probeUnobservedEnds(*entry, active, now);
   }
   endExchange(*entry, sent ? DispatchOutcome::Failed : DispatchOutcome::ConnectFailed, now);
   retryOrGiveUp(*entry, active, active.status, now);
@@ -370,7 +371,7 @@
 
 void Gateway::cancelExchange(Entry& entry, DispatchOutcome outcome, TimePoint now, bool timed_out) {
   if (entry.active.exchange == 0) return;
-  recordUnobservedEnd(entry, entry.active, entry.cause);
+  recordUnobservedEnd(entry, entry.active, entry.cause, now);
   actions_.emplace_back(CancelExchange{entry.active.exchange, timed_out});
   endExchange(entry, outcome, now);
 }
--- a/src/gateway/gateway_suspects.cc
+++ b/src/gateway/gateway_suspects.cc
@@ -61,42 +61,101 @@
   const Backend* backend = snapshot_->backend(active.slot);
   const bool same_incarnation = backend != nullptr && backend->view.incarnation == active.incarnation;
   if (same_incarnation && backend->view.state == EngineState::Leaving)
-    return recordUnobservedEnd(entry, active, entry.cause);
+    return recordUnobservedEnd(entry, active, entry.cause, now);
   const CrashEvidence evidence{entry.fingerprint, active.incarnation, active.sent_at, now};
   if (!suspects_.onCrash(evidence, now)) return;
-  const CrashVerdict verdict = suspects_.judge(entry.fingerprint, now);
+  reportSuspected(entry.client.request_id, evidence, entry.last_backend, now);
+  reportConfirmedEnds(now);
+  if (Probe* probe = sendProbe(entry, active, now)) probe->requests.push_back(entry.fingerprint);
+}
+
+void Gateway::reportSuspected(std::string_view request_id, const CrashEvidence& evidence,
+                              std::string_view backend, TimePoint now) {
+  const CrashVerdict verdict = suspects_.judge(evidence.request, now);
   RequestSuspected record;
-  record.request_id = entry.client.request_id;
-  record.fingerprint = entry.fingerprint;
-  record.backend = entry.last_backend;
-  record.after = now - active.sent_at;
+  record.request_id = request_id;
+  record.fingerprint = evidence.request;
+  record.backend = backend;
+  record.after = evidence.crashed_at - evidence.sent_at;
   record.crashes = verdict.crashes;
   record.crashes_in_all = verdict.crashes_in_all;
   record.suspicion = verdict.suspicion;
   if (verdict.suspicion == Suspicion::quarantined) record.quarantine = verdict.quarantined_until - now;
   observer_.onSuspected(record);
-  sendProbe(entry, active, now);
 }
 
 /// To be called when an exchange ends in a way that may hide a crash of the back end.
-void Gateway::recordUnobservedEnd(const Entry& entry, const ActiveExchange& active, RequestCause cause) {
+void Gateway::recordUnobservedEnd(const Entry& entry, const ActiveExchange& active, RequestCause cause,
+                                  TimePoint now) {
   if (active.exchange == 0 || active.relayed) return;
   observer_.onEndUnobserved({entry.client.request_id, entry.fingerprint, entry.last_backend, cause});
+  UnobservedEnd end;
+  end.request = entry.fingerprint;
+  end.backend = active.incarnation;
+  end.sent_at = active.sent_at;
+  end.ended_at = now;
+  end.by_backend = cause == RequestCause::end_unproven || cause == RequestCause::answer_broke_off;
+  end.request_id = entry.client.request_id;
+  end.backend_name = entry.last_backend;
+  suspects_.onUnobservedEnd(end, now);
+  reportConfirmedEnds(now);
+  const bool is_suspect = suspects_.judge(entry.fingerprint, now).crashes > 0;
+  if (is_suspect) probeUnobservedEnds(entry, active, now);
+}
+
+void Gateway::reportConfirmedEnds(TimePoint now) {
+  for (const UnobservedEnd& end : suspects_.takeConfirmed()) {
+    reportSuspected(end.request_id, {end.request, end.backend, end.sent_at, end.ended_at}, end.backend_name,
+                    now);
+  }
+}
+
+void Gateway::onCrashUpdate(const CrashUpdate& update, TimePoint now) {
+  suspects_.merge(update, now);
+  reportConfirmedEnds(now);
+}
+
+/// Probes a back end that closed connections without showing whether it crashed: a refused connection, or a
+/// request that is suspected already, makes a crash likely. Bytes that it sent later show that it did not.
+void Gateway::probeUnobservedEnds(const Entry& entry, const ActiveExchange& active, TimePoint now) {
+  std::vector<UnobservedEnd> ends = suspects_.possibleCrashes(active.incarnation, now);
+  const TimePoint received_at = table_.lastReceivedAt(active.slot);
+  std::erase_if(ends, [received_at](const UnobservedEnd& end) { return received_at > end.ended_at; });
+  if (ends.empty()) return;
+  if (Probe* probe = sendProbe(entry, active, now)) probe->unobserved = std::move(ends);
 }
 
 /// A connection may also break although the back end is live, so its health is probed. All requests that it
 /// ran share one probe.
-void Gateway::sendProbe(const Entry& entry, const ActiveExchange& active, TimePoint now) {
+/// @return null: the back end is not listed, or its pool has no health path.
+Gateway::Probe* Gateway::sendProbe(const Entry& entry, const ActiveExchange& active, TimePoint now) {
   for (auto& [id, sent_probe] : probes_) {
-    if (sent_probe.incarnation != active.incarnation || now >= sent_probe.sent_at + kProbeTimeout) continue;
-    sent_probe.requests.push_back(entry.fingerprint);
-    return;
+    if (sent_probe.incarnation == active.incarnation && now < sent_probe.sent_at + kProbeTimeout)
+      return &sent_probe;
   }
   const Backend* backend = snapshot_->backend(active.slot);
-  if (backend == nullptr || entry.pool->health_path.empty()) return;
+  if (backend == nullptr || entry.pool->health_path.empty()) return nullptr;
   const std::uint64_t id = next_probe_++;
-  probes_[id] = {{entry.fingerprint}, entry.client.request_id, entry.last_backend, active.incarnation, now};
+  Probe& probe = probes_[id];
+  probe.request_id = entry.client.request_id;
+  probe.backend = entry.last_backend;
+  probe.pool = entry.pool->name;
+  probe.incarnation = active.incarnation;
+  probe.sent_at = now;
   actions_.emplace_back(ProbeBackend{id, backend->view.address, entry.pool->health_path});
+  return &probe;
+}
+
+/// The back end did not respond to its probe. While many back ends are out of reach, this gateway is more
+/// likely to be partitioned from them.
+void Gateway::confirmByProbe(const Probe& probe, TimePoint now) {
+  const Pool* pool = snapshot_->configuration->findPool(probe.pool);
+  if (pool == nullptr || isPartitioned(*pool)) return;
+  for (const UnobservedEnd& end : probe.unobserved) {
+    const CrashEvidence evidence{end.request, end.backend, end.sent_at, end.ended_at};
+    if (suspects_.onCrash(evidence, now)) reportSuspected(end.request_id, evidence, end.backend_name, now);
+  }
+  reportConfirmedEnds(now);
 }
 
 bool Gateway::isProbing(const RequestFingerprint& request, TimePoint now) const {
@@ -114,9 +173,12 @@
   if (found == probes_.end()) return;
   const Probe sent_probe = std::move(found->second);
   probes_.erase(found);
-  if (responded && suspects_.onSignOfLife(sent_probe.incarnation, sent_probe.sent_at, now)) {
-    observer_.onSuspicionWithdrawn(
-        {sent_probe.request_id, sent_probe.requests.front(), sent_probe.backend, true});
+  if (!responded) {
+    confirmByProbe(sent_probe, now);
+  } else if (suspects_.onSignOfLife(sent_probe.incarnation, sent_probe.sent_at, now)) {
+    const RequestFingerprint request =
+        sent_probe.requests.empty() ? RequestFingerprint{} : sent_probe.requests.front();
+    observer_.onSuspicionWithdrawn({sent_probe.request_id, request, sent_probe.backend, true});
   }
   serveQueue(now);
 }
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -155,6 +155,11 @@
   scheduleLoadDigest();
 }
 
+void TrafficLoop::onCrashUpdate(const CrashUpdate& update) {
+  gateway_.onCrashUpdate(update, now());
+  scheduleCrashUpdate();
+}
+
 void TrafficLoop::onConnectionsSilent() {
   http_->closeStaleConnections("");
   gateway_.onTimer(now());  // Timers fire late after the machine was suspended.
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -28,7 +28,7 @@
   void onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot);
   void onCachedParts(const CachedPartsUpdate& update);
   void onPeerLoad(const std::vector<LoadDigest>& digests);
-  void onCrashUpdate(const CrashUpdate& update) { gateway_.onCrashUpdate(update, now()); }
+  void onCrashUpdate(const CrashUpdate& update);
   /// Closes idle connections to back ends. Retryable requests on other connections soon move to another back
   /// end.
   void onConnectionsSilent();
--- a/tests/unit/gateway/poison_evidence_test.cc
+++ b/tests/unit/gateway/poison_evidence_test.cc
@@ -137,7 +137,7 @@
 TEST_CASE("a crash that ends a response without framing is recorded once its back end refuses connections",
           "[gateway][poison_evidence]") {
   EvidenceFixture fixture;
-  fixture.backends.resize(4);
+  fixture.backends.resize(6);  // Four engines: one that is out of reach is no partition.
   fixture.publish();
   std::uint32_t crashes = 0;
   for (int attempt = 0; attempt < 8; ++attempt) {
@@ -151,7 +151,7 @@
     fixture.end();
     fixture.failProbes();
     fixture.now += milliseconds(200);
-    for (int count = 0; count < 6; ++count) {
+    for (int count = 0; count < 12; ++count) {
       const Dispatch next = fixture.sendBody("next " + std::to_string(attempt) + std::to_string(count));
       if (next.address == poison.address) {
         fixture.breakExchange(false);
@@ -167,8 +167,9 @@
   CHECK(crashes == kMaxCrashes);
 }
 
-// A client that gives up before its engine crashes, or an engine that goes silent, ends the exchange.
-TEST_CASE("a crash after the gateway gave the exchange up is recorded with the other crashes at its back end",
+// A client that gives up while the crash is not detected yet, or an engine that goes silent, ends the
+// exchange.
+TEST_CASE("a crash under an exchange that the gateway gave up is recorded with the others at its back end",
           "[gateway][poison_evidence]") {
   EvidenceFixture fixture;
   const bool client_leaves = GENERATE(true, false);
@@ -179,10 +180,11 @@
     ++crashes;
     fixture.now += milliseconds(100);
     if (client_leaves) {
+      const TimePoint crashed_at = fixture.now;
+      fixture.now += milliseconds(20);
       fixture.gateway.onClientDisconnected(poison.client, fixture.now);
       fixture.takeActions();
-      fixture.now += milliseconds(50);
-      fixture.reportCrash(poison.address, fixture.now);
+      fixture.reportCrash(poison.address, crashed_at);
     } else {
       const TimePoint crashed_at = fixture.now;
       fixture.advance(seconds(4));  // Up to the deadline.
@@ -203,11 +205,12 @@
     fixture.now += milliseconds(100);
     fixture.gateway.onClientDisconnected(sent.client, fixture.now);
     fixture.takeActions();
-    fixture.now += seconds(2);
+    fixture.now += milliseconds(15);
     fixture.reportCrash(sent.address, fixture.now);
     fixture.restart(sent.address);
     fixture.now += seconds(1);
   }
+  CHECK(fixture.observer.suspected.empty());
 }
 
 // A back end says that it leaves and serves on for seconds: a connection that breaks at once is not its
