Count a crash of a back end that has only just begun to leave

Cause: a connection that breaks at a leaving back end is no crash, since one that leaves as planned breaks the connections of its last responses. So a poison request at back ends that leave left no evidence at all.

Change: a back end that leaves serves on for seconds. One whose connection breaks within the first second, and that then does not respond to a probe, has crashed.

--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -28,16 +28,22 @@
 void BackendTable::onSnapshot(const GatewaySnapshot& snapshot, TimePoint now) {
   for (const Backend& backend : snapshot.backends) {
     State& state = states_[backend.view.slot];
-    if (state.incarnation == backend.view.incarnation) continue;
-    // Requests to the previous incarnation count until they end.
-    const std::uint32_t in_flight = state.in_flight;
-    state = State();
-    state.in_flight = in_flight;
-    state.incarnation = backend.view.incarnation;
-    state.health.onPollSucceeded(now);  // The platform lists it.
+    if (state.incarnation != backend.view.incarnation) resetState(state, backend.view.incarnation, now);
+    const bool is_leaving = backend.view.state == EngineState::Leaving;
+    if (!is_leaving) state.leaving_since = TimePoint{};
+    if (is_leaving && state.leaving_since == TimePoint{}) state.leaving_since = now;
   }
 }
 
+void BackendTable::resetState(State& state, std::uint64_t incarnation, TimePoint now) {
+  // Requests to the previous incarnation count until they end.
+  const std::uint32_t in_flight = state.in_flight;
+  state = State();
+  state.in_flight = in_flight;
+  state.incarnation = incarnation;
+  state.health.onPollSucceeded(now);  // The platform lists it.
+}
+
 const BackendTable::State* BackendTable::find(EngineSlot slot) const {
   const auto found = states_.find(slot);
   return found == states_.end() ? nullptr : &found->second;
@@ -139,6 +145,11 @@
   return state != nullptr && state->out_of_reach;
 }
 
+Duration BackendTable::leavingFor(EngineSlot slot, TimePoint now) const {
+  const State* state = find(slot);
+  return state == nullptr || state->leaving_since == TimePoint{} ? Duration(0) : now - state->leaving_since;
+}
+
 Duration BackendTable::ejectedFor(EngineSlot slot, TimePoint now) const {
   const State* state = find(slot);
   return state == nullptr ? Duration(0) : std::max(Duration(0), state->health.ejectedUntil() - now);
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -52,6 +52,8 @@
   /// @return whether the last connection to the back end failed, broke or fell silent, and nothing was
   /// received from it since. The back end may be gone, or this gateway may be partitioned from it.
   bool isOutOfReach(EngineSlot slot) const;
+  /// @return time since the back end was first listed as leaving; 0: it is not.
+  Duration leavingFor(EngineSlot slot, TimePoint now) const;
   /// Back ends near this one are in reach again, so that it may be as well.
   void resetReach(EngineSlot slot) { states_[slot].out_of_reach = false; }
   /// @return remaining time for which the back end is ejected because of failures; 0: not ejected.
@@ -75,11 +77,13 @@
     std::uint32_t refusals = 0;  ///< Consecutive refusals because it was at capacity.
     TimePoint last_received_at{};
     bool out_of_reach = false;
-    double failed_share = 0;  ///< Smoothed share of dispatches that failed.
+    TimePoint leaving_since{};  ///< TimePoint{}: it is not leaving.
+    double failed_share = 0;    ///< Smoothed share of dispatches that failed.
     std::uint32_t outcomes = 0;
     double response_seconds = 0;
   };
   const State* find(EngineSlot slot) const;
+  static void resetState(State& state, std::uint64_t incarnation, TimePoint now);
   void recordOutcome(State& state, bool failed, TimePoint now);
 
   absl::flat_hash_map<EngineSlot, State> states_;
--- a/src/gateway/gateway_suspects.cc
+++ b/src/gateway/gateway_suspects.cc
@@ -10,6 +10,8 @@
 /// A live back end responds to a probe within milliseconds. A later response may come from a back end that
 /// crashed and has restarted, so the probe is abandoned.
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
+/// A back end that leaves as planned serves on for some seconds. The list may lag behind by one of them.
+constexpr Duration kMinDrainTime = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -56,12 +58,16 @@
 }
 
 /// The connection to a back end broke, which may mean that it crashed. A back end that leaves as planned also
-/// breaks the connections of its last responses; these are not counted as crashes.
+/// breaks the connections of its last responses; these are not counted as crashes, unless it has just begun
+/// to leave and does not respond any more.
 void Gateway::recordCrash(const Entry& entry, const ActiveExchange& active, TimePoint now) {
   const Backend* backend = snapshot_->backend(active.slot);
   const bool same_incarnation = backend != nullptr && backend->view.incarnation == active.incarnation;
-  if (same_incarnation && backend->view.state == EngineState::Leaving)
-    return recordUnobservedEnd(entry, active, entry.cause, now);
+  if (same_incarnation && backend->view.state == EngineState::Leaving) {
+    recordUnobservedEnd(entry, active, entry.cause, now);
+    if (table_.leavingFor(active.slot, now) < kMinDrainTime) probeUnobservedEnds(entry, active, now);
+    return;
+  }
   const CrashEvidence evidence{entry.fingerprint, active.incarnation, active.sent_at, now};
   if (!suspects_.onCrash(evidence, now)) return;
   reportSuspected(entry.client.request_id, evidence, entry.last_backend, now);
