Report the build of back ends, and the attempt and event that a request resumes

Streams that go on at another build of the back ends' software look the same in the logs whether a response was resumed by its gateway or by its client, and neither build is in any line.

--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -30,6 +30,8 @@
   std::uint32_t estimated_completion_tokens = 0;  ///< The client's estimate; 0: none.
   std::optional<Duration> deadline;           ///< Remaining time that the client waits; empty: not stated.
   std::optional<std::uint64_t> resume_after;  ///< Last event of a stream that the client received.
+  std::string resumed_attempt;  ///< Id of the client attempt that brought the stream's first event; empty:
+                                ///< not stated.
 };
 
 /// Values that the gateway adds to a request for a back end.
--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -55,6 +55,8 @@
   if (entry.route->needs_tenant) record.keys_age = snapshot_->keysAge(now);
   record.priority = entry.priority;
   record.prompt_tokens = entry.client.prompt_tokens;
+  record.resumed_attempt = entry.client.resumed_attempt;
+  record.resume_after = entry.client.resume_after;
   record.time_left = entry.deadline - now;
   observer_.onAdmitted(record);
 }
@@ -66,6 +68,7 @@
   record.dispatch = entry.dispatches;
   record.pool = backend.pool;
   record.backend = backend.name;
+  record.build = choice.backend->build;
   record.zone = backend.zone;
   record.weights = choice.weights;
   record.candidates = choice.candidates;
--- a/src/gateway/gateway_snapshot.h
+++ b/src/gateway/gateway_snapshot.h
@@ -86,6 +86,7 @@
 /// One back end that the platform lists.
 struct Backend {
   EngineView view;          ///< Slot, id (`name`), address, zone, pool, state, models, load.
+  std::string build;        ///< Version of its software, without order; not that of its weights.
   std::uint32_t slots = 0;  ///< Requests it works on at once.
   TimePoint cold_until{};   ///< Slow after its start until then.
   /// When the calls that follow its cache began to get no response; TimePoint{}: it responds, or has none.
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -84,6 +84,8 @@
   std::optional<Duration> keys_age;  ///< Since the platform confirmed the keys; empty: keys do not expire.
   std::uint32_t priority = 0;
   std::uint32_t prompt_tokens = 0;
+  std::string_view resumed_attempt;           ///< Attempt that began the stream; empty: none, or not stated.
+  std::optional<std::uint64_t> resume_after;  ///< Last event that the client has; empty: it has none.
   Duration time_left{0};
 };
 
@@ -93,6 +95,7 @@
   std::uint32_t dispatch = 0;  ///< 1 for the first back end.
   std::string_view pool;
   std::string_view backend;  ///< Id of this incarnation.
+  std::string_view build;    ///< Version of its software.
   std::string_view zone;
   std::optional<std::uint64_t> weights;
   std::size_t candidates = 0;  ///< Number of back ends that were compared.
--- a/src/gateway_control/fleet_view.cc
+++ b/src/gateway_control/fleet_view.cc
@@ -74,6 +74,7 @@
   view.address = listed.address;
   view.zone = listed.zone;
   view.pool = listed.pool;
+  entry.backend.build = listed.build;
   entry.backend.slots = listed.slots;
   entry.backend.is_kv_store = listed.is_kv_store;
   entry.backend.link_bits_per_second = listed.link_bits_per_second;
--- a/src/gateway_control/platform_link.h
+++ b/src/gateway_control/platform_link.h
@@ -23,6 +23,7 @@
   std::string pool;
   std::string address;  ///< "IP:port".
   std::string zone;
+  std::string build;  ///< Version of its software.
   std::uint32_t slots = 0;
   bool draining = false;
   Duration cold_left{0};
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -54,6 +54,8 @@
                                                {"keys_age_ms", millisecondsOrNone(record.keys_age)},
                                                {"priority", record.priority},
                                                {"prompt_tokens", record.prompt_tokens},
+                                               {"resumes", record.resumed_attempt},
+                                               {"resume_after", numberOrNone(record.resume_after)},
                                                {"time_left_ms", milliseconds(record.time_left)}});
 }
 
@@ -63,6 +65,7 @@
               {"dispatch", record.dispatch},
               {"pool", record.pool},
               {"backend", record.backend},
+              {"build", record.build},
               {"zone", record.zone},
               {"weights", numberOrNone(record.weights)},
               {"candidates", record.candidates},
--- a/tests/unit/platform/header_dialect_test.cc
+++ b/tests/unit/platform/header_dialect_test.cc
@@ -41,6 +41,19 @@
   CHECK(read->prompt[1].tokens == 410);
   CHECK(read->deadline == Duration(2500ms));
   CHECK_FALSE(read->resume_after);
+  CHECK(read->resumed_attempt.empty());
+}
+
+TEST_CASE("the attempt that a client resumes is parsed and forwarded", "[header_dialect]") {
+  const HeaderDialect dialect;
+  http::Request request = clientRequest();
+  request.headers["Last-Event-Id"] = "12";
+  request.headers["Resumes"] = "r0";
+  const auto read = dialect.readRequest(request);
+  REQUIRE(read);
+  CHECK(read->resume_after == 12);
+  CHECK(read->resumed_attempt == "r0");
+  CHECK(dialect.forwardHeaders(request, {}).at("Resumes") == "r0");
 }
 
 TEST_CASE("a head without an id is malformed, malformed hints only leave the prompt unknown",
