Continue streams only at the build of the back ends that began them

Cause: the version in the list was read and dropped, and nothing was kept of a stream beyond its attempt, so that a broken stream went on at any back end of its pool. Class: a property on which a continuation depends is lost at the boundary where it is read.

Change: a dispatch carries the build of its back end; from the first forwarded event on only back ends of that build may continue the response, and where none is left it is aborted at once. While a pool has several builds, a gateway tells the origin of each stream that it begins, and of those that it began before, to three gateways that all select alike by the attempt's id. A continued stream is not refused because queues are long: its first byte was in time, and few back ends may continue it.

--- a/proto/crankspur.pb.c
+++ b/proto/crankspur.pb.c
@@ -162,4 +162,13 @@
 PB_BIND(crankspur_wire_CrashDigest, crankspur_wire_CrashDigest, AUTO)
 
 
+PB_BIND(crankspur_wire_StreamOriginRecord, crankspur_wire_StreamOriginRecord, AUTO)
+
+
+PB_BIND(crankspur_wire_StreamOriginQuery, crankspur_wire_StreamOriginQuery, AUTO)
+
+
+PB_BIND(crankspur_wire_StreamOrigins, crankspur_wire_StreamOrigins, AUTO)
+
+
 
--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "gateway/import_source.h"
+#include "gateway/stream_origins.h"
 
 namespace crankspur::gateway {
 namespace {
@@ -148,6 +149,7 @@
   Usable unhealthy;
   for (const Backend& backend : snapshot.backends) {
     if (!eligibility.isEligible(backend.view)) continue;
+    if (request.build && buildId(backend.build) != *request.build) continue;
     UsableBackend usable{&backend, std::nullopt};
     if (request.uses_prefixes) usable.weights = weightsOf(backend, request.client->model);
     if (!hasAllowedWeights(usable, request, table, now)) continue;
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -34,6 +34,7 @@
   std::string isolated_tenant;                  ///< Empty: shares cached prefixes with all others.
   const WeightsClock* weights_clock = nullptr;  ///< Which weights are too old for new requests; null: none.
   Duration weights_margin{0};                   ///< From the end of the clock's grace to the latest start.
+  std::optional<std::uint64_t> build;           ///< Only back ends of this build (buildId()); empty: of any.
   std::vector<EngineSlot> excluded;
   std::vector<EngineSlot> avoided;      ///< Chosen only if no other back end is eligible.
   bool prefer_fewest_requests = false;  ///< The request may crash its back end.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -42,6 +42,7 @@
   peers_.onSnapshot(*snapshot_);
   weights_.onSnapshot(*snapshot_, now);
   suspects_.removeExpired(now);
+  origins_.onSnapshot(*snapshot_, now);
   if (snapshot_->configuration) {
     shares_.configure(*snapshot_->configuration);
     setQuotas(*snapshot_->configuration, now);
@@ -109,7 +110,7 @@
   if (checked.tenant != nullptr && !checkQuota(entry, *checked.tenant, now)) return;
   if (entry.deadline - now < kMinTimeLeft) return giveUpFor(entry, RequestCause::no_time_left, now);
   budgetOf(entry.pool->name).onRequest(now);
-  place(entry, now);
+  if (resolveOrigin(entry, now)) place(entry, now);
 }
 
 void Gateway::admit(Entry& entry, const CheckedRequest& checked, TimePoint now) {
@@ -156,6 +157,7 @@
   request.uses_prefixes = entry.route->uses_prefixes;
   request.isolated_tenant = entry.isolated_tenant;
   request.excluded = entry.failed;
+  request.build = entry.origin;
   if (entry.isolated) {
     request.prefer_fewest_requests = true;
     request.avoided = slotsOfIsolatedRequests();
@@ -186,6 +188,7 @@
 
 void Gateway::place(Entry& entry, TimePoint now) {
   if (!checkQuarantine(entry, now)) return;
+  if (!isOriginServed(entry)) return giveUpFor(entry, RequestCause::build_gone, now);
   const Choice choice = choose(entry, now);
   if (choice.backend == nullptr) {
     if (entry.passed_over > 0 && !choice.at_capacity) {
@@ -221,10 +224,12 @@
 
 /// Under overload, queues would otherwise grow until every response is late. A request whose first byte is
 /// due before the best engine would start it is refused at once, so that the others stay in time. The time
-/// that its own prompt takes does not count, since a long prompt must not be refused for its length.
+/// that its own prompt takes does not count, since a long prompt must not be refused for its length. A stream
+/// that goes on has had its first byte, and may go on only at some back ends.
 bool Gateway::wouldStartTooLate(const Entry& entry, const Choice& choice, TimePoint now) const {
   const Duration target = entry.route->first_byte_target;
-  if (!entry.route->uses_prefixes || target <= Duration(0) || entry.dispatches > 0) return false;
+  if (!entry.route->uses_prefixes || target <= Duration(0)) return false;
+  if (entry.dispatches > 0 || entry.origin) return false;
   return now - entry.arrived_at + choice.expected_wait > target;
 }
 
@@ -282,6 +287,7 @@
   active.exchange = next_exchange_++;
   active.slot = backend.slot;
   active.incarnation = backend.incarnation;
+  active.build = buildId(choice.backend->build);
   active.sent_at = now;
   active.last_received_at = now;
   active.expected = choice.expected_first_byte;
@@ -340,10 +346,11 @@
 
 /// Random around half of the first-byte target, so that clients refused at the same time do not retry at the
 /// same time. If queues are too long, also the time until they are expected to be short enough. For a
-/// quarantined request, the time left of the quarantine. If limits of back ends are used up, around the time
-/// until one has room.
+/// quarantined request, the time left of the quarantine. None for a stream that can never go on. If limits of
+/// back ends are used up, around the time until one has room.
 Duration Gateway::retryAfter(const Entry& entry, TimePoint now) {
   if (entry.cause == RequestCause::quarantined) return entry.quarantined_until - now;
+  if (entry.cause == RequestCause::build_gone) return Duration(0);
   Duration mean = std::max(entry.time_to_room, kMinRetryAfter);
   if (entry.cause != RequestCause::back_ends_limited) {
     const Duration target = entry.route->first_byte_target;
@@ -356,6 +363,7 @@
 void Gateway::finish(Entry& entry) {
   if (entry.waiting) queue_.erase({entry.priority, entry.id});
   timers_.erase({entry.timer_at, entry.id});
+  awaiting_origin_.erase(entry.id);
   const ClientId id = entry.id;  // erase() destroys the entry.
   entries_.erase(id);
 }
@@ -415,6 +423,7 @@
 
 void Gateway::onRequestTimer(Entry& entry, TimePoint now) {
   if (now >= entry.deadline) return expire(entry, now);
+  if (awaiting_origin_.contains(entry.id)) return onOriginDecided(entry, now);
   if (entry.waiting) return place(entry, now);
   if (entry.active.exchange != 0 && now >= entry.active.start_by && !entry.active.first_byte) {
     return withdraw(entry, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -30,6 +30,7 @@
 #include "gateway/retry_budget.h"
 #include "gateway/route_shares.h"
 #include "gateway/stream_cursor.h"
+#include "gateway/stream_origins.h"
 
 namespace crankspur::gateway {
 
@@ -72,6 +73,11 @@
   /// @return what this gateway observed of such requests since the last call, to send to the other gateways.
   CrashUpdate takeCrashUpdate() { return suspects_.takeUpdate(); }
   bool hasCrashUpdate() const { return suspects_.hasUpdate(); }
+  /// Another gateway told or asked which builds began streams, or answered.
+  void onStreamOrigins(const std::string& sender, const StreamOrigins& message, TimePoint now);
+  /// @return messages to other gateways about such streams since the last call.
+  std::vector<StreamOriginMessage> takeStreamOrigins() { return origins_.takeMessages(); }
+  bool hasStreamOrigins() const { return origins_.hasMessages(); }
   /// @return the number of other gateways that place requests.
   std::uint32_t peerCount() const { return snapshot_ == nullptr ? 0 : snapshot_->peer_count; }
 
@@ -118,6 +124,7 @@
     ExchangeId exchange = 0;
     EngineSlot slot = 0;
     std::uint64_t incarnation = 0;
+    std::uint64_t build = 0;  ///< See buildId().
     TimePoint sent_at{};
     TimePoint last_received_at{};
     Duration expected{0};
@@ -171,6 +178,7 @@
     bool head_forwarded = false;
     http::BodyFraming head_framing = http::BodyFraming::Length;  ///< Of the forwarded head.
     std::optional<StreamCursor> cursor;                          ///< Of a resumable stream.
+    std::optional<std::uint64_t> origin;  ///< Build that began the stream; empty: no event yet, or any may.
     ActiveExchange active;
     std::string last_backend;                 ///< Id of the back end that it was sent to last.
     bool from_peer = false;                   ///< Another gateway relayed it to this one.
@@ -243,6 +251,14 @@
   void probeReach(const Pool& pool, TimePoint now);
   bool onReachProbeResult(std::uint64_t probe, bool responded, TimePoint now);
 
+  // Builds that began streams (gateway_streams.cc).
+  bool resolveOrigin(Entry& entry, TimePoint now);
+  bool applyOrigin(Entry& entry, const StreamOrigin& origin, TimePoint now);
+  void onOriginDecided(Entry& entry, TimePoint now);
+  void recordOrigin(Entry& entry, TimePoint now);
+  void forgetOrigin(const Entry& entry);
+  bool isOriginServed(const Entry& entry) const;
+
   // Reports to the observer (gateway_records.cc).
   void reportAdmitted(const Entry& entry, TimePoint now);
   void reportPlaced(const Entry& entry, const Choice& choice, TimePoint now);
@@ -303,6 +319,8 @@
   FleetQuotas quotas_;
   BackendLimits limits_;
   CrashSuspects suspects_;
+  StreamOriginTable origins_;
+  std::set<ClientId> awaiting_origin_;  ///< Requests that wait for answers of other gateways.
   std::map<std::uint64_t, Probe> probes_;
   std::uint64_t next_probe_ = 1;
   /// Health requests to the back ends of a pool that are out of reach.
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -92,7 +92,9 @@
   if (entry->active.events) entry->active.events->feed(bytes);
   recordFirstByte(*entry, now);
   std::string forwarded = entry->cursor ? entry->cursor->feed(bytes) : std::string(bytes);
-  if (!forwarded.empty()) actions_.emplace_back(ForwardBytes{entry->id, std::move(forwarded)});
+  if (forwarded.empty()) return;
+  if (entry->cursor && !entry->active.relayed) recordOrigin(*entry, now);
+  actions_.emplace_back(ForwardBytes{entry->id, std::move(forwarded)});
 }
 
 void Gateway::onEnd(ExchangeId exchange, TimePoint now) {
@@ -109,6 +111,7 @@
   if (!relayed && entry->active.streams_body && entry->dispatches == 1 && entry->first_byte_at) {
     choice_.onComplete(*entry->pool, entry->client, now - *entry->first_byte_at);
   }
+  if (end_proven) forgetOrigin(*entry);
   const bool error = entry->active.server_error;
   const bool started = entry->head_forwarded;
   const int status = entry->active.status;
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -59,6 +59,10 @@
       return "expected_too_late";
     case RequestCause::queues_too_long:
       return "queues_too_long";
+    case RequestCause::build_gone:
+      return "build_gone";
+    case RequestCause::origin_unknown:
+      return "origin_unknown";
     case RequestCause::no_back_end:
       return "no_back_end";
     case RequestCause::back_ends_limited:
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -31,6 +31,8 @@
   no_time_left,          ///< Too little time is left until the deadline of client or route.
   expected_too_late,     ///< The earliest first byte is expected after the deadline.
   queues_too_long,       ///< The best back end would start it after its first byte is due.
+  build_gone,            ///< No back end has the build any more that began the stream to be continued.
+  origin_unknown,        ///< No gateway knows which of several builds began the stream to be resumed.
   no_back_end,           ///< No back end of the pool is eligible for the request.
   back_ends_full,        ///< The eligible back ends are at capacity.
   back_ends_limited,     ///< The limits of requests per second that the back ends named are used up.
--- a/src/gateway/stream_cursor.cc
+++ b/src/gateway/stream_cursor.cc
@@ -48,6 +48,7 @@
   }
   const bool known = event_id_ && last_event_ && *event_id_ <= *last_event_;
   if (!known) output += event_;
+  has_forwarded_ |= !known;
   if (event_id_ && !known) last_event_ = event_id_;
   restart();
 }
--- a/src/gateway/stream_cursor.h
+++ b/src/gateway/stream_cursor.h
@@ -23,6 +23,8 @@
   void restart();
   /// @return the id of the last forwarded event; before the first one, the id given to the constructor.
   std::optional<std::uint64_t> lastEvent() const { return last_event_; }
+  /// @return whether an event was forwarded.
+  bool hasForwardedEvent() const { return has_forwarded_; }
   /// @return whether there are bytes of an incomplete event; a stream that ends with some was truncated.
   bool hasPartialEvent() const { return !event_.empty(); }
 
@@ -33,6 +35,7 @@
   std::optional<std::uint64_t> event_id_;  ///< Of the incomplete event.
   std::string event_;                      ///< Received bytes of the incomplete event.
   std::size_t line_start_ = 0;             ///< Within `event_`.
+  bool has_forwarded_ = false;
 };
 
 }  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway/stream_origins.cc
@@ -0,0 +1,180 @@
+#include "gateway/stream_origins.h"
+
+#include <algorithm>
+
+#include "base/hash.h"
+
+namespace crankspur::gateway {
+namespace {
+
+/// A client resumes a stream within this time, if at all: its own deadline is shorter.
+constexpr Duration kResumeTime = std::chrono::seconds(30);
+/// Origins are kept for this long, about 60 bytes each.
+constexpr Duration kKeepTime = kResumeTime;
+constexpr std::size_t kMaxKept = 32'768;
+/// Gateways that keep the origin of a stream, so that it outlives the gateway that began it and one or two of
+/// them.
+constexpr std::size_t kKeepers = 3;
+/// Records in one message, about 30 bytes each, so that it fits into a datagram.
+constexpr std::size_t kMaxRecordsOfMessage = 1'000;
+
+/// Moves up to kMaxRecordsOfMessage records.
+template <typename Record>
+std::vector<Record> takeSome(std::vector<Record>& records) {
+  const std::size_t count = std::min(records.size(), kMaxRecordsOfMessage);
+  std::vector<Record> taken(records.end() - static_cast<std::ptrdiff_t>(count), records.end());
+  records.resize(records.size() - count);
+  return taken;
+}
+
+}  // namespace
+
+std::uint64_t buildId(const std::string& build) {
+  return std::max<std::uint64_t>(1, hashBytes(build));
+}
+
+void StreamOriginTable::onSnapshot(const GatewaySnapshot& snapshot, TimePoint now) {
+  if (!started_at_) started_at_ = now;
+  own_name_ = snapshot.own_name;
+  peers_.clear();
+  for (const PeerGateway& peer : snapshot.peers) peers_.push_back(peer.name);
+  removeExpired(now);
+  for (const Backend& backend : snapshot.backends) {
+    if (backend.is_kv_store) continue;
+    const std::uint64_t pool = hashBytes(backend.view.pool);
+    const bool had_several = hasSeveralBuilds(pool, now);
+    builds_[pool][buildId(backend.build)] = now;
+    if (!had_several && hasSeveralBuilds(pool, now)) tellUntold(pool);
+  }
+}
+
+void StreamOriginTable::removeExpired(TimePoint now) {
+  while (!expiry_.empty() && (now - expiry_.front().first > kKeepTime || kept_.size() > kMaxKept)) {
+    const auto [kept_at, attempt] = expiry_.front();
+    expiry_.pop_front();
+    const auto kept = kept_.find(attempt);
+    if (kept != kept_.end() && kept->second.kept_at == kept_at) kept_.erase(kept);
+  }
+  absl::erase_if(questions_, [now](const auto& item) { return now - item.second.asked_at > kResumeTime; });
+  for (auto& [pool, builds] : builds_) {
+    absl::erase_if(builds, [now](const auto& item) { return now - item.second > kResumeTime; });
+  }
+}
+
+bool StreamOriginTable::hasSeveralBuilds(std::uint64_t pool, TimePoint now) const {
+  const auto builds = builds_.find(pool);
+  if (builds == builds_.end()) return false;
+  return std::count_if(builds->second.begin(), builds->second.end(),
+                       [now](const auto& item) { return now - item.second <= kResumeTime; }) > 1;
+}
+
+/// Streams that began while one build served have to be told apart from then on.
+void StreamOriginTable::tellUntold(std::uint64_t pool) {
+  for (auto& [attempt, kept] : kept_) {
+    if (kept.own && !kept.told && kept.pool == pool) tell(attempt, kept);
+  }
+}
+
+void StreamOriginTable::tell(std::uint64_t attempt, Kept& kept) {
+  kept.told = true;
+  for (const std::string& keeper : keepersOf(attempt)) {
+    outgoing_[keeper].begun.push_back({attempt, kept.build, false});
+  }
+}
+
+/// @return the keepers of the attempt beside this gateway. All gateways that know the same ones select alike.
+std::vector<std::string> StreamOriginTable::keepersOf(std::uint64_t attempt) const {
+  std::vector<std::pair<std::uint64_t, const std::string*>> ranked;
+  ranked.emplace_back(combineHashes(attempt, hashBytes(own_name_)), &own_name_);
+  for (const std::string& peer : peers_) ranked.emplace_back(combineHashes(attempt, hashBytes(peer)), &peer);
+  const std::size_t count = std::min(kKeepers, ranked.size());
+  std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(),
+                    std::greater<>());
+  std::vector<std::string> keepers;
+  for (std::size_t index = 0; index < count; ++index) {
+    if (ranked[index].second != &own_name_) keepers.push_back(*ranked[index].second);
+  }
+  return keepers;
+}
+
+void StreamOriginTable::keep(std::uint64_t attempt, const Kept& kept) {
+  kept_[attempt] = kept;
+  expiry_.emplace_back(kept.kept_at, attempt);
+}
+
+void StreamOriginTable::onBegun(const std::string& attempt, const std::string& pool, std::uint64_t build,
+                                TimePoint now) {
+  const std::uint64_t id = hashBytes(attempt);
+  keep(id, {build, hashBytes(pool), now, true, false});
+  if (hasSeveralBuilds(hashBytes(pool), now)) tell(id, kept_[id]);
+}
+
+void StreamOriginTable::onCompleted(const std::string& attempt) {
+  const auto kept = kept_.find(hashBytes(attempt));
+  if (kept != kept_.end() && kept->second.own) kept_.erase(kept);
+}
+
+/// A gateway that started a short time ago may have missed a build that has left since: it asks even if it
+/// has seen only one.
+StreamOrigin StreamOriginTable::lookUp(const std::string& attempt, const std::string& pool, TimePoint now) {
+  const std::uint64_t id = hashBytes(attempt);
+  const auto kept = kept_.find(id);
+  if (!attempt.empty() && kept != kept_.end()) return {StreamOrigin::State::known, kept->second.build};
+  const bool several = hasSeveralBuilds(hashBytes(pool), now);
+  const bool knows_past = started_at_ && now - *started_at_ >= kResumeTime;
+  if (!several && knows_past) return {StreamOrigin::State::any_build};
+  const std::vector<std::string> keepers = attempt.empty() ? std::vector<std::string>{} : keepersOf(id);
+  if (keepers.empty()) {
+    return {several ? StreamOrigin::State::unknown : StreamOrigin::State::any_build};
+  }
+  for (const std::string& keeper : keepers) outgoing_[keeper].queries.push_back({id, hashBytes(pool)});
+  questions_[id] = {keepers.size(), false, now};
+  return {StreamOrigin::State::asked};
+}
+
+bool StreamOriginTable::isAnswered(const std::string& attempt) const {
+  const std::uint64_t id = hashBytes(attempt);
+  const auto question = questions_.find(id);
+  return kept_.contains(id) || question == questions_.end() || question->second.unanswered == 0;
+}
+
+StreamOrigin StreamOriginTable::decide(const std::string& attempt, const std::string& pool, TimePoint now) {
+  const std::uint64_t id = hashBytes(attempt);
+  const auto kept = kept_.find(id);
+  if (kept != kept_.end()) return {StreamOrigin::State::known, kept->second.build};
+  const auto question = questions_.find(id);
+  const bool told_of_several = question != questions_.end() && question->second.several_builds;
+  const bool several = told_of_several || hasSeveralBuilds(hashBytes(pool), now);
+  return {several ? StreamOrigin::State::unknown : StreamOrigin::State::any_build};
+}
+
+bool StreamOriginTable::onMessage(const std::string& sender, const StreamOrigins& message, TimePoint now) {
+  for (const StreamOriginRecord& record : message.begun) {
+    if (record.build != 0) keep(record.attempt, {record.build, 0, now, false, true});
+  }
+  for (const StreamOriginQuery& query : message.queries) {
+    const auto kept = kept_.find(query.attempt);
+    const std::uint64_t build = kept == kept_.end() ? 0 : kept->second.build;
+    outgoing_[sender].answers.push_back({query.attempt, build, hasSeveralBuilds(query.pool, now)});
+  }
+  for (const StreamOriginRecord& record : message.answers) {
+    if (record.build != 0) keep(record.attempt, {record.build, 0, now, false, true});
+    const auto question = questions_.find(record.attempt);
+    if (question == questions_.end()) continue;
+    if (question->second.unanswered > 0) --question->second.unanswered;
+    question->second.several_builds |= record.several_builds;
+  }
+  return !message.answers.empty();
+}
+
+std::vector<StreamOriginMessage> StreamOriginTable::takeMessages() {
+  std::vector<StreamOriginMessage> messages;
+  for (auto& [gateway, all] : std::exchange(outgoing_, {})) {
+    while (!all.begun.empty() || !all.queries.empty() || !all.answers.empty()) {
+      messages.push_back({gateway, {takeSome(all.begun), takeSome(all.queries), takeSome(all.answers)}});
+    }
+  }
+  return messages;
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway/stream_origins.h
@@ -0,0 +1,103 @@
+#pragma once
+/// @file Which build of the back ends' software began each resumable stream. Events of two builds do not fit
+/// together, so that a broken stream may go on only at the build that began it: in the same response, in the
+/// client's next attempt, and at another gateway.
+///
+/// While the back ends of a pool have several builds, a gateway tells the origin of each stream that it
+/// begins to a few gateways, its keepers, which every gateway selects alike by the id of the attempt. One
+/// that has to resume a stream which it does not know asks them. Messages may be lost. Pure decision code.
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/time.h"
+#include "gateway/gateway_snapshot.h"
+#include "internal_protocol/messages.h"
+
+namespace crankspur::gateway {
+
+/// A message to another gateway.
+struct StreamOriginMessage {
+  std::string gateway;  ///< Its name.
+  StreamOrigins message;
+};
+
+/// What is known of the origin of a stream.
+struct StreamOrigin {
+  enum class State {
+    known,      ///< It may go on at back ends of `build`.
+    any_build,  ///< Only one build has served, so that it may go on at any back end.
+    asked,      ///< Its keepers were asked; their answers, or some time, decide.
+    unknown,    ///< Several builds serve, and nobody knows which of them began it.
+  };
+  State state = State::unknown;
+  std::uint64_t build = 0;  ///< See buildId().
+};
+
+/// @return the id of a build in messages and lookups; never 0.
+std::uint64_t buildId(const std::string& build);
+
+/// See the file comment. Not thread-safe.
+class StreamOriginTable {
+public:
+  void onSnapshot(const GatewaySnapshot& snapshot, TimePoint now);
+  /// The first event of a stream was forwarded.
+  /// @param attempt id of the client attempt that brings it.
+  void onBegun(const std::string& attempt, const std::string& pool, std::uint64_t build, TimePoint now);
+  /// The response of a stream was complete: it is not resumed.
+  void onCompleted(const std::string& attempt);
+
+  /// @param attempt that brought the first event of the stream to be resumed; empty: not stated.
+  StreamOrigin lookUp(const std::string& attempt, const std::string& pool, TimePoint now);
+  /// @return whether the keepers that were asked have answered.
+  bool isAnswered(const std::string& attempt) const;
+  /// Decides after the answers, or without the missing ones.
+  StreamOrigin decide(const std::string& attempt, const std::string& pool, TimePoint now);
+
+  /// Another gateway sent a message.
+  /// @return whether it answers a question of this gateway.
+  bool onMessage(const std::string& sender, const StreamOrigins& message, TimePoint now);
+  /// @return messages to other gateways since the last call.
+  std::vector<StreamOriginMessage> takeMessages();
+  bool hasMessages() const { return !outgoing_.empty(); }
+
+private:
+  struct Kept {
+    std::uint64_t build = 0;
+    std::uint64_t pool = 0;
+    TimePoint kept_at{};
+    bool own = false;   ///< This gateway began it.
+    bool told = false;  ///< Its keepers know it.
+  };
+  struct Question {
+    std::size_t unanswered = 0;
+    bool several_builds = false;  ///< A keeper has seen several builds in the pool.
+    TimePoint asked_at{};
+  };
+
+  void keep(std::uint64_t attempt, const Kept& kept);
+  void removeExpired(TimePoint now);
+  void tellUntold(std::uint64_t pool);
+  void tell(std::uint64_t attempt, Kept& kept);
+  bool hasSeveralBuilds(std::uint64_t pool, TimePoint now) const;
+  std::vector<std::string> keepersOf(std::uint64_t attempt) const;
+
+  std::string own_name_;
+  std::vector<std::string> peers_;
+  std::optional<TimePoint> started_at_;
+  /// By pool, then by build: when it was last listed.
+  absl::flat_hash_map<std::uint64_t, absl::flat_hash_map<std::uint64_t, TimePoint>> builds_;
+  absl::flat_hash_map<std::uint64_t, Kept> kept_;           ///< By hash of the attempt's id.
+  std::deque<std::pair<TimePoint, std::uint64_t>> expiry_;  ///< Of kept_, oldest first.
+  absl::flat_hash_map<std::uint64_t, Question> questions_;  ///< By hash of the attempt's id.
+  std::map<std::string, StreamOrigins> outgoing_;           ///< By gateway.
+};
+
+}  // namespace crankspur::gateway
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -14,6 +14,7 @@
 #include "base/event_log.h"
 #include "base/suspension_watch.h"
 #include "gateway/load_meter.h"
+#include "gateway/stream_origins.h"
 #include "gateway_control/cache_exchange.h"
 #include "gateway_control/cache_watch.h"
 #include "gateway_control/crash_coordinator.h"
@@ -33,6 +34,7 @@
   std::function<void(CachedPartsUpdate)> on_cached_parts;
   std::function<void(std::vector<LoadDigest>)> on_peer_load;
   std::function<void(CrashUpdate)> on_crash_update;
+  std::function<void(std::string sender, StreamOrigins)> on_stream_origins;
   /// Open connections to several peers went silent together; connections of traffic may be affected as well.
   std::function<void()> on_connections_silent;
 };
@@ -80,6 +82,8 @@
   void onOwnLoad(const OwnLoad& load) { own_load_ = load; }
   /// Reports to all other gateways which back ends crashed while running which requests.
   void onOwnCrashUpdate(const CrashUpdate& update);
+  /// Sends messages about the builds that began streams.
+  void onOwnStreamOrigins(const std::vector<StreamOriginMessage>& messages);
 
 private:
   TimePoint now() const { return clock_.now(); }
@@ -93,6 +97,7 @@
   void onServingNotice(const std::string& sender, const ServingNotice& notice) override;
   void onCrashNotes(const CrashNotes& notes) override;
   void onCrashDigest(const std::string& sender, const CrashDigest& digest) override;
+  void onStreamOrigins(const std::string& sender, const StreamOrigins& message) override;
   void onCrashRecord(const CrashUpdate& update);
   void executeCrashActions();
   void execute(const SendCrashMessage& action);
--- a/src/gateway_control/gateway_control_load.cc
+++ b/src/gateway_control/gateway_control_load.cc
@@ -1,4 +1,5 @@
-/// @file Part of GatewayControl: gateways report to each other the load that they have at each engine.
+/// @file Part of GatewayControl: messages between the traffic threads of gateways, about the load that they
+/// have at each engine and the builds that began streams.
 
 #include <utility>
 
@@ -30,6 +31,14 @@
   });
 }
 
+void GatewayControl::onOwnStreamOrigins(const std::vector<StreamOriginMessage>& messages) {
+  for (const StreamOriginMessage& message : messages) gossip_.sendTo(message.gateway, message.message);
+}
+
+void GatewayControl::onStreamOrigins(const std::string& sender, const StreamOrigins& message) {
+  if (outputs_.on_stream_origins) outputs_.on_stream_origins(sender, message);
+}
+
 void GatewayControl::forwardPeerLoad() {
   std::vector<LoadDigest> digests;
   for (auto& [sender, digest] : std::exchange(peer_loads_, {})) digests.push_back(std::move(digest));
--- a/src/gateway_control/gossip_socket.cc
+++ b/src/gateway_control/gossip_socket.cc
@@ -116,6 +116,8 @@
     return receiver_.onCrashNotes(*crashes);
   } else if (const auto* digest_of_crashes = std::get_if<CrashDigest>(&*frame.message)) {
     return receiver_.onCrashDigest(from, *digest_of_crashes);
+  } else if (const auto* origins = std::get_if<StreamOrigins>(&*frame.message)) {
+    return receiver_.onStreamOrigins(from, *origins);
   }
   afterEvent();
 }
--- a/src/gateway_control/gossip_socket.h
+++ b/src/gateway_control/gossip_socket.h
@@ -41,6 +41,7 @@
   virtual void onServingNotice(const std::string& sender, const ServingNotice& notice) = 0;
   virtual void onCrashNotes(const CrashNotes& notes) = 0;
   virtual void onCrashDigest(const std::string& sender, const CrashDigest& digest) = 0;
+  virtual void onStreamOrigins(const std::string& sender, const StreamOrigins& message) = 0;
 };
 
 /// The socket, with the membership protocol that runs over it. Use from the executor's thread only.
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -55,6 +55,12 @@
       [this, update = std::move(update)] { implementation_->loop.onCrashUpdate(update); });
 }
 
+void GatewayProcess::onStreamOrigins(std::string sender, StreamOrigins message) {
+  implementation_->thread.post([this, sender = std::move(sender), message = std::move(message)] {
+    implementation_->loop.onStreamOrigins(sender, message);
+  });
+}
+
 void GatewayProcess::onConnectionsSilent() {
   implementation_->thread.post([this] { implementation_->loop.onConnectionsSilent(); });
 }
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -44,6 +44,8 @@
   std::function<void(OwnLoad)> on_own_load;
   /// Back ends that crashed, with the requests that they were running, to be sent to the other gateways.
   std::function<void(CrashUpdate)> on_crash_update;
+  /// Messages to other gateways about the builds that began streams.
+  std::function<void(std::vector<StreamOriginMessage>)> on_stream_origins;
 };
 
 /// Traffic side of one gateway. Functions may be called from any thread unless stated otherwise.
@@ -70,6 +72,8 @@
   void onPeerLoad(std::vector<LoadDigest> digests);
   /// Adds crashes of back ends, with the requests that they were running, as observed by other gateways.
   void onCrashUpdate(CrashUpdate update);
+  /// Another gateway sent a message about the builds that began streams.
+  void onStreamOrigins(std::string sender, StreamOrigins message);
   /// Reports that open connections to several peers went silent together; new connections may still work.
   void onConnectionsSilent();
 
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -29,6 +29,8 @@
 /// receive it.
 constexpr Duration kDigestIntervalPerGateway = std::chrono::milliseconds(6);
 constexpr Duration kMinDigestInterval = std::chrono::milliseconds(40);
+/// Messages about the builds that began streams are batched for this long. A client may wait for an answer.
+constexpr Duration kStreamOriginsDelay = std::chrono::milliseconds(3);
 constexpr Duration kMaxDigestInterval = std::chrono::milliseconds(250);
 
 /// @return the error message for the client, in addition to the status.
@@ -98,6 +100,7 @@
       drain_timer_(executor_),
       load_digest_timer_(executor_),
       crash_timer_(executor_),
+      stream_origins_timer_(executor_),
       meter_timer_(executor_) {
   http_->setSilentConnectionsHandler([this] {
     gateway_.onConnectionsSilent(now());
@@ -160,6 +163,11 @@
   scheduleCrashUpdate();
 }
 
+void TrafficLoop::onStreamOrigins(const std::string& sender, const StreamOrigins& message) {
+  gateway_.onStreamOrigins(sender, message, now());
+  executeActions();
+}
+
 void TrafficLoop::onConnectionsSilent() {
   http_->closeStaleConnections("");
   gateway_.onTimer(now());  // Timers fire late after the machine was suspended.
@@ -189,6 +197,18 @@
   });
 }
 
+void TrafficLoop::scheduleStreamOrigins() {
+  if (!callbacks_.on_stream_origins || !gateway_.hasStreamOrigins() ||
+      std::exchange(stream_origins_scheduled_, true))
+    return;
+  stream_origins_timer_.expires_after(kStreamOriginsDelay);
+  stream_origins_timer_.async_wait([this](boost::system::error_code error) {
+    if (error) return;
+    stream_origins_scheduled_ = false;
+    callbacks_.on_stream_origins(gateway_.takeStreamOrigins());
+  });
+}
+
 /// Once this gateway has no load on any engine left, one empty digest reports that; then digests stop until
 /// there is load again.
 void TrafficLoop::sendLoadDigest() {
@@ -281,6 +301,7 @@
   armTimer();
   scheduleLoadDigest();
   scheduleCrashUpdate();
+  scheduleStreamOrigins();
   countInFlight();
   const std::lock_guard lock(counters_mutex_);
   counters_ = gateway_.counters();
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -29,6 +29,7 @@
   void onCachedParts(const CachedPartsUpdate& update);
   void onPeerLoad(const std::vector<LoadDigest>& digests);
   void onCrashUpdate(const CrashUpdate& update);
+  void onStreamOrigins(const std::string& sender, const StreamOrigins& message);
   /// Closes idle connections to back ends. Retryable requests on other connections soon move to another back
   /// end.
   void onConnectionsSilent();
@@ -69,6 +70,7 @@
   void onUnreadableRequest(const http::RejectedRequest& unread);
   void scheduleLoadDigest();
   void scheduleCrashUpdate();
+  void scheduleStreamOrigins();
   void sendLoadDigest();
   void recordRequest();
   void onMeterTick(TimePoint due);
@@ -112,6 +114,8 @@
   bool sent_load_ = false;               ///< The last digest sent was not empty.
   bool crash_update_scheduled_ = false;  ///< crash_timer_ is armed.
   boost::asio::steady_timer crash_timer_;
+  bool stream_origins_scheduled_ = false;  ///< stream_origins_timer_ is armed.
+  boost::asio::steady_timer stream_origins_timer_;
   LoadMeter meter_;
   boost::asio::steady_timer meter_timer_;
   bool meter_active_ = false;  ///< meter_timer_ is armed.
--- a/src/internal_protocol/field_mapping.h
+++ b/src/internal_protocol/field_mapping.h
@@ -68,6 +68,9 @@
 CRANKSPUR_WIRE_TRAITS(LivingBackendRecord)
 CRANKSPUR_WIRE_TRAITS(CrashNotes)
 CRANKSPUR_WIRE_TRAITS(CrashDigest)
+CRANKSPUR_WIRE_TRAITS(StreamOriginRecord)
+CRANKSPUR_WIRE_TRAITS(StreamOriginQuery)
+CRANKSPUR_WIRE_TRAITS(StreamOrigins)
 #undef CRANKSPUR_WIRE_TRAITS
 
 template <typename Archive, typename Plain>
@@ -517,6 +520,26 @@
   archive.records(wire.living, plain.living);
 }
 
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_StreamOriginRecord& wire, Plain& plain) {
+  archive.number(wire.attempt, plain.attempt);
+  archive.number(wire.build, plain.build);
+  archive.number(wire.several_builds, plain.several_builds);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_StreamOriginQuery& wire, Plain& plain) {
+  archive.number(wire.attempt, plain.attempt);
+  archive.number(wire.pool, plain.pool);
+}
+
+template <typename Archive, typename Plain>
+void mapFields(Archive& archive, crankspur_wire_StreamOrigins& wire, Plain& plain) {
+  archive.records(wire.begun, plain.begun);
+  archive.records(wire.queries, plain.queries);
+  archive.records(wire.answers, plain.answers);
+}
+
 template <typename Archive, typename Plain>
 void mapFields(Archive& archive, crankspur_wire_CrashDigest& wire, Plain& plain) {
   archive.number(wire.digest, plain.digest);
--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -402,12 +402,33 @@
   std::uint64_t digest = 0;
 };
 
+/// The build of the back end that began a stream.
+struct StreamOriginRecord {
+  std::uint64_t attempt = 0;  ///< Hash of the id of the client attempt that brought its first event.
+  std::uint64_t build =
+      0;  ///< Hash of the version of the back end's software; 0: the sender does not know it.
+  bool several_builds = false;  ///< The sender has recently seen several builds in the stream's pool.
+};
+
+/// Asks for the build that began a stream.
+struct StreamOriginQuery {
+  std::uint64_t attempt = 0;  ///< As above.
+  std::uint64_t pool = 0;     ///< Hash of the pool's name.
+};
+
+/// Builds that began streams, told to the gateways that keep them, and questions to these.
+struct StreamOrigins {
+  std::vector<StreamOriginRecord> begun;    ///< To be kept.
+  std::vector<StreamOriginQuery> queries;   ///< To be answered.
+  std::vector<StreamOriginRecord> answers;  ///< To queries of the receiver.
+};
+
 /// Every message that a frame can contain. The index of an alternative is part of the wire format.
 using Message =
     std::variant<Hello, SubmitRequest, Accepted, StreamPiece, StreamEnd, Refusal, Cancel, Ping, PingAck,
                  BundleRequest, BundleBody, CacheSummary, LoadDigest, ClaimPrepare, ClaimReply, ProtocolError,
                  BundleUpdate, BackendListRequest, BackendList, ClaimRelease, ClaimRecord, ClaimSeal,
                  ClaimSealed, ClaimInstall, ClaimGroupRequest, ClaimGroupInfo, BackendNotes, CacheNotes,
-                 CacheWanted, ServingNotice, RelayedRows, CrashNotes, CrashDigest>;
+                 CacheWanted, ServingNotice, RelayedRows, CrashNotes, CrashDigest, StreamOrigins>;
 
 }  // namespace crankspur
--- a/tests/unit/gateway/gateway_fixture.h
+++ b/tests/unit/gateway/gateway_fixture.h
@@ -136,6 +136,7 @@
     snapshot->configuration = std::make_shared<const Configuration>(configuration);
     snapshot->backends = backends;
     snapshot->weights = weights;
+    snapshot->own_name = own_name;
     snapshot->own_zone = "here";
     snapshot->peers = peers;
     snapshot->own_region = "coast";
@@ -236,6 +237,7 @@
 
   Configuration configuration;
   std::vector<Backend> backends;
+  std::string own_name;
   std::vector<PeerGateway> peers;
   std::vector<NamedWeights> weights;
   std::shared_ptr<PlatformContact> contact = std::make_shared<PlatformContact>();
--- a/tests/unit/gateway/stream_builds_test.cc
+++ b/tests/unit/gateway/stream_builds_test.cc
@@ -1,7 +1,10 @@
 /// @file Guards against streams with events of two builds of a back end's software, which do not fit
 /// together: a broken stream went on at any back end, in the same response or in the client's next attempt.
 
+#include <memory>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "unit/gateway/gateway_fixture.h"
 
@@ -49,24 +52,66 @@
   }
 };
 
+/// Gateways that exchange messages about the builds that began streams.
+class BuildsFleet {
+public:
+  explicit BuildsFleet(std::size_t gateways) {
+    for (std::size_t index = 0; index < gateways; ++index) {
+      fixtures_.push_back(std::make_unique<BuildsFixture>());
+      fixtures_[index]->own_name = nameOf(index);
+      for (std::size_t other = 0; other < gateways; ++other) {
+        if (other != index) fixtures_[index]->peers.push_back({nameOf(other), "10.1.0.1:1", "here"});
+      }
+      fixtures_[index]->publish();
+    }
+  }
+  BuildsFixture& operator[](std::size_t index) { return *fixtures_[index]; }
+  void stop(std::size_t index) { stopped_.insert(nameOf(index)); }
+  /// Delivers all messages, also those that they cause. @return how many.
+  std::size_t deliver() {
+    std::size_t delivered = 0;
+    for (bool any = true; any;) {
+      any = false;
+      for (std::size_t from = 0; from < fixtures_.size(); ++from) {
+        for (const StreamOriginMessage& sent : fixtures_[from]->gateway.takeStreamOrigins()) {
+          for (std::size_t to = 0; to < fixtures_.size(); ++to) {
+            const bool lost = stopped_.contains(nameOf(from)) || stopped_.contains(nameOf(to));
+            if (nameOf(to) != sent.gateway || lost) continue;
+            fixtures_[to]->gateway.onStreamOrigins(nameOf(from), sent.message, fixtures_[to]->now);
+            any = true;
+            ++delivered;
+          }
+        }
+      }
+    }
+    return delivered;
+  }
+
+private:
+  static std::string nameOf(std::size_t index) { return "gateway-" + std::to_string(index); }
+
+  std::vector<std::unique_ptr<BuildsFixture>> fixtures_;
+  std::set<std::string> stopped_;
+};
+
 }  // namespace
 
 TEST_CASE("a broken stream goes on only at a back end of the build that began it", "[stream_builds]") {
-  BuildsFixture fixture;
-  for (int stream = 0; stream < 8; ++stream) {
-    const std::string build = fixture.buildOf(fixture.begin("attempt " + std::to_string(stream)));
+  for (std::uint64_t stream = 0; stream < 8; ++stream) {
+    BuildsFixture fixture;
+    IncomingRequest incoming = GatewayFixture::request("review");
+    incoming.client->prompt = {{100 + stream, 1'600}, {200 + stream, 100}};
+    fixture.send(std::move(incoming));
+    const std::string build = fixture.buildOf(fixture.only<Dispatch>());
     fixture.head(200);
     fixture.bytes(kEvent);
-    for (int crash = 0; crash < 2; ++crash) {
-      fixture.breakExchange(true);
-      if (!fixture.has<Dispatch>()) break;
-      CHECK(fixture.buildOf(fixture.last) == build);
-      fixture.head(200);
-    }
-    fixture.gateway.onClientDisconnected(fixture.last.client, fixture.now);
-    fixture.takeActions();
-    fixture.now += seconds(30);
-    fixture.publish();
+    fixture.breakExchange(true);
+    REQUIRE(fixture.has<Dispatch>());
+    CHECK(fixture.buildOf(fixture.last) == build);
+    fixture.head(200);
+    // No other back end of the build is left.
+    fixture.breakExchange(true);
+    CHECK_FALSE(fixture.has<Dispatch>());
   }
 }
 
@@ -118,9 +163,9 @@
   BuildsFixture fixture;
   fixture.resume("an attempt at another gateway");
   CHECK_FALSE(fixture.has<Dispatch>());
-  fixture.advance(seconds(1));
-  CHECK_FALSE(fixture.has<Dispatch>());
   CHECK(fixture.only<Refuse>().status == 503);
+  CHECK(fixture.only<Refuse>().cause == RequestCause::origin_unknown);
+  CHECK(fixture.only<Refuse>().retry_after > Duration(0));
 }
 
 TEST_CASE("a stream of an unknown build goes on while one build serves", "[stream_builds]") {
@@ -132,3 +177,63 @@
   fixture.resume("an attempt at another gateway");
   CHECK(fixture.has<Dispatch>());
 }
+
+// The gateway that began the stream is killed, and the client takes the stream up at each of the others.
+TEST_CASE("a stream goes on at its build at any other gateway", "[stream_builds]") {
+  const std::size_t gateways = GENERATE(2, 4, 12);
+  for (std::size_t other = 1; other < gateways; ++other) {
+    BuildsFleet fleet(gateways);
+    const std::string attempt = "attempt " + std::to_string(other);
+    const std::string build = fleet[0].buildOf(fleet[0].begin(attempt));
+    fleet[0].head(200);
+    fleet[0].bytes(kEvent);
+    fleet.deliver();
+    fleet.stop(0);
+    // The back end that would be chosen again is gone.
+    std::erase_if(fleet[other].backends,
+                  [&](const Backend& one) { return one.view.address == fleet[0].last.address; });
+    fleet[other].publish();
+    fleet[other].resume(attempt);
+    fleet.deliver();
+    if (!fleet[other].has<Dispatch>()) fleet[other].takeActions();
+    REQUIRE(fleet[other].has<Dispatch>());
+    CHECK(fleet[other].buildOf(fleet[other].last) == build);
+  }
+}
+
+TEST_CASE("streams that began before a second build was listed are told then", "[stream_builds]") {
+  GatewayFixture one;
+  one.own_name = "first";
+  one.peers = {{"second", "10.1.0.1:1", "here"}};
+  for (Backend& backend : one.backends) backend.build = "v1";
+  one.publish();
+  IncomingRequest incoming = GatewayFixture::request("review");
+  incoming.client->request_id = "attempt";
+  one.send(std::move(incoming));
+  one.head(200);
+  one.bytes(kEvent);
+  CHECK_FALSE(one.gateway.hasStreamOrigins());
+  one.backends.back().build = "v2";
+  one.publish();
+  REQUIRE(one.gateway.hasStreamOrigins());
+  const std::vector<StreamOriginMessage> told = one.gateway.takeStreamOrigins();
+  REQUIRE(told.size() == 1);
+  CHECK(told[0].gateway == "second");
+  REQUIRE(told[0].message.begun.size() == 1);
+  CHECK(told[0].message.begun[0].build == buildId("v1"));
+}
+
+TEST_CASE("a stream that its keepers do not know is refused as soon as they have answered",
+          "[stream_builds]") {
+  BuildsFleet fleet(4);
+  fleet[1].resume("lost");
+  CHECK_FALSE(fleet[1].has<Refuse>());
+  SECTION("they answer") {
+    fleet.deliver();
+    fleet[1].takeActions();
+  }
+  SECTION("they do not answer") {
+    fleet[1].advance(milliseconds(200));
+  }
+  CHECK(fleet[1].only<Refuse>().cause == RequestCause::origin_unknown);
+}
--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -32,6 +32,8 @@
 std::string describeFields(const PermitRequest& value);
 std::string describeFields(const PermitGrant& value);
 std::string describeFields(const LoadDigest& value);
+std::string describeFields(const StreamOriginRecord& value);
+std::string describeFields(const StreamOriginQuery& value);
 std::string describeFields(const BackendRecord& value);
 std::string describeFields(const ClaimPrepare& value);
 std::string describeFields(const ClaimReply& value);
@@ -220,6 +222,19 @@
   return fmt::format("CrashDigest {}", value.digest);
 }
 
+std::string describeFields(const StreamOriginRecord& value) {
+  return fmt::format("StreamOriginRecord {} {} {}", value.attempt, value.build, value.several_builds);
+}
+
+std::string describeFields(const StreamOriginQuery& value) {
+  return fmt::format("StreamOriginQuery {} {}", value.attempt, value.pool);
+}
+
+std::string describeFields(const StreamOrigins& value) {
+  return fmt::format("StreamOrigins {} {} {}", describeAll(value.begun), describeAll(value.queries),
+                     describeAll(value.answers));
+}
+
 std::string describeFields(const BackendNotes& value) {
   return fmt::format("BackendNotes {}", describeAll(value.notes));
 }
@@ -682,7 +697,10 @@
                       CrashEvidenceRecord{}},
                      {ClearedRequestRecord{~0ull - 137, ~0ull - 138, ~0u - 139}},
                      {LivingBackendRecord{~0ull - 140, ~0u - 141}}},
-          CrashDigest{~0ull - 142}};
+          CrashDigest{~0ull - 142},
+          StreamOrigins{{StreamOriginRecord{~0ull - 143, ~0ull - 144, true}, StreamOriginRecord{}},
+                        {StreamOriginQuery{~0ull - 145, ~0ull - 146}},
+                        {StreamOriginRecord{~0ull - 147, ~0ull - 148, true}}}};
 }
 
 std::string describe(const Message& message) {
