Ask for the build of an unknown stream also while the list of back ends is outdated

A gateway that is partitioned from the platform before a second build is listed sees one build for as long as it is partitioned, and would continue streams of the other build that clients take up there. With a list older than 4 s it asks the keepers, and without an answer it refuses. Only resumable streams are looked up.

--- a/src/gateway/gateway_streams.cc
+++ b/src/gateway/gateway_streams.cc
@@ -19,7 +19,7 @@
 
 /// @return whether the request may be placed now; otherwise other gateways were asked, or it was refused.
 bool Gateway::resolveOrigin(Entry& entry, TimePoint now) {
-  if (!entry.client.resume_after || !entry.route->streaming) return true;
+  if (!entry.client.resume_after || !entry.cursor) return true;
   const StreamOrigin origin = origins_.lookUp(entry.client.resumed_attempt, entry.pool->name, now);
   if (origin.state != StreamOrigin::State::asked) return applyOrigin(entry, origin, now);
   awaiting_origin_.insert(entry.id);
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -12,6 +12,8 @@
 /// Origins are kept for this long, about 60 bytes each.
 constexpr Duration kKeepTime = kResumeTime;
 constexpr std::size_t kMaxKept = 32'768;
+/// A list of back ends that was not confirmed for longer may lack a build that serves.
+constexpr Duration kMaxListAge = std::chrono::seconds(4);
 /// Gateways that keep the origin of a stream, so that it outlives the gateway that began it and one or two of
 /// them.
 constexpr std::size_t kKeepers = 3;
@@ -36,6 +38,7 @@
 void StreamOriginTable::onSnapshot(const GatewaySnapshot& snapshot, TimePoint now) {
   if (!started_at_) started_at_ = now;
   own_name_ = snapshot.own_name;
+  list_contact_ = snapshot.list_contact;
   peers_.clear();
   for (const PeerGateway& peer : snapshot.peers) peers_.push_back(peer.name);
   removeExpired(now);
@@ -68,6 +71,10 @@
                        [now](const auto& item) { return now - item.second <= kResumeTime; }) > 1;
 }
 
+bool StreamOriginTable::isListFresh(TimePoint now) const {
+  return list_contact_ == nullptr || now - list_contact_->confirmedAt() <= kMaxListAge;
+}
+
 /// Streams that began while one build served have to be told apart from then on.
 void StreamOriginTable::tellUntold(std::uint64_t pool) {
   for (auto& [attempt, kept] : kept_) {
@@ -114,21 +121,24 @@
   if (kept != kept_.end() && kept->second.own) kept_.erase(kept);
 }
 
-/// A gateway that started a short time ago may have missed a build that has left since: it asks even if it
-/// has seen only one.
+/// A gateway that started a short time ago, or whose list is outdated, may have missed a build: it asks even
+/// if it has seen only one.
 StreamOrigin StreamOriginTable::lookUp(const std::string& attempt, const std::string& pool, TimePoint now) {
   const std::uint64_t id = hashBytes(attempt);
   const auto kept = kept_.find(id);
   if (!attempt.empty() && kept != kept_.end()) return {StreamOrigin::State::known, kept->second.build};
   const bool several = hasSeveralBuilds(hashBytes(pool), now);
-  const bool knows_past = started_at_ && now - *started_at_ >= kResumeTime;
-  if (!several && knows_past) return {StreamOrigin::State::any_build};
+  const bool knows_all = started_at_ && now - *started_at_ >= kResumeTime && isListFresh(now);
+  if (!several && knows_all) return {StreamOrigin::State::any_build};
   const std::vector<std::string> keepers = attempt.empty() ? std::vector<std::string>{} : keepersOf(id);
   if (keepers.empty()) {
     return {several ? StreamOrigin::State::unknown : StreamOrigin::State::any_build};
   }
   for (const std::string& keeper : keepers) outgoing_[keeper].queries.push_back({id, hashBytes(pool)});
-  questions_[id] = {keepers.size(), false, now};
+  Question& question = questions_[id];
+  question = {};
+  question.unanswered = keepers.size();
+  question.asked_at = now;
   return {StreamOrigin::State::asked};
 }
 
@@ -144,8 +154,12 @@
   if (kept != kept_.end()) return {StreamOrigin::State::known, kept->second.build};
   const auto question = questions_.find(id);
   const bool told_of_several = question != questions_.end() && question->second.several_builds;
+  const bool was_answered = question != questions_.end() && question->second.answered;
   const bool several = told_of_several || hasSeveralBuilds(hashBytes(pool), now);
-  return {several ? StreamOrigin::State::unknown : StreamOrigin::State::any_build};
+  // A gateway without an answer and with an outdated list is likely to be partitioned from both.
+  const bool may_lack_builds = !was_answered && !isListFresh(now);
+  const bool is_unknown = several || may_lack_builds;
+  return {is_unknown ? StreamOrigin::State::unknown : StreamOrigin::State::any_build};
 }
 
 bool StreamOriginTable::onMessage(const std::string& sender, const StreamOrigins& message, TimePoint now) {
@@ -161,6 +175,7 @@
     if (record.build != 0) keep(record.attempt, {record.build, 0, now, false, true});
     const auto question = questions_.find(record.attempt);
     if (question == questions_.end()) continue;
+    question->second.answered = true;
     if (question->second.unanswered > 0) --question->second.unanswered;
     question->second.several_builds |= record.several_builds;
   }
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -78,6 +79,7 @@
   };
   struct Question {
     std::size_t unanswered = 0;
+    bool answered = false;        ///< By any keeper.
     bool several_builds = false;  ///< A keeper has seen several builds in the pool.
     TimePoint asked_at{};
   };
@@ -87,10 +89,12 @@
   void tellUntold(std::uint64_t pool);
   void tell(std::uint64_t attempt, Kept& kept);
   bool hasSeveralBuilds(std::uint64_t pool, TimePoint now) const;
+  bool isListFresh(TimePoint now) const;
   std::vector<std::string> keepersOf(std::uint64_t attempt) const;
 
   std::string own_name_;
   std::vector<std::string> peers_;
+  std::shared_ptr<const PlatformContact> list_contact_;
   std::optional<TimePoint> started_at_;
   /// By pool, then by build: when it was last listed.
   absl::flat_hash_map<std::uint64_t, absl::flat_hash_map<std::uint64_t, TimePoint>> builds_;
--- a/tests/unit/gateway/gateway_fixture.h
+++ b/tests/unit/gateway/gateway_fixture.h
@@ -141,6 +141,7 @@
     snapshot->peers = peers;
     snapshot->own_region = "coast";
     snapshot->contact = contact;
+    snapshot->list_contact = list_contact;
     snapshot->key_validity = key_validity;
     gateway.onSnapshot(snapshot, now);
   }
@@ -241,6 +242,7 @@
   std::vector<PeerGateway> peers;
   std::vector<NamedWeights> weights;
   std::shared_ptr<PlatformContact> contact = std::make_shared<PlatformContact>();
+  std::shared_ptr<PlatformContact> list_contact;  ///< Null: the list always counts as confirmed.
   std::optional<Duration> key_validity;
   TimePoint now{seconds(1000)};
   RecordingObserver observer;
--- a/tests/unit/gateway/stream_builds_test.cc
+++ b/tests/unit/gateway/stream_builds_test.cc
@@ -237,3 +237,31 @@
   }
   CHECK(fleet[1].only<Refuse>().cause == RequestCause::origin_unknown);
 }
+
+// A gateway that is partitioned from the platform and from the others before a second build is listed sees
+// one build for as long as it is partitioned.
+TEST_CASE("a gateway with an outdated list resumes no unknown stream without the answer of another one",
+          "[stream_builds]") {
+  BuildsFixture partitioned;
+  partitioned.own_name = "partitioned";
+  partitioned.peers = {{"gateway-0", "10.1.0.1:1", "here"}};
+  for (Backend& backend : partitioned.backends) backend.build = "v1";
+  partitioned.now += seconds(100);
+  partitioned.list_contact = std::make_shared<PlatformContact>();
+  partitioned.list_contact->confirm(partitioned.now);
+  partitioned.publish();
+  partitioned.now += seconds(40);
+  partitioned.list_contact->confirm(partitioned.now);
+  partitioned.publish();
+  SECTION("the list is current") {
+    partitioned.resume("an attempt at another gateway");
+    CHECK(partitioned.has<Dispatch>());
+  }
+  SECTION("the list is outdated") {
+    partitioned.now += seconds(10);
+    partitioned.resume("an attempt at another gateway");
+    CHECK_FALSE(partitioned.has<Dispatch>());
+    partitioned.advance(milliseconds(200));
+    CHECK(partitioned.only<Refuse>().cause == RequestCause::origin_unknown);
+  }
+}
