--- a/src/gateway/permit_holder.cc
+++ b/src/gateway/permit_holder.cc
@@ -18,11 +18,6 @@
 /// Resolution of the times in requests.
 constexpr Duration kClockUnit = std::chrono::milliseconds(1);
 
-/// @return the time in the sender's clock, as it is echoed by the issuer.
-std::uint32_t milliseconds(TimePoint time) {
-  return static_cast<std::uint32_t>(time.time_since_epoch() / std::chrono::milliseconds(1));
-}
-
 }  // namespace
 
 void PermitHolder::setIssuer(std::uint64_t issuer, TimePoint now) {
@@ -75,7 +70,7 @@
   PermitRequest request;
   request.backend = backend;
   request.issuer = issuer_;
-  request.requested_at = milliseconds(now);
+  request.requested_at = permitClock(now);
   request.wanted = wants ? wanted_ : 0;
   request.grant = grant_.value_or(0);
   request.used = used_;
@@ -85,7 +80,7 @@
 
 void PermitHolder::onGrant(const PermitGrant& grant, TimePoint now) {
   const bool is_newer = !grant_ || static_cast<std::int32_t>(grant.grant - *grant_) > 0;
-  const Duration age = std::chrono::milliseconds(milliseconds(now) - grant.requested_at);
+  const Duration age = std::chrono::milliseconds(permitClock(now) - grant.requested_at);
   // Permits that were requested before a restart of this process may have been used.
   const bool was_requested =
       first_requested_at_ != TimePoint{} && age <= now - first_requested_at_ + kClockUnit;
--- a/src/gateway/permit_issuer.cc
+++ b/src/gateway/permit_issuer.cc
@@ -1,7 +1,6 @@
 #include "gateway/permit_issuer.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace crankspur::gateway {
 namespace {
@@ -24,10 +23,6 @@
 /// A gateway that has not sent a request for this long holds nothing and delegates nothing.
 constexpr Duration kHolderLifetime = std::chrono::seconds(5);
 
-std::uint32_t milliseconds(TimePoint time) {
-  return static_cast<std::uint32_t>(time.time_since_epoch() / std::chrono::milliseconds(1));
-}
-
 }  // namespace
 
 void PermitIssuer::setLimit(double per_second, std::uint32_t gateways) {
@@ -122,7 +117,7 @@
 void PermitIssuer::grant(Holder& holder, std::uint32_t permits, TimePoint now) {
   available_ -= permits;
   // Numbers grow over restarts of this process, so that a holder accepts the first grant after one.
-  next_grant_ = std::max(next_grant_ + 1, milliseconds(now));
+  next_grant_ = std::max(next_grant_ + 1, permitClock(now));
   holder.grant = {holder.request.backend, 0, next_grant_, permits, holder.request.requested_at};
   holder.issued_at = now;
   holder.served_at = now;
--- a/src/gateway/permit_issuer.h
+++ b/src/gateway/permit_issuer.h
@@ -21,6 +21,11 @@
 /// A share of the limit is delegated for this long after the last request for permits.
 inline constexpr Duration kDelegationTime = std::chrono::milliseconds(1'000);
 
+/// @return the time in milliseconds, as requests and grants carry it. It wraps around.
+inline std::uint32_t permitClock(TimePoint time) {
+  return static_cast<std::uint32_t>(time.time_since_epoch() / std::chrono::milliseconds(1));
+}
+
 /// See the file comment. Not thread-safe.
 class PermitIssuer {
 public:
