--- a/src/gateway/gateway_streams.cc
+++ b/src/gateway/gateway_streams.cc
@@ -65,13 +65,17 @@
   if (entry.origin) origins_.onCompleted(originAttempt(entry.client));
 }
 
-/// @return whether a back end that the route allows can continue the stream.
+/// @return whether a back end that the route allows, and that has not failed the request, can continue the
+/// stream.
 bool Gateway::isOriginServed(const Entry& entry) const {
   if (!entry.origin) return true;
+  const auto can_continue = [&entry](const Backend* backend) {
+    const auto failed = std::find(entry.failed.begin(), entry.failed.end(), backend->view.slot);
+    return buildId(backend->build) == *entry.origin && failed == entry.failed.end();
+  };
   return std::any_of(entry.route->pools.begin(), entry.route->pools.end(), [&](const PoolShare& share) {
     const std::vector<const Backend*> listed = snapshot_->listedInPool(share.pool);
-    return std::any_of(listed.begin(), listed.end(),
-                       [&](const Backend* backend) { return buildId(backend->build) == *entry.origin; });
+    return std::any_of(listed.begin(), listed.end(), can_continue);
   });
 }
 
--- a/tests/unit/gateway/stream_builds_test.cc
+++ b/tests/unit/gateway/stream_builds_test.cc
@@ -109,9 +109,10 @@
     REQUIRE(fixture.has<Dispatch>());
     CHECK(fixture.buildOf(fixture.last) == build);
     fixture.head(200);
-    // No other back end of the build is left.
+    // No other back end of the build is left: the client learns of it at once.
     fixture.breakExchange(true);
     CHECK_FALSE(fixture.has<Dispatch>());
+    CHECK(fixture.has<AbortResponse>());
   }
 }
 
