Simulate fleets with back ends of several builds and callers that resume streams

Scenario gateway_builds: engines of three builds under the faults of gateway, callers that take broken streams up at any gateway, and a checker that all events of a stream come from one build.

--- a/sim/gateway_world/callers.cc
+++ b/sim/gateway_world/callers.cc
@@ -84,6 +84,8 @@
   Attempt record;
   record.body = submission.body;
   record.kind = submission.kind;
+  record.begun_by = submission.events > 0 ? submission.begun_by : context_.records.attempts.size();
+  record.events = submission.events;
   record.gateway = 0;
   while (world_.gateways()[record.gateway].get() != &gateway) ++record.gateway;
   record.sent_at = context_.queue.now();
@@ -101,8 +103,9 @@
 
 void Callers::sendRequest(std::uint64_t attempt, const Submission& submission, GatewayNode& gateway,
                           const sim::ChannelPointer& channel) {
-  CallerRequest request{attempt, submission.body, submission.kind,
-                        context_.records.attempts[attempt].deadline};
+  const Attempt& sent = context_.records.attempts[attempt];
+  const CallerRequest request{attempt,       submission.body,   submission.kind,
+                              sent.deadline, submission.events, sent.begun_by};
   CallerHandlers handlers;
   handlers.on_bytes = [this, attempt](const std::string& bytes) { onBytes(attempt, bytes); };
   handlers.on_end = [this, attempt, channel] {
@@ -126,6 +129,7 @@
     if (context_.records.attempts[attempt].outcome != AttemptOutcome::pending) return;
     finish(attempt, AttemptOutcome::aborted);
     if (context_.site.retries_broken_responses) scheduleRetry(submission, Duration(0));
+    if (context_.site.builds > 1) resume(attempt, submission);
   });
   channel->send(sim::Side::Client,
                 [&gateway, channel, request, handlers] { gateway.onRequest(channel, request, handlers); });
@@ -144,6 +148,16 @@
   });
 }
 
+/// The response of a stream broke off: the caller takes it up at any gateway.
+void Callers::resume(std::uint64_t attempt, const Submission& submission) {
+  const Attempt& broken = context_.records.attempts[attempt];
+  if (broken.kind != RequestKind::resumable_stream || broken.events == 0) return;
+  Submission resumed = submission;
+  resumed.events = broken.events;
+  resumed.begun_by = broken.begun_by;
+  scheduleRetry(resumed, Duration(0));
+}
+
 void Callers::scheduleRetry(const Submission& submission, Duration after) {
   if (submission.retries == 0) return;
   Submission retry = submission;
--- a/sim/gateway_world/callers.h
+++ b/sim/gateway_world/callers.h
@@ -27,6 +27,8 @@
     RequestKind kind = RequestKind::plain;
     int retries = 0;  ///< Further attempts after refusals.
     bool may_disconnect = false;
+    std::uint32_t events = 0;    ///< Events of the stream that earlier attempts brought.
+    std::uint64_t begun_by = 0;  ///< Attempt that brought the first of them.
   };
 
   void sendNext();
@@ -34,6 +36,7 @@
   void send(const Submission& submission, GatewayNode& gateway);
   void sendRequest(std::uint64_t attempt, const Submission& submission, GatewayNode& gateway,
                    const sim::ChannelPointer& channel);
+  void resume(std::uint64_t attempt, const Submission& submission);
   void scheduleRetry(const Submission& submission, Duration after);
   void finish(std::uint64_t attempt, AttemptOutcome outcome);
   void onBytes(std::uint64_t attempt, const std::string& bytes);
--- a/sim/gateway_world/engine_process.cc
+++ b/sim/gateway_world/engine_process.cc
@@ -31,6 +31,10 @@
 
 }  // namespace
 
+std::uint32_t buildOf(const FleetSite& site, std::uint32_t engine, std::uint64_t started_ms) {
+  return static_cast<std::uint32_t>(combineHashes(engine, started_ms) % site.builds);
+}
+
 std::uint64_t eventCount(BodyId body) {
   return kEventsBeforeCrash + 1 + mixBits(body) % kMaxEvents;
 }
@@ -123,6 +127,8 @@
   record.body = request.body;
   record.engine = number_;
   record.engine_start = host_.epoch();
+  record.build = buildOf(context_.site, number_, started_ms_);
+  record.resume_after = request.resume_after;
   record.gateway = request.gateway;
   record.sent_at = request.sent_at;
   record.admitted_at = request.admitted_at;
--- a/sim/gateway_world/engine_process.h
+++ b/sim/gateway_world/engine_process.h
@@ -115,6 +115,8 @@
   std::uint32_t running_ = 0;
 };
 
+/// @return the build of the software of an engine's process: any, and the same each time it is asked for.
+std::uint32_t buildOf(const FleetSite& site, std::uint32_t engine, std::uint64_t started_ms);
 /// @return number of events in the streamed response to a body, the same for every attempt.
 std::uint64_t eventCount(BodyId body);
 
--- a/sim/gateway_world/fleet_checkers.cc
+++ b/sim/gateway_world/fleet_checkers.cc
@@ -101,6 +101,8 @@
         attempt.outcome == AttemptOutcome::disconnected || attempt.outcome == AttemptOutcome::completed;
     if (crashes_of[index] != 1 || !unique || history.isPoison(attempt.body) || ended_by_caller) continue;
     if (attempt.kind == RequestKind::at_most_once) continue;
+    // A stream that has begun can go on only at an engine of its build, of which there may be no other.
+    if (context.site.builds > 1 && attempt.events > 0) continue;
     const TimePoint end = attempt.sent_at + attempt.deadline;
     const bool undisturbed = history.isUndisturbed(attempt.gateway, attempt.sent_at, end, kRestartTime) &&
                              history.isStoreUndisturbed(attempt.sent_at - context.site.key_validity, end) &&
@@ -199,6 +201,30 @@
   }
 }
 
+/// All events of a stream come from engines of one build: a run that continues it has the build of the run
+/// that brought its first event, the last one before the first continuation.
+void checkStreamBuilds(const FleetHistory& history, Violations& violations) {
+  struct Stream {
+    std::uint32_t build = 0;  ///< Of the latest run without events before it, then of the one that began it.
+    bool continued = false;
+  };
+  std::map<std::uint64_t, Stream> streams;
+  for (const EngineRun& run : history.records().runs) {
+    Stream& stream = streams[history.records().attempts[run.attempt].begun_by];
+    if (run.resume_after == 0) {
+      if (!stream.continued) stream.build = run.build;
+      continue;
+    }
+    stream.continued = true;
+    if (run.build == stream.build || !run.started_at) continue;
+    violations.push_back(
+        {"stream_builds", fmt::format("gateway-{} sent attempt {} at {:.3f} s to engine-{} of build {}, its "
+                                      "stream began at build {}",
+                                      run.gateway, run.attempt, secondsOfRun(run.sent_at), run.engine,
+                                      run.build, stream.build)});
+  }
+}
+
 void checkResponses(const FleetHistory& history, Violations& violations) {
   const Records& records = history.records();
   for (std::size_t index = 0; index < records.attempts.size(); ++index) {
@@ -227,6 +253,7 @@
   checkAgreement(history, context, world, violations);
   checkKeys(history, context, violations);
   checkDepartures(history, violations);
+  checkStreamBuilds(history, violations);
   checkResponses(history, violations);
   return violations;
 }
--- a/sim/gateway_world/fleet_run.cc
+++ b/sim/gateway_world/fleet_run.cc
@@ -18,6 +18,8 @@
 constexpr const char* kResets = "gateway_resets";
 constexpr const char* kRestarts = "gateway_restarts";
 constexpr const char* kDepartures = "gateway_departures";
+constexpr const char* kBuilds = "gateway_builds";
+constexpr std::uint32_t kBuildCount = 3;
 
 void planFaults(const std::string& scenario, FleetFaults& faults) {
   using std::chrono::milliseconds;
@@ -33,7 +35,7 @@
 }  // namespace
 
 const std::vector<std::string>& fleetScenarioNames() {
-  static const std::vector<std::string> names = {kMixed, kResets, kRestarts, kDepartures};
+  static const std::vector<std::string> names = {kMixed, kResets, kRestarts, kDepartures, kBuilds};
   return names;
 }
 
@@ -43,6 +45,7 @@
   const TimePoint load_start = context.queue.now() + kWarmUp;
   context.site = drawFleetSite(random, load_start);
   context.site.retries_broken_responses = options.scenario == kResets;
+  if (options.scenario == kBuilds) context.site.builds = kBuildCount;
   FleetWorld world(context);
   FleetFaults faults(context, world, random.bits());
   world.start();
--- a/sim/gateway_world/fleet_run.h
+++ b/sim/gateway_world/fleet_run.h
@@ -6,7 +6,8 @@
 namespace crankspur::gateway_sim {
 
 /// @return names of the scenarios: "gateway" draws from all faults, "gateway_departures" also lets
-/// engines leave, the others repeat one kind of fault.
+/// engines leave, "gateway_builds" has engines of several builds and callers that resume streams, the others
+/// repeat one kind of fault.
 const std::vector<std::string>& fleetScenarioNames();
 /// Runs one of these scenarios with one seed.
 sim::RunResult runFleet(const sim::RunOptions& options);
--- a/sim/gateway_world/fleet_site.h
+++ b/sim/gateway_world/fleet_site.h
@@ -40,6 +40,8 @@
   Duration key_validity = std::chrono::seconds(5);
   std::vector<PoisonRequest> poison;
   bool retries_broken_responses = false;  ///< Callers also retry when a response broke off.
+  /// Versions of the engines' software; with more than one, callers resume broken streams at any gateway.
+  std::uint32_t builds = 1;
 };
 
 /// @param start when the load begins.
--- a/sim/gateway_world/gateway_node.h
+++ b/sim/gateway_world/gateway_node.h
@@ -36,6 +36,8 @@
   BodyId body = 0;
   RequestKind kind = RequestKind::plain;
   Duration deadline{0};
+  std::uint64_t resume_after = 0;  ///< Last event of a stream that the caller has; 0: none.
+  std::uint64_t begun_by = 0;      ///< Attempt that brought its first event.
 };
 
 /// See the file comment.
@@ -96,6 +98,7 @@
 
   // Traffic (gateway_node_traffic.cc).
   void executeActions();
+  void sendStreamOrigins();
   void execute(const gateway::Refuse& action);
   void execute(const gateway::Dispatch& action);
   void execute(const gateway::RelayToPeer& action);
--- a/sim/gateway_world/gateway_node_control.cc
+++ b/sim/gateway_world/gateway_node_control.cc
@@ -76,7 +76,12 @@
     std::string& listed = process_->listed[row.engine];
     if (!listed.empty() && (listed != name || !row.present)) process_->fleet.onRemoved(listed, now());
     listed = row.present ? name : "";
-    if (row.present) process_->fleet.onListed(listedBackend(engine, row, name), now());
+    if (!row.present) continue;
+    gateway::ListedBackend backend = listedBackend(engine, row, name);
+    if (context_.has(sim::Mechanism::StreamBuilds)) {
+      backend.build = fmt::format("v{}", buildOf(context_.site, row.engine, row.started_ms));
+    }
+    process_->fleet.onListed(backend, now());
   }
   process_->contact->confirm(requested_at);
   confirmed_at_ = std::max(confirmed_at_, requested_true_time);
@@ -90,6 +95,10 @@
     snapshot->configuration = world_.configuration();
   }
   snapshot->backends = process_->fleet.backends(now());
+  snapshot->own_name = member_name_;
+  if (context_.site.builds > 1) {
+    for (const std::string& name : otherMembers()) snapshot->peers.push_back({name, name, ""});
+  }
   snapshot->own_zone = host_.location().zone;
   snapshot->own_region = host_.location().region;
   snapshot->peer_count = static_cast<std::uint32_t>(otherMembers().size());
@@ -194,6 +203,12 @@
   } else if (const auto* digest = std::get_if<CrashDigest>(&message)) {
     process_->crashes.onDigest(from, *digest, now());
     return executeCrashActions();
+  } else if (const auto* origins = std::get_if<StreamOrigins>(&message)) {
+    host_.post(kThreadDelay, [this, from, origins = *origins] {
+      process_->traffic.onStreamOrigins(from, origins, now());
+      executeActions();
+    });
+    return;
   }
   executeMembershipActions();
 }
--- a/sim/gateway_world/gateway_node_traffic.cc
+++ b/sim/gateway_world/gateway_node_traffic.cc
@@ -14,6 +14,7 @@
 /// Delay between the traffic thread and the control thread.
 constexpr Duration kThreadDelay = std::chrono::microseconds(50);
 constexpr std::uint32_t kPromptTokens = 900;
+constexpr Duration kStreamOriginsDelay = std::chrono::milliseconds(3);
 
 gateway::IncomingRequest makeIncomingRequest(const CallerRequest& request, const std::string& body) {
   gateway::IncomingRequest result;
@@ -25,6 +26,10 @@
   result.client->api_key = kFleetKey;
   result.client->model = kFleetModel;
   result.client->deadline = request.deadline;
+  if (request.resume_after > 0) {
+    result.client->resume_after = request.resume_after;
+    result.client->resumed_attempt = fmt::format("a{}", request.begun_by);
+  }
   if (request.kind == RequestKind::resumable_stream) {
     result.client->prompt = {{1 + request.body % 3, 600}, {1'000 + std::uint64_t{request.body}, 300}};
     result.client->prompt_tokens = kPromptTokens;
@@ -62,6 +67,7 @@
     process_->traffic.onTimer(now());
     executeActions();
   });
+  sendStreamOrigins();
   if (!process_->traffic.hasCrashUpdate() || std::exchange(process_->crash_update_waiting, true)) return;
   arm(process_->crash_update_timer, now() + gateway::kCrashUpdateDelay, [this] {
     process_->crash_update_waiting = false;
@@ -72,6 +78,16 @@
   });
 }
 
+void GatewayNode::sendStreamOrigins() {
+  if (!process_->traffic.hasStreamOrigins() || std::exchange(process_->stream_origins_waiting, true)) return;
+  arm(process_->stream_origins_timer, now() + kStreamOriginsDelay, [this] {
+    process_->stream_origins_waiting = false;
+    host_.post(kThreadDelay, [this, messages = process_->traffic.takeStreamOrigins()] {
+      for (const gateway::StreamOriginMessage& sent : messages) sendDatagram(sent.gateway, sent.message);
+    });
+  });
+}
+
 void GatewayNode::sendToCaller(const Client& client, sim::Task deliver) {
   client.channel->send(sim::Side::Server, std::move(deliver));
 }
@@ -113,7 +129,7 @@
   connect(action.exchange, world_.engineAt(action.address), request);
 }
 
-/// Snapshots of simulated gateways list no peers, so that no request is relayed.
+/// Simulated gateways relay nothing: the other gateway is out of reach.
 void GatewayNode::execute(const gateway::RelayToPeer& action) {
   onLost(action.exchange, false);
 }
--- a/sim/gateway_world/gateway_process_state.h
+++ b/sim/gateway_world/gateway_process_state.h
@@ -22,6 +22,8 @@
   Timer traffic_timer;
   Timer crash_update_timer;
   bool crash_update_waiting = false;
+  Timer stream_origins_timer;
+  bool stream_origins_waiting = false;
 
   // Control.
   gateway::FleetView fleet;
--- a/sim/gateway_world/records.h
+++ b/sim/gateway_world/records.h
@@ -23,6 +23,8 @@
   BodyId body = 0;
   std::uint32_t engine = 0;
   std::uint64_t engine_start = 0;  ///< Number of the engine's process start.
+  std::uint32_t build = 0;         ///< Of the engine's process.
+  std::uint64_t resume_after = 0;  ///< Last event of the stream that was forwarded before; 0: none.
   std::uint32_t gateway = 0;
   TimePoint sent_at{};       ///< When the gateway decided to send it.
   TimePoint admitted_at{};   ///< When the gateway received the caller's request.
@@ -72,7 +74,8 @@
   AttemptOutcome outcome = AttemptOutcome::pending;
   TimePoint ended_at{};
   Duration retry_after{0};
-  std::uint32_t events = 0;    ///< Number of events received of a stream.
+  std::uint64_t begun_by = 0;  ///< Index of the attempt that brought the first event of its stream.
+  std::uint32_t events = 0;    ///< Number of events received of a stream, in earlier attempts too.
   bool events_broken = false;  ///< An event was missing, repeated or out of order.
 };
 
--- a/sim/world/mechanism.cc
+++ b/sim/world/mechanism.cc
@@ -33,6 +33,7 @@
       {Mechanism::SignsOfLife, "signs_of_life"},
       {Mechanism::QuarantineRecord, "quarantine_record"},
       {Mechanism::SuspensionClock, "suspension_clock"},
+      {Mechanism::StreamBuilds, "stream_builds"},
       {Mechanism::ListedDepartures, "listed_departures"},
   };
   return names;
--- a/sim/world/mechanism.h
+++ b/sim/world/mechanism.h
@@ -41,6 +41,7 @@
   SignsOfLife,          ///< A responding engine is not counted as crashed.
   QuarantineRecord,     ///< Quarantined requests are persisted in the platform's store.
   SuspensionClock,      ///< The product's clock includes time spent suspended.
+  StreamBuilds,         ///< A stream goes on only at back ends of the build that began it.
   ListedDepartures,     ///< A back end that the platform lists as leaving, or no longer, gets no new work.
 };
 
--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -150,6 +150,14 @@
   CHECK(result.violations.empty());
 }
 
+// Streams went on at any build in the same response, at the gateway's next attempt and at other gateways.
+TEST_CASE("streams of a fleet with several builds go on at the build that began them", "[sim]") {
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    INFO("seed " << seed);
+    CHECK(runOne(seed, "gateway_builds", {}).violations.empty());
+  }
+}
+
 TEST_CASE("each checker finds the absence of its mechanism", "[sim]") {
   struct Removal {
     Mechanism mechanism;
@@ -186,6 +194,7 @@
       {Mechanism::SignsOfLife, "gateway_resets", "quarantine_truth"},
       {Mechanism::QuarantineRecord, "gateway_restarts", "crash_bound"},
       {Mechanism::SuspensionClock, "gateway", "keys"},
+      {Mechanism::StreamBuilds, "gateway_builds", "stream_builds"},
       {Mechanism::ListedDepartures, "gateway_departures", "departure"},
       {Mechanism::TenantSalt, "same_prompts", "cache_use"},
       {Mechanism::BundleFromPeers, "herd_rate_limits", "restart"},
