Take only a refused connection of a probe as proof that a back end crashed

A health request waits for a place at a back end, or is late when it is busy. Found by reading. A probe now responds, is refused, or is silent, and only a refusal is proof.

--- a/sim/gateway_world/gateway_node_traffic.cc
+++ b/sim/gateway_world/gateway_node_traffic.cc
@@ -248,7 +248,8 @@
 
 void GatewayNode::execute(const gateway::ProbeBackend& action) {
   const auto on_result = [this, probe = action.probe](bool responded) {
-    process_->traffic.onProbeResult(probe, responded, now());
+    const auto outcome = responded ? gateway::ProbeOutcome::responded : gateway::ProbeOutcome::silent;
+    process_->traffic.onProbeResult(probe, outcome, now());
     executeActions();
   };
   EngineProcess& engine = world_.engineAt(action.address);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -103,8 +103,8 @@
   /// @param sent whether the back end may have received any byte of the request.
   void onLost(ExchangeId exchange, bool sent, TimePoint now);
 
-  /// @param responded whether the back end responded, with any status.
-  void onProbeResult(std::uint64_t probe, bool responded, TimePoint now);
+  /// Only the first result of a probe counts.
+  void onProbeResult(std::uint64_t probe, ProbeOutcome outcome, TimePoint now);
 
   /// Open connections to several peers have gone silent permanently, while new ones may work. Repeatable
   /// requests in progress are retried on another back end if nothing is received for them for some time after
--- a/src/gateway/gateway_actions.h
+++ b/src/gateway/gateway_actions.h
@@ -110,6 +110,13 @@
   std::optional<std::uint64_t> weights_version;  ///< That it has; empty: another incarnation responded.
 };
 
+/// Result of a probe.
+enum class ProbeOutcome {
+  responded,  ///< With any status.
+  refused,    ///< No process accepts connections at the address.
+  silent,     ///< Neither in time: the back end may be busy, gone or out of reach.
+};
+
 /// Requests the health path of a back end whose connection broke; the result goes to
 /// Gateway::onProbeResult().
 struct ProbeBackend {
--- a/src/gateway/gateway_suspects.cc
+++ b/src/gateway/gateway_suspects.cc
@@ -152,9 +152,10 @@
   return &probe;
 }
 
-/// The back end did not respond to its probe. While many back ends are out of reach, this gateway is more
-/// likely to be partitioned from them.
+/// The back end refused the connection of its probe: its process is gone. One that only does not respond may
+/// be busy. While many back ends are out of reach, this gateway is more likely to be partitioned from them.
 void Gateway::confirmByProbe(const Probe& probe, TimePoint now) {
+  if (snapshot_->configuration == nullptr) return;
   const Pool* pool = snapshot_->configuration->findPool(probe.pool);
   if (pool == nullptr || isPartitioned(*pool)) return;
   for (const UnobservedEnd& end : probe.unobserved) {
@@ -173,15 +174,15 @@
   });
 }
 
-void Gateway::onProbeResult(std::uint64_t probe, bool responded, TimePoint now) {
+void Gateway::onProbeResult(std::uint64_t probe, ProbeOutcome outcome, TimePoint now) {
+  const bool responded = outcome == ProbeOutcome::responded;
   if (onReachProbeResult(probe, responded, now)) return;
   const auto found = probes_.find(probe);
   if (found == probes_.end()) return;
   const Probe sent_probe = std::move(found->second);
   probes_.erase(found);
-  if (!responded) {
-    confirmByProbe(sent_probe, now);
-  } else if (suspects_.onSignOfLife(sent_probe.incarnation, sent_probe.sent_at, now)) {
+  if (outcome == ProbeOutcome::refused) confirmByProbe(sent_probe, now);
+  if (responded && suspects_.onSignOfLife(sent_probe.incarnation, sent_probe.sent_at, now)) {
     const RequestFingerprint request =
         sent_probe.requests.empty() ? RequestFingerprint{} : sent_probe.requests.front();
     observer_.onSuspicionWithdrawn({sent_probe.request_id, request, sent_probe.backend, true});
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -474,18 +474,20 @@
   options.idle_timeout = kProbeTimeout;
   http::ExchangeCallbacks callbacks;
   callbacks.on_headers = [this, probe = action.probe](int, const http::Headers&, http::BodyFraming) {
-    onProbeResult(probe, true);
+    onProbeResult(probe, ProbeOutcome::responded);
   };
-  callbacks.on_done = [this, probe = action.probe](std::error_code, http::SendState, const http::Response&) {
-    onProbeResult(probe, false);
+  callbacks.on_done = [this, probe = action.probe](std::error_code error, http::SendState,
+                                                   const http::Response&) {
+    const bool refused = error == std::errc::connection_refused;
+    onProbeResult(probe, refused ? ProbeOutcome::refused : ProbeOutcome::silent);
     probes_.erase(probe);
   };
   probes_[action.probe] = http_->start(action.address, std::move(request), callbacks, options);
 }
 
 /// The gateway ignores all outcomes of a probe but the first.
-void TrafficLoop::onProbeResult(std::uint64_t probe, bool answered) {
-  gateway_.onProbeResult(probe, answered, now());
+void TrafficLoop::onProbeResult(std::uint64_t probe, ProbeOutcome outcome) {
+  gateway_.onProbeResult(probe, outcome, now());
   executeActions();
 }
 
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -89,7 +89,7 @@
   void execute(const ReportUnreachable& action);
   void execute(const ReportWrongBackend& action);
   void execute(const ProbeBackend& action);
-  void onProbeResult(std::uint64_t probe, bool answered);
+  void onProbeResult(std::uint64_t probe, ProbeOutcome outcome);
 
   http::ExchangeCallbacks exchangeCallbacks(ExchangeId exchange, const std::string& request_id);
   void onHead(ExchangeId exchange, const std::string& request_id, const http::Response& head,
