Hash the builds of back ends only where they change along the list

Each list hashed the pool and the build of each back end, thousands of them at the target size, some times a second. Back ends of the pool and build of the one before are skipped.

--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -42,8 +42,13 @@
   peers_.clear();
   for (const PeerGateway& peer : snapshot.peers) peers_.push_back(peer.name);
   removeExpired(now);
+  const Backend* previous = nullptr;
   for (const Backend& backend : snapshot.backends) {
     if (backend.is_kv_store) continue;
+    // Most back ends are of the pool and build of the one before: thousands need not be hashed each time.
+    const Backend* const before = std::exchange(previous, &backend);
+    if (before != nullptr && before->view.pool == backend.view.pool && before->build == backend.build)
+      continue;
     const std::uint64_t pool = hashBytes(backend.view.pool);
     const bool had_several = hasSeveralBuilds(pool, now);
     builds_[pool][buildId(backend.build)] = now;
