--- a/src/gateway/gateway_relay.cc
+++ b/src/gateway/gateway_relay.cc
@@ -26,6 +26,7 @@
   for (const Backend* backend : snapshot_->listedInPool(pool.name)) {
     ++reach.listed;
     if (table_.isOutOfReach(backend->view.slot)) ++reach.out_of_reach;
+    if (table_.isUnresponsive(*backend)) ++reach.unanswered;
   }
   return reach;
 }
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -124,6 +124,7 @@
 struct PoolReach {
   std::uint32_t listed = 0;
   std::uint32_t out_of_reach = 0;  ///< The last connection failed or broke, and nothing was received since.
+  std::uint32_t unanswered = 0;    ///< The calls that follow their caches get no response.
 };
 
 /// A request is queued for a back end with capacity.
@@ -178,6 +179,7 @@
   Duration retry_after{0};             ///< 0: none was stated.
   std::optional<Duration> first_byte;  ///< Since the request arrived; empty: no response began.
   ResponseBodyState body;
+  PoolReach reach;  ///< Of its pool, if the gateway refused it.
   Duration total{0};
 };
 
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -93,6 +93,7 @@
                                               {"pool", record.pool},
                                               {"cause", nameOf(record.cause)},
                                               {"out_of_reach", record.reach.out_of_reach},
+                                              {"unanswered", record.reach.unanswered},
                                               {"listed", record.reach.listed},
                                               {"longest_ms", milliseconds(record.max_wait)}});
 }
@@ -103,6 +104,7 @@
                                               {"gateway", record.gateway},
                                               {"cause", nameOf(record.cause)},
                                               {"out_of_reach", record.reach.out_of_reach},
+                                              {"unanswered", record.reach.unanswered},
                                               {"listed", record.reach.listed},
                                               {"time_left_ms", milliseconds(record.time_left)}});
 }
@@ -139,6 +141,9 @@
                                        {"first_byte_ms", millisecondsOrNone(record.first_byte)},
                                        {"framing", framingOrNone(record.body.framing)},
                                        {"inside_event", record.body.inside_event},
+                                       {"out_of_reach", record.reach.out_of_reach},
+                                       {"unanswered", record.reach.unanswered},
+                                       {"listed", record.reach.listed},
                                        {"total_ms", milliseconds(record.total)}});
 }
 
--- a/tests/unit/gateway/gateway_records_test.cc
+++ b/tests/unit/gateway/gateway_records_test.cc
@@ -198,3 +198,19 @@
   CHECK(ended.body.framing == http::BodyFraming::Chunked);
   CHECK_FALSE(ended.body.inside_event);
 }
+
+// Without these numbers, a refusal does not tell whether its gateway is partitioned or its back ends are overloaded.
+TEST_CASE("a refusal reports how much of its pool is in reach, by requests and by calls that follow caches",
+          "[gateway][records]") {
+  GatewayFixture fixture;
+  for (Backend& backend : fixture.backends) backend.view.state = EngineState::Ejected;
+  fixture.backends[2].unresponsive_since = fixture.now;
+  fixture.publish();
+  fixture.send("answer");
+  fixture.advance(seconds(1));
+  const RequestEnded ended = onlyEnd(fixture);
+  CHECK(ended.outcome == RequestOutcome::refused);
+  CHECK(ended.reach.listed == 2);
+  CHECK(ended.reach.out_of_reach == 0);
+  CHECK(ended.reach.unanswered == 1);
+}
