Add failing tests of partitioned gateways that do not relay

The simulation had no gateway that is partitioned from the engines while its callers reach it, relayed nothing and followed no caches. It does now in the scenario gateway_partitions, with a checker of first attempts: at partitioned gateways at least two thirds as many are served as at the others, from 3 s after the start of the partition on. A unit test of a gateway refuses requests that it could have relayed.

--- a/sim/gateway_world/callers.cc
+++ b/sim/gateway_world/callers.cc
@@ -89,6 +89,7 @@
   record.gateway = 0;
   while (world_.gateways()[record.gateway].get() != &gateway) ++record.gateway;
   record.sent_at = context_.queue.now();
+  record.is_retry = submission.is_retry;
   record.deadline =
       std::chrono::milliseconds(context_.random.uniform(kMinDeadlineMilliseconds, kMaxDeadlineMilliseconds));
   const std::uint64_t attempt = context_.records.attempts.size();
@@ -112,18 +113,17 @@
     finish(attempt, AttemptOutcome::completed);
     channel->close(sim::Side::Client);
   };
-  handlers.on_refused = [this, attempt, submission, channel](int status, gateway::RequestCause cause,
-                                                             Duration after) {
-    const bool quarantined = cause == gateway::RequestCause::quarantined;
-    const bool not_run = status == 503;
+  handlers.on_refused = [this, attempt, submission, channel](const gateway::Refuse& refusal) {
+    const bool quarantined = refusal.cause == gateway::RequestCause::quarantined;
+    const bool not_run = refusal.status == 503;
     Attempt& record = context_.records.attempts[attempt];
-    record.retry_after = after;
+    record.retry_after = refusal.retry_after;
     finish(attempt, quarantined ? AttemptOutcome::quarantined
                     : not_run   ? AttemptOutcome::refused
                                 : AttemptOutcome::failed);
     channel->close(sim::Side::Client);
     const bool retryable = not_run ? !quarantined : context_.site.retries_broken_responses;
-    if (retryable) scheduleRetry(submission, after);
+    if (retryable) scheduleRetry(submission, refusal.retry_after);
   };
   channel->onClosed(sim::Side::Client, [this, attempt, submission] {
     if (context_.records.attempts[attempt].outcome != AttemptOutcome::pending) return;
@@ -162,6 +162,7 @@
   if (submission.retries == 0) return;
   Submission retry = submission;
   --retry.retries;
+  retry.is_retry = true;
   const auto jitter = std::chrono::milliseconds(context_.random.uniform(0, kMaxRetryJitterMilliseconds));
   host_.post(after + jitter, [this, retry] { send(retry, randomGateway()); });
 }
--- a/sim/gateway_world/callers.h
+++ b/sim/gateway_world/callers.h
@@ -26,6 +26,7 @@
     BodyId body = 0;
     RequestKind kind = RequestKind::plain;
     int retries = 0;  ///< Further attempts after refusals.
+    bool is_retry = false;
     bool may_disconnect = false;
     std::uint32_t events = 0;    ///< Events of the stream that earlier attempts brought.
     std::uint64_t begun_by = 0;  ///< Attempt that brought the first of them.
--- a/sim/gateway_world/engine_process.cc
+++ b/sim/gateway_world/engine_process.cc
@@ -25,6 +25,7 @@
 constexpr std::uint64_t kMaxEvents = 20;
 /// Events of a response that precede a crash by PoisonEffect::after_first_bytes.
 constexpr std::uint64_t kEventsBeforeCrash = 2;
+constexpr Duration kCacheEventsWait = std::chrono::milliseconds(400);
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
@@ -181,6 +182,10 @@
   channel->close(sim::Side::Server);
 }
 
+void EngineProcess::onCacheCall(const sim::ChannelPointer& channel, const sim::Task& response) {
+  host_.post(kCacheEventsWait, [this, channel, response] { onProbe(channel, response); });
+}
+
 void EngineProcess::startNext() {
   while (running_ < context_.site.engine_slots && !queue_.empty()) {
     const RunPointer run = queue_.front();
--- a/sim/gateway_world/engine_process.h
+++ b/sim/gateway_world/engine_process.h
@@ -77,6 +77,8 @@
                  const EngineResponseHandlers& response);
   /// A health probe arrived on a connection.
   void onProbe(const sim::ChannelPointer& channel, const sim::Task& response);
+  /// A call for cache events arrived on a connection. It is held for a while, since there are none.
+  void onCacheCall(const sim::ChannelPointer& channel, const sim::Task& response);
 
 private:
   struct Run {
--- a/sim/gateway_world/fleet_checkers.cc
+++ b/sim/gateway_world/fleet_checkers.cc
@@ -29,6 +29,12 @@
 /// A gateway that was undisturbed for this long, as was the store, has read the list of engines.
 constexpr Duration kContactTime = std::chrono::seconds(3);
 
+/// First attempts at partitioned gateways are served at least this many times as often as those at the others.
+constexpr double kMinPartitionedShare = 2.0 / 3;
+/// Failures at partitioned gateways that are always tolerated: a number, and one in so many attempts.
+constexpr std::size_t kToleratedFailures = 10;
+constexpr std::size_t kAttemptsPerToleratedFailure = 50;
+
 double secondsOfRun(TimePoint instant) {
   return toSeconds(instant.time_since_epoch()) - 3600.0;
 }
@@ -225,6 +231,34 @@
   }
 }
 
+/// Callers of gateways that do not reach most engines are served nearly as well as those of the others, from
+/// the time on by which the gateways know of the partition.
+void checkPartitionedGateways(const FleetHistory& history, Violations& violations) {
+  struct FirstAttempts {
+    std::size_t sent = 0;
+    std::size_t served = 0;
+    double share() const { return double(served) / double(std::max<std::size_t>(sent, 1)); }
+  };
+  FirstAttempts partitioned;
+  FirstAttempts others;
+  for (const Attempt& attempt : history.records().attempts) {
+    const bool is_judged = !attempt.is_retry && !history.isPoison(attempt.body) &&
+                           attempt.outcome != AttemptOutcome::disconnected;
+    const auto state = history.partitionState(attempt.gateway, attempt.sent_at, kContactTime);
+    if (!is_judged || state == PartitionState::changing) continue;
+    FirstAttempts& attempts = state == PartitionState::partitioned ? partitioned : others;
+    ++attempts.sent;
+    attempts.served += attempt.outcome == AttemptOutcome::completed ? 1 : 0;
+  }
+  const std::size_t failed = partitioned.sent - partitioned.served;
+  const std::size_t tolerated = kToleratedFailures + partitioned.sent / kAttemptsPerToleratedFailure;
+  if (others.sent == 0 || failed <= tolerated) return;
+  if (partitioned.share() >= others.share() * kMinPartitionedShare) return;
+  violations.push_back({"partitioned_served",
+                        fmt::format("partitioned gateways served {} of {} first attempts, the others {} of {}",
+                                    partitioned.served, partitioned.sent, others.served, others.sent)});
+}
+
 void checkResponses(const FleetHistory& history, Violations& violations) {
   const Records& records = history.records();
   for (std::size_t index = 0; index < records.attempts.size(); ++index) {
@@ -254,6 +288,7 @@
   checkKeys(history, context, violations);
   checkDepartures(history, violations);
   checkStreamBuilds(history, violations);
+  checkPartitionedGateways(history, violations);
   checkResponses(history, violations);
   return violations;
 }
--- a/sim/gateway_world/fleet_faults.cc
+++ b/sim/gateway_world/fleet_faults.cc
@@ -14,6 +14,8 @@
 constexpr double kEngineShare = 0.3;
 constexpr double kResetShare = 0.5;
 constexpr double kGatewayShare = 0.4;
+/// Share of the engines that a gateway does not reach in a partition that is not complete.
+constexpr double kPartitionedEngineShare = 0.9;
 constexpr std::size_t kEnginesPerLeaving = 4;
 constexpr double kAnnouncedShare = 0.5;
 
@@ -85,6 +87,8 @@
       return disturbDatagrams();
     case FleetFault::engines_leave:
       return letEngineLeave();
+    case FleetFault::gateways_partitioned_from_engines:
+      return partitionGatewaysFromEngines();
   }
 }
 
@@ -141,6 +145,27 @@
   context_.queue.after(time, [this, number] { context_.network.heal(number); });
 }
 
+/// The connections stay open and go silent. In some cases a few engines remain in reach.
+void FleetFaults::partitionGatewaysFromEngines() {
+  const std::uint64_t number = next_partition_++;
+  const Duration time = drawDuration(2'000, 14'000);
+  const double engine_share = random_.chance(0.5) ? 1.0 : kPartitionedEngineShare;
+  std::set<std::string> gateways;
+  std::set<std::string> engines;
+  for (std::uint32_t index = 0; index < world_.gateways().size(); ++index) {
+    if (!random_.chance(kGatewayShare)) continue;
+    gateways.insert(world_.gateways()[index]->host().name());
+    context_.records.engine_partitions.push_back(
+        {index, context_.queue.now(), context_.queue.now() + time});
+    recordDisturbance(index, time);
+  }
+  for (const auto& engine : world_.engines()) {
+    if (random_.chance(engine_share)) engines.insert(engine->host().name());
+  }
+  context_.network.partition(number, std::move(gateways), std::move(engines));
+  context_.queue.after(time, [this, number] { context_.network.heal(number); });
+}
+
 void FleetFaults::pauseGateway() {
   const auto number = static_cast<std::uint32_t>(random_.uniform(0, world_.gateways().size() - 1));
   const Duration time = drawDuration(300, 7'000);
--- a/sim/gateway_world/fleet_faults.h
+++ b/sim/gateway_world/fleet_faults.h
@@ -23,7 +23,9 @@
   store_rows_lost,  ///< Rows of engines are removed until the engines write them again.
   datagrams_lost,   ///< Datagrams are lost and duplicated, and messages delayed.
   last = datagrams_lost,
-  engines_leave,  ///< An engine leaves as planned. Not among the faults that plan() draws from.
+  // Not among the faults that plan() draws from:
+  engines_leave,                    ///< An engine leaves as planned.
+  gateways_partitioned_from_engines,  ///< Some gateways do not reach most or all engines.
 };
 
 /// Schedules and injects faults.
@@ -45,6 +47,7 @@
   void resetConnections();
   void killGateways(double share);
   void partitionGateways();
+  void partitionGatewaysFromEngines();
   void pauseGateway();
   void suspendGateway();
   void setStore(StoreMode mode);
--- a/sim/gateway_world/fleet_history.cc
+++ b/sim/gateway_world/fleet_history.cc
@@ -112,6 +112,17 @@
   return !overlapsAny(context_.records.gateways[gateway], from - margin, to);
 }
 
+PartitionState FleetHistory::partitionState(std::uint32_t gateway, TimePoint at,
+                                            Duration detection_time) const {
+  PartitionState state = PartitionState::none;
+  for (const EnginePartition& partition : context_.records.engine_partitions) {
+    if (partition.gateway != gateway) continue;
+    if (at >= partition.from + detection_time && at < partition.to) return PartitionState::partitioned;
+    if (at >= partition.from && at < partition.to + detection_time) state = PartitionState::changing;
+  }
+  return state;
+}
+
 bool FleetHistory::isStoreUndisturbed(TimePoint from, TimePoint to) const {
   return !overlapsAny(context_.records.store, from, to);
 }
--- a/sim/gateway_world/fleet_history.h
+++ b/sim/gateway_world/fleet_history.h
@@ -20,6 +20,13 @@
   bool silent = false;
 };
 
+/// Whether a gateway is partitioned from most engines.
+enum class PartitionState {
+  none,
+  changing,     ///< It began or ended so shortly before that the gateway may not know.
+  partitioned,
+};
+
 /// See the file comment.
 class FleetHistory {
 public:
@@ -38,6 +45,8 @@
 
   /// @return whether no fault affected the gateway from `margin` before `from` until `to`.
   bool isUndisturbed(std::uint32_t gateway, TimePoint from, TimePoint to, Duration margin) const;
+  /// @param detection_time after which the gateway knows that a partition began or ended.
+  PartitionState partitionState(std::uint32_t gateway, TimePoint at, Duration detection_time) const;
   bool isStoreUndisturbed(TimePoint from, TimePoint to) const;
   bool areConnectionsUndisturbed(TimePoint from, TimePoint to) const;
   bool areMessagesUndisturbed(TimePoint from, TimePoint to) const;
--- a/sim/gateway_world/fleet_run.cc
+++ b/sim/gateway_world/fleet_run.cc
@@ -19,6 +19,7 @@
 constexpr const char* kRestarts = "gateway_restarts";
 constexpr const char* kDepartures = "gateway_departures";
 constexpr const char* kBuilds = "gateway_builds";
+constexpr const char* kPartitions = "gateway_partitions";
 constexpr std::uint32_t kBuildCount = 3;
 
 void planFaults(const std::string& scenario, FleetFaults& faults) {
@@ -28,6 +29,8 @@
     return faults.planRepeated(FleetFault::connections_reset, milliseconds(600), seconds(12));
   if (scenario == kRestarts)
     return faults.planRepeated(FleetFault::all_gateways_killed, seconds(10), seconds(20));
+  if (scenario == kPartitions)
+    return faults.planRepeated(FleetFault::gateways_partitioned_from_engines, seconds(4), seconds(20));
   faults.plan();
   if (scenario == kDepartures) faults.planRepeated(FleetFault::engines_leave, milliseconds(300), seconds(3));
 }
@@ -35,7 +38,8 @@
 }  // namespace
 
 const std::vector<std::string>& fleetScenarioNames() {
-  static const std::vector<std::string> names = {kMixed, kResets, kRestarts, kDepartures, kBuilds};
+  static const std::vector<std::string> names = {kMixed, kResets, kRestarts, kDepartures, kBuilds,
+                                                 kPartitions};
   return names;
 }
 
@@ -46,6 +50,7 @@
   context.site = drawFleetSite(random, load_start);
   context.site.retries_broken_responses = options.scenario == kResets;
   if (options.scenario == kBuilds) context.site.builds = kBuildCount;
+  context.site.relays = options.scenario == kPartitions;
   FleetWorld world(context);
   FleetFaults faults(context, world, random.bits());
   world.start();
--- a/sim/gateway_world/gateway_node.cc
+++ b/sim/gateway_world/gateway_node.cc
@@ -80,6 +80,7 @@
   executeCrashActions();
   readStore();
   checkSuspension();
+  if (context_.site.relays) followCaches();
 }
 
 void GatewayNode::kill(bool silent) {
--- a/sim/gateway_world/gateway_node.h
+++ b/sim/gateway_world/gateway_node.h
@@ -25,7 +25,7 @@
 
 /// Handlers of the response to an attempt, which run at the caller.
 struct CallerHandlers {
-  std::function<void(int status, gateway::RequestCause cause, Duration retry_after)> on_refused;
+  std::function<void(const gateway::Refuse&)> on_refused;
   std::function<void(const std::string&)> on_bytes;
   std::function<void()> on_end;
 };
@@ -38,6 +38,7 @@
   Duration deadline{0};
   std::uint64_t resume_after = 0;  ///< Last event of a stream that the caller has; 0: none.
   std::uint64_t begun_by = 0;      ///< Attempt that brought its first event.
+  bool from_peer = false;          ///< Another gateway relays it.
 };
 
 /// See the file comment.
@@ -86,6 +87,14 @@
     std::string body;             ///< Buffered until the gateway forwards or discards it.
     bool head = false;
     bool ended = false;
+    std::optional<gateway::Refuse> refusal;  ///< Of the gateway that it was relayed to.
+  };
+  /// The calls that follow the cache of one engine.
+  struct CacheCalls {
+    std::uint64_t pending = 0;  ///< Number of the call without response; 0: none.
+    TimePoint requested_at{};
+    TimePoint responded_at{};
+    TimePoint next_at{};
   };
   /// State that is lost when the process ends.
   struct Process;
@@ -119,6 +128,9 @@
   void onEngineBytes(gateway::ExchangeId id, const std::string& bytes);
   void onEngineEnd(gateway::ExchangeId id);
   void onLost(gateway::ExchangeId id, bool sent);
+  CallerHandlers relayHandlers(gateway::ExchangeId id);
+  void onRelayedHead(gateway::ExchangeId id);
+  void onRelayRefused(gateway::ExchangeId id, const gateway::Refuse& refusal);
   void sendToCaller(const Client& client, sim::Task deliver);
   void removeClient(gateway::ClientId id, bool close);
 
@@ -133,6 +145,9 @@
   void execute(const gateway::NotifyTraffic& action);
   void execute(const gateway::CallStore& action);
   void executeMembershipActions();
+  void followCaches();
+  void callCache(const std::string& name, EngineProcess& engine);
+  void onCacheResponse(const std::string& name, std::uint64_t call, bool responded);
   void sendDatagram(const std::string& member, const Message& message);
   std::vector<std::string> otherMembers() const;
   void checkSuspension();
--- a/sim/gateway_world/gateway_node_control.cc
+++ b/sim/gateway_world/gateway_node_control.cc
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "internal_protocol/codec.h"
 #include "sim/gateway_world/fleet_world.h"
 #include "sim/gateway_world/gateway_node.h"
@@ -16,6 +18,10 @@
 constexpr Duration kPublishDelay = std::chrono::milliseconds(5);
 constexpr Duration kMaxPublishInterval = std::chrono::seconds(5);
 constexpr Duration kThreadDelay = std::chrono::microseconds(50);
+/// Timing of the calls that follow caches, as in production.
+constexpr Duration kCacheCheckInterval = std::chrono::milliseconds(50);
+constexpr Duration kCacheCallInterval = std::chrono::milliseconds(30);
+constexpr Duration kCacheCallTimeout = std::chrono::milliseconds(700);
 
 gateway::ListedBackend listedBackend(const EngineProcess& engine, const EngineRow& row,
                                      const std::string& name) {
@@ -96,7 +102,7 @@
   }
   snapshot->backends = process_->fleet.backends(now());
   snapshot->own_name = member_name_;
-  if (context_.site.builds > 1) {
+  if (context_.site.builds > 1 || context_.site.relays) {
     for (const std::string& name : otherMembers()) snapshot->peers.push_back({name, name, ""});
   }
   snapshot->own_zone = host_.location().zone;
@@ -166,6 +172,55 @@
   host_.post(kStoreTimeout, [finish] { finish(false); });
 }
 
+// Caches of engines.
+
+/// Calls each engine about every 0.4 s; an engine that does not respond, sooner.
+void GatewayNode::followCaches() {
+  for (const auto& [number, name] : process_->listed) {
+    if (name.empty()) continue;
+    const CacheCalls& calls = process_->cache_calls[name];
+    if (calls.pending == 0 && now() >= calls.next_at) callCache(name, world_.engine(number));
+  }
+  arm(process_->cache_timer, now() + kCacheCheckInterval, [this] { followCaches(); });
+}
+
+void GatewayNode::callCache(const std::string& name, EngineProcess& engine) {
+  CacheCalls& calls = process_->cache_calls[name];
+  const std::uint64_t call = process_->next_cache_call++;
+  calls.pending = call;
+  calls.requested_at = now();
+  const auto on_response = [this, name, call](bool responded) { onCacheResponse(name, call, responded); };
+  context_.network.connect(
+      host_, engine.host(), kCacheCallTimeout, [](const sim::ChannelPointer&) {},
+      [&engine, on_response](const sim::ChannelPointer& channel) {
+        channel->onClosed(sim::Side::Client, [on_response] { on_response(false); });
+        channel->send(sim::Side::Client, [&engine, channel, on_response] {
+          engine.onCacheCall(channel, [on_response] { on_response(true); });
+        });
+      },
+      [on_response] { on_response(false); });
+  host_.post(kCacheCallTimeout, [on_response] { on_response(false); });
+}
+
+/// Only the first outcome of a call counts.
+void GatewayNode::onCacheResponse(const std::string& name, std::uint64_t call, bool responded) {
+  CacheCalls& calls = process_->cache_calls[name];
+  if (calls.pending != call) return;
+  calls.pending = 0;
+  calls.next_at = now() + kCacheCallInterval;
+  if (responded) {
+    calls.responded_at = now();
+    if (process_->fleet.onResponsive(name, now())) publish();
+    return;
+  }
+  const bool others_responded =
+      std::any_of(process_->cache_calls.begin(), process_->cache_calls.end(),
+                  [&calls](const auto& item) { return item.second.responded_at > calls.requested_at; });
+  if (!others_responded) return;
+  process_->fleet.onUnresponsive(name, calls.requested_at, now());
+  publish();
+}
+
 // Other gateways.
 
 std::vector<std::string> GatewayNode::otherMembers() const {
--- a/sim/gateway_world/gateway_node_traffic.cc
+++ b/sim/gateway_world/gateway_node_traffic.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
+constexpr Duration kPeerConnectTimeout = std::chrono::milliseconds(250);
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
 /// Delay between the traffic thread and the control thread.
 constexpr Duration kThreadDelay = std::chrono::microseconds(50);
@@ -18,6 +19,7 @@
 
 gateway::IncomingRequest makeIncomingRequest(const CallerRequest& request, const std::string& body) {
   gateway::IncomingRequest result;
+  result.from_peer = request.from_peer;
   result.host = kFleetHost;
   result.path = pathOf(request.kind) + "1";
   result.body = body;
@@ -104,8 +106,7 @@
   const auto found = process_->clients.find(action.client);
   if (found == process_->clients.end()) return;
   const auto on_refused = found->second.handlers.on_refused;
-  sendToCaller(found->second,
-               [on_refused, action] { on_refused(action.status, action.cause, action.retry_after); });
+  sendToCaller(found->second, [on_refused, action] { on_refused(action); });
   removeClient(action.client, false);
 }
 
@@ -129,9 +130,61 @@
   connect(action.exchange, world_.engineAt(action.address), request);
 }
 
-/// Simulated gateways relay nothing: the other gateway is out of reach.
 void GatewayNode::execute(const gateway::RelayToPeer& action) {
-  onLost(action.exchange, false);
+  const auto found = process_->clients.find(action.client);
+  if (found == process_->clients.end()) return;
+  process_->exchanges[action.exchange].client = action.client;
+  if (!context_.has(sim::Mechanism::Relay)) return onLost(action.exchange, false);
+  GatewayNode* const peer = world_.gatewayNamed(action.address);
+  CallerRequest request = found->second.request;
+  request.from_peer = true;
+  request.deadline = action.time_left;
+  context_.trace.note(host_.name(), "relays attempt {} to {}", request.attempt, action.address);
+  const gateway::ExchangeId id = action.exchange;
+  context_.network.connect(
+      host_, peer->host(), kPeerConnectTimeout, [](const sim::ChannelPointer&) {},
+      [this, id, peer, request, handlers = relayHandlers(id)](const sim::ChannelPointer& channel) {
+        const auto exchange = process_->exchanges.find(id);
+        if (exchange == process_->exchanges.end()) return channel->close(sim::Side::Client);
+        exchange->second.channel = channel;
+        channel->onClosed(sim::Side::Client, [this, id] { onLost(id, true); });
+        channel->send(sim::Side::Client,
+                      [peer, channel, request, handlers] { peer->onRequest(channel, request, handlers); });
+      },
+      [this, id] { onLost(id, false); });
+}
+
+/// @return handlers of the response of the gateway that an exchange is relayed to.
+CallerHandlers GatewayNode::relayHandlers(gateway::ExchangeId id) {
+  CallerHandlers handlers;
+  handlers.on_bytes = [this, id](const std::string& bytes) {
+    onRelayedHead(id);
+    onEngineBytes(id, bytes);
+  };
+  handlers.on_end = [this, id] {
+    onRelayedHead(id);
+    onEngineEnd(id);
+  };
+  handlers.on_refused = [this, id](const gateway::Refuse& refusal) { onRelayRefused(id, refusal); };
+  return handlers;
+}
+
+/// The first part of a successful response implies its head.
+void GatewayNode::onRelayedHead(gateway::ExchangeId id) {
+  const auto found = process_->exchanges.find(id);
+  if (found == process_->exchanges.end() || std::exchange(found->second.head, true)) return;
+  onEngineHead(id, {});
+}
+
+void GatewayNode::onRelayRefused(gateway::ExchangeId id, const gateway::Refuse& refusal) {
+  const auto found = process_->exchanges.find(id);
+  if (found == process_->exchanges.end()) return;
+  found->second.refusal = refusal;
+  gateway::BackendResponse response;
+  response.out_of_reach = refusal.out_of_reach;
+  process_->traffic.onHead(id, refusal.status, response, now());
+  executeActions();
+  onEngineEnd(id);
 }
 
 void GatewayNode::connect(gateway::ExchangeId id, EngineProcess& engine, const EngineRequest& request) {
@@ -218,6 +271,12 @@
 void GatewayNode::execute(const gateway::ForwardResponse& action) {
   const auto found = process_->clients.find(action.client);
   if (found == process_->clients.end()) return;
+  const auto exchange = process_->exchanges.find(action.exchange);
+  if (exchange != process_->exchanges.end() && exchange->second.refusal) {
+    gateway::Refuse refusal = *exchange->second.refusal;
+    refusal.client = action.client;
+    return execute(refusal);
+  }
   sendToCaller(found->second, found->second.handlers.on_end);
   removeClient(action.client, false);
 }
--- a/sim/gateway_world/gateway_process_state.h
+++ b/sim/gateway_world/gateway_process_state.h
@@ -40,6 +40,9 @@
   Timer membership_timer;
   Timer crash_timer;
   Timer suspension_timer;
+  std::map<std::string, CacheCalls> cache_calls;  ///< By name of the engine's process.
+  std::uint64_t next_cache_call = 1;
+  Timer cache_timer;
   SuspensionWatch suspension;
 };
 
--- a/sim/gateway_world/records.h
+++ b/sim/gateway_world/records.h
@@ -77,6 +77,7 @@
   std::uint64_t begun_by = 0;  ///< Index of the attempt that brought the first event of its stream.
   std::uint32_t events = 0;    ///< Number of events received of a stream, in earlier attempts too.
   bool events_broken = false;  ///< An event was missing, repeated or out of order.
+  bool is_retry = false;       ///< The caller sent the request before.
 };
 
 /// A period in which a fault affected a process or the network.
@@ -85,6 +86,13 @@
   TimePoint to{};
 };
 
+/// A partition of a gateway from most engines. It reaches callers, the store and the other gateways.
+struct EnginePartition {
+  std::uint32_t gateway = 0;
+  TimePoint from{};
+  TimePoint to{};
+};
+
 /// All records of a run.
 struct Records {
   std::vector<Attempt> attempts;
@@ -93,6 +101,7 @@
   std::vector<EngineDeparture> departures;
   /// By gateway: downtimes, pauses, suspensions, partitions.
   std::vector<std::vector<Disturbance>> gateways;
+  std::vector<EnginePartition> engine_partitions;
   /// Of the store: no responses, refusals, slow or lost responses, lost rows.
   std::vector<Disturbance> store;
   /// Resets of connections anywhere.
--- a/sim/world/mechanism.cc
+++ b/sim/world/mechanism.cc
@@ -34,6 +34,7 @@
       {Mechanism::QuarantineRecord, "quarantine_record"},
       {Mechanism::SuspensionClock, "suspension_clock"},
       {Mechanism::StreamBuilds, "stream_builds"},
+      {Mechanism::Relay, "relay"},
       {Mechanism::ListedDepartures, "listed_departures"},
   };
   return names;
--- a/sim/world/mechanism.h
+++ b/sim/world/mechanism.h
@@ -42,6 +42,7 @@
   QuarantineRecord,     ///< Quarantined requests are persisted in the platform's store.
   SuspensionClock,      ///< The product's clock includes time spent suspended.
   StreamBuilds,         ///< A stream goes on only at back ends of the build that began it.
+  Relay,                ///< A gateway that reaches too few back ends relays requests to another one.
   ListedDepartures,     ///< A back end that the platform lists as leaving, or no longer, gets no new work.
 };
 
--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -158,6 +158,16 @@
   }
 }
 
+// A gateway that knew that most engines did not respond overloaded the few others, and refused what it could have relayed.
+TEST_CASE("callers of gateways that are partitioned from the engines are served through the other gateways",
+          "[sim]") {
+  for (const std::uint64_t seed : {1, 25, 56, 67, 79}) {
+    const RunResult result = runOne(seed, "gateway_partitions");
+    INFO(describe(result));
+    CHECK(result.violations.empty());
+  }
+}
+
 TEST_CASE("each checker finds the absence of its mechanism", "[sim]") {
   struct Removal {
     Mechanism mechanism;
@@ -195,6 +205,7 @@
       {Mechanism::QuarantineRecord, "gateway_restarts", "crash_bound"},
       {Mechanism::SuspensionClock, "gateway", "keys"},
       {Mechanism::StreamBuilds, "gateway_builds", "stream_builds"},
+      {Mechanism::Relay, "gateway_partitions", "partitioned_served"},
       {Mechanism::ListedDepartures, "gateway_departures", "departure"},
       {Mechanism::TenantSalt, "same_prompts", "cache_use"},
       {Mechanism::BundleFromPeers, "herd_rate_limits", "restart"},
--- a/tests/unit/gateway/gateway_relay_test.cc
+++ b/tests/unit/gateway/gateway_relay_test.cc
@@ -194,4 +194,29 @@
   CHECK_FALSE(fixture.has<RelayToPeer>());
 }
 
+// Engines that do not respond to the calls which follow their caches get no requests, so that no request to them can
+// fail: a gateway that was partitioned from 17 of 18 engines overloaded the last one and refused the rest.
+TEST_CASE("requests are relayed while most engines do not respond to the calls that follow their caches",
+          "[gateway][partition]") {
+  GatewayFixture fixture;
+  fixture.peers = {{"near", "10.1.0.1:80", "here"}};
+  for (EngineSlot slot = 5; slot < 21; ++slot) fixture.backends.push_back(makeBackend(slot, "lm"));
+  const bool complete = GENERATE(false, true);
+  for (Backend& backend : fixture.backends) {
+    const bool is_last = backend.view.slot == 20;
+    if (backend.view.pool == "lm" && (complete || !is_last)) backend.unresponsive_since = fixture.now;
+  }
+  fixture.publish();
+  fixture.now += seconds(3);
+  std::size_t relayed = 0;
+  for (int count = 0; count < 20; ++count) {
+    fixture.send("answer");
+    relayed += fixture.all<RelayToPeer>().size();
+    fixture.now += milliseconds(20);
+  }
+  fixture.advance(milliseconds(900));
+  CHECK_FALSE(fixture.has<Refuse>());
+  CHECK(relayed >= 10);
+}
+
 }  // namespace crankspur::gateway
