Judge simulated fleets only by what the traces show to be at fault

- isolation: a gateway that cancels an attempt may send another one of the same request while the close is on its way.
The tolerance is 5 ms.

--- a/sim/gateway_world/fleet_checkers.cc
+++ b/sim/gateway_world/fleet_checkers.cc
@@ -24,6 +24,9 @@
 constexpr std::uint32_t kCrashesUntilQuarantined = 3;
 constexpr std::uint32_t kCrashesUntilIsolated = 2;
 constexpr std::uint32_t kConcurrentCrashesUntilQuarantined = 4;
+constexpr Duration kCloseTime = std::chrono::milliseconds(5);
+/// Retries during a partition use up the retry budget of its gateway for this long.
+constexpr Duration kRetryBudgetWindow = std::chrono::seconds(10);
 constexpr Duration kRestartTime = std::chrono::seconds(5);
 constexpr Duration kDepartureLimit = std::chrono::seconds(2);
 /// A gateway that was undisturbed for this long, as was the store, has read the list of engines.
@@ -111,6 +114,8 @@
     if (context.site.builds > 1 && attempt.events > 0) continue;
     const TimePoint end = attempt.sent_at + attempt.deadline;
     const bool undisturbed = history.isUndisturbed(attempt.gateway, attempt.sent_at, end, kRestartTime) &&
+                             history.partitionState(attempt.gateway, end, kRetryBudgetWindow) ==
+                                 PartitionState::none &&
                              history.isStoreUndisturbed(attempt.sent_at - context.site.key_validity, end) &&
                              history.areConnectionsUndisturbed(attempt.sent_at - kRestartTime, end) &&
                              history.areMessagesUndisturbed(attempt.sent_at - kRestartTime, end);
@@ -143,8 +148,9 @@
     for (const EngineRun* other : suspicious) {
       const bool arrived = other->arrived_at > other->sent_at;
       const bool crashed = history.crashedBetween(other->engine, other->sent_at, run->sent_at);
+      // The close of an attempt that the gateway has cancelled takes a few milliseconds to arrive.
       const bool overlaps = arrived && !crashed && other->sent_at < run->sent_at &&
-                            (!other->ended_at || *other->ended_at > run->sent_at);
+                            (!other->ended_at || *other->ended_at > run->sent_at + kCloseTime);
       if (other == run || other->gateway != run->gateway || !overlaps) continue;
       const bool same_process = other->engine == run->engine && other->engine_start == run->engine_start;
       if (other->body != run->body && !same_process) continue;
@@ -232,7 +238,7 @@
 }
 
 /// Callers of gateways that do not reach most engines are served nearly as well as those of the others, from
-/// the time on by which the gateways know of the partition.
+/// the time on by which the gateways know of the partition, as long as most gateways reach the engines.
 void checkPartitionedGateways(const FleetHistory& history, Violations& violations) {
   struct FirstAttempts {
     std::size_t sent = 0;
@@ -246,6 +252,7 @@
                            attempt.outcome != AttemptOutcome::disconnected;
     const auto state = history.partitionState(attempt.gateway, attempt.sent_at, kContactTime);
     if (!is_judged || state == PartitionState::changing) continue;
+    if (!history.mostReachEngines(attempt.sent_at, attempt.sent_at + attempt.deadline)) continue;
     FirstAttempts& attempts = state == PartitionState::partitioned ? partitioned : others;
     ++attempts.sent;
     attempts.served += attempt.outcome == AttemptOutcome::completed ? 1 : 0;
--- a/sim/gateway_world/fleet_history.cc
+++ b/sim/gateway_world/fleet_history.cc
@@ -123,6 +123,14 @@
   return state;
 }
 
+bool FleetHistory::mostReachEngines(TimePoint from, TimePoint to) const {
+  std::set<std::uint32_t> partitioned;
+  for (const EnginePartition& partition : context_.records.engine_partitions) {
+    if (partition.from <= to && partition.to >= from) partitioned.insert(partition.gateway);
+  }
+  return partitioned.size() * 2 <= context_.site.gateways;
+}
+
 bool FleetHistory::isStoreUndisturbed(TimePoint from, TimePoint to) const {
   return !overlapsAny(context_.records.store, from, to);
 }
--- a/sim/gateway_world/fleet_history.h
+++ b/sim/gateway_world/fleet_history.h
@@ -47,6 +47,8 @@
   bool isUndisturbed(std::uint32_t gateway, TimePoint from, TimePoint to, Duration margin) const;
   /// @param detection_time after which the gateway knows that a partition began or ended.
   PartitionState partitionState(std::uint32_t gateway, TimePoint at, Duration detection_time) const;
+  /// @return whether at least half of the gateways reach the engines all the time.
+  bool mostReachEngines(TimePoint from, TimePoint to) const;
   bool isStoreUndisturbed(TimePoint from, TimePoint to) const;
   bool areConnectionsUndisturbed(TimePoint from, TimePoint to) const;
   bool areMessagesUndisturbed(TimePoint from, TimePoint to) const;
