Relay requests by one notion of which back ends a gateway reaches

Clients of gateways that were partitioned from most engines were refused although other gateways could serve them. Placement left out engines that did not respond to the calls which follow their caches; the relay counted only engines whose requests had failed, and those that are left out get none. The evidence of the calls was dropped once no engine responded, and expired.

BackendReach now decides for placement, relay, probes and the log, fed by requests, by this gateway's own calls, and by probes; what other gateways report is no evidence. A gateway with most calls unanswered tells the others nothing. A probe that is answered proves the reach of its back end alone, and has the others probed at once. A gateway that is partitioned itself refuses relayed requests at once, so that the sender can try another one.

--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -26,6 +26,7 @@
 }  // namespace
 
 void BackendTable::onSnapshot(const GatewaySnapshot& snapshot, TimePoint now) {
+  reach_.onSnapshot(snapshot);
   for (const Backend& backend : snapshot.backends) {
     State& state = states_[backend.view.slot];
     if (state.incarnation != backend.view.incarnation) resetState(state, backend.view.incarnation, now);
@@ -68,7 +69,6 @@
       state.health.onOutcome(OutcomeKind::Lost, Duration(0), now);
       return recordOutcome(state, true, now);
     case DispatchOutcome::ConnectFailed:
-      state.out_of_reach = true;
       return state.health.onOutcome(OutcomeKind::ConnectFailed, Duration(0), now);
     case DispatchOutcome::Full:
       state.limit = std::max(in_flight_before, 2U) - 1;
@@ -124,27 +124,6 @@
   return state == nullptr || state->health.state(now) == HealthState::Healthy;
 }
 
-bool BackendTable::isUnresponsive(const Backend& backend) const {
-  return backend.unresponsive_since != TimePoint{} &&
-         lastReceivedAt(backend.view.slot) <= backend.unresponsive_since;
-}
-
-void BackendTable::onBytesReceived(EngineSlot slot, TimePoint now) {
-  State& state = states_[slot];
-  state.last_received_at = now;
-  state.out_of_reach = false;
-}
-
-void BackendTable::onConnectionLost(EngineSlot slot, std::uint64_t incarnation) {
-  State& state = states_[slot];
-  if (state.incarnation == incarnation) state.out_of_reach = true;
-}
-
-bool BackendTable::isOutOfReach(EngineSlot slot) const {
-  const State* state = find(slot);
-  return state != nullptr && state->out_of_reach;
-}
-
 Duration BackendTable::leavingFor(EngineSlot slot, TimePoint now) const {
   const State* state = find(slot);
   return state == nullptr || state->leaving_since == TimePoint{} ? Duration(0) : now - state->leaving_since;
@@ -170,9 +149,4 @@
   return state == nullptr ? 0 : state->response_seconds;
 }
 
-TimePoint BackendTable::lastReceivedAt(EngineSlot slot) const {
-  const State* state = find(slot);
-  return state == nullptr ? TimePoint{} : state->last_received_at;
-}
-
 }  // namespace crankspur::gateway
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <optional>
 
+#include "gateway/backend_reach.h"
 #include "gateway/gateway_snapshot.h"
 #include "router/engine_health.h"
 
@@ -31,8 +32,6 @@
   void onDispatch(EngineSlot slot);
   /// @param incarnation that the dispatch was sent to; the outcome counts only if it is the current one.
   void onOutcome(EngineSlot slot, std::uint64_t incarnation, DispatchOutcome outcome, TimePoint now);
-  /// Some bytes of a response were received.
-  void onBytesReceived(EngineSlot slot, TimePoint now);
   /// Records the time to the first byte of a response.
   /// @param taken from dispatch to the first byte.
   /// @param expected the estimate made at the dispatch.
@@ -44,18 +43,8 @@
                    TimePoint now) const;
   /// @return whether the gateway's traffic to the back end shows no failure.
   bool isHealthy(EngineSlot slot, TimePoint now) const;
-  /// @return whether the back end is unresponsive: the calls that follow its cache get no response, and the
-  /// gateway's traffic has received nothing since then.
-  bool isUnresponsive(const Backend& backend) const;
-  /// A request that was sent to the back end is without a response: its connection broke or is silent.
-  void onConnectionLost(EngineSlot slot, std::uint64_t incarnation);
-  /// @return whether the last connection to the back end failed, broke or fell silent, and nothing was
-  /// received from it since. The back end may be gone, or this gateway may be partitioned from it.
-  bool isOutOfReach(EngineSlot slot) const;
   /// @return time since the back end was first listed as leaving; 0: it is not.
   Duration leavingFor(EngineSlot slot, TimePoint now) const;
-  /// Back ends near this one are in reach again, so that it may be as well.
-  void resetReach(EngineSlot slot) { states_[slot].out_of_reach = false; }
   /// @return remaining time for which the back end is ejected because of failures; 0: not ejected.
   Duration ejectedFor(EngineSlot slot, TimePoint now) const;
   std::uint32_t inFlight(EngineSlot slot) const;
@@ -63,8 +52,9 @@
   double lateness(EngineSlot slot) const;
   /// @return smoothed time to the first byte of a response in seconds; 0 when unknown.
   double responseTime(EngineSlot slot) const;
-  /// @return when bytes of a response were last received.
-  TimePoint lastReceivedAt(EngineSlot slot) const;
+  /// Which back ends this gateway reaches.
+  BackendReach& reach() { return reach_; }
+  const BackendReach& reach() const { return reach_; }
 
 private:
   struct State {
@@ -75,8 +65,6 @@
     TimePoint limited_at{};
     TimePoint full_until{};
     std::uint32_t refusals = 0;  ///< Consecutive refusals because it was at capacity.
-    TimePoint last_received_at{};
-    bool out_of_reach = false;
     TimePoint leaving_since{};  ///< TimePoint{}: it is not leaving.
     double failed_share = 0;    ///< Smoothed share of dispatches that failed.
     std::uint32_t outcomes = 0;
@@ -87,6 +75,7 @@
   void recordOutcome(State& state, bool failed, TimePoint now);
 
   absl::flat_hash_map<EngineSlot, State> states_;
+  BackendReach reach_;
 };
 
 }  // namespace crankspur::gateway
--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -157,12 +157,22 @@
       at_capacity = true;
       continue;
     }
-    const bool is_responsive = table.isHealthy(backend.view.slot, now) && !table.isUnresponsive(backend);
+    const EngineSlot slot = backend.view.slot;
+    const bool is_responsive =
+        isTrusted(slot, request, table, now) && !table.reach().isUnresponsive(backend);
     (is_responsive ? healthy : unhealthy).push_back(usable);
   }
   return healthy.empty() && !at_capacity ? unhealthy : healthy;
 }
 
+/// In a partition, failures of the network eject back ends, so that reach decides instead of health.
+bool EngineChoice::isTrusted(EngineSlot slot, const ChoiceRequest& request, const BackendTable& table,
+                             TimePoint now) {
+  if (!request.prefer_in_reach) return table.isHealthy(slot, now);
+  const Reach reach = table.reach().of(slot, now);
+  return reach == Reach::in_reach || (reach == Reach::unknown && table.isHealthy(slot, now));
+}
+
 /// A request starts when the engine's queue is processed, and the weights have to be allowed at that time.
 /// The check therefore uses a later time for an engine with a long response time. Under overload, the
 /// response time lags behind the queue, and the requests that still wait there are the better evidence.
--- a/src/gateway/engine_choice.h
+++ b/src/gateway/engine_choice.h
@@ -38,6 +38,7 @@
   std::vector<EngineSlot> excluded;
   std::vector<EngineSlot> avoided;      ///< Chosen only if no other back end is eligible.
   bool prefer_fewest_requests = false;  ///< The request may crash its back end.
+  bool prefer_in_reach = false;         ///< Back ends out of reach are chosen only if there is no other.
 };
 
 /// The back end chosen.
@@ -128,6 +129,8 @@
   std::optional<std::uint64_t> weightsOf(const Backend& backend, const std::string& model) const;
   Usable findUsable(const ChoiceRequest& request, const GatewaySnapshot& snapshot, const BackendTable& table,
                     TimePoint now, bool& at_capacity) const;
+  static bool isTrusted(EngineSlot slot, const ChoiceRequest& request, const BackendTable& table,
+                        TimePoint now);
   std::size_t scopedPrompt(std::vector<ScopedPrompt>& prompts, std::optional<std::uint64_t> weights,
                            const ChoiceRequest& request, const Usable& usable) const;
   EngineSlot findPrefillEngine(const ScopedPrompt& prompt, const ChoiceRequest& request,
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -69,13 +69,13 @@
 /// Moves the silence check of requests at unresponsive back ends to an earlier time, so that they are retried
 /// elsewhere soon.
 void Gateway::recheckUnresponsiveBackends(TimePoint now) {
-  const auto is_unresponsive = [this](const Backend& backend) { return table_.isUnresponsive(backend); };
+  const auto is_unresponsive = [this](const Backend& backend) { return table_.reach().isUnresponsive(backend); };
   if (std::none_of(snapshot_->backends.begin(), snapshot_->backends.end(), is_unresponsive)) return;
   for (const auto& [exchange, client] : exchanges_) {
     Entry* entry = findClient(client);
     if (entry == nullptr || entry->active.exchange != exchange) continue;
     const Backend* backend = snapshot_->backend(entry->active.slot);
-    if (backend == nullptr || !table_.isUnresponsive(*backend)) continue;
+    if (backend == nullptr || !table_.reach().isUnresponsive(*backend)) continue;
     scheduleTimer(*entry, std::min(entry->timer_at,
                                    std::max(now, entry->active.sent_at + silenceLimit(entry->active, now))));
   }
@@ -150,7 +150,7 @@
   if (entry.quota_units > 0) quotas_.refund(entry.tenant, entry.quota_units, now);
 }
 
-ChoiceRequest Gateway::choiceRequest(const Entry& entry, const Pool& pool) {
+ChoiceRequest Gateway::choiceRequest(const Entry& entry, const Pool& pool, TimePoint now) {
   ChoiceRequest request;
   request.pool = &pool;
   request.client = &entry.client;
@@ -158,6 +158,7 @@
   request.isolated_tenant = entry.isolated_tenant;
   request.excluded = entry.failed;
   request.build = entry.origin;
+  request.prefer_in_reach = isPartitioned(pool, now);
   if (entry.isolated) {
     request.prefer_fewest_requests = true;
     request.avoided = slotsOfIsolatedRequests();
@@ -189,6 +190,7 @@
 void Gateway::place(Entry& entry, TimePoint now) {
   if (!checkQuarantine(entry, now)) return;
   if (!isOriginServed(entry)) return giveUpFor(entry, RequestCause::build_gone, now);
+  if (isPartitioned(*entry.pool, now)) probeReach(*entry.pool, now);
   const Choice choice = choose(entry, now);
   if (choice.backend == nullptr) {
     if (entry.passed_over > 0 && !choice.at_capacity) {
@@ -199,9 +201,11 @@
     return;
   }
   std::optional<RequestCause> cause = reasonNotToDispatch(entry, choice, now);
-  if (!cause && table_.isOutOfReach(choice.backend->view.slot)) {
+  if (!cause && seemsOutOfReach(*choice.backend, *entry.pool, now)) {
     entry.cause = RequestCause::back_end_unreachable;
     if (relay(entry, now)) return limits_.refund(choice.backend->view.incarnation, now);
+    // The gateway that relayed it can try another one.
+    if (entry.from_peer && isPartitioned(*entry.pool, now)) cause = entry.cause;
   }
   if (cause) {
     limits_.refund(choice.backend->view.incarnation, now);
@@ -316,7 +320,7 @@
   ++counters_.refused;
   refundQuota(entry, now);
   const Duration retry_after = retryAfter(entry, now);
-  const bool out_of_reach = entry.from_peer && entry.pool != nullptr && isPartitioned(*entry.pool);
+  const bool out_of_reach = entry.from_peer && entry.pool != nullptr && isPartitioned(*entry.pool, now);
   actions_.emplace_back(Refuse{entry.id, kUnavailable, retry_after, entry.cause, out_of_reach});
   reportEnded(entry, RequestOutcome::refused, kUnavailable, retry_after, now);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -207,7 +207,7 @@
   std::optional<RequestCause> reasonNotToDispatch(Entry& entry, const Choice& choice, TimePoint now) const;
   bool wouldStartTooLate(const Entry& entry, const Choice& choice, TimePoint now) const;
   Choice choose(Entry& entry, TimePoint now);
-  ChoiceRequest choiceRequest(const Entry& entry, const Pool& pool);
+  ChoiceRequest choiceRequest(const Entry& entry, const Pool& pool, TimePoint now);
   void wait(Entry& entry, TimePoint now);
   void serveQueue(TimePoint now);
   void dispatch(Entry& entry, const Choice& choice, TimePoint now);
@@ -242,13 +242,16 @@
   void recordCompleteResponse(const Entry& entry, TimePoint now);
 
   // Requests relayed through other gateways (gateway_relay.cc).
-  PoolReach reachOf(const Pool& pool) const;
-  bool isPartitioned(const Pool& pool) const;
+  PoolReach reachOf(const Pool& pool, TimePoint now) const;
+  bool isPartitioned(const Pool& pool, TimePoint now) const;
+  bool seemsOutOfReach(const Backend& backend, const Pool& pool, TimePoint now) const;
+  void recordUnreached(const Pool& pool, const ActiveExchange& active, TimePoint now);
   bool relay(Entry& entry, TimePoint now);
   void onRelayedHead(Entry& entry, int status, const BackendResponse& response, TimePoint now);
   void onPeerOutOfReach(Entry& entry, TimePoint now);
   void onRelayLost(Entry& entry, bool sent, TimePoint now);
   void probeReach(const Pool& pool, TimePoint now);
+  void sendReachProbes(const std::string& pool, const std::string& path, std::size_t count, TimePoint now);
   bool onReachProbeResult(std::uint64_t probe, bool responded, TimePoint now);
 
   // Builds that began streams (gateway_streams.cc).
@@ -323,13 +326,19 @@
   std::set<ClientId> awaiting_origin_;  ///< Requests that wait for answers of other gateways.
   std::map<std::uint64_t, Probe> probes_;
   std::uint64_t next_probe_ = 1;
-  /// Health requests to the back ends of a pool that are out of reach.
+  /// Health requests to the back ends of a pool that are not known to be in reach.
   struct ReachProbes {
-    TimePoint sent_at{};  ///< The last one.
-    std::size_t sent = 0;
+    TimePoint sent_at{};   ///< The last ones.
+    std::size_t sent = 0;  ///< Their number, to probe all back ends in turn.
   };
-  absl::flat_hash_map<std::string, ReachProbes> reach_probes_;         ///< By pool.
-  absl::flat_hash_map<std::uint64_t, std::string> reach_probe_pools_;  ///< Pools of pending probes.
+  /// A health request of these that is pending.
+  struct ReachProbe {
+    std::string pool;
+    EngineSlot slot = 0;
+    std::uint64_t incarnation = 0;
+  };
+  absl::flat_hash_map<std::string, ReachProbes> reach_probes_;  ///< By pool.
+  absl::flat_hash_map<std::uint64_t, ReachProbe> pending_reach_probes_;
   PeerRelay peers_{random_};
   absl::flat_hash_map<std::string, RetryBudget> budgets_;
   absl::flat_hash_map<ClientId, std::unique_ptr<Entry>> entries_;
--- a/src/gateway/gateway_limits.cc
+++ b/src/gateway/gateway_limits.cc
@@ -56,7 +56,7 @@
 /// Chooses among the back ends whose limits have room. The request counts towards the limit of the chosen
 /// one.
 Choice Gateway::chooseWithinLimits(Entry& entry, const Pool& pool, TimePoint now) {
-  ChoiceRequest request = choiceRequest(entry, pool);
+  ChoiceRequest request = choiceRequest(entry, pool, now);
   if (!limits_.any()) return choice_.choose(request, *snapshot_, table_, now);
   for (const Backend& backend : snapshot_->backends) {
     if (backend.view.pool != pool.name || limits_.hasRoom(backend.view.incarnation, now)) continue;
--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -102,7 +102,7 @@
   record.pool = entry.pool->name;
   record.cause = entry.cause;
   record.max_wait = entry.queued_until - now;
-  record.reach = reachOf(*entry.pool);
+  record.reach = reachOf(*entry.pool, now);
   observer_.onWaiting(record);
 }
 
@@ -145,7 +145,7 @@
   record.retry_after = retry_after;
   if (entry.first_byte_at) record.first_byte = *entry.first_byte_at - entry.arrived_at;
   record.body = entry.active.bodyState();
-  if (outcome == RequestOutcome::refused && entry.pool != nullptr) record.reach = reachOf(*entry.pool);
+  if (outcome == RequestOutcome::refused && entry.pool != nullptr) record.reach = reachOf(*entry.pool, now);
   record.total = now - entry.arrived_at;
   observer_.onEnded(record);
 }
--- a/src/gateway/gateway_relay.cc
+++ b/src/gateway/gateway_relay.cc
@@ -16,26 +16,36 @@
 constexpr std::size_t kMaxRelays = 3;
 /// A request with less time left is not relayed.
 constexpr Duration kMinTimeToRelay = std::chrono::milliseconds(30);
-/// Interval of health requests to the back ends of a pool that are out of reach.
+/// Interval of health requests to the back ends of a pool that are not known to be in reach, and their number
+/// each time.
 constexpr Duration kReachProbeInterval = std::chrono::milliseconds(300);
+constexpr std::size_t kReachProbes = 4;
+/// Their number once one of them has responded.
+constexpr std::size_t kReachProbesAfterResponse = 16;
 
 }  // namespace
 
-PoolReach Gateway::reachOf(const Pool& pool) const {
-  PoolReach reach;
-  for (const Backend* backend : snapshot_->listedInPool(pool.name)) {
-    ++reach.listed;
-    if (table_.isOutOfReach(backend->view.slot)) ++reach.out_of_reach;
-    if (table_.isUnresponsive(*backend)) ++reach.unanswered;
-  }
-  return reach;
+PoolReach Gateway::reachOf(const Pool& pool, TimePoint now) const {
+  return table_.reach().ofPool(snapshot_->listedInPool(pool.name), now);
+}
+
+bool Gateway::isPartitioned(const Pool& pool, TimePoint now) const {
+  return isPartition(reachOf(pool, now));
+}
+
+/// @return whether a request to the back end would probably be lost. Where nothing is known to be in reach,
+/// that holds for back ends that were not tried as well.
+bool Gateway::seemsOutOfReach(const Backend& backend, const Pool& pool, TimePoint now) const {
+  const Reach reach = table_.reach().of(backend.view.slot, now);
+  if (reach != Reach::unknown) return reach == Reach::out_of_reach;
+  const PoolReach all = reachOf(pool, now);
+  return maybePartition(all) && all.in_reach == 0;
 }
 
-/// @return whether at least half of the pool's back ends are out of reach. A few that crashed are not
-/// evidence of a partition.
-bool Gateway::isPartitioned(const Pool& pool) const {
-  const PoolReach reach = reachOf(pool);
-  return reach.listed > 0 && reach.out_of_reach * 2 >= reach.listed;
+/// A request got no response. Where several back ends may be out of reach, the reach of the others is probed.
+void Gateway::recordUnreached(const Pool& pool, const ActiveExchange& active, TimePoint now) {
+  table_.reach().onFailed(active.slot, active.incarnation, now);
+  if (maybePartition(reachOf(pool, now))) probeReach(pool, now);
 }
 
 /// @return whether the request was relayed to another gateway.
@@ -43,10 +53,9 @@
   const bool unsent = !entry.may_have_arrived && !entry.may_have_run;
   if (entry.from_peer || !unsent || entry.relayed_to.size() >= kMaxRelays) return false;
   if (entry.deadline - now < kMinTimeToRelay) return false;
-  if (!isPartitioned(*entry.pool)) return false;
+  if (!isPartitioned(*entry.pool, now)) return false;
   const PeerGateway* peer = peers_.choose(entry.relayed_to, now);
   if (peer == nullptr) return false;
-  probeReach(*entry.pool, now);
   if (entry.waiting) queue_.erase({entry.priority, entry.id});
   entry.waiting = false;
   refundQuota(entry, now);
@@ -60,7 +69,7 @@
   active.last_received_at = now;
   exchanges_[active.exchange] = entry.id;
   const Duration time_left = entry.deadline - now;
-  const PoolReach reach = reachOf(*entry.pool);
+  const PoolReach reach = reachOf(*entry.pool, now);
   observer_.onRelayed({entry.client.request_id, entry.pool->name, peer->name, entry.cause, reach, time_left});
   scheduleTimer(entry, entry.deadline);
   actions_.emplace_back(
@@ -105,30 +114,51 @@
   giveUp(entry, now);
 }
 
-/// Requests are not sent to back ends that are out of reach while other gateways can serve them, so probes
-/// tell when the back ends are in reach again.
+/// Back ends that are out of reach get no requests while other gateways can serve them, so probes tell when
+/// they are in reach again. They also tell the reach of back ends that have not been tried lately.
 void Gateway::probeReach(const Pool& pool, TimePoint now) {
-  if (pool.health_path.empty()) return;
-  ReachProbes& probes = reach_probes_[pool.name];
-  if (now < probes.sent_at + kReachProbeInterval) return;
-  std::vector<const Backend*> targets = snapshot_->listedInPool(pool.name);
-  std::erase_if(targets, [this](const Backend* backend) { return !table_.isOutOfReach(backend->view.slot); });
+  if (pool.health_path.empty() || now < reach_probes_[pool.name].sent_at + kReachProbeInterval) return;
+  sendReachProbes(pool.name, pool.health_path, kReachProbes, now);
+}
+
+/// @param count of the probes at most.
+void Gateway::sendReachProbes(const std::string& pool, const std::string& path, std::size_t count,
+                              TimePoint now) {
+  std::vector<const Backend*> targets = snapshot_->listedInPool(pool);
+  std::erase_if(targets, [&](const Backend* backend) {
+    return table_.reach().of(backend->view.slot, now) == Reach::in_reach;
+  });
   if (targets.empty()) return;
+  ReachProbes& probes = reach_probes_[pool];
   probes.sent_at = now;
-  const Backend& target = *targets[probes.sent++ % targets.size()];
-  const std::uint64_t id = next_probe_++;
-  reach_probe_pools_[id] = pool.name;
-  actions_.emplace_back(ProbeBackend{id, target.view.address, pool.health_path});
+  for (std::size_t index = 0; index < std::min(count, targets.size()); ++index) {
+    const EngineView& target = targets[probes.sent++ % targets.size()]->view;
+    const std::uint64_t id = next_probe_++;
+    pending_reach_probes_[id] = {pool, target.slot, target.incarnation};
+    actions_.emplace_back(ProbeBackend{id, target.address, path});
+  }
 }
 
-/// @return whether the probe was one of probeReach().
+/// Back ends get out of reach together, and come back together: a response has the others probed at once.
+/// @return whether the probe was one of sendReachProbes().
 bool Gateway::onReachProbeResult(std::uint64_t probe, bool responded, TimePoint now) {
-  const auto found = reach_probe_pools_.find(probe);
-  if (found == reach_probe_pools_.end()) return false;
-  const std::string pool = std::move(found->second);
-  reach_probe_pools_.erase(found);
-  if (!responded) return true;
-  for (const Backend* backend : snapshot_->listedInPool(pool)) table_.resetReach(backend->view.slot);
+  const auto found = pending_reach_probes_.find(probe);
+  if (found == pending_reach_probes_.end()) return false;
+  const ReachProbe sent = std::move(found->second);
+  pending_reach_probes_.erase(found);
+  const Backend* backend = snapshot_->backend(sent.slot);
+  if (backend == nullptr || backend->view.incarnation != sent.incarnation) return true;
+  BackendReach& reach = table_.reach();
+  const bool was_out_of_reach = reach.of(sent.slot, now) == Reach::out_of_reach;
+  if (!responded) {
+    if (!was_out_of_reach) reach.onFailed(sent.slot, sent.incarnation, now);
+    return true;
+  }
+  reach.onReceived(sent.slot, now);
+  const Pool* pool =
+      snapshot_->configuration == nullptr ? nullptr : snapshot_->configuration->findPool(sent.pool);
+  if (was_out_of_reach && pool != nullptr)
+    sendReachProbes(sent.pool, pool->health_path, kReachProbesAfterResponse, now);
   serveQueue(now);
   return true;
 }
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -47,7 +47,7 @@
   active.framing = response.framing;
   if (response.event_stream) active.events.emplace();
   if (active.relayed) return onRelayedHead(*entry, status, response, now);
-  table_.onBytesReceived(active.slot, now);
+  table_.reach().onReceived(active.slot, now);
   // A refusal as misdirected may come from a later incarnation of the back end. It does not show that the
   // incarnation to which the request was sent is live.
   const bool is_other_incarnation = response.wrong_backend && !response.weights_version;
@@ -85,7 +85,7 @@
   if (entry == nullptr) return;
   entry->active.last_received_at = now;
   if (!entry->active.relayed) {
-    table_.onBytesReceived(entry->active.slot, now);
+    table_.reach().onReceived(entry->active.slot, now);
     recordSignOfLife(*entry, now);
   }
   if (!entry->active.streams_body) return;
@@ -235,10 +235,10 @@
   const ActiveExchange active = entry->active;
   entry->cause = sent ? RequestCause::answer_broke_off : RequestCause::back_end_unreachable;
   entry->failed.push_back(active.slot);
+  recordUnreached(*entry->pool, active, now);
   if (sent) {
     entry->may_have_arrived = true;
     entry->may_have_run = true;
-    table_.onConnectionLost(active.slot, active.incarnation);
     recordCrash(*entry, active, now);
   } else {
     --entry->backends_reached;
@@ -273,7 +273,7 @@
 TimePoint Gateway::silenceDeadline(const ActiveExchange& active, TimePoint now) const {
   const TimePoint last_received = std::max(active.last_received_at, active.sent_at);
   if (!mayBeOnSilentConnection(active))
-    return std::max(last_received, table_.lastReceivedAt(active.slot)) + silenceLimit(active, now);
+    return std::max(last_received, table_.reach().lastReceivedAt(active.slot)) + silenceLimit(active, now);
   const TimePoint expected = active.first_byte ? last_received : active.sent_at + active.expected;
   return std::max(connections_silent_at_, expected) + settings_.unresponsive_silence_limit;
 }
@@ -282,7 +282,7 @@
 Duration Gateway::silenceLimit(const ActiveExchange& active, TimePoint now) const {
   const Backend* backend = snapshot_->backend(active.slot);
   const bool same_incarnation = backend != nullptr && backend->view.incarnation == active.incarnation;
-  if (same_incarnation && table_.isUnresponsive(*backend)) return settings_.unresponsive_silence_limit;
+  if (same_incarnation && table_.reach().isUnresponsive(*backend)) return settings_.unresponsive_silence_limit;
   const bool awaits_first_byte = !active.first_byte && table_.isHealthy(active.slot, now);
   if (!awaits_first_byte) return settings_.silence_limit;
   const double expected = toSeconds(active.expected) * settings_.silence_per_expected;
@@ -300,7 +300,7 @@
   if (now < due) return scheduleTimer(entry, std::min({entry.deadline, due, start_by}));
   entry.may_have_arrived = true;
   entry.may_have_run = true;
-  table_.onConnectionLost(active.slot, active.incarnation);
+  recordUnreached(*entry.pool, active, now);
   if (!has_alternative || !mayRepeat(entry) || !consumeRetryBudget(entry, now))
     return scheduleTimer(entry, std::min(entry.deadline, start_by));
   entry.cause = RequestCause::silence;
--- a/src/gateway/gateway_snapshot.h
+++ b/src/gateway/gateway_snapshot.h
@@ -89,11 +89,20 @@
   std::string build;        ///< Version of its software, without order; not that of its weights.
   std::uint32_t slots = 0;  ///< Requests it works on at once.
   TimePoint cold_until{};   ///< Slow after its start until then.
-  /// When the calls that follow its cache began to get no response; TimePoint{}: it responds, or has none.
+  /// When this gateway's calls that follow its cache began to get no response; TimePoint{}: it responds, or
+  /// this gateway makes none.
   TimePoint unresponsive_since{};
+  /// The same as reported by another gateway, whose calls are no evidence of what this one reaches.
+  TimePoint reported_unresponsive_since{};
+  bool answers_calls = false;  ///< The last of this gateway's calls that follow its cache got a response.
   bool is_kv_store = false;  ///< Stores KV cache and runs no requests.
   /// Rate at which it sends KV cache; 0: limited only by the receiving engine.
   double link_bits_per_second = 0;
+
+  /// @return whether it is unresponsive to the calls that follow its cache, of any gateway.
+  bool isUnresponsiveToCalls() const {
+    return std::max(unresponsive_since, reported_unresponsive_since) != TimePoint{};
+  }
 };
 
 /// Bounds on what a client may send.
--- a/src/gateway/gateway_suspects.cc
+++ b/src/gateway/gateway_suspects.cc
@@ -125,7 +125,7 @@
 /// request that is suspected already, makes a crash likely. Bytes that it sent later show that it did not.
 void Gateway::probeUnobservedEnds(const Entry& entry, const ActiveExchange& active, TimePoint now) {
   std::vector<UnobservedEnd> ends = suspects_.possibleCrashes(active.incarnation, now);
-  const TimePoint received_at = table_.lastReceivedAt(active.slot);
+  const TimePoint received_at = table_.reach().lastReceivedAt(active.slot);
   std::erase_if(ends, [received_at](const UnobservedEnd& end) { return received_at > end.ended_at; });
   if (ends.empty()) return;
   if (Probe* probe = sendProbe(entry, active, now)) probe->unobserved = std::move(ends);
@@ -157,7 +157,7 @@
 void Gateway::confirmByProbe(const Probe& probe, TimePoint now) {
   if (snapshot_->configuration == nullptr) return;
   const Pool* pool = snapshot_->configuration->findPool(probe.pool);
-  if (pool == nullptr || isPartitioned(*pool)) return;
+  if (pool == nullptr || isPartitioned(*pool, now)) return;
   for (const UnobservedEnd& end : probe.unobserved) {
     const CrashEvidence evidence{end.request, end.backend, end.sent_at, end.ended_at};
     if (suspects_.onCrash(evidence, now)) reportSuspected(end.request_id, evidence, end.backend_name, now);
--- a/src/gateway/import_source.cc
+++ b/src/gateway/import_source.cc
@@ -31,7 +31,7 @@
 
 bool canExport(const Backend& source, const BackendTable& table, TimePoint now) {
   return source.view.state == EngineState::Live && table.isHealthy(source.view.slot, now) &&
-         !table.isUnresponsive(source);
+         !table.reach().isUnresponsive(source);
 }
 
 }  // namespace
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -123,7 +123,8 @@
 /// How many back ends of a pool this gateway can connect to.
 struct PoolReach {
   std::uint32_t listed = 0;
-  std::uint32_t out_of_reach = 0;  ///< The last connection failed or broke, and nothing was received since.
+  std::uint32_t in_reach = 0;      ///< Something was received from them lately.
+  std::uint32_t out_of_reach = 0;  ///< The last connection or call failed, broke or fell silent.
   std::uint32_t unanswered = 0;    ///< The calls that follow their caches get no response.
 };
 
--- a/src/gateway_control/cache_watch.cc
+++ b/src/gateway_control/cache_watch.cc
@@ -155,6 +155,7 @@
 
 void CacheWatch::onResponse(Followed& followed) {
   followed.responded_at = clock_.now();
+  callbacks_.on_response(followed.slot, followed.incarnation);
   if (std::exchange(followed.unresponsive, false))
     callbacks_.on_responsive(followed.slot, followed.incarnation);
 }
--- a/src/gateway_control/cache_watch.h
+++ b/src/gateway_control/cache_watch.h
@@ -28,6 +28,8 @@
   std::function<void(const UnresponsiveCache&)> on_unresponsive;
   /// A cache that was reported as unresponsive responds again.
   std::function<void(EngineSlot, std::uint64_t incarnation)> on_responsive;
+  /// A cache responded.
+  std::function<void(EngineSlot, std::uint64_t incarnation)> on_response;
 };
 
 /// See the file comment.
--- a/src/gateway_control/fleet_view.cc
+++ b/src/gateway_control/fleet_view.cc
@@ -149,19 +149,62 @@
   entry->avoided_until = now + std::min(kMaxAvoidance, kInitialAvoidance * (1U << doublings));
 }
 
+void FleetView::UnresponsiveTime::extend(TimePoint reported_since, TimePoint now) {
+  if (!includes(now)) since = reported_since;
+  until = now + kUnresponsiveLifetime;
+}
+
+bool FleetView::UnresponsiveTime::end(TimePoint now) {
+  const bool included = includes(now);
+  if (included) until = now;
+  return included;
+}
+
 void FleetView::onUnresponsive(const std::string& id, TimePoint since, TimePoint now) {
   const auto found = entries_.find(id);
   if (found == entries_.end()) return;
-  Entry& entry = found->second;
-  if (now >= entry.unresponsive_until) entry.unresponsive_since = since;
-  entry.unresponsive_until = now + kUnresponsiveLifetime;
+  found->second.unresponsive.extend(since, now);
+  found->second.responded_at = TimePoint{};
 }
 
 bool FleetView::onResponsive(const std::string& id, TimePoint now) {
   const auto found = entries_.find(id);
-  if (found == entries_.end() || now >= found->second.unresponsive_until) return false;
-  found->second.unresponsive_until = now;
-  return true;
+  if (found == entries_.end()) return false;
+  found->second.reported_unresponsive.end(now);
+  return found->second.unresponsive.end(now);
+}
+
+bool FleetView::onResponse(const std::string& id, TimePoint now) {
+  const auto found = entries_.find(id);
+  if (found == entries_.end()) return false;
+  const bool known = answersCalls(found->second, now);
+  found->second.responded_at = now;
+  return !known;
+}
+
+void FleetView::onUnresponsiveReport(const std::string& id, TimePoint since, TimePoint now) {
+  const auto found = entries_.find(id);
+  if (found != entries_.end()) found->second.reported_unresponsive.extend(since, now);
+}
+
+bool FleetView::onResponsiveReport(const std::string& id, TimePoint now) {
+  const auto found = entries_.find(id);
+  return found != entries_.end() && found->second.reported_unresponsive.end(now);
+}
+
+bool FleetView::isMostlyUnresponsive(TimePoint now) const {
+  std::size_t called = 0;
+  std::size_t unresponsive = 0;
+  for (const auto& [id, entry] : entries_) {
+    const bool is_unresponsive = entry.unresponsive.includes(now);
+    called += is_unresponsive || answersCalls(entry, now) ? 1 : 0;
+    unresponsive += is_unresponsive ? 1 : 0;
+  }
+  return unresponsive * 2 >= called;
+}
+
+bool FleetView::answersCalls(const Entry& entry, TimePoint now) {
+  return entry.responded_at != TimePoint{} && now - entry.responded_at < kUnresponsiveLifetime;
 }
 
 void FleetView::onWeights(const std::string& id, const std::string& model, const std::string& version,
@@ -242,8 +285,9 @@
       entry.last_state = state;
     }
     entry.backend.view.state = state;
-    entry.backend.unresponsive_since =
-        now < entry.unresponsive_until ? entry.unresponsive_since : TimePoint{};
+    entry.backend.unresponsive_since = entry.unresponsive.startIfIncludes(now);
+    entry.backend.reported_unresponsive_since = entry.reported_unresponsive.startIfIncludes(now);
+    entry.backend.answers_calls = answersCalls(entry, now);
     backends.push_back(entry.backend);
   }
   std::sort(backends.begin(), backends.end(),
@@ -254,7 +298,8 @@
 TimePoint FleetView::nextChange(TimePoint now) const {
   TimePoint next = TimePoint::max();
   for (const auto& [id, entry] : entries_) {
-    for (const TimePoint at : {entry.avoided_until, entry.loading_until, entry.unresponsive_until}) {
+    for (const TimePoint at : {entry.avoided_until, entry.loading_until, entry.unresponsive.until,
+                               entry.reported_unresponsive.until}) {
       if (at > now) next = std::min(next, at);
     }
     if (!entry.listed && entry.leaving_from > now) next = std::min(next, entry.leaving_from);
--- a/src/gateway_control/fleet_view.h
+++ b/src/gateway_control/fleet_view.h
@@ -64,12 +64,21 @@
   void onPlatformFailure(TimePoint now);
   /// Traffic could not reach the back end.
   void onUnreachable(EngineSlot slot, std::uint64_t incarnation, TimePoint now);
-  /// The back end has not responded to the followers of its cache since `since`. Expires after a while unless
-  /// it is reported again.
+  /// The back end has not responded to this gateway's calls that follow its cache since `since`. Expires
+  /// after a while unless it is reported again.
   void onUnresponsive(const std::string& id, TimePoint since, TimePoint now);
-  /// The back end responded to a follower of its cache.
-  /// @return whether it was assumed to be unresponsive.
+  /// The back end responded to such a call after it had been unresponsive.
+  /// @return whether it was still assumed to be.
   bool onResponsive(const std::string& id, TimePoint now);
+  /// The back end responded to such a call.
+  /// @return whether that was not known of it.
+  bool onResponse(const std::string& id, TimePoint now);
+  /// As above, for calls of another gateway.
+  void onUnresponsiveReport(const std::string& id, TimePoint since, TimePoint now);
+  bool onResponsiveReport(const std::string& id, TimePoint now);
+  /// @return whether at least half of the back ends that this gateway calls do not respond to it: it is more
+  /// likely to be cut off itself.
+  bool isMostlyUnresponsive(TimePoint now) const;
   /// A report or response of the back end stated the version of the weights that it holds.
   void onWeights(const std::string& id, const std::string& model, const std::string& version, TimePoint now,
                  StateSource source = StateSource::report);
@@ -90,6 +99,17 @@
   std::vector<WeightsChange> takeWeightsChanges();
 
 private:
+  /// Time during which a back end does not respond to calls.
+  struct UnresponsiveTime {
+    TimePoint since{};
+    TimePoint until{};  ///< When the last report expires.
+
+    bool includes(TimePoint now) const { return now < until; }
+    TimePoint startIfIncludes(TimePoint now) const { return includes(now) ? since : TimePoint{}; }
+    void extend(TimePoint reported_since, TimePoint now);
+    /// @return whether it included `now`.
+    bool end(TimePoint now);
+  };
   struct Entry {
     Backend backend;
     bool listed = true;
@@ -100,8 +120,9 @@
     std::uint32_t failures = 0;  ///< Consecutive failures of traffic to reach it.
     TimePoint last_failure{};
     TimePoint loading_until{};
-    TimePoint unresponsive_since{};
-    TimePoint unresponsive_until{};  ///< When the last report that it is unresponsive expires.
+    UnresponsiveTime unresponsive;           ///< To this gateway's calls.
+    UnresponsiveTime reported_unresponsive;  ///< To those of other gateways.
+    TimePoint responded_at{};                ///< To the last of this gateway's calls.
     TimePoint weights_observed_at{};
     EngineState last_state = EngineState::Dead;
   };
@@ -114,6 +135,7 @@
     StateSource source = StateSource::list;
   };
   EvaluatedState evaluate(const Entry& entry, TimePoint now) const;
+  static bool answersCalls(const Entry& entry, TimePoint now);
   bool superseded(const Entry& entry) const;
   void raiseWeights(Entry& entry, const std::string& model, const std::string& version, StateSource source);
   void recordListedWeights(const Entry& entry, const std::vector<LoadedModel>& previous_models);
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -171,6 +171,9 @@
   CacheWatchCallbacks callbacks;
   callbacks.on_update = [this](CachedPartsUpdate update) { onOwnCacheUpdate(std::move(update)); };
   callbacks.on_unresponsive = [this](const UnresponsiveCache& cache) { onCacheUnresponsive(cache); };
+  callbacks.on_response = [this](EngineSlot slot, std::uint64_t incarnation) {
+    onCacheResponse(slot, incarnation);
+  };
   callbacks.on_responsive = [this](EngineSlot slot, std::uint64_t incarnation) {
     onCacheResponsive(slot, incarnation);
   };
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -108,6 +108,7 @@
   void onOwnCacheUpdate(CachedPartsUpdate update);
   CacheWatchCallbacks cacheCallbacks();
   void onCacheUnresponsive(const UnresponsiveCache& cache);
+  void onCacheResponse(EngineSlot slot, std::uint64_t incarnation);
   void onCacheResponsive(EngineSlot slot, std::uint64_t incarnation);
   void onStoreUnresponsive(const Backend& store);
   void onUnresponsiveNote(const BackendNote& note);
--- a/src/gateway_control/gateway_control_unresponsive.cc
+++ b/src/gateway_control/gateway_control_unresponsive.cc
@@ -16,22 +16,27 @@
 
 }  // namespace
 
-/// A gateway that gets no response from any cache is itself cut off, or was suspended; it then reports no
-/// engine as unresponsive.
+/// A gateway that gets no response from most caches is itself cut off, or was suspended. It then reports no
+/// engine to the others; its own traffic has to know which engines do not respond to it all the same.
 void GatewayControl::onCacheUnresponsive(const UnresponsiveCache& cache) {
   const Backend* backend = findBackend(cache.slot, cache.incarnation);
   if (backend == nullptr) return;
   if (backend->is_kv_store) return onStoreUnresponsive(*backend);
-  if (!cache.others_responded) return;
   const bool known = backend->unresponsive_since != TimePoint{};
   const Duration time = now() - cache.since;
   if (!known) logUnresponsive(backend->view.name, true, time);
   fleet_.onUnresponsive(backend->view.name, cache.since, now());
+  schedulePublish();
+  if (!cache.others_responded || fleet_.isMostlyUnresponsive(now())) return;
   BackendNote note;
   note.name = backend->view.name;
   note.silent_milliseconds = wholeMilliseconds(time);
   sendToSharingGateways(note);
-  schedulePublish();
+}
+
+void GatewayControl::onCacheResponse(EngineSlot slot, std::uint64_t incarnation) {
+  const Backend* backend = findBackend(slot, incarnation);
+  if (backend != nullptr && fleet_.onResponse(backend->view.name, now())) schedulePublish();
 }
 
 void GatewayControl::onCacheResponsive(EngineSlot slot, std::uint64_t incarnation) {
@@ -48,10 +53,10 @@
 void GatewayControl::onUnresponsiveNote(const BackendNote& note) {
   if (findBackend(note.name) == nullptr) return;
   if (note.heard) {
-    if (fleet_.onResponsive(note.name, now())) schedulePublish();
+    if (fleet_.onResponsiveReport(note.name, now())) schedulePublish();
     return;
   }
-  fleet_.onUnresponsive(note.name, now() - std::chrono::milliseconds(note.silent_milliseconds), now());
+  fleet_.onUnresponsiveReport(note.name, now() - std::chrono::milliseconds(note.silent_milliseconds), now());
   schedulePublish();
 }
 
--- a/src/gateway_control/weight_rollout.cc
+++ b/src/gateway_control/weight_rollout.cc
@@ -49,7 +49,7 @@
 
 /// An unresponsive back end would not respond to an order either, and would take the slot of one that does.
 bool takesOrders(const Backend& backend) {
-  return takesRequests(backend) && backend.unresponsive_since == TimePoint{};
+  return takesRequests(backend) && !backend.isUnresponsiveToCalls();
 }
 
 }  // namespace
--- a/tests/unit/gateway_control/cache_watch_test.cc
+++ b/tests/unit/gateway_control/cache_watch_test.cc
@@ -67,6 +67,7 @@
     CacheWatchCallbacks callbacks;
     callbacks.on_update = [this](CachedPartsUpdate update) { updates.push_back(std::move(update)); };
     callbacks.on_unresponsive = [this](const UnresponsiveCache& cache) { unresponsive.push_back(cache); };
+    callbacks.on_response = [](EngineSlot, std::uint64_t) {};
     callbacks.on_responsive = [this](EngineSlot slot, std::uint64_t) { responsive.push_back(slot); };
     return callbacks;
   }
