--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -232,8 +232,9 @@
   void recordUnobservedEnd(const Entry& entry, const ActiveExchange& active, RequestCause cause,
                            TimePoint now);
   void reportConfirmedEnds(TimePoint now);
-  void reportSuspected(std::string_view request_id, const CrashEvidence& evidence, std::string_view backend,
+  void reportSuspected(const Entry& entry, const ActiveExchange& active, const CrashEvidence& evidence,
                        TimePoint now);
+  void reportSuspected(RequestSuspected record, const CrashEvidence& evidence, TimePoint now);
   void probeUnobservedEnds(const Entry& entry, const ActiveExchange& active, TimePoint now);
   Probe* sendProbe(const Entry& entry, const ActiveExchange& active, TimePoint now);
   void confirmByProbe(const Probe& probe, TimePoint now);
--- a/src/gateway/gateway_suspects.cc
+++ b/src/gateway/gateway_suspects.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "base/hash.h"
 #include "gateway/gateway.h"
 
 namespace crankspur::gateway {
@@ -13,6 +14,15 @@
 /// A back end that leaves as planned serves on for some seconds. The list may lag behind by one of them.
 constexpr Duration kMinDrainTime = std::chrono::seconds(1);
 
+/// @return the ids of all parts but the last, which belongs to one request or session.
+std::string shareablePartIds(const std::vector<PromptPart>& prompt) {
+  std::string ids;
+  for (std::size_t index = 0; index + 1 < prompt.size(); ++index) {
+    ids += (index > 0 ? "," : "") + crankspur::toHex(prompt[index].id);
+  }
+  return ids;
+}
+
 }  // namespace
 
 /// A request that crashed back ends one after the other is not run. One that may have crashed some is run
@@ -70,18 +80,24 @@
   }
   const CrashEvidence evidence{entry.fingerprint, active.incarnation, active.sent_at, now};
   if (!suspects_.onCrash(evidence, now)) return;
-  reportSuspected(entry.client.request_id, evidence, entry.last_backend, now);
+  reportSuspected(entry, active, evidence, now);
   reportConfirmedEnds(now);
   if (Probe* probe = sendProbe(entry, active, now)) probe->requests.push_back(entry.fingerprint);
 }
 
-void Gateway::reportSuspected(std::string_view request_id, const CrashEvidence& evidence,
-                              std::string_view backend, TimePoint now) {
-  const CrashVerdict verdict = suspects_.judge(evidence.request, now);
+void Gateway::reportSuspected(const Entry& entry, const ActiveExchange& active, const CrashEvidence& evidence,
+                              TimePoint now) {
   RequestSuspected record;
-  record.request_id = request_id;
+  record.request_id = entry.client.request_id;
+  record.backend = entry.last_backend;
+  record.parts = shareablePartIds(entry.client.prompt);
+  record.body_began = active.first_byte;
+  reportSuspected(std::move(record), evidence, now);
+}
+
+void Gateway::reportSuspected(RequestSuspected record, const CrashEvidence& evidence, TimePoint now) {
+  const CrashVerdict verdict = suspects_.judge(evidence.request, now);
   record.fingerprint = evidence.request;
-  record.backend = backend;
   record.after = evidence.crashed_at - evidence.sent_at;
   record.crashes = verdict.crashes;
   record.crashes_in_all = verdict.crashes_in_all;
@@ -111,8 +127,10 @@
 
 void Gateway::reportConfirmedEnds(TimePoint now) {
   for (const UnobservedEnd& end : suspects_.takeConfirmed()) {
-    reportSuspected(end.request_id, {end.request, end.backend, end.sent_at, end.ended_at}, end.backend_name,
-                    now);
+    RequestSuspected record;
+    record.request_id = end.request_id;
+    record.backend = end.backend_name;
+    reportSuspected(std::move(record), {end.request, end.backend, end.sent_at, end.ended_at}, now);
   }
 }
 
@@ -160,7 +178,11 @@
   if (pool == nullptr || isPartitioned(*pool, now)) return;
   for (const UnobservedEnd& end : probe.unobserved) {
     const CrashEvidence evidence{end.request, end.backend, end.sent_at, end.ended_at};
-    if (suspects_.onCrash(evidence, now)) reportSuspected(end.request_id, evidence, end.backend_name, now);
+    if (!suspects_.onCrash(evidence, now)) continue;
+    RequestSuspected record;
+    record.request_id = end.request_id;
+    record.backend = end.backend_name;
+    reportSuspected(std::move(record), evidence, now);
   }
   reportConfirmedEnds(now);
 }
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "admission/tenant_quota.h"
@@ -205,6 +206,8 @@
   RequestFingerprint fingerprint;
   std::string_view backend;
   Duration after{0};          ///< Since it was sent there.
+  std::string parts;          ///< Ids of the prompt parts that other requests may share, by commas.
+  bool body_began = false;    ///< A part of the response body was received from the back end.
   std::uint32_t crashes = 0;  ///< Back ends that crashed in succession while running it, as known here.
   std::uint32_t crashes_in_all = 0;  ///< Also those that crashed at about the same time.
   Suspicion suspicion = Suspicion::none;
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -185,6 +185,8 @@
                                                 {"fingerprint", toHex(record.fingerprint)},
                                                 {"backend", record.backend},
                                                 {"after_ms", milliseconds(record.after)},
+                                                {"parts", record.parts},
+                                                {"body_began", record.body_began},
                                                 {"crashes", record.crashes},
                                                 {"crashes_in_all", record.crashes_in_all},
                                                 {"suspicion", nameOf(record.suspicion)},
