--- a/sim/gateway_world/fleet_checkers.cc
+++ b/sim/gateway_world/fleet_checkers.cc
@@ -32,7 +32,8 @@
 /// A gateway that was undisturbed for this long, as was the store, has read the list of engines.
 constexpr Duration kContactTime = std::chrono::seconds(3);
 
-/// First attempts at partitioned gateways are served at least this many times as often as those at the others.
+/// First attempts at partitioned gateways are served at least this many times as often as those at the
+/// others.
 constexpr double kMinPartitionedShare = 2.0 / 3;
 /// Failures at partitioned gateways that are always tolerated: a number, and one in so many attempts.
 constexpr std::size_t kToleratedFailures = 10;
@@ -113,12 +114,12 @@
     // A stream that has begun can go on only at an engine of its build, of which there may be no other.
     if (context.site.builds > 1 && attempt.events > 0) continue;
     const TimePoint end = attempt.sent_at + attempt.deadline;
-    const bool undisturbed = history.isUndisturbed(attempt.gateway, attempt.sent_at, end, kRestartTime) &&
-                             history.partitionState(attempt.gateway, end, kRetryBudgetWindow) ==
-                                 PartitionState::none &&
-                             history.isStoreUndisturbed(attempt.sent_at - context.site.key_validity, end) &&
-                             history.areConnectionsUndisturbed(attempt.sent_at - kRestartTime, end) &&
-                             history.areMessagesUndisturbed(attempt.sent_at - kRestartTime, end);
+    const bool undisturbed =
+        history.isUndisturbed(attempt.gateway, attempt.sent_at, end, kRestartTime) &&
+        history.partitionState(attempt.gateway, end, kRetryBudgetWindow) == PartitionState::none &&
+        history.isStoreUndisturbed(attempt.sent_at - context.site.key_validity, end) &&
+        history.areConnectionsUndisturbed(attempt.sent_at - kRestartTime, end) &&
+        history.areMessagesUndisturbed(attempt.sent_at - kRestartTime, end);
     const bool enough_engines =
         history.crashedEngines(attempt.sent_at - kRestartTime, end) * kEnginesPerCrash <=
             context.site.engines &&
@@ -261,9 +262,10 @@
   const std::size_t tolerated = kToleratedFailures + partitioned.sent / kAttemptsPerToleratedFailure;
   if (others.sent == 0 || failed <= tolerated) return;
   if (partitioned.share() >= others.share() * kMinPartitionedShare) return;
-  violations.push_back({"partitioned_served",
-                        fmt::format("partitioned gateways served {} of {} first attempts, the others {} of {}",
-                                    partitioned.served, partitioned.sent, others.served, others.sent)});
+  violations.push_back(
+      {"partitioned_served",
+       fmt::format("partitioned gateways served {} of {} first attempts, the others {} of {}",
+                   partitioned.served, partitioned.sent, others.served, others.sent)});
 }
 
 void checkResponses(const FleetHistory& history, Violations& violations) {
--- a/sim/gateway_world/fleet_faults.cc
+++ b/sim/gateway_world/fleet_faults.cc
@@ -155,8 +155,7 @@
   for (std::uint32_t index = 0; index < world_.gateways().size(); ++index) {
     if (!random_.chance(kGatewayShare)) continue;
     gateways.insert(world_.gateways()[index]->host().name());
-    context_.records.engine_partitions.push_back(
-        {index, context_.queue.now(), context_.queue.now() + time});
+    context_.records.engine_partitions.push_back({index, context_.queue.now(), context_.queue.now() + time});
     recordDisturbance(index, time);
   }
   for (const auto& engine : world_.engines()) {
--- a/sim/gateway_world/fleet_faults.h
+++ b/sim/gateway_world/fleet_faults.h
@@ -24,7 +24,7 @@
   datagrams_lost,   ///< Datagrams are lost and duplicated, and messages delayed.
   last = datagrams_lost,
   // Not among the faults that plan() draws from:
-  engines_leave,                    ///< An engine leaves as planned.
+  engines_leave,                      ///< An engine leaves as planned.
   gateways_partitioned_from_engines,  ///< Some gateways do not reach most or all engines.
 };
 
--- a/sim/gateway_world/fleet_history.h
+++ b/sim/gateway_world/fleet_history.h
@@ -23,7 +23,7 @@
 /// Whether a gateway is partitioned from most engines.
 enum class PartitionState {
   none,
-  changing,     ///< It began or ended so shortly before that the gateway may not know.
+  changing,  ///< It began or ended so shortly before that the gateway may not know.
   partitioned,
 };
 
--- a/sim/gateway_world/fleet_run.cc
+++ b/sim/gateway_world/fleet_run.cc
@@ -38,8 +38,8 @@
 }  // namespace
 
 const std::vector<std::string>& fleetScenarioNames() {
-  static const std::vector<std::string> names = {kMixed, kResets, kRestarts, kDepartures, kBuilds,
-                                                 kPartitions};
+  static const std::vector<std::string> names = {kMixed,      kResets, kRestarts,
+                                                 kDepartures, kBuilds, kPartitions};
   return names;
 }
 
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -65,8 +65,8 @@
     TimePoint limited_at{};
     TimePoint full_until{};
     std::uint32_t refusals = 0;  ///< Consecutive refusals because it was at capacity.
-    TimePoint leaving_since{};  ///< TimePoint{}: it is not leaving.
-    double failed_share = 0;    ///< Smoothed share of dispatches that failed.
+    TimePoint leaving_since{};   ///< TimePoint{}: it is not leaving.
+    double failed_share = 0;     ///< Smoothed share of dispatches that failed.
     std::uint32_t outcomes = 0;
     double response_seconds = 0;
   };
--- a/src/gateway/gateway_snapshot.h
+++ b/src/gateway/gateway_snapshot.h
@@ -95,7 +95,7 @@
   /// The same as reported by another gateway, whose calls are no evidence of what this one reaches.
   TimePoint reported_unresponsive_since{};
   bool answers_calls = false;  ///< The last of this gateway's calls that follow its cache got a response.
-  bool is_kv_store = false;  ///< Stores KV cache and runs no requests.
+  bool is_kv_store = false;    ///< Stores KV cache and runs no requests.
   /// Rate at which it sends KV cache; 0: limited only by the receiving engine.
   double link_bits_per_second = 0;
 
--- a/tests/unit/gateway/gateway_records_test.cc
+++ b/tests/unit/gateway/gateway_records_test.cc
@@ -199,7 +199,8 @@
   CHECK_FALSE(ended.body.inside_event);
 }
 
-// Without these numbers, a refusal does not tell whether its gateway is partitioned or its back ends are overloaded.
+// Without these numbers, a refusal does not tell whether its gateway is partitioned or its back ends are
+// overloaded.
 TEST_CASE("a refusal reports how much of its pool is in reach, by requests and by calls that follow caches",
           "[gateway][records]") {
   GatewayFixture fixture;
--- a/tests/unit/gateway/gateway_relay_test.cc
+++ b/tests/unit/gateway/gateway_relay_test.cc
@@ -196,8 +196,9 @@
   CHECK_FALSE(fixture.has<RelayToPeer>());
 }
 
-// Engines that do not respond to the calls which follow their caches get no requests, so that no request to them can
-// fail: a gateway that was partitioned from 17 of 18 engines overloaded the last one and refused the rest.
+// Engines that do not respond to the calls which follow their caches get no requests, so that no request to
+// them can fail: a gateway that was partitioned from 17 of 18 engines overloaded the last one and refused the
+// rest.
 TEST_CASE("requests are relayed while most engines do not respond to the calls that follow their caches",
           "[gateway][partition]") {
   GatewayFixture fixture;
