Quarantine prompt parts that crash the engines which answer them

Evidence was held against whole requests alone, and no two of these requests are alike.

A crash is now also evidence against each prompt part but the last of the requests whose response body had not begun: each of the 42 requests in the record broke off after the head and before the first byte. Parts and requests are suspects of one mechanism (crash_suspects.h), with its sequence, probes, refutations, gossip and record. A response body that begins clears all parts of its request. A crash that one suspect explains is not held against others; of parts with equal evidence the last one is taken, which fewer requests share. A part needs four crashes in sequence, eight if it was answered before. After its quarantine the gateways take turns of 2 s to try one request.

Tests: two that counted the evidence of one crash now count that against the shared part too.

--- a/src/gateway/crash_policy.h
+++ b/src/gateway/crash_policy.h
@@ -19,6 +19,13 @@
   /// Number of crashes, sequential or not, that quarantine an isolated request: concurrent attempts at
   /// several gateways each crash a back end before any crash is known.
   std::uint32_t concurrent_crashes_until_quarantined = 4;
+  /// The same for a prompt part: sequential crashes from which on it is quarantined, and their number in all
+  /// where one sequential crash less is known. All requests that share a part are accused together, so that
+  /// more evidence is needed than against one request.
+  std::uint32_t crashes_until_part_quarantined = 4;
+  std::uint32_t concurrent_crashes_until_part_quarantined = 6;
+  /// Factor of these numbers for a part that was answered before: requests with it ran to their response.
+  std::uint32_t answered_part_factor = 2;
   /// Only sequential crashes count: a run that was sent more than this long before the previous crash does
   /// not count. The tolerance covers the clock skew and datagram delay of other gateways.
   Duration sequence_tolerance = std::chrono::milliseconds(30);
@@ -43,6 +50,8 @@
   /// Maximum number of requests with evidence against them, about 150 bytes each. A crash adds as many as the
   /// engine was running; most of them are cleared within seconds.
   std::size_t max_suspects = 8192;
+  /// Prompt parts that are remembered as answered, 16 bytes each.
+  std::size_t max_answered_parts = 8192;
 };
 
 }  // namespace crankspur::gateway
--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <tuple>
 
 #include "base/hash.h"
 
@@ -30,9 +31,11 @@
 
 }  // namespace
 
-Duration CrashSuspects::quarantineAfter(std::uint32_t crashes) const {
+Duration CrashSuspects::quarantineAfter(const Suspect& suspect, std::uint32_t crashes) const {
   Duration quarantine = policy_.first_quarantine;
-  for (std::uint32_t count = policy_.crashes_until_quarantined; count < crashes; ++count) {
+  const std::uint32_t first =
+      suspect.part_position == 0 ? policy_.crashes_until_quarantined : policy_.crashes_until_part_quarantined;
+  for (std::uint32_t count = first; count < crashes; ++count) {
     quarantine = std::min(quarantine * policy_.quarantine_growth, policy_.max_quarantine);
   }
   return quarantine;
@@ -93,7 +96,8 @@
     return confirms || now - end.ended_at > kUnobservedLifetime;
   });
   for (UnobservedEnd& end : confirmed) {
-    if (onCrash({end.request, backend, end.sent_at, crashed_at}, now)) confirmed_.push_back(std::move(end));
+    const CrashEvidence evidence{end.request, backend, end.sent_at, crashed_at, false, end.part_position};
+    if (onCrash(evidence, now)) confirmed_.push_back(std::move(end));
   }
 }
 
@@ -104,6 +108,11 @@
   return true;
 }
 
+bool CrashSuspects::onPartAnswered(const RequestFingerprint& part, TimePoint now) {
+  answered_parts_.add(part);
+  return onCompleteResponse(part, now);
+}
+
 /// A sign of life is either bytes on a connection from before the crash, or a response sooner than any back
 /// end can restart.
 bool CrashSuspects::onSignOfLife(std::uint64_t backend, TimePoint sent_at, TimePoint now) {
@@ -147,7 +156,9 @@
   if (now - evidence.crashed_at > policy_.evidence_lifetime - kLifetimeMargin || isRefuted(evidence))
     return false;
   if (!suspects_.contains(evidence.request)) evictIfFull();
-  std::vector<Crash>& crashes = suspects_[evidence.request].crashes;
+  Suspect& suspect = suspects_[evidence.request];
+  suspect.part_position = std::max(suspect.part_position, evidence.part_position);
+  std::vector<Crash>& crashes = suspect.crashes;
   std::uint64_t crashes_of_backend = 0;
   for (const Crash& crash : crashes) {
     if (crash.backend != evidence.backend) continue;
@@ -165,6 +176,7 @@
   crashes.insert(later,
                  Crash{evidence.backend, evidence.sent_at, evidence.crashed_at, key, evidence.observed_here});
   digest_ += key;
+  culprits_known_ = false;
   TimePoint& crashed_at = crashed_at_[evidence.backend];
   crashed_at = std::max(crashed_at, evidence.crashed_at);
   confirmUnobservedEnds(evidence.backend, evidence.crashed_at, now);
@@ -173,10 +185,12 @@
 
 void CrashSuspects::removeCrashAt(Suspect& suspect, std::size_t index) {
   digest_ -= suspect.crashes[index].key;
+  culprits_known_ = false;
   suspect.crashes.erase(suspect.crashes.begin() + static_cast<std::ptrdiff_t>(index));
 }
 
 bool CrashSuspects::clear(const ClearedRequest& cleared) {
+  answered_parts_.add(cleared.request);
   TimePoint& known = cleared_[cleared.request];
   const bool is_new = cleared.at > known;
   known = std::max(known, cleared.at);
@@ -210,24 +224,88 @@
   return true;
 }
 
+/// A part is innocent of a crash that another part, or a whole request, explains. A request is innocent of
+/// one that a part explains; two poison requests may each crash back ends while the other one is there.
+bool CrashSuspects::ExplainedCrashes::contains(std::uint64_t backend, const Suspect& suspect) const {
+  if (by_part.contains(backend)) return true;
+  return suspect.part_position > 0 && by_request.contains(backend);
+}
+
+CrashSuspects::CrashCount CrashSuspects::count(const Suspect& suspect,
+                                               const ExplainedCrashes& explained) const {
+  CrashCount result;
+  TimePoint last_in_sequence = TimePoint::min();
+  for (const Crash& crash : suspect.crashes) {
+    if (explained.contains(crash.backend, suspect)) continue;
+    ++result.in_all;
+    result.last = crash.crashed_at;
+    if (result.in_sequence > 0 && crash.sent_at + policy_.sequence_tolerance < last_in_sequence) continue;
+    ++result.in_sequence;
+    last_in_sequence = crash.crashed_at;
+  }
+  return result;
+}
+
+bool CrashSuspects::isEnough(const RequestFingerprint& id, const Suspect& suspect,
+                             const CrashCount& crashes) const {
+  if (suspect.part_position == 0) {
+    if (crashes.in_sequence >= policy_.crashes_until_quarantined) return true;
+    return crashes.in_sequence >= policy_.crashes_until_isolated &&
+           crashes.in_all >= policy_.concurrent_crashes_until_quarantined;
+  }
+  const std::uint32_t factor = answered_parts_.contains(id) ? policy_.answered_part_factor : 1;
+  const std::uint32_t in_sequence = policy_.crashes_until_part_quarantined * factor;
+  const std::uint32_t in_all = policy_.concurrent_crashes_until_part_quarantined * factor;
+  return crashes.in_sequence >= in_sequence ||
+         (crashes.in_sequence + 1 >= in_sequence && crashes.in_all >= in_all);
+}
+
+/// Takes the suspect that explains the most crashes; among equals a whole request, and then the part that
+/// comes last, since parts at the beginning of a prompt are shared by more requests. Repeats with what is
+/// left.
+void CrashSuspects::findCulprits() const {
+  if (std::exchange(culprits_known_, true)) return;
+  culprits_.clear();
+  explained_ = {};
+  constexpr std::uint32_t kWholeRequest = UINT32_MAX;
+  while (true) {
+    const RequestFingerprint* best = nullptr;
+    std::tuple<std::uint32_t, std::uint32_t, RequestFingerprint> best_rank;
+    for (const auto& [request, suspect] : suspects_) {
+      if (suspect.crashes.size() < policy_.crashes_until_quarantined || culprits_.contains(request)) continue;
+      const CrashCount crashes = count(suspect, explained_);
+      if (!isEnough(request, suspect, crashes)) continue;
+      const std::uint32_t position = suspect.part_position == 0 ? kWholeRequest : suspect.part_position;
+      const std::tuple rank(crashes.in_sequence, position, request);
+      if (best != nullptr && rank <= best_rank) continue;
+      best = &request;
+      best_rank = rank;
+    }
+    if (best == nullptr) return;
+    const Suspect& culprit = suspects_.at(*best);
+    culprits_.insert(*best);
+    for (const Crash& crash : culprit.crashes) {
+      (culprit.part_position > 0 ? explained_.by_part : explained_.by_request).insert(crash.backend);
+    }
+  }
+}
+
 CrashVerdict CrashSuspects::judge(const RequestFingerprint& request, TimePoint now) const {
   CrashVerdict verdict;
   const auto found = suspects_.find(request);
   if (found == suspects_.end()) return verdict;
-  const std::vector<Crash>& crashes = found->second.crashes;
-  verdict.crashes_in_all = static_cast<std::uint32_t>(crashes.size());
-  TimePoint last_crash = TimePoint::min();
-  for (const Crash& crash : crashes) {
-    if (verdict.crashes > 0 && crash.sent_at + policy_.sequence_tolerance < last_crash) continue;
-    ++verdict.crashes;
-    last_crash = crash.crashed_at;
-  }
-  if (verdict.crashes < policy_.crashes_until_isolated) return verdict;
-  verdict.suspicion = Suspicion::isolated;
-  if (verdict.crashes < policy_.crashes_until_quarantined &&
-      crashes.size() < policy_.concurrent_crashes_until_quarantined)
-    return verdict;
-  verdict.quarantined_until = crashes.back().crashed_at + quarantineAfter(verdict.crashes);
+  findCulprits();
+  const Suspect& suspect = found->second;
+  const bool is_culprit = culprits_.contains(request);
+  const CrashCount crashes = count(suspect, is_culprit ? ExplainedCrashes{} : explained_);
+  verdict.crashes = crashes.in_sequence;
+  verdict.crashes_in_all = crashes.in_all;
+  // Many requests may have a part, which would all have to wait for each other.
+  const bool is_isolated =
+      suspect.part_position == 0 && crashes.in_sequence >= policy_.crashes_until_isolated;
+  if (is_isolated || is_culprit) verdict.suspicion = Suspicion::isolated;
+  if (!is_culprit) return verdict;
+  verdict.quarantined_until = crashes.last + quarantineAfter(suspect, crashes.in_sequence);
   if (now < verdict.quarantined_until) verdict.suspicion = Suspicion::quarantined;
   return verdict;
 }
@@ -241,8 +319,10 @@
   CrashUpdate update;
   for (const auto& [count, request] : order) {
     if (update.crashes.size() + count > kMaxRecordsOfUpdate) break;
-    for (const Crash& crash : suspects_.at(request).crashes) {
-      update.crashes.push_back({request, crash.backend, crash.sent_at, crash.crashed_at});
+    const Suspect& suspect = suspects_.at(request);
+    for (const Crash& crash : suspect.crashes) {
+      update.crashes.push_back(
+          {request, crash.backend, crash.sent_at, crash.crashed_at, false, suspect.part_position});
     }
   }
   for (const auto& [request, at] : cleared_) {
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -1,19 +1,22 @@
 #pragma once
-/// @file Detects requests that crash the back ends that run them. Such a poison request (query of death) may
-/// be sent again under new ids to any gateway, so that no limit within one attempt protects the back ends.
-/// Each crash also fails the other requests of the back end. The evidence kept here limits the crashes caused
-/// by one poison request to three, over all attempts and all gateways.
+/// @file Detects requests, and prompt parts of requests, that crash the back ends that run them. Such a
+/// poison request (query of death) may be sent again under new ids to any gateway, and requests that have
+/// nothing in common but a poison part come again and again, so that no limit within one attempt protects the
+/// back ends. Each crash also fails the other requests of the back end. The evidence kept here limits the
+/// crashes caused by one suspect (a request or a part) to three, over all attempts and all gateways.
 ///
-/// Evidence is a set of (request, incarnation of a back end): it can be merged in any order, and nothing is
+/// Evidence is a set of (suspect, incarnation of a back end): it can be merged in any order, and nothing is
 /// counted twice. All but one of the requests that ran on a crashed back end are harmless. Three rules
 /// prevent false positives: a complete successful response from any back end clears a request; only
 /// sequential crashes count (each run must have begun after the previous crash), so that back ends that crash
 /// at the same time count once; a back end that shows a sign of life has not crashed, and the evidence of its
-/// crash is withdrawn.
+/// crash is withdrawn. A prompt part that many requests share is cleared by any response with it that begins.
+/// Parts that come together crash together: a crash that one suspect explains is not held against the others.
 ///
 /// No I/O and no clock of its own; not thread-safe.
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -27,6 +30,7 @@
 
 #include "base/time.h"
 #include "gateway/crash_policy.h"
+#include "gateway/recent_set.h"
 #include "gateway/request_fingerprint.h"
 
 namespace crankspur::gateway {
@@ -39,6 +43,8 @@
   TimePoint sent_at{};         ///< When the request was sent there.
   TimePoint crashed_at{};      ///< When the connection broke.
   bool observed_here = false;  ///< By this gateway; not part of the exchanged evidence.
+  /// Position of the prompt part that `request` identifies, from 1 on; 0: it identifies a whole request.
+  std::uint32_t part_position = 0;
 };
 
 /// An exchange ended without showing whether the back end crashed: the gateway gave it up, or its end may be
@@ -51,6 +57,7 @@
   bool by_backend = false;    ///< The back end closed the connection, as it also does when it crashes.
   std::string request_id;
   std::string backend_name;
+  std::uint32_t part_position = 0;  ///< As in CrashEvidence.
 };
 
 /// A request got a complete successful response: earlier evidence against it is void.
@@ -99,7 +106,8 @@
 /// The evidence against requests; see the file comment.
 class CrashSuspects {
 public:
-  explicit CrashSuspects(const CrashPolicy& policy = {}) : policy_(policy) {}
+  explicit CrashSuspects(const CrashPolicy& policy = {})
+      : policy_(policy), answered_parts_(policy.max_answered_parts) {}
 
   /// This gateway's connection to a back end broke.
   /// @return whether the evidence was new.
@@ -114,6 +122,9 @@
   std::vector<UnobservedEnd> takeConfirmed() { return std::exchange(confirmed_, {}); }
   /// @return whether there was evidence against the request.
   bool onCompleteResponse(const RequestFingerprint& request, TimePoint now);
+  /// A back end has begun the body of a response to a request with the prompt part.
+  /// @return whether there was evidence against the part.
+  bool onPartAnswered(const RequestFingerprint& part, TimePoint now);
   /// Bytes were received from a back end.
   /// @param sent_at when the request of their exchange was sent.
   /// @return whether they refute evidence of a crash.
@@ -154,7 +165,21 @@
     bool observed_here = false;
   };
   struct Suspect {
-    std::vector<Crash> crashes;  ///< Sorted by crashed_at.
+    std::vector<Crash> crashes;       ///< Sorted by crashed_at.
+    std::uint32_t part_position = 0;  ///< As in CrashEvidence; of a part at several positions, the last.
+  };
+  /// Crashes of a suspect that no other suspect explains.
+  struct CrashCount {
+    std::uint32_t in_sequence = 0;
+    std::uint32_t in_all = 0;
+    TimePoint last{};
+  };
+  /// Incarnations whose crashes are explained, by the kind of the suspect that explains them.
+  struct ExplainedCrashes {
+    absl::flat_hash_set<std::uint64_t> by_request;
+    absl::flat_hash_set<std::uint64_t> by_part;
+
+    bool contains(std::uint64_t backend, const Suspect& suspect) const;
   };
 
   bool add(const CrashEvidence& evidence, TimePoint now);
@@ -166,7 +191,10 @@
   bool isVoid(const CrashEvidence& evidence) const;
   void removeCrashAt(Suspect& suspect, std::size_t index);
   void evictIfFull();
-  Duration quarantineAfter(std::uint32_t crashes) const;
+  Duration quarantineAfter(const Suspect& suspect, std::uint32_t crashes) const;
+  CrashCount count(const Suspect& suspect, const ExplainedCrashes& explained) const;
+  bool isEnough(const RequestFingerprint& id, const Suspect& suspect, const CrashCount& crashes) const;
+  void findCulprits() const;
   static std::uint64_t keyOf(const RequestFingerprint& request, std::uint64_t backend);
 
   CrashPolicy policy_;
@@ -175,7 +203,12 @@
   absl::flat_hash_map<RequestFingerprint, TimePoint> cleared_;
   /// Times of refuted crashes by back end, the latest kMaxSignsOfBackend of each.
   absl::flat_hash_map<std::uint64_t, std::set<TimePoint>> signs_of_life_;
+  RecentSet<RequestFingerprint> answered_parts_;
   std::uint64_t digest_ = 0;
+  /// Suspects with enough crashes, each of which explains its crashes. Derived from `suspects_` when needed.
+  mutable absl::flat_hash_set<RequestFingerprint> culprits_;
+  mutable ExplainedCrashes explained_;
+  mutable bool culprits_known_ = true;
   CrashUpdate update_;
   std::deque<UnobservedEnd> unobserved_;  ///< Oldest first.
   std::vector<UnobservedEnd> confirmed_;
--- a/src/gateway/engine_choice.cc
+++ b/src/gateway/engine_choice.cc
@@ -158,8 +158,7 @@
       continue;
     }
     const EngineSlot slot = backend.view.slot;
-    const bool is_responsive =
-        isTrusted(slot, request, table, now) && !table.reach().isUnresponsive(backend);
+    const bool is_responsive = isTrusted(slot, request, table, now) && !table.reach().isUnresponsive(backend);
     (is_responsive ? healthy : unhealthy).push_back(usable);
   }
   return healthy.empty() && !at_capacity ? unhealthy : healthy;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -22,6 +22,15 @@
 constexpr Duration kMinRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration kMaxRetryAfter = std::chrono::seconds(1);
 
+/// @return the fingerprints of all parts but the last, which other requests do not have.
+std::vector<RequestFingerprint> partFingerprints(const ClientRequest& client, const std::string& tenant) {
+  std::vector<RequestFingerprint> parts;
+  for (std::size_t index = 0; index + 1 < client.prompt.size(); ++index) {
+    parts.push_back(partFingerprintOf(client.model, tenant, client.prompt[index].id));
+  }
+  return parts;
+}
+
 }  // namespace
 
 Gateway::Gateway(const GatewaySettings& settings, std::uint64_t random_seed, RequestObserver& observer)
@@ -69,7 +78,9 @@
 /// Moves the silence check of requests at unresponsive back ends to an earlier time, so that they are retried
 /// elsewhere soon.
 void Gateway::recheckUnresponsiveBackends(TimePoint now) {
-  const auto is_unresponsive = [this](const Backend& backend) { return table_.reach().isUnresponsive(backend); };
+  const auto is_unresponsive = [this](const Backend& backend) {
+    return table_.reach().isUnresponsive(backend);
+  };
   if (std::none_of(snapshot_->backends.begin(), snapshot_->backends.end(), is_unresponsive)) return;
   for (const auto& [exchange, client] : exchanges_) {
     Entry* entry = findClient(client);
@@ -105,6 +116,7 @@
   entry.fingerprint = fingerprintOf(request.host, request.path, tenant, request.body);
   entries_.emplace(client, std::move(owned));
   admit(entry, checked, now);
+  if (entry.route->uses_prefixes) entry.parts = partFingerprints(entry.client, entry.isolated_tenant);
   if (entry.pool == nullptr) return giveUpFor(entry, RequestCause::route_without_pool, now);
   reportAdmitted(entry, now);
   if (checked.tenant != nullptr && !checkQuota(entry, *checked.tenant, now)) return;
@@ -159,7 +171,7 @@
   request.excluded = entry.failed;
   request.build = entry.origin;
   request.prefer_in_reach = isPartitioned(pool, now);
-  if (entry.isolated) {
+  if (!entry.suspected.empty()) {
     request.prefer_fewest_requests = true;
     request.avoided = slotsOfIsolatedRequests();
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -132,6 +132,7 @@
     TimePoint start_by = TimePoint::max();  ///< It may not start later, since its weights are superseded.
     DispatchedPrompt prompt;
     bool first_byte = false;
+    bool body_began = false;       ///< Bytes of the body were received, and passed to onBytes().
     bool streams_body = false;     ///< Body bytes are forwarded as they are received.
     bool server_error = false;     ///< The response has a 5xx status.
     bool recalled = false;         ///< RecallUnsent was requested.
@@ -153,6 +154,7 @@
     ClientId id = 0;
     ClientRequest client;
     RequestFingerprint fingerprint;
+    std::vector<RequestFingerprint> parts;  ///< Of its prompt, but for the last, which is its own.
     std::shared_ptr<const Configuration> configuration;  ///< Keeps `route` alive.
     const Route* route = nullptr;
     const Pool* pool = nullptr;
@@ -165,12 +167,14 @@
     TimePoint timer_at = TimePoint::max();  ///< Its key in timers_; max: none.
     std::vector<EngineSlot> failed;         ///< Back ends that failed the request.
     double quota_units = 0;                 ///< Charged to the tenant's quota.
-    bool isolated = false;                  ///< Back ends may have crashed because of it.
-    TimePoint quarantined_until{};          ///< Set when a quarantine prevents its dispatch.
-    Duration expected_wait{0};              ///< At the best back end, if that is why it was refused.
-    std::uint32_t passed_over = 0;          ///< Back ends whose limits had no room at the last placement.
-    Duration time_to_room{0};               ///< Until the first of these limits has room.
-    std::uint32_t backends_reached = 0;     ///< Limited by the route's max_attempts.
+    /// The fingerprint, or parts, because of which back ends may have crashed. While there are any, the
+    /// request runs isolated.
+    std::vector<RequestFingerprint> suspected;
+    TimePoint quarantined_until{};       ///< Set when a quarantine prevents its dispatch.
+    Duration expected_wait{0};           ///< At the best back end, if that is why it was refused.
+    std::uint32_t passed_over = 0;       ///< Back ends whose limits had no room at the last placement.
+    Duration time_to_room{0};            ///< Until the first of these limits has room.
+    std::uint32_t backends_reached = 0;  ///< Limited by the route's max_attempts.
     std::uint32_t dispatches = 0;
     bool waiting = false;  ///< Queued for a back end with capacity.
     bool may_have_run = false;
@@ -189,9 +193,10 @@
 
   /// A health request to a back end that may have crashed.
   struct Probe {
-    std::vector<RequestFingerprint> requests;  ///< That ran at the back end when the connection broke.
-    std::vector<UnobservedEnd> unobserved;     ///< Ends that are evidence if it does not respond.
-    std::string request_id;                    ///< Of the first request.
+    /// Requests that ran at the back end when the connection broke, and their parts.
+    std::vector<RequestFingerprint> suspects;
+    std::vector<UnobservedEnd> unobserved;  ///< Ends that are evidence if it does not respond.
+    std::string request_id;                 ///< Of the first request.
     std::string backend;
     std::string pool;
     std::uint64_t incarnation = 0;
@@ -228,6 +233,8 @@
   bool checkQuarantine(Entry& entry, TimePoint now);
   bool hasConcurrentAttempt(const Entry& entry);
   std::vector<EngineSlot> slotsOfIsolatedRequests();
+  std::vector<CrashEvidence> accusedBy(const Entry& entry, const ActiveExchange& active) const;
+  TimePoint releaseOf(const RequestFingerprint& part, const CrashVerdict& verdict) const;
   void recordCrash(const Entry& entry, const ActiveExchange& active, TimePoint now);
   void recordUnobservedEnd(const Entry& entry, const ActiveExchange& active, RequestCause cause,
                            TimePoint now);
@@ -241,6 +248,9 @@
   bool isProbing(const RequestFingerprint& request, TimePoint now) const;
   void recordSignOfLife(const Entry& entry, TimePoint now);
   void recordCompleteResponse(const Entry& entry, TimePoint now);
+  void recordBodyBegin(Entry& entry, TimePoint now);
+  void recordPartsAnswered(const Entry& entry, TimePoint now);
+  void reportCleared(const Entry& entry, const RequestFingerprint& suspect);
 
   // Requests relayed through other gateways (gateway_relay.cc).
   PoolReach reachOf(const Pool& pool, TimePoint now) const;
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -89,6 +89,7 @@
     recordSignOfLife(*entry, now);
   }
   if (!entry->active.streams_body) return;
+  recordBodyBegin(*entry, now);
   if (entry->active.events) entry->active.events->feed(bytes);
   recordFirstByte(*entry, now);
   std::string forwarded = entry->cursor ? entry->cursor->feed(bytes) : std::string(bytes);
@@ -282,7 +283,8 @@
 Duration Gateway::silenceLimit(const ActiveExchange& active, TimePoint now) const {
   const Backend* backend = snapshot_->backend(active.slot);
   const bool same_incarnation = backend != nullptr && backend->view.incarnation == active.incarnation;
-  if (same_incarnation && table_.reach().isUnresponsive(*backend)) return settings_.unresponsive_silence_limit;
+  if (same_incarnation && table_.reach().isUnresponsive(*backend))
+    return settings_.unresponsive_silence_limit;
   const bool awaits_first_byte = !active.first_byte && table_.isHealthy(active.slot, now);
   if (!awaits_first_byte) return settings_.silence_limit;
   const double expected = toSeconds(active.expected) * settings_.silence_per_expected;
--- a/src/gateway/gateway_suspects.cc
+++ b/src/gateway/gateway_suspects.cc
@@ -13,6 +13,8 @@
 constexpr Duration kProbeTimeout = std::chrono::milliseconds(300);
 /// A back end that leaves as planned serves on for some seconds. The list may lag behind by one of them.
 constexpr Duration kMinDrainTime = std::chrono::seconds(1);
+/// Time for which a gateway alone may try a request with a part whose quarantine is over.
+constexpr Duration kTrialTurn = std::chrono::seconds(2);
 
 /// @return the ids of all parts but the last, which belongs to one request or session.
 std::string shareablePartIds(const std::vector<PromptPart>& prompt) {
@@ -25,34 +27,63 @@
 
 }  // namespace
 
-/// A request that crashed back ends one after the other is not run. One that may have crashed some is run
-/// where the fewest other requests are at risk, and never by two attempts at once: both could crash a back
-/// end before either crash is known.
+/// A request that crashed back ends one after the other is not run, nor is one with a prompt part that did. A
+/// request that may have crashed some is run where the fewest other requests are at risk, and never by two
+/// attempts at once: both could crash a back end before either crash is known.
 /// @return whether the request may be sent to a back end now; otherwise it is queued or was refused.
 bool Gateway::checkQuarantine(Entry& entry, TimePoint now) {
-  const CrashVerdict verdict = suspects_.judge(entry.fingerprint, now);
-  entry.isolated = verdict.suspicion != Suspicion::none;
-  if (verdict.suspicion == Suspicion::quarantined) {
-    entry.quarantined_until = verdict.quarantined_until;
-    if (isProbing(entry.fingerprint, now)) {
-      entry.cause = RequestCause::quarantined;
+  entry.suspected.clear();
+  entry.quarantined_until = TimePoint{};
+  bool is_probing = false;
+  const auto check = [&](const RequestFingerprint& suspect, bool is_part) {
+    const CrashVerdict verdict = suspects_.judge(suspect, now);
+    if (verdict.suspicion == Suspicion::none) return;
+    entry.suspected.push_back(suspect);
+    const TimePoint release = is_part ? releaseOf(suspect, verdict) : verdict.quarantined_until;
+    if (now >= release) return;
+    entry.quarantined_until = std::max(entry.quarantined_until, release);
+    is_probing = is_probing || isProbing(suspect, now);
+  };
+  check(entry.fingerprint, false);
+  for (const RequestFingerprint& part : entry.parts) check(part, true);
+  if (now < entry.quarantined_until) {
+    entry.cause = RequestCause::quarantined;
+    if (is_probing) {
       wait(entry, now);
-      return false;
+    } else {
+      giveUp(entry, now);
     }
-    giveUpFor(entry, RequestCause::quarantined, now);
     return false;
   }
-  if (!entry.isolated || !hasConcurrentAttempt(entry)) return true;
+  if (entry.suspected.empty() || !hasConcurrentAttempt(entry)) return true;
   entry.cause = RequestCause::runs_already;
   wait(entry, now);
   return false;
 }
 
-/// @return whether another client request with the same fingerprint is at a back end.
+/// After the quarantine of a part, all gateways together try one request with it. The gateways take turns,
+/// each of which is long enough for the others to learn the outcome.
+TimePoint Gateway::releaseOf(const RequestFingerprint& part, const CrashVerdict& verdict) const {
+  const auto rank_of = [&part](std::string_view gateway) {
+    return combineHashes(combineHashes(part.high, part.low), hashBytes(gateway));
+  };
+  const std::uint64_t own_rank = rank_of(snapshot_->own_name);
+  const auto earlier = std::count_if(snapshot_->peers.begin(), snapshot_->peers.end(),
+                                     [&](const PeerGateway& peer) { return rank_of(peer.name) < own_rank; });
+  return verdict.quarantined_until + kTrialTurn * earlier;
+}
+
+/// @return whether another client request that is suspected for the same reason is at a back end.
 bool Gateway::hasConcurrentAttempt(const Entry& entry) {
+  const auto is_same = [&entry](const Entry& other) {
+    return std::any_of(entry.suspected.begin(), entry.suspected.end(), [&other](const auto& suspect) {
+      const auto& parts = other.parts;
+      return suspect == other.fingerprint || std::find(parts.begin(), parts.end(), suspect) != parts.end();
+    });
+  };
   return std::any_of(exchanges_.begin(), exchanges_.end(), [&](const auto& exchange) {
     const Entry* other = findClient(exchange.second);
-    return other != nullptr && other != &entry && other->fingerprint == entry.fingerprint;
+    return other != nullptr && other != &entry && is_same(*other);
   });
 }
 
@@ -62,7 +93,8 @@
   std::vector<EngineSlot> slots;
   for (const auto& [exchange, client] : exchanges_) {
     const Entry* entry = findClient(client);
-    if (entry != nullptr && entry->isolated && !entry->active.relayed) slots.push_back(entry->active.slot);
+    if (entry != nullptr && !entry->suspected.empty() && !entry->active.relayed)
+      slots.push_back(entry->active.slot);
   }
   return slots;
 }
@@ -78,11 +110,30 @@
     if (table_.leavingFor(active.slot, now) < kMinDrainTime) probeUnobservedEnds(entry, active, now);
     return;
   }
-  const CrashEvidence evidence{entry.fingerprint, active.incarnation, active.sent_at, now};
-  if (!suspects_.onCrash(evidence, now)) return;
-  reportSuspected(entry, active, evidence, now);
+  std::vector<CrashEvidence> accused = accusedBy(entry, active);
+  std::erase_if(accused, [&](CrashEvidence& evidence) {
+    evidence.crashed_at = now;
+    return !suspects_.onCrash(evidence, now);
+  });
+  if (accused.empty()) return;
+  reportSuspected(entry, active, accused.front(), now);
   reportConfirmedEnds(now);
-  if (Probe* probe = sendProbe(entry, active, now)) probe->requests.push_back(entry.fingerprint);
+  Probe* probe = sendProbe(entry, active, now);
+  if (probe == nullptr) return;
+  for (const CrashEvidence& evidence : accused) probe->suspects.push_back(evidence.request);
+}
+
+/// A back end that has sent a part of the body is past the point at which a prompt part crashes it.
+/// @return what a crash under the exchange is evidence against, without the time of the crash.
+std::vector<CrashEvidence> Gateway::accusedBy(const Entry& entry, const ActiveExchange& active) const {
+  std::vector<CrashEvidence> accused;
+  accused.push_back({entry.fingerprint, active.incarnation, active.sent_at, {}});
+  if (active.body_began) return accused;
+  std::uint32_t position = 0;
+  for (const RequestFingerprint& part : entry.parts) {
+    accused.push_back({part, active.incarnation, active.sent_at, {}, false, ++position});
+  }
+  return accused;
 }
 
 void Gateway::reportSuspected(const Entry& entry, const ActiveExchange& active, const CrashEvidence& evidence,
@@ -91,7 +142,7 @@
   record.request_id = entry.client.request_id;
   record.backend = entry.last_backend;
   record.parts = shareablePartIds(entry.client.prompt);
-  record.body_began = active.first_byte;
+  record.body_began = active.body_began;
   reportSuspected(std::move(record), evidence, now);
 }
 
@@ -111,17 +162,21 @@
                                   TimePoint now) {
   if (active.exchange == 0 || active.relayed) return;
   observer_.onEndUnobserved({entry.client.request_id, entry.fingerprint, entry.last_backend, cause});
-  UnobservedEnd end;
-  end.request = entry.fingerprint;
-  end.backend = active.incarnation;
-  end.sent_at = active.sent_at;
-  end.ended_at = now;
-  end.by_backend = cause == RequestCause::end_unproven || cause == RequestCause::answer_broke_off;
-  end.request_id = entry.client.request_id;
-  end.backend_name = entry.last_backend;
-  suspects_.onUnobservedEnd(end, now);
+  bool is_suspect = false;
+  for (const CrashEvidence& accused : accusedBy(entry, active)) {
+    UnobservedEnd end;
+    end.request = accused.request;
+    end.backend = active.incarnation;
+    end.sent_at = active.sent_at;
+    end.ended_at = now;
+    end.by_backend = cause == RequestCause::end_unproven || cause == RequestCause::answer_broke_off;
+    end.request_id = entry.client.request_id;
+    end.backend_name = entry.last_backend;
+    end.part_position = accused.part_position;
+    suspects_.onUnobservedEnd(end, now);
+    is_suspect = is_suspect || suspects_.judge(accused.request, now).crashes > 0;
+  }
   reportConfirmedEnds(now);
-  const bool is_suspect = suspects_.judge(entry.fingerprint, now).crashes > 0;
   if (is_suspect) probeUnobservedEnds(entry, active, now);
 }
 
@@ -177,7 +232,8 @@
   const Pool* pool = snapshot_->configuration->findPool(probe.pool);
   if (pool == nullptr || isPartitioned(*pool, now)) return;
   for (const UnobservedEnd& end : probe.unobserved) {
-    const CrashEvidence evidence{end.request, end.backend, end.sent_at, end.ended_at};
+    const CrashEvidence evidence{end.request,  end.backend, end.sent_at,
+                                 end.ended_at, false,       end.part_position};
     if (!suspects_.onCrash(evidence, now)) continue;
     RequestSuspected record;
     record.request_id = end.request_id;
@@ -191,8 +247,8 @@
   return std::any_of(probes_.begin(), probes_.end(), [&](const auto& item) {
     const Probe& sent_probe = item.second;
     const bool pending = now < sent_probe.sent_at + kProbeTimeout;
-    return pending && std::find(sent_probe.requests.begin(), sent_probe.requests.end(), request) !=
-                          sent_probe.requests.end();
+    return pending && std::find(sent_probe.suspects.begin(), sent_probe.suspects.end(), request) !=
+                          sent_probe.suspects.end();
   });
 }
 
@@ -206,7 +262,7 @@
   if (outcome == ProbeOutcome::refused) confirmByProbe(sent_probe, now);
   if (responded && suspects_.onSignOfLife(sent_probe.incarnation, sent_probe.sent_at, now)) {
     const RequestFingerprint request =
-        sent_probe.requests.empty() ? RequestFingerprint{} : sent_probe.requests.front();
+        sent_probe.suspects.empty() ? RequestFingerprint{} : sent_probe.suspects.front();
     observer_.onSuspicionWithdrawn({sent_probe.request_id, request, sent_probe.backend, true});
   }
   serveQueue(now);
@@ -219,9 +275,24 @@
 }
 
 void Gateway::recordCompleteResponse(const Entry& entry, TimePoint now) {
-  if (!suspects_.onCompleteResponse(entry.fingerprint, now)) return;
+  if (suspects_.onCompleteResponse(entry.fingerprint, now)) reportCleared(entry, entry.fingerprint);
+  recordPartsAnswered(entry, now);
+}
+
+void Gateway::recordBodyBegin(Entry& entry, TimePoint now) {
+  if (entry.active.relayed || std::exchange(entry.active.body_began, true)) return;
+  recordPartsAnswered(entry, now);
+}
+
+void Gateway::recordPartsAnswered(const Entry& entry, TimePoint now) {
+  for (const RequestFingerprint& part : entry.parts) {
+    if (suspects_.onPartAnswered(part, now)) reportCleared(entry, part);
+  }
+}
+
+void Gateway::reportCleared(const Entry& entry, const RequestFingerprint& suspect) {
   observer_.onSuspicionWithdrawn(
-      {entry.client.request_id, entry.fingerprint, entry.last_backend, false, entry.active.status});
+      {entry.client.request_id, suspect, entry.last_backend, false, entry.active.status});
 }
 
 }  // namespace crankspur::gateway
--- a/src/gateway/request_fingerprint.h
+++ b/src/gateway/request_fingerprint.h
@@ -30,6 +30,11 @@
 RequestFingerprint fingerprintOf(std::string_view host, std::string_view path, std::string_view tenant,
                                  std::string_view body);
 
+/// Identifies a part of a prompt. Weights are not part of its identity: a part that crashes the software of
+/// the back ends is not acquitted by other weights.
+/// @param tenant whose requests share no cached prefix with others; empty: the part is shared by all tenants.
+RequestFingerprint partFingerprintOf(std::string_view model, std::string_view tenant, std::uint64_t part);
+
 /// @return the fingerprint as 32 hexadecimal digits, the form used in logs.
 std::string toHex(const RequestFingerprint& fingerprint);
 
--- a/src/gateway_control/crash_exchange.cc
+++ b/src/gateway_control/crash_exchange.cc
@@ -27,7 +27,7 @@
   CrashNotes notes;
   for (const CrashEvidence& crash : update.crashes) {
     notes.crashes.push_back({crash.request.high, crash.request.low, crash.backend, age(crash.sent_at, now),
-                             age(crash.crashed_at, now)});
+                             age(crash.crashed_at, now), crash.part_position});
   }
   for (const ClearedRequest& cleared : update.cleared) {
     notes.cleared.push_back({cleared.request.high, cleared.request.low, age(cleared.at, now)});
@@ -44,7 +44,9 @@
     update.crashes.push_back({{crash.request_high, crash.request_low},
                               crash.backend,
                               instant(crash.sent_age_milliseconds, now),
-                              instant(crash.ended_age_milliseconds, now)});
+                              instant(crash.ended_age_milliseconds, now),
+                              false,
+                              crash.part_position});
   }
   for (const ClearedRequestRecord& cleared : notes.cleared) {
     update.cleared.push_back(
--- a/src/internal_protocol/field_mapping.h
+++ b/src/internal_protocol/field_mapping.h
@@ -498,6 +498,7 @@
   archive.number(wire.backend, plain.backend);
   archive.number(wire.sent_age_milliseconds, plain.sent_age_milliseconds);
   archive.number(wire.ended_age_milliseconds, plain.ended_age_milliseconds);
+  archive.number(wire.part_position, plain.part_position);
 }
 
 template <typename Archive, typename Plain>
--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -369,11 +369,12 @@
 /// A back end that failed while it processed a request (gateway/crash_suspects.h). Ages are measured when the
 /// record is sent.
 struct CrashEvidenceRecord {
-  std::uint64_t request_high = 0;  ///< Fingerprint of the request, upper half.
+  std::uint64_t request_high = 0;  ///< Fingerprint of the request or prompt part, upper half.
   std::uint64_t request_low = 0;
   std::uint64_t backend = 0;  ///< Incarnation of the back end.
   std::uint32_t sent_age_milliseconds = 0;
   std::uint32_t ended_age_milliseconds = 0;
+  std::uint32_t part_position = 0;  ///< Of the part in the prompt, from 1 on; 0: the whole request.
 };
 
 /// A request that received a complete response.
--- a/tests/unit/gateway/crash_suspects_gateway_test.cc
+++ b/tests/unit/gateway/crash_suspects_gateway_test.cc
@@ -80,7 +80,10 @@
   CrashFixture fixture;
   CHECK(fixture.attempts("answer", kBody, 1) == 1);
   const CrashUpdate update = fixture.gateway.takeCrashUpdate();
-  REQUIRE(update.crashes.size() == 1);
+  // Evidence against the request, and against the prompt part that it shares with others.
+  REQUIRE(update.crashes.size() == 2);
+  CHECK(update.crashes[0].part_position == 0);
+  CHECK(update.crashes[1].part_position == 1);
   CrashFixture other;
   other.now = fixture.now;
   other.backends = fixture.backends;
@@ -95,7 +98,7 @@
   REQUIRE(fixture.sendBody("answer", kBody));
   fixture.head(200);
   fixture.end();
-  CHECK(fixture.observer.withdrawn.size() == 1);
+  CHECK(fixture.observer.withdrawn.size() == 2);  // That against its shared prompt part as well.
   CHECK(fixture.attempts("answer", kBody, 8) == 3);
 }
 
--- a/tests/unit/gateway/poison_part_test.cc
+++ b/tests/unit/gateway/poison_part_test.cc
@@ -8,6 +8,7 @@
 
 using namespace crankspur;
 using namespace crankspur::gateway;
+using std::chrono::minutes;
 
 namespace {
 
@@ -150,3 +151,58 @@
     fixture.now += milliseconds(400);
   }
 }
+
+TEST_CASE("a part is known at a gateway that only received the evidence of another one",
+          "[gateway][poison_part]") {
+  PartFixture fixture;
+  fixture.sendPoison(12);
+  PartFixture other;
+  other.now = fixture.now;
+  other.gateway.onCrashUpdate(fixture.gateway.takeCrashUpdate(), other.now);
+  CHECK(other.sendParts({kSharedPart, kPoisonPart}).exchange == 0);
+  CHECK(other.sendParts({kSharedPart, kSoundPart}).exchange != 0);
+}
+
+// Each gateway would otherwise try one request as soon as the quarantine is over.
+TEST_CASE("after the quarantine of a part one gateway tries it at a time", "[gateway][poison_part]") {
+  PartFixture fixture;
+  fixture.sendPoison(4);
+  const CrashUpdate evidence = fixture.gateway.takeCrashUpdate();
+  std::size_t dispatched = 0;
+  for (int number = 1; number <= 7; ++number) {
+    PartFixture gateway;
+    gateway.own_name = "gateway-" + std::to_string(number);
+    for (int peer = 1; peer <= 7; ++peer) {
+      const std::string name = "gateway-" + std::to_string(peer);
+      if (peer != number) gateway.peers.push_back({name, "10.1.0." + std::to_string(peer) + ":80", "here"});
+    }
+    gateway.now = fixture.now;
+    gateway.publish();
+    gateway.gateway.onCrashUpdate(evidence, gateway.now);
+    CHECK(gateway.sendParts({kSharedPart, kPoisonPart}).exchange == 0);
+    gateway.now += minutes(1);
+    for (int count = 0; count < 3; ++count) {
+      dispatched += gateway.sendParts({kSharedPart, kPoisonPart}).exchange != 0 ? 1 : 0;
+    }
+  }
+  CHECK(dispatched == 1);
+}
+
+TEST_CASE("a request that waits for an engine when its part becomes known is not sent",
+          "[gateway][poison_part]") {
+  PartFixture fixture;
+  fixture.sendPoison(3);
+  for (Backend& backend : fixture.backends) backend.view.state = EngineState::Ejected;
+  fixture.publish();
+  fixture.takeActions();
+  CHECK(fixture.sendParts({kSharedPart, kPoisonPart}).exchange == 0);
+  PartFixture other;
+  other.now = fixture.now;
+  other.sendPoison(4);
+  fixture.gateway.onCrashUpdate(other.gateway.takeCrashUpdate(), fixture.now);
+  for (Backend& backend : fixture.backends) backend.view.state = EngineState::Live;
+  fixture.publish();
+  fixture.takeActions();
+  CHECK_FALSE(fixture.has<Dispatch>());
+  CHECK(fixture.only<Refuse>().cause == RequestCause::quarantined);
+}
--- a/tests/unit/internal_protocol/example_messages.cc
+++ b/tests/unit/internal_protocol/example_messages.cc
@@ -200,8 +200,9 @@
 }
 
 std::string describeFields(const CrashEvidenceRecord& value) {
-  return fmt::format("CrashEvidenceRecord {} {} {} {} {}", value.request_high, value.request_low,
-                     value.backend, value.sent_age_milliseconds, value.ended_age_milliseconds);
+  return fmt::format("CrashEvidenceRecord {} {} {} {} {} {}", value.request_high, value.request_low,
+                     value.backend, value.sent_age_milliseconds, value.ended_age_milliseconds,
+                     value.part_position);
 }
 
 std::string describeFields(const ClearedRequestRecord& value) {
@@ -693,7 +694,7 @@
                       ~0u - 130,
                       ~0u - 131,
                       true},
-          CrashNotes{{CrashEvidenceRecord{~0ull - 132, ~0ull - 133, ~0ull - 134, ~0u - 135, ~0u - 136},
+          CrashNotes{{CrashEvidenceRecord{~0ull - 132, ~0ull - 133, ~0ull - 134, ~0u - 135, ~0u - 136, 3},
                       CrashEvidenceRecord{}},
                      {ClearedRequestRecord{~0ull - 137, ~0ull - 138, ~0u - 139}},
                      {LivingBackendRecord{~0ull - 140, ~0u - 141}}},
