--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -158,7 +158,8 @@
   }
 }
 
-// A gateway that knew that most engines did not respond overloaded the few others, and refused what it could have relayed.
+// A gateway that knew that most engines did not respond overloaded the few others, and refused what it could
+// have relayed.
 TEST_CASE("callers of gateways that are partitioned from the engines are served through the other gateways",
           "[sim]") {
   for (const std::uint64_t seed : {1, 25, 56, 67, 79}) {
