Retry a relayed request that a back end here may have run

A gateway that is partitioned from most back ends refuses relayed requests at once, so that the sender can try another one. It did so as well with a request whose back end had crashed, which it failed as possibly run (502). The test failed before.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -216,8 +216,9 @@
   if (!cause && seemsOutOfReach(*choice.backend, *entry.pool, now)) {
     entry.cause = RequestCause::back_end_unreachable;
     if (relay(entry, now)) return limits_.refund(choice.backend->view.incarnation, now);
-    // The gateway that relayed it can try another one.
-    if (entry.from_peer && isPartitioned(*entry.pool, now)) cause = entry.cause;
+    // The gateway that relayed it can try another one, unless a back end here may have run it.
+    const bool returnable = entry.from_peer && !entry.may_have_arrived && !entry.may_have_run;
+    if (returnable && isPartitioned(*entry.pool, now)) cause = entry.cause;
   }
   if (cause) {
     limits_.refund(choice.backend->view.incarnation, now);
--- a/tests/unit/gateway/gateway_relay_test.cc
+++ b/tests/unit/gateway/gateway_relay_test.cc
@@ -222,4 +222,22 @@
   CHECK(relayed >= 10);
 }
 
+// It was failed as possibly run, since the gateway refused it as one that another gateway could take.
+TEST_CASE("a relayed request whose back end crashed is retried while most back ends are out of reach",
+          "[gateway][partition]") {
+  GatewayFixture fixture;
+  for (const EngineSlot slot : {5U, 6U}) fixture.backends.push_back(makeBackend(slot, "app"));
+  for (const std::size_t index : {1U, 4U}) fixture.backends[index].unresponsive_since = fixture.now;
+  fixture.backends[0].answers_calls = true;
+  fixture.publish();
+  fixture.now += seconds(2);
+  IncomingRequest incoming = GatewayFixture::request("look");
+  incoming.from_peer = true;
+  fixture.send(incoming);
+  REQUIRE(fixture.has<Dispatch>());
+  fixture.breakExchange(true);
+  CHECK(fixture.has<Dispatch>());
+  CHECK_FALSE(fixture.has<Refuse>());
+}
+
 }  // namespace crankspur::gateway
