--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -169,6 +169,14 @@
   }
 }
 
+// When the partition ends, the gateway reads bytes that an engine had sent before it crashed, and takes them
+// for a sign of life.
+TEST_CASE("a gateway whose partition ends withdraws no true evidence of a crash", "[sim]") {
+  const RunResult result = runOne(163, "gateway_partitions");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
 TEST_CASE("each checker finds the absence of its mechanism", "[sim]") {
   struct Removal {
     Mechanism mechanism;
