Log what back ends state of themselves: pauses and departures

Cause: a back end that rejects a request may state for how long it wants no others, and one that leaves says so in all responses. Nothing read either, so that no line could tell which back end had asked for what, or what it got meanwhile. Change: the dialect reads both; BackendNotices keeps them by incarnation; events 1235 to 1237, fields of event 1221 and five counters show them. No decision uses them yet. Result: see the tests of header_dialect; behaviour unchanged.

--- a/sim/gateway_world/suspicion_trace.h
+++ b/sim/gateway_world/suspicion_trace.h
@@ -21,6 +21,9 @@
   void onBackendLimitChanged(const gateway::BackendLimitChanged&) override {}
   void onRelayed(const gateway::RequestRelayed&) override {}
   void onBackendLimitInvalid(const gateway::BackendLimitInvalid&) override {}
+  void onBackendPaused(const gateway::BackendPaused&) override {}
+  void onBackendPauseInvalid(const gateway::BackendPauseInvalid&) override {}
+  void onBackendLeaving(const gateway::BackendLeaving&) override {}
   void onDistrusted(const gateway::BackendDistrusted&) override {}
   void onSuspected(const gateway::RequestSuspected& record) override {
     context_.trace.note(host_.name(), "suspects {}: {} crashes, the last at {}, {} for {:.3f} s",
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -57,6 +57,11 @@
   /// Requests per second that the back end takes from all gateways together; empty: it names no limit.
   std::optional<double> requests_per_second;
   std::string invalid_limit;  ///< A limit that is no positive number; empty: none.
+  /// Time for which the back end, which rejected the request, wants no others from this gateway; empty: it
+  /// states none.
+  std::optional<Duration> pause;
+  std::string invalid_pause;  ///< A pause that is no number of seconds; empty: none.
+  bool leaving = false;       ///< The back end is about to end.
   /// Set by the driver, not by the dialect.
   http::BodyFraming framing = http::BodyFraming::Chunked;
   bool out_of_reach = false;  ///< Another gateway refused it since it reaches no back end. Set by the driver.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -45,6 +45,7 @@
 
 void Gateway::onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot, TimePoint now) {
   updateListedLimits(*snapshot, now);
+  notices_.onSnapshot(*snapshot, now);
   snapshot_ = std::move(snapshot);
   table_.onSnapshot(*snapshot_, now);
   choice_.onSnapshot(*snapshot_);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -16,6 +16,7 @@
 #include "admission/fleet_quotas.h"
 #include "base/random.h"
 #include "gateway/backend_limits.h"
+#include "gateway/backend_notices.h"
 #include "gateway/backend_table.h"
 #include "gateway/crash_suspects.h"
 #include "gateway/engine_choice.h"
@@ -282,6 +283,11 @@
   void reportEnded(const Entry& entry, RequestOutcome outcome, int status, Duration retry_after,
                    TimePoint now);
 
+  // What back ends state of themselves (gateway_notices.cc).
+  void recordStatements(const Entry& entry, const BackendResponse& response, TimePoint now);
+  void recordPause(const Entry& entry, const BackendResponse& response, TimePoint now);
+  void recordDeparture(const Entry& entry, const BackendResponse& response, TimePoint now);
+
   // Limits that back ends name (gateway_limits.cc).
   void recordLimit(const Entry& entry, const BackendResponse& response, TimePoint now);
   void recordReportedLimits(const LoadDigest& digest, TimePoint now);
@@ -332,6 +338,7 @@
   WeightsClock weights_;
   FleetQuotas quotas_;
   BackendLimits limits_;
+  BackendNotices notices_;
   CrashSuspects suspects_;
   StreamOriginTable origins_;
   std::set<ClientId> awaiting_origin_;  ///< Requests that wait for answers of other gateways.
--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -78,6 +78,8 @@
   record.in_flight = table_.inFlight(backend.slot);
   record.passed_over = entry.passed_over;
   record.backend_limit = limits_.limitOf(backend.incarnation);
+  record.backend_paused = notices_.pausedFor(backend.incarnation, now);
+  record.backend_leaving = notices_.isLeaving(backend.incarnation);
   record.prompt_tokens = entry.client.prompt_tokens;
   record.uncached_tokens = choice.uncached_tokens;
   record.shared_tokens_again = choice.shared_tokens_again;
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -52,7 +52,7 @@
   // incarnation to which the request was sent is live.
   const bool is_other_incarnation = response.wrong_backend && !response.weights_version;
   if (!is_other_incarnation) recordSignOfLife(*entry, now);
-  recordLimit(*entry, response, now);
+  recordStatements(*entry, response, now);
   if (response.not_run || response.wrong_backend) return onNotRun(*entry, status, response, now);
   if (response.weights_version) {
     choice_.onWeights(active.slot, active.incarnation, entry->client.model, *response.weights_version);
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -14,6 +14,9 @@
   void onOverQuota(const RequestOverQuota&) override {}
   void onBackendLimitChanged(const BackendLimitChanged&) override {}
   void onBackendLimitInvalid(const BackendLimitInvalid&) override {}
+  void onBackendPaused(const BackendPaused&) override {}
+  void onBackendPauseInvalid(const BackendPauseInvalid&) override {}
+  void onBackendLeaving(const BackendLeaving&) override {}
   void onDistrusted(const BackendDistrusted&) override {}
   void onSuspected(const RequestSuspected&) override {}
   void onSuspicionWithdrawn(const SuspicionWithdrawn&) override {}
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -108,6 +108,8 @@
   std::uint32_t in_flight = 0;    ///< Requests of this gateway already at the back end.
   std::uint32_t passed_over = 0;  ///< Back ends that were not compared because their limits had no room.
   double backend_limit = 0;       ///< Requests per second that the back end names; 0: no limit is in force.
+  Duration backend_paused{0};     ///< Time for which the back end still wants no requests; 0: it takes them.
+  bool backend_leaving = false;   ///< The back end stated that it is about to end.
   std::uint32_t prompt_tokens = 0;
   std::uint32_t uncached_tokens = 0;      ///< Expected to be prefilled; imported tokens are not counted.
   std::uint32_t shared_tokens_again = 0;  ///< To be prefilled although cached at some back end.
@@ -249,6 +251,31 @@
   std::string_view text;
 };
 
+/// A back end rejected a request and wants no others from this gateway for some time. Reported for each
+/// response that prolongs that time.
+struct BackendPaused {
+  std::string_view request_id;
+  std::string_view backend;
+  int status = 0;
+  Duration asked{0};            ///< As stated.
+  Duration paused_for{0};       ///< It gets no requests for this time.
+  std::uint32_t in_flight = 0;  ///< Requests of this gateway at the back end.
+};
+
+/// A back end stated a pause that is no number of seconds. Reported once for each text.
+struct BackendPauseInvalid {
+  std::string_view backend;
+  std::string_view text;
+};
+
+/// A back end stated in a response, for the first time, that it is about to end.
+struct BackendLeaving {
+  std::string_view request_id;
+  std::string_view backend;
+  int status = 0;
+  bool listed_as_leaving = false;  ///< The list of back ends says so too.
+};
+
 /// Is notified of decisions, on the thread that makes them. Views in records are valid only during the call.
 class RequestObserver {
 public:
@@ -266,6 +293,9 @@
   virtual void onEndUnobserved(const EndUnobserved& record) = 0;
   virtual void onBackendLimitChanged(const BackendLimitChanged& record) = 0;
   virtual void onBackendLimitInvalid(const BackendLimitInvalid& record) = 0;
+  virtual void onBackendPaused(const BackendPaused& record) = 0;
+  virtual void onBackendPauseInvalid(const BackendPauseInvalid& record) = 0;
+  virtual void onBackendLeaving(const BackendLeaving& record) = 0;
 };
 
 /// @return an observer that does nothing.
--- a/src/gateway_process/gateway_metrics.cc
+++ b/src/gateway_process/gateway_metrics.cc
@@ -56,6 +56,16 @@
                                 "Ends that may hide a crash of the back end, by cause.")),
       invalid_limits_(
           counter("backend_limits_invalid_total", "Limits of back ends that are no positive number.")),
+      backends_paused_(counter("backend_pauses_total",
+                               "Responses in which a back end asked for no requests for some time.")),
+      invalid_pauses_(
+          counter("backend_pauses_invalid_total", "Pauses of back ends that are no number of seconds.")),
+      departures_stated_(
+          counter("backend_departures_stated_total", "Back ends that stated in a response that they leave.")),
+      sent_while_paused_(
+          counter("sent_while_paused_total", "Requests sent to a back end that had asked for none.")),
+      sent_after_departure_(counter("sent_after_departure_total",
+                                    "Requests sent to a back end that had stated that it leaves.")),
       relayed_(counter("relayed_total", "Requests relayed to another gateway, by attempt.")),
       prompt_tokens_(counter("prompt_tokens_total", "Prompt tokens of dispatches.")),
       uncached_tokens_(counter("uncached_tokens_total", "Of these, expected to be read by the engine.")),
@@ -110,6 +120,8 @@
 
 void GatewayMetrics::onPlaced(const RequestPlaced& record) {
   dispatches_.Increment();
+  if (record.backend_paused > Duration(0)) sent_while_paused_.Increment();
+  if (record.backend_leaving) sent_after_departure_.Increment();
   if (record.dispatch > 1) retries_.Increment();
   if (record.backend_limit > 0) {
     limited_requests_.Add({{"backend", std::string(record.backend)}}).Increment();
@@ -178,6 +190,18 @@
   invalid_limits_.Increment();
 }
 
+void GatewayMetrics::onBackendPaused(const BackendPaused&) {
+  backends_paused_.Increment();
+}
+
+void GatewayMetrics::onBackendPauseInvalid(const BackendPauseInvalid&) {
+  invalid_pauses_.Increment();
+}
+
+void GatewayMetrics::onBackendLeaving(const BackendLeaving&) {
+  departures_stated_.Increment();
+}
+
 void GatewayMetrics::onRelayed(const RequestRelayed&) {
   relayed_.Increment();
 }
--- a/src/gateway_process/gateway_metrics.h
+++ b/src/gateway_process/gateway_metrics.h
@@ -43,6 +43,9 @@
   void onBackendLimitChanged(const BackendLimitChanged& record) override;
   void onBackendLimitInvalid(const BackendLimitInvalid& record) override;
   void onRelayed(const RequestRelayed& record) override;
+  void onBackendPaused(const BackendPaused& record) override;
+  void onBackendPauseInvalid(const BackendPauseInvalid& record) override;
+  void onBackendLeaving(const BackendLeaving& record) override;
 
   /// Sets the number of back ends in `state` in the last published list.
   void setBackends(std::string_view state, std::size_t count);
@@ -68,6 +71,11 @@
   prometheus::Counter& suspicions_withdrawn_;
   prometheus::Family<prometheus::Counter>& unobserved_ends_;
   prometheus::Counter& invalid_limits_;
+  prometheus::Counter& backends_paused_;
+  prometheus::Counter& invalid_pauses_;
+  prometheus::Counter& departures_stated_;
+  prometheus::Counter& sent_while_paused_;
+  prometheus::Counter& sent_after_departure_;
   prometheus::Counter& relayed_;
   prometheus::Counter& prompt_tokens_;
   prometheus::Counter& uncached_tokens_;
--- a/src/gateway_process/observer_pair.h
+++ b/src/gateway_process/observer_pair.h
@@ -62,6 +62,18 @@
     first_.onBackendLimitInvalid(record);
     second_.onBackendLimitInvalid(record);
   }
+  void onBackendPaused(const BackendPaused& record) override {
+    first_.onBackendPaused(record);
+    second_.onBackendPaused(record);
+  }
+  void onBackendPauseInvalid(const BackendPauseInvalid& record) override {
+    first_.onBackendPauseInvalid(record);
+    second_.onBackendPauseInvalid(record);
+  }
+  void onBackendLeaving(const BackendLeaving& record) override {
+    first_.onBackendLeaving(record);
+    second_.onBackendLeaving(record);
+  }
 
 private:
   RequestObserver& first_;
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -75,6 +75,8 @@
               {"in_flight", record.in_flight},
               {"passed_over", record.passed_over},
               {"backend_limit", fmt::format("{:.2f}", record.backend_limit)},
+              {"backend_paused_ms", milliseconds(record.backend_paused)},
+              {"backend_leaving", record.backend_leaving},
               {"uncached_tokens", record.uncached_tokens},
               {"shared_part", fmt::format("{:x}", record.shared_part)},
               {"shared_tokens", record.shared_tokens},
@@ -174,6 +176,26 @@
   log_.write(EventId::GatewayBackendLimitInvalid, {{"backend", record.backend}, {"limit", record.text}});
 }
 
+void RequestLog::onBackendPaused(const BackendPaused& record) {
+  log_.write(EventId::GatewayBackendPaused, {{"backend", record.backend},
+                                             {"request_id", record.request_id},
+                                             {"status", record.status},
+                                             {"asked_ms", milliseconds(record.asked)},
+                                             {"paused_ms", milliseconds(record.paused_for)},
+                                             {"in_flight", record.in_flight}});
+}
+
+void RequestLog::onBackendPauseInvalid(const BackendPauseInvalid& record) {
+  log_.write(EventId::GatewayBackendPauseInvalid, {{"backend", record.backend}, {"pause", record.text}});
+}
+
+void RequestLog::onBackendLeaving(const BackendLeaving& record) {
+  log_.write(EventId::GatewayBackendLeaving, {{"backend", record.backend},
+                                              {"request_id", record.request_id},
+                                              {"status", record.status},
+                                              {"listed_as_leaving", record.listed_as_leaving}});
+}
+
 void RequestLog::onDistrusted(const BackendDistrusted& record) {
   log_.write(EventId::GatewayBackendDistrusted, {{"backend", record.backend},
                                                  {"cause", nameOf(record.cause)},
--- a/src/gateway_process/request_log.h
+++ b/src/gateway_process/request_log.h
@@ -6,7 +6,7 @@
 
 namespace crankspur::gateway {
 
-/// Writes events 1220 to 1230.
+/// Writes events 1220 to 1237.
 class RequestLog : public RequestObserver {
 public:
   /// @param log must outlive this object and never block.
@@ -26,6 +26,9 @@
   void onBackendLimitChanged(const BackendLimitChanged& record) override;
   void onRelayed(const RequestRelayed& record) override;
   void onBackendLimitInvalid(const BackendLimitInvalid& record) override;
+  void onBackendPaused(const BackendPaused& record) override;
+  void onBackendPauseInvalid(const BackendPauseInvalid& record) override;
+  void onBackendLeaving(const BackendLeaving& record) override;
 
 private:
   EventLog& log_;
--- a/tests/unit/gateway/gateway_fixture.h
+++ b/tests/unit/gateway/gateway_fixture.h
@@ -104,6 +104,11 @@
   void onBackendLimitInvalid(const BackendLimitInvalid& record) override {
     invalid_limits.emplace_back(record.text);
   }
+  void onBackendPaused(const BackendPaused& record) override { paused.push_back(record); }
+  void onBackendPauseInvalid(const BackendPauseInvalid& record) override {
+    invalid_pauses.emplace_back(record.text);
+  }
+  void onBackendLeaving(const BackendLeaving& record) override { leaving.emplace_back(record.backend); }
 
   // Views in the records are invalid after the call; strings that tests compare are copied.
   std::vector<std::string> admitted;
@@ -122,6 +127,9 @@
   std::vector<RequestCause> unobserved;
   std::vector<BackendLimitChanged> limits;
   std::vector<std::string> invalid_limits;
+  std::vector<BackendPaused> paused;
+  std::vector<std::string> invalid_pauses;
+  std::vector<std::string> leaving;
 };
 
 class GatewayFixture {
--- a/tests/unit/platform/header_dialect_test.cc
+++ b/tests/unit/platform/header_dialect_test.cc
@@ -134,3 +134,35 @@
     CHECK(read(invalid).invalid_limit == invalid);
   }
 }
+
+// A pause in a form that is not read would be taken for none, and the back end be tried again at once.
+TEST_CASE("a pause of a rejection is a number of seconds, anything else is reported as invalid",
+          "[header_dialect][backend_notices]") {
+  const HeaderDialect dialect;
+  const auto read = [&dialect](int status, const std::string& pause) {
+    const http::Response head{status, {{"Attempt-Id", "r1"}, {"Retry-After", pause}}, ""};
+    return dialect.readResponse(head, "r1");
+  };
+  CHECK(read(503, "3").pause == Duration(3s));
+  CHECK(read(503, " 0.25 ").pause == Duration(250ms));
+  CHECK(read(503, "0").pause == Duration(0));
+  CHECK(read(503, "1000000000000000000000").pause > Duration(24h));
+  for (const std::string invalid :
+       {"-3", "soon", "1e9", "nan", "inf", "3 s", "Fri, 04 Dec 2026 10:00:00 GMT"}) {
+    INFO(invalid);
+    CHECK_FALSE(read(503, invalid).pause);
+    CHECK(read(503, invalid).invalid_pause == invalid);
+  }
+  CHECK_FALSE(read(503, "").invalid_pause.empty());
+  CHECK_FALSE(read(429, "3").pause);
+  CHECK_FALSE(dialect.readResponse({503, {}, ""}, "r1").pause);
+  CHECK(dialect.readResponse({503, {}, ""}, "r1").invalid_pause.empty());
+}
+
+TEST_CASE("a runner states in any response that it leaves", "[header_dialect][backend_notices]") {
+  const HeaderDialect dialect;
+  const int status = GENERATE(200, 421, 500, 503);
+  CHECK(dialect.readResponse({status, {{"Server-Leaving", "1"}}, ""}, "r1").leaving);
+  CHECK_FALSE(dialect.readResponse({status, {{"Server-Leaving", "0"}}, ""}, "r1").leaving);
+  CHECK_FALSE(dialect.readResponse({status, {}, ""}, "r1").leaving);
+}
