Send nothing to a back end that asked for a pause until it ends

Callers saw refusals of back ends that had asked for 3 s without requests, and were told to return after a sixth of a second. Cause: the time that a back end states with a rejection was not read. The gateway's own backoff of 60 ms held, doubled up to 0.96 s, and any first byte ended it. Class: a wish that its author stated is replaced by an estimate of our own. Placement asks one function whether a back end accepts requests, for pauses and limits alike, on every way to a back end; unlike ill health a pause has no exception. A request whose connection is still being opened is recalled, which no longer counts as a failed connection. After the pause a back end gets few requests at first. Once all back ends of a route are paused, requests are refused at once with the time until the first pause ends. A partitioned gateway whose back ends in reach are all limited or paused relays before it refuses.

--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -81,6 +81,13 @@
   }
 }
 
+void BackendTable::onPaused(EngineSlot slot, std::uint64_t incarnation, TimePoint until) {
+  State& state = states_[slot];
+  if (state.incarnation != incarnation) return;
+  state.limit = std::max(state.in_flight / 2, 1U);
+  state.limited_at = until;
+}
+
 void BackendTable::recordOutcome(State& state, bool failed, TimePoint now) {
   state.failed_share += kFailureSmoothing * ((failed ? 1.0 : 0.0) - state.failed_share);
   ++state.outcomes;
@@ -108,7 +115,8 @@
   if (state == nullptr) return true;
   if (now < state->full_until) return false;
   if (state->limit > 0) {
-    const auto recovered = static_cast<std::uint32_t>((now - state->limited_at) / kLimitRecovery);
+    const Duration time = std::max(Duration(0), now - state->limited_at);
+    const auto recovered = static_cast<std::uint32_t>(time / kLimitRecovery);
     if (state->in_flight >= state->limit + recovered) return false;
   }
   if (pool.max_connections > 0) {
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -32,6 +32,9 @@
   void onDispatch(EngineSlot slot);
   /// @param incarnation that the dispatch was sent to; the outcome counts only if it is the current one.
   void onOutcome(EngineSlot slot, std::uint64_t incarnation, DispatchOutcome outcome, TimePoint now);
+  /// The back end gets no requests until the given time. From then on it gets at first as many as half of
+  /// those that it has now, since other gateways return to it at the same time.
+  void onPaused(EngineSlot slot, std::uint64_t incarnation, TimePoint until);
   /// Records the time to the first byte of a response.
   /// @param taken from dispatch to the first byte.
   /// @param expected the estimate made at the dispatch.
@@ -61,8 +64,10 @@
     std::uint64_t incarnation = 0;
     EngineHealth health;
     std::uint32_t in_flight = 0;
-    std::uint32_t limit = 0;  ///< One less than the requests in flight at its last refusal; 0: none.
-    TimePoint limited_at{};
+    /// Of the requests in flight, since its last refusal: one less than it had then, or half of them if it
+    /// paused. 0: none.
+    std::uint32_t limit = 0;
+    TimePoint limited_at{};  ///< From when on the limit rises.
     TimePoint full_until{};
     std::uint32_t refusals = 0;  ///< Consecutive refusals because it was at capacity.
     TimePoint leaving_since{};   ///< TimePoint{}: it is not leaving.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -186,13 +186,13 @@
 /// Chooses from the pool selected by the route's shares. If no back end of it is eligible, tries the other
 /// pools of the route.
 Choice Gateway::choose(Entry& entry, TimePoint now) {
-  entry.passed_over = 0;
-  Choice choice = chooseWithinLimits(entry, *entry.pool, now);
+  entry.passed_over = {};
+  Choice choice = chooseAccepting(entry, *entry.pool, now);
   if (choice.backend != nullptr || choice.at_capacity) return choice;
   for (const PoolShare& share : entry.route->pools) {
     const Pool* other = entry.configuration->findPool(share.pool);
     if (other == nullptr || other == entry.pool || share.weight == 0) continue;
-    Choice second = chooseWithinLimits(entry, *other, now);
+    Choice second = chooseAccepting(entry, *other, now);
     if (second.backend == nullptr) continue;
     entry.pool = other;
     return second;
@@ -206,12 +206,7 @@
   if (isPartitioned(*entry.pool, now)) probeReach(*entry.pool, now);
   const Choice choice = choose(entry, now);
   if (choice.backend == nullptr) {
-    if (entry.passed_over > 0 && !choice.at_capacity) {
-      return giveUpFor(entry, RequestCause::back_ends_limited, now);
-    }
-    entry.cause = choice.at_capacity ? RequestCause::back_ends_full : RequestCause::no_back_end;
-    if (!relay(entry, now)) wait(entry, now);
-    return;
+    return placeLater(entry, choice.at_capacity, now);
   }
   std::optional<RequestCause> cause = reasonNotToDispatch(entry, choice, now);
   if (!cause && seemsOutOfReach(*choice.backend, *entry.pool, now)) {
@@ -230,6 +225,22 @@
   dispatch(entry, choice, now);
 }
 
+/// No back end takes the request now. It is queued while one may within a short time, which back ends that
+/// are paused or limited do not.
+void Gateway::placeLater(Entry& entry, bool at_capacity, TimePoint now) {
+  const PassedOver& passed_over = entry.passed_over;
+  const bool waits = at_capacity || passed_over.backends == 0;
+  if (waits) {
+    entry.cause = at_capacity ? RequestCause::back_ends_full : RequestCause::no_back_end;
+  } else {
+    const bool only_paused = passed_over.paused == passed_over.backends;
+    entry.cause = only_paused ? RequestCause::back_ends_paused : RequestCause::back_ends_limited;
+  }
+  if (relay(entry, now)) return;
+  if (waits) return wait(entry, now);
+  giveUp(entry, now);
+}
+
 /// @return why the request cannot be served in time; empty: it can.
 std::optional<RequestCause> Gateway::reasonNotToDispatch(Entry& entry, const Choice& choice,
                                                          TimePoint now) const {
@@ -365,17 +376,20 @@
 /// Random around half of the first-byte target, so that clients refused at the same time do not retry at the
 /// same time. If queues are too long, also the time until they are expected to be short enough. For a
 /// quarantined request, the time left of the quarantine. None for a stream that can never go on. If limits of
-/// back ends are used up, around the time until one has room.
+/// back ends are used up, around the time until one has room. While all back ends are paused, also the time
+/// until the first pause ends.
 Duration Gateway::retryAfter(const Entry& entry, TimePoint now) {
   if (entry.cause == RequestCause::quarantined) return entry.quarantined_until - now;
   if (entry.cause == RequestCause::build_gone) return Duration(0);
-  Duration mean = std::max(entry.time_to_room, kMinRetryAfter);
-  if (entry.cause != RequestCause::back_ends_limited) {
-    const Duration target = entry.route->first_byte_target;
-    const Duration excess = std::max(Duration(0), entry.expected_wait - target);
-    mean = std::clamp(target / 2, kMinRetryAfter, kMaxRetryAfter) + excess;
-  }
-  return Duration(static_cast<std::int64_t>(static_cast<double>(mean.count()) * (0.5 + random_.unit())));
+  const auto spread = [this](Duration mean) {
+    return Duration(static_cast<std::int64_t>(static_cast<double>(mean.count()) * (0.5 + random_.unit())));
+  };
+  if (entry.cause == RequestCause::back_ends_limited)
+    return spread(std::max(entry.passed_over.time_left, kMinRetryAfter));
+  const Duration target = entry.route->first_byte_target;
+  const Duration excess = std::max(Duration(0), entry.expected_wait - target);
+  const Duration usual = spread(std::clamp(target / 2, kMinRetryAfter, kMaxRetryAfter) + excess);
+  return pauseOfRoute(entry, now) + usual;
 }
 
 void Gateway::finish(Entry& entry) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -150,6 +150,12 @@
       return {framing, isInsideEvent()};
     }
   };
+  /// Back ends of a pool that were not compared for a request.
+  struct PassedOver {
+    std::uint32_t backends = 0;
+    std::uint32_t paused = 0;  ///< The others' limits have no room.
+    Duration time_left{0};     ///< Until the first of them takes requests again.
+  };
   /// A client request in progress.
   struct Entry {
     ClientId id = 0;
@@ -173,8 +179,7 @@
     std::vector<RequestFingerprint> suspected;
     TimePoint quarantined_until{};       ///< Set when a quarantine prevents its dispatch.
     Duration expected_wait{0};           ///< At the best back end, if that is why it was refused.
-    std::uint32_t passed_over = 0;       ///< Back ends whose limits had no room at the last placement.
-    Duration time_to_room{0};            ///< Until the first of these limits has room.
+    PassedOver passed_over;              ///< At the last placement.
     std::uint32_t backends_reached = 0;  ///< Limited by the route's max_attempts.
     std::uint32_t dispatches = 0;
     bool waiting = false;  ///< Queued for a back end with capacity.
@@ -214,6 +219,7 @@
   bool wouldStartTooLate(const Entry& entry, const Choice& choice, TimePoint now) const;
   Choice choose(Entry& entry, TimePoint now);
   ChoiceRequest choiceRequest(const Entry& entry, const Pool& pool, TimePoint now);
+  void placeLater(Entry& entry, bool at_capacity, TimePoint now);
   void wait(Entry& entry, TimePoint now);
   void serveQueue(TimePoint now);
   void dispatch(Entry& entry, const Choice& choice, TimePoint now);
@@ -287,6 +293,10 @@
   void recordStatements(const Entry& entry, const BackendResponse& response, TimePoint now);
   void recordPause(const Entry& entry, const BackendResponse& response, TimePoint now);
   void recordDeparture(const Entry& entry, const BackendResponse& response, TimePoint now);
+  Choice chooseAccepting(Entry& entry, const Pool& pool, TimePoint now);
+  bool acceptsRequests(const Backend& backend, TimePoint now);
+  void passOver(Entry& entry, const Backend& backend, TimePoint now);
+  Duration pauseOfRoute(const Entry& entry, TimePoint now) const;
 
   // Limits that back ends name (gateway_limits.cc).
   void recordLimit(const Entry& entry, const BackendResponse& response, TimePoint now);
@@ -294,8 +304,6 @@
   void updateListedLimits(const GatewaySnapshot& next, TimePoint now);
   void reportLimit(const GatewaySnapshot* snapshot, std::uint64_t incarnation, const LimitChange& change,
                    std::string_view source, TimePoint now);
-  Choice chooseWithinLimits(Entry& entry, const Pool& pool, TimePoint now);
-  void passOver(Entry& entry, const Backend& backend, TimePoint now);
 
   // Responses and failures (gateway_responses.cc).
   Entry* findExchange(ExchangeId exchange);
@@ -327,6 +335,9 @@
   void withdraw(Entry& entry, TimePoint now);
   void recheckUnresponsiveBackends(TimePoint now);
   void recallFromLeavingBackends();
+  void recallFromPausedBackend(std::uint64_t incarnation);
+  void recall(ActiveExchange& active);
+  void onRecalled(Entry& entry, TimePoint now);
 
   GatewaySettings settings_;
   RandomSource random_;
--- a/src/gateway/gateway_limits.cc
+++ b/src/gateway/gateway_limits.cc
@@ -1,7 +1,5 @@
 /// @file Member functions of Gateway for the limits of requests per second that back ends name.
 
-#include <algorithm>
-
 #include "gateway/gateway.h"
 
 namespace crankspur::gateway {
@@ -53,29 +51,4 @@
   }
 }
 
-/// Chooses among the back ends whose limits have room. The request counts towards the limit of the chosen
-/// one.
-Choice Gateway::chooseWithinLimits(Entry& entry, const Pool& pool, TimePoint now) {
-  ChoiceRequest request = choiceRequest(entry, pool, now);
-  if (!limits_.any()) return choice_.choose(request, *snapshot_, table_, now);
-  for (const Backend& backend : snapshot_->backends) {
-    if (backend.view.pool != pool.name || limits_.hasRoom(backend.view.incarnation, now)) continue;
-    request.excluded.push_back(backend.view.slot);
-    passOver(entry, backend, now);
-  }
-  Choice choice = choice_.choose(request, *snapshot_, table_, now);
-  while (choice.backend != nullptr && !limits_.admit(choice.backend->view.incarnation, now)) {
-    request.excluded.push_back(choice.backend->view.slot);
-    passOver(entry, *choice.backend, now);
-    choice = choice_.choose(request, *snapshot_, table_, now);
-  }
-  return choice;
-}
-
-void Gateway::passOver(Entry& entry, const Backend& backend, TimePoint now) {
-  const Duration room = limits_.timeToRoom(backend.view.incarnation, now);
-  entry.time_to_room = entry.passed_over == 0 ? room : std::min(entry.time_to_room, room);
-  ++entry.passed_over;
-}
-
 }  // namespace crankspur::gateway
--- a/src/gateway/gateway_notices.cc
+++ b/src/gateway/gateway_notices.cc
@@ -1,5 +1,7 @@
 /// @file Member functions of Gateway for what back ends state of themselves in their responses.
 
+#include <algorithm>
+
 #include "gateway/gateway.h"
 
 namespace crankspur::gateway {
@@ -28,6 +30,8 @@
   record.paused_for = notices_.pausedFor(incarnation, now);
   record.in_flight = table_.inFlight(entry.active.slot);
   observer_.onBackendPaused(record);
+  table_.onPaused(entry.active.slot, incarnation, now + record.paused_for);
+  recallFromPausedBackend(incarnation);
 }
 
 /// A later incarnation that refuses a request as misdirected does not speak for the one that it was sent to.
@@ -42,4 +46,64 @@
       {entry.client.request_id, entry.last_backend, entry.active.status, listed_as_leaving});
 }
 
+/// Chooses among the back ends that accept requests. The request counts towards the limit of the chosen one.
+Choice Gateway::chooseAccepting(Entry& entry, const Pool& pool, TimePoint now) {
+  ChoiceRequest request = choiceRequest(entry, pool, now);
+  if (!limits_.any() && !notices_.anyPause()) return choice_.choose(request, *snapshot_, table_, now);
+  for (const Backend& backend : snapshot_->backends) {
+    if (backend.view.pool != pool.name || acceptsRequests(backend, now)) continue;
+    request.excluded.push_back(backend.view.slot);
+    passOver(entry, backend, now);
+  }
+  Choice choice = choice_.choose(request, *snapshot_, table_, now);
+  while (choice.backend != nullptr && !limits_.admit(choice.backend->view.incarnation, now)) {
+    request.excluded.push_back(choice.backend->view.slot);
+    passOver(entry, *choice.backend, now);
+    choice = choice_.choose(request, *snapshot_, table_, now);
+  }
+  return choice;
+}
+
+/// A pause has no exception: unlike a back end that fails, one that wants no requests gets none although
+/// there is no other.
+bool Gateway::acceptsRequests(const Backend& backend, TimePoint now) {
+  const std::uint64_t incarnation = backend.view.incarnation;
+  return notices_.pausedFor(incarnation, now) == Duration(0) && limits_.hasRoom(incarnation, now);
+}
+
+void Gateway::passOver(Entry& entry, const Backend& backend, TimePoint now) {
+  if (backend.view.state != EngineState::Live) return;
+  const Duration pause = notices_.pausedFor(backend.view.incarnation, now);
+  const Duration time_left = std::max(pause, limits_.timeToRoom(backend.view.incarnation, now));
+  PassedOver& passed_over = entry.passed_over;
+  passed_over.time_left = passed_over.backends == 0 ? time_left : std::min(passed_over.time_left, time_left);
+  ++passed_over.backends;
+  if (pause > Duration(0)) ++passed_over.paused;
+}
+
+/// @return time until the first back end of the request's route takes requests again, if all are paused.
+Duration Gateway::pauseOfRoute(const Entry& entry, TimePoint now) const {
+  if (!notices_.anyPause()) return Duration(0);
+  std::optional<Duration> shortest;
+  for (const Backend& backend : snapshot_->backends) {
+    const bool serves_route = std::any_of(
+        entry.route->pools.begin(), entry.route->pools.end(),
+        [&backend](const PoolShare& share) { return share.weight > 0 && share.pool == backend.view.pool; });
+    if (!serves_route || backend.view.state != EngineState::Live) continue;
+    const Duration pause = notices_.pausedFor(backend.view.incarnation, now);
+    shortest = std::min(shortest.value_or(pause), pause);
+  }
+  return shortest.value_or(Duration(0));
+}
+
+/// A connection may take half a second to open. A request that waits for it is not sent to a back end that
+/// pauses meanwhile.
+void Gateway::recallFromPausedBackend(std::uint64_t incarnation) {
+  for (const auto& [exchange, client] : exchanges_) {
+    Entry* entry = findClient(client);
+    if (entry == nullptr || entry->active.exchange != exchange) continue;
+    if (entry->active.incarnation == incarnation) recall(entry->active);
+  }
+}
+
 }  // namespace crankspur::gateway
--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -76,7 +76,8 @@
   if (choice.runner_up != nullptr) record.runner_up = choice.runner_up->view.name;
   record.runner_up_cost = choice.runner_up_cost;
   record.in_flight = table_.inFlight(backend.slot);
-  record.passed_over = entry.passed_over;
+  record.passed_over = entry.passed_over.backends;
+  record.paused = entry.passed_over.paused;
   record.backend_limit = limits_.limitOf(backend.incarnation);
   record.backend_paused = notices_.pausedFor(backend.incarnation, now);
   record.backend_leaving = notices_.isLeaving(backend.incarnation);
--- a/src/gateway/gateway_relay.cc
+++ b/src/gateway/gateway_relay.cc
@@ -126,7 +126,8 @@
                               TimePoint now) {
   std::vector<const Backend*> targets = snapshot_->listedInPool(pool);
   std::erase_if(targets, [&](const Backend* backend) {
-    return table_.reach().of(backend->view.slot, now) == Reach::in_reach;
+    return table_.reach().of(backend->view.slot, now) == Reach::in_reach ||
+           notices_.pausedFor(backend->view.incarnation, now) > Duration(0);
   });
   if (targets.empty()) return;
   ReachProbes& probes = reach_probes_[pool];
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -175,7 +175,8 @@
   const ActiveExchange active = entry.active;
   entry.cause = RequestCause::back_end_full;
   entry.failed.push_back(active.slot);
-  discardResponse(entry, DispatchOutcome::Full, now);
+  const bool paused = notices_.pausedFor(active.incarnation, now) > Duration(0);
+  discardResponse(entry, paused ? DispatchOutcome::Ended : DispatchOutcome::Full, now);
   retryOrGiveUp(entry, active, status, now);
 }
 
@@ -234,6 +235,7 @@
   if (entry == nullptr) return;
   if (entry->active.relayed) return onRelayLost(*entry, sent, now);
   const ActiveExchange active = entry->active;
+  if (!sent && active.recalled) return onRecalled(*entry, now);
   entry->cause = sent ? RequestCause::answer_broke_off : RequestCause::back_end_unreachable;
   entry->failed.push_back(active.slot);
   recordUnreached(*entry->pool, active, now);
@@ -252,6 +254,18 @@
   serveQueue(now);
 }
 
+/// The gateway itself ended the exchange, which says nothing about the reach of the back end.
+void Gateway::onRecalled(Entry& entry, TimePoint now) {
+  const ActiveExchange active = entry.active;
+  entry.cause = RequestCause::recalled;
+  entry.failed.push_back(active.slot);
+  --entry.backends_reached;
+  if (active.limited) limits_.refund(active.incarnation, now);
+  endExchange(entry, DispatchOutcome::Ended, now);
+  retryOrGiveUp(entry, active, active.status, now);
+  serveQueue(now);
+}
+
 void Gateway::onConnectionsSilent(TimePoint now) {
   connections_silent_at_ = now;
   for (const auto& [exchange, client] : exchanges_) {
@@ -354,12 +368,16 @@
     const bool same_incarnation = backend != nullptr && backend->view.incarnation == active.incarnation;
     const bool takes_requests = same_incarnation && backend->view.state != EngineState::Leaving &&
                                 backend->view.state != EngineState::Dead;
-    if (takes_requests || active.relayed || active.status != 0 || std::exchange(active.recalled, true))
-      continue;
-    actions_.emplace_back(RecallUnsent{exchange});
+    if (!takes_requests) recall(active);
   }
 }
 
+/// Cancels the exchange if nothing was sent yet; onLost() then retries the request elsewhere.
+void Gateway::recall(ActiveExchange& active) {
+  if (active.relayed || active.status != 0 || std::exchange(active.recalled, true)) return;
+  actions_.emplace_back(RecallUnsent{active.exchange});
+}
+
 // Retries and final responses.
 
 void Gateway::endExchange(Entry& entry, DispatchOutcome outcome, TimePoint now) {
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -70,12 +70,16 @@
       return "no_back_end";
     case RequestCause::back_ends_limited:
       return "back_ends_limited";
+    case RequestCause::back_ends_paused:
+      return "back_ends_paused";
     case RequestCause::back_ends_full:
       return "back_ends_full";
     case RequestCause::back_end_full:
       return "back_end_full";
     case RequestCause::back_end_unreachable:
       return "back_end_unreachable";
+    case RequestCause::recalled:
+      return "recalled";
     case RequestCause::back_end_replaced:
       return "back_end_replaced";
     case RequestCause::other_weights:
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -37,8 +37,10 @@
   no_back_end,           ///< No back end of the pool is eligible for the request.
   back_ends_full,        ///< The eligible back ends are at capacity.
   back_ends_limited,     ///< The limits of requests per second that the back ends named are used up.
+  back_ends_paused,      ///< The back ends that could take it want no requests for some time.
   back_end_full,         ///< The back end responded that it is at capacity and has not run the request.
   back_end_unreachable,  ///< No connection could be made, nothing was sent.
+  recalled,              ///< The back end left or paused before the request was sent.
   back_end_replaced,     ///< Another incarnation responded at the address.
   other_weights,         ///< The back end has other weights than expected.
   answer_broke_off,      ///< The connection broke after bytes were sent, or a stream stopped within an event.
@@ -106,7 +108,8 @@
   std::string_view runner_up;  ///< Id of the second best; empty: there was no other candidate.
   double runner_up_cost = 0;
   std::uint32_t in_flight = 0;    ///< Requests of this gateway already at the back end.
-  std::uint32_t passed_over = 0;  ///< Back ends that were not compared because their limits had no room.
+  std::uint32_t passed_over = 0;  ///< Back ends that were not compared: paused, or no room in their limits.
+  std::uint32_t paused = 0;       ///< Those of them that want no requests for some time.
   double backend_limit = 0;       ///< Requests per second that the back end names; 0: no limit is in force.
   Duration backend_paused{0};     ///< Time for which the back end still wants no requests; 0: it takes them.
   bool backend_leaving = false;   ///< The back end stated that it is about to end.
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -74,6 +74,7 @@
               {"runner_up_cost", fmt::format("{:.4f}", record.runner_up_cost)},
               {"in_flight", record.in_flight},
               {"passed_over", record.passed_over},
+              {"paused", record.paused},
               {"backend_limit", fmt::format("{:.2f}", record.backend_limit)},
               {"backend_paused_ms", milliseconds(record.backend_paused)},
               {"backend_leaving", record.backend_leaving},
