Send no new requests to a back end that stated that it leaves

Callers would have been sent to back ends that were about to end, while the list of back ends said that these were ready. Cause: a departure was taken from the platform's list alone. What the back end says in its own responses was not read. Class: a late report of a third party is believed, and the party's own word is not. Change: a departure that a back end states holds for its incarnation, whatever the list says, also while it is not listed for a minute.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -46,7 +46,7 @@
 void Gateway::onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot, TimePoint now) {
   updateListedLimits(*snapshot, now);
   notices_.onSnapshot(*snapshot, now);
-  snapshot_ = std::move(snapshot);
+  snapshot_ = withStatedDepartures(std::move(snapshot));
   table_.onSnapshot(*snapshot_, now);
   choice_.onSnapshot(*snapshot_);
   peers_.onSnapshot(*snapshot_);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -293,6 +293,8 @@
   void recordStatements(const Entry& entry, const BackendResponse& response, TimePoint now);
   void recordPause(const Entry& entry, const BackendResponse& response, TimePoint now);
   void recordDeparture(const Entry& entry, const BackendResponse& response, TimePoint now);
+  std::shared_ptr<const GatewaySnapshot> withStatedDepartures(
+      std::shared_ptr<const GatewaySnapshot> listed) const;
   Choice chooseAccepting(Entry& entry, const Pool& pool, TimePoint now);
   bool acceptsRequests(const Backend& backend, TimePoint now);
   void passOver(Entry& entry, const Backend& backend, TimePoint now);
@@ -342,7 +344,7 @@
   GatewaySettings settings_;
   RandomSource random_;
   RequestObserver& observer_;
-  std::shared_ptr<const GatewaySnapshot> snapshot_;
+  std::shared_ptr<const GatewaySnapshot> snapshot_;  ///< With the departures that back ends stated.
   BackendTable table_;
   EngineChoice choice_;
   RouteShares shares_;
--- a/src/gateway/gateway_notices.cc
+++ b/src/gateway/gateway_notices.cc
@@ -34,7 +34,8 @@
   recallFromPausedBackend(incarnation);
 }
 
-/// A later incarnation that refuses a request as misdirected does not speak for the one that it was sent to.
+/// The back end leaves from now on as if it was listed so, until it ends. A later incarnation that refuses a
+/// request as misdirected does not speak for the one that it was sent to.
 void Gateway::recordDeparture(const Entry& entry, const BackendResponse& response, TimePoint now) {
   const bool is_other_incarnation = response.wrong_backend && !response.weights_version;
   if (!response.leaving || is_other_incarnation) return;
@@ -44,6 +45,27 @@
   const bool listed_as_leaving = same_incarnation && backend->view.state == EngineState::Leaving;
   observer_.onBackendLeaving(
       {entry.client.request_id, entry.last_backend, entry.active.status, listed_as_leaving});
+  if (listed_as_leaving) return;
+  snapshot_ = withStatedDepartures(snapshot_);
+  table_.onSnapshot(*snapshot_, now);
+  choice_.onSnapshot(*snapshot_);
+  recallFromLeavingBackends();
+}
+
+/// The list of back ends may be late, and some back ends leave without a notice there.
+std::shared_ptr<const GatewaySnapshot> Gateway::withStatedDepartures(
+    std::shared_ptr<const GatewaySnapshot> listed) const {
+  const auto leaves_unlisted = [this](const Backend& backend) {
+    return !isGone(backend.view.state) && notices_.isLeaving(backend.view.incarnation);
+  };
+  const auto& backends = listed->backends;
+  if (!notices_.anyDeparture() || std::none_of(backends.begin(), backends.end(), leaves_unlisted))
+    return listed;
+  auto snapshot = std::make_shared<GatewaySnapshot>(*listed);
+  for (Backend& backend : snapshot->backends) {
+    if (leaves_unlisted(backend)) backend.view.state = EngineState::Leaving;
+  }
+  return snapshot;
 }
 
 /// Chooses among the back ends that accept requests. The request counts towards the limit of the chosen one.
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -366,9 +366,7 @@
     ActiveExchange& active = entry->active;
     const Backend* backend = snapshot_->backend(active.slot);
     const bool same_incarnation = backend != nullptr && backend->view.incarnation == active.incarnation;
-    const bool takes_requests = same_incarnation && backend->view.state != EngineState::Leaving &&
-                                backend->view.state != EngineState::Dead;
-    if (!takes_requests) recall(active);
+    if (!same_incarnation || isGone(backend->view.state)) recall(active);
   }
 }
 
--- a/src/gateway/gateway_snapshot.cc
+++ b/src/gateway/gateway_snapshot.cc
@@ -45,9 +45,7 @@
 std::vector<const Backend*> GatewaySnapshot::listedInPool(std::string_view pool) const {
   std::vector<const Backend*> listed;
   for (const Backend& backend : backends) {
-    const EngineState state = backend.view.state;
-    const bool is_gone = state == EngineState::Leaving || state == EngineState::Dead;
-    if (backend.view.pool == pool && !is_gone) listed.push_back(&backend);
+    if (backend.view.pool == pool && !isGone(backend.view.state)) listed.push_back(&backend);
   }
   return listed;
 }
--- a/src/gateway/gateway_snapshot.h
+++ b/src/gateway/gateway_snapshot.h
@@ -83,6 +83,11 @@
   TimePoint named_at{};
 };
 
+/// @return whether a back end in this state gets no requests any more.
+inline bool isGone(EngineState state) {
+  return state == EngineState::Leaving || state == EngineState::Dead;
+}
+
 /// One back end that the platform lists.
 struct Backend {
   EngineView view;          ///< Slot, id (`name`), address, zone, pool, state, models, load.
