Simulate engines that ask for pauses and state their departures

Change: scenario gateway_notices: the faults of gateway, engines that reject all or some requests and ask for a pause, and engines that leave and say so in their responses, while the store is away now and then. Checkers `pause` and `stated_departure`; the mechanisms can be taken out. Attempts that an engine rejected with a pause are not judged by `innocent_served`: with the engine that crashed they have reached the two back ends that their route allows.

--- a/sim/gateway_world/engine_process.h
+++ b/sim/gateway_world/engine_process.h
@@ -33,6 +33,11 @@
   int status = 200;
   bool not_run = false;
   bool wrong_engine = false;
+  Duration pause{0};     ///< The engine wants no other requests of the gateway for this time; 0: it does.
+  bool leaving = false;  ///< The engine states that it leaves.
+  std::uint32_t engine = 0;
+  std::uint64_t engine_start = 0;  ///< Number of the process start.
+  TimePoint sent_at{};
 };
 
 /// Handlers of an engine's response, which run at the gateway.
@@ -57,6 +62,9 @@
   /// @param announced its row says that it leaves; otherwise the row is removed.
   void leave(bool announced);
   bool isLeaving() const { return leaving_; }
+  /// The process rejects a share of its requests for some time, and asks with each rejection for a pause.
+  void rejectRequests(double share, Duration time, Duration pause);
+  bool rejectsRequests() const;
 
   sim::Host& host() { return host_; }
   std::uint32_t number() const { return number_; }
@@ -102,6 +110,9 @@
   void onDisconnected(const RunPointer& run);
   void send(const Run& run, sim::Task deliver);
   bool crashesAt(const Run& run, PoisonEffect point) const;
+  EngineHead makeHead(int status) const;
+  void reject(std::size_t record, const sim::ChannelPointer& channel, EngineHead head,
+              const EngineResponseHandlers& response);
 
   FleetContext& context_;
   StoreNode& store_;
@@ -111,6 +122,9 @@
   std::uint64_t started_ms_ = 0;
   bool leaving_ = false;
   bool announces_departure_ = false;
+  double rejected_share_ = 0;
+  TimePoint rejects_until_{};
+  Duration asked_pause_{0};
   std::set<std::size_t> in_transit_;  ///< EngineRuns of requests that were written and have not arrived.
   std::map<std::size_t, RunPointer> runs_;  ///< Running or queued, by EngineRun.
   std::deque<RunPointer> queue_;
--- a/sim/gateway_world/fleet_checkers.cc
+++ b/sim/gateway_world/fleet_checkers.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "sim/gateway_world/fleet_history.h"
+#include "sim/gateway_world/notice_checkers.h"
 
 namespace crankspur::gateway_sim {
 namespace {
@@ -104,6 +105,8 @@
       crashed_at[records.runs[index].attempt] = crash.at;
     }
   }
+  std::vector<bool> rejected(records.attempts.size());
+  for (const EngineRun& run : records.runs) rejected[run.attempt] = rejected[run.attempt] || run.rejected;
   for (std::size_t index = 0; index < records.attempts.size(); ++index) {
     const Attempt& attempt = records.attempts[index];
     const bool unique = attempt.body > context.site.popular_bodies;
@@ -111,6 +114,8 @@
         attempt.outcome == AttemptOutcome::disconnected || attempt.outcome == AttemptOutcome::completed;
     if (crashes_of[index] != 1 || !unique || history.isPoison(attempt.body) || ended_by_caller) continue;
     if (attempt.kind == RequestKind::at_most_once) continue;
+    // An engine that rejected it and the one that crashed are as many as its route allows.
+    if (rejected[index]) continue;
     // A stream that has begun can go on only at an engine of its build, of which there may be no other.
     if (context.site.builds > 1 && attempt.events > 0) continue;
     const TimePoint end = attempt.sent_at + attempt.deadline;
@@ -296,6 +301,8 @@
   checkAgreement(history, context, world, violations);
   checkKeys(history, context, violations);
   checkDepartures(history, violations);
+  checkPauses(history, violations);
+  checkStatedDepartures(history, violations);
   checkStreamBuilds(history, violations);
   checkPartitionedGateways(history, violations);
   checkResponses(history, violations);
--- a/sim/gateway_world/fleet_faults.cc
+++ b/sim/gateway_world/fleet_faults.cc
@@ -17,6 +17,7 @@
 /// Share of the engines that a gateway does not reach in a partition that is not complete.
 constexpr double kPartitionedEngineShare = 0.9;
 constexpr std::size_t kEnginesPerLeaving = 4;
+constexpr std::size_t kEnginesPerPausing = 4;
 constexpr double kAnnouncedShare = 0.5;
 
 }  // namespace
@@ -87,6 +88,8 @@
       return disturbDatagrams();
     case FleetFault::engines_leave:
       return letEngineLeave();
+    case FleetFault::engines_pause:
+      return letEnginePause();
     case FleetFault::gateways_partitioned_from_engines:
       return partitionGatewaysFromEngines();
   }
@@ -111,6 +114,17 @@
   engines[random_.uniform(0, engines.size() - 1)]->leave(random_.chance(kAnnouncedShare));
 }
 
+/// At most a quarter of the engines reject requests at a time, all of them or a part.
+void FleetFaults::letEnginePause() {
+  const auto& engines = world_.engines();
+  const auto pausing = std::count_if(engines.begin(), engines.end(),
+                                     [](const auto& engine) { return engine->rejectsRequests(); });
+  if (static_cast<std::size_t>(pausing) * kEnginesPerPausing >= engines.size()) return;
+  const double share = random_.chance(0.5) ? 1.0 : 0.2 + 0.6 * random_.unit();
+  const Duration time = drawDuration(1'000, 12'000);
+  engines[random_.uniform(0, engines.size() - 1)]->rejectRequests(share, time, drawDuration(800, 5'000));
+}
+
 void FleetFaults::resetConnections() {
   context_.network.resetRandomChannels(kResetShare * (1 + random_.unit()));
   context_.records.connections.push_back({context_.queue.now(), context_.queue.now()});
--- a/sim/gateway_world/fleet_faults.h
+++ b/sim/gateway_world/fleet_faults.h
@@ -26,6 +26,7 @@
   // Not among the faults that plan() draws from:
   engines_leave,                      ///< An engine leaves as planned.
   gateways_partitioned_from_engines,  ///< Some gateways do not reach most or all engines.
+  engines_pause,                      ///< An engine rejects requests and asks gateways for a pause.
 };
 
 /// Schedules and injects faults.
@@ -44,6 +45,7 @@
   void inject(FleetFault fault);
   void crashEngines(bool silent);
   void letEngineLeave();
+  void letEnginePause();
   void resetConnections();
   void killGateways(double share);
   void partitionGateways();
--- a/sim/gateway_world/fleet_run.cc
+++ b/sim/gateway_world/fleet_run.cc
@@ -20,6 +20,7 @@
 constexpr const char* kDepartures = "gateway_departures";
 constexpr const char* kBuilds = "gateway_builds";
 constexpr const char* kPartitions = "gateway_partitions";
+constexpr const char* kNotices = "gateway_notices";
 constexpr std::uint32_t kBuildCount = 3;
 
 void planFaults(const std::string& scenario, FleetFaults& faults) {
@@ -32,14 +33,18 @@
   if (scenario == kPartitions)
     return faults.planRepeated(FleetFault::gateways_partitioned_from_engines, seconds(4), seconds(20));
   faults.plan();
+  if (scenario == kNotices) {
+    faults.planRepeated(FleetFault::engines_pause, milliseconds(500), seconds(4));
+    faults.planRepeated(FleetFault::engines_leave, seconds(1), seconds(5));
+  }
   if (scenario == kDepartures) faults.planRepeated(FleetFault::engines_leave, milliseconds(300), seconds(3));
 }
 
 }  // namespace
 
 const std::vector<std::string>& fleetScenarioNames() {
-  static const std::vector<std::string> names = {kMixed,      kResets, kRestarts,
-                                                 kDepartures, kBuilds, kPartitions};
+  static const std::vector<std::string> names = {kMixed,  kResets,     kRestarts, kDepartures,
+                                                 kBuilds, kPartitions, kNotices};
   return names;
 }
 
@@ -51,6 +56,7 @@
   context.site.retries_broken_responses = options.scenario == kResets;
   if (options.scenario == kBuilds) context.site.builds = kBuildCount;
   context.site.relays = options.scenario == kPartitions;
+  context.site.states_departures = options.scenario == kNotices;
   FleetWorld world(context);
   FleetFaults faults(context, world, random.bits());
   world.start();
--- a/sim/gateway_world/fleet_run.h
+++ b/sim/gateway_world/fleet_run.h
@@ -6,7 +6,8 @@
 namespace crankspur::gateway_sim {
 
 /// @return names of the scenarios: "gateway" draws from all faults, "gateway_departures" also lets
-/// engines leave, "gateway_builds" has engines of several builds and callers that resume streams, the others
+/// engines leave, "gateway_builds" has engines of several builds and callers that resume streams,
+/// "gateway_notices" has engines that ask for pauses and state their departures in responses, the others
 /// repeat one kind of fault.
 const std::vector<std::string>& fleetScenarioNames();
 /// Runs one of these scenarios with one seed.
--- a/sim/gateway_world/fleet_site.h
+++ b/sim/gateway_world/fleet_site.h
@@ -42,6 +42,8 @@
   bool retries_broken_responses = false;  ///< Callers also retry when a response broke off.
   /// Versions of the engines' software; with more than one, callers resume broken streams at any gateway.
   std::uint32_t builds = 1;
+  /// Engines that leave state it in their responses.
+  bool states_departures = false;
   /// Gateways follow the caches of the engines, and relay requests to each other.
   bool relays = false;
 };
--- a/sim/gateway_world/gateway_node.h
+++ b/sim/gateway_world/gateway_node.h
@@ -124,6 +124,7 @@
   void connect(gateway::ExchangeId id, EngineProcess& engine, const EngineRequest& request);
   EngineResponseHandlers responseHandlers(gateway::ExchangeId id);
   void onEngineHead(gateway::ExchangeId id, const EngineHead& head);
+  void recordNotices(const EngineHead& head);
   void onEngineBytes(gateway::ExchangeId id, const std::string& bytes);
   void onEngineEnd(gateway::ExchangeId id);
   void onLost(gateway::ExchangeId id, bool sent);
--- a/sim/gateway_world/gateway_node_traffic.cc
+++ b/sim/gateway_world/gateway_node_traffic.cc
@@ -218,10 +218,22 @@
   response.genuine = true;
   response.not_run = head.not_run;
   response.wrong_backend = head.wrong_engine;
+  if (head.pause > Duration(0) && context_.has(sim::Mechanism::Pauses)) response.pause = head.pause;
+  response.leaving = head.leaving && context_.has(sim::Mechanism::StatedDepartures);
+  recordNotices(head);
   process_->traffic.onHead(id, head.status, response, now());
   executeActions();
 }
 
+/// A response on a connection that the gateway has closed is not among them: it does not read it.
+void GatewayNode::recordNotices(const EngineHead& head) {
+  Records& records = context_.records;
+  if (head.pause > Duration(0))
+    records.pauses.push_back({head.engine, head.engine_start, number_, head.sent_at, head.pause});
+  if (head.leaving && !head.wrong_engine)
+    records.stated_departures.push_back({head.engine, head.engine_start, number_, context_.queue.now()});
+}
+
 void GatewayNode::onEngineBytes(gateway::ExchangeId id, const std::string& bytes) {
   const auto found = process_->exchanges.find(id);
   if (found == process_->exchanges.end()) return;
--- a/sim/gateway_world/records.h
+++ b/sim/gateway_world/records.h
@@ -33,6 +33,7 @@
   std::optional<TimePoint> started_at;  ///< When the engine started to run it.
   std::optional<TimePoint> ended_at;    ///< When the engine finished or dropped it, or crashed.
   bool complete = false;                ///< It ran to completion.
+  bool rejected = false;                ///< The engine rejected it and asked for a pause.
 };
 
 /// One crash of an engine.
@@ -51,6 +52,24 @@
   TimePoint listed_at{};           ///< When the store took it.
 };
 
+/// A gateway received the response of an engine process that rejected its request and wants no others from it
+/// for some time.
+struct EnginePause {
+  std::uint32_t engine = 0;
+  std::uint64_t engine_start = 0;  ///< Number of the engine's process start.
+  std::uint32_t gateway = 0;
+  TimePoint at{};  ///< When the engine sent the response.
+  Duration asked{0};
+};
+
+/// A gateway received a response in which an engine process states that it leaves.
+struct StatedDeparture {
+  std::uint32_t engine = 0;
+  std::uint64_t engine_start = 0;  ///< Number of the engine's process start.
+  std::uint32_t gateway = 0;
+  TimePoint received_at{};
+};
+
 /// How an attempt ended for its caller.
 enum class AttemptOutcome {
   pending,       ///< Not ended yet.
@@ -99,6 +118,8 @@
   std::vector<EngineRun> runs;
   std::vector<EngineCrash> crashes;
   std::vector<EngineDeparture> departures;
+  std::vector<EnginePause> pauses;
+  std::vector<StatedDeparture> stated_departures;
   /// By gateway: downtimes, pauses, suspensions, partitions.
   std::vector<std::vector<Disturbance>> gateways;
   std::vector<EnginePartition> engine_partitions;
--- a/sim/world/mechanism.cc
+++ b/sim/world/mechanism.cc
@@ -35,6 +35,8 @@
       {Mechanism::SuspensionClock, "suspension_clock"},
       {Mechanism::StreamBuilds, "stream_builds"},
       {Mechanism::Relay, "relay"},
+      {Mechanism::Pauses, "pauses"},
+      {Mechanism::StatedDepartures, "stated_departures"},
       {Mechanism::ListedDepartures, "listed_departures"},
   };
   return names;
--- a/sim/world/mechanism.h
+++ b/sim/world/mechanism.h
@@ -43,6 +43,8 @@
   SuspensionClock,      ///< The product's clock includes time spent suspended.
   StreamBuilds,         ///< A stream goes on only at back ends of the build that began it.
   Relay,                ///< A gateway that reaches too few back ends relays requests to another one.
+  Pauses,               ///< A back end that asked for a pause gets no requests until it ends.
+  StatedDepartures,     ///< A back end that stated in a response that it leaves gets no new work.
   ListedDepartures,     ///< A back end that the platform lists as leaving, or no longer, gets no new work.
 };
 
--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -177,6 +177,17 @@
   CHECK(result.violations.empty());
 }
 
+// Back ends that asked for a pause got requests in it, and back ends that had stated that they leave got new
+// requests until the list said so too.
+TEST_CASE("gateways keep to the pauses and departures that engines state, under faults of all kinds",
+          "[sim]") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    const RunResult result = runOne(seed, "gateway_notices");
+    INFO(describe(result));
+    CHECK(result.violations.empty());
+  }
+}
+
 TEST_CASE("each checker finds the absence of its mechanism", "[sim]") {
   struct Removal {
     Mechanism mechanism;
@@ -216,6 +227,8 @@
       {Mechanism::StreamBuilds, "gateway_builds", "stream_builds"},
       {Mechanism::Relay, "gateway_partitions", "partitioned_served"},
       {Mechanism::ListedDepartures, "gateway_departures", "departure"},
+      {Mechanism::Pauses, "gateway_notices", "pause"},
+      {Mechanism::StatedDepartures, "gateway_notices", "stated_departure"},
       {Mechanism::TenantSalt, "same_prompts", "cache_use"},
       {Mechanism::BundleFromPeers, "herd_rate_limits", "restart"},
       {Mechanism::BundleMonotonicity, "rollback", "bundle"},
