Play runners that ask for pauses and state departures in the soak

Cause: the soak's runners never asked for a pause nor said that they leave. Change: two faults with a checker each, alone with restarts, stops and freezes of gateways (--only=notices), and mixed into the other faults by a generator of their own, so that the schedules of earlier seeds stay as they are. Attempts that were relayed are left out by the gateways' logs; restarts, freezes and faults of connections excuse a gateway.

--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -8,6 +8,9 @@
 MAX_BACK_ENDS = 2
 CRASHES_UNTIL_CLASSIFIED = 3  # Runners that a request crashes before it is classified as a crashing request.
 PROPAGATION_S = 3.0  # Time until all gateways have received this classification.
+PAUSE_TOLERANCE_S = 0.5  # Requests that were on their way when a runner asked for a pause.
+MAX_REQUESTS_IN_PAUSE = 2
+DEPARTURE_LIMIT_S = 2.05  # The limit, and the way of the response to the client.
 MAX_REPEATS = 3  # Repeats that may still reach runners after that.
 
 
@@ -79,6 +82,55 @@
     return problems
 
 
+def _group_arrivals(notices, gateway_of):
+    """Returns (time, attempt) of the requests that each runner received from each gateway."""
+    arrivals = defaultdict(list)
+    for at, runner, attempt in notices.arrivals:
+        if attempt in gateway_of:
+            arrivals[runner, gateway_of[attempt]].append((at, attempt))
+    return arrivals
+
+
+def _was_disturbed(disturbances, gateway, since, until):
+    return any(since <= at <= until for at in disturbances.get(gateway, []))
+
+
+def find_pause_violations(notices, gateway_of, disturbances):
+    """Returns a line for each pause in which a runner received more requests of a gateway than may be under way.
+
+    `gateway_of`: the gateway that sent each attempt to runners. `disturbances`: by gateway, times of restarts, freezes
+    and faults of its connections, each of which excuses it."""
+    arrivals = _group_arrivals(notices, gateway_of)
+    problems = []
+    for at, runner, attempt, seconds in notices.pauses:
+        gateway = gateway_of.get(attempt)
+        received = sum(1 for arrived, _ in arrivals[runner, gateway] if at + PAUSE_TOLERANCE_S < arrived <= at + seconds)
+        if received > MAX_REQUESTS_IN_PAUSE and not _was_disturbed(disturbances, gateway, at, at + seconds):
+            problems.append(f"{runner} asked {gateway} at {at:.3f} for a pause of {seconds:.1f} s and received {received} "
+                            f"requests in it")
+    return problems[:MAX_REPORTED]
+
+
+def find_departure_violations(notices, gateway_of, disturbances, attempts):
+    """Returns a line for each request of a client that a gateway sent too late to a runner that had stated in a response
+    that it leaves."""
+    stated_at = {}
+    for at, runner, attempt in notices.departures:
+        stated_at.setdefault((runner, gateway_of.get(attempt)), at)
+    sent_at = {attempt.id: attempt.sent_at for attempt in attempts}
+    problems = []
+    for (runner, gateway), received in _group_arrivals(notices, gateway_of).items():
+        stated = stated_at.get((runner, gateway))
+        if stated is None:
+            continue
+        for at, attempt in received:
+            late = sent_at[attempt] - stated - DEPARTURE_LIMIT_S
+            if late > 0 and not _was_disturbed(disturbances, gateway, stated, at):
+                problems.append(f"{runner} stated at {stated:.3f} that it leaves and received {attempt} of {gateway}, sent "
+                                f"{late:.3f} s after the limit")
+    return problems[:MAX_REPORTED]
+
+
 def find_violations(attempts, runs, revoked, key_validity_s, quiet_since):
     """Returns a line for each violated guarantee."""
     runs_by_attempt = defaultdict(list)
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -25,10 +25,11 @@
 ROOT = Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "platform" / "standin"))
 
-from checks import find_repeated_crashes, find_unneeded_refusals, find_violations  # noqa: E402
+from checks import (find_departure_violations, find_pause_violations, find_repeated_crashes,  # noqa: E402
+                    find_unneeded_refusals, find_violations)
 from client import Attempt, Kind, look_up, make_attempt  # noqa: E402
 from http_text import head_bytes, read_body, read_head  # noqa: E402
-from runner import Runner  # noqa: E402
+from runner import Notices, Runner  # noqa: E402
 from store import Store  # noqa: E402
 
 GATEWAYS = 3
@@ -52,7 +53,7 @@
     Kind("/answer/", streaming=True, repeatable=False, answer_events=12),
 ]
 # Faults that --only can select; with silent_connections, any rejection by a gateway is a violation.
-SINGLE_FAULTS = ("silent_connections", "ending_requests", "ending_requests_and_restarts")
+SINGLE_FAULTS = ("silent_connections", "ending_requests", "ending_requests_and_restarts", "notices")
 
 
 def find_free_ports(count):
@@ -184,6 +185,7 @@
         self.proxy = Proxy()
         self.gateways, self.engines, self.runners, self.runs, self.attempts = [], [], [], [], []
         self.problems, self.ends, self.ending_parts = [], [], set()
+        self.notices, self.disturbances = Notices(), {}
         self.ending = asyncio.Semaphore(MAX_CRASHING_REQUESTS)
         self.keys = {"key-a": "tenant-a", "key-b": "tenant-b"}
         self.revoked = {}  # Key -> time when its revocation was accepted.
@@ -228,9 +230,9 @@
         store_port = await self.store.start("127.0.0.1", 0)
         generator = random.Random(self.options.seed + 2)
         engines = CRASHING_ENGINES if self.options.only.startswith("ending_requests") else ENGINES
-        ending = (self.ending_parts, self.ends)
+        ending = (self.ending_parts, self.ends, self.notices)
         self.engines = [Runner(self.store, "engines", MODEL, 16, self.runs, generator, *ending) for _ in range(engines)]
-        self.runners = [Runner(self.store, "app", "", 12, self.runs, generator) for _ in range(APPLICATION_RUNNERS)]
+        self.runners = [Runner(self.store, "app", "", 12, self.runs, generator, notices=self.notices) for _ in range(APPLICATION_RUNNERS)]
         endpoints = choose_runner_endpoints(engines + APPLICATION_RUNNERS)
         targets = {"store": f"127.0.0.1:{store_port}"}
         targets |= {f"runner{index}": f"{host}:{port}" for index, (host, port) in enumerate(endpoints)}
@@ -317,15 +319,21 @@
 
     # Faults. Each fault reverts its effect.
 
+    def record_disturbance(self, gateways):
+        for gateway in gateways:
+            self.disturbances.setdefault(gateway.address, []).append(time.monotonic())
+
     async def kill_gateway(self, generator):
         gateway = generator.choice(self.gateways)
         self.log_event(f"SIGKILL {gateway.name}")
+        self.record_disturbance([gateway])
         await gateway.terminate(signal.SIGKILL)
         await asyncio.sleep(generator.uniform(0.2, 1.5))
         await gateway.start()
 
     async def kill_all(self, generator):
         self.log_event("SIGKILL all gateways")
+        self.record_disturbance(self.gateways)
         await asyncio.gather(*(gateway.terminate(signal.SIGKILL) for gateway in self.gateways))
         await asyncio.sleep(generator.uniform(0.2, 1.0))
         for gateway in self.gateways:
@@ -336,6 +344,7 @@
         # Before it listens, SIGTERM would kill it: its handler is not installed and it has accepted no request.
         await gateway.wait_until_listening()
         self.log_event(f"SIGTERM {gateway.name}")
+        self.record_disturbance([gateway])
         status = await gateway.terminate(signal.SIGTERM)
         if status != 0:
             self.problems.append(f"planned stop: {gateway.name} ended with {status}")
@@ -345,9 +354,11 @@
         gateway = generator.choice(self.gateways)
         seconds = generator.uniform(0.5, 7.0)
         self.log_event(f"SIGSTOP {gateway.name} for {seconds:.1f} s")
+        self.record_disturbance([gateway])
         gateway.send_signal(signal.SIGSTOP)
         await asyncio.sleep(seconds)
         gateway.send_signal(signal.SIGCONT)
+        self.record_disturbance([gateway])
 
     async def crash_runner(self, generator):
         runner = generator.choice(self.engines + self.runners)
@@ -393,8 +404,10 @@
         ])
         seconds = generator.uniform(0.3, 3.0)
         self.log_event(f"proxy {route}: {fault} for {seconds:.1f} s")
+        self.record_disturbance(self.gateways)
         await self.proxy.configure(route=route, **fault)
         await asyncio.sleep(seconds)
+        self.record_disturbance(self.gateways)
         if revert:
             await self.proxy.configure(route=route, **revert)
 
@@ -404,6 +417,7 @@
             share = generator.choice([1.0, 1.0, 0.6])
             route = {} if generator.random() < 0.7 else {"route": generator.choice(list(self.proxy.ports))}
             self.log_event(f"proxy {route.get('route', 'everywhere')}: {share} of the open connections go silent")
+            self.record_disturbance(self.gateways)
             await self.proxy.configure(silence_open=share, **route)
             await asyncio.sleep(generator.uniform(0.5, 4.0))
 
@@ -427,6 +441,34 @@
             await asyncio.sleep(generator.uniform(2.0, 12.0))
             await self.ending_requests(generator)
 
+    async def pause_runner(self, generator):
+        """Lets a runner reject requests and ask for a pause with each, once or twice in a row."""
+        runner = generator.choice(self.engines + self.runners)
+        for _ in range(generator.randint(1, 2)):
+            share, pause_s = generator.choice([1.0, 0.5, 0.2]), generator.uniform(0.8, 4.0)
+            self.log_event(f"{runner.id} ({runner.route}) rejects {share} of its requests and asks for {pause_s:.1f} s")
+            runner.rejected_share, runner.pause_s = share, pause_s
+            await asyncio.sleep(generator.uniform(0.5, 5.0))
+            runner.rejected_share = 0.0
+            await asyncio.sleep(generator.uniform(0.0, 1.0))
+
+    async def depart_unlisted(self, generator):
+        """Lets a runner state in its responses that it leaves while the list says that it is ready, and end later."""
+        runner = generator.choice(self.engines + self.runners)
+        self.log_event(f"{runner.id} ({runner.route}) states in its responses that it leaves")
+        runner.states_departure = True
+        await asyncio.sleep(generator.uniform(2.5, 6.0))
+        await runner.crash()
+        await asyncio.sleep(generator.uniform(0.1, 0.5))
+        await runner.start(RUNNER_HOST, runner.port, runner.listed_address)
+
+    async def mix_in_notices(self, until):
+        """Adds such runners to the other faults, with a generator of its own: their schedule for a seed is unchanged."""
+        generator = random.Random(self.options.seed + 5)
+        while time.monotonic() < until:
+            await asyncio.sleep(generator.uniform(1.0, 8.0))
+            await generator.choice([self.pause_runner, self.pause_runner, self.depart_unlisted])(generator)
+
     async def change_configuration(self, generator):
         self.publish_configuration(generator)
         self.log_event(f"configuration {self.configuration_version}")
@@ -452,6 +494,9 @@
                   self.silent_connections]
         if self.options.only == "ending_requests_and_restarts":
             faults = [self.ending_requests, self.ending_requests, self.kill_gateway, self.kill_all, self.stop_gateway]
+        elif self.options.only == "notices":
+            faults = [self.pause_runner, self.pause_runner, self.pause_runner, self.depart_unlisted, self.kill_gateway,
+                      self.stop_gateway, self.freeze_gateway]
         elif self.options.only:
             faults = [getattr(self, self.options.only)]
         tasks = set()
@@ -467,6 +512,7 @@
 
         if not self.options.only:
             tasks.add(asyncio.create_task(self.mix_in_ending_requests(until)))
+            tasks.add(asyncio.create_task(self.mix_in_notices(until)))
         while time.monotonic() < until:
             # One generator per fault, so that its choices depend only on the seed, not on concurrent faults.
             generator = random.Random(schedule.getrandbits(64))
@@ -505,10 +551,22 @@
         violations = find_violations(self.attempts, self.runs, self.revoked, KEY_VALIDITY_S,
                                      quiet_since + QUIET_PERIOD_S / 2)
         violations += find_repeated_crashes(self.ends)
+        gateway_of = self.find_sending_gateways()
+        violations += find_pause_violations(self.notices, gateway_of, self.disturbances)
+        violations += find_departure_violations(self.notices, gateway_of, self.disturbances, self.attempts)
         if self.options.only == "silent_connections":
             violations += find_unneeded_refusals(self.attempts)
         return self.problems + violations
 
+    def find_sending_gateways(self):
+        """Returns the gateway that sent each attempt to runners, without the attempts that were relayed."""
+        relayed = set()
+        for gateway in self.gateways:
+            for line in (self.folder / f"{gateway.name}.log").read_text(errors="replace").splitlines():
+                if " event=1234 " in line:
+                    relayed.add(line.split("request_id=")[1].split()[0])
+        return {attempt.id: attempt.gateway for attempt in self.attempts if attempt.id not in relayed}
+
     async def run_traffic_through_quiet_period(self, faults):
         while not faults.done():
             await self.traffic(time.monotonic() + 0.5)
@@ -522,6 +580,9 @@
     complete = sum(1 for attempt in soak.attempts if attempt.status == 200 and attempt.whole)
     counts = ", ".join(f"{status}: {count}" for status, count in sorted(statuses.items()))
     print(f"{len(soak.attempts)} attempts, {complete} answered whole, {len(soak.runs)} runs; by status: {counts}")
+    notices = soak.notices
+    print(f"{len(notices.pauses)} rejections with a pause, {len({runner for _, runner, _ in notices.departures})} runners "
+          f"stated that they leave")
     if soak.ends:
         parts = {end.part for end in soak.ends}
         print(f"{len(parts)} requests ended {len(soak.ends)} engines")
