Take bytes that a partition held back for no sign of life

Cause: bytes on a connection from before a crash, read 0.3 s after it, counted as a sign of life. When a partition ends, a gateway reads then what the engine had sent before it crashed, and withdrew true evidence. Class: the time of arrival is taken for the time of sending. Change: such bytes count only if they arrive 0.3 s after the first of them. Test replaced: "the suspicion after a broken connection is withdrawn when the back end proves live" had one piece of a stream after a second of silence, which cannot be told from one that a partition held back. The stream now goes on, and the test also asks that its first piece withdraws nothing.

--- a/src/gateway/crash_policy.h
+++ b/src/gateway/crash_policy.h
@@ -31,7 +31,8 @@
   Duration sequence_tolerance = std::chrono::milliseconds(30);
   /// Whether a complete response withdraws all earlier evidence against its request.
   bool clear_on_response = true;
-  /// Bytes that a back end sent before its crash may be read for this long after the crash was detected.
+  /// Bytes that a back end sent before its crash may be read for this long after the crash was detected, and
+  /// after the first of them.
   Duration read_delay = std::chrono::milliseconds(300);
   /// Minimum time from a crash to the restarted back end, which has to load its weights. A back end that
   /// responds sooner has not crashed.
--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -119,7 +119,7 @@
   const auto found = crashed_at_.find(backend);
   if (found == crashed_at_.end()) return false;
   const TimePoint crashed_at = found->second;
-  const bool same_connection = sent_at < crashed_at && now > crashed_at + policy_.read_delay;
+  const bool same_connection = sent_at < crashed_at && !mayBeDelayed(backend, crashed_at, now);
   const bool too_soon = sent_at >= crashed_at && now < crashed_at + policy_.min_restart_time;
   if (!same_connection && !too_soon) return false;
   const SignOfLife sign{backend, crashed_at};
@@ -128,6 +128,14 @@
   return true;
 }
 
+/// @return whether bytes received on a connection from before the crash may have been sent before it. They
+/// are read for a short time after the crash, or, if a partition held them back, after its end.
+bool CrashSuspects::mayBeDelayed(std::uint64_t backend, TimePoint crashed_at, TimePoint now) {
+  LateBytes& late = late_bytes_[backend];
+  if (late.crashed_at != crashed_at) late = {crashed_at, now};
+  return now <= std::max(crashed_at, late.first_at) + policy_.read_delay;
+}
+
 bool CrashSuspects::merge(const CrashUpdate& update, TimePoint now) {
   bool changed = false;
   for (const ClearedRequest& cleared : update.cleared) changed |= clear(cleared);
@@ -382,6 +390,7 @@
   });
   absl::erase_if(crashed_at_,
                  [&](const auto& item) { return now - item.second > policy_.evidence_lifetime; });
+  absl::erase_if(late_bytes_, [&](const auto& item) { return !crashed_at_.contains(item.first); });
 }
 
 /// Evicts the request with the fewest crashes; among equals, the one with the oldest last crash.
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -182,7 +182,14 @@
     bool contains(std::uint64_t backend, const Suspect& suspect) const;
   };
 
+  /// Bytes that were received from a back end after its crash, on a connection from before it.
+  struct LateBytes {
+    TimePoint crashed_at{};
+    TimePoint first_at{};  ///< When the first of them were received.
+  };
+
   bool add(const CrashEvidence& evidence, TimePoint now);
+  bool mayBeDelayed(std::uint64_t backend, TimePoint crashed_at, TimePoint now);
   void confirmUnobservedEnds(std::uint64_t backend, TimePoint crashed_at, TimePoint now);
   static bool wasThere(const UnobservedEnd& end, TimePoint crashed_at);
   bool clear(const ClearedRequest& cleared);
@@ -200,6 +207,7 @@
   CrashPolicy policy_;
   absl::flat_hash_map<RequestFingerprint, Suspect> suspects_;
   absl::flat_hash_map<std::uint64_t, TimePoint> crashed_at_;  ///< Latest crash known, by back end.
+  absl::flat_hash_map<std::uint64_t, LateBytes> late_bytes_;  ///< By back end.
   absl::flat_hash_map<RequestFingerprint, TimePoint> cleared_;
   /// Times of refuted crashes by back end, the latest kMaxSignsOfBackend of each.
   absl::flat_hash_map<std::uint64_t, std::set<TimePoint>> signs_of_life_;
--- a/tests/unit/gateway/crash_suspects_gateway_test.cc
+++ b/tests/unit/gateway/crash_suspects_gateway_test.cc
@@ -167,9 +167,13 @@
     fixture.now += milliseconds(10);
     fixture.last = broken;
     fixture.breakExchange(true);
-    fixture.now += seconds(1);
     fixture.last = sound;
+    // The back end may have sent these bytes before it crashed.
+    fixture.now += milliseconds(100);
     fixture.bytes("id: 2\ndata: x\n\n");
+    CHECK(fixture.observer.withdrawn.size() == static_cast<std::size_t>(round));
+    fixture.now += seconds(1);
+    fixture.bytes("id: 3\ndata: x\n\n");
     fixture.end();
   }
   CHECK(fixture.observer.suspected.size() == 6);
--- a/tests/unit/gateway/crash_suspects_test.cc
+++ b/tests/unit/gateway/crash_suspects_test.cc
@@ -214,3 +214,13 @@
   REQUIRE(suspects.onSignOfLife(1, kStart + milliseconds(100), kStart + milliseconds(105)));
   CHECK(suspects.onCrash(crash(1, milliseconds(190)), kStart + milliseconds(290)));
 }
+
+// A gateway that was partitioned from the back end reads, when the partition ends, what the back end had sent
+// before it crashed. It took this for a sign of life, and a poison request ran again.
+TEST_CASE("bytes that a partition held back are no sign of life", "[gateway][crash_suspects]") {
+  CrashSuspects suspects = suspectsWith(3);
+  CHECK_FALSE(suspects.onSignOfLife(3, kStart, kStart + seconds(8)));
+  CHECK_FALSE(suspects.onSignOfLife(3, kStart, kStart + milliseconds(8'010)));
+  CHECK(suspicionOf(suspects, seconds(9)) == Suspicion::quarantined);
+  CHECK(suspects.onSignOfLife(3, kStart, kStart + milliseconds(8'400)));
+}
