Convict no sound prompt part for the crashes of a poison request

Cause: answered parts are forgotten with the process, so that a part needs four crashes in sequence. (1) Of two suspects that explain the same crashes the part won, since more of its crashes were in sequence: sound requests had it at the same engines. (2) For some milliseconds a gateway knew the crashes under the part, but not those of the request at another gateway. Class: a verdict on evidence that is known to be incomplete. Change: the suspect with the most crashes in all comes first, as its comment said; a whole request wins a tie. Crashes count against a part once they are 0.2 s old; until then requests with it wait, with a cause of their own. Unit tests of both cases. Test replaced: a request that waits when its part becomes known is refused 0.2 s later than before; that it is not sent is asked for the whole time.

--- a/src/gateway/crash_policy.h
+++ b/src/gateway/crash_policy.h
@@ -24,6 +24,9 @@
   /// more evidence is needed than against one request.
   std::uint32_t crashes_until_part_quarantined = 4;
   std::uint32_t concurrent_crashes_until_part_quarantined = 6;
+  /// Time after which the evidence of a crash that other gateways have counts as received. Requests with the
+  /// part wait for it.
+  Duration part_settle_time = std::chrono::milliseconds(200);
   /// Factor of these numbers for a part that was answered before: requests with it ran to their response.
   std::uint32_t answered_part_factor = 2;
   /// Only sequential crashes count: a run that was sent more than this long before the previous crash does
--- a/src/gateway/crash_suspects.cc
+++ b/src/gateway/crash_suspects.cc
@@ -239,12 +239,12 @@
   return suspect.part_position > 0 && by_request.contains(backend);
 }
 
-CrashSuspects::CrashCount CrashSuspects::count(const Suspect& suspect,
-                                               const ExplainedCrashes& explained) const {
+CrashSuspects::CrashCount CrashSuspects::count(const Suspect& suspect, const ExplainedCrashes& explained,
+                                               TimePoint until) const {
   CrashCount result;
   TimePoint last_in_sequence = TimePoint::min();
   for (const Crash& crash : suspect.crashes) {
-    if (explained.contains(crash.backend, suspect)) continue;
+    if (crash.crashed_at > until || explained.contains(crash.backend, suspect)) continue;
     ++result.in_all;
     result.last = crash.crashed_at;
     if (result.in_sequence > 0 && crash.sent_at + policy_.sequence_tolerance < last_in_sequence) continue;
@@ -281,10 +281,10 @@
     std::tuple<std::uint32_t, std::uint32_t, RequestFingerprint> best_rank;
     for (const auto& [request, suspect] : suspects_) {
       if (suspect.crashes.size() < policy_.crashes_until_quarantined || culprits_.contains(request)) continue;
-      const CrashCount crashes = count(suspect, explained_);
+      const CrashCount crashes = count(suspect, explained_, TimePoint::max());
       if (!isEnough(request, suspect, crashes)) continue;
       const std::uint32_t position = suspect.part_position == 0 ? kWholeRequest : suspect.part_position;
-      const std::tuple rank(crashes.in_sequence, position, request);
+      const std::tuple rank(crashes.in_all, position, request);
       if (best != nullptr && rank <= best_rank) continue;
       best = &request;
       best_rank = rank;
@@ -305,7 +305,8 @@
   findCulprits();
   const Suspect& suspect = found->second;
   const bool is_culprit = culprits_.contains(request);
-  const CrashCount crashes = count(suspect, is_culprit ? ExplainedCrashes{} : explained_);
+  static const ExplainedCrashes kNone;
+  const CrashCount crashes = count(suspect, is_culprit ? kNone : explained_, TimePoint::max());
   verdict.crashes = crashes.in_sequence;
   verdict.crashes_in_all = crashes.in_all;
   // Many requests may have a part, which would all have to wait for each other.
@@ -313,11 +314,23 @@
       suspect.part_position == 0 && crashes.in_sequence >= policy_.crashes_until_isolated;
   if (is_isolated || is_culprit) verdict.suspicion = Suspicion::isolated;
   if (!is_culprit) return verdict;
+  if (!isSettled(request, suspect, now)) {
+    verdict.awaits_evidence = true;
+    return verdict;
+  }
   verdict.quarantined_until = crashes.last + quarantineAfter(suspect, crashes.in_sequence);
   if (now < verdict.quarantined_until) verdict.suspicion = Suspicion::quarantined;
   return verdict;
 }
 
+/// A part is accused by all requests with it, a poison request only by its own attempts, of which other
+/// gateways may know more. So the latest crashes count against a part only when their evidence may have
+/// arrived.
+bool CrashSuspects::isSettled(const RequestFingerprint& id, const Suspect& suspect, TimePoint now) const {
+  if (suspect.part_position == 0) return true;
+  return isEnough(id, suspect, count(suspect, {}, now - policy_.part_settle_time));
+}
+
 /// Requests with the most crashes come first.
 CrashUpdate CrashSuspects::allEvidence() const {
   std::vector<std::pair<std::size_t, RequestFingerprint>> order;
--- a/src/gateway/crash_suspects.h
+++ b/src/gateway/crash_suspects.h
@@ -101,6 +101,8 @@
   std::uint32_t crashes = 0;         ///< Number of sequential crashes of back ends that ran it.
   std::uint32_t crashes_in_all = 0;  ///< Also those at about the same time.
   TimePoint quarantined_until{};     ///< From then on it may run once more.
+  /// It would be quarantined but for evidence that other gateways may have: it has to wait.
+  bool awaits_evidence = false;
 };
 
 /// The evidence against requests; see the file comment.
@@ -199,7 +201,9 @@
   void removeCrashAt(Suspect& suspect, std::size_t index);
   void evictIfFull();
   Duration quarantineAfter(const Suspect& suspect, std::uint32_t crashes) const;
-  CrashCount count(const Suspect& suspect, const ExplainedCrashes& explained) const;
+  /// Counts the crashes up to `until`.
+  CrashCount count(const Suspect& suspect, const ExplainedCrashes& explained, TimePoint until) const;
+  bool isSettled(const RequestFingerprint& id, const Suspect& suspect, TimePoint now) const;
   bool isEnough(const RequestFingerprint& id, const Suspect& suspect, const CrashCount& crashes) const;
   void findCulprits() const;
   static std::uint64_t keyOf(const RequestFingerprint& request, std::uint64_t backend);
--- a/src/gateway/gateway_suspects.cc
+++ b/src/gateway/gateway_suspects.cc
@@ -35,10 +35,12 @@
   entry.suspected.clear();
   entry.quarantined_until = TimePoint{};
   bool is_probing = false;
+  bool awaits_evidence = false;
   const auto check = [&](const RequestFingerprint& suspect, bool is_part) {
     const CrashVerdict verdict = suspects_.judge(suspect, now);
     if (verdict.suspicion == Suspicion::none) return;
     entry.suspected.push_back(suspect);
+    awaits_evidence = awaits_evidence || verdict.awaits_evidence;
     const TimePoint release = is_part ? releaseOf(suspect, verdict) : verdict.quarantined_until;
     if (now >= release) return;
     entry.quarantined_until = std::max(entry.quarantined_until, release);
@@ -55,6 +57,11 @@
     }
     return false;
   }
+  if (awaits_evidence) {
+    entry.cause = RequestCause::suspicion_undecided;
+    wait(entry, now);
+    return false;
+  }
   if (entry.suspected.empty() || !hasConcurrentAttempt(entry)) return true;
   entry.cause = RequestCause::runs_already;
   wait(entry, now);
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -94,6 +94,8 @@
       return "error_answer";
     case RequestCause::quarantined:
       return "quarantined";
+    case RequestCause::suspicion_undecided:
+      return "suspicion_undecided";
     case RequestCause::runs_already:
       return "runs_already";
     case RequestCause::silence:
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -48,6 +48,7 @@
   answer_not_genuine,    ///< The response lacks the marks that the back end itself sets.
   error_answer,          ///< The back end responded with an error status.
   quarantined,           ///< Back ends crashed while they ran the request: it is not run for some time.
+  suspicion_undecided,   ///< Back ends crashed under a part of it; other gateways' evidence is awaited.
   runs_already,          ///< It may crash back ends, and another attempt of it is running.
   silence,               ///< Nothing was received from the back end for too long.
   time_ran_out,          ///< The deadline passed while a back end processed the request.
--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -169,6 +169,64 @@
   }
 }
 
+// A sound prompt part was quarantined in place of the poison request that had it, after gateways had started
+// again and did not know any more that the part had been answered.
+TEST_CASE("a restarted fleet refuses no sound prompt part for the crashes of a poison request", "[sim]") {
+  const std::uint64_t seed = GENERATE(654242, 654258);
+  const RunResult result = runOne(seed, "gateway_restarts");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
+// Two poison requests crash engines in turn; a part of one of them was at the last engine of the other one
+// too.
+TEST_CASE("a restarted fleet refuses no sound prompt part for two poison requests, seed 654341", "[sim]") {
+  const RunResult result = runOne(654'341, "gateway_restarts");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
+// A harmless request that many callers send is refused although no engine crashed under it in sequence.
+TEST_CASE("a restarted fleet refuses no harmless request, seed 346", "[sim]") {
+  const RunResult result = runOne(346, "gateway_restarts");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
+TEST_CASE("a poison request does not return after a partition, seed 654061", "[sim]") {
+  const RunResult result = runOne(654'061, "gateway_partitions");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
+// One gateway sends a poison request to an engine that runs another suspicious request.
+TEST_CASE("suspicious requests stay apart while engines leave unlisted, seed 98", "[sim]") {
+  const RunResult result = runOne(98, "gateway_notices");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
+// Gateways refuse a poison request for some seconds after its quarantine.
+TEST_CASE("a quarantine ends on time while engines leave unlisted, seed 163", "[sim]") {
+  const RunResult result = runOne(163, "gateway_notices");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
+// A harmless request that many callers send is refused although no engine crashed under it in sequence.
+TEST_CASE("no harmless request is refused while engines leave unlisted, seed 189", "[sim]") {
+  const RunResult result = runOne(189, "gateway_notices");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
+// Gateways refuse a request for up to 0.6 s after its quarantine.
+TEST_CASE("a quarantine ends on time after a partition, seed 654138", "[sim]") {
+  const RunResult result = runOne(654'138, "gateway_partitions");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
 // When the partition ends, the gateway reads bytes that an engine had sent before it crashed, and takes them
 // for a sign of life.
 TEST_CASE("a gateway whose partition ends withdraws no true evidence of a crash", "[sim]") {
--- a/tests/unit/gateway/crash_suspects_test.cc
+++ b/tests/unit/gateway/crash_suspects_test.cc
@@ -224,3 +224,36 @@
   CHECK(suspicionOf(suspects, seconds(9)) == Suspicion::quarantined);
   CHECK(suspects.onSignOfLife(3, kStart, kStart + milliseconds(8'400)));
 }
+
+// After all gateways had started again, no part was known to be answered. A poison request crashed three back
+// ends in sequence and one at the same time as another; a sound part of it, which other requests had there
+// too, had four crashes in sequence and was quarantined in its place, with all requests that have it.
+TEST_CASE("a request that explains as many crashes as a part of it is the culprit",
+          "[gateway][crash_suspects]") {
+  const RequestFingerprint part{7, 8};
+  CrashSuspects suspects = suspectsWith(3);
+  suspects.onCrash({kRequest, 4, kStart + seconds(2), kStart + milliseconds(2'200)}, kStart + seconds(3));
+  for (int end = 0; end < 4; ++end) {
+    CrashEvidence accused = crash(1U + end, seconds(end), part);
+    accused.part_position = 1;
+    suspects.onCrash(accused, kStart + seconds(4));
+  }
+  CHECK(suspicionOf(suspects, seconds(5)) == Suspicion::quarantined);
+  CHECK(suspicionOf(suspects, seconds(5), part) == Suspicion::none);
+}
+
+// A gateway that did not know yet that another one had sent the poison request to two more back ends
+// quarantined a sound part for some milliseconds, and told callers to return after a minute.
+TEST_CASE("crashes count against a part only once the evidence of other gateways may have arrived",
+          "[gateway][crash_suspects]") {
+  const RequestFingerprint part{7, 8};
+  CrashSuspects suspects;
+  for (int end = 0; end < 4; ++end) {
+    CrashEvidence accused = crash(1U + end, seconds(end), part);
+    accused.part_position = 1;
+    suspects.onCrash(accused, accused.crashed_at);
+  }
+  CHECK(suspicionOf(suspects, milliseconds(3'150), part) != Suspicion::quarantined);
+  CHECK(suspects.judge(part, kStart + milliseconds(3'150)).awaits_evidence);
+  CHECK(suspicionOf(suspects, milliseconds(3'350), part) == Suspicion::quarantined);
+}
--- a/tests/unit/gateway/poison_part_test.cc
+++ b/tests/unit/gateway/poison_part_test.cc
@@ -204,5 +204,10 @@
   fixture.publish();
   fixture.takeActions();
   CHECK_FALSE(fixture.has<Dispatch>());
+  fixture.advance(milliseconds(210));
+  CHECK_FALSE(fixture.has<Dispatch>());
+  CHECK(fixture.only<Refuse>().cause == RequestCause::suspicion_undecided);
+  fixture.now = other.now + milliseconds(300);
+  CHECK(fixture.sendParts({kSharedPart, kPoisonPart}).exchange == 0);
   CHECK(fixture.only<Refuse>().cause == RequestCause::quarantined);
 }
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -363,9 +363,10 @@
     async def crash_runner(self, generator):
         runner = generator.choice(self.engines + self.runners)
         self.log_event(f"crash of {runner.id} ({runner.route})")
-        await runner.crash()
-        await asyncio.sleep(generator.uniform(0.3, 2.0))
-        await runner.start(RUNNER_HOST, runner.port, runner.listed_address)
+        async with runner.restarting:
+            await runner.crash()
+            await asyncio.sleep(generator.uniform(0.3, 2.0))
+            await runner.start(RUNNER_HOST, runner.port, runner.listed_address)
 
     async def impair_runner(self, generator):
         runner = generator.choice(self.engines + self.runners)
@@ -458,9 +459,10 @@
         self.log_event(f"{runner.id} ({runner.route}) states in its responses that it leaves")
         runner.states_departure = True
         await asyncio.sleep(generator.uniform(2.5, 6.0))
-        await runner.crash()
-        await asyncio.sleep(generator.uniform(0.1, 0.5))
-        await runner.start(RUNNER_HOST, runner.port, runner.listed_address)
+        async with runner.restarting:
+            await runner.crash()
+            await asyncio.sleep(generator.uniform(0.1, 0.5))
+            await runner.start(RUNNER_HOST, runner.port, runner.listed_address)
 
     async def mix_in_notices(self, until):
         """Adds such runners to the other faults, with a generator of its own: their schedule for a seed is unchanged."""
