--- a/sim/gateway_world/notice_checkers.cc
+++ b/sim/gateway_world/notice_checkers.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 #include <utility>
 
 namespace crankspur::gateway_sim {
@@ -23,7 +24,11 @@
   std::uint32_t engine = 0;
   std::uint64_t engine_start = 0;
   std::uint32_t gateway = 0;
-  auto operator<=>(const Sender&) const = default;
+
+  bool operator<(const Sender& other) const {
+    return std::tie(engine, engine_start, gateway) <
+           std::tie(other.engine, other.engine_start, other.gateway);
+  }
 };
 
 using RunsBySender = std::map<Sender, std::vector<const EngineRun*>>;
