Log back ends that state that they fall over when they reject too many requests

It is read in each response now, and a change is written as event 1238 and counted; nothing is decided by it yet. A number that cannot be read counts as one that tolerates no rejection. Tests: header_dialect, brittle_backends.

--- a/sim/gateway_world/suspicion_trace.h
+++ b/sim/gateway_world/suspicion_trace.h
@@ -24,6 +24,7 @@
   void onBackendPaused(const gateway::BackendPaused&) override {}
   void onBackendPauseInvalid(const gateway::BackendPauseInvalid&) override {}
   void onBackendLeaving(const gateway::BackendLeaving&) override {}
+  void onBackendBrittle(const gateway::BackendBrittle&) override {}
   void onDistrusted(const gateway::BackendDistrusted&) override {}
   void onSuspected(const gateway::RequestSuspected& record) override {
     context_.trace.note(host_.name(), "suspects {}: {} crashes, the last at {}, {} for {:.3f} s",
--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -62,6 +62,9 @@
   std::optional<Duration> pause;
   std::string invalid_pause;  ///< A pause that is no number of seconds; empty: none.
   bool leaving = false;       ///< The back end is about to end.
+  /// Requests that the back end can reject in a second for want of room without falling over; 0: none, or the
+  /// number cannot be read. Empty: it does not say that it is brittle.
+  std::optional<std::uint32_t> tolerated_rejections;
   /// Set by the driver, not by the dialect.
   http::BodyFraming framing = http::BodyFraming::Chunked;
   bool out_of_reach = false;  ///< Another gateway refused it since it reaches no back end. Set by the driver.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -18,6 +18,7 @@
 #include "gateway/backend_limits.h"
 #include "gateway/backend_notices.h"
 #include "gateway/backend_table.h"
+#include "gateway/brittle_backends.h"
 #include "gateway/crash_suspects.h"
 #include "gateway/engine_choice.h"
 #include "gateway/event_boundary.h"
@@ -293,6 +294,7 @@
   void recordStatements(const Entry& entry, const BackendResponse& response, TimePoint now);
   void recordPause(const Entry& entry, const BackendResponse& response, TimePoint now);
   void recordDeparture(const Entry& entry, const BackendResponse& response, TimePoint now);
+  void recordBrittleness(const Entry& entry, const BackendResponse& response, TimePoint now);
   std::shared_ptr<const GatewaySnapshot> withStatedDepartures(
       std::shared_ptr<const GatewaySnapshot> listed) const;
   Choice chooseAccepting(Entry& entry, const Pool& pool, TimePoint now);
@@ -352,6 +354,7 @@
   FleetQuotas quotas_;
   BackendLimits limits_;
   BackendNotices notices_;
+  BrittleBackends brittle_;
   CrashSuspects suspects_;
   StreamOriginTable origins_;
   std::set<ClientId> awaiting_origin_;  ///< Requests that wait for answers of other gateways.
--- a/src/gateway/gateway_notices.cc
+++ b/src/gateway/gateway_notices.cc
@@ -11,6 +11,24 @@
   recordLimit(entry, response, now);
   recordPause(entry, response, now);
   recordDeparture(entry, response, now);
+  recordBrittleness(entry, response, now);
+}
+
+void Gateway::recordBrittleness(const Entry& entry, const BackendResponse& response, TimePoint now) {
+  BrittleStatement statement;
+  statement.brittle = response.tolerated_rejections.has_value();
+  statement.tolerated_rejections = response.tolerated_rejections.value_or(0);
+  statement.success = response.genuine && isSuccess(entry.active.status);
+  statement.sent_at = entry.active.sent_at;
+  if (!brittle_.onResponse(entry.pool->name, entry.active.incarnation, statement, now)) return;
+  BackendBrittle record;
+  record.request_id = entry.client.request_id;
+  record.backend = entry.last_backend;
+  record.status = entry.active.status;
+  record.brittle = statement.brittle;
+  record.tolerated_rejections = statement.tolerated_rejections;
+  record.in_flight = table_.inFlight(entry.active.slot);
+  observer_.onBackendBrittle(record);
 }
 
 /// The response needs no further marks: whatever process listens at the address wants to be left alone.
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -17,6 +17,7 @@
   void onBackendPaused(const BackendPaused&) override {}
   void onBackendPauseInvalid(const BackendPauseInvalid&) override {}
   void onBackendLeaving(const BackendLeaving&) override {}
+  void onBackendBrittle(const BackendBrittle&) override {}
   void onDistrusted(const BackendDistrusted&) override {}
   void onSuspected(const RequestSuspected&) override {}
   void onSuspicionWithdrawn(const SuspicionWithdrawn&) override {}
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -280,6 +280,17 @@
   bool listed_as_leaving = false;  ///< The list of back ends says so too.
 };
 
+/// A back end began or ceased to state that it falls over when it rejects too many requests in a second, or
+/// stated another number.
+struct BackendBrittle {
+  std::string_view request_id;
+  std::string_view backend;
+  int status = 0;
+  bool brittle = false;
+  std::uint32_t tolerated_rejections = 0;  ///< In a second; 0: none, or the number cannot be read.
+  std::uint32_t in_flight = 0;             ///< Requests of this gateway at the back end.
+};
+
 /// Is notified of decisions, on the thread that makes them. Views in records are valid only during the call.
 class RequestObserver {
 public:
@@ -300,6 +311,7 @@
   virtual void onBackendPaused(const BackendPaused& record) = 0;
   virtual void onBackendPauseInvalid(const BackendPauseInvalid& record) = 0;
   virtual void onBackendLeaving(const BackendLeaving& record) = 0;
+  virtual void onBackendBrittle(const BackendBrittle& record) = 0;
 };
 
 /// @return an observer that does nothing.
--- a/src/gateway_process/gateway_metrics.cc
+++ b/src/gateway_process/gateway_metrics.cc
@@ -62,6 +62,8 @@
           counter("backend_pauses_invalid_total", "Pauses of back ends that are no number of seconds.")),
       departures_stated_(
           counter("backend_departures_stated_total", "Back ends that stated in a response that they leave.")),
+      brittle_backends_(counter("backends_brittle_total",
+                                "Times that a back end began to state that rejections make it fall over.")),
       sent_while_paused_(
           counter("sent_while_paused_total", "Requests sent to a back end that had asked for none.")),
       sent_after_departure_(counter("sent_after_departure_total",
@@ -202,6 +204,10 @@
   departures_stated_.Increment();
 }
 
+void GatewayMetrics::onBackendBrittle(const BackendBrittle& record) {
+  if (record.brittle) brittle_backends_.Increment();
+}
+
 void GatewayMetrics::onRelayed(const RequestRelayed&) {
   relayed_.Increment();
 }
--- a/src/gateway_process/gateway_metrics.h
+++ b/src/gateway_process/gateway_metrics.h
@@ -46,6 +46,7 @@
   void onBackendPaused(const BackendPaused& record) override;
   void onBackendPauseInvalid(const BackendPauseInvalid& record) override;
   void onBackendLeaving(const BackendLeaving& record) override;
+  void onBackendBrittle(const BackendBrittle& record) override;
 
   /// Sets the number of back ends in `state` in the last published list.
   void setBackends(std::string_view state, std::size_t count);
@@ -74,6 +75,7 @@
   prometheus::Counter& backends_paused_;
   prometheus::Counter& invalid_pauses_;
   prometheus::Counter& departures_stated_;
+  prometheus::Counter& brittle_backends_;
   prometheus::Counter& sent_while_paused_;
   prometheus::Counter& sent_after_departure_;
   prometheus::Counter& relayed_;
--- a/src/gateway_process/observer_pair.h
+++ b/src/gateway_process/observer_pair.h
@@ -74,6 +74,10 @@
     first_.onBackendLeaving(record);
     second_.onBackendLeaving(record);
   }
+  void onBackendBrittle(const BackendBrittle& record) override {
+    first_.onBackendBrittle(record);
+    second_.onBackendBrittle(record);
+  }
 
 private:
   RequestObserver& first_;
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -197,6 +197,15 @@
                                               {"listed_as_leaving", record.listed_as_leaving}});
 }
 
+void RequestLog::onBackendBrittle(const BackendBrittle& record) {
+  log_.write(EventId::GatewayBackendBrittle, {{"backend", record.backend},
+                                              {"request_id", record.request_id},
+                                              {"status", record.status},
+                                              {"brittle", record.brittle},
+                                              {"tolerated_per_second", record.tolerated_rejections},
+                                              {"in_flight", record.in_flight}});
+}
+
 void RequestLog::onDistrusted(const BackendDistrusted& record) {
   log_.write(EventId::GatewayBackendDistrusted, {{"backend", record.backend},
                                                  {"cause", nameOf(record.cause)},
--- a/src/gateway_process/request_log.h
+++ b/src/gateway_process/request_log.h
@@ -29,6 +29,7 @@
   void onBackendPaused(const BackendPaused& record) override;
   void onBackendPauseInvalid(const BackendPauseInvalid& record) override;
   void onBackendLeaving(const BackendLeaving& record) override;
+  void onBackendBrittle(const BackendBrittle& record) override;
 
 private:
   EventLog& log_;
--- a/tests/unit/gateway/gateway_fixture.h
+++ b/tests/unit/gateway/gateway_fixture.h
@@ -109,6 +109,7 @@
     invalid_pauses.emplace_back(record.text);
   }
   void onBackendLeaving(const BackendLeaving& record) override { leaving.emplace_back(record.backend); }
+  void onBackendBrittle(const BackendBrittle& record) override { brittle.push_back(record); }
 
   // Views in the records are invalid after the call; strings that tests compare are copied.
   std::vector<std::string> admitted;
@@ -130,6 +131,7 @@
   std::vector<BackendPaused> paused;
   std::vector<std::string> invalid_pauses;
   std::vector<std::string> leaving;
+  std::vector<BackendBrittle> brittle;
 };
 
 class GatewayFixture {
--- a/tests/unit/platform/header_dialect_test.cc
+++ b/tests/unit/platform/header_dialect_test.cc
@@ -166,3 +166,23 @@
   CHECK_FALSE(dialect.readResponse({status, {{"Server-Leaving", "0"}}, ""}, "r1").leaving);
   CHECK_FALSE(dialect.readResponse({status, {}, ""}, "r1").leaving);
 }
+
+TEST_CASE("a runner states in any response that it falls over when it rejects too many requests",
+          "[header_dialect][brittle]") {
+  const HeaderDialect dialect;
+  const int status = GENERATE(200, 421, 500, 503);
+  const auto tolerated = [&](const std::string& text) {
+    return dialect.readResponse({status, {{"Server-Brittle", text}}, ""}, "r1").tolerated_rejections;
+  };
+  CHECK(tolerated("6") == 6U);
+  CHECK(tolerated(" 6 ") == 6U);
+  CHECK(tolerated("0") == 0U);
+  CHECK(tolerated("99999999999") == UINT32_MAX);
+  CHECK_FALSE(dialect.readResponse({status, {}, ""}, "r1").tolerated_rejections);
+  SECTION("a number that cannot be read tolerates none") {
+    CHECK(tolerated("") == 0U);
+    CHECK(tolerated("many") == 0U);
+    CHECK(tolerated("-6") == 0U);
+    CHECK(tolerated("6.5") == 0U);
+  }
+}
