--- a/tests/unit/gateway/poison_part_test.cc
+++ b/tests/unit/gateway/poison_part_test.cc
@@ -211,3 +211,26 @@
   CHECK(fixture.sendParts({kSharedPart, kPoisonPart}).exchange == 0);
   CHECK(fixture.only<Refuse>().cause == RequestCause::quarantined);
 }
+
+// Engines that fall over because they reject too much were taken for engines that a prompt part crashed.
+// After some rounds the part that all prompts share was quarantined, and everything was refused for half an
+// hour.
+TEST_CASE("engines that fall over after rejections accuse no prompt part",
+          "[gateway][poison_part][brittle]") {
+  PartFixture fixture;
+  BackendResponse rejection;
+  rejection.not_run = true;
+  rejection.tolerated_rejections = 6;
+  std::erase_if(fixture.backends, [](const Backend& backend) { return backend.view.slot > 3; });
+  fixture.publish();
+  for (int count = 0; count < 16; ++count) {
+    const Dispatch running = fixture.sendParts({kSharedPart});
+    REQUIRE(running.exchange != 0);
+    REQUIRE(fixture.sendParts({kSharedPart, kSoundPart}).exchange != 0);
+    fixture.head(503, rejection);
+    fixture.now += milliseconds(100);
+    fixture.crash(running);
+    fixture.now += milliseconds(1'400);
+  }
+  CHECK(fixture.sendParts({kSharedPart}).exchange != 0);
+}
