Give a gateway that starts no slack of the retry budget before a window has passed

Class: a bound over all processes that each process keeps by its own memory. The slack is now available from one window after the start on; the part that depends on requests counts the process's own requests as before.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -44,6 +44,7 @@
       suspects_(settings.crash_policy) {}
 
 void Gateway::onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot, TimePoint now) {
+  if (!started_at_) started_at_ = now;
   updateListedLimits(*snapshot, now);
   notices_.onSnapshot(*snapshot, now);
   snapshot_ = withStatedDepartures(std::move(snapshot));
@@ -99,7 +100,7 @@
 }
 
 RetryBudget& Gateway::budgetOf(const std::string& pool) {
-  return budgets_.try_emplace(pool, settings_.retry_budget).first->second;
+  return budgets_.try_emplace(pool, settings_.retry_budget, started_at_.value_or(TimePoint{})).first->second;
 }
 
 // New requests.
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -344,6 +344,7 @@
   void onRecalled(Entry& entry, TimePoint now);
 
   GatewaySettings settings_;
+  std::optional<TimePoint> started_at_;  ///< Time of the first onSnapshot().
   RandomSource random_;
   RequestObserver& observer_;
   std::shared_ptr<const GatewaySnapshot> snapshot_;  ///< With the departures that back ends stated.
--- a/src/gateway/retry_budget.cc
+++ b/src/gateway/retry_budget.cc
@@ -30,7 +30,9 @@
     if (counted.number > current - window) requests += counted.requests;
     if (counted.number >= current - window) retries += counted.retries;
   }
-  return settings_.ratio * requests + settings_.slack / std::max(share_divisor, 1U) - retries;
+  const bool has_slack = now - started_at_ >= settings_.window;
+  const double slack = has_slack ? settings_.slack / std::max(share_divisor, 1U) : 0;
+  return settings_.ratio * requests + slack - retries;
 }
 
 bool RetryBudget::tryRetry(std::uint32_t share_divisor, TimePoint now) {
--- a/src/gateway/retry_budget.h
+++ b/src/gateway/retry_budget.h
@@ -12,9 +12,14 @@
 /// Counts requests and retries of one pool over a sliding window that is divided into slices. Retries are
 /// counted over the window and up to one slice more, requests over the window less up to one slice, so that
 /// the budget holds for any window.
+///
+/// An earlier process of this gateway may have used the whole share before it ended. So the slack, which does
+/// not depend on requests, is available from one window after the start of the process on.
 class RetryBudget {
 public:
-  explicit RetryBudget(const RetryBudgetSettings& settings) : settings_(settings) {}
+  /// @param started_at when the process of the gateway started.
+  RetryBudget(const RetryBudgetSettings& settings, TimePoint started_at)
+      : settings_(settings), started_at_(started_at) {}
   /// Counts a client's request for the pool.
   void onRequest(TimePoint now);
   /// Consumes one retry of this gateway's share.
@@ -34,6 +39,7 @@
   Slice& slice(TimePoint now);
 
   RetryBudgetSettings settings_;
+  TimePoint started_at_{};
   std::array<Slice, kSlices + 1> slices_{};
 };
 
--- a/tests/integration/gateway/gateway_site.h
+++ b/tests/integration/gateway/gateway_site.h
@@ -2,6 +2,7 @@
 /// @file Fixture with a gateway process that is connected over real sockets to a client and to two back ends
 /// behind a fault proxy.
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 #include <functional>
@@ -68,6 +69,8 @@
     GatewayProcessSettings settings;
     settings.listen_address = "127.0.0.1:0";
     settings.decisions = decisions;
+    // A process that has just started has no slack in its retry budget.
+    settings.decisions.retry_budget.ratio = std::max(decisions.retry_budget.ratio, 1.0);
     process = std::make_unique<GatewayProcess>(settings, std::make_shared<TestDialect>(), TrafficCallbacks{});
     REQUIRE_FALSE(process->start());
     client = http::makeClient(context.get_executor());
