Count a repeat when it is sent

A repeat was counted when it was decided. A repeat that is decided is still taken from the budget at once, and counts from its dispatch on; one that is never sent is given back.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -328,6 +328,7 @@
   ++entry.dispatches;
   ++counters_.dispatches;
   if (entry.may_have_arrived) ++counters_.repeats;
+  countSentRetry(entry, now);
   exchanges_[active.exchange] = entry.id;
   entry.last_backend = backend.name;
   reportPlaced(entry, choice, now);
@@ -397,6 +398,7 @@
   if (entry.waiting) queue_.erase({entry.priority, entry.id});
   timers_.erase({entry.timer_at, entry.id});
   awaiting_origin_.erase(entry.id);
+  if (entry.retry) budgetOf(entry.retry->pool).undo(entry.retry->consumed_at);
   const ClientId id = entry.id;  // erase() destroys the entry.
   entries_.erase(id);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -157,6 +157,11 @@
     std::uint32_t paused = 0;  ///< The others' limits have no room.
     Duration time_left{0};     ///< Until the first of them takes requests again.
   };
+  /// A retry that was taken from the budget of a pool.
+  struct RetryClaim {
+    std::string pool;
+    TimePoint consumed_at{};
+  };
   /// A client request in progress.
   struct Entry {
     ClientId id = 0;
@@ -185,7 +190,8 @@
     std::uint32_t dispatches = 0;
     bool waiting = false;  ///< Queued for a back end with capacity.
     bool may_have_run = false;
-    bool may_have_arrived = false;  ///< A back end may have received it: a further dispatch is a repeat.
+    bool may_have_arrived = false;    ///< A back end may have received it: a further dispatch is a repeat.
+    std::optional<RetryClaim> retry;  ///< Of a repeat that was decided and not sent yet.
     bool head_forwarded = false;
     http::BodyFraming head_framing = http::BodyFraming::Length;  ///< Of the forwarded head.
     std::optional<StreamCursor> cursor;                          ///< Of a resumable stream.
@@ -326,6 +332,7 @@
   void discardResponse(Entry& entry, DispatchOutcome outcome, TimePoint now);
   bool mayRepeat(const Entry& entry) const;
   bool consumeRetryBudget(Entry& entry, TimePoint now);
+  void countSentRetry(Entry& entry, TimePoint now);
   void retryOrGiveUp(Entry& entry, const ActiveExchange& failed, int status, TimePoint now);
   void retryElsewhere(Entry& entry, const ActiveExchange& failed, int status, TimePoint now);
   void giveUp(Entry& entry, TimePoint now);
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -411,8 +411,17 @@
 /// Takes a repeat from the retry budget, unless no back end can have received the request.
 /// @return whether the request may be repeated; false if the budget is exhausted.
 bool Gateway::consumeRetryBudget(Entry& entry, TimePoint now) {
-  if (!entry.may_have_arrived) return true;
-  return budgetOf(entry.pool->name).tryRetry(snapshot_->share_divisor, now);
+  if (!entry.may_have_arrived || entry.retry) return true;
+  if (!budgetOf(entry.pool->name).tryRetry(snapshot_->share_divisor, now)) return false;
+  entry.retry = RetryClaim{entry.pool->name, now};
+  return true;
+}
+
+/// The request may have waited for a back end since its retry was decided.
+void Gateway::countSentRetry(Entry& entry, TimePoint now) {
+  if (!entry.retry) return;
+  budgetOf(entry.retry->pool).onSent(entry.retry->consumed_at, now);
+  entry.retry.reset();
 }
 
 void Gateway::retryOrGiveUp(Entry& entry, const ActiveExchange& failed, int status, TimePoint now) {
--- a/src/gateway/retry_budget.cc
+++ b/src/gateway/retry_budget.cc
@@ -41,4 +41,15 @@
   return true;
 }
 
+void RetryBudget::onSent(TimePoint consumed_at, TimePoint now) {
+  undo(consumed_at);
+  ++slice(now).retries;
+}
+
+void RetryBudget::undo(TimePoint consumed_at) {
+  const std::int64_t number = numberOf(consumed_at);
+  Slice& counted = slices_[static_cast<std::size_t>(number) % slices_.size()];
+  if (counted.number == number && counted.retries > 0) --counted.retries;
+}
+
 }  // namespace crankspur::gateway
--- a/src/gateway/retry_budget.h
+++ b/src/gateway/retry_budget.h
@@ -25,6 +25,10 @@
   /// Consumes one retry of this gateway's share.
   /// @return false if the share is used up; nothing is consumed then.
   bool tryRetry(std::uint32_t share_divisor, TimePoint now);
+  /// Counts a retry at the time at which it is sent, instead of the time at which it was consumed.
+  void onSent(TimePoint consumed_at, TimePoint now);
+  /// The retry was not sent.
+  void undo(TimePoint consumed_at);
   /// @return retries that this gateway's share still allows; below 1: none.
   double left(std::uint32_t share_divisor, TimePoint now) const;
 
