Limit retries by the requests of the window before them

A gateway counted the requests of the window that ended with a retry. That number rises and falls by chance at each gateway, and each one used its highest value within ten seconds, while the budget is judged by the sum of one window. The excess grows with the root of requests and gateways. Now the retries since any time within the last window are limited by the requests in the window before that time, which add up over gateways; where the load has risen, by four fifths of those since then. The slices are half as long.

--- a/src/gateway/retry_budget.cc
+++ b/src/gateway/retry_budget.cc
@@ -3,16 +3,22 @@
 #include <algorithm>
 
 namespace crankspur::gateway {
+namespace {
+
+/// Where the load has risen, the requests since the beginning of a window count instead of those before it,
+/// less what they may exceed them by chance.
+constexpr double kRisingLoadShare = 0.8;
+
+}  // namespace
 
 std::int64_t RetryBudget::numberOf(TimePoint now) const {
-  const auto length =
-      std::max<std::int64_t>(settings_.window.count() / static_cast<std::int64_t>(kSlices), 1);
+  const auto length = std::max<std::int64_t>(settings_.window.count() / kSlices, 1);
   return now.time_since_epoch().count() / length;
 }
 
 RetryBudget::Slice& RetryBudget::slice(TimePoint now) {
   const std::int64_t number = numberOf(now);
-  Slice& found = slices_[static_cast<std::size_t>(number) % slices_.size()];
+  Slice& found = slices_[static_cast<std::size_t>(number % kKeptSlices)];
   if (found.number != number) found = {number, 0, 0};
   return found;
 }
@@ -21,18 +27,37 @@
   ++slice(now).requests;
 }
 
-double RetryBudget::left(std::uint32_t share_divisor, TimePoint now) const {
-  const std::int64_t current = numberOf(now);
-  const auto window = static_cast<std::int64_t>(kSlices);
-  double requests = 0;
-  double retries = 0;
-  for (const Slice& counted : slices_) {
-    if (counted.number > current - window) requests += counted.requests;
-    if (counted.number >= current - window) retries += counted.retries;
+RetryBudget::Sums RetryBudget::sumsUntil(std::int64_t current) const {
+  Sums sums;
+  const std::int64_t oldest = current - kKeptSlices + 1;
+  for (std::int64_t index = 0; index < kKeptSlices; ++index) {
+    const std::int64_t number = std::max<std::int64_t>(oldest + index, 0);
+    const Slice& counted = slices_[static_cast<std::size_t>(number % kKeptSlices)];
+    const bool valid = counted.number == oldest + index;
+    const auto at = static_cast<std::size_t>(index);
+    sums.requests[at + 1] = sums.requests[at] + (valid ? counted.requests : 0);
+    sums.retries[at + 1] = sums.retries[at] + (valid ? counted.retries : 0);
   }
+  return sums;
+}
+
+double RetryBudget::left(std::uint32_t share_divisor, TimePoint now) const {
+  const Sums sums = sumsUntil(numberOf(now));
   const bool has_slack = now - started_at_ >= settings_.window;
   const double slack = has_slack ? settings_.slack / std::max(share_divisor, 1U) : 0;
-  return settings_.ratio * requests + slack - retries;
+  const double all_requests = sums.requests[kKeptSlices];
+  const double all_retries = sums.retries[kKeptSlices];
+  double least = all_requests * settings_.ratio + slack;
+  // The window may begin anywhere within its first slice, so the window before it surely has the slices but
+  // the oldest.
+  for (std::size_t first = kSlices; first < kKeptSlices; ++first) {
+    const double before = sums.requests[first] - sums.requests[first - kSlices + 1];
+    const double since = all_requests - sums.requests[first];
+    const double requests = std::max(before, since * kRisingLoadShare);
+    const double retries = all_retries - sums.retries[first];
+    least = std::min(least, settings_.ratio * requests + slack - retries);
+  }
+  return least;
 }
 
 bool RetryBudget::tryRetry(std::uint32_t share_divisor, TimePoint now) {
@@ -48,7 +73,7 @@
 
 void RetryBudget::undo(TimePoint consumed_at) {
   const std::int64_t number = numberOf(consumed_at);
-  Slice& counted = slices_[static_cast<std::size_t>(number) % slices_.size()];
+  Slice& counted = slices_[static_cast<std::size_t>(number % kKeptSlices)];
   if (counted.number == number && counted.retries > 0) --counted.retries;
 }
 
--- a/src/gateway/retry_budget.h
+++ b/src/gateway/retry_budget.h
@@ -9,9 +9,11 @@
 
 namespace crankspur::gateway {
 
-/// Counts requests and retries of one pool over a sliding window that is divided into slices. Retries are
-/// counted over the window and up to one slice more, requests over the window less up to one slice, so that
-/// the budget holds for any window.
+/// Counts requests and retries of one pool in slices of a window. The budget holds for the sum over all
+/// gateways in each window, wherever it begins: the retries of a gateway since any time within the last
+/// window are limited by its requests in the window before that time. These add up over the gateways. A limit
+/// by the requests up to now does not: it rises and falls by chance at each gateway, and each one would use
+/// its highest value.
 ///
 /// An earlier process of this gateway may have used the whole share before it ended. So the slack, which does
 /// not depend on requests, is available from one window after the start of the process on.
@@ -33,18 +35,25 @@
   double left(std::uint32_t share_divisor, TimePoint now) const;
 
 private:
-  static constexpr std::size_t kSlices = 10;  ///< In one window.
+  static constexpr std::int64_t kSlices = 20;                   ///< In one window.
+  static constexpr std::int64_t kKeptSlices = 2 * kSlices + 1;  ///< Two windows, and the current slice.
   struct Slice {
     std::int64_t number = -1;
     std::uint32_t requests = 0;
     std::uint32_t retries = 0;
   };
+  /// Sums over the slices from the oldest kept one up to each one.
+  struct Sums {
+    std::array<double, kKeptSlices + 1> requests{};
+    std::array<double, kKeptSlices + 1> retries{};
+  };
   std::int64_t numberOf(TimePoint now) const;
   Slice& slice(TimePoint now);
+  Sums sumsUntil(std::int64_t current) const;
 
   RetryBudgetSettings settings_;
   TimePoint started_at_{};
-  std::array<Slice, kSlices + 1> slices_{};
+  std::array<Slice, kKeptSlices> slices_{};
 };
 
 }  // namespace crankspur::gateway
