Stop reading responses that nobody needs

Class: a response that is discarded still has a cost. The client ends such an exchange after 2 s, 64 kB or 16 responses that are not its own; a rejection that is short leaves its connection for other requests, as before. Health requests, whose head is enough, are discarded the same way.

--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -396,7 +396,10 @@
 }
 
 void TrafficLoop::execute(const DiscardResponse& action) {
-  exchanges_.erase(action.exchange);
+  const auto found = exchanges_.find(action.exchange);
+  if (found == exchanges_.end()) return;
+  found->second.exchange->discard();
+  exchanges_.erase(found);
 }
 
 void TrafficLoop::execute(const ForwardResponse& action) {
@@ -474,6 +477,9 @@
   options.idle_timeout = kProbeTimeout;
   http::ExchangeCallbacks callbacks;
   callbacks.on_headers = [this, probe = action.probe](int, const http::Headers&, http::BodyFraming) {
+    const auto found = probes_.find(probe);
+    if (found != probes_.end()) found->second->discard();
+    probes_.erase(probe);
     onProbeResult(probe, ProbeOutcome::responded);
   };
   callbacks.on_done = [this, probe = action.probe](std::error_code error, http::SendState,
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -79,6 +79,12 @@
     remove(connection.get());
   }
 
+  /// The response is not needed; no callback of the exchange is called any more.
+  void discard(const std::shared_ptr<ExchangeState>& exchange) {
+    const auto found = running_.find(exchange.get());
+    if (!exchange->ended && found != running_.end()) found->second->discardResponse();
+  }
+
   void closeAll() {
     closed_ = true;
     const std::vector<std::shared_ptr<ClientConnection>> connections(open_.begin(), open_.end());
@@ -140,7 +146,7 @@
 
   void onEnd(const std::shared_ptr<ExchangeState>& exchange, const ClientConnection::Outcome& outcome) {
     running_.erase(exchange.get());
-    if (closed_ || exchange->ended) return;
+    if (closed_ || exchange->ended || exchange->discarded) return;
     if (outcome.timed_out) onTimeout(*outcome.timed_out);
     const bool nothing_sent = outcome.state == SendState::NotSent;
     if (outcome.stale && (nothing_sent || exchange->request.method == "GET")) return run(exchange, true);
@@ -184,6 +190,9 @@
   void cancelTimedOut() override {
     if (const auto pool = pool_.lock()) pool->cancelTimedOut(state_);
   }
+  void discard() override {
+    if (const auto pool = pool_.lock()) pool->discard(state_);
+  }
   bool cancelIfNotSent() override {
     const auto pool = pool_.lock();
     return pool && pool->cancelIfNotSent(state_);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -40,6 +40,9 @@
   virtual void cancel() = 0;
   /// Like cancel(), because the response timed out: other kept-alive connections may be half-open as well.
   virtual void cancelTimedOut() = 0;
+  /// To be called once headers were received: the rest of the response is not needed. No callback is called
+  /// any more. The connection is kept for other exchanges if the response ends soon, and closed otherwise.
+  virtual void discard() = 0;
   /// Like cancel(), but only if no byte of the request was written: the connection is still being opened.
   /// @return whether it was cancelled.
   virtual bool cancelIfNotSent() = 0;
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -19,6 +20,14 @@
 
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 constexpr std::uint32_t kHeaderBytes = 64 * 1024;
+/// Maximum time from the first byte of a head to its end. A server may send bytes of a head without end.
+constexpr Duration kMaxHeadTime = std::chrono::seconds(2);
+/// Reading the rest of a response that is not needed costs less than a new connection, up to this size and
+/// time. A server may send such a response without end.
+constexpr std::size_t kMaxDiscardedBytes = std::size_t{64} * 1024;
+constexpr Duration kMaxDiscardTime = std::chrono::seconds(2);
+/// Limit of interim responses and of responses to earlier requests before the response of an exchange.
+constexpr std::uint32_t kMaxOtherResponses = 16;
 /// Shorter than the idle timeout of the server, so that the client closes an idle connection first.
 constexpr Duration kIdleLifetime = std::chrono::seconds(20);
 /// Maximum time in which the close of an idle connection by the server can race with the next request on it.
@@ -68,6 +77,8 @@
   byte_sent_ = false;
   byte_received_ = false;
   late_timer_deferred_ = false;
+  discarded_bytes_ = 0;
+  other_responses_ = 0;
   began_at_ = std::chrono::steady_clock::now();
   reused_ = phase_ == Phase::Idle;
   if (reused_) {
@@ -122,6 +133,7 @@
 void ClientConnection::resetParser() {
   headers_delivered_ = false;
   discarding_ = false;
+  read_deadline_.reset();
   parser_.emplace();
   parser_->header_limit(kHeaderBytes);
   parser_->body_limit(boost::none);
@@ -150,12 +162,34 @@
   last_received_ = idle_since_;
   if (!std::exchange(byte_received_, true) && reused_) callbacks_.on_reused_response(this);
   parse();
+  if (phase_ == Phase::Busy) {
+    if (exceedsDiscardLimit(bytes)) return fail(make_error_code(ErrorCode::TooLarge));
+    const bool head_began = parser_->got_some() || buffer_.size() > 0;
+    if (!headers_delivered_ && head_began && !read_deadline_) limitReading(kMaxHeadTime);
+  }
   if (phase_ == Phase::Busy || phase_ == Phase::Idle) read();
 }
 
+/// @param bytes that were read last.
+bool ClientConnection::exceedsDiscardLimit(std::size_t bytes) {
+  if (discarding_ || exchange_->discarded) discarded_bytes_ += bytes;
+  return discarded_bytes_ > kMaxDiscardedBytes || other_responses_ > kMaxOtherResponses;
+}
+
+/// Unless what is being read is complete within the time, the exchange fails.
+void ClientConnection::limitReading(Duration time) {
+  read_deadline_ = std::chrono::steady_clock::now() + time;
+  armTimer(time);
+}
+
+void ClientConnection::discardResponse() {
+  exchange_->discarded = true;
+  limitReading(kMaxDiscardTime);
+}
+
 void ClientConnection::parse() {
   const auto exchange = exchange_;
-  while (buffer_.size() > 0) {
+  while (buffer_.size() > 0 && other_responses_ <= kMaxOtherResponses) {
     boost::system::error_code error;
     const std::size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
@@ -179,7 +213,7 @@
 }
 
 bool ClientConnection::consumeBody(std::string_view piece) {
-  if (!exchange_ || exchange_->ended || discarding_) return true;
+  if (!exchange_ || exchange_->ended || exchange_->discarded || discarding_) return true;
   if (exchange_->callbacks.on_data) {
     exchange_->callbacks.on_data(piece);
     return true;
@@ -193,13 +227,20 @@
 void ClientConnection::deliverHeaders() {
   const auto exchange = exchange_;
   const auto status = static_cast<int>(parser_->get().result_int());
-  if (status / 100 == 1) return resetParser();  // Interim response; the final response follows.
+  if (status / 100 == 1) {  // Interim response; the final response follows.
+    ++other_responses_;
+    return resetParser();
+  }
   headers_delivered_ = true;
+  read_deadline_.reset();
   parser_->eager(true);
   Headers headers = readHeaders(parser_->get().base());
   applyKeepAliveTimeout(headers);
   discarding_ = exchange->callbacks.matches_request && !exchange->callbacks.matches_request(status, headers);
-  if (discarding_) return;
+  if (discarding_) {
+    ++other_responses_;
+    return limitReading(kMaxDiscardTime);
+  }
   exchange->response.status = status;
   exchange->response.headers = std::move(headers);
   if (exchange->callbacks.on_headers)
@@ -300,9 +341,10 @@
   if (phase_ == Phase::Idle) return closeAndNotify();
   if (deferLateTimer()) return armTimer(kTimerDelayTolerance);
   if (phase_ == Phase::Busy) {
-    const auto idle_time = std::chrono::steady_clock::now() - idle_since_;
-    const Duration limit = exchange_->options.idle_timeout;
-    if (idle_time < limit) return armTimer(std::chrono::ceil<Duration>(limit - idle_time));
+    const auto idle_deadline = idle_since_ + exchange_->options.idle_timeout;
+    const auto deadline = std::min(idle_deadline, read_deadline_.value_or(idle_deadline));
+    const auto time_left = deadline - std::chrono::steady_clock::now();
+    if (time_left.count() > 0) return armTimer(std::chrono::ceil<Duration>(time_left));
   }
   fail(make_error_code(ErrorCode::DeadlineExceeded));
 }
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -49,7 +49,8 @@
   ExchangeCallbacks callbacks;
   ExchangeOptions options;
   Response response;
-  bool ended = false;  ///< Completed or cancelled; no further callbacks.
+  bool ended = false;      ///< Completed or cancelled; no further callbacks.
+  bool discarded = false;  ///< Its response is not needed; no further callbacks.
 };
 
 /// One connection. A read is always pending, so that a close by the server is detected while idle.
@@ -78,6 +79,9 @@
   void run(std::shared_ptr<ExchangeState> exchange);
   /// Closes without a callback.
   void close();
+  /// The response of the current exchange is not needed. The connection is reusable if the rest of it is
+  /// short; otherwise it is closed.
+  void discardResponse();
   /// @return whether any byte of the current request was written.
   bool hasSent() const { return byte_sent_; }
   /// @return the current exchange if no byte of its response was received; otherwise empty.
@@ -102,6 +106,8 @@
   void complete(bool reusable);
   void fail(std::error_code error);
   void closeAndNotify();
+  void limitReading(Duration time);
+  bool exceedsDiscardLimit(std::size_t bytes);
   void armTimer(Duration delay);
   void onTimer();
   bool deferLateTimer();
@@ -121,9 +127,13 @@
   bool byte_sent_ = false;
   bool byte_received_ = false;
   bool headers_delivered_ = false;
-  bool late_timer_deferred_ = false;  ///< A late timer was already deferred once in this exchange.
-  bool discarding_ = false;           ///< The response being received belongs to an earlier request.
-  Duration idle_lifetime_;            ///< Reduced by the Keep-Alive header of the server.
+  bool late_timer_deferred_ = false;   ///< A late timer was already deferred once in this exchange.
+  bool discarding_ = false;            ///< The response being received belongs to an earlier request.
+  std::size_t discarded_bytes_ = 0;    ///< Of responses that are not needed, in this exchange.
+  std::uint32_t other_responses_ = 0;  ///< Interim ones and those to earlier requests, in this exchange.
+  /// When the head, or a response that is not needed, has to be complete.
+  std::optional<std::chrono::steady_clock::time_point> read_deadline_;
+  Duration idle_lifetime_;                            ///< Reduced by the Keep-Alive header of the server.
   std::chrono::steady_clock::time_point idle_since_;  ///< Start of the current idle timeout.
   /// When data was last received; set when connected.
   std::chrono::steady_clock::time_point last_received_{};
