End events and errors of back ends that have no end

An event, or a comment, has at most 64 kB now; beyond it the back end has failed, and the stream goes on at another one or is broken off (cause event_too_large). An error that is forwarded has to be complete within 2 s and 256 kB; beyond it the request fails as possibly run.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -130,8 +130,9 @@
     TimePoint sent_at{};
     TimePoint last_received_at{};
     Duration expected{0};
-    std::optional<std::uint64_t> weights;   ///< That the back end was expected to have.
-    TimePoint start_by = TimePoint::max();  ///< It may not start later, since its weights are superseded.
+    std::optional<std::uint64_t> weights;      ///< That the back end was expected to have.
+    TimePoint start_by = TimePoint::max();     ///< It may not start later, since its weights are superseded.
+    TimePoint complete_by = TimePoint::max();  ///< Limit of an error response that is to be forwarded.
     DispatchedPrompt prompt;
     bool first_byte = false;
     bool body_began = false;       ///< Bytes of the body were received, and passed to onBytes().
@@ -321,6 +322,8 @@
   void onNotRun(Entry& entry, int status, const BackendResponse& response, TimePoint now);
   void onWrongBackend(Entry& entry, int status, const BackendResponse& response, TimePoint now);
   void onErrorResponse(Entry& entry, int status, TimePoint now);
+  void limitErrorResponse(Entry& entry, TimePoint now);
+  void onEndlessEvent(Entry& entry, TimePoint now);
   void forwardHead(Entry& entry);
   bool stopsWithinEvent(const Entry& entry) const;
   bool canForwardEnd(const Entry& entry) const;
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -14,6 +14,9 @@
 /// of the connection in time.
 constexpr Duration kWithdrawTime = std::chrono::milliseconds(300);
 
+/// Maximum time from the head of an error response to its end.
+constexpr Duration kMaxErrorResponseTime = std::chrono::seconds(2);
+
 bool isServerError(int status) {
   return status / 100 == 5;
 }
@@ -75,6 +78,7 @@
   Entry* entry = findExchange(exchange);
   if (entry == nullptr || entry->active.streams_body) return;
   entry->active.last_received_at = now;
+  if (entry->active.complete_by != TimePoint::max()) return giveUp(*entry, now);
   entry->active.streams_body = true;
   entry->cursor.reset();
   forwardHead(*entry);
@@ -91,6 +95,7 @@
   if (!entry->active.streams_body) return;
   recordBodyBegin(*entry, now);
   if (entry->active.events) entry->active.events->feed(bytes);
+  if (entry->active.events && entry->active.events->isTooLarge()) return onEndlessEvent(*entry, now);
   recordFirstByte(*entry, now);
   std::string forwarded = entry->cursor ? entry->cursor->feed(bytes) : std::string(bytes);
   if (forwarded.empty()) return;
@@ -98,6 +103,17 @@
   actions_.emplace_back(ForwardBytes{entry->id, std::move(forwarded)});
 }
 
+/// A back end that does not end an event has failed. Another one can continue the stream after the event
+/// before.
+void Gateway::onEndlessEvent(Entry& entry, TimePoint now) {
+  const ActiveExchange active = entry.active;
+  entry.cause = RequestCause::event_too_large;
+  if (active.relayed) return giveUp(entry, now);
+  entry.failed.push_back(active.slot);
+  cancelExchange(entry, DispatchOutcome::Failed, now);
+  retryOrGiveUp(entry, active, active.status, now);
+}
+
 void Gateway::onEnd(ExchangeId exchange, TimePoint now) {
   Entry* entry = findExchange(exchange);
   if (entry == nullptr) return;
@@ -213,12 +229,18 @@
   }
   const bool at_most_once = entry.route->repeatability == Repeatability::AtMostOnce;
   const bool forwards = !entry.head_forwarded && !(at_most_once && impliesNotRun(status));
-  if (forwards) return;  // onEnd() forwards the complete response.
+  if (forwards) return limitErrorResponse(entry, now);  // onEnd() forwards the complete response.
   discardResponse(entry, DispatchOutcome::ErrorResponse, now);
   reportMoved(entry, active, status, false, now);
   giveUp(entry, now);
 }
 
+/// The body of an error may have no end.
+void Gateway::limitErrorResponse(Entry& entry, TimePoint now) {
+  entry.active.complete_by = now + kMaxErrorResponseTime;
+  scheduleTimer(entry, std::min(entry.timer_at, entry.active.complete_by));
+}
+
 /// The response lacks the marks that the back end itself sets.
 void Gateway::onInvalidResponse(Entry& entry, int status, TimePoint now) {
   const ActiveExchange active = entry.active;
@@ -313,12 +335,14 @@
   const TimePoint due = silenceDeadline(active, now);
   const bool has_alternative = snapshot_->backends.size() > 1;
   const TimePoint start_by = active.first_byte ? TimePoint::max() : active.start_by;
-  if (now < due) return scheduleTimer(entry, std::min({entry.deadline, due, start_by}));
+  if (now >= active.complete_by) return giveUp(entry, now);
+  const TimePoint ends_by = std::min(entry.deadline, active.complete_by);
+  if (now < due) return scheduleTimer(entry, std::min({ends_by, due, start_by}));
   entry.may_have_arrived = true;
   entry.may_have_run = true;
   recordUnreached(*entry.pool, active, now);
   if (!has_alternative || !mayRepeat(entry) || !consumeRetryBudget(entry, now))
-    return scheduleTimer(entry, std::min(entry.deadline, start_by));
+    return scheduleTimer(entry, std::min(ends_by, start_by));
   entry.cause = RequestCause::silence;
   // A silent connection says nothing about the back end, which may have the prompt in its cache: it stays
   // eligible.
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -91,6 +91,8 @@
       return "end_unproven";
     case RequestCause::answer_not_genuine:
       return "answer_not_genuine";
+    case RequestCause::event_too_large:
+      return "event_too_large";
     case RequestCause::error_answer:
       return "error_answer";
     case RequestCause::quarantined:
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -46,6 +46,7 @@
   answer_broke_off,      ///< The connection broke after bytes were sent, or a stream stopped within an event.
   end_unproven,          ///< A resumed stream ended with its connection, after a head with other framing.
   answer_not_genuine,    ///< The response lacks the marks that the back end itself sets.
+  event_too_large,       ///< The back end sent an event that does not end.
   error_answer,          ///< The back end responded with an error status.
   quarantined,           ///< Back ends crashed while they ran the request: it is not run for some time.
   suspicion_undecided,   ///< Back ends crashed under a part of it; other gateways' evidence is awaited.
