Send brittle back ends no more than a share of their places

Nothing kept a brittle back end from rejecting: each gateway found its room by being rejected, at a backoff of 60 ms and one request more each 100 ms, and what one engine could not take went to the next. Class: a limit that is found by exceeding it, where each excess has a price, and for all gateways together. While a back end of a pool states Server-Brittle, each gateway uses a share of its own of the places that each back end lists, and after a rejection three quarters of the requests that it had there; it tries one more so slowly that all gateways cause half of the tolerated rejections. One that starts gets a quarter of its share at first. Requests wait at the gateway up to half of their first-byte target instead of in the back end's queue.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -10,6 +10,8 @@
 constexpr int kGatewayTimeout = 504;
 /// A request that was not dispatched yet is queued for at most its first-byte target divided by this.
 constexpr int kQueueTimeDivisor = 4;
+/// The same while the back ends are brittle: it waits here instead of in their queues.
+constexpr int kBrittleQueueTimeDivisor = 2;
 /// Maximum time that a request is queued for another back end after a dispatch.
 constexpr Duration kMaxRetryQueueTime = std::chrono::milliseconds(400);
 /// Interval at which a queued request retries placement, in addition to retries when capacity becomes free.
@@ -47,6 +49,7 @@
   if (!started_at_) started_at_ = now;
   updateListedLimits(*snapshot, now);
   notices_.onSnapshot(*snapshot, now);
+  brittle_.onSnapshot(*snapshot, now);
   snapshot_ = withStatedDepartures(std::move(snapshot));
   table_.onSnapshot(*snapshot_, now);
   choice_.onSnapshot(*snapshot_);
@@ -269,7 +272,9 @@
   if (!entry.waiting) {
     entry.waiting = true;
     queue_.insert({entry.priority, entry.id});
-    const TimePoint first = entry.arrived_at + entry.route->first_byte_target / kQueueTimeDivisor;
+    const bool is_brittle = brittle_.isBrittle(entry.pool->name, now);
+    const int divisor = is_brittle ? kBrittleQueueTimeDivisor : kQueueTimeDivisor;
+    const TimePoint first = entry.arrived_at + entry.route->first_byte_target / divisor;
     const TimePoint until = entry.dispatches > 0 ? now + kMaxRetryQueueTime : std::max(now, first);
     entry.queued_until = std::min(until, entry.deadline);
     if (now < entry.queued_until) reportWaiting(entry, now);
--- a/src/gateway/gateway_notices.cc
+++ b/src/gateway/gateway_notices.cc
@@ -89,11 +89,19 @@
 /// Chooses among the back ends that accept requests. The request counts towards the limit of the chosen one.
 Choice Gateway::chooseAccepting(Entry& entry, const Pool& pool, TimePoint now) {
   ChoiceRequest request = choiceRequest(entry, pool, now);
-  if (!limits_.any() && !notices_.anyPause()) return choice_.choose(request, *snapshot_, table_, now);
+  if (!limits_.any() && !notices_.anyPause() && !brittle_.any())
+    return choice_.choose(request, *snapshot_, table_, now);
+  bool is_room_used_up = false;
   for (const Backend& backend : snapshot_->backends) {
-    if (backend.view.pool != pool.name || acceptsRequests(backend, now)) continue;
-    request.excluded.push_back(backend.view.slot);
-    passOver(entry, backend, now);
+    if (backend.view.pool != pool.name) continue;
+    const EngineSlot slot = backend.view.slot;
+    if (!acceptsRequests(backend, now)) {
+      request.excluded.push_back(slot);
+      passOver(entry, backend, now);
+    } else if (!brittle_.hasRoom(backend, table_.inFlight(slot), *snapshot_, now)) {
+      request.excluded.push_back(slot);
+      is_room_used_up = true;
+    }
   }
   Choice choice = choice_.choose(request, *snapshot_, table_, now);
   while (choice.backend != nullptr && !limits_.admit(choice.backend->view.incarnation, now)) {
@@ -101,6 +109,7 @@
     passOver(entry, *choice.backend, now);
     choice = choice_.choose(request, *snapshot_, table_, now);
   }
+  choice.at_capacity = choice.at_capacity || (choice.backend == nullptr && is_room_used_up);
   return choice;
 }
 
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -181,6 +181,7 @@
   const Duration taken = now - active.sent_at;
   choice_.onFirstByte(*entry.pool, active.prompt, active.exchange, taken, now);
   table_.onFirstByte(active.slot, active.incarnation, taken, active.expected, now);
+  brittle_.onAccepted(active.slot, active.incarnation);
 }
 
 // Failures.
@@ -191,6 +192,7 @@
   const ActiveExchange active = entry.active;
   entry.cause = RequestCause::back_end_full;
   entry.failed.push_back(active.slot);
+  brittle_.onRejected(active.slot, active.incarnation, table_.inFlight(active.slot), now);
   const bool paused = notices_.pausedFor(active.incarnation, now) > Duration(0);
   discardResponse(entry, paused ? DispatchOutcome::Ended : DispatchOutcome::Full, now);
   retryOrGiveUp(entry, active, status, now);
