Hold the fall of a brittle back end against none of its requests

Back ends that fell over because they rejected too much were taken for ones that a prompt part had crashed. The test failed before, by its 16th fall.

--- a/src/gateway/gateway_suspects.cc
+++ b/src/gateway/gateway_suspects.cc
@@ -117,6 +117,7 @@
     if (table_.leavingFor(active.slot, now) < kMinDrainTime) probeUnobservedEnds(entry, active, now);
     return;
   }
+  if (brittle_.explainsCrash(entry.pool->name, active.slot, active.incarnation, now)) return;
   std::vector<CrashEvidence> accused = accusedBy(entry, active);
   std::erase_if(accused, [&](CrashEvidence& evidence) {
     evidence.crashed_at = now;
