--- a/sim/gateway_world/engine_process.h
+++ b/sim/gateway_world/engine_process.h
@@ -7,8 +7,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "sim/gateway_world/fleet_context.h"
 #include "sim/gateway_world/store_node.h"
@@ -35,6 +38,7 @@
   bool wrong_engine = false;
   Duration pause{0};     ///< The engine wants no other requests of the gateway for this time; 0: it does.
   bool leaving = false;  ///< The engine states that it leaves.
+  std::optional<std::uint32_t> tolerated_rejections;  ///< The engine states that it is brittle.
   std::uint32_t engine = 0;
   std::uint64_t engine_start = 0;  ///< Number of the process start.
   TimePoint sent_at{};
@@ -55,7 +59,8 @@
   void start();
   /// Crashes the process and restarts it after a random delay.
   /// @param silent the connections are not closed, as at a power loss.
-  void crash(bool silent, std::optional<BodyId> cause = std::nullopt);
+  /// @param by_rejections the process falls over because it rejected too many requests.
+  void crash(bool silent, std::optional<BodyId> cause = std::nullopt, bool by_rejections = false);
 
   /// Leaves as planned: the process serves on for some seconds after it has written its departure, completes
   /// its requests and ends. A new one starts.
@@ -111,6 +116,9 @@
   void send(const Run& run, sim::Task deliver);
   bool crashesAt(const Run& run, PoisonEffect point) const;
   EngineHead makeHead(int status) const;
+  const BrittlePeriod* brittlePeriod() const;
+  std::size_t capacity() const;
+  bool fallsOver(std::uint32_t gateway);
   void reject(std::size_t record, const sim::ChannelPointer& channel, EngineHead head,
               const EngineResponseHandlers& response);
 
@@ -129,6 +137,8 @@
   std::map<std::size_t, RunPointer> runs_;  ///< Running or queued, by EngineRun.
   std::deque<RunPointer> queue_;
   std::uint32_t running_ = 0;
+  /// Times and gateways of the requests that it rejected for want of room in the last second.
+  std::deque<std::pair<TimePoint, std::uint32_t>> rejections_;
 };
 
 /// @return the build of the software of an engine's process: any, and the same each time it is asked for.
--- a/sim/gateway_world/fleet_checkers.cc
+++ b/sim/gateway_world/fleet_checkers.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "sim/gateway_world/fleet_history.h"
+#include "sim/gateway_world/load_checkers.h"
 #include "sim/gateway_world/notice_checkers.h"
 
 namespace crankspur::gateway_sim {
@@ -26,7 +27,9 @@
 constexpr std::uint32_t kCrashesUntilIsolated = 2;
 constexpr std::uint32_t kConcurrentCrashesUntilQuarantined = 4;
 constexpr Duration kCloseTime = std::chrono::milliseconds(5);
-/// Retries during a partition use up the retry budget of its gateway for this long.
+/// Retries during a partition use up the retry budget of its gateway for this long. A process that has
+/// started within this time has only a small part of the budget, since its predecessor may have used the
+/// other.
 constexpr Duration kRetryBudgetWindow = std::chrono::seconds(10);
 constexpr Duration kRestartTime = std::chrono::seconds(5);
 constexpr Duration kDepartureLimit = std::chrono::seconds(2);
@@ -121,6 +124,7 @@
     const TimePoint end = attempt.sent_at + attempt.deadline;
     const bool undisturbed =
         history.isUndisturbed(attempt.gateway, attempt.sent_at, end, kRestartTime) &&
+        !history.startedBetween(attempt.gateway, crashed_at[index] - kRetryBudgetWindow, end) &&
         history.partitionState(attempt.gateway, end, kRetryBudgetWindow) == PartitionState::none &&
         history.isStoreUndisturbed(attempt.sent_at - context.site.key_validity, end) &&
         history.areConnectionsUndisturbed(attempt.sent_at - kRestartTime, end) &&
@@ -303,6 +307,8 @@
   checkDepartures(history, violations);
   checkPauses(history, violations);
   checkStatedDepartures(history, violations);
+  checkFalls(history, context, violations);
+  checkRetryBudget(history, context, violations);
   checkStreamBuilds(history, violations);
   checkPartitionedGateways(history, violations);
   checkResponses(history, violations);
--- a/sim/gateway_world/fleet_faults.cc
+++ b/sim/gateway_world/fleet_faults.cc
@@ -90,6 +90,8 @@
       return letEngineLeave();
     case FleetFault::engines_pause:
       return letEnginePause();
+    case FleetFault::engines_brittle:
+      return makeEnginesBrittle();
     case FleetFault::gateways_partitioned_from_engines:
       return partitionGatewaysFromEngines();
   }
@@ -125,6 +127,14 @@
   engines[random_.uniform(0, engines.size() - 1)]->rejectRequests(share, time, drawDuration(800, 5'000));
 }
 
+void FleetFaults::makeEnginesBrittle() {
+  auto& periods = context_.records.brittle_periods;
+  const TimePoint now = context_.queue.now();
+  if (!periods.empty() && now < periods.back().to) return;
+  const auto tolerated = static_cast<std::uint32_t>(random_.uniform(2, 8));
+  periods.push_back({now, now + drawDuration(6'000, 16'000), tolerated});
+}
+
 void FleetFaults::resetConnections() {
   context_.network.resetRandomChannels(kResetShare * (1 + random_.unit()));
   context_.records.connections.push_back({context_.queue.now(), context_.queue.now()});
--- a/sim/gateway_world/fleet_faults.h
+++ b/sim/gateway_world/fleet_faults.h
@@ -27,6 +27,7 @@
   engines_leave,                      ///< An engine leaves as planned.
   gateways_partitioned_from_engines,  ///< Some gateways do not reach most or all engines.
   engines_pause,                      ///< An engine rejects requests and asks gateways for a pause.
+  engines_brittle,                    ///< All engines are brittle for some time.
 };
 
 /// Schedules and injects faults.
@@ -46,6 +47,7 @@
   void crashEngines(bool silent);
   void letEngineLeave();
   void letEnginePause();
+  void makeEnginesBrittle();
   void resetConnections();
   void killGateways(double share);
   void partitionGateways();
--- a/sim/gateway_world/fleet_history.h
+++ b/sim/gateway_world/fleet_history.h
@@ -18,6 +18,7 @@
   TimePoint last_sent_at{};        ///< When the last of them was sent.
   std::uint32_t gateway = 0;       ///< A gateway that sent one of them.
   bool silent = false;
+  bool by_rejections = false;  ///< The engine rejected too many requests, as gateways may know.
 };
 
 /// Whether a gateway is partitioned from most engines.
@@ -45,6 +46,8 @@
 
   /// @return whether no fault affected the gateway from `margin` before `from` until `to`.
   bool isUndisturbed(std::uint32_t gateway, TimePoint from, TimePoint to, Duration margin) const;
+  /// @return whether a process of the gateway started in this time.
+  bool startedBetween(std::uint32_t gateway, TimePoint from, TimePoint to) const;
   /// @param detection_time after which the gateway knows that a partition began or ended.
   PartitionState partitionState(std::uint32_t gateway, TimePoint at, Duration detection_time) const;
   /// @return whether at least half of the gateways reach the engines all the time.
--- a/sim/gateway_world/fleet_run.cc
+++ b/sim/gateway_world/fleet_run.cc
@@ -21,6 +21,10 @@
 constexpr const char* kBuilds = "gateway_builds";
 constexpr const char* kPartitions = "gateway_partitions";
 constexpr const char* kNotices = "gateway_notices";
+constexpr const char* kBrittle = "gateway_brittle";
+/// Load and slots with which engines are nearly full at times.
+constexpr double kBrittleRequestsPerEngine = 6;
+constexpr std::uint32_t kBrittleSlots = 6;
 constexpr std::uint32_t kBuildCount = 3;
 
 void planFaults(const std::string& scenario, FleetFaults& faults) {
@@ -37,6 +41,7 @@
     faults.planRepeated(FleetFault::engines_pause, milliseconds(500), seconds(4));
     faults.planRepeated(FleetFault::engines_leave, seconds(1), seconds(5));
   }
+  if (scenario == kBrittle) faults.planRepeated(FleetFault::engines_brittle, seconds(8), seconds(20));
   if (scenario == kDepartures) faults.planRepeated(FleetFault::engines_leave, milliseconds(300), seconds(3));
 }
 
@@ -44,7 +49,7 @@
 
 const std::vector<std::string>& fleetScenarioNames() {
   static const std::vector<std::string> names = {kMixed,  kResets,     kRestarts, kDepartures,
-                                                 kBuilds, kPartitions, kNotices};
+                                                 kBuilds, kPartitions, kNotices,  kBrittle};
   return names;
 }
 
@@ -57,6 +62,11 @@
   if (options.scenario == kBuilds) context.site.builds = kBuildCount;
   context.site.relays = options.scenario == kPartitions;
   context.site.states_departures = options.scenario == kNotices;
+  if (options.scenario == kBrittle) {
+    context.site.engine_slots = kBrittleSlots;
+    context.site.lists_slots = true;
+    context.site.requests_per_second = kBrittleRequestsPerEngine * context.site.engines;
+  }
   FleetWorld world(context);
   FleetFaults faults(context, world, random.bits());
   world.start();
--- a/sim/gateway_world/fleet_run.h
+++ b/sim/gateway_world/fleet_run.h
@@ -7,6 +7,7 @@
 
 /// @return names of the scenarios: "gateway" draws from all faults, "gateway_departures" also lets
 /// engines leave, "gateway_builds" has engines of several builds and callers that resume streams,
+/// "gateway_brittle" has engines that fall over when they reject too many requests,
 /// "gateway_notices" has engines that ask for pauses and state their departures in responses, the others
 /// repeat one kind of fault.
 const std::vector<std::string>& fleetScenarioNames();
--- a/sim/gateway_world/gateway_node_traffic.cc
+++ b/sim/gateway_world/gateway_node_traffic.cc
@@ -219,6 +219,7 @@
   response.not_run = head.not_run;
   response.wrong_backend = head.wrong_engine;
   if (head.pause > Duration(0) && context_.has(sim::Mechanism::Pauses)) response.pause = head.pause;
+  if (context_.has(sim::Mechanism::BrittleShares)) response.tolerated_rejections = head.tolerated_rejections;
   response.leaving = head.leaving && context_.has(sim::Mechanism::StatedDepartures);
   recordNotices(head);
   process_->traffic.onHead(id, head.status, response, now());
--- a/sim/gateway_world/records.h
+++ b/sim/gateway_world/records.h
@@ -42,6 +42,7 @@
   TimePoint at{};
   bool silent = false;                        ///< The connections were not closed, as at a power loss.
   std::optional<BodyId> cause;                ///< The poison request that crashed it.
+  bool by_rejections = false;                 ///< It rejected too many requests.
   std::vector<std::size_t> interrupted_runs;  ///< Indexes of the runs that the engine held.
 };
 
@@ -70,6 +71,22 @@
   TimePoint received_at{};
 };
 
+/// A period in which all engines are brittle and say so in their responses. Some time after its beginning
+/// fewer requests may wait at each engine, and one that rejects more than it tolerates in a second falls
+/// over.
+struct BrittlePeriod {
+  TimePoint from{};
+  TimePoint to{};
+  std::uint32_t tolerated_rejections = 0;
+};
+
+/// An engine fell over because it rejected too many requests.
+struct EngineFall {
+  std::uint32_t engine = 0;
+  TimePoint at{};
+  std::vector<std::uint32_t> rejected;  ///< Gateways of the requests that it rejected in the last second.
+};
+
 /// How an attempt ended for its caller.
 enum class AttemptOutcome {
   pending,       ///< Not ended yet.
@@ -112,6 +129,12 @@
   TimePoint to{};
 };
 
+/// The start of a process of a gateway.
+struct GatewayStart {
+  std::uint32_t gateway = 0;
+  TimePoint at{};
+};
+
 /// All records of a run.
 struct Records {
   std::vector<Attempt> attempts;
@@ -120,9 +143,12 @@
   std::vector<EngineDeparture> departures;
   std::vector<EnginePause> pauses;
   std::vector<StatedDeparture> stated_departures;
+  std::vector<BrittlePeriod> brittle_periods;
+  std::vector<EngineFall> falls;
   /// By gateway: downtimes, pauses, suspensions, partitions.
   std::vector<std::vector<Disturbance>> gateways;
   std::vector<EnginePartition> engine_partitions;
+  std::vector<GatewayStart> gateway_starts;
   /// Of the store: no responses, refusals, slow or lost responses, lost rows.
   std::vector<Disturbance> store;
   /// Resets of connections anywhere.
--- a/sim/world/mechanism.cc
+++ b/sim/world/mechanism.cc
@@ -36,6 +36,7 @@
       {Mechanism::StreamBuilds, "stream_builds"},
       {Mechanism::Relay, "relay"},
       {Mechanism::Pauses, "pauses"},
+      {Mechanism::BrittleShares, "brittle_shares"},
       {Mechanism::StatedDepartures, "stated_departures"},
       {Mechanism::ListedDepartures, "listed_departures"},
   };
--- a/sim/world/mechanism.h
+++ b/sim/world/mechanism.h
@@ -44,6 +44,7 @@
   StreamBuilds,         ///< A stream goes on only at back ends of the build that began it.
   Relay,                ///< A gateway that reaches too few back ends relays requests to another one.
   Pauses,               ///< A back end that asked for a pause gets no requests until it ends.
+  BrittleShares,        ///< A brittle back end gets only a share of its places from each gateway.
   StatedDepartures,     ///< A back end that stated in a response that it leaves gets no new work.
   ListedDepartures,     ///< A back end that the platform lists as leaving, or no longer, gets no new work.
 };
--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -246,6 +246,17 @@
   }
 }
 
+// Engines fell over since gateways let them reject too many requests, and gateways that were restarted sent
+// more repeats than the retry budget allows.
+TEST_CASE("brittle engines keep up, and repeats stay within their budget, under faults of all kinds",
+          "[sim]") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    const RunResult result = runOne(seed, "gateway_brittle");
+    INFO(describe(result));
+    CHECK(result.violations.empty());
+  }
+}
+
 TEST_CASE("each checker finds the absence of its mechanism", "[sim]") {
   struct Removal {
     Mechanism mechanism;
@@ -287,6 +298,8 @@
       {Mechanism::ListedDepartures, "gateway_departures", "departure"},
       {Mechanism::Pauses, "gateway_notices", "pause"},
       {Mechanism::StatedDepartures, "gateway_notices", "stated_departure"},
+      {Mechanism::BrittleShares, "gateway_brittle", "falls"},
+      {Mechanism::RetryBudget, "gateway_brittle", "retry_budget"},
       {Mechanism::TenantSalt, "same_prompts", "cache_use"},
       {Mechanism::BundleFromPeers, "herd_rate_limits", "restart"},
       {Mechanism::BundleMonotonicity, "rollback", "bundle"},
