--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -8,9 +8,10 @@
 for folder in ("platform/standin", "tools/soak"):
     sys.path.insert(0, str(ROOT / folder))
 
-from checks import find_repeated_crashes, find_unneeded_refusals, find_violations  # noqa: E402
+from checks import (find_endless_reads, find_excess_repeats, find_falls, find_repeated_crashes,  # noqa: E402
+                    find_unneeded_refusals, find_violations)
 from client import Attempt, Kind  # noqa: E402
-from runner import End, Run  # noqa: E402
+from runner import Brittleness, End, EndlessResponse, Notices, Run  # noqa: E402
 
 ORDER = Kind("/order/", streaming=False, repeatable=False)
 LOOK = Kind("/look/", streaming=False, repeatable=True)
@@ -55,6 +56,27 @@
         self.assert_violation("ran 2 times", [make_attempt(ORDER)], [make_run(), make_run(runner="r2")])
         self.assertEqual(check([make_attempt(LOOK)], [make_run(), make_run(runner="r2")]), [])
 
+    def test_falls_of_brittle_runners(self):
+        gateway_of = {"a": "g1", "b": "g2"}
+        falls = [(10.0 + number, f"r{number}", ["a", "a", "b"]) for number in range(3)]
+        brittleness = Brittleness(falls=falls, periods=[(5.0, 20.0)])
+        self.assertEqual(len(find_falls(brittleness, 6, gateway_of, {})), 1)
+        self.assertEqual(find_falls(brittleness, 10, gateway_of, {}), [])
+        self.assertEqual(find_falls(brittleness, 6, gateway_of, {"g1": [9.0]}), [])
+
+    def test_repeats_beyond_the_budget(self):
+        attempts = [make_attempt(REVIEW, f"a{number}") for number in range(40)]
+        first = [(10.0, "r1", attempt.id) for attempt in attempts]
+        repeats = [(11.0, "r2", attempt.id) for attempt in attempts]
+        self.assertEqual(find_excess_repeats(Notices(arrivals=first + repeats[:28]), attempts), [])
+        self.assertEqual(len(find_excess_repeats(Notices(arrivals=first + repeats[:29]), attempts)), 1)
+
+    def test_response_without_end_that_is_read_for_long(self):
+        closed, open_ = EndlessResponse("a", 10.0, 12.0), EndlessResponse("a", 10.0)
+        self.assertEqual(find_endless_reads([closed], {"a": "g1"}, {}, 20.0), [])
+        self.assertEqual(len(find_endless_reads([closed, open_], {"a": "g1"}, {}, 20.0)), 1)
+        self.assertEqual(find_endless_reads([open_], {"a": "g1"}, {"g1": [11.0]}, 20.0), [])
+
     def test_request_that_keeps_crashing_runners(self):
         first_crashes = [End(7, f"r{number}", float(number), number + 0.1) for number in range(3)]
         repeats = [End(7, f"s{number}", 5.2 + number, 5.3 + number) for number in range(4)]
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -11,6 +11,10 @@
 PAUSE_TOLERANCE_S = 0.5  # Requests that were on their way when a runner asked for a pause.
 MAX_REQUESTS_IN_PAUSE = 2
 DEPARTURE_LIMIT_S = 2.05  # The limit, and the way of the response to the client.
+CONTACT_S = 3.0  # Time without a fault after which a gateway knows the state of the runners.
+MAX_FALLS, RUNNERS_PER_FALL = 2, 10  # Tolerated in one brittle period.
+BUDGET_WINDOW_S, BUDGET_RATIO, BUDGET_SLACK = 10.0, 0.2, 20
+MAX_ENDLESS_S = 4.0  # Time for which a response without end is read, and some for the machine.
 MAX_REPEATS = 3  # Repeats that may still reach runners after that.
 
 
@@ -131,6 +135,58 @@
     return problems[:MAX_REPORTED]
 
 
+def find_falls(brittleness, runner_count, gateway_of, disturbances):
+    """Returns a line for each brittle period in which runners fell over too often. A fall counts if most of what the
+    runner rejected came from gateways that were not disturbed."""
+    problems = []
+    for since, until in brittleness.periods:
+        falls = 0
+        for at, _, rejected in brittleness.falls:
+            sound = sum(not _was_disturbed(disturbances, gateway_of.get(attempt), at - CONTACT_S, at) for attempt in rejected)
+            falls += since <= at <= until and 2 * sound > len(rejected)
+        if falls > MAX_FALLS + runner_count / RUNNERS_PER_FALL:
+            problems.append(f"brittle runners fell over {falls} times from {since:.3f} to {until:.3f}")
+    return problems
+
+
+def find_excess_repeats(notices, attempts):
+    """Returns a line for each service that got more requests beyond the first of their attempt than the retry budget of
+    all gateways allows, with its worst window."""
+    problems = []
+    for streaming in (False, True):
+        sent = {attempt.id: attempt.sent_at for attempt in attempts if attempt.kind.streaming == streaming}
+        seen, repeats = set(), []
+        for at, _, attempt in sorted(notices.arrivals):
+            if attempt in sent and attempt in seen:
+                repeats.append(at)
+            seen.add(attempt)
+
+        def count(times, since):
+            return sum(since <= at < since + BUDGET_WINDOW_S for at in times)
+
+        worst = (0.0, 0, 0.0, 0.0)
+        for since in repeats:
+            requests = max(count(sent.values(), since - shift) for shift in (0, BUDGET_WINDOW_S / 2, BUDGET_WINDOW_S))
+            allowed = BUDGET_RATIO * requests + BUDGET_SLACK
+            found = count(repeats, since)
+            worst = max(worst, (found - allowed, found, allowed, since))
+        if worst[0] > 0:
+            problems.append(f"{worst[1]} repeats from {worst[3]:.3f} on, {worst[2]:.0f} are allowed")
+    return problems
+
+
+def find_endless_reads(endless, gateway_of, disturbances, ended_at):
+    """Returns a line for each response without end that a gateway read for too long."""
+    problems = []
+    for response in endless:
+        lasted = (response.closed_at or ended_at) - response.began_at
+        gateway = gateway_of.get(response.attempt)
+        until = response.began_at + lasted
+        if lasted > MAX_ENDLESS_S and not _was_disturbed(disturbances, gateway, response.began_at, until):
+            problems.append(f"{gateway} read a response without end to {response.attempt} for {lasted:.1f} s")
+    return problems[:MAX_REPORTED]
+
+
 def find_violations(attempts, runs, revoked, key_validity_s, quiet_since):
     """Returns a line for each violated guarantee."""
     runs_by_attempt = defaultdict(list)
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -25,20 +25,23 @@
 ROOT = Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "platform" / "standin"))
 
-from checks import (find_departure_violations, find_pause_violations, find_repeated_crashes,  # noqa: E402
-                    find_unneeded_refusals, find_violations)
+from checks import (find_departure_violations, find_endless_reads, find_excess_repeats, find_falls,  # noqa: E402
+                    find_pause_violations, find_repeated_crashes, find_unneeded_refusals, find_violations)
 from client import Attempt, Kind, look_up, make_attempt  # noqa: E402
 from http_text import head_bytes, read_body, read_head  # noqa: E402
-from runner import Notices, Runner  # noqa: E402
+from runner import Brittleness, Notices, Runner  # noqa: E402
 from store import Store  # noqa: E402
 
 GATEWAYS = 3
 ENGINES = 3
 CRASHING_ENGINES = 9  # Number of engines when requests that crash engines are the selected fault.
+SLOTS = 16  # Of an engine.
+BRITTLE_ENGINES, BRITTLE_SLOTS = 6, 4  # Number and slots of engines when brittle runners are the selected fault.
 MAX_CRASHING_REQUESTS = 2  # Concurrent requests that crash engines.
 APPLICATION_RUNNERS = 2
 RUNNER_HOST = "127.0.0.2"  # Differs from the proxy's address, whose ports the kernel chooses.
 REQUESTS_PER_S = 40
+BRITTLE_REQUESTS_PER_S = 90  # When brittle runners are the selected fault: engines are nearly full at times.
 REVOKED_KEY_SHARE = 0.15  # Share of requests that use revoked keys.
 DEADLINE_S = 3.0
 KEY_VALIDITY_S = 5.0
@@ -53,7 +56,7 @@
     Kind("/answer/", streaming=True, repeatable=False, answer_events=12),
 ]
 # Faults that --only can select; with silent_connections, any rejection by a gateway is a violation.
-SINGLE_FAULTS = ("silent_connections", "ending_requests", "ending_requests_and_restarts", "notices")
+SINGLE_FAULTS = ("silent_connections", "ending_requests", "ending_requests_and_restarts", "notices", "brittle")
 
 
 def find_free_ports(count):
@@ -186,6 +189,7 @@
         self.gateways, self.engines, self.runners, self.runs, self.attempts = [], [], [], [], []
         self.problems, self.ends, self.ending_parts = [], [], set()
         self.notices, self.disturbances = Notices(), {}
+        self.brittleness = Brittleness()
         self.ending = asyncio.Semaphore(MAX_CRASHING_REQUESTS)
         self.keys = {"key-a": "tenant-a", "key-b": "tenant-b"}
         self.revoked = {}  # Key -> time when its revocation was accepted.
@@ -230,8 +234,11 @@
         store_port = await self.store.start("127.0.0.1", 0)
         generator = random.Random(self.options.seed + 2)
         engines = CRASHING_ENGINES if self.options.only.startswith("ending_requests") else ENGINES
-        ending = (self.ending_parts, self.ends, self.notices)
-        self.engines = [Runner(self.store, "engines", MODEL, 16, self.runs, generator, *ending) for _ in range(engines)]
+        slots = SLOTS
+        if self.options.only == "brittle":
+            engines, slots = BRITTLE_ENGINES, BRITTLE_SLOTS
+        shared = (self.ending_parts, self.ends, self.notices, self.brittleness)
+        self.engines = [Runner(self.store, "engines", MODEL, slots, self.runs, generator, *shared) for _ in range(engines)]
         self.runners = [Runner(self.store, "app", "", 12, self.runs, generator, notices=self.notices) for _ in range(APPLICATION_RUNNERS)]
         endpoints = choose_runner_endpoints(engines + APPLICATION_RUNNERS)
         targets = {"store": f"127.0.0.1:{store_port}"}
@@ -314,7 +321,8 @@
             task = asyncio.create_task(self.run_attempt(self.random.choice(KINDS), key))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
-            await asyncio.sleep(self.random.expovariate(REQUESTS_PER_S))
+            rate = BRITTLE_REQUESTS_PER_S if self.options.only == "brittle" else REQUESTS_PER_S
+            await asyncio.sleep(self.random.expovariate(rate))
         await asyncio.gather(*list(tasks))
 
     # Faults. Each fault reverts its effect.
@@ -471,6 +479,24 @@
             await asyncio.sleep(generator.uniform(1.0, 8.0))
             await generator.choice([self.pause_runner, self.pause_runner, self.depart_unlisted])(generator)
 
+    async def make_runners_brittle(self, generator):
+        """Lets all engines run fewer requests at once and fall over when they reject too many."""
+        if self.brittleness.is_current():
+            return
+        seconds, tolerated = generator.uniform(6.0, 14.0), generator.randint(2, 6)
+        room = generator.choice([1.0, 0.75, 0.75])
+        self.log_event(f"engines are brittle for {seconds:.1f} s, {tolerated} rejections a second, {room} of their slots")
+        self.brittleness.begin(seconds, tolerated, room)
+        await asyncio.sleep(seconds)
+
+    async def respond_without_end(self, generator):
+        """Lets an engine send responses without end in place of some."""
+        runner = generator.choice(self.engines)
+        self.log_event(f"{runner.id} ({runner.route}) sends responses without end")
+        runner.endless_share = generator.choice([0.2, 0.5])
+        await asyncio.sleep(generator.uniform(0.5, 3.0))
+        runner.endless_share = 0.0
+
     async def change_configuration(self, generator):
         self.publish_configuration(generator)
         self.log_event(f"configuration {self.configuration_version}")
@@ -499,6 +525,9 @@
         elif self.options.only == "notices":
             faults = [self.pause_runner, self.pause_runner, self.pause_runner, self.depart_unlisted, self.kill_gateway,
                       self.stop_gateway, self.freeze_gateway]
+        elif self.options.only == "brittle":
+            faults = [self.make_runners_brittle, self.make_runners_brittle, self.respond_without_end,
+                      self.kill_gateway, self.stop_gateway, self.freeze_gateway]
         elif self.options.only:
             faults = [getattr(self, self.options.only)]
         tasks = set()
@@ -554,6 +583,10 @@
                                      quiet_since + QUIET_PERIOD_S / 2)
         violations += find_repeated_crashes(self.ends)
         gateway_of = self.find_sending_gateways()
+        violations += find_falls(self.brittleness, len(self.engines), gateway_of, self.disturbances)
+        violations += find_excess_repeats(self.notices, self.attempts)
+        endless = [response for engine in self.engines for response in engine.endless]
+        violations += find_endless_reads(endless, gateway_of, self.disturbances, time.monotonic())
         violations += find_pause_violations(self.notices, gateway_of, self.disturbances)
         violations += find_departure_violations(self.notices, gateway_of, self.disturbances, self.attempts)
         if self.options.only == "silent_connections":
@@ -585,6 +618,8 @@
     notices = soak.notices
     print(f"{len(notices.pauses)} rejections with a pause, {len({runner for _, runner, _ in notices.departures})} runners "
           f"stated that they leave")
+    print(f"{len(soak.brittleness.falls)} falls in {len(soak.brittleness.periods)} brittle periods, "
+          f"{sum(len(engine.endless) for engine in soak.engines)} responses without end")
     if soak.ends:
         parts = {end.part for end in soak.ends}
         print(f"{len(parts)} requests ended {len(soak.ends)} engines")
