Bound the size and time of collected responses

Calls to runners, the store and other gateways collect a response of up to 16 MB for as long as bytes come: twenty of them at once are more than a machine of 110 MB has. The new tests need the new option, so that they were not run on the code before.

--- a/src/http/client.h
+++ b/src/http/client.h
@@ -54,6 +54,8 @@
   /// The exchange fails when the server sends no byte for this long.
   Duration idle_timeout = std::chrono::seconds(10);
   std::size_t body_bytes = std::size_t{16} * 1024 * 1024;  ///< Maximum size of a collected body.
+  /// Maximum time from the head of a response with a collected body to its end.
+  Duration collect_timeout = std::chrono::seconds(30);
 };
 
 /// An exchange that timed out before any byte of a response was received.
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -243,6 +243,7 @@
   }
   exchange->response.status = status;
   exchange->response.headers = std::move(headers);
+  if (!exchange->callbacks.on_data) limitReading(exchange->options.collect_timeout);
   if (exchange->callbacks.on_headers)
     exchange->callbacks.on_headers(status, exchange->response.headers, bodyFraming());
 }
--- a/tests/unit/http/endless_response_test.cc
+++ b/tests/unit/http/endless_response_test.cc
@@ -87,7 +87,6 @@
 
   void start(ExchangeCallbacks callbacks) {
     callbacks.on_done = [this](std::error_code failure, SendState, const Response&) { ended = failure; };
-    ExchangeOptions options;
     options.idle_timeout = 60s;
     exchange = client->start(server.address(), {"POST", "/", {}, "x"}, callbacks, options);
   }
@@ -104,6 +103,7 @@
   asio::io_context context{1};
   std::unique_ptr<Client> client = makeClient(context.get_executor());
   EndlessServer server;
+  ExchangeOptions options;
   std::shared_ptr<Exchange> exchange;
   std::optional<std::error_code> ended;  ///< Its outcome; empty: it goes on.
 };
@@ -165,3 +165,22 @@
     CHECK((fixture.ended && *fixture.ended));
   }
 }
+
+// Reports, orders, pages of a cache and rows of the store are collected.
+TEST_CASE("a collected body without end fails its exchange", "[http][endless]") {
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  SECTION("it becomes too large") {
+    EndlessFixture fixture(head, kChunk);
+    fixture.options.body_bytes = 100'000;
+    fixture.start({});
+    fixture.runUntilClosed();
+    CHECK((fixture.ended && *fixture.ended));
+  }
+  SECTION("it takes too long") {
+    EndlessFixture fixture(head, "1\r\nx\r\n", 50ms);
+    fixture.options.collect_timeout = 500ms;
+    fixture.start({});
+    fixture.runUntilClosed();
+    CHECK((fixture.ended && *fixture.ended));
+  }
+}
