Give the retries of a gateway a file of their own

What decides whether a request is retried, within the retry budget, stands in gateway_retries.cc now; nothing else changes.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -316,6 +316,13 @@
   void reportLimit(const GatewaySnapshot* snapshot, std::uint64_t incarnation, const LimitChange& change,
                    std::string_view source, TimePoint now);
 
+  // Retries (gateway_retries.cc).
+  bool mayRepeat(const Entry& entry) const;
+  bool consumeRetryBudget(Entry& entry, TimePoint now);
+  void countSentRetry(Entry& entry, TimePoint now);
+  void retryOrGiveUp(Entry& entry, const ActiveExchange& failed, int status, TimePoint now);
+  void retryElsewhere(Entry& entry, const ActiveExchange& failed, int status, TimePoint now);
+
   // Responses and failures (gateway_responses.cc).
   Entry* findExchange(ExchangeId exchange);
   const Entry* findExchange(ExchangeId exchange) const;
@@ -333,11 +340,6 @@
   void endExchange(Entry& entry, DispatchOutcome outcome, TimePoint now);
   void cancelExchange(Entry& entry, DispatchOutcome outcome, TimePoint now, bool timed_out = false);
   void discardResponse(Entry& entry, DispatchOutcome outcome, TimePoint now);
-  bool mayRepeat(const Entry& entry) const;
-  bool consumeRetryBudget(Entry& entry, TimePoint now);
-  void countSentRetry(Entry& entry, TimePoint now);
-  void retryOrGiveUp(Entry& entry, const ActiveExchange& failed, int status, TimePoint now);
-  void retryElsewhere(Entry& entry, const ActiveExchange& failed, int status, TimePoint now);
   void giveUp(Entry& entry, TimePoint now);
   void recordFirstByte(Entry& entry, TimePoint now);
   TimePoint silenceDeadline(const ActiveExchange& active, TimePoint now) const;
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -8,8 +8,6 @@
 namespace {
 
 constexpr int kBadGateway = 502;
-/// Limit of dispatches of one request, including those that reached no back end.
-constexpr std::uint32_t kMaxDispatches = 6;
 /// A request is withdrawn this long before its weights become too old, so that the back end reads the close
 /// of the connection in time.
 constexpr Duration kWithdrawTime = std::chrono::milliseconds(300);
@@ -402,7 +400,7 @@
   actions_.emplace_back(RecallUnsent{active.exchange});
 }
 
-// Retries and final responses.
+// Final responses.
 
 void Gateway::endExchange(Entry& entry, DispatchOutcome outcome, TimePoint now) {
   const ActiveExchange active = std::exchange(entry.active, ActiveExchange());
@@ -428,40 +426,6 @@
   endExchange(entry, outcome, now);
 }
 
-bool Gateway::mayRepeat(const Entry& entry) const {
-  if (entry.may_have_run && entry.route->repeatability == Repeatability::AtMostOnce) return false;
-  if (entry.head_forwarded && !entry.cursor) return false;
-  return entry.backends_reached < entry.route->max_attempts && entry.dispatches < kMaxDispatches;
-}
-
-/// Takes a repeat from the retry budget, unless no back end can have received the request.
-/// @return whether the request may be repeated; false if the budget is exhausted.
-bool Gateway::consumeRetryBudget(Entry& entry, TimePoint now) {
-  if (!entry.may_have_arrived || entry.retry) return true;
-  if (!budgetOf(entry.pool->name).tryRetry(snapshot_->share_divisor, now)) return false;
-  entry.retry = RetryClaim{entry.pool->name, now};
-  return true;
-}
-
-/// The request may have waited for a back end since its retry was decided.
-void Gateway::countSentRetry(Entry& entry, TimePoint now) {
-  if (!entry.retry) return;
-  budgetOf(entry.retry->pool).onSent(entry.retry->consumed_at, now);
-  entry.retry.reset();
-}
-
-void Gateway::retryOrGiveUp(Entry& entry, const ActiveExchange& failed, int status, TimePoint now) {
-  if (mayRepeat(entry) && consumeRetryBudget(entry, now)) return retryElsewhere(entry, failed, status, now);
-  reportMoved(entry, failed, status, false, now);
-  giveUp(entry, now);
-}
-
-void Gateway::retryElsewhere(Entry& entry, const ActiveExchange& failed, int status, TimePoint now) {
-  reportMoved(entry, failed, status, true, now);
-  if (entry.cursor) entry.cursor->restart();
-  place(entry, now);
-}
-
 /// Ends the request without a back end's response. Only a request that cannot have run is refused as not run.
 void Gateway::giveUp(Entry& entry, TimePoint now) {
   cancelExchange(entry, DispatchOutcome::Ended, now);
