Log whether a repeat was taken from the retry budget, and the part of the slack that counted

Neither the log nor the metrics told repeats that no budget counts from those that it counts, nor on which share of the slack a gateway relied: two of the three hypotheses of the incident looked alike. No decision changes.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -292,7 +292,7 @@
   void reportAdmitted(const Entry& entry, TimePoint now);
   void reportPlaced(const Entry& entry, const Choice& choice, TimePoint now);
   void reportWaiting(const Entry& entry, TimePoint now);
-  void reportMoved(const Entry& entry, const ActiveExchange& active, int status, bool will_retry,
+  void reportMoved(const Entry& entry, const ActiveExchange& active, int status, RepeatDecision repeat,
                    TimePoint now);
   void reportEnded(const Entry& entry, RequestOutcome outcome, int status, Duration retry_after,
                    TimePoint now);
@@ -317,11 +317,13 @@
                    std::string_view source, TimePoint now);
 
   // Retries (gateway_retries.cc).
+  RepeatDecision decideRepeat(Entry& entry, TimePoint now);
   bool mayRepeat(const Entry& entry) const;
   bool consumeRetryBudget(Entry& entry, TimePoint now);
   void countSentRetry(Entry& entry, TimePoint now);
   void retryOrGiveUp(Entry& entry, const ActiveExchange& failed, int status, TimePoint now);
-  void retryElsewhere(Entry& entry, const ActiveExchange& failed, int status, TimePoint now);
+  void retryElsewhere(Entry& entry, const ActiveExchange& failed, int status, RepeatDecision repeat,
+                      TimePoint now);
 
   // Responses and failures (gateway_responses.cc).
   Entry* findExchange(ExchangeId exchange);
--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -109,7 +109,7 @@
   observer_.onWaiting(record);
 }
 
-void Gateway::reportMoved(const Entry& entry, const ActiveExchange& active, int status, bool will_retry,
+void Gateway::reportMoved(const Entry& entry, const ActiveExchange& active, int status, RepeatDecision repeat,
                           TimePoint now) {
   RequestMoved record;
   record.request_id = entry.client.request_id;
@@ -118,8 +118,9 @@
   record.cause = entry.cause;
   record.status = status;
   record.after = now - active.sent_at;
-  record.will_retry = will_retry;
-  record.resumes = will_retry && entry.head_forwarded;
+  record.repeat = repeat;
+  record.resumes = isRepeated(repeat) && entry.head_forwarded;
+  record.share_divisor = snapshot_->share_divisor;
   record.backends_reached = entry.backends_reached;
   record.body = active.bodyState();
   const auto budget = budgets_.find(entry.pool->name);
--- a/src/gateway/gateway_relay.cc
+++ b/src/gateway/gateway_relay.cc
@@ -110,7 +110,7 @@
   entry.cause = RequestCause::answer_broke_off;
   entry.may_have_arrived = true;
   entry.may_have_run = true;
-  reportMoved(entry, active, active.status, false, now);
+  reportMoved(entry, active, active.status, RepeatDecision::not_allowed, now);
   giveUp(entry, now);
 }
 
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -222,16 +222,17 @@
   entry.may_have_arrived = true;
   entry.cause = RequestCause::error_answer;
   entry.failed.push_back(entry.active.slot);
-  const bool repeats = isServerError(status) && mayRepeat(entry) && consumeRetryBudget(entry, now);
-  if (repeats) {
+  const RepeatDecision repeat =
+      isServerError(status) ? decideRepeat(entry, now) : RepeatDecision::not_allowed;
+  if (isRepeated(repeat)) {
     discardResponse(entry, DispatchOutcome::ErrorResponse, now);
-    return retryElsewhere(entry, active, status, now);
+    return retryElsewhere(entry, active, status, repeat, now);
   }
   const bool at_most_once = entry.route->repeatability == Repeatability::AtMostOnce;
   const bool forwards = !entry.head_forwarded && !(at_most_once && impliesNotRun(status));
   if (forwards) return limitErrorResponse(entry, now);  // onEnd() forwards the complete response.
   discardResponse(entry, DispatchOutcome::ErrorResponse, now);
-  reportMoved(entry, active, status, false, now);
+  reportMoved(entry, active, status, repeat, now);
   giveUp(entry, now);
 }
 
@@ -341,15 +342,15 @@
   entry.may_have_arrived = true;
   entry.may_have_run = true;
   recordUnreached(*entry.pool, active, now);
-  if (!has_alternative || !mayRepeat(entry) || !consumeRetryBudget(entry, now))
-    return scheduleTimer(entry, std::min(ends_by, start_by));
+  const RepeatDecision repeat = has_alternative ? decideRepeat(entry, now) : RepeatDecision::not_allowed;
+  if (!isRepeated(repeat)) return scheduleTimer(entry, std::min(ends_by, start_by));
   entry.cause = RequestCause::silence;
   // A silent connection says nothing about the back end, which may have the prompt in its cache: it stays
   // eligible.
   const bool silent_connection = mayBeOnSilentConnection(active);
   if (!silent_connection) entry.failed.push_back(active.slot);
   cancelExchange(entry, silent_connection ? DispatchOutcome::Ended : DispatchOutcome::Failed, now, true);
-  retryElsewhere(entry, active, active.status, now);
+  retryElsewhere(entry, active, active.status, repeat, now);
 }
 
 // Requests that wait at back ends with superseded weights.
--- a/src/gateway/gateway_retries.cc
+++ b/src/gateway/gateway_retries.cc
@@ -10,16 +10,22 @@
 
 }  // namespace
 
+RepeatDecision Gateway::decideRepeat(Entry& entry, TimePoint now) {
+  if (!mayRepeat(entry)) return RepeatDecision::not_allowed;
+  if (!entry.may_have_arrived) return RepeatDecision::unbudgeted;
+  return consumeRetryBudget(entry, now) ? RepeatDecision::budgeted : RepeatDecision::over_budget;
+}
+
 bool Gateway::mayRepeat(const Entry& entry) const {
   if (entry.may_have_run && entry.route->repeatability == Repeatability::AtMostOnce) return false;
   if (entry.head_forwarded && !entry.cursor) return false;
   return entry.backends_reached < entry.route->max_attempts && entry.dispatches < kMaxDispatches;
 }
 
-/// Takes a repeat from the retry budget, unless no back end can have received the request.
-/// @return whether the request may be repeated; false if the budget is exhausted.
+/// Takes a repeat from the retry budget.
+/// @return false if the budget is exhausted.
 bool Gateway::consumeRetryBudget(Entry& entry, TimePoint now) {
-  if (!entry.may_have_arrived || entry.retry) return true;
+  if (entry.retry) return true;
   if (!budgetOf(entry.pool->name).tryRetry(snapshot_->share_divisor, now)) return false;
   entry.retry = RetryClaim{entry.pool->name, now};
   return true;
@@ -33,13 +39,15 @@
 }
 
 void Gateway::retryOrGiveUp(Entry& entry, const ActiveExchange& failed, int status, TimePoint now) {
-  if (mayRepeat(entry) && consumeRetryBudget(entry, now)) return retryElsewhere(entry, failed, status, now);
-  reportMoved(entry, failed, status, false, now);
+  const RepeatDecision repeat = decideRepeat(entry, now);
+  if (isRepeated(repeat)) return retryElsewhere(entry, failed, status, repeat, now);
+  reportMoved(entry, failed, status, repeat, now);
   giveUp(entry, now);
 }
 
-void Gateway::retryElsewhere(Entry& entry, const ActiveExchange& failed, int status, TimePoint now) {
-  reportMoved(entry, failed, status, true, now);
+void Gateway::retryElsewhere(Entry& entry, const ActiveExchange& failed, int status, RepeatDecision repeat,
+                             TimePoint now) {
+  reportMoved(entry, failed, status, repeat, now);
   if (entry.cursor) entry.cursor->restart();
   place(entry, now);
 }
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -111,6 +111,24 @@
   return "none";
 }
 
+std::string_view nameOf(RepeatDecision decision) {
+  switch (decision) {
+    case RepeatDecision::budgeted:
+      return "budgeted";
+    case RepeatDecision::unbudgeted:
+      return "unbudgeted";
+    case RepeatDecision::over_budget:
+      return "over_budget";
+    case RepeatDecision::not_allowed:
+      return "not_allowed";
+  }
+  return "not_allowed";
+}
+
+bool isRepeated(RepeatDecision decision) {
+  return decision == RepeatDecision::budgeted || decision == RepeatDecision::unbudgeted;
+}
+
 std::string_view nameOf(RequestOutcome outcome) {
   switch (outcome) {
     case RequestOutcome::answered:
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -73,6 +73,19 @@
 /// @return the outcome as written in logs and metrics.
 std::string_view nameOf(RequestOutcome outcome);
 
+/// Whether a request that a back end did not serve is repeated.
+enum class RepeatDecision {
+  budgeted,     ///< Repeated; taken from the retry budget.
+  unbudgeted,   ///< Repeated; no back end can have received it, so it takes nothing from the budget.
+  over_budget,  ///< Not repeated: the retry budget is used up.
+  not_allowed,  ///< Not repeated: its kind, its route's number of back ends or its response do not allow it.
+};
+
+/// @return the decision as written in logs and metrics.
+std::string_view nameOf(RepeatDecision decision);
+/// @return whether the request is repeated.
+bool isRepeated(RepeatDecision decision);
+
 /// The body of a back end's response, as far as it was received.
 struct ResponseBodyState {
   std::optional<http::BodyFraming> framing;  ///< Empty: no response is in progress.
@@ -164,10 +177,11 @@
   RequestCause cause = RequestCause::none;
   int status = 0;     ///< Of the back end's response; 0: none.
   Duration after{0};  ///< Since it was sent there.
-  bool will_retry = false;
+  RepeatDecision repeat = RepeatDecision::not_allowed;
   bool resumes = false;                ///< A started stream continues after the last event delivered.
   std::uint32_t backends_reached = 0;  ///< Back ends that the request has reached so far.
   double budget_left = 0;              ///< Repeats that this gateway may still send to the pool.
+  std::uint32_t share_divisor = 1;     ///< This gateway has this part of the slack of the budget.
   ResponseBodyState body;
 };
 
--- a/src/gateway_process/gateway_metrics.cc
+++ b/src/gateway_process/gateway_metrics.cc
@@ -33,6 +33,8 @@
       refusals_(counters(*registry_, "refusals_total", "Requests answered as not run, by cause.")),
       over_quota_(counters(*registry_, "over_quota_total", "Requests rejected over quota, by tenant.")),
       moves_(counters(*registry_, "moves_total", "Back ends that did not serve a request, by cause.")),
+      repeat_decisions_(counters(*registry_, "repeat_decisions_total",
+                                 "Requests that a back end did not serve, by whether they are repeated.")),
       backends_(prometheus::BuildGauge()
                     .Name(std::string(kPrefix) + "backends")
                     .Help("Back ends in view, by state.")
@@ -142,6 +144,7 @@
 
 void GatewayMetrics::onMoved(const RequestMoved& record) {
   moves_.Add({{"cause", std::string(nameOf(record.cause))}}).Increment();
+  repeat_decisions_.Add({{"decision", std::string(nameOf(record.repeat))}}).Increment();
   repeat_budget_left.Set(record.budget_left);
 }
 
--- a/src/gateway_process/gateway_metrics.h
+++ b/src/gateway_process/gateway_metrics.h
@@ -60,6 +60,7 @@
   prometheus::Family<prometheus::Counter>& refusals_;
   prometheus::Family<prometheus::Counter>& over_quota_;
   prometheus::Family<prometheus::Counter>& moves_;
+  prometheus::Family<prometheus::Counter>& repeat_decisions_;
   prometheus::Family<prometheus::Gauge>& backends_;
   prometheus::Family<prometheus::Gauge>& backend_limits_;
   prometheus::Family<prometheus::Counter>& limited_requests_;
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -119,12 +119,14 @@
                                             {"cause", nameOf(record.cause)},
                                             {"status", record.status},
                                             {"after_ms", milliseconds(record.after)},
-                                            {"goes_on", record.will_retry},
+                                            {"goes_on", isRepeated(record.repeat)},
+                                            {"repeat", nameOf(record.repeat)},
                                             {"resumes", record.resumes},
                                             {"back_ends", record.backends_reached},
                                             {"framing", framingOrNone(record.body.framing)},
                                             {"inside_event", record.body.inside_event},
-                                            {"budget_left", fmt::format("{:.1f}", record.budget_left)}});
+                                            {"budget_left", fmt::format("{:.1f}", record.budget_left)},
+                                            {"share_divisor", record.share_divisor}});
 }
 
 void RequestLog::onEnded(const RequestEnded& record) {
--- a/tests/unit/gateway/gateway_records_test.cc
+++ b/tests/unit/gateway/gateway_records_test.cc
@@ -112,7 +112,7 @@
   fixture.breakExchange(true);
   REQUIRE(fixture.observer.moved.size() == 1);
   CHECK(fixture.observer.moved.front().cause == RequestCause::answer_broke_off);
-  CHECK_FALSE(fixture.observer.moved.front().will_retry);
+  CHECK(fixture.observer.moved.front().repeat == RepeatDecision::not_allowed);
   const RequestEnded ended = onlyEnd(fixture);
   CHECK(ended.outcome == RequestOutcome::failed);
   CHECK(ended.status == 502);
@@ -129,7 +129,7 @@
   const RequestMoved& moved = fixture.observer.moved.front();
   CHECK(moved.cause == RequestCause::error_answer);
   CHECK(moved.status == 500);
-  CHECK(moved.will_retry);
+  CHECK(moved.repeat == RepeatDecision::budgeted);
   CHECK(moved.budget_left > 0);
   REQUIRE(fixture.observer.placed.size() == 2);
   CHECK(fixture.observer.placed.back().dispatch == 2);
