Add failing tests of repeats over the budget of all gateways, and play them in simulation and soak

gateway_retries (simulation): routes of two to six engines, engines that fail most requests in one of four ways, callers that all use one gateway and another one every few seconds, gateways killed and partitioned.

In the simulation, an error response of an engine no longer counts as a complete one, and what gateways that are partitioned serve is not judged while engines fail.

--- a/sim/gateway_world/callers.cc
+++ b/sim/gateway_world/callers.cc
@@ -46,6 +46,7 @@
 
 GatewayNode& Callers::randomGateway() {
   auto& gateways = world_.gateways();
+  if (used_gateway_ && gateways[*used_gateway_]->host().up()) return *gateways[*used_gateway_];
   return *gateways[context_.random.uniform(0, gateways.size() - 1)];
 }
 
--- a/sim/gateway_world/callers.h
+++ b/sim/gateway_world/callers.h
@@ -20,6 +20,8 @@
 
   /// Starts the load, which ends after `context.site.load_time`.
   void start();
+  /// From now on, callers use this gateway; empty: any.
+  void useGateway(std::optional<std::uint64_t> gateway) { used_gateway_ = gateway; }
 
 private:
   struct Submission {
@@ -48,6 +50,7 @@
   FleetWorld& world_;
   sim::Host host_;
   TimePoint load_end_{};
+  std::optional<std::uint64_t> used_gateway_;
   BodyId next_body_ = 1'000;
 };
 
--- a/sim/gateway_world/engine_process.cc
+++ b/sim/gateway_world/engine_process.cc
@@ -30,6 +30,9 @@
 /// Events of a response that precede a crash by PoisonEffect::after_first_bytes.
 constexpr std::uint64_t kEventsBeforeCrash = 2;
 constexpr Duration kCacheEventsWait = std::chrono::milliseconds(400);
+/// Pieces of an event without end, and the time between them.
+constexpr std::size_t kEndlessPieceBytes = 16'384;
+constexpr Duration kEndlessInterval = std::chrono::milliseconds(5);
 constexpr int kOk = 200;
 constexpr int kMisdirected = 421;
 constexpr int kUnavailable = 503;
@@ -68,6 +71,7 @@
   running_ = 0;
   leaving_ = false;
   rejects_until_ = TimePoint{};
+  fails_until_ = TimePoint{};
   rejections_.clear();
   context_.trace.note(host_.name(), "starts");
   heartbeat();
@@ -159,6 +163,7 @@
                               const EngineRequest& request, const EngineResponseHandlers& response) {
   in_transit_.erase(record);
   context_.records.runs[record].arrived_at = context_.queue.now();
+  if (failsRequest(record, channel, request, response)) return;
   EngineHead refusal = makeHead(kUnavailable);
   refusal.wrong_engine = request.expected_engine != incarnationName();
   const bool pauses = !refusal.wrong_engine && rejectsRequests() && context_.random.chance(rejected_share_);
@@ -179,6 +184,8 @@
   run->channel = channel;
   run->next_event = request.resume_after + 1;
   run->events = eventCount(request.body);
+  run->endless = context_.queue.now() < fails_until_ && failure_ == EngineFailure::endless_event &&
+                 request.kind == RequestKind::resumable_stream && context_.random.chance(failed_share_);
   runs_.emplace(run->record, run);
   queue_.push_back(run);
   channel->onClosed(sim::Side::Server, [this, run] { onDisconnected(run); });
@@ -247,6 +254,29 @@
   return context_.queue.now() < rejects_until_;
 }
 
+void EngineProcess::failRequests(EngineFailure failure, double share, Duration time) {
+  if (!host_.up()) return;
+  context_.trace.note(host_.name(), "fails {:.2f} of its requests for {:.3f} s", share, toSeconds(time));
+  failure_ = failure;
+  failed_share_ = share;
+  fails_until_ = context_.queue.now() + time;
+}
+
+bool EngineProcess::failsRequest(std::size_t record, const sim::ChannelPointer& channel,
+                                 const EngineRequest& request, const EngineResponseHandlers& response) {
+  if (context_.queue.now() >= fails_until_) return false;
+  const bool has_events = request.kind == RequestKind::resumable_stream;
+  if (failure_ == EngineFailure::endless_event && has_events) return false;  // Fails when it runs.
+  if (!context_.random.chance(failed_share_)) return false;
+  EngineHead head = makeHead(kInternalError);
+  head.not_run = failure_ == EngineFailure::rejected;
+  head.wrong_engine = failure_ == EngineFailure::misdirected;
+  if (head.not_run) head.status = kUnavailable;
+  if (head.wrong_engine) head.status = kMisdirected;
+  reject(record, channel, head, response);
+  return true;
+}
+
 void EngineProcess::onProbe(const sim::ChannelPointer& channel, const sim::Task& response) {
   channel->send(sim::Side::Server, response);
   channel->close(sim::Side::Server);
@@ -287,8 +317,11 @@
 
 void EngineProcess::sendHead(const RunPointer& run) {
   if (!runs_.contains(run->record)) return;
-  send(*run, [response = run->response, head = makeHead(kOk)] { response.on_head(head); });
-  if (run->request.kind == RequestKind::resumable_stream) return sendEvents(run);
+  EngineHead head = makeHead(kOk);
+  head.event_stream = run->request.kind == RequestKind::resumable_stream;
+  send(*run, [response = run->response, head] { response.on_head(head); });
+  if (run->endless) return sendEndlessEvent(run);
+  if (head.event_stream) return sendEvents(run);
   // A poison request without events crashes the engine between the head and the body of its response.
   if (crashesAt(*run, PoisonEffect::after_first_bytes)) return crash(false, run->request.body);
   send(*run, [response = run->response] { response.on_bytes("{}"); });
@@ -306,6 +339,12 @@
   host_.post(gap, [this, run] { sendEvents(run); });
 }
 
+void EngineProcess::sendEndlessEvent(const RunPointer& run) {
+  if (!runs_.contains(run->record)) return;
+  send(*run, [response = run->response] { response.on_bytes(std::string(kEndlessPieceBytes, 'x')); });
+  host_.post(kEndlessInterval, [this, run] { sendEndlessEvent(run); });
+}
+
 void EngineProcess::finish(const RunPointer& run, bool complete) {
   if (runs_.erase(run->record) == 0) return;
   EngineRun& record = context_.records.runs[run->record];
--- a/sim/gateway_world/engine_process.h
+++ b/sim/gateway_world/engine_process.h
@@ -31,11 +31,24 @@
   TimePoint confirmed_at{};
 };
 
+/// How an engine fails a request.
+enum class EngineFailure {
+  error,          ///< With an error status.
+  rejected,       ///< As not run.
+  misdirected,    ///< As meant for another process.
+  endless_event,  ///< With an event that has no end; with an error status where the response has no events.
+  last = endless_event,
+};
+
+/// Status of EngineFailure::error.
+inline constexpr int kInternalError = 500;
+
 /// The head of an engine's response.
 struct EngineHead {
   int status = 200;
   bool not_run = false;
   bool wrong_engine = false;
+  bool event_stream = false;
   Duration pause{0};     ///< The engine wants no other requests of the gateway for this time; 0: it does.
   bool leaving = false;  ///< The engine states that it leaves.
   std::optional<std::uint32_t> tolerated_rejections;  ///< The engine states that it is brittle.
@@ -70,6 +83,8 @@
   /// The process rejects a share of its requests for some time, and asks with each rejection for a pause.
   void rejectRequests(double share, Duration time, Duration pause);
   bool rejectsRequests() const;
+  /// The process fails a share of its requests for some time.
+  void failRequests(EngineFailure failure, double share, Duration time);
 
   sim::Host& host() { return host_; }
   std::uint32_t number() const { return number_; }
@@ -100,6 +115,7 @@
     EngineResponseHandlers response;
     sim::ChannelPointer channel;
     bool running = false;
+    bool endless = false;  ///< Its first event has no end.
     std::uint64_t next_event = 1;
     std::uint64_t events = 0;
   };
@@ -111,6 +127,10 @@
   void startRun(const RunPointer& run);
   void sendHead(const RunPointer& run);
   void sendEvents(const RunPointer& run);
+  void sendEndlessEvent(const RunPointer& run);
+  /// @return whether the request failed.
+  bool failsRequest(std::size_t record, const sim::ChannelPointer& channel, const EngineRequest& request,
+                    const EngineResponseHandlers& response);
   void finish(const RunPointer& run, bool complete);
   void onDisconnected(const RunPointer& run);
   void send(const Run& run, sim::Task deliver);
@@ -133,6 +153,9 @@
   double rejected_share_ = 0;
   TimePoint rejects_until_{};
   Duration asked_pause_{0};
+  EngineFailure failure_ = EngineFailure::error;
+  double failed_share_ = 0;
+  TimePoint fails_until_{};
   std::set<std::size_t> in_transit_;  ///< EngineRuns of requests that were written and have not arrived.
   std::map<std::size_t, RunPointer> runs_;  ///< Running or queued, by EngineRun.
   std::deque<RunPointer> queue_;
--- a/sim/gateway_world/fleet_checkers.cc
+++ b/sim/gateway_world/fleet_checkers.cc
@@ -126,6 +126,7 @@
         history.isUndisturbed(attempt.gateway, attempt.sent_at, end, kRestartTime) &&
         !history.startedBetween(attempt.gateway, crashed_at[index] - kRetryBudgetWindow, end) &&
         history.partitionState(attempt.gateway, end, kRetryBudgetWindow) == PartitionState::none &&
+        history.areEnginesSound(attempt.sent_at - kRetryBudgetWindow, end) &&
         history.isStoreUndisturbed(attempt.sent_at - context.site.key_validity, end) &&
         history.areConnectionsUndisturbed(attempt.sent_at - kRestartTime, end) &&
         history.areMessagesUndisturbed(attempt.sent_at - kRestartTime, end);
@@ -263,6 +264,8 @@
     const auto state = history.partitionState(attempt.gateway, attempt.sent_at, kContactTime);
     if (!is_judged || state == PartitionState::changing) continue;
     if (!history.mostReachEngines(attempt.sent_at, attempt.sent_at + attempt.deadline)) continue;
+    if (!history.areEnginesSound(attempt.sent_at - kRetryBudgetWindow, attempt.sent_at + attempt.deadline))
+      continue;
     FirstAttempts& attempts = state == PartitionState::partitioned ? partitioned : others;
     ++attempts.sent;
     attempts.served += attempt.outcome == AttemptOutcome::completed ? 1 : 0;
--- a/sim/gateway_world/fleet_faults.cc
+++ b/sim/gateway_world/fleet_faults.cc
@@ -19,6 +19,9 @@
 constexpr std::size_t kEnginesPerLeaving = 4;
 constexpr std::size_t kEnginesPerPausing = 4;
 constexpr double kAnnouncedShare = 0.5;
+constexpr double kMinFailingShare = 0.5;
+constexpr std::uint64_t kMinMoves = 3;
+constexpr std::uint64_t kMaxMoves = 8;
 
 }  // namespace
 
@@ -94,6 +97,10 @@
       return makeEnginesBrittle();
     case FleetFault::gateways_partitioned_from_engines:
       return partitionGatewaysFromEngines();
+    case FleetFault::engines_fail:
+      return failEngines();
+    case FleetFault::callers_move:
+      return moveCallers(random_.uniform(kMinMoves, kMaxMoves));
   }
 }
 
@@ -135,6 +142,25 @@
   periods.push_back({now, now + drawDuration(6'000, 16'000), tolerated});
 }
 
+void FleetFaults::failEngines() {
+  const auto failure =
+      static_cast<EngineFailure>(random_.uniform(0, static_cast<std::uint64_t>(EngineFailure::last)));
+  const double share = kMinFailingShare + (1 - kMinFailingShare) * random_.unit();
+  const Duration time = drawDuration(2'000, 20'000);
+  context_.records.failing_engines.push_back({context_.queue.now(), context_.queue.now() + time});
+  for (const auto& engine : world_.engines()) {
+    if (random_.chance(share)) engine->failRequests(failure, share, time);
+  }
+}
+
+/// A planned stop, or a change of the addresses that callers get, moves the requests of one gateway to
+/// another one at once.
+void FleetFaults::moveCallers(std::uint64_t moves) {
+  if (moves == 0) return world_.callers().useGateway(std::nullopt);
+  world_.callers().useGateway(random_.uniform(0, world_.gateways().size() - 1));
+  context_.queue.after(drawDuration(1'000, 3'000), [this, moves] { moveCallers(moves - 1); });
+}
+
 void FleetFaults::resetConnections() {
   context_.network.resetRandomChannels(kResetShare * (1 + random_.unit()));
   context_.records.connections.push_back({context_.queue.now(), context_.queue.now()});
--- a/sim/gateway_world/fleet_faults.h
+++ b/sim/gateway_world/fleet_faults.h
@@ -28,6 +28,8 @@
   gateways_partitioned_from_engines,  ///< Some gateways do not reach most or all engines.
   engines_pause,                      ///< An engine rejects requests and asks gateways for a pause.
   engines_brittle,                    ///< All engines are brittle for some time.
+  engines_fail,                       ///< Most engines fail most of their requests for some time.
+  callers_move,  ///< All callers use the same gateway, and another one every few seconds.
 };
 
 /// Schedules and injects faults.
@@ -48,6 +50,8 @@
   void letEngineLeave();
   void letEnginePause();
   void makeEnginesBrittle();
+  void failEngines();
+  void moveCallers(std::uint64_t moves);
   void resetConnections();
   void killGateways(double share);
   void partitionGateways();
--- a/sim/gateway_world/fleet_history.cc
+++ b/sim/gateway_world/fleet_history.cc
@@ -151,6 +151,10 @@
   return !overlapsAny(context_.records.messages, from, to);
 }
 
+bool FleetHistory::areEnginesSound(TimePoint from, TimePoint to) const {
+  return !overlapsAny(context_.records.failing_engines, from, to);
+}
+
 bool FleetHistory::hasReceived(std::uint32_t gateway, const std::vector<BodyCrash>& crashes,
                                TimePoint at) const {
   if (crashes.empty() || at < crashes.back().at + kPropagationTime) return false;
--- a/sim/gateway_world/fleet_history.h
+++ b/sim/gateway_world/fleet_history.h
@@ -55,6 +55,8 @@
   bool isStoreUndisturbed(TimePoint from, TimePoint to) const;
   bool areConnectionsUndisturbed(TimePoint from, TimePoint to) const;
   bool areMessagesUndisturbed(TimePoint from, TimePoint to) const;
+  /// @return whether no engine fails requests in between.
+  bool areEnginesSound(TimePoint from, TimePoint to) const;
   /// @return whether the gateway must have received all of the crashes by `at`, because it and the gateways
   /// that observed them could exchange messages for long enough.
   bool hasReceived(std::uint32_t gateway, const std::vector<BodyCrash>& crashes, TimePoint at) const;
--- a/sim/gateway_world/fleet_run.cc
+++ b/sim/gateway_world/fleet_run.cc
@@ -22,10 +22,18 @@
 constexpr const char* kPartitions = "gateway_partitions";
 constexpr const char* kNotices = "gateway_notices";
 constexpr const char* kBrittle = "gateway_brittle";
+constexpr const char* kRetries = "gateway_retries";
 /// Load and slots with which engines are nearly full at times.
 constexpr double kBrittleRequestsPerEngine = 6;
 constexpr std::uint32_t kBrittleSlots = 6;
 constexpr std::uint32_t kBuildCount = 3;
+/// Load with which the retry budget depends on the requests more than on its slack, and maximum of the
+/// engines that a request may reach.
+constexpr double kMinRetriesLoad = 30;
+constexpr double kMaxRetriesLoad = 90;
+constexpr double kRetriesSlackPerGateway = 3;
+constexpr std::uint64_t kMaxAttempts = 6;
+constexpr Duration kRetriesLoadTime = std::chrono::seconds(60);
 
 void planFaults(const std::string& scenario, FleetFaults& faults) {
   using std::chrono::milliseconds;
@@ -41,15 +49,41 @@
     faults.planRepeated(FleetFault::engines_pause, milliseconds(500), seconds(4));
     faults.planRepeated(FleetFault::engines_leave, seconds(1), seconds(5));
   }
+  if (scenario == kRetries) {
+    faults.planRepeated(FleetFault::engines_fail, seconds(3), seconds(15));
+    faults.planRepeated(FleetFault::callers_move, seconds(6), seconds(20));
+    faults.planRepeated(FleetFault::gateways_killed, seconds(5), seconds(25));
+    faults.planRepeated(FleetFault::gateways_partitioned_from_engines, seconds(10), seconds(30));
+  }
   if (scenario == kBrittle) faults.planRepeated(FleetFault::engines_brittle, seconds(8), seconds(20));
   if (scenario == kDepartures) faults.planRepeated(FleetFault::engines_leave, milliseconds(300), seconds(3));
 }
 
+/// Applies what the scenario changes of a drawn site.
+void adaptSite(const std::string& scenario, RandomSource& random, FleetSite& site) {
+  site.retries_broken_responses = scenario == kResets;
+  if (scenario == kBuilds) site.builds = kBuildCount;
+  site.relays = scenario == kPartitions || scenario == kRetries;
+  site.states_departures = scenario == kNotices;
+  if (scenario == kBrittle) {
+    site.engine_slots = kBrittleSlots;
+    site.lists_slots = true;
+    site.requests_per_second = kBrittleRequestsPerEngine * site.engines;
+  }
+  if (scenario == kRetries) {
+    site.requests_per_second = kMinRetriesLoad + (kMaxRetriesLoad - kMinRetriesLoad) * random.unit();
+    site.load_time = kRetriesLoadTime;
+    site.max_attempts = static_cast<std::uint32_t>(random.uniform(2, kMaxAttempts));
+    site.retry_slack_per_gateway = kRetriesSlackPerGateway;
+    site.poison.clear();
+  }
+}
+
 }  // namespace
 
 const std::vector<std::string>& fleetScenarioNames() {
-  static const std::vector<std::string> names = {kMixed,  kResets,     kRestarts, kDepartures,
-                                                 kBuilds, kPartitions, kNotices,  kBrittle};
+  static const std::vector<std::string> names = {kMixed,      kResets,  kRestarts, kDepartures, kBuilds,
+                                                 kPartitions, kNotices, kBrittle,  kRetries};
   return names;
 }
 
@@ -58,15 +92,7 @@
   FleetContext context(random.bits(), options.removed, options.keep_trace_lines);
   const TimePoint load_start = context.queue.now() + kWarmUp;
   context.site = drawFleetSite(random, load_start);
-  context.site.retries_broken_responses = options.scenario == kResets;
-  if (options.scenario == kBuilds) context.site.builds = kBuildCount;
-  context.site.relays = options.scenario == kPartitions;
-  context.site.states_departures = options.scenario == kNotices;
-  if (options.scenario == kBrittle) {
-    context.site.engine_slots = kBrittleSlots;
-    context.site.lists_slots = true;
-    context.site.requests_per_second = kBrittleRequestsPerEngine * context.site.engines;
-  }
+  adaptSite(options.scenario, random, context.site);
   FleetWorld world(context);
   FleetFaults faults(context, world, random.bits());
   world.start();
--- a/sim/gateway_world/fleet_site.cc
+++ b/sim/gateway_world/fleet_site.cc
@@ -13,12 +13,10 @@
 /// Bodies from this number on are poison requests; all others are harmless.
 constexpr BodyId kFirstPoisonBody = 1'000'000;
 constexpr std::uint32_t kSmallFleet = 8;
-/// Slack of the retry budget that all gateways share, per gateway; that of a deployment grows with its size.
-constexpr double kRetrySlackPerGateway = 12;
 constexpr std::uint32_t kLargeFleet = 40;
 constexpr double kLargeFleetChance = 0.05;
 
-Route makeRoute(RequestKind kind, Repeatability repeatability) {
+Route makeRoute(const FleetSite& site, RequestKind kind, Repeatability repeatability) {
   Route route;
   route.name = pathOf(kind);
   route.host = kFleetHost;
@@ -29,7 +27,7 @@
   route.timeout = std::chrono::seconds(6);
   route.first_byte_target = std::chrono::milliseconds(600);
   route.event_gap_target = std::chrono::milliseconds(400);
-  route.max_attempts = 2;
+  route.max_attempts = site.max_attempts;
   route.pools = {{kFleetPool, 1}};
   return route;
 }
@@ -61,7 +59,7 @@
 
 gateway::RetryBudgetSettings retryBudgetOf(const FleetSite& site) {
   gateway::RetryBudgetSettings budget;
-  budget.slack = kRetrySlackPerGateway * site.gateways;
+  budget.slack = site.retry_slack_per_gateway * site.gateways;
   return budget;
 }
 
@@ -79,12 +77,12 @@
   return site;
 }
 
-std::shared_ptr<const Configuration> makeFleetConfiguration() {
+std::shared_ptr<const Configuration> makeFleetConfiguration(const FleetSite& site) {
   auto configuration = std::make_shared<Configuration>();
   configuration->version = 1;
-  configuration->routes = {makeRoute(RequestKind::plain, Repeatability::Repeatable),
-                           makeRoute(RequestKind::resumable_stream, Repeatability::ResumableStream),
-                           makeRoute(RequestKind::at_most_once, Repeatability::AtMostOnce)};
+  configuration->routes = {makeRoute(site, RequestKind::plain, Repeatability::Repeatable),
+                           makeRoute(site, RequestKind::resumable_stream, Repeatability::ResumableStream),
+                           makeRoute(site, RequestKind::at_most_once, Repeatability::AtMostOnce)};
   Pool pool;
   pool.name = kFleetPool;
   pool.health_path = "/healthz";
--- a/sim/gateway_world/fleet_site.h
+++ b/sim/gateway_world/fleet_site.h
@@ -36,6 +36,9 @@
   std::uint32_t engine_slots = 8;
   std::uint32_t zones = 3;
   double requests_per_second = 12;
+  std::uint32_t max_attempts = 2;  ///< Engines that one request may reach.
+  /// Slack of the retry budget that all gateways share, divided by their number.
+  double retry_slack_per_gateway = 12;
   std::uint32_t popular_bodies = 4;  ///< Harmless bodies that many callers send.
   Duration load_time{0};
   Duration key_validity = std::chrono::seconds(5);
@@ -56,7 +59,7 @@
 /// @param start when the load begins.
 FleetSite drawFleetSite(RandomSource& random, TimePoint start);
 /// @return the configuration that all gateways of the site use.
-std::shared_ptr<const gateway::Configuration> makeFleetConfiguration();
+std::shared_ptr<const gateway::Configuration> makeFleetConfiguration(const FleetSite& site);
 /// @return the path to which requests of the kind are sent.
 std::string pathOf(RequestKind kind);
 
--- a/sim/gateway_world/fleet_world.cc
+++ b/sim/gateway_world/fleet_world.cc
@@ -10,7 +10,11 @@
 
 }  // namespace
 
-FleetWorld::FleetWorld(FleetContext& context) : context_(context), store_(context), callers_(context, *this) {
+FleetWorld::FleetWorld(FleetContext& context)
+    : context_(context),
+      store_(context),
+      configuration_(makeFleetConfiguration(context.site)),
+      callers_(context, *this) {
   for (std::uint32_t number = 0; number < context.site.engines; ++number) {
     engines_.push_back(std::make_unique<EngineProcess>(context, store_, number));
   }
--- a/sim/gateway_world/fleet_world.h
+++ b/sim/gateway_world/fleet_world.h
@@ -35,7 +35,7 @@
 private:
   FleetContext& context_;
   StoreNode store_;
-  std::shared_ptr<const gateway::Configuration> configuration_ = makeFleetConfiguration();
+  std::shared_ptr<const gateway::Configuration> configuration_;
   std::vector<std::unique_ptr<EngineProcess>> engines_;
   std::vector<std::unique_ptr<GatewayNode>> gateways_;
   Callers callers_;
--- a/sim/gateway_world/gateway_node.h
+++ b/sim/gateway_world/gateway_node.h
@@ -87,7 +87,8 @@
     std::string body;             ///< Buffered until the gateway forwards or discards it.
     bool head = false;
     bool ended = false;
-    std::optional<gateway::Refuse> refusal;  ///< Of the gateway that it was relayed to.
+    /// Response without a body: of the gateway that it was relayed to, or an error response of the engine.
+    std::optional<gateway::Refuse> refusal;
   };
   /// The calls that follow the cache of one engine.
   struct CacheCalls {
--- a/sim/gateway_world/gateway_node_traffic.cc
+++ b/sim/gateway_world/gateway_node_traffic.cc
@@ -39,6 +39,13 @@
   return result;
 }
 
+/// @return a complete error response of an engine, as its caller gets it.
+gateway::Refuse errorResponse(int status) {
+  gateway::Refuse response;
+  response.status = status;
+  return response;
+}
+
 }  // namespace
 
 void GatewayNode::onRequest(const sim::ChannelPointer& channel, const CallerRequest& request,
@@ -216,12 +223,14 @@
   if (!process_->exchanges.contains(id)) return;
   gateway::BackendResponse response;
   response.genuine = true;
+  response.event_stream = head.event_stream;
   response.not_run = head.not_run;
   response.wrong_backend = head.wrong_engine;
   if (head.pause > Duration(0) && context_.has(sim::Mechanism::Pauses)) response.pause = head.pause;
   if (context_.has(sim::Mechanism::BrittleShares)) response.tolerated_rejections = head.tolerated_rejections;
   response.leaving = head.leaving && context_.has(sim::Mechanism::StatedDepartures);
   recordNotices(head);
+  if (head.status == kInternalError) process_->exchanges[id].refusal = errorResponse(head.status);
   process_->traffic.onHead(id, head.status, response, now());
   executeActions();
 }
--- a/sim/gateway_world/records.h
+++ b/sim/gateway_world/records.h
@@ -155,6 +155,8 @@
   std::vector<Disturbance> connections;
   /// Loss and duplication of datagrams, and delays of all messages.
   std::vector<Disturbance> messages;
+  /// Periods in which engines fail requests.
+  std::vector<Disturbance> failing_engines;
 };
 
 }  // namespace crankspur::gateway_sim
--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -257,6 +257,16 @@
   }
 }
 
+// Requests may reach up to six engines, which fail most of them with errors, rejections or events without
+// end, while callers move between gateways and gateways are killed or partitioned from the engines.
+TEST_CASE("repeats stay within the budget of all gateways while callers move between them", "[sim]") {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    const RunResult result = runOne(seed, "gateway_retries");
+    INFO(describe(result));
+    CHECK(result.violations.empty());
+  }
+}
+
 TEST_CASE("each checker finds the absence of its mechanism", "[sim]") {
   struct Removal {
     Mechanism mechanism;
@@ -300,6 +310,7 @@
       {Mechanism::StatedDepartures, "gateway_notices", "stated_departure"},
       {Mechanism::BrittleShares, "gateway_brittle", "falls"},
       {Mechanism::RetryBudget, "gateway_brittle", "retry_budget"},
+      {Mechanism::RetryBudget, "gateway_retries", "retry_budget"},
       {Mechanism::TenantSalt, "same_prompts", "cache_use"},
       {Mechanism::BundleFromPeers, "herd_rate_limits", "restart"},
       {Mechanism::BundleMonotonicity, "rollback", "bundle"},
--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -39,7 +39,7 @@
 
 
 def check(attempts, runs, revoked=None):
-    return find_violations(attempts, runs, revoked or {}, 5.0, 1000.0)
+    return find_violations(attempts, runs, revoked or {}, 5.0, 1000.0, 2)
 
 
 class ChecksTest(unittest.TestCase):
--- a/tests/unit/gateway/retry_budget_fleet_test.cc
+++ b/tests/unit/gateway/retry_budget_fleet_test.cc
@@ -1,6 +1,7 @@
 /// @file Guards against a fleet of gateways that repeats more requests than its retry budget allows: each
-/// process that started had its whole share of the budget, whatever its predecessor had used of it, and a
-/// repeat that waited for a back end was counted when it was decided and not when it was sent.
+/// process that started had its whole share of the budget, whatever its predecessor had used of it, a repeat
+/// that waited for a back end was counted when it was decided and not when it was sent, and a budget that
+/// followed the requests of a past window was there twice when callers moved to another gateway.
 
 #include <algorithm>
 #include <memory>
@@ -21,18 +22,25 @@
 /// again.
 class FailingFleet {
 public:
-  FailingFleet() : gateways_(kGateways) {
-    for (std::size_t index = 0; index < kGateways; ++index) start(index);
+  explicit FailingFleet(std::size_t gateways = kGateways, const RetryBudgetSettings& budget = kBudget)
+      : budget_(budget), gateways_(gateways), snapshot_(makeSnapshot(static_cast<std::uint32_t>(gateways))) {
+    for (std::size_t index = 0; index < gateways; ++index) start(index);
   }
 
   /// Replaces the process of a gateway by a new one.
   void start(std::size_t index) {
     GatewaySettings settings;
-    settings.retry_budget = kBudget;
+    settings.retry_budget = budget_;
     gateways_[index] = std::make_unique<Gateway>(settings, kSeed, noopObserver());
     gateways_[index]->onSnapshot(snapshot_, now_);
   }
 
+  /// Gives all gateways a snapshot by which so many of them share the slack of the budget.
+  void publish(std::uint32_t share_divisor) {
+    snapshot_ = makeSnapshot(share_divisor);
+    for (const auto& gateway : gateways_) gateway->onSnapshot(snapshot_, now_);
+  }
+
   /// Sends a request, and answers all its dispatches at once.
   void send(std::size_t index) {
     Gateway& gateway = *gateways_[index];
@@ -57,43 +65,67 @@
 
   /// @return by how many repeats the worst window exceeds the budget; negative: none does.
   double worstExcess() const {
-    double worst = -kBudget.slack;
+    double worst = -budget_.slack;
     for (const TimePoint from : repeats_) {
       const double requests =
-          std::max({countFrom(requests_, from), countFrom(requests_, from - kBudget.window),
-                    countFrom(requests_, from - kBudget.window / 2)});
-      worst = std::max(worst, countFrom(repeats_, from) - kBudget.ratio * requests - kBudget.slack);
+          std::max({countFrom(requests_, from), countFrom(requests_, from - budget_.window),
+                    countFrom(requests_, from - budget_.window / 2)});
+      worst = std::max(worst, countFrom(repeats_, from) - budget_.ratio * requests - budget_.slack);
     }
     return worst;
   }
 
+  /// @return the repeats since then, divided by the requests since then.
+  double repeatedShare(TimePoint since) const {
+    const auto count = [since](const std::vector<TimePoint>& times) {
+      return static_cast<double>(
+          std::count_if(times.begin(), times.end(), [since](TimePoint at) { return at >= since; }));
+    };
+    return count(repeats_) / count(requests_);
+  }
+
+  TimePoint now() const { return now_; }
+  std::size_t gateways() const { return gateways_.size(); }
+
 private:
-  static std::shared_ptr<const GatewaySnapshot> makeSnapshot() {
+  static std::shared_ptr<const GatewaySnapshot> makeSnapshot(std::uint32_t share_divisor) {
     auto snapshot = std::make_shared<GatewaySnapshot>();
     snapshot->configuration = std::make_shared<const Configuration>(makeConfiguration());
     for (EngineSlot slot = 1; slot <= 6; ++slot) snapshot->backends.push_back(makeBackend(slot, "app"));
     snapshot->own_zone = "here";
     snapshot->own_region = "coast";
-    snapshot->share_divisor = kGateways;
-    snapshot->peer_count = kGateways - 1;
+    snapshot->share_divisor = share_divisor;
+    snapshot->peer_count = share_divisor - 1;
     return snapshot;
   }
 
   /// @return the number of times in the window that begins at `from`.
-  static double countFrom(const std::vector<TimePoint>& times, TimePoint from) {
-    return static_cast<double>(std::count_if(times.begin(), times.end(), [from](TimePoint at) {
-      return at >= from && at < from + kBudget.window;
+  double countFrom(const std::vector<TimePoint>& times, TimePoint from) const {
+    return static_cast<double>(std::count_if(times.begin(), times.end(), [this, from](TimePoint at) {
+      return at >= from && at < from + budget_.window;
     }));
   }
 
-  std::shared_ptr<const GatewaySnapshot> snapshot_ = makeSnapshot();
+  RetryBudgetSettings budget_;
   std::vector<std::unique_ptr<Gateway>> gateways_;
+  std::shared_ptr<const GatewaySnapshot> snapshot_;
   std::vector<TimePoint> requests_;
   std::vector<TimePoint> repeats_;
   ClientId last_client_ = 0;
   TimePoint now_{seconds(1000)};
 };
 
+/// Sends requests at random times, 60 a second.
+/// @param choose which gateway gets the request of that number.
+template <typename Choose>
+void sendRequests(FailingFleet& fleet, RandomSource& random, int count, const Choose& choose) {
+  constexpr double kMeanMicroseconds = 16'667;
+  for (int sent = 0; sent < count; ++sent) {
+    fleet.send(choose(sent));
+    fleet.advance(Duration(static_cast<std::int64_t>(random.exponential(kMeanMicroseconds))));
+  }
+}
+
 /// A gateway with a retry budget of one repeat in ten seconds, two back ends and room for two requests at
 /// each.
 GatewaySettings oneRepeat() {
@@ -127,12 +159,99 @@
   CAPTURE(seed);
   FailingFleet fleet;
   RandomSource random(seed);
-  constexpr double kMeanMicroseconds = 16'667;  // 60 requests a second.
   constexpr int kRequests = 3'600;
-  for (int sent = 0; sent < kRequests; ++sent) {
+  sendRequests(fleet, random, kRequests, [&](int sent) {
     fleet.fails = sent > kRequests / 3;
-    fleet.send(random.uniform(0, kGateways - 1));
-    fleet.advance(Duration(static_cast<std::int64_t>(random.exponential(kMeanMicroseconds))));
+    return random.uniform(0, kGateways - 1);
+  });
+  CHECK(fleet.worstExcess() <= 0);
+}
+
+// A limit that refuses all repeats would keep every budget.
+TEST_CASE("gateways whose back ends fail use the retry budget of the fleet", "[gateway][retry_budget]") {
+  const std::uint64_t seed = GENERATE(range(1, 6));
+  CAPTURE(seed);
+  FailingFleet fleet;
+  RandomSource random(seed);
+  const bool moves = GENERATE(false, true);
+  CAPTURE(moves);
+  constexpr int kRequests = 3'600;
+  constexpr int kRequestsPerMove = 120;
+  TimePoint failing_since{};
+  sendRequests(fleet, random, kRequests, [&](int sent) {
+    fleet.fails = sent >= kRequests / 3;
+    if (sent == kRequests / 3) failing_since = fleet.now();
+    if (moves) return std::size_t(sent / kRequestsPerMove) % kGateways;
+    return std::size_t{random.uniform(0, kGateways - 1)};
+  });
+  CHECK(fleet.repeatedShare(failing_since) >= 0.85 * kBudget.ratio);
+}
+
+// Each gateway allowed itself a share of the requests that it had in the window before, and then a share of
+// those that it had since: the gateways that callers left had used their shares, and the one that they moved
+// to had theirs once more.
+TEST_CASE("callers that move from one gateway to another leave the retry budget of the fleet as it is",
+          "[gateway][retry_budget]") {
+  const std::uint64_t seed = GENERATE(range(1, 20));
+  CAPTURE(seed);
+  FailingFleet fleet;
+  RandomSource random(seed);
+  constexpr int kRequests = 3'000;
+  constexpr int kFirstFailing = 1'200;
+  constexpr int kFirstMoved = kFirstFailing + 120;
+  const int requests_per_move = GENERATE(120, 300, 1'800);  // 2 s, 5 s, all.
+  sendRequests(fleet, random, kRequests, [&](int sent) {
+    fleet.fails = sent >= kFirstFailing;
+    if (sent < kFirstMoved) return std::size_t{random.uniform(0, kGateways - 1)};
+    return std::size_t((sent - kFirstMoved) / requests_per_move) % kGateways;
+  });
+  CHECK(fleet.worstExcess() <= 0);
+}
+
+// A process used the share of its past requests in a burst. Its successor had that of the present ones.
+TEST_CASE("gateways that are killed after a burst of repeats stay within the retry budget of the fleet",
+          "[gateway][retry_budget]") {
+  const std::uint64_t seed = GENERATE(range(1, 20));
+  CAPTURE(seed);
+  FailingFleet fleet;
+  RandomSource random(seed);
+  constexpr int kRequests = 2'400;
+  constexpr int kFirstFailing = 1'200;
+  constexpr int kKilled = kFirstFailing + 120;
+  sendRequests(fleet, random, kRequests, [&](int sent) {
+    fleet.fails = sent >= kFirstFailing;
+    for (std::size_t index = 0; sent == kKilled && index < kGateways; ++index) fleet.start(index);
+    return random.uniform(0, kGateways - 1);
+  });
+  CHECK(fleet.worstExcess() <= 0);
+}
+
+// Killed gateways leave the list. Each of the others took the shares of two, although those of the killed
+// ones had been used.
+TEST_CASE("gateways that leave the list with their slack used up leave none of it to the others",
+          "[gateway][retry_budget]") {
+  FailingFleet fleet(6, {0, seconds(10), 24});
+  fleet.advance(seconds(30));
+  const auto send_to = [&fleet](std::size_t first, std::size_t count) {
+    for (int sent = 0; sent < 200; ++sent) {
+      fleet.send(first + static_cast<std::size_t>(sent) % count);
+      fleet.advance(milliseconds(10));
+    }
+  };
+  send_to(0, 5);
+  fleet.publish(1);
+  send_to(5, 1);
+  CHECK(fleet.worstExcess() <= 0);
+}
+
+// A gateway that has just started knows of no others.
+TEST_CASE("gateways that start together do not have the slack of the fleet each", "[gateway][retry_budget]") {
+  FailingFleet fleet(60, {0, seconds(10), 60});
+  fleet.publish(1);
+  for (std::size_t sent = 0; sent < 1'200; ++sent) {
+    if (sent == 600) fleet.publish(60);  // After 6 s.
+    fleet.send(sent % fleet.gateways());
+    fleet.advance(milliseconds(10));
   }
   CHECK(fleet.worstExcess() <= 0);
 }
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -5,7 +5,6 @@
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 MAX_REPORTED = 20
 MIN_SERVED_SHARE_WHEN_QUIET = 0.9
-MAX_BACK_ENDS = 2
 CRASHES_UNTIL_CLASSIFIED = 3  # Runners that a request crashes before it is classified as a crashing request.
 PROPAGATION_S = 3.0  # Time until all gateways have received this classification.
 PAUSE_TOLERANCE_S = 0.5  # Requests that were on their way when a runner asked for a pause.
@@ -43,13 +42,13 @@
     return ""
 
 
-def _run_problem(attempt, runs, revoked, key_validity_s):
+def _run_problem(attempt, runs, revoked, key_validity_s, max_back_ends):
     """Returns the problem with the runs of an attempt, or an empty string."""
     if not attempt.kind.repeatable and len(runs) > 1:
         return f"ran {len(runs)} times: {[run.runner for run in runs]}"
     if not attempt.kind.repeatable and attempt.status in NOT_RUN_STATUSES and runs:
         return f"answered {attempt.status} (not run) and ran at {runs[0].runner}"
-    if len({run.runner for run in runs}) > MAX_BACK_ENDS:
+    if len({run.runner for run in runs}) > max_back_ends:
         return f"ran at {len({run.runner for run in runs})} back ends"
     for run in runs:
         if run.showed_key:
@@ -187,7 +186,7 @@
     return problems[:MAX_REPORTED]
 
 
-def find_violations(attempts, runs, revoked, key_validity_s, quiet_since):
+def find_violations(attempts, runs, revoked, key_validity_s, quiet_since, max_back_ends):
     """Returns a line for each violated guarantee."""
     runs_by_attempt = defaultdict(list)
     for run in runs:
@@ -198,7 +197,8 @@
         if name not in sent:
             problems.append(f"a runner ran {name}, which no client sent")
     for attempt in attempts:
-        found = [_response_problem(attempt), _run_problem(attempt, runs_by_attempt[attempt.id], revoked, key_validity_s)]
+        run_problem = _run_problem(attempt, runs_by_attempt[attempt.id], revoked, key_validity_s, max_back_ends)
+        found = [_response_problem(attempt), run_problem]
         problems += [f"{attempt.kind.route} {attempt.id} by {attempt.gateway}: {text}" for text in found if text]
     quiet = [attempt for attempt in attempts if attempt.sent_at >= quiet_since and attempt.key not in revoked]
     served = sum(1 for attempt in quiet if attempt.status == 200 and attempt.whole)
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -42,6 +42,7 @@
 RUNNER_HOST = "127.0.0.2"  # Differs from the proxy's address, whose ports the kernel chooses.
 REQUESTS_PER_S = 40
 BRITTLE_REQUESTS_PER_S = 90  # When brittle runners are the selected fault: engines are nearly full at times.
+MAX_BACK_ENDS, MAX_BACK_ENDS_OF_RETRIES = 2, 6  # Of a request; the latter when retries are the selected fault.
 REVOKED_KEY_SHARE = 0.15  # Share of requests that use revoked keys.
 DEADLINE_S = 3.0
 KEY_VALIDITY_S = 5.0
@@ -56,7 +57,7 @@
     Kind("/answer/", streaming=True, repeatable=False, answer_events=12),
 ]
 # Faults that --only can select; with silent_connections, any rejection by a gateway is a violation.
-SINGLE_FAULTS = ("silent_connections", "ending_requests", "ending_requests_and_restarts", "notices", "brittle")
+SINGLE_FAULTS = ("silent_connections", "ending_requests", "ending_requests_and_restarts", "notices", "brittle", "retries")
 
 
 def find_free_ports(count):
@@ -195,6 +196,8 @@
         self.revoked = {}  # Key -> time when its revocation was accepted.
         self.configuration_version = 0
         self.weights = 1
+        self.max_back_ends = MAX_BACK_ENDS_OF_RETRIES if options.only == "retries" else MAX_BACK_ENDS
+        self.used_gateway = None  # The only one that clients use; None: any.
         self.schedule = open(folder / "schedule.log", "w")
 
     def log_event(self, text):
@@ -211,7 +214,8 @@
         for kind in KINDS:
             route = {"name": kind.route.strip("/"), "host": "desk.example", "pathPrefix": kind.route}
             route |= {"kind": "streaming" if kind.streaming else "safe" if kind.repeatable else "unsafe"}
-            route |= {"timeoutMs": 5000, "targetLatencyMs": 600, "priority": 1, "maxAttempts": 2, "public": False}
+            route |= {"timeoutMs": 5000, "targetLatencyMs": 600, "priority": 1, "public": False}
+            route["maxAttempts"] = self.max_back_ends
             route |= {"service": "engines" if kind.streaming else "app", "sticky": kind.streaming}
             routes.append(route | {"resumable": kind.streaming and kind.repeatable, "gapTargetMs": 500})
         engine = {"slots": 16, "kvCapacity": 100000, "kvTokenBytes": 1000, "linkMbps": 1e5, "maxInFlight": 8}
@@ -237,6 +241,8 @@
         slots = SLOTS
         if self.options.only == "brittle":
             engines, slots = BRITTLE_ENGINES, BRITTLE_SLOTS
+        if self.options.only == "retries":
+            engines = BRITTLE_ENGINES
         shared = (self.ending_parts, self.ends, self.notices, self.brittleness)
         self.engines = [Runner(self.store, "engines", MODEL, slots, self.runs, generator, *shared) for _ in range(engines)]
         self.runners = [Runner(self.store, "app", "", 12, self.runs, generator, notices=self.notices) for _ in range(APPLICATION_RUNNERS)]
@@ -295,6 +301,8 @@
 
     async def find_gateway(self):
         """Returns a gateway address as a client looks it up: from the directory of any gateway that responds."""
+        if self.used_gateway is not None and self.used_gateway.process.returncode is None:
+            return self.used_gateway.address
         for gateway in self.random.sample(self.gateways, len(self.gateways)):
             try:
                 addresses = await look_up(gateway.host, gateway.ports["directory"])
@@ -321,7 +329,7 @@
             task = asyncio.create_task(self.run_attempt(self.random.choice(KINDS), key))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
-            rate = BRITTLE_REQUESTS_PER_S if self.options.only == "brittle" else REQUESTS_PER_S
+            rate = BRITTLE_REQUESTS_PER_S if self.options.only in ("brittle", "retries") else REQUESTS_PER_S
             await asyncio.sleep(self.random.expovariate(rate))
         await asyncio.gather(*list(tasks))
 
@@ -497,6 +505,25 @@
         await asyncio.sleep(generator.uniform(0.5, 3.0))
         runner.endless_share = 0.0
 
+    async def fail_runners(self, generator):
+        """Lets all engines fail most of their requests in one way."""
+        failure, share = generator.choice(["error", "full", "misdirected", "endless"]), generator.uniform(0.6, 1.0)
+        seconds = generator.uniform(2.0, 12.0)
+        self.log_event(f"engines fail {share:.1f} of their requests for {seconds:.1f} s: {failure}")
+        for engine in self.engines:
+            engine.failure, engine.failed_share = failure, share
+        await asyncio.sleep(seconds)
+        for engine in self.engines:
+            engine.failed_share = 0.0
+
+    async def move_clients(self, generator):
+        """Lets all clients use the same gateway, and another one every few seconds."""
+        for _ in range(generator.randint(3, 6)):
+            self.used_gateway = generator.choice(self.gateways)
+            self.log_event(f"clients use {self.used_gateway.name}")
+            await asyncio.sleep(generator.uniform(1.0, 3.0))
+        self.used_gateway = None
+
     async def change_configuration(self, generator):
         self.publish_configuration(generator)
         self.log_event(f"configuration {self.configuration_version}")
@@ -528,6 +555,9 @@
         elif self.options.only == "brittle":
             faults = [self.make_runners_brittle, self.make_runners_brittle, self.respond_without_end,
                       self.kill_gateway, self.stop_gateway, self.freeze_gateway]
+        elif self.options.only == "retries":
+            faults = [self.fail_runners, self.fail_runners, self.fail_runners, self.move_clients, self.kill_gateway,
+                      self.kill_all, self.stop_gateway, self.freeze_gateway]
         elif self.options.only:
             faults = [getattr(self, self.options.only)]
         tasks = set()
@@ -580,7 +610,7 @@
         await self.stop()
         await asyncio.sleep(0.5)
         violations = find_violations(self.attempts, self.runs, self.revoked, KEY_VALIDITY_S,
-                                     quiet_since + QUIET_PERIOD_S / 2)
+                                     quiet_since + QUIET_PERIOD_S / 2, self.max_back_ends)
         violations += find_repeated_crashes(self.ends)
         gateway_of = self.find_sending_gateways()
         violations += find_falls(self.brittleness, len(self.engines), gateway_of, self.disturbances)
