Tell by one state what back ends may have done with a request

Whether a request may have arrived and whether it may have run were two flags, set by hand at ten places. onHead set the second one only, and a repeat took from the budget by the first one: a response that failed after its head was repeated for free.

Class: one fact kept twice. An ordered state (none, arrived, may have run) can only rise, and answers both questions.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -217,7 +217,7 @@
     entry.cause = RequestCause::back_end_unreachable;
     if (relay(entry, now)) return limits_.refund(choice.backend->view.incarnation, now);
     // The gateway that relayed it can try another one, unless a back end here may have run it.
-    const bool returnable = entry.from_peer && !entry.may_have_arrived && !entry.may_have_run;
+    const bool returnable = entry.from_peer && !entry.mayHaveArrived();
     if (returnable && isPartitioned(*entry.pool, now)) cause = entry.cause;
   }
   if (cause) {
@@ -332,7 +332,7 @@
   ++entry.backends_reached;
   ++entry.dispatches;
   ++counters_.dispatches;
-  if (entry.may_have_arrived) ++counters_.repeats;
+  if (entry.mayHaveArrived()) ++counters_.repeats;
   countSentRetry(entry, now);
   exchanges_[active.exchange] = entry.id;
   entry.last_backend = backend.name;
@@ -424,11 +424,11 @@
 /// The deadline of the request has passed.
 void Gateway::expire(Entry& entry, TimePoint now) {
   if (entry.active.exchange != 0) {
-    entry.may_have_run = true;
+    entry.recordDelivery(Delivery::may_have_run);
     entry.cause = RequestCause::time_ran_out;
   }
   cancelExchange(entry, DispatchOutcome::Ended, now);
-  if (!entry.head_forwarded && entry.may_have_run) {
+  if (!entry.head_forwarded && entry.mayHaveRun()) {
     ++counters_.failed;
     actions_.emplace_back(Refuse{entry.id, kGatewayTimeout, Duration(0), entry.cause});
     reportEnded(entry, RequestOutcome::failed, kGatewayTimeout, Duration(0), now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -5,6 +5,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <set>
@@ -163,6 +164,12 @@
     std::string pool;
     TimePoint consumed_at{};
   };
+  /// What back ends may have done with a request, in ascending order.
+  enum class Delivery {
+    none,          ///< No back end can have received it.
+    arrived,       ///< A back end received it and did not run it.
+    may_have_run,  ///< A back end may have run it.
+  };
   /// A client request in progress.
   struct Entry {
     ClientId id = 0;
@@ -190,8 +197,7 @@
     std::uint32_t backends_reached = 0;  ///< Limited by the route's max_attempts.
     std::uint32_t dispatches = 0;
     bool waiting = false;  ///< Queued for a back end with capacity.
-    bool may_have_run = false;
-    bool may_have_arrived = false;    ///< A back end may have received it: a further dispatch is a repeat.
+    Delivery delivery = Delivery::none;
     std::optional<RetryClaim> retry;  ///< Of a repeat that was decided and not sent yet.
     bool head_forwarded = false;
     http::BodyFraming head_framing = http::BodyFraming::Length;  ///< Of the forwarded head.
@@ -203,6 +209,11 @@
     std::vector<std::string> relayed_to;      ///< Names of the gateways that it was relayed to.
     RequestCause cause = RequestCause::none;  ///< Of the last failure, wait or refusal.
     std::optional<TimePoint> first_byte_at;   ///< When the first response byte was received.
+
+    void recordDelivery(Delivery latest) { delivery = std::max(delivery, latest); }
+    /// @return whether a further dispatch is a repeat.
+    bool mayHaveArrived() const { return delivery != Delivery::none; }
+    bool mayHaveRun() const { return delivery == Delivery::may_have_run; }
   };
 
   /// A health request to a back end that may have crashed.
--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -139,7 +139,7 @@
   const bool answered = outcome == RequestOutcome::answered;
   record.cause = answered ? RequestCause::none : entry.cause;
   record.status = status;
-  record.may_have_run = entry.may_have_run;
+  record.may_have_run = entry.mayHaveRun();
   record.dispatches = entry.dispatches;
   record.configuration_version = versionOf(entry.configuration);
   if (snapshot_ != nullptr) {
--- a/src/gateway/gateway_relay.cc
+++ b/src/gateway/gateway_relay.cc
@@ -50,8 +50,7 @@
 
 /// @return whether the request was relayed to another gateway.
 bool Gateway::relay(Entry& entry, TimePoint now) {
-  const bool unsent = !entry.may_have_arrived && !entry.may_have_run;
-  if (entry.from_peer || !unsent || entry.relayed_to.size() >= kMaxRelays) return false;
+  if (entry.from_peer || entry.mayHaveArrived() || entry.relayed_to.size() >= kMaxRelays) return false;
   if (entry.deadline - now < kMinTimeToRelay) return false;
   if (!isPartitioned(*entry.pool, now)) return false;
   const PeerGateway* peer = peers_.choose(entry.relayed_to, now);
@@ -82,7 +81,7 @@
   const bool refused = !response.genuine && impliesNotRun(status);
   if (refused && response.out_of_reach) return onPeerOutOfReach(entry, now);
   entry.active.refused_by_peer = refused;
-  entry.may_have_run = !refused;
+  if (!refused) entry.recordDelivery(Delivery::may_have_run);
   if (!isSuccess(status)) return;  // onEnd() forwards the complete response.
   if (!response.genuine) return onInvalidResponse(entry, status, now);
   if (!entry.route->streaming) return recordFirstByte(entry, now);
@@ -108,8 +107,7 @@
     return place(entry, now);
   }
   entry.cause = RequestCause::answer_broke_off;
-  entry.may_have_arrived = true;
-  entry.may_have_run = true;
+  entry.recordDelivery(Delivery::may_have_run);
   reportMoved(entry, active, active.status, RepeatDecision::not_allowed, now);
   giveUp(entry, now);
 }
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -58,7 +58,7 @@
   if (response.weights_version) {
     choice_.onWeights(active.slot, active.incarnation, entry->client.model, *response.weights_version);
   }
-  entry->may_have_run = true;
+  entry->recordDelivery(Delivery::may_have_run);
   if (!response.genuine) return onInvalidResponse(*entry, status, now);
   if (!isSuccess(status)) return onErrorResponse(*entry, status, now);
   if (!entry->route->streaming) return recordFirstByte(*entry, now);
@@ -185,7 +185,7 @@
 // Failures.
 
 void Gateway::onNotRun(Entry& entry, int status, const BackendResponse& response, TimePoint now) {
-  entry.may_have_arrived = true;
+  entry.recordDelivery(Delivery::arrived);
   if (response.wrong_backend) return onWrongBackend(entry, status, response, now);
   const ActiveExchange active = entry.active;
   entry.cause = RequestCause::back_end_full;
@@ -219,7 +219,6 @@
 void Gateway::onErrorResponse(Entry& entry, int status, TimePoint now) {
   const ActiveExchange active = entry.active;
   entry.active.server_error = isServerError(status);
-  entry.may_have_arrived = true;
   entry.cause = RequestCause::error_answer;
   entry.failed.push_back(entry.active.slot);
   const RepeatDecision repeat =
@@ -245,7 +244,6 @@
 /// The response lacks the marks that the back end itself sets.
 void Gateway::onInvalidResponse(Entry& entry, int status, TimePoint now) {
   const ActiveExchange active = entry.active;
-  entry.may_have_arrived = true;
   entry.cause = RequestCause::answer_not_genuine;
   if (active.relayed) return giveUp(entry, now);
   entry.failed.push_back(active.slot);
@@ -263,8 +261,7 @@
   entry->failed.push_back(active.slot);
   recordUnreached(*entry->pool, active, now);
   if (sent) {
-    entry->may_have_arrived = true;
-    entry->may_have_run = true;
+    entry->recordDelivery(Delivery::may_have_run);
     recordCrash(*entry, active, now);
   } else {
     --entry->backends_reached;
@@ -339,8 +336,7 @@
   if (now >= active.complete_by) return giveUp(entry, now);
   const TimePoint ends_by = std::min(entry.deadline, active.complete_by);
   if (now < due) return scheduleTimer(entry, std::min({ends_by, due, start_by}));
-  entry.may_have_arrived = true;
-  entry.may_have_run = true;
+  entry.recordDelivery(Delivery::may_have_run);
   recordUnreached(*entry.pool, active, now);
   const RepeatDecision repeat = has_alternative ? decideRepeat(entry, now) : RepeatDecision::not_allowed;
   if (!isRepeated(repeat)) return scheduleTimer(entry, std::min(ends_by, start_by));
@@ -375,8 +371,7 @@
 void Gateway::withdraw(Entry& entry, TimePoint now) {
   const ActiveExchange active = entry.active;
   entry.cause = RequestCause::other_weights;
-  entry.may_have_arrived = true;
-  entry.may_have_run = true;
+  entry.recordDelivery(Delivery::may_have_run);
   entry.failed.push_back(active.slot);
   cancelExchange(entry, DispatchOutcome::Ended, now);
   retryOrGiveUp(entry, active, active.status, now);
@@ -434,7 +429,7 @@
     ++counters_.failed;
     actions_.emplace_back(AbortResponse{entry.id});
     reportEnded(entry, RequestOutcome::cut, 0, Duration(0), now);
-  } else if (entry.may_have_run) {
+  } else if (entry.mayHaveRun()) {
     ++counters_.failed;
     actions_.emplace_back(Refuse{entry.id, kBadGateway, Duration(0), entry.cause});
     reportEnded(entry, RequestOutcome::failed, kBadGateway, Duration(0), now);
--- a/src/gateway/gateway_retries.cc
+++ b/src/gateway/gateway_retries.cc
@@ -12,12 +12,12 @@
 
 RepeatDecision Gateway::decideRepeat(Entry& entry, TimePoint now) {
   if (!mayRepeat(entry)) return RepeatDecision::not_allowed;
-  if (!entry.may_have_arrived) return RepeatDecision::unbudgeted;
+  if (!entry.mayHaveArrived()) return RepeatDecision::unbudgeted;
   return consumeRetryBudget(entry, now) ? RepeatDecision::budgeted : RepeatDecision::over_budget;
 }
 
 bool Gateway::mayRepeat(const Entry& entry) const {
-  if (entry.may_have_run && entry.route->repeatability == Repeatability::AtMostOnce) return false;
+  if (entry.mayHaveRun() && entry.route->repeatability == Repeatability::AtMostOnce) return false;
   if (entry.head_forwarded && !entry.cursor) return false;
   return entry.backends_reached < entry.route->max_attempts && entry.dispatches < kMaxDispatches;
 }
