Limit the repeats of a gateway by the requests of a window and of the one before

A gateway might use the larger of what the requests of the window before and those since then allow. The sum over all gateways was judged by the larger one of the sums: callers that moved were counted at the gateway that they had left, which had spent it, and at the one that they used. The same held for a process that had spent its past in a burst and was killed.

Class: a bound over all gateways whose parts do not add up. Half of the ratio times the requests of the window and of the one before is linear in the requests: it adds up over gateways and processes, and is at most what the rule takes. Where nothing moves it allows as many repeats a window as before; of a burst after calm half comes at once and half as requests come.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -103,7 +103,7 @@
 }
 
 RetryBudget& Gateway::budgetOf(const std::string& pool) {
-  return budgets_.try_emplace(pool, settings_.retry_budget, started_at_.value_or(TimePoint{})).first->second;
+  return budgets_.try_emplace(pool, settings_.retry_budget).first->second;
 }
 
 // New requests.
@@ -403,7 +403,7 @@
   if (entry.waiting) queue_.erase({entry.priority, entry.id});
   timers_.erase({entry.timer_at, entry.id});
   awaiting_origin_.erase(entry.id);
-  if (entry.retry) budgetOf(entry.retry->pool).undo(entry.retry->consumed_at);
+  if (entry.reserved_retry) budgetOf(*entry.reserved_retry).release();
   const ClientId id = entry.id;  // erase() destroys the entry.
   entries_.erase(id);
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -159,11 +159,6 @@
     std::uint32_t paused = 0;  ///< The others' limits have no room.
     Duration time_left{0};     ///< Until the first of them takes requests again.
   };
-  /// A retry that was taken from the budget of a pool.
-  struct RetryClaim {
-    std::string pool;
-    TimePoint consumed_at{};
-  };
   /// What back ends may have done with a request, in ascending order.
   enum class Delivery {
     none,          ///< No back end can have received it.
@@ -198,7 +193,8 @@
     std::uint32_t dispatches = 0;
     bool waiting = false;  ///< Queued for a back end with capacity.
     Delivery delivery = Delivery::none;
-    std::optional<RetryClaim> retry;  ///< Of a repeat that was decided and not sent yet.
+    /// Pool in whose retry budget a repeat is reserved, which was decided and not sent yet.
+    std::optional<std::string> reserved_retry;
     bool head_forwarded = false;
     http::BodyFraming head_framing = http::BodyFraming::Length;  ///< Of the forwarded head.
     std::optional<StreamCursor> cursor;                          ///< Of a resumable stream.
@@ -328,6 +324,7 @@
                    std::string_view source, TimePoint now);
 
   // Retries (gateway_retries.cc).
+  double retrySlack(TimePoint now) const;
   RepeatDecision decideRepeat(Entry& entry, TimePoint now);
   bool mayRepeat(const Entry& entry) const;
   bool consumeRetryBudget(Entry& entry, TimePoint now);
--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -124,7 +124,7 @@
   record.backends_reached = entry.backends_reached;
   record.body = active.bodyState();
   const auto budget = budgets_.find(entry.pool->name);
-  if (budget != budgets_.end()) record.budget_left = budget->second.left(snapshot_->share_divisor, now);
+  if (budget != budgets_.end()) record.budget_left = budget->second.left(retrySlack(now), now);
   observer_.onMoved(record);
 }
 
--- a/src/gateway/retry_budget.cc
+++ b/src/gateway/retry_budget.cc
@@ -1,18 +1,9 @@
 #include "gateway/retry_budget.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace crankspur::gateway {
-namespace {
-
-/// Where the load has risen, the requests since the beginning of a window count instead of those before it,
-/// less what they may exceed them by chance.
-constexpr double kRisingLoadShare = 0.8;
-/// Part of the slack that a process uses, and part that processes use in their first window.
-constexpr double kSlackOfProcess = 2.0 / 3;
-constexpr double kSlackAfterStart = 1.0 / 3;
-
-}  // namespace
 
 std::int64_t RetryBudget::numberOf(TimePoint now) const {
   const auto length = std::max<std::int64_t>(settings_.window.count() / kSlices, 1);
@@ -44,45 +35,34 @@
   return sums;
 }
 
-double RetryBudget::slack(std::uint32_t share_divisor, TimePoint now) const {
-  const double age = toSeconds(now - started_at_) / toSeconds(settings_.window);
-  const double part = age < 1 ? kSlackAfterStart * std::max(age, 0.0) : kSlackOfProcess;
-  return settings_.slack / std::max(share_divisor, 1U) * part;
-}
-
-double RetryBudget::left(std::uint32_t share_divisor, TimePoint now) const {
+double RetryBudget::left(double slack, TimePoint now) const {
   const Sums sums = sumsUntil(numberOf(now));
-  const double available_slack = slack(share_divisor, now);
   const double all_requests = sums.requests[kKeptSlices];
-  const double all_retries = sums.retries[kKeptSlices];
-  double least = all_requests * settings_.ratio + available_slack;
-  // The window may begin anywhere within its first slice, so the window before it surely has the slices but
-  // the oldest.
+  const double all_retries = sums.retries[kKeptSlices] + reserved_;
+  double least = std::numeric_limits<double>::max();
+  // A window may begin anywhere within its first slice. So all retries of that slice may be in it, and all
+  // requests of the slice a window earlier may lie before the two windows.
   for (std::size_t first = kSlices; first < kKeptSlices; ++first) {
-    const double before = sums.requests[first] - sums.requests[first - kSlices + 1];
-    const double since = all_requests - sums.requests[first];
-    const double requests = std::max(before, since * kRisingLoadShare);
-    const double retries = all_retries - sums.retries[first];
-    least = std::min(least, settings_.ratio * requests + available_slack - retries);
+    const double requests = all_requests - sums.requests[first - kSlices + 1];
+    const double retries = all_retries - sums.retries[first - kArrivalSlices];
+    least = std::min(least, settings_.ratio / 2 * requests + slack - retries);
   }
   return least;
 }
 
-bool RetryBudget::tryRetry(std::uint32_t share_divisor, TimePoint now) {
-  if (left(share_divisor, now) < 1) return false;
-  ++slice(now).retries;
+bool RetryBudget::tryReserve(double slack, TimePoint now) {
+  if (left(slack, now) < 1) return false;
+  ++reserved_;
   return true;
 }
 
-void RetryBudget::onSent(TimePoint consumed_at, TimePoint now) {
-  undo(consumed_at);
+void RetryBudget::onSent(TimePoint now) {
+  release();
   ++slice(now).retries;
 }
 
-void RetryBudget::undo(TimePoint consumed_at) {
-  const std::int64_t number = numberOf(consumed_at);
-  Slice& counted = slices_[static_cast<std::size_t>(number % kKeptSlices)];
-  if (counted.number == number && counted.retries > 0) --counted.retries;
+void RetryBudget::release() {
+  if (reserved_ > 0) --reserved_;
 }
 
 }  // namespace crankspur::gateway
--- a/src/gateway/retry_budget.h
+++ b/src/gateway/retry_budget.h
@@ -1,5 +1,5 @@
 #pragma once
-/// @file Limits the retries of requests for one pool to this gateway's share of the budget of all gateways.
+/// @file Limits the retries of requests for one pool to this gateway's part of the budget of all gateways.
 
 #include <array>
 #include <cstdint>
@@ -9,36 +9,35 @@
 
 namespace crankspur::gateway {
 
-/// Counts requests and retries of one pool in slices of a window. The budget holds for the sum over all
-/// gateways in each window, wherever it begins: the retries of a gateway since any time within the last
-/// window are limited by its requests in the window before that time. These add up over the gateways. A limit
-/// by the requests up to now does not: it rises and falls by chance at each gateway, and each one would use
-/// its highest value.
+/// Counts requests and retries of one pool in slices of a window.
 ///
-/// An earlier process of this gateway may have used its slack, which does not depend on requests, shortly
-/// before it ended. So a process uses two thirds of the gateway's share of the slack, and in the first window
-/// after its start one third, which it has gradually: processes that follow each other within one window use
-/// that third together.
+/// The budget holds for the sum over all gateways, in each window wherever it begins. So the retries of a
+/// gateway in a window are limited by half of the ratio times the requests that it received in this window
+/// and in the one before. Such limits add up over all gateways and their processes: a request counts once,
+/// wherever callers send the next one and however long the process lives. The larger of two counts of
+/// requests, or the requests of one window alone, would not add up: callers that move would be counted at the
+/// gateway that they left and at the one that they use.
 class RetryBudget {
 public:
-  /// @param started_at when the process of the gateway started.
-  RetryBudget(const RetryBudgetSettings& settings, TimePoint started_at)
-      : settings_(settings), started_at_(started_at) {}
+  explicit RetryBudget(const RetryBudgetSettings& settings) : settings_(settings) {}
   /// Counts a client's request for the pool.
   void onRequest(TimePoint now);
-  /// Consumes one retry of this gateway's share.
-  /// @return false if the share is used up; nothing is consumed then.
-  bool tryRetry(std::uint32_t share_divisor, TimePoint now);
-  /// Counts a retry at the time at which it is sent, instead of the time at which it was consumed.
-  void onSent(TimePoint consumed_at, TimePoint now);
-  /// The retry was not sent.
-  void undo(TimePoint consumed_at);
-  /// @return retries that this gateway's share still allows; below 1: none.
-  double left(std::uint32_t share_divisor, TimePoint now) const;
+  /// Reserves a retry. It counts as sent now until onSent() or release().
+  /// @param slack retries that the gateway may send in a window whatever it receives.
+  /// @return false if the budget is used up; nothing is reserved then.
+  bool tryReserve(double slack, TimePoint now);
+  /// The reserved retry is sent.
+  void onSent(TimePoint now);
+  /// The reserved retry is not sent.
+  void release();
+  /// @return retries that the budget still allows; below 1: none.
+  double left(double slack, TimePoint now) const;
 
 private:
   static constexpr std::int64_t kSlices = 20;                   ///< In one window.
   static constexpr std::int64_t kKeptSlices = 2 * kSlices + 1;  ///< Two windows, and the current slice.
+  /// Retries arrive at most so many slices after they are sent: as long as a connection may take to open.
+  static constexpr std::int64_t kArrivalSlices = 1;
   struct Slice {
     std::int64_t number = -1;
     std::uint32_t requests = 0;
@@ -52,10 +51,9 @@
   std::int64_t numberOf(TimePoint now) const;
   Slice& slice(TimePoint now);
   Sums sumsUntil(std::int64_t current) const;
-  double slack(std::uint32_t share_divisor, TimePoint now) const;
 
   RetryBudgetSettings settings_;
-  TimePoint started_at_{};
+  std::uint32_t reserved_ = 0;
   std::array<Slice, kKeptSlices> slices_{};
 };
 
