Let the share of the retry slack grow only a minute after gateways have left the list

The share was the slack by the gateways listed now. Gateways that were killed had used theirs, and each of the others took twice its own at once. A process that had just started knew of no others, and took a third of the whole slack of the fleet, gradually.

The largest divisor of the last minute counts, so that the shares of any moment add up, and a process has no share in its first window, in which its predecessor may have used it. Afterwards it has all of its share, instead of two thirds.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -43,10 +43,11 @@
       shares_(random_),
       weights_(settings.older_weights_grace),
       quotas_(settings.quota_tolerance, random_),
-      suspects_(settings.crash_policy) {}
+      suspects_(settings.crash_policy),
+      slack_share_(settings.retry_budget.slack, settings.retry_budget.window) {}
 
 void Gateway::onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot, TimePoint now) {
-  if (!started_at_) started_at_ = now;
+  slack_share_.onDivisor(snapshot->share_divisor, now);
   updateListedLimits(*snapshot, now);
   notices_.onSnapshot(*snapshot, now);
   brittle_.onSnapshot(*snapshot, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -32,6 +32,7 @@
 #include "gateway/request_observer.h"
 #include "gateway/retry_budget.h"
 #include "gateway/route_shares.h"
+#include "gateway/slack_share.h"
 #include "gateway/stream_cursor.h"
 #include "gateway/stream_origins.h"
 
@@ -324,7 +325,6 @@
                    std::string_view source, TimePoint now);
 
   // Retries (gateway_retries.cc).
-  double retrySlack(TimePoint now) const;
   RepeatDecision decideRepeat(Entry& entry, TimePoint now);
   bool mayRepeat(const Entry& entry) const;
   bool consumeRetryBudget(Entry& entry, TimePoint now);
@@ -366,7 +366,6 @@
   void onRecalled(Entry& entry, TimePoint now);
 
   GatewaySettings settings_;
-  std::optional<TimePoint> started_at_;  ///< Time of the first onSnapshot().
   RandomSource random_;
   RequestObserver& observer_;
   std::shared_ptr<const GatewaySnapshot> snapshot_;  ///< With the departures that back ends stated.
@@ -397,6 +396,7 @@
   absl::flat_hash_map<std::string, ReachProbes> reach_probes_;  ///< By pool.
   absl::flat_hash_map<std::uint64_t, ReachProbe> pending_reach_probes_;
   PeerRelay peers_{random_};
+  SlackShare slack_share_;
   absl::flat_hash_map<std::string, RetryBudget> budgets_;
   absl::flat_hash_map<ClientId, std::unique_ptr<Entry>> entries_;
   /// Ordered, since actions are made while iterating: a seed has to replay them.
--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -120,11 +120,11 @@
   record.after = now - active.sent_at;
   record.repeat = repeat;
   record.resumes = isRepeated(repeat) && entry.head_forwarded;
-  record.share_divisor = snapshot_->share_divisor;
+  record.share_divisor = slack_share_.divisor(now);
   record.backends_reached = entry.backends_reached;
   record.body = active.bodyState();
   const auto budget = budgets_.find(entry.pool->name);
-  if (budget != budgets_.end()) record.budget_left = budget->second.left(retrySlack(now), now);
+  if (budget != budgets_.end()) record.budget_left = budget->second.left(slack_share_.at(now), now);
   observer_.onMoved(record);
 }
 
