Count a relayed request for the retry budget at the gateway that received it from the client

It counted at both gateways, so both had the budget of it. The receiver of relayed requests now repeats them out of what its own clients send: less while many gateways are partitioned, never more than the fleet may.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -127,7 +127,7 @@
   reportAdmitted(entry, now);
   if (checked.tenant != nullptr && !checkQuota(entry, *checked.tenant, now)) return;
   if (entry.deadline - now < kMinTimeLeft) return giveUpFor(entry, RequestCause::no_time_left, now);
-  budgetOf(entry.pool->name).onRequest(now);
+  if (!entry.from_peer) budgetOf(entry.pool->name).onRequest(now);  // Else the other gateway counts it.
   if (resolveOrigin(entry, now)) place(entry, now);
 }
 
