Take a repeat from the retry budget of the pool that it is sent to

A request whose pool could not take the repeat went on at another pool of its route; the first pool's budget paid, and the second service got more repeats than its budget allows. The reservation now moves to the other pool, if that one's budget allows it.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -199,6 +199,10 @@
     if (other == nullptr || other == entry.pool || share.weight == 0) continue;
     Choice second = chooseAccepting(entry, *other, now);
     if (second.backend == nullptr) continue;
+    if (!moveReservedRetry(entry, other->name, now)) {
+      limits_.refund(second.backend->view.incarnation, now);
+      continue;
+    }
     entry.pool = other;
     return second;
   }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -328,6 +328,7 @@
   RepeatDecision decideRepeat(Entry& entry, TimePoint now);
   bool mayRepeat(const Entry& entry) const;
   bool consumeRetryBudget(Entry& entry, TimePoint now);
+  bool moveReservedRetry(Entry& entry, const std::string& pool, TimePoint now);
   void countSentRetry(Entry& entry, TimePoint now);
   void retryOrGiveUp(Entry& entry, const ActiveExchange& failed, int status, TimePoint now);
   void retryElsewhere(Entry& entry, const ActiveExchange& failed, int status, RepeatDecision repeat,
--- a/src/gateway/gateway_retries.cc
+++ b/src/gateway/gateway_retries.cc
@@ -31,6 +31,16 @@
   return true;
 }
 
+/// A reserved repeat goes to another pool, whose budget has to allow it.
+/// @return false if that budget is exhausted; the reservation is unchanged then.
+bool Gateway::moveReservedRetry(Entry& entry, const std::string& pool, TimePoint now) {
+  if (!entry.reserved_retry || *entry.reserved_retry == pool) return true;
+  if (!budgetOf(pool).tryReserve(slack_share_.at(now), now)) return false;
+  budgetOf(*entry.reserved_retry).release();
+  entry.reserved_retry = pool;
+  return true;
+}
+
 /// The request may have waited for a back end since its retry was decided.
 void Gateway::countSentRetry(Entry& entry, TimePoint now) {
   if (!entry.reserved_retry) return;
