Count the repeat of a request on a silent connection for two windows

A back end has received a request twice when both dispatches have arrived. The one on a silent connection may arrive last, when the path works again: repeats of the cut and of the window after it arrived in one window.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -196,6 +196,7 @@
     Delivery delivery = Delivery::none;
     /// Pool in whose retry budget a repeat is reserved, which was decided and not sent yet.
     std::optional<std::string> reserved_retry;
+    RetryBudget::Original original = RetryBudget::Original::ended;  ///< The dispatch before that repeat.
     bool head_forwarded = false;
     http::BodyFraming head_framing = http::BodyFraming::Length;  ///< Of the forwarded head.
     std::optional<StreamCursor> cursor;                          ///< Of a resumable stream.
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -341,6 +341,7 @@
   const RepeatDecision repeat = has_alternative ? decideRepeat(entry, now) : RepeatDecision::not_allowed;
   if (!isRepeated(repeat)) return scheduleTimer(entry, std::min(ends_by, start_by));
   entry.cause = RequestCause::silence;
+  entry.original = RetryBudget::Original::may_be_late;
   // A silent connection says nothing about the back end, which may have the prompt in its cache: it stays
   // eligible.
   const bool silent_connection = mayBeOnSilentConnection(active);
--- a/src/gateway/gateway_retries.cc
+++ b/src/gateway/gateway_retries.cc
@@ -44,8 +44,9 @@
 /// The request may have waited for a back end since its retry was decided.
 void Gateway::countSentRetry(Entry& entry, TimePoint now) {
   if (!entry.reserved_retry) return;
-  budgetOf(*entry.reserved_retry).onSent(now);
+  budgetOf(*entry.reserved_retry).onSent(entry.original, now);
   entry.reserved_retry.reset();
+  entry.original = RetryBudget::Original::ended;
 }
 
 void Gateway::retryOrGiveUp(Entry& entry, const ActiveExchange& failed, int status, TimePoint now) {
--- a/src/gateway/retry_budget.cc
+++ b/src/gateway/retry_budget.cc
@@ -13,7 +13,7 @@
 RetryBudget::Slice& RetryBudget::slice(TimePoint now) {
   const std::int64_t number = numberOf(now);
   Slice& found = slices_[static_cast<std::size_t>(number % kKeptSlices)];
-  if (found.number != number) found = {number, 0, 0};
+  if (found.number != number) found = {number, 0, 0, 0};
   return found;
 }
 
@@ -31,6 +31,7 @@
     const auto at = static_cast<std::size_t>(index);
     sums.requests[at + 1] = sums.requests[at] + (valid ? counted.requests : 0);
     sums.retries[at + 1] = sums.retries[at] + (valid ? counted.retries : 0);
+    sums.late_retries[at + 1] = sums.late_retries[at] + (valid ? counted.late_retries : 0);
   }
   return sums;
 }
@@ -44,8 +45,10 @@
   // requests of the slice a window earlier may lie before the two windows.
   for (std::size_t first = kSlices; first < kKeptSlices; ++first) {
     const double requests = all_requests - sums.requests[first - kSlices + 1];
-    const double retries = all_retries - sums.retries[first - kArrivalSlices];
-    least = std::min(least, settings_.ratio / 2 * requests + slack - retries);
+    const std::size_t first_sent = first - kArrivalSlices;
+    const double retries = all_retries - sums.retries[first_sent];
+    const double late_retries = sums.late_retries[first_sent] - sums.late_retries[first - kSlices];
+    least = std::min(least, settings_.ratio / 2 * requests + slack - retries - late_retries);
   }
   return least;
 }
@@ -56,9 +59,11 @@
   return true;
 }
 
-void RetryBudget::onSent(TimePoint now) {
+void RetryBudget::onSent(Original original, TimePoint now) {
   release();
-  ++slice(now).retries;
+  Slice& current = slice(now);
+  ++current.retries;
+  if (original == Original::may_be_late) ++current.late_retries;
 }
 
 void RetryBudget::release() {
--- a/src/gateway/retry_budget.h
+++ b/src/gateway/retry_budget.h
@@ -17,8 +17,17 @@
 /// wherever callers send the next one and however long the process lives. The larger of two counts of
 /// requests, or the requests of one window alone, would not add up: callers that move would be counted at the
 /// gateway that they left and at the one that they use.
+///
+/// A back end has received a request twice when both dispatches have arrived. If the first one was sent on a
+/// connection that has gone silent, it may arrive after the second one, once the path works again. Such a
+/// retry counts in the window after its own too.
 class RetryBudget {
 public:
+  /// Where the dispatch is that a retry repeats.
+  enum class Original {
+    ended,        ///< It arrived before, or never does.
+    may_be_late,  ///< It may arrive later.
+  };
   explicit RetryBudget(const RetryBudgetSettings& settings) : settings_(settings) {}
   /// Counts a client's request for the pool.
   void onRequest(TimePoint now);
@@ -27,7 +36,7 @@
   /// @return false if the budget is used up; nothing is reserved then.
   bool tryReserve(double slack, TimePoint now);
   /// The reserved retry is sent.
-  void onSent(TimePoint now);
+  void onSent(Original original, TimePoint now);
   /// The reserved retry is not sent.
   void release();
   /// @return retries that the budget still allows; below 1: none.
@@ -42,11 +51,13 @@
     std::int64_t number = -1;
     std::uint32_t requests = 0;
     std::uint32_t retries = 0;
+    std::uint32_t late_retries = 0;  ///< Those of them whose original may be late.
   };
   /// Sums over the slices from the oldest kept one up to each one.
   struct Sums {
     std::array<double, kKeptSlices + 1> requests{};
     std::array<double, kKeptSlices + 1> retries{};
+    std::array<double, kKeptSlices + 1> late_retries{};
   };
   std::int64_t numberOf(TimePoint now) const;
   Slice& slice(TimePoint now);
--- a/tests/unit/gateway/gateway_failure_test.cc
+++ b/tests/unit/gateway/gateway_failure_test.cc
@@ -95,7 +95,7 @@
   for (int count = 0; count < 10; ++count) budget.onRequest(start);
   int sent = 0;
   while (budget.tryReserve(kSlackOfGateway, start)) {
-    budget.onSent(start);
+    budget.onSent(RetryBudget::Original::ended, start);
     ++sent;
   }
   CHECK(sent == 3);
