--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -46,6 +46,7 @@
 REVOKED_KEY_SHARE = 0.15  # Share of requests that use revoked keys.
 DEADLINE_S = 3.0
 KEY_VALIDITY_S = 5.0
+RETRIES_WARM_UP_S = 11.0  # Time without faults before retries: a window of the retry budget, in which it accrues.
 QUIET_PERIOD_S = 6.0  # Time without faults at the end, to check recovery.
 START_TIMEOUT_S = 10.0
 DRAIN_LIMIT_S = 8.0
@@ -556,8 +557,8 @@
             faults = [self.make_runners_brittle, self.make_runners_brittle, self.respond_without_end,
                       self.kill_gateway, self.stop_gateway, self.freeze_gateway]
         elif self.options.only == "retries":
-            faults = [self.fail_runners, self.fail_runners, self.fail_runners, self.move_clients, self.kill_gateway,
-                      self.kill_all, self.stop_gateway, self.freeze_gateway]
+            faults = [self.fail_runners, self.fail_runners, self.fail_runners, self.move_clients, self.move_clients,
+                      self.kill_gateway, self.kill_all, self.stop_gateway]
         elif self.options.only:
             faults = [getattr(self, self.options.only)]
         tasks = set()
@@ -595,6 +596,8 @@
     async def run(self):
         await self.start()
         monitor = asyncio.create_task(self.monitor_processes())
+        if self.options.only == "retries":
+            await self.traffic(time.monotonic() + RETRIES_WARM_UP_S)
         faults_end = time.monotonic() + self.options.seconds
 
         async def inject_faults():
