--- a/tests/unit/gateway/brittle_fleet_test.cc
+++ b/tests/unit/gateway/brittle_fleet_test.cc
@@ -32,6 +32,12 @@
     publish();
   }
 
+  /// Divides the gateways into two halves that do not know of each other.
+  void partitionGateways() {
+    partitioned_ = true;
+    publish();
+  }
+
   void setRoom(std::size_t backend, std::uint32_t room) { room_[backend] = room; }
 
   /// Sends requests at random times and to random gateways.
@@ -91,11 +97,13 @@
     for (std::size_t index = 0; index < gateways_.size(); ++index) {
       auto own = std::make_shared<GatewaySnapshot>(*snapshot);
       own->own_name = "gateway-" + std::to_string(index);
-      own->share_divisor = static_cast<std::uint32_t>(gateways_.size());
-      own->peer_count = own->share_divisor - 1;
       for (std::size_t other = 0; other < gateways_.size(); ++other) {
-        if (other != index) own->peers.push_back({"gateway-" + std::to_string(other), "", "here"});
+        const bool is_hidden = partitioned_ && other % 2 != index % 2;
+        if (other != index && !is_hidden)
+          own->peers.push_back({"gateway-" + std::to_string(other), "", "here"});
       }
+      own->peer_count = static_cast<std::uint32_t>(own->peers.size());
+      own->share_divisor = own->peer_count + 1;
       gateways_[index]->onSnapshot(own, now_);
     }
   }
@@ -169,6 +177,7 @@
     return ended;
   }
 
+  bool partitioned_ = false;
   std::vector<std::uint32_t> room_;
   std::vector<std::unique_ptr<Gateway>> gateways_;
   std::vector<SimulatedBackend> backends_;
@@ -247,6 +256,18 @@
   }
 }
 
+// The gateways of each half took the places of the other half too.
+TEST_CASE("brittle back ends get no more requests than they have room for while gateways are partitioned",
+          "[gateway][brittle]") {
+  const std::size_t gateways = GENERATE(4, 6);
+  CAPTURE(gateways);
+  BrittleFleet fleet(gateways);
+  fleet.run(1.3 * kRoomPerSecond, seconds(4));
+  fleet.partitionGateways();
+  CHECK(fleet.run(1.3 * kRoomPerSecond, seconds(12)) >= 0.7);
+  CHECK(fleet.falls() <= kMaxFalls);
+}
+
 TEST_CASE("brittle back ends of a large fleet are used nearly as much as they have room",
           "[gateway][brittle]") {
   SECTION("nearly all of the room is asked for") {
