Count gateways that left the list for a minute among those that share the places of a brittle back end

Gateways that a partition hides from each other, or that were killed, left the list, and the others divided the places by those that were left: with two halves the fleet sent twice what the back ends ran, and they fell over.

Class: the same as that of the slack of the retry budget, a share by who is listed now. RecentGateways is the one notion of both: the largest divisor and the names of the last minute. It costs places while a gateway that has left for good still counts.

--- a/src/gateway/brittle_backends.cc
+++ b/src/gateway/brittle_backends.cc
@@ -111,18 +111,18 @@
   if (in_flight >= shareOf(backend, snapshot)) return false;
   const Room& room = roomOf(backend.view.slot, backend.view.incarnation, now);
   if (!room.limit) return true;
-  const double recovered = toSeconds(now - room.limited_at) / toSeconds(recoveryOf(backend, snapshot));
+  const double recovered = toSeconds(now - room.limited_at) / toSeconds(recoveryOf(backend));
   return in_flight + 1 <= *room.limit + recovered;
 }
 
-Duration BrittleBackends::recoveryOf(const Backend& backend, const GatewaySnapshot& snapshot) const {
+Duration BrittleBackends::recoveryOf(const Backend& backend) const {
   std::uint32_t tolerated = std::numeric_limits<std::uint32_t>::max();
   const auto pool = pools_.find(backend.view.pool);
   if (pool != pools_.end()) {
     for (const auto& [incarnation, statement] : pool->second)
       tolerated = std::min(tolerated, statement.tolerated_rejections);
   }
-  const double users = std::min(snapshot.share_divisor, std::max(backend.slots, 1U));
+  const double users = std::min(gateways_.shareDivisor(), std::max(backend.slots, 1U));
   const double seconds = users / (std::max(tolerated, 1U) * kRejectionsPerTolerated);
   return std::max(kMinRecovery, Duration(static_cast<std::int64_t>(seconds * 1e6)));
 }
@@ -139,18 +139,18 @@
 /// Each gateway has an equal number of the places of a back end. Those that remain go to the gateways of the
 /// lowest ranks there. A gateway that has no place at any back end of the pool may have one request at one.
 void BrittleBackends::divide(const std::string& pool, const GatewaySnapshot& snapshot) {
-  const double gateways = std::max(snapshot.share_divisor, 1U);
+  const double divisor = gateways_.shareDivisor();
+  const RecentGateways::Peers& peers = gateways_.peers();
   const Backend* lowest_rank = nullptr;
   bool has_share = false;
   for (const Backend& backend : snapshot.backends) {
     if (backend.view.pool != pool) continue;
-    const double exact = backend.slots / gateways;
+    const double exact = backend.slots / divisor;
     const double whole = std::floor(exact);
-    const auto remaining = std::lround((exact - whole) * (snapshot.peer_count + 1));
+    const auto remaining = std::lround((exact - whole) * static_cast<double>(peers.size() + 1));
     const std::uint64_t own_rank = rankOf(snapshot.own_name, backend);
-    const auto earlier =
-        std::count_if(snapshot.peers.begin(), snapshot.peers.end(),
-                      [&](const PeerGateway& peer) { return rankOf(peer.name, backend) < own_rank; });
+    const auto earlier = std::count_if(
+        peers.begin(), peers.end(), [&](const auto& peer) { return rankOf(peer.first, backend) < own_rank; });
     const std::uint32_t share = static_cast<std::uint32_t>(whole) + (earlier < remaining ? 1 : 0);
     const bool is_limited = backend.slots > 0;
     shares_[backend.view.slot] = is_limited ? share : std::numeric_limits<std::uint32_t>::max();
--- a/src/gateway/brittle_backends.h
+++ b/src/gateway/brittle_backends.h
@@ -16,6 +16,7 @@
 
 #include "base/time.h"
 #include "gateway/gateway_snapshot.h"
+#include "gateway/recent_gateways.h"
 
 namespace crankspur::gateway {
 
@@ -30,6 +31,8 @@
 /// Statements and rejections of back ends. Back ends that are not brittle cost nothing. Not thread-safe.
 class BrittleBackends {
 public:
+  /// @param gateways share the places; they must outlive this object, and have the snapshot before it.
+  explicit BrittleBackends(const RecentGateways& gateways) : gateways_(gateways) {}
   /// The shares of this gateway depend on the gateways and back ends of the snapshot.
   void onSnapshot(const GatewaySnapshot& snapshot, TimePoint now);
   /// @return whether the response changed what is known of its back end.
@@ -75,9 +78,10 @@
   static bool isCurrent(const Statement& statement, TimePoint now);
   std::uint32_t shareOf(const Backend& backend, const GatewaySnapshot& snapshot);
   void divide(const std::string& pool, const GatewaySnapshot& snapshot);
-  Duration recoveryOf(const Backend& backend, const GatewaySnapshot& snapshot) const;
+  Duration recoveryOf(const Backend& backend) const;
   Room& roomOf(EngineSlot slot, std::uint64_t incarnation, TimePoint now);
 
+  const RecentGateways& gateways_;
   std::map<std::string, Statements, std::less<>> pools_;
   absl::flat_hash_map<EngineSlot, Room> rooms_;
   /// Places of each back end that this gateway may use; computed when needed for the current snapshot.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -47,7 +47,8 @@
       slack_share_(settings.retry_budget.slack, settings.retry_budget.window) {}
 
 void Gateway::onSnapshot(std::shared_ptr<const GatewaySnapshot> snapshot, TimePoint now) {
-  slack_share_.onDivisor(snapshot->share_divisor, now);
+  recent_gateways_.onSnapshot(*snapshot, now);
+  slack_share_.onDivisor(recent_gateways_.shareDivisor(), now);
   updateListedLimits(*snapshot, now);
   notices_.onSnapshot(*snapshot, now);
   brittle_.onSnapshot(*snapshot, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -27,6 +27,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/named_weights.h"
 #include "gateway/peer_relay.h"
+#include "gateway/recent_gateways.h"
 #include "gateway/request_check.h"
 #include "gateway/request_fingerprint.h"
 #include "gateway/request_observer.h"
@@ -378,7 +379,7 @@
   FleetQuotas quotas_;
   BackendLimits limits_;
   BackendNotices notices_;
-  BrittleBackends brittle_;
+  BrittleBackends brittle_{recent_gateways_};
   CrashSuspects suspects_;
   StreamOriginTable origins_;
   std::set<ClientId> awaiting_origin_;  ///< Requests that wait for answers of other gateways.
@@ -398,6 +399,7 @@
   absl::flat_hash_map<std::string, ReachProbes> reach_probes_;  ///< By pool.
   absl::flat_hash_map<std::uint64_t, ReachProbe> pending_reach_probes_;
   PeerRelay peers_{random_};
+  RecentGateways recent_gateways_;
   SlackShare slack_share_;
   absl::flat_hash_map<std::string, RetryBudget> budgets_;
   absl::flat_hash_map<ClientId, std::unique_ptr<Entry>> entries_;
--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -120,7 +120,7 @@
   record.after = now - active.sent_at;
   record.repeat = repeat;
   record.resumes = isRepeated(repeat) && entry.head_forwarded;
-  record.share_divisor = slack_share_.divisor(now);
+  record.share_divisor = recent_gateways_.shareDivisor();
   record.backends_reached = entry.backends_reached;
   record.body = active.bodyState();
   const auto budget = budgets_.find(entry.pool->name);
--- a/src/gateway/slack_share.h
+++ b/src/gateway/slack_share.h
@@ -2,18 +2,14 @@
 /// @file This gateway's share of the slack of the retry budgets, which does not depend on requests.
 
 #include <cstdint>
-#include <deque>
 
 #include "base/time.h"
 
 namespace crankspur::gateway {
 
-/// The shares of all gateways add up to the slack in each window:
-/// - A process has none in its first window, in which an earlier process of its gateway may have used the
-///   gateway's share, and in which it may not know all gateways yet.
-/// - A share grows only when it has been larger for some time. Gateways that leave have used their shares,
-/// and
-///   those that a partition hides use theirs.
+/// The shares of all gateways add up to the slack in each window. A process has none in its first window, in
+/// which an earlier process of its gateway may have used the gateway's share, and in which it may not know
+/// all gateways yet.
 class SlackShare {
 public:
   /// @param slack of all gateways together, in each window.
@@ -24,20 +20,12 @@
   void onDivisor(std::uint32_t divisor, TimePoint now);
   /// @return retries that the gateway may send in a window whatever it receives.
   double at(TimePoint now) const;
-  /// @return the largest divisor since some time before.
-  std::uint32_t divisor(TimePoint now) const;
 
 private:
-  /// A divisor that was the largest one until `replaced_at`.
-  struct Divisor {
-    std::uint32_t value = 1;
-    TimePoint replaced_at = TimePoint::max();
-  };
-
   double slack_;
   Duration window_;
   TimePoint started_at_ = TimePoint::max();
-  std::deque<Divisor> divisors_;  ///< Descending; the last one is in force.
+  std::uint32_t divisor_ = 1;
 };
 
 }  // namespace crankspur::gateway
--- a/tests/unit/gateway/brittle_backends_test.cc
+++ b/tests/unit/gateway/brittle_backends_test.cc
@@ -21,7 +21,8 @@
   }
   bool isBrittle() const { return brittle.isBrittle("pool", now); }
 
-  BrittleBackends brittle;
+  RecentGateways gateways;
+  BrittleBackends brittle{gateways};
   TimePoint now{seconds(1000)};
 };
 
