--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -329,7 +329,7 @@
   // Retries (gateway_retries.cc).
   RepeatDecision decideRepeat(Entry& entry, TimePoint now);
   bool mayRepeat(const Entry& entry) const;
-  bool consumeRetryBudget(Entry& entry, TimePoint now);
+  bool reserveRetry(Entry& entry, TimePoint now);
   bool moveReservedRetry(Entry& entry, const std::string& pool, TimePoint now);
   void countSentRetry(Entry& entry, TimePoint now);
   void retryOrGiveUp(Entry& entry, const ActiveExchange& failed, int status, TimePoint now);
@@ -379,6 +379,7 @@
   FleetQuotas quotas_;
   BackendLimits limits_;
   BackendNotices notices_;
+  RecentGateways recent_gateways_;
   BrittleBackends brittle_{recent_gateways_};
   CrashSuspects suspects_;
   StreamOriginTable origins_;
@@ -399,7 +400,6 @@
   absl::flat_hash_map<std::string, ReachProbes> reach_probes_;  ///< By pool.
   absl::flat_hash_map<std::uint64_t, ReachProbe> pending_reach_probes_;
   PeerRelay peers_{random_};
-  RecentGateways recent_gateways_;
   SlackShare slack_share_;
   absl::flat_hash_map<std::string, RetryBudget> budgets_;
   absl::flat_hash_map<ClientId, std::unique_ptr<Entry>> entries_;
--- a/src/gateway/gateway_retries.cc
+++ b/src/gateway/gateway_retries.cc
@@ -13,7 +13,7 @@
 RepeatDecision Gateway::decideRepeat(Entry& entry, TimePoint now) {
   if (!mayRepeat(entry)) return RepeatDecision::not_allowed;
   if (!entry.mayHaveArrived()) return RepeatDecision::unbudgeted;
-  return consumeRetryBudget(entry, now) ? RepeatDecision::budgeted : RepeatDecision::over_budget;
+  return reserveRetry(entry, now) ? RepeatDecision::budgeted : RepeatDecision::over_budget;
 }
 
 bool Gateway::mayRepeat(const Entry& entry) const {
@@ -22,16 +22,16 @@
   return entry.backends_reached < entry.route->max_attempts && entry.dispatches < kMaxDispatches;
 }
 
-/// Reserves a repeat in the retry budget.
+/// Reserves a retry in the budget of the request's pool.
 /// @return false if the budget is exhausted.
-bool Gateway::consumeRetryBudget(Entry& entry, TimePoint now) {
+bool Gateway::reserveRetry(Entry& entry, TimePoint now) {
   if (entry.reserved_retry) return true;
   if (!budgetOf(entry.pool->name).tryReserve(slack_share_.at(now), now)) return false;
   entry.reserved_retry = entry.pool->name;
   return true;
 }
 
-/// A reserved repeat goes to another pool, whose budget has to allow it.
+/// A retry that is reserved may go to another pool, if that pool's budget allows it.
 /// @return false if that budget is exhausted; the reservation is unchanged then.
 bool Gateway::moveReservedRetry(Entry& entry, const std::string& pool, TimePoint now) {
   if (!entry.reserved_retry || *entry.reserved_retry == pool) return true;
