--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -193,6 +193,14 @@
   CHECK(result.violations.empty());
 }
 
+// All gateways are killed after a poison request has crashed engines. After their restart it reaches three
+// more.
+TEST_CASE("a restarted fleet remembers the crashes of a poison request, seed 658053", "[sim]") {
+  const RunResult result = runOne(658'053, "gateway_restarts");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
 TEST_CASE("a poison request does not return after a partition, seed 654061", "[sim]") {
   const RunResult result = runOne(654'061, "gateway_partitions");
   INFO(describe(result));
