Never renew a lease row that another process wrote

Cause: a contender calls the lease row only while it has work. A holder that was partitioned without work stays in the state Holding; the row that it reads after that may be released by its successor, or have run out. The transition Holding, SeenFree -> Holding renewed it, which keeps the token of the row, the successor's. It goes to Claiming now, which takes the next token.

The same question, whose write is the row, on the other transitions: a write that takes effect late and its repetition from the same row had one token and one renewal number, so that the lease counted from the wrong sending; an ended process of the same holder gave the same numbers to its restart. A row names its writer now, and no two writes of a process share a number. A claim exceeds every token that was read, also if the row is gone. The release at a stop is a decision of the lease: it used the last row that was received, which could be a successor's.

--- a/sim/world/table_rows.cc
+++ b/sim/world/table_rows.cc
@@ -64,7 +64,7 @@
 }
 
 std::string encodeLeaseRow(const LeaseRow& row) {
-  return fmt::format("{1}{0}{2}{0}{3}", kSeparator, row.holder, row.token, row.renewal);
+  return fmt::format("{1}{0}{2}{0}{3}{0}{4}", kSeparator, row.holder, row.token, row.renewal, row.writer);
 }
 
 LeaseRow decodeLeaseRow(const TableRow& row) {
@@ -75,6 +75,7 @@
   lease.holder = fields[0];
   lease.token = std::stoull(fields[1]);
   lease.renewal = std::stoull(fields[2]);
+  lease.writer = std::stoull(fields[3]);
   return lease;
 }
 
--- a/src/gateway_control/rollout_coordinator.cc
+++ b/src/gateway_control/rollout_coordinator.cc
@@ -56,9 +56,10 @@
 void RolloutCoordinator::stop() {
   stopped_ = true;
   timer_.cancel();
-  if (!holding_) return;
-  const LeaseRow released{"", row_.token, row_.renewal + 1};
-  platform_.writeLease(kLeaseName, released, row_.row_version, [](bool, const std::optional<LeaseRow>&) {});
+  const std::optional<LeaseAction> action = lease_->release(clock_.now());
+  if (!action) return;
+  platform_.writeLease(kLeaseName, action->write, action->expected_version,
+                       [](bool, const std::optional<LeaseRow>&) {});
 }
 
 void RolloutCoordinator::tick() {
--- a/src/lease/lease.cc
+++ b/src/lease/lease.cc
@@ -1,9 +1,11 @@
 #include "lease/lease.h"
 
+#include <algorithm>
 #include <boost/msm/back/state_machine.hpp>
 #include <boost/msm/front/functor_row.hpp>
 #include <boost/msm/front/state_machine_def.hpp>
 
+#include "base/hash.h"
 #include "base/random.h"
 
 namespace crankspur {
@@ -26,6 +28,8 @@
 /// State machine of a contender. `Watching` reads the row periodically; `Claiming` and `Holding` write it
 /// when due; `Unsure` reads it back before any other operation, because the result of the last write is
 /// unknown.
+/// `SeenOwn` is the only way into `Holding`, and a row of anybody else the way out of it: a holder that made
+/// no call while its lease ran out may find the released row of a successor, whose token it must not renew.
 struct LeaseTable : front::state_machine_def<LeaseTable> {
   struct Watching : front::state<> {};
   struct Claiming : front::state<> {};
@@ -46,7 +50,7 @@
       Row<Claiming, SeenOwn,    Holding>,
       Row<Claiming, SeenOther,  Watching>,
       Row<Claiming, CallFailed, Unsure>,
-      Row<Holding,  SeenFree,   Holding>,
+      Row<Holding,  SeenFree,   Claiming>,
       Row<Holding,  SeenOwn,    Holding>,
       Row<Holding,  SeenOther,  Watching>,
       Row<Holding,  CallFailed, Unsure>,
@@ -63,7 +67,10 @@
 class TableLease : public Lease {
 public:
   TableLease(std::string holder, Duration lifetime, std::uint64_t random_seed)
-      : holder_(std::move(holder)), lifetime_(lifetime), random_(random_seed) {
+      : holder_(std::move(holder)),
+        writer_(combineHashes(hashBytes(holder_), random_seed)),
+        lifetime_(lifetime),
+        random_(random_seed) {
     machine_.start();
   }
 
@@ -76,7 +83,7 @@
     action.kind = LeaseAction::Kind::CompareAndSet;
     action.expected_version = row_.row_version;
     action.write = is<LeaseTable::Holding>() ? renewal() : claim();
-    proposed_ = action.write;
+    last_renewal_ = action.write.renewal;
     sent_at_ = now;
     return action;
   }
@@ -90,6 +97,7 @@
     outstanding_ = false;
     if (!committed) return observe(row, now);
     row_ = row;
+    highest_token_ = std::max(highest_token_, row.token);
     becomeHolder(now);
   }
 
@@ -104,6 +112,15 @@
     return token_;
   }
 
+  std::optional<LeaseAction> release(TimePoint now) const override {
+    if (!heldToken(now) || !isOwn(row_)) return std::nullopt;
+    LeaseAction action;
+    action.kind = LeaseAction::Kind::CompareAndSet;
+    action.expected_version = row_.row_version;
+    action.write = nextRow("", row_.token);
+    return action;
+  }
+
   TimePoint nextTimer() const override { return outstanding_ ? TimePoint::max() : next_at_; }
 
 private:
@@ -112,19 +129,34 @@
     return machine_.current_state()[0] == boost::msm::back::get_state_id<Machine::stt, State>::value;
   }
 
-  LeaseRow claim() const { return {holder_, row_.token + 1, row_.renewal + 1}; }
-  LeaseRow renewal() const { return {holder_, row_.token, row_.renewal + 1}; }
+  LeaseRow claim() const { return nextRow(holder_, highest_token_ + 1); }
+  LeaseRow renewal() const { return nextRow(holder_, row_.token); }
+
+  /// Two writes based on the same row get different numbers: after a write without a response the first one
+  /// may take effect late, and must not be mistaken for the second.
+  LeaseRow nextRow(const std::string& holder, std::uint64_t token) const {
+    LeaseRow row;
+    row.holder = holder;
+    row.token = token;
+    row.renewal = std::max(row_.renewal, last_renewal_) + 1;
+    row.writer = writer_;
+    return row;
+  }
+
+  bool isOwn(const LeaseRow& row) const {
+    return row.row_version != 0 && row.holder == holder_ && row.writer == writer_;
+  }
 
   /// Handles a row as read from the table.
   void observe(const LeaseRow& row, TimePoint now) {
-    const bool own = row.row_version != 0 && row.holder == holder_ && row.token == proposed_.token;
     const bool changed = row.row_version != row_.row_version || !seen_;
     if (changed) unchanged_since_ = now;
     seen_ = true;
     row_ = row;
-    if (own) {
+    highest_token_ = std::max(highest_token_, row.token);
+    if (isOwn(row)) {
       // The write whose response was lost took effect, not before it was sent.
-      const bool newest = row.renewal == proposed_.renewal;
+      const bool newest = row.renewal == last_renewal_;
       if (newest) return becomeHolder(now);
       machine_.process_event(SeenOwn{});
       next_at_ = now;
@@ -163,11 +195,14 @@
   }
 
   std::string holder_;
+  std::uint64_t writer_;
   Duration lifetime_;
   RandomSource random_;
   Machine machine_;
   LeaseRow row_;
-  LeaseRow proposed_;
+  std::uint64_t last_renewal_ = 0;  ///< Of the newest write of this process.
+  std::uint64_t highest_token_ =
+      0;  ///< Read or written so far; a new token exceeds it, also if the row is lost.
   bool seen_ = false;
   bool outstanding_ = false;
   std::uint64_t token_ = 0;
--- a/src/lease/lease.h
+++ b/src/lease/lease.h
@@ -24,6 +24,8 @@
   /// Lower bound of the time from when the holder sent this row to the response that returned it; empty:
   /// unknown. Not stored.
   std::optional<Duration> age = std::nullopt;
+  /// Identifies the process that wrote this row; 0: unknown. No two writes of one process share a `renewal`.
+  std::uint64_t writer = 0;
 };
 
 /// Operation on the table row that the lease requests from its caller.
@@ -50,13 +52,17 @@
   /// @return the token if the lease is certainly held at `now`. Validity counts from when the last confirmed
   /// write was sent, not from its response.
   virtual std::optional<std::uint64_t> heldToken(TimePoint now) const = 0;
+  /// @return the write that releases the lease, if it is certainly held at `now`. The contender ends with it:
+  /// poll() must not be called any more.
+  virtual std::optional<LeaseAction> release(TimePoint now) const = 0;
   /// @return when poll() is due next; TimePoint::max() while an operation is outstanding.
   virtual TimePoint nextTimer() const = 0;
 };
 
 /// @param holder name of this contender, unique among the contenders.
 /// @param lifetime how long the lease is valid after a write that acquired or renewed it was sent.
-/// @param random_seed seed of the jitter.
+/// @param random_seed seed of the jitter. It must differ at each start of a contender, because writes of an
+/// earlier process of the same holder may take effect late.
 std::unique_ptr<Lease> makeLease(std::string holder, Duration lifetime, std::uint64_t random_seed);
 
 }  // namespace crankspur
--- a/src/table_service/row_codec.cc
+++ b/src/table_service/row_codec.cc
@@ -106,8 +106,11 @@
 }
 
 std::string encodeLeaseRow(const LeaseRow& row) {
-  return json::serialize(json::object{
-      {"holder", row.holder}, {"token", row.token}, {"renewal", row.renewal}, {"sent_ms", row.sent_ms}});
+  return json::serialize(json::object{{"holder", row.holder},
+                                      {"token", row.token},
+                                      {"renewal", row.renewal},
+                                      {"sent_ms", row.sent_ms},
+                                      {"writer", row.writer}});
 }
 
 std::optional<LeaseRow> decodeLeaseRow(const TableRow& row) {
@@ -124,8 +127,10 @@
   if (!holder || !token || !renewal) {
     return std::nullopt;
   }
-  const std::uint64_t sent_ms = unsignedField(*object, "sent_ms").value_or(0);
-  return LeaseRow{*holder, *token, *renewal, row.version, sent_ms};
+  LeaseRow lease{*holder, *token, *renewal, row.version};
+  lease.sent_ms = unsignedField(*object, "sent_ms").value_or(0);
+  lease.writer = unsignedField(*object, "writer").value_or(0);
+  return lease;
 }
 
 }  // namespace crankspur
