Let the caller of the HTTP client say what may be repeated

Cause: the connection pool sent a GET again by itself when its connection closed within 0.5 s without a byte of the response. The route's kind, maxAttempts and the retry budget did not apply, and no line was logged.

The caller states it for each exchange. Calls of the system that only read do; requests of clients never do, so that the close is an event of the gateway for them like any other failure of a sent request.

--- a/src/app_runner/app_runner_client.cc
+++ b/src/app_runner/app_runner_client.cc
@@ -109,7 +109,9 @@
       error = decodeRunnerDescription(response.body, description);
       done(error, error ? RunnerDescription{} : description);
     };
-    client_.start(address, std::move(request), std::move(callbacks), exchangeOptions());
+    http::ExchangeOptions options = exchangeOptions();
+    options.may_be_repeated = true;
+    client_.start(address, std::move(request), std::move(callbacks), options);
   }
 
 private:
--- a/src/engine/engine_client.cc
+++ b/src/engine/engine_client.cc
@@ -231,6 +231,7 @@
     options.connect_timeout = options_.connect_timeout;
     options.idle_timeout = options_.call_timeout + wait;
     options.body_bytes = options_.body_bytes;
+    options.may_be_repeated = request.method == "GET";
     http::ExchangeCallbacks callbacks;
     callbacks.on_done = [handler = std::move(handler)](std::error_code error, http::SendState,
                                                        const http::Response& response) {
--- a/src/gateway_control/table_relay.cc
+++ b/src/gateway_control/table_relay.cc
@@ -111,6 +111,7 @@
   http::ExchangeOptions options;
   options.connect_timeout = kConnectTimeout;
   options.idle_timeout = wait + kHoldMargin + kResponseMargin;
+  options.may_be_repeated = true;
   const TimePoint sent_at = now();
   http::ExchangeCallbacks callbacks;
   callbacks.on_done = [this, address, wait, sent_at, done = std::move(done)](
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -475,6 +475,7 @@
   http::ExchangeOptions options;
   options.connect_timeout = kProbeTimeout;
   options.idle_timeout = kProbeTimeout;
+  options.may_be_repeated = true;
   http::ExchangeCallbacks callbacks;
   callbacks.on_headers = [this, probe = action.probe](int, const http::Headers&, http::BodyFraming) {
     const auto found = probes_.find(probe);
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -149,7 +149,8 @@
     if (closed_ || exchange->ended || exchange->discarded) return;
     if (outcome.timed_out) onTimeout(*outcome.timed_out);
     const bool nothing_sent = outcome.state == SendState::NotSent;
-    if (outcome.stale && (nothing_sent || exchange->request.method == "GET")) return run(exchange, true);
+    const bool repeatable = nothing_sent || exchange->options.may_be_repeated;
+    if (outcome.stale && repeatable) return run(exchange, true);
     exchange->ended = true;
     const ExchangeCallbacks callbacks = std::move(exchange->callbacks);
     if (callbacks.on_done) callbacks.on_done(outcome.error, outcome.state, std::move(exchange->response));
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -56,6 +56,10 @@
   std::size_t body_bytes = std::size_t{16} * 1024 * 1024;  ///< Maximum size of a collected body.
   /// Maximum time from the head of a response with a collected body to its end.
   Duration collect_timeout = std::chrono::seconds(30);
+  /// The caller agrees that the server may process the request twice, whatever its method: when the server
+  /// closes a reused connection before the first byte of the response, the request is sent again. Never set
+  /// it for requests of clients: their route decides what is repeated and the retry budget counts it.
+  bool may_be_repeated = false;
 };
 
 /// An exchange that timed out before any byte of a response was received.
@@ -70,7 +74,7 @@
 /// Client with pooled connections. When an exchange on a kept-alive connection times out, the idle
 /// connections to the same server, or to all servers, are closed (half_open_detector.h). If the server closes
 /// a kept-alive connection before the first byte of the response, the request is retried only when nothing
-/// was sent or the method is GET.
+/// was sent or ExchangeOptions::may_be_repeated is set.
 class Client {
 public:
   virtual ~Client() = default;
--- a/src/operator/admin_fetch.cc
+++ b/src/operator/admin_fetch.cc
@@ -15,6 +15,7 @@
   http::ExchangeOptions options;
   options.connect_timeout = timeout;
   options.idle_timeout = timeout;
+  options.may_be_repeated = true;
   for (std::size_t index = 0; index < addresses.size(); ++index) {
     responses[index].address = addresses[index];
     http::Request request;
--- a/src/platform_service/service_caller.cc
+++ b/src/platform_service/service_caller.cc
@@ -114,6 +114,7 @@
     http::ExchangeOptions exchange_options;
     exchange_options.connect_timeout = options_.connect_timeout;
     exchange_options.idle_timeout = options_.call_timeout;
+    exchange_options.may_be_repeated = request.method == "GET";
     const std::uint64_t id = ++last_exchange_;
     http::ExchangeCallbacks callbacks;
     callbacks.on_done = [weak = weak_from_this(), id, done = std::move(done)](
--- a/tests/integration/gateway/gateway_process_test.cc
+++ b/tests/integration/gateway/gateway_process_test.cc
@@ -23,6 +23,27 @@
   site.runUntil([&] { return site.process->inFlight() == 0; });
 }
 
+TEST_CASE("a GET that may run once is sent once when its kept connection closes without a response",
+          "[gateway_process]") {
+  // Guards against requests that run twice: the HTTP client sent each GET again by itself.
+  const bool streaming = GENERATE(false, true);
+  GatewaySite site(Repeatability::AtMostOnce, streaming);
+  site.method = "GET";
+  std::size_t received = 0;
+  // Two rounds use a connection to each back end.
+  for (const std::string id : {"one", "two", "three", "four"}) {
+    site.send(id);
+    site.awaitRequest(++received).writer->respond({200, sealed(id), "id: 1\ndata: a\n\n"});
+    site.runUntil([&] { return site.done; });
+    CHECK_FALSE(site.error);
+  }
+  site.send("lost");
+  site.awaitRequest(++received).writer->abort();
+  site.runUntil([&] { return site.done; });
+  CHECK(site.status == 502);
+  CHECK(site.requests.size() == received);
+}
+
 TEST_CASE("a gateway forwards each event of a stream as soon as it is received", "[gateway_process]") {
   GatewaySite site(Repeatability::AtMostOnce, true);
   site.send("one");
--- a/tests/integration/gateway/gateway_site.h
+++ b/tests/integration/gateway/gateway_site.h
@@ -133,7 +133,7 @@
   /// Sends a request. Its outcome is stored in `status`, `headers`, `body`, `done` and `error`.
   void send(const std::string& id, const std::string& request_body = "") {
     http::Request request;
-    request.method = "POST";
+    request.method = method;
     request.target = "/r/1?q=a%20b";
     request.headers = {{"Host", "desk.example"}, {"X-Id", id}, {"X-Kept", "k"}};
     request.body = request_body;
@@ -163,6 +163,7 @@
   standin::FaultProxy proxy{context.get_executor(), 1};  ///< In front of the back ends.
   std::vector<std::unique_ptr<http::Server>> backends;
   std::vector<ReceivedRequest> requests;
+  std::string method = "POST";  ///< Of the requests that are sent.
   int disconnects = 0;
   std::unique_ptr<GatewayProcess> process;
   std::unique_ptr<http::Client> client;
