Parse and write heads without a container that throws

Cause: Beast's container of fields throws std::length_error for a larger value.

Messages are parsed into the program's own header type, and heads are written as text, so that any header within the operator's limit is forwarded. A limit above 32 bits wrapped; it is capped.

--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -5,43 +5,15 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
 
 #include "http/client.h"
+#include "http/message_parser.h"
 
 namespace crankspur::http {
 
-/// Beast body type that passes response data to a callback as it is received.
-struct CallbackBody {
-  using value_type = std::function<bool(std::string_view)>;  ///< Returns false to reject the body.
-
-  class reader {
-  public:
-    template <bool isRequest, typename Fields>
-    reader(boost::beast::http::header<isRequest, Fields>&, value_type& body_callback)
-        : body_callback_(body_callback) {}
-    void init(boost::optional<std::uint64_t> const&, boost::system::error_code& error) { error = {}; }
-    template <typename Buffers>
-    std::size_t put(const Buffers& buffers, boost::system::error_code& error) {
-      error = {};
-      std::size_t total = 0;
-      for (const boost::asio::const_buffer buffer : boost::beast::buffers_range_ref(buffers)) {
-        const std::string_view piece(static_cast<const char*>(buffer.data()), buffer.size());
-        if (!body_callback_(piece)) error = boost::beast::http::error::body_limit;
-        total += buffer.size();
-      }
-      return total;
-    }
-    void finish(boost::system::error_code& error) { error = {}; }
-
-  private:
-    value_type& body_callback_;
-  };
-};
-
 /// Request, callbacks and response of one exchange.
 struct ExchangeState {
   std::string address;
@@ -89,7 +61,6 @@
   std::chrono::steady_clock::time_point lastReceived() const { return last_received_; }
 
 private:
-  using Parser = boost::beast::http::response_parser<CallbackBody>;
   enum class Phase { New, Connecting, Busy, Idle, Closed };
 
   void connect();
@@ -119,7 +90,7 @@
   Callbacks callbacks_;
   Phase phase_ = Phase::New;
   boost::beast::flat_buffer buffer_;
-  std::optional<Parser> parser_;
+  std::optional<ResponseParser> parser_;
   std::shared_ptr<ExchangeState> exchange_;
   std::string request_text_;
   bool reused_ = false;
--- /dev/null
+++ b/src/http/message_parser.cc
@@ -0,0 +1,45 @@
+#include "http/message_parser.h"
+
+#include <utility>
+
+namespace crankspur::http {
+
+Request RequestParser::release() {
+  Request request;
+  request.method = std::move(method_);
+  request.target = std::move(target_);
+  request.headers = std::move(headers_);
+  request.body = std::move(body_);
+  return request;
+}
+
+Request RequestParser::head() const {
+  Request request;
+  request.method = method_;
+  request.target = target_;
+  request.headers = headers_;
+  return request;
+}
+
+void RequestParser::on_request_impl(boost::beast::http::verb, View method, View target, int version, Error&) {
+  method_ = std::string(method);
+  target_ = std::string(target);
+  version_ = version;
+}
+
+std::size_t RequestParser::on_body_impl(View piece, Error&) {
+  body_.append(piece.data(), piece.size());
+  return piece.size();
+}
+
+void ResponseParser::on_response_impl(int status, View, int version, Error&) {
+  status_ = status;
+  version_ = version;
+}
+
+std::size_t ResponseParser::on_body_impl(View piece, Error& error) {
+  if (!on_body_(std::string_view(piece.data(), piece.size()))) error = boost::beast::http::error::body_limit;
+  return piece.size();
+}
+
+}  // namespace crankspur::http
--- /dev/null
+++ b/src/http/message_parser.h
@@ -0,0 +1,80 @@
+#pragma once
+/// @file Parsers of requests and responses. Internal to this package; include only from .cc files, as it
+/// includes Beast. They collect header fields in Headers: Beast's own container throws for values above
+/// 65,533 bytes, and stores trailer fields as if they were header fields.
+
+#include <boost/beast/http/basic_parser.hpp>
+#include <functional>
+#include <ostream>
+#include <string>
+#include <string_view>
+
+#include "http/message.h"
+
+namespace crankspur::http {
+
+/// Header fields and framing of the message that is being received.
+template <bool isRequest>
+class MessageParser : public boost::beast::http::basic_parser<isRequest> {
+public:
+  const Headers& headers() const { return headers_; }
+  /// @return HTTP version: 11 or 10.
+  int version() const { return version_; }
+
+protected:
+  using Error = boost::system::error_code;
+  using View = boost::beast::string_view;
+
+  void on_field_impl(boost::beast::http::field, View name, View value, Error&) override {
+    const auto [entry, inserted] = headers_.try_emplace(std::string(name), value);
+    if (inserted) return;
+    entry->second += ", ";
+    entry->second += std::string_view(value.data(), value.size());
+  }
+  void on_header_impl(Error&) override {}
+  void on_body_init_impl(const boost::optional<std::uint64_t>&, Error&) override {}
+  void on_chunk_header_impl(std::uint64_t, View, Error&) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t, View piece, Error& error) override {
+    return this->on_body_impl(piece, error);
+  }
+  void on_finish_impl(Error&) override {}
+
+  Headers headers_;
+  int version_ = 11;
+};
+
+/// Parser of a request with its body.
+class RequestParser : public MessageParser<true> {
+public:
+  /// @return the request; its body is complete once is_done(). To be called once.
+  Request release();
+  /// @return the part of the head that was received, without a body.
+  Request head() const;
+
+private:
+  void on_request_impl(boost::beast::http::verb, View method, View target, int version, Error&) override;
+  void on_response_impl(int, View, int, Error&) override {}
+  std::size_t on_body_impl(View piece, Error&) override;
+
+  std::string method_;
+  std::string target_;
+  std::string body_;
+};
+
+/// Parser of a response that passes on its body as it is received.
+class ResponseParser : public MessageParser<false> {
+public:
+  /// @param on_body called with each part of the body; returns false to reject the body.
+  explicit ResponseParser(std::function<bool(std::string_view)> on_body) : on_body_(std::move(on_body)) {}
+  int status() const { return status_; }
+
+private:
+  void on_request_impl(boost::beast::http::verb, View, View, int, Error&) override {}
+  void on_response_impl(int status, View reason, int version, Error&) override;
+  std::size_t on_body_impl(View piece, Error& error) override;
+
+  std::function<bool(std::string_view)> on_body_;
+  int status_ = 0;
+};
+
+}  // namespace crankspur::http
--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -1,7 +1,9 @@
 #include "http/server_session.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
-#include <boost/json.hpp>
+#include <boost/beast/http/read.hpp>
+#include <limits>
 
 #include "base/error.h"
 #include "http/serialize.h"
@@ -79,6 +81,11 @@
                        "not_run");
 }
 
+std::string fieldOf(const Headers& headers, const std::string& name) {
+  const auto found = headers.find(name);
+  return found == headers.end() ? std::string() : found->second;
+}
+
 }  // namespace
 
 ServerSession::ServerSession(asio::ip::tcp::socket socket, std::shared_ptr<ServerState> state)
@@ -153,7 +160,7 @@
   }
   if (phase_ == Phase::Idle) return readHeader();
   if (phase_ == Phase::Draining) buffer_.clear();
-  if (buffer_.size() < kMaxReadAheadBytes) readAhead();
+  readAhead();
 }
 
 void ServerSession::readHeader() {
@@ -161,7 +168,9 @@
   timed_out_ = false;
   setTimer(state_->limits.header_timeout);
   parser_.emplace();
-  parser_->header_limit(static_cast<std::uint32_t>(state_->limits.header_bytes));
+  const std::size_t header_bytes =
+      std::min<std::size_t>(state_->limits.header_bytes, std::numeric_limits<std::uint32_t>::max());
+  parser_->header_limit(static_cast<std::uint32_t>(header_bytes));
   parser_->body_limit(state_->limits.body_bytes);
   const auto on_header = [self = shared_from_this()](boost::system::error_code error, std::size_t) {
     self->onHeader(error);
@@ -174,7 +183,7 @@
   if (error) return failRequest(error);
   setTimer(state_->limits.idle_timeout);
   const bool expects_continue =
-      beast::iequals(parser_->get()[beast::http::field::expect], "100-continue") && !parser_->is_done();
+      beast::iequals(fieldOf(parser_->headers(), "Expect"), "100-continue") && !parser_->is_done();
   if (expects_continue) {
     sendContinue();
   } else {
@@ -203,15 +212,10 @@
 
 void ServerSession::deliver() {
   deadline_.reset();
-  auto message = parser_->release();
-  Request request;
-  request.method = std::string(message.method_string());
-  request.target = std::string(message.target());
-  request.headers = readHeaders(message.base());
-  request.body = std::move(message.body());
-  version_ = message.version();
-  keep_alive_ = message.keep_alive();
-  head_only_ = message.method() == beast::http::verb::head;
+  Request request = parser_->release();
+  version_ = static_cast<unsigned>(parser_->version());
+  keep_alive_ = parser_->keep_alive();
+  head_only_ = request.method == "HEAD";
   response_begun_ = false;
   ends_with_connection_ = false;
   ++request_number_;
@@ -240,12 +244,7 @@
   if (!state_->rejected_request_handler) return;
   RejectedRequest rejected;
   rejected.status = status;
-  if (parser_) {
-    const auto& head = parser_->get();
-    rejected.head.method = std::string(head.method_string());
-    rejected.head.target = std::string(head.target());
-    rejected.head.headers = readHeaders(head.base());
-  }
+  if (parser_) rejected.head = parser_->head();
   state_->rejected_request_handler(rejected);
 }
 
@@ -262,17 +261,12 @@
 void ServerSession::queueHeader(int status, const Headers& headers, std::optional<std::size_t> body_bytes) {
   if (state_->stopping || state_->keep_alive_disabled) keep_alive_ = false;
   if (ends_with_connection_) keep_alive_ = false;
-  beast::http::response<beast::http::empty_body> message;
-  message.result(static_cast<unsigned>(status));
-  message.version(version_);
-  copyHeaders(headers, message);
-  message.keep_alive(keep_alive_);
-  if (body_bytes) {
-    message.content_length(*body_bytes);
-  } else {
-    message.chunked(!ends_with_connection_);
-  }
-  pending_ += headerText(message);
+  ResponseFraming framing;
+  framing.version = version_;
+  framing.keep_alive = keep_alive_;
+  framing.body_bytes = body_bytes;
+  framing.chunked = !body_bytes && !ends_with_connection_;
+  pending_ += responseHead(status, headers, framing);
 }
 
 void ServerSession::respond(std::uint64_t request_number, const Response& response) {
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -4,11 +4,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
 #include <memory>
 #include <optional>
 #include <unordered_set>
 
+#include "http/message_parser.h"
 #include "http/server.h"
 
 namespace crankspur::http {
@@ -61,7 +61,6 @@
     Draining,  ///< The sending side is shut down; received data is discarded.
     Closed,
   };
-  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   bool isCurrent(std::uint64_t request_number) const;
   void awaitRequest();
@@ -95,7 +94,7 @@
   std::optional<std::chrono::steady_clock::time_point> deadline_;
   std::shared_ptr<ServerState> state_;
   boost::beast::flat_buffer buffer_;
-  std::optional<Parser> parser_;
+  std::optional<RequestParser> parser_;
   Phase phase_ = Phase::Idle;
   bool reading_ahead_ = false;
   bool timed_out_ = false;
