Drop trailer fields, and bound what is read of them

Short ones changed the head after its checks: a trailer "Model: x" became a part of the client's Model.

Cause: the parser stored trailer fields among those of the head, joined by name, and they counted against no limit.

They are read and dropped, up to the limit of the head, in requests (431) and responses (the exchange fails). What is buffered of them and of chunk extensions is bounded; a chunk extension without end was buffered without limit.

--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -125,6 +125,7 @@
   read_deadline_.reset();
   parser_.emplace([this](std::string_view piece) { return consumeBody(piece); });
   parser_->header_limit(kHeaderBytes);
+  parser_->setTrailerLimit(kHeaderBytes);
   parser_->body_limit(boost::none);
   if (exchange_->request.method == "HEAD") parser_->skip(true);
 }
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -20,18 +20,23 @@
   const Headers& headers() const { return headers_; }
   /// @return HTTP version: 11 or 10.
   int version() const { return version_; }
+  /// @param bytes maximum size of all trailer fields together. They are read and dropped.
+  void setTrailerLimit(std::size_t bytes) { trailer_limit_ = bytes; }
 
 protected:
   using Error = boost::system::error_code;
   using View = boost::beast::string_view;
 
-  void on_field_impl(boost::beast::http::field, View name, View value, Error&) override {
+  void on_field_impl(boost::beast::http::field, View name, View value, Error& error) override {
+    if (head_complete_) return countTrailer(name.size() + value.size() + kFieldFramingBytes, error);
     const auto [entry, inserted] = headers_.try_emplace(std::string(name), value);
     if (inserted) return;
     entry->second += ", ";
     entry->second += std::string_view(value.data(), value.size());
   }
-  void on_header_impl(Error&) override {}
+  void on_header_impl(Error&) override {
+    head_complete_ = true;
+  }
   void on_body_init_impl(const boost::optional<std::uint64_t>&, Error&) override {}
   void on_chunk_header_impl(std::uint64_t, View, Error&) override {}
   std::size_t on_chunk_body_impl(std::uint64_t, View piece, Error& error) override {
@@ -41,6 +46,18 @@
 
   Headers headers_;
   int version_ = 11;
+
+private:
+  static constexpr std::size_t kFieldFramingBytes = 4;  ///< The colon, one space and the end of the line.
+
+  void countTrailer(std::size_t bytes, Error& error) {
+    trailer_bytes_ += bytes;
+    if (trailer_bytes_ > trailer_limit_) error = boost::beast::http::error::header_limit;
+  }
+
+  bool head_complete_ = false;
+  std::size_t trailer_bytes_ = 0;
+  std::size_t trailer_limit_ = 0;
 };
 
 /// Parser of a request with its body.
--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -160,7 +160,7 @@
   }
   if (phase_ == Phase::Idle) return readHeader();
   if (phase_ == Phase::Draining) buffer_.clear();
-  readAhead();
+  if (buffer_.size() < kMaxReadAheadBytes) readAhead();
 }
 
 void ServerSession::readHeader() {
@@ -171,7 +171,11 @@
   const std::size_t header_bytes =
       std::min<std::size_t>(state_->limits.header_bytes, std::numeric_limits<std::uint32_t>::max());
   parser_->header_limit(static_cast<std::uint32_t>(header_bytes));
+  parser_->setTrailerLimit(header_bytes);
   parser_->body_limit(state_->limits.body_bytes);
+  // Bounds what is buffered of trailer fields and chunk extensions too. Requests that were read ahead under a
+  // higher limit stay valid.
+  buffer_.max_size(std::max({header_bytes, kMaxReadAheadBytes, buffer_.size()}) + 2 * kReadBytes);
   const auto on_header = [self = shared_from_this()](boost::system::error_code error, std::size_t) {
     self->onHeader(error);
   };
@@ -222,7 +226,7 @@
   ++state_->open_requests;
   request_counted_ = true;
   phase_ = Phase::Handling;
-  readAhead();
+  if (buffer_.size() < kMaxReadAheadBytes) readAhead();
   const auto writer = std::make_shared<SessionWriter>(weak_from_this(), request_number_);
   const auto handler = state_->handler;  // Keeps the handler valid if it destroys the server.
   if (handler) (*handler)(std::move(request), writer);
