Reject transfer codings that are not decoded

Cause: the server read a body only if the parser expected one, and did not reject other codings; the header was removed on the way to the back end. The same class elsewhere: responses with such a coding were passed on without it, and a client could have the id, the prompt, the model and the last event of its request removed by naming them in Connection, in lower case or on the way to another gateway.

A last coding other than chunked, a coding beside a length and one in HTTP/1.0 get 400 and a close (RFC 9112, 6.3), others before chunked get 501; a response with one fails its exchange. Connection cannot remove the fields that a request needs.

--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -65,7 +65,7 @@
   return found == headers.end() ? std::string() : found->second;
 }
 
-void removeConnectionHeaders(Headers& headers) {
+void removeConnectionHeaders(Headers& headers, std::span<const char* const> end_to_end) {
   static const char* const kHopByHopFields[] = {"Connection", "Keep-Alive",        "Proxy-Connection",
                                                 "TE",         "Transfer-Encoding", "Trailer",
                                                 "Upgrade",    "Content-Length",    "Expect"};
@@ -76,11 +76,17 @@
     while (!rest.empty()) {
       std::string_view name = rest.substr(0, rest.find(','));
       rest.remove_prefix(std::min(rest.size(), name.size() + 1));
-      while (name.starts_with(' ')) name.remove_prefix(1);
-      while (name.ends_with(' ')) name.remove_suffix(1);
+      while (name.starts_with(' ') || name.starts_with('\t')) name.remove_prefix(1);
+      while (name.ends_with(' ') || name.ends_with('\t')) name.remove_suffix(1);
       connection_options.emplace_back(name);
     }
-    for (const std::string& name : connection_options) headers.erase(name);
+    const HeaderLess less;
+    for (const std::string& name : connection_options) {
+      const bool kept = std::any_of(end_to_end.begin(), end_to_end.end(), [&](const char* field) {
+        return !less(name, field) && !less(field, name);
+      });
+      if (!kept) headers.erase(name);
+    }
   }
   for (const char* const name : kHopByHopFields) headers.erase(name);
 }
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -2,6 +2,7 @@
 /// @file HTTP request and response values. Free of Boost.Beast to keep compile times of callers short.
 
 #include <map>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -32,7 +33,9 @@
 
 /// Removes hop-by-hop fields: those of RFC 9110, section 7.6.1, those named by Connection, and the framing of
 /// the body.
-void removeConnectionHeaders(Headers& headers);
+/// @param end_to_end names of fields that Connection cannot remove, because the request has no meaning
+/// without them.
+void removeConnectionHeaders(Headers& headers, std::span<const char* const> end_to_end = {});
 
 /// How the end of a response's body is marked (RFC 9112, section 6.3).
 enum class BodyFraming {
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -34,8 +34,9 @@
     entry->second += ", ";
     entry->second += std::string_view(value.data(), value.size());
   }
-  void on_header_impl(Error&) override {
+  void on_header_impl(Error& error) override {
     head_complete_ = true;
+    checkFraming(error);
   }
   void on_body_init_impl(const boost::optional<std::uint64_t>&, Error&) override {}
   void on_chunk_header_impl(std::uint64_t, View, Error&) override {}
@@ -55,6 +56,20 @@
     if (trailer_bytes_ > trailer_limit_) error = boost::beast::http::error::header_limit;
   }
 
+  /// Only "chunked" alone is supported. The end of a request with another last coding cannot be determined
+  /// (RFC 9112, section 6.3), and the other codings are not decoded, so that the body must not be passed on
+  /// without them.
+  void checkFraming(Error& error) const {
+    const auto coding = headers_.find("Transfer-Encoding");
+    if (coding == headers_.end()) return;
+    const bool one_framing = !headers_.contains("Content-Length") && version_ == 11;
+    if (!one_framing || !this->chunked()) {
+      error = boost::beast::http::error::bad_transfer_encoding;
+    } else if (!boost::beast::iequals(coding->second, "chunked")) {
+      error = make_error_code(boost::system::errc::not_supported);
+    }
+  }
+
   bool head_complete_ = false;
   std::size_t trailer_bytes_ = 0;
   std::size_t trailer_limit_ = 0;
--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -74,6 +74,10 @@
   if (failure == error::body_limit) {
     return errorResponse(413, errorName(ErrorCode::TooLarge), "the body is too large", "not_run");
   }
+  if (failure == boost::system::errc::not_supported) {
+    return errorResponse(501, errorName(ErrorCode::InvalidRequest), "the transfer coding is not supported",
+                         "not_run");
+  }
   const auto& parse_failures = make_error_code(error::bad_method).category();
   const bool closed = failure == error::end_of_stream || failure == error::partial_message;
   if (closed || failure.category() != parse_failures) return std::nullopt;
--- a/tests/unit/platform/header_dialect_test.cc
+++ b/tests/unit/platform/header_dialect_test.cc
@@ -186,3 +186,24 @@
     CHECK(tolerated("6.5") == 0U);
   }
 }
+
+TEST_CASE("a client cannot have headers removed that its request needs, in any spelling",
+          "[header_dialect]") {
+  // Guards against requests that run without the client's id, prompt or last event: the names were compared
+  // with their case, and only two of them.
+  const HeaderDialect dialect;
+  http::Request request = clientRequest();
+  request.headers["Last-Event-Id"] = "12";
+  request.headers["Connection"] =
+      "attempt-id,\tMODEL, token-usage, Prefix-hash, last-event-id, host, deadline-ms, authorization, x-hop";
+  const http::Headers relayed = dialect.relayHeaders(request, 1s);
+  const http::Headers forwarded = dialect.forwardHeaders(request, {});
+  for (const char* name : {"Attempt-Id", "Model", "Token-Usage", "Prefix-Hash", "Last-Event-Id", "Host"}) {
+    INFO(name);
+    CHECK(forwarded.contains(name));
+    CHECK(relayed.contains(name));
+  }
+  CHECK(relayed.contains("Authorization"));
+  CHECK_FALSE(forwarded.contains("X-Hop"));
+  CHECK_FALSE(relayed.contains("X-Hop"));
+}
