--- a/tests/integration/gateway/unframed_responses_test.cc
+++ b/tests/integration/gateway/unframed_responses_test.cc
@@ -172,6 +172,20 @@
   CHECK_FALSE(response.body.ends_with("0\r\n\r\n"));
 }
 
+TEST_CASE("a response that ends within its head is no success for the client", "[gateway_process]") {
+  // Guards against a successful response with an empty body: a back end stops after some bytes of its head.
+  const bool streaming = GENERATE(false, true);
+  const std::string head = std::string(streaming ? kStreamHead : kPlainHead) + "Content-Length: 0\r\n\r\n";
+  for (std::size_t length = 1; length < head.size(); length += 3) {
+    INFO(length << " bytes of " << head);
+    UnframedSite site(Repeatability::AtMostOnce, streaming);
+    site.back_end.responses = {head.substr(0, length)};
+    site.request();
+    CHECK(site.response("}}").head.starts_with("HTTP/1.1 502 "));
+    CHECK(site.back_end.requests == 1);
+  }
+}
+
 TEST_CASE("a gateway that stops in the middle of a response without framing resets it", "[gateway_process]") {
   UnframedSite site(Repeatability::AtMostOnce, true);
   site.back_end.responses = {std::string(kStreamHead) + "\r\n" + kWholeEvent};
