End a response without length although nothing is left to write

Cause: end() queues nothing for this framing, and only a finished write closed the connection. The same for HEAD answered in parts.

"an unframed response that is ended after its bytes were written closes the connection" failed before; it passes now, as does the test through a gateway process.

--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -344,6 +344,7 @@
   phase_ = Phase::Flushing;
   // The handler may own the writer; destroy it only after the state is consistent.
   const auto disconnect_handler = std::exchange(on_disconnect_, nullptr);
+  if (queuedBytes(request_number_) == 0) return onFlushed();
   flush();
 }
 
--- a/tests/integration/gateway/unframed_responses_test.cc
+++ b/tests/integration/gateway/unframed_responses_test.cc
@@ -30,6 +30,10 @@
   }
   std::string address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
 
+  void closeAll() {
+    for (const auto& connection : connections_) connection->socket.close();
+  }
+
   std::vector<std::string> responses;  ///< The last one is used for all further requests.
   bool closes = true;                  ///< False: the connection stays open after the response.
   std::size_t requests = 0;
@@ -186,6 +190,21 @@
   }
 }
 
+TEST_CASE("a stream without framing ends for the client although all its bytes were written before",
+          "[gateway_process]") {
+  // Guards against responses that never end: a back end closes some time after its last byte, and the gateway
+  // closed its own connection only when a write completed.
+  UnframedSite site(Repeatability::AtMostOnce, true);
+  site.back_end.responses = {std::string(kStreamHead) + "\r\n" + kWholeEvent};
+  site.back_end.closes = false;
+  site.request();
+  site.response(kWholeEvent);
+  site.back_end.closeAll();
+  const RawResponse response = site.response();
+  CHECK_FALSE(response.reset);
+  CHECK(response.body == kWholeEvent);
+}
+
 TEST_CASE("a gateway that stops in the middle of a response without framing resets it", "[gateway_process]") {
   UnframedSite site(Repeatability::AtMostOnce, true);
   site.back_end.responses = {std::string(kStreamHead) + "\r\n" + kWholeEvent};
--- a/tests/unit/http/http_test.cc
+++ b/tests/unit/http/http_test.cc
@@ -104,3 +104,25 @@
   response->respond({200, {}, ""});
   fixture.runUntil([&] { return done; });
 }
+
+TEST_CASE("an unframed response that is ended after its bytes were written closes the connection", "[http]") {
+  // Guards against responses that never end for the client: the connection was closed only when a write
+  // completed, and nothing was left to write.
+  const std::string method = GENERATE("GET", "HEAD");
+  std::shared_ptr<ResponseWriter> stream;
+  HttpFixture fixture([&](const Request&, std::shared_ptr<ResponseWriter> writer) {
+    stream = std::move(writer);
+    stream->beginUnframed(200, {});
+    stream->write("whole");
+  });
+  std::optional<std::error_code> ended;
+  ExchangeCallbacks callbacks;
+  callbacks.on_done = [&](std::error_code error, SendState, const Response&) { ended = error; };
+  ExchangeOptions options;
+  options.idle_timeout = std::chrono::seconds(2);
+  fixture.client->start(fixture.address(), {method, "/", {}, {}}, callbacks, options);
+  fixture.runUntil([&] { return stream && stream->queuedBytes() == 0; });
+  stream->end();
+  fixture.runUntil([&] { return ended.has_value(); });
+  CHECK_FALSE(*ended);
+}
