Record the builds that serve, so that restarted gateways join no streams of two builds

Operators of a similar system report streams that were joined from two software versions after all gateways had been killed at once.

Cause: an unknown stream continues anywhere if one build was seen in the last 30 s. After a kill of all gateways nobody knows the stream, and what a process has seen since its start says nothing about the time before: if the old build has left meanwhile, its streams were continued by the new one.

One row in the store holds the builds that serve each pool. It is read before the first request is served and written only when a build comes or has left for 30 s. Builds on record count as seen; a gateway without the row continues an unknown stream only on the answer of one that knows.

stream_origins_test.cc: with the record not merged, or its absence not regarded, one of six tests fails at each of four gateways; all pass with the change.

--- a/src/gateway/gateway_snapshot.h
+++ b/src/gateway/gateway_snapshot.h
@@ -156,6 +156,13 @@
   std::atomic<Duration::rep> confirmed_at_ = 0;
 };
 
+/// A build of the back ends of a pool.
+struct ServedBuild {
+  std::uint64_t pool = 0;   ///< Hash of its name.
+  std::uint64_t build = 0;  ///< See buildId().
+  TimePoint last_listed{};
+};
+
 /// All state on which a traffic shard decides.
 struct GatewaySnapshot {
   std::shared_ptr<const Configuration> configuration;  ///< Null: none yet; refuse requests as not run.
@@ -171,6 +178,9 @@
   std::shared_ptr<const PlatformContact> contact;  ///< Null: the state always counts as confirmed.
   /// When the list of back ends was last confirmed. Null: it always counts as confirmed.
   std::shared_ptr<const PlatformContact> list_contact;
+  std::vector<ServedBuild> builds_before;  ///< Builds that served before this process started.
+  /// False: the record of those builds could not be read yet, so that others may have served.
+  bool builds_before_known = true;
   /// Maximum time without platform contact for which keys stay valid; empty: no limit.
   std::optional<Duration> key_validity;
 
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -7,10 +7,8 @@
 namespace crankspur::gateway {
 namespace {
 
-/// A client resumes a stream within this time, if at all: its own deadline is shorter.
-constexpr Duration kResumeTime = std::chrono::seconds(30);
 /// Origins are kept for this long, about 60 bytes each.
-constexpr Duration kKeepTime = kResumeTime;
+constexpr Duration kKeepTime = kStreamResumeTime;
 constexpr std::size_t kMaxKept = 32'768;
 /// A list of back ends that was not confirmed for longer may lack a build that serves.
 constexpr Duration kMaxListAge = std::chrono::seconds(4);
@@ -41,6 +39,11 @@
   list_contact_ = snapshot.list_contact;
   peers_.clear();
   for (const PeerGateway& peer : snapshot.peers) peers_.push_back(peer.name);
+  builds_before_known_ = snapshot.builds_before_known;
+  for (const ServedBuild& served : snapshot.builds_before) {
+    TimePoint& last_listed = builds_[served.pool][served.build];
+    last_listed = std::max(last_listed, served.last_listed);
+  }
   removeExpired(now);
   const Backend* previous = nullptr;
   for (const Backend& backend : snapshot.backends) {
@@ -63,9 +66,10 @@
     const auto kept = kept_.find(attempt);
     if (kept != kept_.end() && kept->second.kept_at == kept_at) kept_.erase(kept);
   }
-  absl::erase_if(questions_, [now](const auto& item) { return now - item.second.asked_at > kResumeTime; });
+  absl::erase_if(questions_,
+                 [now](const auto& item) { return now - item.second.asked_at > kStreamResumeTime; });
   for (auto& [pool, builds] : builds_) {
-    absl::erase_if(builds, [now](const auto& item) { return now - item.second > kResumeTime; });
+    absl::erase_if(builds, [now](const auto& item) { return now - item.second > kStreamResumeTime; });
   }
 }
 
@@ -73,13 +77,18 @@
   const auto builds = builds_.find(pool);
   if (builds == builds_.end()) return false;
   return std::count_if(builds->second.begin(), builds->second.end(),
-                       [now](const auto& item) { return now - item.second <= kResumeTime; }) > 1;
+                       [now](const auto& item) { return now - item.second <= kStreamResumeTime; }) > 1;
 }
 
 bool StreamOriginTable::isListFresh(TimePoint now) const {
   return list_contact_ == nullptr || now - list_contact_->confirmedAt() <= kMaxListAge;
 }
 
+/// A process that has just started knows the builds that served before only from their record.
+bool StreamOriginTable::knowsPastBuilds(TimePoint now) const {
+  return builds_before_known_ || (started_at_ && now - *started_at_ >= kStreamResumeTime);
+}
+
 /// Streams that began while one build served have to be told apart from then on.
 void StreamOriginTable::tellUntold(std::uint64_t pool) {
   for (auto& [attempt, kept] : kept_) {
@@ -133,11 +142,12 @@
   const auto kept = kept_.find(id);
   if (!attempt.empty() && kept != kept_.end()) return {StreamOrigin::State::known, kept->second.build};
   const bool several = hasSeveralBuilds(hashBytes(pool), now);
-  const bool knows_all = started_at_ && now - *started_at_ >= kResumeTime && isListFresh(now);
+  const bool knows_all = started_at_ && now - *started_at_ >= kStreamResumeTime && isListFresh(now);
   if (!several && knows_all) return {StreamOrigin::State::any_build};
   const std::vector<std::string> keepers = attempt.empty() ? std::vector<std::string>{} : keepersOf(id);
   if (keepers.empty()) {
-    return {several ? StreamOrigin::State::unknown : StreamOrigin::State::any_build};
+    const bool is_unknown = several || !knowsPastBuilds(now);
+    return {is_unknown ? StreamOrigin::State::unknown : StreamOrigin::State::any_build};
   }
   for (const std::string& keeper : keepers) outgoing_[keeper].queries.push_back({id, hashBytes(pool)});
   Question& question = questions_[id];
@@ -162,7 +172,7 @@
   const bool was_answered = question != questions_.end() && question->second.answered;
   const bool several = told_of_several || hasSeveralBuilds(hashBytes(pool), now);
   // A gateway without an answer and with an outdated list is likely to be partitioned from both.
-  const bool may_lack_builds = !was_answered && !isListFresh(now);
+  const bool may_lack_builds = !was_answered && (!isListFresh(now) || !knowsPastBuilds(now));
   const bool is_unknown = several || may_lack_builds;
   return {is_unknown ? StreamOrigin::State::unknown : StreamOrigin::State::any_build};
 }
@@ -173,6 +183,8 @@
   }
   for (const StreamOriginQuery& query : message.queries) {
     const auto kept = kept_.find(query.attempt);
+    // "One build has served" must not be answered for a time that this process does not know.
+    if (kept == kept_.end() && !knowsPastBuilds(now)) continue;
     const std::uint64_t build = kept == kept_.end() ? 0 : kept->second.build;
     outgoing_[sender].answers.push_back({query.attempt, build, hasSeveralBuilds(query.pool, now)});
   }
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -42,6 +42,9 @@
   std::uint64_t build = 0;  ///< See buildId().
 };
 
+/// A client resumes a stream within this time, if at all: its own deadline is shorter.
+inline constexpr Duration kStreamResumeTime = std::chrono::seconds(30);
+
 /// @return the id of a build in messages and lookups; never 0.
 std::uint64_t buildId(const std::string& build);
 
@@ -90,12 +93,14 @@
   void tell(std::uint64_t attempt, Kept& kept);
   bool hasSeveralBuilds(std::uint64_t pool, TimePoint now) const;
   bool isListFresh(TimePoint now) const;
+  bool knowsPastBuilds(TimePoint now) const;
   std::vector<std::string> keepersOf(std::uint64_t attempt) const;
 
   std::string own_name_;
   std::vector<std::string> peers_;
   std::shared_ptr<const PlatformContact> list_contact_;
   std::optional<TimePoint> started_at_;
+  bool builds_before_known_ = true;
   /// By pool, then by build: when it was last listed.
   absl::flat_hash_map<std::uint64_t, absl::flat_hash_map<std::uint64_t, TimePoint>> builds_;
   absl::flat_hash_map<std::uint64_t, Kept> kept_;           ///< By hash of the attempt's id.
--- /dev/null
+++ b/src/gateway_control/build_record.cc
@@ -0,0 +1,133 @@
+#include "gateway_control/build_record.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+#include "base/hash.h"
+#include "gateway/stream_origins.h"
+#include "json/json_fields.h"
+
+namespace crankspur::gateway {
+namespace {
+
+namespace json = boost::json;
+
+/// Delay before a call to the store is repeated.
+constexpr Duration kRetryDelay = std::chrono::milliseconds(700);
+/// Callers wait for the record at most this long after the start: a reachable store responds in milliseconds.
+constexpr Duration kMaxLoadTime = std::chrono::seconds(1);
+/// A new build is recorded within this time and kUpdateDelayPerPeer for each other gateway, at a random
+/// moment: the first one to write spares the others the write.
+constexpr Duration kUpdateDelay = std::chrono::milliseconds(100);
+constexpr Duration kUpdateDelayPerPeer = std::chrono::milliseconds(10);
+/// A build that has left is removed later by this factor, since a record that names it too long does little
+/// harm.
+constexpr int kRemovalDelayFactor = 50;
+/// A build that this process has never listed is removed once the process has run this long.
+constexpr Duration kForeignBuildTime = 2 * kStreamResumeTime;
+
+std::string encode(const std::set<std::pair<std::uint64_t, std::uint64_t>>& builds) {
+  json::array entries;
+  for (const auto& [pool, build] : builds) entries.push_back(json::object{{"pool", pool}, {"build", build}});
+  return json::serialize(json::object{{"builds", entries}});
+}
+
+/// @return empty if the text is not in this program's format.
+std::set<std::pair<std::uint64_t, std::uint64_t>> decode(const std::string& text) {
+  std::set<std::pair<std::uint64_t, std::uint64_t>> builds;
+  const std::optional<json::object> object = parseJsonObject(text);
+  const json::value* entries = object ? object->if_contains("builds") : nullptr;
+  if (entries == nullptr || !entries->is_array()) return builds;
+  for (const json::value& entry : entries->get_array()) {
+    if (!entry.is_object()) continue;
+    const auto pool = unsignedField(entry.get_object(), "pool");
+    const auto build = unsignedField(entry.get_object(), "build");
+    if (pool && build) builds.emplace(*pool, *build);
+  }
+  return builds;
+}
+
+}  // namespace
+
+BuildRecord::BuildRecord(std::uint64_t random_seed, TimePoint now)
+    : random_(random_seed), started_at_(now), ready_at_(now + kMaxLoadTime) {}
+
+void BuildRecord::onListed(const std::vector<Backend>& backends, std::size_t peers, bool is_fresh,
+                           TimePoint now) {
+  list_fresh_ = is_fresh;
+  for (const Backend& backend : backends) {
+    if (!backend.is_kv_store) listed_[{hashBytes(backend.view.pool), buildId(backend.build)}] = now;
+  }
+  const std::set<PoolAndBuild> wanted = content(now);
+  if (!known_ || wanted == recorded_) return;
+  const bool adds = !std::includes(recorded_.begin(), recorded_.end(), wanted.begin(), wanted.end());
+  const Duration spread = kUpdateDelay + kUpdateDelayPerPeer * static_cast<Duration::rep>(peers);
+  const double share = random_.unit() * (adds ? 1 : kRemovalDelayFactor);
+  const auto delay = Duration(static_cast<Duration::rep>(share * static_cast<double>(spread.count())));
+  if (adds || update_at_ == TimePoint::max()) update_at_ = std::min(update_at_, now + delay);
+}
+
+/// @return whether the build has left for so long that no client resumes its streams.
+bool BuildRecord::isStale(const PoolAndBuild& entry, TimePoint now) const {
+  const auto listed = listed_.find(entry);
+  if (listed != listed_.end()) return now - listed->second > kStreamResumeTime;
+  return list_fresh_ && now - started_at_ > kForeignBuildTime;
+}
+
+/// @return what the row should hold.
+std::set<BuildRecord::PoolAndBuild> BuildRecord::content(TimePoint now) const {
+  std::set<PoolAndBuild> builds = recorded_;
+  for (const auto& [entry, listed_at] : listed_) builds.insert(entry);
+  std::erase_if(builds, [&](const PoolAndBuild& entry) { return isStale(entry, now); });
+  return builds;
+}
+
+void BuildRecord::onRead(const std::optional<StoredRecord>& record, TimePoint now) {
+  calling_ = false;
+  if (!record) {
+    not_before_ = now + kRetryDelay;
+    return;
+  }
+  recorded_ = decode(record->text);
+  if (!known_) {
+    for (const auto& [pool, build] : recorded_) before_.push_back({pool, build, now});
+  }
+  known_ = true;
+  if (now >= update_at_) version_to_replace_ = record->row_version;
+}
+
+BuildRecordCall BuildRecord::nextCall(TimePoint now) {
+  BuildRecordCall call;
+  if (now < nextTimer()) return call;
+  const std::set<PoolAndBuild> wanted = content(now);
+  if (version_to_replace_ && wanted == recorded_) {
+    version_to_replace_.reset();
+    update_at_ = TimePoint::max();
+    return call;
+  }
+  calling_ = true;
+  if (!version_to_replace_) {
+    call.kind = BuildRecordCall::Kind::read;
+    return call;
+  }
+  call.kind = BuildRecordCall::Kind::write;
+  call.text = encode(wanted);
+  call.expected_version = *std::exchange(version_to_replace_, std::nullopt);
+  recorded_ = wanted;
+  update_at_ = TimePoint::max();
+  return call;
+}
+
+void BuildRecord::onWritten(bool written, TimePoint now) {
+  calling_ = false;
+  if (written) return;
+  update_at_ = now;
+  not_before_ = now + kRetryDelay;
+}
+
+TimePoint BuildRecord::nextTimer() const {
+  if (calling_) return TimePoint::max();
+  return known_ ? std::max(not_before_, update_at_) : not_before_;
+}
+
+}  // namespace crankspur::gateway
--- /dev/null
+++ b/src/gateway_control/build_record.h
@@ -0,0 +1,84 @@
+#pragma once
+/// @file The record of the builds of back ends in the platform's store: one row with the builds that serve
+/// each pool. Gateways see which builds serve while they run, but a process that starts knows nothing of the
+/// time before; when all of them were killed, a stream of a build that has left meanwhile would be continued
+/// by another one. The row changes only when a build comes or goes. Pure decision code.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "base/random.h"
+#include "gateway/gateway_snapshot.h"
+#include "gateway_control/platform_link.h"
+
+namespace crankspur::gateway {
+
+/// A call to the store that BuildRecord requests; at most one at a time.
+struct BuildRecordCall {
+  enum class Kind {
+    none,
+    read,   ///< The response goes to BuildRecord::onRead().
+    write,  ///< The response goes to BuildRecord::onWritten().
+  };
+  Kind kind = Kind::none;
+  std::string text;                    ///< To be written.
+  std::uint64_t expected_version = 0;  ///< The row version that the write may replace.
+};
+
+/// Reads the record at the start, with retries until the store responds, and keeps it up to date. Not
+/// thread-safe.
+class BuildRecord {
+public:
+  /// The row's name in the store.
+  static constexpr char kName[] = "served_builds";
+
+  /// @param now when the gateway started.
+  BuildRecord(std::uint64_t random_seed, TimePoint now);
+
+  /// The list of back ends, changed or not.
+  /// @param peers other gateways, which write the same changes.
+  /// @param is_fresh whether the platform confirmed the list a short time ago.
+  void onListed(const std::vector<Backend>& backends, std::size_t peers, bool is_fresh, TimePoint now);
+  /// @param record empty: the store did not respond.
+  void onRead(const std::optional<StoredRecord>& record, TimePoint now);
+  /// @param written false: the row has changed, or the outcome is unknown.
+  void onWritten(bool written, TimePoint now);
+  /// @return the call to make now.
+  BuildRecordCall nextCall(TimePoint now);
+  /// @return when nextCall() has a call to make; TimePoint::max(): not before another event.
+  TimePoint nextTimer() const;
+
+  /// @return whether the record was read.
+  bool isKnown() const { return known_; }
+  /// @return whether the record was read, or could not be read in the time for which callers can wait.
+  bool isReady(TimePoint now) const { return known_ || now >= ready_at_; }
+  /// @return the builds that served before this process read the record. Each may have served until then.
+  const std::vector<ServedBuild>& before() const { return before_; }
+
+private:
+  using PoolAndBuild = std::pair<std::uint64_t, std::uint64_t>;
+
+  std::set<PoolAndBuild> content(TimePoint now) const;
+  bool isStale(const PoolAndBuild& entry, TimePoint now) const;
+
+  RandomSource random_;
+  TimePoint started_at_;
+  TimePoint ready_at_;
+  TimePoint not_before_{};  ///< End of the delay after a failed call.
+  TimePoint update_at_ =
+      TimePoint::max();  ///< When the row is read again to be updated; max: it need not be.
+  bool known_ = false;
+  bool calling_ = false;
+  bool list_fresh_ = false;
+  std::map<PoolAndBuild, TimePoint> listed_;  ///< When it was last listed.
+  std::set<PoolAndBuild> recorded_;           ///< Content of the row as last read or written.
+  std::vector<ServedBuild> before_;
+  std::optional<std::uint64_t> version_to_replace_;  ///< Set between reading and writing.
+};
+
+}  // namespace crankspur::gateway
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -21,6 +21,8 @@
 constexpr Duration kPublishDelayPerBackend = std::chrono::microseconds(300);
 /// A back end that received an order takes no new request for this time, about the duration of a load.
 constexpr Duration kLoadingTime = std::chrono::milliseconds(1'500);
+/// A list of back ends that was confirmed within this time shows which builds have left.
+constexpr Duration kMaxFreshListAge = std::chrono::seconds(4);
 /// Deadline, counted from their discovery, for weights that were already named when this process started.
 constexpr Duration kWeightsFoundMargin = std::chrono::milliseconds(4'500);
 /// Maximum interval between two publications; picks up state that changes with time alone.
@@ -98,6 +100,7 @@
       orders_(executor, orderOptions(settings, incarnation), platform, orderCallbacks(), log),
       cache_watch_(executor, platform, cacheCallbacks()),
       crashes_(combineHashes(hashBytes(settings.name, 4), incarnation), clock_.now()),
+      build_record_(combineHashes(hashBytes(settings.name, 5), incarnation), clock_.now()),
       publish_timer_(executor),
       change_timer_(executor),
       cache_send_timer_(executor),
@@ -105,6 +108,7 @@
       peer_load_timer_(executor),
       serving_timer_(executor),
       crash_timer_(executor),
+      build_record_timer_(executor),
       suspension_timer_(executor) {}
 
 std::error_code GatewayControl::start() {
@@ -116,6 +120,7 @@
   refreshServing();
   crashes_.onTimer({}, now());
   executeCrashActions();
+  callBuildRecord();
   watchForSuspension();
   return {};
 }
@@ -379,9 +384,9 @@
                {{"current", keys_current_}, {"age_ms", milliseconds(now() - contact_->confirmedAt())}});
   }
   auto snapshot = std::make_shared<GatewaySnapshot>();
-  // Without a configuration nothing is served. It is withheld until the record of quarantined requests is
-  // known, since the first request to arrive may be one of them.
-  if (crashes_.isReady(now())) snapshot->configuration = configuration_;
+  // Without a configuration nothing is served. It is withheld until the records of quarantined requests and
+  // of builds are known, since the first request to arrive may be such a request, or resume a stream.
+  if (recordsReady()) snapshot->configuration = configuration_;
   snapshot->backends = backends_;
   snapshot->weights = orders_.named();
   snapshot->own_name = gossip_.ownName();
@@ -392,16 +397,25 @@
   snapshot->contact = contact_;
   snapshot->list_contact = list_contact_;
   snapshot->key_validity = settings_.key_validity;
+  snapshot->builds_before = build_record_.before();
+  snapshot->builds_before_known = build_record_.isKnown();
   outputs_.publish(std::move(snapshot));
   updateCacheWatch();
   orders_.wake();
+  const bool list_fresh = now() - list_contact_->confirmedAt() <= kMaxFreshListAge;
+  build_record_.onListed(backends_, otherMembers().size(), list_fresh, now());
+  callBuildRecord();
   armPublishTimer();
 }
 
+bool GatewayControl::recordsReady() const {
+  return crashes_.isReady(now()) && build_record_.isReady(now());
+}
+
 void GatewayControl::armPublishTimer() {
   TimePoint next = std::min(now() + (fleet_stable_ ? kMaxPublishInterval : kPublishIntervalAtStart),
                             fleet_.nextChange(now()));
-  if (!crashes_.isReady(now())) next = std::min(next, now() + kPublishIntervalAtStart);
+  if (!recordsReady()) next = std::min(next, now() + kPublishIntervalAtStart);
   if (settings_.key_validity && keys_current_) {
     next = std::min(next, contact_->confirmedAt() + *settings_.key_validity);
   }
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -15,6 +15,7 @@
 #include "base/suspension_watch.h"
 #include "gateway/load_meter.h"
 #include "gateway/stream_origins.h"
+#include "gateway_control/build_record.h"
 #include "gateway_control/cache_exchange.h"
 #include "gateway_control/cache_watch.h"
 #include "gateway_control/crash_coordinator.h"
@@ -100,6 +101,8 @@
   void onStreamOrigins(const std::string& sender, const StreamOrigins& message) override;
   void onCrashRecord(const CrashUpdate& update);
   void executeCrashActions();
+  void callBuildRecord();
+  bool recordsReady() const;
   void execute(const SendCrashMessage& action);
   void execute(const NotifyTraffic& action);
   void execute(const CallStore& action);
@@ -165,6 +168,7 @@
   CacheWatch cache_watch_;
   CacheExchange caches_;
   CrashCoordinator crashes_;
+  BuildRecord build_record_;
   bool cache_send_scheduled_ = false;
   TimePoint member_added_at_{};                            ///< When an unknown gateway last joined.
   bool fleet_stable_ = false;                              ///< Set once by fleetIsKnown().
@@ -195,6 +199,7 @@
   boost::asio::steady_timer peer_load_timer_;
   boost::asio::steady_timer serving_timer_;
   boost::asio::steady_timer crash_timer_;
+  boost::asio::steady_timer build_record_timer_;
   SuspensionWatch suspension_;
   boost::asio::steady_timer suspension_timer_;
 };
--- /dev/null
+++ b/tests/unit/gateway/stream_origins_test.cc
@@ -0,0 +1,130 @@
+/// @file Guards against streams that are joined from two builds after all gateways were killed: those that
+/// knew which build began a stream have forgotten it, and the build that began it may have left, so that the
+/// list shows one.
+
+#include "gateway/stream_origins.h"
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+#include "base/hash.h"
+
+using namespace crankspur;
+using namespace crankspur::gateway;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr char kPool[] = "lm";
+constexpr char kAttempt[] = "attempt";
+const TimePoint kStart(1h);
+const std::vector<std::string> kNames = {"a", "b", "c", "d"};
+using State = StreamOrigin::State;
+
+/// What a gateway of the fleet knows.
+struct Knowledge {
+  std::vector<std::string> listed;    ///< Builds of the back ends.
+  std::vector<std::string> recorded;  ///< Builds of the record.
+  bool record_known = true;
+};
+
+GatewaySnapshot snapshotOf(const std::string& name, const Knowledge& knowledge, TimePoint now) {
+  GatewaySnapshot snapshot;
+  snapshot.own_name = name;
+  for (const std::string& peer : kNames) {
+    if (peer != name) snapshot.peers.push_back({peer, "", ""});
+  }
+  for (const std::string& build : knowledge.listed) {
+    Backend backend;
+    backend.view.pool = kPool;
+    backend.build = build;
+    snapshot.backends.push_back(backend);
+  }
+  for (const std::string& build : knowledge.recorded) {
+    snapshot.builds_before.push_back({hashBytes(kPool), buildId(build), now});
+  }
+  snapshot.builds_before_known = knowledge.record_known;
+  return snapshot;
+}
+
+/// A fleet of gateways that were all started at kStart.
+class Fleet {
+public:
+  /// @param knowledge of each gateway; the last one is that of all further gateways.
+  explicit Fleet(const std::vector<Knowledge>& knowledge) : tables_(kNames.size()) {
+    for (std::size_t index = 0; index < kNames.size(); ++index) {
+      const Knowledge& own = knowledge[std::min(index, knowledge.size() - 1)];
+      tables_[index].onSnapshot(snapshotOf(kNames[index], own, kStart), kStart);
+    }
+  }
+
+  StreamOriginTable& table(std::size_t index) { return tables_[index]; }
+
+  /// @return what the gateway decides for a stream that it does not know.
+  State resume(std::size_t asking, TimePoint now = kStart + 1s) {
+    const StreamOrigin origin = tables_[asking].lookUp(kAttempt, kPool, now);
+    if (origin.state != State::asked) return origin.state;
+    deliver(now);  // The queries.
+    deliver(now);  // The answers.
+    return tables_[asking].decide(kAttempt, kPool, now).state;
+  }
+
+  void deliver(TimePoint now) {
+    std::vector<std::pair<std::string, StreamOriginMessage>> messages;
+    for (std::size_t index = 0; index < kNames.size(); ++index) {
+      for (StreamOriginMessage& message : tables_[index].takeMessages()) {
+        messages.emplace_back(kNames[index], std::move(message));
+      }
+    }
+    for (const auto& [sender, message] : messages) {
+      const auto receiver = std::find(kNames.begin(), kNames.end(), message.gateway) - kNames.begin();
+      tables_[static_cast<std::size_t>(receiver)].onMessage(sender, message.message, now);
+    }
+  }
+
+private:
+  std::vector<StreamOriginTable> tables_;
+};
+
+}  // namespace
+
+TEST_CASE("after all gateways restarted a stream is not continued if a build that left is on record",
+          "[stream_origins]") {
+  Fleet fleet({{{"new"}, {"old", "new"}}});
+  for (std::size_t index = 0; index < kNames.size(); ++index) CHECK(fleet.resume(index) == State::unknown);
+}
+
+TEST_CASE("after all gateways restarted a stream is not continued while the record is not known",
+          "[stream_origins]") {
+  Fleet fleet({{{"new"}, {}, false}});
+  for (std::size_t index = 0; index < kNames.size(); ++index) CHECK(fleet.resume(index) == State::unknown);
+}
+
+TEST_CASE("after all gateways restarted a stream continues anywhere if one build alone is on record",
+          "[stream_origins]") {
+  Fleet fleet({{{"only"}, {"only"}}});
+  for (std::size_t index = 0; index < kNames.size(); ++index) CHECK(fleet.resume(index) == State::any_build);
+}
+
+TEST_CASE("a gateway without the record continues a stream on the answer of one with it",
+          "[stream_origins]") {
+  Fleet fleet({{{"only"}, {}, false}, {{"only"}, {"only"}}});
+  CHECK(fleet.resume(0) == State::any_build);
+}
+
+TEST_CASE("the builds on record are forgotten once no client resumes their streams", "[stream_origins]") {
+  Fleet fleet({{{"new"}, {"old", "new"}}});
+  const TimePoint later = kStart + kStreamResumeTime + 1s;
+  for (std::size_t index = 0; index < kNames.size(); ++index) {
+    fleet.table(index).onSnapshot(snapshotOf(kNames[index], {{"new"}, {}}, later), later);
+  }
+  CHECK(fleet.resume(0, later) == State::any_build);
+}
+
+TEST_CASE("a stream whose beginning a keeper knows continues at its build although another one is on record",
+          "[stream_origins]") {
+  Fleet fleet({{{"old", "new"}, {"old", "new"}}});
+  fleet.table(0).onBegun(kAttempt, kPool, buildId("old"), kStart);
+  fleet.deliver(kStart);
+  for (std::size_t index = 0; index < kNames.size(); ++index) CHECK(fleet.resume(index) == State::known);
+}
