Record the origins of streams, so that restarted gateways continue them

Cause: the keepers of a stream are found by their names, and come back without what they knew.

Each gateway writes the origins that it keeps to a row of its own while builds are mixed, and reads it before it serves.

--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -101,6 +101,7 @@
       cache_watch_(executor, platform, cacheCallbacks()),
       crashes_(combineHashes(hashBytes(settings.name, 4), incarnation), clock_.now()),
       build_record_(combineHashes(hashBytes(settings.name, 5), incarnation), clock_.now()),
+      origin_record_(gossip_.ownName(), clock_.now()),
       publish_timer_(executor),
       change_timer_(executor),
       cache_send_timer_(executor),
@@ -109,6 +110,7 @@
       serving_timer_(executor),
       crash_timer_(executor),
       build_record_timer_(executor),
+      origin_record_timer_(executor),
       suspension_timer_(executor) {}
 
 std::error_code GatewayControl::start() {
@@ -121,6 +123,7 @@
   crashes_.onTimer({}, now());
   executeCrashActions();
   callBuildRecord();
+  callOriginRecord();
   watchForSuspension();
   return {};
 }
@@ -409,7 +412,7 @@
 }
 
 bool GatewayControl::recordsReady() const {
-  return crashes_.isReady(now()) && build_record_.isReady(now());
+  return crashes_.isReady(now()) && build_record_.isReady(now()) && origin_record_.isReady(now());
 }
 
 void GatewayControl::armPublishTimer() {
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -23,6 +23,7 @@
 #include "gateway_control/fleet_view.h"
 #include "gateway_control/gossip_socket.h"
 #include "gateway_control/node_settings.h"
+#include "gateway_control/origin_record.h"
 #include "gateway_control/platform_link.h"
 #include "gateway_control/rollout_coordinator.h"
 #include "gateway_control/serving_set.h"
@@ -102,6 +103,9 @@
   void onCrashRecord(const CrashUpdate& update);
   void executeCrashActions();
   void callBuildRecord();
+  void callOriginRecord();
+  void restoreOrigins(std::vector<StreamOriginRecord> origins);
+  void recordOrigins(const std::vector<StreamOriginRecord>& origins);
   bool recordsReady() const;
   void execute(const SendCrashMessage& action);
   void execute(const NotifyTraffic& action);
@@ -169,6 +173,7 @@
   CacheExchange caches_;
   CrashCoordinator crashes_;
   BuildRecord build_record_;
+  OriginRecord origin_record_;
   bool cache_send_scheduled_ = false;
   TimePoint member_added_at_{};                            ///< When an unknown gateway last joined.
   bool fleet_stable_ = false;                              ///< Set once by fleetIsKnown().
@@ -200,6 +205,7 @@
   boost::asio::steady_timer serving_timer_;
   boost::asio::steady_timer crash_timer_;
   boost::asio::steady_timer build_record_timer_;
+  boost::asio::steady_timer origin_record_timer_;
   SuspensionWatch suspension_;
   boost::asio::steady_timer suspension_timer_;
 };
--- a/src/gateway_control/gateway_control_builds.cc
+++ b/src/gateway_control/gateway_control_builds.cc
@@ -1,5 +1,7 @@
-/// @file Part of GatewayControl: keeps the record of the builds of back ends. Executes the calls of
-/// BuildRecord.
+/// @file Part of GatewayControl: keeps the records of the builds of back ends and of the origins of streams.
+/// Executes the calls of BuildRecord and OriginRecord.
+
+#include <utility>
 
 #include "base/timer.h"
 #include "gateway_control/gateway_control.h"
@@ -9,10 +11,11 @@
 void GatewayControl::callBuildRecord() {
   const BuildRecordCall call = build_record_.nextCall(now());
   if (call.kind == BuildRecordCall::Kind::write) {
-    platform_.writeRecord(BuildRecord::kName, call.text, call.expected_version, [this](bool written) {
-      build_record_.onWritten(written, now());
-      callBuildRecord();
-    });
+    platform_.writeRecord(BuildRecord::kName, call.text, call.expected_version,
+                          [this](std::optional<std::uint64_t> version) {
+                            build_record_.onWritten(version.has_value(), now());
+                            callBuildRecord();
+                          });
   } else if (call.kind == BuildRecordCall::Kind::read) {
     platform_.readRecord(BuildRecord::kName, [this](const std::optional<StoredRecord>& record) {
       const bool was_known = build_record_.isKnown();
@@ -27,4 +30,41 @@
   });
 }
 
+void GatewayControl::callOriginRecord() {
+  const OriginRecordCall call = origin_record_.nextCall(otherMembers().size(), now());
+  if (call.kind == OriginRecordCall::Kind::write) {
+    platform_.writeRecord(origin_record_.name(), call.text, call.expected_version,
+                          [this](std::optional<std::uint64_t> version) {
+                            origin_record_.onWritten(version, now());
+                            callOriginRecord();
+                          });
+  } else if (call.kind == OriginRecordCall::Kind::read) {
+    platform_.readRecord(origin_record_.name(), [this](const std::optional<StoredRecord>& record) {
+      restoreOrigins(origin_record_.onRead(record, now()));
+      schedulePublish();  // Nothing is served before the record is known.
+      callOriginRecord();
+    });
+  }
+  expireAt(origin_record_timer_, origin_record_.nextTimer(), now());
+  origin_record_timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) callOriginRecord();
+  });
+}
+
+/// The traffic thread keeps them as if another gateway had told them.
+void GatewayControl::restoreOrigins(std::vector<StreamOriginRecord> origins) {
+  if (origins.empty() || !outputs_.on_stream_origins) return;
+  log_.write(EventId::StreamOriginsRestored, {{"origins", origins.size()}});
+  StreamOrigins message;
+  message.begun = std::move(origins);
+  outputs_.on_stream_origins(gossip_.ownName(), std::move(message));
+}
+
+/// To be called with origins that this gateway keeps.
+void GatewayControl::recordOrigins(const std::vector<StreamOriginRecord>& origins) {
+  if (origins.empty()) return;
+  origin_record_.onKept(origins, now());
+  callOriginRecord();
+}
+
 }  // namespace crankspur::gateway
--- a/src/gateway_control/gateway_control_crashes.cc
+++ b/src/gateway_control/gateway_control_crashes.cc
@@ -46,10 +46,11 @@
 void GatewayControl::execute(const CallStore& action) {
   const CrashRecordCall& call = action.call;
   if (call.kind == CrashRecordCall::Kind::write) {
-    return platform_.writeRecord(CrashRecord::kName, call.text, call.expected_version, [this](bool written) {
-      crashes_.onRecordWritten(written, now());
-      executeCrashActions();
-    });
+    return platform_.writeRecord(CrashRecord::kName, call.text, call.expected_version,
+                                 [this](std::optional<std::uint64_t> version) {
+                                   crashes_.onRecordWritten(version.has_value(), now());
+                                   executeCrashActions();
+                                 });
   }
   platform_.readRecord(CrashRecord::kName, [this](const std::optional<StoredRecord>& record) {
     crashes_.onRecordRead(record, now());
--- a/src/gateway_control/gateway_control_load.cc
+++ b/src/gateway_control/gateway_control_load.cc
@@ -32,10 +32,14 @@
 }
 
 void GatewayControl::onOwnStreamOrigins(const std::vector<StreamOriginMessage>& messages) {
-  for (const StreamOriginMessage& message : messages) gossip_.sendTo(message.gateway, message.message);
+  for (const StreamOriginMessage& message : messages) {
+    recordOrigins(message.message.begun);
+    gossip_.sendTo(message.gateway, message.message);
+  }
 }
 
 void GatewayControl::onStreamOrigins(const std::string& sender, const StreamOrigins& message) {
+  recordOrigins(message.begun);
   if (outputs_.on_stream_origins) outputs_.on_stream_origins(sender, message);
 }
 
--- a/src/gateway_control/platform_link.h
+++ b/src/gateway_control/platform_link.h
@@ -125,9 +125,10 @@
   virtual void readRecord(const std::string& name,
                           std::function<void(const std::optional<StoredRecord>&)> done) = 0;
   /// Writes the record if its row still has `expected_version`.
-  /// @param done receives whether the record was written; also false if the outcome is unknown.
+  /// @param done receives the new version of the row; empty if it was not written, or if the outcome is
+  /// unknown.
   virtual void writeRecord(const std::string& name, const std::string& text, std::uint64_t expected_version,
-                           std::function<void(bool written)> done) = 0;
+                           std::function<void(std::optional<std::uint64_t> version)> done) = 0;
   virtual void readWeights(const std::string& address,
                            std::function<void(std::optional<WeightsReport>)> done) = 0;
   virtual void sendOrder(const WeightsOrder& order, std::function<void(OrderResponse)> done) = 0;
--- a/tests/unit/gateway_control/platform_link_fake.h
+++ b/tests/unit/gateway_control/platform_link_fake.h
@@ -22,11 +22,11 @@
     record_reads.push_back(std::move(done));
   }
   void writeRecord(const std::string&, const std::string& text, std::uint64_t expected_version,
-                   std::function<void(bool)> done) override {
+                   std::function<void(std::optional<std::uint64_t>)> done) override {
     const bool written = expected_version == record.row_version;
     if (written) record = {text, expected_version + 1, Duration(0)};
     record_writes.push_back(std::move(done));
-    record_writes.back()(written);
+    record_writes.back()(written ? std::optional(record.row_version) : std::nullopt);
   }
   /// Completes all pending reads of the record with the same response.
   void completeRecordReads(bool reachable) {
@@ -46,7 +46,7 @@
   int wakes = 0;
   StoredRecord record;
   std::vector<std::function<void(const std::optional<StoredRecord>&)>> record_reads;
-  std::vector<std::function<void(bool)>> record_writes;
+  std::vector<std::function<void(std::optional<std::uint64_t>)>> record_writes;
   Duration list_batch_delay{0};
   std::vector<std::string> readers;
   std::map<std::string, std::function<void(CachedPartsPage)>> events_calls;  ///< Pending, by address.
