Share the type of the calls that records in the store request

Cause: the records of quarantined requests, builds and stream origins each had a type of their own for the same call, and the same two times.

--- a/sim/gateway_world/gateway_node_control.cc
+++ b/sim/gateway_world/gateway_node_control.cc
@@ -147,14 +147,14 @@
 
 void GatewayNode::execute(const gateway::CallStore& action) {
   StoreNode& store = world_.store();
-  const gateway::CrashRecordCall call = action.call;
+  const gateway::RecordCall call = action.call;
   const bool keeps_record = context_.has(sim::Mechanism::QuarantineRecord);
   const auto done = std::make_shared<bool>(false);
   const auto row = std::make_shared<gateway::StoredRecord>();
   const auto written = std::make_shared<bool>(false);
   const auto finish = [this, call, done, row, written](bool executed) {
     if (std::exchange(*done, true)) return;
-    if (call.kind == gateway::CrashRecordCall::Kind::write) {
+    if (call.kind == gateway::RecordCall::Kind::write) {
       process_->crashes.onRecordWritten(executed && *written, now());
     } else {
       process_->crashes.onRecordRead(executed ? std::optional(*row) : std::nullopt, now());
@@ -165,7 +165,7 @@
   store.call(
       host_,
       [&store, call, keeps_record, row, written] {
-        const bool writes = call.kind == gateway::CrashRecordCall::Kind::write;
+        const bool writes = call.kind == gateway::RecordCall::Kind::write;
         *written = writes && (!keeps_record || store.writeRecord(call.text, call.expected_version));
         if (!writes) *row = store.record();
       },
--- a/src/gateway_control/build_record.cc
+++ b/src/gateway_control/build_record.cc
@@ -12,10 +12,6 @@
 
 namespace json = boost::json;
 
-/// Delay before a call to the store is repeated.
-constexpr Duration kRetryDelay = std::chrono::milliseconds(700);
-/// Callers wait for the record at most this long after the start: a reachable store responds in milliseconds.
-constexpr Duration kMaxLoadTime = std::chrono::seconds(1);
 /// A new build is recorded within this time and kUpdateDelayPerPeer for each other gateway, at a random
 /// moment: the first one to write spares the others the write.
 constexpr Duration kUpdateDelay = std::chrono::milliseconds(100);
@@ -50,7 +46,7 @@
 }  // namespace
 
 BuildRecord::BuildRecord(std::uint64_t random_seed, TimePoint now)
-    : random_(random_seed), started_at_(now), ready_at_(now + kMaxLoadTime) {}
+    : random_(random_seed), started_at_(now), ready_at_(now + kMaxRecordLoadTime) {}
 
 void BuildRecord::onListed(const std::vector<Backend>& backends, std::size_t peers, bool is_fresh,
                            TimePoint now) {
@@ -85,7 +81,7 @@
 void BuildRecord::onRead(const std::optional<StoredRecord>& record, TimePoint now) {
   calling_ = false;
   if (!record) {
-    not_before_ = now + kRetryDelay;
+    not_before_ = now + kRecordRetryDelay;
     return;
   }
   recorded_ = decode(record->text);
@@ -96,8 +92,8 @@
   if (now >= update_at_) version_to_replace_ = record->row_version;
 }
 
-BuildRecordCall BuildRecord::nextCall(TimePoint now) {
-  BuildRecordCall call;
+RecordCall BuildRecord::nextCall(TimePoint now) {
+  RecordCall call;
   if (now < nextTimer()) return call;
   const std::set<PoolAndBuild> wanted = content(now);
   if (version_to_replace_ && wanted == recorded_) {
@@ -107,10 +103,10 @@
   }
   calling_ = true;
   if (!version_to_replace_) {
-    call.kind = BuildRecordCall::Kind::read;
+    call.kind = RecordCall::Kind::read;
     return call;
   }
-  call.kind = BuildRecordCall::Kind::write;
+  call.kind = RecordCall::Kind::write;
   call.text = encode(wanted);
   call.expected_version = *std::exchange(version_to_replace_, std::nullopt);
   recorded_ = wanted;
@@ -122,7 +118,7 @@
   calling_ = false;
   if (written) return;
   update_at_ = now;
-  not_before_ = now + kRetryDelay;
+  not_before_ = now + kRecordRetryDelay;
 }
 
 TimePoint BuildRecord::nextTimer() const {
--- a/src/gateway_control/build_record.h
+++ b/src/gateway_control/build_record.h
@@ -15,21 +15,10 @@
 #include "base/random.h"
 #include "gateway/gateway_snapshot.h"
 #include "gateway_control/platform_link.h"
+#include "gateway_control/record_call.h"
 
 namespace crankspur::gateway {
 
-/// A call to the store that BuildRecord requests; at most one at a time.
-struct BuildRecordCall {
-  enum class Kind {
-    none,
-    read,   ///< The response goes to BuildRecord::onRead().
-    write,  ///< The response goes to BuildRecord::onWritten().
-  };
-  Kind kind = Kind::none;
-  std::string text;                    ///< To be written.
-  std::uint64_t expected_version = 0;  ///< The row version that the write may replace.
-};
-
 /// Reads the record at the start, with retries until the store responds, and keeps it up to date. Not
 /// thread-safe.
 class BuildRecord {
@@ -49,7 +38,7 @@
   /// @param written false: the row has changed, or the outcome is unknown.
   void onWritten(bool written, TimePoint now);
   /// @return the call to make now.
-  BuildRecordCall nextCall(TimePoint now);
+  RecordCall nextCall(TimePoint now);
   /// @return when nextCall() has a call to make; TimePoint::max(): not before another event.
   TimePoint nextTimer() const;
 
@@ -70,8 +59,8 @@
   TimePoint started_at_;
   TimePoint ready_at_;
   TimePoint not_before_{};  ///< End of the delay after a failed call.
-  TimePoint update_at_ =
-      TimePoint::max();  ///< When the row is read again to be updated; max: it need not be.
+  /// When the row is read again to be updated; max: it need not be.
+  TimePoint update_at_ = TimePoint::max();
   bool known_ = false;
   bool calling_ = false;
   bool list_fresh_ = false;
--- a/src/gateway_control/crash_coordinator.cc
+++ b/src/gateway_control/crash_coordinator.cc
@@ -84,8 +84,8 @@
 
 void CrashCoordinator::callStore(TimePoint now) {
   if (now < record_.nextTimer()) return;
-  CrashRecordCall call = record_.nextCall(exchange_.quarantined(now), now);
-  if (call.kind != CrashRecordCall::Kind::none) actions_.emplace_back(CallStore{std::move(call)});
+  RecordCall call = record_.nextCall(exchange_.quarantined(now), now);
+  if (call.kind != RecordCall::Kind::none) actions_.emplace_back(CallStore{std::move(call)});
 }
 
 void CrashCoordinator::onTimer(const std::vector<std::string>& members, TimePoint now) {
--- a/src/gateway_control/crash_coordinator.h
+++ b/src/gateway_control/crash_coordinator.h
@@ -25,7 +25,7 @@
 
 /// Calls the store; the response goes to onRecordRead() or onRecordWritten().
 struct CallStore {
-  CrashRecordCall call;
+  RecordCall call;
 };
 
 using CrashAction = std::variant<SendCrashMessage, NotifyTraffic, CallStore>;
--- a/src/gateway_control/crash_record.cc
+++ b/src/gateway_control/crash_record.cc
@@ -8,14 +8,9 @@
 namespace crankspur::gateway {
 namespace {
 
-/// Delay before a call to the store is repeated.
-constexpr Duration kRetryDelay = std::chrono::milliseconds(700);
 /// The store reads the row within this time of the request; a response that is processed later was delayed
 /// after that.
 constexpr Duration kMaxResponseTime = std::chrono::milliseconds(300);
-/// Callers wait for the record at most this long after the start: a reachable store responds in milliseconds,
-/// and a gateway without a configuration serves no requests anyway.
-constexpr Duration kMaxLoadTime = std::chrono::seconds(1);
 
 /// @return the content of the record; empty if it is not in this program's format.
 CrashUpdate decode(const StoredRecord& record, TimePoint now) {
@@ -26,7 +21,7 @@
 
 }  // namespace
 
-CrashRecord::CrashRecord(TimePoint now) : ready_at_(now + kMaxLoadTime) {}
+CrashRecord::CrashRecord(TimePoint now) : ready_at_(now + kMaxRecordLoadTime) {}
 
 void CrashRecord::save(TimePoint at) {
   save_at_ = std::min(save_at_, at);
@@ -43,7 +38,7 @@
 CrashUpdate CrashRecord::onRead(const std::optional<StoredRecord>& record, TimePoint now) {
   calling_ = false;
   if (!record) {
-    not_before_ = now + kRetryDelay;
+    not_before_ = now + kRecordRetryDelay;
     return {};
   }
   loaded_ = true;
@@ -54,8 +49,8 @@
 }
 
 /// The write replaces only the row version that was read, so that nothing written by other gateways is lost.
-CrashRecordCall CrashRecord::nextCall(const CrashUpdate& quarantined, TimePoint now) {
-  CrashRecordCall call;
+RecordCall CrashRecord::nextCall(const CrashUpdate& quarantined, TimePoint now) {
+  RecordCall call;
   if (now < nextTimer()) return call;
   if (version_to_replace_ && keysOf(quarantined) == recorded_) {
     version_to_replace_.reset();
@@ -64,12 +59,12 @@
   }
   calling_ = true;
   if (!version_to_replace_) {
-    call.kind = CrashRecordCall::Kind::read;
+    call.kind = RecordCall::Kind::read;
     read_requested_at_ = now;
     return call;
   }
   save_at_ = TimePoint::max();
-  call.kind = CrashRecordCall::Kind::write;
+  call.kind = RecordCall::Kind::write;
   call.text = encodeFrame(toNotes(quarantined, now));
   call.expected_version = *std::exchange(version_to_replace_, std::nullopt);
   return call;
@@ -79,7 +74,7 @@
   calling_ = false;
   if (written) return;
   save_at_ = now;
-  not_before_ = now + kRetryDelay;
+  not_before_ = now + kRecordRetryDelay;
 }
 
 TimePoint CrashRecord::nextTimer() const {
--- a/src/gateway_control/crash_record.h
+++ b/src/gateway_control/crash_record.h
@@ -12,21 +12,10 @@
 
 #include "gateway/crash_suspects.h"
 #include "gateway_control/platform_link.h"
+#include "gateway_control/record_call.h"
 
 namespace crankspur::gateway {
 
-/// A call to the store that CrashRecord requests; at most one at a time.
-struct CrashRecordCall {
-  enum class Kind {
-    none,
-    read,   ///< The response goes to CrashRecord::onRead().
-    write,  ///< The response goes to CrashRecord::onWritten().
-  };
-  Kind kind = Kind::none;
-  std::string text;                    ///< To be written.
-  std::uint64_t expected_version = 0;  ///< The row version that the write may replace.
-};
-
 /// Reads the record at the start, with retries until the store responds, and writes it on request. Not
 /// thread-safe.
 class CrashRecord {
@@ -47,7 +36,7 @@
   /// To be called once the update from onRead() was merged, and may be called at any other time.
   /// @param quarantined the evidence to write, if a write is due.
   /// @return the call to make now.
-  CrashRecordCall nextCall(const CrashUpdate& quarantined, TimePoint now);
+  RecordCall nextCall(const CrashUpdate& quarantined, TimePoint now);
   /// @param written false: the row has changed, or the outcome is unknown.
   void onWritten(bool written, TimePoint now);
   /// @return when nextCall() has a call to make; TimePoint::max(): not before another event.
--- a/src/gateway_control/gateway_control_builds.cc
+++ b/src/gateway_control/gateway_control_builds.cc
@@ -9,14 +9,14 @@
 namespace crankspur::gateway {
 
 void GatewayControl::callBuildRecord() {
-  const BuildRecordCall call = build_record_.nextCall(now());
-  if (call.kind == BuildRecordCall::Kind::write) {
+  const RecordCall call = build_record_.nextCall(now());
+  if (call.kind == RecordCall::Kind::write) {
     platform_.writeRecord(BuildRecord::kName, call.text, call.expected_version,
                           [this](std::optional<std::uint64_t> version) {
                             build_record_.onWritten(version.has_value(), now());
                             callBuildRecord();
                           });
-  } else if (call.kind == BuildRecordCall::Kind::read) {
+  } else if (call.kind == RecordCall::Kind::read) {
     platform_.readRecord(BuildRecord::kName, [this](const std::optional<StoredRecord>& record) {
       const bool was_known = build_record_.isKnown();
       build_record_.onRead(record, now());
@@ -31,14 +31,14 @@
 }
 
 void GatewayControl::callOriginRecord() {
-  const OriginRecordCall call = origin_record_.nextCall(otherMembers().size(), now());
-  if (call.kind == OriginRecordCall::Kind::write) {
+  const RecordCall call = origin_record_.nextCall(otherMembers().size(), now());
+  if (call.kind == RecordCall::Kind::write) {
     platform_.writeRecord(origin_record_.name(), call.text, call.expected_version,
                           [this](std::optional<std::uint64_t> version) {
                             origin_record_.onWritten(version, now());
                             callOriginRecord();
                           });
-  } else if (call.kind == OriginRecordCall::Kind::read) {
+  } else if (call.kind == RecordCall::Kind::read) {
     platform_.readRecord(origin_record_.name(), [this](const std::optional<StoredRecord>& record) {
       restoreOrigins(origin_record_.onRead(record, now()));
       schedulePublish();  // Nothing is served before the record is known.
--- a/src/gateway_control/gateway_control_crashes.cc
+++ b/src/gateway_control/gateway_control_crashes.cc
@@ -44,8 +44,8 @@
 }
 
 void GatewayControl::execute(const CallStore& action) {
-  const CrashRecordCall& call = action.call;
-  if (call.kind == CrashRecordCall::Kind::write) {
+  const RecordCall& call = action.call;
+  if (call.kind == RecordCall::Kind::write) {
     return platform_.writeRecord(CrashRecord::kName, call.text, call.expected_version,
                                  [this](std::optional<std::uint64_t> version) {
                                    crashes_.onRecordWritten(version.has_value(), now());
--- a/src/gateway_control/origin_record.cc
+++ b/src/gateway_control/origin_record.cc
@@ -8,10 +8,6 @@
 namespace crankspur::gateway {
 namespace {
 
-/// Delay before a call to the store is repeated.
-constexpr Duration kRetryDelay = std::chrono::milliseconds(700);
-/// Callers wait for the record at most this long after the start: a reachable store responds in milliseconds.
-constexpr Duration kMaxLoadTime = std::chrono::seconds(1);
 /// Streams that begin within this time before a kill are missing from the record. Most streams that a kill
 /// breaks began in the last second.
 constexpr Duration kMinWriteInterval = std::chrono::milliseconds(200);
@@ -30,7 +26,7 @@
 }  // namespace
 
 OriginRecord::OriginRecord(const std::string& gateway, TimePoint now)
-    : name_("stream_origins/" + gateway), ready_at_(now + kMaxLoadTime) {}
+    : name_("stream_origins/" + gateway), ready_at_(now + kMaxRecordLoadTime) {}
 
 void OriginRecord::keep(const StreamOriginRecord& origin, TimePoint kept_at) {
   if (origin.build == 0 || !builds_.try_emplace(origin.attempt, origin.build).second) return;
@@ -55,7 +51,7 @@
                                                      TimePoint now) {
   calling_ = false;
   if (!record) {
-    not_before_ = now + kRetryDelay;
+    not_before_ = now + kRecordRetryDelay;
     return {};
   }
   version_ = record->row_version;
@@ -77,19 +73,19 @@
   return encodeFrame(origins);
 }
 
-OriginRecordCall OriginRecord::nextCall(std::size_t peers, TimePoint now) {
-  OriginRecordCall call;
+RecordCall OriginRecord::nextCall(std::size_t peers, TimePoint now) {
+  RecordCall call;
   if (now < nextTimer()) return call;
   calling_ = true;
   if (!version_) {
-    call.kind = OriginRecordCall::Kind::read;
+    call.kind = RecordCall::Kind::read;
     return call;
   }
   removeExpired(now);
   changed_ = false;
   const Duration fleet_interval = kWriteIntervalPerPeer * static_cast<Duration::rep>(peers);
   next_write_at_ = now + std::max(kMinWriteInterval, fleet_interval);
-  call.kind = OriginRecordCall::Kind::write;
+  call.kind = RecordCall::Kind::write;
   call.text = encoded();
   call.expected_version = *version_;
   return call;
@@ -100,7 +96,7 @@
   version_ = version;
   if (version) return;
   changed_ = true;
-  not_before_ = now + kRetryDelay;
+  not_before_ = now + kRecordRetryDelay;
 }
 
 TimePoint OriginRecord::nextTimer() const {
--- a/src/gateway_control/origin_record.h
+++ b/src/gateway_control/origin_record.h
@@ -14,22 +14,11 @@
 #include <vector>
 
 #include "gateway_control/platform_link.h"
+#include "gateway_control/record_call.h"
 #include "internal_protocol/messages.h"
 
 namespace crankspur::gateway {
 
-/// A call to the store that OriginRecord requests; at most one at a time.
-struct OriginRecordCall {
-  enum class Kind {
-    none,
-    read,   ///< The response goes to OriginRecord::onRead().
-    write,  ///< The response goes to OriginRecord::onWritten().
-  };
-  Kind kind = Kind::none;
-  std::string text;                    ///< To be written.
-  std::uint64_t expected_version = 0;  ///< The row version that the write may replace.
-};
-
 /// The row of one gateway, which no other gateway writes. Not thread-safe.
 class OriginRecord {
 public:
@@ -48,7 +37,7 @@
   void onWritten(std::optional<std::uint64_t> version, TimePoint now);
   /// @param peers other gateways, which write to the same store.
   /// @return the call to make now.
-  OriginRecordCall nextCall(std::size_t peers, TimePoint now);
+  RecordCall nextCall(std::size_t peers, TimePoint now);
   /// @return when nextCall() has a call to make; TimePoint::max(): not before another event.
   TimePoint nextTimer() const;
   /// @return whether the record was read, or could not be read in the time for which callers can wait.
--- a/tests/unit/gateway_control/build_record_test.cc
+++ b/tests/unit/gateway_control/build_record_test.cc
@@ -53,9 +53,9 @@
 
   void step(const std::vector<std::string>& builds, TimePoint now) {
     record_.onListed(backendsOf(builds), 6, true, now);
-    const BuildRecordCall call = record_.nextCall(now);
-    if (call.kind == BuildRecordCall::Kind::read) read(now);
-    if (call.kind == BuildRecordCall::Kind::write) write(call, now);
+    const RecordCall call = record_.nextCall(now);
+    if (call.kind == RecordCall::Kind::read) read(now);
+    if (call.kind == RecordCall::Kind::write) write(call, now);
   }
 
   std::set<std::uint64_t> before() const {
@@ -70,7 +70,7 @@
     ++row_.reads;
     record_.onRead(row_.reachable ? std::optional(row_.record) : std::nullopt, now);
   }
-  void write(const BuildRecordCall& call, TimePoint now) {
+  void write(const RecordCall& call, TimePoint now) {
     ++row_.writes;
     const bool written = row_.reachable && call.expected_version == row_.record.row_version;
     if (written) row_.record = {call.text, row_.record.row_version + 1, Duration(0)};
--- a/tests/unit/gateway_control/crash_coordinator_test.cc
+++ b/tests/unit/gateway_control/crash_coordinator_test.cc
@@ -62,7 +62,7 @@
   actions = fixture.coordinator.takeActions();
   CHECK(actionsOfType<SendCrashMessage>(actions).size() == 2);
   REQUIRE(actionsOfType<CallStore>(actions).size() == 1);
-  CHECK(actionsOfType<CallStore>(actions).front().call.kind == CrashRecordCall::Kind::read);
+  CHECK(actionsOfType<CallStore>(actions).front().call.kind == RecordCall::Kind::read);
 }
 
 // Notes between gateways hold ages as of when they were sent. If a gateway that was stopped for seconds
@@ -127,11 +127,11 @@
   fixture.coordinator.onOwnUpdate(cleared, {}, fixture.now);
   calls = actionsOfType<CallStore>(fixture.coordinator.takeActions());
   REQUIRE(calls.size() == 1);
-  CHECK(calls.front().call.kind == CrashRecordCall::Kind::read);
+  CHECK(calls.front().call.kind == RecordCall::Kind::read);
   fixture.coordinator.onRecordRead(StoredRecord{recorded, 1, seconds(1)}, fixture.now);
   calls = actionsOfType<CallStore>(fixture.coordinator.takeActions());
   REQUIRE(calls.size() == 1);
-  CHECK(calls.front().call.kind == CrashRecordCall::Kind::write);
+  CHECK(calls.front().call.kind == RecordCall::Kind::write);
   const DecodedFrame frame = decodeFrame(calls.front().call.text);
   REQUIRE(frame.message);
   CHECK(std::get<CrashNotes>(*frame.message).crashes.empty());
@@ -197,7 +197,7 @@
   fixture.coordinator.onTimer({"a"}, fixture.now);
   auto calls = actionsOfType<CallStore>(fixture.coordinator.takeActions());
   REQUIRE(calls.size() == 1);
-  CHECK(calls.front().call.kind == CrashRecordCall::Kind::read);
+  CHECK(calls.front().call.kind == RecordCall::Kind::read);
   SECTION("the first observer has recorded the request") {
     const std::string recorded = encodeFrame(toNotes(all, fixture.now));
     fixture.coordinator.onRecordRead(StoredRecord{recorded, 1, Duration(0)}, fixture.now);
@@ -207,7 +207,7 @@
     fixture.coordinator.onRecordRead(StoredRecord{}, fixture.now);
     calls = actionsOfType<CallStore>(fixture.coordinator.takeActions());
     REQUIRE(calls.size() == 1);
-    CHECK(calls.front().call.kind == CrashRecordCall::Kind::write);
+    CHECK(calls.front().call.kind == RecordCall::Kind::write);
   }
 }
 
--- a/tests/unit/gateway_control/crash_record_test.cc
+++ b/tests/unit/gateway_control/crash_record_test.cc
@@ -16,7 +16,7 @@
 /// The store's row.
 struct Store {
   std::optional<StoredRecord> read() const { return reachable ? std::optional(record) : std::nullopt; }
-  bool write(const CrashRecordCall& call) {
+  bool write(const RecordCall& call) {
     if (call.expected_version != record.row_version) return false;
     record = {call.text, call.expected_version + 1, Duration(0)};
     return true;
@@ -33,9 +33,9 @@
   /// Makes the call that is due, if any.
   /// @return whether one was due.
   bool call() {
-    const CrashRecordCall next = record.nextCall(exchange.quarantined(now), now);
-    if (next.kind == CrashRecordCall::Kind::none) return false;
-    if (next.kind == CrashRecordCall::Kind::write) {
+    const RecordCall next = record.nextCall(exchange.quarantined(now), now);
+    if (next.kind == RecordCall::Kind::none) return false;
+    if (next.kind == RecordCall::Kind::write) {
       record.onWritten(store.write(next), now);
       return true;
     }
@@ -118,9 +118,8 @@
   gateway.crashesOf(1, 3);
   gateway.record.save(kStart);
   CHECK(gateway.call());
-  const CrashRecordCall write =
-      gateway.record.nextCall(gateway.exchange.quarantined(gateway.now), gateway.now);
-  REQUIRE(write.kind == CrashRecordCall::Kind::write);
+  const RecordCall write = gateway.record.nextCall(gateway.exchange.quarantined(gateway.now), gateway.now);
+  REQUIRE(write.kind == RecordCall::Kind::write);
   gateway.crashesOf(2, 3);
   gateway.record.save(kStart);
   CHECK_FALSE(gateway.call());
@@ -172,7 +171,7 @@
   before.record.save(kStart);
   before.callAll();
   RecordFixture after(store);
-  REQUIRE(after.record.nextCall({}, after.now).kind == CrashRecordCall::Kind::read);
+  REQUIRE(after.record.nextCall({}, after.now).kind == RecordCall::Kind::read);
   const CrashUpdate read = after.record.onRead(store.read(), after.now + seconds(10));
   REQUIRE(read.crashes.size() == 3);
   CHECK(read.crashes.back().crashed_at <= before.now - seconds(7));
--- a/tests/unit/gateway_control/origin_record_test.cc
+++ b/tests/unit/gateway_control/origin_record_test.cc
@@ -30,13 +30,13 @@
 /// Executes the calls that are due.
 /// @return the origins that were restored.
 std::vector<StreamOriginRecord> step(OriginRecord& record, Row& row, TimePoint now) {
-  const OriginRecordCall call = record.nextCall(kPeers, now);
-  if (call.kind == OriginRecordCall::Kind::read) {
+  const RecordCall call = record.nextCall(kPeers, now);
+  if (call.kind == RecordCall::Kind::read) {
     ++row.reads;
     row.record.age = now - row.written_at;
     return record.onRead(row.reachable ? std::optional(row.record) : std::nullopt, now);
   }
-  if (call.kind != OriginRecordCall::Kind::write) return {};
+  if (call.kind != RecordCall::Kind::write) return {};
   ++row.writes;
   if (!row.reachable || call.expected_version != row.record.row_version) {
     record.onWritten(std::nullopt, now);
