--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -84,9 +84,10 @@
   return list_contact_ == nullptr || now - list_contact_->confirmedAt() <= kMaxListAge;
 }
 
-/// A process that has just started knows the builds that served before only from their record.
+/// A process that has just started knows the builds that served before only from their record, and nothing
+/// before its first snapshot.
 bool StreamOriginTable::knowsPastBuilds(TimePoint now) const {
-  return builds_before_known_ || (started_at_ && now - *started_at_ >= kStreamResumeTime);
+  return started_at_ && (builds_before_known_ || now - *started_at_ >= kStreamResumeTime);
 }
 
 /// Streams that began while one build served have to be told apart from then on.
--- a/tests/unit/gateway/stream_origins_test.cc
+++ b/tests/unit/gateway/stream_origins_test.cc
@@ -23,9 +23,12 @@
 
 /// What a gateway of the fleet knows.
 struct Knowledge {
+  static Knowledge none() { return {{}, {}, false, false}; }
+
   std::vector<std::string> listed;    ///< Builds of the back ends.
   std::vector<std::string> recorded;  ///< Builds of the record.
   bool record_known = true;
+  bool has_snapshot = true;  ///< False: its traffic thread has received nothing yet.
 };
 
 GatewaySnapshot snapshotOf(const std::string& name, const Knowledge& knowledge, TimePoint now) {
@@ -54,7 +57,7 @@
   explicit Fleet(const std::vector<Knowledge>& knowledge) : tables_(kNames.size()) {
     for (std::size_t index = 0; index < kNames.size(); ++index) {
       const Knowledge& own = knowledge[std::min(index, knowledge.size() - 1)];
-      tables_[index].onSnapshot(snapshotOf(kNames[index], own, kStart), kStart);
+      if (own.has_snapshot) tables_[index].onSnapshot(snapshotOf(kNames[index], own, kStart), kStart);
     }
   }
 
@@ -112,6 +115,13 @@
   CHECK(fleet.resume(0) == State::any_build);
 }
 
+// Gateways that had just started answered that one build had served, before they knew any.
+TEST_CASE("gateways that have received no snapshot do not answer for the builds that have served",
+          "[stream_origins]") {
+  Fleet fleet({{{"new"}, {}, false}, Knowledge::none()});
+  CHECK(fleet.resume(0) == State::unknown);
+}
+
 TEST_CASE("the builds on record are forgotten once no client resumes their streams", "[stream_origins]") {
   Fleet fleet({{{"new"}, {"old", "new"}}});
   const TimePoint later = kStart + kStreamResumeTime + 1s;
