Compare the only builds that gateways have seen

Cause: a gateway that could not read the record of builds yet had seen the new build alone, and asked others, which knew the old one from the record and did not list the new one yet. Each answered that it had seen one build, so that the stream went on at the other one.

An answer names the only build that its sender has seen (a new field of the internal protocol; gateways without it do not count as having answered). Gateways that have seen one build each, but different ones, have seen several together.

--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -18,6 +18,11 @@
 /// Records in one message, about 30 bytes each, so that it fits into a datagram.
 constexpr std::size_t kMaxRecordsOfMessage = 1'000;
 
+/// @return the only one of the builds; 0: there is none, or several.
+std::uint64_t soleOf(const std::vector<std::uint64_t>& builds) {
+  return builds.size() == 1 ? builds.front() : 0;
+}
+
 /// Moves up to kMaxRecordsOfMessage records.
 template <typename Record>
 std::vector<Record> takeSome(std::vector<Record>& records) {
@@ -74,10 +79,18 @@
 }
 
 bool StreamOriginTable::hasSeveralBuilds(std::uint64_t pool, TimePoint now) const {
+  return recentBuilds(pool, now).size() > 1;
+}
+
+/// @return the builds that clients may resume streams of, as far as this gateway has seen them.
+std::vector<std::uint64_t> StreamOriginTable::recentBuilds(std::uint64_t pool, TimePoint now) const {
+  std::vector<std::uint64_t> recent;
   const auto builds = builds_.find(pool);
-  if (builds == builds_.end()) return false;
-  return std::count_if(builds->second.begin(), builds->second.end(),
-                       [now](const auto& item) { return now - item.second <= kStreamResumeTime; }) > 1;
+  if (builds == builds_.end()) return recent;
+  for (const auto& [build, last_listed] : builds->second) {
+    if (now - last_listed <= kStreamResumeTime) recent.push_back(build);
+  }
+  return recent;
 }
 
 bool StreamOriginTable::isListFresh(TimePoint now) const {
@@ -169,9 +182,13 @@
   const auto kept = kept_.find(id);
   if (kept != kept_.end()) return {StreamOrigin::State::known, kept->second.build};
   const auto question = questions_.find(id);
-  const bool told_of_several = question != questions_.end() && question->second.several_builds;
-  const bool was_answered = question != questions_.end() && question->second.answered;
-  const bool several = told_of_several || hasSeveralBuilds(hashBytes(pool), now);
+  const Question answers = question == questions_.end() ? Question{} : question->second;
+  const bool was_answered = answers.several_builds || answers.sole_build != 0;
+  // The only build that a keeper has seen may be another one than that which this gateway has seen.
+  std::vector<std::uint64_t> builds = recentBuilds(hashBytes(pool), now);
+  const bool is_seen = std::find(builds.begin(), builds.end(), answers.sole_build) != builds.end();
+  if (answers.sole_build != 0 && !is_seen) builds.push_back(answers.sole_build);
+  const bool several = answers.several_builds || builds.size() > 1;
   // A gateway without an answer and with an outdated list is likely to be partitioned from both.
   const bool may_lack_builds = !was_answered && (!isListFresh(now) || !knowsPastBuilds(now));
   const bool is_unknown = several || may_lack_builds;
@@ -184,22 +201,30 @@
   }
   for (const StreamOriginQuery& query : message.queries) {
     const auto kept = kept_.find(query.attempt);
-    // "One build has served" must not be answered for a time that this process does not know.
+    // Which builds have served must not be answered for a time that this process does not know.
     if (kept == kept_.end() && !knowsPastBuilds(now)) continue;
     const std::uint64_t build = kept == kept_.end() ? 0 : kept->second.build;
-    outgoing_[sender].answers.push_back({query.attempt, build, hasSeveralBuilds(query.pool, now)});
+    const std::vector<std::uint64_t> builds = recentBuilds(query.pool, now);
+    outgoing_[sender].answers.push_back({query.attempt, build, builds.size() > 1, soleOf(builds)});
   }
   for (const StreamOriginRecord& record : message.answers) {
     if (record.build != 0) keep(record.attempt, {record.build, 0, now, false, true});
     const auto question = questions_.find(record.attempt);
     if (question == questions_.end()) continue;
-    question->second.answered = true;
     if (question->second.unanswered > 0) --question->second.unanswered;
-    question->second.several_builds |= record.several_builds;
+    onSeenBuilds(record, question->second);
   }
   return !message.answers.empty();
 }
 
+/// Keepers that have seen one build each, but not the same one, have seen several together.
+void StreamOriginTable::onSeenBuilds(const StreamOriginRecord& answer, Question& question) {
+  const bool differs =
+      answer.sole_build != 0 && question.sole_build != 0 && answer.sole_build != question.sole_build;
+  question.several_builds |= answer.several_builds || differs;
+  if (answer.sole_build != 0) question.sole_build = answer.sole_build;
+}
+
 std::vector<StreamOriginMessage> StreamOriginTable::takeMessages() {
   std::vector<StreamOriginMessage> messages;
   for (auto& [gateway, all] : std::exchange(outgoing_, {})) {
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -82,8 +82,8 @@
   };
   struct Question {
     std::size_t unanswered = 0;
-    bool answered = false;        ///< By any keeper.
-    bool several_builds = false;  ///< A keeper has seen several builds in the pool.
+    bool several_builds = false;   ///< The keepers have seen several builds in the pool.
+    std::uint64_t sole_build = 0;  ///< The only one that keepers have seen; 0: none has answered so.
     TimePoint asked_at{};
   };
 
@@ -92,6 +92,8 @@
   void tellUntold(std::uint64_t pool);
   void tell(std::uint64_t attempt, Kept& kept);
   bool hasSeveralBuilds(std::uint64_t pool, TimePoint now) const;
+  std::vector<std::uint64_t> recentBuilds(std::uint64_t pool, TimePoint now) const;
+  static void onSeenBuilds(const StreamOriginRecord& answer, Question& question);
   bool isListFresh(TimePoint now) const;
   bool knowsPastBuilds(TimePoint now) const;
   std::vector<std::string> keepersOf(std::uint64_t attempt) const;
--- a/src/internal_protocol/field_mapping.h
+++ b/src/internal_protocol/field_mapping.h
@@ -526,6 +526,7 @@
   archive.number(wire.attempt, plain.attempt);
   archive.number(wire.build, plain.build);
   archive.number(wire.several_builds, plain.several_builds);
+  archive.number(wire.sole_build, plain.sole_build);
 }
 
 template <typename Archive, typename Plain>
--- a/src/internal_protocol/messages.h
+++ b/src/internal_protocol/messages.h
@@ -409,6 +409,8 @@
   std::uint64_t build =
       0;  ///< Hash of the version of the back end's software; 0: the sender does not know it.
   bool several_builds = false;  ///< The sender has recently seen several builds in the stream's pool.
+  /// The only build that the sender has recently seen in the stream's pool; 0: none, or several.
+  std::uint64_t sole_build = 0;
 };
 
 /// Asks for the build that began a stream.
--- a/tests/unit/gateway/stream_origins_test.cc
+++ b/tests/unit/gateway/stream_origins_test.cc
@@ -122,6 +122,20 @@
   CHECK(fleet.resume(0) == State::unknown);
 }
 
+// Both had seen one build, each another one: the one on record had left, and the other gateway could not read
+// the record.
+TEST_CASE("a stream is not continued if the gateway and those that answer have seen different builds",
+          "[stream_origins]") {
+  Fleet fleet({{{"new"}, {}, false}, {{}, {"old"}}});
+  CHECK(fleet.resume(0) == State::unknown);
+}
+
+TEST_CASE("a stream is not continued if two gateways that answer have seen different builds",
+          "[stream_origins]") {
+  Fleet fleet({{{}, {}, false}, {{}, {"old"}}, {{"new"}, {"new"}}});
+  CHECK(fleet.resume(0) == State::unknown);
+}
+
 TEST_CASE("the builds on record are forgotten once no client resumes their streams", "[stream_origins]") {
   Fleet fleet({{{"new"}, {"old", "new"}}});
   const TimePoint later = kStart + kStreamResumeTime + 1s;
