Record the origins of streams that begin while no other gateway is known

Of the streams that callers resumed after a second kill of all gateways, none went on, although back ends of their builds served.

Cause: the record of origins was made of the messages to the keepers of a stream. Gateways that have just been restarted together know no other gateway for up to a second, so that they had no keepers, told nobody and recorded nothing; a site with one gateway never recorded anything.

Such origins go to the gateway's own record, and to keepers as soon as others are known.

"a gateway that knows no other one records the origins of its streams, and tells them later" fails without the change: no message.

--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -42,6 +42,7 @@
   if (!started_at_) started_at_ = now;
   own_name_ = snapshot.own_name;
   list_contact_ = snapshot.list_contact;
+  const bool was_alone = peers_.empty();
   peers_.clear();
   for (const PeerGateway& peer : snapshot.peers) peers_.push_back(peer.name);
   builds_before_known_ = snapshot.builds_before_known;
@@ -62,6 +63,10 @@
     builds_[pool][buildId(backend.build)] = now;
     if (!had_several && hasSeveralBuilds(pool, now)) tellUntold(pool);
   }
+  if (!was_alone || peers_.empty()) return;
+  for (const auto& [pool, builds] : builds_) {
+    if (hasSeveralBuilds(pool, now)) tellUntold(pool);
+  }
 }
 
 void StreamOriginTable::removeExpired(TimePoint now) {
@@ -103,7 +108,7 @@
   return started_at_ && (builds_before_known_ || now - *started_at_ >= kStreamResumeTime);
 }
 
-/// Streams that began while one build served have to be told apart from then on.
+/// Streams that began while one build served, or while no other gateway was known, are told later.
 void StreamOriginTable::tellUntold(std::uint64_t pool) {
   for (auto& [attempt, kept] : kept_) {
     if (kept.own && !kept.told && kept.pool == pool) tell(attempt, kept);
@@ -111,10 +116,11 @@
 }
 
 void StreamOriginTable::tell(std::uint64_t attempt, Kept& kept) {
-  kept.told = true;
-  for (const std::string& keeper : keepersOf(attempt)) {
-    outgoing_[keeper].begun.push_back({attempt, kept.build, false});
-  }
+  std::vector<std::string> keepers = keepersOf(attempt);
+  kept.told = !keepers.empty();
+  // A gateway that knows no other one has its own record alone.
+  if (keepers.empty()) keepers.push_back(own_name_);
+  for (const std::string& keeper : keepers) outgoing_[keeper].begun.push_back({attempt, kept.build, false});
 }
 
 /// @return the keepers of the attempt beside this gateway. All gateways that know the same ones select alike.
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -24,7 +24,7 @@
 
 namespace crankspur::gateway {
 
-/// A message to another gateway.
+/// A message to another gateway. One to this gateway itself is not sent: its origins are for its own record.
 struct StreamOriginMessage {
   std::string gateway;  ///< Its name.
   StreamOrigins message;
--- a/src/gateway_control/gateway_control_load.cc
+++ b/src/gateway_control/gateway_control_load.cc
@@ -34,7 +34,7 @@
 void GatewayControl::onOwnStreamOrigins(const std::vector<StreamOriginMessage>& messages) {
   for (const StreamOriginMessage& message : messages) {
     recordOrigins(message.message.begun);
-    gossip_.sendTo(message.gateway, message.message);
+    if (message.gateway != gossip_.ownName()) gossip_.sendTo(message.gateway, message.message);
   }
 }
 
--- a/tests/unit/gateway/stream_origins_test.cc
+++ b/tests/unit/gateway/stream_origins_test.cc
@@ -152,3 +152,24 @@
   fleet.deliver(kStart);
   for (std::size_t index = 0; index < kNames.size(); ++index) CHECK(fleet.resume(index) == State::known);
 }
+
+// Gateways that had just been restarted together did not know each other yet: they told nobody which build
+// began their streams, and their own records lacked it as well.
+TEST_CASE("a gateway that knows no other one records the origins of its streams, and tells them later",
+          "[stream_origins]") {
+  StreamOriginTable table;
+  GatewaySnapshot snapshot = snapshotOf("a", {{"old", "new"}, {}}, kStart);
+  const std::vector<PeerGateway> peers = std::exchange(snapshot.peers, {});
+  table.onSnapshot(snapshot, kStart);
+  table.onBegun(kAttempt, kPool, buildId("old"), kStart);
+  const std::vector<StreamOriginMessage> recorded = table.takeMessages();
+  REQUIRE(recorded.size() == 1);
+  CHECK(recorded[0].gateway == "a");
+  REQUIRE(recorded[0].message.begun.size() == 1);
+  CHECK(recorded[0].message.begun[0].build == buildId("old"));
+  snapshot.peers = peers;
+  table.onSnapshot(snapshot, kStart + 1s);
+  const std::vector<StreamOriginMessage> told = table.takeMessages();
+  REQUIRE_FALSE(told.empty());
+  for (const StreamOriginMessage& message : told) CHECK(message.gateway != "a");
+}
