Send a stream of the only build to no build that is listed later

Cause: that only one build had served allowed any back end, also for the time that the request waited. Change: the request keeps which build that was. Its back ends may return while no other build is listed; otherwise the client learns at once that the build is gone.

"a stream of the only build that has served goes on at no build that is listed later" fails without the change (a dispatch to the other build).

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -176,7 +176,7 @@
   request.uses_prefixes = entry.route->uses_prefixes;
   request.isolated_tenant = entry.isolated_tenant;
   request.excluded = entry.failed;
-  request.build = entry.origin;
+  request.build = entry.origin ? entry.origin : entry.sole_build;
   request.prefer_in_reach = isPartitioned(pool, now);
   if (!entry.suspected.empty()) {
     request.prefer_fewest_requests = true;
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -202,6 +202,8 @@
     http::BodyFraming head_framing = http::BodyFraming::Length;  ///< Of the forwarded head.
     std::optional<StreamCursor> cursor;                          ///< Of a resumable stream.
     std::optional<std::uint64_t> origin;  ///< Build that began the stream; empty: no event yet, or any may.
+    /// The only build that had served when the stream was resumed: one that is listed later did not begin it.
+    std::optional<std::uint64_t> sole_build;
     ActiveExchange active;
     std::string last_backend;                 ///< Id of the back end that it was sent to last.
     bool from_peer = false;                   ///< Another gateway relayed it to this one.
--- a/src/gateway/gateway_streams.cc
+++ b/src/gateway/gateway_streams.cc
@@ -34,6 +34,7 @@
     return false;
   }
   if (origin.state == StreamOrigin::State::known) entry.origin = origin.build;
+  if (origin.state == StreamOrigin::State::any_build && origin.build != 0) entry.sole_build = origin.build;
   return true;
 }
 
@@ -66,17 +67,21 @@
 }
 
 /// @return whether a back end that the route allows, and that has not failed the request, can continue the
-/// stream.
+/// stream. While no other build than the sole one is listed, its back ends may return.
 bool Gateway::isOriginServed(const Entry& entry) const {
-  if (!entry.origin) return true;
-  const auto can_continue = [&entry](const Backend* backend) {
-    const auto failed = std::find(entry.failed.begin(), entry.failed.end(), backend->view.slot);
-    return buildId(backend->build) == *entry.origin && failed == entry.failed.end();
-  };
-  return std::any_of(entry.route->pools.begin(), entry.route->pools.end(), [&](const PoolShare& share) {
-    const std::vector<const Backend*> listed = snapshot_->listedInPool(share.pool);
-    return std::any_of(listed.begin(), listed.end(), can_continue);
-  });
+  const std::optional<std::uint64_t> build = entry.origin ? entry.origin : entry.sole_build;
+  if (!build) return true;
+  bool can_continue = false;
+  bool other_listed = false;
+  for (const PoolShare& share : entry.route->pools) {
+    for (const Backend* backend : snapshot_->listedInPool(share.pool)) {
+      const bool failed = std::count(entry.failed.begin(), entry.failed.end(), backend->view.slot) > 0;
+      const bool is_build = buildId(backend->build) == *build;
+      can_continue |= is_build && !failed;
+      other_listed |= !is_build;
+    }
+  }
+  return can_continue || (!entry.origin && !other_listed);
 }
 
 }  // namespace crankspur::gateway
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -163,11 +163,12 @@
   if (!attempt.empty() && kept != kept_.end()) return {StreamOrigin::State::known, kept->second.build};
   const bool several = hasSeveralBuilds(hashBytes(pool), now);
   const bool knows_all = started_at_ && now - *started_at_ >= kStreamResumeTime && isListFresh(now);
-  if (!several && knows_all) return {StreamOrigin::State::any_build};
+  const StreamOrigin sole{StreamOrigin::State::any_build, soleOf(recentBuilds(hashBytes(pool), now))};
+  if (!several && knows_all) return sole;
   const std::vector<std::string> keepers = attempt.empty() ? std::vector<std::string>{} : keepersOf(id);
   if (keepers.empty()) {
     const bool is_unknown = several || !knowsPastBuilds(now);
-    return {is_unknown ? StreamOrigin::State::unknown : StreamOrigin::State::any_build};
+    return is_unknown ? StreamOrigin{StreamOrigin::State::unknown} : sole;
   }
   for (const std::string& keeper : keepers) outgoing_[keeper].queries.push_back({id, hashBytes(pool)});
   Question& question = questions_[id];
@@ -197,8 +198,8 @@
   const bool several = answers.several_builds || builds.size() > 1;
   // A gateway without an answer and with an outdated list is likely to be partitioned from both.
   const bool may_lack_builds = !was_answered && (!isListFresh(now) || !knowsPastBuilds(now));
-  const bool is_unknown = several || may_lack_builds;
-  return {is_unknown ? StreamOrigin::State::unknown : StreamOrigin::State::any_build};
+  if (several || may_lack_builds) return {StreamOrigin::State::unknown};
+  return {StreamOrigin::State::any_build, soleOf(builds)};
 }
 
 bool StreamOriginTable::onMessage(const std::string& sender, const StreamOrigins& message, TimePoint now) {
--- a/src/gateway/stream_origins.h
+++ b/src/gateway/stream_origins.h
@@ -34,7 +34,7 @@
 struct StreamOrigin {
   enum class State {
     known,      ///< It may go on at back ends of `build`.
-    any_build,  ///< Only one build has served, so that it may go on at any back end.
+    any_build,  ///< At most one build has served, `build` if it is not 0: the stream began at no other.
     asked,      ///< Its keepers were asked; their answers, or some time, decide.
     unknown,    ///< Several builds serve, and nobody knows which of them began it.
   };
--- a/tests/unit/gateway/stream_builds_test.cc
+++ b/tests/unit/gateway/stream_builds_test.cc
@@ -179,6 +179,35 @@
   CHECK(fixture.has<Dispatch>());
 }
 
+// The stream waited for a back end of the only build that had served, and went on at one of the next build,
+// which was listed first.
+TEST_CASE("a stream of the only build that has served goes on at no build that is listed later",
+          "[stream_builds]") {
+  BuildsFixture fixture;
+  for (Backend& backend : fixture.backends) backend.build = "v1";
+  fixture.publish();
+  fixture.now += seconds(70);
+  fixture.publish();
+  const std::vector<Backend> all = fixture.backends;
+  fixture.remove("v1");
+  fixture.resume("an attempt at another gateway");
+  REQUIRE_FALSE(fixture.has<Refuse>());
+  SECTION("another build is listed") {
+    fixture.backends = all;
+    for (Backend& backend : fixture.backends) backend.build = "v2";
+    fixture.publish();
+    fixture.takeActions();
+    CHECK_FALSE(fixture.has<Dispatch>());
+    CHECK(fixture.only<Refuse>().cause == RequestCause::build_gone);
+  }
+  SECTION("the build is listed again") {
+    fixture.backends = all;
+    fixture.publish();
+    fixture.takeActions();
+    CHECK(fixture.has<Dispatch>());
+  }
+}
+
 // The gateway that began the stream is killed, and the client takes the stream up at each of the others.
 TEST_CASE("a stream goes on at its build at any other gateway", "[stream_builds]") {
   const std::size_t gateways = GENERATE(2, 4, 12);
