--- a/sim/gateway_world/gateway_node.h
+++ b/sim/gateway_world/gateway_node.h
@@ -167,7 +167,7 @@
   bool keepsOriginRecord() const;
   bool recordsReady() const;
   void startRecords();
-  void onBackendsPublished(gateway::GatewaySnapshot& snapshot);
+  void exchangeBuilds(gateway::GatewaySnapshot& snapshot);
   void callBuildRecord();
   void callOriginRecord();
   void restoreOrigins(std::vector<StreamOriginRecord> origins);
--- a/sim/gateway_world/gateway_node_builds.cc
+++ b/sim/gateway_world/gateway_node_builds.cc
@@ -25,6 +25,7 @@
   return !context_.site.releases.empty() && context_.has(sim::Mechanism::OriginRecord);
 }
 
+/// @return whether requests may be served: the first one may resume a stream, or be a quarantined one.
 bool GatewayNode::recordsReady() const {
   const bool builds_ready = !keepsBuildRecord() || process_->builds.isReady(now());
   const bool origins_ready = !keepsOriginRecord() || process_->origins.isReady(now());
@@ -36,7 +37,8 @@
   callOriginRecord();
 }
 
-void GatewayNode::onBackendsPublished(gateway::GatewaySnapshot& snapshot) {
+/// Passes the builds on record to the traffic side, and those of the list to the record.
+void GatewayNode::exchangeBuilds(gateway::GatewaySnapshot& snapshot) {
   if (!keepsBuildRecord()) return;
   snapshot.builds_before = process_->builds.before();
   snapshot.builds_before_known = process_->builds.isKnown();
--- a/sim/gateway_world/gateway_node_control.cc
+++ b/sim/gateway_world/gateway_node_control.cc
@@ -111,7 +111,7 @@
   snapshot->contact = process_->contact;
   snapshot->list_contact = process_->contact;
   snapshot->key_validity = context_.site.key_validity;
-  onBackendsPublished(*snapshot);
+  exchangeBuilds(*snapshot);
   host_.post(kThreadDelay, [this, snapshot] {
     process_->traffic.onSnapshot(snapshot, now());
     executeActions();
