--- a/tests/unit/gateway/stream_builds_test.cc
+++ b/tests/unit/gateway/stream_builds_test.cc
@@ -67,6 +67,23 @@
   }
   BuildsFixture& operator[](std::size_t index) { return *fixtures_[index]; }
   void stop(std::size_t index) { stopped_.insert(nameOf(index)); }
+  /// Begins a stream at a back end of the build. @return its attempt.
+  std::string beginAt(std::size_t gateway, const std::string& build) {
+    BuildsFixture& fixture = (*this)[gateway];
+    for (int number = 0; number < 100; ++number) {
+      const std::string attempt = "attempt " + std::to_string(number);
+      const bool is_build = fixture.buildOf(fixture.begin(attempt)) == build;
+      fixture.head(200);
+      if (is_build) fixture.bytes(kEvent);
+      if (is_build) return attempt;
+      fixture.end();
+    }
+    FAIL("no stream began at " << build);
+    return "";
+  }
+  void loseMessages() {
+    for (const std::unique_ptr<BuildsFixture>& fixture : fixtures_) fixture->gateway.takeStreamOrigins();
+  }
   /// Delivers all messages, also those that they cause. @return how many.
   std::size_t deliver() {
     std::size_t delivered = 0;
@@ -295,3 +312,33 @@
     CHECK(partitioned.only<Refuse>().cause == RequestCause::origin_unknown);
   }
 }
+
+// The gateway had run for long, and had received the list shortly before the build was first listed: it took
+// the only build that it had seen for the only one that served, and asked nobody.
+TEST_CASE(
+    "a gateway that has not received a build yet continues none of its streams at the build that it knows",
+    "[stream_builds]") {
+  const std::size_t gateways = GENERATE(2, 4, 12);
+  const bool keepers_know = GENERATE(true, false);
+  for (std::size_t other = 1; other < gateways; ++other) {
+    BuildsFleet fleet(gateways);
+    BuildsFixture& late = fleet[other];
+    late.list_contact = std::make_shared<PlatformContact>();
+    late.list_contact->confirm(late.now - seconds(1));
+    late.remove("v1.2");
+    late.now += seconds(70);
+    fleet[0].now = late.now;
+    late.list_contact->confirm(late.now - seconds(1));
+    late.publish();
+    const std::string attempt = fleet.beginAt(0, "v1.2");
+    if (keepers_know) fleet.deliver();
+    if (!keepers_know) fleet.loseMessages();
+    late.resume(attempt);
+    CHECK_FALSE(late.has<Dispatch>());
+    fleet.deliver();
+    late.takeActions();
+    CHECK_FALSE(late.has<Dispatch>());
+    late.advance(seconds(1));
+    CHECK_FALSE(late.has<Dispatch>());
+  }
+}
--- a/tests/unit/gateway_control/build_record_test.cc
+++ b/tests/unit/gateway_control/build_record_test.cc
@@ -112,6 +112,21 @@
   CHECK(later.before() == idsOf({"new"}));
 }
 
+// It had run for long, its list was some seconds old, and it took the build for one that had left long ago.
+TEST_CASE("a gateway that has not listed a build yet leaves it on record when it adds another one",
+          "[build_record]") {
+  Row row;
+  Gateway current(row, 1, kStart);
+  Gateway late(row, 2, kStart);
+  current.run({"old"}, kStart, kStart + 70s);
+  late.run({"old"}, kStart, kStart + 70s);
+  current.run({"old", "new"}, kStart + 70s, kStart + 71s);
+  late.run({"old", "third"}, kStart + 71s, kStart + 72s);
+  Gateway later(row, 3, kStart + 73s);
+  later.step({"old"}, kStart + 73s);
+  CHECK(later.before() == idsOf({"old", "new", "third"}));
+}
+
 TEST_CASE("the record is not called while no build comes or goes", "[build_record]") {
   Row row;
   Gateway gateway(row, 1, kStart);
