Continue streams of unknown origin only on what the platform states after the request arrived

Callers saw streams out of order on real machines: a stream that one build had begun went on at another one. A gateway that had run for 30 s, had seen one build and had a list of at most 4 s continued any stream that it did not know at that build, without asking the gateways that keep the origins. While it is partitioned from the store, or just after it stood still, such a list lacks a build that was listed a second ago. Where it asked and nobody answered in 150 ms it did the same. The class: what this process has not seen is taken for what is not there.

Now the keepers are always asked, and the gateway reads the changes of the list and the record of builds after the request has arrived (build_confirmations.h): a back end is listed before a stream begins at it, and the stream begins before its client returns. The stream goes on where its build is known, or where list, record and all that was seen name one build. Otherwise it is refused as not run, at once where several builds were seen. One read serves all requests that wait, at most 50 a second for a gateway and fewer in large fleets. A gateway on standby reads the platform itself for it. A known build that is not listed counts as gone only after the list was read as well (build_not_listed until then, with a time to return). All services of a route count together. While its list is older than 4 s a gateway tells the origins of its streams to their keepers, since nobody can read then.

Tests that change: a gateway with a current list used to place an unknown stream at once, and does so after the 150 ms in which the other one does not answer; one that could not read the record used to continue a stream on the answer of another that had seen one build, and refuses it now, since both may lag. The fixtures state what the platform responds.

--- a/sim/gateway_world/gateway_node.h
+++ b/sim/gateway_world/gateway_node.h
@@ -129,6 +129,7 @@
   void execute(const gateway::ReportUnreachable& action);
   void execute(const gateway::ReportWrongBackend& action);
   void execute(const gateway::ProbeBackend& action);
+  void execute(const gateway::ConfirmBuilds& action);
   void connect(gateway::ExchangeId id, EngineProcess& engine, const EngineRequest& request);
   EngineResponseHandlers responseHandlers(gateway::ExchangeId id);
   void onEngineHead(gateway::ExchangeId id, const EngineHead& head);
@@ -169,6 +170,8 @@
   void startRecords();
   void exchangeBuilds(gateway::GatewaySnapshot& snapshot);
   void callBuildRecord();
+  void confirmBuilds(std::uint64_t number);
+  void respondBuilds(std::uint64_t number, const std::optional<gateway::StoredRecord>& record);
   void callOriginRecord();
   void restoreOrigins(std::vector<StreamOriginRecord> origins);
   void recordOrigins(const std::vector<StreamOriginRecord>& origins);
--- a/sim/gateway_world/gateway_node_builds.cc
+++ b/sim/gateway_world/gateway_node_builds.cc
@@ -69,6 +69,41 @@
   arm(process_->build_record_timer, process_->builds.nextTimer(), [this] { callBuildRecord(); });
 }
 
+void GatewayNode::execute(const gateway::ConfirmBuilds& action) {
+  host_.post(kThreadDelay, [this, number = action.number] { confirmBuilds(number); });
+}
+
+/// Reads the list and the record in one call, which is as two calls that succeed or fail together.
+void GatewayNode::confirmBuilds(std::uint64_t number) {
+  const auto update = std::make_shared<EngineTableUpdate>();
+  const auto record = std::make_shared<gateway::StoredRecord>();
+  const TimePoint requested_at = now();
+  const TimePoint requested_true_time = context_.queue.now();
+  StoreNode& store = world_.store();
+  store.call(
+      host_,
+      [&store, update, record, version = process_->table_version] {
+        *update = store.changesSince(version);
+        *record = store.record(gateway::BuildRecord::kName);
+      },
+      [=, this](bool executed) {
+        if (!executed) return respondBuilds(number, std::nullopt);
+        onStoreResponse(*update, requested_at, requested_true_time);
+        respondBuilds(number, *record);
+      });
+}
+
+void GatewayNode::respondBuilds(std::uint64_t number, const std::optional<gateway::StoredRecord>& record) {
+  gateway::ConfirmedBuilds confirmed;
+  confirmed.number = number;
+  confirmed.responded = record.has_value();
+  if (record) confirmed.builds = process_->builds.served(*record, now());
+  host_.post(kThreadDelay, [this, confirmed] {
+    process_->traffic.onBuildsConfirmed(confirmed, now());
+    executeActions();
+  });
+}
+
 void GatewayNode::callOriginRecord() {
   if (!keepsOriginRecord()) return;
   const gateway::RecordCall call = process_->origins.nextCall(otherMembers().size(), now());
--- a/sim/gateway_world/gateway_node_control.cc
+++ b/sim/gateway_world/gateway_node_control.cc
@@ -74,6 +74,7 @@
 void GatewayNode::onStoreResponse(const EngineTableUpdate& table_update, TimePoint requested_at,
                                   TimePoint requested_true_time) {
   process_->failed_store_calls = 0;
+  if (table_update.version < process_->table_version) return;  // The response to an earlier call, delayed.
   process_->table_version = table_update.version;
   for (const EngineRow& row : table_update.rows) {
     if (row.departed && !context_.has(sim::Mechanism::ListedDepartures)) continue;
@@ -89,6 +90,7 @@
       backend.build = fmt::format("v{}", buildOf(context_.site, row.engine, row.started_ms));
     }
     process_->fleet.onListed(backend, now());
+    process_->builds.onBackend(backend.pool, backend.build, now());
   }
   process_->contact->confirm(requested_at);
   confirmed_at_ = std::max(confirmed_at_, requested_true_time);
--- /dev/null
+++ b/src/gateway/build_confirmations.cc
@@ -0,0 +1,36 @@
+#include "gateway/build_confirmations.h"
+
+#include <algorithm>
+
+namespace crankspur::gateway {
+namespace {
+
+/// All gateways together send the store at most some hundred of these reads a second.
+constexpr Duration kMinInterval = std::chrono::milliseconds(20);
+constexpr Duration kIntervalPerPeer = std::chrono::microseconds(600);
+
+}  // namespace
+
+TimePoint BuildConfirmations::nextRequest(std::size_t peers) const {
+  if (requested_ == 0) return TimePoint{};
+  const Duration interval = std::max(kMinInterval, kIntervalPerPeer * static_cast<Duration::rep>(peers));
+  return requested_at_ + (isPending() ? kBuildReadTime : interval);
+}
+
+std::optional<std::uint64_t> BuildConfirmations::request(std::size_t peers, TimePoint now) {
+  if (now < nextRequest(peers)) return std::nullopt;
+  requested_at_ = now;
+  return ++requested_;
+}
+
+void BuildConfirmations::onResponse(const ConfirmedBuilds& response) {
+  responded_ = std::max(responded_, response.number);
+  if (response.responded) confirmed_ = std::max(confirmed_, response.number);
+}
+
+BuildConfirmations::State BuildConfirmations::stateOf(std::uint64_t number) const {
+  if (confirmed_ >= number) return State::confirmed;
+  return responded_ >= number ? State::failed : State::pending;
+}
+
+}  // namespace crankspur::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -66,6 +66,7 @@
   recheckUnresponsiveBackends(now);
   recallFromLeavingBackends();
   limitStarts(now);
+  decideAwaitedOrigins(now);
   serveQueue(now);
 }
 
@@ -212,7 +213,7 @@
 
 void Gateway::place(Entry& entry, TimePoint now) {
   if (!checkQuarantine(entry, now)) return;
-  if (!isOriginServed(entry)) return giveUpFor(entry, RequestCause::build_gone, now);
+  if (!isOriginServed(entry)) return giveUpFor(entry, causeOfUnserved(entry), now);
   if (isPartitioned(*entry.pool, now)) probeReach(*entry.pool, now);
   const Choice choice = choose(entry, now);
   if (choice.backend == nullptr) {
@@ -469,7 +470,7 @@
 
 void Gateway::onRequestTimer(Entry& entry, TimePoint now) {
   if (now >= entry.deadline) return expire(entry, now);
-  if (awaiting_origin_.contains(entry.id)) return onOriginDecided(entry, now);
+  if (awaiting_origin_.contains(entry.id)) return checkAwaitedOrigin(entry, now);
   if (entry.waiting) return place(entry, now);
   if (entry.active.exchange != 0 && now >= entry.active.start_by && !entry.active.first_byte) {
     return withdraw(entry, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -20,6 +20,7 @@
 #include "gateway/backend_notices.h"
 #include "gateway/backend_table.h"
 #include "gateway/brittle_backends.h"
+#include "gateway/build_confirmations.h"
 #include "gateway/crash_suspects.h"
 #include "gateway/engine_choice.h"
 #include "gateway/event_boundary.h"
@@ -78,6 +79,9 @@
   /// @return what this gateway observed of such requests since the last call, to send to the other gateways.
   CrashUpdate takeCrashUpdate() { return suspects_.takeUpdate(); }
   bool hasCrashUpdate() const { return suspects_.hasUpdate(); }
+  /// The platform responded to a ConfirmBuilds action, or did not. The snapshot as of the response was
+  /// published before.
+  void onBuildsConfirmed(const ConfirmedBuilds& confirmed, TimePoint now);
   /// Another gateway told or asked which builds began streams, or answered.
   void onStreamOrigins(const std::string& sender, const StreamOrigins& message, TimePoint now);
   /// @return messages to other gateways about such streams since the last call.
@@ -204,6 +208,8 @@
     std::optional<std::uint64_t> origin;  ///< Build that began the stream; empty: no event yet, or any may.
     /// The only build that had served when the stream was resumed: one that is listed later did not begin it.
     std::optional<std::uint64_t> sole_build;
+    bool list_confirmed =
+        false;  ///< The list of back ends is not older than the request, which resumes a stream.
     ActiveExchange active;
     std::string last_backend;                 ///< Id of the back end that it was sent to last.
     bool from_peer = false;                   ///< Another gateway relayed it to this one.
@@ -294,12 +300,20 @@
 
   // Builds that began streams (gateway_streams.cc).
   bool resolveOrigin(Entry& entry, TimePoint now);
+  void awaitOrigin(Entry& entry, TimePoint now);
+  void confirmBuilds(TimePoint now);
+  bool needsConfirmation(const Entry& entry, TimePoint now) const;
+  bool isOriginDecidable(const Entry& entry, TimePoint now) const;
+  void decideAwaitedOrigins(TimePoint now);
+  void checkAwaitedOrigin(Entry& entry, TimePoint now);
   void reportOrigin(const Entry& entry, const StreamOrigin& origin, TimePoint now);
   bool applyOrigin(Entry& entry, const StreamOrigin& origin, TimePoint now);
   void onOriginDecided(Entry& entry, TimePoint now);
   void recordOrigin(Entry& entry, TimePoint now);
   void forgetOrigin(const Entry& entry);
+  bool isBuildServed(const Entry& entry, std::uint64_t build, bool may_return) const;
   bool isOriginServed(const Entry& entry) const;
+  static RequestCause causeOfUnserved(const Entry& entry);
 
   // Reports to the observer (gateway_records.cc).
   void reportAdmitted(const Entry& entry, TimePoint now);
@@ -386,7 +400,14 @@
   BrittleBackends brittle_{recent_gateways_};
   CrashSuspects suspects_;
   StreamOriginTable origins_;
-  std::set<ClientId> awaiting_origin_;  ///< Requests that wait for answers of other gateways.
+  BuildConfirmations confirmations_;
+  /// What a request that resumes a stream waits for.
+  struct AwaitedOrigin {
+    std::uint64_t confirmation = 0;  ///< See BuildConfirmations::next().
+    TimePoint answers_until{};       ///< Of other gateways.
+    TimePoint until{};
+  };
+  std::map<ClientId, AwaitedOrigin> awaiting_origin_;
   std::map<std::uint64_t, Probe> probes_;
   std::uint64_t next_probe_ = 1;
   /// Health requests to the back ends of a pool that are not known to be in reach.
--- a/src/gateway/gateway_actions.h
+++ b/src/gateway/gateway_actions.h
@@ -125,8 +125,14 @@
   std::string path;
 };
 
-using GatewayAction = std::variant<Refuse, Dispatch, RelayToPeer, CancelExchange, RecallUnsent,
-                                   DiscardResponse, ForwardResponse, ForwardHead, ForwardBytes, EndResponse,
-                                   AbortResponse, ReportUnreachable, ReportWrongBackend, ProbeBackend>;
+/// Reads from the platform which builds serve; the result goes to Gateway::onBuildsConfirmed().
+struct ConfirmBuilds {
+  std::uint64_t number = 0;  ///< Ascending.
+};
+
+using GatewayAction =
+    std::variant<Refuse, Dispatch, RelayToPeer, CancelExchange, RecallUnsent, DiscardResponse,
+                 ForwardResponse, ForwardHead, ForwardBytes, EndResponse, AbortResponse, ReportUnreachable,
+                 ReportWrongBackend, ProbeBackend, ConfirmBuilds>;
 
 }  // namespace crankspur::gateway
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -66,6 +66,8 @@
       return "queues_too_long";
     case RequestCause::build_gone:
       return "build_gone";
+    case RequestCause::build_not_listed:
+      return "build_not_listed";
     case RequestCause::origin_unknown:
       return "origin_unknown";
     case RequestCause::no_back_end:
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -33,6 +33,7 @@
   expected_too_late,     ///< The earliest first byte is expected after the deadline.
   queues_too_long,       ///< The best back end would start it after its first byte is due.
   build_gone,            ///< No back end has the build any more that began the stream to be continued.
+  build_not_listed,      ///< No back end of that build is listed, but the list may be outdated.
   origin_unknown,        ///< No gateway knows which of several builds began the stream to be resumed.
   no_back_end,           ///< No back end of the pool is eligible for the request.
   back_ends_full,        ///< The eligible back ends are at capacity.
--- a/src/gateway/stream_origins.cc
+++ b/src/gateway/stream_origins.cc
@@ -53,7 +53,21 @@
 }
 
 std::string_view nameOf(StreamOrigin::Source source) {
-  return source == StreamOrigin::Source::kept ? "kept" : "seen_builds";
+  switch (source) {
+    case StreamOrigin::Source::kept:
+      return "kept";
+    case StreamOrigin::Source::confirmed:
+      return "confirmed";
+    case StreamOrigin::Source::none:
+      return "none";
+  }
+  return "none";
+}
+
+PoolIds poolIdsOf(const Route& route) {
+  PoolIds pools;
+  for (const PoolShare& share : route.pools) pools.push_back(hashBytes(share.pool));
+  return pools;
 }
 
 void StreamOriginTable::onSnapshot(const GatewaySnapshot& snapshot, TimePoint now) {
@@ -64,11 +78,9 @@
   peers_.clear();
   for (const PeerGateway& peer : snapshot.peers) peers_.push_back(peer.name);
   builds_before_known_ = snapshot.builds_before_known;
-  for (const ServedBuild& served : snapshot.builds_before) {
-    TimePoint& last_listed = builds_[served.pool][served.build];
-    last_listed = std::max(last_listed, served.last_listed);
-  }
   removeExpired(now);
+  bool is_new_build = false;
+  for (const ServedBuild& served : snapshot.builds_before) is_new_build |= recordBuild(served);
   const Backend* previous = nullptr;
   for (const Backend& backend : snapshot.backends) {
     if (backend.is_kv_store) continue;
@@ -76,15 +88,24 @@
     const Backend* const before = std::exchange(previous, &backend);
     if (before != nullptr && before->view.pool == backend.view.pool && before->build == backend.build)
       continue;
-    const std::uint64_t pool = hashBytes(backend.view.pool);
-    const bool had_several = hasSeveralBuilds(pool, now);
-    builds_[pool][buildId(backend.build)] = now;
-    if (!had_several && hasSeveralBuilds(pool, now)) tellUntold(pool);
-  }
-  if (!was_alone || peers_.empty()) return;
-  for (const auto& [pool, builds] : builds_) {
-    if (hasSeveralBuilds(pool, now)) tellUntold(pool);
+    is_new_build |= recordBuild({hashBytes(backend.view.pool), buildId(backend.build), now});
   }
+  const bool has_first_peer = was_alone && !peers_.empty();
+  const bool became_outdated = std::exchange(list_was_fresh_, isListFresh(now)) && !list_was_fresh_;
+  if (is_new_build || has_first_peer || became_outdated) tellUntold(now);
+}
+
+void StreamOriginTable::onConfirmed(const std::vector<ServedBuild>& builds, TimePoint now) {
+  bool is_new_build = false;
+  for (const ServedBuild& served : builds) is_new_build |= recordBuild(served);
+  if (is_new_build) tellUntold(now);
+}
+
+/// @return whether the build was not known.
+bool StreamOriginTable::recordBuild(const ServedBuild& served) {
+  const auto [entry, is_new] = builds_[served.pool].try_emplace(served.build, served.last_listed);
+  entry->second = std::max(entry->second, served.last_listed);
+  return is_new;
 }
 
 void StreamOriginTable::removeExpired(TimePoint now) {
@@ -101,21 +122,30 @@
   }
 }
 
-bool StreamOriginTable::hasSeveralBuilds(std::uint64_t pool, TimePoint now) const {
-  return recentBuilds(pool, now).size() > 1;
-}
-
 /// @return the builds that clients may resume streams of, as far as this gateway has seen them.
-std::vector<std::uint64_t> StreamOriginTable::recentBuilds(std::uint64_t pool, TimePoint now) const {
+std::vector<std::uint64_t> StreamOriginTable::recentBuilds(const PoolIds& pools, TimePoint now) const {
   std::vector<std::uint64_t> recent;
-  const auto builds = builds_.find(pool);
-  if (builds == builds_.end()) return recent;
-  for (const auto& [build, last_listed] : builds->second) {
-    if (now - last_listed <= kStreamResumeTime) recent.push_back(build);
+  for (const std::uint64_t pool : pools) {
+    const auto builds = builds_.find(pool);
+    if (builds == builds_.end()) continue;
+    for (const auto& [build, last_listed] : builds->second) {
+      const bool is_listed = std::find(recent.begin(), recent.end(), build) != recent.end();
+      if (!is_listed && now - last_listed <= kStreamResumeTime) recent.push_back(build);
+    }
   }
   return recent;
 }
 
+bool StreamOriginTable::hasSeveralBuilds(const PoolIds& pools, TimePoint now) const {
+  return recentBuilds(pools, now).size() > 1;
+}
+
+/// A gateway that resumes the stream can learn from the platform that one build serves, unless the platform
+/// does not respond.
+bool StreamOriginTable::isWorthTelling(const PoolIds& pools, TimePoint now) const {
+  return hasSeveralBuilds(pools, now) || !isListFresh(now);
+}
+
 bool StreamOriginTable::isListFresh(TimePoint now) const {
   return list_contact_ == nullptr || now - list_contact_->confirmedAt() <= kMaxListAge;
 }
@@ -127,9 +157,9 @@
 }
 
 /// Streams that began while one build served, or while no other gateway was known, are told later.
-void StreamOriginTable::tellUntold(std::uint64_t pool) {
+void StreamOriginTable::tellUntold(TimePoint now) {
   for (auto& [attempt, kept] : kept_) {
-    if (kept.own && !kept.told && kept.pool == pool) tell(attempt, kept);
+    if (kept.own && !kept.told && isWorthTelling(kept.pools, now)) tell(attempt, kept);
   }
 }
 
@@ -161,11 +191,11 @@
   expiry_.emplace_back(kept.kept_at, attempt);
 }
 
-void StreamOriginTable::onBegun(const std::string& attempt, const std::string& pool, std::uint64_t build,
+void StreamOriginTable::onBegun(const std::string& attempt, const PoolIds& pools, std::uint64_t build,
                                 TimePoint now) {
   const std::uint64_t id = hashBytes(attempt);
-  keep(id, {build, hashBytes(pool), now, true, false});
-  if (hasSeveralBuilds(hashBytes(pool), now)) tell(id, kept_[id]);
+  keep(id, {build, pools, now, true, false});
+  if (isWorthTelling(pools, now)) tell(id, kept_[id]);
 }
 
 void StreamOriginTable::onCompleted(const std::string& attempt) {
@@ -173,66 +203,57 @@
   if (kept != kept_.end() && kept->second.own) kept_.erase(kept);
 }
 
-/// A gateway that started a short time ago, or whose list is outdated, may have missed a build: it asks even
-/// if it has seen only one.
-StreamOrigin StreamOriginTable::lookUp(const std::string& attempt, const std::string& pool, TimePoint now) {
+StreamOrigin StreamOriginTable::lookUp(const std::string& attempt, const PoolIds& pools, TimePoint now) {
+  const std::optional<std::uint64_t> known = knownBuild(attempt);
+  if (known) return originOf(StreamOrigin::State::known, *known, pools, now);
   const std::uint64_t id = hashBytes(attempt);
-  const auto kept = kept_.find(id);
-  const std::uint64_t pool_id = hashBytes(pool);
-  if (!attempt.empty() && kept != kept_.end())
-    return originOf(StreamOrigin::State::known, kept->second.build, pool_id, now);
-  const bool several = hasSeveralBuilds(pool_id, now);
-  const bool knows_all = started_at_ && now - *started_at_ >= kStreamResumeTime && isListFresh(now);
-  const StreamOrigin sole =
-      originOf(StreamOrigin::State::any_build, soleOf(recentBuilds(pool_id, now)), pool_id, now);
-  if (!several && knows_all) return sole;
   const std::vector<std::string> keepers = attempt.empty() ? std::vector<std::string>{} : keepersOf(id);
-  if (keepers.empty()) {
-    const bool is_unknown = several || !knowsPastBuilds(now);
-    return is_unknown ? originOf(StreamOrigin::State::unknown, 0, pool_id, now) : sole;
+  for (const std::string& keeper : keepers) {
+    for (const std::uint64_t pool : pools) outgoing_[keeper].queries.push_back({id, pool});
   }
-  for (const std::string& keeper : keepers) outgoing_[keeper].queries.push_back({id, pool_id});
   Question& question = questions_[id];
   question = {};
-  question.unanswered = keepers.size();
+  question.unanswered = keepers.size() * pools.size();
   question.asked_at = now;
-  return originOf(StreamOrigin::State::asked, 0, pool_id, now);
+  return originOf(StreamOrigin::State::asked, 0, pools, now);
 }
 
-StreamOrigin StreamOriginTable::originOf(StreamOrigin::State state, std::uint64_t build, std::uint64_t pool,
+StreamOrigin StreamOriginTable::originOf(StreamOrigin::State state, std::uint64_t build, const PoolIds& pools,
                                          TimePoint now) const {
   StreamOrigin origin;
   origin.state = state;
   origin.build = build;
   if (state == StreamOrigin::State::known) origin.source = StreamOrigin::Source::kept;
-  origin.builds_seen = recentBuilds(pool, now).size();
+  origin.builds_seen = recentBuilds(pools, now).size();
   return origin;
 }
 
+std::optional<std::uint64_t> StreamOriginTable::knownBuild(const std::string& attempt) const {
+  const auto kept = kept_.find(hashBytes(attempt));
+  if (attempt.empty() || kept == kept_.end()) return std::nullopt;
+  return kept->second.build;
+}
+
 bool StreamOriginTable::isAnswered(const std::string& attempt) const {
-  const std::uint64_t id = hashBytes(attempt);
-  const auto question = questions_.find(id);
-  return kept_.contains(id) || question == questions_.end() || question->second.unanswered == 0;
+  const auto question = questions_.find(hashBytes(attempt));
+  return knownBuild(attempt) || question == questions_.end() || question->second.unanswered == 0;
 }
 
-StreamOrigin StreamOriginTable::decide(const std::string& attempt, const std::string& pool, TimePoint now) {
-  const std::uint64_t id = hashBytes(attempt);
-  const auto kept = kept_.find(id);
-  const std::uint64_t pool_id = hashBytes(pool);
-  if (kept != kept_.end()) return originOf(StreamOrigin::State::known, kept->second.build, pool_id, now);
-  const auto question = questions_.find(id);
+StreamOrigin StreamOriginTable::decide(const std::string& attempt, const PoolIds& pools, bool confirmed,
+                                       TimePoint now) {
+  const std::optional<std::uint64_t> known = knownBuild(attempt);
+  if (known) return originOf(StreamOrigin::State::known, *known, pools, now);
+  const auto question = questions_.find(hashBytes(attempt));
   const Question answers = question == questions_.end() ? Question{} : question->second;
-  const bool was_answered = answers.several_builds || answers.sole_build != 0;
-  // The only build that a keeper has seen may be another one than that which this gateway has seen.
-  std::vector<std::uint64_t> builds = recentBuilds(pool_id, now);
+  // The only build that a keeper has seen may be another one than those which are seen here.
+  std::vector<std::uint64_t> builds = recentBuilds(pools, now);
   const bool is_seen = std::find(builds.begin(), builds.end(), answers.sole_build) != builds.end();
   if (answers.sole_build != 0 && !is_seen) builds.push_back(answers.sole_build);
   const bool several = answers.several_builds || builds.size() > 1;
-  // A gateway without an answer and with an outdated list is likely to be partitioned from both.
-  const bool may_lack_builds = !was_answered && (!isListFresh(now) || !knowsPastBuilds(now));
-  const bool is_unknown = several || may_lack_builds;
-  StreamOrigin origin = is_unknown ? originOf(StreamOrigin::State::unknown, 0, pool_id, now)
-                                   : originOf(StreamOrigin::State::any_build, soleOf(builds), pool_id, now);
+  const bool is_unknown = several || !confirmed;
+  StreamOrigin origin = is_unknown ? originOf(StreamOrigin::State::unknown, 0, pools, now)
+                                   : originOf(StreamOrigin::State::any_build, soleOf(builds), pools, now);
+  if (confirmed) origin.source = StreamOrigin::Source::confirmed;
   origin.builds_seen = builds.size();
   origin.unanswered = answers.unanswered;
   return origin;
@@ -240,18 +261,18 @@
 
 bool StreamOriginTable::onMessage(const std::string& sender, const StreamOrigins& message, TimePoint now) {
   for (const StreamOriginRecord& record : message.begun) {
-    if (record.build != 0) keep(record.attempt, {record.build, 0, now, false, true});
+    if (record.build != 0) keep(record.attempt, {record.build, {}, now, false, true});
   }
   for (const StreamOriginQuery& query : message.queries) {
     const auto kept = kept_.find(query.attempt);
     // Which builds have served must not be answered for a time that this process does not know.
     if (kept == kept_.end() && !knowsPastBuilds(now)) continue;
     const std::uint64_t build = kept == kept_.end() ? 0 : kept->second.build;
-    const std::vector<std::uint64_t> builds = recentBuilds(query.pool, now);
+    const std::vector<std::uint64_t> builds = recentBuilds({query.pool}, now);
     outgoing_[sender].answers.push_back({query.attempt, build, builds.size() > 1, soleOf(builds)});
   }
   for (const StreamOriginRecord& record : message.answers) {
-    if (record.build != 0) keep(record.attempt, {record.build, 0, now, false, true});
+    if (record.build != 0) keep(record.attempt, {record.build, {}, now, false, true});
     const auto question = questions_.find(record.attempt);
     if (question == questions_.end()) continue;
     if (question->second.unanswered > 0) --question->second.unanswered;
--- a/src/gateway_control/build_record.cc
+++ b/src/gateway_control/build_record.cc
@@ -63,6 +63,19 @@
   if (adds || update_at_ == TimePoint::max()) update_at_ = std::min(update_at_, now + delay);
 }
 
+void BuildRecord::onBackend(const std::string& pool, const std::string& build, TimePoint now) {
+  listed_[{hashBytes(pool), buildId(build)}] = now;
+}
+
+std::vector<ServedBuild> BuildRecord::served(const StoredRecord& record, TimePoint now) const {
+  std::vector<ServedBuild> builds;
+  for (const auto& [pool, build] : decode(record.text)) builds.push_back({pool, build, now});
+  for (const auto& [entry, listed_at] : listed_) {
+    if (now - listed_at <= kStreamResumeTime) builds.push_back({entry.first, entry.second, listed_at});
+  }
+  return builds;
+}
+
 /// @return whether the build has left for so long that no client resumes its streams.
 bool BuildRecord::isStale(const PoolAndBuild& entry, TimePoint now) const {
   const auto listed = listed_.find(entry);
--- a/src/gateway_control/build_record.h
+++ b/src/gateway_control/build_record.h
@@ -33,6 +33,11 @@
   /// @param peers other gateways, which write the same changes.
   /// @param is_fresh whether the platform confirmed the list a short time ago.
   void onListed(const std::vector<Backend>& backends, std::size_t peers, bool is_fresh, TimePoint now);
+  /// The list has shown a back end, which may be gone already.
+  void onBackend(const std::string& pool, const std::string& build, TimePoint now);
+  /// @return the builds that the record names, or that were listed in the time for which clients resume
+  /// streams.
+  std::vector<ServedBuild> served(const StoredRecord& record, TimePoint now) const;
   /// @param record empty: the store did not respond.
   void onRead(const std::optional<StoredRecord>& record, TimePoint now);
   /// @param written false: the row has changed, or the outcome is unknown.
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -145,6 +145,7 @@
   };
   callbacks.on_backend = [this](const ListedBackend& listed) {
     fleet_.onListed(listed, now());
+    build_record_.onBackend(listed.pool, listed.build, now());
     schedulePublish();
   };
   callbacks.on_backend_removed = [this](const std::string& id) {
@@ -156,7 +157,7 @@
     schedulePublish();
   };
   callbacks.on_contact = [this](TimePoint as_of) { onContact(as_of); };
-  callbacks.on_list_contact = [this](TimePoint as_of) { list_contact_->confirm(as_of); };
+  callbacks.on_list_contact = [this](TimePoint as_of) { onListContact(as_of); };
   callbacks.on_failure = [this] { onPlatformFailure(); };
   callbacks.on_list_outage = [this] { fleet_.onPlatformFailure(now()); };
   callbacks.on_connections_silent = [this] { onConnectionsSilent(); };
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -13,6 +13,7 @@
 
 #include "base/event_log.h"
 #include "base/suspension_watch.h"
+#include "gateway/build_confirmations.h"
 #include "gateway/load_meter.h"
 #include "gateway/stream_origins.h"
 #include "gateway_control/build_record.h"
@@ -37,6 +38,8 @@
   std::function<void(std::vector<LoadDigest>)> on_peer_load;
   std::function<void(CrashUpdate)> on_crash_update;
   std::function<void(std::string sender, StreamOrigins)> on_stream_origins;
+  /// Response to confirmBuilds().
+  std::function<void(ConfirmedBuilds)> on_builds_confirmed;
   /// Open connections to several peers went silent together; connections of traffic may be affected as well.
   std::function<void()> on_connections_silent;
 };
@@ -84,6 +87,8 @@
   void onOwnLoad(const OwnLoad& load) { own_load_ = load; }
   /// Reports to all other gateways which back ends crashed while running which requests.
   void onOwnCrashUpdate(const CrashUpdate& update);
+  /// Reads the list of back ends and the record of builds. A later call replaces one that is in progress.
+  void confirmBuilds(std::uint64_t number);
   /// Sends messages about the builds that began streams.
   void onOwnStreamOrigins(const std::vector<StreamOriginMessage>& messages);
 
@@ -103,6 +108,9 @@
   void onCrashRecord(const CrashUpdate& update);
   void executeCrashActions();
   void callBuildRecord();
+  void onBuildsRead(std::uint64_t number, const std::optional<StoredRecord>& record);
+  void finishConfirmation();
+  void onListContact(TimePoint as_of);
   void callOriginRecord();
   void restoreOrigins(std::vector<StreamOriginRecord> origins);
   void recordOrigins(const std::vector<StreamOriginRecord>& origins);
@@ -173,6 +181,13 @@
   CacheExchange caches_;
   CrashCoordinator crashes_;
   BuildRecord build_record_;
+  /// A read for confirmBuilds().
+  struct Confirmation {
+    std::uint64_t number = 0;
+    TimePoint requested_at{};
+    std::optional<StoredRecord> record;  ///< Empty: not read yet.
+  };
+  std::optional<Confirmation> confirmation_;  ///< In progress.
   OriginRecord origin_record_;
   bool cache_send_scheduled_ = false;
   TimePoint member_added_at_{};                            ///< When an unknown gateway last joined.
--- a/src/gateway_control/gateway_control_builds.cc
+++ b/src/gateway_control/gateway_control_builds.cc
@@ -30,6 +30,40 @@
   });
 }
 
+void GatewayControl::confirmBuilds(std::uint64_t number) {
+  confirmation_ = {number, now(), std::nullopt};
+  platform_.refreshList();
+  platform_.readRecord(BuildRecord::kName, [this, number](const std::optional<StoredRecord>& record) {
+    onBuildsRead(number, record);
+  });
+}
+
+void GatewayControl::onBuildsRead(std::uint64_t number, const std::optional<StoredRecord>& record) {
+  if (!confirmation_ || confirmation_->number != number) return;
+  confirmation_->record = record;
+  if (record) return finishConfirmation();
+  confirmation_.reset();
+  outputs_.on_builds_confirmed({number, false, {}});
+}
+
+void GatewayControl::onListContact(TimePoint as_of) {
+  list_contact_->confirm(as_of);
+  finishConfirmation();
+}
+
+/// Responds once both were read.
+void GatewayControl::finishConfirmation() {
+  if (!confirmation_ || !confirmation_->record) return;
+  if (list_contact_->confirmedAt() < confirmation_->requested_at) return;
+  const Confirmation confirmation = *std::exchange(confirmation_, std::nullopt);
+  if (publish_scheduled_) {
+    publish_timer_.cancel();
+    publish();
+  }
+  const std::vector<ServedBuild> builds = build_record_.served(*confirmation.record, now());
+  outputs_.on_builds_confirmed({confirmation.number, true, builds});
+}
+
 void GatewayControl::callOriginRecord() {
   const RecordCall call = origin_record_.nextCall(otherMembers().size(), now());
   if (call.kind == RecordCall::Kind::write) {
--- a/src/gateway_control/platform_link.h
+++ b/src/gateway_control/platform_link.h
@@ -111,6 +111,9 @@
   virtual void onWake() = 0;
   /// Sets how long changes of the list of back ends may be batched before they are delivered.
   virtual void setListBatchDelay(Duration delay) = 0;
+  /// Reads the list of back ends from the platform, also if it is usually read from other gateways. The
+  /// contact that confirms it is as of now or later.
+  virtual void refreshList() = 0;
   /// Sets other gateways from which the state of the platform is read.
   /// @param addresses "IP:port" by descending preference; empty: this gateway reads the platform itself.
   virtual void setReaders(std::vector<std::string> addresses) = 0;
--- a/src/gateway_control/table_relay.cc
+++ b/src/gateway_control/table_relay.cc
@@ -78,6 +78,7 @@
 }
 
 ReadTarget TableRelay::nextSource(const std::string& table) {
+  if (platform_next_.erase(table) > 0) return last_target_[table] = {ReadTarget::Kind::Platform, ""};
   ReadTarget source = selector_.next(now());
   last_target_[table] = source;
   // All readers fail or are late, so idle connections to the store may be silent as well.
--- a/src/gateway_control/table_relay.h
+++ b/src/gateway_control/table_relay.h
@@ -35,6 +35,8 @@
   std::uint16_t port() const { return server_ == nullptr ? 0 : server_->port(); }
   /// @param readers addresses of gateways to read from, by descending preference; empty: the platform itself.
   void setReaders(std::vector<std::string> readers) { selector_.setReaders(std::move(readers)); }
+  /// The next call for the table goes to the platform itself.
+  void readPlatformNext(const std::string& table) { platform_next_.insert(table); }
   bool readsPlatform() const { return selector_.readsPlatform(); }
 
   void read(const std::string& table, const std::string& from, TableCallback done) override;
@@ -80,6 +82,7 @@
   SteadyClock clock_;
   ReaderSelector selector_;
   std::map<std::string, TableMirror> mirrors_;     ///< By table.
+  std::set<std::string> platform_next_;            ///< Tables of readPlatformNext().
   std::map<std::string, ReadTarget> last_target_;  ///< Target of the last call, by table.
   std::set<std::string> unavailable_tables_;  ///< Tables whose own source was lost since the last contact.
   std::list<std::shared_ptr<WaitingRequest>> waiting_;
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -61,6 +61,11 @@
   });
 }
 
+void GatewayProcess::onBuildsConfirmed(ConfirmedBuilds confirmed) {
+  implementation_->thread.post(
+      [this, confirmed = std::move(confirmed)] { implementation_->loop.onBuildsConfirmed(confirmed); });
+}
+
 void GatewayProcess::onConnectionsSilent() {
   implementation_->thread.post([this] { implementation_->loop.onConnectionsSilent(); });
 }
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -44,6 +44,9 @@
   std::function<void(OwnLoad)> on_own_load;
   /// Back ends that crashed, with the requests that they were running, to be sent to the other gateways.
   std::function<void(CrashUpdate)> on_crash_update;
+  /// Asks for the builds that serve, as the platform states them after this call; the response goes to
+  /// onBuildsConfirmed().
+  std::function<void(std::uint64_t number)> on_confirm_builds;
   /// Messages to other gateways about the builds that began streams.
   std::function<void(std::vector<StreamOriginMessage>)> on_stream_origins;
 };
@@ -74,6 +77,8 @@
   void onCrashUpdate(CrashUpdate update);
   /// Another gateway sent a message about the builds that began streams.
   void onStreamOrigins(std::string sender, StreamOrigins message);
+  /// Passes the response to on_confirm_builds. The snapshot as of this response has to be published before.
+  void onBuildsConfirmed(ConfirmedBuilds confirmed);
   /// Reports that open connections to several peers went silent together; new connections may still work.
   void onConnectionsSilent();
 
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -168,6 +168,11 @@
   executeActions();
 }
 
+void TrafficLoop::onBuildsConfirmed(const ConfirmedBuilds& confirmed) {
+  gateway_.onBuildsConfirmed(confirmed, now());
+  executeActions();
+}
+
 void TrafficLoop::onConnectionsSilent() {
   http_->closeStaleConnections("");
   gateway_.onTimer(now());  // Timers fire late after the machine was suspended.
@@ -492,6 +497,11 @@
   probes_[action.probe] = http_->start(action.address, std::move(request), callbacks, options);
 }
 
+void TrafficLoop::execute(const ConfirmBuilds& action) {
+  if (callbacks_.on_confirm_builds) return callbacks_.on_confirm_builds(action.number);
+  gateway_.onBuildsConfirmed({action.number, false, {}}, now());
+}
+
 /// The gateway ignores all outcomes of a probe but the first.
 void TrafficLoop::onProbeResult(std::uint64_t probe, ProbeOutcome outcome) {
   gateway_.onProbeResult(probe, outcome, now());
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -30,6 +30,7 @@
   void onPeerLoad(const std::vector<LoadDigest>& digests);
   void onCrashUpdate(const CrashUpdate& update);
   void onStreamOrigins(const std::string& sender, const StreamOrigins& message);
+  void onBuildsConfirmed(const ConfirmedBuilds& confirmed);
   /// Closes idle connections to back ends. Retryable requests on other connections soon move to another back
   /// end.
   void onConnectionsSilent();
@@ -89,6 +90,7 @@
   void execute(const ReportUnreachable& action);
   void execute(const ReportWrongBackend& action);
   void execute(const ProbeBackend& action);
+  void execute(const ConfirmBuilds& action);
   void onProbeResult(std::uint64_t probe, ProbeOutcome outcome);
 
   http::ExchangeCallbacks exchangeCallbacks(ExchangeId exchange, const std::string& request_id);
--- a/tests/unit/gateway/gateway_fixture.h
+++ b/tests/unit/gateway/gateway_fixture.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "base/hash.h"
 #include "gateway/gateway.h"
 
 namespace crankspur::gateway {
@@ -189,6 +190,13 @@
   /// @return the gateway's actions since the last call, also in `actions`.
   const std::vector<GatewayAction>& takeActions() {
     actions = gateway.takeActions();
+    for (std::size_t index = 0; index < actions.size(); ++index) {
+      const auto* confirm = std::get_if<ConfirmBuilds>(&actions[index]);
+      if (confirm == nullptr || !confirms) continue;
+      gateway.onBuildsConfirmed(confirmedBuilds(confirm->number), now);
+      std::vector<GatewayAction> further = gateway.takeActions();
+      actions.insert(actions.end(), further.begin(), further.end());
+    }
     for (const GatewayAction& action : actions) {
       if (const auto* dispatch = std::get_if<Dispatch>(&action)) last = *dispatch;
     }
@@ -237,6 +245,15 @@
     head(503, response);
   }
 
+  /// @return what the platform states: the builds of the back ends, and `served_before`.
+  ConfirmedBuilds confirmedBuilds(std::uint64_t number) const {
+    ConfirmedBuilds confirmed{number, platform_responds, served_before};
+    for (const Backend& backend : backends) {
+      confirmed.builds.push_back({hashBytes(backend.view.pool), buildId(backend.build), now});
+    }
+    return confirmed;
+  }
+
   /// Advances the time and runs the gateway's timers; their actions are in `actions`.
   void advance(Duration time) {
     const TimePoint until = now + time;
@@ -259,6 +276,9 @@
   std::shared_ptr<PlatformContact> contact = std::make_shared<PlatformContact>();
   std::shared_ptr<PlatformContact> list_contact;  ///< Null: the list always counts as confirmed.
   std::optional<Duration> key_validity;
+  bool confirms = true;                    ///< takeActions() responds to ConfirmBuilds.
+  bool platform_responds = true;           ///< That response is of the platform.
+  std::vector<ServedBuild> served_before;  ///< Builds of the record that no listed back end has.
   TimePoint now{seconds(1000)};
   RecordingObserver observer;
   Gateway gateway;
--- a/tests/unit/gateway/stream_builds_test.cc
+++ b/tests/unit/gateway/stream_builds_test.cc
@@ -302,10 +302,13 @@
   partitioned.publish();
   SECTION("the list is current") {
     partitioned.resume("an attempt at another gateway");
+    CHECK_FALSE(partitioned.has<Dispatch>());  // The other gateway is asked first.
+    partitioned.advance(milliseconds(150));
     CHECK(partitioned.has<Dispatch>());
   }
   SECTION("the list is outdated") {
     partitioned.now += seconds(10);
+    partitioned.platform_responds = false;
     partitioned.resume("an attempt at another gateway");
     CHECK_FALSE(partitioned.has<Dispatch>());
     partitioned.advance(milliseconds(200));
@@ -320,12 +323,15 @@
     "[stream_builds]") {
   const std::size_t gateways = GENERATE(2, 4, 12);
   const bool keepers_know = GENERATE(true, false);
+  const bool platform_responds = GENERATE(true, false);
   for (std::size_t other = 1; other < gateways; ++other) {
     BuildsFleet fleet(gateways);
     BuildsFixture& late = fleet[other];
     late.list_contact = std::make_shared<PlatformContact>();
     late.list_contact->confirm(late.now - seconds(1));
     late.remove("v1.2");
+    late.platform_responds = platform_responds;
+    late.served_before = {{hashBytes("lm"), buildId("v1.2"), late.now + seconds(70)}};
     late.now += seconds(70);
     fleet[0].now = late.now;
     late.list_contact->confirm(late.now - seconds(1));
@@ -342,3 +348,85 @@
     CHECK_FALSE(late.has<Dispatch>());
   }
 }
+
+// The gateway that resumes the stream lags: another one has told it the build, which its list does not show.
+TEST_CASE("a stream of a known build that is not listed goes on once the list was read again",
+          "[stream_builds]") {
+  BuildsFixture late;
+  const std::vector<Backend> all = late.backends;
+  late.remove("v1.2");
+  late.gateway.onStreamOrigins("peer", {{{hashBytes("attempt"), buildId("v1.2"), false, 0}}, {}, {}},
+                               late.now);
+  SECTION("it is listed then") {
+    late.confirms = false;
+    late.resume("attempt");
+    CHECK_FALSE(late.has<Dispatch>());
+    const std::uint64_t number = late.only<ConfirmBuilds>().number;
+    late.backends = all;
+    late.publish();
+    late.gateway.onBuildsConfirmed(late.confirmedBuilds(number), late.now);
+    late.takeActions();
+    REQUIRE(late.has<Dispatch>());
+    CHECK(late.buildOf(late.last) == "v1.2");
+  }
+  SECTION("it has left") {
+    late.resume("attempt");
+    CHECK(late.only<Refuse>().cause == RequestCause::build_gone);
+    CHECK(late.only<Refuse>().retry_after == Duration(0));
+  }
+  SECTION("the platform does not respond") {
+    late.platform_responds = false;
+    late.resume("attempt");
+    CHECK(late.only<Refuse>().cause == RequestCause::build_not_listed);
+    CHECK(late.only<Refuse>().retry_after > Duration(0));
+  }
+}
+
+// The client's next attempt may be sent to another service of its route than the first one.
+TEST_CASE("a stream of an unknown build goes on nowhere if the services of its route have different builds",
+          "[stream_builds]") {
+  BuildsFixture fixture;
+  for (Backend& backend : fixture.backends) backend.build = backend.view.pool == "lm" ? "v1" : "v2";
+  fixture.configuration.routes[2].pools = {{"lm", 1}, {"app", 1}};
+  fixture.publish();
+  for (int stream = 0; stream < 4; ++stream) {
+    fixture.resume("an attempt at another gateway " + std::to_string(stream));
+    CHECK_FALSE(fixture.has<Dispatch>());
+    CHECK(fixture.only<Refuse>().cause == RequestCause::origin_unknown);
+  }
+}
+
+TEST_CASE("a stream that cannot go on is refused without a read of the platform", "[stream_builds]") {
+  BuildsFixture fixture;
+  fixture.confirms = false;
+  fixture.resume("an attempt at another gateway");
+  CHECK_FALSE(fixture.has<ConfirmBuilds>());
+  CHECK(fixture.only<Refuse>().cause == RequestCause::origin_unknown);
+}
+
+// Without the platform nobody can learn that one build serves, so that streams would be refused which the
+// gateway knows.
+TEST_CASE("a gateway whose list is outdated tells the origins of its streams although it has seen one build",
+          "[stream_builds]") {
+  BuildsFixture fixture;
+  fixture.peers = {{"second", "10.1.0.1:1", "here"}};
+  for (Backend& backend : fixture.backends) backend.build = "v1";
+  fixture.now += seconds(70);
+  fixture.list_contact = std::make_shared<PlatformContact>();
+  fixture.list_contact->confirm(fixture.now);
+  fixture.publish();
+  fixture.begin("early");
+  fixture.head(200);
+  fixture.bytes(kEvent);
+  CHECK_FALSE(fixture.gateway.hasStreamOrigins());
+  fixture.now += seconds(5);
+  fixture.begin("late");
+  fixture.head(200);
+  fixture.bytes(kEvent);
+  fixture.publish();
+  std::set<std::uint64_t> told;
+  for (const StreamOriginMessage& message : fixture.gateway.takeStreamOrigins()) {
+    for (const StreamOriginRecord& record : message.message.begun) told.insert(record.attempt);
+  }
+  CHECK(told == std::set<std::uint64_t>{hashBytes("early"), hashBytes("late")});
+}
--- a/tests/unit/gateway/stream_origins_test.cc
+++ b/tests/unit/gateway/stream_origins_test.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr char kPool[] = "lm";
+const PoolIds kPools = {hashBytes(kPool)};
 constexpr char kAttempt[] = "attempt";
 const TimePoint kStart(1h);
 const std::vector<std::string> kNames = {"a", "b", "c", "d"};
@@ -63,13 +64,18 @@
 
   StreamOriginTable& table(std::size_t index) { return tables_[index]; }
 
+  /// @param stated builds that the platform states; empty: it does not respond.
   /// @return what the gateway decides for a stream that it does not know.
-  State resume(std::size_t asking, TimePoint now = kStart + 1s) {
-    const StreamOrigin origin = tables_[asking].lookUp(kAttempt, kPool, now);
+  State resume(std::size_t asking, const std::vector<std::string>& stated, TimePoint now = kStart + 1s) {
+    StreamOriginTable& table = tables_[asking];
+    const StreamOrigin origin = table.lookUp(kAttempt, kPools, now);
     if (origin.state != State::asked) return origin.state;
     deliver(now);  // The queries.
     deliver(now);  // The answers.
-    return tables_[asking].decide(kAttempt, kPool, now).state;
+    std::vector<ServedBuild> builds;
+    for (const std::string& build : stated) builds.push_back({kPools[0], buildId(build), now});
+    table.onConfirmed(builds, now);
+    return table.decide(kAttempt, kPools, !stated.empty(), now).state;
   }
 
   void deliver(TimePoint now) {
@@ -94,32 +100,41 @@
 TEST_CASE("after all gateways restarted a stream is not continued if a build that left is on record",
           "[stream_origins]") {
   Fleet fleet({{{"new"}, {"old", "new"}}});
-  for (std::size_t index = 0; index < kNames.size(); ++index) CHECK(fleet.resume(index) == State::unknown);
+  for (std::size_t index = 0; index < kNames.size(); ++index) {
+    CHECK(fleet.resume(index, {"old", "new"}) == State::unknown);
+  }
 }
 
 TEST_CASE("after all gateways restarted a stream is not continued while the record is not known",
           "[stream_origins]") {
   Fleet fleet({{{"new"}, {}, false}});
-  for (std::size_t index = 0; index < kNames.size(); ++index) CHECK(fleet.resume(index) == State::unknown);
+  for (std::size_t index = 0; index < kNames.size(); ++index)
+    CHECK(fleet.resume(index, {}) == State::unknown);
 }
 
 TEST_CASE("after all gateways restarted a stream continues anywhere if one build alone is on record",
           "[stream_origins]") {
   Fleet fleet({{{"only"}, {"only"}}});
-  for (std::size_t index = 0; index < kNames.size(); ++index) CHECK(fleet.resume(index) == State::any_build);
+  for (std::size_t index = 0; index < kNames.size(); ++index) {
+    CHECK(fleet.resume(index, {"only"}) == State::any_build);
+  }
 }
 
-TEST_CASE("a gateway without the record continues a stream on the answer of one with it",
+// All of them may have missed a build, for example while they were partitioned from the platform together.
+TEST_CASE("a gateway continues no unknown stream on what others have seen if the platform does not respond",
           "[stream_origins]") {
   Fleet fleet({{{"only"}, {}, false}, {{"only"}, {"only"}}});
-  CHECK(fleet.resume(0) == State::any_build);
+  CHECK(fleet.resume(0, {}) == State::unknown);
 }
 
 // Gateways that had just started answered that one build had served, before they knew any.
 TEST_CASE("gateways that have received no snapshot do not answer for the builds that have served",
           "[stream_origins]") {
   Fleet fleet({{{"new"}, {}, false}, Knowledge::none()});
-  CHECK(fleet.resume(0) == State::unknown);
+  fleet.table(0).lookUp(kAttempt, kPools, kStart + 1s);
+  fleet.deliver(kStart + 1s);
+  for (std::size_t index = 1; index < kNames.size(); ++index) CHECK_FALSE(fleet.table(index).hasMessages());
+  CHECK(fleet.resume(0, {}) == State::unknown);
 }
 
 // Both had seen one build, each another one: the one on record had left, and the other gateway could not read
@@ -127,13 +142,15 @@
 TEST_CASE("a stream is not continued if the gateway and those that answer have seen different builds",
           "[stream_origins]") {
   Fleet fleet({{{"new"}, {}, false}, {{}, {"old"}}});
-  CHECK(fleet.resume(0) == State::unknown);
+  CHECK(fleet.resume(0, {}) == State::unknown);
+  CHECK(fleet.resume(0, {"new"}) == State::unknown);
 }
 
 TEST_CASE("a stream is not continued if two gateways that answer have seen different builds",
           "[stream_origins]") {
   Fleet fleet({{{}, {}, false}, {{}, {"old"}}, {{"new"}, {"new"}}});
-  CHECK(fleet.resume(0) == State::unknown);
+  CHECK(fleet.resume(0, {}) == State::unknown);
+  CHECK(fleet.resume(0, {"new"}) == State::unknown);
 }
 
 TEST_CASE("the builds on record are forgotten once no client resumes their streams", "[stream_origins]") {
@@ -142,15 +159,16 @@
   for (std::size_t index = 0; index < kNames.size(); ++index) {
     fleet.table(index).onSnapshot(snapshotOf(kNames[index], {{"new"}, {}}, later), later);
   }
-  CHECK(fleet.resume(0, later) == State::any_build);
+  CHECK(fleet.resume(0, {"new"}, later) == State::any_build);
 }
 
 TEST_CASE("a stream whose beginning a keeper knows continues at its build although another one is on record",
           "[stream_origins]") {
   Fleet fleet({{{"old", "new"}, {"old", "new"}}});
-  fleet.table(0).onBegun(kAttempt, kPool, buildId("old"), kStart);
+  fleet.table(0).onBegun(kAttempt, kPools, buildId("old"), kStart);
   fleet.deliver(kStart);
-  for (std::size_t index = 0; index < kNames.size(); ++index) CHECK(fleet.resume(index) == State::known);
+  for (std::size_t index = 0; index < kNames.size(); ++index)
+    CHECK(fleet.resume(index, {"old", "new"}) == State::known);
 }
 
 // Gateways that had just been restarted together did not know each other yet: they told nobody which build
@@ -161,7 +179,7 @@
   GatewaySnapshot snapshot = snapshotOf("a", {{"old", "new"}, {}}, kStart);
   const std::vector<PeerGateway> peers = std::exchange(snapshot.peers, {});
   table.onSnapshot(snapshot, kStart);
-  table.onBegun(kAttempt, kPool, buildId("old"), kStart);
+  table.onBegun(kAttempt, kPools, buildId("old"), kStart);
   const std::vector<StreamOriginMessage> recorded = table.takeMessages();
   REQUIRE(recorded.size() == 1);
   CHECK(recorded[0].gateway == "a");
--- a/tests/unit/gateway_control/platform_link_fake.h
+++ b/tests/unit/gateway_control/platform_link_fake.h
@@ -18,6 +18,7 @@
   void readLease(const std::string&, std::function<void(std::optional<LeaseRow>)>) override {}
   void writeLease(const std::string&, const LeaseRow&, std::uint64_t,
                   std::function<void(bool, std::optional<LeaseRow>)>) override {}
+  void refreshList() override {}
   void readRecord(const std::string&, std::function<void(const std::optional<StoredRecord>&)> done) override {
     record_reads.push_back(std::move(done));
   }
--- a/tests/unit/gateway_control/table_relay_test.cc
+++ b/tests/unit/gateway_control/table_relay_test.cc
@@ -221,3 +221,18 @@
   pair.reader.onLate("op");
   CHECK(pair.store.late == 1);
 }
+
+// What another gateway passes on may be seconds old, which does not show what the platform states now.
+TEST_CASE("a gateway on standby reads the platform itself once if it has to", "[table_relay]") {
+  ReaderAndStandby pair;
+  pair.store.responds_immediately = true;
+  pair.standby.readPlatformNext("op");
+  pair.wait(7, 0ms);
+  REQUIRE(pair.result);
+  CHECK_FALSE(pair.result->as_of);
+  CHECK(pair.store.calls == 1);
+  pair.wait(7, 0ms);
+  pair.runUntil([&] { return pair.result.has_value(); });
+  CHECK(pair.result->as_of);
+  CHECK(pair.store.calls == 1);
+}
