Remove a build that a gateway never listed from the record only after it was on record for a minute

Streams of two builds are told apart after a kill of all gateways by the record of builds. A gateway that had run for 60 s removed each build from it that it had not listed itself, also one that another gateway had just added while its own list lagged. The others did not write it again, since they had seen it written: a stream of that build could then be continued at another one.

The time now counts from when this process first read the build in the row, not from its own start.

--- a/src/gateway_control/build_record.cc
+++ b/src/gateway_control/build_record.cc
@@ -19,7 +19,8 @@
 /// A build that has left is removed later by this factor, since a record that names it too long does little
 /// harm.
 constexpr int kRemovalDelayFactor = 50;
-/// A build that this process has never listed is removed once the process has run this long.
+/// A build that this process has never listed is removed once it has been on record for this long. It may be
+/// one that has just come.
 constexpr Duration kForeignBuildTime = 2 * kStreamResumeTime;
 
 std::string encode(const std::set<std::pair<std::uint64_t, std::uint64_t>>& builds) {
@@ -46,7 +47,7 @@
 }  // namespace
 
 BuildRecord::BuildRecord(std::uint64_t random_seed, TimePoint now)
-    : random_(random_seed), started_at_(now), ready_at_(now + kMaxRecordLoadTime) {}
+    : random_(random_seed), ready_at_(now + kMaxRecordLoadTime) {}
 
 void BuildRecord::onListed(const std::vector<Backend>& backends, std::size_t peers, bool is_fresh,
                            TimePoint now) {
@@ -80,7 +81,9 @@
 bool BuildRecord::isStale(const PoolAndBuild& entry, TimePoint now) const {
   const auto listed = listed_.find(entry);
   if (listed != listed_.end()) return now - listed->second > kStreamResumeTime;
-  return list_fresh_ && now - started_at_ > kForeignBuildTime;
+  const auto since = recorded_since_.find(entry);
+  const bool is_recorded_long = since != recorded_since_.end() && now - since->second > kForeignBuildTime;
+  return list_fresh_ && is_recorded_long;
 }
 
 /// @return what the row should hold.
@@ -98,6 +101,8 @@
     return;
   }
   recorded_ = decode(record->text);
+  for (const PoolAndBuild& entry : recorded_) recorded_since_.try_emplace(entry, now);
+  std::erase_if(recorded_since_, [this](const auto& item) { return !recorded_.contains(item.first); });
   if (!known_) {
     for (const auto& [pool, build] : recorded_) before_.push_back({pool, build, now});
   }
--- a/src/gateway_control/build_record.h
+++ b/src/gateway_control/build_record.h
@@ -61,7 +61,6 @@
   bool isStale(const PoolAndBuild& entry, TimePoint now) const;
 
   RandomSource random_;
-  TimePoint started_at_;
   TimePoint ready_at_;
   TimePoint not_before_{};  ///< End of the delay after a failed call.
   /// When the row is read again to be updated; max: it need not be.
@@ -71,6 +70,7 @@
   bool list_fresh_ = false;
   std::map<PoolAndBuild, TimePoint> listed_;  ///< When it was last listed.
   std::set<PoolAndBuild> recorded_;           ///< Content of the row as last read or written.
+  std::map<PoolAndBuild, TimePoint> recorded_since_;  ///< When it was first read in the row.
   std::vector<ServedBuild> before_;
   std::optional<std::uint64_t> version_to_replace_;  ///< Set between reading and writing.
 };
