Simulate gateways that lag while the first engines of a newer build join

The scenario gateway_releases kills all gateways every few seconds, so that none has run for 30 s, and gateway_builds has several builds from the start: neither could find streams that are joined by an old gateway which has not seen the newest build. In gateway_lag gateways have seen one build for longer than clients resume streams when some of them are partitioned from the store or from all, paused, suspended or killed, and the engines that have just joined crash.

--- a/sim/gateway_world/fleet_checkers.cc
+++ b/sim/gateway_world/fleet_checkers.cc
@@ -291,6 +291,7 @@
   checkRetryBudget(history, context, violations);
   checkStreamBuilds(history, violations);
   checkStreamsGoOn(history, violations);
+  if (!context.site.releases.empty()) checkUndisturbedStreams(history, violations);
   checkPartitionedGateways(history, violations);
   checkResponses(history, violations);
   return violations;
--- a/sim/gateway_world/fleet_faults.cc
+++ b/sim/gateway_world/fleet_faults.cc
@@ -25,6 +25,15 @@
 /// The second half of the engines is replaced this long after the first, whose new processes serve by then.
 constexpr Duration kReplacementInterval = std::chrono::seconds(12);
 constexpr std::uint64_t kReplacementSpreadMilliseconds = 1'000;
+/// Rounds in which gateways lag and engines crash after a release, until all engines are replaced. The first
+/// engines of the new build are those that crash at the release.
+constexpr std::uint64_t kMaxLagRounds = 4;
+constexpr std::uint64_t kMaxFirstLagMilliseconds = 1'000;
+constexpr std::uint64_t kMaxCrashesInRound = 3;
+constexpr std::uint64_t kMinCrashIntervalMilliseconds = 400;
+constexpr std::uint64_t kMaxCrashIntervalMilliseconds = 2'500;
+constexpr double kNewestEngineShare = 0.6;
+constexpr Duration kTimeToReplacement = std::chrono::seconds(8);
 
 }  // namespace
 
@@ -66,6 +75,41 @@
   }
 }
 
+void FleetFaults::planLag(double other_faults_chance) {
+  if (random_.chance(other_faults_chance)) plan();
+  for (const TimePoint release : context_.site.releases) {
+    context_.queue.at(release, [this] { inject(FleetFault::engines_crash); });
+    // The first engines of the build join while gateways lag already.
+    TimePoint at = release + drawDuration(0, kMaxFirstLagMilliseconds);
+    for (std::uint64_t rounds = random_.uniform(1, kMaxLagRounds); rounds > 0; --rounds) {
+      context_.queue.at(at, [this] { letGatewaysLag(); });
+      for (std::uint64_t crashes = random_.uniform(1, kMaxCrashesInRound); crashes > 0; --crashes) {
+        at += drawDuration(kMinCrashIntervalMilliseconds, kMaxCrashIntervalMilliseconds);
+        context_.queue.at(at, [this, release] { crashEnginesSince(release); });
+      }
+    }
+    context_.queue.at(at + kTimeToReplacement, [this] { replaceEngines(0); });
+    context_.queue.at(at + kTimeToReplacement + kReplacementInterval, [this] { replaceEngines(1); });
+  }
+}
+
+/// Streams that had begun at the build released then break.
+void FleetFaults::crashEnginesSince(TimePoint release) {
+  for (const auto& engine : world_.engines()) {
+    const TimePoint started_at{std::chrono::milliseconds(engine->startMilliseconds())};
+    if (started_at >= release && random_.chance(kNewestEngineShare)) engine->crash(false);
+  }
+}
+
+/// In one of the ways in which a gateway does not receive for some time what the others do.
+void FleetFaults::letGatewaysLag() {
+  const std::uint64_t draw = random_.uniform(0, 9);
+  if (draw < 4) return inject(FleetFault::gateways_partitioned_from_store);
+  if (draw < 6) return inject(FleetFault::gateways_partitioned);
+  if (draw < 8) return inject(FleetFault::gateway_paused);
+  inject(draw == 8 ? FleetFault::gateway_suspended : FleetFault::gateways_killed);
+}
+
 void FleetFaults::replaceEngines(std::uint32_t half) {
   context_.trace.note("faults", "half {} of the engines is replaced", half);
   for (const auto& engine : world_.engines()) {
@@ -117,6 +161,8 @@
       return makeEnginesBrittle();
     case FleetFault::gateways_partitioned_from_engines:
       return partitionGatewaysFromEngines();
+    case FleetFault::gateways_partitioned_from_store:
+      return partitionGatewaysFromStore();
     case FleetFault::engines_fail:
       return failEngines();
     case FleetFault::callers_move:
@@ -236,6 +282,19 @@
   context_.queue.after(time, [this, number] { context_.network.heal(number); });
 }
 
+void FleetFaults::partitionGatewaysFromStore() {
+  const std::uint64_t number = next_partition_++;
+  const Duration time = drawDuration(1'000, 8'000);
+  std::set<std::string> gateways;
+  for (std::uint32_t index = 0; index < world_.gateways().size(); ++index) {
+    if (!random_.chance(kGatewayShare)) continue;
+    gateways.insert(world_.gateways()[index]->host().name());
+    recordDisturbance(index, time);
+  }
+  context_.network.partition(number, std::move(gateways), {world_.store().host().name()});
+  context_.queue.after(time, [this, number] { context_.network.heal(number); });
+}
+
 void FleetFaults::pauseGateway() {
   const auto number = static_cast<std::uint32_t>(random_.uniform(0, world_.gateways().size() - 1));
   const Duration time = drawDuration(300, 7'000);
--- a/sim/gateway_world/fleet_faults.h
+++ b/sim/gateway_world/fleet_faults.h
@@ -29,6 +29,7 @@
   engines_pause,                      ///< An engine rejects requests and asks gateways for a pause.
   engines_brittle,                    ///< All engines are brittle for some time.
   engines_fail,                       ///< Most engines fail most of their requests for some time.
+  gateways_partitioned_from_store,    ///< Some gateways reach the others, but not the store.
   callers_move,  ///< All callers use the same gateway, and another one every few seconds.
 };
 
@@ -43,6 +44,10 @@
   /// Schedules faults of one kind, repeated during the same time.
   /// @param min_interval, max_interval bounds of the time between two faults.
   void planRepeated(FleetFault fault, Duration min_interval, Duration max_interval);
+  /// Schedules gateways that lag, and crashes of engines, at each release of the site. Engines that crashed
+  /// run the newer build then. All engines are replaced some time later.
+  /// @param other_faults_chance of the faults of plan() besides.
+  void planLag(double other_faults_chance);
   /// Schedules the replacement of all engines at each release of the site.
   void planReleases();
 
@@ -59,6 +64,9 @@
   void killGateways(double share);
   void partitionGateways();
   void partitionGatewaysFromEngines();
+  void partitionGatewaysFromStore();
+  void letGatewaysLag();
+  void crashEnginesSince(TimePoint release);
   void pauseGateway();
   void suspendGateway();
   void setStore(StoreMode mode);
--- a/sim/gateway_world/fleet_run.cc
+++ b/sim/gateway_world/fleet_run.cc
@@ -24,6 +24,7 @@
 constexpr const char* kBrittle = "gateway_brittle";
 constexpr const char* kRetries = "gateway_retries";
 constexpr const char* kReleases = "gateway_releases";
+constexpr const char* kLag = "gateway_lag";
 /// Load and slots with which engines are nearly full at times.
 constexpr double kBrittleRequestsPerEngine = 6;
 constexpr std::uint32_t kBrittleSlots = 6;
@@ -45,6 +46,15 @@
 constexpr Duration kReleaseInterval = std::chrono::seconds(27);
 constexpr std::uint64_t kMaxReleaseDelayMilliseconds = 6'000;
 
+/// Each release begins when gateways have seen one build for longer than clients resume streams.
+constexpr int kLagReleaseCount = 2;
+constexpr Duration kFirstLagRelease = std::chrono::seconds(33);
+constexpr Duration kLagReleaseInterval = std::chrono::seconds(48);
+constexpr Duration kLagLoadTime = std::chrono::seconds(125);
+constexpr std::uint64_t kMaxLagReleaseDelayMilliseconds = 1'500;
+constexpr int kLagRetries = 6;
+constexpr double kOtherFaultsChance = 0.4;
+
 void planFaults(const std::string& scenario, FleetFaults& faults) {
   using std::chrono::milliseconds;
   using std::chrono::seconds;
@@ -54,6 +64,7 @@
     return faults.planRepeated(FleetFault::all_gateways_killed, seconds(10), seconds(20));
   if (scenario == kPartitions)
     return faults.planRepeated(FleetFault::gateways_partitioned_from_engines, seconds(4), seconds(20));
+  if (scenario == kLag) return faults.planLag(kOtherFaultsChance);
   faults.plan();
   if (scenario == kReleases) {
     faults.planReleases();
@@ -82,6 +93,15 @@
   return releases;
 }
 
+std::vector<TimePoint> drawLagReleases(RandomSource& random, TimePoint load_start) {
+  std::vector<TimePoint> releases;
+  for (int release = 0; release < kLagReleaseCount; ++release) {
+    const auto delay = std::chrono::milliseconds(random.uniform(0, kMaxLagReleaseDelayMilliseconds));
+    releases.push_back(load_start + kFirstLagRelease + kLagReleaseInterval * release + delay);
+  }
+  return releases;
+}
+
 /// Applies what the scenario changes of a drawn site.
 void adaptSite(const std::string& scenario, RandomSource& random, TimePoint load_start, FleetSite& site) {
   site.retries_broken_responses = scenario == kResets;
@@ -94,6 +114,14 @@
     site.retries_unreachable = true;
     site.poison.clear();
   }
+  if (scenario == kLag) {
+    site.releases = drawLagReleases(random, load_start);
+    site.builds = kLagReleaseCount + 1;
+    site.load_time = kLagLoadTime;
+    site.requests_per_second = kReleasesLoad;
+    site.caller_retries = kLagRetries;
+    site.poison.clear();
+  }
   site.relays = scenario == kPartitions || scenario == kRetries;
   site.states_departures = scenario == kNotices;
   if (scenario == kBrittle) {
@@ -113,8 +141,9 @@
 }  // namespace
 
 const std::vector<std::string>& fleetScenarioNames() {
-  static const std::vector<std::string> names = {kMixed,      kResets,  kRestarts, kDepartures, kBuilds,
-                                                 kPartitions, kNotices, kBrittle,  kRetries,    kReleases};
+  static const std::vector<std::string> names = {kMixed,   kResets,     kRestarts, kDepartures,
+                                                 kBuilds,  kPartitions, kNotices,  kBrittle,
+                                                 kRetries, kReleases,   kLag};
   return names;
 }
 
--- a/sim/gateway_world/gateway_node_builds.cc
+++ b/sim/gateway_world/gateway_node_builds.cc
@@ -75,6 +75,7 @@
 
 /// Reads the list and the record in one call, which is as two calls that succeed or fail together.
 void GatewayNode::confirmBuilds(std::uint64_t number) {
+  if (!context_.has(sim::Mechanism::BuildConfirmation)) return respondBuilds(number, gateway::StoredRecord());
   const auto update = std::make_shared<EngineTableUpdate>();
   const auto record = std::make_shared<gateway::StoredRecord>();
   const TimePoint requested_at = now();
--- a/sim/gateway_world/stream_checkers.cc
+++ b/sim/gateway_world/stream_checkers.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 
 namespace crankspur::gateway_sim {
 namespace {
@@ -93,6 +94,15 @@
   return streams;
 }
 
+/// @return whether nothing affects the gateways and their ways to each other and to the store.
+bool isFleetUndisturbed(const FleetHistory& history, TimePoint from, TimePoint to) {
+  const Records& records = history.records();
+  for (std::uint32_t gateway = 0; gateway < records.gateways.size(); ++gateway) {
+    if (!history.isUndisturbed(gateway, from, to, Duration(0))) return false;
+  }
+  return history.isStoreUndisturbed(from, to) && history.areMessagesUndisturbed(from, to);
+}
+
 }  // namespace
 
 void checkStreamBuilds(const FleetHistory& history, sim::Violations& violations) {
@@ -135,4 +145,33 @@
   }
 }
 
+void checkUndisturbedStreams(const FleetHistory& history, sim::Violations& violations) {
+  const Records& records = history.records();
+  const std::map<std::uint64_t, std::uint32_t> builds = buildsOfStreams(records);
+  std::set<std::uint64_t> continued;
+  for (const EngineRun& run : records.runs) {
+    if (run.resume_after > 0 && run.started_at) continued.insert(run.attempt);
+  }
+  std::size_t refused = 0;
+  std::size_t went_on = 0;
+  for (std::uint64_t index = 0; index < records.attempts.size(); ++index) {
+    const Attempt& attempt = records.attempts[index];
+    const auto build = builds.find(attempt.begun_by);
+    const bool resumes = attempt.begun_by != index && build != builds.end();
+    if (!resumes || !isFleetUndisturbed(history, attempt.sent_at - kResumeWindow, attempt.ended_at)) continue;
+    went_on += continued.contains(index) ? 1 : 0;
+    const bool is_refused = attempt.outcome == AttemptOutcome::refused;
+    // Runs before the refusal may be of an engine that has just crashed, the only one of its build.
+    const TimePoint serving_until = attempt.ended_at + kServingWindow;
+    const bool serves = is_refused && isServing(records, build->second, attempt.ended_at, serving_until);
+    refused += serves ? 1 : 0;
+  }
+  if (refused < kMinRefusedStreams || went_on >= refused) return;
+  violations.push_back(
+      {"streams_go_on",
+       fmt::format("without a fault of gateways, {} resumed streams were refused and {} went on although "
+                   "engines of their builds served",
+                   refused, went_on)});
+}
+
 }  // namespace crankspur::gateway_sim
--- a/sim/world/mechanism.cc
+++ b/sim/world/mechanism.cc
@@ -36,6 +36,7 @@
       {Mechanism::StreamBuilds, "stream_builds"},
       {Mechanism::BuildRecord, "build_record"},
       {Mechanism::OriginRecord, "origin_record"},
+      {Mechanism::BuildConfirmation, "build_confirmation"},
       {Mechanism::Relay, "relay"},
       {Mechanism::Pauses, "pauses"},
       {Mechanism::BrittleShares, "brittle_shares"},
--- a/sim/world/mechanism.h
+++ b/sim/world/mechanism.h
@@ -43,6 +43,7 @@
   SuspensionClock,      ///< The product's clock includes time spent suspended.
   StreamBuilds,         ///< A stream goes on only at back ends of the build that began it.
   BuildRecord,          ///< The builds that serve are persisted in the platform's store.
+  BuildConfirmation,    ///< The builds that serve are read before a stream of unknown origin goes on.
   OriginRecord,         ///< The builds that began streams are persisted in the platform's store.
   Relay,                ///< A gateway that reaches too few back ends relays requests to another one.
   Pauses,               ///< A back end that asked for a pause gets no requests until it ends.
--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -179,6 +179,17 @@
   CHECK(result.violations.empty());
 }
 
+// Gateways had run for long and had seen one build. One that was partitioned from the store or stood still while
+// engines of the next build joined sent their streams to engines of the build that it knew (78, 191, 200).
+TEST_CASE("streams go on at the build that began them although gateways lag while a newer build joins",
+          "[sim]") {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 78, 191, 200}) {
+    const RunResult result = runOne(seed, "gateway_lag");
+    INFO(describe(result));
+    CHECK(result.violations.empty());
+  }
+}
+
 // A gateway that knew that most engines did not respond overloaded the few others, and refused what it could
 // have relayed.
 TEST_CASE("callers of gateways that are partitioned from the engines are served through the other gateways",
@@ -335,6 +346,7 @@
       {Mechanism::StreamBuilds, "gateway_builds", "stream_builds"},
       {Mechanism::BuildRecord, "gateway_releases", "stream_builds"},
       {Mechanism::OriginRecord, "gateway_releases", "streams_go_on"},
+      {Mechanism::BuildConfirmation, "gateway_lag", "stream_builds"},
       {Mechanism::Relay, "gateway_partitions", "partitioned_served"},
       {Mechanism::ListedDepartures, "gateway_departures", "departure"},
       {Mechanism::Pauses, "gateway_notices", "pause"},
