Let the fault soak check streams that clients resume while gateways lag and newer builds join

The soak's engines had one build and its clients resumed no streams, so that it could not see streams joined from two builds.

Attempts that their client leaves count as served in the check of the quiet period.

--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -9,7 +9,7 @@
     sys.path.insert(0, str(ROOT / folder))
 
 from checks import (find_endless_reads, find_excess_repeats, find_falls, find_repeated_crashes,  # noqa: E402
-                    find_unneeded_refusals, find_violations)
+                    find_stream_violations, find_streams_that_stop, find_unneeded_refusals, find_violations)
 from client import Attempt, Kind  # noqa: E402
 from runner import Brittleness, End, EndlessResponse, Notices, Run  # noqa: E402
 
@@ -42,6 +42,12 @@
     return find_violations(attempts, runs, revoked or {}, 5.0, 1000.0, 2)
 
 
+def make_part(ids, build="v1", **changes):
+    """Returns an attempt that brought some events of a stream."""
+    texts = [{"attempt": "a", "run": "r1", "last": 3, "build": build} for _ in ids]
+    return make_attempt(REVIEW, event_ids=ids, texts=texts, **changes)
+
+
 class ChecksTest(unittest.TestCase):
     def assert_violation(self, text, attempts, runs, revoked=None):
         problems = check(attempts, runs, revoked)
@@ -56,6 +62,35 @@
         self.assert_violation("ran 2 times", [make_attempt(ORDER)], [make_run(), make_run(runner="r2")])
         self.assertEqual(check([make_attempt(LOOK)], [make_run(), make_run(runner="r2")]), [])
 
+    def assert_stream_violation(self, text, *attempts):
+        problems = find_stream_violations([list(attempts)])
+        self.assertEqual(len(problems), 1, problems)
+        self.assertIn(text, problems[0])
+
+    def test_streams_over_several_attempts(self):
+        self.assertEqual(find_stream_violations([[], [make_part([1, 2]), make_part([]), make_part([3], after=2)]]), [])
+        self.assert_stream_violation("joins the builds", make_part([1, 2]), make_part([3], "v2", after=2))
+        self.assert_stream_violation("pieces [1, 3]", make_part([1]), make_part([3], after=1))
+        self.assert_stream_violation("pieces [1, 2, 2, 3]", make_part([1, 2]), make_part([2, 3], after=2))
+        self.assert_stream_violation("pieces [1, 2, 1]", make_part([1, 2]), make_part([1], after=2))
+
+    def test_end_and_gap_of_a_resumed_stream(self):
+        sound = make_part([3], name="a", after=2)
+        self.assertEqual(check([sound], [make_run()]), [])
+        self.assert_violation("not in order", [make_part([3], after=1)], [make_run()])
+        self.assert_violation("ends as complete after 2 of 3", [make_part([2], after=1)], [make_run()])
+
+    def test_streams_that_are_not_continued(self):
+        def streams_of(later):
+            return [[make_part([1]), later] for _ in range(10)]
+
+        served = {"v1": [(0.0, 100.0)], "v2": []}
+        went_on = make_part([2, 3], sent_at=20.0, ended_at=21.0, after=1)
+        refused = make_part([], sent_at=20.0, ended_at=21.0, after=1, status=503)
+        self.assertEqual(find_streams_that_stop(streams_of(went_on), served), [])
+        self.assertEqual(len(find_streams_that_stop(streams_of(refused), served)), 1)
+        self.assertEqual(find_streams_that_stop(streams_of(refused), {"v1": [(0.0, 20.5)]}), [])
+
     def test_falls_of_brittle_runners(self):
         gateway_of = {"a": "g1", "b": "g2"}
         falls = [(10.0 + number, f"r{number}", ["a", "a", "b"]) for number in range(3)]
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -14,19 +14,21 @@
 MAX_FALLS, RUNNERS_PER_FALL = 2, 10  # Tolerated in one brittle period.
 BUDGET_WINDOW_S, BUDGET_RATIO, BUDGET_SLACK = 10.0, 0.2, 20
 MAX_ENDLESS_S = 4.0  # Time for which a response without end is read, and some for the machine.
+MIN_RESUMED, MIN_RESUMED_SHARE = 10, 0.3  # Resumed streams that are judged, and the share that has to go on.
 MAX_REPEATS = 3  # Repeats that may still reach runners after that.
 
 
 def _stream_problem(attempt):
     """Returns the problem with the events of a stream, or an empty string."""
-    expected = list(range(1, len(attempt.event_ids) + 1))
+    expected = list(range(attempt.after + 1, attempt.after + len(attempt.event_ids) + 1))
     if attempt.event_ids != expected:
         return f"events {attempt.event_ids} are not in order"
     runs = {text["run"] for text in attempt.texts}
     if len(runs) > 1 and not attempt.kind.repeatable:
         return f"joins the runs {sorted(runs)}"
-    if attempt.whole and len(attempt.event_ids) != attempt.kind.answer_events:
-        return f"ends as complete after {len(attempt.event_ids)} of {attempt.kind.answer_events} events"
+    last = attempt.after + len(attempt.event_ids)
+    if attempt.whole and last != attempt.kind.answer_events:
+        return f"ends as complete after {last} of {attempt.kind.answer_events} events"
     return ""
 
 
@@ -201,7 +203,39 @@
         found = [_response_problem(attempt), run_problem]
         problems += [f"{attempt.kind.route} {attempt.id} by {attempt.gateway}: {text}" for text in found if text]
     quiet = [attempt for attempt in attempts if attempt.sent_at >= quiet_since and attempt.key not in revoked]
-    served = sum(1 for attempt in quiet if attempt.status == 200 and attempt.whole)
+    served = sum(1 for attempt in quiet if attempt.status == 200 and (attempt.whole or attempt.left))
     if quiet and served < MIN_SERVED_SHARE_WHEN_QUIET * len(quiet):
         problems.append(f"after the faults only {served} of {len(quiet)} requests are served")
     return problems
+
+
+def find_stream_violations(streams):
+    """Returns the streams, as lists of the attempts of one client, with pieces of several builds or pieces that are
+    missing, repeated or out of order over all attempts."""
+    violations = []
+    for attempts in filter(None, streams):
+        ids = [number for attempt in attempts for number in attempt.event_ids]
+        builds = {text["build"] for attempt in attempts for text in attempt.texts}
+        name = attempts[0].id
+        if len(builds) > 1:
+            violations.append(f"stream {name} joins the builds {sorted(builds)}: {[a.gateway for a in attempts]}")
+        if ids != list(range(1, len(ids) + 1)):
+            violations.append(f"stream {name}: pieces {ids} over {len(attempts)} attempts")
+    return violations[:MAX_REPORTED]
+
+
+def find_streams_that_stop(streams, builds_served):
+    """Returns a violation if hardly any of the streams that clients resumed at a running gateway went on.
+
+    `builds_served`: for each build, the periods (since, until) in which a runner of it served undisturbed."""
+    resumed = went_on = 0
+    for attempts in filter(None, streams):
+        build = attempts[0].texts[0]["build"]
+        for attempt in attempts[1:]:
+            served = any(since < attempt.sent_at and attempt.ended_at < until for since, until in builds_served[build])
+            if served and attempt.status in (200, 503):
+                resumed += 1
+                went_on += 1 if attempt.event_ids else 0
+    if resumed < MIN_RESUMED or went_on >= resumed * MIN_RESUMED_SHARE:
+        return []
+    return [f"of {resumed} streams that clients resumed while their build served, {went_on} went on"]
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -26,13 +26,15 @@
 sys.path.insert(0, str(ROOT / "platform" / "standin"))
 
 from checks import (find_departure_violations, find_endless_reads, find_excess_repeats, find_falls,  # noqa: E402
-                    find_pause_violations, find_repeated_crashes, find_unneeded_refusals, find_violations)
+                    find_pause_violations, find_repeated_crashes, find_stream_violations, find_streams_that_stop,
+                    find_unneeded_refusals, find_violations)
 from client import Attempt, Kind, look_up, make_attempt  # noqa: E402
 from http_text import head_bytes, read_body, read_head  # noqa: E402
 from runner import Brittleness, Notices, Runner  # noqa: E402
 from store import Store  # noqa: E402
 
 GATEWAYS = 3
+LAGGING_FLEET = 7  # Number of gateways when gateways that lag are the selected fault: not each one keeps each stream.
 ENGINES = 3
 CRASHING_ENGINES = 9  # Number of engines when requests that crash engines are the selected fault.
 SLOTS = 16  # Of an engine.
@@ -58,7 +60,14 @@
     Kind("/answer/", streaming=True, repeatable=False, answer_events=12),
 ]
 # Faults that --only can select; with silent_connections, any rejection by a gateway is a violation.
-SINGLE_FAULTS = ("silent_connections", "ending_requests", "ending_requests_and_restarts", "notices", "brittle", "retries")
+SINGLE_FAULTS = ("silent_connections", "ending_requests", "ending_requests_and_restarts", "notices", "brittle", "retries",
+                 "lagging_gateways")
+LAG_AGES_S = (4.0, 32.0, 32.0)  # Ages of the gateways at the first release; 30 s after a start a gateway knows more.
+RELEASED_ENGINES = 6  # That join with newer builds when gateways that lag are the selected fault, two at a time.
+RESUMED_SHARE = 0.6  # Share of the streams that their clients leave and resume at another gateway, then.
+MAX_RESUMPTIONS = 4
+LAGGING_SHARE = 0.5  # Share of the resumptions that go to a gateway that lags.
+STREAM_SHARE = 0.7  # Of the requests, while gateways lag.
 
 
 def find_free_ports(count):
@@ -80,14 +89,14 @@
 class Gateway:
     """One gateway process."""
 
-    def __init__(self, number, ports, store_address, folder, program):
+    def __init__(self, number, count, ports, store_address, folder, program):
         self.host = f"127.0.0.{11 + number}"
         self.name = f"gateway-{number}"
         self._program, self._folder = program, folder
         self.ports = ports
         self.process = None
         self.expected_exit = False
-        seeds = ", ".join(f'"127.0.0.{11 + other}:{ports["gossip"]}"' for other in range(GATEWAYS))
+        seeds = ", ".join(f'"127.0.0.{11 + other}:{ports["gossip"]}"' for other in range(count))
         lines = [f'name = "{self.name}"', 'zone = "zone-a"', 'region = "r"', f'platform = "{store_address}"']
         lines += [f'{key} = "{self.host}:{port}"' for key, port in ports.items()]
         lines += [f"seeds = [{seeds}]", f"key_validity_ms = {int(KEY_VALIDITY_S * 1000)}", "drain_limit_ms = 8000"]
@@ -189,6 +198,7 @@
         self.store = Store(random.Random(options.seed + 1))
         self.proxy = Proxy()
         self.gateways, self.engines, self.runners, self.runs, self.attempts = [], [], [], [], []
+        self.released = []  # Engines that join later with newer builds.
         self.problems, self.ends, self.ending_parts = [], [], set()
         self.notices, self.disturbances = Notices(), {}
         self.brittleness = Brittleness()
@@ -198,6 +208,9 @@
         self.configuration_version = 0
         self.weights = 1
         self.max_back_ends = MAX_BACK_ENDS_OF_RETRIES if options.only == "retries" else MAX_BACK_ENDS
+        self.lags = options.only == "lagging_gateways"
+        self.streams, self.builds_served = [], {}  # See find_streams_that_stop.
+        self.lagging = []  # Gateways that lag now.
         self.used_gateway = None  # The only one that clients use; None: any.
         self.schedule = open(folder / "schedule.log", "w")
 
@@ -247,26 +260,39 @@
         shared = (self.ending_parts, self.ends, self.notices, self.brittleness)
         self.engines = [Runner(self.store, "engines", MODEL, slots, self.runs, generator, *shared) for _ in range(engines)]
         self.runners = [Runner(self.store, "app", "", 12, self.runs, generator, notices=self.notices) for _ in range(APPLICATION_RUNNERS)]
-        endpoints = choose_runner_endpoints(engines + APPLICATION_RUNNERS)
-        targets = {"store": f"127.0.0.1:{store_port}"}
+        if self.lags:
+            self.released = [Runner(self.store, "engines", MODEL, slots, self.runs, generator, *shared)
+                             for _ in range(RELEASED_ENGINES)]
+        runners = self.engines + self.runners + self.released
+        endpoints = choose_runner_endpoints(len(runners))
+        count = LAGGING_FLEET if self.lags else GATEWAYS
+        store_routes = [f"store{number}" if self.lags else "store" for number in range(count)]
+        targets = {route: f"127.0.0.1:{store_port}" for route in store_routes}
         targets |= {f"runner{index}": f"{host}:{port}" for index, (host, port) in enumerate(endpoints)}
         await self.proxy.start(build / "fault_proxy", targets, self.folder)
         self.publish_configuration(self.random)
         self.store.put("op", f"version/{MODEL}", json.dumps({"model": MODEL, "version": 1}).encode())
-        for index, runner in enumerate(self.engines + self.runners):
-            runner.route = f"runner{index}"
-            await runner.start(*endpoints[index], f"127.0.0.1:{self.proxy.ports[runner.route]}")
+        for index, runner in enumerate(runners):
+            runner.route, runner.endpoint = f"runner{index}", endpoints[index]
+            if runner not in self.released:
+                await self.start_runner(runner)
         names = ["front", "readiness", "directory", "metrics", "gossip"]
         ports = dict(zip(names, find_free_ports(len(names))))
-        address = f"127.0.0.1:{self.proxy.ports['store']}"
         program = build / "crankspur_gateway"
-        self.gateways = [Gateway(number, ports, address, self.folder, program) for number in range(GATEWAYS)]
+        for number, route in enumerate(store_routes):
+            address = f"127.0.0.1:{self.proxy.ports[route]}"
+            self.gateways.append(Gateway(number, count, ports, address, self.folder, program))
+            self.gateways[-1].store_route = route
         for gateway in self.gateways:
             await gateway.start()
         for gateway in self.gateways:  # Until it has a configuration, a gateway may reject requests.
             await gateway.wait_until_ready()
         await self.wait_until_serving()
 
+    async def start_runner(self, runner):
+        """Starts a runner, which is listed with the address of its proxy route."""
+        await runner.start(*runner.endpoint, f"127.0.0.1:{self.proxy.ports[runner.route]}")
+
     async def wait_until_serving(self):
         deadline = time.monotonic() + START_TIMEOUT_S
         while time.monotonic() < deadline:
@@ -284,8 +310,9 @@
         if self.proxy.process is not None:
             self.proxy.process.terminate()
             await self.proxy.process.wait()
-        for runner in self.engines + self.runners:
-            await runner.crash()
+        for runner in self.engines + self.runners + self.released:
+            if runner.id:
+                await runner.crash()
         await self.store.stop()
 
     async def kill_processes(self):
@@ -322,12 +349,38 @@
             prompt = [(self.random.randint(1, 6), 640), (self.random.getrandbits(40), 160)]
         return await make_attempt(attempt, MODEL, prompt, DEADLINE_S)
 
+    async def run_stream(self, key):
+        """Runs a stream that the client may leave, and resumes at any gateway."""
+        kind = KINDS[2]
+        prompt = [(self.random.getrandbits(40), 640), (self.random.getrandbits(40), 160)]  # Cached at no engine.
+        attempts = []
+        self.streams.append(attempts)
+        for _ in range(1 + MAX_RESUMPTIONS):
+            number = f"{self.random.getrandbits(64):016x}"
+            gateway = await self.find_gateway()
+            if attempts and self.lagging and self.random.random() < LAGGING_SHARE:
+                gateway = self.random.choice(self.lagging).address
+            attempt = Attempt(number, kind, key, self.keys.get(key, ""), gateway, time.monotonic())
+            attempt.after = sum(len(earlier.event_ids) for earlier in attempts)
+            attempt.resumes = attempts[0].id if attempt.after else ""
+            leaves = self.random.random() < RESUMED_SHARE
+            attempt.leave_after = self.random.randint(2, kind.answer_events // 2) if leaves else 0
+            self.attempts.append(attempt)
+            await make_attempt(attempt, MODEL, prompt, DEADLINE_S)
+            if attempt.event_ids or attempts:
+                attempts.append(attempt)
+            if attempt.whole and attempt.status == 200 or not attempts:
+                return
+            await asyncio.sleep(float(attempt.retry_after or 0) + self.random.uniform(0.0, 0.3))
+
     async def traffic(self, until):
         tasks = set()
         while time.monotonic() < until:
             use_revoked = self.revoked and self.random.random() < REVOKED_KEY_SHARE
             key = self.random.choice(list(self.revoked if use_revoked else self.keys))
-            task = asyncio.create_task(self.run_attempt(self.random.choice(KINDS), key))
+            kind = KINDS[2] if self.lags and self.random.random() < STREAM_SHARE else self.random.choice(KINDS)
+            is_stream = self.lags and kind.streaming and kind.repeatable
+            task = asyncio.create_task(self.run_stream(key) if is_stream else self.run_attempt(kind, key))
             tasks.add(task)
             task.add_done_callback(tasks.discard)
             rate = BRITTLE_REQUESTS_PER_S if self.options.only in ("brittle", "retries") else REQUESTS_PER_S
@@ -525,6 +578,55 @@
             await asyncio.sleep(generator.uniform(1.0, 3.0))
         self.used_gateway = None
 
+    async def lag_gateway(self, gateway, generator):
+        """Keeps a gateway from receiving changes of the store for some seconds, in one of several ways."""
+        way = generator.choice(["cut", "cut", "stopped", "stopped", "slow", "killed"])
+        seconds = generator.uniform(0.8, 4.5)
+        self.log_event(f"{gateway.name} lags for {seconds:.1f} s: {way}")
+        self.record_disturbance([gateway])
+        if way == "killed":
+            await gateway.terminate(signal.SIGKILL)
+            await asyncio.sleep(generator.uniform(0.1, 1.0))
+            return await gateway.start()
+        if way == "stopped":
+            gateway.send_signal(signal.SIGSTOP)
+        else:
+            fault = {"freeze": True} if way == "cut" else {"delay_to_client_ms": int(seconds * 500)}
+            await self.proxy.configure(route=gateway.store_route, **fault)
+        await asyncio.sleep(seconds)
+        gateway.send_signal(signal.SIGCONT)
+        if way != "stopped":
+            await self.proxy.configure(route=gateway.store_route, freeze=False, delay_to_client_ms=0, reset=True)
+
+    async def release_build(self, number, generator):
+        """Lets two engines of a newer build join, serve for some seconds and then leave or crash."""
+        engines = self.released[2 * number:2 * number + 2]
+        build = f"v{number + 2}"
+        for engine in engines:
+            engine.build = build
+            await self.start_runner(engine)
+            self.log_event(f"{engine.id} ({engine.route}) joins with build {build}")
+            await asyncio.sleep(generator.uniform(0.0, 0.4))
+        since = time.monotonic()
+        await asyncio.sleep(generator.uniform(1.0, 6.0))
+        self.builds_served.setdefault(build, []).append((since, time.monotonic()))
+        for engine in engines:
+            self.log_event(f"{engine.id} ({engine.route}) crashes")
+            await engine.crash()
+
+    async def lagging_gateways(self):
+        """Releases builds one after the other while some gateways lag. Ends when all are released."""
+        generator = random.Random(self.options.seed + 6)
+        await asyncio.sleep(generator.choice(LAG_AGES_S))
+        for number in range(RELEASED_ENGINES // 2):
+            self.lagging = generator.sample(self.gateways, generator.randint(1, 3))
+            lags = [asyncio.create_task(self.lag_gateway(gateway, generator)) for gateway in self.lagging]
+            await asyncio.sleep(generator.uniform(0.0, 0.6))
+            await self.release_build(number, generator)
+            await asyncio.gather(*lags)
+            self.lagging = []
+            await asyncio.sleep(generator.uniform(0.0, 2.0))
+
     async def change_configuration(self, generator):
         self.publish_configuration(generator)
         self.log_event(f"configuration {self.configuration_version}")
@@ -601,7 +703,11 @@
         faults_end = time.monotonic() + self.options.seconds
 
         async def inject_faults():
-            await self.faults(faults_end)
+            if self.lags:
+                self.builds_served["v1"] = [(time.monotonic(), float("inf"))]
+                await self.lagging_gateways()
+            else:
+                await self.faults(faults_end)
             self.log_event("quiet")
             return time.monotonic()
 
@@ -622,6 +728,8 @@
         violations += find_endless_reads(endless, gateway_of, self.disturbances, time.monotonic())
         violations += find_pause_violations(self.notices, gateway_of, self.disturbances)
         violations += find_departure_violations(self.notices, gateway_of, self.disturbances, self.attempts)
+        violations += find_stream_violations(self.streams)
+        violations += find_streams_that_stop(self.streams, self.builds_served)
         if self.options.only == "silent_connections":
             violations += find_unneeded_refusals(self.attempts)
         return self.problems + violations
@@ -653,6 +761,9 @@
           f"stated that they leave")
     print(f"{len(soak.brittleness.falls)} falls in {len(soak.brittleness.periods)} brittle periods, "
           f"{sum(len(engine.endless) for engine in soak.engines)} responses without end")
+    resumed = [attempt for attempts in soak.streams for attempt in attempts[1:]]
+    if resumed:
+        print(f"{len(resumed)} attempts to resume a stream, {sum(1 for a in resumed if a.event_ids)} went on")
     if soak.ends:
         parts = {end.part for end in soak.ends}
         print(f"{len(parts)} requests ended {len(soak.ends)} engines")
