Tell what continuations of a stream dropped and skipped

No line told whether events of a continued stream were dropped because their ids did not rise, or whether ids were missing where another back end went on.

--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -165,6 +165,7 @@
   record.retry_after = retry_after;
   if (entry.first_byte_at) record.first_byte = *entry.first_byte_at - entry.arrived_at;
   record.body = entry.active.bodyState();
+  if (entry.cursor) record.continuity = entry.cursor->continuity();
   if (outcome == RequestOutcome::refused && entry.pool != nullptr) record.reach = reachOf(*entry.pool, now);
   record.total = now - entry.arrived_at;
   observer_.onEnded(record);
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -11,6 +11,7 @@
 #include "base/time.h"
 #include "gateway/crash_suspects.h"
 #include "gateway/request_fingerprint.h"
+#include "gateway/stream_cursor.h"
 #include "http/message.h"
 
 namespace crankspur::gateway {
@@ -218,7 +219,8 @@
   Duration retry_after{0};             ///< 0: none was stated.
   std::optional<Duration> first_byte;  ///< Since the request arrived; empty: no response began.
   ResponseBodyState body;
-  PoolReach reach;  ///< Of its pool, if the gateway refused it.
+  StreamCursor::Continuity continuity;  ///< Of a stream that may be resumed.
+  PoolReach reach;                      ///< Of its pool, if the gateway refused it.
   Duration total{0};
 };
 
--- a/src/gateway/stream_cursor.cc
+++ b/src/gateway/stream_cursor.cc
@@ -1,6 +1,7 @@
 #include "gateway/stream_cursor.h"
 
 #include <charconv>
+#include <utility>
 
 namespace crankspur::gateway {
 namespace {
@@ -39,21 +40,36 @@
   const bool between_events = line_start_ == 0;
   if (between_events && line.starts_with(':')) {  // A comment, often sent to keep the connection alive.
     output += event_;
-    return restart();
+    return clearEvent();
   }
   if (!line.empty()) {
     if (line.starts_with(kIdField)) event_id_ = parseId(line.substr(kIdField.size()));
     line_start_ = event_.size();
     return;
   }
+  endEvent(output);
+}
+
+void StreamCursor::endEvent(std::string& output) {
   const bool known = event_id_ && last_event_ && *event_id_ <= *last_event_;
-  if (!known) output += event_;
-  has_forwarded_ |= !known;
-  if (event_id_ && !known) last_event_ = event_id_;
-  restart();
+  if (known) {
+    ++continuity_.dropped_events;
+    return clearEvent();
+  }
+  output += event_;
+  has_forwarded_ = true;
+  const bool is_first = std::exchange(continues_, false);
+  if (is_first && event_id_ && last_event_) continuity_.skipped_ids += *event_id_ - *last_event_ - 1;
+  if (event_id_) last_event_ = event_id_;
+  clearEvent();
 }
 
 void StreamCursor::restart() {
+  clearEvent();
+  continues_ = last_event_.has_value();
+}
+
+void StreamCursor::clearEvent() {
   event_.clear();
   line_start_ = 0;
   event_id_.reset();
--- a/src/gateway_process/request_log.cc
+++ b/src/gateway_process/request_log.cc
@@ -160,6 +160,8 @@
                                        {"first_byte_ms", millisecondsOrNone(record.first_byte)},
                                        {"framing", framingOrNone(record.body.framing)},
                                        {"inside_event", record.body.inside_event},
+                                       {"dropped_events", record.continuity.dropped_events},
+                                       {"skipped_ids", record.continuity.skipped_ids},
                                        {"out_of_reach", record.reach.out_of_reach},
                                        {"unanswered", record.reach.unanswered},
                                        {"listed", record.reach.listed},
