Read the builds less often while the platform does not respond

A read that fails at once, from a store that is down or turns calls away, was repeated every 20 ms for as long as resumed streams of unknown origin arrived, two calls each time. It is repeated every 250 ms now. Found on rereading; the unit test counts at most 5 reads a second.

--- a/src/gateway/build_confirmations.cc
+++ b/src/gateway/build_confirmations.cc
@@ -8,13 +8,17 @@
 /// All gateways together send the store at most some hundred of these reads a second.
 constexpr Duration kMinInterval = std::chrono::milliseconds(20);
 constexpr Duration kIntervalPerPeer = std::chrono::microseconds(600);
+/// After a read that failed: a store that is down or turns calls away is not called more often than that.
+constexpr Duration kIntervalAfterFailure = std::chrono::milliseconds(250);
 
 }  // namespace
 
 TimePoint BuildConfirmations::nextRequest(std::size_t peers) const {
   if (requested_ == 0) return TimePoint{};
-  const Duration interval = std::max(kMinInterval, kIntervalPerPeer * static_cast<Duration::rep>(peers));
-  return requested_at_ + (isPending() ? kBuildReadTime : interval);
+  if (isPending()) return requested_at_ + kBuildReadTime;
+  const bool has_failed = confirmed_ < responded_;
+  const Duration shared = kIntervalPerPeer * static_cast<Duration::rep>(peers);
+  return requested_at_ + std::max(has_failed ? kIntervalAfterFailure : kMinInterval, shared);
 }
 
 std::optional<std::uint64_t> BuildConfirmations::request(std::size_t peers, TimePoint now) {
--- a/tests/unit/gateway/build_confirmations_test.cc
+++ b/tests/unit/gateway/build_confirmations_test.cc
@@ -44,6 +44,17 @@
   CHECK(confirmations.stateOf(number) == State::confirmed);
 }
 
+TEST_CASE("a platform that does not respond is read a few times a second", "[build_confirmations]") {
+  BuildConfirmations confirmations;
+  std::size_t reads = 0;
+  for (TimePoint now = kStart; now < kStart + 1s; now += 1ms) {
+    const std::optional<std::uint64_t> number = confirmations.request(6, now);
+    if (number) confirmations.onResponse({*number, false, {}});
+    reads += number ? 1 : 0;
+  }
+  CHECK(reads <= 5);
+}
+
 TEST_CASE("a read that is never answered is requested again", "[build_confirmations]") {
   BuildConfirmations confirmations;
   REQUIRE(confirmations.request(6, kStart));
