--- a/tests/unit/platform/runner_entries_test.cc
+++ b/tests/unit/platform/runner_entries_test.cc
@@ -172,6 +172,17 @@
   CHECK(fixture.failures == 0);
 }
 
+TEST_CASE("a row whose key is not valid Unicode is logged and does not end the feed", "[runner_entries]") {
+  EntriesFixture fixture;
+  fixture.store.put("servers", "\xff\xfe", entry("10.0.0.2:1"));
+  fixture.store.put("servers", "r1", entry("10.0.0.1:1"));
+  fixture.start();
+  fixture.waitUntilRead();
+  CHECK_FALSE(fixture.at("10.0.0.1:1").empty());
+  CHECK(fixture.failures == 0);
+  CHECK(fixture.log.lines[EventId::PlatformDocumentRefused] >= 1);
+}
+
 TEST_CASE("runners of a service are used once the configuration contains the service", "[runner_entries]") {
   EntriesFixture fixture;
   fixture.store.put("servers", "r1", entry("10.0.0.1:1", R"(,"born":1000)", "new"));
