Test that back ends that accept no call do not delay new weights for the others

Two of twelve listed back ends never respond and list the oldest weights, so that they come first in the order. The other ten have the new weights within the limit, and the calls to the two are bounded by their time-out and the delay after it. The simulated fleet of this test has such back ends now; its other tests are unchanged.

--- a/tests/unit/gateway_control/weight_rollout_test.cc
+++ b/tests/unit/gateway_control/weight_rollout_test.cc
@@ -12,6 +12,7 @@
 namespace {
 
 const TimePoint kStart(1h);
+constexpr Duration kReportTimeout = 700ms;
 
 /// State of a simulated back end.
 struct Runner {
@@ -20,6 +21,7 @@
   std::uint64_t orders_taken = 0;
   std::uint64_t loading = 0;  ///< Version that it loads.
   bool unresponsive = false;  ///< Known to be unresponsive.
+  bool uncallable = false;    ///< Listed with an address that accepts no call.
   TimePoint loaded_at{};
 };
 
@@ -55,20 +57,31 @@
       loading += runner.loading != 0 ? 1 : 0;
     }
     max_loading = std::max(max_loading, loading);
+    failUnansweredReports(rollout, now);
     for (const RolloutAction& action : rollout.due(backends(), now)) execute(rollout, action, now);
   }
 
   bool all(std::uint64_t version) const {
-    return std::all_of(runners_.begin(), runners_.end(),
-                       [version](const Runner& runner) { return runner.version == version; });
+    return std::all_of(runners_.begin(), runners_.end(), [version](const Runner& runner) {
+      return runner.uncallable || runner.version == version;
+    });
   }
   std::vector<Runner>& runners() { return runners_; }
 
   std::size_t max_loading = 0;
   std::size_t orders = 0;
   std::size_t calls_to_unresponsive = 0;
+  std::size_t calls_to_uncallable = 0;
 
 private:
+  void failUnansweredReports(WeightRollout& rollout, TimePoint now) {
+    std::erase_if(unanswered_, [&](const auto& report) {
+      const bool timed_out = now >= report.second;
+      if (timed_out) rollout.onReport(report.first, std::nullopt, now);
+      return timed_out;
+    });
+  }
+
   Runner& find(const std::string& id) {
     return *std::find_if(runners_.begin(), runners_.end(),
                          [&id](const Runner& runner) { return runner.id == id; });
@@ -77,6 +90,11 @@
   void execute(WeightRollout& rollout, const RolloutAction& action, TimePoint now) {
     Runner& runner = find(action.backend);
     if (runner.unresponsive) ++calls_to_unresponsive;
+    if (runner.uncallable) {
+      ++calls_to_uncallable;
+      unanswered_.emplace_back(runner.id, now + kReportTimeout);
+      return;
+    }
     if (action.kind == RolloutAction::Kind::Report) {
       WeightsReport report;
       report.orders_taken = runner.orders_taken;
@@ -101,6 +119,7 @@
   double lost_;
   RandomSource random_{7};
   std::vector<Runner> runners_;
+  std::vector<std::pair<std::string, TimePoint>> unanswered_;  ///< Back end, and when its call times out.
 };
 
 }  // namespace
@@ -185,3 +204,25 @@
   CHECK(fleet.orders == 0);
   CHECK_FALSE(rollout.busy());
 }
+
+// Guards against an entry of another writer that nobody can call and that lists old weights: it comes first
+// in the order, and must not take up the time of the back ends that load the new ones.
+TEST_CASE("new weights reach all back ends within the limit although some listed ones accept no call",
+          "[weight_rollout][odd_rows]") {
+  WeightRollout rollout({8s, 2});
+  Fleet fleet(12, 0);
+  for (const std::size_t index : {0U, 5U}) {
+    fleet.runners()[index].uncallable = true;
+    fleet.runners()[index].version = 0;
+  }
+  rollout.onNamed({"m", 2, {}}, kStart);
+  TimePoint now = kStart;
+  for (; now < kStart + 8s && !fleet.all(2); now += kRolloutTick) fleet.step(rollout, now);
+  CHECK(fleet.all(2));
+  CHECK(fleet.orders == 10);
+  CHECK(fleet.calls_to_uncallable > 0);
+  const std::size_t before = fleet.calls_to_uncallable;
+  for (const TimePoint end = now + 60s; now < end; now += kRolloutTick) fleet.step(rollout, now);
+  // Each call times out and is followed by a delay of 0.4 s.
+  CHECK(fleet.calls_to_uncallable - before <= 2 * 60s / (kReportTimeout + 400ms) + 2);
+}
