Test that a feed goes on after responses that are odd as a whole

17 bodies before and after the first read: no JSON, deep nesting, versions that go back or exceed 64 bits, `more` without rows, a row twice. The feed retries or goes on, and delivers later rows. Nothing was found that keeps it from that; `more` without rows counts as the end of the table, as before.

--- a/tests/unit/platform/odd_responses_test.cc
+++ b/tests/unit/platform/odd_responses_test.cc
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -43,10 +44,16 @@
     put(R"({"table":"t","part":"","key":")" + key + R"(","value":")" + encodeBase64("sound") + R"(","ver":)" +
         version + R"(,"gone":false})");
   }
-  std::size_t size() const { return rows_.size(); }
+  /// The next response is this text.
+  void respondOnce(const std::string& body) { odd_bodies_.push_back(body); }
+  bool oddBodiesSent() const { return odd_bodies_.empty(); }
 
 private:
   void serve(const http::Request& request, http::ResponseWriter& writer) {
+    if (!odd_bodies_.empty()) {
+      writer.respond(http::jsonResponse(200, odd_bodies_.front()));
+      return odd_bodies_.pop_front();
+    }
     const bool feed = request.path() == "/rows-feed";
     const std::size_t after = feed ? std::stoull(request.query("after")) : 0;
     std::string list;
@@ -59,6 +66,7 @@
 
   std::unique_ptr<http::Server> server_;
   std::vector<std::string> rows_;
+  std::deque<std::string> odd_bodies_;
 };
 
 /// A feed of the store, and what it delivered.
@@ -191,6 +199,30 @@
   runUntil(fixture.context, [&] { return fixture.delivered.contains("later"); });
 }
 
+TEST_CASE("a feed goes on after responses that are odd as a whole", "[odd_rows][table_feed]") {
+  const std::string row = rowWith(R"("twice")", R"("")");
+  const std::string body = GENERATE_COPY(
+      as<std::string>{}, "", "{", "[]", "null", std::string(100'000, '['), "\xff", "{}", R"({"rows":[]})",
+      R"({"rows":[],"more":true,"ver":1})", R"({"rows":[],"more":5,"ver":1})", R"({"rows":{},"ver":1})",
+      R"({"rows":[],"ver":0})", R"({"rows":[],"ver":-1})", R"({"rows":[],"ver":"1"})",
+      R"({"rows":[],"ver":18446744073709551616})", R"({"rows":[],"ver":1,"now_ms":1e999})",
+      R"({"rows":[)" + row + "," + row + R"(],"more":false,"ver":1})");
+  const bool before_first_read = GENERATE(true, false);
+  CAPTURE(body.substr(0, 100), before_first_read);
+  RawFeed fixture;
+  fixture.store.putSound("first");
+  fixture.store.putSound("second");
+  if (before_first_read) fixture.store.respondOnce(body);
+  fixture.start();
+  runUntil(fixture.context, [&] { return fixture.full_reads > 0; });
+  if (!before_first_read) fixture.store.respondOnce(body);
+  runUntil(fixture.context, [&] { return fixture.store.oddBodiesSent(); });
+  fixture.store.putSound("last");
+  runUntil(fixture.context, [&] { return fixture.delivered.contains("last"); });
+  CHECK(fixture.delivered.contains("second"));
+  CHECK(fixture.rejected.empty());
+}
+
 TEST_CASE("a body is split into its rows and the rest", "[odd_rows]") {
   using Rows = std::vector<std::string_view>;
   const auto split = [](std::string_view body, const std::string& envelope, const Rows& rows) {
