Remove a build from the record only by a list that was read after the record

Found by reading the code for other places where what a process has not seen counts as absent.

A gateway removed a build 30 s after it had last listed it by its own clock, whether or not it had read the list in that time. One that was suspended, and whose timer was due, read the row and removed the build before it had read that back ends of it were listed again; one that was suspended for over 30 s removed a build that had left a second ago. The others, which had it on record as far as they knew, did not add it again. After a restart of all gateways a stream of that build would count as one of the build that is left.

A build is removed only if a list that the platform confirmed after the row was read lacks it, the list is at most 4 s old, and the time since it was seen excludes times between two lists that are further apart than 4 s. Builds that have come are written at once.

A process suspended exactly between the response of the list and the write can still remove a build that returned meanwhile.

--- a/sim/gateway_world/gateway_node_builds.cc
+++ b/sim/gateway_world/gateway_node_builds.cc
@@ -10,8 +10,6 @@
 namespace crankspur::gateway_sim {
 namespace {
 
-/// A list that the store confirmed within this time is fresh, as in production.
-constexpr Duration kMaxFreshListAge = std::chrono::seconds(4);
 /// Delay between the traffic thread and the control thread.
 constexpr Duration kThreadDelay = std::chrono::microseconds(50);
 
@@ -42,8 +40,7 @@
   if (!keepsBuildRecord()) return;
   snapshot.builds_before = process_->builds.before();
   snapshot.builds_before_known = process_->builds.isKnown();
-  const bool list_fresh = now() - process_->contact->confirmedAt() <= kMaxFreshListAge;
-  process_->builds.onListed(snapshot.backends, otherMembers().size(), list_fresh, now());
+  process_->builds.onListed(snapshot.backends, otherMembers().size(), now());
   callBuildRecord();
 }
 
--- a/sim/gateway_world/gateway_node_control.cc
+++ b/sim/gateway_world/gateway_node_control.cc
@@ -93,6 +93,8 @@
     process_->builds.onBackend(backend.pool, backend.build, now());
   }
   process_->contact->confirm(requested_at);
+  process_->builds.onListContact(requested_at);
+  callBuildRecord();
   confirmed_at_ = std::max(confirmed_at_, requested_true_time);
   const bool first = !std::exchange(process_->has_configuration, true);
   if (!table_update.rows.empty() || first) publish();
--- a/src/gateway_control/build_record.cc
+++ b/src/gateway_control/build_record.cc
@@ -22,6 +22,9 @@
 /// A build that this process has never listed is removed once it has been on record for this long. It may be
 /// one that has just come.
 constexpr Duration kForeignBuildTime = 2 * kStreamResumeTime;
+/// What was listed and removed between two lists of the platform that are further apart may not have been
+/// seen, and an older list does not show which builds have left.
+constexpr Duration kMaxListAge = std::chrono::seconds(4);
 
 std::string encode(const std::set<std::pair<std::uint64_t, std::uint64_t>>& builds) {
   json::array entries;
@@ -49,9 +52,13 @@
 BuildRecord::BuildRecord(std::uint64_t random_seed, TimePoint now)
     : random_(random_seed), ready_at_(now + kMaxRecordLoadTime) {}
 
-void BuildRecord::onListed(const std::vector<Backend>& backends, std::size_t peers, bool is_fresh,
-                           TimePoint now) {
-  list_fresh_ = is_fresh;
+void BuildRecord::onListContact(TimePoint as_of) {
+  if (as_of - list_as_of_ > kMaxListAge) observed_since_ = as_of;
+  list_as_of_ = std::max(list_as_of_, as_of);
+  if (list_as_of_ >= row_read_at_) awaits_list_ = false;
+}
+
+void BuildRecord::onListed(const std::vector<Backend>& backends, std::size_t peers, TimePoint now) {
   for (const Backend& backend : backends) {
     if (!backend.is_kv_store) listed_[{hashBytes(backend.view.pool), buildId(backend.build)}] = now;
   }
@@ -59,6 +66,7 @@
   if (!known_ || wanted == recorded_) return;
   const bool adds = !std::includes(recorded_.begin(), recorded_.end(), wanted.begin(), wanted.end());
   const Duration spread = kUpdateDelay + kUpdateDelayPerPeer * static_cast<Duration::rep>(peers);
+  if (adds) awaits_list_ = false;
   const double share = random_.unit() * (adds ? 1 : kRemovalDelayFactor);
   const auto delay = Duration(static_cast<Duration::rep>(share * static_cast<double>(spread.count())));
   if (adds || update_at_ == TimePoint::max()) update_at_ = std::min(update_at_, now + delay);
@@ -77,13 +85,16 @@
   return builds;
 }
 
-/// @return whether the build has left for so long that no client resumes its streams.
+/// @return whether the build has left for so long that no client resumes its streams. It may have served
+/// while this process read no list, for example because it was suspended.
 bool BuildRecord::isStale(const PoolAndBuild& entry, TimePoint now) const {
+  if (now - list_as_of_ > kMaxListAge) return false;
   const auto listed = listed_.find(entry);
-  if (listed != listed_.end()) return now - listed->second > kStreamResumeTime;
+  if (listed != listed_.end())
+    return list_as_of_ - std::max(listed->second, observed_since_) > kStreamResumeTime;
   const auto since = recorded_since_.find(entry);
-  const bool is_recorded_long = since != recorded_since_.end() && now - since->second > kForeignBuildTime;
-  return list_fresh_ && is_recorded_long;
+  if (since == recorded_since_.end()) return false;
+  return list_as_of_ - std::max(since->second, observed_since_) > kForeignBuildTime;
 }
 
 /// @return what the row should hold.
@@ -100,6 +111,7 @@
     not_before_ = now + kRecordRetryDelay;
     return;
   }
+  row_read_at_ = now;
   recorded_ = decode(record->text);
   for (const PoolAndBuild& entry : recorded_) recorded_since_.try_emplace(entry, now);
   std::erase_if(recorded_since_, [this](const auto& item) { return !recorded_.contains(item.first); });
@@ -113,7 +125,14 @@
 RecordCall BuildRecord::nextCall(TimePoint now) {
   RecordCall call;
   if (now < nextTimer()) return call;
-  const std::set<PoolAndBuild> wanted = content(now);
+  std::set<PoolAndBuild> wanted = content(now);
+  const bool removes = !std::includes(wanted.begin(), wanted.end(), recorded_.begin(), recorded_.end());
+  if (version_to_replace_ && removes && list_as_of_ < row_read_at_) {
+    // A build may have returned since the list was read. Builds that have come do not wait for the next list.
+    wanted.insert(recorded_.begin(), recorded_.end());
+    awaits_list_ = wanted == recorded_;
+    if (awaits_list_) return call;
+  }
   if (version_to_replace_ && wanted == recorded_) {
     version_to_replace_.reset();
     update_at_ = TimePoint::max();
@@ -140,7 +159,7 @@
 }
 
 TimePoint BuildRecord::nextTimer() const {
-  if (calling_) return TimePoint::max();
+  if (calling_ || awaits_list_) return TimePoint::max();
   return known_ ? std::max(not_before_, update_at_) : not_before_;
 }
 
--- a/src/gateway_control/build_record.h
+++ b/src/gateway_control/build_record.h
@@ -29,10 +29,11 @@
   /// @param now when the gateway started.
   BuildRecord(std::uint64_t random_seed, TimePoint now);
 
+  /// The platform confirmed the list of back ends, whose changes until then were passed to onBackend().
+  void onListContact(TimePoint as_of);
   /// The list of back ends, changed or not.
   /// @param peers other gateways, which write the same changes.
-  /// @param is_fresh whether the platform confirmed the list a short time ago.
-  void onListed(const std::vector<Backend>& backends, std::size_t peers, bool is_fresh, TimePoint now);
+  void onListed(const std::vector<Backend>& backends, std::size_t peers, TimePoint now);
   /// The list has shown a back end, which may be gone already.
   void onBackend(const std::string& pool, const std::string& build, TimePoint now);
   /// @return the builds that the record names, or that were listed in the time for which clients resume
@@ -67,9 +68,12 @@
   TimePoint update_at_ = TimePoint::max();
   bool known_ = false;
   bool calling_ = false;
-  bool list_fresh_ = false;
-  std::map<PoolAndBuild, TimePoint> listed_;  ///< When it was last listed.
-  std::set<PoolAndBuild> recorded_;           ///< Content of the row as last read or written.
+  bool awaits_list_ = false;    ///< The row was read, and a build is removed if the next list lacks it too.
+  TimePoint list_as_of_{};      ///< Of the last list that the platform confirmed.
+  TimePoint observed_since_{};  ///< All changes of the list since then were seen.
+  TimePoint row_read_at_{};
+  std::map<PoolAndBuild, TimePoint> listed_;          ///< When it was last listed.
+  std::set<PoolAndBuild> recorded_;                   ///< Content of the row as last read or written.
   std::map<PoolAndBuild, TimePoint> recorded_since_;  ///< When it was first read in the row.
   std::vector<ServedBuild> before_;
   std::optional<std::uint64_t> version_to_replace_;  ///< Set between reading and writing.
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -21,8 +21,6 @@
 constexpr Duration kPublishDelayPerBackend = std::chrono::microseconds(300);
 /// A back end that received an order takes no new request for this time, about the duration of a load.
 constexpr Duration kLoadingTime = std::chrono::milliseconds(1'500);
-/// A list of back ends that was confirmed within this time shows which builds have left.
-constexpr Duration kMaxFreshListAge = std::chrono::seconds(4);
 /// Deadline, counted from their discovery, for weights that were already named when this process started.
 constexpr Duration kWeightsFoundMargin = std::chrono::milliseconds(4'500);
 /// Maximum interval between two publications; picks up state that changes with time alone.
@@ -406,8 +404,7 @@
   outputs_.publish(std::move(snapshot));
   updateCacheWatch();
   orders_.wake();
-  const bool list_fresh = now() - list_contact_->confirmedAt() <= kMaxFreshListAge;
-  build_record_.onListed(backends_, otherMembers().size(), list_fresh, now());
+  build_record_.onListed(backends_, otherMembers().size(), now());
   callBuildRecord();
   armPublishTimer();
 }
--- a/src/gateway_control/gateway_control_builds.cc
+++ b/src/gateway_control/gateway_control_builds.cc
@@ -48,6 +48,8 @@
 
 void GatewayControl::onListContact(TimePoint as_of) {
   list_contact_->confirm(as_of);
+  build_record_.onListContact(as_of);
+  callBuildRecord();
   finishConfirmation();
 }
 
--- a/tests/unit/gateway_control/build_record_test.cc
+++ b/tests/unit/gateway_control/build_record_test.cc
@@ -52,10 +52,14 @@
   }
 
   void step(const std::vector<std::string>& builds, TimePoint now) {
-    record_.onListed(backendsOf(builds), 6, true, now);
-    const RecordCall call = record_.nextCall(now);
-    if (call.kind == RecordCall::Kind::read) read(now);
-    if (call.kind == RecordCall::Kind::write) write(call, now);
+    record_.onListContact(now);
+    record_.onListed(backendsOf(builds), 6, now);
+    call(now);
+  }
+
+  /// Makes the calls that are due before the list is read again.
+  void makeDueCalls(TimePoint now) {
+    while (call(now)) continue;
   }
 
   std::set<std::uint64_t> before() const {
@@ -66,6 +70,13 @@
   const BuildRecord& record() const { return record_; }
 
 private:
+  /// @return whether one was due.
+  bool call(TimePoint now) {
+    const RecordCall call = record_.nextCall(now);
+    if (call.kind == RecordCall::Kind::read) read(now);
+    if (call.kind == RecordCall::Kind::write) write(call, now);
+    return call.kind != RecordCall::Kind::none;
+  }
   void read(TimePoint now) {
     ++row_.reads;
     record_.onRead(row_.reachable ? std::optional(row_.record) : std::nullopt, now);
@@ -127,6 +138,44 @@
   CHECK(later.before() == idsOf({"old", "new", "third"}));
 }
 
+// It had decided to remove the build, was suspended while back ends of the build returned, and made the calls
+// before it had read the list.
+TEST_CASE("a gateway that was suspended leaves a build on record that was listed again meanwhile",
+          "[build_record]") {
+  Row row;
+  const std::uint64_t seed = GENERATE(range(1, 30));
+  Gateway current(row, 50, kStart);
+  Gateway late(row, seed, kStart);
+  const auto run = [&](const std::vector<std::string>& builds, Duration begin, Duration end) {
+    for (Duration at = begin; at < end; at += 50ms) {
+      current.step(builds, kStart + at);
+      late.step(builds, kStart + at);
+    }
+  };
+  run({"old", "new"}, 0s, 10s);
+  run({"old"}, 10s, 40s + 50ms);
+  current.run({"old", "new"}, kStart + 40s + 50ms, kStart + 50s);
+  late.makeDueCalls(kStart + 50s);
+  Gateway later(row, 51, kStart + 50s);
+  later.step({"old"}, kStart + 50s);
+  CHECK(later.before() == idsOf({"old", "new"}));
+}
+
+// The time for which it had not seen the build included the time for which it had seen nothing.
+TEST_CASE("a gateway that was suspended for long leaves a build on record that left a short time ago",
+          "[build_record]") {
+  Row row;
+  Gateway current(row, 1, kStart);
+  Gateway late(row, 2, kStart);
+  current.run({"old", "new"}, kStart, kStart + 44s);
+  late.run({"old", "new"}, kStart, kStart + 10s);
+  current.run({"old"}, kStart + 44s, kStart + 60s);
+  late.run({"old"}, kStart + 45s, kStart + 60s);
+  Gateway later(row, 3, kStart + 60s);
+  later.step({"old"}, kStart + 60s);
+  CHECK(later.before() == idsOf({"old", "new"}));
+}
+
 TEST_CASE("the record is not called while no build comes or goes", "[build_record]") {
   Row row;
   Gateway gateway(row, 1, kStart);
