--- a/tests/unit/platform/table_feed_test.cc
+++ b/tests/unit/platform/table_feed_test.cc
@@ -458,3 +458,44 @@
   source.calls[1]({});
   CHECK(source.outages == 1);
 }
+
+// Gateways that resume streams confirm the list up to twice a second while the store does not respond in
+// time, and each time abandoned the call that a slow store was about to respond to: they followed no list.
+TEST_CASE("a confirmation leaves a call to a slow store pending and sends its own after the response",
+          "[table_feed]") {
+  boost::asio::io_context context;
+  FakeSource source(context);
+  source.feed.confirm();
+  REQUIRE(source.calls.size() == 2);
+  CHECK(source.waits[1] == Duration(0));
+  context.run_for(1ms);
+  source.feed.confirm();
+  REQUIRE(source.calls.size() == 2);
+  source.calls[1](FakeSource::responseAt(11));
+  CHECK(source.feed.version() == 11);
+  REQUIRE(source.calls.size() == 3);
+  CHECK(source.waits[2] == Duration(0));
+  source.calls[2](FakeSource::responseAt(12));
+  CHECK(source.feed.version() == 12);
+  REQUIRE(source.calls.size() == 4);
+  CHECK(source.waits[3] == 100ms);
+}
+
+// It repeated the call for changes, whose history is gone, so that a full read that takes longer than the
+// time between two confirmations was never completed.
+TEST_CASE("a feed whose history was compacted reads the table in full although the list is to be confirmed",
+          "[table_feed]") {
+  boost::asio::io_context context;
+  FakeSource source(context);
+  gateway::TableResponse compacted;
+  compacted.outcome = gateway::TableOutcome::HistoryCompacted;
+  source.calls[0](compacted);
+  source.feed.confirm();
+  CHECK(source.calls.size() == 1);
+  REQUIRE(source.read_done);
+  const gateway::TableCallback first_read = std::exchange(source.read_done, nullptr);
+  source.feed.confirm();
+  CHECK_FALSE(source.read_done);
+  first_read(FakeSource::responseAt(20));
+  CHECK(source.feed.version() == 20);
+}
