Count the builds of pools that a route had before for streams of unknown origin

Found by reading the code.

A configuration may move a route to another pool while its streams run. A gateway that did not begin such a stream, and whose keepers do not know it, asked which builds the new pool has, and continued the stream at the only one, although it had begun at another build of the earlier pool.

The pools that the request's path had in configurations of the last 30 s count as well. Only the routes of resumable streams are kept of a configuration that was replaced.

Open: a gateway that has not received the newest configuration, or started after it, does not know the other pool.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -59,6 +59,7 @@
   weights_.onSnapshot(*snapshot_, now);
   suspects_.removeExpired(now);
   origins_.onSnapshot(*snapshot_, now);
+  stream_routes_.onSnapshot(*snapshot_, now);
   if (snapshot_->configuration) {
     shares_.configure(*snapshot_->configuration);
     setQuotas(*snapshot_->configuration, now);
@@ -124,6 +125,7 @@
   entry.fingerprint = fingerprintOf(request.host, request.path, tenant, request.body);
   entries_.emplace(client, std::move(owned));
   admit(entry, checked, now);
+  if (entry.client.resume_after) entry.origin_pools = stream_routes_.poolsOf(request.host, request.path);
   if (entry.route->uses_prefixes) entry.parts = partFingerprints(entry.client, entry.isolated_tenant);
   if (entry.pool == nullptr) return giveUpFor(entry, RequestCause::route_without_pool, now);
   reportAdmitted(entry, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -29,6 +29,7 @@
 #include "gateway/named_weights.h"
 #include "gateway/peer_relay.h"
 #include "gateway/recent_gateways.h"
+#include "gateway/recent_stream_routes.h"
 #include "gateway/request_check.h"
 #include "gateway/request_fingerprint.h"
 #include "gateway/request_observer.h"
@@ -205,6 +206,7 @@
     bool head_forwarded = false;
     http::BodyFraming head_framing = http::BodyFraming::Length;  ///< Of the forwarded head.
     std::optional<StreamCursor> cursor;                          ///< Of a resumable stream.
+    PoolIds origin_pools;                 ///< That may have begun the stream which the request resumes.
     std::optional<std::uint64_t> origin;  ///< Build that began the stream; empty: no event yet, or any may.
     /// The only build that had served when the stream was resumed: one that is listed later did not begin it.
     std::optional<std::uint64_t> sole_build;
@@ -407,6 +409,7 @@
     TimePoint answers_until{};       ///< Of other gateways.
     TimePoint until{};
   };
+  RecentStreamRoutes stream_routes_;
   std::map<ClientId, AwaitedOrigin> awaiting_origin_;
   std::map<std::uint64_t, Probe> probes_;
   std::uint64_t next_probe_ = 1;
--- a/src/gateway/gateway_streams.cc
+++ b/src/gateway/gateway_streams.cc
@@ -20,8 +20,7 @@
 /// @return whether the request may be placed now; otherwise it waits until its origin can be decided.
 bool Gateway::resolveOrigin(Entry& entry, TimePoint now) {
   if (!entry.client.resume_after || !entry.cursor) return true;
-  const PoolIds pools = poolIdsOf(*entry.route);
-  const StreamOrigin origin = origins_.lookUp(entry.client.resumed_attempt, pools, now);
+  const StreamOrigin origin = origins_.lookUp(entry.client.resumed_attempt, entry.origin_pools, now);
   reportOrigin(entry, origin, now);
   const bool is_known = origin.state == StreamOrigin::State::known;
   if (is_known && isBuildServed(entry, origin.build, false)) return applyOrigin(entry, origin, now);
@@ -86,7 +85,7 @@
 bool Gateway::needsConfirmation(const Entry& entry, TimePoint now) const {
   const std::optional<std::uint64_t> build = origins_.knownBuild(entry.client.resumed_attempt);
   if (build) return !isBuildServed(entry, *build, false);
-  return !origins_.hasSeveralBuilds(poolIdsOf(*entry.route), now);
+  return !origins_.hasSeveralBuilds(entry.origin_pools, now);
 }
 
 /// @return false: the request was refused.
@@ -104,8 +103,8 @@
   const std::uint64_t confirmation = awaiting_origin_.at(entry.id).confirmation;
   awaiting_origin_.erase(entry.id);
   entry.list_confirmed = confirmations_.stateOf(confirmation) == BuildConfirmations::State::confirmed;
-  const PoolIds pools = poolIdsOf(*entry.route);
-  const StreamOrigin origin = origins_.decide(entry.client.resumed_attempt, pools, entry.list_confirmed, now);
+  const StreamOrigin origin =
+      origins_.decide(entry.client.resumed_attempt, entry.origin_pools, entry.list_confirmed, now);
   reportOrigin(entry, origin, now);
   if (applyOrigin(entry, origin, now)) place(entry, now);
 }
--- a/tests/unit/gateway/stream_builds_test.cc
+++ b/tests/unit/gateway/stream_builds_test.cc
@@ -396,6 +396,32 @@
   }
 }
 
+// Only the builds of the pool that the route names now were counted, and the stream had begun at another one.
+TEST_CASE("a stream of an unknown build goes on nowhere after its route was moved to a pool of another build",
+          "[stream_builds]") {
+  BuildsFixture fixture;
+  for (Backend& backend : fixture.backends) backend.build = backend.view.pool == "lm" ? "v1" : "v2";
+  fixture.configuration.routes[2].pools = {{"app", 1}};
+  fixture.publish();
+  fixture.now += seconds(70);
+  fixture.publish();
+  fixture.configuration.routes[2].pools = {{"lm", 1}};
+  fixture.publish();
+  SECTION("while clients resume streams that began before") {
+    fixture.now += seconds(20);
+    fixture.publish();
+    fixture.resume("an attempt at another gateway");
+    CHECK_FALSE(fixture.has<Dispatch>());
+    CHECK(fixture.only<Refuse>().cause == RequestCause::origin_unknown);
+  }
+  SECTION("later it goes on") {
+    fixture.now += seconds(40);
+    fixture.publish();
+    fixture.resume("an attempt at another gateway");
+    CHECK(fixture.has<Dispatch>());
+  }
+}
+
 TEST_CASE("a stream that cannot go on is refused without a read of the platform", "[stream_builds]") {
   BuildsFixture fixture;
   fixture.confirms = false;
