--- a/sim/gateway_world/stream_checkers.cc
+++ b/sim/gateway_world/stream_checkers.cc
@@ -147,6 +147,8 @@
 
 void checkUndisturbedStreams(const FleetHistory& history, sim::Violations& violations) {
   const Records& records = history.records();
+  // A kill of all gateways takes the origins of streams that are resumed long after it.
+  if (!records.fleet_kills.empty()) return;
   const std::map<std::uint64_t, std::uint32_t> builds = buildsOfStreams(records);
   std::set<std::uint64_t> continued;
   for (const EngineRun& run : records.runs) {
--- a/sim/gateway_world/stream_checkers.h
+++ b/sim/gateway_world/stream_checkers.h
@@ -14,8 +14,8 @@
 /// their builds serve other requests.
 void checkStreamsGoOn(const FleetHistory& history, sim::Violations& violations);
 
-/// While no fault affects gateways, messages and the store, at least half of the streams that callers resume
-/// go on if engines of their builds serve other requests.
+/// In runs without a kill of all gateways, while no fault affects gateways, messages and the store, at least
+/// half of the streams that callers resume go on if engines of their builds serve other requests.
 void checkUndisturbedStreams(const FleetHistory& history, sim::Violations& violations);
 
 }  // namespace crankspur::gateway_sim
--- a/src/gateway/recent_stream_routes.h
+++ b/src/gateway/recent_stream_routes.h
@@ -21,7 +21,7 @@
 
 private:
   struct Replaced {
-    Configuration routes;  ///< Those of resumable streams alone.
+    Configuration routes;  ///< Those of resumable streams that were dropped, split or moved.
     TimePoint replaced_at{};
   };
 
