--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -39,7 +39,8 @@
         return "a success without a runner's mark"
     if attempt.kind.streaming and attempt.status == 200:
         return _stream_problem(attempt)
-    if attempt.status in (429, 503) and not attempt.sealed and not attempt.retry_after:
+    refused = attempt.status in (429, 503) and not attempt.sealed
+    if refused and not attempt.retry_after and not attempt.build_left:
         return f"refused with {attempt.status} and no time to come back"
     return ""
 
@@ -224,6 +225,15 @@
     return violations[:MAX_REPORTED]
 
 
+def mark_streams_of_gone_builds(streams, builds_served):
+    """Marks the attempts that resume a stream of which no runner can continue it, then or later: a refusal need not say
+    when to come back. `builds_served`: as for find_streams_that_stop."""
+    for attempts in filter(None, streams):
+        build = attempts[0].texts[0]["build"]
+        for attempt in attempts[1:]:
+            attempt.build_left = all(until <= attempt.ended_at for _, until in builds_served.get(build, []))
+
+
 def find_streams_that_stop(streams, builds_served):
     """Returns a violation if hardly any of the streams that clients resumed at a running gateway went on.
 
@@ -232,7 +242,7 @@
     for attempts in filter(None, streams):
         build = attempts[0].texts[0]["build"]
         for attempt in attempts[1:]:
-            served = any(since < attempt.sent_at and attempt.ended_at < until for since, until in builds_served[build])
+            served = any(since < attempt.sent_at and attempt.ended_at < until for since, until in builds_served.get(build, []))
             if served and attempt.status in (200, 503):
                 resumed += 1
                 went_on += 1 if attempt.event_ids else 0
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -27,7 +27,7 @@
 
 from checks import (find_departure_violations, find_endless_reads, find_excess_repeats, find_falls,  # noqa: E402
                     find_pause_violations, find_repeated_crashes, find_stream_violations, find_streams_that_stop,
-                    find_unneeded_refusals, find_violations)
+                    find_unneeded_refusals, find_violations, mark_streams_of_gone_builds)
 from client import Attempt, Kind, look_up, make_attempt  # noqa: E402
 from http_text import head_bytes, read_body, read_head  # noqa: E402
 from runner import Brittleness, Notices, Runner  # noqa: E402
@@ -718,6 +718,7 @@
         monitor.cancel()
         await self.stop()
         await asyncio.sleep(0.5)
+        mark_streams_of_gone_builds(self.streams, self.builds_served)
         violations = find_violations(self.attempts, self.runs, self.revoked, KEY_VALIDITY_S,
                                      quiet_since + QUIET_PERIOD_S / 2, self.max_back_ends)
         violations += find_repeated_crashes(self.ends)
