--- a/tests/sim/check_test.cc
+++ b/tests/sim/check_test.cc
@@ -287,17 +287,27 @@
   }
 }
 
+constexpr std::uint64_t kSeedOfFalls = 18;  ///< Judged by a test of its own.
+
 // Engines fell over since gateways let them reject too many requests, and gateways that were restarted sent
 // more repeats than the retry budget allows.
 TEST_CASE("brittle engines keep up, and repeats stay within their budget, under faults of all kinds",
           "[sim]") {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    if (seed == kSeedOfFalls) continue;
     const RunResult result = runOne(seed, "gateway_brittle");
     INFO(describe(result));
     CHECK(result.violations.empty());
   }
 }
 
+// Engines fall over four times in one brittle period, where 3.2 falls are tolerated.
+TEST_CASE("brittle engines of a small fleet fall over rarely, seed 18", "[sim]") {
+  const RunResult result = runOne(kSeedOfFalls, "gateway_brittle");
+  INFO(describe(result));
+  CHECK(result.violations.empty());
+}
+
 // Requests may reach up to six engines, which fail most of them with errors, rejections or events without
 // end, while callers move between gateways and gateways are killed or partitioned from the engines.
 TEST_CASE("repeats stay within the budget of all gateways while callers move between them", "[sim]") {
