Record no build again that left long ago while the platform confirms no list

Since no build counts as one that has left while the list is older than 4 s, also one of a former release that had been removed from the record: after each outage of the store the first gateway to write recorded all builds that it had ever listed, and resumed streams of unknown origin were refused for the 30 s and more until they were removed.

A build that is not on record is added only if it was listed in the time for which clients resume streams.

--- a/src/gateway_control/build_record.cc
+++ b/src/gateway_control/build_record.cc
@@ -100,7 +100,9 @@
 /// @return what the row should hold.
 std::set<BuildRecord::PoolAndBuild> BuildRecord::content(TimePoint now) const {
   std::set<PoolAndBuild> builds = recorded_;
-  for (const auto& [entry, listed_at] : listed_) builds.insert(entry);
+  for (const auto& [entry, listed_at] : listed_) {
+    if (now - listed_at <= kStreamResumeTime) builds.insert(entry);
+  }
   std::erase_if(builds, [&](const PoolAndBuild& entry) { return isStale(entry, now); });
   return builds;
 }
--- a/tests/unit/gateway_control/build_record_test.cc
+++ b/tests/unit/gateway_control/build_record_test.cc
@@ -57,6 +57,14 @@
     call(now);
   }
 
+  /// Runs while the platform confirms no list.
+  void runWithoutList(const std::vector<std::string>& builds, TimePoint begin, TimePoint end) {
+    for (TimePoint now = begin; now < end; now += 50ms) {
+      record_.onListed(backendsOf(builds), 6, now);
+      call(now);
+    }
+  }
+
   /// Makes the calls that are due before the list is read again.
   void makeDueCalls(TimePoint now) {
     while (call(now)) continue;
@@ -176,6 +184,19 @@
   CHECK(later.before() == idsOf({"old", "new"}));
 }
 
+// While the platform responded to nothing, no build counted as one that has left: those of former releases were
+// recorded again, and streams of unknown origin refused.
+TEST_CASE("a build that left long ago is not recorded again after the list was outdated", "[build_record]") {
+  Row row;
+  Gateway gateway(row, 1, kStart);
+  gateway.run({"old", "new"}, kStart, kStart + 2s);
+  gateway.run({"new"}, kStart + 2s, kStart + 90s);
+  gateway.runWithoutList({"new"}, kStart + 90s, kStart + 100s);
+  Gateway later(row, 2, kStart + 100s);
+  later.step({"new"}, kStart + 100s);
+  CHECK(later.before() == idsOf({"new"}));
+}
+
 TEST_CASE("the record is not called while no build comes or goes", "[build_record]") {
   Row row;
   Gateway gateway(row, 1, kStart);
