--- a/tests/unit/gateway_control/build_record_test.cc
+++ b/tests/unit/gateway_control/build_record_test.cc
@@ -184,8 +184,8 @@
   CHECK(later.before() == idsOf({"old", "new"}));
 }
 
-// While the platform responded to nothing, no build counted as one that has left: those of former releases were
-// recorded again, and streams of unknown origin refused.
+// While the platform responded to nothing, no build counted as one that has left: those of former releases
+// were recorded again, and streams of unknown origin refused.
 TEST_CASE("a build that left long ago is not recorded again after the list was outdated", "[build_record]") {
   Row row;
   Gateway gateway(row, 1, kStart);
