--- a/src/base/bounded_event_log.cc
+++ b/src/base/bounded_event_log.cc
@@ -118,6 +118,19 @@
   return accepted_;
 }
 
+/// Locks without waiting, since the thread that failed may hold the lock.
+void BoundedEventLog::flushBeforeFailure() {
+  if (!mutex_.try_lock()) return;
+  std::string_view unwritten = queued_;
+  while (!unwritten.empty()) {
+    const ssize_t written = ::write(settings_.descriptor, unwritten.data(), unwritten.size());
+    if (written <= 0) break;
+    unwritten.remove_prefix(static_cast<std::size_t>(written));
+  }
+  queued_.clear();
+  mutex_.unlock();
+}
+
 // The writer thread.
 
 void BoundedEventLog::run() {
--- a/src/base/bounded_event_log.h
+++ b/src/base/bounded_event_log.h
@@ -47,7 +47,7 @@
 };
 
 /// See the file comment. A line is queued for at most `batch_interval` while the descriptor has a reader.
-/// Queued lines are lost when the process is killed.
+/// Queued lines are lost when the process is killed; see process_failure.h for other ends.
 class BoundedEventLog : public EventLog {
 public:
   explicit BoundedEventLog(BoundedLogSettings settings);
@@ -57,6 +57,9 @@
   BoundedEventLog& operator=(const BoundedEventLog&) = delete;
 
   void write(EventId event, const std::vector<LogField>& fields) override;
+  /// Writes the queued lines from the calling thread. To be called only when the process is about to fail;
+  /// does nothing if the failing thread, or another one, is queueing a line.
+  void flushBeforeFailure();
   /// @return recent lines that contain `text`, whether written, queued or dropped; oldest first.
   std::vector<std::string> recentLines(std::string_view text) const;
   DroppedLines dropped() const;
