--- /dev/null
+++ b/tests/integration/gateway/start_test.cc
@@ -0,0 +1,164 @@
+/// @file Starts of the gateway program, at which signals, the settings file and addresses may be late or early.
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <thread>
+
+#include "integration/process.h"
+
+using namespace crankspur::testing;
+
+namespace {
+
+constexpr std::uint16_t kFront = 7001;
+constexpr std::uint16_t kReadiness = 7002;
+constexpr std::uint16_t kDirectory = 7003;
+constexpr std::uint16_t kMetrics = 7004;
+constexpr std::uint16_t kGossip = 7005;
+constexpr std::chrono::microseconds kReloadInterval{200};
+
+/// Loopback address that no other test process uses, so that its ports are free.
+std::string ownHost() {
+  const int id = ::getpid();
+  return "127." + std::to_string(100 + (id >> 16) % 100) + "." + std::to_string(id >> 8 & 255) + "." +
+         std::to_string(1 + id % 254);
+}
+
+std::string at(std::uint16_t port) {
+  return ownHost() + ":" + std::to_string(port);
+}
+
+/// @return settings of a gateway whose platform cannot be reached.
+std::string settingsText() {
+  return "name = \"g\"\nzone = \"z\"\nplatform = \"" + at(1) + "\"\nfront = \"" + at(kFront) +
+         "\"\nreadiness = \"" + at(kReadiness) + "\"\ndirectory = \"" + at(kDirectory) + "\"\nmetrics = \"" +
+         at(kMetrics) + "\"\ngossip = \"" + at(kGossip) + "\"\n";
+}
+
+/// A socket bound to a port of ownHost(), listening if it is a TCP socket.
+class HeldPort {
+public:
+  HeldPort(std::uint16_t port, int type) : descriptor_(::socket(AF_INET, type, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    ::inet_pton(AF_INET, ownHost().c_str(), &address.sin_addr);
+    bound_ = ::bind(descriptor_, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+    if (type == SOCK_STREAM) ::listen(descriptor_, 1);
+  }
+  ~HeldPort() { ::close(descriptor_); }
+  HeldPort(const HeldPort&) = delete;
+  HeldPort& operator=(const HeldPort&) = delete;
+  bool bound() const { return bound_; }
+
+private:
+  int descriptor_;
+  bool bound_ = false;
+};
+
+/// The gateway program with the settings file of the test.
+class Start {
+public:
+  Process& run() {
+    process_ = std::make_unique<Process>("crankspur_gateway", std::vector<std::string>{"--settings=" + path()},
+                                         folder_ + "/log");
+    return *process_;
+  }
+  std::string path() const { return folder_ + "/settings.toml"; }
+  /// @return whether the readiness address responds before the process ends, within 20 s.
+  bool responds(std::uint16_t port = kReadiness) {
+    return eventually([&] { return !process_->running() || isListening(port); }, std::chrono::seconds(20)) &&
+           process_->running();
+  }
+  /// @return whether the process survives for `time`.
+  bool survives(std::chrono::milliseconds time) {
+    return !eventually([&] { return !process_->running(); }, time);
+  }
+
+private:
+  static bool isListening(std::uint16_t port) {
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    ::inet_pton(AF_INET, ownHost().c_str(), &address.sin_addr);
+    const bool connected =
+        ::connect(descriptor, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) == 0;
+    ::close(descriptor);
+    return connected;
+  }
+
+  std::string folder_ = makeScratchFolder();
+  std::unique_ptr<Process> process_;
+};
+
+/// A named pipe as the settings file: the program that reads it waits until the test provides the text.
+class SettingsPipe {
+public:
+  explicit SettingsPipe(const std::string& path) : path_(path) {
+    ::signal(SIGPIPE, SIG_IGN);  // The reader may have ended.
+    REQUIRE(::mkfifo(path.c_str(), 0600) == 0);
+  }
+  /// Waits until a program reads, calls `action`, and then provides the text.
+  template <typename Action>
+  void writeAfter(Action action, const std::string& text) {
+    const int descriptor = ::open(path_.c_str(), O_WRONLY);
+    action();
+    CHECK(::write(descriptor, text.data(), text.size()) == static_cast<ssize_t>(text.size()));
+    ::close(descriptor);
+  }
+  /// Replaces the pipe by a regular file.
+  void becomeFile(const std::string& text) {
+    const std::string file = path_ + ".new";
+    writeText(file, text);
+    std::filesystem::rename(file, path_);
+  }
+
+private:
+  std::string path_;
+};
+
+}  // namespace
+
+// Guards against processes that end when the platform tells them of changed settings before they have installed
+// their signal handlers: the default action of SIGHUP is to end the process.
+TEST_CASE("a gateway survives a reload that is requested before it has read its settings", "[gateway][start]") {
+  Start start;
+  SettingsPipe pipe(start.path());
+  Process& process = start.run();
+  pipe.writeAfter(
+      [&] {
+        process.signal(SIGHUP);
+        CHECK(start.survives(std::chrono::milliseconds(100)));
+        pipe.becomeFile(settingsText());
+      },
+      settingsText());
+  CHECK(start.responds());
+  process.signal(SIGTERM);
+  CHECK(process.wait(std::chrono::seconds(20)) == 0);
+}
+
+// Guards against processes that end by a signal while they are being destroyed: the handlers must stay until the end.
+TEST_CASE("a gateway that gets reload requests until its end ends with status 0", "[gateway][start]") {
+  Start start;
+  writeText(start.path(), settingsText());
+  Process& process = start.run();
+  REQUIRE(start.responds());
+  process.signal(SIGTERM);
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(20);
+  while (process.running() && std::chrono::steady_clock::now() < end) {
+    process.signal(SIGHUP);
+    std::this_thread::sleep_for(kReloadInterval);
+  }
+  CHECK(process.wait(std::chrono::seconds(1)) == 0);
+}
