Wait for settings and addresses that are not there yet

What is not there yet was taken for what never comes.

All addresses are bound before the first connection is made, whose local port could be one of them.

--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -111,11 +111,11 @@
       origin_record_timer_(executor),
       suspension_timer_(executor) {}
 
-std::error_code GatewayControl::start() {
+void GatewayControl::start() {
   contact_->confirm(now());
   list_contact_->confirm(now());
   member_added_at_ = now();
-  if (const std::error_code error = gossip_.start()) return error;
+  gossip_.start();
   platform_.start(platformCallbacks());
   refreshServing();
   crashes_.onTimer({}, now());
@@ -123,7 +123,6 @@
   callBuildRecord();
   callOriginRecord();
   watchForSuspension();
-  return {};
 }
 
 PlatformCallbacks GatewayControl::platformCallbacks() {
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -66,9 +66,10 @@
                  std::uint64_t incarnation, PlatformLink& platform, GatewayControlOutputs outputs,
                  EventLog& log);
 
-  /// Starts gossip, the platform link and all timers.
-  /// @return an error if the gossip address cannot be bound.
-  std::error_code start();
+  /// Binds the gossip address. May be called again after a failure.
+  std::error_code listen() { return gossip_.listen(); }
+  /// Starts gossip, the platform link and all timers. To be called after listen().
+  void start();
   /// Planned shutdown: announces it to the other gateways and sends no further orders.
   void leave();
   /// Applies changed settings. Changes of addresses take effect only at a restart.
--- a/src/gateway_control/gossip_socket.cc
+++ b/src/gateway_control/gossip_socket.cc
@@ -51,16 +51,20 @@
       membership_(
           makeMembership(record(options_), gossipMembershipOptions(), options_.random_seed, clock_.now())) {}
 
-std::error_code GossipSocket::start() {
+std::error_code GossipSocket::listen() {
   boost::system::error_code error;
   const asio::ip::udp::endpoint endpoint = udpEndpoint(options_.address, error);
   if (!error) socket_.open(endpoint.protocol(), error);
   if (!error) socket_.bind(endpoint, error);
   if (!error) socket_.non_blocking(true, error);
-  if (error) return error;
+  boost::system::error_code ignored;
+  if (error) socket_.close(ignored);
+  return error;
+}
+
+void GossipSocket::start() {
   receive();
   seed(options_.seeds);
-  return {};
 }
 
 void GossipSocket::seed(const std::vector<std::string>& addresses) {
--- a/src/gateway_control/gossip_socket.h
+++ b/src/gateway_control/gossip_socket.h
@@ -48,8 +48,10 @@
 class GossipSocket {
 public:
   GossipSocket(const boost::asio::any_io_executor& executor, GossipOptions options, GossipReceiver& receiver);
-  /// Binds the socket, starts to receive and contacts the seeds.
-  std::error_code start();
+  /// Binds the socket. May be called again after a failure.
+  std::error_code listen();
+  /// Starts to receive and contacts the seeds. To be called after listen().
+  void start();
   void seed(const std::vector<std::string>& addresses);
   void leave();
   void setConfigurationVersion(std::uint64_t version);
--- a/tests/integration/gateway/start_test.cc
+++ b/tests/integration/gateway/start_test.cc
@@ -148,6 +148,84 @@
   CHECK(process.wait(std::chrono::seconds(20)) == 0);
 }
 
+// Guards against processes that end by the signal itself when they are told to stop while they start.
+TEST_CASE("a gateway that is stopped before it has read its settings ends with status 0", "[gateway][start]") {
+  Start start;
+  SettingsPipe pipe(start.path());
+  Process& process = start.run();
+  pipe.writeAfter(
+      [&] {
+        process.signal(SIGTERM);
+        CHECK(start.survives(std::chrono::milliseconds(100)));
+        pipe.becomeFile("");
+      },
+      "");
+  CHECK(process.wait(std::chrono::seconds(20)) == 0);
+}
+
+// Guards against processes that end because their settings file is being written when they start: it is absent, empty
+// or cut off at any byte for a moment.
+TEST_CASE("a gateway waits for a settings file that is being written", "[gateway][start]") {
+  Start start;
+  const std::string text = settingsText();
+  const std::string early = GENERATE_COPY(std::string("absent"), std::string(), text.substr(0, 30),
+                                          text.substr(0, text.find("gossip")), text.substr(0, text.size() - 3));
+  INFO("at the start: " << early);
+  if (early != "absent") writeText(start.path(), early);
+  start.run();
+  CHECK(start.survives(std::chrono::milliseconds(300)));
+  writeText(start.path(), text);
+  CHECK(start.responds());
+}
+
+// Guards against processes that end because another socket holds one of their addresses for a moment: that of a
+// process that is still ending, or a connection that was given the port as its local one.
+TEST_CASE("a gateway waits for an address that another socket holds", "[gateway][start]") {
+  Start start;
+  writeText(start.path(), settingsText());
+  const std::uint16_t port = GENERATE(kFront, kReadiness, kDirectory, kMetrics, kGossip);
+  const int type = GENERATE(SOCK_STREAM, SOCK_DGRAM);
+  if (type == SOCK_DGRAM && port != kGossip) return;
+  INFO("port " << port << " type " << type);
+  {
+    const HeldPort held(port, type);
+    REQUIRE(held.bound());
+    start.run();
+    CHECK(start.survives(std::chrono::milliseconds(700)));
+  }
+  CHECK(start.responds(port));
+  CHECK(start.responds(kReadiness));
+}
+
+// Guards against gateways that serve nobody for want of metrics: the metrics port is the same for all deployments of a
+// machine.
+TEST_CASE("a gateway serves while another process holds its metrics address", "[gateway][start]") {
+  Start start;
+  writeText(start.path(), settingsText());
+  const HeldPort held(kMetrics, SOCK_STREAM);
+  REQUIRE(held.bound());
+  Process& process = start.run();
+  CHECK(start.responds(kReadiness));
+  CHECK(start.responds(kFront));
+  process.signal(SIGTERM);
+  CHECK(process.wait(std::chrono::seconds(20)) == 0);
+}
+
+// Guards against processes that end by a signal, or do not end at all, when they are stopped while they wait for an
+// address.
+TEST_CASE("a gateway that is stopped while it waits for an address ends with status 0", "[gateway][start]") {
+  Start start;
+  writeText(start.path(), settingsText());
+  const HeldPort held(kFront, SOCK_STREAM);
+  REQUIRE(held.bound());
+  Process& process = start.run();
+  CHECK(start.responds(kReadiness));
+  process.signal(SIGHUP);
+  CHECK(start.survives(std::chrono::milliseconds(100)));
+  process.signal(SIGTERM);
+  CHECK(process.wait(std::chrono::seconds(20)) == 0);
+}
+
 // Guards against processes that end by a signal while they are being destroyed: the handlers must stay until the end.
 TEST_CASE("a gateway that gets reload requests until its end ends with status 0", "[gateway][start]") {
   Start start;
--- a/tests/unit/gateway_control/gateway_admin_test.cc
+++ b/tests/unit/gateway_control/gateway_admin_test.cc
@@ -51,7 +51,8 @@
 public:
   AdminFixture() {
     REQUIRE_FALSE(process.start());
-    REQUIRE_FALSE(control.start());
+    REQUIRE_FALSE(control.listen());
+    control.start();
     REQUIRE_FALSE(admin.listen(context.get_executor(), "127.0.0.1:0"));
   }
 
