--- a/sim/gateway_world/gateway_node_traffic.cc
+++ b/sim/gateway_world/gateway_node_traffic.cc
@@ -309,7 +309,7 @@
 void GatewayNode::execute(const gateway::ForwardHead& action) {
   const auto exchange = process_->exchanges.find(action.exchange);
   if (exchange == process_->exchanges.end() || exchange->second.body.empty()) return;
-  execute(gateway::ForwardBytes{action.client, std::exchange(exchange->second.body, {})});
+  execute(gateway::ForwardBytes{action.client, action.exchange, std::exchange(exchange->second.body, {})});
 }
 
 void GatewayNode::execute(const gateway::ForwardBytes& action) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -92,11 +92,15 @@
   std::uint32_t peerCount() const { return snapshot_ == nullptr ? 0 : snapshot_->peer_count; }
 
   void onRequest(ClientId client, IncomingRequest request, TimePoint now);
-  /// The driver responded to a request itself: it could not read it completely, or was at its connection
-  /// limit.
+  /// @return whether the configuration allows the request, by its head.
+  CheckedRequest check(const IncomingRequest& request, TimePoint now) const {
+    return checkRequest(request, snapshot_.get(), now);
+  }
+  /// The driver responded to a request itself: it could not read it completely, or was at a limit of its own.
   /// @param request_id empty if it was not read.
   /// @param status of the response that the driver sent to the client.
-  void onUnreadableRequest(const std::string& request_id, int status, TimePoint now);
+  /// @param no_memory the driver has no room for it.
+  void onUnreadableRequest(const std::string& request_id, int status, bool no_memory, TimePoint now);
   void onClientDisconnected(ClientId client, TimePoint now);
 
   /// The head of a response was received. The driver buffers the body until ForwardHead.
@@ -107,6 +111,8 @@
   bool streamsBody(ExchangeId exchange) const;
   /// The body exceeds the driver's buffer limit.
   void onBodyBufferFull(ExchangeId exchange, TimePoint now);
+  /// The driver stopped reading the response, because the client does not read, or continues.
+  void onReadingPaused(ExchangeId exchange, bool paused, TimePoint now);
   /// The response is complete.
   void onEnd(ExchangeId exchange, TimePoint now);
   /// The exchange failed: no connection could be made, or it broke.
@@ -144,6 +150,7 @@
     DispatchedPrompt prompt;
     bool first_byte = false;
     bool body_began = false;       ///< Bytes of the body were received, and passed to onBytes().
+    bool reading_paused = false;   ///< Nothing is received because the client does not read.
     bool streams_body = false;     ///< Body bytes are forwarded as they are received.
     bool server_error = false;     ///< The response has a 5xx status.
     bool recalled = false;         ///< RecallUnsent was requested.
--- a/src/gateway/gateway_actions.h
+++ b/src/gateway/gateway_actions.h
@@ -84,6 +84,7 @@
 /// Forwards body bytes.
 struct ForwardBytes {
   ClientId client = 0;
+  ExchangeId exchange = 0;  ///< From which they were received.
   std::string bytes;
 };
 
--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -14,7 +14,8 @@
 }
 
 /// @return why the driver responds with the status to a request that it could not read.
-RequestCause causeOfUnreadable(int status) {
+RequestCause causeOfUnreadable(int status, bool no_memory) {
+  if (no_memory) return RequestCause::memory_exhausted;
   switch (status) {
     case 408:
       return RequestCause::arrived_too_slowly;
@@ -31,12 +32,12 @@
 
 }  // namespace
 
-void Gateway::onUnreadableRequest(const std::string& request_id, int status, TimePoint now) {
+void Gateway::onUnreadableRequest(const std::string& request_id, int status, bool no_memory, TimePoint now) {
   ++counters_.requests;
   ++counters_.refused;
   Entry entry;
   entry.client.request_id = request_id;
-  entry.cause = causeOfUnreadable(status);
+  entry.cause = causeOfUnreadable(status, no_memory);
   entry.arrived_at = now;
   const bool retryable = status == 408 || status == 503;
   const RequestOutcome outcome = retryable ? RequestOutcome::refused : RequestOutcome::rejected;
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -82,6 +82,13 @@
   forwardHead(*entry);
 }
 
+void Gateway::onReadingPaused(ExchangeId exchange, bool paused, TimePoint now) {
+  Entry* entry = findExchange(exchange);
+  if (entry == nullptr) return;
+  entry->active.reading_paused = paused;
+  entry->active.last_received_at = now;
+}
+
 void Gateway::onBytes(ExchangeId exchange, std::string_view bytes, TimePoint now) {
   Entry* entry = findExchange(exchange);
   if (entry == nullptr) return;
@@ -98,7 +105,7 @@
   std::string forwarded = entry->cursor ? entry->cursor->feed(bytes) : std::string(bytes);
   if (forwarded.empty()) return;
   if (entry->cursor && !entry->active.relayed) recordOrigin(*entry, now);
-  actions_.emplace_back(ForwardBytes{entry->id, std::move(forwarded)});
+  actions_.emplace_back(ForwardBytes{entry->id, exchange, std::move(forwarded)});
 }
 
 /// A back end that does not end an event has failed. Another one can continue the stream after the event
@@ -306,6 +313,7 @@
 /// first byte was expected if none was received: some connections may still work, with back ends that are
 /// prefilling a prompt.
 TimePoint Gateway::silenceDeadline(const ActiveExchange& active, TimePoint now) const {
+  if (active.reading_paused) return now + settings_.silence_limit;
   const TimePoint last_received = std::max(active.last_received_at, active.sent_at);
   if (!mayBeOnSilentConnection(active))
     return std::max(last_received, table_.reach().lastReceivedAt(active.slot)) + silenceLimit(active, now);
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -46,6 +46,8 @@
       return "arrived_too_slowly";
     case RequestCause::too_many_connections:
       return "too_many_connections";
+    case RequestCause::memory_exhausted:
+      return "memory_exhausted";
     case RequestCause::no_configuration:
       return "no_configuration";
     case RequestCause::no_route:
--- a/src/gateway_control/gateway_admin.cc
+++ b/src/gateway_control/gateway_admin.cc
@@ -1,6 +1,9 @@
 #include "gateway_control/gateway_admin.h"
 
+#include <unistd.h>
+
 #include <boost/json.hpp>
+#include <fstream>
 #include <map>
 
 #include "base/error.h"
@@ -31,6 +34,15 @@
           {"weights", std::move(models)}};
 }
 
+/// @return resident memory of this process; 0 if the kernel does not tell.
+std::size_t residentBytes() {
+  std::ifstream pages("/proc/self/statm");
+  std::size_t total = 0;
+  std::size_t resident = 0;
+  if (!(pages >> total >> resident)) return 0;
+  return resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 template <typename Items>
 json::array describeAll(const Items& items) {
   json::array all;
@@ -119,6 +131,9 @@
   metrics_.serves.Set(current.serves ? 1 : 0);
   metrics_.serving.Set(static_cast<double>(current.serving.size()));
   metrics_.orders.Set(static_cast<double>(current.orders_sent));
+  metrics_.held_bytes.Set(static_cast<double>(process_.heldBytes()));
+  metrics_.held_bytes_limit.Set(static_cast<double>(process_.heldBytesLimit()));
+  metrics_.resident_bytes.Set(static_cast<double>(residentBytes()));
   const DroppedLines dropped = log_.dropped();
   metrics_.log_lines.Set(static_cast<double>(log_.linesAccepted()));
   metrics_.log_routine_dropped.Set(static_cast<double>(dropped.routine));
--- a/src/gateway_control/node_settings.cc
+++ b/src/gateway_control/node_settings.cc
@@ -13,6 +13,7 @@
 constexpr Range<double> kSlack{0.0, 1e9};
 constexpr Range<double> kProcessor{0.001, 1024.0};
 constexpr Range<double> kMegabits{0.1, 1e7};
+constexpr Range<double> kMegabytes{16, 1e6};
 constexpr Range<std::int64_t> kGateways{1, 10'000};
 
 /// Also reports a key that is present but empty, which is what a template produces for a field without a
@@ -68,6 +69,7 @@
 void readMachine(TomlTable& root, NodeSettings& settings) {
   settings.processor_share = root.getNumber("processor_share", settings.processor_share, kProcessor);
   settings.processor_speed = root.getNumber("processor_speed", settings.processor_speed, kProcessor);
+  settings.memory_limit_mb = root.getNumber("memory_limit_mb", settings.memory_limit_mb, kMegabytes);
   settings.link_megabits_per_second =
       root.getNumber("link_megabits_per_second", settings.link_megabits_per_second, kMegabits);
   settings.serving_least_in_zone = static_cast<std::uint32_t>(
--- a/src/gateway_control/node_settings.h
+++ b/src/gateway_control/node_settings.h
@@ -39,9 +39,11 @@
   Duration directory_lifetime = std::chrono::seconds(1);  ///< How long clients may cache the gateway list.
   double processor_share = 1;                             ///< Share of one core available to the machine.
   double processor_speed = 1;                             ///< Speed of that core relative to an ordinary one.
-  double link_megabits_per_second = 1000;                 ///< Bandwidth of the machine's link.
-  std::uint32_t serving_least_in_zone = 2;                ///< Minimum number of serving gateways in a zone.
-  std::uint32_t serving_all_up_to = 12;  ///< In a fleet of up to this many gateways all of them serve.
+  /// Memory that the process may use, in MB. Half of it may hold bytes for clients.
+  double memory_limit_mb = 1024;
+  double link_megabits_per_second = 1000;   ///< Bandwidth of the machine's link.
+  std::uint32_t serving_least_in_zone = 2;  ///< Minimum number of serving gateways in a zone.
+  std::uint32_t serving_all_up_to = 12;     ///< In a fleet of up to this many gateways all of them serve.
   LogLevel log_level = LogLevel::Info;
 };
 
--- a/src/gateway_control/table_relay.cc
+++ b/src/gateway_control/table_relay.cc
@@ -26,6 +26,8 @@
 /// Minimum age at which a contact counts as stale, regardless of the wait: a call without a wait may arrive
 /// at any time during the reader's own call.
 constexpr Duration kMinStaleAge = std::chrono::milliseconds(3'500);
+/// The requests of other gateways have no body.
+constexpr std::size_t kMaxRequestBodyBytes = 1024;
 constexpr Duration kMaxWait = std::chrono::seconds(30);
 
 std::uint64_t number(const std::string& text) {
@@ -51,7 +53,9 @@
                               const std::shared_ptr<http::ResponseWriter>& writer) {
     serve(request, writer);
   };
-  server_ = http::listen(executor_, address, handler, error);
+  http::ServerLimits limits;
+  limits.body_bytes = kMaxRequestBodyBytes;
+  server_ = http::listen(executor_, address, handler, error, limits);
   return error;
 }
 
--- a/src/gateway_process/gateway_metrics.cc
+++ b/src/gateway_process/gateway_metrics.cc
@@ -101,6 +101,14 @@
       serves(gauge("serves", "1 while clients are sent to this gateway.")),
       serving(gauge("serving_gateways", "Gateways that clients are sent to, as this one sees it.")),
       orders(gauge("orders", "Orders sent since the start.")),
+      held_bytes(gauge("held_bytes",
+                       "Bytes held for clients: heads, bodies and responses that they have not read.")),
+      held_bytes_limit(gauge("held_bytes_limit", "Limit of these; requests beyond it wait or are rejected.")),
+      resident_bytes(prometheus::BuildGauge()
+                         .Name("process_resident_memory_bytes")
+                         .Help("Resident memory of the process.")
+                         .Register(*registry_)
+                         .Add({})),
       log_lines(gauge("log_lines", "Log lines accepted since the start.")),
       log_routine_dropped(gauge("log_routine_lines_dropped", "Lines on requests that went well, dropped.")),
       log_notable_dropped(gauge("log_notable_lines_dropped", "Lines on failures and changes, dropped.")) {}
--- a/src/gateway_process/gateway_metrics.h
+++ b/src/gateway_process/gateway_metrics.h
@@ -106,6 +106,9 @@
   prometheus::Gauge& serves;
   prometheus::Gauge& serving;
   prometheus::Gauge& orders;
+  prometheus::Gauge& held_bytes;
+  prometheus::Gauge& held_bytes_limit;
+  prometheus::Gauge& resident_bytes;
   prometheus::Gauge& log_lines;
   prometheus::Gauge& log_routine_dropped;
   prometheus::Gauge& log_notable_dropped;
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -17,6 +17,7 @@
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_snapshot.h"
 #include "gateway/load_meter.h"
+#include "http/server.h"
 
 namespace crankspur::gateway {
 
@@ -25,6 +26,8 @@
   std::string listen_address;  ///< "IP:port" for clients; port 0 lets the system choose.
   std::string node_name;
   std::uint64_t random_seed = 1;
+  /// Limit of the bytes held for clients: bodies, heads and responses that are not read; 0: no limit.
+  std::size_t held_bytes_limit = 0;
   GatewaySettings decisions;
 };
 
@@ -49,6 +52,8 @@
   std::function<void(std::uint64_t number)> on_confirm_builds;
   /// Messages to other gateways about the builds that began streams.
   std::function<void(std::vector<StreamOriginMessage>)> on_stream_origins;
+  /// The limit of held bytes began or ceased to delay or reject requests.
+  std::function<void(const http::MemoryPressure&)> on_memory_pressure;
 };
 
 /// Traffic side of one gateway. Functions may be called from any thread unless stated otherwise.
@@ -94,6 +99,9 @@
   /// Closes connections without a request. Call it when the process is about to exit.
   void closeIdleConnections();
   GatewayCounters counters() const;
+  /// @return bytes held for clients.
+  std::size_t heldBytes() const;
+  std::size_t heldBytesLimit() const;
 
 private:
   struct Implementation;
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -14,8 +14,14 @@
 
 /// A response body up to this size is buffered until it is complete; a larger one is forwarded as it arrives.
 constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{256} * 1024;
-/// A client that does not read is disconnected once more than this many bytes are queued for it.
-constexpr std::size_t kMaxQueuedBytes = std::size_t{4} * 1024 * 1024;
+/// Nothing more of a response is read from its back end while the client has this many bytes to read. The
+/// back end has room for other requests sooner the more is read ahead.
+constexpr std::size_t kMaxUnreadBytes = std::size_t{1024} * 1024;
+/// The same while more than kModerateUse of the bytes that this process may hold is used; beyond kHighUse
+/// nothing is read ahead.
+constexpr std::size_t kMaxUnreadBytesUnderPressure = std::size_t{64} * 1024;
+constexpr double kModerateUse = 0.5;
+constexpr double kHighUse = 0.75;
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
 /// A gateway that cannot be reached is one of several, and the client waits.
 constexpr Duration kPeerConnectTimeout = std::chrono::milliseconds(200);
@@ -94,6 +100,8 @@
       dialect_(std::move(dialect)),
       callbacks_(std::move(callbacks)),
       executor_(std::move(executor)),
+      budget_(settings.held_bytes_limit > 0 ? std::make_shared<ByteBudget>(settings.held_bytes_limit)
+                                            : nullptr),
       gateway_(settings.decisions, settings.random_seed, observer),
       http_(http::makeClient(executor_)),
       timer_(executor_),
@@ -112,13 +120,18 @@
   std::error_code error;
   http::ServerLimits limits;
   limits.connections = kMaxClientConnections;
+  limits.budget = budget_;
   const auto handler = [this](http::Request request, std::shared_ptr<http::ResponseWriter> writer) {
     onRequest(std::move(request), std::move(writer));
   };
   server_ = http::listen(executor_, settings_.listen_address, handler, error, limits);
-  if (server_)
-    server_->setRejectedRequestHandler(
-        [this](const http::RejectedRequest& unread) { onUnreadableRequest(unread); });
+  if (!server_) return error;
+  server_->setRejectedRequestHandler(
+      [this](const http::RejectedRequest& unread) { onUnreadableRequest(unread); });
+  server_->setBodyUseHandler([this](const http::Request& head) { return bodyUse(head); });
+  server_->setMemoryPressureHandler([this](const http::MemoryPressure& pressure) {
+    if (callbacks_.on_memory_pressure) callbacks_.on_memory_pressure(pressure);
+  });
   return error;
 }
 
@@ -139,6 +152,7 @@
     configuration_ = snapshot->configuration;
     http::ServerLimits limits;
     limits.connections = kMaxClientConnections;
+    limits.budget = budget_;
     limits.header_bytes = configuration_->limits.header_bytes;
     limits.body_bytes = configuration_->limits.body_bytes;
     limits.header_timeout = configuration_->limits.header_timeout;
@@ -267,10 +281,7 @@
 void TrafficLoop::onRequest(http::Request request, std::shared_ptr<http::ResponseWriter> writer) {
   recordRequest();
   const ClientId id = next_client_++;
-  IncomingRequest incoming;
-  incoming.host = hostOf(request);
-  incoming.path = request.path();
-  incoming.client = dialect_->readRequest(request);
+  IncomingRequest incoming = readHead(request);
   incoming.from_peer = request.headers.erase(kRelayedByHeader) > 0;
   Client client;
   if (incoming.client) client.request_id = incoming.client->request_id;
@@ -287,9 +298,24 @@
   executeActions();
 }
 
+IncomingRequest TrafficLoop::readHead(const http::Request& request) const {
+  IncomingRequest incoming;
+  incoming.host = hostOf(request);
+  incoming.path = request.path();
+  incoming.client = dialect_->readRequest(request);
+  return incoming;
+}
+
+http::BodyUse TrafficLoop::bodyUse(const http::Request& head) const {
+  const CheckedRequest checked = gateway_.check(readHead(head), now());
+  if (checked.refusal != 0) return http::BodyUse::ignore;
+  return checked.tenant != nullptr ? http::BodyUse::read : http::BodyUse::read_unidentified;
+}
+
 void TrafficLoop::onUnreadableRequest(const http::RejectedRequest& unread) {
   const std::optional<ClientRequest> client = dialect_->readRequest(unread.head);
-  gateway_.onUnreadableRequest(client ? client->request_id : std::string(), unread.status, now());
+  gateway_.onUnreadableRequest(client ? client->request_id : std::string(), unread.status, unread.no_memory,
+                               now());
 }
 
 void TrafficLoop::executeActions() {
@@ -359,6 +385,7 @@
   options.idle_timeout = action.time_left + kExchangeSlack;
   ActiveExchange& active = exchanges_[action.exchange];
   active.client = action.client;
+  active.held = ByteReservation(budget_);
   const auto callbacks = exchangeCallbacks(action.exchange, client->request_id);
   active.exchange = http_->start(action.address, std::move(request), callbacks, options);
 }
@@ -377,6 +404,7 @@
   options.idle_timeout = action.terms.deadline + kExchangeSlack;
   ActiveExchange& active = exchanges_[action.exchange];
   active.client = action.client;
+  active.held = ByteReservation(budget_);
   const auto callbacks = exchangeCallbacks(action.exchange, client->request_id);
   active.exchange = http_->start(action.address, std::move(request), callbacks, options);
 }
@@ -411,11 +439,12 @@
   const auto found = exchanges_.find(action.exchange);
   Client* client = findClient(action.client);
   if (found == exchanges_.end() || client == nullptr) return;
-  const ActiveExchange exchange = std::move(found->second);
+  ActiveExchange exchange = std::move(found->second);
   exchanges_.erase(found);
   const auto writer = client->writer;
   clients_.erase(action.client);
-  http::Response response{exchange.status, exchange.headers, exchange.body};
+  exchange.held.resize(0);  // The writer counts the bytes from now on.
+  http::Response response{exchange.status, std::move(exchange.headers), std::move(exchange.body)};
   http::removeConnectionHeaders(response.headers);
   if (exchange.framing != http::BodyFraming::Close) return writer->respond(std::move(response));
   writer->beginUnframed(response.status, std::move(response.headers));
@@ -425,8 +454,9 @@
 
 void TrafficLoop::execute(const ForwardHead& action) {
   const auto found = exchanges_.find(action.exchange);
-  const Client* client = findClient(action.client);
+  Client* client = findClient(action.client);
   if (found == exchanges_.end() || client == nullptr) return;
+  client->writer->onQueueWritten([this, id = action.client] { onClientRead(id); });
   http::Headers headers = std::move(found->second.headers);
   http::removeConnectionHeaders(headers);
   if (found->second.framing == http::BodyFraming::Close) {
@@ -434,18 +464,40 @@
   } else {
     client->writer->begin(found->second.status, std::move(headers));
   }
-  if (!found->second.body.empty()) client->writer->write(std::exchange(found->second.body, {}));
+  if (found->second.body.empty()) return;
+  client->writer->write(std::exchange(found->second.body, {}));
+  found->second.held.resize(0);
+  pauseWhileUnread(*client, action.exchange);
 }
 
 void TrafficLoop::execute(ForwardBytes& action) {
-  const Client* client = findClient(action.client);
+  Client* client = findClient(action.client);
   if (client == nullptr) return;
   client->writer->write(std::move(action.bytes));
-  if (client->writer->queuedBytes() <= kMaxQueuedBytes) return;
-  const auto writer = client->writer;
-  clients_.erase(action.client);
-  writer->abort();
-  gateway_.onClientDisconnected(action.client, now());
+  pauseWhileUnread(*client, action.exchange);
+}
+
+std::size_t TrafficLoop::maxUnreadBytes() const {
+  if (!budget_ || !budget_->exceeds(kModerateUse)) return kMaxUnreadBytes;
+  return budget_->exceeds(kHighUse) ? 0 : kMaxUnreadBytesUnderPressure;
+}
+
+void TrafficLoop::pauseWhileUnread(Client& client, ExchangeId exchange) {
+  const auto found = exchanges_.find(exchange);
+  if (found == exchanges_.end() || client.paused_exchange != 0) return;
+  if (client.writer->queuedBytes() <= maxUnreadBytes()) return;
+  client.paused_exchange = exchange;
+  found->second.exchange->pauseReading();
+  gateway_.onReadingPaused(exchange, true, now());
+}
+
+void TrafficLoop::onClientRead(ClientId id) {
+  Client* client = findClient(id);
+  if (client == nullptr) return;
+  const auto found = exchanges_.find(std::exchange(client->paused_exchange, 0));
+  if (found == exchanges_.end()) return;
+  found->second.exchange->resumeReading();
+  gateway_.onReadingPaused(found->first, false, now());
 }
 
 void TrafficLoop::execute(const EndResponse& action) {
@@ -549,6 +601,7 @@
     return executeActions();
   }
   found->second.body += bytes;
+  found->second.held.resize(found->second.body.size());
   if (found->second.body.size() <= kMaxBufferedBodyBytes) return;
   gateway_.onBodyBufferFull(exchange, now());
   executeActions();
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <mutex>
 
+#include "base/byte_budget.h"
 #include "gateway/gateway.h"
 #include "gateway_process/gateway_process.h"
 #include "http/client.h"
@@ -42,6 +43,9 @@
   std::size_t inFlight() const { return in_flight_.load(); }
   /// May be called from any thread.
   GatewayCounters counters() const;
+  /// May be called from any thread.
+  std::size_t heldBytes() const { return budget_ ? budget_->used() : 0; }
+  std::size_t heldBytesLimit() const { return settings_.held_bytes_limit; }
 
 private:
   /// A client's request whose response has not ended.
@@ -49,6 +53,7 @@
     std::shared_ptr<const http::Request> request;
     std::string request_id;
     std::shared_ptr<http::ResponseWriter> writer;
+    ExchangeId paused_exchange = 0;  ///< Not read further until the client has read; 0: none.
   };
   /// An exchange whose events are still forwarded to the gateway.
   struct ActiveExchange {
@@ -57,7 +62,8 @@
     int status = 0;
     http::Headers headers;
     http::BodyFraming framing = http::BodyFraming::Length;
-    std::string body;  ///< Buffered until the gateway decides what to do with it.
+    std::string body;      ///< Buffered until the gateway decides what to do with it.
+    ByteReservation held;  ///< For `body`.
     bool large = false;
   };
 
@@ -68,6 +74,11 @@
   void countInFlight();
   void pollDrain();
 
+  IncomingRequest readHead(const http::Request& request) const;
+  http::BodyUse bodyUse(const http::Request& head) const;
+  std::size_t maxUnreadBytes() const;
+  void pauseWhileUnread(Client& client, ExchangeId exchange);
+  void onClientRead(ClientId id);
   void onUnreadableRequest(const http::RejectedRequest& unread);
   void scheduleLoadDigest();
   void scheduleCrashUpdate();
@@ -105,6 +116,7 @@
   TrafficCallbacks callbacks_;
   SteadyClock clock_;
   boost::asio::any_io_executor executor_;
+  std::shared_ptr<ByteBudget> budget_;  ///< Null: no limit.
   Gateway gateway_;
   std::unique_ptr<http::Server> server_;
   std::unique_ptr<http::Client> http_;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -85,6 +85,11 @@
     if (!exchange->ended && found != running_.end()) found->second->discardResponse();
   }
 
+  void setReadingPaused(const std::shared_ptr<ExchangeState>& exchange, bool paused) {
+    const auto found = running_.find(exchange.get());
+    if (!exchange->ended && found != running_.end()) found->second->setReadingPaused(paused);
+  }
+
   void closeAll() {
     closed_ = true;
     const std::vector<std::shared_ptr<ClientConnection>> connections(open_.begin(), open_.end());
@@ -194,6 +199,12 @@
   void discard() override {
     if (const auto pool = pool_.lock()) pool->discard(state_);
   }
+  void pauseReading() override {
+    if (const auto pool = pool_.lock()) pool->setReadingPaused(state_, true);
+  }
+  void resumeReading() override {
+    if (const auto pool = pool_.lock()) pool->setReadingPaused(state_, false);
+  }
   bool cancelIfNotSent() override {
     const auto pool = pool_.lock();
     return pool && pool->cancelIfNotSent(state_);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -46,6 +46,10 @@
   /// Like cancel(), but only if no byte of the request was written: the connection is still being opened.
   /// @return whether it was cancelled.
   virtual bool cancelIfNotSent() = 0;
+  /// Reads nothing more of the response until resumeReading(), so that the server is held back by TCP. The
+  /// idle timeout does not apply meanwhile.
+  virtual void pauseReading() = 0;
+  virtual void resumeReading() = 0;
 };
 
 /// Options of one exchange.
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/write.hpp>
 #include <charconv>
 #include <utility>
@@ -61,11 +62,12 @@
 
 void ClientConnection::run(std::shared_ptr<ExchangeState> exchange) {
   exchange_ = std::move(exchange);
-  request_text_ = requestHead(exchange_->request, address_) + exchange_->request.body;
+  request_head_ = requestHead(exchange_->request, address_);
   request_written_ = false;
   byte_sent_ = false;
   byte_received_ = false;
   late_timer_deferred_ = false;
+  reading_paused_ = false;
   discarded_bytes_ = 0;
   other_responses_ = 0;
   began_at_ = std::chrono::steady_clock::now();
@@ -116,7 +118,10 @@
     self->request_written_ = !error;
     // The pending read reports a failed write: the server may have responded before it closed.
   };
-  asio::async_write(socket_, asio::buffer(request_text_), on_written);
+  // The handler keeps the exchange, and with it the body, until the write has ended.
+  const std::array buffers{asio::buffer(std::as_const(request_head_)),
+                           asio::buffer(exchange_->request.body.text())};
+  asio::async_write(socket_, buffers, on_written);
 }
 
 void ClientConnection::resetParser() {
@@ -131,12 +136,23 @@
 }
 
 void ClientConnection::read() {
+  reading_ = true;
   socket_.async_read_some(buffer_.prepare(kReadBytes),
                           [self = shared_from_this()](boost::system::error_code error, std::size_t bytes) {
+                            self->reading_ = false;
                             self->onRead(error, bytes);
                           });
 }
 
+/// Continues in a handler of its own, since the caller may be called while received bytes are parsed.
+void ClientConnection::setReadingPaused(bool paused) {
+  if (std::exchange(reading_paused_, paused) == paused || paused) return;
+  idle_since_ = std::chrono::steady_clock::now();
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->phase_ == Phase::Busy && !self->reading_ && !self->reading_paused_) self->read();
+  });
+}
+
 void ClientConnection::onRead(boost::system::error_code error, std::size_t bytes) {
   if (phase_ == Phase::Closed) return;
   buffer_.commit(bytes);
@@ -156,7 +172,8 @@
     const bool head_began = parser_->got_some() || buffer_.size() > 0;
     if (!headers_delivered_ && head_began && !read_deadline_) limitReading(kMaxHeadTime);
   }
-  if (phase_ == Phase::Busy || phase_ == Phase::Idle) read();
+  if (reading_) return;
+  if (phase_ == Phase::Idle || (phase_ == Phase::Busy && !reading_paused_)) read();
 }
 
 /// @param bytes that were read last.
@@ -174,6 +191,7 @@
 void ClientConnection::discardResponse() {
   exchange_->discarded = true;
   limitReading(kMaxDiscardTime);
+  setReadingPaused(false);
 }
 
 void ClientConnection::parse() {
@@ -331,6 +349,7 @@
   if (phase_ == Phase::Idle) return closeAndNotify();
   if (deferLateTimer()) return armTimer(kTimerDelayTolerance);
   if (phase_ == Phase::Busy) {
+    if (reading_paused_) idle_since_ = std::chrono::steady_clock::now();
     const auto idle_deadline = idle_since_ + exchange_->options.idle_timeout;
     const auto deadline = std::min(idle_deadline, read_deadline_.value_or(idle_deadline));
     const auto time_left = deadline - std::chrono::steady_clock::now();
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -54,6 +54,8 @@
   /// The response of the current exchange is not needed. The connection is reusable if the rest of it is
   /// short; otherwise it is closed.
   void discardResponse();
+  /// Stops and continues to read the response of the current exchange.
+  void setReadingPaused(bool paused);
   /// @return whether any byte of the current request was written.
   bool hasSent() const { return byte_sent_; }
   /// @return the current exchange if no byte of its response was received; otherwise empty.
@@ -92,12 +94,14 @@
   boost::beast::flat_buffer buffer_;
   std::optional<ResponseParser> parser_;
   std::shared_ptr<ExchangeState> exchange_;
-  std::string request_text_;
+  std::string request_head_;
   bool reused_ = false;
   bool request_written_ = false;
   bool byte_sent_ = false;
   bool byte_received_ = false;
   bool headers_delivered_ = false;
+  bool reading_ = false;               ///< A read is pending.
+  bool reading_paused_ = false;        ///< By the driver of the current exchange.
   bool late_timer_deferred_ = false;   ///< A late timer was already deferred once in this exchange.
   bool discarding_ = false;            ///< The response being received belongs to an earlier request.
   std::size_t discarded_bytes_ = 0;    ///< Of responses that are not needed, in this exchange.
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -6,6 +6,8 @@
 #include <string>
 #include <string_view>
 
+#include "http/body.h"
+
 namespace crankspur::http {
 
 /// Case-insensitive comparison of header names.
@@ -21,7 +23,7 @@
   std::string method = "GET";
   std::string target = "/";  ///< Path with query.
   Headers headers;
-  std::string body;
+  Body body;
 
   /// @return the target without its query.
   std::string path() const;
--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -4,12 +4,12 @@
 
 namespace crankspur::http {
 
-Request RequestParser::release() {
+Request RequestParser::release(ByteReservation held) {
   Request request;
   request.method = std::move(method_);
   request.target = std::move(target_);
   request.headers = std::move(headers_);
-  request.body = std::move(body_);
+  if (!body_.empty()) request.body = Body(std::move(body_), std::move(held));
   return request;
 }
 
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -79,7 +79,11 @@
 class RequestParser : public MessageParser<true> {
 public:
   /// @return the request; its body is complete once is_done(). To be called once.
-  Request release();
+  /// @param held reservation for the bytes of the body.
+  Request release(ByteReservation held = {});
+  /// Allocates room for a body of a known size, so that it is not copied while it grows.
+  void reserveBody(std::size_t bytes) { body_.reserve(bytes); }
+  std::size_t bodyBytes() const { return body_.size(); }
   /// @return the part of the head that was received, without a body.
   Request head() const;
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -84,6 +84,8 @@
     state_->stopping = true;
     state_->handler = nullptr;
     state_->rejected_request_handler = nullptr;
+    state_->body_use_handler = nullptr;
+    if (state_->memory_guard) state_->memory_guard->stop();
     for (const auto& session : openSessions()) session->close();
   }
 
@@ -105,6 +107,12 @@
     state_->rejected_request_handler = std::move(handler);
   }
 
+  void setBodyUseHandler(BodyUseHandler handler) override { state_->body_use_handler = std::move(handler); }
+
+  void setMemoryPressureHandler(std::function<void(const MemoryPressure&)> handler) override {
+    if (state_->memory_guard) state_->memory_guard->setPressureHandler(std::move(handler));
+  }
+
   void setLimits(const ServerLimits& limits) override { state_->limits = limits; }
 
   std::size_t openRequests() const override { return state_->open_requests; }
@@ -124,6 +132,17 @@
   std::shared_ptr<Acceptor> acceptor_;
 };
 
+std::shared_ptr<MemoryGuard> makeMemoryGuard(const asio::any_io_executor& executor,
+                                             const std::shared_ptr<ByteBudget>& budget,
+                                             const std::weak_ptr<ServerState>& state) {
+  const auto open_sessions = [state]() -> std::vector<std::shared_ptr<ServerSession>> {
+    const auto server = state.lock();
+    if (!server) return {};
+    return {server->sessions.begin(), server->sessions.end()};
+  };
+  return std::make_shared<MemoryGuard>(executor, budget, open_sessions);
+}
+
 }  // namespace
 
 std::unique_ptr<Server> listen(const asio::any_io_executor& executor, const std::string& address,
@@ -133,6 +152,7 @@
   const auto state = std::make_shared<ServerState>();
   state->handler = std::make_shared<const RequestHandler>(std::move(handler));
   state->limits = limits;
+  if (limits.budget) state->memory_guard = makeMemoryGuard(executor, limits.budget, state);
   const auto acceptor = std::make_shared<Acceptor>(executor, state);
   if (!listen_error) acceptor->open(endpoint, listen_error);
   error = listen_error;
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <system_error>
 
+#include "base/byte_budget.h"
 #include "base/time.h"
 #include "http/message.h"
 
@@ -37,6 +38,9 @@
   /// Sets the function called once if the client disconnects before the end of the response. Must be set
   /// before the request handler returns: an earlier disconnect is not reported later.
   virtual void onClientDisconnected(std::function<void()> handler) = 0;
+  /// Sets the function that is called each time all queued bytes were written to the socket, until the
+  /// response ends. For drivers that pause their source by queuedBytes().
+  virtual void onQueueWritten(std::function<void()> handler) = 0;
 };
 
 /// Limits that protect the server from its clients. A request that exceeds one is rejected with 413, 431 or
@@ -47,13 +51,38 @@
   Duration idle_timeout = std::chrono::seconds(60);
   Duration header_timeout = std::chrono::seconds(10);
   std::size_t connections = 4096;  ///< Further connections are rejected with 503 and Retry-After.
+  /// Limit of the bytes that all connections hold together; null: none. See body_admission.h.
+  std::shared_ptr<ByteBudget> budget;
 };
 
+/// What a server does with the body of a request whose head it has read.
+enum class BodyUse {
+  read,  ///< The client is identified by a valid key.
+  read_unidentified,
+  ignore,  ///< The request will be rejected by its head: the handler gets it without its body.
+};
+
+/// Decides about a body by its head. Called only for bodies that exceed BodyAdmission::kSmallBytes or declare
+/// no size.
+using BodyUseHandler = std::function<BodyUse(const Request& head)>;
+
 /// A request that the server rejected itself: it could not be read completely, or the connection limit was
 /// exceeded.
 struct RejectedRequest {
-  int status = 0;  ///< Status of the response: 400, 408, 413, 431 or 503.
-  Request head;    ///< The part of the head that was read; any field may be missing.
+  int status = 0;          ///< Status of the response: 400, 408, 413, 431 or 503.
+  Request head;            ///< The part of the head that was read; any field may be missing.
+  bool no_memory = false;  ///< The budget has no room for it.
+};
+
+/// A server's use of its budget began or ceased to delay or reject requests.
+struct MemoryPressure {
+  bool began = false;
+  std::size_t used_bytes = 0;
+  std::size_t limit_bytes = 0;
+  std::size_t waiting = 0;         ///< Requests whose body is not read yet.
+  std::uint64_t rejected = 0;      ///< Requests rejected since the pressure began, for want of room.
+  std::uint64_t evicted = 0;       ///< Of these, those whose body was being read.
+  std::uint64_t disconnected = 0;  ///< Clients that did not read their responses.
 };
 
 /// Called for each request that the server rejected itself.
@@ -74,6 +103,10 @@
   virtual void disableKeepAlive() = 0;
   /// Closes connections without a request in progress.
   virtual void closeIdle() = 0;
+  /// Sets the handler that decides which bodies are read; without it all are, as those of unidentified
+  /// clients.
+  virtual void setBodyUseHandler(BodyUseHandler handler) = 0;
+  virtual void setMemoryPressureHandler(std::function<void(const MemoryPressure&)> handler) = 0;
   /// Sets the handler that is called for requests that the server rejects itself.
   virtual void setRejectedRequestHandler(RejectedRequestHandler handler) = 0;
   /// Changes the limits for later requests.
--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -18,6 +18,12 @@
 constexpr std::size_t kReadBytes = std::size_t{8} * 1024;
 /// Maximum amount of data read beyond the current request.
 constexpr std::size_t kMaxReadAheadBytes = std::size_t{64} * 1024;
+/// Nothing is read ahead while more than this share of the budget is used.
+constexpr double kReadAheadShare = 0.75;
+/// Reserved at a time for a body that declares no size.
+constexpr std::size_t kBodyPartBytes = std::size_t{64} * 1024;
+/// Larger buffers are freed when they are empty.
+constexpr std::size_t kMaxIdleBufferBytes = std::size_t{32} * 1024;
 constexpr Duration kDrainTimeout = std::chrono::seconds(1);
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr std::string_view kLastChunk = "0\r\n\r\n";
@@ -59,6 +65,10 @@
     if (const auto session = session_.lock())
       session->setDisconnectHandler(request_number_, std::move(handler));
   }
+  void onQueueWritten(std::function<void()> handler) override {
+    if (const auto session = session_.lock())
+      session->setQueueWrittenHandler(request_number_, std::move(handler));
+  }
 
 private:
   std::weak_ptr<ServerSession> session_;
@@ -96,6 +106,7 @@
     : socket_(std::move(socket)), timer_(socket_.get_executor()), state_(std::move(state)) {
   boost::system::error_code ignored;
   socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  if (state_->memory_guard) held_ = ByteReservation(state_->memory_guard->budget());
 }
 
 void ServerSession::start() {
@@ -119,7 +130,10 @@
   socket_.close(ignored);
   timer_.cancel();
   releaseRequest();
+  releaseBody();
+  held_.resize(0);
   on_disconnect_ = nullptr;
+  on_queue_written_ = nullptr;
   state_->sessions.erase(shared_from_this());
 }
 
@@ -164,7 +178,14 @@
   }
   if (phase_ == Phase::Idle) return readHeader();
   if (phase_ == Phase::Draining) buffer_.clear();
-  if (buffer_.size() < kMaxReadAheadBytes) readAhead();
+  updateHeld();
+  if (mayReadAhead()) readAhead();
+}
+
+bool ServerSession::mayReadAhead() const {
+  if (phase_ == Phase::Draining) return true;
+  const bool has_memory = !state_->memory_guard || !state_->memory_guard->budget()->exceeds(kReadAheadShare);
+  return has_memory && buffer_.size() < kMaxReadAheadBytes;
 }
 
 void ServerSession::readHeader() {
@@ -177,6 +198,7 @@
   parser_->header_limit(static_cast<std::uint32_t>(header_bytes));
   parser_->setTrailerLimit(header_bytes);
   parser_->body_limit(state_->limits.body_bytes);
+  if (!held_.tryResize(buffer_.size() + header_bytes, 1)) return rejectForMemory();
   // Bounds what is buffered of trailer fields and chunk extensions too. Requests that were read ahead under a
   // higher limit stay valid.
   buffer_.max_size(std::max({header_bytes, kMaxReadAheadBytes, buffer_.size()}) + 2 * kReadBytes);
@@ -189,14 +211,47 @@
 void ServerSession::onHeader(boost::system::error_code error) {
   if (phase_ == Phase::Closed) return;
   if (error) return failRequest(error);
+  updateHeld();
   setTimer(state_->limits.idle_timeout);
-  const bool expects_continue =
-      beast::iequals(fieldOf(parser_->headers(), "Expect"), "100-continue") && !parser_->is_done();
-  if (expects_continue) {
-    sendContinue();
-  } else {
-    readBody();
-  }
+  if (parser_->is_done()) return deliver();
+  requestBody();
+}
+
+/// Only bodies of some size are worth a decision by the head: the others fit into the buffers of the
+/// connection.
+void ServerSession::requestBody() {
+  if (!state_->memory_guard) return startBody();
+  body_bytes_.reset();
+  if (const auto declared = parser_->content_length()) body_bytes_ = static_cast<std::size_t>(*declared);
+  BodyUse use = BodyUse::read_unidentified;
+  const bool small = body_bytes_ && *body_bytes_ <= BodyAdmission::kSmallBytes;
+  if (!small && state_->body_use_handler) use = state_->body_use_handler(parser_->head());
+  if (use == BodyUse::ignore) return deliverWithoutBody();
+  const auto [body, decision] = state_->memory_guard->request(
+      shared_from_this(), body_bytes_.value_or(kBodyPartBytes), use == BodyUse::read);
+  if (decision == BodyDecision::Refused) return rejectForMemory();
+  body_ = body;
+  body_waiting_ = decision == BodyDecision::Waiting;
+  if (!body_waiting_) startBody();
+}
+
+void ServerSession::onBodyAdmitted() {
+  if (!std::exchange(body_waiting_, false)) return;
+  startBody();
+}
+
+void ServerSession::rejectBody() {
+  if (std::exchange(body_waiting_, false)) return rejectForMemory();
+  body_rejected_ = true;
+  boost::system::error_code ignored;
+  socket_.cancel(ignored);  // The pending read then calls failRequest.
+}
+
+void ServerSession::startBody() {
+  body_rejected_ = false;
+  if (body_bytes_) parser_->reserveBody(*body_bytes_);
+  if (beast::iequals(fieldOf(parser_->headers(), "Expect"), "100-continue")) return sendContinue();
+  readBody();
 }
 
 void ServerSession::sendContinue() {
@@ -210,19 +265,45 @@
 
 void ServerSession::readBody() {
   if (parser_->is_done()) return deliver();
-  const auto on_body = [self = shared_from_this()](boost::system::error_code error, std::size_t) {
+  if (body_rejected_ || !holdNextPart()) return rejectForMemory();
+  parser_->eager(true);
+  const auto on_part = [self = shared_from_this()](boost::system::error_code error, std::size_t) {
     if (self->phase_ == Phase::Closed) return;
     if (error) return self->failRequest(error);
-    self->deliver();
+    if (self->body_) self->state_->memory_guard->onReceived(*self->body_, self->parser_->bodyBytes());
+    self->readBody();
   };
-  beast::http::async_read(socket_, buffer_, *parser_, on_body);
+  beast::http::async_read_some(socket_, buffer_, *parser_, on_part);
+}
+
+/// @return false: the body declares no size, and the budget has no room for the next part.
+bool ServerSession::holdNextPart() {
+  if (!body_ || body_bytes_) return true;
+  return state_->memory_guard->grow(*body_, parser_->bodyBytes() + kBodyPartBytes);
+}
+
+ByteReservation ServerSession::releaseBody() {
+  body_waiting_ = false;
+  if (!body_) return {};
+  return state_->memory_guard->remove(*std::exchange(body_, std::nullopt));
 }
 
 void ServerSession::deliver() {
+  ByteReservation held = releaseBody();
+  held.resize(parser_->bodyBytes());
+  keep_alive_ = parser_->keep_alive();
+  handle(parser_->release(std::move(held)));
+}
+
+/// The rest of the connection's bytes is the body, so that it has no further requests.
+void ServerSession::deliverWithoutBody() {
+  keep_alive_ = false;
+  handle(parser_->release());
+}
+
+void ServerSession::handle(Request request) {
   deadline_.reset();
-  Request request = parser_->release();
   version_ = static_cast<unsigned>(parser_->version());
-  keep_alive_ = parser_->keep_alive();
   head_only_ = request.method == "HEAD";
   response_begun_ = false;
   ends_with_connection_ = false;
@@ -230,13 +311,15 @@
   ++state_->open_requests;
   request_counted_ = true;
   phase_ = Phase::Handling;
-  if (buffer_.size() < kMaxReadAheadBytes) readAhead();
+  updateHeld();
+  if (mayReadAhead()) readAhead();
   const auto writer = std::make_shared<SessionWriter>(weak_from_this(), request_number_);
   const auto handler = state_->handler;  // Keeps the handler valid if it destroys the server.
   if (handler) (*handler)(std::move(request), writer);
 }
 
 void ServerSession::failRequest(boost::system::error_code error) {
+  if (body_rejected_) return rejectForMemory();
   if (timed_out_) {
     return sendError(errorResponse(408, errorName(ErrorCode::DeadlineExceeded),
                                    "the request did not arrive in time", "not_run"));
@@ -246,18 +329,29 @@
   sendError(*response);
 }
 
+void ServerSession::rejectForMemory() {
+  body_rejected_ = false;
+  if (state_->memory_guard) state_->memory_guard->onRejected();
+  Response response =
+      errorResponse(503, errorName(ErrorCode::Overloaded), "no memory is free for the request", "not_run");
+  response.headers["Retry-After"] = "1";
+  sendError(response, true);
+}
+
 // Writing.
 
-void ServerSession::reportRejected(int status) const {
+void ServerSession::reportRejected(int status, bool no_memory) const {
   if (!state_->rejected_request_handler) return;
   RejectedRequest rejected;
   rejected.status = status;
+  rejected.no_memory = no_memory;
   if (parser_) rejected.head = parser_->head();
   state_->rejected_request_handler(rejected);
 }
 
-void ServerSession::sendError(const Response& response) {
-  reportRejected(response.status);
+void ServerSession::sendError(const Response& response, bool no_memory) {
+  reportRejected(response.status, no_memory);
+  releaseBody();
   keep_alive_ = false;
   head_only_ = false;
   version_ = 11;
@@ -340,18 +434,25 @@
   if (isCurrent(request_number)) on_disconnect_ = std::move(handler);
 }
 
+void ServerSession::setQueueWrittenHandler(std::uint64_t request_number, std::function<void()> handler) {
+  if (isCurrent(request_number)) on_queue_written_ = std::move(handler);
+}
+
 void ServerSession::completeResponse() {
   phase_ = Phase::Flushing;
   // The handler may own the writer; destroy it only after the state is consistent.
   const auto disconnect_handler = std::exchange(on_disconnect_, nullptr);
+  const auto queue_handler = std::exchange(on_queue_written_, nullptr);
   if (queuedBytes(request_number_) == 0) return onFlushed();
   flush();
 }
 
 void ServerSession::flush() {
+  updateHeld();
   if (!writing_.empty() || pending_.empty()) return;
   std::swap(writing_, pending_);
   written_ = 0;
+  write_progress_at_ = std::chrono::steady_clock::now();
   writeSome();
 }
 
@@ -368,12 +469,33 @@
   if (phase_ == Phase::Closed) return;
   if (error) return phase_ == Phase::Handling ? onDisconnect() : close();
   written_ += bytes;
+  write_progress_at_ = std::chrono::steady_clock::now();
   if (written_ < writing_.size()) return writeSome();
   writing_.clear();
   written_ = 0;
   if (!pending_.empty()) return flush();
+  updateHeld();
+  releaseBuffers();
   deadline_.reset();
-  if (phase_ == Phase::Flushing) onFlushed();
+  if (phase_ == Phase::Flushing) return onFlushed();
+  const std::function<void()> handler = on_queue_written_;
+  if (handler) handler();
+}
+
+Duration ServerSession::unreadTime() const {
+  if (unreadBytes() == 0) return Duration(0);
+  return std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - write_progress_at_);
+}
+
+void ServerSession::updateHeld() {
+  held_.resize(buffer_.size() + pending_.size() + writing_.size());
+  if (state_->memory_guard) state_->memory_guard->onQueued();
+}
+
+/// A connection would otherwise keep the memory of its largest response.
+void ServerSession::releaseBuffers() {
+  if (writing_.capacity() > kMaxIdleBufferBytes) std::string().swap(writing_);
+  if (pending_.empty() && pending_.capacity() > kMaxIdleBufferBytes) std::string().swap(pending_);
 }
 
 void ServerSession::onFlushed() {
@@ -387,6 +509,11 @@
 
 // Closing.
 
+void ServerSession::disconnect() {
+  if (phase_ == Phase::Handling) return onDisconnect();
+  close();
+}
+
 void ServerSession::onDisconnect() {
   const std::function<void()> handler = std::exchange(on_disconnect_, nullptr);
   close();
@@ -427,7 +554,8 @@
   switch (phase_) {
     case Phase::Reading:
       timed_out_ = true;
-      socket_.cancel(ignored);  // The pending read then calls failRequest.
+      if (body_waiting_) return failRequest({});  // No read is pending.
+      socket_.cancel(ignored);                    // The pending read then calls failRequest.
       return;
     case Phase::Handling:
       return onDisconnect();  // The client has read nothing during the timeout.
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <unordered_set>
 
+#include "http/memory_guard.h"
 #include "http/message_parser.h"
 #include "http/server.h"
 
@@ -19,6 +20,8 @@
 struct ServerState {
   std::shared_ptr<const RequestHandler> handler;    ///< Empty once the server is destroyed.
   RejectedRequestHandler rejected_request_handler;  ///< May be empty.
+  BodyUseHandler body_use_handler;                  ///< May be empty.
+  std::shared_ptr<MemoryGuard> memory_guard;        ///< Null: the server has no budget.
   ServerLimits limits;
   bool stopping = false;
   bool keep_alive_disabled = false;
@@ -39,6 +42,18 @@
   /// Closes if no request is in progress.
   void closeIfIdle();
   bool isReading() const { return phase_ == Phase::Reading; }
+  /// @return bytes that the client has not read, and how long it has read nothing.
+  std::size_t unreadBytes() const { return pending_.size() + writing_.size() - written_; }
+  Duration unreadTime() const;
+  /// Closes immediately; notifies the request handler as if the client had disconnected.
+  void disconnect();
+
+  // Called by the memory guard.
+  /// A body that had to wait may be read.
+  void onBodyAdmitted();
+  /// The body is not read any further.
+  void rejectBody();
+
   /// Closes immediately, without notifying the request handler.
   void close();
 
@@ -51,6 +66,7 @@
   void onWriterDropped(std::uint64_t request_number);
   std::size_t queuedBytes(std::uint64_t request_number) const;
   void setDisconnectHandler(std::uint64_t request_number, std::function<void()> handler);
+  void setQueueWrittenHandler(std::uint64_t request_number, std::function<void()> handler);
 
 private:
   enum class Phase {
@@ -68,12 +84,22 @@
   void onReadAhead(boost::system::error_code error);
   void readHeader();
   void onHeader(boost::system::error_code error);
+  void requestBody();
+  void startBody();
   void sendContinue();
   void readBody();
+  bool holdNextPart();
   void deliver();
+  void deliverWithoutBody();
+  void handle(Request request);
+  ByteReservation releaseBody();
+  void rejectForMemory();
+  bool mayReadAhead() const;
+  void updateHeld();
+  void releaseBuffers();
   void failRequest(boost::system::error_code error);
-  void sendError(const Response& response);
-  void reportRejected(int status) const;
+  void sendError(const Response& response, bool no_memory = false);
+  void reportRejected(int status, bool no_memory) const;
   void queueHeader(int status, const Headers& headers, std::optional<std::size_t> body_bytes);
   void resetOnClose(bool enabled);
   void completeResponse();
@@ -100,6 +126,11 @@
   bool timed_out_ = false;
   bool peer_closed_ = false;
   bool request_counted_ = false;
+  ByteReservation held_;        ///< For the head that is being read, and for bytes read ahead or queued.
+  std::optional<BodyId> body_;  ///< Of the body that waits or is being read.
+  std::optional<std::size_t> body_bytes_;  ///< Its declared size.
+  bool body_waiting_ = false;              ///< It waits for room; no read is pending.
+  bool body_rejected_ = false;             ///< The pending read was cancelled by rejectBody().
   std::uint64_t request_number_ = 0;
   // Current request.
   unsigned version_ = 11;
@@ -108,10 +139,13 @@
   bool response_begun_ = false;
   bool ends_with_connection_ = false;  ///< The response has BodyFraming::Close.
   std::function<void()> on_disconnect_;
+  std::function<void()> on_queue_written_;
   // Output: `writing_` from offset `written_` is being written to the socket, followed by `pending_`.
   std::string writing_;
   std::size_t written_ = 0;
   std::string pending_;
+  std::chrono::steady_clock::time_point
+      write_progress_at_{};  ///< Bytes were last written, or the queue was empty.
 };
 
 }  // namespace crankspur::http
--- a/standins/app_runner/app_runner_server.cc
+++ b/standins/app_runner/app_runner_server.cc
@@ -120,7 +120,7 @@
 
 void AppRunnerServer::execute(const http::Request& request, const Writer& writer) {
   JsonProblem problem;
-  const ExecuteRequest execution = decodeExecute(request.body, problem);
+  const ExecuteRequest execution = decodeExecute(request.body.text(), problem);
   if (problem.found()) return writer->respond(badRequest(problem.text()));
   const RunnerCallId call = ++last_call_;
   calls_[call] = writer;
@@ -129,7 +129,7 @@
 
 void AppRunnerServer::control(const http::Request& request, const Writer& writer) {
   JsonProblem problem;
-  const RunnerControl command = decodeControl(request.body, problem);
+  const RunnerControl command = decodeControl(request.body.text(), problem);
   if (problem.found()) return writer->respond(badRequest(problem.text()));
   if (command.delay) model_.setDelay(*command.delay);
   if (command.lose_answers) model_.loseResponses(*command.lose_answers);
--- a/standins/engine_server/engine_server.cc
+++ b/standins/engine_server/engine_server.cc
@@ -117,14 +117,14 @@
 
 void EngineServer::completions(const http::Request& request, const Writer& writer) {
   JsonProblem problem;
-  const CompletionRequest completion = decodeCompletionRequest(request.body, problem);
+  const CompletionRequest completion = decodeCompletionRequest(request.body.text(), problem);
   if (problem.found()) return writer->respond(badRequest(problem.text()));
   model_.submit(openStream(writer), completion, clock_.now());
 }
 
 void EngineServer::resume(const http::Request& request, const Writer& writer) {
   JsonProblem problem;
-  const ResumeRequest resumption = decodeResumeRequest(request.body, problem);
+  const ResumeRequest resumption = decodeResumeRequest(request.body.text(), problem);
   if (problem.found()) return writer->respond(badRequest(problem.text()));
   model_.resume(openStream(writer), resumption, clock_.now());
 }
@@ -142,7 +142,7 @@
 
 void EngineServer::cancel(const http::Request& request, const Writer& writer) {
   JsonProblem problem;
-  const CancelRequest cancellation = decodeCancelRequest(request.body, problem);
+  const CancelRequest cancellation = decodeCancelRequest(request.body.text(), problem);
   if (problem.found()) return writer->respond(badRequest(problem.text()));
   model_.cancel(cancellation.request_id, cancellation.attempt, clock_.now());
   writer->respond(http::jsonResponse(kOk, kEmptyObject));
@@ -150,7 +150,7 @@
 
 void EngineServer::order(const http::Request& request, const Writer& writer) {
   JsonProblem problem;
-  const EngineOrder engine_order = decodeOrder(request.body, problem);
+  const EngineOrder engine_order = decodeOrder(request.body.text(), problem);
   if (problem.found()) return writer->respond(badRequest(problem.text()));
   const ErrorCode code = model_.order(engine_order, clock_.now());
   log_.write(EventId::EngineOrderTaken, {{"token", engine_order.token}, {"outcome", errorName(code)}});
@@ -160,7 +160,7 @@
 
 void EngineServer::exportBlocks(const http::Request& request, const Writer& writer) {
   JsonProblem problem;
-  const std::vector<BlockHash> blocks = decodeBlocks(request.body, problem);
+  const std::vector<BlockHash> blocks = decodeBlocks(request.body.text(), problem);
   if (problem.found()) return writer->respond(badRequest(problem.text()));
   const std::string body = "{\"held\":" + std::to_string(model_.cachedPrefixLength(blocks)) +
                            ",\"incarnation\":" + std::to_string(model_.incarnation()) + "}";
@@ -184,7 +184,7 @@
 
 void EngineServer::control(const http::Request& request, const Writer& writer) {
   JsonProblem problem;
-  const EngineControl command = decodeControl(request.body, problem);
+  const EngineControl command = decodeControl(request.body.text(), problem);
   if (problem.found()) return writer->respond(badRequest(problem.text()));
   log_.write(EventId::StandinControlled, {{"action", request.body}});
   if (command.slowdown) model_.setSlowdown(*command.slowdown);
--- a/standins/kv_store/kv_store_server.cc
+++ b/standins/kv_store/kv_store_server.cc
@@ -22,7 +22,7 @@
     return http::errorResponse(kNotFound, "invalid_request", "no such call: " + path, "not_run");
   }
   JsonProblem problem;
-  const auto object = parseJsonObject(request.body, problem);
+  const auto object = parseJsonObject(request.body.text(), problem);
   std::vector<BlockHash> blocks;
   if (object) blocks = JsonReader(*object, problem).requireHashes("blocks");
   if (problem.found()) {
--- a/tests/integration/sidecar/sidecar_process_test.cc
+++ b/tests/integration/sidecar/sidecar_process_test.cc
@@ -211,8 +211,11 @@
       {modified_request([](auto& r) { r.method = "DELETE"; }), 405, "invalid_request"},
       {modified_request([](auto& r) { r.headers["X-Deadline-Ms"] = "soon"; }), 400, "invalid_request"},
       {modified_request([](auto& r) { r.target = "/v1/operations/order"; }), 404, "unknown_model"},
-      {modified_request([](auto& r) { r.body.replace(r.body.find("\"m\""), 3, "\"x\""); }), 404,
-       "unknown_model"},
+      {modified_request([](auto& r) {
+         std::string text = r.body.text();
+         r.body = text.replace(text.find("\"m\""), 3, "\"x\"");
+       }),
+       404, "unknown_model"},
       {modified_request([](auto& r) { r.body = std::string(5U << 20U, ' '); }), 413, "too_large"},
       {modified_request([](auto& r) { r.headers["X-Filler"] = std::string(20'000, 'f'); }), 431, "too_large"},
   };
--- a/tests/unit/gateway/gateway_records_test.cc
+++ b/tests/unit/gateway/gateway_records_test.cc
@@ -86,6 +86,7 @@
     int status;
     RequestCause cause;
     RequestOutcome outcome;
+    bool no_memory = false;
   };
   const Unread unread = GENERATE(values<Unread>({
       {400, RequestCause::malformed_head, RequestOutcome::rejected},
@@ -93,9 +94,10 @@
       {413, RequestCause::body_too_large, RequestOutcome::rejected},
       {431, RequestCause::head_too_large, RequestOutcome::rejected},
       {503, RequestCause::too_many_connections, RequestOutcome::refused},
+      {503, RequestCause::memory_exhausted, RequestOutcome::refused, true},
   }));
   GatewayFixture fixture;
-  fixture.gateway.onUnreadableRequest("id", unread.status, TimePoint{});
+  fixture.gateway.onUnreadableRequest("id", unread.status, unread.no_memory, TimePoint{});
   const RequestEnded ended = onlyEnd(fixture);
   CHECK(ended.cause == unread.cause);
   CHECK(ended.outcome == unread.outcome);
--- a/tests/unit/http/http_test.cc
+++ b/tests/unit/http/http_test.cc
@@ -11,7 +11,8 @@
 
 TEST_CASE("a request with a body gets a response and its connection is reused", "[http]") {
   HttpFixture fixture([](Request request, std::shared_ptr<ResponseWriter> writer) {
-    const std::string echo = request.method + " " + request.path() + " " + request.query("a") + request.body;
+    const std::string echo =
+        request.method + " " + request.path() + " " + request.query("a") + request.body.text();
     writer->respond({201, {{"X-Seen", request.header("x-sent")}}, echo});
   });
   for (int round = 0; round < 3; ++round) {
--- a/tests/unit/http/trailer_test.cc
+++ b/tests/unit/http/trailer_test.cc
@@ -19,7 +19,8 @@
 const std::string kChunk = "1\r\na\r\n";
 
 void echoModel(const Request& request, const std::shared_ptr<ResponseWriter>& writer) {
-  writer->respond({200, {}, request.header("Model") + "," + request.header("Other") + "," + request.body});
+  writer->respond(
+      {200, {}, request.header("Model") + "," + request.header("Other") + "," + request.body.text()});
 }
 
 std::string trailers(std::size_t count) {
--- a/tests/unit/platform/table_feed_test.cc
+++ b/tests/unit/platform/table_feed_test.cc
@@ -202,7 +202,7 @@
     return *response;
   };
   CHECK(write().outcome == gateway::TableOutcome::Done);
-  CHECK(seen.body.find(R"("ver":3)") != std::string::npos);
+  CHECK(seen.body.text().find(R"("ver":3)") != std::string::npos);
   status = 412;
   body = R"({"ver":8,"rows":[{"key":"k","value":"","ver":5}]})";
   const gateway::TableResponse conflict = write();
