Accept durations with fractions, in seconds too

The template made drain_limit_ms = 2.5000 of a grace period of 2.5 s: no integer, so that the gateway did not start; read as a number it would have been 2.5 ms. Times that the platform states in seconds have keys in seconds now.

--- a/src/gateway_control/node_settings.cc
+++ b/src/gateway_control/node_settings.cc
@@ -6,9 +6,10 @@
 
 namespace {
 
-constexpr Range<std::int64_t> kMilliseconds{1, 3'600'000};
-/// Milliseconds; shorter than the time between reports of use, a window would be empty.
-constexpr Range<std::int64_t> kQuotaWindow{1'000, 3'600'000};
+constexpr Range<double> kMilliseconds{1, 3'600'000};
+constexpr Range<double> kSeconds{0.001, 3'600};
+/// Shorter than the time between reports of use, a window would be empty.
+constexpr Duration kMinQuotaWindow = std::chrono::seconds(1);
 constexpr Range<double> kRatio{0.0, 100.0};
 constexpr Range<double> kSlack{0.0, 1e9};
 constexpr Range<double> kProcessor{0.001, 1024.0};
@@ -32,9 +33,19 @@
   if (error) root.report(key, "must be IP:port");
 }
 
+Duration milliseconds(double count) {
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(count));
+}
+
+/// Fractions are accepted, since a platform may state any number.
 void readDuration(TomlTable& root, const std::string& key, Duration& value) {
-  const auto fallback = std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
-  value = std::chrono::milliseconds(root.getInteger(key, fallback, kMilliseconds));
+  value = milliseconds(root.getNumber(key, toMilliseconds(value), kMilliseconds));
+}
+
+/// Reads `name`_s or `name`_ms.
+void readSecondsOrMilliseconds(TomlTable& root, const std::string& name, Duration& value) {
+  if (!root.has(name + "_s")) return readDuration(root, name + "_ms", value);
+  value = milliseconds(root.getNumber(name + "_s", toSeconds(value), kSeconds) * 1000);
 }
 
 void readLogLevel(TomlTable& root, LogLevel& value) {
@@ -60,8 +71,11 @@
 }
 
 void readQuotaTolerance(TomlTable& root, QuotaTolerance& tolerance) {
-  const auto window = std::chrono::duration_cast<std::chrono::milliseconds>(tolerance.window).count();
-  tolerance.window = std::chrono::milliseconds(root.getInteger("quota_window_ms", window, kQuotaWindow));
+  readSecondsOrMilliseconds(root, "quota_window", tolerance.window);
+  if (tolerance.window < kMinQuotaWindow) {
+    root.report(root.has("quota_window_s") ? "quota_window_s" : "quota_window_ms",
+                "must be at least a second");
+  }
   tolerance.overshoot = root.getNumber("quota_overshoot", tolerance.overshoot, kRatio);
   tolerance.slack = root.getNumber("quota_slack", tolerance.slack, kSlack);
 }
@@ -97,7 +111,7 @@
   readSeeds(*root, settings.seeds);
   settings.retry_budget.ratio = root->getNumber("retry_budget_ratio", settings.retry_budget.ratio, kRatio);
   settings.retry_budget.slack = root->getNumber("retry_budget_slack", settings.retry_budget.slack, kSlack);
-  readDuration(*root, "retry_budget_window_ms", settings.retry_budget.window);
+  readSecondsOrMilliseconds(*root, "retry_budget_window", settings.retry_budget.window);
   readQuotaTolerance(*root, settings.quota_tolerance);
   if (root->has("key_validity_ms")) {
     Duration validity{0};
@@ -109,7 +123,7 @@
   readDuration(*root, "departure_limit_ms", settings.departure_limit);
   settings.parallel_weight_loads =
       static_cast<std::uint32_t>(root->getInteger("parallel_weight_loads", 2, {1, 1000}));
-  readDuration(*root, "drain_limit_ms", settings.drain_limit);
+  readSecondsOrMilliseconds(*root, "drain_limit", settings.drain_limit);
   readDuration(*root, "directory_lifetime_ms", settings.directory_lifetime);
   readMachine(*root, settings);
   readLogLevel(*root, settings.log_level);
