--- a/src/base/process_failure.h
+++ b/src/base/process_failure.h
@@ -1,6 +1,6 @@
 #pragma once
-/// @file What a process writes when it ends by a fatal signal or by an exception that nothing handles: its queued
-/// log lines and, on standard error, the signal and a stack trace. SIGKILL leaves nothing.
+/// @file What a process writes when it ends by a fatal signal or by an exception that nothing handles: its
+/// queued log lines and, on standard error, the signal and a stack trace. SIGKILL leaves nothing.
 
 #include "base/bounded_event_log.h"
 
--- a/src/base/process_signals.h
+++ b/src/base/process_signals.h
@@ -1,7 +1,8 @@
 #pragma once
-/// @file The signals that a program handles: SIGTERM, SIGINT and SIGHUP. By default each of them ends the process, also
-/// one that only asks to reload the settings. They are therefore blocked, and stay pending, whenever no handler is
-/// installed: from the first instruction of the program on (early_signals.cc) and while it is being destroyed.
+/// @file The signals that a program handles: SIGTERM, SIGINT and SIGHUP. By default each of them ends the
+/// process, also one that only asks to reload the settings. They are therefore blocked, and stay pending,
+/// whenever no handler is installed: from the first instruction of the program on (early_signals.cc) and
+/// while it is being destroyed.
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -12,8 +13,8 @@
 /// Blocks the signals in the calling thread and in the threads that it starts from now on.
 void blockProcessSignals();
 
-/// Handles the signals on an event loop. To be created on the thread that runs the loop, before other threads if
-/// blockProcessSignals() was not called before.
+/// Handles the signals on an event loop. To be created on the thread that runs the loop, before other threads
+/// if blockProcessSignals() was not called before.
 class ProcessSignals {
 public:
   /// Installs handlers and unblocks the signals. Those that were pending are delivered once the loop runs.
--- a/tests/integration/gateway/process_failure_test.cc
+++ b/tests/integration/gateway/process_failure_test.cc
@@ -1,5 +1,7 @@
-/// @file Guards against processes that end without a trace: by an exception that nothing handles or by a fatal signal,
-/// with lines in the queue of the log.
+/// @file Guards against processes that end without a trace: by an exception that nothing handles or by a
+/// fatal signal, with lines in the queue of the log.
+
+#include "base/process_failure.h"
 
 #include <signal.h>
 #include <sys/wait.h>
@@ -12,8 +14,6 @@
 #include <string>
 #include <thread>
 
-#include "base/process_failure.h"
-
 using namespace crankspur;
 
 namespace {
@@ -69,7 +69,8 @@
 
 }  // namespace
 
-TEST_CASE("a process that ends by an exception writes its queued lines and the exception", "[process_failure]") {
+TEST_CASE("a process that ends by an exception writes its queued lines and the exception",
+          "[process_failure]") {
   const EndedProcess ended = runUntilFailure([] { throwUnhandled(); });
   INFO(ended.output);
   CHECK(ended.signal == SIGABRT);
@@ -78,7 +79,8 @@
   CHECK(ended.output.find("the reason") != std::string::npos);
 }
 
-TEST_CASE("a process that ends by a fatal signal writes its queued lines and the signal", "[process_failure]") {
+TEST_CASE("a process that ends by a fatal signal writes its queued lines and the signal",
+          "[process_failure]") {
   const EndedProcess ended = runUntilFailure([] { ::raise(SIGSEGV); });
   INFO(ended.output);
   CHECK(ended.signal == SIGSEGV);
--- a/tests/integration/gateway/start_test.cc
+++ b/tests/integration/gateway/start_test.cc
@@ -1,4 +1,5 @@
-/// @file Starts of the gateway program, at which signals, the settings file and addresses may be late or early.
+/// @file Starts of the gateway program, at which signals, the settings file and addresses may be late or
+/// early.
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -70,8 +71,8 @@
 class Start {
 public:
   Process& run() {
-    process_ = std::make_unique<Process>("crankspur_gateway", std::vector<std::string>{"--settings=" + path()},
-                                         folder_ + "/log");
+    process_ = std::make_unique<Process>("crankspur_gateway",
+                                         std::vector<std::string>{"--settings=" + path()}, folder_ + "/log");
     return *process_;
   }
   std::string path() const { return folder_ + "/settings.toml"; }
@@ -130,9 +131,10 @@
 
 }  // namespace
 
-// Guards against processes that end when the platform tells them of changed settings before they have installed
-// their signal handlers: the default action of SIGHUP is to end the process.
-TEST_CASE("a gateway survives a reload that is requested before it has read its settings", "[gateway][start]") {
+// Guards against processes that end when the platform tells them of changed settings before they have
+// installed their signal handlers: the default action of SIGHUP is to end the process.
+TEST_CASE("a gateway survives a reload that is requested before it has read its settings",
+          "[gateway][start]") {
   Start start;
   SettingsPipe pipe(start.path());
   Process& process = start.run();
@@ -149,7 +151,8 @@
 }
 
 // Guards against processes that end by the signal itself when they are told to stop while they start.
-TEST_CASE("a gateway that is stopped before it has read its settings ends with status 0", "[gateway][start]") {
+TEST_CASE("a gateway that is stopped before it has read its settings ends with status 0",
+          "[gateway][start]") {
   Start start;
   SettingsPipe pipe(start.path());
   Process& process = start.run();
@@ -163,13 +166,14 @@
   CHECK(process.wait(std::chrono::seconds(20)) == 0);
 }
 
-// Guards against processes that end because their settings file is being written when they start: it is absent, empty
-// or cut off at any byte for a moment.
+// Guards against processes that end because their settings file is being written when they start: it is
+// absent, empty or cut off at any byte for a moment.
 TEST_CASE("a gateway waits for a settings file that is being written", "[gateway][start]") {
   Start start;
   const std::string text = settingsText();
-  const std::string early = GENERATE_COPY(std::string("absent"), std::string(), text.substr(0, 30),
-                                          text.substr(0, text.find("gossip")), text.substr(0, text.size() - 3));
+  const std::string early =
+      GENERATE_COPY(std::string("absent"), std::string(), text.substr(0, 30),
+                    text.substr(0, text.find("gossip")), text.substr(0, text.size() - 3));
   INFO("at the start: " << early);
   if (early != "absent") writeText(start.path(), early);
   start.run();
@@ -178,8 +182,8 @@
   CHECK(start.responds());
 }
 
-// Guards against processes that end because another socket holds one of their addresses for a moment: that of a
-// process that is still ending, or a connection that was given the port as its local one.
+// Guards against processes that end because another socket holds one of their addresses for a moment: that of
+// a process that is still ending, or a connection that was given the port as its local one.
 TEST_CASE("a gateway waits for an address that another socket holds", "[gateway][start]") {
   Start start;
   writeText(start.path(), settingsText());
@@ -197,8 +201,8 @@
   CHECK(start.responds(kReadiness));
 }
 
-// Guards against gateways that serve nobody for want of metrics: the metrics port is the same for all deployments of a
-// machine.
+// Guards against gateways that serve nobody for want of metrics: the metrics port is the same for all
+// deployments of a machine.
 TEST_CASE("a gateway serves while another process holds its metrics address", "[gateway][start]") {
   Start start;
   writeText(start.path(), settingsText());
@@ -211,8 +215,8 @@
   CHECK(process.wait(std::chrono::seconds(20)) == 0);
 }
 
-// Guards against processes that end by a signal, or do not end at all, when they are stopped while they wait for an
-// address.
+// Guards against processes that end by a signal, or do not end at all, when they are stopped while they wait
+// for an address.
 TEST_CASE("a gateway that is stopped while it waits for an address ends with status 0", "[gateway][start]") {
   Start start;
   writeText(start.path(), settingsText());
@@ -226,7 +230,8 @@
   CHECK(process.wait(std::chrono::seconds(20)) == 0);
 }
 
-// Guards against processes that end by a signal while they are being destroyed: the handlers must stay until the end.
+// Guards against processes that end by a signal while they are being destroyed: the handlers must stay until
+// the end.
 TEST_CASE("a gateway that gets reload requests until its end ends with status 0", "[gateway][start]") {
   Start start;
   writeText(start.path(), settingsText());
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -30,6 +30,7 @@
                     find_unneeded_refusals, find_violations, mark_streams_of_gone_builds)
 from client import Attempt, Kind, look_up, make_attempt  # noqa: E402
 from http_text import head_bytes, read_body, read_head  # noqa: E402
+from process_faults import MEMORY_LIMIT_MB, HeldBytes, ObstructedStarts  # noqa: E402
 from runner import Brittleness, Notices, Runner  # noqa: E402
 from store import Store  # noqa: E402
 
@@ -61,7 +62,7 @@
 ]
 # Faults that --only can select; with silent_connections, any rejection by a gateway is a violation.
 SINGLE_FAULTS = ("silent_connections", "ending_requests", "ending_requests_and_restarts", "notices", "brittle", "retries",
-                 "lagging_gateways")
+                 "lagging_gateways", "starts", "held_bytes")
 LAG_AGES_S = (4.0, 32.0, 32.0)  # Ages of the gateways at the first release; 30 s after a start a gateway knows more.
 RELEASED_ENGINES = 6  # That join with newer builds when gateways that lag are the selected fault, two at a time.
 RESUMED_SHARE = 0.6  # Share of the streams that their clients leave and resume at another gateway, then.
@@ -100,13 +101,14 @@
         lines = [f'name = "{self.name}"', 'zone = "zone-a"', 'region = "r"', f'platform = "{store_address}"']
         lines += [f'{key} = "{self.host}:{port}"' for key, port in ports.items()]
         lines += [f"seeds = [{seeds}]", f"key_validity_ms = {int(KEY_VALIDITY_S * 1000)}", "drain_limit_ms = 8000"]
-        self._settings = folder / f"{self.name}.toml"
-        self._settings.write_text("\n".join(lines) + "\n")
+        lines += [f"memory_limit_mb = {MEMORY_LIMIT_MB}"]
+        self.settings = folder / f"{self.name}.toml"
+        self.settings.write_text("\n".join(lines) + "\n")
 
     async def start(self):
         log = open(self._folder / f"{self.name}.log", "ab")
         self.process = await asyncio.create_subprocess_exec(
-            str(self._program), f"--settings={self._settings}", stdout=log, stderr=log, start_new_session=True)
+            str(self._program), f"--settings={self.settings}", stdout=log, stderr=log, start_new_session=True)
         self.expected_exit = False  # Reset only now: the previous process may have been killed.
         log.close()
 
@@ -211,6 +213,7 @@
         self.lags = options.only == "lagging_gateways"
         self.streams, self.builds_served = [], {}  # See find_streams_that_stop.
         self.lagging = []  # Gateways that lag now.
+        self.obstructed_starts = self.held_bytes = None  # Set by start().
         self.used_gateway = None  # The only one that clients use; None: any.
         self.schedule = open(folder / "schedule.log", "w")
 
@@ -283,6 +286,8 @@
             address = f"127.0.0.1:{self.proxy.ports[route]}"
             self.gateways.append(Gateway(number, count, ports, address, self.folder, program))
             self.gateways[-1].store_route = route
+        self.obstructed_starts = ObstructedStarts(self.gateways, self.log_event, self.problems)
+        self.held_bytes = HeldBytes(self.gateways, self.record_left_attempt, self.log_event, self.problems)
         for gateway in self.gateways:
             await gateway.start()
         for gateway in self.gateways:  # Until it has a configuration, a gateway may reject requests.
@@ -349,6 +354,14 @@
             prompt = [(self.random.randint(1, 6), 640), (self.random.getrandbits(40), 160)]
         return await make_attempt(attempt, MODEL, prompt, DEADLINE_S)
 
+    def record_left_attempt(self, number, gateway):
+        """Records an attempt whose client leaves before it has read the response; returns its key."""
+        key = next(iter(self.keys))
+        attempt = Attempt(number, KINDS[1], key, self.keys[key], gateway.address, time.monotonic())
+        attempt.left = True
+        self.attempts.append(attempt)
+        return key
+
     async def run_stream(self, key):
         """Runs a stream that the client may leave, and resumes at any gateway."""
         kind = KINDS[2]
@@ -661,6 +674,11 @@
         elif self.options.only == "retries":
             faults = [self.fail_runners, self.fail_runners, self.fail_runners, self.move_clients, self.move_clients,
                       self.kill_gateway, self.kill_all, self.stop_gateway]
+        elif self.options.only == "starts":
+            faults = [self.obstructed_starts.obstruct_start] * 3 + [self.interrupt_store, self.change_configuration]
+        elif self.options.only == "held_bytes":
+            hold = self.held_bytes.hold_bytes
+            faults = [hold, hold, hold, hold, self.kill_gateway, self.stop_gateway, self.change_configuration]
         elif self.options.only:
             faults = [getattr(self, self.options.only)]
         tasks = set()
@@ -689,6 +707,7 @@
     async def monitor_processes(self):
         while True:
             await asyncio.sleep(0.2)
+            self.held_bytes.check_memory()
             for gateway in self.gateways:
                 if gateway.process.returncode is not None and not gateway.expected_exit:
                     self.problems.append(f"{gateway.name} ended by itself: {gateway.process.returncode}")
@@ -762,6 +781,10 @@
           f"stated that they leave")
     print(f"{len(soak.brittleness.falls)} falls in {len(soak.brittleness.periods)} brittle periods, "
           f"{sum(len(engine.endless) for engine in soak.engines)} responses without end")
+    print(f"peak memory {soak.held_bytes.peak_mb:.0f} MB of {MEMORY_LIMIT_MB}")
+    starts = soak.obstructed_starts
+    if starts.starts:
+        print(f"{starts.starts} obstructed starts, {starts.ended_before_code} ended before the program's first instruction")
     resumed = [attempt for attempts in soak.streams for attempt in attempts[1:]]
     if resumed:
         print(f"{len(resumed)} attempts to resume a stream, {sum(1 for a in resumed if a.event_ids)} went on")
