--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -146,7 +146,7 @@
 }  // namespace
 
 std::unique_ptr<Server> listen(const asio::any_io_executor& executor, const std::string& address,
-                               RequestHandler handler, std::error_code& error, ServerLimits limits) {
+                               RequestHandler handler, std::error_code& error, const ServerLimits& limits) {
   boost::system::error_code listen_error;
   const tcp::endpoint endpoint = parseEndpoint(address, listen_error);
   const auto state = std::make_shared<ServerState>();
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -120,6 +120,7 @@
 /// Listens on "IP:port"; port 0 selects a free port.
 /// @return the server, or null with `error` set.
 std::unique_ptr<Server> listen(const boost::asio::any_io_executor& executor, const std::string& address,
-                               RequestHandler handler, std::error_code& error, ServerLimits limits = {});
+                               RequestHandler handler, std::error_code& error,
+                               const ServerLimits& limits = {});
 
 }  // namespace crankspur::http
