--- a/src/http/server.h
+++ b/src/http/server.h
@@ -57,9 +57,9 @@
 
 /// What a server does with the body of a request whose head it has read.
 enum class BodyUse {
-  read,  ///< The client is identified by a valid key.
-  read_unidentified,
-  ignore,  ///< The request will be rejected by its head: the handler gets it without its body.
+  read,               ///< The client is identified by a valid key.
+  read_unidentified,  ///< No key identifies the client; its share of the budget is small.
+  ignore,             ///< The request will be rejected by its head: the handler gets it without its body.
 };
 
 /// Decides about a body by its head. Called only for bodies that exceed BodyAdmission::kSmallBytes or declare
