Limit the bytes of a response that the parser does not consume

Callers saw nothing at first: one back end that sent the size line of a chunk without end, to 60 requests at once, made the process use 1,435 MB of the 260 that it may; the platform kills it then, and the requests of all its clients with it. The store did the same with 3,873 MB within 12 s.

Cause: ClientConnection appends what it reads to a buffer without a maximum, and Beast consumes a line between chunks, and trailer fields, only when they are complete. The limit of heads does not apply to them. A connection now fails its exchange beyond 64 KiB of such bytes, which no sound response reaches.

Evidence: the new test fails without the limit for each kind of line, collected or passed on.

--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -22,6 +22,9 @@
 
 constexpr std::size_t kReadBytes = std::size_t{16} * 1024;
 constexpr std::uint32_t kHeaderBytes = 64 * 1024;
+/// Limit of received bytes that the parser does not consume: it consumes a head, the trailer fields and a
+/// line between chunks only when they are complete.
+constexpr std::size_t kMaxUnparsedBytes = kHeaderBytes;
 /// Maximum time from the first byte of a head to its end. A server may send bytes of a head without end.
 constexpr Duration kMaxHeadTime = std::chrono::seconds(2);
 /// Reading the rest of a response that is not needed costs less than a new connection, up to this size and
@@ -168,7 +171,8 @@
   if (!std::exchange(byte_received_, true) && reused_) callbacks_.on_reused_response(this);
   parse();
   if (phase_ == Phase::Busy) {
-    if (exceedsDiscardLimit(bytes)) return fail(make_error_code(ErrorCode::TooLarge));
+    const bool too_large = exceedsDiscardLimit(bytes) || buffer_.size() > kMaxUnparsedBytes;
+    if (too_large) return fail(make_error_code(ErrorCode::TooLarge));
     const bool head_began = parser_->got_some() || buffer_.size() > 0;
     if (!headers_delivered_ && head_began && !read_deadline_) limitReading(kMaxHeadTime);
   }
--- a/tests/unit/http/endless_response_test.cc
+++ b/tests/unit/http/endless_response_test.cc
@@ -1,5 +1,6 @@
 /// @file Guards against bytes without end from a server: a head, interim responses, a response that belongs
 /// to another request, and responses that nobody waits for any more were read for as long as the server sent.
+/// Lines without end inside a body were kept as well, and filled the memory of the process.
 
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
@@ -185,6 +186,31 @@
   }
 }
 
+// The parser consumes a line inside a body only when it is complete, so that no limit of the body applied to
+// it.
+TEST_CASE("a line without end inside a body fails its exchange", "[http][endless]") {
+  struct Line {
+    const char* name;
+    std::string prefix;    ///< After the head.
+    std::string repeated;  ///< Without end.
+  };
+  const auto line = GENERATE(Line{"size of a chunk", "", std::string(8'000, '1')},
+                             Line{"no chunks", "", std::string(8'000, 'x')},
+                             Line{"extension of a chunk", "5;", std::string(8'000, 'x')},
+                             Line{"end of a chunk", "1\r\nx", std::string(8'000, 'x')},
+                             Line{"trailer line", "0\r\nX-Fill: ", std::string(8'000, 'x')},
+                             Line{"trailer lines", "0\r\n", "X-Fill: x\r\n"});
+  const bool collects = GENERATE(true, false);
+  INFO(line.name << (collects ? ", collected" : ", passed on"));
+  EndlessFixture fixture("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + line.prefix,
+                         line.repeated);
+  ExchangeCallbacks callbacks;
+  if (!collects) callbacks.on_data = [](std::string_view) {};
+  fixture.start(callbacks);
+  fixture.runUntilClosed();
+  CHECK((fixture.ended && *fixture.ended));
+}
+
 // The limit of time for the whole body took the place of the limit of time without a byte.
 TEST_CASE("a collected body that stops fails its exchange after the idle timeout", "[http][endless]") {
   EndlessFixture fixture("HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n", "x", 30s);
