Tell responses that cannot be read from silent and crashed back ends

A back end that sent bytes without end counted as silent, crashed or late, and its requests became suspects of having crashed it. A store that did so left no line at all.

Parse errors and exceeded limits of the client are now ErrorCode::Malformed and TooLarge. The gateway counts the back end as failing and as live, with the cause answer_unreadable; the request is repeated only as its route and the retry budget allow, since it may have run.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -118,6 +118,8 @@
   /// The exchange failed: no connection could be made, or it broke.
   /// @param sent whether the back end may have received any byte of the request.
   void onLost(ExchangeId exchange, bool sent, TimePoint now);
+  /// The exchange failed: the back end sent bytes that are no response, or exceed the limits of one.
+  void onUnreadableResponse(ExchangeId exchange, TimePoint now);
 
   /// Only the first result of a probe counts.
   void onProbeResult(std::uint64_t probe, ProbeOutcome outcome, TimePoint now);
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -281,6 +281,22 @@
   serveQueue(now);
 }
 
+/// The back end is live and in reach, so that the end of the exchange is no sign of a crash.
+void Gateway::onUnreadableResponse(ExchangeId exchange, TimePoint now) {
+  Entry* entry = findExchange(exchange);
+  if (entry == nullptr) return;
+  if (entry->active.relayed) return onRelayLost(*entry, true, now);
+  const ActiveExchange active = entry->active;
+  entry->cause = RequestCause::answer_unreadable;
+  entry->failed.push_back(active.slot);
+  entry->recordDelivery(Delivery::may_have_run);
+  table_.reach().onReceived(active.slot, now);
+  recordUnobservedEnd(*entry, active, entry->cause, now);
+  endExchange(*entry, DispatchOutcome::Failed, now);
+  retryOrGiveUp(*entry, active, active.status, now);
+  serveQueue(now);
+}
+
 /// The gateway itself ended the exchange, which says nothing about the reach of the back end.
 void Gateway::onRecalled(Entry& entry, TimePoint now) {
   const ActiveExchange active = entry.active;
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -96,6 +96,8 @@
       return "end_unproven";
     case RequestCause::answer_not_genuine:
       return "answer_not_genuine";
+    case RequestCause::answer_unreadable:
+      return "answer_unreadable";
     case RequestCause::event_too_large:
       return "event_too_large";
     case RequestCause::error_answer:
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -522,7 +522,11 @@
   if (!exchanges_.contains(exchange)) return;
   if (error) {
     exchanges_.erase(exchange);
-    gateway_.onLost(exchange, state == http::SendState::SentOutcomeUnknown, now());
+    if (http::isUnreadableResponse(error)) {
+      gateway_.onUnreadableResponse(exchange, now());
+    } else {
+      gateway_.onLost(exchange, state == http::SendState::SentOutcomeUnknown, now());
+    }
   } else {
     gateway_.onEnd(exchange, now());
   }
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -6,6 +6,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "base/error.h"
 #include "http/client_connection.h"
 #include "http/half_open_detector.h"
 
@@ -13,6 +14,10 @@
 
 namespace asio = boost::asio;
 
+bool isUnreadableResponse(std::error_code error) {
+  return error == ErrorCode::Malformed || error == ErrorCode::TooLarge;
+}
+
 namespace {
 
 constexpr std::size_t kMaxIdleConnections = 64;  ///< Per address.
@@ -38,6 +43,10 @@
     on_silent_connections_ = std::move(handler);
   }
 
+  void setUnreadableResponseHandler(std::function<void(const std::string&, std::error_code)> handler) {
+    on_unreadable_ = std::move(handler);
+  }
+
   /// @param address server address; empty for all servers.
   void closeStaleConnections(const std::string& address, HalfOpenDetector::Time last_received_before) {
     std::vector<std::shared_ptr<ClientConnection>> stale_connections;
@@ -153,6 +162,8 @@
     running_.erase(exchange.get());
     if (closed_ || exchange->ended || exchange->discarded) return;
     if (outcome.timed_out) onTimeout(*outcome.timed_out);
+    if (isUnreadableResponse(outcome.error) && on_unreadable_)
+      on_unreadable_(exchange->address, outcome.error);
     const bool nothing_sent = outcome.state == SendState::NotSent;
     const bool repeatable = nothing_sent || exchange->options.may_be_repeated;
     if (outcome.stale && repeatable) return run(exchange, true);
@@ -179,6 +190,7 @@
   asio::any_io_executor executor_;
   std::function<void(const TimedOutExchange&)> on_timeout_;
   std::function<void()> on_silent_connections_;
+  std::function<void(const std::string&, std::error_code)> on_unreadable_;
   HalfOpenDetector half_open_detector_;
   bool closed_ = false;
   std::unordered_set<std::shared_ptr<ClientConnection>> open_;
@@ -238,6 +250,10 @@
   void setSilentConnectionsHandler(std::function<void()> handler) override {
     pool_->setSilentConnectionsHandler(std::move(handler));
   }
+  void setUnreadableResponseHandler(
+      std::function<void(const std::string&, std::error_code)> handler) override {
+    pool_->setUnreadableResponseHandler(std::move(handler));
+  }
   void closeStaleConnections(const std::string& address) override {
     pool_->closeStaleConnections(address,
                                  std::chrono::steady_clock::now() - HalfOpenDetector::kRecentActivity);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -28,7 +28,8 @@
   std::function<void(int status, const Headers&, BodyFraming)> on_headers;
   /// Part of the body was received. When unset, the body is collected for on_done.
   std::function<void(std::string_view)> on_data;
-  /// The exchange ended. `error` is empty when the response was complete.
+  /// The exchange ended. `error` is empty when the response was complete. ErrorCode::Malformed and TooLarge:
+  /// the server sent bytes that are no response, or more than the limits allow.
   std::function<void(std::error_code error, SendState state, Response response)> on_done;
 };
 
@@ -52,6 +53,9 @@
   virtual void resumeReading() = 0;
 };
 
+/// @return whether an exchange failed since the server sent bytes that cannot be read as a response.
+bool isUnreadableResponse(std::error_code error);
+
 /// Options of one exchange.
 struct ExchangeOptions {
   Duration connect_timeout = std::chrono::seconds(1);
@@ -90,6 +94,9 @@
   /// @param handler called when connections to several servers fell silent together, so that the idle
   /// connections to all servers were closed.
   virtual void setSilentConnectionsHandler(std::function<void()> handler) = 0;
+  /// @param handler called for each exchange whose response cannot be read, before its on_done.
+  virtual void setUnreadableResponseHandler(
+      std::function<void(const std::string& address, std::error_code error)> handler) = 0;
   /// Closes idle connections that have received nothing for 0.3 s, so that later exchanges open new ones.
   /// @param address server address; empty for all servers.
   virtual void closeStaleConnections(const std::string& address) = 0;
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -53,6 +53,14 @@
   ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &kProbeCount, sizeof(kProbeCount));
 }
 
+/// @return the error of an exchange whose response the parser rejects.
+std::error_code parseFailure(const boost::system::error_code& error) {
+  using beast::http::error::body_limit;
+  using beast::http::error::header_limit;
+  const bool too_large = error == body_limit || error == header_limit;
+  return too_large ? ErrorCode::TooLarge : ErrorCode::Malformed;
+}
+
 }  // namespace
 
 ClientConnection::ClientConnection(const asio::any_io_executor& executor, std::string address,
@@ -206,8 +214,7 @@
     buffer_.consume(used);
     if (exchange->ended) return;
     if (error && error != beast::http::error::need_more) {
-      const bool too_large = error == beast::http::error::body_limit;
-      return fail(too_large ? make_error_code(ErrorCode::TooLarge) : std::error_code(error));
+      return fail(parseFailure(error));
     }
     if (parser_->is_header_done() && !headers_delivered_) {
       deliverHeaders();
--- a/tests/unit/gateway/gateway_failure_test.cc
+++ b/tests/unit/gateway/gateway_failure_test.cc
@@ -48,6 +48,37 @@
   CHECK(fixture.only<Refuse>().retry_after > Duration(0));
 }
 
+// A back end that sends junk counted as silent or crashed: its requests became suspects.
+TEST_CASE("a back end whose responses cannot be read counts as failing, not as crashed", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.configuration.routes[1].max_attempts = 3;
+  fixture.publish();
+  fixture.send("look");
+  const std::string first = fixture.last.address;
+  fixture.gateway.onUnreadableResponse(fixture.last.exchange, fixture.now);
+  fixture.takeActions();
+  CHECK(fixture.only<Dispatch>().address != first);
+  CHECK(fixture.observer.moved.front().cause == RequestCause::answer_unreadable);
+  for (int count = 0; count < 8 && fixture.observer.distrusted.empty(); ++count) {
+    fixture.gateway.onUnreadableResponse(fixture.last.exchange, fixture.now);
+    fixture.takeActions();
+    fixture.send("look");
+  }
+  CHECK(fixture.observer.distrusted.size() == 1);
+  CHECK(fixture.observer.suspected.empty());
+}
+
+TEST_CASE("an at-most-once request is not repeated after a response that cannot be read", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  fixture.send("order");
+  fixture.gateway.onUnreadableResponse(fixture.last.exchange, fixture.now);
+  fixture.takeActions();
+  CHECK_FALSE(fixture.has<Dispatch>());
+  CHECK(fixture.only<Refuse>().status == 502);
+  CHECK(fixture.only<Refuse>().cause == RequestCause::answer_unreadable);
+}
+
 TEST_CASE("no request reaches more back ends than its route allows", "[gateway]") {
   GatewayFixture fixture;
   fixture.publish();
--- a/tests/unit/http/endless_response_test.cc
+++ b/tests/unit/http/endless_response_test.cc
@@ -11,7 +11,9 @@
 #include <optional>
 #include <string>
 
+#include "base/error.h"
 #include "http/client.h"
+#include "unit/http/raw_server.h"
 #include "unit/run_until.h"
 
 using namespace crankspur;
@@ -220,3 +222,50 @@
            [&] { return fixture.ended || std::chrono::steady_clock::now() - start > kMaxUselessTime; });
   CHECK((fixture.ended && *fixture.ended));
 }
+
+// Log lines and the judgement of a back end distinguish it from one that is slow or has crashed.
+TEST_CASE("bytes that are no response are reported as unreadable", "[http][endless]") {
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string prefix;
+  std::string repeated = kFill;
+  ErrorCode expected = ErrorCode::TooLarge;
+  SECTION("a line without end inside a body") {
+    prefix = head;
+  }
+  SECTION("a size of a chunk that is no number") {
+    prefix = head + "size\r\n";
+    expected = ErrorCode::Malformed;
+  }
+  SECTION("a head without end") {
+    prefix = "HTTP/1.1 200 OK\r\nX-Fill: ";
+  }
+  SECTION("no head") {
+    repeated = "no response\r\n";
+    expected = ErrorCode::Malformed;
+  }
+  EndlessFixture fixture(prefix, repeated);
+  std::optional<std::error_code> reported;
+  fixture.client->setUnreadableResponseHandler([&](const std::string& address, std::error_code error) {
+    CHECK(address == fixture.server.address());
+    reported = error;
+  });
+  fixture.start({});
+  fixture.runUntilClosed();
+  CHECK(reported == expected);
+  CHECK(fixture.ended == expected);
+}
+
+TEST_CASE("a truncated response is not reported as unreadable", "[http][endless]") {
+  asio::io_context context{1};
+  RawServer server(context, {{"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", true}});
+  const auto client = makeClient(context.get_executor());
+  bool is_reported = false;
+  client->setUnreadableResponseHandler([&](const std::string&, std::error_code) { is_reported = true; });
+  std::optional<std::error_code> ended;
+  ExchangeCallbacks callbacks;
+  callbacks.on_done = [&](std::error_code error, SendState, const Response&) { ended = error; };
+  client->start(server.address(), {"POST", "/", {}, "x"}, callbacks);
+  runUntil(context, [&] { return ended.has_value(); });
+  CHECK((ended && *ended));
+  CHECK_FALSE(is_reported);
+}
