Count what peers have sent and is not passed on in budgets of the process

The budget of held bytes counted one side of the process: limits of each connection alone let 2,500 of them hold 160 MB of incomplete lines, and as much of heads and of incomplete events; collected responses have 1 to 16 MiB each.

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -111,6 +111,10 @@
   bool streamsBody(ExchangeId exchange) const;
   /// The body exceeds the driver's buffer limit.
   void onBodyBufferFull(ExchangeId exchange, TimePoint now);
+  /// @return bytes of an incomplete event that are kept until it is complete.
+  std::size_t incompleteEventBytes(ExchangeId exchange) const;
+  /// The driver has no room for the incomplete event.
+  void onEventBufferFull(ExchangeId exchange, TimePoint now);
   /// The driver stopped reading the response, because the client does not read, or continues.
   void onReadingPaused(ExchangeId exchange, bool paused, TimePoint now);
   /// The response is complete.
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -108,6 +108,16 @@
   actions_.emplace_back(ForwardBytes{entry->id, exchange, std::move(forwarded)});
 }
 
+std::size_t Gateway::incompleteEventBytes(ExchangeId exchange) const {
+  const Entry* entry = findExchange(exchange);
+  return entry != nullptr && entry->cursor ? entry->cursor->partialEventBytes() : 0;
+}
+
+void Gateway::onEventBufferFull(ExchangeId exchange, TimePoint now) {
+  Entry* entry = findExchange(exchange);
+  if (entry != nullptr) onEndlessEvent(*entry, now);
+}
+
 /// A back end that does not end an event has failed. Another one can continue the stream after the event
 /// before.
 void Gateway::onEndlessEvent(Entry& entry, TimePoint now) {
--- a/src/gateway/stream_cursor.h
+++ b/src/gateway/stream_cursor.h
@@ -37,6 +37,7 @@
   bool hasForwardedEvent() const { return has_forwarded_; }
   /// @return whether there are bytes of an incomplete event; a stream that ends with some was truncated.
   bool hasPartialEvent() const { return !event_.empty(); }
+  std::size_t partialEventBytes() const { return event_.size(); }
 
 private:
   void processLine(std::string_view line, std::string& output);
--- a/src/gateway_control/gateway_admin.cc
+++ b/src/gateway_control/gateway_admin.cc
@@ -54,13 +54,8 @@
 
 GatewayAdmin::GatewayAdmin(const NodeSettings& settings, const GatewayProcess& process,
                            const GatewayControl& control, GatewayMetrics& metrics, const BoundedEventLog& log,
-                           const ByteBudget& budget)
-    : settings_(settings),
-      process_(process),
-      control_(control),
-      metrics_(metrics),
-      log_(log),
-      budget_(budget) {}
+                           const HeldBytes& held)
+    : settings_(settings), process_(process), control_(control), metrics_(metrics), log_(log), held_(held) {}
 
 std::error_code GatewayAdmin::listen(const boost::asio::any_io_executor& executor,
                                      const std::string& address) {
@@ -137,8 +132,10 @@
   metrics_.serves.Set(current.serves ? 1 : 0);
   metrics_.serving.Set(static_cast<double>(current.serving.size()));
   metrics_.orders.Set(static_cast<double>(current.orders_sent));
-  metrics_.held_bytes.Set(static_cast<double>(budget_.used()));
-  metrics_.held_bytes_limit.Set(static_cast<double>(budget_.limit()));
+  metrics_.held_bytes.Set(static_cast<double>(held_.traffic.used()));
+  metrics_.held_bytes_limit.Set(static_cast<double>(held_.traffic.limit()));
+  metrics_.call_bytes.Set(static_cast<double>(held_.calls.used()));
+  metrics_.call_bytes_limit.Set(static_cast<double>(held_.calls.limit()));
   metrics_.resident_bytes.Set(static_cast<double>(residentBytes()));
   const DroppedLines dropped = log_.dropped();
   metrics_.log_lines.Set(static_cast<double>(log_.linesAccepted()));
--- a/src/gateway_control/gateway_admin.h
+++ b/src/gateway_control/gateway_admin.h
@@ -16,11 +16,17 @@
 
 namespace crankspur::gateway {
 
+/// Budgets of the bytes that the process holds.
+struct HeldBytes {
+  const ByteBudget& traffic;  ///< For clients, and received from back ends for them.
+  const ByteBudget& calls;    ///< Responses to calls of the control thread.
+};
+
 /// Serves the endpoints. The objects passed to the constructor must outlive it.
 class GatewayAdmin {
 public:
   GatewayAdmin(const NodeSettings& settings, const GatewayProcess& process, const GatewayControl& control,
-               GatewayMetrics& metrics, const BoundedEventLog& log, const ByteBudget& budget);
+               GatewayMetrics& metrics, const BoundedEventLog& log, const HeldBytes& held);
   /// @param address "IP:port"; empty: nothing is served.
   std::error_code listen(const boost::asio::any_io_executor& executor, const std::string& address);
   /// @return the bound port; 0: none.
@@ -38,7 +44,7 @@
   const GatewayControl& control_;
   GatewayMetrics& metrics_;
   const BoundedEventLog& log_;
-  const ByteBudget& budget_;
+  const HeldBytes held_;
   std::shared_ptr<http::AdminEndpoints> endpoints_;
   std::unique_ptr<http::Server> server_;
 };
--- a/src/gateway_process/gateway_metrics.cc
+++ b/src/gateway_process/gateway_metrics.cc
@@ -101,9 +101,12 @@
       serves(gauge("serves", "1 while clients are sent to this gateway.")),
       serving(gauge("serving_gateways", "Gateways that clients are sent to, as this one sees it.")),
       orders(gauge("orders", "Orders sent since the start.")),
-      held_bytes(gauge("held_bytes",
-                       "Bytes held for clients: heads, bodies and responses that they have not read.")),
+      held_bytes(
+          gauge("held_bytes",
+                "Bytes held for clients: heads, bodies, and responses that are incomplete or not read.")),
       held_bytes_limit(gauge("held_bytes_limit", "Limit of these; requests beyond it wait or are rejected.")),
+      call_bytes(gauge("call_bytes", "Bytes of incomplete responses to calls of the control thread.")),
+      call_bytes_limit(gauge("call_bytes_limit", "Limit of these; calls that need more fail.")),
       resident_bytes(prometheus::BuildGauge()
                          .Name("process_resident_memory_bytes")
                          .Help("Resident memory of the process.")
--- a/src/gateway_process/gateway_metrics.h
+++ b/src/gateway_process/gateway_metrics.h
@@ -108,6 +108,8 @@
   prometheus::Gauge& orders;
   prometheus::Gauge& held_bytes;
   prometheus::Gauge& held_bytes_limit;
+  prometheus::Gauge& call_bytes;
+  prometheus::Gauge& call_bytes_limit;
   prometheus::Gauge& resident_bytes;
   prometheus::Gauge& log_lines;
   prometheus::Gauge& log_routine_dropped;
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -14,6 +14,8 @@
 
 /// A response body up to this size is buffered until it is complete; a larger one is forwarded as it arrives.
 constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{256} * 1024;
+/// A response may have this many bytes that are not forwarded yet, whatever the budget.
+constexpr std::size_t kSmallResponseBytes = std::size_t{16} * 1024;
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(500);
 /// A gateway that cannot be reached is one of several, and the client waits.
 constexpr Duration kPeerConnectTimeout = std::chrono::milliseconds(200);
@@ -94,7 +96,7 @@
       executor_(std::move(executor)),
       budget_(settings.budget),
       gateway_(settings.decisions, settings.random_seed, observer),
-      http_(http::makeClient(executor_)),
+      http_(http::makeClient(executor_, budget_)),
       timer_(executor_),
       drain_timer_(executor_),
       load_digest_timer_(executor_),
@@ -509,15 +511,31 @@
   if (found == exchanges_.end()) return;
   if (gateway_.streamsBody(exchange)) {
     gateway_.onBytes(exchange, bytes, now());
-    return executeActions();
+    executeActions();
+    return holdIncompleteEvent(exchange);
   }
   found->second.body += bytes;
-  found->second.held.resize(found->second.body.size());
-  if (found->second.body.size() <= kMaxBufferedBodyBytes) return;
+  const std::size_t size = found->second.body.size();
+  if (hold(found->second, size) && size <= kMaxBufferedBodyBytes) return;
   gateway_.onBodyBufferFull(exchange, now());
   executeActions();
 }
 
+/// Counts what is held of a response. A small part of one is held also when the budget is used up.
+/// @return false: the budget has no room for it.
+bool TrafficLoop::hold(ActiveExchange& exchange, std::size_t bytes) {
+  if (bytes > kSmallResponseBytes && bytes > exchange.held.bytes()) return exchange.held.tryResize(bytes, 1);
+  exchange.held.resize(bytes);
+  return true;
+}
+
+void TrafficLoop::holdIncompleteEvent(ExchangeId exchange) {
+  const auto found = exchanges_.find(exchange);
+  if (found == exchanges_.end() || hold(found->second, gateway_.incompleteEventBytes(exchange))) return;
+  gateway_.onEventBufferFull(exchange, now());
+  executeActions();
+}
+
 void TrafficLoop::onDone(ExchangeId exchange, std::error_code error, http::SendState state) {
   if (!exchanges_.contains(exchange)) return;
   if (error) {
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -60,7 +60,7 @@
     http::Headers headers;
     http::BodyFraming framing = http::BodyFraming::Length;
     std::string body;      ///< Buffered until the gateway decides what to do with it.
-    ByteReservation held;  ///< For `body`.
+    ByteReservation held;  ///< For `body`, and then for the incomplete event of a stream.
     bool large = false;
   };
 
@@ -106,6 +106,8 @@
               http::BodyFraming framing);
   void onData(ExchangeId exchange, std::string_view bytes);
   void onDone(ExchangeId exchange, std::error_code error, http::SendState state);
+  static bool hold(ActiveExchange& exchange, std::size_t bytes);
+  void holdIncompleteEvent(ExchangeId exchange);
   Client* findClient(ClientId client);
 
   GatewayProcessSettings settings_;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -229,8 +229,8 @@
 
 class PooledClient : public Client {
 public:
-  explicit PooledClient(asio::any_io_executor executor)
-      : pool_(std::make_shared<ConnectionPool>(std::move(executor))) {}
+  PooledClient(asio::any_io_executor executor, std::shared_ptr<ByteBudget> budget)
+      : pool_(std::make_shared<ConnectionPool>(std::move(executor))), budget_(std::move(budget)) {}
   ~PooledClient() override { pool_->closeAll(); }
 
   std::shared_ptr<Exchange> start(const std::string& address, Request request, ExchangeCallbacks callbacks,
@@ -239,7 +239,8 @@
     state->address = address;
     state->request = std::move(request);
     state->callbacks = std::move(callbacks);
-    state->options = options;
+    state->options = std::move(options);
+    if (!state->options.budget) state->options.budget = budget_;
     pool_->run(state, false);
     return std::make_shared<PooledExchange>(pool_, state);
   }
@@ -261,12 +262,13 @@
 
 private:
   std::shared_ptr<ConnectionPool> pool_;
+  std::shared_ptr<ByteBudget> budget_;
 };
 
 }  // namespace
 
-std::unique_ptr<Client> makeClient(asio::any_io_executor executor) {
-  return std::make_unique<PooledClient>(std::move(executor));
+std::unique_ptr<Client> makeClient(asio::any_io_executor executor, std::shared_ptr<ByteBudget> budget) {
+  return std::make_unique<PooledClient>(std::move(executor), std::move(budget));
 }
 
 }  // namespace crankspur::http
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <system_error>
 
+#include "base/byte_budget.h"
 #include "base/time.h"
 #include "http/message.h"
 
@@ -64,6 +65,9 @@
   std::size_t body_bytes = std::size_t{16} * 1024 * 1024;  ///< Maximum size of a collected body.
   /// Maximum time from the head of a response with a collected body to its end.
   Duration collect_timeout = std::chrono::seconds(30);
+  /// Counts the bytes of the response that are held and not passed on. An exchange that needs more than the
+  /// budget has left fails, unless it holds little. Null: the client's.
+  std::shared_ptr<ByteBudget> budget;
   /// The caller agrees that the server may process the request twice, whatever its method: when the server
   /// closes a reused connection before the first byte of the response, the request is sent again. Never set
   /// it for requests of clients: their route decides what is repeated and the retry budget counts it.
@@ -102,8 +106,10 @@
   virtual void closeStaleConnections(const std::string& address) = 0;
 };
 
+/// @param budget of the exchanges that name none; null: their bytes are not counted.
 /// @return a client whose work and callbacks run on `executor`.
-std::unique_ptr<Client> makeClient(boost::asio::any_io_executor executor);
+std::unique_ptr<Client> makeClient(boost::asio::any_io_executor executor,
+                                   std::shared_ptr<ByteBudget> budget = nullptr);
 
 /// Incremental parser for the "data:" values of a server-sent event stream; chunk boundaries may be anywhere.
 /// Multiple "data:" lines of one event are joined by a line feed. Lines end with LF or CR LF.
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -27,6 +27,8 @@
 constexpr std::size_t kMaxUnparsedBytes = kHeaderBytes;
 /// Maximum time from the first byte of a head to its end. A server may send bytes of a head without end.
 constexpr Duration kMaxHeadTime = std::chrono::seconds(2);
+/// Of a head while its body is received: one here, one of the driver.
+constexpr std::size_t kHeadCopies = 2;
 /// Reading the rest of a response that is not needed costs less than a new connection, up to this size and
 /// time. A server may send such a response without end.
 constexpr std::size_t kMaxDiscardedBytes = std::size_t{64} * 1024;
@@ -53,6 +55,12 @@
   ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &kProbeCount, sizeof(kProbeCount));
 }
 
+std::size_t sizeOf(const Headers& headers) {
+  std::size_t bytes = 0;
+  for (const auto& [name, value] : headers) bytes += name.size() + value.size();
+  return bytes;
+}
+
 /// @return the error of an exchange whose response the parser rejects.
 std::error_code parseFailure(const boost::system::error_code& error) {
   using beast::http::error::body_limit;
@@ -74,6 +82,7 @@
 void ClientConnection::run(std::shared_ptr<ExchangeState> exchange) {
   exchange_ = std::move(exchange);
   request_head_ = requestHead(exchange_->request, address_);
+  held_ = ByteReservation(exchange_->options.budget);
   request_written_ = false;
   byte_sent_ = false;
   byte_received_ = false;
@@ -137,6 +146,7 @@
 
 void ClientConnection::resetParser() {
   headers_delivered_ = false;
+  head_bytes_ = 0;
   discarding_ = false;
   read_deadline_.reset();
   parser_.emplace([this](std::string_view piece) { return consumeBody(piece); });
@@ -180,7 +190,7 @@
   parse();
   if (phase_ == Phase::Busy) {
     const bool too_large = exceedsDiscardLimit(bytes) || buffer_.size() > kMaxUnparsedBytes;
-    if (too_large) return fail(make_error_code(ErrorCode::TooLarge));
+    if (too_large || !holdReceived()) return fail(make_error_code(ErrorCode::TooLarge));
     const bool head_began = parser_->got_some() || buffer_.size() > 0;
     if (!headers_delivered_ && head_began && !read_deadline_) limitReading(kMaxHeadTime);
   }
@@ -194,6 +204,15 @@
   return discarded_bytes_ > kMaxDiscardedBytes || other_responses_ > kMaxOtherResponses;
 }
 
+/// A small response is also received when the budget is used up.
+/// @return whether the budget has room for what the exchange holds.
+bool ClientConnection::holdReceived() {
+  const std::size_t bytes = buffer_.size() + exchange_->response.body.size() + head_bytes_;
+  if (bytes > kReadBytes && bytes > held_.bytes()) return held_.tryResize(bytes, 1);
+  held_.resize(bytes);
+  return true;
+}
+
 /// Unless what is being read is complete within the time, the exchange fails.
 void ClientConnection::limitReading(Duration time) {
   read_deadline_ = std::chrono::steady_clock::now() + time;
@@ -260,6 +279,7 @@
     return limitReading(kMaxDiscardTime);
   }
   exchange->response.status = status;
+  head_bytes_ = kHeadCopies * sizeOf(headers);
   exchange->response.headers = std::move(headers);
   if (!exchange->callbacks.on_data) limitReading(exchange->options.collect_timeout);
   if (exchange->callbacks.on_headers)
@@ -288,8 +308,10 @@
 
 void ClientConnection::complete(bool reusable) {
   const auto exchange = std::exchange(exchange_, nullptr);
+  held_.resize(0);
   if (reusable && buffer_.size() == 0) {
     phase_ = Phase::Idle;
+    if (buffer_.capacity() > 2 * kReadBytes) buffer_.shrink_to_fit();  // No read is pending.
     armTimer(idle_lifetime_);
     callbacks_.on_idle(shared_from_this());
   } else {
@@ -322,6 +344,7 @@
 void ClientConnection::close() {
   phase_ = Phase::Closed;
   exchange_ = nullptr;
+  held_.resize(0);
   boost::system::error_code ignored;
   socket_.close(ignored);
   timer_.cancel();
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -81,6 +81,7 @@
   void closeAndNotify();
   void limitReading(Duration time);
   bool exceedsDiscardLimit(std::size_t bytes);
+  bool holdReceived();
   void armTimer(Duration delay);
   void onTimer();
   bool deferLateTimer();
@@ -95,6 +96,8 @@
   std::optional<ResponseParser> parser_;
   std::shared_ptr<ExchangeState> exchange_;
   std::string request_head_;
+  ByteReservation held_;        ///< For what the current exchange has received and not passed on.
+  std::size_t head_bytes_ = 0;  ///< Of the current response, with the copy of its driver.
   bool reused_ = false;
   bool request_written_ = false;
   bool byte_sent_ = false;
--- a/tests/unit/gateway_control/gateway_admin_test.cc
+++ b/tests/unit/gateway_control/gateway_admin_test.cc
@@ -97,7 +97,8 @@
   FakePlatformLink platform;
   GatewayControl control{context.get_executor(), settings, 7, platform, outputs(), log};
   ByteBudget budget{1'000'000};
-  GatewayAdmin admin{settings, process, control, metrics, log, budget};
+  ByteBudget call_budget{1'000'000};
+  GatewayAdmin admin{settings, process, control, metrics, log, {budget, call_budget}};
 
 private:
   static GatewayProcessSettings processSettings() {
