Reject status codes that have no class

Callers got status lines with 0, 872 and 999 of a garbled back end as they were. The parser accepted any three digits. Such a response cannot be read now, as other bytes that are no response. The test fails without the check.

--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -4,6 +4,14 @@
 
 namespace crankspur::http {
 
+namespace {
+
+/// Other status codes have no class (RFC 9110, section 15).
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
+
+}  // namespace
+
 Request RequestParser::release(ByteReservation held) {
   Request request;
   request.method = std::move(method_);
@@ -38,7 +46,8 @@
   return piece.size();
 }
 
-void ResponseParser::on_response_impl(int status, View, int version, Error&) {
+void ResponseParser::on_response_impl(int status, View, int version, Error& error) {
+  if (status < kMinStatus || status > kMaxStatus) error = boost::beast::http::error::bad_status;
   status_ = status;
   version_ = version;
 }
