Refuse requests that the end of a stopping gateway would cut

At the end all that ran was cut without a line.

Cause: only the server knew of the stop; no placement, wait, retry, resumption or relay was weighed against the time that is left. Class: a decision that does not know the end of its own process. DrainPolicy decides now at each placement by the deadline, the kind and the run times of the route. Bodies that would come too late are rejected while they arrive. At the end each client is told what became of its request, and the log has a line for each.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -147,11 +147,16 @@
     if (checked.tenant->isolated) entry.isolated_tenant = checked.tenant->name;
   }
   entry.arrived_at = now;
-  entry.deadline = now + (route.timeout > Duration(0) ? route.timeout : kDefaultRouteTimeout);
-  if (entry.client.deadline) entry.deadline = std::min(entry.deadline, now + *entry.client.deadline);
+  entry.deadline = deadlineOf(route, entry.client, now);
   if (route.repeatability == Repeatability::ResumableStream) entry.cursor.emplace(entry.client.resume_after);
 }
 
+/// @return the earlier of the client's and the route's deadline.
+TimePoint Gateway::deadlineOf(const Route& route, const ClientRequest& client, TimePoint now) {
+  const TimePoint deadline = now + (route.timeout > Duration(0) ? route.timeout : kDefaultRouteTimeout);
+  return client.deadline ? std::min(deadline, now + *client.deadline) : deadline;
+}
+
 /// @return false: the tenant's quota is used up, and the request was rejected.
 bool Gateway::checkQuota(Entry& entry, const GatewayTenant& tenant, TimePoint now) {
   const double tokens = double(entry.client.prompt_tokens) + double(entry.client.max_completion_tokens);
@@ -214,6 +219,9 @@
 }
 
 void Gateway::place(Entry& entry, TimePoint now) {
+  if (!drain_.mayStart(drainingRequest(*entry.route, entry.deadline, now), now)) {
+    return giveUpFor(entry, RequestCause::stopping, now);
+  }
   if (!checkQuarantine(entry, now)) return;
   if (!isOriginServed(entry)) return giveUpFor(entry, causeOfUnserved(entry), now);
   if (isPartitioned(*entry.pool, now)) probeReach(*entry.pool, now);
@@ -361,7 +369,8 @@
   ++counters_.refused;
   refundQuota(entry, now);
   const Duration retry_after = retryAfter(entry, now);
-  const bool out_of_reach = entry.from_peer && entry.pool != nullptr && isPartitioned(*entry.pool, now);
+  const bool is_partitioned = entry.pool != nullptr && isPartitioned(*entry.pool, now);
+  const bool out_of_reach = entry.from_peer && (is_partitioned || entry.cause == RequestCause::stopping);
   actions_.emplace_back(Refuse{entry.id, kUnavailable, retry_after, entry.cause, out_of_reach});
   reportEnded(entry, RequestOutcome::refused, kUnavailable, retry_after, now);
 }
@@ -397,6 +406,7 @@
 Duration Gateway::retryAfter(const Entry& entry, TimePoint now) {
   if (entry.cause == RequestCause::quarantined) return entry.quarantined_until - now;
   if (entry.cause == RequestCause::build_gone) return Duration(0);
+  if (entry.cause == RequestCause::stopping) return retryAfterStop(now);
   const auto spread = [this](Duration mean) {
     return Duration(static_cast<std::int64_t>(static_cast<double>(mean.count()) * (0.5 + random_.unit())));
   };
@@ -435,6 +445,7 @@
   if (entry.active.exchange != 0) {
     entry.recordDelivery(Delivery::may_have_run);
     entry.cause = RequestCause::time_ran_out;
+    run_times_.onEnded(entry.route->name, now - entry.active.sent_at, now);
   }
   cancelExchange(entry, DispatchOutcome::Ended, now);
   if (!entry.head_forwarded && entry.mayHaveRun()) {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -22,6 +22,7 @@
 #include "gateway/brittle_backends.h"
 #include "gateway/build_confirmations.h"
 #include "gateway/crash_suspects.h"
+#include "gateway/drain_policy.h"
 #include "gateway/engine_choice.h"
 #include "gateway/event_boundary.h"
 #include "gateway/gateway_actions.h"
@@ -35,9 +36,11 @@
 #include "gateway/request_observer.h"
 #include "gateway/retry_budget.h"
 #include "gateway/route_shares.h"
+#include "gateway/run_times.h"
 #include "gateway/slack_share.h"
 #include "gateway/stream_cursor.h"
 #include "gateway/stream_origins.h"
+#include "http/message.h"
 
 namespace crankspur::gateway {
 
@@ -99,8 +102,8 @@
   /// The driver responded to a request itself: it could not read it completely, or was at a limit of its own.
   /// @param request_id empty if it was not read.
   /// @param status of the response that the driver sent to the client.
-  /// @param no_memory the driver has no room for it.
-  void onUnreadableRequest(const std::string& request_id, int status, bool no_memory, TimePoint now);
+  void onUnreadableRequest(const std::string& request_id, int status, http::RejectionReason reason,
+                           TimePoint now);
   void onClientDisconnected(ClientId client, TimePoint now);
 
   /// The head of a response was received. The driver buffers the body until ForwardHead.
@@ -133,6 +136,17 @@
   /// this.
   void onConnectionsSilent(TimePoint now);
 
+  /// The process stops: requests that would not end in time are refused from now on. May be called again.
+  void onDrain(const DrainTimes& times, TimePoint now);
+  /// @return whether the request will be refused when it is complete, since the process stops.
+  bool isTooLate(const IncomingRequest& request, TimePoint now) const;
+  /// Withdraws the requests that no back end has received yet, which are then refused.
+  void recallUnsent();
+  /// @return when a client may retry a request that is refused because the process stops.
+  Duration retryAfterStop(TimePoint now);
+  /// Ends all requests in progress, since the process is about to end.
+  void endRequests(TimePoint now);
+
   void onTimer(TimePoint now);
   /// @return when onTimer() is due next; empty: no timer is set.
   std::optional<TimePoint> nextTimer() const;
@@ -253,6 +267,7 @@
   // Requests and the queue (gateway.cc).
   void setQuotas(const Configuration& configuration, TimePoint now);
   void admit(Entry& entry, const CheckedRequest& checked, TimePoint now);
+  static TimePoint deadlineOf(const Route& route, const ClientRequest& client, TimePoint now);
   bool checkQuota(Entry& entry, const GatewayTenant& tenant, TimePoint now);
   void refundQuota(const Entry& entry, TimePoint now);
   void place(Entry& entry, TimePoint now);
@@ -277,6 +292,9 @@
   Entry* findClient(ClientId client);
   RetryBudget& budgetOf(const std::string& pool);
 
+  // Graceful stop (gateway_drain.cc).
+  DrainingRequest drainingRequest(const Route& route, TimePoint deadline, TimePoint now) const;
+
   // Requests that may crash back ends (gateway_suspects.cc).
   bool checkQuarantine(Entry& entry, TimePoint now);
   bool hasConcurrentAttempt(const Entry& entry);
@@ -407,6 +425,8 @@
   BackendTable table_;
   EngineChoice choice_;
   RouteShares shares_;
+  DrainPolicy drain_;
+  RunTimes run_times_;
   WeightsClock weights_;
   FleetQuotas quotas_;
   BackendLimits limits_;
--- a/src/gateway/gateway_actions.h
+++ b/src/gateway/gateway_actions.h
@@ -33,7 +33,7 @@
   Duration retry_after{0};  ///< 0: the response states none.
   RequestCause cause = RequestCause::none;
   bool out_of_reach =
-      false;  ///< Another gateway relayed the request, and this one reaches too few back ends.
+      false;  ///< Another gateway relayed the request, and this one reaches too few back ends or stops.
 };
 
 /// Sends the client's request to a back end.
--- a/src/gateway/gateway_records.cc
+++ b/src/gateway/gateway_records.cc
@@ -14,8 +14,9 @@
 }
 
 /// @return why the driver responds with the status to a request that it could not read.
-RequestCause causeOfUnreadable(int status, bool no_memory) {
-  if (no_memory) return RequestCause::memory_exhausted;
+RequestCause causeOfUnreadable(int status, http::RejectionReason reason) {
+  if (reason == http::RejectionReason::no_memory) return RequestCause::memory_exhausted;
+  if (reason == http::RejectionReason::stopping) return RequestCause::stopping;
   switch (status) {
     case 408:
       return RequestCause::arrived_too_slowly;
@@ -32,12 +33,13 @@
 
 }  // namespace
 
-void Gateway::onUnreadableRequest(const std::string& request_id, int status, bool no_memory, TimePoint now) {
+void Gateway::onUnreadableRequest(const std::string& request_id, int status, http::RejectionReason reason,
+                                  TimePoint now) {
   ++counters_.requests;
   ++counters_.refused;
   Entry entry;
   entry.client.request_id = request_id;
-  entry.cause = causeOfUnreadable(status, no_memory);
+  entry.cause = causeOfUnreadable(status, reason);
   entry.arrived_at = now;
   const bool retryable = status == 408 || status == 503;
   const RequestOutcome outcome = retryable ? RequestOutcome::refused : RequestOutcome::rejected;
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -144,6 +144,7 @@
     choice_.onComplete(*entry->pool, entry->client, now - *entry->first_byte_at);
   }
   if (end_proven) forgetOrigin(*entry);
+  run_times_.onEnded(entry->route->name, now - entry->active.sent_at, now);
   const bool error = entry->active.server_error;
   const bool started = entry->head_forwarded;
   const int status = entry->active.status;
--- a/src/gateway/request_observer.cc
+++ b/src/gateway/request_observer.cc
@@ -48,6 +48,8 @@
       return "too_many_connections";
     case RequestCause::memory_exhausted:
       return "memory_exhausted";
+    case RequestCause::stopping:
+      return "stopping";
     case RequestCause::no_configuration:
       return "no_configuration";
     case RequestCause::no_route:
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -25,6 +25,7 @@
   arrived_too_slowly,    ///< The request was not received completely within the configured time.
   too_many_connections,  ///< The gateway is at its limit of client connections.
   memory_exhausted,      ///< The bytes that the gateway may hold for its clients are used up.
+  stopping,              ///< The process ends before the request would have ended.
   no_configuration,      ///< No configuration has been received yet.
   no_route,              ///< No route matches host and path.
   unknown_key,           ///< No tenant has the key.
--- a/src/gateway_process/gateway_process.cc
+++ b/src/gateway_process/gateway_process.cc
@@ -70,9 +70,13 @@
   implementation_->thread.post([this] { implementation_->loop.onConnectionsSilent(); });
 }
 
-void GatewayProcess::drain() {
+void GatewayProcess::drain(const DrainTimes& times) {
   implementation_->draining = true;
-  implementation_->thread.post([this] { implementation_->loop.drain(); });
+  implementation_->thread.post([this, times] { implementation_->loop.drain(times); });
+}
+
+void GatewayProcess::endRequests() {
+  implementation_->thread.post([this] { implementation_->loop.endRequests(); });
 }
 
 bool GatewayProcess::ready() const {
--- a/src/gateway_process/gateway_process.h
+++ b/src/gateway_process/gateway_process.h
@@ -14,6 +14,7 @@
 #include "base/time.h"
 #include "gateway/cached_parts.h"
 #include "gateway/dialect.h"
+#include "gateway/drain_policy.h"
 #include "gateway/gateway.h"
 #include "gateway/gateway_settings.h"
 #include "gateway/gateway_snapshot.h"
@@ -89,12 +90,15 @@
   void onConnectionsSilent();
 
   /// Starts a graceful stop: ready() returns false, and open connections are still served but closed after
-  /// their next response. Requests in flight are not interrupted.
-  void drain();
+  /// their next response. Requests that would not end in time are refused. May be called again with other
+  /// times, counted from then on.
+  void drain(const DrainTimes& times);
   /// @return whether a snapshot with a configuration was published and drain() was not called.
   bool ready() const;
   /// Stops accepting connections and closes those without a request; requests in flight continue.
   void stopAccepting();
+  /// Ends the requests in flight. Call it when the process is about to exit.
+  void endRequests();
   /// @return the number of requests whose response has not ended, including requests that are being read.
   std::size_t inFlight() const;
   /// Closes connections without a request. Call it when the process is about to exit.
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -33,11 +33,16 @@
 constexpr Duration kStreamOriginsDelay = std::chrono::milliseconds(3);
 constexpr Duration kMaxDigestInterval = std::chrono::milliseconds(250);
 
+constexpr int kUnavailable = 503;
+
 /// @return the error message for the client, in addition to the status.
 std::string_view describe(int status, RequestCause cause) {
-  if (status == 503 && cause == RequestCause::quarantined) {
+  if (status == kUnavailable && cause == RequestCause::quarantined) {
     return "back ends have crashed under this request: it is not run for some time";
   }
+  if (status == kUnavailable && cause == RequestCause::stopping) {
+    return "this gateway stops before the request would have ended";
+  }
   switch (status) {
     case 400:
       return "the request is malformed";
@@ -80,6 +85,19 @@
   return found != headers.end() && boost::istarts_with(found->second, "text/event-stream");
 }
 
+void stateRetryAfter(http::Response& response, Duration retry_after) {
+  if (retry_after <= Duration(0)) return;
+  response.headers["Retry-After"] = fmt::format("{:.3f}", toSeconds(retry_after));
+}
+
+/// @return the response to a request that is not read completely, since the process stops.
+http::Response stoppingResponse(Duration retry_after) {
+  http::Response response = http::errorResponse(kUnavailable, errorName(ErrorCode::Stopping),
+                                                describe(kUnavailable, RequestCause::stopping), "not_run");
+  stateRetryAfter(response, retry_after);
+  return response;
+}
+
 std::string hostOf(const http::Request& request) {
   const std::string host = request.header("Host");
   return host.substr(0, host.rfind(':'));
@@ -249,22 +267,35 @@
   });
 }
 
-void TrafficLoop::drain() {
+void TrafficLoop::drain(const DrainTimes& times) {
   server_->disableKeepAlive();
-  countInFlight();
+  gateway_.onDrain(times, now());
+  executeActions();
   pollDrain();
 }
 
-/// Polls, because the server does not notify of changes in the number of requests that are being read.
+/// Polls, because the server does not notify of changes in the number of requests that are being read, and
+/// they become too late as time passes.
 void TrafficLoop::pollDrain() {
+  server_->rejectIncomplete(
+      stoppingResponse(gateway_.retryAfterStop(now())),
+      [this](const http::Request& head) { return gateway_.isTooLate(readHead(head), now()); });
+  countInFlight();
   drain_timer_.expires_after(kDrainPollInterval);
   drain_timer_.async_wait([this](boost::system::error_code error) {
-    if (error) return;
-    countInFlight();
-    pollDrain();
+    if (!error) pollDrain();
   });
 }
 
+void TrafficLoop::endRequests() {
+  gateway_.recallUnsent();
+  executeActions();
+  gateway_.endRequests(now());
+  executeActions();
+  server_->rejectIncomplete(stoppingResponse(gateway_.retryAfterStop(now())), nullptr);
+  countInFlight();
+}
+
 void TrafficLoop::countInFlight() {
   in_flight_ = server_->openRequests() + server_->requestsBeingRead();
 }
@@ -308,7 +339,7 @@
 
 void TrafficLoop::onUnreadableRequest(const http::RejectedRequest& unread) {
   const std::optional<ClientRequest> client = dialect_->readRequest(unread.head);
-  gateway_.onUnreadableRequest(client ? client->request_id : std::string(), unread.status, unread.no_memory,
+  gateway_.onUnreadableRequest(client ? client->request_id : std::string(), unread.status, unread.reason,
                                now());
 }
 
@@ -357,9 +388,7 @@
   const std::string_view ran = mayHaveRun(action.status) ? "unknown" : "not_run";
   http::Response response = http::errorResponse(action.status, errorName(errorCodeOf(action.status)),
                                                 describe(action.status, action.cause), ran);
-  if (action.retry_after > Duration(0)) {
-    response.headers["Retry-After"] = fmt::format("{:.3f}", toSeconds(action.retry_after));
-  }
+  stateRetryAfter(response, action.retry_after);
   if (action.out_of_reach) response.headers[kOutOfReachHeader] = "1";
   writer->respond(std::move(response));
 }
--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -35,8 +35,10 @@
   /// Closes idle connections to back ends. Retryable requests on other connections soon move to another back
   /// end.
   void onConnectionsSilent();
-  void drain();
+  void drain(const DrainTimes& times);
   void stopAccepting() { server_->stopAccepting(); }
+  /// Ends all requests, as responses that are incomplete or tell that they may have run.
+  void endRequests();
   void closeIdleConnections() { server_->closeIdle(); }
 
   /// May be called from any thread.
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -64,4 +64,11 @@
 /// @param ran "not_run", "unknown" or "ran".
 Response errorResponse(int status, std::string_view code, std::string_view message, std::string_view ran);
 
+/// Why a server rejects a request itself, beside its status.
+enum class RejectionReason {
+  limits,     ///< It cannot be read, or exceeds a limit that the status names.
+  no_memory,  ///< The budget has no room for it.
+  stopping,   ///< The process stops.
+};
+
 }  // namespace crankspur::http
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -99,6 +99,11 @@
 
   void disableKeepAlive() override { state_->keep_alive_disabled = true; }
 
+  void rejectIncomplete(const Response& response,
+                        const std::function<bool(const Request& head)>& rejects) override {
+    for (const auto& session : openSessions()) session->rejectIncomplete(response, rejects);
+  }
+
   void closeIdle() override {
     for (const auto& session : openSessions()) session->closeIfIdle();
   }
--- a/src/http/server.h
+++ b/src/http/server.h
@@ -69,9 +69,9 @@
 /// A request that the server rejected itself: it could not be read completely, or the connection limit was
 /// exceeded.
 struct RejectedRequest {
-  int status = 0;          ///< Status of the response: 400, 408, 413, 431 or 503.
-  Request head;            ///< The part of the head that was read; any field may be missing.
-  bool no_memory = false;  ///< The budget has no room for it.
+  int status = 0;  ///< Status of the response: 400, 408, 413, 431 or 503.
+  Request head;    ///< The part of the head that was read; any field may be missing.
+  RejectionReason reason = RejectionReason::limits;
 };
 
 /// A server's use of its budget began or ceased to delay or reject requests.
@@ -101,6 +101,11 @@
   virtual void stopAccepting() = 0;
   /// Closes each connection after its next response. New connections are still accepted.
   virtual void disableKeepAlive() = 0;
+  /// Rejects requests that are being read.
+  /// @param rejects decides by the head of a request; null: all are rejected, also those whose head is
+  /// incomplete.
+  virtual void rejectIncomplete(const Response& response,
+                                const std::function<bool(const Request& head)>& rejects) = 0;
   /// Closes connections without a request in progress.
   virtual void closeIdle() = 0;
   /// Sets the handler that decides which bodies are read; without it all are, as those of unidentified
--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -116,6 +116,21 @@
   sendError(response);
 }
 
+void ServerSession::rejectIncomplete(const Response& response,
+                                     const std::function<bool(const Request& head)>& rejects) {
+  if (phase_ != Phase::Reading || rejection_) return;
+  if (rejects && !(parser_->is_header_done() && rejects(parser_->head()))) return;
+  rejection_ = response;
+  if (std::exchange(body_waiting_, false)) return sendRejection();  // No read is pending.
+  boost::system::error_code ignored;
+  socket_.cancel(ignored);  // The pending read then calls failRequest.
+}
+
+void ServerSession::sendRejection() {
+  const Response response = *std::exchange(rejection_, std::nullopt);
+  sendError(response, RejectionReason::stopping);
+}
+
 void ServerSession::closeIfIdle() {
   if (phase_ == Phase::Idle) close();
 }
@@ -219,6 +234,7 @@
       body_ || !state_->memory_guard ? releaseBody() : ByteReservation(state_->memory_guard->budget());
   held.resize(parser_->bodyCapacity() + kHeadCopies * parser_->headBytes());
   body_rejected_ = false;
+  rejection_.reset();
   keep_alive_ = parser_->keep_alive();
   handle(parser_->release(std::move(held)));
 }
@@ -248,6 +264,7 @@
 }
 
 void ServerSession::failRequest(boost::system::error_code error) {
+  if (rejection_) return sendRejection();
   if (body_rejected_) return rejectForMemory();
   if (timed_out_) {
     return sendError(errorResponse(408, errorName(ErrorCode::DeadlineExceeded),
@@ -260,17 +277,17 @@
 
 // Writing.
 
-void ServerSession::reportRejected(int status, bool no_memory) const {
+void ServerSession::reportRejected(int status, RejectionReason reason) const {
   if (!state_->rejected_request_handler) return;
   RejectedRequest rejected;
   rejected.status = status;
-  rejected.no_memory = no_memory;
+  rejected.reason = reason;
   if (parser_) rejected.head = parser_->head();
   state_->rejected_request_handler(rejected);
 }
 
-void ServerSession::sendError(const Response& response, bool no_memory) {
-  reportRejected(response.status, no_memory);
+void ServerSession::sendError(const Response& response, RejectionReason reason) {
+  reportRejected(response.status, reason);
   releaseBody();
   keep_alive_ = false;
   head_only_ = false;
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -42,6 +42,8 @@
   /// Closes if no request is in progress.
   void closeIfIdle();
   bool isReading() const { return phase_ == Phase::Reading; }
+  /// See Server.
+  void rejectIncomplete(const Response& response, const std::function<bool(const Request& head)>& rejects);
   /// @return bytes that the client has not read, and how long it has read nothing.
   std::size_t unreadBytes() const { return pending_.size() + writing_.size() - written_; }
   Duration unreadTime();
@@ -98,8 +100,9 @@
   void updateHeld();
   void releaseBuffers();
   void failRequest(boost::system::error_code error);
-  void sendError(const Response& response, bool no_memory = false);
-  void reportRejected(int status, bool no_memory) const;
+  void sendError(const Response& response, RejectionReason reason = RejectionReason::limits);
+  void sendRejection();
+  void reportRejected(int status, RejectionReason reason) const;
   void queueHeader(int status, const Headers& headers, std::optional<std::size_t> body_bytes);
   void resetOnClose(bool enabled);
   void completeResponse();
@@ -131,6 +134,7 @@
   std::optional<std::size_t> body_bytes_;  ///< Its declared size.
   bool body_waiting_ = false;              ///< It waits for room; no read is pending.
   bool body_rejected_ = false;             ///< The pending read was cancelled by rejectBody().
+  std::optional<Response> rejection_;      ///< The pending read was cancelled by rejectIncomplete().
   std::uint64_t request_number_ = 0;
   // Current request.
   unsigned version_ = 11;
--- a/src/http/server_session_body.cc
+++ b/src/http/server_session_body.cc
@@ -71,6 +71,7 @@
 
 void ServerSession::readBody() {
   if (parser_->is_done()) return deliver();
+  if (rejection_) return sendRejection();
   if (body_rejected_ || !holdNextPart()) return rejectForMemory();
   parser_->eager(true);
   const auto on_part = [self = shared_from_this()](boost::system::error_code error, std::size_t) {
@@ -105,7 +106,7 @@
   Response response =
       errorResponse(503, errorName(ErrorCode::Overloaded), "no memory is free for the request", "not_run");
   response.headers["Retry-After"] = "1";
-  sendError(response, true);
+  sendError(response, RejectionReason::no_memory);
 }
 
 }  // namespace crankspur::http
--- a/tests/integration/gateway/gateway_process_test.cc
+++ b/tests/integration/gateway/gateway_process_test.cc
@@ -101,7 +101,7 @@
   GatewaySite site(Repeatability::AtMostOnce, false);
   site.send("one");
   ReceivedRequest first = site.awaitRequest(1);
-  site.process->drain();
+  site.process->drain({std::chrono::seconds(30), std::chrono::seconds(60)});
   CHECK_FALSE(site.process->ready());
   first.writer->respond({200, sealed("one"), "a"});
   site.runUntil([&] { return site.done; });
--- a/tests/unit/gateway/gateway_records_test.cc
+++ b/tests/unit/gateway/gateway_records_test.cc
@@ -86,7 +86,7 @@
     int status;
     RequestCause cause;
     RequestOutcome outcome;
-    bool no_memory = false;
+    http::RejectionReason reason = http::RejectionReason::limits;
   };
   const Unread unread = GENERATE(values<Unread>({
       {400, RequestCause::malformed_head, RequestOutcome::rejected},
@@ -94,10 +94,11 @@
       {413, RequestCause::body_too_large, RequestOutcome::rejected},
       {431, RequestCause::head_too_large, RequestOutcome::rejected},
       {503, RequestCause::too_many_connections, RequestOutcome::refused},
-      {503, RequestCause::memory_exhausted, RequestOutcome::refused, true},
+      {503, RequestCause::memory_exhausted, RequestOutcome::refused, http::RejectionReason::no_memory},
+      {503, RequestCause::stopping, RequestOutcome::refused, http::RejectionReason::stopping},
   }));
   GatewayFixture fixture;
-  fixture.gateway.onUnreadableRequest("id", unread.status, unread.no_memory, TimePoint{});
+  fixture.gateway.onUnreadableRequest("id", unread.status, unread.reason, TimePoint{});
   const RequestEnded ended = onlyEnd(fixture);
   CHECK(ended.cause == unread.cause);
   CHECK(ended.outcome == unread.outcome);
--- a/tests/unit/gateway_control/gateway_admin_test.cc
+++ b/tests/unit/gateway_control/gateway_admin_test.cc
@@ -197,7 +197,7 @@
   CHECK(parsed->engines == 1U);
   CHECK(parsed->platform_reachable == true);
   fixture.control.leave();
-  fixture.process.drain();
+  fixture.process.drain({std::chrono::seconds(2), std::chrono::seconds(7)});
   CHECK(holds(fixture.get("/healthz"), "stopping"));
 }
 
--- a/tests/unit/http/memory_guard_test.cc
+++ b/tests/unit/http/memory_guard_test.cc
@@ -33,8 +33,9 @@
     });
     http.server->setMemoryPressureHandler(
         [this](const MemoryPressure& pressure) { pressures.push_back(pressure); });
-    http.server->setRejectedRequestHandler(
-        [this](const RejectedRequest& request) { no_memory += request.no_memory ? 1 : 0; });
+    http.server->setRejectedRequestHandler([this](const RejectedRequest& request) {
+      no_memory += request.reason == RejectionReason::no_memory ? 1 : 0;
+    });
   }
   RequestHandler handler() {
     return [this](Request request, std::shared_ptr<ResponseWriter> writer) {
