--- a/tests/fuzz/http_client_fuzzer.cc
+++ b/tests/fuzz/http_client_fuzzer.cc
@@ -1,10 +1,13 @@
 /// @file Fuzz target for the HTTP client, with responses larger than the containers of its library allow. Any
 /// bytes of a server, followed by the end of the connection, must end the exchange once; a head is delivered
-/// at most once, and before the body.
+/// at most once, and before the body. The same holds if the last bytes are repeated for a long time, and what
+/// the client holds stays within its limits meanwhile.
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <limits>
+#include <memory>
 
 #include "fuzz_input.h"
 #include "http/client.h"
@@ -15,6 +18,19 @@
 namespace {
 
 constexpr std::size_t kBodyBytes = std::size_t{64} * 1024;
+/// A collected body, an incomplete line or head, two copies of the head, and one read.
+constexpr std::size_t kMaxHeldBytes = kBodyBytes + std::size_t{3} * 64 * 1024 + std::size_t{16} * 1024;
+constexpr std::size_t kRepeatedBytes = 64;  ///< Of the end of the response.
+constexpr std::size_t kRepetitionBytes = std::size_t{512} * 1024;
+
+/// @return the end of the response, again and again.
+std::string repetitionOf(const std::string& response) {
+  if (response.empty()) return {};
+  const std::string end = response.substr(response.size() - std::min(response.size(), kRepeatedBytes));
+  std::string repetition;
+  while (repetition.size() < kRepetitionBytes) repetition += end;
+  return repetition;
+}
 
 /// Sends the same bytes on each connection, whatever it receives, and closes it.
 class ByteServer {
@@ -44,7 +60,8 @@
 /// Runs one exchange, with a body that is collected or passed on in parts.
 void exchange(asio::io_context& context, const std::string& address, bool collects) {
   context.restart();  // It stops when the exchange before has left no work.
-  const auto client = http::makeClient(context.get_executor());
+  const auto held = std::make_shared<ByteBudget>(std::numeric_limits<std::size_t>::max());
+  const auto client = http::makeClient(context.get_executor(), held);
   http::ExchangeOptions options;
   options.body_bytes = kBodyBytes;
   int heads = 0;
@@ -57,7 +74,10 @@
     ++ends;
   };
   client->start(address, {"GET", "/", {}, {}}, callbacks, options);
-  while (ends == 0) context.run_one();
+  while (ends == 0) {
+    context.run_one();
+    fuzz::check(held->used() <= kMaxHeldBytes);
+  }
   context.poll();
   fuzz::check(ends == 1);
 }
@@ -68,11 +88,13 @@
   static asio::io_context context{1};
   static ByteServer server(context);
   const std::string response = fuzz::expand(fuzz::asText(data, size));
-  for (const bool collects : {true, false}) {
-    server.acceptOne(response);
-    exchange(context, server.address(), collects);
-    server.close();
-    context.poll();
+  for (const std::string& bytes : {response, response + repetitionOf(response)}) {
+    for (const bool collects : {true, false}) {
+      server.acceptOne(bytes);
+      exchange(context, server.address(), collects);
+      server.close();
+      context.poll();
+    }
   }
   return 0;
 }
