Ignore signals that mean nothing to a gateway

SIGPIPE sent from outside ended the process, as would SIGALRM, SIGUSR1 and SIGUSR2: their default action.

--- a/src/base/process_signals.cc
+++ b/src/base/process_signals.cc
@@ -23,6 +23,10 @@
   changeMask(SIG_BLOCK);
 }
 
+void ignoreUnusedSignals() {
+  for (const int signal : {SIGPIPE, SIGALRM, SIGUSR1, SIGUSR2}) ::signal(signal, SIG_IGN);
+}
+
 ProcessSignals::ProcessSignals(boost::asio::io_context& context) : signals_(context) {
   for (const int signal : kSignals) signals_.add(signal);
   wait();
--- a/src/base/process_signals.h
+++ b/src/base/process_signals.h
@@ -13,6 +13,10 @@
 /// Blocks the signals in the calling thread and in the threads that it starts from now on.
 void blockProcessSignals();
 
+/// Ignores the signals that mean nothing to a program and end it by default: SIGPIPE, SIGALRM, SIGUSR1 and
+/// SIGUSR2. Log rotation and other tools send them to any process.
+void ignoreUnusedSignals();
+
 /// Handles the signals on an event loop. To be created on the thread that runs the loop, before other threads
 /// if blockProcessSignals() was not called before.
 class ProcessSignals {
--- a/tests/integration/gateway/start_test.cc
+++ b/tests/integration/gateway/start_test.cc
@@ -261,3 +261,18 @@
   }
   CHECK(process.wait(std::chrono::seconds(1)) == 0);
 }
+
+// Guards against processes that end by a signal which means nothing to them: its default action is to end the
+// process.
+TEST_CASE("a gateway survives signals that mean nothing to it", "[gateway][start]") {
+  const int number = GENERATE(SIGPIPE, SIGALRM, SIGUSR1, SIGUSR2);
+  INFO("signal " << number);
+  Start start;
+  writeText(start.path(), settingsText());
+  Process& process = start.run();
+  REQUIRE(start.responds());
+  process.signal(number);
+  CHECK(start.survives(std::chrono::milliseconds(100)));
+  process.signal(SIGTERM);
+  CHECK(process.wait(std::chrono::seconds(20)) == 0);
+}
