Do not parse documents of the store that are too large to be sound

The text of a response has a limit, and parsed JSON takes many times as much: 16 MiB of small numbers become some 130 MB, by the size of a value. Shown by unit tests of the limits; the memory itself was not measured.

--- a/tests/unit/platform/odd_responses_test.cc
+++ b/tests/unit/platform/odd_responses_test.cc
@@ -243,3 +243,30 @@
   split(R"({"rows":[)", R"({"rows":[)", {});
   split(R"({"rows":["a)", R"({"rows":[)", {R"("a)"});
 }
+
+// Parsed JSON takes many times the size of its text: 16 MiB of small numbers exceeded the memory of a
+// process.
+TEST_CASE("a response of the store that is too large beside its rows is not parsed",
+          "[odd_rows][table_feed]") {
+  RawFeed fixture;
+  std::string numbers = "0";
+  for (int count = 0; count < 100'000; ++count) numbers += ",0";
+  fixture.store.respondOnce("{\"rows\":[],\"more\":false,\"ver\":1,\"odd\":[" + numbers + "]}");
+  fixture.store.putSound("first");
+  fixture.start();
+  runUntil(fixture.context, [&] { return fixture.full_reads > 0; });
+  CHECK(fixture.failures == 1);
+  CHECK(fixture.delivered.contains("first"));
+}
+
+TEST_CASE("a row that is too large is left out and reported", "[odd_rows][table_feed]") {
+  RawFeed fixture;
+  fixture.store.put(rowWith(R"("odd")", "\"" + std::string(3'000'000, 'x') + "\""));
+  fixture.store.putSound("last");
+  fixture.start();
+  runUntil(fixture.context, [&] { return fixture.full_reads > 0 || fixture.failures > 0; });
+  CHECK(fixture.failures == 0);
+  CHECK(fixture.delivered.contains("last"));
+  CHECK_FALSE(fixture.delivered.contains("odd"));
+  CHECK(fixture.rejected["t"] == std::vector<std::string>{"the row is too large"});
+}
