Weigh requests that must not be repeated by their longest run alone while clients come

With a margin on the longest run, a gateway refused nearly all of them from SIGTERM on, though most would have ended in time. The margin stays for requests that come after the address has closed.

--- a/src/gateway/drain_policy.cc
+++ b/src/gateway/drain_policy.cc
@@ -18,15 +18,16 @@
   ends_at_ = now + times.ends_in;
 }
 
-/// Clients that have not noticed the stop are served if their request usually ends in time. Later only
-/// requests on connections that were open before arrive; few lose by a refusal, so that it takes less to
-/// refuse them. A request that must not be repeated is never left to chance.
+/// Many requests arrive while clients have not noticed the stop: they are served if they usually end in time,
+/// and those that must not be repeated if the longest one does. Later only few arrive, on connections that
+/// were open before: they are served if there is hardly a doubt.
 bool DrainPolicy::mayStart(const DrainingRequest& request, TimePoint now) const {
   if (!draining_ || request.deadline <= ends_at_) return true;
-  const bool accepts = now < accepts_until_;
-  if (accepts && !request.at_most_once) return now + request.typical_run.value_or(Duration(0)) <= ends_at_;
-  if (!request.longest_run) return accepts;
-  return now + withMargin(*request.longest_run) <= ends_at_;
+  if (now < accepts_until_) {
+    const std::optional<Duration> run = request.at_most_once ? request.longest_run : request.typical_run;
+    return now + run.value_or(Duration(0)) <= ends_at_;
+  }
+  return request.longest_run && now + withMargin(*request.longest_run) <= ends_at_;
 }
 
 }  // namespace crankspur::gateway
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -219,9 +219,7 @@
 }
 
 void Gateway::place(Entry& entry, TimePoint now) {
-  if (!drain_.mayStart(drainingRequest(*entry.route, entry.deadline, now), now)) {
-    return giveUpFor(entry, RequestCause::stopping, now);
-  }
+  if (isTooLate(*entry.route, entry.deadline, now)) return giveUpFor(entry, RequestCause::stopping, now);
   if (!checkQuarantine(entry, now)) return;
   if (!isOriginServed(entry)) return giveUpFor(entry, causeOfUnserved(entry), now);
   if (isPartitioned(*entry.pool, now)) probeReach(*entry.pool, now);
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -293,6 +293,7 @@
   RetryBudget& budgetOf(const std::string& pool);
 
   // Graceful stop (gateway_drain.cc).
+  bool isTooLate(const Route& route, TimePoint deadline, TimePoint now) const;
   DrainingRequest drainingRequest(const Route& route, TimePoint deadline, TimePoint now) const;
 
   // Requests that may crash back ends (gateway_suspects.cc).
--- a/src/gateway/gateway_drain.cc
+++ b/src/gateway/gateway_drain.cc
@@ -19,6 +19,11 @@
   serveQueue(now);
 }
 
+/// @return whether the process stops and a request of the route would probably be cut.
+bool Gateway::isTooLate(const Route& route, TimePoint deadline, TimePoint now) const {
+  return drain_.isDraining() && !drain_.mayStart(drainingRequest(route, deadline, now), now);
+}
+
 /// A request in progress shows that others of its route may run as long.
 DrainingRequest Gateway::drainingRequest(const Route& route, TimePoint deadline, TimePoint now) const {
   DrainingRequest request;
@@ -26,7 +31,6 @@
   request.at_most_once = route.repeatability == Repeatability::AtMostOnce;
   request.typical_run = run_times_.typical(route.name, now);
   request.longest_run = run_times_.longest(route.name, now);
-  if (!drain_.isDraining()) return request;
   for (const auto& [exchange, client] : exchanges_) {
     const auto entry = entries_.find(client);
     if (entry == entries_.end() || entry->second->route->name != route.name) continue;
@@ -39,8 +43,7 @@
 bool Gateway::isTooLate(const IncomingRequest& request, TimePoint now) const {
   const CheckedRequest checked = check(request, now);
   if (checked.refusal != 0) return false;
-  return !drain_.mayStart(
-      drainingRequest(*checked.route, deadlineOf(*checked.route, *request.client, now), now), now);
+  return isTooLate(*checked.route, deadlineOf(*checked.route, *request.client, now), now);
 }
 
 Duration Gateway::retryAfterStop(TimePoint now) {
@@ -61,9 +64,10 @@
   for (const auto& [client, entry] : entries_) clients.push_back(client);
   std::sort(clients.begin(), clients.end());  // A seed has to replay the actions.
   for (const ClientId client : clients) {
-    Entry& entry = *entries_.at(client);
-    if (entry.active.exchange != 0) entry.recordDelivery(Delivery::may_have_run);
-    giveUpFor(entry, RequestCause::stopping, now);
+    Entry* entry = findClient(client);
+    if (entry == nullptr) continue;
+    if (entry->active.exchange != 0) entry->recordDelivery(Delivery::may_have_run);
+    giveUpFor(*entry, RequestCause::stopping, now);
   }
 }
 
