Mend what the review of the stop found

A retry that would be refused for the stop was decided after its exchange had been cancelled: silence and error responses lost what could still have come (tests of both failed before). A rejection of a body that is being read was not repeated when its cancel came too late, and was lost during 100 Continue (read only). The requests in progress were looked through at each placement. A refused relayed request did not let its gateway try another one while its body arrived. Work could start between the last look and the end. Fast errors made runs look short. A back end is no longer blamed for a response that there is no memory for (test failed before).

--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -116,8 +116,8 @@
   void onBodyBufferFull(ExchangeId exchange, TimePoint now);
   /// @return bytes of an incomplete event that are kept until it is complete.
   std::size_t incompleteEventBytes(ExchangeId exchange) const;
-  /// The driver has no room for the incomplete event.
-  void onEventBufferFull(ExchangeId exchange, TimePoint now);
+  /// The driver has no room for what it would have to hold of the response.
+  void onNoMemory(ExchangeId exchange, TimePoint now);
   /// The driver stopped reading the response, because the client does not read, or continues.
   void onReadingPaused(ExchangeId exchange, bool paused, TimePoint now);
   /// The response is complete.
@@ -139,7 +139,7 @@
   /// The process stops: requests that would not end in time are refused from now on. May be called again.
   void onDrain(const DrainTimes& times, TimePoint now);
   /// @return whether the request will be refused when it is complete, since the process stops.
-  bool isTooLate(const IncomingRequest& request, TimePoint now) const;
+  bool isTooLate(const IncomingRequest& request, TimePoint now);
   /// Withdraws the requests that no back end has received yet, which are then refused.
   void recallUnsent();
   /// @return when a client may retry a request that is refused because the process stops.
@@ -293,8 +293,9 @@
   RetryBudget& budgetOf(const std::string& pool);
 
   // Graceful stop (gateway_drain.cc).
-  bool isTooLate(const Route& route, TimePoint deadline, TimePoint now) const;
-  DrainingRequest drainingRequest(const Route& route, TimePoint deadline, TimePoint now) const;
+  bool isTooLate(const Route& route, TimePoint deadline, TimePoint now);
+  DrainingRequest drainingRequest(const Route& route, TimePoint deadline, TimePoint now);
+  void refreshRunning(TimePoint now);
 
   // Requests that may crash back ends (gateway_suspects.cc).
   bool checkQuarantine(Entry& entry, TimePoint now);
@@ -428,6 +429,9 @@
   RouteShares shares_;
   DrainPolicy drain_;
   RunTimes run_times_;
+  /// While the process stops: the longest time for which a request in progress has run, by route.
+  absl::flat_hash_map<std::string, Duration> longest_running_;
+  TimePoint running_refreshed_at_{};
   WeightsClock weights_;
   FleetQuotas quotas_;
   BackendLimits limits_;
--- a/src/gateway/gateway_drain.cc
+++ b/src/gateway/gateway_drain.cc
@@ -7,6 +7,8 @@
 namespace crankspur::gateway {
 namespace {
 
+/// The requests in progress are looked through at this interval while the process stops.
+constexpr Duration kRunningRefreshInterval = std::chrono::milliseconds(50);
 /// Another gateway can take a refused request at once.
 constexpr Duration kRetryElsewhere = std::chrono::milliseconds(100);
 /// Without other gateways, the client has to wait until the process has been replaced.
@@ -20,27 +22,37 @@
 }
 
 /// @return whether the process stops and a request of the route would probably be cut.
-bool Gateway::isTooLate(const Route& route, TimePoint deadline, TimePoint now) const {
+bool Gateway::isTooLate(const Route& route, TimePoint deadline, TimePoint now) {
   return drain_.isDraining() && !drain_.mayStart(drainingRequest(route, deadline, now), now);
 }
 
 /// A request in progress shows that others of its route may run as long.
-DrainingRequest Gateway::drainingRequest(const Route& route, TimePoint deadline, TimePoint now) const {
+DrainingRequest Gateway::drainingRequest(const Route& route, TimePoint deadline, TimePoint now) {
   DrainingRequest request;
   request.deadline = deadline;
   request.at_most_once = route.repeatability == Repeatability::AtMostOnce;
   request.typical_run = run_times_.typical(route.name, now);
   request.longest_run = run_times_.longest(route.name, now);
+  refreshRunning(now);
+  const auto running = longest_running_.find(route.name);
+  if (running == longest_running_.end()) return request;
+  request.longest_run = std::max(request.longest_run.value_or(Duration(0)), running->second);
+  return request;
+}
+
+void Gateway::refreshRunning(TimePoint now) {
+  if (now < running_refreshed_at_ + kRunningRefreshInterval) return;
+  running_refreshed_at_ = now;
+  longest_running_.clear();
   for (const auto& [exchange, client] : exchanges_) {
-    const auto entry = entries_.find(client);
-    if (entry == entries_.end() || entry->second->route->name != route.name) continue;
-    const Duration running = now - entry->second->active.sent_at;
-    request.longest_run = std::max(request.longest_run.value_or(Duration(0)), running);
+    const Entry* entry = findClient(client);
+    if (entry == nullptr) continue;
+    Duration& longest = longest_running_[entry->route->name];
+    longest = std::max(longest, now - entry->active.sent_at);
   }
-  return request;
 }
 
-bool Gateway::isTooLate(const IncomingRequest& request, TimePoint now) const {
+bool Gateway::isTooLate(const IncomingRequest& request, TimePoint now) {
   const CheckedRequest checked = check(request, now);
   if (checked.refusal != 0) return false;
   return isTooLate(*checked.route, deadlineOf(*checked.route, *request.client, now), now);
--- a/src/gateway/gateway_responses.cc
+++ b/src/gateway/gateway_responses.cc
@@ -113,9 +113,18 @@
   return entry != nullptr && entry->cursor ? entry->cursor->partialEventBytes() : 0;
 }
 
-void Gateway::onEventBufferFull(ExchangeId exchange, TimePoint now) {
+/// The back end may be sound: others may have used up the memory.
+void Gateway::onNoMemory(ExchangeId exchange, TimePoint now) {
   Entry* entry = findExchange(exchange);
-  if (entry != nullptr) onEndlessEvent(*entry, now);
+  if (entry == nullptr) return;
+  const ActiveExchange active = entry->active;
+  entry->cause = RequestCause::memory_exhausted;
+  entry->recordDelivery(Delivery::may_have_run);
+  if (active.relayed) return giveUp(*entry, now);
+  entry->failed.push_back(active.slot);
+  cancelExchange(*entry, DispatchOutcome::Ended, now);
+  retryOrGiveUp(*entry, active, active.status, now);
+  serveQueue(now);
 }
 
 /// A back end that does not end an event has failed. Another one can continue the stream after the event
@@ -144,7 +153,8 @@
     choice_.onComplete(*entry->pool, entry->client, now - *entry->first_byte_at);
   }
   if (end_proven) forgetOrigin(*entry);
-  run_times_.onEnded(entry->route->name, now - entry->active.sent_at, now);
+  if (isSuccess(entry->active.status))
+    run_times_.onEnded(entry->route->name, now - entry->active.sent_at, now);
   const bool error = entry->active.server_error;
   const bool started = entry->head_forwarded;
   const int status = entry->active.status;
--- a/src/gateway/gateway_retries.cc
+++ b/src/gateway/gateway_retries.cc
@@ -13,6 +13,7 @@
 RepeatDecision Gateway::decideRepeat(Entry& entry, TimePoint now) {
   if (!mayRepeat(entry)) return RepeatDecision::not_allowed;
   if (!entry.mayHaveArrived()) return RepeatDecision::unbudgeted;
+  if (isTooLate(*entry.route, entry.deadline, now)) return RepeatDecision::not_allowed;
   return reserveRetry(entry, now) ? RepeatDecision::budgeted : RepeatDecision::over_budget;
 }
 
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -95,6 +95,7 @@
   http::Response response = http::errorResponse(kUnavailable, errorName(ErrorCode::Stopping),
                                                 describe(kUnavailable, RequestCause::stopping), "not_run");
   stateRetryAfter(response, retry_after);
+  response.headers[kOutOfReachHeader] = "1";  // A gateway that relays the request tries another one.
   return response;
 }
 
@@ -288,6 +289,7 @@
 }
 
 void TrafficLoop::endRequests() {
+  gateway_.onDrain({}, now());  // Nothing starts any more.
   gateway_.recallUnsent();
   executeActions();
   gateway_.endRequests(now());
@@ -561,7 +563,7 @@
 void TrafficLoop::holdIncompleteEvent(ExchangeId exchange) {
   const auto found = exchanges_.find(exchange);
   if (found == exchanges_.end() || hold(found->second, gateway_.incompleteEventBytes(exchange))) return;
-  gateway_.onEventBufferFull(exchange, now());
+  gateway_.onNoMemory(exchange, now());
   executeActions();
 }
 
@@ -571,6 +573,8 @@
     exchanges_.erase(exchange);
     if (http::isUnreadableResponse(error)) {
       gateway_.onUnreadableResponse(exchange, now());
+    } else if (error == ErrorCode::Overloaded) {
+      gateway_.onNoMemory(exchange, now());
     } else {
       gateway_.onLost(exchange, state == http::SendState::SentOutcomeUnknown, now());
     }
--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -118,8 +118,9 @@
 
 void ServerSession::rejectIncomplete(const Response& response,
                                      const std::function<bool(const Request& head)>& rejects) {
-  if (phase_ != Phase::Reading || rejection_) return;
-  if (rejects && !(parser_->is_header_done() && rejects(parser_->head()))) return;
+  if (phase_ != Phase::Reading) return;
+  const bool is_rejected = rejection_ || !rejects || (parser_->is_header_done() && rejects(parser_->head()));
+  if (!is_rejected) return;
   rejection_ = response;
   if (std::exchange(body_waiting_, false)) return sendRejection();  // No read is pending.
   boost::system::error_code ignored;
@@ -223,6 +224,7 @@
 void ServerSession::onHeader(boost::system::error_code error) {
   if (phase_ == Phase::Closed) return;
   if (error) return failRequest(error);
+  head_bytes_ = parser_->headBytes();
   updateHeld();
   setTimer(state_->limits.idle_timeout);
   if (parser_->is_done()) return deliver();
@@ -247,6 +249,7 @@
 
 void ServerSession::handle(Request request) {
   deadline_.reset();
+  head_bytes_ = 0;  // Counted with the request from now on.
   version_ = static_cast<unsigned>(parser_->version());
   head_only_ = request.method == "HEAD";
   response_begun_ = false;
@@ -289,6 +292,7 @@
 void ServerSession::sendError(const Response& response, RejectionReason reason) {
   reportRejected(response.status, reason);
   releaseBody();
+  head_bytes_ = 0;
   keep_alive_ = false;
   head_only_ = false;
   version_ = 11;
@@ -433,7 +437,7 @@
 
 void ServerSession::updateHeld() {
   const std::size_t read_ahead = buffer_.capacity() > 2 * kReadBytes ? buffer_.capacity() : buffer_.size();
-  held_.resize(read_ahead + pending_.size() + writing_.size());
+  held_.resize(read_ahead + head_bytes_ + pending_.size() + writing_.size());
   if (state_->memory_guard) state_->memory_guard->onQueued();
 }
 
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -130,6 +130,7 @@
   bool peer_closed_ = false;
   bool request_counted_ = false;
   ByteReservation held_;        ///< For the head that is being read, and for bytes read ahead or queued.
+  std::size_t head_bytes_ = 0;  ///< Of the parsed head while the body is read.
   std::optional<BodyId> body_;  ///< Of the body that waits or is being read.
   std::optional<std::size_t> body_bytes_;  ///< Its declared size.
   bool body_waiting_ = false;              ///< It waits for room; no read is pending.
--- a/src/http/server_session_body.cc
+++ b/src/http/server_session_body.cc
@@ -26,6 +26,7 @@
 /// Only bodies of some size are worth a decision by the head: the others fit into the buffers of the
 /// connection.
 void ServerSession::requestBody() {
+  if (rejection_) return sendRejection();
   if (!state_->memory_guard) return startBody();
   body_bytes_.reset();
   if (const auto declared = parser_->content_length()) body_bytes_ = static_cast<std::size_t>(*declared);
@@ -63,7 +64,7 @@
 void ServerSession::sendContinue() {
   const auto on_sent = [self = shared_from_this()](boost::system::error_code error, std::size_t) {
     if (self->phase_ == Phase::Closed) return;
-    if (error && !self->body_rejected_) return self->close();
+    if (error && !self->body_rejected_ && !self->rejection_) return self->close();
     self->readBody();
   };
   asio::async_write(socket_, asio::buffer(kContinueResponse), on_sent);
--- a/tests/unit/gateway/gateway_drain_test.cc
+++ b/tests/unit/gateway/gateway_drain_test.cc
@@ -119,6 +119,31 @@
   CHECK(fixture.only<Refuse>().status == 502);
 }
 
+// The exchange was cancelled for a retry that was then refused, though its response could still have come.
+TEST_CASE("a silent back end keeps its request when a repeat would be cut", "[gateway][drain]") {
+  DrainFixture fixture;
+  fixture.runOne("look", milliseconds(2'500));
+  fixture.drain();
+  fixture.advance(milliseconds(1'900));
+  fixture.sendLong("look");
+  fixture.advance(seconds(3));
+  CHECK_FALSE(fixture.has<CancelExchange>());
+  fixture.head(200);
+  fixture.end();
+  CHECK(fixture.has<ForwardResponse>());
+}
+
+TEST_CASE("an error response is forwarded when a repeat would be cut", "[gateway][drain]") {
+  DrainFixture fixture;
+  fixture.runOne("look", milliseconds(2'500));
+  fixture.drain();
+  fixture.sendLong("look");
+  fixture.now += seconds(4);
+  fixture.head(500);
+  fixture.end();
+  CHECK(fixture.has<ForwardResponse>());
+}
+
 // Refused without the mark, the gateway that relayed it would not try another one.
 TEST_CASE("a relayed request that is refused since the process stops can go to another gateway",
           "[gateway][drain]") {
--- a/tests/unit/gateway/gateway_failure_test.cc
+++ b/tests/unit/gateway/gateway_failure_test.cc
@@ -68,6 +68,19 @@
   CHECK(fixture.observer.suspected.empty());
 }
 
+// Other back ends or clients may have used up the memory.
+TEST_CASE("a back end is not blamed for a response that there is no memory for", "[gateway]") {
+  GatewayFixture fixture;
+  fixture.publish();
+  for (int count = 0; count < 8; ++count) {
+    fixture.send("order");
+    fixture.gateway.onNoMemory(fixture.last.exchange, fixture.now);
+    fixture.takeActions();
+    CHECK(fixture.only<Refuse>().cause == RequestCause::memory_exhausted);
+  }
+  CHECK(fixture.observer.distrusted.empty());
+}
+
 TEST_CASE("an at-most-once request is not repeated after a response that cannot be read", "[gateway]") {
   GatewayFixture fixture;
   fixture.publish();
