Soak of responses without end and of planned stops with late requests

Cause: the fault soak sent endless responses only as one event or one rejection in small pieces, and its clients sent each request at once on a connection of its own. Bytes without end elsewhere in a response, and requests that arrive while a gateway stops, were untried.

Change: `--only=floods` lets runners and the store send bytes without end in eight ways while gateways are stopped and killed; `--only=planned_stops` stops gateways in series and overlapping while clients use their open connections and send requests slowly. New checks find_starved_requests and find_cut_requests, with planted violations in tests/soak/checks_test.py. The random sequences of the other modes are unchanged.

--- a/tests/soak/checks_test.py
+++ b/tests/soak/checks_test.py
@@ -11,12 +11,15 @@
 for folder in ("platform/standin", "tools/soak"):
     sys.path.insert(0, str(ROOT / folder))
 
-from checks import (find_endless_reads, find_excess_repeats, find_falls, find_repeated_crashes,  # noqa: E402
-                    find_stream_violations, find_streams_that_stop, find_unneeded_refusals, find_violations,
+from checks import (find_cut_requests, find_endless_reads, find_excess_repeats, find_falls,  # noqa: E402
+                    find_repeated_crashes, find_starved_requests, find_stream_violations, find_streams_that_stop, find_unneeded_refusals, find_violations,
                     mark_streams_of_gone_builds)
 from client import Attempt, Kind  # noqa: E402
 from process_faults import MEMORY_LIMIT_MB, HeldBytes, ObstructedStarts, handles, hold_port  # noqa: E402
+from floods import KINDS as FLOODS  # noqa: E402
+from floods import flood_parts  # noqa: E402
 from runner import Brittleness, End, EndlessResponse, Notices, Run  # noqa: E402
+from stop_faults import Stop  # noqa: E402
 
 ORDER = Kind("/order/", streaming=False, repeatable=False)
 LOOK = Kind("/look/", streaming=False, repeatable=True)
@@ -232,5 +235,79 @@
         self.assert_violation("after the faults", attempts, [])
 
 
+class PlannedStopTest(unittest.TestCase):
+    """SIGTERM is at 100, the end at 107.5."""
+
+    def check(self, runs=(), stop_status=0, stop_ended_at=107.5, **changes):
+        kind = changes.pop("kind", LOOK)
+        stop = Stop("127.0.0.1:1", 100.0, stop_ended_at, stop_status)
+        stop.attempts = [make_attempt(kind, **({"whole_at": 104.0, "ended_at": 107.0} | changes))]
+        return find_cut_requests([stop], list(runs))
+
+    def assert_violation(self, expected, *arguments, **changes):
+        problems = self.check(*arguments, **changes)
+        self.assertEqual(len(problems), 1, problems)
+        self.assertIn(expected, problems[0])
+
+    def test_end_of_the_process(self):
+        self.assertEqual(self.check(), [])
+        self.assertEqual(self.check(stop_ended_at=108.0), [])
+        self.assert_violation("ended after 9.00 s", stop_ended_at=109.0)
+        self.assert_violation("with 1", stop_status=1)
+        self.assert_violation("with None", stop_status=None)
+
+    def test_response_of_the_gateway_to_a_late_request_that_a_runner_had(self):
+        failed = {"status": 502, "sealed": False}
+        self.assert_violation("ended with 502", [make_run()], **failed)
+        self.assertEqual(self.check([make_run()], whole_at=102.9, **failed), [])
+        self.assertEqual(self.check([], **failed), [])
+        self.assert_violation("ended with 503", [make_run()], status=503, sealed=False)
+        self.assertEqual(self.check([make_run()], status=503, sealed=False, not_run=True), [])
+        self.assertEqual(self.check([make_run()], status=500), [])  # Of the runner.
+
+    def test_cut_of_a_request_that_a_runner_had(self):
+        run = make_run(ended_at=107.0)
+        for kind in (ORDER, LOOK):
+            self.assert_violation("with a runner", [run], kind=kind, status=0, sealed=False, whole=False)
+        for kind in (REVIEW, ANSWER):
+            self.assert_violation("with a runner", [run], kind=kind, whole=False)
+
+    def test_cut_of_an_early_request_in_the_last_sixth_is_allowed(self):
+        early = {"whole": False, "whole_at": 103.0}
+        self.assertEqual(self.check([make_run(ended_at=106.7)], **early), [])
+        self.assertEqual(self.check([make_run()], **early), [])  # The runner works on.
+        self.assert_violation("with a runner", [make_run(ended_at=106.6)], **early)
+        self.assert_violation("with a runner", [make_run(ended_at=106.7)], **(early | {"whole_at": 103.01}))
+        self.assert_violation("with a runner", [make_run(ended_at=107.0)], **early, ended_at=105.0)
+
+    def test_request_without_response(self):
+        silent = {"status": 0, "sealed": False, "whole": False}
+        self.assert_violation("no response", **silent)
+        self.assert_violation("no response", **silent, whole_at=99.0)
+        self.assertEqual(self.check(**silent, ended_at=104.04), [])  # Sent as the connection was closed.
+        self.assertEqual(self.check(**silent, whole_at=0.0), [])  # Never sent whole.
+
+
+class FloodTest(unittest.TestCase):
+    def test_floods_have_no_end(self):
+        for kind in FLOODS:
+            first, piece = flood_parts(kind, 200, {"Attempt-Id": "a"}, b"{}")
+            self.assertTrue(first.startswith(b"HTTP/1.1 200 -\r\n"), kind)
+            self.assertGreater(len(piece), 60000, kind)
+            self.assertNotIn(b"\r\n\r\n", (first + piece + piece).split(b"\r\n\r\n", 1)[-1], kind)
+            self.assertNotIn(b"\n\n", piece, kind)
+
+    def test_starved_requests(self):
+        served = [make_attempt(LOOK, str(number), ended_at=10.1) for number in range(90)]
+        failed = [make_attempt(LOOK, f"f{number}", ended_at=10.1, status=503, sealed=False) for number in range(10)]
+        self.assertIn("only 90 of 100", find_starved_requests(served + failed, [], [])[0])
+        self.assertEqual(find_starved_requests(served * 10 + failed, [], []), [])
+        self.assertEqual(find_starved_requests(served + failed, [("app", 5.0, 6.1)], []), [])
+        self.assertEqual(find_starved_requests(served + failed, [], [("127.0.0.1:1", 9.0, 10.0)]), [])
+        others = [("engines", 5.0, 11.0)], [("127.0.0.1:2", 5.0, 11.0)]
+        self.assertEqual(len(find_starved_requests(served + failed, *others)), 1)
+        self.assertEqual(len(find_starved_requests(served + failed, [("app", 1.0, 5.9)], [])), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/soak/checks.py
+++ b/tools/soak/checks.py
@@ -15,6 +15,13 @@
 BUDGET_WINDOW_S, BUDGET_RATIO, BUDGET_SLACK = 10.0, 0.2, 20
 MAX_ENDLESS_S = 4.0  # Time for which a response without end is read, and some for the machine.
 MIN_RESUMED, MIN_RESUMED_SHARE = 10, 0.3  # Resumed streams that are judged, and the share that has to go on.
+GRACE_S = 8.0  # Of a planned stop.
+STOP_NOTICE_S = 3.0  # From SIGTERM: by then clients have noticed it, and a gateway refuses what it can't finish.
+LAST_PART_S = GRACE_S * 5 / 6  # From SIGTERM to the last sixth of the grace period, in which runs may be cut.
+STOP_TOLERANCE_S = 0.25  # From the end of a process until its parent notices.
+CLOSE_RACE_S = 0.05  # A request that was sent so shortly before the close may have met a closed connection.
+MIN_SERVED_SHARE_BESIDE_FLOODS = 0.95
+FLOOD_AFTERMATH_S = 4.0  # From the end of a flood until its connections are closed.
 MAX_REPEATS = 3  # Repeats that may still reach runners after that.
 
 
@@ -249,3 +256,64 @@
     if resumed < MIN_RESUMED or went_on >= resumed * MIN_RESUMED_SHARE:
         return []
     return [f"of {resumed} streams that clients resumed while their build served, {went_on} went on"]
+
+
+def _overlaps(periods, name, since, until):
+    return any(period == name and begin <= until and since <= end for period, begin, end in periods)
+
+
+def find_starved_requests(attempts, service_periods, gateway_periods):
+    """Returns a violation if too few requests are served of services of which no runner floods, by gateways that run.
+
+    `service_periods`: (service, since, until) with floods. `gateway_periods`: (address, since, until) of gateways that are
+    stopped, killed or starting."""
+    sound = [attempt for attempt in attempts if not attempt.left
+             and not _overlaps(service_periods, "engines" if attempt.kind.streaming else "app",
+                               attempt.sent_at - FLOOD_AFTERMATH_S, attempt.ended_at)
+             and not _overlaps(gateway_periods, attempt.gateway, attempt.sent_at, attempt.ended_at)]
+    served = sum(attempt.status == 200 and attempt.whole for attempt in sound)
+    if served >= MIN_SERVED_SHARE_BESIDE_FLOODS * len(sound):
+        return []
+    return [f"beside floods only {served} of {len(sound)} sound requests are served"]
+
+
+def _was_cut_in_last_part(stop, attempt, runs):
+    """Returns whether a request may have been cut: it was sent early, and its runner worked up to the last sixth."""
+    last_part = stop.began_at + LAST_PART_S
+    return (attempt.whole_at <= stop.began_at + STOP_NOTICE_S and attempt.ended_at >= last_part
+            and any(run.ended_at == 0.0 or run.ended_at >= last_part for run in runs))
+
+
+def _stopped_request_problem(stop, attempt, runs):
+    """Returns the problem with a request that was sent whole to a gateway that stops, or an empty string."""
+    refused = attempt.status == 503 and not attempt.sealed and attempt.not_run
+    if attempt.whole and (attempt.sealed or refused):
+        return ""
+    is_late = attempt.whole_at > stop.began_at + STOP_NOTICE_S
+    if attempt.whole:
+        return f"ended with {attempt.status} of the gateway" if is_late and runs else ""
+    if _was_cut_in_last_part(stop, attempt, runs):
+        return ""
+    if runs:
+        return f"was cut {attempt.ended_at - stop.began_at:.2f} s after SIGTERM, with a runner"
+    if attempt.ended_at - attempt.whole_at <= CLOSE_RACE_S:
+        return ""
+    return f"got no response and no refusal, until {attempt.ended_at - stop.began_at:.2f} s after SIGTERM"
+
+
+def find_cut_requests(stops, runs):
+    """Returns a line for each planned stop that did not end in time with status 0, and for each request that it cut."""
+    runs_by_attempt = defaultdict(list)
+    for run in runs:
+        runs_by_attempt[run.attempt].append(run)
+    ends, cuts = [], []
+    for stop in stops:
+        lasted = stop.ended_at - stop.began_at
+        if stop.status != 0 or lasted > GRACE_S + STOP_TOLERANCE_S:
+            ends.append(f"planned stop: {stop.gateway} ended after {lasted:.2f} s with {stop.status}")
+        for attempt in stop.attempts:
+            problem = attempt.whole_at and _stopped_request_problem(stop, attempt, runs_by_attempt[attempt.id])
+            if problem:
+                cuts.append(f"{attempt.kind.route} {attempt.id} by {stop.gateway}, whole "
+                            f"{attempt.whole_at - stop.began_at:.2f} s after SIGTERM, {problem}")
+    return ends + cuts
--- a/tools/soak/soak.py
+++ b/tools/soak/soak.py
@@ -25,13 +25,16 @@
 ROOT = Path(__file__).resolve().parents[2]
 sys.path.insert(0, str(ROOT / "platform" / "standin"))
 
-from checks import (find_departure_violations, find_endless_reads, find_excess_repeats, find_falls,  # noqa: E402
-                    find_pause_violations, find_repeated_crashes, find_stream_violations, find_streams_that_stop,
-                    find_unneeded_refusals, find_violations, mark_streams_of_gone_builds)
+from checks import (find_cut_requests, find_departure_violations, find_endless_reads, find_excess_repeats,  # noqa: E402
+                    find_falls, find_pause_violations, find_repeated_crashes, find_starved_requests,
+                    find_stream_violations, find_streams_that_stop, find_unneeded_refusals, find_violations, mark_streams_of_gone_builds)
 from client import Attempt, Kind, look_up, make_attempt  # noqa: E402
+from flood_faults import Floods  # noqa: E402
 from http_text import head_bytes, read_body, read_head  # noqa: E402
 from process_faults import MEMORY_LIMIT_MB, HeldBytes, ObstructedStarts  # noqa: E402
 from runner import Brittleness, Notices, Runner  # noqa: E402
+from stop_faults import DEADLINE_S as STOP_DEADLINE_S  # noqa: E402
+from stop_faults import RUN_S, PlannedStops, summarize_stops  # noqa: E402
 from store import Store  # noqa: E402
 
 GATEWAYS = 3
@@ -62,7 +65,8 @@
 ]
 # Faults that --only can select; with silent_connections, any rejection by a gateway is a violation.
 SINGLE_FAULTS = ("silent_connections", "ending_requests", "ending_requests_and_restarts", "notices", "brittle", "retries",
-                 "lagging_gateways", "starts", "held_bytes")
+                 "lagging_gateways", "starts", "held_bytes", "floods", "planned_stops")
+LONG_RUN_SHARE = 0.2  # Of the requests while gateways are stopped as planned: they run as long as those of its clients.
 LAG_AGES_S = (4.0, 32.0, 32.0)  # Ages of the gateways at the first release; 30 s after a start a gateway knows more.
 RELEASED_ENGINES = 6  # That join with newer builds when gateways that lag are the selected fault, two at a time.
 RESUMED_SHARE = 0.6  # Share of the streams that their clients leave and resume at another gateway, then.
@@ -213,7 +217,8 @@
         self.lags = options.only == "lagging_gateways"
         self.streams, self.builds_served = [], {}  # See find_streams_that_stop.
         self.lagging = []  # Gateways that lag now.
-        self.obstructed_starts = self.held_bytes = None  # Set by start().
+        self.obstructed_starts = self.held_bytes = self.floods = self.planned_stops = None  # Set by start().
+        self.run_times = random.Random(options.seed + 7)
         self.used_gateway = None  # The only one that clients use; None: any.
         self.schedule = open(folder / "schedule.log", "w")
 
@@ -242,6 +247,10 @@
         tenants = [{"name": tenant, "apiKeys": [key]} for key, tenant in self.keys.items()]
         document = {"version": self.configuration_version, "routes": routes, "services": services, "tenants": tenants}
         document["limits"] = {"headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
+        if self.options.only == "planned_stops":  # Requests arrive slowly and run until the end of a stop.
+            document["limits"]["headerTimeoutMs"] = int(STOP_DEADLINE_S * 1000)
+            for route in routes:
+                route["timeoutMs"] = int(STOP_DEADLINE_S * 1000)
         self.store.put("op", "config", json.dumps(document).encode())
 
     def publish_weights(self):
@@ -288,6 +297,8 @@
             self.gateways[-1].store_route = route
         self.obstructed_starts = ObstructedStarts(self.gateways, self.log_event, self.problems)
         self.held_bytes = HeldBytes(self.gateways, self.record_left_attempt, self.log_event, self.problems)
+        self.floods = Floods(self)
+        self.planned_stops = PlannedStops(self, KINDS, MODEL)
         for gateway in self.gateways:
             await gateway.start()
         for gateway in self.gateways:  # Until it has a configuration, a gateway may reject requests.
@@ -352,7 +363,9 @@
         self.attempts.append(attempt)
         if prompt is None:
             prompt = [(self.random.randint(1, 6), 640), (self.random.getrandbits(40), 160)]
-        return await make_attempt(attempt, MODEL, prompt, DEADLINE_S)
+        if self.options.only == "planned_stops" and self.run_times.random() < LONG_RUN_SHARE:
+            attempt.run_s = self.run_times.uniform(*RUN_S)
+        return await make_attempt(attempt, MODEL, prompt, STOP_DEADLINE_S if attempt.run_s else DEADLINE_S)
 
     def record_left_attempt(self, number, gateway):
         """Records an attempt whose client leaves before it has read the response; returns its key."""
@@ -679,6 +692,10 @@
         elif self.options.only == "held_bytes":
             hold = self.held_bytes.hold_bytes
             faults = [hold, hold, hold, hold, self.kill_gateway, self.stop_gateway, self.change_configuration]
+        elif self.options.only == "floods":
+            faults = [self.floods.flood_runner] * 4 + [self.floods.flood_store_path, self.floods.end_gateways]
+        elif self.options.only == "planned_stops":
+            faults = [self.planned_stops.stop_gateways]
         elif self.options.only:
             faults = [getattr(self, self.options.only)]
         tasks = set()
@@ -744,13 +761,16 @@
         gateway_of = self.find_sending_gateways()
         violations += find_falls(self.brittleness, len(self.engines), gateway_of, self.disturbances)
         violations += find_excess_repeats(self.notices, self.attempts)
-        endless = [response for engine in self.engines for response in engine.endless]
+        endless = [response for runner in self.engines + self.runners for response in runner.endless]
         violations += find_endless_reads(endless, gateway_of, self.disturbances, time.monotonic())
         violations += find_pause_violations(self.notices, gateway_of, self.disturbances)
         violations += find_departure_violations(self.notices, gateway_of, self.disturbances, self.attempts)
         violations += find_stream_violations(self.streams)
         violations += find_streams_that_stop(self.streams, self.builds_served)
         violations += self.obstructed_starts.find_early_ends()
+        violations += find_cut_requests(self.planned_stops.stops, self.runs)
+        if self.options.only == "floods":
+            violations += find_starved_requests(self.attempts, self.floods.service_periods, self.floods.gateway_periods)
         if self.options.only == "silent_connections":
             violations += find_unneeded_refusals(self.attempts)
         return self.problems + violations
@@ -781,8 +801,10 @@
     print(f"{len(notices.pauses)} rejections with a pause, {len({runner for _, runner, _ in notices.departures})} runners "
           f"stated that they leave")
     print(f"{len(soak.brittleness.falls)} falls in {len(soak.brittleness.periods)} brittle periods, "
-          f"{sum(len(engine.endless) for engine in soak.engines)} responses without end")
+          f"{sum(len(runner.endless) for runner in soak.engines + soak.runners)} responses without end")
     print(f"peak memory {soak.held_bytes.peak_mb:.0f} MB of {MEMORY_LIMIT_MB}")
+    if soak.planned_stops.stops:
+        print(summarize_stops(soak.planned_stops.stops))
     starts = soak.obstructed_starts
     if starts.starts:
         print(f"{starts.starts} obstructed starts, {starts.ended_before_code} ended before the program's first instruction")
