--- a/src/gateway/drain_policy.h
+++ b/src/gateway/drain_policy.h
@@ -2,6 +2,7 @@
 /// @file Decides which requests may still start while the process stops. A request that its end would cut is
 /// better refused before it runs: its client can send it to another gateway.
 
+#include <cstdint>
 #include <optional>
 
 #include "base/time.h"
@@ -21,6 +22,7 @@
   /// How long requests of its route usually run, and at most lately; empty: none has ended lately.
   std::optional<Duration> typical_run;
   std::optional<Duration> longest_run;
+  std::uint32_t known_runs = 0;  ///< Requests of the route that have ended lately.
 };
 
 /// Not thread-safe.
--- a/src/gateway/gateway_drain.cc
+++ b/src/gateway/gateway_drain.cc
@@ -33,6 +33,7 @@
   request.at_most_once = route.repeatability == Repeatability::AtMostOnce;
   request.typical_run = run_times_.typical(route.name, now);
   request.longest_run = run_times_.longest(route.name, now);
+  request.known_runs = run_times_.known(route.name, now);
   refreshRunning(now);
   const auto running = longest_running_.find(route.name);
   if (running == longest_running_.end()) return request;
--- a/src/gateway/run_times.cc
+++ b/src/gateway/run_times.cc
@@ -21,11 +21,17 @@
   }
   const auto [found, is_new] = routes_.try_emplace(route);
   Times& times = found->second;
-  if (is_new || now - times.ended_at >= 2 * kPeriod) times = {taken, taken, taken, now, now};
+  if (is_new || now - times.ended_at >= 2 * kPeriod) {
+    times = Times();
+    times.typical = taken;
+    times.period_since = now;
+  }
   if (now - times.period_since >= kPeriod) {
     times.longest_before = std::exchange(times.longest, Duration(0));
+    times.ended_before = std::exchange(times.ended, 0U);
     times.period_since = now;
   }
+  ++times.ended;
   times.typical += (taken - times.typical) / kSmoothingDivisor;
   times.longest = std::max(times.longest, taken);
   times.ended_at = now;
@@ -49,4 +55,9 @@
   return std::max(times->longest, times->longest_before);
 }
 
+std::uint32_t RunTimes::known(const std::string& route, TimePoint now) const {
+  const Times* times = find(route, now);
+  return times == nullptr ? 0 : times->ended + times->ended_before;
+}
+
 }  // namespace crankspur::gateway
--- a/src/gateway/run_times.h
+++ b/src/gateway/run_times.h
@@ -3,6 +3,7 @@
 
 #include <absl/container/flat_hash_map.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 
@@ -20,11 +21,16 @@
   /// @return the longest time; empty: as for typical().
   std::optional<Duration> longest(const std::string& route, TimePoint now) const;
 
+  /// @return the number of requests that longest() rests on.
+  std::uint32_t known(const std::string& route, TimePoint now) const;
+
 private:
   struct Times {
     Duration typical{0};  ///< Smoothed.
     Duration longest{0};  ///< In the current period.
     Duration longest_before{0};
+    std::uint32_t ended = 0;  ///< In the current period.
+    std::uint32_t ended_before = 0;
     TimePoint period_since{};
     TimePoint ended_at{};  ///< When the last request ended.
   };
--- a/tests/unit/gateway/drain_policy_test.cc
+++ b/tests/unit/gateway/drain_policy_test.cc
@@ -25,6 +25,7 @@
   request.deadline = kStart + 1min;
   request.typical_run = typical;
   request.longest_run = longest;
+  request.known_runs = 100;
   return request;
 }
 
@@ -47,14 +48,20 @@
   CHECK(policy.mayStart(requestOf(100ms, 2s), kStart + 3s));
   CHECK_FALSE(policy.mayStart(requestOf(100ms, 3s), kStart + 3s));
   CHECK_FALSE(policy.mayStart(requestOf({}, {}), kStart + 3s));
+  DrainingRequest little_known = requestOf(100ms, 100ms);
+  little_known.known_runs = 10;
+  CHECK_FALSE(policy.mayStart(little_known, kStart + 3s));
 }
 
-TEST_CASE("an at-most-once request may start only if the longest one would end in time", "[drain]") {
+TEST_CASE(
+    "an at-most-once request may start only before clients have noticed, if the longest one ends in time",
+    "[drain]") {
   DrainingRequest request = requestOf(100ms, 7s);
   request.at_most_once = true;
   CHECK_FALSE(drainingPolicy().mayStart(request, kStart + 1s));
   request.longest_run = 6s;
   CHECK(drainingPolicy().mayStart(request, kStart + 1s));
+  request.longest_run = 100ms;
   CHECK_FALSE(drainingPolicy().mayStart(request, kStart + 2s));
 }
 
@@ -81,6 +88,7 @@
   CHECK(times.longest("r", kStart + 110s) == Duration(5s));
   times.onEnded("r", 1s, kStart + 121s);
   CHECK(times.longest("r", kStart + 121s) == Duration(1s));
+  CHECK(times.known("r", kStart + 121s) == 7);
   CHECK_FALSE(times.longest("other", kStart));
 }
 
--- a/tests/unit/gateway/gateway_drain_test.cc
+++ b/tests/unit/gateway/gateway_drain_test.cc
@@ -30,6 +30,11 @@
     end();
   }
 
+  /// So many that the gateway knows the route well.
+  void runMany(const std::string& route, Duration time) {
+    for (int count = 0; count < 60; ++count) runOne(route, time);
+  }
+
   void drain() {
     gateway.onDrain({kAcceptsFor, kEndsIn}, now);
     takeActions();
@@ -60,16 +65,16 @@
 
 TEST_CASE("a short request is served until shortly before the end of the process", "[gateway][drain]") {
   DrainFixture fixture;
-  fixture.runOne("order", milliseconds(50));
+  fixture.runMany("look", milliseconds(50));
   fixture.drain();
   fixture.now += milliseconds(6'800);
-  fixture.sendLong("order");
+  fixture.sendLong("look");
   CHECK(fixture.has<Dispatch>());
 }
 
 TEST_CASE("a request in progress shows how long others of its route may run", "[gateway][drain]") {
   DrainFixture fixture;
-  fixture.runOne("look", milliseconds(50));
+  fixture.runMany("look", milliseconds(50));
   fixture.sendLong("look");
   fixture.drain();
   fixture.now += milliseconds(4'000);
@@ -110,7 +115,7 @@
 
 TEST_CASE("a request is not repeated when its repeat would be cut", "[gateway][drain]") {
   DrainFixture fixture;
-  fixture.runOne("look", milliseconds(2'500));
+  fixture.runMany("look", milliseconds(2'500));
   fixture.drain();
   fixture.sendLong("look");
   fixture.now += seconds(4);
@@ -122,7 +127,7 @@
 // The exchange was cancelled for a retry that was then refused, though its response could still have come.
 TEST_CASE("a silent back end keeps its request when a repeat would be cut", "[gateway][drain]") {
   DrainFixture fixture;
-  fixture.runOne("look", milliseconds(2'500));
+  fixture.runMany("look", milliseconds(2'500));
   fixture.drain();
   fixture.advance(milliseconds(1'900));
   fixture.sendLong("look");
