--- a/tests/fuzz/http_client_fuzzer.cc
+++ b/tests/fuzz/http_client_fuzzer.cc
@@ -6,7 +6,6 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
-#include <limits>
 #include <memory>
 
 #include "fuzz_input.h"
@@ -20,6 +19,7 @@
 constexpr std::size_t kBodyBytes = std::size_t{64} * 1024;
 /// A collected body, an incomplete line or head, two copies of the head, and one read.
 constexpr std::size_t kMaxHeldBytes = kBodyBytes + std::size_t{3} * 64 * 1024 + std::size_t{16} * 1024;
+constexpr std::size_t kUnlimitedBytes = std::size_t{1} << 40U;
 constexpr std::size_t kRepeatedBytes = 64;  ///< Of the end of the response.
 constexpr std::size_t kRepetitionBytes = std::size_t{512} * 1024;
 
@@ -60,7 +60,7 @@
 /// Runs one exchange, with a body that is collected or passed on in parts.
 void exchange(asio::io_context& context, const std::string& address, bool collects) {
   context.restart();  // It stops when the exchange before has left no work.
-  const auto held = std::make_shared<ByteBudget>(std::numeric_limits<std::size_t>::max());
+  const auto held = std::make_shared<ByteBudget>(kUnlimitedBytes);
   const auto client = http::makeClient(context.get_executor(), held);
   http::ExchangeOptions options;
   options.body_bytes = kBodyBytes;
