Start nothing once the requests of a stop are being ended

A stop whose limit is shortened may end before clients have noticed it; a request without known runs would then still have started, to be ended by the next line. Found by reading; the test failed before.

--- a/src/gateway/drain_policy.cc
+++ b/src/gateway/drain_policy.cc
@@ -26,7 +26,9 @@
 /// were open before: they are served if there is hardly a doubt, and never left to chance if they must not be
 /// repeated.
 bool DrainPolicy::mayStart(const DrainingRequest& request, TimePoint now) const {
-  if (!draining_ || request.deadline <= ends_at_) return true;
+  if (!draining_) return true;
+  if (now >= ends_at_) return false;
+  if (request.deadline <= ends_at_) return true;
   if (now < accepts_until_) {
     const std::optional<Duration> run = request.at_most_once ? request.longest_run : request.typical_run;
     return now + run.value_or(Duration(0)) <= ends_at_;
--- a/tests/unit/gateway/drain_policy_test.cc
+++ b/tests/unit/gateway/drain_policy_test.cc
@@ -71,6 +71,16 @@
   CHECK(drainingPolicy().mayStart(request, kStart + 6s));
 }
 
+// A stop whose limit is shortened may end before clients have noticed it.
+TEST_CASE("nothing starts once the requests in progress are ended", "[drain]") {
+  DrainPolicy policy = drainingPolicy();
+  policy.begin({}, kStart + 1s);
+  CHECK_FALSE(policy.mayStart(requestOf({}, {}), kStart + 1s));
+  DrainingRequest request = requestOf(1ms, 1ms);
+  request.deadline = kStart;
+  CHECK_FALSE(policy.mayStart(request, kStart + 1s));
+}
+
 TEST_CASE("a longer stop gives requests more time, and does not prolong the time in which clients notice it",
           "[drain]") {
   DrainPolicy policy = drainingPolicy();
