--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -1,13 +1,12 @@
 #include "gateway_process/traffic_loop.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <boost/algorithm/string/predicate.hpp>
 #include <utility>
 
 #include "base/error.h"
 #include "base/timer.h"
+#include "gateway_process/own_response.h"
 
 namespace crankspur::gateway {
 namespace {
@@ -33,72 +32,11 @@
 constexpr Duration kStreamOriginsDelay = std::chrono::milliseconds(3);
 constexpr Duration kMaxDigestInterval = std::chrono::milliseconds(250);
 
-constexpr int kUnavailable = 503;
-
-/// @return the error message for the client, in addition to the status.
-std::string_view describe(int status, RequestCause cause) {
-  if (status == kUnavailable && cause == RequestCause::quarantined) {
-    return "back ends have crashed under this request: it is not run for some time";
-  }
-  if (status == kUnavailable && cause == RequestCause::stopping) {
-    return "this gateway stops before the request would have ended";
-  }
-  switch (status) {
-    case 400:
-      return "the request is malformed";
-    case 401:
-      return "the key is unknown";
-    case 404:
-      return "no route serves the path";
-    case 429:
-      return "the tenant's quota is used up";
-    case 503:
-      return "no place for the request";
-    default:
-      return "no whole answer came from a back end";
-  }
-}
-
-ErrorCode errorCodeOf(int status) {
-  switch (status) {
-    case 400:
-    case 404:
-      return ErrorCode::InvalidRequest;
-    case 401:
-      return ErrorCode::Unauthorized;
-    case 429:
-    case 503:
-      return ErrorCode::Overloaded;
-    case 504:
-      return ErrorCode::DeadlineExceeded;
-    default:
-      return ErrorCode::Internal;
-  }
-}
-
-bool mayHaveRun(int status) {
-  return status == 502 || status == 504;
-}
-
 bool isEventStream(const http::Headers& headers) {
   const auto found = headers.find("Content-Type");
   return found != headers.end() && boost::istarts_with(found->second, "text/event-stream");
 }
 
-void stateRetryAfter(http::Response& response, Duration retry_after) {
-  if (retry_after <= Duration(0)) return;
-  response.headers["Retry-After"] = fmt::format("{:.3f}", toSeconds(retry_after));
-}
-
-/// @return the response to a request that is not read completely, since the process stops.
-http::Response stoppingResponse(Duration retry_after) {
-  http::Response response = http::errorResponse(kUnavailable, errorName(ErrorCode::Stopping),
-                                                describe(kUnavailable, RequestCause::stopping), "not_run");
-  stateRetryAfter(response, retry_after);
-  response.headers[kOutOfReachHeader] = "1";  // A gateway that relays the request tries another one.
-  return response;
-}
-
 std::string hostOf(const http::Request& request) {
   const std::string host = request.header("Host");
   return host.substr(0, host.rfind(':'));
@@ -387,10 +325,7 @@
   if (client == nullptr) return;
   const auto writer = client->writer;
   clients_.erase(action.client);
-  const std::string_view ran = mayHaveRun(action.status) ? "unknown" : "not_run";
-  http::Response response = http::errorResponse(action.status, errorName(errorCodeOf(action.status)),
-                                                describe(action.status, action.cause), ran);
-  stateRetryAfter(response, action.retry_after);
+  http::Response response = ownResponse(action.status, action.cause, action.retry_after);
   if (action.out_of_reach) response.headers[kOutOfReachHeader] = "1";
   writer->respond(std::move(response));
 }
