--- a/tests/unit/gateway/gateway_drain_test.cc
+++ b/tests/unit/gateway/gateway_drain_test.cc
@@ -16,12 +16,14 @@
     publish();
   }
 
-  ClientId sendLong(const std::string& route) {
+  static IncomingRequest longRequest(const std::string& route) {
     IncomingRequest incoming = request(route);
     incoming.client->deadline = std::chrono::minutes(1);
-    return send(std::move(incoming));
+    return incoming;
   }
 
+  ClientId sendLong(const std::string& route) { return send(longRequest(route)); }
+
   /// A request of the route runs for this long.
   void runOne(const std::string& route, Duration time) {
     sendLong(route);
@@ -155,8 +157,7 @@
   DrainFixture fixture;
   fixture.drain();
   fixture.now += seconds(4);
-  IncomingRequest incoming = GatewayFixture::request("look");
-  incoming.client->deadline = std::chrono::minutes(1);
+  IncomingRequest incoming = DrainFixture::longRequest("look");
   incoming.from_peer = true;
   fixture.send(std::move(incoming));
   CHECK(fixture.only<Refuse>().out_of_reach);
@@ -164,8 +165,7 @@
 
 TEST_CASE("a body that is still being read is too late when its request would be cut", "[gateway][drain]") {
   DrainFixture fixture;
-  IncomingRequest incoming = GatewayFixture::request("look");
-  incoming.client->deadline = std::chrono::minutes(1);
+  IncomingRequest incoming = DrainFixture::longRequest("look");
   CHECK_FALSE(fixture.gateway.isTooLate(incoming, fixture.now));
   fixture.drain();
   fixture.now += seconds(1);
