--- a/tests/fuzz/http_client_fuzzer.cc
+++ b/tests/fuzz/http_client_fuzzer.cc
@@ -20,15 +20,16 @@
 /// A collected body, an incomplete line or head, two copies of the head, and one read.
 constexpr std::size_t kMaxHeldBytes = kBodyBytes + std::size_t{3} * 64 * 1024 + std::size_t{16} * 1024;
 constexpr std::size_t kUnlimitedBytes = std::size_t{1} << 40U;
-constexpr std::size_t kRepeatedBytes = 64;  ///< Of the end of the response.
 constexpr std::size_t kRepetitionBytes = std::size_t{512} * 1024;
 
-/// @return the end of the response, again and again.
+/// @return the last line of the response again and again, which is one line without an end if it is
+/// incomplete.
 std::string repetitionOf(const std::string& response) {
   if (response.empty()) return {};
-  const std::string end = response.substr(response.size() - std::min(response.size(), kRepeatedBytes));
+  const std::size_t previous_end = response.substr(0, response.size() - 1).rfind('\n');
+  const std::string line = response.substr(previous_end == std::string::npos ? 0 : previous_end + 1);
   std::string repetition;
-  while (repetition.size() < kRepetitionBytes) repetition += end;
+  while (repetition.size() < kRepetitionBytes) repetition += line;
   return repetition;
 }
 
