--- a/tests/clean_build/check_test.py
+++ b/tests/clean_build/check_test.py
@@ -1,4 +1,4 @@
-"""Tests that the clean build check finds each use of a file that a clean machine does not have.
+"""Tests that the clean build check finds what ends a build on other machines only.
 
 Guards against builds that fail only on clean machines, as happened when two names under `packages` were unknown to apt
 and a third provided another version of a library than the build required: earlier builds had run on machines with other
@@ -104,6 +104,15 @@
             chown_to_unprivileged_user(Path(folder))
             self.assert_only(self.findings([], f"cat {header}"), f"{header} is used and belongs to no package")
 
+    # Guards against builds that end on the machines of users alone: a compiler of another version or for another processor
+    # warns about a source that it compiles correctly.
+    def test_warnings_that_end_the_build(self):
+        self.assert_only(self.cmake_findings(TOOLCHAIN, "add_compile_options(-Wall -Werror)"), "with -Werror;")
+        self.assert_only(self.cmake_findings(TOOLCHAIN, "add_compile_options(-Werror=restrict)"), "with -Werror=restrict;")
+
+    def test_warnings_that_do_not_end_the_build(self):
+        self.assertEqual(self.cmake_findings(TOOLCHAIN, "add_compile_options(-Wall -Wextra -Wno-error=restrict)"), [])
+
     def test_a_download(self):
         self.assert_only(self.findings([], "bash -c 'echo > /dev/tcp/127.0.0.1/9' || true"), "calls another host")
 
--- a/tools/clean_build/build_trace.py
+++ b/tools/clean_build/build_trace.py
@@ -1,4 +1,5 @@
-"""Runs commands under strace and records the files and programs that they use and their network connections."""
+"""Runs commands under strace and records the files and programs that they use, their network connections and the options
+that turn a compiler's warnings into errors."""
 
 from __future__ import annotations
 
@@ -15,6 +16,8 @@
 OPENED = re.compile(r'^open(?:at2?)?\((?:AT_FDCWD<(?P<folder>[^>]*)>, )?"(?P<path>[^"]*)", .* = \d+<(?P<real>[^>]*)>')
 EXECUTED = re.compile(r'^execve(?:at)?\((?:AT_FDCWD<[^>]*>, )?"(?P<path>[^"]*)", .* = 0$')
 CONNECTED = re.compile(r"^connect\(.*sin6?_addr|^connect\(.*inet_addr|^connect\(.*inet_pton")
+# Also -Werror=NAME, but not -Wno-error=NAME.
+WARNING_AS_ERROR = re.compile(r'"(-Werror(?:=[^"]*)?)"')
 #: Unprivileged account that owns no files; used when the check runs as root.
 UNPRIVILEGED_USER = "nobody"
 UNPRIVILEGED_GROUP = "nogroup"
@@ -22,12 +25,14 @@
 
 @dataclass
 class Usage:
-    """Files and network connections that commands used."""
+    """Files, network connections and compiler options that commands used."""
 
     #: Absolute paths of opened files and executed programs, including the symbolic links that led to them.
     paths: set[str] = field(default_factory=set)
     #: connect() calls to IP addresses.
     connections: set[str] = field(default_factory=set)
+    #: Options with which a warning ends the build.
+    warnings_as_errors: set[str] = field(default_factory=set)
 
 
 @dataclass(frozen=True)
@@ -76,7 +81,7 @@
 
 
 def parse_strace_log(log: str, usage: Usage) -> None:
-    """Adds the successful opens and executions and all attempts to connect in the strace log of one process."""
+    """Adds what the strace log of one process shows: successful opens and executions, and all attempts to connect."""
     for line in log.splitlines():
         if opened := OPENED.match(line):
             requested = os.path.join(opened["folder"] or "/", opened["path"])
@@ -85,6 +90,7 @@
         elif executed := EXECUTED.match(line):
             if executed["path"].startswith("/"):
                 usage.paths.update(_resolve_links(executed["path"]))
+            usage.warnings_as_errors.update(WARNING_AS_ERROR.findall(line))
         elif CONNECTED.match(line):
             usage.connections.add(line)
 
--- a/tools/clean_build/check.py
+++ b/tools/clean_build/check.py
@@ -1,5 +1,6 @@
 #!/usr/bin/env python3
-"""Fails when the deployment's build uses a file that a clean machine with the listed packages does not have.
+"""Fails when the deployment's build uses a file that a clean machine with the listed packages does not have, or would end
+because another compiler warns where this one does not.
 
 Runs the build command of deploy/system.toml in a new clone of HEAD, as an unprivileged user without a home directory,
 and compares all files and programs that it uses with the closure of the listed packages. Exit status: 0 no findings,
@@ -42,6 +43,8 @@
     owners = owners_of(system_files(usage, checkout))
     findings = failures + find_unlisted_files(usage, checkout, owners, closure)
     findings += [f"the build calls another host or service: {call}" for call in sorted(usage.connections)]
+    findings += [f"the build runs the compiler with {option}; another compiler or processor has other warnings, which must "
+                 "not end the build" for option in sorted(usage.warnings_as_errors)]
     used = set().union(*owners.values())
     if not failures:
         findings += [f"{name} is listed and not used by the build; take it off the list"
