Show the errors of a failed build in the clean build check

The check printed the last 20 lines of a failed build. With eight jobs the others write on after the error, so that on no printed line was of the compiler's error, as in the report of the users. It prints up to five lines with errors first. The new test fails without the change.

--- a/tests/clean_build/check_test.py
+++ b/tests/clean_build/check_test.py
@@ -104,6 +104,11 @@
             chown_to_unprivileged_user(Path(folder))
             self.assert_only(self.findings([], f"cat {header}"), f"{header} is used and belongs to no package")
 
+    # Guards against reports of a failed build without its error: the other jobs write on after it.
+    def test_the_error_of_a_build_that_writes_on(self):
+        found = self.findings([], "echo a.cc:1: error: unknown; seq 100; false")
+        self.assert_only(found, "a.cc:1: error: unknown", "100")
+
     # Guards against builds that end on the machines of users alone: a compiler of another version or for another processor
     # warns about a source that it compiles correctly.
     def test_warnings_that_end_the_build(self):
--- a/tools/clean_build/check.py
+++ b/tools/clean_build/check.py
@@ -34,6 +34,8 @@
 OPTIONAL_DATA_PREFIXES = ("/usr/share/zoneinfo/", "/usr/share/locale/", "/usr/lib/locale/")
 #: Maximum number of files of one package named in a finding.
 MAX_EXAMPLES = 3
+#: Maximum number of errors of a failed build that are printed.
+MAX_ERROR_LINES = 5
 
 
 def check_checkout(checkout: Path, deployment: Deployment, closure: dict[str, str], show_packages: bool = False) -> list[str]:
@@ -61,7 +63,8 @@
     print(f"build: status {outcome.status}, {outcome.wall_seconds:.0f} s, {outcome.processor_seconds:.0f} s of processor"
           " time, tracing included", flush=True)
     if outcome.status != 0:
-        return ["the build failed as an ordinary user without a home; its last lines:\n" + last_lines(outcome.output)]
+        return ["the build failed as an ordinary user without a home; its errors and last lines:\n"
+                + "\n".join(error_lines(outcome.output)) + "\n" + last_lines(outcome.output)]
     findings = []
     for program in deployment.programs:
         findings += check_program(checkout, program, usage)
@@ -122,6 +125,11 @@
         print(f"{name}: {len(paths)} files, as {min(paths)}")
 
 
+def error_lines(text: str) -> list[str]:
+    """Returns the first lines that a compiler or linker marks as errors: parallel jobs write on after them."""
+    return [line for line in text.splitlines() if "error:" in line][:MAX_ERROR_LINES]
+
+
 def last_lines(text: str, count: int = 20) -> str:
     return "\n".join(text.splitlines()[-count:])
 
