Build the two responses to overload in one place, without the line that g++ warns about

Cause: a false warning. g++ 12 inlines std::string's assignment from a literal down to memcpy and assumes lengths there that cannot occur (-Wrestrict). The same line stood in ServerSession::reject(), silent so far.

Both rejections are one function now, overloadedResponse(), whose delay is a typed constant.

The responses are the same on the wire: "connections beyond the limit get 503 with Retry-After" stays as it is.

--- a/src/http/message.cc
+++ b/src/http/message.cc
@@ -2,12 +2,18 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <chrono>
 #include <vector>
 
+#include "base/error.h"
+
 namespace crankspur::http {
 
 namespace {
 
+/// Time after which a client may repeat a request for which a server had no room.
+constexpr std::chrono::seconds kOverloadRetryAfter{1};
+
 char lowerCase(char character) {
   return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character;
 }
@@ -119,6 +125,12 @@
   return jsonResponse(status, boost::json::serialize(boost::json::object{{"error", error}}));
 }
 
+Response overloadedResponse(std::string_view message) {
+  Response response = errorResponse(503, errorName(ErrorCode::Overloaded), message, "not_run");
+  response.headers["Retry-After"] = std::to_string(kOverloadRetryAfter.count());
+  return response;
+}
+
 std::size_t memoryOf(const Headers& headers) {
   constexpr std::size_t kFieldOverheadBytes = sizeof(Headers::value_type) + 6 * sizeof(void*);
   std::size_t bytes = 0;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -64,6 +64,9 @@
 /// @param ran "not_run", "unknown" or "ran".
 Response errorResponse(int status, std::string_view code, std::string_view message, std::string_view ran);
 
+/// @return a response to a request that did not run because the server has no room for it: 503 with Retry-After.
+Response overloadedResponse(std::string_view message);
+
 /// @return memory that the fields take.
 std::size_t memoryOf(const Headers& headers);
 
--- a/src/http/server_session.cc
+++ b/src/http/server_session.cc
@@ -111,9 +111,7 @@
 }
 
 void ServerSession::reject() {
-  Response response = errorResponse(503, errorName(ErrorCode::Overloaded), "too many connections", "not_run");
-  response.headers["Retry-After"] = "1";
-  sendError(response);
+  sendError(overloadedResponse("too many connections"));
 }
 
 void ServerSession::rejectIncomplete(const Response& response,
--- a/src/http/server_session_body.cc
+++ b/src/http/server_session_body.cc
@@ -2,7 +2,6 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/read.hpp>
 
-#include "base/error.h"
 #include "http/server_session.h"
 
 namespace crankspur::http {
@@ -104,10 +103,7 @@
 void ServerSession::rejectForMemory() {
   body_rejected_ = false;
   if (state_->memory_guard) state_->memory_guard->onRejected();
-  Response response =
-      errorResponse(503, errorName(ErrorCode::Overloaded), "no memory is free for the request", "not_run");
-  response.headers["Retry-After"] = "1";
-  sendError(response, RejectionReason::no_memory);
+  sendError(overloadedResponse("no memory is free for the request"), RejectionReason::no_memory);
 }
 
 }  // namespace crankspur::http
