--- a/tools/install_packages.sh
+++ b/tools/install_packages.sh
@@ -14,6 +14,15 @@
   ninja-build ccache git python3 catch2 libbenchmark-dev curl strace
   clang-14 clang-format-14 clang-tidy-14 libclang-rt-14-dev gnuplot-nox
 )
+# The compiler for the other supported processor.
+case "$(dpkg --print-architecture)" in
+  amd64) packages+=(g++-aarch64-linux-gnu) ;;
+  arm64) packages+=(g++-x86-64-linux-gnu) ;;
+  *)
+    echo "$(dpkg --print-architecture) is not supported; supported: amd64, arm64"
+    exit 1
+    ;;
+esac
 missing=()
 for package in "${packages[@]}"; do
   dpkg-query -W -f='${Status}' "$package" 2>/dev/null | grep -q 'install ok installed' || missing+=("$package")
