--- a/src/http/message.h
+++ b/src/http/message.h
@@ -64,7 +64,7 @@
 /// @param ran "not_run", "unknown" or "ran".
 Response errorResponse(int status, std::string_view code, std::string_view message, std::string_view ran);
 
-/// @return a response to a request that did not run because the server has no room for it: 503 with Retry-After.
+/// @return the response to a request that did not run for want of room: 503 with Retry-After.
 Response overloadedResponse(std::string_view message);
 
 /// @return memory that the fields take.
