Draw random numbers in one order on every processor

Cause: the order in which the arguments of a call are evaluated is unspecified. g++ 12 evaluates them from the right on x86-64 and from the left on arm64, as clang does; six calls drew two random numbers in their arguments. Contraction of products was ruled out: both builds had -ffp-contract=off.

The random texts of row_splitter_test differed for the same reason, and through operators that concatenate draws; they are drawn in one order too.

--- a/sim/check/fault.cc
+++ b/sim/check/fault.cc
@@ -107,7 +107,8 @@
   if (kind == FaultKind::EngineCrash) {
     const std::uint64_t crashes = random_.uniform(4, 14);
     for (std::uint64_t count = 0; count < crashes; ++count) {
-      scheduleEngineCrash(randomIndex(world_.engineCount()), randomStart());
+      const std::size_t engine = randomIndex(world_.engineCount());
+      scheduleEngineCrash(engine, randomStart());
     }
   } else if (kind == FaultKind::EngineFreeze) {
     const std::uint64_t freezes = random_.uniform(1, kMaxEngines);
--- a/sim/check/fault_fleet.cc
+++ b/sim/check/fault_fleet.cc
@@ -43,7 +43,8 @@
     world_.context().duplicate_bundle_rate = 0.3;
     const Duration when = randomStart();
     scheduleRoll(0, when);
-    scheduleRollback(random_.uniform(0, 1), when + randomBetween(milliseconds(200), seconds(8)));
+    const std::size_t operator_index = random_.uniform(0, 1);
+    scheduleRollback(operator_index, when + randomBetween(milliseconds(200), seconds(8)));
   } else if (kind == FaultKind::HourPartition) {
     scheduleHourPartition();
   }
--- a/sim/check/table_outage.cc
+++ b/sim/check/table_outage.cc
@@ -56,8 +56,8 @@
 void FaultDriver::scheduleBriefTableRecoveries(Duration from, Duration to) {
   for (std::uint64_t count = random_.uniform(4, kMaxRecoveries); count > 0; --count) {
     const Duration when = randomBetween(from, to);
-    scheduleRouterReplacement(randomIndex(world_.routerCount()),
-                              when - randomBetween(Duration(0), seconds(8)));
+    const std::size_t router = randomIndex(world_.routerCount());
+    scheduleRouterReplacement(router, when - randomBetween(Duration(0), seconds(8)));
     runAfter(when, [this] { world_.platform().setStoreBehaviour({}); });
     runAfter(when + randomBetween(seconds(4), kMaxRecoveryTime),
              [this] { world_.platform().setStoreBehaviour({standin::ServiceMode::Down}); });
--- a/sim/gateway_world/fleet_faults.cc
+++ b/sim/gateway_world/fleet_faults.cc
@@ -114,9 +114,9 @@
   context_.trace.note("faults", "half {} of the engines is replaced", half);
   for (const auto& engine : world_.engines()) {
     if (engine->number() % 2 != half) continue;
-    context_.queue.after(
-        drawDuration(0, kReplacementSpreadMilliseconds),
-        [&engine, announced = random_.chance(kAnnouncedShare)] { engine->leave(announced); });
+    const Duration delay = drawDuration(0, kReplacementSpreadMilliseconds);
+    const bool announced = random_.chance(kAnnouncedShare);
+    context_.queue.after(delay, [&engine, announced] { engine->leave(announced); });
   }
 }
 
@@ -321,7 +321,8 @@
 void FleetFaults::disturbDatagrams() {
   context_.datagrams.loss = 0.3 * random_.unit();
   context_.datagrams.duplication = 0.2 * random_.unit();
-  context_.network.setExtraDelay(drawDuration(1, 300), random_.unit());
+  const Duration max_delay = drawDuration(1, 300);
+  context_.network.setExtraDelay(max_delay, random_.unit());
   const Duration time = drawDuration(1'000, 15'000);
   context_.records.messages.push_back({context_.queue.now(), context_.queue.now() + time});
   context_.queue.after(time, [this] {
--- a/src/router/claim_flow.cc
+++ b/src/router/claim_flow.cc
@@ -42,8 +42,9 @@
 }
 
 std::string RequestRouterImpl::newClaimToken(const RequestEntry& entry) {
-  return fmt::format("{}:{}:{:016x}{:016x}", options_.router_name, entry.request.request_id, random_.bits(),
-                     random_.bits());
+  const std::uint64_t high = random_.bits();
+  const std::uint64_t low = random_.bits();
+  return fmt::format("{}:{}:{:016x}{:016x}", options_.router_name, entry.request.request_id, high, low);
 }
 
 void RequestRouterImpl::startClaim(RequestEntry& entry, TimePoint now) {
--- a/tests/unit/platform/row_splitter_test.cc
+++ b/tests/unit/platform/row_splitter_test.cc
@@ -26,17 +26,26 @@
   std::string body() {
     std::string text = space() + "{";
     for (std::uint64_t member = random_.uniform(0, 2); member > 0; --member) text += this->member() + ",";
-    text += space() + "\"rows\"" + space() + ":" + space() + array(kMaxDepth);
+    text += space() + "\"rows\"";
+    text += space() + ":";
+    text += space();
+    text += array(kMaxDepth);
     for (std::uint64_t member = random_.uniform(0, 2); member > 0; --member) text += "," + this->member();
-    return text + space() + "}" + space();
+    text += space() + "}";
+    return text + space();
   }
 
 private:
   /// Names are unique: readers treat repeated names differently.
   std::string member() {
-    return space() + "\"m" + std::to_string(++members_) + "\"" + space() + ":" + value(kMaxDepth);
+    std::string text = space() + "\"m" + std::to_string(++members_) + "\"";
+    text += space() + ":";
+    return text + value(kMaxDepth);
+  }
+  std::string space() {
+    const std::size_t size = random_.uniform(0, 2);
+    return std::string(size, random_.chance(0.5) ? ' ' : '\n');
   }
-  std::string space() { return std::string(random_.uniform(0, 2), random_.chance(0.5) ? ' ' : '\n'); }
 
   std::string string() {
     static constexpr const char* kPieces[] = {
