Let a compiler cache find the commands of the cross compile check

The links to OpenSSL's headers lay in a folder with a new name each time, which stands in each command, so that ccache, which the commands begin with, never found one: the second run in a build folder took as long as the first. The links lie in the build folder now. The test compares the commands of two runs.

--- a/tests/cross_compile/check_test.py
+++ b/tests/cross_compile/check_test.py
@@ -99,11 +99,15 @@
     def test_a_build_folder_that_is_not_configured_is_no_pass(self):
         self.assert_cannot_run("cannot be read")
 
-    def test_a_launcher_stays(self):
+    # A compiler cache finds a command that is the same each time.
+    def test_a_launcher_and_its_command_stay_the_same(self):
         self.write_build({"one.cc": "int one = 1;\n"}, compiler="/usr/bin/ccache /usr/bin/c++")
         processor = other_processor()
-        arguments = CrossCompiler(processor, self.build).arguments_for(read_commands(self.build)[0], Path("one.o"))
-        self.assertEqual(arguments[:2], ["/usr/bin/ccache", f"{TRIPLETS[processor]}-g++"])
+        command = read_commands(self.build)[0]
+        first, second = (CrossCompiler(processor, self.build, self.build / folder).arguments_for(command, Path("one.o"))
+                         for folder in ("first", "second"))
+        self.assertEqual(first[:2], ["/usr/bin/ccache", f"{TRIPLETS[processor]}-g++"])
+        self.assertEqual(first, second)
 
     # Guards against seeds that play another simulation on another processor: of the two, only aarch64 has an instruction that
     # multiplies and adds with one rounding, and compilers use it by default.
@@ -111,7 +115,7 @@
         source = self.build / "sum.cc"
         source.write_text("double sum(double a, double b, double c) { return a * b + c; }\n", encoding="utf-8")
         command = next(command for command in read_commands(build_folder) if "/src/" in command.source)
-        arguments = CrossCompiler("aarch64", self.build).arguments_for(command, self.build / "sum.s")
+        arguments = CrossCompiler("aarch64", self.build, self.build).arguments_for(command, self.build / "sum.s")
         arguments[arguments.index("-c"):arguments.index("-c") + 2] = ["-S", str(source)]
         subprocess.run(arguments, cwd=command.folder, check=True)
         instructions = (self.build / "sum.s").read_text(encoding="utf-8")
--- a/tools/clean_build/build_trace.py
+++ b/tools/clean_build/build_trace.py
@@ -81,7 +81,7 @@
 
 
 def parse_strace_log(log: str, usage: Usage) -> None:
-    """Adds what the strace log of one process shows: successful opens and executions, and all attempts to connect."""
+    """Adds what the strace log of one process shows: successful opens and executions, attempts to connect, options."""
     for line in log.splitlines():
         if opened := OPENED.match(line):
             requested = os.path.join(opened["folder"] or "/", opened["path"])
--- a/tools/cross_compile/check.py
+++ b/tools/cross_compile/check.py
@@ -19,14 +19,14 @@
 from cross_compiler import TRIPLETS, CrossCompileError, CrossCompiler, Outcome, other_processor, read_commands
 
 #: Lines of a compiler's output that are printed for each source.
-MAX_LINES = 30
+MAX_LINES = 60
 
 
 def check_build(build: Path, processor: str) -> list[Outcome]:
     """Compiles all sources of a build folder for a processor and returns the outcomes."""
     commands = read_commands(build)
     with tempfile.TemporaryDirectory(prefix="cross-compile-") as objects:
-        return CrossCompiler(processor, Path(objects)).compile_all(commands)
+        return CrossCompiler(processor, build, Path(objects)).compile_all(commands)
 
 
 def print_failure(outcome: Outcome) -> None:
--- a/tools/cross_compile/cross_compiler.py
+++ b/tools/cross_compile/cross_compiler.py
@@ -89,16 +89,17 @@
 
 
 class CrossCompiler:
-    """Compiles for one processor; objects go into a folder of the caller's."""
+    """Compiles for one processor. Objects go into a folder of the caller's; links to headers go into the build folder, so
+    that the command is the same each time and a compiler cache finds it."""
 
-    def __init__(self, processor: str, objects: Path) -> None:
+    def __init__(self, processor: str, build: Path, objects: Path) -> None:
         """Raises CrossCompileError if a compiler for the processor is not installed."""
         self._triplet = TRIPLETS[processor]
         self._objects = objects
         for suffix in sorted(set(COMPILER_SUFFIXES.values())):
             if shutil.which(f"{self._triplet}-{suffix}") is None:
                 raise CrossCompileError(f"{self._triplet}-{suffix} is missing; install it with tools/install_packages.sh")
-        self._headers = self._link_library_headers()
+        self._headers = self._link_library_headers(build.resolve() / f"headers-for-{processor}")
 
     def compile_all(self, commands: Sequence[CompileCommand]) -> list[Outcome]:
         """Compiles on all cores of this machine and returns an outcome for each command, in their order."""
@@ -122,10 +123,10 @@
         arguments[arguments.index("-o") + 1] = str(output)
         return [*arguments, "-idirafter", str(self._headers)]
 
-    def _link_library_headers(self) -> Path:
-        """Returns a folder with the headers of libraries that are installed for this machine's processor alone. The folder
+    @staticmethod
+    def _link_library_headers(folder: Path) -> Path:
+        """Fills a folder with the headers of libraries that are installed for this machine's processor alone. The folder
         they lie in cannot be searched itself: it has the C library of this machine's processor too."""
-        folder = self._objects / "include"
         folder.mkdir(parents=True, exist_ok=True)
         native = INCLUDE / TRIPLETS.get(platform.machine(), "")
         for name in LIBRARY_HEADERS:
