--- a/tests/cross_compile/check_test.py
+++ b/tests/cross_compile/check_test.py
@@ -109,6 +109,14 @@
         self.assertEqual(first[:2], ["/usr/bin/ccache", f"{TRIPLETS[processor]}-g++"])
         self.assertEqual(first, second)
 
+    def test_the_compiler_cache_of_the_build_is_used(self):
+        self.write_build({"one.cc": "int one = 1;\n"})
+        processor = other_processor()
+        with mock.patch("cross_compiler.shutil.which", side_effect=lambda name: f"/usr/bin/{name}"):
+            compiler = CrossCompiler(processor, self.build, self.build)
+            arguments = compiler.arguments_for(read_commands(self.build)[0], Path("one.o"))
+        self.assertEqual(arguments[:2], ["/usr/bin/ccache", f"{TRIPLETS[processor]}-g++"])
+
     # Guards against seeds that play another simulation on another processor: of the two, only aarch64 has an instruction that
     # multiplies and adds with one rounding, and compilers use it by default.
     def test_products_are_rounded_before_they_are_added(self):
--- a/tools/cross_compile/cross_compiler.py
+++ b/tools/cross_compile/cross_compiler.py
@@ -113,7 +113,7 @@
         return Outcome(command.source, completed.returncode == 0, completed.stderr)
 
     def arguments_for(self, command: CompileCommand, output: Path) -> list[str]:
-        """Returns the command with the compiler and the output replaced; a launcher such as ccache stays."""
+        """Returns the command with the compiler and the output replaced, through ccache where it is installed."""
         arguments = list(command.arguments)
         position = next((index for index, argument in enumerate(arguments[:2])
                          if os.path.basename(argument) in COMPILER_SUFFIXES), None)
@@ -121,7 +121,10 @@
             raise CrossCompileError(f"{command.source}: not compiled by g++ into a file: {shlex.join(arguments[:3])} ...")
         arguments[position] = f"{self._triplet}-{COMPILER_SUFFIXES[os.path.basename(arguments[position])]}"
         arguments[arguments.index("-o") + 1] = str(output)
-        return [*arguments, "-idirafter", str(self._headers)]
+        # CMake leaves the launcher of a build folder out of its compile commands.
+        cache = shutil.which("ccache")
+        launcher = [cache] if cache and position == 0 else []
+        return [*launcher, *arguments, "-idirafter", str(self._headers)]
 
     @staticmethod
     def _link_library_headers(folder: Path) -> Path:
