review/8: a key that was taken away is honoured as a frozen gateway wakes

Cause: PlatformContact is set by the control thread and read at once by the traffic thread, but the configuration that belongs to the new contact is only posted to it. Requests that are ready before it arrives are judged by the old configuration's keys with the age of the new contact. The deployment of the scripts takes an address of the store for each gateway. No source of the gateway is changed.

--- a/review/common-2/deployment.py
+++ b/review/common-2/deployment.py
@@ -175,8 +175,8 @@
         self.random = random.Random(seed)
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store(random.Random(seed + 1))
-        self._count = gateways
         self.gateways, self.runners = [], []
+        self.store_addresses = None  # For each gateway; none: that of the store.
         self.started_at = time.monotonic()
         self.version = 0
         network = f"127.{random.SystemRandom().randint(20, 250)}.{random.SystemRandom().randint(1, 250)}"
@@ -206,7 +206,8 @@
         for runner in self.runners:
             await runner.start(self.runner_host)
         for number, host in enumerate(self.hosts):
-            self.gateways.append(Gateway(number, host, ports, seeds, store_address, self.folder, role, template))
+            address = self.store_addresses[number] if self.store_addresses else store_address
+            self.gateways.append(Gateway(number, host, ports, seeds, address, self.folder, role, template))
         for gateway in self.gateways:
             await gateway.start()
         for gateway in self.gateways:
