Attribute each response of a back end to its request by its id

Cause: the client took a response for that of the request that was due on its connection. A health request shared the connections of client requests and accepted any response, so that a surplus response ended it and its own, a rejection without an id, was taken for the response to the next request.

A response states its request, an earlier one or none. One that states none is accepted only on a connection that carried no other request, which carries none after it. Every response on a shared connection is thus told by its id.

--- a/src/gateway/dialect.h
+++ b/src/gateway/dialect.h
@@ -9,6 +9,7 @@
 
 #include "base/time.h"
 #include "gateway/gateway_snapshot.h"
+#include "http/client.h"
 #include "http/message.h"
 
 namespace crankspur::gateway {
@@ -49,9 +50,9 @@
 
 /// Parsed head of a back end's response.
 struct BackendResponse {
+  http::ResponseOwner owner = http::ResponseOwner::not_stated;
   bool not_run = false;        ///< The back end did not run the request and will not.
   bool wrong_backend = false;  ///< Another incarnation, or other weights, than expected.
-  bool other_request = false;  ///< The response belongs to another request: discard it.
   bool genuine = false;        ///< Has the headers of a response made by a back end itself.
   std::optional<std::uint64_t> weights_version;
   /// Requests per second that the back end takes from all gateways together; empty: it names no limit.
--- a/src/gateway/request_observer.h
+++ b/src/gateway/request_observer.h
@@ -50,7 +50,7 @@
   answer_broke_off,      ///< The connection broke after bytes were sent, or a stream stopped within an event.
   end_unproven,          ///< A resumed stream ended with its connection, after a head with other framing.
   answer_not_genuine,    ///< The response lacks the marks that the back end itself sets.
-  answer_unreadable,     ///< The back end sent bytes that are no response, or exceed the limits of one.
+  answer_unreadable,     ///< The back end sent bytes that are no response to the request, or too many.
   event_too_large,       ///< The back end sent an event that does not end.
   error_answer,          ///< The back end responded with an error status.
   quarantined,           ///< Back ends crashed while they ran the request: it is not run for some time.
--- a/src/gateway_process/traffic_loop.cc
+++ b/src/gateway_process/traffic_loop.cc
@@ -346,7 +346,13 @@
   ActiveExchange& active = exchanges_[action.exchange];
   active.client = action.client;
   active.held = ByteReservation(budget_);
-  const auto callbacks = exchangeCallbacks(action.exchange, client->request_id);
+  http::ExchangeCallbacks callbacks = exchangeCallbacks(action.exchange, client->request_id);
+  // A gateway responds once to each request, and its own responses state none.
+  callbacks.response_owner = [owner_of = std::move(callbacks.response_owner)](int status,
+                                                                              const http::Headers& headers) {
+    const http::ResponseOwner owner = owner_of(status, headers);
+    return owner == http::ResponseOwner::not_stated ? http::ResponseOwner::this_request : owner;
+  };
   active.exchange = http_->start(action.address, std::move(request), callbacks, options);
 }
 
@@ -411,7 +417,7 @@
   http::ExchangeOptions options;
   options.connect_timeout = kProbeTimeout;
   options.idle_timeout = kProbeTimeout;
-  options.may_be_repeated = true;
+  options.own_connection = true;
   http::ExchangeCallbacks callbacks;
   callbacks.on_headers = [this, probe = action.probe](int, const http::Headers&, http::BodyFraming) {
     const auto found = probes_.find(probe);
@@ -443,8 +449,8 @@
 
 http::ExchangeCallbacks TrafficLoop::exchangeCallbacks(ExchangeId exchange, const std::string& request_id) {
   http::ExchangeCallbacks callbacks;
-  callbacks.matches_request = [dialect = dialect_, request_id](int status, const http::Headers& headers) {
-    return !dialect->readResponse({status, headers, {}}, request_id).other_request;
+  callbacks.response_owner = [dialect = dialect_, request_id](int status, const http::Headers& headers) {
+    return dialect->readResponse({status, headers, {}}, request_id).owner;
   };
   callbacks.on_headers = [this, exchange, request_id](int status, const http::Headers& headers,
                                                       http::BodyFraming framing) {
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -29,7 +29,8 @@
 
   /// Runs the exchange on an idle connection, or on a new one if none is idle or `force_new` is set.
   void run(const std::shared_ptr<ExchangeState>& exchange, bool force_new) {
-    std::shared_ptr<ClientConnection> connection = force_new ? nullptr : popIdle(exchange->address);
+    const bool opens = force_new || exchange->options.own_connection;
+    std::shared_ptr<ClientConnection> connection = opens ? nullptr : popIdle(exchange->address);
     if (!connection) connection = open(exchange->address);
     running_[exchange.get()] = connection;
     connection->run(exchange);
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -20,11 +20,18 @@
   SentOutcomeUnknown,  ///< Bytes were written; the server may have processed the request.
 };
 
+/// The request that a response belongs to, as stated by its head.
+enum class ResponseOwner {
+  this_request,
+  earlier_request,  ///< The response is a late one, and is discarded.
+  not_stated,       ///< Unreadable unless the connection carried no other request; it carries none after it.
+};
+
 /// Callbacks of one exchange, on the client's executor thread.
 struct ExchangeCallbacks {
-  /// Returns whether a response head belongs to the request. If not, it is the head of a late response to an
-  /// earlier exchange, and that response is discarded. Optional; without it every response is accepted.
-  std::function<bool(int status, const Headers&)> matches_request;
+  /// Returns the owner of a response by its head. Optional; without it every response is accepted. A server
+  /// that may send a response twice needs it, or ExchangeOptions::own_connection.
+  std::function<ResponseOwner(int status, const Headers&)> response_owner;
   /// The status line and headers were received. Optional.
   std::function<void(int status, const Headers&, BodyFraming)> on_headers;
   /// Part of the body was received. When unset, the body is collected for on_done.
@@ -73,6 +80,11 @@
   /// closes a reused connection before the first byte of the response, the request is sent again. Never set
   /// it for requests of clients: their route decides what is repeated and the retry budget counts it.
   bool may_be_repeated = false;
+  /// The exchange opens a connection, which is closed afterwards. To be set if neither the request nor its
+  /// response states an id, and the server may send a response twice: on a shared connection, the copy of
+  /// another response could be taken for the response to this request, and the response to this request for
+  /// that to the next one.
+  bool own_connection = false;
 };
 
 /// An exchange that timed out before any byte of a response was received.
--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -141,7 +141,7 @@
 void ClientConnection::resetParser() {
   headers_delivered_ = false;
   head_bytes_ = 0;
-  discarding_ = false;
+  owner_ = ResponseOwner::this_request;
   read_deadline_.reset();
   parser_.emplace([this](std::string_view piece) { return consumeBody(piece); });
   parser_->header_limit(kHeaderBytes);
@@ -172,7 +172,7 @@
   if (phase_ == Phase::Closed) return;
   buffer_.commit(bytes);
   if (phase_ == Phase::Idle) return closeAndNotify();  // Closed by the server, or unsolicited data.
-  if (error == asio::error::eof && headers_delivered_ && !discarding_) {
+  if (error == asio::error::eof && headers_delivered_ && !isDiscarding()) {
     boost::system::error_code incomplete;
     parser_->put_eof(incomplete);
     return incomplete ? fail(incomplete) : complete(false);
@@ -195,7 +195,7 @@
 
 /// @param bytes that were read last.
 bool ClientConnection::exceedsDiscardLimit(std::size_t bytes) {
-  if (discarding_ || exchange_->discarded) discarded_bytes_ += bytes;
+  if (isDiscarding() || exchange_->discarded) discarded_bytes_ += bytes;
   return discarded_bytes_ > kMaxDiscardedBytes || other_responses_ > kMaxOtherResponses;
 }
 
@@ -234,20 +234,20 @@
     }
     if (parser_->is_header_done() && !headers_delivered_) {
       deliverHeaders();
-      if (exchange->ended) return;
+      if (exchange->ended || phase_ == Phase::Closed) return;
     }
-    if (parser_->is_done() && discarding_) {
+    if (parser_->is_done() && isDiscarding()) {
       if (!parser_->keep_alive()) return fail(asio::error::make_error_code(asio::error::eof));
       resetParser();
       continue;
     }
-    if (parser_->is_done()) return complete(parser_->keep_alive() && request_written_);
+    if (parser_->is_done()) return complete(isReusable());
     if (error || used == 0) return;
   }
 }
 
 bool ClientConnection::consumeBody(std::string_view piece) {
-  if (!exchange_ || exchange_->ended || exchange_->discarded || discarding_) return true;
+  if (!exchange_ || exchange_->ended || exchange_->discarded || isDiscarding()) return true;
   if (exchange_->callbacks.on_data) {
     exchange_->callbacks.on_data(piece);
     return true;
@@ -270,11 +270,13 @@
   parser_->eager(true);
   Headers headers = parser_->takeHeaders();
   applyKeepAliveTimeout(headers);
-  discarding_ = exchange->callbacks.matches_request && !exchange->callbacks.matches_request(status, headers);
-  if (discarding_) {
+  owner_ = responseOwner(status, headers);
+  if (isDiscarding()) {
     ++other_responses_;
     return limitReading(kMaxDiscardTime);
   }
+  // It may be a copy of the response to an earlier request.
+  if (owner_ == ResponseOwner::not_stated && reused_) return fail(make_error_code(ErrorCode::Malformed));
   exchange->response.status = status;
   head_bytes_ = kHeadCopies * memoryOf(headers);
   exchange->response.headers = std::move(headers);
@@ -283,6 +285,11 @@
     exchange->callbacks.on_headers(status, exchange->response.headers, bodyFraming());
 }
 
+ResponseOwner ClientConnection::responseOwner(int status, const Headers& headers) const {
+  const auto& owner_of = exchange_->callbacks.response_owner;
+  return owner_of ? owner_of(status, headers) : ResponseOwner::this_request;
+}
+
 BodyFraming ClientConnection::bodyFraming() const {
   if (parser_->need_eof()) return BodyFraming::Close;
   return parser_->chunked() ? BodyFraming::Chunked : BodyFraming::Length;
@@ -303,6 +310,13 @@
       std::min(kIdleLifetime, std::chrono::duration_cast<Duration>(std::chrono::seconds(seconds)) * 4 / 5);
 }
 
+/// The server may send a response twice. The copy of one that states no request could not be told from the
+/// response to the next request.
+bool ClientConnection::isReusable() const {
+  const bool identified = owner_ == ResponseOwner::this_request && !exchange_->options.own_connection;
+  return parser_->keep_alive() && request_written_ && identified;
+}
+
 void ClientConnection::complete(bool reusable) {
   const auto exchange = std::exchange(exchange_, nullptr);
   const ByteReservation held = std::move(held_);  // Until the driver has read the response.
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -74,8 +74,11 @@
   void parse();
   bool consumeBody(std::string_view piece);
   void deliverHeaders();
+  ResponseOwner responseOwner(int status, const Headers& headers) const;
   BodyFraming bodyFraming() const;
   void applyKeepAliveTimeout(const Headers& headers);
+  bool isDiscarding() const { return owner_ == ResponseOwner::earlier_request; }
+  bool isReusable() const;
   void complete(bool reusable);
   void fail(std::error_code error);
   void closeAndNotify();
@@ -103,10 +106,11 @@
   bool byte_sent_ = false;
   bool byte_received_ = false;
   bool headers_delivered_ = false;
-  bool reading_ = false;               ///< A read is pending.
-  bool reading_paused_ = false;        ///< By the driver of the current exchange.
-  bool late_timer_deferred_ = false;   ///< A late timer was already deferred once in this exchange.
-  bool discarding_ = false;            ///< The response being received belongs to an earlier request.
+  bool reading_ = false;              ///< A read is pending.
+  bool reading_paused_ = false;       ///< By the driver of the current exchange.
+  bool late_timer_deferred_ = false;  ///< A late timer was already deferred once in this exchange.
+  /// Of the response that is being received, once its head is complete.
+  ResponseOwner owner_ = ResponseOwner::this_request;
   std::size_t discarded_bytes_ = 0;    ///< Of responses that are not needed, in this exchange.
   std::uint32_t other_responses_ = 0;  ///< Interim ones and those to earlier requests, in this exchange.
   /// When the head, or a response that is not needed, has to be complete.
--- a/tests/integration/gateway/gateway_site.h
+++ b/tests/integration/gateway/gateway_site.h
@@ -37,7 +37,10 @@
   BackendResponse readResponse(const http::Response& head, const std::string& request_id) const override {
     BackendResponse response;
     const auto id = head.headers.find("X-Id");
-    response.other_request = id != head.headers.end() && id->second != request_id;
+    if (id != head.headers.end()) {
+      response.owner =
+          id->second == request_id ? http::ResponseOwner::this_request : http::ResponseOwner::earlier_request;
+    }
     response.genuine = head.headers.contains("X-Seal");
     response.not_run = head.headers.contains("X-Not-Run");
     return response;
--- a/tests/unit/http/endless_response_test.cc
+++ b/tests/unit/http/endless_response_test.cc
@@ -117,7 +117,9 @@
 /// Accepts only responses without the mark of another request.
 ExchangeCallbacks ownResponses() {
   ExchangeCallbacks callbacks;
-  callbacks.matches_request = [](int, const Headers& headers) { return !headers.contains("X-Other"); };
+  callbacks.response_owner = [](int, const Headers& headers) {
+    return headers.contains("X-Other") ? ResponseOwner::earlier_request : ResponseOwner::this_request;
+  };
   return callbacks;
 }
 
--- a/tests/unit/http/raw_server.h
+++ b/tests/unit/http/raw_server.h
@@ -27,6 +27,7 @@
   }
   std::string address() const { return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port()); }
   std::size_t requests() const { return requests_; }
+  std::size_t connections() const { return connections_; }
 
 private:
   struct Connection {
@@ -38,6 +39,7 @@
   void accept() {
     acceptor_.async_accept([this](boost::system::error_code error, boost::asio::ip::tcp::socket socket) {
       if (error) return;
+      ++connections_;
       receive(std::make_shared<Connection>(std::move(socket)));
       accept();
     });
@@ -66,6 +68,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   std::vector<RawResponse> responses_;
   std::size_t requests_ = 0;
+  std::size_t connections_ = 0;
 };
 
 }  // namespace crankspur::http
--- a/tests/unit/platform/header_dialect_test.cc
+++ b/tests/unit/platform/header_dialect_test.cc
@@ -108,7 +108,7 @@
   response = {421, {}, ""};
   CHECK(dialect.readResponse(response, "r1").wrong_backend);
   response = {200, {{"Attempt-Id", "r2"}, {"Server-Seal", "s"}, {"Weight-Versions", "4"}}, ""};
-  CHECK(dialect.readResponse(response, "r1").other_request);
+  CHECK(dialect.readResponse(response, "r1").owner == http::ResponseOwner::earlier_request);
   CHECK(dialect.readResponse(response, "r2").genuine);
   CHECK(dialect.readResponse(response, "r2").weights_version == 4);
   response.headers["Content-Encoding"] = "gzip";
