Confirm a configuration by the contact that came with it only

Cause: the traffic thread read the time of the platform's last confirmation at once, but the configuration which that confirmation was about waited behind queued requests. For that time the earlier one counted as confirmed.

Each state has a contact of its own now, which is confirmed no more once the state has changed, so that the age always speaks of the version in use. The same holds for the list of back ends. The first configuration of a process counted as confirmed at its start, although another gateway may pass on an older state; it comes into force with its contact, at the age that the contact states.

--- a/sim/gateway_world/gateway_node_control.cc
+++ b/sim/gateway_world/gateway_node_control.cc
@@ -92,7 +92,8 @@
     process_->fleet.onListed(backend, now());
     process_->builds.onBackend(backend.pool, backend.build, now());
   }
-  process_->contact->confirm(requested_at);
+  if (!table_update.rows.empty()) process_->contact.onChanged();
+  process_->contact.confirm(requested_at);
   process_->builds.onListContact(requested_at);
   callBuildRecord();
   confirmed_at_ = std::max(confirmed_at_, requested_true_time);
@@ -112,8 +113,8 @@
   snapshot->own_region = host_.location().region;
   snapshot->peer_count = static_cast<std::uint32_t>(otherMembers().size());
   snapshot->share_divisor = snapshot->peer_count + 1;
-  snapshot->contact = process_->contact;
-  snapshot->list_contact = process_->contact;
+  snapshot->contact = process_->contact.current();
+  snapshot->list_contact = process_->contact.current();
   snapshot->key_validity = context_.site.key_validity;
   exchangeBuilds(*snapshot);
   host_.post(kThreadDelay, [this, snapshot] {
--- a/sim/gateway_world/gateway_process_state.h
+++ b/sim/gateway_world/gateway_process_state.h
@@ -4,6 +4,7 @@
 #include "gateway_control/build_record.h"
 #include "gateway_control/gossip_socket.h"
 #include "gateway_control/origin_record.h"
+#include "gateway_control/state_contact.h"
 #include "sim/gateway_world/gateway_node.h"
 
 namespace crankspur::gateway_sim {
@@ -35,7 +36,7 @@
   gateway::BuildRecord builds;
   gateway::OriginRecord origins;
   std::unique_ptr<Membership> membership;
-  std::shared_ptr<gateway::PlatformContact> contact = std::make_shared<gateway::PlatformContact>();
+  gateway::StateContact contact;
   std::uint64_t table_version = 0;
   std::map<std::uint32_t, std::string> listed;  ///< Name of the listed process of each engine.
   bool has_configuration = false;
--- a/src/gateway/gateway_snapshot.h
+++ b/src/gateway/gateway_snapshot.h
@@ -142,9 +142,11 @@
 
 /// When the platform last confirmed a part of the state of a gateway. Written by the control thread and read
 /// by traffic at each decision, so that a gateway that resumes after a suspension does not decide on outdated
-/// state.
+/// state. It speaks of one state only and is confirmed no more once that state has changed.
 class PlatformContact {
 public:
+  explicit PlatformContact(TimePoint confirmed_at = {})
+      : confirmed_at_(confirmed_at.time_since_epoch().count()) {}
   /// Everything that the platform had accepted by `as_of` is known. Times before the last confirmed one are
   /// ignored.
   void confirm(TimePoint as_of) {
@@ -153,7 +155,7 @@
   TimePoint confirmedAt() const { return TimePoint(Duration(confirmed_at_.load())); }
 
 private:
-  std::atomic<Duration::rep> confirmed_at_ = 0;
+  std::atomic<Duration::rep> confirmed_at_;
 };
 
 /// A build of the back ends of a pool.
--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -112,8 +112,8 @@
       suspension_timer_(executor) {}
 
 void GatewayControl::start() {
-  contact_->confirm(now());
-  list_contact_->confirm(now());
+  contact_.start(now());
+  list_contact_.start(now());
   member_added_at_ = now();
   gossip_.start();
   platform_.start(platformCallbacks());
@@ -133,7 +133,7 @@
   callbacks.on_weights = [this](NamedWeights named) {
     named.named_at = now();
     // Weights found at startup were named at an unknown earlier time.
-    if (!initial_state_received_) named.named_at -= settings_.weights_limit - kWeightsFoundMargin;
+    if (!contact_.isConfirmed()) named.named_at -= settings_.weights_limit - kWeightsFoundMargin;
     if (!orders_.onNamed(named)) return;
     log_.write(EventId::WeightsNamed, {{"model", named.model},
                                        {"version", named.version},
@@ -143,15 +143,15 @@
   callbacks.on_backend = [this](const ListedBackend& listed) {
     fleet_.onListed(listed, now());
     build_record_.onBackend(listed.pool, listed.build, now());
-    schedulePublish();
+    onListChanged();
   };
   callbacks.on_backend_removed = [this](const std::string& id) {
     fleet_.onRemoved(id, now());
-    schedulePublish();
+    onListChanged();
   };
   callbacks.on_full_list = [this](const std::vector<std::string>& ids) {
     fleet_.onFullList(ids, now());
-    schedulePublish();
+    onListChanged();
   };
   callbacks.on_contact = [this](TimePoint as_of) { onContact(as_of); };
   callbacks.on_list_contact = [this](TimePoint as_of) { onListContact(as_of); };
@@ -232,6 +232,7 @@
                                                   {"pools", configuration->pools.size()},
                                                   {"tenants", configuration->tenants.size()}});
   configuration_ = std::move(configuration);
+  contact_.onChanged();
   listKvStores();
   gossip_.setConfigurationVersion(configuration_->version);
   // Without the publish delay: time limits for a configuration count from its acceptance.
@@ -239,13 +240,18 @@
 }
 
 void GatewayControl::onContact(TimePoint as_of) {
-  contact_->confirm(as_of);
-  initial_state_received_ = true;
+  const bool first = contact_.confirm(as_of);
   if (!std::exchange(platform_reachable_, true)) {
     log_.write(EventId::PlatformReachable,
                {{"service", "store"}, {"unreachable_ms", milliseconds(now() - unreachable_since_)}});
   }
-  if (keysCurrent() != keys_current_) publish();
+  const bool now_in_force = first && configuration_ != nullptr;
+  if (now_in_force || keysCurrent() != keys_current_) publish();
+}
+
+void GatewayControl::onListChanged() {
+  list_contact_.onChanged();
+  schedulePublish();
 }
 
 void GatewayControl::onPlatformFailure() {
@@ -254,13 +260,12 @@
     log_.write(EventId::PlatformUnreachable,
                {{"service", "store"},
                 {"reason", "no answer"},
-                {"last_contact_ms", milliseconds(now() - contact_->confirmedAt())}});
+                {"last_contact_ms", milliseconds(now() - contact_.confirmedAt())}});
   }
 }
 
 void GatewayControl::onConnectionsSilent() {
-  log_.write(EventId::ConnectionsSilent,
-             {{"last_contact_ms", milliseconds(now() - contact_->confirmedAt())}});
+  log_.write(EventId::ConnectionsSilent, {{"last_contact_ms", milliseconds(now() - contact_.confirmedAt())}});
   outputs_.on_connections_silent();
 }
 
@@ -329,8 +334,8 @@
 ControlStatus GatewayControl::status() const {
   ControlStatus status;
   status.configuration_version = configuration_ == nullptr ? 0 : configuration_->version;
-  status.knowledge_age = now() - contact_->confirmedAt();
-  status.list_age = now() - list_contact_->confirmedAt();
+  status.knowledge_age = now() - contact_.confirmedAt();
+  status.list_age = now() - list_contact_.confirmedAt();
   status.platform_reachable = platform_reachable_;
   status.leaving = leaving_;
   status.holds_order_lease = orders_.holding();
@@ -347,7 +352,7 @@
 }
 
 bool GatewayControl::keysCurrent() const {
-  return !settings_.key_validity || now() - contact_->confirmedAt() < *settings_.key_validity;
+  return !settings_.key_validity || now() - contact_.confirmedAt() < *settings_.key_validity;
 }
 
 void GatewayControl::onSettings(const NodeSettings& settings) {
@@ -382,12 +387,13 @@
   logFleetChanges();
   if (std::exchange(keys_current_, keysCurrent()) != keysCurrent()) {
     log_.write(EventId::GatewayKeysOutdated,
-               {{"current", keys_current_}, {"age_ms", milliseconds(now() - contact_->confirmedAt())}});
+               {{"current", keys_current_}, {"age_ms", milliseconds(now() - contact_.confirmedAt())}});
   }
   auto snapshot = std::make_shared<GatewaySnapshot>();
-  // Without a configuration nothing is served. It is withheld until the records of quarantined requests and
-  // of builds are known, since the first request to arrive may be such a request, or resume a stream.
-  if (recordsReady()) snapshot->configuration = configuration_;
+  // Without a configuration nothing is served. It is withheld until its age is known, and the records of
+  // quarantined requests and of builds, since the first request to arrive may be such a request, or resume a
+  // stream.
+  if (contact_.isConfirmed() && recordsReady()) snapshot->configuration = configuration_;
   snapshot->backends = backends_;
   snapshot->weights = orders_.named();
   snapshot->own_name = gossip_.ownName();
@@ -395,8 +401,8 @@
   snapshot->own_region = settings_.region;
   assignShares(*snapshot);
   snapshot->peers = peerGateways();
-  snapshot->contact = contact_;
-  snapshot->list_contact = list_contact_;
+  snapshot->contact = contact_.current();
+  snapshot->list_contact = list_contact_.current();
   snapshot->key_validity = settings_.key_validity;
   snapshot->builds_before = build_record_.before();
   snapshot->builds_before_known = build_record_.isKnown();
@@ -417,7 +423,7 @@
                             fleet_.nextChange(now()));
   if (!recordsReady()) next = std::min(next, now() + kPublishIntervalAtStart);
   if (settings_.key_validity && keys_current_) {
-    next = std::min(next, contact_->confirmedAt() + *settings_.key_validity);
+    next = std::min(next, contact_.confirmedAt() + *settings_.key_validity);
   }
   expireAt(change_timer_, next, now());
   change_timer_.async_wait([this](boost::system::error_code error) {
@@ -435,7 +441,7 @@
                 {"cause", change.cause},
                 {"source", nameOf(change.source)},
                 {"kept_ms", milliseconds(change.kept)},
-                {"list_age_ms", milliseconds(now() - list_contact_->confirmedAt())}});
+                {"list_age_ms", milliseconds(now() - list_contact_.confirmedAt())}});
   }
   for (const WeightsChange& change : fleet_.takeWeightsChanges()) {
     log_.write(EventId::BackendWeightsChanged, {{"backend", change.id},
--- a/src/gateway_control/gateway_control.h
+++ b/src/gateway_control/gateway_control.h
@@ -28,6 +28,7 @@
 #include "gateway_control/platform_link.h"
 #include "gateway_control/rollout_coordinator.h"
 #include "gateway_control/serving_set.h"
+#include "gateway_control/state_contact.h"
 
 namespace crankspur::gateway {
 
@@ -154,6 +155,7 @@
   void logMember(const MemberRecord& member, std::string_view from, std::string_view to);
   void onConfiguration(std::shared_ptr<const Configuration> configuration);
   void onContact(TimePoint as_of);
+  void onListChanged();
   void onPlatformFailure();
   void onConnectionsSilent();
   void watchForSuspension();
@@ -204,9 +206,8 @@
   /// Gateways among which the followed caches are divided; empty: each gateway follows all caches.
   std::vector<std::string> sharing_;
   std::shared_ptr<const Configuration> configuration_;
-  std::shared_ptr<PlatformContact> contact_ = std::make_shared<PlatformContact>();
-  std::shared_ptr<PlatformContact> list_contact_ = std::make_shared<PlatformContact>();
-  bool initial_state_received_ = false;  ///< The platform has sent its complete state once.
+  StateContact contact_;       ///< Of the configuration.
+  StateContact list_contact_;  ///< Of the list of back ends.
   bool platform_reachable_ = true;
   TimePoint unreachable_since_{};                ///< When the platform last became unreachable.
   std::map<std::string, MemberRecord> members_;  ///< As last logged, by name.
--- a/src/gateway_control/gateway_control_builds.cc
+++ b/src/gateway_control/gateway_control_builds.cc
@@ -47,7 +47,7 @@
 }
 
 void GatewayControl::onListContact(TimePoint as_of) {
-  list_contact_->confirm(as_of);
+  list_contact_.confirm(as_of);
   build_record_.onListContact(as_of);
   callBuildRecord();
   finishConfirmation();
@@ -56,7 +56,7 @@
 /// Responds once both were read.
 void GatewayControl::finishConfirmation() {
   if (!confirmation_ || !confirmation_->record) return;
-  if (list_contact_->confirmedAt() < confirmation_->requested_at) return;
+  if (list_contact_.confirmedAt() < confirmation_->requested_at) return;
   const Confirmation confirmation = *std::exchange(confirmation_, std::nullopt);
   if (publish_scheduled_) {
     publish_timer_.cancel();
