Order the entries at one address by the writes of the list

Cause: FleetView took the entry that it had received last for the newest at its address. A process that starts receives the complete list sorted by id. The note outlived the entry, so that nothing corrected it. Evidence: the new cases of fleet_view_test.cc, with either order of two entries.

Entries carry the version of their row, which grows with each write of the store: of two entries at an address, the one that was first written later is in use. Only a listed entry supersedes another, and nothing is remembered beside the entries, so that a wrong conclusion ends with its entry.

--- a/src/gateway_control/fleet_view.cc
+++ b/src/gateway_control/fleet_view.cc
@@ -70,7 +70,10 @@
     view.name = listed.id;
     view.incarnation = std::max<std::uint64_t>(1, hashBytes(listed.id));
   }
-  if (added || view.address != listed.address) newest_at_address_[listed.address] = listed.id;
+  if (added || view.address != listed.address) {
+    entry.first_version = listed.entry_version;
+    entry.added_order = ++entries_added_;
+  }
   view.address = listed.address;
   view.zone = listed.zone;
   view.pool = listed.pool;
@@ -246,13 +249,34 @@
   return nullptr;
 }
 
-bool FleetView::superseded(const Entry& entry) const {
-  const auto found = newest_at_address_.find(entry.backend.view.address);
-  return found != newest_at_address_.end() && found->second != entry.backend.view.name;
+/// The order in which entries are received tells nothing: a complete list is sorted by id, and a list may lag
+/// behind. The first version of an entry is used, since a delayed write may follow the end of its back end.
+bool FleetView::startedBefore(const Entry& entry, const Entry& other) {
+  return std::pair(entry.first_version, entry.added_order) <
+         std::pair(other.first_version, other.added_order);
+}
+
+/// @return the listed entry of each address that started last.
+FleetView::NewestByAddress FleetView::newestListed() const {
+  NewestByAddress newest;
+  newest.reserve(entries_.size());
+  for (const auto& [id, entry] : entries_) {
+    if (!entry.listed) continue;
+    const auto [position, added] = newest.try_emplace(entry.backend.view.address, &entry);
+    if (!added && startedBefore(*position->second, entry)) position->second = &entry;
+  }
+  return newest;
+}
+
+/// Only a listed entry supersedes another one: the entry of a back end that has ended lapses.
+bool FleetView::isSuperseded(const Entry& entry, const NewestByAddress& newest) {
+  const auto found = newest.find(entry.backend.view.address);
+  return found != newest.end() && startedBefore(entry, *found->second);
 }
 
-FleetView::EvaluatedState FleetView::evaluate(const Entry& entry, TimePoint now) const {
-  if (superseded(entry)) return {EngineState::Dead, "address_taken_over", StateSource::list};
+FleetView::EvaluatedState FleetView::evaluate(const Entry& entry, const NewestByAddress& newest,
+                                              TimePoint now) {
+  if (isSuperseded(entry, newest)) return {EngineState::Dead, "address_taken_over", StateSource::list};
   if (entry.draining) return {EngineState::Leaving, "draining", StateSource::list};
   if (!entry.listed && now >= entry.leaving_from)
     return {EngineState::Leaving, "unlisted", StateSource::list};
@@ -274,10 +298,11 @@
     if (expired) slots_.free(entry.backend.view.slot, now);
     return expired;
   });
+  const NewestByAddress newest = newestListed();
   std::vector<Backend> backends;
   backends.reserve(entries_.size());
   for (auto& [id, entry] : entries_) {
-    const auto [state, cause, source] = evaluate(entry, now);
+    const auto [state, cause, source] = evaluate(entry, newest, now);
     if (state != entry.last_state) {
       const bool unlisted = state == EngineState::Leaving && !entry.listed;
       const Duration kept = unlisted ? now - entry.unlisted_at : Duration(0);
--- a/src/gateway_control/fleet_view.h
+++ b/src/gateway_control/fleet_view.h
@@ -2,11 +2,14 @@
 /// @file The back ends as seen by one gateway: the platform's list, corrected by observations of traffic and
 /// orders. Pure decision code.
 
+#include <absl/container/flat_hash_map.h>
+
 #include <cstdint>
 #include <map>
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "gateway/gateway_snapshot.h"
@@ -112,6 +115,8 @@
   };
   struct Entry {
     Backend backend;
+    std::uint64_t first_version = 0;  ///< Entry version when it was first listed at its address.
+    std::uint64_t added_order = 0;    ///< Orders entries that state no version.
     bool listed = true;
     bool draining = false;
     TimePoint unlisted_at{};
@@ -134,15 +139,18 @@
     std::string_view cause;
     StateSource source = StateSource::list;
   };
-  EvaluatedState evaluate(const Entry& entry, TimePoint now) const;
+  using NewestByAddress = absl::flat_hash_map<std::string_view, const Entry*>;
+  static EvaluatedState evaluate(const Entry& entry, const NewestByAddress& newest, TimePoint now);
   static bool answersCalls(const Entry& entry, TimePoint now);
-  bool superseded(const Entry& entry) const;
+  static bool startedBefore(const Entry& entry, const Entry& other);
+  static bool isSuperseded(const Entry& entry, const NewestByAddress& newest);
+  NewestByAddress newestListed() const;
   void raiseWeights(Entry& entry, const std::string& model, const std::string& version, StateSource source);
   void recordListedWeights(const Entry& entry, const std::vector<LoadedModel>& previous_models);
 
   Duration departure_limit_;
   std::map<std::string, Entry> entries_;
-  std::map<std::string, std::string> newest_at_address_;  ///< By address: the id last listed there.
+  std::uint64_t entries_added_ = 0;
   TimePoint platform_failed_at_{};
   bool platform_has_failed_ = false;
   SlotPool slots_;
--- a/src/gateway_control/platform_link.h
+++ b/src/gateway_control/platform_link.h
@@ -20,6 +20,9 @@
 struct ListedBackend {
   std::string id;             ///< New at each start of the back end.
   std::uint64_t born_ms = 0;  ///< Unix time of the start, for readers of lists; 0: not stated.
+  /// Grows with each change of the platform's list: of two entries, the one with the higher version was
+  /// written later. 0: not stated.
+  std::uint64_t entry_version = 0;
   std::string pool;
   std::string address;  ///< "IP:port".
   std::string zone;
--- a/tests/unit/gateway_control/fleet_view_test.cc
+++ b/tests/unit/gateway_control/fleet_view_test.cc
@@ -127,6 +127,46 @@
   CHECK(stateOf(fleet, "new", kStart + 2s) == EngineState::Live);
 }
 
+// Guards against live back ends that get no requests: the complete list that a new process reads is sorted by
+// id, and the entry of a crashed start stays listed for some time beside that of the next one.
+TEST_CASE(
+    "of two entries at one address the one that was written later is used, in whatever order they are read",
+    "[fleet_view]") {
+  FleetView fleet;
+  ListedBackend ended = listed("ended");
+  ended.entry_version = 10;
+  ListedBackend restarted = listed("restarted");
+  restarted.entry_version = 20;
+  const bool ended_is_read_last = GENERATE(true, false);
+  fleet.onListed(ended_is_read_last ? restarted : ended, kStart);
+  fleet.onListed(ended_is_read_last ? ended : restarted, kStart);
+  CHECK(stateOf(fleet, "ended", kStart) == EngineState::Dead);
+  CHECK(stateOf(fleet, "restarted", kStart) == EngineState::Live);
+  SECTION("the earlier entry is written once more") {
+    ended.entry_version = 30;
+    fleet.onListed(ended, kStart + 1s);
+    CHECK(stateOf(fleet, "restarted", kStart + 1s) == EngineState::Live);
+  }
+  SECTION("the earlier entry lapses and is listed again") {
+    fleet.onRemoved("ended", kStart + 1s);
+    fleet.onListed(ended, kStart + 2s);
+    CHECK(stateOf(fleet, "ended", kStart + 2s) == EngineState::Dead);
+    CHECK(stateOf(fleet, "restarted", kStart + 2s) == EngineState::Live);
+  }
+}
+
+// Guards against back ends that stay hidden for good: an entry that was taken for a later start at the
+// address of a live one was remembered after it had lapsed.
+TEST_CASE("a back end is used again once the entry that superseded it is removed", "[fleet_view]") {
+  FleetView fleet;
+  fleet.onListed(listed("live"), kStart);
+  fleet.onListed(listed("mistaken"), kStart);
+  CHECK(stateOf(fleet, "live", kStart) == EngineState::Dead);
+  fleet.onRemoved("mistaken", kStart + 3s);
+  CHECK(stateOf(fleet, "live", kStart + 3s) == EngineState::Live);
+  CHECK(stateOf(fleet, "mistaken", kStart + 3s) == EngineState::Leaving);
+}
+
 TEST_CASE("observed weights take precedence over a list that lags behind", "[fleet_view]") {
   FleetView fleet;
   fleet.onListed(listed("a"), kStart);
--- a/tests/unit/platform/runner_entries_test.cc
+++ b/tests/unit/platform/runner_entries_test.cc
@@ -53,6 +53,7 @@
     callbacks.on_weights = [](const auto&) {};
     callbacks.on_backend = [this](const gateway::ListedBackend& listed) {
       listed_at[listed.address] = listed.id;
+      versions[listed.id] = listed.entry_version;
     };
     callbacks.on_backend_removed = [this](const std::string& id) { removeListed(id); };
     callbacks.on_full_list = [this](const std::vector<std::string>& ids) { ++full_lists, full_list = ids; };
@@ -88,7 +89,8 @@
   FakePlatformStore store;
   CountingLog log;
   PlatformTranslator translator;
-  std::map<std::string, std::string> listed_at;  ///< Ids by address.
+  std::map<std::string, std::string> listed_at;   ///< Ids by address.
+  std::map<std::string, std::uint64_t> versions;  ///< Of the entries, by id.
   std::vector<std::string> full_list;
   std::uint64_t version = 0;
   int full_lists = 0;
@@ -211,3 +213,15 @@
     for (const std::uint64_t born : {0ULL, 1700000000123ULL}) CHECK(runnerIdOf(runnerName(id, born)) == id);
   }
 }
+
+// The complete table is sorted by key. The version of a row tells which of two runners at one address was
+// listed later.
+TEST_CASE("the entry of a runner carries the version of its row", "[runner_entries]") {
+  EntriesFixture fixture;
+  fixture.store.put("servers", "z-ended", entry("10.0.0.1:80", ""));
+  fixture.store.put("servers", "a-restarted", entry("10.0.0.1:80", ""));
+  fixture.start();
+  REQUIRE(fixture.versions.size() == 2);
+  CHECK(fixture.versions["z-ended"] > 0);
+  CHECK(fixture.versions["a-restarted"] > fixture.versions["z-ended"]);
+}
