Fail responses whose connection was reset while the request was written

Cause: the kernel reports a reset once. The pending write received it, the client dropped the error of the write, and the read after it ended as after an orderly close. Evidence: a trace of the system calls of the new test shows ECONNRESET from sendmsg and then the end of file from recvmsg. The handler of that write runs after the one of the read if the write was tried while the read was already due.

The end of a connection completes a response without a length only if no write failed on it. EPIPE is excepted: the server had closed its side before the reset, and its response is complete. While a write is pending, the end is judged after the handlers that are due.

A folded header field was accepted with the fold replaced by a space. It could change an id or a length without notice, so that such a head is unreadable (RFC 9112, section 5.2). In trailers, which are dropped, a fold changes nothing.

--- a/src/http/client_connection.cc
+++ b/src/http/client_connection.cc
@@ -55,6 +55,10 @@
   ::setsockopt(descriptor, IPPROTO_TCP, TCP_KEEPCNT, &kProbeCount, sizeof(kProbeCount));
 }
 
+std::string_view bytesOf(const beast::flat_buffer& buffer) {
+  return {static_cast<const char*>(buffer.data().data()), buffer.size()};
+}
+
 /// @return the error of an exchange whose response the parser rejects.
 std::error_code parseFailure(const boost::system::error_code& error) {
   using beast::http::error::body_limit;
@@ -78,6 +82,7 @@
   request_head_ = requestHead(exchange_->request, address_);
   held_ = ByteReservation(exchange_->options.budget);
   request_written_ = false;
+  write_error_.clear();
   byte_sent_ = false;
   byte_received_ = false;
   late_timer_deferred_ = false;
@@ -130,7 +135,8 @@
     if (self->exchange_ != exchange) return;
     if (error && bytes == 0) self->byte_sent_ = false;
     self->request_written_ = !error;
-    // The pending read reports a failed write: the server may have responded before it closed.
+    self->write_error_ = error;
+    // The pending read ends the exchange: the server may have responded before it closed.
   };
   // The handler keeps the exchange, and with it the body, until the write has ended.
   const std::array buffers{asio::buffer(std::as_const(request_head_)),
@@ -172,11 +178,7 @@
   if (phase_ == Phase::Closed) return;
   buffer_.commit(bytes);
   if (phase_ == Phase::Idle) return closeAndNotify();  // Closed by the server, or unsolicited data.
-  if (error == asio::error::eof && headers_delivered_ && !isDiscarding()) {
-    boost::system::error_code incomplete;
-    parser_->put_eof(incomplete);
-    return incomplete ? fail(incomplete) : complete(false);
-  }
+  if (error == asio::error::eof && headers_delivered_ && !isDiscarding()) return onEndOfFile();
   if (error) return fail(error);
   idle_since_ = std::chrono::steady_clock::now();
   last_received_ = idle_since_;
@@ -193,6 +195,31 @@
   if (phase_ == Phase::Idle || (phase_ == Phase::Busy && !reading_paused_)) read();
 }
 
+/// The end of the connection completes a response without a length only if the connection was not reset. The
+/// kernel reports a reset once: if a write receives it, the read after it ends as after an orderly close. The
+/// handler of that write may be queued behind the one of the read.
+void ClientConnection::onEndOfFile() {
+  const bool write_pending = !request_written_ && !write_error_;
+  if (!parser_->need_eof() || !write_pending) return endResponse();
+  asio::post(socket_.get_executor(), [self = shared_from_this(), exchange = exchange_] {
+    if (self->exchange_ == exchange) self->endResponse();
+  });
+}
+
+void ClientConnection::endResponse() {
+  if (parser_->need_eof() && mayHaveBeenReset()) return fail(write_error_);
+  boost::system::error_code incomplete;
+  parser_->put_eof(incomplete);
+  if (incomplete) return fail(incomplete);
+  complete(false);
+}
+
+/// @return false if the server closed its side first, which EPIPE tells: it need not read a request that it
+/// has answered completely.
+bool ClientConnection::mayHaveBeenReset() const {
+  return write_error_ && write_error_ != std::errc::broken_pipe;
+}
+
 /// @param bytes that were read last.
 bool ClientConnection::exceedsDiscardLimit(std::size_t bytes) {
   if (isDiscarding() || exchange_->discarded) discarded_bytes_ += bytes;
@@ -225,6 +252,7 @@
 void ClientConnection::parse() {
   const auto exchange = exchange_;
   while (buffer_.size() > 0 && other_responses_ <= kMaxOtherResponses) {
+    if (!parser_->is_header_done() && hasFoldedField(bytesOf(buffer_))) return fail(ErrorCode::Malformed);
     boost::system::error_code error;
     const std::size_t used = parser_->put(buffer_.data(), error);
     buffer_.consume(used);
--- a/src/http/client_connection.h
+++ b/src/http/client_connection.h
@@ -89,6 +89,9 @@
   void onTimer();
   bool deferLateTimer();
   bool closedWhileSending(std::error_code error) const;
+  void onEndOfFile();
+  void endResponse();
+  bool mayHaveBeenReset() const;
 
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
@@ -103,6 +106,7 @@
   std::size_t head_bytes_ = 0;  ///< Of the current response, with the copy of its driver.
   bool reused_ = false;
   bool request_written_ = false;
+  std::error_code write_error_;  ///< Of the current request.
   bool byte_sent_ = false;
   bool byte_received_ = false;
   bool headers_delivered_ = false;
--- a/src/http/message_parser.cc
+++ b/src/http/message_parser.cc
@@ -12,6 +12,12 @@
 
 }  // namespace
 
+bool hasFoldedField(std::string_view received) {
+  const std::string_view head = received.substr(0, received.find("\r\n\r\n"));
+  if (head.size() == received.size()) return false;
+  return head.find("\n ") != std::string_view::npos || head.find("\n\t") != std::string_view::npos;
+}
+
 Request RequestParser::release(ByteReservation held) {
   Request request;
   request.method = std::move(method_);
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -14,6 +14,12 @@
 
 namespace crankspur::http {
 
+/// @param received bytes from the start of a head on.
+/// @return whether a line of the complete head begins with a blank, and thus continues the field before.
+/// Senders must not fold fields, and the continuation could change a field that the receiver relies on (RFC
+/// 9112, section 5.2).
+bool hasFoldedField(std::string_view received);
+
 /// Header fields and framing of the message that is being received.
 template <bool isRequest>
 class MessageParser : public boost::beast::http::basic_parser<isRequest> {
