Keep the line on the cause of a failure when the log's writer wakes

A process that failed could end without the line on its cause.

Cause: the line before wakes the writer thread, which takes the lock for an instant to see that there is something to write. The failing thread tried the lock once and dropped its line.

The failing thread now tries for 50 ms. A lock that it holds itself still does not stop it.

--- a/src/base/bounded_event_log.cc
+++ b/src/base/bounded_event_log.cc
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <csignal>
+#include <thread>
 #include <utility>
 
 namespace crankspur {
@@ -16,6 +17,9 @@
 constexpr std::size_t kAtomicPipeBytes = 4096;
 /// Timeout of one poll for writability.
 constexpr int kPollMilliseconds = 100;
+/// Maximum time for which a failing process waits for the lock. Other threads hold it for microseconds; the
+/// thread that failed may hold it for good.
+constexpr Duration kMaxLockTime = std::chrono::milliseconds(50);
 /// Fill levels of the queue, in quarters: up to the first all routine lines are accepted, up to the second
 /// they are sampled, beyond it they are dropped.
 constexpr std::size_t kUnsampledRoutineQuarters = 2;
@@ -122,14 +126,22 @@
   const std::string line =
       formatLogLine(settings_.format, currentLogTime(), settings_.process, describeEvent(event), fields) +
       "\n";
-  if (!mutex_.try_lock()) return;
+  if (!lockBeforeFailure()) return;
   enqueue(event, line);
   mutex_.unlock();
 }
 
-/// Locks without waiting, since the thread that failed may hold the lock.
+bool BoundedEventLog::lockBeforeFailure() {
+  const TimePoint deadline = clock_.now() + kMaxLockTime;
+  while (!mutex_.try_lock()) {
+    if (clock_.now() >= deadline) return false;
+    std::this_thread::yield();
+  }
+  return true;
+}
+
 void BoundedEventLog::flushBeforeFailure() {
-  if (!mutex_.try_lock()) return;
+  if (!lockBeforeFailure()) return;
   std::string_view unwritten = queued_;
   while (!unwritten.empty()) {
     pollfd poll_entry{settings_.descriptor, POLLOUT, 0};
--- a/src/base/bounded_event_log.h
+++ b/src/base/bounded_event_log.h
@@ -57,11 +57,10 @@
   BoundedEventLog& operator=(const BoundedEventLog&) = delete;
 
   void write(EventId event, const std::vector<LogField>& fields) override;
-  /// Like write(), but drops the line if the failing thread, or another one, is queueing a line.
+  /// Like write(), but drops the line if the failing thread is queueing a line.
   void writeBeforeFailure(EventId event, const std::vector<LogField>& fields);
   /// Writes the queued lines from the calling thread while the descriptor accepts them. To be called only
-  /// when the process is about to fail; does nothing if the failing thread, or another one, is queueing a
-  /// line.
+  /// when the process is about to fail; does nothing if the failing thread is queueing a line.
   void flushBeforeFailure();
   /// @return recent lines that contain `text`, whether written, queued or dropped; oldest first.
   std::vector<std::string> recentLines(std::string_view text) const;
@@ -77,6 +76,8 @@
   void appendDroppedCount();
   bool writeToDescriptor(std::string_view text);
   bool flushTimedOut(TimePoint now) const;
+  /// @return false if the lock was held for too long.
+  bool lockBeforeFailure();
 
   BoundedLogSettings settings_;
   SteadyClock clock_;
--- a/tests/unit/base/bounded_event_log_test.cc
+++ b/tests/unit/base/bounded_event_log_test.cc
@@ -94,6 +94,22 @@
   CHECK(std::chrono::steady_clock::now() - start < std::chrono::seconds(5));
 }
 
+// Guards against a process that ends without a line on its cause: the writer thread, which the line before
+// has woken, held the lock for an instant.
+TEST_CASE("the cause of a failure is written although the writer thread is just waking",
+          "[base][bounded_log]") {
+  for (int run = 0; run < 1'000; ++run) {
+    LogPipe pipe;
+    BoundedLogSettings settings = settingsFor(pipe);
+    settings.batch_interval = std::chrono::seconds(20);
+    BoundedEventLog log(settings);
+    log.write(EventId::ProcessStarted, {{"name", "first"}});
+    log.writeBeforeFailure(EventId::ProcessFailed, {{"what", "second"}});
+    log.flushBeforeFailure();
+    REQUIRE(pipe.readAll().find("second") != std::string::npos);
+  }
+}
+
 TEST_CASE("a bounded log writes all lines in order while there is a reader", "[base][bounded_log]") {
   LogPipe pipe;
   {
