--- a/src/gateway_control/fleet_view.cc
+++ b/src/gateway_control/fleet_view.cc
@@ -249,8 +249,9 @@
   return nullptr;
 }
 
-/// The order in which entries are received tells nothing: a complete list is sorted by id, and a list may lag
-/// behind. The first version of an entry is used, since a delayed write may follow the end of its back end.
+/// The order in which entries are received tells little: a complete list is sorted by id, and a list may lag
+/// behind. It decides only between entries without a version. The first version of an entry is used, since a
+/// delayed write may follow the end of its back end.
 bool FleetView::startedBefore(const Entry& entry, const Entry& other) {
   return std::pair(entry.first_version, entry.added_order) <
          std::pair(other.first_version, other.added_order);
