--- a/src/gateway_process/traffic_loop.h
+++ b/src/gateway_process/traffic_loop.h
@@ -103,6 +103,7 @@
   void execute(const ConfirmBuilds& action);
   void onProbeResult(std::uint64_t probe, ProbeOutcome outcome);
 
+  ActiveExchange& addExchange(ExchangeId exchange, ClientId client);
   http::ExchangeCallbacks exchangeCallbacks(ExchangeId exchange, const std::string& request_id);
   void onHead(ExchangeId exchange, const std::string& request_id, const http::Response& head,
               http::BodyFraming framing);
