Share the set-up of tests of the failing log and of contacts

state_contact_test.cc had a copy of the quiet log of gateway_admin_test.cc, though it reads no line: it uses NullEventLog. Two cases of bounded_event_log_test.cc wrote the same three calls.

--- a/tests/unit/base/bounded_event_log_test.cc
+++ b/tests/unit/base/bounded_event_log_test.cc
@@ -73,6 +73,13 @@
   }
 }
 
+/// Writes the line of a start, and then as a process that fails the one on the cause.
+void failAfterStart(BoundedEventLog& log) {
+  log.write(EventId::ProcessStarted, {{"name", "first"}});
+  log.writeBeforeFailure(EventId::ProcessFailed, {{"what", "second"}});
+  log.flushBeforeFailure();
+}
+
 }  // namespace
 
 // Guards against a failing process that does not end because nobody reads its log.
@@ -82,9 +89,7 @@
   BoundedLogSettings settings = settingsFor(pipe);
   settings.batch_interval = std::chrono::seconds(20);
   BoundedEventLog log(settings);
-  log.write(EventId::ProcessStarted, {{"name", "first"}});
-  log.writeBeforeFailure(EventId::ProcessFailed, {{"what", "second"}});
-  log.flushBeforeFailure();
+  failAfterStart(log);
   const std::string written = pipe.readAll();
   CHECK(written.find("first") != std::string::npos);
   CHECK(written.find("second") != std::string::npos);
@@ -103,9 +108,7 @@
     BoundedLogSettings settings = settingsFor(pipe);
     settings.batch_interval = std::chrono::seconds(20);
     BoundedEventLog log(settings);
-    log.write(EventId::ProcessStarted, {{"name", "first"}});
-    log.writeBeforeFailure(EventId::ProcessFailed, {{"what", "second"}});
-    log.flushBeforeFailure();
+    failAfterStart(log);
     REQUIRE(pipe.readAll().find("second") != std::string::npos);
   }
 }
--- a/tests/unit/gateway_control/state_contact_test.cc
+++ b/tests/unit/gateway_control/state_contact_test.cc
@@ -5,12 +5,9 @@
 
 #include "gateway_control/state_contact.h"
 
-#include <fcntl.h>
-
 #include <boost/asio/io_context.hpp>
 #include <catch2/catch.hpp>
 
-#include "base/bounded_event_log.h"
 #include "gateway_control/gateway_control.h"
 #include "unit/gateway_control/platform_link_fake.h"
 #include "unit/run_until.h"
@@ -23,12 +20,6 @@
 
 constexpr Duration kKeyValidity = 5s;
 
-BoundedLogSettings quietLog() {
-  BoundedLogSettings settings;
-  settings.descriptor = ::open("/dev/null", O_WRONLY);
-  return settings;
-}
-
 NodeSettings nodeSettings() {
   NodeSettings settings;
   settings.name = "gateway-1";
@@ -77,7 +68,7 @@
 
   const TimePoint now = SteadyClock().now();
   boost::asio::io_context context{1};
-  BoundedEventLog log{quietLog()};
+  NullEventLog log;
   FakePlatformLink platform;
   std::vector<std::shared_ptr<const GatewaySnapshot>> snapshots;
   GatewayControl control{context.get_executor(), nodeSettings(), 7, platform, outputs(), log};
