--- a/src/gateway_control/gateway_control.cc
+++ b/src/gateway_control/gateway_control.cc
@@ -8,24 +8,15 @@
 
 #include "base/endpoint.h"
 #include "base/hash.h"
-#include "base/timer.h"
-#include "router/engine_table.h"
 
 namespace crankspur::gateway {
 
 namespace {
 
-/// Changes within the publish delay are published together. A publication copies the list of back ends, so
-/// the delay grows with its length.
-constexpr Duration kMinPublishDelay = std::chrono::milliseconds(5);
-constexpr Duration kPublishDelayPerBackend = std::chrono::microseconds(300);
 /// A back end that received an order takes no new request for this time, about the duration of a load.
 constexpr Duration kLoadingTime = std::chrono::milliseconds(1'500);
 /// Deadline, counted from their discovery, for weights that were already named when this process started.
 constexpr Duration kWeightsFoundMargin = std::chrono::milliseconds(4'500);
-/// Maximum interval between two publications; picks up state that changes with time alone.
-constexpr Duration kMaxPublishInterval = std::chrono::seconds(5);
-constexpr Duration kPublishIntervalAtStart = std::chrono::milliseconds(100);
 
 std::uint32_t milliseconds(Duration duration) {
   return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -372,84 +363,4 @@
   if (!serving_.allServe()) broadcastNotice(notice, true);
 }
 
-void GatewayControl::schedulePublish() {
-  if (std::exchange(publish_scheduled_, true)) return;
-  const Duration wanted = kPublishDelayPerBackend * static_cast<Duration::rep>(backends_.size());
-  publish_timer_.expires_after(std::max(kMinPublishDelay, wanted));
-  publish_timer_.async_wait([this](boost::system::error_code error) {
-    if (!error) publish();
-  });
-}
-
-void GatewayControl::publish() {
-  publish_scheduled_ = false;
-  backends_ = fleet_.backends(now());
-  logFleetChanges();
-  if (std::exchange(keys_current_, keysCurrent()) != keysCurrent()) {
-    log_.write(EventId::GatewayKeysOutdated,
-               {{"current", keys_current_}, {"age_ms", milliseconds(now() - contact_.confirmedAt())}});
-  }
-  auto snapshot = std::make_shared<GatewaySnapshot>();
-  // Without a configuration nothing is served. It is withheld until its age is known, and the records of
-  // quarantined requests and of builds, since the first request to arrive may be such a request, or resume a
-  // stream.
-  if (contact_.isConfirmed() && recordsReady()) snapshot->configuration = configuration_;
-  snapshot->backends = backends_;
-  snapshot->weights = orders_.named();
-  snapshot->own_name = gossip_.ownName();
-  snapshot->own_zone = settings_.zone;
-  snapshot->own_region = settings_.region;
-  assignShares(*snapshot);
-  snapshot->peers = peerGateways();
-  snapshot->contact = contact_.current();
-  snapshot->list_contact = list_contact_.current();
-  snapshot->key_validity = settings_.key_validity;
-  snapshot->builds_before = build_record_.before();
-  snapshot->builds_before_known = build_record_.isKnown();
-  outputs_.publish(std::move(snapshot));
-  updateCacheWatch();
-  orders_.wake();
-  build_record_.onListed(backends_, otherMembers().size(), now());
-  callBuildRecord();
-  armPublishTimer();
-}
-
-bool GatewayControl::recordsReady() const {
-  return crashes_.isReady(now()) && build_record_.isReady(now()) && origin_record_.isReady(now());
-}
-
-void GatewayControl::armPublishTimer() {
-  TimePoint next = std::min(now() + (fleet_stable_ ? kMaxPublishInterval : kPublishIntervalAtStart),
-                            fleet_.nextChange(now()));
-  if (!recordsReady()) next = std::min(next, now() + kPublishIntervalAtStart);
-  if (settings_.key_validity && keys_current_) {
-    next = std::min(next, contact_.confirmedAt() + *settings_.key_validity);
-  }
-  expireAt(change_timer_, next, now());
-  change_timer_.async_wait([this](boost::system::error_code error) {
-    if (!error) publish();
-  });
-}
-
-void GatewayControl::logFleetChanges() {
-  for (const FleetChange& change : fleet_.takeChanges()) {
-    log_.write(EventId::BackendStateChanged,
-               {{"backend", change.id},
-                {"pool", change.pool},
-                {"from", engineStateName(change.previous)},
-                {"to", engineStateName(change.state)},
-                {"cause", change.cause},
-                {"source", nameOf(change.source)},
-                {"kept_ms", milliseconds(change.kept)},
-                {"list_age_ms", milliseconds(now() - list_contact_.confirmedAt())}});
-  }
-  for (const WeightsChange& change : fleet_.takeWeightsChanges()) {
-    log_.write(EventId::BackendWeightsChanged, {{"backend", change.id},
-                                                {"model", change.model},
-                                                {"from", change.previous},
-                                                {"to", change.version},
-                                                {"source", nameOf(change.source)}});
-  }
-}
-
 }  // namespace crankspur::gateway
--- a/src/http/client.h
+++ b/src/http/client.h
@@ -29,8 +29,8 @@
 
 /// Callbacks of one exchange, on the client's executor thread.
 struct ExchangeCallbacks {
-  /// Returns the owner of a response by its head. Optional; without it every response is accepted. A server
-  /// that may send a response twice needs it, or ExchangeOptions::own_connection.
+  /// Returns the owner of a response by its head. Optional; without it every response is accepted. For
+  /// servers that may send a response twice, set this or ExchangeOptions::own_connection.
   std::function<ResponseOwner(int status, const Headers&)> response_owner;
   /// The status line and headers were received. Optional.
   std::function<void(int status, const Headers&, BodyFraming)> on_headers;
