Handle a request to stop before any number of requests to reload

A gateway that got requests to reload faster than it could reload did not stop: 21 s after SIGTERM it was still running, and it had not begun its drain.

Cause: boost::asio::signal_set counts the signals that arrived and hands out the lowest number first. SIGHUP is 1, SIGTERM 15. While requests to reload arrive faster than they are handled one of them is always waiting, and those that have arrived are worked through after the last.

Evidence: 30 such tests at once; a gateway's lines hold reloads and no stop for 13 s, its control thread is in the event loop, and a trace of its system calls shows the bytes of SIGHUPs and readings of the settings only.

The three signals now stay blocked, and the event loop reads them from one descriptor each (signalfd). The kernel keeps at most one pending of each, so that requests to reload do not add up, and the descriptor of a stop is ready whatever else is.

--- a/src/base/process_failure.h
+++ b/src/base/process_failure.h
@@ -6,7 +6,7 @@
 
 namespace crankspur {
 
-/// Installs the handlers. To be called before a ProcessSignals is created, since it takes SIGTERM too.
+/// Installs the handlers. One for SIGTERM is among them; ProcessSignals blocks that signal.
 void installFailureHandlers();
 
 /// During its lifetime such an end also writes the queued lines of a log.
--- a/src/base/process_signals.h
+++ b/src/base/process_signals.h
@@ -1,11 +1,12 @@
 #pragma once
 /// @file The signals that a program handles: SIGTERM, SIGINT and SIGHUP. By default each of them ends the
-/// process, also one that only asks to reload the settings. They are therefore blocked, and stay pending,
-/// whenever no handler is installed: from the first instruction of the program on (early_signals.cc) and
-/// while it is being destroyed.
+/// process, also one that only asks to reload the settings. They are therefore blocked in all threads from
+/// the first instruction of the program on (early_signals.cc). The event loop reads those that are pending
+/// from descriptors (signalfd(2)).
 
+#include <array>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
+#include <boost/asio/posix/stream_descriptor.hpp>
 #include <functional>
 
 namespace crankspur {
@@ -17,14 +18,14 @@
 /// SIGUSR2. Log rotation and other tools send them to any process.
 void ignoreUnusedSignals();
 
-/// Handles the signals on an event loop. To be created on the thread that runs the loop, before other threads
-/// if blockProcessSignals() was not called before.
+/// Handles the signals on an event loop. A signal that arrives again before it is handled is handled once,
+/// and no number of requests to reload delays a request to stop.
 class ProcessSignals {
 public:
-  /// Installs handlers and unblocks the signals. Those that were pending are delivered once the loop runs.
+  /// Blocks the signals, in case blockProcessSignals() was not called. To be created before other threads.
+  /// Signals that are pending already are handled once the loop runs.
+  /// @throws boost::system::system_error if the process has no descriptors left.
   explicit ProcessSignals(boost::asio::io_context& context);
-  /// Blocks the signals again, so that none ends the process during the rest of its destruction.
-  ~ProcessSignals();
   ProcessSignals(const ProcessSignals&) = delete;
   ProcessSignals& operator=(const ProcessSignals&) = delete;
 
@@ -32,9 +33,12 @@
   void setHandler(std::function<void(int)> handler) { handler_ = std::move(handler); }
 
 private:
-  void wait();
+  using Descriptor = boost::asio::posix::stream_descriptor;
+  void wait(Descriptor& descriptor);
+  void handlePending(Descriptor& descriptor);
 
-  boost::asio::signal_set signals_;
+  /// One for each signal. One for all would return the lowest number first, which is SIGHUP.
+  std::array<Descriptor, 3> descriptors_;
   std::function<void(int)> handler_;
 };
 
